--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# clang-tidy over every C file of the build, in parallel; fails on any finding.
+set -eu
+build=$1
+jobs=$2
+git ls-files -co --exclude-standard 'src/*.c' | grep -v '^src/test_fuzz/' |
+	xargs -P "$jobs" -n 2 clang-tidy --quiet -p "$build" 2>/dev/null
+echo "lint: clean"
--- /dev/null
+++ b/src/libwaxwinghollow/counters.c
@@ -0,0 +1,89 @@
+#include "waxwinghollow/counters.h"
+
+#include <glib.h>
+
+struct wwh_counters {
+	GMutex lock;
+	GTree *by_name; /* char * to wwh_counter_t *, owns both */
+};
+
+typedef struct {
+	wwh_counter_visit_t visit;
+	void *client_data;
+} visit_context_t;
+
+static int compare_names(gconstpointer a, gconstpointer b, gpointer unused);
+static gboolean visit_one(gpointer key, gpointer value, gpointer client_data);
+
+wwh_counters_t *wwh_counters_new(void)
+{
+	wwh_counters_t *counters = g_new0(wwh_counters_t, 1);
+
+	g_mutex_init(&counters->lock);
+	counters->by_name =
+		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	return counters;
+}
+
+void wwh_counters_delete(wwh_counters_t *counters)
+{
+	if (counters == NULL)
+		return;
+	g_tree_destroy(counters->by_name);
+	g_mutex_clear(&counters->lock);
+	g_free(counters);
+}
+
+wwh_counter_t *wwh_counters_get(wwh_counters_t *counters, const char *name)
+{
+	wwh_counter_t *counter;
+
+	g_mutex_lock(&counters->lock);
+	counter = g_tree_lookup(counters->by_name, name);
+	if (counter == NULL) {
+		counter = g_new0(wwh_counter_t, 1);
+		g_tree_insert(counters->by_name, g_strdup(name), counter);
+	}
+	g_mutex_unlock(&counters->lock);
+	return counter;
+}
+
+void wwh_counters_each(wwh_counters_t *counters, wwh_counter_visit_t visit,
+		       void *client_data)
+{
+	visit_context_t context = { visit, client_data };
+
+	g_mutex_lock(&counters->lock);
+	g_tree_foreach(counters->by_name, visit_one, &context);
+	g_mutex_unlock(&counters->lock);
+}
+
+void wwh_counter_add(wwh_counter_t *counter, int64_t amount)
+{
+	atomic_fetch_add_explicit(&counter->value, amount,
+				  memory_order_relaxed);
+}
+
+void wwh_counter_set(wwh_counter_t *counter, int64_t value)
+{
+	atomic_store_explicit(&counter->value, value, memory_order_relaxed);
+}
+
+int64_t wwh_counter_value(wwh_counter_t *counter)
+{
+	return atomic_load_explicit(&counter->value, memory_order_relaxed);
+}
+
+static int compare_names(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	(void)unused;
+	return g_strcmp0(a, b);
+}
+
+static gboolean visit_one(gpointer key, gpointer value, gpointer client_data)
+{
+	visit_context_t *context = client_data;
+
+	context->visit(key, wwh_counter_value(value), context->client_data);
+	return FALSE;
+}
