--- /dev/null
+++ b/src/libwaxwinghollow/chart_files.S
@@ -0,0 +1,30 @@
+/*
+ * The charts as they stand in charts/, linked in because the hosts that run
+ * the binary have no disk. Each macro call adds one row of wwh_chart_files:
+ * name, text, size.
+ */
+
+	.macro chart name
+	.section .rodata
+1:	.asciz "\name"
+2:	.incbin "charts/\name\().json"
+3:	.byte 0
+	.section .data.rel.ro, "aw"
+	.balign 8
+	.quad 1b
+	.quad 2b
+	.quad 3b - 2b
+	.endm
+
+	.section .data.rel.ro, "aw"
+	.balign 8
+	.global wwh_chart_files
+wwh_chart_files:
+	chart entry
+	chart request
+	chart minion
+	.global wwh_chart_files_end
+wwh_chart_files_end:
+	.quad 0
+
+	.section .note.GNU-stack, "", %progbits
