--- /dev/null
+++ b/src/test_platform_http/test_platform_http.c
@@ -0,0 +1,367 @@
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "private/msgpack_bounds.h"
+#include "private/platform_http_decode.h"
+#include "raw_server.h"
+#include "waxwinghollow/platform_http.h"
+
+#define TIMEOUT_MS 5000
+#define WHOLE "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"offset\": 7}"
+#define EMPTY_200 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+static const wwh_append_id_t append_id = { { 1, 2, 3 } };
+
+static wwh_platform_http_t *connect_to(int32_t port, wwh_platform_t *platform)
+{
+	char *url = g_strdup_printf("http://127.0.0.1:%d", (int)port);
+	wwh_platform_http_options_t options;
+	wwh_platform_http_t *http;
+
+	wwh_platform_http_options_defaults(&options);
+	options.base_url = url;
+	http = wwh_platform_http_new(&options);
+	assert_int_equal(wwh_platform_http_init(http, NULL), WWH_STATUS_OK);
+	wwh_platform_http_interface(http, platform);
+	g_free(url);
+	return http;
+}
+
+static wwh_status_t append_text(wwh_platform_t *platform, const char *text,
+				int32_t timeout_ms, int64_t *offset)
+{
+	return platform->append(platform->context, "control", &append_id,
+				(const uint8_t *)text, strlen(text), timeout_ms,
+				offset);
+}
+
+/* Plays the script to a series of appends and checks what each returns. */
+static void play(const char *const *script, const wwh_status_t *expected,
+		 int32_t length, int32_t timeout_ms)
+{
+	raw_server_t *server = raw_server_new(script, length);
+	wwh_platform_t platform;
+	wwh_platform_http_t *http =
+		connect_to(raw_server_port(server), &platform);
+	int64_t offset = 0;
+
+	for (int32_t i = 0; i < length; i++)
+		assert_int_equal(
+			append_text(&platform, "hello", timeout_ms, &offset),
+			expected[i]);
+	wwh_platform_http_delete(http);
+	assert_int_equal(raw_server_delete(server), length);
+}
+
+/*
+ * An operator's publication would stand in the log twice: the kept-alive
+ * connection ends after the platform read the request, before the first byte
+ * of the answer; libcurl then sends the POST again on a new connection. The
+ * server must see the second request once.
+ */
+static void post_is_never_sent_twice(void **unused)
+{
+	const char *const script[] = { WHOLE, RAW_CLOSE, WHOLE };
+	const wwh_status_t expected[] = { WWH_STATUS_OK, WWH_STATUS_UNKNOWN,
+					  WWH_STATUS_OK };
+
+	(void)unused;
+	play(script, expected, 3, TIMEOUT_MS);
+}
+
+/*
+ * An append would be reported at an offset that it may not have: the
+ * connection ends within the headers or the body, after a status line that
+ * says 200. Only a whole answer counts.
+ */
+static void cut_answers_are_unknown(void **unused)
+{
+	const char *const script[] = {
+		"HTTP/1.1 200 OK\r\nContent-Le" RAW_CLOSE,
+		"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n" RAW_CLOSE,
+		"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"off" RAW_CLOSE,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"d\r\n{\"offset\": 7}\r\n" RAW_CLOSE,
+		"HTTP/1.1 503 Service Unavailable\r\n" RAW_CLOSE,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\n" RAW_CLOSE,
+	};
+	const wwh_status_t expected[] = {
+		WWH_STATUS_UNKNOWN, WWH_STATUS_UNKNOWN, WWH_STATUS_UNKNOWN,
+		WWH_STATUS_UNKNOWN, WWH_STATUS_UNKNOWN, WWH_STATUS_UNKNOWN,
+	};
+
+	(void)unused;
+	play(script, expected, G_N_ELEMENTS(script), TIMEOUT_MS);
+}
+
+static void answers_that_make_no_sense_are_unknown(void **unused)
+{
+	const char *const script[] = {
+		EMPTY_200,
+		"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"offset\": -7}",
+		"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 413 No\r\nContent-Length: 0\r\n\r\n",
+	};
+	const wwh_status_t expected[] = {
+		WWH_STATUS_UNKNOWN,   WWH_STATUS_UNKNOWN,
+		WWH_STATUS_UNKNOWN,   WWH_STATUS_UNAVAILABLE,
+		WWH_STATUS_BAD_INPUT,
+	};
+
+	(void)unused;
+	play(script, expected, G_N_ELEMENTS(script), TIMEOUT_MS);
+}
+
+/* A platform that took the request and never answers: outcome unknown. */
+static void silence_ends_at_the_deadline(void **unused)
+{
+	const char *const script[] = { RAW_SILENT };
+	const wwh_status_t expected[] = { WWH_STATUS_UNKNOWN };
+
+	(void)unused;
+	play(script, expected, 1, 100);
+}
+
+static int32_t free_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size),
+			 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void refused_connection_is_without_effect(void **unused)
+{
+	wwh_platform_t platform;
+	wwh_platform_http_t *http = connect_to(free_port(), &platform);
+	int64_t offset = 0;
+
+	(void)unused;
+	assert_int_equal(append_text(&platform, "a", TIMEOUT_MS, &offset),
+			 WWH_STATUS_UNAVAILABLE);
+	wwh_platform_http_delete(http);
+}
+
+typedef struct {
+	GPid pid;
+	wwh_platform_t platform;
+	wwh_platform_http_t *http;
+} standin_t;
+
+static void call_standin(int32_t port, const char *verb, const char *target)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port) };
+	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: a\r\n"
+					"Content-Length: 0\r\n"
+					"Connection: close\r\n\r\n",
+					verb, target);
+	char answer[64] = { 0 };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_true(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
+	assert_true(recv(fd, answer, sizeof(answer) - 1, MSG_WAITALL) > 0);
+	assert_non_null(strstr(answer, " 200 "));
+	close(fd);
+	g_free(request);
+}
+
+static int32_t start_standin(standin_t *standin)
+{
+	int32_t port = free_port();
+	char *listen = g_strdup_printf("127.0.0.1:%d", (int)port);
+	char *argv[] = { WWH_BINARY_DIR "/platform", "--listen", listen, NULL };
+	int output;
+	char line[64];
+
+	assert_true(g_spawn_async_with_pipes(
+		NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+		&standin->pid, NULL, &output, NULL, NULL));
+	assert_true(read(output, line, sizeof(line)) > 0);
+	close(output);
+	standin->http = connect_to(port, &standin->platform);
+	g_free(listen);
+	return port;
+}
+
+static void stop_standin(standin_t *standin)
+{
+	int status;
+
+	wwh_platform_http_delete(standin->http);
+	assert_int_equal(kill(standin->pid, SIGTERM), 0);
+	assert_int_equal(waitpid(standin->pid, &status, 0), standin->pid);
+	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
+static bool collect(const wwh_log_entry_t *entry, void *client_data)
+{
+	assert_memory_equal(&entry->append_id, &append_id, sizeof(append_id));
+	g_string_append_printf(client_data, "%d:%.*s;", (int)entry->offset,
+			       (int)entry->size, (const char *)entry->data);
+	return true;
+}
+
+static void log_of_the_standin(void **unused)
+{
+	standin_t standin;
+	int32_t port = start_standin(&standin);
+	wwh_platform_t *platform = &standin.platform;
+	GString *seen = g_string_new(NULL);
+	int64_t offset = 0;
+	int64_t first = 0;
+	int64_t next = 0;
+
+	(void)unused;
+	assert_int_equal(append_text(platform, "a", TIMEOUT_MS, &offset),
+			 WWH_STATUS_OK);
+	assert_int_equal(offset, 1);
+	call_standin(port, "POST", "/fault?lose_append_answers=100");
+	assert_int_equal(append_text(platform, "b", TIMEOUT_MS, &offset),
+			 WWH_STATUS_UNKNOWN);
+	call_standin(port, "POST", "/fault?log_down=1&lose_append_answers=0");
+	assert_int_equal(append_text(platform, "c", TIMEOUT_MS, &offset),
+			 WWH_STATUS_UNAVAILABLE);
+	call_standin(port, "POST", "/fault?log_down=0");
+	assert_int_equal(platform->read(platform->context, "control", 1, 0,
+					TIMEOUT_MS, collect, seen, &first,
+					&next),
+			 WWH_STATUS_OK);
+	assert_string_equal(seen->str, "1:a;2:b;");
+	assert_int_equal(next, 3);
+	call_standin(port, "POST", "/fault?trim_to=2");
+	assert_int_equal(platform->read(platform->context, "control", 1, 0,
+					TIMEOUT_MS, collect, seen, &first,
+					&next),
+			 WWH_STATUS_NOT_FOUND);
+	assert_int_equal(first, 2);
+	g_string_free(seen, TRUE);
+	stop_standin(&standin);
+}
+
+static void add_host(const wwh_host_t *host, void *client_data)
+{
+	g_string_append_printf(client_data, "%s/%s/%s/%s/%s;", host->id,
+			       wwh_host_kind_names[host->kind],
+			       wwh_host_state_names[host->state], host->address,
+			       host->zone);
+}
+
+static void add_report(const wwh_task_report_t *report, void *client_data)
+{
+	g_string_append_printf(
+		client_data, "%s/%s/%s/%d;", report->task_id, report->worker_id,
+		wwh_task_state_names[report->state], (int)report->fence);
+}
+
+static void fleet_of_the_standin(void **unused)
+{
+	standin_t standin;
+	int32_t port = start_standin(&standin);
+	wwh_platform_t *p = &standin.platform;
+	GString *text = g_string_new(NULL);
+	wwh_worker_status_t status;
+	wwh_task_order_t order = { .task_id = "t",
+				   .worker_id = "w",
+				   .verb = WWH_TASK_START,
+				   .fence = 7,
+				   .cores = 2,
+				   .memory_mb = 64,
+				   .lease_ms = 60000 };
+
+	(void)unused;
+	call_standin(port, "POST",
+		     "/hosts/m?kind=minion&state=leaving&address=1:2&zone=z");
+	call_standin(port, "POST", "/workers/w");
+	assert_int_equal(p->hosts(p->context, TIMEOUT_MS, add_host, text),
+			 WWH_STATUS_OK);
+	assert_int_equal(p->task(p->context, &order, TIMEOUT_MS),
+			 WWH_STATUS_OK);
+	order.fence = 6;
+	assert_int_equal(p->task(p->context, &order, TIMEOUT_MS),
+			 WWH_STATUS_CONFLICT);
+	assert_int_equal(
+		p->task_reports(p->context, TIMEOUT_MS, add_report, text),
+		WWH_STATUS_OK);
+	assert_string_equal(text->str, "m/minion/leaving/1:2/z;t/w/running/7;");
+	assert_int_equal(
+		p->command(p->context, "w", WWH_COMMAND_CORDON, 9, TIMEOUT_MS),
+		WWH_STATUS_OK);
+	assert_int_equal(p->command(p->context, "w", WWH_COMMAND_UNCORDON, 8,
+				    TIMEOUT_MS),
+			 WWH_STATUS_CONFLICT);
+	assert_int_equal(
+		p->command(p->context, "no", WWH_COMMAND_CORDON, 9, TIMEOUT_MS),
+		WWH_STATUS_NOT_FOUND);
+	assert_int_equal(p->worker_status(p->context, "w", TIMEOUT_MS, &status),
+			 WWH_STATUS_OK);
+	assert_int_equal(status.state, WWH_WORKER_CORDONED);
+	assert_int_equal(status.fence, 9);
+	assert_int_equal(status.running_tasks, 1);
+	g_string_free(text, TRUE);
+	stop_standin(&standin);
+}
+
+/* Foreign bytes must not make the unpacker allocate what they declare. */
+static void declared_lengths_are_checked_first(void **unused)
+{
+	static const struct {
+		uint8_t bytes[8];
+		size_t size;
+		bool bounded;
+	} rows[] = {
+		{ { 0xdd, 0xff, 0xff, 0xff, 0xff }, 5, false },
+		{ { 0xc6, 0xff, 0xff, 0xff, 0xff }, 5, false },
+		{ { 0x93, 1, 2 }, 3, false },
+		{ { 0x93, 1, 2, 3 }, 4, true },
+		{ { 0x93, 1, 2, 3, 4 }, 5, false }, /* more than one object */
+		{ { 0x91, 0x91, 0x91, 0x91, 1 }, 5, false }, /* too deep */
+		{ { 0x81, 0xa1, 'a', 0xcd, 1, 2 }, 6, true },
+		{ { 0xc1 }, 1, false },
+		{ { 0xd4, 1, 2 }, 3, true },
+		{ { 0xcb, 1, 2, 3 }, 4, false },
+		{ { 0 }, 0, false },
+	};
+
+	(void)unused;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		assert_int_equal(
+			wwh_msgpack_bounded(rows[i].bytes, rows[i].size, 3),
+			rows[i].bounded);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(post_is_never_sent_twice),
+		cmocka_unit_test(cut_answers_are_unknown),
+		cmocka_unit_test(answers_that_make_no_sense_are_unknown),
+		cmocka_unit_test(silence_ends_at_the_deadline),
+		cmocka_unit_test(refused_connection_is_without_effect),
+		cmocka_unit_test(log_of_the_standin),
+		cmocka_unit_test(fleet_of_the_standin),
+		cmocka_unit_test(declared_lengths_are_checked_first),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/test_standins/include/standin_fleet.h
+++ b/src/test_standins/include/standin_fleet.h
@@ -47,13 +47,19 @@
 	int64_t memory_mb;
 } standin_task_t;
 
-typedef struct {
-	int64_t reboot_ms;
-	int64_t drain_ms;
-	int64_t task_run_ms;
-	int64_t task_lag_ms;
-	int64_t list_lag_ms;
-} standin_times_t;
+/* How long things take; all can be set. */
+typedef enum {
+	STANDIN_REBOOT_MS = 0,
+	STANDIN_DRAIN_MS,
+	STANDIN_TASK_RUN_MS, /* 0: until the task is stopped */
+	STANDIN_TASK_LAG_MS,
+	STANDIN_LIST_LAG_MS,
+	STANDIN_TIME_COUNT
+} standin_time_t;
+
+static const char *const standin_time_names[STANDIN_TIME_COUNT] = {
+	"reboot_ms", "drain_ms", "task_run_ms", "task_lag_ms", "list_lag_ms",
+};
 
 typedef struct {
 	GMutex lock;
@@ -62,7 +68,7 @@
 	GTree *hosts; /* the list as shown: id to standin_host_t * */
 	GTree *workers; /* id to standin_worker_t * */
 	GTree *tasks; /* id to standin_task_t * */
-	standin_times_t times;
+	int64_t times[STANDIN_TIME_COUNT];
 	GRand *rand;
 } standin_fleet_t;
 
@@ -110,8 +116,8 @@
 					 standin_worker_free);
 	fleet->tasks =
 		g_tree_new_full(standin_compare, NULL, NULL, standin_task_free);
-	fleet->times.reboot_ms = 500;
-	fleet->times.drain_ms = 200;
+	fleet->times[STANDIN_REBOOT_MS] = 500;
+	fleet->times[STANDIN_DRAIN_MS] = 200;
 	fleet->rand = g_rand_new_with_seed(seed);
 }
 
@@ -138,7 +144,7 @@
 /* Lets the list show what is older than its lag. */
 static void standin_list_advance(standin_fleet_t *fleet, int64_t now_ms)
 {
-	int64_t seen_ms = now_ms - fleet->times.list_lag_ms;
+	int64_t seen_ms = now_ms - fleet->times[STANDIN_LIST_LAG_MS];
 
 	while (fleet->shown < fleet->changes->len) {
 		standin_host_t *host = fleet->changes->pdata[fleet->shown];
@@ -236,12 +242,12 @@
 		break;
 	case WWH_COMMAND_DRAIN:
 		worker->state = WWH_WORKER_DRAINING;
-		worker->until_ms = now_ms + fleet->times.drain_ms;
+		worker->until_ms = now_ms + fleet->times[STANDIN_DRAIN_MS];
 		break;
 	case WWH_COMMAND_REBOOT:
 		standin_tasks_sweep(fleet, worker->id, WWH_TASK_FAILED, now_ms);
 		worker->state = WWH_WORKER_REBOOTING;
-		worker->until_ms = now_ms + fleet->times.reboot_ms;
+		worker->until_ms = now_ms + fleet->times[STANDIN_REBOOT_MS];
 		break;
 	case WWH_COMMAND_UNCORDON:
 		if (worker->state != WWH_WORKER_REBOOTING)
@@ -293,8 +299,8 @@
 	task->changed_ms = now_ms;
 	task->cores_milli = (int64_t)(order->cores * 1000 * share);
 	task->memory_mb = (int64_t)((double)order->memory_mb * share);
-	if (fleet->times.task_run_ms > 0)
-		task->done_ms = now_ms + fleet->times.task_run_ms;
+	if (fleet->times[STANDIN_TASK_RUN_MS] > 0)
+		task->done_ms = now_ms + fleet->times[STANDIN_TASK_RUN_MS];
 	g_tree_replace(fleet->tasks, task->id, task);
 	return task;
 }
@@ -351,7 +357,8 @@
 				  const standin_task_t *task, int64_t now_ms,
 				  wwh_task_state_t *state)
 {
-	bool old = task->changed_ms + fleet->times.task_lag_ms <= now_ms;
+	bool old =
+		task->changed_ms + fleet->times[STANDIN_TASK_LAG_MS] <= now_ms;
 
 	*state = old ? task->state : task->earlier;
 	return old || task->reported;
--- a/src/test_standins/platform.c
+++ b/src/test_standins/platform.c
@@ -190,26 +190,10 @@
 	return true;
 }
 
-/* Times of the fleet that can be set; NULL: no such name. */
-static int64_t *time_of(standin_times_t *times, const char *name)
-{
-	if (strcmp(name, "reboot_ms") == 0)
-		return &times->reboot_ms;
-	if (strcmp(name, "drain_ms") == 0)
-		return &times->drain_ms;
-	if (strcmp(name, "task_run_ms") == 0)
-		return &times->task_run_ms;
-	if (strcmp(name, "task_lag_ms") == 0)
-		return &times->task_lag_ms;
-	if (strcmp(name, "list_lag_ms") == 0)
-		return &times->list_lag_ms;
-	return NULL;
-}
-
 static bool set_fault(platform_t *platform, const char *name, const char *value)
 {
 	int number = index_of(name, fault_names, FAULT_COUNT);
-	int64_t *time_ms = time_of(&platform->fleet.times, name);
+	int time = index_of(name, standin_time_names, STANDIN_TIME_COUNT);
 	bool known = true;
 
 	if (number >= 0) {
@@ -222,8 +206,9 @@
 		return true;
 	}
 	g_mutex_lock(&platform->fleet.lock);
-	if (time_ms != NULL)
-		*time_ms = MAX(0, g_ascii_strtoll(value, NULL, 10));
+	if (time >= 0)
+		platform->fleet.times[time] =
+			MAX(0, g_ascii_strtoll(value, NULL, 10));
 	else
 		known = set_worker_fault(platform, name, value);
 	g_mutex_unlock(&platform->fleet.lock);
@@ -354,7 +339,7 @@
 	g_option_context_free(context);
 	standin_log_init(&platform.log, option_retain);
 	standin_fleet_init(&platform.fleet, (uint32_t)option_seed);
-	platform.fleet.times.list_lag_ms = option_list_lag_ms;
+	platform.fleet.times[STANDIN_LIST_LAG_MS] = option_list_lag_ms;
 	g_mutex_init(&platform.rand_lock);
 	platform.rand = g_rand_new_with_seed((uint32_t)option_seed);
 	result = serve(&platform, &address, port);
