--- /dev/null
+++ b/include/waxwinghollow/fleet_view.h
@@ -0,0 +1,162 @@
+#ifndef WAXWINGHOLLOW_FLEET_VIEW_H
+#define WAXWINGHOLLOW_FLEET_VIEW_H
+
+/*
+ * NAME
+ *	fleet_view - what the decisions about the fleet see, as plain structs
+ *
+ * USE
+ *	Capacity, planner, conductor and placement read a wwh_fleet_view_t and
+ *	nothing else: no log, no platform, no configuration object. The view
+ *	is made afresh from the log-ordered state and the platform's reports
+ *	(fleet_bridge.h), or by a test. Ids are kept once; everything else
+ *	refers to workers, racks, zones, pools and jobs by index. Indexes hold
+ *	only within one view.
+ *
+ * ORDER OF CALLS
+ *	wwh_fleet_view_new; add pools, then workers, then jobs; then
+ *	wwh_fleet_view_seal; then read. After the seal the contents of an item
+ *	may be changed, not its id, pool, rack, zone, or a job's worker.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "waxwinghollow/config.h"
+#include "waxwinghollow/platform.h"
+
+#define WWH_FLEET_NONE (-1) /* an index that refers to nothing */
+#define WWH_FLEET_UNKNOWN (-1) /* a count that nobody has reported */
+
+typedef enum {
+	WWH_FLEET_SERVING = 0,
+	WWH_FLEET_OUT, /* out of its pool under a grant */
+	WWH_FLEET_FAILED,
+	WWH_FLEET_BETWEEN, /* has left one pool and not joined another */
+	WWH_FLEET_STATE_COUNT
+} wwh_fleet_state_t;
+
+/* Names of wwh_fleet_state_t, in the same order. */
+extern const char *const wwh_fleet_state_names[WWH_FLEET_STATE_COUNT];
+
+typedef enum {
+	WWH_JOB_QUEUED = 0,
+	WWH_JOB_RUNNING,
+	WWH_JOB_CHECKPOINTED, /* stopped; goes on from where it was */
+	WWH_JOB_DONE,
+	WWH_JOB_FAILED,
+	WWH_JOB_IMPOSSIBLE, /* no worker of its pool could ever run it */
+	WWH_JOB_CANCELLED,
+	WWH_JOB_STATE_COUNT
+} wwh_job_state_t;
+
+/* Names of wwh_job_state_t, in the same order. */
+extern const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT];
+
+typedef struct {
+	int32_t cores_milli; /* thousandths of a core */
+	int64_t memory_mb;
+	int32_t accelerators;
+} wwh_load_t;
+
+typedef struct {
+	const char *id;
+	int32_t pool; /* WWH_FLEET_NONE: between pools */
+	int32_t rack;
+	int32_t zone;
+	wwh_load_t size;
+	wwh_load_t used; /* observed, lagging */
+	wwh_fleet_state_t state;
+	int64_t grant; /* offset of the grant it is out under; 0: none */
+	bool maintained; /* by the wave that is being planned or run */
+	bool quarantined; /* takes no new jobs */
+	int32_t requests_in_progress; /* WWH_FLEET_UNKNOWN: not reported */
+	int32_t first_job; /* set by the seal: into the jobs by worker */
+	int32_t job_count;
+} wwh_fleet_worker_t;
+
+typedef struct {
+	const char *id;
+	wwh_pool_t rule; /* rule.id is id */
+	int32_t first_member; /* set by the seal: into the members by pool */
+	int32_t size;
+} wwh_fleet_pool_t;
+
+typedef struct {
+	const char *id;
+	int32_t zone;
+	int32_t size;
+} wwh_fleet_rack_t;
+
+typedef struct {
+	const char *id;
+	int32_t size;
+} wwh_fleet_zone_t;
+
+typedef struct {
+	const char *id;
+	const char *team;
+	const char *group; /* spread over zones among its like; "": none */
+	int32_t pool;
+	int32_t worker; /* where it runs; WWH_FLEET_NONE */
+	wwh_job_state_t state;
+	wwh_load_t declared;
+	wwh_load_t used; /* observed, lagging; 0 before the first report */
+	bool urgent;
+	bool idempotent; /* may run twice */
+	int64_t queued_ms; /* since when it waits */
+	int64_t expected_end_ms; /* as observed of its like; 0: unknown */
+	int64_t lease; /* offset of the lease it runs under; 0: none */
+} wwh_fleet_job_t;
+
+typedef struct wwh_fleet_view wwh_fleet_view_t;
+
+wwh_fleet_view_t *wwh_fleet_view_new(void);
+void wwh_fleet_view_delete(wwh_fleet_view_t *view);
+
+/* Each returns the index. Ids must differ within their kind. */
+int32_t wwh_fleet_view_add_pool(wwh_fleet_view_t *view, const wwh_pool_t *rule);
+
+/* A pool that isn't known counts as none. The worker is serving. */
+int32_t wwh_fleet_view_add_worker(wwh_fleet_view_t *view,
+				  const wwh_worker_t *worker);
+
+/* Copies job and its strings; the indexes in it must hold. */
+int32_t wwh_fleet_view_add_job(wwh_fleet_view_t *view,
+			       const wwh_fleet_job_t *job);
+
+/* Builds the members by pool and the jobs by worker. */
+void wwh_fleet_view_seal(wwh_fleet_view_t *view);
+
+int32_t wwh_fleet_worker_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_pool_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_rack_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_zone_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_job_count(const wwh_fleet_view_t *view);
+
+wwh_fleet_worker_t *wwh_fleet_worker(const wwh_fleet_view_t *view,
+				     int32_t index);
+wwh_fleet_pool_t *wwh_fleet_pool(const wwh_fleet_view_t *view, int32_t index);
+const wwh_fleet_rack_t *wwh_fleet_rack(const wwh_fleet_view_t *view,
+				       int32_t index);
+const wwh_fleet_zone_t *wwh_fleet_zone(const wwh_fleet_view_t *view,
+				       int32_t index);
+wwh_fleet_job_t *wwh_fleet_job(const wwh_fleet_view_t *view, int32_t index);
+
+/* Index of the pool's member at position, below the pool's size. */
+int32_t wwh_fleet_member(const wwh_fleet_view_t *view, int32_t pool,
+			 int32_t position);
+
+/* Index of the job at position on the worker, below its job_count. */
+int32_t wwh_fleet_worker_job(const wwh_fleet_view_t *view, int32_t worker,
+			     int32_t position);
+
+/* Indexes by id; WWH_FLEET_NONE when there is none. */
+int32_t wwh_fleet_find_worker(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_pool(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_rack(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_zone(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_job(const wwh_fleet_view_t *view, const char *id);
+
+#endif
