Add configuration, its checks and the settings of a process

Cause: every other part reads workers, pools and services from one checked whole, and a process its own settings.

Ruled out: json-glib's own handling of comments. Ruled out: unpacking foreign msgpack directly. An array header of five bytes makes msgpack-c allocate what it claims; a scan of the bytes with msgpack-c's own template goes first.

Conclusion: one table a kind of item drives JSON, CSV, msgpack, compare and free, so that all readers refuse the same values.

--- a/include/waxwinghollow/config.h
+++ b/include/waxwinghollow/config.h
@@ -145,6 +145,19 @@
 			     const char *rules_path, wwh_config_error_t error,
 			     void *client_data);
 
+/* The text of a file that is in memory already; text may be NULL: none. */
+typedef struct {
+	const char *name; /* for error messages */
+	const char *text;
+	size_t size;
+} wwh_config_text_t;
+
+/* wwh_config_load for files that were read already. */
+wwh_status_t wwh_config_parse(wwh_config_t *config,
+			      const wwh_config_text_t *inventory,
+			      const wwh_config_text_t *rules,
+			      wwh_config_error_t error, void *client_data);
+
 int64_t wwh_config_version(const wwh_config_t *config);
 
 /* Items in the order of their ids. index is below the count. */
@@ -176,6 +189,9 @@
 					const char *id);
 const wwh_team_t *wwh_config_team(const wwh_config_t *config, const char *id);
 
+/* How many of a pool's size workers may be out at once. */
+int32_t wwh_pool_budget(const wwh_pool_t *pool, int32_t size);
+
 /* The service whose path prefix is the longest that fits; NULL: none. */
 const wwh_service_t *wwh_config_route(const wwh_config_t *config,
 				      const char *path);
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/json_source.h
@@ -0,0 +1,47 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_JSON_SOURCE_H
+#define WAXWINGHOLLOW_PRIVATE_JSON_SOURCE_H
+
+/*
+ * NAME
+ *	json_source - a JSON file with comments that knows its lines
+ *
+ * USE
+ *	json-glib's nodes do not carry their line. The source notes it while
+ *	the parser runs, so that an error found later still names the line.
+ *
+ * ORDER OF CALLS
+ *	wwh_json_source_parse; lookups; wwh_json_source_delete.
+ */
+
+#include <json-glib/json-glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "private/field.h"
+#include "private/report.h"
+
+typedef struct wwh_json_source wwh_json_source_t;
+
+/* NULL, and a report, when text is not one JSON object. */
+wwh_json_source_t *wwh_json_source_parse(const char *file, const char *text,
+					 size_t size, wwh_report_t *report);
+void wwh_json_source_delete(wwh_json_source_t *source);
+
+const char *wwh_json_source_file(const wwh_json_source_t *source);
+JsonObject *wwh_json_source_root(const wwh_json_source_t *source);
+
+/* The line an object starts at; the line of one of its members. */
+int32_t wwh_json_source_object_line(const wwh_json_source_t *source,
+				    JsonObject *object);
+int32_t wwh_json_source_member_line(const wwh_json_source_t *source,
+				    JsonObject *object, const char *name);
+
+/*
+ * Reads the members of json into object by the table; reports members that
+ * the table does not have, that are refused and that are missing.
+ */
+void wwh_json_source_read(const wwh_json_source_t *source, JsonObject *json,
+			  const wwh_field_t *fields, int32_t count,
+			  void *object, wwh_report_t *report);
+
+#endif
--- /dev/null
+++ b/src/test_config/test_bad_inputs.c
@@ -0,0 +1,227 @@
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "test_config.h"
+
+#define WORKER(id, address, rack, zone)                                        \
+	"{\"id\": \"" id "\", \"address\": \"" address "\", \"rack\": \"" rack \
+	"\", \"zone\": \"" zone "\", \"region\": \"ie\", \"pool\": \"p\"}"
+#define POOL "{\"id\": \"p\", \"lose_count\": 1}"
+#define CSV_HEADER "id,address,rack,zone,region,pool\n"
+
+typedef struct {
+	const char *what;
+	const char *inventory;
+	const char *rules;
+	const char *errors;
+} bad_input_t;
+
+static const bad_input_t bad_inputs[] = {
+	{ "not JSON", "{\n\"workers\": [\n}", NULL,
+	  "inv:3: not JSON with comments: unexpected character `}', expected "
+	  "character `]'\n" },
+	{ "not an object", "{}", "[]",
+	  "rules:1: not a JSON object, expected {...}\n" },
+	{ "unknown section", "{\n\"worker\": []}", "{\n\n\"pool\": []}",
+	  "inv:2: unknown key 'worker', expected 'workers'\n"
+	  "rules:3: unknown key 'pool', expected 'pools'\n" },
+	{ "section that is no list", "{\"workers\":\n 1}", NULL,
+	  "inv:2: 'workers' is not a list, expected [...]\n" },
+	{ "item that is no object", "{\"workers\": [\n1, null]}", NULL,
+	  "inv:2: an item of 'workers' is not an object, expected {...}\n"
+	  "inv:2: an item of 'workers' is not an object, expected {...}\n" },
+	{ "unknown key, missing keys",
+	  "{\"workers\": [\n{\"id\": \"w\",\n\"adress\": \"10.0.0.1\",\n"
+	  "\"rack\": \"r\", \"zone\": \"a\", \"region\": \"x\"}]}",
+	  NULL,
+	  "inv:3: unknown key 'adress', expected 'address'\n"
+	  "inv:2: 'address' is missing, expected an IP number\n"
+	  "inv:2: 'pool' is missing, expected letters, digits and . _ - : (at "
+	  "most 128)\n" },
+	{ "wrong types and ranges",
+	  "{\"workers\": [" WORKER(
+		  "w1", "10.0.0.1", "r",
+		  "a") ",\n"
+		       "{\"id\": \"w 2\",\n\"address\": \"10.0.0\",\n\"rack\": "
+		       "3,\n"
+		       "\"zone\": null,\n\"region\": [],\n\"pool\": \"p\",\n"
+		       "\"cores\": 0,\n\"memory_mb\": \"many\",\n"
+		       "\"accelerators\": 1.5}]}",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:2: 'id' is \"w 2\", expected letters, digits and . _ - : (at "
+	  "most 128)\n"
+	  "inv:3: 'address' is \"10.0.0\", expected an IP number\n"
+	  "inv:4: 'rack' is 3, expected letters, digits and . _ - : (at most "
+	  "128)\n"
+	  "inv:5: 'zone' is null, expected letters, digits and . _ - : (at "
+	  "most 128)\n"
+	  "inv:6: 'region' is [], expected letters, digits and . _ - : (at "
+	  "most 128)\n"
+	  "inv:8: 'cores' is 0, expected a whole number from 1 to 100000\n"
+	  "inv:9: 'memory_mb' is \"many\", expected a whole number from 1 to "
+	  "1099511627776\n"
+	  "inv:10: 'accelerators' is 1.5, expected a whole number from 0 to "
+	  "100000\n" },
+	{ "numbers beyond 64 bits", "{}",
+	  "{\"pools\": [{\"id\": \"p\",\n"
+	  "\"lose_count\": 99999999999999999999,\n"
+	  "\"lose_percent\": -1}]}",
+	  "rules:2: 'lose_count' is -1, expected a whole number from 0 to "
+	  "100000\n"
+	  "rules:3: 'lose_percent' is -1, expected a whole number from 0 to "
+	  "100\n" },
+	{ "key twice", "{}",
+	  "{\"pools\": [\n{\"id\": \"p\",\n\"lose_count\": 1,\n"
+	  "\"lose_count\": 2}]}",
+	  "rules:4: key 'lose_count' stands twice, first at line 3, expected "
+	  "once\n" },
+	{ "duplicate id and address",
+	  "{\"workers\": [\n" WORKER("w1", "10.0.0.1", "r", "a") ",\n" WORKER(
+		  "w1", "10.0.0.2", "r", "a") ",\n" WORKER("w2", "10.0.0.1",
+							   "r", "a") "]}",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:3: worker id 'w1' stands twice (line 2), expected once\n"
+	  "inv:4: address 10.0.0.1 is also worker 'w1' (line 2), expected one "
+	  "worker an address\n" },
+	{ "rack in two zones",
+	  "{\"workers\": [\n" WORKER("w1", "10.0.0.1", "r", "a") ",\n" WORKER(
+		  "w2", "10.0.0.2", "r", "b") "]}",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:3: rack 'r' is in zone 'b' here and in 'a' by worker 'w1' (line "
+	  "2), expected one zone\n" },
+	{ "zone in two regions",
+	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r2,a,uk,p\n",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:3: zone 'a' is in region 'uk' here and in 'ie' by worker 'w1' "
+	  "(line 2), expected one region\n" },
+	{ "unknown pool", CSV_HEADER "w1,10.0.0.1,r1,a,ie,q\n",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:2: unknown pool 'q', expected one of 'pools'\n" },
+	{ "minion of unknown service and worker",
+	  "{\"minions\": [\n{\"id\": \"m\", \"service\": \"s\",\n"
+	  "\"worker\": \"w\", \"zone\": \"a\", \"address\": \"10.0.0.1\"}]}",
+	  "{}",
+	  "inv:2: unknown service 's', expected one of 'services'\n"
+	  "inv:2: unknown worker 'w', expected one of 'workers'\n" },
+	{ "minion in another zone than its worker",
+	  "kind,id,address,port,rack,zone,region,pool,service,worker\n"
+	  ",w1,10.0.0.1,,r1,a,ie,p,,\n"
+	  "minion,m1,10.0.0.1,81,,b,,,s,w1\n"
+	  "minion,m2,10.0.0.1,82,,,,,s,\n"
+	  "minion,m3,10.0.0.1,81,,a,,,s,w1\n",
+	  "{\"pools\": [" POOL "], \"services\": [{\"id\": \"s\",\n"
+	  "\"path_prefix\": \"/s\", \"pool\": \"p\"}]}",
+	  "inv:3: minion 'm1' is in zone 'b', expected 'a', the zone of its "
+	  "worker 'w1'\n"
+	  "inv:4: minion 'm2' has neither worker nor zone, expected one\n"
+	  "inv:5: address 10.0.0.1 port 81 is also minion 'm1' (line 3), "
+	  "expected one minion an address and port\n" },
+	{ "service of unknown pool and team, prefix twice", NULL,
+	  "{\"services\": [\n"
+	  "{\"id\": \"s1\", \"path_prefix\": \"/s\", \"pool\": \"p\"},\n"
+	  "{\"id\": \"s2\", \"path_prefix\": \"/s\", \"pool\": \"p\",\n"
+	  "\"team\": \"t\"}], \"pools\": []}",
+	  "rules:2: unknown pool 'p', expected one of 'pools'\n"
+	  "rules:3: unknown pool 'p', expected one of 'pools'\n"
+	  "rules:3: unknown team 't', expected one of 'teams'\n"
+	  "rules:3: path_prefix /s is also service 's1' (line 2), expected one "
+	  "service a prefix\n" },
+	{ "path prefixes", NULL,
+	  "{\"pools\": [" POOL "], \"services\": [\n"
+	  "{\"id\": \"s1\", \"path_prefix\": \"s\", \"pool\": \"p\"},\n"
+	  "{\"id\": \"s2\", \"path_prefix\": \"/s/\", \"pool\": \"p\"},\n"
+	  "{\"id\": \"s3\", \"path_prefix\": \"/a//b\", \"pool\": \"p\"}]}",
+	  "rules:2: 'path_prefix' is \"s\", expected a path that begins with / "
+	  "and has no empty segment, space, ? or #\n"
+	  "rules:3: 'path_prefix' is \"/s/\", expected a path that begins with "
+	  "/ and has no empty segment, space, ? or #\n"
+	  "rules:4: 'path_prefix' is \"/a//b\", expected a path that begins "
+	  "with / and has no empty segment, space, ? or #\n" },
+	{ "budget that can't be met",
+	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r2,a,ie,p\n",
+	  "{\"pools\": [\n"
+	  "{\"id\": \"p\", \"lose_count\": 1, \"lose_percent\": 40}],\n"
+	  "\"windows\": [{\"id\": \"n\", \"pool\": \"*\"}]}",
+	  "rules:2: pool 'p' of 2 workers may lose none (lose_count 1, "
+	  "lose_percent 40) but waves are due in window 'n', expected a loss "
+	  "of one worker at least\n" },
+	{ "reserve of all that there is",
+	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r1,a,ie,p\n",
+	  "{\"pools\": [\n"
+	  "{\"id\": \"p\", \"lose_count\": 1, \"reserve\": \"rack\"}]}",
+	  "rules:2: pool 'p' is to survive the loss of a rack but all its 2 "
+	  "workers are in rack 'r1', expected two at least\n" },
+	{ "windows that never open", NULL,
+	  "{\"windows\": [\n"
+	  "{\"id\": \"n\", \"pool\": \"*\", \"days\": []},\n"
+	  "{\"id\": \"o\", \"pool\": \"*\", \"duration_minutes\": 0},\n"
+	  "{\"id\": \"q\", \"pool\": \"p\", \"days\": [\"monday\"],\n"
+	  "\"start_minute\": \"24:00\"}]}",
+	  "rules:4: 'days' is [\"monday\"], expected a list of mon, tue, wed, "
+	  "thu, fri, sat, sun\n"
+	  "rules:5: 'start_minute' is \"24:00\", expected \"HH:MM\" from 00:00 "
+	  "to 23:59\n"
+	  "rules:2: window 'n' has no day and never opens, expected at least "
+	  "one of mon ... sun\n"
+	  "rules:3: window 'o' lasts 0 minutes and never opens, expected "
+	  "duration_minutes from 1 to 1440\n"
+	  "rules:4: unknown pool 'p', expected one of 'pools'\n" },
+	{ "quota beyond the fleet",
+	  "id,address,rack,zone,region,pool,cores,memory_mb\n"
+	  "w1,10.0.0.1,r1,a,ie,p,32,1024\n",
+	  "{\"pools\": [" POOL "],\n"
+	  "\"teams\": [{\"id\": \"t\", \"cores\": 33, \"memory_mb\": 1024,\n"
+	  "\"accelerators\": 1}]}",
+	  "rules:2: team 't' has a quota of 33 cores but the fleet has 32, "
+	  "expected at most that\n"
+	  "rules:2: team 't' has a quota of 1 accelerators but the fleet has "
+	  "0, expected at most that\n" },
+	{ "unknown column", "id,adress,rack,zone,region,pool,x-bought,id\n",
+	  NULL,
+	  "inv:1: unknown column 'adress', expected 'address'\n"
+	  "inv:1: column 'id' stands twice, expected once\n" },
+	{ "cells of CSV",
+	  CSV_HEADER "\n"
+		     "w1,10.0.0.1,r1,a,ie\n"
+		     "w2,\"10.0.\n0.2\",r1,a,ie,p\n"
+		     "w3,10.0.0.3,\"r\"\"1\",a,ie,p\n"
+		     "w4,\"10.0.0.4\"x,r1,a,ie,p\n",
+	  "{\"pools\": [" POOL "]}",
+	  "inv:3: 5 cells, expected 6 as in the first row\n"
+	  "inv:4: 'address' is '10.0. 0.2', expected an IP number\n"
+	  "inv:6: 'rack' is 'r\"1', expected letters, digits and . _ - : (at "
+	  "most 128)\n"
+	  "inv:7: the quotes of a cell do not end before a comma or line end, "
+	  "expected \"...\" with inner quotes doubled\n" },
+	{ "columns that are not there", "id,address,rack,zone\nw,10.0.0.1,r,a",
+	  NULL,
+	  "inv:2: no column 'region', expected it for a worker\n"
+	  "inv:2: no column 'pool', expected it for a worker\n" },
+};
+
+void bad_inputs_are_reported_with_their_lines(void **unused)
+{
+	bool same = true;
+
+	(void)unused;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad_inputs); i++) {
+		const bad_input_t *row = &bad_inputs[i];
+		GString *errors = g_string_new(NULL);
+		wwh_config_t *config;
+		wwh_status_t status = parse_config(row->inventory, row->rules,
+						   &config, errors);
+
+		assert_int_equal(status, WWH_STATUS_BAD_INPUT);
+		if (g_strcmp0(errors->str, row->errors) != 0) {
+			print_error("%s: got\n%sexpected\n%s", row->what,
+				    errors->str, row->errors);
+			same = false;
+		}
+		g_string_free(errors, TRUE);
+		wwh_config_unref(config);
+	}
+	assert_true(same);
+}
--- /dev/null
+++ b/src/test_config/test_config.c
@@ -0,0 +1,270 @@
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "test_config.h"
+
+static const char *const INVENTORY =
+	"{ // the asset register's export\n"
+	"  \"workers\": [\n"
+	"    {\"id\": \"w2\", \"address\": \"10.0.0.2\", \"rack\": \"r2\",\n"
+	"     \"zone\": \"a\", \"region\": \"ie\", \"pool\": \"p\",\n"
+	"     \"cores\": 32, \"memory_mb\": 131072},\n"
+	"    {\"id\": \"w1\", \"address\": \"10.0.0.1\", \"rack\": \"r1\",\n"
+	"     \"zone\": \"a\", \"region\": \"ie\", \"pool\": \"p\"}\n"
+	"  ],\n"
+	"  \"minions\": [\n"
+	"    {\"id\": \"m1\", \"service\": \"book\", \"worker\": \"w1\",\n"
+	"     \"address\": \"10.0.0.1\", \"port\": 8001}\n"
+	"  ]\n"
+	"}\n";
+
+static const char *const RULES =
+	"{\n"
+	"  \"pools\": [{\"id\": \"p\", \"lose_count\": 1}],\n"
+	"  \"services\": [\n"
+	"    {\"id\": \"book\", \"path_prefix\": \"/book\", \"pool\": \"p\",\n"
+	"     \"team\": \"parks\", \"urgent\": true},\n"
+	"    {\"id\": \"party\", \"path_prefix\": \"/book/party\",\n"
+	"     \"pool\": \"p\"}\n"
+	"  ],\n"
+	"  \"teams\": [{\"id\": \"parks\", \"cores\": 8}],\n"
+	"  \"windows\": [{\"id\": \"night\", \"pool\": \"*\",\n"
+	"     \"days\": [\"mon\", \"sun\"], \"start_minute\": \"02:30\",\n"
+	"     \"duration_minutes\": 180}],\n"
+	"  \"rules\": {\"move_weight\": 5}\n"
+	"}\n";
+
+wwh_status_t parse_config(const char *inventory, const char *rules,
+			  wwh_config_t **config, GString *errors)
+{
+	wwh_config_text_t inventory_text = { "inv", inventory, 0 };
+	wwh_config_text_t rules_text = { "rules", rules, 0 };
+
+	if (inventory != NULL)
+		inventory_text.size = strlen(inventory);
+	if (rules != NULL)
+		rules_text.size = strlen(rules);
+	*config = wwh_config_new();
+	return wwh_config_parse(*config, &inventory_text, &rules_text,
+				append_error, errors);
+}
+
+void append_error(const char *file, int32_t line, const char *text,
+		  void *client_data)
+{
+	g_string_append_printf(client_data, "%s:%d: %s\n", file, line, text);
+}
+
+static wwh_config_t *good_config(void)
+{
+	GString *errors = g_string_new(NULL);
+	wwh_config_t *config;
+	wwh_status_t status = parse_config(INVENTORY, RULES, &config, errors);
+
+	assert_string_equal(errors->str, "");
+	assert_int_equal(status, WWH_STATUS_OK);
+	g_string_free(errors, TRUE);
+	return config;
+}
+
+static void items_are_read_and_found_by_id(void **unused)
+{
+	wwh_config_t *config = good_config();
+	const wwh_window_t *window = wwh_config_window_at(config, 0);
+
+	(void)unused;
+	assert_int_equal(wwh_config_worker_count(config), 2);
+	assert_string_equal(wwh_config_worker_at(config, 0)->id, "w1");
+	assert_int_equal(wwh_config_worker(config, "w2")->memory_mb, 131072);
+	assert_null(wwh_config_worker(config, "w3"));
+	assert_string_equal(wwh_config_minion(config, "m1")->zone, "a");
+	assert_int_equal(wwh_config_minion(config, "m1")->slots, 8);
+	assert_true(wwh_config_service(config, "book")->urgent);
+	assert_int_equal(wwh_config_team(config, "parks")->cores, 8);
+	assert_int_equal(window->days, 0x41);
+	assert_int_equal(window->start_minute, 150);
+	assert_int_equal(wwh_config_rules(config)->move_weight, 5);
+	assert_int_equal(wwh_config_rules(config)->buffer_weight, 1);
+	wwh_config_unref(config);
+}
+
+static void longest_path_prefix_on_segments_is_routed(void **unused)
+{
+	wwh_config_t *config = good_config();
+
+	(void)unused;
+	assert_string_equal(wwh_config_route(config, "/book")->id, "book");
+	assert_string_equal(wwh_config_route(config, "/book?a=1")->id, "book");
+	assert_string_equal(wwh_config_route(config, "/book/1")->id, "book");
+	assert_string_equal(wwh_config_route(config, "/book/party/2")->id,
+			    "party");
+	assert_string_equal(wwh_config_route(config, "/book/partying")->id,
+			    "book");
+	assert_null(wwh_config_route(config, "/booking"));
+	assert_null(wwh_config_route(config, "/"));
+	assert_null(wwh_config_route(config, ""));
+	wwh_config_unref(config);
+}
+
+static wwh_config_change_t *recode(const wwh_config_change_t *change)
+{
+	GBytes *bytes = wwh_config_change_encode(change);
+	wwh_config_change_t *decoded;
+	wwh_message_t message = { "" };
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+
+	assert_int_equal(
+		wwh_config_change_decode(data, size, &decoded, &message),
+		WWH_STATUS_OK);
+	g_bytes_unref(bytes);
+	return decoded;
+}
+
+static void applying_a_decoded_difference_gives_the_other(void **unused)
+{
+	wwh_config_t *empty = wwh_config_new();
+	wwh_config_t *config = good_config();
+	wwh_config_change_t *change = wwh_config_diff(empty, config);
+	wwh_config_change_t *decoded = recode(change);
+	wwh_config_change_t *rest;
+	wwh_config_t *applied;
+	wwh_message_t message;
+
+	(void)unused;
+	assert_int_equal(wwh_config_change_count(change), 9);
+	assert_int_equal(
+		wwh_config_apply(empty, decoded, 7, &applied, &message),
+		WWH_STATUS_OK);
+	assert_int_equal(wwh_config_version(applied), 7);
+	rest = wwh_config_diff(applied, config);
+	assert_int_equal(wwh_config_change_count(rest), 0);
+	wwh_config_change_delete(rest);
+	wwh_config_change_delete(change);
+	wwh_config_change_delete(decoded);
+	wwh_config_unref(applied);
+	wwh_config_unref(config);
+	wwh_config_unref(empty);
+}
+
+/*
+ * Two processes that applied the same change must not differ: a change that
+ * makes the whole break a rule is refused and the base stays as it was.
+ */
+static void a_change_that_breaks_the_whole_is_refused(void **unused)
+{
+	wwh_config_t *config = good_config();
+	wwh_config_t *other;
+	wwh_config_t *applied;
+	wwh_config_change_t *change;
+	wwh_message_t message;
+	GString *errors = g_string_new(NULL);
+
+	(void)unused;
+	(void)parse_config(NULL, RULES, &other, errors);
+	assert_string_equal(errors->str, "");
+	change = wwh_config_diff(other, config);
+	wwh_config_unref(other);
+	other = wwh_config_new();
+	assert_int_equal(wwh_config_apply(other, change, 1, &applied, &message),
+			 WWH_STATUS_BAD_INPUT);
+	assert_null(applied);
+	assert_string_equal(message.text,
+			    "unknown pool 'p', expected one of 'pools'");
+	wwh_config_change_delete(change);
+	change = wwh_config_diff(config, other);
+	assert_int_equal(wwh_config_apply(other, change, 1, &applied, &message),
+			 WWH_STATUS_BAD_INPUT);
+	assert_null(applied);
+	assert_string_equal(message.text,
+			    "removes worker 'w1', which is not there, "
+			    "expected an id of the base version");
+	assert_int_equal(
+		wwh_config_apply(config, change, 0, &applied, &message),
+		WWH_STATUS_BAD_ARGUMENT);
+	assert_int_equal(wwh_config_worker_count(config), 2);
+	wwh_config_change_delete(change);
+	wwh_config_unref(other);
+	wwh_config_unref(config);
+	g_string_free(errors, TRUE);
+}
+
+static void unchanged_items_are_shared_between_versions(void **unused)
+{
+	wwh_config_t *config = good_config();
+	wwh_config_t *empty = wwh_config_new();
+	wwh_config_change_t *nothing = wwh_config_diff(config, config);
+	wwh_config_t *next;
+
+	(void)unused;
+	assert_int_equal(wwh_config_change_count(nothing), 0);
+	assert_int_equal(wwh_config_apply(config, nothing, 1, &next, NULL),
+			 WWH_STATUS_OK);
+	assert_ptr_equal(wwh_config_worker(config, "w1"),
+			 wwh_config_worker(next, "w1"));
+	wwh_config_unref(config);
+	assert_string_equal(wwh_config_worker(next, "w1")->rack, "r1");
+	wwh_config_change_delete(nothing);
+	wwh_config_unref(next);
+	wwh_config_unref(empty);
+}
+
+static void malformed_changes_are_refused(void **unused)
+{
+	static const struct {
+		const char *bytes;
+		size_t size;
+		const char *message;
+	} rows[] = {
+		{ "", 0, "change is not whole msgpack" },
+		{ "\x92\x01", 2, "change is not whole msgpack" },
+		{ "\x92\x01\x90\x00", 4, "change is not whole msgpack" },
+		{ "\x92\x01\xdd\xff\xff\xff\xff", 7, "not whole msgpack" },
+		{ "\x92\x02\x90", 3, "another format version" },
+		{ "\x92\x01\x01", 3, "no list of entries" },
+		{ "\x92\x01\x91\x92\x07\xa1x", 7, "entry 0 is malformed" },
+		{ "\x92\x01\x91\x92\x00\xa0", 6, "removes a worker of a bad" },
+		{ "\x92\x01\x91\x92\x00\xa1/", 7, "removes a worker of a bad" },
+		{ "\x92\x01\x92\x92\x00\xa1x\x92\x00\xa1x", 11,
+		  "entry 1 is out of order" },
+		{ "\x92\x01\x91\x92\x06\x95\x00\x00\xff\x01\x01", 11,
+		  "entry 0, rules: bad 'key_window_s', expected a whole "
+		  "number from 1 to 604800" },
+		{ "\x92\x01\x91\x92\x06\x94\x00\x00\x01\x01", 10,
+		  "entry 0 is not a rules, expected a list of 5 members" },
+	};
+
+	(void)unused;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		wwh_config_change_t *change;
+		wwh_message_t message = { "" };
+
+		assert_int_equal(wwh_config_change_decode(
+					 (const uint8_t *)rows[i].bytes,
+					 rows[i].size, &change, &message),
+				 WWH_STATUS_BAD_INPUT);
+		assert_null(change);
+		if (strstr(message.text, rows[i].message) == NULL)
+			fail_msg("row %zu: %s", i, message.text);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(items_are_read_and_found_by_id),
+		cmocka_unit_test(longest_path_prefix_on_segments_is_routed),
+		cmocka_unit_test(applying_a_decoded_difference_gives_the_other),
+		cmocka_unit_test(a_change_that_breaks_the_whole_is_refused),
+		cmocka_unit_test(unchanged_items_are_shared_between_versions),
+		cmocka_unit_test(malformed_changes_are_refused),
+		cmocka_unit_test(bad_inputs_are_reported_with_their_lines),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
