Add the dispatcher and the decisions under load

Cause: the entry process needs to know what to let in, what to refuse and where to send work, as code without clock and network. Ruled out: counting slots over all processes (each count is stale); one FIFO with a time-out as admission (all wait until it is nearly too late).

--- /dev/null
+++ b/include/waxwinghollow/loan.h
@@ -0,0 +1,74 @@
+#ifndef WAXWINGHOLLOW_LOAN_H
+#define WAXWINGHOLLOW_LOAN_H
+
+/*
+ * NAME
+ *	loan - slots of one minion lent between entry processes
+ *
+ * LOAD PATTERN
+ *	The balancer gives one entry process much more load than another, so
+ *	that one has requests waiting while the other has slots idle.
+ *
+ * WHAT GOES WRONG WITHOUT IT
+ *	With one slot in eight for each process, a process that gets half of
+ *	the load can use an eighth of the capacity.
+ *
+ * HOW IT DECIDES
+ *	For each pair of processes, minion and direction there are two numbers
+ *	that only grow: granted, kept by the lender, and returned, kept by the
+ *	borrower. Each tells the other its own number and never anything else.
+ *	The lender holds back granted minus the returned it has heard of; the
+ *	borrower uses the granted it has heard of minus returned. What was
+ *	heard is never above what was said, so both together never use more
+ *	than the slots lent, whatever messages are lost, late, repeated or out
+ *	of order, and with no clock.
+ *
+ *	A peer is named by its incarnation (an id made new at each start): a
+ *	number of an earlier life must not count in the next one. When a peer
+ *	is evicted (seat.h), wwh_loan_forget drops both sides: what was
+ *	borrowed may not be used from then on, and what was lent comes back,
+ *	which is safe since an eviction completes only after all that the
+ *	evicted one started has ended.
+ *
+ * ORDER OF CALLS
+ *	wwh_loan_book_new, any, wwh_loan_book_delete.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct wwh_loan_book wwh_loan_book_t; /* of one minion */
+
+/* What one process tells a peer about one minion. */
+typedef struct {
+	uint64_t granted; /* slots ever lent to that peer */
+	uint64_t returned; /* slots ever given back to that peer */
+} wwh_loan_totals_t;
+
+wwh_loan_book_t *wwh_loan_book_new(void);
+void wwh_loan_book_delete(wwh_loan_book_t *book);
+
+/* Slots lent to others, and borrowed from others, as known here. */
+int32_t wwh_loan_lent(const wwh_loan_book_t *book);
+int32_t wwh_loan_borrowed(const wwh_loan_book_t *book);
+int32_t wwh_loan_borrowed_from(const wwh_loan_book_t *book, uint64_t peer);
+
+/* Lends count more slots; the caller has made sure that they are unused. */
+void wwh_loan_grant(wwh_loan_book_t *book, uint64_t peer, int32_t count);
+
+/* Gives back up to count unused slots; returns how many. */
+int32_t wwh_loan_return(wwh_loan_book_t *book, uint64_t peer, int32_t count);
+
+/* The totals to tell that peer; all zero: nothing was ever lent. */
+wwh_loan_totals_t wwh_loan_tell(const wwh_loan_book_t *book, uint64_t peer);
+
+/* The peer's totals arrived. True when they changed something. */
+bool wwh_loan_hear(wwh_loan_book_t *book, uint64_t peer,
+		   wwh_loan_totals_t totals);
+void wwh_loan_forget(wwh_loan_book_t *book, uint64_t peer);
+
+/* The peer with which there is an account, by index; false: no more. */
+bool wwh_loan_peer_at(const wwh_loan_book_t *book, int32_t index,
+		      uint64_t *peer);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/ejection.c
@@ -0,0 +1,244 @@
+#include "waxwinghollow/ejection.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <math.h>
+
+#define HALF_LIFE_MS 5000.0
+#define ROW_BOUND 3
+#define CHANCE 1e-5
+#define SILENT_WEIGHT 2
+#define ATTEMPTS_MIN 10.0
+#define FAILED_SHARE 0.5
+#define PEERS_FAILED_SHARE 0.25
+#define SLOW_FACTOR 4.0
+#define SLOW_BACK_FACTOR 2.0
+#define SLOW_MIN_MS 20.0
+#define SLOW_ANSWERS 16
+#define RUN_WEIGHT 0.1
+#define OUT_FIRST_MS 1000
+#define OUT_MAX_MS 60000
+#define FORGET_MS 60000 /* in, without trouble: the doubling starts anew */
+#define PROBES_GOOD 2
+#define MINIONS_MAX 256 /* peers looked at */
+
+const char *const wwh_ejection_state_names[WWH_EJECTION_STATE_COUNT] = {
+	"in",
+	"out",
+	"trial",
+};
+
+const char *const wwh_sign_names[WWH_SIGN_COUNT] = {
+	"good",
+	"failed",
+	"silent",
+	"none",
+};
+
+static void decay(wwh_ejection_t *ejection, int64_t now_ms);
+static bool fails(wwh_ejection_t *const *minions, int32_t count, int32_t index,
+		  int64_t now_ms);
+static double peers_median_ms(wwh_ejection_t *const *minions, int32_t count,
+			      int32_t index);
+static bool slower(const wwh_ejection_t *ejection, double median_ms,
+		   double factor);
+static int32_t out_count(wwh_ejection_t *const *minions, int32_t count);
+static void put_out(wwh_ejection_t *ejection, int64_t now_ms, bool slow);
+static void bring_back(wwh_ejection_t *ejection, int64_t now_ms);
+static int compare_doubles(const void *a, const void *b);
+
+void wwh_ejection_init(wwh_ejection_t *ejection, int64_t returned_ms)
+{
+	*ejection = (wwh_ejection_t){ .returned_ms = returned_ms };
+}
+
+void wwh_ejection_observe(wwh_ejection_t *ejection, int64_t now_ms,
+			  wwh_sign_t sign, int32_t run_ms)
+{
+	decay(ejection, now_ms);
+	switch (sign) {
+	case WWH_SIGN_GOOD:
+		ejection->in_a_row = 0;
+		ejection->good += 1;
+		ejection->answers++;
+		ejection->good_probes++;
+		if (ejection->run_ms <= 0)
+			ejection->run_ms = run_ms;
+		ejection->run_ms += RUN_WEIGHT * (run_ms - ejection->run_ms);
+		break;
+	case WWH_SIGN_FAILED:
+		ejection->in_a_row++;
+		ejection->failed += 1;
+		ejection->good_probes = 0;
+		break;
+	case WWH_SIGN_SILENT:
+		ejection->in_a_row += SILENT_WEIGHT;
+		ejection->failed += SILENT_WEIGHT;
+		ejection->good_probes = 0;
+		break;
+	default:
+		break;
+	}
+}
+
+bool wwh_ejection_judge(wwh_ejection_t *const *minions, int32_t count,
+			int32_t index, int64_t now_ms,
+			wwh_shift_bucket_t *bucket)
+{
+	wwh_ejection_t *ejection = minions[index];
+	double median_ms = peers_median_ms(minions, count, index);
+	bool slow;
+
+	if (ejection->state == WWH_EJECTION_OUT)
+		return false;
+	if (ejection->state == WWH_EJECTION_TRIAL) {
+		if (ejection->in_a_row > 0 ||
+		    (ejection->for_slowness && ejection->good_probes > 0 &&
+		     slower(ejection, median_ms, SLOW_BACK_FACTOR))) {
+			put_out(ejection, now_ms, ejection->for_slowness);
+			return true;
+		}
+		if (ejection->good_probes >= PROBES_GOOD)
+			bring_back(ejection, now_ms);
+		return false;
+	}
+	slow = ejection->answers >= SLOW_ANSWERS &&
+	       slower(ejection, median_ms, SLOW_FACTOR);
+	if (!slow && !fails(minions, count, index, now_ms))
+		return false;
+	if ((out_count(minions, count) + 1) * 2 > count)
+		return false;
+	if (!wwh_shift_bucket_take(bucket, now_ms))
+		return false;
+	put_out(ejection, now_ms, slow);
+	return true;
+}
+
+void wwh_ejection_advance(wwh_ejection_t *ejection, int64_t now_ms)
+{
+	if (ejection->state != WWH_EJECTION_OUT || now_ms < ejection->until_ms)
+		return;
+	ejection->state = WWH_EJECTION_TRIAL;
+	ejection->in_a_row = 0;
+	ejection->good_probes = 0;
+	/* The probe's own run time is what counts now. */
+	if (ejection->for_slowness)
+		ejection->run_ms = 0;
+}
+
+bool wwh_ejection_usable(const wwh_ejection_t *ejection, int32_t running)
+{
+	if (ejection->state == WWH_EJECTION_OUT)
+		return false;
+	/* One at a time on trial, and after a failure nobody understood yet. */
+	if (ejection->state == WWH_EJECTION_TRIAL || ejection->in_a_row > 0)
+		return running == 0;
+	return true;
+}
+
+static void decay(wwh_ejection_t *ejection, int64_t now_ms)
+{
+	double keep = exp2(-(double)(now_ms - ejection->at_ms) / HALF_LIFE_MS);
+
+	ejection->good *= keep;
+	ejection->failed *= keep;
+	ejection->at_ms = now_ms;
+	if (ejection->state == WWH_EJECTION_IN &&
+	    now_ms - ejection->until_ms > FORGET_MS)
+		ejection->times = 0;
+}
+
+static bool fails(wwh_ejection_t *const *minions, int32_t count, int32_t index,
+		  int64_t now_ms)
+{
+	const wwh_ejection_t *own = minions[index];
+	double good = 0, failed = 0, share = 0;
+	double total = own->good + own->failed;
+
+	if (own->in_a_row < ROW_BOUND &&
+	    (total < ATTEMPTS_MIN || own->failed < FAILED_SHARE * total))
+		return false;
+	for (int32_t i = 0; i < count; i++) {
+		if (i == index || minions[i]->state != WWH_EJECTION_IN)
+			continue;
+		decay(minions[i], now_ms);
+		good += minions[i]->good;
+		failed += minions[i]->failed;
+	}
+	if (failed > 0)
+		share = failed / (good + failed);
+	if (share >= PEERS_FAILED_SHARE)
+		return false;
+	/* A row of failures that its peers would show by chance is no sign. */
+	return own->failed >= FAILED_SHARE * total ||
+	       pow(share, own->in_a_row) < CHANCE;
+}
+
+/* 0 when too few peers have answered. */
+static double peers_median_ms(wwh_ejection_t *const *minions, int32_t count,
+			      int32_t index)
+{
+	double run_ms[MINIONS_MAX];
+	int32_t found = 0;
+
+	for (int32_t i = 0; i < count && found < MINIONS_MAX; i++) {
+		if (i == index || minions[i]->state != WWH_EJECTION_IN ||
+		    minions[i]->run_ms <= 0)
+			continue;
+		run_ms[found] = minions[i]->run_ms;
+		found++;
+	}
+	if (found < 2)
+		return 0;
+	qsort(run_ms, (size_t)found, sizeof(*run_ms), compare_doubles);
+	return run_ms[found / 2];
+}
+
+static bool slower(const wwh_ejection_t *ejection, double median_ms,
+		   double factor)
+{
+	return median_ms > 0 && ejection->run_ms > factor * median_ms &&
+	       ejection->run_ms > median_ms + SLOW_MIN_MS;
+}
+
+static int32_t out_count(wwh_ejection_t *const *minions, int32_t count)
+{
+	int32_t out = 0;
+
+	for (int32_t i = 0; i < count; i++)
+		out += minions[i]->state != WWH_EJECTION_IN;
+	return out;
+}
+
+static void put_out(wwh_ejection_t *ejection, int64_t now_ms, bool slow)
+{
+	int64_t out_ms = OUT_FIRST_MS;
+
+	for (int32_t i = 0; i < ejection->times && out_ms < OUT_MAX_MS; i++)
+		out_ms *= 2;
+	ejection->times++;
+	ejection->state = WWH_EJECTION_OUT;
+	ejection->until_ms = now_ms + MIN(out_ms, OUT_MAX_MS);
+	ejection->for_slowness = slow;
+	ejection->answers = 0;
+}
+
+static void bring_back(wwh_ejection_t *ejection, int64_t now_ms)
+{
+	ejection->state = WWH_EJECTION_IN;
+	ejection->returned_ms = now_ms;
+	ejection->until_ms = now_ms;
+	ejection->in_a_row = 0;
+	ejection->good = 0;
+	ejection->failed = 0;
+	ejection->answers = 0;
+	ejection->for_slowness = false;
+}
+
+static int compare_doubles(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/limiter.c
@@ -0,0 +1,145 @@
+#include "waxwinghollow/limiter.h"
+
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "private/estimate.h"
+
+#define CUT_FACTOR 0.7
+#define RAISE_STEP 0.05
+#define LIMIT_FLOOR 0.0625 /* with 8 processes: half a request in all */
+#define RUN_WEIGHT 0.1
+#define RUN_MIN_MS 5.0
+#define LOOK_EVERY 16
+#define SLOWER_FACTOR 2.5
+#define SLOWER_CUT 0.9
+#define SLOWER_FLOOR 0.5
+#define LEAST_DRIFT 1.02 /* forgets an old least median */
+#define PAUSE_MAX_MS 2000.0
+
+const char *const wwh_bears_names[WWH_BEARS_COUNT] = {
+	"ok",
+	"less",
+	"no-sign",
+};
+
+static void look_at_median(wwh_limiter_t *limiter);
+static void cut(wwh_limiter_t *limiter, int64_t now_ms);
+static void raise_limit(wwh_limiter_t *limiter);
+
+int32_t wwh_limiter_part(const char *minion, int32_t total, int32_t seat_count,
+			 uint64_t seats)
+{
+	uint64_t hash = XXH3_64bits(minion, strlen(minion));
+	int32_t first = (int32_t)(hash % (uint64_t)seat_count);
+	int32_t part = 0;
+
+	assert(seat_count >= 1 && seat_count <= 64);
+	for (int32_t seat = 0; seat < seat_count; seat++) {
+		int32_t rank = (seat + seat_count - first) % seat_count;
+
+		if ((seats >> seat & 1) == 0)
+			continue;
+		part += total / seat_count;
+		if (rank < total % seat_count)
+			part++;
+	}
+	return part;
+}
+
+void wwh_limiter_set_share(wwh_limiter_t *limiter, int32_t share)
+{
+	double proportion = 1;
+
+	assert(share >= 0);
+	if (limiter->share > 0)
+		proportion = limiter->limit / limiter->share;
+	limiter->share = share;
+	limiter->limit = proportion * share;
+}
+
+bool wwh_limiter_has_room(const wwh_limiter_t *limiter, int64_t now_ms,
+			  double factor)
+{
+	double limit = limiter->limit * factor;
+
+	if (limiter->running >= limiter->share)
+		return false;
+	if (limiter->running == 0)
+		return now_ms >= limiter->next_start_ms;
+	return limiter->running + 1 <= (int32_t)(limit + 0.001);
+}
+
+void wwh_limiter_start(wwh_limiter_t *limiter)
+{
+	assert(limiter->running < limiter->share);
+	limiter->running++;
+}
+
+void wwh_limiter_finish(wwh_limiter_t *limiter, int64_t now_ms, double factor,
+			wwh_bears_t bears, int32_t run_ms)
+{
+	bool was_full = limiter->running >= (int32_t)limiter->limit;
+	double limit;
+
+	assert(limiter->running > 0);
+	limiter->running--;
+	if (bears == WWH_BEARS_OK) {
+		if (limiter->run_ms <= 0)
+			limiter->run_ms = run_ms;
+		limiter->run_ms += RUN_WEIGHT * (run_ms - limiter->run_ms);
+		raise_limit(limiter);
+		if (was_full) {
+			wwh_quantile_t median = { limiter->median_ms };
+
+			wwh_quantile_add(&median, 0.5, run_ms);
+			limiter->median_ms = median.value;
+			limiter->answers++;
+			look_at_median(limiter);
+		}
+	} else if (bears == WWH_BEARS_LESS) {
+		cut(limiter, now_ms);
+	}
+	limit = limiter->limit * factor;
+	if (limit < 1 && limiter->share > 0) {
+		double run = limiter->run_ms < RUN_MIN_MS ? RUN_MIN_MS
+							  : limiter->run_ms;
+		double pause = run * (1 / limit - 1);
+
+		if (pause > PAUSE_MAX_MS)
+			pause = PAUSE_MAX_MS;
+		limiter->next_start_ms = now_ms + (int64_t)pause;
+	}
+}
+
+static void look_at_median(wwh_limiter_t *limiter)
+{
+	if (limiter->answers < LOOK_EVERY)
+		return;
+	limiter->answers = 0;
+	limiter->least_median_ms *= LEAST_DRIFT;
+	if (limiter->least_median_ms <= 0 ||
+	    limiter->median_ms < limiter->least_median_ms)
+		limiter->least_median_ms = limiter->median_ms;
+	if (limiter->median_ms > SLOWER_FACTOR * limiter->least_median_ms &&
+	    limiter->limit > SLOWER_FLOOR * limiter->share)
+		limiter->limit *= SLOWER_CUT;
+}
+
+static void cut(wwh_limiter_t *limiter, int64_t now_ms)
+{
+	if (now_ms < limiter->next_cut_ms)
+		return;
+	limiter->limit *= CUT_FACTOR;
+	if (limiter->limit < LIMIT_FLOOR)
+		limiter->limit = LIMIT_FLOOR;
+	limiter->next_cut_ms = now_ms + (int64_t)limiter->run_ms;
+}
+
+static void raise_limit(wwh_limiter_t *limiter)
+{
+	limiter->limit += RAISE_STEP;
+	if (limiter->limit > limiter->share)
+		limiter->limit = limiter->share;
+}
