--- a/include/waxwinghollow/record.h
+++ b/include/waxwinghollow/record.h
@@ -276,9 +276,8 @@
 bool wwh_record_kind_in_stream(wwh_record_kind_t kind, wwh_stream_t stream);
 
 /*
- * Sets record to an empty one of kind: author copied, strings "", offsets
- * and sequences WWH_NO_OFFSET, lists empty. Setters of a string free the old
- * one: wwh_record_set.
+ * Sets record to an empty one of kind: author copied, strings "", lists
+ * empty, numbers the least that is allowed (of an offset WWH_NO_OFFSET).
  */
 void wwh_record_init(wwh_record_t *record, wwh_record_kind_t kind,
 		     const char *author);
--- a/src/libwaxwinghollow/record.c
+++ b/src/libwaxwinghollow/record.c
@@ -87,6 +87,9 @@
 	case WWH_FIELD_ID:
 		*(char **)at = g_strdup("");
 		break;
+	case WWH_FIELD_INT32:
+		*(int32_t *)at = (int32_t)field->min;
+		break;
 	case WWH_FIELD_INT64:
 		*(int64_t *)at = field->min;
 		break;
