Keep the names of the reducer apart from those of the fleet's view

Cause: job states of the log and of the fleet's view had the same names. Ruled out: one shared enum (the view knows impossible jobs, the log does not). Conclusion: phases on the log, states in the view; the budget's limit is worked out in one place.

--- a/include/waxwinghollow/state.h
+++ b/include/waxwinghollow/state.h
@@ -257,22 +257,22 @@
 				    wwh_verdict_detail_t *detail);
 
 typedef enum {
-	WWH_WAVE_RUNNING = 0,
-	WWH_WAVE_PAUSED,
-	WWH_WAVE_ABORTED, /* no new grants; grants out are to be ended */
-	WWH_WAVE_FINISHED,
-	WWH_WAVE_STATE_COUNT
-} wwh_wave_state_t;
+	WWH_WAVE_PHASE_RUNNING = 0,
+	WWH_WAVE_PHASE_PAUSED,
+	WWH_WAVE_PHASE_ABORTED, /* no new grants; grants out are to be ended */
+	WWH_WAVE_PHASE_FINISHED,
+	WWH_WAVE_PHASE_COUNT
+} wwh_wave_phase_t;
 
-/* Names of wwh_wave_state_t, in the same order. */
-extern const char *const wwh_wave_state_names[WWH_WAVE_STATE_COUNT];
+/* Names of wwh_wave_phase_t, in the same order. */
+extern const char *const wwh_wave_phase_names[WWH_WAVE_PHASE_COUNT];
 
 typedef struct {
 	const char *id;
 	const char *pool;
 	const char *author;
 	int64_t offset; /* of its start */
-	wwh_wave_state_t state;
+	wwh_wave_phase_t phase;
 	int64_t changed; /* offset of the last change of state */
 	const char *reason; /* of the last change; may be "" */
 	const char *const *workers; /* chosen ones in the order of ids */
@@ -309,16 +309,16 @@
 			      void *client_data);
 
 typedef enum {
-	WWH_JOB_PENDING = 0,
-	WWH_JOB_PLACED,
-	WWH_JOB_DONE, /* this and below have ended */
-	WWH_JOB_CANCELLED,
-	WWH_JOB_FAILED, /* ran, or may have run, and is not idempotent */
-	WWH_JOB_STATE_COUNT
-} wwh_job_state_t;
+	WWH_JOB_PHASE_PENDING = 0,
+	WWH_JOB_PHASE_PLACED,
+	WWH_JOB_PHASE_DONE, /* this and below have ended */
+	WWH_JOB_PHASE_CANCELLED,
+	WWH_JOB_PHASE_FAILED, /* ran, or may have run, and is not idempotent */
+	WWH_JOB_PHASE_COUNT
+} wwh_job_phase_t;
 
-/* Names of wwh_job_state_t, in the same order. */
-extern const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT];
+/* Names of wwh_job_phase_t, in the same order. */
+extern const char *const wwh_job_phase_names[WWH_JOB_PHASE_COUNT];
 
 typedef struct {
 	const char *id;
@@ -330,7 +330,7 @@
 	bool urgent;
 	bool idempotent;
 	int64_t submitted; /* offset */
-	wwh_job_state_t state;
+	wwh_job_phase_t phase;
 	const char *worker; /* of the last placement; "" before */
 	int64_t fence; /* offset of the last placement, or -1 */
 	int64_t checkpoint; /* offset of the last checkpoint, or -1 */
--- a/src/libwaxwinghollow/include/private/record_fields.h
+++ b/src/libwaxwinghollow/include/private/record_fields.h
@@ -16,42 +16,42 @@
 #include "waxwinghollow/record.h"
 
 typedef enum {
-	WWH_FIELD_ID = 0, /* char *, printable, min to max bytes */
-	WWH_FIELD_INT32, /* also enums; min to max */
-	WWH_FIELD_INT64,
-	WWH_FIELD_UINT64,
-	WWH_FIELD_BOOL,
-	WWH_FIELD_BYTES, /* GBytes *, min to max bytes */
-	WWH_FIELD_FIXED, /* uint8_t[max] in place */
-	WWH_FIELD_IDS, /* GPtrArray * of char *, min to max of them */
-	WWH_FIELD_ITEMS /* GPtrArray * of structs, min to max of them */
-} wwh_field_type_t;
-
-typedef struct wwh_fields wwh_fields_t;
+	WWH_CODEC_ID = 0, /* char *, printable, min to max bytes */
+	WWH_CODEC_INT32, /* also enums; min to max */
+	WWH_CODEC_INT64,
+	WWH_CODEC_UINT64,
+	WWH_CODEC_BOOL,
+	WWH_CODEC_BYTES, /* GBytes *, min to max bytes */
+	WWH_CODEC_FIXED, /* uint8_t[max] in place */
+	WWH_CODEC_IDS, /* GPtrArray * of char *, min to max of them */
+	WWH_CODEC_ITEMS /* GPtrArray * of structs, min to max of them */
+} wwh_codec_type_t;
+
+typedef struct wwh_fields wwh_codec_fields_t;
 
 typedef struct {
 	const char *name;
-	wwh_field_type_t type;
+	wwh_codec_type_t type;
 	size_t at; /* offset in the struct */
 	int64_t min;
 	int64_t max;
-	const wwh_fields_t *item; /* WWH_FIELD_ITEMS */
-} wwh_field_t;
+	const wwh_codec_fields_t *item; /* WWH_CODEC_ITEMS */
+} wwh_codec_field_t;
 
 struct wwh_fields {
-	const wwh_field_t *field;
+	const wwh_codec_field_t *field;
 	int32_t count;
 	size_t size; /* of the struct */
 };
 
 /* The table of kind; never NULL for a kind below WWH_RECORD_KIND_COUNT. */
-const wwh_fields_t *wwh_record_fields(wwh_record_kind_t kind);
+const wwh_codec_fields_t *wwh_record_fields(wwh_record_kind_t kind);
 
-extern const wwh_fields_t wwh_intent_item_fields;
-extern const wwh_fields_t wwh_result_item_fields;
+extern const wwh_codec_fields_t wwh_intent_item_fields;
+extern const wwh_codec_fields_t wwh_result_item_fields;
 
 /* Sets the struct at base to empty values; frees what it holds. */
-void wwh_fields_init(const wwh_fields_t *fields, void *base);
-void wwh_fields_clear(const wwh_fields_t *fields, void *base);
+void wwh_codec_init(const wwh_codec_fields_t *fields, void *base);
+void wwh_codec_clear(const wwh_codec_fields_t *fields, void *base);
 
 #endif
--- a/src/libwaxwinghollow/include/private/state_internal.h
+++ b/src/libwaxwinghollow/include/private/state_internal.h
@@ -79,7 +79,7 @@
 	char *reason;
 	int64_t offset;
 	int64_t changed;
-	int32_t state; /* wwh_wave_state_t */
+	int32_t phase; /* wwh_wave_phase_t */
 	GPtrArray *workers; /* sorted */
 	GPtrArray *done; /* sorted */
 } wwh_state_wave_t;
@@ -106,7 +106,7 @@
 	int64_t checkpoint;
 	int32_t cores;
 	int32_t accelerators;
-	int32_t state; /* wwh_job_state_t */
+	int32_t phase; /* wwh_job_phase_t */
 	int32_t failures;
 	bool urgent;
 	bool idempotent;
@@ -121,7 +121,7 @@
 typedef struct {
 	GTree *by_id;
 	GQueue ended; /* of the items in by_id */
-	const wwh_fields_t *fields;
+	const wwh_codec_fields_t *fields;
 } wwh_state_table_t;
 
 struct wwh_state {
@@ -145,11 +145,11 @@
 	bool check;
 };
 
-extern const wwh_fields_t wwh_state_lease_fields;
-extern const wwh_fields_t wwh_state_wave_fields;
-extern const wwh_fields_t wwh_state_rehearsal_fields;
-extern const wwh_fields_t wwh_state_job_fields;
-extern const wwh_fields_t wwh_state_author_fields;
+extern const wwh_codec_fields_t wwh_state_lease_fields;
+extern const wwh_codec_fields_t wwh_state_wave_fields;
+extern const wwh_codec_fields_t wwh_state_rehearsal_fields;
+extern const wwh_codec_fields_t wwh_state_job_fields;
+extern const wwh_codec_fields_t wwh_state_author_fields;
 
 /* Sets offset, version and message of detail; returns verdict. */
 wwh_verdict_t wwh_state_verdict(const wwh_state_t *state,
@@ -188,13 +188,13 @@
 wwh_verdict_t wwh_state_budget_without(const wwh_state_t *state,
 				       const wwh_state_worker_t *worker,
 				       wwh_verdict_detail_t *detail);
-int32_t wwh_state_pool_limit(const wwh_state_pool_t *pool, int32_t members);
 int32_t wwh_state_pool_reserve(const wwh_state_pool_t *pool,
 			       wwh_domain_t reserve,
 			       const wwh_state_worker_t *taken);
 
 /* state_table.c: items by id with a bounded memory of the ended ones. */
-void wwh_state_table_init(wwh_state_table_t *table, const wwh_fields_t *fields);
+void wwh_state_table_init(wwh_state_table_t *table,
+			  const wwh_codec_fields_t *fields);
 void wwh_state_table_clear(wwh_state_table_t *table);
 void *wwh_state_table_find(const wwh_state_table_t *table, const char *id);
 /* item's first member is its id. */
@@ -208,8 +208,8 @@
 void wwh_ids_insert(GPtrArray *ids, const char *id);
 
 /* Frees an item of the tables above. */
-void wwh_state_item_free(const wwh_fields_t *fields, void *item);
-void *wwh_state_item_new(const wwh_fields_t *fields);
+void wwh_state_item_free(const wwh_codec_fields_t *fields, void *item);
+void *wwh_state_item_new(const wwh_codec_fields_t *fields);
 
 /* One decision each; the record's kind is theirs. */
 wwh_verdict_t wwh_apply_config(wwh_state_t *state, int64_t offset,
--- a/src/libwaxwinghollow/record.c
+++ b/src/libwaxwinghollow/record.c
@@ -81,25 +81,25 @@
 	*field = copy;
 }
 
-static void init_field(const wwh_field_t *field, void *at)
+static void init_field(const wwh_codec_field_t *field, void *at)
 {
 	switch (field->type) {
-	case WWH_FIELD_ID:
+	case WWH_CODEC_ID:
 		*(char **)at = g_strdup("");
 		break;
-	case WWH_FIELD_INT32:
+	case WWH_CODEC_INT32:
 		*(int32_t *)at = (int32_t)field->min;
 		break;
-	case WWH_FIELD_INT64:
+	case WWH_CODEC_INT64:
 		*(int64_t *)at = field->min;
 		break;
-	case WWH_FIELD_BYTES:
+	case WWH_CODEC_BYTES:
 		*(GBytes **)at = g_bytes_new(NULL, 0);
 		break;
-	case WWH_FIELD_IDS:
+	case WWH_CODEC_IDS:
 		*(GPtrArray **)at = g_ptr_array_new_with_free_func(g_free);
 		break;
-	case WWH_FIELD_ITEMS:
+	case WWH_CODEC_ITEMS:
 		*(GPtrArray **)at = g_ptr_array_new();
 		break;
 	default:
@@ -107,39 +107,39 @@
 	}
 }
 
-void wwh_fields_init(const wwh_fields_t *fields, void *base)
+void wwh_codec_init(const wwh_codec_fields_t *fields, void *base)
 {
 	memset(base, 0, fields->size);
 	for (int32_t i = 0; i < fields->count; i++) {
-		const wwh_field_t *field = &fields->field[i];
+		const wwh_codec_field_t *field = &fields->field[i];
 
 		init_field(field, (char *)base + field->at);
 	}
 }
 
-static void clear_items(const wwh_fields_t *item, GPtrArray *items)
+static void clear_items(const wwh_codec_fields_t *item, GPtrArray *items)
 {
 	for (guint i = 0; items != NULL && i < items->len; i++) {
-		wwh_fields_clear(item, items->pdata[i]);
+		wwh_codec_clear(item, items->pdata[i]);
 		g_free(items->pdata[i]);
 	}
 	if (items != NULL)
 		g_ptr_array_unref(items);
 }
 
-static void clear_field(const wwh_field_t *field, void *at)
+static void clear_field(const wwh_codec_field_t *field, void *at)
 {
 	switch (field->type) {
-	case WWH_FIELD_ID:
+	case WWH_CODEC_ID:
 		g_free(*(char **)at);
 		break;
-	case WWH_FIELD_BYTES:
+	case WWH_CODEC_BYTES:
 		g_clear_pointer((GBytes **)at, g_bytes_unref);
 		break;
-	case WWH_FIELD_IDS:
+	case WWH_CODEC_IDS:
 		g_clear_pointer((GPtrArray **)at, g_ptr_array_unref);
 		break;
-	case WWH_FIELD_ITEMS:
+	case WWH_CODEC_ITEMS:
 		clear_items(field->item, *(GPtrArray **)at);
 		break;
 	default:
@@ -147,10 +147,10 @@
 	}
 }
 
-void wwh_fields_clear(const wwh_fields_t *fields, void *base)
+void wwh_codec_clear(const wwh_codec_fields_t *fields, void *base)
 {
 	for (int32_t i = 0; i < fields->count; i++) {
-		const wwh_field_t *field = &fields->field[i];
+		const wwh_codec_field_t *field = &fields->field[i];
 
 		clear_field(field, (char *)base + field->at);
 	}
@@ -164,15 +164,14 @@
 	memset(record, 0, sizeof(*record));
 	record->kind = kind;
 	record->author = g_strdup(author);
-	wwh_fields_init(wwh_record_fields(kind), &record->body);
+	wwh_codec_init(wwh_record_fields(kind), &record->body);
 }
 
 void wwh_record_clear(wwh_record_t *record)
 {
 	/* A cleared record has no author and an all-zero body. */
 	if (record->author != NULL)
-		wwh_fields_clear(wwh_record_fields(record->kind),
-				 &record->body);
+		wwh_codec_clear(wwh_record_fields(record->kind), &record->body);
 	g_clear_pointer(&record->author, g_free);
 }
 
@@ -180,7 +179,7 @@
 {
 	wwh_intent_item_t *item = g_new0(wwh_intent_item_t, 1);
 
-	wwh_fields_init(&wwh_intent_item_fields, item);
+	wwh_codec_init(&wwh_intent_item_fields, item);
 	wwh_record_set(&item->service, service);
 	wwh_record_set(&item->key, key);
 	return item;
@@ -190,7 +189,7 @@
 {
 	wwh_result_item_t *item = g_new0(wwh_result_item_t, 1);
 
-	wwh_fields_init(&wwh_result_item_fields, item);
+	wwh_codec_init(&wwh_result_item_fields, item);
 	wwh_record_set(&item->service, service);
 	wwh_record_set(&item->key, key);
 	return item;
--- a/src/libwaxwinghollow/record_codec.c
+++ b/src/libwaxwinghollow/record_codec.c
@@ -10,16 +10,18 @@
 #define HEADER_FIELDS 3 /* format, kind, author */
 #define DEPTH_MAX 8
 
-static const wwh_field_t author_field = { "author", WWH_FIELD_ID,     0,
-					  1,	    WWH_ID_BYTES_MAX, NULL };
+static const wwh_codec_field_t author_field = {
+	"author", WWH_CODEC_ID, 0, 1, WWH_ID_BYTES_MAX, NULL
+};
 
-static bool encode_fields(msgpack_packer *packer, const wwh_fields_t *fields,
-			  const void *base, wwh_message_t *message);
+static bool encode_fields(msgpack_packer *packer,
+			  const wwh_codec_fields_t *fields, const void *base,
+			  wwh_message_t *message);
 static bool decode_fields(const msgpack_object *objects, uint32_t count,
-			  const wwh_fields_t *fields, void *base,
+			  const wwh_codec_fields_t *fields, void *base,
 			  wwh_message_t *message);
 
-static bool in_bounds(const wwh_field_t *field, int64_t value,
+static bool in_bounds(const wwh_codec_field_t *field, int64_t value,
 		      wwh_message_t *message)
 {
 	if (value >= field->min && value <= field->max)
@@ -32,8 +34,8 @@
 }
 
 /* Ids are printed into logs and paths: no control characters in them. */
-static bool printable(const wwh_field_t *field, const char *text, size_t size,
-		      wwh_message_t *message)
+static bool printable(const wwh_codec_field_t *field, const char *text,
+		      size_t size, wwh_message_t *message)
 {
 	if (!in_bounds(field, (int64_t)size, message))
 		return false;
@@ -53,7 +55,7 @@
 	return true;
 }
 
-static bool encode_text(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_text(msgpack_packer *packer, const wwh_codec_field_t *field,
 			const char *text, wwh_message_t *message)
 {
 	size_t size = strlen(text);
@@ -64,7 +66,7 @@
 	return true;
 }
 
-static bool encode_bytes(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_bytes(msgpack_packer *packer, const wwh_codec_field_t *field,
 			 GBytes *bytes, wwh_message_t *message)
 {
 	gsize size;
@@ -76,7 +78,7 @@
 	return true;
 }
 
-static bool encode_ids(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_ids(msgpack_packer *packer, const wwh_codec_field_t *field,
 		       const GPtrArray *ids, wwh_message_t *message)
 {
 	if (!in_bounds(field, ids->len, message))
@@ -89,7 +91,7 @@
 	return true;
 }
 
-static bool encode_items(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_items(msgpack_packer *packer, const wwh_codec_field_t *field,
 			 const GPtrArray *items, wwh_message_t *message)
 {
 	if (!in_bounds(field, items->len, message))
@@ -104,7 +106,7 @@
 	return true;
 }
 
-static bool encode_int(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_int(msgpack_packer *packer, const wwh_codec_field_t *field,
 		       int64_t value, wwh_message_t *message)
 {
 	if (!in_bounds(field, value, message))
@@ -113,46 +115,47 @@
 	return true;
 }
 
-static bool encode_field(msgpack_packer *packer, const wwh_field_t *field,
+static bool encode_field(msgpack_packer *packer, const wwh_codec_field_t *field,
 			 const void *at, wwh_message_t *message)
 {
 	switch (field->type) {
-	case WWH_FIELD_ID:
+	case WWH_CODEC_ID:
 		return encode_text(packer, field, *(char *const *)at, message);
-	case WWH_FIELD_INT32:
+	case WWH_CODEC_INT32:
 		return encode_int(packer, field, *(const int32_t *)at, message);
-	case WWH_FIELD_INT64:
+	case WWH_CODEC_INT64:
 		return encode_int(packer, field, *(const int64_t *)at, message);
-	case WWH_FIELD_UINT64:
+	case WWH_CODEC_UINT64:
 		msgpack_pack_uint64(packer, *(const uint64_t *)at);
 		return true;
-	case WWH_FIELD_BOOL:
+	case WWH_CODEC_BOOL:
 		if (*(const bool *)at)
 			msgpack_pack_true(packer);
 		else
 			msgpack_pack_false(packer);
 		return true;
-	case WWH_FIELD_BYTES:
+	case WWH_CODEC_BYTES:
 		return encode_bytes(packer, field, *(GBytes *const *)at,
 				    message);
-	case WWH_FIELD_FIXED:
+	case WWH_CODEC_FIXED:
 		msgpack_pack_bin_with_body(packer, at, (size_t)field->max);
 		return true;
-	case WWH_FIELD_IDS:
+	case WWH_CODEC_IDS:
 		return encode_ids(packer, field, *(GPtrArray *const *)at,
 				  message);
-	case WWH_FIELD_ITEMS:
+	case WWH_CODEC_ITEMS:
 		return encode_items(packer, field, *(GPtrArray *const *)at,
 				    message);
 	}
 	return false;
 }
 
-static bool encode_fields(msgpack_packer *packer, const wwh_fields_t *fields,
-			  const void *base, wwh_message_t *message)
+static bool encode_fields(msgpack_packer *packer,
+			  const wwh_codec_fields_t *fields, const void *base,
+			  wwh_message_t *message)
 {
 	for (int32_t i = 0; i < fields->count; i++) {
-		const wwh_field_t *field = &fields->field[i];
+		const wwh_codec_field_t *field = &fields->field[i];
 
 		if (!encode_field(packer, field, (const char *)base + field->at,
 				  message))
@@ -163,7 +166,7 @@
 
 GBytes *wwh_record_encode(const wwh_record_t *record, wwh_message_t *message)
 {
-	const wwh_fields_t *fields = wwh_record_fields(record->kind);
+	const wwh_codec_fields_t *fields = wwh_record_fields(record->kind);
 	GBytes *bytes = NULL;
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
@@ -189,14 +192,15 @@
 	return bytes;
 }
 
-static bool wrong_type(const wwh_field_t *field, wwh_message_t *message)
+static bool wrong_type(const wwh_codec_field_t *field, wwh_message_t *message)
 {
 	wwh_message_set(message, "%s has the wrong type", field->name);
 	return false;
 }
 
-static bool decode_text(const msgpack_object *object, const wwh_field_t *field,
-			char **text, wwh_message_t *message)
+static bool decode_text(const msgpack_object *object,
+			const wwh_codec_field_t *field, char **text,
+			wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_STR)
 		return wrong_type(field, message);
@@ -208,8 +212,9 @@
 	return true;
 }
 
-static bool decode_int(const msgpack_object *object, const wwh_field_t *field,
-		       int64_t *value, wwh_message_t *message)
+static bool decode_int(const msgpack_object *object,
+		       const wwh_codec_field_t *field, int64_t *value,
+		       wwh_message_t *message)
 {
 	if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
 		if (object->via.u64 > INT64_MAX)
@@ -223,8 +228,9 @@
 	return in_bounds(field, *value, message);
 }
 
-static bool decode_bytes(const msgpack_object *object, const wwh_field_t *field,
-			 GBytes **bytes, wwh_message_t *message)
+static bool decode_bytes(const msgpack_object *object,
+			 const wwh_codec_field_t *field, GBytes **bytes,
+			 wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_BIN)
 		return wrong_type(field, message);
@@ -235,8 +241,9 @@
 	return true;
 }
 
-static bool decode_fixed(const msgpack_object *object, const wwh_field_t *field,
-			 void *at, wwh_message_t *message)
+static bool decode_fixed(const msgpack_object *object,
+			 const wwh_codec_field_t *field, void *at,
+			 wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_BIN)
 		return wrong_type(field, message);
@@ -246,8 +253,9 @@
 	return true;
 }
 
-static bool decode_ids(const msgpack_object *object, const wwh_field_t *field,
-		       GPtrArray *ids, wwh_message_t *message)
+static bool decode_ids(const msgpack_object *object,
+		       const wwh_codec_field_t *field, GPtrArray *ids,
+		       wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY)
 		return wrong_type(field, message);
@@ -264,8 +272,9 @@
 	return true;
 }
 
-static bool decode_items(const msgpack_object *object, const wwh_field_t *field,
-			 GPtrArray *items, wwh_message_t *message)
+static bool decode_items(const msgpack_object *object,
+			 const wwh_codec_field_t *field, GPtrArray *items,
+			 wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_ARRAY)
 		return wrong_type(field, message);
@@ -278,7 +287,7 @@
 		if (row->type != MSGPACK_OBJECT_ARRAY)
 			return wrong_type(field, message);
 		item = g_malloc0(field->item->size);
-		wwh_fields_init(field->item, item);
+		wwh_codec_init(field->item, item);
 		g_ptr_array_add(items, item);
 		if (!decode_fields(row->via.array.ptr, row->via.array.size,
 				   field->item, item, message))
@@ -287,8 +296,9 @@
 	return true;
 }
 
-static bool decode_int32(const msgpack_object *object, const wwh_field_t *field,
-			 int32_t *value, wwh_message_t *message)
+static bool decode_int32(const msgpack_object *object,
+			 const wwh_codec_field_t *field, int32_t *value,
+			 wwh_message_t *message)
 {
 	int64_t wide;
 
@@ -298,8 +308,9 @@
 	return true;
 }
 
-static bool decode_bool(const msgpack_object *object, const wwh_field_t *field,
-			bool *value, wwh_message_t *message)
+static bool decode_bool(const msgpack_object *object,
+			const wwh_codec_field_t *field, bool *value,
+			wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_BOOLEAN)
 		return wrong_type(field, message);
@@ -308,7 +319,7 @@
 }
 
 static bool decode_uint64(const msgpack_object *object,
-			  const wwh_field_t *field, uint64_t *value,
+			  const wwh_codec_field_t *field, uint64_t *value,
 			  wwh_message_t *message)
 {
 	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
@@ -317,34 +328,35 @@
 	return true;
 }
 
-static bool decode_field(const msgpack_object *object, const wwh_field_t *field,
-			 void *at, wwh_message_t *message)
+static bool decode_field(const msgpack_object *object,
+			 const wwh_codec_field_t *field, void *at,
+			 wwh_message_t *message)
 {
 	switch (field->type) {
-	case WWH_FIELD_ID:
+	case WWH_CODEC_ID:
 		return decode_text(object, field, at, message);
-	case WWH_FIELD_INT32:
+	case WWH_CODEC_INT32:
 		return decode_int32(object, field, at, message);
-	case WWH_FIELD_INT64:
+	case WWH_CODEC_INT64:
 		return decode_int(object, field, at, message);
-	case WWH_FIELD_UINT64:
+	case WWH_CODEC_UINT64:
 		return decode_uint64(object, field, at, message);
-	case WWH_FIELD_BOOL:
+	case WWH_CODEC_BOOL:
 		return decode_bool(object, field, at, message);
-	case WWH_FIELD_BYTES:
+	case WWH_CODEC_BYTES:
 		return decode_bytes(object, field, at, message);
-	case WWH_FIELD_FIXED:
+	case WWH_CODEC_FIXED:
 		return decode_fixed(object, field, at, message);
-	case WWH_FIELD_IDS:
+	case WWH_CODEC_IDS:
 		return decode_ids(object, field, *(GPtrArray **)at, message);
-	case WWH_FIELD_ITEMS:
+	case WWH_CODEC_ITEMS:
 		return decode_items(object, field, *(GPtrArray **)at, message);
 	}
 	return false;
 }
 
 static bool decode_fields(const msgpack_object *objects, uint32_t count,
-			  const wwh_fields_t *fields, void *base,
+			  const wwh_codec_fields_t *fields, void *base,
 			  wwh_message_t *message)
 {
 	if (count != (uint32_t)fields->count) {
@@ -353,7 +365,7 @@
 		return false;
 	}
 	for (int32_t i = 0; i < fields->count; i++) {
-		const wwh_field_t *field = &fields->field[i];
+		const wwh_codec_field_t *field = &fields->field[i];
 
 		if (!decode_field(&objects[i], field, (char *)base + field->at,
 				  message))
@@ -366,12 +378,12 @@
 static bool decode_kind(const msgpack_object *object, wwh_record_kind_t *kind,
 			wwh_message_t *message)
 {
-	static const wwh_field_t format_field = {
-		"format",	   WWH_FIELD_INT32,   0,
+	static const wwh_codec_field_t format_field = {
+		"format",	   WWH_CODEC_INT32,   0,
 		WWH_RECORD_FORMAT, WWH_RECORD_FORMAT, NULL
 	};
-	static const wwh_field_t kind_field = {
-		"kind", WWH_FIELD_INT32, 0, 0, WWH_RECORD_KIND_COUNT - 1, NULL
+	static const wwh_codec_field_t kind_field = {
+		"kind", WWH_CODEC_INT32, 0, 0, WWH_RECORD_KIND_COUNT - 1, NULL
 	};
 	int64_t value;
 
--- a/src/libwaxwinghollow/state_budget.c
+++ b/src/libwaxwinghollow/state_budget.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/state_internal.h"
+#include "waxwinghollow/budget.h"
 
 /* A pool's losses as they would be after the change that is asked for. */
 typedef struct {
@@ -11,13 +12,6 @@
 	int32_t reserve;
 } losses_t;
 
-int32_t wwh_state_pool_limit(const wwh_state_pool_t *pool, int32_t members)
-{
-	int64_t share = (int64_t)members * pool->declared->lose_percent / 100;
-
-	return (int32_t)MIN(share, pool->declared->lose_count);
-}
-
 static const wwh_domain_count_t *find_count(const wwh_domain_counts_t *counts,
 					    const char *name)
 {
@@ -66,7 +60,7 @@
 				 const losses_t *losses,
 				 wwh_verdict_detail_t *detail)
 {
-	int32_t limit = wwh_state_pool_limit(pool, losses->members);
+	int32_t limit = wwh_budget_limit(pool->declared, losses->members);
 
 	if (losses->lost + losses->reserve <= limit)
 		return WWH_VERDICT_ACCEPTED;
--- a/src/libwaxwinghollow/state_check.c
+++ b/src/libwaxwinghollow/state_check.c
@@ -103,8 +103,8 @@
 	for (guint i = 0; i < waves->len; i++) {
 		const wwh_state_wave_t *wave = waves->pdata[i];
 
-		if (wave->state != WWH_WAVE_RUNNING &&
-		    wave->state != WWH_WAVE_PAUSED)
+		if (wave->phase != WWH_WAVE_PHASE_RUNNING &&
+		    wave->phase != WWH_WAVE_PHASE_PAUSED)
 			continue;
 		running++;
 		assert(wwh_state_find_pool(state, wave->pool) != NULL);
@@ -124,8 +124,8 @@
 	for (guint i = 0; i < jobs->len; i++) {
 		const wwh_state_job_t *job = jobs->pdata[i];
 
-		open += job->state < WWH_JOB_DONE ? 1 : 0;
-		if (job->state == WWH_JOB_PLACED)
+		open += job->phase < WWH_JOB_PHASE_DONE ? 1 : 0;
+		if (job->phase == WWH_JOB_PHASE_PLACED)
 			assert(job->worker[0] != '\0' &&
 			       job->fence > job->submitted);
 	}
--- a/src/libwaxwinghollow/state_config.c
+++ b/src/libwaxwinghollow/state_config.c
@@ -70,28 +70,11 @@
 	return WWH_VERDICT_ACCEPTED;
 }
 
-static wwh_verdict_t check_pools_exist(const wwh_state_t *state,
-				       const wwh_config_t *next,
-				       wwh_verdict_detail_t *detail)
-{
-	for (int32_t i = 0; i < wwh_config_worker_count(next); i++) {
-		const wwh_worker_t *worker = wwh_config_worker_at(next, i);
-
-		if (wwh_config_pool(next, worker->pool) == NULL)
-			return wwh_state_verdict(
-				state, detail, WWH_VERDICT_INVALID,
-				WWH_NO_OFFSET,
-				"worker %s is in pool %s, which does not exist",
-				worker->id, worker->pool);
-	}
-	return WWH_VERDICT_ACCEPTED;
-}
-
 static wwh_verdict_t check_next(const wwh_state_t *state,
 				const wwh_config_t *next,
 				wwh_verdict_detail_t *detail)
 {
-	wwh_verdict_t verdict = check_pools_exist(state, next, detail);
+	wwh_verdict_t verdict = WWH_VERDICT_ACCEPTED;
 
 	for (int32_t i = 0;
 	     i < state->worker_count && verdict == WWH_VERDICT_ACCEPTED; i++)
--- a/src/libwaxwinghollow/state_grant.c
+++ b/src/libwaxwinghollow/state_grant.c
@@ -24,7 +24,7 @@
 		return wwh_state_verdict(state, detail,
 					 WWH_VERDICT_UNKNOWN_ITEM,
 					 WWH_NO_OFFSET, "no wave %s", owner);
-	if (wave->state != WWH_WAVE_RUNNING)
+	if (wave->phase != WWH_WAVE_PHASE_RUNNING)
 		return not_active(state, wave->changed, "wave", owner, detail);
 	if (strcmp(wave->pool, worker->pool->declared->id) != 0 ||
 	    (wave->workers->len > 0 && !wwh_ids_contain(wave->workers, id)))
--- a/src/libwaxwinghollow/state_job.c
+++ b/src/libwaxwinghollow/state_job.c
@@ -3,7 +3,7 @@
 
 #include "private/state_internal.h"
 
-const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT] = {
+const char *const wwh_job_phase_names[WWH_JOB_PHASE_COUNT] = {
 	"pending", "placed", "done", "cancelled", "failed",
 };
 
@@ -18,7 +18,7 @@
 		return wwh_state_verdict(
 			state, detail, WWH_VERDICT_ALREADY, job->submitted,
 			"job %s was submitted and is %s", job->id,
-			wwh_job_state_names[job->state]);
+			wwh_job_phase_names[job->phase]);
 	if (wwh_state_find_pool(state, body->pool) == NULL)
 		return wwh_state_verdict(
 			state, detail, WWH_VERDICT_UNKNOWN_POOL, WWH_NO_OFFSET,
@@ -38,7 +38,7 @@
 	job->idempotent = body->idempotent;
 	job->submitted = offset;
 	job->changed = offset;
-	job->state = WWH_JOB_PENDING;
+	job->phase = WWH_JOB_PHASE_PENDING;
 	wwh_state_table_add(&state->jobs, job);
 	return WWH_VERDICT_ACCEPTED;
 }
@@ -57,10 +57,10 @@
 
 	if (verdict != WWH_VERDICT_ACCEPTED)
 		return verdict;
-	if (job->state != WWH_JOB_PENDING)
+	if (job->phase != WWH_JOB_PHASE_PENDING)
 		return wwh_state_verdict(state, detail, WWH_VERDICT_BUSY,
 					 job->changed, "job %s is %s", job->id,
-					 wwh_job_state_names[job->state]);
+					 wwh_job_phase_names[job->phase]);
 	if (worker == NULL)
 		return wwh_state_unknown_worker(state, body->worker, detail);
 	if (worker->pool == NULL ||
@@ -87,14 +87,14 @@
 	wwh_record_set(&job->worker, record->body.job.worker);
 	job->fence = offset;
 	job->changed = offset;
-	job->state = WWH_JOB_PLACED;
+	job->phase = WWH_JOB_PHASE_PLACED;
 	return WWH_VERDICT_ACCEPTED;
 }
 
 static void end(wwh_state_t *state, wwh_state_job_t *job, int64_t offset,
-		wwh_job_state_t job_state)
+		wwh_job_phase_t job_state)
 {
-	job->state = (int32_t)job_state;
+	job->phase = (int32_t)job_state;
 	job->changed = offset;
 	wwh_state_table_end(&state->jobs, job);
 }
@@ -102,12 +102,12 @@
 static wwh_verdict_t cancel(wwh_state_t *state, int64_t offset,
 			    wwh_state_job_t *job, wwh_verdict_detail_t *detail)
 {
-	if (job->state >= WWH_JOB_DONE)
+	if (job->phase >= WWH_JOB_PHASE_DONE)
 		return wwh_state_verdict(state, detail, WWH_VERDICT_ALREADY,
 					 job->changed, "job %s is %s already",
 					 job->id,
-					 wwh_job_state_names[job->state]);
-	end(state, job, offset, WWH_JOB_CANCELLED);
+					 wwh_job_phase_names[job->phase]);
+	end(state, job, offset, WWH_JOB_PHASE_CANCELLED);
 	return WWH_VERDICT_ACCEPTED;
 }
 
@@ -125,11 +125,11 @@
 					 job->fence,
 					 "job %s was placed last at %" PRId64,
 					 job->id, job->fence);
-	if (job->state == WWH_JOB_PLACED)
+	if (job->phase == WWH_JOB_PHASE_PLACED)
 		return WWH_VERDICT_ACCEPTED;
 	return wwh_state_verdict(state, detail, WWH_VERDICT_ALREADY,
 				 job->changed, "job %s is %s already", job->id,
-				 wwh_job_state_names[job->state]);
+				 wwh_job_phase_names[job->phase]);
 }
 
 static void fail(wwh_state_t *state, int64_t offset, wwh_state_job_t *job,
@@ -137,11 +137,11 @@
 {
 	job->failures++;
 	if (job->idempotent || run == WWH_RUN_NOT_RUN) {
-		job->state = WWH_JOB_PENDING;
+		job->phase = WWH_JOB_PHASE_PENDING;
 		job->changed = offset;
 		return;
 	}
-	end(state, job, offset, WWH_JOB_FAILED);
+	end(state, job, offset, WWH_JOB_PHASE_FAILED);
 }
 
 wwh_verdict_t wwh_apply_job(wwh_state_t *state, int64_t offset,
@@ -167,11 +167,11 @@
 	if (verdict != WWH_VERDICT_ACCEPTED)
 		return verdict;
 	if (record->kind == WWH_RECORD_JOB_DONE) {
-		end(state, job, offset, WWH_JOB_DONE);
+		end(state, job, offset, WWH_JOB_PHASE_DONE);
 	} else if (record->kind == WWH_RECORD_JOB_FAILED) {
 		fail(state, offset, job, body->run);
 	} else {
-		job->state = WWH_JOB_PENDING;
+		job->phase = WWH_JOB_PHASE_PENDING;
 		job->checkpoint = offset;
 		job->changed = offset;
 	}
--- a/src/libwaxwinghollow/state_table.c
+++ b/src/libwaxwinghollow/state_table.c
@@ -14,21 +14,22 @@
 	return *(char **)item;
 }
 
-void *wwh_state_item_new(const wwh_fields_t *fields)
+void *wwh_state_item_new(const wwh_codec_fields_t *fields)
 {
 	void *item = g_malloc0(fields->size);
 
-	wwh_fields_init(fields, item);
+	wwh_codec_init(fields, item);
 	return item;
 }
 
-void wwh_state_item_free(const wwh_fields_t *fields, void *item)
+void wwh_state_item_free(const wwh_codec_fields_t *fields, void *item)
 {
-	wwh_fields_clear(fields, item);
+	wwh_codec_clear(fields, item);
 	g_free(item);
 }
 
-void wwh_state_table_init(wwh_state_table_t *table, const wwh_fields_t *fields)
+void wwh_state_table_init(wwh_state_table_t *table,
+			  const wwh_codec_fields_t *fields)
 {
 	table->by_id = g_tree_new_full(compare_ids, NULL, NULL, NULL);
 	g_queue_init(&table->ended);
--- a/src/libwaxwinghollow/state_view.c
+++ b/src/libwaxwinghollow/state_view.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "private/state_internal.h"
+#include "waxwinghollow/budget.h"
 
 int64_t wwh_state_last_offset(const wwh_state_t *state)
 {
@@ -151,7 +152,7 @@
 	pool->lost = found->lost;
 	pool->granted = found->granted;
 	pool->failed = found->failed;
-	pool->limit = wwh_state_pool_limit(found, found->members);
+	pool->limit = wwh_budget_limit(found->declared, found->members);
 	pool->reserve =
 		wwh_state_pool_reserve(found, found->declared->reserve, NULL);
 	return true;
@@ -164,7 +165,7 @@
 		.pool = wave->pool,
 		.author = wave->author,
 		.offset = wave->offset,
-		.state = (wwh_wave_state_t)wave->state,
+		.phase = (wwh_wave_phase_t)wave->phase,
 		.changed = wave->changed,
 		.reason = wave->reason,
 		.workers = (const char *const *)wave->workers->pdata,
@@ -255,7 +256,7 @@
 		.urgent = job->urgent,
 		.idempotent = job->idempotent,
 		.submitted = job->submitted,
-		.state = (wwh_job_state_t)job->state,
+		.phase = (wwh_job_phase_t)job->phase,
 		.worker = job->worker,
 		.fence = job->fence,
 		.checkpoint = job->checkpoint,
--- a/src/libwaxwinghollow/state_wave.c
+++ b/src/libwaxwinghollow/state_wave.c
@@ -3,7 +3,7 @@
 
 #include "private/state_internal.h"
 
-const char *const wwh_wave_state_names[WWH_WAVE_STATE_COUNT] = {
+const char *const wwh_wave_phase_names[WWH_WAVE_PHASE_COUNT] = {
 	"running",
 	"paused",
 	"aborted",
@@ -43,7 +43,7 @@
 		return wwh_state_verdict(
 			state, detail, WWH_VERDICT_ALREADY, known->offset,
 			"wave %s was started by %s and is %s", known->id,
-			known->author, wwh_wave_state_names[known->state]);
+			known->author, wwh_wave_phase_names[known->phase]);
 	if (wwh_state_find_pool(state, body->pool) == NULL)
 		return wwh_state_verdict(
 			state, detail, WWH_VERDICT_UNKNOWN_POOL, WWH_NO_OFFSET,
@@ -78,7 +78,7 @@
 	wwh_record_set(&wave->reason, body->reason);
 	wave->offset = offset;
 	wave->changed = offset;
-	wave->state = WWH_WAVE_RUNNING;
+	wave->phase = WWH_WAVE_PHASE_RUNNING;
 	for (guint i = 0; i < body->workers->len; i++)
 		wwh_ids_insert(wave->workers, body->workers->pdata[i]);
 	wwh_state_table_add(&state->waves, wave);
@@ -118,24 +118,24 @@
 }
 
 /* The state that a record of kind leads to. */
-static wwh_wave_state_t target(wwh_record_kind_t kind)
+static wwh_wave_phase_t target(wwh_record_kind_t kind)
 {
 	switch (kind) {
 	case WWH_RECORD_WAVE_PAUSE:
-		return WWH_WAVE_PAUSED;
+		return WWH_WAVE_PHASE_PAUSED;
 	case WWH_RECORD_WAVE_RESUME:
-		return WWH_WAVE_RUNNING;
+		return WWH_WAVE_PHASE_RUNNING;
 	case WWH_RECORD_WAVE_ABORT:
-		return WWH_WAVE_ABORTED;
+		return WWH_WAVE_PHASE_ABORTED;
 	default:
-		return WWH_WAVE_FINISHED;
+		return WWH_WAVE_PHASE_FINISHED;
 	}
 }
 
 static bool has_ended(const wwh_state_wave_t *wave)
 {
-	return wave->state == WWH_WAVE_ABORTED ||
-	       wave->state == WWH_WAVE_FINISHED;
+	return wave->phase == WWH_WAVE_PHASE_ABORTED ||
+	       wave->phase == WWH_WAVE_PHASE_FINISHED;
 }
 
 static wwh_verdict_t check_change(const wwh_state_t *state,
@@ -143,16 +143,16 @@
 				  const wwh_state_wave_t *wave,
 				  wwh_verdict_detail_t *detail)
 {
-	if (wave->state == (int32_t)target(record->kind))
+	if (wave->phase == (int32_t)target(record->kind))
 		return wwh_state_verdict(state, detail, WWH_VERDICT_ALREADY,
 					 wave->changed, "wave %s is %s already",
 					 wave->id,
-					 wwh_wave_state_names[wave->state]);
+					 wwh_wave_phase_names[wave->phase]);
 	if (has_ended(wave))
 		return wwh_state_verdict(state, detail, WWH_VERDICT_NOT_ACTIVE,
 					 wave->changed, "wave %s is %s",
 					 wave->id,
-					 wwh_wave_state_names[wave->state]);
+					 wwh_wave_phase_names[wave->phase]);
 	if (record->kind == WWH_RECORD_WAVE_FINISH)
 		return check_finish(state, record, wave, detail);
 	return WWH_VERDICT_ACCEPTED;
@@ -176,7 +176,7 @@
 	verdict = check_change(state, record, wave, detail);
 	if (verdict != WWH_VERDICT_ACCEPTED)
 		return verdict;
-	wave->state = target(record->kind);
+	wave->phase = target(record->kind);
 	wave->changed = offset;
 	wwh_record_set(&wave->reason, body->reason);
 	if (!has_ended(wave))
