--- a/include/waxwinghollow/budget.h
+++ b/include/waxwinghollow/budget.h
@@ -58,6 +58,13 @@
 /* NONE, or what stands against taking the serving member out now. */
 wwh_binding_t wwh_tally_allows(const wwh_tally_t *tally, int32_t worker);
 
+/*
+ * The same with another reserve. A rehearsal is itself the failure that the
+ * larger reserve is for, and keeps only a worker's.
+ */
+wwh_binding_t wwh_tally_allows_with(const wwh_tally_t *tally, int32_t worker,
+				    wwh_domain_t reserve);
+
 /* Count the member as out, or as serving again. */
 void wwh_tally_take(wwh_tally_t *tally, int32_t worker);
 void wwh_tally_give_back(wwh_tally_t *tally, int32_t worker);
--- a/include/waxwinghollow/fleet_view.h
+++ b/include/waxwinghollow/fleet_view.h
@@ -25,6 +25,8 @@
 
 #include "waxwinghollow/config.h"
 #include "waxwinghollow/platform.h"
+#include "waxwinghollow/record.h"
+#include "waxwinghollow/state.h"
 
 #define WWH_FLEET_NONE (-1) /* an index that refers to nothing */
 #define WWH_FLEET_UNKNOWN (-1) /* a count that nobody has reported */
@@ -68,9 +70,17 @@
 	wwh_load_t size;
 	wwh_load_t used; /* observed, lagging */
 	wwh_fleet_state_t state;
-	int64_t grant; /* offset of the grant it is out under; 0: none */
+	int64_t grant; /* offset of the grant; WWH_NO_OFFSET: none */
+	wwh_grant_reason_t grant_reason;
+	const char *grant_owner; /* id of the wave or rehearsal; "" */
+	int64_t failed; /* offset of the failure; WWH_NO_OFFSET: none */
+	int32_t wanted_pool; /* of the inventory; differs: a move is due */
+	int32_t move_from; /* WWH_FLEET_NONE: it isn't between pools */
+	int32_t move_to;
+	bool in_wave; /* its pool's wave is to maintain it */
 	bool maintained; /* by the wave that is being planned or run */
-	bool quarantined; /* takes no new jobs */
+	bool quarantined; /* takes no new jobs; counts as lost */
+	int32_t host_state; /* wwh_host_state_t; WWH_FLEET_UNKNOWN */
 	int32_t requests_in_progress; /* WWH_FLEET_UNKNOWN: not reported */
 	int32_t first_job; /* set by the seal: into the jobs by worker */
 	int32_t job_count;
@@ -79,6 +89,8 @@
 typedef struct {
 	const char *id;
 	wwh_pool_t rule; /* rule.id is id */
+	int64_t fence; /* of the lease held here; WWH_NO_OFFSET: not held */
+	int32_t wave; /* that runs or is paused; WWH_FLEET_NONE */
 	int32_t first_member; /* set by the seal: into the members by pool */
 	int32_t size;
 } wwh_fleet_pool_t;
@@ -94,6 +106,19 @@
 	int32_t size;
 } wwh_fleet_zone_t;
 
+typedef struct {
+	const char *id;
+	int32_t pool;
+	wwh_wave_phase_t phase;
+} wwh_fleet_wave_t;
+
+typedef struct {
+	const char *id;
+	wwh_domain_t domain;
+	const char *domain_id;
+	bool running;
+} wwh_fleet_rehearsal_t;
+
 typedef struct {
 	const char *id;
 	const char *team;
@@ -106,8 +131,11 @@
 	bool urgent;
 	bool idempotent; /* may run twice */
 	int64_t queued_ms; /* since when it waits */
+	int64_t started_ms; /* since when it runs */
+	int64_t renewed_ms; /* when its lease was last renewed */
 	int64_t expected_end_ms; /* as observed of its like; 0: unknown */
-	int64_t lease; /* offset of the lease it runs under; 0: none */
+	int64_t lease; /* offset of its placement; WWH_NO_OFFSET: none */
+	int32_t report; /* wwh_task_state_t under that lease; UNKNOWN */
 } wwh_fleet_job_t;
 
 typedef struct wwh_fleet_view wwh_fleet_view_t;
@@ -126,6 +154,15 @@
 int32_t wwh_fleet_view_add_job(wwh_fleet_view_t *view,
 			       const wwh_fleet_job_t *job);
 
+/* A running or paused wave becomes its pool's. Each returns the index. */
+int32_t wwh_fleet_view_add_wave(wwh_fleet_view_t *view,
+				const wwh_fleet_wave_t *wave);
+int32_t wwh_fleet_view_add_rehearsal(wwh_fleet_view_t *view,
+				     const wwh_fleet_rehearsal_t *rehearsal);
+
+/* A copy of text that lives as long as the view. */
+const char *wwh_fleet_view_keep(wwh_fleet_view_t *view, const char *text);
+
 /* Builds the members by pool and the jobs by worker. */
 void wwh_fleet_view_seal(wwh_fleet_view_t *view);
 
@@ -134,6 +171,8 @@
 int32_t wwh_fleet_rack_count(const wwh_fleet_view_t *view);
 int32_t wwh_fleet_zone_count(const wwh_fleet_view_t *view);
 int32_t wwh_fleet_job_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_wave_count(const wwh_fleet_view_t *view);
+int32_t wwh_fleet_rehearsal_count(const wwh_fleet_view_t *view);
 
 wwh_fleet_worker_t *wwh_fleet_worker(const wwh_fleet_view_t *view,
 				     int32_t index);
@@ -143,6 +182,9 @@
 const wwh_fleet_zone_t *wwh_fleet_zone(const wwh_fleet_view_t *view,
 				       int32_t index);
 wwh_fleet_job_t *wwh_fleet_job(const wwh_fleet_view_t *view, int32_t index);
+wwh_fleet_wave_t *wwh_fleet_wave(const wwh_fleet_view_t *view, int32_t index);
+wwh_fleet_rehearsal_t *wwh_fleet_rehearsal(const wwh_fleet_view_t *view,
+					   int32_t index);
 
 /* Index of the pool's member at position, below the pool's size. */
 int32_t wwh_fleet_member(const wwh_fleet_view_t *view, int32_t pool,
@@ -158,5 +200,14 @@
 int32_t wwh_fleet_find_rack(const wwh_fleet_view_t *view, const char *id);
 int32_t wwh_fleet_find_zone(const wwh_fleet_view_t *view, const char *id);
 int32_t wwh_fleet_find_job(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_wave(const wwh_fleet_view_t *view, const char *id);
+int32_t wwh_fleet_find_rehearsal(const wwh_fleet_view_t *view, const char *id);
+
+/* Whether the worker stands in that domain. */
+bool wwh_fleet_in_domain(const wwh_fleet_view_t *view, int32_t worker,
+			 wwh_domain_t domain, const char *domain_id);
+
+/* Whether the worker counts as lost to its pool. */
+bool wwh_fleet_is_lost(const wwh_fleet_worker_t *worker);
 
 #endif
--- a/include/waxwinghollow/planner.h
+++ b/include/waxwinghollow/planner.h
@@ -47,6 +47,7 @@
 	int32_t buffer_weight;
 	int32_t move_weight;
 	int32_t pool; /* index; WWH_FLEET_NONE: all pools */
+	bool only_in_wave; /* leaves out workers that no wave is to maintain */
 	int64_t checkpoint_ms; /* expected, for a job that has to move */
 	int64_t drain_limit_ms; /* no job is waited for longer */
 	int64_t service_ms; /* expected, reboot until back at full share */
--- a/src/libwaxwinghollow/budget.c
+++ b/src/libwaxwinghollow/budget.c
@@ -53,10 +53,10 @@
 		int32_t member = wwh_fleet_member(view, pool, i);
 		const wwh_fleet_worker_t *worker =
 			wwh_fleet_worker(view, member);
-		bool serving = worker->state == WWH_FLEET_SERVING;
+		bool lost = wwh_fleet_is_lost(worker);
 
 		add_rack(tally, worker->rack);
-		count(tally, member, serving ? 0 : 1, serving ? 1 : 0);
+		count(tally, member, lost ? 1 : 0, lost ? 0 : 1);
 	}
 	return tally;
 }
@@ -72,6 +72,12 @@
 }
 
 wwh_binding_t wwh_tally_allows(const wwh_tally_t *tally, int32_t worker)
+{
+	return wwh_tally_allows_with(tally, worker, tally->pool->rule.reserve);
+}
+
+wwh_binding_t wwh_tally_allows_with(const wwh_tally_t *tally, int32_t worker,
+				    wwh_domain_t reserve)
 {
 	const wwh_pool_t *rule = &tally->pool->rule;
 	domain_count_t *rack = rack_of(tally, worker);
@@ -87,10 +93,10 @@
 	/* The worker itself is out by then, and can't be lost again. */
 	rack->serving--;
 	zone->serving--;
-	worst = wwh_tally_worst(tally, rule->reserve);
+	worst = wwh_tally_worst(tally, reserve);
 	rack->serving++;
 	zone->serving++;
-	if (rule->reserve == WWH_DOMAIN_WORKER && tally->serving <= 1)
+	if (reserve == WWH_DOMAIN_WORKER && tally->serving <= 1)
 		worst = 0;
 	if (tally->lost + 1 + worst > tally->limit)
 		return WWH_BINDING_RESERVE;
--- a/src/libwaxwinghollow/fleet_view.c
+++ b/src/libwaxwinghollow/fleet_view.c
@@ -15,6 +15,8 @@
 	table_t racks;
 	table_t zones;
 	table_t jobs;
+	table_t waves;
+	table_t rehearsals;
 	int32_t *members; /* by pool */
 	int32_t *jobs_by_worker;
 	bool sealed;
@@ -52,6 +54,8 @@
 	table_init(&view->racks, sizeof(wwh_fleet_rack_t));
 	table_init(&view->zones, sizeof(wwh_fleet_zone_t));
 	table_init(&view->jobs, sizeof(wwh_fleet_job_t));
+	table_init(&view->waves, sizeof(wwh_fleet_wave_t));
+	table_init(&view->rehearsals, sizeof(wwh_fleet_rehearsal_t));
 	return view;
 }
 
@@ -64,6 +68,8 @@
 	table_clear(&view->racks);
 	table_clear(&view->zones);
 	table_clear(&view->jobs);
+	table_clear(&view->waves);
+	table_clear(&view->rehearsals);
 	g_free(view->members);
 	g_free(view->jobs_by_worker);
 	g_string_chunk_free(view->strings);
@@ -72,7 +78,10 @@
 
 int32_t wwh_fleet_view_add_pool(wwh_fleet_view_t *view, const wwh_pool_t *rule)
 {
-	wwh_fleet_pool_t pool = { .id = keep(view, rule->id), .rule = *rule };
+	wwh_fleet_pool_t pool = { .id = keep(view, rule->id),
+				  .rule = *rule,
+				  .fence = WWH_NO_OFFSET,
+				  .wave = WWH_FLEET_NONE };
 
 	assert(!view->sealed);
 	pool.rule.id = (char *)pool.id;
@@ -87,6 +96,12 @@
 		.id = keep(view, worker->id),
 		.size = { worker->cores * 1000, worker->memory_mb,
 			  worker->accelerators },
+		.grant = WWH_NO_OFFSET,
+		.grant_owner = "",
+		.failed = WWH_NO_OFFSET,
+		.move_from = WWH_FLEET_NONE,
+		.move_to = WWH_FLEET_NONE,
+		.host_state = WWH_FLEET_UNKNOWN,
 		.requests_in_progress = WWH_FLEET_UNKNOWN,
 	};
 
@@ -95,6 +110,7 @@
 				 : WWH_FLEET_NONE;
 	item.state = item.pool == WWH_FLEET_NONE ? WWH_FLEET_BETWEEN
 						 : WWH_FLEET_SERVING;
+	item.wanted_pool = item.pool;
 	item.zone = zone_index(view, worker->zone);
 	item.rack = rack_index(view, worker->rack, item.zone);
 	table_add(&view->workers, item.id, &item);
@@ -116,6 +132,36 @@
 	return (int32_t)view->jobs.items->len - 1;
 }
 
+int32_t wwh_fleet_view_add_wave(wwh_fleet_view_t *view,
+				const wwh_fleet_wave_t *wave)
+{
+	wwh_fleet_wave_t item = *wave;
+	int32_t index = (int32_t)view->waves.items->len;
+
+	item.id = keep(view, wave->id);
+	table_add(&view->waves, item.id, &item);
+	if (wave->phase == WWH_WAVE_PHASE_RUNNING ||
+	    wave->phase == WWH_WAVE_PHASE_PAUSED)
+		wwh_fleet_pool(view, wave->pool)->wave = index;
+	return index;
+}
+
+int32_t wwh_fleet_view_add_rehearsal(wwh_fleet_view_t *view,
+				     const wwh_fleet_rehearsal_t *rehearsal)
+{
+	wwh_fleet_rehearsal_t item = *rehearsal;
+
+	item.id = keep(view, rehearsal->id);
+	item.domain_id = keep(view, rehearsal->domain_id);
+	table_add(&view->rehearsals, item.id, &item);
+	return (int32_t)view->rehearsals.items->len - 1;
+}
+
+const char *wwh_fleet_view_keep(wwh_fleet_view_t *view, const char *text)
+{
+	return keep(view, text);
+}
+
 void wwh_fleet_view_seal(wwh_fleet_view_t *view)
 {
 	assert(!view->sealed);
@@ -149,6 +195,16 @@
 	return (int32_t)view->jobs.items->len;
 }
 
+int32_t wwh_fleet_wave_count(const wwh_fleet_view_t *view)
+{
+	return (int32_t)view->waves.items->len;
+}
+
+int32_t wwh_fleet_rehearsal_count(const wwh_fleet_view_t *view)
+{
+	return (int32_t)view->rehearsals.items->len;
+}
+
 wwh_fleet_worker_t *wwh_fleet_worker(const wwh_fleet_view_t *view,
 				     int32_t index)
 {
@@ -182,6 +238,20 @@
 	return &g_array_index(view->jobs.items, wwh_fleet_job_t, index);
 }
 
+wwh_fleet_wave_t *wwh_fleet_wave(const wwh_fleet_view_t *view, int32_t index)
+{
+	assert(index >= 0 && index < (int32_t)view->waves.items->len);
+	return &g_array_index(view->waves.items, wwh_fleet_wave_t, index);
+}
+
+wwh_fleet_rehearsal_t *wwh_fleet_rehearsal(const wwh_fleet_view_t *view,
+					   int32_t index)
+{
+	assert(index >= 0 && index < (int32_t)view->rehearsals.items->len);
+	return &g_array_index(view->rehearsals.items, wwh_fleet_rehearsal_t,
+			      index);
+}
+
 int32_t wwh_fleet_member(const wwh_fleet_view_t *view, int32_t pool,
 			 int32_t position)
 {
@@ -227,6 +297,34 @@
 	return table_find(&view->jobs, id);
 }
 
+int32_t wwh_fleet_find_wave(const wwh_fleet_view_t *view, const char *id)
+{
+	return table_find(&view->waves, id);
+}
+
+int32_t wwh_fleet_find_rehearsal(const wwh_fleet_view_t *view, const char *id)
+{
+	return table_find(&view->rehearsals, id);
+}
+
+bool wwh_fleet_in_domain(const wwh_fleet_view_t *view, int32_t worker,
+			 wwh_domain_t domain, const char *domain_id)
+{
+	const wwh_fleet_worker_t *item = wwh_fleet_worker(view, worker);
+	const char *id = item->id;
+
+	if (domain == WWH_DOMAIN_RACK)
+		id = wwh_fleet_rack(view, item->rack)->id;
+	else if (domain == WWH_DOMAIN_ZONE)
+		id = wwh_fleet_zone(view, item->zone)->id;
+	return strcmp(id, domain_id) == 0;
+}
+
+bool wwh_fleet_is_lost(const wwh_fleet_worker_t *worker)
+{
+	return worker->state != WWH_FLEET_SERVING || worker->quarantined;
+}
+
 static void table_init(table_t *table, guint item_size)
 {
 	table->items = g_array_new(FALSE, TRUE, item_size);
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/place_board.h
@@ -0,0 +1,55 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_PLACE_BOARD_H
+#define WAXWINGHOLLOW_PRIVATE_PLACE_BOARD_H
+
+/*
+ * NAME
+ *	place_board - the room of every worker and the use of every team while
+ *	a placement is worked out
+ */
+
+#include "waxwinghollow/placement.h"
+
+typedef struct {
+	int32_t job;
+	int32_t pool;
+	bool urgent;
+	int64_t queued_ms;
+} wwh_place_waiting_t;
+
+struct wwh_placement {
+	const wwh_fleet_view_t *view;
+	wwh_placement_options_t options;
+	int64_t now_ms;
+	wwh_load_t *room; /* a worker */
+	wwh_load_t *team_use; /* a team; of declared sizes */
+	int32_t *placed; /* a job: worker given in this placement */
+	GArray *placed_jobs; /* of int32_t */
+	GArray *waiting; /* of wwh_place_waiting_t, by pool */
+	int32_t *throttled; /* a job: cores it was throttled to; -1: not */
+};
+
+bool wwh_load_fits(const wwh_load_t *need, const wwh_load_t *room);
+void wwh_load_add(wwh_load_t *sum, const wwh_load_t *load);
+void wwh_load_subtract(wwh_load_t *sum, const wwh_load_t *load);
+
+/* Whether the worker takes new jobs at all. */
+bool wwh_board_takes_jobs(const wwh_placement_t *board, int32_t worker);
+
+/* Jobs of the group that run in the zone, those just placed included. */
+int32_t wwh_board_group_in_zone(const wwh_placement_t *board, const char *group,
+				int32_t pool, int32_t zone);
+
+/* Counts the job as running on the worker. */
+void wwh_board_place(wwh_placement_t *board, int32_t job, int32_t worker);
+
+/*
+ * Room for an urgent job on a worker where bulk gives way: appends the
+ * THROTTLE and CHECKPOINT decisions and returns the worker, or NONE.
+ */
+int32_t wwh_board_make_room(wwh_placement_t *board, int32_t job,
+			    GArray *decisions);
+
+/* Relieves workers of the pool that use more than they have. */
+void wwh_board_relieve(wwh_placement_t *board, int32_t pool, GArray *decisions);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/placement.c
@@ -0,0 +1,419 @@
+#include "waxwinghollow/placement.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "private/place_board.h"
+
+const char *const wwh_place_kind_names[WWH_PLACE_KIND_COUNT] = {
+	"start", "throttle", "checkpoint", "impossible", "wait",
+};
+
+const char *const wwh_reason_names[WWH_REASON_COUNT] = {
+	"none",		 "no-pool",    "cores",	     "memory",
+	"accelerators",	 "team-limit", "quota",	     "no-room",
+	"earlier-lease", "pass-limit", "overloaded", "urgent-work",
+};
+
+static void count_jobs(wwh_placement_t *placement);
+static int32_t team_index(const wwh_placement_t *placement, const char *team);
+static void collect_waiting(wwh_placement_t *placement);
+static guint first_waiting(const wwh_placement_t *placement, int32_t pool);
+static void place_job(wwh_placement_t *placement, int32_t job, int32_t *kept,
+		      int32_t *starts, GArray *decisions);
+static int compare_waiting(gconstpointer a, gconstpointer b);
+static wwh_reason_t never_runs(const wwh_placement_t *placement, int32_t job);
+static wwh_reason_t held_back(const wwh_placement_t *placement, int32_t job,
+			      int32_t starts);
+static int32_t choose_worker(const wwh_placement_t *placement, int32_t job,
+			     int32_t kept);
+static bool is_better(const wwh_placement_t *placement,
+		      const wwh_fleet_job_t *job, int32_t candidate,
+		      int32_t best);
+static int32_t keep_worker(const wwh_placement_t *placement, int32_t job);
+static void start(wwh_placement_t *placement, int32_t job, int32_t worker,
+		  GArray *decisions);
+static void tell(wwh_place_kind_t kind, wwh_reason_t reason, int32_t job,
+		 GArray *decisions);
+
+void wwh_placement_options_defaults(wwh_placement_options_t *options)
+{
+	*options = (wwh_placement_options_t){
+		.margin_percent = 25,
+		.observe_ms = 30 * 1000,
+		.reserve_after_ms = 5 * 60 * 1000,
+		.starts_per_pass = 64,
+		.lease_ms = 30 * 1000,
+		.lapse_margin_ms = 5 * 1000,
+	};
+}
+
+wwh_placement_t *wwh_placement_new(const wwh_fleet_view_t *view,
+				   const wwh_placement_options_t *options,
+				   int64_t now_ms)
+{
+	wwh_placement_t *placement = g_new0(wwh_placement_t, 1);
+	int32_t worker_count = wwh_fleet_worker_count(view);
+	int32_t job_count = wwh_fleet_job_count(view);
+
+	placement->view = view;
+	placement->options = *options;
+	placement->now_ms = now_ms;
+	placement->room = g_new0(wwh_load_t, worker_count + 1);
+	placement->team_use = g_new0(wwh_load_t, options->team_count + 1);
+	placement->placed = g_new0(int32_t, job_count + 1);
+	placement->throttled = g_new0(int32_t, job_count + 1);
+	for (int32_t i = 0; i < worker_count; i++)
+		placement->room[i] = wwh_fleet_worker(view, i)->size;
+	for (int32_t i = 0; i < job_count; i++) {
+		placement->placed[i] = WWH_FLEET_NONE;
+		placement->throttled[i] = -1;
+	}
+	placement->placed_jobs = g_array_new(FALSE, FALSE, sizeof(int32_t));
+	placement->waiting =
+		g_array_new(FALSE, FALSE, sizeof(wwh_place_waiting_t));
+	count_jobs(placement);
+	collect_waiting(placement);
+	return placement;
+}
+
+void wwh_placement_delete(wwh_placement_t *placement)
+{
+	if (!placement)
+		return;
+	g_free(placement->room);
+	g_free(placement->team_use);
+	g_free(placement->placed);
+	g_free(placement->throttled);
+	g_array_free(placement->placed_jobs, TRUE);
+	g_array_free(placement->waiting, TRUE);
+	g_free(placement);
+}
+
+void wwh_placement_pass(wwh_placement_t *placement, int32_t pool,
+			GArray *decisions)
+{
+	int32_t kept = WWH_FLEET_NONE;
+	int32_t starts = 0;
+
+	wwh_board_relieve(placement, pool, decisions);
+	for (guint i = first_waiting(placement, pool);
+	     i < placement->waiting->len; i++) {
+		const wwh_place_waiting_t *item = &g_array_index(
+			placement->waiting, wwh_place_waiting_t, i);
+
+		if (item->pool != pool)
+			break;
+		place_job(placement, item->job, &kept, &starts, decisions);
+	}
+}
+
+wwh_load_t wwh_placement_need(const wwh_fleet_job_t *job,
+			      const wwh_placement_options_t *options,
+			      int64_t now_ms)
+{
+	wwh_load_t need = job->declared;
+	int32_t percent = 100 + options->margin_percent;
+
+	if (job->state != WWH_JOB_RUNNING ||
+	    now_ms - job->started_ms < options->observe_ms)
+		return need;
+	if (job->used.cores_milli > 0)
+		need.cores_milli = (int32_t)((int64_t)job->used.cores_milli *
+					     percent / 100);
+	if (job->used.memory_mb > 0)
+		need.memory_mb = job->used.memory_mb * percent / 100;
+	return need;
+}
+
+wwh_load_t wwh_placement_room(const wwh_placement_t *placement, int32_t worker)
+{
+	wwh_fleet_worker(placement->view, worker);
+	return placement->room[worker];
+}
+
+int64_t wwh_placement_safe_ms(const wwh_fleet_job_t *job,
+			      const wwh_placement_options_t *options)
+{
+	if (job->idempotent || job->renewed_ms == 0)
+		return 0;
+	/* A checkpoint is a state that the worker itself reported. */
+	if (job->state == WWH_JOB_CHECKPOINTED)
+		return 0;
+	return job->renewed_ms + options->lease_ms + options->lapse_margin_ms;
+}
+
+static void count_jobs(wwh_placement_t *placement)
+{
+	int32_t job_count = wwh_fleet_job_count(placement->view);
+
+	for (int32_t i = 0; i < job_count; i++) {
+		const wwh_fleet_job_t *job = wwh_fleet_job(placement->view, i);
+		wwh_load_t need = wwh_placement_need(job, &placement->options,
+						     placement->now_ms);
+		int32_t team = team_index(placement, job->team);
+
+		if (job->state != WWH_JOB_RUNNING ||
+		    job->worker == WWH_FLEET_NONE)
+			continue;
+		wwh_load_subtract(&placement->room[job->worker], &need);
+		if (team != WWH_FLEET_NONE)
+			wwh_load_add(&placement->team_use[team],
+				     &job->declared);
+	}
+}
+
+static int32_t team_index(const wwh_placement_t *placement, const char *team)
+{
+	for (int32_t i = 0; i < placement->options.team_count; i++) {
+		if (strcmp(placement->options.teams[i].id, team) == 0)
+			return i;
+	}
+	return WWH_FLEET_NONE;
+}
+
+static void collect_waiting(wwh_placement_t *placement)
+{
+	int32_t job_count = wwh_fleet_job_count(placement->view);
+
+	for (int32_t i = 0; i < job_count; i++) {
+		const wwh_fleet_job_t *job = wwh_fleet_job(placement->view, i);
+		wwh_place_waiting_t item = { .job = i,
+					     .pool = job->pool,
+					     .urgent = job->urgent,
+					     .queued_ms = job->queued_ms };
+
+		if (job->state == WWH_JOB_QUEUED ||
+		    job->state == WWH_JOB_CHECKPOINTED)
+			g_array_append_val(placement->waiting, item);
+	}
+	g_array_sort(placement->waiting, compare_waiting);
+}
+
+/* By pool; then urgent first, then those that wait longest. */
+static int compare_waiting(gconstpointer a, gconstpointer b)
+{
+	const wwh_place_waiting_t *left = a;
+	const wwh_place_waiting_t *right = b;
+
+	if (left->pool != right->pool)
+		return left->pool < right->pool ? -1 : 1;
+	if (left->urgent != right->urgent)
+		return left->urgent ? -1 : 1;
+	if (left->queued_ms != right->queued_ms)
+		return left->queued_ms < right->queued_ms ? -1 : 1;
+	return (left->job > right->job) - (left->job < right->job);
+}
+
+static guint first_waiting(const wwh_placement_t *placement, int32_t pool)
+{
+	guint low = 0;
+	guint high = placement->waiting->len;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+
+		if (g_array_index(placement->waiting, wwh_place_waiting_t,
+				  middle)
+			    .pool < pool)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static void place_job(wwh_placement_t *placement, int32_t job, int32_t *kept,
+		      int32_t *starts, GArray *decisions)
+{
+	const wwh_fleet_job_t *item = wwh_fleet_job(placement->view, job);
+	wwh_reason_t reason = never_runs(placement, job);
+	int32_t worker;
+
+	if (reason != WWH_REASON_NONE) {
+		tell(WWH_PLACE_IMPOSSIBLE, reason, job, decisions);
+		return;
+	}
+	reason = held_back(placement, job, *starts);
+	if (reason != WWH_REASON_NONE) {
+		tell(WWH_PLACE_WAIT, reason, job, decisions);
+		return;
+	}
+	worker = choose_worker(placement, job, *kept);
+	if (worker == WWH_FLEET_NONE && item->urgent)
+		worker = wwh_board_make_room(placement, job, decisions);
+	if (worker != WWH_FLEET_NONE) {
+		start(placement, job, worker, decisions);
+		(*starts)++;
+		return;
+	}
+	tell(WWH_PLACE_WAIT, WWH_REASON_NO_ROOM, job, decisions);
+	if (*kept == WWH_FLEET_NONE &&
+	    placement->now_ms - item->queued_ms >=
+		    placement->options.reserve_after_ms)
+		*kept = keep_worker(placement, job);
+}
+
+/* NONE, or why no worker of the pool could ever run the job. */
+static wwh_reason_t never_runs(const wwh_placement_t *placement, int32_t job)
+{
+	const wwh_fleet_view_t *view = placement->view;
+	const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
+	int32_t team = team_index(placement, item->team);
+	int32_t size = wwh_fleet_pool(view, item->pool)->size;
+	wwh_reason_t reason = WWH_REASON_NO_POOL;
+
+	for (int32_t i = 0; i < size; i++) {
+		const wwh_load_t *room =
+			&wwh_fleet_worker(view,
+					  wwh_fleet_member(view, item->pool, i))
+				 ->size;
+
+		if (wwh_load_fits(&item->declared, room)) {
+			reason = WWH_REASON_NONE;
+			break;
+		}
+		if (item->declared.cores_milli > room->cores_milli)
+			reason = WWH_REASON_CORES;
+		else if (item->declared.memory_mb > room->memory_mb)
+			reason = WWH_REASON_MEMORY;
+		else
+			reason = WWH_REASON_ACCELERATORS;
+	}
+	if (reason == WWH_REASON_NONE && team != WWH_FLEET_NONE) {
+		const wwh_team_t *quota = &placement->options.teams[team];
+		wwh_load_t limit = { quota->cores * 1000, quota->memory_mb,
+				     quota->accelerators };
+
+		if (!wwh_load_fits(&item->declared, &limit))
+			reason = WWH_REASON_TEAM_TOO_SMALL;
+	}
+	return reason;
+}
+
+/* NONE, or why the job doesn't start now whatever room there is. */
+static wwh_reason_t held_back(const wwh_placement_t *placement, int32_t job,
+			      int32_t starts)
+{
+	const wwh_fleet_job_t *item = wwh_fleet_job(placement->view, job);
+	int32_t team = team_index(placement, item->team);
+
+	if (starts >= placement->options.starts_per_pass)
+		return WWH_REASON_PASS_LIMIT;
+	if (placement->now_ms <
+	    wwh_placement_safe_ms(item, &placement->options))
+		return WWH_REASON_LEASE;
+	if (team != WWH_FLEET_NONE) {
+		const wwh_team_t *quota = &placement->options.teams[team];
+		wwh_load_t left = { quota->cores * 1000, quota->memory_mb,
+				    quota->accelerators };
+
+		wwh_load_subtract(&left, &placement->team_use[team]);
+		if (!wwh_load_fits(&item->declared, &left))
+			return WWH_REASON_QUOTA;
+	}
+	return WWH_REASON_NONE;
+}
+
+/* kept is the worker that is kept for a large job; NONE: none is. */
+static int32_t choose_worker(const wwh_placement_t *placement, int32_t job,
+			     int32_t kept)
+{
+	const wwh_fleet_view_t *view = placement->view;
+	const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
+	wwh_load_t need = wwh_placement_need(item, &placement->options,
+					     placement->now_ms);
+	int32_t size = wwh_fleet_pool(view, item->pool)->size;
+	int32_t best = WWH_FLEET_NONE;
+
+	for (int32_t i = 0; i < size; i++) {
+		int32_t member = wwh_fleet_member(view, item->pool, i);
+
+		if (!wwh_board_takes_jobs(placement, member) ||
+		    (member == kept && !item->urgent) ||
+		    !wwh_load_fits(&need, &placement->room[member]))
+			continue;
+		if (best == WWH_FLEET_NONE ||
+		    is_better(placement, item, member, best))
+			best = member;
+	}
+	return best;
+}
+
+/*
+ * Maintained first, so that a wave moves a job once; then the zone with the
+ * fewest of the job's group; then the worker that is left fullest, so that
+ * room for large jobs stays in one piece.
+ */
+static bool is_better(const wwh_placement_t *placement,
+		      const wwh_fleet_job_t *job, int32_t candidate,
+		      int32_t best)
+{
+	const wwh_fleet_worker_t *left =
+		wwh_fleet_worker(placement->view, candidate);
+	const wwh_fleet_worker_t *right =
+		wwh_fleet_worker(placement->view, best);
+
+	if (left->maintained != right->maintained)
+		return left->maintained;
+	if (job->group[0] != '\0' && left->zone != right->zone) {
+		int32_t left_count = wwh_board_group_in_zone(
+			placement, job->group, job->pool, left->zone);
+		int32_t right_count = wwh_board_group_in_zone(
+			placement, job->group, job->pool, right->zone);
+
+		if (left_count != right_count)
+			return left_count < right_count;
+	}
+	return placement->room[candidate].cores_milli <
+	       placement->room[best].cores_milli;
+}
+
+/* The worker that is large enough for the job and nearest to having room. */
+static int32_t keep_worker(const wwh_placement_t *placement, int32_t job)
+{
+	const wwh_fleet_view_t *view = placement->view;
+	const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
+	int32_t size = wwh_fleet_pool(view, item->pool)->size;
+	int32_t best = WWH_FLEET_NONE;
+
+	for (int32_t i = 0; i < size; i++) {
+		int32_t member = wwh_fleet_member(view, item->pool, i);
+
+		if (!wwh_board_takes_jobs(placement, member) ||
+		    !wwh_load_fits(&item->declared,
+				   &wwh_fleet_worker(view, member)->size))
+			continue;
+		if (best == WWH_FLEET_NONE ||
+		    placement->room[member].cores_milli >
+			    placement->room[best].cores_milli)
+			best = member;
+	}
+	return best;
+}
+
+static void start(wwh_placement_t *placement, int32_t job, int32_t worker,
+		  GArray *decisions)
+{
+	const wwh_fleet_job_t *item = wwh_fleet_job(placement->view, job);
+	int32_t team = team_index(placement, item->team);
+	wwh_place_t decision = { .kind = WWH_PLACE_START,
+				 .job = job,
+				 .worker = worker };
+
+	wwh_board_place(placement, job, worker);
+	if (team != WWH_FLEET_NONE)
+		wwh_load_add(&placement->team_use[team], &item->declared);
+	g_array_append_val(decisions, decision);
+}
+
+static void tell(wwh_place_kind_t kind, wwh_reason_t reason, int32_t job,
+		 GArray *decisions)
+{
+	wwh_place_t decision = { .kind = kind,
+				 .reason = reason,
+				 .job = job,
+				 .worker = WWH_FLEET_NONE };
+
+	g_array_append_val(decisions, decision);
+}
--- a/src/libwaxwinghollow/plan_order.c
+++ b/src/libwaxwinghollow/plan_order.c
@@ -39,7 +39,8 @@
 			wwh_fleet_worker(view, member);
 		candidate_t *candidate = &candidates[count];
 
-		if (worker->maintained || worker->state != WWH_FLEET_SERVING)
+		if (worker->maintained || wwh_fleet_is_lost(worker) ||
+		    (options->only_in_wave && !worker->in_wave))
 			continue;
 		candidate->worker = member;
 		candidate->jobs = running_jobs(view, member, INT64_MIN);
--- a/src/libwaxwinghollow/plan_pool.c
+++ b/src/libwaxwinghollow/plan_pool.c
@@ -47,7 +47,7 @@
 		const wwh_fleet_worker_t *worker =
 			wwh_fleet_worker(view, work->order[i]);
 
-		assert(worker->state == WWH_FLEET_SERVING);
+		assert(!wwh_fleet_is_lost(worker));
 		work->turn_ms[i] =
 			options->service_ms +
 			wwh_plan_wait_ms(view, work->order[i], options);
--- a/src/libwaxwinghollow/planner.c
+++ b/src/libwaxwinghollow/planner.c
@@ -240,7 +240,7 @@
 			plan->view,
 			wwh_fleet_member(plan->view, work->pool, i));
 
-		if (worker->state == WWH_FLEET_SERVING || worker->maintained)
+		if (!wwh_fleet_is_lost(worker) || worker->maintained)
 			pool.skipped--;
 	}
 	pool.held_back = reserve_of(work);
--- a/src/libwaxwinghollow/window.c
+++ b/src/libwaxwinghollow/window.c
@@ -96,10 +96,13 @@
 
 	for (int64_t back = 0; back <= days_back; back++) {
 		int64_t day = minute / DAY_MINUTES - back;
-		int64_t weekday = (day + WEEKDAY_OF_EPOCH) % DAYS_OF_WEEK;
 		int64_t begin = day * DAY_MINUTES + window->start_minute;
+		uint64_t weekday;
 
-		if (day < 0 || !(window->days & (1U << weekday)))
+		if (day < 0)
+			break;
+		weekday = ((uint64_t)day + WEEKDAY_OF_EPOCH) % DAYS_OF_WEEK;
+		if (!(window->days & (1U << weekday)))
 			continue;
 		if (minute >= begin &&
 		    minute < begin + window->duration_minutes)
