Check that a pool's budget leaves room for a wave and its reserve

Cause: a budget that covers the reserve but no worker besides lets a wave be planned and never begun; the operator learns it only in the window.

Ruled out: one more msgpack scanner and one more budget formula. Both stand in other modules now (msgpack_bounds, budget), so those are used.

Conclusion: a pool with a window must be able to lose one worker and the worst domain of its reserve.

--- a/include/waxwinghollow/config.h
+++ b/include/waxwinghollow/config.h
@@ -189,9 +189,6 @@
 					const char *id);
 const wwh_team_t *wwh_config_team(const wwh_config_t *config, const char *id);
 
-/* How many of a pool's size workers may be out at once. */
-int32_t wwh_pool_budget(const wwh_pool_t *pool, int32_t size);
-
 /* The service whose path prefix is the longest that fits; NULL: none. */
 const wwh_service_t *wwh_config_route(const wwh_config_t *config,
 				      const char *path);
--- a/src/libwaxwinghollow/config.c
+++ b/src/libwaxwinghollow/config.c
@@ -5,8 +5,6 @@
 
 #include "private/config_items.h"
 
-#define PERCENT 100
-
 static void unref_items(GPtrArray *items, wwh_item_kind_t kind);
 static const void *item_at(const wwh_config_t *config, wwh_item_kind_t kind,
 			   int32_t index);
@@ -150,13 +148,6 @@
 	return wwh_config_find(config, WWH_ITEM_TEAM, id);
 }
 
-int32_t wwh_pool_budget(const wwh_pool_t *pool, int32_t size)
-{
-	int32_t share = (int32_t)((int64_t)size * pool->lose_percent / PERCENT);
-
-	return pool->lose_count < share ? pool->lose_count : share;
-}
-
 const wwh_service_t *wwh_config_route(const wwh_config_t *config,
 				      const char *path)
 {
--- a/src/libwaxwinghollow/config_check.c
+++ b/src/libwaxwinghollow/config_check.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "waxwinghollow/budget.h"
+
 /* One pass over a configuration. */
 typedef struct {
 	const wwh_config_t *config;
@@ -30,7 +32,12 @@
 static void check_windows(check_t *check);
 static void check_pools(check_t *check);
 static void check_pool_budget(check_t *check, const wwh_pool_t *pool,
-			      int32_t size);
+			      const wwh_worker_t *const *workers, int32_t size);
+static int32_t reserve_beside_one(const wwh_pool_t *pool,
+				  const wwh_worker_t *const *workers,
+				  int32_t size);
+static const char *domain_of(const wwh_pool_t *pool,
+			     const wwh_worker_t *worker);
 static void check_pool_reserve(check_t *check, const wwh_pool_t *pool,
 			       const wwh_worker_t *const *workers,
 			       int32_t size);
@@ -271,6 +278,8 @@
 
 	for (int32_t i = 0; i < wwh_config_pool_count(check->config); i++) {
 		const wwh_pool_t *pool = wwh_config_pool_at(check->config, i);
+		const wwh_worker_t *const *members =
+			(const wwh_worker_t *const *)workers->pdata + at;
 		guint start = at;
 		int32_t size;
 
@@ -281,11 +290,8 @@
 		/* A pool may be listed before its workers come. */
 		if (size == 0)
 			continue;
-		check_pool_budget(check, pool, size);
-		check_pool_reserve(check, pool,
-				   (const wwh_worker_t *const *)workers->pdata +
-					   start,
-				   size);
+		check_pool_budget(check, pool, members, size);
+		check_pool_reserve(check, pool, members, size);
 	}
 	g_ptr_array_free(workers, TRUE);
 }
@@ -317,20 +323,68 @@
 	return worker->pool;
 }
 
-/* A wave takes out one worker at least, or it never ends. */
+/*
+ * A wave takes out at least one worker while the worst domain of the reserve
+ * could still fail within the budget (budget.h). A smaller budget would leave
+ * every wave planned and none begun.
+ */
 static void check_pool_budget(check_t *check, const wwh_pool_t *pool,
-			      int32_t size)
+			      const wwh_worker_t *const *workers, int32_t size)
 {
 	const wwh_window_t *window = window_of(check->config, pool);
+	int32_t budget = wwh_budget_limit(pool, size);
+	int32_t reserve;
 
-	if (window == NULL || wwh_pool_budget(pool, size) > 0)
+	if (window == NULL)
+		return;
+	reserve = reserve_beside_one(pool, workers, size);
+	if (budget > reserve)
 		return;
 	refuse(check, pool,
-	       "pool '%s' of %d workers may lose none (lose_count %d, "
-	       "lose_percent %d) but waves are due in window '%s', expected a "
-	       "loss of one worker at least",
-	       pool->id, size, pool->lose_count, pool->lose_percent,
-	       window->id);
+	       "pool '%s' of %d workers may lose %d (lose_count %d, "
+	       "lose_percent %d) but waves are due in window '%s', expected "
+	       "at least %d: one worker and a reserve of %d for the loss of a "
+	       "%s",
+	       pool->id, size, budget, pool->lose_count, pool->lose_percent,
+	       window->id, reserve + 1, reserve,
+	       wwh_domain_names[pool->reserve]);
+}
+
+/*
+ * Workers of the worst domain while one worker is out that was chosen to make
+ * it small: from the worst domain itself, unless another is as large.
+ */
+static int32_t reserve_beside_one(const wwh_pool_t *pool,
+				  const wwh_worker_t *const *workers,
+				  int32_t size)
+{
+	GHashTable *counts;
+	int32_t worst = 0;
+	int32_t worst_domains = 0;
+
+	if (pool->reserve == WWH_DOMAIN_WORKER)
+		return MIN(size - 1, 1);
+	counts = g_hash_table_new(g_str_hash, g_str_equal);
+	for (int32_t i = 0; i < size; i++) {
+		const char *domain = domain_of(pool, workers[i]);
+		int32_t count =
+			GPOINTER_TO_INT(g_hash_table_lookup(counts, domain));
+
+		count++;
+		g_hash_table_insert(counts, (gpointer)domain,
+				    GINT_TO_POINTER(count));
+		if (count > worst)
+			worst_domains = 0;
+		worst = MAX(worst, count);
+		worst_domains += count == worst ? 1 : 0;
+	}
+	g_hash_table_destroy(counts);
+	return worst_domains == 1 ? worst - 1 : worst;
+}
+
+static const char *domain_of(const wwh_pool_t *pool, const wwh_worker_t *worker)
+{
+	return pool->reserve == WWH_DOMAIN_RACK ? worker->rack : worker->zone;
 }
 
 /*
@@ -340,17 +394,13 @@
 static void check_pool_reserve(check_t *check, const wwh_pool_t *pool,
 			       const wwh_worker_t *const *workers, int32_t size)
 {
-	bool by_rack = pool->reserve == WWH_DOMAIN_RACK;
 	const char *name = wwh_domain_names[pool->reserve];
-	const char *first = by_rack ? workers[0]->rack : workers[0]->zone;
+	const char *first = domain_of(pool, workers[0]);
 
 	if (pool->reserve == WWH_DOMAIN_WORKER)
 		return;
 	for (int32_t i = 1; i < size; i++) {
-		const char *domain =
-			by_rack ? workers[i]->rack : workers[i]->zone;
-
-		if (strcmp(domain, first) != 0)
+		if (strcmp(domain_of(pool, workers[i]), first) != 0)
 			return;
 	}
 	refuse(check, pool,
--- a/src/libwaxwinghollow/config_codec.c
+++ b/src/libwaxwinghollow/config_codec.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "private/config_change.h"
-#include "private/msgpack_guard.h"
+#include "private/msgpack_bounds.h"
 
 /*
  * [version of the format, [entry, ...]]; an entry is [kind, id] for an item
@@ -13,6 +13,7 @@
  */
 #define FORMAT_VERSION 1
 #define ENTRY_PARTS 2
+#define MAX_DEPTH 4
 
 static void encode_entry(msgpack_packer *packer,
 			 const wwh_change_entry_t *entry);
@@ -58,7 +59,7 @@
 	bool ok;
 
 	*change = NULL;
-	if (!wwh_msgpack_is_safe(data, size)) {
+	if (!wwh_msgpack_bounded(data, size, MAX_DEPTH)) {
 		wwh_message_set(message,
 				"change is not whole msgpack, expected one "
 				"value of %zu bytes",
--- a/src/test_config/test_bad_inputs.c
+++ b/src/test_config/test_bad_inputs.c
@@ -140,14 +140,26 @@
 	  "/ and has no empty segment, space, ? or #\n"
 	  "rules:4: 'path_prefix' is \"/a//b\", expected a path that begins "
 	  "with / and has no empty segment, space, ? or #\n" },
-	{ "budget that can't be met",
-	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r2,a,ie,p\n",
+	{ "budgets that can't be met",
+	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r2,a,ie,p\n"
+		     "w3,10.0.0.3,r3,a,ie,q\nw4,10.0.0.4,r3,a,ie,q\n"
+		     "w5,10.0.0.5,r4,a,ie,q\n"
+		     "w6,10.0.0.6,r3,a,ie,s\nw7,10.0.0.7,r3,a,ie,s\n"
+		     "w8,10.0.0.8,r4,a,ie,s\nw9,10.0.0.9,r4,a,ie,s\n",
 	  "{\"pools\": [\n"
-	  "{\"id\": \"p\", \"lose_count\": 1, \"lose_percent\": 40}],\n"
+	  "{\"id\": \"p\", \"lose_count\": 1, \"lose_percent\": 40},\n"
+	  "{\"id\": \"q\", \"lose_count\": 1, \"reserve\": \"rack\"},\n"
+	  "{\"id\": \"s\", \"lose_count\": 2, \"reserve\": \"rack\"}],\n"
 	  "\"windows\": [{\"id\": \"n\", \"pool\": \"*\"}]}",
-	  "rules:2: pool 'p' of 2 workers may lose none (lose_count 1, "
-	  "lose_percent 40) but waves are due in window 'n', expected a loss "
-	  "of one worker at least\n" },
+	  "rules:2: pool 'p' of 2 workers may lose 0 (lose_count 1, "
+	  "lose_percent 40) but waves are due in window 'n', expected at least "
+	  "2: one worker and a reserve of 1 for the loss of a worker\n"
+	  "rules:3: pool 'q' of 3 workers may lose 1 (lose_count 1, "
+	  "lose_percent 100) but waves are due in window 'n', expected at "
+	  "least 2: one worker and a reserve of 1 for the loss of a rack\n"
+	  "rules:4: pool 's' of 4 workers may lose 2 (lose_count 2, "
+	  "lose_percent 100) but waves are due in window 'n', expected at "
+	  "least 3: one worker and a reserve of 2 for the loss of a rack\n" },
 	{ "reserve of all that there is",
 	  CSV_HEADER "w1,10.0.0.1,r1,a,ie,p\nw2,10.0.0.2,r1,a,ie,p\n",
 	  "{\"pools\": [\n"
--- a/src/test_config/test_config.c
+++ b/src/test_config/test_config.c
@@ -25,7 +25,7 @@
 
 static const char *const RULES =
 	"{\n"
-	"  \"pools\": [{\"id\": \"p\", \"lose_count\": 1}],\n"
+	"  \"pools\": [{\"id\": \"p\", \"lose_count\": 2}],\n"
 	"  \"services\": [\n"
 	"    {\"id\": \"book\", \"path_prefix\": \"/book\", \"pool\": \"p\",\n"
 	"     \"team\": \"parks\", \"urgent\": true},\n"
