--- a/include/waxwinghollow/config.h
+++ b/include/waxwinghollow/config.h
@@ -216,4 +216,14 @@
 			      int64_t version, wwh_config_t **result,
 			      wwh_message_t *message);
 
+/*
+ * A configuration that was accepted before, from its difference to the empty
+ * one: for snapshots and for clients. The whole is not checked again:
+ * otherwise a newer program with a further check could not read what is in
+ * force, and nobody could publish the repair.
+ */
+wwh_status_t wwh_config_restore(const wwh_config_change_t *change,
+				int64_t version, wwh_config_t **result,
+				wwh_message_t *message);
+
 #endif
--- a/src/libwaxwinghollow/config_change.c
+++ b/src/libwaxwinghollow/config_change.c
@@ -9,6 +9,9 @@
 		      wwh_item_kind_t kind, wwh_config_change_t *change);
 static int order_at(const GPtrArray *from, guint i, const GPtrArray *to,
 		    guint j, wwh_item_kind_t kind);
+static wwh_config_t *merge(const wwh_config_t *base,
+			   const wwh_config_change_t *change, int64_t version,
+			   wwh_message_t *message);
 static bool merge_kind(const wwh_config_t *base,
 		       const wwh_config_change_t *change, guint *next,
 		       wwh_item_kind_t kind, wwh_config_t *result,
@@ -88,9 +91,6 @@
 			      wwh_message_t *message)
 {
 	wwh_report_t report = { note_error, message, 0 };
-	wwh_config_t *config;
-	guint next = 0;
-	bool ok = true;
 
 	*result = NULL;
 	wwh_message_set(message, "%s", "");
@@ -101,21 +101,46 @@
 				version, base->version);
 		return WWH_STATUS_BAD_ARGUMENT;
 	}
-	config = wwh_config_new();
-	config->version = version;
-	for (int32_t kind = 0; kind < WWH_ITEM_COUNT && ok; kind++)
-		ok = merge_kind(base, change, &next, (wwh_item_kind_t)kind,
-				config, message);
-	if (ok) {
-		assert(next == change->entries->len);
-		wwh_config_check(config, NULL, true, &report);
-	}
-	if (!ok || report.count > 0) {
-		wwh_config_unref(config);
+	*result = merge(base, change, version, message);
+	if (*result == NULL)
 		return WWH_STATUS_BAD_INPUT;
+	wwh_config_check(*result, NULL, true, &report);
+	if (report.count == 0)
+		return WWH_STATUS_OK;
+	wwh_config_unref(*result);
+	*result = NULL;
+	return WWH_STATUS_BAD_INPUT;
+}
+
+wwh_status_t wwh_config_restore(const wwh_config_change_t *change,
+				int64_t version, wwh_config_t **result,
+				wwh_message_t *message)
+{
+	wwh_config_t *empty = wwh_config_new();
+
+	*result = merge(empty, change, version, message);
+	wwh_config_unref(empty);
+	return *result == NULL ? WWH_STATUS_BAD_INPUT : WWH_STATUS_OK;
+}
+
+/* NULL and a message when change does not fit base. */
+static wwh_config_t *merge(const wwh_config_t *base,
+			   const wwh_config_change_t *change, int64_t version,
+			   wwh_message_t *message)
+{
+	wwh_config_t *config = wwh_config_new();
+	guint next = 0;
+
+	config->version = version;
+	for (int32_t kind = 0; kind < WWH_ITEM_COUNT; kind++) {
+		if (!merge_kind(base, change, &next, (wwh_item_kind_t)kind,
+				config, message)) {
+			wwh_config_unref(config);
+			return NULL;
+		}
 	}
-	*result = config;
-	return WWH_STATUS_OK;
+	assert(next == change->entries->len);
+	return config;
 }
 
 static void diff_kind(const wwh_config_t *from, const wwh_config_t *to,
--- a/src/libwaxwinghollow/config_load.c
+++ b/src/libwaxwinghollow/config_load.c
@@ -27,7 +27,6 @@
 
 static bool read_file(const char *path, wwh_config_text_t *text, char **content,
 		      wwh_report_t *report);
-static bool is_json(const wwh_config_text_t *text);
 static void load_json(loader_t *loader, const wwh_config_text_t *text,
 		      const wwh_item_kind_t *kinds, int32_t kind_count);
 static void load_section(loader_t *loader, const wwh_json_source_t *source,
@@ -83,7 +82,7 @@
 			return WWH_STATUS_BAD_ARGUMENT;
 	}
 	loader.places = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	if (inventory->text != NULL && is_json(inventory))
+	if (inventory->text != NULL && wwh_text_is_json(inventory))
 		load_json(&loader, inventory, inventory_kinds,
 			  G_N_ELEMENTS(inventory_kinds));
 	else if (inventory->text != NULL)
@@ -117,7 +116,7 @@
 }
 
 /* JSON begins with a brace or a comment; no header of a CSV file does. */
-static bool is_json(const wwh_config_text_t *text)
+bool wwh_text_is_json(const wwh_config_text_t *text)
 {
 	for (size_t i = 0; i < text->size; i++) {
 		if (!g_ascii_isspace(text->text[i]))
--- a/src/libwaxwinghollow/include/private/config_items.h
+++ b/src/libwaxwinghollow/include/private/config_items.h
@@ -47,6 +47,9 @@
 void *wwh_config_find(const wwh_config_t *config, wwh_item_kind_t kind,
 		      const char *id);
 
+/* Whether a file is JSON; otherwise it is taken for CSV. */
+bool wwh_text_is_json(const wwh_config_text_t *text);
+
 /* Where an item was read; NULL for file when that isn't known. */
 typedef struct {
 	const char *file;
--- a/src/libwaxwinghollow/settings.c
+++ b/src/libwaxwinghollow/settings.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "private/json_source.h"
+#include "private/settings_fields.h"
 
 #define NUMBER(type_, member, min, max, default_)                              \
 	{                                                                      \
@@ -36,7 +37,7 @@
 };
 
 /* The defaults are explained in docs/SETTINGS.md. */
-static const wwh_field_t fields[] = {
+const wwh_field_t wwh_settings_fields[] = {
 	TEXT(WWH_FIELD_ID, "process_id", process_id),
 	TEXT(WWH_FIELD_ID, "availability_zone", zone),
 	TEXT(WWH_FIELD_ID, "region", region),
@@ -75,7 +76,7 @@
 	INT32(suspect_after_ms, 10, 10 * MINUTE_MS, 1500),
 };
 
-#define FIELD_COUNT ((int32_t)(sizeof(fields) / sizeof(fields[0])))
+const int32_t wwh_settings_field_count = G_N_ELEMENTS(wwh_settings_fields);
 
 static void check_whole(const wwh_json_source_t *source,
 			const wwh_settings_t *settings, wwh_report_t *report);
@@ -121,9 +122,11 @@
 				       &report);
 	if (source == NULL)
 		return WWH_STATUS_BAD_INPUT;
-	wwh_fields_set_defaults(fields, FIELD_COUNT, settings);
-	wwh_json_source_read(source, wwh_json_source_root(source), fields,
-			     FIELD_COUNT, settings, &report);
+	wwh_fields_set_defaults(wwh_settings_fields, wwh_settings_field_count,
+				settings);
+	wwh_json_source_read(source, wwh_json_source_root(source),
+			     wwh_settings_fields, wwh_settings_field_count,
+			     settings, &report);
 	check_whole(source, settings, &report);
 	wwh_json_source_delete(source);
 	if (report.count > 0)
@@ -133,7 +136,8 @@
 
 void wwh_settings_clear(wwh_settings_t *settings)
 {
-	wwh_fields_clear(fields, FIELD_COUNT, settings);
+	wwh_fields_clear(wwh_settings_fields, wwh_settings_field_count,
+			 settings);
 	memset(settings, 0, sizeof(*settings));
 }
 
--- /dev/null
+++ b/src/waxwinghollow/cmd_publish.c
@@ -0,0 +1,297 @@
+#include <json-glib/json-glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cli.h"
+#include "commands.h"
+#include "print_json.h"
+#include "rollout.h"
+#include "waxwinghollow/config.h"
+
+#define DEFAULT_WAIT_MS 10000
+#define LOOK_ROUND_MS 200
+#define US_PER_MS 1000
+#define HTTP_OK 200
+#define HTTP_ACCEPTED 202
+#define HTTP_CONFLICT 409
+
+typedef struct {
+	wwh_cli_t cli;
+	char *inventory_path;
+	char *rules_path;
+	gint wait_ms;
+	wwh_config_t *wanted;
+	wwh_config_t *in_force;
+	const char *server; /* that answered last */
+} publish_t;
+
+static bool parse_options(publish_t *publish, int *argc, char ***argv);
+static int run(publish_t *publish);
+static int fetch_in_force(publish_t *publish);
+static int read_in_force(publish_t *publish,
+			 const wwh_operator_answer_t *answer);
+static bool is_in_force(const publish_t *publish);
+static int post_change(publish_t *publish);
+static int read_verdict(publish_t *publish,
+			const wwh_operator_answer_t *answer);
+static int look_for_outcome(publish_t *publish);
+static int finish(publish_t *publish, const char *verdict, int64_t version);
+
+int wwh_cmd_publish(int argc, char **argv)
+{
+	publish_t publish = { .wait_ms = DEFAULT_WAIT_MS };
+	int code = WWH_EXIT_USAGE;
+
+	wwh_cli_init(&publish.cli);
+	if (parse_options(&publish, &argc, &argv)) {
+		publish.wanted = wwh_config_new();
+		code = run(&publish);
+	}
+	wwh_config_unref(publish.wanted);
+	wwh_config_unref(publish.in_force);
+	g_free(publish.inventory_path);
+	g_free(publish.rules_path);
+	wwh_cli_finish(&publish.cli);
+	return code;
+}
+
+static bool parse_options(publish_t *publish, int *argc, char ***argv)
+{
+	const GOptionEntry extra[] = {
+		{ "inventory", 'i', 0, G_OPTION_ARG_FILENAME,
+		  &publish->inventory_path,
+		  "the asset register's export, JSON or CSV", "FILE" },
+		{ "rules", 'r', 0, G_OPTION_ARG_FILENAME, &publish->rules_path,
+		  "pools, services, teams, windows and rules", "FILE" },
+		{ "wait-ms", 0, 0, G_OPTION_ARG_INT, &publish->wait_ms,
+		  "how long to wait until it is in force everywhere "
+		  "(default 10000)",
+		  "N" },
+		{ NULL },
+	};
+	const char *command = (*argv)[0];
+
+	if (!wwh_cli_parse(&publish->cli, argc, argv, NULL,
+			   "Checks both files, appends what differs from the "
+			   "configuration in force,\nand waits until it is in "
+			   "force on every entry process.",
+			   extra) ||
+	    !wwh_cli_no_arguments(*argc, *argv))
+		return false;
+	if (publish->inventory_path != NULL && publish->rules_path != NULL &&
+	    publish->wait_ms >= 0)
+		return true;
+	fprintf(stderr,
+		"%s: expected --inventory FILE, --rules FILE and --wait-ms of "
+		"0 or more\n",
+		command);
+	return false;
+}
+
+static int run(publish_t *publish)
+{
+	int code;
+
+	if (wwh_config_load(publish->wanted, publish->inventory_path,
+			    publish->rules_path, wwh_cli_print_error,
+			    NULL) != WWH_STATUS_OK)
+		return WWH_EXIT_BAD_INPUT;
+	code = fetch_in_force(publish);
+	if (code != WWH_EXIT_OK)
+		return code;
+	if (is_in_force(publish))
+		return finish(publish, "unchanged",
+			      wwh_config_version(publish->in_force));
+	return post_change(publish);
+}
+
+static int fetch_in_force(publish_t *publish)
+{
+	const wwh_operator_request_t request = { .path = "/v1/config" };
+	wwh_operator_answer_t answer;
+	wwh_message_t message = { "" };
+	wwh_status_t status = wwh_cli_call(&publish->cli, &request, &answer,
+					   &publish->server, &message);
+	int code;
+
+	if (status != WWH_STATUS_OK) {
+		fprintf(stderr, "%s: not run\n", message.text);
+		return WWH_EXIT_UNAVAILABLE;
+	}
+	code = read_in_force(publish, &answer);
+	wwh_operator_answer_clear(&answer);
+	return code;
+}
+
+static int read_in_force(publish_t *publish,
+			 const wwh_operator_answer_t *answer)
+{
+	wwh_config_change_t *change = NULL;
+	wwh_config_t *config = NULL;
+	wwh_message_t message = { "" };
+	wwh_status_t status;
+
+	if (answer->http_status != HTTP_OK || answer->config_version < 0) {
+		fprintf(stderr,
+			"%s: no configuration from /v1/config, HTTP status "
+			"%d: not run\n",
+			publish->server, answer->http_status);
+		return WWH_EXIT_UNAVAILABLE;
+	}
+	status = wwh_config_change_decode((const uint8_t *)answer->body,
+					  answer->body_size, &change, &message);
+	if (status == WWH_STATUS_OK)
+		status = wwh_config_restore(change, answer->config_version,
+					    &config, &message);
+	wwh_config_change_delete(change);
+	if (status != WWH_STATUS_OK) {
+		fprintf(stderr, "%s: /v1/config: %s: not run\n",
+			publish->server, message.text);
+		return WWH_EXIT_FAILED;
+	}
+	wwh_config_unref(publish->in_force);
+	publish->in_force = config;
+	return WWH_EXIT_OK;
+}
+
+static bool is_in_force(const publish_t *publish)
+{
+	wwh_config_change_t *change =
+		wwh_config_diff(publish->in_force, publish->wanted);
+	bool same = wwh_config_change_count(change) == 0;
+
+	wwh_config_change_delete(change);
+	return same;
+}
+
+static int post_change(publish_t *publish)
+{
+	wwh_config_change_t *change =
+		wwh_config_diff(publish->in_force, publish->wanted);
+	GBytes *body = wwh_config_change_encode(change);
+	char *author = g_uri_escape_string(publish->cli.author, NULL, FALSE);
+	char *path = g_strdup_printf(
+		"/v1/publish?base=%" G_GINT64_FORMAT "&author=%s",
+		wwh_config_version(publish->in_force), author);
+	wwh_operator_request_t request = {
+		.path = path,
+		.content_type = "application/msgpack",
+	};
+	wwh_operator_answer_t answer;
+	wwh_message_t message = { "" };
+	wwh_status_t status;
+	int code;
+
+	request.body = g_bytes_get_data(body, &request.body_size);
+	status = wwh_cli_call(&publish->cli, &request, &answer,
+			      &publish->server, &message);
+	if (status == WWH_STATUS_OK) {
+		code = read_verdict(publish, &answer);
+		wwh_operator_answer_clear(&answer);
+	} else if (status == WWH_STATUS_UNAVAILABLE) {
+		code = wwh_cli_call_failed(status, &message);
+	} else {
+		fprintf(stderr, "%s: looking whether it was published\n",
+			message.text);
+		code = look_for_outcome(publish);
+	}
+	g_free(path);
+	g_free(author);
+	g_bytes_unref(body);
+	wwh_config_change_delete(change);
+	return code;
+}
+
+static int read_verdict(publish_t *publish, const wwh_operator_answer_t *answer)
+{
+	JsonParser *parser = json_parser_new();
+	JsonObject *object = NULL;
+	int64_t version = -1;
+	int code;
+
+	if (answer->http_status == HTTP_ACCEPTED) {
+		g_object_unref(parser);
+		fprintf(stderr, "%s: looking whether it was published\n",
+			publish->server);
+		return look_for_outcome(publish);
+	}
+	if (json_parser_load_from_data(parser, answer->body,
+				       (gssize)answer->body_size, NULL) &&
+	    json_parser_get_root(parser) != NULL &&
+	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser)))
+		object = json_node_get_object(json_parser_get_root(parser));
+	if (object != NULL)
+		version = json_object_get_int_member_with_default(
+			object, "version", -1);
+	if (answer->http_status == HTTP_OK && version > 0) {
+		code = finish(publish, "accepted", version);
+	} else {
+		if (answer->http_status == HTTP_CONFLICT && object != NULL)
+			fprintf(stderr,
+				"not published: someone else changed it: "
+				"version %" G_GINT64_FORMAT " by %s, the files "
+				"were compared with version %" G_GINT64_FORMAT
+				"\n",
+				version,
+				json_object_get_string_member_with_default(
+					object, "author", "someone"),
+				wwh_config_version(publish->in_force));
+		code = wwh_cli_print_answer(&publish->cli, answer);
+		code = code == WWH_EXIT_OK ? WWH_EXIT_FAILED : code;
+	}
+	g_object_unref(parser);
+	return code;
+}
+
+/*
+ * The answer was lost, but the change may have been appended. It is not sent
+ * again: what is in force tells whether it took effect.
+ */
+static int look_for_outcome(publish_t *publish)
+{
+	int64_t end_us =
+		g_get_monotonic_time() + (int64_t)publish->wait_ms * US_PER_MS;
+
+	do {
+		g_usleep(LOOK_ROUND_MS * US_PER_MS);
+		if (fetch_in_force(publish) == WWH_EXIT_OK &&
+		    is_in_force(publish))
+			return finish(publish, "accepted",
+				      wwh_config_version(publish->in_force));
+	} while (g_get_monotonic_time() < end_us);
+	fprintf(stderr,
+		"%s; publishing the same files again is harmless: "
+		"only what still differs is sent\n",
+		wwh_exit_texts[WWH_EXIT_UNKNOWN]);
+	return WWH_EXIT_UNKNOWN;
+}
+
+static int finish(publish_t *publish, const char *verdict, int64_t version)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	bool everywhere;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "verdict");
+	json_builder_add_string_value(builder, verdict);
+	json_builder_set_member_name(builder, "version");
+	json_builder_add_int_value(builder, version);
+	everywhere = wwh_rollout_wait(&publish->cli, publish->server, version,
+				      publish->wait_ms, builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	if (publish->cli.json) {
+		char *text = json_to_string(root, FALSE);
+
+		printf("%s\n", text);
+		g_free(text);
+	} else {
+		wwh_print_json(root, stdout);
+	}
+	json_node_unref(root);
+	g_object_unref(builder);
+	if (!everywhere)
+		fprintf(stderr, "%s\n", wwh_exit_texts[WWH_EXIT_INCOMPLETE]);
+	return everywhere ? WWH_EXIT_OK : WWH_EXIT_INCOMPLETE;
+}
--- /dev/null
+++ b/src/waxwinghollow/cmd_serve.c
@@ -0,0 +1,36 @@
+#include <glib.h>
+#include <stdio.h>
+
+#include "cli.h"
+#include "commands.h"
+#include "waxwinghollow/settings.h"
+
+int wwh_cmd_serve(int argc, char **argv)
+{
+	char *path = NULL;
+	const GOptionEntry options[] = {
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		  "settings of this process", "FILE" },
+		{ NULL },
+	};
+	wwh_settings_t settings;
+	wwh_status_t status;
+
+	if (!wwh_cli_parse_plain(&argc, &argv, "run one entry process",
+				 options))
+		return WWH_EXIT_USAGE;
+	if (path == NULL || argc != 1) {
+		fprintf(stderr,
+			"serve: expected --settings FILE and no more\n");
+		g_free(path);
+		return WWH_EXIT_USAGE;
+	}
+	status = wwh_settings_load(path, &settings, wwh_cli_print_error, NULL);
+	g_free(path);
+	if (status != WWH_STATUS_OK)
+		return WWH_EXIT_BAD_INPUT;
+	wwh_settings_clear(&settings);
+	fprintf(stderr, "serve: the settings are sound, but this build has no "
+			"entry process to run\n");
+	return WWH_EXIT_FAILED;
+}
--- /dev/null
+++ b/src/waxwinghollow/commands.h
@@ -0,0 +1,38 @@
+#ifndef WAXWINGHOLLOW_COMMANDS_H
+#define WAXWINGHOLLOW_COMMANDS_H
+
+/*
+ * NAME
+ *	commands - the subcommands of waxwinghollow
+ *
+ * USE
+ *	argv[0] is the subcommand's name. Each returns a wwh_exit_t.
+ */
+
+/* Exit codes of every subcommand. */
+typedef enum {
+	WWH_EXIT_OK = 0,
+	WWH_EXIT_FAILED, /* the reason is on standard error */
+	WWH_EXIT_USAGE, /* bad options */
+	WWH_EXIT_BAD_INPUT, /* a file or argument is refused */
+	WWH_EXIT_CONFLICT, /* someone else's change came first */
+	WWH_EXIT_UNAVAILABLE, /* surely not run; may be tried again */
+	WWH_EXIT_UNKNOWN, /* may have taken effect; look before repeating */
+	WWH_EXIT_INCOMPLETE, /* published, but not in force everywhere yet */
+	WWH_EXIT_COUNT
+} wwh_exit_t;
+
+/* One line on each wwh_exit_t, in the same order. */
+extern const char *const wwh_exit_texts[WWH_EXIT_COUNT];
+
+int wwh_cmd_serve(int argc, char **argv);
+int wwh_cmd_check(int argc, char **argv);
+int wwh_cmd_publish(int argc, char **argv);
+int wwh_cmd_status(int argc, char **argv);
+int wwh_cmd_dump(int argc, char **argv);
+int wwh_cmd_wave(int argc, char **argv);
+int wwh_cmd_rehearse(int argc, char **argv);
+int wwh_cmd_move(int argc, char **argv);
+int wwh_cmd_job(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/src/waxwinghollow/rollout.c
@@ -0,0 +1,258 @@
+#include "rollout.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define ROUND_MS 100
+#define CALL_TIMEOUT_MS 1000
+#define US_PER_MS 1000
+
+typedef struct {
+	char *process;
+	char *address; /* of its operator listener */
+	int64_t version; /* -1: has not answered */
+	bool listed; /* in this round */
+	char *note; /* why it did not answer */
+} member_t;
+
+static void member_free(gpointer data);
+static JsonParser *get_status(const wwh_cli_t *cli, const char *address,
+			      wwh_message_t *message);
+static bool refresh(const wwh_cli_t *cli, const char *server,
+		    GPtrArray *members);
+static void note_listed(GPtrArray *members, JsonArray *listed);
+static member_t *find_or_add(GPtrArray *members, const char *process,
+			     const char *address);
+static bool has_left(const char *state);
+static void ask(const wwh_cli_t *cli, member_t *member);
+static int32_t count_in_force(const GPtrArray *members, int64_t version);
+static void show_progress(const GPtrArray *members, int64_t version);
+static void add_report(const GPtrArray *members, int64_t version,
+		       bool everywhere, JsonBuilder *builder);
+static const char *text_member(JsonObject *object, const char *name);
+
+bool wwh_rollout_wait(const wwh_cli_t *cli, const char *server, int64_t version,
+		      int64_t limit_ms, JsonBuilder *builder)
+{
+	int64_t end_us = g_get_monotonic_time() + limit_ms * US_PER_MS;
+	GPtrArray *members = g_ptr_array_new_with_free_func(member_free);
+	bool everywhere = false;
+
+	for (;;) {
+		bool listed = refresh(cli, server, members);
+
+		for (guint i = 0; i < members->len; i++) {
+			member_t *member = g_ptr_array_index(members, i);
+
+			if (member->version < version)
+				ask(cli, member);
+		}
+		show_progress(members, version);
+		everywhere = listed && members->len > 0 &&
+			     count_in_force(members, version) ==
+				     (int32_t)members->len;
+		if (everywhere || g_get_monotonic_time() >= end_us)
+			break;
+		g_usleep(ROUND_MS * US_PER_MS);
+	}
+	if (isatty(STDERR_FILENO))
+		fprintf(stderr, "\n");
+	add_report(members, version, everywhere, builder);
+	g_ptr_array_unref(members);
+	return everywhere;
+}
+
+static void member_free(gpointer data)
+{
+	member_t *member = data;
+
+	g_free(member->process);
+	g_free(member->address);
+	g_free(member->note);
+	g_free(member);
+}
+
+/* NULL and a message when there is no usable answer. */
+static JsonParser *get_status(const wwh_cli_t *cli, const char *address,
+			      wwh_message_t *message)
+{
+	const wwh_operator_request_t request = { .path = "/v1/status" };
+	wwh_operator_options_t options = wwh_operator_options_defaults();
+	JsonParser *parser = json_parser_new_immutable();
+	wwh_operator_answer_t answer = { 0 };
+	bool ok = false;
+
+	options.server = address;
+	options.timeout_ms = MIN(cli->timeout_ms, CALL_TIMEOUT_MS);
+	if (wwh_operator_call(&options, &request, &answer, message) ==
+	    WWH_STATUS_OK) {
+		ok = answer.http_status == 200 &&
+		     json_parser_load_from_data(parser, answer.body,
+						(gssize)answer.body_size,
+						NULL) &&
+		     json_parser_get_root(parser) != NULL &&
+		     JSON_NODE_HOLDS_OBJECT(json_parser_get_root(parser));
+		if (!ok)
+			wwh_message_set(message, "%s: HTTP status %d", address,
+					answer.http_status);
+	}
+	wwh_operator_answer_clear(&answer);
+	if (ok)
+		return parser;
+	g_object_unref(parser);
+	return NULL;
+}
+
+/* Members that are no longer listed are dropped. */
+static bool refresh(const wwh_cli_t *cli, const char *server,
+		    GPtrArray *members)
+{
+	wwh_message_t message;
+	JsonParser *parser = get_status(cli, server, &message);
+	JsonNode *listed;
+	JsonObject *status;
+
+	if (parser == NULL)
+		return false;
+	for (guint i = 0; i < members->len; i++)
+		((member_t *)g_ptr_array_index(members, i))->listed = false;
+	status = json_node_get_object(json_parser_get_root(parser));
+	find_or_add(members, text_member(status, "process"), server)->listed =
+		true;
+	listed = json_object_get_member(status, "members");
+	if (listed != NULL && JSON_NODE_HOLDS_ARRAY(listed))
+		note_listed(members, json_node_get_array(listed));
+	g_object_unref(parser);
+	for (guint i = members->len; i > 0; i--) {
+		if (!((member_t *)g_ptr_array_index(members, i - 1))->listed)
+			g_ptr_array_remove_index(members, i - 1);
+	}
+	return true;
+}
+
+static void note_listed(GPtrArray *members, JsonArray *listed)
+{
+	for (guint i = 0; i < json_array_get_length(listed); i++) {
+		JsonNode *node = json_array_get_element(listed, i);
+		JsonObject *object;
+
+		if (!JSON_NODE_HOLDS_OBJECT(node))
+			continue;
+		object = json_node_get_object(node);
+		if (has_left(text_member(object, "state")))
+			continue;
+		find_or_add(members, text_member(object, "process"),
+			    text_member(object, "operator_address"))
+			->listed = true;
+	}
+}
+
+static member_t *find_or_add(GPtrArray *members, const char *process,
+			     const char *address)
+{
+	member_t *member;
+
+	for (guint i = 0; i < members->len; i++) {
+		member = g_ptr_array_index(members, i);
+		if (strcmp(member->process, process) == 0)
+			return member;
+	}
+	member = g_new0(member_t, 1);
+	member->process = g_strdup(process);
+	member->address = g_strdup(address);
+	member->version = -1;
+	g_ptr_array_add(members, member);
+	return member;
+}
+
+static bool has_left(const char *state)
+{
+	static const char *const states[] = { "gone", "left", "dead", NULL };
+
+	return g_strv_contains(states, state);
+}
+
+static void ask(const wwh_cli_t *cli, member_t *member)
+{
+	wwh_message_t message = { "" };
+	JsonParser *parser = get_status(cli, member->address, &message);
+	JsonObject *status;
+
+	g_free(member->note);
+	member->note = NULL;
+	if (parser == NULL) {
+		member->note = g_strdup(message.text);
+		return;
+	}
+	status = json_node_get_object(json_parser_get_root(parser));
+	/* Another process may have got the address since. */
+	if (strcmp(text_member(status, "process"), member->process) != 0)
+		member->note = g_strdup("another process answers there");
+	else
+		member->version = json_object_get_int_member_with_default(
+			status, "config_version", -1);
+	g_object_unref(parser);
+}
+
+static int32_t count_in_force(const GPtrArray *members, int64_t version)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < members->len; i++) {
+		const member_t *member = g_ptr_array_index(members, i);
+
+		count += member->version >= version ? 1 : 0;
+	}
+	return count;
+}
+
+static void show_progress(const GPtrArray *members, int64_t version)
+{
+	if (!isatty(STDERR_FILENO))
+		return;
+	fprintf(stderr,
+		"\rversion %" G_GINT64_FORMAT
+		" is in force on %d of %u entry processes",
+		version, count_in_force(members, version), members->len);
+	(void)fflush(stderr);
+}
+
+static void add_report(const GPtrArray *members, int64_t version,
+		       bool everywhere, JsonBuilder *builder)
+{
+	json_builder_set_member_name(builder, "in_force_everywhere");
+	json_builder_add_boolean_value(builder, everywhere);
+	json_builder_set_member_name(builder, "processes");
+	json_builder_begin_array(builder);
+	for (guint i = 0; i < members->len; i++) {
+		const member_t *member = g_ptr_array_index(members, i);
+
+		json_builder_begin_object(builder);
+		json_builder_set_member_name(builder, "process");
+		json_builder_add_string_value(builder, member->process);
+		json_builder_set_member_name(builder, "operator_address");
+		json_builder_add_string_value(builder, member->address);
+		json_builder_set_member_name(builder, "in_force");
+		json_builder_add_boolean_value(builder,
+					       member->version >= version);
+		json_builder_set_member_name(builder, "config_version");
+		json_builder_add_int_value(builder, member->version);
+		json_builder_set_member_name(builder, "note");
+		json_builder_add_string_value(
+			builder, member->note == NULL ? "" : member->note);
+		json_builder_end_object(builder);
+	}
+	json_builder_end_array(builder);
+}
+
+/* "" when there is no such text. */
+static const char *text_member(JsonObject *object, const char *name)
+{
+	JsonNode *node = json_object_get_member(object, name);
+
+	if (node == NULL || !JSON_NODE_HOLDS_VALUE(node) ||
+	    json_node_get_value_type(node) != G_TYPE_STRING)
+		return "";
+	return json_node_get_string(node);
+}
