--- a/include/waxwinghollow/admission.h
+++ b/include/waxwinghollow/admission.h
@@ -21,6 +21,11 @@
  *	  divided by the drain rate measured while something waited. A margin
  *	  of 5/4 covers the spread of that measure: below 1 many admitted
  *	  requests end late, far above it slots go idle.
+ *	- In a burst, all of the time up to the deadline may be spent waiting.
+ *	  Once something has waited without a break for a whole deadline, the
+ *	  queue is a standing one, and the expected wait let in sinks to a
+ *	  fifth: a slot still finds a request whenever it is free, and nearly
+ *	  all refusals happen on arrival (after "controlled delay", CoDel).
  *	- Urgent goes before bulk, but bulk gets every eighth start when both
  *	  wait: 12.5% keeps bulk moving and delays urgent by one start in
  *	  eight.
--- a/include/waxwinghollow/dispatch.h
+++ b/include/waxwinghollow/dispatch.h
@@ -154,6 +154,7 @@
 	/* START */
 	char minion[WWH_DISPATCH_ID_BYTES];
 	int32_t timeout_ms; /* for this attempt */
+	int32_t connections; /* that this process may hold to the minion */
 	bool probe; /* the minion is on trial */
 	/* END */
 	wwh_error_kind_t kind;
--- a/include/waxwinghollow/ejection.h
+++ b/include/waxwinghollow/ejection.h
@@ -24,14 +24,17 @@
  *	  rate of failures would make it by chance less than once in 100 000
  *	  times: with a tenth of all requests failing, three in a row are
  *	  ordinary and five are not.
- *	- Slow: mean run time above four times the median of its peers' and
+ *	- Slow: median run time above four times the median of its peers' and
  *	  20 ms more, over at least 16 answers; it is back below twice.
  *	- Never more than half of a service's minions, and no faster than the
  *	  service's bucket allows (shift.h), so a service always keeps
  *	  capacity.
- *	- Return: after 1 s, doubled at each further time up to 60 s, one
+ *	- Return: after 1 s, doubled at each further time up to 8 s, one
  *	  request at a time is sent there as a probe. Two good ones bring it
- *	  back with a slow start, a bad one sends it out again. A fixed time
+ *	  back with a slow start, a bad one sends it out again. With 8
+ *	  processes, 8 s means one failed request a second, and a minion that
+ *	  is well again is used again within 8 s; the time does not grow while
+ *	  the peers fail too. A fixed time
  *	  without a probe (the cooldown of "Retries, fallbacks and cooldowns")
  *	  sends a full share to a minion that is still bad, at each end of the
  *	  time: docs/measurements/load.md compares them.
@@ -77,7 +80,7 @@
 	double good; /* recent, with a half-life */
 	double failed;
 	int64_t at_ms;
-	double run_ms;
+	double run_ms; /* median: a few long runs don't count as slow */
 	int32_t answers; /* since it was back */
 	bool for_slowness;
 } wwh_ejection_t;
--- a/include/waxwinghollow/loan.h
+++ b/include/waxwinghollow/loan.h
@@ -59,6 +59,18 @@
 /* Gives back up to count unused slots; returns how many. */
 int32_t wwh_loan_return(wwh_loan_book_t *book, uint64_t peer, int32_t count);
 
+/* The peer wants back what it has lent. */
+void wwh_loan_recall(wwh_loan_book_t *book, uint64_t peer, bool recalled);
+bool wwh_loan_is_recalled(const wwh_loan_book_t *book, uint64_t peer);
+
+/*
+ * True when the totals and wanted differ from what that peer was told last,
+ * or are not all zero and were last told before again_before_ms; it then
+ * counts as told now.
+ */
+bool wwh_loan_told(wwh_loan_book_t *book, uint64_t peer, int32_t wanted,
+		   int64_t again_before_ms, int64_t now_ms);
+
 /* The totals to tell that peer; all zero: nothing was ever lent. */
 wwh_loan_totals_t wwh_loan_tell(const wwh_loan_book_t *book, uint64_t peer);
 
--- a/src/libwaxwinghollow/admission.c
+++ b/src/libwaxwinghollow/admission.c
@@ -7,6 +7,8 @@
 #include "private/heap.h"
 
 #define WAIT_MARGIN 1.25
+#define BURST_DEADLINES 1.0
+#define STANDING_PART 0.2
 #define COST_ROWS 256 /* callers that share a row share an estimate */
 #define COST_WEIGHT 0.2
 #define FIRST_RUN_MS 50.0 /* until the first answer */
@@ -32,6 +34,7 @@
 typedef struct {
 	wwh_flow_t root;
 	wwh_rate_t drain;
+	int64_t standing_ms; /* since when something waits all the time */
 	double promised; /* refused requests told to return */
 	int64_t promised_ms;
 } class_t;
@@ -63,6 +66,8 @@
 static double run_need_ms(double run_ms, int64_t remaining_ms);
 static double expected_ahead(const class_t *class,
 			     const wwh_waiting_t *waiting);
+static double queue_part(const class_t *class, int64_t now_ms,
+			 int64_t remaining_ms);
 static bool over_bound(const wwh_admission_t *admission,
 		       const wwh_waiting_t *waiting);
 static void insert(wwh_admission_t *admission, int64_t now_ms,
@@ -123,7 +128,7 @@
 {
 	class_t *class = class_of(admission, waiting->urgent);
 	int64_t remaining_ms = waiting->deadline_ms - now_ms;
-	double need_ms, wait_ms;
+	double need_ms, wait_ms, bound_ms;
 
 	if (over_bound(admission, waiting))
 		return WWH_ADMISSION_QUEUE_FULL;
@@ -135,7 +140,9 @@
 		need_ms = run_need_ms(admission->p90.value, remaining_ms);
 		wait_ms = (expected_ahead(class, waiting) + 1) /
 			  class_rate(admission, class);
-		if (wait_ms * WAIT_MARGIN + need_ms > (double)remaining_ms)
+		bound_ms = ((double)remaining_ms - need_ms) / WAIT_MARGIN;
+		bound_ms *= queue_part(class, now_ms, remaining_ms);
+		if (wait_ms > bound_ms)
 			return WWH_ADMISSION_WAIT_TOO_LONG;
 	}
 	waiting->arrived_ms = now_ms;
@@ -340,6 +347,27 @@
 	return MIN(all, class->root.waiting);
 }
 
+/*
+ * The part of the possible wait that is let in. All of it in a burst; when
+ * the queue has not been empty for longer than a deadline, more waiting
+ * brings no more answers, only later ones, and estimates that are wrong turn
+ * into late refusals.
+ */
+static double queue_part(const class_t *class, int64_t now_ms,
+			 int64_t remaining_ms)
+{
+	double standing;
+
+	if (class->root.waiting == 0)
+		return 1;
+	standing = (double)(now_ms - class->standing_ms) / (double)remaining_ms;
+	if (standing <= BURST_DEADLINES)
+		return 1;
+	if (standing >= BURST_DEADLINES + 1)
+		return STANDING_PART;
+	return 1 - (1 - STANDING_PART) * (standing - BURST_DEADLINES);
+}
+
 static bool over_bound(const wwh_admission_t *admission,
 		       const wwh_waiting_t *waiting)
 {
@@ -367,6 +395,8 @@
 
 	assert(waiting->flow == NULL);
 	wwh_rate_advance(&class->drain, now_ms, true);
+	if (class->root.waiting == 0)
+		class->standing_ms = now_ms;
 	team = get_child(admission, &class->root, waiting->team, false);
 	caller = get_child(admission, team, waiting->caller, true);
 	waiting->flow = caller;
--- /dev/null
+++ b/src/libwaxwinghollow/dispatch_loan.c
@@ -0,0 +1,151 @@
+#include "waxwinghollow/dispatch_loan.h"
+
+#include "private/dispatch_state.h"
+
+#define TELL_AGAIN_MS 1000
+#define RESERVE_PART 8 /* of the service's slots, kept by a lender */
+
+static int32_t wanted_slots(const wwh_minion_record_t *minion, int64_t now_ms);
+static int32_t unused_slots(const wwh_minion_record_t *minion);
+static void return_idle(wwh_minion_record_t *minion, uint64_t peer);
+static int32_t lendable(const wwh_minion_record_t *minion);
+
+void wwh_dispatch_loans_tell(wwh_dispatch_t *dispatch, int64_t now_ms,
+			     uint64_t peer, wwh_dispatch_loan_visit_t visit,
+			     void *client_data)
+{
+	for (guint i = 0; i < dispatch->minion_list->len; i++) {
+		wwh_minion_record_t *minion =
+			g_ptr_array_index(dispatch->minion_list, i);
+		wwh_dispatch_loan_t loan = { .minion = minion->id };
+
+		return_idle(minion, peer);
+		loan.wanted = wanted_slots(minion, now_ms);
+		if (!wwh_loan_told(minion->loans, peer, loan.wanted,
+				   now_ms - TELL_AGAIN_MS, now_ms))
+			continue;
+		loan.totals = wwh_loan_tell(minion->loans, peer);
+		visit(&loan, client_data);
+	}
+}
+
+void wwh_dispatch_loan_hear(wwh_dispatch_t *dispatch, int64_t now_ms,
+			    uint64_t peer, const wwh_dispatch_loan_t *loan)
+{
+	wwh_minion_record_t *minion =
+		g_hash_table_lookup(dispatch->minions, loan->minion);
+	bool gained;
+
+	if (minion == NULL)
+		return;
+	gained = wwh_loan_hear(minion->loans, peer, loan->totals);
+	wwh_loan_recall(minion->loans, peer, loan->wanted > 0);
+	wwh_dispatch_apply_share(minion);
+	wwh_dispatch_settle_loans(minion);
+	if (loan->wanted > 0 &&
+	    wwh_loan_borrowed_from(minion->loans, peer) == 0) {
+		int32_t count = MIN(loan->wanted, lendable(minion));
+
+		if (count > 0)
+			wwh_loan_grant(minion->loans, peer, count);
+	}
+	wwh_dispatch_apply_share(minion);
+	if (minion->service == NULL)
+		return;
+	wwh_dispatch_capacity(minion->service);
+	if (gained)
+		wwh_dispatch_pump(dispatch, now_ms, minion->service);
+}
+
+void wwh_dispatch_loans_forget(wwh_dispatch_t *dispatch, int64_t now_ms,
+			       uint64_t peer)
+{
+	for (guint i = 0; i < dispatch->minion_list->len; i++) {
+		wwh_minion_record_t *minion =
+			g_ptr_array_index(dispatch->minion_list, i);
+
+		wwh_loan_forget(minion->loans, peer);
+		wwh_dispatch_apply_share(minion);
+	}
+	for (guint i = 0; i < dispatch->service_list->len; i++)
+		wwh_dispatch_capacity(
+			g_ptr_array_index(dispatch->service_list, i));
+	wwh_dispatch_pump_all(dispatch, now_ms);
+}
+
+void wwh_dispatch_settle_loans(wwh_minion_record_t *minion)
+{
+	uint64_t peer;
+
+	for (int32_t i = 0; wwh_loan_peer_at(minion->loans, i, &peer); i++) {
+		if (!wwh_loan_is_recalled(minion->loans, peer))
+			continue;
+		wwh_loan_return(minion->loans, peer, unused_slots(minion));
+		wwh_dispatch_apply_share(minion);
+	}
+}
+
+static int32_t wanted_slots(const wwh_minion_record_t *minion, int64_t now_ms)
+{
+	const wwh_service_state_t *service = minion->service;
+	int32_t waiting;
+
+	if (service == NULL || !wwh_minion_takes_work(minion) ||
+	    minion->ejection.state != WWH_EJECTION_IN ||
+	    now_ms < minion->blocked_until_ms)
+		return 0;
+	waiting = wwh_admission_waiting(service->admission);
+	if (waiting == 0)
+		return 0;
+	return MIN(1 + waiting / (int32_t)service->minions->len, minion->slots);
+}
+
+static int32_t unused_slots(const wwh_minion_record_t *minion)
+{
+	return MAX(minion->limiter.share - minion->limiter.running, 0);
+}
+
+/*
+ * A borrower that runs less than half of its own share gives back what it
+ * does not use; above that it keeps it, or each lull would send the same
+ * slots to and fro.
+ */
+static void return_idle(wwh_minion_record_t *minion, uint64_t peer)
+{
+	const wwh_service_state_t *service = minion->service;
+	int32_t own = 0;
+
+	if (wwh_loan_borrowed_from(minion->loans, peer) == 0)
+		return;
+	for (guint i = 0; service != NULL && i < service->minions->len; i++) {
+		const wwh_minion_record_t *other =
+			g_ptr_array_index(service->minions, i);
+
+		own += other->seat_slots;
+	}
+	if (service != NULL && service->running * 2 >= own)
+		return;
+	wwh_loan_return(minion->loans, peer, unused_slots(minion));
+	wwh_dispatch_apply_share(minion);
+}
+
+/* Only own slots; a borrowed one is not lent on. */
+static int32_t lendable(const wwh_minion_record_t *minion)
+{
+	const wwh_service_state_t *service = minion->service;
+	int32_t share = 0, unused = 0;
+	int32_t own = minion->seat_slots - wwh_loan_lent(minion->loans);
+
+	if (service == NULL || wwh_admission_waiting(service->admission) > 0 ||
+	    wwh_loan_borrowed(minion->loans) > 0)
+		return 0;
+	for (guint i = 0; i < service->minions->len; i++) {
+		const wwh_minion_record_t *other =
+			g_ptr_array_index(service->minions, i);
+
+		share += other->seat_slots;
+		unused += unused_slots(other);
+	}
+	unused -= (share + RESERVE_PART - 1) / RESERVE_PART;
+	return MAX(MIN(MIN(own, unused_slots(minion)), unused), 0);
+}
--- a/src/libwaxwinghollow/dispatch_run.c
+++ b/src/libwaxwinghollow/dispatch_run.c
@@ -7,11 +7,13 @@
 #define TIMEOUT_RUNS 8 /* usual p90 run times an attempt may take */
 #define TIMEOUT_CALLER_RUNS 4 /* mean run times of that caller */
 #define RAMP_STEP_MS 100
+#define HAD_TIME_RUNS 3 /* p90 run times: 0.1% of exponential ones */
 
 static wwh_minion_record_t *choose(wwh_dispatch_t *dispatch, int64_t now_ms,
 				   const wwh_service_state_t *service,
 				   const wwh_request_record_t *request);
 static bool has_room(wwh_minion_record_t *minion, int64_t now_ms);
+static double ramp_of(const wwh_minion_record_t *minion, int64_t now_ms);
 static bool was_tried(const wwh_request_record_t *request,
 		      const wwh_minion_record_t *minion);
 static void start(wwh_dispatch_t *dispatch, int64_t now_ms,
@@ -26,8 +28,8 @@
 		    wwh_request_record_t *request,
 		    const wwh_dispatch_result_t *result);
 static void judge(wwh_minion_record_t *minion, int64_t now_ms);
-static wwh_sign_t sign_of(wwh_outcome_t outcome);
-static wwh_bears_t bears_of(wwh_outcome_t outcome);
+static wwh_sign_t sign_of(wwh_outcome_t outcome, bool had_time);
+static wwh_bears_t bears_of(wwh_outcome_t outcome, bool had_time);
 static bool other_usable(const wwh_request_record_t *request,
 			 const wwh_minion_record_t *failed, int64_t now_ms);
 static void back_off(wwh_dispatch_t *dispatch, int64_t now_ms,
@@ -239,10 +241,33 @@
 	wwh_ejection_advance(&minion->ejection, now_ms);
 	if (!wwh_ejection_usable(&minion->ejection, minion->limiter.running))
 		return false;
-	ramp = wwh_shift_ramp(minion->ejection.returned_ms, now_ms);
+	ramp = ramp_of(minion, now_ms);
 	return wwh_limiter_has_room(&minion->limiter, now_ms, ramp);
 }
 
+/*
+ * Relative to the most settled minion of the service: when all are new, as
+ * after an outage, there is no settled one to spare them for.
+ */
+static double ramp_of(const wwh_minion_record_t *minion, int64_t now_ms)
+{
+	double own = wwh_shift_ramp(minion->ejection.returned_ms, now_ms);
+	double most = own;
+
+	if (own >= 1 || minion->service == NULL)
+		return own;
+	for (guint i = 0; i < minion->service->minions->len; i++) {
+		const wwh_minion_record_t *peer =
+			g_ptr_array_index(minion->service->minions, i);
+
+		if (wwh_minion_takes_work(peer))
+			most = MAX(most,
+				   wwh_shift_ramp(peer->ejection.returned_ms,
+						  now_ms));
+	}
+	return own / most;
+}
+
 static bool was_tried(const wwh_request_record_t *request,
 		      const wwh_minion_record_t *minion)
 {
@@ -274,6 +299,10 @@
 	dispatch->running++;
 	decision.request = request->id;
 	decision.probe = request->on_probe;
+	decision.connections = MAX(minion->seat_connections +
+					   wwh_loan_borrowed(minion->loans) -
+					   wwh_loan_lent(minion->loans),
+				   1);
 	decision.timeout_ms = attempt_timeout_ms(dispatch, now_ms, request);
 	g_strlcpy(decision.minion, minion->id, sizeof(decision.minion));
 	g_array_append_val(dispatch->decisions, decision);
@@ -354,8 +383,11 @@
 {
 	wwh_service_state_t *service = request->service;
 	wwh_minion_record_t *minion = request->minion;
-	double ramp = wwh_shift_ramp(minion->ejection.returned_ms, now_ms);
-	wwh_sign_t sign = sign_of(result->outcome);
+	double ramp = ramp_of(minion, now_ms);
+	bool had_time =
+		result->latency_ms >=
+		HAD_TIME_RUNS * wwh_admission_p90_ms(service->admission);
+	wwh_sign_t sign = sign_of(result->outcome, had_time);
 
 	request->minion = NULL;
 	if (request->tried_count < WWH_TRIED_MAX) {
@@ -366,7 +398,8 @@
 	dispatch->running--;
 	minion->quiet_since_ms = now_ms;
 	wwh_limiter_finish(&minion->limiter, now_ms, ramp,
-			   bears_of(result->outcome), result->latency_ms);
+			   bears_of(result->outcome, had_time),
+			   result->latency_ms);
 	wwh_ejection_observe(&minion->ejection, now_ms, sign,
 			     result->latency_ms);
 	if (result->outcome == WWH_OUTCOME_ANSWERED) {
@@ -380,7 +413,7 @@
 	    result->retry_after_ms > 0)
 		minion->blocked_until_ms = now_ms + result->retry_after_ms;
 	judge(minion, now_ms);
-	wwh_dispatch_apply_share(minion);
+	wwh_dispatch_settle_loans(minion);
 	wwh_dispatch_capacity(service);
 }
 
@@ -412,13 +445,17 @@
 		minion->ejected++;
 }
 
-static wwh_sign_t sign_of(wwh_outcome_t outcome)
+/*
+ * An attempt that began shortly before the deadline is silent for want of
+ * time; to blame the minion would take slots away just under saturation.
+ */
+static wwh_sign_t sign_of(wwh_outcome_t outcome, bool had_time)
 {
 	switch (outcome) {
 	case WWH_OUTCOME_ANSWERED:
 		return WWH_SIGN_GOOD;
 	case WWH_OUTCOME_SILENT:
-		return WWH_SIGN_SILENT;
+		return had_time ? WWH_SIGN_SILENT : WWH_SIGN_NONE;
 	case WWH_OUTCOME_REFUSED:
 	case WWH_OUTCOME_ABORTED:
 		return WWH_SIGN_NONE;
@@ -427,14 +464,15 @@
 	}
 }
 
-static wwh_bears_t bears_of(wwh_outcome_t outcome)
+static wwh_bears_t bears_of(wwh_outcome_t outcome, bool had_time)
 {
 	switch (outcome) {
 	case WWH_OUTCOME_ANSWERED:
 		return WWH_BEARS_OK;
 	case WWH_OUTCOME_REFUSED:
-	case WWH_OUTCOME_SILENT:
 		return WWH_BEARS_LESS;
+	case WWH_OUTCOME_SILENT:
+		return had_time ? WWH_BEARS_LESS : WWH_BEARS_NO_SIGN;
 	default:
 		return WWH_BEARS_NO_SIGN;
 	}
--- a/src/libwaxwinghollow/ejection.c
+++ b/src/libwaxwinghollow/ejection.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <math.h>
 
+#include "private/estimate.h"
+
 #define HALF_LIFE_MS 5000.0
 #define ROW_BOUND 3
 #define CHANCE 1e-5
@@ -15,9 +17,9 @@
 #define SLOW_BACK_FACTOR 2.0
 #define SLOW_MIN_MS 20.0
 #define SLOW_ANSWERS 16
-#define RUN_WEIGHT 0.1
 #define OUT_FIRST_MS 1000
-#define OUT_MAX_MS 60000
+#define OUT_MAX_MS 8000
+#define RETURN_RAMP_MS 3000
 #define FORGET_MS 60000 /* in, without trouble: the doubling starts anew */
 #define PROBES_GOOD 2
 #define MINIONS_MAX 256 /* peers looked at */
@@ -43,6 +45,8 @@
 static bool slower(const wwh_ejection_t *ejection, double median_ms,
 		   double factor);
 static int32_t out_count(wwh_ejection_t *const *minions, int32_t count);
+static double peers_failed_share(wwh_ejection_t *const *minions, int32_t count,
+				 int32_t index, int64_t now_ms);
 static void put_out(wwh_ejection_t *ejection, int64_t now_ms, bool slow);
 static void bring_back(wwh_ejection_t *ejection, int64_t now_ms);
 static int compare_doubles(const void *a, const void *b);
@@ -55,6 +59,8 @@
 void wwh_ejection_observe(wwh_ejection_t *ejection, int64_t now_ms,
 			  wwh_sign_t sign, int32_t run_ms)
 {
+	wwh_quantile_t median;
+
 	decay(ejection, now_ms);
 	switch (sign) {
 	case WWH_SIGN_GOOD:
@@ -62,9 +68,9 @@
 		ejection->good += 1;
 		ejection->answers++;
 		ejection->good_probes++;
-		if (ejection->run_ms <= 0)
-			ejection->run_ms = run_ms;
-		ejection->run_ms += RUN_WEIGHT * (run_ms - ejection->run_ms);
+		median.value = ejection->run_ms;
+		wwh_quantile_add(&median, 0.5, run_ms);
+		ejection->run_ms = median.value;
 		break;
 	case WWH_SIGN_FAILED:
 		ejection->in_a_row++;
@@ -95,6 +101,10 @@
 		if (ejection->in_a_row > 0 ||
 		    (ejection->for_slowness && ejection->good_probes > 0 &&
 		     slower(ejection, median_ms, SLOW_BACK_FACTOR))) {
+			/* In an outage of all, waiting longer helps nobody. */
+			if (peers_failed_share(minions, count, index, now_ms) >=
+			    PEERS_FAILED_SHARE)
+				ejection->times = 0;
 			put_out(ejection, now_ms, ejection->for_slowness);
 			return true;
 		}
@@ -152,12 +162,25 @@
 		  int64_t now_ms)
 {
 	const wwh_ejection_t *own = minions[index];
-	double good = 0, failed = 0, share = 0;
 	double total = own->good + own->failed;
+	double share;
 
 	if (own->in_a_row < ROW_BOUND &&
 	    (total < ATTEMPTS_MIN || own->failed < FAILED_SHARE * total))
 		return false;
+	share = peers_failed_share(minions, count, index, now_ms);
+	if (share >= PEERS_FAILED_SHARE)
+		return false;
+	/* A row of failures that its peers would show by chance is no sign. */
+	return own->failed >= FAILED_SHARE * total ||
+	       pow(share, own->in_a_row) < CHANCE;
+}
+
+static double peers_failed_share(wwh_ejection_t *const *minions, int32_t count,
+				 int32_t index, int64_t now_ms)
+{
+	double good = 0, failed = 0;
+
 	for (int32_t i = 0; i < count; i++) {
 		if (i == index || minions[i]->state != WWH_EJECTION_IN)
 			continue;
@@ -165,13 +188,7 @@
 		good += minions[i]->good;
 		failed += minions[i]->failed;
 	}
-	if (failed > 0)
-		share = failed / (good + failed);
-	if (share >= PEERS_FAILED_SHARE)
-		return false;
-	/* A row of failures that its peers would show by chance is no sign. */
-	return own->failed >= FAILED_SHARE * total ||
-	       pow(share, own->in_a_row) < CHANCE;
+	return failed > 0 ? failed / (good + failed) : 0;
 }
 
 /* 0 when too few peers have answered. */
@@ -226,7 +243,8 @@
 static void bring_back(wwh_ejection_t *ejection, int64_t now_ms)
 {
 	ejection->state = WWH_EJECTION_IN;
-	ejection->returned_ms = now_ms;
+	/* Out for seconds only, it is still warm: the end of the ramp. */
+	ejection->returned_ms = now_ms - WWH_SHIFT_RAMP_MS + RETURN_RAMP_MS;
 	ejection->until_ms = now_ms;
 	ejection->in_a_row = 0;
 	ejection->good = 0;
--- a/src/libwaxwinghollow/include/private/dispatch_state.h
+++ b/src/libwaxwinghollow/include/private/dispatch_state.h
@@ -7,8 +7,8 @@
  *
  * USE
  *	dispatch.c takes the events, dispatch_setup.c the configuration and
- *	the shares, dispatch_run.c starts, ends and retries, dispatch_dump.c
- *	shows the state.
+ *	the shares, dispatch_run.c starts, ends and retries, dispatch_loan.c
+ *	lends slots, dispatch_dump.c shows the state.
  *
  * ORDER OF CALLS
  *	See dispatch.h.
@@ -156,6 +156,9 @@
 			    wwh_heap_node_t *node, int64_t at_ms);
 void wwh_dispatch_clear_timer(wwh_heap_t *timers, wwh_heap_node_t *node);
 
+/* dispatch_loan.c: gives back what is recalled and unused. */
+void wwh_dispatch_settle_loans(wwh_minion_record_t *minion);
+
 /* dispatch_setup.c: after seats or loans changed. */
 void wwh_dispatch_apply_share(wwh_minion_record_t *minion);
 void wwh_dispatch_capacity(wwh_service_state_t *service);
--- a/src/libwaxwinghollow/loan.c
+++ b/src/libwaxwinghollow/loan.c
@@ -9,6 +9,10 @@
 	uint64_t returned; /* own number */
 	uint64_t heard_granted;
 	uint64_t heard_returned;
+	bool recalled;
+	wwh_loan_totals_t told;
+	int32_t told_wanted;
+	int64_t told_ms;
 } account_t;
 
 struct wwh_loan_book {
@@ -76,6 +80,43 @@
 	return count;
 }
 
+void wwh_loan_recall(wwh_loan_book_t *book, uint64_t peer, bool recalled)
+{
+	account_t *account = find(book, peer);
+
+	if (account != NULL)
+		account->recalled = recalled;
+}
+
+bool wwh_loan_is_recalled(const wwh_loan_book_t *book, uint64_t peer)
+{
+	const account_t *account = find(book, peer);
+
+	return account != NULL && account->recalled;
+}
+
+bool wwh_loan_told(wwh_loan_book_t *book, uint64_t peer, int32_t wanted,
+		   int64_t again_before_ms, int64_t now_ms)
+{
+	account_t *account = find(book, peer);
+	bool blank;
+
+	if (account == NULL && wanted == 0)
+		return false;
+	account = get(book, peer);
+	blank = wanted == 0 && account->granted == 0 && account->returned == 0;
+	if (account->told.granted == account->granted &&
+	    account->told.returned == account->returned &&
+	    account->told_wanted == wanted &&
+	    (blank || account->told_ms > again_before_ms))
+		return false;
+	account->told.granted = account->granted;
+	account->told.returned = account->returned;
+	account->told_wanted = wanted;
+	account->told_ms = now_ms;
+	return true;
+}
+
 wwh_loan_totals_t wwh_loan_tell(const wwh_loan_book_t *book, uint64_t peer)
 {
 	const account_t *account = find(book, peer);
