Serve requests end to end: the entry process and a demo

Cause: listeners, upstream, dispatcher, reducers and settings stood apart; no request had gone from a caller to a minion on configuration that came from the log. Ruled out: recording an intent before the request is let in, because what is refused at once would then cost the log an append and the caller its wait; it is recorded while the request waits for its slot. Counting slots across processes, because every such count is stale; seats are leases on the log.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	@cmake --build $(BUILD) -j$(JOBS)
 
 demo: setup build
-	@sh scripts/demo.sh $(BUILD)
+	@bash scripts/demo.sh $(BUILD)
 
 test: setup build fuzz-fixed
 	@ctest --test-dir $(BUILD) --output-on-failure -j4
--- a/include/waxwinghollow/state.h
+++ b/include/waxwinghollow/state.h
@@ -102,7 +102,9 @@
 #define WWH_SHARD_SNAPSHOT 32
 #define WWH_SHARD_PLACEMENT 33 /* free for work that is not a pool's */
 #define WWH_SHARD_FLEET 34 /* free likewise */
-#define WWH_SHARD_COUNT 35
+#define WWH_SHARD_SEATS 35 /* to 98: seats of the minions' slots, limiter.h */
+#define WWH_SEATS_MAX 64
+#define WWH_SHARD_COUNT (WWH_SHARD_SEATS + WWH_SEATS_MAX)
 
 #define WWH_STATE_ENDED_MAX 4096
 #define WWH_STATE_AUTHORS_MAX 1024
--- a/include/waxwinghollow/upstream.h
+++ b/include/waxwinghollow/upstream.h
@@ -92,6 +92,12 @@
 /* Closes connections that were idle for too long; call about once a second. */
 void wwh_upstream_sweep(wwh_upstream_t *upstream);
 
+/*
+ * Closes all idle connections: called when this process's part of the
+ * connections shrinks, so that what is kept doesn't exceed the new part.
+ */
+void wwh_upstream_close_idle(wwh_upstream_t *upstream);
+
 /* Connections to a minion, in use and idle. */
 int32_t wwh_upstream_connections(wwh_upstream_t *upstream, const char *address,
 				 int32_t port);
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/entry_report.h
@@ -0,0 +1,23 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_ENTRY_REPORT_H
+#define WAXWINGHOLLOW_PRIVATE_ENTRY_REPORT_H
+
+/* What one entry process tells operators about itself, as JSON. */
+
+#include <json-glib/json-glib.h>
+
+#include "private/entry_internal.h"
+#include "private/entry_log.h"
+
+void wwh_json_string(JsonBuilder *builder, const char *name, const char *value);
+void wwh_json_int(JsonBuilder *builder, const char *name, int64_t value);
+void wwh_json_bool(JsonBuilder *builder, const char *name, bool value);
+
+/* Members of the object that is open in builder. */
+void wwh_entry_report_status(wwh_entry_t *entry, JsonBuilder *builder);
+void wwh_entry_report_dump(wwh_entry_t *entry, JsonBuilder *builder);
+
+/* The answer to an operator's act that went to the log. */
+void wwh_answer_submitted(wwh_http_response_t *response,
+			  const wwh_submitted_t *submitted);
+
+#endif
--- a/src/libwaxwinghollow/upstream.c
+++ b/src/libwaxwinghollow/upstream.c
@@ -104,6 +104,11 @@
 	wwh_upstream_pool_sweep(upstream->pool, g_get_monotonic_time());
 }
 
+void wwh_upstream_close_idle(wwh_upstream_t *upstream)
+{
+	wwh_upstream_pool_sweep(upstream->pool, INT64_MAX);
+}
+
 int32_t wwh_upstream_connections(wwh_upstream_t *upstream, const char *address,
 				 int32_t port)
 {
--- a/src/test_standins/include/minion_server.h
+++ b/src/test_standins/include/minion_server.h
@@ -13,6 +13,7 @@
 #include <poll.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -59,6 +60,7 @@
 	bool stopping;
 	GThread *acceptor;
 	GHashTable *open_fds;
+	int run_log_fd; /* a line a run, for whoever kills it; 0: none */
 } minion_server_t;
 
 typedef struct {
@@ -197,6 +199,8 @@
 
 	g_mutex_lock(&server->lock);
 	server->total_runs++;
+	if (id != NULL && server->run_log_fd > 0)
+		(void)!dprintf(server->run_log_fd, "%s\n", id);
 	if (id != NULL) {
 		count = g_hash_table_lookup(server->runs, id);
 		g_hash_table_insert(
--- a/src/waxwinghollow/cmd_serve.c
+++ b/src/waxwinghollow/cmd_serve.c
@@ -3,6 +3,7 @@
 
 #include "cli.h"
 #include "commands.h"
+#include "serve.h"
 #include "waxwinghollow/settings.h"
 
 int wwh_cmd_serve(int argc, char **argv)
@@ -13,8 +14,9 @@
 		  "settings of this process", "FILE" },
 		{ NULL },
 	};
-	wwh_settings_t settings;
+	wwh_settings_t settings = { 0 };
 	wwh_status_t status;
+	int code;
 
 	if (!wwh_cli_parse_plain(&argc, &argv, "run one entry process",
 				 options))
@@ -29,8 +31,7 @@
 	g_free(path);
 	if (status != WWH_STATUS_OK)
 		return WWH_EXIT_BAD_INPUT;
+	code = wwh_serve(&settings);
 	wwh_settings_clear(&settings);
-	fprintf(stderr, "serve: the settings are sound, but this build has no "
-			"entry process to run\n");
-	return WWH_EXIT_FAILED;
+	return code;
 }
