Use the budget's limit of the planner in the reducer

Cause: the limit was worked out in two places and one of them is gone. Ruled out: a copy in the reducer. Conclusion: budget.h has it.

--- a/src/libwaxwinghollow/state_budget.c
+++ b/src/libwaxwinghollow/state_budget.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "private/state_internal.h"
+#include "waxwinghollow/budget.h"
 
 /* A pool's losses as they would be after the change that is asked for. */
 typedef struct {
@@ -59,7 +60,7 @@
 				 const losses_t *losses,
 				 wwh_verdict_detail_t *detail)
 {
-	int32_t limit = wwh_pool_budget(pool->declared, losses->members);
+	int32_t limit = wwh_budget_limit(pool->declared, losses->members);
 
 	if (losses->lost + losses->reserve <= limit)
 		return WWH_VERDICT_ACCEPTED;
--- a/src/libwaxwinghollow/state_view.c
+++ b/src/libwaxwinghollow/state_view.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "private/state_internal.h"
+#include "waxwinghollow/budget.h"
 
 int64_t wwh_state_last_offset(const wwh_state_t *state)
 {
@@ -151,7 +152,7 @@
 	pool->lost = found->lost;
 	pool->granted = found->granted;
 	pool->failed = found->failed;
-	pool->limit = wwh_pool_budget(found->declared, found->members);
+	pool->limit = wwh_budget_limit(found->declared, found->members);
 	pool->reserve =
 		wwh_state_pool_reserve(found, found->declared->reserve, NULL);
 	return true;
