Recall only as many lent slots as requests wait; bound the drain rate

Cause: one waiting request recalled a slot of every minion; after an outage the drain rate counted failed attempts and let in four times too much; four lost minions of ten counted as an outage and kept the fourth in use. Ruled out: other reserves of lenders (1/4, 1/16, none): no better. Conclusion: loans now measure like one shared pool of slots.

--- a/include/waxwinghollow/ejection.h
+++ b/include/waxwinghollow/ejection.h
@@ -47,6 +47,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "waxwinghollow/estimate.h"
 #include "waxwinghollow/shift.h"
 
 typedef enum {
@@ -80,7 +81,7 @@
 	double good; /* recent, with a half-life */
 	double failed;
 	int64_t at_ms;
-	double run_ms; /* median: a few long runs don't count as slow */
+	wwh_quantile_t run_ms; /* median: a few long runs don't count as slow */
 	int32_t answers; /* since it was back */
 	bool for_slowness;
 } wwh_ejection_t;
--- a/src/libwaxwinghollow/include/private/estimate.h
+++ b/include/waxwinghollow/estimate.h
@@ -1,14 +1,16 @@
-#ifndef WWH_PRIVATE_ESTIMATE_H
-#define WWH_PRIVATE_ESTIMATE_H
+#ifndef WAXWINGHOLLOW_ESTIMATE_H
+#define WAXWINGHOLLOW_ESTIMATE_H
 
 /*
  * NAME
  *	estimate - running estimates of quantiles and rates
  *
  * USE
- *	A quantile is tracked by steps in proportion to its value, so that a
- *	first guess that is wrong by a factor of ten is forgotten within some
- *	dozens of samples. A rate counts events over the time in which they
+ *	A quantile is tracked by steps in proportion to its value: large ones
+ *	for the first 16 samples, then of 2.5% for a median, so that it stays
+ *	within about a sixth of the true value and still follows a change by
+ *	a factor of ten within some hundred samples. Debian has HDR histograms
+ *	for Go and Java only; this needs two words instead of kilobytes. A rate counts events over the time in which they
  *	could happen, with a half-life, starting from a prior.
  *
  * ORDER OF CALLS
@@ -20,6 +22,8 @@
 
 typedef struct {
 	double value; /* 0: no sample yet */
+	bool coarse; /* large steps for ever: quick, within a third or so */
+	int32_t samples; /* up to the bound that matters */
 } wwh_quantile_t;
 
 void wwh_quantile_add(wwh_quantile_t *quantile, double fraction, double sample);
--- a/include/waxwinghollow/limiter.h
+++ b/include/waxwinghollow/limiter.h
@@ -46,6 +46,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "waxwinghollow/estimate.h"
+
 /*
  * The part of total that belongs to the seats whose bits are set, for that
  * minion. What does not divide evenly falls to different seats for different
@@ -71,7 +73,7 @@
 	int64_t next_start_ms; /* the pause of a limit below one */
 	int64_t next_cut_ms;
 	double run_ms; /* running mean */
-	double median_ms; /* of answers under a full share */
+	wwh_quantile_t median_ms; /* of answers under a full share */
 	double least_median_ms;
 	int32_t answers; /* since the last look at the median */
 } wwh_limiter_t;
--- a/src/libwaxwinghollow/admission.c
+++ b/src/libwaxwinghollow/admission.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <math.h>
 
-#include "private/estimate.h"
+#include "waxwinghollow/estimate.h"
 #include "private/heap.h"
 
 #define WAIT_MARGIN 1.25
@@ -11,6 +11,8 @@
 #define STANDING_PART 0.2
 #define COST_ROWS 256 /* callers that share a row share an estimate */
 #define COST_WEIGHT 0.2
+#define MEAN_WEIGHT 0.05
+#define RATE_SLACK 1.2
 #define FIRST_RUN_MS 50.0 /* until the first answer */
 #define RETRY_AFTER_MAX_MS 60000
 #define CLASS_COUNT 2
@@ -49,6 +51,7 @@
 	double capacity;
 	wwh_quantile_t median;
 	wwh_quantile_t p90;
+	double mean_ms; /* 0: no sample yet */
 	double cost_ms[COST_ROWS];
 };
 
@@ -206,6 +209,9 @@
 
 	wwh_quantile_add(&admission->median, 0.5, run_ms);
 	wwh_quantile_add(&admission->p90, 0.9, run_ms);
+	if (admission->mean_ms <= 0)
+		admission->mean_ms = run_ms;
+	admission->mean_ms += MEAN_WEIGHT * (run_ms - admission->mean_ms);
 	if (*cost <= 0)
 		*cost = run_ms;
 	else
@@ -301,16 +307,23 @@
 
 static double prior_per_ms(const wwh_admission_t *admission)
 {
-	double run_ms = admission->median.value > 0 ? admission->median.value
-						    : FIRST_RUN_MS;
+	double run_ms =
+		admission->mean_ms > 0 ? admission->mean_ms : FIRST_RUN_MS;
 	double slots = admission->capacity > 0 ? admission->capacity : 0.01;
 
 	return slots / run_ms;
 }
 
+/*
+ * Attempts that fail at once empty the queue quickly without an answer; after
+ * an outage their rate would let in much more than can be served. Slots over
+ * run time (Little's law) bounds it.
+ */
 static double class_rate(const wwh_admission_t *admission, const class_t *class)
 {
-	return wwh_rate_per_ms(&class->drain, prior_per_ms(admission));
+	double bound = prior_per_ms(admission);
+
+	return fmin(wwh_rate_per_ms(&class->drain, bound), RATE_SLACK * bound);
 }
 
 /*
--- a/src/libwaxwinghollow/dispatch_dump.c
+++ b/src/libwaxwinghollow/dispatch_dump.c
@@ -98,6 +98,6 @@
 	show(&own, "started", minion->started);
 	show(&own, "failed", minion->failed);
 	show(&own, "refused", minion->refused);
-	show(&own, "run_mean_ms", (int64_t)minion->ejection.run_ms);
+	show(&own, "run_median_ms", (int64_t)minion->ejection.run_ms.value);
 	show(&own, "blocked_until_ms", minion->blocked_until_ms);
 }
--- a/src/libwaxwinghollow/dispatch_loan.c
+++ b/src/libwaxwinghollow/dispatch_loan.c
@@ -3,9 +3,11 @@
 #include "private/dispatch_state.h"
 
 #define TELL_AGAIN_MS 1000
-#define RESERVE_PART 8 /* of the service's slots, kept by a lender */
+#define RESERVE_PART 8
 
 static int32_t wanted_slots(const wwh_minion_record_t *minion, int64_t now_ms);
+static int32_t lent_before(const wwh_service_state_t *service,
+			   const wwh_minion_record_t *minion);
 static int32_t unused_slots(const wwh_minion_record_t *minion);
 static void return_idle(wwh_minion_record_t *minion, uint64_t peer);
 static int32_t lendable(const wwh_minion_record_t *minion);
@@ -97,9 +99,29 @@
 	waiting = wwh_admission_waiting(service->admission);
 	if (waiting == 0)
 		return 0;
+	/* One that waits needs one slot back, not one of each minion. */
+	if (wwh_loan_lent(minion->loans) > 0)
+		return lent_before(service, minion) < waiting ? 1 : 0;
 	return MIN(1 + waiting / (int32_t)service->minions->len, minion->slots);
 }
 
+/* Minions of the service before this one of which slots are lent. */
+static int32_t lent_before(const wwh_service_state_t *service,
+			   const wwh_minion_record_t *minion)
+{
+	int32_t lent = 0;
+
+	for (guint i = 0; i < service->minions->len; i++) {
+		const wwh_minion_record_t *other =
+			g_ptr_array_index(service->minions, i);
+
+		if (other == minion)
+			break;
+		lent += wwh_loan_lent(other->loans) > 0;
+	}
+	return lent;
+}
+
 static int32_t unused_slots(const wwh_minion_record_t *minion)
 {
 	return MAX(minion->limiter.share - minion->limiter.running, 0);
--- a/src/libwaxwinghollow/dispatch_run.c
+++ b/src/libwaxwinghollow/dispatch_run.c
@@ -222,7 +222,7 @@
 		routed[i].has_room = has_room(minion, now_ms);
 		routed[i].own_zone = minion->own_zone;
 		routed[i].running = minion->limiter.running;
-		routed[i].run_ms = minion->ejection.run_ms;
+		routed[i].run_ms = minion->ejection.run_ms.value;
 		routed[i].avoid =
 			was_tried(request, minion) ||
 			wwh_router_stalled(now_ms, minion->limiter.running,
--- a/src/libwaxwinghollow/dispatch_setup.c
+++ b/src/libwaxwinghollow/dispatch_setup.c
@@ -68,7 +68,7 @@
 			g_ptr_array_index(dispatch->service_list, i);
 
 		wwh_shift_bucket_resize(&service->ejections,
-					MAX(service->minions->len / 3, 1));
+					MAX(service->minions->len / 2, 1));
 		if (!service->configured)
 			end_unconfigured(dispatch, now_ms, service);
 		wwh_dispatch_capacity(service);
--- a/src/libwaxwinghollow/ejection.c
+++ b/src/libwaxwinghollow/ejection.c
@@ -4,8 +4,6 @@
 #include <glib.h>
 #include <math.h>
 
-#include "private/estimate.h"
-
 #define HALF_LIFE_MS 5000.0
 #define ROW_BOUND 3
 #define CHANCE 1e-5
@@ -49,18 +47,18 @@
 				 int32_t index, int64_t now_ms);
 static void put_out(wwh_ejection_t *ejection, int64_t now_ms, bool slow);
 static void bring_back(wwh_ejection_t *ejection, int64_t now_ms);
+static double median_of(double *values, int32_t count);
 static int compare_doubles(const void *a, const void *b);
 
 void wwh_ejection_init(wwh_ejection_t *ejection, int64_t returned_ms)
 {
-	*ejection = (wwh_ejection_t){ .returned_ms = returned_ms };
+	*ejection = (wwh_ejection_t){ .returned_ms = returned_ms,
+				      .run_ms.coarse = true };
 }
 
 void wwh_ejection_observe(wwh_ejection_t *ejection, int64_t now_ms,
 			  wwh_sign_t sign, int32_t run_ms)
 {
-	wwh_quantile_t median;
-
 	decay(ejection, now_ms);
 	switch (sign) {
 	case WWH_SIGN_GOOD:
@@ -68,9 +66,7 @@
 		ejection->good += 1;
 		ejection->answers++;
 		ejection->good_probes++;
-		median.value = ejection->run_ms;
-		wwh_quantile_add(&median, 0.5, run_ms);
-		ejection->run_ms = median.value;
+		wwh_quantile_add(&ejection->run_ms, 0.5, run_ms);
 		break;
 	case WWH_SIGN_FAILED:
 		ejection->in_a_row++;
@@ -133,7 +129,7 @@
 	ejection->good_probes = 0;
 	/* The probe's own run time is what counts now. */
 	if (ejection->for_slowness)
-		ejection->run_ms = 0;
+		ejection->run_ms = (wwh_quantile_t){ .coarse = true };
 }
 
 bool wwh_ejection_usable(const wwh_ejection_t *ejection, int32_t running)
@@ -176,19 +172,32 @@
 	       pow(share, own->in_a_row) < CHANCE;
 }
 
+/*
+ * The median of the peers' shares of failed attempts. The sum over all would
+ * call a lost zone, four minions of ten, an outage of the service, and keep
+ * the last of the four in use.
+ */
 static double peers_failed_share(wwh_ejection_t *const *minions, int32_t count,
 				 int32_t index, int64_t now_ms)
 {
-	double good = 0, failed = 0;
+	double shares[MINIONS_MAX];
+	int32_t found = 0;
+
+	for (int32_t i = 0; i < count && found < MINIONS_MAX; i++) {
+		wwh_ejection_t *peer = minions[i];
 
-	for (int32_t i = 0; i < count; i++) {
-		if (i == index || minions[i]->state != WWH_EJECTION_IN)
+		if (i == index)
 			continue;
-		decay(minions[i], now_ms);
-		good += minions[i]->good;
-		failed += minions[i]->failed;
+		decay(peer, now_ms);
+		shares[found] = 0;
+		if (peer->failed > 0)
+			shares[found] =
+				peer->failed / (peer->good + peer->failed);
+		if (peer->state != WWH_EJECTION_IN)
+			shares[found] = 1;
+		found++;
 	}
-	return failed > 0 ? failed / (good + failed) : 0;
+	return found == 0 ? 1 : median_of(shares, found);
 }
 
 /* 0 when too few peers have answered. */
@@ -200,22 +209,21 @@
 
 	for (int32_t i = 0; i < count && found < MINIONS_MAX; i++) {
 		if (i == index || minions[i]->state != WWH_EJECTION_IN ||
-		    minions[i]->run_ms <= 0)
+		    minions[i]->run_ms.value <= 0)
 			continue;
-		run_ms[found] = minions[i]->run_ms;
+		run_ms[found] = minions[i]->run_ms.value;
 		found++;
 	}
 	if (found < 2)
 		return 0;
-	qsort(run_ms, (size_t)found, sizeof(*run_ms), compare_doubles);
-	return run_ms[found / 2];
+	return median_of(run_ms, found);
 }
 
 static bool slower(const wwh_ejection_t *ejection, double median_ms,
 		   double factor)
 {
-	return median_ms > 0 && ejection->run_ms > factor * median_ms &&
-	       ejection->run_ms > median_ms + SLOW_MIN_MS;
+	return median_ms > 0 && ejection->run_ms.value > factor * median_ms &&
+	       ejection->run_ms.value > median_ms + SLOW_MIN_MS;
 }
 
 static int32_t out_count(wwh_ejection_t *const *minions, int32_t count)
@@ -253,6 +261,12 @@
 	ejection->for_slowness = false;
 }
 
+static double median_of(double *values, int32_t count)
+{
+	qsort(values, (size_t)count, sizeof(*values), compare_doubles);
+	return values[count / 2];
+}
+
 static int compare_doubles(const void *a, const void *b)
 {
 	double x = *(const double *)a;
--- a/src/libwaxwinghollow/estimate.c
+++ b/src/libwaxwinghollow/estimate.c
@@ -1,22 +1,30 @@
-#include "private/estimate.h"
+#include "waxwinghollow/estimate.h"
 
 #include <math.h>
 
-#define QUANTILE_STEP 0.2
+#define QUANTILE_FIRST_STEP 0.2
+#define QUANTILE_STEP 0.05
+#define QUANTILE_FIRST_SAMPLES 16
 #define QUANTILE_FLOOR 0.5 /* below a clock's step nothing is known */
 #define HALF_LIFE_MS 2000.0
 #define PRIOR_EVENTS 4.0
 
 void wwh_quantile_add(wwh_quantile_t *quantile, double fraction, double sample)
 {
+	double step = QUANTILE_STEP;
+
 	if (sample < QUANTILE_FLOOR)
 		sample = QUANTILE_FLOOR;
+	if (quantile->samples < QUANTILE_FIRST_SAMPLES) {
+		quantile->samples += !quantile->coarse;
+		step = QUANTILE_FIRST_STEP;
+	}
 	if (quantile->value <= 0)
 		quantile->value = sample;
 	else if (sample > quantile->value)
-		quantile->value *= 1 + QUANTILE_STEP * fraction;
+		quantile->value *= 1 + step * fraction;
 	else
-		quantile->value *= 1 - QUANTILE_STEP * (1 - fraction);
+		quantile->value *= 1 - step * (1 - fraction);
 }
 
 void wwh_rate_advance(wwh_rate_t *rate, int64_t now_ms, bool busy)
--- a/src/libwaxwinghollow/limiter.c
+++ b/src/libwaxwinghollow/limiter.c
@@ -4,8 +4,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "private/estimate.h"
-
 #define CUT_FACTOR 0.7
 #define RAISE_STEP 0.05
 #define LIMIT_FLOOR 0.0625 /* with 8 processes: half a request in all */
@@ -91,10 +89,7 @@
 		limiter->run_ms += RUN_WEIGHT * (run_ms - limiter->run_ms);
 		raise_limit(limiter);
 		if (was_full) {
-			wwh_quantile_t median = { limiter->median_ms };
-
-			wwh_quantile_add(&median, 0.5, run_ms);
-			limiter->median_ms = median.value;
+			wwh_quantile_add(&limiter->median_ms, 0.5, run_ms);
 			limiter->answers++;
 			look_at_median(limiter);
 		}
@@ -120,9 +115,10 @@
 	limiter->answers = 0;
 	limiter->least_median_ms *= LEAST_DRIFT;
 	if (limiter->least_median_ms <= 0 ||
-	    limiter->median_ms < limiter->least_median_ms)
-		limiter->least_median_ms = limiter->median_ms;
-	if (limiter->median_ms > SLOWER_FACTOR * limiter->least_median_ms &&
+	    limiter->median_ms.value < limiter->least_median_ms)
+		limiter->least_median_ms = limiter->median_ms.value;
+	if (limiter->median_ms.value >
+		    SLOWER_FACTOR * limiter->least_median_ms &&
 	    limiter->limit > SLOWER_FLOOR * limiter->share)
 		limiter->limit *= SLOWER_CUT;
 }
--- a/src/test_bench/bench_load.c
+++ b/src/test_bench/bench_load.c
@@ -1,6 +1,7 @@
 /*
  * bench_load - the decisions under load, on a virtual clock, against
- * baselines. Options: --seed N, --pattern TEXT, --policy TEXT. The same seed
+ * baselines. Options: --seed N, --pattern TEXT, --policy TEXT,
+ * --series. The same seed
  * gives the same output.
  */
 
@@ -32,12 +33,15 @@
 	gint seed = DEFAULT_SEED;
 	gchar *only_pattern = NULL;
 	gchar *only_policy = NULL;
+	gboolean series = FALSE;
 	const GOptionEntry entries[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "random seed", "N" },
 		{ "pattern", 0, 0, G_OPTION_ARG_STRING, &only_pattern,
 		  "only patterns with this text in their name", "TEXT" },
 		{ "policy", 0, 0, G_OPTION_ARG_STRING, &only_policy,
 		  "only this policy", "TEXT" },
+		{ "series", 0, 0, G_OPTION_ARG_NONE, &series,
+		  "show each second, too", NULL },
 		{ NULL }
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -63,6 +67,8 @@
 			result =
 				sim_run(&pattern, &policies[k], (uint32_t)seed);
 			report_line(&pattern, policies[k].name, &result);
+			if (series)
+				report_series(&pattern, &result);
 			g_array_free(result.latency, TRUE);
 			g_array_free(result.refusal, TRUE);
 			fflush(stdout);
--- a/src/test_bench/include/report.h
+++ b/src/test_bench/include/report.h
@@ -135,6 +135,31 @@
 	       "bad-gone", "slots");
 }
 
+/* What happened in each second: for the course of an outage. */
+static inline void report_series(const pattern_t *pattern,
+				 const sim_result_t *result)
+{
+	const int32_t step = 1000 / SIM_SAMPLE_MS;
+
+	printf("second arrived starts answered refused harmed\n");
+	for (int32_t s = 0; s * 1000 < pattern->duration_ms; s++) {
+		int32_t arrived = 0, starts = 0, answered = 0;
+		int32_t refused = 0, harmed = 0;
+
+		for (int32_t i = s * step; i < (s + 1) * step; i++) {
+			starts += result->to_all[i];
+			answered += result->answered[i];
+			refused += result->refused_in[i];
+			harmed += result->harmed_in[i];
+		}
+		for (int32_t i = s * 1000 / SIM_BUCKET_MS;
+		     i < (s + 1) * 1000 / SIM_BUCKET_MS; i++)
+			arrived += result->offered_at[i];
+		printf("%6d %7d %6d %8d %7d %6d\n", s, arrived, starts,
+		       answered, refused, harmed);
+	}
+}
+
 static inline void report_line(const pattern_t *pattern, const char *policy,
 			       sim_result_t *result)
 {
--- a/src/test_bench/include/sim.h
+++ b/src/test_bench/include/sim.h
@@ -157,6 +157,9 @@
 	double answered_by[SIM_CALLERS_MAX];
 	int32_t to_bad[SIM_SAMPLES_MAX]; /* starts to faulty minions */
 	int32_t to_all[SIM_SAMPLES_MAX];
+	int32_t answered[SIM_SAMPLES_MAX]; /* in time */
+	int32_t refused_in[SIM_SAMPLES_MAX];
+	int32_t harmed_in[SIM_SAMPLES_MAX];
 } sim_result_t;
 
 typedef void (*sim_action_t)(sim_t *sim, double now, void *data, int64_t n);
@@ -342,6 +345,12 @@
 		sim_at(sim, now + wait, sim_return, request,
 		       request->tries_left - 1);
 	}
+	if (good)
+		result->answered[sim_sample(now)]++;
+	else if (request->attempts == 0)
+		result->refused_in[sim_sample(now)]++;
+	else
+		result->harmed_in[sim_sample(now)]++;
 	if (good && now <= request->deadline + 1 &&
 	    now >= (double)sim->pattern->warm_up_ms &&
 	    now < (double)sim->pattern->duration_ms)
