Judge slow minions by a row of slow answers; return at once after an outage

Cause: after an outage, old failures ejected minions that had just answered, and half of a service ramped up for seconds while callers were refused; a minion ten times slower than its peers was found only after 8 s. Ruled out: smaller steps of the median for slowness (8 s to find it). Conclusion: while the median peer fails it is an outage, treated as such.

--- a/include/waxwinghollow/admission.h
+++ b/include/waxwinghollow/admission.h
@@ -19,8 +19,8 @@
  *	- A request whose expected wait would outlast its deadline is refused
  *	  when it arrives. The expected wait is its place in the fair order,
  *	  divided by the drain rate measured while something waited. A margin
- *	  of 5/4 covers the spread of that measure: below 1 many admitted
- *	  requests end late, far above it slots go idle.
+ *	  of 3/2 covers the spread of that measure and of the order: below 1
+ *	  many admitted requests end late, far above it slots go idle.
  *	- In a burst, all of the time up to the deadline may be spent waiting.
  *	  Once something has waited without a break for a whole deadline, the
  *	  queue is a standing one, and the expected wait let in sinks to a
--- a/include/waxwinghollow/ejection.h
+++ b/include/waxwinghollow/ejection.h
@@ -24,8 +24,11 @@
  *	  rate of failures would make it by chance less than once in 100 000
  *	  times: with a tenth of all requests failing, three in a row are
  *	  ordinary and five are not.
- *	- Slow: median run time above four times the median of its peers' and
- *	  20 ms more, over at least 16 answers; it is back below twice.
+ *	- Slow: an answer is slow above four times the peers' median run time
+ *	  and 20 ms more. Five more slow answers than others are enough where
+ *	  6% of the peers' are slow (exponential run times); where more are,
+ *	  as with long work among short, it takes more, by the same rule of
+ *	  once in 100 000. It is back when a probe is below twice the median.
  *	- Never more than half of a service's minions, and no faster than the
  *	  service's bucket allows (shift.h), so a service always keeps
  *	  capacity.
@@ -33,8 +36,9 @@
  *	  request at a time is sent there as a probe. Two good ones bring it
  *	  back with a slow start, a bad one sends it out again. With 8
  *	  processes, 8 s means one failed request a second, and a minion that
- *	  is well again is used again within 8 s; the time does not grow while
- *	  the peers fail too. A fixed time
+ *	  is well again is used again within 8 s. While the median peer fails
+ *	  too, it is an outage of the service: a probe each 250 ms, and one
+ *	  good one brings it back at once and fully, for all return together. A fixed time
  *	  without a probe (the cooldown of "Retries, fallbacks and cooldowns")
  *	  sends a full share to a minion that is still bad, at each end of the
  *	  time: docs/measurements/load.md compares them.
@@ -82,8 +86,12 @@
 	double failed;
 	int64_t at_ms;
 	wwh_quantile_t run_ms; /* median: a few long runs don't count as slow */
-	int32_t answers; /* since it was back */
+	int32_t last_run_ms;
+	bool fresh; /* last_run_ms was not judged yet */
+	double late_share; /* of recent answers were slow */
+	int32_t late_score; /* slow answers less the others */
 	bool for_slowness;
+	bool in_outage; /* its peers failed, too, when it last did */
 } wwh_ejection_t;
 
 /* returned_ms: WWH_SHIFT_NO_RAMP for no slow start. */
--- a/include/waxwinghollow/retry.h
+++ b/include/waxwinghollow/retry.h
@@ -23,8 +23,7 @@
  *	attempt, at most 10 are saved up. In a full outage this holds the
  *	attempts below 1.1 a request (1.08 and the ten saved ones); a single
  *	failing minion out of ten costs about 3 retries a process before it is
- *	ejected, which the ten saved ones cover. A minion on trial (a probe)
- *	costs no budget: probes are limited by ejection.h.
+ *	ejected, which the ten saved ones cover.
  *
  *	A retry goes to another minion at once. Where there is no other, it
  *	waits: for the minion's Retry-After, else 50 ms doubled for each
@@ -51,7 +50,6 @@
 	bool idempotent;
 	bool answer_begun;
 	bool may_have_run; /* by an earlier attempt */
-	bool was_probe;
 	bool other_minion; /* another one is usable */
 	int32_t attempts; /* made so far */
 	int32_t attempts_max;
--- a/src/libwaxwinghollow/admission.c
+++ b/src/libwaxwinghollow/admission.c
@@ -6,7 +6,7 @@
 #include "waxwinghollow/estimate.h"
 #include "private/heap.h"
 
-#define WAIT_MARGIN 1.25
+#define WAIT_MARGIN 1.5
 #define BURST_DEADLINES 1.0
 #define STANDING_PART 0.2
 #define COST_ROWS 256 /* callers that share a row share an estimate */
--- a/src/libwaxwinghollow/dispatch_run.c
+++ b/src/libwaxwinghollow/dispatch_run.c
@@ -7,12 +7,15 @@
 #define TIMEOUT_RUNS 8 /* usual p90 run times an attempt may take */
 #define TIMEOUT_CALLER_RUNS 4 /* mean run times of that caller */
 #define RAMP_STEP_MS 100
+#define PROBE_ANY_MS 2000
 #define HAD_TIME_RUNS 3 /* p90 run times: 0.1% of exponential ones */
 
 static wwh_minion_record_t *choose(wwh_dispatch_t *dispatch, int64_t now_ms,
 				   const wwh_service_state_t *service,
 				   const wwh_request_record_t *request);
 static bool has_room(wwh_minion_record_t *minion, int64_t now_ms);
+static bool may_probe(const wwh_request_record_t *request,
+		      const wwh_minion_record_t *minion, int64_t now_ms);
 static double ramp_of(const wwh_minion_record_t *minion, int64_t now_ms);
 static bool was_tried(const wwh_request_record_t *request,
 		      const wwh_minion_record_t *minion);
@@ -110,7 +113,6 @@
 	attempt.idempotent = request->idempotent;
 	attempt.answer_begun = result->answer_begun;
 	attempt.may_have_run = request->may_have_run;
-	attempt.was_probe = request->on_probe;
 	attempt.other_minion = other_usable(request, minion, now_ms);
 	attempt.attempts = request->attempts;
 	attempt.attempts_max = dispatch->options.attempts_max;
@@ -219,7 +221,8 @@
 		wwh_minion_record_t *minion =
 			g_ptr_array_index(service->minions, i);
 
-		routed[i].has_room = has_room(minion, now_ms);
+		routed[i].has_room = has_room(minion, now_ms) &&
+				     may_probe(request, minion, now_ms);
 		routed[i].own_zone = minion->own_zone;
 		routed[i].running = minion->limiter.running;
 		routed[i].run_ms = minion->ejection.run_ms.value;
@@ -245,6 +248,19 @@
 	return wwh_limiter_has_room(&minion->limiter, now_ms, ramp);
 }
 
+/*
+ * A request that can't be tried again is the last choice for a probe: only
+ * when no idempotent one has come for a while.
+ */
+static bool may_probe(const wwh_request_record_t *request,
+		      const wwh_minion_record_t *minion, int64_t now_ms)
+{
+	const wwh_ejection_t *ejection = &minion->ejection;
+
+	return ejection->state != WWH_EJECTION_TRIAL || request->idempotent ||
+	       now_ms - ejection->until_ms > PROBE_ANY_MS;
+}
+
 /*
  * Relative to the most settled minion of the service: when all are new, as
  * after an outage, there is no settled one to spare them for.
@@ -288,7 +304,6 @@
 		wwh_retry_first_attempt(&service->budget);
 	request->attempts++;
 	request->minion = minion;
-	request->on_probe = minion->ejection.state == WWH_EJECTION_TRIAL;
 	request->state = WWH_REQUEST_RUNNING;
 	if (minion->limiter.running == 0)
 		minion->quiet_since_ms = now_ms;
@@ -298,7 +313,7 @@
 	service->running++;
 	dispatch->running++;
 	decision.request = request->id;
-	decision.probe = request->on_probe;
+	decision.probe = minion->ejection.state == WWH_EJECTION_TRIAL;
 	decision.connections = MAX(minion->seat_connections +
 					   wwh_loan_borrowed(minion->loans) -
 					   wwh_loan_lent(minion->loans),
--- a/src/libwaxwinghollow/ejection.c
+++ b/src/libwaxwinghollow/ejection.c
@@ -14,9 +14,12 @@
 #define SLOW_FACTOR 4.0
 #define SLOW_BACK_FACTOR 2.0
 #define SLOW_MIN_MS 20.0
-#define SLOW_ANSWERS 16
+#define LATE_WEIGHT 0.05
+#define LATE_SCORE_MIN 4
+#define LATE_SHARE_MIN 0.06 /* exponential run times */
 #define OUT_FIRST_MS 1000
 #define OUT_MAX_MS 8000
+#define OUT_IN_OUTAGE_MS 250
 #define RETURN_RAMP_MS 3000
 #define FORGET_MS 60000 /* in, without trouble: the doubling starts anew */
 #define PROBES_GOOD 2
@@ -40,6 +43,8 @@
 		  int64_t now_ms);
 static double peers_median_ms(wwh_ejection_t *const *minions, int32_t count,
 			      int32_t index);
+static bool is_slow(wwh_ejection_t *const *minions, int32_t count,
+		    int32_t index, double median_ms);
 static bool slower(const wwh_ejection_t *ejection, double median_ms,
 		   double factor);
 static int32_t out_count(wwh_ejection_t *const *minions, int32_t count);
@@ -64,9 +69,10 @@
 	case WWH_SIGN_GOOD:
 		ejection->in_a_row = 0;
 		ejection->good += 1;
-		ejection->answers++;
 		ejection->good_probes++;
 		wwh_quantile_add(&ejection->run_ms, 0.5, run_ms);
+		ejection->last_run_ms = run_ms;
+		ejection->fresh = true;
 		break;
 	case WWH_SIGN_FAILED:
 		ejection->in_a_row++;
@@ -97,19 +103,19 @@
 		if (ejection->in_a_row > 0 ||
 		    (ejection->for_slowness && ejection->good_probes > 0 &&
 		     slower(ejection, median_ms, SLOW_BACK_FACTOR))) {
-			/* In an outage of all, waiting longer helps nobody. */
-			if (peers_failed_share(minions, count, index, now_ms) >=
-			    PEERS_FAILED_SHARE)
-				ejection->times = 0;
+			ejection->in_outage =
+				peers_failed_share(minions, count, index,
+						   now_ms) >=
+				PEERS_FAILED_SHARE;
 			put_out(ejection, now_ms, ejection->for_slowness);
 			return true;
 		}
-		if (ejection->good_probes >= PROBES_GOOD)
+		if (ejection->good_probes >= PROBES_GOOD ||
+		    (ejection->in_outage && ejection->good_probes > 0))
 			bring_back(ejection, now_ms);
 		return false;
 	}
-	slow = ejection->answers >= SLOW_ANSWERS &&
-	       slower(ejection, median_ms, SLOW_FACTOR);
+	slow = is_slow(minions, count, index, median_ms);
 	if (!slow && !fails(minions, count, index, now_ms))
 		return false;
 	if ((out_count(minions, count) + 1) * 2 > count)
@@ -154,6 +160,40 @@
 		ejection->times = 0;
 }
 
+/*
+ * Whether so many answers were slow, one for one more than the others, that
+ * the peers' rate of slow answers would hardly ever make it. The median of
+ * run times alone would need some 20 answers of a minion that gives three a
+ * second.
+ */
+static bool is_slow(wwh_ejection_t *const *minions, int32_t count,
+		    int32_t index, double median_ms)
+{
+	wwh_ejection_t *own = minions[index];
+	double shares[MINIONS_MAX];
+	int32_t found = 0;
+	bool late;
+
+	if (!own->fresh)
+		return false;
+	own->fresh = false;
+	late = median_ms > 0 && own->last_run_ms > SLOW_FACTOR * median_ms &&
+	       own->last_run_ms > median_ms + SLOW_MIN_MS;
+	own->late_share += LATE_WEIGHT * (late - own->late_share);
+	own->late_score =
+		late ? own->late_score + 1 : MAX(own->late_score - 1, 0);
+	if (own->late_score < LATE_SCORE_MIN)
+		return false;
+	for (int32_t i = 0; i < count && found < MINIONS_MAX; i++) {
+		if (i == index || minions[i]->state != WWH_EJECTION_IN)
+			continue;
+		shares[found] = MAX(minions[i]->late_share, LATE_SHARE_MIN);
+		found++;
+	}
+	return found > 0 &&
+	       pow(median_of(shares, found), own->late_score) < CHANCE;
+}
+
 static bool fails(wwh_ejection_t *const *minions, int32_t count, int32_t index,
 		  int64_t now_ms)
 {
@@ -161,6 +201,9 @@
 	double total = own->good + own->failed;
 	double share;
 
+	/* After a good answer, old failures are no reason. */
+	if (own->in_a_row == 0)
+		return false;
 	if (own->in_a_row < ROW_BOUND &&
 	    (total < ATTEMPTS_MIN || own->failed < FAILED_SHARE * total))
 		return false;
@@ -241,11 +284,14 @@
 
 	for (int32_t i = 0; i < ejection->times && out_ms < OUT_MAX_MS; i++)
 		out_ms *= 2;
-	ejection->times++;
+	if (ejection->in_outage)
+		out_ms = OUT_IN_OUTAGE_MS;
+	else
+		ejection->times++;
 	ejection->state = WWH_EJECTION_OUT;
 	ejection->until_ms = now_ms + MIN(out_ms, OUT_MAX_MS);
 	ejection->for_slowness = slow;
-	ejection->answers = 0;
+	ejection->late_score = 0;
 }
 
 static void bring_back(wwh_ejection_t *ejection, int64_t now_ms)
@@ -253,11 +299,13 @@
 	ejection->state = WWH_EJECTION_IN;
 	/* Out for seconds only, it is still warm: the end of the ramp. */
 	ejection->returned_ms = now_ms - WWH_SHIFT_RAMP_MS + RETURN_RAMP_MS;
+	if (ejection->in_outage)
+		ejection->returned_ms = WWH_SHIFT_NO_RAMP;
+	ejection->in_outage = false;
 	ejection->until_ms = now_ms;
 	ejection->in_a_row = 0;
 	ejection->good = 0;
 	ejection->failed = 0;
-	ejection->answers = 0;
 	ejection->for_slowness = false;
 }
 
--- a/src/libwaxwinghollow/include/private/dispatch_state.h
+++ b/src/libwaxwinghollow/include/private/dispatch_state.h
@@ -49,7 +49,6 @@
 	wwh_team_state_t *team; /* NULL: none */
 	bool idempotent;
 	bool may_have_run;
-	bool on_probe;
 	wwh_request_state_t state;
 	wwh_waiting_t waiting;
 	wwh_heap_node_t timer; /* give up, or retry */
--- a/src/libwaxwinghollow/retry.c
+++ b/src/libwaxwinghollow/retry.c
@@ -28,18 +28,17 @@
 				      GRand *random)
 {
 	wwh_retry_decision_t decision = { 0 };
-	double cost = attempt->was_probe ? 0 : 1;
 
 	decision.may_have_run =
 		attempt->may_have_run || !wwh_retry_not_run(attempt->outcome);
 	decision.kind = wwh_retry_truthful(kind_of(attempt->outcome),
 					   attempt->may_have_run);
-	if (!may_repeat(attempt) || budget->tokens < cost)
+	if (!may_repeat(attempt) || budget->tokens < 1)
 		return decision;
 	decision.delay_ms = delay_ms(attempt, random);
 	if (decision.delay_ms + attempt->usual_run_ms >= attempt->remaining_ms)
 		return decision;
-	budget->tokens -= cost;
+	budget->tokens -= 1;
 	decision.again = true;
 	return decision;
 }
