--- a/src/libwaxwinghollow/config_csv.c
+++ b/src/libwaxwinghollow/config_csv.c
@@ -196,10 +196,6 @@
 static void bad_cell(wwh_csv_source_t *source, const char *name,
 		     const char *cell, const char *expected)
 {
-	char *one_line = g_strdelimit(g_strdup(cell), "\r\n\t", ' ');
-
 	wwh_report_error(source->report, source->file, source->line,
-			 "'%s' is '%.60s', expected %s", name, one_line,
-			 expected);
-	g_free(one_line);
+			 "'%s' is '%.60s', expected %s", name, cell, expected);
 }
--- a/src/libwaxwinghollow/report.c
+++ b/src/libwaxwinghollow/report.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <stdarg.h>
 
+static char *one_line(char *text);
+
 void wwh_report_error(wwh_report_t *report, const char *file, int32_t line,
 		      const char *format, ...)
 {
@@ -13,7 +15,7 @@
 	if (report->error == NULL)
 		return;
 	va_start(args, format);
-	text = g_strdup_vprintf(format, args);
+	text = one_line(g_strdup_vprintf(format, args));
 	va_end(args);
 	report->error(file, line, text, report->client_data);
 	g_free(text);
@@ -23,3 +25,19 @@
 {
 	return report->count == 0 ? WWH_STATUS_OK : WWH_STATUS_BAD_INPUT;
 }
+
+/*
+ * Names and values come from the file. A line end or escape sequence in them
+ * would make two lines of one error, or write on the operator's terminal.
+ */
+static char *one_line(char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+
+	g_free(text);
+	for (char *at = valid; *at != '\0'; at++) {
+		if (g_ascii_iscntrl(*at))
+			*at = ' ';
+	}
+	return valid;
+}
--- a/src/test_config/test_config.c
+++ b/src/test_config/test_config.c
@@ -264,6 +264,8 @@
 		cmocka_unit_test(unchanged_items_are_shared_between_versions),
 		cmocka_unit_test(malformed_changes_are_refused),
 		cmocka_unit_test(bad_inputs_are_reported_with_their_lines),
+		cmocka_unit_test(
+			the_check_of_budgets_agrees_with_the_conductor),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_config/test_config.h
+++ b/src/test_config/test_config.h
@@ -17,5 +17,6 @@
 		  void *client_data);
 
 void bad_inputs_are_reported_with_their_lines(void **unused);
+void the_check_of_budgets_agrees_with_the_conductor(void **unused);
 
 #endif
