Conduct waves, moves, rehearsals and jobs from the log-ordered state

Cause: what operators start has to be carried out by whichever process holds the lease, through crashes, freezes, lost answers and failures in mid-wave. Ruled out: giving a worker back under its grant's own offset, since a process that wakes up could then reboot a worker that serves again; deciding the next step from a command's answer, since answers get lost; waiting for requests in progress without a limit, since one hung request would hold the wave.

--- a/include/waxwinghollow/fleet_view.h
+++ b/include/waxwinghollow/fleet_view.h
@@ -116,6 +116,7 @@
 	const char *id;
 	wwh_domain_t domain;
 	const char *domain_id;
+	int64_t offset; /* of its start */
 	bool running;
 } wwh_fleet_rehearsal_t;
 
@@ -160,6 +161,14 @@
 int32_t wwh_fleet_view_add_rehearsal(wwh_fleet_view_t *view,
 				     const wwh_fleet_rehearsal_t *rehearsal);
 
+void wwh_fleet_view_add_window(wwh_fleet_view_t *view,
+			       const wwh_window_t *window);
+void wwh_fleet_view_add_team(wwh_fleet_view_t *view, const wwh_team_t *team);
+void wwh_fleet_view_set_rules(wwh_fleet_view_t *view, const wwh_rules_t *rules);
+
+/* The last record that the view was made from. */
+void wwh_fleet_view_set_offset(wwh_fleet_view_t *view, int64_t offset);
+
 /* A copy of text that lives as long as the view. */
 const char *wwh_fleet_view_keep(wwh_fleet_view_t *view, const char *text);
 
@@ -186,6 +195,12 @@
 wwh_fleet_rehearsal_t *wwh_fleet_rehearsal(const wwh_fleet_view_t *view,
 					   int32_t index);
 
+const wwh_window_t *wwh_fleet_windows(const wwh_fleet_view_t *view,
+				      int32_t *count);
+const wwh_team_t *wwh_fleet_teams(const wwh_fleet_view_t *view, int32_t *count);
+const wwh_rules_t *wwh_fleet_rules(const wwh_fleet_view_t *view);
+int64_t wwh_fleet_offset(const wwh_fleet_view_t *view);
+
 /* Index of the pool's member at position, below the pool's size. */
 int32_t wwh_fleet_member(const wwh_fleet_view_t *view, int32_t pool,
 			 int32_t position);
--- a/include/waxwinghollow/placement.h
+++ b/include/waxwinghollow/placement.h
@@ -86,6 +86,7 @@
 	WWH_REASON_PASS_LIMIT, /* in a later pass */
 	WWH_REASON_OVERLOAD, /* the worker uses more than it has */
 	WWH_REASON_URGENT, /* room for urgent work */
+	WWH_REASON_FAILS, /* it failed on every worker that it ran on */
 	WWH_REASON_COUNT
 } wwh_reason_t;
 
--- a/src/libwaxwinghollow/chart_files.S
+++ b/src/libwaxwinghollow/chart_files.S
@@ -23,6 +23,10 @@
 	chart entry
 	chart request
 	chart minion
+	chart worker
+	chart wave
+	chart move
+	chart job
 	.global wwh_chart_files_end
 wwh_chart_files_end:
 	.quad 0
--- a/src/libwaxwinghollow/fleet_view.c
+++ b/src/libwaxwinghollow/fleet_view.c
@@ -17,6 +17,10 @@
 	table_t jobs;
 	table_t waves;
 	table_t rehearsals;
+	GArray *windows; /* of wwh_window_t */
+	GArray *teams; /* of wwh_team_t */
+	wwh_rules_t rules;
+	int64_t offset;
 	int32_t *members; /* by pool */
 	int32_t *jobs_by_worker;
 	bool sealed;
@@ -56,6 +60,9 @@
 	table_init(&view->jobs, sizeof(wwh_fleet_job_t));
 	table_init(&view->waves, sizeof(wwh_fleet_wave_t));
 	table_init(&view->rehearsals, sizeof(wwh_fleet_rehearsal_t));
+	view->windows = g_array_new(FALSE, TRUE, sizeof(wwh_window_t));
+	view->teams = g_array_new(FALSE, TRUE, sizeof(wwh_team_t));
+	view->offset = WWH_NO_OFFSET;
 	return view;
 }
 
@@ -70,6 +77,8 @@
 	table_clear(&view->jobs);
 	table_clear(&view->waves);
 	table_clear(&view->rehearsals);
+	g_array_free(view->windows, TRUE);
+	g_array_free(view->teams, TRUE);
 	g_free(view->members);
 	g_free(view->jobs_by_worker);
 	g_string_chunk_free(view->strings);
@@ -157,6 +166,34 @@
 	return (int32_t)view->rehearsals.items->len - 1;
 }
 
+void wwh_fleet_view_add_window(wwh_fleet_view_t *view,
+			       const wwh_window_t *window)
+{
+	wwh_window_t item = *window;
+
+	item.id = (char *)keep(view, window->id);
+	item.pool = (char *)keep(view, window->pool);
+	g_array_append_val(view->windows, item);
+}
+
+void wwh_fleet_view_add_team(wwh_fleet_view_t *view, const wwh_team_t *team)
+{
+	wwh_team_t item = *team;
+
+	item.id = (char *)keep(view, team->id);
+	g_array_append_val(view->teams, item);
+}
+
+void wwh_fleet_view_set_rules(wwh_fleet_view_t *view, const wwh_rules_t *rules)
+{
+	view->rules = *rules;
+}
+
+void wwh_fleet_view_set_offset(wwh_fleet_view_t *view, int64_t offset)
+{
+	view->offset = offset;
+}
+
 const char *wwh_fleet_view_keep(wwh_fleet_view_t *view, const char *text)
 {
 	return keep(view, text);
@@ -252,6 +289,29 @@
 			      index);
 }
 
+const wwh_window_t *wwh_fleet_windows(const wwh_fleet_view_t *view,
+				      int32_t *count)
+{
+	*count = (int32_t)view->windows->len;
+	return (const wwh_window_t *)(const void *)view->windows->data;
+}
+
+const wwh_team_t *wwh_fleet_teams(const wwh_fleet_view_t *view, int32_t *count)
+{
+	*count = (int32_t)view->teams->len;
+	return (const wwh_team_t *)(const void *)view->teams->data;
+}
+
+const wwh_rules_t *wwh_fleet_rules(const wwh_fleet_view_t *view)
+{
+	return &view->rules;
+}
+
+int64_t wwh_fleet_offset(const wwh_fleet_view_t *view)
+{
+	return view->offset;
+}
+
 int32_t wwh_fleet_member(const wwh_fleet_view_t *view, int32_t pool,
 			 int32_t position)
 {
--- a/src/libwaxwinghollow/placement.c
+++ b/src/libwaxwinghollow/placement.c
@@ -10,9 +10,19 @@
 };
 
 const char *const wwh_reason_names[WWH_REASON_COUNT] = {
-	"none",		 "no-pool",    "cores",	     "memory",
-	"accelerators",	 "team-limit", "quota",	     "no-room",
-	"earlier-lease", "pass-limit", "overloaded", "urgent-work",
+	"none",
+	"no-pool",
+	"cores",
+	"memory",
+	"accelerators",
+	"team-limit",
+	"quota",
+	"no-room",
+	"earlier-lease",
+	"pass-limit",
+	"overloaded",
+	"urgent-work",
+	"fails-everywhere",
 };
 
 static void count_jobs(wwh_placement_t *placement);
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -53,6 +53,7 @@
 						    : WWH_JOB_RUNNING,
 				.declared = { cores * 1000, 1024, 0 },
 				.lease = WWH_NO_OFFSET,
+				.report = WWH_FLEET_UNKNOWN,
 				.queued_ms = NOW_MS };
 
 	g_snprintf(id, sizeof(id), "job%04d", bench->next_id++);
--- a/src/test_standins/include/fleet_fixture.h
+++ b/src/test_standins/include/fleet_fixture.h
@@ -132,6 +132,8 @@
 					.worker = i / per_worker,
 					.state = WWH_JOB_RUNNING,
 					.declared = { 4000, 4096, 0 },
+					.lease = WWH_NO_OFFSET,
+					.report = WWH_FLEET_UNKNOWN,
 					.expected_end_ms = end_ms };
 
 		if (job.worker % 3 == 0)
