--- a/include/waxwinghollow/limiter.h
+++ b/include/waxwinghollow/limiter.h
@@ -27,16 +27,14 @@
  *
  *	Below the share, the limit follows what the minion bears: a refusal or
  *	a silent attempt takes 30% off, at most once in a run time, each
- *	answer adds a twentieth of a slot. 30% finds a tenth of the declared
- *	size in seven steps; one twentieth comes back within 20 answers a
- *	slot and so overshoots on at most one answer in 20. A limit below one
- *	slot means a pause after each answer: with one slot a process there is
- *	no other way to use less.
+ *	answer adds 2%. 30% finds a tenth of the declared size in seven steps;
+ *	a minion that bears all again has its share back after some dozens of
+ *	answers. A limit below one slot means a pause after each answer: with
+ *	one slot a process there is no other way to use less.
  *
- *	When the median run time under a full share is above 2.5 times the
- *	least median seen, requests wait inside the minion, and the limit
- *	sinks by a tenth for each 16 answers, but not below half of the
- *	share: run times also change for other reasons.
+ *	Run times that grow under load are not used as a sign: with one slot
+ *	in eight for each process that measured no difference, and run times
+ *	also grow for other reasons.
  *
  * ORDER OF CALLS
  *	wwh_limiter_set_share first; each wwh_limiter_start is followed by one
@@ -46,8 +44,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "waxwinghollow/estimate.h"
-
 /*
  * The part of total that belongs to the seats whose bits are set, for that
  * minion. What does not divide evenly falls to different seats for different
@@ -73,9 +69,6 @@
 	int64_t next_start_ms; /* the pause of a limit below one */
 	int64_t next_cut_ms;
 	double run_ms; /* running mean */
-	wwh_quantile_t median_ms; /* of answers under a full share */
-	double least_median_ms;
-	int32_t answers; /* since the last look at the median */
 } wwh_limiter_t;
 
 /* The limit keeps its proportion to the share. */
--- a/src/libwaxwinghollow/limiter.c
+++ b/src/libwaxwinghollow/limiter.c
@@ -5,15 +5,10 @@
 #include <xxhash.h>
 
 #define CUT_FACTOR 0.7
-#define RAISE_STEP 0.05
+#define RAISE_STEP 0.02
 #define LIMIT_FLOOR 0.0625 /* with 8 processes: half a request in all */
 #define RUN_WEIGHT 0.1
 #define RUN_MIN_MS 5.0
-#define LOOK_EVERY 16
-#define SLOWER_FACTOR 2.5
-#define SLOWER_CUT 0.9
-#define SLOWER_FLOOR 0.5
-#define LEAST_DRIFT 1.02 /* forgets an old least median */
 #define PAUSE_MAX_MS 2000.0
 
 const char *const wwh_bears_names[WWH_BEARS_COUNT] = {
@@ -22,7 +17,6 @@
 	"no-sign",
 };
 
-static void look_at_median(wwh_limiter_t *limiter);
 static void cut(wwh_limiter_t *limiter, int64_t now_ms);
 static void raise_limit(wwh_limiter_t *limiter);
 
@@ -78,7 +72,6 @@
 void wwh_limiter_finish(wwh_limiter_t *limiter, int64_t now_ms, double factor,
 			wwh_bears_t bears, int32_t run_ms)
 {
-	bool was_full = limiter->running >= (int32_t)limiter->limit;
 	double limit;
 
 	assert(limiter->running > 0);
@@ -88,11 +81,6 @@
 			limiter->run_ms = run_ms;
 		limiter->run_ms += RUN_WEIGHT * (run_ms - limiter->run_ms);
 		raise_limit(limiter);
-		if (was_full) {
-			wwh_quantile_add(&limiter->median_ms, 0.5, run_ms);
-			limiter->answers++;
-			look_at_median(limiter);
-		}
 	} else if (bears == WWH_BEARS_LESS) {
 		cut(limiter, now_ms);
 	}
@@ -108,21 +96,6 @@
 	}
 }
 
-static void look_at_median(wwh_limiter_t *limiter)
-{
-	if (limiter->answers < LOOK_EVERY)
-		return;
-	limiter->answers = 0;
-	limiter->least_median_ms *= LEAST_DRIFT;
-	if (limiter->least_median_ms <= 0 ||
-	    limiter->median_ms.value < limiter->least_median_ms)
-		limiter->least_median_ms = limiter->median_ms.value;
-	if (limiter->median_ms.value >
-		    SLOWER_FACTOR * limiter->least_median_ms &&
-	    limiter->limit > SLOWER_FLOOR * limiter->share)
-		limiter->limit *= SLOWER_CUT;
-}
-
 static void cut(wwh_limiter_t *limiter, int64_t now_ms)
 {
 	if (now_ms < limiter->next_cut_ms)
@@ -135,7 +108,7 @@
 
 static void raise_limit(wwh_limiter_t *limiter)
 {
-	limiter->limit += RAISE_STEP;
+	limiter->limit *= 1 + RAISE_STEP;
 	if (limiter->limit > limiter->share)
 		limiter->limit = limiter->share;
 }
--- a/src/test_bench/include/baseline.h
+++ b/src/test_bench/include/baseline.h
@@ -189,7 +189,8 @@
 {
 	baseline_t *own = policy;
 	bool good = outcome == WWH_OUTCOME_ANSWERED;
-	bool not_run = outcome == WWH_OUTCOME_CONNECT_FAILED;
+	bool not_run = outcome == WWH_OUTCOME_CONNECT_FAILED ||
+		       outcome == WWH_OUTCOME_REFUSED;
 
 	(void)latency;
 	own->running[minion]--;
--- a/src/test_bench/include/patterns.h
+++ b/src/test_bench/include/patterns.h
@@ -28,6 +28,8 @@
 	  .run_ms = 400,
 	  .deadline_ms = 5000 },
 	{ .name = "bears 2 of 8", .load = 0.8, .bears = 2 },
+	{ .name = "refuses above 2", .load = 0.8, .bears = 2, .refuses = true },
+	{ .name = "refuses, 3x", .load = 3, .bears = 2, .refuses = true },
 	{ .name = "slow minion",
 	  .load = 0.6,
 	  .fault = MINION_SLOW,
--- a/src/test_bench/include/sim.h
+++ b/src/test_bench/include/sim.h
@@ -55,6 +55,7 @@
 	int32_t minions;
 	int32_t slots; /* declared */
 	int32_t bears; /* requests at once in truth */
+	bool refuses; /* what comes above, in place of queueing it */
 	double run_ms; /* mean, exponential */
 	double long_share; /* of the requests are long */
 	double long_factor; /* times as long */
@@ -449,6 +450,10 @@
 	default:
 		break;
 	}
+	if (sim->pattern->refuses && minion->busy >= sim->pattern->bears) {
+		sim_at(sim, now + way, sim_back, job, WWH_OUTCOME_REFUSED);
+		return;
+	}
 	if (g_queue_get_length(&minion->queue) >= 64) {
 		sim_at(sim, now + way, sim_back, job,
 		       WWH_OUTCOME_CONNECT_FAILED);
