--- a/src/libwaxwinghollow/intent_key.c
+++ b/src/libwaxwinghollow/intent_key.c
@@ -244,6 +244,8 @@
 {
 	wwh_intent_process_t *process = key->process;
 
+	assert((key->previous == NULL) == (key == intents->first_key));
+	assert((key->next == NULL) == (key == intents->last_key));
 	wwh_intents_drop_body(intents, key);
 	g_hash_table_remove(intents->by_name, key);
 	if (key->previous != NULL)
