Count seats, not members, as votes for a lease

Cause: members that joined since two evicted ones had last read the log made their old majority look like a minority: both kept each other's lease and their seats were given to others. Ruled out: one eviction at a time (two hosts lost together block each other); waiting for every member at each join. Conclusion: votes that can't be inflated by joining keep the seats apart.

--- a/include/waxwinghollow/seat.h
+++ b/include/waxwinghollow/seat.h
@@ -31,23 +31,28 @@
  *	  by a member that has seen the last acknowledgement at least
  *	  WWH_SEAT_FREE_AFTER_MS ago: by then the lease has lapsed and all that
  *	  was started under it has ended.
+ *	- GONE: the same at once, for one that surely runs no more: the
+ *	  platform lists its host as gone, or its successor has bound the same
+ *	  address. Without it, nobody could acknowledge after a crash of all.
  *
  *	A process starts work only while its lease holds: for
- *	WWH_SEAT_LEASE_MS from the sending of a question that the log, or a
- *	majority of the members, has answered. During an outage of the log
- *	nothing can be evicted, and the members keep each other's leases; a
- *	minority that is cut off from both stops. No clocks are compared, only
- *	their rates: a lease counts from the sending of the question, the wait
- *	from the reading of the last ACK, and the margin between them covers
- *	clocks that run 10% apart.
+ *	WWH_SEAT_LEASE_MS from the sending of a question that was answered by
+ *	the log, or by members that together with this one hold more than half
+ *	of all seats. A member answers only while its own lease holds, tells
+ *	the seats that it holds at that time, and does not answer one whose
+ *	eviction it has read. During an outage of the log nobody can be
+ *	evicted, and the members keep each other's leases; those that are cut
+ *	off from the log and from the majority of the seats stop.
  *
- *	At most a minority may be under eviction at once, so that a majority
- *	of an old table always contains one that has acknowledged.
+ *	Several may be under eviction at once only while they hold less than
+ *	half of the seats, so that they can't keep each other's leases. Votes
+ *	are seats, not members: members that have joined since the evicted
+ *	last read the log would make a majority of an old table look like a
+ *	minority of the new one.
  *
- *	If the majority of the entry processes is lost at one time, the log
- *	still serves the rest, but the seats of the lost stay taken until
- *	enough of them were evicted one after another; where acknowledgements
- *	can't come any more, an operator has to say that the hosts are gone.
+ *	No clocks are compared, only their rates: a lease counts from the
+ *	sending of the question, the wait from the reading of the last ACK,
+ *	and the margin between them covers clocks that run 10% apart.
  *
  * ORDER OF CALLS
  *	wwh_seat_table_init, then wwh_seat_table_apply for each record;
@@ -85,6 +90,7 @@
 	WWH_SEAT_EVICT,
 	WWH_SEAT_ACK,
 	WWH_SEAT_FREE,
+	WWH_SEAT_GONE,
 	WWH_SEAT_RECORD_COUNT
 } wwh_seat_record_type_t;
 
@@ -94,7 +100,7 @@
 typedef struct {
 	wwh_seat_record_type_t type;
 	uint64_t process; /* that says it */
-	uint64_t subject; /* EVICT, ACK, FREE: about whom */
+	uint64_t subject; /* EVICT, ACK, FREE, GONE: about whom */
 	int32_t seat; /* CLAIM, RELEASE */
 } wwh_seat_record_t;
 
@@ -118,12 +124,18 @@
 bool wwh_seat_plan(const wwh_seat_table_t *table, uint64_t process,
 		   wwh_seat_record_t *record);
 
+/* What a member answered last. */
+typedef struct {
+	uint64_t member;
+	uint64_t seats; /* that it held then */
+	int64_t sent_ms; /* when it was asked */
+} wwh_seat_vote_t;
+
 /* The lease of one process, as it knows it. */
 typedef struct {
 	int64_t until_ms;
-	int64_t heard_ms[WWH_SEAT_MEMBERS_MAX]; /* sending time of questions */
-	uint64_t heard_from[WWH_SEAT_MEMBERS_MAX];
-	int32_t heard_count;
+	wwh_seat_vote_t votes[WWH_SEAT_MEMBERS_MAX];
+	int32_t vote_count;
 } wwh_seat_lease_t;
 
 /*
@@ -132,9 +144,9 @@
  */
 void wwh_seat_lease_log(wwh_seat_lease_t *lease, int64_t sent_ms);
 
-/* The member answered a heartbeat that was sent to it at sent_ms. */
+/* A member answered a heartbeat; own_seats: that process has in use itself. */
 void wwh_seat_lease_member(wwh_seat_lease_t *lease,
-			   const wwh_seat_table_t *table, uint64_t process,
-			   uint64_t member, int64_t sent_ms);
+			   const wwh_seat_table_t *table, uint64_t own_seats,
+			   const wwh_seat_vote_t *vote);
 
 #endif
--- a/src/libwaxwinghollow/seat.c
+++ b/src/libwaxwinghollow/seat.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 const char *const wwh_seat_record_names[WWH_SEAT_RECORD_COUNT] = {
-	"join", "leave", "claim", "release", "evict", "ack", "free",
+	"join", "leave", "claim", "release", "evict", "ack", "free", "gone",
 };
 
 static int32_t index_of(const wwh_seat_table_t *table, uint64_t process);
@@ -18,12 +18,12 @@
 			uint64_t subject);
 static bool free_seats(wwh_seat_table_t *table, uint64_t subject);
 static void remove_member(wwh_seat_table_t *table, int32_t index);
-static int32_t evicted_count(const wwh_seat_table_t *table);
 static int32_t seats_of(const wwh_seat_table_t *table, uint64_t process);
 static int32_t fewest_seats(const wwh_seat_table_t *table);
-static void note_heard(wwh_seat_lease_t *lease, uint64_t member,
-		       int64_t sent_ms);
-static int compare_times(const void *a, const void *b);
+static void keep_vote(wwh_seat_lease_t *lease, const wwh_seat_table_t *table,
+		      const wwh_seat_vote_t *vote);
+static bool may_vote(const wwh_seat_table_t *table, uint64_t member);
+static int newest_first(const void *a, const void *b);
 
 void wwh_seat_table_init(wwh_seat_table_t *table, int32_t seat_count)
 {
@@ -56,7 +56,11 @@
 	case WWH_SEAT_ACK:
 		return acknowledge(table, index, record->subject);
 	case WWH_SEAT_FREE:
-		return free_seats(table, record->subject);
+		return wwh_seat_all_acked(table, record->subject) &&
+		       free_seats(table, record->subject);
+	case WWH_SEAT_GONE:
+		return record->subject != record->process &&
+		       free_seats(table, record->subject);
 	default:
 		return false;
 	}
@@ -129,29 +133,21 @@
 }
 
 void wwh_seat_lease_member(wwh_seat_lease_t *lease,
-			   const wwh_seat_table_t *table, uint64_t process,
-			   uint64_t member, int64_t sent_ms)
+			   const wwh_seat_table_t *table, uint64_t own_seats,
+			   const wwh_seat_vote_t *vote)
 {
-	int64_t times[WWH_SEAT_MEMBERS_MAX];
-	int32_t found = 0;
-	/* With this process itself a majority of all, the evicted too. */
-	int32_t needed = table->member_count / 2;
-
-	note_heard(lease, member, sent_ms);
-	for (int32_t i = 0; i < table->member_count; i++) {
-		const wwh_seat_member_t *other = &table->members[i];
-
-		if (other->evicted || other->process == process)
+	uint64_t seats = own_seats;
+
+	keep_vote(lease, table, vote);
+	qsort(lease->votes, (size_t)lease->vote_count, sizeof(*lease->votes),
+	      newest_first);
+	for (int32_t i = 0; i < lease->vote_count; i++) {
+		seats |= lease->votes[i].seats;
+		if (__builtin_popcountll(seats) * 2 <= table->seat_count)
 			continue;
-		for (int32_t k = 0; k < lease->heard_count; k++) {
-			if (lease->heard_from[k] == other->process)
-				times[found++] = lease->heard_ms[k];
-		}
-	}
-	if (needed == 0 || found < needed)
+		wwh_seat_lease_log(lease, lease->votes[i].sent_ms);
 		return;
-	qsort(times, (size_t)found, sizeof(*times), compare_times);
-	wwh_seat_lease_log(lease, times[found - needed]);
+	}
 }
 
 static int32_t index_of(const wwh_seat_table_t *table, uint64_t process)
@@ -204,17 +200,25 @@
 }
 
 /*
- * Were a majority under eviction, its members could still renew each other's
- * leases by an old table, and their seats would be held twice.
+ * Were the holders of a majority under eviction, they could renew each other's
+ * leases without having read of it, and their seats would be held twice. One
+ * alone has nobody to renew its lease.
  */
 static bool evict(wwh_seat_table_t *table, uint64_t subject)
 {
 	int32_t index = index_of(table, subject);
+	int32_t evicted = 0, seats = 0;
 
 	if (index < 0 || table->members[index].evicted)
 		return false;
-	if ((evicted_count(table) + 1) * 2 >= table->member_count &&
-	    table->member_count > 2)
+	for (int32_t i = 0; i < table->member_count; i++) {
+		if (!table->members[i].evicted)
+			continue;
+		evicted++;
+		seats += seats_of(table, table->members[i].process);
+	}
+	seats += seats_of(table, subject);
+	if (evicted > 0 && seats * 2 >= table->seat_count)
 		return false;
 	table->members[index].evicted = true;
 	table->members[index].acked = 0;
@@ -234,13 +238,15 @@
 
 static bool free_seats(wwh_seat_table_t *table, uint64_t subject)
 {
-	if (!wwh_seat_all_acked(table, subject))
+	int32_t index = index_of(table, subject);
+
+	if (index < 0)
 		return false;
 	for (int32_t i = 0; i < table->seat_count; i++) {
 		if (table->holders[i] == subject)
 			table->holders[i] = 0;
 	}
-	remove_member(table, index_of(table, subject));
+	remove_member(table, index);
 	return true;
 }
 
@@ -259,15 +265,6 @@
 	}
 }
 
-static int32_t evicted_count(const wwh_seat_table_t *table)
-{
-	int32_t count = 0;
-
-	for (int32_t i = 0; i < table->member_count; i++)
-		count += table->members[i].evicted;
-	return count;
-}
-
 static int32_t seats_of(const wwh_seat_table_t *table, uint64_t process)
 {
 	int32_t count = 0;
@@ -290,28 +287,44 @@
 	return fewest;
 }
 
-static void note_heard(wwh_seat_lease_t *lease, uint64_t member,
-		       int64_t sent_ms)
+/* The newest vote of each member; those evicted have none. */
+static void keep_vote(wwh_seat_lease_t *lease, const wwh_seat_table_t *table,
+		      const wwh_seat_vote_t *vote)
 {
-	int32_t place = 0;
+	int32_t kept = 0;
+	bool newer = true;
 
-	while (place < lease->heard_count && lease->heard_from[place] != member)
-		place++;
-	if (place == WWH_SEAT_MEMBERS_MAX)
-		return;
-	if (place == lease->heard_count) {
-		lease->heard_from[place] = member;
-		lease->heard_ms[place] = sent_ms;
-		lease->heard_count++;
+	for (int32_t i = 0; i < lease->vote_count; i++) {
+		const wwh_seat_vote_t *old = &lease->votes[i];
+
+		if (!may_vote(table, old->member))
+			continue;
+		if (old->member == vote->member) {
+			if (old->sent_ms < vote->sent_ms)
+				continue;
+			newer = false;
+		}
+		lease->votes[kept++] = *old;
 	}
-	if (sent_ms > lease->heard_ms[place])
-		lease->heard_ms[place] = sent_ms;
+	if (newer && may_vote(table, vote->member) &&
+	    kept < WWH_SEAT_MEMBERS_MAX)
+		lease->votes[kept++] = *vote;
+	lease->vote_count = kept;
+}
+
+static bool may_vote(const wwh_seat_table_t *table, uint64_t member)
+{
+	int32_t index = index_of(table, member);
+
+	return index >= 0 && !table->members[index].evicted;
 }
 
-static int compare_times(const void *a, const void *b)
+static int newest_first(const void *a, const void *b)
 {
-	int64_t x = *(const int64_t *)a;
-	int64_t y = *(const int64_t *)b;
+	const wwh_seat_vote_t *x = a;
+	const wwh_seat_vote_t *y = b;
 
-	return (x > y) - (x < y);
+	if (x->sent_ms != y->sent_ms)
+		return x->sent_ms < y->sent_ms ? 1 : -1;
+	return (x->member > y->member) - (x->member < y->member);
 }
--- a/src/test_seat/test_seat.c
+++ b/src/test_seat/test_seat.c
@@ -8,11 +8,11 @@
 #include "waxwinghollow/seat.h"
 
 #define SEATS 8
-#define NODES 24 /* incarnations over the whole run */
+#define NODES 32 /* incarnations over the whole run */
 #define AT_ONCE 8
-#define ROUNDS 40
+#define ROUNDS 100
 #define STEP_MS 250
-#define ROUND_STEPS 4000
+#define ROUND_STEPS 12000
 
 /* One entry process, as far as seats go. */
 typedef struct {
@@ -25,6 +25,7 @@
 	size_t read; /* records of the log that it has applied */
 	wwh_seat_table_t table;
 	wwh_seat_lease_t lease;
+	uint64_t given_up; /* taken out of use before RELEASE was said */
 	int64_t acked_seen_ms[NODES + 1]; /* when it saw all acks about it */
 } node_t;
 
@@ -59,6 +60,7 @@
 
 		wwh_seat_table_apply(&node->table, &record);
 	}
+	node->given_up &= wwh_seat_held(&node->table, node->id);
 	for (int32_t i = 0; i < node->table.member_count; i++) {
 		const wwh_seat_member_t *member = &node->table.members[i];
 
@@ -78,19 +80,30 @@
 	return false;
 }
 
+static uint64_t in_use(const node_t *node)
+{
+	return wwh_seat_held(&node->table, node->id) & ~node->given_up;
+}
+
 /* Asks the others to renew the lease; those it can reach answer. */
 static void heartbeat(rig_t *rig, node_t *node)
 {
 	for (int32_t i = 0; i < rig->started; i++) {
 		node_t *other = &rig->nodes[i];
+		wwh_seat_vote_t vote;
 		bool evicted = false;
 
 		if (other == node || other->dead || other->paused ||
 		    other->group != node->group || chance(rig, 5))
 			continue;
-		if (is_member(other, node->id, &evicted) && !evicted)
-			wwh_seat_lease_member(&node->lease, &node->table,
-					      node->id, other->id, rig->now_ms);
+		if (!is_member(other, node->id, &evicted) || evicted ||
+		    rig->now_ms >= other->lease.until_ms)
+			continue;
+		vote.member = other->id;
+		vote.seats = in_use(other);
+		vote.sent_ms = rig->now_ms;
+		wwh_seat_lease_member(&node->lease, &node->table, in_use(node),
+				      &vote);
 	}
 }
 
@@ -115,7 +128,12 @@
 
 		if (!member->evicted) {
 			/* Sometimes one that is well is taken for gone. */
-			if (other->dead || other->paused || chance(rig, 400))
+			if (other->dead && chance(rig, 200))
+				append(rig, WWH_SEAT_GONE, node->id,
+				       member->process, 0);
+			if ((other->dead && chance(rig, 20)) ||
+			    (other->cut_from_log && chance(rig, 200)) ||
+			    chance(rig, 4000))
 				append(rig, WWH_SEAT_EVICT, node->id,
 				       member->process, 0);
 			continue;
@@ -130,8 +148,11 @@
 			append(rig, WWH_SEAT_FREE, node->id, member->process,
 			       0);
 	}
-	if (wwh_seat_plan(&node->table, node->id, &plan) && chance(rig, 4))
-		append(rig, plan.type, plan.process, 0, plan.seat);
+	if (!wwh_seat_plan(&node->table, node->id, &plan) || !chance(rig, 4))
+		return;
+	if (plan.type == WWH_SEAT_RELEASE)
+		node->given_up |= 1ULL << plan.seat;
+	append(rig, plan.type, plan.process, 0, plan.seat);
 }
 
 /* No two processes may act on one seat, whatever each of them believes. */
@@ -146,29 +167,35 @@
 		if (node->dead || node->paused ||
 		    rig->now_ms >= node->lease.until_ms)
 			continue;
-		held = wwh_seat_held(&node->table, node->id);
+		held = in_use(node);
 		assert_int_equal(used & held, 0);
 		used |= held;
 	}
 	rig->worked_steps += __builtin_popcountll(used);
 }
 
+/* Switches on sometimes, off three times as often. */
+static bool toggle(rig_t *rig, bool on)
+{
+	return !on && chance(rig, 3);
+}
+
 static void disturb(rig_t *rig)
 {
 	node_t *node;
 
-	if (chance(rig, 400))
-		rig->log_down = !rig->log_down;
+	if (chance(rig, 500))
+		rig->log_down = toggle(rig, rig->log_down);
 	if (rig->started == 0)
 		return;
 	node = &rig->nodes[g_rand_int_range(rig->random, 0, rig->started)];
-	if (chance(rig, 100))
-		node->paused = !node->paused;
-	if (chance(rig, 100))
-		node->cut_from_log = !node->cut_from_log;
-	if (chance(rig, 100))
-		node->group = g_rand_int_range(rig->random, 0, 2);
-	if (chance(rig, 1000))
+	if (chance(rig, 50))
+		node->paused = toggle(rig, node->paused);
+	if (chance(rig, 50))
+		node->cut_from_log = toggle(rig, node->cut_from_log);
+	if (chance(rig, 50))
+		node->group = toggle(rig, node->group != 0);
+	if (chance(rig, 2000))
 		node->dead = true;
 }
 
@@ -230,7 +257,7 @@
 		g_rand_free(rig->random);
 		g_free(rig);
 	}
-	assert_true(worked_steps > (int64_t)ROUNDS * ROUND_STEPS);
+	assert_true(worked_steps > (int64_t)3 * ROUNDS * ROUND_STEPS);
 }
 
 static bool say(wwh_seat_table_t *table, wwh_seat_record_type_t type,
@@ -293,19 +320,25 @@
 {
 	wwh_seat_table_t table;
 	wwh_seat_lease_t lease = { 0 };
+	wwh_seat_vote_t votes[] = { { 2, 0x02, 3000 },
+				    { 3, 0x04, 2500 },
+				    { 4, 0x18, 2000 },
+				    { 4, 0x18, 3500 } };
 
 	(void)unused;
 	wwh_seat_table_init(&table, SEATS);
-	for (uint64_t i = 1; i <= 5; i++)
+	for (uint64_t i = 1; i <= 4; i++)
 		say(&table, WWH_SEAT_JOIN, i, 0, 0);
 	wwh_seat_lease_log(&lease, 0);
 	assert_int_equal(lease.until_ms, WWH_SEAT_LEASE_MS);
-	wwh_seat_lease_member(&lease, &table, 1, 2, 3000);
+	/* Seats 0 to 2 are three of eight: no majority. */
+	wwh_seat_lease_member(&lease, &table, 0x01, &votes[0]);
+	wwh_seat_lease_member(&lease, &table, 0x01, &votes[1]);
 	assert_int_equal(lease.until_ms, WWH_SEAT_LEASE_MS);
-	wwh_seat_lease_member(&lease, &table, 1, 3, 2000);
+	wwh_seat_lease_member(&lease, &table, 0x01, &votes[2]);
 	assert_int_equal(lease.until_ms, 2000 + WWH_SEAT_LEASE_MS);
-	wwh_seat_lease_member(&lease, &table, 1, 4, 3500);
-	assert_int_equal(lease.until_ms, 3000 + WWH_SEAT_LEASE_MS);
+	wwh_seat_lease_member(&lease, &table, 0x01, &votes[3]);
+	assert_int_equal(lease.until_ms, 2500 + WWH_SEAT_LEASE_MS);
 }
 
 int main(void)
