--- a/src/test_settings/test_settings.c
+++ b/src/test_settings/test_settings.c
@@ -6,7 +6,9 @@
 #include <glib.h>
 #include <string.h>
 
+#include "private/config_items.h"
 #include "private/json_text.h"
+#include "private/settings_fields.h"
 #include "waxwinghollow/settings.h"
 
 #define REQUIRED                                                               \
@@ -210,6 +212,71 @@
 	g_free(plain);
 }
 
+static char *documented_row(const wwh_field_t *field)
+{
+	char *row;
+	char *value;
+
+	if (field->required)
+		return g_strdup("| required | |");
+	if (wwh_field_is_text(field) || field->type == WWH_FIELD_ENDPOINTS)
+		return g_strdup("| empty |");
+	if (field->type != WWH_FIELD_NAME)
+		return g_strdup_printf(
+			"| %" G_GINT64_FORMAT " | %" G_GINT64_FORMAT
+			" to %" G_GINT64_FORMAT " |",
+			field->fallback, field->minimum, field->maximum);
+	value = wwh_field_expected(field);
+	row = g_strdup_printf("| %s | %s |", field->names[field->fallback],
+			      value + strlen("one of: "));
+	g_free(value);
+	return row;
+}
+
+/* The rows of one section stand between its heading and the next. */
+static void expect_documented(const char *page, const char *section,
+			      const wwh_field_t *fields, int32_t count)
+{
+	char *heading = g_strdup_printf("\n## `%s`\n", section);
+	const char *start = strstr(page, heading);
+	const char *end;
+
+	assert_non_null(start);
+	end = strstr(start + strlen(heading), "\n## ");
+	for (int32_t i = 0; i < count; i++) {
+		char *key = g_strdup_printf("\n| `%s` |", fields[i].name);
+		char *row = documented_row(&fields[i]);
+		const char *at = strstr(start, key);
+		char *line;
+
+		if (at == NULL || (end != NULL && at > end))
+			fail_msg("no %s in %s", fields[i].name, section);
+		line = g_strndup(at + 1, strcspn(at + 1, "\n"));
+		if (strstr(line, row) == NULL)
+			fail_msg("%s: expected %s", line, row);
+		g_free(line);
+		g_free(row);
+		g_free(key);
+	}
+	g_free(heading);
+}
+
+static void every_key_is_documented(void **unused)
+{
+	char *page;
+
+	(void)unused;
+	assert_true(g_file_get_contents(WWH_SOURCE_DIR "/docs/SETTINGS.md",
+					&page, NULL, NULL));
+	expect_documented(page, "settings", wwh_settings_fields,
+			  wwh_settings_field_count);
+	for (int32_t i = 0; i < WWH_ITEM_COUNT; i++)
+		expect_documented(page, wwh_item_tables[i].section,
+				  wwh_item_tables[i].fields,
+				  wwh_item_tables[i].field_count);
+	g_free(page);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -217,6 +284,7 @@
 		cmocka_unit_test(bad_settings_are_reported_with_their_lines),
 		cmocka_unit_test(a_file_that_is_not_there_is_reported),
 		cmocka_unit_test(comments_are_blanked_and_strings_are_not),
+		cmocka_unit_test(every_key_is_documented),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
