--- a/include/waxwinghollow/outcomes.h
+++ b/include/waxwinghollow/outcomes.h
@@ -55,6 +55,9 @@
 
 bool wwh_outcomes_task_is_bad(const wwh_outcomes_t *outcomes,
 			      const char *task_id);
+/* Whether the task failed on that worker before and ended well on none. */
+bool wwh_outcomes_failed_on(const wwh_outcomes_t *outcomes, const char *task_id,
+			    const char *worker_id);
 bool wwh_outcomes_worker_is_bad(const wwh_outcomes_t *outcomes,
 				const char *worker_id);
 
--- a/include/waxwinghollow/placement.h
+++ b/include/waxwinghollow/placement.h
@@ -50,7 +50,13 @@
 #include "waxwinghollow/config.h"
 #include "waxwinghollow/fleet_view.h"
 
+/* Whether the job should not run on the worker, where it failed before. */
+typedef bool (*wwh_placement_avoid_t)(const char *job, const char *worker,
+				      void *client_data);
+
 typedef struct {
+	wwh_placement_avoid_t avoid; /* may be NULL */
+	void *client_data; /* of avoid */
 	int32_t margin_percent;
 	int64_t observe_ms;
 	int64_t reserve_after_ms;
--- a/src/libwaxwinghollow/conductor.c
+++ b/src/libwaxwinghollow/conductor.c
@@ -324,6 +324,9 @@
 	look->is_known = true;
 	look->is_new = true;
 	look->seen_ms = conductor->now_ms;
+	if (look->heard_ms != 0)
+		look->silent_ms = conductor->now_ms - look->heard_ms;
+	look->heard_ms = conductor->now_ms;
 }
 
 static void handle_task(wwh_conductor_t *conductor, const wwh_origin_t *origin,
--- a/src/libwaxwinghollow/conductor_job.c
+++ b/src/libwaxwinghollow/conductor_job.c
@@ -65,6 +65,8 @@
 static void append_outcome(wwh_conductor_t *conductor, wwh_job_run_t *run);
 static void note_outcome(wwh_conductor_t *conductor, wwh_job_run_t *run);
 static void quarantine(wwh_conductor_t *conductor, const char *worker);
+static bool avoid(const char *job, const char *worker, void *client_data);
+static gboolean is_gone(gpointer key, gpointer value, gpointer client_data);
 static void place(wwh_conductor_t *conductor);
 static void carry_out(wwh_conductor_t *conductor, const wwh_place_t *decision);
 static void append_place(wwh_conductor_t *conductor,
@@ -90,6 +92,8 @@
 	if (conductor->now_ms - conductor->placed_ms >=
 	    conductor->options.place_ms) {
 		conductor->placed_ms = conductor->now_ms;
+		g_hash_table_foreach_remove(conductor->reasons, is_gone,
+					    (gpointer)conductor->view);
 		place(conductor);
 	}
 }
@@ -185,6 +189,8 @@
 		if (run->seen)
 			continue;
 		note_outcome(conductor, run);
+		if (run->machine.state == STATE_DONE)
+			wwh_outcomes_forget_task(conductor->outcomes, run->job);
 		g_hash_table_remove(conductor->job_by_id, run->job);
 		g_ptr_array_remove_index_fast(conductor->jobs, i - 1);
 	}
@@ -310,13 +316,25 @@
 		wwh_record_set(&record.body.worker.worker, worker);
 		wwh_record_set(&record.body.worker.reason,
 			       "fails tasks that end well elsewhere");
-		wwh_conductor_append(conductor, key, &record);
-		wwh_conductor_tell(conductor, "worker %s: quarantined", worker);
+		if (wwh_conductor_append(conductor, key, &record))
+			wwh_conductor_tell(conductor, "worker %s: quarantined",
+					   worker);
 	}
 	wwh_tally_delete(tally);
 	g_free(key);
 }
 
+static bool avoid(const char *job, const char *worker, void *client_data)
+{
+	return wwh_outcomes_failed_on(client_data, job, worker);
+}
+
+static gboolean is_gone(gpointer key, gpointer value, gpointer client_data)
+{
+	(void)value;
+	return wwh_fleet_find_job(client_data, key) == WWH_FLEET_NONE;
+}
+
 static void place(wwh_conductor_t *conductor)
 {
 	const wwh_fleet_view_t *view = conductor->view;
@@ -325,6 +343,8 @@
 	int32_t pool_count = wwh_fleet_pool_count(view);
 	wwh_placement_t *placement;
 
+	options.avoid = avoid;
+	options.client_data = conductor->outcomes;
 	options.teams = wwh_fleet_teams(view, &options.team_count);
 	placement = wwh_placement_new(view, &options, conductor->now_ms);
 	for (int32_t i = 0; i < pool_count; i++) {
--- a/src/libwaxwinghollow/conductor_rehearsal.c
+++ b/src/libwaxwinghollow/conductor_rehearsal.c
@@ -4,6 +4,8 @@
 
 #include "private/conductor_state.h"
 
+#define REPORTS_KEPT 64
+
 static bool is_led_here(const wwh_conductor_t *conductor,
 			const wwh_fleet_rehearsal_t *rehearsal);
 static bool is_in(const wwh_conductor_t *conductor,
@@ -221,6 +223,8 @@
 		pools[worker->pool] = true;
 	}
 	g_free(pools);
+	if (conductor->rehearsals->len >= REPORTS_KEPT)
+		g_ptr_array_remove_index(conductor->rehearsals, 0);
 	g_ptr_array_add(conductor->rehearsals, run);
 	wwh_conductor_tell(conductor, "rehearsal %s: led here", run->id);
 	return run;
--- a/src/libwaxwinghollow/conductor_wave.c
+++ b/src/libwaxwinghollow/conductor_wave.c
@@ -39,6 +39,7 @@
 static wwh_plan_options_t plan_options(const wwh_conductor_t *conductor);
 static void plan_again(wwh_conductor_t *conductor);
 static wwh_wave_run_t *run_for(wwh_conductor_t *conductor, int32_t pool);
+static gboolean is_of_wave(gpointer key, gpointer value, gpointer client_data);
 static void drop_unseen(wwh_conductor_t *conductor);
 static void step(wwh_conductor_t *conductor, wwh_wave_run_t *run,
 		 event_t event);
@@ -152,7 +153,8 @@
 		    worker->host_state == WWH_HOST_GONE)
 			report_failed(conductor, i);
 		else if (worker->failed != WWH_NO_OFFSET &&
-			 worker->host_state == WWH_HOST_LIVE)
+			 (worker->host_state == WWH_HOST_LIVE ||
+			  worker->host_state == WWH_HOST_LEAVING))
 			bring_back(conductor, i);
 	}
 }
@@ -266,6 +268,16 @@
 	return run;
 }
 
+static gboolean is_of_wave(gpointer key, gpointer value, gpointer client_data)
+{
+	const wwh_wave_run_t *run = client_data;
+	size_t length = strlen(run->id);
+
+	(void)value;
+	return strncmp(key, run->id, length) == 0 &&
+	       ((const char *)key)[length] == '/';
+}
+
 static void drop_unseen(wwh_conductor_t *conductor)
 {
 	for (guint i = conductor->waves->len; i > 0; i--) {
@@ -273,6 +285,8 @@
 
 		if (run->seen)
 			continue;
+		g_hash_table_foreach_remove(conductor->drains_given_up,
+					    is_of_wave, run);
 		g_hash_table_remove(conductor->wave_by_id, run->id);
 		g_ptr_array_remove_index(conductor->waves, i - 1);
 	}
@@ -478,10 +492,13 @@
 				    (long long)item->failed);
 	wwh_record_t record;
 
-	if (!probe->is_known ||
-	    conductor->now_ms - probe->seen_ms >= conductor->options.look_ms) {
+	if (!probe->is_new) {
 		wwh_conductor_look(conductor, probe);
-	} else if (probe->status.state == WWH_WORKER_UP) {
+		g_free(key);
+		return;
+	}
+	probe->is_new = false; /* one step for each look */
+	if (probe->status.state == WWH_WORKER_UP) {
 		wwh_conductor_record(conductor, &record,
 				     WWH_RECORD_WORKER_RETURNED);
 		wwh_record_set(&record.body.worker.worker, item->id);
--- a/src/libwaxwinghollow/conductor_worker.c
+++ b/src/libwaxwinghollow/conductor_worker.c
@@ -56,6 +56,7 @@
 static wwh_actor_t *actor_for(wwh_conductor_t *conductor, int32_t index);
 static void drop_unseen(wwh_conductor_t *conductor);
 static bool is_empty(const wwh_actor_t *actor);
+static bool is_heard(const wwh_actor_t *actor);
 static bool is_rebooted_for(const wwh_actor_t *actor);
 
 /* Guards and actions of charts/worker.json. */
@@ -179,6 +180,9 @@
 	if (!actor->look.is_new)
 		return;
 	actor->look.is_new = false;
+	/* Limits don't run on while nothing could be done. */
+	if (actor->look.silent_ms > actor->conductor->options.answer_limit_ms)
+		actor->entered_ms = actor->conductor->now_ms;
 	if (status->state == WWH_WORKER_DOWN)
 		step(actor, EVENT_DOWN);
 	else if (status->fence < actor->grant)
@@ -337,6 +341,18 @@
 	       worker_of(actor)->requests_in_progress <= 0;
 }
 
+/*
+ * While the platform doesn't answer nothing is known of the worker: it would
+ * be given up or counted as failed because the platform is down.
+ */
+static bool is_heard(const wwh_actor_t *actor)
+{
+	const wwh_conductor_t *conductor = actor->conductor;
+
+	return conductor->now_ms - actor->look.heard_ms <
+	       conductor->options.answer_limit_ms;
+}
+
 static bool is_rebooted_for(const wwh_actor_t *actor)
 {
 	return actor->reason == WWH_GRANT_WAVE ||
@@ -395,8 +411,8 @@
 	const wwh_actor_t *actor = client_data;
 	const wwh_rules_t *rules = wwh_fleet_rules(actor->conductor->view);
 
-	return now_ms - actor->entered_ms >=
-	       rules->drain_limit_s * INT64_C(1000);
+	return is_heard(actor) && now_ms - actor->entered_ms >=
+					  rules->drain_limit_s * INT64_C(1000);
 }
 
 static bool guard_rebooted(int64_t now_ms, void *client_data)
@@ -412,8 +428,8 @@
 	const wwh_actor_t *actor = client_data;
 	const wwh_rules_t *rules = wwh_fleet_rules(actor->conductor->view);
 
-	return now_ms - actor->entered_ms >=
-	       rules->return_limit_s * INT64_C(1000);
+	return is_heard(actor) && now_ms - actor->entered_ms >=
+					  rules->return_limit_s * INT64_C(1000);
 }
 
 static bool guard_checked(int64_t now_ms, void *client_data)
--- a/src/libwaxwinghollow/include/private/conductor_state.h
+++ b/src/libwaxwinghollow/include/private/conductor_state.h
@@ -34,7 +34,9 @@
 	wwh_pursuit_t pursuit;
 	bool is_known;
 	bool is_new; /* not yet handed to the chart */
-	int64_t seen_ms;
+	int64_t seen_ms; /* 0: look again at once */
+	int64_t heard_ms; /* last answer of the platform */
+	int64_t silent_ms; /* before that answer */
 	wwh_worker_status_t status;
 } wwh_look_t;
 
--- a/src/libwaxwinghollow/outcomes.c
+++ b/src/libwaxwinghollow/outcomes.c
@@ -104,6 +104,20 @@
 	       task->failed_on_count >= WWH_TASK_BAD_WORKERS;
 }
 
+bool wwh_outcomes_failed_on(const wwh_outcomes_t *outcomes, const char *task_id,
+			    const char *worker_id)
+{
+	const task_t *task = g_hash_table_lookup(outcomes->tasks, task_id);
+
+	if (!task || task->ended_well_once)
+		return false;
+	for (int32_t i = 0; i < task->failed_on_count; i++) {
+		if (strcmp(task->failed_on[i], worker_id) == 0)
+			return true;
+	}
+	return false;
+}
+
 bool wwh_outcomes_worker_is_bad(const wwh_outcomes_t *outcomes,
 				const char *worker_id)
 {
--- a/src/libwaxwinghollow/placement.c
+++ b/src/libwaxwinghollow/placement.c
@@ -37,6 +37,8 @@
 			      int32_t starts);
 static int32_t choose_worker(const wwh_placement_t *placement, int32_t job,
 			     int32_t kept);
+static bool is_avoided(const wwh_placement_t *placement,
+		       const wwh_fleet_job_t *job, int32_t worker);
 static bool is_better(const wwh_placement_t *placement,
 		      const wwh_fleet_job_t *job, int32_t candidate,
 		      int32_t best);
@@ -341,6 +343,7 @@
 
 		if (!wwh_board_takes_jobs(placement, member) ||
 		    (member == kept && !item->urgent) ||
+		    is_avoided(placement, item, member) ||
 		    !wwh_load_fits(&need, &placement->room[member]))
 			continue;
 		if (best == WWH_FLEET_NONE ||
@@ -350,6 +353,17 @@
 	return best;
 }
 
+static bool is_avoided(const wwh_placement_t *placement,
+		       const wwh_fleet_job_t *job, int32_t worker)
+{
+	const wwh_placement_options_t *options = &placement->options;
+
+	return options->avoid &&
+	       options->avoid(job->id,
+			      wwh_fleet_worker(placement->view, worker)->id,
+			      options->client_data);
+}
+
 /*
  * Maintained first, so that a wave moves a job once; then the zone with the
  * fewest of the job's group; then the worker that is left fullest, so that
--- a/src/test_conductor/test_conductor.c
+++ b/src/test_conductor/test_conductor.c
@@ -445,6 +445,33 @@
 	sim_finish(&sim);
 }
 
+/*
+ * The platform answers nothing for an hour in mid-wave. Nobody knows how the
+ * workers are that are out; none is counted as failed for it, and none is
+ * given up when it answers again.
+ */
+static void the_platform_silent_for_an_hour_only_delays(void **unused)
+{
+	sim_options_t options = sim_options_defaults(fleet_fixture_bounce());
+	sim_t sim;
+
+	(void)unused;
+	options.check_state = true;
+	sim_init(&sim, &options);
+	sim_start_waves(&sim);
+	for (int32_t i = 0; i < 8; i++) {
+		run(&sim, 45);
+		sim.platform_down = true;
+		run(&sim, 450);
+		sim.platform_down = false;
+	}
+	run_waves(&sim, 8000);
+	assert_waves_done(&sim, 50);
+	assert_int_equal(sim.reboots, 50);
+	assert_clean(&sim);
+	sim_finish(&sim);
+}
+
 /* The inventory puts a worker into another pool; one pool at any moment. */
 static void a_move_takes_a_worker_from_pool_to_pool(void **unused)
 {
@@ -585,6 +612,7 @@
 		cmocka_unit_test(the_target_with_35_failures),
 		cmocka_unit_test(overlapping_waves_of_two_operators),
 		cmocka_unit_test(the_store_down_for_an_hour_only_delays),
+		cmocka_unit_test(the_platform_silent_for_an_hour_only_delays),
 		cmocka_unit_test(a_move_takes_a_worker_from_pool_to_pool),
 		cmocka_unit_test(a_rack_is_rehearsed_and_given_back),
 		cmocka_unit_test(a_failure_stops_the_rehearsal),
