Ask every server that publish was given whether the version is in force

Cause: against real entry processes, publish right after a start listed one process of three and said "in force everywhere": the accepting one did not know its peers yet.

Ruled out: waiting until the list of members settles. Nothing tells when it has.

Conclusion: the list is what the given servers and their members say; a member that can't be asked is named and counts as not in force.

--- a/src/test_cli/fake_operator.c
+++ b/src/test_cli/fake_operator.c
@@ -184,6 +184,9 @@
 {
 	if (fake->mode == FAKE_CLOSES_IN_BODY)
 		return half_answer(connection);
+	if (fake->mode == FAKE_UNAVAILABLE)
+		return answer(connection, MHD_HTTP_SERVICE_UNAVAILABLE,
+			      "{\"verdict\": \"not run\"}");
 	if (strcmp(url, "/v1/config") == 0)
 		return answer_config(fake, connection);
 	return answer(connection, MHD_HTTP_OK,
--- a/src/test_cli/test_cli.c
+++ b/src/test_cli/test_cli.c
@@ -295,6 +295,7 @@
 		cmocka_unit_test(publish_says_unknown_when_nobody_can_tell),
 		cmocka_unit_test(publish_asks_the_next_server_only_if_not_run),
 		cmocka_unit_test(publish_names_the_process_that_lags),
+		cmocka_unit_test(publish_asks_every_server_it_was_given),
 		cmocka_unit_test(publish_refuses_what_a_server_finds_malformed),
 		cmocka_unit_test(a_post_is_never_sent_twice),
 		cmocka_unit_test(
--- a/src/test_cli/test_cli.h
+++ b/src/test_cli/test_cli.h
@@ -13,6 +13,7 @@
 void publish_says_unknown_when_nobody_can_tell(void **unused);
 void publish_asks_the_next_server_only_if_not_run(void **unused);
 void publish_names_the_process_that_lags(void **unused);
+void publish_asks_every_server_it_was_given(void **unused);
 void publish_refuses_what_a_server_finds_malformed(void **unused);
 
 void a_post_is_never_sent_twice(void **unused);
--- a/src/test_cli/test_publish.c
+++ b/src/test_cli/test_publish.c
@@ -222,6 +222,31 @@
 	fake_operator_delete(second);
 }
 
+/*
+ * Right after a start the process that accepts the change knows no peers yet.
+ * If it alone were asked, the operator would read "in force everywhere" while
+ * another process, which he named himself, still has the old version.
+ */
+void publish_asks_every_server_it_was_given(void **unused)
+{
+	fake_operator_t *first = fake_operator_new("e1");
+	fake_operator_t *second = fake_operator_new("e2");
+	char *more = g_strdup_printf(" --server %s --json --wait-ms 50",
+				     fake_operator_address(second));
+	run_t run;
+
+	(void)unused;
+	fake_operator_add_member(first, "e3", "", "alive");
+	run = publish_to(first, more);
+	run_expect(&run, 7);
+	assert_non_null(strstr(run.out, "\"process\":\"e2\""));
+	assert_non_null(strstr(run.out, "listed without an operator address"));
+	run_clear(&run);
+	g_free(more);
+	fake_operator_delete(first);
+	fake_operator_delete(second);
+}
+
 void publish_refuses_what_a_server_finds_malformed(void **unused)
 {
 	fake_operator_t *fake = fake_operator_new("e1");
--- a/src/test_settings/test_settings.c
+++ b/src/test_settings/test_settings.c
@@ -249,8 +249,10 @@
 		const char *at = strstr(start, key);
 		char *line;
 
-		if (at == NULL || (end != NULL && at > end))
+		if (at == NULL || (end != NULL && at > end)) {
 			fail_msg("no %s in %s", fields[i].name, section);
+			return;
+		}
 		line = g_strndup(at + 1, strcspn(at + 1, "\n"));
 		if (strstr(line, row) == NULL)
 			fail_msg("%s: expected %s", line, row);
--- a/src/waxwinghollow/cmd_publish.c
+++ b/src/waxwinghollow/cmd_publish.c
@@ -34,6 +34,8 @@
 static int post_change(publish_t *publish);
 static int read_verdict(publish_t *publish,
 			const wwh_operator_answer_t *answer);
+static void print_conflict(const publish_t *publish, JsonObject *object,
+			   int64_t version);
 static int look_for_outcome(publish_t *publish);
 static int finish(publish_t *publish, const char *verdict, int64_t version);
 
@@ -227,15 +229,7 @@
 		code = finish(publish, "accepted", version);
 	} else {
 		if (answer->http_status == HTTP_CONFLICT && object != NULL)
-			fprintf(stderr,
-				"not published: someone else changed it: "
-				"version %" G_GINT64_FORMAT " by %s, the files "
-				"were compared with version %" G_GINT64_FORMAT
-				"\n",
-				version,
-				json_object_get_string_member_with_default(
-					object, "author", "someone"),
-				wwh_config_version(publish->in_force));
+			print_conflict(publish, object, version);
 		code = wwh_cli_print_answer(&publish->cli, answer);
 		code = code == WWH_EXIT_OK ? WWH_EXIT_FAILED : code;
 	}
@@ -243,6 +237,26 @@
 	return code;
 }
 
+static void print_conflict(const publish_t *publish, JsonObject *object,
+			   int64_t version)
+{
+	const char *author = json_object_get_string_member_with_default(
+		object, "author", NULL);
+	const char *message = json_object_get_string_member_with_default(
+		object, "message", "");
+
+	if (author != NULL)
+		fprintf(stderr,
+			"not published: someone else changed it: version "
+			"%" G_GINT64_FORMAT " by %s",
+			version, author);
+	else
+		fprintf(stderr, "not published: %s", message);
+	fprintf(stderr,
+		", the files were compared with version %" G_GINT64_FORMAT "\n",
+		wwh_config_version(publish->in_force));
+}
+
 /*
  * The answer was lost, but the change may have been appended. It is not sent
  * again: what is in force tells whether it took effect.
--- a/src/waxwinghollow/rollout.c
+++ b/src/waxwinghollow/rollout.c
@@ -21,6 +21,8 @@
 			      wwh_message_t *message);
 static bool refresh(const wwh_cli_t *cli, const char *server,
 		    GPtrArray *members);
+static bool refresh_from(const wwh_cli_t *cli, const char *server,
+			 GPtrArray *members);
 static void note_listed(GPtrArray *members, JsonArray *listed);
 static member_t *find_or_add(GPtrArray *members, const char *process,
 			     const char *address);
@@ -104,30 +106,54 @@
 	return NULL;
 }
 
-/* Members that are no longer listed are dropped. */
+/*
+ * Asks all servers that were given, not only the one that accepted: just after
+ * a start it may not know its peers yet, and "everywhere" would mean itself.
+ * Members that are no longer listed are dropped.
+ */
 static bool refresh(const wwh_cli_t *cli, const char *server,
 		    GPtrArray *members)
+{
+	bool answered = false;
+
+	for (guint i = 0; i < members->len; i++)
+		((member_t *)g_ptr_array_index(members, i))->listed = false;
+	answered = refresh_from(cli, server, members);
+	for (char **other = cli->servers; *other != NULL; other++) {
+		if (strcmp(*other, server) != 0)
+			answered =
+				refresh_from(cli, *other, members) || answered;
+	}
+	if (!answered)
+		return false;
+	for (guint i = members->len; i > 0; i--) {
+		if (!((member_t *)g_ptr_array_index(members, i - 1))->listed)
+			g_ptr_array_remove_index(members, i - 1);
+	}
+	return true;
+}
+
+/* A server that doesn't answer counts only when another lists it. */
+static bool refresh_from(const wwh_cli_t *cli, const char *server,
+			 GPtrArray *members)
 {
 	wwh_message_t message;
 	JsonParser *parser = get_status(cli, server, &message);
-	JsonNode *listed;
 	JsonObject *status;
+	JsonNode *listed;
+	member_t *self;
 
 	if (parser == NULL)
 		return false;
-	for (guint i = 0; i < members->len; i++)
-		((member_t *)g_ptr_array_index(members, i))->listed = false;
 	status = json_node_get_object(json_parser_get_root(parser));
-	find_or_add(members, text_member(status, "process"), server)->listed =
-		true;
+	self = find_or_add(members, text_member(status, "process"), server);
+	self->listed = true;
+	self->version = json_object_get_int_member_with_default(
+		status, "config_version", -1);
 	listed = json_object_get_member(status, "members");
 	if (listed != NULL && JSON_NODE_HOLDS_ARRAY(listed))
 		note_listed(members, json_node_get_array(listed));
 	g_object_unref(parser);
-	for (guint i = members->len; i > 0; i--) {
-		if (!((member_t *)g_ptr_array_index(members, i - 1))->listed)
-			g_ptr_array_remove_index(members, i - 1);
-	}
 	return true;
 }
 
@@ -148,21 +174,28 @@
 	}
 }
 
+/* The first address that is known for a process is kept. */
 static member_t *find_or_add(GPtrArray *members, const char *process,
 			     const char *address)
 {
-	member_t *member;
+	member_t *member = NULL;
 
-	for (guint i = 0; i < members->len; i++) {
+	for (guint i = 0; i < members->len && member == NULL; i++) {
 		member = g_ptr_array_index(members, i);
-		if (strcmp(member->process, process) == 0)
-			return member;
+		if (strcmp(member->process, process) != 0)
+			member = NULL;
+	}
+	if (member == NULL) {
+		member = g_new0(member_t, 1);
+		member->process = g_strdup(process);
+		member->address = g_strdup("");
+		member->version = -1;
+		g_ptr_array_add(members, member);
+	}
+	if (*member->address == '\0') {
+		g_free(member->address);
+		member->address = g_strdup(address);
 	}
-	member = g_new0(member_t, 1);
-	member->process = g_strdup(process);
-	member->address = g_strdup(address);
-	member->version = -1;
-	g_ptr_array_add(members, member);
 	return member;
 }
 
@@ -176,11 +209,18 @@
 static void ask(const wwh_cli_t *cli, member_t *member)
 {
 	wwh_message_t message = { "" };
-	JsonParser *parser = get_status(cli, member->address, &message);
+	JsonParser *parser;
 	JsonObject *status;
 
 	g_free(member->note);
 	member->note = NULL;
+	if (*member->address == '\0') {
+		member->note =
+			g_strdup("listed without an operator address, and no "
+				 "--server answers as it");
+		return;
+	}
+	parser = get_status(cli, member->address, &message);
 	if (parser == NULL) {
 		member->note = g_strdup(message.text);
 		return;
