--- a/include/waxwinghollow/dispatch_loan.h
+++ b/include/waxwinghollow/dispatch_loan.h
@@ -10,7 +10,7 @@
  *	10 to 50 ms, and sends what is visited; the receiver hands each to
  *	wwh_dispatch_loan_hear. Messages may be lost, repeated and come out of
  *	order: loan.h says why that is safe. Nothing that is unchanged is told
- *	again before a second has passed.
+ *	again before five seconds have passed.
  *
  *	The number of slots that a minion bears goes along (limiter.h).
  *
--- a/include/waxwinghollow/loan.h
+++ b/include/waxwinghollow/loan.h
@@ -59,14 +59,14 @@
 /* Gives back up to count unused slots; returns how many. */
 int32_t wwh_loan_return(wwh_loan_book_t *book, uint64_t peer, int32_t count);
 
-/* The peer wants back what it has lent. */
-void wwh_loan_recall(wwh_loan_book_t *book, uint64_t peer, bool recalled);
-bool wwh_loan_is_recalled(const wwh_loan_book_t *book, uint64_t peer);
+/* The peer wants so many slots, or wants so many back that it has lent. */
+void wwh_loan_want(wwh_loan_book_t *book, uint64_t peer, int32_t wanted);
+int32_t wwh_loan_wanted_by(const wwh_loan_book_t *book, uint64_t peer);
 
 /*
- * True when the totals, wanted or version differ from what that peer was told
- * last, or are not all zero and were last told a second ago; it then counts
- * as told now.
+ * True when the totals or the version differ from what that peer was told
+ * last, or wanted does by much, or they are not all zero and were last told
+ * five seconds ago; it then counts as told now.
  */
 bool wwh_loan_told(wwh_loan_book_t *book, uint64_t peer, int32_t wanted,
 		   uint32_t version, int64_t now_ms);
--- a/src/libwaxwinghollow/dispatch_loan.c
+++ b/src/libwaxwinghollow/dispatch_loan.c
@@ -9,6 +9,7 @@
 			   const wwh_minion_record_t *minion);
 static int32_t unused_slots(const wwh_minion_record_t *minion);
 static void return_idle(wwh_minion_record_t *minion, uint64_t peer);
+static void lend_idle(wwh_minion_record_t *minion, uint64_t peer);
 static int32_t lendable(const wwh_minion_record_t *minion);
 
 void wwh_dispatch_loans_tell(wwh_dispatch_t *dispatch, int64_t now_ms,
@@ -21,6 +22,7 @@
 		wwh_dispatch_loan_t loan = { .minion = minion->id };
 
 		return_idle(minion, peer);
+		lend_idle(minion, peer);
 		if (wwh_bearing_advance(&minion->bearing, now_ms))
 			wwh_dispatch_set_seats(dispatch, minion);
 		loan.wanted = wanted_slots(minion, now_ms);
@@ -47,17 +49,10 @@
 	if (wwh_bearing_hear(&minion->bearing, now_ms, loan->bears_version,
 			     loan->bears))
 		wwh_dispatch_set_seats(dispatch, minion);
-	wwh_loan_recall(minion->loans, peer, loan->wanted > 0);
+	wwh_loan_want(minion->loans, peer, loan->wanted);
 	wwh_dispatch_apply_share(minion);
 	wwh_dispatch_settle_loans(minion);
-	if (loan->wanted > 0 &&
-	    wwh_loan_borrowed_from(minion->loans, peer) == 0) {
-		int32_t count = MIN(loan->wanted, lendable(minion));
-
-		if (count > 0)
-			wwh_loan_grant(minion->loans, peer, count);
-	}
-	wwh_dispatch_apply_share(minion);
+	lend_idle(minion, peer);
 	if (minion->service == NULL)
 		return;
 	wwh_dispatch_capacity(minion->service);
@@ -86,7 +81,7 @@
 	uint64_t peer;
 
 	for (int32_t i = 0; wwh_loan_peer_at(minion->loans, i, &peer); i++) {
-		if (!wwh_loan_is_recalled(minion->loans, peer))
+		if (wwh_loan_wanted_by(minion->loans, peer) == 0)
 			continue;
 		wwh_loan_return(minion->loans, peer, unused_slots(minion));
 		wwh_dispatch_apply_share(minion);
@@ -160,6 +155,21 @@
 	wwh_dispatch_apply_share(minion);
 }
 
+/* To a peer that wants some and from which nothing is borrowed. */
+static void lend_idle(wwh_minion_record_t *minion, uint64_t peer)
+{
+	int32_t wanted = wwh_loan_wanted_by(minion->loans, peer);
+	int32_t count;
+
+	if (wanted == 0 || wwh_loan_borrowed_from(minion->loans, peer) > 0)
+		return;
+	count = MIN(wanted, lendable(minion));
+	if (count <= 0)
+		return;
+	wwh_loan_grant(minion->loans, peer, count);
+	wwh_dispatch_apply_share(minion);
+}
+
 /* Only own slots; a borrowed one is not lent on. */
 static int32_t lendable(const wwh_minion_record_t *minion)
 {
--- a/src/libwaxwinghollow/loan.c
+++ b/src/libwaxwinghollow/loan.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <glib.h>
 
-#define TELL_AGAIN_MS 1000
+#define TELL_AGAIN_MS 5000
 
 typedef struct {
 	uint64_t peer;
@@ -11,7 +11,7 @@
 	uint64_t returned; /* own number */
 	uint64_t heard_granted;
 	uint64_t heard_returned;
-	bool recalled;
+	int32_t wanted; /* by the peer */
 	wwh_loan_totals_t told;
 	int32_t told_wanted;
 	uint32_t told_version;
@@ -26,6 +26,7 @@
 
 static account_t *find(const wwh_loan_book_t *book, uint64_t peer);
 static account_t *get(wwh_loan_book_t *book, uint64_t peer);
+static bool much_changed(int32_t from, int32_t to);
 
 wwh_loan_book_t *wwh_loan_book_new(void)
 {
@@ -83,19 +84,17 @@
 	return count;
 }
 
-void wwh_loan_recall(wwh_loan_book_t *book, uint64_t peer, bool recalled)
+void wwh_loan_want(wwh_loan_book_t *book, uint64_t peer, int32_t wanted)
 {
-	account_t *account = find(book, peer);
-
-	if (account != NULL)
-		account->recalled = recalled;
+	if (wanted > 0 || find(book, peer) != NULL)
+		get(book, peer)->wanted = wanted;
 }
 
-bool wwh_loan_is_recalled(const wwh_loan_book_t *book, uint64_t peer)
+int32_t wwh_loan_wanted_by(const wwh_loan_book_t *book, uint64_t peer)
 {
 	const account_t *account = find(book, peer);
 
-	return account != NULL && account->recalled;
+	return account == NULL ? 0 : account->wanted;
 }
 
 bool wwh_loan_told(wwh_loan_book_t *book, uint64_t peer, int32_t wanted,
@@ -111,7 +110,7 @@
 		account->returned == 0;
 	if (account->told.granted == account->granted &&
 	    account->told.returned == account->returned &&
-	    account->told_wanted == wanted &&
+	    !much_changed(account->told_wanted, wanted) &&
 	    account->told_version == version &&
 	    (blank || now_ms - account->told_ms < TELL_AGAIN_MS))
 		return false;
@@ -209,3 +208,9 @@
 	g_array_append_val(book->accounts, fresh);
 	return find(book, peer);
 }
+
+/* To or from none, or by more than half: less is not worth a message. */
+static bool much_changed(int32_t from, int32_t to)
+{
+	return (from == 0) != (to == 0) || from > 2 * to || to > 2 * from;
+}
