--- a/src/libwaxwinghollow/fleet_bridge.c
+++ b/src/libwaxwinghollow/fleet_bridge.c
@@ -2,8 +2,14 @@
 
 #include <string.h>
 
-/* How much a finished run counts in the running mean of its team's. */
-#define RUN_TIME_WEIGHT 0.2
+#define RUN_TIMES_KEPT 32 /* of a team's last jobs */
+
+/* How long a team's last jobs ran. */
+typedef struct {
+	int64_t ms[RUN_TIMES_KEPT];
+	int32_t count;
+	int32_t next;
+} run_times_t;
 
 typedef struct {
 	int64_t fence;
@@ -18,7 +24,7 @@
 	GHashTable *hosts; /* worker id to state + 1 */
 	GHashTable *tasks; /* task id to task_t */
 	GHashTable *requests; /* worker id to count + 1 */
-	GHashTable *run_ms; /* team to a mean, double */
+	GHashTable *run_times; /* team to run_times_t */
 };
 
 typedef struct {
@@ -43,6 +49,8 @@
 static bool add_job(const wwh_job_view_t *job, void *client_data);
 static void add_report(bridge_t *bridge, const wwh_job_view_t *job,
 		       wwh_fleet_job_t *item);
+static int64_t expected_end_ms(const run_times_t *times, int64_t started_ms,
+			       int64_t now_ms);
 static void note_run_time(bridge_t *bridge, const wwh_job_view_t *job);
 static void sum_use(wwh_fleet_view_t *view);
 
@@ -56,7 +64,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	observations->requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	observations->run_ms =
+	observations->run_times =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return observations;
 }
@@ -68,7 +76,7 @@
 	g_hash_table_destroy(observations->hosts);
 	g_hash_table_destroy(observations->tasks);
 	g_hash_table_destroy(observations->requests);
-	g_hash_table_destroy(observations->run_ms);
+	g_hash_table_destroy(observations->run_times);
 	g_free(observations);
 }
 
@@ -322,8 +330,8 @@
 		       wwh_fleet_job_t *item)
 {
 	task_t *task = task_of(bridge->observations, job->id);
-	const double *run_ms =
-		g_hash_table_lookup(bridge->observations->run_ms, job->team);
+	const run_times_t *times =
+		g_hash_table_lookup(bridge->observations->run_times, job->team);
 
 	if (task->queued_ms == 0)
 		task->queued_ms = bridge->now_ms;
@@ -337,8 +345,32 @@
 	item->report = (int32_t)task->state;
 	item->used = task->used;
 	item->started_ms = task->started_ms;
-	if (run_ms && task->started_ms + (int64_t)*run_ms > bridge->now_ms)
-		item->expected_end_ms = task->started_ms + (int64_t)*run_ms;
+	if (times)
+		item->expected_end_ms = expected_end_ms(times, task->started_ms,
+							bridge->now_ms);
+}
+
+/*
+ * Half of those of the team's jobs that ran longer than this one has so far
+ * had ended by then; 0 when none ran as long.
+ */
+static int64_t expected_end_ms(const run_times_t *times, int64_t started_ms,
+			       int64_t now_ms)
+{
+	int64_t longer[RUN_TIMES_KEPT];
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < times->count; i++) {
+		int32_t at = count;
+
+		if (times->ms[i] <= now_ms - started_ms)
+			continue;
+		for (; at > 0 && longer[at - 1] > times->ms[i]; at--)
+			longer[at] = longer[at - 1];
+		longer[at] = times->ms[i];
+		count++;
+	}
+	return count == 0 ? 0 : started_ms + longer[count / 2];
 }
 
 /* Run times are learnt per team: declared ones are far from the truth. */
@@ -346,20 +378,20 @@
 {
 	wwh_observations_t *observations = bridge->observations;
 	task_t *task = g_hash_table_lookup(observations->tasks, job->id);
-	double *mean = g_hash_table_lookup(observations->run_ms, job->team);
-	double run_ms;
+	run_times_t *times =
+		g_hash_table_lookup(observations->run_times, job->team);
 
 	if (!task)
 		return;
+	if (!times) {
+		times = g_new0(run_times_t, 1);
+		g_hash_table_insert(observations->run_times,
+				    g_strdup(job->team), times);
+	}
 	if (task->fence == job->fence && job->phase == WWH_JOB_PHASE_DONE) {
-		run_ms = (double)(bridge->now_ms - task->started_ms);
-		if (!mean) {
-			mean = g_new0(double, 1);
-			*mean = run_ms;
-			g_hash_table_insert(observations->run_ms,
-					    g_strdup(job->team), mean);
-		}
-		*mean += RUN_TIME_WEIGHT * (run_ms - *mean);
+		times->ms[times->next] = bridge->now_ms - task->started_ms;
+		times->next = (times->next + 1) % RUN_TIMES_KEPT;
+		times->count = MIN(times->count + 1, RUN_TIMES_KEPT);
 	}
 	g_hash_table_remove(observations->tasks, job->id);
 }
