Wait after a refusal; lower what a minion bears only on repeated refusals

Cause: a refusal takes 2 ms, so a process sent the next request at once and was refused again; the run of refusals lowered the number twice.

--- a/include/waxwinghollow/limiter.h
+++ b/include/waxwinghollow/limiter.h
@@ -34,12 +34,15 @@
  *	It is no matter of safety: a part of fewer slots is never larger than
  *	the part of more, so a stale or wrong number only costs use.
  *
- *	A refusal takes an eighth off (one slot at least), at most once in a
- *	run time and 100 ms, so that one burst of refusals counts once. One
- *	slot is added after a time without a refusal: after 1 s, doubled up to
- *	16 s each time it was refused, halved each time it was not. The newer
- *	of two numbers wins (a counter goes along with it), of two with the
- *	same counter the smaller one.
+ *	Two refusals within four answers take an eighth off (one slot at
+ *	least), at most once in three run times and 100 ms: what was started
+ *	before the last change has ended by then. A single refusal does not: a
+ *	request given up at its deadline still keeps the minion busy for a
+ *	moment. One slot is added after a time without a change: after 1 s,
+ *	doubled up to 16 s each time it was refused (there one refusal is
+ *	enough), halved each time it was not. The newer of two numbers wins (a
+ *	counter goes along with it), of two with the same counter the smaller
+ *	one.
  *
  *	Run times that grow under load are not used as a sign: measured, it
  *	made no difference, and run times also grow for other reasons.
@@ -91,10 +94,13 @@
 	int64_t changed_ms;
 	int64_t wait_ms; /* without a refusal, before one slot is added */
 	bool raised; /* by the last change */
+	int32_t score; /* of refusals against answers since then */
 } wwh_bearing_t;
 
 void wwh_bearing_init(wwh_bearing_t *bearing, int32_t declared);
 
+void wwh_bearing_answered(wwh_bearing_t *bearing);
+
 /* All three: true when the number changed. */
 bool wwh_bearing_refused(wwh_bearing_t *bearing, int64_t now_ms, double run_ms);
 bool wwh_bearing_advance(wwh_bearing_t *bearing, int64_t now_ms);
--- a/src/libwaxwinghollow/dispatch_run.c
+++ b/src/libwaxwinghollow/dispatch_run.c
@@ -8,6 +8,7 @@
 #define TIMEOUT_CALLER_RUNS 4 /* mean run times of that caller */
 #define RAMP_STEP_MS 100
 #define PROBE_ANY_MS 2000
+#define REFUSAL_MAX_MS 1000
 #define HAD_TIME_RUNS 3 /* p90 run times: 0.1% of exponential ones */
 
 static wwh_minion_record_t *choose(wwh_dispatch_t *dispatch, int64_t now_ms,
@@ -32,6 +33,8 @@
 		    const wwh_dispatch_result_t *result);
 static void judge(wwh_minion_record_t *minion, int64_t now_ms);
 static wwh_sign_t sign_of(wwh_outcome_t outcome, bool had_time);
+static int32_t refusal_pause_ms(const wwh_minion_record_t *minion,
+				const wwh_dispatch_result_t *result);
 static bool learn_bearing(wwh_minion_record_t *minion, int64_t now_ms,
 			  wwh_outcome_t outcome);
 static bool other_usable(const wwh_request_record_t *request,
@@ -424,9 +427,9 @@
 	}
 	minion->failed += sign == WWH_SIGN_FAILED || sign == WWH_SIGN_SILENT;
 	minion->refused += result->outcome == WWH_OUTCOME_REFUSED;
-	if (result->outcome == WWH_OUTCOME_REFUSED &&
-	    result->retry_after_ms > 0)
-		minion->blocked_until_ms = now_ms + result->retry_after_ms;
+	if (result->outcome == WWH_OUTCOME_REFUSED)
+		minion->blocked_until_ms =
+			now_ms + refusal_pause_ms(minion, result);
 	if (learn_bearing(minion, now_ms, result->outcome))
 		wwh_dispatch_set_seats(dispatch, minion);
 	judge(minion, now_ms);
@@ -481,6 +484,19 @@
 	}
 }
 
+/*
+ * Without a Retry-After, half a run time: what fills the minion has to end
+ * first, and a refusal takes so little time that the next would follow at
+ * once.
+ */
+static int32_t refusal_pause_ms(const wwh_minion_record_t *minion,
+				const wwh_dispatch_result_t *result)
+{
+	if (result->retry_after_ms > 0)
+		return result->retry_after_ms;
+	return CLAMP((int32_t)minion->limiter.run_ms / 2, 1, REFUSAL_MAX_MS);
+}
+
 /* True when its part of the minion changed. */
 static bool learn_bearing(wwh_minion_record_t *minion, int64_t now_ms,
 			  wwh_outcome_t outcome)
@@ -488,6 +504,8 @@
 	if (outcome == WWH_OUTCOME_REFUSED)
 		return wwh_bearing_refused(&minion->bearing, now_ms,
 					   minion->limiter.run_ms);
+	if (outcome == WWH_OUTCOME_ANSWERED)
+		wwh_bearing_answered(&minion->bearing);
 	return wwh_bearing_advance(&minion->bearing, now_ms);
 }
 
--- a/src/libwaxwinghollow/limiter.c
+++ b/src/libwaxwinghollow/limiter.c
@@ -9,9 +9,14 @@
 #define PAUSE_MAX_MS 2000.0
 #define CUT_PART 8
 #define CUT_GAP_MS 100
+#define CUT_GAP_RUNS 3 /* what was started before has ended by then */
+#define REFUSAL_SCORE 4
+#define CUT_SCORE 8
 #define RAISE_FIRST_MS 1000
 #define RAISE_MAX_MS 16000
 
+static void set_bears(wwh_bearing_t *bearing, int64_t now_ms, int32_t bears);
+
 int32_t wwh_limiter_part(const char *minion, int32_t total, int32_t seat_count,
 			 uint64_t seats)
 {
@@ -82,19 +87,26 @@
 				    .wait_ms = RAISE_FIRST_MS };
 }
 
+void wwh_bearing_answered(wwh_bearing_t *bearing)
+{
+	if (bearing->score > 0)
+		bearing->score--;
+}
+
 bool wwh_bearing_refused(wwh_bearing_t *bearing, int64_t now_ms, double run_ms)
 {
-	int64_t gap_ms = CUT_GAP_MS + (int64_t)run_ms;
+	int64_t gap_ms = CUT_GAP_MS + (int64_t)(CUT_GAP_RUNS * run_ms);
 	int32_t less = bearing->bears / CUT_PART;
 
 	if (now_ms - bearing->changed_ms < gap_ms || bearing->bears <= 1)
 		return false;
+	bearing->score += REFUSAL_SCORE;
+	if (!bearing->raised && bearing->score < CUT_SCORE)
+		return false;
 	if (bearing->raised && bearing->wait_ms < RAISE_MAX_MS)
 		bearing->wait_ms *= 2;
-	bearing->bears -= less > 1 ? less : 1;
+	set_bears(bearing, now_ms, bearing->bears - (less > 1 ? less : 1));
 	bearing->version++;
-	bearing->changed_ms = now_ms;
-	bearing->raised = false;
 	return true;
 }
 
@@ -105,10 +117,8 @@
 		return false;
 	if (bearing->raised && bearing->wait_ms > RAISE_FIRST_MS)
 		bearing->wait_ms /= 2;
-	bearing->bears++;
+	set_bears(bearing, now_ms, bearing->bears + 1);
 	bearing->version++;
-	bearing->changed_ms = now_ms;
-	bearing->raised = true;
 	return true;
 }
 
@@ -124,9 +134,15 @@
 	if (bearing->raised && bears < bearing->bears &&
 	    bearing->wait_ms < RAISE_MAX_MS)
 		bearing->wait_ms *= 2;
+	set_bears(bearing, now_ms, bears);
+	bearing->version = version;
+	return true;
+}
+
+static void set_bears(wwh_bearing_t *bearing, int64_t now_ms, int32_t bears)
+{
 	bearing->raised = bears > bearing->bears;
 	bearing->bears = bears;
-	bearing->version = version;
 	bearing->changed_ms = now_ms;
-	return true;
+	bearing->score = 0;
 }
--- a/src/test_limiter/test_limiter.c
+++ b/src/test_limiter/test_limiter.c
@@ -65,7 +65,7 @@
 static void the_number_finds_what_the_minion_bears(void **unused)
 {
 	wwh_bearing_t bearing;
-	int32_t refused = 0;
+	int32_t tries = 0;
 	int64_t now_ms = 0;
 
 	(void)unused;
@@ -74,11 +74,11 @@
 		wwh_bearing_advance(&bearing, now_ms);
 		if (bearing.bears <= 2)
 			continue;
-		refused += now_ms > 100000;
-		wwh_bearing_refused(&bearing, now_ms, 40);
+		if (wwh_bearing_refused(&bearing, now_ms, 40))
+			tries += now_ms > 100000;
 	}
 	assert_int_equal(bearing.bears, 2);
-	assert_in_range(refused, 1, 100);
+	assert_in_range(tries, 3, 10);
 	for (; now_ms < 300000; now_ms += 10)
 		wwh_bearing_advance(&bearing, now_ms);
 	assert_int_equal(bearing.bears, 8);
@@ -95,6 +95,12 @@
 	assert_int_equal(bearing.bears, 7);
 }
 
+static void refuse_twice(wwh_bearing_t *bearing, int64_t now_ms)
+{
+	wwh_bearing_refused(bearing, now_ms, 0);
+	wwh_bearing_refused(bearing, now_ms, 0);
+}
+
 /* Two processes tell each other; late and repeated messages do no harm. */
 static void processes_agree_on_the_number(void **unused)
 {
@@ -103,13 +109,13 @@
 	(void)unused;
 	wwh_bearing_init(&a, 8);
 	wwh_bearing_init(&b, 8);
-	wwh_bearing_refused(&a, 1000, 0);
-	wwh_bearing_refused(&a, 2000, 0);
+	refuse_twice(&a, 1000);
+	refuse_twice(&a, 1200);
 	assert_true(wwh_bearing_hear(&b, 2001, a.version, a.bears));
 	assert_int_equal(b.bears, 6);
 	assert_false(wwh_bearing_hear(&a, 2002, 0, 8));
 	assert_false(wwh_bearing_hear(&b, 2003, 1, 7));
-	wwh_bearing_refused(&b, 3000, 0);
+	refuse_twice(&b, 3000);
 	assert_true(wwh_bearing_hear(&a, 3001, b.version, b.bears));
 	assert_int_equal(a.bears, 5);
 	assert_false(wwh_bearing_hear(&a, 3002, 100, 9));
