Measure the roll-out time of a configuration on real entry processes

Ruled out: taking the accepting process's word for the others. Each is asked itself; a silent one is waited for once a round.

--- a/src/test_cli/test_publish.c
+++ b/src/test_cli/test_publish.c
@@ -64,8 +64,8 @@
 	assert_int_equal(fake_operator_posts(first), 1);
 	assert_int_equal(fake_operator_version(first), 1);
 	assert_non_null(strstr(run.out, "\"verdict\":\"accepted\","
-					"\"version\":1,"
-					"\"in_force_everywhere\":true"));
+					"\"version\":1,\"rollout_ms\":"));
+	assert_non_null(strstr(run.out, "\"in_force_everywhere\":true"));
 	assert_non_null(strstr(run.out, "\"process\":\"e2\""));
 	assert_null(strstr(run.out, "\"process\":\"e3\""));
 	run_clear(&run);
--- a/src/waxwinghollow/cmd_publish.c
+++ b/src/waxwinghollow/cmd_publish.c
@@ -23,6 +23,7 @@
 	wwh_config_t *wanted;
 	wwh_config_t *in_force;
 	const char *server; /* that answered last */
+	int64_t sent_us;
 } publish_t;
 
 static bool parse_options(publish_t *publish, int *argc, char ***argv);
@@ -101,6 +102,7 @@
 	code = fetch_in_force(publish);
 	if (code != WWH_EXIT_OK)
 		return code;
+	publish->sent_us = g_get_monotonic_time();
 	if (is_in_force(publish))
 		return finish(publish, "unchanged",
 			      wwh_config_version(publish->in_force));
@@ -282,6 +284,13 @@
 
 static int finish(publish_t *publish, const char *verdict, int64_t version)
 {
+	const wwh_rollout_t rollout = {
+		.cli = &publish->cli,
+		.server = publish->server,
+		.version = version,
+		.start_us = publish->sent_us,
+		.limit_ms = publish->wait_ms,
+	};
 	JsonBuilder *builder = json_builder_new();
 	JsonNode *root;
 	bool everywhere;
@@ -291,8 +300,7 @@
 	json_builder_add_string_value(builder, verdict);
 	json_builder_set_member_name(builder, "version");
 	json_builder_add_int_value(builder, version);
-	everywhere = wwh_rollout_wait(&publish->cli, publish->server, version,
-				      publish->wait_ms, builder);
+	everywhere = wwh_rollout_wait(&rollout, builder);
 	json_builder_end_object(builder);
 	root = json_builder_get_root(builder);
 	if (publish->cli.json) {
--- a/src/waxwinghollow/rollout.c
+++ b/src/waxwinghollow/rollout.c
@@ -4,7 +4,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define ROUND_MS 100
+#define ROUND_MS 20
 #define CALL_TIMEOUT_MS 1000
 #define US_PER_MS 1000
 
@@ -13,6 +13,7 @@
 	char *address; /* of its operator listener */
 	int64_t version; /* -1: has not answered */
 	bool listed; /* in this round */
+	bool asked; /* in this round */
 	char *note; /* why it did not answer */
 } member_t;
 
@@ -23,6 +24,9 @@
 		    GPtrArray *members);
 static bool refresh_from(const wwh_cli_t *cli, const char *server,
 			 GPtrArray *members);
+static void note_silence(GPtrArray *members, const char *address,
+			 const wwh_message_t *message);
+static void set_note(member_t *member, const char *note);
 static void note_listed(GPtrArray *members, JsonArray *listed);
 static member_t *find_or_add(GPtrArray *members, const char *process,
 			     const char *address);
@@ -34,20 +38,21 @@
 		       bool everywhere, JsonBuilder *builder);
 static const char *text_member(JsonObject *object, const char *name);
 
-bool wwh_rollout_wait(const wwh_cli_t *cli, const char *server, int64_t version,
-		      int64_t limit_ms, JsonBuilder *builder)
+bool wwh_rollout_wait(const wwh_rollout_t *rollout, JsonBuilder *builder)
 {
-	int64_t end_us = g_get_monotonic_time() + limit_ms * US_PER_MS;
+	const wwh_cli_t *cli = rollout->cli;
+	const int64_t version = rollout->version;
+	int64_t end_us = g_get_monotonic_time() + rollout->limit_ms * US_PER_MS;
 	GPtrArray *members = g_ptr_array_new_with_free_func(member_free);
 	bool everywhere = false;
 
 	for (;;) {
-		bool listed = refresh(cli, server, members);
+		bool listed = refresh(cli, rollout->server, members);
 
 		for (guint i = 0; i < members->len; i++) {
 			member_t *member = g_ptr_array_index(members, i);
 
-			if (member->version < version)
+			if (member->version < version && !member->asked)
 				ask(cli, member);
 		}
 		show_progress(members, version);
@@ -60,6 +65,10 @@
 	}
 	if (isatty(STDERR_FILENO))
 		fprintf(stderr, "\n");
+	json_builder_set_member_name(builder, "rollout_ms");
+	json_builder_add_int_value(
+		builder,
+		(g_get_monotonic_time() - rollout->start_us) / US_PER_MS);
 	add_report(members, version, everywhere, builder);
 	g_ptr_array_unref(members);
 	return everywhere;
@@ -116,8 +125,12 @@
 {
 	bool answered = false;
 
-	for (guint i = 0; i < members->len; i++)
-		((member_t *)g_ptr_array_index(members, i))->listed = false;
+	for (guint i = 0; i < members->len; i++) {
+		member_t *member = g_ptr_array_index(members, i);
+
+		member->listed = false;
+		member->asked = false;
+	}
 	answered = refresh_from(cli, server, members);
 	for (char **other = cli->servers; *other != NULL; other++) {
 		if (strcmp(*other, server) != 0)
@@ -143,11 +156,15 @@
 	JsonNode *listed;
 	member_t *self;
 
-	if (parser == NULL)
+	if (parser == NULL) {
+		note_silence(members, server, &message);
 		return false;
+	}
 	status = json_node_get_object(json_parser_get_root(parser));
 	self = find_or_add(members, text_member(status, "process"), server);
 	self->listed = true;
+	self->asked = true;
+	set_note(self, NULL);
 	self->version = json_object_get_int_member_with_default(
 		status, "config_version", -1);
 	listed = json_object_get_member(status, "members");
@@ -157,6 +174,26 @@
 	return true;
 }
 
+/* Spares a second wait for the same silent process in this round. */
+static void note_silence(GPtrArray *members, const char *address,
+			 const wwh_message_t *message)
+{
+	for (guint i = 0; i < members->len; i++) {
+		member_t *member = g_ptr_array_index(members, i);
+
+		if (strcmp(member->address, address) != 0)
+			continue;
+		member->asked = true;
+		set_note(member, message->text);
+	}
+}
+
+static void set_note(member_t *member, const char *note)
+{
+	g_free(member->note);
+	member->note = g_strdup(note);
+}
+
 static void note_listed(GPtrArray *members, JsonArray *listed)
 {
 	for (guint i = 0; i < json_array_get_length(listed); i++) {
@@ -212,23 +249,22 @@
 	JsonParser *parser;
 	JsonObject *status;
 
-	g_free(member->note);
-	member->note = NULL;
+	member->asked = true;
 	if (*member->address == '\0') {
-		member->note =
-			g_strdup("listed without an operator address, and no "
+		set_note(member, "listed without an operator address, and no "
 				 "--server answers as it");
 		return;
 	}
 	parser = get_status(cli, member->address, &message);
 	if (parser == NULL) {
-		member->note = g_strdup(message.text);
+		set_note(member, message.text);
 		return;
 	}
+	set_note(member, NULL);
 	status = json_node_get_object(json_parser_get_root(parser));
 	/* Another process may have got the address since. */
 	if (strcmp(text_member(status, "process"), member->process) != 0)
-		member->note = g_strdup("another process answers there");
+		set_note(member, "another process answers there");
 	else
 		member->version = json_object_get_int_member_with_default(
 			status, "config_version", -1);
--- a/src/waxwinghollow/rollout.h
+++ b/src/waxwinghollow/rollout.h
@@ -15,11 +15,18 @@
 
 #include "cli.h"
 
+typedef struct {
+	const wwh_cli_t *cli;
+	const char *server; /* that accepted the change */
+	int64_t version;
+	int64_t start_us; /* when it was sent, monotonic */
+	int64_t limit_ms;
+} wwh_rollout_t;
+
 /*
- * Adds "in_force" (bool) and "processes" (a list) to builder. False when the
- * version is not in force everywhere after limit_ms.
+ * Adds "rollout_ms", "in_force_everywhere" and "processes" (a list) to builder.
+ * False when the version is not in force everywhere after the limit.
  */
-bool wwh_rollout_wait(const wwh_cli_t *cli, const char *server, int64_t version,
-		      int64_t limit_ms, JsonBuilder *builder);
+bool wwh_rollout_wait(const wwh_rollout_t *rollout, JsonBuilder *builder);
 
 #endif
