--- a/src/test_bench/bench_fleet.c
+++ b/src/test_bench/bench_fleet.c
@@ -218,12 +218,12 @@
 	}
 	for (int32_t i = 0; i < lanes; i++) {
 		lane_t *lane = add_lane(run);
-		int32_t in_lane = 0;
+		int32_t in_batch = 0;
 		int32_t last_rack = -1;
 
 		for (int32_t w = 0; w < fixture->workers; w++) {
 			int32_t rack = order[w] / fixture->per_rack;
-			bool another = in_lane % batch == 0;
+			bool another = in_batch == 0;
 
 			if (by_pool &&
 			    fleet_fixture_pool_of(fixture, order[w]) != i)
@@ -232,7 +232,7 @@
 				another = rack != last_rack;
 			add_to_lane(lane, order[w], another);
 			last_rack = rack;
-			in_lane++;
+			in_batch = in_batch + 1 < batch ? in_batch + 1 : 0;
 		}
 	}
 	g_free(order);
--- a/src/test_conductor/test_conductor.c
+++ b/src/test_conductor/test_conductor.c
@@ -166,11 +166,11 @@
 	sim.refused = 0;
 	sim_release_held(&sim, 0);
 	sim_release_held(&sim, 1);
-	assert_true(sim.fenced_off > 0);
 	run(&sim, 30);
 	assert_int_equal(sim.reboots, reboots);
 	for (int32_t w = 0; w < 50; w++)
 		assert_int_equal(sim.workers[w].state, WWH_WORKER_UP);
+	assert_true(sim.fenced_off > 0);
 	assert_clean(&sim);
 	sim_finish(&sim);
 }
@@ -242,6 +242,7 @@
 	sim.workers[3].requests = 1;
 	sim_start_waves(&sim);
 	run_waves(&sim, 8000);
+	assert_int_equal(sim.cut_off, 0);
 	assert_waves_done(&sim, 49);
 	assert_int_equal(sim.workers[3].boots, 0);
 	assert_int_equal(sim.workers[3].state, WWH_WORKER_UP);
