Show what each pool holds back and what less would risk; measure conducting

Cause: operators pay for held-back workers and could not see for which failure; what conducting costs at the target was not known.

--- a/include/waxwinghollow/capacity.h
+++ b/include/waxwinghollow/capacity.h
@@ -66,4 +66,11 @@
 void wwh_capacity_options(const wwh_fleet_view_t *view, int32_t pool,
 			  wwh_capacity_option_t options[WWH_DOMAIN_COUNT]);
 
+/*
+ * All pools for people and for scripts: a line a pool, and below it what each
+ * smaller reserve would save and risk. g_free.
+ */
+char *wwh_capacity_text(const wwh_fleet_view_t *view);
+char *wwh_capacity_json(const wwh_fleet_view_t *view);
+
 #endif
--- /dev/null
+++ b/src/test_bench/bench_conductor.c
@@ -0,0 +1,96 @@
+/*
+ * What conducting costs an entry process, by the size of the fleet: making
+ * the view, a tick with nothing to do, a tick with a wave in every pool, and
+ * the memory of view and conductor. One process holds every lease, so these
+ * are the costs of the whole fleet, which the holders share.
+ */
+
+#include <malloc.h>
+#include <stdio.h>
+
+#include "../test_standins/include/fleet_sim.h"
+
+#define RUNS 30
+#define WARM_STEPS 20
+
+typedef struct {
+	double view_ms;
+	double tick_ms;
+	size_t view_bytes;
+} cost_t;
+
+static cost_t measure(sim_t *sim)
+{
+	sim_process_t *process = &sim->processes[0];
+	cost_t cost = { 0 };
+
+	for (int32_t i = 0; i < RUNS; i++) {
+		int64_t start_us = g_get_monotonic_time();
+		size_t before = mallinfo2().uordblks;
+		wwh_fleet_view_t *view =
+			wwh_fleet_bridge_view(sim->state, process->observations,
+					      process->author, sim->now_ms);
+		int64_t made_us = g_get_monotonic_time();
+		wwh_action_t action;
+
+		cost.view_bytes = mallinfo2().uordblks - before;
+		sim->now_ms += 1000;
+		wwh_conductor_tick(process->conductor, sim->now_ms, view);
+		cost.view_ms += (double)(made_us - start_us) / 1000.0 / RUNS;
+		cost.tick_ms += (double)(g_get_monotonic_time() - made_us) /
+				1000.0 / RUNS;
+		wwh_fleet_view_delete(view);
+		while (wwh_conductor_next_action(process->conductor, &action))
+			sim_perform(sim, process, &action);
+		sim_advance(sim);
+		sim_observe(sim, process);
+	}
+	return cost;
+}
+
+static void run_size(int32_t workers, int32_t jobs_per_worker)
+{
+	fleet_fixture_t fixture = fleet_fixture_target();
+	sim_options_t options;
+	size_t before = mallinfo2().uordblks;
+	cost_t idle;
+	cost_t wave;
+	sim_t sim;
+
+	fixture.workers = workers;
+	fixture.pools = workers / 22;
+	options = sim_options_defaults(fixture);
+	options.actions_per_tick = 100000;
+	options.reboot_ms = 600000;
+	sim_init(&sim, &options);
+	for (int32_t i = 0; i < workers * jobs_per_worker; i++) {
+		char id[24];
+
+		g_snprintf(id, sizeof(id), "job%06d", i);
+		sim_submit(&sim, id, i % fixture.pools, false, true);
+	}
+	for (int32_t i = 0; i < WARM_STEPS; i++)
+		sim_step(&sim);
+	idle = measure(&sim);
+	sim_start_waves(&sim);
+	wave = measure(&sim);
+	printf("%7d %6d %7d %8.2f %8.2f %8.2f %8zu %9zu\n", workers,
+	       fixture.pools, workers * jobs_per_worker, idle.view_ms,
+	       idle.tick_ms, wave.tick_ms, idle.view_bytes / 1024,
+	       (mallinfo2().uordblks - before) / 1024);
+	fflush(stdout);
+	sim_finish(&sim);
+}
+
+int main(void)
+{
+	static const int32_t sizes[] = { 506, 1012, 2552, 5104 };
+
+	printf("%7s %6s %7s %8s %8s %8s %8s %9s\n", "workers", "pools", "jobs",
+	       "view ms", "idle ms", "wave ms", "view KB", "all KB");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		run_size(sizes[i], 0);
+		run_size(sizes[i], 2);
+	}
+	return 0;
+}
--- a/src/test_planner/test_planner.c
+++ b/src/test_planner/test_planner.c
@@ -153,6 +153,8 @@
 	fleet_fixture_t fixture = fleet_fixture_bounce();
 	wwh_capacity_option_t options[WWH_DOMAIN_COUNT];
 	wwh_fleet_view_t *view;
+	char *json;
+	char *text;
 
 	(void)unused;
 	fixture.racks_by_pool = true;
@@ -169,6 +171,14 @@
 	assert_int_equal(options[WWH_DOMAIN_WORKER].out_at_once, 5);
 	assert_int_equal(
 		options[WWH_DOMAIN_WORKER].breach_workers[WWH_DOMAIN_RACK], 3);
+	text = wwh_capacity_text(view);
+	assert_non_null(strstr(text, "reserve worker: 3 fewer held back; then "
+				     "a rack's failure in a full wave breaks "
+				     "the budget by 3"));
+	json = wwh_capacity_json(view);
+	assert_non_null(strstr(json, "\"held_back_for\" : \"rack\""));
+	g_free(text);
+	g_free(json);
 	wwh_fleet_view_delete(view);
 }
 
