--- a/src/test_config/test_config.c
+++ b/src/test_config/test_config.c
@@ -93,6 +93,29 @@
 	wwh_config_unref(config);
 }
 
+/* Spreadsheets write a byte order mark, CR LF and columns in their order. */
+static void csv_of_a_spreadsheet_is_read(void **unused)
+{
+	static const char *const csv = "\xef\xbb\xbfpool,id,address,rack,zone,"
+				       "region,x-bought,cores\r\n"
+				       "p,\"w1\",10.0.0.1,r1,a,ie,\"May "
+				       "2024,\r\nsay \"\"new\"\"\",\r\n"
+				       "\r\n"
+				       "p,w2,10.0.0.2,r2,a,ie,,16";
+	GString *errors = g_string_new(NULL);
+	wwh_config_t *config;
+
+	(void)unused;
+	assert_int_equal(parse_config(csv, RULES, &config, errors),
+			 WWH_STATUS_OK);
+	assert_string_equal(errors->str, "");
+	assert_int_equal(wwh_config_worker_count(config), 2);
+	assert_int_equal(wwh_config_worker(config, "w1")->cores, 1);
+	assert_int_equal(wwh_config_worker(config, "w2")->cores, 16);
+	wwh_config_unref(config);
+	g_string_free(errors, TRUE);
+}
+
 static void longest_path_prefix_on_segments_is_routed(void **unused)
 {
 	wwh_config_t *config = good_config();
@@ -293,6 +316,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(items_are_read_and_found_by_id),
+		cmocka_unit_test(csv_of_a_spreadsheet_is_read),
 		cmocka_unit_test(longest_path_prefix_on_segments_is_routed),
 		cmocka_unit_test(applying_a_decoded_difference_gives_the_other),
 		cmocka_unit_test(a_change_that_breaks_the_whole_is_refused),
