--- a/include/waxwinghollow/frame.h
+++ b/include/waxwinghollow/frame.h
@@ -41,6 +41,9 @@
 	WWH_FRAME_LOAN, /* see loan.h */
 	WWH_FRAME_STATE_REQUEST,
 	WWH_FRAME_STATE_PART,
+	WWH_FRAME_SEAT_ASK, /* see seat.h */
+	WWH_FRAME_SEAT_ANSWER,
+	WWH_FRAME_CONFIG_ASK, /* answered by CONFIG */
 	WWH_FRAME_KIND_COUNT
 } wwh_frame_kind_t;
 
--- a/include/waxwinghollow/record.h
+++ b/include/waxwinghollow/record.h
@@ -32,6 +32,7 @@
 #include <stdint.h>
 
 #include "waxwinghollow/error_kind.h"
+#include "waxwinghollow/seat.h"
 #include "waxwinghollow/status.h"
 
 #define WWH_RECORD_FORMAT 1
@@ -83,6 +84,7 @@
 	WWH_RECORD_JOB_CHECKPOINTED,
 	WWH_RECORD_JOB_DONE,
 	WWH_RECORD_JOB_FAILED,
+	WWH_RECORD_SEAT, /* see seat.h */
 	WWH_RECORD_SNAPSHOT, /* of either stream */
 	WWH_RECORD_INTENTS, /* a batch; this and below: stream intents */
 	WWH_RECORD_RESULTS, /* a batch */
@@ -264,6 +266,7 @@
 		wwh_record_rehearsal_t rehearsal; /* REHEARSAL_* */
 		wwh_record_job_submit_t job_submit;
 		wwh_record_job_t job; /* JOB_* but submit */
+		wwh_seat_record_t seat;
 		wwh_record_snapshot_t snapshot;
 		wwh_record_intents_t intents;
 		wwh_record_results_t results;
--- a/include/waxwinghollow/state.h
+++ b/include/waxwinghollow/state.h
@@ -91,6 +91,7 @@
 
 #include "waxwinghollow/config.h"
 #include "waxwinghollow/record.h"
+#include "waxwinghollow/seat.h"
 #include "waxwinghollow/status.h"
 
 /*
@@ -102,9 +103,13 @@
 #define WWH_SHARD_SNAPSHOT 32
 #define WWH_SHARD_PLACEMENT 33 /* free for work that is not a pool's */
 #define WWH_SHARD_FLEET 34 /* free likewise */
-#define WWH_SHARD_SEATS 35 /* to 98: seats of the minions' slots, limiter.h */
-#define WWH_SEATS_MAX 64
-#define WWH_SHARD_COUNT (WWH_SHARD_SEATS + WWH_SEATS_MAX)
+#define WWH_SHARD_COUNT 35
+
+/*
+ * Seats divide each minion's 8 slots among 7 to 8 entry processes: with as
+ * many seats as slots, no slot is left without an owner.
+ */
+#define WWH_STATE_SEATS 8
 
 #define WWH_STATE_ENDED_MAX 4096
 #define WWH_STATE_AUTHORS_MAX 1024
@@ -174,6 +179,12 @@
 /* Offset of the last record of author, or -1. Bounded, see above. */
 int64_t wwh_state_author_offset(const wwh_state_t *state, const char *author);
 
+/* Every author that is remembered, in order; false from visit stops. */
+typedef bool (*wwh_author_visit_t)(const char *author, int64_t offset,
+				   void *client_data);
+void wwh_state_each_author(const wwh_state_t *state, wwh_author_visit_t visit,
+			   void *client_data);
+
 /* The configuration in force; version 0 and empty at first. */
 const wwh_config_t *wwh_state_config(const wwh_state_t *state);
 int64_t wwh_state_config_version(const wwh_state_t *state);
@@ -198,6 +209,12 @@
 bool wwh_state_holds(const wwh_state_t *state, int32_t shard,
 		     const char *author, int64_t fence);
 
+/* Who holds the seats of all minions' slots; holds until the next apply. */
+const wwh_seat_table_t *wwh_state_seats(const wwh_state_t *state);
+
+/* The number by which the seats name an author: XXH3 of it, never 0. */
+uint64_t wwh_seat_process(const char *author);
+
 typedef struct {
 	const char *id;
 	const wwh_worker_t *declared;
--- a/src/libwaxwinghollow/entry.c
+++ b/src/libwaxwinghollow/entry.c
@@ -5,6 +5,8 @@
 
 #include "private/entry_control.h"
 #include "private/entry_log.h"
+#include "private/entry_peers.h"
+#include "private/entry_seats.h"
 #include "private/intent_writer.h"
 #include "private/request_table.h"
 
@@ -31,6 +33,8 @@
 			      wwh_listener_handler_t handler,
 			      wwh_listener_t **listener,
 			      wwh_message_t *message);
+static bool put_in_force(wwh_entry_t *entry, const wwh_config_t *config,
+			 const char *author);
 static void make_counters(wwh_entry_t *entry);
 static wwh_status_t append_intents(const wwh_record_t *record,
 				   void *client_data);
@@ -41,11 +45,11 @@
 	wwh_entry_t *entry = g_new0(wwh_entry_t, 1);
 
 	entry->settings = settings;
-	entry->author = g_strdup_printf("%s/%08x", settings->process_id,
-					g_random_int());
+	entry->incarnation = (uint64_t)g_get_real_time();
+	entry->author =
+		wwh_entry_author_of(settings->process_id, entry->incarnation);
 	entry->counters = wwh_counters_new();
 	g_mutex_init(&entry->state_lock);
-	g_cond_init(&entry->state_changed);
 	entry->state = wwh_state_new();
 	entry->intents = wwh_intents_new(NULL);
 	make_counters(entry);
@@ -78,6 +82,8 @@
 	entry->requests = wwh_request_table_new(settings->zone);
 	entry->intent_writer = wwh_intent_writer_new(&writer, entry->counters);
 	entry->log = wwh_entry_log_new(entry);
+	entry->peers = wwh_entry_peers_new(entry);
+	entry->seats = wwh_seats_new(entry);
 	entry->control = wwh_entry_control_new(entry);
 	status = listen_on(entry, "callers", settings->caller_listen,
 			   wwh_entry_handle_caller, &entry->caller_listener,
@@ -87,6 +93,8 @@
 			listen_on(entry, "operators", settings->operator_listen,
 				  wwh_entry_handle_operator,
 				  &entry->operator_listener, message);
+	if (status == WWH_STATUS_OK)
+		status = wwh_entry_peers_init(entry->peers, message);
 	if (status != WWH_STATUS_OK) {
 		wwh_entry_phase_event(entry, WWH_PHASE_EVENT_START_FAILED);
 		return status;
@@ -113,6 +121,7 @@
 	wwh_entry_control_finish(entry->control);
 	wwh_intent_writer_finish(entry->intent_writer, LEASES_RETURN_LIMIT_MS);
 	wwh_entry_phase_event(entry, WWH_PHASE_EVENT_LEASES_RETURNED);
+	wwh_entry_peers_finish(entry->peers);
 	wwh_entry_log_finish(entry->log);
 	wwh_listener_drain(entry->operator_listener, LEASES_RETURN_LIMIT_MS);
 	return cut_off;
@@ -125,6 +134,8 @@
 	wwh_listener_delete(entry->caller_listener);
 	wwh_listener_delete(entry->operator_listener);
 	wwh_entry_control_delete(entry->control);
+	wwh_entry_peers_delete(entry->peers);
+	wwh_seats_delete(entry->seats);
 	wwh_intent_writer_delete(entry->intent_writer);
 	wwh_entry_log_delete(entry->log);
 	wwh_request_table_delete(entry->requests);
@@ -137,7 +148,6 @@
 	wwh_chart_delete(entry->phase_chart);
 	wwh_chart_delete(entry->request_chart);
 	wwh_counters_delete(entry->counters);
-	g_cond_clear(&entry->state_changed);
 	g_mutex_clear(&entry->state_lock);
 	g_free(entry->author);
 	g_free(entry);
@@ -195,6 +205,40 @@
 	return config;
 }
 
+void wwh_entry_take_config(wwh_entry_t *entry)
+{
+	put_in_force(entry, wwh_state_config(entry->state),
+		     wwh_state_config_author(entry->state));
+}
+
+bool wwh_entry_offer_config(wwh_entry_t *entry, const wwh_config_t *config,
+			    const char *from)
+{
+	bool taken;
+
+	g_mutex_lock(&entry->state_lock);
+	taken = put_in_force(entry, config, from);
+	g_mutex_unlock(&entry->state_lock);
+	return taken;
+}
+
+int64_t wwh_entry_config_version(wwh_entry_t *entry)
+{
+	int64_t version = 0;
+
+	g_mutex_lock(&entry->state_lock);
+	if (entry->config != NULL)
+		version = wwh_config_version(entry->config);
+	g_mutex_unlock(&entry->state_lock);
+	return version;
+}
+
+char *wwh_entry_author_of(const char *process_id, uint64_t incarnation)
+{
+	return g_strdup_printf("%s/%" G_GUINT64_FORMAT, process_id,
+			       incarnation);
+}
+
 static wwh_status_t load_charts(wwh_entry_t *entry, wwh_message_t *message)
 {
 	wwh_chart_table_t phases = {
@@ -267,6 +311,27 @@
 	return status;
 }
 
+/*
+ * Versions only grow, wherever they come from: what a peer told is not undone
+ * by an older version that the log is replayed to later.
+ */
+static bool put_in_force(wwh_entry_t *entry, const wwh_config_t *config,
+			 const char *author)
+{
+	int64_t version = wwh_config_version(config);
+
+	if (version == 0 || (entry->config != NULL &&
+			     wwh_config_version(entry->config) >= version))
+		return false;
+	if (entry->config != NULL)
+		wwh_config_unref(entry->config);
+	entry->config = wwh_config_ref(config);
+	wwh_request_table_configure(entry->requests, entry->config);
+	g_message("configuration %" G_GINT64_FORMAT " by %s is in force",
+		  version, author);
+	return true;
+}
+
 static void make_counters(wwh_entry_t *entry)
 {
 	char *name;
--- a/src/libwaxwinghollow/entry_caller.c
+++ b/src/libwaxwinghollow/entry_caller.c
@@ -1,5 +1,6 @@
 #include "private/entry_internal.h"
-#include "private/entry_control.h"
+#include "private/entry_peers.h"
+#include "private/entry_seats.h"
 #include "private/intent_writer.h"
 #include "private/request_table.h"
 
@@ -47,6 +48,7 @@
 	const char *key; /* NULL: not recorded on the log */
 	uint8_t fingerprint[WWH_FINGERPRINT_BYTES];
 	wwh_request_t *request;
+	uint64_t id; /* of request; the sequence of its intent */
 	wwh_chart_machine_t machine;
 	bool answered; /* response holds the minion's answer */
 	bool replayed; /* or the one kept for the key */
@@ -164,6 +166,7 @@
 	wwh_intent_item_t *item;
 
 	call->request = wwh_request_begin(call->entry->requests, &arrival);
+	call->id = wwh_request_id(call->request);
 	step(call, call->key != NULL ? EVENT_RECORD : EVENT_QUEUE);
 	/*
 	 * The intent is recorded while the request waits for its slot, so
@@ -174,7 +177,7 @@
 		return WWH_ERROR_NONE;
 	item = wwh_intent_item_new(call->service->id, call->key);
 	memcpy(item->fingerprint, call->fingerprint, WWH_FINGERPRINT_BYTES);
-	item->sequence = (int64_t)wwh_request_id(call->request);
+	item->sequence = (int64_t)call->id;
 	if (!wwh_intent_writer_add_intent(call->entry->intent_writer, item))
 		return WWH_ERROR_LOG_UNAVAILABLE;
 	return WWH_ERROR_NONE;
@@ -203,27 +206,29 @@
 static wwh_error_kind_t attempt(call_t *call, const wwh_decision_t *start)
 {
 	wwh_dispatch_result_t result = {
-		.request = wwh_request_id(call->request),
+		.request = call->id,
 		.minion = start->minion,
 		.outcome = WWH_OUTCOME_ABORTED,
 	};
 	wwh_upstream_answer_t answer;
 	wwh_error_kind_t kind = confirm_intent(call);
+	int64_t sent_ms;
 
 	call->answered = false;
 	if (kind != WWH_ERROR_NONE || call->replayed) {
 		wwh_request_finished(call->request, &result);
 		return kind;
 	}
+	sent_ms = wwh_now_ms();
 	send_to_minion(call, start, &answer);
 	step_outcome(call, &answer);
 	result.outcome = outcome_of(&answer);
 	result.latency_ms = (int32_t)answer.elapsed_ms;
 	result.retry_after_ms = (int32_t)MAX(answer.retry_after_ms, 0);
-	if (answer.minion_leaving)
-		wwh_request_table_minion_state(call->entry->requests,
-					       start->minion,
-					       WWH_MINION_LEAVING);
+	if (answer.outcome == WWH_UPSTREAM_ANSWERED)
+		wwh_entry_peers_minion_answered(call->entry->peers,
+						start->minion, sent_ms,
+						answer.minion_leaving);
 	if (answer.outcome == WWH_UPSTREAM_ANSWERED)
 		take_answer(call, &answer);
 	if (answer.outcome == WWH_UPSTREAM_TOO_LARGE)
@@ -268,7 +273,7 @@
 	g_mutex_lock(&entry->state_lock);
 	allowed = wwh_intents_may_send(entry->intents, call->service->id,
 				       call->key, entry->author,
-				       (int64_t)wwh_request_id(call->request));
+				       (int64_t)call->id);
 	g_mutex_unlock(&entry->state_lock);
 	return allowed;
 }
@@ -299,8 +304,8 @@
 	} else {
 		request.address = minion->address;
 		request.port = minion->port;
-		request.max_connections = wwh_entry_control_part(
-			call->entry->control, minion->id, minion->connections);
+		request.max_connections = wwh_seats_part(
+			call->entry->seats, minion->id, minion->connections);
 		wwh_upstream_send(call->entry->upstream, &request, answer);
 	}
 	if (newest != NULL)
@@ -386,7 +391,7 @@
 	wwh_run_class_t run = wwh_answer_for(kind)->run;
 	const char *content_type;
 
-	item->sequence = (int64_t)wwh_request_id(call->request);
+	item->sequence = (int64_t)call->id;
 	if (run == WWH_RUN_UNKNOWN)
 		item->result = WWH_RESULT_UNKNOWN;
 	else if (run == WWH_RUN_NOT_RUN)
--- a/src/libwaxwinghollow/entry_log.c
+++ b/src/libwaxwinghollow/entry_log.c
@@ -2,22 +2,27 @@
 
 #include <string.h>
 
+#include "private/entry_snapshot.h"
 #include "private/intent_writer.h"
 #include "private/request_table.h"
+#include "waxwinghollow/log_client.h"
 
 /* Verdicts that are kept until the appender has asked for them. */
 #define VERDICTS_KEPT 4096
-#define MILLISECOND_US 1000
-#define READ_RETRY_MS 100
+
+/* An append that was answered is read back within this, or is unknown. */
+#define READ_BACK_LIMIT_MS 2000
+#define FINISH_LIMIT_MS 1000
 
 /* The replay of one stream. */
 typedef struct {
 	wwh_entry_log_t *log;
 	wwh_stream_t stream;
-	int64_t next; /* the offset to read from */
-	bool caught_up;
-	int64_t read_ms; /* when it was last read to its end */
-	GThread *thread;
+	wwh_log_client_t *client;
+	wwh_entry_snapshot_t *snapshot;
+	bool caught_up; /* at least once; under the entry's state_lock */
+	int64_t ended_ms; /* when the last read ended; likewise */
+	int64_t sent_ms; /* when the last one that reached the end was sent */
 } replay_t;
 
 typedef struct {
@@ -28,20 +33,24 @@
 
 struct wwh_entry_log {
 	wwh_entry_t *entry;
+	wwh_log_budget_t *budget;
 	replay_t replays[WWH_STREAM_COUNT];
 	kept_verdict_t *verdicts; /* by offset modulo VERDICTS_KEPT */
-	GRand *random;
-	bool stopping; /* under the entry's state_lock, as all above */
 	wwh_counter_t *appends;
 	wwh_counter_t *append_bytes;
-	wwh_counter_t *append_failures;
 	wwh_counter_t *records;
 	wwh_counter_t *record_bytes;
-	wwh_counter_t *read_failures;
 };
 
-static gpointer replay_main(gpointer data);
-static bool on_entry(const wwh_log_entry_t *log_entry, void *client_data);
+static void open_stream(wwh_entry_log_t *log, wwh_stream_t stream);
+static replay_t *replay_of(wwh_entry_log_t *log, const char *stream);
+static void on_record(const char *stream, const wwh_log_entry_t *log_entry,
+		      void *client_data);
+static void on_scan(const char *stream, const wwh_log_entry_t *log_entry,
+		    void *client_data);
+static void on_trimmed(const char *stream, int64_t first, void *client_data);
+static void on_read(const char *stream, int64_t cursor, bool caught_up,
+		    void *client_data);
 static void apply_control(wwh_entry_log_t *log,
 			  const wwh_log_entry_t *log_entry);
 static void apply_intents(wwh_entry_log_t *log,
@@ -49,8 +58,9 @@
 static void on_intent(const char *author, const char *service, const char *key,
 		      int64_t sequence, wwh_intent_verdict_t verdict,
 		      void *client_data);
-static void take_config(wwh_entry_t *entry);
-static bool stopping(wwh_entry_log_t *log);
+static wwh_status_t append_bytes(wwh_entry_log_t *log, wwh_stream_t stream,
+				 GBytes *bytes, int32_t timeout_ms,
+				 int64_t *offset);
 
 wwh_entry_log_t *wwh_entry_log_new(wwh_entry_t *entry)
 {
@@ -58,50 +68,42 @@
 	wwh_counters_t *counters = entry->counters;
 
 	log->entry = entry;
-	log->random = g_rand_new();
+	log->budget = wwh_log_budget_new(wwh_log_client_now_ms());
 	log->verdicts = g_new0(kept_verdict_t, VERDICTS_KEPT);
 	for (int32_t i = 0; i < VERDICTS_KEPT; i++)
 		log->verdicts[i].offset = WWH_NO_OFFSET;
-	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++) {
-		log->replays[i].log = log;
-		log->replays[i].stream = (wwh_stream_t)i;
-		log->replays[i].next = 1;
-	}
 	log->appends = wwh_counters_get(counters, "log.appends");
 	log->append_bytes = wwh_counters_get(counters, "log.append_bytes");
-	log->append_failures =
-		wwh_counters_get(counters, "log.append_failures");
 	log->records = wwh_counters_get(counters, "log.records");
 	log->record_bytes = wwh_counters_get(counters, "log.record_bytes");
-	log->read_failures = wwh_counters_get(counters, "log.read_failures");
+	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++)
+		open_stream(log, (wwh_stream_t)i);
 	return log;
 }
 
 void wwh_entry_log_start(wwh_entry_log_t *log)
 {
 	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++)
-		log->replays[i].thread = g_thread_new(
-			wwh_stream_names[i], replay_main, &log->replays[i]);
+		(void)wwh_log_client_init(log->replays[i].client);
 }
 
 void wwh_entry_log_finish(wwh_entry_log_t *log)
 {
-	g_mutex_lock(&log->entry->state_lock);
-	log->stopping = true;
-	g_mutex_unlock(&log->entry->state_lock);
-	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++) {
-		if (log->replays[i].thread != NULL)
-			g_thread_join(log->replays[i].thread);
-		log->replays[i].thread = NULL;
-	}
+	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++)
+		wwh_log_client_finish(log->replays[i].client,
+				      wwh_log_client_now_ms() +
+					      FINISH_LIMIT_MS);
 }
 
 void wwh_entry_log_delete(wwh_entry_log_t *log)
 {
 	if (log == NULL)
 		return;
-	wwh_entry_log_finish(log);
-	g_rand_free(log->random);
+	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++) {
+		wwh_log_client_delete(log->replays[i].client);
+		wwh_entry_snapshot_delete(log->replays[i].snapshot);
+	}
+	wwh_log_budget_delete(log->budget);
 	g_free(log->verdicts);
 	g_free(log);
 }
@@ -117,53 +119,34 @@
 	return caught_up;
 }
 
-int64_t wwh_entry_log_read_ms(wwh_entry_log_t *log)
+int64_t wwh_entry_log_read_sent_ms(wwh_entry_log_t *log)
 {
-	int64_t read_ms;
+	int64_t sent_ms;
 
 	g_mutex_lock(&log->entry->state_lock);
-	read_ms = log->replays[WWH_STREAM_CONTROL].read_ms;
+	sent_ms = log->replays[WWH_STREAM_CONTROL].sent_ms;
 	g_mutex_unlock(&log->entry->state_lock);
-	return read_ms;
+	return sent_ms;
 }
 
 int64_t wwh_entry_log_offset(wwh_entry_log_t *log, wwh_stream_t stream)
 {
-	int64_t next;
-
-	g_mutex_lock(&log->entry->state_lock);
-	next = log->replays[stream].next;
-	g_mutex_unlock(&log->entry->state_lock);
-	return next - 1;
+	return wwh_log_client_cursor(log->replays[stream].client) - 1;
 }
 
 wwh_status_t wwh_entry_log_append(wwh_entry_log_t *log, wwh_stream_t stream,
 				  const wwh_record_t *record,
 				  int32_t timeout_ms, int64_t *offset)
 {
-	wwh_platform_t *platform = &log->entry->platform;
 	wwh_message_t message;
-	wwh_append_id_t id;
 	GBytes *bytes = wwh_record_encode(record, &message);
-	const uint8_t *data;
-	gsize size;
 	wwh_status_t status;
 
 	if (bytes == NULL) {
 		g_warning("a record can't be written: %s", message.text);
 		return WWH_STATUS_BAD_INPUT;
 	}
-	g_mutex_lock(&log->entry->state_lock);
-	for (size_t i = 0; i < sizeof(id.bytes); i++)
-		id.bytes[i] = (uint8_t)g_rand_int(log->random);
-	g_mutex_unlock(&log->entry->state_lock);
-	data = g_bytes_get_data(bytes, &size);
-	status = platform->append(platform->context, wwh_stream_names[stream],
-				  &id, data, size, timeout_ms, offset);
-	wwh_counter_add(log->appends, 1);
-	wwh_counter_add(log->append_bytes, (int64_t)size);
-	if (status != WWH_STATUS_OK)
-		wwh_counter_add(log->append_failures, 1);
+	status = append_bytes(log, stream, bytes, timeout_ms, offset);
 	g_bytes_unref(bytes);
 	return status;
 }
@@ -172,8 +155,7 @@
 			  int32_t timeout_ms, wwh_submitted_t *submitted)
 {
 	wwh_entry_t *entry = log->entry;
-	int64_t end_us =
-		g_get_monotonic_time() + (int64_t)timeout_ms * MILLISECOND_US;
+	wwh_log_client_t *client = log->replays[WWH_STREAM_CONTROL].client;
 	kept_verdict_t *kept;
 
 	memset(submitted, 0, sizeof(*submitted));
@@ -182,14 +164,12 @@
 				     timeout_ms, &submitted->offset);
 	if (submitted->status != WWH_STATUS_OK)
 		return;
-	kept = &log->verdicts[submitted->offset % VERDICTS_KEPT];
 	submitted->status = WWH_STATUS_UNKNOWN;
+	if (!wwh_log_client_wait(client, submitted->offset,
+				 wwh_log_client_now_ms() + READ_BACK_LIMIT_MS))
+		return;
+	kept = &log->verdicts[submitted->offset % VERDICTS_KEPT];
 	g_mutex_lock(&entry->state_lock);
-	while (kept->offset < submitted->offset && !log->stopping) {
-		if (!g_cond_wait_until(&entry->state_changed,
-				       &entry->state_lock, end_us))
-			break;
-	}
 	if (kept->offset == submitted->offset) {
 		submitted->status = WWH_STATUS_OK;
 		submitted->verdict = kept->verdict;
@@ -198,76 +178,127 @@
 	g_mutex_unlock(&entry->state_lock);
 }
 
-static gpointer replay_main(gpointer data)
+void wwh_entry_log_publish_snapshots(wwh_entry_log_t *log)
 {
-	replay_t *replay = data;
-	wwh_entry_log_t *log = replay->log;
-	wwh_platform_t *platform = &log->entry->platform;
-	const wwh_settings_t *settings = log->entry->settings;
+	for (int32_t i = 0; i < WWH_STREAM_COUNT; i++) {
+		wwh_stream_t stream = (wwh_stream_t)i;
+		GPtrArray *records = wwh_entry_snapshot_due(
+			log->replays[i].snapshot, wwh_now_ms());
+		int64_t offset;
 
-	while (!stopping(log)) {
-		int64_t first = 0;
-		int64_t next = 0;
-		wwh_status_t status = platform->read(
-			platform->context, wwh_stream_names[replay->stream],
-			replay->next, settings->log_wait_ms,
-			settings->log_wait_ms + settings->log_read_timeout_ms,
-			on_entry, replay, &first, &next);
-
-		if (status != WWH_STATUS_OK) {
-			wwh_counter_add(log->read_failures, 1);
-			g_usleep(READ_RETRY_MS * MILLISECOND_US);
+		if (records == NULL)
 			continue;
-		}
-		g_mutex_lock(&log->entry->state_lock);
-		if (replay->next >= next) {
-			replay->caught_up = true;
-			replay->read_ms = wwh_now_ms();
-		}
-		g_cond_broadcast(&log->entry->state_changed);
-		g_mutex_unlock(&log->entry->state_lock);
+		for (guint j = 0; j < records->len; j++)
+			(void)append_bytes(
+				log, stream, g_ptr_array_index(records, j),
+				log->entry->settings->log_append_timeout_ms,
+				&offset);
+		g_ptr_array_unref(records);
 	}
-	return NULL;
 }
 
-static bool on_entry(const wwh_log_entry_t *log_entry, void *client_data)
+static void open_stream(wwh_entry_log_t *log, wwh_stream_t stream)
 {
-	replay_t *replay = client_data;
-	wwh_entry_log_t *log = replay->log;
+	const wwh_settings_t *settings = log->entry->settings;
+	replay_t *replay = &log->replays[stream];
+	wwh_log_client_options_t options;
+
+	replay->log = log;
+	replay->stream = stream;
+	replay->snapshot = wwh_entry_snapshot_new(log->entry, stream);
+	wwh_log_client_options_defaults(&options);
+	options.stream = wwh_stream_names[stream];
+	options.platform = log->entry->platform;
+	options.budget = log->budget;
+	options.counters = log->entry->counters;
+	options.core.attempt_timeout_ms = settings->log_append_timeout_ms;
+	options.core.read_wait_ms = settings->log_wait_ms;
+	options.core.read_timeout_ms = settings->log_read_timeout_ms;
+	options.callbacks.on_record = on_record;
+	options.callbacks.on_scan = on_scan;
+	options.callbacks.on_trimmed = on_trimmed;
+	options.callbacks.on_read = on_read;
+	options.callbacks.client_data = log;
+	replay->client = wwh_log_client_new(&options);
+}
+
+static replay_t *replay_of(wwh_entry_log_t *log, const char *stream)
+{
+	int32_t index = 0;
+
+	while (strcmp(wwh_stream_names[index], stream) != 0)
+		index++;
+	return &log->replays[index];
+}
+
+static void on_record(const char *stream, const wwh_log_entry_t *log_entry,
+		      void *client_data)
+{
+	wwh_entry_log_t *log = client_data;
 
 	wwh_counter_add(log->records, 1);
 	wwh_counter_add(log->record_bytes, (int64_t)log_entry->size);
-	if (replay->stream == WWH_STREAM_CONTROL)
+	if (replay_of(log, stream)->stream == WWH_STREAM_CONTROL)
 		apply_control(log, log_entry);
 	else
 		apply_intents(log, log_entry);
+}
+
+/* The replay waits for a snapshot: this may be a part of one. */
+static void on_scan(const char *stream, const wwh_log_entry_t *log_entry,
+		    void *client_data)
+{
+	replay_t *replay = replay_of(client_data, stream);
+
+	wwh_entry_snapshot_scan(replay->snapshot, log_entry, replay->client);
+}
+
+static void on_trimmed(const char *stream, int64_t first, void *client_data)
+{
+	(void)client_data;
+	g_message("log %s: records before %" G_GINT64_FORMAT
+		  " are gone, looking for a snapshot",
+		  stream, first);
+}
+
+static void on_read(const char *stream, int64_t cursor, bool caught_up,
+		    void *client_data)
+{
+	wwh_entry_log_t *log = client_data;
+	replay_t *replay = replay_of(log, stream);
+
+	(void)cursor;
 	g_mutex_lock(&log->entry->state_lock);
-	replay->next = log_entry->offset + 1;
+	/* a read is sent after the one before it ended, never earlier */
+	if (caught_up) {
+		replay->caught_up = true;
+		replay->sent_ms = replay->ended_ms;
+	}
+	replay->ended_ms = wwh_now_ms();
 	g_mutex_unlock(&log->entry->state_lock);
-	return true;
 }
 
 static void apply_control(wwh_entry_log_t *log,
 			  const wwh_log_entry_t *log_entry)
 {
 	wwh_entry_t *entry = log->entry;
+	replay_t *replay = &log->replays[WWH_STREAM_CONTROL];
 	kept_verdict_t *kept =
 		&log->verdicts[log_entry->offset % VERDICTS_KEPT];
 	wwh_record_t record = { 0 };
 	int64_t version;
-	bool config_changed;
 
 	g_mutex_lock(&entry->state_lock);
+	wwh_entry_snapshot_before(replay->snapshot, log_entry->offset);
 	version = wwh_state_config_version(entry->state);
 	memset(&kept->detail, 0, sizeof(kept->detail));
 	kept->verdict = wwh_state_apply_entry(entry->state, log_entry->offset,
 					      log_entry->data, log_entry->size,
 					      &record, &kept->detail);
 	kept->offset = log_entry->offset;
-	config_changed = wwh_state_config_version(entry->state) != version;
-	if (config_changed)
-		take_config(entry);
-	g_cond_broadcast(&entry->state_changed);
+	wwh_entry_snapshot_seen(replay->snapshot, &record);
+	if (wwh_state_config_version(entry->state) != version)
+		wwh_entry_take_config(entry);
 	g_mutex_unlock(&entry->state_lock);
 	wwh_counter_add(entry->verdicts[kept->verdict], 1);
 	wwh_record_clear(&record);
@@ -277,12 +308,15 @@
 			  const wwh_log_entry_t *log_entry)
 {
 	wwh_entry_t *entry = log->entry;
+	replay_t *replay = &log->replays[WWH_STREAM_INTENTS];
 	wwh_record_t record = { 0 };
 
 	g_mutex_lock(&entry->state_lock);
+	wwh_entry_snapshot_before(replay->snapshot, log_entry->offset);
 	(void)wwh_intents_apply_entry(entry->intents, log_entry->offset,
 				      log_entry->data, log_entry->size, &record,
 				      on_intent, entry, NULL);
+	wwh_entry_snapshot_seen(replay->snapshot, &record);
 	g_mutex_unlock(&entry->state_lock);
 	wwh_record_clear(&record);
 }
@@ -311,24 +345,16 @@
 	wwh_intent_writer_add_result(entry->intent_writer, item);
 }
 
-/* Holds the lock order: state_lock first, the table's lock inside. */
-static void take_config(wwh_entry_t *entry)
+static wwh_status_t append_bytes(wwh_entry_log_t *log, wwh_stream_t stream,
+				 GBytes *bytes, int32_t timeout_ms,
+				 int64_t *offset)
 {
-	if (entry->config != NULL)
-		wwh_config_unref(entry->config);
-	entry->config = wwh_config_ref(wwh_state_config(entry->state));
-	wwh_request_table_configure(entry->requests, entry->config);
-	g_message("configuration %" G_GINT64_FORMAT " by %s is in force",
-		  wwh_state_config_version(entry->state),
-		  wwh_state_config_author(entry->state));
-}
-
-static bool stopping(wwh_entry_log_t *log)
-{
-	bool result;
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
 
-	g_mutex_lock(&log->entry->state_lock);
-	result = log->stopping;
-	g_mutex_unlock(&log->entry->state_lock);
-	return result;
+	wwh_counter_add(log->appends, 1);
+	wwh_counter_add(log->append_bytes, (int64_t)size);
+	return wwh_log_client_append(log->replays[stream].client, data, size,
+				     wwh_log_client_now_ms() + timeout_ms,
+				     offset);
 }
--- a/src/libwaxwinghollow/entry_operator.c
+++ b/src/libwaxwinghollow/entry_operator.c
@@ -1,6 +1,5 @@
 #include <string.h>
 
-#include "private/entry_control.h"
 #include "private/entry_log.h"
 #include "private/entry_report.h"
 #include "private/request_table.h"
--- /dev/null
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -0,0 +1,617 @@
+#include "private/entry_peers.h"
+
+#include <string.h>
+
+#include "private/entry_report.h"
+#include "private/entry_seats.h"
+#include "private/peer_message.h"
+#include "private/request_table.h"
+#include "waxwinghollow/peer.h"
+
+#define TICK_MS 50
+#define MILLISECOND_US 1000
+
+/* How often minions' states are worked out anew from what is known. */
+#define LEAVING_PERIOD_MS 250
+
+/* How often a newer configuration is asked for. */
+#define CONFIG_ASK_PERIOD_MS 1000
+
+struct wwh_entry_peers {
+	wwh_entry_t *entry;
+	wwh_peer_t *peer;
+	GMutex lock; /* membership, leaving and minion_states */
+	wwh_membership_t *membership;
+	wwh_leaving_t *leaving;
+	GRand *random;
+	GHashTable *minion_states; /* id to the state told last */
+	GHashTable *gone; /* set of minions that the list calls gone */
+	int64_t next_leaving_ms;
+	int64_t next_config_ms;
+	bool stopping; /* under lock */
+	GThread *thread;
+	wwh_counter_t *config_fetched;
+	wwh_counter_t *leaving_count;
+};
+
+static gpointer peers_main(gpointer data);
+static void on_frame(const char *from_id, const char *from,
+		     wwh_frame_kind_t kind, const uint8_t *payload, size_t size,
+		     void *client_data);
+static void send_gossip(const char *address, const uint8_t *payload,
+			size_t size, void *client_data);
+static void send_bytes(wwh_entry_peers_t *peers, const char *address,
+		       wwh_frame_kind_t kind, GBytes *bytes);
+static void answer_vote(wwh_entry_peers_t *peers, const char *from,
+			const uint8_t *payload, size_t size);
+static void take_vote(wwh_entry_peers_t *peers, const uint8_t *payload,
+		      size_t size);
+static void hear_loans(wwh_entry_peers_t *peers, const uint8_t *payload,
+		       size_t size);
+static void tell_loans(wwh_entry_peers_t *peers);
+static void add_loan(const wwh_dispatch_loan_t *loan, void *client_data);
+static void ask_config(wwh_entry_peers_t *peers, int64_t now_ms);
+static void answer_config(wwh_entry_peers_t *peers, const char *from,
+			  const uint8_t *payload, size_t size);
+static void take_config(wwh_entry_peers_t *peers, const uint8_t *payload,
+			size_t size);
+static void update_summary(wwh_entry_peers_t *peers, int64_t now_ms);
+static void update_minions(wwh_entry_peers_t *peers, int64_t now_ms);
+static GPtrArray *alive_members(wwh_entry_peers_t *peers);
+static uint64_t process_of(const wwh_member_t *member);
+
+/* Where an alive member of the same region is reached. */
+typedef struct {
+	uint64_t process;
+	char *address;
+} target_t;
+
+static void free_target(gpointer data);
+
+wwh_entry_peers_t *wwh_entry_peers_new(wwh_entry_t *entry)
+{
+	wwh_entry_peers_t *peers = g_new0(wwh_entry_peers_t, 1);
+	const wwh_settings_t *settings = entry->settings;
+	wwh_membership_options_t options;
+
+	peers->entry = entry;
+	g_mutex_init(&peers->lock);
+	peers->random = g_rand_new();
+	peers->leaving = wwh_leaving_new();
+	peers->minion_states =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peers->gone =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	wwh_membership_options_defaults(&options);
+	options.id = settings->process_id;
+	options.incarnation = entry->incarnation;
+	options.address = settings->peer_listen;
+	options.zone = settings->zone;
+	options.region = settings->region;
+	options.seeds = (const char *const *)settings->peers;
+	options.round_ms = settings->heartbeat_ms;
+	options.suspect_ms = settings->suspect_after_ms;
+	options.leaving = peers->leaving;
+	peers->membership =
+		wwh_membership_new(&options, peers->random, send_gossip, peers);
+	peers->config_fetched =
+		wwh_counters_get(entry->counters, "config.fetched_from_peers");
+	peers->leaving_count =
+		wwh_counters_get(entry->counters, "minions.leaving");
+	return peers;
+}
+
+wwh_status_t wwh_entry_peers_init(wwh_entry_peers_t *peers,
+				  wwh_message_t *message)
+{
+	wwh_peer_options_t options;
+	wwh_status_t status;
+
+	wwh_peer_options_defaults(&options);
+	options.cluster = peers->entry->settings->region;
+	options.id = peers->entry->settings->process_id;
+	options.listen = peers->entry->settings->peer_listen;
+	options.counters = peers->entry->counters;
+	options.on_frame = on_frame;
+	options.client_data = peers;
+	peers->peer = wwh_peer_new(&options);
+	status = wwh_peer_init(peers->peer, message);
+	if (status == WWH_STATUS_OK)
+		peers->thread = g_thread_new("peers", peers_main, peers);
+	return status;
+}
+
+void wwh_entry_peers_finish(wwh_entry_peers_t *peers)
+{
+	if (peers->thread != NULL) {
+		g_mutex_lock(&peers->lock);
+		peers->stopping = true;
+		wwh_membership_leave(peers->membership, wwh_now_ms());
+		g_mutex_unlock(&peers->lock);
+		g_thread_join(peers->thread);
+		peers->thread = NULL;
+	}
+	if (peers->peer != NULL)
+		wwh_peer_finish(peers->peer);
+}
+
+void wwh_entry_peers_delete(wwh_entry_peers_t *peers)
+{
+	if (peers == NULL)
+		return;
+	wwh_entry_peers_finish(peers);
+	if (peers->peer != NULL)
+		wwh_peer_delete(peers->peer);
+	wwh_membership_delete(peers->membership);
+	wwh_leaving_delete(peers->leaving);
+	g_hash_table_destroy(peers->minion_states);
+	g_hash_table_destroy(peers->gone);
+	g_rand_free(peers->random);
+	g_mutex_clear(&peers->lock);
+	g_free(peers);
+}
+
+void wwh_entry_peers_list_begin(wwh_entry_peers_t *peers)
+{
+	g_mutex_lock(&peers->lock);
+	wwh_membership_list_begin(peers->membership);
+	g_hash_table_remove_all(peers->gone);
+	g_mutex_unlock(&peers->lock);
+}
+
+void wwh_entry_peers_list_host(wwh_entry_peers_t *peers, const wwh_host_t *host)
+{
+	int64_t now_ms = wwh_now_ms();
+
+	g_mutex_lock(&peers->lock);
+	wwh_membership_list_host(peers->membership, host, now_ms);
+	if (host->kind == WWH_HOST_MINION) {
+		wwh_leaving_list(peers->leaving, host->id,
+				 host->state != WWH_HOST_LIVE, now_ms);
+		if (host->state == WWH_HOST_GONE)
+			g_hash_table_add(peers->gone, g_strdup(host->id));
+	}
+	g_mutex_unlock(&peers->lock);
+}
+
+void wwh_entry_peers_list_end(wwh_entry_peers_t *peers)
+{
+	g_mutex_lock(&peers->lock);
+	wwh_membership_list_end(peers->membership, wwh_now_ms());
+	g_mutex_unlock(&peers->lock);
+}
+
+void wwh_entry_peers_minion_answered(wwh_entry_peers_t *peers,
+				     const char *minion, int64_t sent_ms,
+				     bool leaving)
+{
+	g_mutex_lock(&peers->lock);
+	if (leaving) {
+		wwh_leaving_answer(peers->leaving, minion, wwh_now_ms());
+		peers->next_leaving_ms = 0;
+	} else {
+		wwh_leaving_served(peers->leaving, minion, sent_ms);
+	}
+	g_mutex_unlock(&peers->lock);
+	if (leaving)
+		wwh_request_table_minion_state(peers->entry->requests, minion,
+					       WWH_MINION_LEAVING);
+}
+
+void wwh_entry_peers_ask_votes(wwh_entry_peers_t *peers)
+{
+	wwh_seat_ask_t ask = {
+		.process = wwh_seat_process(peers->entry->author),
+		.sent_ms = wwh_now_ms(),
+	};
+	GBytes *bytes = wwh_seat_ask_encode(&ask);
+	GPtrArray *targets = alive_members(peers);
+
+	for (guint i = 0; i < targets->len; i++) {
+		const target_t *target = g_ptr_array_index(targets, i);
+
+		send_bytes(peers, target->address, WWH_FRAME_SEAT_ASK, bytes);
+	}
+	g_ptr_array_unref(targets);
+	g_bytes_unref(bytes);
+}
+
+bool wwh_entry_peers_is_dead(wwh_entry_peers_t *peers, uint64_t process)
+{
+	bool dead = false;
+
+	g_mutex_lock(&peers->lock);
+	for (int32_t i = 0; i < wwh_membership_count(peers->membership); i++) {
+		wwh_member_t member;
+
+		wwh_membership_at(peers->membership, i, &member);
+		if (process_of(&member) == process)
+			dead = member.status == WWH_MEMBER_DEAD;
+	}
+	g_mutex_unlock(&peers->lock);
+	return dead;
+}
+
+void wwh_entry_peers_forget(wwh_entry_peers_t *peers, uint64_t process)
+{
+	wwh_request_table_loans_forget(peers->entry->requests, process);
+}
+
+void wwh_entry_peers_report(wwh_entry_peers_t *peers, JsonBuilder *builder)
+{
+	g_mutex_lock(&peers->lock);
+	for (int32_t i = 0; i < wwh_membership_count(peers->membership); i++) {
+		wwh_member_t member;
+
+		wwh_membership_at(peers->membership, i, &member);
+		json_builder_begin_object(builder);
+		wwh_json_string(builder, "process", member.id);
+		wwh_json_string(builder, "peer_address", member.address);
+		wwh_json_string(builder, "zone", member.zone);
+		wwh_json_string(builder, "region", member.region);
+		wwh_json_string(builder, "state",
+				wwh_member_status_names[member.status]);
+		wwh_json_int(builder, "config_version",
+			     member.summary.config_version);
+		json_builder_end_object(builder);
+	}
+	g_mutex_unlock(&peers->lock);
+}
+
+static gpointer peers_main(gpointer data)
+{
+	wwh_entry_peers_t *peers = data;
+	bool stopping = false;
+
+	while (!stopping) {
+		int64_t now_ms = wwh_now_ms();
+
+		update_summary(peers, now_ms);
+		g_mutex_lock(&peers->lock);
+		stopping = peers->stopping;
+		wwh_membership_tick(peers->membership, now_ms);
+		g_mutex_unlock(&peers->lock);
+		update_minions(peers, now_ms);
+		ask_config(peers, now_ms);
+		tell_loans(peers);
+		g_usleep(TICK_MS * MILLISECOND_US);
+	}
+	return NULL;
+}
+
+static void on_frame(const char *from_id, const char *from,
+		     wwh_frame_kind_t kind, const uint8_t *payload, size_t size,
+		     void *client_data)
+{
+	wwh_entry_peers_t *peers = client_data;
+
+	(void)from_id;
+	switch (kind) {
+	case WWH_FRAME_GOSSIP:
+		g_mutex_lock(&peers->lock);
+		(void)wwh_membership_receive(peers->membership, from, payload,
+					     size, wwh_now_ms());
+		g_mutex_unlock(&peers->lock);
+		break;
+	case WWH_FRAME_SEAT_ASK:
+		answer_vote(peers, from, payload, size);
+		break;
+	case WWH_FRAME_SEAT_ANSWER:
+		take_vote(peers, payload, size);
+		break;
+	case WWH_FRAME_LOAN:
+		hear_loans(peers, payload, size);
+		break;
+	case WWH_FRAME_CONFIG_ASK:
+		answer_config(peers, from, payload, size);
+		break;
+	case WWH_FRAME_CONFIG:
+		take_config(peers, payload, size);
+		break;
+	default:
+		break;
+	}
+}
+
+static void send_gossip(const char *address, const uint8_t *payload,
+			size_t size, void *client_data)
+{
+	wwh_entry_peers_t *peers = client_data;
+
+	if (peers->peer != NULL)
+		(void)wwh_peer_send(peers->peer, address, WWH_FRAME_GOSSIP,
+				    payload, size);
+}
+
+/* What isn't sent is made up for by the next message of its kind. */
+static void send_bytes(wwh_entry_peers_t *peers, const char *address,
+		       wwh_frame_kind_t kind, GBytes *bytes)
+{
+	gsize size;
+	const uint8_t *data;
+
+	if (bytes == NULL)
+		return;
+	data = g_bytes_get_data(bytes, &size);
+	(void)wwh_peer_send(peers->peer, address, kind, data, size);
+}
+
+static void answer_vote(wwh_entry_peers_t *peers, const char *from,
+			const uint8_t *payload, size_t size)
+{
+	wwh_seat_answer_t answer = {
+		.process = wwh_seat_process(peers->entry->author),
+	};
+	wwh_seat_ask_t ask;
+	GBytes *bytes;
+
+	if (!wwh_seat_ask_decode(payload, size, &ask) ||
+	    !wwh_seats_may_vote(peers->entry->seats, ask.process,
+				&answer.seats))
+		return;
+	answer.sent_ms = ask.sent_ms;
+	bytes = wwh_seat_answer_encode(&answer);
+	send_bytes(peers, from, WWH_FRAME_SEAT_ANSWER, bytes);
+	g_bytes_unref(bytes);
+}
+
+static void take_vote(wwh_entry_peers_t *peers, const uint8_t *payload,
+		      size_t size)
+{
+	wwh_seat_answer_t answer;
+	wwh_seat_vote_t vote;
+
+	if (!wwh_seat_answer_decode(payload, size, &answer))
+		return;
+	vote.member = answer.process;
+	vote.seats = answer.seats;
+	vote.sent_ms = answer.sent_ms;
+	wwh_seats_take_vote(peers->entry->seats, &vote);
+}
+
+static void hear_loans(wwh_entry_peers_t *peers, const uint8_t *payload,
+		       size_t size)
+{
+	wwh_loan_message_t message;
+
+	if (wwh_loan_message_decode(payload, size, &message) &&
+	    wwh_seats_is_member(peers->entry->seats, message.process)) {
+		for (guint i = 0; i < message.items->len; i++) {
+			const wwh_loan_item_t *item = message.items->pdata[i];
+			wwh_dispatch_loan_t loan = {
+				.minion = item->minion,
+				.totals = { item->granted, item->returned },
+				.wanted = item->wanted,
+				.bears = item->bears,
+				.bears_version = (uint32_t)item->bears_version,
+			};
+
+			wwh_request_table_loan_hear(peers->entry->requests,
+						    message.process, &loan);
+		}
+	}
+	wwh_loan_message_clear(&message);
+}
+
+static void tell_loans(wwh_entry_peers_t *peers)
+{
+	GPtrArray *targets = alive_members(peers);
+
+	for (guint i = 0; i < targets->len; i++) {
+		const target_t *target = g_ptr_array_index(targets, i);
+		wwh_loan_message_t message;
+		GBytes *bytes;
+
+		if (!wwh_seats_is_member(peers->entry->seats, target->process))
+			continue;
+		wwh_loan_message_init(&message);
+		message.process = wwh_seat_process(peers->entry->author);
+		wwh_request_table_loans_tell(peers->entry->requests,
+					     target->process, add_loan,
+					     &message);
+		if (message.items->len > 0) {
+			bytes = wwh_loan_message_encode(&message);
+			send_bytes(peers, target->address, WWH_FRAME_LOAN,
+				   bytes);
+			g_bytes_unref(bytes);
+		}
+		wwh_loan_message_clear(&message);
+	}
+	g_ptr_array_unref(targets);
+}
+
+static void add_loan(const wwh_dispatch_loan_t *loan, void *client_data)
+{
+	wwh_loan_message_t *message = client_data;
+	wwh_loan_item_t *item = g_new0(wwh_loan_item_t, 1);
+
+	item->minion = g_strdup(loan->minion);
+	item->granted = loan->totals.granted;
+	item->returned = loan->totals.returned;
+	item->wanted = loan->wanted;
+	item->bears = loan->bears;
+	item->bears_version = loan->bears_version;
+	g_ptr_array_add(message->items, item);
+}
+
+/*
+ * A process that can't read the log learns of a newer configuration from its
+ * peers. Without it, it would go on with an old one for as long as its log is
+ * cut off, though its neighbours have the new one.
+ */
+static void ask_config(wwh_entry_peers_t *peers, int64_t now_ms)
+{
+	wwh_config_ask_t ask = { wwh_entry_config_version(peers->entry) };
+	const char *address = "";
+	char *target = NULL;
+	GBytes *bytes;
+
+	if (now_ms < peers->next_config_ms)
+		return;
+	g_mutex_lock(&peers->lock);
+	if (wwh_membership_newest_config(peers->membership, &address) >
+		    ask.version &&
+	    *address != '\0')
+		target = g_strdup(address);
+	g_mutex_unlock(&peers->lock);
+	if (target == NULL)
+		return;
+	peers->next_config_ms = now_ms + CONFIG_ASK_PERIOD_MS;
+	bytes = wwh_config_ask_encode(&ask);
+	send_bytes(peers, target, WWH_FRAME_CONFIG_ASK, bytes);
+	g_bytes_unref(bytes);
+	g_free(target);
+}
+
+static void answer_config(wwh_entry_peers_t *peers, const char *from,
+			  const uint8_t *payload, size_t size)
+{
+	wwh_config_message_t message = { 0 };
+	wwh_config_ask_t ask;
+	wwh_config_t *config;
+	wwh_config_t *empty;
+	wwh_config_change_t *change;
+	GBytes *bytes;
+
+	if (!wwh_config_ask_decode(payload, size, &ask))
+		return;
+	config = wwh_entry_config(peers->entry);
+	if (config == NULL)
+		return;
+	if (wwh_config_version(config) > ask.version) {
+		empty = wwh_config_new();
+		change = wwh_config_diff(empty, config);
+		message.version = wwh_config_version(config);
+		message.author = g_strdup(peers->entry->author);
+		message.change = wwh_config_change_encode(change);
+		bytes = wwh_config_message_encode(&message);
+		send_bytes(peers, from, WWH_FRAME_CONFIG, bytes);
+		if (bytes != NULL)
+			g_bytes_unref(bytes);
+		wwh_config_message_clear(&message);
+		wwh_config_change_delete(change);
+		wwh_config_unref(empty);
+	}
+	wwh_config_unref(config);
+}
+
+static void take_config(wwh_entry_peers_t *peers, const uint8_t *payload,
+			size_t size)
+{
+	wwh_config_message_t message;
+	wwh_config_change_t *change = NULL;
+	wwh_config_t *empty = wwh_config_new();
+	wwh_config_t *config = NULL;
+	wwh_message_t text;
+	gsize change_size;
+	const uint8_t *data;
+
+	if (wwh_config_message_decode(payload, size, &message)) {
+		data = g_bytes_get_data(message.change, &change_size);
+		if (wwh_config_change_decode(data, change_size, &change,
+					     &text) == WWH_STATUS_OK &&
+		    wwh_config_apply(empty, change, message.version, &config,
+				     &text) == WWH_STATUS_OK &&
+		    wwh_entry_offer_config(peers->entry, config,
+					   message.author))
+			wwh_counter_add(peers->config_fetched, 1);
+	}
+	if (config != NULL)
+		wwh_config_unref(config);
+	if (change != NULL)
+		wwh_config_change_delete(change);
+	wwh_config_unref(empty);
+	wwh_config_message_clear(&message);
+}
+
+static void update_summary(wwh_entry_peers_t *peers, int64_t now_ms)
+{
+	wwh_entry_t *entry = peers->entry;
+	wwh_member_summary_t summary = {
+		.config_version = wwh_entry_config_version(entry),
+	};
+
+	g_mutex_lock(&entry->state_lock);
+	summary.config_offset = wwh_state_config_offset(entry->state);
+	summary.log_offset = wwh_state_last_offset(entry->state);
+	g_mutex_unlock(&entry->state_lock);
+	g_mutex_lock(&peers->lock);
+	wwh_membership_set_summary(peers->membership, &summary, now_ms);
+	g_mutex_unlock(&peers->lock);
+}
+
+/* Tells the dispatcher of each minion whose state has changed. */
+static void update_minions(wwh_entry_peers_t *peers, int64_t now_ms)
+{
+	wwh_config_t *config;
+	int64_t leaving = 0;
+
+	if (now_ms < peers->next_leaving_ms)
+		return;
+	config = wwh_entry_config(peers->entry);
+	if (config == NULL)
+		return;
+	g_mutex_lock(&peers->lock);
+	peers->next_leaving_ms = now_ms + LEAVING_PERIOD_MS;
+	for (int32_t i = 0; i < wwh_config_minion_count(config); i++) {
+		const char *id = wwh_config_minion_at(config, i)->id;
+		wwh_minion_state_t state = WWH_MINION_LIVE;
+		gpointer told = g_hash_table_lookup(peers->minion_states, id);
+
+		if (g_hash_table_contains(peers->gone, id))
+			state = WWH_MINION_GONE;
+		else if (wwh_leaving_is(peers->leaving, id, now_ms))
+			state = WWH_MINION_LEAVING;
+		leaving += state != WWH_MINION_LIVE;
+		if (GPOINTER_TO_INT(told) == (int)state)
+			continue;
+		g_hash_table_insert(peers->minion_states, g_strdup(id),
+				    GINT_TO_POINTER(state));
+		wwh_request_table_minion_state(peers->entry->requests, id,
+					       state);
+		g_message("minion %s: %s", id, wwh_minion_state_names[state]);
+	}
+	g_mutex_unlock(&peers->lock);
+	wwh_counter_set(peers->leaving_count, leaving);
+	wwh_config_unref(config);
+}
+
+static GPtrArray *alive_members(wwh_entry_peers_t *peers)
+{
+	GPtrArray *targets = g_ptr_array_new_with_free_func(free_target);
+	const char *region = peers->entry->settings->region;
+
+	g_mutex_lock(&peers->lock);
+	for (int32_t i = 0; i < wwh_membership_count(peers->membership); i++) {
+		wwh_member_t member;
+		target_t *target;
+
+		wwh_membership_at(peers->membership, i, &member);
+		if (member.status > WWH_MEMBER_SUSPECT ||
+		    strcmp(member.region, region) != 0)
+			continue;
+		target = g_new0(target_t, 1);
+		target->process = process_of(&member);
+		target->address = g_strdup(member.address);
+		g_ptr_array_add(targets, target);
+	}
+	g_mutex_unlock(&peers->lock);
+	return targets;
+}
+
+static uint64_t process_of(const wwh_member_t *member)
+{
+	char *author = wwh_entry_author_of(member->id, member->incarnation);
+	uint64_t process = wwh_seat_process(author);
+
+	g_free(author);
+	return process;
+}
+
+static void free_target(gpointer data)
+{
+	target_t *target = data;
+
+	g_free(target->address);
+	g_free(target);
+}
--- a/src/libwaxwinghollow/entry_report.c
+++ b/src/libwaxwinghollow/entry_report.c
@@ -1,6 +1,6 @@
 #include "private/entry_report.h"
 
-#include "private/entry_control.h"
+#include "private/entry_peers.h"
 #include "private/request_table.h"
 
 static void report_pools(wwh_entry_t *entry, JsonBuilder *builder);
@@ -47,7 +47,8 @@
 	report_members(entry, builder);
 	g_mutex_lock(&entry->state_lock);
 	wwh_json_int(builder, "config_version",
-		     wwh_state_config_version(entry->state));
+		     entry->config != NULL ? wwh_config_version(entry->config)
+					   : 0);
 	wwh_json_int(builder, "config_offset",
 		     wwh_state_config_offset(entry->state));
 	wwh_json_string(builder, "config_author",
@@ -84,7 +85,7 @@
 {
 	json_builder_set_member_name(builder, "members");
 	json_builder_begin_array(builder);
-	wwh_entry_control_each_member(entry->control, builder);
+	wwh_entry_peers_report(entry->peers, builder);
 	json_builder_end_array(builder);
 }
 
--- /dev/null
+++ b/src/libwaxwinghollow/entry_snapshot.c
@@ -0,0 +1,187 @@
+#include "private/entry_snapshot.h"
+
+#include "waxwinghollow/snapshot.h"
+
+/* Processes put off their snapshot by up to this, so that one is enough. */
+#define SPREAD_MS 5000
+
+struct wwh_entry_snapshot {
+	wwh_entry_t *entry;
+	wwh_stream_t stream;
+	wwh_snapshot_keeper_t *keeper;
+	wwh_snapshot_parts_t *parts;
+	int64_t waiting_upto; /* a snapshot to be put on the log, or -1 */
+	int64_t due_ms;
+	/* what install takes up */
+	wwh_state_t *new_state;
+	wwh_intents_t *new_intents;
+	wwh_counter_t *published;
+	wwh_counter_t *restored;
+	wwh_counter_t *mismatches;
+	wwh_counter_t *refused;
+};
+
+static bool decode(wwh_entry_snapshot_t *snapshot, GBytes *whole);
+static void install(void *data);
+
+wwh_entry_snapshot_t *wwh_entry_snapshot_new(wwh_entry_t *entry,
+					     wwh_stream_t stream)
+{
+	wwh_entry_snapshot_t *snapshot = g_new0(wwh_entry_snapshot_t, 1);
+	wwh_counters_t *counters = entry->counters;
+
+	snapshot->entry = entry;
+	snapshot->stream = stream;
+	snapshot->keeper = wwh_snapshot_keeper_new(WWH_SNAPSHOT_EVERY);
+	snapshot->parts = wwh_snapshot_parts_new();
+	snapshot->waiting_upto = WWH_NO_OFFSET;
+	snapshot->published = wwh_counters_get(counters, "snapshots.published");
+	snapshot->restored = wwh_counters_get(counters, "snapshots.restored");
+	snapshot->mismatches =
+		wwh_counters_get(counters, "snapshots.mismatches");
+	snapshot->refused = wwh_counters_get(counters, "snapshots.refused");
+	return snapshot;
+}
+
+void wwh_entry_snapshot_delete(wwh_entry_snapshot_t *snapshot)
+{
+	if (snapshot == NULL)
+		return;
+	wwh_snapshot_keeper_delete(snapshot->keeper);
+	wwh_snapshot_parts_delete(snapshot->parts);
+	g_free(snapshot);
+}
+
+void wwh_entry_snapshot_before(wwh_entry_snapshot_t *snapshot, int64_t offset)
+{
+	wwh_entry_t *entry = snapshot->entry;
+	int64_t before = WWH_NO_OFFSET;
+	int64_t after = WWH_NO_OFFSET;
+
+	(void)wwh_snapshot_keeper_latest(snapshot->keeper, &before);
+	if (snapshot->stream == WWH_STREAM_CONTROL)
+		wwh_snapshot_keeper_state(snapshot->keeper, entry->state,
+					  offset);
+	else
+		wwh_snapshot_keeper_intents(snapshot->keeper, entry->intents,
+					    offset);
+	if (wwh_snapshot_keeper_latest(snapshot->keeper, &after) == NULL ||
+	    after == before)
+		return;
+	snapshot->waiting_upto = after;
+	snapshot->due_ms = wwh_now_ms() + g_random_int_range(0, SPREAD_MS);
+}
+
+void wwh_entry_snapshot_seen(wwh_entry_snapshot_t *snapshot,
+			     const wwh_record_t *record)
+{
+	if (record->author == NULL || record->kind != WWH_RECORD_SNAPSHOT)
+		return;
+	if (record->body.snapshot.upto >= snapshot->waiting_upto &&
+	    record->body.snapshot.part == record->body.snapshot.parts - 1)
+		snapshot->waiting_upto = WWH_NO_OFFSET;
+	if (wwh_snapshot_keeper_compare(snapshot->keeper, record) !=
+	    WWH_SNAPSHOT_MISMATCH)
+		return;
+	wwh_counter_add(snapshot->mismatches, 1);
+	g_warning("snapshot of %s up to %" G_GINT64_FORMAT
+		  " by %s differs from the state here",
+		  wwh_stream_names[snapshot->stream],
+		  record->body.snapshot.upto, record->author);
+}
+
+GPtrArray *wwh_entry_snapshot_due(wwh_entry_snapshot_t *snapshot,
+				  int64_t now_ms)
+{
+	wwh_entry_t *entry = snapshot->entry;
+	GPtrArray *records = NULL;
+	GBytes *whole;
+	int64_t upto;
+
+	g_mutex_lock(&entry->state_lock);
+	if (snapshot->waiting_upto != WWH_NO_OFFSET &&
+	    now_ms >= snapshot->due_ms) {
+		whole = wwh_snapshot_keeper_latest(snapshot->keeper, &upto);
+		if (whole != NULL)
+			records = wwh_snapshot_records(whole, upto,
+						       entry->author);
+		snapshot->waiting_upto = WWH_NO_OFFSET;
+	}
+	g_mutex_unlock(&entry->state_lock);
+	if (records != NULL)
+		wwh_counter_add(snapshot->published, 1);
+	return records;
+}
+
+void wwh_entry_snapshot_scan(wwh_entry_snapshot_t *snapshot,
+			     const wwh_log_entry_t *log_entry,
+			     wwh_log_client_t *client)
+{
+	wwh_record_t record = { 0 };
+	GBytes *whole = NULL;
+	int64_t upto = 0;
+
+	if (wwh_record_decode(log_entry->data, log_entry->size, &record,
+			      NULL) == WWH_STATUS_OK &&
+	    record.kind == WWH_RECORD_SNAPSHOT) {
+		upto = record.body.snapshot.upto;
+		whole = wwh_snapshot_parts_add(snapshot->parts, &record);
+	}
+	wwh_record_clear(&record);
+	if (whole == NULL)
+		return;
+	if (decode(snapshot, whole)) {
+		if (wwh_log_client_restore(client, upto, install, snapshot) ==
+		    WWH_STATUS_OK)
+			g_message("log %s: goes on from a snapshot up to "
+				  "%" G_GINT64_FORMAT,
+				  wwh_stream_names[snapshot->stream], upto);
+		/* install takes them; what it did not take is dropped */
+		wwh_state_delete(snapshot->new_state);
+		wwh_intents_delete(snapshot->new_intents);
+		snapshot->new_state = NULL;
+		snapshot->new_intents = NULL;
+	}
+	g_bytes_unref(whole);
+}
+
+static bool decode(wwh_entry_snapshot_t *snapshot, GBytes *whole)
+{
+	wwh_message_t message;
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(whole, &size);
+	wwh_status_t status;
+
+	if (snapshot->stream == WWH_STREAM_CONTROL)
+		status = wwh_snapshot_decode_state(
+			data, size, &snapshot->new_state, &message);
+	else
+		status = wwh_snapshot_decode_intents(
+			data, size, &snapshot->new_intents, &message);
+	if (status == WWH_STATUS_OK)
+		return true;
+	wwh_counter_add(snapshot->refused, 1);
+	g_warning("a snapshot is refused: %s", message.text);
+	return false;
+}
+
+static void install(void *data)
+{
+	wwh_entry_snapshot_t *snapshot = data;
+	wwh_entry_t *entry = snapshot->entry;
+
+	g_mutex_lock(&entry->state_lock);
+	if (snapshot->new_state != NULL) {
+		wwh_state_delete(entry->state);
+		entry->state = snapshot->new_state;
+		wwh_entry_take_config(entry);
+	}
+	if (snapshot->new_intents != NULL) {
+		wwh_intents_delete(entry->intents);
+		entry->intents = snapshot->new_intents;
+	}
+	snapshot->new_state = NULL;
+	snapshot->new_intents = NULL;
+	g_mutex_unlock(&entry->state_lock);
+	wwh_counter_add(snapshot->restored, 1);
+}
--- a/src/libwaxwinghollow/include/private/entry_internal.h
+++ b/src/libwaxwinghollow/include/private/entry_internal.h
@@ -53,9 +53,12 @@
 typedef struct wwh_intent_writer wwh_intent_writer_t;
 typedef struct wwh_entry_log wwh_entry_log_t;
 typedef struct wwh_entry_control wwh_entry_control_t;
+typedef struct wwh_entry_peers wwh_entry_peers_t;
+typedef struct wwh_seats wwh_seats_t;
 
 struct wwh_entry {
 	const wwh_settings_t *settings;
+	uint64_t incarnation; /* higher at each start */
 	char *author; /* this incarnation's name on the log */
 	wwh_counters_t *counters;
 	wwh_platform_http_t *platform_http;
@@ -70,15 +73,16 @@
 	wwh_counter_t *not_run_denied;
 
 	GMutex state_lock;
-	GCond state_changed; /* a record was applied */
 	wwh_chart_machine_t phase;
 	wwh_state_t *state;
 	wwh_intents_t *intents;
-	wwh_config_t *config; /* a reference to the one in force */
+	wwh_config_t *config; /* in force; from the log or from a peer */
 
 	wwh_request_table_t *requests;
 	wwh_intent_writer_t *intent_writer;
 	wwh_entry_log_t *log;
+	wwh_entry_peers_t *peers;
+	wwh_seats_t *seats;
 	wwh_entry_control_t *control;
 };
 
@@ -88,6 +92,17 @@
 void wwh_entry_phase_event(wwh_entry_t *entry, wwh_phase_event_t event);
 wwh_phase_t wwh_entry_phase(wwh_entry_t *entry);
 
+/* Puts the state's configuration in force; state_lock is held. */
+void wwh_entry_take_config(wwh_entry_t *entry);
+
+/* A peer's configuration is put in force when it is newer. Takes state_lock. */
+bool wwh_entry_offer_config(wwh_entry_t *entry, const wwh_config_t *config,
+			    const char *from);
+int64_t wwh_entry_config_version(wwh_entry_t *entry);
+
+/* The name on the log of one incarnation of a process. g_free. */
+char *wwh_entry_author_of(const char *process_id, uint64_t incarnation);
+
 /* A reference to the configuration in force, or NULL before the first. */
 wwh_config_t *wwh_entry_config(wwh_entry_t *entry);
 
--- a/src/libwaxwinghollow/include/private/entry_log.h
+++ b/src/libwaxwinghollow/include/private/entry_log.h
@@ -26,8 +26,11 @@
 /* Both streams have been replayed to their ends at least once. */
 bool wwh_entry_log_caught_up(wwh_entry_log_t *log);
 
-/* When stream control was last read to its end, on the monotonic clock. */
-int64_t wwh_entry_log_read_ms(wwh_entry_log_t *log);
+/*
+ * When the last read of stream control that reached its end was sent, on the
+ * monotonic clock; 0: there was none.
+ */
+int64_t wwh_entry_log_read_sent_ms(wwh_entry_log_t *log);
 
 /* Appends, without waiting for the verdict. */
 wwh_status_t wwh_entry_log_append(wwh_entry_log_t *log, wwh_stream_t stream,
@@ -38,6 +41,9 @@
 void wwh_entry_log_submit(wwh_entry_log_t *log, const wwh_record_t *record,
 			  int32_t timeout_ms, wwh_submitted_t *submitted);
 
+/* Appends snapshots that are due; called about once a second. */
+void wwh_entry_log_publish_snapshots(wwh_entry_log_t *log);
+
 /* For the dump and the status. */
 int64_t wwh_entry_log_offset(wwh_entry_log_t *log, wwh_stream_t stream);
 
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/peer_message.h
@@ -0,0 +1,76 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_PEER_MESSAGE_H
+#define WAXWINGHOLLOW_PRIVATE_PEER_MESSAGE_H
+
+/*
+ * Payloads of the frames between entry processes, but for gossip. Decoding
+ * checks every type and bound, as for records of the log.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "waxwinghollow/status.h"
+
+/* Asks a member to renew the asker's lease of its seats, see seat.h. */
+typedef struct {
+	uint64_t process;
+	int64_t sent_ms; /* on the asker's clock; comes back in the answer */
+} wwh_seat_ask_t;
+
+typedef struct {
+	uint64_t process; /* who answers */
+	int64_t sent_ms;
+	uint64_t seats; /* that it holds now */
+} wwh_seat_answer_t;
+
+/* What dispatch_loan.h tells a peer about one minion. */
+typedef struct {
+	char *minion;
+	uint64_t granted;
+	uint64_t returned;
+	uint64_t bears_version;
+	int32_t wanted;
+	int32_t bears;
+} wwh_loan_item_t;
+
+typedef struct {
+	uint64_t process;
+	GPtrArray *items; /* of wwh_loan_item_t * */
+} wwh_loan_message_t;
+
+/* Asks for the configuration when it is newer than version. */
+typedef struct {
+	int64_t version;
+} wwh_config_ask_t;
+
+typedef struct {
+	int64_t version;
+	char *author;
+	GBytes *change; /* from an empty configuration */
+} wwh_config_message_t;
+
+GBytes *wwh_seat_ask_encode(const wwh_seat_ask_t *message);
+bool wwh_seat_ask_decode(const uint8_t *data, size_t size,
+			 wwh_seat_ask_t *message);
+GBytes *wwh_seat_answer_encode(const wwh_seat_answer_t *message);
+bool wwh_seat_answer_decode(const uint8_t *data, size_t size,
+			    wwh_seat_answer_t *message);
+
+void wwh_loan_message_init(wwh_loan_message_t *message);
+void wwh_loan_message_clear(wwh_loan_message_t *message);
+GBytes *wwh_loan_message_encode(const wwh_loan_message_t *message);
+/* message is to be cleared, also when data is refused. */
+bool wwh_loan_message_decode(const uint8_t *data, size_t size,
+			     wwh_loan_message_t *message);
+
+GBytes *wwh_config_ask_encode(const wwh_config_ask_t *message);
+bool wwh_config_ask_decode(const uint8_t *data, size_t size,
+			   wwh_config_ask_t *message);
+void wwh_config_message_clear(wwh_config_message_t *message);
+GBytes *wwh_config_message_encode(const wwh_config_message_t *message);
+/* message is to be cleared, also when data is refused. */
+bool wwh_config_message_decode(const uint8_t *data, size_t size,
+			       wwh_config_message_t *message);
+
+#endif
--- a/src/libwaxwinghollow/include/private/request_table.h
+++ b/src/libwaxwinghollow/include/private/request_table.h
@@ -12,6 +12,7 @@
 
 #include "waxwinghollow/config.h"
 #include "waxwinghollow/dispatch.h"
+#include "waxwinghollow/dispatch_loan.h"
 #include "waxwinghollow/intent.h"
 
 typedef struct wwh_request_table wwh_request_table_t;
@@ -28,6 +29,12 @@
 void wwh_request_table_minion_state(wwh_request_table_t *table,
 				    const char *minion,
 				    wwh_minion_state_t state);
+void wwh_request_table_loans_tell(wwh_request_table_t *table, uint64_t peer,
+				  wwh_dispatch_loan_visit_t visit,
+				  void *client_data);
+void wwh_request_table_loan_hear(wwh_request_table_t *table, uint64_t peer,
+				 const wwh_dispatch_loan_t *loan);
+void wwh_request_table_loans_forget(wwh_request_table_t *table, uint64_t peer);
 void wwh_request_table_close(wwh_request_table_t *table);
 int32_t wwh_request_table_waiting(wwh_request_table_t *table);
 int32_t wwh_request_table_running(wwh_request_table_t *table);
--- a/src/libwaxwinghollow/include/private/state_internal.h
+++ b/src/libwaxwinghollow/include/private/state_internal.h
@@ -136,6 +136,7 @@
 	int32_t pool_count;
 	GHashTable *pool_by_id;
 	wwh_state_lease_t *leases[WWH_SHARD_COUNT];
+	wwh_seat_table_t seats;
 	wwh_state_table_t waves;
 	wwh_state_table_t rehearsals;
 	wwh_state_table_t jobs;
@@ -237,6 +238,13 @@
 			    const wwh_record_t *record,
 			    wwh_verdict_detail_t *detail);
 
+wwh_verdict_t wwh_apply_seat(wwh_state_t *state, int64_t offset,
+			     const wwh_record_t *record,
+			     wwh_verdict_detail_t *detail);
+
+/* Whether a table that was read is one that applies can make. */
+bool wwh_state_seats_valid(const wwh_seat_table_t *seats);
+
 /* ACCEPTED or NOT_HOLDER: whether record's author holds shard under fence. */
 wwh_verdict_t wwh_state_fence(const wwh_state_t *state, int32_t shard,
 			      const wwh_record_t *record, int64_t fence,
--- a/src/libwaxwinghollow/intent_writer.c
+++ b/src/libwaxwinghollow/intent_writer.c
@@ -18,6 +18,7 @@
 	wwh_counter_t *batches;
 	wwh_counter_t *items;
 	wwh_counter_t *refused;
+	wwh_counter_t *dropped;
 	wwh_counter_t *results_waiting;
 };
 
@@ -45,6 +46,7 @@
 	writer->batches = wwh_counters_get(counters, "intents.batches");
 	writer->items = wwh_counters_get(counters, "intents.items");
 	writer->refused = wwh_counters_get(counters, "intents.refused");
+	writer->dropped = wwh_counters_get(counters, "intents.dropped");
 	writer->results_waiting =
 		wwh_counters_get(counters, "intents.results_waiting");
 	writer->thread = g_thread_new("intents", writer_main, writer);
@@ -191,7 +193,11 @@
 		g_ptr_array_add(record.body.results.items, item);
 	wwh_counter_add(writer->batches, 1);
 	status = writer->options.append(&record, writer->options.client_data);
-	if (status != WWH_STATUS_OK && status != WWH_STATUS_UNKNOWN) {
+	/* what can't be written now can't be written later either */
+	if (status == WWH_STATUS_BAD_INPUT)
+		wwh_counter_add(writer->dropped,
+				record.body.results.items->len);
+	else if (status != WWH_STATUS_OK && status != WWH_STATUS_UNKNOWN) {
 		g_ptr_array_set_free_func(record.body.results.items, NULL);
 		for (guint i = 0; i < record.body.results.items->len; i++)
 			g_queue_push_tail(
--- a/src/libwaxwinghollow/record.c
+++ b/src/libwaxwinghollow/record.c
@@ -37,6 +37,7 @@
 	"job-checkpointed",
 	"job-done",
 	"job-failed",
+	"seat",
 	"snapshot",
 	"intents",
 	"results",
--- a/src/libwaxwinghollow/record_fields.c
+++ b/src/libwaxwinghollow/record_fields.c
@@ -113,6 +113,13 @@
 	INT32(wwh_record_job_t, run, 0, WWH_RUN_COUNT - 1),
 };
 
+static const wwh_codec_field_t seat[] = {
+	INT32(wwh_seat_record_t, type, 0, WWH_SEAT_RECORD_COUNT - 1),
+	{ "process", WWH_CODEC_UINT64, AT(wwh_seat_record_t, process), 0, 0 },
+	{ "subject", WWH_CODEC_UINT64, AT(wwh_seat_record_t, subject), 0, 0 },
+	INT32(wwh_seat_record_t, seat, 0, WWH_SEAT_MAX - 1),
+};
+
 static const wwh_codec_field_t snapshot[] = {
 	INT64(wwh_record_snapshot_t, upto, 0, INT64_MAX),
 	{ "hash", WWH_CODEC_UINT64, AT(wwh_record_snapshot_t, hash), 0, 0 },
@@ -193,6 +200,7 @@
 	FIELDS(wwh_record_job_t, job),
 	FIELDS(wwh_record_job_t, job),
 	FIELDS(wwh_record_job_t, job),
+	FIELDS(wwh_seat_record_t, seat),
 	FIELDS(wwh_record_snapshot_t, snapshot),
 	FIELDS(wwh_record_intents_t, intents),
 	FIELDS(wwh_record_results_t, results),
--- a/src/libwaxwinghollow/request_table.c
+++ b/src/libwaxwinghollow/request_table.c
@@ -161,6 +161,33 @@
 	g_mutex_unlock(&table->lock);
 }
 
+void wwh_request_table_loans_tell(wwh_request_table_t *table, uint64_t peer,
+				  wwh_dispatch_loan_visit_t visit,
+				  void *client_data)
+{
+	g_mutex_lock(&table->lock);
+	wwh_dispatch_loans_tell(table->dispatch, wwh_now_ms(), peer, visit,
+				client_data);
+	g_mutex_unlock(&table->lock);
+}
+
+void wwh_request_table_loan_hear(wwh_request_table_t *table, uint64_t peer,
+				 const wwh_dispatch_loan_t *loan)
+{
+	g_mutex_lock(&table->lock);
+	wwh_dispatch_loan_hear(table->dispatch, wwh_now_ms(), peer, loan);
+	hand_out(table);
+	g_mutex_unlock(&table->lock);
+}
+
+void wwh_request_table_loans_forget(wwh_request_table_t *table, uint64_t peer)
+{
+	g_mutex_lock(&table->lock);
+	wwh_dispatch_loans_forget(table->dispatch, wwh_now_ms(), peer);
+	hand_out(table);
+	g_mutex_unlock(&table->lock);
+}
+
 void wwh_request_table_close(wwh_request_table_t *table)
 {
 	g_mutex_lock(&table->lock);
--- a/src/libwaxwinghollow/state.c
+++ b/src/libwaxwinghollow/state.c
@@ -35,7 +35,8 @@
 	wwh_apply_wave,	     wwh_apply_wave,	  wwh_apply_wave,
 	wwh_apply_rehearsal, wwh_apply_rehearsal, wwh_apply_job,
 	wwh_apply_job,	     wwh_apply_job,	  wwh_apply_job,
-	wwh_apply_job,	     wwh_apply_job,	  apply_snapshot,
+	wwh_apply_job,	     wwh_apply_job,	  wwh_apply_seat,
+	apply_snapshot,
 };
 
 static int compare_ids(const void *a, const void *b, void *unused)
@@ -61,6 +62,7 @@
 	state->pool_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	for (int32_t i = 0; i < WWH_SHARD_COUNT; i++)
 		state->leases[i] = wwh_state_item_new(&wwh_state_lease_fields);
+	wwh_seat_table_init(&state->seats, WWH_STATE_SEATS);
 	wwh_state_table_init(&state->waves, &wwh_state_wave_fields);
 	wwh_state_table_init(&state->rehearsals, &wwh_state_rehearsal_fields);
 	wwh_state_table_init(&state->jobs, &wwh_state_job_fields);
--- a/src/libwaxwinghollow/state_check.c
+++ b/src/libwaxwinghollow/state_check.c
@@ -95,6 +95,11 @@
 	}
 }
 
+static void check_seats(const wwh_state_t *state)
+{
+	assert(wwh_state_seats_valid(&state->seats));
+}
+
 static void check_waves(const wwh_state_t *state)
 {
 	GPtrArray *waves = wwh_state_table_items(&state->waves);
@@ -141,6 +146,7 @@
 	assert(g_tree_nnodes(state->authors) <= WWH_STATE_AUTHORS_MAX);
 	check_pools(state);
 	check_leases(state);
+	check_seats(state);
 	check_waves(state);
 	check_jobs(state);
 }
--- a/src/libwaxwinghollow/state_snapshot.c
+++ b/src/libwaxwinghollow/state_snapshot.c
@@ -20,6 +20,16 @@
 	char *to;
 } worker_row_t;
 
+typedef struct {
+	uint64_t holder; /* 0: free */
+} seat_row_t;
+
+typedef struct {
+	uint64_t process;
+	uint64_t acked;
+	bool evicted;
+} member_row_t;
+
 typedef struct {
 	int32_t format;
 	int32_t stream;
@@ -29,6 +39,8 @@
 	char *config_author;
 	GBytes *config; /* the change from an empty one */
 	GPtrArray *leases;
+	GPtrArray *seats; /* of seat_row_t */
+	GPtrArray *members; /* of member_row_t, in joining order */
 	GPtrArray *workers; /* of worker_row_t, in the order of ids */
 	GPtrArray *waves;
 	GPtrArray *rehearsals;
@@ -54,6 +66,10 @@
 	{                                                                      \
 #member, WWH_CODEC_BOOL, offsetof(type, member), 0, 1          \
 	}
+#define UINT64(type, member)                                                   \
+	{                                                                      \
+#member, WWH_CODEC_UINT64, offsetof(type, member), 0, 0        \
+	}
 #define ITEMS(type, member, max, fields)                                       \
 	{                                                                      \
 #member, WWH_CODEC_ITEMS, offsetof(type, member), 0, max,      \
@@ -79,6 +95,24 @@
 						      G_N_ELEMENTS(worker_row),
 						      sizeof(worker_row_t) };
 
+static const wwh_codec_field_t seat_row[] = {
+	UINT64(seat_row_t, holder),
+};
+
+static const wwh_codec_fields_t seat_row_fields = { seat_row,
+						    G_N_ELEMENTS(seat_row),
+						    sizeof(seat_row_t) };
+
+static const wwh_codec_field_t member_row[] = {
+	UINT64(member_row_t, process),
+	UINT64(member_row_t, acked),
+	BOOL(member_row_t, evicted),
+};
+
+static const wwh_codec_fields_t member_row_fields = { member_row,
+						      G_N_ELEMENTS(member_row),
+						      sizeof(member_row_t) };
+
 static const wwh_codec_field_t whole[] = {
 	INT32(whole_t, format, WWH_SNAPSHOT_FORMAT, WWH_SNAPSHOT_FORMAT),
 	INT32(whole_t, stream, WWH_STREAM_CONTROL, WWH_STREAM_CONTROL),
@@ -88,6 +122,8 @@
 	ID(whole_t, config_author),
 	{ "config", WWH_CODEC_BYTES, offsetof(whole_t, config), 0, INT32_MAX },
 	ITEMS(whole_t, leases, WWH_SHARD_COUNT, &wwh_state_lease_fields),
+	ITEMS(whole_t, seats, WWH_SEAT_MAX, &seat_row_fields),
+	ITEMS(whole_t, members, WWH_SEAT_MEMBERS_MAX, &member_row_fields),
 	ITEMS(whole_t, workers, INT32_MAX, &worker_row_fields),
 	ITEMS(whole_t, waves, WWH_STATE_WAVES_MAX + WWH_STATE_ENDED_MAX,
 	      &wwh_state_wave_fields),
@@ -156,6 +192,25 @@
 	wwh_state_item_free(&worker_row_fields, row);
 }
 
+static void add_seats(const wwh_seat_table_t *table, GPtrArray *seats,
+		      GPtrArray *members)
+{
+	for (int32_t i = 0; i < table->seat_count; i++) {
+		seat_row_t *row = g_new0(seat_row_t, 1);
+
+		row->holder = table->holders[i];
+		g_ptr_array_add(seats, row);
+	}
+	for (int32_t i = 0; i < table->member_count; i++) {
+		member_row_t *row = g_new0(member_row_t, 1);
+
+		row->process = table->members[i].process;
+		row->acked = table->members[i].acked;
+		row->evicted = table->members[i].evicted;
+		g_ptr_array_add(members, row);
+	}
+}
+
 GBytes *wwh_snapshot_encode_state(const wwh_state_t *state)
 {
 	whole_t view = {
@@ -167,6 +222,8 @@
 		.config_author = state->config_author,
 		.config = encode_config(state->config),
 		.leases = g_ptr_array_new(),
+		.seats = g_ptr_array_new_with_free_func(g_free),
+		.members = g_ptr_array_new_with_free_func(g_free),
 		.workers = g_ptr_array_new_with_free_func(free_row),
 		.waves = wwh_state_table_items(&state->waves),
 		.rehearsals = wwh_state_table_items(&state->rehearsals),
@@ -178,6 +235,7 @@
 
 	for (int32_t i = 0; i < WWH_SHARD_COUNT; i++)
 		g_ptr_array_add(view.leases, state->leases[i]);
+	add_seats(&state->seats, view.seats, view.members);
 	for (int32_t i = 0; i < state->worker_count; i++) {
 		if (!is_plain(&state->workers[i]))
 			g_ptr_array_add(view.workers,
@@ -189,6 +247,8 @@
 		g_error("the state can't be encoded: %s", message.text);
 	g_bytes_unref(view.config);
 	g_ptr_array_unref(view.leases);
+	g_ptr_array_unref(view.seats);
+	g_ptr_array_unref(view.members);
 	g_ptr_array_unref(view.workers);
 	g_ptr_array_unref(view.waves);
 	g_ptr_array_unref(view.rehearsals);
@@ -243,6 +303,28 @@
 	return true;
 }
 
+static bool restore_seats(wwh_state_t *state, const whole_t *from)
+{
+	wwh_seat_table_t *table = &state->seats;
+
+	if (from->seats->len != WWH_STATE_SEATS)
+		return false;
+	for (guint i = 0; i < from->seats->len; i++) {
+		const seat_row_t *row = from->seats->pdata[i];
+
+		table->holders[i] = row->holder;
+	}
+	for (guint i = 0; i < from->members->len; i++) {
+		const member_row_t *row = from->members->pdata[i];
+
+		table->members[i].process = row->process;
+		table->members[i].acked = row->acked;
+		table->members[i].evicted = row->evicted;
+	}
+	table->member_count = (int32_t)from->members->len;
+	return wwh_state_seats_valid(table);
+}
+
 static bool valid_row(const wwh_state_t *state, const worker_row_t *row)
 {
 	int64_t last = state->last_offset;
@@ -450,7 +532,7 @@
 	state->last_offset = from->last_offset;
 	if (from->config_offset > state->last_offset ||
 	    !restore_config(state, from, message) ||
-	    !restore_leases(state, from))
+	    !restore_leases(state, from) || !restore_seats(state, from))
 		return false;
 	for (guint i = 0; i < from->workers->len; i++) {
 		if (!restore_worker(state, from->workers->pdata[i]))
--- a/src/libwaxwinghollow/state_view.c
+++ b/src/libwaxwinghollow/state_view.c
@@ -290,3 +290,26 @@
 	}
 	g_ptr_array_unref(items);
 }
+
+typedef struct {
+	wwh_author_visit_t visit;
+	void *client_data;
+} author_visit_t;
+
+static gboolean visit_author(gpointer key, gpointer item, gpointer data)
+{
+	const author_visit_t *context = data;
+	const wwh_state_author_t *author = item;
+
+	(void)key;
+	return !context->visit(author->id, author->offset,
+			       context->client_data);
+}
+
+void wwh_state_each_author(const wwh_state_t *state, wwh_author_visit_t visit,
+			   void *client_data)
+{
+	author_visit_t context = { visit, client_data };
+
+	g_tree_foreach(state->authors, visit_author, &context);
+}
--- /dev/null
+++ b/src/test_entry/test_entry.c
@@ -0,0 +1,459 @@
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+
+#include "waxwinghollow/entry.h"
+#include "waxwinghollow/platform_http.h"
+#include "waxwinghollow/record.h"
+#include "waxwinghollow/upstream.h"
+
+#include "../test_standins/include/minion_server.h"
+
+#define ENTRIES 2
+#define WAIT_LIMIT_MS 15000
+
+/* Two entry processes' worth of code around one platform and one minion. */
+typedef struct {
+	GPid platform_pid;
+	char *platform_url;
+	int32_t platform_port;
+	minion_server_t *minion;
+	wwh_settings_t settings[ENTRIES];
+	wwh_entry_t *entries[ENTRIES];
+	wwh_counters_t *counters;
+	wwh_upstream_t *client;
+} fixture_t;
+
+/* What a caller or operator was told. */
+typedef struct {
+	wwh_upstream_outcome_t outcome;
+	int32_t status;
+	char run[32];
+	char *body;
+} told_t;
+
+static void told_clear(told_t *told)
+{
+	g_free(told->body);
+	told->body = NULL;
+}
+
+static void ask(fixture_t *fixture, int32_t port, const char *method,
+		const char *target, const char *key, const uint8_t *body,
+		size_t size, told_t *told)
+{
+	wwh_headers_t *headers = wwh_headers_new();
+	wwh_http_request_t http = {
+		.method = method,
+		.target = target,
+		.headers = headers,
+		.body = body,
+		.body_size = size,
+		.caller_fd = -1,
+	};
+	wwh_upstream_request_t request = {
+		.address = "127.0.0.1",
+		.port = port,
+		.http = &http,
+		.timeout_ms = WAIT_LIMIT_MS,
+		.max_answer_bytes = 1 << 20,
+		.max_connections = 64,
+	};
+	wwh_upstream_answer_t answer;
+	const char *run;
+
+	wwh_headers_add(headers, "Host", "h");
+	if (key != NULL) {
+		wwh_headers_add(headers, "Idempotency-Key", key);
+		wwh_headers_add(headers, "X-Request-Id", key);
+	}
+	wwh_upstream_send(fixture->client, &request, &answer);
+	told->outcome = answer.outcome;
+	told->status = answer.response.status;
+	run = wwh_headers_get(answer.response.headers, WWH_HEADER_RUN);
+	g_strlcpy(told->run, run != NULL ? run : "", sizeof(told->run));
+	told->body = g_strndup((char *)answer.response.body->data,
+			       answer.response.body->len);
+	wwh_http_response_clear(&answer.response);
+	wwh_headers_delete(headers);
+}
+
+static void call(fixture_t *fixture, int entry, const char *method,
+		 const char *target, const char *key, told_t *told)
+{
+	ask(fixture, wwh_entry_caller_port(fixture->entries[entry]), method,
+	    target, key, (const uint8_t *)"x", 1, told);
+}
+
+static void fault(fixture_t *fixture, const char *text)
+{
+	char *target = g_strconcat("/fault?", text, NULL);
+	told_t told;
+
+	ask(fixture, fixture->platform_port, "POST", target, NULL, NULL, 0,
+	    &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	g_free(target);
+}
+
+/* A failed assertion of a set-up leaves no stand-in behind. */
+static void end_with_parent(gpointer unused)
+{
+	(void)unused;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+/* A port that was free a moment ago. */
+static int32_t free_port(void)
+{
+	minion_server_t *probe = minion_server_start("probe", 0, 0);
+	int32_t port = probe->port;
+
+	minion_server_stop(probe);
+	return port;
+}
+
+static void start_platform(fixture_t *fixture)
+{
+	int32_t port = free_port();
+	char *listen_on;
+	told_t told;
+
+	fixture->platform_port = port;
+	fixture->platform_url = g_strdup_printf("http://127.0.0.1:%d", port);
+	listen_on = g_strdup_printf("127.0.0.1:%d", port);
+	{
+		char *argv[] = { WWH_BINARY_DIR "/platform",
+				 "--listen",
+				 listen_on,
+				 "--list-lag-ms",
+				 "100",
+				 NULL };
+
+		assert_true(g_spawn_async(
+			NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+			end_with_parent, NULL, &fixture->platform_pid, NULL));
+	}
+	g_free(listen_on);
+	for (int i = 0; i < 200; i++) {
+		ask(fixture, port, "GET", "/stats", NULL, NULL, 0, &told);
+		told_clear(&told);
+		if (told.status == 200)
+			return;
+		g_usleep(20 * 1000);
+	}
+	fail_msg("the platform stand-in did not start");
+}
+
+static void report_error(const char *file, int32_t line, const char *text,
+			 void *unused)
+{
+	(void)unused;
+	print_message("%s:%d: %s\n", file, line, text);
+}
+
+static void write_settings(fixture_t *fixture, int index)
+{
+	char *text = g_strdup_printf(
+		"{ \"process_id\": \"entry-%d\", \"availability_zone\": \"a\","
+		"\"region\": \"r\", \"caller_listen\": \"127.0.0.1:%d\","
+		"\"operator_listen\": \"127.0.0.1:%d\","
+		"\"peer_listen\": \"127.0.0.1:%d\", \"platform_url\": \"%s\","
+		"\"log_append_timeout_ms\": 1000, \"ready_off_ms\": 0 }",
+		index, free_port(), free_port(), free_port(),
+		fixture->platform_url);
+	wwh_config_text_t source = { "settings", text, strlen(text) };
+
+	assert_int_equal(wwh_settings_parse(&source, &fixture->settings[index],
+					    report_error, NULL),
+			 WWH_STATUS_OK);
+	g_free(text);
+}
+
+static void wait_ready(fixture_t *fixture, int index)
+{
+	told_t told;
+
+	for (int i = 0; i < 500; i++) {
+		ask(fixture, wwh_entry_operator_port(fixture->entries[index]),
+		    "GET", "/v1/ready", NULL, NULL, 0, &told);
+		told_clear(&told);
+		if (told.status == 200)
+			return;
+		g_usleep(20 * 1000);
+	}
+	fail_msg("entry %d did not get ready", index);
+}
+
+static void publish(fixture_t *fixture)
+{
+	char *inventory = g_strdup_printf(
+		"{ \"workers\": [{ \"id\": \"w1\", \"address\": \"127.0.1.1\","
+		"\"rack\": \"r1\", \"zone\": \"a\", \"region\": \"r\","
+		"\"pool\": \"p\", \"cores\": 4, \"memory_mb\": 100 }],"
+		"\"minions\": [{ \"id\": \"m1\", \"service\": \"s\","
+		"\"worker\": \"w1\", \"address\": \"127.0.0.1\","
+		"\"port\": %d }] }",
+		fixture->minion->port);
+	const char *rules =
+		"{ \"pools\": [{ \"id\": \"p\", \"lose_count\": 1 }],"
+		"\"services\": [{ \"id\": \"s\", \"path_prefix\": \"/s\","
+		"\"pool\": \"p\", \"team\": \"t\", \"deadline_ms\": 3000 }],"
+		"\"teams\": [{ \"id\": \"t\", \"cores\": 4,"
+		"\"memory_mb\": 100 }], \"windows\": [], \"rules\": {} }";
+	wwh_config_text_t sources[] = {
+		{ "inventory", inventory, strlen(inventory) },
+		{ "rules", rules, strlen(rules) },
+	};
+	wwh_config_t *empty = wwh_config_new();
+	wwh_config_t *config = wwh_config_new();
+	wwh_config_change_t *change;
+	GBytes *bytes;
+	gsize size;
+	const uint8_t *data;
+	told_t told;
+
+	assert_int_equal(wwh_config_parse(config, &sources[0], &sources[1],
+					  report_error, NULL),
+			 WWH_STATUS_OK);
+	change = wwh_config_diff(empty, config);
+	bytes = wwh_config_change_encode(change);
+	data = g_bytes_get_data(bytes, &size);
+	ask(fixture, wwh_entry_operator_port(fixture->entries[0]), "POST",
+	    "/v1/publish?base=0&author=test", NULL, data, size, &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	g_bytes_unref(bytes);
+	wwh_config_change_delete(change);
+	wwh_config_unref(config);
+	wwh_config_unref(empty);
+	g_free(inventory);
+}
+
+/* Until both have the configuration and a share of the minion's slots. */
+static void wait_serving(fixture_t *fixture, int index)
+{
+	told_t told;
+
+	for (int i = 0; i < 500; i++) {
+		call(fixture, index, "GET", "/s/probe", NULL, &told);
+		told_clear(&told);
+		if (told.status == 200)
+			return;
+		g_usleep(20 * 1000);
+	}
+	fail_msg("entry %d does not serve", index);
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	wwh_upstream_options_t options = wwh_upstream_options_defaults();
+	wwh_message_t message;
+	told_t told;
+
+	signal(SIGPIPE, SIG_IGN);
+	fixture->counters = wwh_counters_new();
+	fixture->client = wwh_upstream_new(&options, fixture->counters);
+	fixture->minion = minion_server_start("m1", 0, 0);
+	start_platform(fixture);
+	for (int i = 0; i < ENTRIES; i++) {
+		char *host = g_strdup_printf(
+			"/hosts/entry-%d?kind=entry&state=live&address="
+			"127.0.0.1:1&zone=a",
+			i);
+
+		ask(fixture, fixture->platform_port, "POST", host, NULL, NULL,
+		    0, &told);
+		told_clear(&told);
+		g_free(host);
+	}
+	for (int i = 0; i < ENTRIES; i++) {
+		write_settings(fixture, i);
+		fixture->entries[i] = wwh_entry_new(&fixture->settings[i]);
+		if (wwh_entry_init(fixture->entries[i], &message) !=
+		    WWH_STATUS_OK)
+			fail_msg("%s", message.text);
+	}
+	for (int i = 0; i < ENTRIES; i++)
+		wait_ready(fixture, i);
+	publish(fixture);
+	for (int i = 0; i < ENTRIES; i++)
+		wait_serving(fixture, i);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	for (int i = 0; i < ENTRIES; i++) {
+		if (fixture->entries[i] == NULL)
+			continue;
+		wwh_entry_finish(fixture->entries[i]);
+		wwh_entry_delete(fixture->entries[i]);
+	}
+	for (int i = 0; i < ENTRIES; i++)
+		wwh_settings_clear(&fixture->settings[i]);
+	kill(fixture->platform_pid, SIGKILL);
+	waitpid(fixture->platform_pid, NULL, 0);
+	minion_server_stop(fixture->minion);
+	wwh_upstream_delete(fixture->client);
+	wwh_counters_delete(fixture->counters);
+	g_free(fixture->platform_url);
+	g_free(fixture);
+	return 0;
+}
+
+/*
+ * A parent's phone repeats a charge through another entry host. The first one
+ * ran; the repeat gets the first one's answer and the card is charged once.
+ */
+static void a_repeat_elsewhere_gets_the_first_answer(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t first;
+	told_t again = { 0 };
+
+	call(fixture, 0, "POST", "/s/charge", "key-1", &first);
+	assert_int_equal(first.status, 200);
+	assert_string_equal(first.run, "ran");
+	for (int i = 0; i < 100; i++) {
+		told_clear(&again);
+		call(fixture, 1, "POST", "/s/charge", "key-1", &again);
+		if (again.status != 409)
+			break;
+		g_usleep(20 * 1000);
+	}
+	assert_int_equal(again.status, 200);
+	assert_string_equal(again.run, "ran");
+	assert_string_equal(again.body, first.body);
+	assert_int_equal(minion_runs_of(fixture->minion, "key-1"), 1);
+	told_clear(&first);
+	told_clear(&again);
+}
+
+/*
+ * The minion runs a charge and closes without an answer. The caller is told
+ * "unknown", and so is every repeat, through either host: none runs it again.
+ */
+static void a_lost_answer_stays_unknown_and_runs_once(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	minion_set_mode(fixture->minion, MINION_CLOSE);
+	call(fixture, 0, "POST", "/s/charge", "key-2", &told);
+	assert_string_equal(told.run, "unknown");
+	told_clear(&told);
+	minion_set_mode(fixture->minion, MINION_OK);
+	for (int i = 0; i < 10; i++) {
+		call(fixture, i % ENTRIES, "POST", "/s/charge", "key-2", &told);
+		assert_string_equal(told.run, "unknown");
+		told_clear(&told);
+	}
+	assert_int_equal(minion_runs_of(fixture->minion, "key-2"), 1);
+}
+
+/*
+ * The same key comes with another request: the second is refused and not run,
+ * since its answer would be that of a different charge.
+ */
+static void a_key_of_another_request_is_refused(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	call(fixture, 0, "POST", "/s/charge", "key-3", &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	for (int i = 0; i < 100; i++) {
+		call(fixture, 1, "POST", "/s/other", "key-3", &told);
+		if (told.status == 422)
+			break;
+		told_clear(&told);
+		g_usleep(20 * 1000);
+	}
+	assert_int_equal(told.status, 422);
+	assert_string_equal(told.run, "not-run");
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "key-3"), 1);
+}
+
+/*
+ * The platform's log is down. A keyed charge is refused as "not run", with a
+ * time to come back, and really did not run; reading requests go on. When the
+ * log is back the same key runs once.
+ */
+static void an_outage_of_the_log_refuses_only_what_needs_it(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told = { 0 };
+
+	fault(fixture, "log_down=1");
+	call(fixture, 0, "POST", "/s/charge", "key-4", &told);
+	assert_int_equal(told.status, 503);
+	assert_string_equal(told.run, "not-run");
+	told_clear(&told);
+	call(fixture, 0, "GET", "/s/read", NULL, &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "key-4"), 0);
+	fault(fixture, "log_down=0");
+	for (int i = 0; i < 200; i++) {
+		told_clear(&told);
+		call(fixture, 0, "POST", "/s/charge", "key-4", &told);
+		if (told.status == 200)
+			break;
+		g_usleep(50 * 1000);
+	}
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "key-4"), 1);
+}
+
+/* Appends take effect but their answers are lost: charges still run once. */
+static void lost_append_answers_run_nothing_twice(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	fault(fixture, "lose_append_answers=50");
+	for (int i = 0; i < 20; i++) {
+		char *key = g_strdup_printf("lost-%d", i);
+
+		call(fixture, i % ENTRIES, "POST", "/s/charge", key, &told);
+		if (strcmp(told.run, "ran") == 0)
+			assert_int_equal(minion_runs_of(fixture->minion, key),
+					 1);
+		else if (strcmp(told.run, "not-run") == 0)
+			assert_int_equal(minion_runs_of(fixture->minion, key),
+					 0);
+		assert_true(minion_runs_of(fixture->minion, key) <= 1);
+		told_clear(&told);
+		g_free(key);
+	}
+	fault(fixture, "lose_append_answers=0");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_repeat_elsewhere_gets_the_first_answer),
+		cmocka_unit_test(a_lost_answer_stays_unknown_and_runs_once),
+		cmocka_unit_test(a_key_of_another_request_is_refused),
+		cmocka_unit_test(
+			an_outage_of_the_log_refuses_only_what_needs_it),
+		cmocka_unit_test(lost_append_answers_run_nothing_twice),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
--- a/src/test_lease_keeper/test_lease_keeper.c
+++ b/src/test_lease_keeper/test_lease_keeper.c
@@ -8,7 +8,7 @@
 
 #include "waxwinghollow/lease_keeper.h"
 
-#define SEATS 8
+#define SHARDS 8
 #define PROCESSES 3
 #define ROUND_MS 200
 
@@ -34,8 +34,8 @@
 
 		fleet->authors[i] = g_strdup_printf("p%d", i);
 		options.author = fleet->authors[i];
-		options.first_shard = WWH_SHARD_SEATS;
-		options.shard_count = SEATS;
+		options.first_shard = 0;
+		options.shard_count = SHARDS;
 		fleet->keepers[i] = wwh_lease_keeper_new(&options);
 	}
 	*test_state = fleet;
@@ -77,12 +77,11 @@
 
 static void observe_all(fleet_t *fleet, int process)
 {
-	for (int32_t i = 0; i < SEATS; i++) {
-		wwh_lease_view_t view =
-			wwh_state_lease(fleet->state, WWH_SHARD_SEATS + i);
+	for (int32_t i = 0; i < SHARDS; i++) {
+		wwh_lease_view_t view = wwh_state_lease(fleet->state, i);
 
 		wwh_lease_keeper_observe(fleet->keepers[process], fleet->now_ms,
-					 WWH_SHARD_SEATS + i, &view);
+					 i, &view);
 	}
 }
 
@@ -104,16 +103,15 @@
 	}
 }
 
-/* The promise: no two processes may act on one seat at the same moment. */
+/* The promise: no two processes may act on one shard at the same moment. */
 static void check_one_holder(fleet_t *fleet)
 {
-	for (int32_t seat = 0; seat < SEATS; seat++) {
+	for (int32_t shard = 0; shard < SHARDS; shard++) {
 		int holders = 0;
 
 		for (int i = 0; i < PROCESSES; i++)
 			holders += wwh_lease_keeper_holds(
-				fleet->keepers[i], fleet->now_ms,
-				WWH_SHARD_SEATS + seat, NULL);
+				fleet->keepers[i], fleet->now_ms, shard, NULL);
 		assert_true(holders <= 1);
 	}
 }
@@ -147,7 +145,7 @@
 	fleet->paused[2] = true;
 	all_know(fleet, 1);
 	run_rounds(fleet, 1000);
-	assert_int_equal(held(fleet, 0), SEATS);
+	assert_int_equal(held(fleet, 0), SHARDS);
 	fleet->paused[1] = false;
 	fleet->paused[2] = false;
 	all_know(fleet, 3);
@@ -158,8 +156,8 @@
 }
 
 /*
- * A process is frozen without a word and wakes late. Others take its seats
- * in bounded time; at no moment do two act on one seat, and what it does on
+ * A process is frozen without a word and wakes late. Others take its shards
+ * in bounded time; at no moment do two act on one shard, and what it does on
  * waking is void: its renewal names a take that was replaced.
  */
 static void a_frozen_holder_is_replaced_and_wakes_harmless(void **test_state)
--- a/src/test_record/test_record.c
+++ b/src/test_record/test_record.c
@@ -41,7 +41,7 @@
 	if (kind == WWH_RECORD_INTENTS)
 		((wwh_intent_item_t *)record->body.intents.items->pdata[0])
 			->sequence = 4;
-	if (kind >= WWH_RECORD_GRANT_REQUEST && kind < WWH_RECORD_SNAPSHOT)
+	if (kind >= WWH_RECORD_GRANT_REQUEST && kind < WWH_RECORD_SEAT)
 		/* The first member of all of these bodies is a required id. */
 		wwh_record_set((char **)&record->body, "w1");
 	if (kind == WWH_RECORD_ABANDON)
