--- a/src/libwaxwinghollow/intent.c
+++ b/src/libwaxwinghollow/intent.c
@@ -10,8 +10,13 @@
 
 #include "private/intent_internal.h"
 
-#define DEFAULT_KEYS_MAX 131072
-#define DEFAULT_TOMBSTONES_MAX 262144
+/*
+ * With 300 bytes a key, its kept answer aside, and 120 a tombstone (see
+ * docs/measurements/state.md) these and the bodies stay under 45 MB of the
+ * 64 MB that a node has for control.
+ */
+#define DEFAULT_KEYS_MAX 65536
+#define DEFAULT_TOMBSTONES_MAX 131072
 #define DEFAULT_BODIES_MAX_BYTES (8 * 1024 * 1024)
 #define DEFAULT_ABANDONED_MAX 4096
 
