Take the fuzzers of the reducers deeper

Cause: three faults put into the reducers on purpose were not found in 90 s each, because most operations were refused early. Ruled out: longer runs only. A new finding: a process paused beyond both windows of a key could send an intent whose key was used anew. Conclusion: the sender must hold to the request's own deadline; intent.h says so and the fuzzer's processes do.

--- a/include/waxwinghollow/intent.h
+++ b/include/waxwinghollow/intent.h
@@ -18,8 +18,13 @@
  *
  *	Who may run a request: only the author of the key's intent, once. A
  *	key gets a second intent only after that author recorded "not-run".
- *	An intent that was read back may be sent at any later time, so nobody
- *	else may ever take a key over, whatever any clock says.
+ *	An intent that was read back may be sent late by a process that was
+ *	paused, so nobody else may take a key over, whatever any clock says.
+ *	One bound is the sender's: it must not send once the request's own
+ *	deadline is over by its CLOCK_BOOTTIME, and deadlines must be shorter
+ *	than the window of keys. Else a process that was paused for longer
+ *	than both windows below could send an intent whose key was forgotten
+ *	and used anew.
  *
  *	A process that is gone for good. Any process that sees the platform
  *	list it as gone may append WWH_RECORD_ABANDON for its incarnation:
--- a/src/libwaxwinghollow/intent_view.c
+++ b/src/libwaxwinghollow/intent_view.c
@@ -53,10 +53,10 @@
 {
 	const wwh_intent_key_t *found = wwh_intents_find(intents, service, key);
 
+	/* An abandoned process has no key in progress: see apply_abandon. */
 	return found != NULL && found->state == WWH_KEY_IN_PROGRESS &&
 	       found->sequence == sequence &&
-	       strcmp(found->process->name, process) == 0 &&
-	       found->process->abandoned == WWH_NO_OFFSET;
+	       strcmp(found->process->name, process) == 0;
 }
 
 bool wwh_intents_abandoned(const wwh_intents_t *intents, const char *process)
--- a/src/test_fuzz/fuzz_intent.c
+++ b/src/test_fuzz/fuzz_intent.c
@@ -26,6 +26,7 @@
 	int64_t sequence;
 	bool sent;
 	bool given_up; /* told "not run": never sent */
+	bool reported;
 } own_intent_t;
 
 typedef struct {
@@ -53,6 +54,8 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
+static void read_log(world_t *world, process_t *process, int64_t count);
+
 static uint8_t take(world_t *world)
 {
 	if (world->size == 0)
@@ -207,6 +210,9 @@
 	append(world, g_bytes_ref(bytes));
 	if (how == 1)
 		append(world, g_bytes_ref(bytes));
+	/* Mostly the sender reads on, or runs would not get far. */
+	if (how >= 3)
+		read_log(world, process, LOG_MAX);
 	g_bytes_unref(bytes);
 }
 
@@ -253,59 +259,90 @@
 	append_or_delay(world, process, &record);
 }
 
-/*
- * The rule of the header: sends only what may_send allows in its own view,
- * which may lag by any number of records.
- */
-static void op_send(world_t *world, process_t *process)
+static bool may_send(const process_t *process, const own_intent_t *intent)
 {
-	own_intent_t *intent;
 	char author[16];
 	char key[16];
-	wwh_key_view_t view;
-	int64_t *last;
 
-	if (process->own_count == 0)
-		return;
-	intent = &process->own[take(world) % process->own_count];
 	name_of(process->id, author);
 	key_name(intent->key, key);
-	if (intent->sent || intent->given_up ||
-	    !wwh_intents_may_send(process->view, FIXTURE_SERVICE, key, author,
-				  intent->sequence))
+	return !intent->sent && !intent->given_up &&
+	       wwh_intents_may_send(process->view, FIXTURE_SERVICE, key, author,
+				    intent->sequence);
+}
+
+/*
+ * The rule of the header: sends only what may_send allows in its own view,
+ * which may lag by any number of records. The first from a chosen one on.
+ */
+static void op_send(world_t *world, process_t *process)
+{
+	int32_t first = take(world);
+
+	for (int32_t i = 0; i < process->own_count; i++) {
+		own_intent_t *intent =
+			&process->own[(first + i) % process->own_count];
+		int64_t *last = &world->sent_offset[intent->key];
+		wwh_key_view_t view;
+		char key[16];
+
+		if (!may_send(process, intent))
+			continue;
+		key_name(intent->key, key);
+		wwh_intents_key(process->view, FIXTURE_SERVICE, key, NULL,
+				&view);
+		/* Its deadline is long over by then: the rule of intent.h. */
+		if (view.offset < world->oracle.tombstones_upto)
+			continue;
+		/* A run whose windows are both over is forgotten by design. */
+		assert(*last < world->oracle.tombstones_upto);
+		*last = view.offset;
+		intent->sent = true;
 		return;
-	wwh_intents_key(process->view, FIXTURE_SERVICE, key, NULL, &view);
-	last = &world->sent_offset[intent->key];
-	/* A first run whose windows are both over is forgotten by design. */
-	assert(*last < world->oracle.tombstones_upto);
-	*last = view.offset;
-	intent->sent = true;
+	}
+}
+
+/* An intent without a result, one that was sent first; NULL: none. */
+static own_intent_t *some_open(process_t *process)
+{
+	own_intent_t *open = NULL;
+
+	for (int32_t i = 0; i < process->own_count; i++) {
+		own_intent_t *intent = &process->own[i];
+
+		if (intent->sent && !intent->reported)
+			return intent;
+		if (open == NULL && !intent->reported)
+			open = intent;
+	}
+	return open;
 }
 
 static void op_result(world_t *world, process_t *process)
 {
-	static const char *const bodies[] = { "", "1234", "12345678" };
-	own_intent_t *intent;
-	wwh_result_t result;
+	static const char *const bodies[] = { "", "1234", "123456",
+					      "12345678" };
+	uint8_t choice = take(world);
+	own_intent_t *intent = some_open(process);
+	wwh_result_t result = WWH_RESULT_NOT_RUN;
 	wwh_record_t record;
 	char author[16];
 	char key[16];
 
 	if (process->own_count == 0)
 		return;
-	intent = &process->own[take(world) % process->own_count];
-	if (intent->sent) {
-		result = take(world) % 4 == 0 ? WWH_RESULT_UNKNOWN
-					      : WWH_RESULT_ANSWERED;
-	} else {
-		result = WWH_RESULT_NOT_RUN;
-		intent->given_up = true;
-	}
+	if (intent == NULL)
+		intent = &process->own[choice % process->own_count];
+	if (intent->sent)
+		result = choice % 8 == 0 ? WWH_RESULT_UNKNOWN
+					 : WWH_RESULT_ANSWERED;
+	intent->given_up = !intent->sent;
+	intent->reported = choice % 4 != 0;
 	name_of(process->id, author);
 	key_name(intent->key, key);
 	results_record(&record, author);
 	results_add(&record, key, intent->sequence, result,
-		    bodies[take(world) % G_N_ELEMENTS(bodies)]);
+		    bodies[choice / 8 % G_N_ELEMENTS(bodies)]);
 	append_or_delay(world, process, &record);
 }
 
@@ -316,7 +353,7 @@
 	char author[16];
 	char name[16];
 
-	if (gone >= ORACLE_PROCESSES)
+	if (gone >= ORACLE_PROCESSES || take(world) % 4 != 0)
 		return;
 	name_of(process->id, author);
 	name_of(gone, name);
@@ -328,7 +365,7 @@
 {
 	wwh_record_t record;
 	char author[16];
-	int64_t keys = world->next + 1 - take(world) % 16;
+	int64_t keys = world->next + 1 - take(world) % 64;
 	int64_t tombstones =
 		wwh_intents_totals(process->view).keys_upto - take(world) % 8;
 
--- a/src/test_fuzz/fuzz_state.c
+++ b/src/test_fuzz/fuzz_state.c
@@ -45,6 +45,8 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
+static void read_log(world_t *world, actor_t *actor, int64_t count);
+
 static uint8_t take(world_t *world)
 {
 	if (world->size == 0)
@@ -239,6 +241,9 @@
 	append(world, g_bytes_ref(bytes), variant);
 	if (how == 1)
 		append(world, g_bytes_ref(bytes), variant);
+	/* Mostly the sender reads on, or runs would not get far. */
+	if (how >= 3)
+		read_log(world, actor, LOG_MAX);
 	g_bytes_unref(bytes);
 }
 
@@ -316,12 +321,59 @@
 	return actor->fence[wwh_shard_of_pool(home)];
 }
 
-/* A worker as the actor sees it; false when it knows none of that id. */
-static bool some_worker(world_t *world, const actor_t *actor,
+typedef bool (*wanted_t)(const wwh_worker_view_t *view);
+
+static bool any_worker(const wwh_worker_view_t *view)
+{
+	(void)view;
+	return true;
+}
+
+static bool is_granted(const wwh_worker_view_t *view)
+{
+	return view->grant != WWH_NO_OFFSET;
+}
+
+static bool is_moving(const wwh_worker_view_t *view)
+{
+	return view->grant != WWH_NO_OFFSET &&
+	       view->grant_reason == WWH_GRANT_MOVE;
+}
+
+/*
+ * A worker that the actor sees as wanted, the first from a chosen one on; one
+ * in eight is any. False when there is none.
+ */
+static bool some_worker(world_t *world, const actor_t *actor, wanted_t wanted,
 			wwh_worker_view_t *view, char id[ORACLE_NAME])
 {
-	worker_name(take(world) % ORACLE_WORKERS, id);
-	return wwh_state_worker(actor->view, id, view);
+	uint8_t choice = take(world);
+
+	if (choice >= 224)
+		wanted = any_worker;
+	for (int32_t i = 0; i < ORACLE_WORKERS; i++) {
+		worker_name((choice + i) % ORACLE_WORKERS, id);
+		if (wwh_state_worker(actor->view, id, view) && wanted(view))
+			return true;
+	}
+	return false;
+}
+
+/* Mostly the actor that holds the lease of the worker's pool. */
+static actor_t *some_holder(world_t *world, actor_t *actor,
+			    const wwh_worker_view_t *view)
+{
+	const char *home = view->pool[0] != '\0' ? view->pool : view->move_from;
+	wwh_lease_view_t lease =
+		wwh_state_lease(world->reference, wwh_shard_of_pool(home));
+
+	if (take(world) % 8 == 0)
+		return actor;
+	for (int32_t i = 0; i < ACTORS; i++) {
+		if (strcmp(world->actor[i].name, lease.holder) == 0)
+			return &world->actor[i];
+	}
+	return actor;
 }
 
 static void op_grant(world_t *world, actor_t *actor)
@@ -333,8 +385,9 @@
 	wwh_grant_reason_t reason = choice % WWH_GRANT_REASON_COUNT;
 	wwh_record_t record;
 
-	if (!some_worker(world, actor, &view, id))
+	if (!some_worker(world, actor, any_worker, &view, id))
 		return;
+	actor = some_holder(world, actor, &view);
 	thing_name(reason == WWH_GRANT_WAVE ? 'v' : 'h',
 		   choice / WWH_GRANT_REASON_COUNT % ORACLE_THINGS, owner);
 	grant_record(&record, actor->name, id, reason, owner,
@@ -348,8 +401,9 @@
 	char id[ORACLE_NAME];
 	wwh_record_t record;
 
-	if (!some_worker(world, actor, &view, id))
+	if (!some_worker(world, actor, is_granted, &view, id))
 		return;
+	actor = some_holder(world, actor, &view);
 	end_record(&record, actor->name, id, view.grant,
 		   take(world) % WWH_GRANT_OUTCOME_COUNT,
 		   fence_for(actor, &view));
@@ -362,8 +416,9 @@
 	char id[ORACLE_NAME];
 	wwh_record_t record;
 
-	if (!some_worker(world, actor, &view, id))
+	if (!some_worker(world, actor, any_worker, &view, id))
 		return;
+	actor = some_holder(world, actor, &view);
 	worker_record(&record, WWH_RECORD_WORKER_FAILED + take(world) % 4,
 		      actor->name, id, view.failed, fence_for(actor, &view));
 	append_or_delay(world, actor, &record, NOBODY);
@@ -375,13 +430,18 @@
 	char id[ORACLE_NAME];
 	char to[ORACLE_NAME];
 	uint8_t choice = take(world);
+	wwh_record_kind_t kind = WWH_RECORD_MOVE_START;
 	wwh_record_t record;
 
-	if (!some_worker(world, actor, &view, id))
+	if (!some_worker(world, actor, is_moving, &view, id))
 		return;
-	thing_name('p', choice / 3 % ORACLE_POOLS, to);
-	move_record(&record, WWH_RECORD_MOVE_START + choice % 3, actor->name,
-		    id, to, view.grant, fence_for(actor, &view));
+	actor = some_holder(world, actor, &view);
+	thing_name('p', choice / 4 % ORACLE_POOLS, to);
+	if (view.move != WWH_NO_OFFSET)
+		kind = choice % 2 == 0 ? WWH_RECORD_MOVE_FINISH
+				       : WWH_RECORD_MOVE_CANCEL;
+	move_record(&record, kind, actor->name, id, to, view.grant,
+		    fence_for(actor, &view));
 	append_or_delay(world, actor, &record, NOBODY);
 }
 
--- a/src/test_state/test_state.c
+++ b/src/test_state/test_state.c
@@ -205,6 +205,27 @@
 	end_log(&log);
 }
 
+/*
+ * The worker that is taken can't be lost again with its own rack: 3 lost and
+ * 3 whole in the largest rack fit into 6, although that rack had 4 before.
+ */
+static void the_reserve_leaves_out_the_worker_that_is_taken(void **unused)
+{
+	fleet_t fleet = small_fleet;
+	log_t log;
+
+	(void)unused;
+	fleet.rule = ", \"lose_count\": 6, \"reserve\": \"rack\"";
+	start_log(&log, &fleet);
+	assert_int_equal(fail_worker(&log, "w0004"), WWH_VERDICT_ACCEPTED);
+	assert_int_equal(fail_worker(&log, "w0008"), WWH_VERDICT_ACCEPTED);
+	assert_int_equal(grant(&log, P1, "w0005", WWH_GRANT_REPAIR, ""),
+			 WWH_VERDICT_BUDGET);
+	assert_int_equal(grant(&log, P1, "w0000", WWH_GRANT_REPAIR, ""),
+			 WWH_VERDICT_ACCEPTED);
+	end_log(&log);
+}
+
 /*
  * An operator aborts a wave; the holder of the lease, which has not read that
  * yet, asks for one more worker. A second operator starts a wave on the same
@@ -244,6 +265,41 @@
 	end_log(&log);
 }
 
+/* A wave over chosen workers, one of them named twice, takes no other. */
+static void a_wave_takes_its_workers_only(void **unused)
+{
+	static const char *const ids[] = { "w0005", "w0001", "w0005" };
+	wwh_wave_view_t view;
+	wwh_record_t record;
+	log_t log;
+
+	(void)unused;
+	start_log(&log, &small_fleet);
+	wave_record(&record, WWH_RECORD_WAVE_START, OPERATOR, "a", "p000",
+		    WWH_NO_OFFSET);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++)
+		g_ptr_array_add(record.body.wave.workers, g_strdup(ids[i]));
+	assert_int_equal(append(&log, &record), WWH_VERDICT_ACCEPTED);
+	assert_true(wwh_state_wave(log.state, "a", &view));
+	assert_int_equal(view.worker_count, 2);
+	assert_string_equal(view.workers[0], "w0001");
+	assert_int_equal(grant(&log, P1, "w0000", WWH_GRANT_WAVE, "a"),
+			 WWH_VERDICT_INVALID);
+	assert_int_equal(grant(&log, P1, "w0005", WWH_GRANT_WAVE, "a"),
+			 WWH_VERDICT_ACCEPTED);
+	assert_int_equal(end_grant(&log, "w0005", WWH_GRANT_RETURNED),
+			 WWH_VERDICT_ACCEPTED);
+	assert_true(wwh_state_wave(log.state, "a", &view));
+	assert_int_equal(view.done_count, 1);
+	wave_record(&record, WWH_RECORD_WAVE_START, OPERATOR, "b", "p000",
+		    WWH_NO_OFFSET);
+	g_ptr_array_add(record.body.wave.workers, g_strdup("w9999"));
+	assert_int_equal(wave(&log, WWH_RECORD_WAVE_ABORT, "a", ""),
+			 WWH_VERDICT_ACCEPTED);
+	assert_int_equal(append(&log, &record), WWH_VERDICT_UNKNOWN_WORKER);
+	end_log(&log);
+}
+
 static void a_rehearsal_takes_its_domain_only(void **unused)
 {
 	wwh_record_t record;
@@ -401,7 +457,10 @@
 		cmocka_unit_test(a_late_return_does_not_undo_a_newer_failure),
 		cmocka_unit_test(racks_and_zones_have_limits_of_their_own),
 		cmocka_unit_test(the_reserve_counts_a_domain_once),
+		cmocka_unit_test(
+			the_reserve_leaves_out_the_worker_that_is_taken),
 		cmocka_unit_test(a_wave_that_ended_takes_no_worker),
+		cmocka_unit_test(a_wave_takes_its_workers_only),
 		cmocka_unit_test(a_rehearsal_takes_its_domain_only),
 		cmocka_unit_test(a_move_leaves_and_then_joins),
 		cmocka_unit_test(a_pool_keeps_a_worker_that_it_needs),
