--- a/src/libwaxwinghollow/include/private/conductor_state.h
+++ b/src/libwaxwinghollow/include/private/conductor_state.h
@@ -9,7 +9,8 @@
  *	conductor_queue.c	actions, what is in flight, repeats
  *	conductor_worker.c	the charts of granted workers and moves
  *	conductor_pursue.c	what a granted worker's state asks for
- *	conductor_wave.c	waves, moves and repairs that begin
+ *	conductor_wave.c	waves, and moves that begin
+ *	conductor_repair.c	failures, and workers that come back
  *	conductor_rehearsal.c	rehearsals and their reports
  *	conductor_job.c		placements and their tasks
  */
--- a/src/test_standins/include/fleet_sim.h
+++ b/src/test_standins/include/fleet_sim.h
@@ -23,6 +23,7 @@
 	uint32_t seed;
 	int32_t processes;
 	int64_t tick_ms;
+	int32_t rounds; /* of the processes in a tick, a second apart */
 	int64_t list_lag_ms;
 	int64_t drain_ms;
 	int64_t reboot_ms;
@@ -105,6 +106,7 @@
 				.seed = 1,
 				.processes = 1,
 				.tick_ms = 1000,
+				.rounds = 1,
 				.list_lag_ms = 10000,
 				.drain_ms = 5000,
 				.reboot_ms = 60000,
@@ -643,14 +645,29 @@
 	g_free(size);
 }
 
-static inline void sim_step(sim_t *sim)
+static inline void sim_run_processes(sim_t *sim)
 {
-	sim->now_ms += sim->options.tick_ms;
 	sim_advance(sim);
 	for (int32_t i = 0; i < SIM_PROCESSES_MAX; i++) {
 		if (sim->processes[i].conductor && !sim->processes[i].frozen)
 			sim_run_process(sim, &sim->processes[i]);
 	}
+}
+
+/*
+ * Processes tick each second. Where a long wave is played in longer ticks,
+ * some rounds in each keep the steps of a worker's way a second apart.
+ */
+static inline void sim_step(sim_t *sim)
+{
+	int64_t end_ms = sim->now_ms + sim->options.tick_ms;
+
+	sim->now_ms = end_ms - (sim->options.rounds - 1) * INT64_C(1000);
+	for (int32_t i = 0; i < sim->options.rounds; i++) {
+		sim_run_processes(sim);
+		sim->now_ms += 1000;
+	}
+	sim->now_ms = end_ms;
 	sim_check(sim);
 }
 
