Count the verdicts of stream intents; time the check

Cause: malformed records of that stream were not counted. Ruled out: counters in the state's bytes (they differ between a process that read everything and one restored). Conclusion: wwh_intents_verdict_count, wwh_intents_item_count.

--- a/include/waxwinghollow/intent.h
+++ b/include/waxwinghollow/intent.h
@@ -133,6 +133,12 @@
 
 int64_t wwh_intents_last_offset(const wwh_intents_t *intents); /* -1: none */
 
+/* How often a record, an item got this verdict; not in the state's bytes. */
+int64_t wwh_intents_verdict_count(const wwh_intents_t *intents,
+				  wwh_verdict_t verdict);
+int64_t wwh_intents_item_count(const wwh_intents_t *intents,
+			       wwh_intent_verdict_t verdict);
+
 typedef enum {
 	WWH_KEY_NONE = 0, /* a new intent would be accepted */
 	WWH_KEY_IN_PROGRESS,
--- a/src/libwaxwinghollow/include/private/intent_internal.h
+++ b/src/libwaxwinghollow/include/private/intent_internal.h
@@ -64,6 +64,9 @@
 	GHashTable *processes; /* by name */
 	GQueue abandoned; /* of processes, in the order of offsets */
 	int64_t expired_early;
+	/* Counters; not part of the state's bytes. */
+	int64_t verdict_counts[WWH_VERDICT_COUNT];
+	int64_t item_counts[WWH_INTENT_VERDICT_COUNT];
 };
 
 /* intent_key.c: the tables. */
--- a/src/libwaxwinghollow/intent.c
+++ b/src/libwaxwinghollow/intent.c
@@ -2,8 +2,6 @@
 
 #include <assert.h>
 #include <inttypes.h>
-#include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -39,23 +37,14 @@
 	limits->abandoned_max = DEFAULT_ABANDONED_MAX;
 }
 
-static void set_detail(wwh_verdict_detail_t *detail, int64_t offset,
-		       const char *format, ...)
-	__attribute__((format(printf, 3, 4)));
-
-static void set_detail(wwh_verdict_detail_t *detail, int64_t offset,
-		       const char *format, ...)
+/* Where the message goes; NULL: nowhere. */
+static wwh_message_t *detail_at(wwh_verdict_detail_t *detail, int64_t offset)
 {
-	va_list arguments;
-
 	if (detail == NULL)
-		return;
+		return NULL;
 	detail->offset = offset;
 	detail->version = 0;
-	va_start(arguments, format);
-	(void)vsnprintf(detail->message.text, sizeof(detail->message.text),
-			format, arguments);
-	va_end(arguments);
+	return &detail->message;
 }
 
 /* What a key that is known says to another intent for it. */
@@ -137,6 +126,7 @@
 		wwh_intent_verdict_t verdict =
 			apply_intent(intents, offset, author, item);
 
+		intents->item_counts[verdict]++;
 		if (visit != NULL)
 			visit(record->author, item->service, item->key,
 			      item->sequence, verdict, client_data);
@@ -185,6 +175,7 @@
 		wwh_intent_verdict_t verdict =
 			apply_result(intents, record->author, item);
 
+		intents->item_counts[verdict]++;
 		if (visit != NULL)
 			visit(record->author, item->service, item->key,
 			      item->sequence, verdict, client_data);
@@ -196,8 +187,8 @@
 				   wwh_verdict_detail_t *detail)
 {
 	if (wwh_intents_abandoned(intents, process)) {
-		set_detail(detail, WWH_NO_OFFSET, "%s was abandoned before",
-			   process);
+		wwh_message_set(detail_at(detail, WWH_NO_OFFSET),
+				"%s was abandoned before", process);
 		return WWH_VERDICT_ALREADY;
 	}
 	wwh_intents_set_abandoned(intents, process, offset);
@@ -216,16 +207,17 @@
 {
 	if (body->keys_upto > offset ||
 	    body->tombstones_upto > intents->keys_upto) {
-		set_detail(detail, WWH_NO_OFFSET,
-			   "keys up to %" PRId64 " of %" PRId64
-			   ", tombstones up to %" PRId64 " of %" PRId64,
-			   body->keys_upto, offset, body->tombstones_upto,
-			   intents->keys_upto);
+		wwh_message_set(detail_at(detail, WWH_NO_OFFSET),
+				"keys up to %" PRId64 " of %" PRId64
+				", tombstones up to %" PRId64 " of %" PRId64,
+				body->keys_upto, offset, body->tombstones_upto,
+				intents->keys_upto);
 		return WWH_VERDICT_INVALID;
 	}
 	if (body->keys_upto <= intents->keys_upto &&
 	    body->tombstones_upto <= intents->tombstones_upto) {
-		set_detail(detail, WWH_NO_OFFSET, "the windows end later");
+		wwh_message_set(detail_at(detail, WWH_NO_OFFSET),
+				"the windows end later");
 		return WWH_VERDICT_ALREADY;
 	}
 	intents->keys_upto = MAX(intents->keys_upto, body->keys_upto);
@@ -259,27 +251,35 @@
 	case WWH_RECORD_SNAPSHOT:
 		if (record->body.snapshot.upto <= offset)
 			return WWH_VERDICT_ACCEPTED;
-		set_detail(detail, WWH_NO_OFFSET,
-			   "a snapshot of records that are not written");
+		wwh_message_set(detail_at(detail, WWH_NO_OFFSET),
+				"a snapshot of records that are not written");
 		return WWH_VERDICT_INVALID;
 	default:
-		set_detail(detail, WWH_NO_OFFSET, "%s is no record of intents",
-			   wwh_record_kind_names[record->kind]);
+		wwh_message_set(detail_at(detail, WWH_NO_OFFSET),
+				"%s is no record of intents",
+				wwh_record_kind_names[record->kind]);
 		return WWH_VERDICT_MALFORMED;
 	}
 }
 
+static wwh_verdict_t count(wwh_intents_t *intents, wwh_verdict_t verdict)
+{
+	intents->verdict_counts[verdict]++;
+	return verdict;
+}
+
 static bool advance(wwh_intents_t *intents, int64_t offset,
 		    wwh_verdict_detail_t *detail)
 {
 	assert(offset >= 0);
 	if (offset <= intents->last_offset) {
-		set_detail(detail, intents->last_offset,
-			   "offset %" PRId64 " was applied before", offset);
+		wwh_message_set(detail_at(detail, intents->last_offset),
+				"offset %" PRId64 " was applied before",
+				offset);
 		return false;
 	}
 	intents->last_offset = offset;
-	set_detail(detail, WWH_NO_OFFSET, "%s", "");
+	wwh_message_set(detail_at(detail, WWH_NO_OFFSET), "%s", "");
 	return true;
 }
 
@@ -289,8 +289,9 @@
 				wwh_verdict_detail_t *detail)
 {
 	if (!advance(intents, offset, detail))
-		return WWH_VERDICT_OLD_OFFSET;
-	return dispatch(intents, offset, record, visit, client_data, detail);
+		return count(intents, WWH_VERDICT_OLD_OFFSET);
+	return count(intents, dispatch(intents, offset, record, visit,
+				       client_data, detail));
 }
 
 wwh_verdict_t wwh_intents_apply_entry(wwh_intents_t *intents, int64_t offset,
@@ -306,9 +307,9 @@
 		return wwh_intents_apply(intents, offset, record, visit,
 					 client_data, detail);
 	if (!advance(intents, offset, detail))
-		return WWH_VERDICT_OLD_OFFSET;
-	set_detail(detail, WWH_NO_OFFSET, "%s", message.text);
-	return WWH_VERDICT_MALFORMED;
+		return count(intents, WWH_VERDICT_OLD_OFFSET);
+	wwh_message_set(detail_at(detail, WWH_NO_OFFSET), "%s", message.text);
+	return count(intents, WWH_VERDICT_MALFORMED);
 }
 
 void wwh_intent_fingerprint(const char *method, const char *path,
--- a/src/libwaxwinghollow/intent_view.c
+++ b/src/libwaxwinghollow/intent_view.c
@@ -8,6 +8,18 @@
 	return intents->last_offset;
 }
 
+int64_t wwh_intents_verdict_count(const wwh_intents_t *intents,
+				  wwh_verdict_t verdict)
+{
+	return intents->verdict_counts[verdict];
+}
+
+int64_t wwh_intents_item_count(const wwh_intents_t *intents,
+			       wwh_intent_verdict_t verdict)
+{
+	return intents->item_counts[verdict];
+}
+
 static void view_key(const wwh_intent_key_t *found, wwh_key_view_t *view)
 {
 	view->offset = found->offset;
--- a/src/libwaxwinghollow/state.c
+++ b/src/libwaxwinghollow/state.c
@@ -3,7 +3,7 @@
 #include <assert.h>
 #include <inttypes.h>
 #include <stdarg.h>
-#include <stdio.h>
+#include <glib/gprintf.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -106,8 +106,8 @@
 	detail->offset = offset;
 	detail->version = wwh_config_version(state->config);
 	va_start(arguments, format);
-	(void)vsnprintf(detail->message.text, sizeof(detail->message.text),
-			format, arguments);
+	(void)g_vsnprintf(detail->message.text, sizeof(detail->message.text),
+			  format, arguments);
 	va_end(arguments);
 	return verdict;
 }
--- a/src/test_bench/bench_state.c
+++ b/src/test_bench/bench_state.c
@@ -203,6 +203,7 @@
 	double change_ns;
 	double encode_ns;
 	double decode_ns;
+	double check_ns;
 	size_t size;
 	bench_t bench;
 
@@ -216,10 +217,14 @@
 	renew_ns = time_renewals(&bench, 20000);
 	time_snapshot(bench.state, &encode_ns, &decode_ns, &size);
 	change_ns = time_changes(&bench, fleet, 20);
-	printf("%7d %5d %9.2f %9.2f %10.2f %9.0f %10.0f %9.2f %9.2f\n",
+	check_ns = now_ns();
+	wwh_state_check(bench.state);
+	check_ns = now_ns() - check_ns;
+	printf("%7d %5d %9.2f %9.2f %10.2f %9.0f %10.0f %9.2f %9.2f %8.2f\n",
 	       row->workers, row->pools, grant_ns / NS_PER_US,
 	       renew_ns / NS_PER_US, change_ns / NS_PER_MS, heap / row->workers,
-	       (double)size, encode_ns / NS_PER_MS, decode_ns / NS_PER_MS);
+	       (double)size, encode_ns / NS_PER_MS, decode_ns / NS_PER_MS,
+	       check_ns / NS_PER_MS);
 	wwh_state_delete(bench.state);
 }
 
@@ -309,7 +314,7 @@
 int main(void)
 {
 	printf("workers pools  grant/us  renew/us  change/ms B/worker "
-	       "snapshot/B encode/ms decode/ms\n");
+	       "snapshot/B encode/ms decode/ms check/ms\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		bench_size(&sizes[i]);
 	bench_intents();
--- a/src/test_intent/test_intent.c
+++ b/src/test_intent/test_intent.c
@@ -300,6 +300,11 @@
 		wwh_intents_may_send(log.intents, FIXTURE_SERVICE, "a", P1, 3));
 	wwh_record_init(&record, WWH_RECORD_LEASE_TAKE, P1);
 	assert_int_equal(append(&log, &record), WWH_VERDICT_MALFORMED);
+	assert_int_equal(
+		wwh_intents_verdict_count(log.intents, WWH_VERDICT_MALFORMED),
+		1);
+	assert_int_equal(
+		wwh_intents_item_count(log.intents, WWH_INTENT_ACCEPTED), 2);
 	wwh_intents_delete(log.intents);
 }
 
