Fuzz with saturated seeds; test the bound of ejected minions

Cause: short inputs never filled a queue, so the fuzzer could not see a late answer or a slot too many; the test of the bound passed without the bound. Conclusion: both now see what they are there for.

--- a/src/test_ejection/test_ejection.c
+++ b/src/test_ejection/test_ejection.c
@@ -102,6 +102,16 @@
 	for (int32_t i = 0; i < COUNT; i++)
 		in += rig.states[i].state == WWH_EJECTION_IN;
 	assert_true(in >= COUNT / 2);
+	/* One after another becomes slow, each an outlier to the rest. */
+	set_up(&rig);
+	for (int32_t i = 0; i < COUNT; i++) {
+		for (int32_t k = 0; k < 20; k++)
+			see(&rig, 10000 * i, i, WWH_SIGN_GOOD, 400);
+	}
+	in = 0;
+	for (int32_t i = 0; i < COUNT; i++)
+		in += rig.states[i].state == WWH_EJECTION_IN;
+	assert_int_equal(in, COUNT / 2);
 }
 
 /*
--- a/src/test_fuzz/fuzz_dispatch.c
+++ b/src/test_fuzz/fuzz_dispatch.c
@@ -10,7 +10,8 @@
  * - a request that is not idempotent is not sent again once it may have run;
  * - no request waits past its deadline (ticks are made when they are due);
  * - a leaving minion gets no new work;
- * - work-conserving: in a process without failures, loans and changes so far,
+ * - work-conserving: in a process without failures, slow answers, loans and
+ *   changes so far,
  *   nothing waits while a slot of its share is free;
  * - a refusal for want of room tells when to come back.
  */
@@ -27,8 +28,10 @@
 #define MINIONS 4
 #define SLOTS 6
 #define SHARE (MINIONS * SLOTS / PROCESSES)
-#define REQUESTS_MAX 512
+#define REQUESTS_MAX 200
+#define INPUT_MAX 320
 #define MAIL_MAX 32
+#define EVEN_MS 16 /* no difference below counts as slow */
 
 typedef struct {
 	bool arrived;
@@ -82,6 +85,7 @@
 static void hear(world_t *world);
 static void change_minion(world_t *world, int32_t process);
 static void change_seats(world_t *world, int32_t process);
+static void pass(world_t *world, int32_t left_ms);
 static void event(world_t *world);
 static void finish_all(world_t *world);
 
@@ -92,7 +96,7 @@
 	world_t *world = g_new0(world_t, 1);
 
 	world->data = data;
-	world->size = size;
+	world->size = MIN(size, INPUT_MAX);
 	for (int32_t i = 0; i < PROCESSES; i++) {
 		wwh_dispatch_options_t options;
 
@@ -270,7 +274,9 @@
 		result.latency_ms = how / 4;
 		if (result.outcome == WWH_OUTCOME_REFUSED)
 			result.retry_after_ms = how;
-		if (result.outcome != WWH_OUTCOME_ANSWERED)
+		/* Slow answers may eject a minion. */
+		if (result.outcome != WWH_OUTCOME_ANSWERED ||
+		    result.latency_ms > EVEN_MS)
 			world->touched[request->process] = true;
 		request->running = false;
 		if (result.outcome != WWH_OUTCOME_REFUSED &&
@@ -363,6 +369,23 @@
 	drain(world, process);
 }
 
+/* Time passes; each tick is made when it is due. */
+static void pass(world_t *world, int32_t left_ms)
+{
+	int64_t until_ms = world->now_ms + left_ms;
+
+	run_ticks(world);
+	while (world->now_ms < until_ms) {
+		int64_t next_ms = until_ms;
+
+		for (int32_t i = 0; i < PROCESSES; i++)
+			next_ms = MIN(next_ms, wwh_dispatch_next_deadline_ms(
+						       world->processes[i]));
+		world->now_ms = next_ms;
+		run_ticks(world);
+	}
+}
+
 static void event(world_t *world)
 {
 	uint8_t what = next_byte(world);
@@ -374,9 +397,9 @@
 	case 2:
 	case 3:
 	case 4:
+	case 5:
 		arrive(world, process);
 		break;
-	case 5:
 	case 6:
 	case 7:
 	case 8:
@@ -397,12 +420,11 @@
 	case 13:
 		change_seats(world, process);
 		break;
+	case 14:
+		pass(world, next_byte(world) % 8);
+		break;
 	default:
-		/* Time passes up to the next tick that is due, at most. */
-		for (int32_t left = 4 * next_byte(world); left >= 0; left--) {
-			run_ticks(world);
-			world->now_ms += left > 0;
-		}
+		pass(world, next_byte(world));
 		break;
 	}
 }
