--- a/include/waxwinghollow/config.h
+++ b/include/waxwinghollow/config.h
@@ -197,6 +197,11 @@
 wwh_config_change_t *wwh_config_diff(const wwh_config_t *from,
 				     const wwh_config_t *to);
 void wwh_config_change_delete(wwh_config_change_t *change);
+
+/* Sets the pool of one worker; NULL when there is no such worker. */
+wwh_config_change_t *wwh_config_pool_change(const wwh_config_t *config,
+					    const char *worker,
+					    const char *pool);
 int32_t wwh_config_change_count(const wwh_config_change_t *change);
 
 /* msgpack of a change; decoding checks every bound and type. */
--- a/include/waxwinghollow/lease_keeper.h
+++ b/include/waxwinghollow/lease_keeper.h
@@ -7,7 +7,7 @@
  *
  * LOAD PATTERN
  *	Processes come, go, pause and are replaced at any moment; leases of
- *	control work and of minions' seats have to follow within seconds.
+ *	control work have to follow within seconds.
  *
  * WHAT GOES WRONG WITHOUT IT
  *	Work of a process that has died stays undone; a new process gets
@@ -68,7 +68,7 @@
 	int32_t duration_ms;
 	int32_t grace_ms;
 	int32_t settle_ms;
-} wwh_lease_keeper_options_t;
+} wwh_lease_keeper_options_t; /* at most 64 shards */
 
 typedef struct wwh_lease_keeper wwh_lease_keeper_t;
 
@@ -81,6 +81,12 @@
 void wwh_lease_keeper_members(wwh_lease_keeper_t *keeper, int32_t rank,
 			      int32_t count);
 
+/*
+ * Only leases of shards that have work are taken: bit n is the n-th shard. All
+ * are wanted at first.
+ */
+void wwh_lease_keeper_wanted(wwh_lease_keeper_t *keeper, uint64_t shards);
+
 /* The log could not be read: what was seen missing is seen anew. */
 void wwh_lease_keeper_log_gap(wwh_lease_keeper_t *keeper, int64_t now_ms);
 
--- a/include/waxwinghollow/settings.h
+++ b/include/waxwinghollow/settings.h
@@ -73,6 +73,13 @@
 	/* Peers */
 	int32_t heartbeat_ms;
 	int32_t suspect_after_ms; /* silence that makes a peer suspect */
+
+	/* Workers that are taken out and come back */
+	int32_t worker_leave_ms; /* from the cordon to the drain */
+	int32_t worker_look_ms; /* between two looks at one worker */
+	int32_t worker_check_ms; /* a rebooted worker has to stay up so long */
+	int32_t worker_slow_start_ms; /* until it counts as serving again */
+	int32_t rehearsal_hold_ms; /* a domain is kept out so long */
 } wwh_settings_t;
 
 /*
--- a/include/waxwinghollow/state.h
+++ b/include/waxwinghollow/state.h
@@ -362,6 +362,9 @@
 bool wwh_state_job(const wwh_state_t *state, const char *id,
 		   wwh_job_view_t *job);
 
+/* Whether any job is remembered, ended or not. */
+bool wwh_state_has_jobs(const wwh_state_t *state);
+
 /* All that are remembered, in the order of ids. */
 void wwh_state_each_job(const wwh_state_t *state, wwh_job_view_visit_t visit,
 			void *client_data);
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -52,8 +52,11 @@
 	start platform "$BUILD/platform" --listen "127.0.0.1:$platform_port" \
 		--list-lag-ms 1000 --seed 1
 	until platform GET /stats >/dev/null 2>&1; do sleep 0.05; done
-	platform POST "/fault?reboot_ms=800&drain_ms=200" >/dev/null
-	for i in 1 2 3 4 5 6; do platform POST "/workers/w$i" >/dev/null; done
+	platform POST "/fault?reboot_ms=500&drain_ms=100" >/dev/null
+	for i in 1 2 3 4 5 6; do
+		platform POST "/workers/w$i" >/dev/null
+		host_state worker "w$i" live "127.0.1.$i"
+	done
 }
 
 start_minion() { # INDEX
@@ -82,6 +85,11 @@
 			"127.0.0.1:$(entry_port 3 2)"],
 		"platform_url": "http://127.0.0.1:$platform_port",
 		"ready_off_ms": 500,
+		"worker_leave_ms": 300,
+		"worker_look_ms": 200,
+		"worker_check_ms": 300,
+		"worker_slow_start_ms": 500,
+		"rehearsal_hold_ms": 3000,
 		"log_level": "info"
 	}
 	SETTINGS
@@ -122,7 +130,7 @@
 		"windows": [{ "id": "always", "pool": "*",
 			"days": ["mon", "tue", "wed", "thu", "fri", "sat", "sun"],
 			"start_minute": "00:00", "duration_minutes": 1440 }],
-		"rules": { "buffer_weight": 3, "move_weight": 1 }
+		"rules": { "buffer_weight": 0, "move_weight": 1 }
 	}
 	RULES
 }
--- a/src/libwaxwinghollow/config_change.c
+++ b/src/libwaxwinghollow/config_change.c
@@ -258,3 +258,32 @@
 	if (message != NULL && message->text[0] == '\0')
 		wwh_message_set(message, "%s", text);
 }
+
+wwh_config_change_t *wwh_config_pool_change(const wwh_config_t *config,
+					    const char *worker,
+					    const char *pool)
+{
+	const wwh_worker_t *from = wwh_config_worker(config, worker);
+	wwh_config_change_t *change;
+	wwh_worker_t *to;
+
+	if (from == NULL)
+		return NULL;
+	to = wwh_item_new(WWH_ITEM_WORKER);
+	g_free(to->id);
+	g_free(to->address);
+	g_free(to->rack);
+	g_free(to->zone);
+	g_free(to->region);
+	g_free(to->pool);
+	*to = *from;
+	to->id = g_strdup(from->id);
+	to->address = g_strdup(from->address);
+	to->rack = g_strdup(from->rack);
+	to->zone = g_strdup(from->zone);
+	to->region = g_strdup(from->region);
+	to->pool = g_strdup(pool);
+	change = wwh_change_new();
+	wwh_change_add(change, WWH_ITEM_WORKER, worker, to);
+	return change;
+}
--- a/src/libwaxwinghollow/entry.c
+++ b/src/libwaxwinghollow/entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "private/entry_control.h"
+#include "private/entry_fleet.h"
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
 #include "private/entry_seats.h"
@@ -84,6 +85,7 @@
 	entry->log = wwh_entry_log_new(entry);
 	entry->peers = wwh_entry_peers_new(entry);
 	entry->seats = wwh_seats_new(entry);
+	entry->fleet = wwh_entry_fleet_new(entry);
 	entry->control = wwh_entry_control_new(entry);
 	status = listen_on(entry, "callers", settings->caller_listen,
 			   wwh_entry_handle_caller, &entry->caller_listener,
@@ -102,6 +104,7 @@
 	wwh_entry_phase_event(entry, WWH_PHASE_EVENT_LISTENING);
 	wwh_entry_log_start(entry->log);
 	wwh_entry_control_start(entry->control);
+	wwh_entry_fleet_start(entry->fleet);
 	return WWH_STATUS_OK;
 }
 
@@ -118,6 +121,7 @@
 	cut_off = wwh_listener_drain(entry->caller_listener,
 				     settings->drain_limit_ms);
 	wwh_entry_phase_event(entry, WWH_PHASE_EVENT_IDLE);
+	wwh_entry_fleet_finish(entry->fleet);
 	wwh_entry_control_finish(entry->control);
 	wwh_intent_writer_finish(entry->intent_writer, LEASES_RETURN_LIMIT_MS);
 	wwh_entry_phase_event(entry, WWH_PHASE_EVENT_LEASES_RETURNED);
@@ -134,6 +138,7 @@
 	wwh_listener_delete(entry->caller_listener);
 	wwh_listener_delete(entry->operator_listener);
 	wwh_entry_control_delete(entry->control);
+	wwh_entry_fleet_delete(entry->fleet);
 	wwh_entry_peers_delete(entry->peers);
 	wwh_seats_delete(entry->seats);
 	wwh_intent_writer_delete(entry->intent_writer);
--- a/src/libwaxwinghollow/entry_control.c
+++ b/src/libwaxwinghollow/entry_control.c
@@ -1,5 +1,6 @@
 #include "private/entry_control.h"
 
+#include "private/entry_fleet.h"
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
 #include "private/entry_seats.h"
@@ -132,6 +133,7 @@
 	wwh_entry_t *entry = client_data;
 
 	wwh_entry_peers_list_host(entry->peers, host);
+	wwh_entry_fleet_host(entry->fleet, host);
 	if (host->kind == WWH_HOST_ENTRY)
 		wwh_seats_host(entry->seats, host->id,
 			       host->state == WWH_HOST_GONE);
--- /dev/null
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -0,0 +1,585 @@
+#include "private/entry_fleet.h"
+
+#include <string.h>
+
+#include "private/entry_log.h"
+#include "private/entry_peers.h"
+#include "private/request_table.h"
+#include "waxwinghollow/conductor.h"
+#include "waxwinghollow/fleet_bridge.h"
+#include "waxwinghollow/lease_keeper.h"
+#include "waxwinghollow/planner.h"
+
+#define ROUND_MS 200
+#define MILLISECOND_US 1000
+
+/*
+ * 32 shards, renewed at a third of this, are 6.4 appends a second for the
+ * whole deployment, whatever the number of pools.
+ */
+#define SHARD_LEASE_MS 15000
+#define ACTION_THREADS 8
+#define TASK_PERIOD_MS 1000
+
+/* A process that was silent on a worker for longer counts as unknown. */
+#define DRAIN_STALE_MS 3000
+
+/* What one process told last of a worker that is out. */
+typedef struct {
+	int64_t grant;
+	int32_t running;
+	int64_t heard_ms;
+} drain_t;
+
+/* A worker that is out, and under which grant. */
+typedef struct {
+	char *worker;
+	int64_t grant;
+} out_t;
+
+struct wwh_entry_fleet {
+	wwh_entry_t *entry;
+	GMutex lock; /* all below but results */
+	wwh_observations_t *observations;
+	wwh_conductor_t *conductor;
+	wwh_lease_keeper_t *keeper;
+	GHashTable *out; /* worker to out_t */
+	GHashTable *drains; /* "process worker" to drain_t */
+	bool stopping;
+	int64_t next_tasks_ms;
+	GAsyncQueue *results; /* of wwh_action_result_t */
+	GThreadPool *actors;
+	GThread *thread;
+	wwh_counter_t *actions[WWH_ACTION_KIND_COUNT];
+	wwh_counter_t *shards;
+	wwh_counter_t *tick_us;
+};
+
+static gpointer fleet_main(gpointer data);
+static void lease_round(wwh_entry_fleet_t *fleet, bool giving);
+static bool carry_lease(wwh_entry_fleet_t *fleet,
+			const wwh_lease_action_t *action);
+static uint64_t wanted_shards(wwh_entry_fleet_t *fleet);
+static void set_rank(wwh_entry_fleet_t *fleet);
+static void read_tasks(wwh_entry_fleet_t *fleet);
+static void take_task(const wwh_task_report_t *report, void *client_data);
+static void update_out(wwh_entry_fleet_t *fleet);
+static bool note_out(const wwh_worker_view_t *worker, void *client_data);
+static void observe_requests(wwh_entry_fleet_t *fleet, int64_t now_ms);
+static int32_t requests_on(wwh_entry_fleet_t *fleet, const out_t *out,
+			   int64_t now_ms);
+static int32_t own_requests(wwh_entry_fleet_t *fleet,
+			    const wwh_config_t *config, const char *worker);
+static void conduct(wwh_entry_fleet_t *fleet);
+static void act(gpointer data, gpointer user_data);
+static void count_callers(wwh_entry_fleet_t *fleet);
+static void free_out(gpointer data);
+
+wwh_entry_fleet_t *wwh_entry_fleet_new(wwh_entry_t *entry)
+{
+	wwh_entry_fleet_t *fleet = g_new0(wwh_entry_fleet_t, 1);
+	wwh_conductor_options_t conductor;
+	wwh_lease_keeper_options_t keeper = wwh_lease_keeper_options_defaults();
+
+	fleet->entry = entry;
+	g_mutex_init(&fleet->lock);
+	fleet->observations = wwh_observations_new();
+	wwh_conductor_options_defaults(&conductor);
+	conductor.author = entry->author;
+	conductor.seed = g_random_int();
+	conductor.counters = entry->counters;
+	conductor.leave_ms = entry->settings->worker_leave_ms;
+	conductor.look_ms = entry->settings->worker_look_ms;
+	conductor.check_ms = entry->settings->worker_check_ms;
+	conductor.slow_start_ms = entry->settings->worker_slow_start_ms;
+	conductor.rehearsal_ms = entry->settings->rehearsal_hold_ms;
+	fleet->conductor = wwh_conductor_new(&conductor);
+	keeper.author = entry->author;
+	keeper.duration_ms = SHARD_LEASE_MS;
+	fleet->keeper = wwh_lease_keeper_new(&keeper);
+	fleet->out =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_out);
+	fleet->drains =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->results = g_async_queue_new_full(g_free);
+	fleet->actors =
+		g_thread_pool_new(act, fleet, ACTION_THREADS, FALSE, NULL);
+	for (int32_t i = 0; i < WWH_ACTION_KIND_COUNT; i++) {
+		char *name =
+			g_strdup_printf("fleet.%s", wwh_action_kind_names[i]);
+
+		fleet->actions[i] = wwh_counters_get(entry->counters, name);
+		g_free(name);
+	}
+	fleet->shards = wwh_counters_get(entry->counters, "fleet.shards");
+	fleet->tick_us = wwh_counters_get(entry->counters, "fleet.tick_us");
+	return fleet;
+}
+
+void wwh_entry_fleet_start(wwh_entry_fleet_t *fleet)
+{
+	fleet->thread = g_thread_new("fleet", fleet_main, fleet);
+}
+
+void wwh_entry_fleet_finish(wwh_entry_fleet_t *fleet)
+{
+	if (fleet->thread == NULL)
+		return;
+	g_mutex_lock(&fleet->lock);
+	fleet->stopping = true;
+	g_mutex_unlock(&fleet->lock);
+	g_thread_join(fleet->thread);
+	fleet->thread = NULL;
+	g_thread_pool_free(fleet->actors, FALSE, TRUE);
+	fleet->actors = NULL;
+	lease_round(fleet, true);
+}
+
+void wwh_entry_fleet_delete(wwh_entry_fleet_t *fleet)
+{
+	if (fleet == NULL)
+		return;
+	wwh_entry_fleet_finish(fleet);
+	if (fleet->actors != NULL)
+		g_thread_pool_free(fleet->actors, FALSE, TRUE);
+	g_async_queue_unref(fleet->results);
+	wwh_conductor_delete(fleet->conductor);
+	wwh_observations_delete(fleet->observations);
+	wwh_lease_keeper_delete(fleet->keeper);
+	g_hash_table_destroy(fleet->out);
+	g_hash_table_destroy(fleet->drains);
+	g_mutex_clear(&fleet->lock);
+	g_free(fleet);
+}
+
+void wwh_entry_fleet_host(wwh_entry_fleet_t *fleet, const wwh_host_t *host)
+{
+	g_mutex_lock(&fleet->lock);
+	wwh_observations_host(fleet->observations, host);
+	g_mutex_unlock(&fleet->lock);
+}
+
+bool wwh_entry_fleet_worker_out(wwh_entry_fleet_t *fleet, const char *worker)
+{
+	bool out;
+
+	g_mutex_lock(&fleet->lock);
+	out = g_hash_table_contains(fleet->out, worker);
+	g_mutex_unlock(&fleet->lock);
+	return out;
+}
+
+void wwh_entry_fleet_hear(wwh_entry_fleet_t *fleet,
+			  const wwh_drain_message_t *message)
+{
+	g_mutex_lock(&fleet->lock);
+	for (guint i = 0; i < message->items->len; i++) {
+		const wwh_drain_item_t *item = message->items->pdata[i];
+		drain_t *drain = g_new0(drain_t, 1);
+
+		drain->grant = item->grant;
+		drain->running = item->running;
+		drain->heard_ms = wwh_now_ms();
+		g_hash_table_insert(fleet->drains,
+				    g_strdup_printf("%" G_GUINT64_FORMAT " %s",
+						    message->process,
+						    item->worker),
+				    drain);
+	}
+	g_mutex_unlock(&fleet->lock);
+}
+
+void wwh_entry_fleet_tell(wwh_entry_fleet_t *fleet,
+			  wwh_drain_message_t *message)
+{
+	wwh_config_t *config = wwh_entry_config(fleet->entry);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (config == NULL)
+		return;
+	message->process = wwh_seat_process(fleet->entry->author);
+	g_mutex_lock(&fleet->lock);
+	g_hash_table_iter_init(&iter, fleet->out);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const out_t *out = value;
+		wwh_drain_item_t *item = g_new0(wwh_drain_item_t, 1);
+
+		item->worker = g_strdup(out->worker);
+		item->grant = out->grant;
+		item->running = own_requests(fleet, config, out->worker);
+		g_ptr_array_add(message->items, item);
+	}
+	g_mutex_unlock(&fleet->lock);
+	wwh_config_unref(config);
+}
+
+char *wwh_entry_fleet_plan(wwh_entry_fleet_t *fleet, const char *pool)
+{
+	wwh_entry_t *entry = fleet->entry;
+	wwh_fleet_view_t *view;
+	wwh_plan_options_t options;
+	wwh_plan_t *plan;
+	const wwh_rules_t *rules;
+	char *text = NULL;
+	bool found = strcmp(pool, "*") == 0;
+
+	wwh_plan_options_defaults(&options);
+	g_mutex_lock(&entry->state_lock);
+	g_mutex_lock(&fleet->lock);
+	view = wwh_fleet_bridge_view(entry->state, fleet->observations,
+				     entry->author, wwh_now_ms());
+	rules = wwh_config_rules(wwh_state_config(entry->state));
+	options.buffer_weight = rules->buffer_weight;
+	options.move_weight = rules->move_weight;
+	g_mutex_unlock(&fleet->lock);
+	g_mutex_unlock(&entry->state_lock);
+	options.pool = WWH_FLEET_NONE;
+	for (int32_t i = 0; i < wwh_fleet_pool_count(view); i++) {
+		if (strcmp(wwh_fleet_pool(view, i)->id, pool) != 0)
+			continue;
+		options.pool = i;
+		found = true;
+	}
+	options.now_ms = g_get_real_time() / MILLISECOND_US;
+	options.windows = wwh_fleet_windows(view, &options.window_count);
+	if (found) {
+		plan = wwh_plan_new(view, &options);
+		text = wwh_plan_json(plan, view);
+		wwh_plan_delete(plan);
+	}
+	wwh_fleet_view_delete(view);
+	return text;
+}
+
+char *wwh_entry_fleet_rehearsal(wwh_entry_fleet_t *fleet, const char *rehearsal)
+{
+	char *text;
+
+	g_mutex_lock(&fleet->lock);
+	text = wwh_conductor_rehearsal_json(fleet->conductor, rehearsal);
+	g_mutex_unlock(&fleet->lock);
+	return text;
+}
+
+char *wwh_entry_fleet_dump(wwh_entry_fleet_t *fleet)
+{
+	char *text;
+
+	g_mutex_lock(&fleet->lock);
+	text = wwh_conductor_dump(fleet->conductor);
+	g_mutex_unlock(&fleet->lock);
+	return text;
+}
+
+static gpointer fleet_main(gpointer data)
+{
+	wwh_entry_fleet_t *fleet = data;
+	bool stopping = false;
+
+	while (!stopping) {
+		if (wwh_entry_log_caught_up(fleet->entry->log)) {
+			lease_round(fleet, false);
+			update_out(fleet);
+			if (wwh_counter_value(fleet->shards) > 0) {
+				read_tasks(fleet);
+				conduct(fleet);
+			}
+		}
+		g_usleep(ROUND_MS * MILLISECOND_US);
+		g_mutex_lock(&fleet->lock);
+		stopping = fleet->stopping;
+		g_mutex_unlock(&fleet->lock);
+	}
+	return NULL;
+}
+
+static void lease_round(wwh_entry_fleet_t *fleet, bool giving)
+{
+	wwh_entry_t *entry = fleet->entry;
+	int64_t now_ms = wwh_now_ms();
+	wwh_lease_action_t action;
+
+	if (now_ms - wwh_entry_log_read_sent_ms(entry->log) >
+	    2 * entry->settings->log_wait_ms + ROUND_MS)
+		wwh_lease_keeper_log_gap(fleet->keeper, now_ms);
+	set_rank(fleet);
+	wwh_lease_keeper_wanted(fleet->keeper, wanted_shards(fleet));
+	for (int32_t i = 0; i < WWH_SHARD_POOLS; i++) {
+		wwh_lease_view_t view;
+
+		g_mutex_lock(&entry->state_lock);
+		view = wwh_state_lease(entry->state, i);
+		wwh_lease_keeper_observe(fleet->keeper, now_ms, i, &view);
+		g_mutex_unlock(&entry->state_lock);
+	}
+	wwh_lease_keeper_begin_round(fleet->keeper, now_ms, giving);
+	while (wwh_lease_keeper_decide(fleet->keeper, now_ms, true, giving,
+				       &action)) {
+		if (!carry_lease(fleet, &action))
+			break;
+	}
+	wwh_counter_set(fleet->shards,
+			wwh_lease_keeper_held(fleet->keeper, now_ms));
+}
+
+/* False when the log doesn't answer: the others would fare no better. */
+static bool carry_lease(wwh_entry_fleet_t *fleet,
+			const wwh_lease_action_t *action)
+{
+	static const wwh_record_kind_t kinds[WWH_LEASE_ACTION_COUNT] = {
+		[WWH_LEASE_TAKE] = WWH_RECORD_LEASE_TAKE,
+		[WWH_LEASE_RENEW] = WWH_RECORD_LEASE_RENEW,
+		[WWH_LEASE_RELEASE] = WWH_RECORD_LEASE_RELEASE,
+	};
+	wwh_entry_t *entry = fleet->entry;
+	int64_t began_ms = wwh_now_ms();
+	wwh_submitted_t submitted;
+	wwh_record_t record;
+
+	wwh_record_init(&record, kinds[action->kind], entry->author);
+	record.body.lease.shard = action->shard;
+	record.body.lease.offset = action->offset;
+	record.body.lease.duration_ms = SHARD_LEASE_MS;
+	wwh_entry_log_submit(entry->log, &record,
+			     entry->settings->log_append_timeout_ms,
+			     &submitted);
+	wwh_record_clear(&record);
+	if (submitted.status != WWH_STATUS_OK)
+		return false;
+	if (submitted.verdict == WWH_VERDICT_ACCEPTED &&
+	    action->kind != WWH_LEASE_RELEASE)
+		wwh_lease_keeper_confirmed(fleet->keeper, action->shard,
+					   began_ms);
+	return true;
+}
+
+static uint64_t wanted_shards(wwh_entry_fleet_t *fleet)
+{
+	wwh_config_t *config = wwh_entry_config(fleet->entry);
+	uint64_t shards = 0;
+
+	if (config == NULL)
+		return 0;
+	for (int32_t i = 0; i < wwh_config_pool_count(config); i++)
+		shards |=
+			UINT64_C(1)
+			<< wwh_shard_of_pool(wwh_config_pool_at(config, i)->id);
+	wwh_config_unref(config);
+	return shards;
+}
+
+static void set_rank(wwh_entry_fleet_t *fleet)
+{
+	int32_t count;
+	int32_t rank = wwh_entry_peers_rank(fleet->entry->peers, &count);
+
+	wwh_lease_keeper_members(fleet->keeper, rank, count);
+}
+
+static void read_tasks(wwh_entry_fleet_t *fleet)
+{
+	wwh_entry_t *entry = fleet->entry;
+	int64_t now_ms = wwh_now_ms();
+	bool any;
+
+	g_mutex_lock(&entry->state_lock);
+	any = wwh_state_has_jobs(entry->state);
+	g_mutex_unlock(&entry->state_lock);
+	if (!any || now_ms < fleet->next_tasks_ms)
+		return;
+	fleet->next_tasks_ms = now_ms + TASK_PERIOD_MS;
+	(void)entry->platform.task_reports(entry->platform.context,
+					   entry->settings->platform_timeout_ms,
+					   take_task, fleet);
+}
+
+static void take_task(const wwh_task_report_t *report, void *client_data)
+{
+	wwh_entry_fleet_t *fleet = client_data;
+
+	g_mutex_lock(&fleet->lock);
+	wwh_observations_task(fleet->observations, report, wwh_now_ms());
+	g_mutex_unlock(&fleet->lock);
+}
+
+static void update_out(wwh_entry_fleet_t *fleet)
+{
+	wwh_entry_t *entry = fleet->entry;
+
+	g_mutex_lock(&entry->state_lock);
+	g_mutex_lock(&fleet->lock);
+	g_hash_table_remove_all(fleet->out);
+	wwh_state_each_grant(entry->state, note_out, fleet);
+	if (g_hash_table_size(fleet->out) == 0)
+		g_hash_table_remove_all(fleet->drains);
+	g_mutex_unlock(&fleet->lock);
+	g_mutex_unlock(&entry->state_lock);
+}
+
+static bool note_out(const wwh_worker_view_t *worker, void *client_data)
+{
+	wwh_entry_fleet_t *fleet = client_data;
+	out_t *out = g_new0(out_t, 1);
+
+	out->worker = g_strdup(worker->id);
+	out->grant = worker->grant >= 0 ? worker->grant : worker->move;
+	g_hash_table_insert(fleet->out, out->worker, out);
+	return true;
+}
+
+static void observe_requests(wwh_entry_fleet_t *fleet, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, fleet->out);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const out_t *out = value;
+
+		wwh_observations_requests(fleet->observations, out->worker,
+					  requests_on(fleet, out, now_ms));
+	}
+}
+
+/*
+ * Every member that may send has to say, after it read this very grant, that
+ * it has nothing in progress there. One that is silent counts as having one:
+ * a paused process may wake up with a request on the worker, and a reboot
+ * would cut it off.
+ */
+static int32_t requests_on(wwh_entry_fleet_t *fleet, const out_t *out,
+			   int64_t now_ms)
+{
+	const wwh_seat_table_t *seats = wwh_state_seats(fleet->entry->state);
+	uint64_t own = wwh_seat_process(fleet->entry->author);
+	int32_t sum = own_requests(fleet, fleet->entry->config, out->worker);
+
+	for (int32_t i = 0; i < seats->member_count; i++) {
+		uint64_t process = seats->members[i].process;
+		const drain_t *drain;
+		char *key;
+
+		if (process == own)
+			continue;
+		key = g_strdup_printf("%" G_GUINT64_FORMAT " %s", process,
+				      out->worker);
+		drain = g_hash_table_lookup(fleet->drains, key);
+		g_free(key);
+		if (drain == NULL || drain->grant != out->grant ||
+		    now_ms - drain->heard_ms > DRAIN_STALE_MS)
+			sum++;
+		else
+			sum += drain->running;
+	}
+	return sum;
+}
+
+static int32_t own_requests(wwh_entry_fleet_t *fleet,
+			    const wwh_config_t *config, const char *worker)
+{
+	int32_t sum = 0;
+
+	for (int32_t i = 0; i < wwh_config_minion_count(config); i++) {
+		const wwh_minion_t *minion = wwh_config_minion_at(config, i);
+
+		if (strcmp(minion->worker, worker) == 0)
+			sum += wwh_request_table_minion_running(
+				fleet->entry->requests, minion->id);
+	}
+	return sum;
+}
+
+static void conduct(wwh_entry_fleet_t *fleet)
+{
+	wwh_entry_t *entry = fleet->entry;
+	int64_t began_us = g_get_monotonic_time();
+	int64_t now_ms = wwh_now_ms();
+	wwh_fleet_view_t *view;
+	wwh_action_result_t *result;
+	wwh_action_t action;
+
+	g_mutex_lock(&entry->state_lock);
+	g_mutex_lock(&fleet->lock);
+	observe_requests(fleet, now_ms);
+	view = wwh_fleet_bridge_view(entry->state, fleet->observations,
+				     entry->author, now_ms);
+	g_mutex_unlock(&entry->state_lock);
+	while ((result = g_async_queue_try_pop(fleet->results)) != NULL) {
+		wwh_conductor_result(fleet->conductor, result, now_ms);
+		g_free(result);
+	}
+	count_callers(fleet);
+	wwh_conductor_tick(fleet->conductor, now_ms, view);
+	while (wwh_conductor_next_action(fleet->conductor, &action)) {
+		wwh_counter_add(fleet->actions[action.kind], 1);
+		if (action.kind == WWH_ACTION_TELL) {
+			g_message("fleet: %s", action.text);
+			wwh_action_clear(&action);
+			continue;
+		}
+		g_thread_pool_push(fleet->actors,
+				   g_memdup2(&action, sizeof(action)), NULL);
+	}
+	g_mutex_unlock(&fleet->lock);
+	wwh_fleet_view_delete(view);
+	wwh_counter_add(fleet->tick_us, g_get_monotonic_time() - began_us);
+}
+
+/* On one of the actors' threads; may block. */
+static void act(gpointer data, gpointer user_data)
+{
+	wwh_entry_fleet_t *fleet = user_data;
+	wwh_entry_t *entry = fleet->entry;
+	wwh_action_t *action = data;
+	wwh_action_result_t *result = g_new0(wwh_action_result_t, 1);
+	wwh_submitted_t submitted;
+
+	if (action->kind == WWH_ACTION_APPEND) {
+		wwh_entry_log_submit(entry->log, &action->record,
+				     entry->settings->log_append_timeout_ms,
+				     &submitted);
+		result->status = submitted.status;
+		result->verdict = submitted.verdict;
+	} else {
+		wwh_action_perform(action, &entry->platform,
+				   entry->settings->platform_timeout_ms,
+				   result);
+	}
+	result->id = action->id;
+	wwh_action_clear(action);
+	g_free(action);
+	g_async_queue_push(fleet->results, result);
+}
+
+/* What callers of this process got; the others tell it by their own reports. */
+static void count_callers(wwh_entry_fleet_t *fleet)
+{
+	wwh_entry_t *entry = fleet->entry;
+	wwh_caller_counts_t counts = { 0 };
+
+	for (int32_t i = 0; i < WWH_ERROR_COUNT; i++) {
+		int64_t value = wwh_counter_value(entry->answers[i]);
+
+		switch (wwh_answer_for((wwh_error_kind_t)i)->run) {
+		case WWH_RUN_RAN:
+			counts.answered += value;
+			break;
+		case WWH_RUN_NOT_RUN:
+			counts.not_run += value;
+			break;
+		default:
+			counts.unknown += value;
+			break;
+		}
+	}
+	wwh_conductor_callers(fleet->conductor, &counts);
+}
+
+static void free_out(gpointer data)
+{
+	out_t *out = data;
+
+	g_free(out->worker);
+	g_free(out);
+}
--- a/src/libwaxwinghollow/entry_operator.c
+++ b/src/libwaxwinghollow/entry_operator.c
@@ -26,10 +26,6 @@
 		       wwh_http_response_t *response);
 static void post_publish(wwh_entry_t *entry, const wwh_http_request_t *request,
 			 wwh_http_response_t *response);
-static void answer_json(wwh_http_response_t *response, int32_t status,
-			JsonBuilder *builder);
-static void answer_text(wwh_http_response_t *response, int32_t status,
-			const char *content_type, const char *text);
 static void append_counter(const char *name, int64_t value, void *client_data);
 static char *author_of(const wwh_http_request_t *request);
 
@@ -55,15 +51,18 @@
 		if (found)
 			routes[i].handle(entry, request, response);
 	}
+	if (!found && strcmp(request->method, "POST") == 0)
+		found = wwh_entry_handle_verb(entry, path, request, response);
 	if (!found)
-		answer_text(response, 404, "application/json",
-			    "{\"verdict\": \"not-found\", \"message\": "
-			    "\"no such path\"}\n");
+		wwh_answer_text(response, 404, "application/json",
+				"{\"verdict\": \"not-found\", \"message\": "
+				"\"no such path\"}\n");
 	g_free(path);
 }
 
 void wwh_answer_submitted(wwh_http_response_t *response,
-			  const wwh_submitted_t *submitted)
+			  const wwh_submitted_t *submitted, const char *what,
+			  const char *id)
 {
 	JsonBuilder *builder = json_builder_new();
 	int32_t status = 200;
@@ -86,12 +85,14 @@
 		status = 409;
 	}
 	json_builder_begin_object(builder);
+	if (what != NULL)
+		wwh_json_string(builder, what, id);
 	wwh_json_string(builder, "verdict", verdict);
 	wwh_json_string(builder, "message", submitted->detail.message.text);
 	wwh_json_int(builder, "version", submitted->detail.version);
 	wwh_json_int(builder, "offset", submitted->offset);
 	json_builder_end_object(builder);
-	answer_json(response, status, builder);
+	wwh_answer_json(response, status, builder);
 }
 
 static void get_ready(wwh_entry_t *entry, const wwh_http_request_t *request,
@@ -102,7 +103,7 @@
 	char *text = g_strdup_printf("%s\n", wwh_phase_names[phase]);
 
 	(void)request;
-	answer_text(response, ready ? 200 : 503, "text/plain", text);
+	wwh_answer_text(response, ready ? 200 : 503, "text/plain", text);
 	g_free(text);
 }
 
@@ -115,7 +116,7 @@
 	json_builder_begin_object(builder);
 	wwh_entry_report_status(entry, builder);
 	json_builder_end_object(builder);
-	answer_json(response, 200, builder);
+	wwh_answer_json(response, 200, builder);
 }
 
 static void get_dump(wwh_entry_t *entry, const wwh_http_request_t *request,
@@ -128,7 +129,7 @@
 	wwh_entry_report_status(entry, builder);
 	wwh_entry_report_dump(entry, builder);
 	json_builder_end_object(builder);
-	answer_json(response, 200, builder);
+	wwh_answer_json(response, 200, builder);
 }
 
 static void get_counters(wwh_entry_t *entry, const wwh_http_request_t *request,
@@ -139,7 +140,7 @@
 	(void)request;
 	wwh_counters_each(entry->counters, append_counter, text);
 	wwh_request_table_dump(entry->requests, append_counter, text);
-	answer_text(response, 200, "text/plain", text->str);
+	wwh_answer_text(response, 200, "text/plain", text->str);
 	g_string_free(text, TRUE);
 }
 
@@ -185,28 +186,28 @@
 	record.body.config.change =
 		g_bytes_new(request->body, request->body_size);
 	wwh_entry_log_submit(entry->log, &record, SUBMIT_LIMIT_MS, &submitted);
-	wwh_answer_submitted(response, &submitted);
+	wwh_answer_submitted(response, &submitted, NULL, NULL);
 	wwh_record_clear(&record);
 	g_free(author);
 	g_free(base);
 }
 
-static void answer_json(wwh_http_response_t *response, int32_t status,
-			JsonBuilder *builder)
+void wwh_answer_json(wwh_http_response_t *response, int32_t status,
+		     JsonBuilder *builder)
 {
 	JsonNode *root = json_builder_get_root(builder);
 	char *text = json_to_string(root, TRUE);
 	char *line = g_strconcat(text, "\n", NULL);
 
-	answer_text(response, status, "application/json", line);
+	wwh_answer_text(response, status, "application/json", line);
 	g_free(line);
 	g_free(text);
 	json_node_unref(root);
 	g_object_unref(builder);
 }
 
-static void answer_text(wwh_http_response_t *response, int32_t status,
-			const char *content_type, const char *text)
+void wwh_answer_text(wwh_http_response_t *response, int32_t status,
+		     const char *content_type, const char *text)
 {
 	response->status = status;
 	wwh_headers_add(response->headers, "Content-Type", content_type);
--- a/src/libwaxwinghollow/entry_peers.c
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "private/entry_fleet.h"
 #include "private/entry_report.h"
 #include "private/entry_seats.h"
 #include "private/peer_message.h"
@@ -14,6 +15,9 @@
 /* How often minions' states are worked out anew from what is known. */
 #define LEAVING_PERIOD_MS 250
 
+/* How often requests on workers that are out are told. */
+#define DRAIN_PERIOD_MS 200
+
 /* How often a newer configuration is asked for. */
 #define CONFIG_ASK_PERIOD_MS 1000
 
@@ -28,6 +32,7 @@
 	GHashTable *gone; /* set of minions that the list calls gone */
 	int64_t next_leaving_ms;
 	int64_t next_config_ms;
+	int64_t next_drain_ms;
 	bool stopping; /* under lock */
 	GThread *thread;
 	wwh_counter_t *config_fetched;
@@ -50,6 +55,9 @@
 		       size_t size);
 static void tell_loans(wwh_entry_peers_t *peers);
 static void add_loan(const wwh_dispatch_loan_t *loan, void *client_data);
+static void hear_drains(wwh_entry_peers_t *peers, const uint8_t *payload,
+			size_t size);
+static void tell_drains(wwh_entry_peers_t *peers, int64_t now_ms);
 static void ask_config(wwh_entry_peers_t *peers, int64_t now_ms);
 static void answer_config(wwh_entry_peers_t *peers, const char *from,
 			  const uint8_t *payload, size_t size);
@@ -237,6 +245,27 @@
 	wwh_request_table_loans_forget(peers->entry->requests, process);
 }
 
+int32_t wwh_entry_peers_rank(wwh_entry_peers_t *peers, int32_t *count)
+{
+	const wwh_settings_t *settings = peers->entry->settings;
+	int32_t rank = 0;
+
+	*count = 1;
+	g_mutex_lock(&peers->lock);
+	for (int32_t i = 0; i < wwh_membership_count(peers->membership); i++) {
+		wwh_member_t member;
+
+		wwh_membership_at(peers->membership, i, &member);
+		if (member.status > WWH_MEMBER_SUSPECT ||
+		    strcmp(member.region, settings->region) != 0)
+			continue;
+		*count += 1;
+		rank += strcmp(member.id, settings->process_id) < 0;
+	}
+	g_mutex_unlock(&peers->lock);
+	return rank;
+}
+
 void wwh_entry_peers_report(wwh_entry_peers_t *peers, JsonBuilder *builder)
 {
 	g_mutex_lock(&peers->lock);
@@ -274,6 +303,7 @@
 		update_minions(peers, now_ms);
 		ask_config(peers, now_ms);
 		tell_loans(peers);
+		tell_drains(peers, now_ms);
 		g_usleep(TICK_MS * MILLISECOND_US);
 	}
 	return NULL;
@@ -302,6 +332,9 @@
 	case WWH_FRAME_LOAN:
 		hear_loans(peers, payload, size);
 		break;
+	case WWH_FRAME_DRAIN:
+		hear_drains(peers, payload, size);
+		break;
 	case WWH_FRAME_CONFIG_ASK:
 		answer_config(peers, from, payload, size);
 		break;
@@ -420,6 +453,43 @@
 	g_ptr_array_unref(targets);
 }
 
+static void hear_drains(wwh_entry_peers_t *peers, const uint8_t *payload,
+			size_t size)
+{
+	wwh_drain_message_t message;
+
+	if (wwh_drain_message_decode(payload, size, &message))
+		wwh_entry_fleet_hear(peers->entry->fleet, &message);
+	wwh_drain_message_clear(&message);
+}
+
+static void tell_drains(wwh_entry_peers_t *peers, int64_t now_ms)
+{
+	wwh_drain_message_t message;
+	GPtrArray *targets;
+	GBytes *bytes;
+
+	if (now_ms < peers->next_drain_ms)
+		return;
+	peers->next_drain_ms = now_ms + DRAIN_PERIOD_MS;
+	wwh_drain_message_init(&message);
+	wwh_entry_fleet_tell(peers->entry->fleet, &message);
+	if (message.items->len > 0) {
+		targets = alive_members(peers);
+		bytes = wwh_drain_message_encode(&message);
+		for (guint i = 0; i < targets->len; i++) {
+			const target_t *target = g_ptr_array_index(targets, i);
+
+			send_bytes(peers, target->address, WWH_FRAME_DRAIN,
+				   bytes);
+		}
+		if (bytes != NULL)
+			g_bytes_unref(bytes);
+		g_ptr_array_unref(targets);
+	}
+	wwh_drain_message_clear(&message);
+}
+
 static void add_loan(const wwh_dispatch_loan_t *loan, void *client_data)
 {
 	wwh_loan_message_t *message = client_data;
@@ -554,13 +624,16 @@
 	g_mutex_lock(&peers->lock);
 	peers->next_leaving_ms = now_ms + LEAVING_PERIOD_MS;
 	for (int32_t i = 0; i < wwh_config_minion_count(config); i++) {
-		const char *id = wwh_config_minion_at(config, i)->id;
+		const wwh_minion_t *minion = wwh_config_minion_at(config, i);
+		const char *id = minion->id;
 		wwh_minion_state_t state = WWH_MINION_LIVE;
 		gpointer told = g_hash_table_lookup(peers->minion_states, id);
 
 		if (g_hash_table_contains(peers->gone, id))
 			state = WWH_MINION_GONE;
-		else if (wwh_leaving_is(peers->leaving, id, now_ms))
+		else if (wwh_leaving_is(peers->leaving, id, now_ms) ||
+			 wwh_entry_fleet_worker_out(peers->entry->fleet,
+						    minion->worker))
 			state = WWH_MINION_LEAVING;
 		leaving += state != WWH_MINION_LIVE;
 		if (GPOINTER_TO_INT(told) == (int)state)
--- a/src/libwaxwinghollow/entry_report.c
+++ b/src/libwaxwinghollow/entry_report.c
@@ -1,5 +1,6 @@
 #include "private/entry_report.h"
 
+#include "private/entry_fleet.h"
 #include "private/entry_peers.h"
 #include "private/request_table.h"
 
@@ -11,6 +12,7 @@
 static bool report_worker(const wwh_worker_view_t *worker, void *client_data);
 static void report_counter(const char *name, int64_t value, void *client_data);
 static void report_members(wwh_entry_t *entry, JsonBuilder *builder);
+static void report_fleet(wwh_entry_t *entry, JsonBuilder *builder);
 
 void wwh_json_string(JsonBuilder *builder, const char *name, const char *value)
 {
@@ -71,6 +73,7 @@
 	wwh_state_each_worker(entry->state, report_worker, builder);
 	json_builder_end_array(builder);
 	g_mutex_unlock(&entry->state_lock);
+	report_fleet(entry, builder);
 	json_builder_set_member_name(builder, "dispatch");
 	json_builder_begin_object(builder);
 	wwh_request_table_dump(entry->requests, report_counter, builder);
@@ -81,6 +84,19 @@
 	json_builder_end_object(builder);
 }
 
+static void report_fleet(wwh_entry_t *entry, JsonBuilder *builder)
+{
+	char *text = wwh_entry_fleet_dump(entry->fleet);
+	JsonNode *node = json_from_string(text, NULL);
+
+	json_builder_set_member_name(builder, "fleet");
+	if (node != NULL)
+		json_builder_add_value(builder, node);
+	else
+		json_builder_add_null_value(builder);
+	g_free(text);
+}
+
 static void report_members(wwh_entry_t *entry, JsonBuilder *builder)
 {
 	json_builder_set_member_name(builder, "members");
--- a/src/libwaxwinghollow/frame.c
+++ b/src/libwaxwinghollow/frame.c
@@ -14,7 +14,7 @@
 
 const char *const wwh_frame_kind_names[WWH_FRAME_KIND_COUNT] = {
 	"hello",      "gossip",	  "config",	 "loan",       "state_request",
-	"state_part", "seat_ask", "seat_answer", "config_ask",
+	"state_part", "seat_ask", "seat_answer", "config_ask", "drain",
 };
 
 const char *const wwh_frame_fault_names[WWH_FRAME_FAULT_COUNT] = {
--- a/src/libwaxwinghollow/include/private/entry_internal.h
+++ b/src/libwaxwinghollow/include/private/entry_internal.h
@@ -55,6 +55,7 @@
 typedef struct wwh_entry_control wwh_entry_control_t;
 typedef struct wwh_entry_peers wwh_entry_peers_t;
 typedef struct wwh_seats wwh_seats_t;
+typedef struct wwh_entry_fleet wwh_entry_fleet_t;
 
 struct wwh_entry {
 	const wwh_settings_t *settings;
@@ -83,6 +84,7 @@
 	wwh_entry_log_t *log;
 	wwh_entry_peers_t *peers;
 	wwh_seats_t *seats;
+	wwh_entry_fleet_t *fleet;
 	wwh_entry_control_t *control;
 };
 
--- a/src/libwaxwinghollow/include/private/entry_peers.h
+++ b/src/libwaxwinghollow/include/private/entry_peers.h
@@ -40,6 +40,12 @@
 /* A member of the seats is out: nothing lent to or by it counts any more. */
 void wwh_entry_peers_forget(wwh_entry_peers_t *peers, uint64_t process);
 
+/*
+ * This process's place, from 0, among the members of its region that are
+ * alive, by their ids.
+ */
+int32_t wwh_entry_peers_rank(wwh_entry_peers_t *peers, int32_t *count);
+
 /* Adds an object for each member to the open array. */
 void wwh_entry_peers_report(wwh_entry_peers_t *peers, JsonBuilder *builder);
 
--- a/src/libwaxwinghollow/include/private/entry_report.h
+++ b/src/libwaxwinghollow/include/private/entry_report.h
@@ -16,8 +16,22 @@
 void wwh_entry_report_status(wwh_entry_t *entry, JsonBuilder *builder);
 void wwh_entry_report_dump(wwh_entry_t *entry, JsonBuilder *builder);
 
-/* The answer to an operator's act that went to the log. */
+/*
+ * The answer to an operator's act that went to the log. id is what it is
+ * about, told under the name what; both may be NULL.
+ */
 void wwh_answer_submitted(wwh_http_response_t *response,
-			  const wwh_submitted_t *submitted);
+			  const wwh_submitted_t *submitted, const char *what,
+			  const char *id);
+
+void wwh_answer_json(wwh_http_response_t *response, int32_t status,
+		     JsonBuilder *builder);
+void wwh_answer_text(wwh_http_response_t *response, int32_t status,
+		     const char *content_type, const char *text);
+
+/* entry_verbs.c: acts on waves, rehearsals, moves and jobs. */
+bool wwh_entry_handle_verb(wwh_entry_t *entry, const char *path,
+			   const wwh_http_request_t *request,
+			   wwh_http_response_t *response);
 
 #endif
--- a/src/libwaxwinghollow/include/private/peer_message.h
+++ b/src/libwaxwinghollow/include/private/peer_message.h
@@ -39,6 +39,18 @@
 	GPtrArray *items; /* of wwh_loan_item_t * */
 } wwh_loan_message_t;
 
+/* Requests that one process has with the minions of workers that are out. */
+typedef struct {
+	char *worker;
+	int64_t grant; /* that the process has read on the log */
+	int32_t running;
+} wwh_drain_item_t;
+
+typedef struct {
+	uint64_t process;
+	GPtrArray *items; /* of wwh_drain_item_t * */
+} wwh_drain_message_t;
+
 /* Asks for the configuration when it is newer than version. */
 typedef struct {
 	int64_t version;
@@ -64,6 +76,13 @@
 bool wwh_loan_message_decode(const uint8_t *data, size_t size,
 			     wwh_loan_message_t *message);
 
+void wwh_drain_message_init(wwh_drain_message_t *message);
+void wwh_drain_message_clear(wwh_drain_message_t *message);
+GBytes *wwh_drain_message_encode(const wwh_drain_message_t *message);
+/* message is to be cleared, also when data is refused. */
+bool wwh_drain_message_decode(const uint8_t *data, size_t size,
+			      wwh_drain_message_t *message);
+
 GBytes *wwh_config_ask_encode(const wwh_config_ask_t *message);
 bool wwh_config_ask_decode(const uint8_t *data, size_t size,
 			   wwh_config_ask_t *message);
--- a/src/libwaxwinghollow/include/private/request_table.h
+++ b/src/libwaxwinghollow/include/private/request_table.h
@@ -38,6 +38,9 @@
 void wwh_request_table_close(wwh_request_table_t *table);
 int32_t wwh_request_table_waiting(wwh_request_table_t *table);
 int32_t wwh_request_table_running(wwh_request_table_t *table);
+/* Requests that are with a minion now. */
+int32_t wwh_request_table_minion_running(wwh_request_table_t *table,
+					 const char *minion);
 void wwh_request_table_dump(wwh_request_table_t *table,
 			    wwh_counter_visit_t visit, void *client_data);
 
--- a/src/libwaxwinghollow/lease_keeper.c
+++ b/src/libwaxwinghollow/lease_keeper.c
@@ -25,6 +25,7 @@
 	wwh_lease_keeper_options_t options;
 	char *author;
 	lease_t *leases;
+	uint64_t wanted;
 	int32_t rank;
 	int32_t members;
 	int64_t above_since_ms; /* -1: not above its target */
@@ -38,6 +39,8 @@
 static bool release_one(wwh_lease_keeper_t *keeper, wwh_lease_action_t *action);
 static bool may_take(const wwh_lease_keeper_t *keeper, const lease_t *lease,
 		     int64_t now_ms);
+static int32_t wanted_count(const wwh_lease_keeper_t *keeper);
+static bool is_wanted(const wwh_lease_keeper_t *keeper, int32_t index);
 static int32_t mine_count(const wwh_lease_keeper_t *keeper);
 static bool is_above_target(wwh_lease_keeper_t *keeper, int64_t now_ms);
 
@@ -64,6 +67,7 @@
 	keeper->author = g_strdup(options->author);
 	keeper->leases = g_new0(lease_t, options->shard_count);
 	keeper->members = 1;
+	keeper->wanted = UINT64_MAX;
 	keeper->above_since_ms = -1;
 	for (int32_t i = 0; i < options->shard_count; i++)
 		keeper->leases[i].latest = WWH_NO_OFFSET - 1;
@@ -87,6 +91,11 @@
 	keeper->members = count;
 }
 
+void wwh_lease_keeper_wanted(wwh_lease_keeper_t *keeper, uint64_t shards)
+{
+	keeper->wanted = shards;
+}
+
 void wwh_lease_keeper_log_gap(wwh_lease_keeper_t *keeper, int64_t now_ms)
 {
 	for (int32_t i = 0; i < keeper->options.shard_count; i++)
@@ -121,8 +130,13 @@
 	for (int32_t i = 0; i < keeper->options.shard_count; i++) {
 		lease_t *lease = &keeper->leases[i];
 
-		lease->surplus = lease->mine && keep <= 0 && (above || giving);
-		keep -= lease->mine ? 1 : 0;
+		if (!lease->mine) {
+			lease->surplus = false;
+			continue;
+		}
+		lease->surplus = !is_wanted(keeper, i) ||
+				 (keep <= 0 && (above || giving));
+		keep -= is_wanted(keeper, i) ? 1 : 0;
 	}
 }
 
@@ -174,12 +188,27 @@
 
 int32_t wwh_lease_keeper_target(const wwh_lease_keeper_t *keeper)
 {
-	int32_t each = keeper->options.shard_count / keeper->members;
-	int32_t rest = keeper->options.shard_count % keeper->members;
+	int32_t count = wanted_count(keeper);
+	int32_t each = count / keeper->members;
+	int32_t rest = count % keeper->members;
 
 	return each + (keeper->rank < rest ? 1 : 0);
 }
 
+static int32_t wanted_count(const wwh_lease_keeper_t *keeper)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < keeper->options.shard_count; i++)
+		count += is_wanted(keeper, i);
+	return count;
+}
+
+static bool is_wanted(const wwh_lease_keeper_t *keeper, int32_t index)
+{
+	return (keeper->wanted >> index & 1) != 0;
+}
+
 static lease_t *lease_of(const wwh_lease_keeper_t *keeper, int32_t shard)
 {
 	int32_t index = shard - keeper->options.first_shard;
@@ -221,7 +250,7 @@
 		int32_t index = (start + i) % count;
 		lease_t *lease = &keeper->leases[index];
 
-		if (lease->mine || lease->tried ||
+		if (lease->mine || lease->tried || !is_wanted(keeper, index) ||
 		    !may_take(keeper, lease, now_ms))
 			continue;
 		lease->tried = true;
@@ -265,7 +294,7 @@
 	int32_t count = 0;
 
 	for (int32_t i = 0; i < keeper->options.shard_count; i++)
-		count += keeper->leases[i].mine;
+		count += keeper->leases[i].mine && is_wanted(keeper, i);
 	return count;
 }
 
--- a/src/libwaxwinghollow/peer_message.c
+++ b/src/libwaxwinghollow/peer_message.c
@@ -7,6 +7,7 @@
 #define LOANS_MAX 4096
 #define MINION_BYTES_MAX 128
 #define NUMBER_MAX 1000000
+#define DRAINS_MAX 4096
 
 static const wwh_codec_field_t seat_ask[] = {
 	{ "process", WWH_CODEC_UINT64, offsetof(wwh_seat_ask_t, process) },
@@ -44,6 +45,25 @@
 	  LOANS_MAX, &loan_item_fields },
 };
 
+static const wwh_codec_field_t drain_item[] = {
+	{ "worker", WWH_CODEC_ID, offsetof(wwh_drain_item_t, worker), 1,
+	  WWH_ID_BYTES_MAX },
+	{ "grant", WWH_CODEC_INT64, offsetof(wwh_drain_item_t, grant), 0,
+	  INT64_MAX },
+	{ "running", WWH_CODEC_INT32, offsetof(wwh_drain_item_t, running), 0,
+	  NUMBER_MAX },
+};
+
+static const wwh_codec_fields_t drain_item_fields = {
+	drain_item, G_N_ELEMENTS(drain_item), sizeof(wwh_drain_item_t)
+};
+
+static const wwh_codec_field_t drain[] = {
+	{ "process", WWH_CODEC_UINT64, offsetof(wwh_drain_message_t, process) },
+	{ "items", WWH_CODEC_ITEMS, offsetof(wwh_drain_message_t, items), 0,
+	  DRAINS_MAX, &drain_item_fields },
+};
+
 static const wwh_codec_field_t config_ask[] = {
 	{ "version", WWH_CODEC_INT64, offsetof(wwh_config_ask_t, version), 0,
 	  INT64_MAX },
@@ -68,6 +88,8 @@
 static const wwh_codec_fields_t seat_answer_fields =
 	FIELDS(wwh_seat_answer_t, seat_answer);
 static const wwh_codec_fields_t loan_fields = FIELDS(wwh_loan_message_t, loans);
+static const wwh_codec_fields_t drain_fields =
+	FIELDS(wwh_drain_message_t, drain);
 static const wwh_codec_fields_t config_ask_fields =
 	FIELDS(wwh_config_ask_t, config_ask);
 static const wwh_codec_fields_t config_fields =
@@ -116,6 +138,27 @@
 	return wwh_codec_decode(&loan_fields, data, size, message, NULL);
 }
 
+void wwh_drain_message_init(wwh_drain_message_t *message)
+{
+	wwh_codec_init(&drain_fields, message);
+}
+
+void wwh_drain_message_clear(wwh_drain_message_t *message)
+{
+	wwh_codec_clear(&drain_fields, message);
+}
+
+GBytes *wwh_drain_message_encode(const wwh_drain_message_t *message)
+{
+	return wwh_codec_encode(&drain_fields, message, NULL);
+}
+
+bool wwh_drain_message_decode(const uint8_t *data, size_t size,
+			      wwh_drain_message_t *message)
+{
+	return wwh_codec_decode(&drain_fields, data, size, message, NULL);
+}
+
 GBytes *wwh_config_ask_encode(const wwh_config_ask_t *message)
 {
 	return wwh_codec_encode(&config_ask_fields, message, NULL);
--- a/src/libwaxwinghollow/request_table.c
+++ b/src/libwaxwinghollow/request_table.c
@@ -28,6 +28,7 @@
 	wwh_dispatch_t *dispatch;
 	GRand *random;
 	GHashTable *requests; /* uint64_t * to wwh_request_t * */
+	GHashTable *running; /* minion id to the requests that are with it */
 	uint64_t last_id;
 	bool stopping;
 	GThread *ticker;
@@ -35,6 +36,8 @@
 
 static gpointer tick_main(gpointer data);
 static void hand_out(wwh_request_table_t *table);
+static void count_running(wwh_request_table_t *table, const char *minion,
+			  int32_t change);
 static void wait_until(wwh_request_t *request, int64_t until_ms);
 static void cancel(wwh_request_t *request);
 
@@ -48,6 +51,8 @@
 	g_cond_init(&table->tick_due);
 	table->random = g_rand_new();
 	table->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	table->dispatch = wwh_dispatch_new();
 	wwh_dispatch_options_defaults(&options);
 	options.zone = zone;
@@ -70,6 +75,7 @@
 	g_assert(g_hash_table_size(table->requests) == 0);
 	wwh_dispatch_delete(table->dispatch);
 	g_hash_table_destroy(table->requests);
+	g_hash_table_destroy(table->running);
 	g_rand_free(table->random);
 	g_cond_clear(&table->tick_due);
 	g_mutex_clear(&table->lock);
@@ -216,6 +222,17 @@
 	return count;
 }
 
+int32_t wwh_request_table_minion_running(wwh_request_table_t *table,
+					 const char *minion)
+{
+	int32_t count;
+
+	g_mutex_lock(&table->lock);
+	count = GPOINTER_TO_INT(g_hash_table_lookup(table->running, minion));
+	g_mutex_unlock(&table->lock);
+	return count;
+}
+
 void wwh_request_table_dump(wwh_request_table_t *table,
 			    wwh_counter_visit_t visit, void *client_data)
 {
@@ -277,6 +294,7 @@
 	wwh_request_table_t *table = request->table;
 
 	g_mutex_lock(&table->lock);
+	count_running(table, result->minion, -1);
 	wwh_dispatch_finished(table->dispatch, wwh_now_ms(), result);
 	hand_out(table);
 	g_mutex_unlock(&table->lock);
@@ -405,12 +423,25 @@
 
 		if (request == NULL)
 			continue;
+		if (decision.type == WWH_DECISION_START)
+			count_running(table, decision.minion, 1);
 		g_queue_push_tail(&request->decisions,
 				  g_memdup2(&decision, sizeof(decision)));
 		g_cond_signal(&request->changed);
 	}
 }
 
+static void count_running(wwh_request_table_t *table, const char *minion,
+			  int32_t change)
+{
+	int32_t count =
+		GPOINTER_TO_INT(g_hash_table_lookup(table->running, minion));
+
+	g_assert(count + change >= 0);
+	g_hash_table_insert(table->running, g_strdup(minion),
+			    GINT_TO_POINTER(count + change));
+}
+
 static void wait_until(wwh_request_t *request, int64_t until_ms)
 {
 	g_cond_wait_until(&request->changed, &request->table->lock,
@@ -437,6 +468,7 @@
 				.outcome = WWH_OUTCOME_ABORTED,
 			};
 
+			count_running(table, result.minion, -1);
 			wwh_dispatch_finished(table->dispatch, wwh_now_ms(),
 					      &result);
 		}
--- a/src/libwaxwinghollow/settings.c
+++ b/src/libwaxwinghollow/settings.c
@@ -72,8 +72,13 @@
 	INT32(log_wait_ms, 0, MINUTE_MS, 1000),
 	INT32(host_list_period_ms, 100, 10 * MINUTE_MS, 2000),
 	INT32(platform_timeout_ms, 10, MINUTE_MS, 2000),
-	INT32(heartbeat_ms, 10, MINUTE_MS, 250),
-	INT32(suspect_after_ms, 10, 10 * MINUTE_MS, 1500),
+	INT32(heartbeat_ms, 10, MINUTE_MS, 1000),
+	INT32(suspect_after_ms, 10, 10 * MINUTE_MS, 4000),
+	INT32(worker_leave_ms, 0, HOUR_MS, 2000),
+	INT32(worker_look_ms, 10, HOUR_MS, 2000),
+	INT32(worker_check_ms, 0, HOUR_MS, 5000),
+	INT32(worker_slow_start_ms, 0, HOUR_MS, 30000),
+	INT32(rehearsal_hold_ms, 100, 24 * HOUR_MS, 5 * MINUTE_MS),
 };
 
 const int32_t wwh_settings_field_count = G_N_ELEMENTS(wwh_settings_fields);
--- a/src/libwaxwinghollow/state_view.c
+++ b/src/libwaxwinghollow/state_view.c
@@ -313,3 +313,8 @@
 
 	g_tree_foreach(state->authors, visit_author, &context);
 }
+
+bool wwh_state_has_jobs(const wwh_state_t *state)
+{
+	return g_tree_nnodes(state->jobs.by_id) > 0;
+}
--- a/src/test_settings/test_settings.c
+++ b/src/test_settings/test_settings.c
@@ -92,7 +92,8 @@
 	  "minion_idle_ms, ready_off_ms, drain_limit_ms, intent_batch_ms, "
 	  "log_append_timeout_ms, log_read_timeout_ms, log_wait_ms, "
 	  "host_list_period_ms, platform_timeout_ms, heartbeat_ms, "
-	  "suspect_after_ms\n" },
+	  "suspect_after_ms, worker_leave_ms, worker_look_ms, "
+	  "worker_check_ms, worker_slow_start_ms, rehearsal_hold_ms\n" },
 	{ "wrong types",
 	  "{" REQUIRED ",\n\"max_requests\": \"7\",\n\"peers\": \"10.0.0.2:1\","
 	  "\n\"log_level\": \"loud\",\n\"drain_limit_ms\": true}",
@@ -139,15 +140,15 @@
 	  "expected an address and port of its own\n" },
 	{ "keys that don't go together",
 	  "{" REQUIRED ",\n\"max_connections\": 10,\n"
-	  "\"log_wait_ms\": 3000,\n\"heartbeat_ms\": 1000,\n"
+	  "\"log_wait_ms\": 3000,\n\"heartbeat_ms\": 3000,\n"
 	  "\"max_body_bytes\": 300000000}",
 	  "set:1: 'max_requests' is 400, expected at most 'max_connections', "
 	  "which is 10\n"
 	  "set:7: 'log_wait_ms' is 3000, expected less than "
 	  "'log_read_timeout_ms', which is 3000: every quiet read would count "
 	  "as failed\n"
-	  "set:1: 'suspect_after_ms' is 1500, expected at least twice "
-	  "'heartbeat_ms', which is 1000: one lost heartbeat would make a peer "
+	  "set:1: 'suspect_after_ms' is 4000, expected at least twice "
+	  "'heartbeat_ms', which is 3000: one lost heartbeat would make a peer "
 	  "suspect\n"
 	  "set:1: 'max_buffered_bytes' is 268435456, expected at least "
 	  "'max_body_bytes', which is 300000000\n" },
--- a/src/test_standins/caller.c
+++ b/src/test_standins/caller.c
@@ -51,7 +51,8 @@
 typedef struct {
 	GString *body;
 	char run[32];
-	long status;
+	long status; /* 0: no whole answer */
+	bool refused; /* no connection could be made */
 	int64_t retry_after_ms;
 } answer_t;
 
@@ -128,6 +129,9 @@
 	g_free(url);
 	g_free(id);
 	g_free(key);
+	answer->refused = code == CURLE_COULDNT_CONNECT;
+	if (code != CURLE_OK)
+		answer->status = 0;
 	return code == CURLE_OK;
 }
 
@@ -141,7 +145,11 @@
 		answer_t answer = { .body = g_string_new(NULL) };
 		int64_t pause_ms = PAUSE_MS;
 
-		if (try_once(run, easy, request, entry, &answer))
+		/* the balancer would not have sent it to a host that is down */
+		if (!try_once(run, easy, request, entry, &answer) &&
+		    answer.refused)
+			pause_ms = 0;
+		else if (answer.status > 0)
 			request->told = told_by(request, &answer,
 						&request->wrong_answer);
 		pause_ms = MAX(pause_ms, answer.retry_after_ms);
