--- a/src/test_limiter/test_limiter.c
+++ b/src/test_limiter/test_limiter.c
@@ -95,6 +95,22 @@
 	assert_int_equal(bearing.bears, 7);
 }
 
+/* One in twenty is refused, as when a request was given up elsewhere. */
+static void single_refusals_change_nothing(void **unused)
+{
+	wwh_bearing_t bearing;
+
+	(void)unused;
+	wwh_bearing_init(&bearing, 8);
+	for (int32_t i = 1; i < 2000; i++) {
+		if (i % 20 == 0)
+			wwh_bearing_refused(&bearing, 100 * i, 40);
+		else
+			wwh_bearing_answered(&bearing);
+	}
+	assert_int_equal(bearing.bears, 8);
+}
+
 static void refuse_twice(wwh_bearing_t *bearing, int64_t now_ms)
 {
 	wwh_bearing_refused(bearing, now_ms, 0);
@@ -158,6 +174,7 @@
 		cmocka_unit_test(three_slots_fall_to_different_seats),
 		cmocka_unit_test(the_number_finds_what_the_minion_bears),
 		cmocka_unit_test(one_burst_of_refusals_counts_once),
+		cmocka_unit_test(single_refusals_change_nothing),
 		cmocka_unit_test(processes_agree_on_the_number),
 		cmocka_unit_test(a_limit_below_one_is_a_pause),
 		cmocka_unit_test(a_smaller_share_starts_nothing_new),
