--- a/src/libwaxwinghollow/entry_control.c
+++ b/src/libwaxwinghollow/entry_control.c
@@ -1,6 +1,7 @@
 #include "private/entry_control.h"
 
 #include "private/entry_fleet.h"
+#include "private/entry_keys.h"
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
 #include "private/entry_seats.h"
@@ -8,6 +9,7 @@
 
 #define ROUND_MS 100
 #define MILLISECOND_US 1000
+#define KEYS_PERIOD_MS 1000
 
 /* Seats that can't be given back in this time are left to the others. */
 #define GIVE_BACK_LIMIT_MS 3000
@@ -18,6 +20,7 @@
 	bool stopping; /* under lock */
 	GThread *seat_thread;
 	GThread *list_thread;
+	wwh_entry_keys_t *keys;
 	wwh_counter_t *list_failures;
 };
 
@@ -34,6 +37,7 @@
 
 	control->entry = entry;
 	g_mutex_init(&control->lock);
+	control->keys = wwh_entry_keys_new(entry);
 	control->list_failures =
 		wwh_counters_get(entry->counters, "hosts.list_failures");
 	return control;
@@ -63,6 +67,7 @@
 	if (control == NULL)
 		return;
 	wwh_entry_control_finish(control);
+	wwh_entry_keys_delete(control->keys);
 	g_mutex_clear(&control->lock);
 	g_free(control);
 }
@@ -100,6 +105,7 @@
 {
 	wwh_entry_control_t *control = data;
 	int64_t next_ms = 0;
+	int64_t next_keys_ms = 0;
 
 	while (!is_stopping(control)) {
 		if (wwh_now_ms() >= next_ms) {
@@ -107,6 +113,11 @@
 			next_ms = wwh_now_ms() +
 				  control->entry->settings->host_list_period_ms;
 		}
+		if (wwh_entry_log_caught_up(control->entry->log) &&
+		    wwh_now_ms() >= next_keys_ms) {
+			wwh_entry_keys_round(control->keys);
+			next_keys_ms = wwh_now_ms() + KEYS_PERIOD_MS;
+		}
 		g_usleep(ROUND_MS * MILLISECOND_US);
 	}
 	return NULL;
--- a/src/libwaxwinghollow/entry_log.c
+++ b/src/libwaxwinghollow/entry_log.c
@@ -255,7 +255,8 @@
 
 static void on_trimmed(const char *stream, int64_t first, void *client_data)
 {
-	(void)client_data;
+	wwh_entry_snapshot_trimmed(replay_of(client_data, stream)->snapshot,
+				   first);
 	g_message("log %s: records before %" G_GINT64_FORMAT
 		  " are gone, looking for a snapshot",
 		  stream, first);
--- a/src/libwaxwinghollow/entry_operator.c
+++ b/src/libwaxwinghollow/entry_operator.c
@@ -99,10 +99,18 @@
 		      wwh_http_response_t *response)
 {
 	wwh_phase_t phase = wwh_entry_phase(entry);
-	bool ready = phase == WWH_PHASE_READY;
-	char *text = g_strdup_printf("%s\n", wwh_phase_names[phase]);
+	bool abandoned;
+	bool ready;
+	char *text;
 
 	(void)request;
+	/* it can record no intent any more and has to be started again */
+	g_mutex_lock(&entry->state_lock);
+	abandoned = wwh_intents_abandoned(entry->intents, entry->author);
+	g_mutex_unlock(&entry->state_lock);
+	ready = phase == WWH_PHASE_READY && !abandoned;
+	text = g_strdup_printf("%s\n", abandoned ? "abandoned"
+						 : wwh_phase_names[phase]);
 	wwh_answer_text(response, ready ? 200 : 503, "text/plain", text);
 	g_free(text);
 }
--- a/src/libwaxwinghollow/entry_seats.c
+++ b/src/libwaxwinghollow/entry_seats.c
@@ -55,6 +55,7 @@
 static bool plan_gone(wwh_seats_t *seats, wwh_seat_record_t *record);
 static bool look_at_author(const char *author, int64_t offset,
 			   void *client_data);
+static bool author_gone(wwh_seats_t *seats, const char *author);
 static int32_t index_of(const wwh_seat_table_t *table, uint64_t process);
 static void submit(wwh_seats_t *seats, const wwh_seat_record_t *record);
 
@@ -168,6 +169,16 @@
 	return MAX(part, 1);
 }
 
+bool wwh_seats_author_gone(wwh_seats_t *seats, const char *author)
+{
+	bool gone;
+
+	g_mutex_lock(&seats->lock);
+	gone = author_gone(seats, author);
+	g_mutex_unlock(&seats->lock);
+	return gone;
+}
+
 void wwh_seats_host(wwh_seats_t *seats, const char *host, bool gone)
 {
 	g_mutex_lock(&seats->lock);
@@ -320,12 +331,6 @@
 	return true;
 }
 
-/*
- * A member whose host the list calls gone and that answers nobody, or an
- * earlier incarnation of this very process (it has bound the same address),
- * surely runs no more. The list alone is not enough: it lags, and a process
- * that was started again on the same host would lose seats it works with.
- */
 static bool plan_gone(wwh_seats_t *seats, wwh_seat_record_t *record)
 {
 	wwh_entry_t *entry = seats->entry;
@@ -352,25 +357,37 @@
 {
 	authors_t *authors = client_data;
 	wwh_seats_t *seats = authors->seats;
+
+	(void)offset;
+	if (index_of(&seats->table, wwh_seat_process(author)) < 0 ||
+	    !author_gone(seats, author))
+		return true;
+	authors->gone = wwh_seat_process(author);
+	authors->gone_author = g_strdup(author);
+	return false;
+}
+
+/*
+ * A process whose host the list calls gone and that answers nobody, or an
+ * earlier incarnation of this very process (it has bound the same address),
+ * surely runs no more. The list alone is not enough: it lags, and a process
+ * that was started again on the same host would lose what it works with.
+ */
+static bool author_gone(wwh_seats_t *seats, const char *author)
+{
 	const char *slash = strrchr(author, '/');
 	char *host;
 	bool gone;
 
-	(void)offset;
-	if (slash == NULL || strcmp(author, seats->entry->author) == 0 ||
-	    index_of(&seats->table, wwh_seat_process(author)) < 0)
-		return true;
+	if (slash == NULL || strcmp(author, seats->entry->author) == 0)
+		return false;
 	host = g_strndup(author, (gsize)(slash - author));
 	gone = (g_hash_table_contains(seats->gone, host) &&
 		wwh_entry_peers_is_dead(seats->entry->peers,
 					wwh_seat_process(author))) ||
 	       strcmp(host, seats->entry->settings->process_id) == 0;
 	g_free(host);
-	if (!gone)
-		return true;
-	authors->gone = wwh_seat_process(author);
-	authors->gone_author = g_strdup(author);
-	return false;
+	return gone;
 }
 
 static int32_t index_of(const wwh_seat_table_t *table, uint64_t process)
--- a/src/libwaxwinghollow/entry_snapshot.c
+++ b/src/libwaxwinghollow/entry_snapshot.c
@@ -10,6 +10,7 @@
 	wwh_stream_t stream;
 	wwh_snapshot_keeper_t *keeper;
 	wwh_snapshot_parts_t *parts;
+	int64_t first; /* of the log, when it was last found trimmed */
 	int64_t waiting_upto; /* a snapshot to be put on the log, or -1 */
 	int64_t due_ms;
 	/* what install takes up */
@@ -19,6 +20,7 @@
 	wwh_counter_t *restored;
 	wwh_counter_t *mismatches;
 	wwh_counter_t *refused;
+	wwh_counter_t *too_old;
 };
 
 static bool decode(wwh_entry_snapshot_t *snapshot, GBytes *whole);
@@ -39,6 +41,7 @@
 	snapshot->restored = wwh_counters_get(counters, "snapshots.restored");
 	snapshot->mismatches =
 		wwh_counters_get(counters, "snapshots.mismatches");
+	snapshot->too_old = wwh_counters_get(counters, "snapshots.too_old");
 	snapshot->refused = wwh_counters_get(counters, "snapshots.refused");
 	return snapshot;
 }
@@ -113,6 +116,11 @@
 	return records;
 }
 
+void wwh_entry_snapshot_trimmed(wwh_entry_snapshot_t *snapshot, int64_t first)
+{
+	snapshot->first = first;
+}
+
 void wwh_entry_snapshot_scan(wwh_entry_snapshot_t *snapshot,
 			     const wwh_log_entry_t *log_entry,
 			     wwh_log_client_t *client)
@@ -130,7 +138,13 @@
 	wwh_record_clear(&record);
 	if (whole == NULL)
 		return;
-	if (decode(snapshot, whole)) {
+	/*
+	 * Records between the snapshot and what is left of the log are gone
+	 * too: the state would miss them. A newer snapshot will come.
+	 */
+	if (upto < snapshot->first)
+		wwh_counter_add(snapshot->too_old, 1);
+	else if (decode(snapshot, whole)) {
 		if (wwh_log_client_restore(client, upto, install, snapshot) ==
 		    WWH_STATUS_OK)
 			g_message("log %s: goes on from a snapshot up to "
--- a/src/libwaxwinghollow/include/private/entry_seats.h
+++ b/src/libwaxwinghollow/include/private/entry_seats.h
@@ -30,6 +30,12 @@
 /* This process's part of a minion's connections; at least 1. */
 int32_t wwh_seats_part(wwh_seats_t *seats, const char *minion, int32_t total);
 
+/*
+ * Whether the incarnation of that name surely runs no more. state_lock may be
+ * held.
+ */
+bool wwh_seats_author_gone(wwh_seats_t *seats, const char *author);
+
 /* What the platform's list says of an entry host. */
 void wwh_seats_host(wwh_seats_t *seats, const char *host, bool gone);
 
--- a/src/libwaxwinghollow/include/private/entry_snapshot.h
+++ b/src/libwaxwinghollow/include/private/entry_snapshot.h
@@ -28,6 +28,9 @@
 GPtrArray *wwh_entry_snapshot_due(wwh_entry_snapshot_t *snapshot,
 				  int64_t now_ms);
 
+/* Records below first are gone. */
+void wwh_entry_snapshot_trimmed(wwh_entry_snapshot_t *snapshot, int64_t first);
+
 /* A record of a trimmed stream; takes the snapshot up when it is whole. */
 void wwh_entry_snapshot_scan(wwh_entry_snapshot_t *snapshot,
 			     const wwh_log_entry_t *log_entry,
--- a/src/libwaxwinghollow/intent_key.c
+++ b/src/libwaxwinghollow/intent_key.c
@@ -94,6 +94,8 @@
 
 void wwh_intents_delete(wwh_intents_t *intents)
 {
+	if (intents == NULL)
+		return;
 	while (intents->first_key != NULL)
 		wwh_intents_remove(intents, intents->first_key);
 	while (intents->first_tombstone != NULL)
--- a/src/libwaxwinghollow/state.c
+++ b/src/libwaxwinghollow/state.c
@@ -73,6 +73,8 @@
 
 void wwh_state_delete(wwh_state_t *state)
 {
+	if (state == NULL)
+		return;
 	for (int32_t i = 0; i < state->worker_count; i++) {
 		wwh_state_end_grant(&state->workers[i]);
 		wwh_state_end_move(&state->workers[i]);
--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -16,6 +16,8 @@
 #include "../test_standins/include/minion_server.h"
 
 #define ENTRIES 2
+#define LATE_ENTRY ENTRIES /* started by one test */
+#define ENTRIES_MAX (ENTRIES + 1)
 #define WAIT_LIMIT_MS 15000
 
 /* Two entry processes' worth of code around one platform and one minion. */
@@ -24,8 +26,8 @@
 	char *platform_url;
 	int32_t platform_port;
 	minion_server_t *minion;
-	wwh_settings_t settings[ENTRIES];
-	wwh_entry_t *entries[ENTRIES];
+	wwh_settings_t settings[ENTRIES_MAX];
+	wwh_entry_t *entries[ENTRIES_MAX];
 	wwh_counters_t *counters;
 	wwh_upstream_t *client;
 } fixture_t;
@@ -69,6 +71,14 @@
 	const char *run;
 
 	wwh_headers_add(headers, "Host", "h");
+	if (g_str_has_prefix(target, "/log/")) {
+		static int32_t appends;
+		/* an id begins with the lowest offset that it may get */
+		char *id = g_strdup_printf("%016x%016x", ++appends, 0);
+
+		wwh_headers_add(headers, "Append-Id", id);
+		g_free(id);
+	}
 	if (key != NULL) {
 		wwh_headers_add(headers, "Idempotency-Key", key);
 		wwh_headers_add(headers, "X-Request-Id", key);
@@ -166,9 +176,12 @@
 		"\"region\": \"r\", \"caller_listen\": \"127.0.0.1:%d\","
 		"\"operator_listen\": \"127.0.0.1:%d\","
 		"\"peer_listen\": \"127.0.0.1:%d\", \"platform_url\": \"%s\","
+		"\"peers\": [\"%s\"], \"heartbeat_ms\": 200,"
+		"\"suspect_after_ms\": 1000,"
 		"\"log_append_timeout_ms\": 1000, \"ready_off_ms\": 0 }",
 		index, free_port(), free_port(), free_port(),
-		fixture->platform_url);
+		fixture->platform_url,
+		index > 0 ? fixture->settings[0].peer_listen : "127.0.0.1:1");
 	wwh_config_text_t source = { "settings", text, strlen(text) };
 
 	assert_int_equal(wwh_settings_parse(&source, &fixture->settings[index],
@@ -192,7 +205,8 @@
 	fail_msg("entry %d did not get ready", index);
 }
 
-static void publish(fixture_t *fixture)
+/* A configuration whose service has that deadline, as a change from empty. */
+static GBytes *make_change(fixture_t *fixture, int32_t deadline_ms)
 {
 	char *inventory = g_strdup_printf(
 		"{ \"workers\": [{ \"id\": \"w1\", \"address\": \"127.0.1.1\","
@@ -202,12 +216,13 @@
 		"\"worker\": \"w1\", \"address\": \"127.0.0.1\","
 		"\"port\": %d }] }",
 		fixture->minion->port);
-	const char *rules =
+	char *rules = g_strdup_printf(
 		"{ \"pools\": [{ \"id\": \"p\", \"lose_count\": 1 }],"
 		"\"services\": [{ \"id\": \"s\", \"path_prefix\": \"/s\","
-		"\"pool\": \"p\", \"team\": \"t\", \"deadline_ms\": 3000 }],"
+		"\"pool\": \"p\", \"team\": \"t\", \"deadline_ms\": %d }],"
 		"\"teams\": [{ \"id\": \"t\", \"cores\": 4,"
-		"\"memory_mb\": 100 }], \"windows\": [], \"rules\": {} }";
+		"\"memory_mb\": 100 }], \"windows\": [], \"rules\": {} }",
+		deadline_ms);
 	wwh_config_text_t sources[] = {
 		{ "inventory", inventory, strlen(inventory) },
 		{ "rules", rules, strlen(rules) },
@@ -216,25 +231,53 @@
 	wwh_config_t *config = wwh_config_new();
 	wwh_config_change_t *change;
 	GBytes *bytes;
-	gsize size;
-	const uint8_t *data;
-	told_t told;
 
 	assert_int_equal(wwh_config_parse(config, &sources[0], &sources[1],
 					  report_error, NULL),
 			 WWH_STATUS_OK);
 	change = wwh_config_diff(empty, config);
 	bytes = wwh_config_change_encode(change);
-	data = g_bytes_get_data(bytes, &size);
-	ask(fixture, wwh_entry_operator_port(fixture->entries[0]), "POST",
-	    "/v1/publish?base=0&author=test", NULL, data, size, &told);
-	assert_int_equal(told.status, 200);
-	told_clear(&told);
-	g_bytes_unref(bytes);
 	wwh_config_change_delete(change);
 	wwh_config_unref(config);
 	wwh_config_unref(empty);
 	g_free(inventory);
+	g_free(rules);
+	return bytes;
+}
+
+static void publish(fixture_t *fixture, int entry, int64_t base,
+		    int32_t deadline_ms, told_t *told)
+{
+	GBytes *bytes = make_change(fixture, deadline_ms);
+	char *target = g_strdup_printf(
+		"/v1/publish?base=%" G_GINT64_FORMAT "&author=test", base);
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+
+	ask(fixture, wwh_entry_operator_port(fixture->entries[entry]), "POST",
+	    target, NULL, data, size, told);
+	g_free(target);
+	g_bytes_unref(bytes);
+}
+
+static int64_t config_version(fixture_t *fixture, int entry)
+{
+	told_t told;
+	const char *at;
+	int64_t version;
+
+	ask(fixture, wwh_entry_operator_port(fixture->entries[entry]), "GET",
+	    "/v1/status", NULL, NULL, 0, &told);
+	at = strstr(told.body, "\"config_version\" : ");
+	/* the members' come first, the process's own is the last */
+	for (const char *next = at; next != NULL;
+	     next = strstr(next + 1, "\"config_version\" : "))
+		at = next;
+	assert_non_null(at);
+	version =
+		g_ascii_strtoll(at + strlen("\"config_version\" : "), NULL, 10);
+	told_clear(&told);
+	return version;
 }
 
 /* Until both have the configuration and a share of the minion's slots. */
@@ -252,11 +295,29 @@
 	fail_msg("entry %d does not serve", index);
 }
 
+static void start_entry(fixture_t *fixture, int index)
+{
+	wwh_message_t message;
+	char *host;
+	told_t told;
+
+	write_settings(fixture, index);
+	host = g_strdup_printf("/hosts/entry-%d?kind=entry&state=live&address="
+			       "%s&zone=a",
+			       index, fixture->settings[index].peer_listen);
+	ask(fixture, fixture->platform_port, "POST", host, NULL, NULL, 0,
+	    &told);
+	told_clear(&told);
+	g_free(host);
+	fixture->entries[index] = wwh_entry_new(&fixture->settings[index]);
+	if (wwh_entry_init(fixture->entries[index], &message) != WWH_STATUS_OK)
+		fail_msg("%s", message.text);
+}
+
 static int set_up(void **state)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	wwh_upstream_options_t options = wwh_upstream_options_defaults();
-	wwh_message_t message;
 	told_t told;
 
 	signal(SIGPIPE, SIG_IGN);
@@ -264,27 +325,13 @@
 	fixture->client = wwh_upstream_new(&options, fixture->counters);
 	fixture->minion = minion_server_start("m1", 0, 0);
 	start_platform(fixture);
-	for (int i = 0; i < ENTRIES; i++) {
-		char *host = g_strdup_printf(
-			"/hosts/entry-%d?kind=entry&state=live&address="
-			"127.0.0.1:1&zone=a",
-			i);
-
-		ask(fixture, fixture->platform_port, "POST", host, NULL, NULL,
-		    0, &told);
-		told_clear(&told);
-		g_free(host);
-	}
-	for (int i = 0; i < ENTRIES; i++) {
-		write_settings(fixture, i);
-		fixture->entries[i] = wwh_entry_new(&fixture->settings[i]);
-		if (wwh_entry_init(fixture->entries[i], &message) !=
-		    WWH_STATUS_OK)
-			fail_msg("%s", message.text);
-	}
+	for (int i = 0; i < ENTRIES; i++)
+		start_entry(fixture, i);
 	for (int i = 0; i < ENTRIES; i++)
 		wait_ready(fixture, i);
-	publish(fixture);
+	publish(fixture, 0, 0, 3000, &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
 	for (int i = 0; i < ENTRIES; i++)
 		wait_serving(fixture, i);
 	*state = fixture;
@@ -295,14 +342,13 @@
 {
 	fixture_t *fixture = *state;
 
-	for (int i = 0; i < ENTRIES; i++) {
+	for (int i = 0; i < ENTRIES_MAX; i++) {
 		if (fixture->entries[i] == NULL)
 			continue;
 		wwh_entry_finish(fixture->entries[i]);
 		wwh_entry_delete(fixture->entries[i]);
-	}
-	for (int i = 0; i < ENTRIES; i++)
 		wwh_settings_clear(&fixture->settings[i]);
+	}
 	kill(fixture->platform_pid, SIGKILL);
 	waitpid(fixture->platform_pid, NULL, 0);
 	minion_server_stop(fixture->minion);
@@ -444,6 +490,134 @@
 	fault(fixture, "lose_append_answers=0");
 }
 
+/*
+ * Two operators publish at the same time through different hosts, both from
+ * the same version. One change is in force everywhere, the other operator is
+ * told that someone else came first; a late repeat of the old one is refused.
+ */
+static void of_two_publications_one_wins(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t base = config_version(fixture, 0);
+	told_t first;
+	told_t second;
+
+	publish(fixture, 0, base, 2500, &first);
+	publish(fixture, 1, base, 2600, &second);
+	assert_int_equal(first.status, 200);
+	assert_int_equal(second.status, 409);
+	assert_non_null(strstr(second.body, "stale-base"));
+	for (int i = 0; i < ENTRIES; i++) {
+		for (int j = 0; config_version(fixture, i) != base + 1; j++) {
+			assert_true(j < 200);
+			g_usleep(20 * 1000);
+		}
+	}
+	told_clear(&first);
+	told_clear(&second);
+	publish(fixture, 0, base, 2500, &first);
+	assert_int_equal(first.status, 409);
+	assert_int_equal(config_version(fixture, 1), base + 1);
+	told_clear(&first);
+}
+
+/*
+ * The log is down for longer than a lease of seats lasts. Both hosts go on
+ * answering reading requests: nobody can be evicted without the log, so the
+ * members keep each other's leases by their votes.
+ */
+static void an_outage_longer_than_a_lease_stops_nobody(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	fault(fixture, "log_down=1");
+	g_usleep(6 * G_USEC_PER_SEC);
+	for (int i = 0; i < 2 * ENTRIES; i++) {
+		call(fixture, i % ENTRIES, "GET", "/s/read", NULL, &told);
+		assert_int_equal(told.status, 200);
+		told_clear(&told);
+	}
+	fault(fixture, "log_down=0");
+}
+
+/*
+ * A minion tells one host that it is leaving. Within a few seconds the other
+ * host sends it no more either, though the platform's list still calls it
+ * live. When it answers as before, work comes back.
+ */
+static void a_leaving_minion_gets_no_new_work_from_anybody(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told = { 0 };
+	int64_t runs;
+
+	minion_set_mode(fixture->minion, MINION_LEAVING);
+	call(fixture, 0, "GET", "/s/last", NULL, &told);
+	told_clear(&told);
+	for (int i = 0; i < 200; i++) {
+		char *text;
+
+		ask(fixture, wwh_entry_operator_port(fixture->entries[1]),
+		    "GET", "/v1/counters", NULL, NULL, 0, &told);
+		text = strstr(told.body, "minions.leaving 1");
+		told_clear(&told);
+		if (text != NULL)
+			break;
+		g_usleep(50 * 1000);
+	}
+	runs = fixture->minion->total_runs;
+	for (int i = 0; i < ENTRIES; i++) {
+		call(fixture, i, "GET", "/s/none", NULL, &told);
+		assert_int_equal(told.status, 503);
+		assert_string_equal(told.run, "not-run");
+		told_clear(&told);
+	}
+	assert_int_equal(fixture->minion->total_runs, runs);
+	minion_set_mode(fixture->minion, MINION_OK);
+}
+
+/*
+ * The records that a new process would replay are gone from the log. It takes
+ * up a snapshot that another process put there, and has the configuration in
+ * force as the others have it.
+ */
+static void a_new_process_starts_from_a_trimmed_log(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told = { 0 };
+
+	for (int i = 0; i < 4200; i++) {
+		ask(fixture, fixture->platform_port, "POST", "/log/control",
+		    NULL, (const uint8_t *)"filler", 6, &told);
+		assert_int_equal(told.status, 200);
+		told_clear(&told);
+	}
+	for (int i = 0;; i++) {
+		bool published = false;
+
+		for (int j = 0; j < ENTRIES; j++) {
+			ask(fixture,
+			    wwh_entry_operator_port(fixture->entries[j]), "GET",
+			    "/v1/counters", NULL, NULL, 0, &told);
+			published = published ||
+				    strstr(told.body,
+					   "snapshots.published 1") != NULL;
+			told_clear(&told);
+		}
+		if (published)
+			break;
+		assert_true(i < 400);
+		g_usleep(50 * 1000);
+	}
+	g_usleep(200 * 1000);
+	fault(fixture, "trim_to=control:4000");
+	start_entry(fixture, LATE_ENTRY);
+	wait_ready(fixture, LATE_ENTRY);
+	assert_int_equal(config_version(fixture, LATE_ENTRY),
+			 config_version(fixture, 0));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -453,6 +627,11 @@
 		cmocka_unit_test(
 			an_outage_of_the_log_refuses_only_what_needs_it),
 		cmocka_unit_test(lost_append_answers_run_nothing_twice),
+		cmocka_unit_test(of_two_publications_one_wins),
+		cmocka_unit_test(an_outage_longer_than_a_lease_stops_nobody),
+		cmocka_unit_test(a_new_process_starts_from_a_trimmed_log),
+		cmocka_unit_test(
+			a_leaving_minion_gets_no_new_work_from_anybody),
 	};
 
 	return cmocka_run_group_tests(tests, set_up, tear_down);
