Tell callers at once when all minions asked for more time; damp the list

Cause: while every minion's Retry-After lay beyond the deadline, requests were let in and given up on late; an older copy of the list of hosts could bring work back to a leaving minion; the generic hysteresis had no user. Ruled out: a longer time before a leaving minion counts as leaving. Conclusion: a refusal that is certain is given on arrival.

--- a/include/waxwinghollow/limiter.h
+++ b/include/waxwinghollow/limiter.h
@@ -38,11 +38,12 @@
  *	least), at most once in three run times and 100 ms: what was started
  *	before the last change has ended by then. A single refusal does not: a
  *	request given up at its deadline still keeps the minion busy for a
- *	moment. One slot is added after a time without a change: after 1 s,
- *	doubled up to 16 s each time it was refused (there one refusal is
- *	enough), halved each time it was not. The newer of two numbers wins (a
- *	counter goes along with it), of two with the same counter the smaller
- *	one.
+ *	moment. One slot is added after a time without a change: after 1 s, up
+ *	to the last number that was refused when tried; that one is tried after
+ *	a time that doubles up to 16 s each time it is refused again (one
+ *	refusal is enough then) and halves each time it is not. The newer of
+ *	two numbers wins (a counter goes along with it), of two with the same
+ *	counter the smaller one.
  *
  *	Run times that grow under load are not used as a sign: measured, it
  *	made no difference, and run times also grow for other reasons.
@@ -92,7 +93,8 @@
 	int32_t bears; /* 1 to declared */
 	uint32_t version; /* of the number; what peers say is compared by it */
 	int64_t changed_ms;
-	int64_t wait_ms; /* without a refusal, before one slot is added */
+	int32_t ceiling; /* the last number refused when tried; 0: none */
+	int64_t wait_ms; /* before the ceiling is tried again */
 	bool raised; /* by the last change */
 	int32_t score; /* of refusals against answers since then */
 } wwh_bearing_t;
--- a/include/waxwinghollow/shift.h
+++ b/include/waxwinghollow/shift.h
@@ -19,8 +19,12 @@
  *	  requests, which 50 requests a second bring in that time.
  *	- Rate limit: a bucket of permits. A burst covers a rack or a zone
  *	  that is truly gone; beyond it one permit a second.
- *	- Hysteresis: a band between the level that switches on and the one
- *	  that switches off, and a least time in each state.
+ *	- Hysteresis: what is listed as leaving is out at once, but back only
+ *	  when it has been listed live for 2 s without a break. The list lags
+ *	  and its copies differ; an older answer in between would send new
+ *	  work to a minion that is about to stop. 2 s is two of its readings.
+ *	  (A slow minion is out above four times and back below two times its
+ *	  peers' run time, see ejection.h.)
  *
  * ORDER OF CALLS
  *	Each part on its own; the _init function first where there is one.
@@ -30,6 +34,7 @@
 #include <stdint.h>
 
 #define WWH_SHIFT_RAMP_MS 10000
+#define WWH_SHIFT_RETURN_MS 2000
 #define WWH_SHIFT_NO_RAMP (INT64_MIN / 4) /* a from_ms that is long past */
 
 /* The part of the limit, 0.1 to 1, that is in use since from_ms. */
@@ -51,16 +56,4 @@
 /* Takes one permit; false when there is none. */
 bool wwh_shift_bucket_take(wwh_shift_bucket_t *bucket, int64_t now_ms);
 
-typedef struct {
-	double on_above;
-	double off_below; /* not above on_above */
-	int64_t least_ms; /* in each state */
-	bool on;
-	int64_t since_ms;
-} wwh_shift_switch_t;
-
-/* The state after the value was seen. */
-bool wwh_shift_switch_update(wwh_shift_switch_t *sw, int64_t now_ms,
-			     double value);
-
 #endif
--- a/src/libwaxwinghollow/dispatch.c
+++ b/src/libwaxwinghollow/dispatch.c
@@ -27,6 +27,7 @@
 				wwh_service_state_t *service,
 				const wwh_team_state_t *team);
 static bool any_takes_work(const wwh_service_state_t *service);
+static int32_t blocked_ms(const wwh_service_state_t *service, int64_t now_ms);
 static bool over_quota(const wwh_dispatch_t *dispatch,
 		       const wwh_team_state_t *team);
 static wwh_request_record_t *make_record(const wwh_dispatch_request_t *request,
@@ -207,6 +208,8 @@
 				wwh_service_state_t *service,
 				const wwh_team_state_t *team)
 {
+	int64_t deadline_ms;
+
 	if (dispatch->closed)
 		return WWH_ERROR_SHUTTING_DOWN;
 	if (!dispatch->set_up)
@@ -218,6 +221,11 @@
 		return WWH_ERROR_NO_MINION;
 	if (over_quota(dispatch, team))
 		return WWH_ERROR_QUOTA_EXCEEDED;
+	deadline_ms = request->deadline_ms;
+	if (deadline_ms == 0)
+		deadline_ms = now_ms + service->deadline_ms;
+	if (blocked_ms(service, now_ms) > deadline_ms - now_ms)
+		return WWH_ERROR_WAIT_TOO_LONG;
 	if (dispatch->waiting_bytes + request->bytes >
 	    dispatch->options.waiting_bytes_max)
 		return WWH_ERROR_TOO_MANY_REQUESTS;
@@ -236,6 +244,23 @@
 	return false;
 }
 
+/* Until the first minion is over the time that it asked to be left alone. */
+static int32_t blocked_ms(const wwh_service_state_t *service, int64_t now_ms)
+{
+	int64_t first_ms = INT64_MAX;
+
+	for (guint i = 0; i < service->minions->len; i++) {
+		const wwh_minion_record_t *minion =
+			g_ptr_array_index(service->minions, i);
+
+		if (wwh_minion_takes_work(minion) && minion->limiter.share > 0)
+			first_ms = MIN(first_ms, minion->blocked_until_ms);
+	}
+	if (first_ms == INT64_MAX || first_ms <= now_ms)
+		return 0;
+	return (int32_t)MIN(first_ms - now_ms, INT32_MAX);
+}
+
 /* This process's part of the team's quota goes with its part of the seats. */
 static bool over_quota(const wwh_dispatch_t *dispatch,
 		       const wwh_team_state_t *team)
@@ -283,6 +308,9 @@
 		retry_after_ms = wwh_dispatch_retry_after(
 			dispatch, now_ms, service,
 			request->urgent || service->urgent, kind);
+		if (kind == WWH_ERROR_WAIT_TOO_LONG)
+			retry_after_ms = MAX(retry_after_ms,
+					     blocked_ms(service, now_ms));
 	}
 	wwh_dispatch_emit_end(dispatch, request->id, kind, retry_after_ms);
 }
--- a/src/libwaxwinghollow/dispatch_setup.c
+++ b/src/libwaxwinghollow/dispatch_setup.c
@@ -120,8 +120,11 @@
 		return;
 	took_work = wwh_minion_takes_work(record);
 	record->state = state;
-	if (!took_work && wwh_minion_takes_work(record))
+	if (!took_work && wwh_minion_takes_work(record)) {
 		wwh_ejection_init(&record->ejection, now_ms);
+		record->blocked_until_ms = MAX(record->blocked_until_ms,
+					       now_ms + WWH_SHIFT_RETURN_MS);
+	}
 	if (record->service == NULL)
 		return;
 	wwh_dispatch_capacity(record->service);
--- a/src/libwaxwinghollow/limiter.c
+++ b/src/libwaxwinghollow/limiter.c
@@ -15,6 +15,7 @@
 #define RAISE_FIRST_MS 1000
 #define RAISE_MAX_MS 16000
 
+static void note_ceiling(wwh_bearing_t *bearing);
 static void set_bears(wwh_bearing_t *bearing, int64_t now_ms, int32_t bears);
 
 int32_t wwh_limiter_part(const char *minion, int32_t total, int32_t seat_count,
@@ -103,8 +104,8 @@
 	bearing->score += REFUSAL_SCORE;
 	if (!bearing->raised && bearing->score < CUT_SCORE)
 		return false;
-	if (bearing->raised && bearing->wait_ms < RAISE_MAX_MS)
-		bearing->wait_ms *= 2;
+	if (bearing->raised)
+		note_ceiling(bearing);
 	set_bears(bearing, now_ms, bearing->bears - (less > 1 ? less : 1));
 	bearing->version++;
 	return true;
@@ -112,10 +113,14 @@
 
 bool wwh_bearing_advance(wwh_bearing_t *bearing, int64_t now_ms)
 {
+	bool at_ceiling = bearing->bears + 1 >= bearing->ceiling;
+	int64_t wait_ms = at_ceiling ? bearing->wait_ms : RAISE_FIRST_MS;
+
 	if (bearing->bears >= bearing->declared ||
-	    now_ms - bearing->changed_ms < bearing->wait_ms)
+	    now_ms - bearing->changed_ms < wait_ms)
 		return false;
-	if (bearing->raised && bearing->wait_ms > RAISE_FIRST_MS)
+	if (bearing->raised && bearing->bears >= bearing->ceiling &&
+	    bearing->wait_ms > RAISE_FIRST_MS)
 		bearing->wait_ms /= 2;
 	set_bears(bearing, now_ms, bearing->bears + 1);
 	bearing->version++;
@@ -131,14 +136,22 @@
 	    (version == bearing->version && bears >= bearing->bears))
 		return false;
 	/* Another process has tried one more and was refused. */
-	if (bearing->raised && bears < bearing->bears &&
-	    bearing->wait_ms < RAISE_MAX_MS)
-		bearing->wait_ms *= 2;
+	if (bearing->raised && bears < bearing->bears)
+		note_ceiling(bearing);
 	set_bears(bearing, now_ms, bears);
 	bearing->version = version;
 	return true;
 }
 
+/* One more was tried and refused: the next try is later. */
+static void note_ceiling(wwh_bearing_t *bearing)
+{
+	if (bearing->bears <= bearing->ceiling &&
+	    bearing->wait_ms < RAISE_MAX_MS)
+		bearing->wait_ms *= 2;
+	bearing->ceiling = bearing->bears;
+}
+
 static void set_bears(wwh_bearing_t *bearing, int64_t now_ms, int32_t bears)
 {
 	bearing->raised = bears > bearing->bears;
--- a/src/libwaxwinghollow/shift.c
+++ b/src/libwaxwinghollow/shift.c
@@ -40,15 +40,3 @@
 	bucket->permits -= 1;
 	return true;
 }
-
-bool wwh_shift_switch_update(wwh_shift_switch_t *sw, int64_t now_ms,
-			     double value)
-{
-	bool wanted = sw->on ? value >= sw->off_below : value > sw->on_above;
-
-	if (wanted != sw->on && now_ms - sw->since_ms >= sw->least_ms) {
-		sw->on = wanted;
-		sw->since_ms = now_ms;
-	}
-	return sw->on;
-}
--- a/src/test_dispatch/test_dispatch.c
+++ b/src/test_dispatch/test_dispatch.c
@@ -184,6 +184,56 @@
 	rig_delete(rig);
 }
 
+/* It says "in 5 s", longer than any deadline: callers are told at once. */
+static void a_long_retry_after_of_a_minion_is_passed_on(void **unused)
+{
+	rig_t *rig = rig_new(1, 8);
+	wwh_dispatch_result_t result = { .request = 1,
+					 .minion = "m0",
+					 .outcome = WWH_OUTCOME_REFUSED,
+					 .retry_after_ms = 5000,
+					 .latency_ms = 1 };
+
+	(void)unused;
+	rig_arrive(rig, 0, 1, 1);
+	wwh_dispatch_finished(rig->dispatch, 10, &result);
+	rig_drain(rig);
+	rig_arrive(rig, 20, 2, 2);
+	assert_int_equal(rig->ends->len, 2);
+	assert_int_equal(rig_end(rig, 0).kind, WWH_ERROR_MINION_REFUSED);
+	assert_true(rig_end(rig, 0).retry_after_ms >= 5000);
+	assert_int_equal(rig_end(rig, 1).kind, WWH_ERROR_WAIT_TOO_LONG);
+	assert_true(rig_end(rig, 1).retry_after_ms >= 4990);
+	rig_delete(rig);
+}
+
+/*
+ * m0 is leaving. A copy of the list that lags says "live" again in between;
+ * m0 must not get new work by that. It does when it stays live.
+ */
+static void a_list_that_flaps_brings_no_work_to_a_leaving_minion(void **unused)
+{
+	rig_t *rig = rig_new(2, 8);
+
+	(void)unused;
+	for (uint64_t i = 0; i < 40; i++) {
+		int64_t now_ms = (int64_t)i * 1000;
+
+		wwh_dispatch_minion_state(rig->dispatch, now_ms, "m0",
+					  i % 2 == 0 ? WWH_MINION_LEAVING
+						     : WWH_MINION_LIVE);
+		rig_arrive(rig, now_ms + 900, i, i);
+		rig_finish(rig, now_ms + 920, (guint)i, WWH_OUTCOME_ANSWERED,
+			   20);
+		assert_string_equal(rig_start(rig, (guint)i).minion, "m1");
+	}
+	wwh_dispatch_minion_state(rig->dispatch, 42000, "m1",
+				  WWH_MINION_LEAVING);
+	rig_arrive(rig, 43000, 100, 1);
+	assert_string_equal(rig_start(rig, 40).minion, "m0");
+	rig_delete(rig);
+}
+
 /* A team may have 4 requests at once; its fifth is refused, others' not. */
 static void a_quota_holds_for_its_team_only(void **unused)
 {
@@ -327,6 +377,9 @@
 		cmocka_unit_test(
 			a_retry_goes_to_another_minion_and_the_end_is_truthful),
 		cmocka_unit_test(the_retry_after_of_a_minion_is_heeded),
+		cmocka_unit_test(a_long_retry_after_of_a_minion_is_passed_on),
+		cmocka_unit_test(
+			a_list_that_flaps_brings_no_work_to_a_leaving_minion),
 		cmocka_unit_test(a_quota_holds_for_its_team_only),
 		cmocka_unit_test(a_share_is_given_up_only_when_settled),
 		cmocka_unit_test(nothing_starts_without_a_lease),
--- a/src/test_shift/test_shift.c
+++ b/src/test_shift/test_shift.c
@@ -42,36 +42,12 @@
 	assert_false(wwh_shift_bucket_take(&bucket, 0));
 }
 
-/* A value that swings around one level would flip a plain comparison. */
-static void a_swinging_value_does_not_flap(void **unused)
-{
-	wwh_shift_switch_t sw = { .on_above = 4,
-				  .off_below = 2,
-				  .least_ms = 1000 };
-	int32_t changes = 0;
-	bool was = false;
-
-	(void)unused;
-	for (int64_t now_ms = 2000; now_ms < 12000; now_ms += 100) {
-		double value = now_ms / 100 % 2 == 0 ? 4.5 : 3.5;
-		bool on = wwh_shift_switch_update(&sw, now_ms, value);
-
-		changes += on != was;
-		was = on;
-	}
-	assert_int_equal(changes, 1);
-	assert_false(wwh_shift_switch_update(&sw, 12000, 1));
-	assert_false(wwh_shift_switch_update(&sw, 12100, 9));
-	assert_true(wwh_shift_switch_update(&sw, 13100, 9));
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_new_minion_is_loaded_step_by_step),
 		cmocka_unit_test(permits_run_out_and_come_back_slowly),
 		cmocka_unit_test(a_larger_bucket_has_its_permits_at_once),
-		cmocka_unit_test(a_swinging_value_does_not_flap),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
