--- a/src/test_conductor/test_conductor.c
+++ b/src/test_conductor/test_conductor.c
@@ -325,6 +325,38 @@
 	return count;
 }
 
+/*
+ * The rule names the zone as the failure to survive. A zone fails whenever in
+ * the wave: no pool goes over its budget, before the list shows it or after.
+ */
+static void a_zone_in_reserve_may_fail_at_any_time(void **unused)
+{
+	(void)unused;
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		sim_options_t options =
+			sim_options_defaults(fleet_fixture_bounce());
+		sim_t sim;
+
+		options.seed = seed;
+		options.fixture.rule.lose_count = 7;
+		options.fixture.rule.lose_percent = 70;
+		options.fixture.rule.reserve = WWH_DOMAIN_ZONE;
+		options.buffer_weight = 0;
+		options.check_state = true;
+		sim_init(&sim, &options);
+		sim_start_waves(&sim);
+		run(&sim, 31 * (int32_t)seed);
+		assert_true(granted_since(&sim, 0) > 0);
+		for (int32_t w = 0; w < 50; w++) {
+			if (w / 4 % 3 == (int32_t)seed % 3)
+				sim_fail_worker(&sim, w, 900000);
+		}
+		run_waves(&sim, 8000);
+		assert_clean(&sim);
+		sim_finish(&sim);
+	}
+}
+
 /*
  * Workers of a pool fail one after another, a second apart, as when a switch
  * dies by degrees. From the first that the list shows on nobody else is taken
@@ -609,6 +641,7 @@
 		cmocka_unit_test(a_request_in_progress_is_never_cut_off),
 		cmocka_unit_test(a_rack_lost_in_mid_wave_stays_in_the_budget),
 		cmocka_unit_test(a_zone_lost_in_mid_wave_pauses_it),
+		cmocka_unit_test(a_zone_in_reserve_may_fail_at_any_time),
 		cmocka_unit_test(a_wave_holds_while_failures_come),
 		cmocka_unit_test(the_target_with_35_failures),
 		cmocka_unit_test(overlapping_waves_of_two_operators),
