--- a/src/libwaxwinghollow/conductor_worker.c
+++ b/src/libwaxwinghollow/conductor_worker.c
@@ -183,6 +183,12 @@
 	/* Limits don't run on while nothing could be done. */
 	if (actor->look.silent_ms > actor->conductor->options.answer_limit_ms)
 		actor->entered_ms = actor->conductor->now_ms;
+	/* Its reboot under this grant is still to come, or not over. */
+	if (actor->boots_before == WWH_FLEET_UNKNOWN &&
+	    (status->state == WWH_WORKER_DRAINING ||
+	     status->state == WWH_WORKER_DRAINED ||
+	     status->state == WWH_WORKER_REBOOTING))
+		actor->boots_before = status->boots;
 	if (status->state == WWH_WORKER_DOWN)
 		step(actor, EVENT_DOWN);
 	else if (status->fence < actor->grant)
