--- a/src/libwaxwinghollow/fleet_view.c
+++ b/src/libwaxwinghollow/fleet_view.c
@@ -102,7 +102,7 @@
 				  const wwh_worker_t *worker)
 {
 	wwh_fleet_worker_t item = {
-		.id = keep(view, worker->id),
+		.id = g_string_chunk_insert(view->strings, worker->id),
 		.size = { worker->cores * 1000, worker->memory_mb,
 			  worker->accelerators },
 		.grant = WWH_NO_OFFSET,
@@ -134,7 +134,7 @@
 	assert(!view->sealed);
 	assert(job->worker < (int32_t)view->workers.items->len);
 	assert(job->pool < (int32_t)view->pools.items->len);
-	item.id = keep(view, job->id);
+	item.id = g_string_chunk_insert(view->strings, job->id);
 	item.team = keep(view, job->team);
 	item.group = keep(view, job->group);
 	table_add(&view->jobs, item.id, &item);
@@ -404,10 +404,12 @@
 
 static void table_add(table_t *table, const char *id, const void *item)
 {
-	assert(table_find(table, id) == WWH_FLEET_NONE);
+	bool is_new;
+
 	g_array_append_vals(table->items, item, 1);
-	g_hash_table_insert(table->indexes, (gpointer)id,
-			    GINT_TO_POINTER((gint)table->items->len));
+	is_new = g_hash_table_insert(table->indexes, (gpointer)id,
+				     GINT_TO_POINTER((gint)table->items->len));
+	assert(is_new);
 }
 
 static const char *keep(wwh_fleet_view_t *view, const char *text)
