Keep the numbers of record kinds for good

Cause: a kind that was put in the middle renumbered all after it, and processes of two releases would have read each other's records as others. Ruled out: gaps in the numbers (they run out, and the order said which stream a kind belongs to). Conclusion: new kinds go to the end; the stream of a kind is listed; a test has the bytes of two records.

--- a/include/waxwinghollow/record.h
+++ b/include/waxwinghollow/record.h
@@ -57,6 +57,7 @@
 /* Names of wwh_stream_t, in the same order; also their names on the log. */
 extern const char *const wwh_stream_names[WWH_STREAM_COUNT];
 
+/* New kinds go to the end: the number is what stands on the log. */
 typedef enum {
 	WWH_RECORD_CONFIG = 0,
 	WWH_RECORD_LEASE_TAKE,
@@ -86,7 +87,7 @@
 	WWH_RECORD_JOB_FAILED,
 	WWH_RECORD_SEAT, /* see seat.h */
 	WWH_RECORD_SNAPSHOT, /* of either stream */
-	WWH_RECORD_INTENTS, /* a batch; this and below: stream intents */
+	WWH_RECORD_INTENTS, /* a batch; this and the next three: intents */
 	WWH_RECORD_RESULTS, /* a batch */
 	WWH_RECORD_ABANDON,
 	WWH_RECORD_EXPIRE_KEYS,
--- a/src/libwaxwinghollow/record.c
+++ b/src/libwaxwinghollow/record.c
@@ -67,11 +67,17 @@
 
 bool wwh_record_kind_in_stream(wwh_record_kind_t kind, wwh_stream_t stream)
 {
-	if (kind == WWH_RECORD_SNAPSHOT)
+	switch (kind) {
+	case WWH_RECORD_SNAPSHOT:
 		return true;
-	if (stream == WWH_STREAM_INTENTS)
-		return kind >= WWH_RECORD_INTENTS;
-	return kind < WWH_RECORD_SNAPSHOT;
+	case WWH_RECORD_INTENTS:
+	case WWH_RECORD_RESULTS:
+	case WWH_RECORD_ABANDON:
+	case WWH_RECORD_EXPIRE_KEYS:
+		return stream == WWH_STREAM_INTENTS;
+	default:
+		return stream == WWH_STREAM_CONTROL;
+	}
 }
 
 void wwh_record_set(char **field, const char *text)
--- a/src/libwaxwinghollow/state.c
+++ b/src/libwaxwinghollow/state.c
@@ -25,18 +25,36 @@
 				    const wwh_record_t *record,
 				    wwh_verdict_detail_t *detail);
 
-/* By wwh_record_kind_t, up to WWH_RECORD_SNAPSHOT. */
-static const apply_t appliers[WWH_RECORD_SNAPSHOT + 1] = {
-	wwh_apply_config,    wwh_apply_lease,	  wwh_apply_lease,
-	wwh_apply_lease,     wwh_apply_grant,	  wwh_apply_grant,
-	wwh_apply_worker,    wwh_apply_worker,	  wwh_apply_worker,
-	wwh_apply_worker,    wwh_apply_move,	  wwh_apply_move,
-	wwh_apply_move,	     wwh_apply_wave,	  wwh_apply_wave,
-	wwh_apply_wave,	     wwh_apply_wave,	  wwh_apply_wave,
-	wwh_apply_rehearsal, wwh_apply_rehearsal, wwh_apply_job,
-	wwh_apply_job,	     wwh_apply_job,	  wwh_apply_job,
-	wwh_apply_job,	     wwh_apply_job,	  wwh_apply_seat,
-	apply_snapshot,
+/* Of the kinds of stream control; NULL for the others. */
+static const apply_t appliers[WWH_RECORD_KIND_COUNT] = {
+	[WWH_RECORD_CONFIG] = wwh_apply_config,
+	[WWH_RECORD_LEASE_TAKE] = wwh_apply_lease,
+	[WWH_RECORD_LEASE_RENEW] = wwh_apply_lease,
+	[WWH_RECORD_LEASE_RELEASE] = wwh_apply_lease,
+	[WWH_RECORD_GRANT_REQUEST] = wwh_apply_grant,
+	[WWH_RECORD_GRANT_END] = wwh_apply_grant,
+	[WWH_RECORD_WORKER_FAILED] = wwh_apply_worker,
+	[WWH_RECORD_WORKER_RETURNED] = wwh_apply_worker,
+	[WWH_RECORD_WORKER_QUARANTINE] = wwh_apply_worker,
+	[WWH_RECORD_WORKER_UNQUARANTINE] = wwh_apply_worker,
+	[WWH_RECORD_MOVE_START] = wwh_apply_move,
+	[WWH_RECORD_MOVE_FINISH] = wwh_apply_move,
+	[WWH_RECORD_MOVE_CANCEL] = wwh_apply_move,
+	[WWH_RECORD_WAVE_START] = wwh_apply_wave,
+	[WWH_RECORD_WAVE_PAUSE] = wwh_apply_wave,
+	[WWH_RECORD_WAVE_RESUME] = wwh_apply_wave,
+	[WWH_RECORD_WAVE_ABORT] = wwh_apply_wave,
+	[WWH_RECORD_WAVE_FINISH] = wwh_apply_wave,
+	[WWH_RECORD_REHEARSAL_START] = wwh_apply_rehearsal,
+	[WWH_RECORD_REHEARSAL_END] = wwh_apply_rehearsal,
+	[WWH_RECORD_JOB_SUBMIT] = wwh_apply_job,
+	[WWH_RECORD_JOB_CANCEL] = wwh_apply_job,
+	[WWH_RECORD_JOB_PLACE] = wwh_apply_job,
+	[WWH_RECORD_JOB_CHECKPOINTED] = wwh_apply_job,
+	[WWH_RECORD_JOB_DONE] = wwh_apply_job,
+	[WWH_RECORD_JOB_FAILED] = wwh_apply_job,
+	[WWH_RECORD_SEAT] = wwh_apply_seat,
+	[WWH_RECORD_SNAPSHOT] = apply_snapshot,
 };
 
 static int compare_ids(const void *a, const void *b, void *unused)
--- a/src/test_record/test_record.c
+++ b/src/test_record/test_record.c
@@ -214,6 +214,44 @@
 					      WWH_STREAM_INTENTS));
 }
 
+/*
+ * A release that reads another number for a kind, or its fields in another
+ * order, would reach other verdicts than the processes that still run: what
+ * stands on the log must not change.
+ */
+static void what_stands_on_the_log_stays(void **unused)
+{
+	static const char grant[] = "\x97\x01\x04\xa3"
+				    "e.1"
+				    "\xa2w1\x00\xa1k\x0c";
+	static const char expire[] = "\x95\x01\x1f\xa3"
+				     "e.1"
+				     "\x07\x05";
+	wwh_record_t record;
+	GBytes *bytes;
+
+	(void)unused;
+	wwh_record_init(&record, WWH_RECORD_GRANT_REQUEST, "e.1");
+	wwh_record_set(&record.body.grant_request.worker, "w1");
+	wwh_record_set(&record.body.grant_request.owner, "k");
+	record.body.grant_request.fence = 12;
+	bytes = encode(&record);
+	assert_int_equal(g_bytes_get_size(bytes), sizeof(grant) - 1);
+	assert_memory_equal(g_bytes_get_data(bytes, NULL), grant,
+			    sizeof(grant) - 1);
+	g_bytes_unref(bytes);
+	wwh_record_clear(&record);
+	wwh_record_init(&record, WWH_RECORD_EXPIRE_KEYS, "e.1");
+	record.body.expire_keys.keys_upto = 7;
+	record.body.expire_keys.tombstones_upto = 5;
+	bytes = encode(&record);
+	assert_int_equal(g_bytes_get_size(bytes), sizeof(expire) - 1);
+	assert_memory_equal(g_bytes_get_data(bytes, NULL), expire,
+			    sizeof(expire) - 1);
+	g_bytes_unref(bytes);
+	wwh_record_clear(&record);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -224,6 +262,7 @@
 		cmocka_unit_test(foreign_shapes_are_refused),
 		cmocka_unit_test(a_huge_claim_is_refused),
 		cmocka_unit_test(a_kind_belongs_to_its_stream),
+		cmocka_unit_test(what_stands_on_the_log_stays),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
