--- a/src/test_bench/bench_state.c
+++ b/src/test_bench/bench_state.c
@@ -14,6 +14,7 @@
 
 #define AUTHOR "entry-1.1"
 #define ROUNDS 20
+#define JOBS 20000
 #define KEYS 65000
 #define BATCH 50
 #define NS_PER_S 1000000000.0
@@ -243,6 +244,66 @@
 	wwh_state_delete(bench.state);
 }
 
+/* Jobs that are submitted and placed, then done. */
+static void bench_jobs(void)
+{
+	fleet_t fleet = { .workers = 5100,
+			  .pools = 232,
+			  .zones = 17,
+			  .rule = ", \"lose_count\": 4",
+			  .odd_worker = -1 };
+	double placed_ns = 0;
+	double done_ns = 0;
+	double before;
+	double heap;
+	size_t size;
+	double encode_ns;
+	double decode_ns;
+	wwh_verdict_t verdict;
+	wwh_record_t record;
+	int64_t first;
+	bench_t bench;
+
+	start_bench(&bench, &fleet);
+	before = heap_bytes();
+	first = bench.next;
+	for (int32_t i = 0; i < JOBS; i++) {
+		char *job = g_strdup_printf("plat-%08d", i);
+		char *worker = fleet_worker(i % fleet.workers);
+		wwh_worker_view_t view;
+
+		must(wwh_state_worker(bench.state, worker, &view), "worker");
+		submit_record(&record, AUTHOR, job, view.pool, false);
+		placed_ns += apply(&bench, &record, &verdict);
+		job_record(&record, WWH_RECORD_JOB_PLACE, AUTHOR, job, worker,
+			   bench.fence[wwh_shard_of_pool(view.pool)]);
+		placed_ns += apply(&bench, &record, &verdict);
+		must(verdict == WWH_VERDICT_ACCEPTED, "place");
+		g_free(job);
+		g_free(worker);
+	}
+	heap = heap_bytes() - before;
+	time_snapshot(bench.state, &encode_ns, &decode_ns, &size);
+	for (int32_t i = 0; i < JOBS; i++) {
+		char *job = g_strdup_printf("plat-%08d", i);
+
+		job_record(&record, WWH_RECORD_JOB_DONE, AUTHOR, job, "",
+			   first + 2 * i + 1);
+		done_ns += apply(&bench, &record, &verdict);
+		must(verdict == WWH_VERDICT_ACCEPTED, "done");
+		g_free(job);
+	}
+	printf("\njobs: %d on 5100 workers\n", JOBS);
+	printf("  submit, place         %.2f us a record\n",
+	       placed_ns / (2.0 * JOBS) / NS_PER_US);
+	printf("  done                  %.2f us a record\n",
+	       done_ns / JOBS / NS_PER_US);
+	printf("  bytes a job           %.0f\n", heap / JOBS);
+	printf("  snapshot with them    %zu bytes, %.1f ms, back %.1f ms\n",
+	       size, encode_ns / NS_PER_MS, decode_ns / NS_PER_MS);
+	wwh_state_delete(bench.state);
+}
+
 static void apply_intents(wwh_intents_t *intents, int64_t offset,
 			  wwh_record_t *record)
 {
@@ -333,6 +394,7 @@
 	       "snapshot/B encode/ms decode/ms check/ms\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
 		bench_size(&sizes[i]);
+	bench_jobs();
 	bench_intents();
 	return 0;
 }
