Take the seats' locks in one order; renew the lease by a newer table

Cause: read of the code by the author of the seats: the round held the seats' lock and took the state's, peers' frames took them the other way; the table was copied before the read that renews the lease, so an eviction between the two was missed; one time served all evictions under way; connections were bounded without what is lent. Ruled out: a wider lock over both, because votes are answered under load. Conclusion: read first, then table; a time for each eviction; the dispatcher's own number of connections.

--- a/src/libwaxwinghollow/entry_caller.c
+++ b/src/libwaxwinghollow/entry_caller.c
@@ -1,6 +1,5 @@
 #include "private/entry_internal.h"
 #include "private/entry_peers.h"
-#include "private/entry_seats.h"
 #include "private/intent_writer.h"
 #include "private/request_table.h"
 
@@ -304,8 +303,7 @@
 	} else {
 		request.address = minion->address;
 		request.port = minion->port;
-		request.max_connections = wwh_seats_part(
-			call->entry->seats, minion->id, minion->connections);
+		request.max_connections = start->connections;
 		wwh_upstream_send(call->entry->upstream, &request, answer);
 	}
 	if (newest != NULL)
--- a/src/libwaxwinghollow/entry_seats.c
+++ b/src/libwaxwinghollow/entry_seats.c
@@ -5,7 +5,6 @@
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
 #include "private/request_table.h"
-#include "waxwinghollow/limiter.h"
 
 /* Votes are asked for once the lease has less than this left. */
 #define VOTE_BELOW_MS 2500
@@ -26,8 +25,7 @@
 	int64_t next_vote_ms;
 	int64_t next_act_ms;
 	GHashTable *gone; /* set of hosts that the list calls gone */
-	uint64_t acked_subject; /* whose last acknowledgement was seen */
-	int64_t acked_ms;
+	GHashTable *acked_ms; /* process to when its last ACK was seen */
 	wwh_counter_t *held;
 	wwh_counter_t *records;
 	wwh_counter_t *votes;
@@ -43,7 +41,7 @@
 
 static void copy_table(wwh_seats_t *seats);
 static void set_share(wwh_seats_t *seats, int64_t now_ms);
-static void renew_lease(wwh_seats_t *seats, int64_t now_ms);
+static void renew_lease(wwh_seats_t *seats, int64_t sent_ms);
 static bool plan(wwh_seats_t *seats, int64_t now_ms, bool giving,
 		 wwh_seat_record_t *record);
 static bool plan_giving(wwh_seats_t *seats, wwh_seat_record_t *record);
@@ -55,6 +53,8 @@
 static bool plan_gone(wwh_seats_t *seats, wwh_seat_record_t *record);
 static bool look_at_author(const char *author, int64_t offset,
 			   void *client_data);
+static int64_t acked_since(wwh_seats_t *seats, uint64_t process,
+			   int64_t now_ms);
 static bool author_gone(wwh_seats_t *seats, const char *author);
 static int32_t index_of(const wwh_seat_table_t *table, uint64_t process);
 static void submit(wwh_seats_t *seats, const wwh_seat_record_t *record);
@@ -67,6 +67,8 @@
 	seats->process = wwh_seat_process(entry->author);
 	g_mutex_init(&seats->lock);
 	wwh_seat_table_init(&seats->table, WWH_STATE_SEATS);
+	seats->acked_ms = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, g_free);
 	seats->gone =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	seats->held = wwh_counters_get(entry->counters, "seats.held");
@@ -81,6 +83,7 @@
 	if (seats == NULL)
 		return;
 	g_hash_table_destroy(seats->gone);
+	g_hash_table_destroy(seats->acked_ms);
 	g_mutex_clear(&seats->lock);
 	g_free(seats);
 }
@@ -88,13 +91,19 @@
 void wwh_seats_round(wwh_seats_t *seats, bool giving)
 {
 	int64_t now_ms = wwh_now_ms();
+	/*
+	 * The read first, the table after it: a table that is older than the
+	 * read might miss the eviction that the read brought, and the lease
+	 * would be renewed by it.
+	 */
+	int64_t sent_ms = wwh_entry_log_read_sent_ms(seats->entry->log);
 	wwh_seat_record_t record;
 	bool act;
 	bool ask = false;
 
 	copy_table(seats);
 	g_mutex_lock(&seats->lock);
-	renew_lease(seats, now_ms);
+	renew_lease(seats, sent_ms);
 	act = now_ms >= seats->next_act_ms &&
 	      plan(seats, now_ms, giving, &record);
 	if (act)
@@ -159,16 +168,6 @@
 	return member;
 }
 
-int32_t wwh_seats_part(wwh_seats_t *seats, const char *minion, int32_t total)
-{
-	int32_t part;
-
-	g_mutex_lock(&seats->lock);
-	part = wwh_limiter_part(minion, total, WWH_STATE_SEATS, seats->mask);
-	g_mutex_unlock(&seats->lock);
-	return MAX(part, 1);
-}
-
 bool wwh_seats_author_gone(wwh_seats_t *seats, const char *author)
 {
 	bool gone;
@@ -221,12 +220,10 @@
 	wwh_counter_set(seats->held, __builtin_popcountll(share.seats));
 }
 
-static void renew_lease(wwh_seats_t *seats, int64_t now_ms)
+static void renew_lease(wwh_seats_t *seats, int64_t sent_ms)
 {
 	int32_t index = index_of(&seats->table, seats->process);
-	int64_t sent_ms = wwh_entry_log_read_sent_ms(seats->entry->log);
 
-	(void)now_ms;
 	if (index >= 0 && !seats->table.members[index].evicted && sent_ms > 0)
 		wwh_seat_lease_log(&seats->lease, sent_ms);
 }
@@ -320,13 +317,9 @@
 	}
 	if (!wwh_seat_all_acked(&seats->table, member->process))
 		return false;
-	if (seats->acked_subject != member->process) {
-		seats->acked_subject = member->process;
-		seats->acked_ms = now_ms;
-	}
-	if (now_ms - seats->acked_ms < WWH_SEAT_FREE_AFTER_MS)
+	if (now_ms - acked_since(seats, member->process, now_ms) <
+	    WWH_SEAT_FREE_AFTER_MS)
 		return false;
-	seats->acked_subject = 0;
 	record->type = WWH_SEAT_FREE;
 	return true;
 }
@@ -367,6 +360,20 @@
 	return false;
 }
 
+/* When the last acknowledgement of that eviction was seen: now, or before. */
+static int64_t acked_since(wwh_seats_t *seats, uint64_t process, int64_t now_ms)
+{
+	int64_t *since = g_hash_table_lookup(seats->acked_ms, &process);
+
+	if (since == NULL) {
+		since = g_memdup2(&now_ms, sizeof(now_ms));
+		g_hash_table_insert(seats->acked_ms,
+				    g_memdup2(&process, sizeof(process)),
+				    since);
+	}
+	return *since;
+}
+
 /*
  * A process whose host the list calls gone and that answers nobody, or an
  * earlier incarnation of this very process (it has bound the same address),
--- a/src/libwaxwinghollow/include/private/entry_seats.h
+++ b/src/libwaxwinghollow/include/private/entry_seats.h
@@ -27,9 +27,6 @@
 void wwh_seats_take_vote(wwh_seats_t *seats, const wwh_seat_vote_t *vote);
 bool wwh_seats_is_member(wwh_seats_t *seats, uint64_t process);
 
-/* This process's part of a minion's connections; at least 1. */
-int32_t wwh_seats_part(wwh_seats_t *seats, const char *minion, int32_t total);
-
 /*
  * Whether the incarnation of that name surely runs no more. state_lock may be
  * held.
--- a/src/libwaxwinghollow/upstream_pool.c
+++ b/src/libwaxwinghollow/upstream_pool.c
@@ -24,6 +24,8 @@
 static void connection_delete(wwh_upstream_pool_t *pool,
 			      wwh_upstream_connection_t *conn);
 static void minion_pool_delete(gpointer data);
+static void close_idle_above(wwh_upstream_pool_t *pool, minion_pool_t *minion,
+			     int32_t max_connections);
 static int32_t close_idle_before(wwh_upstream_pool_t *pool,
 				 minion_pool_t *minion, int64_t since_us);
 
@@ -69,6 +71,7 @@
 	g_mutex_lock(&pool->lock);
 	minion = minion_pool(pool, key);
 	conn = g_queue_pop_head(&minion->idle);
+	close_idle_above(pool, minion, max_connections);
 	if (conn == NULL && minion->count < max_connections) {
 		minion->count++;
 		conn = connection_new(pool, key);
@@ -196,6 +199,17 @@
 	g_free(minion);
 }
 
+/* The bound may have shrunk since the idle ones were put back. */
+static void close_idle_above(wwh_upstream_pool_t *pool, minion_pool_t *minion,
+			     int32_t max_connections)
+{
+	while (minion->count > max_connections &&
+	       !g_queue_is_empty(&minion->idle)) {
+		connection_delete(pool, g_queue_pop_tail(&minion->idle));
+		minion->count--;
+	}
+}
+
 static int32_t close_idle_before(wwh_upstream_pool_t *pool,
 				 minion_pool_t *minion, int64_t since_us)
 {
--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -18,6 +18,7 @@
 #define ENTRIES 2
 #define LATE_ENTRY ENTRIES /* started by one test */
 #define ENTRIES_MAX (ENTRIES + 1)
+#define PLATFORM_PROGRAM WWH_BINARY_DIR "/platform"
 #define WAIT_LIMIT_MS 15000
 
 /* Two entry processes' worth of code around one platform and one minion. */
@@ -140,12 +141,8 @@
 	fixture->platform_url = g_strdup_printf("http://127.0.0.1:%d", port);
 	listen_on = g_strdup_printf("127.0.0.1:%d", port);
 	{
-		char *argv[] = { WWH_BINARY_DIR "/platform",
-				 "--listen",
-				 listen_on,
-				 "--list-lag-ms",
-				 "100",
-				 NULL };
+		char *argv[] = { PLATFORM_PROGRAM, "--listen", listen_on,
+				 "--list-lag-ms",  "100",      NULL };
 
 		assert_true(g_spawn_async(
 			NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
--- a/src/test_standins/caller.c
+++ b/src/test_standins/caller.c
@@ -325,5 +325,10 @@
 		g_thread_join(started[i]);
 	runs = read_runs(g_strsplit(files, ",", -1));
 	good = report(&run, runs);
+	g_hash_table_destroy(runs);
+	for (gint i = 0; i < run.count; i++)
+		g_free(run.requests[i].id);
+	g_free(run.requests);
+	g_free(started);
 	return good ? 0 : 1;
 }
