Open wave windows by UTC; keep conducting below 1% of a core

Ruled out: ticking with UTC, since a step of that clock would lapse limits. Conclusion: the process tells the conductor how far UTC is from its clock, and pauses after each tick a hundred times as long as it took.

--- a/include/waxwinghollow/conductor.h
+++ b/include/waxwinghollow/conductor.h
@@ -136,6 +136,12 @@
 void wwh_conductor_result(wwh_conductor_t *conductor,
 			  const wwh_action_result_t *result, int64_t now_ms);
 
+/*
+ * What to add to now_ms for the time since 1970 in UTC, which the windows are
+ * given in; 0 at first. Before a tick, whenever it may have changed.
+ */
+void wwh_conductor_set_utc(wwh_conductor_t *conductor, int64_t utc_less_now_ms);
+
 /* For rehearsals: they stop when callers suffer, and report what they saw. */
 void wwh_conductor_callers(wwh_conductor_t *conductor,
 			   const wwh_caller_counts_t *counts);
--- a/include/waxwinghollow/planner.h
+++ b/include/waxwinghollow/planner.h
@@ -51,7 +51,8 @@
 	int64_t checkpoint_ms; /* expected, for a job that has to move */
 	int64_t drain_limit_ms; /* no job is waited for longer */
 	int64_t service_ms; /* expected, reboot until back at full share */
-	int64_t now_ms;
+	int64_t now_ms; /* of the clock that the view's times are of */
+	int64_t utc_ms; /* since 1970, for the windows */
 	const wwh_window_t *windows;
 	int32_t window_count;
 } wwh_plan_options_t;
--- a/src/libwaxwinghollow/conductor.c
+++ b/src/libwaxwinghollow/conductor.c
@@ -161,6 +161,11 @@
 	g_hash_table_remove(conductor->origins, &result->id);
 }
 
+void wwh_conductor_set_utc(wwh_conductor_t *conductor, int64_t utc_less_now_ms)
+{
+	conductor->utc_less_now_ms = utc_less_now_ms;
+}
+
 void wwh_conductor_callers(wwh_conductor_t *conductor,
 			   const wwh_caller_counts_t *counts)
 {
--- a/src/libwaxwinghollow/conductor_wave.c
+++ b/src/libwaxwinghollow/conductor_wave.c
@@ -277,6 +277,7 @@
 	const wwh_fleet_pool_t *item = wwh_fleet_pool(view, pool);
 	int32_t window_count;
 	const wwh_window_t *windows = wwh_fleet_windows(view, &window_count);
+	int64_t utc_ms = conductor->now_ms + conductor->utc_less_now_ms;
 	int32_t failed = 0;
 
 	for (int32_t i = 0; i < item->size; i++) {
@@ -294,8 +295,7 @@
 	run->failed = failed;
 	if (conductor->now_ms >= run->settled_ms)
 		step(conductor, run, EVENT_SETTLED);
-	if (wwh_window_is_open(windows, window_count, item->id,
-			       conductor->now_ms))
+	if (wwh_window_is_open(windows, window_count, item->id, utc_ms))
 		step(conductor, run, EVENT_WINDOW_OPEN);
 	else
 		step(conductor, run, EVENT_WINDOW_CLOSED);
--- a/src/libwaxwinghollow/entry_fleet.c
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -19,6 +19,13 @@
  */
 #define SHARD_LEASE_MS 15000
 #define ACTION_THREADS 8
+
+/*
+ * A tick takes time with the size of the fleet, 16 ms at the target. So long
+ * a pause after it keeps conducting below 1% of a core at every size, and
+ * urgent work still starts within its 7.2 s.
+ */
+#define TICK_PAUSE_RATIO 100
 #define TASK_PERIOD_MS 1000
 
 /* A process that was silent on a worker for longer counts as unknown. */
@@ -47,6 +54,7 @@
 	GHashTable *drains; /* "process worker" to drain_t */
 	bool stopping;
 	int64_t next_tasks_ms;
+	int64_t next_tick_ms;
 	GAsyncQueue *results; /* of wwh_action_result_t */
 	GThreadPool *actors;
 	GThread *thread;
@@ -241,7 +249,10 @@
 		options.pool = i;
 		found = true;
 	}
-	options.now_ms = g_get_real_time() / MILLISECOND_US;
+	options.now_ms = wwh_now_ms();
+	options.utc_ms = g_get_real_time() / MILLISECOND_US;
+	options.drain_limit_ms =
+		wwh_fleet_rules(view)->drain_limit_s * INT64_C(1000);
 	options.windows = wwh_fleet_windows(view, &options.window_count);
 	if (found) {
 		plan = wwh_plan_new(view, &options);
@@ -281,7 +292,8 @@
 		if (wwh_entry_log_caught_up(fleet->entry->log)) {
 			lease_round(fleet, false);
 			update_out(fleet);
-			if (wwh_counter_value(fleet->shards) > 0) {
+			if (wwh_counter_value(fleet->shards) > 0 &&
+			    wwh_now_ms() >= fleet->next_tick_ms) {
 				read_tasks(fleet);
 				conduct(fleet);
 			}
@@ -495,6 +507,7 @@
 	wwh_entry_t *entry = fleet->entry;
 	int64_t began_us = g_get_monotonic_time();
 	int64_t now_ms = wwh_now_ms();
+	int64_t spent_us;
 	wwh_fleet_view_t *view;
 	wwh_action_result_t *result;
 	wwh_action_t action;
@@ -510,6 +523,8 @@
 		g_free(result);
 	}
 	count_callers(fleet);
+	wwh_conductor_set_utc(fleet->conductor,
+			      g_get_real_time() / MILLISECOND_US - now_ms);
 	wwh_conductor_tick(fleet->conductor, now_ms, view);
 	while (wwh_conductor_next_action(fleet->conductor, &action)) {
 		wwh_counter_add(fleet->actions[action.kind], 1);
@@ -523,7 +538,10 @@
 	}
 	g_mutex_unlock(&fleet->lock);
 	wwh_fleet_view_delete(view);
-	wwh_counter_add(fleet->tick_us, g_get_monotonic_time() - began_us);
+	spent_us = g_get_monotonic_time() - began_us;
+	wwh_counter_add(fleet->tick_us, spent_us);
+	fleet->next_tick_ms =
+		now_ms + spent_us * TICK_PAUSE_RATIO / MILLISECOND_US;
 }
 
 /* On one of the actors' threads; may block. */
--- a/src/libwaxwinghollow/include/private/conductor_state.h
+++ b/src/libwaxwinghollow/include/private/conductor_state.h
@@ -143,6 +143,7 @@
 	char *author;
 	GRand *rand;
 	int64_t now_ms;
+	int64_t utc_less_now_ms;
 	const wwh_fleet_view_t *view; /* during a tick only */
 	wwh_chart_t *worker_chart;
 	wwh_chart_t *move_chart;
--- a/src/libwaxwinghollow/planner.c
+++ b/src/libwaxwinghollow/planner.c
@@ -272,7 +272,7 @@
 	}
 	pool.end_ms = wwh_window_end_of_work(options->windows,
 					     options->window_count, item->id,
-					     options->now_ms, pool.duration_ms);
+					     options->utc_ms, pool.duration_ms);
 	g_array_append_val(plan->pools, pool);
 }
 
@@ -281,7 +281,7 @@
 	wwh_plan_totals_t *totals = &plan->totals;
 
 	totals->slowest_pool = WWH_FLEET_NONE;
-	totals->end_ms = plan->options.now_ms;
+	totals->end_ms = plan->options.utc_ms;
 	for (guint i = 0; i < plan->pools->len; i++) {
 		const wwh_plan_pool_t *pool =
 			&g_array_index(plan->pools, wwh_plan_pool_t, i);
--- a/src/test_conductor/test_conductor.c
+++ b/src/test_conductor/test_conductor.c
@@ -425,6 +425,30 @@
 	sim_finish(&sim);
 }
 
+/* The clock of the ticks is not UTC: the window opens by UTC alone. */
+static void a_wave_waits_for_its_window(void **unused)
+{
+	const int64_t utc_less_now_ms = INT64_C(86400000);
+	sim_options_t options = sim_options_defaults(fleet_fixture_bounce());
+	sim_t sim;
+
+	(void)unused;
+	options.windows = "{\"id\": \"friday\", \"pool\": \"*\", "
+			  "\"days\": [\"fri\"], \"start_minute\": "
+			  "\"00:30\", \"duration_minutes\": 180}";
+	options.check_state = true;
+	sim_init(&sim, &options);
+	/* The sim begins at second 1,000 of a Thursday, or of a Friday. */
+	sim_start_waves(&sim);
+	run(&sim, 1000);
+	assert_int_equal(sim.reboots, 0);
+	wwh_conductor_set_utc(sim.processes[0].conductor, utc_less_now_ms);
+	run_waves(&sim, 8000);
+	assert_waves_done(&sim, 50);
+	assert_clean(&sim);
+	sim_finish(&sim);
+}
+
 /* Two operators start waves of one pool: the second is told of the first. */
 static void overlapping_waves_of_two_operators(void **unused)
 {
@@ -644,6 +668,7 @@
 		cmocka_unit_test(a_zone_in_reserve_may_fail_at_any_time),
 		cmocka_unit_test(a_wave_holds_while_failures_come),
 		cmocka_unit_test(the_target_with_35_failures),
+		cmocka_unit_test(a_wave_waits_for_its_window),
 		cmocka_unit_test(overlapping_waves_of_two_operators),
 		cmocka_unit_test(the_store_down_for_an_hour_only_delays),
 		cmocka_unit_test(the_platform_silent_for_an_hour_only_delays),
--- a/src/test_standins/include/fleet_sim.h
+++ b/src/test_standins/include/fleet_sim.h
@@ -37,6 +37,7 @@
 	int32_t buffer_weight;
 	int32_t move_weight;
 	bool check_state;
+	const char *windows; /* of the rules, JSON; NULL: none */
 } sim_options_t;
 
 typedef struct {
@@ -180,8 +181,10 @@
 			wwh_domain_names[rule->reserve]);
 	g_string_append_printf(
 		text,
-		"], \"rules\": {\"buffer_weight\": %d, \"move_weight\": %d, "
+		"], \"windows\": [%s], \"rules\": {\"buffer_weight\": %d, "
+		"\"move_weight\": %d, "
 		"\"drain_limit_s\": %d, \"return_limit_s\": %d}}",
+		options->windows ? options->windows : "",
 		options->buffer_weight, options->move_weight,
 		options->drain_limit_s, options->return_limit_s);
 	return g_string_free(text, FALSE);
