--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -4,15 +4,11 @@
 #include <setjmp.h>
 #include <cmocka.h>
 #include <glib.h>
-#include <netinet/in.h>
-#include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "private/msgpack_bounds.h"
 #include "private/platform_http_decode.h"
+#include "../test_standins/include/standin_process.h"
 #include "raw_server.h"
 #include "waxwinghollow/platform_http.h"
 
@@ -133,24 +129,10 @@
 	play(script, expected, 1, 100);
 }
 
-static int32_t free_port(void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&address, size), 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size),
-			 0);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 static void refused_connection_is_without_effect(void **unused)
 {
 	wwh_platform_t platform;
-	wwh_platform_http_t *http = connect_to(free_port(), &platform);
+	wwh_platform_http_t *http = connect_to(standin_free_port(), &platform);
 	int64_t offset = 0;
 
 	(void)unused;
@@ -160,58 +142,22 @@
 }
 
 typedef struct {
-	GPid pid;
+	standin_process_t process;
 	wwh_platform_t platform;
 	wwh_platform_http_t *http;
 } standin_t;
 
-static void call_standin(int32_t port, const char *verb, const char *target)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_port = htons((uint16_t)port) };
-	char *request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: a\r\n"
-					"Content-Length: 0\r\n"
-					"Connection: close\r\n\r\n",
-					verb, target);
-	char answer[64] = { 0 };
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(
-		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
-	assert_true(send(fd, request, strlen(request), MSG_NOSIGNAL) > 0);
-	assert_true(recv(fd, answer, sizeof(answer) - 1, MSG_WAITALL) > 0);
-	assert_non_null(strstr(answer, " 200 "));
-	close(fd);
-	g_free(request);
-}
-
 static int32_t start_standin(standin_t *standin)
 {
-	int32_t port = free_port();
-	char *listen = g_strdup_printf("127.0.0.1:%d", (int)port);
-	char *argv[] = { WWH_BINARY_DIR "/platform", "--listen", listen, NULL };
-	int output;
-	char line[64];
-
-	assert_true(g_spawn_async_with_pipes(
-		NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
-		&standin->pid, NULL, &output, NULL, NULL));
-	assert_true(read(output, line, sizeof(line)) > 0);
-	close(output);
-	standin->http = connect_to(port, &standin->platform);
-	g_free(listen);
-	return port;
+	standin_process_start(&standin->process, WWH_BINARY_DIR "/platform");
+	standin->http = connect_to(standin->process.port, &standin->platform);
+	return standin->process.port;
 }
 
 static void stop_standin(standin_t *standin)
 {
-	int status;
-
 	wwh_platform_http_delete(standin->http);
-	assert_int_equal(kill(standin->pid, SIGTERM), 0);
-	assert_int_equal(waitpid(standin->pid, &status, 0), standin->pid);
-	assert_true(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	assert_true(standin_process_stop(&standin->process));
 }
 
 static bool collect(const wwh_log_entry_t *entry, void *client_data)
@@ -236,20 +182,20 @@
 	assert_int_equal(append_text(platform, "a", TIMEOUT_MS, &offset),
 			 WWH_STATUS_OK);
 	assert_int_equal(offset, 1);
-	call_standin(port, "POST", "/fault?lose_append_answers=100");
+	standin_call(port, "/fault?lose_append_answers=100");
 	assert_int_equal(append_text(platform, "b", TIMEOUT_MS, &offset),
 			 WWH_STATUS_UNKNOWN);
-	call_standin(port, "POST", "/fault?log_down=1&lose_append_answers=0");
+	standin_call(port, "/fault?log_down=1&lose_append_answers=0");
 	assert_int_equal(append_text(platform, "c", TIMEOUT_MS, &offset),
 			 WWH_STATUS_UNAVAILABLE);
-	call_standin(port, "POST", "/fault?log_down=0");
+	standin_call(port, "/fault?log_down=0");
 	assert_int_equal(platform->read(platform->context, "control", 1, 0,
 					TIMEOUT_MS, collect, seen, &first,
 					&next),
 			 WWH_STATUS_OK);
 	assert_string_equal(seen->str, "1:a;2:b;");
 	assert_int_equal(next, 3);
-	call_standin(port, "POST", "/fault?trim_to=2");
+	standin_call(port, "/fault?trim_to=2");
 	assert_int_equal(platform->read(platform->context, "control", 1, 0,
 					TIMEOUT_MS, collect, seen, &first,
 					&next),
@@ -290,9 +236,9 @@
 				   .lease_ms = 60000 };
 
 	(void)unused;
-	call_standin(port, "POST",
+	standin_call(port,
 		     "/hosts/m?kind=minion&state=leaving&address=1:2&zone=z");
-	call_standin(port, "POST", "/workers/w");
+	standin_call(port, "/workers/w");
 	assert_int_equal(p->hosts(p->context, TIMEOUT_MS, add_host, text),
 			 WWH_STATUS_OK);
 	assert_int_equal(p->task(p->context, &order, TIMEOUT_MS),
