Forget reports of tasks whose jobs are forgotten

Cause: reports of cancelled jobs were kept for good. Conclusion: beyond 1,024 spare reports only those of jobs in the view are kept.

--- a/src/libwaxwinghollow/fleet_bridge.c
+++ b/src/libwaxwinghollow/fleet_bridge.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define RUN_TIMES_KEPT 32 /* of a team's last jobs */
+#define SPARE_TASKS 1024 /* reports of tasks that no job in the view has */
 
 /* How long a team's last jobs ran. */
 typedef struct {
@@ -53,6 +54,9 @@
 			       int64_t now_ms);
 static void note_run_time(bridge_t *bridge, const wwh_job_view_t *job);
 static void sum_use(wwh_fleet_view_t *view);
+static void drop_old_tasks(const bridge_t *bridge);
+static gboolean is_forgotten(gpointer key, gpointer value,
+			     gpointer client_data);
 
 wwh_observations_t *wwh_observations_new(void)
 {
@@ -132,6 +136,7 @@
 	wwh_fleet_view_set_offset(bridge.view, wwh_state_last_offset(state));
 	wwh_fleet_view_seal(bridge.view);
 	sum_use(bridge.view);
+	drop_old_tasks(&bridge);
 	return bridge.view;
 }
 
@@ -412,3 +417,19 @@
 		worker->used.memory_mb += job->used.memory_mb;
 	}
 }
+
+/* The platform may report tasks for long after their jobs are forgotten. */
+static void drop_old_tasks(const bridge_t *bridge)
+{
+	GHashTable *tasks = bridge->observations->tasks;
+	guint jobs = (guint)wwh_fleet_job_count(bridge->view);
+
+	if (g_hash_table_size(tasks) > jobs + SPARE_TASKS)
+		g_hash_table_foreach_remove(tasks, is_forgotten, bridge->view);
+}
+
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer client_data)
+{
+	(void)value;
+	return wwh_fleet_find_job(client_data, key) == WWH_FLEET_NONE;
+}
