--- a/src/test_standins/include/minion_server.h
+++ b/src/test_standins/include/minion_server.h
@@ -41,6 +41,8 @@
 	"no-length", "silent-old", "late",     "leaving",
 };
 
+#define MINION_SLOTS 8
+
 typedef struct {
 	const char *id;
 	int32_t service_ms;
@@ -59,7 +61,7 @@
 	int64_t total_runs;
 	bool stopping;
 	GThread *acceptor;
-	GHashTable *open_fds;
+	GHashTable *open_fds; /* fd to minion_connection_t * */
 	int run_log_fd; /* a line a run, for whoever kills it; 0: none */
 } minion_server_t;
 
@@ -69,6 +71,8 @@
 	int64_t made_us;
 	int64_t requests;
 	bool working; /* counted in in_progress */
+	int64_t work_since_us;
+	char *work_id;
 	GString *input;
 } minion_connection_t;
 
@@ -298,6 +302,51 @@
 	return g_string_free(text, FALSE);
 }
 
+/*
+ * One more at once than ever before, and more than the slots: says who sent
+ * them, and which of them their sender has given up. The lock is held.
+ */
+static inline void minion_show_work(minion_server_t *server)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, server->open_fds);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		minion_connection_t *one = value;
+		struct pollfd entry = { .fd = one->fd, .events = POLLRDHUP };
+		struct sockaddr_in from = { 0 };
+		socklen_t size = sizeof(from);
+
+		if (!one->working)
+			continue;
+		getpeername(one->fd, (struct sockaddr *)&from, &size);
+		g_message("%d at once: %s from port %d for %" G_GINT64_FORMAT
+			  " ms%s",
+			  server->in_progress, one->work_id,
+			  ntohs(from.sin_port),
+			  (g_get_monotonic_time() - one->work_since_us) / 1000,
+			  poll(&entry, 1, 0) > 0 ? ", given up" : "");
+	}
+}
+
+/* The lock is held. */
+static inline void minion_begin_work(minion_connection_t *connection,
+				     const minion_request_t *request)
+{
+	minion_server_t *server = connection->server;
+
+	connection->working = true;
+	connection->work_since_us = g_get_monotonic_time();
+	connection->work_id = g_strdup(request->id);
+	server->in_progress++;
+	if (server->in_progress <= server->max_in_progress)
+		return;
+	server->max_in_progress = server->in_progress;
+	if (server->in_progress > MINION_SLOTS)
+		minion_show_work(server);
+}
+
 /* A request that ran and is never answered takes no slot any more. */
 static inline void minion_end_work(minion_connection_t *connection)
 {
@@ -307,6 +356,8 @@
 	if (connection->working)
 		server->in_progress--;
 	connection->working = false;
+	g_free(connection->work_id);
+	connection->work_id = NULL;
 	g_mutex_unlock(&server->lock);
 }
 
@@ -384,10 +435,7 @@
 	g_mutex_lock(&server->lock);
 	mode = server->mode;
 	since_us = server->mode_since_us;
-	connection->working = true;
-	server->in_progress++;
-	server->max_in_progress =
-		MAX(server->max_in_progress, server->in_progress);
+	minion_begin_work(connection, request);
 	g_mutex_unlock(&server->lock);
 	connection->requests++;
 	keep = minion_run(connection, request, mode, since_us);
@@ -440,7 +488,8 @@
 		server->connections++;
 		server->max_connections =
 			MAX(server->max_connections, server->connections);
-		g_hash_table_add(server->open_fds, GINT_TO_POINTER(fd));
+		g_hash_table_insert(server->open_fds, GINT_TO_POINTER(fd),
+				    connection);
 		g_mutex_unlock(&server->lock);
 		g_thread_unref(g_thread_new("minion", minion_connection_main,
 					    connection));
