--- a/src/test_log_core/test_log_core.c
+++ b/src/test_log_core/test_log_core.c
@@ -419,6 +419,37 @@
 	teardown(&f);
 }
 
+/*
+ * A caller must not be given the offset of a copy that has no effect: its
+ * append is seen in the window before a snapshot, but an earlier copy may be
+ * in the part that is trimmed. The outcome is unknown here.
+ */
+static void possible_copy_settles_nothing(void **unused)
+{
+	fixture_t f;
+	uint64_t ticket;
+
+	(void)unused;
+	setup_default(&f);
+	read_all(&f);
+	ticket = submit(&f);
+	begin_attempt(&f);
+	end_attempt(&f, WWH_STATUS_UNKNOWN, 0);
+	log_append_others(&f, 4);
+	log_append(&f, f.attempt.id);
+	log_append_others(&f, 3);
+	f.first = 4;
+	assert_int_equal(read_all(&f), WWH_LOG_TRIMMED);
+	assert_int_equal(wwh_log_core_restore(f.core, 7), WWH_STATUS_OK);
+	read_all(&f);
+	read_all(&f);
+	assert_string_equal(f.seen->str, "4:warm_up;5:warm_up;6:warm_up;7;8;");
+	expect_nothing_settled(&f);
+	wwh_log_core_give_up(f.core);
+	expect_settled(&f, ticket, WWH_STATUS_UNKNOWN, 0);
+	teardown(&f);
+}
+
 static GBytes *join(GBytes *const *payloads, int32_t count, void *unused)
 {
 	(void)payloads;
@@ -474,6 +505,7 @@
 		cmocka_unit_test(trimmed_reader_waits_for_a_snapshot),
 		cmocka_unit_test(
 			possible_copy_of_a_trimmed_record_stops_the_replay),
+		cmocka_unit_test(possible_copy_settles_nothing),
 		cmocka_unit_test(batch_closes_by_time_or_size),
 	};
 
