Keep a request's first verdict; write unknown results again; step retries

Cause: a batch of intents that the log holds twice is read back twice, the second time as repeated; that verdict replaced accepted, so the result of a request that ran was not recorded and its key stayed in progress. A result whose append had an unknown outcome was dropped, with the same symptom. The request chart was never told of a further attempt, so from the second one on it could not contradict a false not-run. A caller that went away before anything was sent was recorded as unknown. A request was sent though its deadline had passed while its intent was awaited. A minion's own Waxwinghollow-Run header reached the caller beside this program's. The seats' plan used an index into the table over a gap in its lock. The gauge of waiting results was read outside the lock. A huge Retry-After of a minion overflowed.

Ruled out: failing unknown intents at once, since their batch may yet be read back; dropping a result on unknown, since reading one back twice is harmless.

--- a/src/libwaxwinghollow/entry_caller.c
+++ b/src/libwaxwinghollow/entry_caller.c
@@ -191,7 +191,9 @@
 				&decision)) {
 		if (decision.type == WWH_DECISION_END) {
 			call->retry_after_ms = decision.retry_after_ms;
-			if (kind != WWH_ERROR_NONE || call->replayed)
+			/* a whole answer in hand is truer than any error */
+			if (kind != WWH_ERROR_NONE || call->replayed ||
+			    call->answered)
 				return kind;
 			return decision.kind;
 		}
@@ -210,15 +212,22 @@
 		.outcome = WWH_OUTCOME_ABORTED,
 	};
 	wwh_upstream_answer_t answer;
-	wwh_error_kind_t kind = confirm_intent(call);
+	wwh_error_kind_t kind;
 	int64_t sent_ms;
 
+	/* has an effect only after an attempt; the chart ignores it else */
+	step(call, EVENT_RETRY);
+	kind = confirm_intent(call);
+	sent_ms = wwh_now_ms();
+	/* the answer of an earlier attempt is given up for this one */
 	call->answered = false;
+	if (kind == WWH_ERROR_NONE && !call->replayed &&
+	    sent_ms >= call->deadline_ms)
+		kind = WWH_ERROR_DEADLINE_NOT_RUN;
 	if (kind != WWH_ERROR_NONE || call->replayed) {
 		wwh_request_finished(call->request, &result);
 		return kind;
 	}
-	sent_ms = wwh_now_ms();
 	send_to_minion(call, start, &answer);
 	step_outcome(call, &answer);
 	result.outcome = outcome_of(&answer);
@@ -233,7 +242,8 @@
 	if (answer.outcome == WWH_UPSTREAM_TOO_LARGE)
 		kind = WWH_ERROR_ANSWER_TOO_LARGE;
 	if (answer.outcome == WWH_UPSTREAM_CALLER_GONE)
-		kind = WWH_ERROR_CALLER_GONE_UNKNOWN;
+		kind = answer.sent ? WWH_ERROR_CALLER_GONE_UNKNOWN
+				   : WWH_ERROR_CALLER_GONE_NOT_RUN;
 	wwh_http_response_clear(&answer.response);
 	wwh_request_finished(call->request, &result);
 	return kind;
@@ -349,8 +359,24 @@
 	step(call, events[answer->outcome]);
 }
 
+/*
+ * Headers that say what this program did are its own alone: from a minion
+ * they would reach the caller as a second word, and maybe a false one.
+ */
 static void take_answer(call_t *call, wwh_upstream_answer_t *answer)
 {
+	wwh_headers_t *headers = answer->response.headers;
+	wwh_headers_t *kept = wwh_headers_new();
+
+	for (int32_t i = 0; i < wwh_headers_count(headers); i++) {
+		const wwh_header_t *header = wwh_headers_at(headers, i);
+
+		if (g_ascii_strcasecmp(header->name, WWH_HEADER_RUN) != 0 &&
+		    g_ascii_strcasecmp(header->name, HEADER_REPLAYED) != 0)
+			wwh_headers_add(kept, header->name, header->value);
+	}
+	wwh_headers_delete(headers);
+	answer->response.headers = kept;
 	wwh_http_response_clear(call->response);
 	*call->response = answer->response;
 	wwh_http_response_init(&answer->response);
--- a/src/libwaxwinghollow/entry_seats.c
+++ b/src/libwaxwinghollow/entry_seats.c
@@ -281,10 +281,12 @@
 static bool plan_others(wwh_seats_t *seats, int64_t now_ms,
 			wwh_seat_record_t *record)
 {
-	int32_t own = index_of(&seats->table, seats->process);
+	int32_t own;
 
 	if (plan_gone(seats, record))
 		return true;
+	/* plan_gone lets go of the lock; a vote may have copied the table */
+	own = index_of(&seats->table, seats->process);
 	for (int32_t i = 0; i < seats->table.member_count; i++) {
 		const wwh_seat_member_t *member = &seats->table.members[i];
 
--- a/src/libwaxwinghollow/intent_writer.c
+++ b/src/libwaxwinghollow/intent_writer.c
@@ -134,15 +134,14 @@
 		g_mutex_unlock(&writer->lock);
 		/* callers wait for intents, nobody waits for results */
 		write_intents(writer, &intents);
-		if (!write_results(writer, &results)) {
+		if (!write_results(writer, &results))
 			not_before_us = g_get_monotonic_time() +
 					RETRY_WAIT_MS * MILLISECOND_US;
-			g_mutex_lock(&writer->lock);
-			put_back(&writer->results, &results);
-			g_mutex_unlock(&writer->lock);
-		}
+		g_mutex_lock(&writer->lock);
+		put_back(&writer->results, &results);
 		wwh_counter_set(writer->results_waiting,
 				writer->results.length);
+		g_mutex_unlock(&writer->lock);
 	}
 	return NULL;
 }
@@ -179,7 +178,11 @@
 	wwh_record_clear(&record);
 }
 
-/* False when the append failed; batch then holds the items again. */
+/*
+ * False when the results are not surely on the log; batch then holds them
+ * again. A result that is read back twice changes nothing the second time,
+ * but one that is missing leaves its key in progress for good.
+ */
 static bool write_results(wwh_intent_writer_t *writer, GQueue *batch)
 {
 	wwh_record_t record;
@@ -197,7 +200,7 @@
 	if (status == WWH_STATUS_BAD_INPUT)
 		wwh_counter_add(writer->dropped,
 				record.body.results.items->len);
-	else if (status != WWH_STATUS_OK && status != WWH_STATUS_UNKNOWN) {
+	else if (status != WWH_STATUS_OK) {
 		g_ptr_array_set_free_func(record.body.results.items, NULL);
 		for (guint i = 0; i < record.body.results.items->len; i++)
 			g_queue_push_tail(
--- a/src/libwaxwinghollow/request_table.c
+++ b/src/libwaxwinghollow/request_table.c
@@ -340,7 +340,12 @@
 
 	g_mutex_lock(&table->lock);
 	request = g_hash_table_lookup(table->requests, &id);
-	if (request != NULL) {
+	/*
+	 * A batch that the log holds twice is read back twice, the second time
+	 * as repeated. Were that taken for the verdict, the result of a request
+	 * that ran would not be recorded and its key stay in progress.
+	 */
+	if (request != NULL && !request->intent_settled) {
 		request->intent_settled = true;
 		request->intent_verdict = verdict;
 		wake(request);
--- a/src/libwaxwinghollow/upstream.c
+++ b/src/libwaxwinghollow/upstream.c
@@ -13,6 +13,9 @@
 #define CALLER_CHECK_MS 50
 #define MILLISECOND_US 1000
 
+/* More than this is no time that a caller would wait for. */
+#define RETRY_AFTER_LIMIT_S 3600
+
 const char *const wwh_upstream_outcome_names[WWH_UPSTREAM_OUTCOME_COUNT] = {
 	"answered", "refused",	 "no-connection", "no-room",	 "deadline",
 	"lost",	    "truncated", "too-large",	  "caller-gone",
@@ -454,7 +457,9 @@
 	answer->minion_leaving = g_strcmp0(text, "leaving") == 0;
 	text = wwh_headers_get(answer->response.headers, "Retry-After");
 	if (text != NULL)
-		answer->retry_after_ms = g_ascii_strtoll(text, NULL, 10) * 1000;
+		answer->retry_after_ms = CLAMP(g_ascii_strtoll(text, NULL, 10),
+					       0, RETRY_AFTER_LIMIT_S) *
+					 1000;
 	run_class = wwh_headers_get(answer->response.headers, WWH_HEADER_RUN);
 	if (status >= 400 && g_strcmp0(run_class, "not-run") == 0)
 		return WWH_UPSTREAM_REFUSED;
