--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -615,6 +615,255 @@
 			 config_version(fixture, 0));
 }
 
+/* The minion answers again, and both entries trust it with work. */
+static void serve_again(fixture_t *fixture)
+{
+	minion_set_mode(fixture->minion, MINION_OK);
+	for (int i = 0; i < ENTRIES; i++)
+		wait_serving(fixture, i);
+}
+
+/* What entry's counter of that name says. */
+static int64_t counter_of(fixture_t *fixture, int entry, const char *name)
+{
+	char *line = g_strdup_printf("\n%s ", name);
+	const char *at;
+	int64_t value = 0;
+	told_t told;
+
+	ask(fixture, wwh_entry_operator_port(fixture->entries[entry]), "GET",
+	    "/v1/counters", NULL, NULL, 0, &told);
+	at = strstr(told.body, line);
+	if (at != NULL)
+		value = g_ascii_strtoll(at + strlen(line), NULL, 10);
+	told_clear(&told);
+	g_free(line);
+	return value;
+}
+
+/* Sends a request on a connection of its own and leaves it open. */
+static int send_only(fixture_t *fixture, int entry, const char *method,
+		     const char *key)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons((uint16_t)wwh_entry_caller_port(
+			fixture->entries[entry])),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	char *text = g_strdup_printf("%s /s/charge HTTP/1.1\r\nHost: h\r\n"
+				     "Idempotency-Key: %s\r\n"
+				     "X-Request-Id: %s\r\n"
+				     "Content-Length: 1\r\n\r\nx",
+				     method, key, key);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	assert_int_equal(send(fd, text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+	g_free(text);
+	return fd;
+}
+
+/* Calls until the key is no longer in progress; the last answer is told. */
+static void call_until_settled(fixture_t *fixture, int entry, const char *key,
+			       told_t *told)
+{
+	for (int i = 0; i < 200; i++) {
+		call(fixture, entry, "POST", "/s/charge", key, told);
+		if (strstr(told->body, "key-in-progress") == NULL)
+			return;
+		told_clear(told);
+		g_usleep(20 * 1000);
+	}
+	fail_msg("key %s stays in progress", key);
+}
+
+/*
+ * The minion runs a charge and says that it failed. That is an answer: the
+ * caller and every repeat get it, with "ran", and it runs once.
+ */
+static void a_failure_that_was_answered_is_kept_as_it_is(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	minion_set_mode(fixture->minion, MINION_FAIL);
+	call(fixture, 0, "POST", "/s/charge", "fail-1", &told);
+	serve_again(fixture);
+	assert_int_equal(told.status, 500);
+	assert_string_equal(told.run, "ran");
+	told_clear(&told);
+	call_until_settled(fixture, 1, "fail-1", &told);
+	assert_int_equal(told.status, 500);
+	assert_string_equal(told.run, "ran");
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "fail-1"), 1);
+}
+
+/*
+ * The minion's answer is larger than the service passes on. The charge ran:
+ * the caller and every repeat are told so, without the answer.
+ */
+static void a_charge_whose_answer_is_too_large_did_run(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	call(fixture, 0, "POST", "/s/charge?bytes=20000000", "large-1", &told);
+	assert_int_equal(told.status, 502);
+	assert_string_equal(told.run, "ran");
+	told_clear(&told);
+	for (int i = 0; i < 200; i++) {
+		call(fixture, 1, "POST", "/s/charge?bytes=20000000", "large-1",
+		     &told);
+		if (strstr(told.body, "key-in-progress") == NULL)
+			break;
+		told_clear(&told);
+		g_usleep(20 * 1000);
+	}
+	assert_int_equal(told.status, 409);
+	assert_string_equal(told.run, "ran");
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "large-1"), 1);
+}
+
+/*
+ * The minion refuses a charge before running it. The caller is told "not run"
+ * and the same key runs when the minion takes work again.
+ */
+static void a_refused_charge_may_be_repeated(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	minion_set_mode(fixture->minion, MINION_REFUSE);
+	call(fixture, 0, "POST", "/s/charge", "refuse-1", &told);
+	serve_again(fixture);
+	assert_int_equal(told.status, 503);
+	assert_string_equal(told.run, "not-run");
+	told_clear(&told);
+	for (int i = 0; i < 100; i++) {
+		call_until_settled(fixture, i % ENTRIES, "refuse-1", &told);
+		if (told.status == 200)
+			break;
+		assert_string_equal(told.run, "not-run");
+		told_clear(&told);
+		g_usleep(50 * 1000);
+	}
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "refuse-1"), 1);
+}
+
+/*
+ * The minion is silent and the deadline passes. Whether the charge ran is
+ * unknown, to the caller and to every repeat; it is sent once.
+ */
+static void a_deadline_after_sending_is_unknown(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	minion_set_mode(fixture->minion, MINION_SILENT);
+	call(fixture, 0, "POST", "/s/charge", "silent-1", &told);
+	serve_again(fixture);
+	assert_int_equal(told.status, 504);
+	assert_string_equal(told.run, "unknown");
+	told_clear(&told);
+	call_until_settled(fixture, 1, "silent-1", &told);
+	assert_int_equal(told.status, 409);
+	assert_string_equal(told.run, "unknown");
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "silent-1"), 1);
+}
+
+/*
+ * A caller hangs up after its charge was sent. The host notes "unknown": a
+ * repeat through any host is told so and does not run a second time.
+ */
+static void a_caller_gone_after_sending_leaves_unknown(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+	int fd;
+
+	minion_set_mode(fixture->minion, MINION_SILENT);
+	fd = send_only(fixture, 0, "POST", "gone-1");
+	while (minion_runs_of(fixture->minion, "gone-1") == 0)
+		g_usleep(10 * 1000);
+	close(fd);
+	call_until_settled(fixture, 0, "gone-1", &told);
+	serve_again(fixture);
+	assert_int_equal(told.status, 409);
+	assert_string_equal(told.run, "unknown");
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "gone-1"), 1);
+	assert_true(counter_of(fixture, 0, "answers.caller-gone-unknown") > 0);
+}
+
+/*
+ * A caller hangs up while the log is slow to take its intent. Nothing was
+ * sent: the key is free, and a repeat runs it once.
+ */
+static void a_caller_gone_before_its_intent_leaves_not_run(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+	int fd;
+
+	fault(fixture, "log_slow_ms=400");
+	fd = send_only(fixture, 0, "POST", "early-1");
+	g_usleep(100 * 1000);
+	close(fd);
+	g_usleep(200 * 1000);
+	fault(fixture, "log_slow_ms=0");
+	call_until_settled(fixture, 1, "early-1", &told);
+	assert_int_equal(told.status, 200);
+	told_clear(&told);
+	assert_int_equal(minion_runs_of(fixture->minion, "early-1"), 1);
+}
+
+/*
+ * A read is refused by the minion, tried again, and then its connection is
+ * lost. The caller is told "unknown", never "not run": after a byte has left,
+ * a refusal before it says nothing.
+ */
+static void a_loss_after_a_refusal_is_not_called_not_run(void **state)
+{
+	fixture_t *fixture = *state;
+	char answer[4096] = "";
+	int fd;
+
+	minion_set_mode(fixture->minion, MINION_REFUSE);
+	fd = send_only(fixture, 0, "GET", "mixed-1");
+	g_usleep(300 * 1000);
+	minion_set_mode(fixture->minion, MINION_CLOSE);
+	assert_true(recv(fd, answer, sizeof(answer) - 1, 0) > 0);
+	close(fd);
+	assert_true(minion_runs_of(fixture->minion, "mixed-1") > 0);
+	assert_non_null(strstr(answer, "Waxwinghollow-Run: unknown"));
+	serve_again(fixture);
+}
+
+/*
+ * A minion answers a charge and adds, by mistake, a header that says it did
+ * not run. The caller gets one word on that, and the true one.
+ */
+static void a_minion_can_not_say_that_what_it_answered_did_not_run(void **state)
+{
+	fixture_t *fixture = *state;
+	told_t told;
+
+	minion_set_mode(fixture->minion, MINION_DENIES);
+	call(fixture, 0, "POST", "/s/charge", "denies-1", &told);
+	serve_again(fixture);
+	assert_int_equal(told.status, 200);
+	assert_string_equal(told.run, "ran");
+	told_clear(&told);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -623,6 +872,16 @@
 		cmocka_unit_test(a_key_of_another_request_is_refused),
 		cmocka_unit_test(
 			an_outage_of_the_log_refuses_only_what_needs_it),
+		cmocka_unit_test(a_failure_that_was_answered_is_kept_as_it_is),
+		cmocka_unit_test(a_charge_whose_answer_is_too_large_did_run),
+		cmocka_unit_test(a_refused_charge_may_be_repeated),
+		cmocka_unit_test(a_deadline_after_sending_is_unknown),
+		cmocka_unit_test(a_caller_gone_after_sending_leaves_unknown),
+		cmocka_unit_test(
+			a_caller_gone_before_its_intent_leaves_not_run),
+		cmocka_unit_test(a_loss_after_a_refusal_is_not_called_not_run),
+		cmocka_unit_test(
+			a_minion_can_not_say_that_what_it_answered_did_not_run),
 		cmocka_unit_test(lost_append_answers_run_nothing_twice),
 		cmocka_unit_test(of_two_publications_one_wins),
 		cmocka_unit_test(an_outage_longer_than_a_lease_stops_nobody),
--- a/src/test_standins/include/minion_server.h
+++ b/src/test_standins/include/minion_server.h
@@ -32,13 +32,14 @@
 	MINION_SILENT_OLD, /* connections made before the mode go silent */
 	MINION_LATE, /* answers after 300 ms more than told */
 	MINION_LEAVING, /* answers, and says that it is leaving */
+	MINION_DENIES, /* answers, and says that it did not run */
 	MINION_MODE_COUNT
 } minion_mode_t;
 
 static const char *const minion_mode_names[MINION_MODE_COUNT] = {
-	"ok",	     "fail",	   "refuse",   "silent",
-	"close",     "close-kept", "truncate", "truncate-chunked",
-	"no-length", "silent-old", "late",     "leaving",
+	"ok",	      "fail",	  "refuse",	      "silent",	   "close",
+	"close-kept", "truncate", "truncate-chunked", "no-length", "silent-old",
+	"late",	      "leaving",  "denies",
 };
 
 #define MINION_SLOTS 8
@@ -368,10 +369,11 @@
 {
 	minion_server_t *server = connection->server;
 	bool head = strcmp(request->method, "HEAD") == 0;
-	const char *leaving =
+	const char *headers =
 		mode == MINION_LEAVING
 			? "Waxwinghollow-Minion-State: leaving\r\n"
-			: "";
+		: mode == MINION_DENIES ? "Waxwinghollow-Run: not-run\r\n"
+					: "";
 	char *body;
 	size_t size;
 	bool keep = true;
@@ -417,7 +419,7 @@
 		return false;
 	}
 	body = minion_body(server, request, &size);
-	keep = minion_answer(connection, 200, leaving, body, size, !head);
+	keep = minion_answer(connection, 200, headers, body, size, !head);
 	g_free(body);
 	return keep;
 }
