Start maintenance waves among the faults; check the pool's budget

Cause: waves run on the real processes now, but no run let them meet killed conductors, an outage of workers' commands or a lost log. chaos.sh starts waves at drawn moments and asks the platform itself, five times a second, how many workers of the pool are out. Ruled out: asking the entry processes (they are what is tested).

--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -26,6 +26,7 @@
 IN_FORCE_LIMIT_S=15
 SLOTS=8
 CONNECTIONS=64
+LOSE_COUNT=3 # of the pool, in the rules that cluster.sh writes
 minion_modes=(close close-kept silent silent-old truncate truncate-chunked
 	no-length refuse fail late leaving)
 violations=$work/violations
@@ -112,12 +113,13 @@
 	: >"$work/plan"
 	RANDOM=$seed
 	while [ $at -lt $end ]; do
-		draw 0 10
+		draw 0 11
 		case $drawn in
 		0 | 1 | 2) plan_entry_fault $at ;;
 		3 | 4 | 5 | 6) plan_minion_fault $at ;;
 		7 | 8) plan_platform_fault $at ;;
-		*) plan $at publish ;;
+		9) plan $at publish ;;
+		*) plan $at wave ;;
 		esac
 		draw 100 900
 		at=$((at + drawn))
@@ -206,6 +208,10 @@
 			"127.0.0.1:$(minion_port "$2")" ;;
 	platform) platform POST "/fault?$2" >/dev/null ;;
 	publish) publish_both ;;
+	wave)
+		operator wave start front --timeout-ms 4000 \
+			>>"$work/wave.out" 2>&1 &
+		operators+=($!) ;;
 	esac
 }
 
@@ -228,12 +234,24 @@
 		sed 's/.*: *"\?//'
 }
 
+# The workers of the pool that are out, as the platform sees them itself.
+check_budget() {
+	local out
+	out=$(curl -s -m 1 "http://127.0.0.1:$platform_port/workers/w[1-6]" |
+		grep -o '"state":"[a-z-]*"' | grep -vc '"up"')
+	[ "$out" -le $LOSE_COUNT ] ||
+		violation "$out workers of the pool were out at once"
+	[ "$out" -le "$most_out" ] || most_out=$out
+}
+
 # Runs beside the faults: no process goes back to an older configuration, not
-# even its next incarnation once that says that it is ready.
-watch_versions() {
+# even its next incarnation once that says that it is ready; and the pool
+# keeps its budget through all waves.
+watch_promises() {
 	local -a highest=(0 0 0 0)
-	local text version ready
+	local text version ready most_out=0
 	while [ ! -e "$work/watch-end" ]; do
+		check_budget
 		for number in 1 2 3; do
 			text=$(curl -s -m 1 "http://127.0.0.1:$(entry_port $number 1)/v1/status") || continue
 			version=$(status_field "$text" config_version)
@@ -246,6 +264,13 @@
 		done
 		sleep 0.2
 	done
+	echo "$most_out" >"$work/most-out"
+}
+
+reboots() {
+	curl -s -m 2 "http://127.0.0.1:$platform_port/workers/w[1-6]" |
+		grep -o '"boots":[0-9]*' | grep -o '[0-9]*$' |
+		awk '{ sum += $1 } END { print sum + 0 }'
 }
 
 run_plan() {
@@ -333,7 +358,7 @@
 callers --requests $((seconds * rate)) --seconds "$seconds" --threads 96 \
 	--seed "$seed" >"$work/callers.out" 2>&1 &
 callers_pid=$!
-watch_versions &
+watch_promises &
 watcher_pid=$!
 run_plan
 for operator_pid in "${operators[@]}"; do wait "$operator_pid"; done
@@ -346,6 +371,7 @@
 touch "$work/watch-end"
 wait "$watcher_pid"
 check_publications
+echo "chaos: waves rebooted $(reboots) workers, at most $(cat "$work/most-out") were out at once"
 for i in 0 1 2 3 4 5; do minion_stats $i; done
 for i in 1 2 3; do
 	curl -s -m 2 "http://127.0.0.1:$(entry_port $i 1)/v1/dump" \
