Give up what was borrowed from a process that is gone

A process was killed while it had lent slots; the record GONE freed its seats at once, others claimed them, and the borrower went on with the two borrowed slots beside them: at the end the shares of one minion were 2, 3 and 3 + 2 of 8. Loans were forgotten on an eviction only. Each process now forgets the loans of members that have departed from the table, and of one that departs while its message is taken in. Ruled out: an acknowledgement of GONE as of EVICT (after a crash of all nobody could acknowledge); so until the borrower has read GONE, and while what it started on borrowed slots runs, both may still use them. Conclusion: the window left is a round of 100 ms and one run time.

--- a/include/waxwinghollow/seat.h
+++ b/include/waxwinghollow/seat.h
@@ -113,6 +113,13 @@
 /* Bits of the seats that process holds and may act on. */
 uint64_t wwh_seat_held(const wwh_seat_table_t *table, uint64_t process);
 
+/*
+ * The members of before that are none in after, e.g. said to be GONE; fills
+ * departed, which has room for WWH_SEAT_MEMBERS_MAX, and returns how many.
+ */
+int32_t wwh_seat_departed(const wwh_seat_table_t *before,
+			  const wwh_seat_table_t *after, uint64_t *departed);
+
 /* Every other member that is not evicted has acknowledged the eviction. */
 bool wwh_seat_all_acked(const wwh_seat_table_t *table, uint64_t subject);
 
--- a/src/libwaxwinghollow/entry_peers.c
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -422,6 +422,9 @@
 			wwh_request_table_loan_hear(peers->entry->requests,
 						    message.process, &loan);
 		}
+		/* it may have departed, and been forgotten, meanwhile */
+		if (!wwh_seats_is_member(peers->entry->seats, message.process))
+			wwh_entry_peers_forget(peers, message.process);
 	}
 	wwh_loan_message_clear(&message);
 }
--- a/src/libwaxwinghollow/entry_seats.c
+++ b/src/libwaxwinghollow/entry_seats.c
@@ -188,15 +188,27 @@
 	g_mutex_unlock(&seats->lock);
 }
 
+/*
+ * What a process lent is its seats'. Once it is said to be gone, others claim
+ * these; a borrower that went on would make a minion serve more than its slots
+ * for as long as it wants them, since the lender never asks for them back.
+ */
 static void copy_table(wwh_seats_t *seats)
 {
 	wwh_entry_t *entry = seats->entry;
+	uint64_t departed[WWH_SEAT_MEMBERS_MAX];
+	const wwh_seat_table_t *table;
+	int32_t count;
 
 	g_mutex_lock(&entry->state_lock);
 	g_mutex_lock(&seats->lock);
-	seats->table = *wwh_state_seats(entry->state);
+	table = wwh_state_seats(entry->state);
+	count = wwh_seat_departed(&seats->table, table, departed);
+	seats->table = *table;
 	g_mutex_unlock(&seats->lock);
 	g_mutex_unlock(&entry->state_lock);
+	for (int32_t i = 0; i < count; i++)
+		wwh_entry_peers_forget(entry->peers, departed[i]);
 }
 
 static void set_share(wwh_seats_t *seats, int64_t now_ms)
--- a/src/libwaxwinghollow/seat.c
+++ b/src/libwaxwinghollow/seat.c
@@ -80,6 +80,20 @@
 	return seats;
 }
 
+int32_t wwh_seat_departed(const wwh_seat_table_t *before,
+			  const wwh_seat_table_t *after, uint64_t *departed)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < before->member_count; i++) {
+		uint64_t process = before->members[i].process;
+
+		if (index_of(after, process) < 0)
+			departed[count++] = process;
+	}
+	return count;
+}
+
 bool wwh_seat_all_acked(const wwh_seat_table_t *table, uint64_t subject)
 {
 	int32_t index = index_of(table, subject);
--- a/src/test_seat/test_seat.c
+++ b/src/test_seat/test_seat.c
@@ -316,6 +316,39 @@
 }
 
 /* With the log down, a majority keeps its leases; a minority stops. */
+/*
+ * A caller sees a minion that is slow because it serves ten requests at once.
+ * Process 1 has lent slots to 2 and is killed; its successor 3 says that it is
+ * gone and claims its seats. 2 has to learn that 1 has departed, or it would
+ * use what it borrowed beside 3.
+ */
+static void who_is_gone_has_departed(void **unused)
+{
+	const wwh_seat_record_t records[] = {
+		{ WWH_SEAT_JOIN, 1, 0, 0 },  { WWH_SEAT_CLAIM, 1, 0, 0 },
+		{ WWH_SEAT_JOIN, 2, 0, 0 },  { WWH_SEAT_JOIN, 3, 0, 0 },
+		{ WWH_SEAT_GONE, 3, 1, 0 },  { WWH_SEAT_CLAIM, 3, 0, 0 },
+		{ WWH_SEAT_EVICT, 3, 2, 0 },
+	};
+	uint64_t departed[WWH_SEAT_MEMBERS_MAX];
+	wwh_seat_table_t before;
+	wwh_seat_table_t after;
+
+	(void)unused;
+	wwh_seat_table_init(&after, SEATS);
+	for (size_t i = 0; i < G_N_ELEMENTS(records); i++) {
+		int32_t count;
+
+		before = after;
+		assert_true(wwh_seat_table_apply(&after, &records[i]));
+		count = wwh_seat_departed(&before, &after, departed);
+		assert_int_equal(count, records[i].type == WWH_SEAT_GONE);
+		if (count > 0)
+			assert_int_equal(departed[0], 1);
+	}
+	assert_int_equal(wwh_seat_held(&after, 3), 1);
+}
+
 static void a_majority_keeps_the_lease_without_the_log(void **unused)
 {
 	wwh_seat_table_t table;
@@ -347,6 +380,7 @@
 		cmocka_unit_test(no_seat_is_ever_used_twice),
 		cmocka_unit_test(seats_spread_evenly),
 		cmocka_unit_test(an_evicted_one_has_no_say_and_no_seat),
+		cmocka_unit_test(who_is_gone_has_departed),
 		cmocka_unit_test(a_majority_keeps_the_lease_without_the_log),
 	};
 
