Read CSV by libcsv; take up only lists that were read to their end

Cause: CSV was read by 130 lines of this project's own, written when libcsv was not installed. Apart from it, the set of minions that the platform's list calls gone was emptied when a new reading began; during it, or after one that failed, a minion that is gone was told as leaving, and each period said so in the log.

Ruled out: giving whole files to libcsv, since it tells neither lines nor places and ends rows at a lone CR; rows are cut before it.

The change to the set has no test of its own.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES = cmake make gcc clang clang-format clang-tidy libclang-rt-14-dev \
 	pkg-config libulfius-dev libmicrohttpd-dev libcurl4-gnutls-dev \
 	libmsgpack-dev libglib2.0-dev libjson-glib-dev libxxhash-dev \
-	libcmocka-dev
+	libcsv-dev libcmocka-dev
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
 FUZZ_SECONDS ?= 60
 FUZZ_RUNS ?= 20000
--- a/src/libwaxwinghollow/csv_source.c
+++ b/src/libwaxwinghollow/csv_source.c
@@ -1,15 +1,18 @@
 #include "private/csv_source.h"
 
+#include <csv.h>
 #include <stdbool.h>
 #include <string.h>
 
 #define BYTE_ORDER_MARK "\xef\xbb\xbf"
 
 static GPtrArray *read_row(wwh_csv_source_t *source);
-static bool read_cell(wwh_csv_source_t *source, GString *cell);
-static bool read_quoted(wwh_csv_source_t *source, GString *cell);
-static bool at_row_end(const wwh_csv_source_t *source);
-static void skip_row_end(wwh_csv_source_t *source);
+static size_t row_size(const wwh_csv_source_t *source);
+static size_t parse(GPtrArray *cells, const char *row, size_t size);
+static void report(const wwh_csv_source_t *source, const char *row,
+		   size_t good);
+static void take_cell(void *text, size_t size, void *client_data);
+static int never(unsigned char byte);
 static bool is_blank(const GPtrArray *cells);
 
 void wwh_csv_init(wwh_csv_source_t *source, const char *file, const char *text,
@@ -42,93 +45,117 @@
 	return NULL;
 }
 
+/*
+ * One parser a row, and rows are cut before it sees them: libcsv tells
+ * neither lines nor places, and it would end a row at a lone CR.
+ */
 static GPtrArray *read_row(wwh_csv_source_t *source)
 {
 	GPtrArray *cells = g_ptr_array_new_with_free_func(g_free);
+	const char *row = source->at;
+	size_t whole = row_size(source);
+	size_t size = whole;
+	size_t good;
 
 	source->line = source->next_line;
-	for (;;) {
-		GString *cell = g_string_new(NULL);
-		bool ok = read_cell(source, cell);
-
-		g_ptr_array_add(cells, g_string_free(cell, FALSE));
-		if (!ok) {
-			g_ptr_array_unref(cells);
-			source->at = source->end;
-			return NULL;
-		}
-		if (source->at == source->end || *source->at != ',')
-			break;
+	if (size > 0 && row + size < source->end && row[size - 1] == '\r')
+		size--;
+	good = parse(cells, row, size);
+	if (good <= size) {
+		report(source, row, good);
+		g_ptr_array_unref(cells);
+		source->at = source->end;
+		return NULL;
+	}
+	for (size_t i = 0; i < whole; i++)
+		source->next_line += row[i] == '\n';
+	source->at += whole;
+	if (source->at < source->end) {
 		source->at++;
+		source->next_line++;
 	}
-	skip_row_end(source);
 	return cells;
 }
 
-static bool read_cell(wwh_csv_source_t *source, GString *cell)
+/* Up to the first line end outside quotes, or to the end. */
+static size_t row_size(const wwh_csv_source_t *source)
 {
-	if (source->at < source->end && *source->at == '"')
-		return read_quoted(source, cell);
-	while (source->at < source->end && *source->at != ',' &&
-	       !at_row_end(source)) {
-		if (*source->at == '"' || *source->at == '\0') {
-			wwh_report_error(source->report, source->file,
-					 source->next_line,
-					 "a quote or zero byte inside a cell, "
-					 "expected the whole cell in quotes "
-					 "with inner quotes doubled");
-			return false;
-		}
-		g_string_append_c(cell, *source->at++);
+	size_t left = (size_t)(source->end - source->at);
+	bool quoted = false;
+
+	for (size_t i = 0; i < left; i++) {
+		if (source->at[i] == '"')
+			quoted = !quoted;
+		if (source->at[i] == '\n' && !quoted)
+			return i;
 	}
-	return true;
+	return left;
 }
 
-static bool read_quoted(wwh_csv_source_t *source, GString *cell)
+/* How many bytes are good; more than size: all, and the row's end too. */
+static size_t parse(GPtrArray *cells, const char *row, size_t size)
 {
-	for (source->at++; source->at < source->end; source->at++) {
-		char c = *source->at;
-
-		if (c == '\0')
-			break;
-		if (c == '\n')
-			source->next_line++;
-		if (c != '"') {
-			g_string_append_c(cell, c);
-			continue;
-		}
-		source->at++;
-		if (source->at == source->end || *source->at == ',' ||
-		    at_row_end(source))
-			return true;
-		if (*source->at != '"')
-			break;
-		g_string_append_c(cell, '"');
+	const char *zero = memchr(row, '\0', size);
+	size_t limit = zero != NULL ? (size_t)(zero - row) : size;
+	struct csv_parser parser;
+	size_t good;
+
+	if (csv_init(&parser, CSV_STRICT | CSV_STRICT_FINI) != 0)
+		g_error("csv: %s", csv_strerror(csv_error(&parser)));
+	csv_set_space_func(&parser, never);
+	csv_set_term_func(&parser, never);
+	good = csv_parse(&parser, row, limit, take_cell, NULL, cells);
+	if (good == size &&
+	    csv_fini(&parser, take_cell, NULL, cells) == CSV_SUCCESS)
+		good++;
+	if (csv_error(&parser) == CSV_ENOMEM)
+		g_error("csv: %s", csv_strerror(CSV_ENOMEM));
+	csv_free(&parser);
+	return good;
+}
+
+static void report(const wwh_csv_source_t *source, const char *row, size_t good)
+{
+	int32_t line = source->line;
+	bool quoted = false;
+	bool cell_quoted = false;
+
+	for (size_t i = 0; i < good; i++) {
+		if (!quoted && (i == 0 || row[i - 1] == ','))
+			cell_quoted = row[i] == '"';
+		if (row[i] == '"')
+			quoted = !quoted;
+		line += row[i] == '\n';
 	}
-	wwh_report_error(
-		source->report, source->file, source->line,
-		"the quotes of a cell do not end before a comma or "
-		"line end, expected \"...\" with inner quotes doubled");
-	return false;
+	if (!quoted && (good == 0 || row[good - 1] == ','))
+		cell_quoted = false;
+	if (cell_quoted)
+		wwh_report_error(
+			source->report, source->file, source->line,
+			"the quotes of a cell do not end before a comma or "
+			"line end, expected \"...\" with inner quotes doubled");
+	else
+		wwh_report_error(source->report, source->file, line,
+				 "a quote or zero byte inside a cell, "
+				 "expected the whole cell in quotes "
+				 "with inner quotes doubled");
 }
 
-static bool at_row_end(const wwh_csv_source_t *source)
+static void take_cell(void *text, size_t size, void *client_data)
 {
-	if (*source->at == '\n')
-		return true;
-	return *source->at == '\r' && source->at + 1 < source->end &&
-	       source->at[1] == '\n';
+	g_ptr_array_add(client_data, g_strndup(text, size));
 }
 
-static void skip_row_end(wwh_csv_source_t *source)
+/* Neither spaces nor lone line ends mean anything inside a row. */
+static int never(unsigned char byte)
 {
-	if (source->at == source->end)
-		return;
-	source->at += *source->at == '\r' ? 2 : 1;
-	source->next_line++;
+	(void)byte;
+	return 0;
 }
 
 static bool is_blank(const GPtrArray *cells)
 {
-	return cells->len == 1 && *(char *)g_ptr_array_index(cells, 0) == '\0';
+	return cells->len == 0 ||
+	       (cells->len == 1 &&
+		*(char *)g_ptr_array_index(cells, 0) == '\0');
 }
--- a/src/libwaxwinghollow/entry_peers.c
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -30,6 +30,7 @@
 	GRand *random;
 	GHashTable *minion_states; /* id to the state told last */
 	GHashTable *gone; /* set of minions that the list calls gone */
+	GHashTable *gone_next; /* the same, of the list that is being read */
 	int64_t next_leaving_ms;
 	int64_t next_config_ms;
 	int64_t next_drain_ms;
@@ -90,6 +91,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->gone =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peers->gone_next =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	wwh_membership_options_defaults(&options);
 	options.id = settings->process_id;
 	options.incarnation = entry->incarnation;
@@ -154,6 +157,7 @@
 	wwh_leaving_delete(peers->leaving);
 	g_hash_table_destroy(peers->minion_states);
 	g_hash_table_destroy(peers->gone);
+	g_hash_table_destroy(peers->gone_next);
 	g_rand_free(peers->random);
 	g_mutex_clear(&peers->lock);
 	g_free(peers);
@@ -163,7 +167,7 @@
 {
 	g_mutex_lock(&peers->lock);
 	wwh_membership_list_begin(peers->membership);
-	g_hash_table_remove_all(peers->gone);
+	g_hash_table_remove_all(peers->gone_next);
 	g_mutex_unlock(&peers->lock);
 }
 
@@ -177,14 +181,23 @@
 		wwh_leaving_list(peers->leaving, host->id,
 				 host->state != WWH_HOST_LIVE, now_ms);
 		if (host->state == WWH_HOST_GONE)
-			g_hash_table_add(peers->gone, g_strdup(host->id));
+			g_hash_table_add(peers->gone_next, g_strdup(host->id));
 	}
 	g_mutex_unlock(&peers->lock);
 }
 
+/*
+ * Only a list that was read to its end is taken up. While one is read, or
+ * when reading it fails, minions that are gone would else get work.
+ */
 void wwh_entry_peers_list_end(wwh_entry_peers_t *peers)
 {
+	GHashTable *last;
+
 	g_mutex_lock(&peers->lock);
+	last = peers->gone;
+	peers->gone = peers->gone_next;
+	peers->gone_next = last;
 	wwh_membership_list_end(peers->membership, wwh_now_ms());
 	g_mutex_unlock(&peers->lock);
 }
