--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -8,16 +8,19 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
+#include "private/entry_internal.h"
 #include "waxwinghollow/entry.h"
 #include "waxwinghollow/platform_http.h"
 #include "waxwinghollow/record.h"
+#include "waxwinghollow/snapshot.h"
 #include "waxwinghollow/upstream.h"
 
 #include "../test_standins/include/minion_server.h"
 
 #define ENTRIES 2
 #define LATE_ENTRY ENTRIES /* started by one test */
-#define ENTRIES_MAX (ENTRIES + 1)
+#define LATER_ENTRY (ENTRIES + 1) /* by another */
+#define ENTRIES_MAX (ENTRIES + 2)
 #define PLATFORM_PROGRAM WWH_BINARY_DIR "/platform"
 #define WAIT_LIMIT_MS 15000
 
@@ -804,8 +807,8 @@
 }
 
 /*
- * A caller hangs up while the log is slow to take its intent. Nothing was
- * sent: the key is free, and a repeat runs it once.
+ * A caller hangs up while the log is late to take its intent. Nothing was
+ * sent: once the intent is read back the key is free, and a repeat runs it.
  */
 static void a_caller_gone_before_its_intent_leaves_not_run(void **state)
 {
@@ -813,12 +816,13 @@
 	told_t told;
 	int fd;
 
-	fault(fixture, "log_slow_ms=400");
+	fault(fixture, "log_late_ms=500");
 	fd = send_only(fixture, 0, "POST", "early-1");
 	g_usleep(100 * 1000);
 	close(fd);
-	g_usleep(200 * 1000);
-	fault(fixture, "log_slow_ms=0");
+	g_usleep(900 * 1000);
+	fault(fixture, "log_late_ms=0");
+	assert_int_equal(minion_runs_of(fixture->minion, "early-1"), 0);
 	call_until_settled(fixture, 1, "early-1", &told);
 	assert_int_equal(told.status, 200);
 	told_clear(&told);
@@ -864,6 +868,70 @@
 	told_clear(&told);
 }
 
+/*
+ * A host that can't read the log learns of a configuration from a neighbour
+ * that lags behind it. Versions only grow: the older one is not put in force,
+ * nor is its own a second time.
+ */
+static void an_older_configuration_is_not_put_in_force(void **state)
+{
+	fixture_t *fixture = *state;
+	wwh_entry_t *entry = fixture->entries[0];
+	wwh_config_t *current = wwh_entry_config(entry);
+	int64_t version = wwh_config_version(current);
+	wwh_config_t *empty = wwh_config_new();
+	wwh_config_change_t *change = wwh_config_diff(empty, current);
+	wwh_config_t *older = NULL;
+	wwh_message_t message;
+
+	assert_true(version > 1);
+	assert_int_equal(
+		wwh_config_apply(empty, change, version - 1, &older, &message),
+		WWH_STATUS_OK);
+	assert_false(wwh_entry_offer_config(entry, older, "a neighbour"));
+	assert_false(wwh_entry_offer_config(entry, current, "a neighbour"));
+	assert_int_equal(wwh_entry_config_version(entry), version);
+	wwh_config_unref(older);
+	wwh_config_change_delete(change);
+	wwh_config_unref(empty);
+	wwh_config_unref(current);
+}
+
+/*
+ * The log was trimmed beyond the newest snapshot's end, so records between the
+ * two are gone. A new process that took the snapshot up would go on from a
+ * state that misses them; it stays unready and waits for a newer one.
+ */
+static void a_snapshot_that_ends_before_the_log_is_not_taken_up(void **state)
+{
+	fixture_t *fixture = *state;
+	char *trim = g_strdup_printf("trim_to=control:%d",
+				     2 * WWH_SNAPSHOT_EVERY + 1);
+	told_t told;
+
+	for (int i = 0; i < WWH_SNAPSHOT_EVERY + 100; i++) {
+		ask(fixture, fixture->platform_port, "POST", "/log/control",
+		    NULL, (const uint8_t *)"filler", 6, &told);
+		assert_int_equal(told.status, 200);
+		told_clear(&told);
+	}
+	fault(fixture, trim);
+	g_free(trim);
+	start_entry(fixture, LATER_ENTRY);
+	for (int i = 0; i < 400; i++) {
+		if (counter_of(fixture, LATER_ENTRY, "snapshots.too_old") > 0)
+			break;
+		g_usleep(20 * 1000);
+	}
+	ask(fixture, wwh_entry_operator_port(fixture->entries[LATER_ENTRY]),
+	    "GET", "/v1/ready", NULL, NULL, 0, &told);
+	assert_int_not_equal(told.status, 200);
+	told_clear(&told);
+	assert_true(counter_of(fixture, LATER_ENTRY, "snapshots.too_old") > 0);
+	assert_int_equal(counter_of(fixture, LATER_ENTRY, "snapshots.restored"),
+			 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -884,8 +952,11 @@
 			a_minion_can_not_say_that_what_it_answered_did_not_run),
 		cmocka_unit_test(lost_append_answers_run_nothing_twice),
 		cmocka_unit_test(of_two_publications_one_wins),
+		cmocka_unit_test(an_older_configuration_is_not_put_in_force),
 		cmocka_unit_test(an_outage_longer_than_a_lease_stops_nobody),
 		cmocka_unit_test(a_new_process_starts_from_a_trimmed_log),
+		cmocka_unit_test(
+			a_snapshot_that_ends_before_the_log_is_not_taken_up),
 		cmocka_unit_test(
 			a_leaving_minion_gets_no_new_work_from_anybody),
 	};
