--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,7 +3,17 @@
 # starts is in the arrays below and is ended by stop_all.
 
 work=$(mktemp -d)
-port_base=$((20000 + ($$ % 110) * 100))
+# A hundred ports that nobody listens on; two clusters may run at once.
+port_base=
+until [ -n "$port_base" ]; do
+	port_base=$((20000 + RANDOM % 110 * 100))
+	for port in $port_base $((port_base + 10)) $((port_base + 11)) \
+		$((port_base + 40)); do
+		(exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || continue
+		port_base=
+		break
+	done
+done
 platform_port=$port_base
 declare -A pid_of
 minions=(session-1 session-2 session-3 party-1 party-2 party-3)
