Say what the pause after a tick keeps to

Cause: the ratio went from 100 to 200, the comment still said 1%. Ruled out: nothing else names it. Conclusion: comment and constant agree.

--- a/src/libwaxwinghollow/entry_fleet.c
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -25,7 +25,7 @@
 
 /*
  * A tick takes time with the size of the fleet, 16 ms at the target. So long
- * a pause after it keeps conducting below 1% of a core at every size, and
+ * a pause after it keeps conducting below 0.5% of a core at every size, and
  * urgent work still starts within its 7.2 s.
  */
 #define TICK_PAUSE_RATIO 200
