--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -24,6 +24,7 @@
 PROCESS_TEXTS='[Aa]ssertion|Bail out|-CRITICAL|-ERROR|Sanitizer|corrupted'
 STOP_LIMIT_S=25
 IN_FORCE_LIMIT_S=15
+TAKEOVER_LIMIT_S=20
 SLOTS=8
 CONNECTIONS=64
 LOSE_COUNT=3 # of the pool, in the rules that cluster.sh writes
@@ -151,6 +152,10 @@
 	operators+=($!)
 }
 
+signal() { # NAME SIGNAL: to one that may have ended by itself
+	[ -z "${pid_of[$1]:-}" ] || kill "-$2" "${pid_of[$1]}" 2>/dev/null
+}
+
 await_end() { # NAME: of a process that was told to end
 	local pid=${pid_of[$1]:-} code=0 waited=0
 	[ -n "$pid" ] || return 0
@@ -186,12 +191,12 @@
 		[ "$1" = entry-kill ] || host_state entry "entry-$2" gone \
 			"127.0.0.1:$(entry_port "$2" 2)" ;;
 	entry-start) start_entry "$2" ;;
-	entry-stop) kill -STOP "${pid_of[entry-$2]}" ;;
-	entry-cont) kill -CONT "${pid_of[entry-$2]}" ;;
+	entry-stop) signal "entry-$2" STOP ;;
+	entry-cont) signal "entry-$2" CONT ;;
 	entry-term)
 		host_state entry "entry-$2" leaving \
 			"127.0.0.1:$(entry_port "$2" 2)"
-		kill -TERM "${pid_of[entry-$2]}" ;;
+		signal "entry-$2" TERM ;;
 	entry-ended)
 		await_end "entry-$2"
 		start_entry "$2" ;;
@@ -251,7 +256,7 @@
 watch_promises() {
 	local -a highest=(0 0 0 0) seen=('' '' '' '')
 	local text version ready incarnation most_out=0
-	while [ ! -e "$work/watch-end" ]; do
+	while [ ! -e "$work/watch-end" ] && kill -0 $$ 2>/dev/null; do
 		check_budget
 		for number in 1 2 3; do
 			text=$(curl -s -m 1 "http://127.0.0.1:$(entry_port $number 1)/v1/status") || continue
@@ -319,6 +324,23 @@
 	violation "not the same configuration everywhere after $IN_FORCE_LIMIT_S s: $(printf %s "$seen" | tr '\n' ';')"
 }
 
+# Nobody dead holds a lease of control work: it would wait for ever.
+check_leases() {
+	local waited=0 living holders dead=
+	living=$(for number in 1 2 3; do
+		status_field "$(curl -s -m 1 "http://127.0.0.1:$(entry_port $number 1)/v1/status")" incarnation
+	done)
+	while [ $waited -lt $((TAKEOVER_LIMIT_S * 5)) ]; do
+		holders=$(curl -s -m 1 "http://127.0.0.1:$(entry_port 1 1)/v1/dump" |
+			grep -o '"holder":"[^"]*"' | cut -d'"' -f4 | sort -u)
+		dead=$(echo "$holders" | grep -vxF "$living" | grep .)
+		[ -n "$dead" ] || return
+		sleep 0.2
+		waited=$((waited + 1))
+	done
+	violation "leases are held by $dead after $TAKEOVER_LIMIT_S s"
+}
+
 check_publications() {
 	local accepted=1 unknown=0 code file versions
 	for file in "$work"/publish-*.code; do
@@ -375,6 +397,7 @@
 [ $code = 0 ] || violation "callers: $(tail -1 "$work/callers.out")"
 check_alive
 check_in_force
+check_leases
 touch "$work/watch-end"
 wait "$watcher_pid"
 check_publications
@@ -383,7 +406,7 @@
 for i in 1 2 3; do
 	curl -s -m 2 "http://127.0.0.1:$(entry_port $i 1)/v1/dump" \
 		>"$work/dump-$i.json"
-	kill -TERM "${pid_of[entry-$i]}" 2>/dev/null
+	signal "entry-$i" TERM
 done
 for i in 1 2 3; do await_end entry-$i; done
 check_logs
