--- a/include/waxwinghollow/frame.h
+++ b/include/waxwinghollow/frame.h
@@ -43,7 +43,6 @@
 	WWH_FRAME_STATE_PART,
 	WWH_FRAME_SEAT_ASK, /* see seat.h */
 	WWH_FRAME_SEAT_ANSWER,
-	WWH_FRAME_CONFIG_ASK, /* answered by CONFIG */
 	WWH_FRAME_DRAIN, /* requests in progress on workers that are out */
 	WWH_FRAME_KIND_COUNT
 } wwh_frame_kind_t;
--- a/src/libwaxwinghollow/entry_peers.c
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -7,6 +7,7 @@
 #include "private/entry_seats.h"
 #include "private/peer_message.h"
 #include "private/request_table.h"
+#include "waxwinghollow/config_relay.h"
 #include "waxwinghollow/peer.h"
 
 #define TICK_MS 50
@@ -22,14 +23,11 @@
  * Without requests nobody wants to borrow: telling 5,100 minions' loans to
  * every peer 20 times a second would cost more than all other control.
  */
-#define LOAN_REST_PERIOD_MS 1000
+#define LOAN_REST_PERIOD_MS 5000
 
 /* How often requests on workers that are out are told. */
 #define DRAIN_PERIOD_MS 200
 
-/* How often a newer configuration is asked for. */
-#define CONFIG_ASK_PERIOD_MS 1000
-
 struct wwh_entry_peers {
 	wwh_entry_t *entry;
 	wwh_peer_t *peer;
@@ -37,11 +35,13 @@
 	wwh_membership_t *membership;
 	wwh_leaving_t *leaving;
 	GRand *random;
+	GMutex relay_lock; /* relay and relayed_version; before state_lock */
+	wwh_config_relay_t *relay;
+	int64_t relayed_version;
 	GHashTable *minion_states; /* id to the state told last */
 	GHashTable *gone; /* set of minions that the list calls gone */
 	GHashTable *gone_next; /* the same, of the list that is being read */
 	int64_t next_leaving_ms;
-	int64_t next_config_ms;
 	int64_t next_drain_ms;
 	int64_t next_loan_ms;
 	bool stopping; /* under lock */
@@ -69,11 +69,13 @@
 static void hear_drains(wwh_entry_peers_t *peers, const uint8_t *payload,
 			size_t size);
 static void tell_drains(wwh_entry_peers_t *peers, int64_t now_ms);
-static void ask_config(wwh_entry_peers_t *peers, int64_t now_ms);
-static void answer_config(wwh_entry_peers_t *peers, const char *from,
-			  const uint8_t *payload, size_t size);
-static void take_config(wwh_entry_peers_t *peers, const uint8_t *payload,
-			size_t size);
+static void relay_config(wwh_entry_peers_t *peers, int64_t now_ms);
+static void send_config(const char *address, const uint8_t *payload,
+			size_t size, void *client_data);
+static GBytes *whole_config(int64_t *version, int64_t *offset,
+			    void *client_data);
+static bool install_config(int64_t from, int64_t version, int64_t offset,
+			   GBytes *bytes, void *client_data);
 static void update_summary(wwh_entry_peers_t *peers, int64_t now_ms);
 static void update_minions(wwh_entry_peers_t *peers, int64_t now_ms);
 static GPtrArray *alive_members(wwh_entry_peers_t *peers);
@@ -92,6 +94,7 @@
 	wwh_entry_peers_t *peers = g_new0(wwh_entry_peers_t, 1);
 	const wwh_settings_t *settings = entry->settings;
 	wwh_membership_options_t options;
+	wwh_config_relay_options_t relay;
 
 	peers->entry = entry;
 	g_mutex_init(&peers->lock);
@@ -115,6 +118,13 @@
 	options.leaving = peers->leaving;
 	peers->membership =
 		wwh_membership_new(&options, peers->random, send_gossip, peers);
+	wwh_config_relay_options_defaults(&relay);
+	relay.send = send_config;
+	relay.whole = whole_config;
+	relay.install = install_config;
+	relay.client_data = peers;
+	g_mutex_init(&peers->relay_lock);
+	peers->relay = wwh_config_relay_new(&relay);
 	peers->config_fetched =
 		wwh_counters_get(entry->counters, "config.fetched_from_peers");
 	peers->leaving_count =
@@ -164,6 +174,8 @@
 	if (peers->peer != NULL)
 		wwh_peer_delete(peers->peer);
 	wwh_membership_delete(peers->membership);
+	wwh_config_relay_delete(peers->relay);
+	g_mutex_clear(&peers->relay_lock);
 	wwh_leaving_delete(peers->leaving);
 	g_hash_table_destroy(peers->minion_states);
 	g_hash_table_destroy(peers->gone);
@@ -331,7 +343,7 @@
 		wwh_membership_tick(peers->membership, now_ms);
 		g_mutex_unlock(&peers->lock);
 		update_minions(peers, now_ms);
-		ask_config(peers, now_ms);
+		relay_config(peers, now_ms);
 		tell_loans(peers, now_ms);
 		tell_drains(peers, now_ms);
 		g_usleep(TICK_MS * MILLISECOND_US);
@@ -365,11 +377,11 @@
 	case WWH_FRAME_DRAIN:
 		hear_drains(peers, payload, size);
 		break;
-	case WWH_FRAME_CONFIG_ASK:
-		answer_config(peers, from, payload, size);
-		break;
 	case WWH_FRAME_CONFIG:
-		take_config(peers, payload, size);
+		g_mutex_lock(&peers->relay_lock);
+		(void)wwh_config_relay_receive(peers->relay, from, payload,
+					       size, wwh_now_ms());
+		g_mutex_unlock(&peers->relay_lock);
 		break;
 	default:
 		break;
@@ -549,89 +561,90 @@
  * peers. Without it, it would go on with an old one for as long as its log is
  * cut off, though its neighbours have the new one.
  */
-static void ask_config(wwh_entry_peers_t *peers, int64_t now_ms)
+static void relay_config(wwh_entry_peers_t *peers, int64_t now_ms)
 {
-	wwh_config_ask_t ask = { wwh_entry_config_version(peers->entry) };
+	int64_t version = wwh_entry_config_version(peers->entry);
 	const char *address = "";
-	char *target = NULL;
-	GBytes *bytes;
+	char *copy;
+	int64_t newest;
 
-	if (now_ms < peers->next_config_ms)
-		return;
 	g_mutex_lock(&peers->lock);
-	if (wwh_membership_newest_config(peers->membership, &address) >
-		    ask.version &&
-	    *address != '\0')
-		target = g_strdup(address);
+	newest = wwh_membership_newest_config(peers->membership, &address);
+	copy = g_strdup(address);
 	g_mutex_unlock(&peers->lock);
-	if (target == NULL)
-		return;
-	peers->next_config_ms = now_ms + CONFIG_ASK_PERIOD_MS;
-	bytes = wwh_config_ask_encode(&ask);
-	send_bytes(peers, target, WWH_FRAME_CONFIG_ASK, bytes);
-	g_bytes_unref(bytes);
-	g_free(target);
+	g_mutex_lock(&peers->relay_lock);
+	if (version != peers->relayed_version)
+		wwh_config_relay_reset(peers->relay, version);
+	peers->relayed_version = version;
+	wwh_config_relay_tick(peers->relay, newest, copy, now_ms);
+	g_mutex_unlock(&peers->relay_lock);
+	g_free(copy);
 }
 
-static void answer_config(wwh_entry_peers_t *peers, const char *from,
-			  const uint8_t *payload, size_t size)
+static void send_config(const char *address, const uint8_t *payload,
+			size_t size, void *client_data)
 {
-	wwh_config_message_t message = { 0 };
-	wwh_config_ask_t ask;
-	wwh_config_t *config;
-	wwh_config_t *empty;
-	wwh_config_change_t *change;
-	GBytes *bytes;
+	wwh_entry_peers_t *peers = client_data;
 
-	if (!wwh_config_ask_decode(payload, size, &ask))
-		return;
-	config = wwh_entry_config(peers->entry);
-	if (config == NULL)
-		return;
-	if (wwh_config_version(config) > ask.version) {
-		empty = wwh_config_new();
-		change = wwh_config_diff(empty, config);
-		message.version = wwh_config_version(config);
-		message.author = g_strdup(peers->entry->author);
-		message.change = wwh_config_change_encode(change);
-		bytes = wwh_config_message_encode(&message);
-		send_bytes(peers, from, WWH_FRAME_CONFIG, bytes);
-		if (bytes != NULL)
-			g_bytes_unref(bytes);
-		wwh_config_message_clear(&message);
-		wwh_config_change_delete(change);
-		wwh_config_unref(empty);
-	}
-	wwh_config_unref(config);
+	(void)wwh_peer_send(peers->peer, address, WWH_FRAME_CONFIG, payload,
+			    size);
 }
 
-static void take_config(wwh_entry_peers_t *peers, const uint8_t *payload,
-			size_t size)
+static GBytes *whole_config(int64_t *version, int64_t *offset,
+			    void *client_data)
 {
-	wwh_config_message_t message;
-	wwh_config_change_t *change = NULL;
+	wwh_entry_peers_t *peers = client_data;
+	wwh_entry_t *entry = peers->entry;
+	wwh_config_t *config = wwh_entry_config(entry);
 	wwh_config_t *empty = wwh_config_new();
+	wwh_config_change_t *change =
+		wwh_config_diff(empty, config != NULL ? config : empty);
+	GBytes *bytes = wwh_config_change_encode(change);
+
+	*version = config != NULL ? wwh_config_version(config) : 0;
+	g_mutex_lock(&entry->state_lock);
+	*offset = wwh_state_config_offset(entry->state);
+	g_mutex_unlock(&entry->state_lock);
+	wwh_config_change_delete(change);
+	wwh_config_unref(empty);
+	if (config != NULL)
+		wwh_config_unref(config);
+	return bytes;
+}
+
+static bool install_config(int64_t from, int64_t version, int64_t offset,
+			   GBytes *bytes, void *client_data)
+{
+	wwh_entry_peers_t *peers = client_data;
+	wwh_config_t *base = wwh_entry_config(peers->entry);
 	wwh_config_t *config = NULL;
+	wwh_config_change_t *change = NULL;
 	wwh_message_t text;
-	gsize change_size;
-	const uint8_t *data;
-
-	if (wwh_config_message_decode(payload, size, &message)) {
-		data = g_bytes_get_data(message.change, &change_size);
-		if (wwh_config_change_decode(data, change_size, &change,
-					     &text) == WWH_STATUS_OK &&
-		    wwh_config_apply(empty, change, message.version, &config,
-				     &text) == WWH_STATUS_OK &&
-		    wwh_entry_offer_config(peers->entry, config,
-					   message.author))
-			wwh_counter_add(peers->config_fetched, 1);
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+	bool installed = false;
+
+	(void)offset;
+	if (from == 0 || base == NULL) {
+		if (base != NULL)
+			wwh_config_unref(base);
+		base = wwh_config_new();
 	}
+	if (wwh_config_version(base) == from &&
+	    wwh_config_change_decode(data, size, &change, &text) ==
+		    WWH_STATUS_OK &&
+	    wwh_config_apply(base, change, version, &config, &text) ==
+		    WWH_STATUS_OK)
+		installed =
+			wwh_entry_offer_config(peers->entry, config, "a peer");
+	if (installed)
+		wwh_counter_add(peers->config_fetched, 1);
 	if (config != NULL)
 		wwh_config_unref(config);
 	if (change != NULL)
 		wwh_config_change_delete(change);
-	wwh_config_unref(empty);
-	wwh_config_message_clear(&message);
+	wwh_config_unref(base);
+	return installed;
 }
 
 static void update_summary(wwh_entry_peers_t *peers, int64_t now_ms)
--- a/src/libwaxwinghollow/frame.c
+++ b/src/libwaxwinghollow/frame.c
@@ -13,8 +13,8 @@
 static const uint8_t magic[AT_VERSION] = { 'W', 'W', 'H', 'F' };
 
 const char *const wwh_frame_kind_names[WWH_FRAME_KIND_COUNT] = {
-	"hello",      "gossip",	  "config",	 "loan",       "state_request",
-	"state_part", "seat_ask", "seat_answer", "config_ask", "drain",
+	"hello",      "gossip",	  "config",	 "loan",  "state_request",
+	"state_part", "seat_ask", "seat_answer", "drain",
 };
 
 const char *const wwh_frame_fault_names[WWH_FRAME_FAULT_COUNT] = {
--- a/src/libwaxwinghollow/include/private/peer_message.h
+++ b/src/libwaxwinghollow/include/private/peer_message.h
@@ -51,17 +51,6 @@
 	GPtrArray *items; /* of wwh_drain_item_t * */
 } wwh_drain_message_t;
 
-/* Asks for the configuration when it is newer than version. */
-typedef struct {
-	int64_t version;
-} wwh_config_ask_t;
-
-typedef struct {
-	int64_t version;
-	char *author;
-	GBytes *change; /* from an empty configuration */
-} wwh_config_message_t;
-
 GBytes *wwh_seat_ask_encode(const wwh_seat_ask_t *message);
 bool wwh_seat_ask_decode(const uint8_t *data, size_t size,
 			 wwh_seat_ask_t *message);
@@ -83,13 +72,4 @@
 bool wwh_drain_message_decode(const uint8_t *data, size_t size,
 			      wwh_drain_message_t *message);
 
-GBytes *wwh_config_ask_encode(const wwh_config_ask_t *message);
-bool wwh_config_ask_decode(const uint8_t *data, size_t size,
-			   wwh_config_ask_t *message);
-void wwh_config_message_clear(wwh_config_message_t *message);
-GBytes *wwh_config_message_encode(const wwh_config_message_t *message);
-/* message is to be cleared, also when data is refused. */
-bool wwh_config_message_decode(const uint8_t *data, size_t size,
-			       wwh_config_message_t *message);
-
 #endif
--- a/src/libwaxwinghollow/peer_message.c
+++ b/src/libwaxwinghollow/peer_message.c
@@ -64,20 +64,6 @@
 	  DRAINS_MAX, &drain_item_fields },
 };
 
-static const wwh_codec_field_t config_ask[] = {
-	{ "version", WWH_CODEC_INT64, offsetof(wwh_config_ask_t, version), 0,
-	  INT64_MAX },
-};
-
-static const wwh_codec_field_t config[] = {
-	{ "version", WWH_CODEC_INT64, offsetof(wwh_config_message_t, version),
-	  1, INT64_MAX },
-	{ "author", WWH_CODEC_ID, offsetof(wwh_config_message_t, author), 0,
-	  MINION_BYTES_MAX },
-	{ "change", WWH_CODEC_BYTES, offsetof(wwh_config_message_t, change), 0,
-	  WWH_FRAME_PAYLOAD_MAX },
-};
-
 #define FIELDS(type, array)                                                    \
 	{                                                                      \
 		array, G_N_ELEMENTS(array), sizeof(type)                       \
@@ -90,11 +76,6 @@
 static const wwh_codec_fields_t loan_fields = FIELDS(wwh_loan_message_t, loans);
 static const wwh_codec_fields_t drain_fields =
 	FIELDS(wwh_drain_message_t, drain);
-static const wwh_codec_fields_t config_ask_fields =
-	FIELDS(wwh_config_ask_t, config_ask);
-static const wwh_codec_fields_t config_fields =
-	FIELDS(wwh_config_message_t, config);
-
 GBytes *wwh_seat_ask_encode(const wwh_seat_ask_t *message)
 {
 	return wwh_codec_encode(&seat_ask_fields, message, NULL);
@@ -158,30 +139,3 @@
 {
 	return wwh_codec_decode(&drain_fields, data, size, message, NULL);
 }
-
-GBytes *wwh_config_ask_encode(const wwh_config_ask_t *message)
-{
-	return wwh_codec_encode(&config_ask_fields, message, NULL);
-}
-
-bool wwh_config_ask_decode(const uint8_t *data, size_t size,
-			   wwh_config_ask_t *message)
-{
-	return wwh_codec_decode(&config_ask_fields, data, size, message, NULL);
-}
-
-void wwh_config_message_clear(wwh_config_message_t *message)
-{
-	wwh_codec_clear(&config_fields, message);
-}
-
-GBytes *wwh_config_message_encode(const wwh_config_message_t *message)
-{
-	return wwh_codec_encode(&config_fields, message, NULL);
-}
-
-bool wwh_config_message_decode(const uint8_t *data, size_t size,
-			       wwh_config_message_t *message)
-{
-	return wwh_codec_decode(&config_fields, data, size, message, NULL);
-}
