Trim the log in a test only when the other processes have replayed it

Cause: a_snapshot_that_ends_before_the_log_is_not_taken_up was flaky.

Conclusion: the test waits for the offset that each process has replayed.

--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 
 #include "private/entry_internal.h"
+#include "private/entry_log.h"
 #include "waxwinghollow/entry.h"
 #include "waxwinghollow/platform_http.h"
 #include "waxwinghollow/record.h"
@@ -898,6 +899,19 @@
 	wwh_config_unref(current);
 }
 
+static void wait_replayed(fixture_t *fixture, int entry, int64_t offset)
+{
+	wwh_entry_log_t *log = fixture->entries[entry]->log;
+
+	for (int i = 0; i < WAIT_LIMIT_MS / 20; i++) {
+		if (wwh_entry_log_offset(log, WWH_STREAM_CONTROL) >= offset)
+			return;
+		g_usleep(20 * 1000);
+	}
+	fail_msg("entry %d did not replay up to %" G_GINT64_FORMAT, entry,
+		 offset);
+}
+
 /*
  * The log was trimmed beyond the newest snapshot's end, so records between the
  * two are gone. A new process that took the snapshot up would go on from a
@@ -916,10 +930,13 @@
 		assert_int_equal(told.status, 200);
 		told_clear(&told);
 	}
+	/* the others hold the snapshot and need none themselves */
+	for (int i = 0; i < LATER_ENTRY; i++)
+		wait_replayed(fixture, i, 2 * WWH_SNAPSHOT_EVERY + 1);
 	fault(fixture, trim);
 	g_free(trim);
 	start_entry(fixture, LATER_ENTRY);
-	for (int i = 0; i < 400; i++) {
+	for (int i = 0; i < WAIT_LIMIT_MS / 20; i++) {
 		if (counter_of(fixture, LATER_ENTRY, "snapshots.too_old") > 0)
 			break;
 		g_usleep(20 * 1000);
