Mend two checks of chaos.sh

Cause: the check that no dead process holds a lease looked for JSON without blanks, but a dump has them: it could not fail. The pattern takes blanks; operators are waited for by the files that they leave, for 60 s at most, above which the run fails.

--- a/scripts/chaos.sh
+++ b/scripts/chaos.sh
@@ -25,6 +25,7 @@
 STOP_LIMIT_S=25
 IN_FORCE_LIMIT_S=15
 TAKEOVER_LIMIT_S=20
+OPERATOR_LIMIT_S=60
 SLOTS=8
 CONNECTIONS=64
 LOSE_COUNT=3 # of the pool, in the rules that cluster.sh writes
@@ -147,15 +148,28 @@
 publish_both() {
 	publications=$((publications + 1))
 	publish_as ann $publications 1 2 3 &
-	operators+=($!)
 	publish_as ben $publications 3 2 1 &
-	operators+=($!)
 }
 
 signal() { # NAME SIGNAL: to one that may have ended by itself
 	[ -z "${pid_of[$1]:-}" ] || kill "-$2" "${pid_of[$1]}" 2>/dev/null
 }
 
+# By what they leave, not by their process ids: an id of one that ended long ago
+# may be that of a process that runs until the end.
+await_operators() {
+	local waited=0
+	while [ "$(cat "$work"/publish-*.code 2>/dev/null | wc -l)" -lt \
+		$((2 * publications)) ]; do
+		sleep 0.2
+		waited=$((waited + 1))
+		if [ $waited -gt $((OPERATOR_LIMIT_S * 5)) ]; then
+			violation "an operator waits after $OPERATOR_LIMIT_S s"
+			return
+		fi
+	done
+}
+
 await_end() { # NAME: of a process that was told to end
 	local pid=${pid_of[$1]:-} code=0 waited=0
 	[ -n "$pid" ] || return 0
@@ -215,8 +229,7 @@
 	publish) publish_both ;;
 	wave)
 		operator wave start front --timeout-ms 4000 \
-			>>"$work/wave.out" 2>&1 &
-		operators+=($!) ;;
+			>>"$work/wave.out" 2>&1 & ;;
 	esac
 }
 
@@ -332,7 +345,7 @@
 	done)
 	while [ $waited -lt $((TAKEOVER_LIMIT_S * 5)) ]; do
 		holders=$(curl -s -m 1 "http://127.0.0.1:$(entry_port 1 1)/v1/dump" |
-			grep -o '"holder":"[^"]*"' | cut -d'"' -f4 | sort -u)
+			grep -o '"holder" *: *"[^"]*"' | cut -d'"' -f4 | sort -u)
 		dead=$(echo "$holders" | grep -vxF "$living" | grep .)
 		[ -n "$dead" ] || return
 		sleep 0.2
@@ -380,17 +393,13 @@
 	violation "first publication"
 final_version=0
 ending=
-operators=()
 callers --requests $((seconds * rate)) --seconds "$seconds" --threads 96 \
 	--seed "$seed" >"$work/callers.out" 2>&1 &
 callers_pid=$!
 watch_promises &
 watcher_pid=$!
 run_plan
-# one that ended long ago may be unknown to this shell by now
-for operator_pid in "${operators[@]}"; do
-	wait "$operator_pid" 2>/dev/null
-done
+await_operators
 code=0
 wait "$callers_pid" || code=$?
 tail -2 "$work/callers.out"
