--- a/include/waxwinghollow/lease_keeper.h
+++ b/include/waxwinghollow/lease_keeper.h
@@ -26,6 +26,10 @@
  *	could be read all the time: a renewal that could not be read must not
  *	count as missing. grace_ms covers what the old holder had started.
  *
+ *	A lease that nobody has taken for twice as long is taken by whoever is
+ *	there, a little later for each rank, and kept for half a minute: when the member whose target it
+ *	is comes and goes every few seconds, its work would stand still.
+ *
  *	It stops acting on a lease duration_ms after it began the last renewal
  *	that was accepted. No clock is compared with another: what keeps the
  *	holder's time shorter than the challenger's is that the one starts
--- a/src/libwaxwinghollow/entry.c
+++ b/src/libwaxwinghollow/entry.c
@@ -354,6 +354,8 @@
 		entry->verdicts[i] = wwh_counters_get(entry->counters, name);
 		g_free(name);
 	}
+	entry->buffered_bytes =
+		wwh_counters_get(entry->counters, "callers.buffered_bytes");
 	entry->not_run_denied =
 		wwh_counters_get(entry->counters, "answers.not_run_denied");
 }
--- a/src/libwaxwinghollow/entry_caller.c
+++ b/src/libwaxwinghollow/entry_caller.c
@@ -52,6 +52,7 @@
 	bool answered; /* response holds the minion's answer */
 	bool replayed; /* or the one kept for the key */
 	int64_t retry_after_ms;
+	int64_t held_bytes; /* of the body, and of answers taken */
 } call_t;
 
 static wwh_error_kind_t admit(call_t *call);
@@ -65,6 +66,7 @@
 			   wwh_upstream_answer_t *answer);
 static wwh_outcome_t outcome_of(const wwh_upstream_answer_t *answer);
 static void step_outcome(call_t *call, const wwh_upstream_answer_t *answer);
+static void hold_bytes(call_t *call, int64_t bytes);
 static void take_answer(call_t *call, wwh_upstream_answer_t *answer);
 static void record_result(call_t *call, wwh_error_kind_t kind);
 static wwh_error_kind_t answer_known_key(call_t *call);
@@ -88,11 +90,14 @@
 		.config = wwh_entry_config(entry),
 		.machine = wwh_chart_start(entry->request_chart),
 	};
-	wwh_error_kind_t kind = admit(&call);
+	wwh_error_kind_t kind;
 
+	hold_bytes(&call, (int64_t)request->body_size);
+	kind = admit(&call);
 	if (kind == WWH_ERROR_NONE)
 		kind = run(&call);
 	answer_caller(&call, kind);
+	wwh_counter_add(entry->buffered_bytes, -call.held_bytes);
 	if (call.config != NULL)
 		wwh_config_unref(call.config);
 }
@@ -121,6 +126,9 @@
 		return WWH_ERROR_NO_SUCH_SERVICE;
 	if ((int64_t)call->http->body_size > call->service->max_body_bytes)
 		return WWH_ERROR_BODY_TOO_LARGE;
+	if (wwh_counter_value(call->entry->buffered_bytes) >
+	    call->entry->settings->max_buffered_bytes)
+		return WWH_ERROR_TOO_MANY_REQUESTS;
 	key = wwh_headers_get(call->http->headers, HEADER_KEY);
 	if (key != NULL && (*key == '\0' || strlen(key) > WWH_KEY_BYTES_MAX))
 		return WWH_ERROR_BAD_REQUEST;
@@ -363,6 +371,17 @@
  * Headers that say what this program did are its own alone: from a minion
  * they would reach the caller as a second word, and maybe a false one.
  */
+/*
+ * Bodies and answers are held whole, so their sum is bounded for the whole
+ * process: without a bound 400 large requests at once take the host's memory
+ * and all of them fail, in place of the last ones being refused.
+ */
+static void hold_bytes(call_t *call, int64_t bytes)
+{
+	call->held_bytes += bytes;
+	wwh_counter_add(call->entry->buffered_bytes, bytes);
+}
+
 static void take_answer(call_t *call, wwh_upstream_answer_t *answer)
 {
 	wwh_headers_t *headers = answer->response.headers;
@@ -380,6 +399,7 @@
 	wwh_http_response_clear(call->response);
 	*call->response = answer->response;
 	wwh_http_response_init(&answer->response);
+	hold_bytes(call, (int64_t)call->response->body->len);
 	call->answered = true;
 }
 
--- a/src/libwaxwinghollow/entry_fleet.c
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -21,6 +21,9 @@
  * its commands carry old fences.
  */
 #define SHARD_LEASE_MS 5000
+
+/* A member that comes and goes must not take work away from one that stays. */
+#define SHARD_SETTLE_MS 10000
 #define ACTION_THREADS 8
 
 /*
@@ -108,6 +111,7 @@
 	keeper.author = entry->author;
 	keeper.duration_ms = SHARD_LEASE_MS;
 	keeper.grace_ms = 0;
+	keeper.settle_ms = SHARD_SETTLE_MS;
 	fleet->keeper = wwh_lease_keeper_new(&keeper);
 	fleet->out =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_out);
--- a/src/libwaxwinghollow/include/private/entry_internal.h
+++ b/src/libwaxwinghollow/include/private/entry_internal.h
@@ -72,6 +72,7 @@
 	wwh_counter_t *answers[WWH_ERROR_COUNT];
 	wwh_counter_t *verdicts[WWH_VERDICT_COUNT];
 	wwh_counter_t *not_run_denied;
+	wwh_counter_t *buffered_bytes; /* of bodies and answers held now */
 
 	GMutex state_lock;
 	wwh_chart_machine_t phase;
--- a/src/libwaxwinghollow/lease_keeper.c
+++ b/src/libwaxwinghollow/lease_keeper.c
@@ -3,6 +3,12 @@
 #include <glib.h>
 #include <string.h>
 
+/* Ranks take what nobody took one after another, not all at once. */
+#define ORPHAN_STEP_MS 500
+
+/* What was taken so is kept for a while, or it would be given back at once. */
+#define ORPHAN_HOLD_MS 30000
+
 const char *const wwh_lease_action_kind_names[WWH_LEASE_ACTION_COUNT] = {
 	"take",
 	"renew",
@@ -18,6 +24,7 @@
 	int64_t until_ms; /* this process may act before this */
 	int64_t next_renew_ms;
 	bool surplus; /* to be given back */
+	int64_t keep_until_ms; /* taken above the target */
 	bool tried; /* an action was decided in this round */
 } lease_t;
 
@@ -35,7 +42,8 @@
 static bool renew_one(wwh_lease_keeper_t *keeper, int64_t now_ms,
 		      wwh_lease_action_t *action);
 static bool take_one(wwh_lease_keeper_t *keeper, int64_t now_ms,
-		     wwh_lease_action_t *action);
+		     int64_t unclaimed_ms, wwh_lease_action_t *action);
+static int64_t orphan_ms(const wwh_lease_keeper_t *keeper);
 static bool release_one(wwh_lease_keeper_t *keeper, wwh_lease_action_t *action);
 static bool may_take(const wwh_lease_keeper_t *keeper, const lease_t *lease,
 		     int64_t now_ms);
@@ -134,8 +142,9 @@
 			lease->surplus = false;
 			continue;
 		}
-		lease->surplus = !is_wanted(keeper, i) ||
-				 (keep <= 0 && (above || giving));
+		lease->surplus =
+			!is_wanted(keeper, i) || giving ||
+			(keep <= 0 && above && now_ms >= lease->keep_until_ms);
 		keep -= is_wanted(keeper, i) ? 1 : 0;
 	}
 }
@@ -150,8 +159,13 @@
 		return true;
 	if (may_release && release_one(keeper, action))
 		return true;
-	return mine_count(keeper) < wwh_lease_keeper_target(keeper) &&
-	       take_one(keeper, now_ms, action);
+	if (mine_count(keeper) < wwh_lease_keeper_target(keeper))
+		return take_one(keeper, now_ms, 0, action);
+	if (!take_one(keeper, now_ms, orphan_ms(keeper), action))
+		return false;
+	lease_of(keeper, action->shard)->keep_until_ms =
+		now_ms + ORPHAN_HOLD_MS;
+	return true;
 }
 
 void wwh_lease_keeper_confirmed(wwh_lease_keeper_t *keeper, int32_t shard,
@@ -240,7 +254,7 @@
  * the same moment seldom ask for the same one.
  */
 static bool take_one(wwh_lease_keeper_t *keeper, int64_t now_ms,
-		     wwh_lease_action_t *action)
+		     int64_t unclaimed_ms, wwh_lease_action_t *action)
 {
 	int32_t count = keeper->options.shard_count;
 	int32_t start =
@@ -251,7 +265,8 @@
 		lease_t *lease = &keeper->leases[index];
 
 		if (lease->mine || lease->tried || !is_wanted(keeper, index) ||
-		    !may_take(keeper, lease, now_ms))
+		    !may_take(keeper, lease, now_ms) ||
+		    now_ms - lease->seen_ms < unclaimed_ms)
 			continue;
 		lease->tried = true;
 		action->kind = WWH_LEASE_TAKE;
@@ -280,6 +295,15 @@
 	return false;
 }
 
+/* How long a lease stays with nobody before any member may take it. */
+static int64_t orphan_ms(const wwh_lease_keeper_t *keeper)
+{
+	int64_t wait_ms =
+		(int64_t)keeper->options.duration_ms + keeper->options.grace_ms;
+
+	return 2 * wait_ms + (int64_t)keeper->rank * ORPHAN_STEP_MS;
+}
+
 static bool may_take(const wwh_lease_keeper_t *keeper, const lease_t *lease,
 		     int64_t now_ms)
 {
--- a/src/test_lease_keeper/test_lease_keeper.c
+++ b/src/test_lease_keeper/test_lease_keeper.c
@@ -201,6 +201,28 @@
 		assert_int_not_equal(action.kind, WWH_LEASE_TAKE);
 }
 
+/*
+ * The member whose turn it would be comes back every few seconds and is gone
+ * again before it has waited long enough to take the lease. Another member,
+ * which is above its target, takes it in bounded time, so its work goes on.
+ */
+static void a_lease_that_nobody_takes_is_taken_by_anybody(void **test_state)
+{
+	fleet_t *fleet = *test_state;
+	int32_t taken = 0;
+
+	for (int i = 0; i < PROCESSES; i++)
+		wwh_lease_keeper_wanted(fleet->keepers[i], 1);
+	all_know(fleet, 3);
+	run_rounds(fleet, 1000);
+	assert_int_equal(held(fleet, 0), 1);
+	fleet->paused[0] = true;
+	run_rounds(fleet, 20 * 1000);
+	for (int i = 1; i < PROCESSES; i++)
+		taken += held(fleet, i);
+	assert_int_equal(taken, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -212,6 +234,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_gap_of_the_log_is_no_missing_renewal, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_lease_that_nobody_takes_is_taken_by_anybody, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
