--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,15 +1,16 @@
 #!/bin/sh
 # fuzz.sh fixed BUILD RUNS: fixed seed and run count, the same verdict every
 # time. fuzz.sh long BUILD SECONDS: a random seed, printed by libFuzzer.
+# The targets run side by side; each one that fails prints its end.
 set -eu
 mode=$1
 build=$2
 amount=$3
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
-for target in "$build"/fuzz_*; do
-	[ -x "$target" ] || continue
-	name=$(basename "$target")
+
+run_target() { # NAME
+	name=$1
 	corpus=src/test_fuzz/corpus/$name
 	mkdir -p "$work/$name"
 	[ -d "$corpus" ] || corpus=
@@ -23,12 +24,19 @@
 		set -- -max_total_time="$amount" -print_final_stats=1
 	fi
 	log=$work/$name.log
-	if "$target" "$@" -max_len=4096 -artifact_prefix=./fuzz- \
+	if "$build/$name" "$@" -max_len=4096 -artifact_prefix=./fuzz- \
 		"$work/$name" $corpus >"$log" 2>&1; then
 		echo "fuzz: $name passed ($(grep -ao 'Done [0-9]* runs' "$log" | tail -1))"
 	else
-		tail -60 "$log"
+		tail -40 "$log" | cut -c1-300
 		echo "fuzz: $name FAILED"
-		exit 1
+		touch "$work/failed"
 	fi
+}
+
+for target in "$build"/fuzz_*; do
+	[ -x "$target" ] || continue
+	run_target "$(basename "$target")" &
 done
+wait
+[ ! -e "$work/failed" ]
--- a/src/libwaxwinghollow/config_check_pools.c
+++ b/src/libwaxwinghollow/config_check_pools.c
@@ -36,8 +36,7 @@
 
 	for (int32_t i = 0; i < wwh_config_pool_count(check->config); i++) {
 		const wwh_pool_t *pool = wwh_config_pool_at(check->config, i);
-		const wwh_worker_t *const *members =
-			(const wwh_worker_t *const *)workers->pdata + at;
+		const wwh_worker_t *const *members;
 		guint start = at;
 		int32_t size;
 
@@ -48,6 +47,7 @@
 		/* A pool may be listed before its workers come. */
 		if (size == 0)
 			continue;
+		members = (const wwh_worker_t *const *)workers->pdata + start;
 		check_pool_budget(check, pool, members, size);
 		check_pool_reserve(check, pool, members, size);
 	}
