--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,8 @@
 
 test: setup build fuzz-fixed
 	@ctest --test-dir $(BUILD) --output-on-failure -j4
+	@echo "the same with address and undefined-behaviour sanitizers:"
+	@ctest --test-dir build-fuzz --output-on-failure -j4
 
 chaos: setup build
 	@bash scripts/chaos.sh $(BUILD) --seed 1 --seconds 40
