--- a/include/waxwinghollow/seat.h
+++ b/include/waxwinghollow/seat.h
@@ -98,9 +98,9 @@
 extern const char *const wwh_seat_record_names[WWH_SEAT_RECORD_COUNT];
 
 typedef struct {
-	wwh_seat_record_type_t type;
 	uint64_t process; /* that says it */
 	uint64_t subject; /* EVICT, ACK, FREE, GONE: about whom */
+	wwh_seat_record_type_t type;
 	int32_t seat; /* CLAIM, RELEASE */
 } wwh_seat_record_t;
 
--- a/src/test_seat/test_seat.c
+++ b/src/test_seat/test_seat.c
@@ -47,7 +47,7 @@
 static void append(rig_t *rig, wwh_seat_record_type_t type, uint64_t process,
 		   uint64_t subject, int32_t seat)
 {
-	wwh_seat_record_t record = { type, process, subject, seat };
+	wwh_seat_record_t record = { process, subject, type, seat };
 
 	g_array_append_val(rig->log, record);
 }
@@ -263,7 +263,7 @@
 static bool say(wwh_seat_table_t *table, wwh_seat_record_type_t type,
 		uint64_t process, uint64_t subject, int32_t seat)
 {
-	wwh_seat_record_t record = { type, process, subject, seat };
+	wwh_seat_record_t record = { process, subject, type, seat };
 
 	return wwh_seat_table_apply(table, &record);
 }
@@ -325,10 +325,10 @@
 static void who_is_gone_has_departed(void **unused)
 {
 	const wwh_seat_record_t records[] = {
-		{ WWH_SEAT_JOIN, 1, 0, 0 },  { WWH_SEAT_CLAIM, 1, 0, 0 },
-		{ WWH_SEAT_JOIN, 2, 0, 0 },  { WWH_SEAT_JOIN, 3, 0, 0 },
-		{ WWH_SEAT_GONE, 3, 1, 0 },  { WWH_SEAT_CLAIM, 3, 0, 0 },
-		{ WWH_SEAT_EVICT, 3, 2, 0 },
+		{ 1, 0, WWH_SEAT_JOIN, 0 },  { 1, 0, WWH_SEAT_CLAIM, 0 },
+		{ 2, 0, WWH_SEAT_JOIN, 0 },  { 3, 0, WWH_SEAT_JOIN, 0 },
+		{ 3, 1, WWH_SEAT_GONE, 0 },  { 3, 0, WWH_SEAT_CLAIM, 0 },
+		{ 3, 2, WWH_SEAT_EVICT, 0 },
 	};
 	uint64_t departed[WWH_SEAT_MEMBERS_MAX];
 	wwh_seat_table_t before;
