--- a/scripts/measure_control.sh
+++ b/scripts/measure_control.sh
@@ -34,12 +34,15 @@
 
 measure() { # LABEL
 	local cpu peers logged appends
-	cpu=$(total cpu_ticks)
 	peers=$(total peer_bytes)
 	logged=$(total log_bytes)
 	appends=$(total log_appends)
+	# last, and first below: reading counters of 5,100 minions costs too
+	cpu=$(total cpu_ticks)
+	threads >"$work/threads"
 	sleep "$seconds"
 	cpu=$(($(total cpu_ticks) - cpu))
+	threads >"$work/threads-after"
 	peers=$(($(total peer_bytes) - peers))
 	logged=$(($(total log_bytes) - logged))
 	appends=$(($(total log_appends) - appends))
@@ -48,6 +51,18 @@
 		"$((logged / processes / seconds)) B/s of records," \
 		"$(($(total resident_kb) / processes)) KB resident;" \
 		"all: $((appends * 10 / seconds)) appends in 10 s"
+	echo "control $1, threads of entry-1 above 0, percent of a core:" \
+		"$(join "$work/threads" "$work/threads-after" |
+			awk -v s="$seconds" '$3 > $2 { printf "%s %.2f ", $1, ($3 - $2) / s }')"
+}
+
+# What each kind of thread of entry-1 has used, in clock ticks.
+threads() {
+	local task
+	for task in "/proc/${pid_of[entry-1]}/task/"*; do
+		echo "$(cat "$task/comm") $(awk '{ print $14 + $15 }' "$task/stat")"
+	done | awk '{ sum[$1] += $2 } END { for (name in sum) print name, sum[name] }' |
+		sort
 }
 
 publish_one() { # POOL
