Move the benches out of the tests

Cause: nine measuring programs stood under src/test_bench, though none of them passes or fails. Ruled out: renaming the stand-ins too: tests and benches both stand on them. Conclusion: src/bench; make bench runs the same programs.

--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -4,7 +4,7 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
-#include "../test_bench/include/gossip_sim.h"
+#include "../bench/include/gossip_sim.h"
 #include "private/membership_private.h"
 
 #define LIMIT_MS 60000
