Show operators the buffer cost of each pool

Cause: the capacity of pools was computed and shown to nobody. Ruled out: a column more in status, which has no room for the alternatives.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,6 +35,7 @@
 operator job submit report-1 front --team parks --idempotent >/dev/null
 check "job report-1 runs" task_is report-1 running
 operator wave plan front | tail -8
+operator status --capacity
 callers --requests 6000 --seconds 36 --threads 48 >"$work/callers.out" 2>&1 &
 callers_pid=$!
 sleep 3
--- a/src/libwaxwinghollow/entry_fleet.c
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -5,6 +5,7 @@
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
 #include "private/request_table.h"
+#include "waxwinghollow/capacity.h"
 #include "waxwinghollow/conductor.h"
 #include "waxwinghollow/fleet_bridge.h"
 #include "waxwinghollow/lease_keeper.h"
@@ -271,6 +272,23 @@
 	return text;
 }
 
+char *wwh_entry_fleet_capacity(wwh_entry_fleet_t *fleet)
+{
+	wwh_entry_t *entry = fleet->entry;
+	wwh_fleet_view_t *view;
+	char *text;
+
+	g_mutex_lock(&entry->state_lock);
+	g_mutex_lock(&fleet->lock);
+	view = wwh_fleet_bridge_view(entry->state, fleet->observations,
+				     entry->author, wwh_now_ms());
+	g_mutex_unlock(&fleet->lock);
+	g_mutex_unlock(&entry->state_lock);
+	text = wwh_capacity_json(view);
+	wwh_fleet_view_delete(view);
+	return text;
+}
+
 char *wwh_entry_fleet_rehearsal(wwh_entry_fleet_t *fleet, const char *rehearsal)
 {
 	char *text;
--- a/src/libwaxwinghollow/entry_operator.c
+++ b/src/libwaxwinghollow/entry_operator.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "private/entry_fleet.h"
 #include "private/entry_log.h"
 #include "private/entry_report.h"
 #include "private/request_table.h"
@@ -20,6 +21,8 @@
 		       wwh_http_response_t *response);
 static void get_dump(wwh_entry_t *entry, const wwh_http_request_t *request,
 		     wwh_http_response_t *response);
+static void get_capacity(wwh_entry_t *entry, const wwh_http_request_t *request,
+			 wwh_http_response_t *response);
 static void get_counters(wwh_entry_t *entry, const wwh_http_request_t *request,
 			 wwh_http_response_t *response);
 static void get_config(wwh_entry_t *entry, const wwh_http_request_t *request,
@@ -33,6 +36,7 @@
 	{ "GET", "/v1/ready", get_ready },
 	{ "GET", "/v1/status", get_status },
 	{ "GET", "/v1/dump", get_dump },
+	{ "GET", "/v1/capacity", get_capacity },
 	{ "GET", "/v1/counters", get_counters },
 	{ "GET", "/v1/config", get_config },
 	{ "POST", "/v1/publish", post_publish },
@@ -140,6 +144,17 @@
 	wwh_answer_json(response, 200, builder);
 }
 
+/* Buffer cost of each pool: what is held back, for what, and what less costs. */
+static void get_capacity(wwh_entry_t *entry, const wwh_http_request_t *request,
+			 wwh_http_response_t *response)
+{
+	char *text = wwh_entry_fleet_capacity(entry->fleet);
+
+	(void)request;
+	wwh_answer_text(response, 200, "application/json", text);
+	g_free(text);
+}
+
 static void get_counters(wwh_entry_t *entry, const wwh_http_request_t *request,
 			 wwh_http_response_t *response)
 {
--- a/src/libwaxwinghollow/include/private/entry_fleet.h
+++ b/src/libwaxwinghollow/include/private/entry_fleet.h
@@ -33,6 +33,7 @@
 
 /* For operators; g_free. NULL: not led by this process. */
 char *wwh_entry_fleet_plan(wwh_entry_fleet_t *fleet, const char *pool);
+char *wwh_entry_fleet_capacity(wwh_entry_fleet_t *fleet);
 char *wwh_entry_fleet_rehearsal(wwh_entry_fleet_t *fleet,
 				const char *rehearsal);
 char *wwh_entry_fleet_dump(wwh_entry_fleet_t *fleet);
