Keep the leases of shards in a module of their own

Ruled out: splitting the reports of requests in progress too; they are part of what conducting sees. Conclusion: moved without a change of what is decided.

--- a/src/libwaxwinghollow/entry_fleet.c
+++ b/src/libwaxwinghollow/entry_fleet.c
@@ -4,27 +4,16 @@
 
 #include "private/entry_log.h"
 #include "private/entry_peers.h"
+#include "private/entry_shards.h"
 #include "private/request_table.h"
 #include "waxwinghollow/capacity.h"
 #include "waxwinghollow/conductor.h"
 #include "waxwinghollow/fleet_bridge.h"
-#include "waxwinghollow/lease_keeper.h"
 #include "waxwinghollow/planner.h"
 
 #define ROUND_MS 200
 #define MILLISECOND_US 1000
 
-/*
- * 32 shards, renewed at a third of this, are 19 appends a second for the whole
- * deployment, whatever the number of pools. A longer lease would cost less, but
- * urgent work has to start within 7.2 s also when a holder has just died. No
- * time is added for what the old holder may still do: its records are void and
- * its commands carry old fences.
- */
-#define SHARD_LEASE_MS 5000
-
-/* A member that comes and goes must not take work away from one that stays. */
-#define SHARD_SETTLE_MS 10000
 #define ACTION_THREADS 8
 
 /*
@@ -56,7 +45,7 @@
 	GMutex lock; /* all below but results */
 	wwh_observations_t *observations;
 	wwh_conductor_t *conductor;
-	wwh_lease_keeper_t *keeper;
+	wwh_entry_shards_t *shards;
 	GHashTable *out; /* worker to out_t */
 	GHashTable *drains; /* "process worker" to drain_t */
 	bool stopping;
@@ -66,16 +55,10 @@
 	GThreadPool *actors;
 	GThread *thread;
 	wwh_counter_t *actions[WWH_ACTION_KIND_COUNT];
-	wwh_counter_t *shards;
 	wwh_counter_t *tick_us;
 };
 
 static gpointer fleet_main(gpointer data);
-static void lease_round(wwh_entry_fleet_t *fleet, bool giving);
-static bool carry_lease(wwh_entry_fleet_t *fleet,
-			const wwh_lease_action_t *action);
-static uint64_t wanted_shards(wwh_entry_fleet_t *fleet);
-static void set_rank(wwh_entry_fleet_t *fleet);
 static void read_tasks(wwh_entry_fleet_t *fleet);
 static void take_task(const wwh_task_report_t *report, void *client_data);
 static void update_out(wwh_entry_fleet_t *fleet);
@@ -94,7 +77,6 @@
 {
 	wwh_entry_fleet_t *fleet = g_new0(wwh_entry_fleet_t, 1);
 	wwh_conductor_options_t conductor;
-	wwh_lease_keeper_options_t keeper = wwh_lease_keeper_options_defaults();
 
 	fleet->entry = entry;
 	g_mutex_init(&fleet->lock);
@@ -109,11 +91,7 @@
 	conductor.slow_start_ms = entry->settings->worker_slow_start_ms;
 	conductor.rehearsal_ms = entry->settings->rehearsal_hold_ms;
 	fleet->conductor = wwh_conductor_new(&conductor);
-	keeper.author = entry->author;
-	keeper.duration_ms = SHARD_LEASE_MS;
-	keeper.grace_ms = 0;
-	keeper.settle_ms = SHARD_SETTLE_MS;
-	fleet->keeper = wwh_lease_keeper_new(&keeper);
+	fleet->shards = wwh_entry_shards_new(entry);
 	fleet->out =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_out);
 	fleet->drains =
@@ -128,7 +106,6 @@
 		fleet->actions[i] = wwh_counters_get(entry->counters, name);
 		g_free(name);
 	}
-	fleet->shards = wwh_counters_get(entry->counters, "fleet.shards");
 	fleet->tick_us = wwh_counters_get(entry->counters, "fleet.tick_us");
 	return fleet;
 }
@@ -149,7 +126,7 @@
 	fleet->thread = NULL;
 	g_thread_pool_free(fleet->actors, FALSE, TRUE);
 	fleet->actors = NULL;
-	lease_round(fleet, true);
+	wwh_entry_shards_round(fleet->shards, true);
 }
 
 void wwh_entry_fleet_delete(wwh_entry_fleet_t *fleet)
@@ -162,7 +139,7 @@
 	g_async_queue_unref(fleet->results);
 	wwh_conductor_delete(fleet->conductor);
 	wwh_observations_delete(fleet->observations);
-	wwh_lease_keeper_delete(fleet->keeper);
+	wwh_entry_shards_delete(fleet->shards);
 	g_hash_table_destroy(fleet->out);
 	g_hash_table_destroy(fleet->drains);
 	g_mutex_clear(&fleet->lock);
@@ -316,9 +293,9 @@
 
 	while (!stopping) {
 		if (wwh_entry_log_caught_up(fleet->entry->log)) {
-			lease_round(fleet, false);
+			wwh_entry_shards_round(fleet->shards, false);
 			update_out(fleet);
-			if (wwh_counter_value(fleet->shards) > 0 &&
+			if (wwh_entry_shards_held(fleet->shards) > 0 &&
 			    wwh_now_ms() >= fleet->next_tick_ms) {
 				read_tasks(fleet);
 				conduct(fleet);
@@ -332,94 +309,6 @@
 	return NULL;
 }
 
-static void lease_round(wwh_entry_fleet_t *fleet, bool giving)
-{
-	wwh_entry_t *entry = fleet->entry;
-	int64_t now_ms = wwh_now_ms();
-	wwh_lease_action_t action;
-
-	/*
-	 * Two reads in a row may take their whole time limits. A shorter bound
-	 * calls a log that is slow, or a busy host, a gap again and again, and
-	 * the work of a dead holder is never taken over.
-	 */
-	if (now_ms - wwh_entry_log_read_sent_ms(entry->log) >
-	    2 * entry->settings->log_read_timeout_ms)
-		wwh_lease_keeper_log_gap(fleet->keeper, now_ms);
-	set_rank(fleet);
-	wwh_lease_keeper_wanted(fleet->keeper, wanted_shards(fleet));
-	for (int32_t i = 0; i < WWH_SHARD_POOLS; i++) {
-		wwh_lease_view_t view;
-
-		g_mutex_lock(&entry->state_lock);
-		view = wwh_state_lease(entry->state, i);
-		wwh_lease_keeper_observe(fleet->keeper, now_ms, i, &view);
-		g_mutex_unlock(&entry->state_lock);
-	}
-	wwh_lease_keeper_begin_round(fleet->keeper, now_ms, giving);
-	while (wwh_lease_keeper_decide(fleet->keeper, now_ms, true, giving,
-				       &action)) {
-		if (!carry_lease(fleet, &action))
-			break;
-	}
-	wwh_counter_set(fleet->shards,
-			wwh_lease_keeper_held(fleet->keeper, now_ms));
-}
-
-/* False when the log doesn't answer: the others would fare no better. */
-static bool carry_lease(wwh_entry_fleet_t *fleet,
-			const wwh_lease_action_t *action)
-{
-	static const wwh_record_kind_t kinds[WWH_LEASE_ACTION_COUNT] = {
-		[WWH_LEASE_TAKE] = WWH_RECORD_LEASE_TAKE,
-		[WWH_LEASE_RENEW] = WWH_RECORD_LEASE_RENEW,
-		[WWH_LEASE_RELEASE] = WWH_RECORD_LEASE_RELEASE,
-	};
-	wwh_entry_t *entry = fleet->entry;
-	int64_t began_ms = wwh_now_ms();
-	wwh_submitted_t submitted;
-	wwh_record_t record;
-
-	wwh_record_init(&record, kinds[action->kind], entry->author);
-	record.body.lease.shard = action->shard;
-	record.body.lease.offset = action->offset;
-	record.body.lease.duration_ms = SHARD_LEASE_MS;
-	wwh_entry_log_submit(entry->log, &record,
-			     entry->settings->log_append_timeout_ms,
-			     &submitted);
-	wwh_record_clear(&record);
-	if (submitted.status != WWH_STATUS_OK)
-		return false;
-	if (submitted.verdict == WWH_VERDICT_ACCEPTED &&
-	    action->kind != WWH_LEASE_RELEASE)
-		wwh_lease_keeper_confirmed(fleet->keeper, action->shard,
-					   began_ms);
-	return true;
-}
-
-static uint64_t wanted_shards(wwh_entry_fleet_t *fleet)
-{
-	wwh_config_t *config = wwh_entry_config(fleet->entry);
-	uint64_t shards = 0;
-
-	if (config == NULL)
-		return 0;
-	for (int32_t i = 0; i < wwh_config_pool_count(config); i++)
-		shards |=
-			UINT64_C(1)
-			<< wwh_shard_of_pool(wwh_config_pool_at(config, i)->id);
-	wwh_config_unref(config);
-	return shards;
-}
-
-static void set_rank(wwh_entry_fleet_t *fleet)
-{
-	int32_t count;
-	int32_t rank = wwh_entry_peers_rank(fleet->entry->peers, &count);
-
-	wwh_lease_keeper_members(fleet->keeper, rank, count);
-}
-
 static void read_tasks(wwh_entry_fleet_t *fleet)
 {
 	wwh_entry_t *entry = fleet->entry;
