--- a/include/waxwinghollow/error_kind.h
+++ b/include/waxwinghollow/error_kind.h
@@ -49,6 +49,8 @@
 	WWH_ERROR_KEY_OUTCOME_UNKNOWN,
 	WWH_ERROR_KEY_ANSWER_NOT_KEPT, /* ran; its answer is gone */
 	WWH_ERROR_KEY_EXPIRED, /* older than the window of keys */
+	WWH_ERROR_NO_HOLDER, /* no process runs the queue's jobs now */
+	WWH_ERROR_NO_SUCH_JOB,
 	WWH_ERROR_INTERNAL,
 	WWH_ERROR_COUNT
 } wwh_error_kind_t;
--- /dev/null
+++ b/include/waxwinghollow/host_duties.h
@@ -0,0 +1,108 @@
+#ifndef WAXWINGHOLLOW_HOST_DUTIES_H
+#define WAXWINGHOLLOW_HOST_DUTIES_H
+
+/*
+ * NAME
+ *	host_duties - carries out upkeep waves, host by host
+ *
+ * USE
+ *	Decides which host is taken down next, and when. Pure: the list of
+ *	hosts, the results of orders and a clock go in, orders come out of
+ *	callbacks. What runs on a host is asked of the scheduler.
+ *
+ *	One process does this for all pools at a time, so that no wave has
+ *	more hosts down than its bound and no host gets orders of two.
+ *
+ * ORDER OF CALLS
+ *	wwh_host_duties_new; wwh_host_duties_restore for each kept record;
+ *	then events in any order, wwh_host_duties_run after them;
+ *	wwh_host_duties_delete.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "waxwinghollow/scheduler.h"
+#include "waxwinghollow/wave_order.h"
+
+typedef enum {
+	WWH_HOST_UP = 0,
+	WWH_HOST_MOVING,
+	WWH_HOST_UPKEEP,
+	WWH_HOST_DOWN,
+	WWH_HOST_RUN_STATE_COUNT
+} wwh_host_run_state_t;
+
+/* Names of wwh_host_run_state_t, in the same order. */
+extern const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT];
+
+typedef struct {
+	const char *name;
+	const char *pool;
+	const char *upstream; /* id of what runs on it; NULL: nothing does */
+	wwh_host_run_state_t state;
+} wwh_host_t;
+
+typedef enum {
+	WWH_DUTY_DONE = 0, /* also: was done before */
+	WWH_DUTY_NOT_DONE, /* surely without effect; may be tried again */
+	WWH_DUTY_BUSY, /* the host isn't up */
+	WWH_DUTY_REFUSED, /* this will never be done */
+	WWH_DUTY_FENCED,
+	WWH_DUTY_UNKNOWN, /* may be carried out, also later */
+	WWH_DUTY_RESULT_COUNT
+} wwh_duty_result_t;
+
+/* Names of wwh_duty_result_t, in the same order. */
+extern const char *const wwh_duty_result_names[WWH_DUTY_RESULT_COUNT];
+
+typedef struct {
+	void (*list)(void *client_data);
+	void (*upkeep)(const char *host, int64_t wave, void *client_data);
+	/* Says what became of a wave. */
+	void (*report)(const wwh_wave_order_t *order, bool completed,
+		       void *client_data);
+	int64_t (*keep)(wwh_keep_kind_t kind, const char *key, GBytes *value,
+			void *client_data);
+	void (*explain)(const char *event, const char *subject,
+			const char *detail, void *client_data);
+	void *client_data;
+} wwh_host_duties_calls_t;
+
+typedef struct {
+	int64_t upkeep_ms; /* a host is away for upkeep */
+	wwh_scheduler_t *scheduler;
+} wwh_host_duties_options_t;
+
+typedef struct wwh_host_duties wwh_host_duties_t;
+
+wwh_host_duties_t *wwh_host_duties_new(const wwh_host_duties_options_t *options,
+				       const wwh_host_duties_calls_t *calls);
+void wwh_host_duties_delete(wwh_host_duties_t *duties);
+
+bool wwh_host_duties_restore(wwh_host_duties_t *duties, const char *key,
+			     const uint8_t *value, size_t size);
+
+/* Takes order over. */
+void wwh_host_duties_wave(wwh_host_duties_t *duties, wwh_wave_order_t *order,
+			  int64_t now_ms);
+
+/* A whole list: begin, each host, end. ok false: the list broke off. */
+void wwh_host_duties_list_begin(wwh_host_duties_t *duties);
+void wwh_host_duties_list_host(wwh_host_duties_t *duties,
+			       const wwh_host_t *host);
+void wwh_host_duties_list_end(wwh_host_duties_t *duties, bool ok,
+			      int64_t now_ms);
+
+void wwh_host_duties_upkeep_ended(wwh_host_duties_t *duties, const char *host,
+				  int64_t wave, wwh_duty_result_t result,
+				  int64_t now_ms);
+
+void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record);
+void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms);
+
+/* A wave is under way or a host is listed as away. */
+bool wwh_host_duties_busy(const wwh_host_duties_t *duties);
+
+#endif
--- /dev/null
+++ b/include/waxwinghollow/job_holder.h
@@ -0,0 +1,105 @@
+#ifndef WAXWINGHOLLOW_JOB_HOLDER_H
+#define WAXWINGHOLLOW_JOB_HOLDER_H
+
+/*
+ * NAME
+ *	job_holder - the process that holds a shard: runs its jobs
+ *
+ * USE
+ *	Joins the scheduler and the host duties, which decide, with the
+ *	journal, the upstreams and the platform, which are called. It lives
+ *	from a claim until the claim is lost; then all of it is dropped, and
+ *	requests that wait for a record end as unknown.
+ *
+ * ORDER OF CALLS
+ *	wwh_job_holder_new; requests and wwh_job_holder_run by the thread of
+ *	its http_calls; wwh_job_holder_delete.
+ */
+
+#include "waxwinghollow/event_log.h"
+#include "waxwinghollow/host_settings.h"
+#include "waxwinghollow/http_calls.h"
+#include "waxwinghollow/job_config.h"
+#include "waxwinghollow/scheduler.h"
+
+typedef enum {
+	WWH_JOB_ANSWER_OK = 0,
+	WWH_JOB_ANSWER_NO_JOB, /* surely no such job */
+	WWH_JOB_ANSWER_NOT_DONE, /* surely without effect */
+	WWH_JOB_ANSWER_UNKNOWN, /* may have taken effect, also later */
+	WWH_JOB_ANSWER_COUNT
+} wwh_job_answer_kind_t;
+
+/* Names of wwh_job_answer_kind_t, in the same order. */
+extern const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT];
+
+typedef struct {
+	wwh_job_answer_kind_t kind;
+	const char *why; /* constant text */
+	wwh_job_progress_t state; /* of a question about a job */
+	int32_t pending; /* of a question about a queue */
+	int64_t retry_after_s; /* when to come back; 0: not said */
+} wwh_job_answer_t;
+
+/* Called once for each request. */
+typedef void (*wwh_job_answered_t)(const wwh_job_answer_t *answer,
+				   void *client_data);
+
+typedef struct {
+	const wwh_host_settings_t *settings;
+	wwh_http_calls_t *calls;
+	wwh_counters_t *counters;
+	wwh_event_log_t *log;
+	const char *topic;
+	int32_t journal_part;
+	const char *producer;
+	int64_t epoch; /* of the claim: the fencing token of all orders */
+	int64_t holder_count;
+	int64_t next_sequence;
+	GHashTable *records; /* key to GBytes, as the journal has them */
+	int64_t now_ms;
+	int64_t wall_ms;
+	/* Another holder has a higher token. */
+	void (*on_lost)(const char *why, void *client_data);
+	void *client_data;
+} wwh_job_holder_options_t;
+
+typedef struct wwh_job_holder wwh_job_holder_t;
+
+wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options);
+void wwh_job_holder_delete(wwh_job_holder_t *holder);
+
+void wwh_job_holder_set_config(wwh_job_holder_t *holder,
+			       const wwh_job_config_t *config);
+void wwh_job_holder_wave(wwh_job_holder_t *holder, const uint8_t *value,
+			 size_t size);
+
+/* Takes job over. */
+void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
+			   wwh_job_answered_t done, void *client_data);
+void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
+			   wwh_job_answered_t done, void *client_data);
+void wwh_job_holder_state(wwh_job_holder_t *holder, const char *id,
+			  wwh_job_answered_t done, void *client_data);
+void wwh_job_holder_pending(wwh_job_holder_t *holder, const char *queue,
+			    wwh_job_answered_t done, void *client_data);
+
+/*
+ * suspended: this process stood still for a while. Nothing is ordered then
+ * until the store has confirmed the claim again.
+ */
+void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
+			int64_t wall_ms, bool suspended);
+
+/* How long the caller of wwh_job_holder_run may wait for the next event. */
+int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder);
+
+/* Nothing more is to be written before the claim is given up. */
+bool wwh_job_holder_settled(const wwh_job_holder_t *holder);
+
+/* The store has confirmed the claim within the last moments. */
+bool wwh_job_holder_confirmed(const wwh_job_holder_t *holder, int64_t now_ms);
+
+void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out);
+
+#endif
--- /dev/null
+++ b/include/waxwinghollow/shard_claim.h
@@ -0,0 +1,74 @@
+#ifndef WAXWINGHOLLOW_SHARD_CLAIM_H
+#define WAXWINGHOLLOW_SHARD_CLAIM_H
+
+/*
+ * NAME
+ *	shard_claim - at most one process holds a shard, and all know which
+ *
+ * USE
+ *	The store's group says which process should hold the shard; nothing
+ *	hangs on it, as it may change its mind at once and knows nothing of a
+ *	paused process. The claim itself is a record in the shard's journal
+ *	under an epoch higher than all before: from then on the store refuses
+ *	appends of lower epochs. What was appended before it is read up to the
+ *	claim's own record, so nothing that was acknowledged is missed.
+ *
+ *	The process that the group names leaves a holder alone as long as
+ *	that one answers and reaches the store; a change of holder costs a
+ *	second look at all upstreams.
+ *
+ * ORDER OF CALLS
+ *	wwh_shard_claim_new; wwh_shard_claim_run often, by the thread of its
+ *	http_calls; wwh_shard_claim_delete.
+ */
+
+#include "waxwinghollow/http_calls.h"
+
+typedef struct {
+	wwh_http_calls_t *calls;
+	const char *store;
+	const char *topic;
+	int32_t journal_part;
+	int32_t notice_part; /* where claims are made known */
+	const char *group;
+	const char *self; /* IP number and port for other processes */
+	const char *producer;
+	int64_t member_ttl_ms; /* silence after which the group replaces it */
+	/*
+	 * The shard is held: epoch is the fencing token, records maps keys
+	 * to GBytes, next_sequence is the journal's first.
+	 */
+	void (*on_held)(int64_t epoch, int64_t holder_count,
+			GHashTable *records, int64_t next_sequence,
+			void *client_data);
+	/* NULL: nobody holds it. */
+	void (*on_holder)(const char *address, int64_t epoch,
+			  void *client_data);
+	void (*explain)(const char *event, const char *detail,
+			void *client_data);
+	void *client_data;
+} wwh_shard_claim_options_t;
+
+typedef struct wwh_shard_claim wwh_shard_claim_t;
+
+wwh_shard_claim_t *
+wwh_shard_claim_new(const wwh_shard_claim_options_t *options);
+void wwh_shard_claim_delete(wwh_shard_claim_t *claim);
+void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms);
+
+/* The claim was lost to another or isn't wanted any more. */
+void wwh_shard_claim_lost(wwh_shard_claim_t *claim, int64_t now_ms);
+
+/*
+ * For a stop that was announced: others may claim at once; this process
+ * won't any more.
+ */
+void wwh_shard_claim_give_up(wwh_shard_claim_t *claim, int64_t now_ms);
+
+/* Whether the notice of giving up, and leaving the group, is settled. */
+bool wwh_shard_claim_given_up(const wwh_shard_claim_t *claim);
+
+/* When the store last answered a call of this module; 0: never. */
+int64_t wwh_shard_claim_reached_ms(const wwh_shard_claim_t *claim);
+
+#endif
--- a/src/libwaxwinghollow/chart_files.S
+++ b/src/libwaxwinghollow/chart_files.S
@@ -27,6 +27,7 @@
 	chart wave
 	chart move
 	chart job
+	chart task
 	.global wwh_chart_files_end
 wwh_chart_files_end:
 	.quad 0
--- a/src/libwaxwinghollow/error_kind.c
+++ b/src/libwaxwinghollow/error_kind.c
@@ -29,6 +29,8 @@
 	"key-outcome-unknown",
 	"key-answer-not-kept",
 	"key-expired",
+	"no-holder",
+	"no-such-job",
 	"internal",
 };
 
@@ -103,6 +105,10 @@
 	  "the request with this key ran; its answer is not kept" },
 	{ WWH_ERROR_KEY_EXPIRED, 410, UNKNOWN, NEVER, 0,
 	  "the idempotency key is older than the window of keys" },
+	{ WWH_ERROR_NO_HOLDER, 503, NOT_RUN, MEASURED, 1,
+	  "no process runs the jobs of this queue at the moment" },
+	{ WWH_ERROR_NO_SUCH_JOB, 410, NOT_RUN, NEVER, 0,
+	  "there is no job with this id" },
 	{ WWH_ERROR_INTERNAL, 500, UNKNOWN, FIXED, 2,
 	  "an internal error ended the request" },
 };
--- /dev/null
+++ b/src/libwaxwinghollow/host_duties.c
@@ -0,0 +1,594 @@
+#include "waxwinghollow/host_duties.h"
+
+#include <msgpack.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "private/msgpack_bounds.h"
+
+/* Between two lists of hosts while a wave is under way. */
+#define LIST_EVERY_MS 500
+
+/* A host is emptied for this long before its tasks are ended. */
+#define EMPTYING_MS 2000
+
+/* With less than this beyond what the rest of a wave takes, none is waited for.
+ */
+#define SPARE_TIME_MS 3000
+
+/* One that may not be ended gives its turn to another for this long. */
+#define BLOCKED_MS 2500
+
+/* What one host takes besides its time away: emptying, listing. */
+#define HOST_EXTRA_MS 1500
+
+/* An order that got no answer, or "busy", is repeated after this. */
+#define REPEAT_MS 500
+
+/* Complete lists without a host after which it is taken as removed. */
+#define LISTS_OF_A_LEFT_HOST 3
+
+#define RECORD_DEPTH 2
+
+const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT] = {
+	"up",
+	"moving",
+	"upkeep",
+	"down",
+};
+
+const char *const wwh_duty_result_names[WWH_DUTY_RESULT_COUNT] = {
+	"done", "not-done", "busy", "refused", "fenced", "unknown",
+};
+
+typedef struct {
+	char *name;
+	char *pool;
+	char *upstream;
+	wwh_host_run_state_t state;
+	bool in_list;
+	int32_t lists_without;
+	bool in_flight;
+	int64_t ordered_ms; /* 0: no order that may have been carried out */
+	int64_t sent_ms;
+	int64_t down_until_ms; /* counts as away at least until then */
+	bool away; /* ordered and not listed as up since */
+	int64_t wave; /* of the order */
+	int64_t released_ms; /* 0: isn't emptied */
+	int64_t blocked_until_ms;
+	int64_t retry_ms;
+} host_t;
+
+typedef struct {
+	wwh_wave_order_t *order;
+	int64_t begun_ms;
+	GHashTable *done; /* names of hosts */
+	bool reported;
+	bool completed;
+	bool completion_reported;
+	bool kept_dirty;
+	int64_t kept;
+} wave_t;
+
+struct wwh_host_duties {
+	wwh_host_duties_options_t options;
+	wwh_host_duties_calls_t calls;
+	GHashTable *hosts; /* name to host_t, owned */
+	GPtrArray *waves; /* wave_t, owned */
+	GHashTable *restored; /* wave number to a set of hosts that are done */
+	bool list_in_flight;
+	int64_t list_sent_ms;
+	int64_t next_list_ms;
+	bool listed; /* a whole list has come */
+	int64_t durable;
+	int64_t now_ms;
+};
+
+static void host_delete(gpointer data);
+static void wave_delete(gpointer data);
+static host_t *host_get(wwh_host_duties_t *duties, const char *name);
+static void take_back(wwh_host_duties_t *duties, host_t *host);
+static bool find_left(wave_t *wave, const host_t *host);
+static void run_wave(wwh_host_duties_t *duties, wave_t *wave);
+static int32_t count_down(wwh_host_duties_t *duties, const wave_t *wave);
+static bool is_open(const wave_t *wave, const host_t *host);
+static bool is_urgent(const wwh_host_duties_t *duties, const wave_t *wave,
+		      int32_t open);
+static GPtrArray *in_order(wwh_host_duties_t *duties, const wave_t *wave);
+static gint compare(gconstpointer a, gconstpointer b, gpointer data);
+static int64_t cost_of(wwh_host_duties_t *duties, const host_t *host);
+static bool try_host(wwh_host_duties_t *duties, wave_t *wave, host_t *host,
+		     bool urgent);
+static void send_upkeep(wwh_host_duties_t *duties, wave_t *wave, host_t *host);
+static void mark_done(wwh_host_duties_t *duties, wave_t *wave, host_t *host);
+static void keep_wave(wwh_host_duties_t *duties, wave_t *wave);
+static void finish_wave(wwh_host_duties_t *duties, wave_t *wave);
+static wave_t *wave_of(wwh_host_duties_t *duties, int64_t number);
+static void explain(wwh_host_duties_t *duties, const char *event,
+		    const char *subject, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+wwh_host_duties_t *wwh_host_duties_new(const wwh_host_duties_options_t *options,
+				       const wwh_host_duties_calls_t *calls)
+{
+	wwh_host_duties_t *duties = g_new0(wwh_host_duties_t, 1);
+
+	duties->options = *options;
+	duties->calls = *calls;
+	duties->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      host_delete);
+	duties->waves = g_ptr_array_new_with_free_func(wave_delete);
+	duties->restored =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_hash_table_destroy);
+	return duties;
+}
+
+void wwh_host_duties_delete(wwh_host_duties_t *duties)
+{
+	if (duties == NULL)
+		return;
+	g_ptr_array_unref(duties->waves);
+	g_hash_table_destroy(duties->hosts);
+	g_hash_table_destroy(duties->restored);
+	g_free(duties);
+}
+
+bool wwh_host_duties_restore(wwh_host_duties_t *duties, const char *key,
+			     const uint8_t *value, size_t size)
+{
+	GHashTable *done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	msgpack_unpacked unpacked;
+
+	g_hash_table_replace(duties->restored, g_strdup(key), done);
+	if (!wwh_msgpack_bounded(value, size, RECORD_DEPTH))
+		return false;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, (const char *)value, size, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
+		const msgpack_object_array *names = &unpacked.data.via.array;
+
+		for (uint32_t i = 0; i < names->size; i++) {
+			if (names->ptr[i].type == MSGPACK_OBJECT_STR)
+				g_hash_table_add(
+					done,
+					g_strndup(names->ptr[i].via.str.ptr,
+						  names->ptr[i].via.str.size));
+		}
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return true;
+}
+
+void wwh_host_duties_wave(wwh_host_duties_t *duties, wwh_wave_order_t *order,
+			  int64_t now_ms)
+{
+	char *key = g_strdup_printf("%" G_GINT64_FORMAT, order->number);
+	GHashTable *done = g_hash_table_lookup(duties->restored, key);
+	wave_t *wave;
+
+	g_free(key);
+	duties->now_ms = MAX(duties->now_ms, now_ms);
+	if (wave_of(duties, order->number) != NULL) {
+		wwh_wave_order_delete(order);
+		return;
+	}
+	wave = g_new0(wave_t, 1);
+	wave->order = order;
+	wave->begun_ms = duties->now_ms;
+	wave->done = done != NULL
+			     ? g_hash_table_ref(done)
+			     : g_hash_table_new_full(g_str_hash, g_str_equal,
+						     g_free, NULL);
+	g_ptr_array_add(duties->waves, wave);
+	explain(duties, "wave-begun", "wave",
+		"number=%" G_GINT64_FORMAT " hosts=%u max_down=%d done=%u "
+		"duration_ms=%" G_GINT64_FORMAT,
+		order->number, order->hosts->len, order->max_down,
+		g_hash_table_size(wave->done), order->duration_ms);
+}
+
+void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, duties->hosts);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		((host_t *)value)->in_list = false;
+}
+
+void wwh_host_duties_list_host(wwh_host_duties_t *duties,
+			       const wwh_host_t *listed)
+{
+	host_t *host = host_get(duties, listed->name);
+
+	host->in_list = true;
+	host->lists_without = 0;
+	host->state = listed->state;
+	if (g_strcmp0(host->pool, listed->pool) != 0) {
+		g_free(host->pool);
+		host->pool = g_strdup(listed->pool);
+	}
+	if (g_strcmp0(host->upstream, listed->upstream) != 0) {
+		g_free(host->upstream);
+		host->upstream = g_strdup(listed->upstream);
+	}
+	/* the list was asked for after the host can have been back */
+	if (host->away && listed->state == WWH_HOST_UP &&
+	    duties->list_sent_ms >= host->down_until_ms) {
+		host->away = false;
+		host->ordered_ms = 0;
+	}
+}
+
+void wwh_host_duties_list_end(wwh_host_duties_t *duties, bool ok,
+			      int64_t now_ms)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	duties->now_ms = MAX(duties->now_ms, now_ms);
+	duties->list_in_flight = false;
+	duties->next_list_ms = duties->now_ms + LIST_EVERY_MS;
+	if (!ok)
+		return;
+	duties->listed = true;
+	g_hash_table_iter_init(&iterator, duties->hosts);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		host_t *host = value;
+
+		if (!host->in_list)
+			host->lists_without++;
+	}
+}
+
+void wwh_host_duties_upkeep_ended(wwh_host_duties_t *duties, const char *name,
+				  int64_t number, wwh_duty_result_t result,
+				  int64_t now_ms)
+{
+	host_t *host = g_hash_table_lookup(duties->hosts, name);
+	wave_t *wave = wave_of(duties, number);
+
+	duties->now_ms = MAX(duties->now_ms, now_ms);
+	if (host == NULL || wave == NULL)
+		return;
+	host->in_flight = false;
+	host->retry_ms = duties->now_ms + REPEAT_MS;
+	explain(duties, "upkeep-ordered", name,
+		"wave=%" G_GINT64_FORMAT " result=%s upstream=%s", number,
+		wwh_duty_result_names[result],
+		host->upstream == NULL ? "-" : host->upstream);
+	switch (result) {
+	case WWH_DUTY_DONE:
+		mark_done(duties, wave, host);
+		break;
+	case WWH_DUTY_REFUSED:
+		/* not a host of this wave, or none at all */
+		g_hash_table_add(wave->done, g_strdup(name));
+		host->away = false;
+		take_back(duties, host);
+		break;
+	case WWH_DUTY_NOT_DONE:
+	case WWH_DUTY_BUSY:
+	case WWH_DUTY_FENCED:
+		host->away = host->state == WWH_HOST_UPKEEP;
+		host->ordered_ms = 0; /* asked again before the next try */
+		break;
+	default:
+		/* may be carried out: it stays counted as away */
+		break;
+	}
+}
+
+void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record)
+{
+	duties->durable = MAX(duties->durable, record);
+}
+
+void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms)
+{
+	duties->now_ms = MAX(duties->now_ms, now_ms);
+	if (wwh_host_duties_busy(duties) && !duties->list_in_flight &&
+	    duties->now_ms >= duties->next_list_ms) {
+		duties->list_in_flight = true;
+		duties->list_sent_ms = duties->now_ms;
+		duties->calls.list(duties->calls.client_data);
+	}
+	if (!duties->listed)
+		return;
+	for (guint i = 0; i < duties->waves->len; i++)
+		run_wave(duties, g_ptr_array_index(duties->waves, i));
+}
+
+bool wwh_host_duties_busy(const wwh_host_duties_t *duties)
+{
+	for (guint i = 0; i < duties->waves->len; i++) {
+		const wave_t *wave = g_ptr_array_index(duties->waves, i);
+
+		if (!wave->completed)
+			return true;
+	}
+	return false;
+}
+
+static void host_delete(gpointer data)
+{
+	host_t *host = data;
+
+	g_free(host->name);
+	g_free(host->pool);
+	g_free(host->upstream);
+	g_free(host);
+}
+
+static void wave_delete(gpointer data)
+{
+	wave_t *wave = data;
+
+	wwh_wave_order_delete(wave->order);
+	g_hash_table_unref(wave->done);
+	g_free(wave);
+}
+
+static host_t *host_get(wwh_host_duties_t *duties, const char *name)
+{
+	host_t *host = g_hash_table_lookup(duties->hosts, name);
+
+	if (host != NULL)
+		return host;
+	host = g_new0(host_t, 1);
+	host->name = g_strdup(name);
+	g_hash_table_insert(duties->hosts, host->name, host);
+	return host;
+}
+
+static void take_back(wwh_host_duties_t *duties, host_t *host)
+{
+	host->released_ms = 0;
+	if (host->upstream != NULL)
+		wwh_scheduler_unrelease(duties->options.scheduler,
+					host->upstream);
+}
+
+static void run_wave(wwh_host_duties_t *duties, wave_t *wave)
+{
+	GPtrArray *hosts;
+	int32_t free_slots;
+	bool urgent;
+
+	if (wave->completed) {
+		finish_wave(duties, wave);
+		return;
+	}
+	if (!wave->reported) {
+		wave->reported = true;
+		duties->calls.report(wave->order, false,
+				     duties->calls.client_data);
+	}
+	hosts = in_order(duties, wave);
+	urgent = is_urgent(duties, wave, (int32_t)hosts->len);
+	free_slots = MAX(1, wave->order->max_down) - count_down(duties, wave);
+	for (guint i = 0; i < hosts->len && free_slots > 0; i++) {
+		host_t *host = g_ptr_array_index(hosts, i);
+
+		free_slots -= try_host(duties, wave, host, urgent);
+	}
+	g_ptr_array_unref(hosts);
+	if (wave->kept_dirty)
+		keep_wave(duties, wave);
+	for (guint i = 0; i < wave->order->hosts->len; i++) {
+		const char *name = g_ptr_array_index(wave->order->hosts, i);
+		host_t *host = host_get(duties, name);
+
+		if (!g_hash_table_contains(wave->done, name) &&
+		    !find_left(wave, host))
+			return;
+	}
+	wave->completed = true;
+	finish_wave(duties, wave);
+}
+
+/* Removed hosts aren't waited for. */
+static bool find_left(wave_t *wave, const host_t *host)
+{
+	(void)wave;
+	return !host->in_list && host->lists_without >= LISTS_OF_A_LEFT_HOST;
+}
+
+/*
+ * Hosts that a list shows as away count whoever sent them: a holder before
+ * this one may have, just before it ended.
+ */
+static int32_t count_down(wwh_host_duties_t *duties, const wave_t *wave)
+{
+	int32_t down = 0;
+
+	for (guint i = 0; i < wave->order->hosts->len; i++) {
+		const host_t *host = host_get(
+			duties, g_ptr_array_index(wave->order->hosts, i));
+
+		down += host->in_flight || host->away ||
+			host->state == WWH_HOST_UPKEEP;
+	}
+	return down;
+}
+
+static bool is_open(const wave_t *wave, const host_t *host)
+{
+	return !g_hash_table_contains(wave->done, host->name) &&
+	       !host->in_flight && host->in_list &&
+	       (host->state == WWH_HOST_UP || host->ordered_ms != 0);
+}
+
+static bool is_urgent(const wwh_host_duties_t *duties, const wave_t *wave,
+		      int32_t open)
+{
+	int32_t at_once = MAX(1, wave->order->max_down);
+	int32_t rounds = (open + at_once - 1) / at_once;
+	int64_t need_ms = rounds * (duties->options.upkeep_ms + HOST_EXTRA_MS);
+
+	return duties->now_ms + need_ms + SPARE_TIME_MS >=
+	       wave->begun_ms + wave->order->duration_ms;
+}
+
+static GPtrArray *in_order(wwh_host_duties_t *duties, const wave_t *wave)
+{
+	GPtrArray *hosts = g_ptr_array_new();
+
+	for (guint i = 0; i < wave->order->hosts->len; i++) {
+		host_t *host = host_get(
+			duties, g_ptr_array_index(wave->order->hosts, i));
+
+		if (is_open(wave, host) &&
+		    duties->now_ms >= host->blocked_until_ms &&
+		    duties->now_ms >= host->retry_ms)
+			g_ptr_array_add(hosts, host);
+	}
+	g_ptr_array_sort_with_data(hosts, compare, duties);
+	return hosts;
+}
+
+static gint compare(gconstpointer a, gconstpointer b, gpointer data)
+{
+	int64_t left = cost_of(data, *(host_t *const *)a);
+	int64_t right = cost_of(data, *(host_t *const *)b);
+
+	return left < right ? -1 : left > right;
+}
+
+/*
+ * Those that are being emptied already, then empty ones, then those with the
+ * least to lose: an upkeep ends all that runs on the host.
+ */
+static int64_t cost_of(wwh_host_duties_t *duties, const host_t *host)
+{
+	wwh_upstream_load_t load = { 0 };
+
+	if (host->upstream != NULL)
+		load = wwh_scheduler_upstream_load(duties->options.scheduler,
+						   host->upstream);
+	if (host->ordered_ms != 0)
+		return -2;
+	if (host->released_ms != 0)
+		return -1;
+	return load.lasting * INT64_C(1000000) + load.busy_millicores;
+}
+
+/* Whether the host takes a slot: it is emptied, or the order went out. */
+static bool try_host(wwh_host_duties_t *duties, wave_t *wave, host_t *host,
+		     bool urgent)
+{
+	bool waited;
+	bool free;
+
+	if (host->upstream == NULL || host->ordered_ms != 0) {
+		send_upkeep(duties, wave, host);
+		return true;
+	}
+	if (host->released_ms == 0)
+		host->released_ms = duties->now_ms;
+	waited = duties->now_ms - host->released_ms >= EMPTYING_MS;
+	free = wwh_scheduler_release(duties->options.scheduler, host->upstream,
+				     urgent || waited, duties->now_ms);
+	if (free) {
+		send_upkeep(duties, wave, host);
+		return true;
+	}
+	if (waited) {
+		/* its lasting tasks can't be missed now */
+		take_back(duties, host);
+		host->blocked_until_ms = duties->now_ms + BLOCKED_MS;
+		return false;
+	}
+	return true;
+}
+
+static void send_upkeep(wwh_host_duties_t *duties, wave_t *wave, host_t *host)
+{
+	host->in_flight = true;
+	host->away = true;
+	host->sent_ms = duties->now_ms;
+	host->ordered_ms = duties->now_ms;
+	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
+	host->wave = wave->order->number;
+	duties->calls.upkeep(host->name, wave->order->number,
+			     duties->calls.client_data);
+}
+
+static void mark_done(wwh_host_duties_t *duties, wave_t *wave, host_t *host)
+{
+	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
+	host->ordered_ms = 0;
+	host->released_ms = 0;
+	host->away = true;
+	g_hash_table_add(wave->done, g_strdup(host->name));
+	wave->kept_dirty = true;
+	if (host->upstream != NULL)
+		wwh_scheduler_upstream_gone(duties->options.scheduler,
+					    host->upstream, "upkeep",
+					    duties->now_ms);
+}
+
+static void keep_wave(wwh_host_duties_t *duties, wave_t *wave)
+{
+	char *key = g_strdup_printf("%" G_GINT64_FORMAT, wave->order->number);
+	GHashTableIter iterator;
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	gpointer name;
+	GBytes *value;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, g_hash_table_size(wave->done));
+	g_hash_table_iter_init(&iterator, wave->done);
+	while (g_hash_table_iter_next(&iterator, &name, NULL))
+		msgpack_pack_str_with_body(&packer, name, strlen(name));
+	value = g_bytes_new(buffer.data, buffer.size);
+	wave->kept = duties->calls.keep(WWH_KEEP_WAVE, key, value,
+					duties->calls.client_data);
+	wave->kept_dirty = false;
+	g_bytes_unref(value);
+	msgpack_sbuffer_destroy(&buffer);
+	g_free(key);
+}
+
+/* Said once what was done is durable: nobody may take it back later. */
+static void finish_wave(wwh_host_duties_t *duties, wave_t *wave)
+{
+	if (wave->completion_reported || wave->kept > duties->durable)
+		return;
+	wave->completion_reported = true;
+	explain(duties, "wave-completed", "wave",
+		"number=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
+		wave->order->number, duties->now_ms - wave->begun_ms);
+	duties->calls.report(wave->order, true, duties->calls.client_data);
+}
+
+static wave_t *wave_of(wwh_host_duties_t *duties, int64_t number)
+{
+	for (guint i = 0; i < duties->waves->len; i++) {
+		wave_t *wave = g_ptr_array_index(duties->waves, i);
+
+		if (wave->order->number == number)
+			return wave;
+	}
+	return NULL;
+}
+
+static void explain(wwh_host_duties_t *duties, const char *event,
+		    const char *subject, const char *format, ...)
+{
+	char detail[256];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(detail, sizeof(detail), format, arguments);
+	va_end(arguments);
+	duties->calls.explain(event, subject, detail,
+			      duties->calls.client_data);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/host_settings.c
@@ -0,0 +1,36 @@
+#include "waxwinghollow/host_settings.h"
+
+#include <glib.h>
+#include <string.h>
+
+void wwh_host_settings_init(wwh_host_settings_t *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	/* Figures of the users' sheets, for files that leave them out. */
+	settings->lease_max_ms = 6000;
+	settings->stop_limit_ms = 400;
+	settings->gang_wait_ms = 3000;
+	settings->heartbeat_ms = 1500;
+	settings->unavailable_after_ms = 4500;
+	settings->harm_limit_ms = 4000;
+	settings->job_kept_ms = 120000;
+	settings->grace_ms = 6000;
+	settings->member_min_ms = 1000;
+	settings->store_record_bytes = 262144;
+	settings->store_call_bytes = 2097152;
+	settings->move_ms = 1500;
+	settings->upkeep_ms = 2000;
+}
+
+void wwh_host_settings_clear(wwh_host_settings_t *settings)
+{
+	g_free(settings->name);
+	g_free(settings->zone);
+	g_free(settings->callers.address);
+	g_free(settings->readiness.address);
+	g_free(settings->peers.address);
+	g_free(settings->store);
+	g_free(settings->hosts);
+	g_free(settings->advice);
+	memset(settings, 0, sizeof(*settings));
+}
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -0,0 +1,61 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_JOB_HOLDER_STATE_H
+#define WAXWINGHOLLOW_PRIVATE_JOB_HOLDER_STATE_H
+
+/* What the modules of job_holder share. */
+
+#include "waxwinghollow/host_duties.h"
+#include "waxwinghollow/job_holder.h"
+#include "waxwinghollow/shard_journal.h"
+#include "waxwinghollow/store_follower.h"
+
+struct wwh_job_holder {
+	wwh_job_holder_options_t options;
+	int32_t references; /* the owner's and one for each call out */
+	bool deleted;
+	bool lost;
+	wwh_scheduler_t *scheduler;
+	wwh_shard_journal_t *journal;
+	wwh_store_follower_t *upstreams;
+	wwh_host_duties_t *duties;
+	GQueue *waiters; /* waiter_t in the order of their records */
+	GQueue *advice; /* wwh_http_call_t with its step, one out at a time */
+	bool advice_in_flight;
+	GPtrArray *reports; /* wave states that aren't written yet */
+	bool report_in_flight;
+	int64_t report_retry_ms;
+	int64_t now_ms;
+	int64_t wall_ms;
+	int64_t durable_record;
+	int64_t unconfirmed_since_ms; /* 0: orders may go out */
+	int64_t flush_after_ms;
+	bool urgent; /* a caller waits for what is kept next */
+	char *list_page;
+	wwh_counter_t *starts;
+	wwh_counter_t *looks;
+	wwh_counter_t *stops;
+};
+
+void job_holder_ref(wwh_job_holder_t *holder);
+void job_holder_unref(wwh_job_holder_t *holder);
+void job_holder_lose(wwh_job_holder_t *holder, const char *why);
+int64_t job_holder_keep(wwh_keep_kind_t kind, const char *key, GBytes *value,
+			void *client_data);
+void job_holder_explain(const char *event, const char *subject,
+			const char *detail, void *client_data);
+
+/* job_holder_orders.c: the scheduler's orders to upstreams */
+void job_holder_start(const wwh_start_order_t *order, void *client_data);
+void job_holder_stop(const wwh_stop_order_t *order, void *client_data);
+void job_holder_look(const wwh_look_order_t *order, void *client_data);
+void job_holder_pace(const wwh_pace_order_t *order, void *client_data);
+void job_holder_advise(const wwh_advice_order_t *order, void *client_data);
+void job_holder_advice_clear(wwh_job_holder_t *holder);
+
+/* job_holder_hosts.c: what the host duties ask for */
+void job_holder_list_hosts(void *client_data);
+void job_holder_upkeep(const char *host, int64_t wave, void *client_data);
+void job_holder_report(const wwh_wave_order_t *order, bool completed,
+		       void *client_data);
+void job_holder_send_reports(wwh_job_holder_t *holder);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -0,0 +1,99 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_JOB_SERVICE_STATE_H
+#define WAXWINGHOLLOW_PRIVATE_JOB_SERVICE_STATE_H
+
+/*
+ * What the modules of job_service share. Listeners call job_service_http,
+ * which hands requests to job_service_queue; the loop in job_service takes
+ * them from there and answers them by the holder or a peer.
+ */
+
+#include "waxwinghollow/event_log.h"
+#include "waxwinghollow/job_holder.h"
+#include "waxwinghollow/job_service.h"
+#include "waxwinghollow/listener.h"
+#include "waxwinghollow/shard_claim.h"
+#include "waxwinghollow/store_follower.h"
+
+typedef enum {
+	JOB_REQUEST_SUBMIT = 0,
+	JOB_REQUEST_STATE,
+	JOB_REQUEST_CANCEL,
+	JOB_REQUEST_PENDING,
+	JOB_REQUEST_KIND_COUNT
+} job_request_kind_t;
+
+/* Names of job_request_kind_t, in the same order. */
+extern const char *const job_request_kind_names[JOB_REQUEST_KIND_COUNT];
+
+/* Shared by the listener's thread and the loop; the last one frees it. */
+typedef struct {
+	gint references;
+	GMutex lock;
+	GCond changed;
+	bool answered;
+	wwh_job_answer_t answer;
+	job_request_kind_t kind;
+	char id[WWH_JOB_ID_CHARS + 1]; /* of the job; "" for a queue */
+	char *queue;
+	wwh_job_t *job; /* of a submission; the holder takes it over */
+	bool from_peer; /* isn't passed on again */
+	int64_t limit_ms; /* how long the caller waits */
+} job_request_t;
+
+struct wwh_job_service {
+	GMutex lock; /* of config, settings_next, the flags below */
+	wwh_host_settings_t settings; /* of the loop's thread */
+	wwh_host_settings_t *settings_next; /* to be taken up by the loop */
+	wwh_job_config_t *config;
+	GHashTable *waves; /* key to GBytes; of the loop's thread */
+	bool stopping;
+	bool holds; /* and the store confirmed it lately */
+	wwh_counters_t *counters;
+	wwh_event_log_t *log;
+	wwh_listener_t *callers;
+	wwh_listener_t *readiness;
+	wwh_listener_t *peers;
+	GThread *thread;
+	GAsyncQueue *requests; /* job_request_t for the loop */
+	wwh_http_calls_t *calls;
+	wwh_shard_claim_t *claim;
+	wwh_store_follower_t *operator_records;
+	wwh_job_holder_t *holder;
+	wwh_job_holder_t *lost_holder; /* to be deleted by the loop */
+	char *self; /* address for peers */
+	char *holder_address; /* NULL: nobody holds the shard */
+	bool ending; /* the loop ends once all is settled */
+	int64_t last_run_ms;
+	int64_t slept_ms; /* of suspensions so far */
+	int32_t forwards;
+};
+
+int64_t job_service_now_ms(void);
+int64_t job_service_wall_ms(void);
+
+/* job_service_queue.c */
+job_request_t *job_request_new(job_request_kind_t kind);
+void job_request_unref(job_request_t *request);
+/* Of a listener's thread: waits for the answer or the caller's deadline. */
+wwh_job_answer_t job_service_ask(wwh_job_service_t *service,
+				 job_request_t *request);
+/* Of the loop. */
+void job_service_take_requests(wwh_job_service_t *service);
+void job_request_answer(const wwh_job_answer_t *answer, void *request);
+
+/* job_service_http.c */
+void job_service_on_caller(const wwh_http_request_t *request,
+			   wwh_http_response_t *response, void *client_data);
+void job_service_on_readiness(const wwh_http_request_t *request,
+			      wwh_http_response_t *response, void *client_data);
+void job_service_on_peer(const wwh_http_request_t *request,
+			 wwh_http_response_t *response, void *client_data);
+
+/* job_service_peer.c: requests between processes */
+void job_service_forward(wwh_job_service_t *service, job_request_t *request);
+bool job_service_peer_request(const wwh_http_request_t *http,
+			      job_request_t **request);
+void job_service_peer_answer(const wwh_job_answer_t *answer,
+			     wwh_http_response_t *response);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -0,0 +1,61 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_SCHEDULER_POLICY_H
+#define WAXWINGHOLLOW_PRIVATE_SCHEDULER_POLICY_H
+
+/*
+ * NAME
+ *	scheduler_policy - which task goes first and where, as arithmetic
+ *
+ * USE
+ *	Pure functions of figures; the scheduler fills the figures in. Lower
+ *	results go first.
+ *
+ * LOAD
+ *	Queues ask for several times their mean for some seconds, more than
+ *	their pool holds, and for next to nothing in between. At the peak most
+ *	waiting jobs can't all be in time.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+	bool lasting;
+	int32_t priority; /* of its queue; 0 goes first */
+	int64_t waited_ms; /* since it was due */
+	int64_t objective_ms; /* how long callers are content to wait */
+	int64_t remaining_ms; /* the longest chain of estimates left */
+	int64_t work_ms; /* what is left, summed over tasks, times cores */
+} wwh_order_figures_t;
+
+/*
+ * Lasting tasks go first: they serve callers all the time, take a known and
+ * small share of a pool, and each second away is lost to their users.
+ *
+ * Then jobs that can still be in time, by how soon they must end. Served in
+ * order of arrival instead, a peak makes every job wait about as long, and
+ * with more work than room nearly all end late; this way those that would
+ * be late in any case give way to those that need not be.
+ */
+int64_t wwh_policy_order(const wwh_order_figures_t *figures);
+
+typedef struct {
+	int64_t free_millicores; /* before the task is placed */
+	int64_t need_millicores;
+	int64_t capacity_millicores;
+	bool data_elsewhere; /* the step's data is on another rack */
+	bool step_elsewhere; /* the step runs on another rack */
+	bool failed_here; /* this task's last run failed there */
+	int32_t fail_streak; /* failures in a row, of any task */
+	int32_t disturbed; /* tasks that it would disturb or that disturb it */
+	int32_t same_step; /* tasks of the step that are there */
+	bool lasting;
+} wwh_fit_figures_t;
+
+/*
+ * Best fit: the fullest host that still has room, so that hosts become
+ * empty and large tasks find one. Lasting tasks are spread instead: the loss
+ * of one host takes few of them away.
+ */
+int64_t wwh_policy_fit(const wwh_fit_figures_t *figures);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -0,0 +1,269 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_SCHEDULER_STATE_H
+#define WAXWINGHOLLOW_PRIVATE_SCHEDULER_STATE_H
+
+/*
+ * What the scheduler's modules share. Calls go down in this order, never up:
+ * scheduler, scheduler_release, scheduler_place, scheduler_upstream,
+ * scheduler_record, scheduler_job, scheduler_task.
+ */
+
+#include "waxwinghollow/chart.h"
+#include "waxwinghollow/scheduler.h"
+
+typedef struct sched_job sched_job_t;
+typedef struct sched_occurrence sched_occurrence_t;
+typedef struct sched_step sched_step_t;
+typedef struct sched_upstream sched_upstream_t;
+typedef struct sched_pool sched_pool_t;
+
+/* In the order of charts/task.json. */
+typedef enum {
+	TASK_WAITING = 0,
+	TASK_STARTING,
+	TASK_UNSURE,
+	TASK_RUNNING,
+	TASK_STOPPING,
+	TASK_OVER,
+	TASK_STATE_COUNT
+} sched_task_state_t;
+
+typedef enum {
+	TASK_ORDER = 0,
+	TASK_ACCEPTED,
+	TASK_REFUSED,
+	TASK_UNANSWERED,
+	TASK_LISTED,
+	TASK_STOP,
+	TASK_DONE,
+	TASK_ENDED,
+	TASK_LOST,
+	TASK_DROP,
+	TASK_EVENT_COUNT
+} sched_task_event_t;
+
+typedef struct {
+	sched_step_t *step;
+	int32_t index;
+	wwh_chart_machine_t machine;
+	int64_t run; /* the highest that was ordered or seen */
+	sched_upstream_t *upstream; /* while it is out */
+	sched_upstream_t *avoid; /* where it failed last; compared only */
+	char *checkpoint; /* NULL: none */
+	int32_t failures;
+	int64_t failed_run; /* the last that was counted in failures */
+	int64_t changed_ms; /* when it got into its state */
+	int64_t retry_ms; /* not placed before this */
+	int64_t stop_sent_ms; /* 0: no stop was ordered */
+	int64_t stop_confirmed_ms; /* 0: not confirmed */
+	bool order_in_flight;
+	bool inherited; /* may run at an upstream that wasn't asked yet */
+	int32_t percent; /* as listed last */
+	int64_t percent_ms; /* when percent changed last */
+	int64_t away_ms; /* lasting: not at work since; 0: at work */
+	int64_t tail_ms; /* as listed last */
+	int32_t pace; /* percent of its work that is ordered */
+	int32_t pace_wanted;
+	int64_t over_target_ms; /* serving: over its target since; 0: isn't */
+} sched_task_t;
+
+typedef struct {
+	char *ticket;
+	int64_t until_ms;
+} sched_ticket_t;
+
+struct sched_step {
+	sched_occurrence_t *occurrence;
+	const wwh_job_step_t *spec;
+	int32_t number;
+	sched_task_t *tasks;
+	int32_t done;
+	int32_t out;
+	int64_t gang_run;
+	int32_t gang_failures;
+	int64_t gang_failed_run;
+	GHashTable *tickets; /* upstream id to sched_ticket_t; NULL: none yet */
+	GHashTable *asked; /* upstream ids that advice was asked on */
+	bool advice_in_flight;
+	int64_t advice_after_ms;
+};
+
+struct sched_occurrence {
+	sched_job_t *job;
+	int64_t number;
+	int64_t due_wall_ms;
+	int64_t due_ms; /* the same on the steady clock */
+	sched_step_t *steps;
+	int32_t steps_done;
+};
+
+struct sched_job {
+	char id[WWH_JOB_ID_CHARS + 1];
+	wwh_job_t *spec; /* NULL once it has ended and nothing is out */
+	sched_pool_t *pool;
+	wwh_job_progress_t state; /* QUEUED stands for all that is live */
+	bool started;
+	bool dirty;
+	int64_t kept; /* record of its acceptance */
+	int64_t end_kept; /* record of its end */
+	int64_t ended_ms;
+	int64_t accepted_ms;
+	int64_t chain_ms; /* the longest chain of estimates */
+	int64_t objective_ms; /* how long callers are content to wait */
+	GPtrArray *occurrences; /* that are due, owned; NULL once over */
+	int64_t next_occurrence; /* the first that isn't in occurrences */
+	int64_t occurrences_done;
+	int32_t out;
+};
+
+struct sched_upstream {
+	wwh_upstream_info_t info;
+	sched_pool_t *pool;
+	bool listed; /* it is announced */
+	bool settled; /* it answered this holder */
+	bool inherited; /* a holder before may have started tasks on it */
+	bool released; /* empties itself */
+	bool ending; /* may be taken down at any moment */
+	bool kept_asked;
+	int64_t kept; /* record that names it; valid with kept_asked */
+	int64_t announced_ms;
+	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
+	bool look_in_flight;
+	int64_t look_sent_ms;
+	int64_t next_look_ms;
+	int64_t answered_ms; /* the last answer to a look */
+	int32_t failed_looks; /* since then */
+	int32_t refused_looks; /* in a row */
+	int64_t clock_base_ms; /* answered at, on the own clock ... */
+	int64_t clock_base_remote_ms; /* ... and on its clock; 0: unknown */
+	int64_t lease_until_remote_ms; /* the longest that was ever sent */
+	int64_t lapsed_ms; /* its lease is surely over then */
+	bool lapse_done;
+	int64_t ends_seen;
+	int64_t ends_noted; /* durable */
+	int64_t ends_flushed;
+	int64_t ends_flushed_record;
+	GPtrArray *tasks; /* sched_task_t that are out on it */
+	int32_t strangers; /* rows that no task here explains */
+	GHashTable *stranger_stops; /* task name to when a stop was sent */
+	int64_t used_cpu;
+	int64_t used_memory;
+	int64_t used_gpus;
+	int32_t fail_streak;
+	int32_t backoffs;
+	int64_t backoff_until_ms;
+};
+
+struct sched_pool {
+	char *name;
+	bool standby;
+	GPtrArray *upstreams; /* not owned */
+	int32_t unsettled; /* inherited upstreams that weren't asked yet */
+	bool dirty; /* something may be placed */
+	int64_t next_try_ms;
+};
+
+struct wwh_scheduler {
+	wwh_scheduler_options_t options;
+	wwh_scheduler_calls_t calls;
+	wwh_chart_t *task_chart;
+	uint32_t out_tag;
+	GHashTable *jobs; /* id to sched_job_t, owned */
+	GPtrArray *live; /* sched_job_t that haven't ended or are out */
+	GPtrArray *dirty; /* sched_job_t whose progress is to be kept */
+	GHashTable *pools; /* name to sched_pool_t, owned */
+	GHashTable *upstreams; /* id to sched_upstream_t, owned */
+	bool restored;
+	int64_t now_ms;
+	int64_t wall_ms;
+	int64_t newest_record;
+	int64_t durable_record;
+	int64_t next_forget_ms;
+};
+
+/* scheduler_task.c */
+sched_task_state_t sched_task_state(const sched_task_t *task);
+bool sched_task_is_out(const wwh_scheduler_t *scheduler,
+		       const sched_task_t *task);
+void sched_task_name(const sched_task_t *task, char *name);
+bool sched_task_parse(const char *name, char *id, int64_t *occurrence,
+		      int32_t *step, int32_t *index);
+/* Puts a task that is to be started on upstream; the order goes out. */
+void sched_task_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream, int64_t run,
+		      const char *ticket);
+/* Takes up a task that runs at upstream though this holder didn't start it. */
+void sched_task_adopt(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream, int64_t run);
+/* A step of charts/task.json; leaving "out" frees its room. */
+void sched_task_event(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_task_event_t event);
+void sched_task_order_stop(wwh_scheduler_t *scheduler, sched_task_t *task);
+void sched_task_set_checkpoint(sched_task_t *task, const char *checkpoint);
+/* Until when upstream's lease may be asked for now, on its clock; 0: unknown */
+int64_t sched_lease_until(const wwh_scheduler_t *scheduler,
+			  sched_upstream_t *upstream);
+/* To be called when a newer reading of its clock has come. */
+void sched_lease_recompute(sched_upstream_t *upstream);
+void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
+		   const char *subject, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* scheduler_job.c */
+sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id);
+sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
+			   int64_t accepted_ms);
+sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id);
+void sched_job_delete(gpointer job);
+bool sched_job_is_live(const sched_job_t *job);
+sched_task_t *sched_job_task(const wwh_scheduler_t *scheduler,
+			     const char *name);
+sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
+					      sched_job_t *job);
+void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job);
+void sched_job_touch(wwh_scheduler_t *scheduler, sched_job_t *job);
+void sched_job_end(wwh_scheduler_t *scheduler, sched_job_t *job,
+		   wwh_job_progress_t state);
+bool sched_step_is_ready(const sched_step_t *step);
+void sched_step_task_done(wwh_scheduler_t *scheduler, sched_task_t *task);
+void sched_step_task_failed(wwh_scheduler_t *scheduler, sched_task_t *task,
+			    int64_t run);
+void sched_jobs_forget(wwh_scheduler_t *scheduler);
+
+/* scheduler_record.c */
+GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms);
+bool sched_progress_restore(wwh_scheduler_t *scheduler, const char *id,
+			    const uint8_t *value, size_t size,
+			    wwh_message_t *message);
+GBytes *sched_upstream_encode(const sched_upstream_t *upstream);
+bool sched_upstream_restore(wwh_scheduler_t *scheduler, const char *id,
+			    const uint8_t *value, size_t size,
+			    wwh_message_t *message);
+
+/* scheduler_upstream.c */
+sched_pool_t *sched_pool_get(wwh_scheduler_t *scheduler, const char *name);
+void sched_pool_delete(gpointer pool);
+sched_upstream_t *sched_upstream_find(const wwh_scheduler_t *scheduler,
+				      const char *id);
+sched_upstream_t *sched_upstream_add(wwh_scheduler_t *scheduler,
+				     const wwh_upstream_info_t *info);
+void sched_upstream_delete(gpointer upstream);
+void sched_upstream_remove(wwh_scheduler_t *scheduler,
+			   sched_upstream_t *upstream, const char *why);
+void sched_upstreams_run(wwh_scheduler_t *scheduler);
+void sched_upstreams_flush(wwh_scheduler_t *scheduler);
+bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
+			   const sched_upstream_t *upstream);
+void sched_upstream_failed(wwh_scheduler_t *scheduler,
+			   sched_upstream_t *upstream);
+void sched_upstream_back_off(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream, int64_t wait_ms);
+
+/* scheduler_place.c */
+void sched_place(wwh_scheduler_t *scheduler);
+
+/* scheduler_release.c */
+bool sched_may_end(const wwh_scheduler_t *scheduler,
+		   const sched_upstream_t *upstream);
+void sched_release_run(wwh_scheduler_t *scheduler);
+
+#endif
--- /dev/null
+++ b/src/libwaxwinghollow/job_holder.c
@@ -0,0 +1,584 @@
+#include "waxwinghollow/job_holder.h"
+
+#include <string.h>
+
+#include "private/job_holder_state.h"
+#include "wire_operator.h"
+#include "wire_store.h"
+
+/* Records that no caller waits for are gathered for this long. */
+#define GROUP_MS 40
+
+/* Upstreams announce themselves all the time; they are read in groups. */
+#define UPSTREAMS_GAP_MS 150
+#define UPSTREAMS_WAIT_MS 1500
+
+/* Without other records the claim is confirmed this often. */
+#define CONFIRM_EVERY_MS 800
+#define CONFIRM_KEY "H"
+
+/*
+ * For this long after the store confirmed the claim no other holder can have
+ * accepted a job that a caller has been told of: a claim, reading the
+ * journal and the first append take longer.
+ */
+#define CONFIRMED_FOR_MS 2500
+
+/*
+ * With records waiting for longer the store is down for this process, and a
+ * submission would only wait with them.
+ */
+#define STALLED_MS 700
+#define STALLED_RETRY_AFTER_S 1
+
+/* While something runs, and otherwise. */
+#define WAIT_BUSY_MS 20
+#define WAIT_IDLE_MS 80
+
+#define LEASE_MS 6000
+
+const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT] = {
+	"ok",
+	"no-job",
+	"not-done",
+	"unknown",
+};
+
+typedef struct {
+	int64_t record;
+	wwh_job_answer_t answer;
+	wwh_job_answered_t done;
+	void *client_data;
+} waiter_t;
+
+static void make_scheduler(wwh_job_holder_t *holder);
+static void make_duties(wwh_job_holder_t *holder);
+static void make_journal(wwh_job_holder_t *holder);
+static void restore(wwh_job_holder_t *holder);
+static void restore_kind(wwh_job_holder_t *holder, wwh_keep_kind_t kind);
+static void on_durable(int64_t record, void *data);
+static void on_journal_lost(const char *why, void *data);
+static void on_upstream(const char *key, const uint8_t *value, size_t size,
+			void *data);
+static void on_reach(bool reached, const char *why, void *data);
+static void wait_for(wwh_job_holder_t *holder, int64_t record,
+		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
+		     void *client_data);
+static void end_waiters(wwh_job_holder_t *holder);
+static void answer_not_done(const char *why, wwh_job_answered_t done,
+			    void *client_data);
+static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
+static void flush(wwh_job_holder_t *holder);
+
+wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options)
+{
+	wwh_job_holder_t *holder = g_new0(wwh_job_holder_t, 1);
+	wwh_store_follower_options_t upstreams = {
+		.calls = options->calls,
+		.endpoint = options->settings->store,
+		.topic = WIRE_TOPIC_UPSTREAMS,
+		.wait_ms = UPSTREAMS_WAIT_MS,
+		.gap_ms = UPSTREAMS_GAP_MS,
+		.on_record = on_upstream,
+		.on_reach = on_reach,
+		.client_data = holder,
+	};
+
+	holder->options = *options;
+	holder->references = 1;
+	holder->now_ms = options->now_ms;
+	holder->wall_ms = options->wall_ms;
+	holder->waiters = g_queue_new();
+	holder->advice = g_queue_new();
+	holder->reports = g_ptr_array_new();
+	holder->starts = wwh_counters_get(options->counters, "holder.starts");
+	holder->looks = wwh_counters_get(options->counters, "holder.looks");
+	holder->stops = wwh_counters_get(options->counters, "holder.stops");
+	make_journal(holder);
+	make_scheduler(holder);
+	make_duties(holder);
+	restore(holder);
+	holder->options.records = NULL;
+	holder->upstreams = wwh_store_follower_new(&upstreams);
+	return holder;
+}
+
+void wwh_job_holder_delete(wwh_job_holder_t *holder)
+{
+	if (holder == NULL)
+		return;
+	holder->deleted = true;
+	wwh_store_follower_delete(holder->upstreams);
+	wwh_shard_journal_delete(holder->journal);
+	end_waiters(holder);
+	job_holder_unref(holder);
+}
+
+void wwh_job_holder_set_config(wwh_job_holder_t *holder,
+			       const wwh_job_config_t *config)
+{
+	for (guint i = 0; i < config->pools->len; i++) {
+		const wwh_pool_t *pool =
+			&g_array_index(config->pools, wwh_pool_t, i);
+
+		wwh_scheduler_set_standby(holder->scheduler, pool->name,
+					  pool->standby);
+	}
+}
+
+void wwh_job_holder_wave(wwh_job_holder_t *holder, const uint8_t *value,
+			 size_t size)
+{
+	wwh_wave_order_t *order = wire_operator_wave(value, size);
+
+	if (order == NULL) {
+		job_holder_explain("wave-refused", "wave", "why=not understood",
+				   holder);
+		return;
+	}
+	wwh_host_duties_wave(holder->duties, order, holder->now_ms);
+}
+
+void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
+			   wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+	int64_t lag_ms =
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
+	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
+		     WWH_JOB_UNKNOWN;
+	int64_t record;
+
+	if (holder->lost || holder->unconfirmed_since_ms != 0 ||
+	    (lag_ms > STALLED_MS && !known)) {
+		wwh_job_delete(job);
+		answer_not_done("store-unreachable", done, client_data);
+		return;
+	}
+	holder->urgent = true;
+	(void)wwh_scheduler_submit(holder->scheduler, job, holder->now_ms,
+				   &record);
+	holder->urgent = false;
+	wait_for(holder, record, &answer, done, client_data);
+	wwh_shard_journal_run(holder->journal, holder->now_ms);
+}
+
+void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
+			   wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+	int64_t record;
+
+	if (holder->lost || holder->unconfirmed_since_ms != 0) {
+		answer_not_done("store-unreachable", done, client_data);
+		return;
+	}
+	holder->urgent = true;
+	if (wwh_scheduler_cancel(holder->scheduler, id, holder->now_ms,
+				 &record)) {
+		wait_for(holder, record, &answer, done, client_data);
+		wwh_shard_journal_run(holder->journal, holder->now_ms);
+	} else if (wwh_job_holder_confirmed(holder, holder->now_ms)) {
+		answer.kind = WWH_JOB_ANSWER_NO_JOB;
+		answer.why = "no-such-job";
+		done(&answer, client_data);
+	} else {
+		answer_not_done("not-confirmed", done, client_data);
+	}
+	holder->urgent = false;
+}
+
+/*
+ * "No such job" is said only while the claim is sure: a holder that was
+ * overtaken doesn't know the jobs that its successor has accepted.
+ */
+void wwh_job_holder_state(wwh_job_holder_t *holder, const char *id,
+			  wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+
+	answer.state = wwh_scheduler_job_state(holder->scheduler, id);
+	if (answer.state == WWH_JOB_UNKNOWN) {
+		if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
+			answer_not_done("not-confirmed", done, client_data);
+			return;
+		}
+		answer.kind = WWH_JOB_ANSWER_NO_JOB;
+		answer.why = "no-such-job";
+	}
+	done(&answer, client_data);
+}
+
+void wwh_job_holder_pending(wwh_job_holder_t *holder, const char *queue,
+			    wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+
+	if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
+		answer_not_done("not-confirmed", done, client_data);
+		return;
+	}
+	answer.pending = wwh_scheduler_pending(holder->scheduler, queue);
+	done(&answer, client_data);
+}
+
+void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
+			int64_t wall_ms, bool suspended)
+{
+	holder->now_ms = MAX(holder->now_ms, now_ms);
+	holder->wall_ms = wall_ms;
+	if (holder->lost)
+		return;
+	wwh_store_follower_run(holder->upstreams, now_ms);
+	if (orders_allowed(holder, suspended)) {
+		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
+		wwh_host_duties_run(holder->duties, now_ms);
+		job_holder_send_reports(holder);
+	}
+	flush(holder);
+	wwh_shard_journal_run(holder->journal, now_ms);
+}
+
+int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
+{
+	wwh_scheduler_counts_t counts = wwh_scheduler_counts(holder->scheduler);
+
+	return counts.live_jobs > 0 || counts.tasks_out > 0 ? WAIT_BUSY_MS
+							    : WAIT_IDLE_MS;
+}
+
+bool wwh_job_holder_settled(const wwh_job_holder_t *holder)
+{
+	return holder->lost ||
+	       (g_queue_is_empty(holder->waiters) &&
+		!wwh_scheduler_unflushed(holder->scheduler) &&
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0);
+}
+
+bool wwh_job_holder_confirmed(const wwh_job_holder_t *holder, int64_t now_ms)
+{
+	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
+
+	return !holder->lost && confirmed_ms != 0 &&
+	       now_ms - confirmed_ms <= CONFIRMED_FOR_MS;
+}
+
+void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out)
+{
+	g_string_append_printf(
+		out,
+		"holder epoch=%" G_GINT64_FORMAT
+		" confirmed_ms_ago=%" G_GINT64_FORMAT
+		" journal_lag_ms=%" G_GINT64_FORMAT "\n",
+		holder->options.epoch,
+		holder->now_ms -
+			wwh_shard_journal_confirmed_ms(holder->journal),
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms));
+	wwh_scheduler_dump(holder->scheduler, out, holder->now_ms);
+}
+
+void job_holder_ref(wwh_job_holder_t *holder)
+{
+	holder->references++;
+}
+
+void job_holder_unref(wwh_job_holder_t *holder)
+{
+	if (--holder->references > 0)
+		return;
+	wwh_host_duties_delete(holder->duties);
+	wwh_scheduler_delete(holder->scheduler);
+	job_holder_advice_clear(holder);
+	g_queue_free(holder->advice);
+	g_queue_free_full(holder->waiters, g_free);
+	for (guint i = 0; i < holder->reports->len; i++)
+		g_byte_array_unref(g_ptr_array_index(holder->reports, i));
+	g_ptr_array_unref(holder->reports);
+	g_free(holder->list_page);
+	g_free(holder);
+}
+
+/* The owner is told once and deletes the holder when it likes. */
+void job_holder_lose(wwh_job_holder_t *holder, const char *why)
+{
+	if (holder->lost || holder->deleted)
+		return;
+	holder->lost = true;
+	end_waiters(holder);
+	holder->options.on_lost(why, holder->options.client_data);
+}
+
+int64_t job_holder_keep(wwh_keep_kind_t kind, const char *key, GBytes *value,
+			void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	char *whole = g_strconcat(wwh_keep_kind_names[kind], key, NULL);
+	/* the first start at an upstream waits for its record */
+	bool urgent =
+		holder->urgent || (kind == WWH_KEEP_UPSTREAM && value != NULL);
+	int64_t number = wwh_shard_journal_keep(holder->journal, whole, value,
+						urgent, holder->now_ms);
+
+	g_free(whole);
+	return number;
+}
+
+void job_holder_explain(const char *event, const char *subject,
+			const char *detail, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+
+	wwh_event_log_write(holder->options.log, event, subject, detail);
+}
+
+static void make_journal(wwh_job_holder_t *holder)
+{
+	wwh_shard_journal_options_t options = {
+		.calls = holder->options.calls,
+		.endpoint = holder->options.settings->store,
+		.topic = holder->options.topic,
+		.part = holder->options.journal_part,
+		.producer = holder->options.producer,
+		.epoch = holder->options.epoch,
+		.next_sequence = holder->options.next_sequence,
+		.call_bytes = holder->options.settings->store_call_bytes,
+		.group_ms = GROUP_MS,
+		.on_durable = on_durable,
+		.on_lost = on_journal_lost,
+		.client_data = holder,
+	};
+
+	holder->journal = wwh_shard_journal_new(&options);
+}
+
+static void make_scheduler(wwh_job_holder_t *holder)
+{
+	const wwh_host_settings_t *settings = holder->options.settings;
+	wwh_scheduler_options_t options = wwh_scheduler_options_defaults();
+	wwh_scheduler_calls_t calls = {
+		.start = job_holder_start,
+		.stop = job_holder_stop,
+		.look = job_holder_look,
+		.pace = job_holder_pace,
+		.advise = job_holder_advise,
+		.keep = job_holder_keep,
+		.explain = job_holder_explain,
+		.client_data = holder,
+	};
+
+	options.lease_max_ms = settings->lease_max_ms;
+	options.lease_ms = LEASE_MS;
+	options.stop_limit_ms = settings->stop_limit_ms;
+	options.gang_wait_ms = settings->gang_wait_ms;
+	options.forget_ms = settings->job_kept_ms;
+	options.heartbeat_ms = settings->heartbeat_ms;
+	options.unavailable_after_ms = settings->unavailable_after_ms;
+	options.harm_limit_ms = settings->harm_limit_ms;
+	options.holder_count = holder->options.holder_count;
+	holder->scheduler = wwh_scheduler_new(&options, &calls);
+}
+
+static void make_duties(wwh_job_holder_t *holder)
+{
+	wwh_host_duties_options_t options = {
+		.upkeep_ms = holder->options.settings->upkeep_ms,
+		.scheduler = holder->scheduler,
+	};
+	wwh_host_duties_calls_t calls = {
+		.list = job_holder_list_hosts,
+		.upkeep = job_holder_upkeep,
+		.report = job_holder_report,
+		.keep = job_holder_keep,
+		.explain = job_holder_explain,
+		.client_data = holder,
+	};
+
+	holder->duties = wwh_host_duties_new(&options, &calls);
+}
+
+static void restore(wwh_job_holder_t *holder)
+{
+	wwh_scheduler_counts_t counts;
+
+	for (int32_t kind = 0; kind < WWH_KEEP_KIND_COUNT; kind++)
+		restore_kind(holder, (wwh_keep_kind_t)kind);
+	wwh_scheduler_restored(holder->scheduler, holder->now_ms,
+			       holder->wall_ms);
+	counts = wwh_scheduler_counts(holder->scheduler);
+	wwh_event_log_printf(holder->options.log, "shard-restored", "shard",
+			     "jobs=%d live=%d upstreams=%d", counts.jobs,
+			     counts.live_jobs, counts.upstreams);
+}
+
+/* Jobs come before their progress, as the kinds are numbered. */
+static void restore_kind(wwh_job_holder_t *holder, wwh_keep_kind_t kind)
+{
+	GHashTableIter iterator;
+	gpointer name;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, holder->options.records);
+	while (g_hash_table_iter_next(&iterator, &name, &value)) {
+		const char *key = name;
+		wwh_message_t message = { "" };
+		const uint8_t *data;
+		gsize size;
+		bool ok;
+
+		if (key[0] != wwh_keep_kind_names[kind][0])
+			continue;
+		data = g_bytes_get_data(value, &size);
+		if (kind == WWH_KEEP_WAVE)
+			ok = wwh_host_duties_restore(holder->duties, key + 1,
+						     data, size);
+		else
+			ok = wwh_scheduler_restore(holder->scheduler, kind,
+						   key + 1, data, size,
+						   holder->wall_ms, &message);
+		if (!ok)
+			wwh_event_log_printf(holder->options.log,
+					     "record-left-out", key,
+					     "why=%s bytes=%" G_GSIZE_FORMAT,
+					     message.text, size);
+	}
+}
+
+static void on_durable(int64_t record, void *data)
+{
+	wwh_job_holder_t *holder = data;
+
+	holder->durable_record = record;
+	if (wwh_shard_journal_confirmed_ms(holder->journal) >=
+	    holder->unconfirmed_since_ms)
+		holder->unconfirmed_since_ms = 0;
+	wwh_scheduler_set_durable(holder->scheduler, record);
+	wwh_host_duties_set_durable(holder->duties, record);
+	while (!g_queue_is_empty(holder->waiters)) {
+		waiter_t *waiter = g_queue_peek_head(holder->waiters);
+
+		if (waiter->record > record)
+			return;
+		g_queue_pop_head(holder->waiters);
+		waiter->done(&waiter->answer, waiter->client_data);
+		g_free(waiter);
+	}
+}
+
+static void on_journal_lost(const char *why, void *data)
+{
+	job_holder_lose(data, why);
+}
+
+static void on_upstream(const char *key, const uint8_t *value, size_t size,
+			void *data)
+{
+	wwh_job_holder_t *holder = data;
+	wwh_upstream_info_t info;
+
+	if (holder->lost)
+		return;
+	if (value == NULL) {
+		wwh_scheduler_upstream_left(holder->scheduler, key,
+					    holder->now_ms);
+		return;
+	}
+	if (!wire_operator_upstream(key, value, size, &info)) {
+		job_holder_explain("upstream-refused", key,
+				   "why=its announcement isn't understood",
+				   holder);
+		return;
+	}
+	wwh_scheduler_upstream_seen(holder->scheduler, &info, holder->now_ms);
+	wwh_upstream_info_clear(&info);
+}
+
+static void on_reach(bool reached, const char *why, void *data)
+{
+	wwh_job_holder_t *holder = data;
+
+	wwh_event_log_printf(holder->options.log,
+			     reached ? "store-regained" : "store-lost",
+			     "upstreams", "result=%s", why);
+}
+
+/* Waiters are kept in the order of their records; most come last. */
+static void wait_for(wwh_job_holder_t *holder, int64_t record,
+		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
+		     void *client_data)
+{
+	GList *at = holder->waiters->tail;
+	waiter_t *waiter;
+
+	if (record <= holder->durable_record) {
+		done(answer, client_data);
+		return;
+	}
+	waiter = g_new0(waiter_t, 1);
+	waiter->record = record;
+	waiter->answer = *answer;
+	waiter->done = done;
+	waiter->client_data = client_data;
+	while (at != NULL && ((waiter_t *)at->data)->record > record)
+		at = at->prev;
+	if (at == NULL)
+		g_queue_push_head(holder->waiters, waiter);
+	else
+		g_queue_insert_after(holder->waiters, at, waiter);
+}
+
+/* Their records may be stored or not: nothing is claimed either way. */
+static void end_waiters(wwh_job_holder_t *holder)
+{
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_UNKNOWN,
+		.why = "holder-changed",
+	};
+
+	while (!g_queue_is_empty(holder->waiters)) {
+		waiter_t *waiter = g_queue_pop_head(holder->waiters);
+
+		waiter->done(&answer, waiter->client_data);
+		g_free(waiter);
+	}
+}
+
+static void answer_not_done(const char *why, wwh_job_answered_t done,
+			    void *client_data)
+{
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = why,
+		.retry_after_s = STALLED_RETRY_AFTER_S,
+	};
+
+	done(&answer, client_data);
+}
+
+/*
+ * A process that stood still may have been replaced meanwhile; what it
+ * decided before is old. Orders wait for one append that succeeds.
+ */
+static bool orders_allowed(wwh_job_holder_t *holder, bool suspended)
+{
+	if (suspended && holder->unconfirmed_since_ms == 0) {
+		holder->unconfirmed_since_ms = holder->now_ms;
+		(void)wwh_shard_journal_keep(holder->journal, CONFIRM_KEY, NULL,
+					     true, holder->now_ms);
+	}
+	return holder->unconfirmed_since_ms == 0;
+}
+
+static void flush(wwh_job_holder_t *holder)
+{
+	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
+
+	if (wwh_scheduler_unflushed(holder->scheduler) &&
+	    holder->now_ms >= holder->flush_after_ms) {
+		(void)wwh_scheduler_flush(holder->scheduler, holder->now_ms);
+		holder->flush_after_ms = holder->now_ms + GROUP_MS;
+	}
+	if (holder->now_ms - confirmed_ms >= CONFIRM_EVERY_MS &&
+	    wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0)
+		(void)wwh_shard_journal_keep(holder->journal, CONFIRM_KEY, NULL,
+					     true, holder->now_ms);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -0,0 +1,159 @@
+#include <string.h>
+
+#include "private/job_holder_state.h"
+#include "wire_hosts.h"
+#include "wire_operator.h"
+#include "wire_store.h"
+
+#define LIST_LIMIT_MS 1500
+#define DUTY_LIMIT_MS 1500
+#define REPORT_LIMIT_MS 1000
+#define REPORT_RETRY_MS 250
+
+typedef struct {
+	wwh_job_holder_t *holder;
+	char *host;
+	int64_t wave;
+} duty_t;
+
+static void list_page(wwh_job_holder_t *holder);
+static void on_page(const wwh_http_answer_t *answer, void *data);
+static void take_host(const wwh_host_t *host, void *data);
+static void on_upkeep(const wwh_http_answer_t *answer, void *data);
+static void on_reported(const wwh_http_answer_t *answer, void *data);
+
+void job_holder_list_hosts(void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+
+	g_clear_pointer(&holder->list_page, g_free);
+	wwh_host_duties_list_begin(holder->duties);
+	list_page(holder);
+}
+
+void job_holder_upkeep(const char *host, int64_t wave, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	duty_t *duty = g_new0(duty_t, 1);
+	wwh_http_call_t *call = wire_hosts_upkeep(
+		holder->options.settings->hosts, holder->options.settings->name,
+		holder->options.epoch, host, wave, DUTY_LIMIT_MS);
+
+	duty->holder = holder;
+	duty->host = g_strdup(host);
+	duty->wave = wave;
+	job_holder_ref(holder);
+	wwh_http_calls_send(holder->options.calls, call, on_upkeep, duty);
+}
+
+void job_holder_report(const wwh_wave_order_t *order, bool completed,
+		       void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	GBytes *state = wire_operator_wave_state(order, completed);
+	char *key = wire_operator_wave_key(order->number);
+	GByteArray *body = g_byte_array_new();
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(state, &size);
+
+	wire_store_pack(body, key, data, size);
+	g_ptr_array_add(holder->reports, body);
+	g_bytes_unref(state);
+	g_free(key);
+	job_holder_send_reports(holder);
+}
+
+/* In their order: "completed" must not be overwritten by "active". */
+void job_holder_send_reports(wwh_job_holder_t *holder)
+{
+	wire_writer_t writer = { 0 };
+	wwh_http_call_t *call;
+
+	if (holder->report_in_flight || holder->reports->len == 0 ||
+	    holder->now_ms < holder->report_retry_ms)
+		return;
+	call = wire_store_append(
+		holder->options.settings->store, WIRE_TOPIC_STATUS, 0, &writer,
+		g_byte_array_ref(g_ptr_array_index(holder->reports, 0)),
+		REPORT_LIMIT_MS);
+	holder->report_in_flight = true;
+	job_holder_ref(holder);
+	wwh_http_calls_send(holder->options.calls, call, on_reported, holder);
+}
+
+static void list_page(wwh_job_holder_t *holder)
+{
+	wwh_http_call_t *call;
+
+	if (holder->options.settings->hosts == NULL) {
+		wwh_host_duties_list_end(holder->duties, false, holder->now_ms);
+		return;
+	}
+	call = wire_hosts_list(holder->options.settings->hosts,
+			       holder->list_page, LIST_LIMIT_MS);
+	job_holder_ref(holder);
+	wwh_http_calls_send(holder->options.calls, call, on_page, holder);
+}
+
+static void on_page(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_job_holder_t *holder = data;
+	char *next = NULL;
+	bool ok;
+
+	if (holder->deleted || holder->lost) {
+		job_holder_unref(holder);
+		return;
+	}
+	ok = wire_hosts_listed(answer, &next, take_host, holder);
+	g_free(holder->list_page);
+	holder->list_page = next;
+	if (ok && next != NULL)
+		list_page(holder);
+	else
+		wwh_host_duties_list_end(holder->duties, ok, holder->now_ms);
+	job_holder_unref(holder);
+}
+
+static void take_host(const wwh_host_t *host, void *data)
+{
+	wwh_job_holder_t *holder = data;
+
+	wwh_host_duties_list_host(holder->duties, host);
+}
+
+static void on_upkeep(const wwh_http_answer_t *answer, void *data)
+{
+	duty_t *duty = data;
+	wwh_job_holder_t *holder = duty->holder;
+	wwh_duty_result_t result = wire_hosts_result(answer);
+
+	if (!holder->deleted && !holder->lost) {
+		wwh_host_duties_upkeep_ended(holder->duties, duty->host,
+					     duty->wave, result,
+					     holder->now_ms);
+		if (result == WWH_DUTY_FENCED)
+			job_holder_lose(holder, "fenced-at-upkeep");
+	}
+	g_free(duty->host);
+	g_free(duty);
+	job_holder_unref(holder);
+}
+
+static void on_reported(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_job_holder_t *holder = data;
+	wire_store_result_t result = wire_store_append_answer(answer);
+
+	holder->report_in_flight = false;
+	if (result == WIRE_STORE_OK || result == WIRE_STORE_BAD) {
+		if (result == WIRE_STORE_BAD)
+			g_warning("the state of a wave isn't taken: status %d",
+				  answer->status);
+		g_byte_array_unref(g_ptr_array_index(holder->reports, 0));
+		g_ptr_array_remove_index(holder->reports, 0);
+	} else {
+		holder->report_retry_ms = holder->now_ms + REPORT_RETRY_MS;
+	}
+	job_holder_unref(holder);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -0,0 +1,263 @@
+#include <string.h>
+
+#include "private/job_holder_state.h"
+#include "wire_upstream.h"
+
+/*
+ * An upstream answers in some ms. One that doesn't within this time is asked
+ * what runs there; longer would hold back the task, shorter would ask often.
+ */
+#define ORDER_LIMIT_MS 1000
+
+/* Beyond what a look asks to wait. */
+#define LOOK_LIMIT_MS 700
+
+/* Advice takes a time for each upstream named, and waits its turn. */
+#define ADVICE_LIMIT_MS 4000
+
+/* Where the answer doesn't say how long tickets are good. */
+#define ADVICE_VALID_MS 2000
+
+typedef struct {
+	wwh_job_holder_t *holder;
+	char *upstream;
+	char task[WWH_TASK_NAME_BYTES]; /* of advice: the step */
+	int64_t run;
+	int64_t sent_ms;
+	wwh_http_call_t *call; /* of advice, while it waits its turn */
+} order_t;
+
+static order_t *order_new(wwh_job_holder_t *holder, const char *upstream,
+			  const char *task, int64_t run);
+static void order_delete(order_t *order);
+static bool is_over(const order_t *order);
+static void on_started(const wwh_http_answer_t *answer, void *data);
+static void on_stopped(const wwh_http_answer_t *answer, void *data);
+static void on_paced(const wwh_http_answer_t *answer, void *data);
+static void on_looked(const wwh_http_answer_t *answer, void *data);
+static void on_advised(const wwh_http_answer_t *answer, void *data);
+static void send_advice(wwh_job_holder_t *holder);
+
+void job_holder_start(const wwh_start_order_t *order, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	wwh_http_call_t *call = wire_upstream_start(
+		order, holder->options.epoch, ORDER_LIMIT_MS);
+
+	wwh_counter_add(holder->starts, 1);
+	wwh_http_calls_send(
+		holder->options.calls, call, on_started,
+		order_new(holder, order->upstream, order->task, order->run));
+}
+
+void job_holder_stop(const wwh_stop_order_t *order, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	wwh_http_call_t *call = wire_upstream_stop(order, holder->options.epoch,
+						   ORDER_LIMIT_MS);
+
+	wwh_counter_add(holder->stops, 1);
+	wwh_http_calls_send(
+		holder->options.calls, call, on_stopped,
+		order_new(holder, order->upstream, order->task, order->run));
+}
+
+void job_holder_look(const wwh_look_order_t *order, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	wwh_http_call_t *call =
+		wire_upstream_look(order, holder->options.epoch, LOOK_LIMIT_MS);
+
+	wwh_counter_add(holder->looks, 1);
+	wwh_http_calls_send(holder->options.calls, call, on_looked,
+			    order_new(holder, order->upstream, "", 0));
+}
+
+void job_holder_pace(const wwh_pace_order_t *order, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	wwh_http_call_t *call = wire_upstream_pace(order, holder->options.epoch,
+						   ORDER_LIMIT_MS);
+
+	wwh_http_calls_send(
+		holder->options.calls, call, on_paced,
+		order_new(holder, order->upstream, order->task, order->run));
+}
+
+/* The service takes one call of a process at a time and drops many at once. */
+void job_holder_advise(const wwh_advice_order_t *order, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	order_t *waiting;
+
+	if (holder->options.settings->advice == NULL) {
+		wwh_scheduler_advised(holder->scheduler, order->step, NULL, -1,
+				      0, holder->now_ms);
+		return;
+	}
+	waiting = order_new(holder, "", order->step, 0);
+	waiting->call = wire_upstream_advise(
+		order, holder->options.settings->advice, ADVICE_LIMIT_MS);
+	g_queue_push_tail(holder->advice, waiting);
+	send_advice(holder);
+}
+
+void job_holder_advice_clear(wwh_job_holder_t *holder)
+{
+	while (!g_queue_is_empty(holder->advice)) {
+		order_t *order = g_queue_pop_head(holder->advice);
+
+		wwh_http_call_delete(order->call);
+		g_free(order->upstream);
+		g_free(order);
+	}
+}
+
+static order_t *order_new(wwh_job_holder_t *holder, const char *upstream,
+			  const char *task, int64_t run)
+{
+	order_t *order = g_new0(order_t, 1);
+
+	order->holder = holder;
+	order->upstream = g_strdup(upstream);
+	g_strlcpy(order->task, task, sizeof(order->task));
+	order->run = run;
+	order->sent_ms = holder->now_ms;
+	/* what waits its turn is dropped with the holder */
+	if (upstream[0] != '\0')
+		job_holder_ref(holder);
+	return order;
+}
+
+static void order_delete(order_t *order)
+{
+	wwh_job_holder_t *holder = order->holder;
+
+	g_free(order->upstream);
+	g_free(order);
+	job_holder_unref(holder);
+}
+
+static bool is_over(const order_t *order)
+{
+	return order->holder->deleted || order->holder->lost;
+}
+
+static void on_started(const wwh_http_answer_t *answer, void *data)
+{
+	order_t *order = data;
+	wwh_order_result_t result = wire_upstream_result(answer);
+
+	if (!is_over(order)) {
+		wwh_scheduler_start_ended(
+			order->holder->scheduler, order->upstream, order->task,
+			order->run, result, order->holder->now_ms);
+		if (result == WWH_ORDER_FENCED)
+			job_holder_lose(order->holder, "fenced-at-start");
+	}
+	order_delete(order);
+}
+
+static void on_stopped(const wwh_http_answer_t *answer, void *data)
+{
+	order_t *order = data;
+	wwh_order_result_t result = wire_upstream_result(answer);
+
+	if (!is_over(order)) {
+		wwh_scheduler_stop_ended(
+			order->holder->scheduler, order->upstream, order->task,
+			order->run, result, order->holder->now_ms);
+		if (result == WWH_ORDER_FENCED)
+			job_holder_lose(order->holder, "fenced-at-stop");
+	}
+	order_delete(order);
+}
+
+static void on_paced(const wwh_http_answer_t *answer, void *data)
+{
+	order_t *order = data;
+
+	if (!is_over(order))
+		wwh_scheduler_pace_ended(
+			order->holder->scheduler, order->upstream, order->task,
+			order->run, wire_upstream_result(answer),
+			order->holder->now_ms);
+	order_delete(order);
+}
+
+static void on_looked(const wwh_http_answer_t *answer, void *data)
+{
+	order_t *order = data;
+	wwh_job_holder_t *holder = order->holder;
+	wire_look_t look;
+	wwh_order_result_t result;
+
+	if (is_over(order)) {
+		order_delete(order);
+		return;
+	}
+	result = wire_upstream_looked(answer, &look);
+	switch (result) {
+	case WWH_ORDER_DONE:
+		wwh_scheduler_looked(holder->scheduler, order->upstream,
+				     &look.rows, order->sent_ms,
+				     holder->now_ms);
+		break;
+	case WWH_ORDER_OTHER_LIFE:
+		wwh_scheduler_upstream_gone(holder->scheduler, order->upstream,
+					    "restarted", holder->now_ms);
+		break;
+	case WWH_ORDER_FENCED:
+		job_holder_lose(holder, "fenced-at-look");
+		break;
+	default:
+		wwh_scheduler_look_failed(holder->scheduler, order->upstream,
+					  answer->outcome == WWH_CALL_REFUSED,
+					  holder->now_ms);
+		break;
+	}
+	wire_upstream_look_clear(&look);
+	order_delete(order);
+}
+
+static void on_advised(const wwh_http_answer_t *answer, void *data)
+{
+	order_t *order = data;
+	wwh_job_holder_t *holder = order->holder;
+	wire_advice_t advice;
+
+	holder->advice_in_flight = false;
+	if (is_over(order)) {
+		order_delete(order);
+		return;
+	}
+	if (wire_upstream_advised(answer, &advice)) {
+		wwh_scheduler_advised(
+			holder->scheduler, order->task,
+			(wwh_admission_t *)(void *)advice.admitted->data,
+			(int32_t)advice.admitted->len,
+			advice.valid_ms > 0 ? advice.valid_ms : ADVICE_VALID_MS,
+			holder->now_ms);
+		wire_upstream_advice_clear(&advice);
+	} else {
+		wwh_scheduler_advised(holder->scheduler, order->task, NULL, -1,
+				      0, holder->now_ms);
+	}
+	send_advice(holder);
+	order_delete(order);
+}
+
+static void send_advice(wwh_job_holder_t *holder)
+{
+	wwh_http_call_t *call;
+	order_t *order;
+
+	if (holder->advice_in_flight || g_queue_is_empty(holder->advice))
+		return;
+	order = g_queue_pop_head(holder->advice);
+	call = order->call;
+	order->call = NULL;
+	job_holder_ref(holder);
+	holder->advice_in_flight = true;
+	wwh_http_calls_send(holder->options.calls, call, on_advised, order);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -0,0 +1,245 @@
+#include <string.h>
+
+#include "private/job_service_state.h"
+#include "wire_caller.h"
+
+/* Where the caller doesn't say how long it waits. */
+#define PATIENCE_MS 3000
+
+/* Requests of peers: their callers' deadlines are theirs to watch. */
+#define PEER_PATIENCE_MS 5000
+
+#define SHARD_PATH "/v1/shard"
+#define DUMP_PATH "/v1/dump"
+#define METRICS_PATH "/metrics"
+#define STATUS_OK 200
+#define STATUS_UNAVAILABLE 503
+#define SECOND_MS 1000
+
+static void answer_text(wwh_http_response_t *response, int32_t status,
+			const char *type, const char *text);
+static void answer_job(wwh_job_service_t *service, const job_request_t *request,
+		       const wwh_job_answer_t *answer,
+		       wwh_http_response_t *response);
+static void answer_error(const job_request_t *request,
+			 const wwh_job_answer_t *answer,
+			 wwh_http_response_t *response);
+static job_request_t *read_request(const wwh_http_request_t *http,
+				   const wwh_queue_t *queue, const char *rest,
+				   wwh_message_t *message);
+static wwh_job_config_t *config_of(wwh_job_service_t *service, bool *stopping);
+static void add_counter(const char *name, int64_t value, void *client_data);
+
+void job_service_on_caller(const wwh_http_request_t *http,
+			   wwh_http_response_t *response, void *client_data)
+{
+	wwh_job_service_t *service = client_data;
+	const char *host = wwh_headers_get(http->headers, "Host");
+	const wwh_queue_t *queue;
+	const char *rest = NULL;
+	wwh_message_t message = { "" };
+	wwh_job_config_t *config;
+	wwh_job_answer_t answer;
+	job_request_t *request;
+	bool stopping;
+	char *path;
+
+	config = config_of(service, &stopping);
+	if (config == NULL) {
+		wwh_listener_answer_error(response, WWH_ERROR_NO_CONFIGURATION,
+					  SECOND_MS);
+		return;
+	}
+	path = wwh_http_path(http->target);
+	queue = wwh_job_config_find(config, host == NULL ? "" : host, path,
+				    &rest);
+	if (queue == NULL) {
+		wwh_event_log_printf(service->log, "no-queue", path,
+				     "host=%s config=%" G_GINT64_FORMAT,
+				     host == NULL ? "-" : host,
+				     config->version);
+		wwh_listener_answer_error(response, WWH_ERROR_NO_SUCH_SERVICE,
+					  0);
+	} else {
+		request = read_request(http, queue, rest, &message);
+		if (request == NULL) {
+			wwh_event_log_printf(service->log, "bad-request", path,
+					     "method=%s why=%s", http->method,
+					     message.text);
+			wwh_listener_answer_error(response,
+						  WWH_ERROR_BAD_REQUEST, 0);
+		} else {
+			request->limit_ms = wire_caller_patience_ms(
+				http->headers, queue->timeout_ms > 0
+						       ? queue->timeout_ms
+						       : PATIENCE_MS);
+			answer = job_service_ask(service, request);
+			answer_job(service, request, &answer, response);
+			job_request_unref(request);
+		}
+	}
+	g_free(path);
+	wwh_job_config_unref(config);
+}
+
+void job_service_on_readiness(const wwh_http_request_t *http,
+			      wwh_http_response_t *response, void *client_data)
+{
+	bool ready = wwh_job_service_ready(client_data);
+
+	(void)http;
+	answer_text(response, ready ? STATUS_OK : STATUS_UNAVAILABLE,
+		    "text/plain", ready ? "ready\n" : "not ready\n");
+}
+
+void job_service_on_peer(const wwh_http_request_t *http,
+			 wwh_http_response_t *response, void *client_data)
+{
+	wwh_job_service_t *service = client_data;
+	job_request_t *request;
+	wwh_job_answer_t answer;
+	bool holds;
+
+	if (strcmp(http->target, SHARD_PATH) == 0) {
+		g_mutex_lock(&service->lock);
+		holds = service->holds && !service->stopping;
+		g_mutex_unlock(&service->lock);
+		answer_text(response, holds ? STATUS_OK : STATUS_UNAVAILABLE,
+			    "text/plain", holds ? "holds\n" : "doesn't hold\n");
+		return;
+	}
+	if (strcmp(http->target, METRICS_PATH) == 0) {
+		GString *text = g_string_new(NULL);
+
+		wwh_counters_each(service->counters, add_counter, text);
+		answer_text(response, STATUS_OK, "text/plain", text->str);
+		g_string_free(text, TRUE);
+		return;
+	}
+	if (!job_service_peer_request(http, &request)) {
+		wwh_event_log_printf(service->log, "bad-peer-request",
+				     http->target,
+				     "method=%s bytes=%" G_GSIZE_FORMAT,
+				     http->method, http->body_size);
+		wwh_listener_answer_error(response, WWH_ERROR_BAD_REQUEST, 0);
+		return;
+	}
+	request->limit_ms = PEER_PATIENCE_MS;
+	answer = job_service_ask(service, request);
+	job_service_peer_answer(&answer, response);
+	job_request_unref(request);
+}
+
+static void answer_text(wwh_http_response_t *response, int32_t status,
+			const char *type, const char *text)
+{
+	response->status = status;
+	wwh_headers_add(response->headers, "Content-Type", type);
+	g_byte_array_append(response->body, (const guint8 *)text,
+			    (guint)strlen(text));
+}
+
+static job_request_t *read_request(const wwh_http_request_t *http,
+				   const wwh_queue_t *queue, const char *rest,
+				   wwh_message_t *message)
+{
+	job_request_t *request = NULL;
+	bool names_job = wwh_job_id_valid(rest);
+
+	if (strcmp(http->method, "GET") == 0 && rest[0] == '\0') {
+		request = job_request_new(JOB_REQUEST_PENDING);
+	} else if (!names_job) {
+		wwh_message_set(message, "expected an id of %d hex digits",
+				WWH_JOB_ID_CHARS);
+		return NULL;
+	} else if (strcmp(http->method, "GET") == 0) {
+		request = job_request_new(JOB_REQUEST_STATE);
+	} else if (strcmp(http->method, "DELETE") == 0) {
+		request = job_request_new(JOB_REQUEST_CANCEL);
+	} else if (strcmp(http->method, "POST") == 0) {
+		wwh_job_t *job =
+			wire_caller_job(rest, &queue->rules, http->body,
+					http->body_size, message);
+
+		if (job == NULL)
+			return NULL;
+		job->accepted_wall_ms = job_service_wall_ms();
+		request = job_request_new(JOB_REQUEST_SUBMIT);
+		request->job = job;
+	} else {
+		wwh_message_set(message, "unknown method");
+		return NULL;
+	}
+	g_strlcpy(request->id, rest, sizeof(request->id));
+	request->queue = g_strdup(queue->rules.name);
+	return request;
+}
+
+static void answer_job(wwh_job_service_t *service, const job_request_t *request,
+		       const wwh_job_answer_t *answer,
+		       wwh_http_response_t *response)
+{
+	char *text;
+
+	if (answer->kind != WWH_JOB_ANSWER_OK) {
+		wwh_event_log_printf(service->log, "not-served",
+				     request->id[0] == '\0' ? request->queue
+							    : request->id,
+				     "kind=%s answer=%s why=%s",
+				     job_request_kind_names[request->kind],
+				     wwh_job_answer_names[answer->kind],
+				     answer->why == NULL ? "" : answer->why);
+		answer_error(request, answer, response);
+		return;
+	}
+	if (request->kind == JOB_REQUEST_STATE)
+		text = wire_caller_state(answer->state);
+	else if (request->kind == JOB_REQUEST_PENDING)
+		text = wire_caller_pending(answer->pending);
+	else
+		text = g_strdup("{}");
+	answer_text(response, STATUS_OK, "application/json", text);
+	g_free(text);
+}
+
+/*
+ * A question that got no answer has no effect to be unsure of. A submission
+ * or a cancel may have been stored: it must not be called refused.
+ */
+static void answer_error(const job_request_t *request,
+			 const wwh_job_answer_t *answer,
+			 wwh_http_response_t *response)
+{
+	wwh_error_kind_t kind = WWH_ERROR_NO_HOLDER;
+	bool changes = request->kind == JOB_REQUEST_SUBMIT ||
+		       request->kind == JOB_REQUEST_CANCEL;
+
+	if (answer->kind == WWH_JOB_ANSWER_NO_JOB)
+		kind = WWH_ERROR_NO_SUCH_JOB;
+	else if (answer->kind == WWH_JOB_ANSWER_UNKNOWN && changes)
+		kind = WWH_ERROR_DEADLINE_UNKNOWN;
+	wwh_listener_answer_error(response, kind,
+				  MAX(answer->retry_after_s, 1) * SECOND_MS);
+}
+
+static wwh_job_config_t *config_of(wwh_job_service_t *service, bool *stopping)
+{
+	wwh_job_config_t *config = NULL;
+
+	g_mutex_lock(&service->lock);
+	if (service->config != NULL)
+		config = wwh_job_config_ref(service->config);
+	*stopping = service->stopping;
+	g_mutex_unlock(&service->lock);
+	return config;
+}
+
+static void add_counter(const char *name, int64_t value, void *client_data)
+{
+	GString *text = client_data;
+	char *flat = g_strdelimit(g_strdup(name), ".-", '_');
+
+	g_string_append_printf(text, "waxwinghollow_%s %" G_GINT64_FORMAT "\n",
+			       flat, value);
+	g_free(flat);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -0,0 +1,185 @@
+#include <string.h>
+
+#include "private/job_service_state.h"
+
+/*
+ * Between processes: the job as MessagePack, answers as a line of text
+ * "KIND STATE PENDING RETRY_AFTER_S", with numbers of the enums.
+ */
+#define JOBS_PATH "/v1/shard/jobs"
+#define PENDING_PATH "/v1/shard/pending/"
+
+#define STATUS_OK 200
+#define NO_HOLDER_RETRY_AFTER_S 1
+
+typedef struct {
+	wwh_job_service_t *service;
+	job_request_t *request;
+} forward_t;
+
+static wwh_http_call_t *call_of(const wwh_job_service_t *service,
+				const job_request_t *request);
+static void on_forwarded(const wwh_http_answer_t *answer, void *data);
+static bool read_answer(const wwh_http_answer_t *http,
+			wwh_job_answer_t *answer);
+static const char *why_of(wwh_job_answer_kind_t kind);
+
+void job_service_forward(wwh_job_service_t *service, job_request_t *request)
+{
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = "no-holder",
+		.retry_after_s = NO_HOLDER_RETRY_AFTER_S,
+	};
+	forward_t *forward;
+
+	if (request->from_peer || service->holder_address == NULL ||
+	    strcmp(service->holder_address, service->self) == 0) {
+		job_request_answer(&answer, request);
+		return;
+	}
+	forward = g_new0(forward_t, 1);
+	forward->service = service;
+	forward->request = request;
+	service->forwards++;
+	wwh_http_calls_send(service->calls, call_of(service, request),
+			    on_forwarded, forward);
+}
+
+bool job_service_peer_request(const wwh_http_request_t *http,
+			      job_request_t **request)
+{
+	char *path = wwh_http_path(http->target);
+	wwh_message_t message;
+
+	*request = NULL;
+	if (strcmp(http->method, "POST") == 0 && strcmp(path, JOBS_PATH) == 0) {
+		wwh_job_t *job =
+			wwh_job_decode(http->body, http->body_size, &message);
+
+		if (job != NULL) {
+			*request = job_request_new(JOB_REQUEST_SUBMIT);
+			(*request)->job = job;
+			g_strlcpy((*request)->id, job->id,
+				  sizeof((*request)->id));
+		}
+	} else if (g_str_has_prefix(path, JOBS_PATH "/") &&
+		   wwh_job_id_valid(path + strlen(JOBS_PATH) + 1)) {
+		*request = job_request_new(strcmp(http->method, "DELETE") == 0
+						   ? JOB_REQUEST_CANCEL
+						   : JOB_REQUEST_STATE);
+		g_strlcpy((*request)->id, path + strlen(JOBS_PATH) + 1,
+			  sizeof((*request)->id));
+	} else if (g_str_has_prefix(path, PENDING_PATH)) {
+		*request = job_request_new(JOB_REQUEST_PENDING);
+		(*request)->queue = g_uri_unescape_string(
+			path + strlen(PENDING_PATH), NULL);
+	}
+	g_free(path);
+	if (*request != NULL)
+		(*request)->from_peer = true;
+	return *request != NULL;
+}
+
+void job_service_peer_answer(const wwh_job_answer_t *answer,
+			     wwh_http_response_t *response)
+{
+	char *text = g_strdup_printf("%d %d %d %" G_GINT64_FORMAT, answer->kind,
+				     answer->state, answer->pending,
+				     answer->retry_after_s);
+
+	response->status = STATUS_OK;
+	g_byte_array_append(response->body, (guint8 *)text,
+			    (guint)strlen(text));
+	g_free(text);
+}
+
+static wwh_http_call_t *call_of(const wwh_job_service_t *service,
+				const job_request_t *request)
+{
+	static const char *const methods[JOB_REQUEST_KIND_COUNT] = {
+		"POST",
+		"GET",
+		"DELETE",
+		"GET",
+	};
+	wwh_http_call_t *call =
+		wwh_http_call_new(methods[request->kind],
+				  service->holder_address, request->limit_ms);
+	GBytes *job;
+	gsize size;
+
+	switch (request->kind) {
+	case JOB_REQUEST_SUBMIT:
+		job = wwh_job_encode(request->job);
+		size = g_bytes_get_size(job);
+		call->path = g_strdup(JOBS_PATH);
+		call->content_type = "application/msgpack";
+		call->body = g_byte_array_append(g_byte_array_new(),
+						 g_bytes_get_data(job, NULL),
+						 (guint)size);
+		g_bytes_unref(job);
+		break;
+	case JOB_REQUEST_PENDING:
+		call->path = g_strconcat(PENDING_PATH, request->queue, NULL);
+		break;
+	default:
+		call->path = g_strconcat(JOBS_PATH "/", request->id, NULL);
+		break;
+	}
+	return call;
+}
+
+static void on_forwarded(const wwh_http_answer_t *http, void *data)
+{
+	forward_t *forward = data;
+	wwh_job_answer_t answer = { .why = "holder-unreachable",
+				    .retry_after_s = NO_HOLDER_RETRY_AFTER_S };
+
+	forward->service->forwards--;
+	if (http->outcome == WWH_CALL_ANSWERED) {
+		if (!read_answer(http, &answer)) {
+			answer.kind = WWH_JOB_ANSWER_UNKNOWN;
+			answer.why = "holder-answer-malformed";
+		}
+	} else if (http->outcome == WWH_CALL_NO_ANSWER) {
+		answer.kind = WWH_JOB_ANSWER_UNKNOWN;
+	} else {
+		answer.kind = WWH_JOB_ANSWER_NOT_DONE;
+	}
+	job_request_answer(&answer, forward->request);
+	g_free(forward);
+}
+
+static bool read_answer(const wwh_http_answer_t *http, wwh_job_answer_t *answer)
+{
+	char *text;
+	char **fields;
+	bool ok;
+
+	if (http->status != STATUS_OK || http->body_size == 0)
+		return false;
+	text = g_strndup((const char *)http->body, http->body_size);
+	fields = g_strsplit(text, " ", -1);
+	ok = g_strv_length(fields) >= 4;
+	if (ok) {
+		int64_t kind = g_ascii_strtoll(fields[0], NULL, 10);
+		int64_t state = g_ascii_strtoll(fields[1], NULL, 10);
+
+		ok = kind >= 0 && kind < WWH_JOB_ANSWER_COUNT && state >= 0 &&
+		     state < WWH_JOB_STATE_COUNT;
+		answer->kind = (wwh_job_answer_kind_t)kind;
+		answer->state = (wwh_job_progress_t)state;
+		answer->pending = (int32_t)g_ascii_strtoll(fields[2], NULL, 10);
+		answer->retry_after_s = g_ascii_strtoll(fields[3], NULL, 10);
+		answer->why = ok ? why_of(answer->kind) : NULL;
+	}
+	g_strfreev(fields);
+	g_free(text);
+	return ok;
+}
+
+static const char *why_of(wwh_job_answer_kind_t kind)
+{
+	return kind == WWH_JOB_ANSWER_OK ? "" : "told-by-holder";
+}
--- /dev/null
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -0,0 +1,112 @@
+#include <string.h>
+
+#include "private/job_service_state.h"
+
+/* Part of a caller's deadline that is left for the answer's way back. */
+#define ANSWER_WAY_MS 60
+
+const char *const job_request_kind_names[JOB_REQUEST_KIND_COUNT] = {
+	"submit",
+	"state",
+	"cancel",
+	"pending",
+};
+
+static void serve(wwh_job_service_t *service, job_request_t *request);
+
+job_request_t *job_request_new(job_request_kind_t kind)
+{
+	job_request_t *request = g_new0(job_request_t, 1);
+
+	request->references = 1;
+	request->kind = kind;
+	g_mutex_init(&request->lock);
+	g_cond_init(&request->changed);
+	return request;
+}
+
+void job_request_unref(job_request_t *request)
+{
+	if (!g_atomic_int_dec_and_test(&request->references))
+		return;
+	wwh_job_delete(request->job);
+	g_free(request->queue);
+	g_mutex_clear(&request->lock);
+	g_cond_clear(&request->changed);
+	g_free(request);
+}
+
+wwh_job_answer_t job_service_ask(wwh_job_service_t *service,
+				 job_request_t *request)
+{
+	int64_t wait_ms = MAX(request->limit_ms - ANSWER_WAY_MS, 1);
+	int64_t end_us =
+		g_get_monotonic_time() + wait_ms * G_TIME_SPAN_MILLISECOND;
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_UNKNOWN,
+		.why = "deadline",
+	};
+
+	g_atomic_int_inc(&request->references);
+	g_async_queue_push(service->requests, request);
+	wwh_http_calls_wake(service->calls);
+	g_mutex_lock(&request->lock);
+	while (!request->answered) {
+		if (!g_cond_wait_until(&request->changed, &request->lock,
+				       end_us))
+			break;
+	}
+	if (request->answered)
+		answer = request->answer;
+	g_mutex_unlock(&request->lock);
+	return answer;
+}
+
+void job_service_take_requests(wwh_job_service_t *service)
+{
+	job_request_t *request;
+
+	while ((request = g_async_queue_try_pop(service->requests)) != NULL)
+		serve(service, request);
+}
+
+/* Also drops the loop's reference. */
+void job_request_answer(const wwh_job_answer_t *answer, void *data)
+{
+	job_request_t *request = data;
+
+	g_mutex_lock(&request->lock);
+	request->answer = *answer;
+	request->answered = true;
+	g_cond_signal(&request->changed);
+	g_mutex_unlock(&request->lock);
+	job_request_unref(request);
+}
+
+static void serve(wwh_job_service_t *service, job_request_t *request)
+{
+	wwh_job_holder_t *holder = service->holder;
+
+	if (holder == NULL) {
+		job_service_forward(service, request);
+		return;
+	}
+	switch (request->kind) {
+	case JOB_REQUEST_SUBMIT:
+		wwh_job_holder_submit(holder, g_steal_pointer(&request->job),
+				      job_request_answer, request);
+		break;
+	case JOB_REQUEST_STATE:
+		wwh_job_holder_state(holder, request->id, job_request_answer,
+				     request);
+		break;
+	case JOB_REQUEST_CANCEL:
+		wwh_job_holder_cancel(holder, request->id, job_request_answer,
+				      request);
+		break;
+	default:
+		wwh_job_holder_pending(holder, request->queue,
+				       job_request_answer, request);
+		break;
+	}
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler.c
@@ -0,0 +1,521 @@
+#include "waxwinghollow/scheduler.h"
+
+#include <string.h>
+
+#include "private/scheduler_state.h"
+
+#define PERMILLE 1000
+#define CLOCK_SLOW_PERMILLE 20
+
+/*
+ * How long a holder that was overtaken may go on extending leases until an
+ * upstream or the store tells it so.
+ */
+#define OVERTAKEN_HOLDER_MS 1000
+
+const char *const wwh_end_kind_names[WWH_END_KIND_COUNT] = {
+	"done", "failed", "stopped", "lapsed", "broken", "alone",
+};
+
+const char *const wwh_order_result_names[WWH_ORDER_RESULT_COUNT] = {
+	"done",	     "not-done", "no-room", "old-run",	  "late",
+	"no-ticket", "bad",	 "fenced",  "other-life", "unknown",
+};
+
+const char *const wwh_keep_kind_names[WWH_KEEP_KIND_COUNT] = {
+	"J",
+	"P",
+	"U",
+	"W",
+};
+
+const char *const wwh_job_progress_names[WWH_JOB_STATE_COUNT] = {
+	"queued", "active", "completed", "failed", "cancelled", "unknown",
+};
+
+static const char *const task_state_names[TASK_STATE_COUNT] = {
+	"waiting", "starting", "unsure", "running", "stopping", "over",
+};
+
+static const char *const task_event_names[TASK_EVENT_COUNT] = {
+	"order", "accepted", "refused", "unanswered", "listed",
+	"stop",	 "done",     "ended",	"lost",	      "drop",
+};
+
+/* After a start that was refused without a lasting reason. */
+#define START_RETRY_MS 150
+#define NO_ROOM_BACKOFF_MS 200
+
+static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
+static sched_task_t *task_of_order(wwh_scheduler_t *scheduler,
+				   const char *upstream, const char *name,
+				   int64_t run);
+static void refuse_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+			 wwh_order_result_t result);
+static void stop_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
+static void dump_upstream(const wwh_scheduler_t *scheduler,
+			  const sched_upstream_t *upstream, GString *out);
+static void dump_job(const sched_job_t *job, GString *out);
+
+void wwh_upstream_info_clear(wwh_upstream_info_t *info)
+{
+	g_free(info->id);
+	g_free(info->endpoint);
+	g_free(info->pool);
+	g_free(info->zone);
+	g_free(info->rack);
+	g_strfreev(info->labels);
+	memset(info, 0, sizeof(*info));
+}
+
+void wwh_upstream_info_copy(wwh_upstream_info_t *to,
+			    const wwh_upstream_info_t *from)
+{
+	static const char *const none[] = { NULL };
+
+	*to = *from;
+	to->id = g_strdup(from->id);
+	to->endpoint = g_strdup(from->endpoint);
+	to->pool = g_strdup(from->pool);
+	to->zone = g_strdup(from->zone);
+	to->rack = g_strdup(from->rack);
+	to->labels =
+		g_strdupv(from->labels != NULL ? from->labels : (char **)none);
+}
+
+wwh_scheduler_options_t wwh_scheduler_options_defaults(void)
+{
+	wwh_scheduler_options_t options = {
+		.lease_max_ms = 10000,
+		.lease_ms = 6000,
+		.stop_limit_ms = 400,
+		.gang_wait_ms = 3000,
+		.early_ms = 0,
+		.forget_ms = 120000,
+		.heartbeat_ms = 1500,
+		.unavailable_after_ms = 4500,
+		.harm_limit_ms = 4000,
+		.holder_count = 1,
+	};
+
+	return options;
+}
+
+wwh_scheduler_t *wwh_scheduler_new(const wwh_scheduler_options_t *options,
+				   const wwh_scheduler_calls_t *calls)
+{
+	static const wwh_chart_table_t table = {
+		.events = task_event_names,
+		.event_count = TASK_EVENT_COUNT,
+		.states = task_state_names,
+		.state_count = TASK_STATE_COUNT,
+	};
+	wwh_scheduler_t *scheduler = g_new0(wwh_scheduler_t, 1);
+	wwh_message_t message;
+
+	scheduler->options = *options;
+	scheduler->calls = *calls;
+	/* the chart is linked in; a fault in it shows in every test */
+	if (wwh_chart_load("task", &table, &scheduler->task_chart, &message) !=
+	    WWH_STATUS_OK)
+		g_error("charts/task.json: %s", message.text);
+	scheduler->out_tag = wwh_chart_tag(scheduler->task_chart, "out");
+	scheduler->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						sched_job_delete);
+	scheduler->live = g_ptr_array_new();
+	scheduler->dirty = g_ptr_array_new();
+	scheduler->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 sched_pool_delete);
+	scheduler->upstreams = g_hash_table_new_full(
+		g_str_hash, g_str_equal, NULL, sched_upstream_delete);
+	return scheduler;
+}
+
+void wwh_scheduler_delete(wwh_scheduler_t *scheduler)
+{
+	if (scheduler == NULL)
+		return;
+	g_ptr_array_unref(scheduler->live);
+	g_ptr_array_unref(scheduler->dirty);
+	g_hash_table_destroy(scheduler->jobs);
+	g_hash_table_destroy(scheduler->upstreams);
+	g_hash_table_destroy(scheduler->pools);
+	wwh_chart_delete(scheduler->task_chart);
+	g_free(scheduler);
+}
+
+bool wwh_scheduler_restore(wwh_scheduler_t *scheduler, wwh_keep_kind_t kind,
+			   const char *key, const uint8_t *value, size_t size,
+			   int64_t wall_ms, wwh_message_t *message)
+{
+	wwh_job_t *job;
+	int64_t age_ms;
+
+	g_assert(!scheduler->restored);
+	scheduler->wall_ms = wall_ms;
+	switch (kind) {
+	case WWH_KEEP_JOB:
+		job = wwh_job_decode(value, size, message);
+		if (job == NULL || strcmp(job->id, key) != 0 ||
+		    sched_job_find(scheduler, key) != NULL) {
+			wwh_job_delete(job);
+			return false;
+		}
+		age_ms = MAX(0, wall_ms - job->accepted_wall_ms);
+		(void)sched_job_add(scheduler, job, scheduler->now_ms - age_ms);
+		return true;
+	case WWH_KEEP_PROGRESS:
+		return sched_progress_restore(scheduler, key, value, size,
+					      message);
+	case WWH_KEEP_UPSTREAM:
+		return sched_upstream_restore(scheduler, key, value, size,
+					      message);
+	default:
+		return true;
+	}
+}
+
+void wwh_scheduler_restored(wwh_scheduler_t *scheduler, int64_t now_ms,
+			    int64_t wall_ms)
+{
+	int64_t lease_ms = scheduler->options.lease_max_ms * PERMILLE /
+			   (PERMILLE - CLOCK_SLOW_PERMILLE);
+	GHashTableIter iterator;
+	gpointer value;
+
+	scheduler->restored = true;
+	scheduler->now_ms = now_ms;
+	scheduler->wall_ms = wall_ms;
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_upstream_t *upstream = value;
+
+		upstream->gone_without_answer_ms =
+			now_ms + lease_ms + OVERTAKEN_HOLDER_MS;
+	}
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		if (sched_job_is_live(job) &&
+		    job->occurrences_done == MAX(1, job->spec->repeat_count))
+			sched_job_end(scheduler, job, WWH_JOB_COMPLETED);
+	}
+}
+
+void wwh_scheduler_set_standby(wwh_scheduler_t *scheduler, const char *pool,
+			       bool standby)
+{
+	sched_pool_get(scheduler, pool)->standby = standby;
+}
+
+wwh_submit_result_t wwh_scheduler_submit(wwh_scheduler_t *scheduler,
+					 wwh_job_t *spec, int64_t now_ms,
+					 int64_t *record)
+{
+	sched_job_t *job = sched_job_find(scheduler, spec->id);
+	GBytes *value;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (job != NULL) {
+		wwh_job_delete(spec);
+		*record = job->kept;
+		return WWH_SUBMIT_KNOWN;
+	}
+	value = wwh_job_encode(spec);
+	job = sched_job_add(scheduler, spec, now_ms);
+	job->kept = scheduler->calls.keep(WWH_KEEP_JOB, job->id, value,
+					  scheduler->calls.client_data);
+	g_bytes_unref(value);
+	scheduler->newest_record = job->kept;
+	*record = job->kept;
+	sched_explain(scheduler, "job-taken", job->id,
+		      "queue=%s pool=%s steps=%d record=%" G_GINT64_FORMAT,
+		      spec->queue.name, spec->queue.pool, spec->step_count,
+		      job->kept);
+	return WWH_SUBMIT_ACCEPTED;
+}
+
+bool wwh_scheduler_cancel(wwh_scheduler_t *scheduler, const char *id,
+			  int64_t now_ms, int64_t *record)
+{
+	sched_job_t *job = sched_job_find(scheduler, id);
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (job == NULL)
+		return false;
+	if (sched_job_is_live(job))
+		sched_job_end(scheduler, job, WWH_JOB_CANCELLED);
+	if (job->end_kept == G_MAXINT64)
+		(void)wwh_scheduler_flush(scheduler, now_ms);
+	*record = job->end_kept;
+	return true;
+}
+
+wwh_job_progress_t wwh_scheduler_job_state(wwh_scheduler_t *scheduler,
+					   const char *id)
+{
+	sched_job_t *job = sched_job_find(scheduler, id);
+
+	if (job == NULL)
+		return WWH_JOB_UNKNOWN;
+	if (!sched_job_is_live(job) &&
+	    job->end_kept <= scheduler->durable_record)
+		return job->state;
+	return job->started ? WWH_JOB_ACTIVE : WWH_JOB_QUEUED;
+}
+
+int32_t wwh_scheduler_pending(wwh_scheduler_t *scheduler, const char *queue)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		count += sched_job_is_live(job) && !job->started &&
+			 strcmp(job->spec->queue.name, queue) == 0;
+	}
+	return count;
+}
+
+void wwh_scheduler_start_ended(wwh_scheduler_t *scheduler, const char *upstream,
+			       const char *name, int64_t run,
+			       wwh_order_result_t result, int64_t now_ms)
+{
+	sched_task_t *task;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	task = task_of_order(scheduler, upstream, name, run);
+	if (task == NULL || sched_task_state(task) == TASK_STOPPING)
+		return;
+	task->order_in_flight = false;
+	if (result == WWH_ORDER_DONE) {
+		task->upstream->pool->dirty = true;
+		sched_task_event(scheduler, task, TASK_ACCEPTED);
+		return;
+	}
+	sched_explain(scheduler, "start-not-done", name,
+		      "run=%" G_GINT64_FORMAT " upstream=%s result=%s", run,
+		      upstream, wwh_order_result_names[result]);
+	if (result == WWH_ORDER_UNKNOWN || result == WWH_ORDER_FENCED) {
+		sched_task_event(scheduler, task, TASK_UNANSWERED);
+		if (task->upstream != NULL)
+			task->upstream->next_look_ms = scheduler->now_ms;
+		return;
+	}
+	if (result == WWH_ORDER_OTHER_LIFE) {
+		wwh_scheduler_upstream_gone(scheduler, upstream, "restarted",
+					    now_ms);
+		return;
+	}
+	refuse_start(scheduler, task, result);
+}
+
+void wwh_scheduler_stop_ended(wwh_scheduler_t *scheduler, const char *upstream,
+			      const char *name, int64_t run,
+			      wwh_order_result_t result, int64_t now_ms)
+{
+	sched_task_t *task;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (result == WWH_ORDER_OTHER_LIFE) {
+		wwh_scheduler_upstream_gone(scheduler, upstream, "restarted",
+					    now_ms);
+		return;
+	}
+	task = task_of_order(scheduler, upstream, name, run);
+	if (task == NULL || sched_task_state(task) != TASK_STOPPING)
+		return;
+	task->order_in_flight = false;
+	if (result == WWH_ORDER_DONE)
+		task->stop_confirmed_ms = scheduler->now_ms;
+	if (task->upstream != NULL)
+		task->upstream->next_look_ms =
+			MIN(task->upstream->next_look_ms, scheduler->now_ms);
+}
+
+void wwh_scheduler_pace_ended(wwh_scheduler_t *scheduler, const char *upstream,
+			      const char *name, int64_t run,
+			      wwh_order_result_t result, int64_t now_ms)
+{
+	sched_task_t *task;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	task = task_of_order(scheduler, upstream, name, run);
+	if (task != NULL && result == WWH_ORDER_DONE)
+		task->pace = task->pace_wanted;
+}
+
+void wwh_scheduler_set_durable(wwh_scheduler_t *scheduler, int64_t record)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	if (record <= scheduler->durable_record)
+		return;
+	scheduler->durable_record = record;
+	sched_upstreams_flush(scheduler);
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		((sched_pool_t *)value)->dirty = true;
+}
+
+int64_t wwh_scheduler_flush(wwh_scheduler_t *scheduler, int64_t now_ms)
+{
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	for (guint i = 0; i < scheduler->dirty->len; i++)
+		keep_progress(scheduler,
+			      g_ptr_array_index(scheduler->dirty, i));
+	g_ptr_array_set_size(scheduler->dirty, 0);
+	sched_upstreams_flush(scheduler);
+	return scheduler->newest_record;
+}
+
+bool wwh_scheduler_unflushed(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->dirty->len > 0;
+}
+
+void wwh_scheduler_run(wwh_scheduler_t *scheduler, int64_t now_ms,
+		       int64_t wall_ms)
+{
+	g_assert(scheduler->restored);
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	scheduler->wall_ms = wall_ms;
+	sched_upstreams_run(scheduler);
+	sched_release_run(scheduler);
+	sched_place(scheduler);
+	sched_jobs_forget(scheduler);
+}
+
+wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
+{
+	wwh_scheduler_counts_t counts = {
+		.jobs = (int32_t)g_hash_table_size(scheduler->jobs),
+		.upstreams = (int32_t)g_hash_table_size(scheduler->upstreams),
+	};
+	GHashTableIter iterator;
+	gpointer value;
+
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		counts.live_jobs += sched_job_is_live(job);
+		counts.tasks_out += job->out;
+	}
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		counts.unsettled += ((sched_pool_t *)value)->unsettled;
+	return counts;
+}
+
+void wwh_scheduler_dump(wwh_scheduler_t *scheduler, GString *out,
+			int64_t now_ms)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		dump_upstream(scheduler, value, out);
+	for (guint i = 0; i < scheduler->live->len; i++)
+		dump_job(g_ptr_array_index(scheduler->live, i), out);
+}
+
+static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
+	bool ends = !sched_job_is_live(job);
+
+	job->dirty = false;
+	scheduler->newest_record =
+		scheduler->calls.keep(WWH_KEEP_PROGRESS, job->id, value,
+				      scheduler->calls.client_data);
+	g_bytes_unref(value);
+	if (!ends)
+		return;
+	if (job->end_kept == G_MAXINT64) {
+		job->end_kept = scheduler->newest_record;
+		/* its progress says all that is asked of it from now on */
+		scheduler->newest_record =
+			scheduler->calls.keep(WWH_KEEP_JOB, job->id, NULL,
+					      scheduler->calls.client_data);
+	}
+}
+
+/* NULL: the task has moved on since, and the answer says nothing new. */
+static sched_task_t *task_of_order(wwh_scheduler_t *scheduler,
+				   const char *upstream, const char *name,
+				   int64_t run)
+{
+	sched_task_t *task = sched_job_task(scheduler, name);
+
+	if (task == NULL || task->upstream == NULL || task->run != run ||
+	    strcmp(task->upstream->info.id, upstream) != 0)
+		return NULL;
+	return task;
+}
+
+static void refuse_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+			 wwh_order_result_t result)
+{
+	sched_upstream_t *upstream = task->upstream;
+
+	if (result == WWH_ORDER_OLD_RUN)
+		task->run += WWH_JOB_MAX_STEPS;
+	if (result == WWH_ORDER_NO_ROOM || result == WWH_ORDER_LATE) {
+		sched_upstream_back_off(scheduler, upstream,
+					NO_ROOM_BACKOFF_MS);
+		upstream->next_look_ms = scheduler->now_ms;
+	}
+	if (result == WWH_ORDER_NOT_DONE)
+		sched_upstream_failed(scheduler, upstream);
+	if (result == WWH_ORDER_NO_TICKET && task->step->tickets != NULL)
+		g_hash_table_remove(task->step->tickets, upstream->info.id);
+	task->retry_ms = scheduler->now_ms + START_RETRY_MS;
+	task->avoid = upstream;
+	sched_task_event(scheduler, task, TASK_REFUSED);
+	if (task->step->spec->gang)
+		stop_gang(scheduler, task->step);
+}
+
+/*
+ * Members that were started would wait for the refused one until they end
+ * "alone"; stopped at once, the gang's room is free for its next try.
+ */
+static void stop_gang(wwh_scheduler_t *scheduler, sched_step_t *step)
+{
+	for (int32_t i = 0; i < step->spec->task_count; i++) {
+		sched_task_t *task = &step->tasks[i];
+
+		if (sched_task_is_out(scheduler, task) &&
+		    sched_task_state(task) != TASK_STOPPING)
+			sched_task_order_stop(scheduler, task);
+	}
+}
+
+static void dump_upstream(const wwh_scheduler_t *scheduler,
+			  const sched_upstream_t *upstream, GString *out)
+{
+	g_string_append_printf(
+		out,
+		"upstream %s pool=%s listed=%d leaving=%d settled=%d "
+		"tasks=%u cpu=%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT
+		" answered_ms_ago=%" G_GINT64_FORMAT
+		" lease_left_ms=%" G_GINT64_FORMAT "\n",
+		upstream->info.id, upstream->info.pool, upstream->listed,
+		upstream->info.leaving, upstream->settled, upstream->tasks->len,
+		upstream->used_cpu, upstream->info.cpu_millicores,
+		scheduler->now_ms - upstream->answered_ms,
+		upstream->lapsed_ms - scheduler->now_ms);
+}
+
+static void dump_job(const sched_job_t *job, GString *out)
+{
+	g_string_append_printf(
+		out,
+		"job %s state=%s started=%d out=%d "
+		"occurrences=%" G_GINT64_FORMAT " done=%" G_GINT64_FORMAT "\n",
+		job->id, wwh_job_progress_names[job->state], job->started,
+		job->out, job->next_occurrence, job->occurrences_done);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -0,0 +1,97 @@
+#include "private/scheduler_state.h"
+
+static void check_job(const wwh_scheduler_t *scheduler, const sched_job_t *job);
+static void check_step(const wwh_scheduler_t *scheduler,
+		       const sched_step_t *step, int32_t *out);
+static void check_task(const wwh_scheduler_t *scheduler,
+		       const sched_task_t *task);
+static void check_upstream(const sched_upstream_t *upstream);
+
+void wwh_scheduler_check(const wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->jobs);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		check_job(scheduler, value);
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		check_upstream(value);
+}
+
+static void check_job(const wwh_scheduler_t *scheduler, const sched_job_t *job)
+{
+	int32_t out = 0;
+
+	if (job->spec == NULL) {
+		g_assert(job->out == 0);
+		return;
+	}
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		for (int32_t s = 0; s < job->spec->step_count; s++)
+			check_step(scheduler, &occurrence->steps[s], &out);
+	}
+	g_assert(out == job->out);
+	if (job->state == WWH_JOB_COMPLETED)
+		g_assert(job->occurrences_done ==
+			 MAX(1, job->spec->repeat_count));
+}
+
+static void check_step(const wwh_scheduler_t *scheduler,
+		       const sched_step_t *step, int32_t *out)
+{
+	int32_t over = 0;
+	int32_t step_out = 0;
+
+	for (int32_t i = 0; i < step->spec->task_count; i++) {
+		const sched_task_t *task = &step->tasks[i];
+
+		check_task(scheduler, task);
+		over += sched_task_state(task) == TASK_OVER;
+		step_out += task->upstream != NULL;
+	}
+	g_assert(step_out == step->out);
+	if (sched_job_is_live(step->occurrence->job))
+		g_assert(over == step->done);
+	/* nothing of a step runs before the steps that it depends on */
+	if (step->out > 0)
+		g_assert(sched_step_is_ready(step));
+	*out += step_out;
+}
+
+static void check_task(const wwh_scheduler_t *scheduler,
+		       const sched_task_t *task)
+{
+	const sched_job_t *job = task->step->occurrence->job;
+
+	g_assert(sched_task_is_out(scheduler, task) ==
+		 (task->upstream != NULL));
+	if (task->upstream == NULL)
+		return;
+	g_assert(g_ptr_array_find(task->upstream->tasks, task, NULL));
+	if (sched_job_is_live(job) && !task->step->spec->lasting)
+		g_assert(task->failures < job->spec->queue.max_attempts);
+}
+
+static void check_upstream(const sched_upstream_t *upstream)
+{
+	int64_t cpu = 0;
+	int64_t memory = 0;
+
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+		const wwh_job_step_t *spec = task->step->spec;
+
+		g_assert(task->upstream == upstream);
+		cpu += spec->filler ? 0 : spec->cpu_millicores;
+		memory += spec->memory_mb;
+	}
+	g_assert(cpu == upstream->used_cpu);
+	g_assert(memory == upstream->used_memory);
+	g_assert(upstream->ends_noted <= upstream->ends_seen);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -0,0 +1,354 @@
+#include "private/scheduler_state.h"
+
+#include <string.h>
+
+#define PERMILLE 1000
+
+/* How often ended jobs are looked through for those to forget. */
+#define FORGET_EVERY_MS 1000
+
+static void occurrence_delete(gpointer data);
+static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
+					  sched_job_t *job, int64_t number);
+static void set_objective(sched_job_t *job);
+static int64_t occurrence_total(const sched_job_t *job);
+static sched_occurrence_t *find_occurrence(const sched_job_t *job,
+					   int64_t number);
+static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job);
+static void release_body(sched_job_t *job);
+
+sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id)
+{
+	return g_hash_table_lookup(scheduler->jobs, id);
+}
+
+sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
+			   int64_t accepted_ms)
+{
+	sched_job_t *job = g_new0(sched_job_t, 1);
+
+	g_strlcpy(job->id, spec->id, sizeof(job->id));
+	job->spec = spec;
+	job->state = WWH_JOB_QUEUED;
+	job->accepted_ms = accepted_ms;
+	job->pool = sched_pool_get(scheduler, spec->queue.pool);
+	job->occurrences = g_ptr_array_new_with_free_func(occurrence_delete);
+	set_objective(job);
+	g_hash_table_insert(scheduler->jobs, job->id, job);
+	g_ptr_array_add(scheduler->live, job);
+	if (spec->repeat_count == 0)
+		(void)sched_job_open_occurrence(scheduler, job);
+	job->pool->dirty = true;
+	return job;
+}
+
+sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id)
+{
+	sched_job_t *job = g_new0(sched_job_t, 1);
+
+	g_strlcpy(job->id, id, sizeof(job->id));
+	job->started = true;
+	g_hash_table_insert(scheduler->jobs, job->id, job);
+	return job;
+}
+
+void sched_job_delete(gpointer data)
+{
+	sched_job_t *job = data;
+
+	release_body(job);
+	g_free(job);
+}
+
+bool sched_job_is_live(const sched_job_t *job)
+{
+	return job->state == WWH_JOB_QUEUED;
+}
+
+sched_task_t *sched_job_task(const wwh_scheduler_t *scheduler, const char *name)
+{
+	char id[WWH_JOB_ID_CHARS + 1];
+	sched_occurrence_t *occurrence;
+	sched_job_t *job;
+	int64_t number;
+	int32_t step;
+	int32_t index;
+
+	if (!sched_task_parse(name, id, &number, &step, &index))
+		return NULL;
+	job = sched_job_find(scheduler, id);
+	if (job == NULL || job->spec == NULL)
+		return NULL;
+	occurrence = find_occurrence(job, number);
+	if (occurrence == NULL || step >= job->spec->step_count ||
+	    index >= job->spec->steps[step].task_count)
+		return NULL;
+	return &occurrence->steps[step].tasks[index];
+}
+
+sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
+					      sched_job_t *job)
+{
+	sched_occurrence_t *occurrence =
+		occurrence_new(scheduler, job, job->next_occurrence);
+
+	job->next_occurrence++;
+	g_ptr_array_add(job->occurrences, occurrence);
+	return occurrence;
+}
+
+/* Occurrences may overlap: each that is due is opened, whatever the others do. */
+void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	const wwh_job_t *spec = job->spec;
+
+	while (sched_job_is_live(job) &&
+	       job->next_occurrence < spec->repeat_count &&
+	       spec->first_wall_ms + job->next_occurrence * spec->interval_ms <=
+		       scheduler->wall_ms) {
+		(void)sched_job_open_occurrence(scheduler, job);
+		job->pool->dirty = true;
+	}
+}
+
+void sched_job_touch(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	if (job->dirty)
+		return;
+	job->dirty = true;
+	g_ptr_array_add(scheduler->dirty, job);
+}
+
+void sched_job_end(wwh_scheduler_t *scheduler, sched_job_t *job,
+		   wwh_job_progress_t state)
+{
+	g_assert(sched_job_is_live(job));
+	job->state = state;
+	job->ended_ms = scheduler->now_ms;
+	job->end_kept = G_MAXINT64;
+	sched_job_touch(scheduler, job);
+	sched_explain(scheduler, "job-ended", job->id, "state=%s out=%d",
+		      wwh_job_progress_names[state], job->out);
+	end_tasks(scheduler, job);
+}
+
+bool sched_step_is_ready(const sched_step_t *step)
+{
+	const sched_occurrence_t *occurrence = step->occurrence;
+
+	for (int32_t i = 0; i < step->spec->after_count; i++) {
+		const sched_step_t *before =
+			&occurrence->steps[step->spec->after[i]];
+
+		if (before->done < before->spec->task_count)
+			return false;
+	}
+	return true;
+}
+
+void sched_step_task_done(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	sched_step_t *step = task->step;
+	sched_occurrence_t *occurrence = step->occurrence;
+	sched_job_t *job = occurrence->job;
+
+	step->done++;
+	g_assert(step->done <= step->spec->task_count);
+	g_clear_pointer(&task->checkpoint, g_free);
+	sched_job_touch(scheduler, job);
+	job->pool->dirty = true;
+	if (step->done < step->spec->task_count)
+		return;
+	occurrence->steps_done++;
+	if (occurrence->steps_done < job->spec->step_count)
+		return;
+	job->occurrences_done++;
+	if (job->occurrences_done == occurrence_total(job) &&
+	    sched_job_is_live(job))
+		sched_job_end(scheduler, job, WWH_JOB_COMPLETED);
+}
+
+/*
+ * A run counts once, also when its end is listed again to a later holder:
+ * counted twice, a job would fail before its attempts are used up.
+ */
+void sched_step_task_failed(wwh_scheduler_t *scheduler, sched_task_t *task,
+			    int64_t run)
+{
+	sched_step_t *step = task->step;
+	sched_job_t *job = step->occurrence->job;
+	int32_t failures;
+
+	if (step->spec->lasting)
+		return;
+	if (step->spec->gang) {
+		if (run <= step->gang_failed_run)
+			return;
+		step->gang_failed_run = run;
+		failures = ++step->gang_failures;
+	} else {
+		if (run <= task->failed_run)
+			return;
+		task->failed_run = run;
+		failures = ++task->failures;
+	}
+	sched_job_touch(scheduler, job);
+	if (failures >= job->spec->queue.max_attempts && sched_job_is_live(job))
+		sched_job_end(scheduler, job, WWH_JOB_FAILED);
+}
+
+void sched_jobs_forget(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	for (guint i = 0; i < scheduler->live->len;) {
+		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		if (!sched_job_is_live(job) && job->out == 0 && !job->dirty) {
+			release_body(job);
+			g_ptr_array_remove_index_fast(scheduler->live, i);
+		} else {
+			i++;
+		}
+	}
+	if (scheduler->now_ms < scheduler->next_forget_ms)
+		return;
+	scheduler->next_forget_ms = scheduler->now_ms + FORGET_EVERY_MS;
+	g_hash_table_iter_init(&iterator, scheduler->jobs);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_job_t *job = value;
+
+		if (sched_job_is_live(job) || job->spec != NULL || job->dirty ||
+		    scheduler->now_ms - job->ended_ms <
+			    scheduler->options.forget_ms)
+			continue;
+		scheduler->newest_record =
+			scheduler->calls.keep(WWH_KEEP_PROGRESS, job->id, NULL,
+					      scheduler->calls.client_data);
+		g_hash_table_iter_remove(&iterator);
+	}
+}
+
+static void occurrence_delete(gpointer data)
+{
+	sched_occurrence_t *occurrence = data;
+
+	for (int32_t i = 0; i < occurrence->job->spec->step_count; i++) {
+		sched_step_t *step = &occurrence->steps[i];
+
+		for (int32_t j = 0; j < step->spec->task_count; j++)
+			g_free(step->tasks[j].checkpoint);
+		g_free(step->tasks);
+		if (step->tickets != NULL)
+			g_hash_table_destroy(step->tickets);
+		if (step->asked != NULL)
+			g_hash_table_destroy(step->asked);
+	}
+	g_free(occurrence->steps);
+	g_free(occurrence);
+}
+
+static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
+					  sched_job_t *job, int64_t number)
+{
+	sched_occurrence_t *occurrence = g_new0(sched_occurrence_t, 1);
+	const wwh_job_t *spec = job->spec;
+
+	occurrence->job = job;
+	occurrence->number = number;
+	occurrence->due_ms = job->accepted_ms;
+	if (spec->repeat_count > 0) {
+		occurrence->due_wall_ms =
+			spec->first_wall_ms + number * spec->interval_ms;
+		occurrence->due_ms = scheduler->now_ms - scheduler->wall_ms +
+				     occurrence->due_wall_ms;
+	}
+	occurrence->steps = g_new0(sched_step_t, (gsize)spec->step_count);
+	for (int32_t i = 0; i < spec->step_count; i++) {
+		sched_step_t *step = &occurrence->steps[i];
+
+		step->occurrence = occurrence;
+		step->spec = &spec->steps[i];
+		step->number = i;
+		step->tasks =
+			g_new0(sched_task_t, (gsize)step->spec->task_count);
+		for (int32_t j = 0; j < step->spec->task_count; j++) {
+			step->tasks[j].step = step;
+			step->tasks[j].index = j;
+			step->tasks[j].machine =
+				wwh_chart_start(scheduler->task_chart);
+			step->tasks[j].inherited = !scheduler->restored;
+		}
+	}
+	return occurrence;
+}
+
+static void set_objective(sched_job_t *job)
+{
+	const wwh_job_t *spec = job->spec;
+	int64_t *ends = g_new0(int64_t, (gsize)spec->step_count);
+
+	for (int32_t i = 0; i < spec->step_count; i++) {
+		const wwh_job_step_t *step = &spec->steps[i];
+
+		for (int32_t j = 0; j < step->after_count; j++)
+			ends[i] = MAX(ends[i], ends[step->after[j]]);
+		ends[i] += step->estimate_ms;
+		job->chain_ms = MAX(job->chain_ms, ends[i]);
+	}
+	job->objective_ms =
+		job->chain_ms * spec->queue.stretch_permille / PERMILLE +
+		spec->queue.latency_ms;
+	g_free(ends);
+}
+
+static int64_t occurrence_total(const sched_job_t *job)
+{
+	return MAX(1, job->spec->repeat_count);
+}
+
+static sched_occurrence_t *find_occurrence(const sched_job_t *job,
+					   int64_t number)
+{
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (occurrence->number == number)
+			return occurrence;
+	}
+	return NULL;
+}
+
+static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		for (int32_t s = 0; s < job->spec->step_count; s++) {
+			sched_step_t *step = &occurrence->steps[s];
+
+			for (int32_t t = 0; t < step->spec->task_count; t++) {
+				sched_task_t *task = &step->tasks[t];
+
+				if (sched_task_state(task) == TASK_WAITING)
+					sched_task_event(scheduler, task,
+							 TASK_DROP);
+				else if (sched_task_is_out(scheduler, task) &&
+					 sched_task_state(task) !=
+						 TASK_STOPPING)
+					sched_task_order_stop(scheduler, task);
+			}
+		}
+	}
+}
+
+static void release_body(sched_job_t *job)
+{
+	if (job->occurrences != NULL)
+		g_ptr_array_unref(job->occurrences);
+	job->occurrences = NULL;
+	g_clear_pointer(&job->spec, wwh_job_delete);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -0,0 +1,476 @@
+#include "private/scheduler_state.h"
+
+#include <string.h>
+
+#include "private/scheduler_policy.h"
+
+/*
+ * Runs of a holder begin above all that holders before it can have used: a
+ * run number is never given to a task twice, though starts aren't kept.
+ */
+#define RUNS_A_HOLDER 1000
+
+/* Upstreams that are named in one call for advice. */
+#define ADVICE_UPSTREAMS 30
+
+/* After a call for advice that got no answer or was of no use. */
+#define ADVICE_RETRY_MS 500
+
+/* A ticket isn't used for orders in the last part of its time. */
+#define TICKET_MARGIN_MS 300
+
+/* A pool with waiting tasks and no event is looked through this often. */
+#define TRY_AGAIN_MS 200
+
+typedef struct {
+	sched_step_t *step;
+	int64_t order;
+} candidate_t;
+
+static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool);
+static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
+		    GArray *candidates);
+static void collect_occurrence(const wwh_scheduler_t *scheduler,
+			       sched_occurrence_t *occurrence,
+			       GArray *candidates);
+static int64_t remaining_ms(const sched_occurrence_t *occurrence);
+static gint compare(gconstpointer a, gconstpointer b);
+static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step);
+static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
+static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task);
+static sched_upstream_t *choose(wwh_scheduler_t *scheduler, sched_task_t *task,
+				const char **ticket);
+static bool fits(const wwh_scheduler_t *scheduler,
+		 const sched_upstream_t *upstream, const sched_step_t *step);
+static int64_t cost_of(const sched_upstream_t *upstream,
+		       const sched_task_t *task);
+static int32_t tasks_of_step(const sched_upstream_t *upstream,
+			     const sched_step_t *step);
+static int32_t disturbed_by(const sched_upstream_t *upstream,
+			    const wwh_job_step_t *spec);
+static const char *ticket_of(const wwh_scheduler_t *scheduler,
+			     const sched_step_t *step, const char *upstream);
+static void ask_advice(wwh_scheduler_t *scheduler, sched_step_t *step);
+static int64_t next_run(const wwh_scheduler_t *scheduler, int64_t run);
+static bool needs_advice(const sched_step_t *step);
+
+void sched_place(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_pool_t *pool = value;
+
+		if (pool->standby ||
+		    (!pool->dirty && scheduler->now_ms < pool->next_try_ms))
+			continue;
+		pool->dirty = false;
+		pool->next_try_ms = scheduler->now_ms + TRY_AGAIN_MS;
+		place_pool(scheduler, pool);
+	}
+}
+
+void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *name,
+			   const wwh_admission_t *admitted, int32_t count,
+			   int64_t valid_ms, int64_t now_ms)
+{
+	char *task_name = g_strconcat(name, ".0", NULL);
+	sched_task_t *task = sched_job_task(scheduler, task_name);
+	sched_step_t *step;
+
+	g_free(task_name);
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (task == NULL)
+		return;
+	step = task->step;
+	step->advice_in_flight = false;
+	step->advice_after_ms = scheduler->now_ms + ADVICE_RETRY_MS;
+	if (step->tickets == NULL)
+		step->tickets = g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, g_free);
+	if (count < 0 && step->asked != NULL)
+		g_hash_table_remove_all(step->asked);
+	for (int32_t i = 0; i < count; i++) {
+		/* the text of the ticket follows its record */
+		size_t size = strlen(admitted[i].ticket) + 1;
+		sched_ticket_t *ticket = g_malloc0(sizeof(*ticket) + size);
+
+		ticket->ticket = (char *)(ticket + 1);
+		memcpy(ticket->ticket, admitted[i].ticket, size);
+		ticket->until_ms =
+			scheduler->now_ms + valid_ms - TICKET_MARGIN_MS;
+		g_hash_table_replace(step->tickets,
+				     g_strdup(admitted[i].upstream), ticket);
+	}
+	step->occurrence->job->pool->dirty = true;
+}
+
+static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool)
+{
+	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
+
+	collect(scheduler, pool, candidates);
+	g_array_sort(candidates, compare);
+	for (guint i = 0; i < candidates->len; i++) {
+		sched_step_t *step =
+			g_array_index(candidates, candidate_t, i).step;
+
+		if (step->spec->gang)
+			place_gang(scheduler, step);
+		else
+			place_step(scheduler, step);
+	}
+	g_array_free(candidates, TRUE);
+}
+
+static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
+		    GArray *candidates)
+{
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		if (job->pool != pool || !sched_job_is_live(job) ||
+		    job->kept > scheduler->durable_record)
+			continue;
+		sched_job_open_due(scheduler, job);
+		for (guint k = 0; k < job->occurrences->len; k++)
+			collect_occurrence(
+				scheduler,
+				g_ptr_array_index(job->occurrences, k),
+				candidates);
+	}
+}
+
+static void collect_occurrence(const wwh_scheduler_t *scheduler,
+			       sched_occurrence_t *occurrence,
+			       GArray *candidates)
+{
+	const wwh_job_t *spec = occurrence->job->spec;
+	wwh_order_figures_t figures = {
+		.priority = spec->queue.priority,
+		.waited_ms = scheduler->now_ms - occurrence->due_ms,
+		.objective_ms = occurrence->job->objective_ms,
+	};
+
+	if (occurrence->steps_done == spec->step_count)
+		return;
+	figures.remaining_ms = remaining_ms(occurrence);
+	for (int32_t i = 0; i < spec->step_count; i++) {
+		sched_step_t *step = &occurrence->steps[i];
+		candidate_t candidate = { .step = step };
+
+		if (step->done + step->out >= step->spec->task_count ||
+		    !sched_step_is_ready(step))
+			continue;
+		figures.lasting = step->spec->lasting;
+		candidate.order = wwh_policy_order(&figures);
+		g_array_append_val(candidates, candidate);
+	}
+}
+
+static int64_t remaining_ms(const sched_occurrence_t *occurrence)
+{
+	const wwh_job_t *spec = occurrence->job->spec;
+	int64_t ends[WWH_JOB_MAX_STEPS];
+	int64_t longest = 0;
+
+	for (int32_t i = 0; i < spec->step_count; i++) {
+		const wwh_job_step_t *step = &spec->steps[i];
+
+		ends[i] = 0;
+		for (int32_t j = 0; j < step->after_count; j++)
+			ends[i] = MAX(ends[i], ends[step->after[j]]);
+		if (occurrence->steps[i].done < step->task_count)
+			ends[i] += step->estimate_ms;
+		longest = MAX(longest, ends[i]);
+	}
+	return longest;
+}
+
+static gint compare(gconstpointer a, gconstpointer b)
+{
+	const candidate_t *left = a;
+	const candidate_t *right = b;
+
+	if (left->order != right->order)
+		return left->order < right->order ? -1 : 1;
+	return strcmp(left->step->occurrence->job->id,
+		      right->step->occurrence->job->id);
+}
+
+static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step)
+{
+	for (int32_t i = 0; i < step->spec->task_count; i++) {
+		sched_task_t *task = &step->tasks[i];
+		sched_upstream_t *upstream;
+		const char *ticket = NULL;
+
+		if (sched_task_state(task) != TASK_WAITING ||
+		    !may_start(scheduler, task))
+			continue;
+		upstream = choose(scheduler, task, &ticket);
+		if (upstream == NULL) {
+			/* tasks of a step are alike: the others won't fit */
+			if (needs_advice(step))
+				ask_advice(scheduler, step);
+			return;
+		}
+		sched_task_start(scheduler, task, upstream,
+				 next_run(scheduler, task->run), ticket);
+	}
+}
+
+/*
+ * Members that start one by one wait for each other and hold their room
+ * meanwhile; two gangs that each hold half of a pool never get on. So a gang
+ * is first placed as a trial, and started only when all of it fits.
+ */
+static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step)
+{
+	int32_t count = step->spec->task_count;
+	sched_upstream_t **chosen;
+	const char **tickets;
+	const char *checkpoint = NULL;
+	int32_t placed = 0;
+
+	if (step->out > 0 || step->done > 0)
+		return;
+	for (int32_t i = 0; i < count; i++) {
+		if (!may_start(scheduler, &step->tasks[i]))
+			return;
+		step->gang_run = MAX(step->gang_run, step->tasks[i].run);
+		if (step->tasks[i].checkpoint != NULL)
+			checkpoint = step->tasks[i].checkpoint;
+	}
+	chosen = g_new0(sched_upstream_t *, (guint)count);
+	tickets = g_new0(const char *, (guint)count);
+	while (placed < count) {
+		sched_upstream_t *upstream = choose(
+			scheduler, &step->tasks[placed], &tickets[placed]);
+
+		if (upstream == NULL)
+			break;
+		chosen[placed++] = upstream;
+		upstream->used_cpu +=
+			step->spec->filler ? 0 : step->spec->cpu_millicores;
+		upstream->used_memory += step->spec->memory_mb;
+		upstream->used_gpus += step->spec->gpus;
+		/* counts for the bound a upstream while others are chosen */
+		g_ptr_array_add(upstream->tasks, &step->tasks[placed - 1]);
+	}
+	for (int32_t i = 0; i < placed; i++) {
+		chosen[i]->used_cpu -=
+			step->spec->filler ? 0 : step->spec->cpu_millicores;
+		chosen[i]->used_memory -= step->spec->memory_mb;
+		chosen[i]->used_gpus -= step->spec->gpus;
+		g_ptr_array_remove_fast(chosen[i]->tasks, &step->tasks[i]);
+	}
+	if (placed == count) {
+		char *same = g_strdup(checkpoint);
+
+		step->gang_run = next_run(scheduler, step->gang_run);
+		for (int32_t i = 0; i < count; i++) {
+			sched_task_set_checkpoint(&step->tasks[i], same);
+			sched_task_start(scheduler, &step->tasks[i], chosen[i],
+					 step->gang_run, tickets[i]);
+		}
+		g_free(same);
+	} else if (needs_advice(step)) {
+		ask_advice(scheduler, step);
+	}
+	g_free(chosen);
+	g_free(tickets);
+}
+
+static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	if (task->inherited) {
+		/* it may run where nobody has answered yet */
+		if (task->step->occurrence->job->pool->unsettled > 0)
+			return false;
+		task->inherited = false;
+	}
+	return scheduler->now_ms >= task->retry_ms;
+}
+
+static sched_upstream_t *choose(wwh_scheduler_t *scheduler, sched_task_t *task,
+				const char **ticket)
+{
+	sched_step_t *step = task->step;
+	GPtrArray *upstreams = step->occurrence->job->pool->upstreams;
+	sched_upstream_t *best = NULL;
+	int64_t best_cost = 0;
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		sched_upstream_t *upstream = g_ptr_array_index(upstreams, i);
+		int64_t cost;
+
+		if (!fits(scheduler, upstream, step))
+			continue;
+		if (needs_advice(step) &&
+		    ticket_of(scheduler, step, upstream->info.id) == NULL)
+			continue;
+		cost = cost_of(upstream, task);
+		if (best == NULL || cost < best_cost) {
+			best = upstream;
+			best_cost = cost;
+		}
+	}
+	if (best != NULL && needs_advice(step))
+		*ticket = ticket_of(scheduler, step, best->info.id);
+	return best;
+}
+
+static bool fits(const wwh_scheduler_t *scheduler,
+		 const sched_upstream_t *upstream, const sched_step_t *step)
+{
+	const wwh_job_step_t *spec = step->spec;
+	const wwh_upstream_info_t *info = &upstream->info;
+
+	if (!sched_upstream_usable(scheduler, upstream))
+		return false;
+	if ((!spec->filler && upstream->used_cpu + spec->cpu_millicores >
+				      info->cpu_millicores) ||
+	    upstream->used_memory + spec->memory_mb > info->memory_mb ||
+	    upstream->used_gpus + spec->gpus > info->gpus)
+		return false;
+	if (spec->label != NULL &&
+	    !g_strv_contains((const char *const *)info->labels, spec->label))
+		return false;
+	return spec->max_per_upstream == 0 ||
+	       tasks_of_step(upstream, step) < spec->max_per_upstream;
+}
+
+static int64_t cost_of(const sched_upstream_t *upstream,
+		       const sched_task_t *task)
+{
+	const sched_step_t *step = task->step;
+	const wwh_job_step_t *spec = step->spec;
+	const char *rack = upstream->info.rack;
+	wwh_fit_figures_t figures = {
+		.free_millicores =
+			upstream->info.cpu_millicores - upstream->used_cpu,
+		.need_millicores = spec->filler ? 0 : spec->cpu_millicores,
+		.capacity_millicores = upstream->info.cpu_millicores,
+		.failed_here = task->avoid == upstream,
+		.fail_streak = upstream->fail_streak,
+		.lasting = spec->lasting,
+	};
+
+	if (spec->data_rack != NULL)
+		figures.data_elsewhere = g_strcmp0(rack, spec->data_rack) != 0;
+	for (int32_t i = 0; spec->same_rack && i < spec->task_count; i++) {
+		const sched_upstream_t *other = step->tasks[i].upstream;
+
+		if (other != NULL)
+			figures.step_elsewhere =
+				g_strcmp0(rack, other->info.rack) != 0;
+	}
+	if (spec->lasting)
+		figures.same_step = tasks_of_step(upstream, step);
+	figures.disturbed = disturbed_by(upstream, spec);
+	return wwh_policy_fit(&figures);
+}
+
+static int32_t tasks_of_step(const sched_upstream_t *upstream,
+			     const sched_step_t *step)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		count += task->step == step;
+	}
+	return count;
+}
+
+/* Fillers take what serving tasks on the same host need within a moment. */
+static int32_t disturbed_by(const sched_upstream_t *upstream,
+			    const wwh_job_step_t *spec)
+{
+	bool serves = spec->latency_target_ms > 0;
+	int32_t count = 0;
+
+	if (!spec->filler && !serves)
+		return 0;
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+		const wwh_job_step_t *other = task->step->spec;
+
+		count += spec->filler ? other->latency_target_ms > 0
+				      : other->filler;
+	}
+	return count;
+}
+
+static const char *ticket_of(const wwh_scheduler_t *scheduler,
+			     const sched_step_t *step, const char *upstream)
+{
+	const sched_ticket_t *ticket;
+
+	if (step->tickets == NULL)
+		return NULL;
+	ticket = g_hash_table_lookup(step->tickets, upstream);
+	if (ticket == NULL || ticket->until_ms <= scheduler->now_ms)
+		return NULL;
+	return ticket->ticket;
+}
+
+static bool needs_advice(const sched_step_t *step)
+{
+	return step->occurrence->job->spec->queue.advice_valid_ms > 0;
+}
+
+/*
+ * What is admitted doesn't change: an upstream that was asked about is asked
+ * about again only to renew a ticket that it got.
+ */
+static void ask_advice(wwh_scheduler_t *scheduler, sched_step_t *step)
+{
+	GPtrArray *upstreams = step->occurrence->job->pool->upstreams;
+	const char *ids[ADVICE_UPSTREAMS];
+	wwh_advice_order_t order = { .upstreams = ids };
+	char name[WWH_TASK_NAME_BYTES];
+
+	if (step->advice_in_flight || scheduler->now_ms < step->advice_after_ms)
+		return;
+	if (step->asked == NULL)
+		step->asked = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, NULL);
+	for (guint i = 0;
+	     i < upstreams->len && order.upstream_count < ADVICE_UPSTREAMS;
+	     i++) {
+		sched_upstream_t *upstream = g_ptr_array_index(upstreams, i);
+		const char *id = upstream->info.id;
+		bool admitted = step->tickets != NULL &&
+				g_hash_table_contains(step->tickets, id);
+
+		if (!sched_upstream_usable(scheduler, upstream) ||
+		    ticket_of(scheduler, step, id) != NULL ||
+		    (g_hash_table_contains(step->asked, id) && !admitted))
+			continue;
+		ids[order.upstream_count++] = id;
+	}
+	if (order.upstream_count == 0)
+		return;
+	for (int32_t i = 0; i < order.upstream_count; i++)
+		g_hash_table_add(step->asked, g_strdup(ids[i]));
+	sched_task_name(&step->tasks[0], name);
+	*strrchr(name, '.') = '\0';
+	g_strlcpy(order.step, name, sizeof(order.step));
+	step->advice_in_flight = true;
+	scheduler->calls.advise(&order, scheduler->calls.client_data);
+}
+
+static int64_t next_run(const wwh_scheduler_t *scheduler, int64_t run)
+{
+	int64_t base =
+		(scheduler->options.holder_count - 1) * (int64_t)RUNS_A_HOLDER;
+
+	return MAX(run, base) + 1;
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_policy.c
@@ -0,0 +1,72 @@
+#include "private/scheduler_policy.h"
+
+#include <glib.h>
+
+/* Ranks don't mix: no waiting time lifts a job into the rank above. */
+#define RANK_STEP (INT64_C(1) << 48)
+#define PRIORITY_STEP (INT64_C(1) << 40)
+
+/*
+ * Callers take an answer up to this many times as late as they are content
+ * with; after that it is of no use to most of them.
+ */
+#define LATE_FACTOR 3
+
+/* Weights of wwh_policy_fit, in thousandths of a host's processor. */
+#define FIT_SCALE 1000
+#define DATA_ELSEWHERE 1500 /* takes up to twice as long: two hosts' worth */
+#define STEP_ELSEWHERE 1500
+#define FAILED_HERE 4000 /* any other host goes before it */
+#define FAILURE_IN_A_ROW 300
+#define DISTURBED 2500
+#define SAME_STEP_LASTING 1000
+
+typedef enum {
+	RANK_LASTING = 0,
+	RANK_IN_TIME,
+	RANK_LATE,
+	RANK_TOO_LATE,
+} rank_t;
+
+static rank_t rank_of(const wwh_order_figures_t *figures);
+
+int64_t wwh_policy_order(const wwh_order_figures_t *figures)
+{
+	int64_t slack_ms = figures->objective_ms - figures->waited_ms -
+			   figures->remaining_ms;
+
+	return (int64_t)rank_of(figures) * RANK_STEP +
+	       (int64_t)CLAMP(figures->priority, 0, 100) * PRIORITY_STEP +
+	       CLAMP(slack_ms, -PRIORITY_STEP / 4, PRIORITY_STEP / 4);
+}
+
+int64_t wwh_policy_fit(const wwh_fit_figures_t *figures)
+{
+	int64_t left = figures->free_millicores - figures->need_millicores;
+	int64_t cost = left * FIT_SCALE / MAX(figures->capacity_millicores, 1);
+
+	if (figures->lasting)
+		cost = -cost + SAME_STEP_LASTING * (int64_t)figures->same_step;
+	if (figures->data_elsewhere)
+		cost += DATA_ELSEWHERE;
+	if (figures->step_elsewhere)
+		cost += STEP_ELSEWHERE;
+	if (figures->failed_here)
+		cost += FAILED_HERE;
+	cost += (int64_t)figures->fail_streak * FAILURE_IN_A_ROW;
+	cost += (int64_t)figures->disturbed * DISTURBED;
+	return cost;
+}
+
+static rank_t rank_of(const wwh_order_figures_t *figures)
+{
+	int64_t end_ms = figures->waited_ms + figures->remaining_ms;
+
+	if (figures->lasting)
+		return RANK_LASTING;
+	if (end_ms <= figures->objective_ms)
+		return RANK_IN_TIME;
+	if (end_ms <= LATE_FACTOR * figures->objective_ms)
+		return RANK_LATE;
+	return RANK_TOO_LATE;
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -0,0 +1,353 @@
+#include "private/scheduler_state.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#include "private/msgpack_bounds.h"
+
+#define RECORD_DEPTH 8
+#define BYTE_BITS 8
+
+/* Elements of each array that this release writes and needs. */
+#define PROGRESS_FIELDS 5
+#define OCCURRENCE_FIELDS 2
+#define STEP_FIELDS 4
+#define FAILED_FIELDS 3
+#define UPSTREAM_FIELDS 2
+
+static void pack_occurrence(msgpack_packer *packer,
+			    const sched_occurrence_t *occurrence);
+static void pack_step(msgpack_packer *packer, const sched_step_t *step);
+static bool array_of(const msgpack_object *object, uint32_t least);
+static bool number_of(const msgpack_object *object, int64_t *number);
+static bool restore_live(wwh_scheduler_t *scheduler, sched_job_t *job,
+			 const msgpack_object *fields);
+static bool restore_occurrence(wwh_scheduler_t *scheduler, sched_job_t *job,
+			       const msgpack_object *object);
+static bool restore_step(wwh_scheduler_t *scheduler, sched_step_t *step,
+			 const msgpack_object *object);
+static bool restore_failures(sched_step_t *step, const msgpack_object *rows);
+static bool restore_progress(wwh_scheduler_t *scheduler, const char *id,
+			     const msgpack_object *object);
+static bool restore_upstream(wwh_scheduler_t *scheduler, const char *id,
+			     const msgpack_object *object);
+static bool unpack(const uint8_t *value, size_t size,
+		   msgpack_unpacked *unpacked, wwh_message_t *message);
+
+GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms)
+{
+	bool live = sched_job_is_live(job);
+	guint open = 0;
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	GBytes *bytes;
+
+	if (live)
+		open = job->occurrences->len;
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, PROGRESS_FIELDS);
+	msgpack_pack_int32(&packer, (int32_t)job->state);
+	msgpack_pack_int64(&packer, wall_ms);
+	msgpack_pack_int32(&packer, job->started);
+	msgpack_pack_int64(&packer, job->next_occurrence);
+	msgpack_pack_array(&packer, open);
+	for (guint i = 0; i < open; i++)
+		pack_occurrence(&packer,
+				g_ptr_array_index(job->occurrences, i));
+	bytes = g_bytes_new(buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+	return bytes;
+}
+
+bool sched_progress_restore(wwh_scheduler_t *scheduler, const char *id,
+			    const uint8_t *value, size_t size,
+			    wwh_message_t *message)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	if (!unpack(value, size, &unpacked, message))
+		return false;
+	ok = restore_progress(scheduler, id, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		wwh_message_set(message, "progress of %s is malformed", id);
+	return ok;
+}
+
+GBytes *sched_upstream_encode(const sched_upstream_t *upstream)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	GBytes *bytes;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, UPSTREAM_FIELDS);
+	msgpack_pack_str_with_body(&packer, upstream->info.endpoint,
+				   strlen(upstream->info.endpoint));
+	msgpack_pack_str_with_body(&packer, upstream->info.pool,
+				   strlen(upstream->info.pool));
+	bytes = g_bytes_new(buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+	return bytes;
+}
+
+bool sched_upstream_restore(wwh_scheduler_t *scheduler, const char *id,
+			    const uint8_t *value, size_t size,
+			    wwh_message_t *message)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	if (!unpack(value, size, &unpacked, message))
+		return false;
+	ok = restore_upstream(scheduler, id, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		wwh_message_set(message, "upstream %s is malformed", id);
+	return ok;
+}
+
+static void pack_occurrence(msgpack_packer *packer,
+			    const sched_occurrence_t *occurrence)
+{
+	int32_t steps = occurrence->job->spec->step_count;
+
+	msgpack_pack_array(packer, OCCURRENCE_FIELDS);
+	msgpack_pack_int64(packer, occurrence->number);
+	msgpack_pack_array(packer, (size_t)steps);
+	for (int32_t i = 0; i < steps; i++)
+		pack_step(packer, &occurrence->steps[i]);
+}
+
+static void pack_step(msgpack_packer *packer, const sched_step_t *step)
+{
+	int32_t count = step->spec->task_count;
+	size_t size = ((size_t)count + BYTE_BITS - 1) / BYTE_BITS;
+	uint8_t *done = g_malloc0(size + 1);
+	size_t failed = 0;
+
+	for (int32_t i = 0; i < count; i++) {
+		if (sched_task_state(&step->tasks[i]) == TASK_OVER)
+			done[i / BYTE_BITS] |= (uint8_t)(1U << (i % BYTE_BITS));
+		failed += step->tasks[i].failures > 0;
+	}
+	msgpack_pack_array(packer, STEP_FIELDS);
+	msgpack_pack_bin_with_body(packer, done, size);
+	msgpack_pack_array(packer, failed);
+	for (int32_t i = 0; i < count && failed > 0; i++) {
+		if (step->tasks[i].failures == 0)
+			continue;
+		msgpack_pack_array(packer, FAILED_FIELDS);
+		msgpack_pack_int32(packer, i);
+		msgpack_pack_int32(packer, step->tasks[i].failures);
+		msgpack_pack_int64(packer, step->tasks[i].failed_run);
+	}
+	msgpack_pack_int32(packer, step->gang_failures);
+	msgpack_pack_int64(packer, step->gang_failed_run);
+	g_free(done);
+}
+
+static bool array_of(const msgpack_object *object, uint32_t least)
+{
+	return object->type == MSGPACK_OBJECT_ARRAY &&
+	       object->via.array.size >= least;
+}
+
+static bool number_of(const msgpack_object *object, int64_t *number)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > INT64_MAX)
+		return false;
+	*number = (int64_t)object->via.u64;
+	return true;
+}
+
+static bool restore_progress(wwh_scheduler_t *scheduler, const char *id,
+			     const msgpack_object *object)
+{
+	sched_job_t *job = sched_job_find(scheduler, id);
+	const msgpack_object *fields;
+	int64_t state;
+	int64_t ended_wall_ms;
+	int64_t started;
+
+	if (!wwh_job_id_valid(id) || !array_of(object, PROGRESS_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_of(&fields[0], &state) || state >= WWH_JOB_UNKNOWN ||
+	    !number_of(&fields[1], &ended_wall_ms) ||
+	    !number_of(&fields[2], &started))
+		return false;
+	if (state == WWH_JOB_QUEUED) {
+		/* the job itself is gone: nothing is left to be done */
+		if (job == NULL)
+			return true;
+		job->started = started != 0;
+		return restore_live(scheduler, job, fields);
+	}
+	if (job == NULL)
+		job = sched_job_add_ended(scheduler, id);
+	job->state = (wwh_job_progress_t)state;
+	job->ended_ms =
+		scheduler->now_ms - CLAMP(scheduler->wall_ms - ended_wall_ms, 0,
+					  scheduler->options.forget_ms);
+	return true;
+}
+
+static bool restore_live(wwh_scheduler_t *scheduler, sched_job_t *job,
+			 const msgpack_object *fields)
+{
+	int64_t next;
+
+	if (!number_of(&fields[3], &next) || next > WWH_JOB_MAX_REPEATS ||
+	    !array_of(&fields[4], 0))
+		return false;
+	for (uint32_t i = 0; i < fields[4].via.array.size; i++) {
+		if (!restore_occurrence(scheduler, job,
+					&fields[4].via.array.ptr[i]))
+			return false;
+	}
+	job->next_occurrence = MAX(job->next_occurrence, next);
+	/* an occurrence that was opened and isn't in the record is complete */
+	job->occurrences_done =
+		job->next_occurrence - (int64_t)job->occurrences->len;
+	for (guint i = 0; i < job->occurrences->len; i++) {
+		sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (occurrence->steps_done == job->spec->step_count)
+			job->occurrences_done++;
+	}
+	return true;
+}
+
+static bool restore_occurrence(wwh_scheduler_t *scheduler, sched_job_t *job,
+			       const msgpack_object *object)
+{
+	sched_occurrence_t *occurrence;
+	const msgpack_object *steps;
+	int64_t number;
+
+	if (!array_of(object, OCCURRENCE_FIELDS) ||
+	    !number_of(&object->via.array.ptr[0], &number))
+		return false;
+	steps = &object->via.array.ptr[1];
+	if (!array_of(steps, (uint32_t)job->spec->step_count))
+		return false;
+	if (job->spec->repeat_count > 0) {
+		if (number < job->next_occurrence)
+			return false;
+		job->next_occurrence = number;
+		occurrence = sched_job_open_occurrence(scheduler, job);
+	} else {
+		occurrence = g_ptr_array_index(job->occurrences, 0);
+	}
+	for (int32_t i = 0; i < job->spec->step_count; i++) {
+		if (!restore_step(scheduler, &occurrence->steps[i],
+				  &steps->via.array.ptr[i]))
+			return false;
+		occurrence->steps_done += occurrence->steps[i].done ==
+					  job->spec->steps[i].task_count;
+	}
+	return true;
+}
+
+static bool restore_step(wwh_scheduler_t *scheduler, sched_step_t *step,
+			 const msgpack_object *object)
+{
+	const msgpack_object *fields;
+	const msgpack_object_bin *done;
+	int32_t count = step->spec->task_count;
+	int64_t gang_failures;
+
+	if (!array_of(object, STEP_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (fields[0].type != MSGPACK_OBJECT_BIN ||
+	    !number_of(&fields[2], &gang_failures) ||
+	    !number_of(&fields[3], &step->gang_failed_run))
+		return false;
+	step->gang_failures = (int32_t)gang_failures;
+	done = &fields[0].via.bin;
+	if ((int64_t)done->size * BYTE_BITS < count)
+		return false;
+	for (int32_t i = 0; i < count; i++) {
+		if (((uint8_t)done->ptr[i / BYTE_BITS] >> (i % BYTE_BITS) &
+		     1U) == 0 ||
+		    sched_task_state(&step->tasks[i]) == TASK_OVER)
+			continue;
+		sched_task_event(scheduler, &step->tasks[i], TASK_DONE);
+		step->done++;
+	}
+	return restore_failures(step, &fields[1]);
+}
+
+static bool restore_failures(sched_step_t *step, const msgpack_object *rows)
+{
+	if (!array_of(rows, 0))
+		return false;
+	for (uint32_t i = 0; i < rows->via.array.size; i++) {
+		const msgpack_object *row = &rows->via.array.ptr[i];
+		int64_t index;
+		int64_t failures;
+		sched_task_t *task;
+
+		if (!array_of(row, FAILED_FIELDS) ||
+		    !number_of(&row->via.array.ptr[0], &index) ||
+		    index >= step->spec->task_count ||
+		    !number_of(&row->via.array.ptr[1], &failures))
+			return false;
+		task = &step->tasks[index];
+		task->failures = (int32_t)MIN(failures, INT32_MAX);
+		if (!number_of(&row->via.array.ptr[2], &task->failed_run))
+			return false;
+		task->run = MAX(task->run, task->failed_run);
+	}
+	return true;
+}
+
+static bool restore_upstream(wwh_scheduler_t *scheduler, const char *id,
+			     const msgpack_object *object)
+{
+	wwh_upstream_info_t info = { 0 };
+	sched_upstream_t *upstream;
+	const msgpack_object *fields;
+
+	if (!array_of(object, UPSTREAM_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (fields[0].type != MSGPACK_OBJECT_STR ||
+	    fields[1].type != MSGPACK_OBJECT_STR)
+		return false;
+	if (sched_upstream_find(scheduler, id) != NULL)
+		return true;
+	info.id = g_strdup(id);
+	info.endpoint =
+		g_strndup(fields[0].via.str.ptr, fields[0].via.str.size);
+	info.pool = g_strndup(fields[1].via.str.ptr, fields[1].via.str.size);
+	upstream = sched_upstream_add(scheduler, &info);
+	upstream->inherited = true;
+	upstream->kept_asked = true;
+	upstream->pool->unsettled++;
+	wwh_upstream_info_clear(&info);
+	return true;
+}
+
+static bool unpack(const uint8_t *value, size_t size,
+		   msgpack_unpacked *unpacked, wwh_message_t *message)
+{
+	if (!wwh_msgpack_bounded(value, size, RECORD_DEPTH)) {
+		wwh_message_set(message, "not one whole MessagePack value");
+		return false;
+	}
+	msgpack_unpacked_init(unpacked);
+	if (msgpack_unpack_next(unpacked, (const char *)value, size, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		return true;
+	msgpack_unpacked_destroy(unpacked);
+	wwh_message_set(message, "not MessagePack");
+	return false;
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_release.c
@@ -0,0 +1,151 @@
+#include "private/scheduler_state.h"
+
+static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
+			      const sched_step_t *step,
+			      const sched_upstream_t *upstream);
+static int32_t here(const sched_step_t *step, const sched_upstream_t *upstream);
+static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task);
+
+bool wwh_scheduler_release(wwh_scheduler_t *scheduler, const char *id,
+			   bool urgent, int64_t now_ms)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (upstream == NULL)
+		return true;
+	if (!upstream->released)
+		sched_explain(scheduler, "upstream-released", id, "tasks=%u",
+			      upstream->tasks->len);
+	upstream->released = true;
+	upstream->ending = false;
+	for (guint i = 0; i < upstream->tasks->len && !urgent; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		if (!task->step->spec->lasting)
+			return false;
+	}
+	/*
+	 * From here on its tasks count as away: two hosts that are taken down
+	 * in the same moment would each find the other's tasks at work.
+	 */
+	upstream->ending = sched_may_end(scheduler, upstream);
+	return upstream->ending;
+}
+
+void wwh_scheduler_unrelease(wwh_scheduler_t *scheduler, const char *id)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	if (upstream == NULL || !upstream->released)
+		return;
+	upstream->released = false;
+	upstream->ending = false;
+	upstream->pool->dirty = true;
+}
+
+wwh_upstream_load_t wwh_scheduler_upstream_load(wwh_scheduler_t *scheduler,
+						const char *id)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	wwh_upstream_load_t load = { 0 };
+
+	if (upstream == NULL)
+		return load;
+	load.known = true;
+	load.released = upstream->released;
+	load.tasks = (int32_t)upstream->tasks->len;
+	load.busy_millicores = upstream->used_cpu;
+	load.cpu_millicores = upstream->info.cpu_millicores;
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		load.lasting += task->step->spec->lasting;
+	}
+	return load;
+}
+
+/*
+ * Whether each lasting step on upstream can miss what runs there. What is
+ * away for another reason counts: two causes at once would take more tasks
+ * from a step than its users bear.
+ */
+bool sched_may_end(const wwh_scheduler_t *scheduler,
+		   const sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+		const sched_step_t *step = task->step;
+
+		if (!step->spec->lasting ||
+		    !sched_job_is_live(step->occurrence->job))
+			continue;
+		if (away_elsewhere(scheduler, step, upstream) +
+			    here(step, upstream) >
+		    step->spec->max_unavailable)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A leaving upstream takes its tasks along when it goes. Lasting ones are
+ * started elsewhere while it still serves: they are away only as long as a
+ * start takes, and what they saved comes along.
+ */
+void sched_release_run(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_upstream_t *upstream = value;
+
+		if (!upstream->info.leaving)
+			continue;
+		for (guint i = 0; i < upstream->tasks->len; i++) {
+			sched_task_t *task =
+				g_ptr_array_index(upstream->tasks, i);
+
+			if (task->step->spec->lasting &&
+			    sched_task_state(task) == TASK_RUNNING)
+				sched_task_order_stop(scheduler, task);
+		}
+	}
+}
+
+static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
+			      const sched_step_t *step,
+			      const sched_upstream_t *upstream)
+{
+	int32_t away = 0;
+
+	for (int32_t i = 0; i < step->spec->task_count; i++) {
+		const sched_task_t *task = &step->tasks[i];
+
+		away += task->upstream != upstream && !at_work(scheduler, task);
+	}
+	return away;
+}
+
+static int32_t here(const sched_step_t *step, const sched_upstream_t *upstream)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < step->spec->task_count; i++)
+		count += step->tasks[i].upstream == upstream;
+	return count;
+}
+
+/* What wasn't heard of lately may be away. */
+static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task)
+{
+	return sched_task_state(task) == TASK_RUNNING && task->away_ms == 0 &&
+	       !task->upstream->ending && task->upstream->failed_looks == 0 &&
+	       scheduler->now_ms - task->upstream->answered_ms <
+		       scheduler->options.unavailable_after_ms;
+}
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -0,0 +1,244 @@
+#include "private/scheduler_state.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Upstreams' clocks may run this much slower than ours, in thousandths; what
+ * DESIGN promises of them. A lease of theirs then lasts longer here.
+ */
+#define CLOCK_SLOW_PERMILLE 20
+#define PERMILLE 1000
+
+/* Beyond the bound above: when an answer is taken in late on our side. */
+#define LAPSE_MARGIN_MS 60
+
+static void take_room(sched_task_t *task, sched_upstream_t *upstream);
+static void free_room(sched_task_t *task);
+static void leave_upstream(sched_task_t *task);
+
+sched_task_state_t sched_task_state(const sched_task_t *task)
+{
+	return (sched_task_state_t)task->machine.state;
+}
+
+bool sched_task_is_out(const wwh_scheduler_t *scheduler,
+		       const sched_task_t *task)
+{
+	return wwh_chart_has_tag(&task->machine, scheduler->out_tag);
+}
+
+void sched_task_name(const sched_task_t *task, char *name)
+{
+	const sched_step_t *step = task->step;
+
+	snprintf(name, WWH_TASK_NAME_BYTES, "%s.%" G_GINT64_FORMAT ".%d.%d",
+		 step->occurrence->job->id, step->occurrence->number,
+		 step->number, task->index);
+}
+
+bool sched_task_parse(const char *name, char *id, int64_t *occurrence,
+		      int32_t *step, int32_t *index)
+{
+	long long numbers[3];
+	const char *at = name + WWH_JOB_ID_CHARS;
+	char *end;
+
+	if (strnlen(name, WWH_TASK_NAME_BYTES) <= WWH_JOB_ID_CHARS)
+		return false;
+	for (int32_t i = 0; i < 3; i++) {
+		if (*at != '.' || !g_ascii_isdigit(at[1]))
+			return false;
+		numbers[i] = strtoll(at + 1, &end, 10);
+		at = end;
+	}
+	memcpy(id, name, WWH_JOB_ID_CHARS);
+	id[WWH_JOB_ID_CHARS] = '\0';
+	*occurrence = numbers[0];
+	*step = (int32_t)MIN(numbers[1], INT32_MAX);
+	*index = (int32_t)MIN(numbers[2], INT32_MAX);
+	return *at == '\0';
+}
+
+void sched_task_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream, int64_t run,
+		      const char *ticket)
+{
+	const wwh_job_t *spec = task->step->occurrence->job->spec;
+	wwh_start_order_t order = {
+		.upstream = upstream->info.id,
+		.endpoint = upstream->info.endpoint,
+		.run = run,
+		.payload = spec->payload,
+		.checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
+		.ticket = ticket,
+	};
+
+	g_assert(sched_task_state(task) == TASK_WAITING);
+	g_assert(run > task->run);
+	g_assert(sched_job_is_live(task->step->occurrence->job));
+	task->run = run;
+	sched_task_event(scheduler, task, TASK_ORDER);
+	take_room(task, upstream);
+	task->order_in_flight = true;
+	task->stop_sent_ms = 0;
+	task->stop_confirmed_ms = 0;
+	task->pace = 100;
+	task->pace_wanted = 100;
+	task->percent = 0;
+	task->percent_ms = scheduler->now_ms;
+	task->over_target_ms = 0;
+	if (task->away_ms == 0)
+		task->away_ms = scheduler->now_ms;
+	task->step->occurrence->job->started = true;
+	sched_task_name(task, order.task);
+	order.lease_until_remote_ms = sched_lease_until(scheduler, upstream);
+	scheduler->calls.start(&order, scheduler->calls.client_data);
+}
+
+void sched_task_adopt(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream, int64_t run)
+{
+	g_assert(sched_task_state(task) == TASK_WAITING);
+	task->run = MAX(task->run, run);
+	sched_task_event(scheduler, task, TASK_LISTED);
+	take_room(task, upstream);
+	task->order_in_flight = false;
+	task->stop_sent_ms = 0;
+	task->stop_confirmed_ms = 0;
+	task->pace = 100;
+	task->pace_wanted = 100;
+	task->percent_ms = scheduler->now_ms;
+	task->over_target_ms = 0;
+	task->away_ms = scheduler->now_ms;
+	task->inherited = false;
+	task->step->occurrence->job->started = true;
+}
+
+void sched_task_event(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_task_event_t event)
+{
+	bool was_out = sched_task_is_out(scheduler, task);
+	sched_task_state_t before = sched_task_state(task);
+
+	(void)wwh_chart_step(&task->machine, event, scheduler->now_ms, task);
+	if (sched_task_state(task) == before)
+		return;
+	task->changed_ms = scheduler->now_ms;
+	if (was_out && !sched_task_is_out(scheduler, task)) {
+		if (task->step->spec->lasting && task->away_ms == 0)
+			task->away_ms = scheduler->now_ms;
+		leave_upstream(task);
+		task->step->occurrence->job->pool->dirty = true;
+	}
+}
+
+void sched_task_order_stop(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	wwh_stop_order_t order = {
+		.upstream = task->upstream->info.id,
+		.endpoint = task->upstream->info.endpoint,
+		.run = task->run,
+	};
+
+	sched_task_name(task, order.task);
+	sched_task_event(scheduler, task, TASK_STOP);
+	task->stop_sent_ms = scheduler->now_ms;
+	task->order_in_flight = true;
+	scheduler->calls.stop(&order, scheduler->calls.client_data);
+}
+
+void sched_task_set_checkpoint(sched_task_t *task, const char *checkpoint)
+{
+	if (checkpoint == NULL || checkpoint[0] == '\0' ||
+	    g_strcmp0(task->checkpoint, checkpoint) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+}
+
+/*
+ * A lease that was ever asked for counts from then on: the order may arrive
+ * late, and a lease is never shortened by a later one.
+ */
+int64_t sched_lease_until(const wwh_scheduler_t *scheduler,
+			  sched_upstream_t *upstream)
+{
+	int64_t lease_ms = MIN(scheduler->options.lease_ms,
+			       scheduler->options.lease_max_ms);
+	int64_t remote_ms;
+
+	if (upstream->clock_base_remote_ms == 0)
+		return 0;
+	remote_ms = upstream->clock_base_remote_ms + scheduler->now_ms -
+		    upstream->clock_base_ms;
+	upstream->lease_until_remote_ms =
+		MAX(upstream->lease_until_remote_ms, remote_ms + lease_ms);
+	sched_lease_recompute(upstream);
+	return upstream->lease_until_remote_ms;
+}
+
+void sched_lease_recompute(sched_upstream_t *upstream)
+{
+	int64_t left_ms = upstream->lease_until_remote_ms -
+			  upstream->clock_base_remote_ms;
+
+	if (upstream->lease_until_remote_ms == 0)
+		return;
+	upstream->lapsed_ms =
+		upstream->clock_base_ms + LAPSE_MARGIN_MS +
+		left_ms * PERMILLE / (PERMILLE - CLOCK_SLOW_PERMILLE) + 1;
+	upstream->lapse_done = false;
+}
+
+void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
+		   const char *subject, const char *format, ...)
+{
+	char detail[256];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(detail, sizeof(detail), format, arguments);
+	va_end(arguments);
+	scheduler->calls.explain(event, subject, detail,
+				 scheduler->calls.client_data);
+}
+
+static void take_room(sched_task_t *task, sched_upstream_t *upstream)
+{
+	const wwh_job_step_t *spec = task->step->spec;
+
+	g_assert(task->upstream == NULL);
+	task->upstream = upstream;
+	g_ptr_array_add(upstream->tasks, task);
+	upstream->used_cpu += spec->filler ? 0 : spec->cpu_millicores;
+	upstream->used_memory += spec->memory_mb;
+	upstream->used_gpus += spec->gpus;
+	task->step->out++;
+	task->step->occurrence->job->out++;
+}
+
+static void free_room(sched_task_t *task)
+{
+	const wwh_job_step_t *spec = task->step->spec;
+	sched_upstream_t *upstream = task->upstream;
+
+	upstream->used_cpu -= spec->filler ? 0 : spec->cpu_millicores;
+	upstream->used_memory -= spec->memory_mb;
+	upstream->used_gpus -= spec->gpus;
+	g_assert(upstream->used_cpu >= 0 && upstream->used_memory >= 0);
+}
+
+static void leave_upstream(sched_task_t *task)
+{
+	g_assert(task->upstream != NULL);
+	free_room(task);
+	g_ptr_array_remove_fast(task->upstream->tasks, task);
+	task->upstream = NULL;
+	task->order_in_flight = false;
+	task->step->out--;
+	task->step->occurrence->job->out--;
+	g_assert(task->step->out >= 0);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -0,0 +1,572 @@
+#include "waxwinghollow/shard_claim.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "waxwinghollow/store_follower.h"
+#include "wire_store.h"
+
+#define CLAIM_KEY "C"
+#define NOTICE_KEY "holder"
+
+/* Calls to the group: it notices a lost process after member_ttl_ms. */
+#define JOINS_A_TTL 3
+#define JOIN_LIMIT_MS 700
+
+#define NOTICE_WAIT_MS 1500
+#define JOURNAL_WAIT_MS 300
+
+/* Between two questions to the holder, and how long it may take. */
+#define PROBE_EVERY_MS 400
+#define PROBE_LIMIT_MS 600
+
+/* Unanswered questions after which a holder is taken as gone. */
+#define PROBES_OF_A_LOST_HOLDER 2
+
+#define APPEND_LIMIT_MS 800
+#define RETRY_MS 150
+
+/*
+ * An epoch is the number of claims so far and a random part: two processes
+ * that claim at once must not share one, or the store would take the second
+ * one's claim for a repeat of the first one's.
+ */
+#define RANDOM_BITS 16
+
+#define PROBE_PATH "/v1/shard"
+#define STATUS_OK 200
+
+typedef enum {
+	CLAIM_WATCHING = 0,
+	CLAIM_LOADING, /* reading the journal */
+	CLAIM_APPENDING, /* the claim's record is on its way */
+	CLAIM_CONFIRMING, /* until that record is read back */
+	CLAIM_HELD,
+	CLAIM_GIVEN_UP,
+} claim_state_t;
+
+struct wwh_shard_claim {
+	wwh_shard_claim_options_t options;
+	char *store;
+	char *topic;
+	char *self;
+	claim_state_t state;
+	int32_t references;
+	bool deleted;
+	/* the group */
+	bool join_in_flight;
+	bool assigned;
+	int64_t assigned_ms; /* when the call that said so was sent */
+	int64_t join_sent_ms;
+	int64_t generation;
+	/* the holder as made known */
+	wwh_store_follower_t *notices;
+	char *holder; /* NULL: nobody */
+	int64_t holder_epoch;
+	bool probe_in_flight;
+	int64_t probe_sent_ms;
+	int32_t probes_failed;
+	bool probe_refused;
+	/* the claim */
+	wwh_store_follower_t *journal;
+	GHashTable *records;
+	int64_t epoch;
+	char *nonce;
+	int64_t highest_counter;
+	bool append_in_flight;
+	int64_t append_sent_ms;
+	int64_t retry_ms;
+	/* making it known */
+	bool notice_pending;
+	bool notice_in_flight;
+	bool notice_of_giving_up; /* what is in flight says so */
+	int64_t notice_retry_ms;
+	bool leave_settled;
+	int64_t reached_ms;
+	int64_t now_ms;
+};
+
+static void unref(wwh_shard_claim_t *claim);
+static void join(wwh_shard_claim_t *claim);
+static void on_joined(const wwh_http_answer_t *answer, void *data);
+static void on_notice(const char *key, const uint8_t *value, size_t size,
+		      void *data);
+static void watch(wwh_shard_claim_t *claim);
+static bool holder_is_lost(wwh_shard_claim_t *claim);
+static void probe(wwh_shard_claim_t *claim);
+static void on_probed(const wwh_http_answer_t *answer, void *data);
+static void begin(wwh_shard_claim_t *claim, const char *why);
+static void stop_reading(wwh_shard_claim_t *claim);
+static void on_journal(const char *key, const uint8_t *value, size_t size,
+		       void *data);
+static void append_claim(wwh_shard_claim_t *claim);
+static void on_claimed(const wwh_http_answer_t *answer, void *data);
+static void confirm(wwh_shard_claim_t *claim);
+static void make_known(wwh_shard_claim_t *claim);
+static void on_made_known(const wwh_http_answer_t *answer, void *data);
+static void on_left(const wwh_http_answer_t *answer, void *data);
+static int64_t counter_of(const uint8_t *value, size_t size, int64_t *epoch);
+static void explain(wwh_shard_claim_t *claim, const char *event,
+		    const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+
+wwh_shard_claim_t *wwh_shard_claim_new(const wwh_shard_claim_options_t *options)
+{
+	wwh_shard_claim_t *claim = g_new0(wwh_shard_claim_t, 1);
+	wwh_store_follower_options_t notices = {
+		.calls = options->calls,
+		.endpoint = options->store,
+		.topic = options->topic,
+		.part = options->notice_part,
+		.wait_ms = NOTICE_WAIT_MS,
+		.on_record = on_notice,
+		.client_data = claim,
+	};
+
+	claim->options = *options;
+	claim->store = g_strdup(options->store);
+	claim->topic = g_strdup(options->topic);
+	claim->self = g_strdup(options->self);
+	claim->references = 1;
+	claim->notices = wwh_store_follower_new(&notices);
+	return claim;
+}
+
+void wwh_shard_claim_delete(wwh_shard_claim_t *claim)
+{
+	if (claim == NULL)
+		return;
+	claim->deleted = true;
+	stop_reading(claim);
+	wwh_store_follower_delete(claim->notices);
+	claim->notices = NULL;
+	unref(claim);
+}
+
+void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms)
+{
+	claim->now_ms = now_ms;
+	wwh_store_follower_run(claim->notices, now_ms);
+	if (claim->state != CLAIM_GIVEN_UP)
+		join(claim);
+	if (claim->notice_pending)
+		make_known(claim);
+	switch (claim->state) {
+	case CLAIM_WATCHING:
+		watch(claim);
+		break;
+	case CLAIM_LOADING:
+		wwh_store_follower_run(claim->journal, now_ms);
+		if (wwh_store_follower_caught_up(claim->journal))
+			append_claim(claim);
+		break;
+	case CLAIM_APPENDING:
+		append_claim(claim);
+		break;
+	case CLAIM_CONFIRMING:
+		wwh_store_follower_run(claim->journal, now_ms);
+		confirm(claim);
+		break;
+	default:
+		break;
+	}
+}
+
+void wwh_shard_claim_lost(wwh_shard_claim_t *claim, int64_t now_ms)
+{
+	claim->now_ms = now_ms;
+	stop_reading(claim);
+	claim->notice_pending = false;
+	if (claim->state == CLAIM_GIVEN_UP)
+		return;
+	claim->state = CLAIM_WATCHING;
+	claim->retry_ms = now_ms + RETRY_MS;
+	claim->probes_failed = 0;
+	claim->probe_sent_ms = now_ms;
+}
+
+void wwh_shard_claim_give_up(wwh_shard_claim_t *claim, int64_t now_ms)
+{
+	wwh_http_call_t *call;
+	bool held = claim->state == CLAIM_HELD;
+
+	if (claim->state == CLAIM_GIVEN_UP)
+		return;
+	claim->now_ms = now_ms;
+	stop_reading(claim);
+	claim->state = CLAIM_GIVEN_UP;
+	claim->notice_pending = held;
+	claim->references++;
+	call = wire_store_leave(claim->store, claim->options.group, claim->self,
+				JOIN_LIMIT_MS);
+	wwh_http_calls_send(claim->options.calls, call, on_left, claim);
+}
+
+bool wwh_shard_claim_given_up(const wwh_shard_claim_t *claim)
+{
+	return claim->state == CLAIM_GIVEN_UP && claim->leave_settled &&
+	       !claim->notice_pending;
+}
+
+int64_t wwh_shard_claim_reached_ms(const wwh_shard_claim_t *claim)
+{
+	return claim->reached_ms;
+}
+
+static void unref(wwh_shard_claim_t *claim)
+{
+	if (--claim->references > 0)
+		return;
+	g_free(claim->store);
+	g_free(claim->topic);
+	g_free(claim->self);
+	g_free(claim->holder);
+	g_free(claim->nonce);
+	g_free(claim);
+}
+
+static void join(wwh_shard_claim_t *claim)
+{
+	wwh_http_call_t *call;
+
+	if (claim->join_in_flight ||
+	    claim->now_ms - claim->join_sent_ms <
+		    claim->options.member_ttl_ms / JOINS_A_TTL)
+		return;
+	claim->join_in_flight = true;
+	claim->join_sent_ms = claim->now_ms;
+	claim->references++;
+	call = wire_store_join(claim->store, claim->options.group, claim->self,
+			       claim->topic, claim->options.member_ttl_ms,
+			       claim->generation, JOIN_LIMIT_MS);
+	wwh_http_calls_send(claim->options.calls, call, on_joined, claim);
+}
+
+static void on_joined(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	bool assigned = false;
+
+	claim->join_in_flight = false;
+	if (!claim->deleted &&
+	    wire_store_join_answer(answer, claim->options.journal_part,
+				   &claim->generation,
+				   &assigned) == WIRE_STORE_OK) {
+		if (assigned != claim->assigned)
+			explain(claim, "shard-assigned",
+				"assigned=%d generation=%" G_GINT64_FORMAT,
+				assigned, claim->generation);
+		claim->assigned = assigned;
+		claim->assigned_ms = claim->join_sent_ms;
+		claim->reached_ms = claim->join_sent_ms;
+	}
+	unref(claim);
+}
+
+/* A notice is "EPOCH ADDRESS"; without an address nobody holds the shard. */
+static void on_notice(const char *key, const uint8_t *value, size_t size,
+		      void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	char *text;
+	char *address;
+	int64_t epoch;
+
+	if (value == NULL || strcmp(key, NOTICE_KEY) != 0)
+		return;
+	text = g_strndup((const char *)value, size);
+	epoch = g_ascii_strtoll(text, &address, 10);
+	claim->highest_counter =
+		MAX(claim->highest_counter, epoch >> RANDOM_BITS);
+	if (epoch >= claim->holder_epoch) {
+		address = g_strstrip(address);
+		claim->holder_epoch = epoch;
+		g_free(claim->holder);
+		claim->holder = address[0] == '\0' ? NULL : g_strdup(address);
+		claim->probes_failed = 0;
+		claim->probe_refused = false;
+		claim->options.on_holder(claim->holder, epoch,
+					 claim->options.client_data);
+	}
+	g_free(text);
+}
+
+static void watch(wwh_shard_claim_t *claim)
+{
+	bool assigned = claim->assigned && claim->now_ms - claim->assigned_ms <
+						   claim->options.member_ttl_ms;
+
+	if (!assigned || !wwh_store_follower_caught_up(claim->notices) ||
+	    claim->now_ms < claim->retry_ms)
+		return;
+	if (claim->holder == NULL) {
+		begin(claim, "no-holder");
+	} else if (strcmp(claim->holder, claim->self) == 0) {
+		begin(claim, "restarted");
+	} else if (holder_is_lost(claim)) {
+		begin(claim, claim->probe_refused ? "holder-refuses"
+						  : "holder-silent");
+	} else if (!claim->probe_in_flight &&
+		   claim->now_ms - claim->probe_sent_ms >= PROBE_EVERY_MS) {
+		probe(claim);
+	}
+}
+
+static bool holder_is_lost(wwh_shard_claim_t *claim)
+{
+	return claim->probe_refused ||
+	       claim->probes_failed >= PROBES_OF_A_LOST_HOLDER;
+}
+
+static void probe(wwh_shard_claim_t *claim)
+{
+	wwh_http_call_t *call =
+		wwh_http_call_new("GET", claim->holder, PROBE_LIMIT_MS);
+
+	call->path = g_strdup(PROBE_PATH);
+	claim->probe_in_flight = true;
+	claim->probe_sent_ms = claim->now_ms;
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, on_probed, claim);
+}
+
+static void on_probed(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	bool holds = answer->outcome == WWH_CALL_ANSWERED &&
+		     answer->status == STATUS_OK;
+
+	claim->probe_in_flight = false;
+	claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
+	claim->probe_refused = answer->outcome == WWH_CALL_REFUSED;
+	unref(claim);
+}
+
+static void begin(wwh_shard_claim_t *claim, const char *why)
+{
+	wwh_store_follower_options_t journal = {
+		.calls = claim->options.calls,
+		.endpoint = claim->store,
+		.topic = claim->topic,
+		.part = claim->options.journal_part,
+		.wait_ms = JOURNAL_WAIT_MS,
+		.on_record = on_journal,
+		.client_data = claim,
+	};
+
+	explain(claim, "shard-claim-begun",
+		"why=%s holder=%s holder_epoch=%" G_GINT64_FORMAT, why,
+		claim->holder == NULL ? "-" : claim->holder,
+		claim->holder_epoch);
+	claim->state = CLAIM_LOADING;
+	claim->epoch = 0;
+	claim->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					       (GDestroyNotify)g_bytes_unref);
+	claim->journal = wwh_store_follower_new(&journal);
+}
+
+static void stop_reading(wwh_shard_claim_t *claim)
+{
+	wwh_store_follower_delete(claim->journal);
+	claim->journal = NULL;
+	if (claim->records != NULL)
+		g_hash_table_destroy(claim->records);
+	claim->records = NULL;
+}
+
+static void on_journal(const char *key, const uint8_t *value, size_t size,
+		       void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	int64_t epoch;
+
+	if (value == NULL) {
+		g_hash_table_remove(claim->records, key);
+		return;
+	}
+	g_hash_table_replace(claim->records, g_strdup(key),
+			     g_bytes_new(value, size));
+	if (strcmp(key, CLAIM_KEY) == 0)
+		claim->highest_counter = MAX(claim->highest_counter,
+					     counter_of(value, size, &epoch));
+}
+
+/*
+ * Sent again with the same epoch and sequence number until its result is
+ * known: given up half way, a claim that arrives late would fence off the
+ * holder that this process or another has become meanwhile.
+ */
+static void append_claim(wwh_shard_claim_t *claim)
+{
+	wire_writer_t writer = { .producer = claim->options.producer };
+	GByteArray *body;
+	wwh_http_call_t *call;
+
+	if (claim->append_in_flight || claim->now_ms < claim->retry_ms)
+		return;
+	if (claim->epoch == 0) {
+		claim->epoch = (claim->highest_counter + 1) << RANDOM_BITS |
+			       g_random_int_range(0, 1 << RANDOM_BITS);
+		g_free(claim->nonce);
+		claim->nonce = g_strdup_printf("%" G_GINT64_FORMAT " %08x%08x",
+					       claim->epoch, g_random_int(),
+					       g_random_int());
+	}
+	writer.epoch = claim->epoch;
+	body = g_byte_array_new();
+	wire_store_pack(body, CLAIM_KEY, (const uint8_t *)claim->nonce,
+			strlen(claim->nonce));
+	call = wire_store_append(claim->store, claim->topic,
+				 claim->options.journal_part, &writer, body,
+				 APPEND_LIMIT_MS);
+	claim->state = CLAIM_APPENDING;
+	claim->append_in_flight = true;
+	claim->append_sent_ms = claim->now_ms;
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, on_claimed, claim);
+}
+
+static void on_claimed(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	wire_store_result_t result = wire_store_append_answer(answer);
+
+	claim->append_in_flight = false;
+	if (claim->deleted || claim->state != CLAIM_APPENDING) {
+		unref(claim);
+		return;
+	}
+	switch (result) {
+	case WIRE_STORE_OK:
+		claim->reached_ms = claim->append_sent_ms;
+		claim->state = CLAIM_CONFIRMING;
+		break;
+	case WIRE_STORE_FENCED:
+	case WIRE_STORE_SEQUENCE:
+		/* somebody else has claimed with a higher epoch */
+		explain(claim, "shard-claim-refused",
+			"epoch=%" G_GINT64_FORMAT " result=%s", claim->epoch,
+			wire_store_result_names[result]);
+		claim->highest_counter++;
+		stop_reading(claim);
+		claim->state = CLAIM_WATCHING;
+		claim->retry_ms = claim->now_ms + RETRY_MS;
+		break;
+	default:
+		claim->retry_ms = claim->append_sent_ms + RETRY_MS;
+		break;
+	}
+	unref(claim);
+}
+
+/*
+ * All records before the claim were read when its own record is. A claim of
+ * another process behind it shows as another value of the same key.
+ */
+static void confirm(wwh_shard_claim_t *claim)
+{
+	GBytes *value = g_hash_table_lookup(claim->records, CLAIM_KEY);
+	GHashTable *records = claim->records;
+	int64_t epoch = 0;
+	const char *text;
+	gsize size = 0;
+
+	if (value == NULL)
+		return;
+	text = g_bytes_get_data(value, &size);
+	if (counter_of((const uint8_t *)text, size, &epoch) > claim->epoch >>
+	    RANDOM_BITS) {
+		explain(claim, "shard-claim-overtaken",
+			"epoch=%" G_GINT64_FORMAT " other=%" G_GINT64_FORMAT,
+			claim->epoch, epoch);
+		wwh_shard_claim_lost(claim, claim->now_ms);
+		return;
+	}
+	if (size != strlen(claim->nonce) ||
+	    memcmp(text, claim->nonce, size) != 0)
+		return;
+	claim->records = NULL;
+	stop_reading(claim);
+	claim->state = CLAIM_HELD;
+	claim->notice_pending = true;
+	explain(claim, "shard-held", "epoch=%" G_GINT64_FORMAT " records=%u",
+		claim->epoch, g_hash_table_size(records));
+	claim->options.on_held(claim->epoch, claim->epoch >> RANDOM_BITS,
+			       records, 1, claim->options.client_data);
+	g_hash_table_destroy(records);
+	if (claim->state == CLAIM_HELD)
+		make_known(claim);
+}
+
+static void make_known(wwh_shard_claim_t *claim)
+{
+	wire_writer_t writer = {
+		.producer = claim->options.producer,
+		.epoch = claim->epoch,
+	};
+	GByteArray *body;
+	wwh_http_call_t *call;
+	char *text;
+
+	if (claim->notice_in_flight || claim->now_ms < claim->notice_retry_ms)
+		return;
+	writer.sequence = claim->state == CLAIM_GIVEN_UP;
+	text = g_strdup_printf("%" G_GINT64_FORMAT " %s", claim->epoch,
+			       claim->state == CLAIM_GIVEN_UP ? ""
+							      : claim->self);
+	body = g_byte_array_new();
+	wire_store_pack(body, NOTICE_KEY, (const uint8_t *)text, strlen(text));
+	g_free(text);
+	call = wire_store_append(claim->store, claim->topic,
+				 claim->options.notice_part, &writer, body,
+				 APPEND_LIMIT_MS);
+	claim->notice_in_flight = true;
+	claim->notice_of_giving_up = claim->state == CLAIM_GIVEN_UP;
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, on_made_known, claim);
+}
+
+static void on_made_known(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	wire_store_result_t result = wire_store_append_answer(answer);
+
+	claim->notice_in_flight = false;
+	if (result == WIRE_STORE_NOT_DONE || result == WIRE_STORE_UNKNOWN ||
+	    result == WIRE_STORE_FULL)
+		claim->notice_retry_ms = claim->now_ms + RETRY_MS;
+	else if (claim->notice_of_giving_up == (claim->state == CLAIM_GIVEN_UP))
+		claim->notice_pending = false;
+	unref(claim);
+}
+
+static void on_left(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+
+	(void)answer; /* unanswered, the group notices by itself */
+	claim->leave_settled = true;
+	unref(claim);
+}
+
+static int64_t counter_of(const uint8_t *value, size_t size, int64_t *epoch)
+{
+	char *text = g_strndup((const char *)value, size);
+
+	*epoch = g_ascii_strtoll(text, NULL, 10);
+	g_free(text);
+	return *epoch >> RANDOM_BITS;
+}
+
+static void explain(wwh_shard_claim_t *claim, const char *event,
+		    const char *format, ...)
+{
+	char detail[256];
+	va_list arguments;
+
+	va_start(arguments, format);
+	vsnprintf(detail, sizeof(detail), format, arguments);
+	va_end(arguments);
+	claim->options.explain(event, detail, claim->options.client_data);
+}
--- /dev/null
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -0,0 +1,244 @@
+#include "waxwinghollow/shard_journal.h"
+
+#include <string.h>
+
+#include "wire_store.h"
+
+/* An append takes some ms; a silent connection shows after this. */
+#define APPEND_LIMIT_MS 1000
+
+#define RETRY_FIRST_MS 40
+#define RETRY_MAX_MS 400
+
+/* A store that is full or doesn't understand is asked again slowly. */
+#define RETRY_REFUSED_MS 1000
+
+typedef struct {
+	char *key;
+	GBytes *value; /* NULL: dropped */
+	int64_t number;
+	int64_t kept_ms;
+	bool urgent;
+} entry_t;
+
+struct wwh_shard_journal {
+	wwh_shard_journal_options_t options;
+	char *endpoint;
+	char *topic;
+	char *producer;
+	int32_t references;
+	bool deleted;
+	bool lost;
+	GQueue *waiting; /* entry_t, not in the call in progress */
+	bool urgent;
+	GByteArray *batch; /* of the call in progress; NULL: none */
+	int64_t batch_last;
+	int64_t batch_kept_ms;
+	int64_t sequence;
+	int64_t next_number;
+	bool in_flight;
+	int64_t sent_ms;
+	int64_t retry_ms;
+	int32_t failures;
+	int64_t confirmed_ms;
+};
+
+static void unref(wwh_shard_journal_t *journal);
+static void entry_delete(gpointer data);
+static void gather(wwh_shard_journal_t *journal);
+static bool is_due(const wwh_shard_journal_t *journal, int64_t now_ms);
+static void send(wwh_shard_journal_t *journal, int64_t now_ms);
+static void on_appended(const wwh_http_answer_t *answer, void *data);
+static void wait_and_retry(wwh_shard_journal_t *journal, int64_t wait_ms);
+
+wwh_shard_journal_t *
+wwh_shard_journal_new(const wwh_shard_journal_options_t *options)
+{
+	wwh_shard_journal_t *journal = g_new0(wwh_shard_journal_t, 1);
+
+	journal->options = *options;
+	journal->endpoint = g_strdup(options->endpoint);
+	journal->topic = g_strdup(options->topic);
+	journal->producer = g_strdup(options->producer);
+	journal->references = 1;
+	journal->waiting = g_queue_new();
+	journal->sequence = options->next_sequence;
+	journal->next_number = 1;
+	return journal;
+}
+
+void wwh_shard_journal_delete(wwh_shard_journal_t *journal)
+{
+	if (journal == NULL)
+		return;
+	journal->deleted = true;
+	unref(journal);
+}
+
+int64_t wwh_shard_journal_keep(wwh_shard_journal_t *journal, const char *key,
+			       GBytes *value, bool urgent, int64_t now_ms)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	entry->key = g_strdup(key);
+	entry->value = value == NULL ? NULL : g_bytes_ref(value);
+	entry->number = journal->next_number++;
+	entry->kept_ms = now_ms;
+	entry->urgent = urgent;
+	g_queue_push_tail(journal->waiting, entry);
+	journal->urgent = journal->urgent || urgent;
+	return entry->number;
+}
+
+void wwh_shard_journal_run(wwh_shard_journal_t *journal, int64_t now_ms)
+{
+	if (journal->lost || journal->in_flight || now_ms < journal->retry_ms)
+		return;
+	if (journal->batch == NULL) {
+		if (!is_due(journal, now_ms))
+			return;
+		gather(journal);
+	}
+	send(journal, now_ms);
+}
+
+int64_t wwh_shard_journal_confirmed_ms(const wwh_shard_journal_t *journal)
+{
+	return journal->lost ? 0 : journal->confirmed_ms;
+}
+
+int64_t wwh_shard_journal_lag_ms(const wwh_shard_journal_t *journal,
+				 int64_t now_ms)
+{
+	const entry_t *first;
+
+	if (journal->batch != NULL)
+		return now_ms - journal->batch_kept_ms;
+	first = g_queue_peek_head(journal->waiting);
+	return first == NULL ? 0 : now_ms - first->kept_ms;
+}
+
+static void unref(wwh_shard_journal_t *journal)
+{
+	if (--journal->references > 0)
+		return;
+	g_queue_free_full(journal->waiting, entry_delete);
+	if (journal->batch != NULL)
+		g_byte_array_unref(journal->batch);
+	g_free(journal->endpoint);
+	g_free(journal->topic);
+	g_free(journal->producer);
+	g_free(journal);
+}
+
+static void entry_delete(gpointer data)
+{
+	entry_t *entry = data;
+
+	if (entry->value != NULL)
+		g_bytes_unref(entry->value);
+	g_free(entry->key);
+	g_free(entry);
+}
+
+static bool is_due(const wwh_shard_journal_t *journal, int64_t now_ms)
+{
+	const entry_t *first = g_queue_peek_head(journal->waiting);
+
+	return first != NULL &&
+	       (journal->urgent ||
+		now_ms - first->kept_ms >= journal->options.group_ms);
+}
+
+static void gather(wwh_shard_journal_t *journal)
+{
+	const entry_t *first = g_queue_peek_head(journal->waiting);
+
+	journal->batch = g_byte_array_new();
+	journal->batch_kept_ms = first->kept_ms;
+	journal->urgent = false;
+	while (!g_queue_is_empty(journal->waiting)) {
+		entry_t *entry = g_queue_peek_head(journal->waiting);
+		gsize size = 0;
+		const uint8_t *value = NULL;
+
+		if (entry->value != NULL)
+			value = g_bytes_get_data(entry->value, &size);
+		if (journal->batch->len > 0 &&
+		    (int64_t)(journal->batch->len + size) +
+				    (int64_t)strlen(entry->key) + 8 >
+			    journal->options.call_bytes) {
+			journal->urgent = true;
+			return;
+		}
+		wire_store_pack(journal->batch, entry->key, value, size);
+		journal->batch_last = entry->number;
+		entry_delete(g_queue_pop_head(journal->waiting));
+	}
+}
+
+static void send(wwh_shard_journal_t *journal, int64_t now_ms)
+{
+	wire_writer_t writer = {
+		.producer = journal->producer,
+		.epoch = journal->options.epoch,
+		.sequence = journal->sequence,
+	};
+	wwh_http_call_t *call = wire_store_append(
+		journal->endpoint, journal->topic, journal->options.part,
+		&writer, g_byte_array_ref(journal->batch), APPEND_LIMIT_MS);
+
+	journal->in_flight = true;
+	journal->sent_ms = now_ms;
+	journal->references++;
+	wwh_http_calls_send(journal->options.calls, call, on_appended, journal);
+}
+
+static void on_appended(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_journal_t *journal = data;
+	wire_store_result_t result = wire_store_append_answer(answer);
+
+	journal->in_flight = false;
+	if (journal->deleted) {
+		unref(journal);
+		return;
+	}
+	switch (result) {
+	case WIRE_STORE_OK:
+		g_byte_array_unref(journal->batch);
+		journal->batch = NULL;
+		journal->failures = 0;
+		journal->sequence++;
+		journal->confirmed_ms = journal->sent_ms;
+		journal->options.on_durable(journal->batch_last,
+					    journal->options.client_data);
+		break;
+	case WIRE_STORE_FENCED:
+	case WIRE_STORE_SEQUENCE:
+		journal->lost = true;
+		journal->options.on_lost(wire_store_result_names[result],
+					 journal->options.client_data);
+		break;
+	case WIRE_STORE_FULL:
+	case WIRE_STORE_BAD:
+		g_warning("the store doesn't take records: %s, status %d",
+			  wire_store_result_names[result], answer->status);
+		wait_and_retry(journal, RETRY_REFUSED_MS);
+		break;
+	default:
+		wait_and_retry(journal, (int64_t)RETRY_FIRST_MS
+						<< MIN(journal->failures, 4));
+		break;
+	}
+	unref(journal);
+}
+
+static void wait_and_retry(wwh_shard_journal_t *journal, int64_t wait_ms)
+{
+	journal->failures++;
+	journal->retry_ms = journal->sent_ms + MIN(wait_ms, RETRY_REFUSED_MS);
+	if (wait_ms < RETRY_REFUSED_MS)
+		journal->retry_ms =
+			journal->sent_ms + MIN(wait_ms, RETRY_MAX_MS);
+}
--- /dev/null
+++ b/src/test_job/test_job.c
@@ -0,0 +1,152 @@
+/*
+ * Jobs: what is refused before it is accepted, and that a job which goes
+ * through the store or to another process is the same job afterwards.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "waxwinghollow/job.h"
+
+static wwh_job_t *full_job(void)
+{
+	wwh_job_t *job = wwh_job_new(2);
+
+	g_strlcpy(job->id, "5c0e7a21d94b36f8", sizeof(job->id));
+	job->queue.name = g_strdup("holds");
+	job->queue.pool = g_strdup("desk");
+	job->queue.priority = 1;
+	job->queue.max_attempts = 3;
+	job->queue.stretch_permille = 1600;
+	job->queue.latency_ms = 600;
+	job->payload = g_strdup("text with \"quotes\"");
+	job->repeat_count = 4;
+	job->first_wall_ms = INT64_C(1790000000000);
+	job->interval_ms = 5000;
+	job->accepted_wall_ms = INT64_C(1789999999000);
+	job->steps[0].task_count = 4;
+	job->steps[0].cpu_millicores = 500;
+	job->steps[0].label = g_strdup("a");
+	job->steps[0].data_rack = g_strdup("r1-3");
+	job->steps[1].task_count = 20;
+	job->steps[1].memory_mb = 1024;
+	job->steps[1].gpus = 2;
+	job->steps[1].estimate_ms = 7000;
+	job->steps[1].after = g_new0(int32_t, 1);
+	job->steps[1].after_count = 1;
+	job->steps[1].checkpointing = true;
+	job->steps[1].gang = true;
+	job->steps[1].same_rack = true;
+	job->steps[1].speculative = true;
+	job->steps[1].lasting = true;
+	job->steps[1].filler = true;
+	job->steps[1].image = g_strdup("img");
+	job->steps[1].max_per_upstream = 3;
+	job->steps[1].latency_target_ms = 250;
+	job->steps[1].max_unavailable = 1;
+	return job;
+}
+
+static void a_job_survives_the_way_through_the_store(void **state)
+{
+	wwh_job_t *job = full_job();
+	GBytes *bytes = wwh_job_encode(job);
+	wwh_message_t message = { "" };
+	wwh_job_t *read;
+	GBytes *again;
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+
+	(void)state;
+	read = wwh_job_decode(data, size, &message);
+	assert_string_equal(message.text, "");
+	assert_non_null(read);
+	assert_string_equal(read->steps[1].image, "img");
+	assert_int_equal(read->steps[1].max_unavailable, 1);
+	assert_int_equal(read->interval_ms, 5000);
+	again = wwh_job_encode(read);
+	assert_true(g_bytes_equal(bytes, again));
+	g_bytes_unref(again);
+	g_bytes_unref(bytes);
+	wwh_job_delete(read);
+	wwh_job_delete(job);
+}
+
+/* A record that was cut short or changed is refused, never half taken. */
+static void malformed_records_are_refused(void **state)
+{
+	wwh_job_t *job = full_job();
+	GBytes *bytes = wwh_job_encode(job);
+	wwh_message_t message;
+	gsize size;
+	const uint8_t *data = g_bytes_get_data(bytes, &size);
+
+	(void)state;
+	for (gsize cut = 0; cut < size; cut++)
+		assert_null(wwh_job_decode(data, cut, &message));
+	for (gsize at = 0; at < size; at++) {
+		uint8_t *copy = g_memdup2(data, size);
+		wwh_job_t *read;
+
+		copy[at] ^= 0xc1;
+		read = wwh_job_decode(copy, size, &message);
+		if (read != NULL)
+			assert_int_equal(wwh_job_check(read, &message),
+					 WWH_STATUS_OK);
+		wwh_job_delete(read);
+		g_free(copy);
+	}
+	g_bytes_unref(bytes);
+	wwh_job_delete(job);
+}
+
+static void what_cannot_run_is_refused(void **state)
+{
+	wwh_job_t *job = full_job();
+	wwh_message_t message;
+
+	(void)state;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_OK);
+	job->steps[1].after[0] = 1;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	job->steps[1].after[0] = -1;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	job->steps[1].after[0] = 0;
+	job->steps[0].task_count = 0;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	job->steps[0].task_count = WWH_JOB_MAX_TASKS;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	job->steps[0].task_count = 1;
+	job->steps[0].cpu_millicores = -1;
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	job->steps[0].cpu_millicores = 1;
+	job->id[3] = 'g';
+	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
+	wwh_job_delete(job);
+}
+
+static void ids_are_sixteen_hexadecimal_digits(void **state)
+{
+	(void)state;
+	assert_true(wwh_job_id_valid("5c0e7a21d94b36f8"));
+	assert_false(wwh_job_id_valid("5c0e7a21d94b36f"));
+	assert_false(wwh_job_id_valid("5c0e7a21d94b36f81"));
+	assert_false(wwh_job_id_valid("5c0e7a21d94b36g8"));
+	assert_false(wwh_job_id_valid(""));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_job_survives_the_way_through_the_store),
+		cmocka_unit_test(malformed_records_are_refused),
+		cmocka_unit_test(what_cannot_run_is_refused),
+		cmocka_unit_test(ids_are_sixteen_hexadecimal_digits),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/waxwinghollow/cmd_serve.c
+++ b/src/waxwinghollow/cmd_serve.c
@@ -9,9 +9,14 @@
 int wwh_cmd_serve(int argc, char **argv)
 {
 	char *path = NULL;
+	gboolean on_platform = FALSE;
 	const GOptionEntry options[] = {
 		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
 		  "settings of this process", "FILE" },
+		{ "platform", 'p', 0, G_OPTION_ARG_NONE, &on_platform,
+		  "run the job service; FILE is the platform's, by default "
+		  "the one that it names",
+		  NULL },
 		{ NULL },
 	};
 	wwh_settings_t settings = { 0 };
@@ -21,6 +26,11 @@
 	if (!wwh_cli_parse_plain(&argc, &argv, "run one entry process",
 				 options))
 		return WWH_EXIT_USAGE;
+	if (on_platform && argc == 1) {
+		code = wwh_serve_platform(path);
+		g_free(path);
+		return code;
+	}
 	if (path == NULL || argc != 1) {
 		fprintf(stderr,
 			"serve: expected --settings FILE and no more\n");
--- a/src/waxwinghollow/serve.h
+++ b/src/waxwinghollow/serve.h
@@ -13,6 +13,8 @@
 
 #include "waxwinghollow/settings.h"
 
+/* Runs one process of the job service; path NULL: where the platform says. */
+int wwh_serve_platform(const char *path);
 int wwh_serve(const wwh_settings_t *settings);
 
 #endif
