Cover an end only by its own record; restore ages by the given clock

Cause: (1) when an older record became durable, upstreams were told that they may forget ends whose jobs weren't written yet; a holder that then lost the store left tasks to be started again (TWICE). Ruled out: pages of the store's newest records; they were read in full.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -212,7 +212,8 @@
 /* Jobs before progress; false: the record is malformed and was left out. */
 bool wwh_scheduler_restore(wwh_scheduler_t *scheduler, wwh_keep_kind_t kind,
 			   const char *key, const uint8_t *value, size_t size,
-			   int64_t wall_ms, wwh_message_t *message);
+			   int64_t now_ms, int64_t wall_ms,
+			   wwh_message_t *message);
 void wwh_scheduler_restored(wwh_scheduler_t *scheduler, int64_t now_ms,
 			    int64_t wall_ms);
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -175,6 +175,7 @@
 	bool restored;
 	int64_t now_ms;
 	int64_t wall_ms;
+	bool ends_waiting; /* some end isn't covered by a flush yet */
 	int64_t newest_record;
 	int64_t durable_record;
 	int64_t next_forget_ms;
@@ -250,7 +251,8 @@
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream, const char *why);
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
-void sched_upstreams_flush(wwh_scheduler_t *scheduler);
+void sched_upstreams_flushed(wwh_scheduler_t *scheduler);
+void sched_upstreams_durable(wwh_scheduler_t *scheduler);
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
 void sched_upstream_failed(wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -433,7 +433,7 @@
 						     data, size);
 		else
 			ok = wwh_scheduler_restore(holder->scheduler, kind,
-						   key + 1, data, size,
+						   key + 1, data, size, holder->now_ms,
 						   holder->wall_ms, &message);
 		if (!ok)
 			wwh_event_log_printf(holder->options.log,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -146,12 +146,15 @@
 
 bool wwh_scheduler_restore(wwh_scheduler_t *scheduler, wwh_keep_kind_t kind,
 			   const char *key, const uint8_t *value, size_t size,
-			   int64_t wall_ms, wwh_message_t *message)
+			   int64_t now_ms, int64_t wall_ms,
+			   wwh_message_t *message)
 {
 	wwh_job_t *job;
 	int64_t age_ms;
 
 	g_assert(!scheduler->restored);
+	/* ages in the records are told by the time of day */
+	scheduler->now_ms = now_ms;
 	scheduler->wall_ms = wall_ms;
 	switch (kind) {
 	case WWH_KEEP_JOB:
@@ -353,7 +356,7 @@
 	if (record <= scheduler->durable_record)
 		return;
 	scheduler->durable_record = record;
-	sched_upstreams_flush(scheduler);
+	sched_upstreams_durable(scheduler);
 	g_hash_table_iter_init(&iterator, scheduler->pools);
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
 		((sched_pool_t *)value)->dirty = true;
@@ -366,13 +369,13 @@
 		keep_progress(scheduler,
 			      g_ptr_array_index(scheduler->dirty, i));
 	g_ptr_array_set_size(scheduler->dirty, 0);
-	sched_upstreams_flush(scheduler);
+	sched_upstreams_flushed(scheduler);
 	return scheduler->newest_record;
 }
 
 bool wwh_scheduler_unflushed(const wwh_scheduler_t *scheduler)
 {
-	return scheduler->dirty->len > 0;
+	return scheduler->dirty->len > 0 || scheduler->ends_waiting;
 }
 
 void wwh_scheduler_run(wwh_scheduler_t *scheduler, int64_t now_ms,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -148,29 +148,44 @@
 
 /*
  * What an upstream lists as ended may be forgotten there once it is durable
- * here. One number is on its way at a time, the next follows.
+ * here. Called right after the progress of all jobs was written, and never
+ * at another time: an end whose job isn't written yet must not be covered.
+ * One number is on its way at a time, the next follows.
  */
-void sched_upstreams_flush(wwh_scheduler_t *scheduler)
+void sched_upstreams_flushed(wwh_scheduler_t *scheduler)
 {
 	GHashTableIter iterator;
 	gpointer value;
 
+	g_assert(scheduler->dirty->len == 0);
+	scheduler->ends_waiting = false;
 	g_hash_table_iter_init(&iterator, scheduler->upstreams);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_upstream_t *upstream = value;
 
-		if (upstream->ends_flushed > upstream->ends_noted &&
-		    upstream->ends_flushed_record <= scheduler->durable_record)
-			upstream->ends_noted = upstream->ends_flushed;
-		if (upstream->ends_flushed <= upstream->ends_noted &&
-		    upstream->ends_seen > upstream->ends_noted) {
-			upstream->ends_flushed = upstream->ends_seen;
-			upstream->ends_flushed_record =
-				scheduler->newest_record;
-			if (upstream->ends_flushed_record <=
-			    scheduler->durable_record)
-				upstream->ends_noted = upstream->ends_flushed;
+		if (upstream->ends_flushed > upstream->ends_noted) {
+			scheduler->ends_waiting = true;
+			continue;
 		}
+		if (upstream->ends_seen == upstream->ends_noted)
+			continue;
+		upstream->ends_flushed = upstream->ends_seen;
+		upstream->ends_flushed_record = scheduler->newest_record;
+	}
+	sched_upstreams_durable(scheduler);
+}
+
+void sched_upstreams_durable(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_upstream_t *upstream = value;
+
+		if (upstream->ends_flushed_record <= scheduler->durable_record)
+			upstream->ends_noted = upstream->ends_flushed;
 	}
 }
 
@@ -384,6 +399,7 @@
 	if (row->number <= upstream->ends_seen)
 		return;
 	upstream->ends_seen = row->number;
+	scheduler->ends_waiting = true;
 	task = sched_job_task(scheduler, row->task);
 	if (task != NULL)
 		take_end_of(scheduler, upstream, task, row);
