Move hosts to the pools with work; believe only lists for ends by upkeep

Lists of hosts tell now. (2) Pools are busy by turns: their hosts stood idle or were too few, so most jobs of a turn ended late.

Ruled out: leases and late starts; the runs were listed all the while.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -3,10 +3,10 @@
 
 /*
  * NAME
- *	host_duties - carries out upkeep waves, host by host
+ *	host_duties - upkeep waves and moves between pools, host by host
  *
  * USE
- *	Decides which host is taken down next, and when. Pure: the list of
+ *	Decides which host is taken down or moved next, and when. Pure: the list of
  *	hosts, the results of orders and a clock go in, orders come out of
  *	callbacks. What runs on a host is asked of the scheduler.
  *
@@ -60,6 +60,7 @@
 typedef struct {
 	void (*list)(void *client_data);
 	void (*upkeep)(const char *host, int64_t wave, void *client_data);
+	void (*move)(const char *host, const char *pool, void *client_data);
 	/* Says what became of a wave. */
 	void (*report)(const wwh_wave_order_t *order, bool completed,
 		       void *client_data);
@@ -72,6 +73,12 @@
 
 typedef struct {
 	int64_t upkeep_ms; /* a host is away for upkeep */
+	int64_t move_ms; /* the same for a move */
+	/*
+	 * No orders before this: another process that held the shard may
+	 * have given some a moment ago, and hosts take one holder at a time.
+	 */
+	int64_t quiet_until_ms;
 	wwh_scheduler_t *scheduler;
 } wwh_host_duties_options_t;
 
@@ -99,10 +106,14 @@
 				  int64_t wave, wwh_duty_result_t result,
 				  int64_t now_ms);
 
+void wwh_host_duties_move_ended(wwh_host_duties_t *duties, const char *host,
+				wwh_duty_result_t result, int64_t now_ms);
+
+/* A pool of the configuration. */
+void wwh_host_duties_pool(wwh_host_duties_t *duties, const char *pool,
+			  bool standby);
+
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record);
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms);
 
-/* A wave is under way or a host is listed as away. */
-bool wwh_host_duties_busy(const wwh_host_duties_t *duties);
-
 #endif
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -39,6 +39,7 @@
 #include <stdint.h>
 
 #include "waxwinghollow/job.h"
+#include "waxwinghollow/pool_sizing.h"
 #include "waxwinghollow/status.h"
 
 /* An upstream as it announces itself. */
@@ -324,6 +325,10 @@
 wwh_upstream_load_t wwh_scheduler_upstream_load(wwh_scheduler_t *scheduler,
 						const char *upstream);
 
+/* For wwh_pool_sizing_wanted. */
+wwh_pool_figures_t wwh_scheduler_pool_figures(wwh_scheduler_t *scheduler,
+					      const char *pool);
+
 typedef struct {
 	int32_t jobs;
 	int32_t live_jobs;
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -5,9 +5,10 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "private/host_duties_state.h"
 #include "private/msgpack_bounds.h"
 
-/* Between two lists of hosts while a wave is under way. */
+/* Between two lists of hosts. */
 #define LIST_EVERY_MS 500
 
 /* A host is emptied for this long before its tasks are ended. */
@@ -42,72 +43,29 @@
 	"done", "not-done", "busy", "refused", "fenced", "unknown",
 };
 
-typedef struct {
-	char *name;
-	char *pool;
-	char *upstream;
-	wwh_host_run_state_t state;
-	bool in_list;
-	int32_t lists_without;
-	bool in_flight;
-	int64_t ordered_ms; /* 0: no order that may have been carried out */
-	int64_t sent_ms;
-	int64_t down_until_ms; /* counts as away at least until then */
-	bool away; /* ordered and not listed as up since */
-	int64_t wave; /* of the order */
-	int64_t released_ms; /* 0: isn't emptied */
-	int64_t blocked_until_ms;
-	int64_t retry_ms;
-} host_t;
-
-typedef struct {
-	wwh_wave_order_t *order;
-	int64_t begun_ms;
-	GHashTable *done; /* names of hosts */
-	bool reported;
-	bool completed;
-	bool completion_reported;
-	bool kept_dirty;
-	int64_t kept;
-} wave_t;
-
-struct wwh_host_duties {
-	wwh_host_duties_options_t options;
-	wwh_host_duties_calls_t calls;
-	GHashTable *hosts; /* name to host_t, owned */
-	GPtrArray *waves; /* wave_t, owned */
-	GHashTable *restored; /* wave number to a set of hosts that are done */
-	bool list_in_flight;
-	int64_t list_sent_ms;
-	int64_t next_list_ms;
-	bool listed; /* a whole list has come */
-	int64_t durable;
-	int64_t now_ms;
-};
-
 static void host_delete(gpointer data);
 static void wave_delete(gpointer data);
-static host_t *host_get(wwh_host_duties_t *duties, const char *name);
-static void take_back(wwh_host_duties_t *duties, host_t *host);
-static bool find_left(wave_t *wave, const host_t *host);
-static void run_wave(wwh_host_duties_t *duties, wave_t *wave);
-static int32_t count_down(wwh_host_duties_t *duties, const wave_t *wave);
-static bool is_open(const wave_t *wave, const host_t *host);
-static bool is_urgent(const wwh_host_duties_t *duties, const wave_t *wave,
+static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
+		     const wwh_host_t *listed);
+static void take_back(wwh_host_duties_t *duties, duty_host_t *host);
+static bool find_left(duty_wave_t *wave, const duty_host_t *host);
+static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
+static int32_t count_down(wwh_host_duties_t *duties, const duty_wave_t *wave);
+static bool is_open(const duty_wave_t *wave, const duty_host_t *host);
+static bool is_urgent(const wwh_host_duties_t *duties, const duty_wave_t *wave,
 		      int32_t open);
-static GPtrArray *in_order(wwh_host_duties_t *duties, const wave_t *wave);
+static GPtrArray *in_order(wwh_host_duties_t *duties, const duty_wave_t *wave);
 static gint compare(gconstpointer a, gconstpointer b, gpointer data);
-static int64_t cost_of(wwh_host_duties_t *duties, const host_t *host);
-static bool try_host(wwh_host_duties_t *duties, wave_t *wave, host_t *host,
-		     bool urgent);
-static void send_upkeep(wwh_host_duties_t *duties, wave_t *wave, host_t *host);
-static void mark_done(wwh_host_duties_t *duties, wave_t *wave, host_t *host);
-static void keep_wave(wwh_host_duties_t *duties, wave_t *wave);
-static void finish_wave(wwh_host_duties_t *duties, wave_t *wave);
-static wave_t *wave_of(wwh_host_duties_t *duties, int64_t number);
-static void explain(wwh_host_duties_t *duties, const char *event,
-		    const char *subject, const char *format, ...)
-	__attribute__((format(printf, 4, 5)));
+static int64_t cost_of(wwh_host_duties_t *duties, const duty_host_t *host);
+static bool try_host(wwh_host_duties_t *duties, duty_wave_t *wave,
+		     duty_host_t *host, bool urgent);
+static void send_upkeep(wwh_host_duties_t *duties, duty_wave_t *wave,
+			duty_host_t *host);
+static void mark_done(wwh_host_duties_t *duties, duty_wave_t *wave,
+		      duty_host_t *host);
+static void keep_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
+static void finish_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
+static duty_wave_t *wave_of(wwh_host_duties_t *duties, int64_t number);
 
 wwh_host_duties_t *wwh_host_duties_new(const wwh_host_duties_options_t *options,
 				       const wwh_host_duties_calls_t *calls)
@@ -119,6 +77,10 @@
 	duties->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      host_delete);
 	duties->waves = g_ptr_array_new_with_free_func(wave_delete);
+	duties->sizing = wwh_pool_sizing_new();
+	duties->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      duties_pool_delete);
+	duties->quiet_until_ms = options->quiet_until_ms;
 	duties->restored =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_hash_table_destroy);
@@ -131,6 +93,8 @@
 		return;
 	g_ptr_array_unref(duties->waves);
 	g_hash_table_destroy(duties->hosts);
+	g_hash_table_destroy(duties->pools);
+	wwh_pool_sizing_delete(duties->sizing);
 	g_hash_table_destroy(duties->restored);
 	g_free(duties);
 }
@@ -168,7 +132,7 @@
 {
 	char *key = g_strdup_printf("%" G_GINT64_FORMAT, order->number);
 	GHashTable *done = g_hash_table_lookup(duties->restored, key);
-	wave_t *wave;
+	duty_wave_t *wave;
 
 	g_free(key);
 	duties->now_ms = MAX(duties->now_ms, now_ms);
@@ -176,7 +140,7 @@
 		wwh_wave_order_delete(order);
 		return;
 	}
-	wave = g_new0(wave_t, 1);
+	wave = g_new0(duty_wave_t, 1);
 	wave->order = order;
 	wave->begun_ms = duties->now_ms;
 	wave->done = done != NULL
@@ -184,30 +148,31 @@
 			     : g_hash_table_new_full(g_str_hash, g_str_equal,
 						     g_free, NULL);
 	g_ptr_array_add(duties->waves, wave);
-	explain(duties, "wave-begun", "wave",
-		"number=%" G_GINT64_FORMAT " hosts=%u max_down=%d done=%u "
-		"duration_ms=%" G_GINT64_FORMAT,
-		order->number, order->hosts->len, order->max_down,
-		g_hash_table_size(wave->done), order->duration_ms);
+	duties_explain(duties, "wave-begun", "wave",
+		       "number=%" G_GINT64_FORMAT
+		       " hosts=%u max_down=%d done=%u "
+		       "duration_ms=%" G_GINT64_FORMAT,
+		       order->number, order->hosts->len, order->max_down,
+		       g_hash_table_size(wave->done), order->duration_ms);
 }
 
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
 {
-	GHashTableIter iterator;
-	gpointer value;
-
-	g_hash_table_iter_init(&iterator, duties->hosts);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		((host_t *)value)->in_list = false;
+	duties->list_number++;
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
 			       const wwh_host_t *listed)
 {
-	host_t *host = host_get(duties, listed->name);
+	duty_host_t *host = duties_host(duties, listed->name);
 
 	host->in_list = true;
+	host->list_number = duties->list_number;
 	host->lists_without = 0;
+	/* the list may show the host as it was before the last order */
+	if (duties->list_sent_ms < host->ordered_last_ms)
+		return;
+	end_life(duties, host, listed);
 	host->state = listed->state;
 	if (g_strcmp0(host->pool, listed->pool) != 0) {
 		g_free(host->pool);
@@ -222,6 +187,8 @@
 	    duties->list_sent_ms >= host->down_until_ms) {
 		host->away = false;
 		host->ordered_ms = 0;
+		/* it was done before, and this life goes on */
+		take_back(duties, host);
 	}
 }
 
@@ -239,8 +206,9 @@
 	duties->listed = true;
 	g_hash_table_iter_init(&iterator, duties->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		host_t *host = value;
+		duty_host_t *host = value;
 
+		host->in_list = host->list_number == duties->list_number;
 		if (!host->in_list)
 			host->lists_without++;
 	}
@@ -250,18 +218,19 @@
 				  int64_t number, wwh_duty_result_t result,
 				  int64_t now_ms)
 {
-	host_t *host = g_hash_table_lookup(duties->hosts, name);
-	wave_t *wave = wave_of(duties, number);
+	duty_host_t *host = g_hash_table_lookup(duties->hosts, name);
+	duty_wave_t *wave = wave_of(duties, number);
 
 	duties->now_ms = MAX(duties->now_ms, now_ms);
 	if (host == NULL || wave == NULL)
 		return;
 	host->in_flight = false;
+	host->ordered_last_ms = duties->now_ms;
 	host->retry_ms = duties->now_ms + REPEAT_MS;
-	explain(duties, "upkeep-ordered", name,
-		"wave=%" G_GINT64_FORMAT " result=%s upstream=%s", number,
-		wwh_duty_result_names[result],
-		host->upstream == NULL ? "-" : host->upstream);
+	duties_explain(duties, "upkeep-ordered", name,
+		       "wave=%" G_GINT64_FORMAT " result=%s upstream=%s",
+		       number, wwh_duty_result_names[result],
+		       host->upstream == NULL ? "-" : host->upstream);
 	switch (result) {
 	case WWH_DUTY_DONE:
 		mark_done(duties, wave, host);
@@ -292,61 +261,70 @@
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms)
 {
 	duties->now_ms = MAX(duties->now_ms, now_ms);
-	if (wwh_host_duties_busy(duties) && !duties->list_in_flight &&
-	    duties->now_ms >= duties->next_list_ms) {
+	if (!duties->list_in_flight && duties->now_ms >= duties->next_list_ms) {
 		duties->list_in_flight = true;
 		duties->list_sent_ms = duties->now_ms;
 		duties->calls.list(duties->calls.client_data);
 	}
-	if (!duties->listed)
+	if (!duties->listed || duties->now_ms < duties->quiet_until_ms)
 		return;
 	for (guint i = 0; i < duties->waves->len; i++)
 		run_wave(duties, g_ptr_array_index(duties->waves, i));
-}
-
-bool wwh_host_duties_busy(const wwh_host_duties_t *duties)
-{
-	for (guint i = 0; i < duties->waves->len; i++) {
-		const wave_t *wave = g_ptr_array_index(duties->waves, i);
-
-		if (!wave->completed)
-			return true;
-	}
-	return false;
+	duties_run_moves(duties);
 }
 
 static void host_delete(gpointer data)
 {
-	host_t *host = data;
+	duty_host_t *host = data;
 
 	g_free(host->name);
 	g_free(host->pool);
 	g_free(host->upstream);
+	g_free(host->move_to);
 	g_free(host);
 }
 
 static void wave_delete(gpointer data)
 {
-	wave_t *wave = data;
+	duty_wave_t *wave = data;
 
 	wwh_wave_order_delete(wave->order);
 	g_hash_table_unref(wave->done);
 	g_free(wave);
 }
 
-static host_t *host_get(wwh_host_duties_t *duties, const char *name)
+duty_host_t *duties_host(wwh_host_duties_t *duties, const char *name)
 {
-	host_t *host = g_hash_table_lookup(duties->hosts, name);
+	duty_host_t *host = g_hash_table_lookup(duties->hosts, name);
 
 	if (host != NULL)
 		return host;
-	host = g_new0(host_t, 1);
+	host = g_new0(duty_host_t, 1);
 	host->name = g_strdup(name);
 	g_hash_table_insert(duties->hosts, host->name, host);
 	return host;
 }
 
-static void take_back(wwh_host_duties_t *duties, host_t *host)
+/*
+ * What ran on a host is over when it is listed as away for upkeep or a move,
+ * or with another life.
+ */
+static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
+		     const wwh_host_t *listed)
+{
+	bool away = listed->state == WWH_HOST_MOVING ||
+		    listed->state == WWH_HOST_UPKEEP;
+	bool replaced = listed->upstream != NULL &&
+			g_strcmp0(listed->upstream, host->upstream) != 0;
+
+	if (host->upstream != NULL && (away || replaced))
+		wwh_scheduler_upstream_gone(
+			duties->options.scheduler, host->upstream,
+			wwh_host_run_state_names[listed->state],
+			duties->now_ms);
+}
+
+static void take_back(wwh_host_duties_t *duties, duty_host_t *host)
 {
 	host->released_ms = 0;
 	if (host->upstream != NULL)
@@ -354,7 +332,7 @@
 					host->upstream);
 }
 
-static void run_wave(wwh_host_duties_t *duties, wave_t *wave)
+static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave)
 {
 	GPtrArray *hosts;
 	int32_t free_slots;
@@ -373,7 +351,7 @@
 	urgent = is_urgent(duties, wave, (int32_t)hosts->len);
 	free_slots = MAX(1, wave->order->max_down) - count_down(duties, wave);
 	for (guint i = 0; i < hosts->len && free_slots > 0; i++) {
-		host_t *host = g_ptr_array_index(hosts, i);
+		duty_host_t *host = g_ptr_array_index(hosts, i);
 
 		free_slots -= try_host(duties, wave, host, urgent);
 	}
@@ -382,7 +360,7 @@
 		keep_wave(duties, wave);
 	for (guint i = 0; i < wave->order->hosts->len; i++) {
 		const char *name = g_ptr_array_index(wave->order->hosts, i);
-		host_t *host = host_get(duties, name);
+		duty_host_t *host = duties_host(duties, name);
 
 		if (!g_hash_table_contains(wave->done, name) &&
 		    !find_left(wave, host))
@@ -393,7 +371,7 @@
 }
 
 /* Removed hosts aren't waited for. */
-static bool find_left(wave_t *wave, const host_t *host)
+static bool find_left(duty_wave_t *wave, const duty_host_t *host)
 {
 	(void)wave;
 	return !host->in_list && host->lists_without >= LISTS_OF_A_LEFT_HOST;
@@ -403,12 +381,12 @@
  * Hosts that a list shows as away count whoever sent them: a holder before
  * this one may have, just before it ended.
  */
-static int32_t count_down(wwh_host_duties_t *duties, const wave_t *wave)
+static int32_t count_down(wwh_host_duties_t *duties, const duty_wave_t *wave)
 {
 	int32_t down = 0;
 
 	for (guint i = 0; i < wave->order->hosts->len; i++) {
-		const host_t *host = host_get(
+		const duty_host_t *host = duties_host(
 			duties, g_ptr_array_index(wave->order->hosts, i));
 
 		down += host->in_flight || host->away ||
@@ -417,14 +395,14 @@
 	return down;
 }
 
-static bool is_open(const wave_t *wave, const host_t *host)
+static bool is_open(const duty_wave_t *wave, const duty_host_t *host)
 {
 	return !g_hash_table_contains(wave->done, host->name) &&
-	       !host->in_flight && host->in_list &&
+	       !host->in_flight && host->in_list && host->move_to == NULL &&
 	       (host->state == WWH_HOST_UP || host->ordered_ms != 0);
 }
 
-static bool is_urgent(const wwh_host_duties_t *duties, const wave_t *wave,
+static bool is_urgent(const wwh_host_duties_t *duties, const duty_wave_t *wave,
 		      int32_t open)
 {
 	int32_t at_once = MAX(1, wave->order->max_down);
@@ -435,12 +413,12 @@
 	       wave->begun_ms + wave->order->duration_ms;
 }
 
-static GPtrArray *in_order(wwh_host_duties_t *duties, const wave_t *wave)
+static GPtrArray *in_order(wwh_host_duties_t *duties, const duty_wave_t *wave)
 {
 	GPtrArray *hosts = g_ptr_array_new();
 
 	for (guint i = 0; i < wave->order->hosts->len; i++) {
-		host_t *host = host_get(
+		duty_host_t *host = duties_host(
 			duties, g_ptr_array_index(wave->order->hosts, i));
 
 		if (is_open(wave, host) &&
@@ -454,8 +432,8 @@
 
 static gint compare(gconstpointer a, gconstpointer b, gpointer data)
 {
-	int64_t left = cost_of(data, *(host_t *const *)a);
-	int64_t right = cost_of(data, *(host_t *const *)b);
+	int64_t left = cost_of(data, *(duty_host_t *const *)a);
+	int64_t right = cost_of(data, *(duty_host_t *const *)b);
 
 	return left < right ? -1 : left > right;
 }
@@ -464,7 +442,7 @@
  * Those that are being emptied already, then empty ones, then those with the
  * least to lose: an upkeep ends all that runs on the host.
  */
-static int64_t cost_of(wwh_host_duties_t *duties, const host_t *host)
+static int64_t cost_of(wwh_host_duties_t *duties, const duty_host_t *host)
 {
 	wwh_upstream_load_t load = { 0 };
 
@@ -479,8 +457,8 @@
 }
 
 /* Whether the host takes a slot: it is emptied, or the order went out. */
-static bool try_host(wwh_host_duties_t *duties, wave_t *wave, host_t *host,
-		     bool urgent)
+static bool try_host(wwh_host_duties_t *duties, duty_wave_t *wave,
+		     duty_host_t *host, bool urgent)
 {
 	bool waited;
 	bool free;
@@ -489,6 +467,7 @@
 		send_upkeep(duties, wave, host);
 		return true;
 	}
+	duties_forget_move(duties, host);
 	if (host->released_ms == 0)
 		host->released_ms = duties->now_ms;
 	waited = duties->now_ms - host->released_ms >= EMPTYING_MS;
@@ -507,19 +486,26 @@
 	return true;
 }
 
-static void send_upkeep(wwh_host_duties_t *duties, wave_t *wave, host_t *host)
+static void send_upkeep(wwh_host_duties_t *duties, duty_wave_t *wave,
+			duty_host_t *host)
 {
 	host->in_flight = true;
 	host->away = true;
-	host->sent_ms = duties->now_ms;
 	host->ordered_ms = duties->now_ms;
+	host->ordered_last_ms = duties->now_ms;
 	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
 	host->wave = wave->order->number;
 	duties->calls.upkeep(host->name, wave->order->number,
 			     duties->calls.client_data);
 }
 
-static void mark_done(wwh_host_duties_t *duties, wave_t *wave, host_t *host)
+/*
+ * The answer doesn't say whether the upkeep was done now or before, by an
+ * order of another holder: taken for an end of all that runs there, tasks
+ * would be started again beside themselves. The next list tells.
+ */
+static void mark_done(wwh_host_duties_t *duties, duty_wave_t *wave,
+		      duty_host_t *host)
 {
 	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
 	host->ordered_ms = 0;
@@ -527,13 +513,10 @@
 	host->away = true;
 	g_hash_table_add(wave->done, g_strdup(host->name));
 	wave->kept_dirty = true;
-	if (host->upstream != NULL)
-		wwh_scheduler_upstream_gone(duties->options.scheduler,
-					    host->upstream, "upkeep",
-					    duties->now_ms);
+	duties->next_list_ms = duties->now_ms;
 }
 
-static void keep_wave(wwh_host_duties_t *duties, wave_t *wave)
+static void keep_wave(wwh_host_duties_t *duties, duty_wave_t *wave)
 {
 	char *key = g_strdup_printf("%" G_GINT64_FORMAT, wave->order->number);
 	GHashTableIter iterator;
@@ -558,21 +541,21 @@
 }
 
 /* Said once what was done is durable: nobody may take it back later. */
-static void finish_wave(wwh_host_duties_t *duties, wave_t *wave)
+static void finish_wave(wwh_host_duties_t *duties, duty_wave_t *wave)
 {
 	if (wave->completion_reported || wave->kept > duties->durable)
 		return;
 	wave->completion_reported = true;
-	explain(duties, "wave-completed", "wave",
-		"number=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
-		wave->order->number, duties->now_ms - wave->begun_ms);
+	duties_explain(duties, "wave-completed", "wave",
+		       "number=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT,
+		       wave->order->number, duties->now_ms - wave->begun_ms);
 	duties->calls.report(wave->order, true, duties->calls.client_data);
 }
 
-static wave_t *wave_of(wwh_host_duties_t *duties, int64_t number)
+static duty_wave_t *wave_of(wwh_host_duties_t *duties, int64_t number)
 {
 	for (guint i = 0; i < duties->waves->len; i++) {
-		wave_t *wave = g_ptr_array_index(duties->waves, i);
+		duty_wave_t *wave = g_ptr_array_index(duties->waves, i);
 
 		if (wave->order->number == number)
 			return wave;
@@ -580,7 +563,7 @@
 	return NULL;
 }
 
-static void explain(wwh_host_duties_t *duties, const char *event,
+void duties_explain(wwh_host_duties_t *duties, const char *event,
 		    const char *subject, const char *format, ...)
 {
 	char detail[256];
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -18,6 +18,7 @@
 	settings->member_min_ms = 1000;
 	settings->store_record_bytes = 262144;
 	settings->store_call_bytes = 2097152;
+	settings->duty_lease_ms = 3000;
 	settings->move_ms = 1500;
 	settings->upkeep_ms = 2000;
 }
--- /dev/null
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -0,0 +1,83 @@
+#ifndef WAXWINGHOLLOW_PRIVATE_HOST_DUTIES_STATE_H
+#define WAXWINGHOLLOW_PRIVATE_HOST_DUTIES_STATE_H
+
+/* What host_duties (waves, lists) and host_moves (moves) share. */
+
+#include "waxwinghollow/host_duties.h"
+#include "waxwinghollow/pool_sizing.h"
+
+typedef struct {
+	char *name;
+	char *pool;
+	char *upstream;
+	wwh_host_run_state_t state;
+	bool in_list; /* of the last whole list */
+	int64_t list_number; /* of the last list that had it */
+	int32_t lists_without;
+	bool in_flight;
+	int64_t ordered_ms; /* 0: no order that may have been carried out */
+	int64_t ordered_last_ms; /* an order was sent, or answered */
+	int64_t down_until_ms; /* counts as away at least until then */
+	bool away; /* ordered and not listed as up since */
+	int64_t wave; /* of the order */
+	int64_t released_ms; /* 0: isn't emptied */
+	int64_t blocked_until_ms;
+	int64_t retry_ms;
+	/* moves */
+	char *move_to; /* ordered, and not known to be refused; NULL: none */
+	bool move_in_flight;
+	int64_t move_retry_ms;
+	int64_t moving_until_ms; /* counts as on its way until then */
+	bool leaving_pool; /* empties itself for a move */
+	int64_t no_move_until_ms;
+} duty_host_t;
+
+typedef struct {
+	wwh_wave_order_t *order;
+	int64_t begun_ms;
+	GHashTable *done; /* names of hosts */
+	bool reported;
+	bool completed;
+	bool completion_reported;
+	bool kept_dirty;
+	int64_t kept;
+} duty_wave_t;
+
+typedef struct {
+	char *name;
+	bool standby;
+	int32_t wanted;
+	int32_t have; /* up or on their way to it, and not leaving it */
+} duty_pool_t;
+
+struct wwh_host_duties {
+	wwh_host_duties_options_t options;
+	wwh_host_duties_calls_t calls;
+	GHashTable *hosts; /* name to duty_host_t, owned */
+	GPtrArray *waves; /* duty_wave_t, owned */
+	GHashTable *restored; /* wave number to a set of hosts that are done */
+	bool list_in_flight;
+	int64_t list_number;
+	int64_t list_sent_ms;
+	int64_t next_list_ms;
+	bool listed; /* a whole list has come */
+	wwh_pool_sizing_t *sizing;
+	GHashTable *pools; /* name to duty_pool_t, owned */
+	int64_t quiet_until_ms; /* no orders before: a holder was before */
+	int64_t durable;
+	int64_t now_ms;
+};
+
+/* host_duties.c */
+duty_host_t *duties_host(wwh_host_duties_t *duties, const char *name);
+void duties_explain(wwh_host_duties_t *duties, const char *event,
+		    const char *subject, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* host_moves.c */
+void duties_run_moves(wwh_host_duties_t *duties);
+/* It is wanted for upkeep, or was listed elsewhere: no longer for a move. */
+void duties_forget_move(wwh_host_duties_t *duties, duty_host_t *host);
+void duties_pool_delete(gpointer pool);
+
+#endif
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -54,6 +54,7 @@
 /* job_holder_hosts.c: what the host duties ask for */
 void job_holder_list_hosts(void *client_data);
 void job_holder_upkeep(const char *host, int64_t wave, void *client_data);
+void job_holder_move(const char *host, const char *pool, void *client_data);
 void job_holder_report(const wwh_wave_order_t *order, bool completed,
 		       void *client_data);
 void job_holder_send_reports(wwh_job_holder_t *holder);
--- a/src/libwaxwinghollow/include/private/scheduler_policy.h
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -36,6 +36,9 @@
  * with more work than room nearly all end late; this way those that would
  * be late in any case give way to those that need not be.
  */
+/* Whether a job that has waited so long is still of use to its caller. */
+bool wwh_policy_of_use(int64_t waited_ms, int64_t objective_ms);
+
 int64_t wwh_policy_order(const wwh_order_figures_t *figures);
 
 typedef struct {
@@ -48,13 +51,15 @@
 	int32_t fail_streak; /* failures in a row, of any task */
 	int32_t disturbed; /* tasks that it would disturb or that disturb it */
 	int32_t same_step; /* tasks of the step that are there */
+	int32_t lasting_here; /* lasting tasks of any step */
 	bool lasting;
 } wwh_fit_figures_t;
 
 /*
  * Best fit: the fullest host that still has room, so that hosts become
- * empty and large tasks find one. Lasting tasks are spread instead: the loss
- * of one host takes few of them away.
+ * empty and large tasks find one. Lasting tasks of one step are spread: the
+ * loss of one host takes few of them away. Those of different steps share
+ * hosts, so that the others can be moved without ending any of them.
  */
 int64_t wwh_policy_fit(const wwh_fit_figures_t *figures);
 
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -123,6 +123,7 @@
 
 		wwh_scheduler_set_standby(holder->scheduler, pool->name,
 					  pool->standby);
+		wwh_host_duties_pool(holder->duties, pool->name, pool->standby);
 	}
 }
 
@@ -382,17 +383,24 @@
 {
 	wwh_host_duties_options_t options = {
 		.upkeep_ms = holder->options.settings->upkeep_ms,
+		.move_ms = holder->options.settings->move_ms,
 		.scheduler = holder->scheduler,
 	};
 	wwh_host_duties_calls_t calls = {
 		.list = job_holder_list_hosts,
 		.upkeep = job_holder_upkeep,
+		.move = job_holder_move,
 		.report = job_holder_report,
 		.keep = job_holder_keep,
 		.explain = job_holder_explain,
 		.client_data = holder,
 	};
 
+	/* the first holder of all has nobody to wait for */
+	if (holder->options.holder_count > 1)
+		options.quiet_until_ms =
+			holder->now_ms +
+			holder->options.settings->duty_lease_ms;
 	holder->duties = wwh_host_duties_new(&options, &calls);
 }
 
@@ -432,9 +440,9 @@
 			ok = wwh_host_duties_restore(holder->duties, key + 1,
 						     data, size);
 		else
-			ok = wwh_scheduler_restore(holder->scheduler, kind,
-						   key + 1, data, size, holder->now_ms,
-						   holder->wall_ms, &message);
+			ok = wwh_scheduler_restore(
+				holder->scheduler, kind, key + 1, data, size,
+				holder->now_ms, holder->wall_ms, &message);
 		if (!ok)
 			wwh_event_log_printf(holder->options.log,
 					     "record-left-out", key,
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -20,6 +20,7 @@
 static void on_page(const wwh_http_answer_t *answer, void *data);
 static void take_host(const wwh_host_t *host, void *data);
 static void on_upkeep(const wwh_http_answer_t *answer, void *data);
+static void on_moved(const wwh_http_answer_t *answer, void *data);
 static void on_reported(const wwh_http_answer_t *answer, void *data);
 
 void job_holder_list_hosts(void *client_data)
@@ -46,6 +47,20 @@
 	wwh_http_calls_send(holder->options.calls, call, on_upkeep, duty);
 }
 
+void job_holder_move(const char *host, const char *pool, void *client_data)
+{
+	wwh_job_holder_t *holder = client_data;
+	duty_t *duty = g_new0(duty_t, 1);
+	wwh_http_call_t *call = wire_hosts_move(
+		holder->options.settings->hosts, holder->options.settings->name,
+		holder->options.epoch, host, pool, DUTY_LIMIT_MS);
+
+	duty->holder = holder;
+	duty->host = g_strdup(host);
+	job_holder_ref(holder);
+	wwh_http_calls_send(holder->options.calls, call, on_moved, duty);
+}
+
 void job_holder_report(const wwh_wave_order_t *order, bool completed,
 		       void *client_data)
 {
@@ -140,6 +155,23 @@
 	job_holder_unref(holder);
 }
 
+static void on_moved(const wwh_http_answer_t *answer, void *data)
+{
+	duty_t *duty = data;
+	wwh_job_holder_t *holder = duty->holder;
+	wwh_duty_result_t result = wire_hosts_result(answer);
+
+	if (!holder->deleted && !holder->lost) {
+		wwh_host_duties_move_ended(holder->duties, duty->host, result,
+					   holder->now_ms);
+		if (result == WWH_DUTY_FENCED)
+			job_holder_lose(holder, "fenced-at-move");
+	}
+	g_free(duty->host);
+	g_free(duty);
+	job_holder_unref(holder);
+}
+
 static void on_reported(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_job_holder_t *holder = data;
--- /dev/null
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -0,0 +1,99 @@
+#include "waxwinghollow/pool_sizing.h"
+
+#include <glib.h>
+
+/*
+ * Work is to be done within this time: about the chain of a usual job, so
+ * that what arrives steadily is met by as many hosts as it keeps busy, and
+ * a backlog by more.
+ */
+#define DRAIN_MS 1200
+
+/* Hosts are never filled to the last core: tasks are of uneven sizes. */
+#define FILL_PERCENT 85
+
+/*
+ * Kept in a pool without work, besides those with lasting tasks: the first
+ * jobs of a turn run there while other hosts are on their way.
+ */
+#define IDLE_HOSTS 2
+
+/*
+ * A pool shrinks to the most that it wanted within this time. A host that
+ * leaves and comes back is away twice; a pause within a turn is shorter.
+ */
+#define HOLD_MS 900
+#define HOLD_SLOTS 9
+
+typedef struct {
+	int64_t slot; /* number of the newest slot */
+	int32_t most[HOLD_SLOTS]; /* by slot number modulo HOLD_SLOTS */
+} history_t;
+
+struct wwh_pool_sizing {
+	GHashTable *pools; /* name to history_t, owned */
+};
+
+static int32_t hosts_for(const wwh_pool_figures_t *figures);
+static int32_t hold(history_t *history, int32_t wanted, int64_t now_ms);
+
+wwh_pool_sizing_t *wwh_pool_sizing_new(void)
+{
+	wwh_pool_sizing_t *sizing = g_new0(wwh_pool_sizing_t, 1);
+
+	sizing->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return sizing;
+}
+
+void wwh_pool_sizing_delete(wwh_pool_sizing_t *sizing)
+{
+	if (sizing == NULL)
+		return;
+	g_hash_table_destroy(sizing->pools);
+	g_free(sizing);
+}
+
+int32_t wwh_pool_sizing_wanted(wwh_pool_sizing_t *sizing, const char *pool,
+			       const wwh_pool_figures_t *figures,
+			       int64_t now_ms)
+{
+	history_t *history = g_hash_table_lookup(sizing->pools, pool);
+
+	if (history == NULL) {
+		history = g_new0(history_t, 1);
+		g_hash_table_insert(sizing->pools, g_strdup(pool), history);
+	}
+	return hold(history, hosts_for(figures), now_ms);
+}
+
+/* More cores than there are tasks to run at this moment are of no use. */
+static int32_t hosts_for(const wwh_pool_figures_t *figures)
+{
+	int64_t cores = MIN(figures->work_left / DRAIN_MS, figures->usable_now);
+	int64_t host = figures->host_millicores * FILL_PERCENT / 100;
+	int64_t hosts;
+
+	if (host <= 0)
+		return figures->hosts_bound + IDLE_HOSTS;
+	hosts = (cores + figures->lasting + host - 1) / host;
+	return (int32_t)MAX(hosts, figures->hosts_bound + IDLE_HOSTS);
+}
+
+static int32_t hold(history_t *history, int32_t wanted, int64_t now_ms)
+{
+	int64_t slot = now_ms / (HOLD_MS / HOLD_SLOTS);
+	int32_t most = wanted;
+
+	if (slot - history->slot > HOLD_SLOTS)
+		history->slot = slot - HOLD_SLOTS;
+	while (history->slot < slot) {
+		history->slot++;
+		history->most[history->slot % HOLD_SLOTS] = 0;
+	}
+	history->most[slot % HOLD_SLOTS] =
+		MAX(history->most[slot % HOLD_SLOTS], wanted);
+	for (int32_t i = 0; i < HOLD_SLOTS; i++)
+		most = MAX(most, history->most[i]);
+	return most;
+}
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -46,6 +46,7 @@
 		       const sched_task_t *task);
 static int32_t tasks_of_step(const sched_upstream_t *upstream,
 			     const sched_step_t *step);
+static int32_t lasting_on(const sched_upstream_t *upstream);
 static int32_t disturbed_by(const sched_upstream_t *upstream,
 			    const wwh_job_step_t *spec);
 static const char *ticket_of(const wwh_scheduler_t *scheduler,
@@ -368,8 +369,10 @@
 			figures.step_elsewhere =
 				g_strcmp0(rack, other->info.rack) != 0;
 	}
-	if (spec->lasting)
+	if (spec->lasting) {
 		figures.same_step = tasks_of_step(upstream, step);
+		figures.lasting_here = lasting_on(upstream);
+	}
 	figures.disturbed = disturbed_by(upstream, spec);
 	return wwh_policy_fit(&figures);
 }
@@ -388,6 +391,19 @@
 	return count;
 }
 
+static int32_t lasting_on(const sched_upstream_t *upstream)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		count += task->step->spec->lasting;
+	}
+	return count;
+}
+
 /* Fillers take what serving tasks on the same host need within a moment. */
 static int32_t disturbed_by(const sched_upstream_t *upstream,
 			    const wwh_job_step_t *spec)
--- a/src/libwaxwinghollow/scheduler_policy.c
+++ b/src/libwaxwinghollow/scheduler_policy.c
@@ -19,7 +19,8 @@
 #define FAILED_HERE 4000 /* any other host goes before it */
 #define FAILURE_IN_A_ROW 300
 #define DISTURBED 2500
-#define SAME_STEP_LASTING 1000
+#define SAME_STEP_LASTING 2000
+#define FIRST_LASTING 1000
 
 typedef enum {
 	RANK_LASTING = 0,
@@ -40,13 +41,20 @@
 	       CLAMP(slack_ms, -PRIORITY_STEP / 4, PRIORITY_STEP / 4);
 }
 
+bool wwh_policy_of_use(int64_t waited_ms, int64_t objective_ms)
+{
+	return waited_ms <= LATE_FACTOR * objective_ms;
+}
+
 int64_t wwh_policy_fit(const wwh_fit_figures_t *figures)
 {
 	int64_t left = figures->free_millicores - figures->need_millicores;
 	int64_t cost = left * FIT_SCALE / MAX(figures->capacity_millicores, 1);
 
 	if (figures->lasting)
-		cost = -cost + SAME_STEP_LASTING * (int64_t)figures->same_step;
+		cost += SAME_STEP_LASTING * (int64_t)figures->same_step;
+	if (figures->lasting && figures->lasting_here == 0)
+		cost += FIRST_LASTING;
 	if (figures->data_elsewhere)
 		cost += DATA_ELSEWHERE;
 	if (figures->step_elsewhere)
--- a/src/libwaxwinghollow/scheduler_release.c
+++ b/src/libwaxwinghollow/scheduler_release.c
@@ -1,5 +1,12 @@
+#include "private/scheduler_policy.h"
 #include "private/scheduler_state.h"
 
+/* A guess below this says nothing of a task. */
+#define LEAST_ESTIMATE_MS 100
+
+static void add_occurrence(const wwh_scheduler_t *scheduler,
+			   const sched_occurrence_t *occurrence,
+			   wwh_pool_figures_t *figures);
 static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step,
 			      const sched_upstream_t *upstream);
@@ -71,6 +78,49 @@
 	return load;
 }
 
+wwh_pool_figures_t wwh_scheduler_pool_figures(wwh_scheduler_t *scheduler,
+					      const char *name)
+{
+	sched_pool_t *pool = sched_pool_get(scheduler, name);
+	wwh_pool_figures_t figures = { 0 };
+	int32_t with_lasting = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		if (job->pool != pool || !sched_job_is_live(job))
+			continue;
+		for (guint k = 0; k < job->occurrences->len; k++)
+			add_occurrence(scheduler,
+				       g_ptr_array_index(job->occurrences, k),
+				       &figures);
+	}
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(pool->upstreams, i);
+
+		for (guint k = 0; k < upstream->tasks->len; k++) {
+			const sched_task_t *task =
+				g_ptr_array_index(upstream->tasks, k);
+
+			if (task->step->spec->lasting) {
+				with_lasting++;
+				break;
+			}
+		}
+	}
+	figures.hosts_bound = MAX(figures.hosts_bound, with_lasting);
+	/* hosts are much alike; an empty pool has none to ask */
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		figures.host_millicores =
+			MAX(figures.host_millicores,
+			    ((sched_upstream_t *)value)->info.cpu_millicores);
+	return figures;
+}
+
 /*
  * Whether each lasting step on upstream can miss what runs there. What is
  * away for another reason counts: two causes at once would take more tasks
@@ -122,6 +172,42 @@
 	}
 }
 
+/* Work that will be of no use to its caller draws no hosts. */
+static void add_occurrence(const wwh_scheduler_t *scheduler,
+			   const sched_occurrence_t *occurrence,
+			   wwh_pool_figures_t *figures)
+{
+	const sched_job_t *job = occurrence->job;
+	bool of_use = wwh_policy_of_use(scheduler->now_ms - occurrence->due_ms,
+					job->objective_ms);
+
+	for (int32_t i = 0; i < job->spec->step_count; i++) {
+		const sched_step_t *step = &occurrence->steps[i];
+		const wwh_job_step_t *spec = step->spec;
+		int32_t left = spec->task_count - step->done;
+
+		if (spec->lasting) {
+			int32_t most = MAX(spec->max_per_upstream, 1);
+
+			figures->lasting +=
+				spec->filler ? 0 : left * spec->cpu_millicores;
+			if (spec->max_per_upstream > 0)
+				figures->hosts_bound =
+					MAX(figures->hosts_bound,
+					    (left + most - 1) / most);
+			continue;
+		}
+		if (!of_use)
+			continue;
+		/* of what runs about half is done */
+		figures->work_left +=
+			(2 * left - step->out) * spec->cpu_millicores *
+			MAX(spec->estimate_ms, LEAST_ESTIMATE_MS) / 2;
+		if (sched_step_is_ready(step))
+			figures->usable_now += left * spec->cpu_millicores;
+	}
+}
+
 static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step,
 			      const sched_upstream_t *upstream)
