--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -12,12 +12,6 @@
 /* Hosts are never filled to the last core: tasks are of uneven sizes. */
 #define FILL_PERCENT 85
 
-/*
- * Kept in a pool without work, besides those with lasting tasks: the first
- * jobs of a turn run there while other hosts are on their way.
- */
-#define IDLE_HOSTS 2
-
 /*
  * A pool shrinks to the most that it wanted within this time. A host that
  * leaves and comes back is away twice; a pause within a turn is shorter.
@@ -67,7 +61,11 @@
 	return hold(history, hosts_for(figures), now_ms);
 }
 
-/* More cores than there are tasks to run at this moment are of no use. */
+/*
+ * More cores than there are tasks to run at this moment are of no use. Hosts
+ * with lasting tasks are kept; the first jobs of a turn run beside those
+ * while other hosts are on their way.
+ */
 static int32_t hosts_for(const wwh_pool_figures_t *figures)
 {
 	int64_t cores = MIN(figures->work_left / DRAIN_MS, figures->usable_now);
@@ -75,9 +73,9 @@
 	int64_t hosts;
 
 	if (host <= 0)
-		return figures->hosts_bound + IDLE_HOSTS;
+		return figures->hosts_bound;
 	hosts = (cores + figures->lasting + host - 1) / host;
-	return (int32_t)MAX(hosts, figures->hosts_bound + IDLE_HOSTS);
+	return (int32_t)MAX(hosts, figures->hosts_bound);
 }
 
 static int32_t hold(history_t *history, int32_t wanted, int64_t now_ms)
