--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -296,6 +296,8 @@
 	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u9", "10.0.0.9:1");
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
 	crew_run(crew, 1);
 	crew_host(crew, "h1", "rest", NULL, WWH_HOST_UP);
 	crew_listed(crew);
