Take over from a holder without the store after 1.3 s

The holder now says so after 1.3 s without an append, and a process takes over only after it has had the store for 0.9 s, so that an outage of the whole store changes no holder.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -100,6 +100,10 @@
 /* The store has confirmed the claim within the last moments. */
 bool wwh_job_holder_confirmed(const wwh_job_holder_t *holder, int64_t now_ms);
 
+/* Appends succeed: this holder can accept jobs. */
+bool wwh_job_holder_reaches_store(const wwh_job_holder_t *holder,
+				  int64_t now_ms);
+
 void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out);
 
 #endif
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -14,7 +14,7 @@
 #define UPSTREAMS_WAIT_MS 1500
 
 /* Without other records the claim is confirmed this often. */
-#define CONFIRM_EVERY_MS 800
+#define CONFIRM_EVERY_MS 500
 #define CONFIRM_KEY "H"
 
 /*
@@ -24,6 +24,13 @@
  */
 #define CONFIRMED_FOR_MS 2500
 
+/*
+ * A holder without a successful append for longer can't accept jobs. Another
+ * process may then take over: that costs callers less than waiting. It is
+ * two confirmations and a slow answer.
+ */
+#define REACHES_STORE_MS 1300
+
 /*
  * With records waiting for longer the store is down for this process, and a
  * submission would only wait with them.
@@ -68,6 +75,8 @@
 static void answer_not_done(const char *why, wwh_job_answered_t done,
 			    void *client_data);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
+static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
+			     int64_t limit_ms);
 static void flush(wwh_job_holder_t *holder);
 
 wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options)
@@ -258,10 +267,13 @@
 
 bool wwh_job_holder_confirmed(const wwh_job_holder_t *holder, int64_t now_ms)
 {
-	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
+	return confirmed_within(holder, now_ms, CONFIRMED_FOR_MS);
+}
 
-	return !holder->lost && confirmed_ms != 0 &&
-	       now_ms - confirmed_ms <= CONFIRMED_FOR_MS;
+bool wwh_job_holder_reaches_store(const wwh_job_holder_t *holder,
+				  int64_t now_ms)
+{
+	return confirmed_within(holder, now_ms, REACHES_STORE_MS);
 }
 
 void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out)
@@ -576,6 +588,15 @@
 	return holder->unconfirmed_since_ms == 0;
 }
 
+static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
+			     int64_t limit_ms)
+{
+	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
+
+	return !holder->lost && confirmed_ms != 0 &&
+	       now_ms - confirmed_ms <= limit_ms;
+}
+
 static void flush(wwh_job_holder_t *holder)
 {
 	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -266,7 +266,7 @@
 		service->lost_holder = NULL;
 	}
 	holds = service->holder != NULL &&
-		wwh_job_holder_confirmed(service->holder, now_ms);
+		wwh_job_holder_reaches_store(service->holder, now_ms);
 	g_mutex_lock(&service->lock);
 	service->holds = holds;
 	g_mutex_unlock(&service->lock);
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -24,6 +24,9 @@
 /* Unanswered questions after which a holder is taken as gone. */
 #define PROBES_OF_A_LOST_HOLDER 2
 
+/* The store answers all calls of this process for so long. */
+#define STEADY_MS 900
+
 #define APPEND_LIMIT_MS 800
 #define RETRY_MS 150
 
@@ -84,6 +87,7 @@
 	int64_t notice_retry_ms;
 	bool leave_settled;
 	int64_t reached_ms;
+	int64_t reached_since_ms; /* each call since was answered; 0: none */
 	int64_t now_ms;
 };
 
@@ -94,6 +98,7 @@
 		      void *data);
 static void watch(wwh_shard_claim_t *claim);
 static bool holder_is_lost(wwh_shard_claim_t *claim);
+static bool store_is_steady(const wwh_shard_claim_t *claim);
 static void probe(wwh_shard_claim_t *claim);
 static void on_probed(const wwh_http_answer_t *answer, void *data);
 static void begin(wwh_shard_claim_t *claim, const char *why);
@@ -260,6 +265,10 @@
 		claim->assigned = assigned;
 		claim->assigned_ms = claim->join_sent_ms;
 		claim->reached_ms = claim->join_sent_ms;
+		if (claim->reached_since_ms == 0)
+			claim->reached_since_ms = claim->join_sent_ms;
+	} else {
+		claim->reached_since_ms = 0;
 	}
 	unref(claim);
 }
@@ -304,7 +313,7 @@
 		begin(claim, "no-holder");
 	} else if (strcmp(claim->holder, claim->self) == 0) {
 		begin(claim, "restarted");
-	} else if (holder_is_lost(claim)) {
+	} else if (holder_is_lost(claim) && store_is_steady(claim)) {
 		begin(claim, claim->probe_refused ? "holder-refuses"
 						  : "holder-silent");
 	} else if (!claim->probe_in_flight &&
@@ -319,6 +328,17 @@
 	       claim->probes_failed >= PROBES_OF_A_LOST_HOLDER;
 }
 
+/*
+ * After an outage of the whole store a holder needs a moment to confirm its
+ * claim. Taken over in that moment, all upstreams would be asked anew for
+ * nothing.
+ */
+static bool store_is_steady(const wwh_shard_claim_t *claim)
+{
+	return claim->reached_since_ms != 0 &&
+	       claim->now_ms - claim->reached_since_ms >= STEADY_MS;
+}
+
 static void probe(wwh_shard_claim_t *claim)
 {
 	wwh_http_call_t *call =
