Start tasks elsewhere that stand still; look less often in outages

Cause: an upstream may answer well and do no work; its tasks waited for ever. Looks at upstreams with ends that the store couldn't take came every 60 ms for as long as the outage lasted.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -182,6 +182,7 @@
 	bool ends_waiting; /* some end isn't covered by a flush yet */
 	int64_t newest_record;
 	int64_t durable_record;
+	int64_t durable_ms; /* when it rose last */
 	int64_t next_forget_ms;
 };
 
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -356,6 +356,7 @@
 	if (record <= scheduler->durable_record)
 		return;
 	scheduler->durable_record = record;
+	scheduler->durable_ms = scheduler->now_ms;
 	sched_upstreams_durable(scheduler);
 	g_hash_table_iter_init(&iterator, scheduler->pools);
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -17,6 +17,10 @@
  */
 #define LOOK_UNNOTED_GAP_MS 60
 
+/* Nothing became durable for so long: the store is down, for seconds. */
+#define UNNOTED_LONG_MS 400
+#define LOOK_UNNOTED_LONG_GAP_MS 250
+
 /* After a look without an answer: first, and at most. */
 #define LOOK_RETRY_MS 150
 #define LOOK_RETRY_MAX_MS 800
@@ -33,11 +37,26 @@
 /* A stop that got no answer is sent again after this. */
 #define STOP_REPEAT_MS 400
 
+/*
+ * A task whose progress stands still for so long hangs: tasks take a few
+ * seconds and are listed once a second, and restoring a checkpoint takes
+ * well under a second.
+ */
+#define HANGS_AFTER_MS 1600
+
+/* A lasting task that runs and isn't at work for so long. */
+#define LASTING_HANGS_AFTER_MS 2500
+
+/* Where a task hung, others will. */
+#define HANG_BACKOFF_MS 3000
+
 /* Failures in a row, of different tasks, before an upstream is avoided. */
 #define FAILURES_BEFORE_BACKOFF 3
 #define BACKOFF_FIRST_MS 1500
 #define BACKOFF_MAX_DOUBLINGS 3
 
+static int64_t look_gap_ms(const wwh_scheduler_t *scheduler,
+			   const sched_upstream_t *upstream);
 static void send_look(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void take_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
@@ -57,6 +76,38 @@
 static bool lists(const wwh_look_answer_t *answer, const sched_task_t *task);
 static void judge_unlisted(wwh_scheduler_t *scheduler, sched_task_t *task,
 			   int64_t sent_ms);
+/*
+ * An upstream may answer well and yet do no work. What hangs there is
+ * started elsewhere; without that, its callers wait for ever, and a step
+ * with one such task never ends.
+ */
+static void stop_hanging(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+		bool lasting = task->step->spec->lasting;
+		int64_t since_ms = lasting ? task->away_ms : task->percent_ms;
+		int64_t limit_ms =
+			lasting ? LASTING_HANGS_AFTER_MS : HANGS_AFTER_MS;
+		char name[WWH_TASK_NAME_BYTES];
+
+		if (sched_task_state(task) != TASK_RUNNING || since_ms == 0 ||
+		    task->pace_wanted < 100 ||
+		    scheduler->now_ms - MAX(since_ms, task->changed_ms) <
+			    limit_ms)
+			continue;
+		sched_task_name(task, name);
+		sched_explain(scheduler, "run-hangs", name,
+			      "run=%" G_GINT64_FORMAT " upstream=%s percent=%d",
+			      task->run, upstream->info.id, task->percent);
+		task->avoid = upstream;
+		sched_task_order_stop(scheduler, task);
+		sched_upstream_back_off(scheduler, upstream, HANG_BACKOFF_MS);
+	}
+}
+
+static void stop_hanging(wwh_scheduler_t *scheduler,
+			 sched_upstream_t *upstream);
 static void lose_all(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 		     const char *why);
 static void repeat_orders(wwh_scheduler_t *scheduler,
@@ -305,7 +356,6 @@
 			  int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
-	bool unnoted;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -326,10 +376,10 @@
 		g_hash_table_remove_all(upstream->stranger_stops);
 	if (answer->ended_in_full)
 		find_lost(scheduler, upstream, answer, sent_ms);
+	stop_hanging(scheduler, upstream);
 	settle(scheduler, upstream);
-	unnoted = upstream->ends_seen > upstream->ends_noted;
-	upstream->next_look_ms = scheduler->now_ms +
-				 (unnoted ? LOOK_UNNOTED_GAP_MS : LOOK_GAP_MS);
+	upstream->next_look_ms =
+		scheduler->now_ms + look_gap_ms(scheduler, upstream);
 	upstream->pool->dirty = true;
 }
 
@@ -358,6 +408,16 @@
 		sched_upstream_remove(scheduler, upstream, "refused");
 }
 
+static int64_t look_gap_ms(const wwh_scheduler_t *scheduler,
+			   const sched_upstream_t *upstream)
+{
+	if (upstream->ends_seen == upstream->ends_noted)
+		return LOOK_GAP_MS;
+	return scheduler->now_ms - scheduler->durable_ms < UNNOTED_LONG_MS
+		       ? LOOK_UNNOTED_GAP_MS
+		       : LOOK_UNNOTED_LONG_GAP_MS;
+}
+
 static void send_look(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	bool busy = upstream->tasks->len > 0 || upstream->strangers > 0;
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -706,6 +706,59 @@
 	rig_delete(rig);
 }
 
+/*
+ * An upstream answers its looks and does no work. The task goes elsewhere
+ * after it was confirmed to be stopped.
+ */
+static void a_task_that_stands_still_is_started_elsewhere(void **state)
+{
+	rig_t *rig = rig_new();
+	wwh_running_t running;
+	rig_order_t order;
+
+	(void)state;
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	for (int32_t i = 0; i < 4 && rig->stops->len == 0; i++) {
+		rig_run(rig, 700);
+		running = rig_running(&order, 12);
+		rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+	}
+	assert_int_equal(rig->stops->len, 1);
+	rig_add_upstream(rig, "u2", AT_2);
+	assert_int_equal(rig->starts->len, 1);
+	{
+		wwh_ended_t ended = rig_ended(&order, 1, WWH_END_STOPPED);
+
+		rig_run(rig, 500);
+		rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	}
+	rig_run(rig, 1);
+	assert_int_equal(rig->starts->len, 2);
+	assert_string_equal(rig_order(rig->starts, 1)->upstream, "u2");
+	rig_delete(rig);
+}
+
+static void a_task_that_goes_on_slowly_is_left_alone(void **state)
+{
+	rig_t *rig = rig_new();
+	wwh_running_t running;
+
+	(void)state;
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_start_ended(rig, rig_order(rig->starts, 0), WWH_ORDER_DONE);
+	for (int32_t i = 1; i < 20; i++) {
+		rig_run(rig, 1000);
+		running = rig_running(rig_order(rig->starts, 0), i);
+		rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+	}
+	assert_int_equal(rig->stops->len, 0);
+	rig_delete(rig);
+}
+
 static void nothing_new_goes_to_a_leaving_upstream(void **state)
 {
 	rig_t *rig = rig_new();
@@ -755,6 +808,8 @@
 			a_lasting_task_is_started_again_however_it_ends),
 		cmocka_unit_test(occurrences_start_when_they_are_due),
 		cmocka_unit_test(the_same_id_is_the_same_job),
+		cmocka_unit_test(a_task_that_stands_still_is_started_elsewhere),
+		cmocka_unit_test(a_task_that_goes_on_slowly_is_left_alone),
 		cmocka_unit_test(nothing_new_goes_to_a_leaving_upstream),
 	};
 
