Take over at once from a process that says it doesn't hold the shard

Cause: after a power loss of all hosts the known holder was asked twice and given 2 s, though its process had restarted and held nothing; moves then waited 3 s more for a holder that was gone.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -56,6 +56,7 @@
 	int64_t epoch; /* of the claim: the fencing token of all orders */
 	int64_t holder_count;
 	int64_t next_sequence;
+	bool others_at_work; /* the holder before may still give orders */
 	GHashTable *records; /* key to GBytes, as the journal has them */
 	int64_t now_ms;
 	int64_t wall_ms;
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -24,6 +24,14 @@
 
 #include "waxwinghollow/http_calls.h"
 
+typedef struct {
+	int64_t epoch; /* of the claim: the fencing token */
+	int64_t holder_count; /* claims so far, this one too */
+	int64_t next_sequence; /* the journal's first */
+	GHashTable *records; /* key to GBytes, as the journal has them */
+	bool others_at_work; /* the holder before was silent, not ended */
+} wwh_held_t;
+
 typedef struct {
 	wwh_http_calls_t *calls;
 	const char *store;
@@ -34,13 +42,8 @@
 	const char *self; /* IP number and port for other processes */
 	const char *producer;
 	int64_t member_ttl_ms; /* silence after which the group replaces it */
-	/*
-	 * The shard is held: epoch is the fencing token, records maps keys
-	 * to GBytes, next_sequence is the journal's first.
-	 */
-	void (*on_held)(int64_t epoch, int64_t holder_count,
-			GHashTable *records, int64_t next_sequence,
-			void *client_data);
+	/* The shard is held; held and its records live during the call. */
+	void (*on_held)(const wwh_held_t *held, void *client_data);
 	/* NULL: nobody holds it. */
 	void (*on_holder)(const char *address, int64_t epoch,
 			  void *client_data);
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -47,7 +47,8 @@
 	wwh_job_config_t *config;
 	GHashTable *waves; /* key to GBytes; of the loop's thread */
 	bool stopping;
-	bool holds; /* and reaches the store */
+	bool holds;
+	bool reaches_store; /* while it holds the shard */
 	wwh_counters_t *counters;
 	wwh_event_log_t *log;
 	wwh_listener_t *callers;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -408,8 +408,7 @@
 		.client_data = holder,
 	};
 
-	/* the first holder of all has nobody to wait for */
-	if (holder->options.holder_count > 1)
+	if (holder->options.others_at_work)
 		options.quiet_until_ms =
 			holder->now_ms +
 			holder->options.settings->duty_lease_ms;
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -54,8 +54,7 @@
 static void take_config(wwh_job_service_t *service, const uint8_t *value,
 			size_t size);
 static void on_reach(bool reached, const char *why, void *data);
-static void on_held(int64_t epoch, int64_t holder_count, GHashTable *records,
-		    int64_t next_sequence, void *data);
+static void on_held(const wwh_held_t *held, void *data);
 static void on_lost(const char *why, void *data);
 static void on_holder(const char *address, int64_t epoch, void *data);
 static void explain_claim(const char *event, const char *detail, void *data);
@@ -242,7 +241,7 @@
 	int64_t now_ms = job_service_now_ms();
 	bool suspended = stood_still(service, now_ms);
 	bool stopping;
-	bool holds;
+	bool reaches_store;
 
 	take_settings(service);
 	wwh_store_follower_run(service->operator_records, now_ms);
@@ -265,10 +264,11 @@
 		wwh_job_holder_delete(service->lost_holder);
 		service->lost_holder = NULL;
 	}
-	holds = service->holder != NULL &&
-		wwh_job_holder_reaches_store(service->holder, now_ms);
+	reaches_store = service->holder != NULL &&
+			wwh_job_holder_reaches_store(service->holder, now_ms);
 	g_mutex_lock(&service->lock);
-	service->holds = holds;
+	service->holds = service->holder != NULL;
+	service->reaches_store = reaches_store;
 	g_mutex_unlock(&service->lock);
 }
 
@@ -420,8 +420,7 @@
 			     "operator", "result=%s", why);
 }
 
-static void on_held(int64_t epoch, int64_t holder_count, GHashTable *records,
-		    int64_t next_sequence, void *data)
+static void on_held(const wwh_held_t *held, void *data)
 {
 	wwh_job_service_t *service = data;
 	wwh_job_holder_options_t options = {
@@ -432,10 +431,11 @@
 		.topic = WIRE_TOPIC_JOBS,
 		.journal_part = JOURNAL_PART,
 		.producer = PRODUCER,
-		.epoch = epoch,
-		.holder_count = holder_count,
-		.next_sequence = next_sequence,
-		.records = records,
+		.epoch = held->epoch,
+		.holder_count = held->holder_count,
+		.next_sequence = held->next_sequence,
+		.records = held->records,
+		.others_at_work = held->others_at_work,
 		.now_ms = job_service_now_ms(),
 		.wall_ms = job_service_wall_ms(),
 		.on_lost = on_lost,
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -13,9 +13,12 @@
 #define DUMP_PATH "/v1/dump"
 #define METRICS_PATH "/metrics"
 #define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
 #define SECOND_MS 1000
 
+static void answer_shard(wwh_job_service_t *service,
+			 wwh_http_response_t *response);
 static void answer_text(wwh_http_response_t *response, int32_t status,
 			const char *type, const char *text);
 static void answer_job(wwh_job_service_t *service, const job_request_t *request,
@@ -98,14 +101,9 @@
 	wwh_job_service_t *service = client_data;
 	job_request_t *request;
 	wwh_job_answer_t answer;
-	bool holds;
 
 	if (strcmp(http->target, SHARD_PATH) == 0) {
-		g_mutex_lock(&service->lock);
-		holds = service->holds && !service->stopping;
-		g_mutex_unlock(&service->lock);
-		answer_text(response, holds ? STATUS_OK : STATUS_UNAVAILABLE,
-			    "text/plain", holds ? "holds\n" : "doesn't hold\n");
+		answer_shard(service, response);
 		return;
 	}
 	if (strcmp(http->target, METRICS_PATH) == 0) {
@@ -130,6 +128,30 @@
 	job_request_unref(request);
 }
 
+/* A process that takes over has to know one that is cut off from one without
+ * the shard: the first may still give orders.
+ */
+static void answer_shard(wwh_job_service_t *service,
+			 wwh_http_response_t *response)
+{
+	bool holds;
+	bool reaches_store;
+
+	g_mutex_lock(&service->lock);
+	holds = service->holds && !service->stopping;
+	reaches_store = service->reaches_store;
+	g_mutex_unlock(&service->lock);
+	if (!holds)
+		answer_text(response, STATUS_NOT_FOUND, "text/plain",
+			    "doesn't hold the shard\n");
+	else if (!reaches_store)
+		answer_text(response, STATUS_UNAVAILABLE, "text/plain",
+			    "holds the shard, without the store\n");
+	else
+		answer_text(response, STATUS_OK, "text/plain",
+			    "holds the shard\n");
+}
+
 static void answer_text(wwh_http_response_t *response, int32_t status,
 			const char *type, const char *text)
 {
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -39,6 +39,7 @@
 
 #define PROBE_PATH "/v1/shard"
 #define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
 
 typedef enum {
 	CLAIM_WATCHING = 0,
@@ -70,7 +71,8 @@
 	bool probe_in_flight;
 	int64_t probe_sent_ms;
 	int32_t probes_failed;
-	bool probe_refused;
+	bool holder_ended; /* its process is gone, or says it doesn't hold */
+	bool others_at_work; /* when the claim was begun */
 	/* the claim */
 	wwh_store_follower_t *journal;
 	GHashTable *records;
@@ -97,11 +99,11 @@
 static void on_notice(const char *key, const uint8_t *value, size_t size,
 		      void *data);
 static void watch(wwh_shard_claim_t *claim);
-static bool holder_is_lost(wwh_shard_claim_t *claim);
 static bool store_is_steady(const wwh_shard_claim_t *claim);
 static void probe(wwh_shard_claim_t *claim);
 static void on_probed(const wwh_http_answer_t *answer, void *data);
-static void begin(wwh_shard_claim_t *claim, const char *why);
+static void begin(wwh_shard_claim_t *claim, const char *why,
+		  bool others_at_work);
 static void stop_reading(wwh_shard_claim_t *claim);
 static void on_journal(const char *key, const uint8_t *value, size_t size,
 		       void *data);
@@ -188,6 +190,7 @@
 	claim->state = CLAIM_WATCHING;
 	claim->retry_ms = now_ms + RETRY_MS;
 	claim->probes_failed = 0;
+	claim->holder_ended = false;
 	claim->probe_sent_ms = now_ms;
 }
 
@@ -294,7 +297,7 @@
 		g_free(claim->holder);
 		claim->holder = address[0] == '\0' ? NULL : g_strdup(address);
 		claim->probes_failed = 0;
-		claim->probe_refused = false;
+		claim->holder_ended = false;
 		claim->options.on_holder(claim->holder, epoch,
 					 claim->options.client_data);
 	}
@@ -310,24 +313,20 @@
 	    claim->now_ms < claim->retry_ms)
 		return;
 	if (claim->holder == NULL) {
-		begin(claim, "no-holder");
+		begin(claim, "no-holder", false);
 	} else if (strcmp(claim->holder, claim->self) == 0) {
-		begin(claim, "restarted");
-	} else if (holder_is_lost(claim) && store_is_steady(claim)) {
-		begin(claim, claim->probe_refused ? "holder-refuses"
-						  : "holder-silent");
+		begin(claim, "restarted", false);
+	} else if (claim->holder_ended) {
+		begin(claim, "holder-ended", false);
+	} else if (claim->probes_failed >= PROBES_OF_A_LOST_HOLDER &&
+		   store_is_steady(claim)) {
+		begin(claim, "holder-silent", true);
 	} else if (!claim->probe_in_flight &&
 		   claim->now_ms - claim->probe_sent_ms >= PROBE_EVERY_MS) {
 		probe(claim);
 	}
 }
 
-static bool holder_is_lost(wwh_shard_claim_t *claim)
-{
-	return claim->probe_refused ||
-	       claim->probes_failed >= PROBES_OF_A_LOST_HOLDER;
-}
-
 /*
  * After an outage of the whole store a holder needs a moment to confirm its
  * claim. Taken over in that moment, all upstreams would be asked anew for
@@ -359,11 +358,14 @@
 
 	claim->probe_in_flight = false;
 	claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
-	claim->probe_refused = answer->outcome == WWH_CALL_REFUSED;
+	claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
+			      (answer->outcome == WWH_CALL_ANSWERED &&
+			       answer->status == STATUS_NOT_FOUND);
 	unref(claim);
 }
 
-static void begin(wwh_shard_claim_t *claim, const char *why)
+static void begin(wwh_shard_claim_t *claim, const char *why,
+		  bool others_at_work)
 {
 	wwh_store_follower_options_t journal = {
 		.calls = claim->options.calls,
@@ -380,6 +382,7 @@
 		claim->holder == NULL ? "-" : claim->holder,
 		claim->holder_epoch);
 	claim->state = CLAIM_LOADING;
+	claim->others_at_work = others_at_work;
 	claim->epoch = 0;
 	claim->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
@@ -488,6 +491,7 @@
 {
 	GBytes *value = g_hash_table_lookup(claim->records, CLAIM_KEY);
 	GHashTable *records = claim->records;
+	wwh_held_t held;
 	int64_t epoch = 0;
 	const char *text;
 	gsize size = 0;
@@ -512,8 +516,12 @@
 	claim->notice_pending = true;
 	explain(claim, "shard-held", "epoch=%" G_GINT64_FORMAT " records=%u",
 		claim->epoch, g_hash_table_size(records));
-	claim->options.on_held(claim->epoch, claim->epoch >> RANDOM_BITS,
-			       records, 1, claim->options.client_data);
+	held.epoch = claim->epoch;
+	held.holder_count = claim->epoch >> RANDOM_BITS;
+	held.next_sequence = 1;
+	held.records = records;
+	held.others_at_work = claim->others_at_work;
+	claim->options.on_held(&held, claim->options.client_data);
 	g_hash_table_destroy(records);
 	if (claim->state == CLAIM_HELD)
 		make_known(claim);
