--- a/include/waxwinghollow/pool_sizing.h
+++ b/include/waxwinghollow/pool_sizing.h
@@ -26,6 +26,8 @@
 typedef struct {
 	int64_t work_left; /* millicore-ms of tasks that aren't done */
 	int64_t usable_now; /* millicores that could be used at this moment */
+	int64_t arrived_work; /* of work_left: handed in within half a second */
+	int64_t arrived_usable; /* of usable_now: the same */
 	int64_t lasting; /* millicores of lasting tasks */
 	int32_t hosts_bound; /* hosts that lasting tasks run on or need */
 	int64_t host_millicores; /* of one host; 0: unknown */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -42,7 +42,12 @@
 #define WAIT_BUSY_MS 20
 #define WAIT_IDLE_MS 80
 
-#define LEASE_MS 6000
+/*
+ * Asked for at each look, about once a second. A change of holder takes up
+ * to 3 s in which nobody extends a lease; each second more leaves the tasks
+ * of an upstream that has gone silent waiting for a second more.
+ */
+#define LEASE_MS 4500
 
 const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT] = {
 	"ok",
--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -9,6 +9,13 @@
  */
 #define DRAIN_MS 1200
 
+/*
+ * A host takes one and a half seconds to come. What has arrived in the last
+ * half second is taken to go on for a second: a turn's first jobs then draw
+ * the hosts that its next ones need.
+ */
+#define FORECAST 2
+
 /* Hosts are never filled to the last core: tasks are of uneven sizes. */
 #define FILL_PERCENT 85
 
@@ -68,7 +75,10 @@
  */
 static int32_t hosts_for(const wwh_pool_figures_t *figures)
 {
-	int64_t cores = MIN(figures->work_left / DRAIN_MS, figures->usable_now);
+	int64_t work = figures->work_left + FORECAST * figures->arrived_work;
+	int64_t usable =
+		figures->usable_now + FORECAST * figures->arrived_usable;
+	int64_t cores = MIN(work / DRAIN_MS, usable);
 	int64_t host = figures->host_millicores * FILL_PERCENT / 100;
 	int64_t hosts;
 
--- a/src/libwaxwinghollow/scheduler_release.c
+++ b/src/libwaxwinghollow/scheduler_release.c
@@ -4,6 +4,9 @@
 /* A guess below this says nothing of a task. */
 #define LEAST_ESTIMATE_MS 100
 
+/* Work that was handed in within this time tells what comes next. */
+#define ARRIVAL_WINDOW_MS 500
+
 static void add_occurrence(const wwh_scheduler_t *scheduler,
 			   const sched_occurrence_t *occurrence,
 			   wwh_pool_figures_t *figures);
@@ -199,6 +202,15 @@
 		}
 		if (!of_use)
 			continue;
+		if (scheduler->now_ms - occurrence->due_ms <
+		    ARRIVAL_WINDOW_MS) {
+			figures->arrived_work +=
+				spec->task_count * spec->cpu_millicores *
+				MAX(spec->estimate_ms, LEAST_ESTIMATE_MS);
+			if (sched_step_is_ready(step))
+				figures->arrived_usable +=
+					spec->task_count * spec->cpu_millicores;
+		}
 		/* of what runs about half is done */
 		figures->work_left +=
 			(2 * left - step->out) * spec->cpu_millicores *
--- /dev/null
+++ b/src/test_pool_sizing/test_pool_sizing.c
@@ -0,0 +1,120 @@
+/*
+ * How many hosts a pool gets, on a clock of the test's: the load is a pool's
+ * turn, some seconds of five times its mean work and then next to none.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "waxwinghollow/pool_sizing.h"
+
+#define HOST 32000
+#define POOL "desk"
+
+static wwh_pool_figures_t figures_of(int64_t work_left, int64_t usable)
+{
+	wwh_pool_figures_t figures = {
+		.work_left = work_left,
+		.usable_now = usable,
+		.host_millicores = HOST,
+	};
+
+	return figures;
+}
+
+static void a_backlog_draws_hosts_that_can_be_used(void **state)
+{
+	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
+	/* 600 cores for two seconds, all of it ready */
+	wwh_pool_figures_t figures =
+		figures_of(INT64_C(1200000) * 1000, 600000);
+	int32_t wanted = wwh_pool_sizing_wanted(sizing, POOL, &figures, 10000);
+
+	(void)state;
+	/* 600 cores at 85% of 32 each */
+	assert_int_equal(wanted, 23);
+	/* of long chains only what can run now draws hosts */
+	figures.usable_now = 60000;
+	wwh_pool_sizing_delete(sizing);
+	sizing = wwh_pool_sizing_new();
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &figures, 10000),
+			 3);
+	wwh_pool_sizing_delete(sizing);
+}
+
+/*
+ * A turn's first half second. Sized by what has arrived alone, the pool asks
+ * for a few hosts at a time, each of which comes one and a half seconds late.
+ */
+static void the_first_jobs_of_a_turn_draw_hosts_for_the_next(void **state)
+{
+	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
+	wwh_pool_figures_t figures = figures_of(INT64_C(160000) * 1000, 160000);
+	int32_t alone = wwh_pool_sizing_wanted(sizing, "a", &figures, 10000);
+	int32_t forecast;
+
+	(void)state;
+	figures.arrived_work = figures.work_left;
+	figures.arrived_usable = figures.usable_now;
+	forecast = wwh_pool_sizing_wanted(sizing, "b", &figures, 10000);
+	assert_true(forecast >= 2 * alone);
+	wwh_pool_sizing_delete(sizing);
+}
+
+static void a_pause_within_a_turn_sends_no_host_away(void **state)
+{
+	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
+	wwh_pool_figures_t busy = figures_of(INT64_C(1200000) * 1000, 600000);
+	wwh_pool_figures_t idle = figures_of(0, 0);
+
+	(void)state;
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &busy, 10000),
+			 23);
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &idle, 10500),
+			 23);
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &idle, 11100), 0);
+	wwh_pool_sizing_delete(sizing);
+}
+
+static void hosts_with_lasting_tasks_are_kept(void **state)
+{
+	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
+	wwh_pool_figures_t figures = figures_of(0, 0);
+
+	(void)state;
+	figures.lasting = 20000;
+	figures.hosts_bound = 7;
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &figures, 10000),
+			 7);
+	wwh_pool_sizing_delete(sizing);
+}
+
+static void without_a_known_host_only_the_bound_counts(void **state)
+{
+	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
+	wwh_pool_figures_t figures =
+		figures_of(INT64_C(1200000) * 1000, 600000);
+
+	(void)state;
+	figures.host_millicores = 0;
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &figures, 10000),
+			 0);
+	wwh_pool_sizing_delete(sizing);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_backlog_draws_hosts_that_can_be_used),
+		cmocka_unit_test(
+			the_first_jobs_of_a_turn_draw_hosts_for_the_next),
+		cmocka_unit_test(a_pause_within_a_turn_sends_no_host_away),
+		cmocka_unit_test(hosts_with_lasting_tasks_are_kept),
+		cmocka_unit_test(without_a_known_host_only_the_bound_counts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
