--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -66,9 +66,16 @@
 	bool ending; /* the loop ends once all is settled */
 	int64_t last_run_ms;
 	int64_t slept_ms; /* of suspensions so far */
-	int32_t forwards;
+	GHashTable *forwards; /* job_forward_t on their way; of the loop */
+	bool ended; /* nobody answers requests any more */
 };
 
+/* A request on its way to the holder. */
+typedef struct {
+	wwh_job_service_t *service;
+	job_request_t *request;
+} job_forward_t;
+
 int64_t job_service_now_ms(void);
 int64_t job_service_wall_ms(void);
 
@@ -80,6 +87,8 @@
 				 job_request_t *request);
 /* Of the loop. */
 void job_service_take_requests(wwh_job_service_t *service);
+/* After the loop has ended: answers all that is left, and all that comes. */
+void job_service_end_requests(wwh_job_service_t *service);
 void job_request_answer(const wwh_job_answer_t *answer, void *request);
 
 /* job_service_http.c */
--- a/src/libwaxwinghollow/include/private/scheduler_policy.h
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -41,6 +41,15 @@
 
 int64_t wwh_policy_order(const wwh_order_figures_t *figures);
 
+/*
+ * The pace of fillers, in percent, where the slowest serving task beside them
+ * is at tail_percent of its target. Over the target they stand still: what
+ * is over for some seconds is harm done to its users. Near it they are
+ * halved, well below it they are let go by steps, as what they do to a
+ * serving task differs by image and shows only after a while.
+ */
+int32_t wwh_policy_pace(int32_t pace, int32_t tail_percent);
+
 typedef struct {
 	int64_t free_millicores; /* before the task is placed */
 	int64_t need_millicores;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,7 +4,7 @@
 /*
  * What the scheduler's modules share. Calls go down in this order, never up:
  * scheduler, scheduler_release, scheduler_place, scheduler_upstream,
- * scheduler_record, scheduler_job, scheduler_task.
+ * scheduler_pace, scheduler_record, scheduler_job, scheduler_task.
  */
 
 #include "waxwinghollow/chart.h"
@@ -68,7 +68,7 @@
 	int64_t tail_ms; /* as listed last */
 	int32_t pace; /* percent of its work that is ordered */
 	int32_t pace_wanted;
-	int64_t over_target_ms; /* serving: over its target since; 0: isn't */
+	int64_t pace_sent_ms;
 } sched_task_t;
 
 typedef struct {
@@ -152,6 +152,7 @@
 	int64_t used_cpu;
 	int64_t used_memory;
 	int64_t used_gpus;
+	int64_t next_pace_ms;
 	int32_t fail_streak;
 	int32_t backoffs;
 	int64_t backoff_until_ms;
@@ -267,6 +268,9 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
+/* scheduler_pace.c: after a look has been taken in */
+void sched_pace(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+
 /* scheduler_place.c */
 void sched_place(wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -93,6 +93,7 @@
 	service->counters = wwh_counters_new();
 	service->log = wwh_event_log_new(&log, service->counters);
 	service->requests = g_async_queue_new();
+	service->forwards = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	service->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
 	service->self = g_strdup_printf("%s:%d", settings->peers.address,
@@ -171,6 +172,7 @@
 	wwh_http_calls_wake(service->calls);
 	g_thread_join(service->thread);
 	service->thread = NULL;
+	job_service_end_requests(service);
 	(void)wwh_listener_drain(service->peers, 0);
 	(void)wwh_listener_drain(service->readiness, 0);
 	wwh_event_log_printf(service->log, "stopped", service->settings.name,
@@ -191,6 +193,7 @@
 	wwh_store_follower_delete(service->operator_records);
 	wwh_http_calls_delete(service->calls);
 	g_async_queue_unref(service->requests);
+	g_hash_table_destroy(service->forwards);
 	g_hash_table_destroy(service->waves);
 	wwh_job_config_unref(service->config);
 	wwh_event_log_delete(service->log);
@@ -501,6 +504,7 @@
 
 static bool is_settled(const wwh_job_service_t *service)
 {
-	return service->holder == NULL && service->forwards == 0 &&
+	return service->holder == NULL &&
+	       g_hash_table_size(service->forwards) == 0 &&
 	       wwh_shard_claim_given_up(service->claim);
 }
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -12,11 +12,6 @@
 #define STATUS_OK 200
 #define NO_HOLDER_RETRY_AFTER_S 1
 
-typedef struct {
-	wwh_job_service_t *service;
-	job_request_t *request;
-} forward_t;
-
 static wwh_http_call_t *call_of(const wwh_job_service_t *service,
 				const job_request_t *request);
 static void on_forwarded(const wwh_http_answer_t *answer, void *data);
@@ -31,17 +26,17 @@
 		.why = "no-holder",
 		.retry_after_s = NO_HOLDER_RETRY_AFTER_S,
 	};
-	forward_t *forward;
+	job_forward_t *forward;
 
 	if (request->from_peer || service->holder_address == NULL ||
 	    strcmp(service->holder_address, service->self) == 0) {
 		job_request_answer(&answer, request);
 		return;
 	}
-	forward = g_new0(forward_t, 1);
+	forward = g_new0(job_forward_t, 1);
 	forward->service = service;
 	forward->request = request;
-	service->forwards++;
+	g_hash_table_add(service->forwards, forward);
 	wwh_http_calls_send(service->calls, call_of(service, request),
 			    on_forwarded, forward);
 }
@@ -132,11 +127,10 @@
 
 static void on_forwarded(const wwh_http_answer_t *http, void *data)
 {
-	forward_t *forward = data;
+	job_forward_t *forward = data;
 	wwh_job_answer_t answer = { .why = "holder-unreachable",
 				    .retry_after_s = NO_HOLDER_RETRY_AFTER_S };
 
-	forward->service->forwards--;
 	if (http->outcome == WWH_CALL_ANSWERED) {
 		if (!read_answer(http, &answer)) {
 			answer.kind = WWH_JOB_ANSWER_UNKNOWN;
@@ -148,7 +142,7 @@
 		answer.kind = WWH_JOB_ANSWER_NOT_DONE;
 	}
 	job_request_answer(&answer, forward->request);
-	g_free(forward);
+	g_hash_table_remove(forward->service->forwards, forward);
 }
 
 static bool read_answer(const wwh_http_answer_t *http, wwh_job_answer_t *answer)
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -46,9 +46,21 @@
 		.kind = WWH_JOB_ANSWER_UNKNOWN,
 		.why = "deadline",
 	};
+	static const wwh_job_answer_t ended = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = "shutting-down",
+		.retry_after_s = 1,
+	};
 
 	g_atomic_int_inc(&request->references);
+	g_mutex_lock(&service->lock);
+	if (service->ended) {
+		g_mutex_unlock(&service->lock);
+		job_request_unref(request);
+		return ended;
+	}
 	g_async_queue_push(service->requests, request);
+	g_mutex_unlock(&service->lock);
 	wwh_http_calls_wake(service->calls);
 	g_mutex_lock(&request->lock);
 	while (!request->answered) {
@@ -70,6 +82,42 @@
 		serve(service, request);
 }
 
+/*
+ * Threads of the listeners wait for their requests up to the callers'
+ * deadlines; a process that waits for those threads outlives its grace
+ * period and is killed, with answers half written.
+ */
+void job_service_end_requests(wwh_job_service_t *service)
+{
+	wwh_job_answer_t not_done = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = "shutting-down",
+		.retry_after_s = 1,
+	};
+	wwh_job_answer_t unknown = {
+		.kind = WWH_JOB_ANSWER_UNKNOWN,
+		.why = "shutting-down",
+	};
+	GHashTableIter iterator;
+	job_request_t *request;
+	gpointer forward;
+
+	g_mutex_lock(&service->lock);
+	service->ended = true;
+	g_mutex_unlock(&service->lock);
+	while ((request = g_async_queue_try_pop(service->requests)) != NULL)
+		job_request_answer(&not_done, request);
+	g_hash_table_iter_init(&iterator, service->forwards);
+	while (g_hash_table_iter_next(&iterator, &forward, NULL)) {
+		job_request_answer(&unknown,
+				   ((job_forward_t *)forward)->request);
+		g_hash_table_iter_remove(&iterator);
+	}
+	/* requests that wait for a record end as unknown */
+	wwh_job_holder_delete(service->holder);
+	service->holder = NULL;
+}
+
 /* Also drops the loop's reference. */
 void job_request_answer(const wwh_job_answer_t *answer, void *data)
 {
--- a/src/libwaxwinghollow/scheduler_policy.c
+++ b/src/libwaxwinghollow/scheduler_policy.c
@@ -22,6 +22,12 @@
 #define SAME_STEP_LASTING 2000
 #define FIRST_LASTING 1000
 
+/* Of a serving task's target: fillers stand still, are halved, are kept. */
+#define PACE_STOP_PERCENT 97
+#define PACE_SLOW_PERCENT 85
+#define PACE_HOLD_PERCENT 70
+#define PACE_STEP 25
+
 typedef enum {
 	RANK_LASTING = 0,
 	RANK_IN_TIME,
@@ -46,6 +52,17 @@
 	return waited_ms <= LATE_FACTOR * objective_ms;
 }
 
+int32_t wwh_policy_pace(int32_t pace, int32_t tail_percent)
+{
+	if (tail_percent >= PACE_STOP_PERCENT)
+		return 0;
+	if (tail_percent >= PACE_SLOW_PERCENT)
+		return pace / 2;
+	if (tail_percent >= PACE_HOLD_PERCENT)
+		return pace;
+	return MIN(pace + PACE_STEP, 100);
+}
+
 int64_t wwh_policy_fit(const wwh_fit_figures_t *figures)
 {
 	int64_t left = figures->free_millicores - figures->need_millicores;
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -89,7 +89,6 @@
 	task->pace_wanted = 100;
 	task->percent = 0;
 	task->percent_ms = scheduler->now_ms;
-	task->over_target_ms = 0;
 	if (task->away_ms == 0)
 		task->away_ms = scheduler->now_ms;
 	task->step->occurrence->job->started = true;
@@ -111,7 +110,6 @@
 	task->pace = 100;
 	task->pace_wanted = 100;
 	task->percent_ms = scheduler->now_ms;
-	task->over_target_ms = 0;
 	task->away_ms = scheduler->now_ms;
 	task->inherited = false;
 	task->step->occurrence->job->started = true;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -377,6 +377,7 @@
 	if (answer->ended_in_full)
 		find_lost(scheduler, upstream, answer, sent_ms);
 	stop_hanging(scheduler, upstream);
+	sched_pace(scheduler, upstream);
 	settle(scheduler, upstream);
 	upstream->next_look_ms =
 		scheduler->now_ms + look_gap_ms(scheduler, upstream);
--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -44,6 +44,11 @@
 	GHashTable *records; /* as on the store: key to GBytes */
 	int64_t record;
 	int64_t now_ms;
+	int32_t paces; /* orders so far */
+	int32_t last_pace;
+	int32_t advices; /* calls for advice so far, and the last one */
+	int32_t advised_upstreams;
+	char advised_step[WWH_TASK_NAME_BYTES];
 } rig_t;
 
 static inline void rig_start(const wwh_start_order_t *order, void *data)
@@ -80,14 +85,19 @@
 
 static inline void rig_pace(const wwh_pace_order_t *order, void *data)
 {
-	(void)order;
-	(void)data;
+	rig_t *rig = data;
+
+	rig->paces++;
+	rig->last_pace = order->percent;
 }
 
 static inline void rig_advise(const wwh_advice_order_t *order, void *data)
 {
-	(void)order;
-	(void)data;
+	rig_t *rig = data;
+
+	rig->advices++;
+	rig->advised_upstreams = order->upstream_count;
+	g_strlcpy(rig->advised_step, order->step, sizeof(rig->advised_step));
 }
 
 static inline int64_t rig_keep(wwh_keep_kind_t kind, const char *key,
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -759,6 +759,82 @@
 	rig_delete(rig);
 }
 
+/*
+ * Users of a serving task wait too long because a filler runs beside it. The
+ * filler is stopped in place at once, and let go by steps afterwards.
+ */
+static void fillers_give_way_to_serving_tasks(void **state)
+{
+	rig_t *rig = rig_new();
+	wwh_job_t *serving = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *filler = rig_job(JOB_B, 1, 1000);
+	wwh_running_t rows[2];
+
+	(void)state;
+	serving->steps[0].lasting = true;
+	serving->steps[0].latency_target_ms = 200;
+	filler->steps[0].filler = true;
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_submit(rig, serving);
+	rig_submit(rig, filler);
+	assert_int_equal(rig->starts->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		rows[i] = rig_running(rig_order(rig->starts, i), 100);
+		rig_start_ended(rig, rig_order(rig->starts, i), WWH_ORDER_DONE);
+	}
+	rows[0].tail_ms = 300;
+	rig_run(rig, 1000);
+	rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+	assert_int_equal(rig->paces, 1);
+	assert_int_equal(rig->last_pace, 0);
+	wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
+				 WWH_ORDER_DONE, rig->now_ms);
+	rows[0].tail_ms = 50;
+	for (int32_t pace = 25; pace <= 100; pace += 25) {
+		rig_run(rig, 1000);
+		rows[1].percent = pace;
+		rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+		assert_int_equal(rig->last_pace, pace);
+		wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
+					 WWH_ORDER_DONE, rig->now_ms);
+	}
+	rig_run(rig, 1000);
+	rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+	assert_int_equal(rig->paces, 5);
+	rig_delete(rig);
+}
+
+/* A queue's policy admits only some upstreams; their tickets expire. */
+static void advice_is_asked_before_a_start_and_renewed(void **state)
+{
+	rig_t *rig = rig_new();
+	wwh_job_t *job = rig_job(JOB_A, 12, 1000);
+	wwh_admission_t admitted = { .upstream = "u2", .ticket = "t" };
+
+	(void)state;
+	job->queue.advice_valid_ms = 3000;
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 0);
+	assert_int_equal(rig->advices, 1);
+	assert_int_equal(rig->advised_upstreams, 2);
+	assert_string_equal(rig->advised_step, JOB_A ".0.0");
+	wwh_scheduler_advised(rig->scheduler, JOB_A ".0.0", &admitted, 1, 3000,
+			      rig->now_ms);
+	rig_run(rig, 1);
+	assert_int_equal(rig->starts->len, 8);
+	for (guint i = 0; i < 8; i++)
+		assert_string_equal(rig_order(rig->starts, i)->upstream, "u2");
+	/* the answer doesn't change: only the ticket is asked for anew */
+	rig_run(rig, 3500);
+	answer_all_but(rig, "");
+	rig_run(rig, 1000);
+	assert_int_equal(rig->advices, 2);
+	assert_int_equal(rig->advised_upstreams, 1);
+	rig_delete(rig);
+}
+
 static void nothing_new_goes_to_a_leaving_upstream(void **state)
 {
 	rig_t *rig = rig_new();
@@ -810,6 +886,8 @@
 		cmocka_unit_test(the_same_id_is_the_same_job),
 		cmocka_unit_test(a_task_that_stands_still_is_started_elsewhere),
 		cmocka_unit_test(a_task_that_goes_on_slowly_is_left_alone),
+		cmocka_unit_test(fillers_give_way_to_serving_tasks),
+		cmocka_unit_test(advice_is_asked_before_a_start_and_renewed),
 		cmocka_unit_test(nothing_new_goes_to_a_leaving_upstream),
 	};
 
