Test whole processes on a stand-in of the platform

The stand-in speaks the store's and the upstreams' protocol over loopback, pages its newest records by two, can drop its history, fall silent, and counts runs that must not begin. Five tests: a job through either process; all processes end and start with no history left; a holder that stops; a silent store, where a caller isn't told 'refused' and a stopped process ends in its grace period; malformed requests.

--- /dev/null
+++ b/src/test_job_service/standin.h
@@ -0,0 +1,558 @@
+#ifndef TEST_JOB_SERVICE_STANDIN_H
+#define TEST_JOB_SERVICE_STANDIN_H
+
+/*
+ * A small platform for tests of whole processes: its store, and upstreams
+ * that run tasks for a set time. It speaks the platform's protocol over
+ * loopback and checks what must never happen: two runs of one task at once,
+ * a start after the task was done.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <json-glib/json-glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "waxwinghollow/listener.h"
+
+#define STANDIN_POOL "desk"
+#define STANDIN_UPSTREAMS 3
+#define STANDIN_TOPICS 16
+
+typedef struct {
+	char *key;
+	GBytes *value; /* NULL: dropped */
+} standin_record_t;
+
+typedef struct {
+	char *name; /* TOPIC/PART */
+	GPtrArray *records; /* standin_record_t; those before first are gone */
+	int64_t first;
+	int64_t epoch;
+	int64_t sequence; /* the last one of that epoch; -1: none */
+	char *last_answer;
+} standin_part_t;
+
+typedef struct {
+	char task[64];
+	int64_t run;
+	int64_t end_us;
+} standin_run_t;
+
+typedef struct standin standin_t;
+
+typedef struct {
+	standin_t *standin;
+	wwh_listener_t *listener;
+	char id[16];
+	int64_t token;
+	GArray *runs; /* standin_run_t */
+	GPtrArray *ended; /* rows as JSON */
+	int64_t ended_count;
+} standin_upstream_t;
+
+struct standin {
+	GMutex lock;
+	GCond grown;
+	wwh_counters_t *counters;
+	wwh_listener_t *store;
+	GHashTable *parts; /* name to standin_part_t */
+	char *member; /* who holds all partitions */
+	int64_t member_ms;
+	int64_t generation;
+	standin_upstream_t upstreams[STANDIN_UPSTREAMS];
+	GHashTable *done; /* task names */
+	GHashTable *starts; /* task name to count */
+	int32_t twice; /* runs that should never have begun */
+	int64_t task_ms;
+	bool silent; /* the store takes calls and answers none */
+	bool short_history; /* only the newest record of a key is kept */
+};
+
+static inline int64_t standin_now_ms(void)
+{
+	return g_get_monotonic_time() / 1000;
+}
+
+static inline void standin_answer(wwh_http_response_t *response, int32_t status,
+				  const char *text)
+{
+	response->status = status;
+	g_byte_array_append(response->body, (const guint8 *)text,
+			    (guint)strlen(text));
+}
+
+static inline standin_part_t *standin_part(standin_t *standin,
+					   const char *topic, const char *part)
+{
+	char *name = g_strconcat(topic, "/", part, NULL);
+	standin_part_t *found = g_hash_table_lookup(standin->parts, name);
+
+	if (found == NULL) {
+		found = g_new0(standin_part_t, 1);
+		found->name = name;
+		found->records = g_ptr_array_new();
+		found->sequence = -1;
+		g_hash_table_insert(standin->parts, found->name, found);
+	} else {
+		g_free(name);
+	}
+	return found;
+}
+
+static inline void standin_put(standin_t *standin, const char *topic,
+			       const char *part, const char *key,
+			       const void *value, size_t size)
+{
+	standin_part_t *found = standin_part(standin, topic, part);
+	standin_record_t *record = g_new0(standin_record_t, 1);
+
+	record->key = g_strdup(key);
+	record->value = size == 0 ? NULL : g_bytes_new(value, size);
+	g_ptr_array_add(found->records, record);
+	if (standin->short_history)
+		found->first = (int64_t)found->records->len;
+	g_cond_broadcast(&standin->grown);
+}
+
+static inline int64_t standin_number(const char *target, const char *name,
+				     int64_t fallback)
+{
+	char *text = wwh_http_query(target, name);
+	int64_t value =
+		text == NULL ? fallback : g_ascii_strtoll(text, NULL, 10);
+
+	g_free(text);
+	return value;
+}
+
+static inline void standin_append(standin_t *standin,
+				  const wwh_http_request_t *http,
+				  const char *topic, const char *part,
+				  wwh_http_response_t *response)
+{
+	standin_part_t *found = standin_part(standin, topic, part);
+	int64_t epoch = standin_number(http->target, "epoch", -1);
+	int64_t sequence = standin_number(http->target, "sequence", -1);
+	int64_t offset = found->records->len;
+
+	if (epoch >= 0 && epoch < found->epoch) {
+		standin_answer(response, 409, "{\"reason\":\"fenced\"}");
+		return;
+	}
+	if (epoch >= 0 && epoch == found->epoch &&
+	    sequence == found->sequence) {
+		standin_answer(response, 200, found->last_answer);
+		return;
+	}
+	if (epoch >= 0 && epoch == found->epoch &&
+	    sequence != found->sequence + 1) {
+		standin_answer(response, 409, "{\"reason\":\"seq\"}");
+		return;
+	}
+	for (size_t at = 0; at + 4 < http->body_size;) {
+		uint32_t size;
+		size_t key_size = http->body[at + 4];
+		char *key;
+
+		memcpy(&size, http->body + at, 4);
+		size = GUINT32_FROM_BE(size);
+		key = g_strndup((const char *)http->body + at + 5, key_size);
+		standin_put(standin, topic, part, key,
+			    http->body + at + 5 + key_size,
+			    size - 1 - key_size);
+		g_free(key);
+		at += 4 + size;
+	}
+	if (epoch >= 0) {
+		found->epoch = epoch;
+		found->sequence = sequence;
+	}
+	g_free(found->last_answer);
+	found->last_answer =
+		g_strdup_printf("{\"offset\":%" G_GINT64_FORMAT ",\"end\":%u}",
+				offset, found->records->len);
+	standin_answer(response, 200, found->last_answer);
+}
+
+static inline void standin_read(standin_t *standin,
+				const wwh_http_request_t *http,
+				const char *topic, const char *part,
+				wwh_http_response_t *response)
+{
+	standin_part_t *found = standin_part(standin, topic, part);
+	int64_t from = standin_number(http->target, "from", 0);
+	int64_t end_us = g_get_monotonic_time() +
+			 standin_number(http->target, "waitMs", 0) * 1000;
+	uint64_t head[2];
+
+	while (from >= (int64_t)found->records->len) {
+		if (!g_cond_wait_until(&standin->grown, &standin->lock, end_us))
+			break;
+	}
+	if (from < found->first) {
+		standin_answer(response, 410, "{\"first\":0}");
+		return;
+	}
+	head[0] = GUINT64_TO_BE(found->records->len);
+	head[1] = GUINT64_TO_BE(found->first);
+	g_byte_array_append(response->body, (guint8 *)head, sizeof(head));
+	for (guint i = (guint)from; i < found->records->len; i++) {
+		standin_record_t *record = g_ptr_array_index(found->records, i);
+		gsize size = 0;
+		const void *value = NULL;
+		uint8_t key_size = (uint8_t)strlen(record->key);
+		uint32_t total;
+
+		if (record->value != NULL)
+			value = g_bytes_get_data(record->value, &size);
+		total = GUINT32_TO_BE((uint32_t)(1 + key_size + size));
+		g_byte_array_append(response->body, (guint8 *)&total, 4);
+		g_byte_array_append(response->body, &key_size, 1);
+		g_byte_array_append(response->body, (guint8 *)record->key,
+				    key_size);
+		if (size > 0)
+			g_byte_array_append(response->body, value, (guint)size);
+	}
+	response->status = 200;
+}
+
+/* The newest record of each key, in pages of two so that paging is used. */
+static inline void standin_newest(standin_t *standin,
+				  const wwh_http_request_t *http,
+				  const char *topic, const char *part,
+				  wwh_http_response_t *response)
+{
+	standin_part_t *found = standin_part(standin, topic, part);
+	char *after = wwh_http_query(http->target, "dependsOn");
+	GTree *keys = g_tree_new((GCompareFunc)(void *)strcmp);
+	GString *text = g_string_new("{\"items\":[");
+	GTreeNode *node;
+	int32_t count = 0;
+
+	for (guint i = 0; i < found->records->len; i++) {
+		standin_record_t *record = g_ptr_array_index(found->records, i);
+
+		if (record->value == NULL)
+			g_tree_remove(keys, record->key);
+		else
+			g_tree_replace(keys, record->key, record);
+	}
+	node = after == NULL ? g_tree_node_first(keys)
+			     : g_tree_upper_bound(keys, after);
+	for (; node != NULL && count < 2; node = g_tree_node_next(node)) {
+		standin_record_t *record = g_tree_node_value(node);
+		gsize size;
+		const void *value = g_bytes_get_data(record->value, &size);
+		char *base64 = g_base64_encode(value, size);
+
+		g_string_append_printf(text,
+				       "%s{\"key\":\"%s\",\"value\":\"%s\","
+				       "\"offset\":0}",
+				       count++ > 0 ? "," : "", record->key,
+				       base64);
+		g_free(base64);
+	}
+	g_string_append_printf(text, "],\"truncated\":%s,\"end\":%u}",
+			       node != NULL ? "true" : "false",
+			       found->records->len);
+	standin_answer(response, 200, text->str);
+	g_string_free(text, TRUE);
+	g_tree_destroy(keys);
+	g_free(after);
+}
+
+/* One member holds all partitions until it has been silent for its time. */
+static inline void standin_join(standin_t *standin,
+				const wwh_http_request_t *http,
+				wwh_http_response_t *response)
+{
+	JsonParser *parser = json_parser_new();
+	JsonObject *object;
+	const char *member;
+	char *text;
+
+	assert_true(json_parser_load_from_data(parser, (char *)http->body,
+					       (gssize)http->body_size, NULL));
+	object = json_node_get_object(json_parser_get_root(parser));
+	member = json_object_get_string_member(object, "member");
+	if (standin->member == NULL ||
+	    standin_now_ms() - standin->member_ms >
+		    json_object_get_int_member(object, "ttlMs")) {
+		g_free(standin->member);
+		standin->member = g_strdup(member);
+		standin->generation++;
+	}
+	if (strcmp(standin->member, member) == 0)
+		standin->member_ms = standin_now_ms();
+	text = g_strdup_printf(
+		"{\"generation\":%" G_GINT64_FORMAT ",\"parts\":[%s]}",
+		standin->generation,
+		strcmp(standin->member, member) == 0
+			? "[\"keyed.wwh\",0,0],[\"keyed.wwh\",1,0]"
+			: "");
+	standin_answer(response, 200, text);
+	g_free(text);
+	g_object_unref(parser);
+}
+
+static inline void standin_on_store(const wwh_http_request_t *http,
+				    wwh_http_response_t *response, void *data)
+{
+	standin_t *standin = data;
+	char *path = wwh_http_path(http->target);
+	char *topic = wwh_http_query(http->target, "topic");
+	char *part = wwh_http_query(http->target, "part");
+
+	g_mutex_lock(&standin->lock);
+	if (standin->silent) {
+		g_mutex_unlock(&standin->lock);
+		g_usleep(3000 * 1000);
+		g_mutex_lock(&standin->lock);
+		standin_answer(response, 503, "{}");
+	} else if (g_str_has_suffix(path, "/log-append")) {
+		standin_append(standin, http, topic, part, response);
+	} else if (g_str_has_suffix(path, "/log-read")) {
+		standin_read(standin, http, topic, part, response);
+	} else if (g_str_has_suffix(path, "/log-newest")) {
+		standin_newest(standin, http, topic, part, response);
+	} else if (g_str_has_suffix(path, "/log-join")) {
+		standin_join(standin, http, response);
+	} else if (g_str_has_suffix(path, "/log-leave")) {
+		g_clear_pointer(&standin->member, g_free);
+		standin_answer(response, 200, "{}");
+	} else if (g_str_has_suffix(path, "/machines")) {
+		standin_answer(response, 200,
+			       "{\"machines\":[],\"nextToken\":null}");
+	} else {
+		standin_answer(response, 400, "{}");
+	}
+	g_mutex_unlock(&standin->lock);
+	g_free(path);
+	g_free(topic);
+	g_free(part);
+}
+
+static inline void standin_finish_runs(standin_upstream_t *upstream)
+{
+	standin_t *standin = upstream->standin;
+
+	for (guint i = 0; i < upstream->runs->len;) {
+		standin_run_t *run =
+			&g_array_index(upstream->runs, standin_run_t, i);
+
+		if (run->end_us > g_get_monotonic_time()) {
+			i++;
+			continue;
+		}
+		g_hash_table_add(standin->done, g_strdup(run->task));
+		g_ptr_array_add(upstream->ended,
+				g_strdup_printf("[%" G_GINT64_FORMAT
+						",\"%s\",%" G_GINT64_FORMAT
+						",\"done\",\"\"]",
+						++upstream->ended_count,
+						run->task, run->run));
+		g_array_remove_index(upstream->runs, i);
+	}
+}
+
+static inline void standin_start(standin_upstream_t *upstream,
+				 JsonObject *object)
+{
+	standin_t *standin = upstream->standin;
+	standin_run_t run = { 0 };
+	const char *task = json_object_get_string_member(object, "task");
+	int32_t starts =
+		GPOINTER_TO_INT(g_hash_table_lookup(standin->starts, task));
+
+	g_strlcpy(run.task, task, sizeof(run.task));
+	run.run = json_object_get_int_member(object, "run");
+	run.end_us = g_get_monotonic_time() + standin->task_ms * 1000;
+	g_hash_table_replace(standin->starts, g_strdup(task),
+			     GINT_TO_POINTER(starts + 1));
+	standin->twice += g_hash_table_contains(standin->done, task);
+	for (int32_t i = 0; i < STANDIN_UPSTREAMS; i++) {
+		GArray *runs = standin->upstreams[i].runs;
+
+		for (guint k = 0; k < runs->len; k++)
+			standin->twice +=
+				strcmp(g_array_index(runs, standin_run_t, k)
+					       .task,
+				       task) == 0;
+	}
+	g_array_append_val(upstream->runs, run);
+}
+
+static inline void standin_look(standin_upstream_t *upstream,
+				JsonObject *object, GString *text)
+{
+	int64_t seen =
+		json_object_get_int_member_with_default(object, "seenUpto", 0);
+	bool first = true;
+
+	g_string_append(text, ",\"running\":[");
+	for (guint i = 0; i < upstream->runs->len; i++) {
+		standin_run_t *run =
+			&g_array_index(upstream->runs, standin_run_t, i);
+
+		g_string_append_printf(
+			text, "%s[\"%s\",%" G_GINT64_FORMAT ",\"\",%d]",
+			i > 0 ? "," : "", run->task, run->run,
+			(int32_t)(standin_now_ms() % 100));
+	}
+	g_string_append(text, "],\"ended\":[");
+	for (int64_t i = seen; i < upstream->ended_count; i++) {
+		g_string_append_printf(
+			text, "%s%s", first ? "" : ",",
+			(char *)g_ptr_array_index(upstream->ended, (guint)i));
+		first = false;
+	}
+	g_string_append(text, "]");
+}
+
+static inline void standin_on_upstream(const wwh_http_request_t *http,
+				       wwh_http_response_t *response,
+				       void *data)
+{
+	standin_upstream_t *upstream = data;
+	standin_t *standin = upstream->standin;
+	JsonParser *parser = json_parser_new();
+	GString *text = g_string_new(NULL);
+	JsonObject *object;
+	int64_t token;
+
+	assert_true(json_parser_load_from_data(parser, (char *)http->body,
+					       (gssize)http->body_size, NULL));
+	object = json_node_get_object(json_parser_get_root(parser));
+	token = json_object_get_int_member(object, "fencingToken");
+	g_mutex_lock(&standin->lock);
+	standin_finish_runs(upstream);
+	g_string_printf(text, "{\"clockMs\":%" G_GINT64_FORMAT,
+			standin_now_ms());
+	response->status = 200;
+	if (token < upstream->token) {
+		response->status = 409;
+		g_string_append(text, ",\"reason\":\"fence\"");
+	} else {
+		upstream->token = token;
+		if (g_str_has_suffix(http->target, "/run-start"))
+			standin_start(upstream, object);
+		else if (g_str_has_suffix(http->target, "/hold"))
+			standin_look(upstream, object, text);
+	}
+	g_mutex_unlock(&standin->lock);
+	g_string_append_c(text, '}');
+	standin_answer(response, response->status, text->str);
+	g_string_free(text, TRUE);
+	g_object_unref(parser);
+}
+
+static inline wwh_listener_t *
+standin_listen(standin_t *standin, wwh_listener_handler_t handler, void *data)
+{
+	wwh_listener_options_t options = wwh_listener_options_defaults();
+	wwh_listener_t *listener;
+	wwh_message_t message;
+
+	options.name = "standin";
+	options.handler = handler;
+	options.client_data = data;
+	listener = wwh_listener_new(&options, standin->counters);
+	assert_int_equal(wwh_listener_init(listener, &message), WWH_STATUS_OK);
+	return listener;
+}
+
+static inline standin_t *standin_new(void)
+{
+	static const char config[] =
+		"{\"version\":3,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+		"\"pathPrefix\":\"/q/\",\"timeoutMs\":3000,\"service\":"
+		"\"" STANDIN_POOL "\",\"maxAttempts\":3,\"stretch\":1.6,"
+		"\"targetLatencyMs\":600,\"priority\":0}],\"services\":["
+		"{\"name\":\"" STANDIN_POOL "\",\"enforcesCapacity\":true}],"
+		"\"limits\":{\"maxBodyBytes\":262144}}";
+	standin_t *standin = g_new0(standin_t, 1);
+
+	g_mutex_init(&standin->lock);
+	g_cond_init(&standin->grown);
+	standin->counters = wwh_counters_new();
+	standin->parts = g_hash_table_new(g_str_hash, g_str_equal);
+	standin->done =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	standin->starts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	standin->task_ms = 300;
+	standin->store = standin_listen(standin, standin_on_store, standin);
+	standin_put(standin, "keyed.op", "0", "config", config, strlen(config));
+	for (int32_t i = 0; i < STANDIN_UPSTREAMS; i++) {
+		standin_upstream_t *upstream = &standin->upstreams[i];
+		char *value;
+
+		upstream->standin = standin;
+		snprintf(upstream->id, sizeof(upstream->id), "u%d", i);
+		upstream->runs =
+			g_array_new(FALSE, FALSE, sizeof(standin_run_t));
+		upstream->ended = g_ptr_array_new_with_free_func(g_free);
+		upstream->listener =
+			standin_listen(standin, standin_on_upstream, upstream);
+		value = g_strdup_printf(
+			"{\"service\":\"" STANDIN_POOL
+			"\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+			"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
+			"\"memMb\":16000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+			"\"sequence\":1}",
+			wwh_listener_port(upstream->listener));
+		standin_put(standin, "keyed.servers", "0", upstream->id, value,
+			    strlen(value));
+		g_free(value);
+	}
+	return standin;
+}
+
+static inline void standin_free_part(standin_part_t *part)
+{
+	for (guint i = 0; i < part->records->len; i++) {
+		standin_record_t *record = g_ptr_array_index(part->records, i);
+
+		if (record->value != NULL)
+			g_bytes_unref(record->value);
+		g_free(record->key);
+		g_free(record);
+	}
+	g_ptr_array_unref(part->records);
+	g_free(part->last_answer);
+	g_free(part->name);
+	g_free(part);
+}
+
+static inline void standin_delete(standin_t *standin)
+{
+	GHashTableIter iterator;
+	gpointer part;
+
+	for (int32_t i = 0; i < STANDIN_UPSTREAMS; i++) {
+		(void)wwh_listener_drain(standin->upstreams[i].listener, 0);
+		wwh_listener_delete(standin->upstreams[i].listener);
+		g_array_free(standin->upstreams[i].runs, TRUE);
+		g_ptr_array_unref(standin->upstreams[i].ended);
+	}
+	(void)wwh_listener_drain(standin->store, 0);
+	wwh_listener_delete(standin->store);
+	g_hash_table_iter_init(&iterator, standin->parts);
+	while (g_hash_table_iter_next(&iterator, NULL, &part))
+		standin_free_part(part);
+	g_hash_table_destroy(standin->parts);
+	g_hash_table_destroy(standin->done);
+	g_hash_table_destroy(standin->starts);
+	g_free(standin->member);
+	wwh_counters_delete(standin->counters);
+	g_mutex_clear(&standin->lock);
+	g_cond_clear(&standin->grown);
+	g_free(standin);
+}
+
+#endif
--- /dev/null
+++ b/src/test_job_service/test_job_service.c
@@ -0,0 +1,343 @@
+/*
+ * Whole processes of the job service on a stand-in of the platform: what
+ * callers are told when holders end, the store is silent, or bodies are
+ * malformed.
+ */
+
+#include "standin.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "waxwinghollow/job_service.h"
+#include "waxwinghollow/upstream.h"
+
+#define PROCESSES 2
+#define WAIT_LIMIT_MS 15000
+
+typedef struct {
+	standin_t *standin;
+	wwh_job_service_t *services[PROCESSES];
+	int32_t ports[PROCESSES]; /* of callers */
+	wwh_counters_t *counters;
+	wwh_upstream_t *client;
+	int log_fd;
+} fixture_t;
+
+static int32_t free_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&address, sizeof(address)),
+			 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size),
+			 0);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void start_process(fixture_t *fixture, int32_t index)
+{
+	wwh_host_settings_t settings;
+	wwh_message_t message = { "" };
+	int32_t store = wwh_listener_port(fixture->standin->store);
+
+	wwh_host_settings_init(&settings);
+	settings.name = g_strdup_printf("p%d", index);
+	settings.callers.address = g_strdup("127.0.0.1");
+	settings.callers.port = free_port();
+	settings.readiness.address = g_strdup("127.0.0.1");
+	settings.readiness.port = free_port();
+	settings.peers.address = g_strdup("127.0.0.1");
+	settings.peers.port = free_port();
+	settings.store = g_strdup_printf("127.0.0.1:%d", store);
+	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
+	settings.grace_ms = 3000;
+	fixture->ports[index] = settings.callers.port;
+	fixture->services[index] =
+		wwh_job_service_new(&settings, fixture->log_fd);
+	assert_int_equal(
+		wwh_job_service_init(fixture->services[index], &message),
+		WWH_STATUS_OK);
+}
+
+static void stop_process(fixture_t *fixture, int32_t index)
+{
+	(void)wwh_job_service_finish(fixture->services[index]);
+	wwh_job_service_delete(fixture->services[index]);
+	fixture->services[index] = NULL;
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	wwh_upstream_options_t options = wwh_upstream_options_defaults();
+
+	fixture->standin = standin_new();
+	fixture->counters = wwh_counters_new();
+	fixture->client = wwh_upstream_new(&options, fixture->counters);
+	fixture->log_fd = open("/dev/null", O_WRONLY);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		start_process(fixture, i);
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (fixture->services[i] != NULL)
+			stop_process(fixture, i);
+	}
+	wwh_upstream_delete(fixture->client);
+	wwh_counters_delete(fixture->counters);
+	close(fixture->log_fd);
+	assert_int_equal(fixture->standin->twice, 0);
+	standin_delete(fixture->standin);
+	g_free(fixture);
+	return 0;
+}
+
+/* The status of one request; *text gets the body, to be freed. */
+static int32_t ask(fixture_t *fixture, int32_t index, const char *method,
+		   const char *target, const char *body, char **text)
+{
+	wwh_headers_t *headers = wwh_headers_new();
+	wwh_http_request_t http = {
+		.method = method,
+		.target = target,
+		.headers = headers,
+		.body = (const uint8_t *)body,
+		.body_size = body == NULL ? 0 : strlen(body),
+		.caller_fd = -1,
+	};
+	wwh_upstream_request_t request = {
+		.address = "127.0.0.1",
+		.port = fixture->ports[index],
+		.http = &http,
+		.timeout_ms = WAIT_LIMIT_MS,
+		.max_answer_bytes = 1 << 20,
+		.max_connections = 16,
+	};
+	wwh_upstream_answer_t answer;
+	int32_t status = 0;
+
+	wwh_headers_add(headers, "Host", "h");
+	wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms", "1500");
+	wwh_upstream_send(fixture->client, &request, &answer);
+	status = answer.outcome == WWH_UPSTREAM_ANSWERED ||
+				 answer.outcome == WWH_UPSTREAM_REFUSED
+			 ? answer.response.status
+			 : 0;
+	if (text != NULL)
+		*text = g_strndup((char *)answer.response.body->data,
+				  answer.response.body->len);
+	wwh_http_response_clear(&answer.response);
+	wwh_headers_delete(headers);
+	return status;
+}
+
+static void wait_ready(fixture_t *fixture, int32_t index)
+{
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 50; i++) {
+		if (ask(fixture, index, "GET", "/q/", NULL, NULL) == 200)
+			return;
+		g_usleep(50 * 1000);
+	}
+	fail_msg("process %d doesn't serve", index);
+}
+
+static void submit(fixture_t *fixture, int32_t index, const char *id)
+{
+	static const char job[] =
+		"{\"spec\":\"text\",\"phases\":[{\"count\":3,\"cpu\":1000,"
+		"\"memMb\":100,\"estimateMs\":300},{\"count\":2,\"cpu\":1000,"
+		"\"memMb\":100,\"estimateMs\":300,\"dependsOn\":[0]}]}";
+	char *target = g_strconcat("/q/", id, NULL);
+	int32_t status = 0;
+
+	/* as callers do: again with the same id while it isn't accepted */
+	for (int32_t i = 0; i < 100 && status != 200; i++) {
+		status = ask(fixture, index, "POST", target, job, NULL);
+		if (status != 200)
+			g_usleep(100 * 1000);
+	}
+	assert_int_equal(status, 200);
+	g_free(target);
+}
+
+static void wait_state(fixture_t *fixture, int32_t index, const char *id,
+		       const char *state)
+{
+	char *target = g_strconcat("/q/", id, NULL);
+	char *wanted = g_strdup_printf("{\"state\":\"%s\"}", state);
+	bool found = false;
+
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 50 && !found; i++) {
+		char *text;
+		int32_t status =
+			ask(fixture, index, "GET", target, NULL, &text);
+
+		/* an accepted job is never unknown */
+		assert_int_not_equal(status, 410);
+		found = strcmp(text, wanted) == 0;
+		g_free(text);
+		if (!found)
+			g_usleep(50 * 1000);
+	}
+	if (!found)
+		fail_msg("job %s doesn't become %s", id, state);
+	g_free(target);
+	g_free(wanted);
+}
+
+static void a_job_runs_whichever_process_takes_it(void **state)
+{
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	submit(fixture, 0, "00000000000000a0");
+	submit(fixture, 1, "00000000000000a1");
+	wait_state(fixture, 1, "00000000000000a0", "completed");
+	wait_state(fixture, 0, "00000000000000a1", "completed");
+	assert_int_equal(g_hash_table_size(fixture->standin->done), 10);
+}
+
+/*
+ * All processes end while jobs run, and the store keeps no history: only the
+ * newest record of each key. Processes that start find every accepted job
+ * and end each task once.
+ */
+static void a_process_that_starts_finds_all_jobs_without_history(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->short_history = true;
+	fixture->standin->task_ms = 1500;
+	g_mutex_unlock(&fixture->standin->lock);
+	wait_ready(fixture, 0);
+	submit(fixture, 0, "00000000000000b0");
+	submit(fixture, 0, "00000000000000b1");
+	for (int32_t i = 0; i < PROCESSES; i++)
+		stop_process(fixture, i);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		start_process(fixture, i);
+	wait_ready(fixture, 0);
+	wait_state(fixture, 0, "00000000000000b0", "completed");
+	wait_state(fixture, 1, "00000000000000b1", "completed");
+	assert_int_equal(g_hash_table_size(fixture->standin->done), 10);
+}
+
+/* The holder is stopped; the other goes on with what runs. */
+static void another_process_takes_over_from_one_that_stops(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->task_ms = 1000;
+	g_mutex_unlock(&fixture->standin->lock);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	submit(fixture, 0, "00000000000000c0");
+	stop_process(fixture, 0);
+	wait_state(fixture, 1, "00000000000000c0", "completed");
+	submit(fixture, 1, "00000000000000c1");
+	wait_state(fixture, 1, "00000000000000c1", "completed");
+}
+
+/*
+ * The store takes calls and answers none. A caller isn't told that its job
+ * is refused, as it may be stored; and a process that is stopped then ends
+ * within its grace period though callers still wait.
+ */
+static void a_silent_store_neither_lies_nor_holds_a_process(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms;
+	int32_t status;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->silent = true;
+	g_mutex_unlock(&fixture->standin->lock);
+	status = ask(fixture, 0, "POST", "/q/00000000000000d0",
+		     "{\"spec\":\"\",\"phases\":[{\"count\":1}]}", NULL);
+	assert_int_equal(status, 504);
+	begun_ms = standin_now_ms();
+	stop_process(fixture, 0);
+	assert_true(standin_now_ms() - begun_ms < 3500);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->silent = false;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static void malformed_requests_are_told_what_is_wrong(void **state)
+{
+	static const struct {
+		const char *method;
+		const char *target;
+		const char *body;
+		int32_t status;
+	} cases[] = {
+		{ "POST", "/q/00000000000000e0", "", 400 },
+		{ "POST", "/q/00000000000000e0", "{", 400 },
+		{ "POST", "/q/00000000000000e0", "[]", 400 },
+		{ "POST", "/q/00000000000000e0", "{\"phases\":[]}", 400 },
+		{ "POST", "/q/00000000000000e0", "{\"phases\":[{}]}", 400 },
+		{ "POST", "/q/00000000000000e0",
+		  "{\"phases\":[{\"count\":-1}]}", 400 },
+		{ "POST", "/q/00000000000000e0",
+		  "{\"phases\":[{\"count\":1,\"dependsOn\":[0]}]}", 400 },
+		{ "POST", "/q/short", "{\"phases\":[{\"count\":1}]}", 400 },
+		{ "PUT", "/q/00000000000000e0", "", 400 },
+		{ "GET", "/q/zz", NULL, 400 },
+		{ "GET", "/other/", NULL, 404 },
+		{ "GET", "/q/00000000000000e0", NULL, 410 },
+		{ "DELETE", "/q/00000000000000e0", NULL, 410 },
+	};
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (int32_t k = 0; k < PROCESSES; k++)
+			assert_int_equal(ask(fixture, k, cases[i].method,
+					     cases[i].target, cases[i].body,
+					     NULL),
+					 cases[i].status);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			a_job_runs_whichever_process_takes_it, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_process_that_starts_finds_all_jobs_without_history,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			another_process_takes_over_from_one_that_stops, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_silent_store_neither_lies_nor_holds_a_process, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			malformed_requests_are_told_what_is_wrong, set_up,
+			tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
