--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,6 +5,6 @@
 set -eu
 build=$1
 jobs=$2
-git ls-files -co --exclude-standard 'src/*.c' | grep -v '^src/test_fuzz/' |
+git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' | grep -v '^src/test_fuzz/' |
 	xargs -P "$jobs" -n 1 clang-tidy --quiet -p "$build" 2>/dev/null
 echo "lint: clean"
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -156,8 +156,9 @@
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host)
 {
 	return host->in_list && host->pool != NULL &&
-	       host->state == WWH_HOST_UP && !host->in_flight && !host->away && host->released_ms == 0 &&
-	       host->ordered_ms == 0 && host->move_to == NULL &&
+	       host->state == WWH_HOST_UP && !host->in_flight && !host->away &&
+	       host->released_ms == 0 && host->ordered_ms == 0 &&
+	       host->move_to == NULL &&
 	       duties->now_ms >= host->no_move_until_ms;
 }
 
