--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -57,40 +57,39 @@
 	char *self;
 	claim_state_t state;
 	int32_t references;
-	bool deleted;
+	int64_t now_ms;
 	/* the group */
-	bool join_in_flight;
-	bool assigned;
 	int64_t assigned_ms; /* when the call that said so was sent */
 	int64_t join_sent_ms;
 	int64_t generation;
+	int64_t reached_ms;
+	int64_t reached_since_ms; /* each call since was answered; 0: none */
 	/* the holder as made known */
 	wwh_store_follower_t *notices;
 	char *holder; /* NULL: nobody */
 	int64_t holder_epoch;
-	bool probe_in_flight;
 	int64_t probe_sent_ms;
-	int32_t probes_failed;
-	bool holder_ended; /* its process is gone, or says it doesn't hold */
-	bool others_at_work; /* when the claim was begun */
 	/* the claim */
 	wwh_store_follower_t *journal;
 	GHashTable *records;
 	int64_t epoch;
 	char *nonce;
 	int64_t highest_counter;
-	bool append_in_flight;
 	int64_t append_sent_ms;
 	int64_t retry_ms;
-	/* making it known */
-	bool notice_pending;
+	int64_t notice_retry_ms;
+	int32_t probes_failed;
+	bool deleted;
+	bool join_in_flight;
+	bool assigned;
+	bool probe_in_flight;
+	bool holder_ended; /* its process is gone, or says it doesn't hold */
+	bool others_at_work; /* when the claim was begun */
+	bool append_in_flight;
+	bool notice_pending; /* the holder is to be made known */
 	bool notice_in_flight;
 	bool notice_of_giving_up; /* what is in flight says so */
-	int64_t notice_retry_ms;
 	bool leave_settled;
-	int64_t reached_ms;
-	int64_t reached_since_ms; /* each call since was answered; 0: none */
-	int64_t now_ms;
 };
 
 static void unref(wwh_shard_claim_t *claim);
