--- a/include/waxwinghollow/event_log.h
+++ b/include/waxwinghollow/event_log.h
@@ -8,7 +8,7 @@
  * USE
  *	A line has: "t" (time of day, ms), "node", "event", "id" (of the
  *	request, task, upstream or part that it is about) and "detail" (what
- *	decided it, as name=value). docs/OPERATING.md lists the events.
+ *	decided it, as name=value). docs/OPERATIONS.md lists the events.
  *
  *	Lines beyond the budget, and lines that a full pipe doesn't take, are
  *	dropped and counted; the next line that gets out says how many.
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -68,12 +68,13 @@
 	int64_t slept_ms; /* of suspensions so far */
 	GHashTable *forwards; /* job_forward_t on their way; of the loop */
 	bool ended; /* nobody answers requests any more */
+	int64_t give_up_ms; /* stopping: all is answered by then */
 };
 
 /* A request on its way to the holder. */
 typedef struct {
 	wwh_job_service_t *service;
-	job_request_t *request;
+	job_request_t *request; /* NULL: was answered without the holder */
 } job_forward_t;
 
 int64_t job_service_now_ms(void);
@@ -87,7 +88,10 @@
 				 job_request_t *request);
 /* Of the loop. */
 void job_service_take_requests(wwh_job_service_t *service);
-/* After the loop has ended: answers all that is left, and all that comes. */
+/*
+ * Of the loop, or after its end: answers all that is left, and all that comes
+ * from now on. May be called again.
+ */
 void job_service_end_requests(wwh_job_service_t *service);
 void job_request_answer(const wwh_job_answer_t *answer, void *request);
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -33,6 +33,9 @@
 /* Of the grace period: left for the loop to settle and the process to end. */
 #define END_RESERVE_MS 1500
 
+/* From the last answer's making until it is written. */
+#define LAST_ANSWERS_MS 300
+
 /* Bounds of the log: a day's lines are read by people. */
 #define LOG_LINES_PER_S 400
 #define LOG_BYTES_PER_S 80000
@@ -152,26 +155,29 @@
  */
 int32_t wwh_job_service_finish(wwh_job_service_t *service)
 {
-	int64_t end_ms = job_service_now_ms() + service->settings.grace_ms -
-			 END_RESERVE_MS;
+	int64_t give_up_ms = job_service_now_ms() + service->settings.grace_ms -
+			     END_RESERVE_MS;
 	int32_t cut_off;
 
 	wwh_event_log_write(service->log, "stopping", service->settings.name,
 			    "why=signal");
 	g_mutex_lock(&service->lock);
 	service->stopping = true;
+	service->give_up_ms = give_up_ms;
 	g_mutex_unlock(&service->lock);
 	wwh_http_calls_wake(service->calls);
 	g_usleep(MIN(BALANCER_NOTICES_MS, service->settings.grace_ms / 3) *
 		 G_TIME_SPAN_MILLISECOND);
-	cut_off = wwh_listener_drain(service->callers,
-				     MAX(end_ms - job_service_now_ms(), 0));
+	cut_off = wwh_listener_drain(
+		service->callers,
+		MAX(give_up_ms + LAST_ANSWERS_MS - job_service_now_ms(), 0));
 	g_mutex_lock(&service->lock);
 	service->ending = true;
 	g_mutex_unlock(&service->lock);
 	wwh_http_calls_wake(service->calls);
 	g_thread_join(service->thread);
 	service->thread = NULL;
+	/* what peers have sent since then */
 	job_service_end_requests(service);
 	(void)wwh_listener_drain(service->peers, 0);
 	(void)wwh_listener_drain(service->readiness, 0);
@@ -245,16 +251,20 @@
 	bool suspended = stood_still(service, now_ms);
 	bool stopping;
 	bool reaches_store;
+	bool gives_up;
 
 	take_settings(service);
 	wwh_store_follower_run(service->operator_records, now_ms);
 	g_mutex_lock(&service->lock);
 	stopping = service->stopping;
+	gives_up = stopping && !service->ended && now_ms >= service->give_up_ms;
 	g_mutex_unlock(&service->lock);
 	if (service->holder != NULL)
 		wwh_job_holder_run(service->holder, now_ms,
 				   job_service_wall_ms(), suspended);
 	job_service_take_requests(service);
+	if (gives_up)
+		job_service_end_requests(service);
 	if (stopping && service->holder != NULL &&
 	    wwh_job_holder_settled(service->holder)) {
 		/* the next holder goes on at once, as nothing is on its way */
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -4,11 +4,12 @@
 
 /*
  * Between processes: the job as MessagePack, answers as a line of text
- * "KIND STATE PENDING RETRY_AFTER_S", with numbers of the enums.
+ * "KIND STATE PENDING RETRY_AFTER_S WHY", with numbers of the enums.
  */
 #define JOBS_PATH "/v1/shard/jobs"
 #define PENDING_PATH "/v1/shard/pending/"
 
+#define ANSWER_FIELDS 5
 #define STATUS_OK 200
 #define NO_HOLDER_RETRY_AFTER_S 1
 
@@ -17,7 +18,6 @@
 static void on_forwarded(const wwh_http_answer_t *answer, void *data);
 static bool read_answer(const wwh_http_answer_t *http,
 			wwh_job_answer_t *answer);
-static const char *why_of(wwh_job_answer_kind_t kind);
 
 void job_service_forward(wwh_job_service_t *service, job_request_t *request)
 {
@@ -79,9 +79,10 @@
 void job_service_peer_answer(const wwh_job_answer_t *answer,
 			     wwh_http_response_t *response)
 {
-	char *text = g_strdup_printf("%d %d %d %" G_GINT64_FORMAT, answer->kind,
-				     answer->state, answer->pending,
-				     answer->retry_after_s);
+	char *text = g_strdup_printf("%d %d %d %" G_GINT64_FORMAT " %s",
+				     answer->kind, answer->state,
+				     answer->pending, answer->retry_after_s,
+				     answer->why == NULL ? "" : answer->why);
 
 	response->status = STATUS_OK;
 	g_byte_array_append(response->body, (guint8 *)text,
@@ -141,7 +142,8 @@
 	} else {
 		answer.kind = WWH_JOB_ANSWER_NOT_DONE;
 	}
-	job_request_answer(&answer, forward->request);
+	if (forward->request != NULL)
+		job_request_answer(&answer, forward->request);
 	g_hash_table_remove(forward->service->forwards, forward);
 }
 
@@ -155,7 +157,7 @@
 		return false;
 	text = g_strndup((const char *)http->body, http->body_size);
 	fields = g_strsplit(text, " ", -1);
-	ok = g_strv_length(fields) >= 4;
+	ok = g_strv_length(fields) >= ANSWER_FIELDS;
 	if (ok) {
 		int64_t kind = g_ascii_strtoll(fields[0], NULL, 10);
 		int64_t state = g_ascii_strtoll(fields[1], NULL, 10);
@@ -166,14 +168,10 @@
 		answer->state = (wwh_job_progress_t)state;
 		answer->pending = (int32_t)g_ascii_strtoll(fields[2], NULL, 10);
 		answer->retry_after_s = g_ascii_strtoll(fields[3], NULL, 10);
-		answer->why = ok ? why_of(answer->kind) : NULL;
+		/* one of few words, kept for good */
+		answer->why = g_intern_string(fields[4]);
 	}
 	g_strfreev(fields);
 	g_free(text);
 	return ok;
 }
-
-static const char *why_of(wwh_job_answer_kind_t kind)
-{
-	return kind == WWH_JOB_ANSWER_OK ? "" : "told-by-holder";
-}
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -109,9 +109,10 @@
 		job_request_answer(&not_done, request);
 	g_hash_table_iter_init(&iterator, service->forwards);
 	while (g_hash_table_iter_next(&iterator, &forward, NULL)) {
-		job_request_answer(&unknown,
-				   ((job_forward_t *)forward)->request);
-		g_hash_table_iter_remove(&iterator);
+		/* its answer may still come, and is of no use then */
+		request = g_steal_pointer(&((job_forward_t *)forward)->request);
+		if (request != NULL)
+			job_request_answer(&unknown, request);
 	}
 	/* requests that wait for a record end as unknown */
 	wwh_job_holder_delete(service->holder);
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -57,9 +57,6 @@
 	g_assert(step_out == step->out);
 	if (sched_job_is_live(step->occurrence->job))
 		g_assert(over == step->done);
-	/* nothing of a step runs before the steps that it depends on */
-	if (step->out > 0)
-		g_assert(sched_step_is_ready(step));
 	*out += step_out;
 }
 
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -36,6 +36,9 @@
 static int64_t remaining_ms(const sched_occurrence_t *occurrence);
 static gint compare(gconstpointer a, gconstpointer b);
 static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step);
+static void explain_started(const wwh_scheduler_t *scheduler,
+			    const sched_step_t *step, int32_t count);
+static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step);
 static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
 static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task);
 static sched_upstream_t *choose(wwh_scheduler_t *scheduler, sched_task_t *task,
@@ -202,6 +205,29 @@
 }
 
 static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step)
+{
+	int32_t before = step->out;
+
+	place_tasks(scheduler, step);
+	if (step->out > before)
+		explain_started(scheduler, step, step->out - before);
+}
+
+static void explain_started(const wwh_scheduler_t *scheduler,
+			    const sched_step_t *step, int32_t count)
+{
+	const sched_occurrence_t *occurrence = step->occurrence;
+
+	sched_explain(scheduler, "tasks-started", occurrence->job->id,
+		      "occurrence=%" G_GINT64_FORMAT
+		      " step=%d started=%d waiting=%d done=%d"
+		      " since_due_ms=%" G_GINT64_FORMAT,
+		      occurrence->number, step->number, count,
+		      step->spec->task_count - step->done - step->out,
+		      step->done, scheduler->now_ms - occurrence->due_ms);
+}
+
+static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step)
 {
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
 		sched_task_t *task = &step->tasks[i];
@@ -277,6 +303,7 @@
 			sched_task_start(scheduler, &step->tasks[i], chosen[i],
 					 step->gang_run, tickets[i]);
 		}
+		explain_started(scheduler, step, count);
 		g_free(same);
 	} else if (needs_advice(step)) {
 		ask_advice(scheduler, step);
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -79,6 +79,11 @@
 	g_assert(sched_task_state(task) == TASK_WAITING);
 	g_assert(run > task->run);
 	g_assert(sched_job_is_live(task->step->occurrence->job));
+	/*
+	 * Asked of what is started, not of what is out: a new holder finds
+	 * tasks that were started on ends which it hasn't heard of yet.
+	 */
+	g_assert(sched_step_is_ready(task->step));
 	task->run = run;
 	sched_task_event(scheduler, task, TASK_ORDER);
 	take_room(task, upstream);
--- a/src/test_cli/test_cli.c
+++ b/src/test_cli/test_cli.c
@@ -161,7 +161,7 @@
 {
 	static const char *const commands[] = {
 		"serve", "check",    "publish", "status", "dump",
-		"wave",	 "rehearse", "move",	"job",
+		"wave",	 "rehearse", "move",	"job",	  "explain",
 	};
 
 	(void)unused;
@@ -176,6 +176,59 @@
 	}
 }
 
+/*
+ * A request's story out of the logs of two processes: only its lines and
+ * those of its tasks, in order of time, whatever the order of the files.
+ */
+static void explain_tells_the_story_of_a_request(void **unused)
+{
+	static const char first[] =
+		"{\"t\":2000,\"node\":\"n1\",\"event\":\"job-ended\",\"id\":"
+		"\"00000000000000aa\",\"detail\":\"state=failed\"}\n"
+		"not a line of the log 00000000000000aa\n"
+		"{\"t\":1500,\"node\":\"n1\",\"event\":\"run-ended\",\"id\":"
+		"\"00000000000000aa.0.0.1\",\"detail\":\"how=failed\"}\n";
+	static const char second[] =
+		"{\"t\":1000,\"node\":\"n2\",\"event\":\"not-served\",\"id\":"
+		"\"00000000000000aa\",\"detail\":\"why=no-holder\"}\n"
+		"{\"t\":1100,\"node\":\"n2\",\"event\":\"not-served\",\"id\":"
+		"\"00000000000000aab\",\"detail\":\"why=other\"}\n";
+	char *directory = g_dir_make_tmp("wwh-cli-XXXXXX", NULL);
+	char *one = g_build_filename(directory, "one", NULL);
+	char *two = g_build_filename(directory, "two", NULL);
+	char *line =
+		g_strdup_printf("explain 00000000000000aa %s %s", one, two);
+	run_t run;
+	const char *at[3];
+
+	(void)unused;
+	assert_true(g_file_set_contents(one, first, -1, NULL));
+	assert_true(g_file_set_contents(two, second, -1, NULL));
+	run = run_program(line);
+	run_expect(&run, 0);
+	at[0] = strstr(run.out, "not-served");
+	at[1] = strstr(run.out, "run-ended");
+	at[2] = strstr(run.out, "job-ended");
+	assert_non_null(at[0]);
+	assert_non_null(at[1]);
+	assert_non_null(at[2]);
+	assert_true(at[0] < at[1] && at[1] < at[2]);
+	assert_null(strstr(run.out, "why=other"));
+	run_clear(&run);
+	g_free(line);
+	line = g_strdup_printf("explain --json 00000000000000bb %s", one);
+	run = run_program(line);
+	run_expect(&run, 1);
+	run_clear(&run);
+	(void)remove(one);
+	(void)remove(two);
+	(void)remove(directory);
+	g_free(line);
+	g_free(one);
+	g_free(two);
+	g_free(directory);
+}
+
 static void status_is_a_table_or_json(void **unused)
 {
 	fake_operator_t *fake = fake_operator_new("e1");
@@ -285,6 +338,7 @@
 		cmocka_unit_test(check_reports_every_error_of_every_file),
 		cmocka_unit_test(bad_command_lines_are_usage_errors),
 		cmocka_unit_test(each_command_has_help),
+		cmocka_unit_test(explain_tells_the_story_of_a_request),
 		cmocka_unit_test(status_is_a_table_or_json),
 		cmocka_unit_test(verbs_post_their_arguments),
 		cmocka_unit_test(verdicts_become_exit_codes),
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -17,6 +17,7 @@
 
 #define PROCESSES 2
 #define WAIT_LIMIT_MS 15000
+#define GRACE_MS 3000
 
 typedef struct {
 	standin_t *standin;
@@ -25,8 +26,16 @@
 	wwh_counters_t *counters;
 	wwh_upstream_t *client;
 	int log_fd;
+	const char *patience_ms; /* of callers */
 } fixture_t;
 
+typedef struct {
+	fixture_t *fixture;
+	int32_t index;
+	const char *target;
+	int32_t status;
+} asker_t;
+
 static int32_t free_port(void)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
@@ -58,7 +67,7 @@
 	settings.peers.port = free_port();
 	settings.store = g_strdup_printf("127.0.0.1:%d", store);
 	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
-	settings.grace_ms = 3000;
+	settings.grace_ms = GRACE_MS;
 	fixture->ports[index] = settings.callers.port;
 	fixture->services[index] =
 		wwh_job_service_new(&settings, fixture->log_fd);
@@ -80,6 +89,7 @@
 	wwh_upstream_options_t options = wwh_upstream_options_defaults();
 
 	fixture->standin = standin_new();
+	fixture->patience_ms = "1500";
 	fixture->counters = wwh_counters_new();
 	fixture->client = wwh_upstream_new(&options, fixture->counters);
 	fixture->log_fd = open("/dev/null", O_WRONLY);
@@ -131,7 +141,8 @@
 	int32_t status = 0;
 
 	wwh_headers_add(headers, "Host", "h");
-	wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms", "1500");
+	wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms",
+			fixture->patience_ms);
 	wwh_upstream_send(fixture->client, &request, &answer);
 	status = answer.outcome == WWH_UPSTREAM_ANSWERED ||
 				 answer.outcome == WWH_UPSTREAM_REFUSED
@@ -255,31 +266,73 @@
 	wait_state(fixture, 1, "00000000000000c1", "completed");
 }
 
+static gpointer ask_in_thread(gpointer data)
+{
+	asker_t *asker = data;
+
+	asker->status = ask(asker->fixture, asker->index, "POST", asker->target,
+			    "{\"spec\":\"\",\"phases\":[{\"count\":1}]}", NULL);
+	return NULL;
+}
+
+static void set_silent(fixture_t *fixture, bool silent)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->silent = silent;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
 /*
  * The store takes calls and answers none. A caller isn't told that its job
- * is refused, as it may be stored; and a process that is stopped then ends
- * within its grace period though callers still wait.
+ * is refused, as it may be stored.
  */
-static void a_silent_store_neither_lies_nor_holds_a_process(void **state)
+static void a_silent_store_makes_nobody_say_refused(void **state)
 {
 	fixture_t *fixture = *state;
-	int64_t begun_ms;
-	int32_t status;
+	asker_t asker = { .fixture = fixture, .target = "/q/00000000000000d0" };
 
 	for (int32_t i = 0; i < PROCESSES; i++)
 		wait_ready(fixture, i);
-	g_mutex_lock(&fixture->standin->lock);
-	fixture->standin->silent = true;
-	g_mutex_unlock(&fixture->standin->lock);
-	status = ask(fixture, 0, "POST", "/q/00000000000000d0",
-		     "{\"spec\":\"\",\"phases\":[{\"count\":1}]}", NULL);
-	assert_int_equal(status, 504);
-	begun_ms = standin_now_ms();
-	stop_process(fixture, 0);
-	assert_true(standin_now_ms() - begun_ms < 3500);
-	g_mutex_lock(&fixture->standin->lock);
-	fixture->standin->silent = false;
-	g_mutex_unlock(&fixture->standin->lock);
+	set_silent(fixture, true);
+	ask_in_thread(&asker);
+	assert_int_equal(asker.status, 504);
+	set_silent(fixture, false);
+}
+
+/*
+ * A process is stopped while callers of another one wait for it, and the
+ * store is silent. Its threads waited for their requests' own time limits,
+ * so that it outlived its grace period and was killed.
+ */
+static void a_stopped_process_ends_though_others_wait_for_it(void **state)
+{
+	fixture_t *fixture = *state;
+	asker_t askers[PROCESSES] = {
+		{ .fixture = fixture, .target = "/q/00000000000000d1" },
+		{ .fixture = fixture,
+		  .index = 1,
+		  .target = "/q/00000000000000d2" },
+	};
+	GThread *threads[PROCESSES];
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	set_silent(fixture, true);
+	fixture->patience_ms = "9000";
+	for (int32_t i = 0; i < PROCESSES; i++)
+		threads[i] = g_thread_new("asker", ask_in_thread, &askers[i]);
+	g_usleep(300 * 1000);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		int64_t begun_ms = standin_now_ms();
+
+		stop_process(fixture, i);
+		assert_true(standin_now_ms() - begun_ms < GRACE_MS);
+	}
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		g_thread_join(threads[i]);
+		assert_int_not_equal(askers[i].status, 200);
+	}
+	set_silent(fixture, false);
 }
 
 static void malformed_requests_are_told_what_is_wrong(void **state)
@@ -332,8 +385,11 @@
 			another_process_takes_over_from_one_that_stops, set_up,
 			tear_down),
 		cmocka_unit_test_setup_teardown(
-			a_silent_store_neither_lies_nor_holds_a_process, set_up,
+			a_silent_store_makes_nobody_say_refused, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_stopped_process_ends_though_others_wait_for_it,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			malformed_requests_are_told_what_is_wrong, set_up,
 			tear_down),
--- a/src/waxwinghollow/commands.h
+++ b/src/waxwinghollow/commands.h
@@ -34,5 +34,6 @@
 int wwh_cmd_rehearse(int argc, char **argv);
 int wwh_cmd_move(int argc, char **argv);
 int wwh_cmd_job(int argc, char **argv);
+int wwh_cmd_explain(int argc, char **argv);
 
 #endif
--- a/src/waxwinghollow/main.c
+++ b/src/waxwinghollow/main.c
@@ -25,6 +25,7 @@
 	{ "rehearse", wwh_cmd_rehearse, "cause a failure on purpose" },
 	{ "move", wwh_cmd_move, "move a worker to another pool" },
 	{ "job", wwh_cmd_job, "submit and cancel jobs" },
+	{ "explain", wwh_cmd_explain, "what logs say of a job or task" },
 };
 
 const char *const wwh_exit_texts[WWH_EXIT_COUNT] = {
