--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -42,7 +42,7 @@
 	const char *pool;
 	const char *upstream; /* id of what runs on it; NULL: nothing does */
 	wwh_host_run_state_t state;
-} wwh_host_t;
+} wwh_listed_host_t;
 
 typedef enum {
 	WWH_DUTY_DONE = 0, /* also: was done before */
@@ -98,7 +98,7 @@
 /* A whole list: begin, each host, end. ok false: the list broke off. */
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties);
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
-			       const wwh_host_t *host);
+			       const wwh_listed_host_t *host);
 void wwh_host_duties_list_end(wwh_host_duties_t *duties, bool ok,
 			      int64_t now_ms);
 
--- a/include/waxwinghollow/job_config.h
+++ b/include/waxwinghollow/job_config.h
@@ -32,12 +32,12 @@
 	char *name;
 	bool guards_capacity; /* its upstreams refuse what doesn't fit */
 	bool standby; /* its hosts are off */
-} wwh_pool_t;
+} wwh_job_pool_t;
 
 typedef struct {
 	int64_t version;
 	GArray *queues; /* wwh_queue_t */
-	GArray *pools; /* wwh_pool_t */
+	GArray *pools; /* wwh_job_pool_t */
 	int64_t max_body_bytes;
 	gint references;
 } wwh_job_config_t;
@@ -49,7 +49,8 @@
 /* Take over what the strings point to. */
 void wwh_job_config_add_queue(wwh_job_config_t *config,
 			      const wwh_queue_t *queue);
-void wwh_job_config_add_pool(wwh_job_config_t *config, const wwh_pool_t *pool);
+void wwh_job_config_add_pool(wwh_job_config_t *config,
+			     const wwh_job_pool_t *pool);
 
 /* The queue that a request names; *rest is its path behind the prefix. */
 const wwh_queue_t *wwh_job_config_find(const wwh_job_config_t *config,
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -238,17 +238,17 @@
 			  int64_t now_ms, int64_t *record);
 
 typedef enum {
-	WWH_JOB_QUEUED = 0,
-	WWH_JOB_ACTIVE,
-	WWH_JOB_COMPLETED,
-	WWH_JOB_FAILED,
-	WWH_JOB_CANCELLED,
-	WWH_JOB_UNKNOWN,
-	WWH_JOB_STATE_COUNT
+	WWH_PROGRESS_QUEUED = 0,
+	WWH_PROGRESS_ACTIVE,
+	WWH_PROGRESS_COMPLETED,
+	WWH_PROGRESS_FAILED,
+	WWH_PROGRESS_CANCELLED,
+	WWH_PROGRESS_UNKNOWN,
+	WWH_PROGRESS_COUNT
 } wwh_job_progress_t;
 
 /* Names of wwh_job_progress_t, in the same order. */
-extern const char *const wwh_job_progress_names[WWH_JOB_STATE_COUNT];
+extern const char *const wwh_job_progress_names[WWH_PROGRESS_COUNT];
 
 /* Ends are shown once they are durable, never before. */
 wwh_job_progress_t wwh_scheduler_job_state(wwh_scheduler_t *scheduler,
@@ -286,11 +286,11 @@
 typedef struct {
 	const char *upstream;
 	const char *ticket;
-} wwh_admission_t;
+} wwh_advice_ticket_t;
 
 /* count -1: no answer. */
 void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *step,
-			   const wwh_admission_t *admitted, int32_t count,
+			   const wwh_advice_ticket_t *admitted, int32_t count,
 			   int64_t valid_ms, int64_t now_ms);
 
 void wwh_scheduler_set_durable(wwh_scheduler_t *scheduler, int64_t record);
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -46,7 +46,7 @@
 static void host_delete(gpointer data);
 static void wave_delete(gpointer data);
 static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
-		     const wwh_host_t *listed);
+		     const wwh_listed_host_t *listed);
 static void take_back(wwh_host_duties_t *duties, duty_host_t *host);
 static bool find_left(duty_wave_t *wave, const duty_host_t *host);
 static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
@@ -162,7 +162,7 @@
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
-			       const wwh_host_t *listed)
+			       const wwh_listed_host_t *listed)
 {
 	duty_host_t *host = duties_host(duties, listed->name);
 
@@ -310,7 +310,7 @@
  * or with another life.
  */
 static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
-		     const wwh_host_t *listed)
+		     const wwh_listed_host_t *listed)
 {
 	bool away = listed->state == WWH_HOST_MOVING ||
 		    listed->state == WWH_HOST_UPKEEP;
--- a/src/libwaxwinghollow/job_config.c
+++ b/src/libwaxwinghollow/job_config.c
@@ -14,7 +14,7 @@
 	config->references = 1;
 	config->queues = g_array_new(FALSE, FALSE, sizeof(wwh_queue_t));
 	g_array_set_clear_func(config->queues, clear_queue);
-	config->pools = g_array_new(FALSE, FALSE, sizeof(wwh_pool_t));
+	config->pools = g_array_new(FALSE, FALSE, sizeof(wwh_job_pool_t));
 	g_array_set_clear_func(config->pools, clear_pool);
 	return config;
 }
@@ -40,7 +40,8 @@
 	g_array_append_val(config->queues, *queue);
 }
 
-void wwh_job_config_add_pool(wwh_job_config_t *config, const wwh_pool_t *pool)
+void wwh_job_config_add_pool(wwh_job_config_t *config,
+			     const wwh_job_pool_t *pool)
 {
 	g_array_append_val(config->pools, *pool);
 }
@@ -80,7 +81,7 @@
 
 static void clear_pool(gpointer data)
 {
-	wwh_pool_t *pool = data;
+	wwh_job_pool_t *pool = data;
 
 	g_free(pool->name);
 }
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -132,8 +132,8 @@
 			       const wwh_job_config_t *config)
 {
 	for (guint i = 0; i < config->pools->len; i++) {
-		const wwh_pool_t *pool =
-			&g_array_index(config->pools, wwh_pool_t, i);
+		const wwh_job_pool_t *pool =
+			&g_array_index(config->pools, wwh_job_pool_t, i);
 
 		wwh_scheduler_set_standby(holder->scheduler, pool->name,
 					  pool->standby);
@@ -161,7 +161,7 @@
 	int64_t lag_ms =
 		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
 	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
-		     WWH_JOB_UNKNOWN;
+		     WWH_PROGRESS_UNKNOWN;
 	int64_t record;
 
 	if (holder->lost || holder->unconfirmed_since_ms != 0 ||
@@ -213,7 +213,7 @@
 	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
 
 	answer.state = wwh_scheduler_job_state(holder->scheduler, id);
-	if (answer.state == WWH_JOB_UNKNOWN) {
+	if (answer.state == WWH_PROGRESS_UNKNOWN) {
 		if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
 			answer_not_done("not-confirmed", done, client_data);
 			return;
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -18,7 +18,7 @@
 
 static void list_page(wwh_job_holder_t *holder);
 static void on_page(const wwh_http_answer_t *answer, void *data);
-static void take_host(const wwh_host_t *host, void *data);
+static void take_host(const wwh_listed_host_t *host, void *data);
 static void on_upkeep(const wwh_http_answer_t *answer, void *data);
 static void on_moved(const wwh_http_answer_t *answer, void *data);
 static void on_reported(const wwh_http_answer_t *answer, void *data);
@@ -130,7 +130,7 @@
 	job_holder_unref(holder);
 }
 
-static void take_host(const wwh_host_t *host, void *data)
+static void take_host(const wwh_listed_host_t *host, void *data)
 {
 	wwh_job_holder_t *holder = data;
 
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -234,7 +234,7 @@
 	if (wire_upstream_advised(answer, &advice)) {
 		wwh_scheduler_advised(
 			holder->scheduler, order->task,
-			(wwh_admission_t *)(void *)advice.admitted->data,
+			(wwh_advice_ticket_t *)(void *)advice.admitted->data,
 			(int32_t)advice.admitted->len,
 			advice.valid_ms > 0 ? advice.valid_ms : ADVICE_VALID_MS,
 			holder->now_ms);
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -163,7 +163,7 @@
 		int64_t state = g_ascii_strtoll(fields[1], NULL, 10);
 
 		ok = kind >= 0 && kind < WWH_JOB_ANSWER_COUNT && state >= 0 &&
-		     state < WWH_JOB_STATE_COUNT;
+		     state < WWH_PROGRESS_COUNT;
 		answer->kind = (wwh_job_answer_kind_t)kind;
 		answer->state = (wwh_job_progress_t)state;
 		answer->pending = (int32_t)g_ascii_strtoll(fields[2], NULL, 10);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -29,7 +29,7 @@
 	"W",
 };
 
-const char *const wwh_job_progress_names[WWH_JOB_STATE_COUNT] = {
+const char *const wwh_job_progress_names[WWH_PROGRESS_COUNT] = {
 	"queued", "active", "completed", "failed", "cancelled", "unknown",
 };
 
@@ -201,7 +201,7 @@
 
 		if (sched_job_is_live(job) &&
 		    job->occurrences_done == MAX(1, job->spec->repeat_count))
-			sched_job_end(scheduler, job, WWH_JOB_COMPLETED);
+			sched_job_end(scheduler, job, WWH_PROGRESS_COMPLETED);
 	}
 }
 
@@ -247,7 +247,7 @@
 	if (job == NULL)
 		return false;
 	if (sched_job_is_live(job))
-		sched_job_end(scheduler, job, WWH_JOB_CANCELLED);
+		sched_job_end(scheduler, job, WWH_PROGRESS_CANCELLED);
 	if (job->end_kept == G_MAXINT64)
 		(void)wwh_scheduler_flush(scheduler, now_ms);
 	*record = job->end_kept;
@@ -260,11 +260,11 @@
 	sched_job_t *job = sched_job_find(scheduler, id);
 
 	if (job == NULL)
-		return WWH_JOB_UNKNOWN;
+		return WWH_PROGRESS_UNKNOWN;
 	if (!sched_job_is_live(job) &&
 	    job->end_kept <= scheduler->durable_record)
 		return job->state;
-	return job->started ? WWH_JOB_ACTIVE : WWH_JOB_QUEUED;
+	return job->started ? WWH_PROGRESS_ACTIVE : WWH_PROGRESS_QUEUED;
 }
 
 int32_t wwh_scheduler_pending(wwh_scheduler_t *scheduler, const char *queue)
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -36,7 +36,7 @@
 			check_step(scheduler, &occurrence->steps[s], &out);
 	}
 	g_assert(out == job->out);
-	if (job->state == WWH_JOB_COMPLETED)
+	if (job->state == WWH_PROGRESS_COMPLETED)
 		g_assert(job->occurrences_done ==
 			 MAX(1, job->spec->repeat_count));
 }
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -29,7 +29,7 @@
 
 	g_strlcpy(job->id, spec->id, sizeof(job->id));
 	job->spec = spec;
-	job->state = WWH_JOB_QUEUED;
+	job->state = WWH_PROGRESS_QUEUED;
 	job->accepted_ms = accepted_ms;
 	job->pool = sched_pool_get(scheduler, spec->queue.pool);
 	job->occurrences = g_ptr_array_new_with_free_func(occurrence_delete);
@@ -62,7 +62,7 @@
 
 bool sched_job_is_live(const sched_job_t *job)
 {
-	return job->state == WWH_JOB_QUEUED;
+	return job->state == WWH_PROGRESS_QUEUED;
 }
 
 sched_task_t *sched_job_task(const wwh_scheduler_t *scheduler, const char *name)
@@ -165,7 +165,7 @@
 	job->occurrences_done++;
 	if (job->occurrences_done == occurrence_total(job) &&
 	    sched_job_is_live(job))
-		sched_job_end(scheduler, job, WWH_JOB_COMPLETED);
+		sched_job_end(scheduler, job, WWH_PROGRESS_COMPLETED);
 }
 
 /*
@@ -198,7 +198,7 @@
 	sched_job_touch(scheduler, job);
 	if (failures->count >= job->spec->queue.max_attempts &&
 	    sched_job_is_live(job))
-		sched_job_end(scheduler, job, WWH_JOB_FAILED);
+		sched_job_end(scheduler, job, WWH_PROGRESS_FAILED);
 }
 
 void sched_jobs_forget(wwh_scheduler_t *scheduler)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -77,7 +77,7 @@
 }
 
 void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *name,
-			   const wwh_admission_t *admitted, int32_t count,
+			   const wwh_advice_ticket_t *admitted, int32_t count,
 			   int64_t valid_ms, int64_t now_ms)
 {
 	char *task_name = g_strconcat(name, ".0", NULL);
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -188,11 +188,11 @@
 	if (!wwh_job_id_valid(id) || !array_of(object, PROGRESS_FIELDS))
 		return false;
 	fields = object->via.array.ptr;
-	if (!number_of(&fields[0], &state) || state >= WWH_JOB_UNKNOWN ||
+	if (!number_of(&fields[0], &state) || state >= WWH_PROGRESS_UNKNOWN ||
 	    !number_of(&fields[1], &ended_wall_ms) ||
 	    !number_of(&fields[2], &started))
 		return false;
-	if (state == WWH_JOB_QUEUED) {
+	if (state == WWH_PROGRESS_QUEUED) {
 		/* the job itself is gone: nothing is left to be done */
 		if (job == NULL)
 			return true;
--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -23,6 +23,7 @@
 #define LATER_ENTRY (ENTRIES + 1) /* by another */
 #define ENTRIES_MAX (ENTRIES + 2)
 #define WAIT_LIMIT_MS 15000
+#define FILLERS_AT_ONCE 200 /* records that a process may lag behind */
 
 static char platform_program[] = WWH_BINARY_DIR "/platform";
 
@@ -579,10 +580,28 @@
 	minion_set_mode(fixture->minion, MINION_OK);
 }
 
+static void wait_replayed(fixture_t *fixture, int entry, int64_t offset)
+{
+	wwh_entry_log_t *log = fixture->entries[entry]->log;
+
+	for (int i = 0; i < WAIT_LIMIT_MS / 20; i++) {
+		if (wwh_entry_log_offset(log, WWH_STREAM_CONTROL) >= offset)
+			return;
+		g_usleep(20 * 1000);
+	}
+	fail_msg("entry %d did not replay up to %" G_GINT64_FORMAT, entry,
+		 offset);
+}
+
 /*
  * The records that a new process would replay are gone from the log. It takes
  * up a snapshot that another process put there, and has the configuration in
  * force as the others have it.
+ *
+ * A process that lags behind the fillers by more than the log has left tells
+ * a lower offset for its own next record than the log begins at. A new
+ * process can't know then whether an earlier copy is gone, and rightly waits
+ * for the next snapshot; so the processes are kept up.
  */
 static void a_new_process_starts_from_a_trimmed_log(void **state)
 {
@@ -594,6 +613,8 @@
 		    NULL, (const uint8_t *)"filler", 6, &told);
 		assert_int_equal(told.status, 200);
 		told_clear(&told);
+		for (int j = 0; i % FILLERS_AT_ONCE == 0 && j < ENTRIES; j++)
+			wait_replayed(fixture, j, i);
 	}
 	for (int i = 0;; i++) {
 		bool published = false;
@@ -904,19 +925,6 @@
 	wwh_config_unref(current);
 }
 
-static void wait_replayed(fixture_t *fixture, int entry, int64_t offset)
-{
-	wwh_entry_log_t *log = fixture->entries[entry]->log;
-
-	for (int i = 0; i < WAIT_LIMIT_MS / 20; i++) {
-		if (wwh_entry_log_offset(log, WWH_STREAM_CONTROL) >= offset)
-			return;
-		g_usleep(20 * 1000);
-	}
-	fail_msg("entry %d did not replay up to %" G_GINT64_FORMAT, entry,
-		 offset);
-}
-
 /*
  * The log was trimmed beyond the newest snapshot's end, so records between the
  * two are gone. A new process that took the snapshot up would go on from a
--- /dev/null
+++ b/src/test_fuzz/fuzz_wire.c
@@ -0,0 +1,152 @@
+/*
+ * Bodies and files that come from outside: the first byte chooses the
+ * decoder, the rest is its input. No input may make one read or allocate
+ * beyond it, and what it hands on keeps the promises of its header.
+ */
+
+#include <assert.h>
+#include <string.h>
+
+#include "wire_caller.h"
+#include "wire_hosts.h"
+#include "wire_operator.h"
+#include "wire_store.h"
+#include "wire_upstream.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static wwh_http_answer_t answer_of(const uint8_t *data, size_t size)
+{
+	wwh_http_answer_t answer = { .outcome = WWH_CALL_ANSWERED,
+				     .status = 200,
+				     .body = data,
+				     .body_size = size };
+
+	return answer;
+}
+
+static void on_record(const wire_record_t *record, void *client_data)
+{
+	int64_t *count = client_data;
+
+	assert(record->key != NULL);
+	assert((record->value == NULL) == (record->size == 0));
+	(*count)++;
+}
+
+static void on_host(const wwh_listed_host_t *host, void *client_data)
+{
+	(void)client_data;
+	assert(host->name != NULL && host->pool != NULL);
+	assert(host->state < WWH_HOST_RUN_STATE_COUNT);
+}
+
+static void try_job(const uint8_t *data, size_t size)
+{
+	wwh_job_queue_t queue = { .name = "q", .pool = "p" };
+	wwh_message_t message;
+	wwh_job_t *job = wire_caller_job("00000000000000aa", &queue, data, size,
+					 &message);
+	wwh_job_t *again;
+	GBytes *bytes;
+	gsize length;
+	const uint8_t *encoded;
+
+	if (job == NULL)
+		return;
+	assert(wwh_job_check(job, &message) == WWH_STATUS_OK);
+	bytes = wwh_job_encode(job);
+	encoded = g_bytes_get_data(bytes, &length);
+	again = wwh_job_decode(encoded, length, &message);
+	assert(again != NULL && again->step_count == job->step_count);
+	wwh_job_delete(again);
+	wwh_job_delete(job);
+	g_bytes_unref(bytes);
+}
+
+static void try_upstream(const uint8_t *data, size_t size)
+{
+	wwh_http_answer_t answer = answer_of(data, size);
+	wire_advice_t advice;
+	wire_look_t look;
+
+	if (wire_upstream_looked(&answer, &look) == WWH_ORDER_DONE) {
+		for (int32_t i = 0; i < look.rows.running_count; i++)
+			assert(look.rows.running[i].checkpoint != NULL);
+		for (int32_t i = 0; i < look.rows.ended_count; i++)
+			assert(look.rows.ended[i].kind < WWH_END_KIND_COUNT);
+		wire_upstream_look_clear(&look);
+	}
+	if (wire_upstream_advised(&answer, &advice))
+		wire_upstream_advice_clear(&advice);
+	answer.status = 409;
+	assert(wire_upstream_result(&answer) < WWH_ORDER_RESULT_COUNT);
+	assert(wire_store_append_answer(&answer) < WIRE_STORE_RESULT_COUNT);
+	assert(wire_hosts_result(&answer) < WWH_DUTY_RESULT_COUNT);
+}
+
+static void try_store(const uint8_t *data, size_t size)
+{
+	wwh_http_answer_t answer = answer_of(data, size);
+	int64_t count = 0;
+	int64_t next = 0;
+	int64_t generation = 0;
+	char *last = NULL;
+	bool mine;
+
+	if (wire_store_read_answer(&answer, 7, &next, on_record, &count) ==
+	    WIRE_STORE_OK)
+		assert(next - 7 >= count);
+	(void)wire_store_newest_answer(&answer, &next, &last, on_record,
+				       &count);
+	g_free(last);
+	(void)wire_store_join_answer(&answer, 0, &generation, &mine);
+	last = NULL;
+	(void)wire_hosts_listed(&answer, &last, on_host, NULL);
+	g_free(last);
+}
+
+static void try_operator(const uint8_t *data, size_t size)
+{
+	wwh_upstream_info_t info;
+	wwh_job_config_t *config = wire_operator_config(data, size);
+	wwh_wave_order_t *order = wire_operator_wave(data, size);
+	const char *rest;
+
+	if (config != NULL) {
+		assert(config->version > 0);
+		(void)wwh_job_config_find(config, "h:1", "/a/b", &rest);
+		wwh_job_config_unref(config);
+	}
+	wwh_wave_order_delete(order);
+	if (wire_operator_upstream("u", data, size, &info)) {
+		assert(info.endpoint != NULL && info.pool != NULL);
+		wwh_upstream_info_clear(&info);
+	}
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	/* a copy of the very size, so that a read beyond it is seen */
+	uint8_t *input;
+
+	if (size == 0)
+		return 0;
+	input = g_memdup2(data + 1, size - 1);
+	switch (data[0] % 4) {
+	case 0:
+		try_job(input, size - 1);
+		break;
+	case 1:
+		try_upstream(input, size - 1);
+		break;
+	case 2:
+		try_store(input, size - 1);
+		break;
+	default:
+		try_operator(input, size - 1);
+		break;
+	}
+	g_free(input);
+	return 0;
+}
