--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -19,6 +19,12 @@
 /* Hosts are never filled to the last core: tasks are of uneven sizes. */
 #define FILL_PERCENT 85
 
+/*
+ * An idle pool keeps one host: how large hosts are is known from those that
+ * are up, and with all of them at rest no work would ever draw one back.
+ */
+#define LEAST_HOSTS 1
+
 /*
  * A pool shrinks to the most that it wanted within this time. A host that
  * leaves and comes back is away twice; a pause within a turn is shorter.
@@ -83,9 +89,9 @@
 	int64_t hosts;
 
 	if (host <= 0)
-		return figures->hosts_bound;
+		return MAX(figures->hosts_bound, LEAST_HOSTS);
 	hosts = (cores + figures->lasting + host - 1) / host;
-	return (int32_t)MAX(hosts, figures->hosts_bound);
+	return (int32_t)MAX(hosts, MAX(figures->hosts_bound, LEAST_HOSTS));
 }
 
 static int32_t hold(history_t *history, int32_t wanted, int64_t now_ms)
--- a/src/test_pool_sizing/test_pool_sizing.c
+++ b/src/test_pool_sizing/test_pool_sizing.c
@@ -75,7 +75,7 @@
 			 23);
 	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &idle, 10500),
 			 23);
-	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &idle, 11100), 0);
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &idle, 11100), 1);
 	wwh_pool_sizing_delete(sizing);
 }
 
@@ -92,7 +92,12 @@
 	wwh_pool_sizing_delete(sizing);
 }
 
-static void without_a_known_host_only_the_bound_counts(void **state)
+/*
+ * No pool has a lasting task, and all are idle before the day begins. All
+ * hosts were sent to rest; then nobody knew how large a host is, so no
+ * amount of work drew one back, and not one job ran.
+ */
+static void a_pool_keeps_one_host_whatever_is_known(void **state)
 {
 	wwh_pool_sizing_t *sizing = wwh_pool_sizing_new();
 	wwh_pool_figures_t figures =
@@ -101,7 +106,10 @@
 	(void)state;
 	figures.host_millicores = 0;
 	assert_int_equal(wwh_pool_sizing_wanted(sizing, POOL, &figures, 10000),
-			 0);
+			 1);
+	figures = figures_of(0, 0);
+	assert_int_equal(wwh_pool_sizing_wanted(sizing, "b", &figures, 10000),
+			 1);
 	wwh_pool_sizing_delete(sizing);
 }
 
@@ -113,7 +121,7 @@
 			the_first_jobs_of_a_turn_draw_hosts_for_the_next),
 		cmocka_unit_test(a_pause_within_a_turn_sends_no_host_away),
 		cmocka_unit_test(hosts_with_lasting_tasks_are_kept),
-		cmocka_unit_test(without_a_known_host_only_the_bound_counts),
+		cmocka_unit_test(a_pool_keeps_one_host_whatever_is_known),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
