--- a/include/waxwinghollow/http_calls.h
+++ b/include/waxwinghollow/http_calls.h
@@ -19,8 +19,8 @@
  *
  * ORDER OF CALLS
  *	wwh_http_calls_new; wwh_http_calls_send and wwh_http_calls_poll by one
- *	thread; wwh_http_calls_wake by any; wwh_http_calls_delete, which drops
- *	what is in progress without calling back.
+ *	thread; wwh_http_calls_wake by any; wwh_http_calls_delete, which calls
+ *	back with NO_ANSWER for what is in progress. Nothing may be sent then.
  */
 
 #include <glib.h>
@@ -85,6 +85,4 @@
 /* Ends a wait in wwh_http_calls_poll. */
 void wwh_http_calls_wake(wwh_http_calls_t *calls);
 
-int32_t wwh_http_calls_in_progress(const wwh_http_calls_t *calls);
-
 #endif
--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -56,6 +56,7 @@
 	"no-answer",
 };
 
+static void give_up_all(wwh_http_calls_t *calls);
 static void transfer_delete(gpointer data);
 static int on_socket(void *data, curl_socket_t socket, curlsocktype purpose);
 static int on_prereq(void *data, char *peer_ip, char *local_ip, int peer_port,
@@ -91,18 +92,9 @@
 
 void wwh_http_calls_delete(wwh_http_calls_t *calls)
 {
-	GHashTableIter iterator;
-	gpointer key;
-
 	if (calls == NULL)
 		return;
-	g_hash_table_iter_init(&iterator, calls->transfers);
-	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-		transfer_t *transfer = key;
-
-		curl_multi_remove_handle(calls->multi, transfer->easy);
-		curl_easy_cleanup(transfer->easy);
-	}
+	give_up_all(calls);
 	g_hash_table_destroy(calls->transfers);
 	for (guint i = 0; i < calls->spare->len; i++)
 		curl_easy_cleanup(g_ptr_array_index(calls->spare, i));
@@ -190,9 +182,23 @@
 	curl_multi_wakeup(calls->multi);
 }
 
-int32_t wwh_http_calls_in_progress(const wwh_http_calls_t *calls)
+/* Whoever waits for an answer has something to release. */
+static void give_up_all(wwh_http_calls_t *calls)
 {
-	return (int32_t)g_hash_table_size(calls->transfers);
+	const wwh_http_answer_t answer = { .outcome = WWH_CALL_NO_ANSWER,
+					   .retry_after_s = -1 };
+	GList *all = g_hash_table_get_keys(calls->transfers);
+
+	for (GList *at = all; at != NULL; at = at->next) {
+		transfer_t *transfer = at->data;
+
+		curl_multi_remove_handle(calls->multi, transfer->easy);
+		curl_easy_cleanup(transfer->easy);
+		g_hash_table_steal(calls->transfers, transfer);
+		transfer->done(&answer, transfer->client_data);
+		transfer_delete(transfer);
+	}
+	g_list_free(all);
 }
 
 static void transfer_delete(gpointer data)
