Split the scheduler's watch of upstreams and the holder's requests; prune

Settings, options and functions that nothing read are gone; the configuration's bound of bodies is kept now. No change of behaviour but that one.

--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -35,15 +35,11 @@
 	int64_t cpu_permille; /* of a core that this process may use */
 	int64_t lease_max_ms;
 	int64_t stop_limit_ms;
-	int64_t gang_wait_ms;
-	int64_t heartbeat_ms; /* of upstreams */
 	int64_t unavailable_after_ms;
-	int64_t harm_limit_ms;
 	int64_t job_kept_ms; /* ended jobs are answered for */
 	int64_t grace_ms; /* between SIGTERM and SIGKILL */
 	int64_t member_min_ms; /* shortest time after which one is given up */
-	int64_t store_record_bytes; /* of one record, at most */
-	int64_t store_call_bytes; /* of one call, at most */
+	int64_t store_call_bytes; /* of one call to the store, at most */
 	int64_t duty_lease_ms; /* hosts take one holder at a time, so long */
 	int64_t move_ms; /* a host is away for, as the next one */
 	int64_t upkeep_ms;
--- a/include/waxwinghollow/job_config.h
+++ b/include/waxwinghollow/job_config.h
@@ -30,7 +30,6 @@
 
 typedef struct {
 	char *name;
-	bool guards_capacity; /* its upstreams refuse what doesn't fit */
 	bool standby; /* its hosts are off */
 } wwh_job_pool_t;
 
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -193,12 +193,8 @@
 	int64_t lease_max_ms; /* upstreams shorten longer leases to this */
 	int64_t lease_ms; /* what is asked for */
 	int64_t stop_limit_ms; /* a stop takes at most this */
-	int64_t gang_wait_ms; /* how long members wait for the others */
-	int64_t early_ms; /* an occurrence may start so much before its time */
 	int64_t forget_ms; /* ended jobs are answered for at least this long */
-	int64_t heartbeat_ms; /* between two announcements of an upstream */
 	int64_t unavailable_after_ms; /* a lasting task away for this long */
-	int64_t harm_limit_ms; /* a serving task over its target for this long */
 	int64_t holder_count; /* holders of this shard so far, this one too */
 } wwh_scheduler_options_t;
 
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -76,7 +76,4 @@
 /* Whether the notice of giving up, and leaving the group, is settled. */
 bool wwh_shard_claim_given_up(const wwh_shard_claim_t *claim);
 
-/* When the store last answered a call of this module; 0: never. */
-int64_t wwh_shard_claim_reached_ms(const wwh_shard_claim_t *claim);
-
 #endif
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -46,8 +46,6 @@
 void wwh_store_follower_delete(wwh_store_follower_t *follower);
 void wwh_store_follower_run(wwh_store_follower_t *follower, int64_t now_ms);
 
-/* When the newest answer that was whole was asked for; 0: none came yet. */
-int64_t wwh_store_follower_reached_ms(const wwh_store_follower_t *follower);
 bool wwh_store_follower_caught_up(const wwh_store_follower_t *follower);
 
 /* It is reading all keys: what it has reported is partly old. */
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -10,14 +10,10 @@
 	settings->cpu_permille = 1000;
 	settings->lease_max_ms = 6000;
 	settings->stop_limit_ms = 400;
-	settings->gang_wait_ms = 3000;
-	settings->heartbeat_ms = 1500;
 	settings->unavailable_after_ms = 4500;
-	settings->harm_limit_ms = 4000;
 	settings->job_kept_ms = 120000;
 	settings->grace_ms = 6000;
 	settings->member_min_ms = 1000;
-	settings->store_record_bytes = 262144;
 	settings->store_call_bytes = 2097152;
 	settings->duty_lease_ms = 3000;
 	settings->move_ms = 1500;
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -43,6 +43,10 @@
 void job_holder_explain(const char *event, const char *subject,
 			const char *detail, void *client_data);
 
+/* job_holder_requests.c: who waits for a record, and is told */
+void job_holder_answer_durable(wwh_job_holder_t *holder, int64_t record);
+void job_holder_end_waiters(wwh_job_holder_t *holder);
+
 /* job_holder_orders.c: the scheduler's orders to upstreams */
 void job_holder_start(const wwh_start_order_t *order, void *client_data);
 void job_holder_stop(const wwh_stop_order_t *order, void *client_data);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -3,8 +3,9 @@
 
 /*
  * What the scheduler's modules share. Calls go down in this order, never up:
- * scheduler, scheduler_release, scheduler_place, scheduler_upstream,
- * scheduler_pace, scheduler_record, scheduler_job, scheduler_task.
+ * scheduler, scheduler_release, scheduler_place, scheduler_watch,
+ * scheduler_pace, scheduler_upstream, scheduler_record, scheduler_job,
+ * scheduler_task.
  */
 
 #include "waxwinghollow/chart.h"
@@ -129,10 +130,8 @@
 	bool ending; /* may be taken down at any moment */
 	bool kept_asked;
 	int64_t kept; /* record that names it; valid with kept_asked */
-	int64_t announced_ms;
 	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
 	bool look_in_flight;
-	int64_t look_sent_ms;
 	int64_t next_look_ms;
 	int64_t answered_ms; /* the last answer to a look */
 	int32_t failed_looks; /* since then */
@@ -258,9 +257,11 @@
 void sched_upstream_delete(gpointer upstream);
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream, const char *why);
-void sched_upstreams_run(wwh_scheduler_t *scheduler);
 void sched_upstreams_flushed(wwh_scheduler_t *scheduler);
 void sched_upstreams_durable(wwh_scheduler_t *scheduler);
+/* What is out on it is known to be over. */
+void sched_upstream_lose_all(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream, const char *why);
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
 void sched_upstream_failed(wwh_scheduler_t *scheduler,
@@ -268,6 +269,9 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
+/* scheduler_watch.c: looks are sent and taken in, leases run out */
+void sched_upstreams_run(wwh_scheduler_t *scheduler);
+
 /* scheduler_pace.c: after a look has been taken in */
 void sched_pace(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -31,13 +31,6 @@
  */
 #define REACHES_STORE_MS 1300
 
-/*
- * With records waiting for longer the store is down for this process, and a
- * submission would only wait with them.
- */
-#define STALLED_MS 700
-#define STALLED_RETRY_AFTER_S 1
-
 /* While something runs, and otherwise. */
 #define WAIT_BUSY_MS 20
 #define WAIT_IDLE_MS 80
@@ -56,13 +49,6 @@
 	"unknown",
 };
 
-typedef struct {
-	int64_t record;
-	wwh_job_answer_t answer;
-	wwh_job_answered_t done;
-	void *client_data;
-} waiter_t;
-
 static void make_scheduler(wwh_job_holder_t *holder);
 static void make_duties(wwh_job_holder_t *holder);
 static void make_journal(wwh_job_holder_t *holder);
@@ -73,12 +59,6 @@
 static void on_upstream(const char *key, const uint8_t *value, size_t size,
 			void *data);
 static void on_reach(bool reached, const char *why, void *data);
-static void wait_for(wwh_job_holder_t *holder, int64_t record,
-		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
-		     void *client_data);
-static void end_waiters(wwh_job_holder_t *holder);
-static void answer_not_done(const char *why, wwh_job_answered_t done,
-			    void *client_data);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
 			     int64_t limit_ms);
@@ -124,7 +104,7 @@
 	holder->deleted = true;
 	wwh_store_follower_delete(holder->upstreams);
 	wwh_shard_journal_delete(holder->journal);
-	end_waiters(holder);
+	job_holder_end_waiters(holder);
 	job_holder_unref(holder);
 }
 
@@ -154,89 +134,6 @@
 	wwh_host_duties_wave(holder->duties, order, holder->now_ms);
 }
 
-void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
-			   wwh_job_answered_t done, void *client_data)
-{
-	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
-	int64_t lag_ms =
-		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
-	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
-		     WWH_PROGRESS_UNKNOWN;
-	int64_t record;
-
-	if (holder->lost || holder->unconfirmed_since_ms != 0 ||
-	    (lag_ms > STALLED_MS && !known)) {
-		wwh_job_delete(job);
-		answer_not_done("store-unreachable", done, client_data);
-		return;
-	}
-	holder->urgent = true;
-	(void)wwh_scheduler_submit(holder->scheduler, job, holder->now_ms,
-				   &record);
-	holder->urgent = false;
-	wait_for(holder, record, &answer, done, client_data);
-	wwh_shard_journal_run(holder->journal, holder->now_ms);
-}
-
-void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
-			   wwh_job_answered_t done, void *client_data)
-{
-	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
-	int64_t record;
-
-	if (holder->lost || holder->unconfirmed_since_ms != 0) {
-		answer_not_done("store-unreachable", done, client_data);
-		return;
-	}
-	holder->urgent = true;
-	if (wwh_scheduler_cancel(holder->scheduler, id, holder->now_ms,
-				 &record)) {
-		wait_for(holder, record, &answer, done, client_data);
-		wwh_shard_journal_run(holder->journal, holder->now_ms);
-	} else if (wwh_job_holder_confirmed(holder, holder->now_ms)) {
-		answer.kind = WWH_JOB_ANSWER_NO_JOB;
-		answer.why = "no-such-job";
-		done(&answer, client_data);
-	} else {
-		answer_not_done("not-confirmed", done, client_data);
-	}
-	holder->urgent = false;
-}
-
-/*
- * "No such job" is said only while the claim is sure: a holder that was
- * overtaken doesn't know the jobs that its successor has accepted.
- */
-void wwh_job_holder_state(wwh_job_holder_t *holder, const char *id,
-			  wwh_job_answered_t done, void *client_data)
-{
-	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
-
-	answer.state = wwh_scheduler_job_state(holder->scheduler, id);
-	if (answer.state == WWH_PROGRESS_UNKNOWN) {
-		if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
-			answer_not_done("not-confirmed", done, client_data);
-			return;
-		}
-		answer.kind = WWH_JOB_ANSWER_NO_JOB;
-		answer.why = "no-such-job";
-	}
-	done(&answer, client_data);
-}
-
-void wwh_job_holder_pending(wwh_job_holder_t *holder, const char *queue,
-			    wwh_job_answered_t done, void *client_data)
-{
-	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
-
-	if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
-		answer_not_done("not-confirmed", done, client_data);
-		return;
-	}
-	answer.pending = wwh_scheduler_pending(holder->scheduler, queue);
-	done(&answer, client_data);
-}
-
 void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
 			int64_t wall_ms, bool suspended)
 {
@@ -322,7 +219,7 @@
 	if (holder->lost || holder->deleted)
 		return;
 	holder->lost = true;
-	end_waiters(holder);
+	job_holder_end_waiters(holder);
 	holder->options.on_lost(why, holder->options.client_data);
 }
 
@@ -387,11 +284,8 @@
 	options.lease_max_ms = settings->lease_max_ms;
 	options.lease_ms = LEASE_MS;
 	options.stop_limit_ms = settings->stop_limit_ms;
-	options.gang_wait_ms = settings->gang_wait_ms;
 	options.forget_ms = settings->job_kept_ms;
-	options.heartbeat_ms = settings->heartbeat_ms;
 	options.unavailable_after_ms = settings->unavailable_after_ms;
-	options.harm_limit_ms = settings->harm_limit_ms;
 	options.holder_count = holder->options.holder_count;
 	holder->scheduler = wwh_scheduler_new(&options, &calls);
 }
@@ -477,15 +371,7 @@
 		holder->unconfirmed_since_ms = 0;
 	wwh_scheduler_set_durable(holder->scheduler, record);
 	wwh_host_duties_set_durable(holder->duties, record);
-	while (!g_queue_is_empty(holder->waiters)) {
-		waiter_t *waiter = g_queue_peek_head(holder->waiters);
-
-		if (waiter->record > record)
-			return;
-		g_queue_pop_head(holder->waiters);
-		waiter->done(&waiter->answer, waiter->client_data);
-		g_free(waiter);
-	}
+	job_holder_answer_durable(holder, record);
 }
 
 static void on_journal_lost(const char *why, void *data)
@@ -525,59 +411,6 @@
 			     "upstreams", "result=%s", why);
 }
 
-/* Waiters are kept in the order of their records; most come last. */
-static void wait_for(wwh_job_holder_t *holder, int64_t record,
-		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
-		     void *client_data)
-{
-	GList *at = holder->waiters->tail;
-	waiter_t *waiter;
-
-	if (record <= holder->durable_record) {
-		done(answer, client_data);
-		return;
-	}
-	waiter = g_new0(waiter_t, 1);
-	waiter->record = record;
-	waiter->answer = *answer;
-	waiter->done = done;
-	waiter->client_data = client_data;
-	while (at != NULL && ((waiter_t *)at->data)->record > record)
-		at = at->prev;
-	if (at == NULL)
-		g_queue_push_head(holder->waiters, waiter);
-	else
-		g_queue_insert_after(holder->waiters, at, waiter);
-}
-
-/* Their records may be stored or not: nothing is claimed either way. */
-static void end_waiters(wwh_job_holder_t *holder)
-{
-	wwh_job_answer_t answer = {
-		.kind = WWH_JOB_ANSWER_UNKNOWN,
-		.why = "holder-changed",
-	};
-
-	while (!g_queue_is_empty(holder->waiters)) {
-		waiter_t *waiter = g_queue_pop_head(holder->waiters);
-
-		waiter->done(&answer, waiter->client_data);
-		g_free(waiter);
-	}
-}
-
-static void answer_not_done(const char *why, wwh_job_answered_t done,
-			    void *client_data)
-{
-	wwh_job_answer_t answer = {
-		.kind = WWH_JOB_ANSWER_NOT_DONE,
-		.why = why,
-		.retry_after_s = STALLED_RETRY_AFTER_S,
-	};
-
-	done(&answer, client_data);
-}
-
 /*
  * A process that stood still may have been replaced meanwhile; what it
  * decided before is old. Orders wait for one append that succeeds.
--- /dev/null
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -0,0 +1,172 @@
+#include <string.h>
+
+#include "private/job_holder_state.h"
+
+/*
+ * With records waiting for longer the store is down for this process, and a
+ * submission would only wait with them.
+ */
+#define STALLED_MS 700
+#define STALLED_RETRY_AFTER_S 1
+
+typedef struct {
+	int64_t record;
+	wwh_job_answer_t answer;
+	wwh_job_answered_t done;
+	void *client_data;
+} waiter_t;
+
+static void wait_for(wwh_job_holder_t *holder, int64_t record,
+		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
+		     void *client_data);
+static void answer_not_done(const char *why, wwh_job_answered_t done,
+			    void *client_data);
+
+void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
+			   wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+	int64_t lag_ms =
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
+	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
+		     WWH_PROGRESS_UNKNOWN;
+	int64_t record;
+
+	if (holder->lost || holder->unconfirmed_since_ms != 0 ||
+	    (lag_ms > STALLED_MS && !known)) {
+		wwh_job_delete(job);
+		answer_not_done("store-unreachable", done, client_data);
+		return;
+	}
+	holder->urgent = true;
+	(void)wwh_scheduler_submit(holder->scheduler, job, holder->now_ms,
+				   &record);
+	holder->urgent = false;
+	wait_for(holder, record, &answer, done, client_data);
+	wwh_shard_journal_run(holder->journal, holder->now_ms);
+}
+
+void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
+			   wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+	int64_t record;
+
+	if (holder->lost || holder->unconfirmed_since_ms != 0) {
+		answer_not_done("store-unreachable", done, client_data);
+		return;
+	}
+	holder->urgent = true;
+	if (wwh_scheduler_cancel(holder->scheduler, id, holder->now_ms,
+				 &record)) {
+		wait_for(holder, record, &answer, done, client_data);
+		wwh_shard_journal_run(holder->journal, holder->now_ms);
+	} else if (wwh_job_holder_confirmed(holder, holder->now_ms)) {
+		answer.kind = WWH_JOB_ANSWER_NO_JOB;
+		answer.why = "no-such-job";
+		done(&answer, client_data);
+	} else {
+		answer_not_done("not-confirmed", done, client_data);
+	}
+	holder->urgent = false;
+}
+
+/*
+ * "No such job" is said only while the claim is sure: a holder that was
+ * overtaken doesn't know the jobs that its successor has accepted.
+ */
+void wwh_job_holder_state(wwh_job_holder_t *holder, const char *id,
+			  wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+
+	answer.state = wwh_scheduler_job_state(holder->scheduler, id);
+	if (answer.state == WWH_PROGRESS_UNKNOWN) {
+		if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
+			answer_not_done("not-confirmed", done, client_data);
+			return;
+		}
+		answer.kind = WWH_JOB_ANSWER_NO_JOB;
+		answer.why = "no-such-job";
+	}
+	done(&answer, client_data);
+}
+
+void wwh_job_holder_pending(wwh_job_holder_t *holder, const char *queue,
+			    wwh_job_answered_t done, void *client_data)
+{
+	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+
+	if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
+		answer_not_done("not-confirmed", done, client_data);
+		return;
+	}
+	answer.pending = wwh_scheduler_pending(holder->scheduler, queue);
+	done(&answer, client_data);
+}
+
+void job_holder_answer_durable(wwh_job_holder_t *holder, int64_t record)
+{
+	while (!g_queue_is_empty(holder->waiters)) {
+		waiter_t *waiter = g_queue_peek_head(holder->waiters);
+
+		if (waiter->record > record)
+			return;
+		g_queue_pop_head(holder->waiters);
+		waiter->done(&waiter->answer, waiter->client_data);
+		g_free(waiter);
+	}
+}
+
+/* Their records may be stored or not: nothing is claimed either way. */
+void job_holder_end_waiters(wwh_job_holder_t *holder)
+{
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_UNKNOWN,
+		.why = "holder-changed",
+	};
+
+	while (!g_queue_is_empty(holder->waiters)) {
+		waiter_t *waiter = g_queue_pop_head(holder->waiters);
+
+		waiter->done(&answer, waiter->client_data);
+		g_free(waiter);
+	}
+}
+
+/* Waiters are kept in the order of their records; most come last. */
+static void wait_for(wwh_job_holder_t *holder, int64_t record,
+		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
+		     void *client_data)
+{
+	GList *at = holder->waiters->tail;
+	waiter_t *waiter;
+
+	if (record <= holder->durable_record) {
+		done(answer, client_data);
+		return;
+	}
+	waiter = g_new0(waiter_t, 1);
+	waiter->record = record;
+	waiter->answer = *answer;
+	waiter->done = done;
+	waiter->client_data = client_data;
+	while (at != NULL && ((waiter_t *)at->data)->record > record)
+		at = at->prev;
+	if (at == NULL)
+		g_queue_push_head(holder->waiters, waiter);
+	else
+		g_queue_insert_after(holder->waiters, at, waiter);
+}
+
+static void answer_not_done(const char *why, wwh_job_answered_t done,
+			    void *client_data)
+{
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = why,
+		.retry_after_s = STALLED_RETRY_AFTER_S,
+	};
+
+	done(&answer, client_data);
+}
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -30,7 +30,7 @@
 static job_request_t *read_request(const wwh_http_request_t *http,
 				   const wwh_queue_t *queue, const char *rest,
 				   wwh_message_t *message);
-static wwh_job_config_t *config_of(wwh_job_service_t *service, bool *stopping);
+static wwh_job_config_t *config_of(wwh_job_service_t *service);
 static void add_counter(const char *name, int64_t value, void *client_data);
 
 void job_service_on_caller(const wwh_http_request_t *http,
@@ -44,15 +44,20 @@
 	wwh_job_config_t *config;
 	wwh_job_answer_t answer;
 	job_request_t *request;
-	bool stopping;
 	char *path;
 
-	config = config_of(service, &stopping);
+	config = config_of(service);
 	if (config == NULL) {
 		wwh_listener_answer_error(response, WWH_ERROR_NO_CONFIGURATION,
 					  SECOND_MS);
 		return;
 	}
+	if ((int64_t)http->body_size > config->max_body_bytes) {
+		wwh_listener_answer_error(response, WWH_ERROR_BODY_TOO_LARGE,
+					  0);
+		wwh_job_config_unref(config);
+		return;
+	}
 	path = wwh_http_path(http->target);
 	queue = wwh_job_config_find(config, host == NULL ? "" : host, path,
 				    &rest);
@@ -244,14 +249,13 @@
 				  MAX(answer->retry_after_s, 1) * SECOND_MS);
 }
 
-static wwh_job_config_t *config_of(wwh_job_service_t *service, bool *stopping)
+static wwh_job_config_t *config_of(wwh_job_service_t *service)
 {
 	wwh_job_config_t *config = NULL;
 
 	g_mutex_lock(&service->lock);
 	if (service->config != NULL)
 		config = wwh_job_config_ref(service->config);
-	*stopping = service->stopping;
 	g_mutex_unlock(&service->lock);
 	return config;
 }
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -89,12 +89,8 @@
 		.lease_max_ms = 10000,
 		.lease_ms = 6000,
 		.stop_limit_ms = 400,
-		.gang_wait_ms = 3000,
-		.early_ms = 0,
 		.forget_ms = 120000,
-		.heartbeat_ms = 1500,
 		.unavailable_after_ms = 4500,
-		.harm_limit_ms = 4000,
 		.holder_count = 1,
 	};
 
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -66,7 +66,6 @@
 	int64_t assigned_ms; /* when the call that said so was sent */
 	int64_t join_sent_ms;
 	int64_t generation;
-	int64_t reached_ms;
 	int64_t reached_since_ms; /* each call since was answered; 0: none */
 	/* the holder as made known */
 	wwh_store_follower_t *notices;
@@ -222,11 +221,6 @@
 	       !claim->notice_pending;
 }
 
-int64_t wwh_shard_claim_reached_ms(const wwh_shard_claim_t *claim)
-{
-	return claim->reached_ms;
-}
-
 static void unref(wwh_shard_claim_t *claim)
 {
 	if (--claim->references > 0)
@@ -290,7 +284,6 @@
 				assigned, claim->generation);
 		claim->assigned = assigned;
 		claim->assigned_ms = claim->join_sent_ms;
-		claim->reached_ms = claim->join_sent_ms;
 		if (claim->reached_since_ms == 0)
 			claim->reached_since_ms = claim->join_sent_ms;
 	} else {
@@ -485,7 +478,6 @@
 	}
 	switch (result) {
 	case WIRE_STORE_OK:
-		claim->reached_ms = claim->append_sent_ms;
 		claim->state = CLAIM_CONFIRMING;
 		break;
 	case WIRE_STORE_FENCED:
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -29,7 +29,6 @@
 	GHashTable *seen; /* keys of this reading of all */
 	int64_t next;
 	int64_t sent_ms;
-	int64_t reached_ms;
 	int64_t retry_ms;
 	int32_t failures;
 };
@@ -92,11 +91,6 @@
 	wwh_http_calls_send(follower->options.calls, call, on_read, follower);
 }
 
-int64_t wwh_store_follower_reached_ms(const wwh_store_follower_t *follower)
-{
-	return follower->reached_ms;
-}
-
 bool wwh_store_follower_caught_up(const wwh_store_follower_t *follower)
 {
 	return follower->caught_up;
@@ -247,7 +241,6 @@
 static void answered(wwh_store_follower_t *follower)
 {
 	follower->failures = 0;
-	follower->reached_ms = follower->sent_ms;
 	if (!follower->unreachable)
 		return;
 	follower->unreachable = false;
--- a/src/test_node_file/test_node_file.c
+++ b/src/test_node_file/test_node_file.c
@@ -61,7 +61,7 @@
 	(void)state;
 	assert_int_equal(load(NEEDED
 			      "zone=hall-a\ncloud.address=10.2.0.1:86\n"
-			      "advice=10.2.0.2:87\nheartbeatMs=1600\n"
+			      "advice=10.2.0.2:87\nbounds.noticeMs=4600\n"
 			      "bounds.holdMaxMs=9000\nbounds.moveS=1.5\n"
 			      "bounds.graceS=6\nnew.field=x,y\n# note\n\n",
 			      &settings, &errors),
@@ -75,7 +75,7 @@
 	assert_int_equal(settings.lease_max_ms, 9000);
 	assert_int_equal(settings.move_ms, 1500);
 	assert_int_equal(settings.grace_ms, 6000);
-	assert_int_equal(settings.heartbeat_ms, 1600);
+	assert_int_equal(settings.unavailable_after_ms, 4600);
 	wwh_host_settings_clear(&settings);
 	g_string_free(errors.text, TRUE);
 }
