--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -102,7 +102,7 @@
 	const wwh_ended_t *ended;
 	int32_t ended_count;
 	bool ended_in_full; /* false: more ends are waiting to be listed */
-} wwh_look_answer_t;
+} wwh_poll_answer_t;
 
 typedef struct {
 	const char *upstream; /* id */
@@ -126,9 +126,9 @@
 	const char *upstream;
 	const char *endpoint;
 	int64_t lease_until_remote_ms; /* 0: its clock isn't known yet */
-	int64_t ends_noted_upto;
+	int64_t ends_acked_upto;
 	int64_t wait_ms; /* it answers earlier when something ends */
-} wwh_look_order_t;
+} wwh_poll_order_t;
 
 typedef struct {
 	const char *upstream;
@@ -177,7 +177,7 @@
 typedef struct {
 	void (*start)(const wwh_start_order_t *order, void *client_data);
 	void (*stop)(const wwh_stop_order_t *order, void *client_data);
-	void (*look)(const wwh_look_order_t *order, void *client_data);
+	void (*poll)(const wwh_poll_order_t *order, void *client_data);
 	void (*pace)(const wwh_pace_order_t *order, void *client_data);
 	void (*advise)(const wwh_advice_order_t *order, void *client_data);
 	/* value NULL drops the record. Returns the record's number. */
@@ -262,11 +262,11 @@
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms);
 
-void wwh_scheduler_looked(wwh_scheduler_t *scheduler, const char *upstream,
-			  const wwh_look_answer_t *answer, int64_t sent_ms,
+void wwh_scheduler_polled(wwh_scheduler_t *scheduler, const char *upstream,
+			  const wwh_poll_answer_t *answer, int64_t sent_ms,
 			  int64_t now_ms);
 /* refused: nobody listens there, as against silence */
-void wwh_scheduler_look_failed(wwh_scheduler_t *scheduler, const char *upstream,
+void wwh_scheduler_poll_failed(wwh_scheduler_t *scheduler, const char *upstream,
 			       bool refused, int64_t now_ms);
 
 void wwh_scheduler_start_ended(wwh_scheduler_t *scheduler, const char *upstream,
@@ -300,18 +300,18 @@
 		       int64_t wall_ms);
 
 /*
- * Upkeep and moves end everything on a host. wwh_scheduler_release asks to
+ * Upkeep and moves end everything on a host. wwh_scheduler_cordon asks to
  * empty an upstream and says whether it may be taken down now: nothing runs
- * there that must not be ended. wwh_scheduler_unrelease takes it back.
+ * there that must not be ended. wwh_scheduler_uncordon takes it back.
  */
-bool wwh_scheduler_release(wwh_scheduler_t *scheduler, const char *upstream,
-			   bool urgent, int64_t now_ms);
-void wwh_scheduler_unrelease(wwh_scheduler_t *scheduler, const char *upstream);
+bool wwh_scheduler_cordon(wwh_scheduler_t *scheduler, const char *upstream,
+			  bool urgent, int64_t now_ms);
+void wwh_scheduler_uncordon(wwh_scheduler_t *scheduler, const char *upstream);
 
 /* What a choice of hosts for upkeep or a move needs to know of one. */
 typedef struct {
 	bool known;
-	bool released; /* empties itself for upkeep or a move */
+	bool cordoned; /* empties itself for upkeep or a move */
 	int32_t tasks;
 	int32_t lasting;
 	int64_t busy_millicores;
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -15,7 +15,7 @@
  *
  *	The process that the group names leaves a holder alone as long as
  *	that one answers and reaches the store; a change of holder costs a
- *	second look at all upstreams.
+ *	second poll at all upstreams.
  *
  * ORDER OF CALLS
  *	wwh_shard_claim_new; wwh_shard_claim_run often, by the thread of its
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -326,10 +326,10 @@
 
 static void take_back(wwh_host_duties_t *duties, duty_host_t *host)
 {
-	host->released_ms = 0;
+	host->cordoned_ms = 0;
 	if (host->upstream != NULL)
-		wwh_scheduler_unrelease(duties->options.scheduler,
-					host->upstream);
+		wwh_scheduler_uncordon(duties->options.scheduler,
+				       host->upstream);
 }
 
 static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave)
@@ -451,7 +451,7 @@
 						   host->upstream);
 	if (host->ordered_ms != 0)
 		return -2;
-	if (host->released_ms != 0)
+	if (host->cordoned_ms != 0)
 		return -1;
 	return load.lasting * INT64_C(1000000) + load.busy_millicores;
 }
@@ -468,11 +468,11 @@
 		return true;
 	}
 	duties_forget_move(duties, host);
-	if (host->released_ms == 0)
-		host->released_ms = duties->now_ms;
-	waited = duties->now_ms - host->released_ms >= EMPTYING_MS;
-	free = wwh_scheduler_release(duties->options.scheduler, host->upstream,
-				     urgent || waited, duties->now_ms);
+	if (host->cordoned_ms == 0)
+		host->cordoned_ms = duties->now_ms;
+	waited = duties->now_ms - host->cordoned_ms >= EMPTYING_MS;
+	free = wwh_scheduler_cordon(duties->options.scheduler, host->upstream,
+				    urgent || waited, duties->now_ms);
 	if (free) {
 		send_upkeep(duties, wave, host);
 		return true;
@@ -509,7 +509,7 @@
 {
 	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
 	host->ordered_ms = 0;
-	host->released_ms = 0;
+	host->cordoned_ms = 0;
 	host->away = true;
 	g_hash_table_add(wave->done, g_strdup(host->name));
 	wave->kept_dirty = true;
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -79,8 +79,8 @@
 			duties->now_ms +
 			(result == WWH_DUTY_REFUSED ? REFUSED_MS : REPEAT_MS);
 		if (host->upstream != NULL)
-			wwh_scheduler_unrelease(duties->options.scheduler,
-						host->upstream);
+			wwh_scheduler_uncordon(duties->options.scheduler,
+					       host->upstream);
 	}
 	host->leaving_pool = false;
 	g_clear_pointer(&host->move_to, g_free);
@@ -157,7 +157,7 @@
 {
 	return host->in_list && host->pool != NULL &&
 	       host->state == WWH_HOST_UP && !host->in_flight && !host->away &&
-	       host->released_ms == 0 && host->ordered_ms == 0 &&
+	       host->cordoned_ms == 0 && host->ordered_ms == 0 &&
 	       host->move_to == NULL &&
 	       duties->now_ms >= host->no_move_until_ms;
 }
@@ -220,7 +220,7 @@
 			host->leaving_pool = false;
 			pool->have++;
 			if (host->upstream != NULL)
-				wwh_scheduler_unrelease(
+				wwh_scheduler_uncordon(
 					duties->options.scheduler,
 					host->upstream);
 		}
@@ -315,8 +315,8 @@
 
 	if (host->upstream == NULL)
 		return false;
-	if (!wwh_scheduler_release(duties->options.scheduler, host->upstream,
-				   false, duties->now_ms))
+	if (!wwh_scheduler_cordon(duties->options.scheduler, host->upstream,
+				  false, duties->now_ms))
 		return false;
 	load = wwh_scheduler_upstream_load(duties->options.scheduler,
 					   host->upstream);
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -20,7 +20,7 @@
 	int64_t down_until_ms; /* counts as away at least until then */
 	bool away; /* ordered and not listed as up since */
 	int64_t wave; /* of the order */
-	int64_t released_ms; /* 0: isn't emptied */
+	int64_t cordoned_ms; /* 0: isn't emptied */
 	int64_t blocked_until_ms;
 	int64_t retry_ms;
 	/* moves */
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -31,7 +31,7 @@
 	bool urgent; /* a caller waits for what is kept next */
 	char *list_page;
 	wwh_counter_t *starts;
-	wwh_counter_t *looks;
+	wwh_counter_t *polls;
 	wwh_counter_t *stops;
 };
 
@@ -50,7 +50,7 @@
 /* job_holder_orders.c: the scheduler's orders to upstreams */
 void job_holder_start(const wwh_start_order_t *order, void *client_data);
 void job_holder_stop(const wwh_stop_order_t *order, void *client_data);
-void job_holder_look(const wwh_look_order_t *order, void *client_data);
+void job_holder_poll(const wwh_poll_order_t *order, void *client_data);
 void job_holder_pace(const wwh_pace_order_t *order, void *client_data);
 void job_holder_advise(const wwh_advice_order_t *order, void *client_data);
 void job_holder_advice_clear(wwh_job_holder_t *holder);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -3,7 +3,7 @@
 
 /*
  * What the scheduler's modules share. Calls go down in this order, never up:
- * scheduler, scheduler_release, scheduler_place, scheduler_watch,
+ * scheduler, scheduler_cordon, scheduler_place, scheduler_watch,
  * scheduler_pace, scheduler_upstream, scheduler_record, scheduler_job,
  * scheduler_task.
  */
@@ -126,28 +126,28 @@
 	bool listed; /* it is announced */
 	bool settled; /* it answered this holder */
 	bool inherited; /* a holder before may have started tasks on it */
-	bool released; /* empties itself */
+	bool cordoned; /* empties itself */
 	bool ending; /* may be taken down at any moment */
 	bool kept_asked;
 	int64_t kept; /* record that names it; valid with kept_asked */
 	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
-	bool look_in_flight;
-	int64_t next_look_ms;
-	int64_t answered_ms; /* the last answer to a look */
-	int32_t failed_looks; /* since then */
-	int32_t refused_looks; /* in a row */
+	bool poll_in_flight;
+	int64_t next_poll_ms;
+	int64_t answered_ms; /* the last answer to a poll */
+	int32_t failed_polls; /* since then */
+	int32_t refused_polls; /* in a row */
 	int64_t clock_base_ms; /* answered at, on the own clock ... */
 	int64_t clock_base_remote_ms; /* ... and on its clock; 0: unknown */
 	int64_t lease_until_remote_ms; /* the longest that was ever sent */
 	int64_t lapsed_ms; /* its lease is surely over then */
 	bool lapse_done;
 	int64_t ends_seen;
-	int64_t ends_noted; /* durable */
+	int64_t ends_acked; /* durable */
 	int64_t ends_flushed;
 	int64_t ends_flushed_record;
 	GPtrArray *tasks; /* sched_task_t that are out on it */
-	int32_t strangers; /* rows that no task here explains */
-	GHashTable *stranger_stops; /* task name to when a stop was sent */
+	int32_t orphans; /* rows that no task here explains */
+	GHashTable *orphan_stops; /* task name to when a stop was sent */
 	int64_t used_cpu;
 	int64_t used_memory;
 	int64_t used_gpus;
@@ -269,18 +269,18 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
-/* scheduler_watch.c: looks are sent and taken in, leases run out */
+/* scheduler_watch.c: polls are sent and taken in, leases run out */
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
 
-/* scheduler_pace.c: after a look has been taken in */
+/* scheduler_pace.c: after a poll has been taken in */
 void sched_pace(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 
 /* scheduler_place.c */
 void sched_place(wwh_scheduler_t *scheduler);
 
-/* scheduler_release.c */
+/* scheduler_cordon.c */
 bool sched_may_end(const wwh_scheduler_t *scheduler,
 		   const sched_upstream_t *upstream);
-void sched_release_run(wwh_scheduler_t *scheduler);
+void sched_cordon_run(wwh_scheduler_t *scheduler);
 
 #endif
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -36,7 +36,7 @@
 #define WAIT_IDLE_MS 80
 
 /*
- * Asked for at each look, about once a second. A change of holder takes up
+ * Asked for at each poll, about once a second. A change of holder takes up
  * to 3 s in which nobody extends a lease; each second more leaves the tasks
  * of an upstream that has gone silent waiting for a second more.
  */
@@ -86,7 +86,7 @@
 	holder->advice = g_queue_new();
 	holder->reports = g_ptr_array_new();
 	holder->starts = wwh_counters_get(options->counters, "holder.starts");
-	holder->looks = wwh_counters_get(options->counters, "holder.looks");
+	holder->polls = wwh_counters_get(options->counters, "holder.polls");
 	holder->stops = wwh_counters_get(options->counters, "holder.stops");
 	make_journal(holder);
 	make_scheduler(holder);
@@ -273,7 +273,7 @@
 	wwh_scheduler_calls_t calls = {
 		.start = job_holder_start,
 		.stop = job_holder_stop,
-		.look = job_holder_look,
+		.poll = job_holder_poll,
 		.pace = job_holder_pace,
 		.advise = job_holder_advise,
 		.keep = job_holder_keep,
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -9,8 +9,8 @@
  */
 #define ORDER_LIMIT_MS 1000
 
-/* Beyond what a look asks to wait. */
-#define LOOK_LIMIT_MS 700
+/* Beyond what a poll asks to wait. */
+#define POLL_LIMIT_MS 700
 
 /* Advice takes a time for each upstream named, and waits its turn. */
 #define ADVICE_LIMIT_MS 4000
@@ -34,7 +34,7 @@
 static void on_started(const wwh_http_answer_t *answer, void *data);
 static void on_stopped(const wwh_http_answer_t *answer, void *data);
 static void on_paced(const wwh_http_answer_t *answer, void *data);
-static void on_looked(const wwh_http_answer_t *answer, void *data);
+static void on_polled(const wwh_http_answer_t *answer, void *data);
 static void on_advised(const wwh_http_answer_t *answer, void *data);
 static void send_advice(wwh_job_holder_t *holder);
 
@@ -62,14 +62,14 @@
 		order_new(holder, order->upstream, order->task, order->run));
 }
 
-void job_holder_look(const wwh_look_order_t *order, void *client_data)
+void job_holder_poll(const wwh_poll_order_t *order, void *client_data)
 {
 	wwh_job_holder_t *holder = client_data;
 	wwh_http_call_t *call =
-		wire_upstream_look(order, holder->options.epoch, LOOK_LIMIT_MS);
+		wire_upstream_poll(order, holder->options.epoch, POLL_LIMIT_MS);
 
-	wwh_counter_add(holder->looks, 1);
-	wwh_http_calls_send(holder->options.calls, call, on_looked,
+	wwh_counter_add(holder->polls, 1);
+	wwh_http_calls_send(holder->options.calls, call, on_polled,
 			    order_new(holder, order->upstream, "", 0));
 }
 
@@ -185,22 +185,22 @@
 	order_delete(order);
 }
 
-static void on_looked(const wwh_http_answer_t *answer, void *data)
+static void on_polled(const wwh_http_answer_t *answer, void *data)
 {
 	order_t *order = data;
 	wwh_job_holder_t *holder = order->holder;
-	wire_look_t look;
+	wire_poll_t poll;
 	wwh_order_result_t result;
 
 	if (is_over(order)) {
 		order_delete(order);
 		return;
 	}
-	result = wire_upstream_looked(answer, &look);
+	result = wire_upstream_polled(answer, &poll);
 	switch (result) {
 	case WWH_ORDER_DONE:
-		wwh_scheduler_looked(holder->scheduler, order->upstream,
-				     &look.rows, order->sent_ms,
+		wwh_scheduler_polled(holder->scheduler, order->upstream,
+				     &poll.rows, order->sent_ms,
 				     holder->now_ms);
 		break;
 	case WWH_ORDER_OTHER_LIFE:
@@ -208,15 +208,15 @@
 					    "restarted", holder->now_ms);
 		break;
 	case WWH_ORDER_FENCED:
-		job_holder_lose(holder, "fenced-at-look");
+		job_holder_lose(holder, "fenced-at-poll");
 		break;
 	default:
-		wwh_scheduler_look_failed(holder->scheduler, order->upstream,
+		wwh_scheduler_poll_failed(holder->scheduler, order->upstream,
 					  answer->outcome == WWH_CALL_REFUSED,
 					  holder->now_ms);
 		break;
 	}
-	wire_upstream_look_clear(&look);
+	wire_upstream_poll_clear(&poll);
 	order_delete(order);
 }
 
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -298,7 +298,7 @@
 	if (result == WWH_ORDER_UNKNOWN || result == WWH_ORDER_FENCED) {
 		sched_task_event(scheduler, task, TASK_UNANSWERED);
 		if (task->upstream != NULL)
-			task->upstream->next_look_ms = scheduler->now_ms;
+			task->upstream->next_poll_ms = scheduler->now_ms;
 		return;
 	}
 	if (result == WWH_ORDER_OTHER_LIFE) {
@@ -328,8 +328,8 @@
 	if (result == WWH_ORDER_DONE)
 		task->stop_confirmed_ms = scheduler->now_ms;
 	if (task->upstream != NULL)
-		task->upstream->next_look_ms =
-			MIN(task->upstream->next_look_ms, scheduler->now_ms);
+		task->upstream->next_poll_ms =
+			MIN(task->upstream->next_poll_ms, scheduler->now_ms);
 }
 
 void wwh_scheduler_pace_ended(wwh_scheduler_t *scheduler, const char *upstream,
@@ -382,7 +382,7 @@
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	scheduler->wall_ms = wall_ms;
 	sched_upstreams_run(scheduler);
-	sched_release_run(scheduler);
+	sched_cordon_run(scheduler);
 	sched_place(scheduler);
 	sched_jobs_forget(scheduler);
 }
@@ -466,7 +466,7 @@
 	if (result == WWH_ORDER_NO_ROOM || result == WWH_ORDER_LATE) {
 		sched_upstream_back_off(scheduler, upstream,
 					NO_ROOM_BACKOFF_MS);
-		upstream->next_look_ms = scheduler->now_ms;
+		upstream->next_poll_ms = scheduler->now_ms;
 	}
 	if (result == WWH_ORDER_NOT_DONE)
 		sched_upstream_failed(scheduler, upstream);
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -90,5 +90,5 @@
 	}
 	g_assert(cpu == upstream->used_cpu);
 	g_assert(memory == upstream->used_memory);
-	g_assert(upstream->ends_noted <= upstream->ends_seen);
+	g_assert(upstream->ends_acked <= upstream->ends_seen);
 }
--- a/src/libwaxwinghollow/scheduler_release.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -16,18 +16,18 @@
 static int32_t here(const sched_step_t *step, const sched_upstream_t *upstream);
 static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task);
 
-bool wwh_scheduler_release(wwh_scheduler_t *scheduler, const char *id,
-			   bool urgent, int64_t now_ms)
+bool wwh_scheduler_cordon(wwh_scheduler_t *scheduler, const char *id,
+			  bool urgent, int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
 		return true;
-	if (!upstream->released)
-		sched_explain(scheduler, "upstream-released", id, "tasks=%u",
+	if (!upstream->cordoned)
+		sched_explain(scheduler, "upstream-cordoned", id, "tasks=%u",
 			      upstream->tasks->len);
-	upstream->released = true;
+	upstream->cordoned = true;
 	upstream->ending = false;
 	for (guint i = 0; i < upstream->tasks->len && !urgent; i++) {
 		const sched_task_t *task =
@@ -48,13 +48,13 @@
 	return upstream->ending;
 }
 
-void wwh_scheduler_unrelease(wwh_scheduler_t *scheduler, const char *id)
+void wwh_scheduler_uncordon(wwh_scheduler_t *scheduler, const char *id)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
 
-	if (upstream == NULL || !upstream->released)
+	if (upstream == NULL || !upstream->cordoned)
 		return;
-	upstream->released = false;
+	upstream->cordoned = false;
 	upstream->ending = false;
 	upstream->pool->dirty = true;
 }
@@ -68,7 +68,7 @@
 	if (upstream == NULL)
 		return load;
 	load.known = true;
-	load.released = upstream->released;
+	load.cordoned = upstream->cordoned;
 	load.tasks = (int32_t)upstream->tasks->len;
 	load.busy_millicores = upstream->used_cpu;
 	load.cpu_millicores = upstream->info.cpu_millicores;
@@ -153,7 +153,7 @@
  * started elsewhere while it still serves: they are away only as long as a
  * start takes, and what they saved comes along.
  */
-void sched_release_run(wwh_scheduler_t *scheduler)
+void sched_cordon_run(wwh_scheduler_t *scheduler)
 {
 	GHashTableIter iterator;
 	gpointer value;
@@ -247,7 +247,7 @@
 static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task)
 {
 	return sched_task_state(task) == TASK_RUNNING && task->away_ms == 0 &&
-	       !task->upstream->ending && task->upstream->failed_looks == 0 &&
+	       !task->upstream->ending && task->upstream->failed_polls == 0 &&
 	       scheduler->now_ms - task->upstream->answered_ms <
 		       scheduler->options.unavailable_after_ms;
 }
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -45,7 +45,7 @@
 
 	wwh_upstream_info_copy(&upstream->info, info);
 	upstream->tasks = g_ptr_array_new();
-	upstream->stranger_stops =
+	upstream->orphan_stops =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	upstream->pool = sched_pool_get(scheduler, info->pool);
 	g_ptr_array_add(upstream->pool->upstreams, upstream);
@@ -59,7 +59,7 @@
 
 	wwh_upstream_info_clear(&upstream->info);
 	g_ptr_array_unref(upstream->tasks);
-	g_hash_table_destroy(upstream->stranger_stops);
+	g_hash_table_destroy(upstream->orphan_stops);
 	g_free(upstream);
 }
 
@@ -98,11 +98,11 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_upstream_t *upstream = value;
 
-		if (upstream->ends_flushed > upstream->ends_noted) {
+		if (upstream->ends_flushed > upstream->ends_acked) {
 			scheduler->ends_waiting = true;
 			continue;
 		}
-		if (upstream->ends_seen == upstream->ends_noted)
+		if (upstream->ends_seen == upstream->ends_acked)
 			continue;
 		upstream->ends_flushed = upstream->ends_seen;
 		upstream->ends_flushed_record = scheduler->newest_record;
@@ -120,7 +120,7 @@
 		sched_upstream_t *upstream = value;
 
 		if (upstream->ends_flushed_record <= scheduler->durable_record)
-			upstream->ends_noted = upstream->ends_flushed;
+			upstream->ends_acked = upstream->ends_flushed;
 	}
 }
 
@@ -130,16 +130,16 @@
 	int64_t now_ms = scheduler->now_ms;
 
 	return upstream->listed && !upstream->info.leaving &&
-	       upstream->settled && !upstream->released &&
-	       !upstream->pool->standby && upstream->strangers == 0 &&
-	       upstream->failed_looks == 0 &&
+	       upstream->settled && !upstream->cordoned &&
+	       !upstream->pool->standby && upstream->orphans == 0 &&
+	       upstream->failed_polls == 0 &&
 	       now_ms - upstream->answered_ms < SILENT_AFTER_MS &&
 	       now_ms >= upstream->backoff_until_ms && upstream->kept_asked &&
 	       upstream->kept <= scheduler->durable_record;
 }
 
 /*
- * An upstream that fails whatever it is given answers its looks well and has
+ * An upstream that fails whatever it is given answers its polls well and has
  * room soonest, so it would draw all work to itself. Jobs that fail
  * everywhere reset nobody's streak for long, as others succeed in between.
  */
@@ -219,7 +219,7 @@
 	if (upstream == NULL)
 		return;
 	upstream->listed = false;
-	upstream->next_look_ms = MIN(upstream->next_look_ms, now_ms);
+	upstream->next_poll_ms = MIN(upstream->next_poll_ms, now_ms);
 	sched_explain(scheduler, "upstream-unlisted", id, "tasks=%u",
 		      upstream->tasks->len);
 }
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -3,27 +3,27 @@
 #include <string.h>
 
 /* An upstream that runs something answers at least this often. */
-#define LOOK_WAIT_BUSY_MS 1000
+#define POLL_WAIT_BUSY_MS 1000
 
 /* One that runs nothing; the most that upstreams take. */
-#define LOOK_WAIT_IDLE_MS 2000
+#define POLL_WAIT_IDLE_MS 2000
 
 /* Ends within this time of each other come in one answer. */
-#define LOOK_GAP_MS 25
+#define POLL_GAP_MS 25
 
 /*
- * An answer that lists ends which aren't noted yet comes at once: asking
+ * An answer that lists ends which aren't acknowledged yet comes at once: asking
  * again before they are durable would spin. This is about five appends.
  */
-#define LOOK_UNNOTED_GAP_MS 60
+#define POLL_UNACKED_GAP_MS 60
 
 /* Nothing became durable for so long: the store is down, for seconds. */
-#define UNNOTED_LONG_MS 400
-#define LOOK_UNNOTED_LONG_GAP_MS 250
+#define UNACKED_LONG_MS 400
+#define POLL_UNACKED_LONG_GAP_MS 250
 
-/* After a look without an answer: first, and at most. */
-#define LOOK_RETRY_MS 150
-#define LOOK_RETRY_MAX_MS 800
+/* After a poll without an answer: first, and at most. */
+#define POLL_RETRY_MS 150
+#define POLL_RETRY_MAX_MS 800
 
 /*
  * Refusals in a row after which its process is taken as ended. A process
@@ -47,9 +47,9 @@
 /* Where a task hung, others will. */
 #define HANG_BACKOFF_MS 3000
 
-static int64_t look_gap_ms(const wwh_scheduler_t *scheduler,
+static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
-static void send_look(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void take_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 		       const wwh_ended_t *row);
@@ -59,13 +59,13 @@
 static void take_done(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void take_running(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 			 const wwh_running_t *row);
-static void take_stranger(wwh_scheduler_t *scheduler,
-			  sched_upstream_t *upstream, const wwh_running_t *row);
+static void take_orphan(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+			const wwh_running_t *row);
 static void take_figures(wwh_scheduler_t *scheduler, sched_task_t *task,
 			 const wwh_running_t *row);
 static void find_lost(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
-		      const wwh_look_answer_t *answer, int64_t sent_ms);
-static bool lists(const wwh_look_answer_t *answer, const sched_task_t *task);
+		      const wwh_poll_answer_t *answer, int64_t sent_ms);
+static bool lists(const wwh_poll_answer_t *answer, const sched_task_t *task);
 static void judge_unlisted(wwh_scheduler_t *scheduler, sched_task_t *task,
 			   int64_t sent_ms);
 static void stop_hanging(wwh_scheduler_t *scheduler,
@@ -76,8 +76,8 @@
 static void keep_upstream(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 
-void wwh_scheduler_looked(wwh_scheduler_t *scheduler, const char *id,
-			  const wwh_look_answer_t *answer, int64_t sent_ms,
+void wwh_scheduler_polled(wwh_scheduler_t *scheduler, const char *id,
+			  const wwh_poll_answer_t *answer, int64_t sent_ms,
 			  int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
@@ -85,31 +85,31 @@
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
 		return;
-	upstream->look_in_flight = false;
+	upstream->poll_in_flight = false;
 	upstream->answered_ms = scheduler->now_ms;
-	upstream->failed_looks = 0;
-	upstream->refused_looks = 0;
+	upstream->failed_polls = 0;
+	upstream->refused_polls = 0;
 	upstream->clock_base_ms = scheduler->now_ms;
 	upstream->clock_base_remote_ms = answer->remote_ms;
 	sched_lease_recompute(upstream);
 	for (int32_t i = 0; i < answer->ended_count; i++)
 		take_ended(scheduler, upstream, &answer->ended[i]);
-	upstream->strangers = 0;
+	upstream->orphans = 0;
 	for (int32_t i = 0; i < answer->running_count; i++)
 		take_running(scheduler, upstream, &answer->running[i]);
-	if (upstream->strangers == 0)
-		g_hash_table_remove_all(upstream->stranger_stops);
+	if (upstream->orphans == 0)
+		g_hash_table_remove_all(upstream->orphan_stops);
 	if (answer->ended_in_full)
 		find_lost(scheduler, upstream, answer, sent_ms);
 	stop_hanging(scheduler, upstream);
 	sched_pace(scheduler, upstream);
 	settle(scheduler, upstream);
-	upstream->next_look_ms =
-		scheduler->now_ms + look_gap_ms(scheduler, upstream);
+	upstream->next_poll_ms =
+		scheduler->now_ms + poll_gap_ms(scheduler, upstream);
 	upstream->pool->dirty = true;
 }
 
-void wwh_scheduler_look_failed(wwh_scheduler_t *scheduler, const char *id,
+void wwh_scheduler_poll_failed(wwh_scheduler_t *scheduler, const char *id,
 			       bool refused, int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
@@ -117,20 +117,20 @@
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
 		return;
-	upstream->look_in_flight = false;
-	upstream->failed_looks++;
-	upstream->refused_looks = refused ? upstream->refused_looks + 1 : 0;
-	upstream->next_look_ms =
+	upstream->poll_in_flight = false;
+	upstream->failed_polls++;
+	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
+	upstream->next_poll_ms =
 		scheduler->now_ms +
-		MIN(LOOK_RETRY_MS * upstream->failed_looks, LOOK_RETRY_MAX_MS);
-	if (upstream->failed_looks == 1)
+		MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
+	if (upstream->failed_polls == 1)
 		sched_explain(scheduler, "upstream-silent", id,
 			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
 			      " tasks=%u",
 			      refused,
 			      scheduler->now_ms - upstream->answered_ms,
 			      upstream->tasks->len);
-	if (upstream->refused_looks >= REFUSALS_OF_AN_ENDED_ONE)
+	if (upstream->refused_polls >= REFUSALS_OF_AN_ENDED_ONE)
 		sched_upstream_remove(scheduler, upstream, "refused");
 }
 
@@ -144,41 +144,41 @@
 	g_list_free(all);
 }
 
-static int64_t look_gap_ms(const wwh_scheduler_t *scheduler,
+static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream)
 {
-	if (upstream->ends_seen == upstream->ends_noted)
-		return LOOK_GAP_MS;
-	return scheduler->now_ms - scheduler->durable_ms < UNNOTED_LONG_MS
-		       ? LOOK_UNNOTED_GAP_MS
-		       : LOOK_UNNOTED_LONG_GAP_MS;
+	if (upstream->ends_seen == upstream->ends_acked)
+		return POLL_GAP_MS;
+	return scheduler->now_ms - scheduler->durable_ms < UNACKED_LONG_MS
+		       ? POLL_UNACKED_GAP_MS
+		       : POLL_UNACKED_LONG_GAP_MS;
 }
 
-static void send_look(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
+static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
-	bool busy = upstream->tasks->len > 0 || upstream->strangers > 0;
-	wwh_look_order_t order = {
+	bool busy = upstream->tasks->len > 0 || upstream->orphans > 0;
+	wwh_poll_order_t order = {
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
-		.ends_noted_upto = upstream->ends_noted,
-		.wait_ms = busy ? LOOK_WAIT_BUSY_MS : LOOK_WAIT_IDLE_MS,
+		.ends_acked_upto = upstream->ends_acked,
+		.wait_ms = busy ? POLL_WAIT_BUSY_MS : POLL_WAIT_IDLE_MS,
 	};
 
 	/* the first answer tells its clock; until then nothing is waited for */
-	if (!upstream->settled || upstream->failed_looks > 0)
+	if (!upstream->settled || upstream->failed_polls > 0)
 		order.wait_ms = 0;
 	/*
 	 * A lease is extended only while answers come: each order that is
 	 * sent may still arrive, so asking on and on of an upstream that is
 	 * gone would put off the end of its lease for good.
 	 */
-	if (upstream->failed_looks > 0)
+	if (upstream->failed_polls > 0)
 		order.lease_until_remote_ms = upstream->lease_until_remote_ms;
 	else if (busy || upstream->inherited)
 		order.lease_until_remote_ms =
 			sched_lease_until(scheduler, upstream);
-	upstream->look_in_flight = true;
-	scheduler->calls.look(&order, scheduler->calls.client_data);
+	upstream->poll_in_flight = true;
+	scheduler->calls.poll(&order, scheduler->calls.client_data);
 }
 
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
@@ -189,8 +189,8 @@
 	if (upstream->inherited)
 		upstream->pool->unsettled--;
 	sched_explain(scheduler, "upstream-settled", upstream->info.id,
-		      "tasks=%u strangers=%d", upstream->tasks->len,
-		      upstream->strangers);
+		      "tasks=%u orphans=%d", upstream->tasks->len,
+		      upstream->orphans);
 }
 
 static void take_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
@@ -288,7 +288,7 @@
 		take_figures(scheduler, task, row);
 		return;
 	}
-	take_stranger(scheduler, upstream, row);
+	take_orphan(scheduler, upstream, row);
 }
 
 /*
@@ -297,27 +297,27 @@
  * stopped, and the upstream gets nothing new until it is gone, since the
  * room it takes isn't in our books.
  */
-static void take_stranger(wwh_scheduler_t *scheduler,
-			  sched_upstream_t *upstream, const wwh_running_t *row)
+static void take_orphan(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+			const wwh_running_t *row)
 {
 	int64_t *sent_ms =
-		g_hash_table_lookup(upstream->stranger_stops, row->task);
+		g_hash_table_lookup(upstream->orphan_stops, row->task);
 	wwh_stop_order_t order = {
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
 		.run = row->run,
 	};
 
-	upstream->strangers++;
+	upstream->orphans++;
 	if (sent_ms != NULL &&
 	    scheduler->now_ms - *sent_ms <
 		    STOP_REPEAT_MS + scheduler->options.stop_limit_ms)
 		return;
 	sent_ms = g_new(int64_t, 1);
 	*sent_ms = scheduler->now_ms;
-	g_hash_table_insert(upstream->stranger_stops, g_strdup(row->task),
+	g_hash_table_insert(upstream->orphan_stops, g_strdup(row->task),
 			    sent_ms);
-	sched_explain(scheduler, "stray-run", row->task,
+	sched_explain(scheduler, "orphan-run", row->task,
 		      "run=%" G_GINT64_FORMAT " upstream=%s", row->run,
 		      upstream->info.id);
 	g_strlcpy(order.task, row->task, sizeof(order.task));
@@ -344,11 +344,11 @@
 }
 
 /*
- * The answer is a snapshot of the upstream: what was there before the look
+ * The answer is a snapshot of the upstream: what was there before the poll
  * was sent and is in neither list is over, though its end isn't known.
  */
 static void find_lost(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
-		      const wwh_look_answer_t *answer, int64_t sent_ms)
+		      const wwh_poll_answer_t *answer, int64_t sent_ms)
 {
 	for (guint i = 0; i < upstream->tasks->len;) {
 		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
@@ -361,7 +361,7 @@
 	}
 }
 
-static bool lists(const wwh_look_answer_t *answer, const sched_task_t *task)
+static bool lists(const wwh_poll_answer_t *answer, const sched_task_t *task)
 {
 	char name[WWH_TASK_NAME_BYTES];
 
@@ -379,7 +379,7 @@
 {
 	switch (sched_task_state(task)) {
 	case TASK_RUNNING:
-		/* strictly: the start's answer may have crossed the look */
+		/* strictly: the start's answer may have crossed the poll */
 		if (sent_ms > task->changed_ms)
 			sched_task_event(scheduler, task, TASK_LOST);
 		break;
@@ -463,13 +463,13 @@
 		}
 	}
 	if (!upstream->listed && upstream->settled &&
-	    upstream->tasks->len == 0 && upstream->strangers == 0) {
+	    upstream->tasks->len == 0 && upstream->orphans == 0) {
 		sched_upstream_remove(scheduler, upstream, "unlisted");
 		return;
 	}
 	repeat_orders(scheduler, upstream);
-	if (!upstream->look_in_flight && now_ms >= upstream->next_look_ms)
-		send_look(scheduler, upstream);
+	if (!upstream->poll_in_flight && now_ms >= upstream->next_poll_ms)
+		send_poll(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->kept_asked)
 		keep_upstream(scheduler, upstream);
 }
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -7,9 +7,9 @@
  *
  * Checked where an upstream begins a run:
  *  - no other run of the task goes on at an upstream that is up;
- *  - the task wasn't done by an end that was noted;
+ *  - the task wasn't done by an end that was acknowledged;
  *  - all tasks of the steps before it are done;
- *  - fewer failed ends than the queue allows were noted;
+ *  - fewer failed ends than the queue allows were acknowledged;
  *  - the job was handed in, with this payload, and its cancel isn't known;
  * and when a holder is asked: a job is shown as completed only when each of
  * its tasks is done, and ever after; as failed only when a task has failed as
@@ -38,8 +38,8 @@
 typedef struct {
 	bool running;
 	bool done; /* truly */
-	bool done_noted;
-	int32_t failed_noted;
+	bool done_acked;
+	int32_t failed_acked;
 	int32_t failed; /* truly */
 } truth_t;
 
@@ -68,7 +68,7 @@
 	char task[WWH_TASK_NAME_BYTES];
 	int64_t run;
 	wwh_end_kind_t kind;
-	bool lapsed; /* the lease was over since: it never counts as noted */
+	bool lapsed; /* the lease was over since: it never counts as acknowledged */
 } end_t;
 
 typedef struct {
@@ -92,7 +92,7 @@
 typedef enum {
 	ORDER_START,
 	ORDER_STOP,
-	ORDER_LOOK
+	ORDER_POLL
 } order_kind_t;
 
 typedef struct {
@@ -103,7 +103,7 @@
 	int64_t run;
 	int64_t token;
 	int64_t until_ms;
-	int64_t noted;
+	int64_t acknowledged;
 	int64_t sent_ms;
 	bool carried_out_late; /* nobody waits for its result */
 } order_t;
@@ -223,12 +223,12 @@
 	add_order(&order);
 }
 
-static void on_look(const wwh_look_order_t *look, void *data)
+static void on_poll(const wwh_poll_order_t *poll, void *data)
 {
-	order_t order = make_order(data, ORDER_LOOK, look->upstream);
+	order_t order = make_order(data, ORDER_POLL, poll->upstream);
 
-	order.until_ms = look->lease_until_remote_ms;
-	order.noted = look->ends_noted_upto;
+	order.until_ms = poll->lease_until_remote_ms;
+	order.acknowledged = poll->ends_acked_upto;
 	add_order(&order);
 }
 
@@ -339,7 +339,7 @@
 	wwh_scheduler_calls_t calls = {
 		.start = on_start,
 		.stop = on_stop,
-		.look = on_look,
+		.poll = on_poll,
 		.pace = on_pace,
 		.advise = on_advise,
 		.keep = on_keep,
@@ -471,8 +471,8 @@
 		return WWH_ORDER_NO_ROOM;
 	assert(truth != NULL && job->submitted);
 	assert(!truth->running);
-	assert(!truth->done_noted);
-	assert(truth->failed_noted < MAX_ATTEMPTS);
+	assert(!truth->done_acked);
+	assert(truth->failed_acked < MAX_ATTEMPTS);
 	/* what was on its way when the caller was told may still arrive */
 	assert(!job->cancelled || order->sent_ms <= job->cancelled_ms);
 	for (int32_t i = 0; i < TASKS && step > 0; i++)
@@ -502,29 +502,30 @@
 	return WWH_ORDER_DONE;
 }
 
-static void carry_out_look(host_t *host, const order_t *order)
+static void carry_out_poll(host_t *host, const order_t *order)
 {
 	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
 	while (host->ends->len > 0 &&
-	       g_array_index(host->ends, end_t, 0).number <= order->noted) {
+	       g_array_index(host->ends, end_t, 0).number <=
+		       order->acknowledged) {
 		end_t *end = &g_array_index(host->ends, end_t, 0);
 		job_t *job;
 		int32_t step;
 		truth_t *truth = truth_of(end->task, &step, &job);
 
-		truth->done_noted |= end->kind == WWH_END_DONE && !end->lapsed;
-		truth->failed_noted +=
+		truth->done_acked |= end->kind == WWH_END_DONE && !end->lapsed;
+		truth->failed_acked +=
 			end->kind == WWH_END_FAILED && !end->lapsed;
 		g_array_remove_index(host->ends, 0);
 	}
 }
 
-static void answer_look(const order_t *order, const host_t *host)
+static void answer_poll(const order_t *order, const host_t *host)
 {
 	holder_t *holder = holder_of(order->holder);
 	GArray *running = g_array_new(FALSE, FALSE, sizeof(wwh_running_t));
 	GArray *ended = g_array_new(FALSE, FALSE, sizeof(wwh_ended_t));
-	wwh_look_answer_t answer = { .remote_ms = clock_of(host),
+	wwh_poll_answer_t answer = { .remote_ms = clock_of(host),
 				     .ended_in_full = true };
 
 	for (guint i = 0; i < host->runs->len; i++) {
@@ -551,7 +552,7 @@
 	answer.running_count = (int32_t)running->len;
 	answer.ended = (wwh_ended_t *)(void *)ended->data;
 	answer.ended_count = (int32_t)ended->len;
-	wwh_scheduler_looked(holder->scheduler, order->upstream, &answer,
+	wwh_scheduler_polled(holder->scheduler, order->upstream, &answer,
 			     order->sent_ms, world.now_ms);
 	g_array_free(running, TRUE);
 	g_array_free(ended, TRUE);
@@ -580,7 +581,7 @@
 		wwh_scheduler_upstream_gone(holder->scheduler, order->upstream,
 					    "restarted", world.now_ms);
 	else
-		wwh_scheduler_look_failed(holder->scheduler, order->upstream,
+		wwh_scheduler_poll_failed(holder->scheduler, order->upstream,
 					  result == WWH_ORDER_NOT_DONE,
 					  world.now_ms);
 }
@@ -606,11 +607,11 @@
 		return;
 	}
 	host->token = order->token;
-	if (order->kind == ORDER_LOOK) {
-		carry_out_look(host, order);
+	if (order->kind == ORDER_POLL) {
+		carry_out_poll(host, order);
 		if (answered && !order->carried_out_late &&
 		    holder_of(order->holder) != NULL)
-			answer_look(order, host);
+			answer_poll(order, host);
 		else
 			tell(order, WWH_ORDER_UNKNOWN);
 		return;
@@ -647,7 +648,7 @@
 		deliver(order, false);
 		break;
 	case 2: /* surely not sent */
-		if (order->kind != ORDER_LOOK)
+		if (order->kind != ORDER_POLL)
 			tell(order, WWH_ORDER_NOT_DONE);
 		else
 			tell(order, WWH_ORDER_UNKNOWN);
--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -68,14 +68,14 @@
 {
 	wwh_http_answer_t answer = answer_of(data, size);
 	wire_advice_t advice;
-	wire_look_t look;
-
-	if (wire_upstream_looked(&answer, &look) == WWH_ORDER_DONE) {
-		for (int32_t i = 0; i < look.rows.running_count; i++)
-			assert(look.rows.running[i].checkpoint != NULL);
-		for (int32_t i = 0; i < look.rows.ended_count; i++)
-			assert(look.rows.ended[i].kind < WWH_END_KIND_COUNT);
-		wire_upstream_look_clear(&look);
+	wire_poll_t poll;
+
+	if (wire_upstream_polled(&answer, &poll) == WWH_ORDER_DONE) {
+		for (int32_t i = 0; i < poll.rows.running_count; i++)
+			assert(poll.rows.running[i].checkpoint != NULL);
+		for (int32_t i = 0; i < poll.rows.ended_count; i++)
+			assert(poll.rows.ended[i].kind < WWH_END_KIND_COUNT);
+		wire_upstream_poll_clear(&poll);
 	}
 	if (wire_upstream_advised(&answer, &advice))
 		wire_upstream_advice_clear(&advice);
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -246,7 +246,7 @@
 	rig_submit(crew->rig, rig_job(JOB_A, 1, 1000));
 	running = rig_running(rig_order(crew->rig->starts, 0), 10);
 	rig_run(crew->rig, 100);
-	rig_answer_look(crew->rig, "u1", &running, 1, NULL, 0);
+	rig_answer_poll(crew->rig, "u1", &running, 1, NULL, 0);
 	crew_wave(crew, 1, 1);
 	crew_run(crew, 1);
 	crew_hosts(crew, 1, true, WWH_HOST_UP);
@@ -265,7 +265,7 @@
 	crew_run(crew, 2500);
 	crew_hosts(crew, 1, true, WWH_HOST_UP);
 	assert_false(wwh_scheduler_upstream_load(crew->rig->scheduler, "u1")
-			     .released);
+			     .cordoned);
 	crew_delete(crew);
 }
 
--- a/src/test_job_service/standin.h
+++ b/src/test_job_service/standin.h
@@ -387,7 +387,7 @@
 	g_array_append_val(upstream->runs, run);
 }
 
-static inline void standin_look(standin_upstream_t *upstream,
+static inline void standin_poll(standin_upstream_t *upstream,
 				JsonObject *object, GString *text)
 {
 	int64_t seen =
@@ -442,7 +442,7 @@
 		if (g_str_has_suffix(http->target, "/run-start"))
 			standin_start(upstream, object);
 		else if (g_str_has_suffix(http->target, "/hold"))
-			standin_look(upstream, object, text);
+			standin_poll(upstream, object, text);
 	}
 	g_mutex_unlock(&standin->lock);
 	g_string_append_c(text, '}');
--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -2,7 +2,7 @@
 #define TEST_SCHEDULER_RIG_H
 
 /*
- * A scheduler whose orders and records are kept for a test to look at, and
+ * A scheduler whose orders and records are kept for a test to poll at, and
  * short calls that tell it what a test wants upstreams to have said.
  */
 
@@ -31,16 +31,16 @@
 
 typedef struct {
 	char upstream[32];
-	int64_t noted_upto;
+	int64_t acked_upto;
 	int64_t sent_ms;
-} rig_look_t;
+} rig_poll_t;
 
 typedef struct {
 	wwh_scheduler_t *scheduler;
 	wwh_scheduler_options_t options;
 	GArray *starts; /* rig_order_t, in their order */
 	GArray *stops;
-	GArray *looks; /* rig_look_t that weren't answered */
+	GArray *polls; /* rig_poll_t that weren't answered */
 	GHashTable *records; /* as on the store: key to GBytes */
 	int64_t record;
 	int64_t now_ms;
@@ -73,14 +73,14 @@
 	g_array_append_val(rig->stops, copy);
 }
 
-static inline void rig_look(const wwh_look_order_t *order, void *data)
+static inline void rig_poll(const wwh_poll_order_t *order, void *data)
 {
 	rig_t *rig = data;
-	rig_look_t look = { .noted_upto = order->ends_noted_upto,
+	rig_poll_t poll = { .acked_upto = order->ends_acked_upto,
 			    .sent_ms = rig->now_ms };
 
-	g_strlcpy(look.upstream, order->upstream, sizeof(look.upstream));
-	g_array_append_val(rig->looks, look);
+	g_strlcpy(poll.upstream, order->upstream, sizeof(poll.upstream));
+	g_array_append_val(rig->polls, poll);
 }
 
 static inline void rig_pace(const wwh_pace_order_t *order, void *data)
@@ -129,7 +129,7 @@
 	wwh_scheduler_calls_t calls = {
 		.start = rig_start,
 		.stop = rig_stop,
-		.look = rig_look,
+		.poll = rig_poll,
 		.pace = rig_pace,
 		.advise = rig_advise,
 		.keep = rig_keep,
@@ -147,7 +147,7 @@
 	rig->options = wwh_scheduler_options_defaults();
 	rig->starts = g_array_new(FALSE, FALSE, sizeof(rig_order_t));
 	rig->stops = g_array_new(FALSE, FALSE, sizeof(rig_order_t));
-	rig->looks = g_array_new(FALSE, FALSE, sizeof(rig_look_t));
+	rig->polls = g_array_new(FALSE, FALSE, sizeof(rig_poll_t));
 	rig->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     (GDestroyNotify)g_bytes_unref);
 	rig->now_ms = 100000;
@@ -162,7 +162,7 @@
 	wwh_scheduler_delete(rig->scheduler);
 	g_array_free(rig->starts, TRUE);
 	g_array_free(rig->stops, TRUE);
-	g_array_free(rig->looks, TRUE);
+	g_array_free(rig->polls, TRUE);
 	g_hash_table_destroy(rig->records);
 	g_free(rig);
 }
@@ -176,7 +176,7 @@
 	wwh_message_t message = { "" };
 
 	wwh_scheduler_delete(rig->scheduler);
-	g_array_set_size(rig->looks, 0);
+	g_array_set_size(rig->polls, 0);
 	rig->options.holder_count++;
 	rig->scheduler = rig_scheduler(rig);
 	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
@@ -236,30 +236,30 @@
 	wwh_scheduler_upstream_seen(rig->scheduler, &info, rig->now_ms);
 }
 
-/* The newest look at id that wasn't answered; fails when there is none. */
-static inline rig_look_t rig_take_look(rig_t *rig, const char *id)
+/* The newest poll at id that wasn't answered; fails when there is none. */
+static inline rig_poll_t rig_take_poll(rig_t *rig, const char *id)
 {
-	for (guint i = rig->looks->len; i-- > 0;) {
-		rig_look_t look = g_array_index(rig->looks, rig_look_t, i);
+	for (guint i = rig->polls->len; i-- > 0;) {
+		rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, i);
 
-		if (strcmp(look.upstream, id) == 0) {
-			g_array_remove_index(rig->looks, i);
-			return look;
+		if (strcmp(poll.upstream, id) == 0) {
+			g_array_remove_index(rig->polls, i);
+			return poll;
 		}
 	}
-	fail_msg("no look at %s", id);
-	return (rig_look_t){ 0 };
+	fail_msg("no poll at %s", id);
+	return (rig_poll_t){ 0 };
 }
 
-/* Answers the look at id. The upstream's clock is ours plus 5 s. */
-static inline rig_look_t rig_answer_look(rig_t *rig, const char *id,
+/* Answers the poll at id. The upstream's clock is ours plus 5 s. */
+static inline rig_poll_t rig_answer_poll(rig_t *rig, const char *id,
 					 const wwh_running_t *running,
 					 int32_t running_count,
 					 const wwh_ended_t *ended,
 					 int32_t ended_count)
 {
-	rig_look_t look = rig_take_look(rig, id);
-	wwh_look_answer_t answer = {
+	rig_poll_t poll = rig_take_poll(rig, id);
+	wwh_poll_answer_t answer = {
 		.remote_ms = rig->now_ms + 5000,
 		.running = running,
 		.running_count = running_count,
@@ -268,10 +268,10 @@
 		.ended_in_full = true,
 	};
 
-	wwh_scheduler_looked(rig->scheduler, id, &answer, look.sent_ms,
+	wwh_scheduler_polled(rig->scheduler, id, &answer, poll.sent_ms,
 			     rig->now_ms);
 	wwh_scheduler_check(rig->scheduler);
-	return look;
+	return poll;
 }
 
 /* An upstream that is announced, answers and may be given work. */
@@ -280,7 +280,7 @@
 {
 	rig_announce(rig, id, endpoint, false);
 	rig_run(rig, 1);
-	rig_answer_look(rig, id, NULL, 0, NULL, 0);
+	rig_answer_poll(rig, id, NULL, 0, NULL, 0);
 	rig_run(rig, 1);
 	rig_durable(rig);
 }
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -28,7 +28,7 @@
 			 WWH_PROGRESS_ACTIVE);
 	rig_run(rig, 500);
 	ended = rig_ended(&order, 1, WWH_END_DONE);
-	rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	rig_durable(rig);
 	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
 			 WWH_PROGRESS_COMPLETED);
@@ -62,7 +62,7 @@
 	rig_submit(rig, rig_job(JOB_A, 1, 1000));
 	rig_run(rig, 500);
 	ended = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_DONE);
-	rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
 			 WWH_PROGRESS_ACTIVE);
 	rig_durable(rig);
@@ -81,7 +81,7 @@
 {
 	rig_t *rig = rig_new();
 	wwh_ended_t ended;
-	rig_look_t look;
+	rig_poll_t poll;
 	int64_t record;
 
 	(void)state;
@@ -91,23 +91,23 @@
 				   rig->now_ms, &record);
 	rig_run(rig, 500);
 	ended = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_DONE);
-	rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	wwh_scheduler_set_durable(rig->scheduler, record);
 	rig_run(rig, 500);
-	look = rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
-	assert_int_equal(look.noted_upto, 0);
+	poll = rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
+	assert_int_equal(poll.acked_upto, 0);
 	rig_durable(rig);
 	rig_run(rig, 500);
-	look = rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
-	assert_int_equal(look.noted_upto, 1);
+	poll = rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
+	assert_int_equal(poll.acked_upto, 1);
 	rig_delete(rig);
 }
 
 /*
  * Ends that change no job (of runs that were stopped) are forgotten by the
- * upstream too; else its list grows and each look comes back at once.
+ * upstream too; else its list grows and each poll comes back at once.
  */
-static void ends_without_progress_are_noted_too(void **state)
+static void ends_without_progress_are_acknowledged_too(void **state)
 {
 	rig_t *rig = rig_new();
 	wwh_ended_t ended = { .number = 1,
@@ -115,18 +115,18 @@
 			      .run = 1,
 			      .kind = WWH_END_STOPPED,
 			      .checkpoint = "" };
-	rig_look_t look;
+	rig_poll_t poll;
 
 	(void)state;
 	rig_add_upstream(rig, "u1", AT_1);
 	rig_run(rig, 500);
-	rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	assert_true(wwh_scheduler_unflushed(rig->scheduler));
 	rig_durable(rig);
 	assert_false(wwh_scheduler_unflushed(rig->scheduler));
 	rig_run(rig, 500);
-	look = rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
-	assert_int_equal(look.noted_upto, 1);
+	poll = rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
+	assert_int_equal(poll.acked_upto, 1);
 	rig_delete(rig);
 }
 
@@ -146,7 +146,7 @@
 	rig_submit(rig, rig_job(JOB_A, 1, 1000));
 	rig_run(rig, 500);
 	ended = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_DONE);
-	rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+	rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	rig_durable(rig);
 	rig_take_over(rig);
 	rig_run(rig, 1500);
@@ -175,21 +175,21 @@
 	order = *rig_order(rig->starts, 0);
 	rig_run(rig, 1000);
 	rig_start_ended(rig, &order, WWH_ORDER_UNKNOWN);
-	/* a look that was sent before says nothing */
-	rig_answer_look(rig, order.upstream, NULL, 0, NULL, 0);
+	/* a poll that was sent before says nothing */
+	rig_answer_poll(rig, order.upstream, NULL, 0, NULL, 0);
 	rig_run(rig, 500);
 	assert_int_equal(rig->stops->len, 0);
-	rig_answer_look(rig, order.upstream, NULL, 0, NULL, 0);
+	rig_answer_poll(rig, order.upstream, NULL, 0, NULL, 0);
 	assert_int_equal(rig->stops->len, 1);
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 1);
 	wwh_scheduler_stop_ended(rig->scheduler, order.upstream, order.task,
 				 order.run, WWH_ORDER_DONE, rig->now_ms);
-	/* this look was sent before the stop was confirmed */
-	rig_answer_look(rig, order.upstream, NULL, 0, NULL, 0);
+	/* this poll was sent before the stop was confirmed */
+	rig_answer_poll(rig, order.upstream, NULL, 0, NULL, 0);
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 1);
-	rig_answer_look(rig, order.upstream, NULL, 0, NULL, 0);
+	rig_answer_poll(rig, order.upstream, NULL, 0, NULL, 0);
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 2);
 	assert_true(rig_order(rig->starts, 1)->run > order.run);
@@ -207,27 +207,27 @@
 	rig_start_ended(rig, rig_order(rig->starts, 0), WWH_ORDER_UNKNOWN);
 	rig_run(rig, 500);
 	running = rig_running(rig_order(rig->starts, 0), 10);
-	rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+	rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
 	rig_run(rig, 5000);
 	assert_int_equal(rig->stops->len, 0);
 	assert_int_equal(rig->starts->len, 1);
 	rig_delete(rig);
 }
 
-/* Looks at silent get no answer, all others find nothing new. */
+/* Polls at silent get no answer, all others find nothing new. */
 static void answer_all_but(rig_t *rig, const char *silent)
 {
-	guint count = rig->looks->len;
+	guint count = rig->polls->len;
 
 	for (guint i = 0; i < count; i++) {
-		rig_look_t look = g_array_index(rig->looks, rig_look_t, 0);
+		rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, 0);
 
-		if (strcmp(look.upstream, silent) != 0) {
-			rig_answer_look(rig, look.upstream, NULL, 0, NULL, 0);
+		if (strcmp(poll.upstream, silent) != 0) {
+			rig_answer_poll(rig, poll.upstream, NULL, 0, NULL, 0);
 			continue;
 		}
-		g_array_remove_index(rig->looks, 0);
-		wwh_scheduler_look_failed(rig->scheduler, silent, false,
+		g_array_remove_index(rig->polls, 0);
+		wwh_scheduler_poll_failed(rig->scheduler, silent, false,
 					  rig->now_ms);
 	}
 }
@@ -282,7 +282,7 @@
 	rig_run(rig, 100);
 	assert_int_equal(rig->starts->len, 1);
 	running = rig_running(&order, 40);
-	rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+	rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
 	rig_run(rig, 1000);
 	assert_int_equal(rig->starts->len, 1);
 	assert_int_equal(rig->stops->len, 0);
@@ -301,7 +301,7 @@
 	rig_announce(rig, "u1", AT_1, false);
 	rig_run(rig, 100);
 	assert_int_equal(rig->starts->len, 1);
-	rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
 	rig_run(rig, 100);
 	assert_int_equal(rig->starts->len, 2);
 	assert_true(rig_order(rig->starts, 1)->run >
@@ -310,10 +310,10 @@
 }
 
 /* What runs without being wanted is stopped, and stopped again. */
-static void a_stray_run_is_stopped_until_it_is_gone(void **state)
+static void an_orphan_run_is_stopped_until_it_is_gone(void **state)
 {
 	rig_t *rig = rig_new();
-	wwh_running_t stray = {
+	wwh_running_t orphan = {
 		.task = JOB_B ".0.0.0", .run = 3, .checkpoint = "", .percent = 5
 	};
 
@@ -321,7 +321,7 @@
 	rig_add_upstream(rig, "u1", AT_1);
 	for (int32_t i = 0; i < 3; i++) {
 		rig_run(rig, 1500);
-		rig_answer_look(rig, "u1", &stray, 1, NULL, 0);
+		rig_answer_poll(rig, "u1", &orphan, 1, NULL, 0);
 		assert_int_equal(rig->stops->len, i + 1);
 	}
 	assert_int_equal(rig_order(rig->stops, 0)->run, 3);
@@ -350,7 +350,7 @@
 	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
 			 WWH_PROGRESS_CANCELLED);
 	rig_run(rig, 1000);
-	rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
 	rig_run(rig, 1000);
 	assert_int_equal(rig->starts->len, 8);
 	rig_delete(rig);
@@ -387,11 +387,11 @@
 		wwh_running_t second =
 			rig_running(rig_order(rig->starts, 1), 50);
 
-		rig_answer_look(rig, "u1", &second, 1, ended, 1);
+		rig_answer_poll(rig, "u1", &second, 1, ended, 1);
 	}
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 2);
-	rig_answer_look(rig, "u1", NULL, 0, ended, 2);
+	rig_answer_poll(rig, "u1", NULL, 0, ended, 2);
 	rig_run(rig, 1);
 	assert_int_equal(rig->starts->len, 3);
 	assert_string_equal(rig_order(rig->starts, 2)->task, JOB_A ".0.1.0");
@@ -413,14 +413,14 @@
 		ended = rig_ended(rig_order(rig->starts, i), i + 1,
 				  WWH_END_FAILED);
 		rig_run(rig, 500);
-		rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+		rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 		rig_durable(rig);
 		if (i == 1) {
 			/* the end is listed again to the next holder */
 			rig_take_over(rig);
 			rig_announce(rig, "u1", AT_1, false);
 			rig_run(rig, 100);
-			rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+			rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 			rig_durable(rig);
 		}
 		assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
@@ -452,7 +452,7 @@
 	rig_submit(rig, job);
 	first = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_FAILED);
 	rig_run(rig, 500);
-	rig_answer_look(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
 			&first, 1);
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 2);
@@ -463,9 +463,9 @@
 	rig_announce(rig, "u1", AT_1, false);
 	rig_announce(rig, "u2", AT_2, false);
 	rig_run(rig, 100);
-	rig_answer_look(rig, rig_order(rig->starts, 1)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 1)->upstream, NULL, 0,
 			&second, 1);
-	rig_answer_look(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
 			&first, 1);
 	rig_durable(rig);
 	rig_run(rig, 1000);
@@ -494,7 +494,7 @@
 	rig_submit(rig, job);
 	ended[0] = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_FAILED);
 	rig_run(rig, 500);
-	rig_answer_look(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
 			ended, 1);
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 2);
@@ -503,13 +503,13 @@
 	rig_announce(rig, "u2", AT_2, false);
 	rig_run(rig, 100);
 	running = rig_running(rig_order(rig->starts, 1), 50);
-	rig_answer_look(rig, rig_order(rig->starts, 1)->upstream, &running, 1,
+	rig_answer_poll(rig, rig_order(rig->starts, 1)->upstream, &running, 1,
 			NULL, 0);
-	rig_answer_look(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
 			ended, 1);
 	rig_run(rig, 500);
 	ended[1] = rig_ended(rig_order(rig->starts, 1), 1, WWH_END_FAILED);
-	rig_answer_look(rig, rig_order(rig->starts, 1)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 1)->upstream, NULL, 0,
 			&ended[1], 1);
 	rig_durable(rig);
 	rig_run(rig, 1000);
@@ -539,7 +539,7 @@
 	rig_announce(rig, "u1", AT_1, false);
 	rig_run(rig, 100);
 	assert_false(
-		wwh_scheduler_release(rig->scheduler, "u1", true, rig->now_ms));
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
 	rig_delete(rig);
 }
 
@@ -580,7 +580,7 @@
 	rig_submit(rig, job);
 	rig_run(rig, 500);
 	ended = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_DONE);
-	rig_answer_look(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
+	rig_answer_poll(rig, rig_order(rig->starts, 0)->upstream, NULL, 0,
 			&ended, 1);
 	rig_durable(rig);
 	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
@@ -614,15 +614,15 @@
 		wwh_running_t running = rig_running(order, 100);
 
 		g_strlcpy(upstreams[i], order->upstream, sizeof(upstreams[i]));
-		rig_answer_look(rig, upstreams[i], &running, 1, NULL, 0);
+		rig_answer_poll(rig, upstreams[i], &running, 1, NULL, 0);
 	}
-	assert_true(wwh_scheduler_release(rig->scheduler, upstreams[0], true,
-					  rig->now_ms));
-	assert_false(wwh_scheduler_release(rig->scheduler, upstreams[1], true,
-					   rig->now_ms));
-	wwh_scheduler_unrelease(rig->scheduler, upstreams[0]);
-	assert_true(wwh_scheduler_release(rig->scheduler, upstreams[1], true,
+	assert_true(wwh_scheduler_cordon(rig->scheduler, upstreams[0], true,
+					 rig->now_ms));
+	assert_false(wwh_scheduler_cordon(rig->scheduler, upstreams[1], true,
 					  rig->now_ms));
+	wwh_scheduler_uncordon(rig->scheduler, upstreams[0]);
+	assert_true(wwh_scheduler_cordon(rig->scheduler, upstreams[1], true,
+					 rig->now_ms));
 	rig_delete(rig);
 }
 
@@ -645,10 +645,10 @@
 		assert_int_equal(rig->starts->len, i + 1);
 		ended = rig_ended(rig_order(rig->starts, i), i + 1, kinds[i]);
 		rig_run(rig, 500);
-		rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+		rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 		rig_durable(rig);
 		rig_run(rig, 15000);
-		rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
+		rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
 		rig_run(rig, 1);
 	}
 	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
@@ -668,14 +668,14 @@
 	rig_add_upstream(rig, "u1", AT_1);
 	rig_submit(rig, job);
 	rig_run(rig, 1500);
-	rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
 	rig_run(rig, 300);
 	assert_int_equal(rig->starts->len, 0);
 	for (guint i = 0; i < 3; i++) {
 		char name[WWH_TASK_NAME_BYTES];
 
 		rig_run(rig, i == 0 ? 300 : 1000);
-		rig_answer_look(rig, "u1", NULL, 0, NULL, 0);
+		rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
 		rig_run(rig, 1);
 		snprintf(name, sizeof(name), JOB_A ".%u.0.0", i);
 		assert_int_equal(rig->starts->len, i + 1);
@@ -708,7 +708,7 @@
 }
 
 /*
- * An upstream answers its looks and does no work. The task goes elsewhere
+ * An upstream answers its polls and does no work. The task goes elsewhere
  * after it was confirmed to be stopped.
  */
 static void a_task_that_stands_still_is_started_elsewhere(void **state)
@@ -725,7 +725,7 @@
 	for (int32_t i = 0; i < 4 && rig->stops->len == 0; i++) {
 		rig_run(rig, 700);
 		running = rig_running(&order, 12);
-		rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+		rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
 	}
 	assert_int_equal(rig->stops->len, 1);
 	rig_add_upstream(rig, "u2", AT_2);
@@ -734,7 +734,7 @@
 		wwh_ended_t ended = rig_ended(&order, 1, WWH_END_STOPPED);
 
 		rig_run(rig, 500);
-		rig_answer_look(rig, "u1", NULL, 0, &ended, 1);
+		rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	}
 	rig_run(rig, 1);
 	assert_int_equal(rig->starts->len, 2);
@@ -754,7 +754,7 @@
 	for (int32_t i = 1; i < 20; i++) {
 		rig_run(rig, 1000);
 		running = rig_running(rig_order(rig->starts, 0), i);
-		rig_answer_look(rig, "u1", &running, 1, NULL, 0);
+		rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
 	}
 	assert_int_equal(rig->stops->len, 0);
 	rig_delete(rig);
@@ -785,7 +785,7 @@
 	}
 	rows[0].tail_ms = 300;
 	rig_run(rig, 1000);
-	rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+	rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
 	assert_int_equal(rig->paces, 1);
 	assert_int_equal(rig->last_pace, 0);
 	wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
@@ -794,13 +794,13 @@
 	for (int32_t pace = 25; pace <= 100; pace += 25) {
 		rig_run(rig, 1000);
 		rows[1].percent = pace;
-		rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+		rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
 		assert_int_equal(rig->last_pace, pace);
 		wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
 					 WWH_ORDER_DONE, rig->now_ms);
 	}
 	rig_run(rig, 1000);
-	rig_answer_look(rig, "u1", rows, 2, NULL, 0);
+	rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
 	assert_int_equal(rig->paces, 5);
 	rig_delete(rig);
 }
@@ -856,7 +856,7 @@
 		cmocka_unit_test(nothing_starts_before_the_job_is_durable),
 		cmocka_unit_test(a_completed_job_is_shown_once_it_is_durable),
 		cmocka_unit_test(an_end_is_covered_only_by_its_own_record),
-		cmocka_unit_test(ends_without_progress_are_noted_too),
+		cmocka_unit_test(ends_without_progress_are_acknowledged_too),
 		cmocka_unit_test(
 			ended_jobs_are_answered_for_after_a_change_of_holder),
 		cmocka_unit_test(
@@ -868,7 +868,7 @@
 			a_new_holder_asks_each_upstream_before_it_starts),
 		cmocka_unit_test(
 			a_new_holder_goes_on_when_all_upstreams_have_answered),
-		cmocka_unit_test(a_stray_run_is_stopped_until_it_is_gone),
+		cmocka_unit_test(an_orphan_run_is_stopped_until_it_is_gone),
 		cmocka_unit_test(a_cancelled_job_stops_and_starts_nothing),
 		cmocka_unit_test(a_step_waits_for_all_tasks_of_those_before_it),
 		cmocka_unit_test(a_task_fails_as_often_as_its_queue_allows),
