Date what upstreams answer by when it is taken in

Cause: a holder's call backs used the time of its loop's last run. A process that gets no processor time for seconds then dated an upstream's clock too early, and took its lease as over by as much too early, so tasks could start a second time elsewhere.

Ruled out: the network's delay alone (the poll's answer is newer than its sending, which errs to the safe side).

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -58,7 +58,12 @@
 	int64_t next_sequence;
 	bool others_at_work; /* the holder before may still give orders */
 	GHashTable *records; /* key to GBytes, as the journal has them */
-	int64_t now_ms;
+	/*
+	 * The steady clock. Answers are taken in by the time of their
+	 * arrival: a reading of an upstream's clock that is dated too early
+	 * makes its lease look over while it still runs tasks.
+	 */
+	int64_t (*clock_ms)(void);
 	int64_t wall_ms;
 	/* Another holder has a higher token. */
 	void (*on_lost)(const char *why, void *client_data);
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -35,6 +35,8 @@
 	wwh_counter_t *stops;
 };
 
+/* Of each call back: what time it is now, not when the loop ran last. */
+void job_holder_tick(wwh_job_holder_t *holder);
 void job_holder_ref(wwh_job_holder_t *holder);
 void job_holder_unref(wwh_job_holder_t *holder);
 void job_holder_lose(wwh_job_holder_t *holder, const char *why);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -80,7 +80,7 @@
 
 	holder->options = *options;
 	holder->references = 1;
-	holder->now_ms = options->now_ms;
+	holder->now_ms = options->clock_ms();
 	holder->wall_ms = options->wall_ms;
 	holder->waiters = g_queue_new();
 	holder->advice = g_queue_new();
@@ -192,6 +192,11 @@
 	wwh_scheduler_dump(holder->scheduler, out, holder->now_ms);
 }
 
+void job_holder_tick(wwh_job_holder_t *holder)
+{
+	holder->now_ms = MAX(holder->now_ms, holder->options.clock_ms());
+}
+
 void job_holder_ref(wwh_job_holder_t *holder)
 {
 	holder->references++;
@@ -365,6 +370,7 @@
 {
 	wwh_job_holder_t *holder = data;
 
+	job_holder_tick(holder);
 	holder->durable_record = record;
 	if (wwh_shard_journal_confirmed_ms(holder->journal) >=
 	    holder->unconfirmed_since_ms)
@@ -387,6 +393,7 @@
 
 	if (holder->lost)
 		return;
+	job_holder_tick(holder);
 	if (value == NULL) {
 		wwh_scheduler_upstream_left(holder->scheduler, key,
 					    holder->now_ms);
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -120,6 +120,7 @@
 		job_holder_unref(holder);
 		return;
 	}
+	job_holder_tick(holder);
 	ok = wire_hosts_listed(answer, &next, take_host, holder);
 	g_free(holder->list_page);
 	holder->list_page = next;
@@ -143,6 +144,7 @@
 	wwh_job_holder_t *holder = duty->holder;
 	wwh_duty_result_t result = wire_hosts_result(answer);
 
+	job_holder_tick(holder);
 	if (!holder->deleted && !holder->lost) {
 		wwh_host_duties_upkeep_ended(holder->duties, duty->host,
 					     duty->wave, result,
@@ -161,6 +163,7 @@
 	wwh_job_holder_t *holder = duty->holder;
 	wwh_duty_result_t result = wire_hosts_result(answer);
 
+	job_holder_tick(holder);
 	if (!holder->deleted && !holder->lost) {
 		wwh_host_duties_move_ended(holder->duties, duty->host, result,
 					   holder->now_ms);
@@ -177,6 +180,7 @@
 	wwh_job_holder_t *holder = data;
 	wire_store_result_t result = wire_store_append_answer(answer);
 
+	job_holder_tick(holder);
 	holder->report_in_flight = false;
 	if (result == WIRE_STORE_OK || result == WIRE_STORE_BAD) {
 		if (result == WIRE_STORE_BAD)
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -138,8 +138,10 @@
 	job_holder_unref(holder);
 }
 
+/* Asked at the begin of each call back. */
 static bool is_over(const order_t *order)
 {
+	job_holder_tick(order->holder);
 	return order->holder->deleted || order->holder->lost;
 }
 
