Restore the scheduler's records by one function

Two functions unpacked, restored and named what is malformed in the same lines. No change of what is kept or read; test_scheduler, test_job_service and test_job_holder pass as before.

--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -15,6 +15,17 @@
 #define FAILED_FIELDS 2
 #define UPSTREAM_FIELDS 2
 
+/* A value of the journal, as it was kept. */
+typedef struct {
+	const char *kind; /* what the message calls it */
+	const char *id;
+	const uint8_t *value;
+	size_t size;
+} sched_record_t;
+
+typedef bool (*restore_record_t)(wwh_scheduler_t *scheduler, const char *id,
+				 const msgpack_object *object);
+
 static void pack_occurrence(msgpack_packer *packer,
 			    const sched_occurrence_t *occurrence);
 static void pack_step(msgpack_packer *packer, const sched_step_t *step);
@@ -36,6 +47,8 @@
 			     const msgpack_object *object);
 static bool restore_upstream(wwh_scheduler_t *scheduler, const char *id,
 			     const msgpack_object *object);
+static bool restore(wwh_scheduler_t *scheduler, const sched_record_t *record,
+		    restore_record_t restore_record, wwh_message_t *message);
 static bool unpack(const uint8_t *value, size_t size,
 		   msgpack_unpacked *unpacked, wwh_message_t *message);
 
@@ -69,16 +82,11 @@
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message)
 {
-	msgpack_unpacked unpacked;
-	bool ok;
+	sched_record_t record = {
+		.kind = "progress of", .id = id, .value = value, .size = size
+	};
 
-	if (!unpack(value, size, &unpacked, message))
-		return false;
-	ok = restore_progress(scheduler, id, &unpacked.data);
-	msgpack_unpacked_destroy(&unpacked);
-	if (!ok)
-		wwh_message_set(message, "progress of %s is malformed", id);
-	return ok;
+	return restore(scheduler, &record, restore_progress, message);
 }
 
 GBytes *sched_upstream_encode(const sched_upstream_t *upstream)
@@ -103,16 +111,11 @@
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message)
 {
-	msgpack_unpacked unpacked;
-	bool ok;
+	sched_record_t record = {
+		.kind = "upstream", .id = id, .value = value, .size = size
+	};
 
-	if (!unpack(value, size, &unpacked, message))
-		return false;
-	ok = restore_upstream(scheduler, id, &unpacked.data);
-	msgpack_unpacked_destroy(&unpacked);
-	if (!ok)
-		wwh_message_set(message, "upstream %s is malformed", id);
-	return ok;
+	return restore(scheduler, &record, restore_upstream, message);
 }
 
 static void pack_occurrence(msgpack_packer *packer,
@@ -357,6 +360,22 @@
 	return true;
 }
 
+static bool restore(wwh_scheduler_t *scheduler, const sched_record_t *record,
+		    restore_record_t restore_record, wwh_message_t *message)
+{
+	msgpack_unpacked unpacked;
+	bool ok;
+
+	if (!unpack(record->value, record->size, &unpacked, message))
+		return false;
+	ok = restore_record(scheduler, record->id, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		wwh_message_set(message, "%s %s is malformed", record->kind,
+				record->id);
+	return ok;
+}
+
 static bool unpack(const uint8_t *value, size_t size,
 		   msgpack_unpacked *unpacked, wwh_message_t *message)
 {
