Take an answer for the word of the holder that was asked

Cause: a process asks the holder whether it still holds the shard; while the answer is out another process becomes the holder. The first one's "not any more" was then taken for the new holder's: it was replaced while at work, and without waiting for its orders (others_at_work was false).

Ruled out: a change of the group's assignment, which alone claims nothing.

Found by reading. Before: the new test sees a claim begun, two runs of two. After: none, two of two, and five tests of claims that had none of their own. The stand-in of the platform moves to the folder of the stand-ins.

Conclusion: rare, as the group has to name a process that is neither holder; the cost was a needless change of holder and, at worst, a second run of a task whose order was still on its way.

--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -72,6 +72,7 @@
 	char *holder; /* NULL: nobody */
 	int64_t holder_epoch;
 	int64_t probe_sent_ms;
+	int64_t probe_epoch; /* of the holder that was asked */
 	int64_t answered_ms; /* reluctant: when a holder was there last */
 	/* the claim */
 	wwh_store_follower_t *journal;
@@ -362,10 +363,15 @@
 	call->path = g_strdup(PROBE_PATH);
 	claim->probe_in_flight = true;
 	claim->probe_sent_ms = claim->now_ms;
+	claim->probe_epoch = claim->holder_epoch;
 	claim->references++;
 	wwh_http_calls_send(claim->options.calls, call, on_probed, claim);
 }
 
+/*
+ * Another process may have become the holder since the question was sent. It
+ * would be replaced while it is at work, on the word of the one before.
+ */
 static void on_probed(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_shard_claim_t *claim = data;
@@ -373,10 +379,12 @@
 		     answer->status == STATUS_OK;
 
 	claim->probe_in_flight = false;
-	claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
-	claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
-			      (answer->outcome == WWH_CALL_ANSWERED &&
-			       answer->status == STATUS_NOT_FOUND);
+	if (claim->probe_epoch == claim->holder_epoch) {
+		claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
+		claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
+				      (answer->outcome == WWH_CALL_ANSWERED &&
+				       answer->status == STATUS_NOT_FOUND);
+	}
 	unref(claim);
 }
 
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -2,7 +2,7 @@
  * The holder on a stand-in of the platform, with a clock of the test's.
  */
 
-#include "../test_job_service/standin.h"
+#include "../test_standins/include/standin_jobs.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -4,7 +4,7 @@
  * malformed.
  */
 
-#include "standin.h"
+#include "../test_standins/include/standin_jobs.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- /dev/null
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -0,0 +1,331 @@
+/*
+ * Who claims a shard, and when, on a stand-in of the store and of the
+ * processes that hold it.
+ */
+
+#include "../test_standins/include/standin_jobs.h"
+
+#include "waxwinghollow/shard_claim.h"
+
+#define TOPIC "keyed.wwh"
+#define SELF "127.0.0.1:1"
+#define MEMBER_TTL_MS 900
+#define WAIT_MAX_MS 10000
+#define EPOCH(count) ((int64_t)(count) << 16)
+
+/* A process that is asked whether it holds the shard. */
+typedef struct {
+	wwh_listener_t *listener;
+	char address[32];
+	GMutex lock;
+	GCond changed;
+	int32_t status; /* 0: takes questions and answers none yet */
+	int32_t asked;
+} peer_t;
+
+typedef struct {
+	standin_t *standin;
+	wwh_counters_t *counters;
+	wwh_http_calls_t *calls;
+	wwh_shard_claim_t *claim;
+	peer_t peers[2];
+	char *holder; /* as the claim made it known */
+	char *lines; /* what it explained */
+	wwh_held_t held; /* epoch 0: not held */
+	guint records;
+} fixture_t;
+
+static void on_question(const wwh_http_request_t *request,
+			wwh_http_response_t *response, void *client_data)
+{
+	peer_t *peer = client_data;
+
+	(void)request;
+	g_mutex_lock(&peer->lock);
+	peer->asked++;
+	while (peer->status == 0)
+		g_cond_wait(&peer->changed, &peer->lock);
+	response->status = peer->status;
+	g_mutex_unlock(&peer->lock);
+}
+
+static void set_status(peer_t *peer, int32_t status)
+{
+	g_mutex_lock(&peer->lock);
+	peer->status = status;
+	g_cond_broadcast(&peer->changed);
+	g_mutex_unlock(&peer->lock);
+}
+
+static int32_t times_asked(peer_t *peer)
+{
+	int32_t asked;
+
+	g_mutex_lock(&peer->lock);
+	asked = peer->asked;
+	g_mutex_unlock(&peer->lock);
+	return asked;
+}
+
+static void on_held(const wwh_held_t *held, void *client_data)
+{
+	fixture_t *fixture = client_data;
+
+	fixture->held = *held;
+	fixture->records = g_hash_table_size(held->records);
+}
+
+static void on_holder(const char *address, int64_t epoch, void *client_data)
+{
+	fixture_t *fixture = client_data;
+
+	(void)epoch;
+	g_free(fixture->holder);
+	fixture->holder = g_strdup(address);
+}
+
+static void on_explain(const char *event, const char *detail, void *client_data)
+{
+	fixture_t *fixture = client_data;
+	char *lines =
+		g_strconcat(fixture->lines, event, " ", detail, "\n", NULL);
+
+	g_free(fixture->lines);
+	fixture->lines = lines;
+}
+
+static int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+
+	fixture->standin = standin_new();
+	fixture->counters = wwh_counters_new();
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	fixture->lines = g_strdup("");
+	for (int32_t i = 0; i < 2; i++) {
+		peer_t *peer = &fixture->peers[i];
+
+		g_mutex_init(&peer->lock);
+		g_cond_init(&peer->changed);
+		peer->status = 200;
+		peer->listener =
+			standin_listen(fixture->standin, on_question, peer);
+		snprintf(peer->address, sizeof(peer->address), "127.0.0.1:%d",
+			 wwh_listener_port(peer->listener));
+	}
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < 2; i++)
+		set_status(&fixture->peers[i], 200);
+	wwh_shard_claim_delete(fixture->claim);
+	wwh_http_calls_delete(fixture->calls);
+	for (int32_t i = 0; i < 2; i++) {
+		peer_t *peer = &fixture->peers[i];
+
+		(void)wwh_listener_drain(peer->listener, 1000);
+		wwh_listener_delete(peer->listener);
+		g_mutex_clear(&peer->lock);
+		g_cond_clear(&peer->changed);
+	}
+	wwh_counters_delete(fixture->counters);
+	standin_delete(fixture->standin);
+	g_free(fixture->holder);
+	g_free(fixture->lines);
+	g_free(fixture);
+	return 0;
+}
+
+static void start_claim(fixture_t *fixture, bool reluctant)
+{
+	char *store = g_strdup_printf(
+		"127.0.0.1:%d", wwh_listener_port(fixture->standin->store));
+	wwh_shard_claim_options_t options = {
+		.calls = fixture->calls,
+		.store = store,
+		.topic = TOPIC,
+		.journal_part = 0,
+		.notice_part = 1,
+		.group = "g",
+		.self = SELF,
+		.producer = "p",
+		.member_ttl_ms = MEMBER_TTL_MS,
+		.reluctant = reluctant,
+		.on_held = on_held,
+		.on_holder = on_holder,
+		.explain = on_explain,
+		.client_data = fixture,
+	};
+
+	fixture->claim = wwh_shard_claim_new(&options);
+	g_free(store);
+}
+
+static void put(fixture_t *fixture, const char *part, const char *key,
+		const char *value)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	standin_put(fixture->standin, TOPIC, part, key, value, strlen(value));
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static void make_holder(fixture_t *fixture, const char *address, int64_t epoch)
+{
+	char *notice =
+		g_strdup_printf("%" G_GINT64_FORMAT " %s", epoch, address);
+
+	put(fixture, "1", "holder", notice);
+	g_free(notice);
+}
+
+static void run_for(fixture_t *fixture, int64_t run_ms)
+{
+	int64_t end_ms = standin_now_ms() + run_ms;
+
+	while (standin_now_ms() < end_ms) {
+		wwh_shard_claim_run(fixture->claim, standin_now_ms());
+		wwh_http_calls_poll(fixture->calls, 10);
+	}
+}
+
+static void run_until_held(fixture_t *fixture)
+{
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+
+	while (fixture->held.epoch == 0 && standin_now_ms() < end_ms)
+		run_for(fixture, 20);
+	assert_int_not_equal(fixture->held.epoch, 0);
+}
+
+static void run_until_asked(fixture_t *fixture, int32_t peer, int32_t times)
+{
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+
+	while (times_asked(&fixture->peers[peer]) < times &&
+	       standin_now_ms() < end_ms)
+		run_for(fixture, 20);
+	assert_true(times_asked(&fixture->peers[peer]) >= times);
+}
+
+static void a_shard_that_nobody_holds_is_claimed_with_its_records(void **state)
+{
+	fixture_t *fixture = *state;
+
+	put(fixture, "0", "Ja", "job a");
+	put(fixture, "0", "Jb", "job b");
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	run_for(fixture, 300);
+	assert_int_equal(fixture->held.epoch >> 16, 1);
+	assert_int_equal(fixture->records, 3); /* the claim's own too */
+	assert_false(fixture->held.others_at_work);
+	assert_string_equal(fixture->holder, SELF);
+}
+
+static void a_holder_that_answers_is_left_alone(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 4);
+	assert_int_equal(fixture->held.epoch, 0);
+	assert_string_equal(fixture->lines,
+			    "shard-assigned assigned=1 generation=1\n");
+}
+
+/* Its upstreams may still get its orders: the next one has to wait for them. */
+static void a_silent_holder_is_replaced_as_one_that_may_be_at_work(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_status(&fixture->peers[0], 0);
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 5);
+	assert_true(fixture->held.others_at_work);
+	assert_true(times_asked(&fixture->peers[0]) >= 2);
+}
+
+static void a_holder_that_says_it_holds_no_more_is_replaced(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_status(&fixture->peers[0], 404);
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 5);
+	assert_false(fixture->held.others_at_work);
+}
+
+/*
+ * A holder is asked and doesn't answer at once; another process becomes the
+ * holder; then the first one says that it holds no more. That was taken for
+ * an answer of the new holder, which was replaced while it was at work, and
+ * its orders weren't waited for.
+ */
+static void an_answer_says_nothing_of_the_next_holder(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+
+	set_status(&fixture->peers[0], 0);
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 1);
+	make_holder(fixture, fixture->peers[1].address, EPOCH(5));
+	while (g_strcmp0(fixture->holder, fixture->peers[1].address) != 0 &&
+	       standin_now_ms() < end_ms)
+		run_for(fixture, 10);
+	set_status(&fixture->peers[0], 404);
+	run_for(fixture, 1500);
+	assert_null(strstr(fixture->lines, "shard-claim-begun"));
+	assert_int_equal(fixture->held.epoch, 0);
+	assert_true(times_asked(&fixture->peers[1]) >= 2);
+}
+
+/* Another process claims between this one's reading and its claim. */
+static void a_claim_that_the_store_refuses_is_begun_anew(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_mutex_lock(&fixture->standin->lock);
+	standin_part(fixture->standin, TOPIC, "0")->epoch = EPOCH(2);
+	g_mutex_unlock(&fixture->standin->lock);
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_non_null(strstr(fixture->lines, "shard-claim-refused"));
+	assert_true(fixture->held.epoch >= EPOCH(2));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			a_shard_that_nobody_holds_is_claimed_with_its_records,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_that_answers_is_left_alone, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_silent_holder_is_replaced_as_one_that_may_be_at_work,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_that_says_it_holds_no_more_is_replaced, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			an_answer_says_nothing_of_the_next_holder, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_claim_that_the_store_refuses_is_begun_anew, set_up,
+			tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/test_job_service/standin.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -1,5 +1,5 @@
-#ifndef TEST_JOB_SERVICE_STANDIN_H
-#define TEST_JOB_SERVICE_STANDIN_H
+#ifndef STANDIN_JOBS_H
+#define STANDIN_JOBS_H
 
 /*
  * A small platform for tests of whole processes: its store, and upstreams
