Make each claim known by a notice of its own

Cause: a claim is lost and made again while its first notice is unanswered. That notice's answer settled the second one too, which was never sent. Where another process had held the shard between, nobody knew the holder and all callers were turned away.

Ruled out: a notice that fails; that was sent again before as well.

Found by reading. Before: the new test reads the first claim's epoch, two runs of two. After: the second's, two of two.

Conclusion: needs an outage or slow answers of the store of up to 0.8 s around a change of holder; then it lasted until the next change.

--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -83,6 +83,7 @@
 	int64_t append_sent_ms;
 	int64_t retry_ms;
 	int64_t notice_retry_ms;
+	int64_t notice_epoch; /* of the claim that is made known in flight */
 	int32_t probes_failed;
 	bool deleted;
 	bool join_in_flight;
@@ -577,21 +578,29 @@
 				 claim->options.notice_part, &writer, body,
 				 APPEND_LIMIT_MS);
 	claim->notice_in_flight = true;
+	claim->notice_epoch = claim->epoch;
 	claim->notice_of_giving_up = claim->state == CLAIM_GIVEN_UP;
 	claim->references++;
 	wwh_http_calls_send(claim->options.calls, call, on_made_known, claim);
 }
 
+/*
+ * The claim may have been lost and made again since the notice was sent. Taken
+ * as settled by the old notice, no process would learn that the shard is held.
+ */
 static void on_made_known(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_shard_claim_t *claim = data;
+	bool newest =
+		claim->notice_epoch == claim->epoch &&
+		claim->notice_of_giving_up == (claim->state == CLAIM_GIVEN_UP);
 	wire_store_result_t result = wire_store_append_answer(answer);
 
 	claim->notice_in_flight = false;
 	if (result == WIRE_STORE_NOT_DONE || result == WIRE_STORE_UNKNOWN ||
 	    result == WIRE_STORE_FULL)
 		claim->notice_retry_ms = claim->now_ms + RETRY_MS;
-	else if (claim->notice_of_giving_up == (claim->state == CLAIM_GIVEN_UP))
+	else if (newest)
 		claim->notice_pending = false;
 	unref(claim);
 }
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -30,6 +30,7 @@
 	wwh_shard_claim_t *claim;
 	peer_t peers[2];
 	char *holder; /* as the claim made it known */
+	int64_t holder_epoch;
 	char *lines; /* what it explained */
 	wwh_held_t held; /* epoch 0: not held */
 	guint records;
@@ -79,8 +80,8 @@
 {
 	fixture_t *fixture = client_data;
 
-	(void)epoch;
 	g_free(fixture->holder);
+	fixture->holder_epoch = epoch;
 	fixture->holder = g_strdup(address);
 }
 
@@ -291,6 +292,30 @@
 	assert_true(times_asked(&fixture->peers[1]) >= 2);
 }
 
+/*
+ * The answer to a notice is slow; meanwhile the claim is lost and made again.
+ * The old notice's answer was taken for the new one's, which was never sent:
+ * all other processes turned callers away, though the shard was held.
+ */
+static void each_claim_is_made_known_by_a_notice_of_its_own(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t first;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->notice_delay_ms = 700;
+	g_mutex_unlock(&fixture->standin->lock);
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	first = fixture->held.epoch;
+	fixture->held.epoch = 0;
+	wwh_shard_claim_lost(fixture->claim, standin_now_ms());
+	run_until_held(fixture);
+	assert_true(fixture->held.epoch > first);
+	run_for(fixture, 1500);
+	assert_int_equal(fixture->holder_epoch, fixture->held.epoch);
+}
+
 /* Another process claims between this one's reading and its claim. */
 static void a_claim_that_the_store_refuses_is_begun_anew(void **state)
 {
@@ -322,6 +347,9 @@
 		cmocka_unit_test_setup_teardown(
 			an_answer_says_nothing_of_the_next_holder, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			each_claim_is_made_known_by_a_notice_of_its_own, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_claim_that_the_store_refuses_is_begun_anew, set_up,
 			tear_down),
