--- /dev/null
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -0,0 +1,194 @@
+#include <string.h>
+
+#include "private/shard_claim_state.h"
+#include "wire_store.h"
+
+/* Calls to the group: it notices a lost process after member_ttl_ms. */
+#define JOINS_A_TTL 3
+#define JOIN_LIMIT_MS 700
+
+/* Between two questions to the holder, and how long it may take. */
+#define PROBE_EVERY_MS 400
+#define PROBE_LIMIT_MS 600
+
+/* The same for a reluctant process, and how long it leaves it to others. */
+#define RELUCTANT_PROBE_MS 1500
+#define RELUCTANT_MS 5000
+
+/* Unanswered questions after which a holder is taken as gone. */
+#define PROBES_OF_A_LOST_HOLDER 2
+
+/* The store answers all calls of this process for so long. */
+#define STEADY_MS 900
+
+#define PROBE_PATH "/v1/shard"
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+
+static bool may_join(wwh_shard_claim_t *claim);
+static void join(wwh_shard_claim_t *claim);
+static void on_joined(const wwh_http_answer_t *answer, void *data);
+static bool store_is_steady(const wwh_shard_claim_t *claim);
+static void probe(wwh_shard_claim_t *claim);
+static void on_probed(const wwh_http_answer_t *answer, void *data);
+
+void claim_stay_in_group(wwh_shard_claim_t *claim)
+{
+	if (may_join(claim))
+		join(claim);
+}
+
+/* A notice is "EPOCH ADDRESS"; without an address nobody holds the shard. */
+void claim_on_notice(const char *key, const uint8_t *value, size_t size,
+		     void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	char *text;
+	char *address;
+	int64_t epoch;
+
+	if (value == NULL || strcmp(key, CLAIM_NOTICE_KEY) != 0)
+		return;
+	text = g_strndup((const char *)value, size);
+	epoch = g_ascii_strtoll(text, &address, 10);
+	claim->highest_counter =
+		MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
+	if (epoch >= claim->holder_epoch) {
+		address = g_strstrip(address);
+		claim->holder_epoch = epoch;
+		g_free(claim->holder);
+		claim->holder = address[0] == '\0' ? NULL : g_strdup(address);
+		claim->probes_failed = 0;
+		claim->holder_ended = false;
+		claim->options.on_holder(claim->holder, epoch,
+					 claim->options.client_data);
+	}
+	g_free(text);
+}
+
+void claim_watch(wwh_shard_claim_t *claim)
+{
+	bool assigned = claim->assigned && claim->now_ms - claim->assigned_ms <
+						   claim->options.member_ttl_ms;
+
+	if (!assigned || !wwh_store_follower_caught_up(claim->notices) ||
+	    claim->now_ms < claim->retry_ms)
+		return;
+	if (claim->holder == NULL) {
+		claim_begin(claim, "no-holder", false);
+	} else if (strcmp(claim->holder, claim->self) == 0) {
+		claim_begin(claim, "restarted", false);
+	} else if (claim->holder_ended) {
+		claim_begin(claim, "holder-ended", false);
+	} else if (claim->probes_failed >= PROBES_OF_A_LOST_HOLDER &&
+		   store_is_steady(claim)) {
+		claim_begin(claim, "holder-silent", true);
+	} else if (!claim->probe_in_flight &&
+		   claim->now_ms - claim->probe_sent_ms >= PROBE_EVERY_MS) {
+		probe(claim);
+	}
+}
+
+/*
+ * A holder that is too slow for the shard's orders stands still for seconds,
+ * is taken over, and the next one may be as slow: all work waits meanwhile.
+ */
+static bool may_join(wwh_shard_claim_t *claim)
+{
+	if (!claim->options.reluctant || claim->state != CLAIM_WATCHING)
+		return true;
+	if (claim->holder != NULL && !claim->probe_in_flight &&
+	    claim->now_ms - claim->probe_sent_ms >= RELUCTANT_PROBE_MS)
+		probe(claim);
+	if (claim->holder != NULL && claim->probes_failed == 0)
+		claim->answered_ms = claim->now_ms;
+	if (claim->answered_ms == 0)
+		claim->answered_ms = claim->now_ms;
+	return claim->now_ms - claim->answered_ms >= RELUCTANT_MS;
+}
+
+static void join(wwh_shard_claim_t *claim)
+{
+	wwh_http_call_t *call;
+
+	if (claim->join_in_flight ||
+	    claim->now_ms - claim->join_sent_ms <
+		    claim->options.member_ttl_ms / JOINS_A_TTL)
+		return;
+	claim->join_in_flight = true;
+	claim->join_sent_ms = claim->now_ms;
+	claim->references++;
+	call = wire_store_join(claim->store, claim->options.group, claim->self,
+			       claim->topic, claim->options.member_ttl_ms,
+			       claim->generation, JOIN_LIMIT_MS);
+	wwh_http_calls_send(claim->options.calls, call, on_joined, claim);
+}
+
+static void on_joined(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	bool assigned = false;
+
+	claim->join_in_flight = false;
+	if (!claim->deleted &&
+	    wire_store_join_answer(answer, claim->options.journal_part,
+				   &claim->generation,
+				   &assigned) == WIRE_STORE_OK) {
+		if (assigned != claim->assigned)
+			claim_explain(
+				claim, "shard-assigned",
+				"assigned=%d generation=%" G_GINT64_FORMAT,
+				assigned, claim->generation);
+		claim->assigned = assigned;
+		claim->assigned_ms = claim->join_sent_ms;
+		if (claim->reached_since_ms == 0)
+			claim->reached_since_ms = claim->join_sent_ms;
+	} else {
+		claim->reached_since_ms = 0;
+	}
+	claim_unref(claim);
+}
+
+/*
+ * After an outage of the whole store a holder needs a moment to confirm its
+ * claim. Taken over in that moment, all upstreams would be asked anew for
+ * nothing.
+ */
+static bool store_is_steady(const wwh_shard_claim_t *claim)
+{
+	return claim->reached_since_ms != 0 &&
+	       claim->now_ms - claim->reached_since_ms >= STEADY_MS;
+}
+
+static void probe(wwh_shard_claim_t *claim)
+{
+	wwh_http_call_t *call =
+		wwh_http_call_new("GET", claim->holder, PROBE_LIMIT_MS);
+
+	call->path = g_strdup(PROBE_PATH);
+	claim->probe_in_flight = true;
+	claim->probe_sent_ms = claim->now_ms;
+	claim->probe_epoch = claim->holder_epoch;
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, on_probed, claim);
+}
+
+/*
+ * Another process may have become the holder since the question was sent. It
+ * would be replaced while it is at work, on the word of the one before.
+ */
+static void on_probed(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+	bool holds = answer->outcome == WWH_CALL_ANSWERED &&
+		     answer->status == STATUS_OK;
+
+	claim->probe_in_flight = false;
+	if (claim->probe_epoch == claim->holder_epoch) {
+		claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
+		claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
+				      (answer->outcome == WWH_CALL_ANSWERED &&
+				       answer->status == STATUS_NOT_FOUND);
+	}
+	claim_unref(claim);
+}
