--- /dev/null
+++ b/src/test_scheduler/test_scheduler.h
@@ -0,0 +1,89 @@
+#ifndef TEST_SCHEDULER_H
+#define TEST_SCHEDULER_H
+
+/*
+ * NAME
+ *	test_scheduler - what the files of this test program share
+ */
+
+#include "rig.h"
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+#define AT_1 "10.0.0.1:1"
+#define AT_2 "10.0.0.2:1"
+#define AT_3 "10.0.0.3:1"
+
+/* A test whose *state is a rig with so many upstreams, u1 and on. */
+#define RIG_TEST(name, upstreams)                                              \
+	cmocka_unit_test_setup_teardown(name, rig_with_##upstreams,            \
+					rig_tear_down)
+
+int rig_with_0(void **state);
+int rig_with_1(void **state);
+int rig_with_2(void **state);
+int rig_with_3(void **state);
+int rig_tear_down(void **state);
+
+/* Polls at silent get no answer, all others find nothing new. */
+void answer_all_but(rig_t *rig, const char *silent);
+
+#define JOB_TESTS                                                              \
+	RIG_TEST(a_step_waits_for_all_tasks_of_those_before_it, 1),            \
+		RIG_TEST(a_task_fails_as_often_as_its_queue_allows, 1),        \
+		RIG_TEST(failures_count_in_whatever_order_they_are_heard, 2),  \
+		RIG_TEST(a_failure_counts_while_a_later_run_is_out, 2),        \
+		RIG_TEST(a_gang_starts_whole_or_not_at_all, 2),                \
+		RIG_TEST(one_end_of_a_gang_stands_for_all, 2),                 \
+		RIG_TEST(a_lasting_task_is_started_again_however_it_ends, 1),  \
+		RIG_TEST(occurrences_start_when_they_are_due, 1),              \
+		RIG_TEST(a_cancelled_job_stops_and_starts_nothing, 1)
+
+void a_step_waits_for_all_tasks_of_those_before_it(void **state);
+void a_task_fails_as_often_as_its_queue_allows(void **state);
+void failures_count_in_whatever_order_they_are_heard(void **state);
+void a_failure_counts_while_a_later_run_is_out(void **state);
+void a_gang_starts_whole_or_not_at_all(void **state);
+void one_end_of_a_gang_stands_for_all(void **state);
+void a_lasting_task_is_started_again_however_it_ends(void **state);
+void occurrences_start_when_they_are_due(void **state);
+void a_cancelled_job_stops_and_starts_nothing(void **state);
+
+#define RUN_TESTS                                                                  \
+	RIG_TEST(an_unanswered_start_is_settled_before_the_next, 2),               \
+		RIG_TEST(an_unanswered_start_that_is_listed_goes_on, 1),           \
+		RIG_TEST(                                                          \
+			a_silent_upstream_keeps_its_tasks_until_its_lease_is_over, \
+			1),                                                        \
+		RIG_TEST(a_new_holder_asks_each_upstream_before_it_starts, 1),     \
+		RIG_TEST(                                                          \
+			a_new_holder_goes_on_when_all_upstreams_have_answered,     \
+			1),                                                        \
+		RIG_TEST(an_orphan_run_is_stopped_until_it_is_gone, 1),            \
+		RIG_TEST(a_task_that_stands_still_is_started_elsewhere, 1),        \
+		RIG_TEST(a_task_that_goes_on_slowly_is_left_alone, 1)
+
+void an_unanswered_start_is_settled_before_the_next(void **state);
+void an_unanswered_start_that_is_listed_goes_on(void **state);
+void a_silent_upstream_keeps_its_tasks_until_its_lease_is_over(void **state);
+void a_new_holder_asks_each_upstream_before_it_starts(void **state);
+void a_new_holder_goes_on_when_all_upstreams_have_answered(void **state);
+void an_orphan_run_is_stopped_until_it_is_gone(void **state);
+void a_task_that_stands_still_is_started_elsewhere(void **state);
+void a_task_that_goes_on_slowly_is_left_alone(void **state);
+
+#define UPSTREAM_TESTS                                                         \
+	RIG_TEST(a_host_that_has_not_answered_is_not_taken_down, 1),           \
+		RIG_TEST(hosts_taken_down_together_share_what_a_step_may_miss, \
+			 3),                                                   \
+		RIG_TEST(fillers_give_way_to_serving_tasks, 1),                \
+		RIG_TEST(advice_is_asked_before_a_start_and_renewed, 2),       \
+		RIG_TEST(nothing_new_goes_to_a_leaving_upstream, 1)
+
+void a_host_that_has_not_answered_is_not_taken_down(void **state);
+void hosts_taken_down_together_share_what_a_step_may_miss(void **state);
+void fillers_give_way_to_serving_tasks(void **state);
+void advice_is_asked_before_a_start_and_renewed(void **state);
+void nothing_new_goes_to_a_leaving_upstream(void **state);
+
+#endif
--- /dev/null
+++ b/src/test_scheduler/test_upstreams.c
@@ -0,0 +1,139 @@
+/*
+ * What upstreams are used for: those in waves or leaving, fillers beside serving
+ * tasks, and those that a policy admits.
+ */
+
+#include "test_scheduler.h"
+
+/*
+ * A new holder goes on with a wave before all upstreams have answered it. It
+ * took one that it knew no tasks of for empty, and ended two of a step that
+ * may miss one.
+ */
+void a_host_that_has_not_answered_is_not_taken_down(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 2, 1000);
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_unavailable = 1;
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 2);
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_run(rig, 100);
+	assert_false(
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
+}
+
+/*
+ * Two hosts of a wave are taken down in the same moment. Each holds one task
+ * of a step that may miss one; asked one after the other, before the first
+ * is seen to be gone, both were let go and the step missed two.
+ */
+void hosts_taken_down_together_share_what_a_step_may_miss(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 3, 1000);
+	char upstreams[3][32];
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_per_upstream = 1;
+	job->steps[0].max_unavailable = 1;
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 3);
+	rig_run(rig, 500);
+	for (guint i = 0; i < 3; i++) {
+		rig_order_t *order = rig_order(rig->starts, i);
+		wwh_running_t running = rig_running(order, 100);
+
+		g_strlcpy(upstreams[i], order->upstream, sizeof(upstreams[i]));
+		rig_answer_poll(rig, upstreams[i], &running, 1, NULL, 0);
+	}
+	assert_true(wwh_scheduler_cordon(rig->scheduler, upstreams[0], true,
+					 rig->now_ms));
+	assert_false(wwh_scheduler_cordon(rig->scheduler, upstreams[1], true,
+					  rig->now_ms));
+	wwh_scheduler_uncordon(rig->scheduler, upstreams[0]);
+	assert_true(wwh_scheduler_cordon(rig->scheduler, upstreams[1], true,
+					 rig->now_ms));
+}
+
+/*
+ * Users of a serving task wait too long because a filler runs beside it. The
+ * filler is stopped in place at once, and let go by steps afterwards.
+ */
+void fillers_give_way_to_serving_tasks(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *serving = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *filler = rig_job(JOB_B, 1, 1000);
+	wwh_running_t rows[2];
+
+	serving->steps[0].lasting = true;
+	serving->steps[0].latency_target_ms = 200;
+	filler->steps[0].filler = true;
+	rig_submit(rig, serving);
+	rig_submit(rig, filler);
+	assert_int_equal(rig->starts->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		rows[i] = rig_running(rig_order(rig->starts, i), 100);
+		rig_start_ended(rig, rig_order(rig->starts, i), WWH_ORDER_DONE);
+	}
+	rows[0].tail_ms = 300;
+	rig_run(rig, 1000);
+	rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
+	assert_int_equal(rig->paces, 1);
+	assert_int_equal(rig->last_pace, 0);
+	wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
+				 WWH_ORDER_DONE, rig->now_ms);
+	rows[0].tail_ms = 50;
+	for (int32_t pace = 25; pace <= 100; pace += 25) {
+		rig_run(rig, 1000);
+		rows[1].percent = pace;
+		rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
+		assert_int_equal(rig->last_pace, pace);
+		wwh_scheduler_pace_ended(rig->scheduler, "u1", rows[1].task, 1,
+					 WWH_ORDER_DONE, rig->now_ms);
+	}
+	rig_run(rig, 1000);
+	rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
+	assert_int_equal(rig->paces, 5);
+}
+
+/* A queue's policy admits only some upstreams; their tickets expire. */
+void advice_is_asked_before_a_start_and_renewed(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 12, 1000);
+	wwh_advice_ticket_t admitted = { .upstream = "u2", .ticket = "t" };
+
+	job->queue.advice_valid_ms = 3000;
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 0);
+	assert_int_equal(rig->advices, 1);
+	assert_int_equal(rig->advised_upstreams, 2);
+	assert_string_equal(rig->advised_step, JOB_A ".0.0");
+	wwh_scheduler_advised(rig->scheduler, JOB_A ".0.0", &admitted, 1, 3000,
+			      rig->now_ms);
+	rig_run(rig, 1);
+	assert_int_equal(rig->starts->len, 8);
+	for (guint i = 0; i < 8; i++)
+		assert_string_equal(rig_order(rig->starts, i)->upstream, "u2");
+	/* the answer doesn't change: only the ticket is asked for anew */
+	rig_run(rig, 3500);
+	answer_all_but(rig, "");
+	rig_run(rig, 1000);
+	assert_int_equal(rig->advices, 2);
+	assert_int_equal(rig->advised_upstreams, 1);
+}
+
+void nothing_new_goes_to_a_leaving_upstream(void **state)
+{
+	rig_t *rig = *state;
+
+	rig_announce(rig, "u1", AT_1, true);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_run(rig, 500);
+	assert_int_equal(rig->starts->len, 0);
+}
