Part the fuzzer's world from its events; answer some polls late

scheduler_world.h holds the upstreams and the truth; events 8, 10, 11 and 12 answer a poll later. test_scheduler: an end isn't covered while its record is on its way.

--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -1,9 +1,9 @@
 /*
  * fuzz_scheduler - holders of a shard against a world that knows the truth.
  * The input says what happens next: jobs come and are cancelled, orders are
- * carried out, refused, lost, or carried out late, upstreams crash, are cut
- * off, hang or leave, appends fail or get no answer, a holder is overtaken
- * and goes on for a moment, or all start anew from the store.
+ * carried out, refused, lost, carried out or answered late, upstreams crash,
+ * are cut off, hang or leave, appends fail or get no answer, a holder is
+ * overtaken and goes on for a moment, or all start anew from the store.
  *
  * Checked where an upstream begins a run:
  *  - no other run of the task goes on at an upstream that is up;
@@ -16,126 +16,14 @@
  * often as the queue allows; and an accepted one is never unknown.
  */
 
-#include <assert.h>
-#include <glib.h>
-#include <stdint.h>
-#include <stdio.h>
-#include <string.h>
-
-#include "waxwinghollow/scheduler.h"
-
-#define UPSTREAMS 4
-#define JOBS_MAX 24
-#define TASKS 3 /* of each of the two steps of a job */
-#define STEPS 2
-#define MAX_ATTEMPTS 3
-#define INPUT_MAX 600
-#define CORES 3000
-#define LEASE_MAX_MS 10000
-#define ORDER_LIMIT_MS 1700 /* after which a holder waits no longer */
-#define POOL "p"
-
-typedef struct {
-	bool running;
-	bool done; /* truly */
-	bool done_acked;
-	int32_t failed_acked;
-	int32_t failed; /* truly */
-} truth_t;
-
-typedef struct {
-	char id[WWH_JOB_ID_CHARS + 1];
-	bool submitted;
-	bool accepted; /* the caller was told */
-	bool cancelled; /* the caller was told */
-	int64_t cancelled_ms;
-	bool cancel_sent;
-	bool shown_completed;
-	int64_t submit_record;
-	truth_t tasks[STEPS][TASKS];
-} job_t;
-
-typedef struct {
-	char task[WWH_TASK_NAME_BYTES];
-	int64_t run;
-	int64_t begun_ms;
-	int64_t duration_ms;
-	bool fails;
-} run_t;
-
-typedef struct {
-	int64_t number;
-	char task[WWH_TASK_NAME_BYTES];
-	int64_t run;
-	wwh_end_kind_t kind;
-	bool lapsed; /* the lease was over since: it never counts as acknowledged */
-} end_t;
-
-typedef struct {
-	char id[16];
-	int32_t life;
-	bool up;
-	bool cut;
-	bool hangs;
-	bool leaving;
-	bool announced;
-	int64_t token;
-	int64_t clock_offset_ms;
-	int64_t clock_permille; /* 980 to 1000 of ours */
-	int64_t lease_until_ms; /* on its clock */
-	int64_t last_number;
-	GArray *runs; /* run_t */
-	GArray *ends; /* end_t */
-	GHashTable *refused; /* task to the highest run that ended or stopped */
-} host_t;
-
-typedef enum {
-	ORDER_START,
-	ORDER_STOP,
-	ORDER_POLL
-} order_kind_t;
-
-typedef struct {
-	order_kind_t kind;
-	int32_t holder; /* number; orders outlive their holders */
-	char upstream[16];
-	char task[WWH_TASK_NAME_BYTES];
-	int64_t run;
-	int64_t token;
-	int64_t until_ms;
-	int64_t acknowledged;
-	int64_t sent_ms;
-	bool carried_out_late; /* nobody waits for its result */
-} order_t;
-
-typedef struct {
-	char *key;
-	GBytes *value;
-	int64_t number;
-} record_t;
-
-typedef struct {
-	wwh_scheduler_t *scheduler;
-	int32_t number; /* 0: none */
-	int64_t token;
-	int64_t next_record;
-	GQueue *pending; /* record_t */
-} holder_t;
-
-typedef struct {
-	const uint8_t *data;
-	size_t size;
-	int64_t now_ms;
-	holder_t holder;
-	int32_t holder_count;
-	GHashTable *store; /* key to GBytes */
-	host_t hosts[UPSTREAMS];
-	job_t jobs[JOBS_MAX];
-	int32_t job_count;
-	GQueue *orders; /* order_t */
-} world_t;
-
-static world_t world;
+#include "scheduler_world.h"
+
+/* Bit n: an order in an event n * 16 + 8 to 15 is answered slowly. */
+#define SLOW_EVENTS 0x1d00 /* 8, 10, 11, 12: no kept input has these */
+
+/* Kinds of jobs that are small; no kept input has these either. */
+#define FIRST_SMALL 160
+#define LAST_SMALL 254
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
@@ -147,31 +35,6 @@
 	return *world.data++;
 }
 
-static int64_t clock_of(const host_t *host)
-{
-	return host->clock_offset_ms +
-	       world.now_ms * host->clock_permille / 1000;
-}
-
-static truth_t *truth_of(const char *task, int32_t *step, job_t **job)
-{
-	char id[WWH_JOB_ID_CHARS + 1] = "";
-	int occurrence;
-	int index;
-	int number;
-
-	assert(sscanf(task, "%16[0-9a-f].%d.%d.%d", id, &occurrence, &number,
-		      &index) == 4);
-	for (int32_t i = 0; i < world.job_count; i++) {
-		if (strcmp(world.jobs[i].id, id) != 0)
-			continue;
-		*job = &world.jobs[i];
-		*step = number;
-		return &world.jobs[i].tasks[number][index];
-	}
-	return NULL;
-}
-
 static host_t *host_of(const char *id)
 {
 	for (int32_t i = 0; i < UPSTREAMS; i++) {
@@ -366,75 +229,6 @@
 		announce(holder, &world.hosts[i]);
 }
 
-static int64_t refused_run(const host_t *host, const char *task)
-{
-	gpointer run = g_hash_table_lookup(host->refused, task);
-
-	return run == NULL ? 0 : (int64_t)GPOINTER_TO_SIZE(run);
-}
-
-static void end_run(host_t *host, guint index, wwh_end_kind_t kind)
-{
-	run_t run = g_array_index(host->runs, run_t, index);
-	end_t end = { .number = ++host->last_number,
-		      .run = run.run,
-		      .kind = kind };
-	job_t *job;
-	int32_t step;
-	truth_t *truth = truth_of(run.task, &step, &job);
-
-	g_strlcpy(end.task, run.task, sizeof(end.task));
-	g_array_append_val(host->ends, end);
-	g_array_remove_index(host->runs, index);
-	if (refused_run(host, run.task) < run.run)
-		g_hash_table_replace(host->refused, g_strdup(run.task),
-				     GSIZE_TO_POINTER((gsize)run.run));
-	truth->running = false;
-	if (kind == WWH_END_DONE)
-		truth->done = true;
-	truth->failed += kind == WWH_END_FAILED;
-}
-
-/* What time does: runs end, leases lapse. */
-static void settle_host(host_t *host)
-{
-	if (!host->up)
-		return;
-	while (host->runs->len > 0 && clock_of(host) > host->lease_until_ms)
-		end_run(host, 0, WWH_END_LAPSED);
-	for (guint i = 0; i < host->ends->len; i++)
-		g_array_index(host->ends, end_t, i).lapsed |=
-			clock_of(host) > host->lease_until_ms;
-	for (guint i = 0; i < host->runs->len && !host->hangs;) {
-		run_t *run = &g_array_index(host->runs, run_t, i);
-
-		if (world.now_ms - run->begun_ms < run->duration_ms)
-			i++;
-		else
-			end_run(host, i,
-				run->fails ? WWH_END_FAILED : WWH_END_DONE);
-	}
-}
-
-static void crash(host_t *host)
-{
-	for (guint i = 0; i < host->runs->len; i++) {
-		job_t *job;
-		int32_t step;
-
-		truth_of(g_array_index(host->runs, run_t, i).task, &step, &job)
-			->running = false;
-	}
-	g_array_set_size(host->runs, 0);
-	g_array_set_size(host->ends, 0);
-	g_hash_table_remove_all(host->refused);
-	host->up = false;
-	host->last_number = 0;
-	host->token = 0;
-	host->lease_until_ms = 0;
-	host->hangs = false;
-}
-
 static void begin_life(host_t *host)
 {
 	host->life++;
@@ -447,87 +241,14 @@
 		announce(&world.holder, host);
 }
 
-static wwh_order_result_t carry_out_start(host_t *host, const order_t *order)
-{
-	run_t run = { .run = order->run, .begun_ms = world.now_ms };
-	uint8_t luck = (uint8_t)(g_str_hash(order->task) + order->run * 7);
-	job_t *job = NULL;
-	int32_t step = 0;
-	truth_t *truth = truth_of(order->task, &step, &job);
-
-	for (guint i = 0; i < host->runs->len; i++) {
-		run_t *there = &g_array_index(host->runs, run_t, i);
-
-		if (strcmp(there->task, order->task) == 0 &&
-		    there->run == order->run)
-			return WWH_ORDER_DONE;
-	}
-	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
-	if (order->run <= refused_run(host, order->task))
-		return WWH_ORDER_OLD_RUN;
-	if (clock_of(host) > order->until_ms)
-		return WWH_ORDER_LATE;
-	if ((int32_t)host->runs->len >= CORES / 1000)
-		return WWH_ORDER_NO_ROOM;
-	assert(truth != NULL && job->submitted);
-	assert(!truth->running);
-	assert(!truth->done_acked);
-	assert(truth->failed_acked < MAX_ATTEMPTS);
-	/* what was on its way when the caller was told may still arrive */
-	assert(!job->cancelled || order->sent_ms <= job->cancelled_ms);
-	for (int32_t i = 0; i < TASKS && step > 0; i++)
-		assert(job->tasks[0][i].done);
-	truth->running = true;
-	g_strlcpy(run.task, order->task, sizeof(run.task));
-	run.duration_ms = 200 + luck * 8;
-	run.fails = luck % 5 == 0;
-	g_array_append_val(host->runs, run);
-	return WWH_ORDER_DONE;
-}
-
-static wwh_order_result_t carry_out_stop(host_t *host, const order_t *order)
-{
-	for (guint i = 0; i < host->runs->len; i++) {
-		run_t *run = &g_array_index(host->runs, run_t, i);
-
-		if (strcmp(run->task, order->task) == 0 &&
-		    run->run <= order->run) {
-			end_run(host, i, WWH_END_STOPPED);
-			break;
-		}
-	}
-	if (refused_run(host, order->task) < order->run)
-		g_hash_table_replace(host->refused, g_strdup(order->task),
-				     GSIZE_TO_POINTER((gsize)order->run));
-	return WWH_ORDER_DONE;
-}
-
-static void carry_out_poll(host_t *host, const order_t *order)
-{
-	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
-	while (host->ends->len > 0 &&
-	       g_array_index(host->ends, end_t, 0).number <=
-		       order->acknowledged) {
-		end_t *end = &g_array_index(host->ends, end_t, 0);
-		job_t *job;
-		int32_t step;
-		truth_t *truth = truth_of(end->task, &step, &job);
-
-		truth->done_acked |= end->kind == WWH_END_DONE && !end->lapsed;
-		truth->failed_acked +=
-			end->kind == WWH_END_FAILED && !end->lapsed;
-		g_array_remove_index(host->ends, 0);
-	}
-}
-
-static void answer_poll(const order_t *order, const host_t *host)
+static answer_t *make_answer(const order_t *order, const host_t *host)
 {
-	holder_t *holder = holder_of(order->holder);
-	GArray *running = g_array_new(FALSE, FALSE, sizeof(wwh_running_t));
-	GArray *ended = g_array_new(FALSE, FALSE, sizeof(wwh_ended_t));
-	wwh_poll_answer_t answer = { .remote_ms = clock_of(host),
-				     .ended_in_full = true };
+	answer_t *answer = g_new0(answer_t, 1);
 
+	answer->order = *order;
+	answer->remote_ms = clock_of(host);
+	answer->running = g_array_new(FALSE, FALSE, sizeof(wwh_running_t));
+	answer->ended = g_array_new(FALSE, FALSE, sizeof(wwh_ended_t));
 	for (guint i = 0; i < host->runs->len; i++) {
 		const run_t *run = &g_array_index(host->runs, run_t, i);
 		wwh_running_t row = { .run = run->run, .checkpoint = "" };
@@ -536,7 +257,7 @@
 		if (!host->hangs)
 			row.percent = (int32_t)((world.now_ms - run->begun_ms) *
 						100 / run->duration_ms);
-		g_array_append_val(running, row);
+		g_array_append_val(answer->running, row);
 	}
 	for (guint i = 0; i < host->ends->len; i++) {
 		const end_t *end = &g_array_index(host->ends, end_t, i);
@@ -546,16 +267,38 @@
 				    .checkpoint = "" };
 
 		g_strlcpy(row.task, end->task, sizeof(row.task));
-		g_array_append_val(ended, row);
+		g_array_append_val(answer->ended, row);
 	}
-	answer.running = (wwh_running_t *)(void *)running->data;
-	answer.running_count = (int32_t)running->len;
-	answer.ended = (wwh_ended_t *)(void *)ended->data;
-	answer.ended_count = (int32_t)ended->len;
-	wwh_scheduler_polled(holder->scheduler, order->upstream, &answer,
-			     order->sent_ms, world.now_ms);
-	g_array_free(running, TRUE);
-	g_array_free(ended, TRUE);
+	return answer;
+}
+
+static void answer_free(gpointer data)
+{
+	answer_t *answer = data;
+
+	g_array_free(answer->running, TRUE);
+	g_array_free(answer->ended, TRUE);
+	g_free(answer);
+}
+
+/* The answer comes in, unless nobody waits for it any more. */
+static void give_answer(answer_t *answer)
+{
+	holder_t *holder = holder_of(answer->order.holder);
+	wwh_poll_answer_t rows = {
+		.remote_ms = answer->remote_ms,
+		.running = (wwh_running_t *)(void *)answer->running->data,
+		.running_count = (int32_t)answer->running->len,
+		.ended = (wwh_ended_t *)(void *)answer->ended->data,
+		.ended_count = (int32_t)answer->ended->len,
+		.ended_in_full = true,
+	};
+
+	if (holder != NULL)
+		wwh_scheduler_polled(holder->scheduler, answer->order.upstream,
+				     &rows, answer->order.sent_ms,
+				     world.now_ms);
+	answer_free(answer);
 }
 
 /* Tells the holder what came of an order, if it still is there. */
@@ -586,8 +329,11 @@
 					  world.now_ms);
 }
 
-/* The upstream gets the order; answered: its answer comes back. */
-static void deliver(const order_t *order, bool answered)
+/*
+ * The upstream gets the order; answered: its answer comes back; slowly: that
+ * of a poll takes its time, and others overtake it.
+ */
+static void deliver(const order_t *order, bool answered, bool slowly)
 {
 	host_t *host = host_of(order->upstream);
 	wwh_order_result_t result;
@@ -609,11 +355,13 @@
 	host->token = order->token;
 	if (order->kind == ORDER_POLL) {
 		carry_out_poll(host, order);
-		if (answered && !order->carried_out_late &&
-		    holder_of(order->holder) != NULL)
-			answer_poll(order, host);
-		else
+		if (!answered || order->carried_out_late)
 			tell(order, WWH_ORDER_UNKNOWN);
+		else if (slowly)
+			g_queue_push_tail(world.answers,
+					  make_answer(order, host));
+		else
+			give_answer(make_answer(order, host));
 		return;
 	}
 	result = order->kind == ORDER_START ? carry_out_start(host, order)
@@ -621,7 +369,22 @@
 	tell(order, answered ? result : WWH_ORDER_UNKNOWN);
 }
 
-static void handle_order(uint8_t how)
+/* A holder waits only so long; the answer may still be on its way then. */
+static void expire_answers(void)
+{
+	for (guint i = g_queue_get_length(world.answers); i > 0; i--) {
+		answer_t *answer = g_queue_pop_head(world.answers);
+
+		if (world.now_ms - answer->order.sent_ms <= ORDER_LIMIT_MS) {
+			g_queue_push_tail(world.answers, answer);
+			continue;
+		}
+		tell(&answer->order, WWH_ORDER_UNKNOWN);
+		answer_free(answer);
+	}
+}
+
+static void handle_order(uint8_t how, bool slowly)
 {
 	guint length = g_queue_get_length(world.orders);
 	order_t *order;
@@ -645,7 +408,7 @@
 		}
 		break;
 	case 1: /* carried out, the answer is lost */
-		deliver(order, false);
+		deliver(order, false, false);
 		break;
 	case 2: /* surely not sent */
 		if (order->kind != ORDER_POLL)
@@ -654,7 +417,7 @@
 			tell(order, WWH_ORDER_UNKNOWN);
 		break;
 	default:
-		deliver(order, true);
+		deliver(order, true, slowly);
 		break;
 	}
 	g_free(order);
@@ -693,17 +456,29 @@
 	}
 }
 
+/*
+ * Most jobs are large, so that tasks compete for room. Only small ones end
+ * within an input, and an end is what the checks of callers' answers need.
+ */
+static void choose_shape(job_t *entry, uint8_t kind)
+{
+	bool small = kind >= FIRST_SMALL && kind <= LAST_SMALL;
+
+	entry->step_count = small && kind % 2 == 0 ? 1 : STEPS;
+	entry->task_count = small ? 1 : TASKS;
+}
+
 static void submit(uint8_t kind)
 {
 	holder_t *holder = &world.holder;
 	job_t *entry = &world.jobs[world.job_count];
-	wwh_job_t *job = wwh_job_new(STEPS);
+	wwh_job_t *job;
 
-	if (world.job_count == JOBS_MAX) {
-		wwh_job_delete(job);
+	if (world.job_count == JOBS_MAX)
 		return;
-	}
 	memset(entry, 0, sizeof(*entry));
+	choose_shape(entry, kind);
+	job = wwh_job_new(entry->step_count);
 	snprintf(entry->id, sizeof(entry->id), "%016x",
 		 (unsigned)world.job_count + 1);
 	entry->submitted = true;
@@ -714,14 +489,16 @@
 	job->queue.stretch_permille = 1600;
 	job->payload = g_strdup("text");
 	job->accepted_wall_ms = world.now_ms;
-	for (int32_t i = 0; i < STEPS; i++) {
-		job->steps[i].task_count = TASKS;
+	for (int32_t i = 0; i < entry->step_count; i++) {
+		job->steps[i].task_count = entry->task_count;
 		job->steps[i].cpu_millicores = 1000;
 		job->steps[i].estimate_ms = 500;
 		job->steps[i].max_per_upstream = kind % 3;
 	}
-	job->steps[1].after = g_new0(int32_t, 1);
-	job->steps[1].after_count = 1;
+	if (entry->step_count > 1) {
+		job->steps[1].after = g_new0(int32_t, 1);
+		job->steps[1].after_count = 1;
+	}
 	world.job_count++;
 	(void)wwh_scheduler_submit(holder->scheduler, job, world.now_ms,
 				   &entry->submit_record);
@@ -740,13 +517,15 @@
 		job->cancel_sent = true;
 }
 
-static int32_t most_failures(const job_t *job)
+static bool all_done(const job_t *job)
 {
-	int32_t most = 0;
-
-	for (int32_t k = 0; k < STEPS * TASKS; k++)
-		most = MAX(most, job->tasks[k / TASKS][k % TASKS].failed);
-	return most;
+	for (int32_t i = 0; i < job->step_count; i++) {
+		for (int32_t k = 0; k < job->task_count; k++) {
+			if (!job->tasks[i][k].done)
+				return false;
+		}
+	}
+	return true;
 }
 
 static void check_shown(void)
@@ -762,9 +541,7 @@
 		job->shown_completed |= shown == WWH_PROGRESS_COMPLETED;
 		assert(shown != WWH_PROGRESS_FAILED ||
 		       most_failures(job) >= MAX_ATTEMPTS);
-		for (int32_t k = 0;
-		     k < STEPS * TASKS && shown == WWH_PROGRESS_COMPLETED; k++)
-			assert(job->tasks[k / TASKS][k % TASKS].done);
+		assert(shown != WWH_PROGRESS_COMPLETED || all_done(job));
 	}
 }
 
@@ -817,6 +594,8 @@
 	case 2:
 		if (how % 4 == 0)
 			cancel(how / 4);
+		else if (how % 4 == 1 && !g_queue_is_empty(world.answers))
+			give_answer(g_queue_pop_head(world.answers));
 		break;
 	case 3:
 		change_host(how);
@@ -833,10 +612,11 @@
 		world.now_ms += how * 20;
 		break;
 	default:
-		handle_order(how);
+		handle_order(how, SLOW_EVENTS >> event / 16 & 1);
 		break;
 	}
 	world.now_ms += 10;
+	expire_answers();
 	for (int32_t i = 0; i < UPSTREAMS; i++)
 		settle_host(&world.hosts[i]);
 	if (world.holder.number == 0)
@@ -855,6 +635,7 @@
 	world.store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_bytes_unref);
 	world.orders = g_queue_new();
+	world.answers = g_queue_new();
 	for (int32_t i = 0; i < UPSTREAMS; i++) {
 		host_t *host = &world.hosts[i];
 
@@ -879,6 +660,7 @@
 	}
 	g_hash_table_destroy(world.store);
 	g_queue_free_full(world.orders, g_free);
+	g_queue_free_full(world.answers, answer_free);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- /dev/null
+++ b/src/test_fuzz/scheduler_world.h
@@ -0,0 +1,324 @@
+#ifndef TEST_FUZZ_SCHEDULER_WORLD_H
+#define TEST_FUZZ_SCHEDULER_WORLD_H
+
+/*
+ * NAME
+ *	scheduler_world - upstreams as they are, and what truly became of tasks
+ *
+ * USE
+ *	For fuzz_scheduler alone. Written from the rules: what an upstream does
+ *	with an order, when its runs end, and what it may forget. Asserts where
+ *	a run begins that never should.
+ */
+
+#include <assert.h>
+#include <glib.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "waxwinghollow/scheduler.h"
+
+#define UPSTREAMS 4
+#define JOBS_MAX 24
+#define TASKS 3 /* at most, of each step of a job */
+#define STEPS 2 /* at most */
+#define MAX_ATTEMPTS 3
+#define INPUT_MAX 600
+#define CORES 3000
+#define LEASE_MAX_MS 10000
+#define ORDER_LIMIT_MS 1700 /* after which a holder waits no longer */
+#define POOL "p"
+
+typedef struct {
+	bool running;
+	bool done; /* truly */
+	bool done_acked;
+	int32_t failed_acked;
+	int32_t failed; /* truly */
+} truth_t;
+
+typedef struct {
+	char id[WWH_JOB_ID_CHARS + 1];
+	bool submitted;
+	bool accepted; /* the caller was told */
+	bool cancelled; /* the caller was told */
+	int64_t cancelled_ms;
+	bool cancel_sent;
+	bool shown_completed;
+	int64_t submit_record;
+	int32_t step_count;
+	int32_t task_count; /* of each step */
+	truth_t tasks[STEPS][TASKS];
+} job_t;
+
+typedef struct {
+	char task[WWH_TASK_NAME_BYTES];
+	int64_t run;
+	int64_t begun_ms;
+	int64_t duration_ms;
+	bool fails;
+} run_t;
+
+typedef struct {
+	int64_t number;
+	char task[WWH_TASK_NAME_BYTES];
+	int64_t run;
+	wwh_end_kind_t kind;
+	bool lapsed; /* the lease was over since: it never counts as acknowledged */
+} end_t;
+
+typedef struct {
+	char id[16];
+	int32_t life;
+	bool up;
+	bool cut;
+	bool hangs;
+	bool leaving;
+	bool announced;
+	int64_t token;
+	int64_t clock_offset_ms;
+	int64_t clock_permille; /* 980 to 1000 of ours */
+	int64_t lease_until_ms; /* on its clock */
+	int64_t last_number;
+	GArray *runs; /* run_t */
+	GArray *ends; /* end_t */
+	GHashTable *refused; /* task to the highest run that ended or stopped */
+} host_t;
+
+typedef enum {
+	ORDER_START,
+	ORDER_STOP,
+	ORDER_POLL
+} order_kind_t;
+
+typedef struct {
+	order_kind_t kind;
+	int32_t holder; /* number; orders outlive their holders */
+	char upstream[16];
+	char task[WWH_TASK_NAME_BYTES];
+	int64_t run;
+	int64_t token;
+	int64_t until_ms;
+	int64_t acknowledged;
+	int64_t sent_ms;
+	bool carried_out_late; /* nobody waits for its result */
+} order_t;
+
+/* What an upstream answered to a poll, on its way to the holder. */
+typedef struct {
+	order_t order;
+	int64_t remote_ms;
+	GArray *running; /* wwh_running_t */
+	GArray *ended; /* wwh_ended_t */
+} answer_t;
+
+typedef struct {
+	char *key;
+	GBytes *value;
+	int64_t number;
+} record_t;
+
+typedef struct {
+	wwh_scheduler_t *scheduler;
+	int32_t number; /* 0: none */
+	int64_t token;
+	int64_t next_record;
+	GQueue *pending; /* record_t */
+} holder_t;
+
+typedef struct {
+	const uint8_t *data;
+	size_t size;
+	int64_t now_ms;
+	holder_t holder;
+	int32_t holder_count;
+	GHashTable *store; /* key to GBytes */
+	host_t hosts[UPSTREAMS];
+	job_t jobs[JOBS_MAX];
+	int32_t job_count;
+	GQueue *orders; /* order_t */
+	GQueue *answers; /* answer_t that take their time */
+} world_t;
+
+static world_t world;
+
+static inline int64_t clock_of(const host_t *host)
+{
+	return host->clock_offset_ms +
+	       world.now_ms * host->clock_permille / 1000;
+}
+
+static inline truth_t *truth_of(const char *task, int32_t *step, job_t **job)
+{
+	char id[WWH_JOB_ID_CHARS + 1] = "";
+	int occurrence;
+	int index;
+	int number;
+
+	assert(sscanf(task, "%16[0-9a-f].%d.%d.%d", id, &occurrence, &number,
+		      &index) == 4);
+	for (int32_t i = 0; i < world.job_count; i++) {
+		if (strcmp(world.jobs[i].id, id) != 0)
+			continue;
+		*job = &world.jobs[i];
+		*step = number;
+		return &world.jobs[i].tasks[number][index];
+	}
+	return NULL;
+}
+
+static inline int64_t refused_run(const host_t *host, const char *task)
+{
+	gpointer run = g_hash_table_lookup(host->refused, task);
+
+	return run == NULL ? 0 : (int64_t)GPOINTER_TO_SIZE(run);
+}
+
+static inline void end_run(host_t *host, guint index, wwh_end_kind_t kind)
+{
+	run_t run = g_array_index(host->runs, run_t, index);
+	end_t end = { .number = ++host->last_number,
+		      .run = run.run,
+		      .kind = kind };
+	job_t *job;
+	int32_t step;
+	truth_t *truth = truth_of(run.task, &step, &job);
+
+	g_strlcpy(end.task, run.task, sizeof(end.task));
+	g_array_append_val(host->ends, end);
+	g_array_remove_index(host->runs, index);
+	if (refused_run(host, run.task) < run.run)
+		g_hash_table_replace(host->refused, g_strdup(run.task),
+				     GSIZE_TO_POINTER((gsize)run.run));
+	truth->running = false;
+	if (kind == WWH_END_DONE)
+		truth->done = true;
+	truth->failed += kind == WWH_END_FAILED;
+}
+
+/* What time does: runs end, leases lapse. */
+static inline void settle_host(host_t *host)
+{
+	if (!host->up)
+		return;
+	while (host->runs->len > 0 && clock_of(host) > host->lease_until_ms)
+		end_run(host, 0, WWH_END_LAPSED);
+	for (guint i = 0; i < host->ends->len; i++)
+		g_array_index(host->ends, end_t, i).lapsed |=
+			clock_of(host) > host->lease_until_ms;
+	for (guint i = 0; i < host->runs->len && !host->hangs;) {
+		run_t *run = &g_array_index(host->runs, run_t, i);
+
+		if (world.now_ms - run->begun_ms < run->duration_ms)
+			i++;
+		else
+			end_run(host, i,
+				run->fails ? WWH_END_FAILED : WWH_END_DONE);
+	}
+}
+
+static inline void crash(host_t *host)
+{
+	for (guint i = 0; i < host->runs->len; i++) {
+		job_t *job;
+		int32_t step;
+
+		truth_of(g_array_index(host->runs, run_t, i).task, &step, &job)
+			->running = false;
+	}
+	g_array_set_size(host->runs, 0);
+	g_array_set_size(host->ends, 0);
+	g_hash_table_remove_all(host->refused);
+	host->up = false;
+	host->last_number = 0;
+	host->token = 0;
+	host->lease_until_ms = 0;
+	host->hangs = false;
+}
+
+static inline wwh_order_result_t carry_out_start(host_t *host,
+						 const order_t *order)
+{
+	run_t run = { .run = order->run, .begun_ms = world.now_ms };
+	uint8_t luck = (uint8_t)(g_str_hash(order->task) + order->run * 7);
+	job_t *job = NULL;
+	int32_t step = 0;
+	truth_t *truth = truth_of(order->task, &step, &job);
+
+	for (guint i = 0; i < host->runs->len; i++) {
+		run_t *there = &g_array_index(host->runs, run_t, i);
+
+		if (strcmp(there->task, order->task) == 0 &&
+		    there->run == order->run)
+			return WWH_ORDER_DONE;
+	}
+	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
+	if (order->run <= refused_run(host, order->task))
+		return WWH_ORDER_OLD_RUN;
+	if (clock_of(host) > order->until_ms)
+		return WWH_ORDER_LATE;
+	if ((int32_t)host->runs->len >= CORES / 1000)
+		return WWH_ORDER_NO_ROOM;
+	assert(truth != NULL && job->submitted);
+	assert(!truth->running);
+	assert(!truth->done_acked);
+	assert(truth->failed_acked < MAX_ATTEMPTS);
+	/* what was on its way when the caller was told may still arrive */
+	assert(!job->cancelled || order->sent_ms <= job->cancelled_ms);
+	for (int32_t i = 0; i < job->task_count && step > 0; i++)
+		assert(job->tasks[0][i].done);
+	truth->running = true;
+	g_strlcpy(run.task, order->task, sizeof(run.task));
+	run.duration_ms = 200 + luck * 8;
+	run.fails = luck % 5 == 0;
+	g_array_append_val(host->runs, run);
+	return WWH_ORDER_DONE;
+}
+
+static inline wwh_order_result_t carry_out_stop(host_t *host,
+						const order_t *order)
+{
+	for (guint i = 0; i < host->runs->len; i++) {
+		run_t *run = &g_array_index(host->runs, run_t, i);
+
+		if (strcmp(run->task, order->task) == 0 &&
+		    run->run <= order->run) {
+			end_run(host, i, WWH_END_STOPPED);
+			break;
+		}
+	}
+	if (refused_run(host, order->task) < order->run)
+		g_hash_table_replace(host->refused, g_strdup(order->task),
+				     GSIZE_TO_POINTER((gsize)order->run));
+	return WWH_ORDER_DONE;
+}
+
+static inline void carry_out_poll(host_t *host, const order_t *order)
+{
+	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
+	while (host->ends->len > 0 &&
+	       g_array_index(host->ends, end_t, 0).number <=
+		       order->acknowledged) {
+		end_t *end = &g_array_index(host->ends, end_t, 0);
+		job_t *job;
+		int32_t step;
+		truth_t *truth = truth_of(end->task, &step, &job);
+
+		truth->done_acked |= end->kind == WWH_END_DONE && !end->lapsed;
+		truth->failed_acked +=
+			end->kind == WWH_END_FAILED && !end->lapsed;
+		g_array_remove_index(host->ends, 0);
+	}
+}
+
+static inline int32_t most_failures(const job_t *job)
+{
+	int32_t most = 0;
+
+	for (int32_t k = 0; k < STEPS * TASKS; k++)
+		most = MAX(most, job->tasks[k / TASKS][k % TASKS].failed);
+	return most;
+}
+
+#endif
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -144,6 +144,11 @@
 	rig_run(rig, 500);
 	poll = rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
 	assert_int_equal(poll.acked_upto, 0);
+	/* its record is on its way to the store, and not there yet */
+	(void)wwh_scheduler_flush(rig->scheduler, rig->now_ms);
+	rig_run(rig, 500);
+	poll = rig_answer_poll(rig, "u1", NULL, 0, &ended, 1);
+	assert_int_equal(poll.acked_upto, 0);
 	rig_durable(rig);
 	rig_run(rig, 500);
 	poll = rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
