Give lasting tasks of a host in a wave away one by one

Cause: a host that runs two tasks of a step which may miss one can never be taken down, so each wave ended late with three to eight hosts undone.

Now its tasks are stopped one after the other while the step can miss one, and start elsewhere. Tasks of the holder before count as at work once heard of after the longest stop. Both have a test that failed first.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -18,6 +18,12 @@
  */
 #define SPARE_TIME_MS 3000
 
+/*
+ * Lasting tasks of a host that can't be missed are given away one by one in
+ * this time: each takes a stop, a start and about a second until it works.
+ */
+#define GIVING_AWAY_MS 7000
+
 /* One that may not be ended gives its turn to another for this long. */
 #define BLOCKED_MS 2500
 
@@ -477,7 +483,7 @@
 		send_upkeep(duties, wave, host);
 		return true;
 	}
-	if (waited) {
+	if (duties->now_ms - host->cordoned_ms >= GIVING_AWAY_MS) {
 		/* its lasting tasks can't be missed now */
 		take_back(duties, host);
 		host->blocked_until_ms = duties->now_ms + BLOCKED_MS;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -66,6 +66,7 @@
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
 	int64_t away_ms; /* lasting: not at work since; 0: at work */
+	int64_t adopted_ms; /* 0: this holder started it */
 	int64_t tail_ms; /* as listed last */
 	int32_t pace; /* percent of its work that is ordered */
 	int32_t pace_wanted;
@@ -277,6 +278,8 @@
 
 /* scheduler_place.c */
 void sched_place(wwh_scheduler_t *scheduler);
+/* Whether an upstream that takes new work has room for another such task. */
+bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task);
 
 /* scheduler_cordon.c */
 bool sched_may_end(const wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -10,11 +10,18 @@
 static void add_occurrence(const wwh_scheduler_t *scheduler,
 			   const sched_occurrence_t *occurrence,
 			   wwh_pool_figures_t *figures);
+static void give_all_away(wwh_scheduler_t *scheduler,
+			  sched_upstream_t *upstream);
+static void give_away_one_by_one(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream);
+static int32_t away(const wwh_scheduler_t *scheduler, const sched_step_t *step);
 static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step,
 			      const sched_upstream_t *upstream);
 static int32_t here(const sched_step_t *step, const sched_upstream_t *upstream);
 static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task);
+static bool may_be_stopping(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task);
 
 bool wwh_scheduler_cordon(wwh_scheduler_t *scheduler, const char *id,
 			  bool urgent, int64_t now_ms)
@@ -148,11 +155,6 @@
 	return true;
 }
 
-/*
- * A leaving upstream takes its tasks along when it goes. Lasting ones are
- * started elsewhere while it still serves: they are away only as long as a
- * start takes, and what they saved comes along.
- */
 void sched_cordon_run(wwh_scheduler_t *scheduler)
 {
 	GHashTableIter iterator;
@@ -162,16 +164,49 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_upstream_t *upstream = value;
 
-		if (!upstream->info.leaving)
-			continue;
-		for (guint i = 0; i < upstream->tasks->len; i++) {
-			sched_task_t *task =
-				g_ptr_array_index(upstream->tasks, i);
+		if (upstream->info.leaving)
+			give_all_away(scheduler, upstream);
+		else if (upstream->cordoned && !upstream->ending)
+			give_away_one_by_one(scheduler, upstream);
+	}
+}
 
-			if (task->step->spec->lasting &&
-			    sched_task_state(task) == TASK_RUNNING)
-				sched_task_order_stop(scheduler, task);
-		}
+/*
+ * A leaving upstream takes its tasks along when it goes. Lasting ones are
+ * started elsewhere while it still serves: they are away only as long as a
+ * start takes, and what they saved comes along.
+ */
+static void give_all_away(wwh_scheduler_t *scheduler,
+			  sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+
+		if (task->step->spec->lasting &&
+		    sched_task_state(task) == TASK_RUNNING)
+			sched_task_order_stop(scheduler, task);
+	}
+}
+
+/*
+ * A host that runs more tasks of a step than the step may miss could never be
+ * taken down: its wave ends late, with that host undone. One task after the
+ * other is started elsewhere, each once those before it are at work again,
+ * until the rest may be missed at once.
+ */
+static void give_away_one_by_one(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+		const sched_step_t *step = task->step;
+
+		if (!step->spec->lasting || !at_work(scheduler, task) ||
+		    here(step, upstream) <= step->spec->max_unavailable ||
+		    away(scheduler, step) >= step->spec->max_unavailable ||
+		    !sched_task_fits_elsewhere(scheduler, task))
+			continue;
+		sched_task_order_stop(scheduler, task);
 	}
 }
 
@@ -220,18 +255,25 @@
 	}
 }
 
+static int32_t away(const wwh_scheduler_t *scheduler, const sched_step_t *step)
+{
+	return away_elsewhere(scheduler, step, NULL);
+}
+
+/* Tasks of step that aren't at work, but for those on upstream. */
 static int32_t away_elsewhere(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step,
 			      const sched_upstream_t *upstream)
 {
-	int32_t away = 0;
+	int32_t count = 0;
 
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
 		const sched_task_t *task = &step->tasks[i];
+		bool there = upstream != NULL && task->upstream == upstream;
 
-		away += task->upstream != upstream && !at_work(scheduler, task);
+		count += !there && !at_work(scheduler, task);
 	}
-	return away;
+	return count;
 }
 
 static int32_t here(const sched_step_t *step, const sched_upstream_t *upstream)
@@ -247,7 +289,22 @@
 static bool at_work(const wwh_scheduler_t *scheduler, const sched_task_t *task)
 {
 	return sched_task_state(task) == TASK_RUNNING && task->away_ms == 0 &&
-	       !task->upstream->ending && task->upstream->failed_polls == 0 &&
+	       !may_be_stopping(scheduler, task) && !task->upstream->ending &&
+	       task->upstream->failed_polls == 0 &&
 	       scheduler->now_ms - task->upstream->answered_ms <
 		       scheduler->options.unavailable_after_ms;
 }
+
+/*
+ * The holder before may have ordered a stop that is still under way. Its task
+ * is listed as at work, and with another that this holder ends the step would
+ * miss two. Stops that reached the upstream before this holder did are over
+ * within the limit, and later ones are refused.
+ */
+static bool may_be_stopping(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task)
+{
+	return task->adopted_ms != 0 &&
+	       task->upstream->answered_ms - task->adopted_ms <=
+		       scheduler->options.stop_limit_ms;
+}
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -111,6 +111,13 @@
 	step->occurrence->job->pool->dirty = true;
 }
 
+bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	const char *ticket = NULL;
+
+	return choose(scheduler, task, &ticket) != NULL;
+}
+
 static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -92,6 +92,7 @@
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
 	task->pace_wanted = 100;
+	task->adopted_ms = 0;
 	task->percent = 0;
 	task->percent_ms = scheduler->now_ms;
 	if (task->away_ms == 0)
@@ -116,6 +117,7 @@
 	task->pace_wanted = 100;
 	task->percent_ms = scheduler->now_ms;
 	task->away_ms = scheduler->now_ms;
+	task->adopted_ms = scheduler->now_ms;
 	task->inherited = false;
 	task->step->occurrence->job->started = true;
 }
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -59,6 +59,123 @@
 					 rig->now_ms));
 }
 
+/*
+ * A host of a wave holds two tasks of a step that may miss one. It could never
+ * be taken down, and the wave ended late with that host undone. Its tasks are
+ * started elsewhere one after the other, until what is left may be missed.
+ */
+void a_cordoned_host_gives_its_lasting_tasks_away_one_by_one(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 4, 1000);
+	wwh_running_t rows[2][4];
+	int32_t counts[2] = { 0 };
+	rig_order_t *moved;
+	wwh_ended_t ended;
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_unavailable = 1;
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 4);
+	for (guint i = 0; i < 4; i++) {
+		rig_order_t *order = rig_order(rig->starts, i);
+		int32_t at = strcmp(order->upstream, "u2") == 0;
+
+		rig_start_ended(rig, order, WWH_ORDER_DONE);
+		rows[at][counts[at]++] = rig_running(order, 100);
+	}
+	assert_int_equal(counts[0], 2);
+	rig_run(rig, 500);
+	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
+	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	assert_false(
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
+	rig_run(rig, 100);
+	/* one, as the step may miss one */
+	assert_int_equal(rig->stops->len, 1);
+	moved = rig_order(rig->stops, 0);
+	assert_string_equal(moved->upstream, "u1");
+	ended = rig_ended(moved, 1, WWH_END_STOPPED);
+	if (strcmp(rows[0][0].task, moved->task) == 0)
+		rows[0][0] = rows[0][1];
+	rig_answer_poll(rig, "u1", rows[0], 1, &ended, 1);
+	rig_run(rig, 100);
+	assert_int_equal(rig->starts->len, 5);
+	assert_string_equal(rig_order(rig->starts, 4)->upstream, "u2");
+	/* it isn't at work yet: what is left on u1 can't be missed */
+	assert_false(
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
+	rig_start_ended(rig, rig_order(rig->starts, 4), WWH_ORDER_DONE);
+	rows[1][2] = rig_running(rig_order(rig->starts, 4), 100);
+	rig_run(rig, 500);
+	rig_answer_poll(rig, "u2", rows[1], 3, NULL, 0);
+	assert_true(
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
+	assert_int_equal(rig->stops->len, 1);
+}
+
+/*
+ * A holder has one task of a step stopped for a wave, hands over and ends. The
+ * next one goes on with the wave, hears that all tasks are at work, as the stop
+ * takes its time, and stopped a second one: the step missed two.
+ */
+void a_stop_of_the_holder_before_counts_until_it_must_be_over(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 4, 1000);
+	wwh_running_t rows[2][4];
+	int32_t counts[2] = { 0 };
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_unavailable = 1;
+	rig_submit(rig, job);
+	for (guint i = 0; i < 4; i++) {
+		rig_order_t *order = rig_order(rig->starts, i);
+		int32_t at = strcmp(order->upstream, "u2") == 0;
+
+		rows[at][counts[at]++] = rig_running(order, 100);
+	}
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_announce(rig, "u2", AT_2, false);
+	rig_run(rig, 1);
+	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
+	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	rig_run(rig, 1);
+	rig_durable(rig);
+	(void)wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms);
+	rig_run(rig, 100);
+	assert_int_equal(rig->stops->len, 0);
+	/* heard of again after the longest stop */
+	rig_run(rig, rig->options.stop_limit_ms);
+	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
+	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	rig_run(rig, 1);
+	assert_int_equal(rig->stops->len, 1);
+}
+
+/* A stop would only take the task away: there is nowhere to start it. */
+void a_cordoned_host_keeps_tasks_that_fit_nowhere_else(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 2, 1000);
+	wwh_running_t rows[2];
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_unavailable = 1;
+	rig_submit(rig, job);
+	for (guint i = 0; i < 2; i++) {
+		rig_start_ended(rig, rig_order(rig->starts, i), WWH_ORDER_DONE);
+		rows[i] = rig_running(rig_order(rig->starts, i), 100);
+	}
+	rig_run(rig, 500);
+	rig_answer_poll(rig, "u1", rows, 2, NULL, 0);
+	assert_false(
+		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
+	rig_run(rig, 100);
+	assert_int_equal(rig->stops->len, 0);
+}
+
 /*
  * Users of a serving task wait too long because a filler runs beside it. The
  * filler is stopped in place at once, and let go by steps afterwards.
