--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -13,7 +13,8 @@
 
 /*
  * A host that has come to a pool stays this long: what it was brought for
- * is just beginning, and each move costs what a second of work is worth.
+ * is just beginning, and each move costs what a second of work is worth. One
+ * that rests may be called back at any moment.
  */
 #define STAY_MS 1500
 
@@ -22,6 +23,7 @@
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host);
 static duty_pool_t *pool_of(const wwh_host_duties_t *duties, const char *name);
 static duty_pool_t *neediest(const wwh_host_duties_t *duties);
+static bool is_standby(const wwh_host_duties_t *duties, const char *name);
 static const char *standby_pool(const wwh_host_duties_t *duties);
 static void take_back_leaving(wwh_host_duties_t *duties);
 static void choose_leaving(wwh_host_duties_t *duties);
@@ -73,7 +75,9 @@
 		host->state = WWH_HOST_MOVING;
 		host->moving_until_ms =
 			duties->now_ms + duties->options.move_ms;
-		host->no_move_until_ms = host->moving_until_ms + STAY_MS;
+		host->no_move_until_ms =
+			host->moving_until_ms +
+			(is_standby(duties, host->pool) ? 0 : STAY_MS);
 	} else {
 		host->no_move_until_ms =
 			duties->now_ms +
@@ -189,6 +193,13 @@
 	return found;
 }
 
+static bool is_standby(const wwh_host_duties_t *duties, const char *name)
+{
+	const duty_pool_t *pool = pool_of(duties, name);
+
+	return pool != NULL && pool->standby;
+}
+
 static const char *standby_pool(const wwh_host_duties_t *duties)
 {
 	GHashTableIter iterator;
