Let waves with time left wait for the trough of a pool

With more than 10 s to spare it leaves such hosts alone; hosts of pools that have enough, and those that rest, go on.

Both this and the call back from rest have a test that fails without them.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -27,6 +27,13 @@
 /* One that may not be ended gives its turn to another for this long. */
 #define BLOCKED_MS 2500
 
+/*
+ * A wave with more than this beyond what it still takes leaves alone the hosts
+ * of pools that have too few: a turn lasts a few seconds, and each host that
+ * is emptied in it makes callers wait.
+ */
+#define TROUGH_WAIT_MS 10000
+
 /* What one host takes besides its time away: emptying, listing. */
 #define HOST_EXTRA_MS 1500
 
@@ -58,11 +65,12 @@
 static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
 static int32_t count_down(wwh_host_duties_t *duties, const duty_wave_t *wave);
 static bool is_open(const duty_wave_t *wave, const duty_host_t *host);
-static bool is_urgent(const wwh_host_duties_t *duties, const duty_wave_t *wave,
-		      int32_t open);
+static int64_t spare_ms(const wwh_host_duties_t *duties,
+			const duty_wave_t *wave, int32_t open);
 static GPtrArray *in_order(wwh_host_duties_t *duties, const duty_wave_t *wave);
 static gint compare(gconstpointer a, gconstpointer b, gpointer data);
 static int64_t cost_of(wwh_host_duties_t *duties, const duty_host_t *host);
+static bool is_needed(const wwh_host_duties_t *duties, const duty_host_t *host);
 static bool try_host(wwh_host_duties_t *duties, duty_wave_t *wave,
 		     duty_host_t *host, bool urgent);
 static void send_upkeep(wwh_host_duties_t *duties, duty_wave_t *wave,
@@ -274,9 +282,10 @@
 	}
 	if (!duties->listed || duties->now_ms < duties->quiet_until_ms)
 		return;
+	/* first: waves go by what each pool wants */
+	duties_run_moves(duties);
 	for (guint i = 0; i < duties->waves->len; i++)
 		run_wave(duties, g_ptr_array_index(duties->waves, i));
-	duties_run_moves(duties);
 }
 
 static void host_delete(gpointer data)
@@ -342,7 +351,7 @@
 {
 	GPtrArray *hosts;
 	int32_t free_slots;
-	bool urgent;
+	int64_t spare;
 
 	if (wave->completed) {
 		finish_wave(duties, wave);
@@ -354,12 +363,15 @@
 				     duties->calls.client_data);
 	}
 	hosts = in_order(duties, wave);
-	urgent = is_urgent(duties, wave, (int32_t)hosts->len);
+	spare = spare_ms(duties, wave, (int32_t)hosts->len);
 	free_slots = MAX(1, wave->order->max_down) - count_down(duties, wave);
 	for (guint i = 0; i < hosts->len && free_slots > 0; i++) {
 		duty_host_t *host = g_ptr_array_index(hosts, i);
 
-		free_slots -= try_host(duties, wave, host, urgent);
+		if (spare > TROUGH_WAIT_MS && is_needed(duties, host))
+			continue;
+		free_slots -=
+			try_host(duties, wave, host, spare <= SPARE_TIME_MS);
 	}
 	g_ptr_array_unref(hosts);
 	if (wave->kept_dirty)
@@ -408,15 +420,16 @@
 	       (host->state == WWH_HOST_UP || host->ordered_ms != 0);
 }
 
-static bool is_urgent(const wwh_host_duties_t *duties, const duty_wave_t *wave,
-		      int32_t open)
+/* What is left of the wave's time beyond what its open hosts take. */
+static int64_t spare_ms(const wwh_host_duties_t *duties,
+			const duty_wave_t *wave, int32_t open)
 {
 	int32_t at_once = MAX(1, wave->order->max_down);
 	int32_t rounds = (open + at_once - 1) / at_once;
 	int64_t need_ms = rounds * (duties->options.upkeep_ms + HOST_EXTRA_MS);
 
-	return duties->now_ms + need_ms + SPARE_TIME_MS >=
-	       wave->begun_ms + wave->order->duration_ms;
+	return wave->begun_ms + wave->order->duration_ms - duties->now_ms -
+	       need_ms;
 }
 
 static GPtrArray *in_order(wwh_host_duties_t *duties, const duty_wave_t *wave)
@@ -462,6 +475,16 @@
 	return load.lasting * INT64_C(1000000) + load.busy_millicores;
 }
 
+/* Its pool has fewer hosts than it wants, and nothing has been ordered yet. */
+static bool is_needed(const wwh_host_duties_t *duties, const duty_host_t *host)
+{
+	const duty_pool_t *pool = duties_pool(duties, host->pool);
+
+	return pool != NULL && pool->wanted > pool->have &&
+	       host->upstream != NULL && host->ordered_ms == 0 &&
+	       host->cordoned_ms == 0;
+}
+
 /* Whether the host takes a slot: it is emptied, or the order went out. */
 static bool try_host(wwh_host_duties_t *duties, duty_wave_t *wave,
 		     duty_host_t *host, bool urgent)
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -21,7 +21,6 @@
 static void count_pools(wwh_host_duties_t *duties);
 static bool is_here(const wwh_host_duties_t *duties, const duty_host_t *host);
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host);
-static duty_pool_t *pool_of(const wwh_host_duties_t *duties, const char *name);
 static duty_pool_t *neediest(const wwh_host_duties_t *duties);
 static bool is_standby(const wwh_host_duties_t *duties, const char *name);
 static const char *standby_pool(const wwh_host_duties_t *duties);
@@ -39,7 +38,7 @@
 void wwh_host_duties_pool(wwh_host_duties_t *duties, const char *name,
 			  bool standby)
 {
-	duty_pool_t *pool = pool_of(duties, name);
+	duty_pool_t *pool = duties_pool(duties, name);
 
 	if (pool == NULL) {
 		pool = g_new0(duty_pool_t, 1);
@@ -142,8 +141,8 @@
 
 		if (!is_here(duties, host) || host->leaving_pool)
 			continue;
-		pool = pool_of(duties, host->move_to != NULL ? host->move_to
-							     : host->pool);
+		pool = duties_pool(duties, host->move_to != NULL ? host->move_to
+								 : host->pool);
 		if (pool != NULL)
 			pool->have++;
 	}
@@ -167,7 +166,7 @@
 }
 
 /* A host that a wave names and no list has shown has no pool yet. */
-static duty_pool_t *pool_of(const wwh_host_duties_t *duties, const char *name)
+duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name)
 {
 	if (name == NULL)
 		return NULL;
@@ -195,7 +194,7 @@
 
 static bool is_standby(const wwh_host_duties_t *duties, const char *name)
 {
-	const duty_pool_t *pool = pool_of(duties, name);
+	const duty_pool_t *pool = duties_pool(duties, name);
 
 	return pool != NULL && pool->standby;
 }
@@ -226,7 +225,7 @@
 
 		if (!host->leaving_pool || host->move_to != NULL)
 			continue;
-		pool = pool_of(duties, host->pool);
+		pool = duties_pool(duties, host->pool);
 		if (pool != NULL && pool->wanted > pool->have) {
 			host->leaving_pool = false;
 			pool->have++;
@@ -303,7 +302,7 @@
 	while (free_orders > 0 &&
 	       g_hash_table_iter_next(&iterator, NULL, &value)) {
 		duty_host_t *host = value;
-		duty_pool_t *from = pool_of(duties, host->pool);
+		duty_pool_t *from = duties_pool(duties, host->pool);
 		duty_pool_t *to = neediest(duties);
 		bool resting = from != NULL && from->standby;
 
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -78,6 +78,8 @@
 void duties_run_moves(wwh_host_duties_t *duties);
 /* It is wanted for upkeep, or was listed elsewhere: no longer for a move. */
 void duties_forget_move(wwh_host_duties_t *duties, duty_host_t *host);
+/* With the figures of the last call of duties_run_moves; NULL: no such pool. */
+duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name);
 void duties_pool_delete(gpointer pool);
 
 #endif
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -157,6 +157,29 @@
 	crew_listed(crew);
 }
 
+/* "HOST POOL" of the move that was ordered as this one. */
+static const char *crew_moved(const crew_t *crew, guint index)
+{
+	assert_true(index < crew->moves->len);
+	return g_ptr_array_index(crew->moves, index);
+}
+
+/* The move to rest is answered, and the next list shows it as done. */
+static void crew_rests(crew_t *crew, const char *moved)
+{
+	char *host = g_strndup(moved, strcspn(moved, " "));
+
+	wwh_host_duties_move_ended(crew->duties, host, WWH_DUTY_DONE,
+				   crew->rig->now_ms);
+	crew_run(crew, crew->options.move_ms);
+	wwh_host_duties_list_begin(crew->duties);
+	crew_host(crew, strcmp(host, "h1") == 0 ? "h2" : "h1", RIG_POOL,
+		  strcmp(host, "h1") == 0 ? "u2" : "u1", WWH_HOST_UP);
+	crew_host(crew, host, "rest", NULL, WWH_HOST_UP);
+	crew_listed(crew);
+	g_free(host);
+}
+
 static void no_more_hosts_are_down_than_the_wave_allows(void **state)
 {
 	crew_t *crew = crew_new(0);
@@ -383,6 +406,62 @@
 	crew_delete(crew);
 }
 
+/*
+ * A turn begins just after the last one's hosts were sent to rest. They stood
+ * idle for a while beside a pool that wanted all of them.
+ */
+static void a_host_that_rests_is_called_back_at_once(void **state)
+{
+	crew_t *crew = crew_new(0);
+
+	(void)state;
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 2000);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 1);
+	assert_true(g_str_has_suffix(crew_moved(crew, 0), " rest"));
+	crew_rests(crew, crew_moved(crew, 0));
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 2);
+	assert_true(g_str_has_suffix(crew_moved(crew, 1), " " RIG_POOL));
+	crew_delete(crew);
+}
+
+/*
+ * A wave comes while a turn needs each host of the pool. Hosts were emptied
+ * for it at once, callers waited, and the wave had 50 s left. It waits for
+ * the turn to end now, but not for ever.
+ */
+static void a_wave_with_time_left_spares_a_pool_that_is_short(void **state)
+{
+	crew_t *crew = crew_new(0);
+
+	(void)state;
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
+	crew_wave(crew, 1, 1);
+	crew_run(crew, 1);
+	crew_hosts(crew, 1, true, WWH_HOST_UP);
+	for (int32_t i = 0; i < 5; i++)
+		crew_run(crew, 1000);
+	assert_int_equal(crew->upkeeps->len, 0);
+	assert_false(wwh_scheduler_upstream_load(crew->rig->scheduler, "u1")
+			     .cordoned);
+	for (int32_t i = 0; i < 45; i++)
+		crew_run(crew, 1000);
+	assert_int_equal(crew->upkeeps->len, 1);
+	crew_delete(crew);
+}
+
 /*
  * A wave names a host that has been removed. No list shows its pool; the
  * holder crashed when it looked for one, and so did each after it.
@@ -434,6 +513,9 @@
 		cmocka_unit_test(a_list_from_before_an_order_is_not_believed),
 		cmocka_unit_test(a_pool_with_work_gets_hosts_that_rest),
 		cmocka_unit_test(a_pool_without_work_sends_hosts_to_rest),
+		cmocka_unit_test(a_host_that_rests_is_called_back_at_once),
+		cmocka_unit_test(
+			a_wave_with_time_left_spares_a_pool_that_is_short),
 		cmocka_unit_test(a_host_that_no_list_shows_has_no_pool),
 		cmocka_unit_test(a_new_holder_waits_before_its_first_order),
 	};
