Share hosts evenly among pools that want more than there are

Cause: each pool kept what it had while it wanted it, however much others were short.

What pools want is cut to the number of hosts: those that want little get it whole, the others share evenly, none less than its lasting tasks need. Waves still go by what a pool wants before the cut.

They still fall short of it: open.

--- a/include/waxwinghollow/pool_sizing.h
+++ b/include/waxwinghollow/pool_sizing.h
@@ -46,4 +46,13 @@
 			       const wwh_pool_figures_t *figures,
 			       int64_t now_ms);
 
+/*
+ * Cuts what count pools want down to hosts in all. Pools that want little get
+ * it whole, the others share the rest evenly: a pool with a long backlog would
+ * otherwise keep all hosts while the next one's callers, who could still be
+ * served in time, wait. No pool gets less than its least.
+ */
+void wwh_pool_sizing_share(int32_t *wanted, const int32_t *least, int32_t count,
+			   int32_t hosts);
+
 #endif
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -480,9 +480,8 @@
 {
 	const duty_pool_t *pool = duties_pool(duties, host->pool);
 
-	return pool != NULL && pool->wanted > pool->have &&
-	       host->upstream != NULL && host->ordered_ms == 0 &&
-	       host->cordoned_ms == 0;
+	return pool != NULL && pool->is_short && host->upstream != NULL &&
+	       host->ordered_ms == 0 && host->cordoned_ms == 0;
 }
 
 /* Whether the host takes a slot: it is emptied, or the order went out. */
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -19,6 +19,7 @@
 #define STAY_MS 1500
 
 static void count_pools(wwh_host_duties_t *duties);
+static int32_t count_hosts(wwh_host_duties_t *duties);
 static bool is_here(const wwh_host_duties_t *duties, const duty_host_t *host);
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host);
 static duty_pool_t *neediest(const wwh_host_duties_t *duties);
@@ -117,6 +118,10 @@
 
 static void count_pools(wwh_host_duties_t *duties)
 {
+	GArray *wanted = g_array_new(FALSE, FALSE, sizeof(int32_t));
+	GArray *least = g_array_new(FALSE, FALSE, sizeof(int32_t));
+	int32_t hosts = count_hosts(duties);
+	guint next = 0;
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -124,28 +129,57 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		duty_pool_t *pool = value;
 		wwh_pool_figures_t figures;
+		int32_t hosts_wanted;
 
-		pool->have = 0;
-		pool->wanted = 0;
 		if (pool->standby)
 			continue;
 		figures = wwh_scheduler_pool_figures(duties->options.scheduler,
 						     pool->name);
-		pool->wanted = wwh_pool_sizing_wanted(
+		hosts_wanted = wwh_pool_sizing_wanted(
 			duties->sizing, pool->name, &figures, duties->now_ms);
+		pool->is_short = hosts_wanted > pool->have;
+		g_array_append_val(wanted, hosts_wanted);
+		g_array_append_val(least, figures.hosts_bound);
 	}
+	wwh_pool_sizing_share((int32_t *)(void *)wanted->data,
+			      (const int32_t *)(const void *)least->data,
+			      (int32_t)wanted->len, hosts);
+	g_hash_table_iter_init(&iterator, duties->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		duty_pool_t *pool = value;
+
+		pool->wanted = pool->standby
+				       ? 0
+				       : g_array_index(wanted, int32_t, next++);
+	}
+	g_array_free(wanted, TRUE);
+	g_array_free(least, TRUE);
+}
+
+/* All that are there, and by pool those that stay. */
+static int32_t count_hosts(wwh_host_duties_t *duties)
+{
+	int32_t hosts = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, duties->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		((duty_pool_t *)value)->have = 0;
 	g_hash_table_iter_init(&iterator, duties->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		const duty_host_t *host = value;
-		duty_pool_t *pool;
+		duty_pool_t *pool = duties_pool(duties, host->move_to != NULL
+								? host->move_to
+								: host->pool);
 
-		if (!is_here(duties, host) || host->leaving_pool)
+		if (!is_here(duties, host))
 			continue;
-		pool = duties_pool(duties, host->move_to != NULL ? host->move_to
-								 : host->pool);
-		if (pool != NULL)
+		hosts++;
+		if (pool != NULL && !host->leaving_pool)
 			pool->have++;
 	}
+	return hosts;
 }
 
 /* Up, or on its way and soon up. */
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -46,7 +46,8 @@
 typedef struct {
 	char *name;
 	bool standby;
-	int32_t wanted;
+	bool is_short; /* wants more hosts than it has, whatever others want */
+	int32_t wanted; /* its share, where all want more than there are */
 	int32_t have; /* up or on their way to it, and not leaving it */
 } duty_pool_t;
 
--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -41,6 +41,7 @@
 	GHashTable *pools; /* name to history_t, owned */
 };
 
+static int32_t at_level(int32_t wanted, int32_t least, int32_t level);
 static int32_t hosts_for(const wwh_pool_figures_t *figures);
 static int32_t hold(history_t *history, int32_t wanted, int64_t now_ms);
 
@@ -74,6 +75,38 @@
 	return hold(history, hosts_for(figures), now_ms);
 }
 
+void wwh_pool_sizing_share(int32_t *wanted, const int32_t *least, int32_t count,
+			   int32_t hosts)
+{
+	int32_t level = 0;
+	int32_t most = 0;
+	int32_t sum;
+
+	for (int32_t i = 0; i < count; i++)
+		most = MAX(most, wanted[i]);
+	do {
+		level++;
+		sum = 0;
+		for (int32_t i = 0; i < count; i++)
+			sum += at_level(wanted[i], least[i], level);
+	} while (sum < hosts && level < most);
+	/* one above what there is: the last pools go without their last host */
+	for (int32_t i = count; i-- > 0;) {
+		int32_t share = at_level(wanted[i], least[i], level);
+
+		if (sum > hosts && share == level && level > least[i]) {
+			share--;
+			sum--;
+		}
+		wanted[i] = share;
+	}
+}
+
+static int32_t at_level(int32_t wanted, int32_t least, int32_t level)
+{
+	return MIN(wanted, MAX(least, level));
+}
+
 /*
  * More cores than there are tasks to run at this moment are of no use. Hosts
  * with lasting tasks are kept; the first jobs of a turn run beside those
--- a/src/test_pool_sizing/test_pool_sizing.c
+++ b/src/test_pool_sizing/test_pool_sizing.c
@@ -113,6 +113,42 @@
 	wwh_pool_sizing_delete(sizing);
 }
 
+/*
+ * One pool has a backlog of which most is late already, and wants more hosts
+ * than there are. The turn of the next one begins; it got its first host when
+ * the backlog was gone, five seconds later.
+ */
+static void a_backlog_leaves_hosts_for_the_next_turn(void **state)
+{
+	const int32_t least[] = { 3, 4, 2 };
+	int32_t wanted[] = { 71, 28, 4 };
+	int32_t enough[] = { 20, 8, 2 };
+
+	(void)state;
+	wwh_pool_sizing_share(wanted, least, 3, 48);
+	assert_int_equal(wanted[0], 22);
+	assert_int_equal(wanted[1], 22);
+	assert_int_equal(wanted[2], 4);
+	/* with hosts for all nothing is cut */
+	wwh_pool_sizing_share(enough, least, 3, 48);
+	assert_int_equal(enough[0], 20);
+	assert_int_equal(enough[1], 8);
+	assert_int_equal(enough[2], 2);
+}
+
+/* Lasting tasks keep their hosts, and not one host is handed out twice. */
+static void shares_keep_the_least_and_the_sum(void **state)
+{
+	const int32_t least[] = { 9, 1, 1 };
+	int32_t wanted[] = { 9, 30, 30 };
+
+	(void)state;
+	wwh_pool_sizing_share(wanted, least, 3, 20);
+	assert_int_equal(wanted[0], 9);
+	assert_int_equal(wanted[1] + wanted[2], 11);
+	assert_in_range(wanted[1] - wanted[2], 0, 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -122,6 +158,8 @@
 		cmocka_unit_test(a_pause_within_a_turn_sends_no_host_away),
 		cmocka_unit_test(hosts_with_lasting_tasks_are_kept),
 		cmocka_unit_test(a_pool_keeps_one_host_whatever_is_known),
+		cmocka_unit_test(a_backlog_leaves_hosts_for_the_next_turn),
+		cmocka_unit_test(shares_keep_the_least_and_the_sum),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
