Let a holder that took over order hosts after 1 s where hosts fence

Cause: a holder that takes over from a silent one ordered no moves for three seconds. Hosts that fence refuse the former holder's orders once the new one has given one, and the former one hears of its end within a second.

Beside it the forecast of arrivals reaches as far as a host takes to come, 1.5 s in place of 1 s: without it a turn's pool lagged behind by that much.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -84,6 +84,14 @@
 
 typedef struct wwh_host_duties wwh_host_duties_t;
 
+/*
+ * How long a holder that took over from a silent one gives hosts no orders.
+ * Hosts that fence refuse what the one before still sends once this one has
+ * given an order, so only the time until it has heard of its end counts;
+ * others take one holder at a time for lease_ms.
+ */
+int64_t wwh_host_duties_quiet_ms(bool hosts_fence, int64_t lease_ms);
+
 wwh_host_duties_t *wwh_host_duties_new(const wwh_host_duties_options_t *options,
 				       const wwh_host_duties_calls_t *calls);
 void wwh_host_duties_delete(wwh_host_duties_t *duties);
--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -41,6 +41,7 @@
 	int64_t member_min_ms; /* shortest time after which one is given up */
 	int64_t store_call_bytes; /* of one call to the store, at most */
 	int64_t duty_lease_ms; /* hosts take one holder at a time, so long */
+	bool hosts_fence; /* hosts refuse orders of a holder before */
 	int64_t move_ms; /* a host is away for, as the next one */
 	int64_t upkeep_ms;
 } wwh_host_settings_t;
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -162,6 +162,12 @@
 /* Names of wwh_order_result_t, in the same order. */
 extern const char *const wwh_order_result_names[WWH_ORDER_RESULT_COUNT];
 
+/*
+ * How long a holder that was overtaken may go on giving orders until an
+ * upstream or the store tells it so: it asks each of them more often than that.
+ */
+#define WWH_OVERTAKEN_HOLDER_MS 1000
+
 typedef enum {
 	WWH_KEEP_JOB = 0, /* an accepted job, by its id */
 	WWH_KEEP_PROGRESS, /* what came of a job, by its id */
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -81,6 +81,11 @@
 static void finish_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
 static duty_wave_t *wave_of(wwh_host_duties_t *duties, int64_t number);
 
+int64_t wwh_host_duties_quiet_ms(bool hosts_fence, int64_t lease_ms)
+{
+	return hosts_fence ? MIN(lease_ms, WWH_OVERTAKEN_HOLDER_MS) : lease_ms;
+}
+
 wwh_host_duties_t *wwh_host_duties_new(const wwh_host_duties_options_t *options,
 				       const wwh_host_duties_calls_t *calls)
 {
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -297,9 +297,10 @@
 
 static void make_duties(wwh_job_holder_t *holder)
 {
+	const wwh_host_settings_t *settings = holder->options.settings;
 	wwh_host_duties_options_t options = {
-		.upkeep_ms = holder->options.settings->upkeep_ms,
-		.move_ms = holder->options.settings->move_ms,
+		.upkeep_ms = settings->upkeep_ms,
+		.move_ms = settings->move_ms,
 		.scheduler = holder->scheduler,
 	};
 	wwh_host_duties_calls_t calls = {
@@ -315,7 +316,8 @@
 	if (holder->options.others_at_work)
 		options.quiet_until_ms =
 			holder->now_ms +
-			holder->options.settings->duty_lease_ms;
+			wwh_host_duties_quiet_ms(settings->hosts_fence,
+						 settings->duty_lease_ms);
 	holder->duties = wwh_host_duties_new(&options, &calls);
 }
 
--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -11,10 +11,10 @@
 
 /*
  * A host takes one and a half seconds to come. What has arrived in the last
- * half second is taken to go on for a second: a turn's first jobs then draw
- * the hosts that its next ones need.
+ * half second is taken to go on until then: a turn's first jobs draw the hosts
+ * that its next ones need.
  */
-#define FORECAST 2
+#define FORECAST 3
 
 /* Hosts are never filled to the last core: tasks are of uneven sizes. */
 #define FILL_PERCENT 85
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -7,12 +7,6 @@
 #define PERMILLE 1000
 #define CLOCK_SLOW_PERMILLE 20
 
-/*
- * How long a holder that was overtaken may go on extending leases until an
- * upstream or the store tells it so.
- */
-#define OVERTAKEN_HOLDER_MS 1000
-
 const char *const wwh_end_kind_names[WWH_END_KIND_COUNT] = {
 	"done", "failed", "stopped", "lapsed", "broken", "alone",
 };
@@ -190,7 +184,7 @@
 		sched_upstream_t *upstream = value;
 
 		upstream->gone_without_answer_ms =
-			now_ms + lease_ms + OVERTAKEN_HOLDER_MS;
+			now_ms + lease_ms + WWH_OVERTAKEN_HOLDER_MS;
 	}
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -501,6 +501,20 @@
 	crew_delete(crew);
 }
 
+/*
+ * A holder is cut off in a turn and another takes over. It waited three
+ * seconds before it gave the turn's pool its first host, though hosts refuse
+ * what the one before may still send.
+ */
+static void a_new_holder_waits_less_where_hosts_fence(void **state)
+{
+	(void)state;
+	assert_int_equal(wwh_host_duties_quiet_ms(false, 3000), 3000);
+	assert_int_equal(wwh_host_duties_quiet_ms(true, 3000),
+			 WWH_OVERTAKEN_HOLDER_MS);
+	assert_int_equal(wwh_host_duties_quiet_ms(true, 400), 400);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -518,6 +532,7 @@
 			a_wave_with_time_left_spares_a_pool_that_is_short),
 		cmocka_unit_test(a_host_that_no_list_shows_has_no_pool),
 		cmocka_unit_test(a_new_holder_waits_before_its_first_order),
+		cmocka_unit_test(a_new_holder_waits_less_where_hosts_fence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_node_file/test_node_file.c
+++ b/src/test_node_file/test_node_file.c
@@ -59,13 +59,15 @@
 	errors_t errors;
 
 	(void)state;
-	assert_int_equal(load(NEEDED
-			      "zone=hall-a\ncloud.address=10.2.0.1:86\n"
-			      "advice=10.2.0.2:87\nbounds.noticeMs=4600\n"
-			      "bounds.holdMaxMs=9000\nbounds.moveS=1.5\n"
-			      "bounds.graceS=6\nnew.field=x,y\n# note\n\n",
-			      &settings, &errors),
-			 WWH_STATUS_OK);
+	assert_int_equal(
+		load(NEEDED
+		     "zone=hall-a\ncloud.address=10.2.0.1:86\n"
+		     "advice=10.2.0.2:87\nbounds.noticeMs=4600\n"
+		     "bounds.holdMaxMs=9000\nbounds.moveS=1.5\n"
+		     "bounds.graceS=6\n"
+		     "bounds.fencingRequired=true\nnew.field=x,y\n# note\n\n",
+		     &settings, &errors),
+		WWH_STATUS_OK);
 	assert_int_equal(errors.count, 0);
 	assert_string_equal(settings.callers.address, "10.1.0.9");
 	assert_int_equal(settings.callers.port, 8624);
@@ -76,6 +78,7 @@
 	assert_int_equal(settings.move_ms, 1500);
 	assert_int_equal(settings.grace_ms, 6000);
 	assert_int_equal(settings.unavailable_after_ms, 4600);
+	assert_true(settings.hosts_fence);
 	wwh_host_settings_clear(&settings);
 	g_string_free(errors.text, TRUE);
 }
@@ -96,6 +99,7 @@
 	assert_null(settings.hosts);
 	assert_int_equal(settings.stop_limit_ms, defaults.stop_limit_ms);
 	assert_int_equal(settings.grace_ms, defaults.grace_ms);
+	assert_false(settings.hosts_fence);
 	wwh_host_settings_clear(&settings);
 	g_string_free(errors.text, TRUE);
 }
@@ -110,6 +114,8 @@
 		{ NEEDED "bounds.graceS=six\n", "7 bounds.graceS: expected" },
 		{ NEEDED "bounds.graceS=-1\n", "7 bounds.graceS: expected" },
 		{ NEEDED "bounds.graceS=nan\n", "7 bounds.graceS: expected" },
+		{ NEEDED "bounds.fencingRequired=1\n",
+		  "7 bounds.fencingRequired: expected" },
 		{ NEEDED "cloud.address=10.2.0.1\n", "7 cloud.address: " },
 		{ NEEDED "cloud.address=10.2.0.1:0\n", "7 cloud.address: " },
 		{ NEEDED "cloud.address=host:80\n", "7 cloud.address: " },
