Pass over tasks that fit nowhere by two figures a pool

Cause: at a peak each waiting job was tried on each upstream whenever one of them answered.

A pool keeps what its upstream with the most room has free; a gang's trial measures it anew.

bench_scheduler, before: 47 and 1498 us a pass (50 and 350 upstreams); after: 11 and 66 us.

--- /dev/null
+++ b/src/bench/bench_scheduler.c
@@ -0,0 +1,86 @@
+#include <stdio.h>
+#include <time.h>
+
+#include "../test_scheduler/rig.h"
+
+/*
+ * Cost of the scheduler's passes at the worst of a peak: each upstream of a
+ * pool is full, and hundreds of jobs wait. Prints a table; no argument. The
+ * first row is today's size, the second that of the deployments once grown.
+ */
+
+#define PASSES 200
+#define TASKS_A_JOB 8
+#define TASK_MILLICORES 3000
+#define PASS_MS 20
+#define NS_PER_S 1000000000.0
+#define NS_PER_US 1000.0
+
+typedef struct {
+	int32_t upstreams;
+	int32_t jobs;
+} size_row_t;
+
+static const size_row_t sizes[] = {
+	{ 50, 200 },
+	{ 350, 1000 },
+};
+
+static double now_ns(void)
+{
+	struct timespec now;
+
+	(void)clock_gettime(CLOCK_MONOTONIC, &now);
+	return (double)now.tv_sec * NS_PER_S + (double)now.tv_nsec;
+}
+
+/* One upstream answers that all goes on; the pool is looked through again. */
+static void answer_one(rig_t *rig, int32_t number)
+{
+	wwh_poll_answer_t answer = { .remote_ms = rig->now_ms + 5000,
+				     .ended_in_full = false };
+	char id[16];
+
+	snprintf(id, sizeof(id), "u%d", number);
+	wwh_scheduler_polled(rig->scheduler, id, &answer, rig->now_ms,
+			     rig->now_ms);
+}
+
+static void run_row(const size_row_t *row)
+{
+	rig_t *rig = rig_new();
+	double began_ns;
+
+	for (int32_t i = 0; i < row->upstreams; i++) {
+		char id[16];
+		char at[32];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		snprintf(at, sizeof(at), "10.0.%d.%d:1", i / 200, i % 200);
+		rig_add_upstream(rig, id, at);
+	}
+	for (int32_t i = 0; i < row->jobs; i++) {
+		char id[WWH_JOB_ID_CHARS + 1];
+
+		snprintf(id, sizeof(id), "%016x", i);
+		rig_submit(rig, rig_job(id, TASKS_A_JOB, TASK_MILLICORES));
+	}
+	began_ns = now_ns();
+	for (int32_t i = 0; i < PASSES; i++) {
+		rig->now_ms += PASS_MS;
+		answer_one(rig, i % row->upstreams);
+		wwh_scheduler_run(rig->scheduler, rig->now_ms, RIG_WALL_MS);
+	}
+	printf("%9d %6d %10.0f\n", row->upstreams, row->jobs,
+	       (now_ns() - began_ns) / PASSES / NS_PER_US);
+	g_array_set_size(rig->polls, 0);
+	rig_delete(rig);
+}
+
+int main(void)
+{
+	printf("upstreams   jobs us_a_pass\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		run_row(&sizes[i]);
+	return 0;
+}
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -164,6 +164,9 @@
 	GPtrArray *upstreams; /* not owned */
 	int32_t unsettled; /* inherited upstreams that weren't asked yet */
 	bool dirty; /* something may be placed */
+	/* At least what the upstream with the most of it has free. */
+	int64_t most_free_cpu;
+	int64_t most_free_memory;
 	int64_t next_try_ms;
 };
 
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -34,6 +34,8 @@
 			       sched_occurrence_t *occurrence,
 			       GArray *candidates);
 static int64_t remaining_ms(const sched_occurrence_t *occurrence);
+static void measure_room(const wwh_scheduler_t *scheduler, sched_pool_t *pool);
+static bool may_fit(const sched_step_t *step);
 static gint compare(gconstpointer a, gconstpointer b);
 static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step);
 static void explain_started(const wwh_scheduler_t *scheduler,
@@ -41,6 +43,8 @@
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step);
 static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
 static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task);
+static sched_upstream_t *place_for(wwh_scheduler_t *scheduler,
+				   sched_task_t *task, const char **ticket);
 static sched_upstream_t *choose(wwh_scheduler_t *scheduler, sched_task_t *task,
 				const char **ticket);
 static bool fits(const wwh_scheduler_t *scheduler,
@@ -124,6 +128,7 @@
 
 	collect(scheduler, pool, candidates);
 	g_array_sort(candidates, compare);
+	measure_room(scheduler, pool);
 	for (guint i = 0; i < candidates->len; i++) {
 		sched_step_t *step =
 			g_array_index(candidates, candidate_t, i).step;
@@ -136,6 +141,41 @@
 	g_array_free(candidates, TRUE);
 }
 
+/*
+ * At a peak hundreds of jobs wait for a pool that is full. Each was tried on
+ * each upstream whenever one of them answered; of 1000 jobs and 350 upstreams
+ * a pass took 1498 us, of a process that has a quarter of a core. What fits
+ * nowhere is passed over by these two figures (bench_scheduler: 66 us).
+ */
+static void measure_room(const wwh_scheduler_t *scheduler, sched_pool_t *pool)
+{
+	pool->most_free_cpu = -1;
+	pool->most_free_memory = -1;
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(pool->upstreams, i);
+		const wwh_upstream_info_t *info = &upstream->info;
+
+		if (!sched_upstream_usable(scheduler, upstream))
+			continue;
+		pool->most_free_cpu =
+			MAX(pool->most_free_cpu,
+			    info->cpu_millicores - upstream->used_cpu);
+		pool->most_free_memory =
+			MAX(pool->most_free_memory,
+			    info->memory_mb - upstream->used_memory);
+	}
+}
+
+static bool may_fit(const sched_step_t *step)
+{
+	const sched_pool_t *pool = step->occurrence->job->pool;
+	const wwh_job_step_t *spec = step->spec;
+
+	return (spec->filler || spec->cpu_millicores <= pool->most_free_cpu) &&
+	       spec->memory_mb <= pool->most_free_memory;
+}
+
 static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
 		    GArray *candidates)
 {
@@ -244,7 +284,7 @@
 		if (sched_task_state(task) != TASK_WAITING ||
 		    !may_start(scheduler, task))
 			continue;
-		upstream = choose(scheduler, task, &ticket);
+		upstream = place_for(scheduler, task, &ticket);
 		if (upstream == NULL) {
 			/* tasks of a step are alike: the others won't fit */
 			if (needs_advice(step))
@@ -281,7 +321,7 @@
 	chosen = g_new0(sched_upstream_t *, (guint)count);
 	tickets = g_new0(const char *, (guint)count);
 	while (placed < count) {
-		sched_upstream_t *upstream = choose(
+		sched_upstream_t *upstream = place_for(
 			scheduler, &step->tasks[placed], &tickets[placed]);
 
 		if (upstream == NULL)
@@ -301,6 +341,9 @@
 		chosen[i]->used_gpus -= step->spec->gpus;
 		g_ptr_array_remove_fast(chosen[i]->tasks, &step->tasks[i]);
 	}
+	/* the room that the trial took is free again */
+	if (placed < count)
+		measure_room(scheduler, step->occurrence->job->pool);
 	if (placed == count) {
 		char *same = g_strdup(checkpoint);
 
@@ -330,6 +373,20 @@
 	return scheduler->now_ms >= task->retry_ms;
 }
 
+static sched_upstream_t *place_for(wwh_scheduler_t *scheduler,
+				   sched_task_t *task, const char **ticket)
+{
+	sched_upstream_t *upstream;
+
+	if (!may_fit(task->step))
+		return NULL;
+	upstream = choose(scheduler, task, ticket);
+	/* the figures only sink while tasks are placed */
+	if (upstream == NULL)
+		measure_room(scheduler, task->step->occurrence->job->pool);
+	return upstream;
+}
+
 static sched_upstream_t *choose(wwh_scheduler_t *scheduler, sched_task_t *task,
 				const char **ticket)
 {
--- a/src/test_scheduler/test_jobs.c
+++ b/src/test_scheduler/test_jobs.c
@@ -173,6 +173,22 @@
 	assert_int_equal(rig->stops->len, 2);
 }
 
+/*
+ * A gang is tried that is too large for the pool. What its trial took was
+ * taken for used, and the jobs behind it waited beside a free upstream.
+ */
+void a_gang_that_does_not_fit_leaves_the_room_to_others(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *gang = rig_job(JOB_A, 12, 1000);
+
+	gang->steps[0].gang = true;
+	rig_submit(rig, gang);
+	assert_int_equal(rig->starts->len, 0);
+	rig_submit(rig, rig_job(JOB_B, 2, 1000));
+	assert_int_equal(rig->starts->len, 2);
+}
+
 void one_end_of_a_gang_stands_for_all(void **state)
 {
 	rig_t *rig = *state;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -34,6 +34,8 @@
 		RIG_TEST(failures_count_in_whatever_order_they_are_heard, 2),  \
 		RIG_TEST(a_failure_counts_while_a_later_run_is_out, 2),        \
 		RIG_TEST(a_gang_starts_whole_or_not_at_all, 2),                \
+		RIG_TEST(a_gang_that_does_not_fit_leaves_the_room_to_others,   \
+			 1),                                                   \
 		RIG_TEST(one_end_of_a_gang_stands_for_all, 2),                 \
 		RIG_TEST(a_lasting_task_is_started_again_however_it_ends, 1),  \
 		RIG_TEST(occurrences_start_when_they_are_due, 1),              \
@@ -44,6 +46,7 @@
 void failures_count_in_whatever_order_they_are_heard(void **state);
 void a_failure_counts_while_a_later_run_is_out(void **state);
 void a_gang_starts_whole_or_not_at_all(void **state);
+void a_gang_that_does_not_fit_leaves_the_room_to_others(void **state);
 void one_end_of_a_gang_stands_for_all(void **state);
 void a_lasting_task_is_started_again_however_it_ends(void **state);
 void occurrences_start_when_they_are_due(void **state);
