Part waves from host_duties; set its tests up in one place

Its tests began and ended with the same lines each; cmocka sets the crew up and takes it down. 15 tests as before.

--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -102,9 +102,8 @@
 	send_empty(duties);
 }
 
-void duties_forget_move(wwh_host_duties_t *duties, duty_host_t *host)
+void duties_forget_move(duty_host_t *host)
 {
-	(void)duties;
 	host->leaving_pool = false;
 }
 
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -1,7 +1,10 @@
 #ifndef WAXWINGHOLLOW_PRIVATE_HOST_DUTIES_STATE_H
 #define WAXWINGHOLLOW_PRIVATE_HOST_DUTIES_STATE_H
 
-/* What host_duties (waves, lists) and host_moves (moves) share. */
+/*
+ * What host_duties (lists), host_waves (upkeep) and host_moves (moves) share.
+ * host_duties calls the other two; neither of them calls back into a run.
+ */
 
 #include "waxwinghollow/host_duties.h"
 #include "waxwinghollow/pool_sizing.h"
@@ -76,10 +79,17 @@
 		    const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* It isn't emptied any more and gets work again. */
+void duties_take_back(wwh_host_duties_t *duties, duty_host_t *host);
+
+/* host_waves.c: after duties_run_moves, by whose figures it goes */
+void duties_run_waves(wwh_host_duties_t *duties);
+void duties_wave_delete(gpointer wave);
+
 /* host_moves.c */
 void duties_run_moves(wwh_host_duties_t *duties);
 /* It is wanted for upkeep, or was listed elsewhere: no longer for a move. */
-void duties_forget_move(wwh_host_duties_t *duties, duty_host_t *host);
+void duties_forget_move(duty_host_t *host);
 /* With the figures of the last call of duties_run_moves; NULL: no such pool. */
 duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name);
 void duties_pool_delete(gpointer pool);
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -199,11 +199,29 @@
 	g_free(host);
 }
 
+static int set_up(void **state)
+{
+	*state = crew_new(0);
+	return 0;
+}
+
+/* Orders of the holder before may still be on their way. */
+static int set_up_after_a_silent_holder(void **state)
+{
+	*state = crew_new(103000);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	crew_delete(*state);
+	return 0;
+}
+
 static void no_more_hosts_are_down_than_the_wave_allows(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	crew_wave(crew, 3, 2);
 	crew_run(crew, 1);
 	assert_int_equal(crew->lists, 1);
@@ -215,15 +233,13 @@
 				     crew->rig->now_ms);
 	crew_run(crew, 100);
 	assert_int_equal(crew->upkeeps->len, 2);
-	crew_delete(crew);
 }
 
 /* A wave is complete when all its hosts are done and that is durable. */
 static void a_wave_is_said_to_be_complete_once_it_is_durable(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	crew_wave(crew, 2, 2);
 	crew_run(crew, 1);
 	assert_int_equal(crew->active, 0);
@@ -243,14 +259,12 @@
 	crew_run(crew, 1);
 	crew_run(crew, 1);
 	assert_int_equal(crew->completed, 1);
-	crew_delete(crew);
 }
 
 static void a_host_that_was_removed_is_not_waited_for(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	crew_wave(crew, 2, 2);
 	crew_run(crew, 1);
 	crew_host(crew, "h1", RIG_POOL, NULL, WWH_HOST_UP);
@@ -269,7 +283,6 @@
 	wwh_host_duties_set_durable(crew->duties, crew->record);
 	crew_run(crew, 1);
 	assert_int_equal(crew->completed, 1);
-	crew_delete(crew);
 }
 
 /*
@@ -280,10 +293,9 @@
  */
 static void an_upkeep_that_was_done_before_ends_no_task(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 	wwh_running_t running;
 
-	(void)state;
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
 	rig_submit(crew->rig, rig_job(JOB_A, 1, 1000));
 	running = rig_running(rig_order(crew->rig->starts, 0), 10);
@@ -308,14 +320,12 @@
 	crew_hosts(crew, 1, true, WWH_HOST_UP);
 	assert_false(wwh_scheduler_upstream_load(crew->rig->scheduler, "u1")
 			     .cordoned);
-	crew_delete(crew);
 }
 
 static void a_host_listed_as_away_has_ended_its_tasks(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
 	rig_submit(crew->rig, rig_job(JOB_A, 1, 1000));
 	crew_run(crew, 1);
@@ -324,7 +334,6 @@
 	crew_hosts(crew, 1, true, WWH_HOST_UPKEEP);
 	assert_int_equal(wwh_scheduler_counts(crew->rig->scheduler).tasks_out,
 			 0);
-	crew_delete(crew);
 }
 
 /*
@@ -333,9 +342,8 @@
  */
 static void a_list_from_before_an_order_is_not_believed(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	rig_add_upstream(crew->rig, "u9", "10.0.0.9:1");
@@ -353,14 +361,12 @@
 	crew_listed(crew);
 	crew_run(crew, 5000);
 	assert_int_equal(crew->moves->len, 1);
-	crew_delete(crew);
 }
 
 static void a_pool_with_work_gets_hosts_that_rest(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	for (int32_t i = 0; i < 3; i++) {
@@ -386,16 +392,14 @@
 	crew_run(crew, 1);
 	/* 60 tasks of a second want more than eight hosts of eight cores */
 	assert_int_equal(crew->moves->len, 3);
-	crew_delete(crew);
 }
 
 /* Idle hosts go to rest, but for those with lasting tasks. */
 static void a_pool_without_work_sends_hosts_to_rest(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 	wwh_job_t *job = rig_job(JOB_A, 2, 1000);
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	for (int32_t i = 1; i <= 4; i++) {
@@ -425,7 +429,6 @@
 			host[1] !=
 				rig_order(crew->rig->starts, 1)->upstream[1]);
 	}
-	crew_delete(crew);
 }
 
 /*
@@ -434,10 +437,9 @@
  */
 static void a_host_goes_from_turn_to_turn_in_one_move(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 	wwh_job_t *job = rig_job(JOB_A, 60, 1000);
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "next", false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
@@ -458,7 +460,6 @@
 	crew_run(crew, 1);
 	assert_int_equal(crew->moves->len, 2);
 	assert_true(g_str_has_suffix(crew_moved(crew, 1), " next"));
-	crew_delete(crew);
 }
 
 /*
@@ -467,9 +468,8 @@
  */
 static void a_pause_within_a_turn_moves_no_host(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
@@ -484,7 +484,6 @@
 	assert_false(crew_cordoned(crew));
 	crew_run(crew, WWH_REST_AFTER_MS);
 	assert_int_equal(crew->moves->len, 0);
-	crew_delete(crew);
 }
 
 /*
@@ -493,9 +492,8 @@
  */
 static void a_host_that_rests_is_called_back_at_once(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
@@ -514,7 +512,6 @@
 	crew_run(crew, 1);
 	assert_int_equal(crew->moves->len, 2);
 	assert_true(g_str_has_suffix(crew_moved(crew, 1), " " RIG_POOL));
-	crew_delete(crew);
 }
 
 /*
@@ -524,9 +521,8 @@
  */
 static void a_wave_with_time_left_spares_a_pool_that_is_short(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
@@ -542,7 +538,6 @@
 	for (int32_t i = 0; i < 45; i++)
 		crew_run(crew, 1000);
 	assert_int_equal(crew->upkeeps->len, 1);
-	crew_delete(crew);
 }
 
 /*
@@ -551,9 +546,8 @@
  */
 static void a_host_that_no_list_shows_has_no_pool(void **state)
 {
-	crew_t *crew = crew_new(0);
+	crew_t *crew = *state;
 
-	(void)state;
 	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
 	wwh_host_duties_pool(crew->duties, "rest", true);
 	crew_wave(crew, 2, 1);
@@ -562,7 +556,6 @@
 	crew_listed(crew);
 	crew_run(crew, 1);
 	assert_int_equal(crew->upkeeps->len, 1);
-	crew_delete(crew);
 }
 
 /*
@@ -571,9 +564,8 @@
  */
 static void a_new_holder_waits_before_its_first_order(void **state)
 {
-	crew_t *crew = crew_new(103000);
+	crew_t *crew = *state;
 
-	(void)state;
 	crew_wave(crew, 1, 1);
 	crew_run(crew, 1);
 	crew_hosts(crew, 1, false, WWH_HOST_UP);
@@ -581,7 +573,6 @@
 	assert_int_equal(crew->upkeeps->len, 0);
 	crew_run(crew, 1100);
 	assert_int_equal(crew->upkeeps->len, 1);
-	crew_delete(crew);
 }
 
 /*
@@ -601,22 +592,47 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(no_more_hosts_are_down_than_the_wave_allows),
-		cmocka_unit_test(
-			a_wave_is_said_to_be_complete_once_it_is_durable),
-		cmocka_unit_test(a_host_that_was_removed_is_not_waited_for),
-		cmocka_unit_test(an_upkeep_that_was_done_before_ends_no_task),
-		cmocka_unit_test(a_host_listed_as_away_has_ended_its_tasks),
-		cmocka_unit_test(a_list_from_before_an_order_is_not_believed),
-		cmocka_unit_test(a_pool_with_work_gets_hosts_that_rest),
-		cmocka_unit_test(a_pool_without_work_sends_hosts_to_rest),
-		cmocka_unit_test(a_host_goes_from_turn_to_turn_in_one_move),
-		cmocka_unit_test(a_pause_within_a_turn_moves_no_host),
-		cmocka_unit_test(a_host_that_rests_is_called_back_at_once),
-		cmocka_unit_test(
-			a_wave_with_time_left_spares_a_pool_that_is_short),
-		cmocka_unit_test(a_host_that_no_list_shows_has_no_pool),
-		cmocka_unit_test(a_new_holder_waits_before_its_first_order),
+		cmocka_unit_test_setup_teardown(
+			no_more_hosts_are_down_than_the_wave_allows, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_wave_is_said_to_be_complete_once_it_is_durable,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_host_that_was_removed_is_not_waited_for, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			an_upkeep_that_was_done_before_ends_no_task, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_host_listed_as_away_has_ended_its_tasks, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_list_from_before_an_order_is_not_believed, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_pool_with_work_gets_hosts_that_rest, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_pool_without_work_sends_hosts_to_rest, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_host_goes_from_turn_to_turn_in_one_move, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_pause_within_a_turn_moves_no_host, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_host_that_rests_is_called_back_at_once, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_wave_with_time_left_spares_a_pool_that_is_short,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_host_that_no_list_shows_has_no_pool, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_new_holder_waits_before_its_first_order,
+			set_up_after_a_silent_holder, tear_down),
 		cmocka_unit_test(a_new_holder_waits_less_where_hosts_fence),
 	};
 
