--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -203,6 +203,7 @@
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
 		const sched_step_t *step = task->step;
+		char name[WWH_TASK_NAME_BYTES];
 
 		if (!step->spec->lasting || step->spec->gang ||
 		    !at_work(scheduler, task) ||
@@ -210,6 +211,13 @@
 		    away(scheduler, step) >= step->spec->max_unavailable ||
 		    !sched_task_fits_elsewhere(scheduler, task))
 			continue;
+		sched_task_name(task, name);
+		sched_explain(scheduler, "task-given-away", name,
+			      "run=%" G_GINT64_FORMAT
+			      " upstream=%s here=%d away=%d may_miss=%d",
+			      task->run, upstream->info.id,
+			      here(step, upstream), away(scheduler, step),
+			      step->spec->max_unavailable);
 		sched_task_order_stop(scheduler, task);
 	}
 }
