--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -5,6 +5,44 @@
 
 #include "test_scheduler.h"
 
+#define SERVING_MAX 10
+
+/* The tasks of a serving job, by the upstream that they run on: u1, u2. */
+typedef struct {
+	wwh_running_t rows[2][SERVING_MAX];
+	int32_t counts[2];
+} serving_t;
+
+/* Submits a job whose tasks last; each is started, and its start answered. */
+static serving_t serve(rig_t *rig, wwh_job_t *job, int32_t max_unavailable)
+{
+	guint count = (guint)job->steps[0].task_count;
+	serving_t serving = { .counts = { 0 } };
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_unavailable = max_unavailable;
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, count);
+	for (guint i = 0; i < count; i++) {
+		rig_order_t *order = rig_order(rig->starts, i);
+		int32_t at = strcmp(order->upstream, "u2") == 0;
+
+		rig_start_ended(rig, order, WWH_ORDER_DONE);
+		serving.rows[at][serving.counts[at]++] =
+			rig_running(order, 100);
+	}
+	return serving;
+}
+
+/* Both upstreams say that all of it is at work. */
+static void all_at_work(rig_t *rig, const serving_t *serving)
+{
+	rig_answer_poll(rig, "u1", serving->rows[0], serving->counts[0], NULL,
+			0);
+	rig_answer_poll(rig, "u2", serving->rows[1], serving->counts[1], NULL,
+			0);
+}
+
 /*
  * A new holder goes on with a wave before all upstreams have answered it. It
  * took one that it knew no tasks of for empty, and ended two of a step that
@@ -67,27 +105,13 @@
 void a_cordoned_host_gives_its_lasting_tasks_away_one_by_one(void **state)
 {
 	rig_t *rig = *state;
-	wwh_job_t *job = rig_job(JOB_A, 4, 1000);
-	wwh_running_t rows[2][4];
-	int32_t counts[2] = { 0 };
+	serving_t serving = serve(rig, rig_job(JOB_A, 4, 1000), 1);
 	rig_order_t *moved;
 	wwh_ended_t ended;
 
-	job->steps[0].lasting = true;
-	job->steps[0].max_unavailable = 1;
-	rig_submit(rig, job);
-	assert_int_equal(rig->starts->len, 4);
-	for (guint i = 0; i < 4; i++) {
-		rig_order_t *order = rig_order(rig->starts, i);
-		int32_t at = strcmp(order->upstream, "u2") == 0;
-
-		rig_start_ended(rig, order, WWH_ORDER_DONE);
-		rows[at][counts[at]++] = rig_running(order, 100);
-	}
-	assert_int_equal(counts[0], 2);
+	assert_int_equal(serving.counts[0], 2);
 	rig_run(rig, 500);
-	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
-	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	all_at_work(rig, &serving);
 	assert_false(
 		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
 	rig_run(rig, 100);
@@ -96,9 +120,9 @@
 	moved = rig_order(rig->stops, 0);
 	assert_string_equal(moved->upstream, "u1");
 	ended = rig_ended(moved, 1, WWH_END_STOPPED);
-	if (strcmp(rows[0][0].task, moved->task) == 0)
-		rows[0][0] = rows[0][1];
-	rig_answer_poll(rig, "u1", rows[0], 1, &ended, 1);
+	if (strcmp(serving.rows[0][0].task, moved->task) == 0)
+		serving.rows[0][0] = serving.rows[0][1];
+	rig_answer_poll(rig, "u1", serving.rows[0], 1, &ended, 1);
 	rig_run(rig, 100);
 	assert_int_equal(rig->starts->len, 5);
 	assert_string_equal(rig_order(rig->starts, 4)->upstream, "u2");
@@ -106,9 +130,9 @@
 	assert_false(
 		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
 	rig_start_ended(rig, rig_order(rig->starts, 4), WWH_ORDER_DONE);
-	rows[1][2] = rig_running(rig_order(rig->starts, 4), 100);
+	serving.rows[1][2] = rig_running(rig_order(rig->starts, 4), 100);
 	rig_run(rig, 500);
-	rig_answer_poll(rig, "u2", rows[1], 3, NULL, 0);
+	rig_answer_poll(rig, "u2", serving.rows[1], 3, NULL, 0);
 	assert_true(
 		wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms));
 	assert_int_equal(rig->stops->len, 1);
@@ -122,25 +146,13 @@
 void a_stop_of_the_holder_before_counts_until_it_must_be_over(void **state)
 {
 	rig_t *rig = *state;
-	wwh_job_t *job = rig_job(JOB_A, 4, 1000);
-	wwh_running_t rows[2][4];
-	int32_t counts[2] = { 0 };
+	serving_t serving = serve(rig, rig_job(JOB_A, 4, 1000), 1);
 
-	job->steps[0].lasting = true;
-	job->steps[0].max_unavailable = 1;
-	rig_submit(rig, job);
-	for (guint i = 0; i < 4; i++) {
-		rig_order_t *order = rig_order(rig->starts, i);
-		int32_t at = strcmp(order->upstream, "u2") == 0;
-
-		rows[at][counts[at]++] = rig_running(order, 100);
-	}
 	rig_take_over(rig);
 	rig_announce(rig, "u1", AT_1, false);
 	rig_announce(rig, "u2", AT_2, false);
 	rig_run(rig, 1);
-	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
-	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	all_at_work(rig, &serving);
 	rig_run(rig, 1);
 	rig_durable(rig);
 	(void)wwh_scheduler_cordon(rig->scheduler, "u1", true, rig->now_ms);
@@ -148,8 +160,7 @@
 	assert_int_equal(rig->stops->len, 0);
 	/* heard of again after the longest stop */
 	rig_run(rig, rig->options.stop_limit_ms);
-	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
-	rig_answer_poll(rig, "u2", rows[1], 2, NULL, 0);
+	all_at_work(rig, &serving);
 	rig_run(rig, 1);
 	assert_int_equal(rig->stops->len, 1);
 }
@@ -161,28 +172,17 @@
 void a_serving_gang_is_not_taken_apart(void **state)
 {
 	rig_t *rig = *state;
-	wwh_job_t *job = rig_job(JOB_A, 10, 1000);
-	wwh_running_t rows[2][10];
-	int32_t counts[2] = { 0 };
+	wwh_job_t *job = rig_job(JOB_A, SERVING_MAX, 1000);
+	serving_t serving;
 	const char *few;
 
-	job->steps[0].lasting = true;
 	job->steps[0].gang = true;
-	job->steps[0].max_unavailable = 5;
-	rig_submit(rig, job);
-	assert_int_equal(rig->starts->len, 10);
-	for (guint i = 0; i < 10; i++) {
-		rig_order_t *order = rig_order(rig->starts, i);
-		int32_t at = strcmp(order->upstream, "u2") == 0;
-
-		rig_start_ended(rig, order, WWH_ORDER_DONE);
-		rows[at][counts[at]++] = rig_running(order, 100);
-	}
+	serving = serve(rig, job, SERVING_MAX / 2);
 	rig_run(rig, 500);
-	rig_answer_poll(rig, "u1", rows[0], counts[0], NULL, 0);
-	rig_answer_poll(rig, "u2", rows[1], counts[1], NULL, 0);
-	few = counts[0] < counts[1] ? "u1" : "u2";
-	assert_true(MIN(counts[0], counts[1]) <= 5);
+	all_at_work(rig, &serving);
+	few = serving.counts[0] < serving.counts[1] ? "u1" : "u2";
+	assert_true(MIN(serving.counts[0], serving.counts[1]) <=
+		    SERVING_MAX / 2);
 	assert_false(
 		wwh_scheduler_cordon(rig->scheduler, few, true, rig->now_ms));
 	rig_run(rig, 100);
