Check the platform's settings file too

Cause: `check FILE` took it for an inventory in CSV and named its first line a column, so a new user could check it only by starting the process. Seen when trying the program by hand with a wrong file of each format.

--- a/src/test_cli/test_cli.c
+++ b/src/test_cli/test_cli.c
@@ -118,6 +118,42 @@
 	g_free(directory);
 }
 
+/*
+ * A settings file of the platform was taken for an inventory in CSV, and the
+ * only error named its first line a column.
+ */
+static void check_knows_the_platforms_settings(void **unused)
+{
+	char *directory = g_dir_make_tmp("wwh-XXXXXX", NULL);
+	char *path = write_file(directory, "n",
+				"node=a\nip=1.2.3.4\n"
+				"listen.frontend=x:1\n");
+	char *line = g_strdup_printf("check --platform %s", path);
+	char *bad = g_strdup_printf(
+		"%s:3: listen.frontend: expected ADDRESS:PORT\n", path);
+	run_t run = run_program(line);
+
+	(void)unused;
+	run_expect(&run, 3);
+	assert_true(g_str_has_prefix(run.err, bad));
+	assert_non_null(strstr(run.err, "platform.address: is missing\n"));
+	run_clear(&run);
+	g_free(write_file(directory, "n",
+			  "node=a\nip=1.2.3.4\nlisten.frontend=1.2.3.4:1\n"
+			  "listen.readiness=1.2.3.4:2\n"
+			  "internalPorts=7060,7075\n"
+			  "platform.address=1.2.3.5:3\n"));
+	run = run_program(line);
+	run_expect(&run, 0);
+	run_clear(&run);
+	g_assert_cmpint(g_remove(path), ==, 0);
+	g_assert_cmpint(g_remove(directory), ==, 0);
+	g_free(path);
+	g_free(line);
+	g_free(bad);
+	g_free(directory);
+}
+
 static void bad_command_lines_are_usage_errors(void **unused)
 {
 	static const struct {
@@ -336,6 +372,7 @@
 		cmocka_unit_test(examples_pass_the_check),
 		cmocka_unit_test(csv_and_json_examples_say_the_same),
 		cmocka_unit_test(check_reports_every_error_of_every_file),
+		cmocka_unit_test(check_knows_the_platforms_settings),
 		cmocka_unit_test(bad_command_lines_are_usage_errors),
 		cmocka_unit_test(each_command_has_help),
 		cmocka_unit_test(explain_tells_the_story_of_a_request),
--- a/src/waxwinghollow/cmd_check.c
+++ b/src/waxwinghollow/cmd_check.c
@@ -3,11 +3,13 @@
 
 #include "cli.h"
 #include "commands.h"
+#include "node_file.h"
 #include "waxwinghollow/chart.h"
 #include "waxwinghollow/config.h"
 #include "waxwinghollow/input_file.h"
 #include "waxwinghollow/settings.h"
 
+static int check_platform(char **paths);
 static int check_files(char **paths);
 static bool sort_files(char **paths, GPtrArray *settings,
 		       const char **inventory, const char **rules, bool *usage);
@@ -19,7 +21,12 @@
 
 int wwh_cmd_check(int argc, char **argv)
 {
-	const GOptionEntry options[] = { { NULL } };
+	gboolean platform = FALSE;
+	const GOptionEntry options[] = {
+		{ "platform", 'p', 0, G_OPTION_ARG_NONE, &platform,
+		  "each FILE is a settings file of the platform's", NULL },
+		{ NULL }
+	};
 
 	if (!wwh_cli_parse_plain(
 		    &argc, &argv,
@@ -32,7 +39,26 @@
 		fprintf(stderr, "check: no file, expected FILE...\n");
 		return WWH_EXIT_USAGE;
 	}
-	return check_files(argv + 1);
+	return platform ? check_platform(argv + 1) : check_files(argv + 1);
+}
+
+static int check_platform(char **paths)
+{
+	bool ok = true;
+
+	for (; *paths != NULL; paths++) {
+		wwh_host_settings_t settings;
+
+		if (node_file_load(*paths, &settings, wwh_cli_print_error,
+				   NULL) != WWH_STATUS_OK) {
+			ok = false;
+			continue;
+		}
+		printf("%s: the platform's settings of process %s\n", *paths,
+		       settings.name);
+		wwh_host_settings_clear(&settings);
+	}
+	return ok ? WWH_EXIT_OK : WWH_EXIT_BAD_INPUT;
 }
 
 static int check_files(char **paths)
