--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -11,6 +11,13 @@
 #include "waxwinghollow/chart.h"
 #include "waxwinghollow/scheduler.h"
 
+/*
+ * Upstreams' clocks may run this much slower than ours, in thousandths; what
+ * DESIGN promises of them. A lease of theirs then lasts longer here.
+ */
+#define CLOCK_SLOW_PERMILLE 20
+#define PERMILLE 1000
+
 typedef struct sched_job sched_job_t;
 typedef struct sched_occurrence sched_occurrence_t;
 typedef struct sched_step sched_step_t;
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -133,7 +133,8 @@
 	job_request_unref(request);
 }
 
-/* A process that takes over has to know one that is cut off from one without
+/*
+ * A process that takes over has to know one that is cut off from one without
  * the shard: the first may still give orders.
  */
 static void answer_shard(wwh_job_service_t *service,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -4,9 +4,6 @@
 
 #include "private/scheduler_state.h"
 
-#define PERMILLE 1000
-#define CLOCK_SLOW_PERMILLE 20
-
 const char *const wwh_end_kind_names[WWH_END_KIND_COUNT] = {
 	"done", "failed", "stopped", "lapsed", "broken", "alone",
 };
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -5,13 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/*
- * Upstreams' clocks may run this much slower than ours, in thousandths; what
- * DESIGN promises of them. A lease of theirs then lasts longer here.
- */
-#define CLOCK_SLOW_PERMILLE 20
-#define PERMILLE 1000
-
 /* Beyond the bound above: when an answer is taken in late on our side. */
 #define LAPSE_MARGIN_MS 60
 
