--- /dev/null
+++ b/src/test_host_duties/test_moves.c
@@ -0,0 +1,154 @@
+/* Moves between pools, and to rest. */
+
+#include "crew.h"
+
+void a_pool_with_work_gets_hosts_that_rest(void **state)
+{
+	crew_t *crew = *state;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	for (int32_t i = 0; i < 3; i++) {
+		char id[8];
+		char at[16];
+
+		snprintf(id, sizeof(id), "u%d", i + 1);
+		snprintf(at, sizeof(at), "10.0.0.%d:1", i + 1);
+		rig_add_upstream(crew->rig, id, at);
+	}
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
+	crew_run(crew, 1);
+	for (int32_t i = 1; i <= 6; i++) {
+		char name[16];
+		char id[16];
+
+		snprintf(name, sizeof(name), "h%d", i);
+		snprintf(id, sizeof(id), "u%d", i);
+		crew_host(crew, name, i <= 3 ? RIG_POOL : "rest",
+			  i <= 3 ? id : NULL, WWH_HOST_UP);
+	}
+	crew_listed(crew);
+	crew_run(crew, 1);
+	/* 60 tasks of a second want more than eight hosts of eight cores */
+	assert_int_equal(crew->moves->len, 3);
+}
+
+/* Idle hosts go to rest, but for those with lasting tasks. */
+void a_pool_without_work_sends_hosts_to_rest(void **state)
+{
+	crew_t *crew = *state;
+	wwh_job_t *job = rig_job(JOB_A, 2, 1000);
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	for (int32_t i = 1; i <= 4; i++) {
+		char id[8];
+		char at[16];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		snprintf(at, sizeof(at), "10.0.0.%d:1", i);
+		rig_add_upstream(crew->rig, id, at);
+	}
+	job->steps[0].lasting = true;
+	job->steps[0].max_per_upstream = 1;
+	rig_submit(crew->rig, job);
+	crew_run(crew, 1);
+	crew_hosts(crew, 4, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	crew_run(crew, WWH_REST_AFTER_MS - 1);
+	assert_int_equal(crew->moves->len, 0);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		const char *host = g_ptr_array_index(crew->moves, i);
+
+		assert_true(
+			host[1] !=
+				rig_order(crew->rig->starts, 0)->upstream[1] &&
+			host[1] !=
+				rig_order(crew->rig->starts, 1)->upstream[1]);
+	}
+}
+
+/*
+ * One pool's turn ends and another's begins. The hosts of the first went to rest
+ * at once, and from there to the second: it had them three seconds late.
+ */
+void a_host_goes_from_turn_to_turn_in_one_move(void **state)
+{
+	crew_t *crew = *state;
+	wwh_job_t *job = rig_job(JOB_A, 60, 1000);
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "next", false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	rig_add_upstream(crew->rig, "u3", "10.0.0.3:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 3, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	/* each pool keeps one */
+	assert_int_equal(crew->moves->len, 1);
+	crew_answer_move(crew, 0);
+	crew_run(crew, WWH_REST_AFTER_MS / 2);
+	assert_int_equal(crew->moves->len, 1);
+	g_free(job->queue.pool);
+	job->queue.pool = g_strdup("next");
+	rig_submit(crew->rig, job);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 2);
+	assert_true(g_str_has_suffix(crew_moved(crew, 1), " next"));
+}
+
+/*
+ * Work comes in clusters. Hosts were sent away in each pause of a turn, and
+ * were missing for three seconds when it went on.
+ */
+void a_pause_within_a_turn_moves_no_host(void **state)
+{
+	crew_t *crew = *state;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	assert_true(crew_cordoned(crew));
+	crew_run(crew, 1000);
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
+	crew_run(crew, 1);
+	assert_false(crew_cordoned(crew));
+	crew_run(crew, WWH_REST_AFTER_MS);
+	assert_int_equal(crew->moves->len, 0);
+}
+
+/*
+ * A turn begins just after the last one's hosts were sent to rest. They stood
+ * idle for a while beside a pool that wanted all of them.
+ */
+void a_host_that_rests_is_called_back_at_once(void **state)
+{
+	crew_t *crew = *state;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 2000);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, WWH_REST_AFTER_MS);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 1);
+	assert_true(g_str_has_suffix(crew_moved(crew, 0), " rest"));
+	crew_rests(crew, crew_moved(crew, 0));
+	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 2);
+	assert_true(g_str_has_suffix(crew_moved(crew, 1), " " RIG_POOL));
+}
