Log what a pool waits for after a change of holder

Cause: nothing in the logs told tasks that wait for upstreams of the holder before from tasks that fit nowhere, the two hypotheses of a lasting task that stayed away. One line a pool at a takeover (how many upstreams, how long at most), one when the pool is settled; a silent upstream says whether it was settled. No change of logic; test_scheduler, test_job_holder and test_job_service pass.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -170,6 +170,7 @@
 	bool standby;
 	GPtrArray *upstreams; /* not owned */
 	int32_t unsettled; /* inherited upstreams that weren't asked yet */
+	int64_t taken_over_ms; /* with the inherited upstreams above */
 	bool dirty; /* something may be placed */
 	/* At least what the upstream with the most of it has free. */
 	int64_t most_free_cpu;
@@ -261,6 +262,8 @@
 /* scheduler_upstream.c */
 sched_pool_t *sched_pool_get(wwh_scheduler_t *scheduler, const char *name);
 void sched_pool_delete(gpointer pool);
+/* One inherited upstream less to wait for. */
+void sched_pool_settle_one(wwh_scheduler_t *scheduler, sched_pool_t *pool);
 sched_upstream_t *sched_upstream_find(const wwh_scheduler_t *scheduler,
 				      const char *id);
 sched_upstream_t *sched_upstream_add(wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -37,6 +37,8 @@
 #define START_RETRY_MS 150
 #define NO_ROOM_BACKOFF_MS 200
 
+static void await_inherited(wwh_scheduler_t *scheduler);
+static void explain_unsettled(wwh_scheduler_t *scheduler, int64_t wait_ms);
 static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
 static sched_task_t *task_of_order(wwh_scheduler_t *scheduler,
 				   const char *upstream, const char *name,
@@ -168,21 +170,10 @@
 void wwh_scheduler_restored(wwh_scheduler_t *scheduler, int64_t now_ms,
 			    int64_t wall_ms)
 {
-	int64_t lease_ms = scheduler->options.lease_max_ms * PERMILLE /
-			   (PERMILLE - CLOCK_SLOW_PERMILLE);
-	GHashTableIter iterator;
-	gpointer value;
-
 	scheduler->restored = true;
 	scheduler->now_ms = now_ms;
 	scheduler->wall_ms = wall_ms;
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *upstream = value;
-
-		upstream->gone_without_answer_ms =
-			now_ms + lease_ms + WWH_OVERTAKEN_HOLDER_MS;
-	}
+	await_inherited(scheduler);
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
@@ -413,6 +404,39 @@
 		dump_job(g_ptr_array_index(scheduler->live, i), out);
 }
 
+/* Each may run something until it answers or its lease has surely lapsed. */
+static void await_inherited(wwh_scheduler_t *scheduler)
+{
+	int64_t wait_ms = scheduler->options.lease_max_ms * PERMILLE /
+				  (PERMILLE - CLOCK_SLOW_PERMILLE) +
+			  WWH_OVERTAKEN_HOLDER_MS;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		((sched_upstream_t *)value)->gone_without_answer_ms =
+			scheduler->now_ms + wait_ms;
+	explain_unsettled(scheduler, wait_ms);
+}
+
+static void explain_unsettled(wwh_scheduler_t *scheduler, int64_t wait_ms)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_pool_t *pool = value;
+
+		pool->taken_over_ms = scheduler->now_ms;
+		if (pool->unsettled > 0)
+			sched_explain(scheduler, "pool-unsettled", pool->name,
+				      "upstreams=%d wait_ms=%" G_GINT64_FORMAT,
+				      pool->unsettled, wait_ms);
+	}
+}
+
 static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
 	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -23,6 +23,16 @@
 	return pool;
 }
 
+void sched_pool_settle_one(wwh_scheduler_t *scheduler, sched_pool_t *pool)
+{
+	pool->unsettled--;
+	if (pool->unsettled > 0)
+		return;
+	sched_explain(scheduler, "pool-settled", pool->name,
+		      "after_ms=%" G_GINT64_FORMAT,
+		      scheduler->now_ms - pool->taken_over_ms);
+}
+
 void sched_pool_delete(gpointer data)
 {
 	sched_pool_t *pool = data;
@@ -71,7 +81,7 @@
 		      upstream->info.endpoint, upstream->tasks->len);
 	sched_upstream_lose_all(scheduler, upstream, why);
 	if (upstream->inherited && !upstream->settled)
-		upstream->pool->unsettled--;
+		sched_pool_settle_one(scheduler, upstream->pool);
 	g_ptr_array_remove_fast(upstream->pool->upstreams, upstream);
 	upstream->pool->dirty = true;
 	if (upstream->kept_asked)
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -126,10 +126,10 @@
 	if (upstream->failed_polls == 1)
 		sched_explain(scheduler, "upstream-silent", id,
 			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
-			      " tasks=%u",
+			      " tasks=%u settled=%d",
 			      refused,
 			      scheduler->now_ms - upstream->answered_ms,
-			      upstream->tasks->len);
+			      upstream->tasks->len, upstream->settled);
 	if (upstream->refused_polls >= REFUSALS_OF_AN_ENDED_ONE)
 		sched_upstream_remove(scheduler, upstream, "refused");
 }
@@ -187,7 +187,7 @@
 		return;
 	upstream->settled = true;
 	if (upstream->inherited)
-		upstream->pool->unsettled--;
+		sched_pool_settle_one(scheduler, upstream->pool);
 	sched_explain(scheduler, "upstream-settled", upstream->info.id,
 		      "tasks=%u orphans=%d", upstream->tasks->len,
 		      upstream->orphans);
