--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -121,6 +121,71 @@
 		    rig_order(rig->starts, 0)->run);
 }
 
+/* A lasting task is away no longer than this while its pool has room. */
+#define AWAY_LIMIT_MS 7000
+
+/* The lease that a holder asks for is this much shorter than the longest. */
+#define SHORT_LEASE_MS 4500
+
+/* A job with one lasting task; its only run was stopped where it ran. */
+static void stop_lasting_task(rig_t *rig)
+{
+	wwh_job_t *job = rig_job(JOB_A, 1, 1000);
+	rig_order_t order;
+	wwh_ended_t ended;
+
+	job->steps[0].lasting = true;
+	rig_submit(rig, job);
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	rig_run(rig, 500);
+	ended = rig_ended(&order, 1, WWH_END_STOPPED);
+	rig_answer_poll(rig, order.upstream, NULL, 0, &ended, 1);
+	rig_durable(rig);
+}
+
+/* Runs until another start is ordered; returns how long that took. */
+static int64_t run_until_next_start(rig_t *rig, const char *silent)
+{
+	guint before = rig->starts->len;
+	int64_t passed_ms = 0;
+
+	while (rig->starts->len == before) {
+		rig_run(rig, 50);
+		passed_ms += 50;
+		answer_all_but(rig, silent);
+		assert_true(passed_ms < 3 * rig->options.lease_max_ms);
+	}
+	return passed_ms;
+}
+
+/*
+ * The caller's lasting task stays away for 17 s though its pool has room. Its
+ * run was stopped and a host of the pool was moved; then the shard changed
+ * hands. The new holder found the moved host's upstream in the records, in no
+ * list, and without an answer, and started no waiting task of the pool before
+ * the longest lease that upstreams grant was over: a holder at 36.61 s, the
+ * start at 47.85 s, "wait_ms=11204". No holder asks for such a lease.
+ */
+void a_lasting_task_waits_for_no_longer_lease_than_was_asked_for(void **state)
+{
+	rig_t *rig = *state;
+	int64_t passed_ms;
+
+	rig->options.lease_ms = SHORT_LEASE_MS;
+	rig_take_over(rig);
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_add_upstream(rig, "u2", AT_2);
+	stop_lasting_task(rig);
+	rig_take_over(rig);
+	rig_announce(rig, "u2", AT_2, false);
+	passed_ms = run_until_next_start(rig, "u1");
+	/* the lease on a slow clock, asked for until that holder is told */
+	assert_true(passed_ms >=
+		    SHORT_LEASE_MS * 100 / 98 + WWH_OVERTAKEN_HOLDER_MS);
+	assert_true(passed_ms <= AWAY_LIMIT_MS);
+}
+
 /* What runs without being wanted is stopped, and stopped again. */
 void an_orphan_run_is_stopped_until_it_is_gone(void **state)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -52,18 +52,21 @@
 void occurrences_start_when_they_are_due(void **state);
 void a_cancelled_job_stops_and_starts_nothing(void **state);
 
-#define RUN_TESTS                                                                  \
-	RIG_TEST(an_unanswered_start_is_settled_before_the_next, 2),               \
-		RIG_TEST(an_unanswered_start_that_is_listed_goes_on, 1),           \
-		RIG_TEST(                                                          \
-			a_silent_upstream_keeps_its_tasks_until_its_lease_is_over, \
-			1),                                                        \
-		RIG_TEST(a_new_holder_asks_each_upstream_before_it_starts, 1),     \
-		RIG_TEST(                                                          \
-			a_new_holder_goes_on_when_all_upstreams_have_answered,     \
-			1),                                                        \
-		RIG_TEST(an_orphan_run_is_stopped_until_it_is_gone, 1),            \
-		RIG_TEST(a_task_that_stands_still_is_started_elsewhere, 1),        \
+#define RUN_TESTS                                                                    \
+	RIG_TEST(an_unanswered_start_is_settled_before_the_next, 2),                 \
+		RIG_TEST(an_unanswered_start_that_is_listed_goes_on, 1),             \
+		RIG_TEST(                                                            \
+			a_silent_upstream_keeps_its_tasks_until_its_lease_is_over,   \
+			1),                                                          \
+		RIG_TEST(a_new_holder_asks_each_upstream_before_it_starts, 1),       \
+		RIG_TEST(                                                            \
+			a_new_holder_goes_on_when_all_upstreams_have_answered,       \
+			1),                                                          \
+		RIG_TEST(                                                            \
+			a_lasting_task_waits_for_no_longer_lease_than_was_asked_for, \
+			0),                                                          \
+		RIG_TEST(an_orphan_run_is_stopped_until_it_is_gone, 1),              \
+		RIG_TEST(a_task_that_stands_still_is_started_elsewhere, 1),          \
 		RIG_TEST(a_task_that_goes_on_slowly_is_left_alone, 1)
 
 void an_unanswered_start_is_settled_before_the_next(void **state);
@@ -71,6 +74,7 @@
 void a_silent_upstream_keeps_its_tasks_until_its_lease_is_over(void **state);
 void a_new_holder_asks_each_upstream_before_it_starts(void **state);
 void a_new_holder_goes_on_when_all_upstreams_have_answered(void **state);
+void a_lasting_task_waits_for_no_longer_lease_than_was_asked_for(void **state);
 void an_orphan_run_is_stopped_until_it_is_gone(void **state);
 void a_task_that_stands_still_is_started_elsewhere(void **state);
 void a_task_that_goes_on_slowly_is_left_alone(void **state);
