Keep each line of the log whole and readable

Cause: ids and details weren't bounded, and a pipe that is nearly full takes more than 4096 bytes in parts; bytes that are no UTF-8 went out as they were. Texts are cut and made valid before they are escaped.

--- a/src/libwaxwinghollow/event_log.c
+++ b/src/libwaxwinghollow/event_log.c
@@ -10,6 +10,14 @@
 #define SECOND_MS 1000
 #define DETAIL_BYTES 512
 
+/*
+ * Of each text, before it is escaped, which may take six times as much: so a
+ * line stays below PIPE_BUF (4096; node and event are names of ours). A pipe that is nearly full takes longer
+ * ones in parts, and what follows would go on in the middle of a torn line.
+ */
+#define ID_BYTES 96
+#define DETAIL_MAX_BYTES 480
+
 struct wwh_event_log {
 	wwh_event_log_options_t options;
 	char *node;
@@ -23,7 +31,8 @@
 };
 
 static bool within_budget(wwh_event_log_t *log);
-static void put_text(GString *line, const char *name, const char *text);
+static void put_text(GString *line, const char *name, const char *text,
+		     size_t most);
 static void emit(wwh_event_log_t *log, const GString *line);
 
 wwh_event_log_t *wwh_event_log_new(const wwh_event_log_options_t *options,
@@ -67,10 +76,10 @@
 	line = g_string_sized_new(DETAIL_BYTES);
 	g_string_append_printf(line, "{\"t\":%" G_GINT64_FORMAT,
 			       log->options.wall_ms());
-	put_text(line, "node", log->node);
-	put_text(line, "event", event);
-	put_text(line, "id", id);
-	put_text(line, "detail", detail);
+	put_text(line, "node", log->node, ID_BYTES);
+	put_text(line, "event", event, ID_BYTES);
+	put_text(line, "id", id, ID_BYTES);
+	put_text(line, "detail", detail, DETAIL_MAX_BYTES);
 	if (log->dropped > 0)
 		g_string_append_printf(line,
 				       ",\"dropped_before\":%" G_GINT64_FORMAT,
@@ -106,10 +115,18 @@
 	       log->bytes < log->options.bytes_per_s;
 }
 
-static void put_text(GString *line, const char *name, const char *text)
+/*
+ * Keys of the store and paths of callers may hold any bytes. Those that are no
+ * UTF-8 are replaced: a reader of JSON stops at the first of them.
+ */
+static void put_text(GString *line, const char *name, const char *text,
+		     size_t most)
 {
+	char *cut = g_strndup(text, most);
+	char *valid = g_utf8_make_valid(cut, -1);
+
 	g_string_append_printf(line, ",\"%s\":\"", name);
-	for (const char *at = text; *at != '\0'; at++) {
+	for (const char *at = valid; *at != '\0'; at++) {
 		if (*at == '"' || *at == '\\')
 			g_string_append_printf(line, "\\%c", *at);
 		else if ((unsigned char)*at < ' ')
@@ -118,6 +135,8 @@
 			g_string_append_c(line, *at);
 	}
 	g_string_append_c(line, '"');
+	g_free(valid);
+	g_free(cut);
 }
 
 static void emit(wwh_event_log_t *log, const GString *line)
--- a/src/test_event_log/test_event_log.c
+++ b/src/test_event_log/test_event_log.c
@@ -207,6 +207,10 @@
 
 	for (int32_t i = 0; i < 40; i++)
 		wwh_event_log_write(rig->log, "no-queue", path, "method=GET");
+	/* each byte of these is written as six */
+	memset(path, '\x01', 6000);
+	for (int32_t i = 0; i < 40; i++)
+		wwh_event_log_write(rig->log, "no-queue", path, path);
 	lines = read_lines(rig);
 	assert_int_equal(lines->len, counter(rig, "log.lines"));
 	g_ptr_array_unref(lines);
