--- a/src/libwaxwinghollow/event_log.c
+++ b/src/libwaxwinghollow/event_log.c
@@ -12,8 +12,9 @@
 
 /*
  * Of each text, before it is escaped, which may take six times as much: so a
- * line stays below PIPE_BUF (4096; node and event are names of ours). A pipe that is nearly full takes longer
- * ones in parts, and what follows would go on in the middle of a torn line.
+ * line stays below PIPE_BUF (4096; node and event are names of ours). A pipe
+ * that is nearly full takes longer ones in parts, and what follows would go on
+ * in the middle of a torn line.
  */
 #define ID_BYTES 96
 #define DETAIL_MAX_BYTES 480
