Show a task that runs twice after a holder with a longer lease

Fails on the code as it is: the lease that the holder before asked for is on record, and counts only while the upstream hasn't answered. Once it has, the new holder goes by what it asked for itself (6 s asked before, 4.5 s now: the second start comes before the first run's lease is over).

--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -313,3 +313,32 @@
 	}
 	assert_int_equal(rig->stops->len, 0);
 }
+
+/*
+ * The holder before asked for a longer lease than this one does. The upstream
+ * lists its task once, falls silent, and runs it until that lease is over. By
+ * the shorter lease of its own the holder takes it for lapsed, starts the task
+ * elsewhere, and it runs twice.
+ */
+void a_longer_lease_of_the_holder_before_counts_to_its_end(void **state)
+{
+	rig_t *rig = *state;
+	int64_t ordered_ms = rig->now_ms;
+	wwh_running_t running;
+	rig_order_t order;
+
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	rig->options.lease_ms = SHORT_LEASE_MS;
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_run(rig, 1);
+	running = rig_running(&order, 10);
+	rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
+	rig_add_upstream(rig, "u2", AT_2);
+	(void)run_until_next_start(rig, "u1");
+	assert_true(rig->now_ms - ordered_ms >=
+		    (order.lease_until_remote_ms - (ordered_ms + 5000)) * 100 /
+			    98);
+}
