Show a lasting task that is never started again after a refused ticket

Fails on the code as it is: no second call for advice in 10 s, as an upstream that was asked about and has no ticket counts as not admitted for good. Only a new upstream or a new holder brings the task back.

--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -103,6 +103,7 @@
 			 1),                                                      \
 		RIG_TEST(fillers_give_way_to_serving_tasks, 1),                   \
 		RIG_TEST(advice_is_asked_before_a_start_and_renewed, 2),          \
+		RIG_TEST(a_ticket_that_was_refused_is_asked_for_again, 1),        \
 		RIG_TEST(nothing_new_goes_to_a_leaving_upstream, 1)
 
 void a_host_that_has_not_answered_is_not_taken_down(void **state);
@@ -113,6 +114,7 @@
 void a_cordoned_host_keeps_tasks_that_fit_nowhere_else(void **state);
 void fillers_give_way_to_serving_tasks(void **state);
 void advice_is_asked_before_a_start_and_renewed(void **state);
+void a_ticket_that_was_refused_is_asked_for_again(void **state);
 void nothing_new_goes_to_a_leaving_upstream(void **state);
 
 #endif
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -289,3 +289,32 @@
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 0);
 }
+
+/*
+ * A start arrives after its ticket has run out, as the advice or the order was
+ * held up on the way, and is refused. The policy still admits the upstream, but
+ * it is taken as asked about and not admitted: the caller's lasting task is
+ * never started there again, though the pool has room.
+ */
+void a_ticket_that_was_refused_is_asked_for_again(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 1, 1000);
+	wwh_advice_ticket_t admitted = { .upstream = "u1", .ticket = "t" };
+
+	job->steps[0].lasting = true;
+	job->queue.advice_valid_ms = 3000;
+	rig_submit(rig, job);
+	assert_int_equal(rig->advices, 1);
+	wwh_scheduler_advised(rig->scheduler, JOB_A ".0.0", &admitted, 1, 3000,
+			      rig->now_ms);
+	rig_run(rig, 1);
+	assert_int_equal(rig->starts->len, 1);
+	rig_start_ended(rig, rig_order(rig->starts, 0), WWH_ORDER_NO_TICKET);
+	for (int32_t i = 0; i < 20; i++) {
+		rig_run(rig, 500);
+		answer_all_but(rig, "");
+	}
+	assert_int_equal(rig->advices, 2);
+	assert_int_equal(rig->advised_upstreams, 1);
+}
