Show a task that runs twice after an overtaken holder

Fails on the code as it is: an idle upstream's poll waits for 2 s, so a holder without the store is told up to 2 s after it was overtaken, and the next one waits for 1 s of that.

--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -33,6 +33,8 @@
 	char upstream[32];
 	int64_t acked_upto;
 	int64_t sent_ms;
+	int64_t wait_ms;
+	int64_t lease_until_remote_ms;
 } rig_poll_t;
 
 typedef struct {
@@ -76,8 +78,12 @@
 static inline void rig_poll(const wwh_poll_order_t *order, void *data)
 {
 	rig_t *rig = data;
-	rig_poll_t poll = { .acked_upto = order->ends_acked_upto,
-			    .sent_ms = rig->now_ms };
+	rig_poll_t poll = {
+		.acked_upto = order->ends_acked_upto,
+		.sent_ms = rig->now_ms,
+		.wait_ms = order->wait_ms,
+		.lease_until_remote_ms = order->lease_until_remote_ms,
+	};
 
 	g_strlcpy(poll.upstream, order->upstream, sizeof(poll.upstream));
 	g_array_append_val(rig->polls, poll);
@@ -237,18 +243,29 @@
 }
 
 /* The newest poll at id that wasn't answered; fails when there is none. */
-static inline rig_poll_t rig_take_poll(rig_t *rig, const char *id)
+static inline guint rig_find_poll(const rig_t *rig, const char *id)
 {
 	for (guint i = rig->polls->len; i-- > 0;) {
-		rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, i);
-
-		if (strcmp(poll.upstream, id) == 0) {
-			g_array_remove_index(rig->polls, i);
-			return poll;
-		}
+		if (strcmp(g_array_index(rig->polls, rig_poll_t, i).upstream,
+			   id) == 0)
+			return i;
 	}
 	fail_msg("no poll at %s", id);
-	return (rig_poll_t){ 0 };
+	return 0;
+}
+
+static inline rig_poll_t rig_poll_of(const rig_t *rig, const char *id)
+{
+	return g_array_index(rig->polls, rig_poll_t, rig_find_poll(rig, id));
+}
+
+static inline rig_poll_t rig_take_poll(rig_t *rig, const char *id)
+{
+	guint at = rig_find_poll(rig, id);
+	rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, at);
+
+	g_array_remove_index(rig->polls, at);
+	return poll;
 }
 
 /* Answers the poll at id. The upstream's clock is ours plus 5 s. */
--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -342,3 +342,47 @@
 		    (order.lease_until_remote_ms - (ordered_ms + 5000)) * 100 /
 			    98);
 }
+
+/*
+ * A holder that lost the store is overtaken. One upstream answers it and not the
+ * next holder; the other is idle, so its polls there wait for 2 s, and only the
+ * next of them is refused. It extends the lease of its task until then. The next
+ * holder waits a second less, starts the task, and it runs twice.
+ */
+void a_lease_that_an_overtaken_holder_extends_is_waited_for(void **state)
+{
+	rig_t *rig = *state;
+	int64_t taken_over_ms;
+	int64_t lease_until_ms = 0;
+	wwh_running_t running;
+	rig_order_t order;
+	const char *idle;
+
+	rig->options.lease_ms = SHORT_LEASE_MS;
+	rig_take_over(rig);
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	running = rig_running(&order, 10);
+	idle = strcmp(order.upstream, "u1") == 0 ? "u2" : "u1";
+	rig_run(rig, 100);
+	rig_answer_poll(rig, idle, NULL, 0, NULL, 0);
+	rig_run(rig, 100);
+	/* its poll at the idle one has just gone out */
+	taken_over_ms = rig->now_ms;
+	while (rig->now_ms < taken_over_ms + rig_poll_of(rig, idle).wait_ms) {
+		running.percent++;
+		rig_answer_poll(rig, order.upstream, &running, 1, NULL, 0);
+		rig_run(rig, 100);
+		lease_until_ms =
+			rig_poll_of(rig, order.upstream).lease_until_remote_ms -
+			5000;
+	}
+	rig->now_ms = taken_over_ms;
+	rig_take_over(rig);
+	rig_announce(rig, idle, idle[1] == '1' ? AT_1 : AT_2, false);
+	(void)run_until_next_start(rig, order.upstream);
+	assert_true(rig->now_ms >= lease_until_ms);
+}
