Show a task that runs twice after an old announcement

Fails on the code as it is: a new holder reads announcements by key, not by age, and takes the living upstream for ended when another id is announced at its endpoint. 2 starts where 1 runs.

--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -386,3 +386,23 @@
 	(void)run_until_next_start(rig, order.upstream);
 	assert_true(rig->now_ms >= lease_until_ms);
 }
+
+/*
+ * An upstream crashed and came back at the same endpoint; both of its lives are
+ * still announced. The next holder reads the announcements in any order, and
+ * the older one last. It takes the living one, whose task it has just found in
+ * the records, for ended, and the task runs twice.
+ */
+void an_old_announcement_ends_no_newer_life(void **state)
+{
+	rig_t *rig = *state;
+
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_start_ended(rig, rig_order(rig->starts, 0), WWH_ORDER_DONE);
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_announce(rig, "u0", AT_1, false);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_run(rig, 500);
+	assert_int_equal(rig->starts->len, 1);
+}
