Show a lasting task that stays away as another one fails everywhere

Fails on the code as it is: failures of lasting tasks aren't counted by task, so each of them counts against its upstream; after six on each of two, both are avoided for 12 s.

--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -406,3 +406,49 @@
 	rig_run(rig, 500);
 	assert_int_equal(rig->starts->len, 1);
 }
+
+/*
+ * A lasting task fails wherever it is started, by its own fault. Each of its
+ * ends counts against the upstream that it ran on, and as nothing there ends
+ * well in between, all of them come to be avoided for 12 s. Another caller's
+ * lasting task stays away as long, though the pool is next to empty.
+ */
+void a_failing_lasting_task_keeps_no_other_away(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *failing = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *sound = rig_job(JOB_B, 1, 1000);
+	int32_t failures = 0;
+	guint started = 0;
+
+	failing->steps[0].lasting = true;
+	sound->steps[0].lasting = true;
+	rig_submit(rig, failing);
+	for (int32_t i = 0; i < 600 && failures < 12; i++) {
+		const rig_order_t *order =
+			rig_order(rig->starts, rig->starts->len - 1);
+		wwh_ended_t ended =
+			rig_ended(order, rig->starts->len, WWH_END_FAILED);
+
+		if (failures < (int32_t)rig->starts->len) {
+			rig_start_ended(rig, order, WWH_ORDER_DONE);
+			rig_run(rig, 300);
+			rig_answer_poll(rig, order->upstream, NULL, 0, &ended,
+					1);
+			failures++;
+		}
+		rig_run(rig, 50);
+		rig_durable(rig);
+		answer_all_but(rig, "");
+	}
+	assert_int_equal(failures, 12);
+	rig_submit(rig, sound);
+	for (int32_t i = 0; i < AWAY_LIMIT_MS / 50; i++) {
+		rig_run(rig, 50);
+		answer_all_but(rig, "");
+	}
+	for (guint i = 0; i < rig->starts->len; i++)
+		started += g_str_has_prefix(rig_order(rig->starts, i)->task,
+					    JOB_B);
+	assert_int_equal(started, 1);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -77,6 +77,7 @@
 			a_lease_that_an_overtaken_holder_extends_is_waited_for,      \
 			0),                                                          \
 		RIG_TEST(an_old_announcement_ends_no_newer_life, 1),                 \
+		RIG_TEST(a_failing_lasting_task_keeps_no_other_away, 2),             \
 		RIG_TEST(a_task_that_goes_on_slowly_is_left_alone, 1)
 
 void an_unanswered_start_is_settled_before_the_next(void **state);
@@ -92,6 +93,7 @@
 void a_longer_lease_of_the_holder_before_counts_to_its_end(void **state);
 void a_lease_that_an_overtaken_holder_extends_is_waited_for(void **state);
 void an_old_announcement_ends_no_newer_life(void **state);
+void a_failing_lasting_task_keeps_no_other_away(void **state);
 void a_task_that_goes_on_slowly_is_left_alone(void **state);
 
 #define UPSTREAM_TESTS                                                            \
