Show a host that leaves and isn't replaced before it has gone

Fails on the code as it is: a host whose upstream says that it leaves is listed as up and counts for its pool, so a lasting task that fits on no other host waits until it has left, and 1.5 s more. Listed as down, the test passes.

--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -152,3 +152,48 @@
 	assert_int_equal(crew->moves->len, 2);
 	assert_true(g_str_has_suffix(crew_moved(crew, 1), " " RIG_POOL));
 }
+
+/*
+ * A host says that it leaves, and its lasting task is stopped to be started
+ * elsewhere; the other host holds one of its step and may not have two. The host
+ * is listed as up for as long as it takes to leave, many seconds at times, and
+ * counts for its pool: none of those at rest is called, and the task stays away.
+ */
+void a_host_that_leaves_is_replaced_before_it_has_gone(void **state)
+{
+	crew_t *crew = *state;
+	wwh_job_t *job = rig_job(JOB_A, 2, 1000);
+	wwh_running_t rows[2];
+	wwh_ended_t ended;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	job->steps[0].lasting = true;
+	job->steps[0].max_per_upstream = 1;
+	rig_submit(crew->rig, job);
+	for (guint i = 0; i < 2; i++) {
+		const rig_order_t *order = rig_order(crew->rig->starts, i);
+
+		rows[order->upstream[1] - '1'] = rig_running(order, 100);
+		rig_start_ended(crew->rig, order, WWH_ORDER_DONE);
+	}
+	rig_announce(crew->rig, "u1", "10.0.0.1:1", true);
+	rig_run(crew->rig, 500);
+	rig_answer_poll(crew->rig, "u1", &rows[0], 1, NULL, 0);
+	rig_answer_poll(crew->rig, "u2", &rows[1], 1, NULL, 0);
+	rig_run(crew->rig, 500);
+	ended = rig_ended(rig_order(crew->rig->stops, 0), 1, WWH_END_STOPPED);
+	rig_answer_poll(crew->rig, "u1", NULL, 0, &ended, 1);
+	for (int32_t i = 0; i < 6; i++) {
+		wwh_host_duties_list_begin(crew->duties);
+		crew_host(crew, "h3", "rest", NULL, WWH_HOST_UP);
+		crew_hosts(crew, 2, true, WWH_HOST_UP);
+		rig_run(crew->rig, 500);
+		crew_run(crew, 1);
+	}
+	assert_int_equal(crew->rig->starts->len, 2);
+	assert_int_equal(crew->moves->len, 1);
+	assert_string_equal(crew_moved(crew, 0), "h3 " RIG_POOL);
+}
