Show a lasting task that is kept from the room of a host in a wave

Fails on the code as it is: a host that is emptied for a wave takes no task and counts for its pool, so no host at rest is called.

--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -244,6 +244,9 @@
 		cmocka_unit_test_setup_teardown(                               \
 			a_host_that_no_list_shows_has_no_pool, set_up,         \
 			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_host_that_a_wave_empties_is_replaced, set_up,        \
+			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(                               \
 			a_new_holder_waits_before_its_first_order,             \
 			set_up_after_a_silent_holder, tear_down)
@@ -254,6 +257,7 @@
 void an_upkeep_that_was_done_before_ends_no_task(void **state);
 void a_wave_with_time_left_spares_a_pool_that_is_short(void **state);
 void a_host_that_no_list_shows_has_no_pool(void **state);
+void a_host_that_a_wave_empties_is_replaced(void **state);
 void a_new_holder_waits_before_its_first_order(void **state);
 
 #define MOVE_TESTS                                                             \
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -169,3 +169,64 @@
 	crew_run(crew, 1100);
 	assert_int_equal(crew->upkeeps->len, 1);
 }
+
+/*
+ * A wave empties a host for 7 s, as a lasting task there can't be missed. Another
+ * one fails there meanwhile and fits on no other host: its step has one on each.
+ * The host counts for its pool all the while, so none of those at rest is called,
+ * and the caller's task stays away beside room that is kept from it.
+ */
+void a_host_that_a_wave_empties_is_replaced(void **state)
+{
+	crew_t *crew = *state;
+	rig_t *rig = crew->rig;
+	wwh_job_t *kept = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *spread = rig_job("00000000000000bb", 2, 1000);
+	wwh_running_t rows[2][2];
+	int32_t counts[2] = { 0, 0 };
+	wwh_ended_t ended;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(rig, "u2", "10.0.0.2:1");
+	kept->steps[0].lasting = true;
+	spread->steps[0].lasting = true;
+	spread->steps[0].max_per_upstream = 1;
+	spread->steps[0].max_unavailable = 1;
+	rig_submit(rig, kept);
+	rig_submit(rig, spread);
+	for (guint i = 0; i < 3; i++) {
+		const rig_order_t *order = rig_order(rig->starts, i);
+		int32_t at = order->upstream[1] - '1';
+
+		rows[at][counts[at]++] = rig_running(order, 100);
+		rig_start_ended(rig, order, WWH_ORDER_DONE);
+	}
+	/* the kept one and one of the others */
+	assert_int_equal(counts[0], 2);
+	rig_run(rig, 500);
+	rig_answer_poll(rig, "u1", rows[0], 2, NULL, 0);
+	rig_answer_poll(rig, "u2", rows[1], 1, NULL, 0);
+	crew_wave(crew, 1, 1);
+	crew_run(crew, 1);
+	crew_host(crew, "h3", "rest", NULL, WWH_HOST_UP);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	assert_true(wwh_scheduler_upstream_load(rig->scheduler, "u1").cordoned);
+	rig_run(rig, 500);
+	ended = rig_ended(rig_order(rig->starts, 1), 1, WWH_END_FAILED);
+	if (strcmp(rows[0][1].task, ended.task) != 0)
+		ended = rig_ended(rig_order(rig->starts, 2), 1, WWH_END_FAILED);
+	rig_answer_poll(rig, "u1", rows[0], 1, &ended, 1);
+	for (int32_t i = 0; i < 10; i++) {
+		wwh_host_duties_list_begin(crew->duties);
+		crew_host(crew, "h3", "rest", NULL, WWH_HOST_UP);
+		crew_hosts(crew, 2, true, WWH_HOST_UP);
+		rig_run(rig, 500);
+		rig_answer_poll(rig, "u1", rows[0], 1, NULL, 0);
+		rig_answer_poll(rig, "u2", rows[1], 1, NULL, 0);
+		crew_run(crew, 1);
+	}
+	assert_true(rig->starts->len > 3 || crew->moves->len > 0);
+}
