--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -313,3 +313,142 @@
 	}
 	assert_int_equal(rig->stops->len, 0);
 }
+
+/*
+ * The holder before asked for a longer lease than this one does. The upstream
+ * lists its task once, falls silent, and runs it until that lease is over. By
+ * the shorter lease of its own the holder takes it for lapsed, starts the task
+ * elsewhere, and it runs twice.
+ */
+void a_longer_lease_of_the_holder_before_counts_to_its_end(void **state)
+{
+	rig_t *rig = *state;
+	int64_t ordered_ms = rig->now_ms;
+	wwh_running_t running;
+	rig_order_t order;
+
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	rig->options.lease_ms = SHORT_LEASE_MS;
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_run(rig, 1);
+	running = rig_running(&order, 10);
+	rig_answer_poll(rig, "u1", &running, 1, NULL, 0);
+	rig_add_upstream(rig, "u2", AT_2);
+	(void)run_until_next_start(rig, "u1");
+	assert_true(rig->now_ms - ordered_ms >=
+		    (order.lease_until_remote_ms - (ordered_ms + 5000)) * 100 /
+			    98);
+}
+
+/*
+ * A holder that lost the store is overtaken. One upstream answers it and not the
+ * next holder; the other is idle, so its polls there wait for 2 s, and only the
+ * next of them is refused. It extends the lease of its task until then. The next
+ * holder waits a second less, starts the task, and it runs twice.
+ */
+void a_lease_that_an_overtaken_holder_extends_is_waited_for(void **state)
+{
+	rig_t *rig = *state;
+	int64_t taken_over_ms;
+	int64_t lease_until_ms = 0;
+	wwh_running_t running;
+	rig_order_t order;
+	const char *idle;
+
+	rig->options.lease_ms = SHORT_LEASE_MS;
+	rig_take_over(rig);
+	rig_add_upstream(rig, "u1", AT_1);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	order = *rig_order(rig->starts, 0);
+	rig_start_ended(rig, &order, WWH_ORDER_DONE);
+	running = rig_running(&order, 10);
+	idle = strcmp(order.upstream, "u1") == 0 ? "u2" : "u1";
+	rig_run(rig, 100);
+	rig_answer_poll(rig, idle, NULL, 0, NULL, 0);
+	rig_run(rig, 100);
+	/* its poll at the idle one has just gone out */
+	taken_over_ms = rig->now_ms;
+	while (rig->now_ms < taken_over_ms + rig_poll_of(rig, idle).wait_ms) {
+		running.percent++;
+		rig_answer_poll(rig, order.upstream, &running, 1, NULL, 0);
+		rig_run(rig, 100);
+		lease_until_ms =
+			rig_poll_of(rig, order.upstream).lease_until_remote_ms -
+			5000;
+	}
+	rig->now_ms = taken_over_ms;
+	rig_take_over(rig);
+	rig_announce(rig, idle, idle[1] == '1' ? AT_1 : AT_2, false);
+	(void)run_until_next_start(rig, order.upstream);
+	assert_true(rig->now_ms >= lease_until_ms);
+}
+
+/*
+ * An upstream crashed and came back at the same endpoint; both of its lives are
+ * still announced. The next holder reads the announcements in any order, and
+ * the older one last. It takes the living one, whose task it has just found in
+ * the records, for ended, and the task runs twice.
+ */
+void an_old_announcement_ends_no_newer_life(void **state)
+{
+	rig_t *rig = *state;
+
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_start_ended(rig, rig_order(rig->starts, 0), WWH_ORDER_DONE);
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_announce(rig, "u0", AT_1, false);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_run(rig, 500);
+	assert_int_equal(rig->starts->len, 1);
+}
+
+/*
+ * A lasting task fails wherever it is started, by its own fault. Each of its
+ * ends counts against the upstream that it ran on, and as nothing there ends
+ * well in between, all of them come to be avoided for 12 s. Another caller's
+ * lasting task stays away as long, though the pool is next to empty.
+ */
+void a_failing_lasting_task_keeps_no_other_away(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *failing = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *sound = rig_job(JOB_B, 1, 1000);
+	int32_t failures = 0;
+	guint started = 0;
+
+	failing->steps[0].lasting = true;
+	sound->steps[0].lasting = true;
+	rig_submit(rig, failing);
+	for (int32_t i = 0; i < 600 && failures < 12; i++) {
+		const rig_order_t *order =
+			rig_order(rig->starts, rig->starts->len - 1);
+		wwh_ended_t ended =
+			rig_ended(order, rig->starts->len, WWH_END_FAILED);
+
+		if (failures < (int32_t)rig->starts->len) {
+			rig_start_ended(rig, order, WWH_ORDER_DONE);
+			rig_run(rig, 300);
+			rig_answer_poll(rig, order->upstream, NULL, 0, &ended,
+					1);
+			failures++;
+		}
+		rig_run(rig, 50);
+		rig_durable(rig);
+		answer_all_but(rig, "");
+	}
+	assert_int_equal(failures, 12);
+	rig_submit(rig, sound);
+	for (int32_t i = 0; i < AWAY_LIMIT_MS / 50; i++) {
+		rig_run(rig, 50);
+		answer_all_but(rig, "");
+	}
+	for (guint i = 0; i < rig->starts->len; i++)
+		started += g_str_has_prefix(rig_order(rig->starts, i)->task,
+					    JOB_B);
+	assert_int_equal(started, 1);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -70,6 +70,14 @@
 			 0),                                                         \
 		RIG_TEST(an_orphan_run_is_stopped_until_it_is_gone, 1),              \
 		RIG_TEST(a_task_that_stands_still_is_started_elsewhere, 1),          \
+		RIG_TEST(                                                            \
+			a_longer_lease_of_the_holder_before_counts_to_its_end,       \
+			1),                                                          \
+		RIG_TEST(                                                            \
+			a_lease_that_an_overtaken_holder_extends_is_waited_for,      \
+			0),                                                          \
+		RIG_TEST(an_old_announcement_ends_no_newer_life, 1),                 \
+		RIG_TEST(a_failing_lasting_task_keeps_no_other_away, 2),             \
 		RIG_TEST(a_task_that_goes_on_slowly_is_left_alone, 1)
 
 void an_unanswered_start_is_settled_before_the_next(void **state);
@@ -82,6 +90,10 @@
 void a_holder_asks_for_no_longer_lease_than_is_on_record(void **state);
 void an_orphan_run_is_stopped_until_it_is_gone(void **state);
 void a_task_that_stands_still_is_started_elsewhere(void **state);
+void a_longer_lease_of_the_holder_before_counts_to_its_end(void **state);
+void a_lease_that_an_overtaken_holder_extends_is_waited_for(void **state);
+void an_old_announcement_ends_no_newer_life(void **state);
+void a_failing_lasting_task_keeps_no_other_away(void **state);
 void a_task_that_goes_on_slowly_is_left_alone(void **state);
 
 #define UPSTREAM_TESTS                                                            \
@@ -99,6 +111,7 @@
 			 1),                                                      \
 		RIG_TEST(fillers_give_way_to_serving_tasks, 1),                   \
 		RIG_TEST(advice_is_asked_before_a_start_and_renewed, 2),          \
+		RIG_TEST(a_ticket_that_was_refused_is_asked_for_again, 1),        \
 		RIG_TEST(nothing_new_goes_to_a_leaving_upstream, 1)
 
 void a_host_that_has_not_answered_is_not_taken_down(void **state);
@@ -109,6 +122,7 @@
 void a_cordoned_host_keeps_tasks_that_fit_nowhere_else(void **state);
 void fillers_give_way_to_serving_tasks(void **state);
 void advice_is_asked_before_a_start_and_renewed(void **state);
+void a_ticket_that_was_refused_is_asked_for_again(void **state);
 void nothing_new_goes_to_a_leaving_upstream(void **state);
 
 #endif
