--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -141,6 +141,8 @@
 	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
 	/* As its record says; no holder that finds it asks for more. */
 	int64_t kept_lease_ms;
+	/* What holders before this one may have asked for; 0: none. */
+	int64_t inherited_until_remote_ms;
 	bool poll_in_flight;
 	int64_t next_poll_ms;
 	int64_t answered_ms; /* the last answer to a poll */
@@ -225,6 +227,8 @@
 int64_t sched_lease_asked_ms(const wwh_scheduler_t *scheduler);
 /* How long after a takeover the lease of a holder before may go on. */
 int64_t sched_lease_left_ms(int64_t lease_ms);
+/* Of the first answer of an inherited upstream. */
+void sched_lease_inherit(sched_upstream_t *upstream, int64_t remote_ms);
 int64_t sched_lease_until(const wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 /* To be called when a newer reading of its clock has come. */
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -198,12 +198,24 @@
 	return upstream->lease_until_remote_ms;
 }
 
+/*
+ * A holder before may have asked for a longer lease than this one does. An
+ * upstream that answers once and falls silent keeps its tasks to the end of
+ * that lease; started elsewhere before, they would run twice.
+ */
+void sched_lease_inherit(sched_upstream_t *upstream, int64_t remote_ms)
+{
+	upstream->inherited_until_remote_ms =
+		remote_ms + upstream->kept_lease_ms + CLOCK_AHEAD_MS;
+}
+
 void sched_lease_recompute(sched_upstream_t *upstream)
 {
-	int64_t left_ms = upstream->lease_until_remote_ms -
-			  upstream->clock_base_remote_ms;
+	int64_t until_remote_ms = MAX(upstream->lease_until_remote_ms,
+				      upstream->inherited_until_remote_ms);
+	int64_t left_ms = until_remote_ms - upstream->clock_base_remote_ms;
 
-	if (upstream->lease_until_remote_ms == 0)
+	if (until_remote_ms == 0)
 		return;
 	upstream->lapsed_ms =
 		upstream->clock_base_ms + LAPSE_MARGIN_MS +
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -91,6 +91,8 @@
 	upstream->refused_polls = 0;
 	upstream->clock_base_ms = scheduler->now_ms;
 	upstream->clock_base_remote_ms = answer->remote_ms;
+	if (upstream->inherited && !upstream->settled)
+		sched_lease_inherit(upstream, answer->remote_ms);
 	sched_lease_recompute(upstream);
 	for (int32_t i = 0; i < answer->ended_count; i++)
 		take_ended(scheduler, upstream, &answer->ended[i]);
