Wait as long for an overtaken holder as it may go on

Cause: a holder that lost the store learns from its next poll at an upstream that it was overtaken. Idle ones were asked every 2 s, and the next holder waited for 1 s. Polls wait for 1 s at most now, and the wait is 1.4 s; a static assertion ties the two. a_lease_that_an_overtaken_holder_extends_is_waited_for fails without either and passes with both. A lasting task now waits for 6.2 s after a change of holder at most, 11.6 s by the longest lease. Left: a holder that reaches one upstream and neither the store nor any other.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -163,10 +163,12 @@
 extern const char *const wwh_order_result_names[WWH_ORDER_RESULT_COUNT];
 
 /*
- * How long a holder that was overtaken may go on giving orders until an
- * upstream or the store tells it so: it asks each of them more often than that.
+ * How long a holder that was overtaken may go on giving orders: until its next
+ * poll at an upstream that the new holder has reached is refused. A poll waits
+ * for at most 1 s, the next one follows within 0.25 s, and 0.15 s are for the
+ * way.
  */
-#define WWH_OVERTAKEN_HOLDER_MS 1000
+#define WWH_OVERTAKEN_HOLDER_MS 1400
 
 typedef enum {
 	WWH_KEEP_JOB = 0, /* an accepted job, by its id */
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -408,7 +408,7 @@
  * Each may run something until it answers or its lease has surely lapsed. A
  * lasting task that waits for one that is gone stays away all that time, so
  * the lease that was asked for counts, not the longest that upstreams grant:
- * 5.7 s in place of 11.2 s where those are 4.5 s and 10 s.
+ * 6.2 s in place of 11.6 s where those are 4.5 s and 10 s.
  */
 static void await_inherited(wwh_scheduler_t *scheduler)
 {
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* No new work where the last answer is older than two waits and a bit. */
+/* No new work where the last answer is older than three waits and a bit. */
 #define SILENT_AFTER_MS 3200
 
 /* Failures in a row, of different tasks, before an upstream is avoided. */
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -2,11 +2,11 @@
 
 #include <string.h>
 
-/* An upstream that runs something answers at least this often. */
-#define POLL_WAIT_BUSY_MS 1000
-
-/* One that runs nothing; the most that upstreams take. */
-#define POLL_WAIT_IDLE_MS 2000
+/*
+ * An upstream answers at least this often, also one that runs nothing: the
+ * longest wait is how late an overtaken holder learns of it.
+ */
+#define POLL_WAIT_MS 1000
 
 /* Ends within this time of each other come in one answer. */
 #define POLL_GAP_MS 25
@@ -21,6 +21,11 @@
 #define UNACKED_LONG_MS 400
 #define POLL_UNACKED_LONG_GAP_MS 250
 
+/* What WWH_OVERTAKEN_HOLDER_MS leaves for the way. */
+#define ANSWER_MS 150
+G_STATIC_ASSERT(POLL_WAIT_MS + POLL_UNACKED_LONG_GAP_MS + ANSWER_MS <=
+		WWH_OVERTAKEN_HOLDER_MS);
+
 /* After a poll without an answer: first, and at most. */
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
@@ -163,7 +168,7 @@
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
 		.ends_acked_upto = upstream->ends_acked,
-		.wait_ms = busy ? POLL_WAIT_BUSY_MS : POLL_WAIT_IDLE_MS,
+		.wait_ms = POLL_WAIT_MS,
 	};
 
 	/* the first answer tells its clock; until then nothing is waited for */
