Let the endpoint say which of two lives has ended

Cause: an announcement at an endpoint ended the other life there, also when it was the older of the two, as the first list comes by key. Both are polled now, at once; the endpoint refuses polls at the life that isn't there. an_old_announcement_ends_no_newer_life fails without this and passes with it.

--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -180,27 +180,35 @@
 		      upstream->fail_streak);
 }
 
+/*
+ * Two lives are announced at one endpoint, in any order: the older one's entry
+ * lapses only after some seconds. Which of them ended is for the endpoint to
+ * say, as the one that lives there refuses polls at the other. Taken for ended
+ * by the announcement alone, a task of the living one would run twice.
+ */
+static void ask_others_at(wwh_scheduler_t *scheduler, const char *endpoint)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_upstream_t *other = value;
+
+		if (strcmp(other->info.endpoint, endpoint) == 0)
+			other->next_poll_ms = scheduler->now_ms;
+	}
+}
+
 void wwh_scheduler_upstream_seen(wwh_scheduler_t *scheduler,
 				 const wwh_upstream_info_t *info,
 				 int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, info->id);
-	GHashTableIter iterator;
-	gpointer value;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL) {
-		/* a new life at the same endpoint ends the one before */
-		g_hash_table_iter_init(&iterator, scheduler->upstreams);
-		while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-			sched_upstream_t *other = value;
-
-			if (strcmp(other->info.endpoint, info->endpoint) != 0)
-				continue;
-			sched_upstream_remove(scheduler, other,
-					      "endpoint-taken");
-			break;
-		}
+		ask_others_at(scheduler, info->endpoint);
 		upstream = sched_upstream_add(scheduler, info);
 		sched_explain(scheduler, "upstream-new", info->id,
 			      "endpoint=%s pool=%s", info->endpoint,
