Ask again about an upstream whose ticket was refused

Cause: a refused ticket was dropped, and its upstream stayed on the list of those asked about, so it counted as not admitted for good. Both go now. a_ticket_that_was_refused_is_asked_for_again fails without this and passes with it.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -303,6 +303,7 @@
 /* scheduler_place.c */
 void sched_place(wwh_scheduler_t *scheduler);
 /* Whether an upstream that takes new work has room for another such task. */
+void sched_ticket_refused(sched_step_t *step, const char *upstream);
 bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task);
 
 /* scheduler_cordon.c */
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -492,8 +492,8 @@
 	}
 	if (result == WWH_ORDER_NOT_DONE)
 		sched_upstream_failed(scheduler, upstream);
-	if (result == WWH_ORDER_NO_TICKET && task->step->tickets != NULL)
-		g_hash_table_remove(task->step->tickets, upstream->info.id);
+	if (result == WWH_ORDER_NO_TICKET)
+		sched_ticket_refused(task->step, upstream->info.id);
 	task->retry_ms = scheduler->now_ms + START_RETRY_MS;
 	task->avoid = upstream;
 	sched_task_event(scheduler, task, TASK_REFUSED);
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -115,6 +115,19 @@
 	step->occurrence->job->pool->dirty = true;
 }
 
+/*
+ * The ticket may have run out on the way, and the upstream be admitted all the
+ * same: it is asked about again. Taken for one that isn't admitted, it would
+ * never get a task of this step again.
+ */
+void sched_ticket_refused(sched_step_t *step, const char *upstream)
+{
+	if (step->tickets != NULL)
+		g_hash_table_remove(step->tickets, upstream);
+	if (step->asked != NULL)
+		g_hash_table_remove(step->asked, upstream);
+}
+
 bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	const char *ticket = NULL;
