Blame a lasting task that fails again and again on one upstream

Cause: failures of lasting tasks aren't counted by task, so each end counted against the upstream that it ran on; six on each of two, and both were avoided for 12 s.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -73,6 +73,7 @@
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
 	int64_t away_ms; /* lasting: not at work since; 0: at work */
+	int32_t fails_in_a_row; /* lasting: without being at work for long */
 	int64_t adopted_ms; /* 0: this holder started it */
 	int64_t tail_ms; /* as listed last */
 	int32_t pace; /* percent of its work that is ordered */
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -49,6 +49,12 @@
 /* A lasting task that runs and isn't at work for so long. */
 #define LASTING_HANGS_AFTER_MS 2500
 
+/*
+ * A lasting task that was at work for so long ended for another reason than the
+ * one before: a task that fails by its own fault does so sooner.
+ */
+#define LASTING_SOUND_MS 5000
+
 /* Where a task hung, others will. */
 #define HANG_BACKOFF_MS 3000
 
@@ -60,6 +66,7 @@
 		       const wwh_ended_t *row);
 static void take_end_of(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 			sched_task_t *task, const wwh_ended_t *row);
+static bool blames_upstream(sched_task_t *task);
 static void take_gang_done(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void take_done(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void take_running(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
@@ -224,8 +231,7 @@
 		/* also of a run before the one that is out now */
 		if (sched_task_state(task) != TASK_OVER)
 			sched_step_task_failed(scheduler, task, row->run);
-		/* a task that fails everywhere is blamed on one upstream */
-		if (task->failures.count <= 1)
+		if (blames_upstream(task))
 			sched_upstream_failed(scheduler, upstream);
 		task->avoid = upstream;
 	}
@@ -253,6 +259,19 @@
 	sched_task_event(scheduler, task, TASK_ENDED);
 }
 
+/*
+ * A task that fails everywhere is blamed on one upstream. Blamed on each that it
+ * ran on, it makes all of them be avoided, and all other tasks of the pool stay
+ * away for up to 12 s.
+ */
+static bool blames_upstream(sched_task_t *task)
+{
+	if (!task->step->spec->lasting)
+		return task->failures.count <= 1;
+	task->fails_in_a_row++;
+	return task->fails_in_a_row == 1;
+}
+
 /* Members end together; the end of one stands for all of them. */
 static void take_gang_done(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
@@ -344,6 +363,9 @@
 	task->tail_ms = row->tail_ms;
 	if (!spec->lasting)
 		return;
+	if (row->percent >= 100 &&
+	    scheduler->now_ms - task->percent_ms >= LASTING_SOUND_MS)
+		task->fails_in_a_row = 0;
 	if (row->percent >= 100)
 		task->away_ms = 0;
 	else if (task->away_ms == 0)
