Call a host in place of one that leaves

Cause: a host that leaves is listed as up until it has gone and counted for its pool, so a lasting task that fits on no other host waited until then, and 1.5 s more. a_host_that_leaves_is_replaced_before_it_has_gone fails without this and passes with it.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -320,6 +320,7 @@
 typedef struct {
 	bool known;
 	bool cordoned; /* empties itself for upkeep or a move */
+	bool leaving; /* by its own word */
 	int32_t tasks;
 	int32_t lasting;
 	int64_t busy_millicores;
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -21,6 +21,8 @@
 static void count_pools(wwh_host_duties_t *duties);
 static int32_t count_hosts(wwh_host_duties_t *duties);
 static bool is_here(const wwh_host_duties_t *duties, const duty_host_t *host);
+static bool is_leaving(const wwh_host_duties_t *duties,
+		       const duty_host_t *host);
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host);
 static duty_pool_t *neediest(const wwh_host_duties_t *duties);
 static bool is_standby(const wwh_host_duties_t *duties, const char *name);
@@ -181,14 +183,27 @@
 	return hosts;
 }
 
-/* Up, or on its way and soon up. */
+/*
+ * Up, or on its way and soon up. One that leaves is listed as up for many
+ * seconds at times and takes nothing new: as long as it counted for its pool, no
+ * other host was called, and its lasting tasks stayed away.
+ */
 static bool is_here(const wwh_host_duties_t *duties, const duty_host_t *host)
 {
 	return host->in_list && !host->in_flight && !host->away &&
+	       !is_leaving(duties, host) &&
 	       (host->state == WWH_HOST_UP || host->state == WWH_HOST_MOVING ||
 		host->moving_until_ms > duties->now_ms);
 }
 
+static bool is_leaving(const wwh_host_duties_t *duties, const duty_host_t *host)
+{
+	return host->upstream != NULL &&
+	       wwh_scheduler_upstream_load(duties->options.scheduler,
+					   host->upstream)
+		       .leaving;
+}
+
 static bool may_move(const wwh_host_duties_t *duties, const duty_host_t *host)
 {
 	return host->in_list && host->pool != NULL &&
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -79,6 +79,7 @@
 		return load;
 	load.known = true;
 	load.cordoned = upstream->cordoned;
+	load.leaving = upstream->info.leaving;
 	load.tasks = (int32_t)upstream->tasks->len;
 	load.busy_millicores = upstream->used_cpu;
 	load.cpu_millicores = upstream->info.cpu_millicores;
