Show tasks that wait for an upstream which no host runs

Three of the eight tests fail on the code as it is: after a change of holder the tasks of a pool wait for the lease of an upstream whose host rests, has gone or moves, though the list of hosts shows it within half a second. The other five are what must not change with the mend: they pass.

--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -82,9 +82,8 @@
 	(void)data;
 }
 
-static inline crew_t *crew_new(int64_t quiet_until_ms)
+static inline wwh_host_duties_t *crew_duties(crew_t *crew)
 {
-	crew_t *crew = g_new0(crew_t, 1);
 	wwh_host_duties_calls_t calls = {
 		.list = crew_list,
 		.upkeep = crew_upkeep,
@@ -95,6 +94,13 @@
 		.client_data = crew,
 	};
 
+	return wwh_host_duties_new(&crew->options, &calls);
+}
+
+static inline crew_t *crew_new(int64_t quiet_until_ms)
+{
+	crew_t *crew = g_new0(crew_t, 1);
+
 	crew->rig = rig_new();
 	crew->options.scheduler = crew->rig->scheduler;
 	crew->options.upkeep_ms = 2000;
@@ -102,10 +108,18 @@
 	crew->options.quiet_until_ms = quiet_until_ms;
 	crew->upkeeps = g_ptr_array_new_with_free_func(g_free);
 	crew->moves = g_ptr_array_new_with_free_func(g_free);
-	crew->duties = wwh_host_duties_new(&crew->options, &calls);
+	crew->duties = crew_duties(crew);
 	return crew;
 }
 
+/* After rig_take_over: the duties of the new holder. */
+static inline void crew_take_over(crew_t *crew)
+{
+	wwh_host_duties_delete(crew->duties);
+	crew->options.scheduler = crew->rig->scheduler;
+	crew->duties = crew_duties(crew);
+}
+
 static inline void crew_delete(crew_t *crew)
 {
 	wwh_host_duties_delete(crew->duties);
@@ -286,4 +300,39 @@
 void a_host_that_rests_is_called_back_at_once(void **state);
 void a_host_that_leaves_is_replaced_before_it_has_gone(void **state);
 
+#define LIFE_TESTS                                                             \
+	cmocka_unit_test_setup_teardown(                                       \
+		a_life_that_no_host_runs_is_not_waited_for, set_up,            \
+		tear_down),                                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_life_of_a_host_that_is_gone_is_not_waited_for,       \
+			set_up, tear_down),                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_life_of_a_host_that_moves_is_not_waited_for, set_up, \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_life_that_a_host_runs_is_waited_for, set_up,         \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_host_that_does_not_say_what_it_runs_may_run_any,     \
+			set_up, tear_down),                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_host_of_a_working_pool_without_a_life_may_run_any,   \
+			set_up, tear_down),                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_list_that_is_cut_short_ends_no_life, set_up,         \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_life_that_is_announced_is_waited_for, set_up,        \
+			tear_down)
+
+void a_life_that_no_host_runs_is_not_waited_for(void **state);
+void a_life_of_a_host_that_is_gone_is_not_waited_for(void **state);
+void a_life_of_a_host_that_moves_is_not_waited_for(void **state);
+void a_life_that_a_host_runs_is_waited_for(void **state);
+void a_host_that_does_not_say_what_it_runs_may_run_any(void **state);
+void a_host_of_a_working_pool_without_a_life_may_run_any(void **state);
+void a_list_that_is_cut_short_ends_no_life(void **state);
+void a_life_that_is_announced_is_waited_for(void **state);
+
 #endif
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -65,6 +65,7 @@
 	const struct CMUnitTest tests[] = {
 		WAVE_TESTS,
 		MOVE_TESTS,
+		LIFE_TESTS,
 		cmocka_unit_test_setup_teardown(
 			a_host_listed_as_away_has_ended_its_tasks, set_up,
 			tear_down),
--- /dev/null
+++ b/src/test_host_duties/test_lives.c
@@ -0,0 +1,156 @@
+/*
+ * After a change of holder: which lives of the holder before are over, by what a
+ * list of hosts shows.
+ */
+
+#include "crew.h"
+
+/* Lists come each half second; this is two of them. */
+#define SOON_MS 1000
+
+/* What the list shows of u1, which answers nobody, and of its host. */
+typedef struct {
+	const char *pool; /* NULL: the host is in no list */
+	const char *upstream;
+	wwh_host_run_state_t state;
+	bool cut_short; /* the list doesn't come to its end */
+	bool announced; /* u1 is in the registry */
+} silent_host_t;
+
+/* A lasting task was stopped, then the holder ended; u1 and u2 are on record. */
+static void stop_task_and_take_over(crew_t *crew)
+{
+	wwh_job_t *job = rig_job(JOB_A, 1, 1000);
+	rig_order_t order;
+	wwh_ended_t ended;
+
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	job->steps[0].lasting = true;
+	rig_submit(crew->rig, job);
+	order = *rig_order(crew->rig->starts, 0);
+	rig_start_ended(crew->rig, &order, WWH_ORDER_DONE);
+	rig_run(crew->rig, 500);
+	ended = rig_ended(&order, 1, WWH_END_STOPPED);
+	rig_answer_poll(crew->rig, order.upstream, NULL, 0, &ended, 1);
+	rig_durable(crew->rig);
+	rig_take_over(crew->rig);
+	crew_take_over(crew);
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+}
+
+static void answer_u2(rig_t *rig)
+{
+	for (guint i = rig->polls->len; i-- > 0;) {
+		rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, i);
+
+		if (strcmp(poll.upstream, "u2") == 0)
+			rig_answer_poll(rig, "u2", NULL, 0, NULL, 0);
+	}
+	wwh_scheduler_poll_failed(rig->scheduler, "u1", false, rig->now_ms);
+}
+
+static bool starts_soon(crew_t *crew, const silent_host_t *silent)
+{
+	guint before;
+
+	stop_task_and_take_over(crew);
+	before = crew->rig->starts->len;
+	rig_announce(crew->rig, "u2", "10.0.0.2:1", false);
+	if (silent->announced)
+		rig_announce(crew->rig, "u1", "10.0.0.1:1", false);
+	for (int32_t i = 0; i < SOON_MS / 50; i++) {
+		rig_run(crew->rig, 50);
+		answer_u2(crew->rig);
+		wwh_host_duties_list_begin(crew->duties);
+		crew_host(crew, "h2", RIG_POOL, "u2", WWH_HOST_UP);
+		if (silent->pool != NULL)
+			crew_host(crew, "h1", silent->pool, silent->upstream,
+				  silent->state);
+		wwh_host_duties_list_end(crew->duties, !silent->cut_short,
+					 crew->rig->now_ms);
+		rig_durable(crew->rig);
+	}
+	return crew->rig->starts->len > before;
+}
+
+/*
+ * A host went to rest with its upstream just before the holder was killed, and a
+ * lasting task of its pool had been stopped. The next holder finds the upstream
+ * in the records and gets no answer; the pool's tasks waited for its lease to
+ * end. The list shows what each host runs, and it is none of them.
+ */
+void a_life_that_no_host_runs_is_not_waited_for(void **state)
+{
+	const silent_host_t rests = { .pool = "rest",
+				      .upstream = "",
+				      .state = WWH_HOST_UP };
+
+	assert_true(starts_soon(*state, &rests));
+}
+
+void a_life_of_a_host_that_is_gone_is_not_waited_for(void **state)
+{
+	const silent_host_t gone = { .pool = NULL };
+
+	assert_true(starts_soon(*state, &gone));
+}
+
+void a_life_of_a_host_that_moves_is_not_waited_for(void **state)
+{
+	const silent_host_t moves = { .pool = RIG_POOL,
+				      .upstream = "",
+				      .state = WWH_HOST_MOVING };
+
+	assert_true(starts_soon(*state, &moves));
+}
+
+/*
+ * An upstream is cut off from the store and the holder, and runs on. Its entry
+ * has lapsed; its host is listed with it. Started elsewhere before its lease is
+ * over, its task would run twice.
+ */
+void a_life_that_a_host_runs_is_waited_for(void **state)
+{
+	const silent_host_t cut_off = { .pool = RIG_POOL,
+					.upstream = "u1",
+					.state = WWH_HOST_UP };
+
+	assert_false(starts_soon(*state, &cut_off));
+}
+
+/* A host may be at work and not say what it runs: it may be any of them. */
+void a_host_that_does_not_say_what_it_runs_may_run_any(void **state)
+{
+	const silent_host_t down = { .pool = RIG_POOL,
+				     .upstream = "",
+				     .state = WWH_HOST_DOWN };
+
+	assert_false(starts_soon(*state, &down));
+}
+
+void a_host_of_a_working_pool_without_a_life_may_run_any(void **state)
+{
+	const silent_host_t unnamed = { .pool = RIG_POOL,
+					.upstream = NULL,
+					.state = WWH_HOST_UP };
+
+	assert_false(starts_soon(*state, &unnamed));
+}
+
+/* A list that ends early doesn't show what the rest of the hosts run. */
+void a_list_that_is_cut_short_ends_no_life(void **state)
+{
+	const silent_host_t unseen = { .pool = NULL, .cut_short = true };
+
+	assert_false(starts_soon(*state, &unseen));
+}
+
+/* The registry may know of a life that the list doesn't show yet. */
+void a_life_that_is_announced_is_waited_for(void **state)
+{
+	const silent_host_t announced = { .pool = NULL, .announced = true };
+
+	assert_false(starts_soon(*state, &announced));
+}
