End upstreams of the holder before by the list of what hosts run

Cause: a new holder knew nothing but leases of upstreams that no longer answer, and all tasks of their pools waited for up to 6.2 s. A whole list that was asked for after the takeover names what each host runs; an upstream on record that is in neither that list nor the registry is over. Lists in which a host may be at work without saying what it runs end nothing.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -270,6 +270,13 @@
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms);
 
+/*
+ * A whole list of what hosts run, asked for after the takeover: lives is a set
+ * of ids. An upstream of the holder before that is in neither list is over.
+ */
+void wwh_scheduler_lives_listed(wwh_scheduler_t *scheduler, GHashTable *lives,
+				int64_t now_ms);
+
 void wwh_scheduler_polled(wwh_scheduler_t *scheduler, const char *upstream,
 			  const wwh_poll_answer_t *answer, int64_t sent_ms,
 			  int64_t now_ms);
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -21,6 +21,8 @@
 };
 
 static void host_delete(gpointer data);
+static void note_life(wwh_host_duties_t *duties,
+		      const wwh_listed_host_t *listed);
 static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
 		     const wwh_listed_host_t *listed);
 
@@ -38,6 +40,8 @@
 	duties->calls = *calls;
 	duties->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      host_delete);
+	duties->lives =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	duties->waves = g_ptr_array_new_with_free_func(duties_wave_delete);
 	duties->sizing = wwh_pool_sizing_new();
 	duties->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -55,6 +59,7 @@
 		return;
 	g_ptr_array_unref(duties->waves);
 	g_hash_table_destroy(duties->hosts);
+	g_hash_table_destroy(duties->lives);
 	g_hash_table_destroy(duties->pools);
 	wwh_pool_sizing_delete(duties->sizing);
 	g_hash_table_destroy(duties->restored);
@@ -64,6 +69,8 @@
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
 {
 	duties->list_number++;
+	duties->lives_in_full = true;
+	g_hash_table_remove_all(duties->lives);
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
@@ -71,6 +78,7 @@
 {
 	duty_host_t *host = duties_host(duties, listed->name);
 
+	note_life(duties, listed);
 	host->in_list = true;
 	host->list_number = duties->list_number;
 	host->lists_without = 0;
@@ -109,6 +117,9 @@
 	if (!ok)
 		return;
 	duties->listed = true;
+	if (duties->lives_in_full)
+		wwh_scheduler_lives_listed(duties->options.scheduler,
+					   duties->lives, duties->now_ms);
 	g_hash_table_iter_init(&iterator, duties->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		duty_host_t *host = value;
@@ -162,6 +173,27 @@
 	return host;
 }
 
+/*
+ * An upstream whose host was moved just before a change of holder is on record
+ * and answers nobody. All tasks of its pool that the new holder inherited waited
+ * for its lease to end, 6.2 s; the list shows within 0.5 s that no host runs it.
+ * A host that may be at work without saying what it runs may run any of them.
+ */
+static void note_life(wwh_host_duties_t *duties,
+		      const wwh_listed_host_t *listed)
+{
+	const duty_pool_t *pool = duties_pool(duties, listed->pool);
+	bool away = listed->state == WWH_HOST_MOVING ||
+		    listed->state == WWH_HOST_UPKEEP;
+	bool rests =
+		listed->state == WWH_HOST_UP && pool != NULL && pool->standby;
+
+	if (listed->upstream != NULL && listed->upstream[0] != '\0')
+		g_hash_table_add(duties->lives, g_strdup(listed->upstream));
+	else if (!away && !rests)
+		duties->lives_in_full = false;
+}
+
 /*
  * What ran on a host is over when it is listed as away for upkeep or a move,
  * or with another life.
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -66,6 +66,8 @@
 	int64_t list_sent_ms;
 	int64_t next_list_ms;
 	bool listed; /* a whole list has come */
+	GHashTable *lives; /* upstreams of the list that is being read */
+	bool lives_in_full; /* each host that may be at work names its one */
 	wwh_pool_sizing_t *sizing;
 	GHashTable *pools; /* name to duty_pool_t, owned */
 	int64_t quiet_until_ms; /* no orders before: a holder was before */
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -10,10 +10,10 @@
 
 /*
  * A holder dates leases by an upstream's clock as it was at the last answer.
- * On a clock that is 2% slow it is ahead by this where that was 4 s ago, and
- * orders go only to upstreams that answered within 3.2 s.
+ * On a clock that is 2% slow it is ahead by this where that was 5 s ago; what
+ * doesn't answer for that long gets no orders.
  */
-#define CLOCK_AHEAD_MS 80
+#define CLOCK_AHEAD_MS 100
 
 static void take_room(sched_task_t *task, sched_upstream_t *upstream);
 static void free_room(sched_task_t *task);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -253,6 +253,23 @@
 		sched_upstream_remove(scheduler, upstream, why);
 }
 
+void wwh_scheduler_lives_listed(wwh_scheduler_t *scheduler, GHashTable *lives,
+				int64_t now_ms)
+{
+	GList *all = g_hash_table_get_values(scheduler->upstreams);
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	for (GList *at = all; at != NULL; at = at->next) {
+		sched_upstream_t *upstream = at->data;
+
+		if (upstream->inherited && !upstream->settled &&
+		    !upstream->listed &&
+		    !g_hash_table_contains(lives, upstream->info.id))
+			sched_upstream_remove(scheduler, upstream, "no-host");
+	}
+	g_list_free(all);
+}
+
 void sched_upstream_lose_all(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, const char *why)
 {
