Serve latency histograms in the format that monitoring systems read

Cause: the page of counters had no types and no times; how long callers, appends and starts took could only be read from logs. Callers' answers by kind, the holder's appends and its starts are histograms now. test_metrics reads the page strictly: types before samples, cumulative buckets, a count that fits them, also while others add.

--- a/include/waxwinghollow/counters.h
+++ b/include/waxwinghollow/counters.h
@@ -3,7 +3,7 @@
 
 /*
  * NAME
- *	counters - named 64-bit counters and gauges of one process
+ *	counters - named counters, gauges and histograms of one process
  *
  * USE
  *	A module asks once for its counter and keeps the pointer; adding is
@@ -19,6 +19,8 @@
 #include <stdatomic.h>
 #include <stdint.h>
 
+#include "waxwinghollow/histogram.h"
+
 typedef struct wwh_counters wwh_counters_t;
 
 typedef struct {
@@ -38,6 +40,18 @@
 void wwh_counters_each(wwh_counters_t *counters, wwh_counter_visit_t visit,
 		       void *client_data);
 
+/* As the two above; counters and histograms have names of their own. */
+wwh_histogram_t *wwh_counters_histogram(wwh_counters_t *counters,
+					const char *name);
+
+typedef void (*wwh_histogram_visit_t)(const char *name,
+				      wwh_histogram_t *histogram,
+				      void *client_data);
+
+void wwh_counters_each_histogram(wwh_counters_t *counters,
+				 wwh_histogram_visit_t visit,
+				 void *client_data);
+
 void wwh_counter_add(wwh_counter_t *counter, int64_t amount);
 void wwh_counter_set(wwh_counter_t *counter, int64_t value);
 int64_t wwh_counter_value(wwh_counter_t *counter);
--- a/src/libwaxwinghollow/counters.c
+++ b/src/libwaxwinghollow/counters.c
@@ -5,6 +5,7 @@
 struct wwh_counters {
 	GMutex lock;
 	GTree *by_name; /* char * to wwh_counter_t *, owns both */
+	GTree *histograms; /* char * to wwh_histogram_t *, owns both */
 };
 
 typedef struct {
@@ -12,8 +13,15 @@
 	void *client_data;
 } visit_context_t;
 
+typedef struct {
+	wwh_histogram_visit_t visit;
+	void *client_data;
+} visit_histogram_t;
+
 static int compare_names(gconstpointer a, gconstpointer b, gpointer unused);
 static gboolean visit_one(gpointer key, gpointer value, gpointer client_data);
+static gboolean visit_histogram(gpointer key, gpointer value,
+				gpointer client_data);
 
 wwh_counters_t *wwh_counters_new(void)
 {
@@ -22,6 +30,8 @@
 	g_mutex_init(&counters->lock);
 	counters->by_name =
 		g_tree_new_full(compare_names, NULL, g_free, g_free);
+	counters->histograms =
+		g_tree_new_full(compare_names, NULL, g_free, g_free);
 	return counters;
 }
 
@@ -30,6 +40,7 @@
 	if (counters == NULL)
 		return;
 	g_tree_destroy(counters->by_name);
+	g_tree_destroy(counters->histograms);
 	g_mutex_clear(&counters->lock);
 	g_free(counters);
 }
@@ -58,6 +69,31 @@
 	g_mutex_unlock(&counters->lock);
 }
 
+wwh_histogram_t *wwh_counters_histogram(wwh_counters_t *counters,
+					const char *name)
+{
+	wwh_histogram_t *histogram;
+
+	g_mutex_lock(&counters->lock);
+	histogram = g_tree_lookup(counters->histograms, name);
+	if (histogram == NULL) {
+		histogram = g_new0(wwh_histogram_t, 1);
+		g_tree_insert(counters->histograms, g_strdup(name), histogram);
+	}
+	g_mutex_unlock(&counters->lock);
+	return histogram;
+}
+
+void wwh_counters_each_histogram(wwh_counters_t *counters,
+				 wwh_histogram_visit_t visit, void *client_data)
+{
+	visit_histogram_t context = { visit, client_data };
+
+	g_mutex_lock(&counters->lock);
+	g_tree_foreach(counters->histograms, visit_histogram, &context);
+	g_mutex_unlock(&counters->lock);
+}
+
 void wwh_counter_add(wwh_counter_t *counter, int64_t amount)
 {
 	atomic_fetch_add_explicit(&counter->value, amount,
@@ -87,3 +123,12 @@
 	context->visit(key, wwh_counter_value(value), context->client_data);
 	return FALSE;
 }
+
+static gboolean visit_histogram(gpointer key, gpointer value,
+				gpointer client_data)
+{
+	visit_histogram_t *context = client_data;
+
+	context->visit(key, value, context->client_data);
+	return FALSE;
+}
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -33,6 +33,8 @@
 	wwh_counter_t *starts;
 	wwh_counter_t *polls;
 	wwh_counter_t *stops;
+	wwh_histogram_t *append_ms; /* from sending to durable */
+	wwh_histogram_t *start_ms; /* from an order to its answer */
 };
 
 /* Of each call back: what time it is now, not when the loop ran last. */
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -50,6 +50,8 @@
 	bool holds;
 	bool reaches_store; /* while it holds the shard */
 	wwh_counters_t *counters;
+	/* How long callers waited for their answers, by what they asked. */
+	wwh_histogram_t *answer_ms[JOB_REQUEST_KIND_COUNT];
 	wwh_event_log_t *log;
 	wwh_listener_t *callers;
 	wwh_listener_t *readiness;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -88,6 +88,10 @@
 	holder->starts = wwh_counters_get(options->counters, "holder.starts");
 	holder->polls = wwh_counters_get(options->counters, "holder.polls");
 	holder->stops = wwh_counters_get(options->counters, "holder.stops");
+	holder->append_ms =
+		wwh_counters_histogram(options->counters, "holder.append_ms");
+	holder->start_ms =
+		wwh_counters_histogram(options->counters, "holder.start_ms");
 	make_journal(holder);
 	make_scheduler(holder);
 	make_duties(holder);
@@ -374,6 +378,9 @@
 
 	job_holder_tick(holder);
 	holder->durable_record = record;
+	wwh_histogram_add(holder->append_ms,
+			  holder->now_ms - wwh_shard_journal_confirmed_ms(
+						   holder->journal));
 	if (wwh_shard_journal_confirmed_ms(holder->journal) >=
 	    holder->unconfirmed_since_ms)
 		holder->unconfirmed_since_ms = 0;
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -151,6 +151,8 @@
 	wwh_order_result_t result = wire_upstream_result(answer);
 
 	if (!is_over(order)) {
+		wwh_histogram_add(order->holder->start_ms,
+				  order->holder->now_ms - order->sent_ms);
 		wwh_scheduler_start_ended(
 			order->holder->scheduler, order->upstream, order->task,
 			order->run, result, order->holder->now_ms);
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -85,6 +85,18 @@
 	return g_get_real_time() / G_TIME_SPAN_MILLISECOND;
 }
 
+static void make_histograms(wwh_job_service_t *service)
+{
+	for (int32_t i = 0; i < JOB_REQUEST_KIND_COUNT; i++) {
+		char *name = g_strdup_printf("caller.%s_ms",
+					     job_request_kind_names[i]);
+
+		service->answer_ms[i] =
+			wwh_counters_histogram(service->counters, name);
+		g_free(name);
+	}
+}
+
 wwh_job_service_t *wwh_job_service_new(const wwh_host_settings_t *settings,
 				       int log_fd)
 {
@@ -101,6 +113,7 @@
 	service->settings = *settings;
 	g_mutex_init(&service->lock);
 	service->counters = wwh_counters_new();
+	make_histograms(service);
 	service->log = wwh_event_log_new(&log, service->counters);
 	service->requests = g_async_queue_new();
 	service->forwards = g_hash_table_new_full(NULL, NULL, g_free, NULL);
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "private/job_service_state.h"
+#include "waxwinghollow/metrics.h"
 #include "wire_caller.h"
 
 /* Where the caller doesn't say how long it waits. */
@@ -12,6 +13,7 @@
 #define SHARD_PATH "/v1/shard"
 #define DUMP_PATH "/v1/dump"
 #define METRICS_PATH "/metrics"
+#define METRICS_TYPE "text/plain; version=0.0.4"
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 #define STATUS_UNAVAILABLE 503
@@ -31,7 +33,6 @@
 				   const wwh_queue_t *queue, const char *rest,
 				   wwh_message_t *message);
 static wwh_job_config_t *config_of(wwh_job_service_t *service);
-static void add_counter(const char *name, int64_t value, void *client_data);
 
 void job_service_on_caller(const wwh_http_request_t *http,
 			   wwh_http_response_t *response, void *client_data)
@@ -44,6 +45,7 @@
 	wwh_job_config_t *config;
 	wwh_job_answer_t answer;
 	job_request_t *request;
+	int64_t asked_ms;
 	char *path;
 
 	config = config_of(service);
@@ -81,7 +83,10 @@
 				http->headers, queue->timeout_ms > 0
 						       ? queue->timeout_ms
 						       : PATIENCE_MS);
+			asked_ms = job_service_now_ms();
 			answer = job_service_ask(service, request);
+			wwh_histogram_add(service->answer_ms[request->kind],
+					  job_service_now_ms() - asked_ms);
 			answer_job(service, request, &answer, response);
 			job_request_unref(request);
 		}
@@ -114,8 +119,8 @@
 	if (strcmp(http->target, METRICS_PATH) == 0) {
 		GString *text = g_string_new(NULL);
 
-		wwh_counters_each(service->counters, add_counter, text);
-		answer_text(response, STATUS_OK, "text/plain", text->str);
+		wwh_metrics_text(service->counters, text);
+		answer_text(response, STATUS_OK, METRICS_TYPE, text->str);
 		g_string_free(text, TRUE);
 		return;
 	}
@@ -260,13 +265,3 @@
 	g_mutex_unlock(&service->lock);
 	return config;
 }
-
-static void add_counter(const char *name, int64_t value, void *client_data)
-{
-	GString *text = client_data;
-	char *flat = g_strdelimit(g_strdup(name), ".-", '_');
-
-	g_string_append_printf(text, "waxwinghollow_%s %" G_GINT64_FORMAT "\n",
-			       flat, value);
-	g_free(flat);
-}
