One type for what a task needs and a host has at the product's face

What fits was written down twice here (place_board, plan_moves) and a third time in the scheduler, which spells the same three figures otherwise. load.h has the type under the scheduler's names, and its three sums; the scheduler follows.

The figures are 64 bits wide now. Before, a team's quota above 2,147,483 cores turned negative in millicores and all of the team's jobs were told that they can never run; a_quota_of_millions_of_cores_holds fails on the code before (0x3 != 0, "impossible" for "start").

--- a/include/waxwinghollow/fleet_view.h
+++ b/include/waxwinghollow/fleet_view.h
@@ -24,6 +24,7 @@
 #include <stdint.h>
 
 #include "waxwinghollow/config.h"
+#include "waxwinghollow/load.h"
 #include "waxwinghollow/platform.h"
 #include "waxwinghollow/record.h"
 #include "waxwinghollow/state.h"
@@ -56,12 +57,6 @@
 /* Names of wwh_job_state_t, in the same order. */
 extern const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT];
 
-typedef struct {
-	int32_t cores_milli; /* thousandths of a core */
-	int64_t memory_mb;
-	int32_t accelerators;
-} wwh_load_t;
-
 typedef struct {
 	const char *id;
 	int32_t pool; /* WWH_FLEET_NONE: between pools */
--- a/include/waxwinghollow/placement.h
+++ b/include/waxwinghollow/placement.h
@@ -104,7 +104,7 @@
 	wwh_reason_t reason;
 	int32_t job;
 	int32_t worker; /* WWH_FLEET_NONE where none is meant */
-	int32_t cores_milli; /* THROTTLE */
+	int64_t cpu_millicores; /* THROTTLE */
 } wwh_place_t;
 
 typedef struct wwh_placement wwh_placement_t;
--- a/src/libwaxwinghollow/capacity.c
+++ b/src/libwaxwinghollow/capacity.c
@@ -63,8 +63,9 @@
 		case WWH_FLEET_SERVING:
 			capacity->serving++;
 			capacity->serving_cores_milli +=
-				worker->size.cores_milli;
-			capacity->used_cores_milli += worker->used.cores_milli;
+				worker->size.cpu_millicores;
+			capacity->used_cores_milli +=
+				worker->used.cpu_millicores;
 			break;
 		case WWH_FLEET_FAILED:
 			capacity->failed++;
--- a/src/libwaxwinghollow/conductor.c
+++ b/src/libwaxwinghollow/conductor.c
@@ -204,9 +204,9 @@
 		.worker_id = action->worker,
 		.verb = action->verb,
 		.fence = action->fence,
-		.cores = (action->load.cores_milli + 999) / 1000,
+		.cores = (int32_t)((action->load.cpu_millicores + 999) / 1000),
 		.memory_mb = action->load.memory_mb,
-		.accelerators = action->load.accelerators,
+		.accelerators = (int32_t)action->load.gpus,
 		.lease_ms = action->lease_ms,
 	};
 
--- a/src/libwaxwinghollow/conductor_job.c
+++ b/src/libwaxwinghollow/conductor_job.c
@@ -370,7 +370,7 @@
 	case WWH_PLACE_THROTTLE:
 		if (!run)
 			break;
-		run->throttle_milli = decision->cores_milli;
+		run->throttle_millicores = decision->cpu_millicores;
 		wwh_conductor_order(conductor, run, WWH_TASK_THROTTLE);
 		break;
 	case WWH_PLACE_CHECKPOINT:
--- a/src/libwaxwinghollow/conductor_queue.c
+++ b/src/libwaxwinghollow/conductor_queue.c
@@ -105,7 +105,7 @@
 	action->fence = run->lease;
 	action->load = run->load;
 	if (verb == WWH_TASK_THROTTLE)
-		action->load.cores_milli = run->throttle_milli;
+		action->load.cpu_millicores = run->throttle_millicores;
 	action->lease_ms = conductor->options.placement.lease_ms;
 	run->order.action = action->id;
 	set_origin(conductor, action, &origin);
--- a/src/libwaxwinghollow/conductor_rehearsal.c
+++ b/src/libwaxwinghollow/conductor_rehearsal.c
@@ -218,7 +218,7 @@
 			continue;
 		run->workers++;
 		run->jobs += worker->job_count;
-		run->cores_milli += worker->size.cores_milli;
+		run->cores_milli += worker->size.cpu_millicores;
 		run->pools += !pools[worker->pool];
 		pools[worker->pool] = true;
 	}
--- a/src/libwaxwinghollow/fleet_bridge.c
+++ b/src/libwaxwinghollow/fleet_bridge.c
@@ -106,7 +106,7 @@
 		task->ended = false;
 	}
 	task->state = report->state;
-	task->used.cores_milli = report->used_cores_milli;
+	task->used.cpu_millicores = report->used_cores_milli;
 	task->used.memory_mb = report->used_memory_mb;
 }
 
@@ -413,7 +413,7 @@
 		if (job->worker == WWH_FLEET_NONE)
 			continue;
 		worker = wwh_fleet_worker(view, job->worker);
-		worker->used.cores_milli += job->used.cores_milli;
+		worker->used.cpu_millicores += job->used.cpu_millicores;
 		worker->used.memory_mb += job->used.memory_mb;
 	}
 }
--- a/src/libwaxwinghollow/include/private/conductor_state.h
+++ b/src/libwaxwinghollow/include/private/conductor_state.h
@@ -119,7 +119,7 @@
 	bool idempotent;
 	bool outcome_noted;
 	bool seen;
-	int32_t throttle_milli; /* 0: not throttled */
+	int64_t throttle_millicores; /* 0: not throttled */
 } wwh_job_run_t;
 
 typedef enum {
--- a/src/libwaxwinghollow/include/private/place_board.h
+++ b/src/libwaxwinghollow/include/private/place_board.h
@@ -25,13 +25,9 @@
 	int32_t *placed; /* a job: worker given in this placement */
 	GArray *placed_jobs; /* of int32_t */
 	GArray *waiting; /* of wwh_place_waiting_t, by pool */
-	int32_t *throttled; /* a job: cores it was throttled to; -1: not */
+	int64_t *throttled; /* a job: millicores it was throttled to; -1: not */
 };
 
-bool wwh_load_fits(const wwh_load_t *need, const wwh_load_t *room);
-void wwh_load_add(wwh_load_t *sum, const wwh_load_t *load);
-void wwh_load_subtract(wwh_load_t *sum, const wwh_load_t *load);
-
 /* Whether the worker takes new jobs at all. */
 bool wwh_board_takes_jobs(const wwh_placement_t *board, int32_t worker);
 
--- a/src/libwaxwinghollow/place_board.c
+++ b/src/libwaxwinghollow/place_board.c
@@ -13,7 +13,7 @@
 } give_way_t;
 
 static bool gives_way(const wwh_placement_t *board, int32_t job);
-static int32_t counted_cores(const wwh_placement_t *board, int32_t job);
+static int64_t counted_cores(const wwh_placement_t *board, int32_t job);
 static give_way_t try_worker(wwh_placement_t *board, int32_t worker,
 			     const wwh_load_t *need, GArray *decisions);
 static bool throttle_bulk(wwh_placement_t *board, int32_t worker,
@@ -28,27 +28,6 @@
 			      bool memory);
 static wwh_load_t used_on(const wwh_fleet_view_t *view, int32_t worker);
 
-bool wwh_load_fits(const wwh_load_t *need, const wwh_load_t *room)
-{
-	return need->cores_milli <= room->cores_milli &&
-	       need->memory_mb <= room->memory_mb &&
-	       need->accelerators <= room->accelerators;
-}
-
-void wwh_load_add(wwh_load_t *sum, const wwh_load_t *load)
-{
-	sum->cores_milli += load->cores_milli;
-	sum->memory_mb += load->memory_mb;
-	sum->accelerators += load->accelerators;
-}
-
-void wwh_load_subtract(wwh_load_t *sum, const wwh_load_t *load)
-{
-	sum->cores_milli -= load->cores_milli;
-	sum->memory_mb -= load->memory_mb;
-	sum->accelerators -= load->accelerators;
-}
-
 bool wwh_board_takes_jobs(const wwh_placement_t *board, int32_t worker)
 {
 	const wwh_fleet_worker_t *item = wwh_fleet_worker(board->view, worker);
@@ -156,14 +135,14 @@
 }
 
 /* What the running job counts for on its worker now. */
-static int32_t counted_cores(const wwh_placement_t *board, int32_t job)
+static int64_t counted_cores(const wwh_placement_t *board, int32_t job)
 {
 	wwh_load_t need = wwh_placement_need(wwh_fleet_job(board->view, job),
 					     &board->options, board->now_ms);
 
 	if (board->throttled[job] >= 0)
 		return board->throttled[job];
-	return need.cores_milli;
+	return need.cpu_millicores;
 }
 
 /* With decisions NULL nothing is changed, only the cost is found. */
@@ -191,27 +170,27 @@
 
 	for (int32_t i = 0; i < job_count; i++) {
 		int32_t job = wwh_fleet_worker_job(view, worker, i);
-		int32_t cores = counted_cores(board, job);
+		int64_t cores = counted_cores(board, job);
 		wwh_place_t decision = {
 			.kind = WWH_PLACE_THROTTLE,
 			.reason = WWH_REASON_URGENT,
 			.job = job,
 			.worker = worker,
-			.cores_milli = cores * THROTTLE_FLOOR_PERCENT / 100,
+			.cpu_millicores = cores * THROTTLE_FLOOR_PERCENT / 100,
 		};
 
-		if (need->cores_milli <= room->cores_milli)
+		if (need->cpu_millicores <= room->cpu_millicores)
 			break;
 		if (!gives_way(board, job) || board->throttled[job] >= 0)
 			continue;
-		room->cores_milli += cores - decision.cores_milli;
+		room->cpu_millicores += cores - decision.cpu_millicores;
 		result->throttles++;
 		if (!decisions)
 			continue;
-		board->throttled[job] = decision.cores_milli;
+		board->throttled[job] = decision.cpu_millicores;
 		g_array_append_val(decisions, decision);
 	}
-	return need->cores_milli <= room->cores_milli;
+	return need->cpu_millicores <= room->cpu_millicores;
 }
 
 /* Idempotent jobs first: losing a checkpoint of theirs costs only time. */
@@ -234,13 +213,12 @@
 					 .worker = worker };
 		bool helps = (need->memory_mb > room->memory_mb &&
 			      freed.memory_mb > 0) ||
-			     (need->accelerators > room->accelerators &&
-			      freed.accelerators > 0);
+			     (need->gpus > room->gpus && freed.gpus > 0);
 
 		if (!helps || !gives_way(board, job) ||
 		    item->idempotent != (i < job_count))
 			continue;
-		freed.cores_milli = counted_cores(board, job);
+		freed.cpu_millicores = counted_cores(board, job);
 		wwh_load_add(room, &freed);
 		result->checkpoints++;
 		if (!decisions)
@@ -248,8 +226,7 @@
 		board->throttled[job] = 0;
 		g_array_append_val(decisions, decision);
 	}
-	return need->memory_mb <= room->memory_mb &&
-	       need->accelerators <= room->accelerators;
+	return need->memory_mb <= room->memory_mb && need->gpus <= room->gpus;
 }
 
 static void relieve_worker(wwh_placement_t *board, int32_t worker,
@@ -264,7 +241,7 @@
 	if (used.memory_mb > item->size.memory_mb) {
 		decision.job = largest_excess(board, worker, true);
 		decision.kind = WWH_PLACE_CHECKPOINT;
-	} else if (used.cores_milli > item->size.cores_milli) {
+	} else if (used.cpu_millicores > item->size.cpu_millicores) {
 		decision.job = largest_excess(board, worker, false);
 		decision.kind = WWH_PLACE_THROTTLE;
 	} else {
@@ -272,11 +249,11 @@
 	}
 	if (decision.job == WWH_FLEET_NONE)
 		return;
-	decision.cores_milli =
-		wwh_fleet_job(view, decision.job)->declared.cores_milli;
+	decision.cpu_millicores =
+		wwh_fleet_job(view, decision.job)->declared.cpu_millicores;
 	board->throttled[decision.job] = decision.kind == WWH_PLACE_CHECKPOINT
 						 ? 0
-						 : decision.cores_milli;
+						 : decision.cpu_millicores;
 	g_array_append_val(decisions, decision);
 }
 
@@ -294,8 +271,8 @@
 		const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
 		int64_t excess =
 			memory ? item->used.memory_mb - item->declared.memory_mb
-			       : (int64_t)item->used.cores_milli -
-					 item->declared.cores_milli;
+			       : item->used.cpu_millicores -
+					 item->declared.cpu_millicores;
 
 		if (!gives_way(board, job) || board->throttled[job] >= 0)
 			continue;
--- a/src/libwaxwinghollow/placement.c
+++ b/src/libwaxwinghollow/placement.c
@@ -74,7 +74,7 @@
 	placement->room = g_new0(wwh_load_t, worker_count + 1);
 	placement->team_use = g_new0(wwh_load_t, options->team_count + 1);
 	placement->placed = g_new0(int32_t, job_count + 1);
-	placement->throttled = g_new0(int32_t, job_count + 1);
+	placement->throttled = g_new0(int64_t, job_count + 1);
 	for (int32_t i = 0; i < worker_count; i++)
 		placement->room[i] = wwh_fleet_worker(view, i)->size;
 	for (int32_t i = 0; i < job_count; i++) {
@@ -130,9 +130,8 @@
 	if (job->state != WWH_JOB_RUNNING ||
 	    now_ms - job->started_ms < options->observe_ms)
 		return need;
-	if (job->used.cores_milli > 0)
-		need.cores_milli = (int32_t)((int64_t)job->used.cores_milli *
-					     percent / 100);
+	if (job->used.cpu_millicores > 0)
+		need.cpu_millicores = job->used.cpu_millicores * percent / 100;
 	if (job->used.memory_mb > 0)
 		need.memory_mb = job->used.memory_mb * percent / 100;
 	return need;
@@ -285,7 +284,7 @@
 			reason = WWH_REASON_NONE;
 			break;
 		}
-		if (item->declared.cores_milli > room->cores_milli)
+		if (item->declared.cpu_millicores > room->cpu_millicores)
 			reason = WWH_REASON_CORES;
 		else if (item->declared.memory_mb > room->memory_mb)
 			reason = WWH_REASON_MEMORY;
@@ -294,8 +293,8 @@
 	}
 	if (reason == WWH_REASON_NONE && team != WWH_FLEET_NONE) {
 		const wwh_team_t *quota = &placement->options.teams[team];
-		wwh_load_t limit = { quota->cores * 1000, quota->memory_mb,
-				     quota->accelerators };
+		wwh_load_t limit = { (int64_t)quota->cores * 1000,
+				     quota->memory_mb, quota->accelerators };
 
 		if (!wwh_load_fits(&item->declared, &limit))
 			reason = WWH_REASON_TEAM_TOO_SMALL;
@@ -317,8 +316,8 @@
 		return WWH_REASON_LEASE;
 	if (team != WWH_FLEET_NONE) {
 		const wwh_team_t *quota = &placement->options.teams[team];
-		wwh_load_t left = { quota->cores * 1000, quota->memory_mb,
-				    quota->accelerators };
+		wwh_load_t left = { (int64_t)quota->cores * 1000,
+				    quota->memory_mb, quota->accelerators };
 
 		wwh_load_subtract(&left, &placement->team_use[team]);
 		if (!wwh_load_fits(&item->declared, &left))
@@ -389,8 +388,8 @@
 		if (left_count != right_count)
 			return left_count < right_count;
 	}
-	return placement->room[candidate].cores_milli <
-	       placement->room[best].cores_milli;
+	return placement->room[candidate].cpu_millicores <
+	       placement->room[best].cpu_millicores;
 }
 
 /* The worker that is large enough for the job and nearest to having room. */
@@ -409,8 +408,8 @@
 				   &wwh_fleet_worker(view, member)->size))
 			continue;
 		if (best == WWH_FLEET_NONE ||
-		    placement->room[member].cores_milli >
-			    placement->room[best].cores_milli)
+		    placement->room[member].cpu_millicores >
+			    placement->room[best].cpu_millicores)
 			best = member;
 	}
 	return best;
--- a/src/libwaxwinghollow/plan_moves.c
+++ b/src/libwaxwinghollow/plan_moves.c
@@ -22,7 +22,6 @@
 			   const wwh_load_t *need);
 static bool is_better(const board_t *board, const wwh_plan_step_t *step,
 		      int32_t candidate, int32_t best);
-static bool fits(const wwh_load_t *need, const wwh_load_t *room);
 static wwh_load_t need_of(const wwh_fleet_job_t *job);
 
 void wwh_plan_pool_move_jobs(const wwh_plan_pool_work_t *work,
@@ -91,9 +90,7 @@
 {
 	wwh_load_t need = need_of(wwh_fleet_job(board->work->view, job));
 
-	board->room[position].cores_milli -= need.cores_milli;
-	board->room[position].memory_mb -= need.memory_mb;
-	board->room[position].accelerators -= need.accelerators;
+	wwh_load_subtract(&board->room[position], &need);
 	board->next_job[job] = board->first_job[position];
 	board->first_job[position] = job;
 }
@@ -142,7 +139,7 @@
 		bool out = board->start_ms[i] <= step->start_ms &&
 			   board->done_ms[i] > step->start_ms;
 
-		if (i == own || out || !fits(need, &board->room[i]))
+		if (i == own || out || !wwh_load_fits(need, &board->room[i]))
 			continue;
 		if (best < 0 || is_better(board, step, i, best))
 			best = i;
@@ -173,15 +170,8 @@
 		return board->start_ms[candidate] > board->start_ms[best];
 	if (candidate_near != best_near)
 		return candidate_near;
-	return board->room[candidate].cores_milli <
-	       board->room[best].cores_milli;
-}
-
-static bool fits(const wwh_load_t *need, const wwh_load_t *room)
-{
-	return need->cores_milli <= room->cores_milli &&
-	       need->memory_mb <= room->memory_mb &&
-	       need->accelerators <= room->accelerators;
+	return board->room[candidate].cpu_millicores <
+	       board->room[best].cpu_millicores;
 }
 
 /* Observed use where there is a report, else what was declared. */
@@ -189,8 +179,8 @@
 {
 	wwh_load_t need = job->declared;
 
-	if (job->used.cores_milli > 0)
-		need.cores_milli = job->used.cores_milli;
+	if (job->used.cpu_millicores > 0)
+		need.cpu_millicores = job->used.cpu_millicores;
 	if (job->used.memory_mb > 0)
 		need.memory_mb = job->used.memory_mb;
 	return need;
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -138,7 +138,7 @@
 	run_pass(&bench);
 	assert_int_equal(bench.decisions->len, 2);
 	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_THROTTLE);
-	assert_int_equal(decision(&bench, 0)->cores_milli, 4000);
+	assert_int_equal(decision(&bench, 0)->cpu_millicores, 4000);
 	assert_int_equal(decision(&bench, 1)->kind, WWH_PLACE_START);
 	assert_int_equal(decision(&bench, 1)->worker,
 			 decision(&bench, 0)->worker);
@@ -183,7 +183,7 @@
 	assert_int_equal(bench.decisions->len, 1);
 	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_THROTTLE);
 	assert_int_equal(decision(&bench, 0)->job, 0);
-	assert_int_equal(decision(&bench, 0)->cores_milli, 8000);
+	assert_int_equal(decision(&bench, 0)->cpu_millicores, 8000);
 	bench_finish(&bench);
 }
 
@@ -242,6 +242,28 @@
 	bench_finish(&bench);
 }
 
+/*
+ * A team may hold three million cores of a large fleet. Counted in millicores
+ * that is more than 32 bits hold: the quota turned negative, and each of the
+ * team's jobs was told that it can never run.
+ */
+static void a_quota_of_millions_of_cores_holds(void **unused)
+{
+	wwh_team_t team = { .id = (char *)"team",
+			    .cores = 3000000,
+			    .memory_mb = 65536 };
+	bench_t bench;
+
+	(void)unused;
+	bench_init(&bench);
+	bench.options.teams = &team;
+	bench.options.team_count = 1;
+	add_job(&bench, 4, WWH_FLEET_NONE);
+	run_pass(&bench);
+	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_START);
+	bench_finish(&bench);
+}
+
 /* Small jobs keep coming; the large one that waits gets a worker kept. */
 static void a_large_job_is_not_starved(void **unused)
 {
@@ -345,6 +367,7 @@
 		cmocka_unit_test(
 			a_group_is_spread_over_zones_and_workers_leave_alone),
 		cmocka_unit_test(one_team_does_not_take_the_pool),
+		cmocka_unit_test(a_quota_of_millions_of_cores_holds),
 		cmocka_unit_test(a_large_job_is_not_starved),
 		cmocka_unit_test(an_unknown_run_is_waited_for),
 		cmocka_unit_test(failures_are_blamed_by_comparison),
