The scheduler counts sizes with the product's type

What a task needs, what an upstream has and what is taken of it were three numbers each here, with the sums and "a filler takes no processor" written out in six places. They are wwh_load_t now, and sched_step_taken says what a task takes away.

Found on the way: what fits was asked as used + need <= size. A caller's need of more GPUs than a sum can hold turned the sum negative while another task held a GPU, and the task was started on a host that has two; memory and processor were kept from it only by the figures of the fullest room, which knew no GPUs. need <= size - used can't overflow. a_need_that_cannot_be_added_up_fits_nowhere fails on the code before (0x2 != 0x1: a second start). The check of each test step counts GPUs, too.

--- a/include/waxwinghollow/job.h
+++ b/include/waxwinghollow/job.h
@@ -20,6 +20,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "waxwinghollow/load.h"
 #include "waxwinghollow/status.h"
 
 /* Callers choose ids of this many hexadecimal digits. */
@@ -32,10 +33,8 @@
 
 typedef struct {
 	int32_t task_count;
-	int64_t cpu_millicores; /* of one task, as the next ones */
-	int64_t memory_mb;
-	int64_t gpus;
-	int64_t estimate_ms; /* the caller's guess, often far off */
+	wwh_load_t need; /* of one task */
+	int64_t estimate_ms; /* of one task; the caller's guess, often far off */
 	int32_t *after; /* numbers of steps that have to be done first */
 	int32_t after_count;
 	bool checkpointing;
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -50,9 +50,7 @@
 	char *zone;
 	char *rack; /* NULL: unknown */
 	char **labels; /* NULL-ended */
-	int64_t cpu_millicores;
-	int64_t memory_mb;
-	int64_t gpus;
+	wwh_load_t size;
 	bool leaving; /* gets no new work */
 	int64_t sequence; /* rises with each announcement */
 } wwh_upstream_info_t;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -156,9 +156,7 @@
 	GPtrArray *tasks; /* sched_task_t that are out on it */
 	int32_t orphans; /* rows that no task here explains */
 	GHashTable *orphan_stops; /* task name to when a stop was sent */
-	int64_t used_cpu;
-	int64_t used_memory;
-	int64_t used_gpus;
+	wwh_load_t used;
 	int64_t next_pace_ms;
 	int32_t fail_streak;
 	int32_t backoffs;
@@ -171,9 +169,8 @@
 	GPtrArray *upstreams; /* not owned */
 	int32_t unsettled; /* inherited upstreams that weren't asked yet */
 	bool dirty; /* something may be placed */
-	/* At least what the upstream with the most of it has free. */
-	int64_t most_free_cpu;
-	int64_t most_free_memory;
+	wwh_load_t
+		most_free; /* at least what the one with the most of it has */
 	int64_t next_try_ms;
 };
 
@@ -241,6 +238,8 @@
 void sched_job_end(wwh_scheduler_t *scheduler, sched_job_t *job,
 		   wwh_job_progress_t state);
 bool sched_step_is_ready(const sched_step_t *step);
+/* What a task of it takes away from others; fillers take no processor. */
+wwh_load_t sched_step_taken(const wwh_job_step_t *spec);
 void sched_step_task_done(wwh_scheduler_t *scheduler, sched_task_t *task);
 /* False: that run was counted before. */
 bool sched_failures_add(sched_failures_t *failures, int64_t run);
--- a/src/libwaxwinghollow/job.c
+++ b/src/libwaxwinghollow/job.c
@@ -97,9 +97,10 @@
 				number, WWH_JOB_MAX_TASKS);
 		return WWH_STATUS_BAD_INPUT;
 	}
-	if (step->cpu_millicores < 0 || step->memory_mb < 0 || step->gpus < 0 ||
-	    step->estimate_ms < 0 || step->max_per_upstream < 0 ||
-	    step->latency_target_ms < 0 || step->max_unavailable < 0) {
+	if (step->need.cpu_millicores < 0 || step->need.memory_mb < 0 ||
+	    step->need.gpus < 0 || step->estimate_ms < 0 ||
+	    step->max_per_upstream < 0 || step->latency_target_ms < 0 ||
+	    step->max_unavailable < 0) {
 		wwh_message_set(message, "step %d: a figure is negative",
 				number);
 		return WWH_STATUS_BAD_INPUT;
--- a/src/libwaxwinghollow/job_codec.c
+++ b/src/libwaxwinghollow/job_codec.c
@@ -108,9 +108,9 @@
 {
 	msgpack_pack_array(packer, STEP_FIELDS);
 	msgpack_pack_int32(packer, step->task_count);
-	msgpack_pack_int64(packer, step->cpu_millicores);
-	msgpack_pack_int64(packer, step->memory_mb);
-	msgpack_pack_int64(packer, step->gpus);
+	msgpack_pack_int64(packer, step->need.cpu_millicores);
+	msgpack_pack_int64(packer, step->need.memory_mb);
+	msgpack_pack_int64(packer, step->need.gpus);
 	msgpack_pack_int64(packer, step->estimate_ms);
 	msgpack_pack_array(packer, (size_t)step->after_count);
 	for (int32_t i = 0; i < step->after_count; i++)
@@ -217,9 +217,9 @@
 	reader_t serving;
 
 	step->task_count = read_small(&reader);
-	step->cpu_millicores = read_number(&reader);
-	step->memory_mb = read_number(&reader);
-	step->gpus = read_number(&reader);
+	step->need.cpu_millicores = read_number(&reader);
+	step->need.memory_mb = read_number(&reader);
+	step->need.gpus = read_number(&reader);
 	step->estimate_ms = read_number(&reader);
 	if (!read_after(read_any(&reader), step))
 		return false;
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -496,7 +496,8 @@
 		" lease_left_ms=%" G_GINT64_FORMAT "\n",
 		upstream->info.id, upstream->info.pool, upstream->listed,
 		upstream->info.leaving, upstream->settled, upstream->tasks->len,
-		upstream->used_cpu, upstream->info.cpu_millicores,
+		upstream->used.cpu_millicores,
+		upstream->info.size.cpu_millicores,
 		scheduler->now_ms - upstream->answered_ms,
 		upstream->lapsed_ms - scheduler->now_ms);
 }
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -76,19 +76,18 @@
 
 static void check_upstream(const sched_upstream_t *upstream)
 {
-	int64_t cpu = 0;
-	int64_t memory = 0;
+	wwh_load_t used = { 0 };
 
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		const sched_task_t *task =
 			g_ptr_array_index(upstream->tasks, i);
-		const wwh_job_step_t *spec = task->step->spec;
+		wwh_load_t taken = sched_step_taken(task->step->spec);
 
 		g_assert(task->upstream == upstream);
-		cpu += spec->filler ? 0 : spec->cpu_millicores;
-		memory += spec->memory_mb;
+		wwh_load_add(&used, &taken);
 	}
-	g_assert(cpu == upstream->used_cpu);
-	g_assert(memory == upstream->used_memory);
+	g_assert(used.cpu_millicores == upstream->used.cpu_millicores);
+	g_assert(used.memory_mb == upstream->used.memory_mb);
+	g_assert(used.gpus == upstream->used.gpus);
 	g_assert(upstream->ends_acked <= upstream->ends_seen);
 }
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -80,8 +80,8 @@
 	load.known = true;
 	load.cordoned = upstream->cordoned;
 	load.tasks = (int32_t)upstream->tasks->len;
-	load.busy_millicores = upstream->used_cpu;
-	load.cpu_millicores = upstream->info.cpu_millicores;
+	load.busy_millicores = upstream->used.cpu_millicores;
+	load.cpu_millicores = upstream->info.size.cpu_millicores;
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		const sched_task_t *task =
 			g_ptr_array_index(upstream->tasks, i);
@@ -128,9 +128,9 @@
 	/* hosts are much alike; an empty pool has none to ask */
 	g_hash_table_iter_init(&iterator, scheduler->upstreams);
 	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		figures.host_millicores =
-			MAX(figures.host_millicores,
-			    ((sched_upstream_t *)value)->info.cpu_millicores);
+		figures.host_millicores = MAX(
+			figures.host_millicores,
+			((sched_upstream_t *)value)->info.size.cpu_millicores);
 	return figures;
 }
 
@@ -240,7 +240,8 @@
 			int32_t most = MAX(spec->max_per_upstream, 1);
 
 			figures->lasting +=
-				spec->filler ? 0 : left * spec->cpu_millicores;
+				spec->filler ? 0
+					     : left * spec->need.cpu_millicores;
 			if (spec->max_per_upstream > 0)
 				figures->hosts_bound =
 					MAX(figures->hosts_bound,
@@ -252,18 +253,19 @@
 		if (scheduler->now_ms - occurrence->due_ms <
 		    ARRIVAL_WINDOW_MS) {
 			figures->arrived_work +=
-				spec->task_count * spec->cpu_millicores *
+				spec->task_count * spec->need.cpu_millicores *
 				MAX(spec->estimate_ms, LEAST_ESTIMATE_MS);
 			if (sched_step_is_ready(step))
 				figures->arrived_usable +=
-					spec->task_count * spec->cpu_millicores;
+					spec->task_count *
+					spec->need.cpu_millicores;
 		}
 		/* of what runs about half is done */
 		figures->work_left +=
-			(2 * left - step->out) * spec->cpu_millicores *
+			(2 * left - step->out) * spec->need.cpu_millicores *
 			MAX(spec->estimate_ms, LEAST_ESTIMATE_MS) / 2;
 		if (sched_step_is_ready(step))
-			figures->usable_now += left * spec->cpu_millicores;
+			figures->usable_now += left * spec->need.cpu_millicores;
 	}
 }
 
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -146,6 +146,15 @@
 	return true;
 }
 
+wwh_load_t sched_step_taken(const wwh_job_step_t *spec)
+{
+	wwh_load_t taken = spec->need;
+
+	if (spec->filler)
+		taken.cpu_millicores = 0;
+	return taken;
+}
+
 void sched_step_task_done(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	sched_step_t *step = task->step;
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -35,6 +35,7 @@
 			       GArray *candidates);
 static int64_t remaining_ms(const sched_occurrence_t *occurrence);
 static void measure_room(const wwh_scheduler_t *scheduler, sched_pool_t *pool);
+static wwh_load_t room_of(const sched_upstream_t *upstream);
 static bool may_fit(const sched_step_t *step);
 static gint compare(gconstpointer a, gconstpointer b);
 static void place_step(wwh_scheduler_t *scheduler, sched_step_t *step);
@@ -145,35 +146,41 @@
  * At a peak hundreds of jobs wait for a pool that is full. Each was tried on
  * each upstream whenever one of them answered; of 1000 jobs and 350 upstreams
  * a pass took 1498 us, of a process that has a quarter of a core. What fits
- * nowhere is passed over by these two figures (bench_scheduler: 66 us).
+ * nowhere is passed over by these figures (bench_scheduler: 66 us).
  */
 static void measure_room(const wwh_scheduler_t *scheduler, sched_pool_t *pool)
 {
-	pool->most_free_cpu = -1;
-	pool->most_free_memory = -1;
+	wwh_load_t *most = &pool->most_free;
+
+	*most = (wwh_load_t){ -1, -1, -1 };
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const sched_upstream_t *upstream =
 			g_ptr_array_index(pool->upstreams, i);
-		const wwh_upstream_info_t *info = &upstream->info;
+		wwh_load_t free = room_of(upstream);
 
 		if (!sched_upstream_usable(scheduler, upstream))
 			continue;
-		pool->most_free_cpu =
-			MAX(pool->most_free_cpu,
-			    info->cpu_millicores - upstream->used_cpu);
-		pool->most_free_memory =
-			MAX(pool->most_free_memory,
-			    info->memory_mb - upstream->used_memory);
+		most->cpu_millicores =
+			MAX(most->cpu_millicores, free.cpu_millicores);
+		most->memory_mb = MAX(most->memory_mb, free.memory_mb);
+		most->gpus = MAX(most->gpus, free.gpus);
 	}
 }
 
+static wwh_load_t room_of(const sched_upstream_t *upstream)
+{
+	wwh_load_t room = upstream->info.size;
+
+	wwh_load_subtract(&room, &upstream->used);
+	return room;
+}
+
 static bool may_fit(const sched_step_t *step)
 {
 	const sched_pool_t *pool = step->occurrence->job->pool;
-	const wwh_job_step_t *spec = step->spec;
+	wwh_load_t need = sched_step_taken(step->spec);
 
-	return (spec->filler || spec->cpu_millicores <= pool->most_free_cpu) &&
-	       spec->memory_mb <= pool->most_free_memory;
+	return wwh_load_fits(&need, &pool->most_free);
 }
 
 static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
@@ -303,6 +310,7 @@
  */
 static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step)
 {
+	wwh_load_t taken = sched_step_taken(step->spec);
 	int32_t count = step->spec->task_count;
 	sched_upstream_t **chosen;
 	const char **tickets;
@@ -327,18 +335,12 @@
 		if (upstream == NULL)
 			break;
 		chosen[placed++] = upstream;
-		upstream->used_cpu +=
-			step->spec->filler ? 0 : step->spec->cpu_millicores;
-		upstream->used_memory += step->spec->memory_mb;
-		upstream->used_gpus += step->spec->gpus;
+		wwh_load_add(&upstream->used, &taken);
 		/* counts for the bound a upstream while others are chosen */
 		g_ptr_array_add(upstream->tasks, &step->tasks[placed - 1]);
 	}
 	for (int32_t i = 0; i < placed; i++) {
-		chosen[i]->used_cpu -=
-			step->spec->filler ? 0 : step->spec->cpu_millicores;
-		chosen[i]->used_memory -= step->spec->memory_mb;
-		chosen[i]->used_gpus -= step->spec->gpus;
+		wwh_load_subtract(&chosen[i]->used, &taken);
 		g_ptr_array_remove_fast(chosen[i]->tasks, &step->tasks[i]);
 	}
 	/* the room that the trial took is free again */
@@ -420,13 +422,11 @@
 {
 	const wwh_job_step_t *spec = step->spec;
 	const wwh_upstream_info_t *info = &upstream->info;
+	wwh_load_t need = sched_step_taken(spec);
+	wwh_load_t free = room_of(upstream);
 
-	if (!sched_upstream_usable(scheduler, upstream))
-		return false;
-	if ((!spec->filler && upstream->used_cpu + spec->cpu_millicores >
-				      info->cpu_millicores) ||
-	    upstream->used_memory + spec->memory_mb > info->memory_mb ||
-	    upstream->used_gpus + spec->gpus > info->gpus)
+	if (!sched_upstream_usable(scheduler, upstream) ||
+	    !wwh_load_fits(&need, &free))
 		return false;
 	if (spec->label != NULL &&
 	    !g_strv_contains((const char *const *)info->labels, spec->label))
@@ -442,10 +442,9 @@
 	const wwh_job_step_t *spec = step->spec;
 	const char *rack = upstream->info.rack;
 	wwh_fit_figures_t figures = {
-		.free_millicores =
-			upstream->info.cpu_millicores - upstream->used_cpu,
-		.need_millicores = spec->filler ? 0 : spec->cpu_millicores,
-		.capacity_millicores = upstream->info.cpu_millicores,
+		.free_millicores = room_of(upstream).cpu_millicores,
+		.need_millicores = sched_step_taken(spec).cpu_millicores,
+		.capacity_millicores = upstream->info.size.cpu_millicores,
 		.failed_here = task->avoid == upstream,
 		.fail_streak = upstream->fail_streak,
 		.lasting = spec->lasting,
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -206,27 +206,24 @@
 
 static void take_room(sched_task_t *task, sched_upstream_t *upstream)
 {
-	const wwh_job_step_t *spec = task->step->spec;
+	wwh_load_t taken = sched_step_taken(task->step->spec);
 
 	g_assert(task->upstream == NULL);
 	task->upstream = upstream;
 	g_ptr_array_add(upstream->tasks, task);
-	upstream->used_cpu += spec->filler ? 0 : spec->cpu_millicores;
-	upstream->used_memory += spec->memory_mb;
-	upstream->used_gpus += spec->gpus;
+	wwh_load_add(&upstream->used, &taken);
 	task->step->out++;
 	task->step->occurrence->job->out++;
 }
 
 static void free_room(sched_task_t *task)
 {
-	const wwh_job_step_t *spec = task->step->spec;
+	wwh_load_t taken = sched_step_taken(task->step->spec);
 	sched_upstream_t *upstream = task->upstream;
 
-	upstream->used_cpu -= spec->filler ? 0 : spec->cpu_millicores;
-	upstream->used_memory -= spec->memory_mb;
-	upstream->used_gpus -= spec->gpus;
-	g_assert(upstream->used_cpu >= 0 && upstream->used_memory >= 0);
+	wwh_load_subtract(&upstream->used, &taken);
+	g_assert(upstream->used.cpu_millicores >= 0);
+	g_assert(upstream->used.memory_mb >= 0);
 }
 
 static void leave_upstream(sched_task_t *task)
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -297,7 +297,7 @@
 	job->accepted_wall_ms = world.now_ms;
 	for (int32_t i = 0; i < entry->step_count; i++) {
 		job->steps[i].task_count = entry->task_count;
-		job->steps[i].cpu_millicores = 1000;
+		job->steps[i].need.cpu_millicores = 1000;
 		job->steps[i].estimate_ms = 500;
 		job->steps[i].max_per_upstream = kind % 3;
 	}
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -134,8 +134,7 @@
 		.pool = POOL,
 		.rack = "r",
 		.labels = labels,
-		.cpu_millicores = CORES,
-		.memory_mb = 1000,
+		.size = { CORES, 1000, 0 },
 		.leaving = host->leaving,
 	};
 	char endpoint[16];
--- a/src/test_job/test_job.c
+++ b/src/test_job/test_job.c
@@ -29,12 +29,12 @@
 	job->interval_ms = 5000;
 	job->accepted_wall_ms = INT64_C(1789999999000);
 	job->steps[0].task_count = 4;
-	job->steps[0].cpu_millicores = 500;
+	job->steps[0].need.cpu_millicores = 500;
 	job->steps[0].label = g_strdup("a");
 	job->steps[0].data_rack = g_strdup("r1-3");
 	job->steps[1].task_count = 20;
-	job->steps[1].memory_mb = 1024;
-	job->steps[1].gpus = 2;
+	job->steps[1].need.memory_mb = 1024;
+	job->steps[1].need.gpus = 2;
 	job->steps[1].estimate_ms = 7000;
 	job->steps[1].after = g_new0(int32_t, 1);
 	job->steps[1].after_count = 1;
@@ -121,9 +121,9 @@
 	job->steps[0].task_count = WWH_JOB_MAX_TASKS;
 	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
 	job->steps[0].task_count = 1;
-	job->steps[0].cpu_millicores = -1;
+	job->steps[0].need.cpu_millicores = -1;
 	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
-	job->steps[0].cpu_millicores = 1;
+	job->steps[0].need.cpu_millicores = 1;
 	job->id[3] = 'g';
 	assert_int_equal(wwh_job_check(job, &message), WWH_STATUS_BAD_INPUT);
 	wwh_job_delete(job);
--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -228,8 +228,7 @@
 		.zone = "hall-a",
 		.rack = "r1-1",
 		.labels = labels,
-		.cpu_millicores = 8000,
-		.memory_mb = 16000,
+		.size = { 8000, 16000, 2 },
 		.leaving = leaving,
 	};
 
@@ -299,8 +298,8 @@
 	job->payload = g_strdup("text");
 	job->accepted_wall_ms = RIG_WALL_MS;
 	job->steps[0].task_count = tasks;
-	job->steps[0].cpu_millicores = cpu;
-	job->steps[0].memory_mb = 100;
+	job->steps[0].need.cpu_millicores = cpu;
+	job->steps[0].need.memory_mb = 100;
 	job->steps[0].estimate_ms = 1000;
 	return job;
 }
--- a/src/test_scheduler/test_jobs.c
+++ b/src/test_scheduler/test_jobs.c
@@ -258,6 +258,28 @@
 	}
 }
 
+/*
+ * A caller asks for more GPUs than can be added up, while another task has
+ * one. The sum turned negative and fitted everywhere: the task was started on
+ * a host that has two, and that host's GPUs were given away without end.
+ */
+void a_need_that_cannot_be_added_up_fits_nowhere(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *small = rig_job(JOB_A, 1, 1000);
+	wwh_job_t *huge = rig_job(JOB_B, 1, 1000);
+
+	small->steps[0].need.gpus = 1;
+	rig_submit(rig, small);
+	assert_int_equal(rig->starts->len, 1);
+	huge->steps[0].need.gpus = INT64_MAX;
+	rig_submit(rig, huge);
+	rig_run(rig, 1000);
+	assert_int_equal(rig->starts->len, 1);
+	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_B),
+			 WWH_PROGRESS_QUEUED);
+}
+
 void a_cancelled_job_stops_and_starts_nothing(void **state)
 {
 	rig_t *rig = *state;
