One decision which goes first and where, for both faces

Which job goes first and which host it gets was decided twice: by scheduler_policy on the users' platform, by compare_waiting and is_better of the placement at the product's own interface. The placement asks scheduler_policy now. Two figures came to it, which the scheduler leaves at 0: hosts that a wave has been at go before all, groups are spread over zones. Work without an objective has one of four years, so that it never ranks as late. No start changes on the users' platform.

At the product's interface a full host is now full by its own size, not by cores that are left: in a pool of unlike workers a small empty one is no longer filled before a large one that is nearly full. The count of a group by zone is made once a job and no longer for each pair of workers.

Two promises were kept by no test: that jobs just placed count in a zone (the test of groups passed without, as its workers stand in the zones by turns; it stays and a_group_that_is_just_placed_is_spread joins it), and that fillers take no processor from others.

--- a/src/libwaxwinghollow/include/private/place_board.h
+++ b/src/libwaxwinghollow/include/private/place_board.h
@@ -12,8 +12,7 @@
 typedef struct {
 	int32_t job;
 	int32_t pool;
-	bool urgent;
-	int64_t queued_ms;
+	int64_t order; /* by wwh_policy_order */
 } wwh_place_waiting_t;
 
 struct wwh_placement {
@@ -31,9 +30,11 @@
 /* Whether the worker takes new jobs at all. */
 bool wwh_board_takes_jobs(const wwh_placement_t *board, int32_t worker);
 
-/* Jobs of the group that run in the zone, those just placed included. */
-int32_t wwh_board_group_in_zone(const wwh_placement_t *board, const char *group,
-				int32_t pool, int32_t zone);
+/*
+ * For each zone how many of the job's group run there in its pool, those just
+ * placed included. The caller frees it with g_free.
+ */
+int32_t *wwh_board_group_by_zone(const wwh_placement_t *board, int32_t job);
 
 /* Counts the job as running on the worker. */
 void wwh_board_place(wwh_placement_t *board, int32_t job, int32_t worker);
--- a/src/libwaxwinghollow/include/private/scheduler_policy.h
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -6,8 +6,8 @@
  *	scheduler_policy - which task goes first and where, as arithmetic
  *
  * USE
- *	Pure functions of figures; the scheduler fills the figures in. Lower
- *	results go first.
+ *	Pure functions of figures; the scheduler and the placement of the
+ *	product's own interface fill the figures in. Lower results go first.
  *
  * LOAD
  *	Queues ask for several times their mean for some seconds, more than
@@ -18,13 +18,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/*
+ * For work that nobody has given an objective. Longer than anything waits: at
+ * its end work ranks as late, and what has waited longest would go last.
+ */
+#define WWH_POLICY_NO_OBJECTIVE_MS (INT64_C(1) << 37) /* four years */
+
 typedef struct {
 	bool lasting;
-	int32_t priority; /* of its queue; 0 goes first */
+	int32_t priority; /* of its queue, 0 to 100; 0 goes first */
 	int64_t waited_ms; /* since it was due */
 	int64_t objective_ms; /* how long callers are content to wait */
 	int64_t remaining_ms; /* the longest chain of estimates left */
-	int64_t work_ms; /* what is left, summed over tasks, times cores */
 } wwh_order_figures_t;
 
 /*
@@ -36,11 +41,11 @@
  * with more work than room nearly all end late; this way those that would
  * be late in any case give way to those that need not be.
  */
+int64_t wwh_policy_order(const wwh_order_figures_t *figures);
+
 /* Whether a job that has waited so long is still of use to its caller. */
 bool wwh_policy_of_use(int64_t waited_ms, int64_t objective_ms);
 
-int64_t wwh_policy_order(const wwh_order_figures_t *figures);
-
 /*
  * The pace of fillers, in percent, where the slowest serving task beside them
  * is at tail_percent of its target. Over the target they stand still: what
@@ -62,6 +67,8 @@
 	int32_t same_step; /* tasks of the step that are there */
 	int32_t lasting_here; /* lasting tasks of any step */
 	bool lasting;
+	bool before_upkeep; /* a wave that runs has not been at the host */
+	int32_t group_in_zone; /* of its kind, in the host's zone */
 } wwh_fit_figures_t;
 
 /*
@@ -69,6 +76,10 @@
  * empty and large tasks find one. Lasting tasks of one step are spread: the
  * loss of one host takes few of them away. Those of different steps share
  * hosts, so that the others can be moved without ending any of them.
+ *
+ * Hosts that a wave has been at go before all others: elsewhere a job moves
+ * again when the wave comes. Then a group is spread over zones: the loss of a
+ * zone would take all of it, however full its hosts are.
  */
 int64_t wwh_policy_fit(const wwh_fit_figures_t *figures);
 
--- a/src/libwaxwinghollow/place_board.c
+++ b/src/libwaxwinghollow/place_board.c
@@ -36,39 +36,39 @@
 	       item->grant == WWH_NO_OFFSET;
 }
 
-int32_t wwh_board_group_in_zone(const wwh_placement_t *board, const char *group,
-				int32_t pool, int32_t zone)
+int32_t *wwh_board_group_by_zone(const wwh_placement_t *board, int32_t job)
 {
 	const wwh_fleet_view_t *view = board->view;
-	int32_t size = wwh_fleet_pool(view, pool)->size;
-	int32_t count = 0;
+	const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
+	int32_t *counts = g_new0(int32_t, wwh_fleet_zone_count(view) + 1);
+	int32_t size = wwh_fleet_pool(view, item->pool)->size;
 
+	if (item->group[0] == '\0')
+		return counts;
 	for (int32_t i = 0; i < size; i++) {
-		int32_t member = wwh_fleet_member(view, pool, i);
+		int32_t member = wwh_fleet_member(view, item->pool, i);
 		const wwh_fleet_worker_t *worker =
 			wwh_fleet_worker(view, member);
 
-		if (worker->zone != zone)
-			continue;
 		for (int32_t j = 0; j < worker->job_count; j++) {
-			const wwh_fleet_job_t *job = wwh_fleet_job(
+			const wwh_fleet_job_t *other = wwh_fleet_job(
 				view, wwh_fleet_worker_job(view, member, j));
 
-			if (job->state == WWH_JOB_RUNNING &&
-			    strcmp(job->group, group) == 0)
-				count++;
+			counts[worker->zone] +=
+				other->state == WWH_JOB_RUNNING &&
+				strcmp(other->group, item->group) == 0;
 		}
 	}
 	for (guint i = 0; i < board->placed_jobs->len; i++) {
-		int32_t job = g_array_index(board->placed_jobs, int32_t, i);
+		int32_t placed = g_array_index(board->placed_jobs, int32_t, i);
+		const wwh_fleet_job_t *other = wwh_fleet_job(view, placed);
 		const wwh_fleet_worker_t *worker =
-			wwh_fleet_worker(view, board->placed[job]);
+			wwh_fleet_worker(view, board->placed[placed]);
 
-		if (worker->zone == zone && worker->pool == pool &&
-		    strcmp(wwh_fleet_job(view, job)->group, group) == 0)
-			count++;
+		counts[worker->zone] += worker->pool == item->pool &&
+					strcmp(other->group, item->group) == 0;
 	}
-	return count;
+	return counts;
 }
 
 void wwh_board_place(wwh_placement_t *board, int32_t job, int32_t worker)
--- a/src/libwaxwinghollow/placement.c
+++ b/src/libwaxwinghollow/placement.c
@@ -4,6 +4,11 @@
 #include <string.h>
 
 #include "private/place_board.h"
+#include "private/scheduler_policy.h"
+
+/* Bulk waits for urgent work. */
+#define URGENT_PRIORITY 0
+#define BULK_PRIORITY 1
 
 const char *const wwh_place_kind_names[WWH_PLACE_KIND_COUNT] = {
 	"start", "throttle", "checkpoint", "impossible", "wait",
@@ -28,6 +33,8 @@
 static void count_jobs(wwh_placement_t *placement);
 static int32_t team_index(const wwh_placement_t *placement, const char *team);
 static void collect_waiting(wwh_placement_t *placement);
+static int64_t order_of(const wwh_placement_t *placement,
+			const wwh_fleet_job_t *job);
 static guint first_waiting(const wwh_placement_t *placement, int32_t pool);
 static void place_job(wwh_placement_t *placement, int32_t job, int32_t *kept,
 		      int32_t *starts, GArray *decisions);
@@ -39,9 +46,8 @@
 			     int32_t kept);
 static bool is_avoided(const wwh_placement_t *placement,
 		       const wwh_fleet_job_t *job, int32_t worker);
-static bool is_better(const wwh_placement_t *placement,
-		      const wwh_fleet_job_t *job, int32_t candidate,
-		      int32_t best);
+static int64_t cost_of(const wwh_placement_t *placement, const wwh_load_t *need,
+		       int32_t worker, const int32_t *group_by_zone);
 static int32_t keep_worker(const wwh_placement_t *placement, int32_t job);
 static void start(wwh_placement_t *placement, int32_t job, int32_t worker,
 		  GArray *decisions);
@@ -189,19 +195,29 @@
 
 	for (int32_t i = 0; i < job_count; i++) {
 		const wwh_fleet_job_t *job = wwh_fleet_job(placement->view, i);
-		wwh_place_waiting_t item = { .job = i,
-					     .pool = job->pool,
-					     .urgent = job->urgent,
-					     .queued_ms = job->queued_ms };
+		wwh_place_waiting_t item = { .job = i, .pool = job->pool };
 
 		if (job->state == WWH_JOB_QUEUED ||
-		    job->state == WWH_JOB_CHECKPOINTED)
+		    job->state == WWH_JOB_CHECKPOINTED) {
+			item.order = order_of(placement, job);
 			g_array_append_val(placement->waiting, item);
+		}
 	}
 	g_array_sort(placement->waiting, compare_waiting);
 }
 
-/* By pool; then urgent first, then those that wait longest. */
+static int64_t order_of(const wwh_placement_t *placement,
+			const wwh_fleet_job_t *job)
+{
+	wwh_order_figures_t figures = {
+		.priority = job->urgent ? URGENT_PRIORITY : BULK_PRIORITY,
+		.waited_ms = placement->now_ms - job->queued_ms,
+		.objective_ms = WWH_POLICY_NO_OBJECTIVE_MS,
+	};
+
+	return wwh_policy_order(&figures);
+}
+
 static int compare_waiting(gconstpointer a, gconstpointer b)
 {
 	const wwh_place_waiting_t *left = a;
@@ -209,10 +225,8 @@
 
 	if (left->pool != right->pool)
 		return left->pool < right->pool ? -1 : 1;
-	if (left->urgent != right->urgent)
-		return left->urgent ? -1 : 1;
-	if (left->queued_ms != right->queued_ms)
-		return left->queued_ms < right->queued_ms ? -1 : 1;
+	if (left->order != right->order)
+		return left->order < right->order ? -1 : 1;
 	return (left->job > right->job) - (left->job < right->job);
 }
 
@@ -336,19 +350,28 @@
 					     placement->now_ms);
 	int32_t size = wwh_fleet_pool(view, item->pool)->size;
 	int32_t best = WWH_FLEET_NONE;
+	int64_t best_cost = 0;
+	int32_t *group_by_zone = NULL;
 
 	for (int32_t i = 0; i < size; i++) {
 		int32_t member = wwh_fleet_member(view, item->pool, i);
+		int64_t cost;
 
 		if (!wwh_board_takes_jobs(placement, member) ||
 		    (member == kept && !item->urgent) ||
 		    is_avoided(placement, item, member) ||
 		    !wwh_load_fits(&need, &placement->room[member]))
 			continue;
-		if (best == WWH_FLEET_NONE ||
-		    is_better(placement, item, member, best))
+		/* a waiting job that fits nowhere needs no count */
+		if (group_by_zone == NULL)
+			group_by_zone = wwh_board_group_by_zone(placement, job);
+		cost = cost_of(placement, &need, member, group_by_zone);
+		if (best == WWH_FLEET_NONE || cost < best_cost) {
 			best = member;
+			best_cost = cost;
+		}
 	}
+	g_free(group_by_zone);
 	return best;
 }
 
@@ -363,33 +386,20 @@
 			      options->client_data);
 }
 
-/*
- * Maintained first, so that a wave moves a job once; then the zone with the
- * fewest of the job's group; then the worker that is left fullest, so that
- * room for large jobs stays in one piece.
- */
-static bool is_better(const wwh_placement_t *placement,
-		      const wwh_fleet_job_t *job, int32_t candidate,
-		      int32_t best)
+static int64_t cost_of(const wwh_placement_t *placement, const wwh_load_t *need,
+		       int32_t worker, const int32_t *group_by_zone)
 {
-	const wwh_fleet_worker_t *left =
-		wwh_fleet_worker(placement->view, candidate);
-	const wwh_fleet_worker_t *right =
-		wwh_fleet_worker(placement->view, best);
-
-	if (left->maintained != right->maintained)
-		return left->maintained;
-	if (job->group[0] != '\0' && left->zone != right->zone) {
-		int32_t left_count = wwh_board_group_in_zone(
-			placement, job->group, job->pool, left->zone);
-		int32_t right_count = wwh_board_group_in_zone(
-			placement, job->group, job->pool, right->zone);
-
-		if (left_count != right_count)
-			return left_count < right_count;
-	}
-	return placement->room[candidate].cpu_millicores <
-	       placement->room[best].cpu_millicores;
+	const wwh_fleet_worker_t *item =
+		wwh_fleet_worker(placement->view, worker);
+	wwh_fit_figures_t figures = {
+		.free_millicores = placement->room[worker].cpu_millicores,
+		.need_millicores = need->cpu_millicores,
+		.capacity_millicores = item->size.cpu_millicores,
+		.before_upkeep = !item->maintained,
+		.group_in_zone = group_by_zone[item->zone],
+	};
+
+	return wwh_policy_fit(&figures);
 }
 
 /* The worker that is large enough for the job and nearest to having room. */
--- a/src/libwaxwinghollow/scheduler_policy.c
+++ b/src/libwaxwinghollow/scheduler_policy.c
@@ -21,6 +21,8 @@
 #define DISTURBED 2500
 #define SAME_STEP_LASTING 2000
 #define FIRST_LASTING 1000
+#define GROUP_IN_ZONE (2 * FIT_SCALE) /* more than any two hosts differ by */
+#define BEFORE_UPKEEP (INT64_C(1) << 40) /* more than all the others */
 
 /* Of a serving task's target: fillers stand still, are halved, are kept. */
 #define PACE_STOP_PERCENT 97
@@ -80,6 +82,9 @@
 		cost += FAILED_HERE;
 	cost += (int64_t)figures->fail_streak * FAILURE_IN_A_ROW;
 	cost += (int64_t)figures->disturbed * DISTURBED;
+	cost += (int64_t)figures->group_in_zone * GROUP_IN_ZONE;
+	if (figures->before_upkeep)
+		cost += BEFORE_UPKEEP;
 	return cost;
 }
 
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -213,6 +213,101 @@
 	bench_finish(&bench);
 }
 
+/*
+ * Bulk fills one zone's workers nearly, those of the other are empty. The
+ * first of a group goes where it is fullest, the next one to the other zone,
+ * though it was placed a moment ago only and nothing reports it yet.
+ */
+static void a_group_that_is_just_placed_is_spread(void **unused)
+{
+	bench_t bench;
+	int32_t zones[2];
+
+	(void)unused;
+	bench_init(&bench);
+	for (int32_t i = 0; i < 4; i++) {
+		if (wwh_fleet_worker(bench.view, i)->zone == 0)
+			add_job(&bench, 24, i);
+	}
+	for (int32_t i = 0; i < 2; i++)
+		add_job(&bench, 4, WWH_FLEET_NONE)->group = "replicas";
+	run_pass(&bench);
+	for (guint i = 0; i < 2; i++) {
+		assert_int_equal(decision(&bench, i)->kind, WWH_PLACE_START);
+		zones[i] = wwh_fleet_worker(bench.view,
+					    decision(&bench, i)->worker)
+				   ->zone;
+	}
+	assert_int_equal(zones[0], 0);
+	assert_int_equal(zones[1], 1);
+	bench_finish(&bench);
+}
+
+static void a_group_is_spread_from_where_it_runs(void **unused)
+{
+	bench_t bench;
+
+	(void)unused;
+	bench_init(&bench);
+	for (int32_t i = 0; i < 4; i++) {
+		if (wwh_fleet_worker(bench.view, i)->zone == 0)
+			add_job(&bench, 24, i)->group = "replicas";
+	}
+	add_job(&bench, 4, WWH_FLEET_NONE)->group = "replicas";
+	run_pass(&bench);
+	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_START);
+	assert_int_equal(
+		wwh_fleet_worker(bench.view, decision(&bench, 0)->worker)->zone,
+		1);
+	bench_finish(&bench);
+}
+
+/*
+ * A wave has been at one worker, which is empty and in the zone where the
+ * group runs. The job goes there all the same: on any other it would move
+ * again when the wave comes.
+ */
+static void a_job_goes_where_the_wave_has_been(void **unused)
+{
+	bench_t bench;
+
+	(void)unused;
+	bench_init(&bench);
+	for (int32_t i = 0; i < 4; i++) {
+		if (i != 2)
+			add_job(&bench, 24, i);
+	}
+	add_job(&bench, 1, 2)->group = "replicas";
+	add_job(&bench, 4, WWH_FLEET_NONE)->group = "replicas";
+	wwh_fleet_worker(bench.view, 2)->maintained = true;
+	run_pass(&bench);
+	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_START);
+	assert_int_equal(decision(&bench, 0)->worker, 2);
+	bench_finish(&bench);
+}
+
+/* The pool has room for two: the urgent job, and the one that waits longest. */
+static void urgent_work_then_the_longest_wait(void **unused)
+{
+	bench_t bench;
+
+	(void)unused;
+	bench_init(&bench);
+	for (int32_t i = 0; i < 4; i++)
+		add_job(&bench, i < 2 ? 32 : 16, i);
+	add_job(&bench, 16, WWH_FLEET_NONE);
+	add_job(&bench, 16, WWH_FLEET_NONE)->queued_ms = NOW_MS - 2000;
+	add_job(&bench, 16, WWH_FLEET_NONE)->urgent = true;
+	run_pass(&bench);
+	assert_int_equal(decision(&bench, 0)->kind, WWH_PLACE_START);
+	assert_int_equal(decision(&bench, 0)->job, 6);
+	assert_int_equal(decision(&bench, 1)->kind, WWH_PLACE_START);
+	assert_int_equal(decision(&bench, 1)->job, 5);
+	assert_int_equal(decision(&bench, 2)->kind, WWH_PLACE_WAIT);
+	assert_int_equal(decision(&bench, 2)->job, 4);
+	bench_finish(&bench);
+}
+
 /*
  * One team sends forty jobs, another one. The first gets its quota and no
  * more; the second starts although it came last.
@@ -366,6 +461,10 @@
 		cmocka_unit_test(an_overloaded_worker_is_throttled_before_all),
 		cmocka_unit_test(
 			a_group_is_spread_over_zones_and_workers_leave_alone),
+		cmocka_unit_test(a_group_that_is_just_placed_is_spread),
+		cmocka_unit_test(a_group_is_spread_from_where_it_runs),
+		cmocka_unit_test(a_job_goes_where_the_wave_has_been),
+		cmocka_unit_test(urgent_work_then_the_longest_wait),
 		cmocka_unit_test(one_team_does_not_take_the_pool),
 		cmocka_unit_test(a_quota_of_millions_of_cores_holds),
 		cmocka_unit_test(a_large_job_is_not_starved),
--- a/src/test_scheduler/test_jobs.c
+++ b/src/test_scheduler/test_jobs.c
@@ -280,6 +280,19 @@
 			 WWH_PROGRESS_QUEUED);
 }
 
+/* A host is full by a filler's figures; ordinary tasks start all the same. */
+void a_filler_takes_no_processor_from_others(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *filler = rig_job(JOB_A, 2, 8000);
+
+	filler->steps[0].filler = true;
+	rig_submit(rig, filler);
+	assert_int_equal(rig->starts->len, 2);
+	rig_submit(rig, rig_job(JOB_B, 9, 1000));
+	assert_int_equal(rig->starts->len, 2 + 8);
+}
+
 void a_cancelled_job_stops_and_starts_nothing(void **state)
 {
 	rig_t *rig = *state;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -40,6 +40,7 @@
 		RIG_TEST(a_lasting_task_is_started_again_however_it_ends, 1),  \
 		RIG_TEST(occurrences_start_when_they_are_due, 1),              \
 		RIG_TEST(a_need_that_cannot_be_added_up_fits_nowhere, 1),      \
+		RIG_TEST(a_filler_takes_no_processor_from_others, 1),          \
 		RIG_TEST(a_cancelled_job_stops_and_starts_nothing, 1)
 
 void a_step_waits_for_all_tasks_of_those_before_it(void **state);
@@ -52,6 +53,7 @@
 void a_lasting_task_is_started_again_however_it_ends(void **state);
 void occurrences_start_when_they_are_due(void **state);
 void a_need_that_cannot_be_added_up_fits_nowhere(void **state);
+void a_filler_takes_no_processor_from_others(void **state);
 void a_cancelled_job_stops_and_starts_nothing(void **state);
 
 #define RUN_TESTS                                                                  \
