One type for how far a job is at the product's interface

The reducer's wwh_job_phase_t was turned into wwh_job_state_t for the fleet view: seven states, of which the bridge made four and three were never set nor printed. The view carries the phase, and whether a pending job has a checkpoint. No test asked for the names that go.

--- a/include/waxwinghollow/fleet_view.h
+++ b/include/waxwinghollow/fleet_view.h
@@ -43,20 +43,6 @@
 /* Names of wwh_fleet_state_t, in the same order. */
 extern const char *const wwh_fleet_state_names[WWH_FLEET_STATE_COUNT];
 
-typedef enum {
-	WWH_JOB_QUEUED = 0,
-	WWH_JOB_RUNNING,
-	WWH_JOB_CHECKPOINTED, /* stopped; goes on from where it was */
-	WWH_JOB_DONE,
-	WWH_JOB_FAILED,
-	WWH_JOB_IMPOSSIBLE, /* no worker of its pool could ever run it */
-	WWH_JOB_CANCELLED,
-	WWH_JOB_STATE_COUNT
-} wwh_job_state_t;
-
-/* Names of wwh_job_state_t, in the same order. */
-extern const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT];
-
 typedef struct {
 	const char *id;
 	int32_t pool; /* WWH_FLEET_NONE: between pools */
@@ -121,7 +107,8 @@
 	const char *group; /* spread over zones among its like; "": none */
 	int32_t pool;
 	int32_t worker; /* where it runs; WWH_FLEET_NONE */
-	wwh_job_state_t state;
+	wwh_job_phase_t phase;
+	bool checkpointed; /* pending; goes on from where it was */
 	wwh_load_t declared;
 	wwh_load_t used; /* observed, lagging; 0 before the first report */
 	bool urgent;
--- a/src/libwaxwinghollow/conductor_job.c
+++ b/src/libwaxwinghollow/conductor_job.c
@@ -141,8 +141,8 @@
 		    wwh_fleet_pool(view, job->pool)->fence == WWH_NO_OFFSET)
 			continue;
 		/* A cancelled job is followed until its task has stopped. */
-		if (job->state != WWH_JOB_RUNNING &&
-		    !(job->state == WWH_JOB_CANCELLED && runs))
+		if (job->phase != WWH_JOB_PHASE_PLACED &&
+		    !(job->phase == WWH_JOB_PHASE_CANCELLED && runs))
 			continue;
 		run = run_for(conductor, i);
 		run->seen = true;
@@ -229,7 +229,7 @@
 	    conductor->now_ms >= wwh_placement_safe_ms(
 					 &lapse, &conductor->options.placement))
 		step(conductor, run, EVENT_LAPSED);
-	if (item->state == WWH_JOB_CANCELLED)
+	if (item->phase == WWH_JOB_PHASE_CANCELLED)
 		step(conductor, run, EVENT_CANCEL);
 }
 
--- a/src/libwaxwinghollow/fleet_bridge.c
+++ b/src/libwaxwinghollow/fleet_bridge.c
@@ -299,6 +299,7 @@
 		.group = job->team, /* its jobs are spread over zones */
 		.pool = pool_of(bridge, job->pool),
 		.worker = WWH_FLEET_NONE,
+		.phase = job->phase,
 		.declared = { job->cores * 1000, job->memory_mb,
 			      job->accelerators },
 		.urgent = job->urgent,
@@ -315,17 +316,12 @@
 	if (item.pool == WWH_FLEET_NONE)
 		return true;
 	if (job->phase == WWH_JOB_PHASE_PENDING)
-		item.state = job->checkpoint != WWH_NO_OFFSET
-				     ? WWH_JOB_CHECKPOINTED
-				     : WWH_JOB_QUEUED;
+		item.checkpointed = job->checkpoint != WWH_NO_OFFSET;
 	else
-		item.state = job->phase == WWH_JOB_PHASE_PLACED
-				     ? WWH_JOB_RUNNING
-				     : WWH_JOB_CANCELLED;
-	if (job->phase != WWH_JOB_PHASE_PENDING)
 		item.worker = wwh_fleet_find_worker(bridge->view, job->worker);
 	add_report(bridge, job, &item);
-	if (item.state == WWH_JOB_CANCELLED && item.report != WWH_TASK_RUNNING)
+	if (job->phase == WWH_JOB_PHASE_CANCELLED &&
+	    item.report != WWH_TASK_RUNNING)
 		return true;
 	wwh_fleet_view_add_job(bridge->view, &item);
 	return true;
--- a/src/libwaxwinghollow/fleet_view.c
+++ b/src/libwaxwinghollow/fleet_view.c
@@ -33,11 +33,6 @@
 	"between",
 };
 
-const char *const wwh_job_state_names[WWH_JOB_STATE_COUNT] = {
-	"queued", "running",	"checkpointed", "done",
-	"failed", "impossible", "cancelled"
-};
-
 static void table_init(table_t *table, guint item_size);
 static void table_clear(table_t *table);
 static int32_t table_find(const table_t *table, const char *id);
--- a/src/libwaxwinghollow/place_board.c
+++ b/src/libwaxwinghollow/place_board.c
@@ -55,7 +55,7 @@
 				view, wwh_fleet_worker_job(view, member, j));
 
 			counts[worker->zone] +=
-				other->state == WWH_JOB_RUNNING &&
+				other->phase == WWH_JOB_PHASE_PLACED &&
 				strcmp(other->group, item->group) == 0;
 		}
 	}
@@ -131,7 +131,7 @@
 {
 	const wwh_fleet_job_t *item = wwh_fleet_job(board->view, job);
 
-	return item->state == WWH_JOB_RUNNING && !item->urgent;
+	return item->phase == WWH_JOB_PHASE_PLACED && !item->urgent;
 }
 
 /* What the running job counts for on its worker now. */
@@ -296,7 +296,7 @@
 		const wwh_fleet_job_t *job = wwh_fleet_job(
 			view, wwh_fleet_worker_job(view, worker, i));
 
-		if (job->state == WWH_JOB_RUNNING)
+		if (job->phase == WWH_JOB_PHASE_PLACED)
 			wwh_load_add(&used, &job->used);
 	}
 	return used;
--- a/src/libwaxwinghollow/placement.c
+++ b/src/libwaxwinghollow/placement.c
@@ -133,7 +133,7 @@
 	wwh_load_t need = job->declared;
 	int32_t percent = 100 + options->margin_percent;
 
-	if (job->state != WWH_JOB_RUNNING ||
+	if (job->phase != WWH_JOB_PHASE_PLACED ||
 	    now_ms - job->started_ms < options->observe_ms)
 		return need;
 	if (job->used.cpu_millicores > 0)
@@ -155,7 +155,7 @@
 	if (job->idempotent || job->renewed_ms == 0)
 		return 0;
 	/* A checkpoint is a state that the worker itself reported. */
-	if (job->state == WWH_JOB_CHECKPOINTED)
+	if (job->checkpointed)
 		return 0;
 	return job->renewed_ms + options->lease_ms + options->lapse_margin_ms;
 }
@@ -170,7 +170,7 @@
 						     placement->now_ms);
 		int32_t team = team_index(placement, job->team);
 
-		if (job->state != WWH_JOB_RUNNING ||
+		if (job->phase != WWH_JOB_PHASE_PLACED ||
 		    job->worker == WWH_FLEET_NONE)
 			continue;
 		wwh_load_subtract(&placement->room[job->worker], &need);
@@ -197,8 +197,7 @@
 		const wwh_fleet_job_t *job = wwh_fleet_job(placement->view, i);
 		wwh_place_waiting_t item = { .job = i, .pool = job->pool };
 
-		if (job->state == WWH_JOB_QUEUED ||
-		    job->state == WWH_JOB_CHECKPOINTED) {
+		if (job->phase == WWH_JOB_PHASE_PENDING) {
 			item.order = order_of(placement, job);
 			g_array_append_val(placement->waiting, item);
 		}
--- a/src/libwaxwinghollow/plan_moves.c
+++ b/src/libwaxwinghollow/plan_moves.c
@@ -64,7 +64,8 @@
 		for (int32_t j = 0; j < worker->job_count; j++) {
 			int32_t job = wwh_fleet_worker_job(view, member, j);
 
-			if (wwh_fleet_job(view, job)->state == WWH_JOB_RUNNING)
+			if (wwh_fleet_job(view, job)->phase ==
+			    WWH_JOB_PHASE_PLACED)
 				board_place(board, i, job);
 		}
 	}
--- a/src/libwaxwinghollow/plan_order.c
+++ b/src/libwaxwinghollow/plan_order.c
@@ -74,7 +74,7 @@
 		int64_t wait_ms = job->expected_end_ms - options->now_ms;
 		double points;
 
-		if (job->state != WWH_JOB_RUNNING || wait_ms <= 0 ||
+		if (job->phase != WWH_JOB_PHASE_PLACED || wait_ms <= 0 ||
 		    wait_ms > options->drain_limit_ms)
 			continue;
 		points = wait_points(view, worker, options, wait_ms);
@@ -136,7 +136,7 @@
 		const wwh_fleet_job_t *job = wwh_fleet_job(
 			view, wwh_fleet_worker_job(view, worker, i));
 
-		if (job->state != WWH_JOB_RUNNING)
+		if (job->phase != WWH_JOB_PHASE_PLACED)
 			continue;
 		if (job->expected_end_ms == 0 ||
 		    job->expected_end_ms > after_ms)
--- a/src/test_placement/test_placement.c
+++ b/src/test_placement/test_placement.c
@@ -49,8 +49,8 @@
 				.team = "team",
 				.group = "",
 				.worker = worker,
-				.state = worker < 0 ? WWH_JOB_QUEUED
-						    : WWH_JOB_RUNNING,
+				.phase = worker < 0 ? WWH_JOB_PHASE_PENDING
+						    : WWH_JOB_PHASE_PLACED,
 				.declared = { cores * 1000, 1024, 0 },
 				.lease = WWH_NO_OFFSET,
 				.report = WWH_FLEET_UNKNOWN,
