Refuse reports whose memory can't be counted

A task report's processor use is refused above 2^31-1 millicores; its memory was taken up to 2^63-1 MB. The placement adds a quarter to it, which overflowed from 7.4*10^16 MB on: the need turned negative and the worker seemed to have memory without end. Both have the same bound now.

use_that_cannot_be_added_up_is_refused fails on the code before (0 != 0x2: the list was taken).

--- a/src/libwaxwinghollow/platform_http_decode.c
+++ b/src/libwaxwinghollow/platform_http_decode.c
@@ -240,14 +240,14 @@
 	if (!get_name(object, "state", wwh_task_state_names,
 		      WWH_TASK_STATE_COUNT, &state) ||
 	    !get_number(object, "used_cores_milli", &cores) ||
-	    cores > INT32_MAX)
+	    !get_number(object, "used_memory_mb", &report->used_memory_mb) ||
+	    cores > INT32_MAX || report->used_memory_mb > INT32_MAX)
 		return false;
 	report->state = (wwh_task_state_t)state;
 	report->used_cores_milli = (int32_t)cores;
 	return get_text(object, "task_id", &report->task_id) &&
 	       get_text(object, "worker_id", &report->worker_id) &&
-	       get_number(object, "fence", &report->fence) &&
-	       get_number(object, "used_memory_mb", &report->used_memory_mb);
+	       get_number(object, "fence", &report->fence);
 }
 
 /* [first, next, [record, ...]] with the records' offsets rising. */
--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -268,6 +268,47 @@
 	stop_standin(&standin);
 }
 
+/*
+ * A report says that a task uses more memory than can be counted with a margin
+ * on top: 10^17 MB and a quarter turned negative, and the worker seemed to have
+ * memory without end. Such a list is refused like any other that can't be.
+ */
+static void use_that_cannot_be_added_up_is_refused(void **unused)
+{
+	static const struct {
+		const char *cores;
+		const char *memory_mb;
+		wwh_status_t status;
+	} rows[] = {
+		{ "2147483647", "2147483647", WWH_STATUS_OK },
+		{ "2147483648", "1", WWH_STATUS_BAD_INPUT },
+		{ "1", "2147483648", WWH_STATUS_BAD_INPUT },
+		{ "1", "100000000000000000", WWH_STATUS_BAD_INPUT },
+		{ "1", "-1", WWH_STATUS_BAD_INPUT },
+	};
+
+	(void)unused;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		GString *seen = g_string_new(NULL);
+		char *body = g_strdup_printf(
+			"{\"tasks\": [{\"task_id\": \"t\", "
+			"\"worker_id\": \"w\", \"state\": \"running\", "
+			"\"fence\": 7, \"used_cores_milli\": %s, "
+			"\"used_memory_mb\": %s}]}",
+			rows[i].cores, rows[i].memory_mb);
+
+		assert_int_equal(wwh_decode_task_reports((uint8_t *)body,
+							 strlen(body),
+							 add_report, seen),
+				 rows[i].status);
+		assert_string_equal(seen->str, rows[i].status == WWH_STATUS_OK
+						       ? "t/w/running/7;"
+						       : "");
+		g_free(body);
+		g_string_free(seen, TRUE);
+	}
+}
+
 /* Foreign bytes must not make the unpacker allocate what they declare. */
 static void declared_lengths_are_checked_first(void **unused)
 {
@@ -306,6 +347,7 @@
 		cmocka_unit_test(refused_connection_is_without_effect),
 		cmocka_unit_test(log_of_the_standin),
 		cmocka_unit_test(fleet_of_the_standin),
+		cmocka_unit_test(use_that_cannot_be_added_up_is_refused),
 		cmocka_unit_test(declared_lengths_are_checked_first),
 	};
 
