--- a/src/libwaxwinghollow/include/private/scheduler_policy.h
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -19,8 +19,9 @@
 #include <stdint.h>
 
 /*
- * For work that nobody has given an objective. Longer than anything waits: at
- * its end work ranks as late, and what has waited longest would go last.
+ * For work that nobody has given an objective. Work past its objective ranks
+ * as late and gives way to newer work; with a bound that is ever reached, what
+ * has waited longest would go last.
  */
 #define WWH_POLICY_NO_OBJECTIVE_MS (INT64_C(1) << 37) /* four years */
 
@@ -68,7 +69,7 @@
 	int32_t lasting_here; /* lasting tasks of any step */
 	bool lasting;
 	bool before_upkeep; /* a wave that runs has not been at the host */
-	int32_t group_in_zone; /* of its kind, in the host's zone */
+	int32_t group_in_zone; /* tasks of its group in the host's zone */
 } wwh_fit_figures_t;
 
 /*
@@ -78,8 +79,8 @@
  * hosts, so that the others can be moved without ending any of them.
  *
  * Hosts that a wave has been at go before all others: elsewhere a job moves
- * again when the wave comes. Then a group is spread over zones: the loss of a
- * zone would take all of it, however full its hosts are.
+ * again when the wave comes. Then a group is spread over zones, before hosts
+ * are filled: otherwise the loss of one zone takes all of it.
  */
 int64_t wwh_policy_fit(const wwh_fit_figures_t *figures);
 
