--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -271,7 +271,7 @@
 /*
  * A report says that a task uses more memory than can be counted with a margin
  * on top: 10^17 MB and a quarter turned negative, and the worker seemed to have
- * memory without end. Such a list is refused like any other that can't be.
+ * memory without end. Such a row is refused like any other that can't be read.
  */
 static void use_that_cannot_be_added_up_is_refused(void **unused)
 {
