--- a/src/libwaxwinghollow/fleet_bridge.c
+++ b/src/libwaxwinghollow/fleet_bridge.c
@@ -106,7 +106,7 @@
 		task->ended = false;
 	}
 	task->state = report->state;
-	task->used.cores_milli = report->used_cores_milli;
+	task->used.cpu_millicores = report->used_cores_milli;
 	task->used.memory_mb = report->used_memory_mb;
 }
 
@@ -299,6 +299,7 @@
 		.group = job->team, /* its jobs are spread over zones */
 		.pool = pool_of(bridge, job->pool),
 		.worker = WWH_FLEET_NONE,
+		.phase = job->phase,
 		.declared = { job->cores * 1000, job->memory_mb,
 			      job->accelerators },
 		.urgent = job->urgent,
@@ -315,17 +316,12 @@
 	if (item.pool == WWH_FLEET_NONE)
 		return true;
 	if (job->phase == WWH_JOB_PHASE_PENDING)
-		item.state = job->checkpoint != WWH_NO_OFFSET
-				     ? WWH_JOB_CHECKPOINTED
-				     : WWH_JOB_QUEUED;
+		item.checkpointed = job->checkpoint != WWH_NO_OFFSET;
 	else
-		item.state = job->phase == WWH_JOB_PHASE_PLACED
-				     ? WWH_JOB_RUNNING
-				     : WWH_JOB_CANCELLED;
-	if (job->phase != WWH_JOB_PHASE_PENDING)
 		item.worker = wwh_fleet_find_worker(bridge->view, job->worker);
 	add_report(bridge, job, &item);
-	if (item.state == WWH_JOB_CANCELLED && item.report != WWH_TASK_RUNNING)
+	if (job->phase == WWH_JOB_PHASE_CANCELLED &&
+	    item.report != WWH_TASK_RUNNING)
 		return true;
 	wwh_fleet_view_add_job(bridge->view, &item);
 	return true;
@@ -413,7 +409,7 @@
 		if (job->worker == WWH_FLEET_NONE)
 			continue;
 		worker = wwh_fleet_worker(view, job->worker);
-		worker->used.cores_milli += job->used.cores_milli;
+		worker->used.cpu_millicores += job->used.cpu_millicores;
 		worker->used.memory_mb += job->used.memory_mb;
 	}
 }
--- a/src/libwaxwinghollow/place_board.c
+++ b/src/libwaxwinghollow/place_board.c
@@ -13,7 +13,7 @@
 } give_way_t;
 
 static bool gives_way(const wwh_placement_t *board, int32_t job);
-static int32_t counted_cores(const wwh_placement_t *board, int32_t job);
+static int64_t counted_cores(const wwh_placement_t *board, int32_t job);
 static give_way_t try_worker(wwh_placement_t *board, int32_t worker,
 			     const wwh_load_t *need, GArray *decisions);
 static bool throttle_bulk(wwh_placement_t *board, int32_t worker,
@@ -28,27 +28,6 @@
 			      bool memory);
 static wwh_load_t used_on(const wwh_fleet_view_t *view, int32_t worker);
 
-bool wwh_load_fits(const wwh_load_t *need, const wwh_load_t *room)
-{
-	return need->cores_milli <= room->cores_milli &&
-	       need->memory_mb <= room->memory_mb &&
-	       need->accelerators <= room->accelerators;
-}
-
-void wwh_load_add(wwh_load_t *sum, const wwh_load_t *load)
-{
-	sum->cores_milli += load->cores_milli;
-	sum->memory_mb += load->memory_mb;
-	sum->accelerators += load->accelerators;
-}
-
-void wwh_load_subtract(wwh_load_t *sum, const wwh_load_t *load)
-{
-	sum->cores_milli -= load->cores_milli;
-	sum->memory_mb -= load->memory_mb;
-	sum->accelerators -= load->accelerators;
-}
-
 bool wwh_board_takes_jobs(const wwh_placement_t *board, int32_t worker)
 {
 	const wwh_fleet_worker_t *item = wwh_fleet_worker(board->view, worker);
@@ -57,39 +36,39 @@
 	       item->grant == WWH_NO_OFFSET;
 }
 
-int32_t wwh_board_group_in_zone(const wwh_placement_t *board, const char *group,
-				int32_t pool, int32_t zone)
+int32_t *wwh_board_group_by_zone(const wwh_placement_t *board, int32_t job)
 {
 	const wwh_fleet_view_t *view = board->view;
-	int32_t size = wwh_fleet_pool(view, pool)->size;
-	int32_t count = 0;
+	const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
+	int32_t *counts = g_new0(int32_t, wwh_fleet_zone_count(view) + 1);
+	int32_t size = wwh_fleet_pool(view, item->pool)->size;
 
+	if (item->group[0] == '\0')
+		return counts;
 	for (int32_t i = 0; i < size; i++) {
-		int32_t member = wwh_fleet_member(view, pool, i);
+		int32_t member = wwh_fleet_member(view, item->pool, i);
 		const wwh_fleet_worker_t *worker =
 			wwh_fleet_worker(view, member);
 
-		if (worker->zone != zone)
-			continue;
 		for (int32_t j = 0; j < worker->job_count; j++) {
-			const wwh_fleet_job_t *job = wwh_fleet_job(
+			const wwh_fleet_job_t *other = wwh_fleet_job(
 				view, wwh_fleet_worker_job(view, member, j));
 
-			if (job->state == WWH_JOB_RUNNING &&
-			    strcmp(job->group, group) == 0)
-				count++;
+			counts[worker->zone] +=
+				other->phase == WWH_JOB_PHASE_PLACED &&
+				strcmp(other->group, item->group) == 0;
 		}
 	}
 	for (guint i = 0; i < board->placed_jobs->len; i++) {
-		int32_t job = g_array_index(board->placed_jobs, int32_t, i);
+		int32_t placed = g_array_index(board->placed_jobs, int32_t, i);
+		const wwh_fleet_job_t *other = wwh_fleet_job(view, placed);
 		const wwh_fleet_worker_t *worker =
-			wwh_fleet_worker(view, board->placed[job]);
+			wwh_fleet_worker(view, board->placed[placed]);
 
-		if (worker->zone == zone && worker->pool == pool &&
-		    strcmp(wwh_fleet_job(view, job)->group, group) == 0)
-			count++;
+		counts[worker->zone] += worker->pool == item->pool &&
+					strcmp(other->group, item->group) == 0;
 	}
-	return count;
+	return counts;
 }
 
 void wwh_board_place(wwh_placement_t *board, int32_t job, int32_t worker)
@@ -152,18 +131,18 @@
 {
 	const wwh_fleet_job_t *item = wwh_fleet_job(board->view, job);
 
-	return item->state == WWH_JOB_RUNNING && !item->urgent;
+	return item->phase == WWH_JOB_PHASE_PLACED && !item->urgent;
 }
 
 /* What the running job counts for on its worker now. */
-static int32_t counted_cores(const wwh_placement_t *board, int32_t job)
+static int64_t counted_cores(const wwh_placement_t *board, int32_t job)
 {
 	wwh_load_t need = wwh_placement_need(wwh_fleet_job(board->view, job),
 					     &board->options, board->now_ms);
 
 	if (board->throttled[job] >= 0)
 		return board->throttled[job];
-	return need.cores_milli;
+	return need.cpu_millicores;
 }
 
 /* With decisions NULL nothing is changed, only the cost is found. */
@@ -191,27 +170,27 @@
 
 	for (int32_t i = 0; i < job_count; i++) {
 		int32_t job = wwh_fleet_worker_job(view, worker, i);
-		int32_t cores = counted_cores(board, job);
+		int64_t cores = counted_cores(board, job);
 		wwh_place_t decision = {
 			.kind = WWH_PLACE_THROTTLE,
 			.reason = WWH_REASON_URGENT,
 			.job = job,
 			.worker = worker,
-			.cores_milli = cores * THROTTLE_FLOOR_PERCENT / 100,
+			.cpu_millicores = cores * THROTTLE_FLOOR_PERCENT / 100,
 		};
 
-		if (need->cores_milli <= room->cores_milli)
+		if (need->cpu_millicores <= room->cpu_millicores)
 			break;
 		if (!gives_way(board, job) || board->throttled[job] >= 0)
 			continue;
-		room->cores_milli += cores - decision.cores_milli;
+		room->cpu_millicores += cores - decision.cpu_millicores;
 		result->throttles++;
 		if (!decisions)
 			continue;
-		board->throttled[job] = decision.cores_milli;
+		board->throttled[job] = decision.cpu_millicores;
 		g_array_append_val(decisions, decision);
 	}
-	return need->cores_milli <= room->cores_milli;
+	return need->cpu_millicores <= room->cpu_millicores;
 }
 
 /* Idempotent jobs first: losing a checkpoint of theirs costs only time. */
@@ -234,13 +213,12 @@
 					 .worker = worker };
 		bool helps = (need->memory_mb > room->memory_mb &&
 			      freed.memory_mb > 0) ||
-			     (need->accelerators > room->accelerators &&
-			      freed.accelerators > 0);
+			     (need->gpus > room->gpus && freed.gpus > 0);
 
 		if (!helps || !gives_way(board, job) ||
 		    item->idempotent != (i < job_count))
 			continue;
-		freed.cores_milli = counted_cores(board, job);
+		freed.cpu_millicores = counted_cores(board, job);
 		wwh_load_add(room, &freed);
 		result->checkpoints++;
 		if (!decisions)
@@ -248,8 +226,7 @@
 		board->throttled[job] = 0;
 		g_array_append_val(decisions, decision);
 	}
-	return need->memory_mb <= room->memory_mb &&
-	       need->accelerators <= room->accelerators;
+	return need->memory_mb <= room->memory_mb && need->gpus <= room->gpus;
 }
 
 static void relieve_worker(wwh_placement_t *board, int32_t worker,
@@ -264,7 +241,7 @@
 	if (used.memory_mb > item->size.memory_mb) {
 		decision.job = largest_excess(board, worker, true);
 		decision.kind = WWH_PLACE_CHECKPOINT;
-	} else if (used.cores_milli > item->size.cores_milli) {
+	} else if (used.cpu_millicores > item->size.cpu_millicores) {
 		decision.job = largest_excess(board, worker, false);
 		decision.kind = WWH_PLACE_THROTTLE;
 	} else {
@@ -272,11 +249,11 @@
 	}
 	if (decision.job == WWH_FLEET_NONE)
 		return;
-	decision.cores_milli =
-		wwh_fleet_job(view, decision.job)->declared.cores_milli;
+	decision.cpu_millicores =
+		wwh_fleet_job(view, decision.job)->declared.cpu_millicores;
 	board->throttled[decision.job] = decision.kind == WWH_PLACE_CHECKPOINT
 						 ? 0
-						 : decision.cores_milli;
+						 : decision.cpu_millicores;
 	g_array_append_val(decisions, decision);
 }
 
@@ -294,8 +271,8 @@
 		const wwh_fleet_job_t *item = wwh_fleet_job(view, job);
 		int64_t excess =
 			memory ? item->used.memory_mb - item->declared.memory_mb
-			       : (int64_t)item->used.cores_milli -
-					 item->declared.cores_milli;
+			       : item->used.cpu_millicores -
+					 item->declared.cpu_millicores;
 
 		if (!gives_way(board, job) || board->throttled[job] >= 0)
 			continue;
@@ -319,7 +296,7 @@
 		const wwh_fleet_job_t *job = wwh_fleet_job(
 			view, wwh_fleet_worker_job(view, worker, i));
 
-		if (job->state == WWH_JOB_RUNNING)
+		if (job->phase == WWH_JOB_PHASE_PLACED)
 			wwh_load_add(&used, &job->used);
 	}
 	return used;
