--- a/src/test_scheduler/test_jobs.c
+++ b/src/test_scheduler/test_jobs.c
@@ -314,3 +314,46 @@
 	rig_run(rig, 1000);
 	assert_int_equal(rig->starts->len, 8);
 }
+
+/*
+ * A caller asks for more cores than any host has, or for so much that sums of it
+ * run over. Its tasks never start, and yet the pool's size went by them: hosts
+ * were called from pools whose callers wait.
+ */
+void work_that_no_host_can_hold_draws_none(void **state)
+{
+	static const int64_t needs[] = { 8001, INT64_MAX / 2, INT64_MAX };
+	static const char *const ids[] = { JOB_A, JOB_B, "00000000000000cc" };
+	rig_t *rig = *state;
+	wwh_pool_figures_t figures;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(needs); i++) {
+		wwh_job_t *job = rig_job(ids[i], 8, needs[i]);
+
+		job->steps[0].estimate_ms = INT64_MAX / 4;
+		job->steps[0].lasting = i == 1;
+		rig_submit(rig, job);
+	}
+	figures = wwh_scheduler_pool_figures(rig->scheduler, RIG_POOL);
+	assert_int_equal(rig->starts->len, 0);
+	assert_int_equal(figures.work_left, 0);
+	assert_int_equal(figures.usable_now, 0);
+	assert_int_equal(figures.arrived_work, 0);
+	assert_int_equal(figures.arrived_usable, 0);
+	assert_int_equal(figures.lasting, 0);
+}
+
+/* A guess of years draws as many hosts as there are, and no sum runs over. */
+void an_absurd_estimate_counts_as_a_long_one(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 10000, 1000);
+	wwh_pool_figures_t figures;
+
+	job->steps[0].estimate_ms = INT64_MAX;
+	rig_submit(rig, job);
+	figures = wwh_scheduler_pool_figures(rig->scheduler, RIG_POOL);
+	assert_true(figures.work_left > 0);
+	assert_true(figures.work_left < INT64_MAX / 1000);
+	assert_true(figures.arrived_work > 0);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -41,6 +41,8 @@
 		RIG_TEST(occurrences_start_when_they_are_due, 1),              \
 		RIG_TEST(a_need_that_cannot_be_added_up_fits_nowhere, 1),      \
 		RIG_TEST(a_filler_takes_no_processor_from_others, 1),          \
+		RIG_TEST(work_that_no_host_can_hold_draws_none, 2),            \
+		RIG_TEST(an_absurd_estimate_counts_as_a_long_one, 2),          \
 		RIG_TEST(a_cancelled_job_stops_and_starts_nothing, 1)
 
 void a_step_waits_for_all_tasks_of_those_before_it(void **state);
@@ -55,6 +57,8 @@
 void a_need_that_cannot_be_added_up_fits_nowhere(void **state);
 void a_filler_takes_no_processor_from_others(void **state);
 void a_cancelled_job_stops_and_starts_nothing(void **state);
+void work_that_no_host_can_hold_draws_none(void **state);
+void an_absurd_estimate_counts_as_a_long_one(void **state);
 
 #define RUN_TESTS                                                                    \
 	RIG_TEST(an_unanswered_start_is_settled_before_the_next, 2),                 \
