Count only work that some host can hold towards a pool's size

Cause: needs and estimates were summed as callers gave them. What no host can hold is left out, and guesses count as a week at most, a minute for a pool's size.

--- a/include/waxwinghollow/job.h
+++ b/include/waxwinghollow/job.h
@@ -31,6 +31,9 @@
 #define WWH_JOB_MAX_TASKS 10000
 #define WWH_JOB_MAX_REPEATS 100000
 
+/* Guesses above a week count as one: callers give any number. */
+#define WWH_JOB_MAX_ESTIMATE_MS INT64_C(604800000)
+
 typedef struct {
 	int32_t task_count;
 	wwh_load_t need; /* of one task */
@@ -82,6 +85,9 @@
 
 bool wwh_job_id_valid(const char *id);
 
+/* What a task of step is guessed to take, WWH_JOB_MAX_ESTIMATE_MS at most. */
+int64_t wwh_job_estimate_ms(const wwh_job_step_t *step);
+
 /* WWH_STATUS_BAD_INPUT with a message for the caller when job can't be run. */
 wwh_status_t wwh_job_check(const wwh_job_t *job, wwh_message_t *message);
 
--- a/src/libwaxwinghollow/job.c
+++ b/src/libwaxwinghollow/job.c
@@ -47,6 +47,11 @@
 	return digits == WWH_JOB_ID_CHARS && id[digits] == '\0';
 }
 
+int64_t wwh_job_estimate_ms(const wwh_job_step_t *step)
+{
+	return MIN(step->estimate_ms, WWH_JOB_MAX_ESTIMATE_MS);
+}
+
 wwh_status_t wwh_job_check(const wwh_job_t *job, wwh_message_t *message)
 {
 	int64_t tasks = 0;
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -4,12 +4,21 @@
 /* A guess below this says nothing of a task. */
 #define LEAST_ESTIMATE_MS 100
 
+/* Above this it draws all hosts anyway, and sums of it could run over. */
+#define MOST_ESTIMATE_MS 60000
+
+/* No host has more: 10,000 cores. Bounds sums while no host is known. */
+#define MOST_MILLICORES 10000000
+
 /* Work that was handed in within this time tells what comes next. */
 #define ARRIVAL_WINDOW_MS 500
 
 static void add_occurrence(const wwh_scheduler_t *scheduler,
 			   const sched_occurrence_t *occurrence,
 			   wwh_pool_figures_t *figures);
+static void add_lasting(const sched_step_t *step, wwh_pool_figures_t *figures);
+static void add_step(const wwh_scheduler_t *scheduler, const sched_step_t *step,
+		     wwh_pool_figures_t *figures);
 static void give_all_away(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 static void give_away_one_by_one(wwh_scheduler_t *scheduler,
@@ -101,6 +110,12 @@
 	GHashTableIter iterator;
 	gpointer value;
 
+	/* hosts are much alike; an empty pool has none to ask */
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		figures.host_millicores = MAX(
+			figures.host_millicores,
+			((sched_upstream_t *)value)->info.size.cpu_millicores);
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
@@ -126,12 +141,6 @@
 		}
 	}
 	figures.hosts_bound = MAX(figures.hosts_bound, with_lasting);
-	/* hosts are much alike; an empty pool has none to ask */
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		figures.host_millicores = MAX(
-			figures.host_millicores,
-			((sched_upstream_t *)value)->info.size.cpu_millicores);
 	return figures;
 }
 
@@ -223,7 +232,10 @@
 	}
 }
 
-/* Work that will be of no use to its caller draws no hosts. */
+/*
+ * Work that will be of no use to its caller draws no hosts, and none that no
+ * host can hold: called for it, they would be missing where callers wait.
+ */
 static void add_occurrence(const wwh_scheduler_t *scheduler,
 			   const sched_occurrence_t *occurrence,
 			   wwh_pool_figures_t *figures)
@@ -231,43 +243,53 @@
 	const sched_job_t *job = occurrence->job;
 	bool of_use = wwh_policy_of_use(scheduler->now_ms - occurrence->due_ms,
 					job->objective_ms);
+	int64_t most = figures->host_millicores > 0 ? figures->host_millicores
+						    : MOST_MILLICORES;
 
 	for (int32_t i = 0; i < job->spec->step_count; i++) {
 		const sched_step_t *step = &occurrence->steps[i];
-		const wwh_job_step_t *spec = step->spec;
-		int32_t left = spec->task_count - step->done;
-
-		if (spec->lasting) {
-			int32_t most = MAX(spec->max_per_upstream, 1);
-
-			figures->lasting +=
-				spec->filler ? 0
-					     : left * spec->need.cpu_millicores;
-			if (spec->max_per_upstream > 0)
-				figures->hosts_bound =
-					MAX(figures->hosts_bound,
-					    (left + most - 1) / most);
-			continue;
-		}
-		if (!of_use)
+
+		if (step->spec->need.cpu_millicores > most)
 			continue;
-		if (scheduler->now_ms - occurrence->due_ms <
-		    ARRIVAL_WINDOW_MS) {
-			figures->arrived_work +=
-				spec->task_count * spec->need.cpu_millicores *
-				MAX(spec->estimate_ms, LEAST_ESTIMATE_MS);
-			if (sched_step_is_ready(step))
-				figures->arrived_usable +=
-					spec->task_count *
-					spec->need.cpu_millicores;
-		}
-		/* of what runs about half is done */
-		figures->work_left +=
-			(2 * left - step->out) * spec->need.cpu_millicores *
-			MAX(spec->estimate_ms, LEAST_ESTIMATE_MS) / 2;
-		if (sched_step_is_ready(step))
-			figures->usable_now += left * spec->need.cpu_millicores;
+		if (step->spec->lasting)
+			add_lasting(step, figures);
+		else if (of_use)
+			add_step(scheduler, step, figures);
+	}
+}
+
+static void add_lasting(const sched_step_t *step, wwh_pool_figures_t *figures)
+{
+	const wwh_job_step_t *spec = step->spec;
+	int32_t left = spec->task_count - step->done;
+	int32_t most = MAX(spec->max_per_upstream, 1);
+
+	if (!spec->filler)
+		figures->lasting += left * spec->need.cpu_millicores;
+	if (spec->max_per_upstream > 0)
+		figures->hosts_bound =
+			MAX(figures->hosts_bound, (left + most - 1) / most);
+}
+
+static void add_step(const wwh_scheduler_t *scheduler, const sched_step_t *step,
+		     wwh_pool_figures_t *figures)
+{
+	const wwh_job_step_t *spec = step->spec;
+	int32_t left = spec->task_count - step->done;
+	int64_t cpu = spec->need.cpu_millicores;
+	int64_t estimate_ms =
+		CLAMP(spec->estimate_ms, LEAST_ESTIMATE_MS, MOST_ESTIMATE_MS);
+	bool ready = sched_step_is_ready(step);
+
+	if (scheduler->now_ms - step->occurrence->due_ms < ARRIVAL_WINDOW_MS) {
+		figures->arrived_work += spec->task_count * cpu * estimate_ms;
+		if (ready)
+			figures->arrived_usable += spec->task_count * cpu;
 	}
+	/* of what runs about half is done */
+	figures->work_left += (2 * left - step->out) * cpu * estimate_ms / 2;
+	if (ready)
+		figures->usable_now += left * cpu;
 }
 
 static int32_t away(const wwh_scheduler_t *scheduler, const sched_step_t *step)
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -310,7 +310,7 @@
 
 		for (int32_t j = 0; j < step->after_count; j++)
 			ends[i] = MAX(ends[i], ends[step->after[j]]);
-		ends[i] += step->estimate_ms;
+		ends[i] += wwh_job_estimate_ms(step);
 		job->chain_ms = MAX(job->chain_ms, ends[i]);
 	}
 	job->objective_ms =
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -254,7 +254,7 @@
 		for (int32_t j = 0; j < step->after_count; j++)
 			ends[i] = MAX(ends[i], ends[step->after[j]]);
 		if (occurrence->steps[i].done < step->task_count)
-			ends[i] += step->estimate_ms;
+			ends[i] += wwh_job_estimate_ms(step);
 		longest = MAX(longest, ends[i]);
 	}
 	return longest;
