Tests: entries and records of another writer, each failing

Seen, by running each program: upstreams with no room, no endpoint or an unnamed state are taken as ready; a list's item without a value that can be read is a key that was dropped; a key with a zero byte drops another's upstream; a wave without its hosts is completed at once; a row that isn't a number assigns shard 0; any text is an epoch. A lost record of an upstream starts its task a second time, and the task of a lost job is stopped.

--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -131,6 +131,13 @@
 	wwh_host_duties_list_host(crew->duties, &host);
 }
 
+/* A row that can't be read; the decoder passes it over. name NULL: nameless. */
+static inline void crew_bad_host(crew_t *crew, const char *name)
+{
+	(void)crew;
+	(void)name;
+}
+
 static inline void crew_listed(crew_t *crew)
 {
 	wwh_host_duties_list_end(crew->duties, true, crew->rig->now_ms);
--- a/src/test_host_duties/test_host_duties.c
+++ b/src/test_host_duties/test_host_duties.c
@@ -60,6 +60,78 @@
 	assert_int_equal(wwh_host_duties_quiet_ms(true, 400), 400);
 }
 
+/*
+ * A host's row can't be read, list after list, while it waits for its upkeep.
+ * It was as good as not listed: after three lists it was taken as removed and
+ * its wave reported as completed. Mended, it has its upkeep.
+ */
+static void a_host_whose_row_cant_be_read_is_not_removed(void **state)
+{
+	crew_t *crew = *state;
+
+	crew_wave(crew, 1, 1);
+	crew_run(crew, 1);
+	for (int32_t i = 0; i < 6; i++) {
+		wwh_host_duties_list_begin(crew->duties);
+		crew_bad_host(crew, "h1");
+		crew_listed(crew);
+		crew_run(crew, 600);
+	}
+	wwh_host_duties_set_durable(crew->duties, crew->record);
+	crew_run(crew, 1);
+	crew_run(crew, 1);
+	assert_int_equal(crew->upkeeps->len, 0);
+	assert_int_equal(crew->completed, 0);
+	wwh_host_duties_list_begin(crew->duties);
+	crew_host(crew, "h1", RIG_POOL, NULL, WWH_HOST_UP);
+	crew_listed(crew);
+	crew_run(crew, 1);
+	assert_int_equal(crew->upkeeps->len, 1);
+}
+
+/*
+ * A row of the list names no host. Any host that the list doesn't show may be
+ * that one, so none is taken as removed on such lists' word.
+ */
+static void a_row_without_a_name_may_be_any_host(void **state)
+{
+	crew_t *crew = *state;
+
+	crew_wave(crew, 1, 1);
+	crew_run(crew, 1);
+	for (int32_t i = 0; i < 6; i++) {
+		wwh_host_duties_list_begin(crew->duties);
+		crew_bad_host(crew, NULL);
+		crew_listed(crew);
+		crew_run(crew, 600);
+	}
+	wwh_host_duties_set_durable(crew->duties, crew->record);
+	crew_run(crew, 1);
+	crew_run(crew, 1);
+	assert_int_equal(crew->completed, 0);
+}
+
+/* The row of a host at work turns bad: what runs there isn't taken as ended. */
+static void a_bad_row_of_a_host_ends_no_task(void **state)
+{
+	crew_t *crew = *state;
+
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_submit(crew->rig, rig_job(JOB_A, 1, 1000));
+	crew_run(crew, 1);
+	crew_hosts(crew, 1, true, WWH_HOST_UP);
+	crew_run(crew, 600);
+	wwh_host_duties_list_begin(crew->duties);
+	crew_bad_host(crew, "h1");
+	crew_listed(crew);
+	crew_run(crew, 600);
+	assert_int_equal(wwh_scheduler_counts(crew->rig->scheduler).tasks_out,
+			 1);
+	crew_hosts(crew, 1, true, WWH_HOST_UP);
+	assert_int_equal(wwh_scheduler_counts(crew->rig->scheduler).tasks_out,
+			 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -72,6 +144,14 @@
 			a_list_from_before_an_order_is_not_believed, set_up,
 			tear_down),
 		cmocka_unit_test(a_new_holder_waits_less_where_hosts_fence),
+		cmocka_unit_test_setup_teardown(
+			a_host_whose_row_cant_be_read_is_not_removed, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_row_without_a_name_may_be_any_host, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_bad_row_of_a_host_ends_no_task, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/src/test_job_holder/test_entries.c
@@ -0,0 +1,284 @@
+/*
+ * Entries of the registry of upstreams that another writer has changed: in
+ * the first list, in a later change, mended by their writer, and gone.
+ */
+
+#include "test_job_holder.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "waxwinghollow/job_holder.h"
+
+#define WAIT_MAX_MS 15000
+#define TASKS 3
+
+typedef struct {
+	standin_t *standin;
+	wwh_counters_t *counters;
+	wwh_http_calls_t *calls;
+	GHashTable *records;
+	wwh_host_settings_t settings;
+	wwh_event_log_options_t log;
+	wwh_job_holder_options_t options;
+	wwh_job_holder_t *holder;
+	wwh_job_config_t *config;
+	char *whole[STANDIN_UPSTREAMS]; /* entries as their writers have them */
+	int32_t jobs;
+} fixture_t;
+
+/* Each kind of damage to an entry; NULL: what its writer says. */
+static const char *const damages[] = {
+	"",
+	"\xff\xfe\xfd",
+	"{\"service\":\"desk\"",
+	"[]",
+	"{\"state\":\"ready\"}",
+	"{\"service\":\"desk\",\"address\":7,\"zone\":\"a\",\"state\":"
+	"\"ready\"}",
+};
+
+static int64_t read_wall(void)
+{
+	return g_get_real_time() / 1000;
+}
+
+static void on_lost(const char *why, void *client_data)
+{
+	(void)client_data;
+	fail_msg("the holder is lost: %s", why);
+}
+
+static void on_answered(const wwh_job_answer_t *answer, void *client_data)
+{
+	(void)client_data;
+	assert_int_equal(answer->kind, WWH_JOB_ANSWER_OK);
+}
+
+int entries_set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	wwh_job_pool_t pool = { .name = g_strdup(STANDIN_POOL) };
+	standin_part_t *part;
+
+	fixture->standin = standin_new();
+	/* tasks end only when a test is done with them */
+	fixture->standin->task_ms = 60000;
+	part = standin_part(fixture->standin, "keyed.servers", "0");
+	for (guint i = 0; i < STANDIN_UPSTREAMS; i++) {
+		standin_record_t *record = g_ptr_array_index(part->records, i);
+		gsize size;
+		const char *text = g_bytes_get_data(record->value, &size);
+
+		fixture->whole[i] = g_strndup(text, size);
+	}
+	fixture->counters = wwh_counters_new();
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	fixture->records = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	wwh_host_settings_init(&fixture->settings);
+	fixture->settings.name = g_strdup("n");
+	fixture->settings.store = g_strdup_printf(
+		"127.0.0.1:%d", wwh_listener_port(fixture->standin->store));
+	fixture->log.node = "n";
+	fixture->log.fd = open("/dev/null", O_WRONLY);
+	fixture->log.lines_per_s = 1000;
+	fixture->log.bytes_per_s = 1000000;
+	fixture->log.now_ms = standin_now_ms;
+	fixture->log.wall_ms = read_wall;
+	fixture->options = (wwh_job_holder_options_t){
+		.settings = &fixture->settings,
+		.calls = fixture->calls,
+		.counters = fixture->counters,
+		.log = wwh_event_log_new(&fixture->log, fixture->counters),
+		.topic = "keyed.wwh",
+		.producer = "p",
+		.epoch = 1 << 16,
+		.holder_count = 1,
+		.next_sequence = 1,
+		.records = fixture->records,
+		.clock_ms = standin_now_ms,
+		.wall_ms = read_wall(),
+		.on_lost = on_lost,
+	};
+	fixture->config = wwh_job_config_new(1);
+	wwh_job_config_add_pool(fixture->config, &pool);
+	*state = fixture;
+	return 0;
+}
+
+int entries_tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wwh_job_holder_delete(fixture->holder);
+	wwh_http_calls_delete(fixture->calls);
+	wwh_event_log_delete(fixture->options.log);
+	wwh_host_settings_clear(&fixture->settings);
+	wwh_counters_delete(fixture->counters);
+	wwh_job_config_unref(fixture->config);
+	g_hash_table_destroy(fixture->records);
+	close(fixture->log.fd);
+	standin_delete(fixture->standin);
+	for (guint i = 0; i < STANDIN_UPSTREAMS; i++)
+		g_free(fixture->whole[i]);
+	g_free(fixture);
+	return 0;
+}
+
+static void begin(fixture_t *fixture)
+{
+	fixture->holder = wwh_job_holder_new(&fixture->options);
+	wwh_job_holder_set_config(fixture->holder, fixture->config);
+}
+
+static void run_for(fixture_t *fixture, int64_t run_ms)
+{
+	int64_t end_ms = standin_now_ms() + run_ms;
+
+	while (standin_now_ms() < end_ms) {
+		wwh_job_holder_run(fixture->holder, standin_now_ms(),
+				   read_wall(), false);
+		wwh_http_calls_poll(fixture->calls, 10);
+	}
+}
+
+/* value NULL: the entry is removed; "": it is one byte that says nothing. */
+static void put_entry(fixture_t *fixture, const char *id, const char *value)
+{
+	static const uint8_t one_byte[] = { 0 };
+
+	g_mutex_lock(&fixture->standin->lock);
+	if (value != NULL && value[0] == '\0')
+		standin_put(fixture->standin, "keyed.servers", "0", id,
+			    one_byte, sizeof(one_byte));
+	else
+		standin_put(fixture->standin, "keyed.servers", "0", id, value,
+			    value == NULL ? 0 : strlen(value));
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static bool dump_says(fixture_t *fixture, const char *text)
+{
+	GString *out = g_string_new(NULL);
+	bool found;
+
+	wwh_job_holder_dump(fixture->holder, out);
+	found = strstr(out->str, text) != NULL;
+	g_string_free(out, TRUE);
+	return found;
+}
+
+static void run_until(fixture_t *fixture, const char *text, bool there)
+{
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+
+	while (dump_says(fixture, text) != there && standin_now_ms() < end_ms)
+		run_for(fixture, 20);
+	assert_int_equal(dump_says(fixture, text), there);
+}
+
+/* All upstreams but u0 are whole, and have answered. */
+static void run_until_others_settled(fixture_t *fixture)
+{
+	run_until(fixture, "upstream u1 pool=desk listed=1 leaving=0 settled=1",
+		  true);
+	run_until(fixture, "upstream u2 pool=desk listed=1 leaving=0 settled=1",
+		  true);
+}
+
+static void submit(fixture_t *fixture)
+{
+	wwh_job_t *job = wwh_job_new(1);
+
+	snprintf(job->id, sizeof(job->id), "%016x", ++fixture->jobs);
+	job->queue.name = g_strdup("q");
+	job->queue.pool = g_strdup(STANDIN_POOL);
+	job->queue.max_attempts = 3;
+	job->queue.stretch_permille = 1600;
+	job->payload = g_strdup("text");
+	job->accepted_wall_ms = read_wall();
+	job->steps[0].task_count = TASKS;
+	job->steps[0].cpu_millicores = 800;
+	job->steps[0].estimate_ms = 1000;
+	wwh_job_holder_submit(fixture->holder, job, on_answered, fixture);
+	run_for(fixture, 800);
+}
+
+static guint runs_at(fixture_t *fixture, int32_t upstream)
+{
+	guint count;
+
+	g_mutex_lock(&fixture->standin->lock);
+	count = fixture->standin->upstreams[upstream].runs->len;
+	g_mutex_unlock(&fixture->standin->lock);
+	return count;
+}
+
+static guint all_runs(fixture_t *fixture)
+{
+	return runs_at(fixture, 0) + runs_at(fixture, 1) + runs_at(fixture, 2);
+}
+
+/*
+ * One of three entries can't be read when a holder begins. The others are
+ * used; this one is from when its writer has mended it, and until it is gone.
+ */
+void an_upstream_that_cant_be_read_at_first_is_not_used(void **state)
+{
+	fixture_t *fixture = *state;
+
+	put_entry(fixture, "u0", damages[2]);
+	begin(fixture);
+	run_until_others_settled(fixture);
+	submit(fixture);
+	assert_int_equal(all_runs(fixture), TASKS);
+	assert_int_equal(runs_at(fixture, 0), 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(damages); i++) {
+		put_entry(fixture, "u0", damages[i]);
+		run_for(fixture, 200);
+		assert_false(dump_says(fixture, "upstream u0"));
+	}
+	put_entry(fixture, "u0", fixture->whole[0]);
+	run_until(fixture, "upstream u0 pool=desk listed=1 leaving=0 settled=1",
+		  true);
+	put_entry(fixture, "u0", NULL);
+	run_until(fixture, "upstream u0", false);
+	assert_int_equal(all_runs(fixture), TASKS);
+}
+
+/*
+ * The entry of an upstream at work turns into one that can't be read. It was
+ * given new work as before. It gets none until its writer has mended the
+ * entry, and what it runs goes on meanwhile.
+ */
+void an_upstream_that_cant_be_read_later_keeps_its_tasks(void **state)
+{
+	fixture_t *fixture = *state;
+
+	put_entry(fixture, "u1", NULL);
+	put_entry(fixture, "u2", NULL);
+	begin(fixture);
+	run_until(fixture, "upstream u0 pool=desk listed=1 leaving=0 settled=1",
+		  true);
+	submit(fixture);
+	assert_int_equal(runs_at(fixture, 0), TASKS);
+	for (size_t i = 0; i < G_N_ELEMENTS(damages); i++) {
+		put_entry(fixture, "u0", damages[i]);
+		run_for(fixture, 300);
+		assert_true(
+			dump_says(fixture, "upstream u0 pool=desk listed=1"));
+		assert_int_equal(runs_at(fixture, 0), TASKS);
+	}
+	submit(fixture);
+	assert_int_equal(runs_at(fixture, 0), TASKS);
+	put_entry(fixture, "u0", fixture->whole[0]);
+	run_for(fixture, 800);
+	assert_int_equal(runs_at(fixture, 0), TASKS * 2);
+	assert_int_equal(fixture->standin->twice, 0);
+	put_entry(fixture, "u0", damages[0]);
+	run_for(fixture, 300);
+	put_entry(fixture, "u0", NULL);
+	run_until(fixture, "upstream u0 pool=desk listed=0", true);
+	assert_int_equal(fixture->standin->twice, 0);
+}
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -2,7 +2,7 @@
  * The holder on a stand-in of the platform, with a clock of the test's.
  */
 
-#include "../test_standins/include/standin_jobs.h"
+#include "test_job_holder.h"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -118,6 +118,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(an_answer_is_dated_by_when_it_is_taken_in),
+		ENTRY_TESTS,
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/src/test_job_holder/test_job_holder.h
@@ -0,0 +1,25 @@
+#ifndef TEST_JOB_HOLDER_H
+#define TEST_JOB_HOLDER_H
+
+/*
+ * NAME
+ *	test_job_holder - what the files of this test program share
+ */
+
+#include "../test_standins/include/standin_jobs.h"
+
+#define ENTRY_TEST(name)                                                       \
+	cmocka_unit_test_setup_teardown(name, entries_set_up, entries_tear_down)
+
+int entries_set_up(void **state);
+int entries_tear_down(void **state);
+
+#define ENTRY_TESTS                                                            \
+	ENTRY_TEST(an_upstream_that_cant_be_read_at_first_is_not_used),        \
+		ENTRY_TEST(                                                    \
+			an_upstream_that_cant_be_read_later_keeps_its_tasks)
+
+void an_upstream_that_cant_be_read_at_first_is_not_used(void **state);
+void an_upstream_that_cant_be_read_later_keeps_its_tasks(void **state);
+
+#endif
--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -42,6 +42,8 @@
 	GArray *stops;
 	GArray *polls; /* rig_poll_t that weren't answered */
 	GHashTable *records; /* as on the store: key to GBytes */
+	const char
+		*damaged; /* key of a record that can't be read; NULL: none */
 	int64_t record;
 	int64_t now_ms;
 	int32_t paces; /* orders so far */
@@ -167,6 +169,17 @@
 	g_free(rig);
 }
 
+/* Another writer has put something else in a record's place. */
+static inline void rig_damage(rig_t *rig, const char *key)
+{
+	static const uint8_t bytes[] = { 0x92, 0xc1, 0xff };
+
+	assert_true(g_hash_table_contains(rig->records, key));
+	g_hash_table_replace(rig->records, g_strdup(key),
+			     g_bytes_new(bytes, sizeof(bytes)));
+	rig->damaged = key;
+}
+
 /* The process ends and another takes over from what the store has. */
 static inline void rig_take_over(rig_t *rig)
 {
@@ -192,10 +205,14 @@
 			if (((char *)key)[0] !=
 			    wwh_keep_kind_names[kinds[i]][0])
 				continue;
-			assert_true(wwh_scheduler_restore(
-				rig->scheduler, kinds[i], (char *)key + 1, data,
-				size, rig->now_ms,
-				RIG_WALL_MS + rig->now_ms - 100000, &message));
+			assert_int_equal(
+				wwh_scheduler_restore(
+					rig->scheduler, kinds[i],
+					(char *)key + 1, data, size,
+					rig->now_ms,
+					RIG_WALL_MS + rig->now_ms - 100000,
+					&message),
+				g_strcmp0(rig->damaged, key) != 0);
 		}
 	}
 	wwh_scheduler_restored(rig->scheduler, rig->now_ms,
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -92,6 +92,17 @@
 		RIG_TEST(advice_is_asked_before_a_start_and_renewed, 2),          \
 		RIG_TEST(nothing_new_goes_to_a_leaving_upstream, 1)
 
+#define DAMAGE_TESTS                                                           \
+	RIG_TEST(an_upstream_whose_record_is_lost_is_asked_first, 2),          \
+		RIG_TEST(an_upstream_whose_record_is_lost_is_waited_for, 2),   \
+		RIG_TEST(a_job_whose_record_is_lost_is_left_as_it_is, 1),      \
+		RIG_TEST(a_job_whose_progress_is_lost_starts_nothing, 1)
+
+void an_upstream_whose_record_is_lost_is_asked_first(void **state);
+void an_upstream_whose_record_is_lost_is_waited_for(void **state);
+void a_job_whose_record_is_lost_is_left_as_it_is(void **state);
+void a_job_whose_progress_is_lost_starts_nothing(void **state);
+
 void a_host_that_has_not_answered_is_not_taken_down(void **state);
 void hosts_taken_down_together_share_what_a_step_may_miss(void **state);
 void a_cordoned_host_gives_its_lasting_tasks_away_one_by_one(void **state);
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -330,6 +330,63 @@
 	assert_true(fixture->held.epoch >= EPOCH(2));
 }
 
+/*
+ * Another writer has put something else in the notice's place. It was read as
+ * a notice of a far later holder: the real one's were passed over from then
+ * on, and a process that held the shard gave it up.
+ */
+static void a_notice_that_cant_be_read_is_passed_over(void **state)
+{
+	static const char *const texts[] = {
+		"9223372036854775807 10.0.0.9:1",
+		"99999999999999999999 10.0.0.9:1",
+		"no holder",
+		"524288",
+		"524288 nobody",
+		"524288 10.0.0.9:1 10.0.0.8:1",
+		"-524288 10.0.0.9:1",
+		"\xff\xfe",
+	};
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		put(fixture, "1", "holder", texts[i]);
+		run_for(fixture, 150);
+		assert_string_equal(fixture->holder, fixture->peers[0].address);
+		assert_int_equal(fixture->holder_epoch, EPOCH(4));
+	}
+	make_holder(fixture, fixture->peers[1].address, EPOCH(5));
+	run_for(fixture, 300);
+	assert_string_equal(fixture->holder, fixture->peers[1].address);
+}
+
+/*
+ * Another writer has put something else in the claim's place. Its number was
+ * taken for the highest epoch so far, the next one wasn't a number any more,
+ * and the store refused it for good: nobody could hold the shard.
+ */
+static void a_claim_that_cant_be_read_is_passed_over(void **state)
+{
+	static const char *const texts[] = {
+		"9223372036854775807 0011223344556677",
+		"-5 0011223344556677",
+		"what",
+		"",
+	};
+	fixture_t *fixture = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		put(fixture, "0", i % 2 == 0 ? "C" : "Cx", texts[i]);
+	put(fixture, "0", "C", texts[0]);
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_true(fixture->held.epoch > 0);
+	assert_true(fixture->held.epoch < EPOCH(100));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +410,12 @@
 		cmocka_unit_test_setup_teardown(
 			a_claim_that_the_store_refuses_is_begun_anew, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_notice_that_cant_be_read_is_passed_over, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_claim_that_cant_be_read_is_passed_over, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/src/test_wire/test_wire.c
@@ -0,0 +1,507 @@
+/*
+ * Records and lists of the platform as another writer may have left them:
+ * what the decoders take, and what they pass over without loss of the rest.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "wire_hosts.h"
+#include "wire_operator.h"
+#include "wire_store.h"
+
+/* What a visit to a list has seen, a word each. */
+typedef struct {
+	GString *seen;
+} visits_t;
+
+static wwh_http_answer_t answer_of(const void *body, size_t size)
+{
+	wwh_http_answer_t answer = { .outcome = WWH_CALL_ANSWERED,
+				     .status = 200,
+				     .body = body,
+				     .body_size = size };
+
+	return answer;
+}
+
+static bool reads_upstream(const char *text)
+{
+	wwh_upstream_info_t info;
+	bool ok = wire_operator_upstream("u1", (const uint8_t *)text,
+					 strlen(text), &info);
+
+	wwh_upstream_info_clear(&info);
+	return ok;
+}
+
+static bool reads_wave(const char *key, const char *text)
+{
+	wwh_wave_order_t *order =
+		wire_operator_wave((const uint8_t *)text, strlen(text));
+	bool ok = order != NULL;
+
+	(void)key;
+	wwh_wave_order_delete(order);
+	return ok;
+}
+
+static bool reads_config(const char *text)
+{
+	wwh_job_config_t *config =
+		wire_operator_config((const uint8_t *)text, strlen(text));
+	bool ok = config != NULL;
+
+	wwh_job_config_unref(config);
+	return ok;
+}
+
+/* text with the first old in it replaced; fails when it holds none. */
+static char *edited(const char *text, const char *old, const char *new_text)
+{
+	const char *at = strstr(text, old);
+
+	assert_non_null(at);
+	return g_strdup_printf("%.*s%s%s", (int)(at - text), text, new_text,
+			       at + strlen(old));
+}
+
+static const char whole_upstream[] =
+	"{\"service\":\"desk\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\","
+	"\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldLeftMs\":0,"
+	"\"capacity\":{\"cpu\":8000,\"memMb\":16000,\"gpu\":0},"
+	"\"labels\":[\"a\",\"r1\"],\"clockMs\":5,\"sequence\":4}";
+
+/*
+ * Another writer has changed one field of an upstream's entry. It was taken
+ * for an upstream that is ready, with no room or at no endpoint, and tasks
+ * were sent there. Such an entry says nothing that may be acted on.
+ */
+static void an_upstream_with_a_bad_field_is_not_read(void **state)
+{
+	static const char *const edits[][2] = {
+		{ "\"service\":\"desk\",", "" },
+		{ "\"service\":\"desk\"", "\"service\":7" },
+		{ "\"service\":\"desk\"", "\"service\":\"\"" },
+		{ "\"address\":\"10.0.0.1:80\",", "" },
+		{ "\"address\":\"10.0.0.1:80\"", "\"address\":[]" },
+		{ "10.0.0.1:80", "" },
+		{ "10.0.0.1:80", "10.0.0.1" },
+		{ "10.0.0.1:80", "10.0.0.1:http" },
+		{ "10.0.0.1:80", "10.0.0.1:99999" },
+		{ "10.0.0.1:80", ":80" },
+		{ "10.0.0.1:80", "10.0. 0.1:80" },
+		{ "\"zone\":\"a\",", "" },
+		{ "\"zone\":\"a\"", "\"zone\":null" },
+		{ "\"version\":\"v1\",", "" },
+		{ "\"version\":\"v1\"", "\"version\":1" },
+		{ "\"slots\":8,", "" },
+		{ "\"slots\":8", "\"slots\":\"8\"" },
+		{ "\"slots\":8", "\"slots\":-8" },
+		{ "\"state\":\"ready\",", "" },
+		{ "\"state\":\"ready\"", "\"state\":\"resting\"" },
+		{ "\"state\":\"ready\"", "\"state\":true" },
+		{ "\"coldLeftMs\":0", "\"coldLeftMs\":\"soon\"" },
+		{ "\"capacity\":{\"cpu\":8000,\"memMb\":16000,\"gpu\":0},",
+		  "" },
+		{ "{\"cpu\":8000,\"memMb\":16000,\"gpu\":0}", "8000" },
+		{ "\"cpu\":8000,", "" },
+		{ "\"cpu\":8000", "\"cpu\":\"8000\"" },
+		{ "\"cpu\":8000", "\"cpu\":0" },
+		{ "\"cpu\":8000", "\"cpu\":-1" },
+		{ "\"cpu\":8000", "\"cpu\":1e300" },
+		{ "\"memMb\":16000,", "" },
+		{ "\"memMb\":16000", "\"memMb\":{}" },
+		{ "\"gpu\":0", "\"gpu\":\"none\"" },
+		{ "\"labels\":[\"a\",\"r1\"],", "" },
+		{ "[\"a\",\"r1\"]", "\"a r1\"" },
+		{ "[\"a\",\"r1\"]", "[\"a\",1]" },
+		{ "\"sequence\":4", "\"sequence\":\"4\"" },
+		{ ",\"sequence\":4", "" },
+		{ "{\"service\"", "{\"service" },
+		{ "}", "" },
+	};
+
+	(void)state;
+	assert_true(reads_upstream(whole_upstream));
+	for (size_t i = 0; i < G_N_ELEMENTS(edits); i++) {
+		char *text = edited(whole_upstream, edits[i][0], edits[i][1]);
+
+		if (reads_upstream(text))
+			fail_msg("taken: %s", text);
+		g_free(text);
+	}
+	assert_false(reads_upstream(""));
+	assert_false(reads_upstream("\xff\xfe\x00"));
+	assert_false(reads_upstream("[]"));
+}
+
+/* What may be left out where it is zero still makes a whole entry. */
+static void zero_fields_of_an_upstream_may_be_left_out(void **state)
+{
+	char *first = edited(whole_upstream, "\"coldLeftMs\":0,", "");
+	char *both = edited(first, ",\"gpu\":0", "");
+
+	(void)state;
+	assert_true(reads_upstream(both));
+	g_free(first);
+	g_free(both);
+}
+
+static const char whole_wave[] =
+	"{\"wave\":1,\"machines\":[\"m1\",\"m2\"],\"durationS\":20,"
+	"\"maxCount\":1}";
+
+/*
+ * A wave's order has lost its list of hosts, or its number. It was begun as a
+ * wave of no hosts, or as another one, and at once reported as completed,
+ * though no host had its upkeep.
+ */
+static void a_wave_with_a_bad_field_is_not_read(void **state)
+{
+	static const char *const edits[][2] = {
+		{ "\"wave\":1,", "" },
+		{ "\"wave\":1", "\"wave\":\"1\"" },
+		{ "\"wave\":1", "\"wave\":0" },
+		{ "\"machines\":[\"m1\",\"m2\"],", "" },
+		{ "[\"m1\",\"m2\"]", "\"m1\"" },
+		{ "[\"m1\",\"m2\"]", "[\"m1\",7]" },
+		{ "[\"m1\",\"m2\"]", "[\"m1\",\"\"]" },
+		{ "\"durationS\":20,", "" },
+		{ "\"durationS\":20", "\"durationS\":\"20\"" },
+		{ "\"durationS\":20", "\"durationS\":-20" },
+		{ "\"durationS\":20", "\"durationS\":1e300" },
+		{ ",\"maxCount\":1", "" },
+		{ "\"maxCount\":1", "\"maxCount\":[]" },
+		{ "\"maxCount\":1", "\"maxCount\":0" },
+	};
+
+	(void)state;
+	assert_true(reads_wave("wave/1", whole_wave));
+	for (size_t i = 0; i < G_N_ELEMENTS(edits); i++) {
+		char *text = edited(whole_wave, edits[i][0], edits[i][1]);
+
+		if (reads_wave("wave/1", text))
+			fail_msg("taken: %s", text);
+		g_free(text);
+	}
+}
+
+static const char whole_config[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+	"\"pathPrefix\":\"/a/\",\"timeoutMs\":3000,\"targetLatencyMs\":600,"
+	"\"priority\":1,\"service\":\"desk\",\"maxAttempts\":3,"
+	"\"stretch\":1.6}],\"services\":[{\"name\":\"desk\"}],"
+	"\"limits\":{\"maxBodyBytes\":262144}}";
+
+/*
+ * One queue of a configuration can't be read. The rest was put in force
+ * without it, and its callers were told that there is no such queue. The
+ * version before goes on instead.
+ */
+static void a_configuration_with_a_bad_row_is_not_read(void **state)
+{
+	static const char *const edits[][2] = {
+		{ "\"version\":7", "\"version\":\"7\"" },
+		{ "\"version\":7,", "" },
+		{ "\"routes\":[", "\"routes\":[7," },
+		{ "\"routes\":[", "\"ways\":[" },
+		{ "\"pathPrefix\":\"/a/\",", "" },
+		{ "\"pathPrefix\":\"/a/\"", "\"pathPrefix\":7" },
+		{ "\"service\":\"desk\",", "" },
+		{ "\"service\":\"desk\"", "\"service\":{}" },
+		{ "\"host\":\"h\"", "\"host\":7" },
+		{ "\"priority\":1", "\"priority\":\"high\"" },
+		{ "\"maxAttempts\":3", "\"maxAttempts\":\"3\"" },
+		{ "\"stretch\":1.6", "\"stretch\":\"1.6\"" },
+		{ "\"stretch\":1.6", "\"stretch\":1e300" },
+		{ "\"services\":[", "\"services\":[7," },
+		{ "\"name\":\"desk\"", "\"name\":7" },
+		{ "\"limits\":{\"maxBodyBytes\":262144}", "\"limits\":7" },
+	};
+
+	(void)state;
+	assert_true(reads_config(whole_config));
+	for (size_t i = 0; i < G_N_ELEMENTS(edits); i++) {
+		char *text = edited(whole_config, edits[i][0], edits[i][1]);
+
+		if (reads_config(text))
+			fail_msg("taken: %s", text);
+		g_free(text);
+	}
+}
+
+static void on_record(const wire_record_t *record, void *client_data)
+{
+	visits_t *visits = client_data;
+
+	g_string_append_printf(visits->seen, "%s%s%s ",
+			       record->key == NULL ? "?" : record->key,
+			       record->value == NULL ? "-" : "=",
+			       record->size == 0 ? "" : "v");
+}
+
+static char *newest_of(const char *body, char **last)
+{
+	visits_t visits = { .seen = g_string_new(NULL) };
+	wwh_http_answer_t answer = answer_of(body, strlen(body));
+	int64_t end = 0;
+
+	if (wire_store_newest_answer(&answer, &end, last, on_record, &visits) !=
+	    WIRE_STORE_OK)
+		g_string_append(visits.seen, "not-ok");
+	return g_string_free(visits.seen, FALSE);
+}
+
+/*
+ * Among the newest records of all keys stands one without a value that can be
+ * read. It was left out, its reader took the key as dropped, and an upstream
+ * at work was taken as gone. It is there, with nothing in it; the others hold.
+ */
+static void a_bad_value_in_a_list_is_there_and_empty(void **state)
+{
+	static const char *const values[] = {
+		"\"value\":7", "\"value\":null",    "\"value\":\"\"",
+		"\"text\":7",  "\"value\":[\"a\"]",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		char *body = g_strdup_printf(
+			"{\"items\":[{\"key\":\"u1\",\"value\":\"YQ==\"},"
+			"{\"key\":\"u2\",%s},"
+			"{\"key\":\"u3\",\"value\":\"YQ==\"}],"
+			"\"truncated\":false,\"end\":9}",
+			values[i]);
+		char *last = NULL;
+		char *seen = newest_of(body, &last);
+
+		assert_string_equal(seen, "u1=v u2= u3=v ");
+		assert_null(last);
+		g_free(seen);
+		g_free(body);
+	}
+}
+
+/*
+ * The last item of a page has no key to go on with. The reading ended there,
+ * and all keys of the pages behind it were taken as dropped.
+ */
+static void a_page_that_ends_in_a_bad_item_goes_on(void **state)
+{
+	char *last = NULL;
+	char *seen = newest_of("{\"items\":[{\"key\":\"u1\","
+			       "\"value\":\"YQ==\"},7],"
+			       "\"truncated\":true,\"end\":9}",
+			       &last);
+
+	(void)state;
+	assert_non_null(last);
+	assert_string_equal(last, "u1");
+	g_free(seen);
+	g_free(last);
+}
+
+/* An answer that isn't a list is none, and not an empty one. */
+static void a_list_that_is_none_is_not_taken_as_empty(void **state)
+{
+	static const char *const bodies[] = {
+		"{\"items\":7,\"end\":9}",
+		"{\"items\":[],\"truncated\":7,\"end\":9}",
+		"{\"items\":[],\"end\":\"9\"}",
+		"{\"items\":[7],\"truncated\":true,\"end\":9}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		char *last = NULL;
+		char *seen = newest_of(bodies[i], &last);
+
+		if (strstr(seen, "not-ok") == NULL)
+			fail_msg("taken: %s", bodies[i]);
+		g_free(seen);
+		g_free(last);
+	}
+}
+
+/*
+ * A change in the log has a key with a zero byte in it. It was read as the key
+ * before that byte, which is an upstream's: that one was taken as dropped.
+ */
+static void a_key_with_a_zero_byte_is_no_other_key(void **state)
+{
+	static const char body[] = "\0\0\0\0\0\0\0\x09\0\0\0\0\0\0\0\0"
+				   "\0\0\0\x05\x02u1ab"
+				   "\0\0\0\x05\x04u1\0x"
+				   "\0\0\0\x03\x02u2";
+	visits_t visits = { .seen = g_string_new(NULL) };
+	wwh_http_answer_t answer = answer_of(body, sizeof(body) - 1);
+	int64_t next = 0;
+
+	(void)state;
+	assert_int_equal(
+		wire_store_read_answer(&answer, 6, &next, on_record, &visits),
+		WIRE_STORE_OK);
+	assert_int_equal(next, 9);
+	assert_null(strstr(visits.seen->str, "u1- "));
+	assert_non_null(strstr(visits.seen->str, "u1=v "));
+	assert_non_null(strstr(visits.seen->str, "u2- "));
+	g_string_free(visits.seen, TRUE);
+}
+
+/*
+ * The group's answer has a row whose number isn't one, and rows of other
+ * topics. They were taken for this process's share of the shard.
+ */
+static void only_a_row_of_the_topic_and_number_assigns(void **state)
+{
+	static const char *const rows[] = {
+		"[\"keyed.wwh\",\"0\",0]",
+		"[\"keyed.wwh\",null,0]",
+		"[\"keyed.wwh\",{},0]",
+		"[\"keyed.wwh\",0.4,0]",
+		"[7,0,0]",
+		"7",
+		"[]",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = g_strdup_printf(
+			"{\"generation\":3,\"parts\":[%s]}", rows[i]);
+		wwh_http_answer_t answer = answer_of(body, strlen(body));
+		int64_t generation = 0;
+		bool mine = true;
+
+		assert_int_equal(
+			wire_store_join_answer(&answer, 0, &generation, &mine),
+			WIRE_STORE_OK);
+		if (mine)
+			fail_msg("taken: %s", rows[i]);
+		g_free(body);
+	}
+}
+
+static void on_host(const wwh_listed_host_t *host, void *client_data)
+{
+	visits_t *visits = client_data;
+
+	g_string_append_printf(visits->seen, "%s ",
+			       host->name == NULL ? "?" : host->name);
+}
+
+static char *hosts_of(const char *rows, const char *next_token)
+{
+	visits_t visits = { .seen = g_string_new(NULL) };
+	char *body = g_strdup_printf("{\"machines\":%s,\"nextToken\":%s}", rows,
+				     next_token);
+	wwh_http_answer_t answer = answer_of(body, strlen(body));
+	char *next = NULL;
+
+	if (!wire_hosts_listed(&answer, &next, on_host, &visits))
+		g_string_append(visits.seen, "not-ok");
+	g_free(next);
+	g_free(body);
+	return g_string_free(visits.seen, FALSE);
+}
+
+/*
+ * A host's row in the list has a field of another type. It was left out of the
+ * list, the host was taken as removed after three of them, and its wave was
+ * reported as completed without it.
+ */
+static void a_bad_row_of_a_host_still_says_that_it_is_there(void **state)
+{
+	static const char *const fields[] = {
+		"\"state\":\"up\"",
+		"\"pool\":7,\"state\":\"up\"",
+		"\"pool\":\"p\",\"state\":7",
+		"\"pool\":\"p\",\"state\":\"asleep\"",
+		"\"pool\":\"p\",\"state\":\"up\",\"id\":7",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		char *rows = g_strdup_printf(
+			"[{\"machine\":\"m1\",%s},{\"machine\":\"m2\","
+			"\"pool\":\"p\",\"state\":\"up\",\"id\":null}]",
+			fields[i]);
+		char *seen = hosts_of(rows, "null");
+
+		if (strcmp(seen, "m1 m2 ") != 0)
+			fail_msg("seen: %s of %s", seen, rows);
+		g_free(seen);
+		g_free(rows);
+	}
+}
+
+/*
+ * A row of hosts holds what the parser refuses: a number of 20 digits, or
+ * values nested too deep. The whole list was refused with it.
+ */
+static void a_row_that_the_parser_refuses_spoils_no_list(void **state)
+{
+	static const char *const rows[] = {
+		"{\"machine\":\"m1\",\"pool\":12345678901234567890}",
+		"{\"machine\":\"m1\",\"pool\":"
+		"[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *all = g_strdup_printf(
+			"[%s,{\"machine\":\"m2\",\"pool\":\"p\","
+			"\"state\":\"up\",\"id\":\"u2\"}]",
+			rows[i]);
+		char *seen = hosts_of(all, "null");
+
+		if (strstr(seen, "m2 ") == NULL)
+			fail_msg("seen: %s of %s", seen, all);
+		g_free(seen);
+		g_free(all);
+	}
+}
+
+/* A list whose next page can't be named isn't whole. */
+static void a_list_without_its_rows_or_next_page_is_none(void **state)
+{
+	static const char *const bodies[][2] = {
+		{ "7", "null" },
+		{ "{}", "null" },
+		{ "[]", "7" },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		char *seen = hosts_of(bodies[i][0], bodies[i][1]);
+
+		if (strstr(seen, "not-ok") == NULL)
+			fail_msg("taken: %s %s", bodies[i][0], bodies[i][1]);
+		g_free(seen);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_upstream_with_a_bad_field_is_not_read),
+		cmocka_unit_test(zero_fields_of_an_upstream_may_be_left_out),
+		cmocka_unit_test(a_wave_with_a_bad_field_is_not_read),
+		cmocka_unit_test(a_configuration_with_a_bad_row_is_not_read),
+		cmocka_unit_test(a_bad_value_in_a_list_is_there_and_empty),
+		cmocka_unit_test(a_page_that_ends_in_a_bad_item_goes_on),
+		cmocka_unit_test(a_list_that_is_none_is_not_taken_as_empty),
+		cmocka_unit_test(a_key_with_a_zero_byte_is_no_other_key),
+		cmocka_unit_test(only_a_row_of_the_topic_and_number_assigns),
+		cmocka_unit_test(
+			a_bad_row_of_a_host_still_says_that_it_is_there),
+		cmocka_unit_test(a_row_that_the_parser_refuses_spoils_no_list),
+		cmocka_unit_test(a_list_without_its_rows_or_next_page_is_none),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
