Do nothing on the word of an own record that can't be read

Cause: a record that a new holder couldn't read was passed over as if it had never been. Without an upstream's record its task was started a second time; without a job's, its running task was stopped and its caller told 410; without a job's progress, tasks that were done ran again.

Ruled out: leaving such a job unknown (a repeat of its request would run it again); asking all upstreams of the registry instead of the lost one (one that is cut off isn't in it). Not mended by this: what the lost record said is lost.

Conclusion: the key still says what it was of. A lost job answers 503 (record-unreadable), starts and ends nothing until its caller cancels it, and the upstream where something of it runs gets nothing else. A lost upstream is waited for in all pools until it has announced itself and answered, or its lease is surely over. An upstream whose entry can't be read gets no new work. Records whose numbers go beyond the job are unreadable too; they were half applied.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -212,7 +212,12 @@
 				   const wwh_scheduler_calls_t *calls);
 void wwh_scheduler_delete(wwh_scheduler_t *scheduler);
 
-/* Jobs before progress; false: the record is malformed and was left out. */
+/*
+ * Jobs before progress. False: the record can't be read. What it said is lost,
+ * and nothing is started or ended for it: of a job, or its progress, until its
+ * caller cancels it (see wwh_scheduler_job_lost); of an upstream, until it has
+ * announced itself and answered, or its lease is surely over.
+ */
 bool wwh_scheduler_restore(wwh_scheduler_t *scheduler, wwh_keep_kind_t kind,
 			   const char *key, const uint8_t *value, size_t size,
 			   int64_t now_ms, int64_t wall_ms,
@@ -256,12 +261,24 @@
 wwh_job_progress_t wwh_scheduler_job_state(wwh_scheduler_t *scheduler,
 					   const char *id);
 
+/*
+ * A record of the job can't be read: whether it has ended, or what is left of
+ * it, isn't known. Cancelling it makes an end of it.
+ */
+bool wwh_scheduler_job_lost(const wwh_scheduler_t *scheduler, const char *id);
+
 /* Accepted jobs of a queue of which no task has started. */
 int32_t wwh_scheduler_pending(wwh_scheduler_t *scheduler, const char *queue);
 
 void wwh_scheduler_upstream_seen(wwh_scheduler_t *scheduler,
 				 const wwh_upstream_info_t *info,
 				 int64_t now_ms);
+/*
+ * It is announced, and what the announcement says can't be read: it gets no new
+ * work until it is seen again, and what it runs goes on.
+ */
+void wwh_scheduler_upstream_unreadable(wwh_scheduler_t *scheduler,
+				       const char *id, int64_t now_ms);
 void wwh_scheduler_upstream_left(wwh_scheduler_t *scheduler, const char *id,
 				 int64_t now_ms);
 /* Its life is over for sure: nothing runs there any more. */
@@ -337,6 +354,7 @@
 	int32_t upstreams;
 	int32_t unsettled; /* upstreams of holders before this one, not asked */
 	int32_t tasks_out; /* started and not known to be over */
+	int32_t lost_jobs; /* see wwh_scheduler_job_lost */
 } wwh_scheduler_counts_t;
 
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -132,6 +132,7 @@
 	wwh_upstream_info_t info;
 	sched_pool_t *pool;
 	bool listed; /* it is announced */
+	bool unreadable; /* and what the announcement says can't be read */
 	bool settled; /* it answered this holder */
 	bool inherited; /* a holder before may have started tasks on it */
 	bool cordoned; /* empties itself */
@@ -165,6 +166,12 @@
 	int64_t backoff_until_ms;
 };
 
+/* A job of which a record can't be read. */
+typedef struct {
+	bool accepted; /* its own record is there, so it hasn't ended */
+	int64_t since_ms;
+} sched_lost_job_t;
+
 struct sched_pool {
 	char *name;
 	bool standby;
@@ -183,6 +190,7 @@
 	wwh_chart_t *task_chart;
 	uint32_t out_tag;
 	GHashTable *jobs; /* id to sched_job_t, owned */
+	GHashTable *lost_jobs; /* id to sched_lost_job_t, owned */
 	GPtrArray *live; /* sched_job_t that haven't ended or are out */
 	GPtrArray *dirty; /* sched_job_t whose progress is to be kept */
 	GHashTable *pools; /* name to sched_pool_t, owned */
@@ -197,6 +205,21 @@
 	int64_t next_forget_ms;
 };
 
+/* The pool of inherited upstreams whose pool isn't known. */
+#define SCHED_POOL_UNKNOWN ""
+
+/* scheduler_lost.c: records that can't be read */
+void sched_job_lose(wwh_scheduler_t *scheduler, const char *id, bool accepted);
+void sched_job_found(wwh_scheduler_t *scheduler, const char *id);
+bool sched_task_is_lost(const wwh_scheduler_t *scheduler, const char *name);
+void sched_lost_jobs_forget(wwh_scheduler_t *scheduler);
+void sched_upstream_lose_record(wwh_scheduler_t *scheduler, const char *id);
+bool sched_upstream_is_located(const sched_upstream_t *upstream);
+void sched_upstream_locate(wwh_scheduler_t *scheduler,
+			   sched_upstream_t *upstream, const char *pool);
+bool sched_pool_is_settled(const wwh_scheduler_t *scheduler,
+			   const sched_pool_t *pool);
+
 /* scheduler_task.c */
 sched_task_state_t sched_task_state(const sched_task_t *task);
 bool sched_task_is_out(const wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -16,6 +16,12 @@
 
 #define STALLED_RETRY_AFTER_S 1
 
+/*
+ * Why a job is neither taken nor said to be unknown: it was accepted, and what
+ * became of it can't be read. Taken anew, its tasks would run a second time.
+ */
+#define RECORD_LOST "record-unreadable"
+
 typedef struct {
 	int64_t record;
 	wwh_job_answer_t answer;
@@ -38,6 +44,11 @@
 		     WWH_PROGRESS_UNKNOWN;
 	int64_t record;
 
+	if (wwh_scheduler_job_lost(holder->scheduler, job->id)) {
+		wwh_job_delete(job);
+		answer_not_done(RECORD_LOST, done, client_data);
+		return;
+	}
 	if (holder->lost || holder->unconfirmed_since_ms != 0 ||
 	    (is_stalled(holder) && !known)) {
 		wwh_job_delete(job);
@@ -96,6 +107,10 @@
 {
 	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
 
+	if (wwh_scheduler_job_lost(holder->scheduler, id)) {
+		answer_not_done(RECORD_LOST, done, client_data);
+		return;
+	}
 	answer.state = wwh_scheduler_job_state(holder->scheduler, id);
 	if (answer.state == WWH_PROGRESS_UNKNOWN) {
 		if (!wwh_job_holder_confirmed(holder, holder->now_ms)) {
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -109,6 +109,8 @@
 	scheduler->out_tag = wwh_chart_tag(scheduler->task_chart, "out");
 	scheduler->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						sched_job_delete);
+	scheduler->lost_jobs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	scheduler->live = g_ptr_array_new();
 	scheduler->dirty = g_ptr_array_new();
 	scheduler->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -125,6 +127,7 @@
 	g_ptr_array_unref(scheduler->live);
 	g_ptr_array_unref(scheduler->dirty);
 	g_hash_table_destroy(scheduler->jobs);
+	g_hash_table_destroy(scheduler->lost_jobs);
 	g_hash_table_destroy(scheduler->upstreams);
 	g_hash_table_destroy(scheduler->pools);
 	wwh_chart_delete(scheduler->task_chart);
@@ -146,20 +149,29 @@
 	switch (kind) {
 	case WWH_KEEP_JOB:
 		job = wwh_job_decode(value, size, message);
-		if (job == NULL || strcmp(job->id, key) != 0 ||
-		    sched_job_find(scheduler, key) != NULL) {
-			wwh_job_delete(job);
+		if (job != NULL && strcmp(job->id, key) != 0) {
+			wwh_message_set(message, "it is of another job");
+			g_clear_pointer(&job, wwh_job_delete);
+		}
+		if (job == NULL) {
+			sched_job_lose(scheduler, key, true);
 			return false;
 		}
 		age_ms = MAX(0, wall_ms - job->accepted_wall_ms);
 		(void)sched_job_add(scheduler, job, scheduler->now_ms - age_ms);
 		return true;
 	case WWH_KEEP_PROGRESS:
-		return sched_progress_restore(scheduler, key, value, size,
-					      message);
+		if (sched_progress_restore(scheduler, key, value, size,
+					   message))
+			return true;
+		sched_job_lose(scheduler, key, false);
+		return false;
 	case WWH_KEEP_UPSTREAM:
-		return sched_upstream_restore(scheduler, key, value, size,
-					      message);
+		if (sched_upstream_restore(scheduler, key, value, size,
+					   message))
+			return true;
+		sched_upstream_lose_record(scheduler, key);
+		return false;
 	default:
 		return true;
 	}
@@ -231,6 +243,11 @@
 	sched_job_t *job = sched_job_find(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (job == NULL && wwh_scheduler_job_lost(scheduler, id)) {
+		job = sched_job_add_ended(scheduler, id);
+		job->state = WWH_PROGRESS_QUEUED;
+		sched_job_found(scheduler, id);
+	}
 	if (job == NULL)
 		return false;
 	if (sched_job_is_live(job))
@@ -383,6 +400,7 @@
 	wwh_scheduler_counts_t counts = {
 		.jobs = (int32_t)g_hash_table_size(scheduler->jobs),
 		.upstreams = (int32_t)g_hash_table_size(scheduler->upstreams),
+		.lost_jobs = (int32_t)g_hash_table_size(scheduler->lost_jobs),
 	};
 	GHashTableIter iterator;
 	gpointer value;
@@ -491,12 +509,13 @@
 	g_string_append_printf(
 		out,
 		"upstream %s pool=%s listed=%d leaving=%d settled=%d "
-		"tasks=%u cpu=%" G_GINT64_FORMAT "/%" G_GINT64_FORMAT
-		" answered_ms_ago=%" G_GINT64_FORMAT
+		"readable=%d tasks=%u cpu=%" G_GINT64_FORMAT
+		"/%" G_GINT64_FORMAT " answered_ms_ago=%" G_GINT64_FORMAT
 		" lease_left_ms=%" G_GINT64_FORMAT "\n",
 		upstream->info.id, upstream->info.pool, upstream->listed,
-		upstream->info.leaving, upstream->settled, upstream->tasks->len,
-		upstream->used_cpu, upstream->info.cpu_millicores,
+		upstream->info.leaving, upstream->settled,
+		!upstream->unreadable, upstream->tasks->len, upstream->used_cpu,
+		upstream->info.cpu_millicores,
 		scheduler->now_ms - upstream->answered_ms,
 		upstream->lapsed_ms - scheduler->now_ms);
 }
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -219,6 +219,7 @@
 	if (scheduler->now_ms < scheduler->next_forget_ms)
 		return;
 	scheduler->next_forget_ms = scheduler->now_ms + FORGET_EVERY_MS;
+	sched_lost_jobs_forget(scheduler);
 	g_hash_table_iter_init(&iterator, scheduler->jobs);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_job_t *job = value;
@@ -330,6 +331,8 @@
 
 static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
+	if (job->spec == NULL)
+		return; /* what runs of it is unknown, and stopped as such */
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		sched_occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_lost.c
@@ -0,0 +1,114 @@
+#include "private/scheduler_state.h"
+
+/*
+ * A job's record and that of its progress are one: without either, which of its
+ * tasks are done isn't known, and one that is would run a second time.
+ */
+void sched_job_lose(wwh_scheduler_t *scheduler, const char *id, bool accepted)
+{
+	sched_job_t *job = sched_job_find(scheduler, id);
+	sched_lost_job_t *lost;
+
+	if (!wwh_job_id_valid(id) || (job != NULL && !sched_job_is_live(job)))
+		return;
+	lost = g_new0(sched_lost_job_t, 1);
+	lost->accepted = accepted || job != NULL;
+	lost->since_ms = scheduler->now_ms;
+	g_hash_table_replace(scheduler->lost_jobs, g_strdup(id), lost);
+	if (job == NULL)
+		return;
+	g_ptr_array_remove_fast(scheduler->live, job);
+	g_ptr_array_remove_fast(scheduler->dirty, job);
+	g_hash_table_remove(scheduler->jobs, id);
+}
+
+/* Its progress says that it has ended: nothing else is needed of it. */
+void sched_job_found(wwh_scheduler_t *scheduler, const char *id)
+{
+	g_hash_table_remove(scheduler->lost_jobs, id);
+}
+
+bool wwh_scheduler_job_lost(const wwh_scheduler_t *scheduler, const char *id)
+{
+	return g_hash_table_contains(scheduler->lost_jobs, id);
+}
+
+bool sched_task_is_lost(const wwh_scheduler_t *scheduler, const char *name)
+{
+	char id[WWH_JOB_ID_CHARS + 1];
+	int64_t number;
+	int32_t step;
+	int32_t index;
+
+	return sched_task_parse(name, id, &number, &step, &index) &&
+	       wwh_scheduler_job_lost(scheduler, id);
+}
+
+/* Progress alone is that of a job that had ended, and is asked for no longer. */
+void sched_lost_jobs_forget(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer id;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->lost_jobs);
+	while (g_hash_table_iter_next(&iterator, &id, &value)) {
+		const sched_lost_job_t *lost = value;
+
+		if (lost->accepted || scheduler->now_ms - lost->since_ms <
+					      scheduler->options.forget_ms)
+			continue;
+		scheduler->newest_record =
+			scheduler->calls.keep(WWH_KEEP_PROGRESS, id, NULL,
+					      scheduler->calls.client_data);
+		g_hash_table_iter_remove(&iterator);
+	}
+}
+
+/*
+ * The key says that tasks may run at this upstream, and nothing says where it
+ * is or for whom. Passed over, its tasks would be started a second time; so
+ * what it may run is waited for in every pool.
+ */
+void sched_upstream_lose_record(wwh_scheduler_t *scheduler, const char *id)
+{
+	wwh_upstream_info_t info = {
+		.id = (char *)id,
+		.endpoint = "",
+		.pool = SCHED_POOL_UNKNOWN,
+	};
+	sched_upstream_t *upstream;
+
+	if (sched_upstream_find(scheduler, id) != NULL)
+		return;
+	upstream = sched_upstream_add(scheduler, &info);
+	upstream->inherited = true;
+	upstream->kept_asked = true;
+	upstream->pool->unsettled++;
+}
+
+bool sched_upstream_is_located(const sched_upstream_t *upstream)
+{
+	return upstream->info.endpoint[0] != '\0';
+}
+
+/* Its announcement names its pool, which alone waits for it from now on. */
+void sched_upstream_locate(wwh_scheduler_t *scheduler,
+			   sched_upstream_t *upstream, const char *pool)
+{
+	upstream->pool->unsettled--;
+	g_ptr_array_remove_fast(upstream->pool->upstreams, upstream);
+	upstream->pool = sched_pool_get(scheduler, pool);
+	upstream->pool->unsettled++;
+	g_ptr_array_add(upstream->pool->upstreams, upstream);
+}
+
+bool sched_pool_is_settled(const wwh_scheduler_t *scheduler,
+			   const sched_pool_t *pool)
+{
+	const sched_pool_t *unknown =
+		g_hash_table_lookup(scheduler->pools, SCHED_POOL_UNKNOWN);
+
+	return pool->unsettled == 0 &&
+	       (unknown == NULL || unknown->unsettled == 0);
+}
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -366,7 +366,8 @@
 {
 	if (task->inherited) {
 		/* it may run where nobody has answered yet */
-		if (task->step->occurrence->job->pool->unsettled > 0)
+		if (!sched_pool_is_settled(scheduler,
+					   task->step->occurrence->job->pool))
 			return false;
 		task->inherited = false;
 	}
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -204,6 +204,7 @@
 	}
 	if (job == NULL)
 		job = sched_job_add_ended(scheduler, id);
+	sched_job_found(scheduler, id);
 	job->state = (wwh_job_progress_t)state;
 	job->ended_ms =
 		scheduler->now_ms - CLAMP(scheduler->wall_ms - ended_wall_ms, 0,
@@ -214,10 +215,11 @@
 static bool restore_live(wwh_scheduler_t *scheduler, sched_job_t *job,
 			 const msgpack_object *fields)
 {
+	int64_t total = MAX(1, job->spec->repeat_count);
 	int64_t next;
 
-	if (!number_of(&fields[3], &next) || next > WWH_JOB_MAX_REPEATS ||
-	    !array_of(&fields[4], 0))
+	if (!number_of(&fields[3], &next) || next > total ||
+	    !array_of(&fields[4], 0) || fields[4].via.array.size > total)
 		return false;
 	for (uint32_t i = 0; i < fields[4].via.array.size; i++) {
 		if (!restore_occurrence(scheduler, job,
@@ -252,7 +254,8 @@
 	if (!array_of(steps, (uint32_t)job->spec->step_count))
 		return false;
 	if (job->spec->repeat_count > 0) {
-		if (number < job->next_occurrence)
+		if (number < job->next_occurrence ||
+		    number >= job->spec->repeat_count)
 			return false;
 		job->next_occurrence = number;
 		occurrence = sched_job_open_occurrence(scheduler, job);
@@ -344,7 +347,8 @@
 		return false;
 	fields = object->via.array.ptr;
 	if (fields[0].type != MSGPACK_OBJECT_STR ||
-	    fields[1].type != MSGPACK_OBJECT_STR)
+	    fields[1].type != MSGPACK_OBJECT_STR ||
+	    fields[0].via.str.size == 0 || fields[1].via.str.size == 0)
 		return false;
 	if (sched_upstream_find(scheduler, id) != NULL)
 		return true;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -129,10 +129,10 @@
 {
 	int64_t now_ms = scheduler->now_ms;
 
-	return upstream->listed && !upstream->info.leaving &&
-	       upstream->settled && !upstream->cordoned &&
-	       !upstream->pool->standby && upstream->orphans == 0 &&
-	       upstream->failed_polls == 0 &&
+	return upstream->listed && !upstream->unreadable &&
+	       !upstream->info.leaving && upstream->settled &&
+	       !upstream->cordoned && !upstream->pool->standby &&
+	       upstream->orphans == 0 && upstream->failed_polls == 0 &&
 	       now_ms - upstream->answered_ms < SILENT_AFTER_MS &&
 	       now_ms >= upstream->backoff_until_ms && upstream->kept_asked &&
 	       upstream->kept <= scheduler->durable_record;
@@ -197,6 +197,8 @@
 	} else {
 		char *id = upstream->info.id;
 
+		if (!sched_upstream_is_located(upstream))
+			sched_upstream_locate(scheduler, upstream, info->pool);
 		if (upstream->info.leaving != info->leaving)
 			sched_explain(scheduler, "upstream-leaving", id,
 				      "leaving=%d", info->leaving);
@@ -207,9 +209,25 @@
 		upstream->info.id = id;
 	}
 	upstream->listed = true;
+	upstream->unreadable = false;
 	upstream->pool->dirty = true;
 }
 
+void wwh_scheduler_upstream_unreadable(wwh_scheduler_t *scheduler,
+				       const char *id, int64_t now_ms)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (upstream == NULL)
+		return;
+	if (!upstream->unreadable)
+		sched_explain(scheduler, "upstream-unreadable", id, "tasks=%u",
+			      upstream->tasks->len);
+	upstream->listed = true;
+	upstream->unreadable = true;
+}
+
 void wwh_scheduler_upstream_left(wwh_scheduler_t *scheduler, const char *id,
 				 int64_t now_ms)
 {
@@ -219,6 +237,7 @@
 	if (upstream == NULL)
 		return;
 	upstream->listed = false;
+	upstream->unreadable = false;
 	upstream->next_poll_ms = MIN(upstream->next_poll_ms, now_ms);
 	sched_explain(scheduler, "upstream-unlisted", id, "tasks=%u",
 		      upstream->tasks->len);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -309,6 +309,9 @@
 	};
 
 	upstream->orphans++;
+	/* its job isn't known to have ended: only its caller can tell */
+	if (sched_task_is_lost(scheduler, row->task))
+		return;
 	if (sent_ms != NULL &&
 	    scheduler->now_ms - *sent_ms <
 		    STOP_REPEAT_MS + scheduler->options.stop_limit_ms)
@@ -468,7 +471,8 @@
 		return;
 	}
 	repeat_orders(scheduler, upstream);
-	if (!upstream->poll_in_flight && now_ms >= upstream->next_poll_ms)
+	if (sched_upstream_is_located(upstream) && !upstream->poll_in_flight &&
+	    now_ms >= upstream->next_poll_ms)
 		send_poll(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->kept_asked)
 		keep_upstream(scheduler, upstream);
