Read a record of another writer whole or not at all

Cause: each decoder took what it found. An entry without a state was a ready upstream, one without capacity an upstream of no room; a wave that had lost its hosts was completed at once; any text was an epoch, and a high one made a holder give the shard up or kept anybody from claiming it. And a record that couldn't be read was one that wasn't there: an item without a value dropped its key, a page that ended in one ended the list, a host's bad row was a removed host after three lists, one row with bytes that are no text refused all of them.

Ruled out: a default for what is missing (any default acts on a word nobody gave); a configuration without its bad rows (callers of such a queue would be told that it doesn't exist); taking an unreadable entry for a removed one (its upstream would be asked no more once it is idle, and a wave would go on without its host).

An upstream whose entry can't be read, or whose service no configuration names, gets no new work and keeps what it runs until the entry is mended or removed. A host's bad row leaves it as it was, without orders. The configuration in force, a wave that has begun and the notice of a holder stay.

The stand-in's entries have all fields now, as the platform's do.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -37,11 +37,16 @@
 /* Names of wwh_host_run_state_t, in the same order. */
 extern const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT];
 
+/*
+ * A row that can't be read says only that there is a host, and its name where
+ * that can be read: nothing is ordered or taken as over on its word.
+ */
 typedef struct {
-	const char *name;
+	const char *name; /* NULL only in a row that can't be read */
 	const char *pool;
 	const char *upstream; /* id of what runs on it; NULL: nothing does */
 	wwh_host_run_state_t state;
+	const char *unreadable; /* why the row can't be read; NULL: it can */
 } wwh_listed_host_t;
 
 typedef enum {
@@ -105,8 +110,13 @@
 				       const wwh_host_duties_calls_t *calls);
 void wwh_host_duties_delete(wwh_host_duties_t *duties);
 
+/*
+ * False: the record can't be read. Hosts that were done are then asked again,
+ * which ends nothing where the upkeep was done before.
+ */
 bool wwh_host_duties_restore(wwh_host_duties_t *duties, const char *key,
-			     const uint8_t *value, size_t size);
+			     const uint8_t *value, size_t size,
+			     wwh_message_t *message);
 
 /* Takes order over. */
 void wwh_host_duties_wave(wwh_host_duties_t *duties, wwh_wave_order_t *order,
--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -77,8 +77,9 @@
 
 void wwh_job_holder_set_config(wwh_job_holder_t *holder,
 			       const wwh_job_config_t *config);
-void wwh_job_holder_wave(wwh_job_holder_t *holder, const uint8_t *value,
-			 size_t size);
+/* An order that can't be read does nothing. */
+void wwh_job_holder_wave(wwh_job_holder_t *holder, const char *key,
+			 const uint8_t *value, size_t size);
 
 /* Takes job over. */
 void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -22,6 +22,7 @@
  *	http_calls; wwh_shard_claim_delete.
  */
 
+#include "waxwinghollow/bad_records.h"
 #include "waxwinghollow/http_calls.h"
 
 typedef struct {
@@ -47,6 +48,7 @@
 	 * no holder has answered for a while.
 	 */
 	bool reluctant;
+	wwh_bad_records_t *bad_records; /* NULL: they aren't told */
 	/* The shard is held; held and its records live during the call. */
 	void (*on_held)(const wwh_held_t *held, void *client_data);
 	/* NULL: nobody holds it. */
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -10,6 +10,9 @@
  *	has been trimmed beyond where it is, it reads all keys again and
  *	reports those that are gone as dropped.
  *
+ *	A list that holds a record without a key that can be read drops no key:
+ *	any that is missing may be that one.
+ *
  *	A call that gets no answer is repeated: the time limit of a read is a
  *	little longer than the store may wait, so that a connection that has
  *	gone silent costs one wait.
@@ -29,9 +32,14 @@
 	int32_t part;
 	int64_t wait_ms; /* of a read */
 	int64_t gap_ms; /* between two reads; 0: none */
-	/* value NULL: the key was dropped. */
+	/*
+	 * value NULL: the key was dropped. size 0 and a value: the key is
+	 * there, and its value can't be read.
+	 */
 	void (*on_record)(const char *key, const uint8_t *value, size_t size,
 			  void *client_data);
+	/* A record without a key that can be read; may be NULL. */
+	void (*on_nameless)(int64_t offset, const char *why, void *client_data);
 	/* All that was there when it began has been reported. */
 	void (*on_caught_up)(void *client_data);
 	/* The store answers, or doesn't, as against the time before. */
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -64,13 +64,25 @@
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
 {
 	duties->list_number++;
+	duties->list_has_nameless = false;
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
 			       const wwh_listed_host_t *listed)
 {
-	duty_host_t *host = duties_host(duties, listed->name);
+	duty_host_t *host;
 
+	if (listed->name == NULL) {
+		duties->list_has_nameless = true;
+		return;
+	}
+	host = duties_host(duties, listed->name);
+	if (listed->unreadable != NULL) {
+		/* it isn't removed, and is what it was; orders wait */
+		host->lists_without = 0;
+		host->unreadable_list = duties->list_number;
+		return;
+	}
 	host->in_list = true;
 	host->list_number = duties->list_number;
 	host->lists_without = 0;
@@ -114,7 +126,8 @@
 		duty_host_t *host = value;
 
 		host->in_list = host->list_number == duties->list_number;
-		if (!host->in_list)
+		if (!host->in_list && !duties->list_has_nameless &&
+		    host->unreadable_list != duties->list_number)
 			host->lists_without++;
 	}
 }
--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -38,6 +38,7 @@
 
 #define RECORD_DEPTH 2
 
+static bool restore_names(GHashTable *done, const msgpack_object *object);
 static bool has_left(const duty_host_t *host);
 static void run_wave(wwh_host_duties_t *duties, duty_wave_t *wave);
 static int32_t count_down(wwh_host_duties_t *duties, const duty_wave_t *wave);
@@ -59,31 +60,44 @@
 static duty_wave_t *wave_of(wwh_host_duties_t *duties, int64_t number);
 
 bool wwh_host_duties_restore(wwh_host_duties_t *duties, const char *key,
-			     const uint8_t *value, size_t size)
+			     const uint8_t *value, size_t size,
+			     wwh_message_t *message)
 {
 	GHashTable *done =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	msgpack_unpacked unpacked;
+	bool ok = false;
 
 	g_hash_table_replace(duties->restored, g_strdup(key), done);
-	if (!wwh_msgpack_bounded(value, size, RECORD_DEPTH))
+	if (wwh_msgpack_bounded(value, size, RECORD_DEPTH)) {
+		msgpack_unpacked_init(&unpacked);
+		ok = msgpack_unpack_next(&unpacked, (const char *)value, size,
+					 NULL) == MSGPACK_UNPACK_SUCCESS &&
+		     restore_names(done, &unpacked.data);
+		msgpack_unpacked_destroy(&unpacked);
+	}
+	if (!ok)
+		wwh_message_set(message, "not a list of names");
+	return ok;
+}
+
+/* Those that can be read count, whatever stands beside them. */
+static bool restore_names(GHashTable *done, const msgpack_object *object)
+{
+	bool ok = true;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY)
 		return false;
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, (const char *)value, size, NULL) ==
-		    MSGPACK_UNPACK_SUCCESS &&
-	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
-		const msgpack_object_array *names = &unpacked.data.via.array;
-
-		for (uint32_t i = 0; i < names->size; i++) {
-			if (names->ptr[i].type == MSGPACK_OBJECT_STR)
-				g_hash_table_add(
-					done,
-					g_strndup(names->ptr[i].via.str.ptr,
-						  names->ptr[i].via.str.size));
-		}
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		const msgpack_object *name = &object->via.array.ptr[i];
+
+		if (name->type == MSGPACK_OBJECT_STR)
+			g_hash_table_add(done, g_strndup(name->via.str.ptr,
+							 name->via.str.size));
+		else
+			ok = false;
 	}
-	msgpack_unpacked_destroy(&unpacked);
-	return true;
+	return ok;
 }
 
 void wwh_host_duties_wave(wwh_host_duties_t *duties, wwh_wave_order_t *order,
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -16,7 +16,8 @@
 	wwh_host_run_state_t state;
 	bool in_list; /* of the last whole list */
 	int64_t list_number; /* of the last list that had it */
-	int32_t lists_without;
+	int64_t unreadable_list; /* the last that had a row it can't read */
+	int32_t lists_without; /* in a row */
 	bool in_flight;
 	int64_t ordered_ms; /* 0: no order that may have been carried out */
 	int64_t ordered_last_ms; /* an order was sent, or answered */
@@ -63,6 +64,7 @@
 	GHashTable *restored; /* wave number to a set of hosts that are done */
 	bool list_in_flight;
 	int64_t list_number;
+	bool list_has_nameless; /* it may show any host */
 	int64_t list_sent_ms;
 	int64_t next_list_ms;
 	bool listed; /* a whole list has come */
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -3,6 +3,7 @@
 
 /* What the modules of job_holder share. */
 
+#include "waxwinghollow/bad_records.h"
 #include "waxwinghollow/host_duties.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/shard_journal.h"
@@ -30,6 +31,13 @@
 	int64_t flush_after_ms;
 	bool urgent; /* a caller waits for what is kept next */
 	char *list_page;
+	wwh_bad_records_t *bad_upstreams;
+	wwh_bad_records_t *bad_hosts;
+	GHashTable *bad_listed; /* names of this list's bad rows */
+	wwh_bad_records_t *bad_records; /* of the journal */
+	GHashTable *services; /* names of pools; NULL: no configuration yet */
+	GHashTable *unnamed; /* id to wwh_upstream_info_t of other pools */
+	wwh_counter_t *lost_jobs;
 	wwh_counter_t *starts;
 	wwh_counter_t *polls;
 	wwh_counter_t *stops;
@@ -45,6 +53,16 @@
 void job_holder_explain(const char *event, const char *subject,
 			const char *detail, void *client_data);
 
+/* job_holder_upstreams.c: entries of the registry of upstreams */
+void job_holder_upstreams_init(wwh_job_holder_t *holder);
+void job_holder_upstreams_finish(wwh_job_holder_t *holder);
+void job_holder_on_upstream(const char *key, const uint8_t *value, size_t size,
+			    void *data);
+void job_holder_on_nameless_upstream(int64_t offset, const char *why,
+				     void *data);
+void job_holder_name_services(wwh_job_holder_t *holder,
+			      const wwh_job_config_t *config);
+
 /* job_holder_requests.c: who waits for a record, and is told */
 void job_holder_answer_durable(wwh_job_holder_t *holder, int64_t record);
 void job_holder_end_waiters(wwh_job_holder_t *holder);
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -7,6 +7,7 @@
  * them from there and answers them by the holder or a peer.
  */
 
+#include "waxwinghollow/bad_records.h"
 #include "waxwinghollow/event_log.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/job_service.h"
@@ -51,6 +52,8 @@
 	bool reaches_store; /* while it holds the shard */
 	wwh_counters_t *counters;
 	wwh_event_log_t *log;
+	wwh_bad_records_t *bad_orders; /* of the operator */
+	wwh_bad_records_t *bad_claims; /* of the shard's holders */
 	wwh_listener_t *callers;
 	wwh_listener_t *readiness;
 	wwh_listener_t *peers;
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -83,6 +83,13 @@
 /* Begins a claim when this process should hold the shard and nobody does. */
 void claim_watch(wwh_shard_claim_t *claim);
 
+/* shard_claim_text.c: what is written under the keys; false: it isn't that */
+bool claim_read_notice(const uint8_t *value, size_t size, int64_t *epoch,
+		       char **address); /* g_free; NULL: nobody holds it */
+bool claim_read_record(const uint8_t *value, size_t size, int64_t *epoch);
+void claim_judge(wwh_shard_claim_t *claim, const char *key, bool whole);
+void claim_on_nameless(int64_t offset, const char *why, void *data);
+
 /* shard_claim.c */
 void claim_begin(wwh_shard_claim_t *claim, const char *why,
 		 bool others_at_work);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -56,9 +56,9 @@
 static void restore_kind(wwh_job_holder_t *holder, wwh_keep_kind_t kind);
 static void on_durable(int64_t record, void *data);
 static void on_journal_lost(const char *why, void *data);
-static void on_upstream(const char *key, const uint8_t *value, size_t size,
-			void *data);
 static void on_reach(bool reached, const char *why, void *data);
+static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
+					   const char *list);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
 			     int64_t limit_ms);
@@ -73,7 +73,8 @@
 		.topic = WIRE_TOPIC_UPSTREAMS,
 		.wait_ms = UPSTREAMS_WAIT_MS,
 		.gap_ms = UPSTREAMS_GAP_MS,
-		.on_record = on_upstream,
+		.on_record = job_holder_on_upstream,
+		.on_nameless = job_holder_on_nameless_upstream,
 		.on_reach = on_reach,
 		.client_data = holder,
 	};
@@ -88,6 +89,13 @@
 	holder->starts = wwh_counters_get(options->counters, "holder.starts");
 	holder->polls = wwh_counters_get(options->counters, "holder.polls");
 	holder->stops = wwh_counters_get(options->counters, "holder.stops");
+	holder->lost_jobs =
+		wwh_counters_get(options->counters, "holder.lost_jobs");
+	holder->bad_hosts = make_bad_records(holder, "hosts");
+	holder->bad_listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	holder->bad_records = make_bad_records(holder, "journal");
+	job_holder_upstreams_init(holder);
 	make_journal(holder);
 	make_scheduler(holder);
 	make_duties(holder);
@@ -111,6 +119,7 @@
 void wwh_job_holder_set_config(wwh_job_holder_t *holder,
 			       const wwh_job_config_t *config)
 {
+	job_holder_name_services(holder, config);
 	for (guint i = 0; i < config->pools->len; i++) {
 		const wwh_job_pool_t *pool =
 			&g_array_index(config->pools, wwh_job_pool_t, i);
@@ -121,17 +130,13 @@
 	}
 }
 
-void wwh_job_holder_wave(wwh_job_holder_t *holder, const uint8_t *value,
-			 size_t size)
+void wwh_job_holder_wave(wwh_job_holder_t *holder, const char *key,
+			 const uint8_t *value, size_t size)
 {
-	wwh_wave_order_t *order = wire_operator_wave(value, size);
+	wwh_wave_order_t *order = wire_operator_wave(key, value, size, NULL);
 
-	if (order == NULL) {
-		job_holder_explain("wave-refused", "wave", "why=not understood",
-				   holder);
-		return;
-	}
-	wwh_host_duties_wave(holder->duties, order, holder->now_ms);
+	if (order != NULL)
+		wwh_host_duties_wave(holder->duties, order, holder->now_ms);
 }
 
 void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
@@ -149,6 +154,8 @@
 	}
 	flush(holder);
 	wwh_shard_journal_run(holder->journal, now_ms);
+	wwh_counter_set(holder->lost_jobs,
+			wwh_scheduler_counts(holder->scheduler).lost_jobs);
 }
 
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
@@ -214,6 +221,11 @@
 	for (guint i = 0; i < holder->reports->len; i++)
 		g_byte_array_unref(g_ptr_array_index(holder->reports, i));
 	g_ptr_array_unref(holder->reports);
+	job_holder_upstreams_finish(holder);
+	wwh_bad_records_delete(holder->bad_hosts);
+	g_hash_table_destroy(holder->bad_listed);
+	wwh_bad_records_delete(holder->bad_records);
+	wwh_counter_set(holder->lost_jobs, 0);
 	g_free(holder->list_page);
 	g_free(holder);
 }
@@ -331,8 +343,9 @@
 			       holder->wall_ms);
 	counts = wwh_scheduler_counts(holder->scheduler);
 	wwh_event_log_printf(holder->options.log, "shard-restored", "shard",
-			     "jobs=%d live=%d upstreams=%d", counts.jobs,
-			     counts.live_jobs, counts.upstreams);
+			     "jobs=%d live=%d upstreams=%d lost_jobs=%d",
+			     counts.jobs, counts.live_jobs, counts.upstreams,
+			     counts.lost_jobs);
 }
 
 /* Jobs come before their progress, as the kinds are numbered. */
@@ -355,16 +368,14 @@
 		data = g_bytes_get_data(value, &size);
 		if (kind == WWH_KEEP_WAVE)
 			ok = wwh_host_duties_restore(holder->duties, key + 1,
-						     data, size);
+						     data, size, &message);
 		else
 			ok = wwh_scheduler_restore(
 				holder->scheduler, kind, key + 1, data, size,
 				holder->now_ms, holder->wall_ms, &message);
 		if (!ok)
-			wwh_event_log_printf(holder->options.log,
-					     "record-left-out", key,
-					     "why=%s bytes=%" G_GSIZE_FORMAT,
-					     message.text, size);
+			wwh_bad_records_found(holder->bad_records, key,
+					      message.text);
 	}
 }
 
@@ -387,30 +398,6 @@
 	job_holder_lose(data, why);
 }
 
-static void on_upstream(const char *key, const uint8_t *value, size_t size,
-			void *data)
-{
-	wwh_job_holder_t *holder = data;
-	wwh_upstream_info_t info;
-
-	if (holder->lost)
-		return;
-	job_holder_tick(holder);
-	if (value == NULL) {
-		wwh_scheduler_upstream_left(holder->scheduler, key,
-					    holder->now_ms);
-		return;
-	}
-	if (!wire_operator_upstream(key, value, size, &info)) {
-		job_holder_explain("upstream-refused", key,
-				   "why=its announcement isn't understood",
-				   holder);
-		return;
-	}
-	wwh_scheduler_upstream_seen(holder->scheduler, &info, holder->now_ms);
-	wwh_upstream_info_clear(&info);
-}
-
 static void on_reach(bool reached, const char *why, void *data)
 {
 	wwh_job_holder_t *holder = data;
@@ -420,6 +407,18 @@
 			     "upstreams", "result=%s", why);
 }
 
+static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
+					   const char *list)
+{
+	wwh_bad_records_options_t options = {
+		.list = list,
+		.log = holder->options.log,
+		.counters = holder->options.counters,
+	};
+
+	return wwh_bad_records_new(&options);
+}
+
 /*
  * A process that stood still may have been replaced meanwhile; what it
  * decided before is old. Orders wait for one append that succeeds.
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -28,6 +28,7 @@
 	wwh_job_holder_t *holder = client_data;
 
 	g_clear_pointer(&holder->list_page, g_free);
+	g_hash_table_remove_all(holder->bad_listed);
 	wwh_host_duties_list_begin(holder->duties);
 	list_page(holder);
 }
@@ -124,17 +125,29 @@
 	ok = wire_hosts_listed(answer, &next, take_host, holder);
 	g_free(holder->list_page);
 	holder->list_page = next;
-	if (ok && next != NULL)
+	if (ok && next != NULL) {
 		list_page(holder);
-	else
+	} else {
+		if (ok)
+			wwh_bad_records_listed(holder->bad_hosts,
+					       holder->bad_listed);
 		wwh_host_duties_list_end(holder->duties, ok, holder->now_ms);
+	}
 	job_holder_unref(holder);
 }
 
 static void take_host(const wwh_listed_host_t *host, void *data)
 {
 	wwh_job_holder_t *holder = data;
+	const char *name = host->name == NULL ? "(nameless)" : host->name;
 
+	if (host->unreadable != NULL) {
+		g_hash_table_add(holder->bad_listed, g_strdup(name));
+		wwh_bad_records_found(holder->bad_hosts, name,
+				      host->unreadable);
+	} else {
+		wwh_bad_records_whole(holder->bad_hosts, name);
+	}
 	wwh_host_duties_list_host(holder->duties, host);
 }
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -61,8 +61,13 @@
 				     wwh_listener_handler_t handler);
 static void on_operator_record(const char *key, const uint8_t *value,
 			       size_t size, void *data);
-static void take_config(wwh_job_service_t *service, const uint8_t *value,
-			size_t size);
+static void on_nameless_record(int64_t offset, const char *why, void *data);
+static void take_wave(wwh_job_service_t *service, const char *key,
+		      const uint8_t *value, size_t size);
+static void take_config(wwh_job_service_t *service, const char *key,
+			const uint8_t *value, size_t size);
+static wwh_bad_records_t *make_bad_records(wwh_job_service_t *service,
+					   const char *list);
 static void on_reach(bool reached, const char *why, void *data);
 static void on_held(const wwh_held_t *held, void *data);
 static void on_lost(const char *why, void *data);
@@ -102,6 +107,8 @@
 	g_mutex_init(&service->lock);
 	service->counters = wwh_counters_new();
 	service->log = wwh_event_log_new(&log, service->counters);
+	service->bad_orders = make_bad_records(service, "operator");
+	service->bad_claims = make_bad_records(service, "shard");
 	service->requests = g_async_queue_new();
 	service->forwards = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	service->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -209,6 +216,8 @@
 	g_hash_table_destroy(service->forwards);
 	g_hash_table_destroy(service->waves);
 	wwh_job_config_unref(service->config);
+	wwh_bad_records_delete(service->bad_orders);
+	wwh_bad_records_delete(service->bad_claims);
 	wwh_event_log_delete(service->log);
 	wwh_counters_delete(service->counters);
 	wwh_host_settings_clear(&service->settings);
@@ -353,6 +362,7 @@
 		.reluctant = service->settings.cpu_permille < HOLDER_PERMILLE,
 		.member_ttl_ms =
 			MAX(MEMBER_TTL_MS, service->settings.member_min_ms),
+		.bad_records = service->bad_claims,
 		.on_held = on_held,
 		.on_holder = on_holder,
 		.explain = explain_claim,
@@ -364,6 +374,7 @@
 		.topic = WIRE_TOPIC_OPERATOR,
 		.wait_ms = OPERATOR_WAIT_MS,
 		.on_record = on_operator_record,
+		.on_nameless = on_nameless_record,
 		.on_reach = on_reach,
 		.client_data = service,
 	};
@@ -393,29 +404,57 @@
 	wwh_job_service_t *service = data;
 
 	if (value == NULL)
+		wwh_bad_records_gone(service->bad_orders, key);
+	else if (wire_operator_is_config(key))
+		take_config(service, key, value, size);
+	else if (wire_operator_is_wave(key))
+		take_wave(service, key, value, size);
+}
+
+static void on_nameless_record(int64_t offset, const char *why, void *data)
+{
+	wwh_job_service_t *service = data;
+	char *key = g_strdup_printf("(offset %" G_GINT64_FORMAT ")", offset);
+
+	wwh_bad_records_found(service->bad_orders, key, why);
+	g_free(key);
+}
+
+/* An order that can't be read leaves the one before as it is. */
+static void take_wave(wwh_job_service_t *service, const char *key,
+		      const uint8_t *value, size_t size)
+{
+	wwh_message_t why;
+	wwh_wave_order_t *order = wire_operator_wave(key, value, size, &why);
+
+	if (order == NULL) {
+		wwh_bad_records_found(service->bad_orders, key, why.text);
 		return;
-	if (wire_operator_is_config(key)) {
-		take_config(service, value, size);
-	} else if (wire_operator_is_wave(key)) {
-		g_hash_table_replace(service->waves, g_strdup(key),
-				     g_bytes_new(value, size));
-		if (service->holder != NULL)
-			wwh_job_holder_wave(service->holder, value, size);
 	}
+	wwh_wave_order_delete(order);
+	wwh_bad_records_whole(service->bad_orders, key);
+	g_hash_table_replace(service->waves, g_strdup(key),
+			     g_bytes_new(value, size));
+	if (service->holder != NULL)
+		wwh_job_holder_wave(service->holder, key, value, size);
 }
 
-static void take_config(wwh_job_service_t *service, const uint8_t *value,
-			size_t size)
+/*
+ * Put in force without the rows that can't be read, a configuration would have
+ * callers told that their queue doesn't exist; the one before goes on.
+ */
+static void take_config(wwh_job_service_t *service, const char *key,
+			const uint8_t *value, size_t size)
 {
-	wwh_job_config_t *config = wire_operator_config(value, size);
+	wwh_message_t why = { "version isn't a number above 0" };
+	wwh_job_config_t *config = wire_operator_config(value, size, &why);
 	bool newer;
 
 	if (config == NULL) {
-		wwh_event_log_printf(
-			service->log, "config-refused", "config",
-			"why=not understood bytes=%" G_GSIZE_FORMAT, size);
+		wwh_bad_records_found(service->bad_orders, key, why.text);
 		return;
 	}
+	wwh_bad_records_whole(service->bad_orders, key);
 	g_mutex_lock(&service->lock);
 	newer = service->config == NULL ||
 		config->version > service->config->version;
@@ -509,17 +548,30 @@
 static void give_waves(wwh_job_service_t *service)
 {
 	GHashTableIter iterator;
+	gpointer key;
 	gpointer value;
 
 	g_hash_table_iter_init(&iterator, service->waves);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+	while (g_hash_table_iter_next(&iterator, &key, &value)) {
 		gsize size;
 		const uint8_t *data = g_bytes_get_data(value, &size);
 
-		wwh_job_holder_wave(service->holder, data, size);
+		wwh_job_holder_wave(service->holder, key, data, size);
 	}
 }
 
+static wwh_bad_records_t *make_bad_records(wwh_job_service_t *service,
+					   const char *list)
+{
+	wwh_bad_records_options_t options = {
+		.list = list,
+		.log = service->log,
+		.counters = service->counters,
+	};
+
+	return wwh_bad_records_new(&options);
+}
+
 static bool is_settled(const wwh_job_service_t *service)
 {
 	return service->holder == NULL &&
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -24,7 +24,6 @@
 static void make_known(wwh_shard_claim_t *claim);
 static void on_made_known(const wwh_http_answer_t *answer, void *data);
 static void on_left(const wwh_http_answer_t *answer, void *data);
-static int64_t counter_of(const uint8_t *value, size_t size, int64_t *epoch);
 
 wwh_shard_claim_t *wwh_shard_claim_new(const wwh_shard_claim_options_t *options)
 {
@@ -36,6 +35,7 @@
 		.part = options->notice_part,
 		.wait_ms = NOTICE_WAIT_MS,
 		.on_record = claim_on_notice,
+		.on_nameless = claim_on_nameless,
 		.client_data = claim,
 	};
 
@@ -146,6 +146,7 @@
 		.part = claim->options.journal_part,
 		.wait_ms = JOURNAL_WAIT_MS,
 		.on_record = on_journal,
+		.on_nameless = claim_on_nameless,
 		.client_data = claim,
 	};
 
@@ -180,11 +181,18 @@
 		g_hash_table_remove(claim->records, key);
 		return;
 	}
+	if (strcmp(key, CLAIM_KEY) == 0) {
+		bool whole = claim_read_record(value, size, &epoch);
+
+		claim_judge(claim, key, whole);
+		/* in the claim's place, it would wait for its own for good */
+		if (!whole)
+			return;
+		claim->highest_counter =
+			MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
+	}
 	g_hash_table_replace(claim->records, g_strdup(key),
 			     g_bytes_new(value, size));
-	if (strcmp(key, CLAIM_KEY) == 0)
-		claim->highest_counter = MAX(claim->highest_counter,
-					     counter_of(value, size, &epoch));
 }
 
 /*
@@ -275,8 +283,8 @@
 	if (value == NULL || wwh_store_follower_reading_all(claim->journal))
 		return;
 	text = g_bytes_get_data(value, &size);
-	if (counter_of((const uint8_t *)text, size, &epoch) > claim->epoch >>
-	    CLAIM_RANDOM_BITS) {
+	if (claim_read_record((const uint8_t *)text, size, &epoch) &&
+	    epoch >> CLAIM_RANDOM_BITS > claim->epoch >> CLAIM_RANDOM_BITS) {
 		claim_explain(claim, "shard-claim-overtaken",
 			      "epoch=%" G_GINT64_FORMAT
 			      " other=%" G_GINT64_FORMAT,
@@ -365,15 +373,6 @@
 	claim_unref(claim);
 }
 
-static int64_t counter_of(const uint8_t *value, size_t size, int64_t *epoch)
-{
-	char *text = g_strndup((const char *)value, size);
-
-	*epoch = g_ascii_strtoll(text, NULL, 10);
-	g_free(text);
-	return *epoch >> CLAIM_RANDOM_BITS;
-}
-
 void claim_explain(wwh_shard_claim_t *claim, const char *event,
 		   const char *format, ...)
 {
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -38,32 +38,36 @@
 		join(claim);
 }
 
-/* A notice is "EPOCH ADDRESS"; without an address nobody holds the shard. */
+/*
+ * Any text can stand there. Read as an epoch, it would be higher than all that
+ * follow, and a process that holds the shard would give it up on its word.
+ */
 void claim_on_notice(const char *key, const uint8_t *value, size_t size,
 		     void *data)
 {
 	wwh_shard_claim_t *claim = data;
-	char *text;
 	char *address;
 	int64_t epoch;
+	bool whole;
 
 	if (value == NULL || strcmp(key, CLAIM_NOTICE_KEY) != 0)
 		return;
-	text = g_strndup((const char *)value, size);
-	epoch = g_ascii_strtoll(text, &address, 10);
+	whole = claim_read_notice(value, size, &epoch, &address);
+	claim_judge(claim, key, whole);
+	if (!whole)
+		return;
 	claim->highest_counter =
 		MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
 	if (epoch >= claim->holder_epoch) {
-		address = g_strstrip(address);
 		claim->holder_epoch = epoch;
 		g_free(claim->holder);
-		claim->holder = address[0] == '\0' ? NULL : g_strdup(address);
+		claim->holder = g_strdup(address);
 		claim->probes_failed = 0;
 		claim->holder_ended = false;
 		claim->options.on_holder(claim->holder, epoch,
 					 claim->options.client_data);
 	}
-	g_free(text);
+	g_free(address);
 }
 
 void claim_watch(wwh_shard_claim_t *claim)
@@ -131,9 +135,9 @@
 
 	claim->join_in_flight = false;
 	if (!claim->deleted &&
-	    wire_store_join_answer(answer, claim->options.journal_part,
-				   &claim->generation,
-				   &assigned) == WIRE_STORE_OK) {
+	    wire_store_join_answer(
+		    answer, claim->topic, claim->options.journal_part,
+		    &claim->generation, &assigned) == WIRE_STORE_OK) {
 		if (assigned != claim->assigned)
 			claim_explain(
 				claim, "shard-assigned",
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -27,6 +27,7 @@
 	int64_t all_end; /* of the first page */
 	GHashTable *keys; /* all known keys */
 	GHashTable *seen; /* keys of this reading of all */
+	bool seen_nameless; /* in this reading of all */
 	int64_t next;
 	int64_t sent_ms;
 	int64_t retry_ms;
@@ -186,7 +187,11 @@
 {
 	wwh_store_follower_t *follower = data;
 
-	if (!follower->deleted)
+	if (follower->deleted)
+		return;
+	if (record->key == NULL)
+		follower->seen_nameless = true;
+	else
 		g_hash_table_add(follower->seen, g_strdup(record->key));
 	report(follower, record);
 }
@@ -200,6 +205,13 @@
 {
 	if (follower->deleted)
 		return;
+	if (record->key == NULL) {
+		if (follower->options.on_nameless != NULL)
+			follower->options.on_nameless(
+				record->offset, record->why,
+				follower->options.client_data);
+		return;
+	}
 	if (record->value != NULL)
 		g_hash_table_add(follower->keys, g_strdup(record->key));
 	else
@@ -208,13 +220,19 @@
 				    follower->options.client_data);
 }
 
-/* Keys that were dropped while their records couldn't be read. */
+/*
+ * Keys that were dropped while the log was out of reach. One that stands there
+ * under a key that can't be read would look dropped as well.
+ */
 static void drop_unseen(wwh_store_follower_t *follower)
 {
-	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *gone;
 	GHashTableIter iterator;
 	gpointer key;
 
+	if (follower->seen_nameless)
+		return;
+	gone = g_ptr_array_new_with_free_func(g_free);
 	g_hash_table_iter_init(&iterator, follower->keys);
 	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
 		if (!g_hash_table_contains(follower->seen, key))
@@ -231,6 +249,7 @@
 static void begin_all(wwh_store_follower_t *follower)
 {
 	follower->reading_all = true;
+	follower->seen_nameless = false;
 	g_clear_pointer(&follower->after, g_free);
 	if (follower->seen != NULL)
 		g_hash_table_destroy(follower->seen);
--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -29,15 +29,17 @@
 {
 	int64_t *count = client_data;
 
-	assert(record->key != NULL);
-	assert((record->value == NULL) == (record->size == 0));
+	assert((record->key == NULL) == (record->why != NULL));
+	assert(record->key != NULL || record->value != NULL);
+	assert(record->value != NULL || record->size == 0);
 	(*count)++;
 }
 
 static void on_host(const wwh_listed_host_t *host, void *client_data)
 {
 	(void)client_data;
-	assert(host->name != NULL && host->pool != NULL);
+	assert(host->unreadable != NULL ||
+	       (host->name != NULL && host->pool != NULL));
 	assert(host->state < WWH_HOST_RUN_STATE_COUNT);
 }
 
@@ -100,7 +102,8 @@
 	(void)wire_store_newest_answer(&answer, &next, &last, on_record,
 				       &count);
 	g_free(last);
-	(void)wire_store_join_answer(&answer, 0, &generation, &mine);
+	(void)wire_store_join_answer(&answer, "keyed.wwh", 0, &generation,
+				     &mine);
 	last = NULL;
 	(void)wire_hosts_listed(&answer, &last, on_host, NULL);
 	g_free(last);
@@ -109,8 +112,10 @@
 static void try_operator(const uint8_t *data, size_t size)
 {
 	wwh_upstream_info_t info;
-	wwh_job_config_t *config = wire_operator_config(data, size);
-	wwh_wave_order_t *order = wire_operator_wave(data, size);
+	wwh_message_t why;
+	wwh_job_config_t *config = wire_operator_config(data, size, &why);
+	wwh_wave_order_t *order =
+		wire_operator_wave("wave/1", data, size, &why);
 	const char *rest;
 
 	if (config != NULL) {
@@ -118,9 +123,15 @@
 		(void)wwh_job_config_find(config, "h:1", "/a/b", &rest);
 		wwh_job_config_unref(config);
 	}
-	wwh_wave_order_delete(order);
-	if (wire_operator_upstream("u", data, size, &info)) {
+	if (order != NULL) {
+		assert(order->number == 1 && order->max_down > 0);
+		assert(order->duration_ms >= 0);
+		wwh_wave_order_delete(order);
+	}
+	if (wire_operator_upstream("u", data, size, &info, &why)) {
 		assert(info.endpoint != NULL && info.pool != NULL);
+		assert(info.zone != NULL && info.labels != NULL);
+		assert(info.cpu_millicores >= 0 && info.memory_mb >= 0);
 		wwh_upstream_info_clear(&info);
 	}
 }
--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -131,11 +131,12 @@
 	wwh_host_duties_list_host(crew->duties, &host);
 }
 
-/* A row that can't be read; the decoder passes it over. name NULL: nameless. */
+/* A row that can't be read; name NULL: not even that. */
 static inline void crew_bad_host(crew_t *crew, const char *name)
 {
-	(void)crew;
-	(void)name;
+	wwh_listed_host_t host = { .name = name, .unreadable = "a test" };
+
+	wwh_host_duties_list_host(crew->duties, &host);
 }
 
 static inline void crew_listed(crew_t *crew)
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -25,17 +25,13 @@
 	wwh_job_config_t *config;
 	char *whole[STANDIN_UPSTREAMS]; /* entries as their writers have them */
 	int32_t jobs;
+	wwh_job_answer_kind_t told; /* to the last caller */
 } fixture_t;
 
 /* Each kind of damage to an entry; NULL: what its writer says. */
 static const char *const damages[] = {
-	"",
-	"\xff\xfe\xfd",
-	"{\"service\":\"desk\"",
-	"[]",
-	"{\"state\":\"ready\"}",
-	"{\"service\":\"desk\",\"address\":7,\"zone\":\"a\",\"state\":"
-	"\"ready\"}",
+	"",   "\xff\xfe\xfd",	       "{\"service\":\"desk\"",
+	"[]", "{\"state\":\"ready\"}", "{\"service\":\"desk\",\"address\":7}",
 };
 
 static int64_t read_wall(void)
@@ -178,6 +174,11 @@
 	assert_int_equal(dump_says(fixture, text), there);
 }
 
+static int64_t counted(fixture_t *fixture, const char *name)
+{
+	return wwh_counter_value(wwh_counters_get(fixture->counters, name));
+}
+
 /* All upstreams but u0 are whole, and have answered. */
 static void run_until_others_settled(fixture_t *fixture)
 {
@@ -282,3 +283,70 @@
 	run_until(fixture, "upstream u0 pool=desk listed=0", true);
 	assert_int_equal(fixture->standin->twice, 0);
 }
+
+/*
+ * An entry names a service that the configuration doesn't. It isn't used, and
+ * is from when a configuration names that service.
+ */
+void an_upstream_of_no_named_service_is_not_used(void **state)
+{
+	fixture_t *fixture = *state;
+	wwh_job_config_t *later = wwh_job_config_new(2);
+	wwh_job_pool_t pools[] = { { .name = g_strdup(STANDIN_POOL) },
+				   { .name = g_strdup("late") } };
+	char **halves = g_strsplit(fixture->whole[0], STANDIN_POOL, 2);
+	char *entry = g_strjoinv("late", halves);
+
+	put_entry(fixture, "u0", entry);
+	begin(fixture);
+	run_until_others_settled(fixture);
+	run_for(fixture, 300);
+	assert_false(dump_says(fixture, "upstream u0"));
+	assert_int_equal(counted(fixture, "records.unreadable_now"), 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(pools); i++)
+		wwh_job_config_add_pool(later, &pools[i]);
+	wwh_job_holder_set_config(fixture->holder, later);
+	assert_int_equal(counted(fixture, "records.unreadable_now"), 0);
+	run_until(fixture, "upstream u0 pool=late listed=1 leaving=0 settled=1",
+		  true);
+	wwh_job_config_unref(later);
+	g_strfreev(halves);
+	g_free(entry);
+}
+
+static void on_told(const wwh_job_answer_t *answer, void *client_data)
+{
+	fixture_t *fixture = client_data;
+
+	fixture->told = answer->kind;
+}
+
+/*
+ * A holder begins, and the record of an accepted job can't be read. Its caller
+ * was told that there is no such job, and its next request made a new one of
+ * it. It is told to ask again, until it cancels the job, which ends it.
+ */
+void a_job_whose_record_is_lost_is_not_unknown(void **state)
+{
+	static const char id[] = "00000000000000aa";
+	fixture_t *fixture = *state;
+	wwh_job_t *job = wwh_job_new(1);
+
+	g_hash_table_insert(fixture->records, g_strconcat("J", id, NULL),
+			    g_bytes_new("\xc1", 1));
+	begin(fixture);
+	run_until_others_settled(fixture);
+	assert_int_equal(counted(fixture, "holder.lost_jobs"), 1);
+	assert_int_equal(counted(fixture, "records.unreadable"), 1);
+	wwh_job_holder_state(fixture->holder, id, on_told, fixture);
+	assert_int_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+	g_strlcpy(job->id, id, sizeof(job->id));
+	wwh_job_holder_submit(fixture->holder, job, on_told, fixture);
+	assert_int_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+	wwh_job_holder_cancel(fixture->holder, id, on_told, fixture);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->told, WWH_JOB_ANSWER_OK);
+	wwh_job_holder_state(fixture->holder, id, on_told, fixture);
+	assert_int_equal(fixture->told, WWH_JOB_ANSWER_OK);
+	assert_int_equal(counted(fixture, "holder.lost_jobs"), 0);
+}
--- a/src/test_job_holder/test_job_holder.h
+++ b/src/test_job_holder/test_job_holder.h
@@ -17,9 +17,13 @@
 #define ENTRY_TESTS                                                            \
 	ENTRY_TEST(an_upstream_that_cant_be_read_at_first_is_not_used),        \
 		ENTRY_TEST(                                                    \
-			an_upstream_that_cant_be_read_later_keeps_its_tasks)
+			an_upstream_that_cant_be_read_later_keeps_its_tasks),  \
+		ENTRY_TEST(an_upstream_of_no_named_service_is_not_used),       \
+		ENTRY_TEST(a_job_whose_record_is_lost_is_not_unknown)
 
 void an_upstream_that_cant_be_read_at_first_is_not_used(void **state);
 void an_upstream_that_cant_be_read_later_keeps_its_tasks(void **state);
+void an_upstream_of_no_named_service_is_not_used(void **state);
+void a_job_whose_record_is_lost_is_not_unknown(void **state);
 
 #endif
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -513,6 +513,7 @@
 		value = g_strdup_printf(
 			"{\"service\":\"" STANDIN_POOL
 			"\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+			"\"version\":\"v1\",\"slots\":8,"
 			"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
 			"\"memMb\":16000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
 			"\"sequence\":1}",
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -33,7 +33,7 @@
 {
 	wwh_upstream_info_t info;
 	bool ok = wire_operator_upstream("u1", (const uint8_t *)text,
-					 strlen(text), &info);
+					 strlen(text), &info, NULL);
 
 	wwh_upstream_info_clear(&info);
 	return ok;
@@ -41,11 +41,10 @@
 
 static bool reads_wave(const char *key, const char *text)
 {
-	wwh_wave_order_t *order =
-		wire_operator_wave((const uint8_t *)text, strlen(text));
+	wwh_wave_order_t *order = wire_operator_wave(key, (const uint8_t *)text,
+						     strlen(text), NULL);
 	bool ok = order != NULL;
 
-	(void)key;
 	wwh_wave_order_delete(order);
 	return ok;
 }
@@ -53,7 +52,7 @@
 static bool reads_config(const char *text)
 {
 	wwh_job_config_t *config =
-		wire_operator_config((const uint8_t *)text, strlen(text));
+		wire_operator_config((const uint8_t *)text, strlen(text), NULL);
 	bool ok = config != NULL;
 
 	wwh_job_config_unref(config);
@@ -189,6 +188,7 @@
 			fail_msg("taken: %s", text);
 		g_free(text);
 	}
+	assert_false(reads_wave("wave/2", whole_wave));
 }
 
 static const char whole_config[] =
@@ -353,6 +353,34 @@
 	g_string_free(visits.seen, TRUE);
 }
 
+/* The same key in a list of all keys, where it is written as JSON. */
+static void a_zero_byte_in_a_list_cuts_no_key_off(void **state)
+{
+	char *last = NULL;
+	char *seen = newest_of("{\"items\":[{\"key\":\"u1\\u0000x\","
+			       "\"value\":7},{\"key\":\"u\\\\u0000\","
+			       "\"value\":\"YQ==\"}],\"end\":9}",
+			       &last);
+
+	(void)state;
+	assert_string_equal(seen, "u1\xef\xbf\xbdx= u\\u0000=v ");
+	g_free(seen);
+}
+
+/* One key holds bytes that are no text: the other rows of the list hold. */
+static void bytes_that_are_no_text_spoil_no_list(void **state)
+{
+	char *last = NULL;
+	char *seen = newest_of("{\"items\":[{\"key\":\"u\xff\","
+			       "\"value\":\"YQ==\"}, {\"key\":\"u2\","
+			       "\"value\":\"YQ==\"}],\"end\":9}",
+			       &last);
+
+	(void)state;
+	assert_string_equal(seen, "?= u2=v ");
+	g_free(seen);
+}
+
 /*
  * The group's answer has a row whose number isn't one, and rows of other
  * topics. They were taken for this process's share of the shard.
@@ -377,9 +405,9 @@
 		int64_t generation = 0;
 		bool mine = true;
 
-		assert_int_equal(
-			wire_store_join_answer(&answer, 0, &generation, &mine),
-			WIRE_STORE_OK);
+		assert_int_equal(wire_store_join_answer(&answer, "keyed.wwh", 0,
+							&generation, &mine),
+				 WIRE_STORE_OK);
 		if (mine)
 			fail_msg("taken: %s", rows[i]);
 		g_free(body);
@@ -496,6 +524,8 @@
 		cmocka_unit_test(a_page_that_ends_in_a_bad_item_goes_on),
 		cmocka_unit_test(a_list_that_is_none_is_not_taken_as_empty),
 		cmocka_unit_test(a_key_with_a_zero_byte_is_no_other_key),
+		cmocka_unit_test(a_zero_byte_in_a_list_cuts_no_key_off),
+		cmocka_unit_test(bytes_that_are_no_text_spoil_no_list),
 		cmocka_unit_test(only_a_row_of_the_topic_and_number_assigns),
 		cmocka_unit_test(
 			a_bad_row_of_a_host_still_says_that_it_is_there),
