--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -268,6 +268,63 @@
 	stop_standin(&standin);
 }
 
+/*
+ * One row of the platform's list of hosts has a state without a known name, or
+ * isn't a row at all. The whole list was refused: no host's change was heard of
+ * until that row was mended. The others are told, and that it isn't whole.
+ */
+static void a_bad_row_hides_no_other_host(void **unused)
+{
+	static const char *const rows[] = {
+		"{\"id\":\"b\",\"kind\":\"minion\",\"state\":\"asleep\","
+		"\"address\":\"1:2\",\"zone\":\"z\"}",
+		"{\"id\":\"b\",\"kind\":\"minion\",\"state\":\"live\"}",
+		"{\"id\":7,\"kind\":\"minion\",\"state\":\"live\","
+		"\"address\":\"1:2\",\"zone\":\"z\"}",
+		"7",
+		"null",
+	};
+
+	(void)unused;
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *body = g_strdup_printf(
+			"{\"hosts\":[{\"id\":\"a\",\"kind\":\"entry\","
+			"\"state\":\"live\",\"address\":\"1:2\","
+			"\"zone\":\"z\"},%s,{\"id\":\"c\","
+			"\"kind\":\"minion\",\"state\":\"gone\","
+			"\"address\":\"1:3\",\"zone\":\"z\"}]}",
+			rows[i]);
+		GString *text = g_string_new(NULL);
+
+		assert_int_equal(wwh_decode_hosts((uint8_t *)body, strlen(body),
+						  add_host, text),
+				 WWH_STATUS_BAD_INPUT);
+		assert_string_equal(text->str,
+				    "a/entry/live/1:2/z;c/minion/gone/1:3/z;");
+		g_string_free(text, TRUE);
+		g_free(body);
+	}
+}
+
+/* The same of the list of tasks. */
+static void a_bad_row_hides_no_other_task(void **unused)
+{
+	static const char body[] =
+		"{\"tasks\":[7,{\"task_id\":\"s\",\"worker_id\":\"w\","
+		"\"state\":\"resting\"},{\"task_id\":\"t\","
+		"\"worker_id\":\"w\",\"state\":\"running\",\"fence\":7,"
+		"\"used_cores_milli\":1,\"used_memory_mb\":1}]}";
+	GString *text = g_string_new(NULL);
+
+	(void)unused;
+	assert_int_equal(wwh_decode_task_reports((const uint8_t *)body,
+						 strlen(body), add_report,
+						 text),
+			 WWH_STATUS_BAD_INPUT);
+	assert_string_equal(text->str, "t/w/running/7;");
+	g_string_free(text, TRUE);
+}
+
 /* Foreign bytes must not make the unpacker allocate what they declare. */
 static void declared_lengths_are_checked_first(void **unused)
 {
@@ -306,6 +363,8 @@
 		cmocka_unit_test(refused_connection_is_without_effect),
 		cmocka_unit_test(log_of_the_standin),
 		cmocka_unit_test(fleet_of_the_standin),
+		cmocka_unit_test(a_bad_row_hides_no_other_host),
+		cmocka_unit_test(a_bad_row_hides_no_other_task),
 		cmocka_unit_test(declared_lengths_are_checked_first),
 	};
 
