--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -467,6 +467,33 @@
 	}
 }
 
+static void on_whole_host(const wwh_listed_host_t *host, void *client_data)
+{
+	int32_t *count = client_data;
+
+	assert_null(host->unreadable);
+	(*count)++;
+}
+
+/* Nothing runs on a host that rests or moves: its row names no upstream. */
+static void a_host_without_an_upstream_is_whole(void **state)
+{
+	static const char body[] =
+		"{\"machines\":[{\"machine\":\"m1\",\"pool\":\"p\","
+		"\"state\":\"moving\",\"id\":\"\"},{\"machine\":\"m2\","
+		"\"pool\":\"p\",\"state\":\"up\"},{\"machine\":\"m3\","
+		"\"pool\":\"p\",\"state\":\"up\",\"id\":null}],"
+		"\"nextToken\":\"\"}";
+	wwh_http_answer_t answer = answer_of(body, strlen(body));
+	int32_t count = 0;
+	char *next = NULL;
+
+	(void)state;
+	assert_true(wire_hosts_listed(&answer, &next, on_whole_host, &count));
+	assert_int_equal(count, 3);
+	assert_null(next);
+}
+
 /*
  * A row of hosts holds what the parser refuses: a number of 20 digits, or
  * values nested too deep. The whole list was refused with it.
@@ -529,6 +556,7 @@
 		cmocka_unit_test(only_a_row_of_the_topic_and_number_assigns),
 		cmocka_unit_test(
 			a_bad_row_of_a_host_still_says_that_it_is_there),
+		cmocka_unit_test(a_host_without_an_upstream_is_whole),
 		cmocka_unit_test(a_row_that_the_parser_refuses_spoils_no_list),
 		cmocka_unit_test(a_list_without_its_rows_or_next_page_is_none),
 	};
