Hear of the hosts and tasks beside a bad row

Cause: the product's own lists were read whole or refused, so that one row of another type kept every change from being heard of until it was mended.

Conclusion: the rows that can be read are visited, and BAD_INPUT says that there are others. Who is missing from such a list isn't taken as gone (a minion that was gone and isn't among them still is), and it counts as a failed list.

Ruled out: leaving bad rows out silently, which makes their hosts look gone.

--- a/include/waxwinghollow/membership.h
+++ b/include/waxwinghollow/membership.h
@@ -138,7 +138,8 @@
 void wwh_membership_list_begin(wwh_membership_t *membership);
 void wwh_membership_list_host(wwh_membership_t *membership,
 			      const wwh_host_t *host, int64_t now_ms);
-void wwh_membership_list_end(wwh_membership_t *membership, int64_t now_ms);
+void wwh_membership_list_end(wwh_membership_t *membership, bool whole,
+			     int64_t now_ms);
 
 void wwh_membership_tick(wwh_membership_t *membership, int64_t now_ms);
 
--- a/include/waxwinghollow/platform.h
+++ b/include/waxwinghollow/platform.h
@@ -177,7 +177,10 @@
 			     wwh_log_visit_t visit, void *client_data,
 			     int64_t *first, int64_t *next);
 
-	/* The lagging list of live and leaving hosts. */
+	/*
+	 * The lagging list of live and leaving hosts. BAD_INPUT: some rows
+	 * can't be read; the others were visited.
+	 */
 	wwh_status_t (*hosts)(void *context, int32_t timeout_ms,
 			      wwh_host_visit_t visit, void *client_data);
 
@@ -190,6 +193,7 @@
 				      wwh_worker_status_t *status);
 	wwh_status_t (*task)(void *context, const wwh_task_order_t *order,
 			     int32_t timeout_ms);
+	/* BAD_INPUT as for hosts */
 	wwh_status_t (*task_reports)(void *context, int32_t timeout_ms,
 				     wwh_task_visit_t visit, void *client_data);
 } wwh_platform_t;
--- a/src/libwaxwinghollow/entry_control.c
+++ b/src/libwaxwinghollow/entry_control.c
@@ -133,9 +133,10 @@
 	status = platform->hosts(platform->context,
 				 entry->settings->platform_timeout_ms,
 				 take_host, entry);
-	if (status == WWH_STATUS_OK)
-		wwh_entry_peers_list_end(entry->peers);
-	else
+	/* rows that can be read hold, whatever stands beside them */
+	if (status == WWH_STATUS_OK || status == WWH_STATUS_BAD_INPUT)
+		wwh_entry_peers_list_end(entry->peers, status == WWH_STATUS_OK);
+	if (status != WWH_STATUS_OK)
 		wwh_counter_add(control->list_failures, 1);
 }
 
--- a/src/libwaxwinghollow/entry_peers.c
+++ b/src/libwaxwinghollow/entry_peers.c
@@ -19,6 +19,7 @@
  */
 #define LEAVING_PERIOD_MS 1000
 
+static void keep_unlisted(wwh_entry_peers_t *peers);
 static gpointer peers_main(gpointer data);
 static void on_frame(const char *from_id, const char *from,
 		     wwh_frame_kind_t kind, const uint8_t *payload, size_t size,
@@ -47,6 +48,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	peers->gone_next =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	peers->listed_next =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	wwh_membership_options_defaults(&options);
 	options.id = settings->process_id;
 	options.incarnation = entry->incarnation;
@@ -115,6 +118,7 @@
 	g_hash_table_destroy(peers->minion_states);
 	g_hash_table_destroy(peers->gone);
 	g_hash_table_destroy(peers->gone_next);
+	g_hash_table_destroy(peers->listed_next);
 	g_rand_free(peers->random);
 	g_mutex_clear(&peers->lock);
 	g_free(peers);
@@ -125,6 +129,7 @@
 	g_mutex_lock(&peers->lock);
 	wwh_membership_list_begin(peers->membership);
 	g_hash_table_remove_all(peers->gone_next);
+	g_hash_table_remove_all(peers->listed_next);
 	g_mutex_unlock(&peers->lock);
 }
 
@@ -135,6 +140,7 @@
 	g_mutex_lock(&peers->lock);
 	wwh_membership_list_host(peers->membership, host, now_ms);
 	if (host->kind == WWH_HOST_MINION) {
+		g_hash_table_add(peers->listed_next, g_strdup(host->id));
 		wwh_leaving_list(peers->leaving, host->id,
 				 host->state != WWH_HOST_LIVE, now_ms);
 		if (host->state == WWH_HOST_GONE)
@@ -147,18 +153,33 @@
  * Only a list that was read to its end is taken up. While one is read, or
  * when reading it fails, minions that are gone would else get work.
  */
-void wwh_entry_peers_list_end(wwh_entry_peers_t *peers)
+void wwh_entry_peers_list_end(wwh_entry_peers_t *peers, bool whole)
 {
 	GHashTable *last;
 
 	g_mutex_lock(&peers->lock);
+	if (!whole)
+		keep_unlisted(peers);
 	last = peers->gone;
 	peers->gone = peers->gone_next;
 	peers->gone_next = last;
-	wwh_membership_list_end(peers->membership, wwh_now_ms());
+	wwh_membership_list_end(peers->membership, whole, wwh_now_ms());
 	g_mutex_unlock(&peers->lock);
 }
 
+/* A minion that was gone and isn't in the rows that can be read still is. */
+static void keep_unlisted(wwh_entry_peers_t *peers)
+{
+	GHashTableIter iterator;
+	gpointer id;
+
+	g_hash_table_iter_init(&iterator, peers->gone);
+	while (g_hash_table_iter_next(&iterator, &id, NULL)) {
+		if (!g_hash_table_contains(peers->listed_next, id))
+			g_hash_table_add(peers->gone_next, g_strdup(id));
+	}
+}
+
 void wwh_entry_peers_minion_answered(wwh_entry_peers_t *peers,
 				     const char *minion, int64_t sent_ms,
 				     bool leaving)
--- a/src/libwaxwinghollow/include/private/entry_peers.h
+++ b/src/libwaxwinghollow/include/private/entry_peers.h
@@ -24,7 +24,8 @@
 void wwh_entry_peers_list_begin(wwh_entry_peers_t *peers);
 void wwh_entry_peers_list_host(wwh_entry_peers_t *peers,
 			       const wwh_host_t *host);
-void wwh_entry_peers_list_end(wwh_entry_peers_t *peers);
+/* whole false: some rows couldn't be read, and who is missing isn't known. */
+void wwh_entry_peers_list_end(wwh_entry_peers_t *peers, bool whole);
 
 /* A minion answered a request sent at sent_ms; leaving: it said so. */
 void wwh_entry_peers_minion_answered(wwh_entry_peers_t *peers,
--- a/src/libwaxwinghollow/include/private/entry_peers_state.h
+++ b/src/libwaxwinghollow/include/private/entry_peers_state.h
@@ -24,6 +24,7 @@
 	GHashTable *minion_states; /* id to the state told last */
 	GHashTable *gone; /* set of minions that the list calls gone */
 	GHashTable *gone_next; /* the same, of the list that is being read */
+	GHashTable *listed_next; /* all minions of that list */
 	int64_t next_leaving_ms;
 	int64_t next_drain_ms;
 	int64_t next_loan_ms;
--- a/src/libwaxwinghollow/include/private/platform_http_decode.h
+++ b/src/libwaxwinghollow/include/private/platform_http_decode.h
@@ -4,7 +4,8 @@
 /*
  * Decoders of the bodies of docs/PLATFORM.md. Each checks types and bounds
  * and returns WWH_STATUS_BAD_INPUT for anything else; a body is checked as a
- * whole before the first visit.
+ * whole before the first visit. Of a list of hosts or tasks the rows that can
+ * be read are visited all the same: one bad row would hide all others.
  */
 
 #include "waxwinghollow/platform.h"
--- a/src/libwaxwinghollow/membership.c
+++ b/src/libwaxwinghollow/membership.c
@@ -98,13 +98,14 @@
 	row->listed_gone = !row->listed;
 }
 
-/* One that was on the list and isn't any more is gone. */
-void wwh_membership_list_end(wwh_membership_t *membership, int64_t now_ms)
+/* One that was on the list and isn't any more is gone, if the list is whole. */
+void wwh_membership_list_end(wwh_membership_t *membership, bool whole,
+			     int64_t now_ms)
 {
 	for (guint i = 0; i < membership->rows->len; i++) {
 		wwh_row_t *row = membership->rows->pdata[i];
 
-		if (row->listed &&
+		if (whole && row->listed &&
 		    row->list_number != membership->list_number) {
 			row->listed = false;
 			row->listed_gone = true;
--- a/src/libwaxwinghollow/platform_http_decode.c
+++ b/src/libwaxwinghollow/platform_http_decode.c
@@ -85,10 +85,8 @@
 
 	if (object != NULL)
 		status = decode_list(object, "hosts", check_host, hosts);
-	if (status == WWH_STATUS_OK)
-		for (guint i = 0; i < hosts->len; i++)
-			visit(&g_array_index(hosts, wwh_host_t, i),
-			      client_data);
+	for (guint i = 0; i < hosts->len; i++)
+		visit(&g_array_index(hosts, wwh_host_t, i), client_data);
 	g_array_unref(hosts);
 	g_object_unref(parser);
 	return status;
@@ -128,10 +126,9 @@
 
 	if (object != NULL)
 		status = decode_list(object, "tasks", check_report, reports);
-	if (status == WWH_STATUS_OK)
-		for (guint i = 0; i < reports->len; i++)
-			visit(&g_array_index(reports, wwh_task_report_t, i),
-			      client_data);
+	for (guint i = 0; i < reports->len; i++)
+		visit(&g_array_index(reports, wwh_task_report_t, i),
+		      client_data);
 	g_array_unref(reports);
 	g_object_unref(parser);
 	return status;
@@ -191,26 +188,32 @@
 	return false;
 }
 
+/* The rows that can be read; BAD_INPUT: there are others. */
 static wwh_status_t decode_list(JsonObject *object, const char *name,
 				check_t check, GArray *results)
 {
 	JsonNode *node = json_object_get_member(object, name);
+	wwh_status_t status = WWH_STATUS_OK;
 	JsonArray *list;
+	guint count = 0;
 
 	if (node == NULL || !JSON_NODE_HOLDS_ARRAY(node))
 		return WWH_STATUS_BAD_INPUT;
 	list = json_node_get_array(node);
 	g_array_set_size(results, json_array_get_length(list));
-	for (guint i = 0; i < results->len; i++) {
+	for (guint i = 0; i < json_array_get_length(list); i++) {
 		JsonNode *item = json_array_get_element(list, i);
-		char *result =
-			results->data + i * g_array_get_element_size(results);
-
-		if (!JSON_NODE_HOLDS_OBJECT(item) ||
-		    !check(json_node_get_object(item), result))
-			return WWH_STATUS_BAD_INPUT;
+		char *result = results->data +
+			       count * g_array_get_element_size(results);
+
+		if (JSON_NODE_HOLDS_OBJECT(item) &&
+		    check(json_node_get_object(item), result))
+			count++;
+		else
+			status = WWH_STATUS_BAD_INPUT;
 	}
-	return WWH_STATUS_OK;
+	g_array_set_size(results, count);
+	return status;
 }
 
 static bool check_host(JsonObject *object, void *result)
--- a/src/test_membership/test_membership.c
+++ b/src/test_membership/test_membership.c
@@ -55,7 +55,20 @@
 		wwh_membership_list_host(node->membership, &host,
 					 node->sim->now_ms);
 	}
-	wwh_membership_list_end(node->membership, node->sim->now_ms);
+	wwh_membership_list_end(node->membership, true, node->sim->now_ms);
+}
+
+/* A list that has but the node itself, as far as it can be read. */
+static void show_first(sim_node_t *node, bool whole)
+{
+	wwh_host_t host = { .id = node->id,
+			    .kind = WWH_HOST_ENTRY,
+			    .address = node->address,
+			    .zone = node->zone_name };
+
+	wwh_membership_list_begin(node->membership);
+	wwh_membership_list_host(node->membership, &host, node->sim->now_ms);
+	wwh_membership_list_end(node->membership, whole, node->sim->now_ms);
 }
 
 static void list_is_enough_to_find_everybody(void **unused)
@@ -292,6 +305,29 @@
 	sim_delete(sim);
 }
 
+/*
+ * A region is out of reach, and a list comes of which only the first row can be
+ * read. Who is missing may be in the other rows, so nobody is taken as gone; by
+ * a whole list of the same row they are.
+ */
+static void a_list_with_a_bad_row_removes_nobody(void **unused)
+{
+	sim_t *sim = settled_sim(6, 2, 2);
+
+	(void)unused;
+	show_list(&sim->nodes[0], sim->count);
+	for (int32_t i = 1; i < 6; i += 2)
+		sim->nodes[i].down = true;
+	sim_run(sim, 60000);
+	show_first(&sim->nodes[0], false);
+	sim_run(sim, 10000);
+	assert_int_equal(sim_status(&sim->nodes[0], 1), WWH_MEMBER_SUSPECT);
+	show_first(&sim->nodes[0], true);
+	sim_run(sim, 10000);
+	assert_int_equal(sim_status(&sim->nodes[0], 1), WWH_MEMBER_DEAD);
+	sim_delete(sim);
+}
+
 /*
  * Two regions are cut off from each other, and the list says to each that the
  * other is gone. Both hold the other for dead and go on. When the cut ends,
@@ -377,6 +413,7 @@
 		cmocka_unit_test(one_observer_decides_nothing),
 		cmocka_unit_test(region_cut_off_for_an_hour),
 		cmocka_unit_test(list_says_that_a_region_is_gone),
+		cmocka_unit_test(a_list_with_a_bad_row_removes_nobody),
 		cmocka_unit_test(dead_ones_are_found_again),
 		cmocka_unit_test(leaving_process_is_known_at_once),
 		cmocka_unit_test(word_of_a_leaving_minion_reaches_all),
