--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -18,6 +18,7 @@
 #define PROCESSES 2
 #define WAIT_LIMIT_MS 15000
 #define GRACE_MS 3000
+#define UNREADABLE_NOW "records_unreadable_now "
 
 typedef struct {
 	standin_t *standin;
@@ -438,6 +439,88 @@
 	}
 }
 
+static void put(fixture_t *fixture, const char *topic, const char *part,
+		const char *key, const char *value)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	standin_put(fixture->standin, topic, part, key, value, strlen(value));
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+/* A counter on a process's page; -1: it isn't there. */
+static int64_t metric(fixture_t *fixture, int32_t index, const char *name)
+{
+	int32_t callers = fixture->ports[index];
+	int64_t value = -1;
+	char *text;
+	char *at;
+
+	fixture->ports[index] = fixture->peer_ports[index];
+	assert_int_equal(ask(fixture, index, "GET", "/metrics", NULL, &text),
+			 200);
+	fixture->ports[index] = callers;
+	at = strstr(text, name);
+	if (at != NULL)
+		value = g_ascii_strtoll(at + strlen(name), NULL, 10);
+	g_free(text);
+	return value;
+}
+
+/* The sum of all processes. */
+static void wait_metrics(fixture_t *fixture, const char *name, int64_t wanted)
+{
+	int64_t sum = -1;
+
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 50 && sum != wanted; i++) {
+		g_usleep(50 * 1000);
+		sum = 0;
+		for (int32_t k = 0; k < PROCESSES; k++)
+			sum += metric(fixture, k, name);
+	}
+	assert_int_equal(sum, wanted);
+}
+
+/*
+ * Another writer leaves what can't be read in every list that processes follow:
+ * a configuration that has lost a queue's service, a wave without hosts, a
+ * notice and a claim that are none, an upstream's entry. Callers' queues stay
+ * as they are, their jobs are done, and each page counts what is bad; mended,
+ * the configuration is in force.
+ */
+static void bad_records_stop_no_process(void **state)
+{
+	static const char bad[] =
+		"{\"version\":8,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+		"\"pathPrefix\":\"/q/\"}],\"services\":[]}";
+	static const char mended[] =
+		"{\"version\":9,\"routes\":[{\"name\":\"r1\",\"host\":\"h\","
+		"\"pathPrefix\":\"/q/\",\"service\":\"" STANDIN_POOL "\"},"
+		"{\"name\":\"r2\",\"host\":\"h\",\"pathPrefix\":\"/r/\","
+		"\"service\":\"" STANDIN_POOL "\"}],\"services\":["
+		"{\"name\":\"" STANDIN_POOL "\"}]}";
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	put(fixture, "keyed.op", "0", "config", bad);
+	put(fixture, "keyed.op", "0", "wave/1", "{\"wave\":1}");
+	put(fixture, "keyed.wwh", "1", "holder", "9223372036854775807 x");
+	put(fixture, "keyed.servers", "0", "u0", "\xff\xfe");
+	/* both follow three of the lists, the holder a fourth */
+	wait_metrics(fixture, UNREADABLE_NOW, 3 * PROCESSES + 1);
+	submit(fixture, 0, "00000000000000e0");
+	submit(fixture, 1, "00000000000000e1");
+	wait_state(fixture, 1, "00000000000000e0", "completed");
+	wait_state(fixture, 0, "00000000000000e1", "completed");
+	put(fixture, "keyed.op", "0", "config", mended);
+	put(fixture, "keyed.op", "0", "wave/1", "");
+	wait_metrics(fixture, UNREADABLE_NOW, PROCESSES + 1);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		assert_int_equal(ask(fixture, i, "GET", "/r/", NULL, NULL),
+				 200);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -462,6 +545,8 @@
 		cmocka_unit_test_setup_teardown(
 			a_slow_process_holds_the_shard_only_if_nobody_else_does,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(bad_records_stop_no_process,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			malformed_requests_are_told_what_is_wrong, set_up,
 			tear_down),
