--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -80,7 +80,6 @@
 	if (listed->unreadable != NULL) {
 		/* it isn't removed, and is what it was; orders wait */
 		host->lists_without = 0;
-		host->unreadable_list = duties->list_number;
 		return;
 	}
 	host->in_list = true;
@@ -126,8 +125,7 @@
 		duty_host_t *host = value;
 
 		host->in_list = host->list_number == duties->list_number;
-		if (!host->in_list && !duties->list_has_nameless &&
-		    host->unreadable_list != duties->list_number)
+		if (!host->in_list && !duties->list_has_nameless)
 			host->lists_without++;
 	}
 }
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -16,7 +16,6 @@
 	wwh_host_run_state_t state;
 	bool in_list; /* of the last whole list */
 	int64_t list_number; /* of the last list that had it */
-	int64_t unreadable_list; /* the last that had a row it can't read */
 	int32_t lists_without; /* in a row */
 	bool in_flight;
 	int64_t ordered_ms; /* 0: no order that may have been carried out */
