--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -13,6 +13,7 @@
 #include "wire_hosts.h"
 #include "wire_operator.h"
 #include "wire_store.h"
+#include "wire_upstream.h"
 
 /* What a visit to a list has seen, a word each. */
 typedef struct {
@@ -540,6 +541,60 @@
 	}
 }
 
+/* Whether what isn't among the rows of a poll's answer may be taken as over. */
+static bool tells_all(const char *running, const char *ended, int32_t *rows)
+{
+	char *body = g_strdup_printf(
+		"{\"clockMs\":5,\"running\":%s,\"ended\":%s}", running, ended);
+	wwh_http_answer_t answer = answer_of(body, strlen(body));
+	wire_poll_t poll;
+	bool all;
+
+	assert_int_equal(wire_upstream_polled(&answer, &poll), WWH_ORDER_DONE);
+	all = poll.rows.ended_in_full;
+	*rows = poll.rows.running_count + poll.rows.ended_count;
+	wire_upstream_poll_clear(&poll);
+	g_free(body);
+	return all;
+}
+
+/*
+ * A row of what runs at an upstream has a field of another type. It was left
+ * out or read as another run; its task wasn't listed then, was taken as over
+ * and started elsewhere, while it ran. The other rows hold.
+ */
+static void a_bad_row_of_a_run_ends_no_task(void **state)
+{
+	static const char *const bad[] = {
+		"[\"a.0.0.1\",\"1\",\"\",5]",
+		"[7,1,\"\",5]",
+		"[\"a.0.0.1\",1,\"\",{}]",
+		"[\"a.0.0.1\",1,7,5]",
+		"[\"a.0.0.1\",0,\"\",5]",
+		"[\"a.0.0.1\",1]",
+		"[\"\",1,\"\",5]",
+		"7",
+	};
+	int32_t rows;
+
+	(void)state;
+	assert_true(tells_all("[[\"a.0.0.0\",1,\"\",5]]",
+			      "[[1,\"a.0.0.2\",1,\"done\",\"\"]]", &rows));
+	assert_int_equal(rows, 2);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *running =
+			g_strdup_printf("[%s,[\"a.0.0.0\",1,\"\",5]]", bad[i]);
+
+		if (tells_all(running, "[]", &rows))
+			fail_msg("taken for all: %s", running);
+		assert_int_equal(rows, 1);
+		g_free(running);
+	}
+	assert_false(tells_all("7", "[]", &rows));
+	assert_false(
+		tells_all("[]", "[[1,\"a.0.0.2\",1,\"melted\",\"\"]]", &rows));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -558,6 +613,7 @@
 			a_bad_row_of_a_host_still_says_that_it_is_there),
 		cmocka_unit_test(a_host_without_an_upstream_is_whole),
 		cmocka_unit_test(a_row_that_the_parser_refuses_spoils_no_list),
+		cmocka_unit_test(a_bad_row_of_a_run_ends_no_task),
 		cmocka_unit_test(a_list_without_its_rows_or_next_page_is_none),
 	};
 
