Take a poll's answer for all that runs only when all its rows can be read

Cause: a row of another type was left out, or read as run 0, and a task that isn't listed is taken as over: it was started elsewhere while it ran.

Conclusion: rows are checked; an answer with one that can't be read ends nothing, and the other rows hold.

--- /dev/null
+++ b/src/test_wire/test_wire.h
@@ -0,0 +1,27 @@
+#ifndef TEST_WIRE_H
+#define TEST_WIRE_H
+
+/*
+ * NAME
+ *	test_wire - what the files of this test program share
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#define FIELD_TESTS                                                            \
+	cmocka_unit_test(an_upstream_with_a_bad_field_is_not_read),            \
+		cmocka_unit_test(zero_fields_of_an_upstream_may_be_left_out),  \
+		cmocka_unit_test(a_wave_with_a_bad_field_is_not_read),         \
+		cmocka_unit_test(a_configuration_with_a_bad_row_is_not_read)
+
+void an_upstream_with_a_bad_field_is_not_read(void **state);
+void zero_fields_of_an_upstream_may_be_left_out(void **state);
+void a_wave_with_a_bad_field_is_not_read(void **state);
+void a_configuration_with_a_bad_row_is_not_read(void **state);
+
+#endif
