Take in the readers of entries by another writer

Joined with the list of what hosts run: a row that can't be read, or has no name, may run any upstream, and so ends none (two tests).

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -71,13 +71,26 @@
 	duties->list_number++;
 	duties->lives_in_full = true;
 	g_hash_table_remove_all(duties->lives);
+	duties->list_has_nameless = false;
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
 			       const wwh_listed_host_t *listed)
 {
-	duty_host_t *host = duties_host(duties, listed->name);
+	duty_host_t *host;
 
+	if (listed->name == NULL) {
+		duties->list_has_nameless = true;
+		duties->lives_in_full = false;
+		return;
+	}
+	host = duties_host(duties, listed->name);
+	if (listed->unreadable != NULL) {
+		/* it isn't removed, and is what it was; orders wait */
+		host->lists_without = 0;
+		duties->lives_in_full = false;
+		return;
+	}
 	note_life(duties, listed);
 	host->in_list = true;
 	host->list_number = duties->list_number;
@@ -125,7 +138,7 @@
 		duty_host_t *host = value;
 
 		host->in_list = host->list_number == duties->list_number;
-		if (!host->in_list)
+		if (!host->in_list && !duties->list_has_nameless)
 			host->lists_without++;
 	}
 }
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -7,6 +7,7 @@
  * them from there and answers them by the holder or a peer.
  */
 
+#include "waxwinghollow/bad_records.h"
 #include "waxwinghollow/event_log.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/job_service.h"
@@ -53,6 +54,8 @@
 	/* How long callers waited for their answers, by what they asked. */
 	wwh_histogram_t *answer_ms[JOB_REQUEST_KIND_COUNT];
 	wwh_event_log_t *log;
+	wwh_bad_records_t *bad_orders; /* of the operator */
+	wwh_bad_records_t *bad_claims; /* of the shard's holders */
 	wwh_listener_t *callers;
 	wwh_listener_t *readiness;
 	wwh_listener_t *peers;
--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -145,6 +145,14 @@
 	wwh_host_duties_list_host(crew->duties, &host);
 }
 
+/* A row that can't be read; name NULL: not even that. */
+static inline void crew_bad_host(crew_t *crew, const char *name)
+{
+	wwh_listed_host_t host = { .name = name, .unreadable = "a test" };
+
+	wwh_host_duties_list_host(crew->duties, &host);
+}
+
 static inline void crew_listed(crew_t *crew)
 {
 	wwh_host_duties_list_end(crew->duties, true, crew->rig->now_ms);
@@ -324,7 +332,12 @@
 			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(                               \
 			a_life_that_is_announced_is_waited_for, set_up,        \
-			tear_down)
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_row_that_cannot_be_read_may_run_any, set_up,         \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_row_without_a_name_may_run_any, set_up, tear_down)
 
 void a_life_that_no_host_runs_is_not_waited_for(void **state);
 void a_life_of_a_host_that_is_gone_is_not_waited_for(void **state);
@@ -334,5 +347,7 @@
 void a_host_of_a_working_pool_without_a_life_may_run_any(void **state);
 void a_list_that_is_cut_short_ends_no_life(void **state);
 void a_life_that_is_announced_is_waited_for(void **state);
+void a_row_that_cannot_be_read_may_run_any(void **state);
+void a_row_without_a_name_may_run_any(void **state);
 
 #endif
--- a/src/test_host_duties/test_lives.c
+++ b/src/test_host_duties/test_lives.c
@@ -15,6 +15,8 @@
 	wwh_host_run_state_t state;
 	bool cut_short; /* the list doesn't come to its end */
 	bool announced; /* u1 is in the registry */
+	bool unreadable; /* a row that can't be read, with or without a name */
+	bool nameless;
 } silent_host_t;
 
 /* A lasting task was stopped, then the holder ended; u1 and u2 are on record. */
@@ -65,6 +67,14 @@
 		answer_u2(crew->rig);
 		wwh_host_duties_list_begin(crew->duties);
 		crew_host(crew, "h2", RIG_POOL, "u2", WWH_HOST_UP);
+		if (silent->unreadable) {
+			wwh_listed_host_t row = {
+				.name = silent->nameless ? NULL : "h1",
+				.unreadable = "state has no known name",
+			};
+
+			wwh_host_duties_list_host(crew->duties, &row);
+		}
 		if (silent->pool != NULL)
 			crew_host(crew, "h1", silent->pool, silent->upstream,
 				  silent->state);
@@ -154,3 +164,18 @@
 
 	assert_false(starts_soon(*state, &announced));
 }
+
+/* A row that another writer wrote may be that of the host which runs it. */
+void a_row_that_cannot_be_read_may_run_any(void **state)
+{
+	const silent_host_t named = { .unreadable = true };
+
+	assert_false(starts_soon(*state, &named));
+}
+
+void a_row_without_a_name_may_run_any(void **state)
+{
+	const silent_host_t nameless = { .unreadable = true, .nameless = true };
+
+	assert_false(starts_soon(*state, &nameless));
+}
