Count an own record as bad no longer once it is written anew

A lost job that was cancelled stayed in records.unreadable_now until the holder changed. The test of such a job asks for the counter, and fails without this.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -44,8 +44,7 @@
 typedef struct {
 	const char *name; /* NULL only in a row that can't be read */
 	const char *pool;
-	const char
-		*upstream; /* id of what runs on it; NULL or "": nothing does */
+	const char *upstream; /* id of what runs on it; NULL, "": nothing */
 	wwh_host_run_state_t state;
 	const char *unreadable; /* why the row can't be read; NULL: it can */
 } wwh_listed_host_t;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -251,6 +251,11 @@
 	int64_t number = wwh_shard_journal_keep(holder->journal, whole, value,
 						urgent, holder->now_ms);
 
+	/* one that couldn't be read is replaced now */
+	if (value == NULL)
+		wwh_bad_records_gone(holder->bad_records, whole);
+	else
+		wwh_bad_records_whole(holder->bad_records, whole);
 	g_free(whole);
 	return number;
 }
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -349,4 +349,5 @@
 	wwh_job_holder_state(fixture->holder, id, on_told, fixture);
 	assert_int_equal(fixture->told, WWH_JOB_ANSWER_OK);
 	assert_int_equal(counted(fixture, "holder.lost_jobs"), 0);
+	assert_int_equal(counted(fixture, "records.unreadable_now"), 0);
 }
