Show an upstream that an empty list of hosts ends

Seen once in five runs of test_job_service under load: a task that ran was started a second time. Its stand-in lists no hosts at all, and a list in which no host runs an upstream ended it.

--- a/src/test_host_duties/test_lives.c
+++ b/src/test_host_duties/test_lives.c
@@ -17,6 +17,7 @@
 	bool announced; /* u1 is in the registry */
 	bool unreadable; /* a row that can't be read, with or without a name */
 	bool nameless;
+	bool misses_u2; /* a living one isn't in the list */
 } silent_host_t;
 
 /* A lasting task was stopped, then the holder ended; u1 and u2 are on record. */
@@ -66,7 +67,8 @@
 		rig_run(crew->rig, 50);
 		answer_u2(crew->rig);
 		wwh_host_duties_list_begin(crew->duties);
-		crew_host(crew, "h2", RIG_POOL, "u2", WWH_HOST_UP);
+		if (!silent->misses_u2)
+			crew_host(crew, "h2", RIG_POOL, "u2", WWH_HOST_UP);
 		if (silent->unreadable) {
 			wwh_listed_host_t row = {
 				.name = silent->nameless ? NULL : "h1",
@@ -179,3 +181,15 @@
 
 	assert_false(starts_soon(*state, &nameless));
 }
+
+/*
+ * The list of hosts is empty, or older than a life that answers: it doesn't show
+ * all that runs. Believed, it ended an upstream that was at work, and its tasks
+ * ran twice.
+ */
+void a_list_that_misses_a_living_one_ends_no_life(void **state)
+{
+	const silent_host_t empty = { .misses_u2 = true };
+
+	assert_false(starts_soon(*state, &empty));
+}
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -18,7 +18,7 @@
 #define PROCESSES 2
 #define WAIT_LIMIT_MS 15000
 #define GRACE_MS 3000
-#define UNREADABLE_NOW "records_unreadable_now "
+#define UNREADABLE_NOW "waxwinghollow_records_unreadable_now "
 
 typedef struct {
 	standin_t *standin;
