Believe a list of hosts only if it has each upstream that answers

Cause: an empty list, or one from before the newest lives began, ended every upstream of the holder before that it didn't show.

--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -272,12 +272,40 @@
 		sched_upstream_remove(scheduler, upstream, why);
 }
 
+/*
+ * A list shows all that runs if it has each upstream that is announced and has
+ * answered, and there is one. An empty list, or one from before the newest of
+ * them began, shows nothing of the others.
+ */
+static bool shows_all(const wwh_scheduler_t *scheduler, GHashTable *lives)
+{
+	int32_t living = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const sched_upstream_t *upstream = value;
+
+		if (!upstream->listed || !upstream->settled ||
+		    upstream->failed_polls > 0)
+			continue;
+		if (!g_hash_table_contains(lives, upstream->info.id))
+			return false;
+		living++;
+	}
+	return living > 0;
+}
+
 void wwh_scheduler_lives_listed(wwh_scheduler_t *scheduler, GHashTable *lives,
 				int64_t now_ms)
 {
-	GList *all = g_hash_table_get_values(scheduler->upstreams);
+	GList *all;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (!shows_all(scheduler, lives))
+		return;
+	all = g_hash_table_get_values(scheduler->upstreams);
 	for (GList *at = all; at != NULL; at = at->next) {
 		sched_upstream_t *upstream = at->data;
 
