--- a/include/waxwinghollow/http_calls.h
+++ b/include/waxwinghollow/http_calls.h
@@ -82,6 +82,9 @@
 /* Waits up to wait_ms for something to happen, then runs callbacks. */
 void wwh_http_calls_poll(wwh_http_calls_t *calls, int32_t wait_ms);
 
+/* Calls that have begun and whose callback hasn't run. */
+int32_t wwh_http_calls_in_progress(const wwh_http_calls_t *calls);
+
 /* Ends a wait in wwh_http_calls_poll. */
 void wwh_http_calls_wake(wwh_http_calls_t *calls);
 
--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -177,6 +177,11 @@
 	}
 }
 
+int32_t wwh_http_calls_in_progress(const wwh_http_calls_t *calls)
+{
+	return (int32_t)g_hash_table_size(calls->transfers);
+}
+
 void wwh_http_calls_wake(wwh_http_calls_t *calls)
 {
 	curl_multi_wakeup(calls->multi);
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -184,6 +184,17 @@
 	g_free(notice);
 }
 
+/* The group's member is another process, which it will drop in a while. */
+static void assign_to_another(fixture_t *fixture)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	g_free(fixture->standin->member);
+	fixture->standin->member = g_strdup("127.0.0.1:2");
+	fixture->standin->member_ms = standin_now_ms();
+	fixture->standin->generation++;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
 static void run_for(fixture_t *fixture, int64_t run_ms)
 {
 	int64_t end_ms = standin_now_ms() + run_ms;
@@ -330,6 +341,60 @@
 	assert_true(fixture->held.epoch >= EPOCH(2));
 }
 
+/*
+ * All processes are killed and start again within a second. Callers are told
+ * that nobody holds the shard until the group drops the member that it had
+ * assigned the shard to, up to its whole time limit. The process that the
+ * notice names is back and surely holds nothing any more, and no claim hangs
+ * on the group: it claims as soon as it has read its own name.
+ */
+static void a_holder_that_starts_again_waits_for_no_group(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assign_to_another(fixture);
+	make_holder(fixture, SELF, EPOCH(4));
+	start_claim(fixture, false);
+	run_for(fixture, MEMBER_TTL_MS / 2);
+	assert_int_equal(fixture->held.epoch >> 16, 5);
+	assert_null(strstr(fixture->lines, "shard-assigned"));
+}
+
+/*
+ * A holder loses the shard to a claim whose notice isn't out yet. It still
+ * reads its own name, and must not claim the shard back: the two would take
+ * it from each other on and on.
+ */
+static void a_holder_that_lost_the_shard_waits_for_the_group(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	run_for(fixture, 100);
+	assert_string_equal(fixture->holder, SELF);
+	fixture->held.epoch = 0;
+	assign_to_another(fixture);
+	run_for(fixture, MEMBER_TTL_MS / 2);
+	assert_non_null(strstr(fixture->lines, "shard-assigned assigned=0"));
+	assign_to_another(fixture);
+	wwh_shard_claim_lost(fixture->claim, standin_now_ms());
+	run_for(fixture, MEMBER_TTL_MS / 2);
+	assert_int_equal(fixture->held.epoch, 0);
+}
+
+/* A process with little processor time leaves the shard to others also then. */
+static void a_reluctant_holder_that_starts_again_waits(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assign_to_another(fixture);
+	make_holder(fixture, SELF, EPOCH(4));
+	start_claim(fixture, true);
+	run_for(fixture, MEMBER_TTL_MS / 2);
+	assert_int_equal(fixture->held.epoch, 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +418,15 @@
 		cmocka_unit_test_setup_teardown(
 			a_claim_that_the_store_refuses_is_begun_anew, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_that_starts_again_waits_for_no_group, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_that_lost_the_shard_waits_for_the_group,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_reluctant_holder_that_starts_again_waits, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
