Claim without the group after a restart of the holder

Cause: after all processes were killed, the store answered them at once, and yet the claim began 0.75 to 0.89 s later: the process that the shard's notice names was back and read its own name, but only the one that the group names may claim, and the group drops a killed member after its time limit of 1 s. The claim itself hangs on the store alone.

Conclusion: callers are served 0.7 s sooner.

--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -13,6 +13,11 @@
  *	appends of lower epochs. What was appended before it is read up to the
  *	claim's own record, so nothing that was acknowledged is missed.
  *
+ *	A holder that was killed and starts again claims without the group's
+ *	word, which may name a killed member until its time limit is over:
+ *	callers are served 0.16 s after that process is up, in place of 0.88 s
+ *	(one play each of an outage that ends with all processes killed).
+ *
  *	The process that the group names leaves a holder alone as long as
  *	that one answers and reaches the store; a change of holder costs a
  *	second poll at all upstreams.
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -64,6 +64,7 @@
 	bool probe_in_flight;
 	bool holder_ended; /* its process is gone, or says it doesn't hold */
 	bool others_at_work; /* when the claim was begun */
+	bool has_claimed; /* since the process started */
 	bool append_in_flight;
 	bool notice_pending; /* the holder is to be made known */
 	bool notice_in_flight;
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -217,6 +217,7 @@
 				 claim->options.journal_part, &writer, body,
 				 APPEND_LIMIT_MS);
 	claim->state = CLAIM_APPENDING;
+	claim->has_claimed = true;
 	claim->append_in_flight = true;
 	claim->append_sent_ms = claim->now_ms;
 	claim->references++;
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -25,6 +25,8 @@
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
 
+static bool held_before_it_started(const wwh_shard_claim_t *claim);
+static bool is_assigned(const wwh_shard_claim_t *claim);
 static bool may_join(wwh_shard_claim_t *claim);
 static void join(wwh_shard_claim_t *claim);
 static void on_joined(const wwh_http_answer_t *answer, void *data);
@@ -68,12 +70,15 @@
 
 void claim_watch(wwh_shard_claim_t *claim)
 {
-	bool assigned = claim->assigned && claim->now_ms - claim->assigned_ms <
-						   claim->options.member_ttl_ms;
-
-	if (!assigned || !wwh_store_follower_caught_up(claim->notices) ||
+	if (!wwh_store_follower_caught_up(claim->notices) ||
 	    claim->now_ms < claim->retry_ms)
 		return;
+	if (held_before_it_started(claim)) {
+		claim_begin(claim, "restarted", false);
+		return;
+	}
+	if (!is_assigned(claim))
+		return;
 	if (claim->holder == NULL) {
 		claim_begin(claim, "no-holder", false);
 	} else if (strcmp(claim->holder, claim->self) == 0) {
@@ -89,6 +94,26 @@
 	}
 }
 
+/*
+ * The group keeps the shard assigned to a process that was killed until its
+ * time limit is over, and callers are turned away for so long. A process that
+ * reads its own name as the holder's, and hasn't claimed since it started, is
+ * that holder's next life: nobody else is at work, and the claim itself hangs
+ * on the store alone. One that has claimed may have lost the shard to a claim
+ * that isn't known yet; it would take the shard back from its successor.
+ */
+static bool held_before_it_started(const wwh_shard_claim_t *claim)
+{
+	return !claim->options.reluctant && !claim->has_claimed &&
+	       g_strcmp0(claim->holder, claim->self) == 0;
+}
+
+static bool is_assigned(const wwh_shard_claim_t *claim)
+{
+	return claim->assigned && claim->now_ms - claim->assigned_ms <
+					  claim->options.member_ttl_ms;
+}
+
 /*
  * A holder that is too slow for the shard's orders stands still for seconds,
  * is taken over, and the next one may be as slow: all work waits meanwhile.
