Tell others that a claim is on its way

A process whose claim is on its way now answers that question with 503, as a holder without the store does, so that it is asked again before it is replaced.

Ruled out: claims that begin before the old holder is up. They remain possible; the store takes one of the two.

--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -69,6 +69,13 @@
 void wwh_shard_claim_delete(wwh_shard_claim_t *claim);
 void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms);
 
+/*
+ * Whether a claim of this process is on its way. Others that ask meanwhile must
+ * not hear that it doesn't hold the shard: they would claim it themselves, and
+ * all upstreams be asked twice.
+ */
+bool wwh_shard_claim_in_progress(const wwh_shard_claim_t *claim);
+
 /* The claim was lost to another or isn't wanted any more. */
 void wwh_shard_claim_lost(wwh_shard_claim_t *claim, int64_t now_ms);
 
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -48,6 +48,7 @@
 	GHashTable *waves; /* key to GBytes; of the loop's thread */
 	bool stopping;
 	bool holds;
+	bool claims; /* the shard; it may hold it soon */
 	bool reaches_store; /* while it holds the shard */
 	wwh_counters_t *counters;
 	wwh_event_log_t *log;
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -288,6 +288,7 @@
 			wwh_job_holder_reaches_store(service->holder, now_ms);
 	g_mutex_lock(&service->lock);
 	service->holds = service->holder != NULL;
+	service->claims = wwh_shard_claim_in_progress(service->claim);
 	service->reaches_store = reaches_store;
 	g_mutex_unlock(&service->lock);
 }
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -141,13 +141,18 @@
 			 wwh_http_response_t *response)
 {
 	bool holds;
+	bool claims;
 	bool reaches_store;
 
 	g_mutex_lock(&service->lock);
 	holds = service->holds && !service->stopping;
+	claims = service->claims && !service->stopping;
 	reaches_store = service->reaches_store;
 	g_mutex_unlock(&service->lock);
-	if (!holds)
+	if (claims)
+		answer_text(response, STATUS_UNAVAILABLE, "text/plain",
+			    "claims the shard\n");
+	else if (!holds)
 		answer_text(response, STATUS_NOT_FOUND, "text/plain",
 			    "doesn't hold the shard\n");
 	else if (!reaches_store)
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -88,6 +88,13 @@
 	}
 }
 
+bool wwh_shard_claim_in_progress(const wwh_shard_claim_t *claim)
+{
+	return claim->state == CLAIM_LOADING ||
+	       claim->state == CLAIM_APPENDING ||
+	       claim->state == CLAIM_CONFIRMING;
+}
+
 void wwh_shard_claim_lost(wwh_shard_claim_t *claim, int64_t now_ms)
 {
 	claim->now_ms = now_ms;
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -195,14 +195,25 @@
 	g_mutex_unlock(&fixture->standin->lock);
 }
 
+static void set_busy(fixture_t *fixture, bool busy)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->busy = busy;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static void run_once(fixture_t *fixture)
+{
+	wwh_shard_claim_run(fixture->claim, standin_now_ms());
+	wwh_http_calls_poll(fixture->calls, 10);
+}
+
 static void run_for(fixture_t *fixture, int64_t run_ms)
 {
 	int64_t end_ms = standin_now_ms() + run_ms;
 
-	while (standin_now_ms() < end_ms) {
-		wwh_shard_claim_run(fixture->claim, standin_now_ms());
-		wwh_http_calls_poll(fixture->calls, 10);
-	}
+	while (standin_now_ms() < end_ms)
+		run_once(fixture);
 }
 
 static void run_until_held(fixture_t *fixture)
@@ -395,6 +406,29 @@
 	assert_int_equal(fixture->held.epoch, 0);
 }
 
+/*
+ * A holder starts again and claims; the process that the group names asks it
+ * in that moment, hears that it doesn't hold the shard, and claims too. The
+ * first one serves for a tenth of a second, and all upstreams are asked twice.
+ */
+static void a_claim_on_its_way_can_be_told(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, SELF, EPOCH(4));
+	start_claim(fixture, false);
+	assert_false(wwh_shard_claim_in_progress(fixture->claim));
+	while (!wwh_shard_claim_in_progress(fixture->claim))
+		run_once(fixture);
+	set_busy(fixture, true);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->held.epoch, 0);
+	assert_true(wwh_shard_claim_in_progress(fixture->claim));
+	set_busy(fixture, false);
+	run_until_held(fixture);
+	assert_false(wwh_shard_claim_in_progress(fixture->claim));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -427,6 +461,8 @@
 		cmocka_unit_test_setup_teardown(
 			a_reluctant_holder_that_starts_again_waits, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(a_claim_on_its_way_can_be_told,
+						set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
