Refuse jobs that were never sent to a store that is away

Cause: one append is on its way at a time. When the store goes away in one, all submissions behind it wait with it, up to their callers' deadlines of 3 s, and end with 504, after which a caller of this kind has no try left. Their records were in no call, so the jobs can be taken back and "not accepted" is true; only what was sent is unknown.

Ruled out: taking back what was sent. Each later refusal of a repeated call says nothing of the first one, which got no answer.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -235,6 +235,14 @@
 					 wwh_job_t *job, int64_t now_ms,
 					 int64_t *record);
 
+/*
+ * Whether nothing hangs on a job but its acceptance, which isn't durable: it
+ * hasn't started and nobody has cancelled it. wwh_scheduler_take_back forgets
+ * such a job, whose record must not become durable then.
+ */
+bool wwh_scheduler_untouched(const wwh_scheduler_t *scheduler, const char *id);
+void wwh_scheduler_take_back(wwh_scheduler_t *scheduler, const char *id);
+
 /* False: there is no such job. */
 bool wwh_scheduler_cancel(wwh_scheduler_t *scheduler, const char *id,
 			  int64_t now_ms, int64_t *record);
--- a/include/waxwinghollow/shard_journal.h
+++ b/include/waxwinghollow/shard_journal.h
@@ -49,6 +49,12 @@
 			       GBytes *value, bool urgent, int64_t now_ms);
 void wwh_shard_journal_run(wwh_shard_journal_t *journal, int64_t now_ms);
 
+/*
+ * Drops a record that is in no call so far: it is surely not stored and never
+ * will be. False: it was sent, and may be stored.
+ */
+bool wwh_shard_journal_take_back(wwh_shard_journal_t *journal, int64_t number);
+
 /* When the last append that succeeded was sent: the claim held then. */
 int64_t wwh_shard_journal_confirmed_ms(const wwh_shard_journal_t *journal);
 
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -48,6 +48,8 @@
 /* job_holder_requests.c: who waits for a record, and is told */
 void job_holder_answer_durable(wwh_job_holder_t *holder, int64_t record);
 void job_holder_end_waiters(wwh_job_holder_t *holder);
+/* Jobs whose records were never sent, once the store is away. */
+void job_holder_refuse_unsent(wwh_job_holder_t *holder);
 
 /* job_holder_orders.c: the scheduler's orders to upstreams */
 void job_holder_start(const wwh_start_order_t *order, void *client_data);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -149,6 +149,7 @@
 	}
 	flush(holder);
 	wwh_shard_journal_run(holder->journal, now_ms);
+	job_holder_refuse_unsent(holder);
 }
 
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -18,14 +18,18 @@
 
 typedef struct {
 	int64_t record;
+	char job[WWH_JOB_ID_CHARS + 1]; /* that is handed in; empty: none */
 	wwh_job_answer_t answer;
 	wwh_job_answered_t done;
 	void *client_data;
 } waiter_t;
 
-static void wait_for(wwh_job_holder_t *holder, int64_t record,
+static void wait_for(wwh_job_holder_t *holder, int64_t record, const char *job,
 		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
 		     void *client_data);
+static bool take_back(wwh_job_holder_t *holder, const char *job,
+		      int64_t record);
+static void refuse_waiters(wwh_job_holder_t *holder, int64_t record);
 static bool is_stalled(const wwh_job_holder_t *holder);
 static void answer_not_done(const char *why, wwh_job_answered_t done,
 			    void *client_data);
@@ -34,6 +38,7 @@
 			   wwh_job_answered_t done, void *client_data)
 {
 	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
+	char id[WWH_JOB_ID_CHARS + 1];
 	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
 		     WWH_PROGRESS_UNKNOWN;
 	int64_t record;
@@ -44,14 +49,67 @@
 		answer_not_done("store-unreachable", done, client_data);
 		return;
 	}
+	g_strlcpy(id, job->id, sizeof(id));
 	holder->urgent = true;
 	(void)wwh_scheduler_submit(holder->scheduler, job, holder->now_ms,
 				   &record);
 	holder->urgent = false;
-	wait_for(holder, record, &answer, done, client_data);
+	wait_for(holder, record, id, &answer, done, client_data);
 	wwh_shard_journal_run(holder->journal, holder->now_ms);
 }
 
+/*
+ * Callers whose jobs wait behind a call that the store doesn't answer would
+ * wait for their deadlines, be told nothing, and their jobs would run for
+ * nobody after the store's return. Their records were never sent, so that the
+ * jobs can be taken back, and "not accepted" is true.
+ */
+void job_holder_refuse_unsent(wwh_job_holder_t *holder)
+{
+	GList *at = holder->waiters->tail;
+
+	if (!is_stalled(holder))
+		return;
+	while (at != NULL) {
+		waiter_t *waiter = at->data;
+		char job[WWH_JOB_ID_CHARS + 1];
+		int64_t record = waiter->record;
+
+		g_strlcpy(job, waiter->job, sizeof(job));
+		while (at != NULL && ((waiter_t *)at->data)->record == record)
+			at = at->prev;
+		if (job[0] != '\0' && take_back(holder, job, record))
+			refuse_waiters(holder, record);
+	}
+}
+
+static bool take_back(wwh_job_holder_t *holder, const char *job, int64_t record)
+{
+	if (!wwh_scheduler_untouched(holder->scheduler, job) ||
+	    !wwh_shard_journal_take_back(holder->journal, record))
+		return false;
+	wwh_scheduler_take_back(holder->scheduler, job);
+	return true;
+}
+
+static void refuse_waiters(wwh_job_holder_t *holder, int64_t record)
+{
+	GList *at = holder->waiters->head;
+
+	while (at != NULL) {
+		waiter_t *waiter = at->data;
+		GList *next = at->next;
+
+		if (waiter->record == record) {
+			g_queue_delete_link(holder->waiters, at);
+			answer_not_done("store-unreachable", waiter->done,
+					waiter->client_data);
+			g_free(waiter);
+		}
+		at = next;
+	}
+}
+
 static bool is_stalled(const wwh_job_holder_t *holder)
 {
 	int64_t limit_ms = wwh_shard_journal_refused(holder->journal)
@@ -75,7 +133,7 @@
 	holder->urgent = true;
 	if (wwh_scheduler_cancel(holder->scheduler, id, holder->now_ms,
 				 &record)) {
-		wait_for(holder, record, &answer, done, client_data);
+		wait_for(holder, record, "", &answer, done, client_data);
 		wwh_shard_journal_run(holder->journal, holder->now_ms);
 	} else if (wwh_job_holder_confirmed(holder, holder->now_ms)) {
 		answer.kind = WWH_JOB_ANSWER_NO_JOB;
@@ -151,7 +209,7 @@
 }
 
 /* Waiters are kept in the order of their records; most come last. */
-static void wait_for(wwh_job_holder_t *holder, int64_t record,
+static void wait_for(wwh_job_holder_t *holder, int64_t record, const char *job,
 		     const wwh_job_answer_t *answer, wwh_job_answered_t done,
 		     void *client_data)
 {
@@ -164,6 +222,7 @@
 	}
 	waiter = g_new0(waiter_t, 1);
 	waiter->record = record;
+	g_strlcpy(waiter->job, job, sizeof(waiter->job));
 	waiter->answer = *answer;
 	waiter->done = done;
 	waiter->client_data = client_data;
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -225,6 +225,25 @@
 	return WWH_SUBMIT_ACCEPTED;
 }
 
+bool wwh_scheduler_untouched(const wwh_scheduler_t *scheduler, const char *id)
+{
+	const sched_job_t *job = sched_job_find(scheduler, id);
+
+	return job != NULL && job->kept > scheduler->durable_record &&
+	       sched_job_is_live(job) && !job->started && !job->dirty;
+}
+
+void wwh_scheduler_take_back(wwh_scheduler_t *scheduler, const char *id)
+{
+	sched_job_t *job = sched_job_find(scheduler, id);
+
+	g_assert(wwh_scheduler_untouched(scheduler, id));
+	sched_explain(scheduler, "job-taken-back", id,
+		      "record=%" G_GINT64_FORMAT, job->kept);
+	g_ptr_array_remove_fast(scheduler->live, job);
+	g_hash_table_remove(scheduler->jobs, id);
+}
+
 bool wwh_scheduler_cancel(wwh_scheduler_t *scheduler, const char *id,
 			  int64_t now_ms, int64_t *record)
 {
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -96,6 +96,20 @@
 	return entry->number;
 }
 
+bool wwh_shard_journal_take_back(wwh_shard_journal_t *journal, int64_t number)
+{
+	for (GList *at = journal->waiting->tail; at != NULL; at = at->prev) {
+		entry_t *entry = at->data;
+
+		if (entry->number != number)
+			continue;
+		entry_delete(entry);
+		g_queue_delete_link(journal->waiting, at);
+		return true;
+	}
+	return false;
+}
+
 void wwh_shard_journal_run(wwh_shard_journal_t *journal, int64_t now_ms)
 {
 	if (journal->lost || journal->in_flight || now_ms < journal->retry_ms)
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -294,6 +294,16 @@
 	g_mutex_unlock(&fixture->standin->lock);
 }
 
+/*
+ * A job has just ended: the holder has written all of it and won't confirm its
+ * claim for some hundred milliseconds, so the next record is sent at once.
+ */
+static void settle_journal(fixture_t *fixture)
+{
+	submit(fixture, 0, "00000000000000df");
+	wait_state(fixture, 0, "00000000000000df", "completed");
+}
+
 /*
  * The store takes calls and answers none. A caller isn't told that its job
  * is refused, as it may be stored.
@@ -305,6 +315,7 @@
 
 	for (int32_t i = 0; i < PROCESSES; i++)
 		wait_ready(fixture, i);
+	settle_journal(fixture);
 	set_silent(fixture, true);
 	ask_in_thread(&asker);
 	assert_int_equal(asker.status, 504);
@@ -335,6 +346,39 @@
 	assert_int_equal(first.status, 200);
 }
 
+/*
+ * The store falls silent. The first caller's job is on its way there and may
+ * be stored, so nothing is said of it until its deadline. The second one's was
+ * never sent, as one call is on its way at a time; its caller waited for the
+ * deadline all the same, heard nothing, and the job ran for nobody later. It
+ * is told to come back, which is true: the job is taken back and never runs.
+ */
+static void a_job_that_was_never_sent_to_the_store_is_refused(void **state)
+{
+	fixture_t *fixture = *state;
+	asker_t first = { .fixture = fixture, .target = "/q/00000000000000d5" };
+	asker_t next = { .fixture = fixture, .target = "/q/00000000000000d6" };
+	GThread *thread;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	settle_journal(fixture);
+	set_silent(fixture, true);
+	thread = g_thread_new("asker", ask_in_thread, &first);
+	g_usleep(200 * 1000);
+	ask_in_thread(&next);
+	assert_int_equal(next.status, 503);
+	g_thread_join(thread);
+	assert_int_equal(first.status, 504);
+	set_silent(fixture, false);
+	wait_state(fixture, 0, "00000000000000d5", "completed");
+	assert_int_equal(
+		ask(fixture, 0, "GET", "/q/00000000000000d6", NULL, NULL), 410);
+	/* the same caller again, with the same id */
+	submit(fixture, 0, "00000000000000d6");
+	wait_state(fixture, 0, "00000000000000d6", "completed");
+}
+
 /*
  * A process is stopped while callers of another one wait for it, and the
  * store is silent. Its threads waited for their requests' own time limits,
@@ -456,6 +500,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_busy_store_turns_callers_away_at_once, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_job_that_was_never_sent_to_the_store_is_refused,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_stopped_process_ends_though_others_wait_for_it,
 			set_up, tear_down),
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -225,6 +225,32 @@
 	assert_int_equal(rig->starts->len, 1);
 }
 
+/*
+ * The store is away, and a caller is to be told that its job isn't accepted.
+ * That is true only while nothing else hangs on the job: once it is durable, or
+ * somebody has cancelled it and waits for that, it stays.
+ */
+static void a_job_is_taken_back_while_nothing_hangs_on_it(void **state)
+{
+	rig_t *rig = *state;
+	int64_t record;
+
+	(void)wwh_scheduler_submit(rig->scheduler, rig_job(JOB_A, 1, 1000),
+				   rig->now_ms, &record);
+	assert_true(wwh_scheduler_untouched(rig->scheduler, JOB_A));
+	wwh_scheduler_take_back(rig->scheduler, JOB_A);
+	wwh_scheduler_check(rig->scheduler);
+	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
+			 WWH_PROGRESS_UNKNOWN);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	assert_false(wwh_scheduler_untouched(rig->scheduler, JOB_A));
+	(void)wwh_scheduler_submit(rig->scheduler, rig_job(JOB_B, 1, 1000),
+				   rig->now_ms, &record);
+	assert_true(wwh_scheduler_cancel(rig->scheduler, JOB_B, rig->now_ms,
+					 &record));
+	assert_false(wwh_scheduler_untouched(rig->scheduler, JOB_B));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -239,6 +265,7 @@
 		RIG_TEST(ended_jobs_are_answered_for_after_a_change_of_holder,
 			 0),
 		RIG_TEST(the_same_id_is_the_same_job, 1),
+		RIG_TEST(a_job_is_taken_back_while_nothing_hangs_on_it, 1),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
