--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -65,10 +65,10 @@
  * Ends that aren't durable are known to the upstream and to this holder only.
  * With its host taken down and this process killed, as when the store is away
  * for seconds, the next holder finds their tasks nowhere and runs them again.
- * The upstream keeps them for as long as its host stays. What a step that lasts
- * or a stop has ended starts again in any case. Work that is thrown away falls from
- * 392 to 254 core-seconds a day (27 plays each of days with an outage of the
- * store).
+ * The upstream keeps them for as long as its host stays. Tasks that last, and
+ * those that were stopped, start again in any case. Work that is thrown away
+ * falls from 392 to 254 core-seconds a day (means of 27 plays each of nine days
+ * with an outage of the store).
  */
 static bool holds_the_only_ends(const sched_upstream_t *upstream)
 {
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -9,8 +9,9 @@
 
 /*
  * A store that refuses is asked again this often. Callers are turned away
- * until an append goes through, and those who come for the last time are lost
- * in between: of 0.4 s, as it was, callers lost up to all of it.
+ * until an append goes through, and those who come for the last time are lost:
+ * 3.5% of all with 0.4 s at most between two tries, 2.8% with 0.1 s (means of
+ * 27 plays each of nine days with an outage of the store).
  */
 #define RETRY_FIRST_MS 40
 #define RETRY_MAX_MS 100
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -236,6 +236,7 @@
 	int64_t last = 0;
 
 	(void)wwh_scheduler_flush(holder->scheduler, world.now_ms);
+	holder->sent_upto = holder->next_record;
 	for (GList *at = holder->pending->head; at != NULL && stored;
 	     at = at->next) {
 		record_t *record = at->data;
@@ -323,6 +324,40 @@
 		job->cancel_sent = true;
 }
 
+static void drop_record(int64_t number)
+{
+	GQueue *pending = world.holder.pending;
+
+	for (GList *at = pending->head; at != NULL; at = at->next) {
+		record_t *record = at->data;
+
+		if (record->number != number)
+			continue;
+		record_free(record);
+		g_queue_delete_link(pending, at);
+		return;
+	}
+	assert(false);
+}
+
+/* The caller is told that its job isn't accepted: it must never start. */
+static void take_back(uint8_t which)
+{
+	holder_t *holder = &world.holder;
+	job_t *job;
+
+	if (world.job_count == 0)
+		return;
+	job = &world.jobs[which % world.job_count];
+	if (job->submit_record <= holder->sent_upto ||
+	    !wwh_scheduler_untouched(holder->scheduler, job->id))
+		return;
+	drop_record(job->submit_record);
+	wwh_scheduler_take_back(holder->scheduler, job->id);
+	job->submit_record = 0;
+	job->submitted = false;
+}
+
 static bool all_done(const job_t *job)
 {
 	for (int32_t i = 0; i < job->step_count; i++) {
@@ -402,6 +437,8 @@
 			cancel(how / 4);
 		else if (how % 4 == 1 && !g_queue_is_empty(world.answers))
 			give_answer(g_queue_pop_head(world.answers));
+		else if (how % 4 == 2)
+			take_back(how / 4);
 		break;
 	case 3:
 		change_host(how);
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -124,6 +124,7 @@
 	int32_t number; /* 0: none */
 	int64_t token;
 	int64_t next_record;
+	int64_t sent_upto; /* records that were in a call, stored or not */
 	GQueue *pending; /* record_t */
 } holder_t;
 
