Tests: orders to hosts that don't check tokens

Two pass: the next holder waits for the hosts' whole lease without tokens, and for the time until the one before knows of its end with them.

The stand-in lists hosts and counts orders to them, also while its store is silent or busy; before, its list of hosts was empty and went silent with it.

--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -1,5 +1,6 @@
 /*
- * The holder on a stand-in of the platform, with a clock of the test's.
+ * The holder on a stand-in of the platform: with a clock of the test's where
+ * it gets no processor time, else by the real one.
  */
 
 #include "../test_standins/include/standin_jobs.h"
@@ -114,10 +115,243 @@
 	standin_delete(standin);
 }
 
+#define HOSTS_LEASE_MS 3000
+/* A holder without the store is taken over after this, at the earliest. */
+#define STORE_GONE_MS 1300
+#define STEP_MS 20
+
+/* A holder of a shard without jobs, which gives orders to hosts. */
+typedef struct {
+	standin_t *standin;
+	wwh_counters_t *counters;
+	wwh_http_calls_t *calls;
+	wwh_event_log_t *log;
+	int log_fd;
+	GHashTable *records;
+	wwh_host_settings_t settings;
+	wwh_job_holder_t *holder;
+} fixture_t;
+
+static int set_up(void **state)
+{
+	static const char hosts[] =
+		"{\"machine\":\"h1\",\"pool\":\"desk\",\"state\":\"up\"},"
+		"{\"machine\":\"h2\",\"pool\":\"desk\",\"state\":\"up\"}";
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	wwh_event_log_options_t log = { .node = "n",
+					.now_ms = standin_now_ms,
+					.wall_ms = standin_now_ms };
+
+	fixture->standin = standin_new();
+	fixture->standin->hosts = hosts;
+	fixture->counters = wwh_counters_new();
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	fixture->log_fd = open("/dev/null", O_WRONLY);
+	log.fd = fixture->log_fd;
+	fixture->log = wwh_event_log_new(&log, fixture->counters);
+	fixture->records = g_hash_table_new(g_str_hash, g_str_equal);
+	wwh_host_settings_init(&fixture->settings);
+	fixture->settings.name = g_strdup("n");
+	fixture->settings.store = g_strdup_printf(
+		"127.0.0.1:%d", wwh_listener_port(fixture->standin->store));
+	fixture->settings.hosts = g_strdup(fixture->settings.store);
+	fixture->settings.duty_lease_ms = HOSTS_LEASE_MS;
+	*state = fixture;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	wwh_job_holder_delete(fixture->holder);
+	wwh_http_calls_delete(fixture->calls);
+	wwh_event_log_delete(fixture->log);
+	close(fixture->log_fd);
+	wwh_host_settings_clear(&fixture->settings);
+	wwh_counters_delete(fixture->counters);
+	g_hash_table_destroy(fixture->records);
+	standin_delete(fixture->standin);
+	g_free(fixture);
+	return 0;
+}
+
+static void start_holder(fixture_t *fixture, bool hosts_fence,
+			 bool others_at_work)
+{
+	wwh_job_holder_options_t options = { .settings = &fixture->settings,
+					     .calls = fixture->calls,
+					     .counters = fixture->counters,
+					     .log = fixture->log,
+					     .topic = "keyed.wwh",
+					     .producer = "p",
+					     .epoch = 1 << 16,
+					     .holder_count = 1,
+					     .next_sequence = 1,
+					     .others_at_work = others_at_work,
+					     .records = fixture->records,
+					     .clock_ms = standin_now_ms,
+					     .wall_ms = 1000,
+					     .on_lost = on_lost };
+
+	fixture->settings.hosts_fence = hosts_fence;
+	fixture->holder = wwh_job_holder_new(&options);
+}
+
+/* Hosts are due for upkeep, one at a time. */
+static void ask_upkeep(fixture_t *fixture)
+{
+	static const char wave[] = "{\"wave\":1,\"machines\":[\"h1\",\"h2\"],"
+				   "\"durationS\":20,\"maxCount\":1}";
+
+	wwh_job_holder_wave(fixture->holder, (const uint8_t *)wave,
+			    strlen(wave));
+}
+
+static void run_for(fixture_t *fixture, int64_t span_ms)
+{
+	int64_t end_ms = standin_now_ms() + span_ms;
+
+	while (standin_now_ms() < end_ms) {
+		wwh_job_holder_run(fixture->holder, standin_now_ms(), 1000,
+				   false);
+		wwh_http_calls_poll(fixture->calls, STEP_MS);
+	}
+}
+
+static int32_t orders(fixture_t *fixture)
+{
+	int32_t count;
+
+	g_mutex_lock(&fixture->standin->lock);
+	count = fixture->standin->host_orders;
+	g_mutex_unlock(&fixture->standin->lock);
+	return count;
+}
+
+static void set_store(fixture_t *fixture, bool busy)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->busy = busy;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+/* How long the holder runs until its first order has arrived. */
+static int64_t first_order_ms(fixture_t *fixture)
+{
+	int64_t begun_ms = standin_now_ms();
+
+	while (orders(fixture) == 0 &&
+	       standin_now_ms() - begun_ms < WAIT_MAX_MS)
+		run_for(fixture, STEP_MS);
+	return standin_now_ms() - begun_ms;
+}
+
+/*
+ * A silent holder is taken over while its last orders to hosts may be on
+ * their way. Where hosts check tokens, the next holder waits for as long as
+ * that one may not know of its end; where they don't, for the whole time in
+ * which hosts take one holder.
+ */
+static void the_next_holder_waits_for_the_lease_without_tokens(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, false, true);
+	ask_upkeep(fixture);
+	assert_true(first_order_ms(fixture) >= HOSTS_LEASE_MS);
+	assert_int_equal(orders(fixture), 1);
+}
+
+static void the_next_holder_waits_less_where_tokens_are_checked(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t waited_ms;
+
+	start_holder(fixture, true, true);
+	ask_upkeep(fixture);
+	waited_ms = first_order_ms(fixture);
+	assert_true(waited_ms >= WWH_OVERTAKEN_HOLDER_MS);
+	assert_true(waited_ms < HOSTS_LEASE_MS);
+}
+
+/*
+ * The store turns the holder away, another process takes over, and the first
+ * holder goes on taking hosts down until an upstream tells it of its end.
+ * Hosts that don't check tokens carry out its orders after the next holder's:
+ * one host too many is down, and tasks end that may not be missed.
+ */
+static void without_the_store_such_hosts_get_no_orders(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, false, false);
+	run_for(fixture, 1000);
+	set_store(fixture, true);
+	run_for(fixture, STORE_GONE_MS + 100);
+	ask_upkeep(fixture);
+	run_for(fixture, 2000);
+	assert_int_equal(orders(fixture), 0);
+	set_store(fixture, false);
+	(void)first_order_ms(fixture);
+	assert_int_equal(orders(fixture), 1);
+}
+
+/* Hosts refuse its orders once the next one has given any. */
+static void without_the_store_hosts_that_check_tokens_get_orders(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, false);
+	run_for(fixture, 1000);
+	set_store(fixture, true);
+	run_for(fixture, STORE_GONE_MS + 100);
+	ask_upkeep(fixture);
+	(void)first_order_ms(fixture);
+	assert_int_equal(orders(fixture), 1);
+}
+
+/*
+ * A process is told to stop while an order to a host is unanswered. It gave
+ * the shard up at once, and the next holder gave its first orders, as none
+ * were said to be on their way: the late one took a host too many down.
+ */
+static void orders_on_their_way_are_waited_for_before_giving_up(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms = standin_now_ms();
+
+	fixture->standin->host_delay_ms = 1000;
+	start_holder(fixture, false, false);
+	ask_upkeep(fixture);
+	(void)first_order_ms(fixture);
+	assert_int_equal(orders(fixture), 1);
+	assert_false(wwh_job_holder_settled(fixture->holder));
+	while (!wwh_job_holder_settled(fixture->holder) &&
+	       standin_now_ms() - begun_ms < WAIT_MAX_MS)
+		run_for(fixture, STEP_MS);
+	assert_true(wwh_job_holder_settled(fixture->holder));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(an_answer_is_dated_by_when_it_is_taken_in),
+		cmocka_unit_test_setup_teardown(
+			the_next_holder_waits_for_the_lease_without_tokens,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			the_next_holder_waits_less_where_tokens_are_checked,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			without_the_store_such_hosts_get_no_orders, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			without_the_store_hosts_that_check_tokens_get_orders,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			orders_on_their_way_are_waited_for_before_giving_up,
+			set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -73,6 +73,9 @@
 	bool busy; /* it refuses all calls at once */
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
+	const char *hosts; /* rows of its list, as JSON; NULL: none */
+	int32_t host_orders; /* that have arrived */
+	int64_t host_delay_ms; /* until they are answered */
 };
 
 static inline int64_t standin_now_ms(void)
@@ -302,6 +305,32 @@
 	g_object_unref(parser);
 }
 
+/* Hosts are served beside the store, also while that one isn't. */
+static inline bool standin_on_hosts(standin_t *standin, const char *path,
+				    wwh_http_response_t *response)
+{
+	char *list;
+
+	if (g_str_has_suffix(path, "/machine-move") ||
+	    g_str_has_suffix(path, "/machine-upkeep")) {
+		int64_t delay_us = standin->host_delay_ms * 1000;
+
+		standin->host_orders++;
+		g_mutex_unlock(&standin->lock);
+		g_usleep((gulong)delay_us);
+		g_mutex_lock(&standin->lock);
+		standin_answer(response, 200, "{}");
+		return true;
+	}
+	if (!g_str_has_suffix(path, "/machines"))
+		return false;
+	list = g_strdup_printf("{\"machines\":[%s],\"nextToken\":null}",
+			       standin->hosts == NULL ? "" : standin->hosts);
+	standin_answer(response, 200, list);
+	g_free(list);
+	return true;
+}
+
 static inline void standin_on_store(const wwh_http_request_t *http,
 				    wwh_http_response_t *response, void *data)
 {
@@ -311,7 +340,9 @@
 	char *part = wwh_http_query(http->target, "part");
 
 	g_mutex_lock(&standin->lock);
-	if (standin->silent) {
+	if (standin_on_hosts(standin, path, response)) {
+		/* answered */
+	} else if (standin->silent) {
 		g_mutex_unlock(&standin->lock);
 		g_usleep(3000 * 1000);
 		g_mutex_lock(&standin->lock);
@@ -336,9 +367,6 @@
 	} else if (g_str_has_suffix(path, "/log-leave")) {
 		g_clear_pointer(&standin->member, g_free);
 		standin_answer(response, 200, "{}");
-	} else if (g_str_has_suffix(path, "/machines")) {
-		standin_answer(response, 200,
-			       "{\"machines\":[],\"nextToken\":null}");
 	} else {
 		standin_answer(response, 400, "{}");
 	}
