Give hosts that check no tokens no orders without the store

Cause, found by reading: a holder that the store turns away goes on ordering hosts. Another process takes over, waits for the hosts' lease and orders them too. Hosts that check tokens refuse the first one's orders from then on; where fencingRequired is false they carry them out, until an upstream tells the first holder of its end. Nothing bounded that time.

Lists are still taken in.

Ruled out: the wait of the next holder, which is right by the setting (the_next_holder_waits_for_the_lease_without_tokens passes without the mend).

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -97,7 +97,8 @@
  * How long a holder that took over from a silent one gives hosts no orders.
  * Hosts that fence refuse what the one before still sends once this one has
  * given an order, so only the time until it has heard of its end counts;
- * others take one holder at a time for lease_ms.
+ * others take one holder at a time for lease_ms, and a holder without the
+ * store gives them no orders.
  */
 int64_t wwh_host_duties_quiet_ms(bool hosts_fence, int64_t lease_ms);
 
@@ -130,6 +131,8 @@
 void wwh_host_duties_pool(wwh_host_duties_t *duties, const char *pool,
 			  bool standby);
 
+/* Paused: lists are taken in, and no host is ordered or emptied. */
+void wwh_host_duties_set_paused(wwh_host_duties_t *duties, bool paused);
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record);
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms);
 
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -119,6 +119,11 @@
 	}
 }
 
+void wwh_host_duties_set_paused(wwh_host_duties_t *duties, bool paused)
+{
+	duties->paused = paused;
+}
+
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record)
 {
 	duties->durable = MAX(duties->durable, record);
@@ -132,7 +137,8 @@
 		duties->list_sent_ms = duties->now_ms;
 		duties->calls.list(duties->calls.client_data);
 	}
-	if (!duties->listed || duties->now_ms < duties->quiet_until_ms)
+	if (!duties->listed || duties->paused ||
+	    duties->now_ms < duties->quiet_until_ms)
 		return;
 	/* first: waves go by what each pool wants */
 	duties_run_moves(duties);
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -69,6 +69,7 @@
 	wwh_pool_sizing_t *sizing;
 	GHashTable *pools; /* name to duty_pool_t, owned */
 	int64_t quiet_until_ms; /* no orders before: a holder was before */
+	bool paused;
 	int64_t durable;
 	int64_t now_ms;
 };
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -62,6 +62,7 @@
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
 			     int64_t limit_ms);
+static bool may_order_hosts(const wwh_job_holder_t *holder);
 static void flush(wwh_job_holder_t *holder);
 
 wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options)
@@ -144,6 +145,8 @@
 	wwh_store_follower_run(holder->upstreams, now_ms);
 	if (orders_allowed(holder, suspended)) {
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
+		wwh_host_duties_set_paused(holder->duties,
+					   !may_order_hosts(holder));
 		wwh_host_duties_run(holder->duties, now_ms);
 		job_holder_send_reports(holder);
 	}
@@ -443,6 +446,18 @@
 	       now_ms - confirmed_ms <= limit_ms;
 }
 
+/*
+ * Hosts that check no tokens carry out the orders of a holder that was
+ * overtaken, beside those of the next one: a host too many is down. Without
+ * the store it may be overtaken and not know of it, so it gives none. It stops
+ * sooner than the hosts' lease is over, for which the next one waits.
+ */
+static bool may_order_hosts(const wwh_job_holder_t *holder)
+{
+	return holder->options.settings->hosts_fence ||
+	       wwh_job_holder_reaches_store(holder, holder->now_ms);
+}
+
 static void flush(wwh_job_holder_t *holder)
 {
 	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
