Test: a stopped holder waits for its orders to hosts

Fails: the next holder gives its first order while one of the holder before is unanswered. The stand-in tells who gave an order and counts those given while another process's are out.

--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -271,6 +271,65 @@
 	wait_state(fixture, 1, "00000000000000c1", "completed");
 }
 
+/* Who gave the last order to a host, and how many there were. */
+static int32_t host_orders(fixture_t *fixture, char caller[16])
+{
+	int32_t count;
+
+	g_mutex_lock(&fixture->standin->lock);
+	count = fixture->standin->host_orders;
+	g_strlcpy(caller, fixture->standin->host_caller, 16);
+	g_mutex_unlock(&fixture->standin->lock);
+	return count;
+}
+
+/* The caller of the first order to a host that name didn't give. */
+static void wait_host_order(fixture_t *fixture, const char *name,
+			    char caller[16])
+{
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 10; i++) {
+		if (host_orders(fixture, caller) > 0 &&
+		    strcmp(caller, name) != 0)
+			return;
+		g_usleep(10 * 1000);
+	}
+	fail_msg("no order to a host but by %s", name);
+}
+
+/*
+ * The holder is stopped while a wave runs and its orders to hosts are slow.
+ * The next holder gave its first ones beside them, as the shard had been given
+ * up: together they take more hosts down than the wave allows.
+ */
+static void a_stopped_holder_waits_for_its_orders_to_hosts(void **state)
+{
+	static const char hosts[] =
+		"{\"machine\":\"h1\",\"pool\":\"desk\",\"state\":\"up\"},"
+		"{\"machine\":\"h2\",\"pool\":\"desk\",\"state\":\"up\"}";
+	static const char wave[] = "{\"wave\":1,\"machines\":[\"h1\",\"h2\"],"
+				   "\"durationS\":20,\"maxCount\":1}";
+	fixture_t *fixture = *state;
+	char first[16];
+	char next[16];
+	int32_t overlaps;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->hosts = hosts;
+	fixture->standin->host_delay_ms = 1200;
+	standin_put(fixture->standin, "keyed.op", "0", "wave/1", wave,
+		    strlen(wave));
+	g_mutex_unlock(&fixture->standin->lock);
+	wait_host_order(fixture, "", first);
+	stop_process(fixture, strcmp(first, "p0") == 0 ? 0 : 1);
+	wait_host_order(fixture, first, next);
+	g_mutex_lock(&fixture->standin->lock);
+	overlaps = fixture->standin->host_overlaps;
+	g_mutex_unlock(&fixture->standin->lock);
+	assert_int_equal(overlaps, 0);
+}
+
 static gpointer ask_in_thread(gpointer data)
 {
 	asker_t *asker = data;
@@ -450,6 +509,9 @@
 		cmocka_unit_test_setup_teardown(
 			another_process_takes_over_from_one_that_stops, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_stopped_holder_waits_for_its_orders_to_hosts, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_silent_store_makes_nobody_say_refused, set_up,
 			tear_down),
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -75,6 +75,9 @@
 	bool short_history; /* only the newest record of a key is kept */
 	const char *hosts; /* rows of its list, as JSON; NULL: none */
 	int32_t host_orders; /* that have arrived */
+	char host_caller[16]; /* who gave the last one */
+	int32_t host_orders_out; /* that aren't answered yet */
+	int32_t host_overlaps; /* given while another's were out */
 	int64_t host_delay_ms; /* until they are answered */
 };
 
@@ -305,21 +308,39 @@
 	g_object_unref(parser);
 }
 
+/* Answered after a while, during which others may arrive. */
+static inline void standin_on_host_order(standin_t *standin,
+					 const wwh_http_request_t *http,
+					 wwh_http_response_t *response)
+{
+	const char *caller =
+		wwh_headers_get(http->headers, "Waxwinghollow-Duty-Holder");
+	int64_t delay_us = standin->host_delay_ms * 1000;
+
+	assert_non_null(caller);
+	if (standin->host_orders_out > 0 &&
+	    strcmp(standin->host_caller, caller) != 0)
+		standin->host_overlaps++;
+	g_strlcpy(standin->host_caller, caller, sizeof(standin->host_caller));
+	standin->host_orders++;
+	standin->host_orders_out++;
+	g_mutex_unlock(&standin->lock);
+	g_usleep((gulong)delay_us);
+	g_mutex_lock(&standin->lock);
+	standin->host_orders_out--;
+	standin_answer(response, 200, "{}");
+}
+
 /* Hosts are served beside the store, also while that one isn't. */
 static inline bool standin_on_hosts(standin_t *standin, const char *path,
+				    const wwh_http_request_t *http,
 				    wwh_http_response_t *response)
 {
 	char *list;
 
 	if (g_str_has_suffix(path, "/machine-move") ||
 	    g_str_has_suffix(path, "/machine-upkeep")) {
-		int64_t delay_us = standin->host_delay_ms * 1000;
-
-		standin->host_orders++;
-		g_mutex_unlock(&standin->lock);
-		g_usleep((gulong)delay_us);
-		g_mutex_lock(&standin->lock);
-		standin_answer(response, 200, "{}");
+		standin_on_host_order(standin, http, response);
 		return true;
 	}
 	if (!g_str_has_suffix(path, "/machines"))
@@ -340,7 +361,7 @@
 	char *part = wwh_http_query(http->target, "part");
 
 	g_mutex_lock(&standin->lock);
-	if (standin_on_hosts(standin, path, response)) {
+	if (standin_on_hosts(standin, path, http, response)) {
 		/* answered */
 	} else if (standin->silent) {
 		g_mutex_unlock(&standin->lock);
