Wait for orders to hosts before the shard is given up

Cause, found by reading: a stopping holder gave the shard up while its orders to hosts were unanswered. The next holder knows of none and orders at once; a late upkeep then takes a host more down than the wave allows, and where hosts check no tokens a late order is carried out after the next holder's.

Ruled out: only waiting in the stopping process.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -100,7 +100,20 @@
 /* How long the caller of wwh_job_holder_run may wait for the next event. */
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder);
 
-/* Nothing more is to be written before the claim is given up. */
+/*
+ * Hosts get no more orders: with new ones all the time the holder would never
+ * be settled.
+ */
+void wwh_job_holder_stop_duties(wwh_job_holder_t *holder);
+
+/* Orders to hosts are unanswered. */
+bool wwh_job_holder_orders_hosts(const wwh_job_holder_t *holder);
+
+/*
+ * Nothing more is to be written before the claim is given up, and no order to
+ * a host is on its way: the next holder gives its own at once, and a late one
+ * would take down a host too many.
+ */
 bool wwh_job_holder_settled(const wwh_job_holder_t *holder);
 
 /* The store has confirmed the claim within the last moments. */
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -23,6 +23,8 @@
 	GPtrArray *reports; /* wave states that aren't written yet */
 	bool report_in_flight;
 	int64_t report_retry_ms;
+	int32_t host_orders_out; /* that aren't answered yet */
+	bool stopping; /* hosts get no more orders */
 	int64_t now_ms;
 	int64_t wall_ms;
 	int64_t durable_record;
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -49,6 +49,7 @@
 	bool stopping;
 	bool holds;
 	bool reaches_store; /* while it holds the shard */
+	bool orders_hosts; /* has orders to hosts on their way */
 	wwh_counters_t *counters;
 	wwh_event_log_t *log;
 	wwh_listener_t *callers;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -162,10 +162,21 @@
 							    : WAIT_IDLE_MS;
 }
 
+void wwh_job_holder_stop_duties(wwh_job_holder_t *holder)
+{
+	holder->stopping = true;
+}
+
+bool wwh_job_holder_orders_hosts(const wwh_job_holder_t *holder)
+{
+	return holder->host_orders_out > 0;
+}
+
 bool wwh_job_holder_settled(const wwh_job_holder_t *holder)
 {
 	return holder->lost ||
 	       (g_queue_is_empty(holder->waiters) &&
+		!wwh_job_holder_orders_hosts(holder) &&
 		!wwh_scheduler_unflushed(holder->scheduler) &&
 		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0);
 }
@@ -454,6 +465,8 @@
  */
 static bool may_order_hosts(const wwh_job_holder_t *holder)
 {
+	if (holder->stopping)
+		return false;
 	return holder->options.settings->hosts_fence ||
 	       wwh_job_holder_reaches_store(holder, holder->now_ms);
 }
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -43,6 +43,7 @@
 	duty->holder = holder;
 	duty->host = g_strdup(host);
 	duty->wave = wave;
+	holder->host_orders_out++;
 	job_holder_ref(holder);
 	wwh_http_calls_send(holder->options.calls, call, on_upkeep, duty);
 }
@@ -57,6 +58,7 @@
 
 	duty->holder = holder;
 	duty->host = g_strdup(host);
+	holder->host_orders_out++;
 	job_holder_ref(holder);
 	wwh_http_calls_send(holder->options.calls, call, on_moved, duty);
 }
@@ -144,6 +146,7 @@
 	wwh_job_holder_t *holder = duty->holder;
 	wwh_duty_result_t result = wire_hosts_result(answer);
 
+	holder->host_orders_out--;
 	job_holder_tick(holder);
 	if (!holder->deleted && !holder->lost) {
 		wwh_host_duties_upkeep_ended(holder->duties, duty->host,
@@ -163,6 +166,7 @@
 	wwh_job_holder_t *holder = duty->holder;
 	wwh_duty_result_t result = wire_hosts_result(answer);
 
+	holder->host_orders_out--;
 	job_holder_tick(holder);
 	if (!holder->deleted && !holder->lost) {
 		wwh_host_duties_move_ended(holder->duties, duty->host, result,
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -258,6 +258,7 @@
 	bool suspended = stood_still(service, now_ms);
 	bool stopping;
 	bool reaches_store;
+	bool orders_hosts;
 	bool gives_up;
 
 	take_settings(service);
@@ -266,9 +267,12 @@
 	stopping = service->stopping;
 	gives_up = stopping && !service->ended && now_ms >= service->give_up_ms;
 	g_mutex_unlock(&service->lock);
-	if (service->holder != NULL)
+	if (service->holder != NULL) {
+		if (stopping)
+			wwh_job_holder_stop_duties(service->holder);
 		wwh_job_holder_run(service->holder, now_ms,
 				   job_service_wall_ms(), suspended);
+	}
 	job_service_take_requests(service);
 	if (gives_up)
 		job_service_end_requests(service);
@@ -286,8 +290,11 @@
 	}
 	reaches_store = service->holder != NULL &&
 			wwh_job_holder_reaches_store(service->holder, now_ms);
+	orders_hosts = service->holder != NULL &&
+		       wwh_job_holder_orders_hosts(service->holder);
 	g_mutex_lock(&service->lock);
 	service->holds = service->holder != NULL;
+	service->orders_hosts = orders_hosts;
 	service->reaches_store = reaches_store;
 	g_mutex_unlock(&service->lock);
 }
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -135,7 +135,10 @@
 
 /*
  * A process that takes over has to know one that is cut off from one without
- * the shard: the first may still give orders.
+ * the shard: the first may still give orders. One that stops counts as without
+ * it, so that it is soon replaced, but not while orders to hosts are
+ * unanswered: the next holder's would overtake them, and take down a host too
+ * many.
  */
 static void answer_shard(wwh_job_service_t *service,
 			 wwh_http_response_t *response)
@@ -144,7 +147,7 @@
 	bool reaches_store;
 
 	g_mutex_lock(&service->lock);
-	holds = service->holds && !service->stopping;
+	holds = service->holds && (!service->stopping || service->orders_hosts);
 	reaches_store = service->reaches_store;
 	g_mutex_unlock(&service->lock);
 	if (!holds)
