--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -57,6 +57,7 @@
 	int64_t holder_count;
 	int64_t next_sequence;
 	bool others_at_work; /* the holder before may still give orders */
+	bool others_ended; /* it was found ended, and hadn't given up */
 	GHashTable *records; /* key to GBytes, as the journal has them */
 	/*
 	 * The steady clock. Answers are taken in by the time of their
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -30,6 +30,7 @@
 	int64_t next_sequence; /* the journal's first */
 	GHashTable *records; /* key to GBytes, as the journal has them */
 	bool others_at_work; /* the holder before was silent, not ended */
+	bool others_ended; /* it was found ended, and hadn't given up */
 } wwh_held_t;
 
 typedef struct {
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -63,7 +63,8 @@
 	bool assigned;
 	bool probe_in_flight;
 	bool holder_ended; /* its process is gone, or says it doesn't hold */
-	bool others_at_work; /* when the claim was begun */
+	bool others_at_work; /* when the claim was begun, as the next one */
+	bool others_ended;
 	bool append_in_flight;
 	bool notice_pending; /* the holder is to be made known */
 	bool notice_in_flight;
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -464,6 +464,7 @@
 		.next_sequence = held->next_sequence,
 		.records = held->records,
 		.others_at_work = held->others_at_work,
+		.others_ended = held->others_ended,
 		.clock_ms = job_service_now_ms,
 		.wall_ms = job_service_wall_ms(),
 		.on_lost = on_lost,
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -155,6 +155,7 @@
 		      claim->holder_epoch);
 	claim->state = CLAIM_LOADING;
 	claim->others_at_work = others_at_work;
+	claim->others_ended = claim->holder != NULL && claim->holder_ended;
 	claim->epoch = 0;
 	claim->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
@@ -299,6 +300,7 @@
 	held.next_sequence = 1;
 	held.records = records;
 	held.others_at_work = claim->others_at_work;
+	held.others_ended = claim->others_ended;
 	claim->options.on_held(&held, claim->options.client_data);
 	g_hash_table_destroy(records);
 	if (claim->state == CLAIM_HELD)
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -225,6 +225,7 @@
 	assert_int_equal(fixture->held.epoch >> 16, 1);
 	assert_int_equal(fixture->records, 3); /* the claim's own too */
 	assert_false(fixture->held.others_at_work);
+	assert_false(fixture->held.others_ended);
 	assert_string_equal(fixture->holder, SELF);
 }
 
@@ -264,6 +265,7 @@
 	run_until_held(fixture);
 	assert_int_equal(fixture->held.epoch >> 16, 5);
 	assert_false(fixture->held.others_at_work);
+	assert_true(fixture->held.others_ended);
 }
 
 /*
