Wait for a holder found ended where hosts check no tokens

Cause, found by reading: a process takes a holder for ended when connections to it are refused, and orders hosts at once. Connections are also refused while a host is cut off by a reset or a firewall. The holder there goes on until its next record is refused, half a second and a call later, and hosts that check no tokens carry out its orders after those of the next one.

The next holder now waits for WWH_OVERTAKEN_HOLDER_MS there. Nothing changes where hosts check tokens, or where the holder gave the shard up.

Ruled out: the whole lease, as for a silent holder; such a one may not reach the store and notices later.

Figures: a_holder_found_ended_is_waited_for_without_tokens fails before, passes after.

--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -52,6 +52,7 @@
 static void make_scheduler(wwh_job_holder_t *holder);
 static void make_duties(wwh_job_holder_t *holder);
 static void make_journal(wwh_job_holder_t *holder);
+static int64_t quiet_ms(const wwh_job_holder_t *holder);
 static void restore(wwh_job_holder_t *holder);
 static void restore_kind(wwh_job_holder_t *holder, wwh_keep_kind_t kind);
 static void on_durable(int64_t record, void *data);
@@ -327,14 +328,28 @@
 		.client_data = holder,
 	};
 
-	if (holder->options.others_at_work)
-		options.quiet_until_ms =
-			holder->now_ms +
-			wwh_host_duties_quiet_ms(settings->hosts_fence,
-						 settings->duty_lease_ms);
+	options.quiet_until_ms = holder->now_ms + quiet_ms(holder);
 	holder->duties = wwh_host_duties_new(&options, &calls);
 }
 
+/*
+ * Connections to a holder are also refused while its host is cut off from this
+ * one. It then learns of its end by its next record; hosts that check no
+ * tokens carry out what it orders until then, also after orders of this
+ * holder. A holder that gave the shard up has none on their way.
+ */
+static int64_t quiet_ms(const wwh_job_holder_t *holder)
+{
+	const wwh_host_settings_t *settings = holder->options.settings;
+
+	if (holder->options.others_at_work)
+		return wwh_host_duties_quiet_ms(settings->hosts_fence,
+						settings->duty_lease_ms);
+	if (holder->options.others_ended && !settings->hosts_fence)
+		return MIN(settings->duty_lease_ms, WWH_OVERTAKEN_HOLDER_MS);
+	return 0;
+}
+
 static void restore(wwh_job_holder_t *holder)
 {
 	wwh_scheduler_counts_t counts;
