--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -52,6 +52,7 @@
 static void make_scheduler(wwh_job_holder_t *holder);
 static void make_duties(wwh_job_holder_t *holder);
 static void make_journal(wwh_job_holder_t *holder);
+static int64_t quiet_ms(const wwh_job_holder_t *holder);
 static void restore(wwh_job_holder_t *holder);
 static void restore_kind(wwh_job_holder_t *holder, wwh_keep_kind_t kind);
 static void on_durable(int64_t record, void *data);
@@ -62,6 +63,7 @@
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
 			     int64_t limit_ms);
+static bool may_order_hosts(const wwh_job_holder_t *holder);
 static void flush(wwh_job_holder_t *holder);
 
 wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options)
@@ -144,6 +146,8 @@
 	wwh_store_follower_run(holder->upstreams, now_ms);
 	if (orders_allowed(holder, suspended)) {
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
+		wwh_host_duties_set_paused(holder->duties,
+					   !may_order_hosts(holder));
 		wwh_host_duties_run(holder->duties, now_ms);
 		job_holder_send_reports(holder);
 	}
@@ -159,10 +163,21 @@
 							    : WAIT_IDLE_MS;
 }
 
+void wwh_job_holder_stop_duties(wwh_job_holder_t *holder)
+{
+	holder->stopping = true;
+}
+
+bool wwh_job_holder_orders_hosts(const wwh_job_holder_t *holder)
+{
+	return holder->host_orders_out > 0;
+}
+
 bool wwh_job_holder_settled(const wwh_job_holder_t *holder)
 {
 	return holder->lost ||
 	       (g_queue_is_empty(holder->waiters) &&
+		!wwh_job_holder_orders_hosts(holder) &&
 		!wwh_scheduler_unflushed(holder->scheduler) &&
 		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0);
 }
@@ -313,14 +328,28 @@
 		.client_data = holder,
 	};
 
-	if (holder->options.others_at_work)
-		options.quiet_until_ms =
-			holder->now_ms +
-			wwh_host_duties_quiet_ms(settings->hosts_fence,
-						 settings->duty_lease_ms);
+	options.quiet_until_ms = holder->now_ms + quiet_ms(holder);
 	holder->duties = wwh_host_duties_new(&options, &calls);
 }
 
+/*
+ * Connections to a holder are also refused while its host is cut off from this
+ * one. It then learns of its end by its next record; hosts that check no
+ * tokens carry out what it orders until then, also after orders of this
+ * holder. A holder that gave the shard up has none on their way.
+ */
+static int64_t quiet_ms(const wwh_job_holder_t *holder)
+{
+	const wwh_host_settings_t *settings = holder->options.settings;
+
+	if (holder->options.others_at_work)
+		return wwh_host_duties_quiet_ms(settings->hosts_fence,
+						settings->duty_lease_ms);
+	if (holder->options.others_ended && !settings->hosts_fence)
+		return MIN(settings->duty_lease_ms, WWH_OVERTAKEN_HOLDER_MS);
+	return 0;
+}
+
 static void restore(wwh_job_holder_t *holder)
 {
 	wwh_scheduler_counts_t counts;
@@ -443,6 +472,20 @@
 	       now_ms - confirmed_ms <= limit_ms;
 }
 
+/*
+ * Hosts that check no tokens carry out the orders of a holder that was
+ * overtaken, beside those of the next one: a host too many is down. Without
+ * the store it may be overtaken and not know of it, so it gives none. It stops
+ * sooner than the hosts' lease is over, for which the next one waits.
+ */
+static bool may_order_hosts(const wwh_job_holder_t *holder)
+{
+	if (holder->stopping)
+		return false;
+	return holder->options.settings->hosts_fence ||
+	       wwh_job_holder_reaches_store(holder, holder->now_ms);
+}
+
 static void flush(wwh_job_holder_t *holder)
 {
 	int64_t confirmed_ms = wwh_shard_journal_confirmed_ms(holder->journal);
