--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -105,6 +105,60 @@
 	assert_int_equal(wwh_scheduler_counts(rig->scheduler).tasks_out, 1);
 }
 
+/* How long a new holder waits for an upstream that never answers it. */
+static int64_t silence_ms(rig_t *rig, int64_t lease_max_ms)
+{
+	int64_t passed_ms = 0;
+
+	rig->options.lease_max_ms = lease_max_ms;
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_take_over(rig);
+	rig_add_upstream(rig, "u2", AT_2);
+	while (rig->starts->len < 2 && passed_ms < 4 * lease_max_ms) {
+		rig_run(rig, 50);
+		passed_ms += 50;
+		answer_all_but(rig, "u1");
+	}
+	return passed_ms;
+}
+
+/*
+ * What runs at an upstream that doesn't answer a new holder may run for as
+ * long as the platform grants leases. The wait goes by that setting: shorter,
+ * tasks run twice; longer, they are missed for nothing.
+ */
+void a_new_holder_waits_for_the_longest_lease(void **state)
+{
+	int64_t passed_ms = silence_ms(*state, 6000);
+
+	assert_true(passed_ms >= 6000 * 100 / 98);
+	assert_true(passed_ms < 10000);
+}
+
+void a_new_holder_waits_longer_where_leases_are(void **state)
+{
+	assert_true(silence_ms(*state, 10000) >= 10000 * 100 / 98);
+}
+
+/* A longer one would be cut short, and the holder would count on it. */
+void no_lease_is_asked_for_beyond_the_longest(void **state)
+{
+	rig_t *rig = *state;
+	const rig_order_t *order;
+
+	rig->options.lease_max_ms = 3000;
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_run(rig, 100);
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	assert_int_equal(rig->starts->len, 1);
+	order = rig_order(rig->starts, 0);
+	assert_true(order->lease_until_remote_ms - (rig->now_ms + 5000) <=
+		    3000);
+	assert_true(order->lease_until_remote_ms - (rig->now_ms + 5000) > 0);
+}
+
 void a_new_holder_goes_on_when_all_upstreams_have_answered(void **state)
 {
 	rig_t *rig = *state;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -59,6 +59,9 @@
 			a_silent_upstream_keeps_its_tasks_until_its_lease_is_over, \
 			1),                                                        \
 		RIG_TEST(a_new_holder_asks_each_upstream_before_it_starts, 1),     \
+		RIG_TEST(a_new_holder_waits_for_the_longest_lease, 1),             \
+		RIG_TEST(a_new_holder_waits_longer_where_leases_are, 1),           \
+		RIG_TEST(no_lease_is_asked_for_beyond_the_longest, 1),             \
 		RIG_TEST(                                                          \
 			a_new_holder_goes_on_when_all_upstreams_have_answered,     \
 			1),                                                        \
@@ -70,6 +73,9 @@
 void an_unanswered_start_that_is_listed_goes_on(void **state);
 void a_silent_upstream_keeps_its_tasks_until_its_lease_is_over(void **state);
 void a_new_holder_asks_each_upstream_before_it_starts(void **state);
+void a_new_holder_waits_for_the_longest_lease(void **state);
+void a_new_holder_waits_longer_where_leases_are(void **state);
+void no_lease_is_asked_for_beyond_the_longest(void **state);
 void a_new_holder_goes_on_when_all_upstreams_have_answered(void **state);
 void an_orphan_run_is_stopped_until_it_is_gone(void **state);
 void a_task_that_stands_still_is_started_elsewhere(void **state);
