--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -51,6 +51,7 @@
 	bool holds;
 	bool claims; /* the shard; it may hold it soon */
 	bool reaches_store; /* while it holds the shard */
+	bool orders_hosts; /* has orders to hosts on their way */
 	wwh_counters_t *counters;
 	/* How long callers waited for their answers, by what they asked. */
 	wwh_histogram_t *answer_ms[JOB_REQUEST_KIND_COUNT];
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -76,6 +76,9 @@
 		RIG_TEST(a_record_without_a_lease_stands_for_the_longest, 1),        \
 		RIG_TEST(a_holder_asks_for_no_longer_lease_than_is_on_record,        \
 			 0),                                                         \
+		RIG_TEST(a_new_holder_waits_for_the_longest_lease, 1),               \
+		RIG_TEST(a_new_holder_waits_longer_where_leases_are, 1),             \
+		RIG_TEST(no_lease_is_asked_for_beyond_the_longest, 1),               \
 		RIG_TEST(an_orphan_run_is_stopped_until_it_is_gone, 1),              \
 		RIG_TEST(a_task_that_stands_still_is_started_elsewhere, 1),          \
 		RIG_TEST(                                                            \
@@ -92,6 +95,9 @@
 void an_unanswered_start_that_is_listed_goes_on(void **state);
 void a_silent_upstream_keeps_its_tasks_until_its_lease_is_over(void **state);
 void a_new_holder_asks_each_upstream_before_it_starts(void **state);
+void a_new_holder_waits_for_the_longest_lease(void **state);
+void a_new_holder_waits_longer_where_leases_are(void **state);
+void no_lease_is_asked_for_beyond_the_longest(void **state);
 void a_new_holder_goes_on_when_all_upstreams_have_answered(void **state);
 void a_lasting_task_waits_for_no_longer_lease_than_was_asked_for(void **state);
 void a_record_without_a_lease_stands_for_the_longest(void **state);
