Give each test program ports of its own

A program asked the kernel for any free port, closed it, and another took it before the stand-in did; the test then spoke to the other's stand-in. Each process has a block of its own now, below those that the kernel gives to clients. The one function replaces three.

--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -16,6 +16,7 @@
 #include "waxwinghollow/snapshot.h"
 #include "waxwinghollow/upstream.h"
 
+#include "../test_standins/include/free_port.h"
 #include "../test_standins/include/minion_server.h"
 
 #define ENTRIES 2
@@ -127,19 +128,9 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-/* A port that was free a moment ago. */
-static int32_t free_port(void)
-{
-	minion_server_t *probe = minion_server_start("probe", 0, 0);
-	int32_t port = probe->port;
-
-	minion_server_stop(probe);
-	return port;
-}
-
 static void start_platform(fixture_t *fixture)
 {
-	int32_t port = free_port();
+	int32_t port = standin_free_port();
 	char *listen_on;
 	told_t told;
 
@@ -182,8 +173,8 @@
 		"\"peers\": [\"%s\"], \"heartbeat_ms\": 200,"
 		"\"suspect_after_ms\": 1000,"
 		"\"log_append_timeout_ms\": 1000, \"ready_off_ms\": 0 }",
-		index, free_port(), free_port(), free_port(),
-		fixture->platform_url,
+		index, standin_free_port(), standin_free_port(),
+		standin_free_port(), fixture->platform_url,
 		index > 0 ? fixture->settings[0].peer_listen : "127.0.0.1:1");
 	wwh_config_text_t source = { "settings", text, strlen(text) };
 
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -4,6 +4,7 @@
  * malformed.
  */
 
+#include "../test_standins/include/free_port.h"
 #include "../test_standins/include/standin_jobs.h"
 
 #include <arpa/inet.h>
@@ -39,21 +40,6 @@
 	int32_t status;
 } asker_t;
 
-static int32_t free_port(void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert_int_equal(bind(fd, (struct sockaddr *)&address, sizeof(address)),
-			 0);
-	assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &size),
-			 0);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 static void start_process(fixture_t *fixture, int32_t index)
 {
 	wwh_host_settings_t settings;
@@ -63,11 +49,11 @@
 	wwh_host_settings_init(&settings);
 	settings.name = g_strdup_printf("p%d", index);
 	settings.callers.address = g_strdup("127.0.0.1");
-	settings.callers.port = free_port();
+	settings.callers.port = standin_free_port();
 	settings.readiness.address = g_strdup("127.0.0.1");
-	settings.readiness.port = free_port();
+	settings.readiness.port = standin_free_port();
 	settings.peers.address = g_strdup("127.0.0.1");
-	settings.peers.port = free_port();
+	settings.peers.port = standin_free_port();
 	settings.store = g_strdup_printf("127.0.0.1:%d", store);
 	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
 	settings.grace_ms = GRACE_MS;
--- a/src/test_standins/include/standin_process.h
+++ b/src/test_standins/include/standin_process.h
@@ -15,24 +15,13 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "free_port.h"
+
 typedef struct {
 	GPid pid;
 	int32_t port;
 } standin_process_t;
 
-static inline int32_t standin_free_port(void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	assert(bind(fd, (struct sockaddr *)&address, size) == 0);
-	assert(getsockname(fd, (struct sockaddr *)&address, &size) == 0);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 /* POSTs to the stand-in, which must answer 200. */
 static inline void standin_call(int32_t port, const char *target)
 {
