--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -61,20 +61,20 @@
 	GHashTable *hosts; /* name to duty_host_t, owned */
 	GPtrArray *waves; /* duty_wave_t, owned */
 	GHashTable *restored; /* wave number to a set of hosts that are done */
-	bool list_in_flight;
-	int64_t list_number;
-	bool list_has_nameless; /* it may show any host */
-	int64_t list_sent_ms;
-	int64_t next_list_ms;
-	bool listed; /* a whole list has come */
 	GHashTable *lives; /* upstreams of the list that is being read */
-	bool lives_in_full; /* each host that may be at work names its one */
 	wwh_pool_sizing_t *sizing;
 	GHashTable *pools; /* name to duty_pool_t, owned */
+	int64_t list_number;
+	int64_t list_sent_ms;
+	int64_t next_list_ms;
 	int64_t quiet_until_ms; /* no orders before: a holder was before */
-	bool paused;
 	int64_t durable;
 	int64_t now_ms;
+	bool list_in_flight;
+	bool list_has_nameless; /* it may show any host */
+	bool listed; /* a whole list has come */
+	bool lives_in_full; /* each host that may be at work names its one */
+	bool paused;
 };
 
 /* host_duties.c */
--- a/src/test_metrics/test_metrics.c
+++ b/src/test_metrics/test_metrics.c
@@ -70,7 +70,10 @@
 	value = g_ascii_strtoll(space + 1, &end, 10);
 	assert_true(end > space + 1);
 	assert_int_equal(*end, '\0');
-	assert_non_null(reader->metric);
+	if (reader->metric == NULL) {
+		fail_msg("a sample before its type: %s", line);
+		return;
+	}
 	assert_true(g_str_has_prefix(line, reader->metric));
 	suffix = line + strlen(reader->metric);
 	if (!reader->is_histogram) {
