Share the scripted raw server between test programs

The test of the platform's HTTP client has had it for itself; the one of calls needs the same. Moved as it is into a header beside the other stand-ins.

--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -8,8 +8,8 @@
 
 #include "private/msgpack_bounds.h"
 #include "private/platform_http_decode.h"
+#include "../test_standins/include/raw_server.h"
 #include "../test_standins/include/standin_process.h"
-#include "raw_server.h"
 #include "waxwinghollow/platform_http.h"
 
 #define TIMEOUT_MS 5000
