Send calls with libevent's HTTP client

Cause: on the grown site callers waited for the holder's processor. Of the time of the loop threads, some 36% was spent in libcurl and most of 34% in the allocations it asks for: it looks at every call in progress in each turn of the loop, and at every kept connection for each call. With 350 upstreams, each with a long poll, that is 350 looks for one answer.

bench_http_calls, processor time a call of the thread that sends, with a long poll held at each endpoint, one machine, beside other work:

endpoints 50 350 2000 libcurl, 400 kept 27.7 159.2 1009.0 us libcurl by socket events 25.1 92.0 224.2 the same, 2400 kept 27.0 35.8 214.5 libevent, 2400 kept 26.6 31.4 35.2

Most of what is left is the kernel's; of user time alone (perf, all three rows) 16.2 s became 0.75 s for 60000 calls.

Promises of the module are as before and have a test program now: what may be concluded from each outcome, no repeat by the library, silent connections not used again, a bound of connections an endpoint. An endpoint that is no IP number and port is refused at once; libcurl looked the name up.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 PACKAGES = cmake make gcc clang clang-format clang-tidy libclang-rt-14-dev \
-	pkg-config libulfius-dev libmicrohttpd-dev libcurl4-gnutls-dev \
+	pkg-config libulfius-dev libmicrohttpd-dev libcurl4-gnutls-dev libevent-dev \
 	libmsgpack-dev libglib2.0-dev libjson-glib-dev libxxhash-dev \
 	libcsv-dev libcmocka-dev
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
--- a/include/waxwinghollow/http_calls.h
+++ b/include/waxwinghollow/http_calls.h
@@ -44,12 +44,13 @@
 
 /* What is to be sent. A call owns its strings and its body. */
 typedef struct {
-	const char *method;
+	const char *method; /* GET, POST or DELETE */
 	char *endpoint; /* IP number and port */
 	char *path; /* with the query */
 	const char *content_type; /* NULL: none */
 	GByteArray *body; /* NULL: none */
-	char *headers[WWH_HTTP_CALL_HEADERS]; /* "Name: value" or NULL */
+	const char *header_names[WWH_HTTP_CALL_HEADERS]; /* NULL: no more */
+	char *header_values[WWH_HTTP_CALL_HEADERS];
 	int64_t limit_ms;
 } wwh_http_call_t;
 
@@ -71,6 +72,7 @@
 
 wwh_http_call_t *wwh_http_call_new(const char *method, const char *endpoint,
 				   int64_t limit_ms);
+/* name has to outlive the call. */
 void wwh_http_call_header(wwh_http_call_t *call, const char *name,
 			  const char *value);
 void wwh_http_call_delete(wwh_http_call_t *call);
