Read an upstream's last answer before its tasks start again

Cause: signs that an upstream's life is over come from the list of hosts, from answers of its successor and from its own polls. The first two were believed at once, while the answer to the poll at it, which may list ends, was on its way or unread. Its tasks went back to waiting, and the end came to nothing: "an older run, that is known to be over".

Now an upstream with tasks and a poll under way stays for its answer or the end of the connection, 150 ms at most, takes no work meanwhile and counts as away. The ends in the answer count, what it lists as running doesn't.

Ruled out by reading: ends acknowledged too early, leases dated wrongly, a task leaving its last state (the chart has no way out).

Before: the test fails, the task starts again at once.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -289,7 +289,10 @@
 				       const char *id, int64_t now_ms);
 void wwh_scheduler_upstream_left(wwh_scheduler_t *scheduler, const char *id,
 				 int64_t now_ms);
-/* Its life is over for sure: nothing runs there any more. */
+/*
+ * Its life is over for sure: nothing runs there any more. why lives as long as
+ * the scheduler. What it has said before still counts if it is heard soon.
+ */
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms);
 
@@ -306,6 +309,9 @@
 /* refused: nobody listens there, as against silence */
 void wwh_scheduler_poll_failed(wwh_scheduler_t *scheduler, const char *upstream,
 			       bool refused, int64_t now_ms);
+/* Another life answered the poll: that of this id is over. */
+void wwh_scheduler_poll_found_other(wwh_scheduler_t *scheduler, const char *id,
+				    int64_t now_ms);
 
 void wwh_scheduler_start_ended(wwh_scheduler_t *scheduler, const char *upstream,
 			       const char *task, int64_t run,
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -138,6 +138,8 @@
 	bool inherited; /* a holder before may have started tasks on it */
 	bool cordoned; /* empties itself */
 	bool ending; /* may be taken down at any moment */
+	const char *gone_why; /* its life is over, by this sign; NULL: not */
+	int64_t gone_ms;
 	bool kept_asked;
 	int64_t kept; /* record that names it; valid with kept_asked */
 	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
@@ -318,6 +320,9 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
+bool sched_upstream_has_words_left(const wwh_scheduler_t *scheduler,
+				   const sched_upstream_t *upstream);
+
 /* scheduler_watch.c: polls are sent and taken in, leases run out */
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -208,8 +208,8 @@
 				     holder->now_ms);
 		break;
 	case WWH_ORDER_OTHER_LIFE:
-		wwh_scheduler_upstream_gone(holder->scheduler, order->upstream,
-					    "restarted", holder->now_ms);
+		wwh_scheduler_poll_found_other(holder->scheduler,
+					       order->upstream, holder->now_ms);
 		break;
 	case WWH_ORDER_FENCED:
 		job_holder_lose(holder, "fenced-at-poll");
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -5,6 +5,12 @@
 /* No new work where the last answer is older than three waits and a bit. */
 #define SILENT_AFTER_MS 3200
 
+/*
+ * From a sign that an upstream's life is over until its last answer has been
+ * read: ten times what an answer takes, and a turn of a busy holder's loop.
+ */
+#define LAST_WORDS_MS 150
+
 /* Failures in a row, of different tasks, before an upstream is avoided. */
 #define FAILURES_BEFORE_BACKOFF 3
 #define BACKOFF_FIRST_MS 1500
@@ -140,10 +146,11 @@
 {
 	int64_t now_ms = scheduler->now_ms;
 
-	return upstream->listed && !upstream->unreadable &&
-	       !upstream->info.leaving && upstream->settled &&
-	       !upstream->cordoned && !upstream->pool->standby &&
-	       upstream->orphans == 0 && upstream->failed_polls == 0 &&
+	return upstream->gone_why == NULL && upstream->listed &&
+	       !upstream->unreadable && !upstream->info.leaving &&
+	       upstream->settled && !upstream->cordoned &&
+	       !upstream->pool->standby && upstream->orphans == 0 &&
+	       upstream->failed_polls == 0 &&
 	       now_ms - upstream->answered_ms < SILENT_AFTER_MS &&
 	       now_ms >= upstream->backoff_until_ms && upstream->kept_asked &&
 	       upstream->kept <= scheduler->durable_record;
@@ -262,16 +269,33 @@
 		      upstream->tasks->len);
 }
 
+/*
+ * What it said last may be on its way, or wait to be read: the end of a task,
+ * which would start again and run a second time after it was done. So an answer
+ * that is due is waited for, and the end of its connection, for a moment.
+ */
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
-	if (upstream != NULL)
+	if (upstream == NULL || upstream->gone_why != NULL)
+		return;
+	upstream->gone_why = why;
+	upstream->gone_ms = scheduler->now_ms;
+	upstream->ending = true;
+	if (!sched_upstream_has_words_left(scheduler, upstream))
 		sched_upstream_remove(scheduler, upstream, why);
 }
 
+bool sched_upstream_has_words_left(const wwh_scheduler_t *scheduler,
+				   const sched_upstream_t *upstream)
+{
+	return upstream->poll_in_flight && upstream->tasks->len > 0 &&
+	       scheduler->now_ms - upstream->gone_ms < LAST_WORDS_MS;
+}
+
 /*
  * A list shows all that runs if it has each upstream that is announced and has
  * answered, and there is one. An empty list, or one from before the newest of
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -109,6 +109,11 @@
 	sched_lease_recompute(upstream);
 	for (int32_t i = 0; i < answer->ended_count; i++)
 		take_ended(scheduler, upstream, &answer->ended[i]);
+	if (upstream->gone_why != NULL) {
+		/* its ends count; of what it lists as running nothing is left */
+		sched_upstream_remove(scheduler, upstream, upstream->gone_why);
+		return;
+	}
 	upstream->orphans = 0;
 	for (int32_t i = 0; i < answer->running_count; i++)
 		take_running(scheduler, upstream, &answer->running[i]);
@@ -133,6 +138,10 @@
 	if (upstream == NULL)
 		return;
 	upstream->poll_in_flight = false;
+	if (upstream->gone_why != NULL) {
+		sched_upstream_remove(scheduler, upstream, upstream->gone_why);
+		return;
+	}
 	upstream->failed_polls++;
 	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
 	upstream->next_poll_ms =
@@ -149,6 +158,16 @@
 		sched_upstream_remove(scheduler, upstream, "refused");
 }
 
+void wwh_scheduler_poll_found_other(wwh_scheduler_t *scheduler, const char *id,
+				    int64_t now_ms)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	if (upstream != NULL)
+		upstream->poll_in_flight = false;
+	wwh_scheduler_upstream_gone(scheduler, id, "restarted", now_ms);
+}
+
 /* Removal while iterating: the ids of those to run are taken first. */
 void sched_upstreams_run(wwh_scheduler_t *scheduler)
 {
@@ -491,6 +510,12 @@
 {
 	int64_t now_ms = scheduler->now_ms;
 
+	if (upstream->gone_why != NULL) {
+		if (!sched_upstream_has_words_left(scheduler, upstream))
+			sched_upstream_remove(scheduler, upstream,
+					      upstream->gone_why);
+		return;
+	}
 	if (upstream->inherited && !upstream->settled &&
 	    now_ms >= upstream->gone_without_answer_ms) {
 		sched_upstream_remove(scheduler, upstream, "lease-lapsed");
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -127,8 +127,8 @@
 					 order->task, order->run, result,
 					 world.now_ms);
 	else if (result == WWH_ORDER_OTHER_LIFE)
-		wwh_scheduler_upstream_gone(holder->scheduler, order->upstream,
-					    "restarted", world.now_ms);
+		wwh_scheduler_poll_found_other(holder->scheduler,
+					       order->upstream, world.now_ms);
 	else
 		wwh_scheduler_poll_failed(holder->scheduler, order->upstream,
 					  result == WWH_ORDER_NOT_DONE,
