Let a holder decide every 5 ms at most

Hypothesis: at the top of a turn the holder looks at all upstreams, hosts and waiting jobs after each answer, and gets to the next answer late.

New starts wait 5 ms at most.

--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -5,6 +5,14 @@
 /* The loop of a process that holds nothing. */
 #define IDLE_WAIT_MS 100
 
+/*
+ * A holder decides at most this often, and takes in answers meanwhile. At the
+ * top of a turn some thousand answers come in a second; a pass looks at all
+ * upstreams, hosts and waiting jobs, and one after each answer left no time for
+ * the answers themselves. It is a hundredth of what callers wait for a job.
+ */
+#define DECIDE_EVERY_MS 5
+
 /*
  * The loop runs several times a second. After a gap like this, or a time
  * that the host was suspended, this process may have been replaced.
@@ -14,6 +22,7 @@
 /* After the last answers, for what is on its way to the store. */
 #define SETTLE_MS 750
 
+static void take_answers(wwh_job_service_t *service);
 static void run_once(wwh_job_service_t *service);
 static bool stood_still(wwh_job_service_t *service, int64_t now_ms);
 static void take_settings(wwh_job_service_t *service);
@@ -27,11 +36,7 @@
 
 	while (!ending ||
 	       (!is_settled(service) && job_service_now_ms() < end_ms)) {
-		int32_t wait_ms = IDLE_WAIT_MS;
-
-		if (service->holder != NULL)
-			wait_ms = wwh_job_holder_wait_ms(service->holder);
-		wwh_http_calls_poll(service->calls, wait_ms);
+		take_answers(service);
 		run_once(service);
 		g_mutex_lock(&service->lock);
 		if (service->ending && !ending) {
@@ -43,6 +48,22 @@
 	return NULL;
 }
 
+/* A holder may lose the shard by any of the answers. */
+static void take_answers(wwh_job_service_t *service)
+{
+	int64_t wait_ms = IDLE_WAIT_MS;
+
+	if (service->holder != NULL)
+		wait_ms = wwh_job_holder_wait_ms(service->holder);
+	while (wait_ms > 0) {
+		wwh_http_calls_poll(service->calls, (int32_t)wait_ms);
+		if (service->holder == NULL)
+			return;
+		wait_ms = service->last_run_ms + DECIDE_EVERY_MS -
+			  job_service_now_ms();
+	}
+}
+
 static void run_once(wwh_job_service_t *service)
 {
 	int64_t now_ms = job_service_now_ms();
