Show a holder that the store turns away and that keeps the shard

It can accept no job, and others could. They take it for lost 1.8 to 2.2 s later, and as it may be at work, hosts that check no tokens get no orders for 3 s more.

--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -19,6 +19,12 @@
 #define PROCESSES 2
 #define WAIT_LIMIT_MS 15000
 #define GRACE_MS 3000
+/*
+ * From the store's first refusal until a job is accepted again: two questions
+ * to the holder, a call to the group between them, a claim, and what callers
+ * wait between two tries.
+ */
+#define HAND_OVER_MS 1800
 #define UNREADABLE_NOW "waxwinghollow_records_unreadable_now "
 
 typedef struct {
@@ -241,6 +247,72 @@
 	assert_int_equal(g_hash_table_size(fixture->standin->done), 10);
 }
 
+/* What a process says of the shard to others. */
+static int32_t shard_status(fixture_t *fixture, int32_t index)
+{
+	int32_t callers = fixture->ports[index];
+	int32_t status;
+
+	fixture->ports[index] = fixture->peer_ports[index];
+	status = ask(fixture, index, "GET", "/v1/shard", NULL, NULL);
+	fixture->ports[index] = callers;
+	return status;
+}
+
+static int32_t holder_of(fixture_t *fixture)
+{
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (shard_status(fixture, i) == 200)
+			return i;
+	}
+	fail_msg("nobody holds the shard");
+	return 0;
+}
+
+/* The store refuses the holder's records, and the group names the other. */
+static void turn_away(fixture_t *fixture, int32_t holder)
+{
+	standin_t *standin = fixture->standin;
+
+	g_mutex_lock(&standin->lock);
+	standin->refused_epoch = standin_part(standin, "keyed.wwh", "0")->epoch;
+	g_free(standin->member);
+	standin->member = g_strdup_printf("127.0.0.1:%d",
+					  fixture->peer_ports[1 - holder]);
+	standin->member_ms = standin_now_ms();
+	standin->generation++;
+	g_mutex_unlock(&standin->lock);
+}
+
+/*
+ * The store turns the holder away, as it can for seconds, and serves the other
+ * process. Callers were turned away for two seconds and more, until that one
+ * took the holder for lost; now it asks the holder to give the shard up. What
+ * runs goes on, and nothing runs twice.
+ */
+static void a_holder_that_the_store_turns_away_hands_over(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms;
+	int32_t holder;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->task_ms = 1500;
+	g_mutex_unlock(&fixture->standin->lock);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	holder = holder_of(fixture);
+	submit(fixture, 0, "00000000000000d0");
+	turn_away(fixture, holder);
+	begun_ms = standin_now_ms();
+	submit(fixture, 0, "00000000000000d1");
+	assert_true(standin_now_ms() - begun_ms < HAND_OVER_MS);
+	assert_int_equal(holder_of(fixture), 1 - holder);
+	assert_int_equal(shard_status(fixture, holder), 410);
+	wait_state(fixture, 1, "00000000000000d0", "completed");
+	wait_state(fixture, 0, "00000000000000d1", "completed");
+}
+
 /* The holder is stopped; the other goes on with what runs. */
 static void another_process_takes_over_from_one_that_stops(void **state)
 {
@@ -623,6 +695,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_process_that_starts_finds_all_jobs_without_history,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_that_the_store_turns_away_hands_over, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			another_process_takes_over_from_one_that_stops, set_up,
 			tear_down),
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -21,6 +21,7 @@
 	GCond changed;
 	int32_t status; /* 0: takes questions and answers none yet */
 	int32_t asked;
+	int32_t asked_to_hand_over;
 } peer_t;
 
 typedef struct {
@@ -41,9 +42,10 @@
 {
 	peer_t *peer = client_data;
 
-	(void)request;
 	g_mutex_lock(&peer->lock);
 	peer->asked++;
+	peer->asked_to_hand_over +=
+		g_str_has_suffix(request->target, "?successor");
 	while (peer->status == 0)
 		g_cond_wait(&peer->changed, &peer->lock);
 	response->status = peer->status;
@@ -68,6 +70,16 @@
 	return asked;
 }
 
+static int32_t times_asked_to_hand_over(peer_t *peer)
+{
+	int32_t asked;
+
+	g_mutex_lock(&peer->lock);
+	asked = peer->asked_to_hand_over;
+	g_mutex_unlock(&peer->lock);
+	return asked;
+}
+
 static void on_held(const wwh_held_t *held, void *client_data)
 {
 	fixture_t *fixture = client_data;
@@ -277,6 +289,55 @@
 	assert_true(times_asked(&fixture->peers[0]) >= 2);
 }
 
+/*
+ * The store turns the holder away and serves this process. The holder went on
+ * for two seconds without being able to accept a job, was then taken for one
+ * that may be at work, and hosts got no orders for three more seconds. It gives
+ * up when it is asked, and says so: nothing of it is on its way.
+ */
+static void a_holder_without_the_store_is_asked_to_hand_over(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 2);
+	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
+	set_status(&fixture->peers[0], 409);
+	while (times_asked_to_hand_over(&fixture->peers[0]) == 0 &&
+	       standin_now_ms() < end_ms)
+		run_for(fixture, 10);
+	assert_int_equal(fixture->held.epoch, 0);
+	set_status(&fixture->peers[0], 410);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 5);
+	assert_false(fixture->held.others_at_work);
+	assert_false(fixture->held.others_ended);
+}
+
+/*
+ * The store is away for all. A holder that gave up now would leave what runs
+ * without anyone to go on with it, as nobody can claim.
+ */
+static void without_the_store_itself_it_asks_for_nothing(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 3);
+	set_busy(fixture, true);
+	set_status(&fixture->peers[0], 409);
+	run_for(fixture, 2000);
+	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
+	assert_int_equal(fixture->held.epoch, 0);
+	set_status(&fixture->peers[0], 200);
+	set_busy(fixture, false);
+	run_for(fixture, 1000);
+	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
+}
+
 static void a_holder_that_says_it_holds_no_more_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -499,6 +560,12 @@
 		cmocka_unit_test_setup_teardown(
 			a_silent_holder_is_replaced_as_one_that_may_be_at_work,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_without_the_store_is_asked_to_hand_over,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			without_the_store_itself_it_asks_for_nothing, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_holder_that_says_it_holds_no_more_is_replaced, set_up,
 			tear_down),
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -71,6 +71,7 @@
 	int64_t task_ms;
 	bool silent; /* the store takes calls and answers none */
 	bool busy; /* it refuses all calls at once */
+	int64_t refused_epoch; /* it refuses appends of this one */
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
 	const char *hosts; /* rows of its list, as JSON; NULL: none */
@@ -148,6 +149,10 @@
 	int64_t sequence = standin_number(http->target, "sequence", -1);
 	int64_t offset = found->records->len;
 
+	if (standin->refused_epoch != 0 && epoch == standin->refused_epoch) {
+		standin_answer(response, 503, "{}");
+		return;
+	}
 	if (epoch >= 0 && epoch < found->epoch) {
 		standin_answer(response, 409, "{\"reason\":\"fenced\"}");
 		return;
