Show an upstream that is forgotten before its ends are kept

All processes lose power; two claim within 60 ms when they are back, one as the group's choice, one as the holder before.

--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -105,6 +105,35 @@
 				order.upstream);
 }
 
+/*
+ * A holder hears that a task is done, and finds its upstream gone. It drops the
+ * upstream's record, and another process takes over before the job's progress
+ * is written: nothing tells of the end, nor of an upstream to ask. The task ran
+ * again, 32 of them on one day.
+ */
+void an_upstream_is_forgotten_after_its_ends_are_kept(void **state)
+{
+	rig_t *rig = *state;
+	rig_order_t order = run_one_task(rig);
+	wwh_ended_t ended = rig_ended(&order, 1, WWH_END_DONE);
+	const char *other = strcmp(order.upstream, "u1") == 0 ? "u2" : "u1";
+
+	rig_answer_poll(rig, order.upstream, NULL, 0, &ended, 1);
+	wwh_scheduler_upstream_gone(rig->scheduler, order.upstream, "upkeep",
+				    rig->now_ms);
+	rig_run(rig, 20);
+	rig_take_over(rig);
+	rig_run(rig, 20);
+	rig_answer_poll(rig, other, NULL, 0, NULL, 0);
+	rig_announce(rig, other, AT_2, false);
+	rig_run(rig, 20);
+	rig_durable(rig);
+	rig_run(rig, 20);
+	assert_int_equal(rig->starts->len, 1);
+	assert_int_equal(wwh_scheduler_job_state(rig->scheduler, JOB_A),
+			 WWH_PROGRESS_COMPLETED);
+}
+
 void an_upstream_that_ended_without_a_word_is_not_waited_for(void **state)
 {
 	rig_t *rig = *state;
