Write what ended before an upstream's record is dropped

Cause: a holder that finds an upstream gone, or not announced, drops its record at once; the ends that it heard are written up to 40 ms later. A process that takes over between the two finds neither, and starts the tasks again.

Before: the test fails. After: test_scheduler, 59 passed.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -287,6 +287,8 @@
 void sched_jobs_forget(wwh_scheduler_t *scheduler);
 
 /* scheduler_record.c */
+/* Writes the progress of all jobs that have got on since the last time. */
+void sched_progress_keep(wwh_scheduler_t *scheduler);
 GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms);
 bool sched_progress_restore(wwh_scheduler_t *scheduler, const char *id,
 			    const uint8_t *value, size_t size,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -39,7 +39,6 @@
 
 static void await_inherited(wwh_scheduler_t *scheduler);
 static void explain_unsettled(wwh_scheduler_t *scheduler);
-static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
 static sched_task_t *task_of_order(wwh_scheduler_t *scheduler,
 				   const char *upstream, const char *name,
 				   int64_t run);
@@ -380,10 +379,7 @@
 int64_t wwh_scheduler_flush(wwh_scheduler_t *scheduler, int64_t now_ms)
 {
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
-	for (guint i = 0; i < scheduler->dirty->len; i++)
-		keep_progress(scheduler,
-			      g_ptr_array_index(scheduler->dirty, i));
-	g_ptr_array_set_size(scheduler->dirty, 0);
+	sched_progress_keep(scheduler);
 	sched_upstreams_flushed(scheduler);
 	return scheduler->newest_record;
 }
@@ -481,27 +477,6 @@
 	}
 }
 
-static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
-{
-	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
-	bool ends = !sched_job_is_live(job);
-
-	job->dirty = false;
-	scheduler->newest_record =
-		scheduler->calls.keep(WWH_KEEP_PROGRESS, job->id, value,
-				      scheduler->calls.client_data);
-	g_bytes_unref(value);
-	if (!ends)
-		return;
-	if (job->end_kept == G_MAXINT64) {
-		job->end_kept = scheduler->newest_record;
-		/* its progress says all that is asked of it from now on */
-		scheduler->newest_record =
-			scheduler->calls.keep(WWH_KEEP_JOB, job->id, NULL,
-					      scheduler->calls.client_data);
-	}
-}
-
 /* NULL: the task has moved on since, and the answer says nothing new. */
 static sched_task_t *task_of_order(wwh_scheduler_t *scheduler,
 				   const char *upstream, const char *name,
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -26,6 +26,7 @@
 typedef bool (*restore_record_t)(wwh_scheduler_t *scheduler, const char *id,
 				 const msgpack_object *object);
 
+static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
 static void pack_occurrence(msgpack_packer *packer,
 			    const sched_occurrence_t *occurrence);
 static void pack_step(msgpack_packer *packer, const sched_step_t *step);
@@ -54,6 +55,35 @@
 static bool unpack(const uint8_t *value, size_t size,
 		   msgpack_unpacked *unpacked, wwh_message_t *message);
 
+void sched_progress_keep(wwh_scheduler_t *scheduler)
+{
+	for (guint i = 0; i < scheduler->dirty->len; i++)
+		keep_progress(scheduler,
+			      g_ptr_array_index(scheduler->dirty, i));
+	g_ptr_array_set_size(scheduler->dirty, 0);
+}
+
+static void keep_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
+	bool ends = !sched_job_is_live(job);
+
+	job->dirty = false;
+	scheduler->newest_record =
+		scheduler->calls.keep(WWH_KEEP_PROGRESS, job->id, value,
+				      scheduler->calls.client_data);
+	g_bytes_unref(value);
+	if (!ends)
+		return;
+	if (job->end_kept == G_MAXINT64) {
+		job->end_kept = scheduler->newest_record;
+		/* its progress says all that is asked of it from now on */
+		scheduler->newest_record =
+			scheduler->calls.keep(WWH_KEEP_JOB, job->id, NULL,
+					      scheduler->calls.client_data);
+	}
+}
+
 GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms)
 {
 	bool live = sched_job_is_live(job);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -16,6 +16,9 @@
 #define BACKOFF_FIRST_MS 1500
 #define BACKOFF_MAX_DOUBLINGS 3
 
+static void drop_record(wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream);
+
 sched_pool_t *sched_pool_get(wwh_scheduler_t *scheduler, const char *name)
 {
 	sched_pool_t *pool = g_hash_table_lookup(scheduler->pools, name);
@@ -92,12 +95,24 @@
 	g_ptr_array_remove_fast(upstream->pool->upstreams, upstream);
 	upstream->pool->dirty = true;
 	if (upstream->kept_asked)
-		scheduler->newest_record = scheduler->calls.keep(
-			WWH_KEEP_UPSTREAM, upstream->info.id, NULL,
-			scheduler->calls.client_data);
+		drop_record(scheduler, upstream);
 	g_hash_table_remove(scheduler->upstreams, upstream->info.id);
 }
 
+/*
+ * A holder that takes over asks each upstream that has a record. Where this one
+ * has none, the ends that it told must be in the journal before: their tasks
+ * would run again.
+ */
+static void drop_record(wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream)
+{
+	sched_progress_keep(scheduler);
+	scheduler->newest_record =
+		scheduler->calls.keep(WWH_KEEP_UPSTREAM, upstream->info.id,
+				      NULL, scheduler->calls.client_data);
+}
+
 /*
  * What an upstream lists as ended may be forgotten there once it is durable
  * here. Called right after the progress of all jobs was written, and never
