Let a holder that the store turns away hand the shard over

They ask it, take it for lost after two answers (1.8 to 2.2 s), and as it may be at work, hosts that check no tokens get no orders for 3 s more: in the middle of a turn no host comes.

Now such a holder says so (409). Without that proof a holder that is turned away is left alone: the store may be away for all, and back for it as soon as for others.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -104,9 +104,9 @@
 
 /*
  * Hosts get no more orders: with new ones all the time the holder would never
- * be settled.
+ * be settled. stop false: they do again.
  */
-void wwh_job_holder_stop_duties(wwh_job_holder_t *holder);
+void wwh_job_holder_stop_duties(wwh_job_holder_t *holder, bool stop);
 
 /* Orders to hosts are unanswered. */
 bool wwh_job_holder_orders_hosts(const wwh_job_holder_t *holder);
@@ -121,6 +121,12 @@
 /* The store has confirmed the claim within the last moments. */
 bool wwh_job_holder_confirmed(const wwh_job_holder_t *holder, int64_t now_ms);
 
+/*
+ * The store takes nothing from this holder, for longer than a call takes. It may
+ * serve others meanwhile, and one of them could accept jobs.
+ */
+bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms);
+
 /* Appends succeed: this holder can accept jobs. */
 bool wwh_job_holder_reaches_store(const wwh_job_holder_t *holder,
 				  int64_t now_ms);
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -20,7 +20,8 @@
  *
  *	The process that the group names leaves a holder alone as long as
  *	that one answers and reaches the store; a change of holder costs a
- *	second poll at all upstreams.
+ *	second poll at all upstreams. One that the store turns away, while it
+ *	serves this process, is asked to hand the shard over.
  *
  * ORDER OF CALLS
  *	wwh_shard_claim_new; wwh_shard_claim_run often, by the thread of its
@@ -30,6 +31,22 @@
 #include "waxwinghollow/bad_records.h"
 #include "waxwinghollow/http_calls.h"
 
+/*
+ * Where a process tells others of the shard, and where the one that would hold
+ * it next, and reaches the store, asks for it.
+ */
+#define WWH_SHARD_PATH "/v1/shard"
+#define WWH_SHARD_SUCCESSOR_PATH "/v1/shard?successor"
+
+/* What a process answers there. */
+typedef enum {
+	WWH_SHARD_HELD = 200,
+	WWH_SHARD_NOT_HELD = 404, /* never, or by a process before this one */
+	WWH_SHARD_TURNED_AWAY = 409, /* held; the store takes nothing */
+	WWH_SHARD_HANDED_OVER = 410, /* no order of this process is out */
+	WWH_SHARD_UNSURE = 503, /* claimed, or held without the store */
+} wwh_shard_answer_t;
+
 typedef struct {
 	int64_t epoch; /* of the claim: the fencing token */
 	int64_t holder_count; /* claims so far, this one too */
@@ -82,6 +99,12 @@
 /* The claim was lost to another or isn't wanted any more. */
 void wwh_shard_claim_lost(wwh_shard_claim_t *claim, int64_t now_ms);
 
+/*
+ * The same, and the process that asked for the shard is to claim it first: this
+ * one leaves it alone for a while.
+ */
+void wwh_shard_claim_handed_over(wwh_shard_claim_t *claim, int64_t now_ms);
+
 /*
  * For a stop that was announced: others may claim at once; this process
  * won't any more.
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -53,6 +53,9 @@
 	bool holds;
 	bool claims; /* the shard; it may hold it soon */
 	bool reaches_store; /* while it holds the shard */
+	bool turned_away; /* the same; the store takes nothing */
+	bool asked_for; /* by its successor, since it is turned away */
+	bool handed_over; /* since it held the shard last */
 	bool orders_hosts; /* has orders to hosts on their way */
 	wwh_counters_t *counters;
 	/* How long callers waited for their answers, by what they asked. */
@@ -74,6 +77,7 @@
 	char *holder_address; /* NULL: nobody holds the shard */
 	bool ending; /* the loop ends once all is settled */
 	int64_t last_run_ms;
+	int64_t asked_for_ms; /* handing over since; 0: it isn't */
 	int64_t slept_ms; /* of suspensions so far */
 	GHashTable *forwards; /* job_forward_t on their way; of the loop */
 	bool ended; /* nobody answers requests any more */
@@ -94,6 +98,8 @@
 
 /* job_service_events.c: begins to watch; also when the store is another one */
 void job_service_make_calls(wwh_job_service_t *service);
+/* The holder is to be deleted by the loop. False: there is none. */
+bool job_service_drop_holder(wwh_job_service_t *service, const char *why);
 
 /* job_service_queue.c */
 job_request_t *job_request_new(job_request_kind_t kind);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -31,6 +31,12 @@
  */
 #define REACHES_STORE_MS 1300
 
+/*
+ * Without a successful append, and with one that failed: a store that is slow
+ * for all takes some 250 ms for each.
+ */
+#define TURNED_AWAY_MS 300
+
 /*
  * Hosts come and go in seconds. A decision looks at each of them several times:
  * taken in each turn of the loop, it was an eighth of the holder's time.
@@ -180,9 +186,9 @@
 							    : WAIT_IDLE_MS;
 }
 
-void wwh_job_holder_stop_duties(wwh_job_holder_t *holder)
+void wwh_job_holder_stop_duties(wwh_job_holder_t *holder, bool stop)
 {
-	holder->stopping = true;
+	holder->stopping = stop;
 }
 
 bool wwh_job_holder_orders_hosts(const wwh_job_holder_t *holder)
@@ -210,6 +216,12 @@
 	return confirmed_within(holder, now_ms, REACHES_STORE_MS);
 }
 
+bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms)
+{
+	return wwh_shard_journal_failing(holder->journal) &&
+	       !confirmed_within(holder, now_ms, TURNED_AWAY_MS);
+}
+
 void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out)
 {
 	g_string_append_printf(
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -190,12 +190,18 @@
 {
 	wwh_job_service_t *service = data;
 
+	if (job_service_drop_holder(service, why))
+		wwh_shard_claim_lost(service->claim, job_service_now_ms());
+}
+
+bool job_service_drop_holder(wwh_job_service_t *service, const char *why)
+{
 	if (service->holder == NULL)
-		return;
+		return false;
 	wwh_event_log_printf(service->log, "shard-lost", "shard", "why=%s",
 			     why);
 	service->lost_holder = g_steal_pointer(&service->holder);
-	wwh_shard_claim_lost(service->claim, job_service_now_ms());
+	return true;
 }
 
 static void on_holder(const char *address, int64_t epoch, void *data)
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -10,7 +10,6 @@
 /* Requests of peers: their callers' deadlines are theirs to watch. */
 #define PEER_PATIENCE_MS 5000
 
-#define SHARD_PATH "/v1/shard"
 #define DUMP_PATH "/v1/dump"
 #define METRICS_PATH "/metrics"
 #define METRICS_TYPE "text/plain; version=0.0.4"
@@ -19,8 +18,9 @@
 #define STATUS_UNAVAILABLE 503
 #define SECOND_MS 1000
 
-static void answer_shard(wwh_job_service_t *service,
+static void answer_shard(wwh_job_service_t *service, bool asked_for,
 			 wwh_http_response_t *response);
+static wwh_shard_answer_t shard_answer(const wwh_job_service_t *service);
 static void answer_text(wwh_http_response_t *response, int32_t status,
 			const char *type, const char *text);
 static void answer_job(wwh_job_service_t *service, const job_request_t *request,
@@ -112,8 +112,12 @@
 	job_request_t *request;
 	wwh_job_answer_t answer;
 
-	if (strcmp(http->target, SHARD_PATH) == 0) {
-		answer_shard(service, response);
+	if (strcmp(http->target, WWH_SHARD_PATH) == 0 ||
+	    strcmp(http->target, WWH_SHARD_SUCCESSOR_PATH) == 0) {
+		bool asked_for =
+			strcmp(http->target, WWH_SHARD_SUCCESSOR_PATH) == 0;
+
+		answer_shard(service, asked_for, response);
 		return;
 	}
 	if (strcmp(http->target, METRICS_PATH) == 0) {
@@ -145,30 +149,32 @@
  * unanswered: the next holder's would overtake them, and take down a host too
  * many.
  */
-static void answer_shard(wwh_job_service_t *service,
+static void answer_shard(wwh_job_service_t *service, bool asked_for,
 			 wwh_http_response_t *response)
 {
-	bool holds;
-	bool claims;
-	bool reaches_store;
+	wwh_shard_answer_t answer;
 
 	g_mutex_lock(&service->lock);
-	holds = service->holds && (!service->stopping || service->orders_hosts);
-	claims = service->claims && !service->stopping;
-	reaches_store = service->reaches_store;
+	answer = shard_answer(service);
+	/* the loop hands it over, and a later question is told */
+	if (asked_for && answer == WWH_SHARD_TURNED_AWAY)
+		service->asked_for = true;
 	g_mutex_unlock(&service->lock);
-	if (claims)
-		answer_text(response, STATUS_UNAVAILABLE, "text/plain",
-			    "claims the shard\n");
-	else if (!holds)
-		answer_text(response, STATUS_NOT_FOUND, "text/plain",
-			    "doesn't hold the shard\n");
-	else if (!reaches_store)
-		answer_text(response, STATUS_UNAVAILABLE, "text/plain",
-			    "holds the shard, without the store\n");
-	else
-		answer_text(response, STATUS_OK, "text/plain",
-			    "holds the shard\n");
+	answer_text(response, answer, "text/plain", "");
+}
+
+/* With the lock held. */
+static wwh_shard_answer_t shard_answer(const wwh_job_service_t *service)
+{
+	if (service->claims && !service->stopping)
+		return WWH_SHARD_UNSURE;
+	if (!service->holds && service->handed_over)
+		return WWH_SHARD_HANDED_OVER;
+	if (!service->holds || (service->stopping && !service->orders_hosts))
+		return WWH_SHARD_NOT_HELD;
+	if (service->turned_away)
+		return WWH_SHARD_TURNED_AWAY;
+	return service->reaches_store ? WWH_SHARD_HELD : WWH_SHARD_UNSURE;
 }
 
 static void answer_text(wwh_http_response_t *response, int32_t status,
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -19,11 +19,16 @@
  */
 #define STOOD_STILL_MS 900
 
+/* Orders to hosts are answered by then, or take effect at any time. */
+#define HOST_ORDERS_MS 1500
+
 /* After the last answers, for what is on its way to the store. */
 #define SETTLE_MS 750
 
 static void take_answers(wwh_job_service_t *service);
 static void run_once(wwh_job_service_t *service);
+static void hand_over(wwh_job_service_t *service, int64_t now_ms);
+static void tell_state(wwh_job_service_t *service, int64_t now_ms);
 static bool stood_still(wwh_job_service_t *service, int64_t now_ms);
 static void take_settings(wwh_job_service_t *service);
 static bool is_settled(const wwh_job_service_t *service);
@@ -69,8 +74,6 @@
 	int64_t now_ms = job_service_now_ms();
 	bool suspended = stood_still(service, now_ms);
 	bool stopping;
-	bool reaches_store;
-	bool orders_hosts;
 	bool gives_up;
 
 	take_settings(service);
@@ -80,8 +83,9 @@
 	gives_up = stopping && !service->ended && now_ms >= service->give_up_ms;
 	g_mutex_unlock(&service->lock);
 	if (service->holder != NULL) {
-		if (stopping)
-			wwh_job_holder_stop_duties(service->holder);
+		wwh_job_holder_stop_duties(service->holder,
+					   stopping ||
+						   service->asked_for_ms != 0);
 		wwh_job_holder_run(service->holder, now_ms,
 				   job_service_wall_ms(), suspended);
 	}
@@ -95,20 +99,66 @@
 	}
 	if (stopping && service->holder == NULL)
 		wwh_shard_claim_give_up(service->claim, now_ms);
+	hand_over(service, now_ms);
 	wwh_shard_claim_run(service->claim, now_ms);
 	if (service->lost_holder != NULL) {
 		wwh_job_holder_delete(service->lost_holder);
 		service->lost_holder = NULL;
 	}
-	reaches_store = service->holder != NULL &&
-			wwh_job_holder_reaches_store(service->holder, now_ms);
-	orders_hosts = service->holder != NULL &&
-		       wwh_job_holder_orders_hosts(service->holder);
+	tell_state(service, now_ms);
+}
+
+/*
+ * A holder that the store turns away can accept no job. It leaves the shard to
+ * the process that asked for it, once its orders to hosts are answered: that
+ * one then needn't wait for them. The orders come to nothing, or the store
+ * serves this process again: it goes on.
+ */
+static void hand_over(wwh_job_service_t *service, int64_t now_ms)
+{
+	bool asked_for;
+	bool orders_hosts;
+
+	g_mutex_lock(&service->lock);
+	if (service->holder == NULL ||
+	    !wwh_job_holder_turned_away(service->holder, now_ms))
+		service->asked_for = false;
+	asked_for = service->asked_for;
+	g_mutex_unlock(&service->lock);
+	if (!asked_for) {
+		service->asked_for_ms = 0;
+		return;
+	}
+	if (service->asked_for_ms == 0)
+		service->asked_for_ms = now_ms;
+	orders_hosts = wwh_job_holder_orders_hosts(service->holder);
+	if (orders_hosts && now_ms - service->asked_for_ms < HOST_ORDERS_MS)
+		return;
+	(void)job_service_drop_holder(service, "handed-over");
+	wwh_shard_claim_handed_over(service->claim, now_ms);
+	service->asked_for_ms = 0;
+	g_mutex_lock(&service->lock);
+	service->asked_for = false;
+	service->handed_over = !orders_hosts;
+	g_mutex_unlock(&service->lock);
+}
+
+/* What other processes are told of the shard. */
+static void tell_state(wwh_job_service_t *service, int64_t now_ms)
+{
+	const wwh_job_holder_t *holder = service->holder;
+	bool holds = holder != NULL;
+	bool claims = wwh_shard_claim_in_progress(service->claim);
+
 	g_mutex_lock(&service->lock);
-	service->holds = service->holder != NULL;
-	service->claims = wwh_shard_claim_in_progress(service->claim);
-	service->orders_hosts = orders_hosts;
-	service->reaches_store = reaches_store;
+	service->holds = holds;
+	service->claims = claims;
+	service->orders_hosts = holds && wwh_job_holder_orders_hosts(holder);
+	service->reaches_store =
+		holds && wwh_job_holder_reaches_store(holder, now_ms);
+	service->turned_away =
+		holds && wwh_job_holder_turned_away(holder, now_ms);
+	service->handed_over = service->handed_over && !holds && !claims;
 	g_mutex_unlock(&service->lock);
 }
 
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -15,6 +15,9 @@
 #define APPEND_LIMIT_MS 800
 #define RETRY_MS 150
 
+/* Twice what the successor needs for its claim, with a slow store. */
+#define LEFT_TO_SUCCESSOR_MS 2000
+
 static void stop_reading(wwh_shard_claim_t *claim);
 static void on_journal(const char *key, const uint8_t *value, size_t size,
 		       void *data);
@@ -106,9 +109,17 @@
 	claim->retry_ms = now_ms + RETRY_MS;
 	claim->probes_failed = 0;
 	claim->holder_ended = false;
+	claim->holder_gave_up = false;
+	claim->turned_away_ms = 0;
 	claim->probe_sent_ms = now_ms;
 }
 
+void wwh_shard_claim_handed_over(wwh_shard_claim_t *claim, int64_t now_ms)
+{
+	wwh_shard_claim_lost(claim, now_ms);
+	claim->retry_ms = now_ms + LEFT_TO_SUCCESSOR_MS;
+}
+
 void wwh_shard_claim_give_up(wwh_shard_claim_t *claim, int64_t now_ms)
 {
 	wwh_http_call_t *call;
@@ -163,7 +174,8 @@
 		      claim->holder_epoch);
 	claim->state = CLAIM_LOADING;
 	claim->others_at_work = others_at_work;
-	claim->others_ended = claim->holder != NULL && claim->holder_ended;
+	claim->others_ended = claim->holder != NULL && claim->holder_ended &&
+			      !claim->holder_gave_up;
 	claim->epoch = 0;
 	claim->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -21,9 +21,19 @@
 /* The store answers all calls of this process for so long. */
 #define STEADY_MS 900
 
-#define PROBE_PATH "/v1/shard"
-#define STATUS_OK 200
-#define STATUS_NOT_FOUND 404
+/* The same while the holder waits to be asked for the shard. */
+#define PROBE_SOON_MS 100
+
+/* Dropped in the journal, where it never is; an append takes some ms. */
+#define PROOF_KEY "H"
+#define PROOF_LIMIT_MS 500
+
+/*
+ * How long a holder that is turned away may take to hand over, or the store to
+ * serve it again: as long as its orders to hosts may be out. After that it
+ * counts as silent.
+ */
+#define HAND_OVER_LIMIT_MS 2000
 
 static bool held_before_it_started(const wwh_shard_claim_t *claim);
 static bool is_assigned(const wwh_shard_claim_t *claim);
@@ -33,6 +43,11 @@
 static bool store_is_steady(const wwh_shard_claim_t *claim);
 static void probe(wwh_shard_claim_t *claim);
 static void on_probed(const wwh_http_answer_t *answer, void *data);
+static void take_turned_away(wwh_shard_claim_t *claim, bool turned_away);
+static bool is_left_alone(const wwh_shard_claim_t *claim);
+static bool is_successor(const wwh_shard_claim_t *claim);
+static void prove_reach(wwh_shard_claim_t *claim);
+static void on_proven(const wwh_http_answer_t *answer, void *data);
 
 void claim_stay_in_group(wwh_shard_claim_t *claim)
 {
@@ -66,6 +81,8 @@
 		claim->holder = g_strdup(address);
 		claim->probes_failed = 0;
 		claim->holder_ended = false;
+		claim->holder_gave_up = false;
+		claim->turned_away_ms = 0;
 		claim->options.on_holder(claim->holder, epoch,
 					 claim->options.client_data);
 	}
@@ -83,6 +100,7 @@
 	}
 	if (!is_assigned(claim))
 		return;
+	prove_reach(claim);
 	if (claim->holder == NULL) {
 		claim_begin(claim, "no-holder", false);
 	} else if (strcmp(claim->holder, claim->self) == 0) {
@@ -93,7 +111,9 @@
 		   store_is_steady(claim)) {
 		claim_begin(claim, "holder-silent", true);
 	} else if (!claim->probe_in_flight &&
-		   claim->now_ms - claim->probe_sent_ms >= PROBE_EVERY_MS) {
+		   claim->now_ms - claim->probe_sent_ms >=
+			   (claim->turned_away_ms != 0 ? PROBE_SOON_MS
+						       : PROBE_EVERY_MS)) {
 		probe(claim);
 	}
 }
@@ -194,7 +214,8 @@
 	wwh_http_call_t *call =
 		wwh_http_call_new("GET", claim->holder, PROBE_LIMIT_MS);
 
-	call->path = g_strdup(PROBE_PATH);
+	call->path = g_strdup(is_successor(claim) ? WWH_SHARD_SUCCESSOR_PATH
+						  : WWH_SHARD_PATH);
 	claim->probe_in_flight = true;
 	claim->probe_sent_ms = claim->now_ms;
 	claim->probe_epoch = claim->holder_epoch;
@@ -209,15 +230,86 @@
 static void on_probed(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_shard_claim_t *claim = data;
-	bool holds = answer->outcome == WWH_CALL_ANSWERED &&
-		     answer->status == STATUS_OK;
+	int32_t status =
+		answer->outcome == WWH_CALL_ANSWERED ? answer->status : 0;
 
 	claim->probe_in_flight = false;
 	if (claim->probe_epoch == claim->holder_epoch) {
-		claim->probes_failed = holds ? 0 : claim->probes_failed + 1;
+		take_turned_away(claim, status == WWH_SHARD_TURNED_AWAY);
+		claim->probes_failed =
+			status == WWH_SHARD_HELD || is_left_alone(claim)
+				? 0
+				: claim->probes_failed + 1;
+		claim->holder_gave_up = status == WWH_SHARD_HANDED_OVER;
 		claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
-				      (answer->outcome == WWH_CALL_ANSWERED &&
-				       answer->status == STATUS_NOT_FOUND);
+				      status == WWH_SHARD_NOT_HELD ||
+				      claim->holder_gave_up;
 	}
 	claim_unref(claim);
 }
+
+static void take_turned_away(wwh_shard_claim_t *claim, bool turned_away)
+{
+	if (!turned_away)
+		claim->turned_away_ms = 0;
+	if (!turned_away || claim->turned_away_ms != 0)
+		return;
+	claim->turned_away_ms = claim->now_ms;
+	claim->proven_ms = 0;
+}
+
+/*
+ * One that is turned away, as long as the store may be away for all: taken over
+ * then, at its return, hosts got no orders for 3 s. And while it may hand over.
+ */
+static bool is_left_alone(const wwh_shard_claim_t *claim)
+{
+	return claim->turned_away_ms != 0 &&
+	       (claim->proven_ms == 0 ||
+		claim->now_ms - claim->proven_ms < HAND_OVER_LIMIT_MS);
+}
+
+/*
+ * A store that is away for all may still answer the group's calls. A holder that
+ * gave up then would leave what runs to nobody, so this process shows first that
+ * the journal takes a record of it: one that drops a key which isn't there.
+ */
+static void prove_reach(wwh_shard_claim_t *claim)
+{
+	wire_writer_t plain = { 0 };
+	GByteArray *body;
+	wwh_http_call_t *call;
+
+	if (claim->turned_away_ms == 0 || claim->proof_in_flight ||
+	    claim->proven_ms != 0 ||
+	    claim->now_ms - claim->proof_failed_ms < PROBE_SOON_MS)
+		return;
+	body = g_byte_array_new();
+	wire_store_pack(body, PROOF_KEY, NULL, 0);
+	call = wire_store_append(claim->store, claim->topic,
+				 claim->options.journal_part, &plain, body,
+				 PROOF_LIMIT_MS);
+	claim->proof_in_flight = true;
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, on_proven, claim);
+}
+
+static void on_proven(const wwh_http_answer_t *answer, void *data)
+{
+	wwh_shard_claim_t *claim = data;
+
+	claim->proof_in_flight = false;
+	if (wire_store_append_answer(answer) == WIRE_STORE_OK)
+		claim->proven_ms = claim->now_ms;
+	else
+		claim->proof_failed_ms = claim->now_ms;
+	claim_unref(claim);
+}
+
+/* When the store comes back for all, the holder is served a moment later. */
+static bool is_successor(const wwh_shard_claim_t *claim)
+{
+	return claim->turned_away_ms != 0 && claim->proven_ms != 0 &&
+	       is_assigned(claim) &&
+	       claim->now_ms - claim->proof_failed_ms >= STEADY_MS;
+}
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -139,6 +139,11 @@
 	return first == NULL ? 0 : now_ms - first->kept_ms;
 }
 
+bool wwh_shard_journal_failing(const wwh_shard_journal_t *journal)
+{
+	return journal->failures > 0;
+}
+
 bool wwh_shard_journal_refused(const wwh_shard_journal_t *journal)
 {
 	return journal->refused;
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -316,6 +316,31 @@
 	assert_false(fixture->held.others_ended);
 }
 
+/* The store takes no record of anybody, and answers the group all the while. */
+static void a_group_that_answers_is_no_proof_of_the_store(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 3);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->refuses_records = true;
+	g_mutex_unlock(&fixture->standin->lock);
+	set_status(&fixture->peers[0], 409);
+	run_for(fixture, 3500);
+	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
+	assert_null(strstr(fixture->lines, "shard-claim-begun"));
+	/* back for this process, and a moment later for the holder */
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->refuses_records = false;
+	g_mutex_unlock(&fixture->standin->lock);
+	run_for(fixture, 500);
+	set_status(&fixture->peers[0], 200);
+	run_for(fixture, 1000);
+	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
+}
+
 /*
  * The store is away for all. A holder that gave up now would leave what runs
  * without anyone to go on with it, as nobody can claim.
@@ -563,6 +588,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_holder_without_the_store_is_asked_to_hand_over,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_group_that_answers_is_no_proof_of_the_store, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			without_the_store_itself_it_asks_for_nothing, set_up,
 			tear_down),
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -71,6 +71,7 @@
 	int64_t task_ms;
 	bool silent; /* the store takes calls and answers none */
 	bool busy; /* it refuses all calls at once */
+	bool refuses_records; /* and serves all else */
 	int64_t refused_epoch; /* it refuses appends of this one */
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
@@ -149,7 +150,8 @@
 	int64_t sequence = standin_number(http->target, "sequence", -1);
 	int64_t offset = found->records->len;
 
-	if (standin->refused_epoch != 0 && epoch == standin->refused_epoch) {
+	if (standin->refuses_records ||
+	    (standin->refused_epoch != 0 && epoch == standin->refused_epoch)) {
 		standin_answer(response, 503, "{}");
 		return;
 	}
