Let a test's clock run no faster than the real one

Traced: test_job_holder's an_answer_is_dated_by_when_it_is_taken_in failed once at load 30. Its clock rose by 20 ms in each turn of a loop that waits 20 ms at most; the longer the stand-in's store took, the further it ran ahead, and after 11.7 s of it the upstream of the holder before was taken as gone, as it should be. The one announced then has no lease, so the loop ended by its limit, with whatever time its last answer had.

Now the clock goes by the real one, and the test asserts that the lease is known when the loop ends: no weaker, as all it asked for before is asked for still.

--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -10,6 +10,7 @@
 
 #include "waxwinghollow/job_holder.h"
 
+#define CLOCK_BEGIN_MS 100000
 #define STARVED_MS 3000
 /* Then a failed check says what is missing. */
 #define WAIT_MAX_MS 20000
@@ -56,8 +57,11 @@
 	wwh_http_calls_t *calls = wwh_http_calls_new(counters);
 	GHashTable *records = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
-	static const uint8_t kept[] = { 0x92, 0xa1, 'e', 0xa4,
-					'd',  'e',  's', 'k' };
+	/* MessagePack: where it was, and its pool */
+	static const char kept[] = "\x92\xab"
+				   "127.0.0.1:1"
+				   "\xa4"
+				   "desk";
 	wwh_event_log_options_t log = { .node = "n",
 					.fd = open("/dev/null", O_WRONLY),
 					.now_ms = read_clock,
@@ -80,21 +84,23 @@
 	(void)state;
 	/* a holder before this one may have started tasks at u0 */
 	g_hash_table_insert(records, g_strdup("Uu0"),
-			    g_bytes_new(kept, sizeof(kept)));
+			    g_bytes_new(kept, sizeof(kept) - 1));
 	wwh_host_settings_init(&settings);
 	settings.name = g_strdup("n");
 	settings.store = g_strdup_printf("127.0.0.1:%d",
 					 wwh_listener_port(standin->store));
 	options.settings = &settings;
 	options.log = wwh_event_log_new(&log, counters);
-	test_clock_ms = 100000;
+	test_clock_ms = CLOCK_BEGIN_MS;
 	holder = wwh_job_holder_new(&options);
+	/* as fast as the real one: ahead of it, what u0 may run is over */
 	while (dumped(holder, "lease_left_ms=") < 0 &&
 	       standin_now_ms() - begun_ms < WAIT_MAX_MS) {
-		test_clock_ms += 20;
+		test_clock_ms = CLOCK_BEGIN_MS + standin_now_ms() - begun_ms;
 		wwh_job_holder_run(holder, test_clock_ms, 1000, false);
 		wwh_http_calls_poll(calls, 20);
 	}
+	assert_true(dumped(holder, "lease_left_ms=") > 0);
 	/* the next poll asks for a lease; its answer waits to be read */
 	test_clock_ms += 200;
 	wwh_job_holder_run(holder, test_clock_ms, 1000, false);
