Open two rings of calls: what hosts' modules share, the service's clock

host_duties, host_moves and host_waves called each other; what they share is in host_table now, which calls none of them. job_service's clocks are a module of their own, below its loop and its events. Code moved, one comment corrected: it gave a share of calls that wasn't measured.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -1,7 +1,5 @@
 #include "waxwinghollow/host_duties.h"
 
-#include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "private/host_duties_state.h"
@@ -9,13 +7,6 @@
 /* Between two lists of hosts. */
 #define LIST_EVERY_MS 500
 
-/*
- * The same after an order, whose outcome a list shows: a host is away for
- * 1.5 s. Asked for after each of some 40 moves a second, lists were a tenth of
- * what the holder's processor did, and three quarters of its calls to hosts.
- */
-#define LIST_SOON_MS 150
-
 const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT] = {
 	"up",
 	"moving",
@@ -27,7 +18,6 @@
 	"done", "not-done", "busy", "refused", "fenced", "unknown",
 };
 
-static void host_delete(gpointer data);
 static void note_life(wwh_host_duties_t *duties,
 		      const wwh_listed_host_t *listed);
 static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
@@ -46,7 +36,7 @@
 	duties->options = *options;
 	duties->calls = *calls;
 	duties->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					      host_delete);
+					      duties_host_delete);
 	duties->lives =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	duties->waves = g_ptr_array_new_with_free_func(duties_wave_delete);
@@ -176,36 +166,6 @@
 	duties_run_waves(duties);
 }
 
-void duties_list_soon(wwh_host_duties_t *duties)
-{
-	duties->next_list_ms =
-		MIN(duties->next_list_ms,
-		    MAX(duties->now_ms, duties->list_sent_ms + LIST_SOON_MS));
-}
-
-static void host_delete(gpointer data)
-{
-	duty_host_t *host = data;
-
-	g_free(host->name);
-	g_free(host->pool);
-	g_free(host->upstream);
-	g_free(host->move_to);
-	g_free(host);
-}
-
-duty_host_t *duties_host(wwh_host_duties_t *duties, const char *name)
-{
-	duty_host_t *host = g_hash_table_lookup(duties->hosts, name);
-
-	if (host != NULL)
-		return host;
-	host = g_new0(duty_host_t, 1);
-	host->name = g_strdup(name);
-	g_hash_table_insert(duties->hosts, host->name, host);
-	return host;
-}
-
 /*
  * An upstream whose host was moved just before a change of holder is on record
  * and answers nobody. All tasks of its pool that the new holder inherited waited
@@ -245,24 +205,3 @@
 			wwh_host_run_state_names[listed->state],
 			duties->now_ms);
 }
-
-void duties_take_back(wwh_host_duties_t *duties, duty_host_t *host)
-{
-	host->cordoned_ms = 0;
-	if (host->upstream != NULL)
-		wwh_scheduler_uncordon(duties->options.scheduler,
-				       host->upstream);
-}
-
-void duties_explain(wwh_host_duties_t *duties, const char *event,
-		    const char *subject, const char *format, ...)
-{
-	char detail[256];
-	va_list arguments;
-
-	va_start(arguments, format);
-	vsnprintf(detail, sizeof(detail), format, arguments);
-	va_end(arguments);
-	duties->calls.explain(event, subject, detail,
-			      duties->calls.client_data);
-}
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -104,19 +104,6 @@
 	send_empty(duties);
 }
 
-void duties_forget_move(duty_host_t *host)
-{
-	host->leaving_pool = false;
-}
-
-void duties_pool_delete(gpointer data)
-{
-	duty_pool_t *pool = data;
-
-	g_free(pool->name);
-	g_free(pool);
-}
-
 static void count_pools(wwh_host_duties_t *duties)
 {
 	GArray *wanted = g_array_new(FALSE, FALSE, sizeof(int32_t));
@@ -219,14 +206,6 @@
 	       duties->now_ms >= host->no_move_until_ms;
 }
 
-/* A host that a wave names and no list has shown has no pool yet. */
-duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name)
-{
-	if (name == NULL)
-		return NULL;
-	return g_hash_table_lookup(duties->pools, name);
-}
-
 static duty_pool_t *neediest(const wwh_host_duties_t *duties)
 {
 	duty_pool_t *found = NULL;
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -77,28 +77,27 @@
 	bool paused;
 };
 
-/* host_duties.c */
+/* host_table.c: what the others share; it calls none of them */
 duty_host_t *duties_host(wwh_host_duties_t *duties, const char *name);
-void duties_explain(wwh_host_duties_t *duties, const char *event,
-		    const char *subject, const char *format, ...)
-	__attribute__((format(printf, 4, 5)));
-
+void duties_host_delete(gpointer host);
+/* With the figures of the last call of duties_run_moves; NULL: no such pool. */
+duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name);
+void duties_pool_delete(gpointer pool);
 /* An order was carried out: a list shows it. */
 void duties_list_soon(wwh_host_duties_t *duties);
-
 /* It isn't emptied any more and gets work again. */
 void duties_take_back(wwh_host_duties_t *duties, duty_host_t *host);
+/* It is wanted for upkeep, or was listed elsewhere: no longer for a move. */
+void duties_forget_move(duty_host_t *host);
+void duties_explain(wwh_host_duties_t *duties, const char *event,
+		    const char *subject, const char *format, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* host_moves.c */
+void duties_run_moves(wwh_host_duties_t *duties);
 
 /* host_waves.c: after duties_run_moves, by whose figures it goes */
 void duties_run_waves(wwh_host_duties_t *duties);
 void duties_wave_delete(gpointer wave);
 
-/* host_moves.c */
-void duties_run_moves(wwh_host_duties_t *duties);
-/* It is wanted for upkeep, or was listed elsewhere: no longer for a move. */
-void duties_forget_move(duty_host_t *host);
-/* With the figures of the last call of duties_run_moves; NULL: no such pool. */
-duty_pool_t *duties_pool(const wwh_host_duties_t *duties, const char *name);
-void duties_pool_delete(gpointer pool);
-
 #endif
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -90,6 +90,7 @@
 	job_request_t *request; /* NULL: was answered without the holder */
 } job_forward_t;
 
+/* job_service_clock.c: a steady clock that goes on while suspended, and the time */
 int64_t job_service_now_ms(void);
 int64_t job_service_wall_ms(void);
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -1,7 +1,6 @@
 #include "waxwinghollow/job_service.h"
 
 #include <string.h>
-#include <time.h>
 
 #include "private/job_service_state.h"
 
@@ -18,8 +17,6 @@
 #define LOG_LINES_PER_S 400
 #define LOG_BYTES_PER_S 80000
 
-#define MILLISECOND_NS 1000000
-#define SECOND_MS 1000
 #define MAX_BODY_BYTES 1048576
 
 static wwh_listener_t *make_listener(wwh_job_service_t *service,
@@ -28,20 +25,6 @@
 static wwh_bad_records_t *make_bad_records(wwh_job_service_t *service,
 					   const char *list);
 
-int64_t job_service_now_ms(void)
-{
-	struct timespec time;
-
-	/* goes on while the host is suspended, as leases do */
-	clock_gettime(CLOCK_BOOTTIME, &time);
-	return (int64_t)time.tv_sec * SECOND_MS + time.tv_nsec / MILLISECOND_NS;
-}
-
-int64_t job_service_wall_ms(void)
-{
-	return g_get_real_time() / G_TIME_SPAN_MILLISECOND;
-}
-
 static void make_histograms(wwh_job_service_t *service)
 {
 	for (int32_t i = 0; i < JOB_REQUEST_KIND_COUNT; i++) {
@@ -192,16 +175,6 @@
 	g_free(service);
 }
 
-bool wwh_job_service_ready(wwh_job_service_t *service)
-{
-	bool ready;
-
-	g_mutex_lock(&service->lock);
-	ready = service->config != NULL && !service->stopping;
-	g_mutex_unlock(&service->lock);
-	return ready;
-}
-
 static wwh_listener_t *make_listener(wwh_job_service_t *service,
 				     const char *name, const wwh_endpoint_t *at,
 				     wwh_listener_handler_t handler)
--- /dev/null
+++ b/src/libwaxwinghollow/job_service_clock.c
@@ -0,0 +1,20 @@
+#include <time.h>
+
+#include "private/job_service_state.h"
+
+#define MILLISECOND_NS 1000000
+#define SECOND_MS 1000
+
+int64_t job_service_now_ms(void)
+{
+	struct timespec time;
+
+	/* goes on while the host is suspended, as leases do */
+	clock_gettime(CLOCK_BOOTTIME, &time);
+	return (int64_t)time.tv_sec * SECOND_MS + time.tv_nsec / MILLISECOND_NS;
+}
+
+int64_t job_service_wall_ms(void)
+{
+	return g_get_real_time() / G_TIME_SPAN_MILLISECOND;
+}
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -95,6 +95,16 @@
 	wwh_job_config_unref(config);
 }
 
+bool wwh_job_service_ready(wwh_job_service_t *service)
+{
+	bool ready;
+
+	g_mutex_lock(&service->lock);
+	ready = service->config != NULL && !service->stopping;
+	g_mutex_unlock(&service->lock);
+	return ready;
+}
+
 void job_service_on_readiness(const wwh_http_request_t *http,
 			      wwh_http_response_t *response, void *client_data)
 {
