--- a/src/libwaxwinghollow/http_pool.c
+++ b/src/libwaxwinghollow/http_pool.c
@@ -9,8 +9,8 @@
  * Connections that are kept in all: a long poll and a few orders to each of
  * 350 upstreams, with the store and the other hosts, within the 4,100
  * descriptors of a small host. With 400 of them a holder of that many upstreams
- * made a new connection for two calls in three: 31,140 and 5,608 on one quiet
- * day.
+ * made 31,140 new connections on a day of 40,000 starts and 33,400 polls, 5,608
+ * with 2,400 (one play each, counted by the upstreams).
  */
 #define KEPT_CONNECTIONS 2400
 
