--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -29,9 +29,9 @@
 #define PROOF_LIMIT_MS 500
 
 /*
- * How long a holder that is turned away may take to hand over, or the store to
- * serve it again: as long as its orders to hosts may be out. After that it
- * counts as silent.
+ * How long a holder that is turned away may take to hand over, from the proof
+ * that this process is served: longer than its orders to hosts may be out. After
+ * that it counts as silent.
  */
 #define HAND_OVER_LIMIT_MS 2000
 
