Hear out an inherited upstream before its tasks start again

Cause: an upstream of the holder before that a list of hosts shows as gone was removed at once, and its answer to this holder's first poll, if on its way, came to nothing with the ends in it.

Ruled out: doing so for each inherited upstream without a poll under way, which has nothing to say. Before: the test fails, the task starts again.

--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -307,7 +307,10 @@
 bool sched_upstream_has_words_left(const wwh_scheduler_t *scheduler,
 				   const sched_upstream_t *upstream)
 {
-	return upstream->poll_in_flight && upstream->tasks->len > 0 &&
+	bool may_tell_ends = upstream->tasks->len > 0 ||
+			     (upstream->inherited && !upstream->settled);
+
+	return upstream->poll_in_flight && may_tell_ends &&
 	       scheduler->now_ms - upstream->gone_ms < LAST_WORDS_MS;
 }
 
@@ -351,7 +354,9 @@
 		if (upstream->inherited && !upstream->settled &&
 		    !upstream->listed &&
 		    !g_hash_table_contains(lives, upstream->info.id))
-			sched_upstream_remove(scheduler, upstream, "no-host");
+			wwh_scheduler_upstream_gone(scheduler,
+						    upstream->info.id,
+						    "no-host", now_ms);
 	}
 	g_list_free(all);
 }
