--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -2,6 +2,9 @@
 
 #include "crew.h"
 
+#define JOB_B "00000000000000bb"
+#define WHOLE_HOST 8000
+
 void a_pool_with_work_gets_hosts_that_rest(void **state)
 {
 	crew_t *crew = *state;
@@ -125,6 +128,56 @@
 	assert_int_equal(crew->moves->len, 0);
 }
 
+static void submit_lasting(crew_t *crew, const char *id, int32_t tasks,
+			   int64_t cpu)
+{
+	wwh_job_t *job = rig_job(id, tasks, cpu);
+
+	job->steps[0].lasting = true;
+	job->steps[0].max_per_upstream = 1;
+	rig_submit(crew->rig, job);
+	for (guint i = 0; i < crew->rig->starts->len; i++)
+		rig_start_ended(crew->rig, rig_order(crew->rig->starts, i),
+				WWH_ORDER_DONE);
+}
+
+/*
+ * Tasks that last take one host each, another job's task a third host whole, and
+ * a fourth host is idle and to leave. A host of the first is lost. Its task fits
+ * nowhere but on the idle one, which takes nothing as it is to leave: the pool
+ * seemed to have enough hosts, and the task stayed away for as long as that one
+ * was kept.
+ */
+void a_lasting_task_takes_back_an_idle_host(void **state)
+{
+	crew_t *crew = *state;
+	rig_order_t lost;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	rig_add_upstream(crew->rig, "u3", "10.0.0.3:1");
+	rig_add_upstream(crew->rig, "u4", "10.0.0.4:1");
+	submit_lasting(crew, JOB_B, 1, WHOLE_HOST);
+	submit_lasting(crew, JOB_A, 2, 1000);
+	assert_int_equal(crew->rig->starts->len, 3);
+	lost = *rig_order(crew->rig->starts, 2);
+	crew_run(crew, 1);
+	crew_hosts(crew, 4, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	crew_run(crew, 100);
+	wwh_scheduler_upstream_gone(crew->rig->scheduler, lost.upstream, "down",
+				    crew->rig->now_ms);
+	for (int32_t passed_ms = 0; passed_ms < WWH_REST_AFTER_MS - 200;
+	     passed_ms += 50) {
+		rig_run(crew->rig, 50);
+		crew_run(crew, 0);
+	}
+	assert_int_equal(crew->moves->len, 0);
+	assert_int_equal(crew->rig->starts->len, 4);
+}
+
 /*
  * A turn begins just after the last one's hosts were sent to rest. They stood
  * idle for a while beside a pool that wanted all of them.
