Count hosts for lasting tasks that fit nowhere

Cause, by the logs of a LOST: the size of a pool was at least the hosts that lasting tasks are on and what one step needs by itself. A task that fits on none of those (full, or with a task of its step) drew no host, and one that came was to leave at once and took nothing.

Work that no host can hold draws none, as before.

--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -16,6 +16,11 @@
 static void add_occurrence(const wwh_scheduler_t *scheduler,
 			   const sched_occurrence_t *occurrence,
 			   wwh_pool_figures_t *figures);
+static int32_t hosts_for_homeless(wwh_scheduler_t *scheduler,
+				  const sched_pool_t *pool,
+				  int64_t host_millicores);
+static int32_t hosts_for_step(wwh_scheduler_t *scheduler, sched_step_t *step,
+			      int64_t host_millicores);
 static void add_lasting(const sched_step_t *step, wwh_pool_figures_t *figures);
 static void add_step(const wwh_scheduler_t *scheduler, const sched_step_t *step,
 		     wwh_pool_figures_t *figures);
@@ -157,10 +162,69 @@
 			}
 		}
 	}
-	figures.hosts_bound = MAX(figures.hosts_bound, with_lasting);
+	figures.hosts_bound =
+		MAX(figures.hosts_bound,
+		    with_lasting + hosts_for_homeless(scheduler, pool,
+						      figures.host_millicores));
 	return figures;
 }
 
+/*
+ * Lasting tasks that fit on no host that takes work: those with lasting tasks
+ * may be full, or have all that they may of the step. Not counted, a task whose
+ * host is lost waits beside an idle one that is to leave, as its pool seems to
+ * have enough.
+ */
+static int32_t hosts_for_homeless(wwh_scheduler_t *scheduler,
+				  const sched_pool_t *pool,
+				  int64_t host_millicores)
+{
+	int32_t hosts = 0;
+
+	for (guint i = 0; i < scheduler->live->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+
+		if (job->pool != pool || !sched_job_is_live(job))
+			continue;
+		for (guint k = 0; k < job->occurrences->len; k++) {
+			const sched_occurrence_t *occurrence =
+				g_ptr_array_index(job->occurrences, k);
+
+			for (int32_t n = 0; n < job->spec->step_count; n++)
+				hosts += hosts_for_step(scheduler,
+							&occurrence->steps[n],
+							host_millicores);
+		}
+	}
+	return hosts;
+}
+
+/* Tasks of a step are alike: one that waits speaks for all that do. */
+static int32_t hosts_for_step(wwh_scheduler_t *scheduler, sched_step_t *step,
+			      int64_t host_millicores)
+{
+	const wwh_job_step_t *spec = step->spec;
+	sched_task_t *waits = NULL;
+	int32_t count = 0;
+
+	if (!spec->lasting || !sched_step_is_ready(step) ||
+	    spec->need.cpu_millicores > host_millicores)
+		return 0;
+	for (int32_t i = 0; i < spec->task_count; i++) {
+		sched_task_t *task = &step->tasks[i];
+
+		if (sched_task_state(task) != TASK_WAITING || task->inherited)
+			continue;
+		waits = task;
+		count++;
+	}
+	if (waits == NULL || sched_task_fits_elsewhere(scheduler, waits))
+		return 0;
+	return spec->max_per_upstream > 0 ? (count + spec->max_per_upstream -
+					     1) / spec->max_per_upstream
+					  : 1;
+}
+
 /*
  * Whether each lasting step on upstream can miss what runs there. What is
  * away for another reason counts: two causes at once would take more tasks
--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -141,14 +141,40 @@
 				WWH_ORDER_DONE);
 }
 
+/* So many hosts, each with its upstream; that of one is down. */
+static void list_without(crew_t *crew, int32_t hosts, const char *upstream)
+{
+	wwh_host_duties_list_begin(crew->duties);
+	for (int32_t i = 1; i <= hosts; i++) {
+		char name[16];
+		char life[16];
+		bool is_down;
+
+		snprintf(name, sizeof(name), "h%d", i);
+		snprintf(life, sizeof(life), "u%d", i);
+		is_down = strcmp(life, upstream) == 0;
+		crew_host(crew, name, RIG_POOL, is_down ? "" : life,
+			  is_down ? WWH_HOST_DOWN : WWH_HOST_UP);
+	}
+	crew_listed(crew);
+}
+
+static void run_both(crew_t *crew, int64_t span_ms)
+{
+	for (int64_t passed_ms = 0; passed_ms < span_ms; passed_ms += 50) {
+		rig_run(crew->rig, 50);
+		crew_run(crew, 0);
+	}
+}
+
 /*
- * Tasks that last take one host each, another job's task a third host whole, and
- * a fourth host is idle and to leave. A host of the first is lost. Its task fits
- * nowhere but on the idle one, which takes nothing as it is to leave: the pool
- * seemed to have enough hosts, and the task stayed away for as long as that one
- * was kept.
+ * Tasks of a step that last have a host each, and a task of another job fills a
+ * third host. One of the first is lost. When a host comes, its task fits there
+ * and nowhere else; but the pool had as many hosts as lasting tasks were on, so
+ * that the new one was to leave and took nothing. The task stayed away for as
+ * long as that host was kept.
  */
-void a_lasting_task_takes_back_an_idle_host(void **state)
+void a_lasting_task_keeps_a_host_that_comes(void **state)
 {
 	crew_t *crew = *state;
 	rig_order_t lost;
@@ -158,24 +184,28 @@
 	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
 	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
 	rig_add_upstream(crew->rig, "u3", "10.0.0.3:1");
-	rig_add_upstream(crew->rig, "u4", "10.0.0.4:1");
 	submit_lasting(crew, JOB_B, 1, WHOLE_HOST);
 	submit_lasting(crew, JOB_A, 2, 1000);
 	assert_int_equal(crew->rig->starts->len, 3);
 	lost = *rig_order(crew->rig->starts, 2);
 	crew_run(crew, 1);
-	crew_hosts(crew, 4, true, WWH_HOST_UP);
-	crew_run(crew, 1);
-	crew_run(crew, 100);
+	crew_hosts(crew, 3, true, WWH_HOST_UP);
+	run_both(crew, 100);
 	wwh_scheduler_upstream_gone(crew->rig->scheduler, lost.upstream, "down",
 				    crew->rig->now_ms);
-	for (int32_t passed_ms = 0; passed_ms < WWH_REST_AFTER_MS - 200;
-	     passed_ms += 50) {
-		rig_run(crew->rig, 50);
-		crew_run(crew, 0);
-	}
+	list_without(crew, 3, lost.upstream);
+	run_both(crew, 1000);
+	assert_int_equal(crew->rig->starts->len, 3);
+	rig_announce(crew->rig, "u4", "10.0.0.4:1", false);
+	list_without(crew, 4, lost.upstream);
+	run_both(crew, 100);
+	rig_answer_poll(crew->rig, "u4", NULL, 0, NULL, 0);
+	rig_run(crew->rig, 1);
+	rig_durable(crew->rig);
+	run_both(crew, 500);
 	assert_int_equal(crew->moves->len, 0);
 	assert_int_equal(crew->rig->starts->len, 4);
+	assert_string_equal(rig_order(crew->rig->starts, 3)->upstream, "u4");
 }
 
 /*
