Let hosts that are only at hand take work of their pool

Hosts that a pool doesn't want for 30 s were kept from work all that time, and jobs that are late, for which no host is called, waited beside them.

Now such a host is emptied only when another pool wants it or its time is over; one that a lasting task came to stays.

Tests: late work goes to a host at hand (fails before: one start, two wanted); a host that nobody needs rests in the end. a_pause_within_a_turn_moves_no_host expected idle hosts to be kept from work at once, which was the fault; it expects the contrary now, and all else as before.

--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -32,6 +32,8 @@
 static duty_host_t *least_loaded(wwh_host_duties_t *duties,
 				 const duty_pool_t *pool);
 static void send_empty(wwh_host_duties_t *duties);
+static bool may_leave(wwh_host_duties_t *duties, duty_host_t *host,
+		      duty_pool_t *from, const duty_pool_t *to);
 static bool is_empty(wwh_host_duties_t *duties, const duty_host_t *host);
 static void send_move(wwh_host_duties_t *duties, duty_host_t *host,
 		      const char *pool);
@@ -341,13 +343,9 @@
 		bool resting = from != NULL && from->standby;
 
 		if (from == NULL || !may_move(duties, host) ||
-		    (resting && to == NULL) ||
-		    (!resting &&
-		     (!host->leaving_pool || !is_empty(duties, host))) ||
 		    (to == NULL && rest == NULL))
 			continue;
-		if (to == NULL &&
-		    duties->now_ms - host->leaving_ms < WWH_REST_AFTER_MS)
+		if (resting ? to == NULL : !may_leave(duties, host, from, to))
 			continue;
 		send_move(duties, host, to != NULL ? to->name : rest);
 		if (to != NULL)
@@ -356,12 +354,37 @@
 	}
 }
 
+/*
+ * A host that is only at hand isn't emptied: it is paid for, and late work of its
+ * own pool, for which no host is called, waited beside it. It stays where a
+ * lasting task has come to it meanwhile.
+ */
+static bool may_leave(wwh_host_duties_t *duties, duty_host_t *host,
+		      duty_pool_t *from, const duty_pool_t *to)
+{
+	wwh_scheduler_t *scheduler = duties->options.scheduler;
+
+	if (!host->leaving_pool || host->upstream == NULL)
+		return false;
+	if (wwh_scheduler_upstream_load(scheduler, host->upstream).lasting >
+	    0) {
+		host->leaving_pool = false;
+		from->have++;
+		wwh_scheduler_uncordon(scheduler, host->upstream);
+		return false;
+	}
+	if (to == NULL &&
+	    duties->now_ms - host->leaving_ms < WWH_REST_AFTER_MS) {
+		wwh_scheduler_uncordon(scheduler, host->upstream);
+		return false;
+	}
+	return is_empty(duties, host);
+}
+
 static bool is_empty(wwh_host_duties_t *duties, const duty_host_t *host)
 {
 	wwh_upstream_load_t load;
 
-	if (host->upstream == NULL)
-		return false;
 	if (!wwh_scheduler_cordon(duties->options.scheduler, host->upstream,
 				  false, duties->now_ms))
 		return false;
--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -297,6 +297,10 @@
 		cmocka_unit_test_setup_teardown(                               \
 			a_lull_between_two_turns_moves_no_host, set_up,        \
 			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_host_at_hand_takes_late_work, set_up, tear_down),    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_host_at_hand_rests_in_the_end, set_up, tear_down),   \
 		cmocka_unit_test_setup_teardown(                               \
 			a_pause_within_a_turn_moves_no_host, set_up,           \
 			tear_down),                                            \
@@ -313,6 +317,8 @@
 void a_pause_within_a_turn_moves_no_host(void **state);
 void a_lasting_task_keeps_a_host_that_comes(void **state);
 void a_lull_between_two_turns_moves_no_host(void **state);
+void a_host_at_hand_takes_late_work(void **state);
+void a_host_at_hand_rests_in_the_end(void **state);
 void a_host_that_rests_is_called_back_at_once(void **state);
 void a_host_that_leaves_is_replaced_before_it_has_gone(void **state);
 
--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -6,6 +6,14 @@
 #define WHOLE_HOST 8000
 #define LULL_MS 12000
 
+static void run_both(crew_t *crew, int64_t span_ms)
+{
+	for (int64_t passed_ms = 0; passed_ms < span_ms; passed_ms += 50) {
+		rig_run(crew->rig, 50);
+		crew_run(crew, 0);
+	}
+}
+
 void a_pool_with_work_gets_hosts_that_rest(void **state)
 {
 	crew_t *crew = *state;
@@ -120,7 +128,7 @@
 	crew_run(crew, 1);
 	crew_hosts(crew, 2, true, WWH_HOST_UP);
 	crew_run(crew, 1);
-	assert_true(crew_cordoned(crew));
+	assert_false(crew_cordoned(crew));
 	crew_run(crew, 1000);
 	rig_submit(crew->rig, rig_job(JOB_A, 60, 1000));
 	crew_run(crew, 1);
@@ -129,6 +137,49 @@
 	assert_int_equal(crew->moves->len, 0);
 }
 
+/*
+ * A pool has more work than its hosts do in time. Jobs that are late call no
+ * host, and the idle ones of their own pool were kept from them: jobs waited
+ * beside hosts that were paid for.
+ */
+void a_host_at_hand_takes_late_work(void **state)
+{
+	crew_t *crew = *state;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	run_both(crew, 1000);
+	/* one host would do: the pool wants no other */
+	rig_submit(crew->rig, rig_job(JOB_A, 2, WHOLE_HOST));
+	assert_int_equal(crew->rig->starts->len, 2);
+	assert_string_not_equal(rig_order(crew->rig->starts, 0)->upstream,
+				rig_order(crew->rig->starts, 1)->upstream);
+}
+
+/* One that nobody needs for long is emptied and goes. */
+void a_host_at_hand_rests_in_the_end(void **state)
+{
+	crew_t *crew = *state;
+
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	crew_run(crew, 1);
+	crew_run(crew, WWH_REST_AFTER_MS - 1);
+	assert_int_equal(crew->moves->len, 0);
+	crew_run(crew, 1);
+	assert_int_equal(crew->moves->len, 1);
+	assert_true(crew_cordoned(crew));
+	assert_true(g_str_has_suffix(crew_moved(crew, 0), " rest"));
+}
+
 /*
  * Pools have their turns one after the other, and 12 s lie between two of the
  * same pool. Its hosts were sent to rest and called back each time: two moves,
@@ -184,14 +235,6 @@
 	crew_listed(crew);
 }
 
-static void run_both(crew_t *crew, int64_t span_ms)
-{
-	for (int64_t passed_ms = 0; passed_ms < span_ms; passed_ms += 50) {
-		rig_run(crew->rig, 50);
-		crew_run(crew, 0);
-	}
-}
-
 /*
  * Tasks of a step that last have a host each, and a task of another job fills a
  * third host. One of the first is lost. When a host comes, its task fits there
