Show a holder's loop that can't keep up, and rare events beside a flood

New: the overrun of the holder's turns as a histogram, loop-late and loop-in-time lines (lateness, a pure module), and a tenth of the log's budget for events that are rare in their second. No decision hangs on them yet.

--- a/include/waxwinghollow/event_log.h
+++ b/include/waxwinghollow/event_log.h
@@ -11,7 +11,9 @@
  *	decided it, as name=value). docs/OPERATIONS.md lists the events.
  *
  *	Lines beyond the budget, and lines that a full pipe doesn't take, are
- *	dropped and counted; the next line that gets out says how many.
+ *	dropped and counted; the next line that gets out says how many. A small
+ *	budget of its own is for events that are rare in their second: without
+ *	it, a change of holder is lost among the starts of tasks.
  *
  * ORDER OF CALLS
  *	wwh_event_log_new, wwh_event_log_write by any thread,
@@ -27,6 +29,9 @@
 	int fd; /* set to non-blocking */
 	int32_t lines_per_s;
 	int32_t bytes_per_s;
+	/* Besides, for rare events, once those two are spent. */
+	int32_t rare_lines_per_s;
+	int32_t rare_bytes_per_s;
 	/* Of the steady clock and the time of day. */
 	int64_t (*now_ms)(void);
 	int64_t (*wall_ms)(void);
--- a/src/libwaxwinghollow/event_log.c
+++ b/src/libwaxwinghollow/event_log.c
@@ -19,22 +19,34 @@
 #define ID_BYTES 96
 #define DETAIL_MAX_BYTES 480
 
+/* An event that has been written less often in its second is a rare one. */
+#define RARE_LINES 4
+
+typedef struct {
+	int32_t lines;
+	int32_t bytes;
+} spent_t;
+
 struct wwh_event_log {
 	wwh_event_log_options_t options;
 	char *node;
 	GMutex lock;
 	int64_t second; /* of the steady clock that the budget is for */
-	int32_t lines;
-	int32_t bytes;
+	spent_t usual;
+	spent_t rare;
+	GHashTable *events; /* name to count of lines in that second */
 	int64_t dropped; /* since the last line that got out */
 	wwh_counter_t *written;
 	wwh_counter_t *lost;
 };
 
-static bool within_budget(wwh_event_log_t *log);
+static spent_t *budget_of(wwh_event_log_t *log, const char *event);
+static bool is_left(const spent_t *spent, int32_t lines, int32_t bytes);
+static bool is_rare(const wwh_event_log_t *log, const char *event);
+static void note_event(wwh_event_log_t *log, const char *event);
 static void put_text(GString *line, const char *name, const char *text,
 		     size_t most);
-static void emit(wwh_event_log_t *log, const GString *line);
+static bool emit(wwh_event_log_t *log, const GString *line);
 
 wwh_event_log_t *wwh_event_log_new(const wwh_event_log_options_t *options,
 				   wwh_counters_t *counters)
@@ -47,6 +59,8 @@
 	g_mutex_init(&log->lock);
 	log->written = wwh_counters_get(counters, "log.lines");
 	log->lost = wwh_counters_get(counters, "log.lines_dropped");
+	log->events =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	/* a reader that stops reading costs lines, not requests */
 	if (flags < 0 || fcntl(options->fd, F_SETFL, flags | O_NONBLOCK) < 0)
 		g_warning("the log's file can't be made non-blocking");
@@ -58,6 +72,7 @@
 	if (log == NULL)
 		return;
 	g_mutex_clear(&log->lock);
+	g_hash_table_destroy(log->events);
 	g_free(log->node);
 	g_free(log);
 }
@@ -66,9 +81,11 @@
 			 const char *id, const char *detail)
 {
 	GString *line;
+	spent_t *budget;
 
 	g_mutex_lock(&log->lock);
-	if (!within_budget(log)) {
+	budget = budget_of(log, event);
+	if (budget == NULL) {
 		log->dropped++;
 		wwh_counter_add(log->lost, 1);
 		g_mutex_unlock(&log->lock);
@@ -86,7 +103,11 @@
 				       ",\"dropped_before\":%" G_GINT64_FORMAT,
 				       log->dropped);
 	g_string_append(line, "}\n");
-	emit(log, line);
+	if (emit(log, line)) {
+		budget->lines++;
+		budget->bytes += (int32_t)line->len;
+		note_event(log, event);
+	}
 	g_mutex_unlock(&log->lock);
 	g_string_free(line, TRUE);
 }
@@ -103,17 +124,45 @@
 	wwh_event_log_write(log, event, id, detail);
 }
 
-static bool within_budget(wwh_event_log_t *log)
+/* NULL: both are spent. */
+static spent_t *budget_of(wwh_event_log_t *log, const char *event)
 {
-	int64_t second = log->options.now_ms() / SECOND_MS;
+	const wwh_event_log_options_t *options = &log->options;
+	int64_t second = options->now_ms() / SECOND_MS;
 
 	if (second != log->second) {
 		log->second = second;
-		log->lines = 0;
-		log->bytes = 0;
+		log->usual = (spent_t){ 0 };
+		log->rare = (spent_t){ 0 };
+		g_hash_table_remove_all(log->events);
 	}
-	return log->lines < log->options.lines_per_s &&
-	       log->bytes < log->options.bytes_per_s;
+	if (is_left(&log->usual, options->lines_per_s, options->bytes_per_s))
+		return &log->usual;
+	if (is_rare(log, event) &&
+	    is_left(&log->rare, options->rare_lines_per_s,
+		    options->rare_bytes_per_s))
+		return &log->rare;
+	return NULL;
+}
+
+static bool is_left(const spent_t *spent, int32_t lines, int32_t bytes)
+{
+	return spent->lines < lines && spent->bytes < bytes;
+}
+
+static bool is_rare(const wwh_event_log_t *log, const char *event)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(log->events, event)) <
+	       RARE_LINES;
+}
+
+static void note_event(wwh_event_log_t *log, const char *event)
+{
+	int32_t count =
+		GPOINTER_TO_INT(g_hash_table_lookup(log->events, event));
+
+	g_hash_table_replace(log->events, g_strdup(event),
+			     GINT_TO_POINTER(count + 1));
 }
 
 /*
@@ -140,17 +189,17 @@
 	g_free(cut);
 }
 
-static void emit(wwh_event_log_t *log, const GString *line)
+/* False: a full pipe took it not, or in part. */
+static bool emit(wwh_event_log_t *log, const GString *line)
 {
 	ssize_t written = write(log->options.fd, line->str, line->len);
 
 	if (written != (ssize_t)line->len) {
 		log->dropped++;
 		wwh_counter_add(log->lost, 1);
-		return;
+		return false;
 	}
-	log->lines++;
-	log->bytes += (int32_t)line->len;
 	log->dropped = 0;
 	wwh_counter_add(log->written, 1);
+	return true;
 }
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -14,8 +14,10 @@
 #define LAST_ANSWERS_MS 300
 
 /* Bounds of the log: a day's lines are read by people. */
-#define LOG_LINES_PER_S 400
-#define LOG_BYTES_PER_S 80000
+#define LOG_LINES_PER_S 360
+#define LOG_BYTES_PER_S 72000
+#define LOG_RARE_LINES_PER_S 40
+#define LOG_RARE_BYTES_PER_S 8000
 
 #define MAX_BODY_BYTES 1048576
 
@@ -35,6 +37,8 @@
 			wwh_counters_histogram(service->counters, name);
 		g_free(name);
 	}
+	service->overrun_ms =
+		wwh_counters_histogram(service->counters, "holder.overrun_ms");
 }
 
 wwh_job_service_t *wwh_job_service_new(const wwh_host_settings_t *settings,
@@ -46,6 +50,8 @@
 		.fd = log_fd,
 		.lines_per_s = LOG_LINES_PER_S,
 		.bytes_per_s = LOG_BYTES_PER_S,
+		.rare_lines_per_s = LOG_RARE_LINES_PER_S,
+		.rare_bytes_per_s = LOG_RARE_BYTES_PER_S,
 		.now_ms = job_service_now_ms,
 		.wall_ms = job_service_wall_ms,
 	};
@@ -54,6 +60,7 @@
 	g_mutex_init(&service->lock);
 	service->counters = wwh_counters_new();
 	make_histograms(service);
+	service->lateness = wwh_lateness_new();
 	service->log = wwh_event_log_new(&log, service->counters);
 	service->bad_orders = make_bad_records(service, "operator");
 	service->bad_claims = make_bad_records(service, "shard");
@@ -166,6 +173,7 @@
 	wwh_job_config_unref(service->config);
 	wwh_bad_records_delete(service->bad_orders);
 	wwh_bad_records_delete(service->bad_claims);
+	wwh_lateness_delete(service->lateness);
 	wwh_event_log_delete(service->log);
 	wwh_counters_delete(service->counters);
 	wwh_host_settings_clear(&service->settings);
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -26,6 +26,7 @@
 #define SETTLE_MS 750
 
 static void take_answers(wwh_job_service_t *service);
+static void judge_turn(wwh_job_service_t *service, int64_t wait_ms);
 static void run_once(wwh_job_service_t *service);
 static void hand_over(wwh_job_service_t *service, int64_t now_ms);
 static void tell_state(wwh_job_service_t *service, int64_t now_ms);
@@ -60,6 +61,7 @@
 
 	if (service->holder != NULL)
 		wait_ms = wwh_job_holder_wait_ms(service->holder);
+	judge_turn(service, wait_ms);
 	while (wait_ms > 0) {
 		wwh_http_calls_poll(service->calls, (int32_t)wait_ms);
 		if (service->holder == NULL)
@@ -69,6 +71,35 @@
 	}
 }
 
+/* Called between two turns: of the one that ends, and the next one's wait. */
+static void judge_turn(wwh_job_service_t *service, int64_t wait_ms)
+{
+	int64_t now_ms = job_service_now_ms();
+	int64_t turn_ms = now_ms - service->turn_begun_ms;
+	int64_t overrun_ms = MAX(turn_ms - service->turn_wait_ms, 0);
+	bool was_late = wwh_lateness_is_late(service->lateness);
+	bool is_late;
+
+	if (service->holder == NULL || service->turn_begun_ms == 0) {
+		wwh_lateness_reset(service->lateness);
+		service->turn_begun_ms = service->holder == NULL ? 0 : now_ms;
+		service->turn_wait_ms = wait_ms;
+		return;
+	}
+	service->turn_begun_ms = now_ms;
+	service->turn_wait_ms = wait_ms;
+	wwh_histogram_add(service->overrun_ms, overrun_ms);
+	wwh_lateness_turn(service->lateness, turn_ms, overrun_ms);
+	is_late = wwh_lateness_is_late(service->lateness);
+	if (is_late != was_late)
+		wwh_event_log_printf(
+			service->log, is_late ? "loop-late" : "loop-in-time",
+			service->settings.name,
+			"turn_ms=%" G_GINT64_FORMAT
+			" behind_ms=%" G_GINT64_FORMAT,
+			turn_ms, wwh_lateness_behind_ms(service->lateness));
+}
+
 static void run_once(wwh_job_service_t *service)
 {
 	int64_t now_ms = job_service_now_ms();
--- /dev/null
+++ b/src/libwaxwinghollow/lateness.c
@@ -0,0 +1,56 @@
+#include "waxwinghollow/lateness.h"
+
+#include <glib.h>
+
+/*
+ * Behind by so much, a loop is late. Inherited work puts the loop of a new
+ * holder behind by a third of that, and it makes up for it.
+ */
+#define LATE_MS 300
+
+/* Of one turn: a process that stood still once is awake now, and isn't slow. */
+#define TURN_MOST_MS 200
+
+struct wwh_lateness {
+	int64_t behind_ms;
+	bool late;
+};
+
+wwh_lateness_t *wwh_lateness_new(void)
+{
+	return g_new0(wwh_lateness_t, 1);
+}
+
+void wwh_lateness_delete(wwh_lateness_t *lateness)
+{
+	g_free(lateness);
+}
+
+void wwh_lateness_turn(wwh_lateness_t *lateness, int64_t turn_ms,
+		       int64_t overrun_ms)
+{
+	int64_t in_time_ms = MAX(turn_ms - overrun_ms, 0);
+	int64_t behind_ms = lateness->behind_ms - in_time_ms;
+
+	behind_ms += CLAMP(overrun_ms, 0, TURN_MOST_MS);
+	lateness->behind_ms = CLAMP(behind_ms, 0, LATE_MS);
+	if (lateness->behind_ms == LATE_MS)
+		lateness->late = true;
+	else if (lateness->behind_ms == 0)
+		lateness->late = false;
+}
+
+bool wwh_lateness_is_late(const wwh_lateness_t *lateness)
+{
+	return lateness->late;
+}
+
+int64_t wwh_lateness_behind_ms(const wwh_lateness_t *lateness)
+{
+	return lateness->behind_ms;
+}
+
+void wwh_lateness_reset(wwh_lateness_t *lateness)
+{
+	*lateness = (wwh_lateness_t){ 0 };
+}
--- a/src/test_event_log/test_event_log.c
+++ b/src/test_event_log/test_event_log.c
@@ -23,6 +23,7 @@
 typedef struct {
 	int read_fd;
 	int write_fd;
+	wwh_event_log_options_t options;
 	wwh_counters_t *counters;
 	wwh_event_log_t *log;
 } log_rig_t;
@@ -51,6 +52,7 @@
 	rig->write_fd = fds[1];
 	assert_int_equal(fcntl(fds[0], F_SETFL, O_NONBLOCK), 0);
 	options.fd = fds[1];
+	rig->options = options;
 	rig->counters = wwh_counters_new();
 	rig->log = wwh_event_log_new(&options, rig->counters);
 	return rig;
@@ -148,6 +150,41 @@
 	now_ms += SECOND_MS;
 }
 
+/*
+ * Starts of tasks spend a second's budget, and in that second a pool is settled
+ * after a change of holder: its line was dropped with the others, so that nobody
+ * could tell how long the pool had waited. Rare events have a budget of their
+ * own, which a flood of one event can't spend.
+ */
+static void a_rare_event_gets_out_beside_a_flood(void **state)
+{
+	wwh_event_log_options_t options;
+	log_rig_t *rig = *state;
+	GPtrArray *lines;
+
+	options = rig->options;
+	options.rare_lines_per_s = 2;
+	options.rare_bytes_per_s = BYTES_PER_S;
+	wwh_event_log_delete(rig->log);
+	rig->log = wwh_event_log_new(&options, rig->counters);
+	for (int32_t i = 0; i < 10 * LINES_PER_S; i++)
+		wwh_event_log_write(rig->log, "tasks-started", "job", "");
+	wwh_event_log_write(rig->log, "pool-settled", "desk", "after_ms=3");
+	lines = read_lines(rig);
+	assert_int_equal(lines->len, LINES_PER_S + 1);
+	assert_string_equal(
+		json_object_get_string_member(last_of(lines), "event"),
+		"pool-settled");
+	g_ptr_array_unref(lines);
+	/* all rare events together have a bound too */
+	for (int32_t i = 0; i < LINES_PER_S; i++)
+		wwh_event_log_write(rig->log, "pool-settled", "desk", "");
+	lines = read_lines(rig);
+	assert_int_equal(lines->len, 1);
+	g_ptr_array_unref(lines);
+	now_ms += SECOND_MS;
+}
+
 static void long_lines_are_cut_at_the_budget_of_bytes(void **state)
 {
 	log_rig_t *rig = *state;
@@ -246,6 +283,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_flood_is_cut_at_the_budget_and_counted, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_rare_event_gets_out_beside_a_flood, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			long_lines_are_cut_at_the_budget_of_bytes, set_up,
 			tear_down),
--- /dev/null
+++ b/src/test_lateness/test_lateness.c
@@ -0,0 +1,112 @@
+/*
+ * Whether a loop keeps up, by turns as they were recorded of holders: of sound
+ * hosts, one that begins, and hosts that turn six times slower.
+ */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+#include "waxwinghollow/lateness.h"
+
+#define WAIT_MS 20
+
+/* Turns of that length until the loop is late; -1: it isn't within so many. */
+static int32_t turns_until_late(wwh_lateness_t *lateness, int64_t turn_ms,
+				int32_t most)
+{
+	for (int32_t i = 0; i < most; i++) {
+		if (wwh_lateness_is_late(lateness))
+			return i;
+		wwh_lateness_turn(lateness, turn_ms,
+				  turn_ms > WAIT_MS ? turn_ms - WAIT_MS : 0);
+	}
+	return -1;
+}
+
+static void a_loop_that_waits_most_of_the_time_is_never_late(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	assert_int_equal(turns_until_late(lateness, 5, 2000), -1);
+	assert_int_equal(turns_until_late(lateness, WAIT_MS + 1, 2000), -1);
+	wwh_lateness_delete(lateness);
+}
+
+/*
+ * A host turns slow at the top of a peak. The turns of its loop grow from 5 to
+ * some 90 ms, callers wait for seconds, and each question to it is answered in
+ * time all the while. The loop itself shows it within half a second.
+ */
+static void a_slow_host_shows_within_half_a_second(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+	int32_t turns;
+
+	(void)state;
+	turns = turns_until_late(lateness, 90, 100);
+	assert_in_range(turns * 90, 1, 600);
+	wwh_lateness_reset(lateness);
+	turns = turns_until_late(lateness, 500, 100);
+	assert_in_range(turns * 500, 1, 1000);
+	wwh_lateness_delete(lateness);
+}
+
+/* A new holder: 30 ms turns for what it inherited, then 5 ms ones. */
+static void a_loop_that_makes_up_for_it_is_not_late(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	for (int32_t i = 0; i < 100; i++) {
+		wwh_lateness_turn(lateness, 65, 45);
+		for (int32_t k = 0; k < 6; k++)
+			wwh_lateness_turn(lateness, 5, 0);
+	}
+	assert_false(wwh_lateness_is_late(lateness));
+	wwh_lateness_delete(lateness);
+}
+
+/* Frozen for seconds and awake again, it is as fast as before. */
+static void one_pause_is_no_lateness(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	wwh_lateness_turn(lateness, 3000, 2980);
+	assert_false(wwh_lateness_is_late(lateness));
+	wwh_lateness_delete(lateness);
+}
+
+/* It takes as long to be believed in time again as it was behind. */
+static void a_late_loop_is_in_time_once_it_has_caught_up(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	assert_true(turns_until_late(lateness, 90, 100) > 0);
+	wwh_lateness_turn(lateness, 5, 0);
+	assert_true(wwh_lateness_is_late(lateness));
+	assert_true(wwh_lateness_behind_ms(lateness) > 0);
+	for (int32_t i = 0; i < 60; i++)
+		wwh_lateness_turn(lateness, 5, 0);
+	assert_false(wwh_lateness_is_late(lateness));
+	wwh_lateness_delete(lateness);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(
+			a_loop_that_waits_most_of_the_time_is_never_late),
+		cmocka_unit_test(a_slow_host_shows_within_half_a_second),
+		cmocka_unit_test(a_loop_that_makes_up_for_it_is_not_late),
+		cmocka_unit_test(one_pause_is_no_lateness),
+		cmocka_unit_test(a_late_loop_is_in_time_once_it_has_caught_up),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
