--- /dev/null
+++ b/src/test_job_service/service_fixture.h
@@ -0,0 +1,226 @@
+#ifndef TEST_JOB_SERVICE_SERVICE_FIXTURE_H
+#define TEST_JOB_SERVICE_SERVICE_FIXTURE_H
+
+/*
+ * Two processes of the job service on a stand-in of the platform, and short
+ * calls that ask them what callers and other processes ask.
+ */
+
+#include "../test_standins/include/free_port.h"
+#include "../test_standins/include/standin_jobs.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "waxwinghollow/job_service.h"
+#include "waxwinghollow/upstream.h"
+
+#define PROCESSES 2
+#define WAIT_LIMIT_MS 15000
+#define GRACE_MS 3000
+typedef struct {
+	standin_t *standin;
+	wwh_job_service_t *services[PROCESSES];
+	int32_t ports[PROCESSES]; /* of callers */
+	int32_t peer_ports[PROCESSES];
+	int64_t cpu_permille[PROCESSES]; /* 0: as by default */
+	wwh_counters_t *counters;
+	wwh_upstream_t *client;
+	int log_fd;
+	const char *patience_ms; /* of callers */
+} fixture_t;
+
+static inline void start_process(fixture_t *fixture, int32_t index)
+{
+	wwh_host_settings_t settings;
+	wwh_message_t message = { "" };
+	int32_t store = wwh_listener_port(fixture->standin->store);
+
+	wwh_host_settings_init(&settings);
+	settings.name = g_strdup_printf("p%d", index);
+	settings.callers.address = g_strdup("127.0.0.1");
+	settings.callers.port = standin_free_port();
+	settings.readiness.address = g_strdup("127.0.0.1");
+	settings.readiness.port = standin_free_port();
+	settings.peers.address = g_strdup("127.0.0.1");
+	settings.peers.port = standin_free_port();
+	settings.store = g_strdup_printf("127.0.0.1:%d", store);
+	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
+	settings.grace_ms = GRACE_MS;
+	if (fixture->cpu_permille[index] != 0)
+		settings.cpu_permille = fixture->cpu_permille[index];
+	fixture->ports[index] = settings.callers.port;
+	fixture->peer_ports[index] = settings.peers.port;
+	fixture->services[index] =
+		wwh_job_service_new(&settings, fixture->log_fd);
+	assert_int_equal(
+		wwh_job_service_init(fixture->services[index], &message),
+		WWH_STATUS_OK);
+}
+
+static inline void stop_process(fixture_t *fixture, int32_t index)
+{
+	(void)wwh_job_service_finish(fixture->services[index]);
+	wwh_job_service_delete(fixture->services[index]);
+	fixture->services[index] = NULL;
+}
+
+static inline int set_up(void **state)
+{
+	fixture_t *fixture = g_new0(fixture_t, 1);
+	wwh_upstream_options_t options = wwh_upstream_options_defaults();
+
+	fixture->standin = standin_new();
+	fixture->patience_ms = "1500";
+	fixture->counters = wwh_counters_new();
+	fixture->client = wwh_upstream_new(&options, fixture->counters);
+	fixture->log_fd = open("/dev/null", O_WRONLY);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		start_process(fixture, i);
+	*state = fixture;
+	return 0;
+}
+
+static inline int tear_down(void **state)
+{
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (fixture->services[i] != NULL)
+			stop_process(fixture, i);
+	}
+	wwh_upstream_delete(fixture->client);
+	wwh_counters_delete(fixture->counters);
+	close(fixture->log_fd);
+	assert_int_equal(fixture->standin->twice, 0);
+	standin_delete(fixture->standin);
+	g_free(fixture);
+	return 0;
+}
+
+/* The status of one request; *text gets the body, to be freed. */
+static inline int32_t ask(fixture_t *fixture, int32_t index, const char *method,
+			  const char *target, const char *body, char **text)
+{
+	wwh_headers_t *headers = wwh_headers_new();
+	wwh_http_request_t http = {
+		.method = method,
+		.target = target,
+		.headers = headers,
+		.body = (const uint8_t *)body,
+		.body_size = body == NULL ? 0 : strlen(body),
+		.caller_fd = -1,
+	};
+	wwh_upstream_request_t request = {
+		.address = "127.0.0.1",
+		.port = fixture->ports[index],
+		.http = &http,
+		.timeout_ms = WAIT_LIMIT_MS,
+		.max_answer_bytes = 1 << 20,
+		.max_connections = 16,
+	};
+	wwh_upstream_answer_t answer;
+	int32_t status = 0;
+
+	wwh_headers_add(headers, "Host", "h");
+	wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms",
+			fixture->patience_ms);
+	wwh_upstream_send(fixture->client, &request, &answer);
+	status = answer.outcome == WWH_UPSTREAM_ANSWERED ||
+				 answer.outcome == WWH_UPSTREAM_REFUSED
+			 ? answer.response.status
+			 : 0;
+	if (text != NULL)
+		*text = g_strndup((char *)answer.response.body->data,
+				  answer.response.body->len);
+	wwh_http_response_clear(&answer.response);
+	wwh_headers_delete(headers);
+	return status;
+}
+
+static inline void wait_ready(fixture_t *fixture, int32_t index)
+{
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 50; i++) {
+		if (ask(fixture, index, "GET", "/q/", NULL, NULL) == 200)
+			return;
+		g_usleep(50 * 1000);
+	}
+	fail_msg("process %d doesn't serve", index);
+}
+
+static inline void submit(fixture_t *fixture, int32_t index, const char *id)
+{
+	static const char job[] =
+		"{\"spec\":\"text\",\"phases\":[{\"count\":3,\"cpu\":1000,"
+		"\"memMb\":100,\"estimateMs\":300},{\"count\":2,\"cpu\":1000,"
+		"\"memMb\":100,\"estimateMs\":300,\"dependsOn\":[0]}]}";
+	char *target = g_strconcat("/q/", id, NULL);
+	int32_t status = 0;
+
+	/* as callers do: again with the same id while it isn't accepted */
+	for (int32_t i = 0; i < 100 && status != 200; i++) {
+		status = ask(fixture, index, "POST", target, job, NULL);
+		if (status != 200)
+			g_usleep(100 * 1000);
+	}
+	assert_int_equal(status, 200);
+	g_free(target);
+}
+
+static inline void wait_state(fixture_t *fixture, int32_t index, const char *id,
+			      const char *state)
+{
+	char *target = g_strconcat("/q/", id, NULL);
+	char *wanted = g_strdup_printf("{\"state\":\"%s\"}", state);
+	bool found = false;
+
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 50 && !found; i++) {
+		char *text;
+		int32_t status =
+			ask(fixture, index, "GET", target, NULL, &text);
+
+		/* an accepted job is never unknown */
+		assert_int_not_equal(status, 410);
+		found = strcmp(text, wanted) == 0;
+		g_free(text);
+		if (!found)
+			g_usleep(50 * 1000);
+	}
+	if (!found)
+		fail_msg("job %s doesn't become %s", id, state);
+	g_free(target);
+	g_free(wanted);
+}
+
+/* What a process says of the shard to others. */
+static inline int32_t shard_status(fixture_t *fixture, int32_t index)
+{
+	int32_t callers = fixture->ports[index];
+	int32_t status;
+
+	fixture->ports[index] = fixture->peer_ports[index];
+	status = ask(fixture, index, "GET", "/v1/shard", NULL, NULL);
+	fixture->ports[index] = callers;
+	return status;
+}
+
+static inline int32_t holder_of(fixture_t *fixture)
+{
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (shard_status(fixture, i) == 200)
+			return i;
+	}
+	fail_msg("nobody holds the shard");
+	return 0;
+}
+
+/* test_changes.c: one process holds the shard after the other */
+void a_holder_that_the_store_turns_away_hands_over(void **state);
+void another_process_takes_over_from_one_that_stops(void **state);
+void a_stopped_holder_waits_for_its_orders_to_hosts(void **state);
+void a_slow_process_holds_the_shard_only_if_nobody_else_does(void **state);
+
+#endif
--- /dev/null
+++ b/src/test_job_service/test_changes.c
@@ -0,0 +1,161 @@
+/*
+ * What callers see while the shard goes from one process to the other.
+ */
+
+#include "service_fixture.h"
+
+/*
+ * From the store's first refusal until a job is accepted again: two questions
+ * to the holder, a call to the group between them, a claim, and what callers
+ * wait between two tries.
+ */
+#define HAND_OVER_MS 1800
+
+/* The store refuses the holder's records, and the group names the other. */
+static void turn_away(fixture_t *fixture, int32_t holder)
+{
+	standin_t *standin = fixture->standin;
+
+	g_mutex_lock(&standin->lock);
+	standin->refused_epoch = standin_part(standin, "keyed.wwh", "0")->epoch;
+	g_free(standin->member);
+	standin->member = g_strdup_printf("127.0.0.1:%d",
+					  fixture->peer_ports[1 - holder]);
+	standin->member_ms = standin_now_ms();
+	standin->generation++;
+	g_mutex_unlock(&standin->lock);
+}
+
+/*
+ * The store turns the holder away, as it can for seconds, and serves the other
+ * process. Callers were turned away for two seconds and more, until that one
+ * took the holder for lost; now it asks the holder to give the shard up. What
+ * runs goes on, and nothing runs twice.
+ */
+void a_holder_that_the_store_turns_away_hands_over(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms;
+	int32_t holder;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->task_ms = 1500;
+	g_mutex_unlock(&fixture->standin->lock);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	holder = holder_of(fixture);
+	submit(fixture, 0, "00000000000000d0");
+	turn_away(fixture, holder);
+	begun_ms = standin_now_ms();
+	submit(fixture, 0, "00000000000000d1");
+	assert_true(standin_now_ms() - begun_ms < HAND_OVER_MS);
+	assert_int_equal(holder_of(fixture), 1 - holder);
+	assert_int_equal(shard_status(fixture, holder), 410);
+	wait_state(fixture, 1, "00000000000000d0", "completed");
+	wait_state(fixture, 0, "00000000000000d1", "completed");
+}
+
+/* The holder is stopped; the other goes on with what runs. */
+void another_process_takes_over_from_one_that_stops(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->task_ms = 1000;
+	g_mutex_unlock(&fixture->standin->lock);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	submit(fixture, 0, "00000000000000c0");
+	stop_process(fixture, 0);
+	wait_state(fixture, 1, "00000000000000c0", "completed");
+	submit(fixture, 1, "00000000000000c1");
+	wait_state(fixture, 1, "00000000000000c1", "completed");
+}
+
+/* Who gave the last order to a host, and how many there were. */
+static int32_t host_orders(fixture_t *fixture, char caller[16])
+{
+	int32_t count;
+
+	g_mutex_lock(&fixture->standin->lock);
+	count = fixture->standin->host_orders;
+	g_strlcpy(caller, fixture->standin->host_caller, 16);
+	g_mutex_unlock(&fixture->standin->lock);
+	return count;
+}
+
+/* The caller of the first order to a host that name didn't give. */
+static void wait_host_order(fixture_t *fixture, const char *name,
+			    char caller[16])
+{
+	for (int32_t i = 0; i < WAIT_LIMIT_MS / 10; i++) {
+		if (host_orders(fixture, caller) > 0 &&
+		    strcmp(caller, name) != 0)
+			return;
+		g_usleep(10 * 1000);
+	}
+	fail_msg("no order to a host but by %s", name);
+}
+
+/*
+ * The holder is stopped while a wave runs and its orders to hosts are slow.
+ * The next holder gave its first ones beside them, as the shard had been given
+ * up: together they take more hosts down than the wave allows.
+ */
+void a_stopped_holder_waits_for_its_orders_to_hosts(void **state)
+{
+	static const char hosts[] =
+		"{\"machine\":\"h1\",\"pool\":\"desk\",\"state\":\"up\"},"
+		"{\"machine\":\"h2\",\"pool\":\"desk\",\"state\":\"up\"}";
+	static const char wave[] = "{\"wave\":1,\"machines\":[\"h1\",\"h2\"],"
+				   "\"durationS\":20,\"maxCount\":1}";
+	fixture_t *fixture = *state;
+	char first[16];
+	char next[16];
+	int32_t overlaps;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->hosts = hosts;
+	fixture->standin->host_delay_ms = 1200;
+	standin_put(fixture->standin, "keyed.op", "0", "wave/1", wave,
+		    strlen(wave));
+	g_mutex_unlock(&fixture->standin->lock);
+	wait_host_order(fixture, "", first);
+	stop_process(fixture, strcmp(first, "p0") == 0 ? 0 : 1);
+	wait_host_order(fixture, first, next);
+	g_mutex_lock(&fixture->standin->lock);
+	overlaps = fixture->standin->host_overlaps;
+	g_mutex_unlock(&fixture->standin->lock);
+	assert_int_equal(overlaps, 0);
+}
+
+/*
+ * A process with a tenth of a core takes requests and leaves the shard to
+ * the other one, until that one is gone.
+ */
+void a_slow_process_holds_the_shard_only_if_nobody_else_does(void **state)
+{
+	fixture_t *fixture = *state;
+	char *slow;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		stop_process(fixture, i);
+	fixture->cpu_permille[0] = 100;
+	for (int32_t i = 0; i < PROCESSES; i++)
+		start_process(fixture, i);
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	slow = g_strdup_printf("127.0.0.1:%d", fixture->peer_ports[0]);
+	g_mutex_lock(&fixture->standin->lock);
+	assert_string_not_equal(fixture->standin->member, slow);
+	g_mutex_unlock(&fixture->standin->lock);
+	submit(fixture, 0, "00000000000000f0");
+	stop_process(fixture, 1);
+	wait_state(fixture, 0, "00000000000000f0", "completed");
+	g_mutex_lock(&fixture->standin->lock);
+	assert_string_equal(fixture->standin->member, slow);
+	g_mutex_unlock(&fixture->standin->lock);
+	g_free(slow);
+}
