Ask an inherited upstream again soon when its first answer is lost

Callers saw: after a change of holder their jobs stood still for 0.9 to 1.9 s in most pools while upstreams left one order in twelve unanswered.

Cause: a pool waits for the first answer of each inherited upstream, and a question without an answer was given up after 0.7 s and repeated 0.15 s later; of 190 upstreams some need three. An answer takes some ms, so the first question is given up after 0.15 s, the next after 0.3, 0.6 and 0.7 s; retries of a silent one stay rare.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -126,6 +126,7 @@
 	int64_t lease_until_remote_ms; /* 0: its clock isn't known yet */
 	int64_t ends_acked_upto;
 	int64_t wait_ms; /* it answers earlier when something ends */
+	int64_t limit_ms; /* beyond that; then it counts as unanswered */
 } wwh_poll_order_t;
 
 typedef struct {
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -9,9 +9,6 @@
  */
 #define ORDER_LIMIT_MS 1000
 
-/* Beyond what a poll asks to wait. */
-#define POLL_LIMIT_MS 700
-
 /* Advice takes a time for each upstream named, and waits its turn. */
 #define ADVICE_LIMIT_MS 4000
 
@@ -66,7 +63,7 @@
 {
 	wwh_job_holder_t *holder = client_data;
 	wwh_http_call_t *call =
-		wire_upstream_poll(order, holder->options.epoch, POLL_LIMIT_MS);
+		wire_upstream_poll(order, holder->options.epoch);
 
 	wwh_counter_add(holder->polls, 1);
 	wwh_http_calls_send(holder->options.calls, call, on_polled,
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -26,6 +26,15 @@
 G_STATIC_ASSERT(POLL_WAIT_MS + POLL_UNACKED_LONG_GAP_MS + ANSWER_MS <=
 		WWH_OVERTAKEN_HOLDER_MS);
 
+/*
+ * Beyond what a poll asks to wait: an upstream answers in some ms. The first
+ * question to an inherited one, for which its whole pool waits, is given up
+ * sooner and repeated, with twice the time for each that was in vain.
+ */
+#define POLL_LIMIT_MS 700
+#define FIRST_POLL_LIMIT_MS 150
+#define FIRST_POLL_RETRY_MS 20
+
 /* After a poll without an answer: first, and at most. */
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
@@ -61,6 +70,9 @@
 static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+static bool pool_waits_for(const sched_upstream_t *upstream);
+static int64_t poll_limit_ms(const sched_upstream_t *upstream);
+static int64_t poll_retry_ms(const sched_upstream_t *upstream);
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void take_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 		       const wwh_ended_t *row);
@@ -144,9 +156,7 @@
 	}
 	upstream->failed_polls++;
 	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
-	upstream->next_poll_ms =
-		scheduler->now_ms +
-		MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
+	upstream->next_poll_ms = scheduler->now_ms + poll_retry_ms(upstream);
 	if (upstream->failed_polls == 1)
 		sched_explain(scheduler, "upstream-silent", id,
 			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
@@ -196,6 +206,7 @@
 		.endpoint = upstream->info.endpoint,
 		.ends_acked_upto = upstream->ends_acked,
 		.wait_ms = POLL_WAIT_MS,
+		.limit_ms = poll_limit_ms(upstream),
 	};
 
 	/* the first answer tells its clock; until then nothing is waited for */
@@ -215,6 +226,27 @@
 	scheduler->calls.poll(&order, scheduler->calls.client_data);
 }
 
+static bool pool_waits_for(const sched_upstream_t *upstream)
+{
+	return upstream->inherited && !upstream->settled;
+}
+
+static int64_t poll_limit_ms(const sched_upstream_t *upstream)
+{
+	int32_t doublings = MIN(upstream->failed_polls, 8);
+
+	if (!pool_waits_for(upstream))
+		return POLL_LIMIT_MS;
+	return MIN((int64_t)FIRST_POLL_LIMIT_MS << doublings, POLL_LIMIT_MS);
+}
+
+static int64_t poll_retry_ms(const sched_upstream_t *upstream)
+{
+	if (pool_waits_for(upstream) && upstream->refused_polls == 0)
+		return FIRST_POLL_RETRY_MS;
+	return MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
+}
+
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	if (upstream->settled)
--- a/src/test_scheduler/rig.h
+++ b/src/test_scheduler/rig.h
@@ -34,6 +34,7 @@
 	int64_t acked_upto;
 	int64_t sent_ms;
 	int64_t wait_ms;
+	int64_t limit_ms;
 	int64_t lease_until_remote_ms;
 } rig_poll_t;
 
@@ -84,6 +85,7 @@
 		.acked_upto = order->ends_acked_upto,
 		.sent_ms = rig->now_ms,
 		.wait_ms = order->wait_ms,
+		.limit_ms = order->limit_ms,
 		.lease_until_remote_ms = order->lease_until_remote_ms,
 	};
 
--- a/src/test_scheduler/test_last_words.c
+++ b/src/test_scheduler/test_last_words.c
@@ -132,3 +132,35 @@
 	rig_run(rig, 1);
 	assert_int_equal(rig->starts->len, 2);
 }
+
+/*
+ * After a change of holder a pool waits for the first answer of each inherited
+ * upstream. A lost one is asked for again soon, and an upstream that is silent
+ * for good isn't asked ever more often; once it has answered, it has its usual
+ * time again.
+ */
+void a_first_answer_that_is_lost_is_asked_for_again_soon(void **state)
+{
+	rig_t *rig = *state;
+	rig_order_t order = run_one_task(rig);
+	int64_t waited_ms = 0;
+	rig_poll_t poll;
+
+	rig_take_over(rig);
+	rig_run(rig, 1);
+	for (int32_t i = 0; i < 5; i++) {
+		poll = rig_take_poll(rig, order.upstream);
+		waited_ms += poll.limit_ms;
+		if (i == 0)
+			assert_in_range(poll.limit_ms, 100, 200);
+		rig->now_ms += poll.limit_ms;
+		wwh_scheduler_poll_failed(rig->scheduler, order.upstream, false,
+					  rig->now_ms);
+		rig_run(rig, 20);
+	}
+	assert_in_range(waited_ms, 2000, 3000);
+	rig_announce(rig, order.upstream, AT_1, false);
+	rig_answer_poll(rig, order.upstream, NULL, 0, NULL, 0);
+	rig_run(rig, 100);
+	assert_int_equal(rig_poll_of(rig, order.upstream).limit_ms, 700);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -65,6 +65,8 @@
 		RIG_TEST(an_unanswered_start_that_is_listed_goes_on, 1),             \
 		RIG_TEST(an_end_that_is_read_after_its_hosts_counts, 2),             \
 		RIG_TEST(an_upstream_is_forgotten_after_its_ends_are_kept, 2),       \
+		RIG_TEST(a_first_answer_that_is_lost_is_asked_for_again_soon,        \
+			 2),                                                         \
 		RIG_TEST(an_inherited_end_that_is_read_after_its_hosts_counts,       \
 			 2),                                                         \
 		RIG_TEST(an_upstream_that_ended_is_heard_for_a_moment_only,          \
@@ -103,6 +105,7 @@
 void an_unanswered_start_is_settled_before_the_next(void **state);
 void an_unanswered_start_that_is_listed_goes_on(void **state);
 void an_end_that_is_read_after_its_hosts_counts(void **state);
+void a_first_answer_that_is_lost_is_asked_for_again_soon(void **state);
 void an_inherited_end_that_is_read_after_its_hosts_counts(void **state);
 void an_upstream_that_ended_is_heard_for_a_moment_only(void **state);
 void an_upstream_is_forgotten_after_its_ends_are_kept(void **state);
