Let a holder whose loop can't keep up hand the shard over

Cause: a holder was judged by its answers to questions, and a slow host answers them in time. Class: health by heartbeat, where progress is what counts. Nobody else can see it, and it had no way to say so.

It stays out of the group for 10 s. That holds for overload too: a holder that makes up for its lateness, as a new one does, isn't late, and without another process that asks it goes on.

--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -21,7 +21,8 @@
  *	The process that the group names leaves a holder alone as long as
  *	that one answers and reaches the store; a change of holder costs a
  *	second poll at all upstreams. One that the store turns away, while it
- *	serves this process, is asked to hand the shard over.
+ *	serves this process, or whose loop can't keep up, is asked to hand the
+ *	shard over.
  *
  * ORDER OF CALLS
  *	wwh_shard_claim_new; wwh_shard_claim_run often, by the thread of its
@@ -32,18 +33,21 @@
 #include "waxwinghollow/http_calls.h"
 
 /*
- * Where a process tells others of the shard, and where the one that would hold
- * it next, and reaches the store, asks for it.
+ * Where a process tells others of the shard; where the one that the group names
+ * asks, which would hold it next; and where that one asks for it, after it has
+ * shown that the journal takes its records.
  */
 #define WWH_SHARD_PATH "/v1/shard"
+#define WWH_SHARD_ASSIGNED_PATH "/v1/shard?assigned"
 #define WWH_SHARD_SUCCESSOR_PATH "/v1/shard?successor"
 
 /* What a process answers there. */
 typedef enum {
 	WWH_SHARD_HELD = 200,
 	WWH_SHARD_NOT_HELD = 404, /* never, or by a process before this one */
-	WWH_SHARD_TURNED_AWAY = 409, /* held; the store takes nothing */
+	WWH_SHARD_YIELDS = 409, /* held, and handed over when asked for */
 	WWH_SHARD_HANDED_OVER = 410, /* no order of this process is out */
+	WWH_SHARD_HANDED_OVER_EARLY = 425, /* the same, but orders to hosts */
 	WWH_SHARD_UNSURE = 503, /* claimed, or held without the store */
 } wwh_shard_answer_t;
 
@@ -105,6 +109,14 @@
  */
 void wwh_shard_claim_handed_over(wwh_shard_claim_t *claim, int64_t now_ms);
 
+/*
+ * Whether this process, which holds the shard, leaves it to others: the group
+ * then names another one, which asks for it, and this one stays out of the
+ * group for a while.
+ */
+void wwh_shard_claim_leave_to_others(wwh_shard_claim_t *claim, bool leave,
+				     int64_t now_ms);
+
 /*
  * For a stop that was announced: others may claim at once; this process
  * won't any more.
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -54,9 +54,11 @@
 	bool holds;
 	bool claims; /* the shard; it may hold it soon */
 	bool reaches_store; /* while it holds the shard */
-	bool turned_away; /* the same; the store takes nothing */
-	bool asked_for; /* by its successor, since it is turned away */
+	bool yields; /* the same; hands it over when asked for */
+	bool turned_away; /* the same; only to one that the store serves */
+	bool asked_for; /* by its successor, since it yields */
 	bool handed_over; /* since it held the shard last */
+	bool handed_over_early; /* the same, with orders to hosts out */
 	bool orders_hosts; /* has orders to hosts on their way */
 	wwh_counters_t *counters;
 	/* How long callers waited for their answers, by what they asked. */
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -46,10 +46,11 @@
 	int64_t holder_epoch;
 	int64_t probe_sent_ms;
 	int64_t probe_epoch; /* of the holder that was asked */
-	int64_t turned_away_ms; /* the holder says so since; 0: it doesn't */
+	int64_t yields_ms; /* the holder says so since; 0: it doesn't */
 	int64_t proven_ms; /* since then the journal took a record; 0: not */
 	int64_t proof_failed_ms; /* the last time that it took none */
 	int64_t answered_ms; /* reluctant: when a holder was there last */
+	int64_t left_until_ms; /* to others: as a reluctant one until then */
 	/* the claim */
 	wwh_store_follower_t *journal;
 	GHashTable *records;
@@ -68,6 +69,7 @@
 	bool proof_in_flight;
 	bool holder_ended; /* its process is gone, or says it doesn't hold */
 	bool holder_gave_up; /* it says so, and that nothing of it is out */
+	bool holder_orders_hosts; /* it has ended, and its orders are out */
 	bool others_at_work; /* when the claim was begun, as the next one */
 	bool others_ended;
 	bool has_claimed; /* since the process started */
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -18,8 +18,18 @@
 #define STATUS_UNAVAILABLE 503
 #define SECOND_MS 1000
 
-static void answer_shard(wwh_job_service_t *service, bool asked_for,
+/* Who asks about the shard. */
+typedef enum {
+	SHARD_ASKER_ANY = 0,
+	SHARD_ASKER_ASSIGNED, /* the group names it */
+	SHARD_ASKER_SUCCESSOR, /* and the journal takes its records */
+} shard_asker_t;
+
+static bool shard_asker(const char *target, shard_asker_t *asker);
+static void answer_shard(wwh_job_service_t *service, shard_asker_t asker,
 			 wwh_http_response_t *response);
+static bool may_have_shard(const wwh_job_service_t *service,
+			   shard_asker_t asker);
 static wwh_shard_answer_t shard_answer(const wwh_job_service_t *service);
 static void answer_text(wwh_http_response_t *response, int32_t status,
 			const char *type, const char *text);
@@ -121,13 +131,10 @@
 	wwh_job_service_t *service = client_data;
 	job_request_t *request;
 	wwh_job_answer_t answer;
+	shard_asker_t asker;
 
-	if (strcmp(http->target, WWH_SHARD_PATH) == 0 ||
-	    strcmp(http->target, WWH_SHARD_SUCCESSOR_PATH) == 0) {
-		bool asked_for =
-			strcmp(http->target, WWH_SHARD_SUCCESSOR_PATH) == 0;
-
-		answer_shard(service, asked_for, response);
+	if (shard_asker(http->target, &asker)) {
+		answer_shard(service, asker, response);
 		return;
 	}
 	if (strcmp(http->target, METRICS_PATH) == 0) {
@@ -152,6 +159,23 @@
 	job_request_unref(request);
 }
 
+static bool shard_asker(const char *target, shard_asker_t *asker)
+{
+	static const char *const targets[] = {
+		[SHARD_ASKER_ANY] = WWH_SHARD_PATH,
+		[SHARD_ASKER_ASSIGNED] = WWH_SHARD_ASSIGNED_PATH,
+		[SHARD_ASKER_SUCCESSOR] = WWH_SHARD_SUCCESSOR_PATH,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		if (strcmp(target, targets[i]) != 0)
+			continue;
+		*asker = (shard_asker_t)i;
+		return true;
+	}
+	return false;
+}
+
 /*
  * A process that takes over has to know one that is cut off from one without
  * the shard: the first may still give orders. One that stops counts as without
@@ -159,7 +183,7 @@
  * unanswered: the next holder's would overtake them, and take down a host too
  * many.
  */
-static void answer_shard(wwh_job_service_t *service, bool asked_for,
+static void answer_shard(wwh_job_service_t *service, shard_asker_t asker,
 			 wwh_http_response_t *response)
 {
 	wwh_shard_answer_t answer;
@@ -167,23 +191,35 @@
 	g_mutex_lock(&service->lock);
 	answer = shard_answer(service);
 	/* the loop hands it over, and a later question is told */
-	if (asked_for && answer == WWH_SHARD_TURNED_AWAY)
+	if (answer == WWH_SHARD_YIELDS && may_have_shard(service, asker))
 		service->asked_for = true;
 	g_mutex_unlock(&service->lock);
 	answer_text(response, answer, "text/plain", "");
 }
 
+/*
+ * With the lock held. Turned away itself, a holder can't tell a store that is away
+ * for all, in which what runs would be left to nobody.
+ */
+static bool may_have_shard(const wwh_job_service_t *service,
+			   shard_asker_t asker)
+{
+	return asker == SHARD_ASKER_SUCCESSOR ||
+	       (asker == SHARD_ASKER_ASSIGNED && !service->turned_away);
+}
+
 /* With the lock held. */
 static wwh_shard_answer_t shard_answer(const wwh_job_service_t *service)
 {
 	if (service->claims && !service->stopping)
 		return WWH_SHARD_UNSURE;
 	if (!service->holds && service->handed_over)
-		return WWH_SHARD_HANDED_OVER;
+		return service->handed_over_early ? WWH_SHARD_HANDED_OVER_EARLY
+						  : WWH_SHARD_HANDED_OVER;
 	if (!service->holds || (service->stopping && !service->orders_hosts))
 		return WWH_SHARD_NOT_HELD;
-	if (service->turned_away)
-		return WWH_SHARD_TURNED_AWAY;
+	if (service->yields)
+		return WWH_SHARD_YIELDS;
 	return service->reaches_store ? WWH_SHARD_HELD : WWH_SHARD_UNSURE;
 }
 
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -19,8 +19,12 @@
  */
 #define STOOD_STILL_MS 900
 
-/* Orders to hosts are answered by then, or take effect at any time. */
+/*
+ * Orders to hosts are answered by then, or take effect at any time. Where hosts
+ * check tokens, all jobs needn't wait for them: most are answered in some ms.
+ */
 #define HOST_ORDERS_MS 1500
+#define HOST_ORDERS_FENCED_MS 150
 
 /* After the last answers, for what is on its way to the store. */
 #define SETTLE_MS 750
@@ -28,6 +32,7 @@
 static void take_answers(wwh_job_service_t *service);
 static void judge_turn(wwh_job_service_t *service, int64_t wait_ms);
 static void run_once(wwh_job_service_t *service);
+static bool yields(const wwh_job_service_t *service, int64_t now_ms);
 static void hand_over(wwh_job_service_t *service, int64_t now_ms);
 static void tell_state(wwh_job_service_t *service, int64_t now_ms);
 static bool stood_still(wwh_job_service_t *service, int64_t now_ms);
@@ -130,6 +135,9 @@
 	}
 	if (stopping && service->holder == NULL)
 		wwh_shard_claim_give_up(service->claim, now_ms);
+	wwh_shard_claim_leave_to_others(service->claim,
+					wwh_lateness_is_late(service->lateness),
+					now_ms);
 	hand_over(service, now_ms);
 	wwh_shard_claim_run(service->claim, now_ms);
 	if (service->lost_holder != NULL) {
@@ -140,19 +148,32 @@
 }
 
 /*
- * A holder that the store turns away can accept no job. It leaves the shard to
- * the process that asked for it, once its orders to hosts are answered: that
- * one then needn't wait for them. The orders come to nothing, or the store
- * serves this process again: it goes on.
+ * A holder that the store turns away can accept no job, and one whose loop can't
+ * keep up lets all jobs wait, for as long as its host is slow: seconds in which
+ * it answers others in time that it holds the shard.
+ */
+static bool yields(const wwh_job_service_t *service, int64_t now_ms)
+{
+	return service->holder != NULL &&
+	       (wwh_job_holder_turned_away(service->holder, now_ms) ||
+		wwh_lateness_is_late(service->lateness));
+}
+
+/*
+ * It leaves the shard to the process that asked for it, once its orders to hosts
+ * are answered: that one then needn't wait for them. Where hosts check tokens
+ * that one waits with its own, and goes on with all else meanwhile. A holder that
+ * is served again, and in time, goes on.
  */
 static void hand_over(wwh_job_service_t *service, int64_t now_ms)
 {
+	int64_t limit_ms = service->settings.hosts_fence ? HOST_ORDERS_FENCED_MS
+							 : HOST_ORDERS_MS;
 	bool asked_for;
 	bool orders_hosts;
 
 	g_mutex_lock(&service->lock);
-	if (service->holder == NULL ||
-	    !wwh_job_holder_turned_away(service->holder, now_ms))
+	if (!yields(service, now_ms))
 		service->asked_for = false;
 	asked_for = service->asked_for;
 	g_mutex_unlock(&service->lock);
@@ -163,14 +184,15 @@
 	if (service->asked_for_ms == 0)
 		service->asked_for_ms = now_ms;
 	orders_hosts = wwh_job_holder_orders_hosts(service->holder);
-	if (orders_hosts && now_ms - service->asked_for_ms < HOST_ORDERS_MS)
+	if (orders_hosts && now_ms - service->asked_for_ms < limit_ms)
 		return;
 	(void)job_service_drop_holder(service, "handed-over");
 	wwh_shard_claim_handed_over(service->claim, now_ms);
 	service->asked_for_ms = 0;
 	g_mutex_lock(&service->lock);
 	service->asked_for = false;
-	service->handed_over = !orders_hosts;
+	service->handed_over = !orders_hosts || service->settings.hosts_fence;
+	service->handed_over_early = orders_hosts;
 	g_mutex_unlock(&service->lock);
 }
 
@@ -187,6 +209,7 @@
 	service->orders_hosts = holds && wwh_job_holder_orders_hosts(holder);
 	service->reaches_store =
 		holds && wwh_job_holder_reaches_store(holder, now_ms);
+	service->yields = yields(service, now_ms);
 	service->turned_away =
 		holds && wwh_job_holder_turned_away(holder, now_ms);
 	service->handed_over = service->handed_over && !holds && !claims;
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -15,6 +15,12 @@
 #define APPEND_LIMIT_MS 800
 #define RETRY_MS 150
 
+/*
+ * A host that turned slow is slow for some seconds; named again by the group, it
+ * would take the shard back.
+ */
+#define LEFT_TO_OTHERS_MS 10000
+
 /* Twice what the successor needs for its claim, with a slow store. */
 #define LEFT_TO_SUCCESSOR_MS 2000
 
@@ -27,6 +33,7 @@
 static void make_known(wwh_shard_claim_t *claim);
 static void on_made_known(const wwh_http_answer_t *answer, void *data);
 static void on_left(const wwh_http_answer_t *answer, void *data);
+static void on_left_to_others(const wwh_http_answer_t *answer, void *data);
 
 wwh_shard_claim_t *wwh_shard_claim_new(const wwh_shard_claim_options_t *options)
 {
@@ -110,7 +117,8 @@
 	claim->probes_failed = 0;
 	claim->holder_ended = false;
 	claim->holder_gave_up = false;
-	claim->turned_away_ms = 0;
+	claim->holder_orders_hosts = false;
+	claim->yields_ms = 0;
 	claim->probe_sent_ms = now_ms;
 }
 
@@ -120,6 +128,26 @@
 	claim->retry_ms = now_ms + LEFT_TO_SUCCESSOR_MS;
 }
 
+void wwh_shard_claim_leave_to_others(wwh_shard_claim_t *claim, bool leave,
+				     int64_t now_ms)
+{
+	wwh_http_call_t *call;
+	bool has_left = now_ms < claim->left_until_ms;
+
+	if (claim->state != CLAIM_HELD || leave == has_left)
+		return;
+	claim->left_until_ms = leave ? now_ms + LEFT_TO_OTHERS_MS : 0;
+	if (!leave)
+		return;
+	claim_explain(claim, "shard-left-to-others", "epoch=%" G_GINT64_FORMAT,
+		      claim->epoch);
+	claim->references++;
+	call = wire_store_leave(claim->store, claim->options.group, claim->self,
+				LEAVE_LIMIT_MS);
+	wwh_http_calls_send(claim->options.calls, call, on_left_to_others,
+			    claim);
+}
+
 void wwh_shard_claim_give_up(wwh_shard_claim_t *claim, int64_t now_ms)
 {
 	wwh_http_call_t *call;
@@ -395,6 +423,12 @@
 	claim_unref(claim);
 }
 
+static void on_left_to_others(const wwh_http_answer_t *answer, void *data)
+{
+	(void)answer; /* unanswered, the group notices by itself */
+	claim_unref(data);
+}
+
 void claim_explain(wwh_shard_claim_t *claim, const char *event,
 		   const char *format, ...)
 {
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -29,7 +29,7 @@
 #define PROOF_LIMIT_MS 500
 
 /*
- * How long a holder that is turned away may take to hand over, from the proof
+ * How long a holder that yields may take to hand over, from the proof
  * that this process is served: longer than its orders to hosts may be out. After
  * that it counts as silent.
  */
@@ -43,9 +43,9 @@
 static bool store_is_steady(const wwh_shard_claim_t *claim);
 static void probe(wwh_shard_claim_t *claim);
 static void on_probed(const wwh_http_answer_t *answer, void *data);
-static void take_turned_away(wwh_shard_claim_t *claim, bool turned_away);
+static void take_yielding(wwh_shard_claim_t *claim, bool yields);
 static bool is_left_alone(const wwh_shard_claim_t *claim);
-static bool is_successor(const wwh_shard_claim_t *claim);
+static bool is_proven(const wwh_shard_claim_t *claim);
 static void prove_reach(wwh_shard_claim_t *claim);
 static void on_proven(const wwh_http_answer_t *answer, void *data);
 
@@ -82,7 +82,8 @@
 		claim->probes_failed = 0;
 		claim->holder_ended = false;
 		claim->holder_gave_up = false;
-		claim->turned_away_ms = 0;
+		claim->holder_orders_hosts = false;
+		claim->yields_ms = 0;
 		claim->options.on_holder(claim->holder, epoch,
 					 claim->options.client_data);
 	}
@@ -106,14 +107,14 @@
 	} else if (strcmp(claim->holder, claim->self) == 0) {
 		claim_begin(claim, "restarted", false);
 	} else if (claim->holder_ended) {
-		claim_begin(claim, "holder-ended", false);
+		claim_begin(claim, "holder-ended", claim->holder_orders_hosts);
 	} else if (claim->probes_failed >= PROBES_OF_A_LOST_HOLDER &&
 		   store_is_steady(claim)) {
 		claim_begin(claim, "holder-silent", true);
 	} else if (!claim->probe_in_flight &&
 		   claim->now_ms - claim->probe_sent_ms >=
-			   (claim->turned_away_ms != 0 ? PROBE_SOON_MS
-						       : PROBE_EVERY_MS)) {
+			   (claim->yields_ms != 0 ? PROBE_SOON_MS
+						  : PROBE_EVERY_MS)) {
 		probe(claim);
 	}
 }
@@ -144,8 +145,12 @@
  */
 static bool may_join(wwh_shard_claim_t *claim)
 {
-	if (!claim->options.reluctant || claim->state != CLAIM_WATCHING)
+	bool has_left = claim->now_ms < claim->left_until_ms;
+
+	if (!claim->options.reluctant && !has_left)
 		return true;
+	if (claim->state != CLAIM_WATCHING)
+		return !has_left;
 	if (claim->holder != NULL && !claim->probe_in_flight &&
 	    claim->now_ms - claim->probe_sent_ms >= RELUCTANT_PROBE_MS)
 		probe(claim);
@@ -214,8 +219,12 @@
 	wwh_http_call_t *call =
 		wwh_http_call_new("GET", claim->holder, PROBE_LIMIT_MS);
 
-	call->path = g_strdup(is_successor(claim) ? WWH_SHARD_SUCCESSOR_PATH
-						  : WWH_SHARD_PATH);
+	if (!is_assigned(claim))
+		call->path = g_strdup(WWH_SHARD_PATH);
+	else if (is_proven(claim))
+		call->path = g_strdup(WWH_SHARD_SUCCESSOR_PATH);
+	else
+		call->path = g_strdup(WWH_SHARD_ASSIGNED_PATH);
 	claim->probe_in_flight = true;
 	claim->probe_sent_ms = claim->now_ms;
 	claim->probe_epoch = claim->holder_epoch;
@@ -235,36 +244,39 @@
 
 	claim->probe_in_flight = false;
 	if (claim->probe_epoch == claim->holder_epoch) {
-		take_turned_away(claim, status == WWH_SHARD_TURNED_AWAY);
+		take_yielding(claim, status == WWH_SHARD_YIELDS);
 		claim->probes_failed =
 			status == WWH_SHARD_HELD || is_left_alone(claim)
 				? 0
 				: claim->probes_failed + 1;
 		claim->holder_gave_up = status == WWH_SHARD_HANDED_OVER;
+		claim->holder_orders_hosts =
+			status == WWH_SHARD_HANDED_OVER_EARLY;
 		claim->holder_ended = answer->outcome == WWH_CALL_REFUSED ||
 				      status == WWH_SHARD_NOT_HELD ||
-				      claim->holder_gave_up;
+				      claim->holder_gave_up ||
+				      claim->holder_orders_hosts;
 	}
 	claim_unref(claim);
 }
 
-static void take_turned_away(wwh_shard_claim_t *claim, bool turned_away)
+static void take_yielding(wwh_shard_claim_t *claim, bool yields)
 {
-	if (!turned_away)
-		claim->turned_away_ms = 0;
-	if (!turned_away || claim->turned_away_ms != 0)
+	if (!yields)
+		claim->yields_ms = 0;
+	if (!yields || claim->yields_ms != 0)
 		return;
-	claim->turned_away_ms = claim->now_ms;
+	claim->yields_ms = claim->now_ms;
 	claim->proven_ms = 0;
 }
 
 /*
- * One that is turned away, as long as the store may be away for all: taken over
- * then, at its return, hosts got no orders for 3 s. And while it may hand over.
+ * One that yields, as long as the store may be away for all: taken over then, at
+ * its return, hosts got no orders for 3 s. And while it may hand over.
  */
 static bool is_left_alone(const wwh_shard_claim_t *claim)
 {
-	return claim->turned_away_ms != 0 &&
+	return claim->yields_ms != 0 &&
 	       (claim->proven_ms == 0 ||
 		claim->now_ms - claim->proven_ms < HAND_OVER_LIMIT_MS);
 }
@@ -280,7 +292,7 @@
 	GByteArray *body;
 	wwh_http_call_t *call;
 
-	if (claim->turned_away_ms == 0 || claim->proof_in_flight ||
+	if (claim->yields_ms == 0 || claim->proof_in_flight ||
 	    claim->proven_ms != 0 ||
 	    claim->now_ms - claim->proof_failed_ms < PROBE_SOON_MS)
 		return;
@@ -307,9 +319,8 @@
 }
 
 /* When the store comes back for all, the holder is served a moment later. */
-static bool is_successor(const wwh_shard_claim_t *claim)
+static bool is_proven(const wwh_shard_claim_t *claim)
 {
-	return claim->turned_away_ms != 0 && claim->proven_ms != 0 &&
-	       is_assigned(claim) &&
+	return claim->yields_ms != 0 && claim->proven_ms != 0 &&
 	       claim->now_ms - claim->proof_failed_ms >= STEADY_MS;
 }
