--- a/src/test_shard_claim/claim_fixture.h
+++ b/src/test_shard_claim/claim_fixture.h
@@ -264,10 +264,18 @@
 			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(                               \
 			without_the_store_itself_it_asks_for_nothing, set_up,  \
-			tear_down)
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_holder_with_orders_out_counts_as_at_work, set_up,    \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			a_holder_that_leaves_the_shard_stays_out_of_the_group, \
+			set_up, tear_down)
 
 void a_holder_without_the_store_is_asked_to_hand_over(void **state);
 void a_group_that_answers_is_no_proof_of_the_store(void **state);
 void without_the_store_itself_it_asks_for_nothing(void **state);
+void a_holder_with_orders_out_counts_as_at_work(void **state);
+void a_holder_that_leaves_the_shard_stays_out_of_the_group(void **state);
 
 #endif
--- a/src/test_shard_claim/test_hand_over.c
+++ b/src/test_shard_claim/test_hand_over.c
@@ -78,3 +78,57 @@
 	run_for(fixture, 1000);
 	assert_int_equal(times_asked_to_hand_over(&fixture->peers[0]), 0);
 }
+
+/*
+ * A slow holder hands over while orders to hosts are out: waited for, they kept
+ * all jobs waiting. The next one gives hosts no orders for a while: a late one
+ * beside its own would take down a host too many.
+ */
+void a_holder_with_orders_out_counts_as_at_work(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 1);
+	set_status(&fixture->peers[0], 425);
+	run_until_held(fixture);
+	assert_true(fixture->held.others_at_work);
+}
+
+static bool is_member(fixture_t *fixture)
+{
+	bool member;
+
+	g_mutex_lock(&fixture->standin->lock);
+	member = g_strcmp0(fixture->standin->member, SELF) == 0;
+	g_mutex_unlock(&fixture->standin->lock);
+	return member;
+}
+
+/*
+ * A holder whose host turned slow leaves the group, so that this names another
+ * process. Back in it at once, or when that one has taken over, it would be named
+ * again, and as slow as before. In time again, it may be.
+ */
+void a_holder_that_leaves_the_shard_stays_out_of_the_group(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	run_for(fixture, 500);
+	assert_true(is_member(fixture));
+	wwh_shard_claim_leave_to_others(fixture->claim, true, standin_now_ms());
+	run_for(fixture, MEMBER_TTL_MS + 500);
+	assert_false(is_member(fixture));
+	wwh_shard_claim_leave_to_others(fixture->claim, false,
+					standin_now_ms());
+	run_for(fixture, MEMBER_TTL_MS);
+	assert_true(is_member(fixture));
+	wwh_shard_claim_leave_to_others(fixture->claim, true, standin_now_ms());
+	make_holder(fixture, fixture->peers[0].address, EPOCH(9));
+	wwh_shard_claim_handed_over(fixture->claim, standin_now_ms());
+	run_for(fixture, MEMBER_TTL_MS + 500);
+	assert_false(is_member(fixture));
+}
