--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -11,8 +11,8 @@
 
 /*
  * Between two lists of hosts after an order, whose outcome a list shows: a host
- * is away for 1.5 s. Asked for after each of 44 moves a second, lists took a
- * tenth of a holder's processor time.
+ * is away for 1.5 s. Asked for after each of many moves a second, lists take
+ * processor time that a holder needs for jobs.
  */
 #define DUTIES_LIST_SOON_MS 150
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -136,7 +136,6 @@
 	bool unreadable; /* and what the announcement says can't be read */
 	bool settled; /* it answered this holder */
 	bool in_sight; /* both, when the last list of hosts was asked for */
-	int64_t without_host_ms; /* lists show no host of it since; 0: one */
 	bool inherited; /* a holder before may have started tasks on it */
 	bool cordoned; /* empties itself */
 	bool ending; /* may be taken down at any moment */
@@ -144,6 +143,7 @@
 	int64_t gone_ms;
 	bool kept_asked;
 	int64_t kept; /* record that names it; valid with kept_asked */
+	int64_t without_host_ms; /* lists show no host of it since; 0: one */
 	int64_t gone_without_answer_ms; /* inherited: surely lapsed then */
 	/* As its record says; no holder that finds it asks for more. */
 	int64_t kept_lease_ms;
--- a/src/libwaxwinghollow/lateness.c
+++ b/src/libwaxwinghollow/lateness.c
@@ -3,8 +3,8 @@
 #include <glib.h>
 
 /*
- * Behind by so much, a loop is late. Inherited work puts the loop of a new
- * holder behind by a third of that, and it makes up for it.
+ * Behind by so much, a loop is late. A new one is behind for a while with what it
+ * inherits, and makes up for it before it comes to this.
  */
 #define LATE_MS 300
 
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -363,8 +363,8 @@
 
 /*
  * The entry of an upstream whose host was moved by the holder before stays for
- * three heartbeats, and its pool waited 3.9 s for it. One that is announced may
- * have begun so late that a list doesn't show it yet, but not for so long.
+ * three heartbeats, and its pool waited as long. One that is announced may have
+ * begun so late that a list doesn't show it yet, but not for so long.
  */
 static bool has_no_host(const wwh_scheduler_t *scheduler,
 			sched_upstream_t *upstream)
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -32,6 +32,7 @@
 static void confirm(wwh_shard_claim_t *claim);
 static void make_known(wwh_shard_claim_t *claim);
 static void on_made_known(const wwh_http_answer_t *answer, void *data);
+static void leave_group(wwh_shard_claim_t *claim, wwh_http_done_t done);
 static void on_left(const wwh_http_answer_t *answer, void *data);
 static void on_left_to_others(const wwh_http_answer_t *answer, void *data);
 
@@ -131,7 +132,6 @@
 void wwh_shard_claim_leave_to_others(wwh_shard_claim_t *claim, bool leave,
 				     int64_t now_ms)
 {
-	wwh_http_call_t *call;
 	bool has_left = now_ms < claim->left_until_ms;
 
 	if (claim->state != CLAIM_HELD || leave == has_left)
@@ -141,16 +141,11 @@
 		return;
 	claim_explain(claim, "shard-left-to-others", "epoch=%" G_GINT64_FORMAT,
 		      claim->epoch);
-	claim->references++;
-	call = wire_store_leave(claim->store, claim->options.group, claim->self,
-				LEAVE_LIMIT_MS);
-	wwh_http_calls_send(claim->options.calls, call, on_left_to_others,
-			    claim);
+	leave_group(claim, on_left_to_others);
 }
 
 void wwh_shard_claim_give_up(wwh_shard_claim_t *claim, int64_t now_ms)
 {
-	wwh_http_call_t *call;
 	bool held = claim->state == CLAIM_HELD;
 
 	if (claim->state == CLAIM_GIVEN_UP)
@@ -159,10 +154,7 @@
 	stop_reading(claim);
 	claim->state = CLAIM_GIVEN_UP;
 	claim->notice_pending = held;
-	claim->references++;
-	call = wire_store_leave(claim->store, claim->options.group, claim->self,
-				LEAVE_LIMIT_MS);
-	wwh_http_calls_send(claim->options.calls, call, on_left, claim);
+	leave_group(claim, on_left);
 }
 
 bool wwh_shard_claim_given_up(const wwh_shard_claim_t *claim)
@@ -414,6 +406,16 @@
 	claim_unref(claim);
 }
 
+static void leave_group(wwh_shard_claim_t *claim, wwh_http_done_t done)
+{
+	wwh_http_call_t *call =
+		wire_store_leave(claim->store, claim->options.group,
+				 claim->self, LEAVE_LIMIT_MS);
+
+	claim->references++;
+	wwh_http_calls_send(claim->options.calls, call, done, claim);
+}
+
 static void on_left(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_shard_claim_t *claim = data;
