--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -220,6 +220,7 @@
 /* test_changes.c: one process holds the shard after the other */
 void a_holder_that_the_store_turns_away_hands_over(void **state);
 void a_holder_that_cannot_keep_up_hands_over(void **state);
+void a_holder_keeps_the_shard_while_nobody_else_is_served(void **state);
 void a_lost_answer_keeps_no_pool_waiting(void **state);
 void another_process_takes_over_from_one_that_stops(void **state);
 void a_stopped_holder_waits_for_its_orders_to_hosts(void **state);
--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -97,6 +97,39 @@
 	wait_state(fixture, 1, "00000000000000d3", "completed");
 }
 
+/*
+ * The store takes nothing from anybody for two seconds, and answers the group. The
+ * holder is turned away, and the process that the group names asks it. Handed over
+ * to one that can't claim, what runs would be left to nobody until the store is
+ * back, and all upstreams be asked anew for nothing.
+ */
+void a_holder_keeps_the_shard_while_nobody_else_is_served(void **state)
+{
+	fixture_t *fixture = *state;
+	standin_t *standin = fixture->standin;
+	int32_t holder;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	holder = holder_of(fixture);
+	turn_away(fixture, holder);
+	g_mutex_lock(&standin->lock);
+	standin->refuses_records = true;
+	g_mutex_unlock(&standin->lock);
+	for (int32_t i = 0; i < 20; i++) {
+		int32_t status = shard_status(fixture, holder);
+
+		assert_true(status == 200 || status == 409 || status == 503);
+		g_usleep(100 * 1000);
+	}
+	g_mutex_lock(&standin->lock);
+	standin->refuses_records = false;
+	standin->refused_epoch = 0;
+	g_mutex_unlock(&standin->lock);
+	submit(fixture, 0, "00000000000000d5");
+	wait_state(fixture, 1, "00000000000000d5", "completed");
+}
+
 /* More tasks than there is room for, so that some wait at any moment. */
 static void submit_many(fixture_t *fixture, const char *id)
 {
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -336,6 +336,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_holder_that_cannot_keep_up_hands_over, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_keeps_the_shard_while_nobody_else_is_served,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_lost_answer_keeps_no_pool_waiting, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
