--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -3,7 +3,9 @@
  * The input says what happens next: jobs come and are cancelled, orders are
  * carried out, refused, lost, carried out or answered late, upstreams crash,
  * are cut off, hang or leave, appends fail or get no answer, a holder is
- * overtaken and goes on for a moment, or all start anew from the store.
+ * overtaken and goes on for a moment, or all start anew from the store. Lists
+ * of what hosts run are asked for, are true at some moment from then on, and are
+ * read later still.
  *
  * Checked where an upstream begins a run:
  *  - no other run of the task goes on at an upstream that is up;
@@ -420,6 +422,33 @@
 	}
 }
 
+/* All lives of this moment: a host that is cut off runs on and is listed. */
+static void fill_list(void)
+{
+	g_hash_table_remove_all(world.lives);
+	for (int32_t i = 0; i < UPSTREAMS; i++) {
+		if (world.hosts[i].up)
+			g_hash_table_add(world.lives,
+					 g_strdup(world.hosts[i].id));
+	}
+}
+
+static void ask_for_list(void)
+{
+	world.list_holder = world.holder.number;
+	wwh_scheduler_lives_asked(world.holder.scheduler);
+	fill_list();
+}
+
+/* One that a holder before has asked for is read by nobody. */
+static void read_list(void)
+{
+	if (world.list_holder == world.holder.number)
+		wwh_scheduler_lives_listed(world.holder.scheduler, world.lives,
+					   world.now_ms);
+	world.list_holder = 0;
+}
+
 static void step(void)
 {
 	uint8_t event = next();
@@ -446,6 +475,12 @@
 	case 4:
 		if (how % 8 == 0)
 			take_over();
+		else if (how % 8 == 2)
+			ask_for_list();
+		else if (how % 8 == 3)
+			read_list();
+		else if (how % 8 == 6)
+			fill_list();
 		break;
 	case 5:
 	case 6:
@@ -479,6 +514,8 @@
 					    (GDestroyNotify)g_bytes_unref);
 	world.orders = g_queue_new();
 	world.answers = g_queue_new();
+	world.lives =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (int32_t i = 0; i < UPSTREAMS; i++) {
 		host_t *host = &world.hosts[i];
 
@@ -502,6 +539,7 @@
 		g_hash_table_destroy(world.hosts[i].refused);
 	}
 	g_hash_table_destroy(world.store);
+	g_hash_table_destroy(world.lives);
 	g_queue_free_full(world.orders, g_free);
 	g_queue_free_full(world.answers, answer_free);
 }
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -140,6 +140,8 @@
 	int32_t job_count;
 	GQueue *orders; /* order_t */
 	GQueue *answers; /* answer_t that take their time */
+	int32_t list_holder; /* who asked for a list of hosts; 0: nobody */
+	GHashTable *lives; /* what that list shows; owned ids */
 } world_t;
 
 static world_t world;
