--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -14,6 +14,17 @@
 	}
 }
 
+/* One pool, and one in which hosts rest. */
+static void list_two_idle_hosts(crew_t *crew)
+{
+	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
+	wwh_host_duties_pool(crew->duties, "rest", true);
+	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
+	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
+	crew_run(crew, 1);
+	crew_hosts(crew, 2, true, WWH_HOST_UP);
+}
+
 void a_pool_with_work_gets_hosts_that_rest(void **state)
 {
 	crew_t *crew = *state;
@@ -121,12 +132,7 @@
 {
 	crew_t *crew = *state;
 
-	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
-	wwh_host_duties_pool(crew->duties, "rest", true);
-	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
-	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
-	crew_run(crew, 1);
-	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	list_two_idle_hosts(crew);
 	crew_run(crew, 1);
 	assert_false(crew_cordoned(crew));
 	crew_run(crew, 1000);
@@ -146,12 +152,7 @@
 {
 	crew_t *crew = *state;
 
-	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
-	wwh_host_duties_pool(crew->duties, "rest", true);
-	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
-	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
-	crew_run(crew, 1);
-	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	list_two_idle_hosts(crew);
 	run_both(crew, 1000);
 	/* one host would do: the pool wants no other */
 	rig_submit(crew->rig, rig_job(JOB_A, 2, WHOLE_HOST));
@@ -165,12 +166,7 @@
 {
 	crew_t *crew = *state;
 
-	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
-	wwh_host_duties_pool(crew->duties, "rest", true);
-	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
-	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
-	crew_run(crew, 1);
-	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	list_two_idle_hosts(crew);
 	crew_run(crew, 1);
 	crew_run(crew, WWH_REST_AFTER_MS - 1);
 	assert_int_equal(crew->moves->len, 0);
@@ -189,12 +185,7 @@
 {
 	crew_t *crew = *state;
 
-	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
-	wwh_host_duties_pool(crew->duties, "rest", true);
-	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
-	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
-	crew_run(crew, 1);
-	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	list_two_idle_hosts(crew);
 	for (int32_t passed_ms = 0; passed_ms < LULL_MS; passed_ms += 100)
 		crew_run(crew, 100);
 	assert_int_equal(crew->moves->len, 0);
@@ -284,12 +275,7 @@
 {
 	crew_t *crew = *state;
 
-	wwh_host_duties_pool(crew->duties, RIG_POOL, false);
-	wwh_host_duties_pool(crew->duties, "rest", true);
-	rig_add_upstream(crew->rig, "u1", "10.0.0.1:1");
-	rig_add_upstream(crew->rig, "u2", "10.0.0.2:1");
-	crew_run(crew, 1);
-	crew_hosts(crew, 2, true, WWH_HOST_UP);
+	list_two_idle_hosts(crew);
 	crew_run(crew, 2000);
 	crew_hosts(crew, 2, true, WWH_HOST_UP);
 	crew_run(crew, WWH_REST_AFTER_MS);
