Send the first polls of a new holder as answers come

Cause: a new holder sent the first polls of all inherited upstreams at once, each with a limit of 150 ms and a retry 20 ms later. The answers of 2,517 upstreams waited in its own sockets for longer, so polls timed out that had been answered, and the retries added to the load: a retry storm.

Now at most 128 upstreams that haven't answered this holder are asked at a time: those never asked first, then those due for the longest, so that silent ones hold nobody back. An upstream's later polls are as before.

first_polls_are_sent_as_answers_come failed before: 300 polls at once.

--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -35,6 +35,13 @@
 #define FIRST_POLL_LIMIT_MS 150
 #define FIRST_POLL_RETRY_MS 20
 
+/*
+ * First polls that are unanswered at a time. All sent at once by a new holder of
+ * some thousand upstreams, their answers wait in its own sockets past their
+ * limits, and each retry adds to what it can't keep up with.
+ */
+#define FIRST_POLLS_IN_FLIGHT 128
+
 /* After a poll without an answer: first, and at most. */
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
@@ -98,6 +105,10 @@
 static void repeat_orders(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 static void run_one(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+static bool is_poll_due(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream);
+static void send_first_polls(wwh_scheduler_t *scheduler);
+static gint compare_first_polls(gconstpointer a, gconstpointer b);
 static void keep_upstream(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 
@@ -186,6 +197,7 @@
 	for (GList *at = all; at != NULL; at = at->next)
 		run_one(scheduler, at->data);
 	g_list_free(all);
+	send_first_polls(scheduler);
 }
 
 static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
@@ -568,13 +580,61 @@
 		return;
 	}
 	repeat_orders(scheduler, upstream);
-	if (sched_upstream_is_located(upstream) && !upstream->poll_in_flight &&
-	    now_ms >= upstream->next_poll_ms)
+	if (upstream->settled && is_poll_due(scheduler, upstream))
 		send_poll(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->kept_asked)
 		keep_upstream(scheduler, upstream);
 }
 
+static bool is_poll_due(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream)
+{
+	return sched_upstream_is_located(upstream) &&
+	       !upstream->poll_in_flight && upstream->gone_why == NULL &&
+	       scheduler->now_ms >= upstream->next_poll_ms;
+}
+
+static void send_first_polls(wwh_scheduler_t *scheduler)
+{
+	GPtrArray *due = g_ptr_array_new();
+	GHashTableIter iterator;
+	gpointer value;
+	guint in_flight = 0;
+
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		sched_upstream_t *upstream = value;
+
+		if (upstream->settled)
+			continue;
+		if (upstream->poll_in_flight)
+			in_flight++;
+		else if (is_poll_due(scheduler, upstream))
+			g_ptr_array_add(due, upstream);
+	}
+	if (in_flight + due->len > FIRST_POLLS_IN_FLIGHT)
+		g_ptr_array_sort(due, compare_first_polls);
+	for (guint i = 0; i < due->len && in_flight + i < FIRST_POLLS_IN_FLIGHT;
+	     i++)
+		send_poll(scheduler, g_ptr_array_index(due, i));
+	g_ptr_array_free(due, TRUE);
+}
+
+/* Those that weren't asked yet come first, then those due for the longest. */
+static gint compare_first_polls(gconstpointer a, gconstpointer b)
+{
+	const sched_upstream_t *one = *(sched_upstream_t *const *)a;
+	const sched_upstream_t *other = *(sched_upstream_t *const *)b;
+	bool one_asked = one->failed_polls > 0;
+	bool other_asked = other->failed_polls > 0;
+
+	if (one_asked != other_asked)
+		return one_asked ? 1 : -1;
+	if (one->next_poll_ms == other->next_poll_ms)
+		return 0;
+	return one->next_poll_ms < other->next_poll_ms ? -1 : 1;
+}
+
 /* Before the first start: a holder after this one has to ask it. */
 static void keep_upstream(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream)
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -128,7 +128,9 @@
 void a_task_that_goes_on_slowly_is_left_alone(void **state);
 
 #define UPSTREAM_TESTS                                                            \
-	RIG_TEST(a_host_that_has_not_answered_is_not_taken_down, 1),              \
+	RIG_TEST(first_polls_are_sent_as_answers_come, 0),                        \
+		RIG_TEST(silent_upstreams_hold_back_no_first_poll, 0),            \
+		RIG_TEST(a_host_that_has_not_answered_is_not_taken_down, 1),      \
 		RIG_TEST(a_host_stays_until_its_ends_are_durable, 1),             \
 		RIG_TEST(hosts_taken_down_together_share_what_a_step_may_miss,    \
 			 3),                                                      \
@@ -157,6 +159,8 @@
 void a_job_whose_record_is_lost_is_left_as_it_is(void **state);
 void a_job_whose_progress_is_lost_starts_nothing(void **state);
 
+void first_polls_are_sent_as_answers_come(void **state);
+void silent_upstreams_hold_back_no_first_poll(void **state);
 void a_host_that_has_not_answered_is_not_taken_down(void **state);
 void a_host_stays_until_its_ends_are_durable(void **state);
 void hosts_taken_down_together_share_what_a_step_may_miss(void **state);
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -343,3 +343,79 @@
 	assert_int_equal(rig->advices, 2);
 	assert_int_equal(rig->advised_upstreams, 1);
 }
+
+/* Upstreams of a large pool, named "u1" and on. */
+#define MANY 300
+
+static const char *name_of(int32_t number)
+{
+	static char name[16];
+
+	snprintf(name, sizeof(name), "u%d", number);
+	return name;
+}
+
+/* A pool of MANY upstreams that a new holder has just taken over. */
+static void take_over_many(rig_t *rig)
+{
+	for (int32_t i = 1; i <= MANY; i++) {
+		char endpoint[32];
+
+		snprintf(endpoint, sizeof(endpoint), "10.1.0.1:%d", i);
+		rig_add_upstream(rig, name_of(i), endpoint);
+	}
+	rig_take_over(rig);
+	rig_run(rig, 1);
+}
+
+/*
+ * Guards against a new holder of a large pool that sends all first polls at
+ * once, can't read the answers in time and repeats them.
+ */
+void first_polls_are_sent_as_answers_come(void **state)
+{
+	rig_t *rig = *state;
+	int32_t asked = 0;
+
+	take_over_many(rig);
+	while (rig->polls->len > 0) {
+		rig_poll_t poll = g_array_index(rig->polls, rig_poll_t, 0);
+
+		assert_in_range(rig->polls->len, 1, MANY / 2);
+		rig_answer_poll(rig, poll.upstream, NULL, 0, NULL, 0);
+		asked++;
+		rig_run(rig, 0);
+	}
+	assert_int_equal(asked, MANY);
+}
+
+/*
+ * Guards against upstreams that are silent for good and keep a new holder from
+ * asking the others of a large pool.
+ */
+void silent_upstreams_hold_back_no_first_poll(void **state)
+{
+	rig_t *rig = *state;
+	GHashTable *asked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	take_over_many(rig);
+	for (int32_t round = 0; round < 4 && g_hash_table_size(asked) < MANY;
+	     round++) {
+		while (rig->polls->len > 0) {
+			rig_poll_t poll =
+				g_array_index(rig->polls, rig_poll_t, 0);
+
+			assert_true(g_hash_table_add(asked,
+						     g_strdup(poll.upstream)));
+			(void)rig_take_poll(rig, poll.upstream);
+			wwh_scheduler_poll_failed(rig->scheduler, poll.upstream,
+						  false, rig->now_ms);
+			if (g_hash_table_size(asked) == MANY)
+				break;
+		}
+		rig_run(rig, 150);
+	}
+	assert_int_equal(g_hash_table_size(asked), MANY);
+	g_hash_table_destroy(asked);
+}
