Let a holder keep a load that was handed over to it

Cause: a holder whose loop is late blames its host, leaves the group and hands the shard over. Under overload the next one inherits the same load, and has all upstreams to ask besides; it is late at once. Class: failover under overload, a cascade.

A holder that took over from one that gave up or was silent now puts its lag down to the load, until it has kept up for 5 s; loop-late says which (blames=). The same fault elsewhere: an overloaded holder reads the store's answers late and took that for a store that turns it away; while its loop is late only rejections count.

Ruled out: telling a slow host from a load by processor time, as the clocks of a process show the time of the wall there (trial, both clocks logged).

Tests: lag_of_an_inherited_load_is_not_blamed_on_the_host and a_holder_keeps_a_load_that_was_handed_over_to_it failed with the new rule taken out, the second in 3 of 3 runs, and pass with it, 3 of 3. The store's silence has no test of its own.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -123,9 +123,11 @@
 
 /*
  * The store takes nothing from this holder, for longer than a call takes. It may
- * serve others meanwhile, and one of them could accept jobs.
+ * serve others meanwhile, and one of them could accept jobs. An overloaded
+ * process is late to read answers, so only rejections tell it of the store.
  */
-bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms);
+bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms,
+				bool overloaded);
 
 /* Appends succeed: this holder can accept jobs. */
 bool wwh_job_holder_reaches_store(const wwh_job_holder_t *holder,
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -58,6 +58,7 @@
 	GHashTable *records; /* key to GBytes, as the journal has them */
 	bool others_at_work; /* the holder before was silent, not ended */
 	bool others_ended; /* it was found ended, and hadn't given up */
+	bool inherits_load; /* it gave up or was silent, maybe by its load */
 } wwh_held_t;
 
 typedef struct {
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -44,6 +44,8 @@
 	wwh_store_follower_t *notices;
 	char *holder; /* NULL: nobody */
 	int64_t holder_epoch;
+	int64_t holder_known_ms; /* since when; 0: before this one started */
+	int32_t short_terms; /* holders in a row that were replaced soon */
 	int64_t probe_sent_ms;
 	int64_t probe_epoch; /* of the holder that was asked */
 	int64_t yields_ms; /* the holder says so since; 0: it doesn't */
@@ -72,6 +74,7 @@
 	bool holder_orders_hosts; /* it has ended, and its orders are out */
 	bool others_at_work; /* when the claim was begun, as the next one */
 	bool others_ended;
+	bool inherits_load;
 	bool has_claimed; /* since the process started */
 	bool append_in_flight;
 	bool notice_pending; /* the holder is to be made known */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -216,10 +216,13 @@
 	return confirmed_within(holder, now_ms, REACHES_STORE_MS);
 }
 
-bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms)
+bool wwh_job_holder_turned_away(const wwh_job_holder_t *holder, int64_t now_ms,
+				bool overloaded)
 {
-	return wwh_shard_journal_failing(holder->journal) &&
-	       !confirmed_within(holder, now_ms, TURNED_AWAY_MS);
+	bool failing = overloaded ? wwh_shard_journal_refused(holder->journal)
+				  : wwh_shard_journal_failing(holder->journal);
+
+	return failing && !confirmed_within(holder, now_ms, TURNED_AWAY_MS);
 }
 
 void wwh_job_holder_dump(wwh_job_holder_t *holder, GString *out)
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -178,6 +178,9 @@
 
 	g_assert(service->holder == NULL);
 	service->holder = wwh_job_holder_new(&options);
+	wwh_lateness_reset(service->lateness);
+	if (held->inherits_load)
+		wwh_lateness_inherit_load(service->lateness);
 	g_mutex_lock(&service->lock);
 	if (service->config != NULL)
 		wwh_job_holder_set_config(service->holder, service->config);
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -33,6 +33,7 @@
 static void judge_turn(wwh_job_service_t *service, int64_t wait_ms);
 static void run_once(wwh_job_service_t *service);
 static bool yields(const wwh_job_service_t *service, int64_t now_ms);
+static bool is_turned_away(const wwh_job_service_t *service, int64_t now_ms);
 static void hand_over(wwh_job_service_t *service, int64_t now_ms);
 static void tell_state(wwh_job_service_t *service, int64_t now_ms);
 static bool stood_still(wwh_job_service_t *service, int64_t now_ms);
@@ -86,7 +87,6 @@
 	bool is_late;
 
 	if (service->holder == NULL || service->turn_begun_ms == 0) {
-		wwh_lateness_reset(service->lateness);
 		service->turn_begun_ms = service->holder == NULL ? 0 : now_ms;
 		service->turn_wait_ms = wait_ms;
 		return;
@@ -101,8 +101,10 @@
 			service->log, is_late ? "loop-late" : "loop-in-time",
 			service->settings.name,
 			"turn_ms=%" G_GINT64_FORMAT
-			" behind_ms=%" G_GINT64_FORMAT,
-			turn_ms, wwh_lateness_behind_ms(service->lateness));
+			" behind_ms=%" G_GINT64_FORMAT " blames=%s",
+			turn_ms, wwh_lateness_behind_ms(service->lateness),
+			wwh_lateness_blames_host(service->lateness) ? "host"
+								    : "load");
 }
 
 static void run_once(wwh_job_service_t *service)
@@ -135,9 +137,9 @@
 	}
 	if (stopping && service->holder == NULL)
 		wwh_shard_claim_give_up(service->claim, now_ms);
-	wwh_shard_claim_leave_to_others(service->claim,
-					wwh_lateness_is_late(service->lateness),
-					now_ms);
+	wwh_shard_claim_leave_to_others(
+		service->claim, wwh_lateness_blames_host(service->lateness),
+		now_ms);
 	hand_over(service, now_ms);
 	wwh_shard_claim_run(service->claim, now_ms);
 	if (service->lost_holder != NULL) {
@@ -153,10 +155,18 @@
  * it answers others in time that it holds the shard.
  */
 static bool yields(const wwh_job_service_t *service, int64_t now_ms)
+{
+	return is_turned_away(service, now_ms) ||
+	       (service->holder != NULL &&
+		wwh_lateness_blames_host(service->lateness));
+}
+
+static bool is_turned_away(const wwh_job_service_t *service, int64_t now_ms)
 {
 	return service->holder != NULL &&
-	       (wwh_job_holder_turned_away(service->holder, now_ms) ||
-		wwh_lateness_is_late(service->lateness));
+	       wwh_job_holder_turned_away(
+		       service->holder, now_ms,
+		       wwh_lateness_is_late(service->lateness));
 }
 
 /*
@@ -210,8 +220,7 @@
 	service->reaches_store =
 		holds && wwh_job_holder_reaches_store(holder, now_ms);
 	service->yields = yields(service, now_ms);
-	service->turned_away =
-		holds && wwh_job_holder_turned_away(holder, now_ms);
+	service->turned_away = is_turned_away(service, now_ms);
 	service->handed_over = service->handed_over && !holds && !claims;
 	g_mutex_unlock(&service->lock);
 }
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -196,6 +196,7 @@
 	claim->others_at_work = others_at_work;
 	claim->others_ended = claim->holder != NULL && claim->holder_ended &&
 			      !claim->holder_gave_up;
+	claim->inherits_load = claim->holder_gave_up || others_at_work;
 	claim->epoch = 0;
 	claim->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
@@ -349,6 +350,7 @@
 	held.records = records;
 	held.others_at_work = claim->others_at_work;
 	held.others_ended = claim->others_ended;
+	held.inherits_load = claim->inherits_load;
 	claim->options.on_held(&held, claim->options.client_data);
 	g_hash_table_destroy(records);
 	if (claim->state == CLAIM_HELD)
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "waxwinghollow/job_service.h"
+#include "waxwinghollow/shard_claim.h"
 #include "waxwinghollow/upstream.h"
 
 #define PROCESSES 2
@@ -220,6 +221,7 @@
 /* test_changes.c: one process holds the shard after the other */
 void a_holder_that_the_store_turns_away_hands_over(void **state);
 void a_holder_that_cannot_keep_up_hands_over(void **state);
+void a_holder_keeps_a_load_that_was_handed_over_to_it(void **state);
 void a_holder_keeps_the_shard_while_nobody_else_is_served(void **state);
 void a_lost_answer_keeps_no_pool_waiting(void **state);
 void another_process_takes_over_from_one_that_stops(void **state);
--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -17,6 +17,9 @@
  */
 #define LATE_HAND_OVER_MS 3000
 
+/* Several times what a loop takes to show that it can't keep up. */
+#define OVERLOAD_MS 2500
+
 /* A question, one more, and the start: each takes some ms. */
 #define LOST_ANSWER_MS 500
 
@@ -144,6 +147,39 @@
 	g_free(target);
 }
 
+/*
+ * Guards against a cascade of hand-overs: a load that no process keeps up with
+ * would move from each to the next, and none would get on with it.
+ */
+void a_holder_keeps_a_load_that_was_handed_over_to_it(void **state)
+{
+	fixture_t *fixture = *state;
+	standin_t *standin = fixture->standin;
+	int64_t begun_ms;
+	int32_t next;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	next = 1 - holder_of(fixture);
+	submit_many(fixture, "00000000000000d6");
+	g_mutex_lock(&standin->lock);
+	standin->ballast = standin_ballast();
+	standin->heavy_for_all = true;
+	g_mutex_unlock(&standin->lock);
+	begun_ms = standin_now_ms();
+	while (shard_status(fixture, next) != 200) {
+		if (standin_now_ms() - begun_ms > LATE_HAND_OVER_MS)
+			fail_msg("a late holder keeps the shard");
+		g_usleep(20 * 1000);
+	}
+	begun_ms = standin_now_ms();
+	while (standin_now_ms() - begun_ms < OVERLOAD_MS) {
+		assert_int_not_equal(shard_status(fixture, next),
+				     WWH_SHARD_YIELDS);
+		g_usleep(20 * 1000);
+	}
+}
+
 /*
  * The shard changes its holder while upstreams leave one order in twelve
  * unanswered. The next one starts nothing that it inherited before each upstream
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -336,6 +336,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_holder_that_cannot_keep_up_hands_over, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_keeps_a_load_that_was_handed_over_to_it,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_holder_keeps_the_shard_while_nobody_else_is_served,
 			set_up, tear_down),
--- a/src/test_lateness/test_lateness.c
+++ b/src/test_lateness/test_lateness.c
@@ -97,6 +97,32 @@
 	wwh_lateness_delete(lateness);
 }
 
+/* Guards against a load that is passed on by each process that can't bear it. */
+static void lag_of_an_inherited_load_is_not_blamed_on_the_host(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	wwh_lateness_inherit_load(lateness);
+	assert_true(turns_until_late(lateness, 90, 100) > 0);
+	assert_true(wwh_lateness_is_late(lateness));
+	assert_false(wwh_lateness_blames_host(lateness));
+	wwh_lateness_delete(lateness);
+}
+
+/* Guards against a slow host that is never blamed after a change of holder. */
+static void a_loop_that_kept_up_blames_its_host_again(void **state)
+{
+	wwh_lateness_t *lateness = wwh_lateness_new();
+
+	(void)state;
+	wwh_lateness_inherit_load(lateness);
+	assert_int_equal(turns_until_late(lateness, 5, 1200), -1);
+	assert_true(turns_until_late(lateness, 90, 100) > 0);
+	assert_true(wwh_lateness_blames_host(lateness));
+	wwh_lateness_delete(lateness);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -106,6 +132,9 @@
 		cmocka_unit_test(a_loop_that_makes_up_for_it_is_not_late),
 		cmocka_unit_test(one_pause_is_no_lateness),
 		cmocka_unit_test(a_late_loop_is_in_time_once_it_has_caught_up),
+		cmocka_unit_test(
+			lag_of_an_inherited_load_is_not_blamed_on_the_host),
+		cmocka_unit_test(a_loop_that_kept_up_blames_its_host_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -143,7 +143,7 @@
 			standin_start(upstream, object);
 		else if (g_str_has_suffix(http->target, "/hold"))
 			standin_poll(upstream, object, text);
-		if (token == standin->heavy_token)
+		if (token == standin->heavy_token || standin->heavy_for_all)
 			g_string_append(text, standin->ballast);
 	}
 	g_mutex_unlock(&standin->lock);
