Give a holder after a short-lived one more time to answer

Cause: a process that the group names takes a holder for gone after two probes of 0.6 s without an answer. One that recovers a large shard answers none in that time; its successor begins the same work anew and is replaced in its turn.

Each holder that was replaced within 5 s doubles the number of probes for the next one, up to eight; one that holds for 5 s has the usual two. A killed holder refuses connections and is replaced at once, as before.

a_holder_after_a_short_lived_one_gets_more_time failed with the doubling taken out.

--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -18,6 +18,10 @@
 /* Unanswered questions after which a holder is taken as gone. */
 #define PROBES_OF_A_LOST_HOLDER 2
 
+/* A holder that is replaced sooner may not have recovered what it took over. */
+#define SHORT_TERM_MS 5000
+#define PATIENCE_DOUBLINGS_MAX 2
+
 /* The store answers all calls of this process for so long. */
 #define STEADY_MS 900
 
@@ -37,6 +41,8 @@
 
 static bool held_before_it_started(const wwh_shard_claim_t *claim);
 static bool is_assigned(const wwh_shard_claim_t *claim);
+static void begin_term(wwh_shard_claim_t *claim);
+static int32_t probes_of_a_lost_holder(const wwh_shard_claim_t *claim);
 static bool may_join(wwh_shard_claim_t *claim);
 static void join(wwh_shard_claim_t *claim);
 static void on_joined(const wwh_http_answer_t *answer, void *data);
@@ -76,6 +82,8 @@
 	claim->highest_counter =
 		MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
 	if (epoch >= claim->holder_epoch) {
+		if (epoch > claim->holder_epoch)
+			begin_term(claim);
 		claim->holder_epoch = epoch;
 		g_free(claim->holder);
 		claim->holder = g_strdup(address);
@@ -108,7 +116,7 @@
 		claim_begin(claim, "restarted", false);
 	} else if (claim->holder_ended) {
 		claim_begin(claim, "holder-ended", claim->holder_orders_hosts);
-	} else if (claim->probes_failed >= PROBES_OF_A_LOST_HOLDER &&
+	} else if (claim->probes_failed >= probes_of_a_lost_holder(claim) &&
 		   store_is_steady(claim)) {
 		claim_begin(claim, "holder-silent", true);
 	} else if (!claim->probe_in_flight &&
@@ -133,6 +141,31 @@
 	       g_strcmp0(claim->holder, claim->self) == 0;
 }
 
+static void begin_term(wwh_shard_claim_t *claim)
+{
+	int64_t term_ms = claim->now_ms - claim->holder_known_ms;
+
+	if (claim->holder_known_ms != 0 && term_ms < SHORT_TERM_MS)
+		claim->short_terms++;
+	else
+		claim->short_terms = 0;
+	claim->holder_known_ms = claim->now_ms;
+}
+
+/*
+ * A holder that recovers a large shard may answer no probe in time. Replaced
+ * then, its successor begins the same work anew and is replaced in its turn, so
+ * each holder after a short-lived one gets twice the time of the one before.
+ */
+static int32_t probes_of_a_lost_holder(const wwh_shard_claim_t *claim)
+{
+	int32_t doublings = MIN(claim->short_terms, PATIENCE_DOUBLINGS_MAX);
+
+	if (claim->now_ms - claim->holder_known_ms >= SHORT_TERM_MS)
+		doublings = 0;
+	return PROBES_OF_A_LOST_HOLDER << doublings;
+}
+
 static bool is_assigned(const wwh_shard_claim_t *claim)
 {
 	return claim->assigned && claim->now_ms - claim->assigned_ms <
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -5,6 +5,9 @@
 
 #include "claim_fixture.h"
 
+/* Until a silent holder is replaced, where the one before it held for long. */
+#define SILENT_HOLDER_MS 1300
+
 static void a_shard_that_nobody_holds_is_claimed_with_its_records(void **state)
 {
 	fixture_t *fixture = *state;
@@ -47,6 +50,26 @@
 	assert_true(times_asked(&fixture->peers[0]) >= 2);
 }
 
+/*
+ * Guards against a chain of claims: holders that recover a large shard answer
+ * late, and each would be replaced before it has.
+ */
+static void a_holder_after_a_short_lived_one_gets_more_time(void **state)
+{
+	fixture_t *fixture = *state;
+
+	make_holder(fixture, fixture->peers[0].address, EPOCH(4));
+	start_claim(fixture, false);
+	run_until_asked(fixture, 0, 1);
+	set_status(&fixture->peers[1], 0);
+	make_holder(fixture, fixture->peers[1].address, EPOCH(5));
+	run_for(fixture, SILENT_HOLDER_MS + SILENT_HOLDER_MS / 2);
+	assert_int_equal(fixture->held.epoch, 0);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 6);
+	assert_true(fixture->held.inherits_load);
+}
+
 static void a_holder_that_says_it_holds_no_more_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -270,6 +293,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_silent_holder_is_replaced_as_one_that_may_be_at_work,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_after_a_short_lived_one_gets_more_time, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_holder_that_says_it_holds_no_more_is_replaced, set_up,
 			tear_down),
