Check callers' API keys

Callers saw: on deployments with workspaces anyone who reached an entry host ran, read and cancelled jobs at others' cost, also under a key that had been removed seconds before.

Cause: keys weren't read at all, neither those of the configuration nor those of requests.

A queue that isn't public now asks for a key in force of some workspace: 401 with WWW-Authenticate before anything is read of the job. Whether keys are needed is said by the settings, so that a configuration that has lost its keys is refused whole and the one before stays in force. Where the operator wants it (revokeFailClosed), all keys fail once the configuration hasn't been read for revokeMs.

--- a/include/waxwinghollow/error_kind.h
+++ b/include/waxwinghollow/error_kind.h
@@ -26,6 +26,7 @@
 	WWH_ERROR_NONE = 0, /* the minion's whole answer is passed on */
 	WWH_ERROR_BAD_REQUEST,
 	WWH_ERROR_BODY_TOO_LARGE,
+	WWH_ERROR_UNAUTHORIZED, /* no API key, or one that isn't in force */
 	WWH_ERROR_NO_SUCH_SERVICE,
 	WWH_ERROR_QUOTA_EXCEEDED,
 	WWH_ERROR_QUEUE_FULL,
--- a/include/waxwinghollow/job_config.h
+++ b/include/waxwinghollow/job_config.h
@@ -19,12 +19,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "waxwinghollow/api_keys.h"
 #include "waxwinghollow/job.h"
 
 typedef struct {
 	char *host; /* of the Host header, without a port */
 	char *prefix; /* of the path; the longest one wins */
 	int64_t timeout_ms;
+	bool is_public; /* needs no API key */
 	wwh_job_queue_t rules;
 } wwh_queue_t;
 
@@ -37,6 +39,7 @@
 	int64_t version;
 	GArray *queues; /* wwh_queue_t */
 	GArray *pools; /* wwh_job_pool_t */
+	wwh_api_keys_t *api_keys; /* NULL: there are no workspaces */
 	int64_t max_body_bytes;
 	gint references;
 } wwh_job_config_t;
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -14,6 +14,7 @@
 	settings->job_kept_ms = 120000;
 	settings->grace_ms = 6000;
 	settings->member_min_ms = 1000;
+	settings->revoke_ms = 5000;
 	settings->store_call_bytes = 2097152;
 	settings->duty_lease_ms = 3000;
 	settings->move_ms = 1500;
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -49,7 +49,9 @@
 	wwh_host_settings_t settings; /* of the loop's thread */
 	wwh_host_settings_t *settings_next; /* to be taken up by the loop */
 	wwh_job_config_t *config;
+	int64_t config_unread_ms; /* the store doesn't answer since; 0: it does */
 	GHashTable *waves; /* key to GBytes; of the loop's thread */
+	int64_t keys_fail_after_ms; /* that long; 0: they don't */
 	bool stopping;
 	bool holds;
 	bool claims; /* the shard; it may hold it soon */
@@ -63,6 +65,7 @@
 	wwh_counters_t *counters;
 	/* How long callers waited for their answers, by what they asked. */
 	wwh_histogram_t *answer_ms[JOB_REQUEST_KIND_COUNT];
+	wwh_counter_t *unauthorized; /* requests without a key in force */
 	wwh_event_log_t *log;
 	wwh_bad_records_t *bad_orders; /* of the operator */
 	wwh_bad_records_t *bad_claims; /* of the shard's holders */
@@ -104,6 +107,9 @@
 /* job_service_loop.c: of a thread of its own */
 gpointer job_service_run_loop(gpointer service);
 
+/* job_service.c: of the settings, for the listeners' threads */
+void job_service_set_key_limit(wwh_job_service_t *service);
+
 /* job_service_events.c: begins to watch; also when the store is another one */
 void job_service_make_calls(wwh_job_service_t *service);
 /* The holder is to be deleted by the loop. False: there is none. */
--- a/src/libwaxwinghollow/job_config.c
+++ b/src/libwaxwinghollow/job_config.c
@@ -31,6 +31,7 @@
 		return;
 	g_array_free(config->queues, TRUE);
 	g_array_free(config->pools, TRUE);
+	wwh_api_keys_delete(config->api_keys);
 	g_free(config);
 }
 
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -58,7 +58,10 @@
 
 	service->settings = *settings;
 	g_mutex_init(&service->lock);
+	job_service_set_key_limit(service);
 	service->counters = wwh_counters_new();
+	service->unauthorized =
+		wwh_counters_get(service->counters, "caller.unauthorized");
 	make_histograms(service);
 	service->lateness = wwh_lateness_new();
 	service->log = wwh_event_log_new(&log, service->counters);
@@ -74,6 +77,16 @@
 	return service;
 }
 
+void job_service_set_key_limit(wwh_job_service_t *service)
+{
+	const wwh_host_settings_t *settings = &service->settings;
+
+	g_mutex_lock(&service->lock);
+	service->keys_fail_after_ms =
+		settings->revoke_fails_closed ? settings->revoke_ms : 0;
+	g_mutex_unlock(&service->lock);
+}
+
 wwh_status_t wwh_job_service_init(wwh_job_service_t *service,
 				  wwh_message_t *message)
 {
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -22,6 +22,9 @@
 /* Of a read of the operator's records; a silent connection costs so much. */
 #define OPERATOR_WAIT_MS 1200
 
+/* Until a silent store is noticed: the wait of a read, and its answer's way. */
+#define OPERATOR_SILENCE_MS 2400
+
 static void on_operator_record(const char *key, const uint8_t *value,
 			       size_t size, void *data);
 static void on_nameless_record(int64_t offset, const char *why, void *data);
@@ -120,7 +123,8 @@
 			const uint8_t *value, size_t size)
 {
 	wwh_message_t why = { "version isn't a number above 0" };
-	wwh_job_config_t *config = wire_operator_config(value, size, &why);
+	wwh_job_config_t *config = wire_operator_config(
+		value, size, service->settings.checks_keys, &why);
 	bool newer;
 
 	if (config == NULL) {
@@ -148,6 +152,11 @@
 {
 	wwh_job_service_t *service = data;
 
+	g_mutex_lock(&service->lock);
+	/* a read that was answered last ended before this one began */
+	service->config_unread_ms =
+		reached ? 0 : job_service_now_ms() - OPERATOR_SILENCE_MS;
+	g_mutex_unlock(&service->lock);
 	wwh_event_log_printf(service->log,
 			     reached ? "store-regained" : "store-lost",
 			     "operator", "result=%s", why);
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -25,6 +25,13 @@
 	SHARD_ASKER_SUCCESSOR, /* and the journal takes its records */
 } shard_asker_t;
 
+static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
+		    const wwh_queue_t *queue, const wwh_http_request_t *http,
+		    const char *path, wwh_http_response_t *response);
+static bool keys_are_stale(wwh_job_service_t *service);
+static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
+			  const wwh_http_request_t *http, const char *rest,
+			  const char *path, wwh_http_response_t *response);
 static bool shard_asker(const char *target, shard_asker_t *asker);
 static void answer_shard(wwh_job_service_t *service, shard_asker_t asker,
 			 wwh_http_response_t *response);
@@ -51,11 +58,7 @@
 	const char *host = wwh_headers_get(http->headers, "Host");
 	const wwh_queue_t *queue;
 	const char *rest = NULL;
-	wwh_message_t message = { "" };
 	wwh_job_config_t *config;
-	wwh_job_answer_t answer;
-	job_request_t *request;
-	int64_t asked_ms;
 	char *path;
 
 	config = config_of(service);
@@ -80,31 +83,86 @@
 				     config->version);
 		wwh_listener_answer_error(response, WWH_ERROR_NO_SUCH_SERVICE,
 					  0);
-	} else {
-		request = read_request(http, queue, rest, &message);
-		if (request == NULL) {
-			wwh_event_log_printf(service->log, "bad-request", path,
-					     "method=%s why=%s", http->method,
-					     message.text);
-			wwh_listener_answer_error(response,
-						  WWH_ERROR_BAD_REQUEST, 0);
-		} else {
-			request->limit_ms = wire_caller_patience_ms(
-				http->headers, queue->timeout_ms > 0
-						       ? queue->timeout_ms
-						       : PATIENCE_MS);
-			asked_ms = job_service_now_ms();
-			answer = job_service_ask(service, request);
-			wwh_histogram_add(service->answer_ms[request->kind],
-					  job_service_now_ms() - asked_ms);
-			answer_job(service, request, &answer, response);
-			job_request_unref(request);
-		}
+	} else if (may_use(service, config, queue, http, path, response)) {
+		answer_caller(service, queue, http, rest, path, response);
 	}
 	g_free(path);
 	wwh_job_config_unref(config);
 }
 
+/* False: response says why not. */
+static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
+		    const wwh_queue_t *queue, const wwh_http_request_t *http,
+		    const char *path, wwh_http_response_t *response)
+{
+	wwh_access_t access;
+	char *key;
+
+	if (config->api_keys == NULL || queue->is_public)
+		return true;
+	if (keys_are_stale(service)) {
+		wwh_event_log_write(service->log, "not-authenticated", path,
+				    "access=configuration-unread");
+		wwh_listener_answer_error(response, WWH_ERROR_NO_CONFIGURATION,
+					  SECOND_MS);
+		return false;
+	}
+	key = wire_caller_key(http->headers);
+	access = wwh_api_keys_check(config->api_keys, queue->is_public, key);
+	g_free(key);
+	if (access == WWH_ACCESS_GRANTED)
+		return true;
+	wwh_counter_add(service->unauthorized, 1);
+	wwh_event_log_printf(service->log, "not-authenticated", path,
+			     "access=%s config=%" G_GINT64_FORMAT,
+			     wwh_access_names[access], config->version);
+	wwh_listener_answer_error(response, WWH_ERROR_UNAUTHORIZED, 0);
+	wwh_headers_add(response->headers, "WWW-Authenticate",
+			wire_caller_challenge());
+	return false;
+}
+
+/* A key that was removed meanwhile would go on working for as long. */
+static bool keys_are_stale(wwh_job_service_t *service)
+{
+	int64_t unread_ms;
+	int64_t limit_ms;
+
+	g_mutex_lock(&service->lock);
+	unread_ms = service->config_unread_ms;
+	limit_ms = service->keys_fail_after_ms;
+	g_mutex_unlock(&service->lock);
+	return limit_ms > 0 && unread_ms != 0 &&
+	       job_service_now_ms() - unread_ms >= limit_ms;
+}
+
+static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
+			  const wwh_http_request_t *http, const char *rest,
+			  const char *path, wwh_http_response_t *response)
+{
+	int64_t asked_ms = job_service_now_ms();
+	wwh_message_t message = { "" };
+	wwh_job_answer_t answer;
+	job_request_t *request;
+
+	request = read_request(http, queue, rest, &message);
+	if (request == NULL) {
+		wwh_event_log_printf(service->log, "bad-request", path,
+				     "method=%s why=%s", http->method,
+				     message.text);
+		wwh_listener_answer_error(response, WWH_ERROR_BAD_REQUEST, 0);
+		return;
+	}
+	request->limit_ms = wire_caller_patience_ms(
+		http->headers,
+		queue->timeout_ms > 0 ? queue->timeout_ms : PATIENCE_MS);
+	answer = job_service_ask(service, request);
+	wwh_histogram_add(service->answer_ms[request->kind],
+			  job_service_now_ms() - asked_ms);
+	answer_job(service, request, &answer, response);
+	job_request_unref(request);
+}
+
 bool wwh_job_service_ready(wwh_job_service_t *service)
 {
 	bool ready;
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -270,6 +270,7 @@
 		wwh_host_settings_clear(next);
 	}
 	g_free(next);
+	job_service_set_key_limit(service);
 }
 
 static bool is_settled(const wwh_job_service_t *service)
--- /dev/null
+++ b/src/test_api_keys/test_api_keys.c
@@ -0,0 +1,95 @@
+/* Which workspace a key belongs to, and who may use which queue. */
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+#include <string.h>
+
+#include "waxwinghollow/api_keys.h"
+
+static int set_up(void **state)
+{
+	wwh_api_keys_t *keys = wwh_api_keys_new();
+
+	assert_true(wwh_api_keys_add(keys, "parks", "key-1"));
+	assert_true(wwh_api_keys_add(keys, "parks", "key-2"));
+	assert_true(wwh_api_keys_add(keys, "schools", "key-3"));
+	*state = keys;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	wwh_api_keys_delete(*state);
+	return 0;
+}
+
+static void each_key_leads_to_its_workspace(void **state)
+{
+	wwh_api_keys_t *keys = *state;
+
+	assert_string_equal(wwh_api_keys_find(keys, "key-1"), "parks");
+	assert_string_equal(wwh_api_keys_find(keys, "key-2"), "parks");
+	assert_string_equal(wwh_api_keys_find(keys, "key-3"), "schools");
+}
+
+/* Guards against keys that pass for another by a part of it or its case. */
+static void a_key_that_is_almost_right_is_unknown(void **state)
+{
+	static const char *const wrong[] = {
+		"", "key-", "key-11", "KEY-1", " key-1", "key-1 ", "key-4",
+	};
+	wwh_api_keys_t *keys = *state;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++)
+		assert_null(wwh_api_keys_find(keys, wrong[i]));
+}
+
+/* Guards against a key that would speak for two workspaces. */
+static void a_key_has_one_workspace(void **state)
+{
+	wwh_api_keys_t *keys = *state;
+
+	assert_true(wwh_api_keys_add(keys, "parks", "key-1"));
+	assert_false(wwh_api_keys_add(keys, "schools", "key-1"));
+	assert_string_equal(wwh_api_keys_find(keys, "key-1"), "parks");
+}
+
+static void only_public_queues_need_no_key(void **state)
+{
+	wwh_api_keys_t *keys = *state;
+
+	assert_int_equal(wwh_api_keys_check(keys, false, "key-3"),
+			 WWH_ACCESS_GRANTED);
+	assert_int_equal(wwh_api_keys_check(keys, false, "key-4"),
+			 WWH_ACCESS_UNKNOWN_KEY);
+	assert_int_equal(wwh_api_keys_check(keys, false, NULL),
+			 WWH_ACCESS_NO_KEY);
+	assert_int_equal(wwh_api_keys_check(keys, false, ""),
+			 WWH_ACCESS_NO_KEY);
+	assert_int_equal(wwh_api_keys_check(keys, true, NULL),
+			 WWH_ACCESS_GRANTED);
+	assert_int_equal(wwh_api_keys_check(keys, true, "key-4"),
+			 WWH_ACCESS_GRANTED);
+	assert_int_equal(wwh_api_keys_check(NULL, false, NULL),
+			 WWH_ACCESS_GRANTED);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(each_key_leads_to_its_workspace,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_key_that_is_almost_right_is_unknown, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(a_key_has_one_workspace, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(only_public_queues_need_no_key,
+						set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -13,6 +13,9 @@
 #include "wire_store.h"
 #include "wire_upstream.h"
 
+/* First bytes from here on: the input is a header. */
+#define KEY_INPUT 0x80
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static wwh_http_answer_t answer_of(const uint8_t *data, size_t size)
@@ -66,6 +69,22 @@
 	g_bytes_unref(bytes);
 }
 
+/* The input as a header, ended where a header would be. */
+static void try_key(const uint8_t *data, size_t size)
+{
+	wwh_headers_t *headers = wwh_headers_new();
+	char *value = g_strndup((const char *)data, size);
+	char *key;
+
+	wwh_headers_add(headers, "Authorization", value);
+	key = wire_caller_key(headers);
+	assert(key == NULL || (key[0] != '\0' && strpbrk(key, " \t") == NULL &&
+			       g_str_has_suffix(value, key)));
+	g_free(key);
+	g_free(value);
+	wwh_headers_delete(headers);
+}
+
 static void try_upstream(const uint8_t *data, size_t size)
 {
 	wwh_http_answer_t answer = answer_of(data, size);
@@ -113,7 +132,8 @@
 {
 	wwh_upstream_info_t info;
 	wwh_message_t why;
-	wwh_job_config_t *config = wire_operator_config(data, size, &why);
+	wwh_job_config_t *config =
+		wire_operator_config(data, size, size % 2 == 0, &why);
 	wwh_wave_order_t *order =
 		wire_operator_wave("wave/1", data, size, &why);
 	const char *rest;
@@ -145,7 +165,7 @@
 	if (size == 0)
 		return 0;
 	input = g_memdup2(data + 1, size - 1);
-	switch (data[0] % 4) {
+	switch (data[0] >= KEY_INPUT ? KEY_INPUT : data[0] % 4) {
 	case 0:
 		try_job(input, size - 1);
 		break;
@@ -155,6 +175,9 @@
 	case 2:
 		try_store(input, size - 1);
 		break;
+	case KEY_INPUT:
+		try_key(input, size - 1);
+		break;
 	default:
 		try_operator(input, size - 1);
 		break;
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -32,6 +32,9 @@
 	wwh_upstream_t *client;
 	int log_fd;
 	const char *patience_ms; /* of callers */
+	const char *authorization; /* the same; NULL: none */
+	bool checks_keys;
+	int64_t keys_fail_after_ms; /* 0: they don't */
 } fixture_t;
 
 static inline void start_process(fixture_t *fixture, int32_t index)
@@ -51,6 +54,9 @@
 	settings.store = g_strdup_printf("127.0.0.1:%d", store);
 	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
 	settings.grace_ms = GRACE_MS;
+	settings.checks_keys = fixture->checks_keys;
+	settings.revoke_fails_closed = fixture->keys_fail_after_ms != 0;
+	settings.revoke_ms = fixture->keys_fail_after_ms;
 	if (fixture->cpu_permille[index] != 0)
 		settings.cpu_permille = fixture->cpu_permille[index];
 	fixture->ports[index] = settings.callers.port;
@@ -69,7 +75,8 @@
 	fixture->services[index] = NULL;
 }
 
-static inline int set_up(void **state)
+/* Without its processes. */
+static inline fixture_t *fixture_new(void)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	wwh_upstream_options_t options = wwh_upstream_options_defaults();
@@ -79,6 +86,13 @@
 	fixture->counters = wwh_counters_new();
 	fixture->client = wwh_upstream_new(&options, fixture->counters);
 	fixture->log_fd = open("/dev/null", O_WRONLY);
+	return fixture;
+}
+
+static inline int set_up(void **state)
+{
+	fixture_t *fixture = fixture_new();
+
 	for (int32_t i = 0; i < PROCESSES; i++)
 		start_process(fixture, i);
 	*state = fixture;
@@ -129,6 +143,9 @@
 	wwh_headers_add(headers, "Host", "h");
 	wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms",
 			fixture->patience_ms);
+	if (fixture->authorization != NULL)
+		wwh_headers_add(headers, "Authorization",
+				fixture->authorization);
 	wwh_upstream_send(fixture->client, &request, &answer);
 	status = answer.outcome == WWH_UPSTREAM_ANSWERED ||
 				 answer.outcome == WWH_UPSTREAM_REFUSED
@@ -228,4 +245,30 @@
 void a_stopped_holder_waits_for_its_orders_to_hosts(void **state);
 void a_slow_process_holds_the_shard_only_if_nobody_else_does(void **state);
 
+/* test_keys.c */
+#define KEY_TESTS                                                              \
+	cmocka_unit_test_setup_teardown(                                       \
+		only_callers_with_a_key_in_force_are_served, set_up_open_keys, \
+		tear_down),                                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			keys_change_on_all_processes_and_never_back,           \
+			set_up_open_keys, tear_down),                          \
+		cmocka_unit_test_setup_teardown(                               \
+			a_configuration_without_keys_lets_nobody_in,           \
+			set_up_open_keys, tear_down),                          \
+		cmocka_unit_test_setup_teardown(                               \
+			keys_fail_while_their_configuration_is_unread,         \
+			set_up_closed_keys, tear_down),                        \
+		cmocka_unit_test_setup_teardown(                               \
+			keys_stay_in_force_where_the_operator_says_so,         \
+			set_up_open_keys, tear_down)
+
+int set_up_open_keys(void **state);
+int set_up_closed_keys(void **state);
+void only_callers_with_a_key_in_force_are_served(void **state);
+void keys_change_on_all_processes_and_never_back(void **state);
+void a_configuration_without_keys_lets_nobody_in(void **state);
+void keys_fail_while_their_configuration_is_unread(void **state);
+void keys_stay_in_force_where_the_operator_says_so(void **state);
+
 #endif
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -324,6 +324,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		KEY_TESTS,
 		cmocka_unit_test_setup_teardown(
 			a_job_runs_whichever_process_takes_it, set_up,
 			tear_down),
--- /dev/null
+++ b/src/test_job_service/test_keys.c
@@ -0,0 +1,182 @@
+/* Callers with API keys, without, and with keys that come and go. */
+
+#include "service_fixture.h"
+
+#define QUEUES                                                                 \
+	"\"routes\":[{\"name\":\"r1\",\"host\":\"h\",\"pathPrefix\":\"/q/\","  \
+	"\"service\":\"" STANDIN_POOL "\"},{\"name\":\"r2\",\"host\":\"h\","   \
+	"\"pathPrefix\":\"/open/"                                              \
+	"\",\"public\":true,\"service\":\"" STANDIN_POOL                       \
+	"\"}],\"services\":[{\"name\":\"" STANDIN_POOL "\"}]"
+#define WITH_KEYS(version, keys)                                               \
+	"{\"version\":" version "," QUEUES                                     \
+	",\"tenants\":[{\"name\":\"parks\",\"apiKeys\":[" keys "]}]}"
+
+#define STATUS_UNAUTHORIZED 401
+#define KEYS_FAIL_AFTER_MS 3000
+#define ANSWERS_AT_ONCE_MS 400
+
+static int set_up_keys(void **state, bool fails_closed)
+{
+	static const char config[] = WITH_KEYS("4", "\"old\",\"kept\"");
+	fixture_t *fixture = fixture_new();
+
+	fixture->checks_keys = true;
+	fixture->keys_fail_after_ms = fails_closed ? KEYS_FAIL_AFTER_MS : 0;
+	standin_put(fixture->standin, "keyed.op", "0", "config", config,
+		    strlen(config));
+	for (int32_t i = 0; i < PROCESSES; i++)
+		start_process(fixture, i);
+	fixture->authorization = "Token kept";
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	*state = fixture;
+	return 0;
+}
+
+int set_up_open_keys(void **state)
+{
+	return set_up_keys(state, false);
+}
+
+int set_up_closed_keys(void **state)
+{
+	return set_up_keys(state, true);
+}
+
+static void put_config(fixture_t *fixture, const char *text)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	standin_put(fixture->standin, "keyed.op", "0", "config", text,
+		    strlen(text));
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static int32_t status_with(fixture_t *fixture, int32_t index,
+			   const char *authorization)
+{
+	fixture->authorization = authorization;
+	return ask(fixture, index, "GET", "/q/", NULL, NULL);
+}
+
+/* Guards against jobs that anyone who reaches a process can run and read. */
+void only_callers_with_a_key_in_force_are_served(void **state)
+{
+	static const char *const wrong[] = { NULL,	    "",
+					     "Token",	    "Token other",
+					     "Bearer kept", "kept" };
+	static const char *const methods[] = { "POST", "GET", "DELETE" };
+	fixture_t *fixture = *state;
+	int64_t begun_ms;
+	char *text;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
+		for (size_t k = 0; k < G_N_ELEMENTS(methods); k++) {
+			fixture->authorization = wrong[i];
+			begun_ms = standin_now_ms();
+			assert_int_equal(ask(fixture, (int32_t)i % PROCESSES,
+					     methods[k], "/q/00000000000000a0",
+					     "no job", &text),
+					 STATUS_UNAUTHORIZED);
+			assert_true(standin_now_ms() - begun_ms <
+				    ANSWERS_AT_ONCE_MS);
+			assert_non_null(strstr(text, "unauthorized"));
+			g_free(text);
+		}
+	}
+	assert_int_equal(ask(fixture, 0, "GET", "/open/", NULL, NULL), 200);
+	fixture->authorization = "Token kept";
+	submit(fixture, 0, "00000000000000a1");
+	wait_state(fixture, 1, "00000000000000a1", "completed");
+}
+
+/* Guards against keys that work on after they were removed, or not yet. */
+void keys_change_on_all_processes_and_never_back(void **state)
+{
+	fixture_t *fixture = *state;
+
+	assert_int_equal(status_with(fixture, 0, "Token old"), 200);
+	put_config(fixture, WITH_KEYS("5", "\"kept\",\"new\""));
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		for (int32_t tries = 0;
+		     tries < 20 && status_with(fixture, i, "Token new") != 200;
+		     tries++)
+			g_usleep(100 * 1000);
+	}
+	for (int32_t round = 0; round < 10; round++) {
+		for (int32_t i = 0; i < PROCESSES; i++) {
+			assert_int_equal(status_with(fixture, i, "Token new"),
+					 200);
+			assert_int_equal(status_with(fixture, i, "Token old"),
+					 STATUS_UNAUTHORIZED);
+		}
+		put_config(fixture, WITH_KEYS("4", "\"old\",\"kept\""));
+		g_usleep(100 * 1000);
+	}
+}
+
+/* Guards against a configuration that lost its keys and lets all callers in. */
+void a_configuration_without_keys_lets_nobody_in(void **state)
+{
+	fixture_t *fixture = *state;
+
+	put_config(fixture, "{\"version\":9," QUEUES "}");
+	g_usleep(700 * 1000);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		assert_int_equal(status_with(fixture, i, NULL),
+				 STATUS_UNAUTHORIZED);
+		assert_int_equal(status_with(fixture, i, "Token kept"), 200);
+	}
+}
+
+static bool says_no_configuration(fixture_t *fixture)
+{
+	char *text;
+	bool says;
+
+	(void)ask(fixture, 0, "GET", "/q/", NULL, &text);
+	says = strstr(text, "no-configuration") != NULL;
+	g_free(text);
+	return says;
+}
+
+static void set_store_busy(fixture_t *fixture, bool busy)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->busy = busy;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+/* Guards against removed keys that work on where nobody can read of it. */
+void keys_fail_while_their_configuration_is_unread(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms = standin_now_ms();
+
+	assert_false(says_no_configuration(fixture));
+	set_store_busy(fixture, true);
+	while (!says_no_configuration(fixture)) {
+		assert_true(standin_now_ms() - begun_ms <
+			    2 * KEYS_FAIL_AFTER_MS);
+		g_usleep(50 * 1000);
+	}
+	set_store_busy(fixture, false);
+	wait_ready(fixture, 0);
+}
+
+/* Guards against an outage of the store that turns away callers with keys. */
+void keys_stay_in_force_where_the_operator_says_so(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms = standin_now_ms();
+
+	set_store_busy(fixture, true);
+	while (standin_now_ms() - begun_ms < KEYS_FAIL_AFTER_MS) {
+		assert_false(says_no_configuration(fixture));
+		assert_int_equal(status_with(fixture, 0, "Token other"),
+				 STATUS_UNAUTHORIZED);
+		fixture->authorization = "Token kept";
+		g_usleep(200 * 1000);
+	}
+	set_store_busy(fixture, false);
+}
--- a/src/test_node_file/test_node_file.c
+++ b/src/test_node_file/test_node_file.c
@@ -65,6 +65,8 @@
 		     "advice=10.2.0.2:87\nbounds.noticeMs=4600\n"
 		     "bounds.holdMaxMs=9000\nbounds.moveS=1.5\n"
 		     "bounds.graceS=6\n"
+		     "bounds.revokeFailClosed=true\nbounds.revokeMs=4000\n"
+		     "contracts=base,tenants,quota\n"
 		     "bounds.fencingRequired=true\nnew.field=x,y\n# note\n\n",
 		     &settings, &errors),
 		WWH_STATUS_OK);
@@ -79,6 +81,9 @@
 	assert_int_equal(settings.grace_ms, 6000);
 	assert_int_equal(settings.unavailable_after_ms, 4600);
 	assert_true(settings.hosts_fence);
+	assert_true(settings.checks_keys);
+	assert_true(settings.revoke_fails_closed);
+	assert_int_equal(settings.revoke_ms, 4000);
 	wwh_host_settings_clear(&settings);
 	g_string_free(errors.text, TRUE);
 }
@@ -100,6 +105,8 @@
 	assert_int_equal(settings.stop_limit_ms, defaults.stop_limit_ms);
 	assert_int_equal(settings.grace_ms, defaults.grace_ms);
 	assert_false(settings.hosts_fence);
+	assert_false(settings.checks_keys);
+	assert_false(settings.revoke_fails_closed);
 	wwh_host_settings_clear(&settings);
 	g_string_free(errors.text, TRUE);
 }
--- a/src/test_wire/test_fields.c
+++ b/src/test_wire/test_fields.c
@@ -29,8 +29,8 @@
 
 static bool reads_config(const char *text)
 {
-	wwh_job_config_t *config =
-		wire_operator_config((const uint8_t *)text, strlen(text), NULL);
+	wwh_job_config_t *config = wire_operator_config(
+		(const uint8_t *)text, strlen(text), false, NULL);
 	bool ok = config != NULL;
 
 	wwh_job_config_unref(config);
--- /dev/null
+++ b/src/test_wire/test_keys.c
@@ -0,0 +1,104 @@
+/* API keys as requests carry them and as configurations list them. */
+
+#include "test_wire.h"
+
+#include "wire_caller.h"
+#include "wire_operator.h"
+
+#define CONFIG(tenants)                                                        \
+	"{\"version\":3,\"routes\":[{\"pathPrefix\":\"/q/\",\"service\":"      \
+	"\"desk\",\"public\":false}],\"services\":[{\"name\":\"desk\"}"        \
+	"]" tenants "}"
+
+/* The key of a request with these values of Authorization, up to a NULL. */
+static char *key_of(const char *first, const char *second)
+{
+	wwh_headers_t *headers = wwh_headers_new();
+	char *key;
+
+	wwh_headers_add(headers, "Host", "h");
+	if (first != NULL)
+		wwh_headers_add(headers, "authorization", first);
+	if (second != NULL)
+		wwh_headers_add(headers, "Authorization", second);
+	key = wire_caller_key(headers);
+	wwh_headers_delete(headers);
+	return key;
+}
+
+void a_request_has_one_key_of_the_known_scheme(void **state)
+{
+	static const char *const wrong[] = {
+		"",	    "Token",	    "Token ",	       "Tokenabc",
+		"abc",	    "Bearer abc",   "Token a b",       "Token abc ",
+		" Token a", "Token \t abc", "Basic Token abc",
+	};
+	char *key = key_of("Token abc", NULL);
+
+	(void)state;
+	assert_string_equal(key, "abc");
+	g_free(key);
+	key = key_of("token  \xff\xfe", NULL);
+	assert_string_equal(key, "\xff\xfe");
+	g_free(key);
+	assert_null(key_of(NULL, NULL));
+	assert_null(key_of("Token abc", "Token abc"));
+	for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++)
+		assert_null(key_of(wrong[i], NULL));
+}
+
+/* Guards against a header that takes a process's time and memory. */
+void a_huge_header_is_no_key(void **state)
+{
+	char *huge = g_strnfill(64 * 1024, 'a');
+	char *value = g_strconcat("Token ", huge, NULL);
+
+	(void)state;
+	assert_null(key_of(value, NULL));
+	g_free(value);
+	g_free(huge);
+}
+
+static wwh_job_config_t *config_of(const char *text, bool checks_keys)
+{
+	return wire_operator_config((const uint8_t *)text, strlen(text),
+				    checks_keys, NULL);
+}
+
+/* Guards against a damaged configuration that lets all callers in. */
+void a_configuration_without_its_keys_is_not_read(void **state)
+{
+	static const char *const bad[] = {
+		CONFIG(""),
+		CONFIG(",\"tenants\":null"),
+		CONFIG(",\"tenants\":{}"),
+		CONFIG(",\"tenants\":[7]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\"}]"),
+		CONFIG(",\"tenants\":[{\"apiKeys\":[\"k\"]}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+		       "{\"name\":\"b\",\"apiKeys\":[\"k\"]}]"),
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_null(config_of(bad[i], true));
+}
+
+void a_configuration_lists_workspaces_with_their_keys(void **state)
+{
+	static const char whole[] = CONFIG(
+		",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\",\"l\"]},"
+		"{\"name\":\"b\",\"apiKeys\":[]}]");
+	wwh_job_config_t *config = config_of(whole, true);
+
+	(void)state;
+	assert_non_null(config);
+	assert_string_equal(wwh_api_keys_find(config->api_keys, "l"), "a");
+	assert_null(wwh_api_keys_find(config->api_keys, "m"));
+	assert_false(g_array_index(config->queues, wwh_queue_t, 0).is_public);
+	wwh_job_config_unref(config);
+	config = config_of(CONFIG(""), false);
+	assert_null(config->api_keys);
+	wwh_job_config_unref(config);
+}
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -387,6 +387,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		FIELD_TESTS,
+		KEY_TESTS,
 		cmocka_unit_test(a_bad_value_in_a_list_is_there_and_empty),
 		cmocka_unit_test(a_page_that_ends_in_a_bad_item_goes_on),
 		cmocka_unit_test(a_list_that_is_none_is_not_taken_as_empty),
