Name event-loop lag and final reports by the usual terms

lateness becomes loop_lag (overloaded, lag), last words become final reports; comments that told how a bound was chosen go. No decision changes.

--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -13,7 +13,7 @@
 #include "waxwinghollow/event_log.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/job_service.h"
-#include "waxwinghollow/lateness.h"
+#include "waxwinghollow/loop_lag.h"
 #include "waxwinghollow/listener.h"
 #include "waxwinghollow/shard_claim.h"
 #include "waxwinghollow/store_follower.h"
@@ -39,6 +39,7 @@
 	job_request_kind_t kind;
 	char id[WWH_JOB_ID_CHARS + 1]; /* of the job; "" for a queue */
 	char *queue;
+	char *workspace; /* of the caller; NULL: none */
 	wwh_job_t *job; /* of a submission; the holder takes it over */
 	bool from_peer; /* isn't passed on again */
 	int64_t limit_ms; /* how long the caller waits */
@@ -84,7 +85,7 @@
 	bool ending; /* the loop ends once all is settled */
 	int64_t last_run_ms;
 	int64_t asked_for_ms; /* handing over since; 0: it isn't */
-	wwh_lateness_t *lateness; /* of the loop, while it holds the shard */
+	wwh_loop_lag_t *lag; /* of the loop, while it holds the shard */
 	wwh_histogram_t *overrun_ms; /* of its turns */
 	int64_t turn_begun_ms; /* 0: it doesn't hold it */
 	int64_t turn_wait_ms; /* what that turn wanted to wait */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -113,6 +113,7 @@
 struct sched_job {
 	char id[WWH_JOB_ID_CHARS + 1];
 	wwh_job_t *spec; /* NULL once it has ended and nothing is out */
+	char *workspace; /* NULL: none */
 	sched_pool_t *pool;
 	wwh_job_progress_t state; /* QUEUED stands for all that is live */
 	bool started;
@@ -324,8 +325,8 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
-bool sched_upstream_has_words_left(const wwh_scheduler_t *scheduler,
-				   const sched_upstream_t *upstream);
+bool sched_upstream_awaits_final_report(const wwh_scheduler_t *scheduler,
+					const sched_upstream_t *upstream);
 
 /* scheduler_watch.c: polls are sent and taken in, leases run out */
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -63,7 +63,7 @@
 	service->unauthorized =
 		wwh_counters_get(service->counters, "caller.unauthorized");
 	make_histograms(service);
-	service->lateness = wwh_lateness_new();
+	service->lag = wwh_loop_lag_new();
 	service->log = wwh_event_log_new(&log, service->counters);
 	service->bad_orders = make_bad_records(service, "operator");
 	service->bad_claims = make_bad_records(service, "shard");
@@ -186,7 +186,7 @@
 	wwh_job_config_unref(service->config);
 	wwh_bad_records_delete(service->bad_orders);
 	wwh_bad_records_delete(service->bad_claims);
-	wwh_lateness_delete(service->lateness);
+	wwh_loop_lag_delete(service->lag);
 	wwh_event_log_delete(service->log);
 	wwh_counters_delete(service->counters);
 	wwh_host_settings_clear(&service->settings);
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -187,9 +187,9 @@
 
 	g_assert(service->holder == NULL);
 	service->holder = wwh_job_holder_new(&options);
-	wwh_lateness_reset(service->lateness);
+	wwh_loop_lag_reset(service->lag);
 	if (held->inherits_load)
-		wwh_lateness_inherit_load(service->lateness);
+		wwh_loop_lag_inherit_load(service->lag);
 	g_mutex_lock(&service->lock);
 	if (service->config != NULL)
 		wwh_job_holder_set_config(service->holder, service->config);
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -83,7 +83,7 @@
 	int64_t now_ms = job_service_now_ms();
 	int64_t turn_ms = now_ms - service->turn_begun_ms;
 	int64_t overrun_ms = MAX(turn_ms - service->turn_wait_ms, 0);
-	bool was_late = wwh_lateness_is_late(service->lateness);
+	bool was_late = wwh_loop_lag_is_overloaded(service->lag);
 	bool is_late;
 
 	if (service->holder == NULL || service->turn_begun_ms == 0) {
@@ -94,17 +94,17 @@
 	service->turn_begun_ms = now_ms;
 	service->turn_wait_ms = wait_ms;
 	wwh_histogram_add(service->overrun_ms, overrun_ms);
-	wwh_lateness_turn(service->lateness, turn_ms, overrun_ms);
-	is_late = wwh_lateness_is_late(service->lateness);
+	wwh_loop_lag_add_turn(service->lag, turn_ms, overrun_ms);
+	is_late = wwh_loop_lag_is_overloaded(service->lag);
 	if (is_late != was_late)
 		wwh_event_log_printf(
 			service->log, is_late ? "loop-late" : "loop-in-time",
 			service->settings.name,
 			"turn_ms=%" G_GINT64_FORMAT
 			" behind_ms=%" G_GINT64_FORMAT " blames=%s",
-			turn_ms, wwh_lateness_behind_ms(service->lateness),
-			wwh_lateness_blames_host(service->lateness) ? "host"
-								    : "load");
+			turn_ms, wwh_loop_lag_ms(service->lag),
+			wwh_loop_lag_blames_host(service->lag) ? "host"
+							       : "load");
 }
 
 static void run_once(wwh_job_service_t *service)
@@ -138,8 +138,7 @@
 	if (stopping && service->holder == NULL)
 		wwh_shard_claim_give_up(service->claim, now_ms);
 	wwh_shard_claim_leave_to_others(
-		service->claim, wwh_lateness_blames_host(service->lateness),
-		now_ms);
+		service->claim, wwh_loop_lag_blames_host(service->lag), now_ms);
 	hand_over(service, now_ms);
 	wwh_shard_claim_run(service->claim, now_ms);
 	if (service->lost_holder != NULL) {
@@ -158,7 +157,7 @@
 {
 	return is_turned_away(service, now_ms) ||
 	       (service->holder != NULL &&
-		wwh_lateness_blames_host(service->lateness));
+		wwh_loop_lag_blames_host(service->lag));
 }
 
 static bool is_turned_away(const wwh_job_service_t *service, int64_t now_ms)
@@ -166,7 +165,7 @@
 	return service->holder != NULL &&
 	       wwh_job_holder_turned_away(
 		       service->holder, now_ms,
-		       wwh_lateness_is_late(service->lateness));
+		       wwh_loop_lag_is_overloaded(service->lag));
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -5,11 +5,8 @@
 /* No new work where the last answer is older than three waits and a bit. */
 #define SILENT_AFTER_MS 3200
 
-/*
- * From a sign that an upstream's life is over until its last answer has been
- * read: ten times what an answer takes, and a turn of a busy holder's loop.
- */
-#define LAST_WORDS_MS 150
+/* How long to wait for the final report of an upstream that may have terminated. */
+#define FINAL_REPORT_WAIT_MS 150
 
 /* Twice the time between two lists of hosts, and what a slow list may take. */
 #define ANNOUNCED_WITHOUT_HOST_MS 1200
@@ -288,9 +285,8 @@
 }
 
 /*
- * What it said last may be on its way, or wait to be read: the end of a task,
- * which would start again and run a second time after it was done. So an answer
- * that is due is waited for, and the end of its connection, for a moment.
+ * Its final report may be in transit or unread. If it lists the end of a task, the
+ * task would be started again and run twice, so a pending poll is awaited first.
  */
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms)
@@ -303,18 +299,18 @@
 	upstream->gone_why = why;
 	upstream->gone_ms = scheduler->now_ms;
 	upstream->ending = true;
-	if (!sched_upstream_has_words_left(scheduler, upstream))
+	if (!sched_upstream_awaits_final_report(scheduler, upstream))
 		sched_upstream_remove(scheduler, upstream, why);
 }
 
-bool sched_upstream_has_words_left(const wwh_scheduler_t *scheduler,
-				   const sched_upstream_t *upstream)
+bool sched_upstream_awaits_final_report(const wwh_scheduler_t *scheduler,
+					const sched_upstream_t *upstream)
 {
 	bool may_tell_ends = upstream->tasks->len > 0 ||
 			     (upstream->inherited && !upstream->settled);
 
 	return upstream->poll_in_flight && may_tell_ends &&
-	       scheduler->now_ms - upstream->gone_ms < LAST_WORDS_MS;
+	       scheduler->now_ms - upstream->gone_ms < FINAL_REPORT_WAIT_MS;
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -555,7 +555,7 @@
 	int64_t now_ms = scheduler->now_ms;
 
 	if (upstream->gone_why != NULL) {
-		if (!sched_upstream_has_words_left(scheduler, upstream))
+		if (!sched_upstream_awaits_final_report(scheduler, upstream))
 			sched_upstream_remove(scheduler, upstream,
 					      upstream->gone_why);
 		return;
--- a/src/test_lateness/test_lateness.c
+++ b/src/test_loop_lag/test_loop_lag.c
@@ -9,31 +9,32 @@
 
 #include <cmocka.h>
 
-#include "waxwinghollow/lateness.h"
+#include "waxwinghollow/loop_lag.h"
 
 #define WAIT_MS 20
 
 /* Turns of that length until the loop is late; -1: it isn't within so many. */
-static int32_t turns_until_late(wwh_lateness_t *lateness, int64_t turn_ms,
-				int32_t most)
+static int32_t turns_until_overloaded(wwh_loop_lag_t *lag, int64_t turn_ms,
+				      int32_t most)
 {
 	for (int32_t i = 0; i < most; i++) {
-		if (wwh_lateness_is_late(lateness))
+		if (wwh_loop_lag_is_overloaded(lag))
 			return i;
-		wwh_lateness_turn(lateness, turn_ms,
-				  turn_ms > WAIT_MS ? turn_ms - WAIT_MS : 0);
+		wwh_loop_lag_add_turn(lag, turn_ms,
+				      turn_ms > WAIT_MS ? turn_ms - WAIT_MS
+							: 0);
 	}
 	return -1;
 }
 
 static void a_loop_that_waits_most_of_the_time_is_never_late(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
-	assert_int_equal(turns_until_late(lateness, 5, 2000), -1);
-	assert_int_equal(turns_until_late(lateness, WAIT_MS + 1, 2000), -1);
-	wwh_lateness_delete(lateness);
+	assert_int_equal(turns_until_overloaded(lag, 5, 2000), -1);
+	assert_int_equal(turns_until_overloaded(lag, WAIT_MS + 1, 2000), -1);
+	wwh_loop_lag_delete(lag);
 }
 
 /*
@@ -43,84 +44,84 @@
  */
 static void a_slow_host_shows_within_half_a_second(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 	int32_t turns;
 
 	(void)state;
-	turns = turns_until_late(lateness, 90, 100);
+	turns = turns_until_overloaded(lag, 90, 100);
 	assert_in_range(turns * 90, 1, 600);
-	wwh_lateness_reset(lateness);
-	turns = turns_until_late(lateness, 500, 100);
+	wwh_loop_lag_reset(lag);
+	turns = turns_until_overloaded(lag, 500, 100);
 	assert_in_range(turns * 500, 1, 1000);
-	wwh_lateness_delete(lateness);
+	wwh_loop_lag_delete(lag);
 }
 
 /* A new holder: 30 ms turns for what it inherited, then 5 ms ones. */
 static void a_loop_that_makes_up_for_it_is_not_late(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
 	for (int32_t i = 0; i < 100; i++) {
-		wwh_lateness_turn(lateness, 65, 45);
+		wwh_loop_lag_add_turn(lag, 65, 45);
 		for (int32_t k = 0; k < 6; k++)
-			wwh_lateness_turn(lateness, 5, 0);
+			wwh_loop_lag_add_turn(lag, 5, 0);
 	}
-	assert_false(wwh_lateness_is_late(lateness));
-	wwh_lateness_delete(lateness);
+	assert_false(wwh_loop_lag_is_overloaded(lag));
+	wwh_loop_lag_delete(lag);
 }
 
 /* Frozen for seconds and awake again, it is as fast as before. */
 static void one_pause_is_no_lateness(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
-	wwh_lateness_turn(lateness, 3000, 2980);
-	assert_false(wwh_lateness_is_late(lateness));
-	wwh_lateness_delete(lateness);
+	wwh_loop_lag_add_turn(lag, 3000, 2980);
+	assert_false(wwh_loop_lag_is_overloaded(lag));
+	wwh_loop_lag_delete(lag);
 }
 
 /* It takes as long to be believed in time again as it was behind. */
 static void a_late_loop_is_in_time_once_it_has_caught_up(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
-	assert_true(turns_until_late(lateness, 90, 100) > 0);
-	wwh_lateness_turn(lateness, 5, 0);
-	assert_true(wwh_lateness_is_late(lateness));
-	assert_true(wwh_lateness_behind_ms(lateness) > 0);
+	assert_true(turns_until_overloaded(lag, 90, 100) > 0);
+	wwh_loop_lag_add_turn(lag, 5, 0);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	assert_true(wwh_loop_lag_ms(lag) > 0);
 	for (int32_t i = 0; i < 60; i++)
-		wwh_lateness_turn(lateness, 5, 0);
-	assert_false(wwh_lateness_is_late(lateness));
-	wwh_lateness_delete(lateness);
+		wwh_loop_lag_add_turn(lag, 5, 0);
+	assert_false(wwh_loop_lag_is_overloaded(lag));
+	wwh_loop_lag_delete(lag);
 }
 
 /* Guards against a load that is passed on by each process that can't bear it. */
 static void lag_of_an_inherited_load_is_not_blamed_on_the_host(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
-	wwh_lateness_inherit_load(lateness);
-	assert_true(turns_until_late(lateness, 90, 100) > 0);
-	assert_true(wwh_lateness_is_late(lateness));
-	assert_false(wwh_lateness_blames_host(lateness));
-	wwh_lateness_delete(lateness);
+	wwh_loop_lag_inherit_load(lag);
+	assert_true(turns_until_overloaded(lag, 90, 100) > 0);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	assert_false(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
 }
 
 /* Guards against a slow host that is never blamed after a change of holder. */
 static void a_loop_that_kept_up_blames_its_host_again(void **state)
 {
-	wwh_lateness_t *lateness = wwh_lateness_new();
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
 
 	(void)state;
-	wwh_lateness_inherit_load(lateness);
-	assert_int_equal(turns_until_late(lateness, 5, 1200), -1);
-	assert_true(turns_until_late(lateness, 90, 100) > 0);
-	assert_true(wwh_lateness_blames_host(lateness));
-	wwh_lateness_delete(lateness);
+	wwh_loop_lag_inherit_load(lag);
+	assert_int_equal(turns_until_overloaded(lag, 5, 1200), -1);
+	assert_true(turns_until_overloaded(lag, 90, 100) > 0);
+	assert_true(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
 }
 
 int main(void)
