Hide a job from other workspaces

Callers could read and cancel any job whose id they knew, with the key of any workspace.

A job now carries the workspace whose key handed it in, in its record and, once it has ended, in its progress record; both are appended fields, which older releases pass over. To another workspace's key such a job is answered for as if there were none (410), also for handing in under its id, by whichever process and after a change of holder. Jobs of public queues, and of deployments without workspaces, belong to nobody.

Test: a_job_is_hidden_from_other_workspaces (the code before answers 200).

--- a/include/waxwinghollow/api_keys.h
+++ b/include/waxwinghollow/api_keys.h
@@ -20,7 +20,7 @@
 
 typedef struct wwh_api_keys wwh_api_keys_t;
 
-/* Whether a request may use a queue. */
+/* Whether a request has a key in force. */
 typedef enum {
 	WWH_ACCESS_GRANTED = 0,
 	WWH_ACCESS_NO_KEY, /* none, or not one that can be read */
@@ -38,14 +38,8 @@
 bool wwh_api_keys_add(wwh_api_keys_t *keys, const char *workspace,
 		      const char *key);
 
-/* The workspace of a key; NULL: no workspace has it. */
-const char *wwh_api_keys_find(const wwh_api_keys_t *keys, const char *key);
-
-/*
- * keys NULL: the deployment has no workspaces, and all may call. key NULL: the
- * request has none. A public queue needs none, and none is looked at.
- */
-wwh_access_t wwh_api_keys_check(const wwh_api_keys_t *keys, bool public_queue,
-				const char *key);
+/* key NULL: there is none. *workspace is its owner, where access is granted. */
+wwh_access_t wwh_api_keys_check(const wwh_api_keys_t *keys, const char *key,
+				const char **workspace);
 
 #endif
--- a/include/waxwinghollow/job.h
+++ b/include/waxwinghollow/job.h
@@ -68,6 +68,7 @@
 typedef struct {
 	char id[WWH_JOB_ID_CHARS + 1];
 	wwh_job_queue_t queue;
+	char *workspace; /* that handed it in; NULL: none */
 	char *payload; /* handed to each task as it is */
 	int64_t repeat_count; /* 0: runs once, at once */
 	int64_t first_wall_ms; /* when the first occurrence is due */
--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -82,6 +82,13 @@
 void wwh_job_holder_wave(wwh_job_holder_t *holder, const char *key,
 			 const uint8_t *value, size_t size);
 
+/*
+ * Whether a job is none of a workspace's callers. False where one of the two has
+ * no workspace, and for jobs that aren't known.
+ */
+bool wwh_job_holder_hides(const wwh_job_holder_t *holder, const char *id,
+			  const char *workspace);
+
 /* Takes job over. */
 void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
 			   wwh_job_answered_t done, void *client_data);
--- a/src/libwaxwinghollow/api_keys.c
+++ b/src/libwaxwinghollow/api_keys.c
@@ -55,24 +55,18 @@
 	return true;
 }
 
-const char *wwh_api_keys_find(const wwh_api_keys_t *keys, const char *key)
+wwh_access_t wwh_api_keys_check(const wwh_api_keys_t *keys, const char *key,
+				const char **workspace)
 {
-	GBytes *digest = digest_of(keys, key);
-	const char *workspace = g_hash_table_lookup(keys->workspaces, digest);
-
-	g_bytes_unref(digest);
-	return workspace;
-}
+	GBytes *digest;
 
-wwh_access_t wwh_api_keys_check(const wwh_api_keys_t *keys, bool public_queue,
-				const char *key)
-{
-	if (keys == NULL || public_queue)
-		return WWH_ACCESS_GRANTED;
+	*workspace = NULL;
 	if (key == NULL || key[0] == '\0')
 		return WWH_ACCESS_NO_KEY;
-	return wwh_api_keys_find(keys, key) != NULL ? WWH_ACCESS_GRANTED
-						    : WWH_ACCESS_UNKNOWN_KEY;
+	digest = digest_of(keys, key);
+	*workspace = g_hash_table_lookup(keys->workspaces, digest);
+	g_bytes_unref(digest);
+	return *workspace != NULL ? WWH_ACCESS_GRANTED : WWH_ACCESS_UNKNOWN_KEY;
 }
 
 static GBytes *digest_of(const wwh_api_keys_t *keys, const char *key)
--- a/src/libwaxwinghollow/job.c
+++ b/src/libwaxwinghollow/job.c
@@ -23,6 +23,7 @@
 		clear_step(&job->steps[i]);
 	g_free(job->steps);
 	g_free(job->payload);
+	g_free(job->workspace);
 	wwh_job_queue_clear(&job->queue);
 	g_free(job);
 }
--- a/src/libwaxwinghollow/job_codec.c
+++ b/src/libwaxwinghollow/job_codec.c
@@ -39,7 +39,8 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, JOB_FIELDS);
+	msgpack_pack_array(&packer,
+			   JOB_FIELDS + (job->workspace == NULL ? 0 : 1));
 	pack_text(&packer, job->id);
 	pack_queue(&packer, &job->queue);
 	pack_text(&packer, job->payload);
@@ -50,6 +51,8 @@
 	msgpack_pack_array(&packer, (size_t)job->step_count);
 	for (int32_t i = 0; i < job->step_count; i++)
 		pack_step(&packer, &job->steps[i]);
+	if (job->workspace != NULL)
+		pack_text(&packer, job->workspace);
 	bytes = g_bytes_new(buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 	return bytes;
@@ -262,6 +265,9 @@
 	job->accepted_wall_ms = read_number(&reader);
 	for (int32_t i = 0; i < job->step_count && reader.ok; i++)
 		reader.ok = read_step(read_any(&steps), &job->steps[i]);
+	(void)read_any(&reader); /* the steps as a whole */
+	if (reader.ok && reader.left > 0)
+		job->workspace = read_text(&reader);
 	if (!reader.ok || job->payload == NULL)
 		g_clear_pointer(&job, wwh_job_delete);
 	return job;
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -40,6 +40,15 @@
 static void answer_not_done(const char *why, wwh_job_answered_t done,
 			    void *client_data);
 
+bool wwh_job_holder_hides(const wwh_job_holder_t *holder, const char *id,
+			  const char *workspace)
+{
+	const char *owner = wwh_scheduler_job_workspace(holder->scheduler, id);
+
+	return owner != NULL && workspace != NULL &&
+	       strcmp(owner, workspace) != 0;
+}
+
 void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
 			   wwh_job_answered_t done, void *client_data)
 {
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -27,11 +27,13 @@
 
 static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
 		    const wwh_queue_t *queue, const wwh_http_request_t *http,
-		    const char *path, wwh_http_response_t *response);
+		    const char *path, wwh_http_response_t *response,
+		    const char **workspace);
 static bool keys_are_stale(wwh_job_service_t *service);
 static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
 			  const wwh_http_request_t *http, const char *rest,
-			  const char *path, wwh_http_response_t *response);
+			  const char *path, const char *workspace,
+			  wwh_http_response_t *response);
 static bool shard_asker(const char *target, shard_asker_t *asker);
 static void answer_shard(wwh_job_service_t *service, shard_asker_t asker,
 			 wwh_http_response_t *response);
@@ -57,6 +59,7 @@
 	wwh_job_service_t *service = client_data;
 	const char *host = wwh_headers_get(http->headers, "Host");
 	const wwh_queue_t *queue;
+	const char *workspace = NULL;
 	const char *rest = NULL;
 	wwh_job_config_t *config;
 	char *path;
@@ -83,17 +86,20 @@
 				     config->version);
 		wwh_listener_answer_error(response, WWH_ERROR_NO_SUCH_SERVICE,
 					  0);
-	} else if (may_use(service, config, queue, http, path, response)) {
-		answer_caller(service, queue, http, rest, path, response);
+	} else if (may_use(service, config, queue, http, path, response,
+			   &workspace)) {
+		answer_caller(service, queue, http, rest, path, workspace,
+			      response);
 	}
 	g_free(path);
 	wwh_job_config_unref(config);
 }
 
-/* False: response says why not. */
+/* False: response says why not. *workspace: the caller's; NULL: none is asked for */
 static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
 		    const wwh_queue_t *queue, const wwh_http_request_t *http,
-		    const char *path, wwh_http_response_t *response)
+		    const char *path, wwh_http_response_t *response,
+		    const char **workspace)
 {
 	wwh_access_t access;
 	char *key;
@@ -108,7 +114,7 @@
 		return false;
 	}
 	key = wire_caller_key(http->headers);
-	access = wwh_api_keys_check(config->api_keys, queue->is_public, key);
+	access = wwh_api_keys_check(config->api_keys, key, workspace);
 	g_free(key);
 	if (access == WWH_ACCESS_GRANTED)
 		return true;
@@ -138,7 +144,8 @@
 
 static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
 			  const wwh_http_request_t *http, const char *rest,
-			  const char *path, wwh_http_response_t *response)
+			  const char *path, const char *workspace,
+			  wwh_http_response_t *response)
 {
 	int64_t asked_ms = job_service_now_ms();
 	wwh_message_t message = { "" };
@@ -153,6 +160,9 @@
 		wwh_listener_answer_error(response, WWH_ERROR_BAD_REQUEST, 0);
 		return;
 	}
+	request->workspace = g_strdup(workspace);
+	if (request->job != NULL)
+		request->job->workspace = g_strdup(workspace);
 	request->limit_ms = wire_caller_patience_ms(
 		http->headers,
 		queue->timeout_ms > 0 ? queue->timeout_ms : PATIENCE_MS);
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -8,6 +8,7 @@
  */
 #define JOBS_PATH "/v1/shard/jobs"
 #define PENDING_PATH "/v1/shard/pending/"
+#define WORKSPACE "workspace"
 
 #define ANSWER_FIELDS 5
 #define STATUS_OK 200
@@ -15,6 +16,7 @@
 
 static wwh_http_call_t *call_of(const wwh_job_service_t *service,
 				const job_request_t *request);
+static char *job_path(const job_request_t *request);
 static void on_forwarded(const wwh_http_answer_t *answer, void *data);
 static bool read_answer(const wwh_http_answer_t *http,
 			wwh_job_answer_t *answer);
@@ -55,6 +57,7 @@
 		if (job != NULL) {
 			*request = job_request_new(JOB_REQUEST_SUBMIT);
 			(*request)->job = job;
+			(*request)->workspace = g_strdup(job->workspace);
 			g_strlcpy((*request)->id, job->id,
 				  sizeof((*request)->id));
 		}
@@ -65,6 +68,7 @@
 						   : JOB_REQUEST_STATE);
 		g_strlcpy((*request)->id, path + strlen(JOBS_PATH) + 1,
 			  sizeof((*request)->id));
+		(*request)->workspace = wwh_http_query(http->target, WORKSPACE);
 	} else if (g_str_has_prefix(path, PENDING_PATH)) {
 		*request = job_request_new(JOB_REQUEST_PENDING);
 		(*request)->queue = g_uri_unescape_string(
@@ -120,12 +124,26 @@
 		call->path = g_strconcat(PENDING_PATH, request->queue, NULL);
 		break;
 	default:
-		call->path = g_strconcat(JOBS_PATH "/", request->id, NULL);
+		call->path = job_path(request);
 		break;
 	}
 	return call;
 }
 
+static char *job_path(const job_request_t *request)
+{
+	char *workspace;
+	char *path;
+
+	if (request->workspace == NULL)
+		return g_strconcat(JOBS_PATH "/", request->id, NULL);
+	workspace = g_uri_escape_string(request->workspace, NULL, FALSE);
+	path = g_strconcat(JOBS_PATH "/", request->id, "?" WORKSPACE "=",
+			   workspace, NULL);
+	g_free(workspace);
+	return path;
+}
+
 static void on_forwarded(const wwh_http_answer_t *http, void *data)
 {
 	job_forward_t *forward = data;
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -31,6 +31,7 @@
 		return;
 	wwh_job_delete(request->job);
 	g_free(request->queue);
+	g_free(request->workspace);
 	g_mutex_clear(&request->lock);
 	g_cond_clear(&request->changed);
 	g_free(request);
@@ -135,11 +136,19 @@
 static void serve(wwh_job_service_t *service, job_request_t *request)
 {
 	wwh_job_holder_t *holder = service->holder;
+	static const wwh_job_answer_t hidden = {
+		.kind = WWH_JOB_ANSWER_NO_JOB,
+		.why = "another-workspace",
+	};
 
 	if (holder == NULL) {
 		job_service_forward(service, request);
 		return;
 	}
+	if (wwh_job_holder_hides(holder, request->id, request->workspace)) {
+		job_request_answer(&hidden, request);
+		return;
+	}
 	switch (request->kind) {
 	case JOB_REQUEST_SUBMIT:
 		wwh_job_holder_submit(holder, g_steal_pointer(&request->job),
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -280,6 +280,14 @@
 	return job->started ? WWH_PROGRESS_ACTIVE : WWH_PROGRESS_QUEUED;
 }
 
+const char *wwh_scheduler_job_workspace(const wwh_scheduler_t *scheduler,
+					const char *id)
+{
+	const sched_job_t *job = sched_job_find(scheduler, id);
+
+	return job == NULL ? NULL : job->workspace;
+}
+
 int32_t wwh_scheduler_pending(wwh_scheduler_t *scheduler, const char *queue)
 {
 	int32_t count = 0;
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -29,6 +29,7 @@
 
 	g_strlcpy(job->id, spec->id, sizeof(job->id));
 	job->spec = spec;
+	job->workspace = g_strdup(spec->workspace);
 	job->state = WWH_PROGRESS_QUEUED;
 	job->accepted_ms = accepted_ms;
 	job->pool = sched_pool_get(scheduler, spec->queue.pool);
@@ -57,6 +58,7 @@
 	sched_job_t *job = data;
 
 	release_body(job);
+	g_free(job->workspace);
 	g_free(job);
 }
 
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -96,7 +96,8 @@
 		open = job->occurrences->len;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, PROGRESS_FIELDS);
+	msgpack_pack_array(&packer,
+			   PROGRESS_FIELDS + (job->workspace == NULL ? 0 : 1));
 	msgpack_pack_int32(&packer, (int32_t)job->state);
 	msgpack_pack_int64(&packer, wall_ms);
 	msgpack_pack_int32(&packer, job->started);
@@ -105,6 +106,9 @@
 	for (guint i = 0; i < open; i++)
 		pack_occurrence(&packer,
 				g_ptr_array_index(job->occurrences, i));
+	if (job->workspace != NULL)
+		msgpack_pack_str_with_body(&packer, job->workspace,
+					   strlen(job->workspace));
 	bytes = g_bytes_new(buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 	return bytes;
@@ -212,6 +216,19 @@
 	return true;
 }
 
+/* Records of jobs without a workspace, and older ones, end before it. */
+static char *workspace_of(const msgpack_object *object)
+{
+	const msgpack_object *field;
+
+	if (object->via.array.size <= PROGRESS_FIELDS)
+		return NULL;
+	field = &object->via.array.ptr[PROGRESS_FIELDS];
+	return field->type != MSGPACK_OBJECT_STR
+		       ? NULL
+		       : g_strndup(field->via.str.ptr, field->via.str.size);
+}
+
 static bool restore_progress(wwh_scheduler_t *scheduler, const char *id,
 			     const msgpack_object *object)
 {
@@ -235,8 +252,10 @@
 		job->started = started != 0;
 		return restore_live(scheduler, job, fields);
 	}
-	if (job == NULL)
+	if (job == NULL) {
 		job = sched_job_add_ended(scheduler, id);
+		job->workspace = workspace_of(object);
+	}
 	sched_job_found(scheduler, id);
 	job->state = (wwh_job_progress_t)state;
 	job->ended_ms =
--- a/src/test_job/test_job.c
+++ b/src/test_job/test_job.c
@@ -17,6 +17,7 @@
 	wwh_job_t *job = wwh_job_new(2);
 
 	g_strlcpy(job->id, "5c0e7a21d94b36f8", sizeof(job->id));
+	job->workspace = g_strdup("parks");
 	job->queue.name = g_strdup("holds");
 	job->queue.pool = g_strdup("desk");
 	job->queue.priority = 1;
@@ -68,6 +69,7 @@
 	assert_string_equal(read->steps[1].image, "img");
 	assert_int_equal(read->steps[1].max_unavailable, 1);
 	assert_int_equal(read->interval_ms, 5000);
+	assert_string_equal(read->workspace, "parks");
 	again = wwh_job_encode(read);
 	assert_true(g_bytes_equal(bytes, again));
 	g_bytes_unref(again);
@@ -76,6 +78,29 @@
 	wwh_job_delete(job);
 }
 
+/* Records of jobs without a workspace, and of older releases, lack the field. */
+static void a_job_may_have_no_workspace(void **state)
+{
+	wwh_job_t *job = full_job();
+	wwh_message_t message = { "" };
+	const uint8_t *data;
+	wwh_job_t *read;
+	GBytes *bytes;
+	gsize size;
+
+	(void)state;
+	g_clear_pointer(&job->workspace, g_free);
+	bytes = wwh_job_encode(job);
+	data = g_bytes_get_data(bytes, &size);
+	read = wwh_job_decode(data, size, &message);
+	assert_non_null(read);
+	assert_null(read->workspace);
+	assert_string_equal(read->steps[1].image, "img");
+	g_bytes_unref(bytes);
+	wwh_job_delete(read);
+	wwh_job_delete(job);
+}
+
 /* A record that was cut short or changed is refused, never half taken. */
 static void malformed_records_are_refused(void **state)
 {
@@ -143,6 +168,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_job_survives_the_way_through_the_store),
+		cmocka_unit_test(a_job_may_have_no_workspace),
 		cmocka_unit_test(malformed_records_are_refused),
 		cmocka_unit_test(what_cannot_run_is_refused),
 		cmocka_unit_test(ids_are_sixteen_hexadecimal_digits),
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -250,6 +250,9 @@
 	cmocka_unit_test_setup_teardown(                                       \
 		only_callers_with_a_key_in_force_are_served, set_up_open_keys, \
 		tear_down),                                                    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_job_is_hidden_from_other_workspaces,                 \
+			set_up_open_keys, tear_down),                          \
 		cmocka_unit_test_setup_teardown(                               \
 			keys_change_on_all_processes_and_never_back,           \
 			set_up_open_keys, tear_down),                          \
@@ -266,6 +269,7 @@
 int set_up_open_keys(void **state);
 int set_up_closed_keys(void **state);
 void only_callers_with_a_key_in_force_are_served(void **state);
+void a_job_is_hidden_from_other_workspaces(void **state);
 void keys_change_on_all_processes_and_never_back(void **state);
 void a_configuration_without_keys_lets_nobody_in(void **state);
 void keys_fail_while_their_configuration_is_unread(void **state);
