--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -83,8 +83,8 @@
 			 const uint8_t *value, size_t size);
 
 /*
- * Whether a job is none of a workspace's callers. False where one of the two has
- * no workspace, and for jobs that aren't known.
+ * Whether a job belongs to another workspace than this one. False where either is
+ * unknown.
  */
 bool wwh_job_holder_hides(const wwh_job_holder_t *holder, const char *id,
 			  const char *workspace);
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -270,7 +270,7 @@
 wwh_job_progress_t wwh_scheduler_job_state(wwh_scheduler_t *scheduler,
 					   const char *id);
 
-/* That handed the job in; NULL: none, or there is no such job. */
+/* Whose key handed the job in; NULL: nobody's, or there is no such job. */
 const char *wwh_scheduler_job_workspace(const wwh_scheduler_t *scheduler,
 					const char *id);
 
--- a/src/libwaxwinghollow/api_keys.c
+++ b/src/libwaxwinghollow/api_keys.c
@@ -37,7 +37,7 @@
 	if (keys == NULL)
 		return;
 	g_hash_table_destroy(keys->workspaces);
-	memset(keys->secret, 0, sizeof(keys->secret));
+	explicit_bzero(keys->secret, sizeof(keys->secret));
 	g_free(keys);
 }
 
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -13,8 +13,8 @@
 #include "waxwinghollow/event_log.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/job_service.h"
-#include "waxwinghollow/loop_lag.h"
 #include "waxwinghollow/listener.h"
+#include "waxwinghollow/loop_lag.h"
 #include "waxwinghollow/shard_claim.h"
 #include "waxwinghollow/store_follower.h"
 
@@ -85,7 +85,7 @@
 	bool ending; /* the loop ends once all is settled */
 	int64_t last_run_ms;
 	int64_t asked_for_ms; /* handing over since; 0: it isn't */
-	wwh_loop_lag_t *lag; /* of the loop, while it holds the shard */
+	wwh_loop_lag_t *lag; /* of its loop, while it holds the shard */
 	wwh_histogram_t *overrun_ms; /* of its turns */
 	int64_t turn_begun_ms; /* 0: it doesn't hold it */
 	int64_t turn_wait_ms; /* what that turn wanted to wait */
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -153,7 +153,7 @@
 	wwh_job_service_t *service = data;
 
 	g_mutex_lock(&service->lock);
-	/* a read that was answered last ended before this one began */
+	/* the last answer came before the read that failed was sent */
 	service->config_unread_ms =
 		reached ? 0 : job_service_now_ms() - OPERATOR_SILENCE_MS;
 	g_mutex_unlock(&service->lock);
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -95,7 +95,10 @@
 	wwh_job_config_unref(config);
 }
 
-/* False: response says why not. *workspace: the caller's; NULL: none is asked for */
+/*
+ * Whether the request may use the queue; if not, the response is filled in.
+ * *workspace stays NULL where no key is needed.
+ */
 static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
 		    const wwh_queue_t *queue, const wwh_http_request_t *http,
 		    const char *path, wwh_http_response_t *response,
