Keep the shard at the notice of an older claim

Cause: two processes claim at once (one finds the last holder's process gone, the other is that process, started again). The second claim is the valid one, and fences off the first. The notice of the first was read by the second holder before its own came back; it took the notice for that of its successor and gave the shard up, the first one was fenced, and nobody held it until a third claim.

A holder now passes over notices of claims older than its own. A newer one ends it as before.

a_notice_of_an_older_claim_ends_no_holder failed before.

--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -39,6 +39,7 @@
  */
 #define HAND_OVER_LIMIT_MS 2000
 
+static bool is_older_claim(const wwh_shard_claim_t *claim, int64_t epoch);
 static bool held_before_it_started(const wwh_shard_claim_t *claim);
 static bool is_assigned(const wwh_shard_claim_t *claim);
 static void begin_term(wwh_shard_claim_t *claim);
@@ -81,7 +82,7 @@
 		return;
 	claim->highest_counter =
 		MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
-	if (epoch >= claim->holder_epoch) {
+	if (epoch >= claim->holder_epoch && !is_older_claim(claim, epoch)) {
 		if (epoch > claim->holder_epoch)
 			begin_term(claim);
 		claim->holder_epoch = epoch;
@@ -127,6 +128,16 @@
 	}
 }
 
+/*
+ * Of two processes that claim at once, the notice of the first may be read after
+ * the second one's claim is held. The store refuses the first one's appends then;
+ * given up for its notice, the shard would be held by nobody.
+ */
+static bool is_older_claim(const wwh_shard_claim_t *claim, int64_t epoch)
+{
+	return claim->state == CLAIM_HELD && epoch < claim->epoch;
+}
+
 /*
  * The group keeps the shard assigned to a process that was killed until its
  * time limit is over, and callers are turned away for so long. A process that
--- a/src/test_scheduler/test_final_reports.c
+++ b/src/test_scheduler/test_final_reports.c
@@ -1,6 +1,6 @@
 /*
- * Upstreams whose life is over: what they said last counts, though it is read
- * after the sign of their end.
+ * Upstreams that have terminated: their final report counts, though it is read
+ * after the sign of their termination.
  */
 
 #include "test_scheduler.h"
--- a/src/test_shard_claim/claim_fixture.h
+++ b/src/test_shard_claim/claim_fixture.h
@@ -38,6 +38,8 @@
 	char *lines; /* what it explained */
 	wwh_held_t held; /* epoch 0: not held */
 	guint records;
+	const char *late_notice; /* of another, written once this one holds */
+	int32_t others; /* notices of others that it took while it holds */
 } fixture_t;
 
 static inline void on_question(const wwh_http_request_t *request,
@@ -83,12 +85,22 @@
 	return asked;
 }
 
+static inline void put(fixture_t *fixture, const char *part, const char *key,
+		       const char *value)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	standin_put(fixture->standin, TOPIC, part, key, value, strlen(value));
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
 static inline void on_held(const wwh_held_t *held, void *client_data)
 {
 	fixture_t *fixture = client_data;
 
 	fixture->held = *held;
 	fixture->records = g_hash_table_size(held->records);
+	if (fixture->late_notice != NULL)
+		put(fixture, "1", "holder", fixture->late_notice);
 }
 
 static inline void on_holder(const char *address, int64_t epoch,
@@ -96,6 +108,8 @@
 {
 	fixture_t *fixture = client_data;
 
+	fixture->others +=
+		fixture->held.epoch != 0 && g_strcmp0(address, SELF) != 0;
 	g_free(fixture->holder);
 	fixture->holder_epoch = epoch;
 	fixture->holder = g_strdup(address);
@@ -184,14 +198,6 @@
 	g_free(store);
 }
 
-static inline void put(fixture_t *fixture, const char *part, const char *key,
-		       const char *value)
-{
-	g_mutex_lock(&fixture->standin->lock);
-	standin_put(fixture->standin, TOPIC, part, key, value, strlen(value));
-	g_mutex_unlock(&fixture->standin->lock);
-}
-
 static inline void make_holder(fixture_t *fixture, const char *address,
 			       int64_t epoch)
 {
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -70,6 +70,28 @@
 	assert_true(fixture->held.inherits_load);
 }
 
+/*
+ * Guards against a shard that nobody holds after two processes claimed it at
+ * once: the second one gave it up for the first one's late notice.
+ */
+static void a_notice_of_an_older_claim_ends_no_holder(void **state)
+{
+	fixture_t *fixture = *state;
+
+	/* the other one's claim is number 4, and this one's 5 */
+	put(fixture, "0", "C", "262144 0123456789abcdef");
+	fixture->late_notice = "262144 127.0.0.1:2";
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 5);
+	run_for(fixture, 300);
+	assert_int_equal(fixture->others, 0);
+	assert_string_equal(fixture->holder, SELF);
+	make_holder(fixture, fixture->peers[0].address, EPOCH(6));
+	run_for(fixture, 300);
+	assert_int_equal(fixture->others, 1);
+}
+
 static void a_holder_that_says_it_holds_no_more_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -296,6 +318,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_holder_after_a_short_lived_one_gets_more_time, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_notice_of_an_older_claim_ends_no_holder, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_holder_that_says_it_holds_no_more_is_replaced, set_up,
 			tear_down),
