Count an answer that is read right after its call's limit

Cause: with EVLOOP_NONBLOCK the library's loop makes passes as long as events are ready. In one turn a call's timer fired, and a later pass read the rest of its answer; the call was ended a second time, and end() asserts that it isn't.

The answer counts now, as nothing was reported of the call; a failure after the limit is passed over. Only a code path that aborted before is changed.

--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -385,6 +385,8 @@
 		end(transfer, WWH_CALL_ANSWERED);
 		return;
 	}
+	if (transfer->has_ended)
+		return;
 	if (transfer->sending)
 		end(transfer, WWH_CALL_NO_ANSWER);
 	else if (transfer->refused_at_once || os_error == ECONNREFUSED)
@@ -422,10 +424,18 @@
 	return (MAX(left_us, 0) + MILLISECOND_US - 1) / MILLISECOND_US;
 }
 
-/* The callback runs from wwh_http_calls_poll, never from within the library. */
+/*
+ * The callback runs from wwh_http_calls_poll, never from within the library. One
+ * turn of the library's loop may run out a call's time and then read its answer:
+ * the answer counts, as nothing else was reported yet.
+ */
 static void end(transfer_t *transfer, wwh_call_outcome_t outcome)
 {
-	g_assert(!transfer->has_ended);
+	if (transfer->has_ended) {
+		g_assert(outcome == WWH_CALL_ANSWERED);
+		transfer->outcome = outcome;
+		return;
+	}
 	transfer->has_ended = true;
 	transfer->outcome = outcome;
 	event_del(&transfer->limit);
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -21,6 +21,9 @@
 	"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 7\r\n"               \
 	"Content-Length: 0\r\n\r\n"
 
+/* Several reads of the library, and fits into the sockets' buffers. */
+#define LARGE_BYTES (80 << 10)
+
 #define LIMIT_MS 3000
 #define SHORT_LIMIT_MS 300
 /* Then a failed check says what is missing. */
@@ -220,6 +223,36 @@
 	assert_int_equal(raw_server_delete(server), 2);
 }
 
+/*
+ * Guards against a process that aborts when an answer is read right after its
+ * call has run out of time, in one turn of a busy loop.
+ */
+static void an_answer_is_read_right_after_its_limit(void **state)
+{
+	fixture_t *fixture = *state;
+	char *body = g_strnfill(LARGE_BYTES, 'x');
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", LARGE_BYTES,
+		body);
+	const char *const script[] = { answer };
+	raw_server_t *server = raw_server_new(script, 1);
+
+	send_to_port(fixture, raw_server_port(server), SHORT_LIMIT_MS);
+	wwh_http_calls_poll(fixture->calls, 20);
+	wwh_http_calls_poll(fixture->calls, 20);
+	/* all of the answer is there by then, and takes several reads */
+	g_usleep(2 * SHORT_LIMIT_MS * 1000);
+	wwh_http_calls_poll(fixture->calls, 0);
+	wait_for(fixture, 1);
+	assert_int_equal(fixture->outcomes[WWH_CALL_ANSWERED], 1);
+	assert_int_equal(fixture->body->len, LARGE_BYTES);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	assert_int_equal(raw_server_delete(server), 1);
+	g_free(answer);
+	g_free(body);
+}
+
 /* A socket that listens and whose queue of new connections is full. */
 static int full_listener(int fillers[2], int32_t *port)
 {
@@ -325,6 +358,7 @@
 		TEST(a_connection_that_ends_after_the_request),
 		TEST(an_answer_that_breaks_off),
 		TEST(a_silent_connection_is_not_used_again),
+		TEST(an_answer_is_read_right_after_its_limit),
 		TEST(a_connection_that_is_never_made),
 		TEST(calls_wait_for_a_connection),
 		TEST(what_is_left_is_told_at_the_end),
