Part polls and access of callers from larger modules

A caller's call is one struct in place of seven parameters, and job_service_access.c decides who may call. Code moved, no decision changed; the tests of both modules pass unchanged.

--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -95,6 +95,17 @@
 	int64_t give_up_ms; /* stopping: all is answered by then */
 };
 
+/* A caller's call, and the queue that it names. */
+typedef struct {
+	wwh_job_service_t *service;
+	const wwh_http_request_t *http;
+	const wwh_job_config_t *config;
+	const wwh_queue_t *queue;
+	const char *path;
+	const char *rest; /* of the path, behind the queue's prefix */
+	const char *workspace; /* of its API key; NULL: it needs none */
+} job_call_t;
+
 /* A request on its way to the holder. */
 typedef struct {
 	wwh_job_service_t *service;
@@ -131,6 +142,9 @@
 void job_service_end_requests(wwh_job_service_t *service);
 void job_request_answer(const wwh_job_answer_t *answer, void *request);
 
+/* job_service_access.c: false: the response says why not */
+bool job_service_authenticate(job_call_t *call, wwh_http_response_t *response);
+
 /* job_service_http.c */
 void job_service_on_caller(const wwh_http_request_t *request,
 			   wwh_http_response_t *response, void *client_data);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -328,7 +328,16 @@
 bool sched_upstream_awaits_final_report(const wwh_scheduler_t *scheduler,
 					const sched_upstream_t *upstream);
 
-/* scheduler_watch.c: polls are sent and taken in, leases run out */
+/* scheduler_poll.c: when upstreams are polled, and for how long */
+int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
+			  const sched_upstream_t *upstream);
+int64_t sched_poll_retry_ms(const sched_upstream_t *upstream);
+/* Of an upstream that has answered this holder before. */
+void sched_poll_if_due(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+/* Of all that haven't. */
+void sched_poll_first(wwh_scheduler_t *scheduler);
+
+/* scheduler_watch.c: answers to polls are taken in, leases run out */
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
 
 /* scheduler_pace.c: after a poll has been taken in */
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -25,14 +25,7 @@
 	SHARD_ASKER_SUCCESSOR, /* and the journal takes its records */
 } shard_asker_t;
 
-static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
-		    const wwh_queue_t *queue, const wwh_http_request_t *http,
-		    const char *path, wwh_http_response_t *response,
-		    const char **workspace);
-static bool keys_are_stale(wwh_job_service_t *service);
-static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
-			  const wwh_http_request_t *http, const char *rest,
-			  const char *path, const char *workspace,
+static void answer_caller(const job_call_t *call,
 			  wwh_http_response_t *response);
 static bool shard_asker(const char *target, shard_asker_t *asker);
 static void answer_shard(wwh_job_service_t *service, shard_asker_t asker,
@@ -48,8 +41,7 @@
 static void answer_error(const job_request_t *request,
 			 const wwh_job_answer_t *answer,
 			 wwh_http_response_t *response);
-static job_request_t *read_request(const wwh_http_request_t *http,
-				   const wwh_queue_t *queue, const char *rest,
+static job_request_t *read_request(const job_call_t *call,
 				   wwh_message_t *message);
 static wwh_job_config_t *config_of(wwh_job_service_t *service);
 
@@ -58,13 +50,10 @@
 {
 	wwh_job_service_t *service = client_data;
 	const char *host = wwh_headers_get(http->headers, "Host");
-	const wwh_queue_t *queue;
-	const char *workspace = NULL;
-	const char *rest = NULL;
-	wwh_job_config_t *config;
+	wwh_job_config_t *config = config_of(service);
+	job_call_t call = { .service = service, .http = http };
 	char *path;
 
-	config = config_of(service);
 	if (config == NULL) {
 		wwh_listener_answer_error(response, WWH_ERROR_NO_CONFIGURATION,
 					  SECOND_MS);
@@ -77,98 +66,42 @@
 		return;
 	}
 	path = wwh_http_path(http->target);
-	queue = wwh_job_config_find(config, host == NULL ? "" : host, path,
-				    &rest);
-	if (queue == NULL) {
+	call.config = config;
+	call.path = path;
+	call.queue = wwh_job_config_find(config, host == NULL ? "" : host, path,
+					 &call.rest);
+	if (call.queue == NULL) {
 		wwh_event_log_printf(service->log, "no-queue", path,
 				     "host=%s config=%" G_GINT64_FORMAT,
 				     host == NULL ? "-" : host,
 				     config->version);
 		wwh_listener_answer_error(response, WWH_ERROR_NO_SUCH_SERVICE,
 					  0);
-	} else if (may_use(service, config, queue, http, path, response,
-			   &workspace)) {
-		answer_caller(service, queue, http, rest, path, workspace,
-			      response);
+	} else if (job_service_authenticate(&call, response)) {
+		answer_caller(&call, response);
 	}
 	g_free(path);
 	wwh_job_config_unref(config);
 }
 
-/*
- * Whether the request may use the queue; if not, the response is filled in.
- * *workspace stays NULL where no key is needed.
- */
-static bool may_use(wwh_job_service_t *service, const wwh_job_config_t *config,
-		    const wwh_queue_t *queue, const wwh_http_request_t *http,
-		    const char *path, wwh_http_response_t *response,
-		    const char **workspace)
-{
-	wwh_access_t access;
-	char *key;
-
-	if (config->api_keys == NULL || queue->is_public)
-		return true;
-	if (keys_are_stale(service)) {
-		wwh_event_log_write(service->log, "not-authenticated", path,
-				    "access=configuration-unread");
-		wwh_listener_answer_error(response, WWH_ERROR_NO_CONFIGURATION,
-					  SECOND_MS);
-		return false;
-	}
-	key = wire_caller_key(http->headers);
-	access = wwh_api_keys_check(config->api_keys, key, workspace);
-	g_free(key);
-	if (access == WWH_ACCESS_GRANTED)
-		return true;
-	wwh_counter_add(service->unauthorized, 1);
-	wwh_event_log_printf(service->log, "not-authenticated", path,
-			     "access=%s config=%" G_GINT64_FORMAT,
-			     wwh_access_names[access], config->version);
-	wwh_listener_answer_error(response, WWH_ERROR_UNAUTHORIZED, 0);
-	wwh_headers_add(response->headers, "WWW-Authenticate",
-			wire_caller_challenge());
-	return false;
-}
-
-/* A key that was removed meanwhile would go on working for as long. */
-static bool keys_are_stale(wwh_job_service_t *service)
-{
-	int64_t unread_ms;
-	int64_t limit_ms;
-
-	g_mutex_lock(&service->lock);
-	unread_ms = service->config_unread_ms;
-	limit_ms = service->keys_fail_after_ms;
-	g_mutex_unlock(&service->lock);
-	return limit_ms > 0 && unread_ms != 0 &&
-	       job_service_now_ms() - unread_ms >= limit_ms;
-}
-
-static void answer_caller(wwh_job_service_t *service, const wwh_queue_t *queue,
-			  const wwh_http_request_t *http, const char *rest,
-			  const char *path, const char *workspace,
-			  wwh_http_response_t *response)
+static void answer_caller(const job_call_t *call, wwh_http_response_t *response)
 {
+	wwh_job_service_t *service = call->service;
+	int64_t timeout_ms = call->queue->timeout_ms;
 	int64_t asked_ms = job_service_now_ms();
 	wwh_message_t message = { "" };
 	wwh_job_answer_t answer;
-	job_request_t *request;
+	job_request_t *request = read_request(call, &message);
 
-	request = read_request(http, queue, rest, &message);
 	if (request == NULL) {
-		wwh_event_log_printf(service->log, "bad-request", path,
-				     "method=%s why=%s", http->method,
+		wwh_event_log_printf(service->log, "bad-request", call->path,
+				     "method=%s why=%s", call->http->method,
 				     message.text);
 		wwh_listener_answer_error(response, WWH_ERROR_BAD_REQUEST, 0);
 		return;
 	}
-	request->workspace = g_strdup(workspace);
-	if (request->job != NULL)
-		request->job->workspace = g_strdup(workspace);
 	request->limit_ms = wire_caller_patience_ms(
-		http->headers,
-		queue->timeout_ms > 0 ? queue->timeout_ms : PATIENCE_MS);
+		call->http->headers, timeout_ms > 0 ? timeout_ms : PATIENCE_MS);
 	answer = job_service_ask(service, request);
 	wwh_histogram_add(service->answer_ms[request->kind],
 			  job_service_now_ms() - asked_ms);
@@ -303,10 +236,12 @@
 			    (guint)strlen(text));
 }
 
-static job_request_t *read_request(const wwh_http_request_t *http,
-				   const wwh_queue_t *queue, const char *rest,
+static job_request_t *read_request(const job_call_t *call,
 				   wwh_message_t *message)
 {
+	const wwh_http_request_t *http = call->http;
+	const wwh_job_queue_t *rules = &call->queue->rules;
+	const char *rest = call->rest;
 	job_request_t *request = NULL;
 	bool names_job = wwh_job_id_valid(rest);
 
@@ -321,13 +256,13 @@
 	} else if (strcmp(http->method, "DELETE") == 0) {
 		request = job_request_new(JOB_REQUEST_CANCEL);
 	} else if (strcmp(http->method, "POST") == 0) {
-		wwh_job_t *job =
-			wire_caller_job(rest, &queue->rules, http->body,
-					http->body_size, message);
+		wwh_job_t *job = wire_caller_job(rest, rules, http->body,
+						 http->body_size, message);
 
 		if (job == NULL)
 			return NULL;
 		job->accepted_wall_ms = job_service_wall_ms();
+		job->workspace = g_strdup(call->workspace);
 		request = job_request_new(JOB_REQUEST_SUBMIT);
 		request->job = job;
 	} else {
@@ -335,7 +270,8 @@
 		return NULL;
 	}
 	g_strlcpy(request->id, rest, sizeof(request->id));
-	request->queue = g_strdup(queue->rules.name);
+	request->queue = g_strdup(rules->name);
+	request->workspace = g_strdup(call->workspace);
 	return request;
 }
 
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -2,50 +2,6 @@
 
 #include <string.h>
 
-/*
- * An upstream answers at least this often, also one that runs nothing: the
- * longest wait is how late an overtaken holder learns of it.
- */
-#define POLL_WAIT_MS 1000
-
-/* Ends within this time of each other come in one answer. */
-#define POLL_GAP_MS 25
-
-/*
- * An answer that lists ends which aren't acknowledged yet comes at once: asking
- * again before they are durable would spin. This is about five appends.
- */
-#define POLL_UNACKED_GAP_MS 60
-
-/* Nothing became durable for so long: the store is down, for seconds. */
-#define UNACKED_LONG_MS 400
-#define POLL_UNACKED_LONG_GAP_MS 250
-
-/* What WWH_OVERTAKEN_HOLDER_MS leaves for the way. */
-#define ANSWER_MS 150
-G_STATIC_ASSERT(POLL_WAIT_MS + POLL_UNACKED_LONG_GAP_MS + ANSWER_MS <=
-		WWH_OVERTAKEN_HOLDER_MS);
-
-/*
- * Beyond what a poll asks to wait: an upstream answers in some ms. The first
- * question to an inherited one, for which its whole pool waits, is given up
- * sooner and repeated, with twice the time for each that was in vain.
- */
-#define POLL_LIMIT_MS 700
-#define FIRST_POLL_LIMIT_MS 150
-#define FIRST_POLL_RETRY_MS 20
-
-/*
- * First polls that are unanswered at a time. All sent at once by a new holder of
- * some thousand upstreams, their answers wait in its own sockets past their
- * limits, and each retry adds to what it can't keep up with.
- */
-#define FIRST_POLLS_IN_FLIGHT 128
-
-/* After a poll without an answer: first, and at most. */
-#define POLL_RETRY_MS 150
-#define POLL_RETRY_MAX_MS 800
-
 /*
  * Refusals in a row after which its process is taken as ended. A process
  * that runs listens; two, as one may be a connection reset on its way.
@@ -74,12 +30,6 @@
 /* Where a task hung, others will. */
 #define HANG_BACKOFF_MS 3000
 
-static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
-			   const sched_upstream_t *upstream);
-static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
-static bool pool_waits_for(const sched_upstream_t *upstream);
-static int64_t poll_limit_ms(const sched_upstream_t *upstream);
-static int64_t poll_retry_ms(const sched_upstream_t *upstream);
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static void take_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 		       const wwh_ended_t *row);
@@ -105,10 +55,6 @@
 static void repeat_orders(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 static void run_one(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
-static bool is_poll_due(const wwh_scheduler_t *scheduler,
-			const sched_upstream_t *upstream);
-static void send_first_polls(wwh_scheduler_t *scheduler);
-static gint compare_first_polls(gconstpointer a, gconstpointer b);
 static void keep_upstream(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream);
 
@@ -148,7 +94,7 @@
 	sched_pace(scheduler, upstream);
 	settle(scheduler, upstream);
 	upstream->next_poll_ms =
-		scheduler->now_ms + poll_gap_ms(scheduler, upstream);
+		scheduler->now_ms + sched_poll_gap_ms(scheduler, upstream);
 	upstream->pool->dirty = true;
 }
 
@@ -167,7 +113,8 @@
 	}
 	upstream->failed_polls++;
 	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
-	upstream->next_poll_ms = scheduler->now_ms + poll_retry_ms(upstream);
+	upstream->next_poll_ms =
+		scheduler->now_ms + sched_poll_retry_ms(upstream);
 	if (upstream->failed_polls == 1)
 		sched_explain(scheduler, "upstream-silent", id,
 			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
@@ -197,66 +144,7 @@
 	for (GList *at = all; at != NULL; at = at->next)
 		run_one(scheduler, at->data);
 	g_list_free(all);
-	send_first_polls(scheduler);
-}
-
-static int64_t poll_gap_ms(const wwh_scheduler_t *scheduler,
-			   const sched_upstream_t *upstream)
-{
-	if (upstream->ends_seen == upstream->ends_acked)
-		return POLL_GAP_MS;
-	return scheduler->now_ms - scheduler->durable_ms < UNACKED_LONG_MS
-		       ? POLL_UNACKED_GAP_MS
-		       : POLL_UNACKED_LONG_GAP_MS;
-}
-
-static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
-{
-	bool busy = upstream->tasks->len > 0 || upstream->orphans > 0;
-	wwh_poll_order_t order = {
-		.upstream = upstream->info.id,
-		.endpoint = upstream->info.endpoint,
-		.ends_acked_upto = upstream->ends_acked,
-		.wait_ms = POLL_WAIT_MS,
-		.limit_ms = poll_limit_ms(upstream),
-	};
-
-	/* the first answer tells its clock; until then nothing is waited for */
-	if (!upstream->settled || upstream->failed_polls > 0)
-		order.wait_ms = 0;
-	/*
-	 * A lease is extended only while answers come: each order that is
-	 * sent may still arrive, so asking on and on of an upstream that is
-	 * gone would put off the end of its lease for good.
-	 */
-	if (upstream->failed_polls > 0)
-		order.lease_until_remote_ms = upstream->lease_until_remote_ms;
-	else if (busy || upstream->inherited)
-		order.lease_until_remote_ms =
-			sched_lease_until(scheduler, upstream);
-	upstream->poll_in_flight = true;
-	scheduler->calls.poll(&order, scheduler->calls.client_data);
-}
-
-static bool pool_waits_for(const sched_upstream_t *upstream)
-{
-	return upstream->inherited && !upstream->settled;
-}
-
-static int64_t poll_limit_ms(const sched_upstream_t *upstream)
-{
-	int32_t doublings = MIN(upstream->failed_polls, 8);
-
-	if (!pool_waits_for(upstream))
-		return POLL_LIMIT_MS;
-	return MIN((int64_t)FIRST_POLL_LIMIT_MS << doublings, POLL_LIMIT_MS);
-}
-
-static int64_t poll_retry_ms(const sched_upstream_t *upstream)
-{
-	if (pool_waits_for(upstream) && upstream->refused_polls == 0)
-		return FIRST_POLL_RETRY_MS;
-	return MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
+	sched_poll_first(scheduler);
 }
 
 static void settle(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
@@ -580,61 +468,12 @@
 		return;
 	}
 	repeat_orders(scheduler, upstream);
-	if (upstream->settled && is_poll_due(scheduler, upstream))
-		send_poll(scheduler, upstream);
+	if (upstream->settled)
+		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->kept_asked)
 		keep_upstream(scheduler, upstream);
 }
 
-static bool is_poll_due(const wwh_scheduler_t *scheduler,
-			const sched_upstream_t *upstream)
-{
-	return sched_upstream_is_located(upstream) &&
-	       !upstream->poll_in_flight && upstream->gone_why == NULL &&
-	       scheduler->now_ms >= upstream->next_poll_ms;
-}
-
-static void send_first_polls(wwh_scheduler_t *scheduler)
-{
-	GPtrArray *due = g_ptr_array_new();
-	GHashTableIter iterator;
-	gpointer value;
-	guint in_flight = 0;
-
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *upstream = value;
-
-		if (upstream->settled)
-			continue;
-		if (upstream->poll_in_flight)
-			in_flight++;
-		else if (is_poll_due(scheduler, upstream))
-			g_ptr_array_add(due, upstream);
-	}
-	if (in_flight + due->len > FIRST_POLLS_IN_FLIGHT)
-		g_ptr_array_sort(due, compare_first_polls);
-	for (guint i = 0; i < due->len && in_flight + i < FIRST_POLLS_IN_FLIGHT;
-	     i++)
-		send_poll(scheduler, g_ptr_array_index(due, i));
-	g_ptr_array_free(due, TRUE);
-}
-
-/* Those that weren't asked yet come first, then those due for the longest. */
-static gint compare_first_polls(gconstpointer a, gconstpointer b)
-{
-	const sched_upstream_t *one = *(sched_upstream_t *const *)a;
-	const sched_upstream_t *other = *(sched_upstream_t *const *)b;
-	bool one_asked = one->failed_polls > 0;
-	bool other_asked = other->failed_polls > 0;
-
-	if (one_asked != other_asked)
-		return one_asked ? 1 : -1;
-	if (one->next_poll_ms == other->next_poll_ms)
-		return 0;
-	return one->next_poll_ms < other->next_poll_ms ? -1 : 1;
-}
-
 /* Before the first start: a holder after this one has to ask it. */
 static void keep_upstream(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream)
