Read a log in parts whose size adapts to what arrives in time

Cause: at 3,000 upstreams and under load, a holder's read of announcements asked for up to 1 MB, outlasted its limit of 2.2 s, was lost as a whole and was sent again from the same offset, with more to read each time.

A read asks for 128 KB at first, for half as much after one that got no answer, for twice as much after a full one that took a quarter of its limit; without a gap while there is more. A follower that is behind by more changes than twice its keys reads the newest record of each key.

Ruled out: a larger read buffer of the socket (the library reads 4 KB a turn whatever is set; reads still took 2.2 s).

Before: both new tests of test_store_follower fail.

--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -15,7 +15,11 @@
  *
  *	A call that gets no answer is repeated: the time limit of a read is a
  *	little longer than the store may wait, so that a connection that has
- *	gone silent costs one wait.
+ *	gone silent costs one wait. A read that got none asks for half as much
+ *	the next time, so that a follower under load still gets on.
+ *
+ *	A follower that is behind by more changes than there are keys reads all
+ *	keys again instead.
  *
  * ORDER OF CALLS
  *	wwh_store_follower_new; wwh_store_follower_run often, by the thread of
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -13,6 +13,23 @@
 #define RETRY_FIRST_MS 60
 #define RETRY_MAX_MS 400
 
+/*
+ * What one read asks for. A read that outlasts its limit is lost as a whole: with
+ * a size that stayed the same, a reader that has fallen behind would get nothing
+ * more. It grows again with reads that take a small part of the limit.
+ */
+#define READ_FIRST_KB 128
+#define READ_LEAST_KB 32
+#define READ_MOST_KB 1024
+#define READ_QUICK_US (ANSWER_LIMIT_MS * 1000 / 4)
+#define KB 1024
+
+/*
+ * Behind by more records than this, and than twice the number of keys, the
+ * newest record of each key is read sooner than all changes.
+ */
+#define FAR_BEHIND_RECORDS 2000
+
 struct wwh_store_follower {
 	wwh_store_follower_options_t options;
 	char *endpoint;
@@ -29,7 +46,9 @@
 	GHashTable *seen; /* keys of this reading of all */
 	bool seen_nameless; /* in this reading of all */
 	int64_t next;
+	int32_t read_kb; /* of the next read, at most */
 	int64_t sent_ms;
+	int64_t sent_us; /* the same on the monotonic clock */
 	int64_t retry_ms;
 	int32_t failures;
 };
@@ -37,6 +56,9 @@
 static void unref(wwh_store_follower_t *follower);
 static void on_all(const wwh_http_answer_t *answer, void *data);
 static void on_read(const wwh_http_answer_t *answer, void *data);
+static void size_reads(wwh_store_follower_t *follower,
+		       const wwh_http_answer_t *answer);
+static bool is_far_behind(const wwh_store_follower_t *follower, int64_t end);
 static void take_key(const wire_record_t *record, void *data);
 static void take_change(const wire_record_t *record, void *data);
 static void report(wwh_store_follower_t *follower, const wire_record_t *record);
@@ -54,6 +76,7 @@
 	follower->endpoint = g_strdup(options->endpoint);
 	follower->topic = g_strdup(options->topic);
 	follower->references = 1;
+	follower->read_kb = READ_FIRST_KB;
 	follower->keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	begin_all(follower);
@@ -77,6 +100,7 @@
 	follower->in_flight = true;
 	follower->references++;
 	follower->sent_ms = now_ms;
+	follower->sent_us = g_get_monotonic_time();
 	if (follower->reading_all) {
 		call = wire_store_newest(follower->endpoint, follower->topic,
 					 follower->options.part,
@@ -87,7 +111,7 @@
 	}
 	call = wire_store_read(follower->endpoint, follower->topic,
 			       follower->options.part, follower->next,
-			       follower->options.wait_ms,
+			       follower->read_kb, follower->options.wait_ms,
 			       follower->options.wait_ms + ANSWER_LIMIT_MS);
 	wwh_http_calls_send(follower->options.calls, call, on_read, follower);
 }
@@ -161,19 +185,25 @@
 	wwh_store_follower_t *follower = data;
 	wire_store_result_t result;
 	int64_t next = follower->next;
+	int64_t end = 0;
 
 	follower->in_flight = false;
 	if (follower->deleted) {
 		unref(follower);
 		return;
 	}
-	result = wire_store_read_answer(answer, follower->next, &next,
+	size_reads(follower, answer);
+	result = wire_store_read_answer(answer, follower->next, &next, &end,
 					take_change, follower);
 	if (result == WIRE_STORE_OK) {
 		answered(follower);
 		follower->next = next;
-		follower->retry_ms =
-			follower->sent_ms + follower->options.gap_ms;
+		/* without a gap while there is more to read */
+		if (next >= end)
+			follower->retry_ms =
+				follower->sent_ms + follower->options.gap_ms;
+		if (!follower->deleted && is_far_behind(follower, end))
+			begin_all(follower);
 	} else if (result == WIRE_STORE_TRIMMED) {
 		answered(follower);
 		begin_all(follower);
@@ -183,6 +213,26 @@
 	unref(follower);
 }
 
+static void size_reads(wwh_store_follower_t *follower,
+		       const wwh_http_answer_t *answer)
+{
+	int64_t took_us = g_get_monotonic_time() - follower->sent_us;
+	bool full = answer->body_size >= (size_t)follower->read_kb * KB / 2;
+
+	if (answer->outcome == WWH_CALL_NO_ANSWER)
+		follower->read_kb = MAX(follower->read_kb / 2, READ_LEAST_KB);
+	else if (full && took_us < READ_QUICK_US)
+		follower->read_kb = MIN(follower->read_kb * 2, READ_MOST_KB);
+}
+
+static bool is_far_behind(const wwh_store_follower_t *follower, int64_t end)
+{
+	int64_t behind = end - follower->next;
+	int64_t keys = g_hash_table_size(follower->keys);
+
+	return behind > MAX(2 * keys, FAR_BEHIND_RECORDS);
+}
+
 static void take_key(const wire_record_t *record, void *data)
 {
 	wwh_store_follower_t *follower = data;
--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -111,12 +111,13 @@
 	wwh_http_answer_t answer = answer_of(data, size);
 	int64_t count = 0;
 	int64_t next = 0;
+	int64_t end = 0;
 	int64_t generation = 0;
 	char *last = NULL;
 	bool mine;
 
-	if (wire_store_read_answer(&answer, 7, &next, on_record, &count) ==
-	    WIRE_STORE_OK)
+	if (wire_store_read_answer(&answer, 7, &next, &end, on_record,
+				   &count) == WIRE_STORE_OK)
 		assert(next - 7 >= count);
 	(void)wire_store_newest_answer(&answer, &next, &last, on_record,
 				       &count);
--- a/src/test_store_follower/test_store_follower.c
+++ b/src/test_store_follower/test_store_follower.c
@@ -18,6 +18,8 @@
 	const uint8_t *read;
 	size_t read_size;
 	int32_t lists; /* that were answered */
+	bool has_log; /* LOG_RECORDS are served in place of read */
+	int64_t end_beyond; /* the log ends so far behind them */
 	standin_t *standin; /* for its counters */
 	wwh_listener_t *listener;
 	wwh_counters_t *counters;
@@ -28,6 +30,55 @@
 
 static const uint8_t empty_read[16];
 
+/* Of a store whose answers take time by their size. */
+#define LOG_RECORDS 600
+#define RECORD_BYTES 1024
+#define RECORD_US 3000
+#define FIRST_OFFSET 9
+#define DEFAULT_KB 1024
+
+static void put_number(GByteArray *body, uint64_t number, int32_t bytes)
+{
+	for (int32_t i = bytes - 1; i >= 0; i--) {
+		uint8_t byte = (uint8_t)(number >> (8 * i));
+
+		g_byte_array_append(body, &byte, 1);
+	}
+}
+
+static int64_t number_of(const wwh_http_request_t *http, const char *name,
+			 int64_t missing)
+{
+	char *text = wwh_http_query(http->target, name);
+	int64_t number =
+		text == NULL ? missing : g_ascii_strtoll(text, NULL, 10);
+
+	g_free(text);
+	return number;
+}
+
+/* As many records from the offset asked for as the size asked for allows. */
+static void serve_log(fixture_t *fixture, const wwh_http_request_t *http,
+		      wwh_http_response_t *response)
+{
+	int64_t from = number_of(http, "from", FIRST_OFFSET);
+	int64_t most = number_of(http, "maxKb", DEFAULT_KB);
+	int64_t end = FIRST_OFFSET + LOG_RECORDS;
+	int64_t count = MIN(most, end - from);
+	uint8_t record[RECORD_BYTES] = { 1, 'k' };
+
+	response->status = 200;
+	put_number(response->body, (uint64_t)(end + fixture->end_beyond), 8);
+	put_number(response->body, 0, 8);
+	for (int64_t i = 0; i < count; i++) {
+		put_number(response->body, RECORD_BYTES, 4);
+		g_byte_array_append(response->body, record, RECORD_BYTES);
+	}
+	g_mutex_unlock(&fixture->lock);
+	g_usleep((gulong)(count * RECORD_US));
+	g_mutex_lock(&fixture->lock);
+}
+
 static void on_store(const wwh_http_request_t *http,
 		     wwh_http_response_t *response, void *data)
 {
@@ -41,6 +92,8 @@
 	} else if (fixture->trimmed) {
 		fixture->trimmed = false;
 		standin_answer(response, 410, "{\"first\":9}");
+	} else if (fixture->has_log) {
+		serve_log(fixture, http, response);
 	} else {
 		response->status = 200;
 		g_byte_array_append(response->body, fixture->read,
@@ -242,6 +295,48 @@
 	assert_string_equal(fixture->seen->str, "a= ?10 ?11 ?12 ?13 b- ");
 }
 
+/* Counts the changes that were reported; each is one record of the log. */
+static int32_t changes_seen(const fixture_t *fixture)
+{
+	int32_t count = 0;
+
+	for (const char *at = fixture->seen->str; (at = strstr(at, "k=")); at++)
+		count++;
+	return count;
+}
+
+/*
+ * Guards against a follower that stops for good once its backlog takes longer
+ * to transfer than one read may last.
+ */
+static void a_backlog_larger_than_one_read_is_read_in_parts(void **state)
+{
+	fixture_t *fixture = *state;
+
+	list_first(fixture);
+	g_string_truncate(fixture->seen, 0);
+	g_mutex_lock(&fixture->lock);
+	fixture->has_log = true;
+	g_mutex_unlock(&fixture->lock);
+	run_for(fixture, 5000);
+	assert_int_equal(changes_seen(fixture), LOG_RECORDS);
+}
+
+/* Guards against reading every change of a log that has run far ahead. */
+static void a_follower_far_behind_reads_the_newest_of_each_key(void **state)
+{
+	fixture_t *fixture = *state;
+
+	list_first(fixture);
+	g_mutex_lock(&fixture->lock);
+	fixture->has_log = true;
+	fixture->end_beyond = 10000;
+	fixture->list = "{\"items\":[" WHOLE("z") "],\"end\":609}";
+	g_mutex_unlock(&fixture->lock);
+	run_for(fixture, 1000);
+	assert_non_null(strstr(fixture->seen->str, "z= "));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -254,6 +349,12 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(a_bad_change_stops_no_watch,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_backlog_larger_than_one_read_is_read_in_parts, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_follower_far_behind_reads_the_newest_of_each_key,
+			set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -130,12 +130,14 @@
 	visits_t visits = { .seen = g_string_new(NULL) };
 	wwh_http_answer_t answer = answer_of(body, sizeof(body) - 1);
 	int64_t next = 0;
+	int64_t end = 0;
 
 	(void)state;
-	assert_int_equal(
-		wire_store_read_answer(&answer, 6, &next, on_record, &visits),
-		WIRE_STORE_OK);
+	assert_int_equal(wire_store_read_answer(&answer, 6, &next, &end,
+						on_record, &visits),
+			 WIRE_STORE_OK);
 	assert_int_equal(next, 9);
+	assert_int_equal(end, 9);
 	assert_null(strstr(visits.seen->str, "u1- "));
 	assert_non_null(strstr(visits.seen->str, "u1=v "));
 	assert_non_null(strstr(visits.seen->str, "u2- "));
