Take the store's answers in first; hold starts by old announcements

And nothing kept a holder from starting tasks by what it knew too late.

Calls to the store have the first priority in the loop. The follower tells up to when all is known; a holder for which that is longer ago than the drain time of the settings (bounds.drainMs, read now) starts nothing until it knows more, says so in its log and its dump, and doesn't while the store is away, as nobody can announce anything then. Reads of announcements wait for 0.7 s in place of 1.5, so that a silent connection is noticed within the drain time.

Before: test_http_calls an_answer_is_taken_in_before_others failed 3 of 3 times without the priority.

--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -45,6 +45,7 @@
 	int64_t store_call_bytes; /* of one call to the store, at most */
 	int64_t duty_lease_ms; /* hosts take one holder at a time, so long */
 	bool hosts_fence; /* hosts refuse orders of a holder before */
+	int64_t drain_ms; /* no start on an upstream that has left for longer */
 	int64_t move_ms; /* a host is away for, as the next one */
 	int64_t upkeep_ms;
 } wwh_host_settings_t;
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -230,6 +230,12 @@
 void wwh_scheduler_set_standby(wwh_scheduler_t *scheduler, const char *pool,
 			       bool standby);
 
+/*
+ * While held, no task is started: what is known of the upstreams is too old. All
+ * else goes on.
+ */
+void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held);
+
 typedef enum {
 	WWH_SUBMIT_ACCEPTED = 0, /* answer once record is durable */
 	WWH_SUBMIT_KNOWN, /* the same id was accepted before; as above */
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -60,6 +60,13 @@
 
 bool wwh_store_follower_caught_up(const wwh_store_follower_t *follower);
 
+/*
+ * What was in the log at this time of wwh_store_follower_run has been reported;
+ * 0: nothing yet. While it reads all keys for the first time, this holds for
+ * those that have been reported.
+ */
+int64_t wwh_store_follower_complete_ms(const wwh_store_follower_t *follower);
+
 /* It is reading all keys: what it has reported is partly old. */
 bool wwh_store_follower_reading_all(const wwh_store_follower_t *follower);
 
--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -45,6 +45,16 @@
 	wwh_counter_t *not_sent;
 };
 
+/*
+ * Of two priorities the library takes in all that waits under the first one, and
+ * then once what waits under the other.
+ */
+enum {
+	FIRST_PRIORITY = 0,
+	USUAL_PRIORITY,
+	PRIORITIES
+};
+
 typedef struct {
 	wwh_http_calls_t *calls;
 	wwh_http_call_t *call;
@@ -105,6 +115,8 @@
 	calls->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
 	if (calls->base == NULL || calls->wake_fd < 0)
 		g_error("no way to wait for sockets: %s", g_strerror(errno));
+	if (event_base_priority_init(calls->base, PRIORITIES) != 0)
+		g_error("no priorities of events");
 	event_assign(&calls->wake, calls->base, calls->wake_fd,
 		     EV_READ | EV_PERSIST, on_wake, calls);
 	event_add(&calls->wake, NULL);
@@ -282,6 +294,10 @@
 		end(transfer, WWH_CALL_NOT_SENT);
 	if (transfer->has_ended)
 		return;
+	/* connecting sets the usual priority */
+	(void)bufferevent_priority_set(buffer, transfer->call->taken_first
+						       ? FIRST_PRIORITY
+						       : USUAL_PRIORITY);
 	if (is_new) {
 		set_socket_options(connection);
 		transfer->refused_at_once = refused_at_once(connection);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -206,6 +206,7 @@
 	GHashTable *pools; /* name to sched_pool_t, owned */
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	bool restored;
+	bool starts_held;
 	int64_t now_ms;
 	int64_t wall_ms;
 	bool ends_waiting; /* some end isn't covered by a flush yet */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -9,9 +9,12 @@
 /* Records that no caller waits for are gathered for this long. */
 #define GROUP_MS 40
 
-/* Upstreams announce themselves all the time; they are read in groups. */
+/*
+ * Upstreams announce themselves all the time; they are read in groups. A read that
+ * waits for longer would be noticed too late where its connection is silent.
+ */
 #define UPSTREAMS_GAP_MS 150
-#define UPSTREAMS_WAIT_MS 1500
+#define UPSTREAMS_WAIT_MS 700
 
 /* Without other records the claim is confirmed this often. */
 #define CONFIRM_EVERY_MS 500
@@ -43,6 +46,9 @@
  */
 #define DUTIES_EVERY_MS 20
 
+/* For a start that is on its way. */
+#define DRAIN_MARGIN_MS 200
+
 /* While something runs, and otherwise. */
 #define WAIT_BUSY_MS 20
 #define WAIT_IDLE_MS 80
@@ -72,6 +78,7 @@
 static void on_reach(bool reached, const char *why, void *data);
 static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
 					   const char *list);
+static void hold_starts(wwh_job_holder_t *holder);
 static void run_duties(wwh_job_holder_t *holder);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
@@ -167,6 +174,7 @@
 		return;
 	wwh_store_follower_run(holder->upstreams, now_ms);
 	if (orders_allowed(holder, suspended)) {
+		hold_starts(holder);
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
 		run_duties(holder);
 		job_holder_send_reports(holder);
@@ -231,11 +239,12 @@
 		out,
 		"holder epoch=%" G_GINT64_FORMAT
 		" confirmed_ms_ago=%" G_GINT64_FORMAT
-		" journal_lag_ms=%" G_GINT64_FORMAT "\n",
+		" journal_lag_ms=%" G_GINT64_FORMAT " starts_held=%d\n",
 		holder->options.epoch,
 		holder->now_ms -
 			wwh_shard_journal_confirmed_ms(holder->journal),
-		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms));
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms),
+		holder->starts_held);
 	wwh_scheduler_dump(holder->scheduler, out, holder->now_ms);
 }
 
@@ -481,6 +490,29 @@
 	return wwh_bad_records_new(&options);
 }
 
+/*
+ * An upstream that has announced that it leaves gets no start after drain_ms. A
+ * holder under load may read announcements later than that. Nobody announces
+ * anything to a store that is away.
+ */
+static void hold_starts(wwh_job_holder_t *holder)
+{
+	int64_t known_ms =
+		MAX(wwh_store_follower_complete_ms(holder->upstreams),
+		    wwh_shard_journal_failed_ms(holder->journal));
+	bool held = holder->now_ms - known_ms >
+		    holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
+
+	if (held == holder->starts_held)
+		return;
+	holder->starts_held = held;
+	wwh_scheduler_hold_starts(holder->scheduler, held);
+	wwh_event_log_printf(holder->options.log,
+			     held ? "starts-held" : "starts-resumed", "shard",
+			     "announcements_ms_ago=%" G_GINT64_FORMAT,
+			     holder->now_ms - known_ms);
+}
+
 static void run_duties(wwh_job_holder_t *holder)
 {
 	if (holder->now_ms < holder->duties_after_ms)
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -405,10 +405,16 @@
 	scheduler->wall_ms = wall_ms;
 	sched_upstreams_run(scheduler);
 	sched_cordon_run(scheduler);
-	sched_place(scheduler);
+	if (!scheduler->starts_held)
+		sched_place(scheduler);
 	sched_jobs_forget(scheduler);
 }
 
+void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held)
+{
+	scheduler->starts_held = held;
+}
+
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
 {
 	wwh_scheduler_counts_t counts = {
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -49,6 +49,7 @@
 	int64_t sent_ms;
 	int64_t retry_ms;
 	int32_t failures;
+	int64_t failed_ms;
 	bool refused; /* the last call was answered, and had no effect */
 	int64_t confirmed_ms;
 };
@@ -142,6 +143,11 @@
 	return first == NULL ? 0 : now_ms - first->kept_ms;
 }
 
+int64_t wwh_shard_journal_failed_ms(const wwh_shard_journal_t *journal)
+{
+	return journal->failed_ms;
+}
+
 bool wwh_shard_journal_failing(const wwh_shard_journal_t *journal)
 {
 	return journal->failures > 0;
@@ -222,6 +228,7 @@
 		journal->endpoint, journal->topic, journal->options.part,
 		&writer, g_byte_array_ref(journal->batch), APPEND_LIMIT_MS);
 
+	call->taken_first = true;
 	journal->in_flight = true;
 	journal->sent_ms = now_ms;
 	journal->references++;
@@ -272,6 +279,7 @@
 static void wait_and_retry(wwh_shard_journal_t *journal, int64_t wait_ms)
 {
 	journal->failures++;
+	journal->failed_ms = journal->sent_ms;
 	journal->retry_ms = journal->sent_ms + MIN(wait_ms, RETRY_REFUSED_MS);
 	if (wait_ms < RETRY_REFUSED_MS)
 		journal->retry_ms =
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -42,6 +42,8 @@
 	bool unreachable;
 	char *after; /* page to go on with; NULL: the first */
 	int64_t all_end; /* of the first page */
+	int64_t all_sent_ms; /* of the first page */
+	int64_t complete_ms; /* all before it has been reported; 0: nothing */
 	GHashTable *keys; /* all known keys */
 	GHashTable *seen; /* keys of this reading of all */
 	bool seen_nameless; /* in this reading of all */
@@ -59,6 +61,8 @@
 static void size_reads(wwh_store_follower_t *follower,
 		       const wwh_http_answer_t *answer);
 static bool is_far_behind(const wwh_store_follower_t *follower, int64_t end);
+static int64_t answered_as_of(const wwh_store_follower_t *follower,
+			      bool has_records);
 static void take_key(const wire_record_t *record, void *data);
 static void take_change(const wire_record_t *record, void *data);
 static void report(wwh_store_follower_t *follower, const wire_record_t *record);
@@ -105,6 +109,7 @@
 		call = wire_store_newest(follower->endpoint, follower->topic,
 					 follower->options.part,
 					 follower->after, NEWEST_LIMIT_MS);
+		call->taken_first = true;
 		wwh_http_calls_send(follower->options.calls, call, on_all,
 				    follower);
 		return;
@@ -113,6 +118,7 @@
 			       follower->options.part, follower->next,
 			       follower->read_kb, follower->options.wait_ms,
 			       follower->options.wait_ms + ANSWER_LIMIT_MS);
+	call->taken_first = true;
 	wwh_http_calls_send(follower->options.calls, call, on_read, follower);
 }
 
@@ -126,6 +132,11 @@
 	return follower->reading_all;
 }
 
+int64_t wwh_store_follower_complete_ms(const wwh_store_follower_t *follower)
+{
+	return follower->complete_ms;
+}
+
 static void unref(wwh_store_follower_t *follower)
 {
 	if (--follower->references > 0)
@@ -161,8 +172,12 @@
 	}
 	answered(follower);
 	/* what changes while pages are read is read again from here */
-	if (first)
+	if (first) {
 		follower->all_end = end;
+		follower->all_sent_ms = follower->sent_ms;
+	}
+	if (!follower->caught_up || last == NULL)
+		follower->complete_ms = follower->all_sent_ms;
 	g_free(follower->after);
 	follower->after = last;
 	if (last == NULL) {
@@ -196,12 +211,17 @@
 	result = wire_store_read_answer(answer, follower->next, &next, &end,
 					take_change, follower);
 	if (result == WIRE_STORE_OK) {
+		bool has_records = next > follower->next;
+
 		answered(follower);
 		follower->next = next;
 		/* without a gap while there is more to read */
-		if (next >= end)
+		if (next >= end) {
+			follower->complete_ms =
+				answered_as_of(follower, has_records);
 			follower->retry_ms =
 				follower->sent_ms + follower->options.gap_ms;
+		}
 		if (!follower->deleted && is_far_behind(follower, end))
 			begin_all(follower);
 	} else if (result == WIRE_STORE_TRIMMED) {
@@ -233,6 +253,17 @@
 	return behind > MAX(2 * keys, FAR_BEHIND_RECORDS);
 }
 
+/* Without a record, the store has waited in full before it answered. */
+static int64_t answered_as_of(const wwh_store_follower_t *follower,
+			      bool has_records)
+{
+	int64_t took_ms = (g_get_monotonic_time() - follower->sent_us) /
+			  G_TIME_SPAN_MILLISECOND;
+
+	return follower->sent_ms +
+	       (has_records ? 0 : MIN(follower->options.wait_ms, took_ms));
+}
+
 static void take_key(const wire_record_t *record, void *data)
 {
 	wwh_store_follower_t *follower = data;
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -24,6 +24,10 @@
 /* Several reads of the library, and fits into the sockets' buffers. */
 #define LARGE_BYTES (80 << 10)
 
+/* An answer of many reads, and how many are waited for at once. */
+#define HUGE_BYTES (1 << 20)
+#define ENDPOINTS 6
+
 #define LIMIT_MS 3000
 #define SHORT_LIMIT_MS 300
 /* Then a failed check says what is missing. */
@@ -347,6 +351,57 @@
 	g_thread_join(thread);
 }
 
+static void on_counted(const wwh_http_answer_t *answer, void *data)
+{
+	(void)answer;
+	++*(int32_t *)data;
+}
+
+/*
+ * Guards against a large answer of the store that comes too late, as it is read in
+ * small parts between those of all other calls.
+ */
+static void an_answer_is_taken_in_before_others(void **state)
+{
+	fixture_t *fixture = *state;
+	char *body = g_strnfill(HUGE_BYTES, 'x');
+	char *answer = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", HUGE_BYTES,
+		body);
+	const char *script[] = { answer };
+	raw_server_t *servers[ENDPOINTS];
+	int32_t others = 0;
+
+	for (int32_t i = 0; i < ENDPOINTS; i++) {
+		bool last = i == ENDPOINTS - 1;
+		char *endpoint;
+		wwh_http_call_t *call;
+
+		servers[i] = raw_server_new(script, 1);
+		endpoint = g_strdup_printf("127.0.0.1:%d",
+					   (int)raw_server_port(servers[i]));
+		call = wwh_http_call_new("GET", endpoint, WAIT_MAX_MS);
+		call->path = g_strdup("/");
+		call->taken_first = last;
+		wwh_http_calls_send(fixture->calls, call,
+				    last ? on_done : on_counted,
+				    last ? (void *)fixture : &others);
+		g_free(endpoint);
+	}
+	while (fixture->ended == 0) {
+		g_usleep(20 * 1000);
+		wwh_http_calls_poll(fixture->calls, 5);
+	}
+	assert_int_equal(fixture->body->len, HUGE_BYTES);
+	assert_int_equal(others, 0);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	for (int32_t i = 0; i < ENDPOINTS; i++)
+		(void)raw_server_delete(servers[i]);
+	g_free(answer);
+	g_free(body);
+}
+
 int main(void)
 {
 #define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
@@ -354,6 +409,7 @@
 		TEST(answers_come_over_one_connection),
 		TEST(after_a_last_answer_a_new_connection_is_made),
 		TEST(nobody_listens),
+		TEST(an_answer_is_taken_in_before_others),
 		TEST(a_name_is_no_endpoint),
 		TEST(a_connection_that_ends_after_the_request),
 		TEST(an_answer_that_breaks_off),
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -365,6 +365,57 @@
 	assert_true(wwh_job_holder_settled(fixture->holder));
 }
 
+static bool starts_held(fixture_t *fixture)
+{
+	GString *out = g_string_new(NULL);
+	bool held;
+
+	wwh_job_holder_dump(fixture->holder, out);
+	held = strstr(out->str, "starts_held=1") != NULL;
+	g_string_free(out, TRUE);
+	return held;
+}
+
+static void set_announces_late(fixture_t *fixture, bool late)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->announces_late = late;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+/*
+ * Guards against starts on upstreams that leave, by a holder that gets their
+ * announcements too late.
+ */
+static void no_task_is_started_by_old_announcements(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, BEFORE_NOBODY);
+	run_for(fixture, 2500);
+	assert_false(starts_held(fixture));
+	set_announces_late(fixture, true);
+	run_for(fixture, 4500);
+	assert_true(starts_held(fixture));
+	set_announces_late(fixture, false);
+	run_for(fixture, 3000);
+	assert_false(starts_held(fixture));
+}
+
+/* Guards against a pause in starts while the store is away for everybody. */
+static void tasks_are_started_while_the_store_is_away(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, BEFORE_NOBODY);
+	run_for(fixture, 500);
+	set_store(fixture, true);
+	for (int32_t i = 0; i < 20; i++) {
+		run_for(fixture, 200);
+		assert_false(starts_held(fixture));
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -385,6 +436,12 @@
 		cmocka_unit_test_setup_teardown(
 			without_the_store_hosts_that_check_tokens_get_orders,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			no_task_is_started_by_old_announcements, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			tasks_are_started_while_the_store_is_away, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			orders_on_their_way_are_waited_for_before_giving_up,
 			set_up, tear_down),
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -315,6 +315,20 @@
 	assert_int_equal(rig->starts->len, 0);
 }
 
+/* Guards against starts by announcements that are too old. */
+void nothing_starts_while_starts_are_held(void **state)
+{
+	rig_t *rig = *state;
+
+	wwh_scheduler_hold_starts(rig->scheduler, true);
+	rig_submit(rig, rig_job(JOB_A, 1, 1000));
+	rig_run(rig, 500);
+	assert_int_equal(rig->starts->len, 0);
+	wwh_scheduler_hold_starts(rig->scheduler, false);
+	rig_run(rig, 1);
+	assert_int_equal(rig->starts->len, 1);
+}
+
 /*
  * A start arrives after its ticket has run out, as the advice or the order was
  * held up on the way, and is refused. The policy still admits the upstream, but
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -69,6 +69,7 @@
 	int32_t twice; /* runs that should never have begun */
 	int64_t task_ms;
 	bool silent; /* the store takes calls and answers none */
+	bool announces_late; /* reads of announcements get no answer in time */
 	bool busy; /* it refuses all calls at once */
 	bool refuses_records; /* and serves all else */
 	int64_t refused_epoch; /* it refuses appends of this one */
@@ -391,6 +392,13 @@
 			g_usleep((gulong)delay_us);
 			g_mutex_lock(&standin->lock);
 		}
+	} else if (g_str_has_suffix(path, "/log-read") &&
+		   standin->announces_late &&
+		   strcmp(topic, "keyed.servers") == 0) {
+		g_mutex_unlock(&standin->lock);
+		g_usleep(3000 * 1000);
+		g_mutex_lock(&standin->lock);
+		standin_answer(response, 503, "{}");
 	} else if (g_str_has_suffix(path, "/log-read")) {
 		standin_read(standin, http, topic, part, response);
 	} else if (g_str_has_suffix(path, "/log-newest")) {
--- a/src/test_store_follower/test_store_follower.c
+++ b/src/test_store_follower/test_store_follower.c
@@ -322,6 +322,32 @@
 	assert_int_equal(changes_seen(fixture), LOG_RECORDS);
 }
 
+/*
+ * Guards against a follower that counts as up to date while a part of its backlog
+ * hasn't been read.
+ */
+static void a_follower_with_a_backlog_is_not_up_to_date(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t begun_ms;
+
+	assert_int_equal(wwh_store_follower_complete_ms(fixture->follower), 0);
+	list_first(fixture);
+	assert_true(wwh_store_follower_complete_ms(fixture->follower) > 0);
+	g_string_truncate(fixture->seen, 0);
+	g_mutex_lock(&fixture->lock);
+	fixture->has_log = true;
+	g_mutex_unlock(&fixture->lock);
+	begun_ms = standin_now_ms();
+	run_for(fixture, 600);
+	assert_in_range(changes_seen(fixture), 1, LOG_RECORDS - 1);
+	assert_true(wwh_store_follower_complete_ms(fixture->follower) <
+		    begun_ms + 100);
+	run_for(fixture, 4400);
+	assert_true(wwh_store_follower_complete_ms(fixture->follower) >
+		    begun_ms + 600);
+}
+
 /* Guards against reading every change of a log that has run far ahead. */
 static void a_follower_far_behind_reads_the_newest_of_each_key(void **state)
 {
@@ -352,6 +378,9 @@
 		cmocka_unit_test_setup_teardown(
 			a_backlog_larger_than_one_read_is_read_in_parts, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_follower_with_a_backlog_is_not_up_to_date, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			a_follower_far_behind_reads_the_newest_of_each_key,
 			set_up, tear_down),
