Pass over announcements that only repeat the last one

Cause: 3,000 upstreams announce themselves 2,000 times a second. Each was parsed, copied, and made its pool be looked through for work, though all but a few differ in their number and time only.

A digest without these two is compared first; what differs, is damaged or is of an upstream that isn't listed is read in full, and all are after a change of the configuration.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -300,6 +300,9 @@
 				       const char *id, int64_t now_ms);
 void wwh_scheduler_upstream_left(wwh_scheduler_t *scheduler, const char *id,
 				 int64_t now_ms);
+/* It was seen, and what was read of it last could be read. */
+bool wwh_scheduler_upstream_listed(const wwh_scheduler_t *scheduler,
+				   const char *id);
 /*
  * Its life is over for sure: nothing runs there any more. why lives as long as
  * the scheduler. What it has said before still counts if it is heard soon.
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -40,6 +40,7 @@
 	GHashTable *bad_listed; /* names of this list's bad rows */
 	wwh_bad_records_t *bad_records; /* of the journal */
 	GHashTable *services; /* names of pools; NULL: no configuration yet */
+	GHashTable *announced; /* id to the digest of what was taken last */
 	GHashTable *unnamed; /* id to wwh_upstream_info_t of other pools */
 	wwh_counter_t *lost_jobs;
 	wwh_counter_t *starts;
--- a/src/libwaxwinghollow/job_holder_upstreams.c
+++ b/src/libwaxwinghollow/job_holder_upstreams.c
@@ -3,6 +3,8 @@
 
 #define NOT_NAMED "service isn't one of the configuration's"
 
+static bool is_unchanged(const wwh_job_holder_t *holder, const char *key,
+			 uint64_t digest);
 static void take(wwh_job_holder_t *holder, const wwh_upstream_info_t *info);
 static void refuse(wwh_job_holder_t *holder, const char *key, const char *why);
 static bool is_named(const wwh_job_holder_t *holder, const char *pool);
@@ -17,6 +19,8 @@
 	};
 
 	holder->bad_upstreams = wwh_bad_records_new(&bad);
+	holder->announced =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	holder->unnamed = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						info_delete);
 }
@@ -24,6 +28,7 @@
 void job_holder_upstreams_finish(wwh_job_holder_t *holder)
 {
 	wwh_bad_records_delete(holder->bad_upstreams);
+	g_hash_table_destroy(holder->announced);
 	g_hash_table_destroy(holder->unnamed);
 	if (holder->services != NULL)
 		g_hash_table_destroy(holder->services);
@@ -39,10 +44,15 @@
 	wwh_job_holder_t *holder = data;
 	wwh_upstream_info_t info;
 	wwh_message_t why;
+	uint64_t digest;
 
 	if (holder->lost)
 		return;
 	job_holder_tick(holder);
+	digest = value == NULL ? 0 : wire_operator_upstream_digest(value, size);
+	if (is_unchanged(holder, key, digest))
+		return;
+	g_hash_table_remove(holder->announced, key);
 	if (value == NULL) {
 		g_hash_table_remove(holder->unnamed, key);
 		wwh_bad_records_gone(holder->bad_upstreams, key);
@@ -57,6 +67,22 @@
 	}
 	take(holder, &info);
 	wwh_upstream_info_clear(&info);
+	if (digest != 0)
+		g_hash_table_insert(holder->announced, g_strdup(key),
+				    g_memdup2(&digest, sizeof(digest)));
+}
+
+/*
+ * Upstreams announce themselves every second or so, nearly always as before. Read
+ * in full, the announcements of some thousand take more time than a holder has.
+ */
+static bool is_unchanged(const wwh_job_holder_t *holder, const char *key,
+			 uint64_t digest)
+{
+	const uint64_t *last = g_hash_table_lookup(holder->announced, key);
+
+	return last != NULL && *last == digest &&
+	       wwh_scheduler_upstream_listed(holder->scheduler, key);
 }
 
 void job_holder_on_nameless_upstream(int64_t offset, const char *why,
@@ -77,6 +103,8 @@
 	GHashTableIter iterator;
 	gpointer value;
 
+	/* the services of all others may have gone */
+	g_hash_table_remove_all(holder->announced);
 	if (holder->services != NULL)
 		g_hash_table_destroy(holder->services);
 	holder->services =
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -269,6 +269,14 @@
 	upstream->unreadable = true;
 }
 
+bool wwh_scheduler_upstream_listed(const wwh_scheduler_t *scheduler,
+				   const char *id)
+{
+	const sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	return upstream != NULL && upstream->listed && !upstream->unreadable;
+}
+
 void wwh_scheduler_upstream_left(wwh_scheduler_t *scheduler, const char *id,
 				 int64_t now_ms)
 {
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -6,6 +6,7 @@
 #include "test_wire.h"
 
 #include "wire_hosts.h"
+#include "wire_operator.h"
 #include "wire_store.h"
 #include "wire_upstream.h"
 
@@ -385,10 +386,38 @@
 		tells_all("[]", "[[1,\"a.0.0.2\",1,\"melted\",\"\"]]", &rows));
 }
 
+#define ANNOUNCED(state, sequence, clock)                                      \
+	"{\"service\":\"desk\",\"state\":\"" state "\",\"clockMs\":" clock     \
+	",\"sequence\":" sequence "}"
+
+static uint64_t digest_of(const char *text)
+{
+	return wire_operator_upstream_digest((const uint8_t *)text,
+					     strlen(text));
+}
+
+/* Guards against a change of an upstream that is passed over as a repetition. */
+static void only_number_and_time_of_an_announcement_may_differ(void **state)
+{
+	uint64_t whole = digest_of(ANNOUNCED("ready", "4", "99"));
+
+	(void)state;
+	assert_int_equal(digest_of(ANNOUNCED("ready", "5", "1000")), whole);
+	assert_int_not_equal(digest_of(ANNOUNCED("draining", "4", "99")),
+			     whole);
+	assert_int_not_equal(digest_of(ANNOUNCED("ready", "", "99")), whole);
+	assert_int_not_equal(digest_of(ANNOUNCED("ready", "\"x\"", "99")),
+			     whole);
+	assert_int_not_equal(digest_of("{\"sequence\":"), whole);
+	assert_int_not_equal(digest_of(""), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		FIELD_TESTS,
+		cmocka_unit_test(
+			only_number_and_time_of_an_announcement_may_differ),
 		KEY_TESTS,
 		cmocka_unit_test(a_bad_value_in_a_list_is_there_and_empty),
 		cmocka_unit_test(a_page_that_ends_in_a_bad_item_goes_on),
