Wait longer for a store that is slow for all

A store slower by a third than the one that the limit was made for counted as silent.

The limit doubles with each append that gets no answer, up to 2 s, and is then at least twice what the last one took. Callers aren't turned away while records take their course: three times the last append.

Before: test_shard_journal a_slow_store_takes_records and test_job_holder a_slow_store_turns_no_caller_away fail.

--- a/include/waxwinghollow/shard_journal.h
+++ b/include/waxwinghollow/shard_journal.h
@@ -62,6 +62,9 @@
 int64_t wwh_shard_journal_lag_ms(const wwh_shard_journal_t *journal,
 				 int64_t now_ms);
 
+/* How long the last append took that succeeded. */
+int64_t wwh_shard_journal_took_ms(const wwh_shard_journal_t *journal);
+
 /* When a call that failed was sent last; 0: none has. */
 int64_t wwh_shard_journal_failed_ms(const wwh_shard_journal_t *journal);
 
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -8,6 +8,12 @@
  */
 #define STALLED_MS 700
 
+/*
+ * A record waits for the append before its own to end: where appends are slow,
+ * one that takes its course is no sign of a store that is down.
+ */
+#define SLOW_APPENDS 3
+
 /*
  * The same where the store answers and refuses: it isn't slow then, and three
  * tries in a row were refused.
@@ -132,10 +138,12 @@
 
 static bool is_stalled(const wwh_job_holder_t *holder)
 {
-	int64_t limit_ms = wwh_shard_journal_refused(holder->journal)
-				   ? REFUSED_STALLED_MS
-				   : STALLED_MS;
+	int64_t limit_ms =
+		MAX(STALLED_MS,
+		    SLOW_APPENDS * wwh_shard_journal_took_ms(holder->journal));
 
+	if (wwh_shard_journal_refused(holder->journal))
+		limit_ms = REFUSED_STALLED_MS;
 	return wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) >
 	       limit_ms;
 }
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -5,10 +5,16 @@
 #include "wire_store.h"
 
 /*
- * An append takes some ms, and a store that is slow for all needs 420 ms: what
- * takes longer is a silent connection, on which the holder waits for nothing.
+ * An append takes some ms: what takes longer than the first limit is a silent
+ * connection, on which the holder waits for nothing, or a store that is slow for
+ * all. Each repetition of an append costs a slow store as much as the first, so
+ * that with one limit none might ever be answered in time.
  */
 #define APPEND_LIMIT_MS 700
+#define APPEND_LONGEST_LIMIT_MS 2000
+
+/* Of the time that the last append took, as an answer may take longer. */
+#define LIMIT_OF_LAST 2
 
 /*
  * A store that refuses is asked again this often. Callers are turned away
@@ -47,9 +53,12 @@
 	int64_t next_number;
 	bool in_flight;
 	int64_t sent_ms;
+	int64_t sent_us; /* the same on the monotonic clock */
 	int64_t retry_ms;
 	int32_t failures;
 	int64_t failed_ms;
+	int32_t unanswered; /* calls in a row */
+	int64_t took_ms; /* the last append that succeeded */
 	bool refused; /* the last call was answered, and had no effect */
 	int64_t confirmed_ms;
 };
@@ -57,6 +66,7 @@
 static void unref(wwh_shard_journal_t *journal);
 static void entry_delete(gpointer data);
 static void gather(wwh_shard_journal_t *journal);
+static int64_t limit_ms(const wwh_shard_journal_t *journal);
 static bool is_due(const wwh_shard_journal_t *journal, int64_t now_ms);
 static void send(wwh_shard_journal_t *journal, int64_t now_ms);
 static void on_appended(const wwh_http_answer_t *answer, void *data);
@@ -153,6 +163,11 @@
 	return journal->failures > 0;
 }
 
+int64_t wwh_shard_journal_took_ms(const wwh_shard_journal_t *journal)
+{
+	return journal->took_ms;
+}
+
 bool wwh_shard_journal_refused(const wwh_shard_journal_t *journal)
 {
 	return journal->refused;
@@ -226,15 +241,25 @@
 	};
 	wwh_http_call_t *call = wire_store_append(
 		journal->endpoint, journal->topic, journal->options.part,
-		&writer, g_byte_array_ref(journal->batch), APPEND_LIMIT_MS);
+		&writer, g_byte_array_ref(journal->batch), limit_ms(journal));
 
 	call->taken_first = true;
 	journal->in_flight = true;
+	journal->sent_us = g_get_monotonic_time();
 	journal->sent_ms = now_ms;
 	journal->references++;
 	wwh_http_calls_send(journal->options.calls, call, on_appended, journal);
 }
 
+static int64_t limit_ms(const wwh_shard_journal_t *journal)
+{
+	int64_t limit =
+		MAX((int64_t)APPEND_LIMIT_MS << MIN(journal->unanswered, 2),
+		    LIMIT_OF_LAST * journal->took_ms);
+
+	return MIN(limit, APPEND_LONGEST_LIMIT_MS);
+}
+
 static void on_appended(const wwh_http_answer_t *answer, void *data)
 {
 	wwh_shard_journal_t *journal = data;
@@ -242,6 +267,9 @@
 
 	journal->in_flight = false;
 	journal->refused = result == WIRE_STORE_NOT_DONE;
+	journal->unanswered = answer->outcome == WWH_CALL_NO_ANSWER
+				      ? journal->unanswered + 1
+				      : 0;
 	if (journal->deleted) {
 		unref(journal);
 		return;
@@ -251,6 +279,8 @@
 		g_byte_array_unref(journal->batch);
 		journal->batch = NULL;
 		journal->failures = 0;
+		journal->took_ms = (g_get_monotonic_time() - journal->sent_us) /
+				   G_TIME_SPAN_MILLISECOND;
 		journal->sequence++;
 		journal->confirmed_ms = journal->sent_ms;
 		journal->options.on_durable(journal->batch_last,
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -25,6 +25,7 @@
 	wwh_job_config_t *config;
 	char *whole[STANDIN_UPSTREAMS]; /* entries as their writers have them */
 	int32_t jobs;
+	int32_t accepted;
 	wwh_job_answer_kind_t told; /* to the last caller */
 } fixture_t;
 
@@ -47,7 +48,9 @@
 
 static void on_answered(const wwh_job_answer_t *answer, void *client_data)
 {
-	(void)client_data;
+	fixture_t *fixture = client_data;
+
+	fixture->accepted++;
 	assert_int_equal(answer->kind, WWH_JOB_ANSWER_OK);
 }
 
@@ -188,7 +191,7 @@
 		  true);
 }
 
-static void submit(fixture_t *fixture)
+static void submit_within(fixture_t *fixture, int64_t run_ms)
 {
 	wwh_job_t *job = wwh_job_new(1);
 
@@ -203,7 +206,12 @@
 	job->steps[0].need.cpu_millicores = 800;
 	job->steps[0].estimate_ms = 1000;
 	wwh_job_holder_submit(fixture->holder, job, on_answered, fixture);
-	run_for(fixture, 800);
+	run_for(fixture, run_ms);
+}
+
+static void submit(fixture_t *fixture)
+{
+	submit_within(fixture, 800);
 }
 
 static guint runs_at(fixture_t *fixture, int32_t upstream)
@@ -351,3 +359,19 @@
 	assert_int_equal(counted(fixture, "holder.lost_jobs"), 0);
 	assert_int_equal(counted(fixture, "records.unreadable_now"), 0);
 }
+
+/* Guards against callers who are rejected while the store only takes its time. */
+void a_slow_store_turns_no_caller_away(void **state)
+{
+	fixture_t *fixture = *state;
+
+	begin(fixture);
+	run_until_others_settled(fixture);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->append_delay_ms = 600;
+	g_mutex_unlock(&fixture->standin->lock);
+	for (int32_t i = 0; i < 12; i++)
+		submit_within(fixture, 250);
+	run_for(fixture, 1500);
+	assert_int_equal(fixture->accepted, fixture->jobs);
+}
--- a/src/test_shard_journal/test_shard_journal.c
+++ b/src/test_shard_journal/test_shard_journal.c
@@ -11,6 +11,9 @@
 #define STEP_MS 10
 #define CALL_BYTES 65536
 
+/* More than an append is waited for at first. */
+#define SLOW_APPEND_MS 900
+
 /* Then a failed check says what is missing. */
 #define WAIT_MAX_MS 20000
 
@@ -144,6 +147,30 @@
 	assert_true(calls_sent(fixture) <= 52);
 }
 
+/*
+ * Guards against a store that is slow for all and counts as silent for as long as
+ * it is: no append was waited for until its answer.
+ */
+static void a_slow_store_takes_records(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t record = wwh_shard_journal_keep(fixture->journal, "Ja", NULL,
+						true, fixture->now_ms);
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->append_delay_ms = SLOW_APPEND_MS;
+	g_mutex_unlock(&fixture->standin->lock);
+	run_for(fixture, 200);
+	assert_int_equal(fixture->durable, record);
+	assert_true(calls_sent(fixture) <= 2);
+	/* and the next one is waited for at its first try */
+	record = wwh_shard_journal_keep(fixture->journal, "Jb", NULL, true,
+					fixture->now_ms);
+	run_for(fixture, 20);
+	assert_int_equal(fixture->durable, record);
+	assert_true(calls_sent(fixture) <= 3);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -153,6 +180,8 @@
 		cmocka_unit_test_setup_teardown(
 			a_store_that_refuses_is_asked_ten_times_a_second,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(a_slow_store_takes_records,
+						set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -73,6 +73,7 @@
 	bool busy; /* it refuses all calls at once */
 	bool refuses_records; /* and serves all else */
 	int64_t refused_epoch; /* it refuses appends of this one */
+	int64_t append_delay_ms; /* answers to all appends */
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
 	const char *hosts; /* rows of its list, as JSON; NULL: none */
@@ -384,7 +385,12 @@
 	} else if (standin->busy) {
 		standin_answer(response, 503, "{}");
 	} else if (g_str_has_suffix(path, "/log-append")) {
+		int64_t slow_us = standin->append_delay_ms * 1000;
+
 		standin_append(standin, http, topic, part, response);
+		g_mutex_unlock(&standin->lock);
+		g_usleep((gulong)slow_us);
+		g_mutex_lock(&standin->lock);
 		if (strcmp(part, "1") == 0 && standin->notice_delay_ms > 0) {
 			int64_t delay_us = standin->notice_delay_ms * 1000;
 
