--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -507,6 +507,9 @@
 		return;
 	holder->starts_held = held;
 	wwh_scheduler_hold_starts(holder->scheduler, held);
+	/* a new holder has read nothing yet */
+	if (known_ms == 0)
+		return;
 	wwh_event_log_printf(holder->options.log,
 			     held ? "starts-held" : "starts-resumed", "shard",
 			     "announcements_ms_ago=%" G_GINT64_FORMAT,
