Name incarnations of upstreams by the usual term

Functions, fields, tests and comments of the scheduler and host duties said life and lives. Words in logs and on the wire stay. Nothing else changes.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -44,7 +44,7 @@
 
 /* An upstream as it announces itself. */
 typedef struct {
-	char *id; /* of one life; a restart has another */
+	char *id; /* of one incarnation; a restart has another */
 	char *endpoint; /* IP number and port */
 	char *pool;
 	char *zone;
@@ -84,7 +84,7 @@
 	int64_t tail_ms; /* of a task that serves, else 0 */
 } wwh_running_t;
 
-/* A row of what ended; numbers rise by one in each life of an upstream. */
+/* A row of what ended; numbers rise by one in each incarnation of an upstream. */
 typedef struct {
 	int64_t number;
 	char task[WWH_TASK_NAME_BYTES];
@@ -304,21 +304,22 @@
 bool wwh_scheduler_upstream_listed(const wwh_scheduler_t *scheduler,
 				   const char *id);
 /*
- * Its life is over for sure: nothing runs there any more. why lives as long as
+ * Its incarnation has terminated for sure: nothing runs there any more. why lives as long as
  * the scheduler. What it has said before still counts if it is heard soon.
  */
 void wwh_scheduler_upstream_gone(wwh_scheduler_t *scheduler, const char *id,
 				 const char *why, int64_t now_ms);
 
 /* A list of hosts is asked for: it has to show each upstream that answers now. */
-void wwh_scheduler_lives_asked(wwh_scheduler_t *scheduler);
+void wwh_scheduler_incarnations_asked(wwh_scheduler_t *scheduler);
 /*
- * A whole list of what hosts run, asked for after the takeover: lives is a set
+ * A whole list of what hosts run, asked for after the takeover: incarnations is a set
  * of ids. An upstream of the holder before that is in neither list is over, and
  * one that is announced when lists have shown no host of it for a while.
  */
-void wwh_scheduler_lives_listed(wwh_scheduler_t *scheduler, GHashTable *lives,
-				int64_t now_ms);
+void wwh_scheduler_incarnations_listed(wwh_scheduler_t *scheduler,
+				       GHashTable *incarnations,
+				       int64_t now_ms);
 
 void wwh_scheduler_polled(wwh_scheduler_t *scheduler, const char *upstream,
 			  const wwh_poll_answer_t *answer, int64_t sent_ms,
@@ -326,7 +327,7 @@
 /* refused: nobody listens there, as against silence */
 void wwh_scheduler_poll_failed(wwh_scheduler_t *scheduler, const char *upstream,
 			       bool refused, int64_t now_ms);
-/* Another life answered the poll: that of this id is over. */
+/* Another incarnation answered the poll: that of this id has terminated. */
 void wwh_scheduler_poll_found_other(wwh_scheduler_t *scheduler, const char *id,
 				    int64_t now_ms);
 
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -19,12 +19,12 @@
 };
 
 static int64_t list_gap_ms(const wwh_host_duties_t *duties);
-static void note_life(wwh_host_duties_t *duties,
-		      const wwh_listed_host_t *listed);
-static void note_life_before_order(wwh_host_duties_t *duties,
-				   const duty_host_t *host);
-static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
-		     const wwh_listed_host_t *listed);
+static void note_incarnation(wwh_host_duties_t *duties,
+			     const wwh_listed_host_t *listed);
+static void note_incarnation_before_order(wwh_host_duties_t *duties,
+					  const duty_host_t *host);
+static void end_incarnation(wwh_host_duties_t *duties, const duty_host_t *host,
+			    const wwh_listed_host_t *listed);
 
 int64_t wwh_host_duties_quiet_ms(bool hosts_fence, int64_t lease_ms)
 {
@@ -40,7 +40,7 @@
 	duties->calls = *calls;
 	duties->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      duties_host_delete);
-	duties->lives =
+	duties->incarnations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	duties->waves = g_ptr_array_new_with_free_func(duties_wave_delete);
 	duties->sizing = wwh_pool_sizing_new();
@@ -59,7 +59,7 @@
 		return;
 	g_ptr_array_unref(duties->waves);
 	g_hash_table_destroy(duties->hosts);
-	g_hash_table_destroy(duties->lives);
+	g_hash_table_destroy(duties->incarnations);
 	g_hash_table_destroy(duties->pools);
 	wwh_pool_sizing_delete(duties->sizing);
 	g_hash_table_destroy(duties->restored);
@@ -69,10 +69,10 @@
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
 {
 	duties->list_number++;
-	duties->lives_in_full = true;
-	g_hash_table_remove_all(duties->lives);
+	duties->incarnations_complete = true;
+	g_hash_table_remove_all(duties->incarnations);
 	duties->list_has_nameless = false;
-	wwh_scheduler_lives_asked(duties->options.scheduler);
+	wwh_scheduler_incarnations_asked(duties->options.scheduler);
 }
 
 void wwh_host_duties_list_host(wwh_host_duties_t *duties,
@@ -82,26 +82,26 @@
 
 	if (listed->name == NULL) {
 		duties->list_has_nameless = true;
-		duties->lives_in_full = false;
+		duties->incarnations_complete = false;
 		return;
 	}
 	host = duties_host(duties, listed->name);
 	if (listed->unreadable != NULL) {
 		/* it isn't removed, and is what it was; orders wait */
 		host->lists_without = 0;
-		duties->lives_in_full = false;
+		duties->incarnations_complete = false;
 		return;
 	}
-	note_life(duties, listed);
+	note_incarnation(duties, listed);
 	host->in_list = true;
 	host->list_number = duties->list_number;
 	host->lists_without = 0;
 	/* the list may show the host as it was before the last order, or after */
 	if (duties->list_sent_ms < host->ordered_last_ms) {
-		note_life_before_order(duties, host);
+		note_incarnation_before_order(duties, host);
 		return;
 	}
-	end_life(duties, host, listed);
+	end_incarnation(duties, host, listed);
 	host->state = listed->state;
 	if (g_strcmp0(host->pool, listed->pool) != 0) {
 		g_free(host->pool);
@@ -116,7 +116,7 @@
 	    duties->list_sent_ms >= host->down_until_ms) {
 		host->away = false;
 		host->ordered_ms = 0;
-		/* it was done before, and this life goes on */
+		/* it was done before, and this incarnation goes on */
 		duties_take_back(duties, host);
 	}
 }
@@ -133,9 +133,10 @@
 	if (!ok)
 		return;
 	duties->listed = true;
-	if (duties->lives_in_full)
-		wwh_scheduler_lives_listed(duties->options.scheduler,
-					   duties->lives, duties->now_ms);
+	if (duties->incarnations_complete)
+		wwh_scheduler_incarnations_listed(duties->options.scheduler,
+						  duties->incarnations,
+						  duties->now_ms);
 	g_hash_table_iter_init(&iterator, duties->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		duty_host_t *host = value;
@@ -187,8 +188,8 @@
  * for its lease to end, 6.2 s; the list shows within 0.5 s that no host runs it.
  * A host that may be at work without saying what it runs may run any of them.
  */
-static void note_life(wwh_host_duties_t *duties,
-		      const wwh_listed_host_t *listed)
+static void note_incarnation(wwh_host_duties_t *duties,
+			     const wwh_listed_host_t *listed)
 {
 	const duty_pool_t *pool = duties_pool(duties, listed->pool);
 	bool away = listed->state == WWH_HOST_MOVING ||
@@ -197,28 +198,30 @@
 		listed->state == WWH_HOST_UP && pool != NULL && pool->standby;
 
 	if (listed->upstream != NULL && listed->upstream[0] != '\0')
-		g_hash_table_add(duties->lives, g_strdup(listed->upstream));
+		g_hash_table_add(duties->incarnations,
+				 g_strdup(listed->upstream));
 	else if (!away && !rests)
-		duties->lives_in_full = false;
+		duties->incarnations_complete = false;
 }
 
 /*
- * Ordered away while the list was under way, a host is listed without the life
+ * Ordered away while the list was under way, a host is listed without the incarnation
  * that still answers here: the list would look as if it missed one.
  */
-static void note_life_before_order(wwh_host_duties_t *duties,
-				   const duty_host_t *host)
+static void note_incarnation_before_order(wwh_host_duties_t *duties,
+					  const duty_host_t *host)
 {
 	if (host->upstream != NULL)
-		g_hash_table_add(duties->lives, g_strdup(host->upstream));
+		g_hash_table_add(duties->incarnations,
+				 g_strdup(host->upstream));
 }
 
 /*
  * What ran on a host is over when it is listed as away for upkeep or a move,
- * or with another life.
+ * or with another incarnation.
  */
-static void end_life(wwh_host_duties_t *duties, const duty_host_t *host,
-		     const wwh_listed_host_t *listed)
+static void end_incarnation(wwh_host_duties_t *duties, const duty_host_t *host,
+			    const wwh_listed_host_t *listed)
 {
 	bool away = listed->state == WWH_HOST_MOVING ||
 		    listed->state == WWH_HOST_UPKEEP;
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -68,7 +68,7 @@
 	GHashTable *hosts; /* name to duty_host_t, owned */
 	GPtrArray *waves; /* duty_wave_t, owned */
 	GHashTable *restored; /* wave number to a set of hosts that are done */
-	GHashTable *lives; /* upstreams of the list that is being read */
+	GHashTable *incarnations; /* upstreams of the list that is being read */
 	wwh_pool_sizing_t *sizing;
 	GHashTable *pools; /* name to duty_pool_t, owned */
 	int64_t list_number;
@@ -80,7 +80,7 @@
 	bool list_in_flight;
 	bool list_has_nameless; /* it may show any host */
 	bool listed; /* a whole list has come */
-	bool lives_in_full; /* each host that may be at work names its one */
+	bool incarnations_complete; /* each host that may be at work names its one */
 	bool paused;
 };
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -140,7 +140,7 @@
 	bool inherited; /* a holder before may have started tasks on it */
 	bool cordoned; /* empties itself */
 	bool ending; /* may be taken down at any moment */
-	const char *gone_why; /* its life is over, by this sign; NULL: not */
+	const char *gone_why; /* it has terminated, by this sign; NULL: not */
 	int64_t gone_ms;
 	bool kept_asked;
 	int64_t kept; /* record that names it; valid with kept_asked */
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -203,9 +203,9 @@
 }
 
 /*
- * Two lives are announced at one endpoint, in any order: the older one's entry
+ * Two incarnations are announced at one endpoint, in any order: the older one's entry
  * lapses only after some seconds. Which of them ended is for the endpoint to
- * say, as the one that lives there refuses polls at the other. Taken for ended
+ * say, as the one that runs there refuses polls at the other. Taken for ended
  * by the announcement alone, a task of the living one would run twice.
  */
 static void ask_others_at(wwh_scheduler_t *scheduler, const char *endpoint)
@@ -327,7 +327,7 @@
  * no host ran. One that answers first after the list was asked for says nothing
  * of the list.
  */
-void wwh_scheduler_lives_asked(wwh_scheduler_t *scheduler)
+void wwh_scheduler_incarnations_asked(wwh_scheduler_t *scheduler)
 {
 	GHashTableIter iterator;
 	gpointer value;
@@ -345,7 +345,8 @@
  * answered when it was asked for, and there is one. An empty list, or a part of
  * one, shows nothing of the others.
  */
-static bool shows_all(const wwh_scheduler_t *scheduler, GHashTable *lives)
+static bool shows_all(const wwh_scheduler_t *scheduler,
+		      GHashTable *incarnations)
 {
 	int32_t living = 0;
 	GHashTableIter iterator;
@@ -358,7 +359,7 @@
 		if (!upstream->in_sight || !upstream->listed ||
 		    upstream->failed_polls > 0 || upstream->gone_why != NULL)
 			continue;
-		if (!g_hash_table_contains(lives, upstream->info.id))
+		if (!g_hash_table_contains(incarnations, upstream->info.id))
 			return false;
 		living++;
 	}
@@ -381,13 +382,13 @@
 	       ANNOUNCED_WITHOUT_HOST_MS;
 }
 
-void wwh_scheduler_lives_listed(wwh_scheduler_t *scheduler, GHashTable *lives,
-				int64_t now_ms)
+void wwh_scheduler_incarnations_listed(wwh_scheduler_t *scheduler,
+				       GHashTable *incarnations, int64_t now_ms)
 {
 	GList *all;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
-	if (!shows_all(scheduler, lives))
+	if (!shows_all(scheduler, incarnations))
 		return;
 	all = g_hash_table_get_values(scheduler->upstreams);
 	for (GList *at = all; at != NULL; at = at->next) {
@@ -395,7 +396,7 @@
 
 		if (!upstream->inherited || upstream->settled)
 			continue;
-		if (g_hash_table_contains(lives, upstream->info.id))
+		if (g_hash_table_contains(incarnations, upstream->info.id))
 			upstream->without_host_ms = 0;
 		else if (has_no_host(scheduler, upstream))
 			wwh_scheduler_upstream_gone(scheduler,
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -37,7 +37,7 @@
 	return *world.data++;
 }
 
-static void begin_life(host_t *host)
+static void begin_incarnation(host_t *host)
 {
 	host->life++;
 	host->up = true;
@@ -399,7 +399,7 @@
 		break;
 	case 1:
 		if (!host->up)
-			begin_life(host);
+			begin_incarnation(host);
 		break;
 	case 2:
 		host->cut = !host->cut;
@@ -436,7 +436,7 @@
 static void ask_for_list(void)
 {
 	world.list_holder = world.holder.number;
-	wwh_scheduler_lives_asked(world.holder.scheduler);
+	wwh_scheduler_incarnations_asked(world.holder.scheduler);
 	fill_list();
 }
 
@@ -444,8 +444,8 @@
 static void read_list(void)
 {
 	if (world.list_holder == world.holder.number)
-		wwh_scheduler_lives_listed(world.holder.scheduler, world.lives,
-					   world.now_ms);
+		wwh_scheduler_incarnations_listed(world.holder.scheduler,
+						  world.lives, world.now_ms);
 	world.list_holder = 0;
 }
 
@@ -525,7 +525,7 @@
 						      g_free, NULL);
 		host->clock_offset_ms = 5000 * i;
 		host->clock_permille = 980 + next() % 21;
-		begin_life(host);
+		begin_incarnation(host);
 	}
 	take_over();
 }
--- a/src/test_host_duties/crew.h
+++ b/src/test_host_duties/crew.h
@@ -322,70 +322,71 @@
 void a_host_that_rests_is_called_back_at_once(void **state);
 void a_host_that_leaves_is_replaced_before_it_has_gone(void **state);
 
-#define LIFE_TESTS                                                                   \
-	cmocka_unit_test_setup_teardown(                                             \
-		a_life_that_no_host_runs_is_not_waited_for, set_up,                  \
-		tear_down),                                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_of_a_host_that_is_gone_is_not_waited_for,             \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_of_a_host_that_moves_is_not_waited_for, set_up,       \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_that_a_host_runs_is_waited_for, set_up,               \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_host_that_does_not_say_what_it_runs_may_run_any,           \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_host_of_a_working_pool_without_a_life_may_run_any,         \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_list_that_is_cut_short_ends_no_life, set_up,               \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_that_is_announced_is_waited_for, set_up,              \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_row_that_cannot_be_read_may_run_any, set_up,               \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_row_without_a_name_may_run_any, set_up, tear_down),        \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_list_that_misses_a_living_one_ends_no_life, set_up,        \
-			tear_down),                                                  \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_list_is_believed_though_others_come_meanwhile,             \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_list_that_misses_one_is_not_believed_as_others_come,       \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_list_is_believed_though_a_host_is_ordered_away,            \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_that_lists_miss_for_long_is_not_waited_for,           \
-			set_up, tear_down),                                          \
-		cmocka_unit_test_setup_teardown(                                     \
-			a_life_that_is_announced_is_waited_for_without_a_whole_list, \
+#define LIFE_TESTS                                                                           \
+	cmocka_unit_test_setup_teardown(                                                     \
+		an_incarnation_that_no_host_runs_is_not_waited_for, set_up,                  \
+		tear_down),                                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_of_a_host_that_is_gone_is_not_waited_for,             \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_of_a_host_that_moves_is_not_waited_for,               \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_that_a_host_runs_is_waited_for, set_up,               \
+			tear_down),                                                          \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_host_that_does_not_say_what_it_runs_may_run_any,                   \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_host_of_a_working_pool_without_an_incarnation_may_run_any,         \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_list_that_is_cut_short_ends_no_incarnation, set_up,                \
+			tear_down),                                                          \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_that_is_announced_is_waited_for,                      \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_row_that_cannot_be_read_may_run_any, set_up,                       \
+			tear_down),                                                          \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_row_without_a_name_may_run_any, set_up, tear_down),                \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_list_that_misses_a_living_one_ends_no_incarnation,                 \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_list_is_believed_though_others_come_meanwhile,                     \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_list_that_misses_one_is_not_believed_as_others_come,               \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			a_list_is_believed_though_a_host_is_ordered_away,                    \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_that_lists_miss_for_long_is_not_waited_for,           \
+			set_up, tear_down),                                                  \
+		cmocka_unit_test_setup_teardown(                                             \
+			an_incarnation_that_is_announced_is_waited_for_without_a_whole_list, \
 			set_up, tear_down)
 
-void a_life_that_no_host_runs_is_not_waited_for(void **state);
-void a_life_of_a_host_that_is_gone_is_not_waited_for(void **state);
-void a_life_of_a_host_that_moves_is_not_waited_for(void **state);
-void a_life_that_a_host_runs_is_waited_for(void **state);
+void an_incarnation_that_no_host_runs_is_not_waited_for(void **state);
+void an_incarnation_of_a_host_that_is_gone_is_not_waited_for(void **state);
+void an_incarnation_of_a_host_that_moves_is_not_waited_for(void **state);
+void an_incarnation_that_a_host_runs_is_waited_for(void **state);
 void a_host_that_does_not_say_what_it_runs_may_run_any(void **state);
-void a_host_of_a_working_pool_without_a_life_may_run_any(void **state);
-void a_list_that_is_cut_short_ends_no_life(void **state);
-void a_life_that_is_announced_is_waited_for(void **state);
+void a_host_of_a_working_pool_without_an_incarnation_may_run_any(void **state);
+void a_list_that_is_cut_short_ends_no_incarnation(void **state);
+void an_incarnation_that_is_announced_is_waited_for(void **state);
 void a_row_that_cannot_be_read_may_run_any(void **state);
 void a_row_without_a_name_may_run_any(void **state);
-void a_list_that_misses_a_living_one_ends_no_life(void **state);
+void a_list_that_misses_a_living_one_ends_no_incarnation(void **state);
 void a_list_is_believed_though_others_come_meanwhile(void **state);
 void a_list_that_misses_one_is_not_believed_as_others_come(void **state);
 void a_list_is_believed_though_a_host_is_ordered_away(void **state);
-void a_life_that_lists_miss_for_long_is_not_waited_for(void **state);
-void a_life_that_is_announced_is_waited_for_without_a_whole_list(void **state);
+void an_incarnation_that_lists_miss_for_long_is_not_waited_for(void **state);
+void an_incarnation_that_is_announced_is_waited_for_without_a_whole_list(
+	void **state);
 
 #endif
--- a/src/test_host_duties/test_lives.c
+++ b/src/test_host_duties/test_incarnations.c
@@ -130,7 +130,7 @@
  * in the records and gets no answer; the pool's tasks waited for its lease to
  * end. The list shows what each host runs, and it is none of them.
  */
-void a_life_that_no_host_runs_is_not_waited_for(void **state)
+void an_incarnation_that_no_host_runs_is_not_waited_for(void **state)
 {
 	const silent_host_t rests = { .pool = "rest",
 				      .upstream = "",
@@ -139,14 +139,14 @@
 	assert_true(starts_soon(*state, &rests));
 }
 
-void a_life_of_a_host_that_is_gone_is_not_waited_for(void **state)
+void an_incarnation_of_a_host_that_is_gone_is_not_waited_for(void **state)
 {
 	const silent_host_t gone = { .pool = NULL };
 
 	assert_true(starts_soon(*state, &gone));
 }
 
-void a_life_of_a_host_that_moves_is_not_waited_for(void **state)
+void an_incarnation_of_a_host_that_moves_is_not_waited_for(void **state)
 {
 	const silent_host_t moves = { .pool = RIG_POOL,
 				      .upstream = "",
@@ -160,7 +160,7 @@
  * has lapsed; its host is listed with it. Started elsewhere before its lease is
  * over, its task would run twice.
  */
-void a_life_that_a_host_runs_is_waited_for(void **state)
+void an_incarnation_that_a_host_runs_is_waited_for(void **state)
 {
 	const silent_host_t cut_off = { .pool = RIG_POOL,
 					.upstream = "u1",
@@ -179,7 +179,7 @@
 	assert_false(starts_soon(*state, &down));
 }
 
-void a_host_of_a_working_pool_without_a_life_may_run_any(void **state)
+void a_host_of_a_working_pool_without_an_incarnation_may_run_any(void **state)
 {
 	const silent_host_t unnamed = { .pool = RIG_POOL,
 					.upstream = NULL,
@@ -189,7 +189,7 @@
 }
 
 /* A list that ends early doesn't show what the rest of the hosts run. */
-void a_list_that_is_cut_short_ends_no_life(void **state)
+void a_list_that_is_cut_short_ends_no_incarnation(void **state)
 {
 	const silent_host_t unseen = { .pool = NULL, .cut_short = true };
 
@@ -197,7 +197,7 @@
 }
 
 /* The registry may know of a life that the list doesn't show yet. */
-void a_life_that_is_announced_is_waited_for(void **state)
+void an_incarnation_that_is_announced_is_waited_for(void **state)
 {
 	const silent_host_t announced = { .pool = NULL, .announced = true };
 
@@ -210,7 +210,7 @@
  * pool waited for it, 3.9 s on a recorded day, though each list showed what every
  * host ran.
  */
-void a_life_that_lists_miss_for_long_is_not_waited_for(void **state)
+void an_incarnation_that_lists_miss_for_long_is_not_waited_for(void **state)
 {
 	const silent_host_t moved = { .pool = RIG_POOL,
 				      .upstream = "",
@@ -222,7 +222,8 @@
 }
 
 /* The same where the list can't be believed. */
-void a_life_that_is_announced_is_waited_for_without_a_whole_list(void **state)
+void an_incarnation_that_is_announced_is_waited_for_without_a_whole_list(
+	void **state)
 {
 	const silent_host_t unseen = { .pool = NULL,
 				       .announced = true,
@@ -252,7 +253,7 @@
  * all that runs. Believed, it ended an upstream that was at work, and its tasks
  * ran twice.
  */
-void a_list_that_misses_a_living_one_ends_no_life(void **state)
+void a_list_that_misses_a_living_one_ends_no_incarnation(void **state)
 {
 	const silent_host_t empty = { .misses_u2 = true };
 
--- a/src/test_scheduler/test_final_reports.c
+++ b/src/test_scheduler/test_final_reports.c
@@ -60,8 +60,8 @@
 	rig_announce(rig, other, AT_2, false);
 	rig_answer_poll(rig, other, NULL, 0, NULL, 0);
 	g_hash_table_add(lives, (gpointer)other);
-	wwh_scheduler_lives_asked(rig->scheduler);
-	wwh_scheduler_lives_listed(rig->scheduler, lives, rig->now_ms);
+	wwh_scheduler_incarnations_asked(rig->scheduler);
+	wwh_scheduler_incarnations_listed(rig->scheduler, lives, rig->now_ms);
 	g_hash_table_destroy(lives);
 	rig_run(rig, 20);
 	rig_durable(rig);
--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -465,7 +465,7 @@
  * the older one last. It takes the living one, whose task it has just found in
  * the records, for ended, and the task runs twice.
  */
-void an_old_announcement_ends_no_newer_life(void **state)
+void an_old_announcement_ends_no_newer_incarnation(void **state)
 {
 	rig_t *rig = *state;
 
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -98,7 +98,7 @@
 		RIG_TEST(                                                            \
 			a_lease_that_an_overtaken_holder_extends_is_waited_for,      \
 			0),                                                          \
-		RIG_TEST(an_old_announcement_ends_no_newer_life, 1),                 \
+		RIG_TEST(an_old_announcement_ends_no_newer_incarnation, 1),          \
 		RIG_TEST(a_failing_lasting_task_keeps_no_other_away, 2),             \
 		RIG_TEST(a_task_that_goes_on_slowly_is_left_alone, 1)
 
@@ -123,7 +123,7 @@
 void a_task_that_stands_still_is_started_elsewhere(void **state);
 void a_longer_lease_of_the_holder_before_counts_to_its_end(void **state);
 void a_lease_that_an_overtaken_holder_extends_is_waited_for(void **state);
-void an_old_announcement_ends_no_newer_life(void **state);
+void an_old_announcement_ends_no_newer_incarnation(void **state);
 void a_failing_lasting_task_keeps_no_other_away(void **state);
 void a_task_that_goes_on_slowly_is_left_alone(void **state);
 
