Hold the limits of workspaces at each start

A module without input or output (workspace_quota) sums what each workspace has at work over all pools: from the order of a start until its end, its loss or the end of its lease is known. A step whose workspace has no room left waits and holds up no other one. After a change of holder, tasks that no upstream has listed yet count as long as their pool waits for answers. Of a lowered limit what runs goes on. A limit that can't be read refuses the configuration as a whole.

Not built: shares by weight, a gang that never fits is not told so, and work that waits for its workspace's limit still draws hosts.

--- a/include/waxwinghollow/job_config.h
+++ b/include/waxwinghollow/job_config.h
@@ -35,10 +35,16 @@
 	bool standby; /* its hosts are off */
 } wwh_job_pool_t;
 
+typedef struct {
+	char *name;
+	wwh_load_t limit; /* of what it has at work; 0 in a part: none */
+} wwh_workspace_limit_t;
+
 typedef struct {
 	int64_t version;
 	GArray *queues; /* wwh_queue_t */
 	GArray *pools; /* wwh_job_pool_t */
+	GArray *limits; /* wwh_workspace_limit_t */
 	wwh_api_keys_t *api_keys; /* NULL: there are no workspaces */
 	int64_t max_body_bytes;
 	gint references;
@@ -54,6 +60,9 @@
 void wwh_job_config_add_pool(wwh_job_config_t *config,
 			     const wwh_job_pool_t *pool);
 
+void wwh_job_config_add_limit(wwh_job_config_t *config,
+			      const wwh_workspace_limit_t *limit);
+
 /* The queue that a request names; *rest is its path behind the prefix. */
 const wwh_queue_t *wwh_job_config_find(const wwh_job_config_t *config,
 				       const char *host, const char *path,
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -230,6 +230,15 @@
 void wwh_scheduler_set_standby(wwh_scheduler_t *scheduler, const char *pool,
 			       bool standby);
 
+/*
+ * What a workspace may have at work over all pools; 0 in a part: no limit. Tasks
+ * that run beyond a lowered limit run on.
+ */
+void wwh_scheduler_clear_limits(wwh_scheduler_t *scheduler);
+void wwh_scheduler_limit_workspace(wwh_scheduler_t *scheduler,
+				   const char *workspace,
+				   const wwh_load_t *limit);
+
 /*
  * While held, no task is started: what is known of the upstreams is too old. All
  * else goes on.
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -10,6 +10,7 @@
 
 #include "waxwinghollow/chart.h"
 #include "waxwinghollow/scheduler.h"
+#include "waxwinghollow/workspace_quota.h"
 
 /*
  * Upstreams' clocks may run this much slower than ours, in thousandths; what
@@ -207,6 +208,7 @@
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	bool restored;
 	bool starts_held;
+	wwh_workspace_quota_t *quota;
 	int64_t now_ms;
 	int64_t wall_ms;
 	bool ends_waiting; /* some end isn't covered by a flush yet */
@@ -265,6 +267,10 @@
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* scheduler_quota.c: whether the step's workspace may have count more tasks */
+bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
+			int32_t count);
+
 /* scheduler_job.c */
 sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id);
 sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
--- a/src/libwaxwinghollow/job_config.c
+++ b/src/libwaxwinghollow/job_config.c
@@ -4,6 +4,7 @@
 
 static void clear_queue(gpointer data);
 static void clear_pool(gpointer data);
+static void clear_limit(gpointer data);
 static bool same_host(const char *header, const char *host);
 
 wwh_job_config_t *wwh_job_config_new(int64_t version)
@@ -16,6 +17,9 @@
 	g_array_set_clear_func(config->queues, clear_queue);
 	config->pools = g_array_new(FALSE, FALSE, sizeof(wwh_job_pool_t));
 	g_array_set_clear_func(config->pools, clear_pool);
+	config->limits =
+		g_array_new(FALSE, FALSE, sizeof(wwh_workspace_limit_t));
+	g_array_set_clear_func(config->limits, clear_limit);
 	return config;
 }
 
@@ -31,6 +35,7 @@
 		return;
 	g_array_free(config->queues, TRUE);
 	g_array_free(config->pools, TRUE);
+	g_array_free(config->limits, TRUE);
 	wwh_api_keys_delete(config->api_keys);
 	g_free(config);
 }
@@ -47,6 +52,12 @@
 	g_array_append_val(config->pools, *pool);
 }
 
+void wwh_job_config_add_limit(wwh_job_config_t *config,
+			      const wwh_workspace_limit_t *limit)
+{
+	g_array_append_val(config->limits, *limit);
+}
+
 const wwh_queue_t *wwh_job_config_find(const wwh_job_config_t *config,
 				       const char *host, const char *path,
 				       const char **rest)
@@ -87,6 +98,13 @@
 	g_free(pool->name);
 }
 
+static void clear_limit(gpointer data)
+{
+	wwh_workspace_limit_t *limit = data;
+
+	g_free(limit->name);
+}
+
 static bool same_host(const char *header, const char *host)
 {
 	size_t size = strcspn(header, ":");
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -154,6 +154,14 @@
 					  pool->standby);
 		wwh_host_duties_pool(holder->duties, pool->name, pool->standby);
 	}
+	wwh_scheduler_clear_limits(holder->scheduler);
+	for (guint i = 0; i < config->limits->len; i++) {
+		const wwh_workspace_limit_t *limit = &g_array_index(
+			config->limits, wwh_workspace_limit_t, i);
+
+		wwh_scheduler_limit_workspace(holder->scheduler, limit->name,
+					      &limit->limit);
+	}
 }
 
 void wwh_job_holder_wave(wwh_job_holder_t *holder, const char *key,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -112,6 +112,7 @@
 						sched_job_delete);
 	scheduler->lost_jobs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	scheduler->quota = wwh_workspace_quota_new();
 	scheduler->live = g_ptr_array_new();
 	scheduler->dirty = g_ptr_array_new();
 	scheduler->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -131,6 +132,7 @@
 	g_hash_table_destroy(scheduler->lost_jobs);
 	g_hash_table_destroy(scheduler->upstreams);
 	g_hash_table_destroy(scheduler->pools);
+	wwh_workspace_quota_delete(scheduler->quota);
 	wwh_chart_delete(scheduler->task_chart);
 	g_free(scheduler);
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -304,6 +304,8 @@
 		if (sched_task_state(task) != TASK_WAITING ||
 		    !may_start(scheduler, task))
 			continue;
+		if (!sched_quota_allows(scheduler, step, 1))
+			return;
 		upstream = place_for(scheduler, task, &ticket);
 		if (upstream == NULL) {
 			/* tasks of a step are alike: the others won't fit */
@@ -339,6 +341,8 @@
 		if (step->tasks[i].checkpoint != NULL)
 			checkpoint = step->tasks[i].checkpoint;
 	}
+	if (!sched_quota_allows(scheduler, step, count))
+		return;
 	chosen = g_new0(sched_upstream_t *, (guint)count);
 	tickets = g_new0(const char *, (guint)count);
 	while (placed < count) {
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -15,9 +15,10 @@
  */
 #define CLOCK_AHEAD_MS 100
 
-static void take_room(sched_task_t *task, sched_upstream_t *upstream);
+static void take_room(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream);
 static void free_room(sched_task_t *task);
-static void leave_upstream(sched_task_t *task);
+static void leave_upstream(wwh_scheduler_t *scheduler, sched_task_t *task);
 
 sched_task_state_t sched_task_state(const sched_task_t *task)
 {
@@ -86,7 +87,7 @@
 	g_assert(sched_step_is_ready(task->step));
 	task->run = run;
 	sched_task_event(scheduler, task, TASK_ORDER);
-	take_room(task, upstream);
+	take_room(scheduler, task, upstream);
 	task->order_in_flight = true;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -109,7 +110,7 @@
 	g_assert(sched_task_state(task) == TASK_WAITING);
 	task->run = MAX(task->run, run);
 	sched_task_event(scheduler, task, TASK_LISTED);
-	take_room(task, upstream);
+	take_room(scheduler, task, upstream);
 	task->order_in_flight = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -135,7 +136,7 @@
 	if (was_out && !sched_task_is_out(scheduler, task)) {
 		if (task->step->spec->lasting && task->away_ms == 0)
 			task->away_ms = scheduler->now_ms;
-		leave_upstream(task);
+		leave_upstream(scheduler, task);
 		task->step->occurrence->job->pool->dirty = true;
 	}
 }
@@ -236,7 +237,8 @@
 				 scheduler->calls.client_data);
 }
 
-static void take_room(sched_task_t *task, sched_upstream_t *upstream)
+static void take_room(wwh_scheduler_t *scheduler, sched_task_t *task,
+		      sched_upstream_t *upstream)
 {
 	wwh_load_t taken = sched_step_taken(task->step->spec);
 
@@ -244,6 +246,9 @@
 	task->upstream = upstream;
 	g_ptr_array_add(upstream->tasks, task);
 	wwh_load_add(&upstream->used, &taken);
+	wwh_workspace_quota_add(scheduler->quota,
+				task->step->occurrence->job->workspace,
+				&task->step->spec->need);
 	task->step->out++;
 	task->step->occurrence->job->out++;
 }
@@ -258,10 +263,13 @@
 	g_assert(upstream->used.memory_mb >= 0);
 }
 
-static void leave_upstream(sched_task_t *task)
+static void leave_upstream(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	g_assert(task->upstream != NULL);
 	free_room(task);
+	wwh_workspace_quota_subtract(scheduler->quota,
+				     task->step->occurrence->job->workspace,
+				     &task->step->spec->need);
 	g_ptr_array_remove_fast(task->upstream->tasks, task);
 	task->upstream = NULL;
 	task->order_in_flight = false;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -147,7 +147,9 @@
 		RIG_TEST(advice_is_asked_before_a_start_and_renewed, 2),          \
 		RIG_TEST(a_ticket_that_was_refused_is_asked_for_again, 1),        \
 		RIG_TEST(nothing_new_goes_to_a_leaving_upstream, 1),              \
-		RIG_TEST(nothing_starts_while_starts_are_held, 1)
+		RIG_TEST(nothing_starts_while_starts_are_held, 1),                \
+		RIG_TEST(a_workspace_starts_no_more_than_its_limit, 1),           \
+		RIG_TEST(what_a_holder_before_started_counts_for_the_limit, 1)
 
 #define DAMAGE_TESTS                                                           \
 	RIG_TEST(an_upstream_whose_record_is_lost_is_asked_first, 2),          \
@@ -174,5 +176,7 @@
 void a_ticket_that_was_refused_is_asked_for_again(void **state);
 void nothing_new_goes_to_a_leaving_upstream(void **state);
 void nothing_starts_while_starts_are_held(void **state);
+void a_workspace_starts_no_more_than_its_limit(void **state);
+void what_a_holder_before_started_counts_for_the_limit(void **state);
 
 #endif
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -329,6 +329,71 @@
 	assert_int_equal(rig->starts->len, 1);
 }
 
+static void limit_cpu(rig_t *rig, int64_t millicores)
+{
+	wwh_load_t limit = { .cpu_millicores = millicores };
+
+	wwh_scheduler_clear_limits(rig->scheduler);
+	wwh_scheduler_limit_workspace(rig->scheduler, "w", &limit);
+}
+
+/* Guards against a workspace that has more at work than its limit. */
+void a_workspace_starts_no_more_than_its_limit(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 5, 1000);
+	wwh_running_t running[2];
+	wwh_ended_t ended;
+
+	job->workspace = g_strdup("w");
+	limit_cpu(rig, 2000);
+	rig_submit(rig, job);
+	assert_int_equal(rig->starts->len, 2);
+	/* another workspace's job isn't held up behind it */
+	rig_submit(rig, rig_job(JOB_B, 1, 1000));
+	assert_int_equal(rig->starts->len, 3);
+	/* an end makes room for one more, and a lower limit for none */
+	for (guint i = 0; i < 3; i++)
+		rig_start_ended(rig, rig_order(rig->starts, i), WWH_ORDER_DONE);
+	ended = rig_ended(rig_order(rig->starts, 0), 1, WWH_END_DONE);
+	running[0] = rig_running(rig_order(rig->starts, 1), 50);
+	running[1] = rig_running(rig_order(rig->starts, 2), 50);
+	rig_run(rig, 300);
+	rig_answer_poll(rig, "u1", running, 2, &ended, 1);
+	rig_run(rig, 300);
+	assert_int_equal(rig->starts->len, 4);
+	limit_cpu(rig, 1000);
+	rig_run(rig, 300);
+	assert_int_equal(rig->starts->len, 4);
+}
+
+/*
+ * Guards against starts beside tasks of the holder before, which run where no
+ * upstream has answered yet.
+ */
+void what_a_holder_before_started_counts_for_the_limit(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *first = rig_job(JOB_A, 2, 1000);
+	wwh_job_t *next = rig_job(JOB_B, 2, 1000);
+
+	first->workspace = g_strdup("w");
+	next->workspace = g_strdup("w");
+	limit_cpu(rig, 2000);
+	rig_submit(rig, first);
+	assert_int_equal(rig->starts->len, 2);
+	rig_take_over(rig);
+	limit_cpu(rig, 2000);
+	rig_add_upstream(rig, "u2", AT_2);
+	rig_submit(rig, next);
+	rig_run(rig, 100);
+	assert_int_equal(rig->starts->len, 2);
+	/* nothing runs there: its own tasks start again, and no others */
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
+	rig_run(rig, 300);
+	assert_int_equal(rig->starts->len, 4);
+}
+
 /*
  * A start arrives after its ticket has run out, as the advice or the order was
  * held up on the way, and is refused. The policy still admits the upstream, but
--- a/src/test_wire/test_keys.c
+++ b/src/test_wire/test_keys.c
@@ -78,6 +78,12 @@
 		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"\"]}]"),
 		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
 		       "{\"name\":\"b\",\"apiKeys\":[\"k\"]}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+		       "\"maxCount\":7}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+		       "\"maxCount\":{\"cpu\":\"x\"}}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+		       "\"maxCount\":{\"memMb\":-1}}]"),
 	};
 
 	(void)state;
@@ -89,8 +95,10 @@
 {
 	static const char whole[] = CONFIG(
 		",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\",\"l\"]},"
-		"{\"name\":\"b\",\"apiKeys\":[]}]");
+		"{\"name\":\"b\",\"apiKeys\":[],"
+		"\"maxCount\":{\"cpu\":9000,\"gpu\":2}}]");
 	wwh_job_config_t *config = config_of(whole, true);
+	const wwh_workspace_limit_t *limit;
 	const char *workspace;
 
 	(void)state;
@@ -101,6 +109,12 @@
 	assert_int_equal(wwh_api_keys_check(config->api_keys, "m", &workspace),
 			 WWH_ACCESS_UNKNOWN_KEY);
 	assert_false(g_array_index(config->queues, wwh_queue_t, 0).is_public);
+	assert_int_equal(config->limits->len, 1);
+	limit = &g_array_index(config->limits, wwh_workspace_limit_t, 0);
+	assert_string_equal(limit->name, "b");
+	assert_int_equal(limit->limit.cpu_millicores, 9000);
+	assert_int_equal(limit->limit.memory_mb, 0);
+	assert_int_equal(limit->limit.gpus, 2);
 	wwh_job_config_unref(config);
 	config = config_of(CONFIG(""), false);
 	assert_null(config->api_keys);
