Take the store for away only when nothing reaches it

A holder with old announcements goes on starting tasks while the store is away, as nobody can announce anything then. A single append that failed counted as such: a full partition, one lost answer, or a loop too late to read it, while the store took announcements of all upstreams.

Now the read of announcements has to fail too, and the loop to keep up. Ruled out by reading: a second try of an unanswered start; it is a new decision of the pass that places tasks, which is held as a whole, and the HTTP library is asked for no retries.

Tests with the old condition: a_full_partition_is_no_store_that_is_away and an_overloaded_holder_takes_no_store_for_away fail (test_job_holder, 2 of 16); with the new one 16 of 16 pass.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -106,6 +106,12 @@
 void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
 			int64_t wall_ms, bool suspended);
 
+/*
+ * The loop of the caller can't keep up. Calls without an answer then say nothing
+ * of whom they were sent to.
+ */
+void wwh_job_holder_set_overloaded(wwh_job_holder_t *holder, bool overloaded);
+
 /* How long the caller of wwh_job_holder_run may wait for the next event. */
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder);
 
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -67,6 +67,9 @@
  */
 int64_t wwh_store_follower_complete_ms(const wwh_store_follower_t *follower);
 
+/* The last call failed: the store may be away, or this process cut off. */
+bool wwh_store_follower_failing(const wwh_store_follower_t *follower);
+
 /* It is reading all keys: what it has reported is partly old. */
 bool wwh_store_follower_reading_all(const wwh_store_follower_t *follower);
 
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -25,7 +25,9 @@
 	bool report_in_flight;
 	int64_t report_retry_ms;
 	int32_t host_orders_out; /* that aren't answered yet */
+	bool overloaded; /* as the owner of its loop says */
 	bool starts_held; /* announcements are known too late */
+	int64_t store_away_ms; /* nobody could announce anything then */
 	bool stopping; /* hosts get no more orders */
 	int64_t now_ms;
 	int64_t wall_ms;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -79,6 +79,7 @@
 static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
 					   const char *list);
 static void hold_starts(wwh_job_holder_t *holder);
+static bool store_is_away(const wwh_job_holder_t *holder);
 static void run_duties(wwh_job_holder_t *holder);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
@@ -194,6 +195,11 @@
 	job_holder_refuse_unsent(holder);
 }
 
+void wwh_job_holder_set_overloaded(wwh_job_holder_t *holder, bool overloaded)
+{
+	holder->overloaded = overloaded;
+}
+
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
 {
 	wwh_scheduler_counts_t counts = wwh_scheduler_counts(holder->scheduler);
@@ -505,12 +511,16 @@
  */
 static void hold_starts(wwh_job_holder_t *holder)
 {
-	int64_t known_ms =
-		MAX(wwh_store_follower_complete_ms(holder->upstreams),
-		    wwh_shard_journal_failed_ms(holder->journal));
-	bool held = holder->now_ms - known_ms >
-		    holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
+	int64_t known_ms;
+	bool held;
 
+	if (store_is_away(holder))
+		holder->store_away_ms =
+			wwh_shard_journal_failed_ms(holder->journal);
+	known_ms = MAX(wwh_store_follower_complete_ms(holder->upstreams),
+		       holder->store_away_ms);
+	held = holder->now_ms - known_ms >
+	       holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
 	if (held == holder->starts_held)
 		return;
 	holder->starts_held = held;
@@ -524,6 +534,18 @@
 			     holder->now_ms - known_ms);
 }
 
+/*
+ * One append fails for causes of this process alone: its late loop, a silent
+ * connection, a full partition. Upstreams announce themselves meanwhile to a store
+ * that serves them.
+ */
+static bool store_is_away(const wwh_job_holder_t *holder)
+{
+	return !holder->overloaded &&
+	       wwh_shard_journal_failing(holder->journal) &&
+	       wwh_store_follower_failing(holder->upstreams);
+}
+
 static void run_duties(wwh_job_holder_t *holder)
 {
 	if (holder->now_ms < holder->duties_after_ms)
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -124,6 +124,9 @@
 		wwh_job_holder_stop_duties(service->holder,
 					   stopping ||
 						   service->asked_for_ms != 0);
+		wwh_job_holder_set_overloaded(
+			service->holder,
+			wwh_loop_lag_is_overloaded(service->lag));
 		wwh_job_holder_run(service->holder, now_ms,
 				   job_service_wall_ms(), suspended);
 	}
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -137,6 +137,11 @@
 	return follower->complete_ms;
 }
 
+bool wwh_store_follower_failing(const wwh_store_follower_t *follower)
+{
+	return follower->failures > 0;
+}
+
 static void unref(wwh_store_follower_t *follower)
 {
 	if (--follower->references > 0)
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -383,6 +383,13 @@
 	g_mutex_unlock(&fixture->standin->lock);
 }
 
+static void set_refuses_records(fixture_t *fixture, bool refuses)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->refuses_records = refuses;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
 /*
  * Guards against starts on upstreams that leave, by a holder that gets their
  * announcements too late.
@@ -402,6 +409,44 @@
 	assert_false(starts_held(fixture));
 }
 
+/*
+ * Guards against a full partition of the journal that counts as a store which is
+ * away for everybody: starts went on while upstreams announced that they leave.
+ */
+static void a_full_partition_is_no_store_that_is_away(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, BEFORE_NOBODY);
+	run_for(fixture, 1500);
+	set_announces_late(fixture, true);
+	run_for(fixture, 200);
+	set_refuses_records(fixture, true);
+	run_for(fixture, 1000);
+	set_refuses_records(fixture, false);
+	run_for(fixture, 1500);
+	assert_true(starts_held(fixture));
+}
+
+/*
+ * Guards against a holder whose own loop is too late for any answer, and that
+ * takes the store for away.
+ */
+static void an_overloaded_holder_takes_no_store_for_away(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, BEFORE_NOBODY);
+	run_for(fixture, 1000);
+	wwh_job_holder_set_overloaded(fixture->holder, true);
+	set_store(fixture, true);
+	run_for(fixture, 2500);
+	assert_true(starts_held(fixture));
+	wwh_job_holder_set_overloaded(fixture->holder, false);
+	run_for(fixture, 300);
+	assert_false(starts_held(fixture));
+}
+
 /* Guards against a pause in starts while the store is away for everybody. */
 static void tasks_are_started_while_the_store_is_away(void **state)
 {
@@ -442,6 +487,12 @@
 		cmocka_unit_test_setup_teardown(
 			tasks_are_started_while_the_store_is_away, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_full_partition_is_no_store_that_is_away, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			an_overloaded_holder_takes_no_store_for_away, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			orders_on_their_way_are_waited_for_before_giving_up,
 			set_up, tear_down),
