--- a/include/waxwinghollow/http_calls.h
+++ b/include/waxwinghollow/http_calls.h
@@ -52,6 +52,7 @@
 	const char *header_names[WWH_HTTP_CALL_HEADERS]; /* NULL: no more */
 	char *header_values[WWH_HTTP_CALL_HEADERS];
 	int64_t limit_ms;
+	int64_t send_limit_ms; /* it is sent by then or not at all; 0: limit_ms */
 	bool taken_first; /* its answer is read before those of other calls */
 } wwh_http_call_t;
 
--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -65,6 +65,7 @@
 	struct evhttp_request *answered; /* NULL: no answer came */
 	struct event limit;
 	int64_t limit_us; /* when its time is over */
+	int64_t send_limit_us; /* the same for being sent */
 	bool sending; /* the request was handed to an open connection */
 	bool refused_at_once; /* as the socket says right after connecting */
 	bool has_ended;
@@ -93,6 +94,7 @@
 static void on_limit(evutil_socket_t fd, short what, void *data);
 static void set_limit(transfer_t *transfer, int64_t after_ms);
 static int64_t left_ms(const transfer_t *transfer);
+static int64_t left_to_send_ms(const transfer_t *transfer);
 static void end(transfer_t *transfer, wwh_call_outcome_t outcome);
 static bool finish_ended(wwh_http_calls_t *calls);
 static void finish(transfer_t *transfer);
@@ -197,6 +199,12 @@
 	transfer->client_data = client_data;
 	transfer->limit_us =
 		g_get_monotonic_time() + call->limit_ms * MILLISECOND_US;
+	transfer->send_limit_us = transfer->limit_us;
+	if (call->send_limit_ms > 0)
+		transfer->send_limit_us =
+			MIN(transfer->limit_us,
+			    g_get_monotonic_time() +
+				    call->send_limit_ms * MILLISECOND_US);
 	evtimer_assign(&transfer->limit, calls->base, on_limit, transfer);
 	g_hash_table_add(calls->transfers, transfer);
 	wwh_counter_add(calls->sent, 1);
@@ -267,7 +275,7 @@
 		return;
 	}
 	g_queue_push_tail(&endpoint->waiting, transfer);
-	set_limit(transfer, left_ms(transfer));
+	set_limit(transfer, left_to_send_ms(transfer));
 }
 
 static void send_on(transfer_t *transfer, http_connection_t *connection)
@@ -301,7 +309,8 @@
 	if (is_new) {
 		set_socket_options(connection);
 		transfer->refused_at_once = refused_at_once(connection);
-		set_limit(transfer, MIN(CONNECT_LIMIT_MS, left_ms(transfer)));
+		set_limit(transfer,
+			  MIN(CONNECT_LIMIT_MS, left_to_send_ms(transfer)));
 	} else {
 		set_limit(transfer, left_ms(transfer));
 	}
@@ -433,13 +442,23 @@
 	event_add(&transfer->limit, &after);
 }
 
-static int64_t left_ms(const transfer_t *transfer)
+static int64_t until_ms(int64_t end_us)
 {
-	int64_t left_us = transfer->limit_us - g_get_monotonic_time();
+	int64_t left_us = end_us - g_get_monotonic_time();
 
 	return (MAX(left_us, 0) + MILLISECOND_US - 1) / MILLISECOND_US;
 }
 
+static int64_t left_ms(const transfer_t *transfer)
+{
+	return until_ms(transfer->limit_us);
+}
+
+static int64_t left_to_send_ms(const transfer_t *transfer)
+{
+	return until_ms(transfer->send_limit_us);
+}
+
 /*
  * The callback runs from wwh_http_calls_poll, never from within the library. One
  * turn of the library's loop may run out a call's time and then read its answer:
@@ -507,6 +526,10 @@
 		/* its own end takes it from the queue */
 		if (next->has_ended)
 			return;
+		if (left_to_send_ms(next) == 0) {
+			end(next, WWH_CALL_NOT_SENT);
+			return;
+		}
 		connection = http_pool_take(endpoint, next);
 		if (connection == NULL)
 			return;
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -27,6 +27,7 @@
 	int32_t host_orders_out; /* that aren't answered yet */
 	bool overloaded; /* as the owner of its loop says */
 	bool starts_held; /* announcements are known too late */
+	int64_t start_until_ms; /* by what is known of announcements */
 	int64_t store_away_ms; /* nobody could announce anything then */
 	bool stopping; /* hosts get no more orders */
 	int64_t now_ms;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -519,8 +519,9 @@
 			wwh_shard_journal_failed_ms(holder->journal);
 	known_ms = MAX(wwh_store_follower_complete_ms(holder->upstreams),
 		       holder->store_away_ms);
-	held = holder->now_ms - known_ms >
-	       holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
+	holder->start_until_ms =
+		known_ms + holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
+	held = holder->now_ms > holder->start_until_ms;
 	if (held == holder->starts_held)
 		return;
 	holder->starts_held = held;
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -32,6 +32,7 @@
 #define SHORT_LIMIT_MS 300
 /* Then a failed check says what is missing. */
 #define WAIT_MAX_MS 10000
+#define CONNECTIONS_AN_ENDPOINT 6
 #define MORE_THAN_AN_ENDPOINT_MAY_HAVE 9
 
 typedef struct {
@@ -315,6 +316,34 @@
 	(void)raw_server_delete(server);
 }
 
+/*
+ * Guards against an order that waits for a connection and is sent when what it was
+ * decided by is too old.
+ */
+static void a_call_is_sent_in_time_or_not_at_all(void **state)
+{
+	static const char *const script[] = { RAW_SILENT };
+	fixture_t *fixture = *state;
+	raw_server_t *server = raw_server_new(script, 1);
+	char *endpoint =
+		g_strdup_printf("127.0.0.1:%d", (int)raw_server_port(server));
+	wwh_http_call_t *call = wwh_http_call_new("POST", endpoint, LIMIT_MS);
+	int64_t began_us = g_get_monotonic_time();
+
+	for (int32_t i = 0; i < CONNECTIONS_AN_ENDPOINT; i++)
+		send_to(fixture, endpoint, LIMIT_MS);
+	call->path = g_strdup("/order");
+	call->send_limit_ms = SHORT_LIMIT_MS;
+	wwh_http_calls_send(fixture->calls, call, on_done, fixture);
+	wait_for(fixture, 1);
+	assert_int_equal(fixture->outcomes[WWH_CALL_NOT_SENT], 1);
+	assert_true(g_get_monotonic_time() - began_us < LIMIT_MS * 1000 / 2);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	(void)raw_server_delete(server);
+	g_free(endpoint);
+}
+
 static void what_is_left_is_told_at_the_end(void **state)
 {
 	static const char *const script[] = { RAW_SILENT };
@@ -417,6 +446,7 @@
 		TEST(an_answer_is_read_right_after_its_limit),
 		TEST(a_connection_that_is_never_made),
 		TEST(calls_wait_for_a_connection),
+		TEST(a_call_is_sent_in_time_or_not_at_all),
 		TEST(what_is_left_is_told_at_the_end),
 		TEST(a_wake_ends_a_wait),
 	};
