Start a limited number of tasks in one pass

Cause, from the log of the holder: single turns of its loop took 2.3, 2.9 and 2.4 s (stood-still). A pass places the whole backlog, one look at each upstream of the pool for each task (choose and what it calls: a fifth of the holder's processor, by perf) and a request for each. Leases ran out meanwhile, probes went unanswered, and the next holder (holder-silent) asked all upstreams anew.

Now a pass starts 64 tasks, shared by the pools that have something to place; the rest follows in the next one, some ms later, after answers and polls.

What is accepted is still more than can be done.

Tests with the limit taken out: a_pass_starts_a_limited_number_of_tasks and pools_share_the_starts_of_a_pass fail (2 of 69 in test_scheduler).

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -245,6 +245,13 @@
  */
 void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held);
 
+/*
+ * Tasks that a new job of pool comes after and that wait for nothing but the
+ * holder: a pass starts a limited number of tasks, shared by the pools.
+ */
+int32_t wwh_scheduler_untried(const wwh_scheduler_t *scheduler,
+			      const char *pool);
+
 typedef enum {
 	WWH_SUBMIT_ACCEPTED = 0, /* answer once record is durable */
 	WWH_SUBMIT_KNOWN, /* the same id was accepted before; as above */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -193,6 +193,7 @@
 	wwh_load_t
 		most_free; /* at least what the one with the most of it has */
 	int64_t next_try_ms;
+	int32_t untried; /* ready tasks that the last pass didn't get to */
 };
 
 struct wwh_scheduler {
@@ -208,6 +209,7 @@
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	bool restored;
 	bool starts_held;
+	int32_t starts_left; /* of a pool's share in the pass in progress */
 	wwh_workspace_quota_t *quota;
 	int64_t now_ms;
 	int64_t wall_ms;
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -22,12 +22,22 @@
 /* A pool with waiting tasks and no event is looked through this often. */
 #define TRY_AGAIN_MS 200
 
+/*
+ * Starts of one pass, shared by the pools that have something to place. A pass that
+ * works off a whole backlog takes seconds on a small share of a processor, in which
+ * leases run out and probes go unanswered.
+ */
+#define STARTS_A_PASS 64
+
 typedef struct {
 	sched_step_t *step;
 	int64_t order;
 } candidate_t;
 
-static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool);
+static bool is_due(const wwh_scheduler_t *scheduler, const sched_pool_t *pool);
+static int32_t count_due(const wwh_scheduler_t *scheduler);
+static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool,
+		       int32_t most);
 static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
 		    GArray *candidates);
 static void collect_occurrence(const wwh_scheduler_t *scheduler,
@@ -65,6 +75,7 @@
 
 void sched_place(wwh_scheduler_t *scheduler)
 {
+	int32_t due = count_due(scheduler);
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -72,15 +83,35 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_pool_t *pool = value;
 
-		if (pool->standby ||
-		    (!pool->dirty && scheduler->now_ms < pool->next_try_ms))
+		if (!is_due(scheduler, pool))
 			continue;
 		pool->dirty = false;
 		pool->next_try_ms = scheduler->now_ms + TRY_AGAIN_MS;
-		place_pool(scheduler, pool);
+		place_pool(scheduler, pool, MAX(STARTS_A_PASS / due, 1));
 	}
 }
 
+int32_t wwh_scheduler_untried(const wwh_scheduler_t *scheduler,
+			      const char *name)
+{
+	const sched_pool_t *own = g_hash_table_lookup(scheduler->pools, name);
+	GHashTableIter iterator;
+	gpointer value;
+	int32_t all = 0;
+	int32_t pools = 0;
+
+	if (own == NULL)
+		return 0;
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const sched_pool_t *pool = value;
+
+		all += pool->untried;
+		pools += pool->untried > 0;
+	}
+	return MIN(all, own->untried * pools);
+}
+
 void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *name,
 			   const wwh_advice_ticket_t *admitted, int32_t count,
 			   int64_t valid_ms, int64_t now_ms)
@@ -136,22 +167,48 @@
 	return choose(scheduler, task, &ticket) != NULL;
 }
 
-static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool)
+static bool is_due(const wwh_scheduler_t *scheduler, const sched_pool_t *pool)
+{
+	return !pool->standby &&
+	       (pool->dirty || scheduler->now_ms >= pool->next_try_ms);
+}
+
+static int32_t count_due(const wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+	int32_t due = 0;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		due += is_due(scheduler, value);
+	return due;
+}
+
+static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool,
+		       int32_t most)
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 
 	collect(scheduler, pool, candidates);
 	g_array_sort(candidates, compare);
 	measure_room(scheduler, pool);
+	scheduler->starts_left = most;
+	pool->untried = 0;
 	for (guint i = 0; i < candidates->len; i++) {
 		sched_step_t *step =
 			g_array_index(candidates, candidate_t, i).step;
 
-		if (step->spec->gang)
+		if (scheduler->starts_left > 0 && step->spec->gang)
 			place_gang(scheduler, step);
-		else
+		else if (scheduler->starts_left > 0)
 			place_step(scheduler, step);
+		if (scheduler->starts_left <= 0)
+			pool->untried +=
+				step->spec->task_count - step->done - step->out;
 	}
+	/* the rest follows in the next pass */
+	pool->dirty = pool->dirty || pool->untried > 0;
 	g_array_free(candidates, TRUE);
 }
 
@@ -301,6 +358,8 @@
 		sched_upstream_t *upstream;
 		const char *ticket = NULL;
 
+		if (scheduler->starts_left <= 0)
+			return;
 		if (sched_task_state(task) != TASK_WAITING ||
 		    !may_start(scheduler, task))
 			continue;
@@ -315,6 +374,7 @@
 		}
 		sched_task_start(scheduler, task, upstream,
 				 next_run(scheduler, task->run), ticket);
+		scheduler->starts_left--;
 	}
 }
 
@@ -372,6 +432,7 @@
 			sched_task_start(scheduler, &step->tasks[i], chosen[i],
 					 step->gang_run, tickets[i]);
 		}
+		scheduler->starts_left -= count;
 		explain_started(scheduler, step, count);
 		g_free(same);
 	} else if (needs_advice(step)) {
--- /dev/null
+++ b/src/test_scheduler/test_backlog.c
@@ -0,0 +1,110 @@
+/*
+ * A backlog that the holder works off pass by pass: more tasks are ready, and have
+ * room, than it can start at once.
+ */
+
+#include "test_scheduler.h"
+
+#define BACKLOG_JOBS 60
+#define TASKS_A_JOB 4
+#define BACKLOG_TASKS (BACKLOG_JOBS * TASKS_A_JOB)
+#define SMALL_MILLICORES 10
+#define SMALL_MEMORY_MB 10
+#define STARTS_A_PASS 64
+#define OTHER_POOL "lounge"
+
+/* Jobs that become durable together, as after an append that took its time. */
+static void submit_backlog(rig_t *rig)
+{
+	for (int32_t i = 0; i < BACKLOG_JOBS; i++) {
+		char id[WWH_JOB_ID_CHARS + 1];
+		wwh_job_t *job;
+		int64_t record;
+
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		job = rig_job(id, TASKS_A_JOB, SMALL_MILLICORES);
+		job->steps[0].need.memory_mb = SMALL_MEMORY_MB;
+		(void)wwh_scheduler_submit(rig->scheduler, job, rig->now_ms,
+					   &record);
+	}
+	rig_durable(rig);
+}
+
+static guint starts_of(const rig_t *rig, const char *id)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < rig->starts->len; i++)
+		count += g_str_has_prefix(
+			g_array_index(rig->starts, rig_order_t, i).task, id);
+	return count;
+}
+
+/*
+ * Guards against a pass over a long backlog that takes seconds, in which leases run
+ * out and a healthy holder is replaced as silent.
+ */
+void a_pass_starts_a_limited_number_of_tasks(void **state)
+{
+	rig_t *rig = *state;
+	guint before = 0;
+
+	submit_backlog(rig);
+	while (before < BACKLOG_TASKS) {
+		rig_run(rig, 5);
+		assert_true(rig->starts->len > before);
+		assert_true(rig->starts->len - before <= STARTS_A_PASS);
+		assert_int_equal(
+			wwh_scheduler_untried(rig->scheduler, RIG_POOL),
+			BACKLOG_TASKS - rig->starts->len);
+		before = rig->starts->len;
+	}
+}
+
+/* Guards against lasting tasks that wait behind a backlog of others. */
+void lasting_tasks_go_before_a_backlog(void **state)
+{
+	rig_t *rig = *state;
+	wwh_job_t *job = rig_job(JOB_A, 1, SMALL_MILLICORES);
+	int64_t record;
+
+	submit_backlog(rig);
+	job->steps[0].lasting = true;
+	(void)wwh_scheduler_submit(rig->scheduler, job, rig->now_ms, &record);
+	rig_durable(rig);
+	rig_run(rig, 5);
+	assert_int_equal(starts_of(rig, JOB_A), 1);
+}
+
+/* Guards against a pool whose backlog takes all starts of a pass. */
+void pools_share_the_starts_of_a_pass(void **state)
+{
+	rig_t *rig = *state;
+	char *labels[] = { NULL };
+	wwh_upstream_info_t info = {
+		.id = (char *)"l1",
+		.endpoint = (char *)"10.0.1.1:1",
+		.pool = (char *)OTHER_POOL,
+		.zone = (char *)"hall-a",
+		.rack = (char *)"r1-1",
+		.labels = labels,
+		.size = { 8000, 16000, 2 },
+	};
+	wwh_job_t *job = rig_job(JOB_B, 1, SMALL_MILLICORES);
+	int64_t record;
+
+	wwh_scheduler_upstream_seen(rig->scheduler, &info, rig->now_ms);
+	rig_run(rig, 1);
+	rig_answer_poll(rig, "l1", NULL, 0, NULL, 0);
+	rig_run(rig, 1);
+	rig_durable(rig);
+	submit_backlog(rig);
+	g_free(job->queue.pool);
+	job->queue.pool = g_strdup(OTHER_POOL);
+	(void)wwh_scheduler_submit(rig->scheduler, job, rig->now_ms, &record);
+	rig_durable(rig);
+	rig_run(rig, 5);
+	assert_int_equal(starts_of(rig, JOB_B), 1);
+	assert_true(wwh_scheduler_untried(rig->scheduler, RIG_POOL) > 0);
+	assert_int_equal(wwh_scheduler_untried(rig->scheduler, OTHER_POOL), 0);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -179,4 +179,13 @@
 void a_workspace_starts_no_more_than_its_limit(void **state);
 void what_a_holder_before_started_counts_for_the_limit(void **state);
 
+#define BACKLOG_TESTS                                                          \
+	RIG_TEST(a_pass_starts_a_limited_number_of_tasks, 1),                  \
+		RIG_TEST(lasting_tasks_go_before_a_backlog, 1),                \
+		RIG_TEST(pools_share_the_starts_of_a_pass, 1)
+
+void a_pass_starts_a_limited_number_of_tasks(void **state);
+void lasting_tasks_go_before_a_backlog(void **state);
+void pools_share_the_starts_of_a_pass(void **state);
+
 #endif
