Poll many idle upstreams less often

Now the polls at all idle upstreams come to 500 a second, each at least every 5.5 s. An idle upstream stays usable for as much longer as its poll is put off, and one that gets a task is polled at once.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -153,6 +153,7 @@
 	int64_t inherited_until_remote_ms;
 	bool poll_in_flight;
 	int64_t next_poll_ms;
+	int64_t idle_gap_ms; /* from the last answer to the next poll; 0: usual */
 	int64_t answered_ms; /* the last answer to a poll */
 	int32_t failed_polls; /* since then */
 	int32_t refused_polls; /* in a row */
@@ -207,6 +208,7 @@
 	GPtrArray *dirty; /* sched_job_t whose progress is to be kept */
 	GHashTable *pools; /* name to sched_pool_t, owned */
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
+	int32_t idle_upstreams; /* as counted last */
 	bool restored;
 	bool starts_held;
 	int32_t starts_left; /* of a pool's share in the pass in progress */
@@ -340,6 +342,11 @@
 /* scheduler_poll.c: when upstreams are polled, and for how long */
 int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream);
+/* How many run nothing; polls at them are spaced by it. */
+void sched_poll_count_idle(wwh_scheduler_t *scheduler);
+/* Between polls at one of many that run nothing; 0: the gap above. */
+int64_t sched_poll_idle_gap_ms(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream);
 int64_t sched_poll_retry_ms(const sched_upstream_t *upstream);
 /* Of an upstream that has answered this holder before. */
 void sched_poll_if_due(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -1,11 +1,20 @@
 #include "private/scheduler_state.h"
 
 /*
- * An upstream answers at least this often, also one that runs nothing: the
- * longest wait is how late an overtaken holder learns of it.
+ * An upstream that runs something answers at least this often: the longest wait
+ * is how late an overtaken holder learns of it.
  */
 #define POLL_WAIT_MS 1000
 
+/*
+ * Polls a second at upstreams that run nothing. Each of them polled all the time,
+ * some thousand leave a holder no time for those that run tasks; so many polls
+ * show soon enough that the holder was overtaken.
+ */
+#define IDLE_POLLS_PER_S 500
+#define IDLE_GAP_MAX_MS 3000
+#define SECOND_MS 1000
+
 /* Ends within this time of each other come in one answer. */
 #define POLL_GAP_MS 25
 
@@ -44,6 +53,7 @@
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
 
+static bool is_idle(const sched_upstream_t *upstream);
 static bool is_poll_due(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream);
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
@@ -61,6 +71,17 @@
 		       : POLL_UNACKED_LONG_GAP_MS;
 }
 
+void sched_poll_count_idle(wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	scheduler->idle_upstreams = 0;
+	g_hash_table_iter_init(&iterator, scheduler->upstreams);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		scheduler->idle_upstreams += is_idle(value);
+}
+
 int64_t sched_poll_retry_ms(const sched_upstream_t *upstream)
 {
 	if (pool_waits_for(upstream) && upstream->refused_polls == 0)
@@ -100,6 +121,29 @@
 	g_ptr_array_free(due, TRUE);
 }
 
+static bool is_idle(const sched_upstream_t *upstream)
+{
+	return upstream->settled && upstream->listed &&
+	       upstream->tasks->len == 0 && upstream->orphans == 0 &&
+	       upstream->failed_polls == 0;
+}
+
+/* From half to one and a half times the mean, lest all are polled at once. */
+int64_t sched_poll_idle_gap_ms(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream)
+{
+	int64_t mean_ms = (int64_t)scheduler->idle_upstreams * SECOND_MS /
+				  IDLE_POLLS_PER_S -
+			  POLL_WAIT_MS;
+	guint spread = g_str_hash(upstream->info.id) ^
+		       (guint)(scheduler->now_ms * 2654435761U);
+
+	mean_ms = MIN(mean_ms, IDLE_GAP_MAX_MS);
+	if (!is_idle(upstream) || mean_ms <= POLL_GAP_MS)
+		return 0;
+	return mean_ms / 2 + mean_ms * (spread % PERMILLE) / PERMILLE;
+}
+
 static bool is_poll_due(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream)
 {
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -244,6 +244,10 @@
 
 	g_assert(task->upstream == NULL);
 	task->upstream = upstream;
+	/* polls tell of its ends */
+	if (upstream->idle_gap_ms > 0)
+		upstream->next_poll_ms =
+			MIN(upstream->next_poll_ms, scheduler->now_ms);
 	g_ptr_array_add(upstream->tasks, task);
 	wwh_load_add(&upstream->used, &taken);
 	wwh_workspace_quota_add(scheduler->quota,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -166,7 +166,8 @@
 	       upstream->settled && !upstream->cordoned &&
 	       !upstream->pool->standby && upstream->orphans == 0 &&
 	       upstream->failed_polls == 0 &&
-	       now_ms - upstream->answered_ms < SILENT_AFTER_MS &&
+	       now_ms - upstream->answered_ms <
+		       SILENT_AFTER_MS + upstream->idle_gap_ms &&
 	       now_ms >= upstream->backoff_until_ms && upstream->kept_asked &&
 	       upstream->kept <= scheduler->durable_record;
 }
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -93,8 +93,10 @@
 	stop_hanging(scheduler, upstream);
 	sched_pace(scheduler, upstream);
 	settle(scheduler, upstream);
+	upstream->idle_gap_ms = sched_poll_idle_gap_ms(scheduler, upstream);
 	upstream->next_poll_ms =
-		scheduler->now_ms + sched_poll_gap_ms(scheduler, upstream);
+		scheduler->now_ms + MAX(sched_poll_gap_ms(scheduler, upstream),
+					upstream->idle_gap_ms);
 	upstream->pool->dirty = true;
 }
 
@@ -141,6 +143,7 @@
 {
 	GList *all = g_hash_table_get_values(scheduler->upstreams);
 
+	sched_poll_count_idle(scheduler);
 	for (GList *at = all; at != NULL; at = at->next)
 		run_one(scheduler, at->data);
 	g_list_free(all);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -259,6 +259,7 @@
 		UPSTREAM_TESTS,
 		DAMAGE_TESTS,
 		BACKLOG_TESTS,
+		IDLE_TESTS,
 		RIG_TEST(a_job_runs_to_its_end, 1),
 		RIG_TEST(nothing_starts_before_the_job_is_durable, 1),
 		RIG_TEST(a_completed_job_is_shown_once_it_is_durable, 1),
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -188,4 +188,13 @@
 void lasting_tasks_go_before_a_backlog(void **state);
 void pools_share_the_starts_of_a_pass(void **state);
 
+#define IDLE_TESTS                                                             \
+	RIG_TEST(many_idle_upstreams_share_a_rate_of_polls, 0),                \
+		RIG_TEST(few_idle_upstreams_are_polled_all_the_time, 0),       \
+		RIG_TEST(an_idle_upstream_is_used_and_polled_at_once, 0)
+
+void many_idle_upstreams_share_a_rate_of_polls(void **state);
+void few_idle_upstreams_are_polled_all_the_time(void **state);
+void an_idle_upstream_is_used_and_polled_at_once(void **state);
+
 #endif
