Refuse jobs that an overloaded holder is bound to start too late

Cause: a job is accepted as long as the store takes its record. The backlog grows to what 25 s of starts would clear (95 of 100 jobs had their first start within 26.8 s), so that everything that is accepted ends too late, some never.

Now a holder whose loop is overloaded measures its starts a second while a pass leaves tasks to the next one (start_rate), takes the tasks of its pools that wait for it, and refuses a job that would start later than it can and still end in time. The caller is told when to come back, by the backlog. Lasting and timed jobs are taken: few, and their tasks go first. Nothing is refused while the loop keeps up, nor where tasks wait for room.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -246,12 +246,22 @@
 void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held);
 
 /*
- * Tasks that a new job of pool comes after and that wait for nothing but the
- * holder: a pass starts a limited number of tasks, shared by the pools.
+ * Tasks that a new job of pool comes after, while the last pass left some to the
+ * next one: they wait for the holder. 0: they wait for room, if at all.
  */
-int32_t wwh_scheduler_untried(const wwh_scheduler_t *scheduler,
+int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
 			      const char *pool);
 
+/* The last pass left something to the next one, in any pool. */
+bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler);
+
+/*
+ * How long a job may wait for its first start and still end as soon as its callers
+ * are content with, by its estimates; -1: it has no such time, as its tasks last or
+ * it comes at set times.
+ */
+int64_t wwh_scheduler_slack_ms(const wwh_job_t *job);
+
 typedef enum {
 	WWH_SUBMIT_ACCEPTED = 0, /* answer once record is durable */
 	WWH_SUBMIT_KNOWN, /* the same id was accepted before; as above */
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -7,6 +7,7 @@
 #include "waxwinghollow/host_duties.h"
 #include "waxwinghollow/job_holder.h"
 #include "waxwinghollow/shard_journal.h"
+#include "waxwinghollow/start_rate.h"
 #include "waxwinghollow/store_follower.h"
 
 struct wwh_job_holder {
@@ -26,6 +27,8 @@
 	int64_t report_retry_ms;
 	int32_t host_orders_out; /* that aren't answered yet */
 	bool overloaded; /* as the owner of its loop says */
+	wwh_start_rate_t *start_rate;
+	int64_t starts_counted; /* of the counter below, in start_rate */
 	bool starts_held; /* announcements are known too late */
 	int64_t start_until_ms; /* by what is known of announcements */
 	int64_t store_away_ms; /* nobody could announce anything then */
@@ -46,6 +49,7 @@
 	GHashTable *announced; /* id to the digest of what was taken last */
 	GHashTable *unnamed; /* id to wwh_upstream_info_t of other pools */
 	wwh_counter_t *lost_jobs;
+	wwh_counter_t *overload_refusals;
 	wwh_counter_t *starts;
 	wwh_counter_t *polls;
 	wwh_counter_t *stops;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -194,7 +194,8 @@
 	wwh_load_t
 		most_free; /* at least what the one with the most of it has */
 	int64_t next_try_ms;
-	int32_t untried; /* ready tasks that the last pass didn't get to */
+	bool cut_short; /* the last pass left something to the next one */
+	int32_t unstarted; /* tasks of its jobs, also of later steps */
 };
 
 struct wwh_scheduler {
@@ -279,6 +280,8 @@
 sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id);
 sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
 			   int64_t accepted_ms);
+/* It counts as waiting until the next pass counts all of them. */
+void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job);
 sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id);
 void sched_job_delete(gpointer job);
 bool sched_job_is_live(const sched_job_t *job);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -80,6 +80,7 @@
 					   const char *list);
 static void hold_starts(wwh_job_holder_t *holder);
 static bool store_is_away(const wwh_job_holder_t *holder);
+static void measure_starts(wwh_job_holder_t *holder);
 static void run_duties(wwh_job_holder_t *holder);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
@@ -116,6 +117,10 @@
 		wwh_counters_histogram(options->counters, "holder.append_ms");
 	holder->start_ms =
 		wwh_counters_histogram(options->counters, "holder.start_ms");
+	holder->overload_refusals =
+		wwh_counters_get(options->counters, "holder.overload_refusals");
+	holder->start_rate = wwh_start_rate_new();
+	holder->starts_counted = wwh_counter_value(holder->starts);
 	holder->lost_jobs =
 		wwh_counters_get(options->counters, "holder.lost_jobs");
 	holder->bad_hosts = make_bad_records(holder, "hosts");
@@ -185,6 +190,7 @@
 	if (orders_allowed(holder, suspended)) {
 		hold_starts(holder);
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
+		measure_starts(holder);
 		run_duties(holder);
 		job_holder_send_reports(holder);
 	}
@@ -276,6 +282,7 @@
 {
 	if (--holder->references > 0)
 		return;
+	wwh_start_rate_delete(holder->start_rate);
 	wwh_host_duties_delete(holder->duties);
 	wwh_scheduler_delete(holder->scheduler);
 	job_holder_advice_clear(holder);
@@ -547,6 +554,20 @@
 	       wwh_store_follower_failing(holder->upstreams);
 }
 
+static void measure_starts(wwh_job_holder_t *holder)
+{
+	int64_t starts = wwh_counter_value(holder->starts);
+
+	if (holder->overloaded && (holder->starts_held ||
+				   !wwh_scheduler_is_behind(holder->scheduler)))
+		wwh_start_rate_pause(holder->start_rate, holder->now_ms);
+	else
+		wwh_start_rate_add(holder->start_rate, holder->now_ms,
+				   starts - holder->starts_counted,
+				   holder->overloaded);
+	holder->starts_counted = starts;
+}
+
 static void run_duties(wwh_job_holder_t *holder)
 {
 	if (holder->now_ms < holder->duties_after_ms)
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -22,6 +22,10 @@
 
 #define STALLED_RETRY_AFTER_S 1
 
+/* Callers who are told to come back later than this have given up by then. */
+#define OVERLOADED_RETRY_AFTER_MAX_S 5
+#define SECOND_MS 1000
+
 /*
  * Why a job is neither taken nor said to be unknown: it was accepted, and what
  * became of it can't be read. Taken anew, its tasks would run a second time.
@@ -43,6 +47,11 @@
 		      int64_t record);
 static void refuse_waiters(wwh_job_holder_t *holder, int64_t record);
 static bool is_stalled(const wwh_job_holder_t *holder);
+static int64_t too_late_by_ms(const wwh_job_holder_t *holder,
+			      const wwh_job_t *job);
+static void refuse_overloaded(wwh_job_holder_t *holder, const wwh_job_t *job,
+			      int64_t late_ms, wwh_job_answered_t done,
+			      void *client_data);
 static void answer_not_done(const char *why, wwh_job_answered_t done,
 			    void *client_data);
 
@@ -63,6 +72,7 @@
 	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
 		     WWH_PROGRESS_UNKNOWN;
 	int64_t record;
+	int64_t late_ms;
 
 	if (wwh_scheduler_job_lost(holder->scheduler, job->id)) {
 		wwh_job_delete(job);
@@ -75,6 +85,12 @@
 		answer_not_done("store-unreachable", done, client_data);
 		return;
 	}
+	late_ms = known ? 0 : too_late_by_ms(holder, job);
+	if (late_ms > 0) {
+		refuse_overloaded(holder, job, late_ms, done, client_data);
+		wwh_job_delete(job);
+		return;
+	}
 	g_strlcpy(id, job->id, sizeof(id));
 	holder->urgent = true;
 	(void)wwh_scheduler_submit(holder->scheduler, job, holder->now_ms,
@@ -266,6 +282,44 @@
 		g_queue_insert_after(holder->waiters, at, waiter);
 }
 
+/*
+ * A holder that accepts more than it can start lets all jobs be late. One that is
+ * bound to be late is refused while its caller can still come back; lasting and
+ * timed ones are few, and their tasks go first.
+ */
+static int64_t too_late_by_ms(const wwh_job_holder_t *holder,
+			      const wwh_job_t *job)
+{
+	int64_t slack_ms = wwh_scheduler_slack_ms(job);
+	int32_t tasks =
+		wwh_scheduler_backlog(holder->scheduler, job->queue.pool);
+
+	if (slack_ms < 0)
+		return 0;
+	return wwh_start_rate_wait_ms(holder->start_rate, tasks) - slack_ms;
+}
+
+static void refuse_overloaded(wwh_job_holder_t *holder, const wwh_job_t *job,
+			      int64_t late_ms, wwh_job_answered_t done,
+			      void *client_data)
+{
+	int64_t wait_s = (late_ms + SECOND_MS - 1) / SECOND_MS;
+	wwh_job_answer_t answer = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = "overloaded",
+		.retry_after_s = MIN(wait_s, OVERLOADED_RETRY_AFTER_MAX_S),
+	};
+
+	wwh_counter_add(holder->overload_refusals, 1);
+	wwh_event_log_printf(
+		holder->options.log, "job-refused", job->id,
+		"why=overloaded queue=%s late_by_ms=%" G_GINT64_FORMAT
+		" starts_per_s=%" G_GINT64_FORMAT,
+		job->queue.name, late_ms,
+		wwh_start_rate_per_s(holder->start_rate));
+	done(&answer, client_data);
+}
+
 static void answer_not_done(const char *why, wwh_job_answered_t done,
 			    void *client_data)
 {
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -222,6 +222,7 @@
 	g_bytes_unref(value);
 	scheduler->newest_record = job->kept;
 	*record = job->kept;
+	sched_job_join_backlog(scheduler, job);
 	sched_explain(scheduler, "job-taken", job->id,
 		      "queue=%s pool=%s steps=%d record=%" G_GINT64_FORMAT,
 		      spec->queue.name, spec->queue.pool, spec->step_count,
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -11,6 +11,8 @@
 static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
 					  sched_job_t *job, int64_t number);
 static void set_objective(sched_job_t *job);
+static int64_t objective_ms(const wwh_job_t *spec);
+static int64_t chain_ms(const wwh_job_t *spec);
 static int64_t occurrence_total(const sched_job_t *job);
 static sched_occurrence_t *find_occurrence(const sched_job_t *job,
 					   int64_t number);
@@ -43,6 +45,13 @@
 	return job;
 }
 
+void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	for (int32_t i = 0; i < job->spec->step_count; i++)
+		job->pool->unstarted += job->spec->steps[i].task_count;
+	job->pool->cut_short = job->pool->cut_short || scheduler->starts_held;
+}
+
 sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id)
 {
 	sched_job_t *job = g_new0(sched_job_t, 1);
@@ -303,10 +312,34 @@
 	return occurrence;
 }
 
+int64_t wwh_scheduler_slack_ms(const wwh_job_t *job)
+{
+	if (job->repeat_count > 0)
+		return -1;
+	for (int32_t i = 0; i < job->step_count; i++) {
+		if (job->steps[i].lasting)
+			return -1;
+	}
+	return MAX(objective_ms(job) - chain_ms(job), 0);
+}
+
 static void set_objective(sched_job_t *job)
 {
-	const wwh_job_t *spec = job->spec;
+	job->chain_ms = chain_ms(job->spec);
+	job->objective_ms = objective_ms(job->spec);
+}
+
+static int64_t objective_ms(const wwh_job_t *spec)
+{
+	return chain_ms(spec) * spec->queue.stretch_permille / PERMILLE +
+	       spec->queue.latency_ms;
+}
+
+/* The longest chain of estimates. */
+static int64_t chain_ms(const wwh_job_t *spec)
+{
 	int64_t *ends = g_new0(int64_t, (gsize)spec->step_count);
+	int64_t longest = 0;
 
 	for (int32_t i = 0; i < spec->step_count; i++) {
 		const wwh_job_step_t *step = &spec->steps[i];
@@ -314,12 +347,10 @@
 		for (int32_t j = 0; j < step->after_count; j++)
 			ends[i] = MAX(ends[i], ends[step->after[j]]);
 		ends[i] += wwh_job_estimate_ms(step);
-		job->chain_ms = MAX(job->chain_ms, ends[i]);
+		longest = MAX(longest, ends[i]);
 	}
-	job->objective_ms =
-		job->chain_ms * spec->queue.stretch_permille / PERMILLE +
-		spec->queue.latency_ms;
 	g_free(ends);
+	return longest;
 }
 
 static int64_t occurrence_total(const sched_job_t *job)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -91,7 +91,21 @@
 	}
 }
 
-int32_t wwh_scheduler_untried(const wwh_scheduler_t *scheduler,
+bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		if (((sched_pool_t *)value)->cut_short)
+			return true;
+	}
+	return false;
+}
+
+/* Pools share the starts of a pass, so a short backlog is soon done. */
+int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
 			      const char *name)
 {
 	const sched_pool_t *own = g_hash_table_lookup(scheduler->pools, name);
@@ -100,16 +114,16 @@
 	int32_t all = 0;
 	int32_t pools = 0;
 
-	if (own == NULL)
+	if (own == NULL || !own->cut_short)
 		return 0;
 	g_hash_table_iter_init(&iterator, scheduler->pools);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		const sched_pool_t *pool = value;
 
-		all += pool->untried;
-		pools += pool->untried > 0;
+		all += pool->cut_short ? pool->unstarted : 0;
+		pools += pool->cut_short;
 	}
-	return MIN(all, own->untried * pools);
+	return MIN(all, own->unstarted * pools);
 }
 
 void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *name,
@@ -194,21 +208,20 @@
 	g_array_sort(candidates, compare);
 	measure_room(scheduler, pool);
 	scheduler->starts_left = most;
-	pool->untried = 0;
-	for (guint i = 0; i < candidates->len; i++) {
+	for (guint i = 0; i < candidates->len && scheduler->starts_left > 0;
+	     i++) {
 		sched_step_t *step =
 			g_array_index(candidates, candidate_t, i).step;
 
-		if (scheduler->starts_left > 0 && step->spec->gang)
+		if (step->spec->gang)
 			place_gang(scheduler, step);
-		else if (scheduler->starts_left > 0)
+		else
 			place_step(scheduler, step);
-		if (scheduler->starts_left <= 0)
-			pool->untried +=
-				step->spec->task_count - step->done - step->out;
 	}
 	/* the rest follows in the next pass */
-	pool->dirty = pool->dirty || pool->untried > 0;
+	pool->cut_short = scheduler->starts_left <= 0;
+	pool->dirty = pool->dirty || pool->cut_short;
+	pool->unstarted -= most - scheduler->starts_left;
 	g_array_free(candidates, TRUE);
 }
 
@@ -256,6 +269,7 @@
 static void collect(wwh_scheduler_t *scheduler, sched_pool_t *pool,
 		    GArray *candidates)
 {
+	pool->unstarted = 0;
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
@@ -289,6 +303,8 @@
 		sched_step_t *step = &occurrence->steps[i];
 		candidate_t candidate = { .step = step };
 
+		occurrence->job->pool->unstarted +=
+			step->spec->task_count - step->done - step->out;
 		if (step->done + step->out >= step->spec->task_count ||
 		    !sched_step_is_ready(step))
 			continue;
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -12,6 +12,8 @@
 
 #define WAIT_MAX_MS 15000
 #define TASKS 3
+#define SMALL_TASKS 10
+#define JOBS_A_TURN 20
 
 typedef struct {
 	standin_t *standin;
@@ -26,6 +28,7 @@
 	char *whole[STANDIN_UPSTREAMS]; /* entries as their writers have them */
 	int32_t jobs;
 	int32_t accepted;
+	int32_t refused;
 	wwh_job_answer_kind_t told; /* to the last caller */
 } fixture_t;
 
@@ -375,3 +378,64 @@
 	run_for(fixture, 1500);
 	assert_int_equal(fixture->accepted, fixture->jobs);
 }
+
+static void on_refused(const wwh_job_answer_t *answer, void *client_data)
+{
+	fixture_t *fixture = client_data;
+
+	fixture->told = answer->kind;
+	if (answer->kind != WWH_JOB_ANSWER_NOT_DONE)
+		return;
+	assert_string_equal(answer->why, "overloaded");
+	assert_in_range(answer->retry_after_s, 1, 5);
+	fixture->refused++;
+}
+
+static void submit_small(fixture_t *fixture, bool lasting)
+{
+	wwh_job_t *job = wwh_job_new(1);
+
+	snprintf(job->id, sizeof(job->id), "%016x", ++fixture->jobs);
+	job->queue.name = g_strdup("q");
+	job->queue.pool = g_strdup(STANDIN_POOL);
+	job->queue.max_attempts = 3;
+	job->queue.stretch_permille = 1600;
+	job->payload = g_strdup("text");
+	job->accepted_wall_ms = read_wall();
+	job->steps[0].task_count = SMALL_TASKS;
+	job->steps[0].estimate_ms = 1000;
+	job->steps[0].lasting = lasting;
+	fixture->told = WWH_JOB_ANSWER_COUNT;
+	wwh_job_holder_submit(fixture->holder, job, on_refused, fixture);
+}
+
+/*
+ * Guards against an overloaded holder that accepts more than it can start: goodput
+ * collapses, and accepted jobs are left undone.
+ */
+void no_more_is_accepted_than_can_be_started(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t end_ms;
+
+	begin(fixture);
+	run_until_others_settled(fixture);
+	wwh_job_holder_set_overloaded(fixture->holder, true);
+	end_ms = standin_now_ms() + WAIT_MAX_MS;
+	while (fixture->refused == 0 && standin_now_ms() < end_ms) {
+		for (int32_t i = 0; i < JOBS_A_TURN; i++)
+			submit_small(fixture, false);
+		run_for(fixture, 1);
+	}
+	assert_true(fixture->refused > 0);
+	assert_int_equal(counted(fixture, "holder.overload_refusals"),
+			 fixture->refused);
+	/* its tasks go before all others */
+	submit_small(fixture, true);
+	assert_int_not_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+	wwh_job_holder_set_overloaded(fixture->holder, false);
+	run_for(fixture, 1);
+	submit_small(fixture, false);
+	assert_int_not_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+	run_for(fixture, 500);
+}
--- a/src/test_scheduler/test_backlog.c
+++ b/src/test_scheduler/test_backlog.c
@@ -55,7 +55,7 @@
 		assert_true(rig->starts->len > before);
 		assert_true(rig->starts->len - before <= STARTS_A_PASS);
 		assert_int_equal(
-			wwh_scheduler_untried(rig->scheduler, RIG_POOL),
+			wwh_scheduler_backlog(rig->scheduler, RIG_POOL),
 			BACKLOG_TASKS - rig->starts->len);
 		before = rig->starts->len;
 	}
@@ -105,6 +105,6 @@
 	rig_durable(rig);
 	rig_run(rig, 5);
 	assert_int_equal(starts_of(rig, JOB_B), 1);
-	assert_true(wwh_scheduler_untried(rig->scheduler, RIG_POOL) > 0);
-	assert_int_equal(wwh_scheduler_untried(rig->scheduler, OTHER_POOL), 0);
+	assert_true(wwh_scheduler_backlog(rig->scheduler, RIG_POOL) > 0);
+	assert_int_equal(wwh_scheduler_backlog(rig->scheduler, OTHER_POOL), 0);
 }
