Refuse by the backlog alone, overloaded loop or not

That a pass leaves tasks to the next one is the sign itself; a holder with processor to spare works such a rest off in some ms, and refuses nothing.

--- a/include/waxwinghollow/start_rate.h
+++ b/include/waxwinghollow/start_rate.h
@@ -3,13 +3,12 @@
 
 /*
  * NAME
- *	start_rate - how fast an overloaded holder starts tasks
+ *	start_rate - how fast a holder with a backlog starts tasks
  *
  * USE
  *	Without input or output. Answers how long a backlog takes, so that no
- *	more is accepted under overload than can be started in time. What a
- *	holder can do is seen only while it is overloaded: at other times it
- *	starts all there is.
+ *	more is accepted than can be started in time. What a holder can do is
+ *	seen only while it is behind: at other times it starts all there is.
  *
  * ORDER OF CALLS
  *	wwh_start_rate_new; wwh_start_rate_add of each turn of the loop;
@@ -25,13 +24,13 @@
 void wwh_start_rate_delete(wwh_start_rate_t *rate);
 
 /*
- * starts: tasks started in the turn that ends at now_ms. overloaded: the loop can't
- * keep up.
+ * starts: tasks started in the turn that ends at now_ms. behind: it has left some to
+ * the next turn.
  */
 void wwh_start_rate_add(wwh_start_rate_t *rate, int64_t now_ms, int64_t starts,
-			bool overloaded);
+			bool behind);
 
-/* In place of wwh_start_rate_add while all is started, or nothing may be. */
+/* In place of wwh_start_rate_add while nothing may be started. */
 void wwh_start_rate_pause(wwh_start_rate_t *rate, int64_t now_ms);
 
 /* How long the holder takes for so many starts, in ms; 0: it keeps up. */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -564,7 +564,7 @@
 	else
 		wwh_start_rate_add(holder->start_rate, holder->now_ms,
 				   starts - holder->starts_counted,
-				   holder->overloaded);
+				   wwh_scheduler_is_behind(holder->scheduler));
 	holder->starts_counted = starts;
 }
 
--- a/src/libwaxwinghollow/start_rate.c
+++ b/src/libwaxwinghollow/start_rate.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 
 /* A turn of an overloaded loop takes up to some 100 ms. */
-#define WINDOW_MS 500
+#define WINDOW_MS 250
 
 /* Each window counts as much as all before it. */
 #define NEWEST_PARTS 1
@@ -12,7 +12,7 @@
 #define SECOND_MS 1000
 
 struct wwh_start_rate {
-	int64_t begun_ms; /* of the window; 0: not overloaded */
+	int64_t begun_ms; /* of the window; 0: not behind */
 	int64_t starts; /* in the window */
 	int64_t per_s; /* of the windows before; 0: none */
 };
@@ -41,9 +41,9 @@
 }
 
 void wwh_start_rate_add(wwh_start_rate_t *rate, int64_t now_ms, int64_t starts,
-			bool overloaded)
+			bool behind)
 {
-	if (!overloaded) {
+	if (!behind) {
 		rate->begun_ms = 0;
 		return;
 	}
