Hand over many upstreams only from a host that is shown to be slow

Cause, from the logs: the first holder is overloaded after 3 to 5 s, blames its host and hands over; the next one is as late, and asks 2,520 upstreams for 3.3 to 5.5 s, longer than the leases of the tasks that run there.

Now a holder of more than 1,000 upstreams, which another one can't ask before leases run out, wants proof: polls, starts and requests of its loop, weighted by what they cost, have to be below six tenths of the most that it ever did in time. The log's loop-late has both figures.

test_loop_lag has four tests of what wasn't there before, and test_job_service's a_holder_that_cannot_keep_up_hands_over holds unchanged.

--- a/include/waxwinghollow/loop_lag.h
+++ b/include/waxwinghollow/loop_lag.h
@@ -18,9 +18,15 @@
  *	process that couldn't keep up blames the load for its lag, until it
  *	has kept up for some seconds.
  *
+ *	Where a change of host is dear, the owner may want proof: then a loop
+ *	that gets about as much done as it ever did while it kept up, or that
+ *	is catching up, doesn't blame its host either. That passes over a slow
+ *	host that never had much to do.
+ *
  * ORDER OF CALLS
  *	wwh_loop_lag_new; wwh_loop_lag_inherit_load where that holds;
- *	wwh_loop_lag_add_turn after each turn; wwh_loop_lag_delete.
+ *	wwh_loop_lag_add_work and wwh_loop_lag_add_turn after each turn;
+ *	wwh_loop_lag_delete.
  */
 
 #include <stdbool.h>
@@ -35,6 +41,18 @@
 void wwh_loop_lag_add_turn(wwh_loop_lag_t *lag, int64_t turn_ms,
 			   int64_t overrun_ms);
 
+/* See above; it may be changed at any time. */
+void wwh_loop_lag_want_proof(wwh_loop_lag_t *lag, bool wants_proof);
+
+/* Work done in the turn that is added next, in units of about the same cost. */
+void wwh_loop_lag_add_work(wwh_loop_lag_t *lag, int64_t units);
+
+/* Units a second, lately. */
+int64_t wwh_loop_lag_work_per_s(const wwh_loop_lag_t *lag);
+
+/* The most of them in a time without lag; 0: not known yet. */
+int64_t wwh_loop_lag_most_per_s(const wwh_loop_lag_t *lag);
+
 /* The work comes from a process that couldn't keep up with it. */
 void wwh_loop_lag_inherit_load(wwh_loop_lag_t *lag);
 
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -252,6 +252,8 @@
 int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
 			      const char *pool);
 
+int32_t wwh_scheduler_upstreams(const wwh_scheduler_t *scheduler);
+
 /* The last pass left something to the next one, in any pool. */
 bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -87,6 +87,10 @@
 	int64_t asked_for_ms; /* handing over since; 0: it isn't */
 	wwh_loop_lag_t *lag; /* of its loop, while it holds the shard */
 	wwh_histogram_t *overrun_ms; /* of its turns */
+	wwh_counter_t *calls_sent;
+	wwh_counter_t *starts; /* among them */
+	int64_t requests_taken; /* by the loop */
+	int64_t work_counted; /* of all three, in lag */
 	int64_t turn_begun_ms; /* 0: it doesn't hold it */
 	int64_t turn_wait_ms; /* what that turn wanted to wait */
 	int64_t slept_ms; /* of suspensions so far */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -206,6 +206,11 @@
 	holder->overloaded = overloaded;
 }
 
+int32_t wwh_job_holder_upstreams(const wwh_job_holder_t *holder)
+{
+	return wwh_scheduler_upstreams(holder->scheduler);
+}
+
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
 {
 	wwh_scheduler_counts_t counts = wwh_scheduler_counts(holder->scheduler);
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -74,6 +74,8 @@
 	service->self = g_strdup_printf("%s:%d", settings->peers.address,
 					settings->peers.port);
 	service->calls = wwh_http_calls_new(service->counters);
+	service->calls_sent = wwh_counters_get(service->counters, "calls.sent");
+	service->starts = wwh_counters_get(service->counters, "holder.starts");
 	return service;
 }
 
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -26,11 +26,24 @@
 #define HOST_ORDERS_MS 1500
 #define HOST_ORDERS_FENCED_MS 150
 
+/* What a start costs, in polls: with its payload, its answer and its log line. */
+#define START_POLLS 3
+
+/* The same of a request, with its thread and its record. */
+#define REQUEST_POLLS 3
+
+/*
+ * Upstreams that the next holder asks before leases run out. A hand-over of more ends
+ * lasting tasks, and needs proof that the host is slow.
+ */
+#define RECOVERED_IN_TIME 1000
+
 /* After the last answers, for what is on its way to the store. */
 #define SETTLE_MS 750
 
 static void take_answers(wwh_job_service_t *service);
 static void judge_turn(wwh_job_service_t *service, int64_t wait_ms);
+static int64_t work_since_last_turn(wwh_job_service_t *service);
 static void run_once(wwh_job_service_t *service);
 static bool yields(const wwh_job_service_t *service, int64_t now_ms);
 static bool is_turned_away(const wwh_job_service_t *service, int64_t now_ms);
@@ -94,6 +107,10 @@
 	service->turn_begun_ms = now_ms;
 	service->turn_wait_ms = wait_ms;
 	wwh_histogram_add(service->overrun_ms, overrun_ms);
+	wwh_loop_lag_add_work(service->lag, work_since_last_turn(service));
+	wwh_loop_lag_want_proof(service->lag,
+				wwh_job_holder_upstreams(service->holder) >
+					RECOVERED_IN_TIME);
 	wwh_loop_lag_add_turn(service->lag, turn_ms, overrun_ms);
 	is_late = wwh_loop_lag_is_overloaded(service->lag);
 	if (is_late != was_late)
@@ -101,12 +118,28 @@
 			service->log, is_late ? "loop-late" : "loop-in-time",
 			service->settings.name,
 			"turn_ms=%" G_GINT64_FORMAT
-			" behind_ms=%" G_GINT64_FORMAT " blames=%s",
+			" behind_ms=%" G_GINT64_FORMAT
+			" work_per_s=%" G_GINT64_FORMAT
+			" most_per_s=%" G_GINT64_FORMAT " blames=%s",
 			turn_ms, wwh_loop_lag_ms(service->lag),
+			wwh_loop_lag_work_per_s(service->lag),
+			wwh_loop_lag_most_per_s(service->lag),
 			wwh_loop_lag_blames_host(service->lag) ? "host"
 							       : "load");
 }
 
+/* In the cost of a poll, by the processor time that each takes. */
+static int64_t work_since_last_turn(wwh_job_service_t *service)
+{
+	int64_t work = wwh_counter_value(service->calls_sent) +
+		       (START_POLLS - 1) * wwh_counter_value(service->starts) +
+		       REQUEST_POLLS * service->requests_taken;
+	int64_t since = work - service->work_counted;
+
+	service->work_counted = work;
+	return since;
+}
+
 static void run_once(wwh_job_service_t *service)
 {
 	int64_t now_ms = job_service_now_ms();
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -79,8 +79,10 @@
 {
 	job_request_t *request;
 
-	while ((request = g_async_queue_try_pop(service->requests)) != NULL)
+	while ((request = g_async_queue_try_pop(service->requests)) != NULL) {
+		service->requests_taken++;
 		serve(service, request);
+	}
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -418,6 +418,11 @@
 	scheduler->starts_held = held;
 }
 
+int32_t wwh_scheduler_upstreams(const wwh_scheduler_t *scheduler)
+{
+	return (int32_t)g_hash_table_size(scheduler->upstreams);
+}
+
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
 {
 	wwh_scheduler_counts_t counts = {
--- a/src/test_loop_lag/test_loop_lag.c
+++ b/src/test_loop_lag/test_loop_lag.c
@@ -124,6 +124,76 @@
 	wwh_loop_lag_delete(lag);
 }
 
+static void work_for(wwh_loop_lag_t *lag, int64_t units_a_turn, int64_t turn_ms,
+		     int64_t overrun_ms)
+{
+	for (int32_t i = 0; i < 20; i++) {
+		wwh_loop_lag_add_work(lag, units_a_turn);
+		wwh_loop_lag_add_turn(lag, turn_ms, overrun_ms);
+	}
+}
+
+/*
+ * Guards against a load that is passed on by the first process that can't bear it,
+ * to one that has to recover it besides.
+ */
+static void a_loop_that_does_as_much_as_ever_is_on_no_slow_host(void **state)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	(void)state;
+	wwh_loop_lag_want_proof(lag, true);
+	work_for(lag, 10, 50, 0);
+	work_for(lag, 40, 100, 80);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	assert_false(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
+}
+
+/* Guards against a slow host that keeps the shard as its work goes on somehow. */
+static void a_loop_that_does_much_less_is_on_a_slow_host(void **state)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	(void)state;
+	wwh_loop_lag_want_proof(lag, true);
+	work_for(lag, 20, 50, 0);
+	work_for(lag, 10, 100, 80);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	assert_true(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
+}
+
+/* Guards against a hand-over for nothing at the end of an overload. */
+static void a_loop_that_catches_up_is_on_no_slow_host(void **state)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	(void)state;
+	wwh_loop_lag_want_proof(lag, true);
+	work_for(lag, 10, 50, 0);
+	work_for(lag, 40, 100, 80);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	for (int32_t i = 0; wwh_loop_lag_is_overloaded(lag); i++) {
+		wwh_loop_lag_add_turn(lag, 20, 0);
+		assert_false(wwh_loop_lag_blames_host(lag));
+		assert_true(i < 100);
+	}
+	wwh_loop_lag_delete(lag);
+}
+
+/* Guards against a slow host that had little to do before, and keeps the shard. */
+static void without_proof_wanted_the_host_is_blamed(void **state)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	(void)state;
+	work_for(lag, 10, 50, 0);
+	work_for(lag, 40, 100, 80);
+	assert_true(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -136,6 +206,11 @@
 		cmocka_unit_test(
 			lag_of_an_inherited_load_is_not_blamed_on_the_host),
 		cmocka_unit_test(a_loop_that_kept_up_blames_its_host_again),
+		cmocka_unit_test(
+			a_loop_that_does_as_much_as_ever_is_on_no_slow_host),
+		cmocka_unit_test(a_loop_that_does_much_less_is_on_a_slow_host),
+		cmocka_unit_test(without_proof_wanted_the_host_is_blamed),
+		cmocka_unit_test(a_loop_that_catches_up_is_on_no_slow_host),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
