A holder that never kept up has shown nothing of its host

A process that is killed and started again claims its shard without inheriting a load.

Where proof is wanted, a loop that was never in time has none. The test a_loop_that_never_kept_up_shows_no_slow_host failed before.

--- a/src/libwaxwinghollow/loop_lag.c
+++ b/src/libwaxwinghollow/loop_lag.c
@@ -130,12 +130,12 @@
 
 static bool does_as_much_as_ever(const wwh_loop_lag_t *lag)
 {
-	return lag->most_per_s > 0 && wwh_loop_lag_work_per_s(lag) * PERCENT >=
-					      lag->most_per_s * SLOW_PERCENT;
+	return wwh_loop_lag_work_per_s(lag) * PERCENT >=
+	       lag->most_per_s * SLOW_PERCENT;
 }
 
 /* Little is done after the load is over, too. */
 static bool catches_up(const wwh_loop_lag_t *lag)
 {
-	return lag->most_per_s > 0 && lag->lag_ms < CATCHES_UP_MS;
+	return lag->lag_ms < CATCHES_UP_MS;
 }
--- a/src/test_loop_lag/test_loop_lag.c
+++ b/src/test_loop_lag/test_loop_lag.c
@@ -182,6 +182,22 @@
 	wwh_loop_lag_delete(lag);
 }
 
+/*
+ * Guards against a load that is passed on by a process which has only just begun
+ * with it, and knows nothing of what its host can do.
+ */
+static void a_loop_that_never_kept_up_shows_no_slow_host(void **state)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	(void)state;
+	wwh_loop_lag_want_proof(lag, true);
+	work_for(lag, 40, 100, 80);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	assert_false(wwh_loop_lag_blames_host(lag));
+	wwh_loop_lag_delete(lag);
+}
+
 /* Guards against a slow host that had little to do before, and keeps the shard. */
 static void without_proof_wanted_the_host_is_blamed(void **state)
 {
@@ -209,6 +225,7 @@
 		cmocka_unit_test(
 			a_loop_that_does_as_much_as_ever_is_on_no_slow_host),
 		cmocka_unit_test(a_loop_that_does_much_less_is_on_a_slow_host),
+		cmocka_unit_test(a_loop_that_never_kept_up_shows_no_slow_host),
 		cmocka_unit_test(without_proof_wanted_the_host_is_blamed),
 		cmocka_unit_test(a_loop_that_catches_up_is_on_no_slow_host),
 	};
