Refuse jobs while an overloaded holder takes too long to recover

Cause: the rate of starts and the backlog are measured by passes that start something. While a holder recovers, nothing is started and nothing is measured.

An overloaded holder now reckons how long the upstreams that haven't answered will take, by those that have, and refuses what would start too late. Below overload nothing changes: at 350 upstreams a recovery is over in less than the time that any job has.

a_recovery_takes_as_long_as_its_upstreams_answer tests what wasn't there.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -254,6 +254,13 @@
 
 int32_t wwh_scheduler_upstreams(const wwh_scheduler_t *scheduler);
 
+/*
+ * After a change of holder: how long the upstreams that haven't answered yet will
+ * take, by those that have; 0: all have, or nothing was inherited.
+ */
+int64_t wwh_scheduler_recovery_ms(const wwh_scheduler_t *scheduler,
+				  int64_t now_ms);
+
 /* The last pass left something to the next one, in any pool. */
 bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -209,6 +209,8 @@
 	GPtrArray *dirty; /* sched_job_t whose progress is to be kept */
 	GHashTable *pools; /* name to sched_pool_t, owned */
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
+	int64_t taken_over_ms; /* with the upstreams of the holder before */
+	int32_t inherited_upstreams; /* as many as there were then */
 	int32_t idle_upstreams; /* as counted last */
 	bool restored;
 	bool starts_held;
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -293,10 +293,16 @@
 	int64_t slack_ms = wwh_scheduler_slack_ms(job);
 	int32_t tasks =
 		wwh_scheduler_backlog(holder->scheduler, job->queue.pool);
+	int64_t wait_ms = wwh_start_rate_wait_ms(holder->start_rate, tasks);
 
 	if (slack_ms < 0)
 		return 0;
-	return wwh_start_rate_wait_ms(holder->start_rate, tasks) - slack_ms;
+	/* an overloaded one starts next to nothing before it has recovered */
+	if (holder->overloaded)
+		wait_ms = MAX(wait_ms,
+			      wwh_scheduler_recovery_ms(holder->scheduler,
+							holder->now_ms));
+	return wait_ms - slack_ms;
 }
 
 static void refuse_overloaded(wwh_job_holder_t *holder, const wwh_job_t *job,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -423,6 +423,16 @@
 	return (int32_t)g_hash_table_size(scheduler->upstreams);
 }
 
+int64_t wwh_scheduler_recovery_ms(const wwh_scheduler_t *scheduler,
+				  int64_t now_ms)
+{
+	int64_t took_ms = now_ms - scheduler->taken_over_ms;
+	int32_t left = wwh_scheduler_counts(scheduler).unsettled;
+	int32_t settled = scheduler->inherited_upstreams - left;
+
+	return left == 0 ? 0 : left * took_ms / MAX(settled, 1);
+}
+
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
 {
 	wwh_scheduler_counts_t counts = {
@@ -470,6 +480,9 @@
 	GHashTableIter iterator;
 	gpointer value;
 
+	scheduler->taken_over_ms = scheduler->now_ms;
+	scheduler->inherited_upstreams =
+		(int32_t)g_hash_table_size(scheduler->upstreams);
 	g_hash_table_iter_init(&iterator, scheduler->upstreams);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_upstream_t *upstream = value;
--- a/src/test_scheduler/test_backlog.c
+++ b/src/test_scheduler/test_backlog.c
@@ -108,3 +108,26 @@
 	assert_true(wwh_scheduler_backlog(rig->scheduler, RIG_POOL) > 0);
 	assert_int_equal(wwh_scheduler_backlog(rig->scheduler, OTHER_POOL), 0);
 }
+
+/* Guards against jobs that are accepted by a holder which takes long to recover. */
+void a_recovery_takes_as_long_as_its_upstreams_answer(void **state)
+{
+	rig_t *rig = *state;
+
+	assert_int_equal(wwh_scheduler_recovery_ms(rig->scheduler, rig->now_ms),
+			 0);
+	rig_take_over(rig);
+	rig_announce(rig, "u1", AT_1, false);
+	rig_announce(rig, "u2", AT_2, false);
+	rig_announce(rig, "u3", AT_3, false);
+	rig_run(rig, 100);
+	rig_answer_poll(rig, "u1", NULL, 0, NULL, 0);
+	assert_int_equal(wwh_scheduler_recovery_ms(rig->scheduler, rig->now_ms),
+			 200);
+	rig_answer_poll(rig, "u2", NULL, 0, NULL, 0);
+	assert_int_equal(wwh_scheduler_recovery_ms(rig->scheduler, rig->now_ms),
+			 50);
+	rig_answer_poll(rig, "u3", NULL, 0, NULL, 0);
+	assert_int_equal(wwh_scheduler_recovery_ms(rig->scheduler, rig->now_ms),
+			 0);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -182,11 +182,13 @@
 #define BACKLOG_TESTS                                                          \
 	RIG_TEST(a_pass_starts_a_limited_number_of_tasks, 1),                  \
 		RIG_TEST(lasting_tasks_go_before_a_backlog, 1),                \
-		RIG_TEST(pools_share_the_starts_of_a_pass, 1)
+		RIG_TEST(pools_share_the_starts_of_a_pass, 1),                 \
+		RIG_TEST(a_recovery_takes_as_long_as_its_upstreams_answer, 3)
 
 void a_pass_starts_a_limited_number_of_tasks(void **state);
 void lasting_tasks_go_before_a_backlog(void **state);
 void pools_share_the_starts_of_a_pass(void **state);
+void a_recovery_takes_as_long_as_its_upstreams_answer(void **state);
 
 #define IDLE_TESTS                                                             \
 	RIG_TEST(many_idle_upstreams_share_a_rate_of_polls, 0),                \
