A large holder refuses jobs from its first recovery on

Until the lag of its loop showed, half a second to a second, a new holder of 2,500 upstreams accepted some 300 jobs at ten times the traffic, while nothing could be started for seconds; some never ran.

How long its recovery takes is known to a holder of more than 1,000 upstreams from the first answers on, overloaded or not. Smaller ones are as they were: theirs is over before it matters.

No test of its own: the reckoning is tested by a_recovery_takes_as_long_as_its_upstreams_answer, its use at 1,000 upstreams by plays alone.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -112,8 +112,11 @@
  */
 void wwh_job_holder_set_overloaded(wwh_job_holder_t *holder, bool overloaded);
 
-/* How many upstreams it knows. */
-int32_t wwh_job_holder_upstreams(const wwh_job_holder_t *holder);
+/*
+ * It knows more upstreams than a holder can ask before leases run out: a change of
+ * holder ends lasting tasks, and takes seconds.
+ */
+bool wwh_job_holder_is_large(const wwh_job_holder_t *holder);
 
 /* How long the caller of wwh_job_holder_run may wait for the next event. */
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -49,6 +49,9 @@
 /* For a start that is on its way. */
 #define DRAIN_MARGIN_MS 200
 
+/* Upstreams that a holder asks before leases run out. */
+#define RECOVERED_IN_TIME 1000
+
 /* While something runs, and otherwise. */
 #define WAIT_BUSY_MS 20
 #define WAIT_IDLE_MS 80
@@ -206,9 +209,9 @@
 	holder->overloaded = overloaded;
 }
 
-int32_t wwh_job_holder_upstreams(const wwh_job_holder_t *holder)
+bool wwh_job_holder_is_large(const wwh_job_holder_t *holder)
 {
-	return wwh_scheduler_upstreams(holder->scheduler);
+	return wwh_scheduler_upstreams(holder->scheduler) > RECOVERED_IN_TIME;
 }
 
 int32_t wwh_job_holder_wait_ms(const wwh_job_holder_t *holder)
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -297,8 +297,8 @@
 
 	if (slack_ms < 0)
 		return 0;
-	/* an overloaded one starts next to nothing before it has recovered */
-	if (holder->overloaded)
+	/* next to nothing is started before it has recovered */
+	if (holder->overloaded || wwh_job_holder_is_large(holder))
 		wait_ms = MAX(wait_ms,
 			      wwh_scheduler_recovery_ms(holder->scheduler,
 							holder->now_ms));
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -32,12 +32,6 @@
 /* The same of a request, with its thread and its record. */
 #define REQUEST_POLLS 3
 
-/*
- * Upstreams that the next holder asks before leases run out. A hand-over of more ends
- * lasting tasks, and needs proof that the host is slow.
- */
-#define RECOVERED_IN_TIME 1000
-
 /* After the last answers, for what is on its way to the store. */
 #define SETTLE_MS 750
 
@@ -109,8 +103,7 @@
 	wwh_histogram_add(service->overrun_ms, overrun_ms);
 	wwh_loop_lag_add_work(service->lag, work_since_last_turn(service));
 	wwh_loop_lag_want_proof(service->lag,
-				wwh_job_holder_upstreams(service->holder) >
-					RECOVERED_IN_TIME);
+				wwh_job_holder_is_large(service->holder));
 	wwh_loop_lag_add_turn(service->lag, turn_ms, overrun_ms);
 	is_late = wwh_loop_lag_is_overloaded(service->lag);
 	if (is_late != was_late)
