--- a/include/waxwinghollow/loop_lag.h
+++ b/include/waxwinghollow/loop_lag.h
@@ -18,9 +18,9 @@
  *	process that couldn't keep up blames the load for its lag, until it
  *	has kept up for some seconds.
  *
- *	Where a change of host is dear, the owner may want proof: then a loop
- *	that gets about as much done as it ever did while it kept up, or that
- *	is catching up, doesn't blame its host either. That passes over a slow
+ *	Where a change of host is expensive, the owner may want proof: then a
+ *	loop that gets about as much done as it ever did while it kept up, or
+ *	that is catching up, doesn't blame its host either. That misses a slow
  *	host that never had much to do.
  *
  * ORDER OF CALLS
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -13,33 +13,33 @@
 struct wwh_job_holder {
 	wwh_job_holder_options_t options;
 	int32_t references; /* the owner's and one for each call out */
+	int32_t host_orders_out; /* that aren't answered yet */
 	bool deleted;
 	bool lost;
+	bool overloaded; /* as the owner of its loop says */
+	bool starts_held; /* announcements are known too late */
+	bool stopping; /* hosts get no more orders */
+	bool urgent; /* a caller waits for what is kept next */
+	bool advice_in_flight;
+	bool report_in_flight;
 	wwh_scheduler_t *scheduler;
 	wwh_shard_journal_t *journal;
 	wwh_store_follower_t *upstreams;
 	wwh_host_duties_t *duties;
 	GQueue *waiters; /* waiter_t in the order of their records */
 	GQueue *advice; /* wwh_http_call_t with its step, one out at a time */
-	bool advice_in_flight;
 	GPtrArray *reports; /* wave states that aren't written yet */
-	bool report_in_flight;
 	int64_t report_retry_ms;
-	int32_t host_orders_out; /* that aren't answered yet */
-	bool overloaded; /* as the owner of its loop says */
 	wwh_start_rate_t *start_rate;
 	int64_t starts_counted; /* of the counter below, in start_rate */
-	bool starts_held; /* announcements are known too late */
 	int64_t start_until_ms; /* by what is known of announcements */
 	int64_t store_away_ms; /* nobody could announce anything then */
-	bool stopping; /* hosts get no more orders */
 	int64_t now_ms;
 	int64_t wall_ms;
 	int64_t durable_record;
 	int64_t unconfirmed_since_ms; /* 0: orders may go out */
 	int64_t duties_after_ms;
 	int64_t flush_after_ms;
-	bool urgent; /* a caller waits for what is kept next */
 	char *list_page;
 	wwh_bad_records_t *bad_upstreams;
 	wwh_bad_records_t *bad_hosts;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -566,8 +566,7 @@
 {
 	int64_t starts = wwh_counter_value(holder->starts);
 
-	if (holder->overloaded && (holder->starts_held ||
-				   !wwh_scheduler_is_behind(holder->scheduler)))
+	if (holder->starts_held)
 		wwh_start_rate_pause(holder->start_rate, holder->now_ms);
 	else
 		wwh_start_rate_add(holder->start_rate, holder->now_ms,
