--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -75,7 +75,7 @@
 
 void sched_place(wwh_scheduler_t *scheduler)
 {
-	int32_t due = count_due(scheduler);
+	int32_t due = MAX(count_due(scheduler), 1);
 	GHashTableIter iterator;
 	gpointer value;
 
