--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -13,6 +13,9 @@
  */
 #define IDLE_POLLS_PER_S 500
 #define IDLE_GAP_MAX_MS 3000
+
+/* Multiplicative hashing: the golden ratio of 2^32. */
+#define HASH_FACTOR 2654435761U
 #define SECOND_MS 1000
 
 /* Ends within this time of each other come in one answer. */
@@ -136,7 +139,7 @@
 				  IDLE_POLLS_PER_S -
 			  POLL_WAIT_MS;
 	guint spread = g_str_hash(upstream->info.id) ^
-		       (guint)(scheduler->now_ms * 2654435761U);
+		       (guint)scheduler->now_ms * HASH_FACTOR;
 
 	mean_ms = MIN(mean_ms, IDLE_GAP_MAX_MS);
 	if (!is_idle(upstream) || mean_ms <= POLL_GAP_MS)
