--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -57,6 +57,13 @@
 	wwh_histogram_t *start_ms; /* from an order to its answer */
 };
 
+/*
+ * job_holder_starts.c: whether tasks may be started by what is known of the
+ * upstreams, and how many are
+ */
+void job_holder_hold_starts(wwh_job_holder_t *holder);
+void job_holder_measure_starts(wwh_job_holder_t *holder);
+
 /* Of each call back: what time it is now, not when the loop ran last. */
 void job_holder_tick(wwh_job_holder_t *holder);
 void job_holder_ref(wwh_job_holder_t *holder);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -3,9 +3,9 @@
 
 /*
  * What the scheduler's modules share. Calls go down in this order, never up:
- * scheduler, scheduler_cordon, scheduler_place, scheduler_watch,
- * scheduler_pace, scheduler_upstream, scheduler_record, scheduler_job,
- * scheduler_task.
+ * scheduler, scheduler_cordon, scheduler_place, scheduler_advice,
+ * scheduler_watch, scheduler_pace, scheduler_upstream, scheduler_backlog,
+ * scheduler_record, scheduler_job, scheduler_task.
  */
 
 #include "waxwinghollow/chart.h"
@@ -282,8 +282,6 @@
 sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id);
 sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
 			   int64_t accepted_ms);
-/* It counts as waiting until the next pass counts all of them. */
-void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job);
 sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id);
 void sched_job_delete(gpointer job);
 bool sched_job_is_live(const sched_job_t *job);
@@ -305,6 +303,12 @@
 			    int64_t run);
 void sched_jobs_forget(wwh_scheduler_t *scheduler);
 
+/* scheduler_backlog.c: what waits for the holder alone */
+/* Inherited upstreams that haven't answered yet, of all pools. */
+int32_t sched_count_unsettled(const wwh_scheduler_t *scheduler);
+/* It counts as waiting until the next pass counts all of them. */
+void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job);
+
 /* scheduler_record.c */
 /* Writes the progress of all jobs that have got on since the last time. */
 void sched_progress_keep(wwh_scheduler_t *scheduler);
@@ -364,10 +368,17 @@
 /* scheduler_pace.c: after a poll has been taken in */
 void sched_pace(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 
+/* scheduler_advice.c: tickets of queues whose policy names upstreams */
+bool sched_step_needs_advice(const sched_step_t *step);
+/* NULL: it has none that is good for an order now. */
+const char *sched_ticket_of(const wwh_scheduler_t *scheduler,
+			    const sched_step_t *step, const char *upstream);
+void sched_ticket_refused(sched_step_t *step, const char *upstream);
+void sched_ask_advice(wwh_scheduler_t *scheduler, sched_step_t *step);
+
 /* scheduler_place.c */
 void sched_place(wwh_scheduler_t *scheduler);
 /* Whether an upstream that takes new work has room for another such task. */
-void sched_ticket_refused(sched_step_t *step, const char *upstream);
 bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task);
 
 /* scheduler_cordon.c */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -46,9 +46,6 @@
  */
 #define DUTIES_EVERY_MS 20
 
-/* For a start that is on its way. */
-#define DRAIN_MARGIN_MS 200
-
 /* Upstreams that a holder asks before leases run out. */
 #define RECOVERED_IN_TIME 1000
 
@@ -81,9 +78,6 @@
 static void on_reach(bool reached, const char *why, void *data);
 static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
 					   const char *list);
-static void hold_starts(wwh_job_holder_t *holder);
-static bool store_is_away(const wwh_job_holder_t *holder);
-static void measure_starts(wwh_job_holder_t *holder);
 static void run_duties(wwh_job_holder_t *holder);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool confirmed_within(const wwh_job_holder_t *holder, int64_t now_ms,
@@ -191,9 +185,9 @@
 		return;
 	wwh_store_follower_run(holder->upstreams, now_ms);
 	if (orders_allowed(holder, suspended)) {
-		hold_starts(holder);
+		job_holder_hold_starts(holder);
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
-		measure_starts(holder);
+		job_holder_measure_starts(holder);
 		run_duties(holder);
 		job_holder_send_reports(holder);
 	}
@@ -519,62 +513,6 @@
 	return wwh_bad_records_new(&options);
 }
 
-/*
- * An upstream that has announced that it leaves gets no start after drain_ms. A
- * holder under load may read announcements later than that. Nobody announces
- * anything to a store that is away.
- */
-static void hold_starts(wwh_job_holder_t *holder)
-{
-	int64_t known_ms;
-	bool held;
-
-	if (store_is_away(holder))
-		holder->store_away_ms =
-			wwh_shard_journal_failed_ms(holder->journal);
-	known_ms = MAX(wwh_store_follower_complete_ms(holder->upstreams),
-		       holder->store_away_ms);
-	holder->start_until_ms =
-		known_ms + holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
-	held = holder->now_ms > holder->start_until_ms;
-	if (held == holder->starts_held)
-		return;
-	holder->starts_held = held;
-	wwh_scheduler_hold_starts(holder->scheduler, held);
-	/* a new holder has read nothing yet */
-	if (known_ms == 0)
-		return;
-	wwh_event_log_printf(holder->options.log,
-			     held ? "starts-held" : "starts-resumed", "shard",
-			     "announcements_ms_ago=%" G_GINT64_FORMAT,
-			     holder->now_ms - known_ms);
-}
-
-/*
- * One append fails for causes of this process alone: its late loop, a silent
- * connection, a full partition. Upstreams announce themselves meanwhile to a store
- * that serves them.
- */
-static bool store_is_away(const wwh_job_holder_t *holder)
-{
-	return !holder->overloaded &&
-	       wwh_shard_journal_failing(holder->journal) &&
-	       wwh_store_follower_failing(holder->upstreams);
-}
-
-static void measure_starts(wwh_job_holder_t *holder)
-{
-	int64_t starts = wwh_counter_value(holder->starts);
-
-	if (holder->starts_held)
-		wwh_start_rate_pause(holder->start_rate, holder->now_ms);
-	else
-		wwh_start_rate_add(holder->start_rate, holder->now_ms,
-				   starts - holder->starts_counted,
-				   wwh_scheduler_is_behind(holder->scheduler));
-	holder->starts_counted = starts;
-}
-
 static void run_duties(wwh_job_holder_t *holder)
 {
 	if (holder->now_ms < holder->duties_after_ms)
--- /dev/null
+++ b/src/libwaxwinghollow/job_holder_starts.c
@@ -0,0 +1,62 @@
+#include "private/job_holder_state.h"
+
+/* For a start that is on its way. */
+#define DRAIN_MARGIN_MS 200
+
+static bool store_is_away(const wwh_job_holder_t *holder);
+
+/*
+ * An upstream that has announced that it leaves gets no start after drain_ms. A
+ * holder under load may read announcements later than that. Nobody announces
+ * anything to a store that is away.
+ */
+void job_holder_hold_starts(wwh_job_holder_t *holder)
+{
+	int64_t known_ms;
+	bool held;
+
+	if (store_is_away(holder))
+		holder->store_away_ms =
+			wwh_shard_journal_failed_ms(holder->journal);
+	known_ms = MAX(wwh_store_follower_complete_ms(holder->upstreams),
+		       holder->store_away_ms);
+	holder->start_until_ms =
+		known_ms + holder->options.settings->drain_ms - DRAIN_MARGIN_MS;
+	held = holder->now_ms > holder->start_until_ms;
+	if (held == holder->starts_held)
+		return;
+	holder->starts_held = held;
+	wwh_scheduler_hold_starts(holder->scheduler, held);
+	/* a new holder has read nothing yet */
+	if (known_ms == 0)
+		return;
+	wwh_event_log_printf(holder->options.log,
+			     held ? "starts-held" : "starts-resumed", "shard",
+			     "announcements_ms_ago=%" G_GINT64_FORMAT,
+			     holder->now_ms - known_ms);
+}
+
+/*
+ * One append fails for causes of this process alone: its late loop, a silent
+ * connection, a full partition. Upstreams announce themselves meanwhile to a store
+ * that serves them.
+ */
+static bool store_is_away(const wwh_job_holder_t *holder)
+{
+	return !holder->overloaded &&
+	       wwh_shard_journal_failing(holder->journal) &&
+	       wwh_store_follower_failing(holder->upstreams);
+}
+
+void job_holder_measure_starts(wwh_job_holder_t *holder)
+{
+	int64_t starts = wwh_counter_value(holder->starts);
+
+	if (holder->starts_held)
+		wwh_start_rate_pause(holder->start_rate, holder->now_ms);
+	else
+		wwh_start_rate_add(holder->start_rate, holder->now_ms,
+				   starts - holder->starts_counted,
+				   wwh_scheduler_is_behind(holder->scheduler));
+	holder->starts_counted = starts;
+}
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -423,35 +423,20 @@
 	return (int32_t)g_hash_table_size(scheduler->upstreams);
 }
 
-int64_t wwh_scheduler_recovery_ms(const wwh_scheduler_t *scheduler,
-				  int64_t now_ms)
-{
-	int64_t took_ms = now_ms - scheduler->taken_over_ms;
-	int32_t left = wwh_scheduler_counts(scheduler).unsettled;
-	int32_t settled = scheduler->inherited_upstreams - left;
-
-	return left == 0 ? 0 : left * took_ms / MAX(settled, 1);
-}
-
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
 {
 	wwh_scheduler_counts_t counts = {
 		.jobs = (int32_t)g_hash_table_size(scheduler->jobs),
 		.upstreams = (int32_t)g_hash_table_size(scheduler->upstreams),
 		.lost_jobs = (int32_t)g_hash_table_size(scheduler->lost_jobs),
+		.unsettled = sched_count_unsettled(scheduler),
 	};
-	GHashTableIter iterator;
-	gpointer value;
-
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
 		counts.live_jobs += sched_job_is_live(job);
 		counts.tasks_out += job->out;
 	}
-	g_hash_table_iter_init(&iterator, scheduler->pools);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		counts.unsettled += ((sched_pool_t *)value)->unsettled;
 	return counts;
 }
 
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_backlog.c
@@ -0,0 +1,65 @@
+#include "private/scheduler_state.h"
+
+bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		if (((sched_pool_t *)value)->cut_short)
+			return true;
+	}
+	return false;
+}
+
+/* Pools share the starts of a pass, so a short backlog is soon done. */
+int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
+			      const char *name)
+{
+	const sched_pool_t *own = g_hash_table_lookup(scheduler->pools, name);
+	GHashTableIter iterator;
+	gpointer value;
+	int32_t all = 0;
+	int32_t pools = 0;
+
+	if (own == NULL || !own->cut_short)
+		return 0;
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const sched_pool_t *pool = value;
+
+		all += pool->cut_short ? pool->unstarted : 0;
+		pools += pool->cut_short;
+	}
+	return MIN(all, own->unstarted * pools);
+}
+
+void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	for (int32_t i = 0; i < job->spec->step_count; i++)
+		job->pool->unstarted += job->spec->steps[i].task_count;
+	job->pool->cut_short = job->pool->cut_short || scheduler->starts_held;
+}
+
+int32_t sched_count_unsettled(const wwh_scheduler_t *scheduler)
+{
+	GHashTableIter iterator;
+	gpointer value;
+	int32_t count = 0;
+
+	g_hash_table_iter_init(&iterator, scheduler->pools);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		count += ((sched_pool_t *)value)->unsettled;
+	return count;
+}
+
+int64_t wwh_scheduler_recovery_ms(const wwh_scheduler_t *scheduler,
+				  int64_t now_ms)
+{
+	int64_t took_ms = now_ms - scheduler->taken_over_ms;
+	int32_t left = sched_count_unsettled(scheduler);
+	int32_t settled = scheduler->inherited_upstreams - left;
+
+	return left == 0 ? 0 : left * took_ms / MAX(settled, 1);
+}
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -45,13 +45,6 @@
 	return job;
 }
 
-void sched_job_join_backlog(const wwh_scheduler_t *scheduler, sched_job_t *job)
-{
-	for (int32_t i = 0; i < job->spec->step_count; i++)
-		job->pool->unstarted += job->spec->steps[i].task_count;
-	job->pool->cut_short = job->pool->cut_short || scheduler->starts_held;
-}
-
 sched_job_t *sched_job_add_ended(wwh_scheduler_t *scheduler, const char *id)
 {
 	sched_job_t *job = g_new0(sched_job_t, 1);
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -10,15 +10,6 @@
  */
 #define RUNS_A_HOLDER 1000
 
-/* Upstreams that are named in one call for advice. */
-#define ADVICE_UPSTREAMS 30
-
-/* After a call for advice that got no answer or was of no use. */
-#define ADVICE_RETRY_MS 500
-
-/* A ticket isn't used for orders in the last part of its time. */
-#define TICKET_MARGIN_MS 300
-
 /* A pool with waiting tasks and no event is looked through this often. */
 #define TRY_AGAIN_MS 200
 
@@ -67,11 +58,7 @@
 static int32_t lasting_on(const sched_upstream_t *upstream);
 static int32_t disturbed_by(const sched_upstream_t *upstream,
 			    const wwh_job_step_t *spec);
-static const char *ticket_of(const wwh_scheduler_t *scheduler,
-			     const sched_step_t *step, const char *upstream);
-static void ask_advice(wwh_scheduler_t *scheduler, sched_step_t *step);
 static int64_t next_run(const wwh_scheduler_t *scheduler, int64_t run);
-static bool needs_advice(const sched_step_t *step);
 
 void sched_place(wwh_scheduler_t *scheduler)
 {
@@ -91,89 +78,6 @@
 	}
 }
 
-bool wwh_scheduler_is_behind(const wwh_scheduler_t *scheduler)
-{
-	GHashTableIter iterator;
-	gpointer value;
-
-	g_hash_table_iter_init(&iterator, scheduler->pools);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		if (((sched_pool_t *)value)->cut_short)
-			return true;
-	}
-	return false;
-}
-
-/* Pools share the starts of a pass, so a short backlog is soon done. */
-int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
-			      const char *name)
-{
-	const sched_pool_t *own = g_hash_table_lookup(scheduler->pools, name);
-	GHashTableIter iterator;
-	gpointer value;
-	int32_t all = 0;
-	int32_t pools = 0;
-
-	if (own == NULL || !own->cut_short)
-		return 0;
-	g_hash_table_iter_init(&iterator, scheduler->pools);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		const sched_pool_t *pool = value;
-
-		all += pool->cut_short ? pool->unstarted : 0;
-		pools += pool->cut_short;
-	}
-	return MIN(all, own->unstarted * pools);
-}
-
-void wwh_scheduler_advised(wwh_scheduler_t *scheduler, const char *name,
-			   const wwh_advice_ticket_t *admitted, int32_t count,
-			   int64_t valid_ms, int64_t now_ms)
-{
-	char *task_name = g_strconcat(name, ".0", NULL);
-	sched_task_t *task = sched_job_task(scheduler, task_name);
-	sched_step_t *step;
-
-	g_free(task_name);
-	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
-	if (task == NULL)
-		return;
-	step = task->step;
-	step->advice_in_flight = false;
-	step->advice_after_ms = scheduler->now_ms + ADVICE_RETRY_MS;
-	if (step->tickets == NULL)
-		step->tickets = g_hash_table_new_full(g_str_hash, g_str_equal,
-						      g_free, g_free);
-	if (count < 0 && step->asked != NULL)
-		g_hash_table_remove_all(step->asked);
-	for (int32_t i = 0; i < count; i++) {
-		/* the text of the ticket follows its record */
-		size_t size = strlen(admitted[i].ticket) + 1;
-		sched_ticket_t *ticket = g_malloc0(sizeof(*ticket) + size);
-
-		ticket->ticket = (char *)(ticket + 1);
-		memcpy(ticket->ticket, admitted[i].ticket, size);
-		ticket->until_ms =
-			scheduler->now_ms + valid_ms - TICKET_MARGIN_MS;
-		g_hash_table_replace(step->tickets,
-				     g_strdup(admitted[i].upstream), ticket);
-	}
-	step->occurrence->job->pool->dirty = true;
-}
-
-/*
- * The ticket may have run out on the way, and the upstream be admitted all the
- * same: it is asked about again. Taken for one that isn't admitted, it would
- * never get a task of this step again.
- */
-void sched_ticket_refused(sched_step_t *step, const char *upstream)
-{
-	if (step->tickets != NULL)
-		g_hash_table_remove(step->tickets, upstream);
-	if (step->asked != NULL)
-		g_hash_table_remove(step->asked, upstream);
-}
-
 bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	const char *ticket = NULL;
@@ -384,8 +288,8 @@
 		upstream = place_for(scheduler, task, &ticket);
 		if (upstream == NULL) {
 			/* tasks of a step are alike: the others won't fit */
-			if (needs_advice(step))
-				ask_advice(scheduler, step);
+			if (sched_step_needs_advice(step))
+				sched_ask_advice(scheduler, step);
 			return;
 		}
 		sched_task_start(scheduler, task, upstream,
@@ -451,8 +355,8 @@
 		scheduler->starts_left -= count;
 		explain_started(scheduler, step, count);
 		g_free(same);
-	} else if (needs_advice(step)) {
-		ask_advice(scheduler, step);
+	} else if (sched_step_needs_advice(step)) {
+		sched_ask_advice(scheduler, step);
 	}
 	g_free(chosen);
 	g_free(tickets);
@@ -498,8 +402,8 @@
 
 		if (!fits(scheduler, upstream, step))
 			continue;
-		if (needs_advice(step) &&
-		    ticket_of(scheduler, step, upstream->info.id) == NULL)
+		if (sched_step_needs_advice(step) &&
+		    sched_ticket_of(scheduler, step, upstream->info.id) == NULL)
 			continue;
 		cost = cost_of(upstream, task);
 		if (best == NULL || cost < best_cost) {
@@ -507,8 +411,8 @@
 			best_cost = cost;
 		}
 	}
-	if (best != NULL && needs_advice(step))
-		*ticket = ticket_of(scheduler, step, best->info.id);
+	if (best != NULL && sched_step_needs_advice(step))
+		*ticket = sched_ticket_of(scheduler, step, best->info.id);
 	return best;
 }
 
@@ -609,65 +513,6 @@
 	return count;
 }
 
-static const char *ticket_of(const wwh_scheduler_t *scheduler,
-			     const sched_step_t *step, const char *upstream)
-{
-	const sched_ticket_t *ticket;
-
-	if (step->tickets == NULL)
-		return NULL;
-	ticket = g_hash_table_lookup(step->tickets, upstream);
-	if (ticket == NULL || ticket->until_ms <= scheduler->now_ms)
-		return NULL;
-	return ticket->ticket;
-}
-
-static bool needs_advice(const sched_step_t *step)
-{
-	return step->occurrence->job->spec->queue.advice_valid_ms > 0;
-}
-
-/*
- * What is admitted doesn't change: an upstream that was asked about is asked
- * about again only to renew a ticket that it got.
- */
-static void ask_advice(wwh_scheduler_t *scheduler, sched_step_t *step)
-{
-	GPtrArray *upstreams = step->occurrence->job->pool->upstreams;
-	const char *ids[ADVICE_UPSTREAMS];
-	wwh_advice_order_t order = { .upstreams = ids };
-	char name[WWH_TASK_NAME_BYTES];
-
-	if (step->advice_in_flight || scheduler->now_ms < step->advice_after_ms)
-		return;
-	if (step->asked == NULL)
-		step->asked = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    g_free, NULL);
-	for (guint i = 0;
-	     i < upstreams->len && order.upstream_count < ADVICE_UPSTREAMS;
-	     i++) {
-		sched_upstream_t *upstream = g_ptr_array_index(upstreams, i);
-		const char *id = upstream->info.id;
-		bool admitted = step->tickets != NULL &&
-				g_hash_table_contains(step->tickets, id);
-
-		if (!sched_upstream_usable(scheduler, upstream) ||
-		    ticket_of(scheduler, step, id) != NULL ||
-		    (g_hash_table_contains(step->asked, id) && !admitted))
-			continue;
-		ids[order.upstream_count++] = id;
-	}
-	if (order.upstream_count == 0)
-		return;
-	for (int32_t i = 0; i < order.upstream_count; i++)
-		g_hash_table_add(step->asked, g_strdup(ids[i]));
-	sched_task_name(&step->tasks[0], name);
-	*strrchr(name, '.') = '\0';
-	g_strlcpy(order.step, name, sizeof(order.step));
-	step->advice_in_flight = true;
-	scheduler->calls.advise(&order, scheduler->calls.client_data);
-}
-
 static int64_t next_run(const wwh_scheduler_t *scheduler, int64_t run)
 {
 	int64_t base =
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -14,6 +14,7 @@
 #define TASKS 3
 #define SMALL_TASKS 10
 #define JOBS_A_TURN 20
+#define MORE_THAN_ARE_RECOVERED_IN_TIME 1001
 
 typedef struct {
 	standin_t *standin;
@@ -194,7 +195,8 @@
 		  true);
 }
 
-static void submit_within(fixture_t *fixture, int64_t run_ms)
+/* A job of one step; the caller changes it before it is submitted. */
+static wwh_job_t *new_job(fixture_t *fixture, int32_t tasks)
 {
 	wwh_job_t *job = wwh_job_new(1);
 
@@ -205,9 +207,16 @@
 	job->queue.stretch_permille = 1600;
 	job->payload = g_strdup("text");
 	job->accepted_wall_ms = read_wall();
-	job->steps[0].task_count = TASKS;
-	job->steps[0].need.cpu_millicores = 800;
+	job->steps[0].task_count = tasks;
 	job->steps[0].estimate_ms = 1000;
+	return job;
+}
+
+static void submit_within(fixture_t *fixture, int64_t run_ms)
+{
+	wwh_job_t *job = new_job(fixture, TASKS);
+
+	job->steps[0].need.cpu_millicores = 800;
 	wwh_job_holder_submit(fixture->holder, job, on_answered, fixture);
 	run_for(fixture, run_ms);
 }
@@ -393,17 +402,8 @@
 
 static void submit_small(fixture_t *fixture, bool lasting)
 {
-	wwh_job_t *job = wwh_job_new(1);
+	wwh_job_t *job = new_job(fixture, SMALL_TASKS);
 
-	snprintf(job->id, sizeof(job->id), "%016x", ++fixture->jobs);
-	job->queue.name = g_strdup("q");
-	job->queue.pool = g_strdup(STANDIN_POOL);
-	job->queue.max_attempts = 3;
-	job->queue.stretch_permille = 1600;
-	job->payload = g_strdup("text");
-	job->accepted_wall_ms = read_wall();
-	job->steps[0].task_count = SMALL_TASKS;
-	job->steps[0].estimate_ms = 1000;
 	job->steps[0].lasting = lasting;
 	fixture->told = WWH_JOB_ANSWER_COUNT;
 	wwh_job_holder_submit(fixture->holder, job, on_refused, fixture);
@@ -440,3 +440,49 @@
 		 standin_now_ms() < end_ms);
 	assert_int_not_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
 }
+
+/* Upstreams of the holder before that answer nobody. */
+static void inherit_silent(fixture_t *fixture, int32_t count)
+{
+	/* MessagePack: where it was, and its pool */
+	static const char kept[] = "\x92\xab"
+				   "127.0.0.1:1"
+				   "\xa4"
+				   "desk";
+
+	for (int32_t i = 0; i < count; i++)
+		g_hash_table_insert(fixture->records,
+				    g_strdup_printf("Us%d", (int)i),
+				    g_bytes_new(kept, sizeof(kept) - 1));
+}
+
+/*
+ * Guards against jobs that a new holder of many upstreams accepts while it can start
+ * nothing: some of them never ran.
+ */
+void a_large_holder_accepts_nothing_before_it_can_start(void **state)
+{
+	fixture_t *fixture = *state;
+
+	inherit_silent(fixture, MORE_THAN_ARE_RECOVERED_IN_TIME);
+	begin(fixture);
+	run_for(fixture, 100);
+	assert_true(wwh_job_holder_is_large(fixture->holder));
+	submit_small(fixture, false);
+	assert_int_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+	submit_small(fixture, true);
+	assert_int_not_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+}
+
+/* Guards against refusals in a recovery that is over in no time. */
+void a_small_holder_accepts_jobs_while_it_recovers(void **state)
+{
+	fixture_t *fixture = *state;
+
+	inherit_silent(fixture, 5);
+	begin(fixture);
+	run_for(fixture, 100);
+	assert_false(wwh_job_holder_is_large(fixture->holder));
+	submit_small(fixture, false);
+	assert_int_not_equal(fixture->told, WWH_JOB_ANSWER_NOT_DONE);
+}
--- a/src/test_job_holder/test_job_holder.h
+++ b/src/test_job_holder/test_job_holder.h
@@ -21,7 +21,10 @@
 		ENTRY_TEST(an_upstream_of_no_named_service_is_not_used),       \
 		ENTRY_TEST(a_job_whose_record_is_lost_is_not_unknown),         \
 		ENTRY_TEST(a_slow_store_turns_no_caller_away),                 \
-		ENTRY_TEST(no_more_is_accepted_than_can_be_started)
+		ENTRY_TEST(no_more_is_accepted_than_can_be_started),           \
+		ENTRY_TEST(                                                    \
+			a_large_holder_accepts_nothing_before_it_can_start),   \
+		ENTRY_TEST(a_small_holder_accepts_jobs_while_it_recovers)
 
 void an_upstream_that_cant_be_read_at_first_is_not_used(void **state);
 void an_upstream_that_cant_be_read_later_keeps_its_tasks(void **state);
@@ -29,5 +32,7 @@
 void a_job_whose_record_is_lost_is_not_unknown(void **state);
 void a_slow_store_turns_no_caller_away(void **state);
 void no_more_is_accepted_than_can_be_started(void **state);
+void a_large_holder_accepts_nothing_before_it_can_start(void **state);
+void a_small_holder_accepts_jobs_while_it_recovers(void **state);
 
 #endif
--- a/src/test_loop_lag/test_loop_lag.c
+++ b/src/test_loop_lag/test_loop_lag.c
@@ -133,19 +133,35 @@
 	}
 }
 
+#define HARD_WORK 40 /* of a loop that is overloaded by its load */
+#define LITTLE_WORK 10
+
+/*
+ * An overloaded loop, whose owner may want proof of a slow host: units a turn while
+ * it kept up (0: it never did), and then.
+ */
+static wwh_loop_lag_t *overloaded_lag(bool wants_proof, int64_t units_in_time,
+				      int64_t units_overloaded)
+{
+	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+
+	wwh_loop_lag_want_proof(lag, wants_proof);
+	if (units_in_time > 0)
+		work_for(lag, units_in_time, 50, 0);
+	work_for(lag, units_overloaded, 100, 80);
+	assert_true(wwh_loop_lag_is_overloaded(lag));
+	return lag;
+}
+
 /*
  * Guards against a load that is passed on by the first process that can't bear it,
  * to one that has to recover it besides.
  */
 static void a_loop_that_does_as_much_as_ever_is_on_no_slow_host(void **state)
 {
-	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+	wwh_loop_lag_t *lag = overloaded_lag(true, LITTLE_WORK, HARD_WORK);
 
 	(void)state;
-	wwh_loop_lag_want_proof(lag, true);
-	work_for(lag, 10, 50, 0);
-	work_for(lag, 40, 100, 80);
-	assert_true(wwh_loop_lag_is_overloaded(lag));
 	assert_false(wwh_loop_lag_blames_host(lag));
 	wwh_loop_lag_delete(lag);
 }
@@ -153,13 +169,10 @@
 /* Guards against a slow host that keeps the shard as its work goes on somehow. */
 static void a_loop_that_does_much_less_is_on_a_slow_host(void **state)
 {
-	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+	wwh_loop_lag_t *lag =
+		overloaded_lag(true, 2 * LITTLE_WORK, LITTLE_WORK);
 
 	(void)state;
-	wwh_loop_lag_want_proof(lag, true);
-	work_for(lag, 20, 50, 0);
-	work_for(lag, 10, 100, 80);
-	assert_true(wwh_loop_lag_is_overloaded(lag));
 	assert_true(wwh_loop_lag_blames_host(lag));
 	wwh_loop_lag_delete(lag);
 }
@@ -167,13 +180,9 @@
 /* Guards against a hand-over for nothing at the end of an overload. */
 static void a_loop_that_catches_up_is_on_no_slow_host(void **state)
 {
-	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+	wwh_loop_lag_t *lag = overloaded_lag(true, LITTLE_WORK, HARD_WORK);
 
 	(void)state;
-	wwh_loop_lag_want_proof(lag, true);
-	work_for(lag, 10, 50, 0);
-	work_for(lag, 40, 100, 80);
-	assert_true(wwh_loop_lag_is_overloaded(lag));
 	for (int32_t i = 0; wwh_loop_lag_is_overloaded(lag); i++) {
 		wwh_loop_lag_add_turn(lag, 20, 0);
 		assert_false(wwh_loop_lag_blames_host(lag));
@@ -188,12 +197,9 @@
  */
 static void a_loop_that_never_kept_up_shows_no_slow_host(void **state)
 {
-	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+	wwh_loop_lag_t *lag = overloaded_lag(true, 0, HARD_WORK);
 
 	(void)state;
-	wwh_loop_lag_want_proof(lag, true);
-	work_for(lag, 40, 100, 80);
-	assert_true(wwh_loop_lag_is_overloaded(lag));
 	assert_false(wwh_loop_lag_blames_host(lag));
 	wwh_loop_lag_delete(lag);
 }
@@ -201,11 +207,9 @@
 /* Guards against a slow host that had little to do before, and keeps the shard. */
 static void without_proof_wanted_the_host_is_blamed(void **state)
 {
-	wwh_loop_lag_t *lag = wwh_loop_lag_new();
+	wwh_loop_lag_t *lag = overloaded_lag(false, LITTLE_WORK, HARD_WORK);
 
 	(void)state;
-	work_for(lag, 10, 50, 0);
-	work_for(lag, 40, 100, 80);
 	assert_true(wwh_loop_lag_blames_host(lag));
 	wwh_loop_lag_delete(lag);
 }
