--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -211,7 +211,7 @@
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	int64_t taken_over_ms; /* with the upstreams of the holder before */
 	int32_t inherited_upstreams; /* as many as there were then */
-	int32_t idle_upstreams; /* as counted last */
+	int32_t idle_upstreams; /* as counted last; polls at them are spaced by it */
 	bool restored;
 	bool starts_held;
 	int32_t starts_left; /* of a pool's share in the pass in progress */
@@ -351,8 +351,8 @@
 /* scheduler_poll.c: when upstreams are polled, and for how long */
 int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream);
-/* How many run nothing; polls at them are spaced by it. */
-void sched_poll_count_idle(wwh_scheduler_t *scheduler);
+/* It answers and runs nothing. */
+bool sched_upstream_is_idle(const sched_upstream_t *upstream);
 /* Between polls at one of many that run nothing; 0: the gap above. */
 int64_t sched_poll_idle_gap_ms(const wwh_scheduler_t *scheduler,
 			       const sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/loop_lag.c
+++ b/src/libwaxwinghollow/loop_lag.c
@@ -17,7 +17,7 @@
 /* The rate of work is taken over so much time. */
 #define WINDOW_MS 500
 
-/* Of the most that the loop ever did in time: less is done by a slow host alone. */
+/* A loop that does less, of the most that it did in time, is on a slow host. */
 #define SLOW_PERCENT 60
 #define PERCENT 100
 #define SECOND_MS 1000
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -62,10 +62,14 @@
 
 void sched_place(wwh_scheduler_t *scheduler)
 {
-	int32_t due = MAX(count_due(scheduler), 1);
+	int32_t due = count_due(scheduler);
 	GHashTableIter iterator;
 	gpointer value;
+	int32_t share;
 
+	if (due == 0)
+		return;
+	share = MAX(STARTS_A_PASS / due, 1);
 	g_hash_table_iter_init(&iterator, scheduler->pools);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_pool_t *pool = value;
@@ -74,7 +78,7 @@
 			continue;
 		pool->dirty = false;
 		pool->next_try_ms = scheduler->now_ms + TRY_AGAIN_MS;
-		place_pool(scheduler, pool, MAX(STARTS_A_PASS / due, 1));
+		place_pool(scheduler, pool, share);
 	}
 }
 
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -56,7 +56,6 @@
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
 
-static bool is_idle(const sched_upstream_t *upstream);
 static bool is_poll_due(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream);
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
@@ -74,17 +73,6 @@
 		       : POLL_UNACKED_LONG_GAP_MS;
 }
 
-void sched_poll_count_idle(wwh_scheduler_t *scheduler)
-{
-	GHashTableIter iterator;
-	gpointer value;
-
-	scheduler->idle_upstreams = 0;
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		scheduler->idle_upstreams += is_idle(value);
-}
-
 int64_t sched_poll_retry_ms(const sched_upstream_t *upstream)
 {
 	if (pool_waits_for(upstream) && upstream->refused_polls == 0)
@@ -124,7 +112,7 @@
 	g_ptr_array_free(due, TRUE);
 }
 
-static bool is_idle(const sched_upstream_t *upstream)
+bool sched_upstream_is_idle(const sched_upstream_t *upstream)
 {
 	return upstream->settled && upstream->listed &&
 	       upstream->tasks->len == 0 && upstream->orphans == 0 &&
@@ -142,7 +130,7 @@
 		       (guint)scheduler->now_ms * HASH_FACTOR;
 
 	mean_ms = MIN(mean_ms, IDLE_GAP_MAX_MS);
-	if (!is_idle(upstream) || mean_ms <= POLL_GAP_MS)
+	if (!sched_upstream_is_idle(upstream) || mean_ms <= POLL_GAP_MS)
 		return 0;
 	return mean_ms / 2 + mean_ms * (spread % PERMILLE) / PERMILLE;
 }
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -143,9 +143,11 @@
 {
 	GList *all = g_hash_table_get_values(scheduler->upstreams);
 
-	sched_poll_count_idle(scheduler);
-	for (GList *at = all; at != NULL; at = at->next)
+	scheduler->idle_upstreams = 0;
+	for (GList *at = all; at != NULL; at = at->next) {
+		scheduler->idle_upstreams += sched_upstream_is_idle(at->data);
 		run_one(scheduler, at->data);
+	}
 	g_list_free(all);
 	sched_poll_first(scheduler);
 }
