Log how a run was lost with its upstream, and count crashes

It now says how the upstream ended (crash, ordered or unknown), whether the start had been confirmed, the time since it was ordered, and for how long the run certainly had been running, by two readings of the upstream's clock or a poll sent after the confirmation. The counter holder.upstream_crashes counts crashed upstreams that had tasks. No decision changes.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -365,14 +365,26 @@
 /* Whether the upstream is announced and its latest announcement is readable. */
 bool wwh_scheduler_upstream_listed(const wwh_scheduler_t *scheduler,
 				   const char *id);
+/* How an incarnation of an upstream ended, as far as the holder knows. */
+typedef enum {
+	WWH_TERMINATION_CRASH = 0, /* it has ended, and no order ended it */
+	WWH_TERMINATION_ORDERED, /* by upkeep, a move or its own shutdown */
+	WWH_TERMINATION_UNKNOWN, /* it may only be out of reach */
+	WWH_TERMINATION_COUNT
+} wwh_termination_t;
+
+/* Names of wwh_termination_t, in the same order. */
+extern const char *const wwh_termination_names[WWH_TERMINATION_COUNT];
+
 /*
  * The incarnation of the upstream has certainly terminated, and none of its tasks
  * runs any more. why must stay valid as long as the scheduler. An answer to a
  * poll that is still in flight counts if it arrives soon.
  */
 void wwh_scheduler_upstream_terminated(wwh_scheduler_t *scheduler,
-				       const char *id, const char *why,
-				       int64_t now_ms);
+				       const char *id,
+				       wwh_termination_t termination,
+				       const char *why, int64_t now_ms);
 
 /*
  * Reports that a list of hosts is about to be requested. The list is accepted
@@ -475,6 +487,7 @@
 	int32_t unsettled; /* inherited upstreams that haven't answered */
 	int32_t tasks_outstanding; /* started and not known to have ended */
 	int32_t lost_jobs; /* see wwh_scheduler_job_is_unreadable */
+	int64_t crashed_upstreams; /* with tasks on them, by this holder */
 } wwh_scheduler_counts_t;
 
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler);
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -239,6 +239,8 @@
 	if (host->upstream != NULL && (is_unavailable || replaced))
 		wwh_scheduler_upstream_terminated(
 			duties->options.scheduler, host->upstream,
+			is_unavailable ? WWH_TERMINATION_ORDERED
+				       : WWH_TERMINATION_CRASH,
 			wwh_host_run_state_names[listed->state],
 			duties->now_ms);
 }
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -49,6 +49,8 @@
 	GHashTable *announcement_digests; /* id to uint64_t, last one applied */
 	GHashTable *unconfigured; /* id to wwh_upstream_info_t, pool unknown */
 	wwh_counter_t *lost_jobs;
+	wwh_counter_t *upstream_crashes;
+	wwh_scheduler_counts_t counted; /* by the counters above */
 	wwh_counter_t *overload_refusals;
 	wwh_counter_t *starts;
 	wwh_counter_t *polls;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,7 +4,7 @@
 /*
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
- * scheduler_poll, scheduler_pace, scheduler_lost, scheduler_quota,
+ * scheduler_loss, scheduler_poll, scheduler_pace, scheduler_lost, scheduler_quota,
  * scheduler_upstream, scheduler_backlog, scheduler_record, scheduler_job,
  * scheduler_task, scheduler_check.
  */
@@ -76,6 +76,11 @@
 	bool inherited; /* may run at an upstream that hasn't answered yet */
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
+	int64_t ordered_ms; /* when the start of the run was ordered */
+	int64_t accepted_ms; /* when its start was confirmed; 0: it isn't */
+	int64_t first_listed_remote_ms; /* by the upstream's clock; 0: never */
+	/* The run has certainly been running for this long. */
+	int64_t min_age_ms;
 	int64_t unavailable_since_ms; /* of a lasting task; 0: available */
 	int32_t consecutive_failures; /* lasting: 0 again once long available */
 	int64_t adopted_ms; /* 0: this holder started it */
@@ -147,6 +152,7 @@
 	bool cordoned; /* it is being drained */
 	bool ending; /* its host may be taken down at any moment */
 	const char *termination_reason; /* NULL: it hasn't terminated */
+	wwh_termination_t termination; /* valid with termination_reason */
 	int64_t terminated_ms;
 	bool record_written;
 	int64_t record_number; /* of its record; valid with record_written */
@@ -232,6 +238,7 @@
 	int64_t durable_record;
 	int64_t durable_ms; /* when durable_record last increased */
 	int64_t next_expiry_ms;
+	int64_t crashed_upstreams; /* that had tasks */
 };
 
 /* The name of the pool that holds inherited upstreams of unknown pools. */
@@ -291,6 +298,18 @@
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* scheduler_loss.c: how old a run was when it was lost */
+/* Called when the start of task's current run is ordered. */
+void sched_run_begin(const wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Called when upstream has confirmed the start. */
+void sched_run_accepted(const wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Called when an answer to a poll sent at sent_ms lists the run. */
+void sched_run_listed(const wwh_scheduler_t *scheduler, sched_task_t *task,
+		      int64_t sent_ms);
+/* Called before the run is marked as lost together with its upstream. */
+void sched_run_lost(wwh_scheduler_t *scheduler, const sched_task_t *task,
+		    wwh_termination_t termination, const char *why);
+
 /* scheduler_quota.c: whether the step's workspace may start count more tasks */
 bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
 			int32_t count);
@@ -349,12 +368,14 @@
 				     const wwh_upstream_info_t *info);
 void sched_upstream_delete(gpointer upstream);
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
-			   sched_upstream_t *upstream, const char *why);
+			   sched_upstream_t *upstream,
+			   wwh_termination_t termination, const char *why);
 void sched_upstreams_flushed(wwh_scheduler_t *scheduler);
 void sched_upstreams_durable(wwh_scheduler_t *scheduler);
 /* Marks the outstanding runs at upstream as lost: they have certainly ended. */
 void sched_upstream_lose_tasks(wwh_scheduler_t *scheduler,
-			       sched_upstream_t *upstream, const char *why);
+			       sched_upstream_t *upstream,
+			       wwh_termination_t termination, const char *why);
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
 void sched_upstream_failed(wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -90,6 +90,7 @@
 				   int64_t now_ms, int64_t limit_ms);
 static bool may_order_hosts(const wwh_job_holder_t *holder);
 static void flush(wwh_job_holder_t *holder);
+static void update_counters(wwh_job_holder_t *holder);
 
 wwh_job_holder_t *wwh_job_holder_new(const wwh_job_holder_options_t *options)
 {
@@ -126,6 +127,8 @@
 	holder->starts_measured = wwh_counter_value(holder->starts);
 	holder->lost_jobs =
 		wwh_counters_get(options->counters, "holder.lost_jobs");
+	holder->upstream_crashes =
+		wwh_counters_get(options->counters, "holder.upstream_crashes");
 	holder->bad_hosts = make_bad_records(holder, "hosts");
 	holder->bad_host_rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -201,11 +204,21 @@
 	}
 	flush(holder);
 	wwh_shard_journal_run(holder->journal, now_ms);
-	wwh_counter_set(holder->lost_jobs,
-			wwh_scheduler_counts(holder->scheduler).lost_jobs);
+	update_counters(holder);
 	job_holder_refuse_unsent(holder);
 }
 
+static void update_counters(wwh_job_holder_t *holder)
+{
+	wwh_scheduler_counts_t counts = wwh_scheduler_counts(holder->scheduler);
+
+	wwh_counter_set(holder->lost_jobs, counts.lost_jobs);
+	wwh_counter_add(holder->upstream_crashes,
+			counts.crashed_upstreams -
+				holder->counted.crashed_upstreams);
+	holder->counted = counts;
+}
+
 void wwh_job_holder_set_overloaded(wwh_job_holder_t *holder, bool overloaded)
 {
 	holder->overloaded = overloaded;
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -25,6 +25,12 @@
 	"queued", "active", "completed", "failed", "cancelled", "unknown",
 };
 
+const char *const wwh_termination_names[WWH_TERMINATION_COUNT] = {
+	"crash",
+	"ordered",
+	"unknown",
+};
+
 static const char *const task_state_names[TASK_STATE_COUNT] = {
 	"waiting", "starting", "unsure", "running", "stopping", "over",
 };
@@ -322,6 +328,7 @@
 	task->order_in_flight = false;
 	if (result == WWH_ORDER_DONE) {
 		task->upstream->pool->dirty = true;
+		sched_run_accepted(scheduler, task);
 		sched_task_event(scheduler, task, TASK_ACCEPTED);
 		return;
 	}
@@ -336,6 +343,7 @@
 	}
 	if (result == WWH_ORDER_OTHER_INCARNATION) {
 		wwh_scheduler_upstream_terminated(scheduler, upstream,
+						  WWH_TERMINATION_CRASH,
 						  "restarted", now_ms);
 		return;
 	}
@@ -352,6 +360,7 @@
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (result == WWH_ORDER_OTHER_INCARNATION) {
 		wwh_scheduler_upstream_terminated(scheduler, upstream,
+						  WWH_TERMINATION_CRASH,
 						  "restarted", now_ms);
 		return;
 	}
@@ -437,6 +446,7 @@
 		.upstreams = (int32_t)g_hash_table_size(scheduler->upstreams),
 		.lost_jobs = (int32_t)g_hash_table_size(scheduler->lost_jobs),
 		.unsettled = sched_count_unsettled(scheduler),
+		.crashed_upstreams = scheduler->crashed_upstreams,
 	};
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -90,6 +90,7 @@
 	task->run = run;
 	sched_task_event(scheduler, task, TASK_ORDER);
 	attach_to_upstream(scheduler, task, upstream);
+	sched_run_begin(scheduler, task);
 	task->order_in_flight = true;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -113,6 +114,8 @@
 	task->run = MAX(task->run, run);
 	sched_task_event(scheduler, task, TASK_LISTED);
 	attach_to_upstream(scheduler, task, upstream);
+	sched_run_begin(scheduler, task);
+	sched_run_accepted(scheduler, task);
 	task->order_in_flight = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -87,12 +87,22 @@
 }
 
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
-			   sched_upstream_t *upstream, const char *why)
+			   sched_upstream_t *upstream,
+			   wwh_termination_t termination, const char *why)
 {
+	bool ordered =
+		upstream->info.leaving ||
+		(upstream->ending && upstream->termination_reason == NULL);
+
+	if (termination == WWH_TERMINATION_CRASH && ordered)
+		termination = WWH_TERMINATION_ORDERED;
 	sched_explain(scheduler, "upstream-gone", upstream->info.id,
-		      "why=%s endpoint=%s tasks=%u", why,
-		      upstream->info.endpoint, upstream->tasks->len);
-	sched_upstream_lose_tasks(scheduler, upstream, why);
+		      "why=%s endpoint=%s tasks=%u termination=%s", why,
+		      upstream->info.endpoint, upstream->tasks->len,
+		      wwh_termination_names[termination]);
+	scheduler->crashed_upstreams += termination == WWH_TERMINATION_CRASH &&
+					upstream->tasks->len > 0;
+	sched_upstream_lose_tasks(scheduler, upstream, termination, why);
 	if (upstream->inherited && !upstream->settled)
 		sched_pool_settle_one(scheduler, upstream->pool);
 	g_ptr_array_remove_fast(upstream->pool->upstreams, upstream);
@@ -304,19 +314,23 @@
  * before the upstream is removed.
  */
 void wwh_scheduler_upstream_terminated(wwh_scheduler_t *scheduler,
-				       const char *id, const char *why,
-				       int64_t now_ms)
+				       const char *id,
+				       wwh_termination_t termination,
+				       const char *why, int64_t now_ms)
 {
 	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL || upstream->termination_reason != NULL)
 		return;
+	if (termination == WWH_TERMINATION_CRASH && upstream->ending)
+		termination = WWH_TERMINATION_ORDERED;
 	upstream->termination_reason = why;
+	upstream->termination = termination;
 	upstream->terminated_ms = scheduler->now_ms;
 	upstream->ending = true;
 	if (!sched_upstream_awaits_final_report(scheduler, upstream))
-		sched_upstream_remove(scheduler, upstream, why);
+		sched_upstream_remove(scheduler, upstream, termination, why);
 }
 
 bool sched_upstream_awaits_final_report(const wwh_scheduler_t *scheduler,
@@ -413,24 +427,21 @@
 		if (g_hash_table_contains(incarnations, upstream->info.id))
 			upstream->without_host_ms = 0;
 		else if (has_no_host(scheduler, upstream))
-			wwh_scheduler_upstream_terminated(scheduler,
-							  upstream->info.id,
-							  "no-host", now_ms);
+			wwh_scheduler_upstream_terminated(
+				scheduler, upstream->info.id,
+				WWH_TERMINATION_UNKNOWN, "no-host", now_ms);
 	}
 	g_list_free(all);
 }
 
 void sched_upstream_lose_tasks(wwh_scheduler_t *scheduler,
-			       sched_upstream_t *upstream, const char *why)
+			       sched_upstream_t *upstream,
+			       wwh_termination_t termination, const char *why)
 {
 	while (upstream->tasks->len > 0) {
 		sched_task_t *task = g_ptr_array_index(upstream->tasks, 0);
-		char name[WWH_TASK_NAME_BYTES];
 
-		sched_task_name(task, name);
-		sched_explain(scheduler, "run-lost", name,
-			      "run=%" G_GINT64_FORMAT " upstream=%s why=%s",
-			      task->run, upstream->info.id, why);
+		sched_run_lost(scheduler, task, termination, why);
 		sched_task_event(scheduler, task, TASK_LOST);
 	}
 }
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -45,7 +45,7 @@
 static void complete_task(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void handle_running(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
-			   const wwh_running_task_t *row);
+			   const wwh_running_task_t *row, int64_t sent_ms);
 static void handle_orphan(wwh_scheduler_t *scheduler,
 			  sched_upstream_t *upstream,
 			  const wwh_running_task_t *row);
@@ -92,12 +92,14 @@
 	if (upstream->termination_reason != NULL) {
 		/* the listed ends count; the listed running tasks are lost */
 		sched_upstream_remove(scheduler, upstream,
+				      upstream->termination,
 				      upstream->termination_reason);
 		return;
 	}
 	upstream->orphans = 0;
 	for (int32_t i = 0; i < answer->running_count; i++)
-		handle_running(scheduler, upstream, &answer->running[i]);
+		handle_running(scheduler, upstream, &answer->running[i],
+			       sent_ms);
 	if (upstream->orphans == 0)
 		g_hash_table_remove_all(upstream->orphan_stops);
 	if (answer->ended_complete)
@@ -124,6 +126,7 @@
 	upstream->poll_in_flight = false;
 	if (upstream->termination_reason != NULL) {
 		sched_upstream_remove(scheduler, upstream,
+				      upstream->termination,
 				      upstream->termination_reason);
 		return;
 	}
@@ -139,7 +142,8 @@
 			      scheduler->now_ms - upstream->answered_ms,
 			      upstream->tasks->len, upstream->settled);
 	if (upstream->refused_polls >= REFUSALS_BEFORE_TERMINATED)
-		sched_upstream_remove(scheduler, upstream, "refused");
+		sched_upstream_remove(scheduler, upstream,
+				      WWH_TERMINATION_CRASH, "refused");
 }
 
 void wwh_scheduler_handle_poll_other_incarnation(wwh_scheduler_t *scheduler,
@@ -149,7 +153,8 @@
 
 	if (upstream != NULL)
 		upstream->poll_in_flight = false;
-	wwh_scheduler_upstream_terminated(scheduler, id, "restarted", now_ms);
+	wwh_scheduler_upstream_terminated(scheduler, id, WWH_TERMINATION_CRASH,
+					  "restarted", now_ms);
 }
 
 /* Iterates over a copy of the list, as upstreams may be removed meanwhile. */
@@ -279,7 +284,7 @@
 
 static void handle_running(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
-			   const wwh_running_task_t *row)
+			   const wwh_running_task_t *row, int64_t sent_ms)
 {
 	sched_task_t *task = sched_job_task(scheduler, row->task);
 	bool live =
@@ -291,12 +296,14 @@
 		task->order_in_flight =
 			sched_task_state(task) == TASK_STOPPING &&
 			task->order_in_flight;
+		sched_run_listed(scheduler, task, sent_ms);
 		update_task(scheduler, task, row);
 		return;
 	}
 	if (live && sched_task_state(task) == TASK_WAITING &&
 	    row->run >= task->run && task->inherited) {
 		sched_task_adopt(scheduler, task, upstream, row->run);
+		sched_run_listed(scheduler, task, sent_ms);
 		update_task(scheduler, task, row);
 		return;
 	}
@@ -475,26 +482,33 @@
 	if (upstream->termination_reason != NULL) {
 		if (!sched_upstream_awaits_final_report(scheduler, upstream))
 			sched_upstream_remove(scheduler, upstream,
+					      upstream->termination,
 					      upstream->termination_reason);
 		return;
 	}
 	if (upstream->inherited && !upstream->settled &&
 	    now_ms >= upstream->inherited_lease_end_ms) {
-		sched_upstream_remove(scheduler, upstream, "lease-lapsed");
+		sched_upstream_remove(scheduler, upstream,
+				      WWH_TERMINATION_UNKNOWN, "lease-lapsed");
 		return;
 	}
 	if (upstream->lease_end_ms != 0 && now_ms >= upstream->lease_end_ms &&
 	    !upstream->lease_end_handled) {
 		upstream->lease_end_handled = true;
-		sched_upstream_lose_tasks(scheduler, upstream, "lease-lapsed");
+		sched_upstream_lose_tasks(scheduler, upstream,
+					  WWH_TERMINATION_UNKNOWN,
+					  "lease-lapsed");
 		if (!upstream->listed) {
-			sched_upstream_remove(scheduler, upstream, "lapsed");
+			sched_upstream_remove(scheduler, upstream,
+					      WWH_TERMINATION_UNKNOWN,
+					      "lapsed");
 			return;
 		}
 	}
 	if (!upstream->listed && upstream->settled &&
 	    upstream->tasks->len == 0 && upstream->orphans == 0) {
-		sched_upstream_remove(scheduler, upstream, "unlisted");
+		sched_upstream_remove(scheduler, upstream,
+				      WWH_TERMINATION_UNKNOWN, "unlisted");
 		return;
 	}
 	resend_stops(scheduler, upstream);
--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -270,8 +270,8 @@
 	duties_fixture_list_hosts(fixture, 3, true, WWH_HOST_UP);
 	run_for(fixture, 100);
 	wwh_scheduler_upstream_terminated(fixture->sched->scheduler,
-					  lost.upstream, "down",
-					  fixture->sched->now_ms);
+					  lost.upstream, WWH_TERMINATION_CRASH,
+					  "down", fixture->sched->now_ms);
 	list_with_one_down(fixture, 3, lost.upstream);
 	run_for(fixture, 1000);
 	assert_int_equal(fixture->sched->starts->len, 3);
--- a/src/test_scheduler/sched_fixture.h
+++ b/src/test_scheduler/sched_fixture.h
@@ -54,6 +54,7 @@
 	/* Of the last request: its number of upstreams and its step. */
 	int32_t advised_upstreams;
 	char advised_step[WWH_TASK_NAME_BYTES];
+	GString *events; /* "EVENT SUBJECT DETAIL" lines, oldest first */
 } sched_fixture_t;
 
 static inline void sched_fixture_on_start(const wwh_start_order_t *order,
@@ -137,10 +138,10 @@
 					    const char *subject,
 					    const char *detail, void *data)
 {
-	(void)event;
-	(void)subject;
-	(void)detail;
-	(void)data;
+	sched_fixture_t *fixture = data;
+
+	g_string_append_printf(fixture->events, "%s %s %s\n", event, subject,
+			       detail);
 }
 
 static inline wwh_scheduler_t *
@@ -173,6 +174,7 @@
 		g_array_new(FALSE, FALSE, sizeof(sched_fixture_poll_t));
 	fixture->records = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	fixture->events = g_string_new(NULL);
 	fixture->now_ms = 100000;
 	fixture->scheduler = sched_fixture_new_scheduler(fixture);
 	wwh_scheduler_finish_restore(fixture->scheduler, fixture->now_ms,
@@ -188,6 +190,7 @@
 	g_array_free(fixture->stops, TRUE);
 	g_array_free(fixture->polls, TRUE);
 	g_hash_table_destroy(fixture->records);
+	g_string_free(fixture->events, TRUE);
 	g_free(fixture);
 }
 
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -205,6 +205,13 @@
 void pools_share_the_starts_of_a_pass(void **state);
 void recovery_time_is_estimated_from_the_answered_upstreams(void **state);
 
+#define CRASH_TESTS                                                            \
+	FIXTURE_TEST(a_lost_run_is_logged_with_its_age_and_cause, 1),          \
+		FIXTURE_TEST(an_upstream_that_leaves_does_not_crash, 1)
+
+void a_lost_run_is_logged_with_its_age_and_cause(void **state);
+void an_upstream_that_leaves_does_not_crash(void **state);
+
 #define IDLE_TESTS                                                             \
 	FIXTURE_TEST(polls_of_many_idle_upstreams_are_rate_limited, 0),        \
 		FIXTURE_TEST(few_idle_upstreams_are_polled_continuously, 0),   \
