Reproduce the incident: a task that crashes its upstreams is started without limit

Two tests, red on the code as it is: each start of the task is confirmed, its upstream crashes 10 ms later and is back under another id.

--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -207,10 +207,15 @@
 
 #define CRASH_TESTS                                                            \
 	FIXTURE_TEST(a_lost_run_is_logged_with_its_age_and_cause, 1),          \
-		FIXTURE_TEST(an_upstream_that_leaves_does_not_crash, 1)
+		FIXTURE_TEST(an_upstream_that_leaves_does_not_crash, 1),       \
+		FIXTURE_TEST(a_task_that_crashes_its_upstreams_is_given_up,    \
+			     3),                                               \
+		FIXTURE_TEST(crashes_are_counted_across_changes_of_holder, 3)
 
 void a_lost_run_is_logged_with_its_age_and_cause(void **state);
 void an_upstream_that_leaves_does_not_crash(void **state);
+void a_task_that_crashes_its_upstreams_is_given_up(void **state);
+void crashes_are_counted_across_changes_of_holder(void **state);
 
 #define IDLE_TESTS                                                             \
 	FIXTURE_TEST(polls_of_many_idle_upstreams_are_rate_limited, 0),        \
