Give up tasks that crash their upstreams, and isolate their retries

Cause: attempts are counted by ends that an upstream reports as failed. A crashed upstream reports nothing, so a run that was lost with it counted for nothing, and its task was placed again in the next pass, among others, without a limit.

Now each lost run is attributed. While an upstream has young runs, only these are suspect; older ones are bystanders and are placed as before. A suspect task is started on an upstream that has no other young run and gets no start until the run has proven harmless, so that the next crash has one possible cause. The losses are part of the progress record, which builds before this one read and ignore; a suspect start is recorded before it is sent, so a new holder counts it.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -487,7 +487,10 @@
 	int32_t unsettled; /* inherited upstreams that haven't answered */
 	int32_t tasks_outstanding; /* started and not known to have ended */
 	int32_t lost_jobs; /* see wwh_scheduler_job_is_unreadable */
-	int64_t crashed_upstreams; /* with tasks on them, by this holder */
+	/* So far, as seen by this holder. */
+	int64_t crashed_upstreams; /* that had tasks */
+	int64_t isolated_starts; /* of tasks that may crash their upstreams */
+	int64_t tasks_given_up; /* as they crashed their upstreams */
 } wwh_scheduler_counts_t;
 
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler);
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -50,6 +50,8 @@
 	GHashTable *unconfigured; /* id to wwh_upstream_info_t, pool unknown */
 	wwh_counter_t *lost_jobs;
 	wwh_counter_t *upstream_crashes;
+	wwh_counter_t *isolated_starts;
+	wwh_counter_t *tasks_given_up;
 	wwh_scheduler_counts_t counted; /* by the counters above */
 	wwh_counter_t *overload_refusals;
 	wwh_counter_t *starts;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,7 +4,7 @@
 /*
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
- * scheduler_loss, scheduler_poll, scheduler_pace, scheduler_lost, scheduler_quota,
+ * scheduler_age, scheduler_loss, scheduler_isolation, scheduler_poll, scheduler_pace, scheduler_lost, scheduler_quota,
  * scheduler_upstream, scheduler_backlog, scheduler_record, scheduler_job,
  * scheduler_task, scheduler_check.
  */
@@ -58,6 +58,28 @@
 	int32_t count;
 } sched_failures_t;
 
+/* What is known of a run that was lost together with its upstream. */
+typedef enum {
+	/* Ordered by this or a previous holder; its outcome isn't known yet. */
+	SCHED_LOSS_PENDING = 1 << 0,
+	/* The run had been accepted, and the upstream certainly crashed. */
+	SCHED_LOSS_CRASH = 1 << 1,
+	/* The run may have caused the crash. */
+	SCHED_LOSS_SUSPECT = 1 << 2,
+	/* No task of another job may have caused it. */
+	SCHED_LOSS_ALONE = 1 << 3,
+} sched_loss_flag_t;
+
+typedef struct {
+	int64_t run;
+	uint32_t flags; /* of sched_loss_flag_t */
+} sched_loss_t;
+
+typedef struct {
+	sched_loss_t *rows; /* NULL: none */
+	int32_t count;
+} sched_losses_t;
+
 typedef struct {
 	sched_step_t *step;
 	int32_t index;
@@ -68,6 +90,9 @@
 	sched_upstream_t *avoided_upstream;
 	char *checkpoint; /* NULL: none */
 	sched_failures_t failures;
+	sched_losses_t losses;
+	int64_t pending_run; /* with a pending row in losses; 0: none */
+	bool isolated; /* while true, its upstream gets no other start */
 	int64_t changed_ms; /* when its state changed last */
 	int64_t retry_ms; /* not placed before this */
 	int64_t stop_sent_ms; /* 0: no stop was ordered */
@@ -104,6 +129,7 @@
 	int32_t outstanding;
 	int64_t gang_run;
 	sched_failures_t gang_failures;
+	int32_t alone_losses; /* rows of its tasks with SCHED_LOSS_ALONE */
 	GHashTable *tickets; /* upstream id to sched_ticket_t; NULL: none yet */
 	GHashTable *advice_requested; /* set of upstream ids */
 	bool advice_in_flight;
@@ -130,6 +156,7 @@
 	bool dirty; /* its progress must be written */
 	int64_t record_number; /* of the record of its acceptance */
 	int64_t end_record_number; /* INT64_MAX: its end isn't written yet */
+	int64_t progress_number; /* of the newest record of its progress */
 	int64_t ended_ms;
 	int64_t accepted_ms;
 	int64_t critical_path_ms; /* of its estimates */
@@ -184,6 +211,8 @@
 	int32_t orphans; /* listed runs that match no outstanding task */
 	GHashTable *orphan_stops; /* task name to the time of the last stop */
 	wwh_load_t used;
+	int32_t isolated_runs; /* tasks on it with isolated set */
+	int64_t reserved_until_ms; /* for an isolated start */
 	int64_t next_pace_ms;
 	int32_t fail_streak;
 	int32_t backoffs;
@@ -211,6 +240,8 @@
 	/* The last pass deferred starts, or a job came while they were held. */
 	bool has_deferred_starts;
 	int32_t unstarted_tasks; /* of its jobs, also of steps not ready yet */
+	/* When an upstream last crashed without a young run; 0: never. */
+	int64_t unprovoked_crash_ms;
 };
 
 struct wwh_scheduler {
@@ -230,6 +261,7 @@
 	bool restored;
 	bool starts_held;
 	int32_t starts_left; /* of one pool, in the current pass */
+	sched_step_t *unplaced; /* the first in the current pass; NULL: none */
 	wwh_workspace_quota_t *quota;
 	int64_t now_ms;
 	int64_t wall_ms;
@@ -239,6 +271,8 @@
 	int64_t durable_ms; /* when durable_record last increased */
 	int64_t next_expiry_ms;
 	int64_t crashed_upstreams; /* that had tasks */
+	int64_t isolated_starts;
+	int64_t tasks_given_up;
 };
 
 /* The name of the pool that holds inherited upstreams of unknown pools. */
@@ -298,17 +332,69 @@
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
-/* scheduler_loss.c: how old a run was when it was lost */
+/* scheduler_age.c: for how long runs have certainly been running */
 /* Called when the start of task's current run is ordered. */
 void sched_run_begin(const wwh_scheduler_t *scheduler, sched_task_t *task);
 /* Called when upstream has confirmed the start. */
 void sched_run_accepted(const wwh_scheduler_t *scheduler, sched_task_t *task);
 /* Called when an answer to a poll sent at sent_ms lists the run. */
-void sched_run_listed(const wwh_scheduler_t *scheduler, sched_task_t *task,
+void sched_run_listed(wwh_scheduler_t *scheduler, sched_task_t *task,
 		      int64_t sent_ms);
-/* Called before the run is marked as lost together with its upstream. */
-void sched_run_lost(wwh_scheduler_t *scheduler, const sched_task_t *task,
-		    wwh_termination_t termination, const char *why);
+/* Whether the run may still be about to crash its upstream. */
+bool sched_run_is_young(const sched_task_t *task);
+bool sched_run_is_mature(const sched_task_t *task);
+
+/* scheduler_loss.c: attributes crashes of upstreams to tasks */
+/*
+ * Attributes the end of upstream to the runs on it, before they are lost. A task
+ * that has crashed too many upstreams is to be given up afterwards.
+ */
+void sched_losses_attribute(wwh_scheduler_t *scheduler,
+			    sched_upstream_t *upstream,
+			    wwh_termination_t termination, const char *why);
+/* Ends task's job if task has crashed too many upstreams. */
+void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task);
+/* Appends a row, or replaces that of the same run. */
+void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags);
+void sched_losses_remove(sched_task_t *task, int64_t run);
+const sched_loss_t *sched_losses_find(const sched_losses_t *losses,
+				      int64_t run);
+void sched_losses_clear(sched_task_t *task);
+/* Whether an upstream has certainly crashed while it ran task. */
+bool sched_task_has_crashed(const sched_task_t *task);
+/* Whether task may be one that crashes its upstreams. */
+bool sched_task_is_suspect(const sched_task_t *task);
+/* Whether task is suspect although it ran for a while before each loss. */
+bool sched_task_is_late_suspect(const sched_task_t *task);
+
+/* scheduler_isolation.c: starts suspect tasks, each alone on its upstream */
+/*
+ * Records the start of a suspect task in advance, so that a new holder counts
+ * it. Returns whether that is durable.
+ */
+bool sched_isolation_record(wwh_scheduler_t *scheduler, sched_task_t *task,
+			    int64_t run);
+/* Called when a run of task was ordered, or was found by a new holder. */
+void sched_isolation_begin(wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Called when the outstanding run of task is over. */
+void sched_isolation_end(wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Ends the isolation of runs on upstream that have proven harmless. */
+void sched_isolation_update(sched_upstream_t *upstream);
+/* Whether upstream takes a start of task now, as far as isolation goes. */
+bool sched_isolation_allows(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream,
+			    const sched_task_t *task);
+/*
+ * Whether task may be started on upstream, as far as the number of isolated
+ * upstreams of the pool is limited.
+ */
+bool sched_isolation_has_capacity(const wwh_scheduler_t *scheduler,
+				  const sched_upstream_t *upstream);
+/* A cost of starting a suspect task on upstream, above all other costs. */
+int64_t sched_isolation_cost(const sched_upstream_t *upstream);
+/* Keeps an upstream of the pool free of new starts, for a start of task. */
+void sched_isolation_reserve(wwh_scheduler_t *scheduler,
+			     const sched_task_t *task);
 
 /* scheduler_quota.c: whether the step's workspace may start count more tasks */
 bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -129,6 +129,10 @@
 		wwh_counters_get(options->counters, "holder.lost_jobs");
 	holder->upstream_crashes =
 		wwh_counters_get(options->counters, "holder.upstream_crashes");
+	holder->isolated_starts =
+		wwh_counters_get(options->counters, "holder.isolated_starts");
+	holder->tasks_given_up =
+		wwh_counters_get(options->counters, "holder.tasks_given_up");
 	holder->bad_hosts = make_bad_records(holder, "hosts");
 	holder->bad_host_rows =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -216,6 +220,11 @@
 	wwh_counter_add(holder->upstream_crashes,
 			counts.crashed_upstreams -
 				holder->counted.crashed_upstreams);
+	wwh_counter_add(holder->isolated_starts,
+			counts.isolated_starts -
+				holder->counted.isolated_starts);
+	wwh_counter_add(holder->tasks_given_up,
+			counts.tasks_given_up - holder->counted.tasks_given_up);
 	holder->counted = counts;
 }
 
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -447,6 +447,8 @@
 		.lost_jobs = (int32_t)g_hash_table_size(scheduler->lost_jobs),
 		.unsettled = sched_count_unsettled(scheduler),
 		.crashed_upstreams = scheduler->crashed_upstreams,
+		.isolated_starts = scheduler->isolated_starts,
+		.tasks_given_up = scheduler->tasks_given_up,
 	};
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
@@ -580,14 +582,15 @@
 		"upstream %s pool=%s listed=%d leaving=%d settled=%d "
 		"readable=%d tasks=%u cpu=%" G_GINT64_FORMAT
 		"/%" G_GINT64_FORMAT " answered_ms_ago=%" G_GINT64_FORMAT
-		" lease_left_ms=%" G_GINT64_FORMAT "\n",
+		" lease_left_ms=%" G_GINT64_FORMAT " isolated=%d\n",
 		upstream->info.id, upstream->info.pool, upstream->listed,
 		upstream->info.leaving, upstream->settled,
 		!upstream->unreadable, upstream->tasks->len,
 		upstream->used.cpu_millicores,
 		upstream->info.size.cpu_millicores,
 		scheduler->now_ms - upstream->answered_ms,
-		upstream->lease_end_ms - scheduler->now_ms);
+		upstream->lease_end_ms - scheduler->now_ms,
+		upstream->isolated_runs);
 }
 
 static void dump_job(const sched_job_t *job, GString *out)
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -47,6 +47,7 @@
 {
 	int32_t over = 0;
 	int32_t step_outstanding = 0;
+	int32_t alone_losses = 0;
 
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
 		const sched_task_t *task = &step->tasks[i];
@@ -54,7 +55,11 @@
 		check_task(scheduler, task);
 		over += sched_task_state(task) == TASK_OVER;
 		step_outstanding += task->upstream != NULL;
+		for (int32_t k = 0; k < task->losses.count; k++)
+			alone_losses += (task->losses.rows[k].flags &
+					 SCHED_LOSS_ALONE) != 0;
 	}
+	g_assert(alone_losses == step->alone_losses);
 	g_assert(step_outstanding == step->outstanding);
 	if (sched_job_is_live(step->occurrence->job))
 		g_assert(over == step->done);
@@ -68,6 +73,7 @@
 
 	g_assert(sched_task_is_outstanding(scheduler, task) ==
 		 (task->upstream != NULL));
+	g_assert(!task->isolated || task->upstream != NULL);
 	if (task->upstream == NULL)
 		return;
 	g_assert(g_ptr_array_find(task->upstream->tasks, task, NULL));
@@ -78,6 +84,7 @@
 static void check_upstream(const sched_upstream_t *upstream)
 {
 	wwh_load_t used = { 0 };
+	int32_t isolated = 0;
 
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		const sched_task_t *task =
@@ -86,7 +93,9 @@
 
 		g_assert(task->upstream == upstream);
 		wwh_load_add(&used, &taken);
+		isolated += task->isolated;
 	}
+	g_assert(isolated == upstream->isolated_runs);
 	g_assert(used.cpu_millicores == upstream->used.cpu_millicores);
 	g_assert(used.memory_mb == upstream->used.memory_mb);
 	g_assert(used.gpus == upstream->used.gpus);
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -0,0 +1,196 @@
+#include "private/scheduler_state.h"
+
+/* One in this many upstreams of a pool may be isolated at the same time. */
+#define UPSTREAMS_PER_ISOLATED 3
+
+/* More than all other costs of a start, for each task that a crash would end. */
+#define TASK_COST (INT64_C(1) << 32)
+
+/* How long an upstream is kept free of new starts, once it is reserved. */
+#define RESERVATION_MS 400
+
+static bool
+has_young_or_isolated_run_of_other_job(const sched_upstream_t *upstream,
+				       const sched_job_t *job);
+static void discard_pending_run(wwh_scheduler_t *scheduler, sched_task_t *task);
+static bool has_proven_harmless(const sched_task_t *task);
+static bool is_set_apart(const wwh_scheduler_t *scheduler,
+			 const sched_upstream_t *upstream);
+
+/*
+ * Without the record, a holder that is killed before it has learned of the crash
+ * would leave its successor to start the task as if nothing had happened. A task
+ * that was never on an upstream that certainly crashed isn't delayed for that.
+ */
+bool sched_isolation_record(wwh_scheduler_t *scheduler, sched_task_t *task,
+			    int64_t run)
+{
+	sched_job_t *job = task->step->occurrence->job;
+
+	if (task->pending_run <= task->run)
+		discard_pending_run(scheduler, task);
+	if (task->pending_run == 0 && !sched_task_has_crashed(task)) {
+		task->pending_run = run;
+		return true;
+	}
+	if (task->pending_run == 0) {
+		sched_losses_add(task, run, SCHED_LOSS_PENDING);
+		task->pending_run = run;
+		sched_job_mark_dirty(scheduler, job);
+	}
+	return !job->dirty && job->progress_number <= scheduler->durable_record;
+}
+
+void sched_isolation_begin(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	char name[WWH_TASK_NAME_BYTES];
+
+	if (sched_losses_find(&task->losses, task->run) != NULL)
+		task->pending_run = task->run;
+	if (!sched_task_is_suspect(task))
+		return;
+	task->isolated = true;
+	task->upstream->isolated_runs++;
+	scheduler->isolated_starts++;
+	sched_task_name(task, name);
+	sched_explain(scheduler, "task-isolated", name,
+		      "run=%" G_GINT64_FORMAT " upstream=%s losses=%d",
+		      task->run, task->upstream->info.id, task->losses.count);
+}
+
+void sched_isolation_end(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	if (task->isolated)
+		task->upstream->isolated_runs--;
+	task->isolated = false;
+	discard_pending_run(scheduler, task);
+}
+
+void sched_isolation_update(sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+
+		if (upstream->isolated_runs == 0)
+			return;
+		if (!task->isolated || !has_proven_harmless(task))
+			continue;
+		task->isolated = false;
+		upstream->isolated_runs--;
+		upstream->pool->dirty = true;
+	}
+}
+
+bool sched_isolation_allows(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream,
+			    const sched_task_t *task)
+{
+	if (!sched_task_is_suspect(task))
+		return upstream->isolated_runs == 0 &&
+		       scheduler->now_ms >= upstream->reserved_until_ms;
+	return !has_young_or_isolated_run_of_other_job(
+		upstream, task->step->occurrence->job);
+}
+
+/* The suspect tasks of one job share an upstream, as they fail together. */
+bool sched_isolation_has_capacity(const wwh_scheduler_t *scheduler,
+				  const sched_upstream_t *upstream)
+{
+	const sched_pool_t *pool = upstream->pool;
+	int32_t isolated = 0;
+	int32_t usable = 0;
+
+	if (upstream->isolated_runs > 0)
+		return true;
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const sched_upstream_t *other =
+			g_ptr_array_index(pool->upstreams, i);
+
+		usable += sched_upstream_usable(scheduler, other);
+		isolated += other->isolated_runs > 0;
+	}
+	return isolated < MAX(usable / UPSTREAMS_PER_ISOLATED, 1);
+}
+
+int64_t sched_isolation_cost(const sched_upstream_t *upstream)
+{
+	if (upstream->isolated_runs > 0)
+		return 0;
+	return (upstream->tasks->len + 1) * TASK_COST;
+}
+
+/*
+ * In a pool that is full, each upstream gets a start as soon as it has room, so
+ * one that runs no young task is never found. The upstream with the fewest tasks
+ * is reserved, as these are lost if it crashes.
+ */
+void sched_isolation_reserve(wwh_scheduler_t *scheduler,
+			     const sched_task_t *task)
+{
+	const sched_pool_t *pool = task->step->occurrence->job->pool;
+	wwh_load_t need = sched_step_reserved_load(task->step->spec);
+	sched_upstream_t *best = NULL;
+	int32_t set_apart = 0;
+	int32_t usable = 0;
+
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		sched_upstream_t *upstream =
+			g_ptr_array_index(pool->upstreams, i);
+
+		if (!sched_upstream_usable(scheduler, upstream))
+			continue;
+		usable++;
+		if (is_set_apart(scheduler, upstream))
+			set_apart++;
+		else if (wwh_load_fits(&need, &upstream->info.size) &&
+			 (best == NULL ||
+			  upstream->tasks->len < best->tasks->len))
+			best = upstream;
+	}
+	if (best == NULL ||
+	    set_apart >= MAX(usable / UPSTREAMS_PER_ISOLATED, 1))
+		return;
+	best->reserved_until_ms = scheduler->now_ms + RESERVATION_MS;
+}
+
+static bool
+has_young_or_isolated_run_of_other_job(const sched_upstream_t *upstream,
+				       const sched_job_t *job)
+{
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		if (task->step->occurrence->job != job &&
+		    (task->isolated || sched_run_is_young(task)))
+			return true;
+	}
+	return false;
+}
+
+static void discard_pending_run(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	sched_job_t *job = task->step->occurrence->job;
+	const sched_loss_t *row =
+		sched_losses_find(&task->losses, task->pending_run);
+
+	task->pending_run = 0;
+	if (row == NULL || (row->flags & SCHED_LOSS_PENDING) == 0)
+		return;
+	sched_losses_remove(task, row->run);
+	if (sched_job_is_live(job))
+		sched_job_mark_dirty(scheduler, job);
+}
+
+static bool has_proven_harmless(const sched_task_t *task)
+{
+	return sched_task_is_late_suspect(task) ? sched_run_is_mature(task)
+						: !sched_run_is_young(task);
+}
+
+static bool is_set_apart(const wwh_scheduler_t *scheduler,
+			 const sched_upstream_t *upstream)
+{
+	return upstream->isolated_runs > 0 ||
+	       scheduler->now_ms < upstream->reserved_until_ms;
+}
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -259,6 +259,7 @@
 		for (int32_t j = 0; j < step->spec->task_count; j++) {
 			g_free(step->tasks[j].checkpoint);
 			g_free(step->tasks[j].failures.runs);
+			sched_losses_clear(&step->tasks[j]);
 		}
 		g_free(step->gang_failures.runs);
 		g_free(step->tasks);
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -1,39 +1,227 @@
 #include "private/scheduler_state.h"
 
-void sched_run_begin(const wwh_scheduler_t *scheduler, sched_task_t *task)
+/* Upstreams that may crash under a task, whatever else is known of it. */
+#define MAX_LOSSES 5
+
+/*
+ * A task is given up after this many crashes that it may have caused, all but
+ * one of which no other job can have caused. The larger number applies while
+ * upstreams of its pool also crash by themselves.
+ */
+#define MAX_CRASHES 2
+#define MAX_CRASHES_UNPROVOKED 3
+
+/* How long the larger number applies. */
+#define UNPROVOKED_FOR_MS 20000
+
+/* No task is given up with fewer crashes, however many losses it has. */
+#define MIN_CRASHES 2
+
+/* Weights of losses, and the sum from which a task is suspect. */
+#define SUSPECT_WEIGHT 2
+#define BYSTANDER_WEIGHT 1
+#define SUSPECT_SUM 2
+#define LATE_SUSPECT_SUM 4
+
+/* The runs on an upstream that may have caused its crash. */
+typedef struct {
+	bool young_only; /* some runs are young, and only these are suspect */
+	bool of_one_job;
+} suspects_t;
+
+static suspects_t find_suspects(const sched_upstream_t *upstream);
+static bool is_suspect(const suspects_t *suspects, const sched_task_t *task);
+static int32_t max_crashes(const wwh_scheduler_t *scheduler,
+			   const sched_pool_t *pool);
+static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
+			  wwh_termination_t termination);
+static void explain_lost(const wwh_scheduler_t *scheduler,
+			 const sched_task_t *task,
+			 wwh_termination_t termination, const char *why,
+			 uint32_t flags);
+static void count_alone(sched_task_t *task, uint32_t flags, int32_t amount);
+static int32_t count_with(const sched_losses_t *losses, uint32_t flags);
+static int32_t weight_of(const sched_task_t *task);
+
+void sched_losses_attribute(wwh_scheduler_t *scheduler,
+			    sched_upstream_t *upstream,
+			    wwh_termination_t termination, const char *why)
+{
+	suspects_t suspects = find_suspects(upstream);
+
+	if (termination == WWH_TERMINATION_CRASH && !suspects.young_only)
+		upstream->pool->unprovoked_crash_ms = scheduler->now_ms;
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+		sched_job_t *job = task->step->occurrence->job;
+		uint32_t flags = 0;
+
+		if (termination != WWH_TERMINATION_ORDERED &&
+		    !sched_run_is_mature(task)) {
+			flags = attribute(&suspects, task, termination);
+			if (sched_job_is_live(job))
+				sched_job_mark_dirty(scheduler, job);
+		}
+		explain_lost(scheduler, task, termination, why, flags);
+	}
+}
+
+void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task)
+{
+	sched_job_t *job = task->step->occurrence->job;
+	const sched_losses_t *losses = &task->losses;
+	int32_t crashes =
+		count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_SUSPECT);
+	int32_t alone = count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_ALONE);
+	int32_t limit = max_crashes(scheduler, job->pool);
+	bool convicted = crashes >= limit && alone >= limit - 1;
+	bool exhausted = losses->count >= MAX_LOSSES &&
+			 count_with(losses, SCHED_LOSS_CRASH) >= MIN_CRASHES;
+	char name[WWH_TASK_NAME_BYTES];
+
+	if (!sched_job_is_live(job) || (!convicted && !exhausted))
+		return;
+	sched_task_name(task, name);
+	sched_explain(scheduler, "task-given-up", name,
+		      "crashes=%d alone=%d losses=%d", crashes, alone,
+		      losses->count);
+	scheduler->tasks_given_up++;
+	sched_job_end(scheduler, job, WWH_PROGRESS_FAILED);
+}
+
+/*
+ * A task with MAX_LOSSES rows and fewer than MAX_CRASHES crashes is not given up.
+ * Its oldest row that is no crash makes room for the new one.
+ */
+void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags)
+{
+	sched_losses_t *losses = &task->losses;
+
+	for (int32_t i = 0; i < losses->count; i++) {
+		if (losses->rows[i].run == run) {
+			count_alone(task, losses->rows[i].flags, -1);
+			count_alone(task, flags, 1);
+			losses->rows[i].flags = flags;
+			return;
+		}
+	}
+	for (int32_t i = 0; i < losses->count && losses->count >= MAX_LOSSES;
+	     i++) {
+		if ((losses->rows[i].flags & SCHED_LOSS_CRASH) == 0)
+			sched_losses_remove(task, losses->rows[i].run);
+	}
+	losses->rows = g_renew(sched_loss_t, losses->rows, losses->count + 1);
+	losses->rows[losses->count++] =
+		(sched_loss_t){ .run = run, .flags = flags };
+	count_alone(task, flags, 1);
+}
+
+void sched_losses_remove(sched_task_t *task, int64_t run)
+{
+	sched_losses_t *losses = &task->losses;
+	int32_t left = 0;
+
+	for (int32_t i = 0; i < losses->count; i++) {
+		if (losses->rows[i].run != run)
+			losses->rows[left++] = losses->rows[i];
+		else
+			count_alone(task, losses->rows[i].flags, -1);
+	}
+	losses->count = left;
+}
+
+const sched_loss_t *sched_losses_find(const sched_losses_t *losses, int64_t run)
+{
+	for (int32_t i = 0; i < losses->count; i++) {
+		if (losses->rows[i].run == run)
+			return &losses->rows[i];
+	}
+	return NULL;
+}
+
+void sched_losses_clear(sched_task_t *task)
+{
+	while (task->losses.count > 0)
+		sched_losses_remove(task, task->losses.rows[0].run);
+	g_clear_pointer(&task->losses.rows, g_free);
+}
+
+bool sched_task_has_crashed(const sched_task_t *task)
+{
+	return count_with(&task->losses, SCHED_LOSS_CRASH) > 0;
+}
+
+bool sched_task_is_suspect(const sched_task_t *task)
 {
-	task->ordered_ms = scheduler->now_ms;
-	task->accepted_ms = 0;
-	task->first_listed_remote_ms = 0;
-	task->min_age_ms = 0;
+	return task->step->alone_losses > 0 || weight_of(task) >= SUSPECT_SUM;
 }
 
-void sched_run_accepted(const wwh_scheduler_t *scheduler, sched_task_t *task)
+bool sched_task_is_late_suspect(const sched_task_t *task)
 {
-	if (task->accepted_ms == 0)
-		task->accepted_ms = scheduler->now_ms;
+	return weight_of(task) >= LATE_SUSPECT_SUM;
 }
 
 /*
- * Answers may be read late, so the time of reading says nothing about the age
- * of a run. Two readings of the upstream's clock do, and so does a poll that was
- * sent after the start had been confirmed.
+ * A task that crashes its upstream as it starts doesn't let a run grow old. So
+ * while there are young runs, the others are bystanders.
  */
-void sched_run_listed(const wwh_scheduler_t *scheduler, sched_task_t *task,
-		      int64_t sent_ms)
+static suspects_t find_suspects(const sched_upstream_t *upstream)
 {
-	int64_t remote_ms = task->upstream->clock_base_remote_ms;
+	suspects_t suspects = { .of_one_job = true };
+	const sched_job_t *job = NULL;
 
-	sched_run_accepted(scheduler, task);
-	if (task->first_listed_remote_ms == 0)
-		task->first_listed_remote_ms = remote_ms;
-	task->min_age_ms =
-		MAX(task->min_age_ms, remote_ms - task->first_listed_remote_ms);
-	task->min_age_ms = MAX(task->min_age_ms, sent_ms - task->accepted_ms);
+	for (guint i = 0; i < upstream->tasks->len; i++)
+		suspects.young_only |= sched_run_is_young(
+			g_ptr_array_index(upstream->tasks, i));
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+
+		if (!is_suspect(&suspects, task))
+			continue;
+		suspects.of_one_job =
+			suspects.of_one_job &&
+			(job == NULL || job == task->step->occurrence->job);
+		job = task->step->occurrence->job;
+	}
+	return suspects;
+}
+
+static bool is_suspect(const suspects_t *suspects, const sched_task_t *task)
+{
+	return suspects->young_only ? sched_run_is_young(task)
+				    : !sched_run_is_mature(task);
 }
 
-void sched_run_lost(wwh_scheduler_t *scheduler, const sched_task_t *task,
-		    wwh_termination_t termination, const char *why)
+static int32_t max_crashes(const wwh_scheduler_t *scheduler,
+			   const sched_pool_t *pool)
+{
+	if (pool->unprovoked_crash_ms != 0 &&
+	    scheduler->now_ms - pool->unprovoked_crash_ms < UNPROVOKED_FOR_MS)
+		return MAX_CRASHES_UNPROVOKED;
+	return MAX_CRASHES;
+}
+
+/* Returns the flags of the row that is added to task's losses. */
+static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
+			  wwh_termination_t termination)
+{
+	uint32_t flags = 0;
+
+	if (termination == WWH_TERMINATION_CRASH && task->accepted_ms != 0)
+		flags |= SCHED_LOSS_CRASH;
+	if (is_suspect(suspects, task))
+		flags |= SCHED_LOSS_SUSPECT;
+	if (is_suspect(suspects, task) && suspects->of_one_job)
+		flags |= SCHED_LOSS_ALONE;
+	sched_losses_add(task, task->run, flags);
+	return flags;
+}
+
+static void explain_lost(const wwh_scheduler_t *scheduler,
+			 const sched_task_t *task,
+			 wwh_termination_t termination, const char *why,
+			 uint32_t flags)
 {
 	char name[WWH_TASK_NAME_BYTES];
 
@@ -42,9 +230,44 @@
 		      "run=%" G_GINT64_FORMAT
 		      " upstream=%s why=%s termination=%s accepted=%d"
 		      " since_start_ms=%" G_GINT64_FORMAT
-		      " min_age_ms=%" G_GINT64_FORMAT,
+		      " min_age_ms=%" G_GINT64_FORMAT
+		      " suspect=%d alone=%d losses=%d",
 		      task->run, task->upstream->info.id, why,
 		      wwh_termination_names[termination],
 		      task->accepted_ms != 0,
-		      scheduler->now_ms - task->ordered_ms, task->min_age_ms);
+		      scheduler->now_ms - task->ordered_ms, task->min_age_ms,
+		      (flags & SCHED_LOSS_SUSPECT) != 0,
+		      (flags & SCHED_LOSS_ALONE) != 0, task->losses.count);
+}
+
+static void count_alone(sched_task_t *task, uint32_t flags, int32_t amount)
+{
+	if ((flags & SCHED_LOSS_ALONE) != 0)
+		task->step->alone_losses += amount;
+}
+
+/* Counts the rows that have all of these flags. */
+static int32_t count_with(const sched_losses_t *losses, uint32_t flags)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < losses->count; i++)
+		count += (losses->rows[i].flags & flags) == flags;
+	return count;
+}
+
+/* A run whose outcome no holder has learned may have crashed its upstream. */
+static int32_t weight_of(const sched_task_t *task)
+{
+	const uint32_t suspect = SCHED_LOSS_SUSPECT | SCHED_LOSS_PENDING;
+	int32_t sum = 0;
+
+	for (int32_t i = 0; i < task->losses.count; i++) {
+		const sched_loss_t *row = &task->losses.rows[i];
+
+		if (row->run != task->pending_run)
+			sum += (row->flags & suspect) != 0 ? SUSPECT_WEIGHT
+							   : BYSTANDER_WEIGHT;
+	}
+	return sum;
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -46,6 +46,11 @@
 static void explain_started(const wwh_scheduler_t *scheduler,
 			    const sched_step_t *step, int32_t count);
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step);
+static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task);
+static bool waits_for_room(const wwh_scheduler_t *scheduler,
+			   const sched_step_t *step);
+static bool accepts_step(const sched_upstream_t *upstream,
+			 const sched_step_t *step);
 static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
 static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task);
 static sched_upstream_t *find_upstream(wwh_scheduler_t *scheduler,
@@ -54,7 +59,7 @@
 					 sched_task_t *task,
 					 const char **ticket);
 static bool fits_on(const wwh_scheduler_t *scheduler,
-		    const sched_upstream_t *upstream, const sched_step_t *step);
+		    const sched_upstream_t *upstream, const sched_task_t *task);
 static int64_t placement_cost(const sched_upstream_t *upstream,
 			      const sched_task_t *task);
 static int32_t count_step_tasks(const sched_upstream_t *upstream,
@@ -121,6 +126,7 @@
 	g_array_sort(candidates, compare_candidates);
 	measure_max_free(scheduler, pool);
 	scheduler->starts_left = max_starts;
+	scheduler->unplaced = NULL;
 	for (guint i = 0; i < candidates->len && scheduler->starts_left > 0;
 	     i++) {
 		sched_step_t *step =
@@ -283,6 +289,8 @@
 
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step)
 {
+	bool full = false;
+
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
 		sched_task_t *task = &step->tasks[i];
 		sched_upstream_t *upstream;
@@ -295,12 +303,22 @@
 			continue;
 		if (!sched_quota_allows(scheduler, step, 1))
 			return;
+		if (sched_task_is_suspect(task)) {
+			place_suspect(scheduler, task);
+			continue;
+		}
+		if (full)
+			continue;
 		upstream = find_upstream(scheduler, task, &ticket);
 		if (upstream == NULL) {
-			/* tasks of a step have the same needs: none will fit */
 			if (sched_step_needs_advice(step))
 				sched_advice_request(scheduler, step);
-			return;
+			/* tasks of a step have the same needs: none will fit */
+			full = true;
+			if (scheduler->unplaced == NULL &&
+			    !sched_step_needs_advice(step))
+				scheduler->unplaced = step;
+			continue;
 		}
 		sched_task_start(scheduler, task, upstream,
 				 next_run(scheduler, task->run), ticket);
@@ -308,6 +326,55 @@
 	}
 }
 
+/*
+ * A start of a suspect task is recorded first, and then sent once the record is
+ * durable and an upstream can be isolated for it.
+ */
+static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	sched_step_t *step = task->step;
+	const char *ticket = NULL;
+	sched_upstream_t *upstream;
+
+	/* tasks of higher rank wait for the room that isolation would take */
+	if (scheduler->unplaced != NULL &&
+	    waits_for_room(scheduler, scheduler->unplaced))
+		return;
+	if (!sched_isolation_record(scheduler, task,
+				    next_run(scheduler, task->run)))
+		return;
+	upstream = choose_upstream(scheduler, task, &ticket);
+	if (upstream == NULL) {
+		if (sched_step_needs_advice(step))
+			sched_advice_request(scheduler, step);
+		sched_isolation_reserve(scheduler, task);
+		return;
+	}
+	if (!sched_isolation_has_capacity(scheduler, upstream))
+		return;
+	sched_task_start(scheduler, task, upstream, task->pending_run, ticket);
+	scheduler->starts_left--;
+}
+
+/* Whether a task of step would fit on an upstream that runs nothing else. */
+static bool waits_for_room(const wwh_scheduler_t *scheduler,
+			   const sched_step_t *step)
+{
+	const GPtrArray *upstreams = step->occurrence->job->pool->upstreams;
+	wwh_load_t need = sched_step_reserved_load(step->spec);
+
+	for (guint i = 0; i < upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		if (sched_upstream_usable(scheduler, upstream) &&
+		    wwh_load_fits(&need, &upstream->info.size) &&
+		    accepts_step(upstream, step))
+			return true;
+	}
+	return false;
+}
+
 /*
  * Members that are started one by one wait for each other and occupy their hosts
  * meanwhile; two gangs that each occupy half of a pool would deadlock. So a
@@ -412,13 +479,15 @@
 		sched_upstream_t *upstream = g_ptr_array_index(upstreams, i);
 		int64_t cost;
 
-		if (!fits_on(scheduler, upstream, step))
+		if (!fits_on(scheduler, upstream, task))
 			continue;
 		if (sched_step_needs_advice(step) &&
 		    sched_ticket_find(scheduler, step, upstream->info.id) ==
 			    NULL)
 			continue;
 		cost = placement_cost(upstream, task);
+		if (sched_task_is_suspect(task))
+			cost += sched_isolation_cost(upstream);
 		if (best == NULL || cost < best_cost) {
 			best = upstream;
 			best_cost = cost;
@@ -430,18 +499,27 @@
 }
 
 static bool fits_on(const wwh_scheduler_t *scheduler,
-		    const sched_upstream_t *upstream, const sched_step_t *step)
+		    const sched_upstream_t *upstream, const sched_task_t *task)
 {
-	const wwh_job_step_t *spec = step->spec;
-	const wwh_upstream_info_t *info = &upstream->info;
-	wwh_load_t need = sched_step_reserved_load(spec);
+	const sched_step_t *step = task->step;
+	wwh_load_t need = sched_step_reserved_load(step->spec);
 	wwh_load_t free = free_load_of(upstream);
 
 	if (!sched_upstream_usable(scheduler, upstream) ||
-	    !wwh_load_fits(&need, &free))
+	    !wwh_load_fits(&need, &free) ||
+	    !sched_isolation_allows(scheduler, upstream, task))
 		return false;
-	if (spec->label != NULL &&
-	    !g_strv_contains((const char *const *)info->labels, spec->label))
+	return accepts_step(upstream, step);
+}
+
+/* Whether upstream may run one more task of step, if it has room. */
+static bool accepts_step(const sched_upstream_t *upstream,
+			 const sched_step_t *step)
+{
+	const wwh_job_step_t *spec = step->spec;
+	const char *const *labels = (const char *const *)upstream->info.labels;
+
+	if (spec->label != NULL && !g_strv_contains(labels, spec->label))
 		return false;
 	return spec->max_per_upstream == 0 ||
 	       count_step_tasks(upstream, step) < spec->max_per_upstream;
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -6,6 +6,12 @@
  */
 #define POLL_WAIT_MS 1000
 
+/*
+ * An upstream with an isolated run gets no other start until an answer shows
+ * that the run does no harm.
+ */
+#define POLL_ISOLATED_WAIT_MS 50
+
 /*
  * Limit of polls per second at upstreams that run no tasks. If some thousand of
  * them were polled continuously, the holder would have no time for upstreams
@@ -167,6 +173,9 @@
 	 */
 	if (!upstream->settled || upstream->failed_polls > 0)
 		order.wait_ms = 0;
+	else if (upstream->isolated_runs > 0 ||
+		 scheduler->now_ms < upstream->reserved_until_ms)
+		order.wait_ms = POLL_ISOLATED_WAIT_MS;
 	/*
 	 * A lease is extended only while polls are answered. Each poll that was
 	 * sent may still arrive, so extending the lease with every poll at an
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -13,6 +13,9 @@
 #define OCCURRENCE_FIELDS 2
 #define STEP_FIELDS 3
 #define FAILED_FIELDS 2
+
+/* A loss is two numbers of a flat array, its run and its flags. */
+#define LOSS_NUMBERS 2
 #define UPSTREAM_FIELDS 2
 
 /* A record as it was stored. */
@@ -30,6 +33,10 @@
 static void pack_occurrence(msgpack_packer *packer,
 			    const sched_occurrence_t *occurrence);
 static void pack_step(msgpack_packer *packer, const sched_step_t *step);
+static bool has_task_row(const sched_task_t *task);
+static void pack_task_row(msgpack_packer *packer, int32_t index,
+			  const sched_task_t *task);
+static void pack_losses(msgpack_packer *packer, const sched_losses_t *losses);
 static void pack_failures(msgpack_packer *packer,
 			  const sched_failures_t *failures);
 static bool has_array_size(const msgpack_object *object, uint32_t min_size);
@@ -42,6 +49,7 @@
 			 const msgpack_object *object);
 static bool restore_failed_tasks(sched_step_t *step,
 				 const msgpack_object *rows);
+static bool restore_losses(sched_task_t *task, const msgpack_object *numbers);
 static bool restore_failures(sched_failures_t *failures,
 			     const msgpack_object *runs);
 static bool restore_progress(wwh_scheduler_t *scheduler, const char *id,
@@ -73,6 +81,7 @@
 		WWH_SCHEDULER_RECORD_PROGRESS, job->id, value,
 		scheduler->callbacks.client_data);
 	g_bytes_unref(value);
+	job->progress_number = scheduler->newest_record;
 	if (!ends)
 		return;
 	if (job->end_record_number == G_MAXINT64) {
@@ -177,22 +186,45 @@
 	for (int32_t i = 0; i < count; i++) {
 		if (sched_task_state(&step->tasks[i]) == TASK_OVER)
 			done[i / BYTE_BITS] |= (uint8_t)(1U << (i % BYTE_BITS));
-		failed += step->tasks[i].failures.count > 0;
+		failed += has_task_row(&step->tasks[i]);
 	}
 	msgpack_pack_array(packer, STEP_FIELDS);
 	msgpack_pack_bin_with_body(packer, done, size);
 	msgpack_pack_array(packer, failed);
 	for (int32_t i = 0; i < count && failed > 0; i++) {
-		if (step->tasks[i].failures.count == 0)
-			continue;
-		msgpack_pack_array(packer, FAILED_FIELDS);
-		msgpack_pack_int32(packer, i);
-		pack_failures(packer, &step->tasks[i].failures);
+		if (has_task_row(&step->tasks[i]))
+			pack_task_row(packer, i, &step->tasks[i]);
 	}
 	pack_failures(packer, &step->gang_failures);
 	g_free(done);
 }
 
+static bool has_task_row(const sched_task_t *task)
+{
+	return task->failures.count > 0 || task->losses.count > 0;
+}
+
+static void pack_task_row(msgpack_packer *packer, int32_t index,
+			  const sched_task_t *task)
+{
+	bool losses = task->losses.count > 0;
+
+	msgpack_pack_array(packer, FAILED_FIELDS + (losses ? 1 : 0));
+	msgpack_pack_int32(packer, index);
+	pack_failures(packer, &task->failures);
+	if (losses)
+		pack_losses(packer, &task->losses);
+}
+
+static void pack_losses(msgpack_packer *packer, const sched_losses_t *losses)
+{
+	msgpack_pack_array(packer, (size_t)losses->count * LOSS_NUMBERS);
+	for (int32_t i = 0; i < losses->count; i++) {
+		msgpack_pack_int64(packer, losses->rows[i].run);
+		msgpack_pack_uint32(packer, losses->rows[i].flags);
+	}
+}
+
 static void pack_failures(msgpack_packer *packer,
 			  const sched_failures_t *failures)
 {
@@ -369,6 +401,29 @@
 			return false;
 		for (int32_t k = 0; k < task->failures.count; k++)
 			task->run = MAX(task->run, task->failures.runs[k]);
+		if (row->via.array.size > FAILED_FIELDS &&
+		    !restore_losses(task, &row->via.array.ptr[FAILED_FIELDS]))
+			return false;
+	}
+	return true;
+}
+
+/* The losses are absent in older records and in those of tasks without any. */
+static bool restore_losses(sched_task_t *task, const msgpack_object *numbers)
+{
+	if (!has_array_size(numbers, 0))
+		return false;
+	for (uint32_t i = 0; i + LOSS_NUMBERS <= numbers->via.array.size;
+	     i += LOSS_NUMBERS) {
+		const msgpack_object *row = &numbers->via.array.ptr[i];
+		int64_t run;
+		int64_t flags;
+
+		if (!read_number(&row[0], &run) ||
+		    !read_number(&row[1], &flags))
+			return false;
+		sched_losses_add(task, run, (uint32_t)flags);
+		task->run = MAX(task->run, run);
 	}
 	return true;
 }
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -91,6 +91,7 @@
 	sched_task_event(scheduler, task, TASK_ORDER);
 	attach_to_upstream(scheduler, task, upstream);
 	sched_run_begin(scheduler, task);
+	sched_isolation_begin(scheduler, task);
 	task->order_in_flight = true;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -116,6 +117,7 @@
 	attach_to_upstream(scheduler, task, upstream);
 	sched_run_begin(scheduler, task);
 	sched_run_accepted(scheduler, task);
+	sched_isolation_begin(scheduler, task);
 	task->order_in_flight = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -277,6 +279,7 @@
 static void detach_from_upstream(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	g_assert(task->upstream != NULL);
+	sched_isolation_end(scheduler, task);
 	release_load(task);
 	wwh_workspace_quota_subtract(scheduler->quota,
 				     task->step->occurrence->job->workspace,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -438,10 +438,16 @@
 			       sched_upstream_t *upstream,
 			       wwh_termination_t termination, const char *why)
 {
+	GPtrArray *lost = g_ptr_array_new();
+
+	sched_losses_attribute(scheduler, upstream, termination, why);
 	while (upstream->tasks->len > 0) {
 		sched_task_t *task = g_ptr_array_index(upstream->tasks, 0);
 
-		sched_run_lost(scheduler, task, termination, why);
 		sched_task_event(scheduler, task, TASK_LOST);
+		g_ptr_array_add(lost, task);
 	}
+	for (guint i = 0; i < lost->len; i++)
+		sched_losses_give_up(scheduler, g_ptr_array_index(lost, i));
+	g_ptr_array_free(lost, TRUE);
 }
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -216,6 +216,14 @@
 	bool is_current_run =
 		task->upstream == upstream && task->run == row->run;
 
+	/* this run didn't crash its upstream */
+	if (sched_losses_find(&task->losses, row->run) != NULL &&
+	    task->pending_run != row->run) {
+		sched_losses_remove(task, row->run);
+		if (sched_job_is_live(task->step->occurrence->job))
+			sched_job_mark_dirty(scheduler,
+					     task->step->occurrence->job);
+	}
 	if (row->kind == WWH_END_FAILED) {
 		/* the failure may be of a run before the current one */
 		if (sched_task_state(task) != TASK_OVER)
@@ -512,6 +520,7 @@
 		return;
 	}
 	resend_stops(scheduler, upstream);
+	sched_isolation_update(upstream);
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->record_written)
