Count recorded starts whose outcome no holder learned, and test attribution

A holder that is killed after each start of a suspect task leaves a recorded start and no crash.

Tests of what the fix has to tell apart: bystanders, neighbours, upkeep, lost links, long runs of lasting tasks, gangs, steps of which one task crashed an upstream, and an upstream that is shared again.

--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -14,7 +14,10 @@
 /* How long the larger number applies. */
 #define UNPROVOKED_FOR_MS 20000
 
-/* No task is given up with fewer crashes, however many losses it has. */
+/*
+ * No task is given up with fewer crashes, however many losses it has. A recorded
+ * start counts as one if no holder learned of its outcome.
+ */
 #define MIN_CRASHES 2
 
 /* Weights of losses, and the sum from which a task is suspect. */
@@ -39,6 +42,7 @@
 			 const sched_task_t *task,
 			 wwh_termination_t termination, const char *why,
 			 uint32_t flags);
+static bool has_exhausted_losses(const sched_task_t *task);
 static void count_alone(sched_task_t *task, uint32_t flags, int32_t amount);
 static int32_t count_with(const sched_losses_t *losses, uint32_t flags);
 static int32_t weight_of(const sched_task_t *task);
@@ -75,11 +79,10 @@
 	int32_t alone = count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_ALONE);
 	int32_t limit = max_crashes(scheduler, job->pool);
 	bool convicted = crashes >= limit && alone >= limit - 1;
-	bool exhausted = losses->count >= MAX_LOSSES &&
-			 count_with(losses, SCHED_LOSS_CRASH) >= MIN_CRASHES;
 	char name[WWH_TASK_NAME_BYTES];
 
-	if (!sched_job_is_live(job) || (!convicted && !exhausted))
+	if (!sched_job_is_live(job) ||
+	    (!convicted && !has_exhausted_losses(task)))
 		return;
 	sched_task_name(task, name);
 	sched_explain(scheduler, "task-given-up", name,
@@ -90,8 +93,8 @@
 }
 
 /*
- * A task with MAX_LOSSES rows and fewer than MAX_CRASHES crashes is not given up.
- * Its oldest row that is no crash makes room for the new one.
+ * A task with MAX_LOSSES rows may have too few crashes to be given up. Then its
+ * oldest row that is no crash makes room for the new one.
  */
 void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags)
 {
@@ -246,6 +249,18 @@
 		task->step->alone_losses += amount;
 }
 
+/* The row of a start that is about to be ordered is no loss. */
+static bool has_exhausted_losses(const sched_task_t *task)
+{
+	const sched_losses_t *losses = &task->losses;
+	int32_t ordered =
+		sched_losses_find(losses, task->pending_run) != NULL ? 1 : 0;
+	int32_t unclear = count_with(losses, SCHED_LOSS_PENDING) - ordered;
+
+	return losses->count - ordered >= MAX_LOSSES &&
+	       count_with(losses, SCHED_LOSS_CRASH) + unclear >= MIN_CRASHES;
+}
+
 /* Counts the rows that have all of these flags. */
 static int32_t count_with(const sched_losses_t *losses, uint32_t flags)
 {
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -132,6 +132,9 @@
 		sched_step_t *step =
 			g_array_index(candidates, candidate_t, i).step;
 
+		/* the placement of another step may have ended the job */
+		if (!sched_job_is_live(step->occurrence->job))
+			continue;
 		if (step->spec->gang)
 			place_gang(scheduler, step);
 		else
@@ -340,7 +343,9 @@
 	if (scheduler->unplaced != NULL &&
 	    waits_for_room(scheduler, scheduler->unplaced))
 		return;
-	if (!sched_isolation_record(scheduler, task,
+	sched_losses_give_up(scheduler, task);
+	if (sched_task_state(task) != TASK_WAITING ||
+	    !sched_isolation_record(scheduler, task,
 				    next_run(scheduler, task->run)))
 		return;
 	upstream = choose_upstream(scheduler, task, &ticket);
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -81,6 +81,51 @@
 	g_free(next);
 }
 
+/* Answers all polls, each upstream listing the runs that were ordered there. */
+static void list_all_runs(sched_fixture_t *fixture)
+{
+	while (fixture->polls->len > 0) {
+		char *id = g_strdup(
+			g_array_index(fixture->polls, sched_fixture_poll_t, 0)
+				.upstream);
+		wwh_running_task_t running[8];
+		int32_t count = 0;
+
+		for (guint i = 0; i < fixture->starts->len; i++) {
+			const sched_fixture_order_t *order =
+				sched_fixture_order(fixture->starts, i);
+
+			if (strcmp(order->upstream, id) == 0 && count < 8)
+				running[count++] =
+					sched_fixture_running_row(order, 10);
+		}
+		sched_fixture_answer_poll(fixture, id, running, count, NULL, 0);
+		g_free(id);
+	}
+}
+
+static void confirm_starts(sched_fixture_t *fixture, guint first)
+{
+	for (guint i = first; i < fixture->starts->len; i++)
+		sched_fixture_handle_start_result(
+			fixture, sched_fixture_order(fixture->starts, i),
+			WWH_ORDER_DONE);
+}
+
+static void crash(sched_fixture_t *fixture, const char *id)
+{
+	wwh_scheduler_upstream_terminated(fixture->scheduler, id,
+					  WWH_TERMINATION_CRASH, "down",
+					  fixture->now_ms);
+	sched_fixture_run(fixture, FINAL_REPORT_MS);
+	sched_fixture_make_durable(fixture);
+}
+
+static const char *upstream_of_start(sched_fixture_t *fixture, guint number)
+{
+	return sched_fixture_order(fixture->starts, number)->upstream;
+}
+
 /* Lets time pass until the next start or for 5 s. Returns whether one came. */
 static bool await_start(sched_fixture_t *fixture, guint before)
 {
@@ -126,3 +171,259 @@
 	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
 			 WWH_PROGRESS_FAILED);
 }
+
+/* Guards against a new job that is started beside a suspect and lost with it. */
+void a_suspect_is_started_on_an_upstream_of_its_own(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	crash_newest_start(fixture);
+	assert_true(await_start(fixture, 1));
+	assert_non_null(strstr(fixture->events->str,
+			       "task-isolated " JOB_A ".0.0.0 run=2"));
+	for (int32_t i = 0; i < 4; i++) {
+		char id[WWH_JOB_ID_CHARS + 1];
+
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		sched_fixture_submit(fixture, sched_fixture_job(id, 1, 1000));
+	}
+	assert_int_equal(fixture->starts->len, 6);
+	for (guint i = 2; i < 6; i++)
+		assert_string_not_equal(upstream_of_start(fixture, i),
+					upstream_of_start(fixture, 1));
+}
+
+/* Guards against an upstream that stays empty after its suspect did no harm. */
+void an_upstream_is_shared_again_once_its_suspect_is_harmless(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	guint before;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	crash_newest_start(fixture);
+	assert_true(await_start(fixture, 1));
+	confirm_starts(fixture, 1);
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	before = fixture->starts->len;
+	assert_int_equal(before, 2);
+	for (int32_t i = 0; i < 10 && fixture->starts->len == before; i++) {
+		sched_fixture_run(fixture, 50);
+		list_all_runs(fixture);
+	}
+	assert_int_equal(fixture->starts->len, 3);
+	assert_string_equal(upstream_of_start(fixture, 2),
+			    upstream_of_start(fixture, 1));
+}
+
+/* Guards against tasks that are held back for the crash of a younger one. */
+void a_run_that_has_proven_harmless_is_a_bystander(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	confirm_starts(fixture, 0);
+	for (int32_t i = 0; i < 5; i++) {
+		sched_fixture_run(fixture, 50);
+		list_all_runs(fixture);
+	}
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	confirm_starts(fixture, 1);
+	assert_string_equal(upstream_of_start(fixture, 0),
+			    upstream_of_start(fixture, 1));
+	crash(fixture, upstream_of_start(fixture, 0));
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(fixture->starts->len, 4);
+	assert_null(strstr(fixture->events->str, "task-isolated " JOB_A));
+	assert_non_null(strstr(fixture->events->str, "task-isolated " JOB_B));
+}
+
+/* Guards against a sound job that fails for what its neighbour did. */
+void a_neighbour_of_a_task_that_crashes_upstreams_completes(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	wwh_job_progress_t bad = WWH_PROGRESS_ACTIVE;
+	guint handled = 0;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	assert_string_equal(upstream_of_start(fixture, 0),
+			    upstream_of_start(fixture, 1));
+	for (int32_t i = 0; i < 40 && bad != WWH_PROGRESS_FAILED; i++) {
+		guint count = fixture->starts->len;
+
+		confirm_starts(fixture, handled);
+		list_all_runs(fixture);
+		for (guint k = handled; k < count; k++) {
+			const sched_fixture_order_t *order =
+				sched_fixture_order(fixture->starts, k);
+
+			if (g_str_has_prefix(order->task, JOB_A))
+				crash(fixture, order->upstream);
+		}
+		handled = count;
+		sched_fixture_run(fixture, 50);
+		sched_fixture_make_durable(fixture);
+		bad = wwh_scheduler_job_state(fixture->scheduler, JOB_A);
+	}
+	assert_int_equal(bad, WWH_PROGRESS_FAILED);
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_B),
+			 WWH_PROGRESS_ACTIVE);
+	assert_int_equal(
+		wwh_scheduler_counts(fixture->scheduler).tasks_given_up, 1);
+}
+
+/* Guards against a sound job that fails because its hosts were cut off. */
+void runs_on_upstreams_out_of_reach_end_no_job(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	for (guint i = 0; i < 8; i++) {
+		char id[16];
+		char endpoint[16];
+
+		assert_true(await_start(fixture, i));
+		confirm_starts(fixture, i);
+		wwh_scheduler_upstream_terminated(
+			fixture->scheduler, upstream_of_start(fixture, i),
+			WWH_TERMINATION_UNKNOWN, "no-host", fixture->now_ms);
+		sched_fixture_run(fixture, FINAL_REPORT_MS);
+		snprintf(id, sizeof(id), "new%u", i);
+		snprintf(endpoint, sizeof(endpoint), "10.0.2.%u:1", i);
+		sched_fixture_add_upstream(fixture, id, endpoint);
+	}
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+}
+
+/* Guards against upkeep that counts as a crash. */
+void a_run_that_upkeep_ended_is_no_suspect(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	confirm_starts(fixture, 0);
+	wwh_scheduler_upstream_terminated(
+		fixture->scheduler, upstream_of_start(fixture, 0),
+		WWH_TERMINATION_ORDERED, "upkeep", fixture->now_ms);
+	sched_fixture_run(fixture, FINAL_REPORT_MS);
+	assert_int_equal(fixture->starts->len, 2);
+	assert_null(strstr(fixture->events->str, "task-isolated"));
+}
+
+/*
+ * Guards against a holder that is killed between a suspect start and its crash,
+ * and leaves no trace of it.
+ */
+void a_suspect_start_is_recorded_before_it_is_sent(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	guint crashes = 1;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	crash_newest_start(fixture);
+	while (crashes < 2 * MAX_CRASHES && await_start(fixture, crashes)) {
+		char *id = g_strdup(upstream_of_start(fixture, crashes));
+		char next[16];
+
+		crashes++;
+		sched_fixture_take_over(fixture);
+		wwh_scheduler_upstream_terminated(fixture->scheduler, id,
+						  WWH_TERMINATION_CRASH, "down",
+						  fixture->now_ms);
+		for (int32_t i = 1; i <= 3; i++) {
+			snprintf(next, sizeof(next), "u%d", i);
+			if (strcmp(next, id) != 0)
+				sched_fixture_announce(fixture, next,
+						       ENDPOINT_1, false);
+		}
+		snprintf(next, sizeof(next), "new%u", crashes);
+		sched_fixture_announce(fixture, next, ENDPOINT_3, false);
+		sched_fixture_run(fixture, 1);
+		answer_all_but(fixture, id);
+		sched_fixture_make_durable(fixture);
+		g_free(id);
+	}
+	assert_in_range(crashes, 2, MAX_CRASHES);
+}
+
+/* Guards against a step whose tasks crash one upstream each, all over the pool. */
+void tasks_of_a_step_that_crashed_an_upstream_are_isolated(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	char first[32];
+	guint handled;
+
+	/* as many as fit on one upstream, and three more */
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 11, 1000));
+	assert_int_equal(fixture->starts->len, 11);
+	handled = 11;
+	confirm_starts(fixture, 0);
+	g_strlcpy(first, upstream_of_start(fixture, 0), sizeof(first));
+	crash(fixture, first);
+	for (int32_t i = 0; i < 4; i++) {
+		sched_fixture_run(fixture, 10);
+		sched_fixture_make_durable(fixture);
+	}
+	assert_true(fixture->starts->len > handled);
+	for (guint i = handled; i < fixture->starts->len; i++)
+		assert_string_equal(upstream_of_start(fixture, i),
+				    upstream_of_start(fixture, handled));
+}
+
+/* Guards against a lasting task that stays away after its upstream crashed. */
+void a_lasting_task_is_no_suspect_once_it_has_run_for_long(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	wwh_job_t *job = sched_fixture_job(JOB_A, 1, 1000);
+
+	job->steps[0].lasting = true;
+	sched_fixture_submit(fixture, job);
+	for (guint i = 0; i < 2 * MAX_CRASHES; i++) {
+		char id[16];
+		char endpoint[16];
+
+		confirm_starts(fixture, i);
+		for (int32_t k = 0; k < 30; k++) {
+			sched_fixture_run(fixture, 50);
+			list_all_runs(fixture);
+		}
+		crash(fixture, upstream_of_start(fixture, i));
+		snprintf(id, sizeof(id), "new%u", i);
+		snprintf(endpoint, sizeof(endpoint), "10.0.2.%u:1", i);
+		sched_fixture_add_upstream(fixture, id, endpoint);
+		sched_fixture_run(fixture, 1);
+		assert_int_equal(fixture->starts->len, i + 2);
+	}
+	assert_null(strstr(fixture->events->str, "task-isolated"));
+}
+
+/* Guards against a gang that is restarted without limit. */
+void a_gang_that_crashes_its_upstreams_is_given_up(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	wwh_job_t *job = sched_fixture_job(JOB_A, 2, 5000);
+	guint crashes = 0;
+
+	job->steps[0].gang = true;
+	sched_fixture_submit(fixture, job);
+	while (crashes < 2 * MAX_CRASHES && await_start(fixture, 2 * crashes)) {
+		sched_fixture_order_t other = *sched_fixture_order(
+			fixture->starts, fixture->starts->len - 2);
+		wwh_ended_task_t broken =
+			sched_fixture_ended_row(&other, 1, WWH_END_BROKEN);
+
+		confirm_starts(fixture, 2 * crashes);
+		crash_newest_start(fixture);
+		crashes++;
+		sched_fixture_run(fixture, 50);
+		sched_fixture_answer_poll(fixture, other.upstream, NULL, 0,
+					  &broken, 1);
+		crash(fixture, other.upstream);
+		sched_fixture_add_upstream(fixture, other.task + 1, ENDPOINT_3);
+	}
+	assert_in_range(crashes, 2, MAX_CRASHES);
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_FAILED);
+}
