Test upstreams whose capacity shrinks while they run tasks

A start waits until what runs, and what is being stopped, leaves room in the announced capacity; also after a change of holder and for a gang.

--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -248,6 +248,22 @@
 void a_lasting_task_is_no_suspect_once_it_has_run_for_long(void **state);
 void a_gang_that_crashes_its_upstreams_is_given_up(void **state);
 
+#define CAPACITY_TESTS                                                               \
+	FIXTURE_TEST(a_shrunk_upstream_gets_no_start_until_it_has_room, 1),          \
+		FIXTURE_TEST(                                                        \
+			a_stopping_task_occupies_a_shrunk_upstream_until_it_ends,    \
+			1),                                                          \
+		FIXTURE_TEST(a_new_holder_starts_nothing_on_a_shrunk_upstream,       \
+			     1),                                                     \
+		FIXTURE_TEST(                                                        \
+			a_gang_starts_only_where_shrunk_upstreams_have_room_for_all, \
+			1)
+
+void a_shrunk_upstream_gets_no_start_until_it_has_room(void **state);
+void a_stopping_task_occupies_a_shrunk_upstream_until_it_ends(void **state);
+void a_new_holder_starts_nothing_on_a_shrunk_upstream(void **state);
+void a_gang_starts_only_where_shrunk_upstreams_have_room_for_all(void **state);
+
 #define IDLE_TESTS                                                             \
 	FIXTURE_TEST(polls_of_many_idle_upstreams_are_rate_limited, 0),        \
 		FIXTURE_TEST(few_idle_upstreams_are_polled_continuously, 0),   \
