Bound what isolation costs a pool and its holder

Also: a loss without a certain crash (a lapsed lease, a cut link) weighs half, so that one of them isolates nobody; a task that waits for room goes before suspects of lower rank; at most 32 upstreams of a pool are isolated at a time, as they are polled often; a pass looks for an upstream in vain at most 8 times.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -129,7 +129,8 @@
 	int32_t outstanding;
 	int64_t gang_run;
 	sched_failures_t gang_failures;
-	int32_t alone_losses; /* rows of its tasks with SCHED_LOSS_ALONE */
+	int32_t losses; /* rows of all its tasks */
+	int32_t alone_losses; /* those with SCHED_LOSS_ALONE */
 	GHashTable *tickets; /* upstream id to sched_ticket_t; NULL: none yet */
 	GHashTable *advice_requested; /* set of upstream ids */
 	bool advice_in_flight;
@@ -165,6 +166,7 @@
 	int64_t next_occurrence; /* the first that isn't opened */
 	int64_t occurrences_done;
 	int32_t outstanding;
+	int32_t isolated_runs; /* tasks with isolated set */
 };
 
 struct sched_upstream {
@@ -261,7 +263,10 @@
 	bool restored;
 	bool starts_held;
 	int32_t starts_left; /* of one pool, in the current pass */
-	sched_step_t *unplaced; /* the first in the current pass; NULL: none */
+	/* Of one pool, in the current pass. */
+	int32_t isolations_left;
+	int32_t failed_isolations_left;
+	bool has_room_shortage; /* a step before this one waits for room */
 	wwh_workspace_quota_t *quota;
 	int64_t now_ms;
 	int64_t wall_ms;
@@ -369,11 +374,13 @@
 
 /* scheduler_isolation.c: starts suspect tasks, each alone on its upstream */
 /*
- * Records the start of a suspect task in advance, so that a new holder counts
- * it. Returns whether that is durable.
+ * Records the start of a suspect task on upstream in advance, so that a new
+ * holder counts it. Returns whether that is durable.
  */
 bool sched_isolation_record(wwh_scheduler_t *scheduler, sched_task_t *task,
-			    int64_t run);
+			    sched_upstream_t *upstream, int64_t run);
+/* Withdraws such a record of a start that wasn't sent. */
+void sched_isolation_withdraw(wwh_scheduler_t *scheduler, sched_task_t *task);
 /* Called when a run of task was ordered, or was found by a new holder. */
 void sched_isolation_begin(wwh_scheduler_t *scheduler, sched_task_t *task);
 /* Called when the outstanding run of task is over. */
@@ -384,12 +391,12 @@
 bool sched_isolation_allows(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream,
 			    const sched_task_t *task);
-/*
- * Whether task may be started on upstream, as far as the number of isolated
- * upstreams of the pool is limited.
- */
-bool sched_isolation_has_capacity(const wwh_scheduler_t *scheduler,
-				  const sched_upstream_t *upstream);
+/* Called before each pass over a pool. */
+void sched_isolation_begin_pass(wwh_scheduler_t *scheduler,
+				const sched_pool_t *pool);
+/* Whether an upstream may be isolated for task in this pass. */
+bool sched_isolation_is_due(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task);
 /* A cost of starting a suspect task on upstream, above all other costs. */
 int64_t sched_isolation_cost(const sched_upstream_t *upstream);
 /* Keeps an upstream of the pool free of new starts, for a start of task. */
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -47,6 +47,7 @@
 {
 	int32_t over = 0;
 	int32_t step_outstanding = 0;
+	int32_t losses = 0;
 	int32_t alone_losses = 0;
 
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
@@ -55,10 +56,12 @@
 		check_task(scheduler, task);
 		over += sched_task_state(task) == TASK_OVER;
 		step_outstanding += task->upstream != NULL;
+		losses += task->losses.count;
 		for (int32_t k = 0; k < task->losses.count; k++)
 			alone_losses += (task->losses.rows[k].flags &
 					 SCHED_LOSS_ALONE) != 0;
 	}
+	g_assert(losses == step->losses);
 	g_assert(alone_losses == step->alone_losses);
 	g_assert(step_outstanding == step->outstanding);
 	if (sched_job_is_live(step->occurrence->job))
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -3,17 +3,27 @@
 /* One in this many upstreams of a pool may be isolated at the same time. */
 #define UPSTREAMS_PER_ISOLATED 3
 
+/* In any pool, as isolated upstreams are polled often. */
+#define MAX_ISOLATED 32
+
+/* Suspect tasks for which a pass over a pool looks for an upstream in vain. */
+#define FAILED_ISOLATIONS_PER_PASS 8
+
 /* More than all other costs of a start, for each task that a crash would end. */
 #define TASK_COST (INT64_C(1) << 32)
 
 /* How long an upstream is kept free of new starts, once it is reserved. */
 #define RESERVATION_MS 400
 
+/* How long it is kept for a start whose record isn't durable yet. */
+#define RECORD_RESERVATION_MS 150
+
 static bool
 has_young_or_isolated_run_of_other_job(const sched_upstream_t *upstream,
 				       const sched_job_t *job);
-static void discard_pending_run(wwh_scheduler_t *scheduler, sched_task_t *task);
+static void set_isolated(sched_task_t *task, bool isolated);
 static bool has_proven_harmless(const sched_task_t *task);
+static int32_t max_isolated(int32_t usable);
 static bool is_set_apart(const wwh_scheduler_t *scheduler,
 			 const sched_upstream_t *upstream);
 
@@ -23,12 +33,12 @@
  * that was never on an upstream that certainly crashed isn't delayed for that.
  */
 bool sched_isolation_record(wwh_scheduler_t *scheduler, sched_task_t *task,
-			    int64_t run)
+			    sched_upstream_t *upstream, int64_t run)
 {
 	sched_job_t *job = task->step->occurrence->job;
 
 	if (task->pending_run <= task->run)
-		discard_pending_run(scheduler, task);
+		sched_isolation_withdraw(scheduler, task);
 	if (task->pending_run == 0 && !sched_task_has_crashed(task)) {
 		task->pending_run = run;
 		return true;
@@ -36,11 +46,28 @@
 	if (task->pending_run == 0) {
 		sched_losses_add(task, run, SCHED_LOSS_PENDING);
 		task->pending_run = run;
+		upstream->reserved_until_ms =
+			MAX(upstream->reserved_until_ms,
+			    scheduler->now_ms + RECORD_RESERVATION_MS);
 		sched_job_mark_dirty(scheduler, job);
 	}
 	return !job->dirty && job->progress_number <= scheduler->durable_record;
 }
 
+void sched_isolation_withdraw(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	sched_job_t *job = task->step->occurrence->job;
+	const sched_loss_t *row =
+		sched_losses_find(&task->losses, task->pending_run);
+
+	task->pending_run = 0;
+	if (row == NULL || (row->flags & SCHED_LOSS_PENDING) == 0)
+		return;
+	sched_losses_remove(task, row->run);
+	if (sched_job_is_live(job))
+		sched_job_mark_dirty(scheduler, job);
+}
+
 void sched_isolation_begin(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	char name[WWH_TASK_NAME_BYTES];
@@ -49,8 +76,9 @@
 		task->pending_run = task->run;
 	if (!sched_task_is_suspect(task))
 		return;
-	task->isolated = true;
-	task->upstream->isolated_runs++;
+	if (task->upstream->isolated_runs == 0)
+		scheduler->isolations_left--;
+	set_isolated(task, true);
 	scheduler->isolated_starts++;
 	sched_task_name(task, name);
 	sched_explain(scheduler, "task-isolated", name,
@@ -61,9 +89,8 @@
 void sched_isolation_end(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	if (task->isolated)
-		task->upstream->isolated_runs--;
-	task->isolated = false;
-	discard_pending_run(scheduler, task);
+		set_isolated(task, false);
+	sched_isolation_withdraw(scheduler, task);
 }
 
 void sched_isolation_update(sched_upstream_t *upstream)
@@ -75,8 +102,7 @@
 			return;
 		if (!task->isolated || !has_proven_harmless(task))
 			continue;
-		task->isolated = false;
-		upstream->isolated_runs--;
+		set_isolated(task, false);
 		upstream->pool->dirty = true;
 	}
 }
@@ -92,24 +118,33 @@
 		upstream, task->step->occurrence->job);
 }
 
-/* The suspect tasks of one job share an upstream, as they fail together. */
-bool sched_isolation_has_capacity(const wwh_scheduler_t *scheduler,
-				  const sched_upstream_t *upstream)
+void sched_isolation_begin_pass(wwh_scheduler_t *scheduler,
+				const sched_pool_t *pool)
 {
-	const sched_pool_t *pool = upstream->pool;
 	int32_t isolated = 0;
 	int32_t usable = 0;
 
-	if (upstream->isolated_runs > 0)
-		return true;
 	for (guint i = 0; i < pool->upstreams->len; i++) {
-		const sched_upstream_t *other =
+		const sched_upstream_t *upstream =
 			g_ptr_array_index(pool->upstreams, i);
 
-		usable += sched_upstream_usable(scheduler, other);
-		isolated += other->isolated_runs > 0;
+		usable += sched_upstream_usable(scheduler, upstream);
+		isolated += upstream->isolated_runs > 0;
 	}
-	return isolated < MAX(usable / UPSTREAMS_PER_ISOLATED, 1);
+	scheduler->isolations_left = max_isolated(usable) - isolated;
+	scheduler->failed_isolations_left = FAILED_ISOLATIONS_PER_PASS;
+	scheduler->has_room_shortage = false;
+}
+
+/* The suspect tasks of one job share an upstream, as they fail together. */
+bool sched_isolation_is_due(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task)
+{
+	if (scheduler->has_room_shortage ||
+	    scheduler->failed_isolations_left <= 0)
+		return false;
+	return scheduler->isolations_left > 0 ||
+	       task->step->occurrence->job->isolated_runs > 0;
 }
 
 int64_t sched_isolation_cost(const sched_upstream_t *upstream)
@@ -147,8 +182,8 @@
 			  upstream->tasks->len < best->tasks->len))
 			best = upstream;
 	}
-	if (best == NULL ||
-	    set_apart >= MAX(usable / UPSTREAMS_PER_ISOLATED, 1))
+	scheduler->failed_isolations_left--;
+	if (best == NULL || set_apart >= max_isolated(usable))
 		return;
 	best->reserved_until_ms = scheduler->now_ms + RESERVATION_MS;
 }
@@ -168,18 +203,13 @@
 	return false;
 }
 
-static void discard_pending_run(wwh_scheduler_t *scheduler, sched_task_t *task)
+static void set_isolated(sched_task_t *task, bool isolated)
 {
-	sched_job_t *job = task->step->occurrence->job;
-	const sched_loss_t *row =
-		sched_losses_find(&task->losses, task->pending_run);
+	int32_t amount = isolated ? 1 : -1;
 
-	task->pending_run = 0;
-	if (row == NULL || (row->flags & SCHED_LOSS_PENDING) == 0)
-		return;
-	sched_losses_remove(task, row->run);
-	if (sched_job_is_live(job))
-		sched_job_mark_dirty(scheduler, job);
+	task->isolated = isolated;
+	task->upstream->isolated_runs += amount;
+	task->step->occurrence->job->isolated_runs += amount;
 }
 
 static bool has_proven_harmless(const sched_task_t *task)
@@ -188,6 +218,11 @@
 						: !sched_run_is_young(task);
 }
 
+static int32_t max_isolated(int32_t usable)
+{
+	return CLAMP(usable / UPSTREAMS_PER_ISOLATED, 1, MAX_ISOLATED);
+}
+
 static bool is_set_apart(const wwh_scheduler_t *scheduler,
 			 const sched_upstream_t *upstream)
 {
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -20,9 +20,12 @@
  */
 #define MIN_CRASHES 2
 
-/* Weights of losses, and the sum from which a task is suspect. */
+/*
+ * Weights of a crash that the task may have caused and of other losses, and the
+ * sums from which the task is suspect.
+ */
 #define SUSPECT_WEIGHT 2
-#define BYSTANDER_WEIGHT 1
+#define OTHER_WEIGHT 1
 #define SUSPECT_SUM 2
 #define LATE_SUSPECT_SUM 4
 
@@ -43,7 +46,7 @@
 			 wwh_termination_t termination, const char *why,
 			 uint32_t flags);
 static bool has_exhausted_losses(const sched_task_t *task);
-static void count_alone(sched_task_t *task, uint32_t flags, int32_t amount);
+static void count_row(sched_step_t *step, uint32_t flags, int32_t amount);
 static int32_t count_with(const sched_losses_t *losses, uint32_t flags);
 static int32_t weight_of(const sched_task_t *task);
 
@@ -76,7 +79,7 @@
 	const sched_losses_t *losses = &task->losses;
 	int32_t crashes =
 		count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_SUSPECT);
-	int32_t alone = count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_ALONE);
+	int32_t alone = count_with(losses, SCHED_LOSS_ALONE);
 	int32_t limit = max_crashes(scheduler, job->pool);
 	bool convicted = crashes >= limit && alone >= limit - 1;
 	char name[WWH_TASK_NAME_BYTES];
@@ -102,8 +105,8 @@
 
 	for (int32_t i = 0; i < losses->count; i++) {
 		if (losses->rows[i].run == run) {
-			count_alone(task, losses->rows[i].flags, -1);
-			count_alone(task, flags, 1);
+			count_row(task->step, losses->rows[i].flags, -1);
+			count_row(task->step, flags, 1);
 			losses->rows[i].flags = flags;
 			return;
 		}
@@ -116,7 +119,7 @@
 	losses->rows = g_renew(sched_loss_t, losses->rows, losses->count + 1);
 	losses->rows[losses->count++] =
 		(sched_loss_t){ .run = run, .flags = flags };
-	count_alone(task, flags, 1);
+	count_row(task->step, flags, 1);
 }
 
 void sched_losses_remove(sched_task_t *task, int64_t run)
@@ -128,7 +131,7 @@
 		if (losses->rows[i].run != run)
 			losses->rows[left++] = losses->rows[i];
 		else
-			count_alone(task, losses->rows[i].flags, -1);
+			count_row(task->step, losses->rows[i].flags, -1);
 	}
 	losses->count = left;
 }
@@ -209,13 +212,16 @@
 static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
 			  wwh_termination_t termination)
 {
+	bool crashed =
+		termination == WWH_TERMINATION_CRASH && task->accepted_ms != 0;
+	bool suspect = is_suspect(suspects, task);
 	uint32_t flags = 0;
 
-	if (termination == WWH_TERMINATION_CRASH && task->accepted_ms != 0)
+	if (crashed)
 		flags |= SCHED_LOSS_CRASH;
-	if (is_suspect(suspects, task))
+	if (suspect)
 		flags |= SCHED_LOSS_SUSPECT;
-	if (is_suspect(suspects, task) && suspects->of_one_job)
+	if (crashed && suspect && suspects->of_one_job)
 		flags |= SCHED_LOSS_ALONE;
 	sched_losses_add(task, task->run, flags);
 	return flags;
@@ -243,10 +249,11 @@
 		      (flags & SCHED_LOSS_ALONE) != 0, task->losses.count);
 }
 
-static void count_alone(sched_task_t *task, uint32_t flags, int32_t amount)
+static void count_row(sched_step_t *step, uint32_t flags, int32_t amount)
 {
+	step->losses += amount;
 	if ((flags & SCHED_LOSS_ALONE) != 0)
-		task->step->alone_losses += amount;
+		step->alone_losses += amount;
 }
 
 /* The row of a start that is about to be ordered is no loss. */
@@ -271,18 +278,24 @@
 	return count;
 }
 
-/* A run whose outcome no holder has learned may have crashed its upstream. */
+/*
+ * A recorded start whose outcome no holder learned may have crashed its upstream.
+ * An upstream that is out of reach seldom has crashed.
+ */
 static int32_t weight_of(const sched_task_t *task)
 {
-	const uint32_t suspect = SCHED_LOSS_SUSPECT | SCHED_LOSS_PENDING;
 	int32_t sum = 0;
 
 	for (int32_t i = 0; i < task->losses.count; i++) {
 		const sched_loss_t *row = &task->losses.rows[i];
+		bool crashed = (row->flags & SCHED_LOSS_CRASH) != 0 &&
+			       (row->flags & SCHED_LOSS_SUSPECT) != 0;
 
-		if (row->run != task->pending_run)
-			sum += (row->flags & suspect) != 0 ? SUSPECT_WEIGHT
-							   : BYSTANDER_WEIGHT;
+		if (row->run == task->pending_run)
+			continue;
+		sum += crashed || (row->flags & SCHED_LOSS_PENDING) != 0
+			       ? SUSPECT_WEIGHT
+			       : OTHER_WEIGHT;
 	}
 	return sum;
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -47,6 +47,9 @@
 			    const sched_step_t *step, int32_t count);
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step);
 static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task);
+static sched_upstream_t *find_isolated_upstream(wwh_scheduler_t *scheduler,
+						sched_task_t *task,
+						const char **ticket);
 static bool waits_for_room(const wwh_scheduler_t *scheduler,
 			   const sched_step_t *step);
 static bool accepts_step(const sched_upstream_t *upstream,
@@ -126,7 +129,7 @@
 	g_array_sort(candidates, compare_candidates);
 	measure_max_free(scheduler, pool);
 	scheduler->starts_left = max_starts;
-	scheduler->unplaced = NULL;
+	sched_isolation_begin_pass(scheduler, pool);
 	for (guint i = 0; i < candidates->len && scheduler->starts_left > 0;
 	     i++) {
 		sched_step_t *step =
@@ -316,11 +319,13 @@
 		if (upstream == NULL) {
 			if (sched_step_needs_advice(step))
 				sched_advice_request(scheduler, step);
-			/* tasks of a step have the same needs: none will fit */
+			scheduler->has_room_shortage =
+				scheduler->has_room_shortage ||
+				waits_for_room(scheduler, step);
+			/* only suspects may fit where others of the step don't */
+			if (step->losses == 0)
+				return;
 			full = true;
-			if (scheduler->unplaced == NULL &&
-			    !sched_step_needs_advice(step))
-				scheduler->unplaced = step;
 			continue;
 		}
 		sched_task_start(scheduler, task, upstream,
@@ -330,44 +335,62 @@
 }
 
 /*
- * A start of a suspect task is recorded first, and then sent once the record is
- * durable and an upstream can be isolated for it.
+ * Once an upstream can be isolated for a suspect task, its start is recorded, and
+ * sent when the record is durable. Tasks of higher rank that wait for room go
+ * first, as an isolated upstream has less of it.
  */
 static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
-	sched_step_t *step = task->step;
 	const char *ticket = NULL;
 	sched_upstream_t *upstream;
 
-	/* tasks of higher rank wait for the room that isolation would take */
-	if (scheduler->unplaced != NULL &&
-	    waits_for_room(scheduler, scheduler->unplaced))
-		return;
 	sched_losses_give_up(scheduler, task);
-	if (sched_task_state(task) != TASK_WAITING ||
-	    !sched_isolation_record(scheduler, task,
-				    next_run(scheduler, task->run)))
+	if (sched_task_state(task) != TASK_WAITING)
 		return;
-	upstream = choose_upstream(scheduler, task, &ticket);
+	upstream = find_isolated_upstream(scheduler, task, &ticket);
 	if (upstream == NULL) {
-		if (sched_step_needs_advice(step))
-			sched_advice_request(scheduler, step);
-		sched_isolation_reserve(scheduler, task);
+		sched_isolation_withdraw(scheduler, task);
 		return;
 	}
-	if (!sched_isolation_has_capacity(scheduler, upstream))
+	if (!sched_isolation_record(scheduler, task, upstream,
+				    next_run(scheduler, task->run)))
 		return;
 	sched_task_start(scheduler, task, upstream, task->pending_run, ticket);
 	scheduler->starts_left--;
 }
 
-/* Whether a task of step would fit on an upstream that runs nothing else. */
+static sched_upstream_t *find_isolated_upstream(wwh_scheduler_t *scheduler,
+						sched_task_t *task,
+						const char **ticket)
+{
+	sched_upstream_t *upstream;
+
+	if (!sched_isolation_is_due(scheduler, task))
+		return NULL;
+	upstream = choose_upstream(scheduler, task, ticket);
+	if (upstream == NULL) {
+		if (sched_step_needs_advice(task->step))
+			sched_advice_request(scheduler, task->step);
+		sched_isolation_reserve(scheduler, task);
+		return NULL;
+	}
+	if (upstream->isolated_runs == 0 && scheduler->isolations_left <= 0)
+		return NULL;
+	return upstream;
+}
+
+/*
+ * Whether a task of step would fit on an upstream that runs nothing else. Where
+ * advice is needed, it may wait for that instead.
+ */
 static bool waits_for_room(const wwh_scheduler_t *scheduler,
 			   const sched_step_t *step)
 {
 	const GPtrArray *upstreams = step->occurrence->job->pool->upstreams;
 	wwh_load_t need = sched_step_reserved_load(step->spec);
 
+	if (sched_step_needs_advice(step))
+		return false;
 	for (guint i = 0; i < upstreams->len; i++) {
 		const sched_upstream_t *upstream =
 			g_ptr_array_index(upstreams, i);
