Fuzz the scheduler with tasks that crash their upstreams

Jobs of eight kinds, which no kept input has, crash the upstream that starts their first task after 10 or 250 ms; it is back 3 s later. Checked where a run begins: a task is started five times at most, twice more for each change of holder and once for each start whose answer was lost; and a job is shown as failed only if a task failed as often as its queue allows or two upstreams crashed under one.

--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -15,7 +15,10 @@
  *  - the job was handed in, with this payload, and its cancel isn't known;
  * and when a holder is asked: a job is shown as completed only when each of
  * its tasks is done, and ever after; as failed only when a task has failed as
- * often as the queue allows; and an accepted one is never unknown.
+ * often as the queue allows, or two upstreams have crashed under it; and an
+ * accepted one is never unknown. A task that crashes its upstreams is started
+ * five times at most, and twice more for each change of holder and once for each
+ * start whose answer was lost.
  */
 
 #include "scheduler_holders.h"
@@ -27,6 +30,10 @@
 #define FIRST_SMALL 160
 #define LAST_SMALL 254
 
+/* Kinds of jobs whose first task crashes its upstreams; neither. */
+#define FIRST_CRASHING 146
+#define LAST_CRASHING 153
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static uint8_t next(void)
@@ -137,6 +144,15 @@
 			result == WWH_ORDER_NOT_DONE, world.now_ms);
 }
 
+static void note_unanswered(const order_t *order)
+{
+	job_t *job;
+	int32_t step;
+
+	if (order->kind == ORDER_START)
+		truth_of(order->task, &step, &job)->unanswered++;
+}
+
 /*
  * The upstream gets the order; answered: its answer comes back; slowly: that
  * of a poll takes its time, and others overtake it.
@@ -174,6 +190,8 @@
 	}
 	result = order->kind == ORDER_START ? carry_out_start(host, order)
 					    : carry_out_stop(host, order);
+	if (!answered)
+		note_unanswered(order);
 	tell(order, answered ? result : WWH_ORDER_UNKNOWN);
 }
 
@@ -275,6 +293,8 @@
 
 	entry->step_count = small && kind % 2 == 0 ? 1 : STEPS;
 	entry->task_count = small ? 1 : TASKS;
+	if (kind >= FIRST_CRASHING && kind <= LAST_CRASHING)
+		entry->crash_delay_ms = kind % 2 == 0 ? 10 : 250;
 }
 
 static void submit(uint8_t kind)
@@ -291,6 +311,7 @@
 	snprintf(entry->id, sizeof(entry->id), "%016x",
 		 (unsigned)world.job_count + 1);
 	entry->submitted = true;
+	entry->first_holder = world.holder_count;
 	g_strlcpy(job->id, entry->id, sizeof(job->id));
 	job->queue.name = g_strdup("q");
 	job->queue.pool = g_strdup(POOL);
@@ -383,7 +404,8 @@
 		       shown == WWH_PROGRESS_COMPLETED);
 		job->shown_completed |= shown == WWH_PROGRESS_COMPLETED;
 		assert(shown != WWH_PROGRESS_FAILED ||
-		       most_failures(job) >= MAX_ATTEMPTS);
+		       most_failures(job) >= MAX_ATTEMPTS ||
+		       most_crashes(job) >= 2);
 		assert(shown != WWH_PROGRESS_COMPLETED || all_done(job));
 	}
 }
@@ -495,8 +517,16 @@
 	}
 	world.now_ms += 10;
 	expire_answers();
-	for (int32_t i = 0; i < UPSTREAMS; i++)
-		settle_host(&world.hosts[i]);
+	for (int32_t i = 0; i < UPSTREAMS; i++) {
+		host_t *host = &world.hosts[i];
+
+		settle_host(host);
+		if (!host->up && host->back_ms != 0 &&
+		    world.now_ms >= host->back_ms) {
+			host->back_ms = 0;
+			begin_incarnation(host);
+		}
+	}
 	if (world.holder.number == 0)
 		return;
 	wwh_scheduler_run(world.holder.scheduler, world.now_ms, world.now_ms);
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -28,6 +28,8 @@
 #define CORES 3000
 #define LEASE_MAX_MS 10000
 #define ORDER_LIMIT_MS 1700 /* after which a holder waits no longer */
+#define CRASHED_MS 3000 /* how long an upstream is away after a crash */
+#define MAX_CRASHING_STARTS 5 /* of one task, by a holder that knows of all */
 #define POOL "p"
 
 typedef struct {
@@ -36,6 +38,9 @@
 	bool done_acked;
 	int32_t failed_acked;
 	int32_t failed; /* truly */
+	int32_t crashes; /* of upstreams that ran it */
+	int32_t starts;
+	int32_t unanswered; /* starts whose answer nobody received */
 } truth_t;
 
 typedef struct {
@@ -49,6 +54,8 @@
 	int64_t submit_record;
 	int32_t step_count;
 	int32_t task_count; /* of each step */
+	int64_t crash_delay_ms; /* task 0.0 crashes its upstream; 0: it doesn't */
+	int32_t first_holder;
 	truth_t tasks[STEPS][TASKS];
 } job_t;
 
@@ -57,6 +64,7 @@
 	int64_t run;
 	int64_t begun_ms;
 	int64_t duration_ms;
+	int64_t crash_ms; /* when it crashes its upstream; 0: never */
 	bool fails;
 } run_t;
 
@@ -76,6 +84,7 @@
 	bool hangs;
 	bool leaving;
 	bool announced;
+	int64_t back_ms; /* after a crash that a task caused; 0: it wasn't */
 	int64_t token;
 	int64_t clock_offset_ms;
 	int64_t clock_permille; /* 980 to 1000 of ours */
@@ -200,6 +209,27 @@
 	truth->failed += kind == WWH_END_FAILED;
 }
 
+static inline void crash(host_t *host)
+{
+	for (guint i = 0; i < host->runs->len; i++) {
+		job_t *job;
+		int32_t step;
+		truth_t *truth = truth_of(
+			g_array_index(host->runs, run_t, i).task, &step, &job);
+
+		truth->running = false;
+		truth->crashes++;
+	}
+	g_array_set_size(host->runs, 0);
+	g_array_set_size(host->ends, 0);
+	g_hash_table_remove_all(host->refused);
+	host->up = false;
+	host->last_number = 0;
+	host->token = 0;
+	host->lease_until_ms = 0;
+	host->hangs = false;
+}
+
 /* What time does: runs end, leases lapse. */
 static inline void settle_host(host_t *host)
 {
@@ -210,6 +240,15 @@
 	for (guint i = 0; i < host->ends->len; i++)
 		g_array_index(host->ends, end_t, i).lapsed |=
 			clock_of(host) > host->lease_until_ms;
+	for (guint i = 0; i < host->runs->len; i++) {
+		const run_t *run = &g_array_index(host->runs, run_t, i);
+
+		if (run->crash_ms == 0 || world.now_ms < run->crash_ms)
+			continue;
+		crash(host);
+		host->back_ms = world.now_ms + CRASHED_MS;
+		return;
+	}
 	for (guint i = 0; i < host->runs->len && !host->hangs;) {
 		run_t *run = &g_array_index(host->runs, run_t, i);
 
@@ -221,25 +260,6 @@
 	}
 }
 
-static inline void crash(host_t *host)
-{
-	for (guint i = 0; i < host->runs->len; i++) {
-		job_t *job;
-		int32_t step;
-
-		truth_of(g_array_index(host->runs, run_t, i).task, &step, &job)
-			->running = false;
-	}
-	g_array_set_size(host->runs, 0);
-	g_array_set_size(host->ends, 0);
-	g_hash_table_remove_all(host->refused);
-	host->up = false;
-	host->last_number = 0;
-	host->token = 0;
-	host->lease_until_ms = 0;
-	host->hangs = false;
-}
-
 static inline wwh_order_result_t carry_out_start(host_t *host,
 						 const order_t *order)
 {
@@ -272,6 +292,14 @@
 	for (int32_t i = 0; i < job->task_count && step > 0; i++)
 		assert(job->tasks[0][i].done);
 	truth->running = true;
+	truth->starts++;
+	if (job->crash_delay_ms > 0 && truth == &job->tasks[0][0]) {
+		/* each holder may have missed a crash, and the one before it */
+		assert(truth->starts <=
+		       MAX_CRASHING_STARTS + truth->unanswered +
+			       2 * (world.holder_count - job->first_holder));
+		run.crash_ms = world.now_ms + job->crash_delay_ms;
+	}
 	g_strlcpy(run.task, order->task, sizeof(run.task));
 	run.duration_ms = 200 + luck * 8;
 	run.fails = luck % 5 == 0;
@@ -315,6 +343,15 @@
 	}
 }
 
+static inline int32_t most_crashes(const job_t *job)
+{
+	int32_t most = 0;
+
+	for (int32_t k = 0; k < STEPS * TASKS; k++)
+		most = MAX(most, job->tasks[k / TASKS][k % TASKS].crashes);
+	return most;
+}
+
 static inline int32_t most_failures(const job_t *job)
 {
 	int32_t most = 0;
