Don't hold back lasting suspects for a shortage of room

What callers would see: a lasting task whose upstream crashed within a second of its start stays away for as long as another lasting task of its pool waits for room that others occupy for good. Found by reading; the test fails without the change.

--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -136,12 +136,17 @@
 	scheduler->has_room_shortage = false;
 }
 
-/* The suspect tasks of one job share an upstream, as they fail together. */
+/*
+ * The suspect tasks of one job share an upstream, as they fail together. Lasting
+ * tasks don't wait for a shortage of room to end, which may last as long as the
+ * lasting tasks that cause it.
+ */
 bool sched_isolation_is_due(const wwh_scheduler_t *scheduler,
 			    const sched_task_t *task)
 {
-	if (scheduler->has_room_shortage ||
-	    scheduler->failed_isolations_left <= 0)
+	if (scheduler->has_room_shortage && !task->step->spec->lasting)
+		return false;
+	if (scheduler->failed_isolations_left <= 0)
 		return false;
 	return scheduler->isolations_left > 0 ||
 	       task->step->occurrence->job->isolated_runs > 0;
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -427,3 +427,27 @@
 	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
 			 WWH_PROGRESS_FAILED);
 }
+
+/* Guards against a lasting task that waits behind one that finds no room. */
+void a_lasting_suspect_is_not_held_back_by_a_lack_of_room(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	wwh_job_t *wide = sched_fixture_job(JOB_B, 4, 8000);
+	wwh_job_t *small = sched_fixture_job(JOB_A, 1, 1000);
+
+	small->steps[0].lasting = true;
+	wide->steps[0].lasting = true;
+	wide->queue.priority = 0;
+	small->queue.priority = 1;
+	sched_fixture_submit(fixture, small);
+	crash_newest_start(fixture);
+	sched_fixture_submit(fixture, wide);
+	assert_true(await_start(fixture, fixture->starts->len));
+	for (guint i = 1; i < fixture->starts->len; i++) {
+		if (g_str_has_prefix(
+			    sched_fixture_order(fixture->starts, i)->task,
+			    JOB_A))
+			return;
+	}
+	fail_msg("the suspect isn't started");
+}
