Tighten three tests of crash attribution

With the safeguard taken out they still passed: an ordered end, a long run, and waiting tasks of a step of which one task crashed an upstream.

--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -309,7 +309,9 @@
 		WWH_TERMINATION_ORDERED, "upkeep", fixture->now_ms);
 	sched_fixture_run(fixture, FINAL_REPORT_MS);
 	assert_int_equal(fixture->starts->len, 2);
-	assert_null(strstr(fixture->events->str, "task-isolated"));
+	assert_non_null(
+		strstr(fixture->events->str, "termination=ordered accepted=1"));
+	assert_null(strstr(fixture->events->str, "losses=1"));
 }
 
 /*
@@ -352,24 +354,35 @@
 void tasks_of_a_step_that_crashed_an_upstream_are_isolated(void **state)
 {
 	sched_fixture_t *fixture = *state;
-	char first[32];
-	guint handled;
+	wwh_ended_task_t ended[8];
+	guint count = 0;
 
-	/* as many as fit on one upstream, and three more */
-	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 11, 1000));
-	assert_int_equal(fixture->starts->len, 11);
-	handled = 11;
+	/* three upstreams are full, and four tasks wait */
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 28, 1000));
+	assert_int_equal(fixture->starts->len, 24);
 	confirm_starts(fixture, 0);
-	g_strlcpy(first, upstream_of_start(fixture, 0), sizeof(first));
-	crash(fixture, first);
+	crash(fixture, "u1");
+	assert_int_equal(fixture->starts->len, 24);
+	for (guint i = 0; i < 24; i++) {
+		const sched_fixture_order_t *order =
+			sched_fixture_order(fixture->starts, i);
+
+		if (strcmp(order->upstream, "u2") == 0) {
+			ended[count] = sched_fixture_ended_row(order, count + 1,
+							       WWH_END_DONE);
+			count++;
+		}
+	}
+	sched_fixture_answer_poll(fixture, "u2", NULL, 0, ended, 8);
+	sched_fixture_add_upstream(fixture, "u4", ENDPOINT_1);
 	for (int32_t i = 0; i < 4; i++) {
 		sched_fixture_run(fixture, 10);
 		sched_fixture_make_durable(fixture);
 	}
-	assert_true(fixture->starts->len > handled);
-	for (guint i = handled; i < fixture->starts->len; i++)
+	assert_int_equal(fixture->starts->len, 32);
+	for (guint i = 24; i < 32; i++)
 		assert_string_equal(upstream_of_start(fixture, i),
-				    upstream_of_start(fixture, handled));
+				    upstream_of_start(fixture, 24));
 }
 
 /* Guards against a lasting task that stays away after its upstream crashed. */
@@ -396,7 +409,7 @@
 		sched_fixture_run(fixture, 1);
 		assert_int_equal(fixture->starts->len, i + 2);
 	}
-	assert_null(strstr(fixture->events->str, "task-isolated"));
+	assert_null(strstr(fixture->events->str, "losses=1"));
 }
 
 /* Guards against a gang that is restarted without limit. */
