Test a task that crashes its upstreams against stand-ins over HTTP

The stand-in upstream crashes as it starts one marked task: it is announced under another id and refuses calls for the one before with 421. Checked: the job of that task is given up after two or three starts, the counters say so, and the other job runs on. Stand-ins now check which incarnation a call names.

--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -492,3 +492,35 @@
 	submit_small(fixture, false);
 	assert_int_not_equal(fixture->last_answer, WWH_JOB_ANSWER_NOT_DONE);
 }
+
+/*
+ * Guards against an accepted job that takes its pool down: a task of it crashes
+ * each upstream that starts it.
+ */
+void a_task_that_crashes_its_upstreams_ends_its_job(void **state)
+{
+	fixture_t *fixture = *state;
+	standin_t *standin = fixture->standin;
+	int64_t end_ms = standin_now_ms() + WAIT_MAX_MS;
+	int32_t starts;
+
+	standin->crashing_task = "0000000000000002.0.0.1";
+	start_holder(fixture);
+	run_until_others_settled(fixture);
+	submit(fixture);
+	submit(fixture);
+	while (counter_value(fixture, "holder.tasks_given_up") == 0 &&
+	       standin_now_ms() < end_ms)
+		run_for(fixture, 50);
+	run_for(fixture, 1000);
+	assert_int_equal(counter_value(fixture, "holder.tasks_given_up"), 1);
+	g_mutex_lock(&standin->lock);
+	starts = GPOINTER_TO_INT(
+		g_hash_table_lookup(standin->starts, standin->crashing_task));
+	g_mutex_unlock(&standin->lock);
+	assert_in_range(starts, 2, 3);
+	assert_int_equal(counter_value(fixture, "holder.upstream_crashes"),
+			 starts);
+	assert_int_equal(all_runs(fixture), TASKS);
+	assert_int_equal(standin->twice, 0);
+}
--- a/src/test_job_holder/test_job_holder.h
+++ b/src/test_job_holder/test_job_holder.h
@@ -22,7 +22,8 @@
 		ENTRY_TEST(a_slow_store_causes_no_rejections),                 \
 		ENTRY_TEST(an_overloaded_holder_rejects_excess_jobs),          \
 		ENTRY_TEST(a_large_holder_rejects_jobs_until_recovered),       \
-		ENTRY_TEST(a_small_holder_accepts_jobs_while_it_recovers)
+		ENTRY_TEST(a_small_holder_accepts_jobs_while_it_recovers),     \
+		ENTRY_TEST(a_task_that_crashes_its_upstreams_ends_its_job)
 
 void an_upstream_with_an_unreadable_entry_is_not_used(void **state);
 void an_upstream_with_a_damaged_entry_keeps_its_tasks(void **state);
@@ -32,5 +33,6 @@
 void an_overloaded_holder_rejects_excess_jobs(void **state);
 void a_large_holder_rejects_jobs_until_recovered(void **state);
 void a_small_holder_accepts_jobs_while_it_recovers(void **state);
+void a_task_that_crashes_its_upstreams_ends_its_job(void **state);
 
 #endif
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -55,6 +55,38 @@
 	g_mutex_lock(&standin->lock);
 }
 
+static inline void standin_announce(standin_upstream_t *upstream)
+{
+	char *value = g_strdup_printf(
+		"{\"service\":\"" STANDIN_POOL
+		"\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
+		"\"version\":\"v1\",\"slots\":8,"
+		"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
+		"\"memMb\":16000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
+		"\"sequence\":1}",
+		wwh_listener_port(upstream->listener));
+
+	standin_put(upstream->standin, "keyed.servers", "0", upstream->id,
+		    value, strlen(value));
+	g_free(value);
+}
+
+/* The upstream is back at once, under another id. */
+static inline void standin_crash(standin_upstream_t *upstream)
+{
+	standin_t *standin = upstream->standin;
+
+	standin_put(standin, "keyed.servers", "0", upstream->id, NULL, 0);
+	upstream->crashes++;
+	snprintf(upstream->id, sizeof(upstream->id), "u%d-%d",
+		 (int)(upstream - standin->upstreams), upstream->crashes);
+	upstream->token = 0;
+	upstream->ended_count = 0;
+	g_array_set_size(upstream->runs, 0);
+	g_ptr_array_set_size(upstream->ended, 0);
+	standin_announce(upstream);
+}
+
 static inline void standin_start(standin_upstream_t *upstream,
 				 JsonObject *object)
 {
@@ -82,6 +114,8 @@
 				       task) == 0;
 	}
 	g_array_append_val(upstream->runs, run);
+	if (g_strcmp0(standin->crashing_task, task) == 0)
+		standin_crash(upstream);
 }
 
 static inline void standin_poll(standin_upstream_t *upstream,
@@ -134,7 +168,11 @@
 	g_string_printf(text, "{\"clockMs\":%" G_GINT64_FORMAT,
 			standin_now_ms());
 	response->status = 200;
-	if (token < upstream->token) {
+	if (g_strcmp0(wwh_headers_get(http->headers,
+				      "Waxwinghollow-Expect-Instance"),
+		      upstream->id) != 0) {
+		response->status = 421;
+	} else if (token < upstream->token) {
 		response->status = 409;
 		g_string_append(text, ",\"reason\":\"fence\"");
 	} else {
@@ -192,7 +230,6 @@
 	standin_put(standin, "keyed.op", "0", "config", config, strlen(config));
 	for (int32_t i = 0; i < STANDIN_UPSTREAMS; i++) {
 		standin_upstream_t *upstream = &standin->upstreams[i];
-		char *value;
 
 		upstream->standin = standin;
 		snprintf(upstream->id, sizeof(upstream->id), "u%d", i);
@@ -201,17 +238,7 @@
 		upstream->ended = g_ptr_array_new_with_free_func(g_free);
 		upstream->listener =
 			standin_listen(standin, standin_on_upstream, upstream);
-		value = g_strdup_printf(
-			"{\"service\":\"" STANDIN_POOL
-			"\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\","
-			"\"version\":\"v1\",\"slots\":8,"
-			"\"state\":\"ready\",\"capacity\":{\"cpu\":8000,"
-			"\"memMb\":16000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],"
-			"\"sequence\":1}",
-			wwh_listener_port(upstream->listener));
-		standin_put(standin, "keyed.servers", "0", upstream->id, value,
-			    strlen(value));
-		g_free(value);
+		standin_announce(upstream);
 	}
 	return standin;
 }
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -52,6 +52,7 @@
 	GArray *runs; /* standin_run_t */
 	GPtrArray *ended; /* rows as JSON */
 	int64_t ended_count;
+	int32_t crashes;
 } standin_upstream_t;
 
 struct standin {
@@ -68,6 +69,7 @@
 	GHashTable *starts; /* task name to count */
 	int32_t twice; /* runs that should never have begun */
 	int64_t task_ms;
+	const char *crashing_task; /* crashes each upstream that starts it */
 	bool silent; /* the store takes calls and answers none */
 	bool announces_late; /* reads of announcements get no answer in time */
 	bool busy; /* it refuses all calls at once */
