--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -378,8 +378,9 @@
 
 /*
  * The incarnation of the upstream has certainly terminated, and none of its tasks
- * runs any more. why must stay valid as long as the scheduler. An answer to a
- * poll that is still in flight counts if it arrives soon.
+ * runs any more. termination says whether its tasks may have crashed it. why must
+ * stay valid as long as the scheduler. An answer to a poll that is still in flight
+ * counts if it arrives soon.
  */
 void wwh_scheduler_upstream_terminated(wwh_scheduler_t *scheduler,
 				       const char *id,
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,9 +4,10 @@
 /*
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
- * scheduler_age, scheduler_loss, scheduler_isolation, scheduler_poll, scheduler_pace, scheduler_lost, scheduler_quota,
- * scheduler_upstream, scheduler_backlog, scheduler_record, scheduler_job,
- * scheduler_task, scheduler_check.
+ * scheduler_age, scheduler_loss, scheduler_isolation, scheduler_poll,
+ * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_upstream,
+ * scheduler_backlog, scheduler_record, scheduler_job, scheduler_task,
+ * scheduler_check.
  */
 
 #include "waxwinghollow/chart.h"
@@ -369,8 +370,8 @@
 bool sched_task_has_crashed(const sched_task_t *task);
 /* Whether task may be one that crashes its upstreams. */
 bool sched_task_is_suspect(const sched_task_t *task);
-/* Whether task is suspect although it ran for a while before each loss. */
-bool sched_task_is_late_suspect(const sched_task_t *task);
+/* Whether task has so many losses that it stays isolated for longer. */
+bool sched_task_is_repeat_suspect(const sched_task_t *task);
 
 /* scheduler_isolation.c: starts suspect tasks, each alone on its upstream */
 /*
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -18,9 +18,8 @@
 /* How long it is kept for a start whose record isn't durable yet. */
 #define RECORD_RESERVATION_MS 150
 
-static bool
-has_young_or_isolated_run_of_other_job(const sched_upstream_t *upstream,
-				       const sched_job_t *job);
+static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
+					  const sched_job_t *job);
 static void set_isolated(sched_task_t *task, bool isolated);
 static bool has_proven_harmless(const sched_task_t *task);
 static int32_t max_isolated(int32_t usable);
@@ -114,8 +113,8 @@
 	if (!sched_task_is_suspect(task))
 		return upstream->isolated_runs == 0 &&
 		       scheduler->now_ms >= upstream->reserved_until_ms;
-	return !has_young_or_isolated_run_of_other_job(
-		upstream, task->step->occurrence->job);
+	return !has_unproven_run_of_other_job(upstream,
+					      task->step->occurrence->job);
 }
 
 void sched_isolation_begin_pass(wwh_scheduler_t *scheduler,
@@ -193,9 +192,8 @@
 	best->reserved_until_ms = scheduler->now_ms + RESERVATION_MS;
 }
 
-static bool
-has_young_or_isolated_run_of_other_job(const sched_upstream_t *upstream,
-				       const sched_job_t *job)
+static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
+					  const sched_job_t *job)
 {
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		const sched_task_t *task =
@@ -219,8 +217,8 @@
 
 static bool has_proven_harmless(const sched_task_t *task)
 {
-	return sched_task_is_late_suspect(task) ? sched_run_is_mature(task)
-						: !sched_run_is_young(task);
+	return sched_task_is_repeat_suspect(task) ? sched_run_is_mature(task)
+						  : !sched_run_is_young(task);
 }
 
 static int32_t max_isolated(int32_t usable)
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -27,7 +27,7 @@
 #define SUSPECT_WEIGHT 2
 #define OTHER_WEIGHT 1
 #define SUSPECT_SUM 2
-#define LATE_SUSPECT_SUM 4
+#define REPEAT_SUSPECT_SUM 4
 
 /* The runs on an upstream that may have caused its crash. */
 typedef struct {
@@ -162,9 +162,9 @@
 	return task->step->alone_losses > 0 || weight_of(task) >= SUSPECT_SUM;
 }
 
-bool sched_task_is_late_suspect(const sched_task_t *task)
+bool sched_task_is_repeat_suspect(const sched_task_t *task)
 {
-	return weight_of(task) >= LATE_SUSPECT_SUM;
+	return weight_of(task) >= REPEAT_SUSPECT_SUM;
 }
 
 /*
