Start a suspect without its record while the store is down

What callers would see: while the store is down, a task whose upstream crashed isn't started again before the store is back, a lasting one neither.

Cause: the start of a suspect waits until its record is durable, without a limit. The start is now sent after 0.4 s, by when the store counts as down elsewhere too, and its upstream is kept that long.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -93,6 +93,7 @@
 	sched_failures_t failures;
 	sched_losses_t losses;
 	int64_t pending_run; /* with a pending row in losses; 0: none */
+	int64_t pending_since_ms; /* when that row was added */
 	bool isolated; /* while true, its upstream gets no other start */
 	int64_t changed_ms; /* when its state changed last */
 	int64_t retry_ms; /* not placed before this */
@@ -376,7 +377,8 @@
 /* scheduler_isolation.c: starts suspect tasks, each alone on its upstream */
 /*
  * Records the start of a suspect task on upstream in advance, so that a new
- * holder counts it. Returns whether that is durable.
+ * holder counts it. Returns whether the start may be sent: the record is durable,
+ * or the store seems to be down.
  */
 bool sched_isolation_record(wwh_scheduler_t *scheduler, sched_task_t *task,
 			    sched_upstream_t *upstream, int64_t run);
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -15,8 +15,11 @@
 /* How long an upstream is kept free of new starts, once it is reserved. */
 #define RESERVATION_MS 400
 
-/* How long it is kept for a start whose record isn't durable yet. */
-#define RECORD_RESERVATION_MS 150
+/*
+ * How long a start waits for its record to become durable, and its upstream is
+ * kept for it. The store takes some 20 ms, and some 250 ms when it is slow.
+ */
+#define RECORD_WAIT_MS 400
 
 static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
 					  const sched_job_t *job);
@@ -45,12 +48,15 @@
 	if (task->pending_run == 0) {
 		sched_losses_add(task, run, SCHED_LOSS_PENDING);
 		task->pending_run = run;
+		task->pending_since_ms = scheduler->now_ms;
 		upstream->reserved_until_ms =
 			MAX(upstream->reserved_until_ms,
-			    scheduler->now_ms + RECORD_RESERVATION_MS);
+			    scheduler->now_ms + RECORD_WAIT_MS);
 		sched_job_mark_dirty(scheduler, job);
 	}
-	return !job->dirty && job->progress_number <= scheduler->durable_record;
+	return scheduler->now_ms - task->pending_since_ms >= RECORD_WAIT_MS ||
+	       (!job->dirty &&
+		job->progress_number <= scheduler->durable_record);
 }
 
 void sched_isolation_withdraw(wwh_scheduler_t *scheduler, sched_task_t *task)
@@ -78,6 +84,7 @@
 	if (task->upstream->isolated_runs == 0)
 		scheduler->isolations_left--;
 	set_isolated(task, true);
+	task->upstream->reserved_until_ms = 0;
 	scheduler->isolated_starts++;
 	sched_task_name(task, name);
 	sched_explain(scheduler, "task-isolated", name,
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -464,3 +464,23 @@
 	}
 	fail_msg("the suspect isn't started");
 }
+
+/* Guards against suspects that aren't started for as long as the store is down. */
+void a_suspect_is_started_though_the_store_is_down(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	confirm_starts(fixture, 0);
+	wwh_scheduler_upstream_terminated(
+		fixture->scheduler, upstream_of_start(fixture, 0),
+		WWH_TERMINATION_CRASH, "down", fixture->now_ms);
+	for (int32_t i = 0; i < 10; i++)
+		sched_fixture_run(fixture, 10);
+	assert_int_equal(fixture->starts->len, 1);
+	for (int32_t i = 0; i < 10; i++) {
+		sched_fixture_run(fixture, 50);
+		answer_all_but(fixture, "");
+	}
+	assert_int_equal(fixture->starts->len, 2);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -235,7 +235,8 @@
 			     3),                                                  \
 		FIXTURE_TEST(                                                     \
 			a_lasting_suspect_is_not_held_back_by_a_lack_of_room,     \
-			3)
+			3),                                                       \
+		FIXTURE_TEST(a_suspect_is_started_though_the_store_is_down, 3)
 
 void a_lost_run_is_logged_with_its_age_and_cause(void **state);
 void an_upstream_that_leaves_does_not_crash(void **state);
@@ -252,6 +253,7 @@
 void a_lasting_task_is_no_suspect_once_it_has_run_for_long(void **state);
 void a_gang_that_crashes_its_upstreams_is_given_up(void **state);
 void a_lasting_suspect_is_not_held_back_by_a_lack_of_room(void **state);
+void a_suspect_is_started_though_the_store_is_down(void **state);
 
 #define CAPACITY_TESTS                                                               \
 	FIXTURE_TEST(a_shrunk_upstream_gets_no_start_until_it_has_room, 1),          \
