--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -266,7 +266,8 @@
 	bool starts_held;
 	int32_t starts_left; /* of one pool, in the current pass */
 	/* Of one pool, in the current pass. */
-	int32_t isolations_left;
+	bool isolations_counted;
+	int32_t isolations_left; /* valid with isolations_counted */
 	int32_t failed_isolations_left;
 	bool has_room_shortage; /* a step before this one waits for room */
 	wwh_workspace_quota_t *quota;
@@ -395,10 +396,9 @@
 			    const sched_upstream_t *upstream,
 			    const sched_task_t *task);
 /* Called before each pass over a pool. */
-void sched_isolation_begin_pass(wwh_scheduler_t *scheduler,
-				const sched_pool_t *pool);
+void sched_isolation_begin_pass(wwh_scheduler_t *scheduler);
 /* Whether an upstream may be isolated for task in this pass. */
-bool sched_isolation_is_due(const wwh_scheduler_t *scheduler,
+bool sched_isolation_is_due(wwh_scheduler_t *scheduler,
 			    const sched_task_t *task);
 /* A cost of starting a suspect task on upstream, above all other costs. */
 int64_t sched_isolation_cost(const sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -25,6 +25,8 @@
 					  const sched_job_t *job);
 static void set_isolated(sched_task_t *task, bool isolated);
 static bool has_proven_harmless(const sched_task_t *task);
+static void count_isolations(wwh_scheduler_t *scheduler,
+			     const sched_pool_t *pool);
 static int32_t max_isolated(int32_t usable);
 static bool is_set_apart(const wwh_scheduler_t *scheduler,
 			 const sched_upstream_t *upstream);
@@ -124,20 +126,9 @@
 					      task->step->occurrence->job);
 }
 
-void sched_isolation_begin_pass(wwh_scheduler_t *scheduler,
-				const sched_pool_t *pool)
+void sched_isolation_begin_pass(wwh_scheduler_t *scheduler)
 {
-	int32_t isolated = 0;
-	int32_t usable = 0;
-
-	for (guint i = 0; i < pool->upstreams->len; i++) {
-		const sched_upstream_t *upstream =
-			g_ptr_array_index(pool->upstreams, i);
-
-		usable += sched_upstream_usable(scheduler, upstream);
-		isolated += upstream->isolated_runs > 0;
-	}
-	scheduler->isolations_left = max_isolated(usable) - isolated;
+	scheduler->isolations_counted = false;
 	scheduler->failed_isolations_left = FAILED_ISOLATIONS_PER_PASS;
 	scheduler->has_room_shortage = false;
 }
@@ -147,13 +138,15 @@
  * tasks don't wait for a shortage of room to end, which may last as long as the
  * lasting tasks that cause it.
  */
-bool sched_isolation_is_due(const wwh_scheduler_t *scheduler,
+bool sched_isolation_is_due(wwh_scheduler_t *scheduler,
 			    const sched_task_t *task)
 {
 	if (scheduler->has_room_shortage && !task->step->spec->lasting)
 		return false;
 	if (scheduler->failed_isolations_left <= 0)
 		return false;
+	if (!scheduler->isolations_counted)
+		count_isolations(scheduler, task->step->occurrence->job->pool);
 	return scheduler->isolations_left > 0 ||
 	       task->step->occurrence->job->isolated_runs > 0;
 }
@@ -228,6 +221,24 @@
 						  : !sched_run_is_young(task);
 }
 
+/* Most passes meet no suspect task, and pools may have thousands of upstreams. */
+static void count_isolations(wwh_scheduler_t *scheduler,
+			     const sched_pool_t *pool)
+{
+	int32_t isolated = 0;
+	int32_t usable = 0;
+
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(pool->upstreams, i);
+
+		usable += sched_upstream_usable(scheduler, upstream);
+		isolated += upstream->isolated_runs > 0;
+	}
+	scheduler->isolations_counted = true;
+	scheduler->isolations_left = max_isolated(usable) - isolated;
+}
+
 static int32_t max_isolated(int32_t usable)
 {
 	return CLAMP(usable / UPSTREAMS_PER_ISOLATED, 1, MAX_ISOLATED);
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -129,7 +129,7 @@
 	g_array_sort(candidates, compare_candidates);
 	measure_max_free(scheduler, pool);
 	scheduler->starts_left = max_starts;
-	sched_isolation_begin_pass(scheduler, pool);
+	sched_isolation_begin_pass(scheduler);
 	for (guint i = 0; i < candidates->len && scheduler->starts_left > 0;
 	     i++) {
 		sched_step_t *step =
