--- a/src/bench/bench_crashes.c
+++ b/src/bench/bench_crashes.c
@@ -87,7 +87,7 @@
 } job_entry_t;
 
 typedef struct {
-	const circumstances_t *now;
+	const circumstances_t *row;
 	sched_fixture_t *fixture;
 	GRand *random;
 	host_t hosts[HOSTS];
@@ -189,7 +189,7 @@
 
 	g_strlcpy(run.task, start->order.task, sizeof(run.task));
 	if (is_marked(sim, run.task)) {
-		run.crash_ms = sim->fixture->now_ms + sim->now->crash_delay_ms;
+		run.crash_ms = sim->fixture->now_ms + sim->row->crash_delay_ms;
 		job->starts_after_limit += job->crashes >= CRASHES_BEFORE_LIMIT;
 	}
 	g_array_append_val(host->runs, run);
@@ -350,7 +350,7 @@
 
 	if (sim->job_count == MAX_JOBS ||
 	    g_rand_int_range(sim->random, 0, 1000) >=
-		    sim->now->jobs_per_s * TICK_MS)
+		    sim->row->jobs_per_s * TICK_MS)
 		return;
 	sim->job_count++;
 	snprintf(id, sizeof(id), "%016x", (unsigned)sim->job_count);
@@ -358,7 +358,7 @@
 	job->steps[0].estimate_ms = TASK_MS;
 	entry->submitted_ms = sim->fixture->now_ms;
 	entry->marked_task = -1;
-	if (g_rand_int_range(sim->random, 0, 100) < sim->now->marked_percent)
+	if (g_rand_int_range(sim->random, 0, 100) < sim->row->marked_percent)
 		entry->marked_task =
 			g_rand_int_range(sim->random, 0, TASKS_A_JOB);
 	(void)wwh_scheduler_submit(sim->fixture->scheduler, job,
@@ -404,8 +404,8 @@
 {
 	int64_t age_ms = sim->fixture->now_ms - sim->began_ms;
 
-	if (sim->now->takeover_ms == 0 || age_ms == 0 ||
-	    age_ms % sim->now->takeover_ms != 0)
+	if (sim->row->takeover_ms == 0 || age_ms == 0 ||
+	    age_ms % sim->row->takeover_ms != 0)
 		return;
 	sched_fixture_make_durable(sim->fixture);
 	sched_fixture_take_over(sim->fixture);
@@ -420,7 +420,7 @@
 {
 	int64_t age_ms = sim->fixture->now_ms - sim->began_ms;
 
-	if (sim->now->rack_ms == 0 || age_ms % sim->now->rack_ms != 0)
+	if (sim->row->rack_ms == 0 || age_ms % sim->row->rack_ms != 0)
 		return;
 	for (int32_t i = 0; i < HOSTS_A_RACK; i++) {
 		if (sim->hosts[i].up)
@@ -478,7 +478,7 @@
 		end_runs(sim, host);
 		if (host->up &&
 		    g_rand_int_range(sim->random, 0, 60000 * HOSTS) <
-			    sim->now->crashes_per_min * TICK_MS)
+			    sim->row->crashes_per_min * TICK_MS)
 			crash(sim, host);
 	}
 	crash_rack(sim);
@@ -535,7 +535,7 @@
 {
 	sim_t *sim = g_new0(sim_t, 1);
 
-	sim->now = row;
+	sim->row = row;
 	sim->fixture = sched_fixture_new();
 	sim->random = g_rand_new_with_seed(seed);
 	sim->starts = g_array_new(FALSE, FALSE, sizeof(start_t));
