--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -184,6 +184,7 @@
 	bool ending; /* its host may be taken down at any moment */
 	const char *termination_reason; /* NULL: it hasn't terminated */
 	wwh_termination_t termination; /* valid with termination_reason */
+	int32_t isolated_runs; /* tasks on it with isolated set */
 	int64_t terminated_ms;
 	bool record_written;
 	int64_t record_number; /* of its record; valid with record_written */
@@ -215,7 +216,6 @@
 	int32_t orphans; /* listed runs that match no outstanding task */
 	GHashTable *orphan_stops; /* task name to the time of the last stop */
 	wwh_load_t used;
-	int32_t isolated_runs; /* tasks on it with isolated set */
 	int64_t reserved_until_ms; /* for an isolated start */
 	int64_t next_pace_ms;
 	int32_t fail_streak;
