--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -400,7 +400,10 @@
 /* Whether an upstream may be isolated for task in this pass. */
 bool sched_isolation_is_due(wwh_scheduler_t *scheduler,
 			    const sched_task_t *task);
-/* A cost of starting a suspect task on upstream, above all other costs. */
+/*
+ * The cost of isolating upstream for a suspect task, above all other costs.
+ * Returns 0 if it is isolated already.
+ */
 int64_t sched_isolation_cost(const sched_upstream_t *upstream);
 /* Keeps an upstream of the pool free of new starts, for a start of task. */
 void sched_isolation_reserve(wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -1,6 +1,6 @@
 #include "private/scheduler_state.h"
 
-/* Upstreams that may crash under a task, whatever else is known of it. */
+/* Losses after which a task with MIN_CRASHES of them is given up. */
 #define MAX_LOSSES 5
 
 /*
