Test crashes of upstreams that haven't answered the start

A task that crashes its upstream before the start is answered is started without limit: such a run is no crash to scheduler_loss.

The allowance for starts without an answer in fuzz_scheduler's bound is taken out: the rule grants none.

--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -34,6 +34,10 @@
 #define FIRST_CRASHING 146
 #define LAST_CRASHING 153
 
+/* The same, before the upstream has answered the start; neither. */
+#define FIRST_CRASHING_UNANSWERED 130
+#define LAST_CRASHING_UNANSWERED 137
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static uint8_t next(void)
@@ -144,15 +148,6 @@
 			result == WWH_ORDER_NOT_DONE, world.now_ms);
 }
 
-static void note_unanswered(const order_t *order)
-{
-	job_t *job;
-	int32_t step;
-
-	if (order->kind == ORDER_START)
-		truth_of(order->task, &step, &job)->unanswered++;
-}
-
 /*
  * The upstream gets the order; answered: its answer comes back; slowly: that
  * of a poll takes its time, and others overtake it.
@@ -190,8 +185,6 @@
 	}
 	result = order->kind == ORDER_START ? carry_out_start(host, order)
 					    : carry_out_stop(host, order);
-	if (!answered)
-		note_unanswered(order);
 	tell(order, answered ? result : WWH_ORDER_UNKNOWN);
 }
 
@@ -295,6 +288,8 @@
 	entry->task_count = small ? 1 : TASKS;
 	if (kind >= FIRST_CRASHING && kind <= LAST_CRASHING)
 		entry->crash_delay_ms = kind % 2 == 0 ? 10 : 250;
+	entry->crashes_unanswered = kind >= FIRST_CRASHING_UNANSWERED &&
+				    kind <= LAST_CRASHING_UNANSWERED;
 }
 
 static void submit(uint8_t kind)
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -40,7 +40,6 @@
 	int32_t failed; /* truly */
 	int32_t crashes; /* of upstreams that ran it */
 	int32_t starts;
-	int32_t unanswered; /* starts whose answer nobody received */
 } truth_t;
 
 typedef struct {
@@ -55,6 +54,7 @@
 	int32_t step_count;
 	int32_t task_count; /* of each step */
 	int64_t crash_delay_ms; /* task 0.0 crashes its upstream; 0: it doesn't */
+	bool crashes_unanswered; /* task 0.0 does so before the start's answer */
 	int32_t first_holder;
 	truth_t tasks[STEPS][TASKS];
 } job_t;
@@ -230,6 +230,17 @@
 	host->hangs = false;
 }
 
+static inline void crash_for_a_while(host_t *host)
+{
+	crash(host);
+	host->back_ms = world.now_ms + CRASHED_MS;
+}
+
+static inline bool crashes_upstreams(const job_t *job)
+{
+	return job->crash_delay_ms > 0 || job->crashes_unanswered;
+}
+
 /* What time does: runs end, leases lapse. */
 static inline void settle_host(host_t *host)
 {
@@ -245,8 +256,7 @@
 
 		if (run->crash_ms == 0 || world.now_ms < run->crash_ms)
 			continue;
-		crash(host);
-		host->back_ms = world.now_ms + CRASHED_MS;
+		crash_for_a_while(host);
 		return;
 	}
 	for (guint i = 0; i < host->runs->len && !host->hangs;) {
@@ -293,10 +303,10 @@
 		assert(job->tasks[0][i].done);
 	truth->running = true;
 	truth->starts++;
-	if (job->crash_delay_ms > 0 && truth == &job->tasks[0][0]) {
+	if (crashes_upstreams(job) && truth == &job->tasks[0][0]) {
 		/* each holder may have missed a crash, and the one before it */
 		assert(truth->starts <=
-		       MAX_CRASHING_STARTS + truth->unanswered +
+		       MAX_CRASHING_STARTS +
 			       2 * (world.holder_count - job->first_holder));
 		run.crash_ms = world.now_ms + job->crash_delay_ms;
 	}
@@ -304,6 +314,10 @@
 	run.duration_ms = 200 + luck * 8;
 	run.fails = luck % 5 == 0;
 	g_array_append_val(host->runs, run);
+	if (job->crashes_unanswered && truth == &job->tasks[0][0]) {
+		crash_for_a_while(host);
+		return WWH_ORDER_UNKNOWN;
+	}
 	return WWH_ORDER_DONE;
 }
 
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -57,17 +57,18 @@
 }
 
 /*
- * The upstream of the newest start confirms it, crashes, and is back under
- * another id.
+ * The upstream of the newest start answers it with result, crashes, and is back
+ * under another id.
  */
-static void crash_newest_start(sched_fixture_t *fixture)
+static void crash_newest_start_after(sched_fixture_t *fixture,
+				     wwh_order_result_t result)
 {
 	sched_fixture_order_t order =
 		*sched_fixture_order(fixture->starts, fixture->starts->len - 1);
 	char *next = g_strdup_printf("%s-", order.upstream);
 	char *endpoint = g_strdup_printf("10.0.1.%u:1", fixture->starts->len);
 
-	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_handle_start_result(fixture, &order, result);
 	sched_fixture_run(fixture, CRASH_DELAY_MS);
 	wwh_scheduler_upstream_terminated(fixture->scheduler, order.upstream,
 					  WWH_TERMINATION_CRASH, "down",
@@ -81,6 +82,11 @@
 	g_free(next);
 }
 
+static void crash_newest_start(sched_fixture_t *fixture)
+{
+	crash_newest_start_after(fixture, WWH_ORDER_DONE);
+}
+
 /* Answers all polls, each upstream listing the runs that were ordered there. */
 static void list_all_runs(sched_fixture_t *fixture)
 {
@@ -153,21 +159,58 @@
 			 WWH_PROGRESS_FAILED);
 }
 
-/* Guards against crashes that are forgotten when the holder changes. */
-void crashes_are_counted_across_changes_of_holder(void **state)
+/* Guards against crashes that don't count, as the start got no answer before. */
+void a_task_that_crashes_its_upstreams_unanswered_is_given_up(void **state)
 {
 	sched_fixture_t *fixture = *state;
 	guint crashes = 0;
 
 	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
 	while (crashes < 2 * MAX_CRASHES && await_start(fixture, crashes)) {
-		crash_newest_start(fixture);
+		crash_newest_start_after(fixture, WWH_ORDER_UNKNOWN);
+		crashes++;
+	}
+	assert_in_range(crashes, 3, MAX_CRASHES);
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_FAILED);
+}
+
+/* Crashes each upstream that starts JOB_A, and changes the holder each time. */
+static guint crash_under_changing_holders(sched_fixture_t *fixture,
+					  wwh_order_result_t result)
+{
+	guint crashes = 0;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	while (crashes < 2 * MAX_CRASHES && await_start(fixture, crashes)) {
+		crash_newest_start_after(fixture, result);
 		crashes++;
 		sched_fixture_take_over(fixture);
 		sched_fixture_announce(fixture, "u2", ENDPOINT_2, false);
 		sched_fixture_announce(fixture, "u3", ENDPOINT_3, false);
 	}
-	assert_in_range(crashes, 2, MAX_CRASHES);
+	return crashes;
+}
+
+/* Guards against crashes that are forgotten when the holder changes. */
+void crashes_are_counted_across_changes_of_holder(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	assert_in_range(crash_under_changing_holders(fixture, WWH_ORDER_DONE),
+			2, MAX_CRASHES);
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_FAILED);
+}
+
+/* Guards against unanswered starts that are forgotten when the holder changes. */
+void unanswered_crashes_are_counted_across_changes_of_holder(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	assert_in_range(
+		crash_under_changing_holders(fixture, WWH_ORDER_UNKNOWN), 3,
+		MAX_CRASHES);
 	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
 			 WWH_PROGRESS_FAILED);
 }
@@ -315,16 +358,17 @@
 }
 
 /*
- * Guards against a holder that is killed between a suspect start and its crash,
- * and leaves no trace of it.
+ * Counts the starts of JOB_A if each holder is killed before it learns of the
+ * crash that the start causes. Only the first holder learns of one crash, after
+ * the start was answered with result.
  */
-void a_suspect_start_is_recorded_before_it_is_sent(void **state)
+static guint start_under_killed_holders(sched_fixture_t *fixture,
+					wwh_order_result_t result)
 {
-	sched_fixture_t *fixture = *state;
 	guint crashes = 1;
 
 	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
-	crash_newest_start(fixture);
+	crash_newest_start_after(fixture, result);
 	while (crashes < 2 * MAX_CRASHES && await_start(fixture, crashes)) {
 		char *id = g_strdup(upstream_of_start(fixture, crashes));
 		char next[16];
@@ -347,7 +391,24 @@
 		sched_fixture_make_durable(fixture);
 		g_free(id);
 	}
-	assert_in_range(crashes, 2, MAX_CRASHES);
+	return crashes;
+}
+
+/*
+ * Guards against a holder that is killed between a suspect start and its crash,
+ * and leaves no trace of it.
+ */
+void a_suspect_start_is_recorded_before_it_is_sent(void **state)
+{
+	assert_in_range(start_under_killed_holders(*state, WWH_ORDER_DONE), 2,
+			MAX_CRASHES);
+}
+
+/* The same, if the start before it got no answer. */
+void a_start_after_an_unanswered_crash_is_recorded(void **state)
+{
+	assert_in_range(start_under_killed_holders(*state, WWH_ORDER_UNKNOWN),
+			2, MAX_CRASHES);
 }
 
 /* Guards against a step whose tasks crash one upstream each, all over the pool. */
