Count crashes of upstreams that haven't answered the start

Cause: attribute() counted a crash only if the start had been answered, so a task that crashes its upstream before that was never given up. Two more gaps of the same kind came up in fuzzing: - A run whose lease lapsed before the crash was known stayed "unknown" for good, also after the next incarnation showed the crash. - A start that a killed holder had recorded but not sent counted as a loss of unknown cause for ever, and two suspects could have such a record for one upstream, so a sound job was given up beside a guilty one.

Change: a crash counts whether or not the start was answered; a task with an unanswered start among its crashes is given up after three instead of two. Losses by lapsed leases become crashes if the upstream turns out to have crashed without another answer. The record of a start has the hash of its upstream, and the next holder drops the record once that upstream answers, or counts a crash once it has crashed (scheduler_inherited_start). A start that another incarnation refuses never began and is no loss.

fuzz_scheduler's check of jobs shown as failed asked for two crashes under one task. A holder can't tell a start that was lost on its way to an upstream that then crashed from one that crashed it (input start_lost_before_its_upstream_crashed), so three crashes or unanswered starts are accepted beside it.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,7 +4,8 @@
 /*
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
- * scheduler_age, scheduler_loss, scheduler_isolation, scheduler_poll,
+ * scheduler_age, scheduler_loss, scheduler_inherited_start,
+ * scheduler_isolation, scheduler_poll,
  * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_upstream,
  * scheduler_backlog, scheduler_record, scheduler_job, scheduler_task,
  * scheduler_check.
@@ -63,19 +64,36 @@
 typedef enum {
 	/* Ordered by this or a previous holder; its outcome isn't known yet. */
 	SCHED_LOSS_PENDING = 1 << 0,
-	/* The run had been accepted, and the upstream certainly crashed. */
+	/* The upstream certainly crashed after the start had been ordered. */
 	SCHED_LOSS_CRASH = 1 << 1,
 	/* The run may have caused the crash. */
 	SCHED_LOSS_SUSPECT = 1 << 2,
 	/* No task of another job may have caused it. */
 	SCHED_LOSS_ALONE = 1 << 3,
+	/* The start got no answer: it may not have reached the upstream. */
+	SCHED_LOSS_UNANSWERED = 1 << 4,
 } sched_loss_flag_t;
 
 typedef struct {
 	int64_t run;
 	uint32_t flags; /* of sched_loss_flag_t */
+	uint32_t upstream; /* hash of its id; 0: not SCHED_LOSS_PENDING */
 } sched_loss_t;
 
+/* A start that a previous holder has recorded, and may have sent. */
+typedef struct {
+	char task[WWH_TASK_NAME_BYTES];
+	int64_t run;
+	uint32_t upstream; /* as in sched_loss_t */
+} sched_inherited_start_t;
+
+/* A run that was lost although its upstream may still be up. */
+typedef struct {
+	char task[WWH_TASK_NAME_BYTES];
+	int64_t run;
+	uint32_t crash_flags; /* of its loss, if the upstream has crashed */
+} sched_unclear_loss_t;
+
 typedef struct {
 	sched_loss_t *rows; /* NULL: none */
 	int32_t count;
@@ -185,6 +203,7 @@
 	const char *termination_reason; /* NULL: it hasn't terminated */
 	wwh_termination_t termination; /* valid with termination_reason */
 	int32_t isolated_runs; /* tasks on it with isolated set */
+	GArray *unclear_losses; /* sched_unclear_loss_t */
 	int64_t terminated_ms;
 	bool record_written;
 	int64_t record_number; /* of its record; valid with record_written */
@@ -217,6 +236,8 @@
 	GHashTable *orphan_stops; /* task name to the time of the last stop */
 	wwh_load_t used;
 	int64_t reserved_until_ms; /* for an isolated start */
+	/* The reservation is for a recorded start of it. Compare only. */
+	const sched_job_t *reserved_job; /* NULL: for any job */
 	int64_t next_pace_ms;
 	int32_t fail_streak;
 	int32_t backoffs;
@@ -261,6 +282,7 @@
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	int64_t taken_over_ms;
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
+	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
 	bool restored;
 	bool starts_held;
@@ -360,10 +382,19 @@
 void sched_losses_attribute(wwh_scheduler_t *scheduler,
 			    sched_upstream_t *upstream,
 			    wwh_termination_t termination, const char *why);
+/*
+ * Counts the runs that were lost on upstream before it was known to have crashed
+ * as lost in that crash.
+ */
+void sched_losses_confirm_crash(wwh_scheduler_t *scheduler,
+				const sched_upstream_t *upstream);
 /* Ends task's job if task has crashed too many upstreams. */
 void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task);
 /* Appends a row, or replaces that of the same run. */
 void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags);
+/* Appends the row of a start on upstream that is about to be ordered. */
+void sched_losses_add_pending(sched_task_t *task, int64_t run,
+			      const sched_upstream_t *upstream);
 void sched_losses_remove(sched_task_t *task, int64_t run);
 const sched_loss_t *sched_losses_find(const sched_losses_t *losses,
 				      int64_t run);
@@ -375,6 +406,21 @@
 /* Whether task has so many losses that it stays isolated for longer. */
 bool sched_task_is_repeat_suspect(const sched_task_t *task);
 
+/*
+ * scheduler_inherited_start.c: learns what became of starts that a previous holder
+ * recorded in advance
+ */
+uint32_t sched_upstream_hash(const sched_upstream_t *upstream);
+/* Called when all records are restored. */
+void sched_inherited_starts_collect(wwh_scheduler_t *scheduler);
+/*
+ * Resolves the inherited starts on upstream. If it crashed, they may have caused
+ * that. Otherwise those that it doesn't run never began, or are over.
+ */
+void sched_inherited_starts_resolve(wwh_scheduler_t *scheduler,
+				    const sched_upstream_t *upstream,
+				    bool crashed);
+
 /* scheduler_isolation.c: starts suspect tasks, each alone on its upstream */
 /*
  * Records the start of a suspect task on upstream in advance, so that a new
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -120,6 +120,8 @@
 						sched_job_delete);
 	scheduler->lost_jobs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	scheduler->inherited_starts =
+		g_array_new(FALSE, FALSE, sizeof(sched_inherited_start_t));
 	scheduler->quota = wwh_workspace_quota_new();
 	scheduler->live = g_ptr_array_new();
 	scheduler->dirty = g_ptr_array_new();
@@ -140,6 +142,7 @@
 	g_hash_table_destroy(scheduler->lost_jobs);
 	g_hash_table_destroy(scheduler->upstreams);
 	g_hash_table_destroy(scheduler->pools);
+	g_array_unref(scheduler->inherited_starts);
 	wwh_workspace_quota_delete(scheduler->quota);
 	wwh_chart_delete(scheduler->task_chart);
 	g_free(scheduler);
@@ -202,6 +205,7 @@
 		    job->occurrences_done == MAX(1, job->spec->repeat_count))
 			sched_job_end(scheduler, job, WWH_PROGRESS_COMPLETED);
 	}
+	sched_inherited_starts_collect(scheduler);
 }
 
 void wwh_scheduler_set_standby(wwh_scheduler_t *scheduler, const char *pool,
@@ -342,6 +346,10 @@
 		return;
 	}
 	if (result == WWH_ORDER_OTHER_INCARNATION) {
+		/* This run never began, so it caused no crash. */
+		sched_task_event(scheduler, task, TASK_REFUSED);
+		if (task->step->spec->gang)
+			stop_gang(scheduler, task->step);
 		wwh_scheduler_upstream_terminated(scheduler, upstream,
 						  WWH_TERMINATION_CRASH,
 						  "restarted", now_ms);
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -21,6 +21,9 @@
  */
 #define RECORD_WAIT_MS 400
 
+static bool is_reserved_for_other_job(const wwh_scheduler_t *scheduler,
+				      const sched_upstream_t *upstream,
+				      const sched_job_t *job);
 static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
 					  const sched_job_t *job);
 static void set_isolated(sched_task_t *task, bool isolated);
@@ -48,12 +51,13 @@
 		return true;
 	}
 	if (task->pending_run == 0) {
-		sched_losses_add(task, run, SCHED_LOSS_PENDING);
+		sched_losses_add_pending(task, run, upstream);
 		task->pending_run = run;
 		task->pending_since_ms = scheduler->now_ms;
 		upstream->reserved_until_ms =
 			MAX(upstream->reserved_until_ms,
 			    scheduler->now_ms + RECORD_WAIT_MS);
+		upstream->reserved_job = job;
 		sched_job_mark_dirty(scheduler, job);
 	}
 	return scheduler->now_ms - task->pending_since_ms >= RECORD_WAIT_MS ||
@@ -119,11 +123,13 @@
 			    const sched_upstream_t *upstream,
 			    const sched_task_t *task)
 {
+	const sched_job_t *job = task->step->occurrence->job;
+
 	if (!sched_task_is_suspect(task))
 		return upstream->isolated_runs == 0 &&
 		       scheduler->now_ms >= upstream->reserved_until_ms;
-	return !has_unproven_run_of_other_job(upstream,
-					      task->step->occurrence->job);
+	return !is_reserved_for_other_job(scheduler, upstream, job) &&
+	       !has_unproven_run_of_other_job(upstream, job);
 }
 
 void sched_isolation_begin_pass(wwh_scheduler_t *scheduler)
@@ -190,6 +196,15 @@
 	if (best == NULL || set_apart >= max_isolated(usable))
 		return;
 	best->reserved_until_ms = scheduler->now_ms + RESERVATION_MS;
+	best->reserved_job = NULL;
+}
+
+static bool is_reserved_for_other_job(const wwh_scheduler_t *scheduler,
+				      const sched_upstream_t *upstream,
+				      const sched_job_t *job)
+{
+	return scheduler->now_ms < upstream->reserved_until_ms &&
+	       upstream->reserved_job != NULL && upstream->reserved_job != job;
 }
 
 static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -1,25 +1,20 @@
 #include "private/scheduler_state.h"
 
-/* Losses after which a task with MIN_CRASHES of them is given up. */
+/* Losses after which a task is given up if enough of them are crashes. */
 #define MAX_LOSSES 5
 
 /*
  * A task is given up after this many crashes that it may have caused, all but
  * one of which no other job can have caused. The larger number applies while
- * upstreams of its pool also crash by themselves.
+ * upstreams of its pool also crash by themselves, and if a start without an
+ * answer is among the crashes.
  */
 #define MAX_CRASHES 2
-#define MAX_CRASHES_UNPROVOKED 3
+#define MAX_CRASHES_UNSURE 3
 
-/* How long the larger number applies. */
+/* How long the larger number applies after a crash without a young run. */
 #define UNPROVOKED_FOR_MS 20000
 
-/*
- * No task is given up with fewer crashes, however many losses it has. A recorded
- * start counts as one if no holder learned of its outcome.
- */
-#define MIN_CRASHES 2
-
 /*
  * Weights of a crash that the task may have caused and of other losses, and the
  * sums from which the task is suspect.
@@ -38,7 +33,10 @@
 static suspects_t find_suspects(const sched_upstream_t *upstream);
 static bool is_suspect(const suspects_t *suspects, const sched_task_t *task);
 static int32_t max_crashes(const wwh_scheduler_t *scheduler,
-			   const sched_pool_t *pool);
+			   const sched_task_t *task);
+static int32_t min_crashes(const sched_losses_t *losses);
+static uint32_t crash_flags(const suspects_t *suspects,
+			    const sched_task_t *task);
 static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
 			  wwh_termination_t termination);
 static void explain_lost(const wwh_scheduler_t *scheduler,
@@ -56,7 +54,8 @@
 {
 	suspects_t suspects = find_suspects(upstream);
 
-	if (termination == WWH_TERMINATION_CRASH && !suspects.young_only)
+	if (termination == WWH_TERMINATION_CRASH && !suspects.young_only &&
+	    upstream->unclear_losses->len == 0)
 		upstream->pool->unprovoked_crash_ms = scheduler->now_ms;
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
@@ -73,6 +72,24 @@
 	}
 }
 
+void sched_losses_confirm_crash(wwh_scheduler_t *scheduler,
+				const sched_upstream_t *upstream)
+{
+	for (guint i = 0; i < upstream->unclear_losses->len; i++) {
+		const sched_unclear_loss_t *loss = &g_array_index(
+			upstream->unclear_losses, sched_unclear_loss_t, i);
+		sched_task_t *task = sched_job_task(scheduler, loss->task);
+
+		if (task == NULL ||
+		    !sched_job_is_live(task->step->occurrence->job) ||
+		    sched_losses_find(&task->losses, loss->run) == NULL)
+			continue;
+		sched_losses_add(task, loss->run, loss->crash_flags);
+		sched_job_mark_dirty(scheduler, task->step->occurrence->job);
+		sched_losses_give_up(scheduler, task);
+	}
+}
+
 void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task)
 {
 	sched_job_t *job = task->step->occurrence->job;
@@ -80,7 +97,7 @@
 	int32_t crashes =
 		count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_SUSPECT);
 	int32_t alone = count_with(losses, SCHED_LOSS_ALONE);
-	int32_t limit = max_crashes(scheduler, job->pool);
+	int32_t limit = max_crashes(scheduler, task);
 	bool convicted = crashes >= limit && alone >= limit - 1;
 	char name[WWH_TASK_NAME_BYTES];
 
@@ -108,6 +125,7 @@
 			count_row(task->step, losses->rows[i].flags, -1);
 			count_row(task->step, flags, 1);
 			losses->rows[i].flags = flags;
+			losses->rows[i].upstream = 0;
 			return;
 		}
 	}
@@ -122,6 +140,16 @@
 	count_row(task->step, flags, 1);
 }
 
+void sched_losses_add_pending(sched_task_t *task, int64_t run,
+			      const sched_upstream_t *upstream)
+{
+	sched_losses_t *losses = &task->losses;
+
+	sched_losses_add(task, run, SCHED_LOSS_PENDING);
+	losses->rows[losses->count - 1].upstream =
+		sched_upstream_hash(upstream);
+}
+
 void sched_losses_remove(sched_task_t *task, int64_t run)
 {
 	sched_losses_t *losses = &task->losses;
@@ -200,29 +228,59 @@
 }
 
 static int32_t max_crashes(const wwh_scheduler_t *scheduler,
-			   const sched_pool_t *pool)
+			   const sched_task_t *task)
 {
+	const sched_pool_t *pool = task->step->occurrence->job->pool;
+
 	if (pool->unprovoked_crash_ms != 0 &&
 	    scheduler->now_ms - pool->unprovoked_crash_ms < UNPROVOKED_FOR_MS)
-		return MAX_CRASHES_UNPROVOKED;
-	return MAX_CRASHES;
+		return MAX_CRASHES_UNSURE;
+	return min_crashes(&task->losses);
 }
 
-/* Returns the flags of the row that is added to task's losses. */
+/* A task with fewer crashes is never given up, however many losses it has. */
+static int32_t min_crashes(const sched_losses_t *losses)
+{
+	return count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_UNANSWERED) > 0
+		       ? MAX_CRASHES_UNSURE
+		       : MAX_CRASHES;
+}
+
+/*
+ * A start that got no answer may have run and crashed the upstream, so it counts
+ * like the others.
+ */
+static uint32_t crash_flags(const suspects_t *suspects,
+			    const sched_task_t *task)
+{
+	uint32_t flags = SCHED_LOSS_CRASH;
+
+	if (task->accepted_ms == 0)
+		flags |= SCHED_LOSS_UNANSWERED;
+	if (!is_suspect(suspects, task))
+		return flags;
+	flags |= SCHED_LOSS_SUSPECT;
+	return suspects->of_one_job ? flags | SCHED_LOSS_ALONE : flags;
+}
+
+/*
+ * Returns the flags of the row that is added to task's losses. An upstream whose
+ * lease lapses may be found to have crashed later.
+ */
 static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
 			  wwh_termination_t termination)
 {
-	bool crashed =
-		termination == WWH_TERMINATION_CRASH && task->accepted_ms != 0;
-	bool suspect = is_suspect(suspects, task);
-	uint32_t flags = 0;
-
-	if (crashed)
-		flags |= SCHED_LOSS_CRASH;
-	if (suspect)
-		flags |= SCHED_LOSS_SUSPECT;
-	if (crashed && suspect && suspects->of_one_job)
-		flags |= SCHED_LOSS_ALONE;
+	sched_unclear_loss_t loss = {
+		.run = task->run,
+		.crash_flags = crash_flags(suspects, task),
+	};
+	uint32_t flags = loss.crash_flags;
+
+	if (termination != WWH_TERMINATION_CRASH) {
+		sched_task_name(task, loss.task);
+		g_array_append_val(task->upstream->unclear_losses, loss);
+		flags &= ~(uint32_t)(SCHED_LOSS_CRASH | SCHED_LOSS_ALONE);
+	}
 	sched_losses_add(task, task->run, flags);
 	return flags;
 }
@@ -256,7 +314,10 @@
 		step->alone_losses += amount;
 }
 
-/* The row of a start that is about to be ordered is no loss. */
+/*
+ * The row of a start that is about to be ordered is no loss. A recorded start
+ * counts as a crash if no holder learned of its outcome.
+ */
 static bool has_exhausted_losses(const sched_task_t *task)
 {
 	const sched_losses_t *losses = &task->losses;
@@ -265,7 +326,8 @@
 	int32_t unclear = count_with(losses, SCHED_LOSS_PENDING) - ordered;
 
 	return losses->count - ordered >= MAX_LOSSES &&
-	       count_with(losses, SCHED_LOSS_CRASH) + unclear >= MIN_CRASHES;
+	       count_with(losses, SCHED_LOSS_CRASH) + unclear >=
+		       min_crashes(losses);
 }
 
 /* Counts the rows that have all of these flags. */
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -14,8 +14,12 @@
 #define STEP_FIELDS 3
 #define FAILED_FIELDS 2
 
-/* A loss is two numbers of a flat array, its run and its flags. */
+/*
+ * A loss is two numbers of a flat array: its run, and its flags below the hash of
+ * its upstream.
+ */
 #define LOSS_NUMBERS 2
+#define LOSS_FLAG_BITS 32
 #define UPSTREAM_FIELDS 2
 
 /* A record as it was stored. */
@@ -220,8 +224,12 @@
 {
 	msgpack_pack_array(packer, (size_t)losses->count * LOSS_NUMBERS);
 	for (int32_t i = 0; i < losses->count; i++) {
-		msgpack_pack_int64(packer, losses->rows[i].run);
-		msgpack_pack_uint32(packer, losses->rows[i].flags);
+		const sched_loss_t *row = &losses->rows[i];
+
+		msgpack_pack_int64(packer, row->run);
+		msgpack_pack_int64(packer,
+				   (int64_t)row->upstream << LOSS_FLAG_BITS |
+					   row->flags);
 	}
 }
 
@@ -423,6 +431,8 @@
 		    !read_number(&row[1], &flags))
 			return false;
 		sched_losses_add(task, run, (uint32_t)flags);
+		task->losses.rows[task->losses.count - 1].upstream =
+			(uint32_t)(flags >> LOSS_FLAG_BITS);
 		task->run = MAX(task->run, run);
 	}
 	return true;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -67,6 +67,8 @@
 
 	wwh_upstream_info_copy(&upstream->info, info);
 	upstream->tasks = g_ptr_array_new();
+	upstream->unclear_losses =
+		g_array_new(FALSE, FALSE, sizeof(sched_unclear_loss_t));
 	upstream->orphan_stops =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	upstream->recorded_lease_ms = sched_lease_requested_ms(scheduler);
@@ -82,6 +84,7 @@
 
 	wwh_upstream_info_clear(&upstream->info);
 	g_ptr_array_unref(upstream->tasks);
+	g_array_unref(upstream->unclear_losses);
 	g_hash_table_destroy(upstream->orphan_stops);
 	g_free(upstream);
 }
@@ -103,6 +106,10 @@
 	scheduler->crashed_upstreams += termination == WWH_TERMINATION_CRASH &&
 					upstream->tasks->len > 0;
 	sched_upstream_lose_tasks(scheduler, upstream, termination, why);
+	if (termination == WWH_TERMINATION_CRASH) {
+		sched_losses_confirm_crash(scheduler, upstream);
+		sched_inherited_starts_resolve(scheduler, upstream, true);
+	}
 	if (upstream->inherited && !upstream->settled)
 		sched_pool_settle_one(scheduler, upstream->pool);
 	g_ptr_array_remove_fast(upstream->pool->upstreams, upstream);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -96,6 +96,8 @@
 				      upstream->termination_reason);
 		return;
 	}
+	/* It is up, so its runs were lost without a crash. */
+	g_array_set_size(upstream->unclear_losses, 0);
 	upstream->orphans = 0;
 	for (int32_t i = 0; i < answer->running_count; i++)
 		handle_running(scheduler, upstream, &answer->running[i],
@@ -176,6 +178,7 @@
 	if (upstream->settled)
 		return;
 	upstream->settled = true;
+	sched_inherited_starts_resolve(scheduler, upstream, false);
 	if (upstream->inherited)
 		sched_pool_settle_one(scheduler, upstream->pool);
 	sched_explain(scheduler, "upstream-settled", upstream->info.id,
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -47,11 +47,14 @@
 static void on_start(const wwh_start_order_t *start, void *data)
 {
 	order_t order = make_order(data, ORDER_START, start->upstream);
+	job_t *job;
+	int32_t step;
 
 	assert(strcmp(start->payload, "text") == 0);
 	g_strlcpy(order.task, start->task, sizeof(order.task));
 	order.run = start->run;
 	order.until_ms = start->lease_until_remote_ms;
+	truth_of(order.task, &step, &job)->unanswered++;
 	add_order(&order);
 }
 
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -30,6 +30,8 @@
 #define ORDER_LIMIT_MS 1700 /* after which a holder waits no longer */
 #define CRASHED_MS 3000 /* how long an upstream is away after a crash */
 #define MAX_CRASHING_STARTS 5 /* of one task, by a holder that knows of all */
+#define MIN_CRASHES 2 /* before a job is shown as failed */
+#define MIN_POSSIBLE_CRASHES 3 /* the same, if starts got no answer */
 #define POOL "p"
 
 typedef struct {
@@ -39,7 +41,9 @@
 	int32_t failed_acked;
 	int32_t failed; /* truly */
 	int32_t crashes; /* of upstreams that ran it */
+	int32_t answered_crashes; /* of upstreams that had answered the start */
 	int32_t starts;
+	int32_t unanswered; /* orders to start it that got no answer */
 } truth_t;
 
 typedef struct {
@@ -66,6 +70,7 @@
 	int64_t duration_ms;
 	int64_t crash_ms; /* when it crashes its upstream; 0: never */
 	bool fails;
+	bool answered; /* the holder knows that it began */
 } run_t;
 
 typedef struct {
@@ -219,6 +224,8 @@
 
 		truth->running = false;
 		truth->crashes++;
+		truth->answered_crashes +=
+			g_array_index(host->runs, run_t, i).answered;
 	}
 	g_array_set_size(host->runs, 0);
 	g_array_set_size(host->ends, 0);
@@ -366,6 +373,19 @@
 	return most;
 }
 
+/* A holder can't tell whether a start without an answer crashed its upstream. */
+static inline int32_t most_possible_crashes(const job_t *job)
+{
+	int32_t most = 0;
+
+	for (int32_t k = 0; k < STEPS * TASKS; k++) {
+		const truth_t *truth = &job->tasks[k / TASKS][k % TASKS];
+
+		most = MAX(most, truth->answered_crashes + truth->unanswered);
+	}
+	return most;
+}
+
 static inline int32_t most_failures(const job_t *job)
 {
 	int32_t most = 0;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -213,6 +213,12 @@
 		FIXTURE_TEST(                                                     \
 			a_task_that_crashes_its_upstreams_unanswered_is_given_up, \
 			3),                                                       \
+		FIXTURE_TEST(                                                     \
+			a_crash_that_is_known_after_the_lease_lapsed_counts,      \
+			3),                                                       \
+		FIXTURE_TEST(                                                     \
+			a_crash_after_the_upstream_answered_again_does_not_count, \
+			3),                                                       \
 		FIXTURE_TEST(crashes_are_counted_across_changes_of_holder, 3),    \
 		FIXTURE_TEST(                                                     \
 			unanswered_crashes_are_counted_across_changes_of_holder,  \
@@ -228,6 +234,9 @@
 			a_neighbour_of_a_task_that_crashes_upstreams_completes,   \
 			3),                                                       \
 		FIXTURE_TEST(runs_on_upstreams_out_of_reach_end_no_job, 3),       \
+		FIXTURE_TEST(                                                     \
+			a_start_that_a_new_incarnation_refuses_is_no_crash,       \
+			3),                                                       \
 		FIXTURE_TEST(a_run_that_upkeep_ended_is_no_suspect, 3),           \
 		FIXTURE_TEST(a_suspect_start_is_recorded_before_it_is_sent,       \
 			     3),                                                  \
@@ -250,6 +259,8 @@
 void an_upstream_that_leaves_does_not_crash(void **state);
 void a_task_that_crashes_its_upstreams_is_given_up(void **state);
 void a_task_that_crashes_its_upstreams_unanswered_is_given_up(void **state);
+void a_crash_that_is_known_after_the_lease_lapsed_counts(void **state);
+void a_crash_after_the_upstream_answered_again_does_not_count(void **state);
 void crashes_are_counted_across_changes_of_holder(void **state);
 void unanswered_crashes_are_counted_across_changes_of_holder(void **state);
 void a_suspect_is_started_on_an_upstream_of_its_own(void **state);
@@ -257,6 +268,7 @@
 void a_run_that_has_proven_harmless_is_a_bystander(void **state);
 void a_neighbour_of_a_task_that_crashes_upstreams_completes(void **state);
 void runs_on_upstreams_out_of_reach_end_no_job(void **state);
+void a_start_that_a_new_incarnation_refuses_is_no_crash(void **state);
 void a_run_that_upkeep_ended_is_no_suspect(void **state);
 void a_suspect_start_is_recorded_before_it_is_sent(void **state);
 void a_start_after_an_unanswered_crash_is_recorded(void **state);
