Run the groups of test_job_service side by side

Cause: of its 117 s, 7.5 s are processor time. Each of 22 tests stopped its two processes one after the other, 1 s each, and then waited 0.5 to 1.1 s for readers of the stand-in store whose long polls nobody ended.

All 22 tests and their checks are as they were.

--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -75,6 +75,29 @@
 	fixture->services[index] = NULL;
 }
 
+static inline gpointer finish_process(gpointer service)
+{
+	(void)wwh_job_service_finish(service);
+	return NULL;
+}
+
+/* Stops all processes that run, at the same time. */
+static inline void stop_all_processes(fixture_t *fixture)
+{
+	GThread *threads[PROCESSES] = { NULL };
+
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (fixture->services[i] != NULL)
+			threads[i] = g_thread_new("stop", finish_process,
+						  fixture->services[i]);
+	}
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		if (threads[i] != NULL)
+			(void)g_thread_join(threads[i]);
+		g_clear_pointer(&fixture->services[i], wwh_job_service_delete);
+	}
+}
+
 /* Doesn't start the processes. */
 static inline fixture_t *fixture_new(void)
 {
@@ -103,10 +126,7 @@
 {
 	fixture_t *fixture = *state;
 
-	for (int32_t i = 0; i < PROCESSES; i++) {
-		if (fixture->services[i] != NULL)
-			stop_process(fixture, i);
-	}
+	stop_all_processes(fixture);
 	wwh_upstream_delete(fixture->client);
 	wwh_counters_delete(fixture->counters);
 	close(fixture->log_fd);
@@ -241,7 +261,19 @@
 	return 0;
 }
 
+#define SERVICE_TEST(test)                                                     \
+	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
+
 /* test_changes.c: changes of the shard's holder */
+#define CHANGE_TESTS                                                           \
+	SERVICE_TEST(a_holder_that_the_store_rejects_hands_over),              \
+		SERVICE_TEST(a_holder_that_cannot_keep_up_hands_over),         \
+		SERVICE_TEST(                                                  \
+			a_holder_keeps_a_load_that_was_handed_over_to_it),     \
+		SERVICE_TEST(                                                  \
+			a_holder_keeps_the_shard_while_nobody_else_is_served), \
+		SERVICE_TEST(a_lost_answer_does_not_delay_its_pool)
+
 void a_holder_that_the_store_rejects_hands_over(void **state);
 void a_holder_that_cannot_keep_up_hands_over(void **state);
 void a_holder_keeps_a_load_that_was_handed_over_to_it(void **state);
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -337,58 +337,74 @@
 	}
 }
 
-int main(void)
+static int run_key_tests(void)
+{
+	const struct CMUnitTest tests[] = { KEY_TESTS };
+
+	return cmocka_run_group_tests_name("keys", tests, NULL, NULL);
+}
+
+static int run_change_tests(void)
+{
+	const struct CMUnitTest tests[] = { CHANGE_TESTS };
+
+	return cmocka_run_group_tests_name("changes", tests, NULL, NULL);
+}
+
+static int run_stop_tests(void)
+{
+	const struct CMUnitTest tests[] = {
+		SERVICE_TEST(another_process_takes_over_from_one_that_stops),
+		SERVICE_TEST(a_stopped_holder_waits_for_its_orders_to_hosts),
+		SERVICE_TEST(
+			a_slow_process_holds_the_shard_only_if_no_other_does),
+		SERVICE_TEST(a_stopped_process_ends_in_time_while_callers_wait),
+		SERVICE_TEST(
+			started_processes_restore_all_jobs_from_newest_records),
+	};
+
+	return cmocka_run_group_tests_name("stops", tests, NULL, NULL);
+}
+
+static int run_caller_tests(void)
 {
 	const struct CMUnitTest tests[] = {
-		KEY_TESTS,
-		cmocka_unit_test_setup_teardown(
-			a_job_runs_whichever_process_receives_it, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			started_processes_restore_all_jobs_from_newest_records,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_holder_that_the_store_rejects_hands_over, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_holder_that_cannot_keep_up_hands_over, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_holder_keeps_a_load_that_was_handed_over_to_it,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_holder_keeps_the_shard_while_nobody_else_is_served,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_lost_answer_does_not_delay_its_pool, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			another_process_takes_over_from_one_that_stops, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_stopped_holder_waits_for_its_orders_to_hosts, set_up,
-			tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_job_is_not_reported_refused_while_the_store_is_silent,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			callers_are_rejected_at_once_while_the_store_is_busy,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_job_that_was_never_sent_to_the_store_is_refused,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_stopped_process_ends_in_time_while_callers_wait,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			a_slow_process_holds_the_shard_only_if_no_other_does,
-			set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			unreadable_records_stop_no_process, set_up, tear_down),
-		cmocka_unit_test_setup_teardown(
-			malformed_requests_get_the_matching_error_status,
-			set_up, tear_down),
+		SERVICE_TEST(a_job_runs_whichever_process_receives_it),
+		SERVICE_TEST(
+			a_job_is_not_reported_refused_while_the_store_is_silent),
+		SERVICE_TEST(
+			callers_are_rejected_at_once_while_the_store_is_busy),
+		SERVICE_TEST(a_job_that_was_never_sent_to_the_store_is_refused),
+		SERVICE_TEST(unreadable_records_stop_no_process),
+		SERVICE_TEST(malformed_requests_get_the_matching_error_status),
 	};
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	return cmocka_run_group_tests_name("callers", tests, NULL, NULL);
+}
+
+/* Runs one group of tests, or all without an argument. */
+int main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		int (*run)(void);
+	} groups[] = {
+		{ "keys", run_key_tests },
+		{ "changes", run_change_tests },
+		{ "stops", run_stop_tests },
+		{ "callers", run_caller_tests },
+	};
+	int failed = 0;
+	bool found = false;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(groups); i++) {
+		if (argc > 1 && strcmp(argv[1], groups[i].name) != 0)
+			continue;
+		found = true;
+		failed += groups[i].run();
+	}
+	if (!found)
+		fprintf(stderr, "%s: no group of tests is called %s\n", argv[0],
+			argv[1]);
+	return found ? failed : EXIT_FAILURE;
 }
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -264,6 +264,10 @@
 	GHashTableIter iterator;
 	gpointer part;
 
+	g_mutex_lock(&standin->lock);
+	standin->ending = true;
+	g_cond_broadcast(&standin->grown);
+	g_mutex_unlock(&standin->lock);
 	for (int32_t i = 0; i < STANDIN_UPSTREAMS; i++) {
 		(void)wwh_listener_drain(standin->upstreams[i].listener, 0);
 		wwh_listener_delete(standin->upstreams[i].listener);
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -58,6 +58,7 @@
 struct standin {
 	GMutex lock;
 	GCond grown;
+	bool ending; /* no reader waits any more */
 	wwh_counters_t *counters;
 	wwh_listener_t *store;
 	GHashTable *parts; /* name to standin_part_t */
@@ -214,7 +215,7 @@
 			 standin_number(http->target, "waitMs", 0) * 1000;
 	uint64_t head[2];
 
-	while (from >= (int64_t)found->records->len) {
+	while (from >= (int64_t)found->records->len && !standin->ending) {
 		if (!g_cond_wait_until(&standin->grown, &standin->lock, end_us))
 			break;
 	}
