Start a recorded suspect only on the upstream that its record names

Cause: the record of a suspect's start names its upstream, but the pass that sends the start chose again, and could take another one. The next holder then resolves the start by the wrong upstream.

--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -21,6 +21,8 @@
  */
 #define RECORD_WAIT_MS 400
 
+static bool is_recorded_elsewhere(const sched_task_t *task,
+				  const sched_upstream_t *upstream);
 static bool is_reserved_for_other_job(const wwh_scheduler_t *scheduler,
 				      const sched_upstream_t *upstream,
 				      const sched_job_t *job);
@@ -128,7 +130,8 @@
 	if (!sched_task_is_suspect(task))
 		return upstream->isolated_runs == 0 &&
 		       scheduler->now_ms >= upstream->reserved_until_ms;
-	return !is_reserved_for_other_job(scheduler, upstream, job) &&
+	return !is_recorded_elsewhere(task, upstream) &&
+	       !is_reserved_for_other_job(scheduler, upstream, job) &&
 	       !has_unproven_run_of_other_job(upstream, job);
 }
 
@@ -199,6 +202,17 @@
 	best->reserved_job = NULL;
 }
 
+/* The record of the start that is due names another upstream. */
+static bool is_recorded_elsewhere(const sched_task_t *task,
+				  const sched_upstream_t *upstream)
+{
+	const sched_loss_t *row =
+		sched_losses_find(&task->losses, task->pending_run);
+
+	return row != NULL && (row->flags & SCHED_LOSS_PENDING) != 0 &&
+	       row->upstream != sched_upstream_hash(upstream);
+}
+
 static bool is_reserved_for_other_job(const wwh_scheduler_t *scheduler,
 				      const sched_upstream_t *upstream,
 				      const sched_job_t *job)
