Send a start or stop again once its answer is overdue

Cause: an order without an answer was given up after 1 s. Then the upstream was polled, the run stopped, and the upstream polled again before the task was started elsewhere: 1.5 to 3 s.

Change: the same order is sent once more when its answer is overdue: the smoothed answer time plus four deviations, 60 ms at least (answer_time). An upstream carries out each run once, so the repetition can't start a task twice. If a start was repeated, no refusal means that nothing ran: a poll decides. At most one order in eight is repeated. Not repeated: starts on upstreams that leave or are silent, of cancelled jobs, while starts are held.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -492,6 +492,7 @@
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts; /* of tasks that may crash their upstreams */
 	int64_t tasks_given_up; /* as they crashed their upstreams */
+	int64_t repeated_orders; /* their answers were overdue */
 } wwh_scheduler_counts_t;
 
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler);
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -51,6 +51,7 @@
 	wwh_counter_t *lost_jobs;
 	wwh_counter_t *upstream_crashes;
 	wwh_counter_t *isolated_starts;
+	wwh_counter_t *repeated_orders;
 	wwh_counter_t *tasks_given_up;
 	wwh_scheduler_counts_t counted; /* by the counters above */
 	wwh_counter_t *overload_refusals;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -5,12 +5,13 @@
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
  * scheduler_age, scheduler_loss, scheduler_inherited_start,
- * scheduler_isolation, scheduler_poll,
+ * scheduler_isolation, scheduler_poll, scheduler_repeat,
  * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_upstream,
  * scheduler_backlog, scheduler_record, scheduler_job, scheduler_task,
  * scheduler_check.
  */
 
+#include "waxwinghollow/answer_time.h"
 #include "waxwinghollow/chart.h"
 #include "waxwinghollow/scheduler.h"
 #include "waxwinghollow/workspace_quota.h"
@@ -117,7 +118,8 @@
 	int64_t retry_ms; /* not placed before this */
 	int64_t stop_sent_ms; /* 0: no stop was ordered */
 	int64_t stop_confirmed_ms; /* 0: not confirmed */
-	bool order_in_flight;
+	int32_t orders_sent; /* the same start or stop, with repetitions */
+	int32_t orders_in_flight; /* those of them without an answer */
 	bool inherited; /* may run at an upstream that hasn't answered yet */
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
@@ -303,6 +305,9 @@
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts;
 	int64_t tasks_given_up;
+	wwh_answer_time_t order_time; /* of starts and stops */
+	int32_t repeat_credit; /* an order adds one, a repetition takes some */
+	int64_t repeated_orders;
 };
 
 /* The name of the pool that holds inherited upstreams of unknown pools. */
@@ -343,6 +348,10 @@
 void sched_task_event(wwh_scheduler_t *scheduler, sched_task_t *task,
 		      sched_task_event_t event);
 void sched_task_order_stop(wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Sends the order for the task's current run, for the first time or again. */
+void sched_task_send_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+			   const char *ticket);
+void sched_task_send_stop(wwh_scheduler_t *scheduler, sched_task_t *task);
 void sched_task_set_checkpoint(sched_task_t *task, const char *checkpoint);
 /* The lease that this holder requests and writes into records of upstreams. */
 int64_t sched_lease_requested_ms(const wwh_scheduler_t *scheduler);
@@ -545,6 +554,16 @@
 /* Polls the upstreams that haven't answered this holder yet. */
 void sched_poll_unsettled(wwh_scheduler_t *scheduler);
 
+/* scheduler_repeat.c: repeats orders whose answers are overdue */
+void sched_orders_init(wwh_scheduler_t *scheduler);
+void sched_orders_repeat(wwh_scheduler_t *scheduler,
+			 sched_upstream_t *upstream);
+/* Called when a start or stop of task is sent for the first time. */
+void sched_order_sent(wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Called when the first answer to an order of sent_ms has come. */
+void sched_order_answered(wwh_scheduler_t *scheduler, const sched_task_t *task,
+			  int64_t sent_ms);
+
 /* scheduler_watch.c: processes answers to polls and lapsed leases */
 void sched_upstreams_run(wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -131,6 +131,8 @@
 		wwh_counters_get(options->counters, "holder.upstream_crashes");
 	holder->isolated_starts =
 		wwh_counters_get(options->counters, "holder.isolated_starts");
+	holder->repeated_orders =
+		wwh_counters_get(options->counters, "holder.repeated_orders");
 	holder->tasks_given_up =
 		wwh_counters_get(options->counters, "holder.tasks_given_up");
 	holder->bad_hosts = make_bad_records(holder, "hosts");
@@ -223,6 +225,9 @@
 	wwh_counter_add(holder->isolated_starts,
 			counts.isolated_starts -
 				holder->counted.isolated_starts);
+	wwh_counter_add(holder->repeated_orders,
+			counts.repeated_orders -
+				holder->counted.repeated_orders);
 	wwh_counter_add(holder->tasks_given_up,
 			counts.tasks_given_up - holder->counted.tasks_given_up);
 	holder->counted = counts;
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -49,6 +49,10 @@
 static sched_task_t *find_ordered_task(wwh_scheduler_t *scheduler,
 				       const char *upstream, const char *name,
 				       int64_t run);
+static void handle_other_incarnation(wwh_scheduler_t *scheduler,
+				     sched_task_t *task);
+static void handle_failed_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+				wwh_order_result_t result);
 static void handle_refused_start(wwh_scheduler_t *scheduler, sched_task_t *task,
 				 wwh_order_result_t result);
 static void stop_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
@@ -122,6 +126,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	scheduler->inherited_starts =
 		g_array_new(FALSE, FALSE, sizeof(sched_inherited_start_t));
+	sched_orders_init(scheduler);
 	scheduler->quota = wwh_workspace_quota_new();
 	scheduler->live = g_ptr_array_new();
 	scheduler->dirty = g_ptr_array_new();
@@ -329,33 +334,20 @@
 	task = find_ordered_task(scheduler, upstream, name, run);
 	if (task == NULL || sched_task_state(task) == TASK_STOPPING)
 		return;
-	task->order_in_flight = false;
 	if (result == WWH_ORDER_DONE) {
+		sched_order_answered(scheduler, task, task->ordered_ms);
+		task->orders_in_flight = 0;
 		task->upstream->pool->dirty = true;
 		sched_run_accepted(scheduler, task);
 		sched_task_event(scheduler, task, TASK_ACCEPTED);
 		return;
 	}
-	sched_explain(scheduler, "start-not-done", name,
-		      "run=%" G_GINT64_FORMAT " upstream=%s result=%s", run,
-		      upstream, wwh_order_result_names[result]);
-	if (result == WWH_ORDER_UNKNOWN || result == WWH_ORDER_FENCED) {
-		sched_task_event(scheduler, task, TASK_UNANSWERED);
-		if (task->upstream != NULL)
-			task->upstream->next_poll_ms = scheduler->now_ms;
-		return;
-	}
 	if (result == WWH_ORDER_OTHER_INCARNATION) {
-		/* This run never began, so it caused no crash. */
-		sched_task_event(scheduler, task, TASK_REFUSED);
-		if (task->step->spec->gang)
-			stop_gang(scheduler, task->step);
-		wwh_scheduler_upstream_terminated(scheduler, upstream,
-						  WWH_TERMINATION_CRASH,
-						  "restarted", now_ms);
+		handle_other_incarnation(scheduler, task);
 		return;
 	}
-	handle_refused_start(scheduler, task, result);
+	if (sched_task_state(task) == TASK_STARTING)
+		handle_failed_start(scheduler, task, result);
 }
 
 void wwh_scheduler_handle_stop_result(wwh_scheduler_t *scheduler,
@@ -375,9 +367,13 @@
 	task = find_ordered_task(scheduler, upstream, name, run);
 	if (task == NULL || sched_task_state(task) != TASK_STOPPING)
 		return;
-	task->order_in_flight = false;
-	if (result == WWH_ORDER_DONE)
+	if (result == WWH_ORDER_DONE) {
+		sched_order_answered(scheduler, task, task->stop_sent_ms);
+		task->orders_in_flight = 0;
 		task->stop_confirmed_ms = scheduler->now_ms;
+	} else if (task->orders_in_flight > 0) {
+		task->orders_in_flight--;
+	}
 	if (task->upstream != NULL)
 		task->upstream->next_poll_ms =
 			MIN(task->upstream->next_poll_ms, scheduler->now_ms);
@@ -457,6 +453,7 @@
 		.crashed_upstreams = scheduler->crashed_upstreams,
 		.isolated_starts = scheduler->isolated_starts,
 		.tasks_given_up = scheduler->tasks_given_up,
+		.repeated_orders = scheduler->repeated_orders,
 	};
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
@@ -543,6 +540,48 @@
 	return task;
 }
 
+static void handle_other_incarnation(wwh_scheduler_t *scheduler,
+				     sched_task_t *task)
+{
+	const char *upstream = task->upstream->info.id;
+
+	/* Unless an order before this one began it, the run caused no crash. */
+	if (sched_task_state(task) == TASK_STARTING && task->orders_sent == 1) {
+		sched_task_event(scheduler, task, TASK_REFUSED);
+		if (task->step->spec->gang)
+			stop_gang(scheduler, task->step);
+	}
+	wwh_scheduler_upstream_terminated(scheduler, upstream,
+					  WWH_TERMINATION_CRASH, "restarted",
+					  scheduler->now_ms);
+}
+
+/*
+ * If the start was repeated, either order may have begun the run, whatever the
+ * other one was told.
+ */
+static void handle_failed_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+				wwh_order_result_t result)
+{
+	char name[WWH_TASK_NAME_BYTES];
+
+	sched_task_name(task, name);
+	sched_explain(scheduler, "start-not-done", name,
+		      "run=%" G_GINT64_FORMAT " upstream=%s result=%s",
+		      task->run, task->upstream->info.id,
+		      wwh_order_result_names[result]);
+	task->orders_in_flight--;
+	if (task->orders_in_flight > 0)
+		return;
+	if (task->orders_sent == 1 && result != WWH_ORDER_UNKNOWN &&
+	    result != WWH_ORDER_FENCED) {
+		handle_refused_start(scheduler, task, result);
+		return;
+	}
+	sched_task_event(scheduler, task, TASK_UNANSWERED);
+	task->upstream->next_poll_ms = scheduler->now_ms;
+}
+
 static void handle_refused_start(wwh_scheduler_t *scheduler, sched_task_t *task,
 				 wwh_order_result_t result)
 {
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -69,16 +69,6 @@
 		      sched_upstream_t *upstream, int64_t run,
 		      const char *ticket)
 {
-	const wwh_job_t *spec = task->step->occurrence->job->spec;
-	wwh_start_order_t order = {
-		.upstream = upstream->info.id,
-		.endpoint = upstream->info.endpoint,
-		.run = run,
-		.payload = spec->payload,
-		.checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
-		.ticket = ticket,
-	};
-
 	g_assert(sched_task_state(task) == TASK_WAITING);
 	g_assert(run > task->run);
 	g_assert(sched_job_is_live(task->step->occurrence->job));
@@ -92,7 +82,7 @@
 	attach_to_upstream(scheduler, task, upstream);
 	sched_run_begin(scheduler, task);
 	sched_isolation_begin(scheduler, task);
-	task->order_in_flight = true;
+	sched_order_sent(scheduler, task);
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
@@ -103,6 +93,22 @@
 	if (task->unavailable_since_ms == 0)
 		task->unavailable_since_ms = scheduler->now_ms;
 	task->step->occurrence->job->started = true;
+	sched_task_send_start(scheduler, task, ticket);
+}
+
+void sched_task_send_start(wwh_scheduler_t *scheduler, sched_task_t *task,
+			   const char *ticket)
+{
+	sched_upstream_t *upstream = task->upstream;
+	wwh_start_order_t order = {
+		.upstream = upstream->info.id,
+		.endpoint = upstream->info.endpoint,
+		.run = task->run,
+		.payload = task->step->occurrence->job->spec->payload,
+		.checkpoint = task->checkpoint == NULL ? "" : task->checkpoint,
+		.ticket = ticket,
+	};
+
 	sched_task_name(task, order.task);
 	order.lease_until_remote_ms = sched_lease_extend(scheduler, upstream);
 	scheduler->callbacks.start(&order, scheduler->callbacks.client_data);
@@ -118,7 +124,7 @@
 	sched_run_begin(scheduler, task);
 	sched_run_accepted(scheduler, task);
 	sched_isolation_begin(scheduler, task);
-	task->order_in_flight = false;
+	task->orders_in_flight = 0;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
@@ -150,6 +156,14 @@
 }
 
 void sched_task_order_stop(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	sched_task_event(scheduler, task, TASK_STOP);
+	task->stop_sent_ms = scheduler->now_ms;
+	sched_order_sent(scheduler, task);
+	sched_task_send_stop(scheduler, task);
+}
+
+void sched_task_send_stop(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	wwh_stop_order_t order = {
 		.upstream = task->upstream->info.id,
@@ -158,9 +172,6 @@
 	};
 
 	sched_task_name(task, order.task);
-	sched_task_event(scheduler, task, TASK_STOP);
-	task->stop_sent_ms = scheduler->now_ms;
-	task->order_in_flight = true;
 	scheduler->callbacks.stop(&order, scheduler->callbacks.client_data);
 }
 
@@ -286,7 +297,7 @@
 				     &task->step->spec->need);
 	g_ptr_array_remove_fast(task->upstream->tasks, task);
 	task->upstream = NULL;
-	task->order_in_flight = false;
+	task->orders_in_flight = 0;
 	task->step->outstanding--;
 	task->step->occurrence->job->outstanding--;
 	g_assert(task->step->outstanding >= 0);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -9,8 +9,8 @@
  */
 #define REFUSALS_BEFORE_TERMINATED 2
 
-/* A stop order without an answer is resent after this time. */
-#define STOP_RESEND_MS 400
+/* The stop of an orphan is resent after this time and that which a stop takes. */
+#define ORPHAN_STOP_RESEND_MS 400
 
 /*
  * A task whose progress hasn't changed for this time hangs: tasks take a few
@@ -61,8 +61,6 @@
 			    int64_t sent_ms);
 static void stop_hung_tasks(wwh_scheduler_t *scheduler,
 			    sched_upstream_t *upstream);
-static void resend_stops(wwh_scheduler_t *scheduler,
-			 sched_upstream_t *upstream);
 static void run_upstream(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 static void write_upstream_record(wwh_scheduler_t *scheduler,
@@ -304,9 +302,8 @@
 	if (task != NULL && task->upstream == upstream &&
 	    task->run == row->run) {
 		sched_task_event(scheduler, task, TASK_LISTED);
-		task->order_in_flight =
-			sched_task_state(task) == TASK_STOPPING &&
-			task->order_in_flight;
+		if (sched_task_state(task) != TASK_STOPPING)
+			task->orders_in_flight = 0;
 		sched_run_listed(scheduler, task, sent_ms);
 		update_task(scheduler, task, row);
 		return;
@@ -345,7 +342,7 @@
 		return;
 	if (sent_ms != NULL &&
 	    scheduler->now_ms - *sent_ms <
-		    STOP_RESEND_MS + scheduler->options.stop_limit_ms)
+		    ORPHAN_STOP_RESEND_MS + scheduler->options.stop_limit_ms)
 		return;
 	sent_ms = g_new(int64_t, 1);
 	*sent_ms = scheduler->now_ms;
@@ -474,18 +471,6 @@
 	}
 }
 
-static void resend_stops(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
-{
-	for (guint i = 0; i < upstream->tasks->len; i++) {
-		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
-
-		if (sched_task_state(task) == TASK_STOPPING &&
-		    !task->order_in_flight && task->stop_confirmed_ms == 0 &&
-		    scheduler->now_ms - task->stop_sent_ms >= STOP_RESEND_MS)
-			sched_task_order_stop(scheduler, task);
-	}
-}
-
 static void run_upstream(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	int64_t now_ms = scheduler->now_ms;
@@ -522,7 +507,7 @@
 				      WWH_TERMINATION_UNKNOWN, "unlisted");
 		return;
 	}
-	resend_stops(scheduler, upstream);
+	sched_orders_repeat(scheduler, upstream);
 	sched_isolation_update(upstream);
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -125,8 +125,12 @@
 	host_t *host = host_of(order->upstream);
 	job_t *job;
 	int32_t step;
+	truth_t *truth = truth_of(order->task, &step, &job);
 
-	truth_of(order->task, &step, &job)->unanswered--;
+	if (truth->ordered_run != order->run || truth->run_answered)
+		return;
+	truth->run_answered = true;
+	truth->unanswered--;
 	for (guint i = 0; host != NULL && i < host->runs->len; i++) {
 		run_t *run = &g_array_index(host->runs, run_t, i);
 
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -47,6 +47,7 @@
 static void on_start(const wwh_start_order_t *start, void *data)
 {
 	order_t order = make_order(data, ORDER_START, start->upstream);
+	truth_t *truth;
 	job_t *job;
 	int32_t step;
 
@@ -54,7 +55,12 @@
 	g_strlcpy(order.task, start->task, sizeof(order.task));
 	order.run = start->run;
 	order.until_ms = start->lease_until_remote_ms;
-	truth_of(order.task, &step, &job)->unanswered++;
+	truth = truth_of(order.task, &step, &job);
+	if (truth->ordered_run != order.run) {
+		truth->ordered_run = order.run;
+		truth->run_answered = false;
+		truth->unanswered++;
+	}
 	add_order(&order);
 }
 
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -43,7 +43,9 @@
 	int32_t crashes; /* of upstreams that ran it */
 	int32_t answered_crashes; /* of upstreams that had answered the start */
 	int32_t starts;
-	int32_t unanswered; /* orders to start it that got no answer */
+	int32_t unanswered; /* runs whose start got no answer */
+	int64_t ordered_run; /* its start may be sent again */
+	bool run_answered; /* that run */
 } truth_t;
 
 typedef struct {
--- a/src/test_scheduler/sched_fixture.h
+++ b/src/test_scheduler/sched_fixture.h
@@ -391,6 +391,33 @@
 	return &g_array_index(orders, sched_fixture_order_t, index);
 }
 
+/*
+ * The number of runs that were ordered of tasks whose names begin with prefix. The
+ * same start may have been sent more than once.
+ */
+static inline int32_t sched_fixture_count_runs(sched_fixture_t *fixture,
+					       const char *prefix)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < fixture->starts->len; i++) {
+		const sched_fixture_order_t *order =
+			sched_fixture_order(fixture->starts, i);
+		bool again = false;
+
+		for (guint k = 0; k < i; k++) {
+			const sched_fixture_order_t *earlier =
+				sched_fixture_order(fixture->starts, k);
+
+			again = again ||
+				(strcmp(earlier->task, order->task) == 0 &&
+				 earlier->run == order->run);
+		}
+		count += !again && g_str_has_prefix(order->task, prefix);
+	}
+	return count;
+}
+
 static inline void
 sched_fixture_handle_start_result(sched_fixture_t *fixture,
 				  const sched_fixture_order_t *order,
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -631,5 +631,5 @@
 		sched_fixture_run(fixture, 50);
 		answer_all_but(fixture, "");
 	}
-	assert_int_equal(fixture->starts->len, 2);
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_A), 2);
 }
--- a/src/test_scheduler/test_runs.c
+++ b/src/test_scheduler/test_runs.c
@@ -518,7 +518,6 @@
 	wwh_job_t *failing = sched_fixture_job(JOB_A, 1, 1000);
 	wwh_job_t *sound = sched_fixture_job(JOB_B, 1, 1000);
 	int32_t failures = 0;
-	guint started = 0;
 
 	failing->steps[0].lasting = true;
 	sound->steps[0].lasting = true;
@@ -547,8 +546,5 @@
 		sched_fixture_run(fixture, 50);
 		answer_all_but(fixture, "");
 	}
-	for (guint i = 0; i < fixture->starts->len; i++)
-		started += g_str_has_prefix(
-			sched_fixture_order(fixture->starts, i)->task, JOB_B);
-	assert_int_equal(started, 1);
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
 }
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -273,6 +273,7 @@
 		DAMAGE_TESTS,
 		BACKLOG_TESTS,
 		IDLE_TESTS,
+		REPEAT_TESTS,
 		CRASH_TESTS,
 		CAPACITY_TESTS,
 		FIXTURE_TEST(a_job_runs_to_its_end, 1),
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -294,6 +294,28 @@
 void a_new_holder_starts_nothing_on_a_shrunk_upstream(void **state);
 void a_gang_starts_only_where_shrunk_upstreams_have_room_for_all(void **state);
 
+#define REPEAT_TESTS                                                           \
+	FIXTURE_TEST(a_start_without_an_answer_is_sent_again, 1),              \
+		FIXTURE_TEST(                                                  \
+			a_refused_repetition_does_not_mean_that_nothing_ran,   \
+			1),                                                    \
+		FIXTURE_TEST(                                                  \
+			a_start_is_not_repeated_on_an_upstream_that_leaves,    \
+			1),                                                    \
+		FIXTURE_TEST(a_start_of_a_cancelled_job_is_not_repeated, 1),   \
+		FIXTURE_TEST(a_stop_without_an_answer_is_sent_again, 1),       \
+		FIXTURE_TEST(repetitions_are_a_limited_share_of_the_orders,    \
+			     1),                                               \
+		FIXTURE_TEST(polls_are_short_while_orders_get_no_answer, 1)
+
+void a_start_without_an_answer_is_sent_again(void **state);
+void a_refused_repetition_does_not_mean_that_nothing_ran(void **state);
+void a_start_is_not_repeated_on_an_upstream_that_leaves(void **state);
+void a_start_of_a_cancelled_job_is_not_repeated(void **state);
+void a_stop_without_an_answer_is_sent_again(void **state);
+void repetitions_are_a_limited_share_of_the_orders(void **state);
+void polls_are_short_while_orders_get_no_answer(void **state);
+
 #define IDLE_TESTS                                                             \
 	FIXTURE_TEST(polls_of_many_idle_upstreams_are_rate_limited, 0),        \
 		FIXTURE_TEST(few_idle_upstreams_are_polled_continuously, 0),   \
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -394,7 +394,7 @@
 	assert_int_equal(fixture->starts->len, 4);
 	limit_cpu(fixture, 1000);
 	sched_fixture_run(fixture, 300);
-	assert_int_equal(fixture->starts->len, 4);
+	assert_int_equal(sched_fixture_count_runs(fixture, ""), 4);
 }
 
 /*
