Poll more often while orders get no answer

Cause: a poll waits 1 s for an end, and a lost one was given up after 1.7 s. Until then no end at that upstream is learned, so the next step of its jobs waits. With one order in 20 lost, this cost more than lost starts.

Change: while more than one answer to an order in 50 is overdue, polls at upstreams with tasks wait 0.25 s. A poll fails after four times the limit of an order beyond its wait, 0.2 to 0.7 s, and the first one that timed out is repeated after 20 ms instead of 150.

--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -39,18 +39,26 @@
 #define UNACKED_LONG_MS 400
 #define POLL_UNACKED_LONG_GAP_MS 250
 
+/*
+ * The same, while upstreams leave orders without an answer. Until a lost poll is
+ * repeated, no end is learned.
+ */
+#define POLL_LOSSY_WAIT_MS 250
+
 /* Share of WWH_OVERTAKEN_HOLDER_MS for the transit of a poll and its answer. */
 #define POLL_TRANSIT_MS 150
 G_STATIC_ASSERT(POLL_WAIT_MS + POLL_UNACKED_LONG_GAP_MS + POLL_TRANSIT_MS <=
 		WWH_OVERTAKEN_HOLDER_MS);
 
 /*
- * Time limit of an answer in addition to the poll's wait; an upstream answers
- * within a few ms. The first poll at an inherited upstream has a shorter limit
+ * Limits of the time for an answer in addition to the poll's wait: several times
+ * that after which the answer to an order is overdue. The first poll at an inherited upstream has a shorter limit
  * and is resent, because its whole pool waits for it. Its limit doubles with
  * each failure.
  */
 #define POLL_TIMEOUT_MS 700
+#define POLL_TIMEOUT_MIN_MS 200
+#define ORDER_LIMITS_PER_POLL 4
 #define FIRST_POLL_TIMEOUT_MS 150
 #define FIRST_POLL_RETRY_MS 20
 
@@ -61,7 +69,8 @@
  */
 #define FIRST_POLLS_IN_FLIGHT 128
 
-/* Delay after a failed poll: the first one, and the maximum. */
+/* Delay after a failed poll: after the first one that timed out, and others. */
+#define POLL_FIRST_RETRY_MS 20
 #define POLL_RETRY_MS 150
 #define POLL_RETRY_MAX_MS 800
 
@@ -69,7 +78,10 @@
 			const sched_upstream_t *upstream);
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
 static bool delays_its_pool(const sched_upstream_t *upstream);
-static int64_t poll_timeout_ms(const sched_upstream_t *upstream);
+static int64_t poll_wait_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream);
+static int64_t poll_timeout_ms(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream);
 static gint compare_first_polls(gconstpointer a, gconstpointer b);
 
 int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
@@ -86,6 +98,8 @@
 {
 	if (delays_its_pool(upstream) && upstream->refused_polls == 0)
 		return FIRST_POLL_RETRY_MS;
+	if (upstream->failed_polls == 1 && upstream->refused_polls == 0)
+		return POLL_FIRST_RETRY_MS;
 	return MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
 }
 
@@ -163,19 +177,10 @@
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
 		.ends_acked_upto = upstream->ends_acked,
-		.wait_ms = POLL_WAIT_MS,
-		.timeout_ms = poll_timeout_ms(upstream),
+		.wait_ms = poll_wait_ms(scheduler, upstream),
+		.timeout_ms = poll_timeout_ms(scheduler, upstream),
 	};
 
-	/*
-	 * The answer carries the upstream's clock, so a first poll, and one
-	 * after a failure, doesn't wait.
-	 */
-	if (!upstream->settled || upstream->failed_polls > 0)
-		order.wait_ms = 0;
-	else if (upstream->isolated_runs > 0 ||
-		 scheduler->now_ms < upstream->reserved_until_ms)
-		order.wait_ms = POLL_ISOLATED_WAIT_MS;
 	/*
 	 * A lease is extended only while polls are answered. Each poll that was
 	 * sent may still arrive, so extending the lease with every poll at an
@@ -195,12 +200,33 @@
 	return upstream->inherited && !upstream->settled;
 }
 
-static int64_t poll_timeout_ms(const sched_upstream_t *upstream)
+/*
+ * The answer carries the upstream's clock, so a first poll, and one after a
+ * failure, doesn't wait.
+ */
+static int64_t poll_wait_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream)
+{
+	if (!upstream->settled || upstream->failed_polls > 0)
+		return 0;
+	if (upstream->isolated_runs > 0 ||
+	    scheduler->now_ms < upstream->reserved_until_ms)
+		return POLL_ISOLATED_WAIT_MS;
+	return upstream->tasks->len > 0 &&
+			       wwh_answer_time_is_lossy(&scheduler->order_time)
+		       ? POLL_LOSSY_WAIT_MS
+		       : POLL_WAIT_MS;
+}
+
+static int64_t poll_timeout_ms(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream)
 {
+	int64_t limit_ms = wwh_answer_time_limit_ms(&scheduler->order_time);
 	int32_t doublings = MIN(upstream->failed_polls, 8);
 
 	if (!delays_its_pool(upstream))
-		return POLL_TIMEOUT_MS;
+		return CLAMP(limit_ms * ORDER_LIMITS_PER_POLL,
+			     POLL_TIMEOUT_MIN_MS, POLL_TIMEOUT_MS);
 	return MIN((int64_t)FIRST_POLL_TIMEOUT_MS << doublings,
 		   POLL_TIMEOUT_MS);
 }
