Divide a full pool among workspaces by their weights

Cause: a workspace's weight, its share when all is full, was read nowhere.

Change: workspace_share divides a pool by dominant resource fairness over what runs and waits. A pass first starts tasks within their workspaces' shares, then gives the room that is left to whoever can use it. A caller is rejected for the part of the backlog that its own workspace causes.

--- a/include/waxwinghollow/job_config.h
+++ b/include/waxwinghollow/job_config.h
@@ -38,6 +38,7 @@
 typedef struct {
 	char *name;
 	wwh_load_t limit; /* of its running tasks; 0 in a field: no limit */
+	int64_t weight; /* of its share of a pool that is full; 0: none given */
 } wwh_workspace_limit_t;
 
 typedef struct {
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -244,12 +244,13 @@
 
 /*
  * Limits the load of a workspace's running tasks, over all pools. A field of 0
- * sets no limit. Tasks that exceed a lowered limit are not stopped.
+ * sets no limit. Tasks that exceed a lowered limit are not stopped. weight is its
+ * share of a pool that is full, relative to the others'; 0: the smallest.
  */
 void wwh_scheduler_clear_limits(wwh_scheduler_t *scheduler);
 void wwh_scheduler_limit_workspace(wwh_scheduler_t *scheduler,
 				   const char *workspace,
-				   const wwh_load_t *limit);
+				   const wwh_load_t *limit, int64_t weight);
 
 /*
  * While starts are held, no task is started, because the state of the upstreams
@@ -258,13 +259,14 @@
 void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held);
 
 /*
- * Estimates how many tasks are started before those of a new job of pool. They
+ * Estimates how many tasks are started before those of a new job of pool, which
+ * belongs to workspace, or to none if that is NULL. They
  * wait because the last pass deferred starts to the next one, or starts are
  * held. Returns 0 if neither applies in this pool: its tasks, if any, wait for
  * free resources.
  */
 int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
-			      const char *pool);
+			      const char *pool, const char *workspace);
 
 int32_t wwh_scheduler_upstream_count(const wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -6,7 +6,7 @@
  * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
  * scheduler_age, scheduler_loss, scheduler_inherited_start,
  * scheduler_isolation, scheduler_poll, scheduler_repeat,
- * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_upstream,
+ * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_share, scheduler_upstream,
  * scheduler_backlog, scheduler_record, scheduler_job, scheduler_task,
  * scheduler_check.
  */
@@ -15,6 +15,7 @@
 #include "waxwinghollow/chart.h"
 #include "waxwinghollow/scheduler.h"
 #include "waxwinghollow/workspace_quota.h"
+#include "waxwinghollow/workspace_share.h"
 
 /*
  * The clock of an upstream may run slower than ours by this many thousandths,
@@ -263,6 +264,8 @@
 	bool dirty; /* a task may have become placeable */
 	/* Upper bounds of the free load, each field over all upstreams. */
 	wwh_load_t max_free;
+	wwh_load_t total_free; /* of the usable upstreams */
+	wwh_workspace_share_t *shares;
 	int64_t next_try_ms;
 	/* The last pass deferred starts, or a job came while they were held. */
 	bool has_deferred_starts;
@@ -295,6 +298,10 @@
 	int32_t failed_isolations_left;
 	bool has_room_shortage; /* a step before this one waits for room */
 	wwh_workspace_quota_t *quota;
+	GHashTable *weights; /* workspace to int64_t, owned */
+	/* In this pass: starts stay within shares, and some were left out. */
+	bool keeps_shares;
+	bool has_skipped_shares;
 	int64_t now_ms;
 	int64_t wall_ms;
 	bool has_unflushed_ends; /* a received end isn't flushed yet */
@@ -468,6 +475,16 @@
 bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
 			int32_t count);
 
+/* scheduler_share.c: divides a full pool among workspaces by weight */
+/* Called with all candidates of a pass over pool, before it starts tasks. */
+void sched_shares_begin_pass(const wwh_scheduler_t *scheduler,
+			     sched_pool_t *pool);
+void sched_shares_add_waiting(const wwh_scheduler_t *scheduler,
+			      const sched_step_t *step);
+/* Whether count more tasks of step stay within the share of its workspace. */
+bool sched_shares_allow(wwh_scheduler_t *scheduler, const sched_step_t *step,
+			int32_t count);
+
 /* scheduler_job.c */
 sched_job_t *sched_job_find(const wwh_scheduler_t *scheduler, const char *id);
 sched_job_t *sched_job_add(wwh_scheduler_t *scheduler, wwh_job_t *spec,
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -179,7 +179,7 @@
 			config->limits, wwh_workspace_limit_t, i);
 
 		wwh_scheduler_limit_workspace(holder->scheduler, limit->name,
-					      &limit->limit);
+					      &limit->limit, limit->weight);
 	}
 }
 
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -297,8 +297,8 @@
 				    const wwh_job_t *job)
 {
 	int64_t slack_ms = wwh_scheduler_slack_ms(job);
-	int32_t tasks =
-		wwh_scheduler_backlog(holder->scheduler, job->queue.pool);
+	int32_t tasks = wwh_scheduler_backlog(holder->scheduler,
+					      job->queue.pool, job->workspace);
 	int64_t wait_ms = wwh_start_rate_wait_ms(holder->start_rate, tasks);
 
 	if (slack_ms < 0)
--- a/src/libwaxwinghollow/scheduler_backlog.c
+++ b/src/libwaxwinghollow/scheduler_backlog.c
@@ -13,9 +13,12 @@
 	return false;
 }
 
-/* Pools share the starts of a pass, so a pool with a short backlog waits less. */
+/*
+ * Pools share the starts of a pass, so a pool with a short backlog waits less. So
+ * does a workspace that has less waiting than its share of the pool's backlog.
+ */
 int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
-			      const char *name)
+			      const char *name, const char *workspace)
 {
 	const sched_pool_t *own = g_hash_table_lookup(scheduler->pools, name);
 	GHashTableIter iterator;
@@ -32,7 +35,12 @@
 		all += pool->has_deferred_starts ? pool->unstarted_tasks : 0;
 		pools += pool->has_deferred_starts;
 	}
-	return MIN(all, own->unstarted_tasks * pools);
+	all = MIN(all, own->unstarted_tasks * pools);
+	/* the shares are those of the last pass, and none is made meanwhile */
+	if (scheduler->starts_held)
+		return all;
+	return (int32_t)wwh_workspace_share_tasks_ahead(own->shares, workspace,
+							all);
 }
 
 void sched_backlog_add_job(const wwh_scheduler_t *scheduler, sched_job_t *job)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -37,8 +37,9 @@
 			       sched_occurrence_t *occurrence,
 			       GArray *candidates);
 static int64_t remaining_ms(const sched_occurrence_t *occurrence);
-static void measure_max_free(const wwh_scheduler_t *scheduler,
-			     sched_pool_t *pool);
+static void place_candidates(wwh_scheduler_t *scheduler,
+			     const GArray *candidates);
+static void measure_free(const wwh_scheduler_t *scheduler, sched_pool_t *pool);
 static wwh_load_t free_load_of(const sched_upstream_t *upstream);
 static bool may_fit_somewhere(const sched_step_t *step);
 static gint compare_candidates(gconstpointer a, gconstpointer b);
@@ -125,11 +126,30 @@
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 
+	measure_free(scheduler, pool);
+	sched_shares_begin_pass(scheduler, pool);
 	collect_candidates(scheduler, pool, candidates);
+	wwh_workspace_share_divide(pool->shares);
 	g_array_sort(candidates, compare_candidates);
-	measure_max_free(scheduler, pool);
 	scheduler->starts_left = max_starts;
 	sched_isolation_begin_pass(scheduler);
+	scheduler->keeps_shares = true;
+	scheduler->has_skipped_shares = false;
+	place_candidates(scheduler, candidates);
+	scheduler->keeps_shares = false;
+	/* the room that is left goes to whoever can use it */
+	if (scheduler->has_skipped_shares)
+		place_candidates(scheduler, candidates);
+	/* the next pass starts the rest */
+	pool->has_deferred_starts = scheduler->starts_left <= 0;
+	pool->dirty = pool->dirty || pool->has_deferred_starts;
+	pool->unstarted_tasks -= max_starts - scheduler->starts_left;
+	g_array_free(candidates, TRUE);
+}
+
+static void place_candidates(wwh_scheduler_t *scheduler,
+			     const GArray *candidates)
+{
 	for (guint i = 0; i < candidates->len && scheduler->starts_left > 0;
 	     i++) {
 		sched_step_t *step =
@@ -143,11 +163,6 @@
 		else
 			place_step(scheduler, step);
 	}
-	/* the next pass starts the rest */
-	pool->has_deferred_starts = scheduler->starts_left <= 0;
-	pool->dirty = pool->dirty || pool->has_deferred_starts;
-	pool->unstarted_tasks -= max_starts - scheduler->starts_left;
-	g_array_free(candidates, TRUE);
 }
 
 /*
@@ -156,12 +171,12 @@
  * upstreams, in a process that has a quarter of a core. With these maxima, jobs
  * that fit on no upstream are skipped (bench_scheduler: 66 us).
  */
-static void measure_max_free(const wwh_scheduler_t *scheduler,
-			     sched_pool_t *pool)
+static void measure_free(const wwh_scheduler_t *scheduler, sched_pool_t *pool)
 {
 	wwh_load_t *max_free = &pool->max_free;
 
 	*max_free = (wwh_load_t){ -1, -1, -1 };
+	pool->total_free = (wwh_load_t){ 0 };
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const sched_upstream_t *upstream =
 			g_ptr_array_index(pool->upstreams, i);
@@ -173,6 +188,7 @@
 			MAX(max_free->cpu_millicores, free.cpu_millicores);
 		max_free->memory_mb = MAX(max_free->memory_mb, free.memory_mb);
 		max_free->gpus = MAX(max_free->gpus, free.gpus);
+		wwh_load_add(&pool->total_free, &free);
 	}
 }
 
@@ -234,6 +250,7 @@
 		if (step->done + step->outstanding >= step->spec->task_count ||
 		    !sched_step_is_ready(step))
 			continue;
+		sched_shares_add_waiting(scheduler, step);
 		input.lasting = step->spec->lasting;
 		candidate.order = wwh_policy_order_key(&input);
 		g_array_append_val(candidates, candidate);
@@ -307,7 +324,8 @@
 		if (sched_task_state(task) != TASK_WAITING ||
 		    !may_start(scheduler, task))
 			continue;
-		if (!sched_quota_allows(scheduler, step, 1))
+		if (!sched_quota_allows(scheduler, step, 1) ||
+		    !sched_shares_allow(scheduler, step, 1))
 			return;
 		if (sched_task_is_suspect(task)) {
 			place_suspect(scheduler, task);
@@ -426,7 +444,8 @@
 		if (step->tasks[i].checkpoint != NULL)
 			checkpoint = step->tasks[i].checkpoint;
 	}
-	if (!sched_quota_allows(scheduler, step, count))
+	if (!sched_quota_allows(scheduler, step, count) ||
+	    !sched_shares_allow(scheduler, step, count))
 		return;
 	chosen = g_new0(sched_upstream_t *, (guint)count);
 	tickets = g_new0(const char *, (guint)count);
@@ -447,7 +466,7 @@
 	}
 	/* the load that was reserved tentatively is free again */
 	if (placed < count)
-		measure_max_free(scheduler, step->occurrence->job->pool);
+		measure_free(scheduler, step->occurrence->job->pool);
 	if (placed == count) {
 		char *common_checkpoint = g_strdup(checkpoint);
 
@@ -490,7 +509,7 @@
 	upstream = choose_upstream(scheduler, task, ticket);
 	/* the maxima only decrease while tasks are placed */
 	if (upstream == NULL)
-		measure_max_free(scheduler, task->step->occurrence->job->pool);
+		measure_free(scheduler, task->step->occurrence->job->pool);
 	return upstream;
 }
 
--- a/src/libwaxwinghollow/scheduler_quota.c
+++ b/src/libwaxwinghollow/scheduler_quota.c
@@ -7,13 +7,18 @@
 void wwh_scheduler_clear_limits(wwh_scheduler_t *scheduler)
 {
 	wwh_workspace_quota_clear_limits(scheduler->quota);
+	g_hash_table_remove_all(scheduler->weights);
 }
 
 void wwh_scheduler_limit_workspace(wwh_scheduler_t *scheduler,
 				   const char *workspace,
-				   const wwh_load_t *limit)
+				   const wwh_load_t *limit, int64_t weight)
 {
+	int64_t *value = g_new(int64_t, 1);
+
 	wwh_workspace_quota_set_limit(scheduler->quota, workspace, limit);
+	*value = weight;
+	g_hash_table_insert(scheduler->weights, g_strdup(workspace), value);
 }
 
 bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -273,6 +273,8 @@
 	wwh_workspace_quota_add(scheduler->quota,
 				task->step->occurrence->job->workspace,
 				&task->step->spec->need);
+	wwh_workspace_share_add(task->step->occurrence->job->pool->shares,
+				task->step->occurrence->job->workspace, &taken);
 	task->step->outstanding++;
 	task->step->occurrence->job->outstanding++;
 }
@@ -289,9 +291,14 @@
 
 static void detach_from_upstream(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
+	wwh_load_t taken = sched_step_reserved_load(task->step->spec);
+
 	g_assert(task->upstream != NULL);
 	sched_isolation_end(scheduler, task);
 	release_load(task);
+	wwh_workspace_share_subtract(task->step->occurrence->job->pool->shares,
+				     task->step->occurrence->job->workspace,
+				     &taken);
 	wwh_workspace_quota_subtract(scheduler->quota,
 				     task->step->occurrence->job->workspace,
 				     &task->step->spec->need);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -31,6 +31,7 @@
 	pool = g_new0(sched_pool_t, 1);
 	pool->name = g_strdup(name);
 	pool->upstreams = g_ptr_array_new();
+	pool->shares = wwh_workspace_share_new();
 	g_hash_table_insert(scheduler->pools, pool->name, pool);
 	return pool;
 }
@@ -50,6 +51,7 @@
 	sched_pool_t *pool = data;
 
 	g_ptr_array_unref(pool->upstreams);
+	wwh_workspace_share_delete(pool->shares);
 	g_free(pool->name);
 	g_free(pool);
 }
--- a/src/test_scheduler/test_backlog.c
+++ b/src/test_scheduler/test_backlog.c
@@ -57,7 +57,8 @@
 		assert_true(fixture->starts->len > before);
 		assert_true(fixture->starts->len - before <= STARTS_PER_PASS);
 		assert_int_equal(wwh_scheduler_backlog(fixture->scheduler,
-						       SCHED_FIXTURE_POOL),
+						       SCHED_FIXTURE_POOL,
+						       NULL),
 				 BACKLOG_TASKS - fixture->starts->len);
 		before = fixture->starts->len;
 	}
@@ -111,9 +112,9 @@
 	sched_fixture_run(fixture, 5);
 	assert_int_equal(count_starts(fixture, JOB_B), 1);
 	assert_true(wwh_scheduler_backlog(fixture->scheduler,
-					  SCHED_FIXTURE_POOL) > 0);
-	assert_int_equal(wwh_scheduler_backlog(fixture->scheduler, OTHER_POOL),
-			 0);
+					  SCHED_FIXTURE_POOL, NULL) > 0);
+	assert_int_equal(
+		wwh_scheduler_backlog(fixture->scheduler, OTHER_POOL, NULL), 0);
 }
 
 /*
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -274,6 +274,7 @@
 		BACKLOG_TESTS,
 		IDLE_TESTS,
 		REPEAT_TESTS,
+		SHARE_TESTS,
 		CRASH_TESTS,
 		CAPACITY_TESTS,
 		FIXTURE_TEST(a_job_runs_to_its_end, 1),
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -316,6 +316,18 @@
 void repetitions_are_a_limited_share_of_the_orders(void **state);
 void polls_are_short_while_orders_get_no_answer(void **state);
 
+#define SHARE_TESTS                                                            \
+	FIXTURE_TEST(a_busy_workspace_leaves_the_others_their_share, 3),       \
+		FIXTURE_TEST(idle_room_goes_to_a_busy_workspace, 3),           \
+		FIXTURE_TEST(shares_hold_after_a_change_of_holder, 3),         \
+		FIXTURE_TEST(a_backlog_counts_for_the_workspace_that_sent_it,  \
+			     1)
+
+void a_busy_workspace_leaves_the_others_their_share(void **state);
+void idle_room_goes_to_a_busy_workspace(void **state);
+void shares_hold_after_a_change_of_holder(void **state);
+void a_backlog_counts_for_the_workspace_that_sent_it(void **state);
+
 #define IDLE_TESTS                                                             \
 	FIXTURE_TEST(polls_of_many_idle_upstreams_are_rate_limited, 0),        \
 		FIXTURE_TEST(few_idle_upstreams_are_polled_continuously, 0),   \
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -359,7 +359,7 @@
 	wwh_load_t limit = { .cpu_millicores = millicores };
 
 	wwh_scheduler_clear_limits(fixture->scheduler);
-	wwh_scheduler_limit_workspace(fixture->scheduler, "w", &limit);
+	wwh_scheduler_limit_workspace(fixture->scheduler, "w", &limit, 0);
 }
 
 /* Guards against a workspace whose running tasks exceed its limit. */
--- a/src/test_wire/test_keys.c
+++ b/src/test_wire/test_keys.c
@@ -84,6 +84,8 @@
 		       "\"maxCount\":{\"cpu\":\"x\"}}]"),
 		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
 		       "\"maxCount\":{\"memMb\":-1}}]"),
+		CONFIG(",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],"
+		       "\"weight\":-1}]"),
 	};
 
 	(void)state;
@@ -96,7 +98,7 @@
 	static const char valid[] = CONFIG(
 		",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\",\"l\"]},"
 		"{\"name\":\"b\",\"apiKeys\":[],"
-		"\"maxCount\":{\"cpu\":9000,\"gpu\":2}}]");
+		"\"weight\":7,\"maxCount\":{\"cpu\":9000,\"gpu\":2}}]");
 	wwh_job_config_t *config = parse_config(valid, true);
 	const wwh_workspace_limit_t *limit;
 	const char *workspace;
@@ -115,6 +117,7 @@
 	assert_int_equal(limit->limit.cpu_millicores, 9000);
 	assert_int_equal(limit->limit.memory_mb, 0);
 	assert_int_equal(limit->limit.gpus, 2);
+	assert_int_equal(limit->weight, 7);
 	wwh_job_config_unref(config);
 	config = parse_config(CONFIG(""), false);
 	assert_null(config->api_keys);
