Test recorded starts that killed holders never sent

Fails with the call of sched_inherited_starts_resolve in mark_settled taken out (0x3 != 0x1): the starts count as losses, and the task is started anew only to be given up.

--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -499,6 +499,36 @@
 			2, MAX_CRASHES);
 }
 
+/*
+ * Guards against a sound job that fails for starts which killed holders recorded
+ * and never sent.
+ */
+void a_recorded_start_that_was_never_sent_is_no_loss(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	guint starts;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	crash_newest_start(fixture);
+	starts = fixture->starts->len;
+	for (int32_t i = 0; i < 2 * MAX_CRASHES; i++) {
+		sched_fixture_take_over(fixture);
+		sched_fixture_announce(fixture, "u1-", "10.0.1.1:1", false);
+		sched_fixture_announce(fixture, "u2", ENDPOINT_2, false);
+		sched_fixture_announce(fixture, "u3", ENDPOINT_3, false);
+		sched_fixture_run(fixture, 1);
+		answer_all_but(fixture, "");
+		sched_fixture_make_durable(fixture);
+		/* records the next start, which isn't durable yet */
+		sched_fixture_run(fixture, 10);
+		(void)wwh_scheduler_flush(fixture->scheduler, fixture->now_ms);
+		assert_int_equal(fixture->starts->len, starts);
+	}
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+	assert_true(await_start(fixture, starts));
+}
+
 /* Guards against a step whose tasks crash one upstream each, all over the pool. */
 void tasks_of_a_step_that_crashed_an_upstream_are_isolated(void **state)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -240,6 +240,8 @@
 		FIXTURE_TEST(a_run_that_upkeep_ended_is_no_suspect, 3),           \
 		FIXTURE_TEST(a_suspect_start_is_recorded_before_it_is_sent,       \
 			     3),                                                  \
+		FIXTURE_TEST(a_recorded_start_that_was_never_sent_is_no_loss,     \
+			     3),                                                  \
 		FIXTURE_TEST(a_start_after_an_unanswered_crash_is_recorded,       \
 			     3),                                                  \
 		FIXTURE_TEST(                                                     \
@@ -272,6 +274,7 @@
 void a_run_that_upkeep_ended_is_no_suspect(void **state);
 void a_suspect_start_is_recorded_before_it_is_sent(void **state);
 void a_start_after_an_unanswered_crash_is_recorded(void **state);
+void a_recorded_start_that_was_never_sent_is_no_loss(void **state);
 void tasks_of_a_step_that_crashed_an_upstream_are_isolated(void **state);
 void a_lasting_task_is_no_suspect_once_it_has_run_for_long(void **state);
 void a_gang_that_crashes_its_upstreams_is_given_up(void **state);
