--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -21,9 +21,6 @@
  */
 #define STARTS_PER_PASS 64
 
-/* With so many times a pool's size waiting, most jobs can't be in time. */
-#define OVERLOAD_FACTOR 3
-
 typedef struct {
 	sched_step_t *step;
 	int64_t order;
@@ -40,7 +37,6 @@
 			       sched_occurrence_t *occurrence,
 			       GArray *candidates);
 static int64_t remaining_ms(const sched_occurrence_t *occurrence);
-static bool is_overloaded(const sched_pool_t *pool);
 static void place_candidates(wwh_scheduler_t *scheduler,
 			     const GArray *candidates);
 static void measure_free(const wwh_scheduler_t *scheduler, sched_pool_t *pool);
@@ -134,7 +130,7 @@
 	sched_shares_begin_pass(scheduler, pool);
 	collect_candidates(scheduler, pool, candidates);
 	wwh_workspace_share_divide(pool->shares);
-	pool->room_is_short = is_overloaded(pool);
+	pool->room_is_short = !wwh_load_fits(&pool->waiting, &pool->total_free);
 	g_array_sort(candidates, compare_candidates);
 	scheduler->starts_left = max_starts;
 	sched_isolation_begin_pass(scheduler);
@@ -152,16 +148,6 @@
 	g_array_free(candidates, TRUE);
 }
 
-/* More waits than the pool could run at once, several times over. */
-static bool is_overloaded(const sched_pool_t *pool)
-{
-	wwh_load_t limit = pool->total_size;
-
-	for (int32_t i = 1; i < OVERLOAD_FACTOR; i++)
-		wwh_load_add(&limit, &pool->total_size);
-	return !wwh_load_fits(&pool->waiting, &limit);
-}
-
 static void place_candidates(wwh_scheduler_t *scheduler,
 			     const GArray *candidates)
 {
@@ -192,7 +178,6 @@
 
 	*max_free = (wwh_load_t){ -1, -1, -1 };
 	pool->total_free = (wwh_load_t){ 0 };
-	pool->total_size = (wwh_load_t){ 0 };
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const sched_upstream_t *upstream =
 			g_ptr_array_index(pool->upstreams, i);
@@ -205,7 +190,6 @@
 		max_free->memory_mb = MAX(max_free->memory_mb, free.memory_mb);
 		max_free->gpus = MAX(max_free->gpus, free.gpus);
 		wwh_load_add(&pool->total_free, &free);
-		wwh_load_add(&pool->total_size, &upstream->info.size);
 	}
 }
 
