--- a/src/libwaxwinghollow/include/private/scheduler_policy.h
+++ b/src/libwaxwinghollow/include/private/scheduler_policy.h
@@ -32,7 +32,6 @@
 	int64_t waited_ms; /* since it was due */
 	int64_t objective_ms; /* from due to the end, as callers expect */
 	int64_t remaining_ms; /* critical path of the remaining estimates */
-	bool room_is_short; /* not all that waits can start now */
 } wwh_policy_order_input_t;
 
 /*
@@ -44,8 +43,7 @@
  * Next come the jobs that can still meet their objective, then those that would
  * end late; jobs that would end after LATE_FACTOR times their objective come
  * last. Within a rank, the lower priority number goes first, then the least
- * slack, or the least work left if room is short: least slack first makes all
- * jobs a little late as soon as not all can be in time. In order of arrival, all jobs of a peak would wait about equally long,
+ * slack. In order of arrival, all jobs of a peak would wait about equally long,
  * and with more work than capacity nearly all would end late. With these ranks,
  * jobs that are late in any case go after those that can still be in time.
  */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -265,8 +265,6 @@
 	/* Upper bounds of the free load, each field over all upstreams. */
 	wwh_load_t max_free;
 	wwh_load_t total_free; /* of the usable upstreams */
-	wwh_load_t waiting; /* of the tasks that could start in the last pass */
-	bool room_is_short; /* not all of them could */
 	wwh_workspace_share_t *shares;
 	int64_t next_try_ms;
 	/* The last pass deferred starts, or a job came while they were held. */
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -130,7 +130,6 @@
 	sched_shares_begin_pass(scheduler, pool);
 	collect_candidates(scheduler, pool, candidates);
 	wwh_workspace_share_divide(pool->shares);
-	pool->room_is_short = !wwh_load_fits(&pool->waiting, &pool->total_free);
 	g_array_sort(candidates, compare_candidates);
 	scheduler->starts_left = max_starts;
 	sched_isolation_begin_pass(scheduler);
@@ -213,7 +212,6 @@
 			       GArray *candidates)
 {
 	pool->unstarted_tasks = 0;
-	pool->waiting = (wwh_load_t){ 0 };
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
@@ -238,7 +236,6 @@
 		.priority = spec->queue.priority,
 		.waited_ms = scheduler->now_ms - occurrence->due_ms,
 		.objective_ms = occurrence->job->objective_ms,
-		.room_is_short = occurrence->job->pool->room_is_short,
 	};
 
 	if (occurrence->steps_done == spec->step_count)
--- a/src/libwaxwinghollow/scheduler_policy.c
+++ b/src/libwaxwinghollow/scheduler_policy.c
@@ -48,14 +48,12 @@
 
 int64_t wwh_policy_order_key(const wwh_policy_order_input_t *input)
 {
-	int64_t order_ms = input->remaining_ms;
+	int64_t slack_ms =
+		input->objective_ms - input->waited_ms - input->remaining_ms;
 
-	if (!input->room_is_short)
-		order_ms = input->objective_ms - input->waited_ms -
-			   input->remaining_ms;
 	return (int64_t)rank_of(input) * RANK_STEP +
 	       (int64_t)CLAMP(input->priority, 0, 100) * PRIORITY_STEP +
-	       CLAMP(order_ms, -PRIORITY_STEP / 4, PRIORITY_STEP / 4);
+	       CLAMP(slack_ms, -PRIORITY_STEP / 4, PRIORITY_STEP / 4);
 }
 
 bool wwh_policy_is_useful(int64_t waited_ms, int64_t objective_ms)
--- a/src/libwaxwinghollow/scheduler_share.c
+++ b/src/libwaxwinghollow/scheduler_share.c
@@ -15,12 +15,11 @@
 void sched_shares_add_waiting(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step)
 {
-	sched_job_t *job = step->occurrence->job;
+	const sched_job_t *job = step->occurrence->job;
 	wwh_load_t need = load_of(step, step->spec->task_count - step->done -
 						step->outstanding);
 	const int64_t *weight;
 
-	wwh_load_add(&job->pool->waiting, &need);
 	if (job->workspace == NULL)
 		return;
 	weight = g_hash_table_lookup(scheduler->weights, job->workspace);
