--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -476,9 +476,7 @@
 			int32_t count);
 
 /* scheduler_share.c: divides a full pool among workspaces by weight */
-/* Called with all candidates of a pass over pool, before it starts tasks. */
-void sched_shares_begin_pass(const wwh_scheduler_t *scheduler,
-			     sched_pool_t *pool);
+/* Adds the tasks of step that could start to what waits in its pool. */
 void sched_shares_add_waiting(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step);
 /* Whether count more tasks of step stay within the share of its workspace. */
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -17,7 +17,7 @@
 
 /*
  * How long a start waits for its record to become durable, and its upstream is
- * kept for it. The store takes some 20 ms, and some 250 ms when it is slow.
+ * kept for it. Longer than an append of a store that is slow.
  */
 #define RECORD_WAIT_MS 400
 
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -127,7 +127,7 @@
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 
 	measure_free(scheduler, pool);
-	sched_shares_begin_pass(scheduler, pool);
+	wwh_workspace_share_begin(pool->shares, &pool->total_free);
 	collect_candidates(scheduler, pool, candidates);
 	wwh_workspace_share_divide(pool->shares);
 	g_array_sort(candidates, compare_candidates);
@@ -166,10 +166,9 @@
 }
 
 /*
- * At a peak, hundreds of jobs wait for a pool that is full. Trying each of them
- * on each upstream whenever one answers took 1498 us a pass for 1000 jobs and 350
- * upstreams, in a process that has a quarter of a core. With these maxima, jobs
- * that fit on no upstream are skipped (bench_scheduler: 66 us).
+ * At a peak, hundreds of jobs wait for a pool that is full. With these maxima, a
+ * pass skips the jobs that fit on no upstream instead of trying each of them on
+ * each upstream.
  */
 static void measure_free(const wwh_scheduler_t *scheduler, sched_pool_t *pool)
 {
--- a/src/libwaxwinghollow/scheduler_repeat.c
+++ b/src/libwaxwinghollow/scheduler_repeat.c
@@ -22,6 +22,7 @@
 #define LONGEST_LIMIT_MS 500
 
 static bool take_repeat(wwh_scheduler_t *scheduler);
+static void count_repetition(wwh_scheduler_t *scheduler, sched_task_t *task);
 static bool is_overdue(const wwh_scheduler_t *scheduler,
 		       const sched_task_t *task, int64_t sent_ms);
 static void repeat_start(wwh_scheduler_t *scheduler, sched_task_t *task);
@@ -66,10 +67,17 @@
 	if (scheduler->repeat_credit < ORDERS_PER_REPEAT)
 		return false;
 	scheduler->repeat_credit -= ORDERS_PER_REPEAT;
-	scheduler->repeated_orders++;
 	return true;
 }
 
+static void count_repetition(wwh_scheduler_t *scheduler, sched_task_t *task)
+{
+	scheduler->repeated_orders++;
+	wwh_answer_time_add_overdue(&scheduler->order_time);
+	task->orders_in_flight++;
+	task->orders_sent++;
+}
+
 /* An order that is about to time out isn't worth a repetition. */
 static bool is_overdue(const wwh_scheduler_t *scheduler,
 		       const sched_task_t *task, int64_t sent_ms)
@@ -103,9 +111,7 @@
 	}
 	if (!take_repeat(scheduler))
 		return;
-	wwh_answer_time_add_overdue(&scheduler->order_time);
-	task->orders_in_flight++;
-	task->orders_sent++;
+	count_repetition(scheduler, task);
 	sched_task_send_start(scheduler, task, ticket);
 }
 
@@ -121,8 +127,6 @@
 	if (!is_overdue(scheduler, task, task->stop_sent_ms) ||
 	    !take_repeat(scheduler))
 		return;
-	wwh_answer_time_add_overdue(&scheduler->order_time);
-	task->orders_in_flight++;
-	task->orders_sent++;
+	count_repetition(scheduler, task);
 	sched_task_send_stop(scheduler, task);
 }
--- a/src/libwaxwinghollow/scheduler_share.c
+++ b/src/libwaxwinghollow/scheduler_share.c
@@ -5,13 +5,6 @@
 
 static wwh_load_t load_of(const sched_step_t *step, int64_t count);
 
-void sched_shares_begin_pass(const wwh_scheduler_t *scheduler,
-			     sched_pool_t *pool)
-{
-	(void)scheduler;
-	wwh_workspace_share_begin(pool->shares, &pool->total_free);
-}
-
 void sched_shares_add_waiting(const wwh_scheduler_t *scheduler,
 			      const sched_step_t *step)
 {
