--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -3,12 +3,12 @@
 
 /*
  * State and functions shared by the scheduler's modules: scheduler,
- * scheduler_cordon, scheduler_place, scheduler_advice, scheduler_watch,
- * scheduler_age, scheduler_loss, scheduler_inherited_start,
- * scheduler_isolation, scheduler_poll, scheduler_repeat,
- * scheduler_pace, scheduler_lost, scheduler_quota, scheduler_share, scheduler_upstream,
- * scheduler_backlog, scheduler_record, scheduler_job, scheduler_task,
- * scheduler_check.
+ * scheduler_advice, scheduler_age, scheduler_backlog, scheduler_check,
+ * scheduler_choose, scheduler_cordon, scheduler_inherited_start,
+ * scheduler_isolation, scheduler_job, scheduler_loss, scheduler_lost,
+ * scheduler_pace, scheduler_place, scheduler_poll, scheduler_quota,
+ * scheduler_record, scheduler_repeat, scheduler_share, scheduler_task,
+ * scheduler_upstream, scheduler_watch.
  */
 
 #include "waxwinghollow/answer_time.h"
@@ -593,10 +593,23 @@
 void sched_ticket_discard(sched_step_t *step, const char *upstream);
 void sched_advice_request(wwh_scheduler_t *scheduler, sched_step_t *step);
 
-/* scheduler_place.c */
+/* scheduler_place.c: starts the waiting tasks of pools that are due */
 void sched_place(wwh_scheduler_t *scheduler);
+
+/* scheduler_choose.c: chooses the upstream of a task */
+/*
+ * Returns the upstream with the lowest cost, NULL if the task fits on none. Where
+ * the queue needs advice, *ticket is that for the upstream.
+ */
+sched_upstream_t *sched_choose_upstream(wwh_scheduler_t *scheduler,
+					sched_task_t *task,
+					const char **ticket);
 /* Whether task fits on an upstream that takes new tasks. */
 bool sched_task_fits_elsewhere(wwh_scheduler_t *scheduler, sched_task_t *task);
+/* Whether upstream may run one more task of step, if it has room. */
+bool sched_upstream_accepts_step(const sched_upstream_t *upstream,
+				 const sched_step_t *step);
+wwh_load_t sched_upstream_free_load(const sched_upstream_t *upstream);
 
 /* scheduler_cordon.c */
 bool sched_upstream_may_terminate(const wwh_scheduler_t *scheduler,
