--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -286,25 +286,24 @@
 	GHashTable *pools; /* name to sched_pool_t, owned */
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
 	int64_t taken_over_ms;
-	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
+	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
 	bool restored;
 	bool starts_held;
-	int32_t starts_left; /* of one pool, in the current pass */
+	bool has_unflushed_ends; /* a received end isn't flushed yet */
 	/* Of one pool, in the current pass. */
 	bool isolations_counted;
+	bool has_room_shortage; /* a step before this one waits for room */
+	bool keeps_shares; /* starts stay within the shares of workspaces */
+	bool has_skipped_shares; /* and some were left out for that */
+	int32_t starts_left;
 	int32_t isolations_left; /* valid with isolations_counted */
 	int32_t failed_isolations_left;
-	bool has_room_shortage; /* a step before this one waits for room */
 	wwh_workspace_quota_t *quota;
 	GHashTable *weights; /* workspace to int64_t, owned */
-	/* In this pass: starts stay within shares, and some were left out. */
-	bool keeps_shares;
-	bool has_skipped_shares;
 	int64_t now_ms;
 	int64_t wall_ms;
-	bool has_unflushed_ends; /* a received end isn't flushed yet */
 	int64_t newest_record;
 	int64_t durable_record;
 	int64_t durable_ms; /* when durable_record last increased */
@@ -312,9 +311,9 @@
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts;
 	int64_t tasks_given_up;
+	int64_t repeated_orders;
 	wwh_answer_time_t order_time; /* of starts and stops */
 	int32_t repeat_credit; /* an order adds one, a repetition takes some */
-	int64_t repeated_orders;
 };
 
 /* The name of the pool that holds inherited upstreams of unknown pools. */
--- a/src/libwaxwinghollow/workspace_share.c
+++ b/src/libwaxwinghollow/workspace_share.c
@@ -133,7 +133,7 @@
 	share->weights = weights;
 	left_ppm = MAX(left_ppm, 0);
 	g_ptr_array_sort(waiting, compare_levels);
-	for (guint i = 0; i < waiting->len; i++) {
+	for (guint i = 0; i < waiting->len && weights > 0; i++) {
 		const entry_t *entry = g_ptr_array_index(waiting, i);
 
 		if (entry->demand_ppm > left_ppm / weights * entry->weight) {
