Let the stand-in's upstreams carry out each run once

The holder repeats a start whose answer is overdue, and the stand-in began the run again. A real upstream answers 200 if that run is there, and rejects it as old if it has ended; the stand-in was wrong.

Change: the stand-in does as upstreams do. Any other second run of a task still counts, so the check is as strict.

--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -87,8 +87,34 @@
 	standin_announce(upstream);
 }
 
-static inline void standin_start(standin_upstream_t *upstream,
-				 JsonObject *object)
+static inline bool standin_runs(const standin_upstream_t *upstream,
+				const char *task, int64_t run)
+{
+	for (guint i = 0; i < upstream->runs->len; i++) {
+		const standin_run_t *row =
+			&g_array_index(upstream->runs, standin_run_t, i);
+
+		if (row->run == run && strcmp(row->task, task) == 0)
+			return true;
+	}
+	return false;
+}
+
+static inline bool standin_has_ended(const standin_upstream_t *upstream,
+				     const char *task, int64_t run)
+{
+	char *row = g_strdup_printf("\"%s\",%" G_GINT64_FORMAT ",", task, run);
+	bool found = false;
+
+	for (guint i = 0; i < upstream->ended->len && !found; i++)
+		found = strstr(g_ptr_array_index(upstream->ended, i), row) !=
+			NULL;
+	g_free(row);
+	return found;
+}
+
+static inline void standin_begin_run(standin_upstream_t *upstream,
+				     JsonObject *object)
 {
 	standin_t *standin = upstream->standin;
 	standin_run_t run = { 0 };
@@ -118,6 +144,24 @@
 		standin_crash(upstream);
 }
 
+/* A start may be sent twice: the run is there then, or has ended. */
+static inline void standin_start(standin_upstream_t *upstream,
+				 JsonObject *object,
+				 wwh_http_response_t *response, GString *text)
+{
+	const char *task = json_object_get_string_member(object, "task");
+	int64_t run = json_object_get_int_member(object, "run");
+
+	if (standin_runs(upstream, task, run))
+		return;
+	if (standin_has_ended(upstream, task, run)) {
+		response->status = 409;
+		g_string_append(text, ",\"reason\":\"old\"");
+		return;
+	}
+	standin_begin_run(upstream, object);
+}
+
 static inline void standin_poll(standin_upstream_t *upstream,
 				JsonObject *object, GString *text)
 {
@@ -178,7 +222,7 @@
 	} else {
 		upstream->token = token;
 		if (g_str_has_suffix(http->target, "/run-start"))
-			standin_start(upstream, object);
+			standin_start(upstream, object, response, text);
 		else if (g_str_has_suffix(http->target, "/hold"))
 			standin_poll(upstream, object, text);
 		if (token == standin->heavy_token || standin->heavy_for_all)
