Close a connection before its call is reported as not sent

Cause: a call whose connection isn't ready when its timer expires was reported as not sent, while libevent could still establish the connection and write the request later in the same pass of its loop: epoll hands on 32 ready sockets at a time, timers run between two such batches.

Change: the socket is closed before such a call ends; a call that has been written to its connection can't end as not sent (asserted).

--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -100,6 +100,7 @@
 		      const struct evbuffer_cb_info *info, void *data);
 static void on_answer(struct evhttp_request *request, void *data);
 static void on_timer(evutil_socket_t fd, short what, void *data);
+static void end_unsent(transfer_t *transfer);
 static void arm_timer(transfer_t *transfer, int64_t after_ms);
 static int64_t remaining_ms(const transfer_t *transfer);
 static int64_t remaining_send_ms(const transfer_t *transfer);
@@ -443,9 +444,21 @@
 	(void)what;
 	if (transfer->sending && remaining_ms(transfer) > 0)
 		arm_timer(transfer, remaining_ms(transfer));
+	else if (transfer->sending)
+		end_transfer(transfer, WWH_CALL_NO_ANSWER);
 	else
-		end_transfer(transfer, transfer->sending ? WWH_CALL_NO_ANSWER
-							 : WWH_CALL_NOT_SENT);
+		end_unsent(transfer);
+}
+
+/*
+ * The same pass of libevent's loop may still establish the connection and write
+ * the request. Closing the socket first keeps "not sent" true.
+ */
+static void end_unsent(transfer_t *transfer)
+{
+	if (transfer->connection != NULL)
+		http_pool_disconnect(transfer->connection);
+	end_transfer(transfer, WWH_CALL_NOT_SENT);
 }
 
 static void arm_timer(transfer_t *transfer, int64_t after_ms)
@@ -507,6 +520,9 @@
 	wwh_http_calls_t *calls = transfer->calls;
 	wwh_http_answer_t answer = { .retry_after_s = -1 };
 
+	g_assert(!transfer->sending ||
+		 transfer->outcome == WWH_CALL_ANSWERED ||
+		 transfer->outcome == WWH_CALL_NO_ANSWER);
 	g_hash_table_steal(calls->transfers, transfer);
 	release_connection(transfer);
 	fill_answer(transfer, &answer);
--- a/src/libwaxwinghollow/http_pool.c
+++ b/src/libwaxwinghollow/http_pool.c
@@ -109,11 +109,19 @@
 	}
 }
 
-void http_pool_close(http_connection_t *connection)
+void http_pool_disconnect(http_connection_t *connection)
 {
-	connection->endpoint->open_connections--;
+	if (connection->evcon == NULL)
+		return;
 	evhttp_connection_set_closecb(connection->evcon, NULL, NULL);
 	evhttp_connection_free(connection->evcon);
+	connection->evcon = NULL;
+}
+
+void http_pool_close(http_connection_t *connection)
+{
+	http_pool_disconnect(connection);
+	connection->endpoint->open_connections--;
 	g_free(connection);
 }
 
--- a/src/libwaxwinghollow/include/private/http_pool.h
+++ b/src/libwaxwinghollow/include/private/http_pool.h
@@ -9,8 +9,8 @@
  *	http_pool_acquire returns a connection for exclusive use: an idle one,
  *	or a new one, or none while all connections that the endpoint may have
  *	are in use. http_pool_release makes it available to the next call,
- *	http_pool_close closes it. Neither release nor close may be called from
- *	within a libevent callback of that connection.
+ *	http_pool_close closes it. None of release, disconnect and close may be
+ *	called from within a libevent callback of that connection.
  *
  *	An idle connection that the remote end has closed is never acquired.
  */
@@ -28,7 +28,7 @@
 
 typedef struct {
 	http_endpoint_t *endpoint;
-	struct evhttp_connection *evcon;
+	struct evhttp_connection *evcon; /* NULL: disconnected */
 	bool used; /* a call has been started on it */
 	bool closed_by_remote;
 	GList idle_link; /* in the idle list of the pool */
@@ -54,6 +54,12 @@
 void http_pool_release(http_connection_t *connection);
 void http_pool_close(http_connection_t *connection);
 
+/*
+ * Closes the socket, so that nothing more is written to it. The connection
+ * counts as open until http_pool_close.
+ */
+void http_pool_disconnect(http_connection_t *connection);
+
 /*
  * Deletes an endpoint without connections and waiting transfers. To be called
  * after each of the three functions above.
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -37,6 +37,10 @@
 #define MAX_CONNECTIONS_PER_ENDPOINT 6
 #define MORE_CALLS_THAN_CONNECTIONS 9
 
+/* libevent reads at most 32 ready sockets before it runs expired timers. */
+#define CALLS_OVER_EPOLL_BATCH 64
+#define LOOP_STALL_MS 40
+
 typedef struct {
 	wwh_counters_t *counters;
 	wwh_http_calls_t *calls;
@@ -353,6 +357,63 @@
 	g_free(endpoint);
 }
 
+/* Returns a listening socket that has room for one connection or two. */
+static int listen_on_free_port(int32_t *port)
+{
+	struct sockaddr_in at = { .sin_family = AF_INET };
+	socklen_t size = sizeof(at);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&at, size), 0);
+	assert_int_equal(listen(fd, 1), 0);
+	assert_int_equal(getsockname(fd, (struct sockaddr *)&at, &size), 0);
+	*port = ntohs(at.sin_port);
+	return fd;
+}
+
+/* Returns whether any byte has arrived at a listening socket, and closes it. */
+static bool close_and_check_received(int listener)
+{
+	int fd = accept(listener, NULL, NULL);
+	char byte;
+	bool received = fd >= 0 && recv(fd, &byte, 1, 0) > 0;
+
+	if (fd >= 0)
+		close(fd);
+	close(listener);
+	return received;
+}
+
+/*
+ * Guards against an order that times out before its connection is ready and is
+ * then written in the same pass of a busy event loop: reported as not sent, its
+ * task would be started a second time.
+ */
+static void call_that_times_out_unsent_is_never_sent(void **state)
+{
+	fixture_t *fixture = *state;
+	int listeners[CALLS_OVER_EPOLL_BATCH];
+	int32_t received = 0;
+	int32_t ports[CALLS_OVER_EPOLL_BATCH];
+
+	for (int32_t i = 0; i < CALLS_OVER_EPOLL_BATCH; i++) {
+		listeners[i] = listen_on_free_port(&ports[i]);
+		send_to_port(fixture, ports[i], LOOP_STALL_MS / 2);
+	}
+	g_usleep(LOOP_STALL_MS * 1000);
+	wwh_http_calls_poll(fixture->calls, 0);
+	wait_for_callbacks(fixture, CALLS_OVER_EPOLL_BATCH);
+	/* without calls that end both ways the test shows nothing */
+	assert_true(fixture->outcomes[WWH_CALL_NOT_SENT] > 0);
+	assert_true(fixture->outcomes[WWH_CALL_NO_ANSWER] > 0);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	for (int32_t i = 0; i < CALLS_OVER_EPOLL_BATCH; i++)
+		received += close_and_check_received(listeners[i]);
+	assert_true(received <= fixture->outcomes[WWH_CALL_NO_ANSWER]);
+}
+
 static void delete_reports_calls_in_progress(void **state)
 {
 	static const char *const script[] = { RAW_SILENT };
@@ -456,6 +517,7 @@
 		TEST(call_without_connection_is_not_sent),
 		TEST(calls_wait_for_a_free_connection),
 		TEST(call_is_not_sent_after_send_timeout),
+		TEST(call_that_times_out_unsent_is_never_sent),
 		TEST(delete_reports_calls_in_progress),
 		TEST(wake_ends_poll),
 	};
