Leave idle upstreams out of the scheduler's passes

Cause: each pass walked all upstreams, an announcement walked them to compare endpoints, each flush and each durable record walked them for ends to acknowledge, and the demand of each pool walked all upstreams and all jobs, so that 232 pools took 15 ms a run of the host duties.

Change: a pass skips upstreams that are idle until they are due, by an array of times; events wake them (checked in wwh_scheduler_check). Endpoints have an index, pools know their live jobs, and upstreams with ends to acknowledge are listed. An answer to a poll makes its pool due only if it frees room or makes its upstream usable.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -269,6 +269,8 @@
 	int64_t last_offset_ms;
 	int64_t clock_offset_ms;
 	int64_t end_spread_ms; /* ends in the answer may be earlier by this */
+	guint run_index; /* its row in the scheduler's run_order and wake_ms */
+	bool awaits_ack; /* it is in the scheduler's awaiting_ack */
 };
 
 /* A job with a record that can't be read. */
@@ -280,6 +282,7 @@
 struct sched_pool {
 	char *name;
 	GPtrArray *upstreams; /* not owned */
+	GPtrArray *live; /* those of the scheduler's live jobs that are in it */
 	int64_t taken_over_ms;
 	/* From taken_over_ms until the last inherited lease has lapsed. */
 	int64_t max_inherited_wait_ms;
@@ -324,12 +327,19 @@
 	GPtrArray *dirty; /* sched_job_t whose progress must be written */
 	GHashTable *pools; /* name to sched_pool_t, owned */
 	GHashTable *upstreams; /* id to sched_upstream_t, owned */
+	GHashTable *endpoints; /* to GPtrArray of sched_upstream_t there */
 	int64_t taken_over_ms;
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
-	GPtrArray *run_order; /* of sched_upstream_t, while a pass runs them */
-	bool has_cordoned; /* this pass found a cordoned or leaving upstream */
+	GPtrArray *run_order; /* of all sched_upstream_t */
+	/* When each of them needs a pass again, in the same order. */
+	GArray *wake_ms;
+	GPtrArray *draining; /* this pass's cordoned and leaving upstreams */
+	/* sched_upstream_t with ends that aren't acknowledged */
+	GPtrArray *awaiting_ack;
+	int64_t largest_host; /* of all upstreams, in millicores */
+	bool largest_host_known; /* false: an upstream has changed since */
 	bool restored;
 	bool starts_held;
 	bool has_unflushed_ends; /* a received end isn't flushed yet */
@@ -570,6 +580,8 @@
 void sched_step_task_failed(wwh_scheduler_t *scheduler, sched_task_t *task,
 			    int64_t run);
 void sched_jobs_expire(wwh_scheduler_t *scheduler);
+/* Removes the job from the live jobs, and keeps it otherwise. */
+void sched_job_remove_live(wwh_scheduler_t *scheduler, sched_job_t *job);
 int64_t sched_objective_ms(const wwh_job_t *spec);
 /* The critical path of the remaining estimates. */
 int64_t sched_occurrence_remaining_ms(const sched_occurrence_t *occurrence);
@@ -622,6 +634,15 @@
 				      const char *id);
 sched_upstream_t *sched_upstream_add(wwh_scheduler_t *scheduler,
 				     const wwh_upstream_info_t *info);
+/* The next pass runs it, whatever it waits for. */
+void sched_upstream_wake(wwh_scheduler_t *scheduler,
+			 const sched_upstream_t *upstream);
+/* Like sched_upstream_find, for a caller that changes it. */
+sched_upstream_t *sched_upstream_find_and_wake(wwh_scheduler_t *scheduler,
+					       const char *id);
+/* It has reported an end that isn't acknowledged yet. */
+void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
+			      sched_upstream_t *upstream);
 void sched_upstream_delete(gpointer upstream);
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -132,7 +132,13 @@
 	sched_speed_init(scheduler);
 	scheduler->quota = wwh_workspace_quota_new();
 	scheduler->live = g_ptr_array_new();
+	scheduler->endpoints =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
 	scheduler->run_order = g_ptr_array_new();
+	scheduler->wake_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	scheduler->draining = g_ptr_array_new();
+	scheduler->awaiting_ack = g_ptr_array_new();
 	scheduler->dirty = g_ptr_array_new();
 	scheduler->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						 sched_pool_delete);
@@ -147,10 +153,14 @@
 		return;
 	g_ptr_array_unref(scheduler->live);
 	g_ptr_array_unref(scheduler->run_order);
+	g_array_unref(scheduler->wake_ms);
+	g_ptr_array_unref(scheduler->draining);
+	g_ptr_array_unref(scheduler->awaiting_ack);
 	g_ptr_array_unref(scheduler->dirty);
 	g_hash_table_destroy(scheduler->jobs);
 	g_hash_table_destroy(scheduler->lost_jobs);
 	g_hash_table_destroy(scheduler->upstreams);
+	g_hash_table_destroy(scheduler->endpoints);
 	wwh_upstream_speed_delete(scheduler->speed);
 	g_hash_table_destroy(scheduler->pools);
 	g_array_unref(scheduler->inherited_starts);
@@ -290,7 +300,7 @@
 	g_assert(wwh_scheduler_job_is_discardable(scheduler, id));
 	sched_explain(scheduler, "job-taken-back", id,
 		      "record=%" G_GINT64_FORMAT, job->record_number);
-	g_ptr_array_remove_fast(scheduler->live, job);
+	sched_job_remove_live(scheduler, job);
 	g_hash_table_remove(scheduler->jobs, id);
 }
 
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -6,6 +6,8 @@
 static void check_task(const wwh_scheduler_t *scheduler,
 		       const sched_task_t *task);
 static void check_upstream(const sched_upstream_t *upstream);
+static void check_run_order(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream);
 
 void wwh_scheduler_check(const wwh_scheduler_t *scheduler)
 {
@@ -19,9 +21,13 @@
 	g_hash_table_iter_init(&iterator, scheduler->upstreams);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		check_upstream(value);
+		check_run_order(scheduler, value);
 		slow += sched_upstream_is_slow(value);
 	}
 	g_assert(slow == scheduler->slow_upstreams);
+	g_assert(scheduler->run_order->len ==
+		 g_hash_table_size(scheduler->upstreams));
+	g_assert(scheduler->wake_ms->len == scheduler->run_order->len);
 }
 
 static void check_job(const wwh_scheduler_t *scheduler, const sched_job_t *job)
@@ -108,3 +114,19 @@
 	g_assert(used.gpus == upstream->used.gpus);
 	g_assert(upstream->ends_acked <= upstream->ends_received);
 }
+
+/* Passes leave out only idle upstreams, about which nothing is pending. */
+static void check_run_order(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream)
+{
+	g_assert(upstream ==
+		 g_ptr_array_index(scheduler->run_order, upstream->run_index));
+	g_assert(upstream->awaits_ack ||
+		 upstream->ends_acked == upstream->ends_received);
+	if (g_array_index(scheduler->wake_ms, int64_t, upstream->run_index) ==
+	    0)
+		return;
+	g_assert(sched_upstream_is_idle(upstream) && !upstream->cordoned &&
+		 !upstream->info.leaving && upstream->record_written &&
+		 upstream->termination_reason == NULL);
+}
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -23,7 +23,7 @@
 bool wwh_scheduler_cordon(wwh_scheduler_t *scheduler, const char *id,
 			  bool urgent, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -72,7 +72,7 @@
 
 void wwh_scheduler_uncordon(wwh_scheduler_t *scheduler, const char *id)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
 
 	if (upstream == NULL || !upstream->cordoned)
 		return;
@@ -132,14 +132,9 @@
 
 void sched_cordon_run(wwh_scheduler_t *scheduler)
 {
-	GHashTableIter iterator;
-	gpointer value;
-
-	if (!scheduler->has_cordoned)
-		return;
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *upstream = value;
+	for (guint i = 0; i < scheduler->draining->len; i++) {
+		sched_upstream_t *upstream =
+			g_ptr_array_index(scheduler->draining, i);
 
 		if (upstream->info.leaving)
 			relocate_all_lasting(scheduler, upstream);
--- a/src/libwaxwinghollow/scheduler_demand.c
+++ b/src/libwaxwinghollow/scheduler_demand.c
@@ -16,6 +16,7 @@
 /* The same for an increase of its rate. */
 #define NEWEST_WINDOW_MS 250
 
+static int64_t largest_host(wwh_scheduler_t *scheduler);
 static void add_occurrence_demand(const wwh_scheduler_t *scheduler,
 				  const sched_occurrence_t *occurrence,
 				  wwh_pool_demand_t *demand);
@@ -37,24 +38,14 @@
 					    const char *name)
 {
 	sched_pool_t *pool = sched_pool_get(scheduler, name);
-	wwh_pool_demand_t demand = { 0 };
+	wwh_pool_demand_t demand = { .host_millicores =
+					     largest_host(scheduler) };
 	int32_t hosts_with_lasting = 0;
-	GHashTableIter iterator;
-	gpointer value;
-
-	/*
-	 * Hosts are similar in size; those of all pools are considered because
-	 * a pool may have none.
-	 */
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		demand.host_millicores = MAX(
-			demand.host_millicores,
-			((sched_upstream_t *)value)->info.size.cpu_millicores);
-	for (guint i = 0; i < scheduler->live->len; i++) {
-		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
-
-		if (job->pool != pool || !sched_job_is_live(job))
+
+	for (guint i = 0; i < pool->live->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(pool->live, i);
+
+		if (!sched_job_is_live(job))
 			continue;
 		for (guint k = 0; k < job->occurrences->len; k++)
 			add_occurrence_demand(
@@ -85,6 +76,27 @@
 	return demand;
 }
 
+/*
+ * Hosts are similar in size; those of all pools are considered because a pool may
+ * have none.
+ */
+static int64_t largest_host(wwh_scheduler_t *scheduler)
+{
+	if (scheduler->largest_host_known)
+		return scheduler->largest_host;
+	scheduler->largest_host_known = true;
+	scheduler->largest_host = 0;
+	for (guint i = 0; i < scheduler->run_order->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(scheduler->run_order, i);
+
+		scheduler->largest_host =
+			MAX(scheduler->largest_host,
+			    upstream->info.size.cpu_millicores);
+	}
+	return scheduler->largest_host;
+}
+
 /*
  * Returns how many hosts are needed for waiting lasting tasks that fit on no
  * usable host: the hosts with lasting tasks may be full, or may have the
@@ -98,10 +110,10 @@
 {
 	int32_t hosts = 0;
 
-	for (guint i = 0; i < scheduler->live->len; i++) {
-		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+	for (guint i = 0; i < pool->live->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(pool->live, i);
 
-		if (job->pool != pool || !sched_job_is_live(job))
+		if (!sched_job_is_live(job))
 			continue;
 		for (guint k = 0; k < job->occurrences->len; k++) {
 			const sched_occurrence_t *occurrence =
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -39,6 +39,7 @@
 	set_objective(job);
 	g_hash_table_insert(scheduler->jobs, job->id, job);
 	g_ptr_array_add(scheduler->live, job);
+	g_ptr_array_add(job->pool->live, job);
 	if (spec->repeat_count == 0)
 		(void)sched_job_open_occurrence(scheduler, job);
 	job->pool->dirty = true;
@@ -216,6 +217,12 @@
 		sched_job_end(scheduler, job, WWH_PROGRESS_FAILED);
 }
 
+void sched_job_remove_live(wwh_scheduler_t *scheduler, sched_job_t *job)
+{
+	g_ptr_array_remove_fast(scheduler->live, job);
+	g_ptr_array_remove_fast(job->pool->live, job);
+}
+
 void sched_jobs_expire(wwh_scheduler_t *scheduler)
 {
 	GHashTableIter iterator;
@@ -227,6 +234,7 @@
 		if (!sched_job_is_live(job) && job->outstanding == 0 &&
 		    !job->dirty) {
 			release_spec(job);
+			g_ptr_array_remove_fast(job->pool->live, job);
 			g_ptr_array_remove_index_fast(scheduler->live, i);
 		} else {
 			i++;
--- a/src/libwaxwinghollow/scheduler_lost.c
+++ b/src/libwaxwinghollow/scheduler_lost.c
@@ -18,7 +18,7 @@
 	g_hash_table_replace(scheduler->lost_jobs, g_strdup(id), lost);
 	if (job == NULL)
 		return;
-	g_ptr_array_remove_fast(scheduler->live, job);
+	sched_job_remove_live(scheduler, job);
 	g_ptr_array_remove_fast(scheduler->dirty, job);
 	g_hash_table_remove(scheduler->jobs, id);
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -186,10 +186,10 @@
 	pool->waiting_tasks = 0;
 	pool->waiting_load = (wwh_load_t){ 0 };
 	pool->undurable_load = (wwh_load_t){ 0 };
-	for (guint i = 0; i < scheduler->live->len; i++) {
-		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+	for (guint i = 0; i < pool->live->len; i++) {
+		sched_job_t *job = g_ptr_array_index(pool->live, i);
 
-		if (job->pool != pool || !sched_job_is_live(job))
+		if (!sched_job_is_live(job))
 			continue;
 		if (job->record_number > scheduler->durable_record) {
 			sched_room_count_undurable(pool, job);
--- a/src/libwaxwinghollow/scheduler_room_scan.c
+++ b/src/libwaxwinghollow/scheduler_room_scan.c
@@ -119,10 +119,10 @@
 
 static void scan_jobs(wwh_scheduler_t *scheduler, sched_pool_t *pool)
 {
-	for (guint i = 0; i < scheduler->live->len; i++) {
-		const sched_job_t *job = g_ptr_array_index(scheduler->live, i);
+	for (guint i = 0; i < pool->live->len; i++) {
+		const sched_job_t *job = g_ptr_array_index(pool->live, i);
 
-		if (job->pool != pool || !sched_job_is_live(job))
+		if (!sched_job_is_live(job))
 			continue;
 		for (guint k = 0; k < job->occurrences->len; k++)
 			add_row(scheduler, pool->room,
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -297,6 +297,7 @@
 	if (upstream->idle_gap_ms > 0)
 		upstream->next_poll_ms =
 			MIN(upstream->next_poll_ms, scheduler->now_ms);
+	sched_upstream_wake(scheduler, upstream);
 	g_ptr_array_add(upstream->tasks, task);
 	wwh_load_add(&upstream->used, &taken);
 	wwh_workspace_quota_add(scheduler->quota,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -19,6 +19,14 @@
 #define BACKOFF_FIRST_MS 1500
 #define BACKOFF_MAX_DOUBLINGS 3
 
+static void add_to_run_order(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream);
+static void remove_from_run_order(wwh_scheduler_t *scheduler,
+				  const sched_upstream_t *upstream);
+static void add_to_endpoint(wwh_scheduler_t *scheduler,
+			    sched_upstream_t *upstream);
+static void remove_from_endpoint(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream);
 static void delete_record(wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream);
 
@@ -31,6 +39,7 @@
 	pool = g_new0(sched_pool_t, 1);
 	pool->name = g_strdup(name);
 	pool->upstreams = g_ptr_array_new();
+	pool->live = g_ptr_array_new();
 	pool->shares = wwh_workspace_share_new();
 	pool->room = sched_room_new();
 	g_hash_table_insert(scheduler->pools, pool->name, pool);
@@ -52,6 +61,7 @@
 	sched_pool_t *pool = data;
 
 	g_ptr_array_unref(pool->upstreams);
+	g_ptr_array_unref(pool->live);
 	wwh_workspace_share_delete(pool->shares);
 	sched_room_delete(pool->room);
 	g_free(pool->name);
@@ -79,9 +89,95 @@
 	upstream->pool = sched_pool_get(scheduler, info->pool);
 	g_ptr_array_add(upstream->pool->upstreams, upstream);
 	g_hash_table_insert(scheduler->upstreams, upstream->info.id, upstream);
+	add_to_run_order(scheduler, upstream);
+	add_to_endpoint(scheduler, upstream);
+	scheduler->largest_host_known = false;
 	return upstream;
 }
 
+static void add_to_run_order(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream)
+{
+	int64_t at_once = 0;
+
+	upstream->run_index = scheduler->run_order->len;
+	g_ptr_array_add(scheduler->run_order, upstream);
+	g_array_append_val(scheduler->wake_ms, at_once);
+}
+
+/* The last upstream takes the place of the removed one. */
+static void remove_from_run_order(wwh_scheduler_t *scheduler,
+				  const sched_upstream_t *upstream)
+{
+	guint index = upstream->run_index;
+
+	g_ptr_array_remove_index_fast(scheduler->run_order, index);
+	g_array_remove_index_fast(scheduler->wake_ms, index);
+	if (index < scheduler->run_order->len)
+		((sched_upstream_t *)g_ptr_array_index(scheduler->run_order,
+						       index))
+			->run_index = index;
+}
+
+static void add_to_endpoint(wwh_scheduler_t *scheduler,
+			    sched_upstream_t *upstream)
+{
+	const char *endpoint = upstream->info.endpoint;
+	GPtrArray *there;
+
+	if (endpoint == NULL)
+		return;
+	there = g_hash_table_lookup(scheduler->endpoints, endpoint);
+	if (there == NULL) {
+		there = g_ptr_array_new();
+		g_hash_table_insert(scheduler->endpoints, g_strdup(endpoint),
+				    there);
+	}
+	g_ptr_array_add(there, upstream);
+}
+
+static void remove_from_endpoint(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream)
+{
+	const char *endpoint = upstream->info.endpoint;
+	GPtrArray *there =
+		endpoint == NULL
+			? NULL
+			: g_hash_table_lookup(scheduler->endpoints, endpoint);
+
+	if (there == NULL)
+		return;
+	g_ptr_array_remove_fast(there, upstream);
+	if (there->len == 0)
+		g_hash_table_remove(scheduler->endpoints, endpoint);
+}
+
+void sched_upstream_wake(wwh_scheduler_t *scheduler,
+			 const sched_upstream_t *upstream)
+{
+	g_array_index(scheduler->wake_ms, int64_t, upstream->run_index) = 0;
+}
+
+sched_upstream_t *sched_upstream_find_and_wake(wwh_scheduler_t *scheduler,
+					       const char *id)
+{
+	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	if (upstream != NULL)
+		sched_upstream_wake(scheduler, upstream);
+	return upstream;
+}
+
+void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
+			      sched_upstream_t *upstream)
+{
+	scheduler->has_unflushed_ends = true;
+	if (upstream->awaits_ack)
+		return;
+	upstream->awaits_ack = true;
+	g_ptr_array_add(scheduler->awaiting_ack, upstream);
+}
+
 void sched_upstream_delete(gpointer data)
 {
 	sched_upstream_t *upstream = data;
@@ -126,6 +222,13 @@
 	upstream->pool->dirty = true;
 	if (upstream->record_written)
 		delete_record(scheduler, upstream);
+	remove_from_run_order(scheduler, upstream);
+	remove_from_endpoint(scheduler, upstream);
+	if (upstream->cordoned || upstream->info.leaving)
+		g_ptr_array_remove_fast(scheduler->draining, upstream);
+	if (upstream->awaits_ack)
+		g_ptr_array_remove_fast(scheduler->awaiting_ack, upstream);
+	scheduler->largest_host_known = false;
 	g_hash_table_remove(scheduler->upstreams, upstream->info.id);
 }
 
@@ -152,14 +255,11 @@
  */
 void sched_upstreams_flushed(wwh_scheduler_t *scheduler)
 {
-	GHashTableIter iterator;
-	gpointer value;
-
 	g_assert(scheduler->dirty->len == 0);
 	scheduler->has_unflushed_ends = false;
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *upstream = value;
+	for (guint i = 0; i < scheduler->awaiting_ack->len; i++) {
+		sched_upstream_t *upstream =
+			g_ptr_array_index(scheduler->awaiting_ack, i);
 
 		if (upstream->ends_flushed > upstream->ends_acked) {
 			scheduler->has_unflushed_ends = true;
@@ -175,15 +275,16 @@
 
 void sched_upstreams_durable(wwh_scheduler_t *scheduler)
 {
-	GHashTableIter iterator;
-	gpointer value;
-
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *upstream = value;
+	for (guint i = scheduler->awaiting_ack->len; i > 0; i--) {
+		sched_upstream_t *upstream =
+			g_ptr_array_index(scheduler->awaiting_ack, i - 1);
 
 		if (upstream->ends_flushed_record <= scheduler->durable_record)
 			upstream->ends_acked = upstream->ends_flushed;
+		if (upstream->ends_acked != upstream->ends_received)
+			continue;
+		upstream->awaits_ack = false;
+		g_ptr_array_remove_index_fast(scheduler->awaiting_ack, i - 1);
 	}
 }
 
@@ -243,15 +344,13 @@
  */
 static void poll_others_at(wwh_scheduler_t *scheduler, const char *endpoint)
 {
-	GHashTableIter iterator;
-	gpointer value;
+	GPtrArray *there = g_hash_table_lookup(scheduler->endpoints, endpoint);
 
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		sched_upstream_t *other = value;
+	for (guint i = 0; there != NULL && i < there->len; i++) {
+		sched_upstream_t *other = g_ptr_array_index(there, i);
 
-		if (strcmp(other->info.endpoint, endpoint) == 0)
-			other->next_poll_ms = scheduler->now_ms;
+		other->next_poll_ms = scheduler->now_ms;
+		sched_upstream_wake(scheduler, other);
 	}
 }
 
@@ -259,7 +358,7 @@
 				      const wwh_upstream_info_t *info,
 				      int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, info->id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, info->id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL) {
@@ -277,10 +376,16 @@
 			sched_explain(scheduler, "upstream-leaving", id,
 				      "leaving=%d", info->leaving);
 		upstream->info.id = NULL;
+		scheduler->largest_host_known =
+			scheduler->largest_host_known &&
+			info->size.cpu_millicores ==
+				upstream->info.size.cpu_millicores;
+		remove_from_endpoint(scheduler, upstream);
 		wwh_upstream_info_clear(&upstream->info);
 		wwh_upstream_info_copy(&upstream->info, info);
 		g_free(upstream->info.id);
 		upstream->info.id = id;
+		add_to_endpoint(scheduler, upstream);
 	}
 	upstream->listed = true;
 	upstream->unreadable = false;
@@ -290,7 +395,7 @@
 void wwh_scheduler_upstream_unreadable(wwh_scheduler_t *scheduler,
 				       const char *id, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -313,7 +418,7 @@
 void wwh_scheduler_upstream_withdrawn(wwh_scheduler_t *scheduler,
 				      const char *id, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -335,7 +440,7 @@
 				       wwh_termination_t termination,
 				       const char *why, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL || upstream->termination_reason != NULL)
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -31,6 +31,7 @@
 /* An upstream on which a task hung gets no work for this time. */
 #define HANG_BACKOFF_MS 3000
 
+static int64_t wake_ms(const sched_upstream_t *upstream);
 static void mark_settled(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 static void handle_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
@@ -71,11 +72,16 @@
 				      const wwh_poll_answer_t *answer,
 				      int64_t sent_ms, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
+	bool was_usable;
+	guint tasks;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
 		return;
+	was_usable = sched_upstream_usable(scheduler, upstream);
+	tasks = upstream->tasks->len;
 	upstream->poll_in_flight = false;
 	upstream->answered_ms = scheduler->now_ms;
 	sched_speed_begin_answer(upstream, answer->remote_ms, sent_ms);
@@ -112,14 +118,18 @@
 	upstream->next_poll_ms =
 		scheduler->now_ms + MAX(sched_poll_gap_ms(scheduler, upstream),
 					upstream->idle_gap_ms);
-	upstream->pool->dirty = true;
+	/* without new room no waiting task has become placeable */
+	if (answer->ended_count > 0 || upstream->tasks->len != tasks ||
+	    !was_usable)
+		upstream->pool->dirty = true;
 }
 
 void wwh_scheduler_handle_poll_failure(wwh_scheduler_t *scheduler,
 				       const char *id, bool refused,
 				       int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -150,7 +160,8 @@
 void wwh_scheduler_handle_poll_other_incarnation(wwh_scheduler_t *scheduler,
 						 const char *id, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	if (upstream != NULL)
 		upstream->poll_in_flight = false;
@@ -159,30 +170,28 @@
 }
 
 /*
- * Iterates over a copy of the list, as upstreams may be removed meanwhile. Runs
- * do neither unsettle nor cordon an upstream, so what the other scans of this
- * pass look for is known from this one.
+ * Iterates backwards, as upstreams may be removed meanwhile. Runs do neither
+ * unsettle nor cordon an upstream, so what the other scans of this pass look for
+ * is known from this one.
  */
 void sched_upstreams_run(wwh_scheduler_t *scheduler)
 {
-	GPtrArray *all = scheduler->run_order;
 	bool any_unsettled = false;
-	GHashTableIter iterator;
-	gpointer value;
 
-	g_ptr_array_set_size(all, 0);
-	g_hash_table_iter_init(&iterator, scheduler->upstreams);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		g_ptr_array_add(all, value);
 	scheduler->idle_upstreams = 0;
-	scheduler->has_cordoned = false;
-	for (guint i = all->len; i > 0; i--) {
-		sched_upstream_t *upstream = g_ptr_array_index(all, i - 1);
+	g_ptr_array_set_size(scheduler->draining, 0);
+	for (guint i = scheduler->run_order->len; i > 0; i--) {
+		sched_upstream_t *upstream;
 
+		if (i > scheduler->run_order->len)
+			continue;
+		if (g_array_index(scheduler->wake_ms, int64_t, i - 1) >
+		    scheduler->now_ms) {
+			scheduler->idle_upstreams++;
+			continue;
+		}
+		upstream = g_ptr_array_index(scheduler->run_order, i - 1);
 		any_unsettled = any_unsettled || !upstream->settled;
-		scheduler->has_cordoned = scheduler->has_cordoned ||
-					  upstream->cordoned ||
-					  upstream->info.leaving;
 		scheduler->idle_upstreams += sched_upstream_is_idle(upstream);
 		run_upstream(scheduler, upstream);
 	}
@@ -191,6 +200,24 @@
 	sched_speed_review(scheduler);
 }
 
+/*
+ * Returns when an idle upstream needs a pass again, if nothing happens to it; 0,
+ * at once, for any other upstream.
+ */
+static int64_t wake_ms(const sched_upstream_t *upstream)
+{
+	int64_t wake = upstream->poll_in_flight ? G_MAXINT64
+						: upstream->next_poll_ms;
+
+	if (!sched_upstream_is_idle(upstream) || upstream->cordoned ||
+	    upstream->info.leaving || !upstream->record_written ||
+	    upstream->termination_reason != NULL || upstream->awaits_ack)
+		return 0;
+	if (upstream->lease_end_ms != 0 && !upstream->lease_end_handled)
+		wake = MIN(wake, upstream->lease_end_ms);
+	return wake;
+}
+
 static void mark_settled(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	if (upstream->settled)
@@ -212,7 +239,7 @@
 	if (row->number <= upstream->ends_received)
 		return;
 	upstream->ends_received = row->number;
-	scheduler->has_unflushed_ends = true;
+	sched_upstream_await_ack(scheduler, upstream);
 	task = sched_job_task(scheduler, row->task);
 	if (task == NULL)
 		return;
@@ -547,6 +574,10 @@
 		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->record_written)
 		write_upstream_record(scheduler, upstream);
+	if (upstream->cordoned || upstream->info.leaving)
+		g_ptr_array_add(scheduler->draining, upstream);
+	g_array_index(scheduler->wake_ms, int64_t, upstream->run_index) =
+		wake_ms(upstream);
 }
 
 /* Is called before the first start, so that a new holder polls the upstream. */
