--- a/src/libwaxwinghollow/http_pool.c
+++ b/src/libwaxwinghollow/http_pool.c
@@ -4,15 +4,20 @@
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <string.h>
+#include <sys/resource.h>
 
 /*
- * Limit of the idle connections to all endpoints: enough for a long poll and a
- * few orders to each of 350 upstreams, with the store and the other hosts,
- * within the 4,100 descriptors of a small host. With a limit of 400 a holder of
- * 350 upstreams made 31,140 new connections on a day of 40,000 starts and
- * 33,400 polls, with 2,400 it made 5,608 (one run each, counted by the upstreams).
+ * A process with few descriptors keeps this many connections idle: a long poll
+ * and a few orders to each of some hundred upstreams.
  */
-#define MAX_IDLE_CONNECTIONS 2400
+#define MIN_IDLE_LIMIT 2400
+
+/*
+ * Share of the descriptors that idle connections may take; the others are for
+ * calls in progress and for the listeners. Orders that go to more upstreams in
+ * turn than there are idle connections need a new connection each.
+ */
+#define IDLE_SHARE_OF_FILES 2
 
 /* One connection is for a long poll, the others for orders. */
 #define MAX_CONNECTIONS_PER_ENDPOINT 6
@@ -21,8 +26,10 @@
 	struct event_base *base;
 	GHashTable *endpoints; /* name to http_endpoint_t, owned */
 	GQueue idle; /* of http_connection_t, most recently used first */
+	guint max_idle;
 };
 
+static guint idle_limit(void);
 static void endpoint_delete(gpointer data);
 static http_connection_t *connection_new(http_endpoint_t *endpoint);
 static void on_closed(struct evhttp_connection *evcon, void *data);
@@ -36,6 +43,7 @@
 	pool->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						endpoint_delete);
 	g_queue_init(&pool->idle);
+	pool->max_idle = idle_limit();
 	return pool;
 }
 
@@ -98,7 +106,7 @@
 	connection->user = NULL;
 	g_queue_push_head(&connection->endpoint->idle, connection);
 	g_queue_push_head_link(&pool->idle, &connection->idle_link);
-	if (g_queue_get_length(&pool->idle) > MAX_IDLE_CONNECTIONS) {
+	if (g_queue_get_length(&pool->idle) > pool->max_idle) {
 		http_connection_t *oldest = g_queue_peek_tail(&pool->idle);
 		http_endpoint_t *endpoint = oldest->endpoint;
 
@@ -140,6 +148,16 @@
 	return bufferevent_getfd(buffer);
 }
 
+static guint idle_limit(void)
+{
+	struct rlimit files;
+
+	if (getrlimit(RLIMIT_NOFILE, &files) != 0)
+		return MIN_IDLE_LIMIT;
+	return (guint)CLAMP(files.rlim_cur / IDLE_SHARE_OF_FILES,
+			    MIN_IDLE_LIMIT, INT32_MAX);
+}
+
 static void endpoint_delete(gpointer data)
 {
 	http_endpoint_t *endpoint = data;
