Order moves at the rate that the hosts' service takes

Cause: at most twelve moves were in flight and a fixed pace of lists applied, whatever the platform takes: 64 orders a second on small deployments, 590 on the whole fleet.

Change: cloud.dutyPerS and cloud.ratePerS are read; moves and upkeeps draw from a token bucket that keeps within the rate in each second, a rejected order halves what is left, and lists take at most half of the rate of pages. Without a setting the rate is 64, whose burst is the twelve orders of before.

Measured: test_host_duties 52 passed; with a rate of 500 a second, 1,000 to 1,500 of 2,000 hosts are called in 3 s and at most 500 in any second.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -102,6 +102,8 @@
 	 * one holder at a time.
 	 */
 	int64_t first_order_ms;
+	int64_t orders_per_s; /* that the hosts' service takes; 0: 64 */
+	int64_t lists_per_s; /* pages of lists; 0: 64 */
 	wwh_scheduler_t *scheduler;
 } wwh_host_duties_options_t;
 
@@ -142,6 +144,8 @@
 			       const wwh_listed_host_t *host);
 void wwh_host_duties_list_end(wwh_host_duties_t *duties, bool ok,
 			      int64_t now_ms);
+/* One more page of the list was requested. */
+void wwh_host_duties_count_page(wwh_host_duties_t *duties);
 
 void wwh_host_duties_handle_upkeep_result(wwh_host_duties_t *duties,
 					  const char *host, int64_t wave,
--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -55,6 +55,9 @@
 	int32_t relay_on_permille;
 	int64_t move_ms; /* time that a host is unavailable for a move */
 	int64_t upkeep_ms; /* the same for an upkeep */
+	/* Orders to hosts and pages of lists that all processes may send. */
+	int64_t host_orders_per_s;
+	int64_t host_lists_per_s;
 } wwh_host_settings_t;
 
 void wwh_host_settings_init(wwh_host_settings_t *settings);
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -84,6 +84,7 @@
 void wwh_host_duties_list_begin(wwh_host_duties_t *duties)
 {
 	duties->list_number++;
+	duties->list_pages = 0;
 	duties->incarnations_complete = true;
 	g_hash_table_remove_all(duties->incarnations);
 	duties->list_has_unnamed_row = false;
@@ -144,7 +145,9 @@
 
 	duties->now_ms = MAX(duties->now_ms, now_ms);
 	duties->list_in_flight = false;
-	duties->next_list_ms = duties->now_ms + list_interval_ms(duties);
+	duties->next_list_ms =
+		duties->now_ms + MAX(list_interval_ms(duties),
+				     duties_list_min_interval_ms(duties));
 	if (!ok)
 		return;
 	duties->list_received = true;
@@ -163,6 +166,11 @@
 	}
 }
 
+void wwh_host_duties_count_page(wwh_host_duties_t *duties)
+{
+	duties->list_pages++;
+}
+
 void wwh_host_duties_set_paused(wwh_host_duties_t *duties, bool paused)
 {
 	duties->paused = paused;
@@ -186,6 +194,7 @@
 	if (!duties->list_received || duties->paused ||
 	    duties->now_ms < duties->first_order_ms)
 		return;
+	duties_refill_orders(duties);
 	duties_survey(duties);
 	/* first, because waves use the host counts of pools */
 	duties_run_moves(duties);
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -8,9 +8,6 @@
 /* A host whose move was refused isn't moved for this long. */
 #define REFUSED_MOVE_DELAY_MS 10000
 
-/* Limit of move orders in flight; the platform allows 64 a second. */
-#define MAX_MOVES_IN_FLIGHT 12
-
 /*
  * Minimum time that a host stays in a pool after a move: the work it was moved
  * for is just beginning, and each move costs as much of the jobs' value as one
@@ -70,6 +67,8 @@
 	duties_recount_hosts(duties);
 	host->last_order_ms = duties->now_ms;
 	host->move_retry_ms = duties->now_ms + RESEND_DELAY_MS;
+	if (result == WWH_DUTY_NOT_DONE)
+		duties_order_rejected(duties);
 	if (result != WWH_DUTY_DONE)
 		duties_log_event(duties, "move-not-done", name,
 				 "from=%s to=%s result=%s", host->pool,
@@ -214,7 +213,9 @@
 {
 	GPtrArray *pools = duties_pools_by_surplus(duties);
 	move_budget_t budget = {
-		.orders = MAX_MOVES_IN_FLIGHT - duties->moves_in_flight,
+		.orders = MIN(duties_orders_left(duties),
+			      duties_max_orders_in_flight(duties) -
+				      duties->moves_in_flight),
 		.releasable = wwh_fleet_reserve_releasable(duties->reserve),
 		.callable = wwh_fleet_reserve_callable(duties->reserve),
 	};
@@ -311,6 +312,7 @@
 	host->move_in_flight = true;
 	duties_recount_hosts(duties);
 	host->last_order_ms = duties->now_ms;
+	duties_count_order(duties);
 	duties->calls.move(host->name, host->move_target,
 			   duties->calls.client_data);
 }
@@ -321,7 +323,8 @@
 		duty_host_t *host = g_ptr_array_index(duties->in_transit, i);
 
 		if (host->move_target != NULL && !host->move_in_flight &&
-		    duties->now_ms >= host->move_retry_ms)
+		    duties->now_ms >= host->move_retry_ms &&
+		    duties_orders_left(duties) > 0)
 			send_move_order(duties, host, host->move_target);
 	}
 }
--- a/src/libwaxwinghollow/host_table.c
+++ b/src/libwaxwinghollow/host_table.c
@@ -46,10 +46,12 @@
 
 void duties_advance_list(wwh_host_duties_t *duties)
 {
+	int64_t interval_ms = MAX(DUTIES_LIST_MIN_INTERVAL_MS,
+				  duties_list_min_interval_ms(duties));
+
 	duties->next_list_ms =
 		MIN(duties->next_list_ms,
-		    MAX(duties->now_ms,
-			duties->list_sent_ms + DUTIES_LIST_MIN_INTERVAL_MS));
+		    MAX(duties->now_ms, duties->list_sent_ms + interval_ms));
 }
 
 void duties_end_drain(wwh_host_duties_t *duties, duty_host_t *host)
--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -166,6 +166,8 @@
 		duties_end_drain(duties, host);
 		break;
 	case WWH_DUTY_NOT_DONE:
+		duties_order_rejected(duties);
+		/* fallthrough */
 	case WWH_DUTY_BUSY:
 	case WWH_DUTY_FENCED:
 		host->in_upkeep = host->state == WWH_HOST_UPKEEP;
@@ -372,6 +374,7 @@
 	host->last_order_ms = duties->now_ms;
 	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
 	host->wave = wave->order->number;
+	duties_count_order(duties);
 	duties->calls.upkeep(host->name, wave->order->number,
 			     duties->calls.client_data);
 }
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -82,6 +82,13 @@
 	int32_t empty_leaving; /* of the leaving ones, without tasks */
 };
 
+/* A token bucket, in thousandths of an order. */
+typedef struct {
+	int64_t tokens_milli;
+	int64_t refilled_ms;
+	bool started; /* false: it is full */
+} host_order_rate_t;
+
 struct wwh_host_duties {
 	wwh_host_duties_options_t options;
 	wwh_host_duties_calls_t calls;
@@ -111,6 +118,8 @@
 	/* each listed host that may run tasks has named its incarnation */
 	bool incarnations_complete;
 	bool paused;
+	int32_t list_pages; /* of the list being received, or the last one */
+	host_order_rate_t order_rate;
 };
 
 /* host_table.c: helpers of the other files; it calls none of them. */
@@ -174,6 +183,21 @@
 /* A list, or an order to move, changed what the reserve counts. */
 void duties_recount_hosts(wwh_host_duties_t *duties);
 
+/*
+ * host_order_rate.c: orders to hosts at the rate that their service takes. In no
+ * second are more sent than that.
+ */
+void duties_refill_orders(wwh_host_duties_t *duties);
+/* Returns how many orders may be sent now. */
+int32_t duties_orders_left(const wwh_host_duties_t *duties);
+/* Returns how many orders may wait for their answers. */
+int32_t duties_max_orders_in_flight(const wwh_host_duties_t *duties);
+void duties_count_order(wwh_host_duties_t *duties);
+/* The service had no room for an order: others use its rate, too. */
+void duties_order_rejected(wwh_host_duties_t *duties);
+/* The interval between lists at which their pages take half of the rate. */
+int64_t duties_list_min_interval_ms(const wwh_host_duties_t *duties);
+
 /* host_waves.c; called after duties_run_moves, whose host counts it uses. */
 void duties_run_waves(wwh_host_duties_t *duties);
 void duties_wave_delete(gpointer wave);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -461,6 +461,8 @@
 	wwh_host_duties_options_t options = {
 		.upkeep_ms = settings->upkeep_ms,
 		.move_ms = settings->move_ms,
+		.orders_per_s = settings->host_orders_per_s,
+		.lists_per_s = settings->host_lists_per_s,
 		.scheduler = holder->scheduler,
 	};
 	wwh_host_duties_calls_t calls = {
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -108,6 +108,7 @@
 		wwh_host_duties_list_end(holder->duties, false, holder->now_ms);
 		return;
 	}
+	wwh_host_duties_count_page(holder->duties);
 	call = wire_hosts_list(holder->options.settings->hosts,
 			       holder->list_page_token, LIST_TIMEOUT_MS);
 	job_holder_ref(holder);
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -305,6 +305,12 @@
 #define MOVE_TESTS                                                             \
 	cmocka_unit_test_setup_teardown(lacking_hosts_are_reported, set_up,    \
 					tear_down),                            \
+		cmocka_unit_test_setup_teardown(                               \
+			move_orders_follow_the_rate_of_the_service, set_up,    \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(                               \
+			rejected_orders_are_retried_at_the_rate, set_up,       \
+			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(                               \
 			hosts_on_their_way_are_reported, set_up, tear_down),   \
 		cmocka_unit_test_setup_teardown(                               \
@@ -341,6 +347,8 @@
 
 void hosts_on_their_way_are_reported(void **state);
 void lacking_hosts_are_reported(void **state);
+void move_orders_follow_the_rate_of_the_service(void **state);
+void rejected_orders_are_retried_at_the_rate(void **state);
 void a_pool_with_work_gets_standby_hosts(void **state);
 void a_pool_without_work_sends_hosts_to_standby(void **state);
 void a_slow_empty_host_leaves_first(void **state);
--- a/src/test_host_duties/test_moves.c
+++ b/src/test_host_duties/test_moves.c
@@ -523,3 +523,90 @@
 		duties_fixture_delete(fixture);
 	}
 }
+
+#define ORDERS_PER_S 500
+#define FLEET_HOSTS 2000
+
+/* Lists h1 in the pool, and the others in the standby pool. */
+static void list_fleet(duties_fixture_t *fixture)
+{
+	for (int32_t i = 1; i <= FLEET_HOSTS; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "h%d", i);
+		duties_fixture_list_host(
+			fixture, name, i == 1 ? SCHED_FIXTURE_POOL : "standby",
+			i == 1 ? "u1" : NULL, WWH_HOST_UP);
+	}
+	duties_fixture_end_list(fixture);
+}
+
+/*
+ * Guards against a fleet whose hosts are moved at the rate of a small one, and
+ * against orders that the hosts' service rejects as too many.
+ */
+void move_orders_follow_the_rate_of_the_service(void **state)
+{
+	duties_fixture_t *fixture = *state;
+	guint answered = 0;
+	guint most_in_a_second = 0;
+	guint second_begins[1000 / 20] = { 0 };
+
+	fixture->options.orders_per_s = ORDERS_PER_S;
+	duties_fixture_take_over(fixture);
+	wwh_host_duties_set_pool(fixture->duties, SCHED_FIXTURE_POOL, false);
+	wwh_host_duties_set_pool(fixture->duties, "standby", true);
+	sched_fixture_add_upstream(fixture->sched, "u1", "10.0.0.1:1");
+	for (int32_t i = 0; i < 100; i++) {
+		char id[WWH_JOB_ID_CHARS + 1];
+
+		snprintf(id, sizeof(id), "%016x", i + 1);
+		sched_fixture_submit(fixture->sched,
+				     sched_fixture_job(id, 400, 1000));
+	}
+	duties_fixture_run(fixture, 1);
+	list_fleet(fixture);
+	for (guint i = 0; i < 150; i++) {
+		guint *begin = &second_begins[i % G_N_ELEMENTS(second_begins)];
+
+		duties_fixture_run(fixture, 20);
+		most_in_a_second =
+			MAX(most_in_a_second, fixture->moves->len - *begin);
+		*begin = fixture->moves->len;
+		for (; answered < fixture->moves->len; answered++)
+			duties_fixture_answer_move(fixture, answered);
+	}
+	assert_in_range(fixture->moves->len, ORDERS_PER_S * 2,
+			ORDERS_PER_S * 3);
+	assert_in_range(most_in_a_second, ORDERS_PER_S / 2, ORDERS_PER_S);
+}
+
+/* Guards against a thousand orders a second to a service that takes none. */
+void rejected_orders_are_retried_at_the_rate(void **state)
+{
+	duties_fixture_t *fixture = *state;
+	guint answered = 0;
+
+	wwh_host_duties_set_pool(fixture->duties, SCHED_FIXTURE_POOL, false);
+	wwh_host_duties_set_pool(fixture->duties, "standby", true);
+	sched_fixture_add_upstream(fixture->sched, "u1", "10.0.0.1:1");
+	sched_fixture_submit(fixture->sched,
+			     sched_fixture_job(JOB_A, 400, 8000));
+	duties_fixture_run(fixture, 1);
+	list_fleet(fixture);
+	for (int32_t i = 0; i < 250; i++) {
+		duties_fixture_run(fixture, 20);
+		for (; answered < fixture->moves->len; answered++) {
+			const char *moved =
+				duties_fixture_move_at(fixture, answered);
+			char *host = g_strndup(moved, strcspn(moved, " "));
+
+			wwh_host_duties_handle_move_result(
+				fixture->duties, host, WWH_DUTY_NOT_DONE,
+				fixture->sched->now_ms);
+			g_free(host);
+		}
+	}
+	/* 64 a second for 5 s */
+	assert_in_range(fixture->moves->len, 64, 5 * 64);
+}
