Estimate the reserve of hosts by its first peak, and keep it in the store

Cause: surplus hosts were released only after a window of 30 s had been observed, at a thirty-second of them a second, and a new holder began a window of its own.

Change: once the first peak has kept its height for 2 s, hosts above twice that peak are released, at the rate that the hosts' service takes; a call from standby ends that until a whole cycle is known.

Ways weighed: to release by lasting tasks alone before any peak was seen (a fleet whose first peak takes most of its hosts would call them back, two moves each); a share by time (the same). Where one peak takes more than half of the hosts, nothing changes.

--- a/include/waxwinghollow/fleet_reserve.h
+++ b/include/waxwinghollow/fleet_reserve.h
@@ -12,9 +12,15 @@
  *	the largest rack takes, plus those that waves hold. Powered-on hosts
  *	above it may go to the standby pool, a few at a time.
  *
- *	Nothing is released before a whole cycle was observed: until one pool
- *	became the busiest for the second time, with another one in between, or
- *	for the whole window. Time that the owner didn't observe isn't counted.
+ *	Before a whole cycle was observed (until one pool became the busiest for
+ *	the second time, with another one in between, or for the whole window)
+ *	the later peaks aren't known. Once one peak has reached its height, the
+ *	reserve is estimated as a multiple of it; a call from standby shows that
+ *	the estimate was too low, and ends the releases until the cycle is
+ *	known. Time that the owner didn't observe isn't counted.
+ *
+ *	What was observed can be kept in a record and restored by the next
+ *	owner, which then needs no window of its own.
  *
  * LOAD
  *	Peaks of queues alternate, with a cycle of 10 to 20 s. A host that goes
@@ -23,6 +29,9 @@
  *	host that no pool desired at the moment cost 13,700 host-seconds in a
  *	simulated day, against 11,700 with all hosts powered on.
  *
+ *	In a fleet of thousands one peak needs a small part of the hosts, and a
+ *	window of observing all of them costs more than their moves.
+ *
  * ORDER OF CALLS
  *	wwh_fleet_reserve_new; repeatedly wwh_fleet_reserve_add_pool for each
  *	pool, then wwh_fleet_reserve_update, then the decisions and what became
@@ -35,8 +44,20 @@
 typedef struct {
 	int64_t window_ms; /* observed if the load has no cycles */
 	int32_t headroom_percent; /* kept above the observed peak */
+	/* Kept above the first peak, before a whole cycle; 0: no estimate. */
+	int32_t estimate_headroom_percent;
+	/* Limit of releases; 0: a thirty-second of the usable hosts. */
+	int32_t releases_per_s;
 } wwh_fleet_reserve_options_t;
 
+/* What an owner has observed, for the next one. */
+typedef struct {
+	bool whole_cycle;
+	bool estimated;
+	int64_t cycle_ms; /* 0: none detected */
+	int32_t peak; /* highest sum of desired hosts in the window */
+} wwh_fleet_reserve_knowledge_t;
+
 /* Hosts of the standby pool, and moving to it, count nowhere. */
 typedef struct {
 	int32_t usable; /* accept tasks now, or soon after a move */
@@ -49,7 +70,8 @@
 } wwh_fleet_hosts_t;
 
 typedef struct {
-	bool whole_cycle; /* observed; before, nothing is released */
+	bool whole_cycle; /* observed */
+	bool estimated; /* not observed yet; the reserve is an estimate */
 	int64_t cycle_ms; /* of alternating peaks; 0: none detected */
 	int32_t desired; /* sum over the pools now */
 	int32_t available; /* powered on: usable, or held by waves */
@@ -66,6 +88,16 @@
 wwh_fleet_reserve_new(const wwh_fleet_reserve_options_t *options);
 void wwh_fleet_reserve_delete(wwh_fleet_reserve_t *reserve);
 
+wwh_fleet_reserve_knowledge_t
+wwh_fleet_reserve_knowledge(const wwh_fleet_reserve_t *reserve);
+
+/*
+ * To be called before the first update. The peak counts as observed at that time,
+ * so it stays in the window as long as one that was.
+ */
+void wwh_fleet_reserve_restore(wwh_fleet_reserve_t *reserve,
+			       const wwh_fleet_reserve_knowledge_t *knowledge);
+
 /*
  * Adds a pool's desired hosts to the next update. They include minimum, the
  * hosts that its lasting tasks need.
--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -16,8 +16,8 @@
  *	two processes.
  *
  * ORDER OF CALLS
- *	wwh_host_duties_new; wwh_host_duties_restore for each stored record;
- *	then events in any order, followed by wwh_host_duties_run;
+ *	wwh_host_duties_new; wwh_host_duties_restore and
+ *	wwh_host_duties_restore_reserve for each stored record; then events in any order, followed by wwh_host_duties_run;
  *	wwh_host_duties_delete.
  */
 
@@ -102,6 +102,9 @@
 	 * one holder at a time.
 	 */
 	int64_t first_order_ms;
+	/* Time of day at the start, and its difference to the clock of now_ms. */
+	int64_t wall_ms;
+	int64_t wall_offset_ms;
 	int64_t orders_per_s; /* that the hosts' service takes; 0: 64 */
 	int64_t lists_per_s; /* pages of lists; 0: 64 */
 	wwh_scheduler_t *scheduler;
@@ -131,6 +134,14 @@
 			     const uint8_t *value, size_t size,
 			     wwh_message_t *message);
 
+/*
+ * Restores what the previous holder knew of the hosts that are kept powered on.
+ * Returns false if the record can't be read; they are then observed anew.
+ */
+bool wwh_host_duties_restore_reserve(wwh_host_duties_t *duties,
+				     const uint8_t *value, size_t size,
+				     wwh_message_t *message);
+
 /* Takes ownership of order. */
 void wwh_host_duties_add_wave(wwh_host_duties_t *duties,
 			      wwh_wave_order_t *order, int64_t now_ms);
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -177,6 +177,8 @@
 	WWH_SCHEDULER_RECORD_PROGRESS, /* key: the job's id */
 	WWH_SCHEDULER_RECORD_UPSTREAM, /* may run tasks; key: its id */
 	WWH_SCHEDULER_RECORD_WAVE, /* its finished hosts; key: its number */
+	/* What is known of the hosts that are kept powered on; one key. */
+	WWH_SCHEDULER_RECORD_RESERVE,
 	WWH_SCHEDULER_RECORD_KIND_COUNT
 } wwh_scheduler_record_kind_t;
 
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -16,6 +16,13 @@
 /* A pool that desires fewer hosts above its minimum has no peak. */
 #define MIN_PEAK_HOSTS 2
 
+/*
+ * A peak has reached its height when the sum hasn't grown by more than a sixteenth
+ * for this long: a host that is called at its beginning takes tasks by then.
+ */
+#define PEAK_SETTLED_MS 2000
+#define PEAK_GROWTH_DIVISOR 16
+
 /* The shortest cycle of the alternating peaks in the deployments is 10 s. */
 #define MIN_CYCLE_MS 10000
 
@@ -52,6 +59,11 @@
 	int64_t challenger_since_ms;
 	int64_t cycle_ms;
 	int64_t hold_until_ms;
+	int32_t settled_peak; /* the peak, less its last small increases */
+	int64_t settled_since_ms;
+	bool estimate_failed; /* hosts were called while it was in force */
+	bool restored_whole_cycle;
+	bool restored_estimate;
 	int64_t interval_start_ms;
 	int32_t released; /* in the present interval */
 	int64_t paid_host_ms;
@@ -60,10 +72,12 @@
 
 static void advance(wwh_fleet_reserve_t *reserve, int64_t now_ms);
 static void record_sum(wwh_fleet_reserve_t *reserve);
+static void track_growth(wwh_fleet_reserve_t *reserve);
 static void track_busiest(wwh_fleet_reserve_t *reserve);
 static reserve_pool_t *pool_with_largest_excess(wwh_fleet_reserve_t *reserve);
 static void begin_phase(wwh_fleet_reserve_t *reserve, reserve_pool_t *pool);
 static bool whole_cycle(const wwh_fleet_reserve_t *reserve);
+static bool is_estimated(const wwh_fleet_reserve_t *reserve);
 static int32_t wave_hosts(const wwh_fleet_reserve_t *reserve);
 static int32_t peak_with_headroom(const wwh_fleet_reserve_t *reserve);
 static int32_t reserved_hosts(const wwh_fleet_reserve_t *reserve);
@@ -113,6 +127,7 @@
 	reserve->desired = reserve->next_desired;
 	reserve->next_desired = 0;
 	record_sum(reserve);
+	track_growth(reserve);
 	track_busiest(reserve);
 	if (reserve->observed_ms - reserve->interval_start_ms >=
 	    RELEASE_INTERVAL_MS) {
@@ -131,9 +146,12 @@
 	const wwh_fleet_hosts_t *hosts = &reserve->hosts;
 	int32_t above =
 		hosts->usable + hosts->wave_held - reserved_hosts(reserve);
-	int32_t batch = MAX(MIN_RELEASE, hosts->usable / RELEASE_DIVISOR);
+	int32_t batch = reserve->options.releases_per_s > 0
+				? reserve->options.releases_per_s
+				: MAX(MIN_RELEASE,
+				      hosts->usable / RELEASE_DIVISOR);
 
-	if (!whole_cycle(reserve) ||
+	if (!(whole_cycle(reserve) || is_estimated(reserve)) ||
 	    reserve->observed_ms < reserve->hold_until_ms)
 		return 0;
 	return MAX(0, MIN(above, batch - reserve->released));
@@ -160,6 +178,8 @@
 {
 	reserve->hosts.usable++;
 	reserve->hosts.lacking--;
+	if (is_estimated(reserve))
+		reserve->estimate_failed = true;
 	if (whole_cycle(reserve))
 		reserve->hold_until_ms =
 			reserve->observed_ms +
@@ -167,11 +187,37 @@
 					       : reserve->options.window_ms);
 }
 
+wwh_fleet_reserve_knowledge_t
+wwh_fleet_reserve_knowledge(const wwh_fleet_reserve_t *reserve)
+{
+	wwh_fleet_reserve_knowledge_t knowledge = {
+		.whole_cycle = whole_cycle(reserve),
+		.estimated = is_estimated(reserve),
+		.cycle_ms = reserve->cycle_ms,
+		.peak = reserve->peak,
+	};
+
+	return knowledge;
+}
+
+void wwh_fleet_reserve_restore(wwh_fleet_reserve_t *reserve,
+			       const wwh_fleet_reserve_knowledge_t *knowledge)
+{
+	g_assert(!reserve->updated);
+	reserve->peaks[0] = knowledge->peak;
+	reserve->peak = knowledge->peak;
+	reserve->settled_peak = knowledge->peak;
+	reserve->cycle_ms = knowledge->cycle_ms;
+	reserve->restored_whole_cycle = knowledge->whole_cycle;
+	reserve->restored_estimate = knowledge->estimated;
+}
+
 wwh_fleet_reserve_state_t
 wwh_fleet_reserve_state(const wwh_fleet_reserve_t *reserve)
 {
 	wwh_fleet_reserve_state_t state = {
 		.whole_cycle = whole_cycle(reserve),
+		.estimated = is_estimated(reserve),
 		.cycle_ms = reserve->cycle_ms,
 		.desired = reserve->desired,
 		.available = reserve->hosts.usable + reserve->hosts.wave_held,
@@ -227,6 +273,16 @@
 		reserve->peak = MAX(reserve->peak, reserve->peaks[i]);
 }
 
+static void track_growth(wwh_fleet_reserve_t *reserve)
+{
+	int32_t allowed = reserve->settled_peak / PEAK_GROWTH_DIVISOR;
+
+	if (reserve->peak <= reserve->settled_peak + allowed)
+		return;
+	reserve->settled_peak = reserve->peak;
+	reserve->settled_since_ms = reserve->observed_ms;
+}
+
 static void track_busiest(wwh_fleet_reserve_t *reserve)
 {
 	reserve_pool_t *largest = pool_with_largest_excess(reserve);
@@ -284,10 +340,23 @@
 
 static bool whole_cycle(const wwh_fleet_reserve_t *reserve)
 {
-	return reserve->cycle_ms > 0 ||
+	return reserve->cycle_ms > 0 || reserve->restored_whole_cycle ||
 	       reserve->observed_ms >= reserve->options.window_ms;
 }
 
+/* Without a busiest pool no peak was seen, only lasting tasks. */
+static bool is_estimated(const wwh_fleet_reserve_t *reserve)
+{
+	bool peak_seen =
+		reserve->restored_estimate ||
+		(reserve->busiest != NULL &&
+		 reserve->observed_ms - reserve->settled_since_ms >=
+			 PEAK_SETTLED_MS);
+
+	return reserve->options.estimate_headroom_percent > 0 && peak_seen &&
+	       !reserve->estimate_failed && !whole_cycle(reserve);
+}
+
 /* The most that waves hold now or may hold at once. */
 static int32_t wave_hosts(const wwh_fleet_reserve_t *reserve)
 {
@@ -296,7 +365,11 @@
 
 static int32_t peak_with_headroom(const wwh_fleet_reserve_t *reserve)
 {
-	return reserve->peak * (100 + reserve->options.headroom_percent) / 100;
+	int32_t percent = is_estimated(reserve)
+				  ? reserve->options.estimate_headroom_percent
+				  : reserve->options.headroom_percent;
+
+	return (int32_t)((int64_t)reserve->peak * (100 + percent) / 100);
 }
 
 static int32_t reserved_hosts(const wwh_fleet_reserve_t *reserve)
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -13,6 +13,12 @@
  */
 #define RESERVE_HEADROOM_PERCENT 20
 
+/*
+ * Of the first peak, while the others aren't known: one that needs twice as much is
+ * covered. Where a peak needs more than half of the fleet nothing is released.
+ */
+#define ESTIMATE_HEADROOM_PERCENT 100
+
 const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT] = {
 	"up",
 	"moving",
@@ -45,6 +51,9 @@
 	wwh_fleet_reserve_options_t reserve_options = {
 		.window_ms = WWH_STANDBY_DELAY_MS,
 		.headroom_percent = RESERVE_HEADROOM_PERCENT,
+		.estimate_headroom_percent = ESTIMATE_HEADROOM_PERCENT,
+		.releases_per_s = (int32_t)CLAMP(options->orders_per_s, 0,
+						 INT32_MAX),
 	};
 
 	duties->options = *options;
--- a/src/libwaxwinghollow/host_reserve.c
+++ b/src/libwaxwinghollow/host_reserve.c
@@ -43,8 +43,12 @@
 		hosts.coming = coming_hosts(duties);
 	wwh_fleet_reserve_update(duties->reserve, &hosts, duties->now_ms);
 	state = wwh_fleet_reserve_state(duties->reserve);
-	if (state.whole_cycle && !duties->reserve_known)
-		duties_log_event(duties, "reserve-known", "hosts",
+	if ((state.whole_cycle && !duties->reserve_known) ||
+	    (state.estimated && !duties->reserve_estimated))
+		duties_log_event(duties,
+				 state.whole_cycle ? "reserve-known"
+						   : "reserve-estimated",
+				 "hosts",
 				 "cycle_ms=%" G_GINT64_FORMAT
 				 " reserve=%d peak=%d rack=%d waves=%d "
 				 "available=%d",
@@ -52,6 +56,8 @@
 				 state.reserve_peak, state.reserve_rack,
 				 state.reserve_waves, state.available);
 	duties->reserve_known = state.whole_cycle;
+	duties->reserve_estimated = state.estimated;
+	duties_write_reserve(duties);
 }
 
 void duties_recount_hosts(wwh_host_duties_t *duties)
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -4,7 +4,7 @@
 /*
  * State and functions shared by host_duties (lists), host_waves (upkeep),
  * host_moves (moves), host_surplus (which hosts leave their pools), host_reserve
- * (what the fleet keeps powered on), host_survey (one pass over all hosts) and
+ * (what the fleet keeps powered on) with its record, host_survey (one pass over all hosts) and
  * host_arrivals (hosts on their way to a pool). host_duties calls host_waves and
  * host_moves, which calls the others; none of them calls wwh_host_duties_run.
  */
@@ -99,6 +99,9 @@
 	wwh_pool_sizing_t *sizing;
 	wwh_fleet_reserve_t *reserve;
 	bool reserve_known; /* a whole cycle was observed */
+	bool reserve_estimated; /* by its first peak */
+	wwh_fleet_reserve_knowledge_t written_reserve;
+	int64_t reserve_written_ms; /* 0: not by this holder */
 	wwh_fleet_hosts_t counted; /* as of counted_ms */
 	int64_t counted_ms; /* 0: to be counted again */
 	GHashTable *pools; /* name to duty_pool_t, owned */
@@ -180,6 +183,8 @@
 
 /* host_reserve.c; called when the surplus hosts have been selected. */
 void duties_update_reserve(wwh_host_duties_t *duties);
+/* host_reserve_record.c: writes what the next holder should know. */
+void duties_write_reserve(wwh_host_duties_t *duties);
 /* A list, or an order to move, changed what the reserve counts. */
 void duties_recount_hosts(wwh_host_duties_t *duties);
 
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -461,6 +461,8 @@
 	wwh_host_duties_options_t options = {
 		.upkeep_ms = settings->upkeep_ms,
 		.move_ms = settings->move_ms,
+		.wall_ms = holder->wall_ms,
+		.wall_offset_ms = holder->wall_ms - holder->now_ms,
 		.orders_per_s = settings->host_orders_per_s,
 		.lists_per_s = settings->host_lists_per_s,
 		.scheduler = holder->scheduler,
@@ -535,6 +537,9 @@
 		if (kind == WWH_SCHEDULER_RECORD_WAVE)
 			ok = wwh_host_duties_restore(holder->duties, key + 1,
 						     data, size, &message);
+		else if (kind == WWH_SCHEDULER_RECORD_RESERVE)
+			ok = wwh_host_duties_restore_reserve(
+				holder->duties, data, size, &message);
 		else
 			ok = wwh_scheduler_restore(
 				holder->scheduler, kind, key + 1, data, size,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -19,6 +19,7 @@
 		"P",
 		"U",
 		"W",
+		"R",
 	};
 
 const char *const wwh_job_progress_names[WWH_PROGRESS_COUNT] = {
--- a/src/test_fleet_reserve/replay.c
+++ b/src/test_fleet_reserve/replay.c
@@ -43,6 +43,7 @@
 
 typedef struct {
 	wwh_fleet_reserve_t *reserve;
+	wwh_fleet_reserve_options_t options;
 	sim_pool_t pools[MAX_POOLS];
 	int32_t pool_count;
 	GArray *events; /* sim_event_t */
@@ -60,6 +61,7 @@
 	int64_t released;
 	int64_t called;
 	int64_t short_host_ms;
+	int64_t paid_host_ms;
 	int64_t first_release_ms;
 	int64_t lasting;
 } sim_t;
@@ -75,6 +77,7 @@
 {
 	sim_t *sim = g_new0(sim_t, 1);
 
+	sim->options.window_ms = WINDOW_MS;
 	sim->reserve = replay_make_reserve();
 	sim->events = g_array_new(FALSE, TRUE, sizeof(sim_event_t));
 	sim->expectations = g_array_new(FALSE, TRUE, sizeof(sim_expectation_t));
@@ -113,6 +116,12 @@
 	}
 }
 
+static void renew_reserve(sim_t *sim)
+{
+	wwh_fleet_reserve_delete(sim->reserve);
+	sim->reserve = wwh_fleet_reserve_new(&sim->options);
+}
+
 static void parse_line(sim_t *sim, const char *line)
 {
 	sim_expectation_t expectation = { 0 };
@@ -133,6 +142,12 @@
 		assert_true(sim->pool_count <= MAX_POOLS);
 		g_strlcpy(pool->name, name, sizeof(pool->name));
 		pool->minimum = pool->desired = numbers[0];
+	} else if (sscanf(line, "policy %d %d %d", &numbers[0], &numbers[1],
+			  &numbers[2]) == 3) {
+		sim->options.headroom_percent = numbers[0];
+		sim->options.estimate_headroom_percent = numbers[1];
+		sim->options.releases_per_s = numbers[2];
+		renew_reserve(sim);
 	} else if (sscanf(line, "alternate %ld %ld %d %d %d", &at_ms, &phase_ms,
 			  &numbers[0], &numbers[1], &numbers[2]) == 5) {
 		add_alternation(sim, at_ms, phase_ms, numbers[0], numbers[1],
@@ -211,8 +226,14 @@
 		change_hosts(sim, sim->wave - event->value);
 		sim->wave = event->value;
 	} else if (strcmp(event->what, "new-holder") == 0) {
-		wwh_fleet_reserve_delete(sim->reserve);
-		sim->reserve = replay_make_reserve();
+		renew_reserve(sim);
+		sim->first_release_ms = -1;
+	} else if (strcmp(event->what, "hand-over") == 0) {
+		wwh_fleet_reserve_knowledge_t knowledge =
+			wwh_fleet_reserve_knowledge(sim->reserve);
+
+		renew_reserve(sim);
+		wwh_fleet_reserve_restore(sim->reserve, &knowledge);
 		sim->first_release_ms = -1;
 	} else if (strcmp(event->what, "moves-fail") == 0) {
 		sim->moves_fail = event->value;
@@ -294,7 +315,10 @@
 	int32_t callable = wwh_fleet_reserve_callable(sim->reserve);
 	int32_t releasable = wwh_fleet_reserve_releasable(sim->reserve);
 
-	for (int32_t n = 0; n < MAX_MOVES_IN_FLIGHT; n++) {
+	int32_t orders = MAX(MAX_MOVES_IN_FLIGHT,
+			     sim->options.releases_per_s * STEP_MS / 1000);
+
+	for (int32_t n = 0; n < orders; n++) {
 		sim_pool_t *from = find_pool(sim, false);
 		sim_pool_t *to = find_pool(sim, true);
 
@@ -326,6 +350,7 @@
 		hosts += pool->hosts + pool->arriving;
 		sim->lasting += pool->hosts + pool->arriving < pool->minimum;
 	}
+	sim->paid_host_ms += (int64_t)hosts * STEP_MS;
 	sim->short_host_ms += (int64_t)MAX(0, desired - hosts) * STEP_MS;
 }
 
@@ -367,6 +392,8 @@
 		return sim->first_release_ms;
 	if (strcmp(what, "available") == 0)
 		return wwh_fleet_reserve_state(sim->reserve).available;
+	if (strcmp(what, "paid_host_s") == 0)
+		return sim->paid_host_ms / 1000;
 	if (strcmp(what, "lasting") == 0)
 		return sim->lasting;
 	fail_msg("no result \"%s\"", what);
--- a/src/test_fleet_reserve/replay.h
+++ b/src/test_fleet_reserve/replay.h
@@ -19,12 +19,17 @@
  *					PHASE, the others TROUGH, from MS on
  *	at MS lose HOSTS, at MS regain HOSTS
  *	at MS wave LIMIT		LIMIT hosts are down until LIMIT is 0
- *	at MS new-holder
+ *	policy HEADROOM ESTIMATE RELEASES
+ *					percent above the peak, percent above
+ *					the first peak, releases a second; 0 0 0
+ *					without this line
+ *	at MS new-holder		it knows nothing
+ *	at MS hand-over			it restores what the last one knew
  *	at MS moves-fail 0|1		moves have no effect while 1
  *	at MS unobserved 0|1		nothing is observed or moved while 1
  *	end MS
- *	expect released|called|short_host_s|first_release_ms|available|lasting
- *		MINIMUM MAXIMUM
+ *	expect released|called|short_host_s|first_release_ms|available|lasting|
+ *		paid_host_s MINIMUM MAXIMUM
  *
  *	short_host_s is the sum over time of the desired hosts that the fleet
  *	doesn't have powered on; lasting counts steps with a pool below its
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -86,6 +86,34 @@
 	replay_run("unobserved.txt");
 }
 
+/* Guards against paying for thousands of hosts until a window has passed. */
+static void a_large_fleet_releases_after_its_first_peak(void **state)
+{
+	(void)state;
+	replay_run("whole-fleet.txt");
+}
+
+/* Guards against an estimate that callers of the second peak wait for. */
+static void a_higher_second_peak_ends_the_estimate(void **state)
+{
+	(void)state;
+	replay_run("second-peak-higher.txt");
+}
+
+/* Guards against a release that begins anew with each holder. */
+static void a_release_goes_on_under_the_next_holder(void **state)
+{
+	(void)state;
+	replay_run("hand-over-in-release.txt");
+}
+
+/* Guards against an estimate that releases what the next peak needs. */
+static void a_peak_of_half_the_fleet_releases_nothing(void **state)
+{
+	(void)state;
+	replay_run("estimate-needs-all.txt");
+}
+
 static void update(wwh_fleet_reserve_t *reserve, int32_t desired,
 		   const wwh_fleet_hosts_t *hosts, int64_t now_ms)
 {
@@ -225,6 +253,10 @@
 		cmocka_unit_test(a_wave_is_covered_by_the_reserve),
 		cmocka_unit_test(a_wave_that_ended_reserves_nothing),
 		cmocka_unit_test(a_new_holder_observes_a_whole_cycle_first),
+		cmocka_unit_test(a_large_fleet_releases_after_its_first_peak),
+		cmocka_unit_test(a_higher_second_peak_ends_the_estimate),
+		cmocka_unit_test(a_release_goes_on_under_the_next_holder),
+		cmocka_unit_test(a_peak_of_half_the_fleet_releases_nothing),
 		cmocka_unit_test(moves_that_fail_are_ordered_again),
 		cmocka_unit_test(unobserved_time_does_not_count),
 		cmocka_unit_test(the_reserve_is_the_sum_of_its_components),
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -27,6 +27,7 @@
 	int32_t active_reports;
 	int32_t completed_reports;
 	int64_t last_record;
+	GBytes *reserve_record; /* NULL: none was written */
 } duties_fixture_t;
 
 static inline void duties_fixture_on_list(void *data)
@@ -70,9 +71,14 @@
 {
 	duties_fixture_t *self = data;
 
-	assert_int_equal(kind, WWH_SCHEDULER_RECORD_WAVE);
 	assert_non_null(key);
 	assert_non_null(value);
+	if (kind == WWH_SCHEDULER_RECORD_RESERVE) {
+		g_clear_pointer(&self->reserve_record, g_bytes_unref);
+		self->reserve_record = g_bytes_ref(value);
+		return self->last_record;
+	}
+	assert_int_equal(kind, WWH_SCHEDULER_RECORD_WAVE);
 	return ++self->last_record;
 }
 
@@ -125,12 +131,26 @@
 	self->duties = duties_fixture_make_duties(self);
 }
 
+/* The new holder restores what the previous one recorded of the reserve. */
+static inline bool duties_fixture_restore_reserve(duties_fixture_t *self)
+{
+	wwh_message_t message = { "" };
+	gsize size;
+	const uint8_t *value;
+
+	assert_non_null(self->reserve_record);
+	value = g_bytes_get_data(self->reserve_record, &size);
+	return wwh_host_duties_restore_reserve(self->duties, value, size,
+					       &message);
+}
+
 static inline void duties_fixture_delete(duties_fixture_t *self)
 {
 	wwh_host_duties_delete(self->duties);
 	sched_fixture_delete(self->sched);
 	g_ptr_array_unref(self->upkeeps);
 	g_ptr_array_unref(self->moves);
+	g_clear_pointer(&self->reserve_record, g_bytes_unref);
 	g_free(self);
 }
 
@@ -364,6 +384,12 @@
 #define RESERVE_TESTS                                                          \
 	cmocka_unit_test_setup_teardown(                                       \
 		a_new_holder_releases_nothing_at_first, set_up, tear_down),    \
+		cmocka_unit_test_setup_teardown(                               \
+			a_new_holder_restores_the_reserve, set_up, tear_down), \
+		cmocka_unit_test_setup_teardown(                               \
+			an_old_reserve_is_observed_anew, set_up, tear_down), \
+		cmocka_unit_test_setup_teardown(                               \
+			an_unreadable_reserve_is_observed_anew, set_up, tear_down), \
 		cmocka_unit_test_setup_teardown(a_paused_time_is_not_observed, \
 						set_up, tear_down),            \
 		cmocka_unit_test_setup_teardown(                               \
@@ -383,6 +409,9 @@
 			set_up, tear_down)
 
 void a_new_holder_releases_nothing_at_first(void **state);
+void a_new_holder_restores_the_reserve(void **state);
+void an_old_reserve_is_observed_anew(void **state);
+void an_unreadable_reserve_is_observed_anew(void **state);
 void a_paused_time_is_not_observed(void **state);
 void a_host_whose_move_failed_is_still_available(void **state);
 void the_largest_rack_and_waves_are_reserved(void **state);
--- a/src/test_host_duties/test_reserve.c
+++ b/src/test_host_duties/test_reserve.c
@@ -258,3 +258,80 @@
 	assert_int_equal(fixture->moves->len, 1);
 	assert_false(wwh_host_duties_reserve(fixture->duties).whole_cycle);
 }
+
+/* The holder knows the reserve, and has recorded it. */
+static void observe_window(duties_fixture_t *fixture)
+{
+	add_upstreams(fixture, 2);
+	list_idle_hosts(fixture, 2);
+	duties_fixture_run(fixture, WWH_STANDBY_DELAY_MS);
+	assert_int_equal(fixture->moves->len, 1);
+}
+
+/* The upstreams answer the new holder age_ms after the record was written. */
+static void take_over_after(duties_fixture_t *fixture, int64_t age_ms)
+{
+	fixture->sched->now_ms += age_ms;
+	fixture->options.wall_ms = fixture->sched->now_ms;
+	sched_fixture_take_over(fixture->sched);
+	duties_fixture_take_over(fixture);
+	wwh_host_duties_set_pool(fixture->duties, SCHED_FIXTURE_POOL, false);
+	wwh_host_duties_set_pool(fixture->duties, "standby", true);
+}
+
+static void settle_and_list(duties_fixture_t *fixture)
+{
+	add_upstreams(fixture, 2);
+	list_idle_hosts(fixture, 2);
+	duties_fixture_run(fixture, 1);
+}
+
+/*
+ * Guards against a new holder that pays for all hosts for a window of its own
+ * after each change of holder.
+ */
+void a_new_holder_restores_the_reserve(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	observe_window(fixture);
+	take_over_after(fixture, 1000);
+	assert_true(duties_fixture_restore_reserve(fixture));
+	settle_and_list(fixture);
+	assert_true(wwh_host_duties_reserve(fixture->duties).whole_cycle);
+	assert_int_equal(fixture->moves->len, 2);
+}
+
+/* Guards against a release by the load of long ago. */
+void an_old_reserve_is_observed_anew(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	observe_window(fixture);
+	take_over_after(fixture, WWH_STANDBY_DELAY_MS + 1);
+	assert_true(duties_fixture_restore_reserve(fixture));
+	settle_and_list(fixture);
+	assert_false(wwh_host_duties_reserve(fixture->duties).whole_cycle);
+	assert_int_equal(fixture->moves->len, 1);
+}
+
+/* Guards against a holder that acts by a record that another writer damaged. */
+void an_unreadable_reserve_is_observed_anew(void **state)
+{
+	static const uint8_t negative_peak[] = { 0x95, 1, 1, 1, 0, 0xff };
+	static const uint8_t too_short[] = { 0x93, 1, 1, 1 };
+	static const uint8_t no_list[] = { 0xa1, 'x' };
+	duties_fixture_t *fixture = *state;
+	wwh_message_t message = { "" };
+
+	assert_false(wwh_host_duties_restore_reserve(fixture->duties,
+						     negative_peak,
+						     sizeof(negative_peak),
+						     &message));
+	assert_false(wwh_host_duties_restore_reserve(
+		fixture->duties, too_short, sizeof(too_short), &message));
+	assert_false(wwh_host_duties_restore_reserve(
+		fixture->duties, no_list, sizeof(no_list), &message));
+	assert_true(strlen(message.text) > 0);
+	observe_window(fixture);
+}
