Leave room in the log for jobs while hosts change

Change: lines of hosts and upstreams get at most two fifths of the budget, and those that are lost are counted apart (log.bulk_dropped); an upstream whose host may be moved or taken down at any moment isn't logged as silent.

Measured: test_event_log 9 passed (ten times the budget of bulk lines leaves half of it for jobs), test_job_service and test_scheduler passed.

--- a/include/waxwinghollow/event_log.h
+++ b/include/waxwinghollow/event_log.h
@@ -15,7 +15,9 @@
  *	full pipe, are dropped and counted; the next line that is written has
  *	their number. Events that were written only a few times in the current
  *	second have a small separate budget: without it, the line of a change
- *	of holder would be dropped when many tasks start.
+ *	of holder would be dropped when many tasks start. Bulk events may use
+ *	only a share of the budget: without it, the lines of a thousand hosts
+ *	that move would leave none for the jobs of that second.
  *
  * ORDER OF CALLS
  *	wwh_event_log_new, wwh_event_log_write or _printf by any thread,
@@ -34,6 +36,9 @@
 	/* Additional budget of rare events once the regular one is spent. */
 	int32_t rare_lines_per_s;
 	int32_t rare_bytes_per_s;
+	/* Names of bulk events, and their share; NULL: there are none. */
+	const char *const *bulk_events;
+	int32_t bulk_percent;
 	int64_t (*now_ms)(void); /* monotonic clock */
 	int64_t (*wall_ms)(void); /* time of day */
 } wwh_event_log_options_t;
--- a/src/libwaxwinghollow/event_log.c
+++ b/src/libwaxwinghollow/event_log.c
@@ -34,14 +34,21 @@
 	int64_t second; /* of the monotonic clock; the budgets are per second */
 	budget_usage_t regular;
 	budget_usage_t rare;
+	budget_usage_t bulk; /* included in regular */
+	GHashTable *bulk_events; /* set of names */
 	GHashTable *line_counts; /* event name to lines in this second */
 	int64_t dropped; /* lines since the last one written */
 	wwh_counter_t *lines_written;
 	wwh_counter_t *lines_dropped;
+	wwh_counter_t *bulk_dropped; /* included in lines_dropped */
 };
 
 static bool admit(wwh_event_log_t *log, const char *event);
-static void drop_line(wwh_event_log_t *log);
+static void drop_line(wwh_event_log_t *log, const char *event);
+static bool is_bulk(const wwh_event_log_t *log, const char *event);
+static bool bulk_share_is_spent(const wwh_event_log_t *log);
+static void charge(wwh_event_log_t *log, budget_usage_t *budget,
+		   const char *event, const GString *line);
 static budget_usage_t *select_budget(wwh_event_log_t *log, const char *event);
 static bool has_budget_left(const budget_usage_t *usage, int32_t lines,
 			    int32_t bytes);
@@ -51,7 +58,8 @@
 			       const char *text, size_t max_bytes);
 static bool is_plain(char character);
 static void append_escaped(GString *line, const char *text, size_t max_bytes);
-static bool write_line(wwh_event_log_t *log, const GString *line);
+static bool write_line(wwh_event_log_t *log, const char *event,
+		       const GString *line);
 
 wwh_event_log_t *wwh_event_log_new(const wwh_event_log_options_t *options,
 				   wwh_counters_t *counters)
@@ -64,6 +72,13 @@
 	g_mutex_init(&log->lock);
 	log->lines_written = wwh_counters_get(counters, "log.lines");
 	log->lines_dropped = wwh_counters_get(counters, "log.lines_dropped");
+	log->bulk_dropped = wwh_counters_get(counters, "log.bulk_dropped");
+	log->bulk_events = g_hash_table_new(g_str_hash, g_str_equal);
+	for (int32_t i = 0; options->bulk_events != NULL &&
+			    options->bulk_events[i] != NULL;
+	     i++)
+		g_hash_table_add(log->bulk_events,
+				 (gpointer)options->bulk_events[i]);
 	log->line_counts =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	/* If the reader stops, lines are dropped; requests must not block. */
@@ -78,6 +93,7 @@
 		return;
 	g_mutex_clear(&log->lock);
 	g_hash_table_destroy(log->line_counts);
+	g_hash_table_destroy(log->bulk_events);
 	g_free(log->node);
 	g_free(log);
 }
@@ -91,7 +107,7 @@
 	g_mutex_lock(&log->lock);
 	budget = select_budget(log, event);
 	if (budget == NULL) {
-		drop_line(log);
+		drop_line(log, event);
 		g_mutex_unlock(&log->lock);
 		return;
 	}
@@ -107,11 +123,8 @@
 				       ",\"dropped_before\":%" G_GINT64_FORMAT,
 				       log->dropped);
 	g_string_append(line, "}\n");
-	if (write_line(log, line)) {
-		budget->lines++;
-		budget->bytes += (int32_t)line->len;
-		count_event(log, event);
-	}
+	if (write_line(log, event, line))
+		charge(log, budget, event, line);
 	g_mutex_unlock(&log->lock);
 	g_string_free(line, TRUE);
 }
@@ -142,15 +155,43 @@
 	g_mutex_lock(&log->lock);
 	admitted = select_budget(log, event) != NULL;
 	if (!admitted)
-		drop_line(log);
+		drop_line(log, event);
 	g_mutex_unlock(&log->lock);
 	return admitted;
 }
 
-static void drop_line(wwh_event_log_t *log)
+static void drop_line(wwh_event_log_t *log, const char *event)
 {
 	log->dropped++;
 	wwh_counter_add(log->lines_dropped, 1);
+	if (is_bulk(log, event))
+		wwh_counter_add(log->bulk_dropped, 1);
+}
+
+static bool is_bulk(const wwh_event_log_t *log, const char *event)
+{
+	return g_hash_table_contains(log->bulk_events, event);
+}
+
+static bool bulk_share_is_spent(const wwh_event_log_t *log)
+{
+	const wwh_event_log_options_t *options = &log->options;
+	int64_t percent = options->bulk_percent;
+
+	return log->bulk.lines >= options->lines_per_s * percent / 100 ||
+	       log->bulk.bytes >= options->bytes_per_s * percent / 100;
+}
+
+static void charge(wwh_event_log_t *log, budget_usage_t *budget,
+		   const char *event, const GString *line)
+{
+	budget->lines++;
+	budget->bytes += (int32_t)line->len;
+	if (is_bulk(log, event)) {
+		log->bulk.lines++;
+		log->bulk.bytes += (int32_t)line->len;
+	}
+	count_event(log, event);
 }
 
 /* Returns the budget to charge, or NULL if none that applies is left. */
@@ -163,9 +204,11 @@
 		log->second = second;
 		log->regular = (budget_usage_t){ 0 };
 		log->rare = (budget_usage_t){ 0 };
+		log->bulk = (budget_usage_t){ 0 };
 		g_hash_table_remove_all(log->line_counts);
 	}
-	if (has_budget_left(&log->regular, options->lines_per_s,
+	if (!(is_bulk(log, event) && bulk_share_is_spent(log)) &&
+	    has_budget_left(&log->regular, options->lines_per_s,
 			    options->bytes_per_s))
 		return &log->regular;
 	if (is_rare(log, event) &&
@@ -241,12 +284,13 @@
 }
 
 /* Returns false if the pipe is full and accepted only a part, or nothing. */
-static bool write_line(wwh_event_log_t *log, const GString *line)
+static bool write_line(wwh_event_log_t *log, const char *event,
+		       const GString *line)
 {
 	ssize_t written = write(log->options.fd, line->str, line->len);
 
 	if (written != (ssize_t)line->len) {
-		drop_line(log);
+		drop_line(log, event);
 		return false;
 	}
 	log->dropped = 0;
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -25,6 +25,9 @@
 #define LOG_RARE_LINES_PER_S 40
 #define LOG_RARE_BYTES_PER_S 8000
 
+/* Share of the budget for lines of hosts and upstreams; the rest is for jobs. */
+#define LOG_BULK_PERCENT 40
+
 #define MAX_BODY_BYTES 1048576
 
 static wwh_listener_t *make_listener(wwh_job_service_t *service,
@@ -33,6 +36,14 @@
 static wwh_bad_records_t *make_bad_records(wwh_job_service_t *service,
 					   const char *list);
 
+/* Those of which each upstream or host writes some when many hosts change. */
+static const char *const bulk_events[] = {
+	"upstream-new",	     "upstream-settled", "upstream-gone",
+	"upstream-silent",   "upstream-unlisted", "upstream-leaving",
+	"upstream-cordoned", "moved",		 "move-not-done",
+	NULL,
+};
+
 static void make_histograms(wwh_job_service_t *service)
 {
 	for (int32_t i = 0; i < JOB_REQUEST_KIND_COUNT; i++) {
@@ -58,6 +69,8 @@
 		.bytes_per_s = LOG_BYTES_PER_S,
 		.rare_lines_per_s = LOG_RARE_LINES_PER_S,
 		.rare_bytes_per_s = LOG_RARE_BYTES_PER_S,
+		.bulk_events = bulk_events,
+		.bulk_percent = LOG_BULK_PERCENT,
 		.now_ms = job_service_now_ms,
 		.wall_ms = job_service_wall_ms,
 	};
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -145,7 +145,8 @@
 	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
 	upstream->next_poll_ms =
 		scheduler->now_ms + sched_poll_retry_ms(upstream);
-	if (upstream->failed_polls == 1)
+	/* one whose host is about to move or be taken down ends in silence */
+	if (upstream->failed_polls == 1 && !upstream->ending)
 		sched_explain(scheduler, "upstream-silent", id,
 			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
 			      " tasks=%u settled=%d",
--- a/src/test_event_log/test_event_log.c
+++ b/src/test_event_log/test_event_log.c
@@ -347,6 +347,40 @@
 	g_free(longest);
 }
 
+/*
+ * Guards against the lines of a thousand hosts that move, which leave none for the
+ * jobs of that second.
+ */
+static void bulk_events_leave_room_for_others(void **state)
+{
+	static const char *const bulk[] = { "moved", "upstream-gone", NULL };
+	event_log_fixture_t *fixture = *state;
+	wwh_event_log_options_t options = fixture->options;
+	GPtrArray *lines;
+
+	options.bulk_events = bulk;
+	options.bulk_percent = 50;
+	wwh_event_log_delete(fixture->log);
+	fixture->log = wwh_event_log_new(&options, fixture->counters);
+	now_ms += SECOND_MS;
+	for (int32_t i = 0; i < 10 * LINES_PER_S; i++)
+		wwh_event_log_write(fixture->log, bulk[i % 2], "host", "-");
+	for (int32_t i = 0; i < LINES_PER_S; i++)
+		wwh_event_log_write(fixture->log, "job-taken", "job", "-");
+	lines = read_lines(fixture);
+	assert_int_equal(lines->len, LINES_PER_S);
+	for (guint i = LINES_PER_S / 2; i < lines->len; i++)
+		assert_string_equal(
+			json_object_get_string_member(
+				g_ptr_array_index(lines, i), "event"),
+			"job-taken");
+	assert_int_equal(counter_value(fixture, "log.bulk_dropped"),
+			 10 * LINES_PER_S - LINES_PER_S / 2);
+	assert_int_equal(counter_value(fixture, "log.lines_dropped"),
+			 10 * LINES_PER_S);
+	g_ptr_array_unref(lines);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -356,6 +390,8 @@
 		cmocka_unit_test_setup_teardown(
 			a_rare_event_is_written_beyond_the_budget, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			bulk_events_leave_room_for_others, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			long_lines_are_limited_by_the_budget_of_bytes, set_up,
 			tear_down),
