Call the store less often from each process

Change: reads of the operator's records wait 45% of bounds.configApplyMs (1.2 s at least, as on small deployments); the notice is read with a wait of 6 s, and anew at once when a call to the holder fails or finds another holder (wwh_store_follower_refresh); small processes probe each 4 s, and each 0.3 s once a probe has failed, so that they join 5 s after the holder's last answer as before.

--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -46,6 +46,7 @@
 	int64_t store_call_max_bytes; /* maximum size of one call to the store */
 	int64_t duty_lease_ms; /* how long hosts obey one holder only */
 	bool hosts_fence; /* hosts reject orders of previous holders */
+	int64_t config_apply_ms; /* a configuration is in force after this */
 	int64_t drain_ms; /* a leaving upstream gets no starts after this */
 	/*
 	 * Processes make calls to upstreams for the holder while it needs
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -114,6 +114,8 @@
 wwh_shard_claim_t *
 wwh_shard_claim_new(const wwh_shard_claim_options_t *options);
 void wwh_shard_claim_delete(wwh_shard_claim_t *claim);
+/* A call to the holder failed: there may be another one. */
+void wwh_shard_claim_refresh(wwh_shard_claim_t *claim);
 void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms);
 
 /*
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -59,6 +59,12 @@
 void wwh_store_follower_delete(wwh_store_follower_t *follower);
 void wwh_store_follower_run(wwh_store_follower_t *follower, int64_t now_ms);
 
+/*
+ * Reads again, on another connection, while a read that was sent a while ago still
+ * waits: what happened elsewhere suggests that its connection is silent.
+ */
+void wwh_store_follower_refresh(wwh_store_follower_t *follower, int64_t now_ms);
+
 bool wwh_store_follower_caught_up(const wwh_store_follower_t *follower);
 
 /*
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -17,6 +17,7 @@
 	settings->revoke_ms = 5000;
 	settings->store_call_max_bytes = 2097152;
 	settings->duty_lease_ms = 3000;
+	settings->config_apply_ms = 2000;
 	settings->drain_ms = 2000;
 	settings->relay_on_permille = 700;
 	settings->move_ms = 1500;
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -209,7 +209,7 @@
 	wwh_listener_delete(service->peer_listener);
 	wwh_job_holder_delete(service->holder);
 	wwh_job_holder_delete(service->detached_holder);
-	wwh_shard_claim_delete(service->claim);
+	g_clear_pointer(&service->claim, wwh_shard_claim_delete);
 	wwh_store_follower_delete(service->operator_records);
 	wwh_http_calls_delete(service->calls);
 	wwh_relay_service_delete(service->relay);
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -21,16 +21,16 @@
 
 /*
  * How long the store may wait in a read of the operator's records. A silent
- * connection delays the next read by about this time.
+ * connection delays the next read by about this time, so that a configuration is
+ * still in force in time. Each process makes a call after each wait.
  */
-#define OPERATOR_READ_WAIT_MS 1200
+#define OPERATOR_READ_WAIT_MIN_MS 1200
+#define OPERATOR_READ_WAIT_PERCENT 45 /* of the time to put it in force */
 
-/*
- * Longest time until a silent store is detected. It covers the wait of one read
- * and its time limit, with a margin.
- */
-#define OPERATOR_SILENCE_MAX_MS 2400
+/* Longest time from the end of that wait until a silent store is detected. */
+#define OPERATOR_SILENCE_MARGIN_MS 1200
 
+static int64_t operator_read_wait_ms(const wwh_job_service_t *service);
 static void on_operator_record(const char *key, const uint8_t *value,
 			       size_t size, void *data);
 static void on_unkeyed_record(int64_t offset, const char *why, void *data);
@@ -70,7 +70,7 @@
 		.calls = service->calls,
 		.endpoint = service->settings.store,
 		.topic = WIRE_TOPIC_OPERATOR,
-		.wait_ms = OPERATOR_READ_WAIT_MS,
+		.wait_ms = operator_read_wait_ms(service),
 		.on_record = on_operator_record,
 		.on_unreadable_key = on_unkeyed_record,
 		.on_reach = on_store_reachability,
@@ -81,6 +81,13 @@
 	service->operator_records = wwh_store_follower_new(&records);
 }
 
+static int64_t operator_read_wait_ms(const wwh_job_service_t *service)
+{
+	return MAX(OPERATOR_READ_WAIT_MIN_MS,
+		   service->settings.config_apply_ms *
+			   OPERATOR_READ_WAIT_PERCENT / 100);
+}
+
 static void on_operator_record(const char *key, const uint8_t *value,
 			       size_t size, void *data)
 {
@@ -167,11 +174,13 @@
 static void on_store_reachability(bool reached, const char *why, void *data)
 {
 	wwh_job_service_t *service = data;
+	int64_t silence_ms =
+		operator_read_wait_ms(service) + OPERATOR_SILENCE_MARGIN_MS;
 
 	g_mutex_lock(&service->lock);
 	/* the last answer arrived before the failed read was sent */
 	service->config_unread_since_ms =
-		reached ? 0 : job_service_now_ms() - OPERATOR_SILENCE_MAX_MS;
+		reached ? 0 : job_service_now_ms() - silence_ms;
 	wwh_outage_update(&service->config_outage,
 			  !reached || service->config == NULL,
 			  job_service_now_ms());
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -164,6 +164,10 @@
 	} else {
 		answer.kind = WWH_JOB_ANSWER_NOT_DONE;
 	}
+	if (forward->service->claim != NULL &&
+	    (http->outcome != WWH_CALL_ANSWERED ||
+	     answer.kind == WWH_JOB_ANSWER_NOT_DONE))
+		wwh_shard_claim_refresh(forward->service->claim);
 	if (forward->request != NULL && http->outcome != WWH_CALL_ANSWERED)
 		answer.retry_after_s =
 			refused_retry_s(forward->service, forward->request);
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -9,7 +9,11 @@
 
 #define LEAVE_TIMEOUT_MS 700
 
-#define NOTICE_WAIT_MS 1500
+/*
+ * Each process makes a call after each wait. A silent connection hides a change of
+ * holder for so long, unless a call to the holder fails, which begins a read anew.
+ */
+#define NOTICE_WAIT_MS 6000
 #define JOURNAL_WAIT_MS 300
 
 #define APPEND_TIMEOUT_MS 800
@@ -71,6 +75,12 @@
 	claim_unref(claim);
 }
 
+void wwh_shard_claim_refresh(wwh_shard_claim_t *claim)
+{
+	if (claim->notices != NULL)
+		wwh_store_follower_refresh(claim->notices, claim->now_ms);
+}
+
 void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms)
 {
 	claim->now_ms = now_ms;
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -12,10 +12,12 @@
 #define PROBE_TIMEOUT_MS 600
 
 /*
- * A standby process probes at STANDBY_PROBE_INTERVAL_MS, and joins the group
- * after STANDBY_JOIN_DELAY_MS without an answering holder.
+ * A standby process probes at STANDBY_PROBE_INTERVAL_MS, more often once a probe
+ * has failed, and joins the group after STANDBY_JOIN_DELAY_MS without an answering
+ * holder. The holder answers the probes of hundreds of them.
  */
-#define STANDBY_PROBE_INTERVAL_MS 1500
+#define STANDBY_PROBE_INTERVAL_MS 4000
+#define STANDBY_FAILED_INTERVAL_MS 300
 #define STANDBY_JOIN_DELAY_MS 5000
 
 /* Failed probes after which a holder counts as silent. */
@@ -209,7 +211,9 @@
 	if (claim->state != CLAIM_WATCHING)
 		return !is_withdrawn;
 	if (claim->holder != NULL && !claim->probe_in_flight &&
-	    claim->now_ms - claim->probe_sent_ms >= STANDBY_PROBE_INTERVAL_MS)
+	    claim->now_ms - claim->probe_sent_ms >=
+		    (claim->probes_failed > 0 ? STANDBY_FAILED_INTERVAL_MS
+					      : STANDBY_PROBE_INTERVAL_MS))
 		probe(claim);
 	if (claim->holder != NULL && claim->probes_failed == 0)
 		claim->holder_answered_ms = claim->now_ms;
@@ -315,6 +319,8 @@
 					  status == WWH_SHARD_NOT_HELD ||
 					  claim->holder_released ||
 					  claim->holder_orders_pending;
+		if (claim->probes_failed > 0 && !claim->deleted)
+			wwh_shard_claim_refresh(claim);
 	}
 	claim_unref(claim);
 }
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -31,6 +31,9 @@
  */
 #define FAR_BEHIND_RECORDS 2000
 
+/* A read that was sent more recently isn't repeated by a refresh. */
+#define REFRESH_AFTER_MS 1000
+
 struct wwh_store_follower {
 	wwh_store_follower_options_t options;
 	char *endpoint;
@@ -50,12 +53,20 @@
 	bool has_unreadable_key; /* in this full read */
 	int64_t next_offset;
 	int32_t read_kb; /* maximum size of the next read */
+	int64_t reads; /* of changes, sent so far */
 	int64_t sent_ms;
 	int64_t sent_us; /* the same on the monotonic clock */
 	int64_t retry_ms;
 	int32_t failures;
 };
 
+/* One read of changes. */
+typedef struct {
+	wwh_store_follower_t *follower;
+	int64_t number; /* another one was sent since if it isn't the last */
+} read_call_t;
+
+static void send_read(wwh_store_follower_t *follower);
 static void unref(wwh_store_follower_t *follower);
 static void on_page(const wwh_http_answer_t *answer, void *data);
 static void on_changes_read(const wwh_http_answer_t *answer, void *data);
@@ -118,13 +129,34 @@
 				    follower);
 		return;
 	}
-	call = wire_store_read(follower->endpoint, follower->topic,
-			       follower->options.part, follower->next_offset,
-			       follower->read_kb, follower->options.wait_ms,
-			       follower->options.wait_ms + ANSWER_TIMEOUT_MS);
+	send_read(follower);
+}
+
+static void send_read(wwh_store_follower_t *follower)
+{
+	read_call_t *read = g_new0(read_call_t, 1);
+	wwh_http_call_t *call = wire_store_read(
+		follower->endpoint, follower->topic, follower->options.part,
+		follower->next_offset, follower->read_kb,
+		follower->options.wait_ms,
+		follower->options.wait_ms + ANSWER_TIMEOUT_MS);
+
+	read->follower = follower;
+	read->number = ++follower->reads;
 	call->has_priority = true;
 	wwh_http_calls_send(follower->options.calls, call, on_changes_read,
-			    follower);
+			    read);
+}
+
+void wwh_store_follower_refresh(wwh_store_follower_t *follower, int64_t now_ms)
+{
+	if (!follower->in_flight || follower->in_full_read ||
+	    now_ms - follower->sent_ms < REFRESH_AFTER_MS)
+		return;
+	follower->references++;
+	follower->sent_ms = now_ms;
+	follower->sent_us = g_get_monotonic_time();
+	send_read(follower);
 }
 
 bool wwh_store_follower_caught_up(const wwh_store_follower_t *follower)
@@ -207,13 +239,17 @@
 
 static void on_changes_read(const wwh_http_answer_t *answer, void *data)
 {
-	wwh_store_follower_t *follower = data;
+	read_call_t *read = data;
+	wwh_store_follower_t *follower = read->follower;
+	bool is_last = read->number == follower->reads;
 	wire_store_result_t result;
 	int64_t next_offset = follower->next_offset;
 	int64_t end = 0;
 
-	follower->in_flight = false;
-	if (follower->deleted) {
+	g_free(read);
+	if (is_last)
+		follower->in_flight = false;
+	if (follower->deleted || !is_last) {
 		unref(follower);
 		return;
 	}
--- a/src/test_store_follower/test_store_follower.c
+++ b/src/test_store_follower/test_store_follower.c
@@ -18,6 +18,7 @@
 	const uint8_t *read;
 	size_t read_size;
 	int32_t lists_served;
+	int32_t silent_reads; /* that wait for SILENT_MS, then fail */
 	bool serves_log; /* serves LOG_RECORDS records instead of read */
 	int64_t end_offset_lead; /* how far the log's end is beyond them */
 	standin_t *standin; /* for its counters */
@@ -31,6 +32,10 @@
 
 static const uint8_t empty_read[16];
 
+/* A read on a connection that delivers nothing any more. */
+#define SILENT_MS 2500
+#define LONG_WAIT_MS 6000
+
 /* A log whose answers take a time in proportion to their size. */
 #define LOG_RECORDS 600
 #define RECORD_BYTES 1024
@@ -94,6 +99,12 @@
 	} else if (fixture->trimmed) {
 		fixture->trimmed = false;
 		standin_answer(response, 410, "{\"first\":9}");
+	} else if (fixture->silent_reads > 0) {
+		fixture->silent_reads--;
+		g_mutex_unlock(&fixture->lock);
+		g_usleep(SILENT_MS * 1000);
+		g_mutex_lock(&fixture->lock);
+		standin_answer(response, 503, "");
 	} else if (fixture->serves_log) {
 		serve_log(fixture, http, response);
 	} else {
@@ -127,11 +138,11 @@
 	g_string_append_printf(fixture->reports, "?%d ", (int)offset);
 }
 
-static int set_up(void **state)
+static int set_up_with_wait(void **state, int64_t wait_ms)
 {
 	fixture_t *fixture = g_new0(fixture_t, 1);
 	wwh_store_follower_options_t options = { .topic = "t",
-						 .wait_ms = 100,
+						 .wait_ms = wait_ms,
 						 .read_interval_ms = GAP_MS,
 						 .on_record = on_record,
 						 .on_unreadable_key =
@@ -157,6 +168,16 @@
 	return 0;
 }
 
+static int set_up(void **state)
+{
+	return set_up_with_wait(state, 100);
+}
+
+static int set_up_with_a_long_wait(void **state)
+{
+	return set_up_with_wait(state, LONG_WAIT_MS);
+}
+
 static int tear_down(void **state)
 {
 	fixture_t *fixture = *state;
@@ -301,6 +322,38 @@
 	assert_string_equal(fixture->reports->str, "a= ?10 ?11 ?12 ?13 b- ");
 }
 
+/*
+ * Guards against a follower that misses changes for the whole of a long wait, as its
+ * connection is silent and its owner knows that something changed.
+ */
+static void refresh_reads_on_another_connection(void **state)
+{
+	static const char body[] = "\0\0\0\0\0\0\0\x0a\0\0\0\0\0\0\0\0"
+				   "\0\0\0\x03\x01"
+				   "ax";
+	fixture_t *fixture = *state;
+
+	fixture->silent_reads = 1;
+	read_first_list(fixture);
+	g_string_truncate(fixture->reports, 0);
+	run_for(fixture, 300);
+	g_mutex_lock(&fixture->lock);
+	fixture->read = (const uint8_t *)body;
+	fixture->read_size = sizeof(body) - 1;
+	g_mutex_unlock(&fixture->lock);
+	/* a read that was just sent isn't repeated */
+	wwh_store_follower_refresh(fixture->follower, standin_now_ms());
+	run_for(fixture, 800);
+	assert_string_equal(fixture->reports->str, "");
+	wwh_store_follower_refresh(fixture->follower, standin_now_ms());
+	run_for(fixture, 200);
+	assert_string_equal(fixture->reports->str, "a= ");
+	/* the failure of the first read isn't one of the follower */
+	run_for(fixture, SILENT_MS);
+	assert_string_equal(fixture->reports->str, "a= ");
+	assert_false(wwh_store_follower_failing(fixture->follower));
+}
+
 /* Counts the changes that were reported; each is one record of the log. */
 static int32_t changes_reported(const fixture_t *fixture)
 {
@@ -383,6 +436,9 @@
 		cmocka_unit_test_setup_teardown(
 			unreadable_change_does_not_stop_follower, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			refresh_reads_on_another_connection,
+			set_up_with_a_long_wait, tear_down),
 		cmocka_unit_test_setup_teardown(
 			backlog_larger_than_one_read_is_read_in_parts, set_up,
 			tear_down),
