End an upstream with the move of its host, and release none while the store is away

Cause: a moved host's upstream was known as ended only by a list or by failed polls, seconds later, and its record was deleted then.

Change: the answer to a move ends the upstream that the host had when the move was ordered, if it has no task. No host is released while a record isn't durable for 0.2 s. First polls go to upstreams that a pool waits for before others.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -187,6 +187,11 @@
 		wwh_fleet_reserve_interrupt(duties->reserve);
 }
 
+void wwh_host_duties_hold_releases(wwh_host_duties_t *duties, bool held)
+{
+	duties->releases_held = held;
+}
+
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record)
 {
 	duties->durable_record = MAX(duties->durable_record, record);
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -36,6 +36,7 @@
 				   duty_host_t *host);
 static void send_move_order(wwh_host_duties_t *duties, duty_host_t *host,
 			    const char *pool);
+static void end_moved_upstream(wwh_host_duties_t *duties, duty_host_t *host);
 static void resend_unanswered_moves(wwh_host_duties_t *duties);
 
 void wwh_host_duties_set_pool(wwh_host_duties_t *duties, const char *name,
@@ -80,6 +81,7 @@
 		duties_log_event(duties, "moved", name, "from=%s to=%s",
 				 host->pool, host->move_target);
 		duties_advance_list(duties);
+		end_moved_upstream(duties, host);
 		g_free(host->pool);
 		host->pool = g_strdup(host->move_target);
 		host->state = WWH_HOST_MOVING;
@@ -99,6 +101,24 @@
 	}
 	host->is_surplus = false;
 	g_clear_pointer(&host->move_target, g_free);
+	g_clear_pointer(&host->moved_upstream, g_free);
+}
+
+/*
+ * The host is in its new pool, whichever order moved it there, so the upstream that
+ * it ran in the old one has ended. Its record is deleted at once: a new holder polls
+ * each upstream with a record, and waits for those that don't answer.
+ */
+static void end_moved_upstream(wwh_host_duties_t *duties, duty_host_t *host)
+{
+	wwh_scheduler_t *scheduler = duties->options.scheduler;
+
+	if (host->moved_upstream != NULL &&
+	    wwh_scheduler_upstream_load(scheduler, host->moved_upstream)
+			    .tasks == 0)
+		wwh_scheduler_upstream_terminated(
+			scheduler, host->moved_upstream,
+			WWH_TERMINATION_ORDERED, "moved", duties->now_ms);
 }
 
 void duties_run_moves(wwh_host_duties_t *duties)
@@ -216,7 +236,10 @@
 		.orders = MIN(duties_orders_left(duties),
 			      duties_max_orders_in_flight(duties) -
 				      duties->moves_in_flight),
-		.releasable = wwh_fleet_reserve_releasable(duties->reserve),
+		.releasable =
+			duties->releases_held
+				? 0
+				: wwh_fleet_reserve_releasable(duties->reserve),
 		.callable = wwh_fleet_reserve_callable(duties->reserve),
 	};
 
@@ -304,6 +327,7 @@
 {
 	if (host->move_target == NULL) {
 		host->move_target = g_strdup(pool);
+		host->moved_upstream = g_strdup(host->upstream);
 		host->home->empty_leaving--;
 	}
 	if (!host->in_transit)
--- a/src/libwaxwinghollow/host_table.c
+++ b/src/libwaxwinghollow/host_table.c
@@ -23,6 +23,7 @@
 	g_free(host->pool);
 	g_free(host->upstream);
 	g_free(host->move_target);
+	g_free(host->moved_upstream);
 	g_free(host);
 }
 
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -46,6 +46,7 @@
 	int64_t upkeep_retry_ms;
 	/* moves */
 	char *move_target; /* of an order that may take effect; or NULL */
+	char *moved_upstream; /* on it when the move was first ordered; or NULL */
 	bool move_in_flight;
 	int64_t move_retry_ms;
 	int64_t moving_until_ms; /* counts as moving until then */
@@ -121,6 +122,7 @@
 	/* each listed host that may run tasks has named its incarnation */
 	bool incarnations_complete;
 	bool paused;
+	bool releases_held;
 	int32_t list_pages; /* of the list being received, or the last one */
 	host_order_rate_t order_rate;
 };
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -51,6 +51,13 @@
  */
 #define DUTIES_PERIOD_MS 20
 
+/*
+ * No host goes to the standby pool while a record is older than this without being
+ * durable. The records of upstreams that ended meanwhile would be left to the next
+ * holder, which waits for them.
+ */
+#define RELEASE_MAX_LAG_MS 200
+
 /* Number of upstreams that a new holder can poll before leases expire. */
 #define UPSTREAMS_RECOVERED_IN_TIME 1000
 
@@ -599,6 +606,10 @@
 		return;
 	holder->duties_after_ms = holder->now_ms + DUTIES_PERIOD_MS;
 	wwh_host_duties_set_paused(holder->duties, !may_order_hosts(holder));
+	wwh_host_duties_hold_releases(
+		holder->duties,
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) >
+			RELEASE_MAX_LAG_MS);
 	wwh_host_duties_run(holder->duties, holder->now_ms);
 	job_holder_update_reserve_gauges(holder);
 }
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -231,7 +231,10 @@
 		   POLL_TIMEOUT_MS);
 }
 
-/* Upstreams without a failed poll come first, then those due the longest. */
+/*
+ * Upstreams that delay their pools come first, then those without a failed poll,
+ * then those due the longest.
+ */
 static gint compare_first_polls(gconstpointer a, gconstpointer b)
 {
 	const sched_upstream_t *one = *(sched_upstream_t *const *)a;
@@ -239,6 +242,9 @@
 	bool one_polled = one->failed_polls > 0;
 	bool other_polled = other->failed_polls > 0;
 
+	if (delays_its_pool(one) != delays_its_pool(other))
+		return delays_its_pool(one) ? -1 : 1;
+
 	if (one_polled != other_polled)
 		return one_polled ? 1 : -1;
 	if (one->next_poll_ms == other->next_poll_ms)
