Keep an estimate of the reserve, and bound the share of the host duties

A run of the duties costs what the fleet has hosts, 50 times a second.

Change: an estimate stays once the first peak has settled; later growth raises it. The interval between two runs of the duties is at least 20 times what the last one took (20 to 500 ms).

--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -63,7 +63,7 @@
 	int64_t settled_since_ms;
 	bool estimate_failed; /* hosts were called while it was in force */
 	bool restored_whole_cycle;
-	bool restored_estimate;
+	bool has_estimate; /* the first peak has reached its height */
 	int64_t interval_start_ms;
 	int32_t released; /* in the present interval */
 	int64_t paid_host_ms;
@@ -209,7 +209,7 @@
 	reserve->settled_peak = knowledge->peak;
 	reserve->cycle_ms = knowledge->cycle_ms;
 	reserve->restored_whole_cycle = knowledge->whole_cycle;
-	reserve->restored_estimate = knowledge->estimated;
+	reserve->has_estimate = knowledge->estimated;
 }
 
 wwh_fleet_reserve_state_t
@@ -273,14 +273,22 @@
 		reserve->peak = MAX(reserve->peak, reserve->peaks[i]);
 }
 
+/*
+ * Without a busiest pool no peak was seen, only lasting tasks. An estimate stays: a
+ * higher peak raises it.
+ */
 static void track_growth(wwh_fleet_reserve_t *reserve)
 {
 	int32_t allowed = reserve->settled_peak / PEAK_GROWTH_DIVISOR;
 
-	if (reserve->peak <= reserve->settled_peak + allowed)
-		return;
-	reserve->settled_peak = reserve->peak;
-	reserve->settled_since_ms = reserve->observed_ms;
+	if (reserve->peak > reserve->settled_peak + allowed) {
+		reserve->settled_peak = reserve->peak;
+		reserve->settled_since_ms = reserve->observed_ms;
+	} else if (reserve->busiest != NULL &&
+		   reserve->observed_ms - reserve->settled_since_ms >=
+			   PEAK_SETTLED_MS) {
+		reserve->has_estimate = true;
+	}
 }
 
 static void track_busiest(wwh_fleet_reserve_t *reserve)
@@ -344,17 +352,11 @@
 	       reserve->observed_ms >= reserve->options.window_ms;
 }
 
-/* Without a busiest pool no peak was seen, only lasting tasks. */
 static bool is_estimated(const wwh_fleet_reserve_t *reserve)
 {
-	bool peak_seen =
-		reserve->restored_estimate ||
-		(reserve->busiest != NULL &&
-		 reserve->observed_ms - reserve->settled_since_ms >=
-			 PEAK_SETTLED_MS);
-
-	return reserve->options.estimate_headroom_percent > 0 && peak_seen &&
-	       !reserve->estimate_failed && !whole_cycle(reserve);
+	return reserve->options.estimate_headroom_percent > 0 &&
+	       reserve->has_estimate && !reserve->estimate_failed &&
+	       !whole_cycle(reserve);
 }
 
 /* The most that waves hold now or may hold at once. */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -45,11 +45,13 @@
 #define STORE_REJECTS_AFTER_MS 300
 
 /*
- * Hosts come and go in seconds. Each run of the duties examines every host
- * several times: run in each iteration of the loop, they took an eighth of the
- * holder's time.
+ * Hosts come and go in seconds, and each run of the duties examines every host. The
+ * interval between two runs grows with the time that they take, so that their share
+ * of the holder's time is bounded in a fleet of any size.
  */
 #define DUTIES_PERIOD_MS 20
+#define DUTIES_MAX_PERIOD_MS 500
+#define DUTIES_SHARE_DIVISOR 20
 
 /*
  * No host goes to the standby pool while a record is older than this without being
@@ -602,9 +604,11 @@
 
 static void run_duties(wwh_job_holder_t *holder)
 {
+	int64_t began_us = g_get_monotonic_time();
+	int64_t took_us;
+
 	if (holder->now_ms < holder->duties_after_ms)
 		return;
-	holder->duties_after_ms = holder->now_ms + DUTIES_PERIOD_MS;
 	wwh_host_duties_set_paused(holder->duties, !may_order_hosts(holder));
 	wwh_host_duties_hold_releases(
 		holder->duties,
@@ -612,6 +616,11 @@
 			RELEASE_MAX_LAG_MS);
 	wwh_host_duties_run(holder->duties, holder->now_ms);
 	job_holder_update_reserve_gauges(holder);
+	took_us = g_get_monotonic_time() - began_us;
+	holder->duties_after_ms =
+		holder->now_ms + CLAMP(took_us * DUTIES_SHARE_DIVISOR /
+					       G_TIME_SPAN_MILLISECOND,
+				       DUTIES_PERIOD_MS, DUTIES_MAX_PERIOD_MS);
 }
 
 /*
