Order no moves while a rejected holder is about to be replaced

The process that takes over probes each 0.4 s, and takes part of the 0.8 s until a rejected holder hands over.

Change: no move is ordered while a record isn't durable for 0.2 to 1.5 s, no release as long as it isn't; the assigned process probes each 0.15 s while its probes are answered.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -193,8 +193,15 @@
 
 /* While paused, lists are still processed, but no host is drained or ordered. */
 void wwh_host_duties_set_paused(wwh_host_duties_t *duties, bool paused);
-/* While held, no host goes to the standby pool. */
-void wwh_host_duties_hold_releases(wwh_host_duties_t *duties, bool held);
+/* Which moves aren't ordered. */
+typedef enum {
+	WWH_HELD_NONE = 0,
+	WWH_HELD_RELEASES, /* to the standby pool */
+	WWH_HELD_MOVES, /* all */
+} wwh_held_moves_t;
+
+void wwh_host_duties_hold_moves(wwh_host_duties_t *duties,
+				wwh_held_moves_t held);
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record);
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms);
 
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -187,9 +187,10 @@
 		wwh_fleet_reserve_interrupt(duties->reserve);
 }
 
-void wwh_host_duties_hold_releases(wwh_host_duties_t *duties, bool held)
+void wwh_host_duties_hold_moves(wwh_host_duties_t *duties,
+				wwh_held_moves_t held)
 {
-	duties->releases_held = held;
+	duties->held_moves = held;
 }
 
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record)
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -237,12 +237,14 @@
 			      duties_max_orders_in_flight(duties) -
 				      duties->moves_in_flight),
 		.releasable =
-			duties->releases_held
-				? 0
-				: wwh_fleet_reserve_releasable(duties->reserve),
+			duties->held_moves == WWH_HELD_NONE
+				? wwh_fleet_reserve_releasable(duties->reserve)
+				: 0,
 		.callable = wwh_fleet_reserve_callable(duties->reserve),
 	};
 
+	if (duties->held_moves == WWH_HELD_MOVES)
+		budget.orders = 0;
 	for (guint i = 0; i < pools->len && budget.orders > 0; i++)
 		move_hosts_of(duties, g_ptr_array_index(pools, i), &budget);
 	g_ptr_array_unref(pools);
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -122,7 +122,7 @@
 	/* each listed host that may run tasks has named its incarnation */
 	bool incarnations_complete;
 	bool paused;
-	bool releases_held;
+	wwh_held_moves_t held_moves;
 	int32_t list_pages; /* of the list being received, or the last one */
 	host_order_rate_t order_rate;
 };
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -54,11 +54,14 @@
 #define DUTIES_SHARE_DIVISOR 20
 
 /*
- * No host goes to the standby pool while a record is older than this without being
- * durable. The records of upstreams that ended meanwhile would be left to the next
- * holder, which waits for them.
+ * No host is moved while a record is older than this without being durable. The
+ * records of upstreams that ended meanwhile would be left to the next holder, which
+ * waits for them. A holder that the store rejects is replaced within
+ * HANDOVER_LIMIT_MS; if it isn't, the store is away for all, and pools that lack hosts
+ * get them.
  */
-#define RELEASE_MAX_LAG_MS 200
+#define MOVES_MAX_LAG_MS 200
+#define HANDOVER_LIMIT_MS 1500
 
 /* Number of upstreams that a new holder can poll before leases expire. */
 #define UPSTREAMS_RECOVERED_IN_TIME 1000
@@ -93,6 +96,7 @@
 static void on_store_reachable(bool reached, const char *why, void *data);
 static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
 					   const char *list);
+static wwh_held_moves_t held_moves(const wwh_job_holder_t *holder);
 static void run_duties(wwh_job_holder_t *holder);
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool claim_confirmed_within(const wwh_job_holder_t *holder,
@@ -602,6 +606,16 @@
 	return wwh_bad_records_new(&options);
 }
 
+static wwh_held_moves_t held_moves(const wwh_job_holder_t *holder)
+{
+	int64_t lag_ms =
+		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
+
+	if (lag_ms <= MOVES_MAX_LAG_MS)
+		return WWH_HELD_NONE;
+	return lag_ms <= HANDOVER_LIMIT_MS ? WWH_HELD_MOVES : WWH_HELD_RELEASES;
+}
+
 static void run_duties(wwh_job_holder_t *holder)
 {
 	int64_t began_us = g_get_monotonic_time();
@@ -610,10 +624,7 @@
 	if (holder->now_ms < holder->duties_after_ms)
 		return;
 	wwh_host_duties_set_paused(holder->duties, !may_order_hosts(holder));
-	wwh_host_duties_hold_releases(
-		holder->duties,
-		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) >
-			RELEASE_MAX_LAG_MS);
+	wwh_host_duties_hold_moves(holder->duties, held_moves(holder));
 	wwh_host_duties_run(holder->duties, holder->now_ms);
 	job_holder_update_reserve_gauges(holder);
 	took_us = g_get_monotonic_time() - began_us;
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -7,8 +7,12 @@
 #define JOINS_PER_TTL 3
 #define JOIN_TIMEOUT_MS 700
 
-/* Probes of the holder. */
-#define PROBE_INTERVAL_MS 400
+/*
+ * Probes of the holder, by the one process that is assigned the shard: how soon it
+ * learns that the holder yields or has ended, and the interval after a failed one.
+ */
+#define PROBE_INTERVAL_MS 150
+#define PROBE_RETRY_INTERVAL_MS 400
 #define PROBE_TIMEOUT_MS 600
 
 /*
@@ -51,6 +55,7 @@
 static bool held_before_restart(const wwh_shard_claim_t *claim);
 static bool is_assigned(const wwh_shard_claim_t *claim);
 static void begin_term(wwh_shard_claim_t *claim);
+static int64_t probe_interval_ms(const wwh_shard_claim_t *claim);
 static int32_t failed_probes_max(const wwh_shard_claim_t *claim);
 static bool may_join(wwh_shard_claim_t *claim);
 static void join(wwh_shard_claim_t *claim);
@@ -133,7 +138,7 @@
 		   claim->now_ms - claim->probe_sent_ms >=
 			   (claim->yielding_since_ms != 0
 				    ? HANDOVER_PROBE_INTERVAL_MS
-				    : PROBE_INTERVAL_MS)) {
+				    : probe_interval_ms(claim))) {
 		probe(claim);
 	}
 }
@@ -190,6 +195,12 @@
 	return FAILED_PROBES_MAX << doublings;
 }
 
+static int64_t probe_interval_ms(const wwh_shard_claim_t *claim)
+{
+	return claim->probes_failed > 0 ? PROBE_RETRY_INTERVAL_MS
+					: PROBE_INTERVAL_MS;
+}
+
 static bool is_assigned(const wwh_shard_claim_t *claim)
 {
 	return claim->assigned && claim->now_ms - claim->assigned_sent_ms <
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -390,6 +390,10 @@
 			an_old_reserve_is_observed_anew, set_up, tear_down), \
 		cmocka_unit_test_setup_teardown(                               \
 			an_unreadable_reserve_is_observed_anew, set_up, tear_down), \
+		cmocka_unit_test_setup_teardown(                               \
+			held_moves_are_not_ordered, set_up, tear_down), \
+		cmocka_unit_test_setup_teardown(                               \
+			a_move_ends_the_upstream_of_its_host, set_up, tear_down), \
 		cmocka_unit_test_setup_teardown(a_paused_time_is_not_observed, \
 						set_up, tear_down),            \
 		cmocka_unit_test_setup_teardown(                               \
@@ -412,6 +416,8 @@
 void a_new_holder_restores_the_reserve(void **state);
 void an_old_reserve_is_observed_anew(void **state);
 void an_unreadable_reserve_is_observed_anew(void **state);
+void held_moves_are_not_ordered(void **state);
+void a_move_ends_the_upstream_of_its_host(void **state);
 void a_paused_time_is_not_observed(void **state);
 void a_host_whose_move_failed_is_still_available(void **state);
 void the_largest_rack_and_waves_are_reserved(void **state);
--- a/src/test_host_duties/test_reserve.c
+++ b/src/test_host_duties/test_reserve.c
@@ -335,3 +335,44 @@
 	assert_true(strlen(message.text) > 0);
 	observe_window(fixture);
 }
+
+/*
+ * Guards against upstreams whose records a new holder finds, and waits for, as their
+ * hosts were moved while the store took no records.
+ */
+void held_moves_are_not_ordered(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	add_upstreams(fixture, 2);
+	list_idle_hosts(fixture, 2);
+	wwh_host_duties_hold_moves(fixture->duties, WWH_HELD_RELEASES);
+	duties_fixture_run(fixture, WWH_STANDBY_DELAY_MS);
+	assert_int_equal(fixture->moves->len, 0);
+	wwh_host_duties_hold_moves(fixture->duties, WWH_HELD_MOVES);
+	duties_fixture_run(fixture, 1);
+	assert_int_equal(fixture->moves->len, 0);
+	wwh_host_duties_hold_moves(fixture->duties, WWH_HELD_NONE);
+	duties_fixture_run(fixture, 1);
+	assert_int_equal(fixture->moves->len, 1);
+}
+
+/*
+ * Guards against the record of an upstream that stays until a list or failed polls
+ * show that its host has moved.
+ */
+void a_move_ends_the_upstream_of_its_host(void **state)
+{
+	duties_fixture_t *fixture = *state;
+	char upstream[] = "u1";
+
+	observe_window(fixture);
+	upstream[1] = duties_fixture_move_at(fixture, 0)[1];
+	assert_true(wwh_scheduler_upstream_load(fixture->sched->scheduler,
+						upstream)
+			    .known);
+	duties_fixture_answer_move(fixture, 0);
+	assert_false(wwh_scheduler_upstream_load(fixture->sched->scheduler,
+						 upstream)
+			     .known);
+}
