Try submissions again while the holder is replaced

Change: the process that received a submission tries it again each 0.1 s, in the first second of an outage of the holder, where the caller waits 1.2 s or more. Only submissions that certainly had no effect; after that second callers are refused at once, as before.

--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -5,6 +5,7 @@
  * State shared by the modules of job_service. Listeners call job_service_http,
  * which passes requests to job_service_queue. job_service_loop removes them
  * from the queue and has them answered by the holder or a peer.
+ * job_service_retry tries submissions again while the holder changes.
  * job_service_relay makes calls to upstreams for a holder in another process.
  * job_service_events handles callbacks that the loop makes for changes of the
  * operator's records and of the shard's holder.
@@ -113,6 +114,7 @@
 	int64_t turn_cpu_us; /* of the process until that turn */
 	int64_t suspended_ms; /* total time that the host was suspended */
 	GHashTable *forwards; /* set of job_forward_t; used by the loop */
+	GQueue delayed; /* submissions that are tried again; used by the loop */
 	wwh_relay_service_t *relay; /* NULL: relays are off */
 	bool hello_in_flight;
 	int64_t hello_sent_ms;
@@ -183,8 +185,10 @@
  */
 wwh_job_answer_t job_service_execute(wwh_job_service_t *service,
 				     job_request_t *request);
-/* For the loop: answers or forwards all queued requests. */
+/* For the loop: answers or forwards all queued requests, or one. */
 void job_service_handle_requests(wwh_job_service_t *service);
+void job_service_handle_request(wwh_job_service_t *service,
+				job_request_t *request);
 /*
  * For the loop, or after its end: answers the requests that are left and makes
  * job_service_execute refuse later ones. May be called repeatedly.
@@ -212,6 +216,14 @@
 void job_service_on_peer(const wwh_http_request_t *request,
 			 wwh_http_response_t *response, void *client_data);
 
+/*
+ * job_service_retry.c: submissions that certainly weren't accepted while the holder
+ * changes. Returns false if the request is to be refused now.
+ */
+bool job_service_retry_soon(wwh_job_service_t *service, job_request_t *request);
+void job_service_run_retries(wwh_job_service_t *service, int64_t now_ms);
+void job_service_abort_retries(wwh_job_service_t *service);
+
 /* job_service_peer.c: requests between processes */
 void job_service_forward(wwh_job_service_t *service, job_request_t *request);
 bool job_service_parse_peer_request(const wwh_http_request_t *http,
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -87,6 +87,7 @@
 	service->bad_operator_records = make_bad_records(service, "operator");
 	service->bad_claims = make_bad_records(service, "shard");
 	service->requests = g_async_queue_new();
+	g_queue_init(&service->delayed);
 	service->forwards = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	service->waves = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       (GDestroyNotify)g_bytes_unref);
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -190,6 +190,7 @@
 	}
 	job_service_run_relay(service, now_ms, stopping);
 	job_service_handle_requests(service);
+	job_service_run_retries(service, now_ms);
 	if (deadline_passed)
 		job_service_abort_requests(service);
 	if (stopping && service->holder != NULL &&
@@ -345,6 +346,7 @@
 {
 	return service->holder == NULL &&
 	       g_hash_table_size(service->forwards) == 0 &&
+	       service->delayed.length == 0 &&
 	       job_service_relay_is_idle(service) &&
 	       wwh_shard_claim_is_released(service->claim);
 }
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -18,6 +18,7 @@
 				  const job_request_t *request);
 static char *job_path(const job_request_t *request);
 static void on_forwarded(const wwh_http_answer_t *answer, void *data);
+static bool is_holder_unavailable(const wwh_job_answer_t *answer);
 static int64_t refused_retry_s(wwh_job_service_t *service,
 			       const job_request_t *request);
 static bool read_answer(const wwh_http_answer_t *http,
@@ -33,6 +34,8 @@
 
 	if (request->from_peer || service->holder_address == NULL ||
 	    strcmp(service->holder_address, service->own_address) == 0) {
+		if (job_service_retry_soon(service, request))
+			return;
 		answer.retry_after_s = refused_retry_s(service, request);
 		job_request_answer(&answer, request);
 		return;
@@ -153,12 +156,13 @@
 	wwh_job_answer_t answer = { .why = "holder-unreachable" };
 
 	if (http->outcome == WWH_CALL_ANSWERED) {
-		wwh_outage_update(&forward->service->holder_outage, false,
-				  job_service_now_ms());
 		if (!read_answer(http, &answer)) {
 			answer.kind = WWH_JOB_ANSWER_UNKNOWN;
 			answer.why = "holder-answer-malformed";
 		}
+		if (!is_holder_unavailable(&answer))
+			wwh_outage_update(&forward->service->holder_outage,
+					  false, job_service_now_ms());
 	} else if (http->outcome == WWH_CALL_NO_ANSWER) {
 		answer.kind = WWH_JOB_ANSWER_UNKNOWN;
 	} else {
@@ -168,6 +172,11 @@
 	    (http->outcome != WWH_CALL_ANSWERED ||
 	     answer.kind == WWH_JOB_ANSWER_NOT_DONE))
 		wwh_shard_claim_refresh(forward->service->claim);
+	if (forward->request != NULL && is_holder_unavailable(&answer) &&
+	    job_service_retry_soon(forward->service, forward->request)) {
+		g_hash_table_remove(forward->service->forwards, forward);
+		return;
+	}
 	if (forward->request != NULL && http->outcome != WWH_CALL_ANSWERED)
 		answer.retry_after_s =
 			refused_retry_s(forward->service, forward->request);
@@ -176,6 +185,20 @@
 	g_hash_table_remove(forward->service->forwards, forward);
 }
 
+/*
+ * Whether the request certainly had no effect because there is no holder, or one that
+ * the store takes nothing from.
+ */
+static bool is_holder_unavailable(const wwh_job_answer_t *answer)
+{
+	static const char *const reasons[] = { "no-holder",
+					       "holder-unreachable",
+					       "store-unreachable", NULL };
+
+	return answer->kind == WWH_JOB_ANSWER_NOT_DONE &&
+	       g_strv_contains(reasons, answer->why);
+}
+
 /*
  * The Retry-After while no holder can be reached: how long that has lasted, or
  * usually lasts.
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -12,8 +12,6 @@
 	"pending",
 };
 
-static void handle_request(wwh_job_service_t *service, job_request_t *request);
-
 job_request_t *job_request_new(job_request_kind_t kind)
 {
 	job_request_t *request = g_new0(job_request_t, 1);
@@ -82,7 +80,7 @@
 
 	while ((request = g_async_queue_try_pop(service->requests)) != NULL) {
 		service->requests_handled++;
-		handle_request(service, request);
+		job_service_handle_request(service, request);
 	}
 }
 
@@ -117,6 +115,7 @@
 			service->holder_outage.usual_ms, request->id);
 		job_request_answer(&not_done, request);
 	}
+	job_service_abort_retries(service);
 	g_hash_table_iter_init(&iterator, service->forwards);
 	while (g_hash_table_iter_next(&iterator, &forward, NULL)) {
 		/* the holder's answer may still arrive and is then ignored */
@@ -142,7 +141,8 @@
 	job_request_unref(request);
 }
 
-static void handle_request(wwh_job_service_t *service, job_request_t *request)
+void job_service_handle_request(wwh_job_service_t *service,
+				job_request_t *request)
 {
 	wwh_job_holder_t *holder = service->holder;
 	static const wwh_job_answer_t hidden = {
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -270,6 +270,8 @@
 /* test_changes.c: changes of the shard's holder */
 #define CHANGE_TESTS                                                           \
 	SERVICE_TEST(a_holder_that_the_store_rejects_hands_over),              \
+		SERVICE_TEST(                                                  \
+			a_submission_is_not_refused_while_the_shard_is_handed_over), \
 		SERVICE_TEST(a_holder_that_cannot_keep_up_hands_over),         \
 		SERVICE_TEST(                                                  \
 			a_holder_keeps_a_load_that_was_handed_over_to_it),     \
@@ -278,6 +280,7 @@
 		SERVICE_TEST(a_lost_answer_does_not_delay_its_pool)
 
 void a_holder_that_the_store_rejects_hands_over(void **state);
+void a_submission_is_not_refused_while_the_shard_is_handed_over(void **state);
 void a_holder_that_cannot_keep_up_hands_over(void **state);
 void a_holder_keeps_a_load_that_was_handed_over_to_it(void **state);
 void a_holder_keeps_the_shard_while_nobody_else_is_served(void **state);
--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -71,6 +71,44 @@
 	wait_job_state(fixture, 0, "00000000000000d1", "completed");
 }
 
+#define SMALL_JOB                                                              \
+	"{\"spec\":\"text\",\"phases\":[{\"count\":1,\"cpu\":1000,"             \
+	"\"memMb\":100,\"estimateMs\":300}]}"
+
+static gpointer submit_to_rejected_holder(gpointer data)
+{
+	fixture_t *fixture = data;
+
+	/* its record was sent, so whether it was accepted isn't known */
+	(void)send_request(fixture, 0, "POST", "/q/00000000000000d5", SMALL_JOB,
+			   NULL);
+	return NULL;
+}
+
+/*
+ * Guards against a caller that is told to come back after a second while the shard
+ * is handed over in half of one.
+ */
+void a_submission_is_not_refused_while_the_shard_is_handed_over(void **state)
+{
+	fixture_t *fixture = *state;
+	GThread *thread;
+	int32_t holder;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	holder = find_holder(fixture);
+	submit_job(fixture, 1 - holder, "00000000000000d4");
+	reject_holder(fixture, holder);
+	thread = g_thread_new("caller", submit_to_rejected_holder, fixture);
+	g_usleep(50 * 1000);
+	assert_int_equal(send_request(fixture, 1 - holder, "POST",
+				      "/q/00000000000000d6", SMALL_JOB, NULL),
+			 200);
+	g_thread_join(thread);
+	wait_job_state(fixture, 1 - holder, "00000000000000d6", "completed");
+}
+
 /*
  * Guards against a holder that keeps the shard on a slow host. When the host
  * becomes six times slower at peak load, the holder still answers in time that
