Retry only while the shard is handed over, and refuse a try without time

Change: the holder says that the shard is handed over when another process has asked for it, or when the store rejects it and the group names another one; only then, and without a holder, submissions are tried again. A submission whose caller waits less than 90 ms is refused before it is forwarded.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -35,6 +35,9 @@
 /* Names of wwh_job_answer_kind_t, in the same order. */
 extern const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT];
 
+/* The reason of a refusal while the shard is handed over. */
+#define WWH_JOB_WHY_HANDING_OVER "handing-over"
+
 typedef struct {
 	wwh_job_answer_kind_t kind;
 	const char *why; /* reason, a string constant */
@@ -141,6 +144,8 @@
  * While paused, hosts get no new orders: a holder that keeps giving orders
  * would never become quiescent.
  */
+/* The shard is probably handed over soon; refusals say so. */
+void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder, bool handing_over);
 void wwh_job_holder_pause_duties(wwh_job_holder_t *holder, bool paused);
 
 /* Returns whether at least one order to a host is unanswered. */
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -118,6 +118,9 @@
 void wwh_shard_claim_refresh(wwh_shard_claim_t *claim);
 void wwh_shard_claim_run(wwh_shard_claim_t *claim, int64_t now_ms);
 
+/* Whether the group names this process. */
+bool wwh_shard_claim_is_assigned(const wwh_shard_claim_t *claim);
+
 /*
  * Returns whether a claim of this process is in progress. Meanwhile it must not
  * answer other processes that it doesn't hold the shard: they would claim the
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -24,6 +24,7 @@
 	bool overloaded; /* see wwh_job_holder_set_overloaded */
 	bool starts_held; /* announcements read so far are too old */
 	bool duties_paused; /* hosts get no new orders */
+	bool handing_over; /* another process has asked for the shard */
 	bool urgent; /* a caller waits for the record appended next */
 	bool advice_in_flight;
 	bool report_in_flight;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -289,6 +289,11 @@
 		       : WAIT_IDLE_MS;
 }
 
+void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder, bool handing_over)
+{
+	holder->handing_over = handing_over;
+}
+
 void wwh_job_holder_pause_duties(wwh_job_holder_t *holder, bool paused)
 {
 	holder->duties_paused = paused;
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -304,7 +304,7 @@
 
 	wwh_job_answer_t answer = {
 		.kind = WWH_JOB_ANSWER_NOT_DONE,
-		.why = why,
+		.why = holder->handing_over ? WWH_JOB_WHY_HANDING_OVER : why,
 		.retry_after_s = wwh_admission_retry_after_s(wait_ms, id),
 	};
 
--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -170,11 +170,15 @@
 	bool suspended = was_paused(service, now_ms);
 	bool stopping;
 	bool deadline_passed;
+	bool handing_over;
 
 	apply_settings(service);
 	wwh_store_follower_run(service->operator_records, now_ms);
 	g_mutex_lock(&service->lock);
 	stopping = service->stopping;
+	handing_over = service->handover_requested ||
+		       (service->rejected_by_store &&
+			!wwh_shard_claim_is_assigned(service->claim));
 	deadline_passed = stopping && !service->requests_closed &&
 			  now_ms >= service->stop_deadline_ms;
 	g_mutex_unlock(&service->lock);
@@ -185,6 +189,7 @@
 		wwh_job_holder_set_overloaded(
 			service->holder,
 			wwh_loop_lag_is_overloaded(service->lag));
+		wwh_job_holder_set_handing_over(service->holder, handing_over);
 		wwh_job_holder_run(service->holder, now_ms,
 				   job_service_wall_ms(), suspended);
 	}
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -186,14 +186,14 @@
 }
 
 /*
- * Whether the request certainly had no effect because there is no holder, or one that
- * the store takes nothing from.
+ * Whether the request certainly had no effect because the holder is gone, or hands the
+ * shard over.
  */
 static bool is_holder_unavailable(const wwh_job_answer_t *answer)
 {
 	static const char *const reasons[] = { "no-holder",
 					       "holder-unreachable",
-					       "store-unreachable", NULL };
+					       WWH_JOB_WHY_HANDING_OVER, NULL };
 
 	return answer->kind == WWH_JOB_ANSWER_NOT_DONE &&
 	       g_strv_contains(reasons, answer->why);
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -5,6 +5,12 @@
 /* Part of a caller's timeout reserved for sending the answer. */
 #define ANSWER_TRANSIT_MS 60
 
+/*
+ * The least time in which a submission can be forwarded, stored and answered. One
+ * whose caller waits no longer would be accepted, perhaps, for a caller that has left.
+ */
+#define MIN_SUBMIT_MS 30
+
 const char *const job_request_kind_names[JOB_REQUEST_KIND_COUNT] = {
 	"submit",
 	"state",
@@ -49,7 +55,15 @@
 		.kind = WWH_JOB_ANSWER_NOT_DONE,
 		.why = "shutting-down",
 	};
+	wwh_job_answer_t too_short = {
+		.kind = WWH_JOB_ANSWER_NOT_DONE,
+		.why = "deadline-too-short",
+		.retry_after_s = wwh_admission_retry_after_s(0, request->id),
+	};
 
+	if (request->kind == JOB_REQUEST_SUBMIT && !request->from_peer &&
+	    request->timeout_ms < ANSWER_TRANSIT_MS + MIN_SUBMIT_MS)
+		return too_short;
 	g_atomic_int_inc(&request->references);
 	g_mutex_lock(&service->lock);
 	if (service->requests_closed) {
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -53,7 +53,6 @@
 
 static bool is_older_claim(const wwh_shard_claim_t *claim, int64_t epoch);
 static bool held_before_restart(const wwh_shard_claim_t *claim);
-static bool is_assigned(const wwh_shard_claim_t *claim);
 static void begin_term(wwh_shard_claim_t *claim);
 static int64_t probe_interval_ms(const wwh_shard_claim_t *claim);
 static int32_t failed_probes_max(const wwh_shard_claim_t *claim);
@@ -121,7 +120,7 @@
 		claim_begin(claim, "restarted", false);
 		return;
 	}
-	if (!is_assigned(claim))
+	if (!wwh_shard_claim_is_assigned(claim))
 		return;
 	check_journal_writable(claim);
 	if (claim->holder == NULL) {
@@ -201,7 +200,7 @@
 					: PROBE_INTERVAL_MS;
 }
 
-static bool is_assigned(const wwh_shard_claim_t *claim)
+bool wwh_shard_claim_is_assigned(const wwh_shard_claim_t *claim)
 {
 	return claim->assigned && claim->now_ms - claim->assigned_sent_ms <
 					  claim->options.member_ttl_ms;
@@ -293,7 +292,7 @@
 	wwh_http_call_t *call =
 		wwh_http_call_new("GET", claim->holder, PROBE_TIMEOUT_MS);
 
-	if (!is_assigned(claim))
+	if (!wwh_shard_claim_is_assigned(claim))
 		call->path = g_strdup(WWH_SHARD_PATH);
 	else if (is_journal_writable(claim))
 		call->path = g_strdup(WWH_SHARD_SUCCESSOR_PATH);
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -208,6 +208,32 @@
 	set_store_silent(fixture, false);
 }
 
+/*
+ * Guards against a last try, with some milliseconds left, that is answered as unknown
+ * and may be accepted for a caller that has left.
+ */
+static void a_submission_without_time_is_refused_at_once(void **state)
+{
+	fixture_t *fixture = *state;
+	const char *usual = fixture->deadline_ms;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		fixture->deadline_ms = "70";
+		assert_int_equal(
+			send_request(fixture, i, "POST", "/q/00000000000000e1",
+				     "{\"spec\":\"text\",\"phases\":[{\"count\":1}]}",
+				     NULL),
+			503);
+		fixture->deadline_ms = usual;
+		assert_int_equal(send_request(fixture, i, "GET",
+					      "/q/00000000000000e1", NULL,
+					      NULL),
+				 410);
+	}
+}
+
 static void malformed_requests_get_the_matching_error_status(void **state)
 {
 	static const struct {
@@ -383,6 +409,7 @@
 			callers_are_rejected_at_once_while_the_store_is_busy),
 		SERVICE_TEST(a_job_that_was_never_sent_to_the_store_is_refused),
 		SERVICE_TEST(unreadable_records_stop_no_process),
+		SERVICE_TEST(a_submission_without_time_is_refused_at_once),
 		SERVICE_TEST(malformed_requests_get_the_matching_error_status),
 	};
 
