Give pages of the store the time that a thin link needs for them

Cause: a page of the newest records holds up to 1 MB and timed out after 1.5 s; over a link of 2 Mbit/s it takes 5.6 s.

--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -33,6 +33,7 @@
 	char *hosts; /* service that lists, moves and takes down hosts */
 	char *advice; /* advice service; NULL if none is configured */
 	int64_t cpu_permille; /* share of a core that this process may use */
+	int64_t link_kbps; /* of the host's link, in kbit a second */
 	int64_t lease_max_ms;
 	int64_t stop_limit_ms;
 	int64_t unavailable_after_ms;
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -89,6 +89,7 @@
 	const char *group;
 	const char *self; /* IP address and port for other processes */
 	const char *producer;
+	int64_t link_kbps; /* of this host; 0: fast */
 	int64_t member_ttl_ms; /* silence after which the group drops a member */
 	/*
 	 * This process has little processor time: it joins the group only
--- a/include/waxwinghollow/store_follower.h
+++ b/include/waxwinghollow/store_follower.h
@@ -36,6 +36,7 @@
 	int32_t part;
 	int64_t wait_ms; /* how long the store may hold a read open */
 	int64_t read_interval_ms; /* at least, between two reads; 0: none */
+	int64_t link_kbps; /* over which pages come; 0: fast */
 	/*
 	 * value NULL: the key was deleted. A value of size 0: the key exists,
 	 * but its value is unreadable.
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -8,6 +8,7 @@
 	memset(settings, 0, sizeof(*settings));
 	/* Defaults for settings that the file omits. */
 	settings->cpu_permille = 1000;
+	settings->link_kbps = 1000000;
 	settings->lease_max_ms = 6000;
 	settings->stop_limit_ms = 400;
 	settings->unavailable_after_ms = 4500;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -114,6 +114,7 @@
 		.topic = WIRE_TOPIC_UPSTREAMS,
 		.wait_ms = UPSTREAMS_WAIT_MS,
 		.read_interval_ms = UPSTREAMS_GAP_MS,
+		.link_kbps = options->settings->link_kbps,
 		.on_record = job_holder_on_upstream,
 		.on_unreadable_key = job_holder_on_keyless_upstream,
 		.on_reach = on_store_reachable,
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -56,6 +56,7 @@
 		.group = GROUP,
 		.self = service->own_address,
 		.producer = PRODUCER,
+		.link_kbps = service->settings.link_kbps,
 		.is_standby = service->settings.cpu_permille <
 			      HOLDER_MIN_CPU_PERMILLE,
 		.member_ttl_ms =
@@ -71,6 +72,7 @@
 		.endpoint = service->settings.store,
 		.topic = WIRE_TOPIC_OPERATOR,
 		.wait_ms = operator_read_wait_ms(service),
+		.link_kbps = service->settings.link_kbps,
 		.on_record = on_operator_record,
 		.on_unreadable_key = on_unkeyed_record,
 		.on_reach = on_store_reachability,
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -10,6 +10,12 @@
 /* The store may need some time to collect all keys. */
 #define FULL_READ_TIMEOUT_MS 1500
 
+/*
+ * A page of a full read can't be made smaller, and a read that exceeds its timeout is
+ * lost as a whole, so the timeout includes the time that a page takes on the link.
+ */
+#define PAGE_BITS (12 * 1024 * 1024) /* 1 MiB of records in base64, with keys */
+
 #define RETRY_FIRST_MS 60
 #define RETRY_MAX_MS 400
 
@@ -66,6 +72,7 @@
 	int64_t number; /* another one was sent since if it isn't the last */
 } read_call_t;
 
+static int64_t full_read_timeout_ms(const wwh_store_follower_t *follower);
 static void send_read(wwh_store_follower_t *follower);
 static void unref(wwh_store_follower_t *follower);
 static void on_page(const wwh_http_answer_t *answer, void *data);
@@ -123,7 +130,7 @@
 		call = wire_store_newest(follower->endpoint, follower->topic,
 					 follower->options.part,
 					 follower->next_page_key,
-					 FULL_READ_TIMEOUT_MS);
+					 full_read_timeout_ms(follower));
 		call->has_priority = true;
 		wwh_http_calls_send(follower->options.calls, call, on_page,
 				    follower);
@@ -132,6 +139,14 @@
 	send_read(follower);
 }
 
+static int64_t full_read_timeout_ms(const wwh_store_follower_t *follower)
+{
+	int64_t link_kbps = follower->options.link_kbps;
+
+	return FULL_READ_TIMEOUT_MS +
+	       (link_kbps > 0 ? PAGE_BITS / link_kbps : 0);
+}
+
 static void send_read(wwh_store_follower_t *follower)
 {
 	read_call_t *read = g_new0(read_call_t, 1);
