Learn of a holder sooner on small hosts and without one

A process that knows no holder read the notice again only after its wait of 6 s.

Change: such a process joins the group after 2 s if the holder has surely ended; a request without a known holder reads the notice anew.

--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -34,6 +34,8 @@
 
 	if (request->from_peer || service->holder_address == NULL ||
 	    strcmp(service->holder_address, service->own_address) == 0) {
+		if (service->claim != NULL)
+			wwh_shard_claim_refresh(service->claim);
 		if (job_service_retry_soon(service, request))
 			return;
 		answer.retry_after_s = refused_retry_s(service, request);
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -24,6 +24,9 @@
 #define STANDBY_FAILED_INTERVAL_MS 300
 #define STANDBY_JOIN_DELAY_MS 5000
 
+/* The same if the holder's process has surely ended; others claim before that. */
+#define STANDBY_JOIN_ENDED_DELAY_MS 2000
+
 /* Failed probes after which a holder counts as silent. */
 #define FAILED_PROBES_MAX 2
 
@@ -230,7 +233,8 @@
 	if (claim->holder_answered_ms == 0)
 		claim->holder_answered_ms = claim->now_ms;
 	return claim->now_ms - claim->holder_answered_ms >=
-	       STANDBY_JOIN_DELAY_MS;
+	       (claim->holder_has_ended ? STANDBY_JOIN_ENDED_DELAY_MS
+					: STANDBY_JOIN_DELAY_MS);
 }
 
 static void join(wwh_shard_claim_t *claim)
