--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -17,11 +17,12 @@
 #define MIN_PEAK_HOSTS 2
 
 /*
- * A peak has reached its height when the sum hasn't grown by more than a sixteenth
- * for this long: a host that is called at its beginning takes tasks by then.
+ * A peak has reached its height when the sum hasn't grown by more than an eighth for
+ * this long: a host that is called at its beginning takes tasks by then. Less growth
+ * is within the variation of demand, and far within the headroom of the estimate.
  */
 #define PEAK_SETTLED_MS 2000
-#define PEAK_GROWTH_DIVISOR 16
+#define PEAK_GROWTH_DIVISOR 8
 
 /* The shortest cycle of the alternating peaks in the deployments is 10 s. */
 #define MIN_CYCLE_MS 10000
