Release hosts before the first peak where lasting tasks need few of them

Change: before a peak was seen, hosts above four times what lasting tasks need are released, once that has been the same for 2 s. Where lasting tasks need a quarter of the fleet, as on all smaller deployments, nothing changes; a call from standby ends the estimate, as before.

--- a/include/waxwinghollow/fleet_reserve.h
+++ b/include/waxwinghollow/fleet_reserve.h
@@ -15,7 +15,8 @@
  *	Before a whole cycle was observed (until one pool became the busiest for
  *	the second time, with another one in between, or for the whole window)
  *	the later peaks aren't known. Once one peak has reached its height, the
- *	reserve is estimated as a multiple of it; a call from standby shows that
+ *	reserve is estimated as a multiple of it, and before that as a larger
+ *	multiple of what lasting tasks need, once they are there; a call from standby shows that
  *	the estimate was too low, and ends the releases until the cycle is
  *	known. Time that the owner didn't observe isn't counted.
  *
@@ -46,6 +47,8 @@
 	int32_t headroom_percent; /* kept above the observed peak */
 	/* Kept above the first peak, before a whole cycle; 0: no estimate. */
 	int32_t estimate_headroom_percent;
+	/* Kept above what lasting tasks need, before the first peak; 0: none. */
+	int32_t idle_headroom_percent;
 	/* Limit of releases; 0: a thirty-second of the usable hosts. */
 	int32_t releases_per_s;
 } wwh_fleet_reserve_options_t;
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -65,6 +65,7 @@
 	bool estimate_failed; /* hosts were called while it was in force */
 	bool restored_whole_cycle;
 	bool has_estimate; /* the first peak has reached its height */
+	bool has_idle_estimate; /* the same of lasting tasks, before a peak */
 	int64_t interval_start_ms;
 	int32_t released; /* in the present interval */
 	int64_t paid_host_ms;
@@ -79,6 +80,7 @@
 static void begin_phase(wwh_fleet_reserve_t *reserve, reserve_pool_t *pool);
 static bool whole_cycle(const wwh_fleet_reserve_t *reserve);
 static bool is_estimated(const wwh_fleet_reserve_t *reserve);
+static int32_t estimate_headroom_percent(const wwh_fleet_reserve_t *reserve);
 static int32_t wave_hosts(const wwh_fleet_reserve_t *reserve);
 static int32_t peak_with_headroom(const wwh_fleet_reserve_t *reserve);
 static int32_t reserved_hosts(const wwh_fleet_reserve_t *reserve);
@@ -275,8 +277,8 @@
 }
 
 /*
- * Without a busiest pool no peak was seen, only lasting tasks. An estimate stays: a
- * higher peak raises it.
+ * Without a busiest pool no peak was seen, only lasting tasks; a fleet that has served
+ * nothing yet tells nothing. An estimate stays: a higher peak raises it.
  */
 static void track_growth(wwh_fleet_reserve_t *reserve)
 {
@@ -285,10 +287,12 @@
 	if (reserve->peak > reserve->settled_peak + allowed) {
 		reserve->settled_peak = reserve->peak;
 		reserve->settled_since_ms = reserve->observed_ms;
-	} else if (reserve->busiest != NULL &&
+	} else if (reserve->peak > 0 &&
 		   reserve->observed_ms - reserve->settled_since_ms >=
 			   PEAK_SETTLED_MS) {
-		reserve->has_estimate = true;
+		reserve->has_idle_estimate = true;
+		reserve->has_estimate =
+			reserve->has_estimate || reserve->busiest != NULL;
 	}
 }
 
@@ -355,9 +359,17 @@
 
 static bool is_estimated(const wwh_fleet_reserve_t *reserve)
 {
-	return reserve->options.estimate_headroom_percent > 0 &&
-	       reserve->has_estimate && !reserve->estimate_failed &&
-	       !whole_cycle(reserve);
+	return estimate_headroom_percent(reserve) > 0 &&
+	       !reserve->estimate_failed && !whole_cycle(reserve);
+}
+
+/* Returns 0 if there is no estimate. */
+static int32_t estimate_headroom_percent(const wwh_fleet_reserve_t *reserve)
+{
+	if (reserve->has_estimate)
+		return reserve->options.estimate_headroom_percent;
+	return reserve->has_idle_estimate ? reserve->options.idle_headroom_percent
+					  : 0;
 }
 
 /* The most that waves hold now or may hold at once. */
@@ -369,7 +381,7 @@
 static int32_t peak_with_headroom(const wwh_fleet_reserve_t *reserve)
 {
 	int32_t percent = is_estimated(reserve)
-				  ? reserve->options.estimate_headroom_percent
+				  ? estimate_headroom_percent(reserve)
 				  : reserve->options.headroom_percent;
 
 	return (int32_t)((int64_t)reserve->peak * (100 + percent) / 100);
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -19,6 +19,13 @@
  */
 #define ESTIMATE_HEADROOM_PERCENT 100
 
+/*
+ * Of what lasting tasks need, while no peak was seen: a first peak of three times as
+ * many hosts is covered. Where lasting tasks need a quarter of the fleet nothing is
+ * released.
+ */
+#define IDLE_HEADROOM_PERCENT 300
+
 const char *const wwh_host_run_state_names[WWH_HOST_RUN_STATE_COUNT] = {
 	"up",
 	"moving",
@@ -52,6 +59,7 @@
 		.window_ms = WWH_STANDBY_DELAY_MS,
 		.headroom_percent = RESERVE_HEADROOM_PERCENT,
 		.estimate_headroom_percent = ESTIMATE_HEADROOM_PERCENT,
+		.idle_headroom_percent = IDLE_HEADROOM_PERCENT,
 		.releases_per_s = (int32_t)CLAMP(options->orders_per_s, 0,
 						 INT32_MAX),
 	};
--- a/src/test_fleet_reserve/replay.c
+++ b/src/test_fleet_reserve/replay.c
@@ -129,7 +129,7 @@
 	char name[16] = "";
 	int64_t at_ms;
 	int64_t phase_ms;
-	int32_t numbers[3];
+	int32_t numbers[4];
 
 	if (line[0] == '#' || line[0] == '\0')
 		return;
@@ -142,11 +142,12 @@
 		assert_true(sim->pool_count <= MAX_POOLS);
 		g_strlcpy(pool->name, name, sizeof(pool->name));
 		pool->minimum = pool->desired = numbers[0];
-	} else if (sscanf(line, "policy %d %d %d", &numbers[0], &numbers[1],
-			  &numbers[2]) == 3) {
+	} else if (sscanf(line, "policy %d %d %d %d", &numbers[0], &numbers[1],
+			  &numbers[2], &numbers[3]) == 4) {
 		sim->options.headroom_percent = numbers[0];
 		sim->options.estimate_headroom_percent = numbers[1];
-		sim->options.releases_per_s = numbers[2];
+		sim->options.idle_headroom_percent = numbers[2];
+		sim->options.releases_per_s = numbers[3];
 		renew_reserve(sim);
 	} else if (sscanf(line, "alternate %ld %ld %d %d %d", &at_ms, &phase_ms,
 			  &numbers[0], &numbers[1], &numbers[2]) == 5) {
--- a/src/test_fleet_reserve/replay.h
+++ b/src/test_fleet_reserve/replay.h
@@ -19,10 +19,10 @@
  *					PHASE, the others TROUGH, from MS on
  *	at MS lose HOSTS, at MS regain HOSTS
  *	at MS wave LIMIT		LIMIT hosts are down until LIMIT is 0
- *	policy HEADROOM ESTIMATE RELEASES
- *					percent above the peak, percent above
- *					the first peak, releases a second; 0 0 0
- *					without this line
+ *	policy HEADROOM ESTIMATE IDLE RELEASES
+ *					percent above the peak, above the first
+ *					peak and above lasting tasks, releases a
+ *					second; 0 0 0 0 without this line
  *	at MS new-holder		it knows nothing
  *	at MS hand-over			it restores what the last one knew
  *	at MS moves-fail 0|1		moves have no effect while 1
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -114,6 +114,22 @@
 	replay_run("estimate-needs-all.txt");
 }
 
+/* Guards against paying for thousands of hosts until a first peak comes. */
+static void lasting_tasks_alone_release_what_three_times_as_many_leave(
+	void **state)
+{
+	(void)state;
+	replay_run("lasting-tasks-only.txt");
+}
+
+/* Guards against hosts that are missing when the first peak comes. */
+static void lasting_tasks_on_a_quarter_of_the_fleet_release_nothing(
+	void **state)
+{
+	(void)state;
+	replay_run("lasting-tasks-on-a-quarter.txt");
+}
+
 static void update(wwh_fleet_reserve_t *reserve, int32_t desired,
 		   const wwh_fleet_hosts_t *hosts, int64_t now_ms)
 {
@@ -257,6 +273,10 @@
 		cmocka_unit_test(a_higher_second_peak_ends_the_estimate),
 		cmocka_unit_test(a_release_goes_on_under_the_next_holder),
 		cmocka_unit_test(a_peak_of_half_the_fleet_releases_nothing),
+		cmocka_unit_test(
+			lasting_tasks_alone_release_what_three_times_as_many_leave),
+		cmocka_unit_test(
+			lasting_tasks_on_a_quarter_of_the_fleet_release_nothing),
 		cmocka_unit_test(moves_that_fail_are_ordered_again),
 		cmocka_unit_test(unobserved_time_does_not_count),
 		cmocka_unit_test(the_reserve_is_the_sum_of_its_components),
