Limit unanswered starts to what the holder's link carries

Cause: on the small twin of the fleet, whose hosts have links of 2 Mbit/s, the holder sent starts as fast as its processor allows; they waited in its sockets until their jobs were of no use, and nothing counted as a backlog, so that jobs went on being accepted: 115 of 150 of one queue failed.

Change: starts without an answer are limited to a quarter second of the link (1,200 B each, 16 at the least; 52 at 2 Mbit/s, 26,000 at 1 Gbit/s). What waits counts as deferred, by which start_rate and admission refuse jobs at once.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -221,6 +221,7 @@
 	 * From an upstream's last answer until its lasting tasks count as
 	 * unavailable.
 	 */
+	int32_t max_unanswered_starts; /* 0: no limit */
 	int64_t unavailable_after_ms;
 	int64_t holder_count; /* holders of this shard so far, with this one */
 	bool ignores_speed; /* no upstream is marked slow; for comparisons */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -338,6 +338,7 @@
 	GPtrArray *draining; /* this pass's cordoned and leaving upstreams */
 	/* sched_upstream_t with ends that aren't acknowledged */
 	GPtrArray *awaiting_ack;
+	int32_t unanswered_starts; /* tasks in TASK_STARTING */
 	int64_t largest_host; /* of all upstreams, in millicores */
 	bool largest_host_known; /* false: an upstream has changed since */
 	bool restored;
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -77,6 +77,15 @@
  */
 #define LEASE_MS 4500
 
+/*
+ * Starts without an answer are limited to what the host's link carries in this time,
+ * at the usual size of a start on the wire.
+ */
+#define LINK_WINDOW_MS 250
+#define START_BYTES 1200
+#define BITS_PER_BYTE 8
+#define MIN_UNANSWERED_STARTS 16
+
 const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT] = {
 	"ok",
 	"no-job",
@@ -84,6 +93,7 @@
 	"unknown",
 };
 
+static int32_t max_unanswered_starts(const wwh_host_settings_t *settings);
 static void make_scheduler(wwh_job_holder_t *holder);
 static void make_duties(wwh_job_holder_t *holder);
 static void make_journal(wwh_job_holder_t *holder);
@@ -449,6 +459,14 @@
 	holder->journal = wwh_shard_journal_new(&options);
 }
 
+static int32_t max_unanswered_starts(const wwh_host_settings_t *settings)
+{
+	int64_t bytes = settings->link_kbps * LINK_WINDOW_MS / BITS_PER_BYTE;
+
+	return (int32_t)CLAMP(bytes / START_BYTES, MIN_UNANSWERED_STARTS,
+			      INT32_MAX);
+}
+
 static void make_scheduler(wwh_job_holder_t *holder)
 {
 	const wwh_host_settings_t *settings = holder->options.settings;
@@ -471,6 +489,7 @@
 	options.ended_job_retention_ms = settings->job_retention_ms;
 	options.unavailable_after_ms = settings->unavailable_after_ms;
 	options.holder_count = holder->options.claim_count;
+	options.max_unanswered_starts = max_unanswered_starts(settings);
 	holder->scheduler = wwh_scheduler_new(&options, &calls);
 }
 
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -28,6 +28,7 @@
 	g_assert(scheduler->run_order->len ==
 		 g_hash_table_size(scheduler->upstreams));
 	g_assert(scheduler->wake_ms->len == scheduler->run_order->len);
+	g_assert(scheduler->unanswered_starts >= 0);
 }
 
 static void check_job(const wwh_scheduler_t *scheduler, const sched_job_t *job)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -28,6 +28,7 @@
 
 static bool is_pass_due(const wwh_scheduler_t *scheduler,
 			const sched_pool_t *pool);
+static int32_t starts_allowed(const wwh_scheduler_t *scheduler);
 static int32_t count_due_pools(const wwh_scheduler_t *scheduler);
 static void place_pool(wwh_scheduler_t *scheduler, sched_pool_t *pool,
 		       int32_t max_starts);
@@ -61,13 +62,14 @@
 void sched_place(wwh_scheduler_t *scheduler)
 {
 	int32_t due = count_due_pools(scheduler);
+	int32_t allowed = starts_allowed(scheduler);
 	GHashTableIter iterator;
 	gpointer value;
 	int32_t share;
 
 	if (due == 0)
 		return;
-	share = MAX(STARTS_PER_PASS / due, 1);
+	share = MIN(allowed, MAX(allowed / due, 1));
 	g_hash_table_iter_init(&iterator, scheduler->pools);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		sched_pool_t *pool = value;
@@ -80,6 +82,19 @@
 	}
 }
 
+/*
+ * Starts that the holder's link can't carry wait in its sockets, beyond the time in
+ * which they are of use. Held here, they count as a backlog, by which jobs are refused.
+ */
+static int32_t starts_allowed(const wwh_scheduler_t *scheduler)
+{
+	int32_t max = scheduler->options.max_unanswered_starts;
+
+	if (max == 0)
+		return STARTS_PER_PASS;
+	return CLAMP(max - scheduler->unanswered_starts, 0, STARTS_PER_PASS);
+}
+
 static bool is_pass_due(const wwh_scheduler_t *scheduler,
 			const sched_pool_t *pool)
 {
@@ -120,7 +135,8 @@
 	if (scheduler->has_skipped_shares)
 		place_candidates(scheduler, candidates);
 	/* the next pass starts the rest */
-	pool->has_deferred_starts = scheduler->starts_left <= 0;
+	pool->has_deferred_starts =
+		scheduler->starts_left <= 0 && candidates->len > 0;
 	pool->dirty = pool->dirty || pool->has_deferred_starts;
 	pool->unstarted_tasks -= max_starts - scheduler->starts_left;
 	sched_room_end_pass(pool);
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -157,6 +157,9 @@
 	(void)wwh_chart_step(&task->machine, event, scheduler->now_ms, task);
 	if (sched_task_state(task) == before)
 		return;
+	scheduler->unanswered_starts +=
+		(sched_task_state(task) == TASK_STARTING) -
+		(before == TASK_STARTING);
 	task->changed_ms = scheduler->now_ms;
 	if (was_outstanding && !sched_task_is_outstanding(scheduler, task)) {
 		if (task->step->spec->lasting &&
--- a/src/test_scheduler/test_backlog.c
+++ b/src/test_scheduler/test_backlog.c
@@ -146,3 +146,33 @@
 		wwh_scheduler_recovery_ms(fixture->scheduler, fixture->now_ms),
 		0);
 }
+
+/*
+ * Guards against a thin link that is filled with starts, which reach their upstreams
+ * when their jobs are late.
+ */
+void unanswered_starts_are_limited(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	fixture->options.max_unanswered_starts = 5;
+	sched_fixture_take_over(fixture);
+	sched_fixture_add_upstream(fixture, "u1", "10.0.0.1:1");
+	sched_fixture_submit(fixture, sched_fixture_job("00000000000000a1", 20,
+							100));
+	sched_fixture_run(fixture, 1);
+	assert_int_equal(fixture->starts->len, 5);
+	assert_true(wwh_scheduler_is_behind(fixture->scheduler));
+	for (guint i = 0; i < 3; i++)
+		sched_fixture_handle_start_result(
+			fixture, sched_fixture_order(fixture->starts, i),
+			WWH_ORDER_DONE);
+	sched_fixture_run(fixture, 1);
+	assert_int_equal(fixture->starts->len, 8);
+	for (guint i = 3; i < 8; i++)
+		sched_fixture_handle_start_result(
+			fixture, sched_fixture_order(fixture->starts, i),
+			WWH_ORDER_DONE);
+	sched_fixture_run(fixture, 1);
+	assert_int_equal(fixture->starts->len, 13);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -198,6 +198,7 @@
 
 #define BACKLOG_TESTS                                                           \
 	FIXTURE_TEST(a_pass_starts_a_limited_number_of_tasks, 1),               \
+		FIXTURE_TEST(unanswered_starts_are_limited, 0),                 \
 		FIXTURE_TEST(lasting_tasks_go_before_a_backlog, 1),             \
 		FIXTURE_TEST(pools_share_the_starts_of_a_pass, 1),              \
 		FIXTURE_TEST(                                                   \
@@ -205,6 +206,7 @@
 			3)
 
 void a_pass_starts_a_limited_number_of_tasks(void **state);
+void unanswered_starts_are_limited(void **state);
 void lasting_tasks_go_before_a_backlog(void **state);
 void pools_share_the_starts_of_a_pass(void **state);
 void recovery_time_is_estimated_from_the_answered_upstreams(void **state);
