--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -145,7 +145,8 @@
  * would never become quiescent.
  */
 /* The shard is probably handed over soon; refusals say so. */
-void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder, bool handing_over);
+void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder,
+				     bool handing_over);
 void wwh_job_holder_pause_duties(wwh_job_holder_t *holder, bool paused);
 
 /* Returns whether at least one order to a host is unanswered. */
--- a/src/bench/bench_scale.c
+++ b/src/bench/bench_scale.c
@@ -54,8 +54,9 @@
 
 /* Names of column_t, in the same order. */
 static const char *const column_names[COLUMN_COUNT] = {
-	"pass_us",  "duties_us",  "first_ms",  "release_us", "list_ms", "announce_us",
-	"poll_us", "restore_ms", "settle_ms", "polls_s",    "kb",
+	"pass_us",   "duties_us",   "first_ms", "release_us",
+	"list_ms",   "announce_us", "poll_us",	"restore_ms",
+	"settle_ms", "polls_s",	    "kb",
 };
 
 typedef struct {
@@ -225,8 +226,7 @@
 		poll_ns += settled ? now_ns() - passed_ns : 0;
 		polls += settled ? answered : 0;
 	}
-	world->values[COLUMN_PASS] =
-		pass_ns * PASS_MS / REST_MS / NS_PER_US;
+	world->values[COLUMN_PASS] = pass_ns * PASS_MS / REST_MS / NS_PER_US;
 	world->values[COLUMN_POLL] = poll_ns / polls / NS_PER_US;
 	world->values[COLUMN_POLLS] = (double)polls * MS_PER_S / REST_MS;
 }
@@ -283,8 +283,8 @@
 		(now_ns() - began_ns) / world->size->upstreams / NS_PER_US;
 	settle(world);
 	list_hosts(world);
-	world->values[COLUMN_MEMORY] = (heap_bytes() - heap) / BYTES_PER_KB /
-				       world->size->upstreams;
+	world->values[COLUMN_MEMORY] =
+		(heap_bytes() - heap) / BYTES_PER_KB / world->size->upstreams;
 	measure_scheduler(world);
 	measure_duties(world);
 	measure_takeover(world);
--- a/src/libwaxwinghollow/event_log.c
+++ b/src/libwaxwinghollow/event_log.c
@@ -74,8 +74,8 @@
 	log->lines_dropped = wwh_counters_get(counters, "log.lines_dropped");
 	log->bulk_dropped = wwh_counters_get(counters, "log.bulk_dropped");
 	log->bulk_events = g_hash_table_new(g_str_hash, g_str_equal);
-	for (int32_t i = 0; options->bulk_events != NULL &&
-			    options->bulk_events[i] != NULL;
+	for (int32_t i = 0;
+	     options->bulk_events != NULL && options->bulk_events[i] != NULL;
 	     i++)
 		g_hash_table_add(log->bulk_events,
 				 (gpointer)options->bulk_events[i]);
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -149,10 +149,10 @@
 	const wwh_fleet_hosts_t *hosts = &reserve->hosts;
 	int32_t above =
 		hosts->usable + hosts->wave_held - reserved_hosts(reserve);
-	int32_t batch = reserve->options.releases_per_s > 0
-				? reserve->options.releases_per_s
-				: MAX(MIN_RELEASE,
-				      hosts->usable / RELEASE_DIVISOR);
+	int32_t batch =
+		reserve->options.releases_per_s > 0
+			? reserve->options.releases_per_s
+			: MAX(MIN_RELEASE, hosts->usable / RELEASE_DIVISOR);
 
 	if (!(whole_cycle(reserve) || is_estimated(reserve)) ||
 	    reserve->observed_ms < reserve->hold_until_ms)
@@ -368,8 +368,9 @@
 {
 	if (reserve->has_estimate)
 		return reserve->options.estimate_headroom_percent;
-	return reserve->has_idle_estimate ? reserve->options.idle_headroom_percent
-					  : 0;
+	return reserve->has_idle_estimate
+		       ? reserve->options.idle_headroom_percent
+		       : 0;
 }
 
 /* The most that waves hold now or may hold at once. */
--- a/src/libwaxwinghollow/host_arrivals.c
+++ b/src/libwaxwinghollow/host_arrivals.c
@@ -100,7 +100,8 @@
 		return MAX(host->down_until_ms - now_ms, 0) + ANNOUNCE_MS;
 	if (since_move_ms < 0)
 		return -since_move_ms + ANNOUNCE_MS;
-	if (host->moving_until_ms == 0 || since_move_ms > DUTIES_ANNOUNCE_LIMIT_MS ||
+	if (host->moving_until_ms == 0 ||
+	    since_move_ms > DUTIES_ANNOUNCE_LIMIT_MS ||
 	    (host->upstream != NULL &&
 	     wwh_scheduler_upstream_load(duties->options.scheduler,
 					 host->upstream)
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -60,8 +60,8 @@
 		.headroom_percent = RESERVE_HEADROOM_PERCENT,
 		.estimate_headroom_percent = ESTIMATE_HEADROOM_PERCENT,
 		.idle_headroom_percent = IDLE_HEADROOM_PERCENT,
-		.releases_per_s = (int32_t)CLAMP(options->orders_per_s, 0,
-						 INT32_MAX),
+		.releases_per_s =
+			(int32_t)CLAMP(options->orders_per_s, 0, INT32_MAX),
 	};
 
 	duties->options = *options;
--- a/src/libwaxwinghollow/host_order_rate.c
+++ b/src/libwaxwinghollow/host_order_rate.c
@@ -20,15 +20,15 @@
 {
 	host_order_rate_t *rate = &duties->order_rate;
 	int64_t elapsed_ms = MIN(duties->now_ms - rate->refilled_ms, SECOND_MS);
-	int64_t refill_milli = elapsed_ms * rate_per_s(duties) *
-			       (100 - BURST_PERCENT) / 100;
+	int64_t refill_milli =
+		elapsed_ms * rate_per_s(duties) * (100 - BURST_PERCENT) / 100;
 
 	if (!rate->started)
 		refill_milli = burst_milli(duties);
 	rate->started = true;
 	rate->refilled_ms = duties->now_ms;
-	rate->tokens_milli = MIN(rate->tokens_milli + refill_milli,
-				 burst_milli(duties));
+	rate->tokens_milli =
+		MIN(rate->tokens_milli + refill_milli, burst_milli(duties));
 }
 
 int32_t duties_orders_left(const wwh_host_duties_t *duties)
--- a/src/libwaxwinghollow/host_reserve.c
+++ b/src/libwaxwinghollow/host_reserve.c
@@ -99,8 +99,8 @@
 		const duty_pool_t *pool = value;
 
 		for (guint i = 0; i < pool->leaving->len && !pool->standby; i++)
-			coming += is_coming(duties, g_ptr_array_index(
-							    pool->leaving, i));
+			coming += is_coming(
+				duties, g_ptr_array_index(pool->leaving, i));
 	}
 	return coming;
 }
--- a/src/libwaxwinghollow/host_reserve_record.c
+++ b/src/libwaxwinghollow/host_reserve_record.c
@@ -101,10 +101,11 @@
 	if (duties->options.wall_ms - wall_ms <= WWH_STANDBY_DELAY_MS) {
 		wwh_fleet_reserve_restore(duties->reserve, &knowledge);
 		duties->written_reserve = knowledge;
-		duties_log_event(duties, "reserve-restored", "hosts",
-				 "whole_cycle=%d peak=%d age_ms=%" G_GINT64_FORMAT,
-				 knowledge.whole_cycle, knowledge.peak,
-				 duties->options.wall_ms - wall_ms);
+		duties_log_event(
+			duties, "reserve-restored", "hosts",
+			"whole_cycle=%d peak=%d age_ms=%" G_GINT64_FORMAT,
+			knowledge.whole_cycle, knowledge.peak,
+			duties->options.wall_ms - wall_ms);
 	}
 	return true;
 }
--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -520,8 +520,7 @@
 	wwh_http_calls_t *calls = transfer->calls;
 	wwh_http_answer_t answer = { .retry_after_s = -1 };
 
-	g_assert(!transfer->sending ||
-		 transfer->outcome == WWH_CALL_ANSWERED ||
+	g_assert(!transfer->sending || transfer->outcome == WWH_CALL_ANSWERED ||
 		 transfer->outcome == WWH_CALL_NO_ANSWER);
 	g_hash_table_steal(calls->transfers, transfer);
 	release_connection(transfer);
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -30,16 +30,13 @@
 	char *name;
 	char *pool;
 	char *upstream;
-	wwh_host_run_state_t state;
-	bool in_list; /* in the last complete list */
 	int64_t last_list_number; /* of the last list with this host */
+	wwh_host_run_state_t state;
 	int32_t missed_lists; /* consecutive lists without this host */
 	/* upkeep */
-	bool upkeep_in_flight; /* upkeep order sent, no answer yet */
 	int64_t upkeep_ordered_ms; /* order that may take effect; 0: none */
 	int64_t last_order_ms; /* last sending or answer of any order */
 	int64_t down_until_ms; /* unavailable at least until then */
-	bool in_upkeep; /* ordered into upkeep, not listed as up since */
 	int64_t wave; /* of the upkeep order */
 	int64_t draining_since_ms; /* drained for upkeep since; 0: not drained */
 	int64_t no_drain_until_ms; /* not drained again before this */
@@ -47,16 +44,19 @@
 	/* moves */
 	char *move_target; /* of an order that may take effect; or NULL */
 	char *moved_upstream; /* on it when the move was first ordered; or NULL */
-	bool move_in_flight;
 	int64_t move_retry_ms;
 	int64_t moving_until_ms; /* counts as moving until then */
-	bool is_surplus; /* selected to leave its pool */
 	int64_t drain_for_move_ms; /* cordoned for a move since; 0: not */
 	int64_t no_move_until_ms;
 	/* as of the last survey */
 	duty_pool_t *home; /* its pool; NULL: unknown */
 	wwh_upstream_load_t load; /* of its upstream; all zero without one */
 	bool in_transit; /* in the list of such hosts */
+	bool in_list; /* in the last complete list */
+	bool upkeep_in_flight; /* upkeep order sent, no answer yet */
+	bool in_upkeep; /* ordered into upkeep, not listed as up since */
+	bool move_in_flight;
+	bool is_surplus; /* selected to leave its pool */
 } duty_host_t;
 
 typedef struct {
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -300,7 +300,8 @@
 		       : WAIT_IDLE_MS;
 }
 
-void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder, bool handing_over)
+void wwh_job_holder_set_handing_over(wwh_job_holder_t *holder,
+				     bool handing_over)
 {
 	holder->handing_over = handing_over;
 }
@@ -654,9 +655,9 @@
 	job_holder_update_reserve_gauges(holder);
 	took_us = g_get_monotonic_time() - began_us;
 	holder->duties_after_ms =
-		holder->now_ms + CLAMP(took_us * DUTIES_SHARE_DIVISOR /
-					       G_TIME_SPAN_MILLISECOND,
-				       DUTIES_PERIOD_MS, DUTIES_MAX_PERIOD_MS);
+		holder->now_ms +
+		CLAMP(took_us * DUTIES_SHARE_DIVISOR / G_TIME_SPAN_MILLISECOND,
+		      DUTIES_PERIOD_MS, DUTIES_MAX_PERIOD_MS);
 }
 
 /*
--- a/src/libwaxwinghollow/job_service.c
+++ b/src/libwaxwinghollow/job_service.c
@@ -38,10 +38,11 @@
 
 /* Those of which each upstream or host writes some when many hosts change. */
 static const char *const bulk_events[] = {
-	"upstream-new",	     "upstream-settled", "upstream-gone",
-	"upstream-silent",   "upstream-unlisted", "upstream-leaving",
-	"upstream-cordoned", "moved",		 "move-not-done",
-	NULL,
+	"upstream-new",	     "upstream-settled",
+	"upstream-gone",     "upstream-silent",
+	"upstream-unlisted", "upstream-leaving",
+	"upstream-cordoned", "moved",
+	"move-not-done",     NULL,
 };
 
 static void make_histograms(wwh_job_service_t *service)
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -15,11 +15,7 @@
 
 const char *const
 	wwh_scheduler_record_kind_names[WWH_SCHEDULER_RECORD_KIND_COUNT] = {
-		"J",
-		"P",
-		"U",
-		"W",
-		"R",
+		"J", "P", "U", "W", "R",
 	};
 
 const char *const wwh_job_progress_names[WWH_PROGRESS_COUNT] = {
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -23,7 +23,8 @@
 bool wwh_scheduler_cordon(wwh_scheduler_t *scheduler, const char *id,
 			  bool urgent, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -72,7 +73,8 @@
 
 void wwh_scheduler_uncordon(wwh_scheduler_t *scheduler, const char *id)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	if (upstream == NULL || !upstream->cordoned)
 		return;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -358,7 +358,8 @@
 				      const wwh_upstream_info_t *info,
 				      int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, info->id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, info->id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL) {
@@ -395,7 +396,8 @@
 void wwh_scheduler_upstream_unreadable(wwh_scheduler_t *scheduler,
 				       const char *id, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -418,7 +420,8 @@
 void wwh_scheduler_upstream_withdrawn(wwh_scheduler_t *scheduler,
 				      const char *id, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL)
@@ -440,7 +443,8 @@
 				       wwh_termination_t termination,
 				       const char *why, int64_t now_ms)
 {
-	sched_upstream_t *upstream = sched_upstream_find_and_wake(scheduler, id);
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (upstream == NULL || upstream->termination_reason != NULL)
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -207,8 +207,8 @@
  */
 static int64_t wake_ms(const sched_upstream_t *upstream)
 {
-	int64_t wake = upstream->poll_in_flight ? G_MAXINT64
-						: upstream->next_poll_ms;
+	int64_t wake =
+		upstream->poll_in_flight ? G_MAXINT64 : upstream->next_poll_ms;
 
 	if (!sched_upstream_is_idle(upstream) || upstream->cordoned ||
 	    upstream->info.leaving || !upstream->record_written ||
--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -150,11 +150,11 @@
 static void send_read(wwh_store_follower_t *follower)
 {
 	read_call_t *read = g_new0(read_call_t, 1);
-	wwh_http_call_t *call = wire_store_read(
-		follower->endpoint, follower->topic, follower->options.part,
-		follower->next_offset, follower->read_kb,
-		follower->options.wait_ms,
-		follower->options.wait_ms + ANSWER_TIMEOUT_MS);
+	wwh_http_call_t *call =
+		wire_store_read(follower->endpoint, follower->topic,
+				follower->options.part, follower->next_offset,
+				follower->read_kb, follower->options.wait_ms,
+				follower->options.wait_ms + ANSWER_TIMEOUT_MS);
 
 	read->follower = follower;
 	read->number = ++follower->reads;
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -115,16 +115,16 @@
 }
 
 /* Guards against paying for thousands of hosts until a first peak comes. */
-static void lasting_tasks_alone_release_what_three_times_as_many_leave(
-	void **state)
+static void
+lasting_tasks_alone_release_what_three_times_as_many_leave(void **state)
 {
 	(void)state;
 	replay_run("lasting-tasks-only.txt");
 }
 
 /* Guards against hosts that are missing when the first peak comes. */
-static void lasting_tasks_on_a_quarter_of_the_fleet_release_nothing(
-	void **state)
+static void
+lasting_tasks_on_a_quarter_of_the_fleet_release_nothing(void **state)
 {
 	(void)state;
 	replay_run("lasting-tasks-on-a-quarter.txt");
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -387,13 +387,15 @@
 		cmocka_unit_test_setup_teardown(                               \
 			a_new_holder_restores_the_reserve, set_up, tear_down), \
 		cmocka_unit_test_setup_teardown(                               \
-			an_old_reserve_is_observed_anew, set_up, tear_down), \
+			an_old_reserve_is_observed_anew, set_up, tear_down),   \
 		cmocka_unit_test_setup_teardown(                               \
-			an_unreadable_reserve_is_observed_anew, set_up, tear_down), \
-		cmocka_unit_test_setup_teardown(                               \
-			held_moves_are_not_ordered, set_up, tear_down), \
+			an_unreadable_reserve_is_observed_anew, set_up,        \
+			tear_down),                                            \
+		cmocka_unit_test_setup_teardown(held_moves_are_not_ordered,    \
+						set_up, tear_down),            \
 		cmocka_unit_test_setup_teardown(                               \
-			a_move_ends_the_upstream_of_its_host, set_up, tear_down), \
+			a_move_ends_the_upstream_of_its_host, set_up,          \
+			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(a_paused_time_is_not_observed, \
 						set_up, tear_down),            \
 		cmocka_unit_test_setup_teardown(                               \
--- a/src/test_host_duties/test_reserve.c
+++ b/src/test_host_duties/test_reserve.c
@@ -324,10 +324,9 @@
 	duties_fixture_t *fixture = *state;
 	wwh_message_t message = { "" };
 
-	assert_false(wwh_host_duties_restore_reserve(fixture->duties,
-						     negative_peak,
-						     sizeof(negative_peak),
-						     &message));
+	assert_false(wwh_host_duties_restore_reserve(
+		fixture->duties, negative_peak, sizeof(negative_peak),
+		&message));
 	assert_false(wwh_host_duties_restore_reserve(
 		fixture->duties, too_short, sizeof(too_short), &message));
 	assert_false(wwh_host_duties_restore_reserve(
@@ -368,11 +367,11 @@
 
 	observe_window(fixture);
 	upstream[1] = duties_fixture_move_at(fixture, 0)[1];
-	assert_true(wwh_scheduler_upstream_load(fixture->sched->scheduler,
-						upstream)
-			    .known);
+	assert_true(
+		wwh_scheduler_upstream_load(fixture->sched->scheduler, upstream)
+			.known);
 	duties_fixture_answer_move(fixture, 0);
-	assert_false(wwh_scheduler_upstream_load(fixture->sched->scheduler,
-						 upstream)
-			     .known);
+	assert_false(
+		wwh_scheduler_upstream_load(fixture->sched->scheduler, upstream)
+			.known);
 }
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -268,15 +268,15 @@
 	cmocka_unit_test_setup_teardown(test, set_up, tear_down)
 
 /* test_changes.c: changes of the shard's holder */
-#define CHANGE_TESTS                                                           \
-	SERVICE_TEST(a_holder_that_the_store_rejects_hands_over),              \
-		SERVICE_TEST(                                                  \
+#define CHANGE_TESTS                                                                 \
+	SERVICE_TEST(a_holder_that_the_store_rejects_hands_over),                    \
+		SERVICE_TEST(                                                        \
 			a_submission_is_not_refused_while_the_shard_is_handed_over), \
-		SERVICE_TEST(a_holder_that_cannot_keep_up_hands_over),         \
-		SERVICE_TEST(                                                  \
-			a_holder_keeps_a_load_that_was_handed_over_to_it),     \
-		SERVICE_TEST(                                                  \
-			a_holder_keeps_the_shard_while_nobody_else_is_served), \
+		SERVICE_TEST(a_holder_that_cannot_keep_up_hands_over),               \
+		SERVICE_TEST(                                                        \
+			a_holder_keeps_a_load_that_was_handed_over_to_it),           \
+		SERVICE_TEST(                                                        \
+			a_holder_keeps_the_shard_while_nobody_else_is_served),       \
 		SERVICE_TEST(a_lost_answer_does_not_delay_its_pool)
 
 void a_holder_that_the_store_rejects_hands_over(void **state);
--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -72,7 +72,7 @@
 }
 
 #define SMALL_JOB                                                              \
-	"{\"spec\":\"text\",\"phases\":[{\"count\":1,\"cpu\":1000,"             \
+	"{\"spec\":\"text\",\"phases\":[{\"count\":1,\"cpu\":1000,"            \
 	"\"memMb\":100,\"estimateMs\":300}]}"
 
 static gpointer submit_to_rejected_holder(gpointer data)
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -221,11 +221,12 @@
 		wait_ready(fixture, i);
 	for (int32_t i = 0; i < PROCESSES; i++) {
 		fixture->deadline_ms = "70";
-		assert_int_equal(
-			send_request(fixture, i, "POST", "/q/00000000000000e1",
-				     "{\"spec\":\"text\",\"phases\":[{\"count\":1}]}",
-				     NULL),
-			503);
+		assert_int_equal(send_request(fixture, i, "POST",
+					      "/q/00000000000000e1",
+					      "{\"spec\":\"text\",\"phases\":[{"
+					      "\"count\":1}]}",
+					      NULL),
+				 503);
 		fixture->deadline_ms = usual;
 		assert_int_equal(send_request(fixture, i, "GET",
 					      "/q/00000000000000e1", NULL,
--- a/src/test_scheduler/test_backlog.c
+++ b/src/test_scheduler/test_backlog.c
@@ -158,8 +158,8 @@
 	fixture->options.max_unanswered_starts = 5;
 	sched_fixture_take_over(fixture);
 	sched_fixture_add_upstream(fixture, "u1", "10.0.0.1:1");
-	sched_fixture_submit(fixture, sched_fixture_job("00000000000000a1", 20,
-							100));
+	sched_fixture_submit(fixture,
+			     sched_fixture_job("00000000000000a1", 20, 100));
 	sched_fixture_run(fixture, 1);
 	assert_int_equal(fixture->starts->len, 5);
 	assert_true(wwh_scheduler_is_behind(fixture->scheduler));
