--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -151,6 +151,10 @@
 void job_holder_clear_reserve_gauges(wwh_job_holder_t *holder);
 void job_holder_dump_reserve(const wwh_job_holder_t *holder, GString *out);
 
+/* job_holder_duties.c: when the host duties run, and which moves they hold */
+void job_holder_make_duties(wwh_job_holder_t *holder);
+void job_holder_run_duties(wwh_job_holder_t *holder);
+
 /* job_holder_hosts.c: the host duties' calls to the platform */
 void job_holder_list_hosts(void *client_data);
 void job_holder_order_upkeep(const char *host, int64_t wave, void *client_data);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -626,6 +626,22 @@
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message);
 
+/* scheduler_index.c: the order of passes, and the upstreams at an endpoint */
+void sched_run_order_add(wwh_scheduler_t *scheduler,
+			 sched_upstream_t *upstream);
+void sched_run_order_remove(wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream);
+/* The next pass runs it, whatever it waits for. */
+void sched_upstream_wake(wwh_scheduler_t *scheduler,
+			 const sched_upstream_t *upstream);
+/* Like sched_upstream_find, for a caller that changes it. */
+sched_upstream_t *sched_upstream_find_and_wake(wwh_scheduler_t *scheduler,
+					       const char *id);
+/* To be called before and after a change of its endpoint. */
+void sched_endpoint_remove(wwh_scheduler_t *scheduler,
+			   sched_upstream_t *upstream);
+void sched_endpoint_add(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+
 /* scheduler_upstream.c */
 sched_pool_t *sched_pool_get(wwh_scheduler_t *scheduler, const char *name);
 void sched_pool_delete(gpointer pool);
@@ -635,12 +651,6 @@
 				      const char *id);
 sched_upstream_t *sched_upstream_add(wwh_scheduler_t *scheduler,
 				     const wwh_upstream_info_t *info);
-/* The next pass runs it, whatever it waits for. */
-void sched_upstream_wake(wwh_scheduler_t *scheduler,
-			 const sched_upstream_t *upstream);
-/* Like sched_upstream_find, for a caller that changes it. */
-sched_upstream_t *sched_upstream_find_and_wake(wwh_scheduler_t *scheduler,
-					       const char *id);
 /* It has reported an end that isn't acknowledged yet. */
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -19,14 +19,6 @@
 #define BACKOFF_FIRST_MS 1500
 #define BACKOFF_MAX_DOUBLINGS 3
 
-static void add_to_run_order(wwh_scheduler_t *scheduler,
-			     sched_upstream_t *upstream);
-static void remove_from_run_order(wwh_scheduler_t *scheduler,
-				  const sched_upstream_t *upstream);
-static void add_to_endpoint(wwh_scheduler_t *scheduler,
-			    sched_upstream_t *upstream);
-static void remove_from_endpoint(wwh_scheduler_t *scheduler,
-				 sched_upstream_t *upstream);
 static void delete_record(wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream);
 
@@ -89,85 +81,12 @@
 	upstream->pool = sched_pool_get(scheduler, info->pool);
 	g_ptr_array_add(upstream->pool->upstreams, upstream);
 	g_hash_table_insert(scheduler->upstreams, upstream->info.id, upstream);
-	add_to_run_order(scheduler, upstream);
-	add_to_endpoint(scheduler, upstream);
+	sched_run_order_add(scheduler, upstream);
+	sched_endpoint_add(scheduler, upstream);
 	scheduler->largest_host_known = false;
 	return upstream;
 }
 
-static void add_to_run_order(wwh_scheduler_t *scheduler,
-			     sched_upstream_t *upstream)
-{
-	int64_t at_once = 0;
-
-	upstream->run_index = scheduler->run_order->len;
-	g_ptr_array_add(scheduler->run_order, upstream);
-	g_array_append_val(scheduler->wake_ms, at_once);
-}
-
-/* The last upstream takes the place of the removed one. */
-static void remove_from_run_order(wwh_scheduler_t *scheduler,
-				  const sched_upstream_t *upstream)
-{
-	guint index = upstream->run_index;
-
-	g_ptr_array_remove_index_fast(scheduler->run_order, index);
-	g_array_remove_index_fast(scheduler->wake_ms, index);
-	if (index < scheduler->run_order->len)
-		((sched_upstream_t *)g_ptr_array_index(scheduler->run_order,
-						       index))
-			->run_index = index;
-}
-
-static void add_to_endpoint(wwh_scheduler_t *scheduler,
-			    sched_upstream_t *upstream)
-{
-	const char *endpoint = upstream->info.endpoint;
-	GPtrArray *there;
-
-	if (endpoint == NULL)
-		return;
-	there = g_hash_table_lookup(scheduler->endpoints, endpoint);
-	if (there == NULL) {
-		there = g_ptr_array_new();
-		g_hash_table_insert(scheduler->endpoints, g_strdup(endpoint),
-				    there);
-	}
-	g_ptr_array_add(there, upstream);
-}
-
-static void remove_from_endpoint(wwh_scheduler_t *scheduler,
-				 sched_upstream_t *upstream)
-{
-	const char *endpoint = upstream->info.endpoint;
-	GPtrArray *there =
-		endpoint == NULL
-			? NULL
-			: g_hash_table_lookup(scheduler->endpoints, endpoint);
-
-	if (there == NULL)
-		return;
-	g_ptr_array_remove_fast(there, upstream);
-	if (there->len == 0)
-		g_hash_table_remove(scheduler->endpoints, endpoint);
-}
-
-void sched_upstream_wake(wwh_scheduler_t *scheduler,
-			 const sched_upstream_t *upstream)
-{
-	g_array_index(scheduler->wake_ms, int64_t, upstream->run_index) = 0;
-}
-
-sched_upstream_t *sched_upstream_find_and_wake(wwh_scheduler_t *scheduler,
-					       const char *id)
-{
-	sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
-
-	if (upstream != NULL)
-		sched_upstream_wake(scheduler, upstream);
-	return upstream;
-}
-
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream)
 {
@@ -222,8 +141,8 @@
 	upstream->pool->dirty = true;
 	if (upstream->record_written)
 		delete_record(scheduler, upstream);
-	remove_from_run_order(scheduler, upstream);
-	remove_from_endpoint(scheduler, upstream);
+	sched_run_order_remove(scheduler, upstream);
+	sched_endpoint_remove(scheduler, upstream);
 	if (upstream->cordoned || upstream->info.leaving)
 		g_ptr_array_remove_fast(scheduler->draining, upstream);
 	if (upstream->awaits_ack)
@@ -381,12 +300,12 @@
 			scheduler->largest_host_known &&
 			info->size.cpu_millicores ==
 				upstream->info.size.cpu_millicores;
-		remove_from_endpoint(scheduler, upstream);
+		sched_endpoint_remove(scheduler, upstream);
 		wwh_upstream_info_clear(&upstream->info);
 		wwh_upstream_info_copy(&upstream->info, info);
 		g_free(upstream->info.id);
 		upstream->info.id = id;
-		add_to_endpoint(scheduler, upstream);
+		sched_endpoint_add(scheduler, upstream);
 	}
 	upstream->listed = true;
 	upstream->unreadable = false;
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -414,6 +414,63 @@
 	assert_true(received <= fixture->outcomes[WWH_CALL_NO_ANSWER]);
 }
 
+/*
+ * Guards against an order that is reported as not sent although its first bytes have
+ * left: the receiver's buffers are full before the whole request is written.
+ */
+static void request_written_in_part_is_no_answer(void **state)
+{
+	fixture_t *fixture = *state;
+	int size = REQUEST_BYTES;
+	int32_t port;
+	int listener = listen_on_free_port(&port);
+	char *endpoint = g_strdup_printf("127.0.0.1:%d", (int)port);
+	wwh_http_call_t *call =
+		wwh_http_call_new("POST", endpoint, SHORT_TIMEOUT_MS);
+
+	assert_int_equal(setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &size,
+				    sizeof(size)),
+			 0);
+	call->path = g_strdup("/order");
+	call->body = g_byte_array_new();
+	g_byte_array_set_size(call->body, 8 * HUGE_BYTES);
+	memset(call->body->data, 'x', 8 * HUGE_BYTES);
+	wwh_http_calls_send(fixture->calls, call, on_done, fixture);
+	wait_for_callbacks(fixture, 1);
+	assert_int_equal(fixture->outcomes[WWH_CALL_NO_ANSWER], 1);
+	assert_true(close_and_check_received(listener));
+	g_free(endpoint);
+}
+
+/*
+ * Guards against a call on a reused connection that the remote end has closed, which
+ * isn't known yet: its bytes may have been read before.
+ */
+static void
+call_on_a_connection_that_closes_is_no_answer_or_answered(void **state)
+{
+	static const char *const script[] = { OK, RAW_CLOSE, OK };
+	fixture_t *fixture = *state;
+	raw_server_t *server = raw_server_new(script, 3);
+	int32_t requests;
+
+	send_to_port(fixture, raw_server_port(server), TIMEOUT_MS);
+	wait_for_callbacks(fixture, 1);
+	for (int32_t i = 0; i < 3; i++) {
+		/* the loop doesn't run between the server's close and the call */
+		send_to_port(fixture, raw_server_port(server),
+			     SHORT_TIMEOUT_MS);
+		g_usleep(LOOP_STALL_MS * 1000);
+		wwh_http_calls_poll(fixture->calls, 0);
+	}
+	wait_for_callbacks(fixture, 4);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	requests = raw_server_delete(server);
+	assert_true(requests <= fixture->outcomes[WWH_CALL_ANSWERED] +
+					fixture->outcomes[WWH_CALL_NO_ANSWER]);
+}
+
 static void delete_reports_calls_in_progress(void **state)
 {
 	static const char *const script[] = { RAW_SILENT };
@@ -518,6 +575,8 @@
 		TEST(calls_wait_for_a_free_connection),
 		TEST(call_is_not_sent_after_send_timeout),
 		TEST(call_that_times_out_unsent_is_never_sent),
+		TEST(request_written_in_part_is_no_answer),
+		TEST(call_on_a_connection_that_closes_is_no_answer_or_answered),
 		TEST(delete_reports_calls_in_progress),
 		TEST(wake_ends_poll),
 	};
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -3,6 +3,7 @@
  * processes that hold the shard.
  */
 
+#include "../test_standins/include/free_port.h"
 #include "claim_fixture.h"
 
 /* Time until a silent holder is replaced if the previous one's term was long. */
@@ -282,6 +283,24 @@
 	assert_int_equal(fixture->held.epoch, 0);
 }
 
+/*
+ * All processes were killed and are small. Guards against a shard that nobody holds
+ * for the 5 s that a small process waits for a silent holder, although the holder's
+ * connections are refused; others get 2 s to claim before.
+ */
+static void standby_joins_soon_after_the_holder_has_ended(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t began_ms = standin_now_ms();
+	char *ended = g_strdup_printf("127.0.0.1:%d", (int)standin_free_port());
+
+	publish_holder(fixture, ended, EPOCH(4));
+	start_claim(fixture, true);
+	run_until_held(fixture);
+	assert_in_range(standin_now_ms() - began_ms, 2000, 4900);
+	g_free(ended);
+}
+
 /*
  * A holder restarts and claims; the process that the group assigned the shard to
  * probes it at that time. Guards against the answer that it doesn't hold the shard:
@@ -347,6 +366,9 @@
 		cmocka_unit_test_setup_teardown(
 			restarted_standby_holder_waits_for_group, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			standby_joins_soon_after_the_holder_has_ended, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(claim_in_progress_is_reported,
 						set_up, tear_down),
 	};
