--- a/include/waxwinghollow/fleet_reserve.h
+++ b/include/waxwinghollow/fleet_reserve.h
@@ -27,8 +27,8 @@
  *	Peaks of queues alternate, with a cycle of 10 to 20 s. A host that goes
  *	to the standby pool between two peaks must be called back for the next:
  *	it costs two moves and is missing for 1.5 s each time. Releasing every
- *	host that no pool desired at the moment cost 13,700 host-seconds in a
- *	simulated day, against 11,700 with all hosts powered on.
+ *	host that no pool desires at the moment thus costs more host-seconds
+ *	than keeping all hosts powered on.
  *
  *	In a fleet of thousands one peak needs a small part of the hosts, and a
  *	window of observing all of them costs more than their moves.
--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -86,10 +86,7 @@
  * fleet_reserve.h). Pools are busy one after the other: the next one often
  * becomes busy when this one ends, and this one again about 12 s later. A host
  * that goes to standby in between needs two moves and is missing for 1.5 s at
- * each. With 30 s instead of 1.5 s, quiet days of three fleets of 50 hosts took
- * 138 to 157 moves instead of 245 to 282, for 1.3, 3.5 and 4.4% more
- * host-seconds and the same share of the jobs' value that was earned in a
- * simulated day (two days each).
+ * each. 30 s cover two such cycles.
  */
 #define WWH_STANDBY_DELAY_MS 30000
 
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -24,7 +24,7 @@
 #define PEAK_SETTLED_MS 2000
 #define PEAK_GROWTH_DIVISOR 8
 
-/* The shortest cycle of the alternating peaks in the deployments is 10 s. */
+/* A shorter one is variation of the demand within one peak. */
 #define MIN_CYCLE_MS 10000
 
 /*
--- a/src/libwaxwinghollow/host_survey.c
+++ b/src/libwaxwinghollow/host_survey.c
@@ -31,6 +31,10 @@
 	g_ptr_array_set_size(pool->hosts, 0);
 }
 
+/*
+ * A host drained for a wave accepts no tasks for seconds. It isn't counted for its
+ * pool, so that its replacement is requested when draining begins.
+ */
 static void survey_host(wwh_host_duties_t *duties, duty_host_t *host)
 {
 	duty_pool_t *pool;
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -153,8 +153,8 @@
 
 /*
  * host_survey.c: looks at each host once. All other decisions of a run use what
- * was found; looking at all hosts again for each of them took a fifth of the
- * holder's time at 6,000 hosts.
+ * was found, so that a run costs one pass over the hosts however many decisions
+ * there are.
  */
 void duties_survey(wwh_host_duties_t *duties);
 
