--- a/src/libwaxwinghollow/store_follower.c
+++ b/src/libwaxwinghollow/store_follower.c
@@ -40,6 +40,12 @@
 /* A read that was sent more recently isn't repeated by a refresh. */
 #define REFRESH_AFTER_MS 1000
 
+/*
+ * Reads in flight, those that a refresh has replaced included. Each occupies one of the
+ * few connections to the store.
+ */
+#define MAX_READS_IN_FLIGHT 2
+
 struct wwh_store_follower {
 	wwh_store_follower_options_t options;
 	char *endpoint;
@@ -60,6 +66,7 @@
 	int64_t next_offset;
 	int32_t read_kb; /* maximum size of the next read */
 	int64_t reads; /* of changes, sent so far */
+	int32_t reads_in_flight;
 	int64_t sent_ms;
 	int64_t sent_us; /* the same on the monotonic clock */
 	int64_t retry_ms;
@@ -158,6 +165,7 @@
 
 	read->follower = follower;
 	read->number = ++follower->reads;
+	follower->reads_in_flight++;
 	call->has_priority = true;
 	wwh_http_calls_send(follower->options.calls, call, on_changes_read,
 			    read);
@@ -166,6 +174,7 @@
 void wwh_store_follower_refresh(wwh_store_follower_t *follower, int64_t now_ms)
 {
 	if (!follower->in_flight || follower->in_full_read ||
+	    follower->reads_in_flight >= MAX_READS_IN_FLIGHT ||
 	    now_ms - follower->sent_ms < REFRESH_AFTER_MS)
 		return;
 	follower->references++;
@@ -262,6 +271,7 @@
 	int64_t end = 0;
 
 	g_free(read);
+	follower->reads_in_flight--;
 	if (is_last)
 		follower->in_flight = false;
 	if (follower->deleted || !is_last) {
--- a/src/test_store_follower/test_store_follower.c
+++ b/src/test_store_follower/test_store_follower.c
@@ -322,6 +322,25 @@
 	assert_string_equal(fixture->reports->str, "a= ?10 ?11 ?12 ?13 b- ");
 }
 
+/*
+ * Guards against refreshes that occupy all connections to the store, one a second, so
+ * that no other call to it is made.
+ */
+static void refreshes_leave_connections_to_the_store(void **state)
+{
+	fixture_t *fixture = *state;
+
+	read_first_list(fixture);
+	g_mutex_lock(&fixture->lock);
+	fixture->silent_reads = 10;
+	g_mutex_unlock(&fixture->lock);
+	for (int32_t i = 0; i < 22; i++) {
+		run_for(fixture, 100);
+		wwh_store_follower_refresh(fixture->follower, standin_now_ms());
+		assert_true(wwh_http_calls_in_progress(fixture->calls) <= 2);
+	}
+}
+
 /*
  * Guards against a follower that misses changes for the whole of a long wait, as its
  * connection is silent and its owner knows that something changed.
@@ -436,6 +455,9 @@
 		cmocka_unit_test_setup_teardown(
 			unreadable_change_does_not_stop_follower, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			refreshes_leave_connections_to_the_store,
+			set_up_with_a_long_wait, tear_down),
 		cmocka_unit_test_setup_teardown(
 			refresh_reads_on_another_connection,
 			set_up_with_a_long_wait, tear_down),
