Release by an estimate only what can be called back in time

Change: before a peak was seen, what can be called back in 2 s may leave; after the first peak, in 8 s.

--- a/include/waxwinghollow/fleet_reserve.h
+++ b/include/waxwinghollow/fleet_reserve.h
@@ -18,7 +18,8 @@
  *	reserve is estimated as a multiple of it, and before that as a larger
  *	multiple of what lasting tasks need, once they are there; a call from standby shows that
  *	the estimate was too low, and ends the releases until the cycle is
- *	known. Time that the owner didn't observe isn't counted.
+ *	known. By an estimate only as many hosts are released as can be called
+ *	back in some seconds. Time that the owner didn't observe isn't counted.
  *
  *	What was observed can be kept in a record and restored by the next
  *	owner, which then needs no window of its own.
@@ -49,7 +50,10 @@
 	int32_t estimate_headroom_percent;
 	/* Kept above what lasting tasks need, before the first peak; 0: none. */
 	int32_t idle_headroom_percent;
-	/* Limit of releases; 0: a thirty-second of the usable hosts. */
+	/*
+	 * Limit of releases, and the rate at which hosts can be called back; 0: a
+	 * thirty-second of the usable hosts, and any number.
+	 */
 	int32_t releases_per_s;
 } wwh_fleet_reserve_options_t;
 
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -24,6 +24,15 @@
 #define PEAK_SETTLED_MS 2000
 #define PEAK_GROWTH_DIVISOR 8
 
+/*
+ * Hosts that an estimate may release, by the time in which all of them can be called
+ * back: before a peak was seen no longer than callers can wait, after it longer, as
+ * then few of them are expected to be needed.
+ */
+#define IDLE_RECALL_MS 2000
+#define ESTIMATE_RECALL_MS 8000
+#define SECOND_MS 1000
+
 /* A shorter one is variation of the demand within one peak. */
 #define MIN_CYCLE_MS 10000
 
@@ -68,6 +77,7 @@
 	bool has_idle_estimate; /* the same of lasting tasks, before a peak */
 	int64_t interval_start_ms;
 	int32_t released; /* in the present interval */
+	int32_t released_by_estimate;
 	int64_t paid_host_ms;
 	int64_t needed_millihost_ms;
 };
@@ -79,6 +89,7 @@
 static reserve_pool_t *pool_with_largest_excess(wwh_fleet_reserve_t *reserve);
 static void begin_phase(wwh_fleet_reserve_t *reserve, reserve_pool_t *pool);
 static bool whole_cycle(const wwh_fleet_reserve_t *reserve);
+static int32_t estimate_limit(const wwh_fleet_reserve_t *reserve);
 static bool is_estimated(const wwh_fleet_reserve_t *reserve);
 static int32_t estimate_headroom_percent(const wwh_fleet_reserve_t *reserve);
 static int32_t wave_hosts(const wwh_fleet_reserve_t *reserve);
@@ -157,6 +168,9 @@
 	if (!(whole_cycle(reserve) || is_estimated(reserve)) ||
 	    reserve->observed_ms < reserve->hold_until_ms)
 		return 0;
+	if (!whole_cycle(reserve))
+		above = MIN(above, estimate_limit(reserve) -
+					   reserve->released_by_estimate);
 	return MAX(0, MIN(above, batch - reserve->released));
 }
 
@@ -170,6 +184,7 @@
 void wwh_fleet_reserve_handle_release(wwh_fleet_reserve_t *reserve)
 {
 	reserve->released++;
+	reserve->released_by_estimate += !whole_cycle(reserve);
 	reserve->hosts.usable--;
 }
 
@@ -357,6 +372,17 @@
 	       reserve->observed_ms >= reserve->options.window_ms;
 }
 
+static int32_t estimate_limit(const wwh_fleet_reserve_t *reserve)
+{
+	int64_t recall_ms =
+		reserve->has_estimate ? ESTIMATE_RECALL_MS : IDLE_RECALL_MS;
+	int64_t per_s = reserve->options.releases_per_s;
+
+	return per_s > 0
+		       ? (int32_t)MIN(per_s * recall_ms / SECOND_MS, INT32_MAX)
+		       : INT32_MAX;
+}
+
 static bool is_estimated(const wwh_fleet_reserve_t *reserve)
 {
 	return estimate_headroom_percent(reserve) > 0 &&
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -130,6 +130,13 @@
 	replay_run("lasting-tasks-on-a-quarter.txt");
 }
 
+/* Guards against releasing what can't be called back in time. */
+static void a_slow_platform_limits_what_an_estimate_releases(void **state)
+{
+	(void)state;
+	replay_run("slow-platform.txt");
+}
+
 static void update(wwh_fleet_reserve_t *reserve, int32_t desired,
 		   const wwh_fleet_hosts_t *hosts, int64_t now_ms)
 {
@@ -273,6 +280,8 @@
 		cmocka_unit_test(a_higher_second_peak_ends_the_estimate),
 		cmocka_unit_test(a_release_goes_on_under_the_next_holder),
 		cmocka_unit_test(a_peak_of_half_the_fleet_releases_nothing),
+		cmocka_unit_test(
+			a_slow_platform_limits_what_an_estimate_releases),
 		cmocka_unit_test(
 			lasting_tasks_alone_release_what_three_times_as_many_leave),
 		cmocka_unit_test(
