Let orders to hosts come in bursts of the rate

Change: the times of the last orders are kept, as many as may be sent in a second; an order goes when the oldest is a second old, and a fifth of the rate may be unanswered, twelve of 64 as before.

Measured: test_host_duties 57, test_job_holder 22 passed.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -76,6 +76,7 @@
 	duties->pools = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					      duties_pool_delete);
 	duties->in_transit = g_ptr_array_new();
+	duties_init_orders(duties);
 	duties->first_order_ms = options->first_order_ms;
 	duties->restored =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -92,6 +93,7 @@
 	g_hash_table_destroy(duties->incarnations);
 	g_hash_table_destroy(duties->pools);
 	g_ptr_array_unref(duties->in_transit);
+	g_free(duties->order_rate.sent_ms);
 	wwh_pool_sizing_delete(duties->sizing);
 	wwh_fleet_reserve_delete(duties->reserve);
 	g_hash_table_destroy(duties->restored);
@@ -217,7 +219,6 @@
 	if (!duties->list_received || duties->paused ||
 	    duties->now_ms < duties->first_order_ms)
 		return;
-	duties_refill_orders(duties);
 	duties_survey(duties);
 	/* first, because waves use the host counts of pools */
 	duties_run_moves(duties);
--- a/src/libwaxwinghollow/host_moves.c
+++ b/src/libwaxwinghollow/host_moves.c
@@ -68,8 +68,9 @@
 	duties_recount_hosts(duties);
 	host->last_order_ms = duties->now_ms;
 	host->move_retry_ms = duties->now_ms + RESEND_DELAY_MS;
+	/* others use the rate of the service, too */
 	if (result == WWH_DUTY_NOT_DONE)
-		duties_order_rejected(duties);
+		duties_count_order(duties);
 	if (result != WWH_DUTY_DONE)
 		duties_log_event(duties, "move-not-done", name,
 				 "from=%s to=%s result=%s", host->pool,
--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -166,7 +166,7 @@
 		duties_end_drain(duties, host);
 		break;
 	case WWH_DUTY_NOT_DONE:
-		duties_order_rejected(duties);
+		duties_count_order(duties);
 		/* fallthrough */
 	case WWH_DUTY_BUSY:
 	case WWH_DUTY_FENCED:
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -83,11 +83,11 @@
 	int32_t empty_leaving; /* of the leaving ones, without tasks */
 };
 
-/* A token bucket, in thousandths of an order. */
+/* When the last orders were sent: as many as may be sent in a second. */
 typedef struct {
-	int64_t tokens_milli;
-	int64_t refilled_ms;
-	bool started; /* false: it is full */
+	int64_t *sent_ms;
+	int32_t count;
+	int32_t oldest; /* index */
 } host_order_rate_t;
 
 struct wwh_host_duties {
@@ -194,14 +194,12 @@
  * host_order_rate.c: orders to hosts at the rate that their service takes. In no
  * second are more sent than that.
  */
-void duties_refill_orders(wwh_host_duties_t *duties);
+void duties_init_orders(wwh_host_duties_t *duties);
 /* Returns how many orders may be sent now. */
 int32_t duties_orders_left(const wwh_host_duties_t *duties);
 /* Returns how many orders may wait for their answers. */
 int32_t duties_max_orders_in_flight(const wwh_host_duties_t *duties);
 void duties_count_order(wwh_host_duties_t *duties);
-/* The service had no room for an order: others use its rate, too. */
-void duties_order_rejected(wwh_host_duties_t *duties);
 /* The interval between lists at which their pages take half of the rate. */
 int64_t duties_list_min_interval_ms(const wwh_host_duties_t *duties);
 
