Hold moves while appends fail, not while the store is slow

Cause: a store that takes 250 ms for an append leaves records undurable for more than 0.2 s all the time, so no host was moved for as long as it was slow.

Change: moves are held only while appends fail; submissions are tried again only where the shard is handed over, not where the holder can't be reached.

--- a/src/libwaxwinghollow/job_holder_duties.c
+++ b/src/libwaxwinghollow/job_holder_duties.c
@@ -10,11 +10,11 @@
 #define DUTIES_SHARE_DIVISOR 20
 
 /*
- * No host is moved while a record is older than this without being durable. The
- * records of upstreams that ended meanwhile would be left to the next holder, which
- * waits for them. A holder that the store rejects is replaced within
- * HANDOVER_LIMIT_MS; if it isn't, the store is away for all, and pools that lack hosts
- * get them.
+ * No host is moved while appends fail and a record is older than this. The records of
+ * upstreams that ended meanwhile would be left to the next holder, which waits for
+ * them. A holder that the store rejects is replaced within HANDOVER_LIMIT_MS; if it
+ * isn't, the store is away for all, and pools that lack hosts get them. A store that is
+ * slow holds nothing.
  */
 #define MOVES_MAX_LAG_MS 200
 #define HANDOVER_LIMIT_MS 1500
@@ -73,7 +73,8 @@
 	int64_t lag_ms =
 		wwh_shard_journal_lag_ms(holder->journal, holder->now_ms);
 
-	if (lag_ms <= MOVES_MAX_LAG_MS)
+	if (lag_ms <= MOVES_MAX_LAG_MS ||
+	    !wwh_shard_journal_failing(holder->journal))
 		return WWH_HELD_NONE;
 	return lag_ms <= HANDOVER_LIMIT_MS ? WWH_HELD_MOVES : WWH_HELD_RELEASES;
 }
--- a/src/libwaxwinghollow/job_service_peer.c
+++ b/src/libwaxwinghollow/job_service_peer.c
@@ -18,7 +18,7 @@
 				  const job_request_t *request);
 static char *job_path(const job_request_t *request);
 static void on_forwarded(const wwh_http_answer_t *answer, void *data);
-static bool is_holder_unavailable(const wwh_job_answer_t *answer);
+static bool is_handed_over(const wwh_job_answer_t *answer);
 static int64_t refused_retry_s(wwh_job_service_t *service,
 			       const job_request_t *request);
 static bool read_answer(const wwh_http_answer_t *http,
@@ -162,7 +162,7 @@
 			answer.kind = WWH_JOB_ANSWER_UNKNOWN;
 			answer.why = "holder-answer-malformed";
 		}
-		if (!is_holder_unavailable(&answer))
+		if (!is_handed_over(&answer))
 			wwh_outage_update(&forward->service->holder_outage,
 					  false, job_service_now_ms());
 	} else if (http->outcome == WWH_CALL_NO_ANSWER) {
@@ -174,7 +174,7 @@
 	    (http->outcome != WWH_CALL_ANSWERED ||
 	     answer.kind == WWH_JOB_ANSWER_NOT_DONE))
 		wwh_shard_claim_refresh(forward->service->claim);
-	if (forward->request != NULL && is_holder_unavailable(&answer) &&
+	if (forward->request != NULL && is_handed_over(&answer) &&
 	    job_service_retry_soon(forward->service, forward->request)) {
 		g_hash_table_remove(forward->service->forwards, forward);
 		return;
@@ -188,13 +188,12 @@
 }
 
 /*
- * Whether the request certainly had no effect because the holder is gone, or hands the
- * shard over.
+ * Whether the request certainly had no effect because the shard is handed over. A
+ * holder that can't be reached is replaced only after a second and more.
  */
-static bool is_holder_unavailable(const wwh_job_answer_t *answer)
+static bool is_handed_over(const wwh_job_answer_t *answer)
 {
 	static const char *const reasons[] = { "no-holder",
-					       "holder-unreachable",
 					       WWH_JOB_WHY_HANDING_OVER, NULL };
 
 	return answer->kind == WWH_JOB_ANSWER_NOT_DONE &&
