--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -59,6 +59,8 @@
 	wwh_fleet_hosts_t hosts;
 	int32_t desired; /* sum of the last update */
 	int32_t next_desired; /* sum of the pools added since */
+	int32_t minimum; /* the same two for lasting tasks */
+	int32_t next_minimum;
 	int32_t peak;
 	bool updated;
 	bool interrupted;
@@ -131,6 +133,7 @@
 	}
 	pool->excess = MAX(0, desired - minimum);
 	reserve->next_desired += desired;
+	reserve->next_minimum += minimum;
 }
 
 void wwh_fleet_reserve_update(wwh_fleet_reserve_t *reserve,
@@ -140,6 +143,8 @@
 	reserve->hosts = *hosts;
 	reserve->desired = reserve->next_desired;
 	reserve->next_desired = 0;
+	reserve->minimum = reserve->next_minimum;
+	reserve->next_minimum = 0;
 	record_sum(reserve);
 	track_growth(reserve);
 	track_busiest(reserve);
@@ -292,8 +297,9 @@
 }
 
 /*
- * Without a busiest pool no peak was seen, only lasting tasks; a fleet that has served
- * nothing yet tells nothing. An estimate stays: a higher peak raises it.
+ * Without a busiest pool no peak was seen, only lasting tasks; a fleet that has no task
+ * yet tells nothing, although each pool desires a host. An estimate stays: a higher
+ * peak raises it.
  */
 static void track_growth(wwh_fleet_reserve_t *reserve)
 {
@@ -302,7 +308,7 @@
 	if (reserve->peak > reserve->settled_peak + allowed) {
 		reserve->settled_peak = reserve->peak;
 		reserve->settled_since_ms = reserve->observed_ms;
-	} else if (reserve->peak > 0 &&
+	} else if ((reserve->minimum > 0 || reserve->busiest != NULL) &&
 		   reserve->observed_ms - reserve->settled_since_ms >=
 			   PEAK_SETTLED_MS) {
 		reserve->has_idle_estimate = true;
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -137,6 +137,13 @@
 	replay_run("slow-platform.txt");
 }
 
+/* Guards against releasing the hosts that the first tasks are about to need. */
+static void a_fleet_without_a_task_releases_nothing(void **state)
+{
+	(void)state;
+	replay_run("no-task-yet.txt");
+}
+
 static void update(wwh_fleet_reserve_t *reserve, int32_t desired,
 		   const wwh_fleet_hosts_t *hosts, int64_t now_ms)
 {
@@ -280,6 +287,7 @@
 		cmocka_unit_test(a_higher_second_peak_ends_the_estimate),
 		cmocka_unit_test(a_release_goes_on_under_the_next_holder),
 		cmocka_unit_test(a_peak_of_half_the_fleet_releases_nothing),
+		cmocka_unit_test(a_fleet_without_a_task_releases_nothing),
 		cmocka_unit_test(
 			a_slow_platform_limits_what_an_estimate_releases),
 		cmocka_unit_test(
