--- a/include/waxwinghollow/fleet_reserve.h
+++ b/include/waxwinghollow/fleet_reserve.h
@@ -16,10 +16,11 @@
  *	the second time, with another one in between, or for the whole window)
  *	the later peaks aren't known. Once one peak has reached its height, the
  *	reserve is estimated as a multiple of it, and before that as a larger
- *	multiple of what lasting tasks need, once they are there; a call from standby shows that
- *	the estimate was too low, and ends the releases until the cycle is
- *	known. By an estimate only as many hosts are released as can be called
- *	back in some seconds. Time that the owner didn't observe isn't counted.
+ *	multiple of what lasting tasks need, once there are some. A call from
+ *	standby shows that the estimate was too low, and ends the releases
+ *	until the cycle is known. By an estimate only as many hosts are released
+ *	as can be called back in some seconds. Time that the owner didn't
+ *	observe isn't counted.
  *
  *	What was observed can be kept in a record and restored by the next
  *	owner, which then needs no window of its own.
--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -17,8 +17,8 @@
  *
  * ORDER OF CALLS
  *	wwh_host_duties_new; wwh_host_duties_restore and
- *	wwh_host_duties_restore_reserve for each stored record; then events in any order, followed by wwh_host_duties_run;
- *	wwh_host_duties_delete.
+ *	wwh_host_duties_restore_reserve for each stored record; then events in
+ *	any order, followed by wwh_host_duties_run; wwh_host_duties_delete.
  */
 
 #include <glib.h>
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -4,9 +4,10 @@
 /*
  * State and functions shared by host_duties (lists), host_waves (upkeep),
  * host_moves (moves), host_surplus (which hosts leave their pools), host_reserve
- * (what the fleet keeps powered on) with its record, host_survey (one pass over all hosts) and
- * host_arrivals (hosts on their way to a pool). host_duties calls host_waves and
- * host_moves, which calls the others; none of them calls wwh_host_duties_run.
+ * (what the fleet keeps powered on) with its record, host_survey (one pass over
+ * all hosts) and host_arrivals (hosts on their way to a pool). host_duties calls
+ * host_waves and host_moves, which calls the others; none of them calls
+ * wwh_host_duties_run.
  */
 
 #include "waxwinghollow/fleet_reserve.h"
