--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -171,9 +171,9 @@
 }
 
 /*
- * Iterates backwards, as upstreams may be removed meanwhile. Runs do neither
- * unsettle nor cordon an upstream, so what the other scans of this pass look for
- * is known from this one.
+ * Iterates backwards, as upstreams may be removed meanwhile. Starting and ending
+ * runs neither unsettles nor cordons an upstream, so the other scans of this pass
+ * use what this one finds.
  */
 void sched_upstreams_run(wwh_scheduler_t *scheduler)
 {
