Hand on no peak that the reserve has not seen

Cause: before the first peak the reserve is estimated by lasting tasks, and the record said only that there was an estimate. A record from the future was in force, and a damaged one could hold releases for ever.

Change: an estimate by lasting tasks isn't recorded; a record's age counts in both directions, and its cycle is at most the window. fuzz_records restores reserves, too.

--- a/src/bench/bench_scale.c
+++ b/src/bench/bench_scale.c
@@ -108,7 +108,7 @@
 		.id = id,
 		.endpoint = endpoint,
 		.pool = pool,
-		.zone = "hall-a",
+		.zone = "zone-a",
 		.rack = rack,
 		.labels = labels,
 		.size = { 32000, 131072, 0 },
--- a/src/libwaxwinghollow/fleet_reserve.c
+++ b/src/libwaxwinghollow/fleet_reserve.c
@@ -210,12 +210,13 @@
 					       : reserve->options.window_ms);
 }
 
+/* What lasting tasks need is no peak, so an estimate by it isn't handed on. */
 wwh_fleet_reserve_knowledge_t
 wwh_fleet_reserve_knowledge(const wwh_fleet_reserve_t *reserve)
 {
 	wwh_fleet_reserve_knowledge_t knowledge = {
 		.whole_cycle = whole_cycle(reserve),
-		.estimated = is_estimated(reserve),
+		.estimated = reserve->has_estimate && is_estimated(reserve),
 		.cycle_ms = reserve->cycle_ms,
 		.peak = reserve->peak,
 	};
--- a/src/libwaxwinghollow/host_reserve_record.c
+++ b/src/libwaxwinghollow/host_reserve_record.c
@@ -75,7 +75,8 @@
 
 /*
  * A record that is older than the window tells of a load that may have changed,
- * so this holder observes a window of its own.
+ * so this holder observes a window of its own. The same holds for one from the
+ * future, whose age isn't known.
  */
 bool wwh_host_duties_restore_reserve(wwh_host_duties_t *duties,
 				     const uint8_t *value, size_t size,
@@ -94,11 +95,14 @@
 		msgpack_unpacked_destroy(&unpacked);
 	}
 	if (!ok) {
-		wwh_message_set(message, "expected %d numbers, none below 0",
-				RECORD_FIELDS);
+		wwh_message_set(
+			message,
+			"expected %d numbers, none below 0, and a cycle "
+			"of at most %d ms",
+			RECORD_FIELDS, WWH_STANDBY_DELAY_MS);
 		return false;
 	}
-	if (duties->options.wall_ms - wall_ms <= WWH_STANDBY_DELAY_MS) {
+	if (ABS(duties->options.wall_ms - wall_ms) <= WWH_STANDBY_DELAY_MS) {
 		wwh_fleet_reserve_restore(duties->reserve, &knowledge);
 		duties->written_reserve = knowledge;
 		duties_log_event(
@@ -120,6 +124,8 @@
 		if (number_at(object, i) < 0)
 			return false;
 	}
+	if (number_at(object, 3) > WWH_STANDBY_DELAY_MS)
+		return false;
 	*wall_ms = number_at(object, 0);
 	knowledge->whole_cycle = number_at(object, 1) != 0;
 	knowledge->estimated = number_at(object, 2) != 0;
--- a/src/test_fleet_reserve/test_fleet_reserve.c
+++ b/src/test_fleet_reserve/test_fleet_reserve.c
@@ -107,6 +107,13 @@
 	replay_run("hand-over-in-release.txt");
 }
 
+/* Guards against lasting tasks that the next holder takes for a whole peak. */
+static void a_hand_over_before_the_peak_hands_on_no_peak(void **state)
+{
+	(void)state;
+	replay_run("hand-over-before-the-peak.txt");
+}
+
 /* Guards against an estimate that releases what the next peak needs. */
 static void a_peak_of_half_the_fleet_releases_nothing(void **state)
 {
@@ -286,6 +293,7 @@
 		cmocka_unit_test(a_large_fleet_releases_after_its_first_peak),
 		cmocka_unit_test(a_higher_second_peak_ends_the_estimate),
 		cmocka_unit_test(a_release_goes_on_under_the_next_holder),
+		cmocka_unit_test(a_hand_over_before_the_peak_hands_on_no_peak),
 		cmocka_unit_test(a_peak_of_half_the_fleet_releases_nothing),
 		cmocka_unit_test(a_fleet_without_a_task_releases_nothing),
 		cmocka_unit_test(
--- a/src/test_fuzz/fuzz_records.c
+++ b/src/test_fuzz/fuzz_records.c
@@ -1,7 +1,8 @@
 /*
  * Records that a holder begins with, of which another writer may have changed
  * any: the first byte chooses the kind, the rest is the record's value. No
- * value makes the holder crash, or start a task of a job that it can't read.
+ * value makes the holder crash, start a task of a job that it can't read, or
+ * order hosts that it hasn't listed.
  */
 
 #include <assert.h>
@@ -13,6 +14,9 @@
 #define NOW_MS 100000
 #define WALL_MS INT64_C(1790000000000)
 
+/* From this first byte on the record is that of the reserve of hosts. */
+#define FIRST_RESERVE_BYTE 0xc0
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static void on_start(const wwh_start_order_t *order, void *client_data)
@@ -132,6 +136,66 @@
 	}
 }
 
+static void on_list(void *client_data)
+{
+	(void)client_data;
+}
+
+static void on_upkeep(const char *host, int64_t wave, void *client_data)
+{
+	(void)host;
+	(void)wave;
+	(void)client_data;
+	assert(false);
+}
+
+static void on_move(const char *host, const char *pool, void *client_data)
+{
+	(void)host;
+	(void)pool;
+	(void)client_data;
+	assert(false);
+}
+
+static void on_report(const wwh_wave_order_t *order, bool completed,
+		      void *client_data)
+{
+	(void)order;
+	(void)completed;
+	(void)client_data;
+}
+
+/* No host is listed, so none may be ordered, whatever the reserve says. */
+static void restore_reserve(wwh_scheduler_t *scheduler, const uint8_t *value,
+			    size_t size)
+{
+	wwh_host_duties_options_t options = {
+		.upkeep_ms = 2000,
+		.move_ms = 1500,
+		.wall_ms = WALL_MS,
+		.wall_offset_ms = WALL_MS - NOW_MS,
+		.scheduler = scheduler,
+	};
+	wwh_host_duties_calls_t calls = {
+		.list = on_list,
+		.upkeep = on_upkeep,
+		.move = on_move,
+		.report = on_report,
+		.write_record = on_keep,
+		.explain = on_explain,
+	};
+	wwh_host_duties_t *duties = wwh_host_duties_new(&options, &calls);
+	wwh_message_t message = { "" };
+
+	wwh_host_duties_set_pool(duties, "p", false);
+	wwh_host_duties_set_pool(duties, "standby", true);
+	if (!wwh_host_duties_restore_reserve(duties, value, size, &message))
+		assert(message.text[0] != '\0');
+	for (int32_t i = 1; i < 5; i++)
+		wwh_host_duties_run(duties, NOW_MS + i * INT64_C(6000));
+	wwh_host_duties_delete(duties);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static const wwh_scheduler_record_kind_t kinds[] = {
@@ -164,6 +228,12 @@
 	/* a copy of the very size, so that a read beyond it is seen */
 	value = g_memdup2(data + 1, size - 1);
 	scheduler = wwh_scheduler_new(&options, &calls);
+	if (data[0] >= FIRST_RESERVE_BYTE) {
+		restore_reserve(scheduler, value, size - 1);
+		wwh_scheduler_delete(scheduler);
+		g_free(value);
+		return 0;
+	}
 	if (kind != WWH_SCHEDULER_RECORD_JOB)
 		restore_bytes(
 			scheduler, WWH_SCHEDULER_RECORD_JOB,
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -388,6 +388,9 @@
 			a_new_holder_restores_the_reserve, set_up, tear_down), \
 		cmocka_unit_test_setup_teardown(                               \
 			an_old_reserve_is_observed_anew, set_up, tear_down),   \
+		cmocka_unit_test_setup_teardown(                               \
+			a_reserve_from_the_future_is_observed_anew, set_up,    \
+			tear_down),                                            \
 		cmocka_unit_test_setup_teardown(                               \
 			an_unreadable_reserve_is_observed_anew, set_up,        \
 			tear_down),                                            \
@@ -417,6 +420,7 @@
 void a_new_holder_releases_nothing_at_first(void **state);
 void a_new_holder_restores_the_reserve(void **state);
 void an_old_reserve_is_observed_anew(void **state);
+void a_reserve_from_the_future_is_observed_anew(void **state);
 void an_unreadable_reserve_is_observed_anew(void **state);
 void held_moves_are_not_ordered(void **state);
 void a_move_ends_the_upstream_of_its_host(void **state);
--- a/src/test_host_duties/test_reserve.c
+++ b/src/test_host_duties/test_reserve.c
@@ -315,11 +315,30 @@
 	assert_int_equal(fixture->moves->len, 1);
 }
 
+/* Guards against a record that is in force for ever, as its writer's clock is ahead. */
+void a_reserve_from_the_future_is_observed_anew(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	observe_window(fixture);
+	take_over_after(fixture, 1000);
+	fixture->options.wall_ms -= 2 * WWH_STANDBY_DELAY_MS;
+	duties_fixture_take_over(fixture);
+	wwh_host_duties_set_pool(fixture->duties, SCHED_FIXTURE_POOL, false);
+	wwh_host_duties_set_pool(fixture->duties, "standby", true);
+	assert_true(duties_fixture_restore_reserve(fixture));
+	settle_and_list(fixture);
+	assert_false(wwh_host_duties_reserve(fixture->duties).whole_cycle);
+}
+
 /* Guards against a holder that acts by a record that another writer damaged. */
 void an_unreadable_reserve_is_observed_anew(void **state)
 {
 	static const uint8_t negative_peak[] = { 0x95, 1, 1, 1, 0, 0xff };
 	static const uint8_t too_short[] = { 0x93, 1, 1, 1 };
+	/* longer than any cycle that is looked for */
+	static const uint8_t long_cycle[] = { 0x95, 1,	  1,	0,    0xce,
+					      0xff, 0xff, 0xff, 0xff, 9 };
 	static const uint8_t no_list[] = { 0xa1, 'x' };
 	duties_fixture_t *fixture = *state;
 	wwh_message_t message = { "" };
@@ -331,6 +350,8 @@
 		fixture->duties, too_short, sizeof(too_short), &message));
 	assert_false(wwh_host_duties_restore_reserve(
 		fixture->duties, no_list, sizeof(no_list), &message));
+	assert_false(wwh_host_duties_restore_reserve(
+		fixture->duties, long_cycle, sizeof(long_cycle), &message));
 	assert_true(strlen(message.text) > 0);
 	observe_window(fixture);
 }
