Name the loads of the holder's new parts

Cause: the private headers named no load, and one said that the counts of a pool come from a call that no longer makes them.

--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -132,8 +132,8 @@
 duty_host_t *duties_get_host(wwh_host_duties_t *duties, const char *name);
 void duties_host_delete(gpointer host);
 /*
- * Returns NULL if there is no such pool. The host counts are those of the last
- * call of duties_run_moves.
+ * Returns NULL if there is no such pool. Its hosts are those of the last
+ * survey.
  */
 duty_pool_t *duties_find_pool(const wwh_host_duties_t *duties,
 			      const char *name);
@@ -156,6 +156,10 @@
  * host_survey.c: looks at each host once. All other decisions of a run use what
  * was found, so that a run costs one pass over the hosts however many decisions
  * there are.
+ *
+ * LOAD
+ *	Thousands of hosts, and hundreds of pools that each ask for their share
+ *	of them.
  */
 void duties_survey(wwh_host_duties_t *duties);
 
@@ -174,6 +178,9 @@
 /*
  * host_surplus.c: selects the hosts of each pool that it doesn't want, or
  * retains them if it wants them again.
+ *
+ * LOAD
+ *	A peak that ends leaves thousands of surplus hosts in one run.
  */
 void duties_select_surplus(wwh_host_duties_t *duties);
 
@@ -186,7 +193,13 @@
 
 /* host_reserve.c; called when the surplus hosts have been selected. */
 void duties_update_reserve(wwh_host_duties_t *duties);
-/* host_reserve_record.c: writes what the next holder should know. */
+/*
+ * host_reserve_record.c: writes what the next holder should know.
+ *
+ * LOAD
+ *	Holders that change more often than a whole cycle of the demand is
+ *	observed.
+ */
 void duties_write_reserve(wwh_host_duties_t *duties);
 /* A list, or an order to move, changed what the reserve counts. */
 void duties_recount_hosts(wwh_host_duties_t *duties);
@@ -194,6 +207,10 @@
 /*
  * host_order_rate.c: orders to hosts at the rate that their service takes. In no
  * second are more sent than that.
+ *
+ * LOAD
+ *	Thousands of moves that are due at once, to a service that takes tens
+ *	or hundreds of orders a second.
  */
 void duties_init_orders(wwh_host_duties_t *duties);
 /* Returns how many orders may be sent now. */
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -151,7 +151,13 @@
 void job_holder_clear_reserve_gauges(wwh_job_holder_t *holder);
 void job_holder_dump_reserve(const wwh_job_holder_t *holder, GString *out);
 
-/* job_holder_duties.c: when the host duties run, and which moves they hold */
+/*
+ * job_holder_duties.c: how often the host duties run, and whether they may move hosts
+ *
+ * LOAD
+ *	A fleet whose duties take as long as the interval between two runs; a
+ *	store that fails while many hosts move.
+ */
 void job_holder_make_duties(wwh_job_holder_t *holder);
 void job_holder_run_duties(wwh_job_holder_t *holder);
 
--- a/src/libwaxwinghollow/include/private/job_service_state.h
+++ b/src/libwaxwinghollow/include/private/job_service_state.h
@@ -217,8 +217,12 @@
 			 wwh_http_response_t *response, void *client_data);
 
 /*
- * job_service_retry.c: submissions that certainly weren't accepted while the holder
- * changes. Returns false if the request is to be refused now.
+ * job_service_retry.c: tries submissions again that certainly weren't accepted while
+ * the holder changes. job_service_retry_soon returns false if the request is to be
+ * refused now.
+ *
+ * LOAD
+ *	All submissions of the second in which a holder hands over.
  */
 bool job_service_retry_soon(wwh_job_service_t *service, job_request_t *request);
 void job_service_run_retries(wwh_job_service_t *service, int64_t now_ms);
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -626,7 +626,12 @@
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message);
 
-/* scheduler_index.c: the order of passes, and the upstreams at an endpoint */
+/*
+ * scheduler_index.c: which upstreams a pass examines, and the upstreams at an endpoint
+ *
+ * LOAD
+ *	Thousands of upstreams, of which a pass concerns a few.
+ */
 void sched_run_order_add(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 void sched_run_order_remove(wwh_scheduler_t *scheduler,
