review: case 2, two claims at once leave the shard without a holder

Two processes that claim in the same moment under a slow store leave one of them waiting for its own claim; once the other one is removed, nobody claims.

--- a/review/standins/case_claims.c
+++ b/review/standins/case_claims.c
@@ -1,8 +1,8 @@
 /*
- * While the store is slow, the process that leads is killed and starts again at
- * once. Both it and the process that the group names claim the shard. Later the
- * one that leads is removed for good (SIGTERM): the jobs that were accepted have to
- * be known, and new ones have to be taken, at the machines that are left.
+ * While the store is slow, all processes are killed at once and start again. Both
+ * the one that led and the one that the group names claim the shard. Later the one
+ * that leads is removed for good (SIGTERM): the jobs that were accepted have to be
+ * known, and new ones have to be taken, at the machines that are left.
  *
  * It depends on the order of two claims whether one process is left behind. So the
  * same is done again, with the removed machine back, until the time is over.
@@ -18,12 +18,14 @@
 #define TASK_MS 500
 #define SLOW_MS 160 /* 40 times as long as the 4 ms of an answer */
 #define KILL_MS 300
-#define SLOW_FOR_MS 2500
-#define CALM_MS 3500 /* contactMs and a little, before the planned work */
+#define RESTART_MS 300 /* after the kill; the others a little later */
+#define SLOW_FOR_MS 3000
+#define CALM_MS 1000
 #define ASK_EVERY_MS 250
 #define RECOVER_MS 12000
-#define FINISH_MS 14000
-#define LAST_ATTEMPT_MS 92000
+#define PRESS_MS 14000
+#define FINISH_MS 14000 /* finish_s, after the end of the traffic */
+#define LAST_ATTEMPT_MS 76000
 
 static bool trouble;
 static int32_t ready;
@@ -133,9 +135,10 @@
 	(void)data;
 	if (!watching)
 		return;
-	if (since > FINISH_MS) {
+	if (since > PRESS_MS) {
 		watching = false;
-		ask_states(GINT_TO_POINTER(5));
+		world_record("the traffic ends");
+		world_after(FINISH_MS, ask_states, GINT_TO_POINTER(5));
 		return;
 	}
 	late_asked += late;
@@ -153,9 +156,9 @@
 	}
 	removed_ms = world_now_ms();
 	watching = true;
-	world_record("attempt %d: %s leads, the group names process %d; it is "
-		     "removed",
-		     attempt, "one process", world_assigned() + 1);
+	world_record("attempt %d: process %d leads and is removed, the group "
+		     "names process %d",
+		     attempt, removed + 1, world_assigned() + 1);
 	world_signal_proc(removed, SIGTERM);
 	world_after(ASK_EVERY_MS, press, NULL);
 }
@@ -173,17 +176,24 @@
 	world_start_proc(GPOINTER_TO_INT(data));
 }
 
-static void kill_holder(void *data)
+static void kill_all(void *data)
 {
 	int32_t holder = world_holder();
+	int32_t assigned = world_assigned();
 
 	(void)data;
 	if (holder < 0) {
 		world_finish(2);
 		return;
 	}
-	world_signal_proc(holder, SIGKILL);
-	world_after(20 + 30 * (attempt % 3), restart, GINT_TO_POINTER(holder));
+	for (int32_t i = 0; i < PROCS; i++)
+		world_signal_proc(i, SIGKILL);
+	/* in any order, as on the platform: here the one that led comes last */
+	for (int32_t i = 0; i < PROCS; i++)
+		world_after(RESTART_MS + (i == holder	   ? 120
+					  : i == assigned ? 0
+							  : 30),
+			    restart, GINT_TO_POINTER(i));
 }
 
 static void begin_attempt(void *data)
@@ -195,7 +205,7 @@
 	submit(other_proc(-1, attempt), NULL, NULL);
 	if (trouble) {
 		world_set_store_delay(SLOW_MS);
-		world_after(KILL_MS, kill_holder, NULL);
+		world_after(KILL_MS, kill_all, NULL);
 	}
 	world_after(SLOW_FOR_MS, end_slow, NULL);
 }
--- a/review/standins/world.c
+++ b/review/standins/world.c
@@ -296,8 +296,10 @@
 	return part;
 }
 
-static void answer_read(reader_t *reader)
+/* The answer holds what is there when it leaves. */
+static void answer_read(void *data)
 {
+	reader_t *reader = data;
 	struct evbuffer *body = evbuffer_new();
 	uint64_t head[2] = { GUINT64_TO_BE(reader->part->records->len), 0 };
 	int64_t bytes = 0;
@@ -321,8 +323,8 @@
 			evbuffer_add(body, data, size);
 		bytes += 5 + key_size + (int64_t)size;
 	}
-	answer_after(reader->request, 200, "application/octet-stream", body,
-		     world.store_delay_ms);
+	send_answer(reader->request, 200, "application/octet-stream", body);
+	g_free(reader);
 }
 
 static void serve_readers(void)
@@ -336,8 +338,10 @@
 			continue;
 		}
 		g_ptr_array_remove_index(world.readers, i);
-		answer_read(reader);
-		g_free(reader);
+		if (world.store_delay_ms > 0)
+			world_after(world.store_delay_ms, answer_read, reader);
+		else
+			answer_read(reader);
 	}
 }
 
@@ -415,7 +419,7 @@
 	g_string_append_printf(text, "],\"truncated\":%s,\"end\":%u}",
 			       truncated ? "true" : "false",
 			       part->records->len);
-	answer_text(request, 200, text->str, world.store_delay_ms);
+	answer_text(request, 200, text->str, 0);
 	g_string_free(text, TRUE);
 	g_ptr_array_free(list, TRUE);
 	g_hash_table_destroy(offsets);
@@ -447,16 +451,14 @@
 					    producer);
 		}
 		if (epoch < producer->epoch) {
-			answer_text(request, 409, "{\"reason\":\"fenced\"}",
-				    world.store_delay_ms);
+			answer_text(request, 409, "{\"reason\":\"fenced\"}", 0);
 			return;
 		}
 		for (int32_t i = 0; i < REPEATS && epoch == producer->epoch;
 		     i++) {
 			if (producer->answers[i] != NULL &&
 			    producer->sequences[i] == sequence) {
-				answer_text(request, 200, producer->answers[i],
-					    world.store_delay_ms);
+				answer_text(request, 200, producer->answers[i], 0);
 				return;
 			}
 		}
@@ -467,7 +469,7 @@
 				"}",
 				producer->sequence + 1);
 
-			answer_text(request, 409, text, world.store_delay_ms);
+			answer_text(request, 409, text, 0);
 			g_free(text);
 			return;
 		}
@@ -499,7 +501,7 @@
 		producer->sequences[producer->next] = sequence;
 		producer->next = (producer->next + 1) % REPEATS;
 	}
-	answer_text(request, 200, answer, world.store_delay_ms);
+	answer_text(request, 200, answer, 0);
 	g_free(answer);
 	serve_readers();
 }
@@ -629,7 +631,7 @@
 		first = false;
 	}
 	g_string_append(text, "]}");
-	answer_text(request, 200, text->str, world.store_delay_ms);
+	answer_text(request, 200, text->str, 0);
 	g_string_free(text, TRUE);
 	g_object_unref(parser);
 }
@@ -645,7 +647,7 @@
 		world.generation++;
 		deal_parts();
 	}
-	answer_text(request, 200, "{}", world.store_delay_ms);
+	answer_text(request, 200, "{}", 0);
 	g_object_unref(parser);
 }
 
@@ -687,8 +689,9 @@
 	return -1;
 }
 
-static void on_store(struct evhttp_request *request, void *data)
+static void serve_store(void *data)
 {
+	struct evhttp_request *request = data;
 	const char *uri = evhttp_request_get_uri(request);
 	char *path = g_strndup(uri, strcspn(uri, "?"));
 	const char *question = strchr(uri, '?');
@@ -696,7 +699,6 @@
 	const char *topic;
 	const char *number;
 
-	(void)data;
 	evhttp_parse_query_str(question == NULL ? "" : question + 1, &query);
 	topic = evhttp_find_header(&query, "topic");
 	number = evhttp_find_header(&query, "part");
@@ -736,6 +738,20 @@
 	g_free(path);
 }
 
+/* A call waits first and is then served and answered at once, but for reads. */
+static void on_store(struct evhttp_request *request, void *data)
+{
+	bool waits = !g_str_has_prefix(evhttp_request_get_uri(request),
+				       "/waxwinghollow/log-read") &&
+		     world.store_delay_ms > 0;
+
+	(void)data;
+	if (waits)
+		world_after(world.store_delay_ms, serve_store, request);
+	else
+		serve_store(request);
+}
+
 void world_set_store_delay(int64_t ms)
 {
 	world.store_delay_ms = ms;
