--- a/review/standins/case_timed.c
+++ b/review/standins/case_timed.c
@@ -1,6 +1,7 @@
 /*
- * A job that runs at set times; the process that leads is stopped and started again
- * (SIGTERM) while the tasks of one time are at work. A plain job with the same steps is beside it.
+ * A job that runs at two set times. Each time the process that leads is stopped and
+ * started again (SIGTERM) while the tasks of that time are at work: at first in their
+ * middle, then when they are nearly done. A plain job with the same step is beside it.
  */
 #include <signal.h>
 #include <stdlib.h>
@@ -17,12 +18,13 @@
 #define FIRST_AFTER_MS 5000
 #define INTERVAL_MS 8000
 #define TIMES 2
-#define STOP_AFTER_MS 1000
+#define STOP_AFTER_MS 1000 /* the first time is in the middle of its tasks */
+#define LATE_STOP_AFTER_MS 2900 /* the second one's tasks are nearly done */
 #define RESTART_MS 500
-#define END_MS 22000
+#define END_MS 26000
 
 static bool trouble;
-static bool stopped;
+static int32_t stops;
 static int32_t ready;
 static int32_t accepted;
 
@@ -30,15 +32,20 @@
 {
 	int32_t twice = world_check_twice();
 	int32_t timed = 0;
+	int32_t done = 0;
 
 	(void)data;
 	for (guint i = 0; i < world_runs()->len; i++) {
 		const world_run_t *run = g_ptr_array_index(world_runs(), i);
 
-		timed += strncmp(run->task, TIMED_ID, strlen(TIMED_ID)) == 0;
+		if (strncmp(run->task, TIMED_ID, strlen(TIMED_ID)) != 0)
+			continue;
+		timed++;
+		done += g_strcmp0(run->how, "done") == 0;
 	}
-	world_record("check TWICE: %d pairs; %d runs of the timed job, 8 tasks",
-		     twice, timed);
+	world_record("check TWICE: %d pairs; %d runs of the timed job's 8 tasks, "
+		     "%d of them done",
+		     twice, timed, done);
 	if (accepted < 2 || timed < 8)
 		world_finish(2);
 	else
@@ -71,11 +78,14 @@
 
 static void on_start(const world_run_t *run)
 {
-	if (!trouble || stopped ||
+	int32_t occurrence = run->task[strlen(TIMED_ID) + 1] - '0';
+
+	if (!trouble || occurrence != stops ||
 	    strncmp(run->task, TIMED_ID, strlen(TIMED_ID)) != 0)
 		return;
-	stopped = true;
-	world_after(STOP_AFTER_MS, stop_holder, NULL);
+	stops++;
+	world_after(occurrence == 0 ? STOP_AFTER_MS : LATE_STOP_AFTER_MS,
+		    stop_holder, NULL);
 }
 
 static void on_accepted(int32_t status, const char *body, void *data)
