--- a/review/standins/case_claims.c
+++ b/review/standins/case_claims.c
@@ -84,11 +84,13 @@
 static void judge(void *data)
 {
 	(void)data;
-	world_record("check RECOVER: later than 12 s after the removal %d calls, "
-		     "%d served",
-		     late_asked, late_served);
-	world_record("check LOST: asked %d times for an accepted job, %d answers",
-		     states_asked, states_answered);
+	world_record(
+		"check RECOVER: later than 12 s after the removal %d calls, "
+		"%d served",
+		late_asked, late_served);
+	world_record(
+		"check LOST: asked %d times for an accepted job, %d answers",
+		states_asked, states_answered);
 	world_finish(states_answered == 0 && late_served * 4 < late_asked ? 1
 									  : 0);
 }
@@ -190,7 +192,7 @@
 		world_signal_proc(i, SIGKILL);
 	/* in any order, as on the platform: here the one that led comes last */
 	for (int32_t i = 0; i < PROCS; i++)
-		world_after(RESTART_MS + (i == holder	   ? 120
+		world_after(RESTART_MS + (i == holder	  ? 120
 					  : i == assigned ? 0
 							  : 30),
 			    restart, GINT_TO_POINTER(i));
--- a/review/standins/case_timed.c
+++ b/review/standins/case_timed.c
@@ -43,9 +43,10 @@
 		timed++;
 		done += g_strcmp0(run->how, "done") == 0;
 	}
-	world_record("check TWICE: %d pairs; %d runs of the timed job's 8 tasks, "
-		     "%d of them done",
-		     twice, timed, done);
+	world_record(
+		"check TWICE: %d pairs; %d runs of the timed job's 8 tasks, "
+		"%d of them done",
+		twice, timed, done);
 	if (accepted < 2 || timed < 8)
 		world_finish(2);
 	else
@@ -98,10 +99,11 @@
 static void submit(const char *id, const char *times)
 {
 	char *path = g_strconcat(WORLD_PREFIX, id, NULL);
-	char *body = g_strdup_printf(
-		"{\"spec\":\"work of %s\",\"phases\":[{\"count\":4,\"cpu\":1000,"
-		"\"memMb\":256,\"estimateMs\":%d}]%s}",
-		id, TASK_MS, times);
+	char *body =
+		g_strdup_printf("{\"spec\":\"work of "
+				"%s\",\"phases\":[{\"count\":4,\"cpu\":1000,"
+				"\"memMb\":256,\"estimateMs\":%d}]%s}",
+				id, TASK_MS, times);
 
 	world_call(1, "POST", path, body, on_accepted, NULL);
 	g_free(body);
@@ -117,9 +119,10 @@
 static void submit_timed(void)
 {
 	int64_t first = world_wall_ms() + FIRST_AFTER_MS;
-	char *times = g_strdup_printf(",\"repeatCount\":%d,\"firstMs\":%" G_GINT64_FORMAT
-				      ",\"intervalMs\":%d",
-				      TIMES, first, INTERVAL_MS);
+	char *times = g_strdup_printf(
+		",\"repeatCount\":%d,\"firstMs\":%" G_GINT64_FORMAT
+		",\"intervalMs\":%d",
+		TIMES, first, INTERVAL_MS);
 
 	submit(TIMED_ID, times);
 	g_free(times);
--- a/review/standins/world.c
+++ b/review/standins/world.c
@@ -309,10 +309,10 @@
 	     i < reader->part->records->len && bytes < reader->max_bytes; i++) {
 		record_t *record = g_ptr_array_index(reader->part->records, i);
 		gsize size = 0;
-		const void *data = record->value == NULL
-					   ? NULL
-					   : g_bytes_get_data(record->value,
-							      &size);
+		const void *data =
+			record->value == NULL
+				? NULL
+				: g_bytes_get_data(record->value, &size);
 		uint8_t key_size = (uint8_t)strlen(record->key);
 		uint32_t total = GUINT32_TO_BE((uint32_t)(1 + key_size + size));
 
@@ -411,7 +411,8 @@
 		}
 		value = g_base64_encode(data, size);
 		g_string_append_printf(
-			text, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}",
+			text,
+			"%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%u}",
 			rows++ > 0 ? "," : "", record->key, value,
 			GPOINTER_TO_UINT(g_hash_table_lookup(offsets, record)));
 		g_free(value);
@@ -439,10 +440,10 @@
 	char *answer;
 
 	if (name != NULL) {
-		epoch = g_ascii_strtoll(evhttp_find_header(query, "epoch"), NULL,
-					10);
-		sequence = g_ascii_strtoll(evhttp_find_header(query, "sequence"),
-					   NULL, 10);
+		epoch = g_ascii_strtoll(evhttp_find_header(query, "epoch"),
+					NULL, 10);
+		sequence = g_ascii_strtoll(
+			evhttp_find_header(query, "sequence"), NULL, 10);
 		producer = g_hash_table_lookup(part->producers, name);
 		if (producer == NULL) {
 			producer = g_new0(producer_t, 1);
@@ -458,15 +459,16 @@
 		     i++) {
 			if (producer->answers[i] != NULL &&
 			    producer->sequences[i] == sequence) {
-				answer_text(request, 200, producer->answers[i], 0);
+				answer_text(request, 200, producer->answers[i],
+					    0);
 				return;
 			}
 		}
 		if (epoch == producer->epoch &&
 		    sequence != producer->sequence + 1) {
 			char *text = g_strdup_printf(
-				"{\"reason\":\"seq\",\"expected\":%" G_GINT64_FORMAT
-				"}",
+				"{\"reason\":\"seq\",\"expected\":"
+				"%" G_GINT64_FORMAT "}",
 				producer->sequence + 1);
 
 			answer_text(request, 409, text, 0);
@@ -725,10 +727,9 @@
 		reader->until_ms =
 			world_now_ms() +
 			(wait == NULL ? 0 : g_ascii_strtoll(wait, NULL, 10));
-		reader->max_bytes = 1024 * (most == NULL
-						    ? 1024
-						    : g_ascii_strtoll(most, NULL,
-								      10));
+		reader->max_bytes =
+			1024 *
+			(most == NULL ? 1024 : g_ascii_strtoll(most, NULL, 10));
 		g_ptr_array_add(world.readers, reader);
 		serve_readers();
 	} else {
@@ -805,8 +806,9 @@
 		":%d\",\"zone\":\"hall-a\",\"version\":\"v1\",\"slots\":8,"
 		"\"state\":\"ready\",\"coldLeftMs\":0,\"capacity\":{\"cpu\":"
 		"32000,\"memMb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-%d\"],"
-		"\"clockMs\":%" G_GINT64_FORMAT ",\"sequence\":%" G_GINT64_FORMAT
-		",\"born\":%" G_GINT64_FORMAT "}",
+		"\"clockMs\":%" G_GINT64_FORMAT
+		",\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
+		"}",
 		minion->port, minion->index / 4, minion_clock(minion),
 		++minion->sequence, minion->born_wall_ms);
 
@@ -1046,7 +1048,8 @@
 			continue;
 		}
 		run->seen_ms = world_now_ms();
-		world_record("minion %s: end %" G_GINT64_FORMAT " of %s is taken "
+		world_record("minion %s: end %" G_GINT64_FORMAT
+			     " of %s is taken "
 			     "note of (seenUpto %" G_GINT64_FORMAT ")",
 			     minion->id, run->end_number, run->task, seen);
 		g_ptr_array_remove_index(minion->ended, i);
@@ -1062,9 +1065,9 @@
 {
 	minion_t *minion = data;
 	const char *uri = evhttp_request_get_uri(request);
-	const char *expected = evhttp_find_header(
-		evhttp_request_get_input_headers(request),
-		"Waxwinghollow-Expect-Instance");
+	const char *expected =
+		evhttp_find_header(evhttp_request_get_input_headers(request),
+				   "Waxwinghollow-Expect-Instance");
 	JsonObject *object;
 	JsonParser *parser;
 	int64_t token;
@@ -1103,9 +1106,8 @@
 	g_object_unref(parser);
 }
 
-static struct evhttp *listen_at(int *port,
-				void (*serve)(struct evhttp_request *, void *),
-				void *data)
+static struct evhttp *
+listen_at(int *port, void (*serve)(struct evhttp_request *, void *), void *data)
 {
 	struct evhttp *http = evhttp_new(world.base);
 	struct evhttp_bound_socket *bound;
@@ -1114,8 +1116,7 @@
 
 	evhttp_set_max_body_size(http, 8 << 20);
 	evhttp_set_gencb(http, serve, data);
-	bound = evhttp_bind_socket_with_handle(http, LOOPBACK,
-					       (uint16_t)*port);
+	bound = evhttp_bind_socket_with_handle(http, LOOPBACK, (uint16_t)*port);
 	if (bound == NULL) {
 		fprintf(stderr, "can't listen: %s\n", strerror(errno));
 		exit(2);
@@ -1395,8 +1396,8 @@
 		exit(2);
 	world.base = event_base_new();
 	world.parts = g_hash_table_new(g_str_hash, g_str_equal);
-	world.members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      g_free);
+	world.members =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	world.readers = g_ptr_array_new();
 	world.runs = g_ptr_array_new();
 	world.generation = 1;
@@ -1507,12 +1508,11 @@
 
 		for (guint k = i + 1; k < world.runs->len; k++) {
 			const world_run_t *b = g_ptr_array_index(world.runs, k);
-			bool overlaps = a->how == NULL ||
-					b->begun_ms < a->ended_ms;
-			bool after_done = a->how != NULL &&
-					  strcmp(a->how, "done") == 0 &&
-					  b->begun_ms >= a->ended_ms &&
-					  a->seen_ms != 0;
+			bool overlaps =
+				a->how == NULL || b->begun_ms < a->ended_ms;
+			bool after_done =
+				a->how != NULL && strcmp(a->how, "done") == 0 &&
+				b->begun_ms >= a->ended_ms && a->seen_ms != 0;
 
 			if (strcmp(a->task, b->task) != 0 ||
 			    (!overlaps && !after_done))
@@ -1520,7 +1520,8 @@
 			count++;
 			world_record(
 				"TWICE: %s: run %" G_GINT64_FORMAT
-				" on %s (%" G_GINT64_FORMAT " to %" G_GINT64_FORMAT
+				" on %s (%" G_GINT64_FORMAT
+				" to %" G_GINT64_FORMAT
 				" ms, %s, taken note of at %" G_GINT64_FORMAT
 				"), run %" G_GINT64_FORMAT
 				" on %s begins at %" G_GINT64_FORMAT " ms: %s",
