test_job_service: calibrate the answers that simulate a slow host

Cause: the tests simulate a slow host by answers that should take 100 ms to parse. The stand-in sent a fixed 200,000 rows, which a quick machine parses in 16 to 40 ms, so that the holder keeps up and rightly keeps the shard. No fault of the product.

Change, after: the stand-in parses its answer itself and adds rows until that takes 100 ms. Checks and limits are unchanged, and 200,000 rows remain the least.

--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -123,6 +123,7 @@
 {
 	fixture_t *fixture = *state;
 	standin_t *standin = fixture->standin;
+	char *ballast = standin_ballast();
 	int64_t begun_ms;
 	int32_t holder;
 
@@ -131,7 +132,7 @@
 	holder = find_holder(fixture);
 	submit_job(fixture, 0, "00000000000000d2");
 	g_mutex_lock(&standin->lock);
-	standin->ballast = standin_ballast();
+	standin->ballast = ballast;
 	standin->heavy_token = standin_part(standin, "keyed.wwh", "0")->epoch;
 	g_mutex_unlock(&standin->lock);
 	begun_ms = standin_now_ms();
@@ -202,6 +203,7 @@
 {
 	fixture_t *fixture = *state;
 	standin_t *standin = fixture->standin;
+	char *ballast = standin_ballast();
 	int64_t begun_ms;
 	int32_t next;
 
@@ -210,7 +212,7 @@
 	next = 1 - find_holder(fixture);
 	submit_many(fixture, "00000000000000d6");
 	g_mutex_lock(&standin->lock);
-	standin->ballast = standin_ballast();
+	standin->ballast = ballast;
 	standin->heavy_for_all = true;
 	g_mutex_unlock(&standin->lock);
 	begun_ms = standin_now_ms();
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -33,10 +33,8 @@
 	}
 }
 
-/* Takes a reader some 100 ms. */
-static inline char *standin_ballast(void)
+static inline char *standin_ballast_rows(int32_t rows)
 {
-	const int32_t rows = 200000;
 	GString *text = g_string_new(",\"ballast\":[[]");
 
 	for (int32_t i = 0; i < rows; i++)
@@ -45,6 +43,47 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Processor time, so that a busy machine doesn't shorten the ballast. */
+static inline int64_t standin_thread_cpu_us(void)
+{
+	struct timespec now;
+
+	assert_int_equal(clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now), 0);
+	return (int64_t)now.tv_sec * G_USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
+static inline int64_t standin_parse_us(const char *ballast)
+{
+	JsonParser *parser = json_parser_new_immutable();
+	char *text = g_strconcat("{\"clockMs\":0", ballast, "}", NULL);
+	int64_t begun_us = standin_thread_cpu_us();
+	int64_t parse_us;
+
+	assert_true(json_parser_load_from_data(parser, text, -1, NULL));
+	parse_us = standin_thread_cpu_us() - begun_us;
+	g_free(text);
+	g_object_unref(parser);
+	return parse_us;
+}
+
+/*
+ * Takes a reader 100 ms of processor time or more: the number of rows depends on
+ * the machine. To be called without the lock, as it takes a few times as long.
+ */
+static inline char *standin_ballast(void)
+{
+	const int64_t target_us = 100 * 1000;
+	int32_t rows = 200000;
+	char *text = standin_ballast_rows(rows);
+
+	while (standin_parse_us(text) < target_us) {
+		rows += rows / 2;
+		g_free(text);
+		text = standin_ballast_rows(rows);
+	}
+	return text;
+}
+
 /* With the lock held, which is let go meanwhile. */
 static inline void standin_lose_poll(standin_t *standin)
 {
