test_job_holder: a stand-in that stops runs

It is the check of all_runs that fails; KNOWN-RED.txt named the check of upstream_crashes above it.

Cause, from the holder's log: the third task of the job that is given up may still be at work on another upstream. The holder sends run-stop for it; the stand-in answered 200 and went on with the run, which the protocol forbids. No fault of the product.

The checks are unchanged and as strict: a holder that doesn't stop such a run still leaves four.

--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -10,6 +10,21 @@
 
 #include "standin_store.h"
 
+static inline void standin_end_run(standin_upstream_t *upstream, guint index,
+				   const char *how)
+{
+	const standin_run_t *run =
+		&g_array_index(upstream->runs, standin_run_t, index);
+
+	g_ptr_array_add(upstream->ended,
+			g_strdup_printf("[%" G_GINT64_FORMAT
+					",\"%s\",%" G_GINT64_FORMAT
+					",\"%s\",\"\"]",
+					++upstream->ended_count, run->task,
+					run->run, how));
+	g_array_remove_index(upstream->runs, index);
+}
+
 static inline void standin_finish_runs(standin_upstream_t *upstream)
 {
 	standin_t *standin = upstream->standin;
@@ -23,13 +38,7 @@
 			continue;
 		}
 		g_hash_table_add(standin->done, g_strdup(run->task));
-		g_ptr_array_add(upstream->ended,
-				g_strdup_printf("[%" G_GINT64_FORMAT
-						",\"%s\",%" G_GINT64_FORMAT
-						",\"done\",\"\"]",
-						++upstream->ended_count,
-						run->task, run->run));
-		g_array_remove_index(upstream->runs, i);
+		standin_end_run(upstream, i, "done");
 	}
 }
 
@@ -201,6 +210,23 @@
 	standin_begin_run(upstream, object);
 }
 
+static inline void standin_stop(standin_upstream_t *upstream,
+				JsonObject *object)
+{
+	const char *task = json_object_get_string_member(object, "task");
+	int64_t run = json_object_get_int_member(object, "run");
+
+	for (guint i = 0; i < upstream->runs->len; i++) {
+		const standin_run_t *row =
+			&g_array_index(upstream->runs, standin_run_t, i);
+
+		if (row->run != run || strcmp(row->task, task) != 0)
+			continue;
+		standin_end_run(upstream, i, "stopped");
+		return;
+	}
+}
+
 static inline void standin_poll(standin_upstream_t *upstream,
 				JsonObject *object, GString *text)
 {
@@ -262,6 +288,8 @@
 		upstream->token = token;
 		if (g_str_has_suffix(http->target, "/run-start"))
 			standin_start(upstream, object, response, text);
+		else if (g_str_has_suffix(http->target, "/run-stop"))
+			standin_stop(upstream, object);
 		else if (g_str_has_suffix(http->target, "/hold"))
 			standin_poll(upstream, object, text);
 		if (token == standin->heavy_token || standin->heavy_for_all)
