scheduler: a new holder adopts the runs of an occurrence that was open

Cause: an occurrence is opened in memory when it is due; no record says so before the first end of one of its tasks. A new holder opened it as if nobody had opened it before.

Change: tasks of an inherited job's occurrence that is opened while upstreams of its pool haven't answered count as inherited, as those of plain jobs do, so they wait and are adopted. A run or an end that an upstream lists opens its occurrence, also if it isn't due by this holder's clock; its other tasks then start when it is due. This works without a record, as the upstreams know what runs and a new holder polls all of them.

Tests: a_new_holder_adopts_tasks_of_an_open_occurrence, an_end_of_an_occurrence_that_is_not_due_counts, a_listed_occurrence_waits_for_its_time.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -181,6 +181,7 @@
 	int64_t due_ms; /* due_wall_ms on the monotonic clock */
 	sched_step_t *steps;
 	int32_t steps_done;
+	bool due; /* its tasks may start; stays set if the clock is set back */
 };
 
 struct sched_job {
@@ -190,6 +191,7 @@
 	sched_pool_t *pool;
 	/* WWH_PROGRESS_QUEUED until the job ends, also after it has started */
 	wwh_job_progress_t state;
+	bool inherited; /* a previous holder accepted it */
 	bool started;
 	bool dirty; /* its progress must be written */
 	int64_t record_number; /* of the record of its acceptance */
@@ -566,9 +568,18 @@
 bool sched_job_is_live(const sched_job_t *job);
 sched_task_t *sched_job_task(const wwh_scheduler_t *scheduler,
 			     const char *name);
+/*
+ * Like sched_job_task, for a task that an upstream lists: opens its occurrence, if
+ * a previous holder may have done so.
+ */
+sched_task_t *sched_job_listed_task(wwh_scheduler_t *scheduler,
+				    const char *name);
 sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
 					      sched_job_t *job);
 void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job);
+/* Sets due once the occurrence is due by this holder's clock. */
+void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
+				 sched_occurrence_t *occurrence);
 void sched_job_mark_dirty(wwh_scheduler_t *scheduler, sched_job_t *job);
 void sched_job_end(wwh_scheduler_t *scheduler, sched_job_t *job,
 		   wwh_job_progress_t state);
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -7,6 +7,13 @@
 /* How often ended jobs are scanned for those that expire. */
 #define EXPIRY_INTERVAL_MS 1000
 
+/* Where a task is in its job. */
+typedef struct {
+	int64_t occurrence;
+	int32_t step;
+	int32_t index;
+} task_position_t;
+
 static void occurrence_delete(gpointer data);
 static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
 					  sched_job_t *job, int64_t number);
@@ -14,6 +21,13 @@
 static int64_t occurrence_total(const sched_job_t *job);
 static sched_occurrence_t *find_occurrence(const sched_job_t *job,
 					   int64_t number);
+static sched_job_t *find_position(const wwh_scheduler_t *scheduler,
+				  const char *name, task_position_t *at);
+static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at);
+static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
+			int64_t number);
+static bool may_have_runs(const wwh_scheduler_t *scheduler,
+			  const sched_job_t *job);
 static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job);
 static void release_spec(sched_job_t *job);
 
@@ -32,6 +46,7 @@
 	job->workspace = g_strdup(spec->workspace);
 	job->state = WWH_PROGRESS_QUEUED;
 	job->accepted_ms = accepted_ms;
+	job->inherited = !scheduler->restored;
 	job->expected_start_ms = -1;
 	job->expected_end_ms = -1;
 	job->pool = sched_pool_get(scheduler, spec->queue.pool);
@@ -71,24 +86,73 @@
 }
 
 sched_task_t *sched_job_task(const wwh_scheduler_t *scheduler, const char *name)
+{
+	task_position_t at;
+	sched_job_t *job = find_position(scheduler, name, &at);
+
+	return job == NULL ? NULL : task_at(job, &at);
+}
+
+sched_task_t *sched_job_listed_task(wwh_scheduler_t *scheduler,
+				    const char *name)
+{
+	task_position_t at;
+	sched_job_t *job = find_position(scheduler, name, &at);
+
+	if (job == NULL)
+		return NULL;
+	open_listed(scheduler, job, at.occurrence);
+	return task_at(job, &at);
+}
+
+/* Returns NULL if no job that is known in full has such a task. */
+static sched_job_t *find_position(const wwh_scheduler_t *scheduler,
+				  const char *name, task_position_t *at)
 {
 	char id[WWH_JOB_ID_CHARS + 1];
-	sched_occurrence_t *occurrence;
 	sched_job_t *job;
-	int64_t number;
-	int32_t step;
-	int32_t index;
 
-	if (!sched_task_parse(name, id, &number, &step, &index))
+	if (!sched_task_parse(name, id, &at->occurrence, &at->step, &at->index))
 		return NULL;
 	job = sched_job_find(scheduler, id);
-	if (job == NULL || job->spec == NULL)
+	if (job == NULL || job->spec == NULL ||
+	    at->step >= job->spec->step_count ||
+	    at->index >= job->spec->steps[at->step].task_count)
 		return NULL;
-	occurrence = find_occurrence(job, number);
-	if (occurrence == NULL || step >= job->spec->step_count ||
-	    index >= job->spec->steps[step].task_count)
-		return NULL;
-	return &occurrence->steps[step].tasks[index];
+	return job;
+}
+
+/* Returns NULL if its occurrence isn't open. */
+static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at)
+{
+	sched_occurrence_t *occurrence = find_occurrence(job, at->occurrence);
+
+	return occurrence == NULL
+		       ? NULL
+		       : &occurrence->steps[at->step].tasks[at->index];
+}
+
+/*
+ * Opens an occurrence of which an upstream lists a task. Openings aren't recorded:
+ * the previous holder may have opened it by a clock that is ahead of this one's.
+ */
+static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
+			int64_t number)
+{
+	if (!job->inherited || !sched_job_is_live(job) ||
+	    number >= job->spec->repeat_count)
+		return;
+	while (job->next_occurrence <= number) {
+		sched_occurrence_t *occurrence =
+			sched_job_open_occurrence(scheduler, job);
+
+		occurrence->due = false;
+		sched_explain(scheduler, "occurrence-found", job->id,
+			      "occurrence=%" G_GINT64_FORMAT
+			      " due_in_ms=%" G_GINT64_FORMAT,
+			      occurrence->number,
+			      occurrence->due_wall_ms - scheduler->wall_ms);
+	}
 }
 
 sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
@@ -287,9 +351,11 @@
 {
 	sched_occurrence_t *occurrence = g_new0(sched_occurrence_t, 1);
 	const wwh_job_t *spec = job->spec;
+	bool inherited = may_have_runs(scheduler, job);
 
 	occurrence->job = job;
 	occurrence->number = number;
+	occurrence->due = true;
 	occurrence->due_ms = job->accepted_ms;
 	if (spec->repeat_count > 0) {
 		occurrence->due_wall_ms =
@@ -311,12 +377,31 @@
 			step->tasks[j].index = j;
 			step->tasks[j].machine =
 				wwh_chart_start(scheduler->task_chart);
-			step->tasks[j].inherited = !scheduler->restored;
+			step->tasks[j].inherited = inherited;
 		}
 	}
 	return occurrence;
 }
 
+/*
+ * Returns whether tasks of an occurrence that is opened now may run already. The
+ * previous holder may have opened it without a record of that, so its runs are
+ * known once all upstreams of the pool have answered.
+ */
+static bool may_have_runs(const wwh_scheduler_t *scheduler,
+			  const sched_job_t *job)
+{
+	return job->inherited && (!scheduler->restored ||
+				  !sched_pool_is_settled(scheduler, job->pool));
+}
+
+void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
+				 sched_occurrence_t *occurrence)
+{
+	if (occurrence->due_wall_ms <= scheduler->wall_ms)
+		occurrence->due = true;
+}
+
 int64_t wwh_scheduler_slack_ms(const wwh_job_t *job)
 {
 	if (job->repeat_count > 0)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -231,7 +231,8 @@
 		.objective_ms = occurrence->job->objective_ms,
 	};
 
-	if (occurrence->steps_done == spec->step_count)
+	sched_occurrence_update_due(scheduler, occurrence);
+	if (occurrence->steps_done == spec->step_count || !occurrence->due)
 		return;
 	input.remaining_ms = sched_occurrence_remaining_ms(occurrence);
 	for (int32_t i = 0; i < spec->step_count; i++) {
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -241,7 +241,7 @@
 		return;
 	upstream->ends_received = row->number;
 	sched_upstream_await_ack(scheduler, upstream);
-	task = sched_job_task(scheduler, row->task);
+	task = sched_job_listed_task(scheduler, row->task);
 	if (task == NULL)
 		return;
 	if (changes_progress(task, row))
@@ -345,7 +345,7 @@
 			   sched_upstream_t *upstream,
 			   const wwh_running_task_t *row, int64_t sent_ms)
 {
-	sched_task_t *task = sched_job_task(scheduler, row->task);
+	sched_task_t *task = sched_job_listed_task(scheduler, row->task);
 	bool live =
 		task != NULL && sched_job_is_live(task->step->occurrence->job);
 
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -359,6 +359,16 @@
 void few_idle_upstreams_are_polled_continuously(void **state);
 void an_idle_upstream_is_used_and_polled_at_once(void **state);
 
+#define OCCURRENCE_TESTS                                                       \
+	FIXTURE_TEST(a_new_holder_adopts_tasks_of_an_open_occurrence, 1),      \
+		FIXTURE_TEST(an_end_of_an_occurrence_that_is_not_due_counts,   \
+			     1),                                               \
+		FIXTURE_TEST(a_listed_occurrence_waits_for_its_time, 1)
+
+void a_new_holder_adopts_tasks_of_an_open_occurrence(void **state);
+void an_end_of_an_occurrence_that_is_not_due_counts(void **state);
+void a_listed_occurrence_waits_for_its_time(void **state);
+
 #define SPEED_TESTS                                                                 \
 	cmocka_unit_test(                                                           \
 		a_slow_upstream_is_marked_and_gets_no_task_while_others_have_room), \
