shard_claim: a claim that an equal count overtook ends

Cause: two processes that claim at once have read the same count of claims. confirm_claim compared the counts only; the process whose claim another one of an equal count had overtaken waited for its own record for good, and renewed its membership, so that the group went on naming it. The same where both epochs are equal in all bits: the store takes the second for a repetition of the first.

Change: whole epochs are compared, which is the order in which the store takes claims. After a claim was overtaken or fenced, the process claims only after a notice of the successor or 2 s without one: it would take the shard back from a process that has just claimed.

Beside it, the same comparison of counts: two holders of an equal count would number their runs from the same number. A process that has read a claim of its own count before its own, or may have missed one as the log was trimmed, claims again with the next count.

Tests: overtaken_claim_leads_back_to_watching, claim_of_equal_epoch_is_lost, overtaken_claim_awaits_notice_of_successor, claims_of_equal_counter_get_different_counts.

--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -61,6 +61,11 @@
 	char *nonce;
 	int64_t highest_counter;
 	int64_t append_sent_ms;
+	int64_t appended_ms; /* the store has acknowledged the claim */
+	int64_t overtaken_by_epoch; /* a later claim of another process; 0: none */
+	/* Until successor_until_ms, or a notice of this epoch or a higher one. */
+	int64_t successor_epoch;
+	int64_t successor_until_ms;
 	int64_t retry_ms;
 	int64_t notice_retry_ms;
 	int64_t notice_epoch; /* of the notice in flight */
@@ -78,6 +83,9 @@
 	bool inherits_load;
 	bool has_claimed; /* since this process started */
 	bool append_in_flight;
+	bool own_record_read;
+	/* Another claim with the same counter has come before this one. */
+	bool counter_is_shared;
 	bool notice_pending; /* a notice is to be published */
 	bool notice_in_flight;
 	bool notice_is_release; /* of the notice in flight */
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -33,7 +33,11 @@
 			      size_t size, void *data);
 static void append_claim(wwh_shard_claim_t *claim);
 static void on_claim_appended(const wwh_http_answer_t *answer, void *data);
+static void observe_claim(wwh_shard_claim_t *claim, int64_t epoch, bool is_own);
 static void confirm_claim(wwh_shard_claim_t *claim);
+static void await_successor(wwh_shard_claim_t *claim, int64_t epoch);
+static void abandon_claim(wwh_shard_claim_t *claim, const char *why);
+static void hold_shard(wwh_shard_claim_t *claim);
 static void publish_notice(wwh_shard_claim_t *claim);
 static void on_notice_published(const wwh_http_answer_t *answer, void *data);
 static void leave_group(wwh_shard_claim_t *claim, wwh_http_done_t done);
@@ -250,11 +254,37 @@
 			return;
 		claim->highest_counter =
 			MAX(claim->highest_counter, epoch >> CLAIM_RANDOM_BITS);
+		observe_claim(claim, epoch,
+			      claim->nonce != NULL &&
+				      size == strlen(claim->nonce) &&
+				      memcmp(value, claim->nonce, size) == 0);
 	}
 	g_hash_table_replace(claim->records, g_strdup(key),
 			     g_bytes_new(value, size));
 }
 
+/*
+ * Compares the record of a claim with the one that this process has sent. The
+ * store takes claims in the order of their epochs, of which the counter is only
+ * the upper part; two processes that claim at once have read the same counter.
+ */
+static void observe_claim(wwh_shard_claim_t *claim, int64_t epoch, bool is_own)
+{
+	if (claim->epoch == 0)
+		return;
+	if (is_own) {
+		claim->own_record_read = true;
+		/* a claim before this one may have been trimmed unread */
+		if (wwh_store_follower_in_full_read(claim->journal))
+			claim->counter_is_shared = true;
+	} else if (epoch >= claim->epoch) {
+		claim->overtaken_by_epoch = epoch;
+	} else if (epoch >> CLAIM_RANDOM_BITS ==
+		   claim->epoch >> CLAIM_RANDOM_BITS) {
+		claim->counter_is_shared = true;
+	}
+}
+
 /*
  * Sends the claim with the same epoch and sequence number until its result is
  * known: if it were abandoned, the record might arrive late and fence off the
@@ -276,6 +306,9 @@
 		claim->nonce = g_strdup_printf("%" G_GINT64_FORMAT " %08x%08x",
 					       claim->epoch, g_random_int(),
 					       g_random_int());
+		claim->own_record_read = false;
+		claim->counter_is_shared = false;
+		claim->overtaken_by_epoch = 0;
 	}
 	writer.epoch = claim->epoch;
 	body = g_byte_array_new();
@@ -306,6 +339,7 @@
 	switch (result) {
 	case WIRE_STORE_OK:
 		claim->state = CLAIM_CONFIRMING;
+		claim->appended_ms = claim->now_ms;
 		break;
 	case WIRE_STORE_FENCED:
 	case WIRE_STORE_SEQUENCE:
@@ -314,9 +348,7 @@
 				"epoch=%" G_GINT64_FORMAT " result=%s",
 				claim->epoch, wire_store_result_names[result]);
 		claim->highest_counter++;
-		stop_journal_read(claim);
-		claim->state = CLAIM_WATCHING;
-		claim->retry_ms = claim->now_ms + RETRY_MS;
+		await_successor(claim, claim->epoch + 1);
 		break;
 	default:
 		claim->retry_ms = claim->append_sent_ms + RETRY_MS;
@@ -326,38 +358,58 @@
 }
 
 /*
- * When the claim's own record has been read, so have all records before it. A
- * later claim of another process is another value of the same key.
+ * When the claim's own record has been read, so have all records before it, and
+ * nobody else's later ones count unless its epoch is higher.
  */
 static void confirm_claim(wwh_shard_claim_t *claim)
 {
-	GBytes *value = g_hash_table_lookup(claim->records, CLAIM_KEY);
-	GHashTable *records = claim->records;
-	wwh_shard_holding_t held;
-	int64_t epoch = 0;
-	const char *text;
-	gsize size = 0;
-
 	/*
 	 * During a full read that was repeated because the log was trimmed,
 	 * the claim may already have been read while other records are still
 	 * outdated.
 	 */
-	if (value == NULL || wwh_store_follower_in_full_read(claim->journal))
+	if (wwh_store_follower_in_full_read(claim->journal))
 		return;
-	text = g_bytes_get_data(value, &size);
-	if (claim_read_record((const uint8_t *)text, size, &epoch) &&
-	    epoch >> CLAIM_RANDOM_BITS > claim->epoch >> CLAIM_RANDOM_BITS) {
+	if (claim->overtaken_by_epoch != 0) {
 		claim_log_event(claim, "shard-claim-overtaken",
 				"epoch=%" G_GINT64_FORMAT
 				" other=%" G_GINT64_FORMAT,
-				claim->epoch, epoch);
-		wwh_shard_claim_handle_loss(claim, claim->now_ms);
-		return;
+				claim->epoch, claim->overtaken_by_epoch);
+		await_successor(claim, claim->overtaken_by_epoch);
+	} else if (!claim->own_record_read) {
+		if (wwh_store_follower_complete_ms(claim->journal) >
+		    claim->appended_ms)
+			abandon_claim(claim, "record-replaced");
+	} else if (claim->counter_is_shared) {
+		claim_log_event(claim, "shard-claim-repeated",
+				"epoch=%" G_GINT64_FORMAT, claim->epoch);
+		claim->epoch = 0;
+		append_claim(claim);
+	} else {
+		hold_shard(claim);
 	}
-	if (size != strlen(claim->nonce) ||
-	    memcmp(text, claim->nonce, size) != 0)
-		return;
+}
+
+/* Another process has claimed: no claim until its notice, or for a while. */
+static void await_successor(wwh_shard_claim_t *claim, int64_t epoch)
+{
+	wwh_shard_claim_handle_loss(claim, claim->now_ms);
+	claim->successor_epoch = epoch;
+	claim->successor_until_ms = claim->now_ms + SUCCESSOR_CLAIM_MS;
+}
+
+static void abandon_claim(wwh_shard_claim_t *claim, const char *why)
+{
+	claim_log_event(claim, "shard-claim-abandoned",
+			"epoch=%" G_GINT64_FORMAT " why=%s", claim->epoch, why);
+	wwh_shard_claim_handle_loss(claim, claim->now_ms);
+}
+
+static void hold_shard(wwh_shard_claim_t *claim)
+{
+	GHashTable *records = claim->records;
+	wwh_shard_holding_t held;
+
 	claim->records = NULL;
 	stop_journal_read(claim);
 	claim->state = CLAIM_HELD;
--- a/src/libwaxwinghollow/shard_claim_watch.c
+++ b/src/libwaxwinghollow/shard_claim_watch.c
@@ -54,6 +54,7 @@
  */
 #define HANDOVER_TIMEOUT_MS 2000
 
+static bool awaits_notice(const wwh_shard_claim_t *claim);
 static bool is_older_claim(const wwh_shard_claim_t *claim, int64_t epoch);
 static bool held_before_restart(const wwh_shard_claim_t *claim);
 static void begin_term(wwh_shard_claim_t *claim);
@@ -117,7 +118,7 @@
 void claim_check_holder(wwh_shard_claim_t *claim)
 {
 	if (!wwh_store_follower_caught_up(claim->notices) ||
-	    claim->now_ms < claim->retry_ms)
+	    claim->now_ms < claim->retry_ms || awaits_notice(claim))
 		return;
 	if (held_before_restart(claim)) {
 		claim_begin(claim, "restarted", false);
@@ -145,6 +146,16 @@
 	}
 }
 
+/*
+ * Returns whether another process has claimed the shard and its notice isn't known
+ * yet. A claim of this process would take the shard back from it.
+ */
+static bool awaits_notice(const wwh_shard_claim_t *claim)
+{
+	return claim->now_ms < claim->successor_until_ms &&
+	       claim->holder_epoch < claim->successor_epoch;
+}
+
 /*
  * If two processes claim at once, the notice of the first may be read after the
  * claim of the second, this one, is held. The store then rejects the first one's
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -95,6 +95,80 @@
 	assert_int_equal(fixture->foreign_notices, 1);
 }
 
+static void set_rival_claim(fixture_t *fixture, int64_t ahead)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->has_rival_claim = true;
+	fixture->standin->rival_ahead = ahead;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+/*
+ * Guards against a process that waits for good for its own claim, and keeps the
+ * group from naming another one, after a claim with an equal counter and a higher
+ * epoch: once the other process is gone, nobody holds the shard.
+ */
+static void overtaken_claim_leads_back_to_watching(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_rival_claim(fixture, 1);
+	start_claim(fixture, false);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->held.epoch, 0);
+	assert_false(wwh_shard_claim_in_progress(fixture->claim));
+	publish_holder(fixture, fixture->peers[0].address, EPOCH(1) + 65535);
+	run_until_probed(fixture, 0, 2);
+	assert_int_equal(fixture->held.epoch, 0);
+	set_status(&fixture->peers[0], 404);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 2);
+}
+
+/* Guards against the same where the epochs are equal in all their bits. */
+static void claim_of_equal_epoch_is_lost(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_rival_claim(fixture, 0);
+	start_claim(fixture, false);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->held.epoch, 0);
+	assert_false(wwh_shard_claim_in_progress(fixture->claim));
+}
+
+/*
+ * Guards against a process that takes the shard back from one that has just claimed
+ * it and hasn't published its notice.
+ */
+static void overtaken_claim_awaits_notice_of_successor(void **state)
+{
+	fixture_t *fixture = *state;
+
+	publish_holder(fixture, SELF, EPOCH(4));
+	set_rival_claim(fixture, 1);
+	start_claim(fixture, false);
+	run_for(fixture, 1000);
+	assert_int_equal(fixture->held.epoch, 0);
+	/* it never comes */
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.epoch >> 16, 6);
+}
+
+/*
+ * Guards against two holders with an equal count of claims: both would number their
+ * runs from the same number.
+ */
+static void claims_of_equal_counter_get_different_counts(void **state)
+{
+	fixture_t *fixture = *state;
+
+	set_rival_claim(fixture, -1);
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_int_equal(fixture->held.claim_count, 2);
+}
+
 static void holder_that_reports_not_held_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -343,6 +417,17 @@
 		cmocka_unit_test_setup_teardown(
 			notice_of_older_claim_does_not_end_holder, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			overtaken_claim_leads_back_to_watching, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(claim_of_equal_epoch_is_lost,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			overtaken_claim_awaits_notice_of_successor, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			claims_of_equal_counter_get_different_counts, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			holder_that_reports_not_held_is_replaced, set_up,
 			tear_down),
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -71,6 +71,9 @@
 	int32_t twice; /* runs that should never have begun */
 	int64_t task_ms;
 	const char *crashing_task; /* crashes each upstream that starts it */
+	/* With the next claim, another process claims. */
+	bool has_rival_claim;
+	int64_t rival_ahead; /* the rival's epoch less that of the claim */
 	bool silent; /* the store takes calls and answers none */
 	bool announces_late; /* reads of announcements get no answer in time */
 	bool busy; /* it refuses all calls at once */
@@ -150,6 +153,18 @@
 	return value;
 }
 
+static inline void standin_put_rival_claim(standin_t *standin,
+					   const char *topic, const char *part,
+					   int64_t epoch)
+{
+	char *text =
+		g_strdup_printf("%" G_GINT64_FORMAT " 0123456789abcdef", epoch);
+
+	standin->has_rival_claim = false;
+	standin_put(standin, topic, part, "C", text, strlen(text));
+	g_free(text);
+}
+
 static inline void standin_append(standin_t *standin,
 				  const wwh_http_request_t *http,
 				  const char *topic, const char *part,
@@ -158,7 +173,9 @@
 	standin_part_t *found = standin_part(standin, topic, part);
 	int64_t epoch = standin_number(http->target, "epoch", -1);
 	int64_t sequence = standin_number(http->target, "sequence", -1);
-	int64_t offset = found->records->len;
+	bool has_rival = standin->has_rival_claim && epoch > found->epoch;
+	int64_t rival_epoch = epoch + standin->rival_ahead;
+	int64_t offset;
 
 	if (standin->refuses_records ||
 	    (standin->refused_epoch != 0 && epoch == standin->refused_epoch)) {
@@ -179,7 +196,13 @@
 		standin_answer(response, 409, "{\"reason\":\"seq\"}");
 		return;
 	}
-	for (size_t at = 0; at + 4 < http->body_size;) {
+	if (has_rival && rival_epoch <= epoch)
+		standin_put_rival_claim(standin, topic, part, rival_epoch);
+	offset = found->records->len;
+	/* a claim of an equal epoch counts as a repetition of the rival's */
+	for (size_t at = has_rival && rival_epoch == epoch ? http->body_size
+							   : 0;
+	     at + 4 < http->body_size;) {
 		uint32_t size;
 		size_t key_size = http->body[at + 4];
 		char *key;
@@ -193,8 +216,10 @@
 		g_free(key);
 		at += 4 + size;
 	}
+	if (has_rival && rival_epoch > epoch)
+		standin_put_rival_claim(standin, topic, part, rival_epoch);
 	if (epoch >= 0) {
-		found->epoch = epoch;
+		found->epoch = has_rival ? MAX(epoch, rival_epoch) : epoch;
 		found->sequence = sequence;
 	}
 	g_free(found->last_answer);
