--- /dev/null
+++ b/src/soak/soak.c
@@ -0,0 +1,101 @@
+/*
+ * The soak's options and the course of one run: start, faults under traffic,
+ * then time without faults in which every accepted job has to end.
+ */
+#include "soak.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LEAD_MS 3000
+#define FINISH_MS 14000
+
+static void start_traffic(void *data)
+{
+	(void)data;
+	soak_record("clients begin");
+	soak_clients_start();
+}
+
+static void end_traffic(void *data)
+{
+	(void)data;
+	soak_record("traffic and faults end");
+	soak_faults_stop();
+	soak_clients_stop_submitting();
+}
+
+static void finish(void *data)
+{
+	(void)data;
+	soak_check_jobs_at_end();
+	soak_stop();
+}
+
+int main(int argc, char **argv)
+{
+	static soak_options_t options = {
+		.seed = 1,
+		.processes = 5,
+		.upstreams = 24,
+		.seconds = 20,
+		.jobs_per_s = 10,
+		.program = WWH_BINARY_DIR "/waxwinghollow",
+	};
+	static char *record_path;
+	static const GOptionEntry entries[] = {
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
+		  "what the faults are drawn from", "N" },
+		{ "processes", 0, 0, G_OPTION_ARG_INT, &options.processes,
+		  "of the system", "N" },
+		{ "upstreams", 0, 0, G_OPTION_ARG_INT, &options.upstreams, NULL,
+		  "N" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds,
+		  "of traffic and faults", "S" },
+		{ "jobs", 0, 0, G_OPTION_ARG_INT, &options.jobs_per_s,
+		  "a second", "N" },
+		{ "faults", 0, 0, G_OPTION_ARG_STRING, &options.faults,
+		  "names, joined by commas, or none", "LIST" },
+		{ "program", 0, 0, G_OPTION_ARG_FILENAME, &options.program,
+		  "the system's program", "PATH" },
+		{ "logs", 0, 0, G_OPTION_ARG_FILENAME, &options.directory,
+		  "keep the processes' logs there", "DIR" },
+		{ "record", 0, 0, G_OPTION_ARG_FILENAME, &record_path,
+		  "where to write what was seen; else standard output",
+		  "FILE" },
+		{ "plant-lost-end", 0, 0, G_OPTION_ARG_NONE,
+		  &options.plants_lost_end,
+		  "an upstream loses ends: TWICE must be found", NULL },
+		{ NULL },
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+	GError *error = NULL;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, &error)) {
+		fprintf(stderr, "soak: %s\n", error->message);
+		return 2;
+	}
+	g_option_context_free(context);
+	if (options.processes < 1 || options.upstreams < 1 ||
+	    options.seconds < 1 || options.jobs_per_s < 1) {
+		fprintf(stderr, "soak: numbers have to be positive\n");
+		return 2;
+	}
+	soak_init(&options, record_path);
+	soak_store_start();
+	soak_upstreams_start();
+	if (!soak_faults_start())
+		return 2;
+	soak_processes_start();
+	soak_after(LEAD_MS, start_traffic, NULL);
+	soak_after(LEAD_MS + options.seconds * 1000, end_traffic, NULL);
+	soak_after(LEAD_MS + options.seconds * 1000 + FINISH_MS, finish, NULL);
+	soak_loop();
+	soak_processes_end();
+	soak_record("seed %d: %d promises broken", options.seed, soak.broken);
+	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken\n",
+	       options.seed, options.processes, options.upstreams,
+	       options.seconds, soak.broken);
+	return soak.broken > 0 ? 1 : 0;
+}
--- /dev/null
+++ b/src/soak/soak.h
@@ -0,0 +1,210 @@
+#ifndef SOAK_H
+#define SOAK_H
+
+/*
+ * NAME
+ *	soak - the system's processes under random faults, checked from outside
+ *
+ * USE
+ *	Starts the program as separate processes on loopback, with a stand-in of
+ *	the platform (store, group, list of hosts), upstreams that run tasks, and
+ *	clients. Faults are drawn from a seed, in series and overlapping. The
+ *	promises are checked from what clients and upstreams see. One thread
+ *	runs all of it, so the record has one order.
+ *
+ * ORDER OF CALLS
+ *	soak_init; the *_start functions; soak_run until soak_stop.
+ */
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SOAK_LOOPBACK "127.0.0.1"
+#define SOAK_HOST "jobs.example"
+#define SOAK_POOLS 4
+#define SOAK_ZONES 4
+#define SOAK_HEARTBEAT_MS 1500
+#define SOAK_LEASE_MAX_MS 6000
+#define SOAK_STOP_MS 200
+#define SOAK_TASK_MAX_MS 2000
+#define SOAK_PROCESS_PORTS 4
+
+typedef struct {
+	int32_t seed;
+	int32_t processes;
+	int32_t upstreams;
+	int32_t seconds; /* of traffic and faults */
+	int32_t jobs_per_s;
+	const char *program;
+	const char
+		*directory; /* of the processes' logs; NULL: a temporary one */
+	const char *faults; /* names, joined by commas; NULL: all */
+	bool plants_lost_end; /* an upstream loses ends that it should list */
+} soak_options_t;
+
+/* One run of a task, as the upstreams have seen it. */
+typedef struct {
+	char *task;
+	int64_t run;
+	char *incarnation; /* id and number of the start of its upstream */
+	int64_t begun_ms;
+	int64_t ended_ms; /* 0: it runs */
+	const char *how; /* of its end; NULL: it runs */
+	int64_t end_number;
+	int64_t acked_ms; /* when its end was acknowledged; 0: never */
+	/* The lease lapsed before that, so the acknowledgement doesn't count. */
+	bool lapsed_unacked;
+} soak_run_t;
+
+typedef struct {
+	int32_t index;
+	int32_t incarnations;
+	int32_t pool;
+	char id[32];
+	char host[16];
+	int port;
+	bool up;
+	bool draining;
+	int64_t born_wall_ms;
+	int64_t born_ms;
+	int64_t token;
+	int64_t lease_ms; /* by its own clock; 0: none */
+	int64_t sequence;
+	int64_t next_beat_ms;
+	int64_t down_since_ms; /* 0: its entry was removed */
+	int64_t late_until_ms; /* orders are carried out late until then */
+	struct evhttp *http;
+	GPtrArray *active; /* soak_active_t */
+	GPtrArray *ended; /* soak_run_t that are listed */
+	int64_t ends;
+	GHashTable *highest; /* task to the highest run stopped or ended */
+	GPtrArray *polls; /* soak_poll_t */
+} soak_upstream_t;
+
+typedef struct {
+	GPid pid; /* 0: down */
+	bool stopped; /* by SIGSTOP */
+	int32_t starts;
+	int32_t zone;
+	int ports[SOAK_PROCESS_PORTS];
+	char node[32];
+	char peer[32];
+	GPtrArray *connections; /* of clients, kept open */
+} soak_process_t;
+
+typedef void (*soak_step_t)(void *data);
+typedef void (*soak_answered_t)(int32_t status, const char *body, void *data);
+
+typedef struct {
+	soak_options_t options;
+	struct event_base *base;
+	GRand *rand;
+	FILE *record;
+	char *directory;
+	int64_t start_us;
+	int32_t broken; /* promises found broken */
+	int store_port;
+	int hosts_port;
+	int64_t store_delay_ms;
+	bool store_refuses; /* all calls, with 503 */
+	double store_loses; /* probability that an answer is lost */
+	soak_upstream_t *upstreams;
+	soak_process_t *processes;
+	GHashTable *runs; /* task to GPtrArray of soak_run_t */
+	GHashTable *jobs; /* id to soak_job_t */
+} soak_t;
+
+extern soak_t soak;
+
+/* soak_world.c: time, the record, the loop */
+void soak_init(const soak_options_t *options, const char *record_path);
+void soak_loop(void); /* until soak_stop */
+void soak_stop(void);
+int64_t soak_now_ms(void); /* since soak_init */
+int64_t soak_wall_ms(void);
+void soak_record(const char *format, ...) G_GNUC_PRINTF(1, 2);
+/* Records that a promise is broken. */
+void soak_break(const char *rule, const char *format, ...) G_GNUC_PRINTF(2, 3);
+void soak_after(int64_t ms, soak_step_t step, void *data);
+void soak_every(int64_t ms, soak_step_t step, void *data);
+
+/* soak_http.c */
+/* *port 0: any free one, which is returned there. */
+struct evhttp *soak_listen(int *port,
+			   void (*serve)(struct evhttp_request *, void *),
+			   void *data);
+int soak_free_port(void);
+void soak_answer(struct evhttp_request *request, int32_t status,
+		 const char *text, int64_t delay_ms);
+/* Takes ownership of body. */
+void soak_answer_bytes(struct evhttp_request *request, struct evbuffer *body);
+/* Returns NULL without an object; free with json_node_unref. */
+JsonNode *soak_parse_body(struct evhttp_request *request);
+int64_t soak_number(JsonObject *object, const char *name, int64_t fallback);
+
+/* soak_store.c: the log */
+void soak_store_start(void);
+/* value NULL: the key is dropped */
+void soak_store_put(const char *topic, const char *key, const char *value);
+/* The log forgets all records but the newest of each key. */
+void soak_store_compact(void);
+/* The address that the newest notice in the store names; NULL: none. */
+char *soak_store_holder(void);
+void soak_store_serve(void *request); /* struct evhttp_request */
+
+/* soak_group.c: the store's group */
+void soak_group_start(void);
+void soak_group_join(struct evhttp_request *request);
+void soak_group_leave(struct evhttp_request *request);
+
+/* soak_upstream.c */
+void soak_upstreams_start(void);
+/* silent: like a host without power; else connections are refused. */
+void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
+void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
+void soak_upstream_drain(soak_upstream_t *upstream);
+
+/* soak_process.c: the processes under test */
+void soak_processes_start(void);
+void soak_process_start(soak_process_t *process);
+void soak_process_signal(soak_process_t *process, int signal);
+soak_process_t *soak_process_holder(void); /* NULL: none is known */
+void soak_processes_end(void);
+
+/* soak_client.c */
+void soak_clients_start(void);
+void soak_clients_stop_submitting(void);
+
+/* soak_checks.c */
+void soak_check_start(const soak_run_t *run);
+void soak_check_completed(const char *id);
+void soak_check_failed(const char *id);
+void soak_check_jobs_at_end(void);
+
+/* soak_faults.c */
+/* Returns false if a name is unknown. */
+bool soak_faults_start(void);
+void soak_faults_stop(void);
+
+/* A job of a client: one or two steps of equal tasks. */
+typedef struct {
+	char id[17];
+	int32_t pool;
+	int32_t steps;
+	int32_t tasks; /* of each step */
+	int32_t attempts;
+	bool accepted;
+	bool unanswered; /* an attempt got no answer that says it has not run */
+	bool given_up;
+	bool completed;
+	bool failed;
+	int64_t accepted_ms;
+	char *body;
+} soak_job_t;
+
+#endif
--- /dev/null
+++ b/src/soak/soak_checks.c
@@ -0,0 +1,157 @@
+#include "soak.h"
+
+#include <string.h>
+
+#define SECOND_STEP_MARK ".0.1."
+
+/* Both on upstreams that are up, or a start after an acknowledged end as done. */
+static bool is_second_run(const soak_run_t *first)
+{
+	return first->how == NULL ||
+	       (strcmp(first->how, "done") == 0 && first->acked_ms != 0 &&
+		!first->lapsed_unacked);
+}
+
+static void check_twice(const GPtrArray *earlier, const soak_run_t *run)
+{
+	for (guint i = 0; i < earlier->len; i++) {
+		const soak_run_t *first = g_ptr_array_index(earlier, i);
+
+		if (!is_second_run(first))
+			continue;
+		soak_break("TWICE",
+			   "run %" G_GINT64_FORMAT " of %s on %s after run "
+			   "%" G_GINT64_FORMAT " on %s (%s, acknowledged at "
+			   "%" G_GINT64_FORMAT " ms)",
+			   run->run, run->task, run->incarnation, first->run,
+			   first->incarnation,
+			   first->how == NULL ? "runs" : first->how,
+			   first->acked_ms);
+	}
+}
+
+static bool is_done(const char *task)
+{
+	const GPtrArray *runs = g_hash_table_lookup(soak.runs, task);
+
+	for (guint i = 0; runs != NULL && i < runs->len; i++) {
+		const soak_run_t *run = g_ptr_array_index(runs, i);
+
+		if (g_strcmp0(run->how, "done") == 0)
+			return true;
+	}
+	return false;
+}
+
+static int32_t count_undone(const soak_job_t *job, int32_t step)
+{
+	int32_t count = 0;
+
+	for (int32_t i = 0; i < job->tasks; i++) {
+		char *name = g_strdup_printf("%s.0.%d.%d", job->id, step, i);
+
+		count += !is_done(name);
+		g_free(name);
+	}
+	return count;
+}
+
+void soak_check_start(const soak_run_t *run)
+{
+	GPtrArray *runs = g_hash_table_lookup(soak.runs, run->task);
+	char *id = g_strndup(run->task, strcspn(run->task, "."));
+	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
+
+	if (runs == NULL) {
+		runs = g_ptr_array_new();
+		g_hash_table_insert(soak.runs, run->task, runs);
+	}
+	check_twice(runs, run);
+	g_ptr_array_add(runs, (gpointer)run);
+	if (job == NULL)
+		soak_break("UNASKED", "run of %s, which no client submitted",
+			   run->task);
+	else if (job->given_up && !job->unanswered)
+		soak_break("REFUSED", "run of %s, whose job was rejected",
+			   run->task);
+	else if (strstr(run->task, SECOND_STEP_MARK) != NULL &&
+		 count_undone(job, 0) > 0)
+		soak_break("ORDER", "run of %s before the first step is done",
+			   run->task);
+	g_free(id);
+}
+
+void soak_check_completed(const char *id)
+{
+	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
+
+	for (int32_t step = 0; step < job->steps; step++) {
+		int32_t undone = count_undone(job, step);
+
+		if (undone > 0)
+			soak_break("MIXED",
+				   "job %s is shown as completed, %d tasks of "
+				   "step %d haven't ended so",
+				   id, undone, step);
+	}
+}
+
+static int32_t count_crashes(const char *task)
+{
+	const GPtrArray *runs = g_hash_table_lookup(soak.runs, task);
+	int32_t count = 0;
+
+	for (guint i = 0; runs != NULL && i < runs->len; i++) {
+		const soak_run_t *run = g_ptr_array_index(runs, i);
+
+		count += g_strcmp0(run->how, "crashed") == 0;
+	}
+	return count;
+}
+
+/* A job may be given up once two upstreams have crashed under one of its tasks. */
+void soak_check_failed(const char *id)
+{
+	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
+	const int32_t crashes_allowed = 2;
+	int32_t most = 0;
+
+	for (int32_t i = 0; i < job->steps * job->tasks; i++) {
+		char *name = g_strdup_printf("%s.0.%d.%d", id, i / job->tasks,
+					     i % job->tasks);
+
+		most = MAX(most, count_crashes(name));
+		g_free(name);
+	}
+	if (most < crashes_allowed)
+		soak_break("LOST", "job %s has failed after %d crashes", id,
+			   most);
+	else
+		soak_record("job %s is given up after %d crashes", id, most);
+}
+
+void soak_check_jobs_at_end(void)
+{
+	int32_t accepted = 0;
+	int32_t completed = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, soak.jobs);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const soak_job_t *job = value;
+
+		accepted += job->accepted;
+		completed += job->completed;
+		if (job->accepted && !job->completed && !job->failed)
+			soak_break("LOST",
+				   "job %s was accepted at %" G_GINT64_FORMAT
+				   " ms and isn't shown as completed",
+				   job->id, job->accepted_ms);
+	}
+	soak_record("%u jobs submitted, %d accepted, %d completed",
+		    g_hash_table_size(soak.jobs), accepted, completed);
+	if (accepted < (int32_t)g_hash_table_size(soak.jobs) / 4)
+		soak_break("SERVED", "%d of %u jobs accepted", accepted,
+			   g_hash_table_size(soak.jobs));
+}
