scheduler: an upstream that starts again under its id is another incarnation

Cause: an upstream that starts again under its id numbers its ends from 1. The holder took them for ends that it had received before and dropped them without a word, while the number that it had acknowledged covered them, so the upstream forgot them. The tasks were in neither list and were started elsewhere. The field born was read nowhere.

Change: an answer with another born begins a new incarnation: ends count from 1, runs are lost in a crash, the longest lease is assumed. A run that the answer lists is kept; a start that wasn't confirmed before the poll is stopped there before its task runs elsewhere, as it may still arrive. The time of a start may go back with the clock, so answers are ordered by when their polls were sent. After a failed poll nothing is acknowledged until an answer has come. Ends of unknown tasks are logged.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -47,7 +47,7 @@
 
 /* The announcement of an upstream. */
 typedef struct {
-	char *id; /* of this incarnation; it changes with each restart */
+	char *id; /* mostly of one incarnation: see wwh_poll_answer_t */
 	char *endpoint; /* IP address and port */
 	char *pool;
 	char *zone;
@@ -98,6 +98,11 @@
 
 typedef struct {
 	int64_t remote_ms;
+	/*
+	 * Unix time at which this incarnation started; 0: unknown. An upstream
+	 * may start again under its id, and then knows nothing of before.
+	 */
+	int64_t born_ms;
 	const wwh_running_task_t *running;
 	int32_t running_count;
 	const wwh_ended_task_t *ended;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -5,7 +5,7 @@
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_advice, scheduler_age, scheduler_backlog, scheduler_check,
  * scheduler_choose, scheduler_cordon, scheduler_demand,
- * scheduler_inherited_start, scheduler_isolation, scheduler_job,
+ * scheduler_incarnation, scheduler_inherited_start, scheduler_isolation, scheduler_job,
  * scheduler_loss, scheduler_lost, scheduler_pace, scheduler_place,
  * scheduler_poll, scheduler_quota, scheduler_record, scheduler_repeat,
  * scheduler_room, scheduler_room_scan, scheduler_share, scheduler_speed,
@@ -247,6 +247,8 @@
 	/* Its last answer by our clock, and its own clock then; 0: unknown. */
 	int64_t clock_base_ms;
 	int64_t clock_base_remote_ms;
+	int64_t born_ms; /* of its incarnation, as last reported; 0: unknown */
+	int64_t born_learned_ms; /* when an answer first reported born_ms */
 	int64_t lease_until_remote_ms; /* the latest that was ever sent */
 	int64_t lease_end_ms; /* it has certainly lapsed then; 0: no lease */
 	bool lease_end_handled;
@@ -431,12 +433,25 @@
  */
 int64_t sched_lease_extend(const wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream);
+/* Assumes the longest lease that the upstream may have granted by remote_ms. */
+void sched_lease_assume_longest(const wwh_scheduler_t *scheduler,
+				sched_upstream_t *upstream, int64_t remote_ms);
 /* Called when a newer reading of upstream's clock has arrived. */
 void sched_lease_recompute(sched_upstream_t *upstream);
 void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
 
+/* scheduler_incarnation.c: an upstream that starts again under its id */
+/*
+ * Compares the incarnation that answered a poll sent at sent_ms with the one that
+ * is known, and begins a new one if the upstream has started again. Returns false
+ * if the answer may be of an earlier one and must not be applied.
+ */
+bool sched_incarnation_check(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream,
+			     const wwh_poll_answer_t *answer, int64_t sent_ms);
+
 /* scheduler_age.c: for how long runs have certainly been running */
 /* Called when the start of task's current run is ordered. */
 void sched_run_begin(const wwh_scheduler_t *scheduler, sched_task_t *task);
@@ -674,6 +689,12 @@
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
 			   wwh_termination_t termination, const char *why);
+/* Its ends count anew; those of before can't be acknowledged any more. */
+void sched_upstream_reset_ends(wwh_scheduler_t *scheduler,
+			       sched_upstream_t *upstream);
+/* Is called before the first start, so that a new holder polls the upstream. */
+void sched_upstream_write_record(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream);
 void sched_upstreams_flushed(wwh_scheduler_t *scheduler);
 void sched_upstreams_durable(wwh_scheduler_t *scheduler);
 /* Marks the outstanding runs at upstream as lost: they have certainly ended. */
--- /dev/null
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -0,0 +1,155 @@
+#include "private/scheduler_state.h"
+
+#include <string.h>
+
+static void begin_incarnation(wwh_scheduler_t *scheduler,
+			      sched_upstream_t *upstream,
+			      const wwh_poll_answer_t *answer, int64_t sent_ms);
+static void lose_runs(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+		      const wwh_poll_answer_t *answer, int64_t sent_ms);
+static bool is_listed(const wwh_poll_answer_t *answer,
+		      const sched_task_t *task);
+static void keep_run(sched_task_t *task);
+static bool may_begin_here(const sched_task_t *task, int64_t sent_ms);
+static void record_longest_lease(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream);
+
+/*
+ * The time of a start comes from a clock that may be set back, so two of them tell
+ * apart but not which one is later. A poll that was sent after an answer of one
+ * incarnation can't be answered by an earlier one.
+ */
+bool sched_incarnation_check(wwh_scheduler_t *scheduler,
+			     sched_upstream_t *upstream,
+			     const wwh_poll_answer_t *answer, int64_t sent_ms)
+{
+	bool is_known = upstream->born_ms != 0;
+
+	if (answer->born_ms == 0 || answer->born_ms == upstream->born_ms)
+		return true;
+	if (is_known && sent_ms <= upstream->born_learned_ms) {
+		sched_explain(scheduler, "answer-of-other-incarnation",
+			      upstream->info.id,
+			      "born=%" G_GINT64_FORMAT
+			      " known=%" G_GINT64_FORMAT,
+			      answer->born_ms, upstream->born_ms);
+		upstream->next_poll_ms = scheduler->now_ms;
+		return false;
+	}
+	if (is_known)
+		begin_incarnation(scheduler, upstream, answer, sent_ms);
+	upstream->born_ms = answer->born_ms;
+	upstream->born_learned_ms = scheduler->now_ms;
+	return true;
+}
+
+/* What ran there before is over, and was lost in a crash. */
+static void begin_incarnation(wwh_scheduler_t *scheduler,
+			      sched_upstream_t *upstream,
+			      const wwh_poll_answer_t *answer, int64_t sent_ms)
+{
+	sched_explain(scheduler, "upstream-restarted", upstream->info.id,
+		      "born=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+		      " tasks=%u ends_received=%" G_GINT64_FORMAT
+		      " ends_acked=%" G_GINT64_FORMAT,
+		      answer->born_ms, upstream->born_ms, upstream->tasks->len,
+		      upstream->ends_received, upstream->ends_acked);
+	scheduler->crashed_upstreams += upstream->tasks->len > 0;
+	lose_runs(scheduler, upstream, answer, sent_ms);
+	sched_losses_confirm_crash(scheduler, upstream);
+	sched_inherited_starts_resolve(scheduler, upstream, true);
+	g_array_set_size(upstream->unclear_losses, 0);
+	sched_upstream_reset_ends(scheduler, upstream);
+	g_hash_table_remove_all(upstream->orphan_stops);
+	sched_speed_forget(scheduler, upstream);
+	upstream->last_offset_ms = 0;
+	upstream->clock_offset_ms = 0;
+	upstream->fail_streak = 0;
+	upstream->backoffs = 0;
+	/* the poll may have carried a lease by the clock of before */
+	sched_lease_assume_longest(scheduler, upstream, answer->remote_ms);
+	record_longest_lease(scheduler, upstream);
+	upstream->pool->dirty = true;
+}
+
+/*
+ * A start that wasn't confirmed before the poll may still arrive, at the new
+ * incarnation. It is stopped there, as the upstream then refuses it, before the
+ * task runs elsewhere. A run that the answer lists has already arrived there.
+ */
+static void lose_runs(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+		      const wwh_poll_answer_t *answer, int64_t sent_ms)
+{
+	GPtrArray *runs = g_ptr_array_new();
+
+	sched_losses_attribute(scheduler, upstream, WWH_TERMINATION_CRASH,
+			       "restarted");
+	for (guint i = 0; i < upstream->tasks->len; i++)
+		g_ptr_array_add(runs, g_ptr_array_index(upstream->tasks, i));
+	for (guint i = 0; i < runs->len; i++) {
+		sched_task_t *task = g_ptr_array_index(runs, i);
+
+		task->stop_confirmed_ms = 0;
+		if (is_listed(answer, task))
+			keep_run(task);
+		else if (may_begin_here(task, sent_ms))
+			sched_task_order_stop(scheduler, task);
+		else
+			sched_task_event(scheduler, task, TASK_LOST);
+	}
+	for (guint i = 0; i < runs->len; i++)
+		sched_losses_give_up(scheduler, g_ptr_array_index(runs, i));
+	g_ptr_array_free(runs, TRUE);
+}
+
+static bool is_listed(const wwh_poll_answer_t *answer, const sched_task_t *task)
+{
+	char name[WWH_TASK_NAME_BYTES];
+
+	sched_task_name(task, name);
+	for (int32_t i = 0; i < answer->running_count; i++) {
+		if (answer->running[i].run == task->run &&
+		    strcmp(answer->running[i].task, name) == 0)
+			return true;
+	}
+	for (int32_t i = 0; i < answer->ended_count; i++) {
+		if (answer->ended[i].run == task->run &&
+		    strcmp(answer->ended[i].task, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* It wasn't there when the upstream crashed. */
+static void keep_run(sched_task_t *task)
+{
+	if (task->pending_run != task->run)
+		sched_losses_remove(task, task->run);
+}
+
+static bool may_begin_here(const sched_task_t *task, int64_t sent_ms)
+{
+	bool is_confirmed =
+		task->accepted_ms != 0 && task->accepted_ms < sent_ms;
+
+	switch (sched_task_state(task)) {
+	case TASK_STARTING:
+	case TASK_UNSURE:
+		return true;
+	case TASK_RUNNING:
+		return !is_confirmed || task->orders_in_flight > 0;
+	default:
+		return !is_confirmed;
+	}
+}
+
+/* A next holder that gets no answer has to wait for that lease, too. */
+static void record_longest_lease(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream)
+{
+	if (upstream->recorded_lease_ms >= scheduler->options.lease_max_ms)
+		return;
+	upstream->recorded_lease_ms = scheduler->options.lease_max_ms;
+	if (upstream->record_written)
+		sched_upstream_write_record(scheduler, upstream);
+}
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -170,13 +170,22 @@
 	       scheduler->now_ms >= upstream->next_poll_ms;
 }
 
+/*
+ * After a failed poll, the upstream may have started again under its id. The
+ * number of an earlier end would make it forget ends that nobody has received.
+ */
+static int64_t ends_acked_upto(const sched_upstream_t *upstream)
+{
+	return upstream->failed_polls > 0 ? 0 : upstream->ends_acked;
+}
+
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	bool busy = upstream->tasks->len > 0 || upstream->orphans > 0;
 	wwh_poll_order_t order = {
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
-		.ends_acked_upto = upstream->ends_acked,
+		.ends_acked_upto = ends_acked_upto(upstream),
 		.wait_ms = poll_wait_ms(scheduler, upstream),
 		.timeout_ms = poll_timeout_ms(scheduler, upstream),
 	};
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -244,6 +244,14 @@
 		remote_ms + upstream->recorded_lease_ms + CLOCK_AHEAD_MS;
 }
 
+void sched_lease_assume_longest(const wwh_scheduler_t *scheduler,
+				sched_upstream_t *upstream, int64_t remote_ms)
+{
+	upstream->lease_until_remote_ms = 0;
+	upstream->inherited_lease_until_remote_ms =
+		remote_ms + scheduler->options.lease_max_ms + CLOCK_AHEAD_MS;
+}
+
 void sched_lease_recompute(sched_upstream_t *upstream)
 {
 	int64_t until_remote_ms =
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -97,6 +97,19 @@
 	g_ptr_array_add(scheduler->awaiting_ack, upstream);
 }
 
+void sched_upstream_reset_ends(wwh_scheduler_t *scheduler,
+			       sched_upstream_t *upstream)
+{
+	if (upstream->awaits_ack)
+		g_ptr_array_remove_fast(scheduler->awaiting_ack, upstream);
+	upstream->awaits_ack = false;
+	upstream->ends_received = 0;
+	upstream->last_progress_end = 0;
+	upstream->ends_acked = 0;
+	upstream->ends_flushed = 0;
+	upstream->ends_flushed_record = 0;
+}
+
 void sched_upstream_delete(gpointer data)
 {
 	sched_upstream_t *upstream = data;
@@ -151,6 +164,19 @@
 	g_hash_table_remove(scheduler->upstreams, upstream->info.id);
 }
 
+void sched_upstream_write_record(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream)
+{
+	GBytes *value = sched_upstream_encode(upstream);
+
+	upstream->record_written = true;
+	upstream->record_number = scheduler->callbacks.write_record(
+		WWH_SCHEDULER_RECORD_UPSTREAM, upstream->info.id, value,
+		scheduler->callbacks.client_data);
+	scheduler->newest_record = upstream->record_number;
+	g_bytes_unref(value);
+}
+
 /*
  * A new holder polls each upstream that has a record. Before the record of this
  * one is deleted, the ends that it reported must be in the journal; otherwise
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -64,8 +64,6 @@
 			    sched_upstream_t *upstream);
 static void run_upstream(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
-static void write_upstream_record(wwh_scheduler_t *scheduler,
-				  sched_upstream_t *upstream);
 
 void wwh_scheduler_handle_poll_answer(wwh_scheduler_t *scheduler,
 				      const char *id,
@@ -81,8 +79,10 @@
 	if (upstream == NULL)
 		return;
 	was_usable = sched_upstream_usable(scheduler, upstream);
-	tasks = upstream->tasks->len;
 	upstream->poll_in_flight = false;
+	if (!sched_incarnation_check(scheduler, upstream, answer, sent_ms))
+		return;
+	tasks = upstream->tasks->len;
 	upstream->answered_ms = scheduler->now_ms;
 	sched_speed_begin_answer(upstream, answer->remote_ms, sent_ms);
 	upstream->failed_polls = 0;
@@ -242,8 +242,15 @@
 	upstream->ends_received = row->number;
 	sched_upstream_await_ack(scheduler, upstream);
 	task = sched_job_listed_task(scheduler, row->task);
-	if (task == NULL)
+	if (task == NULL) {
+		sched_explain(
+			scheduler, "end-of-unknown-task", row->task,
+			"run=%" G_GINT64_FORMAT " how=%s upstream=%s"
+			" number=%" G_GINT64_FORMAT " born=%" G_GINT64_FORMAT,
+			row->run, wwh_end_kind_names[row->kind],
+			upstream->info.id, row->number, upstream->born_ms);
 		return;
+	}
 	if (changes_progress(task, row))
 		upstream->last_progress_end = row->number;
 	handle_task_end(scheduler, upstream, task, row);
@@ -574,23 +581,9 @@
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed && !upstream->record_written)
-		write_upstream_record(scheduler, upstream);
+		sched_upstream_write_record(scheduler, upstream);
 	if (upstream->cordoned || upstream->info.leaving)
 		g_ptr_array_add(scheduler->draining, upstream);
 	g_array_index(scheduler->wake_ms, int64_t, upstream->run_index) =
 		wake_ms(upstream);
 }
-
-/* Is called before the first start, so that a new holder polls the upstream. */
-static void write_upstream_record(wwh_scheduler_t *scheduler,
-				  sched_upstream_t *upstream)
-{
-	GBytes *value = sched_upstream_encode(upstream);
-
-	upstream->record_written = true;
-	upstream->record_number = scheduler->callbacks.write_record(
-		WWH_SCHEDULER_RECORD_UPSTREAM, upstream->info.id, value,
-		scheduler->callbacks.client_data);
-	scheduler->newest_record = upstream->record_number;
-	g_bytes_unref(value);
-}
--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -95,6 +95,7 @@
 		return;
 	assert(wire_poll_read_any(data, size, &any));
 	assert(plain.rows.remote_ms == any.rows.remote_ms);
+	assert(plain.rows.born_ms == any.rows.born_ms);
 	assert(plain.rows.ended_complete == any.rows.ended_complete);
 	assert(plain.rows.running_count == any.rows.running_count);
 	assert(plain.rows.ended_count == any.rows.ended_count);
--- a/src/test_scheduler/sched_fixture.h
+++ b/src/test_scheduler/sched_fixture.h
@@ -48,6 +48,7 @@
 	const char *corrupted_key; /* of an unreadable record; NULL: none */
 	int64_t record;
 	int64_t now_ms;
+	int64_t born_ms; /* of upstreams that answer; 0: they don't tell */
 	int32_t pace_count; /* pace orders so far */
 	int32_t last_pace;
 	int32_t advice_count; /* requests for advice so far */
@@ -327,6 +328,7 @@
 	sched_fixture_poll_t poll = sched_fixture_pop_poll(fixture, id);
 	wwh_poll_answer_t answer = {
 		.remote_ms = fixture->now_ms + 5000,
+		.born_ms = fixture->born_ms,
 		.running = running,
 		.running_count = running_count,
 		.ended = ended,
--- a/src/test_wire/test_poll.c
+++ b/src/test_wire/test_poll.c
@@ -14,6 +14,7 @@
 	"{}",
 	" { } \n",
 	"{\"clockMs\":0}",
+	"{\"clockMs\":1,\"born\":1790000000123,\"running\":[],\"ended\":[]}",
 	"{\"clockMs\":482113,\"running\":[],\"ended\":[]}",
 	"{\"running\":[[\"a.0.0.1\",1,\"\",0],[\"a.0.0.2\",27,\"c-1\",100,7]],"
 	"\"clockMs\":999999999999999999,"
@@ -104,6 +105,7 @@
 		fail_msg("plain, and not JSON: %.*s", (int)size, body);
 	if (is_plain) {
 		assert_int_equal(plain.rows.remote_ms, any.rows.remote_ms);
+		assert_int_equal(plain.rows.born_ms, any.rows.born_ms);
 		assert_int_equal(plain.rows.ended_complete,
 				 any.rows.ended_complete);
 		assert_same_running(&plain.rows, &any.rows);
@@ -189,6 +191,33 @@
 	(void)state;
 }
 
+/* Guards against upstreams whose restart under their id isn't noticed. */
+void the_start_of_an_incarnation_is_read(void **state)
+{
+	static const struct {
+		const char *body;
+		int64_t born_ms;
+	} cases[] = {
+		{ "{\"born\":1790000000123}", 1790000000123 },
+		{ "{\"born\":1790000000123,\"m\":[]}", 1790000000123 },
+		{ "{\"clockMs\":5}", 0 },
+		{ "{\"born\":\"soon\"}", 0 },
+		{ "{\"born\":null}", 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *body = cases[i].body;
+		wire_poll_t poll;
+
+		(void)check_answer(body, strlen(body));
+		assert_true(wire_poll_read((const uint8_t *)body, strlen(body),
+					   &poll));
+		assert_int_equal(poll.rows.born_ms, cases[i].born_ms);
+		wire_poll_clear(&poll);
+	}
+}
+
 static void assert_body(wwh_http_call_t *call, const char *expected)
 {
 	char *body = g_strndup((const char *)call->body->data, call->body->len);
--- a/src/test_wire/test_wire.h
+++ b/src/test_wire/test_wire.h
@@ -35,12 +35,14 @@
 		cmocka_unit_test(other_answers_are_decoded_from_a_tree),       \
 		cmocka_unit_test(damaged_answers_are_decoded_alike),           \
 		cmocka_unit_test(a_full_list_of_ends_is_incomplete),           \
+		cmocka_unit_test(the_start_of_an_incarnation_is_read),         \
 		cmocka_unit_test(orders_are_written_byte_for_byte)
 
 void usual_answers_are_decoded_in_one_pass(void **state);
 void other_answers_are_decoded_from_a_tree(void **state);
 void damaged_answers_are_decoded_alike(void **state);
 void a_full_list_of_ends_is_incomplete(void **state);
+void the_start_of_an_incarnation_is_read(void **state);
 void orders_are_written_byte_for_byte(void **state);
 
 void a_request_has_one_key_of_the_known_scheme(void **state);
