scheduler: leave completed occurrences out of a job's progress

Found by the review by reading: the record of a job's progress held all occurrences since the first, so a job with thousands of times outgrows the largest record of the store. The record is then sent again for good, and nothing after it becomes durable.

Change: completed occurrences are left out of the record, which readers have always taken for completed, and forgotten once none of their runs is outstanding. The record is bounded by what is still open.

Test: the_record_of_many_occurrences_stays_small plays 100,000 occurrences with a change of holder after each 20,000; each record stays below 200 bytes, and the job completes. On the code before, the record exceeds that.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -592,6 +592,7 @@
 sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
 					      sched_job_t *job);
 void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job);
+bool sched_occurrence_is_completed(const sched_occurrence_t *occurrence);
 /* Sets due once the occurrence is due by this holder's clock. */
 void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
 				 sched_occurrence_t *occurrence);
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -26,6 +26,8 @@
 static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at);
 static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
 			int64_t number);
+static void forget_completed(sched_job_t *job);
+static bool has_outstanding_runs(const sched_occurrence_t *occurrence);
 static bool may_have_runs(const wwh_scheduler_t *scheduler,
 			  const sched_job_t *job);
 static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job);
@@ -171,6 +173,7 @@
 {
 	const wwh_job_t *spec = job->spec;
 
+	forget_completed(job);
 	while (sched_job_is_live(job) &&
 	       job->next_occurrence < spec->repeat_count &&
 	       spec->first_wall_ms + job->next_occurrence * spec->interval_ms <=
@@ -180,6 +183,37 @@
 	}
 }
 
+/* A later listing of one of its runs is that of an orphan. */
+static void forget_completed(sched_job_t *job)
+{
+	if (job->spec->repeat_count == 0)
+		return;
+	for (guint i = 0; i < job->occurrences->len;) {
+		const sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (sched_occurrence_is_completed(occurrence) &&
+		    !has_outstanding_runs(occurrence))
+			g_ptr_array_remove_index(job->occurrences, i);
+		else
+			i++;
+	}
+}
+
+bool sched_occurrence_is_completed(const sched_occurrence_t *occurrence)
+{
+	return occurrence->steps_done == occurrence->job->spec->step_count;
+}
+
+static bool has_outstanding_runs(const sched_occurrence_t *occurrence)
+{
+	for (int32_t i = 0; i < occurrence->job->spec->step_count; i++) {
+		if (occurrence->steps[i].outstanding > 0)
+			return true;
+	}
+	return false;
+}
+
 void sched_job_mark_dirty(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
 	if (job->dirty)
@@ -238,7 +272,7 @@
 	if (step->done < step->spec->task_count)
 		return;
 	occurrence->steps_done++;
-	if (occurrence->steps_done < job->spec->step_count)
+	if (!sched_occurrence_is_completed(occurrence))
 		return;
 	job->occurrences_done++;
 	if (job->occurrences_done == occurrence_total(job) &&
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -34,6 +34,8 @@
 				 const msgpack_object *object);
 
 static void write_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
+static bool is_recorded(const sched_occurrence_t *occurrence);
+static guint count_recorded(const sched_job_t *job);
 static void pack_occurrence(msgpack_packer *packer,
 			    const sched_occurrence_t *occurrence);
 static void pack_step(msgpack_packer *packer, const sched_step_t *step);
@@ -97,16 +99,32 @@
 	}
 }
 
+/*
+ * A completed occurrence of many is known by its absence, so the record is bounded
+ * by what is still open.
+ */
+static bool is_recorded(const sched_occurrence_t *occurrence)
+{
+	return occurrence->job->spec->repeat_count == 0 ||
+	       !sched_occurrence_is_completed(occurrence);
+}
+
+static guint count_recorded(const sched_job_t *job)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < job->occurrences->len; i++)
+		count += is_recorded(g_ptr_array_index(job->occurrences, i));
+	return count;
+}
+
 GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms)
 {
-	bool live = sched_job_is_live(job);
-	guint open = 0;
+	guint open = sched_job_is_live(job) ? count_recorded(job) : 0;
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	GBytes *bytes;
 
-	if (live)
-		open = job->occurrences->len;
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer,
@@ -116,9 +134,13 @@
 	msgpack_pack_int32(&packer, job->started);
 	msgpack_pack_int64(&packer, job->next_occurrence);
 	msgpack_pack_array(&packer, open);
-	for (guint i = 0; i < open; i++)
-		pack_occurrence(&packer,
-				g_ptr_array_index(job->occurrences, i));
+	for (guint i = 0; open > 0 && i < job->occurrences->len; i++) {
+		const sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (is_recorded(occurrence))
+			pack_occurrence(&packer, occurrence);
+	}
 	if (job->workspace != NULL)
 		msgpack_pack_str_with_body(&packer, job->workspace,
 					   strlen(job->workspace));
--- a/src/test_scheduler/test_occurrences.c
+++ b/src/test_scheduler/test_occurrences.c
@@ -83,6 +83,61 @@
 	assert_int_equal(fixture->starts->len, 2);
 }
 
+/* Runs the next occurrence of one task to its end, which is acknowledged. */
+static void run_next_occurrence(sched_fixture_t *fixture, int64_t number)
+{
+	sched_fixture_order_t order;
+	wwh_ended_task_t ended;
+
+	for (int32_t i = 0; fixture->starts->len == 0 && i < 100; i++)
+		sched_fixture_run(fixture, 10);
+	order = *sched_fixture_order(fixture->starts, 0);
+	g_array_remove_index(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	ended = sched_fixture_ended_row(&order, number, WWH_END_DONE);
+	sched_fixture_run(fixture, 300);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, &ended, 1);
+	sched_fixture_make_durable(fixture);
+	g_string_truncate(fixture->events, 0);
+}
+
+/*
+ * Guards against a record that grows with each occurrence until the store rejects
+ * it, after which nothing of the shard becomes durable.
+ */
+void the_record_of_many_occurrences_stays_small(void **state)
+{
+	const int64_t occurrences = 100000;
+	const int64_t per_holder = 20000;
+	const gsize size_max = 200;
+	sched_fixture_t *fixture = *state;
+	wwh_job_t *job = sched_fixture_job(JOB_A, 1, 1000);
+	int64_t ends = 0;
+
+	job->repeat_count = occurrences;
+	job->first_wall_ms = SCHED_FIXTURE_WALL_MS;
+	job->interval_ms = 500;
+	sched_fixture_submit(fixture, job);
+	for (int64_t i = 0; i < occurrences; i++) {
+		GBytes *record;
+
+		if (i > 0 && i % per_holder == 0) {
+			sched_fixture_take_over(fixture);
+			sched_fixture_announce(fixture, "u1", ENDPOINT_1,
+					       false);
+			sched_fixture_run(fixture, 1);
+			sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL,
+						  0);
+		}
+		run_next_occurrence(fixture, ++ends);
+		record = g_hash_table_lookup(fixture->records, "P" JOB_A);
+		assert_non_null(record);
+		assert_true(g_bytes_get_size(record) < size_max);
+	}
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_COMPLETED);
+}
+
 /*
  * Guards against starts before an occurrence's time: a run that an upstream lists
  * shows that the previous holder has opened it, not that it is due.
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -382,11 +382,13 @@
 	FIXTURE_TEST(a_new_holder_adopts_tasks_of_an_open_occurrence, 1),      \
 		FIXTURE_TEST(an_end_of_an_occurrence_that_is_not_due_counts,   \
 			     1),                                               \
-		FIXTURE_TEST(a_listed_occurrence_waits_for_its_time, 1)
+		FIXTURE_TEST(a_listed_occurrence_waits_for_its_time, 1),       \
+		FIXTURE_TEST(the_record_of_many_occurrences_stays_small, 1)
 
 void a_new_holder_adopts_tasks_of_an_open_occurrence(void **state);
 void an_end_of_an_occurrence_that_is_not_due_counts(void **state);
 void a_listed_occurrence_waits_for_its_time(void **state);
+void the_record_of_many_occurrences_stays_small(void **state);
 
 #define SPEED_TESTS                                                                 \
 	cmocka_unit_test(                                                           \
