soak: links, configurations and settings; a planted fault for each rule

Each process reaches the store and each upstream is reached through a proxy of ours, which can be silent (what it holds back arrives later), hold answers back or reset connections. Configurations and SIGHUP come among the faults.

Not built: clocks that misbehave, a store that refuses some processes by itself, jobs at set times, lasting tasks and gangs among the jobs.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h')
 FUZZ_SECONDS ?= 60
 FUZZ_RUNS ?= 20000
+SOAK_SEEDS ?= 50
 
-.PHONY: all setup build demo test chaos bench fuzz fuzz-build fuzz-fixed format \
+.PHONY: all setup build demo test chaos soak bench fuzz fuzz-build fuzz-fixed format \
 	format-check lint check-all
 
 all: build
@@ -34,6 +35,11 @@
 chaos: setup build
 	@bash scripts/chaos.sh $(BUILD) --seed 1 --seconds 40
 
+# The system's processes under random faults; a seed a run, two at a time.
+soak: setup build
+	@seq $(SOAK_SEEDS) | xargs -P2 -I{} $(BUILD)/soak --seed {} \
+		--record $(BUILD)/soak-{}.txt
+
 bench: setup build
 	@sh scripts/bench.sh $(BUILD)
 
--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 #define LEAD_MS 3000
-#define FINISH_MS 14000
 
 static void start_traffic(void *data)
 {
@@ -32,6 +31,17 @@
 	soak_stop();
 }
 
+static bool find_plant(const char *name, soak_plant_t *plant)
+{
+	for (int32_t i = 0; i < SOAK_PLANT_COUNT; i++) {
+		if (strcmp(soak_plant_names[i], name) != 0)
+			continue;
+		*plant = (soak_plant_t)i;
+		return true;
+	}
+	return false;
+}
+
 int main(int argc, char **argv)
 {
 	static soak_options_t options = {
@@ -40,9 +50,11 @@
 		.upstreams = 24,
 		.seconds = 20,
 		.jobs_per_s = 10,
+		.finish_s = 14,
 		.program = WWH_BINARY_DIR "/waxwinghollow",
 	};
 	static char *record_path;
+	static char *plant;
 	static const GOptionEntry entries[] = {
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
 		  "what the faults are drawn from", "N" },
@@ -63,9 +75,10 @@
 		{ "record", 0, 0, G_OPTION_ARG_FILENAME, &record_path,
 		  "where to write what was seen; else standard output",
 		  "FILE" },
-		{ "plant-lost-end", 0, 0, G_OPTION_ARG_NONE,
-		  &options.plants_lost_end,
-		  "an upstream loses ends: TWICE must be found", NULL },
+		{ "finish", 0, 0, G_OPTION_ARG_INT, &options.finish_s,
+		  "without faults, until all jobs have to have ended", "S" },
+		{ "plant", 0, 0, G_OPTION_ARG_STRING, &plant,
+		  "a fault of a stand-in, which has to be found", "NAME" },
 		{ NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -77,8 +90,13 @@
 		return 2;
 	}
 	g_option_context_free(context);
+	if (plant != NULL && !find_plant(plant, &options.plant)) {
+		fprintf(stderr, "soak: no planted fault \"%s\"\n", plant);
+		return 2;
+	}
 	if (options.processes < 1 || options.upstreams < 1 ||
-	    options.seconds < 1 || options.jobs_per_s < 1) {
+	    options.seconds < 1 || options.jobs_per_s < 1 ||
+	    options.finish_s < 1) {
 		fprintf(stderr, "soak: numbers have to be positive\n");
 		return 2;
 	}
@@ -90,12 +108,13 @@
 	soak_processes_start();
 	soak_after(LEAD_MS, start_traffic, NULL);
 	soak_after(LEAD_MS + options.seconds * 1000, end_traffic, NULL);
-	soak_after(LEAD_MS + options.seconds * 1000 + FINISH_MS, finish, NULL);
+	soak_after(LEAD_MS + (options.seconds + options.finish_s) * 1000,
+		   finish, NULL);
 	soak_loop();
 	soak_processes_end();
 	soak_record("seed %d: %d promises broken", options.seed, soak.broken);
-	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken\n",
+	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken%s\n",
 	       options.seed, options.processes, options.upstreams,
-	       options.seconds, soak.broken);
+	       options.seconds, soak.broken, soak_broken_rules());
 	return soak.broken > 0 ? 1 : 0;
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -34,6 +34,36 @@
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
 
+/* What happens to connections through a proxy. */
+typedef enum {
+	SOAK_LINK_SOUND = 0,
+	SOAK_LINK_SILENT, /* nothing passes; it arrives later */
+	SOAK_LINK_ANSWERS_HELD, /* requests pass, their answers don't */
+	SOAK_LINK_RESET, /* connections are reset */
+	SOAK_LINK_COUNT
+} soak_link_t;
+
+/* Names of soak_link_t, in the same order. */
+extern const char *const soak_link_names[SOAK_LINK_COUNT];
+
+typedef struct soak_proxy soak_proxy_t;
+
+/* Each makes a stand-in break one promise, which a checker has to find. */
+typedef enum {
+	SOAK_PLANT_NONE = 0,
+	SOAK_PLANT_LOST_END, /* TWICE: an end counts as acknowledged unread */
+	SOAK_PLANT_EARLY_END, /* ORDER: an end is listed while the run goes on */
+	SOAK_PLANT_FALSE_END, /* MIXED: a failed run is listed as done */
+	SOAK_PLANT_LOST_JOB, /* LOST: the store drops records of a job */
+	SOAK_PLANT_FOREIGN_RUN, /* UNASKED: a run that nobody submitted */
+	SOAK_PLANT_REJECTION, /* REFUSED: an accepted job counts as rejected */
+	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
+	SOAK_PLANT_COUNT
+} soak_plant_t;
+
+/* Names of soak_plant_t, in the same order. */
+extern const char *const soak_plant_names[SOAK_PLANT_COUNT];
+
 typedef struct {
 	int32_t seed;
 	int32_t processes;
@@ -44,7 +74,8 @@
 	const char
 		*directory; /* of the processes' logs; NULL: a temporary one */
 	const char *faults; /* names, joined by commas; NULL: all */
-	bool plants_lost_end; /* an upstream loses ends that it should list */
+	int32_t finish_s; /* without faults, in which jobs have to end */
+	soak_plant_t plant;
 } soak_options_t;
 
 /* One run of a task, as the upstreams have seen it. */
@@ -55,6 +86,7 @@
 	int64_t begun_ms;
 	int64_t ended_ms; /* 0: it runs */
 	const char *how; /* of its end; NULL: it runs */
+	const char *listed_how; /* as it is reported */
 	int64_t end_number;
 	int64_t acked_ms; /* when its end was acknowledged; 0: never */
 	/* The lease lapsed before that, so the acknowledgement doesn't count. */
@@ -68,6 +100,7 @@
 	char id[32];
 	char host[16];
 	int port;
+	soak_proxy_t *proxy; /* its announced address */
 	bool up;
 	bool draining;
 	int64_t born_wall_ms;
@@ -94,6 +127,7 @@
 	int ports[SOAK_PROCESS_PORTS];
 	char node[32];
 	char peer[32];
+	soak_proxy_t *store_proxy; /* through which it reaches the store */
 	GPtrArray *connections; /* of clients, kept open */
 } soak_process_t;
 
@@ -130,6 +164,8 @@
 void soak_record(const char *format, ...) G_GNUC_PRINTF(1, 2);
 /* Records that a promise is broken. */
 void soak_break(const char *rule, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* " RULE" for each rule that was broken. */
+const char *soak_broken_rules(void);
 void soak_after(int64_t ms, soak_step_t step, void *data);
 void soak_every(int64_t ms, soak_step_t step, void *data);
 
@@ -147,6 +183,11 @@
 JsonNode *soak_parse_body(struct evhttp_request *request);
 int64_t soak_number(JsonObject *object, const char *name, int64_t fallback);
 
+/* soak_proxy.c: connections that can be disturbed */
+soak_proxy_t *soak_proxy_new(int target_port);
+int soak_proxy_port(const soak_proxy_t *proxy);
+void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link);
+
 /* soak_store.c: the log */
 void soak_store_start(void);
 /* value NULL: the key is dropped */
@@ -164,6 +205,8 @@
 
 /* soak_upstream.c */
 void soak_upstreams_start(void);
+/* Publishes the next version, in which time limits differ. */
+void soak_configuration_publish(void);
 /* silent: like a host without power; else connections are refused. */
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
@@ -172,6 +215,8 @@
 /* soak_process.c: the processes under test */
 void soak_processes_start(void);
 void soak_process_start(soak_process_t *process);
+/* Writes its settings anew and sends SIGHUP. */
+void soak_process_reload(soak_process_t *process);
 void soak_process_signal(soak_process_t *process, int signal);
 soak_process_t *soak_process_holder(void); /* NULL: none is known */
 void soak_processes_end(void);
--- a/src/soak/soak_client.c
+++ b/src/soak/soak_client.c
@@ -46,6 +46,11 @@
 static void handle_submitted(soak_job_t *job, int32_t status)
 {
 	soak_record("client: job %s -> %d", job->id, status);
+	/* planted: the client counts an accepted job as rejected */
+	if (soak.options.plant == SOAK_PLANT_REJECTION && status == 200) {
+		job->given_up = true;
+		return;
+	}
 	if (status >= 200 && status < 300) {
 		job->accepted = true;
 		job->accepted_ms = soak_now_ms();
--- a/src/soak/soak_faults.c
+++ b/src/soak/soak_faults.c
@@ -192,6 +192,43 @@
 	soak_after(draw(1000, 4500), end_lost_answers, NULL);
 }
 
+static void restore_link(void *data)
+{
+	soak_proxy_set_link(data, SOAK_LINK_SOUND);
+}
+
+static void disturb(soak_proxy_t *proxy, const char *who, const char *where)
+{
+	soak_link_t link = (soak_link_t)draw(SOAK_LINK_SILENT, SOAK_LINK_COUNT);
+
+	soak_record("link of %s to %s: %s", who, where, soak_link_names[link]);
+	soak_proxy_set_link(proxy, link);
+	soak_after(draw(500, 5500), restore_link, proxy);
+}
+
+static void disturb_store_link(void)
+{
+	soak_process_t *process = draw_process();
+
+	disturb(process->store_proxy, process->node, "the store");
+}
+
+static void disturb_upstream_links(void)
+{
+	int32_t count = draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = draw_upstream();
+
+		disturb(upstream->proxy, upstream->id, "processes");
+	}
+}
+
+static void reload_settings(void)
+{
+	soak_process_reload(draw_process());
+}
+
 static const fault_t faults[] = {
 	{ "upstream-restart", crash_and_keep_id },
 	{ "upstream-crash", crash_and_change_id },
@@ -205,6 +242,10 @@
 	{ "store-refuses", refuse_at_store },
 	{ "store-loses-answers", lose_answers },
 	{ "store-compacts", soak_store_compact },
+	{ "store-link", disturb_store_link },
+	{ "upstream-links", disturb_upstream_links },
+	{ "configuration", soak_configuration_publish },
+	{ "settings-reload", reload_settings },
 };
 
 static const fault_t *enabled_faults[G_N_ELEMENTS(faults)];
--- a/src/soak/soak_process.c
+++ b/src/soak/soak_process.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #define REAP_INTERVAL_MS 20
+#define PLANTED_ABORT_MS 5000
 
 static const char *const zones[SOAK_ZONES] = { "zone-a", "zone-b", "zone-c",
 					       "zone-d" };
@@ -61,7 +62,7 @@
 		SOAK_HEARTBEAT_MS, SOAK_LEASE_MAX_MS);
 	fprintf(file, "bounds.stopMs=%d\n", SOAK_STOP_MS);
 	fprintf(file, "platform.address=" SOAK_LOOPBACK ":%d\n",
-		soak.store_port);
+		soak_proxy_port(process->store_proxy));
 	fprintf(file, "cloud.address=" SOAK_LOOPBACK ":%d\n", soak.hosts_port);
 	fclose(file);
 	return path;
@@ -108,6 +109,22 @@
 	}
 }
 
+void soak_process_reload(soak_process_t *process)
+{
+	if (process->pid == 0 || process->stopped)
+		return;
+	g_free(write_settings(process));
+	soak_process_signal(process, SIGHUP);
+}
+
+static void abort_one(void *data)
+{
+	soak_process_t *process = data;
+
+	if (process->pid != 0)
+		kill(process->pid, SIGABRT);
+}
+
 soak_process_t *soak_process_holder(void)
 {
 	char *address = soak_store_holder();
@@ -157,9 +174,12 @@
 		g_snprintf(process->peer, sizeof(process->peer),
 			   SOAK_LOOPBACK ":%d", process->ports[3]);
 		process->connections = g_ptr_array_new();
+		process->store_proxy = soak_proxy_new(soak.store_port);
 		soak_process_start(process);
 	}
 	soak_every(REAP_INTERVAL_MS, reap, NULL);
+	if (soak.options.plant == SOAK_PLANT_ABORT)
+		soak_after(PLANTED_ABORT_MS, abort_one, &soak.processes[0]);
 }
 
 static void remove_file(const char *node, const char *suffix)
--- /dev/null
+++ b/src/soak/soak_proxy.c
@@ -0,0 +1,164 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Data that is held back on one side before the other one isn't read any more. */
+#define HELD_MAX_BYTES (1 << 20)
+
+/* One connection through the proxy. */
+typedef struct {
+	soak_proxy_t *proxy;
+	struct bufferevent *caller;
+	struct bufferevent *target;
+} relay_t;
+
+struct soak_proxy {
+	struct evconnlistener *listener;
+	int port;
+	int target_port;
+	soak_link_t link;
+	GPtrArray *relays; /* relay_t */
+};
+
+const char *const soak_link_names[SOAK_LINK_COUNT] = {
+	"sound",
+	"silent",
+	"answers-held",
+	"reset",
+};
+
+static void close_relay(relay_t *relay)
+{
+	g_ptr_array_remove_fast(relay->proxy->relays, relay);
+	bufferevent_free(relay->caller);
+	bufferevent_free(relay->target);
+	g_free(relay);
+}
+
+/* A connection that is closed in this way is reset. */
+static void reset_relay(relay_t *relay)
+{
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	(void)setsockopt(bufferevent_getfd(relay->caller), SOL_SOCKET,
+			 SO_LINGER, &at_once, sizeof(at_once));
+	(void)setsockopt(bufferevent_getfd(relay->target), SOL_SOCKET,
+			 SO_LINGER, &at_once, sizeof(at_once));
+	close_relay(relay);
+}
+
+static bool passes(const relay_t *relay, bool from_caller)
+{
+	soak_link_t link = relay->proxy->link;
+
+	return link == SOAK_LINK_SOUND ||
+	       (link == SOAK_LINK_ANSWERS_HELD && from_caller);
+}
+
+static void forward(relay_t *relay, bool from_caller)
+{
+	struct bufferevent *from = from_caller ? relay->caller : relay->target;
+	struct bufferevent *to = from_caller ? relay->target : relay->caller;
+
+	if (passes(relay, from_caller))
+		(void)bufferevent_read_buffer(from, bufferevent_get_output(to));
+}
+
+static void on_caller_data(struct bufferevent *from, void *data)
+{
+	(void)from;
+	forward(data, true);
+}
+
+static void on_target_data(struct bufferevent *from, void *data)
+{
+	(void)from;
+	forward(data, false);
+}
+
+static void on_event(struct bufferevent *from, short what, void *data)
+{
+	(void)from;
+	if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+		close_relay(data);
+}
+
+static struct sockaddr_in address_of(int port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port) };
+
+	inet_pton(AF_INET, SOAK_LOOPBACK, &address.sin_addr);
+	return address;
+}
+
+static void on_connection(struct evconnlistener *listener, evutil_socket_t fd,
+			  struct sockaddr *from, int size, void *data)
+{
+	soak_proxy_t *proxy = data;
+	struct sockaddr_in address = address_of(proxy->target_port);
+	relay_t *relay = g_new0(relay_t, 1);
+
+	(void)listener;
+	(void)from;
+	(void)size;
+	relay->proxy = proxy;
+	relay->caller =
+		bufferevent_socket_new(soak.base, fd, BEV_OPT_CLOSE_ON_FREE);
+	relay->target =
+		bufferevent_socket_new(soak.base, -1, BEV_OPT_CLOSE_ON_FREE);
+	g_ptr_array_add(proxy->relays, relay);
+	bufferevent_setcb(relay->caller, on_caller_data, NULL, on_event, relay);
+	bufferevent_setcb(relay->target, on_target_data, NULL, on_event, relay);
+	bufferevent_setwatermark(relay->caller, EV_READ, 0, HELD_MAX_BYTES);
+	bufferevent_setwatermark(relay->target, EV_READ, 0, HELD_MAX_BYTES);
+	bufferevent_enable(relay->caller, EV_READ | EV_WRITE);
+	bufferevent_enable(relay->target, EV_READ | EV_WRITE);
+	if (proxy->link == SOAK_LINK_RESET ||
+	    bufferevent_socket_connect(relay->target,
+				       (struct sockaddr *)&address,
+				       sizeof(address)) != 0)
+		reset_relay(relay);
+}
+
+soak_proxy_t *soak_proxy_new(int target_port)
+{
+	soak_proxy_t *proxy = g_new0(soak_proxy_t, 1);
+	struct sockaddr_in address;
+
+	proxy->target_port = target_port;
+	proxy->port = soak_free_port();
+	proxy->relays = g_ptr_array_new();
+	address = address_of(proxy->port);
+	proxy->listener = evconnlistener_new_bind(
+		soak.base, on_connection, proxy,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+		(struct sockaddr *)&address, sizeof(address));
+	g_assert(proxy->listener != NULL);
+	return proxy;
+}
+
+int soak_proxy_port(const soak_proxy_t *proxy)
+{
+	return proxy->port;
+}
+
+void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link)
+{
+	proxy->link = link;
+	for (guint i = proxy->relays->len; i > 0; i--) {
+		relay_t *relay = g_ptr_array_index(proxy->relays, i - 1);
+
+		if (link == SOAK_LINK_RESET) {
+			reset_relay(relay);
+			continue;
+		}
+		/* what was held back arrives late */
+		forward(relay, true);
+		forward(relay, false);
+	}
+}
--- a/src/soak/soak_store.c
+++ b/src/soak/soak_store.c
@@ -260,6 +260,16 @@
 	producer->next = (producer->next + 1) % REPETITIONS_KEPT;
 }
 
+/* Planted: records of every fourth job are acknowledged and not kept. */
+static bool is_dropped(const char *key)
+{
+	const char kinds_of_jobs[] = "JP";
+
+	return soak.options.plant == SOAK_PLANT_LOST_JOB &&
+	       strchr(kinds_of_jobs, key[0]) != NULL &&
+	       strchr("048c", key[strlen(key) - 1]) != NULL;
+}
+
 static void append_body(struct evhttp_request *request, part_t *part)
 {
 	struct evbuffer *input = evhttp_request_get_input_buffer(request);
@@ -274,7 +284,9 @@
 
 		memcpy(&length, data + at, sizeof(length));
 		length = GUINT32_FROM_BE(length);
-		put_record(part, key, rest + key_size, length - 1 - key_size);
+		if (!is_dropped(key))
+			put_record(part, key, rest + key_size,
+				   length - 1 - key_size);
 		g_free(key);
 		at += sizeof(length) + length;
 	}
--- a/src/soak/soak_upstream.c
+++ b/src/soak/soak_upstream.c
@@ -59,7 +59,7 @@
 		"\"clockMs\":%" G_GINT64_FORMAT
 		",\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
 		"}",
-		pool_names[upstream->pool], upstream->port,
+		pool_names[upstream->pool], soak_proxy_port(upstream->proxy),
 		zone_names[upstream->index % SOAK_ZONES],
 		upstream->draining ? "draining" : "ready",
 		upstream->draining ? "\"remainingMs\":3000," : "",
@@ -102,7 +102,7 @@
 				       ",\"%s\",%" G_GINT64_FORMAT
 				       ",\"%s\",\"\"]",
 				       i > 0 ? "," : "", run->end_number,
-				       run->task, run->run, run->how);
+				       run->task, run->run, run->listed_how);
 	}
 	g_string_append(text, "]}");
 	soak_answer(request, 200, text->str, 0);
@@ -142,12 +142,15 @@
 {
 	soak_active_t *active = g_ptr_array_index(upstream->active, index);
 	soak_run_t *run = active->entry;
-	/* planted: the upstream counts the end as acknowledged at once */
-	bool loses = soak.options.plants_lost_end && upstream->index == 0 &&
-		     strcmp(how, "done") == 0;
+	bool is_planted = upstream->index == 0 && strcmp(how, "done") == 0;
+	bool loses = is_planted && soak.options.plant == SOAK_PLANT_LOST_END;
+	bool lies = is_planted && soak.options.plant == SOAK_PLANT_FALSE_END;
 
 	run->ended_ms = soak_now_ms();
 	run->how = how;
+	run->listed_how = how;
+	if (lies)
+		run->how = "failed";
 	soak_record("upstream %s: run %" G_GINT64_FORMAT " of %s ends: %s",
 		    run->incarnation, run->run, run->task, how);
 	if (is_listed) {
@@ -252,6 +255,18 @@
 	return NULL;
 }
 
+/* Planted: the end is listed as done, and the run goes on. */
+static void list_end_early(soak_upstream_t *upstream, const soak_run_t *entry)
+{
+	soak_run_t *end = g_new0(soak_run_t, 1);
+
+	*end = *entry;
+	end->how = "done";
+	end->listed_how = "done";
+	end->end_number = ++upstream->ends;
+	g_ptr_array_add(upstream->ended, end);
+}
+
 static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run)
 {
 	soak_run_t *entry = g_new0(soak_run_t, 1);
@@ -272,6 +287,11 @@
 		    " of %s begins (token %" G_GINT64_FORMAT ")",
 		    entry->incarnation, run, task, upstream->token);
 	soak_check_start(entry);
+	if (soak.options.plant == SOAK_PLANT_EARLY_END && upstream->index == 0)
+		list_end_early(upstream, entry);
+	if (soak.options.plant == SOAK_PLANT_FOREIGN_RUN &&
+	    upstream->index == 0 && run > 0)
+		begin_run(upstream, "00000000000dead0.0.0.0", 0);
 }
 
 static void serve_start(soak_upstream_t *upstream,
@@ -472,6 +492,8 @@
 	upstream->late_until_ms = 0;
 	g_hash_table_remove_all(upstream->highest);
 	upstream->http = soak_listen(&upstream->port, on_call, upstream);
+	if (upstream->proxy == NULL)
+		upstream->proxy = soak_proxy_new(upstream->port);
 	upstream->up = true;
 	soak_record("upstream %s/%d starts at port %d", upstream->id,
 		    upstream->incarnations, upstream->port);
@@ -534,20 +556,25 @@
 	g_string_free(text, TRUE);
 }
 
-static void publish_configuration(void)
+void soak_configuration_publish(void)
 {
-	GString *text = g_string_new("{\"version\":1,\"routes\":[");
+	static int32_t version;
+	GString *text = g_string_new(NULL);
+
+	version += 1 + version % 3;
+	soak_record("configuration version %d", version);
+	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
 
 	for (int32_t i = 0; i < SOAK_POOLS; i++)
 		g_string_append_printf(
 			text,
 			"%s{\"name\":\"r-%s\",\"host\":\"" SOAK_HOST
 			"\",\"pathPrefix\":\"/%s/\",\"kind\":"
-			"\"non_idempotent\",\"timeoutMs\":3000,"
+			"\"non_idempotent\",\"timeoutMs\":%d,"
 			"\"targetLatencyMs\":600,\"priority\":%d,\"service\":"
 			"\"%s\",\"maxAttempts\":3,\"stretch\":1.6}",
-			i > 0 ? "," : "", pool_names[i], pool_names[i], i % 2,
-			pool_names[i]);
+			i > 0 ? "," : "", pool_names[i], pool_names[i],
+			3000 + version % 2 * 500, i % 2, pool_names[i]);
 	g_string_append(text, "],\"services\":[");
 	for (int32_t i = 0; i < SOAK_POOLS; i++)
 		g_string_append_printf(text,
@@ -562,7 +589,7 @@
 void soak_upstreams_start(void)
 {
 	(void)soak_listen(&soak.hosts_port, on_hosts, NULL);
-	publish_configuration();
+	soak_configuration_publish();
 	soak.upstreams = g_new0(soak_upstream_t, (gsize)soak.options.upstreams);
 	for (int32_t i = 0; i < soak.options.upstreams; i++) {
 		soak_upstream_t *upstream = &soak.upstreams[i];
--- a/src/soak/soak_world.c
+++ b/src/soak/soak_world.c
@@ -15,6 +15,13 @@
 
 soak_t soak;
 
+const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
+	"none",	    "lost-end",	   "early-end", "false-end",
+	"lost-job", "foreign-run", "rejection", "abort",
+};
+
+static GString *broken_rules;
+
 int64_t soak_now_ms(void)
 {
 	return (g_get_monotonic_time() - soak.start_us) / 1000;
@@ -50,6 +57,10 @@
 	char *text = g_strconcat("BROKEN ", rule, ": ", format, NULL);
 
 	soak.broken++;
+	if (broken_rules == NULL)
+		broken_rules = g_string_new(NULL);
+	if (strstr(broken_rules->str, rule) == NULL)
+		g_string_append_printf(broken_rules, " %s", rule);
 	va_start(arguments, format);
 	record_line(text, arguments);
 	va_end(arguments);
@@ -57,6 +68,11 @@
 	g_free(text);
 }
 
+const char *soak_broken_rules(void)
+{
+	return broken_rules == NULL ? "" : broken_rules->str;
+}
+
 static void on_step(evutil_socket_t fd, short what, void *data)
 {
 	timed_step_t *timed = data;
