scheduler: judge a run that stands still by the pace of its task

Users with tasks of an hour couldn't use the product at all.

Cause: a run whose percent stayed the same for 1.6 s counted as hung; percent is a whole number.

Change: task_progress, without input or output, gives the limit: ten times what one percent takes by the run's own pace, capped by five times that of its class, else by its class, never less than 1.6 s; six times the estimate until a run of the class has reported progress; doubled from a task's second hang on. One run changes its class by an eighth at the most.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -6,7 +6,7 @@
  * scheduler_advice, scheduler_age, scheduler_backlog, scheduler_check,
  * scheduler_choose, scheduler_cordon, scheduler_demand,
  * scheduler_incarnation, scheduler_inherited_start, scheduler_isolation, scheduler_job,
- * scheduler_loss, scheduler_lost, scheduler_pace, scheduler_place,
+ * scheduler_loss, scheduler_lost, scheduler_pace, scheduler_place, scheduler_progress,
  * scheduler_poll, scheduler_quota, scheduler_record, scheduler_repeat,
  * scheduler_room, scheduler_room_scan, scheduler_share, scheduler_speed,
  * scheduler_task, scheduler_upstream, scheduler_watch.
@@ -133,6 +133,9 @@
 	bool inherited; /* may run at an upstream that hasn't answered yet */
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
+	bool percent_is_known; /* of the run's begin, or listed before */
+	int64_t one_percent_ms; /* what one percent of the run took; 0: unknown */
+	int32_t hangs; /* runs that were stopped for standing still */
 	int64_t ordered_ms; /* when the start of the run was ordered */
 	int64_t accepted_ms; /* when its start was confirmed; 0: it isn't */
 	int64_t first_listed_remote_ms; /* by the upstream's clock; 0: never */
@@ -358,6 +361,8 @@
 	int32_t failed_isolations_left;
 	wwh_workspace_quota_t *quota;
 	GHashTable *weights; /* workspace to int64_t, owned */
+	/* Name of a queue to its class_permille, as in wwh_task_progress_t. */
+	GHashTable *progress_classes;
 	int64_t now_ms;
 	int64_t wall_ms;
 	int64_t newest_record;
@@ -452,6 +457,17 @@
 			     sched_upstream_t *upstream,
 			     const wwh_poll_answer_t *answer, int64_t sent_ms);
 
+/* scheduler_progress.c: runs that stand still */
+/* Called when a run begins; adopted: at a percent that isn't known. */
+void sched_progress_begin(const wwh_scheduler_t *scheduler, sched_task_t *task,
+			  bool adopted);
+/* Called when an answer lists the run at percent. */
+void sched_progress_listed(wwh_scheduler_t *scheduler, sched_task_t *task,
+			   int32_t percent);
+/* Whether the run, which reported no other percent since since_ms, hangs. */
+bool sched_progress_hangs(const wwh_scheduler_t *scheduler,
+			  const sched_task_t *task, int64_t since_ms);
+
 /* scheduler_age.c: for how long runs have certainly been running */
 /* Called when the start of task's current run is ordered. */
 void sched_run_begin(const wwh_scheduler_t *scheduler, sched_task_t *task);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -125,6 +125,8 @@
 		g_array_new(FALSE, FALSE, sizeof(sched_inherited_start_t));
 	scheduler->weights =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	scheduler->progress_classes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	sched_orders_init(scheduler);
 	sched_speed_init(scheduler);
 	scheduler->quota = wwh_workspace_quota_new();
@@ -163,6 +165,7 @@
 	g_array_unref(scheduler->inherited_starts);
 	wwh_workspace_quota_delete(scheduler->quota);
 	g_hash_table_destroy(scheduler->weights);
+	g_hash_table_destroy(scheduler->progress_classes);
 	wwh_chart_delete(scheduler->task_chart);
 	g_free(scheduler);
 }
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -98,8 +98,7 @@
 	task->pace = 100;
 	task->pace_wanted = 100;
 	task->adopted_ms = 0;
-	task->percent = 0;
-	task->percent_ms = scheduler->now_ms;
+	sched_progress_begin(scheduler, task, false);
 	if (task->unavailable_since_ms == 0)
 		task->unavailable_since_ms = scheduler->now_ms;
 	task->step->occurrence->job->started = true;
@@ -140,7 +139,7 @@
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
 	task->pace_wanted = 100;
-	task->percent_ms = scheduler->now_ms;
+	sched_progress_begin(scheduler, task, true);
 	task->unavailable_since_ms = scheduler->now_ms;
 	task->adopted_ms = scheduler->now_ms;
 	task->inherited = false;
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -12,13 +12,6 @@
 /* The stop of an orphan is resent after this time and that which a stop takes. */
 #define ORPHAN_STOP_RESEND_MS 400
 
-/*
- * A task whose progress hasn't changed for this time hangs: tasks take a few
- * seconds and are listed once a second, and restoring a checkpoint takes well
- * under a second.
- */
-#define HANG_TIMEOUT_MS 1600
-
 /* A running lasting task that is unavailable for this time hangs. */
 #define LASTING_HANG_TIMEOUT_MS 2500
 
@@ -420,10 +413,7 @@
 	const wwh_job_step_t *spec = task->step->spec;
 
 	sched_task_set_checkpoint(task, row->checkpoint);
-	if (row->percent != task->percent) {
-		task->percent = row->percent;
-		task->percent_ms = scheduler->now_ms;
-	}
+	sched_progress_listed(scheduler, task, row->percent);
 	task->tail_ms = row->tail_ms;
 	if (!spec->lasting)
 		return;
@@ -521,19 +511,26 @@
 		bool lasting = task->step->spec->lasting;
 		int64_t since_ms =
 			lasting ? task->unavailable_since_ms : task->percent_ms;
-		int64_t limit_ms =
-			lasting ? LASTING_HANG_TIMEOUT_MS : HANG_TIMEOUT_MS;
+		bool may_hang = since_ms != 0;
 		char name[WWH_TASK_NAME_BYTES];
 
-		if (sched_task_state(task) != TASK_RUNNING || since_ms == 0 ||
+		since_ms = MAX(since_ms, task->changed_ms);
+		if (sched_task_state(task) != TASK_RUNNING || !may_hang ||
 		    task->pace_wanted < 100 ||
-		    scheduler->now_ms - MAX(since_ms, task->changed_ms) <
-			    limit_ms)
+		    !(lasting ? scheduler->now_ms - since_ms >=
+					LASTING_HANG_TIMEOUT_MS
+			      : sched_progress_hangs(scheduler, task,
+						     since_ms)))
 			continue;
 		sched_task_name(task, name);
 		sched_explain(scheduler, "run-hangs", name,
-			      "run=%" G_GINT64_FORMAT " upstream=%s percent=%d",
-			      task->run, upstream->info.id, task->percent);
+			      "run=%" G_GINT64_FORMAT " upstream=%s percent=%d"
+			      " since_ms=%" G_GINT64_FORMAT
+			      " one_percent_ms=%" G_GINT64_FORMAT,
+			      task->run, upstream->info.id, task->percent,
+			      scheduler->now_ms - since_ms,
+			      task->one_percent_ms);
+		task->hangs++;
 		task->avoided_upstream = upstream;
 		sched_task_order_stop(scheduler, task);
 		sched_upstream_back_off(scheduler, upstream, HANG_BACKOFF_MS);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -282,6 +282,7 @@
 		OVERLOAD_TESTS,
 		CRASH_TESTS,
 		CAPACITY_TESTS,
+		PROGRESS_TESTS,
 		SPEED_TESTS,
 		FIXTURE_TEST(a_job_runs_to_its_end, 1),
 		FIXTURE_TEST(nothing_starts_before_the_job_is_durable, 1),
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -390,6 +390,18 @@
 void a_listed_occurrence_waits_for_its_time(void **state);
 void the_record_of_many_occurrences_stays_small(void **state);
 
+#define PROGRESS_TESTS                                                         \
+	cmocka_unit_test(long_tasks_are_not_taken_for_hung),                   \
+		cmocka_unit_test(a_long_task_that_stands_still_is_found),      \
+		FIXTURE_TEST(a_task_without_progress_is_found_by_its_siblings, \
+			     1),                                               \
+		FIXTURE_TEST(a_task_with_a_wrong_estimate_ends, 1)
+
+void long_tasks_are_not_taken_for_hung(void **state);
+void a_long_task_that_stands_still_is_found(void **state);
+void a_task_without_progress_is_found_by_its_siblings(void **state);
+void a_task_with_a_wrong_estimate_ends(void **state);
+
 #define SPEED_TESTS                                                                 \
 	cmocka_unit_test(                                                           \
 		a_slow_upstream_is_marked_and_gets_no_task_while_others_have_room), \
