job_service: a holder takes the settings of a reload

Found by the review by reading: the process that holds the shard when SIGHUP comes dropped the new settings, so it would keep an old address of the store for good and answer 503 once that address is gone.

Cause: a holder keeps the settings with which it was created; the new ones were cleared instead of being kept for later.

Change: new settings wait until the process doesn't hold the shard. If they name another store or list of hosts, it hands the shard over by itself.

Test: a_holder_takes_a_new_address_of_the_store, which fails on the code before: a job that was accepted through the former holder doesn't end.

--- a/src/libwaxwinghollow/job_service_loop.c
+++ b/src/libwaxwinghollow/job_service_loop.c
@@ -50,6 +50,7 @@
 static void hand_over_if_requested(wwh_job_service_t *service, int64_t now_ms);
 static void publish_state(wwh_job_service_t *service, int64_t now_ms);
 static bool was_paused(wwh_job_service_t *service, int64_t now_ms);
+static bool has_new_addresses(const wwh_job_service_t *service);
 static void apply_settings(wwh_job_service_t *service);
 static bool is_quiescent(const wwh_job_service_t *service);
 
@@ -257,7 +258,7 @@
 	g_mutex_lock(&service->lock);
 	if (!should_yield(service, now_ms))
 		service->handover_requested = false;
-	requested = service->handover_requested;
+	requested = service->handover_requested || has_new_addresses(service);
 	g_mutex_unlock(&service->lock);
 	if (!requested) {
 		service->handover_requested_ms = 0;
@@ -279,6 +280,19 @@
 	g_mutex_unlock(&service->lock);
 }
 
+/*
+ * Whether this process holds the shard by way of addresses that its settings have
+ * replaced: it hands the shard over, and takes the settings then.
+ */
+static bool has_new_addresses(const wwh_job_service_t *service)
+{
+	const wwh_host_settings_t *next = service->pending_settings;
+
+	return service->holder != NULL && next != NULL &&
+	       (g_strcmp0(next->store, service->settings.store) != 0 ||
+		g_strcmp0(next->hosts, service->settings.hosts) != 0);
+}
+
 /* Publishes the state of the shard that is reported to other processes. */
 static void publish_state(wwh_job_service_t *service, int64_t now_ms)
 {
@@ -320,7 +334,11 @@
 static void apply_settings(wwh_job_service_t *service)
 {
 	wwh_host_settings_t *next;
+	bool moves_store;
 
+	/* a holder keeps the settings with which it was created */
+	if (service->holder != NULL)
+		return;
 	g_mutex_lock(&service->lock);
 	next = g_steal_pointer(&service->pending_settings);
 	g_mutex_unlock(&service->lock);
@@ -329,20 +347,15 @@
 	wwh_event_log_printf(service->log, "settings-reloaded", next->name,
 			     "store=%s hosts=%s", next->store,
 			     next->hosts == NULL ? "-" : next->hosts);
-	if (g_strcmp0(next->store, service->settings.store) != 0 &&
-	    service->holder == NULL) {
+	moves_store = g_strcmp0(next->store, service->settings.store) != 0;
+	if (moves_store) {
 		wwh_shard_claim_delete(service->claim);
 		wwh_store_follower_delete(service->operator_records);
-		wwh_host_settings_clear(&service->settings);
-		service->settings = *next;
-		job_service_create_store_clients(service);
-	} else if (service->holder == NULL) {
-		wwh_host_settings_clear(&service->settings);
-		service->settings = *next;
-	} else {
-		/* a holder keeps the settings with which it was created */
-		wwh_host_settings_clear(next);
 	}
+	wwh_host_settings_clear(&service->settings);
+	service->settings = *next;
+	if (moves_store)
+		job_service_create_store_clients(service);
 	g_free(next);
 	job_service_set_key_limit(service);
 }
--- a/src/test_job_service/service_fixture.h
+++ b/src/test_job_service/service_fixture.h
@@ -38,20 +38,21 @@
 	int64_t keys_fail_after_ms; /* 0: they don't fail */
 } fixture_t;
 
-static inline void start_process(fixture_t *fixture, int32_t index)
+/* With the store's present address. */
+static inline wwh_host_settings_t process_settings(const fixture_t *fixture,
+						   int32_t index)
 {
 	wwh_host_settings_t settings;
-	wwh_message_t message = { "" };
 	int32_t store = wwh_listener_port(fixture->standin->store);
 
 	wwh_host_settings_init(&settings);
 	settings.name = g_strdup_printf("p%d", index);
 	settings.callers.address = g_strdup("127.0.0.1");
-	settings.callers.port = standin_free_port();
+	settings.callers.port = fixture->ports[index];
 	settings.readiness.address = g_strdup("127.0.0.1");
 	settings.readiness.port = standin_free_port();
 	settings.peers.address = g_strdup("127.0.0.1");
-	settings.peers.port = standin_free_port();
+	settings.peers.port = fixture->peer_ports[index];
 	settings.store = g_strdup_printf("127.0.0.1:%d", store);
 	settings.hosts = g_strdup_printf("127.0.0.1:%d", store);
 	settings.grace_ms = GRACE_MS;
@@ -62,8 +63,17 @@
 	settings.relay_on_permille = 0;
 	if (fixture->cpu_permille[index] != 0)
 		settings.cpu_permille = fixture->cpu_permille[index];
-	fixture->ports[index] = settings.callers.port;
-	fixture->peer_ports[index] = settings.peers.port;
+	return settings;
+}
+
+static inline void start_process(fixture_t *fixture, int32_t index)
+{
+	wwh_host_settings_t settings;
+	wwh_message_t message = { "" };
+
+	fixture->ports[index] = standin_free_port();
+	fixture->peer_ports[index] = standin_free_port();
+	settings = process_settings(fixture, index);
 	fixture->services[index] =
 		wwh_job_service_new(&settings, fixture->log_fd);
 	assert_int_equal(
@@ -277,6 +287,7 @@
 			a_holder_keeps_a_load_that_was_handed_over_to_it),           \
 		SERVICE_TEST(                                                        \
 			a_holder_keeps_the_shard_while_nobody_else_is_served),       \
+		SERVICE_TEST(a_holder_takes_a_new_address_of_the_store),             \
 		SERVICE_TEST(a_lost_answer_does_not_delay_its_pool)
 
 void a_holder_that_the_store_rejects_hands_over(void **state);
@@ -284,6 +295,7 @@
 void a_holder_that_cannot_keep_up_hands_over(void **state);
 void a_holder_keeps_a_load_that_was_handed_over_to_it(void **state);
 void a_holder_keeps_the_shard_while_nobody_else_is_served(void **state);
+void a_holder_takes_a_new_address_of_the_store(void **state);
 void a_lost_answer_does_not_delay_its_pool(void **state);
 void another_process_takes_over_from_one_that_stops(void **state);
 void a_stopped_holder_waits_for_its_orders_to_hosts(void **state);
--- a/src/test_job_service/test_changes.c
+++ b/src/test_job_service/test_changes.c
@@ -229,6 +229,50 @@
 	}
 }
 
+static void reload_settings(fixture_t *fixture, int32_t index)
+{
+	wwh_host_settings_t settings = process_settings(fixture, index);
+
+	wwh_job_service_reload(fixture->services[index], &settings);
+}
+
+/*
+ * Guards against a process that keeps an old address of the store for good: the one
+ * that held the shard dropped the settings that it was given meanwhile.
+ */
+void a_holder_takes_a_new_address_of_the_store(void **state)
+{
+	fixture_t *fixture = *state;
+	standin_t *standin = fixture->standin;
+	wwh_listener_t *old_store = standin->store;
+	int32_t holder;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	holder = find_holder(fixture);
+	submit_job(fixture, holder, "00000000000000e1");
+	g_mutex_lock(&standin->lock);
+	standin->store = standin_listen(standin, standin_on_store, standin);
+	g_mutex_unlock(&standin->lock);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		reload_settings(fixture, i);
+		/* the second one within a moment replaces the first */
+		reload_settings(fixture, i);
+	}
+	g_usleep(1000 * 1000);
+	(void)wwh_listener_drain(old_store, 1000);
+	wwh_listener_delete(old_store);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		char *id = g_strdup_printf("00000000000000f%d", i);
+
+		wait_ready(fixture, i);
+		submit_job(fixture, i, id);
+		wait_job_state(fixture, 1 - i, id, "completed");
+		g_free(id);
+	}
+	wait_job_state(fixture, holder, "00000000000000e1", "completed");
+}
+
 /*
  * Guards against long waits after a change of the holder while upstreams leave
  * one order in twelve unanswered. The new holder starts none of the inherited
