http_calls: don't report a reset connection as refused

Tasks of an upstream that ran on were started on another one (TWICE), as two polls in a row were reported as refused, which shows that a process has ended.

Cause: on loopback a connection that is accepted and reset at once hangs up before connect() has returned, as a refused one does, and http_calls asked for the hang-up only. An errno left by an earlier call could do the same.

Change: a call that hangs up at once counts as refused unless the error is that of a reset; errno is cleared after each failed call.

The same outcome decides whether the holder of the shard has ended (shard_claim_watch).

--- a/src/libwaxwinghollow/http_calls.c
+++ b/src/libwaxwinghollow/http_calls.c
@@ -74,7 +74,7 @@
 	int64_t deadline_us;
 	int64_t send_deadline_us; /* the request must be sent before */
 	bool sending; /* the request was written to an open connection */
-	bool refused_on_connect; /* connection refused before connect() returned */
+	bool hung_up_on_connect; /* refused or reset before connect() returned */
 	bool has_ended;
 	wwh_call_outcome_t outcome;
 } transfer_t;
@@ -95,7 +95,8 @@
 static void add_headers(struct evkeyvalq *headers, const transfer_t *transfer);
 static enum evhttp_cmd_type method_type(const wwh_http_call_t *call);
 static void set_socket_options(const http_connection_t *connection);
-static bool refused_on_connect(const http_connection_t *connection);
+static bool hung_up_on_connect(const http_connection_t *connection);
+static bool was_refused(const transfer_t *transfer, int os_error);
 static void on_output(struct evbuffer *buffer,
 		      const struct evbuffer_cb_info *info, void *data);
 static void on_answer(struct evhttp_request *request, void *data);
@@ -320,7 +321,7 @@
 						       : NORMAL_PRIORITY);
 	if (is_new) {
 		set_socket_options(connection);
-		transfer->refused_on_connect = refused_on_connect(connection);
+		transfer->hung_up_on_connect = hung_up_on_connect(connection);
 		arm_timer(transfer,
 			  MIN(CONNECT_TIMEOUT_MS, remaining_send_ms(transfer)));
 	} else {
@@ -385,7 +386,7 @@
  * A connection to an address of this host is refused before connect() returns.
  * libevent reports the refusal later, with another errno or none.
  */
-static bool refused_on_connect(const http_connection_t *connection)
+static bool hung_up_on_connect(const http_connection_t *connection)
 {
 	struct pollfd socket = { .fd = http_pool_get_socket(connection),
 				 .events = POLLOUT };
@@ -428,14 +429,27 @@
 	}
 	if (transfer->has_ended)
 		return;
+	/* an end of file sets no errno: the next one must not find this one */
+	errno = 0;
 	if (transfer->sending)
 		end_transfer(transfer, WWH_CALL_NO_ANSWER);
-	else if (transfer->refused_on_connect || os_error == ECONNREFUSED)
+	else if (was_refused(transfer, os_error))
 		end_transfer(transfer, WWH_CALL_REFUSED);
 	else
 		end_transfer(transfer, WWH_CALL_NOT_SENT);
 }
 
+/*
+ * A connection that is accepted and reset at once hangs up like one that is refused,
+ * but something listens there.
+ */
+static bool was_refused(const transfer_t *transfer, int os_error)
+{
+	return os_error == ECONNREFUSED ||
+	       (transfer->hung_up_on_connect && os_error != ECONNRESET &&
+		os_error != EPIPE);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *data)
 {
 	transfer_t *transfer = data;
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -171,6 +171,62 @@
 	assert_int_equal(fixture->outcomes[WWH_CALL_REFUSED], 1);
 }
 
+/* Accepts connections and resets them, until its listener is shut down. */
+static gpointer reset_connections(gpointer data)
+{
+	int listener = GPOINTER_TO_INT(data);
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+	int connection;
+
+	while ((connection = accept(listener, NULL, NULL)) >= 0) {
+		(void)setsockopt(connection, SOL_SOCKET, SO_LINGER, &at_once,
+				 sizeof(at_once));
+		close(connection);
+	}
+	return NULL;
+}
+
+static int listen_at_any_port(int32_t *port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof(address);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+	assert_int_equal(
+		bind(listener, (struct sockaddr *)&address, sizeof(address)),
+		0);
+	assert_int_equal(listen(listener, SOMAXCONN), 0);
+	assert_int_equal(
+		getsockname(listener, (struct sockaddr *)&address, &size), 0);
+	*port = ntohs(address.sin_port);
+	return listener;
+}
+
+/*
+ * Guards against an upstream that is taken for terminated, while it runs on, as its
+ * connections are reset: its tasks would run twice.
+ */
+static void reset_connection_is_not_reported_as_refused(void **state)
+{
+	const int32_t calls = 300;
+	fixture_t *fixture = *state;
+	int32_t port;
+	int listener = listen_at_any_port(&port);
+	GThread *thread = g_thread_new("reset", reset_connections,
+				       GINT_TO_POINTER(listener));
+
+	for (int32_t i = 0; i < calls; i++) {
+		send_to_port(fixture, port, TIMEOUT_MS);
+		send_to_port(fixture, port, TIMEOUT_MS);
+		wait_for_callbacks(fixture, 2 * i + 2);
+	}
+	assert_int_equal(fixture->outcomes[WWH_CALL_REFUSED], 0);
+	(void)shutdown(listener, SHUT_RDWR);
+	(void)g_thread_join(thread);
+	close(listener);
+}
+
 /* A DNS lookup would block all other calls for seconds. */
 static void host_name_is_rejected_as_endpoint(void **state)
 {
@@ -565,6 +621,7 @@
 		TEST(sequential_calls_reuse_one_connection),
 		TEST(connection_close_leads_to_a_new_connection),
 		TEST(refused_connection_is_reported_as_refused),
+		TEST(reset_connection_is_not_reported_as_refused),
 		TEST(priority_answer_is_read_before_others),
 		TEST(host_name_is_rejected_as_endpoint),
 		TEST(connection_closed_after_request_is_no_answer),
