fuzz_scheduler, soak: restarts under the same id; resets; ports of their own

fuzz_scheduler: upstreams may start again under their id, with their clock, and orders on their way may reach the next incarnation.

soak: each run claims a block of ports, as runs side by side took each other's. A link that resets a part of its connections is one more fault.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -24,6 +24,15 @@
 		set -- -max_total_time="$amount" -print_final_stats=1
 	fi
 	log=$work/$name.log
+	# Inputs that failed before a fix run as they are, in both modes.
+	if [ -d "src/test_fuzz/inputs/$name" ] &&
+		! "$build/$name" "src/test_fuzz/inputs/$name"/* \
+			>"$log" 2>&1; then
+		tail -40 "$log" | cut -c1-300
+		echo "fuzz: $name FAILED on a kept input"
+		touch "$work/failed"
+		return
+	fi
 	if "$build/$name" "$@" -max_len=4096 -artifact_prefix=./fuzz- \
 		"$work/$name" $corpus >"$log" 2>&1; then
 		echo "fuzz: $name passed ($(grep -ao 'Done [0-9]* runs' "$log" | tail -1))"
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -40,6 +40,7 @@
 	SOAK_LINK_SILENT, /* nothing passes; it arrives later */
 	SOAK_LINK_ANSWERS_HELD, /* requests pass, their answers don't */
 	SOAK_LINK_RESET, /* connections are reset */
+	SOAK_LINK_RESET_SOME, /* all at first, then nearly half of the new */
 	SOAK_LINK_COUNT
 } soak_link_t;
 
@@ -122,6 +123,8 @@
 typedef struct {
 	GPid pid; /* 0: down */
 	bool stopped; /* by SIGSTOP */
+	bool terminating; /* it got SIGTERM */
+	bool frozen_terminating; /* and was stopped meanwhile */
 	int32_t starts;
 	int32_t zone;
 	int ports[SOAK_PROCESS_PORTS];
--- a/src/soak/soak_faults.c
+++ b/src/soak/soak_faults.c
@@ -7,6 +7,11 @@
 #define FAULT_INTERVAL_MS 700
 #define FIRST_FAULT_MS 4000
 
+/* After SIGTERM the platform waits this long before SIGKILL. */
+#define GRACE_MS 6000
+
+#define RESETS_MS 6500
+
 typedef struct {
 	const char *name;
 	void (*begin)(void);
@@ -96,6 +101,15 @@
 		soak_after(retry_ms, restart_process, process);
 }
 
+/* A process that was started again since is another one. */
+static void kill_after_grace(void *data)
+{
+	soak_process_t *process = data;
+
+	if (process->terminating)
+		soak_process_signal(process, SIGKILL);
+}
+
 static void stop_process(void)
 {
 	soak_process_t *process = draw_process();
@@ -103,6 +117,7 @@
 	if (process->pid == 0)
 		return;
 	soak_process_signal(process, SIGTERM);
+	soak_after(GRACE_MS, kill_after_grace, process);
 	soak_after(draw(300, 2500), restart_process, process);
 }
 
@@ -224,6 +239,17 @@
 	}
 }
 
+/* A seventh of the upstreams, for some seconds. */
+static void reset_upstream_connections(void)
+{
+	for (int32_t i = 0; i < 1 + soak.options.upstreams / 7; i++) {
+		soak_upstream_t *upstream = draw_upstream();
+
+		soak_proxy_set_link(upstream->proxy, SOAK_LINK_RESET_SOME);
+		soak_after(RESETS_MS, restore_link, upstream->proxy);
+	}
+}
+
 static void reload_settings(void)
 {
 	soak_process_reload(draw_process());
@@ -244,6 +270,7 @@
 	{ "store-compacts", soak_store_compact },
 	{ "store-link", disturb_store_link },
 	{ "upstream-links", disturb_upstream_links },
+	{ "upstream-resets", reset_upstream_connections },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/soak/soak_http.c
+++ b/src/soak/soak_http.c
@@ -13,11 +13,11 @@
 
 /*
  * Below the ports of outgoing connections, which might take one while the process
- * that listens there is down. Runs side by side begin at different ones.
+ * that listens there is down.
  */
 #define FIRST_PORT 12000
 #define LAST_PORT 32000
-#define PORTS_PER_RUN 97
+#define BLOCK_PORTS 1000
 
 typedef struct {
 	struct evhttp_request *request;
@@ -56,15 +56,35 @@
 	return ok;
 }
 
+/* Runs side by side use blocks of their own, of which each holds one port. */
+static int claim_block(void)
+{
+	for (int first = FIRST_PORT; first < LAST_PORT; first += BLOCK_PORTS) {
+		struct sockaddr_in address = {
+			.sin_family = AF_INET,
+			.sin_port = htons((uint16_t)first),
+		};
+		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+		inet_pton(AF_INET, SOAK_LOOPBACK, &address.sin_addr);
+		if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+			return first; /* held until the run ends */
+		close(fd);
+	}
+	fprintf(stderr, "soak: no free block of ports\n");
+	exit(2);
+}
+
 int soak_free_port(void)
 {
+	static int first;
 	static int last;
 
-	if (last == 0)
-		last = FIRST_PORT +
-		       getpid() * PORTS_PER_RUN % (LAST_PORT - FIRST_PORT);
-	for (int i = 0; i < LAST_PORT - FIRST_PORT; i++) {
-		last = last < LAST_PORT ? last + 1 : FIRST_PORT;
+	if (first == 0) {
+		first = claim_block();
+		last = first;
+	}
+	while (++last < first + BLOCK_PORTS) {
 		if (is_free(last))
 			return last;
 	}
--- a/src/soak/soak_process.c
+++ b/src/soak/soak_process.c
@@ -76,6 +76,8 @@
 
 	process->starts++;
 	process->stopped = false;
+	process->terminating = false;
+	process->frozen_terminating = false;
 	process->pid = fork();
 	if (process->pid == 0) {
 		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
@@ -102,6 +104,10 @@
 	if (process->stopped && signal != SIGSTOP)
 		kill(process->pid, SIGCONT);
 	process->stopped = signal == SIGSTOP;
+	process->terminating = process->terminating || signal == SIGTERM;
+	process->frozen_terminating =
+		process->frozen_terminating ||
+		(process->terminating && process->stopped);
 	kill(process->pid, signal);
 	if (signal == SIGKILL) {
 		waitpid(process->pid, NULL, 0);
@@ -150,7 +156,12 @@
 		    waitpid(process->pid, &status, WNOHANG) <= 0)
 			continue;
 		process->pid = 0;
-		if (WIFSIGNALED(status))
+		/* a process that is frozen beyond its grace cuts requests off */
+		if (process->frozen_terminating && WIFEXITED(status))
+			soak_record(
+				"process %s ends with %d after it was frozen",
+				process->node, WEXITSTATUS(status));
+		else if (WIFSIGNALED(status))
 			soak_break("FAULT", "process %s ends by signal %d",
 				   process->node, WTERMSIG(status));
 		else if (WEXITSTATUS(status) != 0)
--- a/src/soak/soak_proxy.c
+++ b/src/soak/soak_proxy.c
@@ -9,6 +9,9 @@
 /* Data that is held back on one side before the other one isn't read any more. */
 #define HELD_MAX_BYTES (1 << 20)
 
+/* Of new connections, on a link that resets some. */
+#define RESET_SHARE 0.45
+
 /* One connection through the proxy. */
 typedef struct {
 	soak_proxy_t *proxy;
@@ -25,10 +28,7 @@
 };
 
 const char *const soak_link_names[SOAK_LINK_COUNT] = {
-	"sound",
-	"silent",
-	"answers-held",
-	"reset",
+	"sound", "silent", "answers-held", "reset", "reset-some",
 };
 
 static void close_relay(relay_t *relay)
@@ -55,7 +55,7 @@
 {
 	soak_link_t link = relay->proxy->link;
 
-	return link == SOAK_LINK_SOUND ||
+	return link == SOAK_LINK_SOUND || link == SOAK_LINK_RESET_SOME ||
 	       (link == SOAK_LINK_ANSWERS_HELD && from_caller);
 }
 
@@ -119,6 +119,8 @@
 	bufferevent_enable(relay->caller, EV_READ | EV_WRITE);
 	bufferevent_enable(relay->target, EV_READ | EV_WRITE);
 	if (proxy->link == SOAK_LINK_RESET ||
+	    (proxy->link == SOAK_LINK_RESET_SOME &&
+	     g_rand_double(soak.rand) < RESET_SHARE) ||
 	    bufferevent_socket_connect(relay->target,
 				       (struct sockaddr *)&address,
 				       sizeof(address)) != 0)
@@ -153,7 +155,7 @@
 	for (guint i = proxy->relays->len; i > 0; i--) {
 		relay_t *relay = g_ptr_array_index(proxy->relays, i - 1);
 
-		if (link == SOAK_LINK_RESET) {
+		if (link == SOAK_LINK_RESET || link == SOAK_LINK_RESET_SOME) {
 			reset_relay(relay);
 			continue;
 		}
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -41,6 +41,8 @@
 			  .sent_ms = world.now_ms };
 
 	g_strlcpy(order.upstream, upstream, sizeof(order.upstream));
+	if (host_of(upstream) != NULL)
+		order.life = host_of(upstream)->life;
 	return order;
 }
 
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -89,6 +89,7 @@
 typedef struct {
 	char id[16];
 	int32_t life;
+	int64_t born_ms; /* another one for each life */
 	bool up;
 	bool cut;
 	bool hangs;
@@ -116,6 +117,7 @@
 	order_kind_t kind;
 	int32_t holder; /* number; orders outlive their holders */
 	char upstream[16];
+	int32_t life; /* of the upstream when it was sent */
 	char task[WWH_TASK_NAME_BYTES];
 	int64_t run;
 	int64_t token;
@@ -129,6 +131,7 @@
 typedef struct {
 	order_t order;
 	int64_t remote_ms;
+	int64_t born_ms;
 	GArray *running; /* wwh_running_task_t */
 	GArray *ended; /* wwh_ended_task_t */
 } answer_t;
@@ -172,6 +175,12 @@
 	       world.now_ms * host->clock_permille / 1000;
 }
 
+static inline void extend_lease(host_t *host, int64_t until_ms)
+{
+	until_ms = MIN(until_ms, clock_of(host) + LEASE_MAX_MS);
+	host->lease_until_ms = MAX(host->lease_until_ms, until_ms);
+}
+
 static inline truth_t *truth_of(const char *task, int32_t *step, job_t **job)
 {
 	char id[WWH_JOB_ID_CHARS + 1] = "";
@@ -300,7 +309,7 @@
 		    there->run == order->run)
 			return WWH_ORDER_DONE;
 	}
-	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
+	extend_lease(host, order->until_ms);
 	if (order->run <= refused_run(host, order->task))
 		return WWH_ORDER_OLD_RUN;
 	if (clock_of(host) > order->until_ms)
@@ -355,7 +364,7 @@
 
 static inline void carry_out_poll(host_t *host, const order_t *order)
 {
-	host->lease_until_ms = MAX(host->lease_until_ms, order->until_ms);
+	extend_lease(host, order->until_ms);
 	while (host->ends->len > 0 &&
 	       g_array_index(host->ends, end_t, 0).number <=
 		       order->acknowledged) {
