shard_claim: claim again once only while the store trims its log

A process that reads its own claim in a full read can't tell whether a claim of an equal count came before, and claimed again. Where the store forgets each record as soon as a newer one of its key is there, every read is a full one, so it claimed for good.

Change: a full read makes it claim again once. A claim of an equal count that was read still counts each time.

Test: claim_is_held_while_store_trims_its_log, which fails before.

--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -211,6 +211,7 @@
 			claim->holder == NULL ? "-" : claim->holder,
 			claim->holder_epoch);
 	claim->state = CLAIM_LOADING;
+	claim->is_repeated = false;
 	claim->previous_holder_may_act = previous_holder_may_act;
 	claim->previous_holder_ended = claim->holder != NULL &&
 				       claim->holder_has_ended &&
@@ -274,8 +275,13 @@
 		return;
 	if (is_own) {
 		claim->own_record_read = true;
-		/* a claim before this one may have been trimmed unread */
-		if (wwh_store_follower_in_full_read(claim->journal))
+		/*
+		 * A claim before this one may have been trimmed unread. A
+		 * store that trims all the time leaves nothing else to read,
+		 * so this counts once.
+		 */
+		if (wwh_store_follower_in_full_read(claim->journal) &&
+		    !claim->is_repeated)
 			claim->counter_is_shared = true;
 	} else if (epoch >= claim->epoch) {
 		claim->overtaken_by_epoch = epoch;
@@ -383,6 +389,7 @@
 	} else if (claim->counter_is_shared) {
 		claim_log_event(claim, "shard-claim-repeated",
 				"epoch=%" G_GINT64_FORMAT, claim->epoch);
+		claim->is_repeated = true;
 		claim->epoch = 0;
 		append_claim(claim);
 	} else {
--- a/src/test_shard_claim/test_shard_claim.c
+++ b/src/test_shard_claim/test_shard_claim.c
@@ -169,6 +169,23 @@
 	assert_int_equal(fixture->held.claim_count, 2);
 }
 
+/*
+ * Guards against a process that claims again for good, while the store forgets each
+ * record as soon as a newer one of its key is there.
+ */
+static void claim_is_held_while_store_trims_its_log(void **state)
+{
+	fixture_t *fixture = *state;
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->short_history = true;
+	g_mutex_unlock(&fixture->standin->lock);
+	put_record(fixture, "0", "Ja", "job a");
+	start_claim(fixture, false);
+	run_until_held(fixture);
+	assert_true(fixture->held.claim_count <= 2);
+}
+
 static void holder_that_reports_not_held_is_replaced(void **state)
 {
 	fixture_t *fixture = *state;
@@ -428,6 +445,9 @@
 		cmocka_unit_test_setup_teardown(
 			claims_of_equal_counter_get_different_counts, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			claim_is_held_while_store_trims_its_log, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			holder_that_reports_not_held_is_replaced, set_up,
 			tear_down),
