--- a/src/soak/soak.c
+++ b/src/soak/soak.c
@@ -116,5 +116,7 @@
 	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken%s\n",
 	       options.seed, options.processes, options.upstreams,
 	       options.seconds, soak.broken, soak_broken_rules());
+	/* the sanitizers' check of leaks may end the process before that */
+	fflush(stdout);
 	return soak.broken > 0 ? 1 : 0;
 }
--- a/src/soak/soak.h
+++ b/src/soak/soak.h
@@ -92,6 +92,7 @@
 	int64_t acked_ms; /* when its end was acknowledged; 0: never */
 	/* The lease lapsed before that, so the acknowledgement doesn't count. */
 	bool lapsed_unacked;
+	bool is_planted; /* owned by the list of ends */
 } soak_run_t;
 
 typedef struct {
--- a/src/soak/soak_upstream.c
+++ b/src/soak/soak_upstream.c
@@ -264,6 +264,7 @@
 	end->how = "done";
 	end->listed_how = "done";
 	end->end_number = ++upstream->ends;
+	end->is_planted = true;
 	g_ptr_array_add(upstream->ended, end);
 }
 
@@ -334,6 +335,14 @@
 	answer_order(upstream, request, 200, NULL);
 }
 
+static void forget_end(soak_upstream_t *upstream, guint index)
+{
+	soak_run_t *run = g_ptr_array_remove_index(upstream->ended, index);
+
+	if (run->is_planted)
+		g_free(run);
+}
+
 static void serve_poll(soak_upstream_t *upstream,
 		       struct evhttp_request *request, JsonObject *object)
 {
@@ -353,7 +362,7 @@
 			    " of %s is acknowledged (%" G_GINT64_FORMAT ")",
 			    run->incarnation, run->end_number, run->task,
 			    acked);
-		g_ptr_array_remove_index(upstream->ended, i);
+		forget_end(upstream, i);
 	}
 	poll->request = request;
 	poll->until_ms = soak_now_ms() + MIN(soak_number(object, "waitMs", 0),
@@ -461,7 +470,8 @@
 	for (guint i = 0; i < upstream->polls->len; i++)
 		g_free(g_ptr_array_index(upstream->polls, i));
 	g_ptr_array_set_size(upstream->polls, 0);
-	g_ptr_array_set_size(upstream->ended, 0);
+	while (upstream->ended->len > 0)
+		forget_end(upstream, 0);
 	if (!silent)
 		g_clear_pointer(&upstream->http, evhttp_free);
 	upstream->up = false;
