--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -132,11 +132,10 @@
 	int32_t orders_sent; /* the same start or stop, with repetitions */
 	int32_t orders_in_flight; /* those of them without an answer */
 	bool inherited; /* may run at an upstream that hasn't answered yet */
+	bool percent_is_known; /* of the run's begin, or listed before */
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
-	bool percent_is_known; /* of the run's begin, or listed before */
 	int64_t one_percent_ms; /* what one percent of the run took; 0: unknown */
-	int32_t hangs; /* runs that were stopped for standing still */
 	int64_t ordered_ms; /* when the start of the run was ordered */
 	int64_t accepted_ms; /* when its start was confirmed; 0: it isn't */
 	int64_t first_listed_remote_ms; /* by the upstream's clock; 0: never */
@@ -144,6 +143,7 @@
 	int64_t min_age_ms;
 	int64_t unavailable_since_ms; /* of a lasting task; 0: available */
 	int32_t consecutive_failures; /* lasting: 0 again once long available */
+	int32_t hangs; /* runs that were stopped for standing still */
 	int64_t adopted_ms; /* 0: this holder started it */
 	int64_t tail_ms; /* as listed last */
 	int32_t pace; /* in percent; confirmed by the upstream */
