task_progress: one name for the time of one percent

percent_ms meant when a percent was reported last in the scheduler and how long one percent takes in task_progress. The latter is one_percent_ms in both now. Two comments say what their fields hold.

--- a/include/waxwinghollow/task_progress.h
+++ b/include/waxwinghollow/task_progress.h
@@ -22,7 +22,7 @@
 
 typedef struct {
 	int64_t estimate_ms; /* of the whole task, as submitted */
-	int64_t percent_ms; /* one percent of this run took; 0: unknown */
+	int64_t one_percent_ms; /* one percent of this run took; 0: unknown */
 	/*
 	 * What one percent takes in this class, in thousandths of what the
 	 * estimates say; 0: no run has reported progress so far.
@@ -35,10 +35,10 @@
 int64_t wwh_task_progress_limit_ms(const wwh_task_progress_t *progress);
 
 /*
- * Adds that one percent of a run took percent_ms. Returns the new class_permille;
+ * Adds that one percent of a run took one_percent_ms. Returns the new class_permille;
  * 0 stands for a class without any.
  */
 int32_t wwh_task_progress_add(int32_t class_permille, int64_t estimate_ms,
-			      int64_t percent_ms);
+			      int64_t one_percent_ms);
 
 #endif
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -185,7 +185,7 @@
 	int64_t due_ms; /* due_wall_ms on the monotonic clock */
 	sched_step_t *steps;
 	int32_t steps_done;
-	bool due; /* its tasks may start; stays set if the clock is set back */
+	bool due; /* its time has come once, also if the clock was set back since */
 };
 
 struct sched_job {
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -86,7 +86,7 @@
 	bool own_record_read;
 	/* Another claim with the same counter has come before this one. */
 	bool counter_is_shared;
-	bool is_repeated; /* after a claim that may have shared its counter */
+	bool is_repeated; /* this claim repeats one that may have shared its counter */
 	bool notice_pending; /* a notice is to be published */
 	bool notice_in_flight;
 	bool notice_is_release; /* of the notice in flight */
--- a/src/libwaxwinghollow/scheduler_progress.c
+++ b/src/libwaxwinghollow/scheduler_progress.c
@@ -51,7 +51,7 @@
 {
 	const wwh_task_progress_t progress = {
 		.estimate_ms = wwh_job_estimate_ms(task->step->spec),
-		.percent_ms = task->one_percent_ms,
+		.one_percent_ms = task->one_percent_ms,
 		.class_permille = class_permille(scheduler, task),
 		.hangs = task->hangs,
 	};
--- a/src/libwaxwinghollow/task_progress.c
+++ b/src/libwaxwinghollow/task_progress.c
@@ -39,7 +39,7 @@
 				  DOUBLINGS_MAX);
 	int64_t limit_ms;
 
-	if (progress->percent_ms == 0 && progress->class_permille == 0)
+	if (progress->one_percent_ms == 0 && progress->class_permille == 0)
 		limit_ms = progress->estimate_ms * UNREPORTED_FACTOR;
 	else
 		limit_ms = expected_percent_ms(progress) * SLOWEST_FACTOR *
@@ -56,17 +56,17 @@
 	int64_t by_class_ms = progress->estimate_ms * progress->class_permille /
 			      (PERMILLE * PERCENT);
 
-	if (progress->percent_ms == 0)
+	if (progress->one_percent_ms == 0)
 		return by_class_ms;
-	return MIN(progress->percent_ms, by_class_ms * SLOWEST_FACTOR);
+	return MIN(progress->one_percent_ms, by_class_ms * SLOWEST_FACTOR);
 }
 
 /* One run changes the class by a fraction only, however slow it was. */
 int32_t wwh_task_progress_add(int32_t class_permille, int64_t estimate_ms,
-			      int64_t percent_ms)
+			      int64_t one_percent_ms)
 {
 	int64_t permille =
-		percent_ms * PERCENT * PERMILLE / MAX(estimate_ms, 1);
+		one_percent_ms * PERCENT * PERMILLE / MAX(estimate_ms, 1);
 	int64_t change_max = MAX(class_permille / CLASS_WEIGHT, 1);
 
 	permille = CLAMP(permille, 1, CLASS_PERMILLE_MAX);
--- a/src/test_task_progress/test_task_progress.c
+++ b/src/test_task_progress/test_task_progress.c
@@ -19,7 +19,7 @@
 		{ .estimate_ms = 3300, .class_permille = 2000 },
 		/* it stood still at one percent when it was listed first */
 		{ .estimate_ms = 1700,
-		  .percent_ms = 1000,
+		  .one_percent_ms = 1000,
 		  .class_permille = 1000 },
 	};
 
@@ -39,7 +39,7 @@
 
 	(void)state;
 	assert_true(wwh_task_progress_limit_ms(&progress) > slow_percent_ms);
-	progress.percent_ms = slow_percent_ms;
+	progress.one_percent_ms = slow_percent_ms;
 	assert_true(wwh_task_progress_limit_ms(&progress) >
 		    2 * slow_percent_ms);
 	progress = (wwh_task_progress_t){ .estimate_ms = estimate_ms };
