soak: among the tests, in smaller modules; acknowledgements that come late

src/soak is src/test_soak now, as it speaks the platform's words, which only platform/ and tests may know. Names of pools and zones stand once, the list of hosts and the configuration in soak_hosts.c.

Trace: SIGTERM came 50 ms after its start, before it had blocked the signal. A process that doesn't listen yet may end so; any other end by a signal still counts.

--- a/src/soak/soak.c
+++ b/src/test_soak/soak.c
@@ -27,6 +27,7 @@
 static void finish(void *data)
 {
 	(void)data;
+	soak_check_runs_at_end();
 	soak_check_jobs_at_end();
 	soak_stop();
 }
@@ -102,6 +103,7 @@
 	}
 	soak_init(&options, record_path);
 	soak_store_start();
+	soak_hosts_start();
 	soak_upstreams_start();
 	if (!soak_faults_start())
 		return 2;
--- a/src/soak/soak.h
+++ b/src/test_soak/soak.h
@@ -125,6 +125,7 @@
 	GPid pid; /* 0: down */
 	bool stopped; /* by SIGSTOP */
 	bool terminating; /* it got SIGTERM */
+	bool terminated_at_start; /* before it listened */
 	bool frozen_terminating; /* and was stopped meanwhile */
 	int32_t starts;
 	int32_t zone;
@@ -159,6 +160,9 @@
 
 extern soak_t soak;
 
+extern const char *const soak_pool_names[SOAK_POOLS];
+extern const char *const soak_zone_names[SOAK_ZONES];
+
 /* soak_world.c: time, the record, the loop */
 void soak_init(const soak_options_t *options, const char *record_path);
 void soak_loop(void); /* until soak_stop */
@@ -179,6 +183,7 @@
 			   void (*serve)(struct evhttp_request *, void *),
 			   void *data);
 int soak_free_port(void);
+bool soak_is_listening(int port);
 void soak_answer(struct evhttp_request *request, int32_t status,
 		 const char *text, int64_t delay_ms);
 /* Takes ownership of body. */
@@ -207,10 +212,15 @@
 void soak_group_join(struct evhttp_request *request);
 void soak_group_leave(struct evhttp_request *request);
 
-/* soak_upstream.c */
-void soak_upstreams_start(void);
+/* soak_hosts.c: the list of hosts and the operator's configuration */
+void soak_hosts_start(void);
 /* Publishes the next version, in which time limits differ. */
 void soak_configuration_publish(void);
+
+/* soak_upstream.c */
+void soak_upstreams_start(void);
+/* The index of the rack of its host. */
+int32_t soak_upstream_rack(const soak_upstream_t *upstream);
 /* silent: like a host without power; else connections are refused. */
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
@@ -233,6 +243,7 @@
 void soak_check_start(const soak_run_t *run);
 void soak_check_completed(const char *id);
 void soak_check_failed(const char *id);
+void soak_check_runs_at_end(void);
 void soak_check_jobs_at_end(void);
 
 /* soak_faults.c */
--- a/src/soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -130,6 +130,36 @@
 		soak_record("job %s is given up after %d crashes", id, most);
 }
 
+/* An end as done that was acknowledged only after a later run had begun. */
+static void check_late_acks(const GPtrArray *runs)
+{
+	for (guint i = 0; i + 1 < runs->len; i++) {
+		const soak_run_t *first = g_ptr_array_index(runs, i);
+		const soak_run_t *next = g_ptr_array_index(runs, i + 1);
+
+		if (!is_second_run(first) || first->how == NULL ||
+		    first->ended_ms > next->begun_ms ||
+		    first->acked_ms <= next->begun_ms)
+			continue;
+		soak_break("TWICE",
+			   "run %" G_GINT64_FORMAT " of %s on %s after run "
+			   "%" G_GINT64_FORMAT " on %s, acknowledged later at "
+			   "%" G_GINT64_FORMAT " ms",
+			   next->run, next->task, next->incarnation, first->run,
+			   first->incarnation, first->acked_ms);
+	}
+}
+
+void soak_check_runs_at_end(void)
+{
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, soak.runs);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		check_late_acks(value);
+}
+
 void soak_check_jobs_at_end(void)
 {
 	int32_t accepted = 0;
--- a/src/soak/soak_client.c
+++ b/src/test_soak/soak_client.c
@@ -17,8 +17,6 @@
 	bool submits;
 } call_t;
 
-static const char *const pool_names[SOAK_POOLS] = { "desk-a", "desk-b",
-						    "desk-c", "desk-d" };
 static bool submitting = true;
 static int64_t submitted;
 
@@ -125,7 +123,8 @@
 	call_t *call = g_new0(call_t, 1);
 	struct evhttp_request *request;
 	struct evkeyvalq *headers;
-	char *path = g_strdup_printf("/%s/%s", pool_names[job->pool], job->id);
+	char *path =
+		g_strdup_printf("/%s/%s", soak_pool_names[job->pool], job->id);
 
 	call->job = job;
 	call->submits = submits;
--- a/src/soak/soak_http.c
+++ b/src/test_soak/soak_http.c
@@ -56,6 +56,19 @@
 	return ok;
 }
 
+bool soak_is_listening(int port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons((uint16_t)port) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	bool ok;
+
+	inet_pton(AF_INET, SOAK_LOOPBACK, &address.sin_addr);
+	ok = connect(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+	close(fd);
+	return ok;
+}
+
 /* Runs side by side use blocks of their own, of which each holds one port. */
 static int claim_block(void)
 {
--- a/src/soak/soak_process.c
+++ b/src/test_soak/soak_process.c
@@ -12,9 +12,6 @@
 #define REAP_INTERVAL_MS 20
 #define PLANTED_ABORT_MS 5000
 
-static const char *const zones[SOAK_ZONES] = { "zone-a", "zone-b", "zone-c",
-					       "zone-d" };
-
 /* Settings that are the same for all processes. */
 static const char *const common_settings =
 	"role=entry\nmachineClass=edge\nserves=edge\nip=" SOAK_LOOPBACK "\n"
@@ -49,7 +46,7 @@
 		exit(2);
 	}
 	fprintf(file, "node=%s\nzone=%s\n%s", process->node,
-		zones[process->zone], common_settings);
+		soak_zone_names[process->zone], common_settings);
 	fprintf(file, "listen.frontend=" SOAK_LOOPBACK ":%d\n",
 		process->ports[0]);
 	fprintf(file, "listen.readiness=" SOAK_LOOPBACK ":%d\n",
@@ -77,6 +74,7 @@
 	process->starts++;
 	process->stopped = false;
 	process->terminating = false;
+	process->terminated_at_start = false;
 	process->frozen_terminating = false;
 	process->pid = fork();
 	if (process->pid == 0) {
@@ -101,6 +99,9 @@
 	if (process->pid == 0)
 		return;
 	soak_record("process %s gets %s", process->node, strsignal(signal));
+	if (signal == SIGTERM && !process->terminating)
+		process->terminated_at_start =
+			!soak_is_listening(process->ports[0]);
 	if (process->stopped && signal != SIGSTOP)
 		kill(process->pid, SIGCONT);
 	process->stopped = signal == SIGSTOP;
@@ -161,6 +162,11 @@
 			soak_record(
 				"process %s ends with %d after it was frozen",
 				process->node, WEXITSTATUS(status));
+		/* no handler is set before the program has begun */
+		else if (process->terminated_at_start && WIFSIGNALED(status) &&
+			 WTERMSIG(status) == SIGTERM)
+			soak_record("process %s ends by SIGTERM as it starts",
+				    process->node);
 		else if (WIFSIGNALED(status))
 			soak_break("FAULT", "process %s ends by signal %d",
 				   process->node, WTERMSIG(status));
--- a/src/soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -34,17 +34,12 @@
 	bool stops;
 } late_order_t;
 
-static const char *const pool_names[SOAK_POOLS] = { "desk-a", "desk-b",
-						    "desk-c", "desk-d" };
-static const char *const zone_names[SOAK_ZONES] = { "zone-a", "zone-b",
-						    "zone-c", "zone-d" };
-
 static int64_t clock_ms(const soak_upstream_t *upstream)
 {
 	return soak_now_ms() - upstream->born_ms + CLOCK_START_MS;
 }
 
-static int32_t rack_of(const soak_upstream_t *upstream)
+int32_t soak_upstream_rack(const soak_upstream_t *upstream)
 {
 	return upstream->index / UPSTREAMS_PER_RACK;
 }
@@ -59,12 +54,13 @@
 		"\"clockMs\":%" G_GINT64_FORMAT
 		",\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
 		"}",
-		pool_names[upstream->pool], soak_proxy_port(upstream->proxy),
-		zone_names[upstream->index % SOAK_ZONES],
+		soak_pool_names[upstream->pool],
+		soak_proxy_port(upstream->proxy),
+		soak_zone_names[upstream->index % SOAK_ZONES],
 		upstream->draining ? "draining" : "ready",
 		upstream->draining ? "\"remainingMs\":3000," : "",
-		rack_of(upstream), clock_ms(upstream), ++upstream->sequence,
-		upstream->born_wall_ms);
+		soak_upstream_rack(upstream), clock_ms(upstream),
+		++upstream->sequence, upstream->born_wall_ms);
 
 	if (!soak.store_refuses)
 		soak_store_put("keyed.servers", upstream->id, text);
@@ -532,74 +528,8 @@
 	soak_after(DRAIN_MS + SOAK_TASK_MAX_MS, end_drained, upstream);
 }
 
-static void on_hosts(struct evhttp_request *request, void *data)
-{
-	const char *separator = "";
-	GString *text;
-
-	(void)data;
-	if (!g_str_has_prefix(evhttp_request_get_uri(request),
-			      "/waxwinghollow/machines")) {
-		soak_answer(request, 409, "{\"reason\":\"busy\"}", 0);
-		return;
-	}
-	text = g_string_new("{\"machines\":[");
-	for (int32_t i = 0; i < soak.options.upstreams; i++) {
-		const soak_upstream_t *upstream = &soak.upstreams[i];
-
-		g_string_append_printf(
-			text,
-			"%s{\"machine\":\"%s\",\"pool\":\"%s\",\"state\":"
-			"\"%s\",\"zone\":\"%s\",\"labels\":[\"a\",\"r1-%d\"],"
-			"\"capacity\":{\"cpu\":32000,\"memMb\":65536,\"gpu\":"
-			"0}%s%s%s}",
-			separator, upstream->host, pool_names[upstream->pool],
-			upstream->up ? "up" : "down",
-			zone_names[upstream->index % SOAK_ZONES],
-			rack_of(upstream), upstream->up ? ",\"id\":\"" : "",
-			upstream->up ? upstream->id : "",
-			upstream->up ? "\"" : "");
-		separator = ",";
-	}
-	g_string_append(text, "],\"nextToken\":null}");
-	soak_answer(request, 200, text->str, 0);
-	g_string_free(text, TRUE);
-}
-
-void soak_configuration_publish(void)
-{
-	static int32_t version;
-	GString *text = g_string_new(NULL);
-
-	version += 1 + version % 3;
-	soak_record("configuration version %d", version);
-	g_string_printf(text, "{\"version\":%d,\"routes\":[", version);
-
-	for (int32_t i = 0; i < SOAK_POOLS; i++)
-		g_string_append_printf(
-			text,
-			"%s{\"name\":\"r-%s\",\"host\":\"" SOAK_HOST
-			"\",\"pathPrefix\":\"/%s/\",\"kind\":"
-			"\"non_idempotent\",\"timeoutMs\":%d,"
-			"\"targetLatencyMs\":600,\"priority\":%d,\"service\":"
-			"\"%s\",\"maxAttempts\":3,\"stretch\":1.6}",
-			i > 0 ? "," : "", pool_names[i], pool_names[i],
-			3000 + version % 2 * 500, i % 2, pool_names[i]);
-	g_string_append(text, "],\"services\":[");
-	for (int32_t i = 0; i < SOAK_POOLS; i++)
-		g_string_append_printf(text,
-				       "%s{\"name\":\"%s\",\"enforcesCapacity\""
-				       ":true,\"healthPath\":\"/healthz\"}",
-				       i > 0 ? "," : "", pool_names[i]);
-	g_string_append(text, "],\"limits\":{\"maxBodyBytes\":262144}}");
-	soak_store_put("keyed.op", "config", text->str);
-	g_string_free(text, TRUE);
-}
-
 void soak_upstreams_start(void)
 {
-	(void)soak_listen(&soak.hosts_port, on_hosts, NULL);
-	soak_configuration_publish();
 	soak.upstreams = g_new0(soak_upstream_t, (gsize)soak.options.upstreams);
 	for (int32_t i = 0; i < soak.options.upstreams; i++) {
 		soak_upstream_t *upstream = &soak.upstreams[i];
--- a/src/soak/soak_world.c
+++ b/src/test_soak/soak_world.c
@@ -15,6 +15,11 @@
 
 soak_t soak;
 
+const char *const soak_pool_names[SOAK_POOLS] = { "desk-a", "desk-b", "desk-c",
+						  "desk-d" };
+const char *const soak_zone_names[SOAK_ZONES] = { "zone-a", "zone-b", "zone-c",
+						  "zone-d" };
+
 const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
 	"none",	    "lost-end",	   "early-end", "false-end",
 	"lost-job", "foreign-run", "rejection", "abort",
