scheduler: a start that is out outlives a confirmed stop after restarts

Change: a task counts the calls of its run's start. After a restart it is started elsewhere only when none is out and a poll sent since doesn't list it. A run that is listed, or whose end is, loses its row of the crash.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -131,6 +131,9 @@
 	int64_t stop_confirmed_ms; /* 0: not confirmed */
 	int32_t orders_sent; /* the same start or stop, with repetitions */
 	int32_t orders_in_flight; /* those of them without an answer */
+	int32_t starts_out; /* of its run, with calls that haven't ended */
+	/* Its upstream has started again meanwhile: they may arrive there yet. */
+	bool awaits_starts;
 	bool inherited; /* may run at an upstream that hasn't answered yet */
 	bool percent_is_known; /* of the run's begin, or listed before */
 	int32_t percent; /* as listed last */
@@ -506,6 +509,12 @@
 void sched_losses_add_pending(sched_task_t *task, int64_t run,
 			      const sched_upstream_t *upstream);
 void sched_losses_remove(sched_task_t *task, int64_t run);
+/*
+ * Removes the row of a run that hasn't crashed its upstream, unless it stands for the
+ * recorded start of task's current run.
+ */
+void sched_losses_absolve(wwh_scheduler_t *scheduler, sched_task_t *task,
+			  int64_t run);
 const sched_loss_t *sched_losses_find(const sched_losses_t *losses,
 				      int64_t run);
 void sched_losses_clear(sched_task_t *task);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -41,6 +41,8 @@
 #define START_RETRY_MS 150
 #define NO_ROOM_BACKOFF_MS 200
 
+static void note_start_ended(const wwh_scheduler_t *scheduler,
+			     sched_task_t *task);
 static void init_inherited_waits(wwh_scheduler_t *scheduler);
 static void explain_unsettled(wwh_scheduler_t *scheduler);
 static sched_task_t *find_ordered_task(wwh_scheduler_t *scheduler,
@@ -368,7 +370,10 @@
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	task = find_ordered_task(scheduler, upstream, name, run);
-	if (task == NULL || sched_task_state(task) == TASK_STOPPING)
+	if (task == NULL)
+		return;
+	note_start_ended(scheduler, task);
+	if (sched_task_state(task) == TASK_STOPPING)
 		return;
 	if (result == WWH_ORDER_DONE) {
 		sched_order_answered(scheduler, task, task->ordered_ms);
@@ -386,6 +391,16 @@
 		handle_failed_start(scheduler, task, result);
 }
 
+/* From now on no start can arrive, so the next poll tells whether one has. */
+static void note_start_ended(const wwh_scheduler_t *scheduler,
+			     sched_task_t *task)
+{
+	task->starts_out = MAX(task->starts_out - 1, 0);
+	if (task->awaits_starts && task->starts_out == 0 &&
+	    task->stop_confirmed_ms != 0)
+		task->stop_confirmed_ms = scheduler->now_ms;
+}
+
 void wwh_scheduler_handle_stop_result(wwh_scheduler_t *scheduler,
 				      const char *upstream, const char *name,
 				      int64_t run, wwh_order_result_t result,
--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -9,7 +9,7 @@
 		      const wwh_poll_answer_t *answer, int64_t sent_ms);
 static bool is_listed(const wwh_poll_answer_t *answer,
 		      const sched_task_t *task);
-static void keep_run(sched_task_t *task);
+static void stop_run(wwh_scheduler_t *scheduler, sched_task_t *task);
 static bool may_begin_here(const sched_task_t *task, int64_t sent_ms);
 static void record_longest_lease(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
@@ -73,32 +73,36 @@
 }
 
 /*
- * A start that wasn't confirmed before the poll may still arrive, at the new
- * incarnation. It is stopped there, as the upstream then refuses it, before the
- * task runs elsewhere. A run that the answer lists has already arrived there.
+ * A start whose call hasn't ended, or that was confirmed after the poll was sent, may
+ * arrive at the new incarnation. It is stopped there, as the upstream then refuses
+ * it, before the task runs elsewhere. A run that the answer lists has arrived there.
  */
 static void lose_runs(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 		      const wwh_poll_answer_t *answer, int64_t sent_ms)
 {
 	GPtrArray *runs = g_ptr_array_new();
 
-	sched_losses_attribute(scheduler, upstream, WWH_TERMINATION_CRASH,
-			       "restarted");
 	for (guint i = 0; i < upstream->tasks->len; i++)
 		g_ptr_array_add(runs, g_ptr_array_index(upstream->tasks, i));
+	sched_losses_attribute(scheduler, upstream, WWH_TERMINATION_CRASH,
+			       "restarted");
 	for (guint i = 0; i < runs->len; i++) {
 		sched_task_t *task = g_ptr_array_index(runs, i);
 
 		task->stop_confirmed_ms = 0;
 		if (is_listed(answer, task))
-			keep_run(task);
+			sched_losses_absolve(scheduler, task, task->run);
 		else if (may_begin_here(task, sent_ms))
-			sched_task_order_stop(scheduler, task);
+			stop_run(scheduler, task);
 		else
 			sched_task_event(scheduler, task, TASK_LOST);
 	}
-	for (guint i = 0; i < runs->len; i++)
-		sched_losses_give_up(scheduler, g_ptr_array_index(runs, i));
+	for (guint i = 0; i < runs->len; i++) {
+		sched_task_t *task = g_ptr_array_index(runs, i);
+
+		if (task->upstream == NULL)
+			sched_losses_give_up(scheduler, task);
+	}
 	g_ptr_array_free(runs, TRUE);
 }
 
@@ -120,27 +124,16 @@
 	return false;
 }
 
-/* It wasn't there when the upstream crashed. */
-static void keep_run(sched_task_t *task)
+static void stop_run(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
-	if (task->pending_run != task->run)
-		sched_losses_remove(task, task->run);
+	task->awaits_starts = true;
+	sched_task_order_stop(scheduler, task);
 }
 
+/* Whether a start is on its way, or the new incarnation may have confirmed one. */
 static bool may_begin_here(const sched_task_t *task, int64_t sent_ms)
 {
-	bool is_confirmed =
-		task->accepted_ms != 0 && task->accepted_ms < sent_ms;
-
-	switch (sched_task_state(task)) {
-	case TASK_STARTING:
-	case TASK_UNSURE:
-		return true;
-	case TASK_RUNNING:
-		return !is_confirmed || task->orders_in_flight > 0;
-	default:
-		return !is_confirmed;
-	}
+	return task->starts_out > 0 || task->accepted_ms >= sent_ms;
 }
 
 /* A next holder that gets no answer has to wait for that lease, too. */
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -164,6 +164,20 @@
 	losses->count = left;
 }
 
+void sched_losses_absolve(wwh_scheduler_t *scheduler, sched_task_t *task,
+			  int64_t run)
+{
+	const sched_loss_t *row = sched_losses_find(&task->losses, run);
+	sched_job_t *job = task->step->occurrence->job;
+
+	if (row == NULL || (task->pending_run == run &&
+			    (row->flags & SCHED_LOSS_PENDING) != 0))
+		return;
+	sched_losses_remove(task, run);
+	if (sched_job_is_live(job))
+		sched_job_mark_dirty(scheduler, job);
+}
+
 const sched_loss_t *sched_losses_find(const sched_losses_t *losses, int64_t run)
 {
 	for (int32_t i = 0; i < losses->count; i++) {
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -93,6 +93,8 @@
 	sched_run_begin(scheduler, task);
 	sched_isolation_begin(scheduler, task);
 	sched_order_sent(scheduler, task);
+	task->starts_out = 0;
+	task->awaits_starts = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
@@ -121,6 +123,7 @@
 
 	sched_task_name(task, order.task);
 	order.lease_until_remote_ms = sched_lease_extend(scheduler, upstream);
+	task->starts_out++;
 	scheduler->callbacks.start(&order, scheduler->callbacks.client_data);
 }
 
@@ -135,6 +138,8 @@
 	sched_run_accepted(scheduler, task);
 	sched_isolation_begin(scheduler, task);
 	task->orders_in_flight = 0;
+	task->starts_out = 0;
+	task->awaits_starts = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
 	task->pace = 100;
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -265,14 +265,7 @@
 	bool is_current_run =
 		task->upstream == upstream && task->run == row->run;
 
-	/* this run didn't crash its upstream */
-	if (sched_losses_find(&task->losses, row->run) != NULL &&
-	    task->pending_run != row->run) {
-		sched_losses_remove(task, row->run);
-		if (sched_job_is_live(task->step->occurrence->job))
-			sched_job_mark_dirty(scheduler,
-					     task->step->occurrence->job);
-	}
+	sched_losses_absolve(scheduler, task, row->run);
 	if (row->kind == WWH_END_FAILED) {
 		/* the failure may be of a run before the current one */
 		if (sched_task_state(task) != TASK_OVER)
@@ -351,6 +344,8 @@
 
 	if (task != NULL && task->upstream == upstream &&
 	    task->run == row->run) {
+		if (task->awaits_starts)
+			sched_losses_absolve(scheduler, task, row->run);
 		sched_task_event(scheduler, task, TASK_LISTED);
 		if (sched_task_state(task) != TASK_STOPPING)
 			task->orders_in_flight = 0;
@@ -489,9 +484,15 @@
 			sched_task_order_stop(scheduler, task);
 		break;
 	case TASK_STOPPING:
-		if (task->stop_confirmed_ms != 0 &&
-		    sent_ms > task->stop_confirmed_ms)
-			sched_task_event(scheduler, task, TASK_LOST);
+		/* one more restart would forget the confirmed stop */
+		if (task->awaits_starts && task->starts_out > 0)
+			break;
+		if (task->stop_confirmed_ms == 0 ||
+		    sent_ms <= task->stop_confirmed_ms)
+			break;
+		sched_task_event(scheduler, task, TASK_LOST);
+		if (task->awaits_starts)
+			sched_losses_give_up(scheduler, task);
 		break;
 	default:
 		break;
--- a/src/test_scheduler/test_incarnations.c
+++ b/src/test_scheduler/test_incarnations.c
@@ -43,7 +43,7 @@
 }
 
 /* The start of a task that was lost in a crash follows its record. */
-static void wait_for_second_run(sched_fixture_t *fixture)
+static void answer_empty_polls(sched_fixture_t *fixture)
 {
 	for (int32_t i = 0; i < 4; i++) {
 		sched_fixture_run(fixture, 300);
@@ -51,7 +51,21 @@
 		sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
 	}
 	sched_fixture_run(fixture, 1);
-	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 2);
+}
+
+/* All calls that sent this start end without an answer. */
+static void end_starts(sched_fixture_t *fixture,
+		       const sched_fixture_order_t *order)
+{
+	for (guint i = 0; i < fixture->starts->len; i++) {
+		sched_fixture_order_t sent =
+			*sched_fixture_order(fixture->starts, i);
+
+		if (strcmp(sent.task, order->task) == 0 &&
+		    sent.run == order->run)
+			sched_fixture_handle_start_result(fixture, &sent,
+							  WWH_ORDER_UNKNOWN);
+	}
 }
 
 /*
@@ -113,7 +127,8 @@
 	sched_fixture_run(fixture, 100);
 	fixture->born_ms = SECOND_BORN_MS;
 	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
-	wait_for_second_run(fixture);
+	answer_empty_polls(fixture);
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 2);
 }
 
 /*
@@ -140,7 +155,12 @@
 	wwh_scheduler_handle_stop_result(fixture->scheduler, "u1", stop->task,
 					 stop->run, WWH_ORDER_DONE,
 					 fixture->now_ms);
-	wait_for_second_run(fixture);
+	/* another restart forgets the stop while the start is on its way */
+	answer_empty_polls(fixture);
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
+	end_starts(fixture, &order);
+	answer_empty_polls(fixture);
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 2);
 }
 
 /*
