--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -447,6 +447,9 @@
 				sched_upstream_t *upstream, int64_t remote_ms);
 /* Called when a newer reading of upstream's clock has arrived. */
 void sched_lease_recompute(sched_upstream_t *upstream);
+/* Until what runs there has surely ended without further polls; 0: it has. */
+int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream);
 void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
@@ -713,6 +716,9 @@
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream);
 void sched_upstream_delete(gpointer upstream);
+/* -1: it has never answered this holder. */
+int64_t sched_upstream_last_answer_ms_ago(const wwh_scheduler_t *scheduler,
+					  const sched_upstream_t *upstream);
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
 			   wwh_termination_t termination, const char *why);
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -271,6 +271,16 @@
 	upstream->lease_end_handled = false;
 }
 
+int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream)
+{
+	int64_t end_ms = upstream->inherited && !upstream->settled
+				 ? upstream->inherited_lease_end_ms
+				 : upstream->lease_end_ms;
+
+	return MAX(end_ms - scheduler->now_ms, 0);
+}
+
 void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
 		   const char *subject, const char *format, ...)
 {
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -123,6 +123,14 @@
 	g_free(upstream);
 }
 
+int64_t sched_upstream_last_answer_ms_ago(const wwh_scheduler_t *scheduler,
+					  const sched_upstream_t *upstream)
+{
+	return upstream->answered_ms == 0
+		       ? -1
+		       : scheduler->now_ms - upstream->answered_ms;
+}
+
 void sched_upstream_remove(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream,
 			   wwh_termination_t termination, const char *why)
@@ -134,9 +142,14 @@
 	if (termination == WWH_TERMINATION_CRASH && ordered)
 		termination = WWH_TERMINATION_ORDERED;
 	sched_explain(scheduler, "upstream-gone", upstream->info.id,
-		      "why=%s endpoint=%s tasks=%u termination=%s", why,
-		      upstream->info.endpoint, upstream->tasks->len,
-		      wwh_termination_names[termination]);
+		      "why=%s endpoint=%s tasks=%u termination=%s settled=%d"
+		      " listed=%d last_answer_ms_ago=%" G_GINT64_FORMAT
+		      " lease_left_ms=%" G_GINT64_FORMAT,
+		      why, upstream->info.endpoint, upstream->tasks->len,
+		      wwh_termination_names[termination], upstream->settled,
+		      upstream->listed,
+		      sched_upstream_last_answer_ms_ago(scheduler, upstream),
+		      sched_lease_left_ms(scheduler, upstream));
 	scheduler->crashed_upstreams += termination == WWH_TERMINATION_CRASH &&
 					upstream->tasks->len > 0;
 	sched_upstream_lose_tasks(scheduler, upstream, termination, why);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -140,12 +140,16 @@
 		scheduler->now_ms + sched_poll_retry_ms(upstream);
 	/* one whose host is about to move or be taken down ends in silence */
 	if (upstream->failed_polls == 1 && !upstream->ending)
-		sched_explain(scheduler, "upstream-silent", id,
-			      "refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
-			      " tasks=%u settled=%d",
-			      refused,
-			      scheduler->now_ms - upstream->answered_ms,
-			      upstream->tasks->len, upstream->settled);
+		sched_explain(
+			scheduler, "upstream-silent", id,
+			"refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
+			" lease_left_ms=%" G_GINT64_FORMAT
+			" tasks=%u settled=%d listed=%d",
+			refused,
+			sched_upstream_last_answer_ms_ago(scheduler, upstream),
+			sched_lease_left_ms(scheduler, upstream),
+			upstream->tasks->len, upstream->settled,
+			upstream->listed);
 	if (upstream->refused_polls >= REFUSALS_BEFORE_TERMINATED)
 		sched_upstream_remove(scheduler, upstream,
 				      WWH_TERMINATION_CRASH, "refused");
