--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -41,6 +41,7 @@
 	SOAK_LINK_ANSWERS_HELD, /* requests pass, their answers don't */
 	SOAK_LINK_RESET, /* connections are reset */
 	SOAK_LINK_RESET_SOME, /* all at first, then nearly half of the new */
+	SOAK_LINK_REFUSED, /* the open ones are reset, new ones are refused */
 	SOAK_LINK_COUNT
 } soak_link_t;
 
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -250,6 +250,21 @@
 	}
 }
 
+/* The upstreams run on, and nobody listens at their addresses meanwhile. */
+static void refuse_upstream_connections(void)
+{
+	int32_t count = draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = draw_upstream();
+
+		soak_record("link of %s to processes: %s", upstream->id,
+			    soak_link_names[SOAK_LINK_REFUSED]);
+		soak_proxy_set_link(upstream->proxy, SOAK_LINK_REFUSED);
+		soak_after(draw(500, 5500), restore_link, upstream->proxy);
+	}
+}
+
 static void reload_settings(void)
 {
 	soak_process_reload(draw_process());
@@ -271,6 +286,7 @@
 	{ "store-link", disturb_store_link },
 	{ "upstream-links", disturb_upstream_links },
 	{ "upstream-resets", reset_upstream_connections },
+	{ "upstream-refuses", refuse_upstream_connections },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_proxy.c
+++ b/src/test_soak/soak_proxy.c
@@ -20,7 +20,7 @@
 } relay_t;
 
 struct soak_proxy {
-	struct evconnlistener *listener;
+	struct evconnlistener *listener; /* NULL: connections are refused */
 	int port;
 	int target_port;
 	soak_link_t link;
@@ -28,7 +28,7 @@
 };
 
 const char *const soak_link_names[SOAK_LINK_COUNT] = {
-	"sound", "silent", "answers-held", "reset", "reset-some",
+	"sound", "silent", "answers-held", "reset", "reset-some", "refused",
 };
 
 static void close_relay(relay_t *relay)
@@ -127,20 +127,27 @@
 		reset_relay(relay);
 }
 
-soak_proxy_t *soak_proxy_new(int target_port)
+static void listen_for_callers(soak_proxy_t *proxy)
 {
-	soak_proxy_t *proxy = g_new0(soak_proxy_t, 1);
-	struct sockaddr_in address;
+	struct sockaddr_in address = address_of(proxy->port);
 
-	proxy->target_port = target_port;
-	proxy->port = soak_free_port();
-	proxy->relays = g_ptr_array_new();
-	address = address_of(proxy->port);
+	if (proxy->listener != NULL)
+		return;
 	proxy->listener = evconnlistener_new_bind(
 		soak.base, on_connection, proxy,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
 		(struct sockaddr *)&address, sizeof(address));
 	g_assert(proxy->listener != NULL);
+}
+
+soak_proxy_t *soak_proxy_new(int target_port)
+{
+	soak_proxy_t *proxy = g_new0(soak_proxy_t, 1);
+
+	proxy->target_port = target_port;
+	proxy->port = soak_free_port();
+	proxy->relays = g_ptr_array_new();
+	listen_for_callers(proxy);
 	return proxy;
 }
 
@@ -152,10 +159,15 @@
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link)
 {
 	proxy->link = link;
+	if (link == SOAK_LINK_REFUSED)
+		g_clear_pointer(&proxy->listener, evconnlistener_free);
+	else
+		listen_for_callers(proxy);
 	for (guint i = proxy->relays->len; i > 0; i--) {
 		relay_t *relay = g_ptr_array_index(proxy->relays, i - 1);
 
-		if (link == SOAK_LINK_RESET || link == SOAK_LINK_RESET_SOME) {
+		if (link == SOAK_LINK_RESET || link == SOAK_LINK_RESET_SOME ||
+		    link == SOAK_LINK_REFUSED) {
 			reset_relay(relay);
 			continue;
 		}
