scheduler: an upstream that refuses connections may run on

Cause: two polls that are refused 20 ms apart counted as the end of the upstream's process, whatever its lease; a call that another incarnation answers counted at once. Both say only that the upstream can't be reached at its address now: a link or host that rejects connections, or an address that was given away, looks alike. The upstream ran on, was removed with its record, and its tasks were started elsewhere; announced again it was a new upstream, whose ends were acknowledged as those of unknown runs.

Fix: upstream_evidence answers in one place what may be concluded from each observation. Only the lease, the row of the host, or whole lists of hosts that lack an inherited upstream, end its runs; a refusal or another incarnation's answer makes the holder request such a list at once (150 ms at the most after the last one). A row that is older than the last answer of the incarnation is ignored, and one of a host that is down counts whether or not it has an empty id.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -44,6 +44,7 @@
 #include "waxwinghollow/pool_admission.h"
 #include "waxwinghollow/pool_sizing.h"
 #include "waxwinghollow/status.h"
+#include "waxwinghollow/upstream_evidence.h"
 
 /* The announcement of an upstream. */
 typedef struct {
@@ -446,26 +447,27 @@
 void wwh_scheduler_incarnations_requested(wwh_scheduler_t *scheduler);
 /*
  * A complete list of the incarnations that hosts run, requested after the
- * takeover, as a set of ids. An inherited upstream that hasn't answered has
- * terminated if it is neither in the set nor announced; if it is announced, once
- * it has been missing from the lists for a while.
+ * takeover, as a set of ids; hosts_down: but for hosts that are down, which may be
+ * listed without theirs. upstream_evidence decides which inherited upstreams that
+ * haven't answered have terminated by it.
  */
 void wwh_scheduler_incarnations_listed(wwh_scheduler_t *scheduler,
 				       GHashTable *incarnations,
-				       int64_t now_ms);
+				       bool hosts_down, int64_t now_ms);
+/* Whether a list of hosts may show now that the runs on an upstream are over. */
+bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler);
+/* Whether an answer of the upstream to a poll has arrived after since_ms. */
+bool wwh_scheduler_upstream_answered_since(const wwh_scheduler_t *scheduler,
+					   const char *id, int64_t since_ms);
 
 void wwh_scheduler_handle_poll_answer(wwh_scheduler_t *scheduler,
 				      const char *upstream,
 				      const wwh_poll_answer_t *answer,
 				      int64_t sent_ms, int64_t now_ms);
-/* refused: the connection was refused, rather than left without an answer */
+/* reach: what the poll met; not WWH_REACH_ANSWERS */
 void wwh_scheduler_handle_poll_failure(wwh_scheduler_t *scheduler,
-				       const char *upstream, bool refused,
+				       const char *upstream, wwh_reach_t reach,
 				       int64_t now_ms);
-/* Another incarnation answered the poll, so that of this id has terminated. */
-void wwh_scheduler_handle_poll_other_incarnation(wwh_scheduler_t *scheduler,
-						 const char *id,
-						 int64_t now_ms);
 
 void wwh_scheduler_handle_start_result(wwh_scheduler_t *scheduler,
 				       const char *upstream, const char *task,
--- a/src/bench/bench_crashes.c
+++ b/src/bench/bench_crashes.c
@@ -330,9 +330,9 @@
 
 	if (host == NULL || (!host->up && reset) ||
 	    age_ms >= poll->wait_ms + poll->timeout_ms) {
-		wwh_scheduler_handle_poll_failure(sim->fixture->scheduler,
-						  poll->upstream, false,
-						  sim->fixture->now_ms);
+		wwh_scheduler_handle_poll_failure(
+			sim->fixture->scheduler, poll->upstream,
+			WWH_REACH_SILENT, sim->fixture->now_ms);
 		return true;
 	}
 	if (!host->up || age_ms < NETWORK_MS ||
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -37,14 +37,19 @@
 	"done", "not-done", "busy", "refused", "fenced", "unknown",
 };
 
-static int64_t list_interval_ms(const wwh_host_duties_t *duties);
 static void add_listed_incarnation(wwh_host_duties_t *duties,
 				   const wwh_listed_host_t *listed);
 static void add_incarnation_before_order(wwh_host_duties_t *duties,
 					 const duty_host_t *host);
+static bool is_contradicted(const wwh_host_duties_t *duties,
+			    const duty_host_t *host,
+			    const wwh_listed_host_t *listed);
 static void report_terminated_incarnation(wwh_host_duties_t *duties,
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed);
+static bool ends_incarnation(const duty_host_t *host,
+			     const wwh_listed_host_t *listed);
+static bool is_taken_down(const wwh_listed_host_t *listed);
 
 int64_t wwh_host_duties_takeover_delay_ms(bool hosts_fence, int64_t lease_ms)
 {
@@ -105,6 +110,7 @@
 	duties->list_number++;
 	duties->list_pages = 0;
 	duties->incarnations_complete = true;
+	duties->hosts_down = false;
 	g_hash_table_remove_all(duties->incarnations);
 	duties->list_has_unnamed_row = false;
 	wwh_scheduler_incarnations_requested(duties->options.scheduler);
@@ -132,7 +138,8 @@
 	host->last_list_number = duties->list_number;
 	host->missed_lists = 0;
 	/* the list may show the host from before or after the last order */
-	if (duties->list_sent_ms < host->last_order_ms) {
+	if (duties->list_sent_ms < host->last_order_ms ||
+	    is_contradicted(duties, host, listed)) {
 		add_incarnation_before_order(duties, host);
 		return;
 	}
@@ -165,16 +172,16 @@
 	duties->now_ms = MAX(duties->now_ms, now_ms);
 	duties->list_in_flight = false;
 	duties->next_list_ms =
-		duties->now_ms + MAX(list_interval_ms(duties),
-				     duties_list_min_interval_ms(duties));
+		duties->now_ms +
+		MAX(LIST_INTERVAL_MS, duties_list_min_interval_ms(duties));
 	if (!ok)
 		return;
 	duties->list_received = true;
 	duties_recount_hosts(duties);
 	if (duties->incarnations_complete)
-		wwh_scheduler_incarnations_listed(duties->options.scheduler,
-						  duties->incarnations,
-						  duties->now_ms);
+		wwh_scheduler_incarnations_listed(
+			duties->options.scheduler, duties->incarnations,
+			duties->hosts_down, duties->now_ms);
 	g_hash_table_iter_init(&iterator, duties->hosts);
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		duty_host_t *host = value;
@@ -211,6 +218,9 @@
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms)
 {
 	duties->now_ms = MAX(duties->now_ms, now_ms);
+	/* tasks may wait to be started elsewhere until a list has shown that */
+	if (wwh_scheduler_awaits_host_list(duties->options.scheduler))
+		duties_advance_list(duties);
 	if (!duties->list_in_flight && duties->now_ms >= duties->next_list_ms) {
 		duties->list_in_flight = true;
 		duties->list_sent_ms = duties->now_ms;
@@ -225,20 +235,6 @@
 	duties_run_waves(duties);
 }
 
-/*
- * While upstreams of a previous holder are unsettled, tasks may wait for them,
- * and only a list may show that they have terminated; so lists are requested
- * more often.
- */
-static int64_t list_interval_ms(const wwh_host_duties_t *duties)
-{
-	wwh_scheduler_counts_t counts =
-		wwh_scheduler_counts(duties->options.scheduler);
-
-	return counts.unsettled > 0 ? DUTIES_LIST_MIN_INTERVAL_MS
-				    : LIST_INTERVAL_MS;
-}
-
 /*
  * An upstream whose host was moved just before a change of holder is still in
  * the records, but answers no poll. All tasks of its pool that the new holder
@@ -250,15 +246,15 @@
 				   const wwh_listed_host_t *listed)
 {
 	const duty_pool_t *pool = duties_find_pool(duties, listed->pool);
-	bool is_unavailable = listed->state == WWH_HOST_MOVING ||
-			      listed->state == WWH_HOST_UPKEEP;
 	bool is_on_standby =
 		listed->state == WWH_HOST_UP && pool != NULL && pool->standby;
 
 	if (listed->upstream != NULL && listed->upstream[0] != '\0')
 		g_hash_table_add(duties->incarnations,
 				 g_strdup(listed->upstream));
-	else if (!is_unavailable && !is_on_standby)
+	else if (listed->state == WWH_HOST_DOWN)
+		duties->hosts_down = true;
+	else if (!is_taken_down(listed) && !is_on_standby)
 		duties->incarnations_complete = false;
 }
 
@@ -276,23 +272,47 @@
 }
 
 /*
- * The incarnation on a host has terminated if the host is listed as in upkeep or
- * moving, or with another incarnation.
+ * Returns whether the host's incarnation, which the row lacks, has answered since
+ * the list was requested. The next list shows whether it has terminated meanwhile.
  */
+static bool is_contradicted(const wwh_host_duties_t *duties,
+			    const duty_host_t *host,
+			    const wwh_listed_host_t *listed)
+{
+	return ends_incarnation(host, listed) &&
+	       wwh_scheduler_upstream_answered_since(duties->options.scheduler,
+						     host->upstream,
+						     duties->list_sent_ms);
+}
+
 static void report_terminated_incarnation(wwh_host_duties_t *duties,
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed)
 {
-	bool is_unavailable = listed->state == WWH_HOST_MOVING ||
-			      listed->state == WWH_HOST_UPKEEP;
-	bool replaced = listed->upstream != NULL &&
-			g_strcmp0(listed->upstream, host->upstream) != 0;
-
-	if (host->upstream != NULL && (is_unavailable || replaced))
+	if (ends_incarnation(host, listed))
 		wwh_scheduler_upstream_terminated(
 			duties->options.scheduler, host->upstream,
-			is_unavailable ? WWH_TERMINATION_ORDERED
-				       : WWH_TERMINATION_CRASH,
+			is_taken_down(listed) ? WWH_TERMINATION_ORDERED
+					      : WWH_TERMINATION_CRASH,
 			wwh_host_run_state_names[listed->state],
 			duties->now_ms);
 }
+
+static bool ends_incarnation(const duty_host_t *host,
+			     const wwh_listed_host_t *listed)
+{
+	wwh_host_row_t row = {
+		.taken_down = is_taken_down(listed),
+		.is_down = listed->state == WWH_HOST_DOWN,
+		.incarnation = listed->upstream,
+	};
+
+	return host->upstream != NULL &&
+	       wwh_host_row_ends_upstream(&row, host->upstream);
+}
+
+static bool is_taken_down(const wwh_listed_host_t *listed)
+{
+	return listed->state == WWH_HOST_MOVING ||
+	       listed->state == WWH_HOST_UPKEEP;
+}
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -122,6 +122,7 @@
 	bool list_received; /* a complete list was received */
 	/* each listed host that may run tasks has named its incarnation */
 	bool incarnations_complete;
+	bool hosts_down; /* listed without incarnations */
 	bool paused;
 	wwh_held_moves_t held_moves;
 	int32_t list_pages; /* of the list being received, or the last one */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -250,7 +250,7 @@
 	int64_t idle_gap_ms; /* from an answer to the next poll; 0: usual */
 	int64_t answered_ms; /* its last answer to a poll */
 	int32_t failed_polls; /* since its last answer */
-	int32_t refused_polls; /* consecutive */
+	wwh_reach_t reach; /* at the last poll, or by a later order */
 	/* Its last answer by our clock, and its own clock then; 0: unknown. */
 	int64_t clock_base_ms;
 	int64_t clock_base_remote_ms;
@@ -343,6 +343,8 @@
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
+	/* As counted last: a list of hosts may show that their runs are over. */
+	int32_t doubted_upstreams;
 	GPtrArray *run_order; /* of all sched_upstream_t */
 	/* When each of them needs a pass again, in the same order. */
 	GArray *wake_ms;
@@ -716,6 +718,8 @@
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream);
 void sched_upstream_delete(gpointer upstream);
+void sched_upstream_note_reach(wwh_scheduler_t *scheduler,
+			       sched_upstream_t *upstream, wwh_reach_t reach);
 /* -1: it has never answered this holder. */
 int64_t sched_upstream_last_answer_ms_ago(const wwh_scheduler_t *scheduler,
 					  const sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -194,6 +194,15 @@
 	order_delete(order);
 }
 
+static wwh_reach_t reach_of(const wwh_http_answer_t *answer,
+			    wwh_order_result_t result)
+{
+	if (result == WWH_ORDER_OTHER_INCARNATION)
+		return WWH_REACH_OTHER_ANSWERS;
+	return answer->outcome == WWH_CALL_REFUSED ? WWH_REACH_REFUSED
+						   : WWH_REACH_SILENT;
+}
+
 static void on_polled(const wwh_http_answer_t *answer, void *data)
 {
 	order_t *order = data;
@@ -212,17 +221,13 @@
 			holder->scheduler, order->upstream, &poll.rows,
 			order->sent_ms, holder->now_ms);
 		break;
-	case WWH_ORDER_OTHER_INCARNATION:
-		wwh_scheduler_handle_poll_other_incarnation(
-			holder->scheduler, order->upstream, holder->now_ms);
-		break;
 	case WWH_ORDER_FENCED:
 		job_holder_mark_lost(holder, "fenced-at-poll");
 		break;
 	default:
 		wwh_scheduler_handle_poll_failure(
 			holder->scheduler, order->upstream,
-			answer->outcome == WWH_CALL_REFUSED, holder->now_ms);
+			reach_of(answer, result), holder->now_ms);
 		break;
 	}
 	wire_upstream_poll_clear(&poll);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -48,8 +48,7 @@
 static sched_task_t *find_ordered_task(wwh_scheduler_t *scheduler,
 				       const char *upstream, const char *name,
 				       int64_t run);
-static void handle_other_incarnation(wwh_scheduler_t *scheduler,
-				     sched_task_t *task);
+static void note_other_answers(wwh_scheduler_t *scheduler, const char *id);
 static void handle_failed_start(wwh_scheduler_t *scheduler, sched_task_t *task,
 				wwh_order_result_t result);
 static void handle_refused_start(wwh_scheduler_t *scheduler, sched_task_t *task,
@@ -383,10 +382,8 @@
 		sched_task_event(scheduler, task, TASK_ACCEPTED);
 		return;
 	}
-	if (result == WWH_ORDER_OTHER_INCARNATION) {
-		handle_other_incarnation(scheduler, task);
-		return;
-	}
+	if (result == WWH_ORDER_OTHER_INCARNATION)
+		note_other_answers(scheduler, upstream);
 	if (sched_task_state(task) == TASK_STARTING)
 		handle_failed_start(scheduler, task, result);
 }
@@ -409,12 +406,8 @@
 	sched_task_t *task;
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
-	if (result == WWH_ORDER_OTHER_INCARNATION) {
-		wwh_scheduler_upstream_terminated(scheduler, upstream,
-						  WWH_TERMINATION_CRASH,
-						  "restarted", now_ms);
-		return;
-	}
+	if (result == WWH_ORDER_OTHER_INCARNATION)
+		note_other_answers(scheduler, upstream);
 	task = find_ordered_task(scheduler, upstream, name, run);
 	if (task == NULL || sched_task_state(task) != TASK_STOPPING)
 		return;
@@ -494,6 +487,20 @@
 	return (int32_t)g_hash_table_size(scheduler->upstreams);
 }
 
+bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->doubted_upstreams > 0 ||
+	       sched_count_unsettled(scheduler) > 0;
+}
+
+bool wwh_scheduler_upstream_answered_since(const wwh_scheduler_t *scheduler,
+					   const char *id, int64_t since_ms)
+{
+	const sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	return upstream != NULL && upstream->answered_ms > since_ms;
+}
+
 wwh_scheduler_counts_t wwh_scheduler_counts(const wwh_scheduler_t *scheduler)
 {
 	wwh_scheduler_counts_t counts = {
@@ -595,20 +602,16 @@
 	return task;
 }
 
-static void handle_other_incarnation(wwh_scheduler_t *scheduler,
-				     sched_task_t *task)
+/* The next poll tells whether the upstream can be reached there again. */
+static void note_other_answers(wwh_scheduler_t *scheduler, const char *id)
 {
-	const char *upstream = task->upstream->info.id;
+	sched_upstream_t *upstream =
+		sched_upstream_find_and_wake(scheduler, id);
 
-	/* Unless an order before this one began it, the run caused no crash. */
-	if (sched_task_state(task) == TASK_STARTING && task->orders_sent == 1) {
-		sched_task_event(scheduler, task, TASK_REFUSED);
-		if (task->step->spec->gang)
-			stop_gang(scheduler, task->step);
-	}
-	wwh_scheduler_upstream_terminated(scheduler, upstream,
-					  WWH_TERMINATION_CRASH, "restarted",
-					  scheduler->now_ms);
+	if (upstream == NULL)
+		return;
+	sched_upstream_note_reach(scheduler, upstream, WWH_REACH_OTHER_ANSWERS);
+	upstream->next_poll_ms = MIN(upstream->next_poll_ms, scheduler->now_ms);
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -96,9 +96,11 @@
 
 int64_t sched_poll_retry_ms(const sched_upstream_t *upstream)
 {
-	if (delays_its_pool(upstream) && upstream->refused_polls == 0)
+	bool doubted = wwh_reach_doubts_upstream(upstream->reach);
+
+	if (delays_its_pool(upstream) && !doubted)
 		return FIRST_POLL_RETRY_MS;
-	if (upstream->failed_polls == 1 && upstream->refused_polls == 0)
+	if (upstream->failed_polls == 1 && !doubted)
 		return POLL_FIRST_RETRY_MS;
 	return MIN(POLL_RETRY_MS * upstream->failed_polls, POLL_RETRY_MAX_MS);
 }
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -11,9 +11,6 @@
 /* Time to wait for the final report of an upstream that has terminated. */
 #define FINAL_REPORT_WAIT_MS 150
 
-/* Twice the interval of host lists, plus the duration of a slow list. */
-#define ANNOUNCED_WITHOUT_HOST_MS 1200
-
 /* Consecutive failures of different tasks before an upstream gets no work. */
 #define FAILURES_BEFORE_BACKOFF 3
 #define BACKOFF_FIRST_MS 1500
@@ -123,6 +120,19 @@
 	g_free(upstream);
 }
 
+void sched_upstream_note_reach(wwh_scheduler_t *scheduler,
+			       sched_upstream_t *upstream, wwh_reach_t reach)
+{
+	if (reach != upstream->reach && wwh_reach_doubts_upstream(reach))
+		sched_explain(scheduler, "upstream-doubted", upstream->info.id,
+			      "reach=%s tasks=%u listed=%d"
+			      " lease_left_ms=%" G_GINT64_FORMAT,
+			      wwh_reach_names[reach], upstream->tasks->len,
+			      upstream->listed,
+			      sched_lease_left_ms(scheduler, upstream));
+	upstream->reach = reach;
+}
+
 int64_t sched_upstream_last_answer_ms_ago(const wwh_scheduler_t *scheduler,
 					  const sched_upstream_t *upstream)
 {
@@ -256,6 +266,7 @@
 	       upstream->settled && !upstream->cordoned &&
 	       !upstream->pool->standby && upstream->orphans == 0 &&
 	       upstream->failed_polls == 0 &&
+	       upstream->reach == WWH_REACH_ANSWERS &&
 	       now_ms - upstream->answered_ms <
 		       SILENT_AFTER_MS + upstream->idle_gap_ms &&
 	       now_ms >= upstream->backoff_until_ms &&
@@ -477,25 +488,24 @@
 	return answering > 0;
 }
 
-/*
- * The announcement of an upstream whose host was moved by the previous holder
- * remains for three heartbeats, and the pool would wait as long. A list may
- * lack an announced upstream that has just started, but not for
- * ANNOUNCED_WITHOUT_HOST_MS.
- */
 static bool has_no_host(const wwh_scheduler_t *scheduler,
-			sched_upstream_t *upstream)
+			sched_upstream_t *upstream, bool hosts_down)
 {
-	if (!upstream->listed)
-		return true;
+	wwh_missing_upstream_t missing = {
+		.reach = upstream->reach,
+		.announced = upstream->listed,
+		.hosts_down = hosts_down,
+	};
+
 	if (upstream->without_host_ms == 0)
 		upstream->without_host_ms = scheduler->now_ms;
-	return scheduler->now_ms - upstream->without_host_ms >=
-	       ANNOUNCED_WITHOUT_HOST_MS;
+	missing.missing_ms = scheduler->now_ms - upstream->without_host_ms;
+	return wwh_missing_upstream_is_over(&missing);
 }
 
 void wwh_scheduler_incarnations_listed(wwh_scheduler_t *scheduler,
-				       GHashTable *incarnations, int64_t now_ms)
+				       GHashTable *incarnations,
+				       bool hosts_down, int64_t now_ms)
 {
 	GList *all;
 
@@ -510,7 +520,7 @@
 			continue;
 		if (g_hash_table_contains(incarnations, upstream->info.id))
 			upstream->without_host_ms = 0;
-		else if (has_no_host(scheduler, upstream))
+		else if (has_no_host(scheduler, upstream, hosts_down))
 			wwh_scheduler_upstream_terminated(
 				scheduler, upstream->info.id,
 				WWH_TERMINATION_UNKNOWN, "no-host", now_ms);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -2,13 +2,6 @@
 
 #include <string.h>
 
-/*
- * Consecutive refused connections after which an upstream's process is
- * considered terminated. A running process listens; one refusal may be a
- * connection that was reset in transit.
- */
-#define REFUSALS_BEFORE_TERMINATED 2
-
 /* The stop of an orphan is resent after this time and that which a stop takes. */
 #define ORPHAN_STOP_RESEND_MS 400
 
@@ -79,7 +72,7 @@
 	upstream->answered_ms = scheduler->now_ms;
 	sched_speed_begin_answer(upstream, answer->remote_ms, sent_ms);
 	upstream->failed_polls = 0;
-	upstream->refused_polls = 0;
+	upstream->reach = WWH_REACH_ANSWERS;
 	upstream->clock_base_ms = scheduler->now_ms;
 	upstream->clock_base_remote_ms = answer->remote_ms;
 	if (upstream->inherited && !upstream->settled)
@@ -118,7 +111,7 @@
 }
 
 void wwh_scheduler_handle_poll_failure(wwh_scheduler_t *scheduler,
-				       const char *id, bool refused,
+				       const char *id, wwh_reach_t reach,
 				       int64_t now_ms)
 {
 	sched_upstream_t *upstream =
@@ -135,36 +128,21 @@
 		return;
 	}
 	upstream->failed_polls++;
-	upstream->refused_polls = refused ? upstream->refused_polls + 1 : 0;
+	sched_upstream_note_reach(scheduler, upstream, reach);
 	upstream->next_poll_ms =
 		scheduler->now_ms + sched_poll_retry_ms(upstream);
 	/* one whose host is about to move or be taken down ends in silence */
 	if (upstream->failed_polls == 1 && !upstream->ending)
 		sched_explain(
 			scheduler, "upstream-silent", id,
-			"refused=%d last_answer_ms_ago=%" G_GINT64_FORMAT
+			"reach=%s last_answer_ms_ago=%" G_GINT64_FORMAT
 			" lease_left_ms=%" G_GINT64_FORMAT
 			" tasks=%u settled=%d listed=%d",
-			refused,
+			wwh_reach_names[reach],
 			sched_upstream_last_answer_ms_ago(scheduler, upstream),
 			sched_lease_left_ms(scheduler, upstream),
 			upstream->tasks->len, upstream->settled,
 			upstream->listed);
-	if (upstream->refused_polls >= REFUSALS_BEFORE_TERMINATED)
-		sched_upstream_remove(scheduler, upstream,
-				      WWH_TERMINATION_CRASH, "refused");
-}
-
-void wwh_scheduler_handle_poll_other_incarnation(wwh_scheduler_t *scheduler,
-						 const char *id, int64_t now_ms)
-{
-	sched_upstream_t *upstream =
-		sched_upstream_find_and_wake(scheduler, id);
-
-	if (upstream != NULL)
-		upstream->poll_in_flight = false;
-	wwh_scheduler_upstream_terminated(scheduler, id, WWH_TERMINATION_CRASH,
-					  "restarted", now_ms);
 }
 
 /*
@@ -177,6 +155,7 @@
 	bool any_unsettled = false;
 
 	scheduler->idle_upstreams = 0;
+	scheduler->doubted_upstreams = 0;
 	g_ptr_array_set_size(scheduler->draining, 0);
 	for (guint i = scheduler->run_order->len; i > 0; i--) {
 		sched_upstream_t *upstream;
@@ -190,6 +169,9 @@
 		}
 		upstream = g_ptr_array_index(scheduler->run_order, i - 1);
 		any_unsettled = any_unsettled || !upstream->settled;
+		scheduler->doubted_upstreams +=
+			wwh_reach_doubts_upstream(upstream->reach) &&
+			upstream->tasks->len > 0;
 		scheduler->idle_upstreams += sched_upstream_is_idle(upstream);
 		run_upstream(scheduler, upstream);
 	}
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -176,6 +176,14 @@
 	}
 }
 
+static wwh_reach_t reach_of(wwh_order_result_t result)
+{
+	if (result == WWH_ORDER_OTHER_INCARNATION)
+		return WWH_REACH_OTHER_ANSWERS;
+	return result == WWH_ORDER_NOT_DONE ? WWH_REACH_REFUSED
+					    : WWH_REACH_SILENT;
+}
+
 /* Tells the holder what came of an order, if it still is there. */
 static void tell(const order_t *order, wwh_order_result_t result)
 {
@@ -197,13 +205,10 @@
 		wwh_scheduler_handle_stop_result(
 			holder->scheduler, order->upstream, order->task,
 			order->run, result, world.now_ms);
-	else if (result == WWH_ORDER_OTHER_INCARNATION)
-		wwh_scheduler_handle_poll_other_incarnation(
-			holder->scheduler, order->upstream, world.now_ms);
 	else
 		wwh_scheduler_handle_poll_failure(
-			holder->scheduler, order->upstream,
-			result == WWH_ORDER_NOT_DONE, world.now_ms);
+			holder->scheduler, order->upstream, reach_of(result),
+			world.now_ms);
 }
 
 /*
@@ -526,7 +531,8 @@
 {
 	if (world.list_holder == world.holder.number)
 		wwh_scheduler_incarnations_listed(world.holder.scheduler,
-						  world.lives, world.now_ms);
+						  world.lives, false,
+						  world.now_ms);
 	world.list_holder = 0;
 }
 
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -478,6 +478,12 @@
 			set_up, tear_down),                                              \
 		cmocka_unit_test_setup_teardown(                                         \
 			an_announced_incarnation_is_waited_for_without_a_complete_list,  \
+			set_up, tear_down),                                              \
+		cmocka_unit_test_setup_teardown(                                         \
+			a_refused_incarnation_that_no_host_runs_is_not_waited_for,       \
+			set_up, tear_down),                                              \
+		cmocka_unit_test_setup_teardown(                                         \
+			a_list_older_than_the_last_answer_ends_nothing,                  \
 			set_up, tear_down)
 
 void an_incarnation_that_no_host_runs_is_not_waited_for(void **state);
@@ -499,5 +505,7 @@
 	void **state);
 void an_announced_incarnation_is_waited_for_without_a_complete_list(
 	void **state);
+void a_refused_incarnation_that_no_host_runs_is_not_waited_for(void **state);
+void a_list_older_than_the_last_answer_ends_nothing(void **state);
 
 #endif
--- a/src/test_host_duties/test_incarnations.c
+++ b/src/test_host_duties/test_incarnations.c
@@ -19,6 +19,7 @@
 	bool unnamed; /* the unreadable row has no name */
 	bool lacks_u2; /* the list lacks u2, which answers polls */
 	bool hosts_join; /* a new upstream answers during each list */
+	bool refused; /* connections to u1 are refused */
 	int64_t duration_ms; /* how long lists are received; 0: SOON_MS */
 } list_case_t;
 
@@ -49,7 +50,7 @@
 	wwh_host_duties_set_pool(fixture->duties, "standby", true);
 }
 
-static void answer_u2(sched_fixture_t *sched)
+static void answer_u2(sched_fixture_t *sched, wwh_reach_t u1_reach)
 {
 	for (guint i = sched->polls->len; i-- > 0;) {
 		sched_fixture_poll_t poll =
@@ -59,7 +60,7 @@
 			sched_fixture_answer_poll(sched, "u2", NULL, 0, NULL,
 						  0);
 	}
-	wwh_scheduler_handle_poll_failure(sched->scheduler, "u1", false,
+	wwh_scheduler_handle_poll_failure(sched->scheduler, "u1", u1_reach,
 					  sched->now_ms);
 }
 
@@ -109,7 +110,9 @@
 				       false);
 	for (int32_t i = 0; i < duration_ms / 50; i++) {
 		sched_fixture_run(fixture->sched, 50);
-		answer_u2(fixture->sched);
+		answer_u2(fixture->sched, list_case->refused
+						  ? WWH_REACH_REFUSED
+						  : WWH_REACH_SILENT);
 		wwh_host_duties_list_begin(fixture->duties);
 		if (list_case->hosts_join) {
 			answer_new_upstream(fixture->sched, i);
@@ -328,7 +331,8 @@
 	sched_fixture_answer_poll(fixture->sched, "u2", NULL, 0, NULL, 0);
 	sched_fixture_answer_poll(fixture->sched, "u3", NULL, 0, NULL, 0);
 	wwh_scheduler_handle_poll_failure(fixture->sched->scheduler, "u1",
-					  false, fixture->sched->now_ms);
+					  WWH_REACH_SILENT,
+					  fixture->sched->now_ms);
 	sched_fixture_make_durable(fixture->sched);
 	duties_fixture_add_wave(fixture, 3, 1);
 	wwh_host_duties_list_begin(fixture->duties);
@@ -352,3 +356,42 @@
 	assert_int_equal(
 		wwh_scheduler_counts(fixture->sched->scheduler).unsettled, 0);
 }
+
+/*
+ * Guards against a pool that waits for the lease of an upstream that crashed just
+ * before a change of holder, while its host is down and its entry remains.
+ */
+void a_refused_incarnation_that_no_host_runs_is_not_waited_for(void **state)
+{
+	const list_case_t crashed = { .pool = SCHED_FIXTURE_POOL,
+				      .upstream = "",
+				      .state = WWH_HOST_DOWN,
+				      .announced = true,
+				      .refused = true };
+
+	assert_true(task_starts_soon(*state, &crashed));
+}
+
+/* Guards against a late list that ends the runs of an upstream that answers. */
+void a_list_older_than_the_last_answer_ends_nothing(void **state)
+{
+	duties_fixture_t *fixture = *state;
+	sched_fixture_t *sched = fixture->sched;
+
+	sched_fixture_add_upstream(sched, "u1", "10.0.0.1:1");
+	duties_fixture_run(fixture, 1);
+	duties_fixture_list_hosts(fixture, 1, true, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1000);
+	sched_fixture_run(sched, 50);
+	sched_fixture_answer_poll(sched, "u1", NULL, 0, NULL, 0);
+	duties_fixture_list_host(fixture, "h1", SCHED_FIXTURE_POOL, "u0",
+				 WWH_HOST_UP);
+	duties_fixture_end_list(fixture);
+	assert_true(wwh_scheduler_upstream_listed(sched->scheduler, "u1"));
+	duties_fixture_run(fixture, 1000);
+	duties_fixture_list_host(fixture, "h1", SCHED_FIXTURE_POOL, "u2",
+				 WWH_HOST_UP);
+	duties_fixture_end_list(fixture);
+	sched_fixture_run(sched, 200);
+	assert_false(wwh_scheduler_upstream_listed(sched->scheduler, "u1"));
+}
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -558,6 +558,8 @@
 	int32_t starts;
 
 	standin->crashing_task = "0000000000000002.0.0.1";
+	standin->lists_upstreams = true;
+	fixture->settings.hosts = g_strdup(fixture->settings.store);
 	start_holder(fixture);
 	run_until_others_settled(fixture);
 	submit(fixture);
--- a/src/test_scheduler/test_final_reports.c
+++ b/src/test_scheduler/test_final_reports.c
@@ -68,7 +68,7 @@
 	g_hash_table_add(incarnations, (gpointer)other);
 	wwh_scheduler_incarnations_requested(fixture->scheduler);
 	wwh_scheduler_incarnations_listed(fixture->scheduler, incarnations,
-					  fixture->now_ms);
+					  false, fixture->now_ms);
 	g_hash_table_destroy(incarnations);
 	sched_fixture_run(fixture, 20);
 	sched_fixture_make_durable(fixture);
@@ -141,7 +141,7 @@
 	sched_fixture_run(fixture, 1);
 	(void)sched_fixture_pop_poll(fixture, order.upstream);
 	wwh_scheduler_handle_poll_failure(fixture->scheduler, order.upstream,
-					  false, fixture->now_ms);
+					  WWH_REACH_SILENT, fixture->now_ms);
 	sched_fixture_run(fixture, 1);
 	assert_int_equal(fixture->starts->len, 2);
 }
@@ -166,9 +166,9 @@
 		if (i == 0)
 			assert_in_range(poll.timeout_ms, 100, 200);
 		fixture->now_ms += poll.timeout_ms;
-		wwh_scheduler_handle_poll_failure(fixture->scheduler,
-						  order.upstream, false,
-						  fixture->now_ms);
+		wwh_scheduler_handle_poll_failure(
+			fixture->scheduler, order.upstream, WWH_REACH_SILENT,
+			fixture->now_ms);
 		sched_fixture_run(fixture, 20);
 	}
 	assert_in_range(total_timeout_ms, 2000, 3000);
--- a/src/test_scheduler/test_incarnations.c
+++ b/src/test_scheduler/test_incarnations.c
@@ -100,8 +100,8 @@
 
 	run_first_job(fixture);
 	(void)sched_fixture_pop_poll(fixture, "u1");
-	wwh_scheduler_handle_poll_failure(fixture->scheduler, "u1", false,
-					  fixture->now_ms);
+	wwh_scheduler_handle_poll_failure(fixture->scheduler, "u1",
+					  WWH_REACH_SILENT, fixture->now_ms);
 	sched_fixture_run(fixture, 300);
 	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
 			 0);
--- a/src/test_scheduler/test_scheduler.c
+++ b/src/test_scheduler/test_scheduler.c
@@ -53,6 +53,12 @@
 }
 
 void answer_all_but(sched_fixture_t *fixture, const char *silent)
+{
+	answer_all_but_failing(fixture, silent, WWH_REACH_SILENT);
+}
+
+void answer_all_but_failing(sched_fixture_t *fixture, const char *failing,
+			    wwh_reach_t reach)
 {
 	guint count = fixture->polls->len;
 
@@ -60,14 +66,14 @@
 		sched_fixture_poll_t poll =
 			g_array_index(fixture->polls, sched_fixture_poll_t, 0);
 
-		if (strcmp(poll.upstream, silent) != 0) {
+		if (strcmp(poll.upstream, failing) != 0) {
 			sched_fixture_answer_poll(fixture, poll.upstream, NULL,
 						  0, NULL, 0);
 			continue;
 		}
 		g_array_remove_index(fixture->polls, 0);
-		wwh_scheduler_handle_poll_failure(fixture->scheduler, silent,
-						  false, fixture->now_ms);
+		wwh_scheduler_handle_poll_failure(fixture->scheduler, failing,
+						  reach, fixture->now_ms);
 	}
 }
 
@@ -270,6 +276,7 @@
 		JOB_TESTS,
 		RUN_TESTS,
 		UPSTREAM_TESTS,
+		UNREACHABLE_TESTS,
 		DAMAGE_TESTS,
 		BACKLOG_TESTS,
 		IDLE_TESTS,
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -27,6 +27,8 @@
 
 /* Fails the polls at silent and answers all others with empty lists. */
 void answer_all_but(sched_fixture_t *fixture, const char *silent);
+void answer_all_but_failing(sched_fixture_t *fixture, const char *failing,
+			    wwh_reach_t reach);
 
 #define JOB_TESTS                                                              \
 	FIXTURE_TEST(a_step_waits_for_all_tasks_of_those_before_it, 1),        \
@@ -135,6 +137,21 @@
 void a_failing_lasting_task_blocks_no_other(void **state);
 void a_slow_task_is_not_stopped(void **state);
 
+#define UNREACHABLE_TESTS                                                      \
+	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,    \
+		     1),                                                       \
+		FIXTURE_TEST(runs_of_an_upstream_without_its_address_are_kept, \
+			     1),                                               \
+		FIXTURE_TEST(a_list_is_awaited_only_while_runs_are_in_doubt,   \
+			     1),                                               \
+		FIXTURE_TEST(an_upstream_without_its_address_gets_no_starts,   \
+			     1)
+
+void runs_of_an_upstream_that_refuses_connections_are_kept(void **state);
+void runs_of_an_upstream_without_its_address_are_kept(void **state);
+void a_list_is_awaited_only_while_runs_are_in_doubt(void **state);
+void an_upstream_without_its_address_gets_no_starts(void **state);
+
 #define UPSTREAM_TESTS                                                         \
 	FIXTURE_TEST(first_polls_are_sent_as_answers_come, 0),                 \
 		FIXTURE_TEST(silent_upstreams_hold_back_no_first_poll, 0),     \
--- /dev/null
+++ b/src/test_scheduler/test_unreachable.c
@@ -0,0 +1,91 @@
+/* Upstreams that can't be reached at their addresses and run on. */
+
+#include "test_scheduler.h"
+
+/* Returns the time until the task of u1, whose lease is lease_ms, runs at u2. */
+static int64_t start_and_lose_sight(sched_fixture_t *fixture, wwh_reach_t reach,
+				    int64_t *lease_ms)
+{
+	sched_fixture_order_t order;
+	int64_t passed_ms = 0;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_add_upstream(fixture, "u2", ENDPOINT_2);
+	*lease_ms = order.lease_until_remote_ms - (fixture->now_ms + 5000);
+	while (fixture->starts->len < 2) {
+		sched_fixture_run(fixture, 50);
+		passed_ms += 50;
+		answer_all_but_failing(fixture, "u1", reach);
+		assert_true(passed_ms < 2 * *lease_ms);
+	}
+	assert_string_equal(sched_fixture_order(fixture->starts, 1)->upstream,
+			    "u2");
+	return passed_ms;
+}
+
+/* Guards against tasks that run twice while a link rejects connections. */
+void runs_of_an_upstream_that_refuses_connections_are_kept(void **state)
+{
+	int64_t lease_ms;
+	int64_t passed_ms =
+		start_and_lose_sight(*state, WWH_REACH_REFUSED, &lease_ms);
+
+	assert_true(passed_ms >= lease_ms * 100 / 98);
+}
+
+/* Guards against the same where its address was given to another upstream. */
+void runs_of_an_upstream_without_its_address_are_kept(void **state)
+{
+	int64_t lease_ms;
+	int64_t passed_ms = start_and_lose_sight(
+		*state, WWH_REACH_OTHER_ANSWERS, &lease_ms);
+
+	assert_true(passed_ms >= lease_ms * 100 / 98);
+}
+
+/* Guards against tasks that wait for a lease although the list shows the end. */
+void a_list_is_awaited_only_while_runs_are_in_doubt(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_run(fixture, 50);
+	assert_false(wwh_scheduler_awaits_host_list(fixture->scheduler));
+	(void)sched_fixture_pop_poll(fixture, "u1");
+	wwh_scheduler_handle_poll_failure(fixture->scheduler, "u1",
+					  WWH_REACH_SILENT, fixture->now_ms);
+	sched_fixture_run(fixture, 50);
+	assert_false(wwh_scheduler_awaits_host_list(fixture->scheduler));
+	(void)sched_fixture_pop_poll(fixture, "u1");
+	wwh_scheduler_handle_poll_failure(fixture->scheduler, "u1",
+					  WWH_REACH_REFUSED, fixture->now_ms);
+	sched_fixture_run(fixture, 1);
+	assert_true(wwh_scheduler_awaits_host_list(fixture->scheduler));
+	wwh_scheduler_upstream_terminated(fixture->scheduler, "u1",
+					  WWH_TERMINATION_CRASH, "down",
+					  fixture->now_ms);
+	sched_fixture_run(fixture, 1);
+	assert_false(wwh_scheduler_awaits_host_list(fixture->scheduler));
+}
+
+/* Guards against starts that are sent to an address of another upstream. */
+void an_upstream_without_its_address_gets_no_starts(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order,
+					  WWH_ORDER_OTHER_INCARNATION);
+	sched_fixture_run(fixture, 1000);
+	assert_int_equal(fixture->starts->len, 1);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(fixture->starts->len, 2);
+}
--- a/src/test_scheduler/test_upstreams.c
+++ b/src/test_scheduler/test_upstreams.c
@@ -522,9 +522,9 @@
 			assert_true(g_hash_table_add(polled,
 						     g_strdup(poll.upstream)));
 			(void)sched_fixture_pop_poll(fixture, poll.upstream);
-			wwh_scheduler_handle_poll_failure(fixture->scheduler,
-							  poll.upstream, false,
-							  fixture->now_ms);
+			wwh_scheduler_handle_poll_failure(
+				fixture->scheduler, poll.upstream,
+				WWH_REACH_SILENT, fixture->now_ms);
 			if (g_hash_table_size(polled) == MANY_UPSTREAMS)
 				break;
 		}
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -83,6 +83,7 @@
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
 	const char *hosts; /* rows of its list, as JSON; NULL: none */
+	bool lists_upstreams; /* the list shows the host of each upstream */
 	int32_t host_orders; /* that have arrived */
 	char host_caller[16]; /* who gave the last one */
 	int32_t host_orders_out; /* that aren't answered yet */
@@ -373,11 +374,27 @@
 	standin_answer(response, 200, "{}");
 }
 
+static inline char *standin_host_rows(const standin_t *standin)
+{
+	GString *rows = g_string_new(standin->hosts);
+
+	for (int32_t i = 0; standin->lists_upstreams && i < STANDIN_UPSTREAMS;
+	     i++)
+		g_string_append_printf(
+			rows,
+			"%s{\"machine\":\"h%d\",\"pool\":\"" STANDIN_POOL
+			"\",\"state\":\"up\",\"id\":\"%s\"}",
+			rows->len > 0 ? "," : "", (int)i,
+			standin->upstreams[i].id);
+	return g_string_free(rows, FALSE);
+}
+
 /* Hosts are served beside the store, also while that one isn't. */
 static inline bool standin_on_hosts(standin_t *standin, const char *path,
 				    const wwh_http_request_t *http,
 				    wwh_http_response_t *response)
 {
+	char *rows;
 	char *list;
 
 	if (g_str_has_suffix(path, "/machine-move") ||
@@ -387,8 +404,9 @@
 	}
 	if (!g_str_has_suffix(path, "/machines"))
 		return false;
-	list = g_strdup_printf("{\"machines\":[%s],\"nextToken\":null}",
-			       standin->hosts == NULL ? "" : standin->hosts);
+	rows = standin_host_rows(standin);
+	list = g_strdup_printf("{\"machines\":[%s],\"nextToken\":null}", rows);
+	g_free(rows);
 	standin_answer(response, 200, list);
 	g_free(list);
 	return true;
