scheduler: a start refused after the crash is known is no crash of its task

Callers saw jobs shown as failed that had crashed one upstream only.

Cause: a poll and a start at an upstream that has crashed are refused by the next incarnation one after the other. Where the poll's refusal came first, the run was counted as lost in a crash without an answer to its start, and the start's own refusal was dropped, as the task was waiting by then. Trace of the input (times in ms): 101680 u1-2 crashes; 101730 run 2 is ordered there; 102630 the poll is answered 421, run-lost termination=crash accepted=0; 102640 the start is answered 421, dropped; 104630 run 3 crashes u3-1; 107720 task-given-up crashes=3.

The row of a loss now keeps how many starts of its run may have begun it, and a refusal that comes later takes one off. At none the run has never begun, and the row goes.

Before: a_start_that_is_refused_after_the_crash_is_no_crash fails with the library of (await_start: the job is given up), and the input fuzz_scheduler-given-up fails.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -90,6 +90,8 @@
 	int64_t run;
 	uint32_t flags; /* of sched_loss_flag_t */
 	uint32_t upstream; /* hash of its id; 0: not SCHED_LOSS_PENDING */
+	/* As in sched_task_t; 0: unknown, as the row isn't this holder's. */
+	int32_t starts_unrefused;
 } sched_loss_t;
 
 /* A start that a previous holder has recorded, and may have sent. */
@@ -132,6 +134,7 @@
 	int32_t orders_sent; /* the same start or stop, with repetitions */
 	int32_t orders_in_flight; /* those of them without an answer */
 	int32_t starts_out; /* of its run, with calls that haven't ended */
+	int32_t starts_unrefused; /* of its run; any of them may have begun it */
 	/* Its upstream has started again meanwhile: they may arrive there yet. */
 	bool awaits_starts;
 	bool inherited; /* may run at an upstream that hasn't answered yet */
@@ -520,6 +523,12 @@
  */
 void sched_losses_absolve(wwh_scheduler_t *scheduler, sched_task_t *task,
 			  int64_t run);
+/*
+ * A start of run was refused after the run was counted as lost. If all its starts
+ * were, it has never begun and caused no loss.
+ */
+void sched_losses_start_refused(wwh_scheduler_t *scheduler, const char *name,
+				int64_t run);
 const sched_loss_t *sched_losses_find(const sched_losses_t *losses,
 				      int64_t run);
 void sched_losses_clear(sched_task_t *task);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -41,6 +41,7 @@
 #define START_RETRY_MS 150
 #define NO_ROOM_BACKOFF_MS 200
 
+static bool is_refusal(wwh_order_result_t result);
 static void note_start_ended(const wwh_scheduler_t *scheduler,
 			     sched_task_t *task);
 static void init_inherited_waits(wwh_scheduler_t *scheduler);
@@ -369,9 +370,12 @@
 
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	task = find_ordered_task(scheduler, upstream, name, run);
+	if (is_refusal(result))
+		sched_losses_start_refused(scheduler, name, run);
 	if (task == NULL)
 		return;
 	note_start_ended(scheduler, task);
+	task->starts_unrefused -= is_refusal(result);
 	if (sched_task_state(task) == TASK_STOPPING)
 		return;
 	if (result == WWH_ORDER_DONE) {
@@ -388,6 +392,13 @@
 		handle_failed_start(scheduler, task, result);
 }
 
+/* Whether the start that was answered so has certainly begun no run. */
+static bool is_refusal(wwh_order_result_t result)
+{
+	return result != WWH_ORDER_DONE && result != WWH_ORDER_FENCED &&
+	       result != WWH_ORDER_UNKNOWN;
+}
+
 /* From now on no start can arrive, so the next poll tells whether one has. */
 static void note_start_ended(const wwh_scheduler_t *scheduler,
 			     sched_task_t *task)
@@ -631,8 +642,7 @@
 	task->orders_in_flight--;
 	if (task->orders_in_flight > 0)
 		return;
-	if (task->orders_sent == 1 && result != WWH_ORDER_UNKNOWN &&
-	    result != WWH_ORDER_FENCED) {
+	if (task->orders_sent == 1 && is_refusal(result)) {
 		handle_refused_start(scheduler, task, result);
 		return;
 	}
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -39,6 +39,7 @@
 			    const sched_task_t *task);
 static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
 			  wwh_termination_t termination);
+static sched_loss_t *find_row(const sched_losses_t *losses, int64_t run);
 static void explain_lost(const wwh_scheduler_t *scheduler,
 			 const sched_task_t *task,
 			 wwh_termination_t termination, const char *why,
@@ -126,6 +127,7 @@
 			count_row(task->step, flags, 1);
 			losses->rows[i].flags = flags;
 			losses->rows[i].upstream = 0;
+			losses->rows[i].starts_unrefused = 0;
 			return;
 		}
 	}
@@ -178,7 +180,29 @@
 		sched_job_mark_dirty(scheduler, job);
 }
 
+void sched_losses_start_refused(wwh_scheduler_t *scheduler, const char *name,
+				int64_t run)
+{
+	sched_task_t *task = sched_job_task(scheduler, name);
+	sched_loss_t *row = task == NULL ? NULL : find_row(&task->losses, run);
+
+	if (row == NULL || row->starts_unrefused == 0)
+		return;
+	row->starts_unrefused--;
+	if (row->starts_unrefused > 0)
+		return;
+	sched_explain(scheduler, "lost-run-refused", name,
+		      "run=%" G_GINT64_FORMAT " losses=%d", run,
+		      task->losses.count - 1);
+	sched_losses_absolve(scheduler, task, run);
+}
+
 const sched_loss_t *sched_losses_find(const sched_losses_t *losses, int64_t run)
+{
+	return find_row(losses, run);
+}
+
+static sched_loss_t *find_row(const sched_losses_t *losses, int64_t run)
 {
 	for (int32_t i = 0; i < losses->count; i++) {
 		if (losses->rows[i].run == run)
@@ -297,6 +321,8 @@
 		flags &= ~(uint32_t)(SCHED_LOSS_CRASH | SCHED_LOSS_ALONE);
 	}
 	sched_losses_add(task, task->run, flags);
+	find_row(&task->losses, task->run)->starts_unrefused =
+		task->starts_unrefused;
 	return flags;
 }
 
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -94,6 +94,7 @@
 	sched_isolation_begin(scheduler, task);
 	sched_order_sent(scheduler, task);
 	task->starts_out = 0;
+	task->starts_unrefused = 0;
 	task->awaits_starts = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
@@ -124,6 +125,7 @@
 	sched_task_name(task, order.task);
 	order.lease_until_remote_ms = sched_lease_extend(scheduler, upstream);
 	task->starts_out++;
+	task->starts_unrefused++;
 	scheduler->callbacks.start(&order, scheduler->callbacks.client_data);
 }
 
@@ -139,6 +141,7 @@
 	sched_isolation_begin(scheduler, task);
 	task->orders_in_flight = 0;
 	task->starts_out = 0;
+	task->starts_unrefused = 0;
 	task->awaits_starts = false;
 	task->stop_sent_ms = 0;
 	task->stop_confirmed_ms = 0;
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -428,6 +428,34 @@
 	assert_null(strstr(fixture->events->str, "task-isolated"));
 }
 
+/*
+ * Guards against a sound job that fails for starts which crashed upstreams never got:
+ * the crash is known before the next incarnation refuses the start.
+ */
+void a_start_that_is_refused_after_the_crash_is_no_crash(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	for (guint i = 0; i < MAX_CRASHES; i++) {
+		sched_fixture_order_t order;
+		char id[16];
+		char endpoint[16];
+
+		assert_true(await_start(fixture, i));
+		order = *sched_fixture_order(fixture->starts, i);
+		crash(fixture, order.upstream);
+		sched_fixture_handle_start_result(fixture, &order,
+						  WWH_ORDER_OTHER_INCARNATION);
+		snprintf(id, sizeof(id), "new%u", i);
+		snprintf(endpoint, sizeof(endpoint), "10.0.2.%u:1", i);
+		sched_fixture_add_upstream(fixture, id, endpoint);
+	}
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+	assert_null(strstr(fixture->events->str, "task-given-up"));
+}
+
 /* Guards against upkeep that counts as a crash. */
 void a_run_that_upkeep_ended_is_no_suspect(void **state)
 {
