json: nested values hidden by a comment or an escape are rejected

An entry of another writer, a row of the list of hosts, an answer of an upstream or a caller's body with 100,000 nested values behind a comment that contains a quote ended the process: json-glib 1.6 skips comments and reads escapes that JSON doesn't have, so it saw other ends of strings than the check of the depth, and its recursion overflowed the stack. All processes that follow the list end, one after the other, and again after each start.

Two readers had no check at all: the answers of the older platform interface and the bodies of operators' commands (entry_verbs).

--- a/src/libwaxwinghollow/entry_verbs.c
+++ b/src/libwaxwinghollow/entry_verbs.c
@@ -3,6 +3,7 @@
 #include "private/entry_fleet.h"
 #include "private/entry_log.h"
 #include "private/entry_report.h"
+#include "private/json_shape.h"
 
 #define SUBMIT_LIMIT_MS 5000
 #define CORES_MAX 100000
@@ -67,10 +68,13 @@
 			   wwh_http_response_t *response)
 {
 	command_t command = { .entry = entry, .response = response };
-	char *text = g_strndup((const char *)request->body, request->body_size);
-	JsonNode *node = json_from_string(text, NULL);
+	JsonParser *parser = json_parser_new();
+	JsonNode *node = NULL;
 	bool found = false;
 
+	if (wwh_json_load(parser, (const char *)request->body,
+			  request->body_size))
+		node = json_parser_get_root(parser);
 	for (size_t i = 0; i < G_N_ELEMENTS(verbs) && !found; i++) {
 		found = strcmp(verbs[i].path, path) == 0;
 		if (!found)
@@ -85,10 +89,8 @@
 			"operator:", get_text(&command, "author"), NULL);
 		verbs[i].handle(&command);
 	}
-	if (node != NULL)
-		json_node_unref(node);
+	g_object_unref(parser);
 	g_free(command.author);
-	g_free(text);
 	return found;
 }
 
--- a/src/libwaxwinghollow/platform_http_decode.c
+++ b/src/libwaxwinghollow/platform_http_decode.c
@@ -5,6 +5,7 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "private/json_shape.h"
 #include "private/msgpack_bounds.h"
 
 #define RECORDS_DEPTH 3
@@ -143,10 +144,10 @@
 
 	*object = NULL;
 	/* The parser would take bytes outside UTF-8 for the end. */
-	if (size > 0 && g_utf8_validate((const char *)data, (gssize)size, NULL))
-		json_parser_load_from_data(parser, (const char *)data,
-					   (gssize)size, NULL);
-	root = json_parser_get_root(parser);
+	if (size > 0 &&
+	    g_utf8_validate((const char *)data, (gssize)size, NULL) &&
+	    wwh_json_load(parser, (const char *)data, size))
+		root = json_parser_get_root(parser);
 	if (root != NULL && JSON_NODE_HOLDS_OBJECT(root))
 		*object = json_node_get_object(root);
 	return parser;
--- a/src/test_config/test_bad_inputs.c
+++ b/src/test_config/test_bad_inputs.c
@@ -85,6 +85,12 @@
 	  "{\"pools\": [[[[[[[[\n[[[[[[[[[[[[[[[[[[[[",
 	  "rules:2: not JSON with comments: values nested more than 16 deep, "
 	  "expected fewer\n" },
+	{ "escape unknown to JSON", NULL, "{\n\"pools\\u\": []}",
+	  "rules:2: not JSON with comments: an unknown escape in a string, "
+	  "expected one of JSON\n" },
+	{ "half a surrogate pair", NULL, "{\"\\ud800\": []}",
+	  "rules:1: not JSON with comments: an unknown escape in a string, "
+	  "expected one of JSON\n" },
 	{ "numbers out of range", NULL,
 	  "{\"rules\": {\"move_weight\": -1,\n"
 	  "\"key_window_s\": 999999999999999999}}",
--- a/src/test_entry/test_entry.c
+++ b/src/test_entry/test_entry.c
@@ -431,6 +431,21 @@
 	assert_int_equal(minion_runs_of(fixture->minion, "key-3"), 1);
 }
 
+/* Guards against a command's body that ends the process by its nesting. */
+static void a_deeply_nested_command_is_refused(void **state)
+{
+	fixture_t *fixture = *state;
+	char *body = g_strnfill(200000, '[');
+	reply_t reply;
+
+	send_request(fixture, wwh_entry_operator_port(fixture->entries[0]),
+		     "POST", "/v1/job/submit", NULL, (const uint8_t *)body,
+		     strlen(body), &reply);
+	assert_int_equal(reply.status, 422);
+	reply_clear(&reply);
+	g_free(body);
+}
+
 /*
  * The platform's log is down. A keyed charge is refused as "not run" and does
  * not run; read requests are still served. When the log is up again, the same
@@ -981,6 +996,7 @@
 			a_repeat_through_another_entry_gets_the_first_answer),
 		cmocka_unit_test(a_lost_answer_stays_unknown_and_runs_once),
 		cmocka_unit_test(a_key_reused_for_another_request_is_refused),
+		cmocka_unit_test(a_deeply_nested_command_is_refused),
 		cmocka_unit_test(a_log_outage_refuses_only_keyed_requests),
 		cmocka_unit_test(
 			an_error_answer_of_a_minion_is_recorded_and_replayed),
--- a/src/test_platform_http/test_platform_http.c
+++ b/src/test_platform_http/test_platform_http.c
@@ -371,6 +371,30 @@
 	g_string_free(text, TRUE);
 }
 
+/* Guards against an answer of nested values that overflows the stack. */
+static void deeply_nested_answers_are_rejected(void **unused)
+{
+	char *brackets = g_strnfill(200000, '[');
+	char *body = g_strconcat("{\"tasks\":", brackets, NULL);
+	const uint8_t *data = (const uint8_t *)body;
+	size_t size = strlen(body);
+	GString *text = g_string_new(NULL);
+	int64_t offset;
+
+	(void)unused;
+	assert_int_equal(wwh_decode_offset(data, size, &offset),
+			 WWH_STATUS_BAD_INPUT);
+	assert_int_equal(wwh_decode_hosts(data, size, append_host, text),
+			 WWH_STATUS_BAD_INPUT);
+	assert_int_equal(
+		wwh_decode_task_reports(data, size, append_report, text),
+		WWH_STATUS_BAD_INPUT);
+	assert_string_equal(text->str, "");
+	g_string_free(text, TRUE);
+	g_free(body);
+	g_free(brackets);
+}
+
 /*
  * Bytes from outside must not make the unpacker allocate the lengths that they
  * declare.
@@ -415,6 +439,7 @@
 		cmocka_unit_test(out_of_range_usage_is_rejected),
 		cmocka_unit_test(invalid_host_row_does_not_hide_others),
 		cmocka_unit_test(invalid_task_row_does_not_hide_others),
+		cmocka_unit_test(deeply_nested_answers_are_rejected),
 		cmocka_unit_test(declared_lengths_are_checked_before_unpacking),
 	};
 
--- /dev/null
+++ b/src/test_wire/test_odd.c
@@ -0,0 +1,215 @@
+/*
+ * Bodies and records that no platform writes, at every reader of JSON: values
+ * nested too deep for the parser's stack, numbers out of range, bodies that end
+ * anywhere.
+ */
+
+#include "test_wire.h"
+
+#include "wire_caller.h"
+#include "wire_hosts.h"
+#include "wire_operator.h"
+#include "wire_store.h"
+#include "wire_upstream.h"
+
+static void on_record(const wire_record_t *record, void *client_data)
+{
+	(void)client_data;
+	assert_true(record->key != NULL || record->why != NULL);
+}
+
+static void on_host(const wwh_listed_host_t *host, void *client_data)
+{
+	(void)client_data;
+	assert_true(host->unreadable != NULL || host->name != NULL);
+}
+
+static void read_by_store(const wwh_http_answer_t *answer)
+{
+	int64_t number = 0;
+	char *next = NULL;
+	bool is_assigned;
+
+	(void)wire_store_newest_answer(answer, &number, &next, on_record, NULL);
+	g_clear_pointer(&next, g_free);
+	(void)wire_store_join_answer(answer, "t", 0, &number, &is_assigned);
+	(void)wire_hosts_list_answer(answer, &next, on_host, NULL);
+	g_free(next);
+}
+
+static void read_by_upstream(wwh_http_answer_t answer)
+{
+	wire_advice_t advice;
+	wire_poll_t poll;
+
+	if (wire_upstream_poll_answer(&answer, &poll) == WWH_ORDER_DONE)
+		wire_upstream_poll_clear(&poll);
+	if (wire_upstream_advise_answer(&answer, &advice))
+		wire_upstream_advice_clear(&advice);
+	answer.status = 409;
+	(void)wire_upstream_order_answer(&answer);
+	(void)wire_store_append_answer(&answer);
+	(void)wire_hosts_duty_answer(&answer);
+}
+
+static void read_by_all(const char *text, size_t size)
+{
+	/* of the very size, so that a sanitizer sees a read beyond it */
+	uint8_t *data = g_memdup2(text, size);
+	wwh_http_answer_t answer = { .outcome = WWH_CALL_ANSWERED,
+				     .status = 200,
+				     .body = data,
+				     .body_size = size };
+	wwh_job_queue_t queue = { .name = "q", .pool = "p" };
+	wwh_upstream_info_t info;
+	wwh_message_t message;
+
+	read_by_store(&answer);
+	read_by_upstream(answer);
+	wwh_job_delete(wire_caller_parse_job("00000000000000aa", &queue, data,
+					     size, &message));
+	if (wire_operator_parse_upstream("u", data, size, &info, &message))
+		wwh_upstream_info_clear(&info);
+	wwh_wave_order_delete(
+		wire_operator_parse_wave("wave/1", data, size, &message));
+	wwh_job_config_unref(
+		wire_operator_parse_config(data, size, true, &message));
+	g_free(data);
+}
+
+/*
+ * Guards against a process that ends as the parser's stack overflows: one entry
+ * whose nested values were hidden from the check of depth, as the parser skips
+ * comments and ends a string elsewhere.
+ */
+void no_reader_ends_the_process_at_deep_values(void **state)
+{
+	static const char *const beginnings[] = {
+		"",
+		"{\"running\":",
+		"{\"items\":[{\"key\":",
+		"{\"machines\":[{\"machine\":",
+		"{\"a\":/* \" */ ",
+		"{\"running\":[/* \" */ ",
+		"{\"machines\":[{\"a\":/* \" */ ",
+		"{\"a\":// \"\n ",
+		"{\"a\":# \"\n ",
+		"{\"a\\u\" \":",
+		"{\"a\":\"\\ud800\",\" \":",
+		"{\"a\":\"\\\"\",\"b\":",
+	};
+	static const char *const levels[][2] = { { "[", "]" },
+						 { "{\"a\":", "}" } };
+	static const int32_t depths[] = { 100, 1000, 100000, 200000 };
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(beginnings) * 2; i++) {
+		const char *const *level = levels[i % 2];
+
+		for (size_t k = 0; k < G_N_ELEMENTS(depths); k++) {
+			GString *text = g_string_new(beginnings[i / 2]);
+			size_t open;
+
+			for (int32_t n = 0; n < depths[k]; n++)
+				g_string_append(text, level[0]);
+			open = text->len;
+			g_string_append(text, "\"}");
+			read_by_all(text->str, text->len);
+			g_string_truncate(text, open);
+			for (int32_t n = 0; n < depths[k]; n++)
+				g_string_append(text, level[1]);
+			g_string_append(text, "}]}");
+			read_by_all(text->str, text->len);
+			g_string_free(text, TRUE);
+		}
+	}
+}
+
+static const char *const bodies[] = {
+	"{\"clockMs\":5,\"born\":7,\"running\":[[\"a.0.0.0\",1,\"c\",40,9]],"
+	"\"ended\":[[3,\"a.0.0.1\",2,\"done\",\"\\u0041\"]]}",
+	"{\"items\":[{\"key\":\"k\",\"value\":\"eA==\",\"offset\":4},"
+	"{\"key\":\"\\ud83d\\ude00\",\"value\":\"eA==\",\"offset\":5}],"
+	"\"truncated\":true,\"end\":6}",
+	"{\"machines\":[{\"machine\":\"m\",\"pool\":\"p\",\"state\":\"up\","
+	"\"id\":\"u\"}],\"nextToken\":\"t\"}",
+	"{\"generation\":4,\"parts\":[[\"t\",0,7]]}",
+	"{\"validMs\":900,\"admitted\":[[\"u\",\"ticket\"]]}",
+	"{\"spec\":\"s\",\"phases\":[{\"count\":1,\"cpu\":2,\"memMb\":3,"
+	"\"estimateMs\":4},{\"count\":1,\"dependsOn\":[0],\"gang\":true}],"
+	"\"repeatCount\":2,\"firstMs\":5,\"intervalMs\":6}",
+	"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+	"\"version\":\"v\",\"slots\":1,\"state\":\"ready\",\"sequence\":4,"
+	"\"capacity\":{\"cpu\":1,\"memMb\":1},\"labels\":[\"a\",\"r\"]}",
+	"{\"wave\":1,\"machines\":[\"m\"],\"durationS\":2,\"maxCount\":1}",
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+	"\"pathPrefix\":\"/a/\",\"timeoutMs\":9,\"priority\":1,\"service\":"
+	"\"s\",\"maxAttempts\":3,\"stretch\":1.6,\"advice\":{\"validMs\":4}}],"
+	"\"services\":[{\"name\":\"s\"}],\"limits\":{\"maxBodyBytes\":2},"
+	"\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"weight\":1,"
+	"\"maxCount\":{\"cpu\":1}}]}",
+	"{\"reason\":\"fence\",\"clockMs\":8}",
+};
+
+void a_body_that_ends_at_any_byte_is_read_in_bounds(void **state)
+{
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		for (size_t size = 0; size <= strlen(bodies[i]); size++)
+			read_by_all(bodies[i], size);
+	}
+}
+
+/* Puts each odd value in the place of each value of each body. */
+void no_value_of_any_field_ends_the_process(void **state)
+{
+	static const char *const values[] = {
+		"12345678901234567890123456",
+		"-12345678901234567890123456",
+		"9223372036854775807",
+		"-9223372036854775808",
+		"999999999999999999",
+		"-999999999999999999",
+		"1e999",
+		"-1e999",
+		"1e308",
+		"NaN",
+		"Infinity",
+		"-0",
+		"0.5",
+		"0",
+		"-7",
+		"65536",
+		"null",
+		"true",
+		"\"\"",
+		"\"x\"",
+		"\"a\\u0000b\"",
+		"\"\xff\xfe\"",
+		"\"\\\"\\n\"",
+		"[]",
+		"{}",
+		"[null]",
+		"\"127.0.0.1:0\"",
+		"/**/1",
+		"",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		for (const char *at = bodies[i]; *at != '\0'; at++) {
+			size_t size = strcspn(at + 1, ",]}");
+
+			if (strchr(":[,", *at) == NULL)
+				continue;
+			for (size_t k = 0; k < G_N_ELEMENTS(values); k++) {
+				char *text = g_strdup_printf(
+					"%.*s%s%s", (int)(at + 1 - bodies[i]),
+					bodies[i], values[k], at + 1 + size);
+
+				read_by_all(text, strlen(text));
+				g_free(text);
+			}
+		}
+	}
+}
--- a/src/test_wire/test_wire.c
+++ b/src/test_wire/test_wire.c
@@ -426,6 +426,7 @@
 		cmocka_unit_test(a_digest_ignores_only_sequence_and_clock),
 		KEY_TESTS,
 		POLL_TESTS,
+		ODD_TESTS,
 		cmocka_unit_test(an_item_with_a_bad_value_is_listed_as_empty),
 		cmocka_unit_test(
 			a_page_that_ends_in_a_bad_item_has_a_next_page),
--- a/src/test_wire/test_wire.h
+++ b/src/test_wire/test_wire.h
@@ -38,6 +38,17 @@
 		cmocka_unit_test(the_start_of_an_incarnation_is_read),         \
 		cmocka_unit_test(orders_are_written_byte_for_byte)
 
+/* test_odd.c */
+#define ODD_TESTS                                                              \
+	cmocka_unit_test(no_reader_ends_the_process_at_deep_values),           \
+		cmocka_unit_test(                                              \
+			a_body_that_ends_at_any_byte_is_read_in_bounds),       \
+		cmocka_unit_test(no_value_of_any_field_ends_the_process)
+
+void no_reader_ends_the_process_at_deep_values(void **state);
+void a_body_that_ends_at_any_byte_is_read_in_bounds(void **state);
+void no_value_of_any_field_ends_the_process(void **state);
+
 void usual_answers_are_decoded_in_one_pass(void **state);
 void other_answers_are_decoded_from_a_tree(void **state);
 void damaged_answers_are_decoded_alike(void **state);
