wire_poll: an odd row of an answer affects only itself

An upstream whose answer to a poll had one row with a number of 26 digits or deeply nested values was unreadable as a whole, and counted as silent as long as the row was listed. A number of an end beyond the range of all others was taken: it was acknowledged, so the upstream forgot all ends to come unread, and their tasks ran twice. Fractions were cut off: an end 58.5 acknowledged 58. Percents, tail latencies and times had no bounds.

Runs and numbers of ends are whole numbers from 1 to 1e15, a time beyond that isn't used, a percent lies in 0 to 100, a tail latency in 32 bits.

--- a/src/test_wire/test_odd.c
+++ b/src/test_wire/test_odd.c
@@ -213,3 +213,101 @@
 		}
 	}
 }
+
+#define HUGE "12345678901234567890123456"
+#define DEEP "[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]"
+
+/*
+ * Guards against ends that are lost or runs taken for ended: one odd row made
+ * the whole answer unreadable, or its number acknowledged all ends to come.
+ */
+void an_odd_row_of_a_poll_affects_only_itself(void **state)
+{
+	static const char *const running[] = {
+		"[\"b\"," HUGE ",\"\",1,0]",
+		"[\"b\",999999999999999999,\"\",1,0]",
+		"[\"b\",1e999,\"\",1,0]",
+		"[\"b\",2.5,\"\",1,0]",
+		"[\"b\",-7,\"\",1,0]",
+		"[\"b\",1,\"\",NaN,0]",
+		"[\"\xff\",1,\"\",1,0]",
+		DEEP,
+		"[/* \" */" DEEP "\"]",
+		"null",
+	};
+	static const char *const ended[] = {
+		"[" HUGE ",\"b\",1,\"done\",\"\"]",
+		"[999999999999999999,\"b\",1,\"done\",\"\"]",
+		"[1e999,\"b\",1,\"done\",\"\"]",
+		"[58.5,\"b\",1,\"done\",\"\"]",
+		"[-7,\"b\",1,\"done\",\"\"]",
+		"[0,\"b\",1,\"done\",\"\"]",
+		DEEP,
+		"{\"a\":" DEEP "}",
+		"null",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(running) * G_N_ELEMENTS(ended);
+	     i++) {
+		char *body = g_strdup_printf(
+			"{\"clockMs\":5,\"running\":[%s,[\"a\",4,\"c\",9]],"
+			"\"ended\":[[3,\"d\",1,\"done\",\"\"],%s]}",
+			running[i / G_N_ELEMENTS(ended)],
+			ended[i % G_N_ELEMENTS(ended)]);
+		wire_poll_t poll;
+
+		if (!wire_poll_read((const uint8_t *)body, strlen(body), &poll))
+			fail_msg("not read: %s", body);
+		assert_int_equal(poll.rows.remote_ms, 5);
+		assert_false(poll.rows.ended_complete);
+		assert_int_equal(poll.rows.running_count, 1);
+		assert_int_equal(poll.rows.running[0].run, 4);
+		assert_int_equal(poll.rows.ended_count, 1);
+		assert_int_equal(poll.rows.ended[0].number, 3);
+		wire_poll_clear(&poll);
+		g_free(body);
+	}
+}
+
+/* Guards against leases and loads that are computed from absurd numbers. */
+void numbers_of_a_poll_out_of_range_are_bounded(void **state)
+{
+	static const struct {
+		const char *number;
+		int32_t percent;
+		int64_t tail_ms;
+		int64_t time_ms;
+	} cases[] = {
+		{ "7", 7, 7, 7 },
+		{ "-7", 0, 0, 0 },
+		{ "1e999", 0, 0, 0 },
+		{ "-1e999", 0, 0, 0 },
+		{ "1e308", 0, 0, 0 },
+		{ "1000000000000000", 100, INT32_MAX, 1000000000000000 },
+		{ "1000000000000001", 100, INT32_MAX, 0 },
+		{ "999999999999999999", 100, INT32_MAX, 0 },
+		{ "-999999999999999999", 0, 0, 0 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		const char *number = cases[i].number;
+		char *body =
+			g_strdup_printf("{\"clockMs\":%s,\"born\":%s,"
+					"\"running\":[[\"a\",1,\"\",%s,%s]]}",
+					number, number, number, number);
+		wire_poll_t poll;
+
+		assert_true(wire_poll_read((const uint8_t *)body, strlen(body),
+					   &poll));
+		assert_int_equal(poll.rows.remote_ms, cases[i].time_ms);
+		assert_int_equal(poll.rows.born_ms, cases[i].time_ms);
+		assert_int_equal(poll.rows.running[0].percent,
+				 cases[i].percent);
+		assert_int_equal(poll.rows.running[0].tail_ms,
+				 cases[i].tail_ms);
+		wire_poll_clear(&poll);
+		g_free(body);
+	}
+}
