scheduler: an odd clock of an upstream moves no lease

Tasks ran twice, and could never be started again, after one answer to a poll whose clock was wrong. An answer without a usable clock (0, or one out of range) was taken as clock 0: the lease looked longer by the whole clock; at an inherited upstream the next right clock made it look lapsed, and all its tasks were started elsewhere. A clock far ahead made what was left of the lease negative, with the same effect; and as a requested lease never gets shorter, the lease then never ended, so the tasks of an upstream that fell silent were never started again.

An answer without a clock now leaves the reading of before. When the clock jumps by more than half a lease beyond the time between two readings, the leases of before don't count and the longest one is assumed, as for an incarnation that has just begun. The line upstream-clock says so.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -468,6 +468,12 @@
 bool sched_incarnation_check(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream,
 			     const wwh_poll_answer_t *answer, int64_t sent_ms);
+/*
+ * Takes over the clock of an answer. A clock that has jumped by more than half
+ * a lease moves no lease: the longest one is assumed.
+ */
+void sched_clock_read(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+		      int64_t remote_ms, int64_t sent_ms);
 
 /* scheduler_progress.c: runs that stand still */
 /* Called when a run begins; adopted: at a percent that isn't known. */
--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -13,6 +13,10 @@
 static bool may_begin_here(const sched_task_t *task, int64_t sent_ms);
 static void record_longest_lease(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
+static bool has_jumped(const wwh_scheduler_t *scheduler,
+		       const sched_upstream_t *upstream, int64_t remote_ms);
+static void begin_clock(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+			int64_t remote_ms);
 
 /*
  * The time of a start comes from a clock that may be set back, so two of them tell
@@ -62,13 +66,9 @@
 	sched_upstream_reset_ends(scheduler, upstream);
 	g_hash_table_remove_all(upstream->orphan_stops);
 	sched_speed_forget(scheduler, upstream);
-	upstream->last_offset_ms = 0;
-	upstream->clock_offset_ms = 0;
 	upstream->fail_streak = 0;
 	upstream->backoffs = 0;
-	/* the poll may have carried a lease by the clock of before */
-	sched_lease_assume_longest(scheduler, upstream, answer->remote_ms);
-	record_longest_lease(scheduler, upstream);
+	begin_clock(scheduler, upstream, answer->remote_ms);
 	upstream->pool->dirty = true;
 }
 
@@ -146,3 +146,70 @@
 	if (upstream->record_written)
 		sched_upstream_write_record(scheduler, upstream);
 }
+
+/*
+ * An answer without a clock leaves the reading of before, from which the clock
+ * has gone on.
+ */
+void sched_clock_read(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+		      int64_t remote_ms, int64_t sent_ms)
+{
+	if (remote_ms == 0 && upstream->clock_base_remote_ms != 0) {
+		upstream->measures_speed = false;
+		return;
+	}
+	if (has_jumped(scheduler, upstream, remote_ms)) {
+		sched_explain(scheduler, "upstream-clock", upstream->info.id,
+			      "clock=%" G_GINT64_FORMAT
+			      " before=%" G_GINT64_FORMAT
+			      " since_ms=%" G_GINT64_FORMAT,
+			      remote_ms, upstream->clock_base_remote_ms,
+			      scheduler->now_ms - upstream->clock_base_ms);
+		begin_clock(scheduler, upstream, remote_ms);
+	}
+	sched_speed_begin_answer(upstream, remote_ms, sent_ms);
+	upstream->clock_base_ms = scheduler->now_ms;
+	upstream->clock_base_remote_ms = remote_ms;
+	if (upstream->inherited && !upstream->settled)
+		sched_lease_inherit(upstream, remote_ms);
+	sched_lease_recompute(upstream);
+}
+
+/*
+ * Readings differ by the time that an answer was read late. Half a lease is less
+ * than what is left of one.
+ */
+static bool has_jumped(const wwh_scheduler_t *scheduler,
+		       const sched_upstream_t *upstream, int64_t remote_ms)
+{
+	int64_t expected_ms = upstream->clock_base_remote_ms +
+			      scheduler->now_ms - upstream->clock_base_ms;
+
+	if (upstream->clock_base_ms == 0)
+		return false;
+	if (upstream->clock_base_remote_ms == 0)
+		return remote_ms != 0;
+	return ABS(remote_ms - expected_ms) >
+	       sched_lease_requested_ms(scheduler) / 2;
+}
+
+/*
+ * Leases were requested by the clock of before, and may have any length that the
+ * upstream grants.
+ */
+static void begin_clock(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
+			int64_t remote_ms)
+{
+	upstream->clock_base_ms = scheduler->now_ms;
+	upstream->clock_base_remote_ms = remote_ms;
+	upstream->last_offset_ms = 0;
+	upstream->clock_offset_ms = 0;
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		sched_task_t *task = g_ptr_array_index(upstream->tasks, i);
+
+		task->first_listed_remote_ms = 0;
+		task->speed_remote_ms = 0;
+	}
+	sched_lease_assume_longest(scheduler, upstream, remote_ms);
+	record_longest_lease(scheduler, upstream);
+}
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -70,14 +70,9 @@
 		return;
 	tasks = upstream->tasks->len;
 	upstream->answered_ms = scheduler->now_ms;
-	sched_speed_begin_answer(upstream, answer->remote_ms, sent_ms);
+	sched_clock_read(scheduler, upstream, answer->remote_ms, sent_ms);
 	upstream->failed_polls = 0;
 	upstream->reach = WWH_REACH_ANSWERS;
-	upstream->clock_base_ms = scheduler->now_ms;
-	upstream->clock_base_remote_ms = answer->remote_ms;
-	if (upstream->inherited && !upstream->settled)
-		sched_lease_inherit(upstream, answer->remote_ms);
-	sched_lease_recompute(upstream);
 	for (int32_t i = 0; i < answer->ended_count; i++)
 		handle_ended(scheduler, upstream, &answer->ended[i]);
 	if (upstream->termination_reason != NULL) {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -399,6 +399,10 @@
 void an_unanswered_start_is_stopped_after_a_restart(void **state);
 void a_late_answer_of_an_earlier_incarnation_is_not_applied(void **state);
 
+#define CLOCK_TESTS cmocka_unit_test(an_odd_clock_moves_no_lease)
+
+void an_odd_clock_moves_no_lease(void **state);
+
 #define OCCURRENCE_TESTS                                                       \
 	FIXTURE_TEST(a_new_holder_adopts_tasks_of_an_open_occurrence, 1),      \
 		FIXTURE_TEST(an_end_of_an_occurrence_that_is_not_due_counts,   \
