scheduler: an answer that is read late is no odd clock

A process that was frozen for 4 s read answers that old, took the clocks of all its upstreams for odd, and assumed and recorded the longest lease for each of them. The clock was read between the sending of the poll and the processing of its answer, so both bounds count.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -257,6 +257,7 @@
 	/* Its last answer by our clock, and its own clock then; 0: unknown. */
 	int64_t clock_base_ms;
 	int64_t clock_base_remote_ms;
+	int64_t clock_base_sent_ms; /* when the poll of that answer was sent */
 	int64_t born_ms; /* of its incarnation, as last reported; 0: unknown */
 	int64_t born_learned_ms; /* when an answer first reported born_ms */
 	int64_t lease_until_remote_ms; /* the latest that was ever sent */
--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -14,7 +14,8 @@
 static void record_longest_lease(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
 static bool has_jumped(const wwh_scheduler_t *scheduler,
-		       const sched_upstream_t *upstream, int64_t remote_ms);
+		       const sched_upstream_t *upstream, int64_t remote_ms,
+		       int64_t sent_ms);
 static void begin_clock(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
 			int64_t remote_ms);
 
@@ -158,7 +159,7 @@
 		upstream->measures_speed = false;
 		return;
 	}
-	if (has_jumped(scheduler, upstream, remote_ms)) {
+	if (has_jumped(scheduler, upstream, remote_ms, sent_ms)) {
 		sched_explain(scheduler, "upstream-clock", upstream->info.id,
 			      "clock=%" G_GINT64_FORMAT
 			      " before=%" G_GINT64_FORMAT
@@ -169,6 +170,7 @@
 	}
 	sched_speed_begin_answer(upstream, remote_ms, sent_ms);
 	upstream->clock_base_ms = scheduler->now_ms;
+	upstream->clock_base_sent_ms = sent_ms;
 	upstream->clock_base_remote_ms = remote_ms;
 	if (upstream->inherited && !upstream->settled)
 		sched_lease_inherit(upstream, remote_ms);
@@ -176,21 +178,26 @@
 }
 
 /*
- * Readings differ by the time that an answer was read late. Half a lease is less
- * than what is left of one.
+ * A clock was read between the poll and the processing of its answer, which is
+ * late while this process is frozen or overloaded. Half a lease is less than what
+ * is left of one.
  */
 static bool has_jumped(const wwh_scheduler_t *scheduler,
-		       const sched_upstream_t *upstream, int64_t remote_ms)
+		       const sched_upstream_t *upstream, int64_t remote_ms,
+		       int64_t sent_ms)
 {
-	int64_t expected_ms = upstream->clock_base_remote_ms +
-			      scheduler->now_ms - upstream->clock_base_ms;
+	int64_t least_ms = upstream->clock_base_remote_ms + sent_ms -
+			   upstream->clock_base_ms;
+	int64_t most_ms = upstream->clock_base_remote_ms + scheduler->now_ms -
+			  upstream->clock_base_sent_ms;
+	int64_t tolerance_ms = sched_lease_requested_ms(scheduler) / 2;
 
 	if (upstream->clock_base_ms == 0)
 		return false;
 	if (upstream->clock_base_remote_ms == 0)
 		return remote_ms != 0;
-	return ABS(remote_ms - expected_ms) >
-	       sched_lease_requested_ms(scheduler) / 2;
+	return remote_ms < least_ms - tolerance_ms ||
+	       remote_ms > most_ms + tolerance_ms;
 }
 
 /*
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -399,9 +399,12 @@
 void an_unanswered_start_is_stopped_after_a_restart(void **state);
 void a_late_answer_of_an_earlier_incarnation_is_not_applied(void **state);
 
-#define CLOCK_TESTS cmocka_unit_test(an_odd_clock_moves_no_lease)
+#define CLOCK_TESTS                                                            \
+	cmocka_unit_test(an_odd_clock_moves_no_lease),                         \
+		FIXTURE_TEST(an_answer_that_is_read_late_is_no_odd_clock, 1)
 
 void an_odd_clock_moves_no_lease(void **state);
+void an_answer_that_is_read_late_is_no_odd_clock(void **state);
 
 #define OCCURRENCE_TESTS                                                       \
 	FIXTURE_TEST(a_new_holder_adopts_tasks_of_an_open_occurrence, 1),      \
