scheduler: an incomplete first answer settles no inherited upstream

Cause: an answer lists at most 500 ends, and one row that can't be read is left out; such an answer counted as complete where it settles an inherited upstream, so tasks whose end or run it lacked were started elsewhere.

Fix: only a complete answer settles an inherited upstream. Ends are acknowledged and it is polled again meanwhile; its lease isn't extended, so that its pool waits no longer than for that.

--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -172,7 +172,8 @@
 	upstream->clock_base_ms = scheduler->now_ms;
 	upstream->clock_base_sent_ms = sent_ms;
 	upstream->clock_base_remote_ms = remote_ms;
-	if (upstream->inherited && !upstream->settled)
+	if (upstream->inherited && !upstream->settled &&
+	    upstream->inherited_lease_until_remote_ms == 0)
 		sched_lease_inherit(upstream, remote_ms);
 	sched_lease_recompute(upstream);
 }
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -184,6 +184,7 @@
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	bool busy = upstream->tasks->len > 0 || upstream->orphans > 0;
+	bool incomplete = !upstream->settled && upstream->answered_ms != 0;
 	wwh_poll_order_t order = {
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
@@ -196,10 +197,13 @@
 	 * A lease is extended only while polls are answered. Each poll that was
 	 * sent may still arrive, so extending the lease with every poll at an
 	 * upstream that has terminated would postpone the lease's end forever.
+	 * Neither is that of an inherited upstream whose answers are incomplete,
+	 * as its pool waits for what they lack or for the lease.
 	 */
 	if (upstream->failed_polls > 0)
 		order.lease_until_remote_ms = upstream->lease_until_remote_ms;
-	else if (busy || upstream->inherited)
+	else if ((busy || upstream->inherited) &&
+		 !(upstream->inherited && incomplete))
 		order.lease_until_remote_ms =
 			sched_lease_extend(scheduler, upstream);
 	upstream->poll_in_flight = true;
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -277,7 +277,8 @@
 int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream)
 {
-	int64_t end_ms = upstream->inherited && !upstream->settled
+	bool was_read = upstream->settled || upstream->answered_ms != 0;
+	int64_t end_ms = upstream->inherited && !was_read
 				 ? upstream->inherited_lease_end_ms
 				 : upstream->lease_end_ms;
 
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -94,7 +94,9 @@
 		handle_unlisted_tasks(scheduler, upstream, answer, sent_ms);
 	stop_hung_tasks(scheduler, upstream);
 	sched_pace_fillers(scheduler, upstream);
-	mark_settled(scheduler, upstream);
+	/* an incomplete answer may lack ends and runs of the holder before */
+	if (answer->ended_complete || !upstream->inherited)
+		mark_settled(scheduler, upstream);
 	upstream->idle_gap_ms = sched_poll_idle_gap_ms(scheduler, upstream);
 	upstream->next_poll_ms =
 		scheduler->now_ms + MAX(sched_poll_gap_ms(scheduler, upstream),
@@ -531,7 +533,7 @@
 		return;
 	}
 	if (upstream->inherited && !upstream->settled &&
-	    now_ms >= upstream->inherited_lease_end_ms) {
+	    sched_lease_left_ms(scheduler, upstream) == 0) {
 		sched_upstream_remove(scheduler, upstream,
 				      WWH_TERMINATION_UNKNOWN, "lease-lapsed");
 		return;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -137,6 +137,16 @@
 void a_failing_lasting_task_blocks_no_other(void **state);
 void a_slow_task_is_not_stopped(void **state);
 
+#define FIRST_ANSWER_TESTS                                                              \
+	FIXTURE_TEST(a_truncated_first_answer_settles_no_upstream, 1),                  \
+		FIXTURE_TEST(                                                           \
+			an_upstream_without_a_complete_answer_is_awaited_for_its_lease, \
+			1)
+
+void a_truncated_first_answer_settles_no_upstream(void **state);
+void an_upstream_without_a_complete_answer_is_awaited_for_its_lease(
+	void **state);
+
 #define UNREACHABLE_TESTS                                                      \
 	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,    \
 		     1),                                                       \
