scheduler: upstreams that the registry lacks leave, and only once it was read

And a new holder took upstreams that answered before it had read the registry for unlisted: it deleted their records and wrote them anew (199 in one soak of 25 s with process-kill, 152 ends of unknown tasks), and forgot the lease that their records state.

Measured: test_scheduler an_upstream_that_never_answered_is_removed_with_its_entry and an_upstream_is_kept_until_the_registry_is_read fail before, 167 of 167 pass after. an_end_counts_after_connections_were_refused is new beside them.

--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -48,6 +48,8 @@
 			    int64_t sent_ms);
 static void stop_hung_tasks(wwh_scheduler_t *scheduler,
 			    sched_upstream_t *upstream);
+static bool is_unlisted(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream);
 static void run_upstream(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 
@@ -521,6 +523,19 @@
 	}
 }
 
+/*
+ * Returns whether the registry lacks an upstream that runs nothing. Starts are held
+ * while the registry hasn't been read, by a new holder or as the store is away. One
+ * that hasn't answered and isn't inherited never got a start.
+ */
+static bool is_unlisted(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream)
+{
+	return !upstream->listed && !scheduler->starts_held &&
+	       (upstream->settled || !upstream->inherited) &&
+	       upstream->tasks->len == 0 && upstream->orphans == 0;
+}
+
 static void run_upstream(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	int64_t now_ms = scheduler->now_ms;
@@ -551,8 +566,7 @@
 			return;
 		}
 	}
-	if (!upstream->listed && upstream->settled &&
-	    upstream->tasks->len == 0 && upstream->orphans == 0) {
+	if (is_unlisted(scheduler, upstream)) {
 		sched_upstream_remove(scheduler, upstream,
 				      WWH_TERMINATION_UNKNOWN, "unlisted");
 		return;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -147,20 +147,29 @@
 void an_upstream_without_a_complete_answer_is_awaited_for_its_lease(
 	void **state);
 
-#define UNREACHABLE_TESTS                                                      \
-	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,    \
-		     1),                                                       \
-		FIXTURE_TEST(runs_of_an_upstream_without_its_address_are_kept, \
-			     1),                                               \
-		FIXTURE_TEST(a_list_is_awaited_only_while_runs_are_in_doubt,   \
-			     1),                                               \
-		FIXTURE_TEST(an_upstream_without_its_address_gets_no_starts,   \
-			     1)
+#define UNREACHABLE_TESTS                                                          \
+	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,        \
+		     1),                                                           \
+		FIXTURE_TEST(runs_of_an_upstream_without_its_address_are_kept,     \
+			     1),                                                   \
+		FIXTURE_TEST(a_list_is_awaited_only_while_runs_are_in_doubt,       \
+			     1),                                                   \
+		FIXTURE_TEST(an_upstream_without_its_address_gets_no_starts,       \
+			     1),                                                   \
+		FIXTURE_TEST(                                                      \
+			an_upstream_that_never_answered_is_removed_with_its_entry, \
+			1),                                                        \
+		FIXTURE_TEST(an_upstream_is_kept_until_the_registry_is_read,       \
+			     1),                                                   \
+		FIXTURE_TEST(an_end_counts_after_connections_were_refused, 1)
 
 void runs_of_an_upstream_that_refuses_connections_are_kept(void **state);
 void runs_of_an_upstream_without_its_address_are_kept(void **state);
 void a_list_is_awaited_only_while_runs_are_in_doubt(void **state);
 void an_upstream_without_its_address_gets_no_starts(void **state);
+void an_upstream_that_never_answered_is_removed_with_its_entry(void **state);
+void an_upstream_is_kept_until_the_registry_is_read(void **state);
+void an_end_counts_after_connections_were_refused(void **state);
 
 #define UPSTREAM_TESTS                                                         \
 	FIXTURE_TEST(first_polls_are_sent_as_answers_come, 0),                 \
--- a/src/test_scheduler/test_unreachable.c
+++ b/src/test_scheduler/test_unreachable.c
@@ -73,6 +73,67 @@
 	assert_false(wwh_scheduler_awaits_host_list(fixture->scheduler));
 }
 
+/* Guards against upstreams that are polled for good after they have ended. */
+void an_upstream_that_never_answered_is_removed_with_its_entry(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_announce(fixture, "u2", ENDPOINT_2, false);
+	sched_fixture_run(fixture, 50);
+	(void)sched_fixture_pop_poll(fixture, "u2");
+	wwh_scheduler_handle_poll_failure(fixture->scheduler, "u2",
+					  WWH_REACH_REFUSED, fixture->now_ms);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(wwh_scheduler_upstream_count(fixture->scheduler), 2);
+	wwh_scheduler_upstream_withdrawn(fixture->scheduler, "u2",
+					 fixture->now_ms);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(wwh_scheduler_upstream_count(fixture->scheduler), 1);
+}
+
+/* Guards against records that are deleted and written again at each takeover. */
+void an_upstream_is_kept_until_the_registry_is_read(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_make_durable(fixture);
+	sched_fixture_take_over(fixture);
+	wwh_scheduler_hold_starts(fixture->scheduler, true);
+	sched_fixture_run(fixture, 50);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(wwh_scheduler_upstream_count(fixture->scheduler), 1);
+	wwh_scheduler_hold_starts(fixture->scheduler, false);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(wwh_scheduler_upstream_count(fixture->scheduler), 0);
+}
+
+/* Guards against an end that counts for nothing once its upstream is back. */
+void an_end_counts_after_connections_were_refused(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+	wwh_ended_task_t ended;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_add_upstream(fixture, "u2", ENDPOINT_2);
+	for (int32_t i = 0; i < 20; i++) {
+		sched_fixture_run(fixture, 50);
+		answer_all_but_failing(fixture, "u1", WWH_REACH_REFUSED);
+	}
+	sched_fixture_run(fixture, 800);
+	ended = sched_fixture_ended_row(&order, 1, WWH_END_DONE);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, &ended, 1);
+	sched_fixture_run(fixture, 50);
+	sched_fixture_make_durable(fixture);
+	sched_fixture_run(fixture, 50);
+	assert_int_equal(fixture->starts->len, 1);
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_COMPLETED);
+}
+
 /* Guards against starts that are sent to an address of another upstream. */
 void an_upstream_without_its_address_gets_no_starts(void **state)
 {
