upstream_evidence: an absence needs a second sign; one list for each doubt

A host that is up and listed without an id ended the incarnation that ran there, while the same row made a list incomplete, as such a host may run any. A list that lacks an announced upstream ended it at once if it couldn't be reached; a list may lack one that has just started. And while an upstream refused connections, lists were requested each 150 ms although each showed it on its host (33 requests in 5 s).

Now a row without an id ends an incarnation only where the host is off (down, or up in a pool at rest); two lists have to lack an announced upstream that can't be reached; a new doubt requests one list at once, and the usual interval applies after it.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -162,7 +162,7 @@
 	WWH_ORDER_NO_TICKET,
 	WWH_ORDER_BAD,
 	WWH_ORDER_FENCED, /* another holder has a higher token */
-	WWH_ORDER_OTHER_INCARNATION, /* the upstream has restarted */
+	WWH_ORDER_OTHER_INCARNATION, /* another one answers at the address */
 	WWH_ORDER_UNKNOWN, /* may take effect, even seconds later */
 	WWH_ORDER_RESULT_COUNT
 } wwh_order_result_t;
@@ -454,8 +454,12 @@
 void wwh_scheduler_incarnations_listed(wwh_scheduler_t *scheduler,
 				       GHashTable *incarnations,
 				       bool hosts_down, int64_t now_ms);
-/* Whether a list of hosts may show now that the runs on an upstream are over. */
-bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler);
+/*
+ * Whether a list of hosts may show that the runs on an upstream are over, of which
+ * the last list, requested at listed_ms, could say nothing yet.
+ */
+bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler,
+				    int64_t listed_ms);
 /* Whether an answer of the upstream to a poll has arrived after since_ms. */
 bool wwh_scheduler_upstream_answered_since(const wwh_scheduler_t *scheduler,
 					   const char *id, int64_t since_ms);
--- a/include/waxwinghollow/upstream_evidence.h
+++ b/include/waxwinghollow/upstream_evidence.h
@@ -22,10 +22,12 @@
  *
  *	lease		it has lapsed by the slowest clock that is assumed
  *	host		a list of hosts, requested after its last answer, shows its
- *			host with another incarnation, without one, or taken down
+ *			host with another incarnation, without one and off, or
+ *			taken down. One that is up may run it without naming it
  *	no host		whole lists of hosts lack it. Its host isn't known, so
- *			that is enough only if it isn't announced either, can't be
- *			reached at its address, or is missing for a while
+ *			one list is enough only if it isn't announced either; two
+ *			are if it can't be reached at its address, else it has to
+ *			be missing for a while
  *
  *	An announcement that was removed proves nothing by itself: an upstream that
  *	is cut off from the registry runs on.
@@ -71,8 +73,8 @@
 /* The row of a host that ran the upstream. */
 typedef struct {
 	bool taken_down; /* it is moving or in upkeep */
-	bool is_down;
-	const char *incarnation; /* that it runs; "": none; NULL: not named */
+	bool is_off; /* it is down, or rests */
+	const char *incarnation; /* that it runs; "" or NULL: none is named */
 } wwh_host_row_t;
 
 bool wwh_host_row_ends_upstream(const wwh_host_row_t *row,
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -47,8 +47,11 @@
 static void report_terminated_incarnation(wwh_host_duties_t *duties,
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed);
-static bool ends_incarnation(const duty_host_t *host,
+static bool ends_incarnation(const wwh_host_duties_t *duties,
+			     const duty_host_t *host,
 			     const wwh_listed_host_t *listed);
+static bool is_at_rest(const wwh_host_duties_t *duties,
+		       const wwh_listed_host_t *listed);
 static bool is_taken_down(const wwh_listed_host_t *listed);
 
 int64_t wwh_host_duties_takeover_delay_ms(bool hosts_fence, int64_t lease_ms)
@@ -219,7 +222,8 @@
 {
 	duties->now_ms = MAX(duties->now_ms, now_ms);
 	/* tasks may wait to be started elsewhere until a list has shown that */
-	if (wwh_scheduler_awaits_host_list(duties->options.scheduler))
+	if (wwh_scheduler_awaits_host_list(duties->options.scheduler,
+					   duties->list_sent_ms))
 		duties_advance_list(duties);
 	if (!duties->list_in_flight && duties->now_ms >= duties->next_list_ms) {
 		duties->list_in_flight = true;
@@ -245,16 +249,12 @@
 static void add_listed_incarnation(wwh_host_duties_t *duties,
 				   const wwh_listed_host_t *listed)
 {
-	const duty_pool_t *pool = duties_find_pool(duties, listed->pool);
-	bool is_on_standby =
-		listed->state == WWH_HOST_UP && pool != NULL && pool->standby;
-
 	if (listed->upstream != NULL && listed->upstream[0] != '\0')
 		g_hash_table_add(duties->incarnations,
 				 g_strdup(listed->upstream));
 	else if (listed->state == WWH_HOST_DOWN)
 		duties->hosts_down = true;
-	else if (!is_taken_down(listed) && !is_on_standby)
+	else if (!is_taken_down(listed) && !is_at_rest(duties, listed))
 		duties->incarnations_complete = false;
 }
 
@@ -279,7 +279,7 @@
 			    const duty_host_t *host,
 			    const wwh_listed_host_t *listed)
 {
-	return ends_incarnation(host, listed) &&
+	return ends_incarnation(duties, host, listed) &&
 	       wwh_scheduler_upstream_answered_since(duties->options.scheduler,
 						     host->upstream,
 						     duties->list_sent_ms);
@@ -289,7 +289,7 @@
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed)
 {
-	if (ends_incarnation(host, listed))
+	if (ends_incarnation(duties, host, listed))
 		wwh_scheduler_upstream_terminated(
 			duties->options.scheduler, host->upstream,
 			is_taken_down(listed) ? WWH_TERMINATION_ORDERED
@@ -298,12 +298,14 @@
 			duties->now_ms);
 }
 
-static bool ends_incarnation(const duty_host_t *host,
+static bool ends_incarnation(const wwh_host_duties_t *duties,
+			     const duty_host_t *host,
 			     const wwh_listed_host_t *listed)
 {
 	wwh_host_row_t row = {
 		.taken_down = is_taken_down(listed),
-		.is_down = listed->state == WWH_HOST_DOWN,
+		.is_off = listed->state == WWH_HOST_DOWN ||
+			  is_at_rest(duties, listed),
 		.incarnation = listed->upstream,
 	};
 
@@ -311,6 +313,14 @@
 	       wwh_host_row_ends_upstream(&row, host->upstream);
 }
 
+static bool is_at_rest(const wwh_host_duties_t *duties,
+		       const wwh_listed_host_t *listed)
+{
+	const duty_pool_t *pool = duties_find_pool(duties, listed->pool);
+
+	return listed->state == WWH_HOST_UP && pool != NULL && pool->standby;
+}
+
 static bool is_taken_down(const wwh_listed_host_t *listed)
 {
 	return listed->state == WWH_HOST_MOVING ||
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -347,8 +347,8 @@
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
-	/* As counted last: a list of hosts may show that their runs are over. */
-	int32_t doubted_upstreams;
+	/* When an upstream with tasks was last found without its address. */
+	int64_t doubted_ms;
 	GPtrArray *run_order; /* of all sched_upstream_t */
 	/* When each of them needs a pass again, in the same order. */
 	GArray *wake_ms;
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -498,9 +498,10 @@
 	return (int32_t)g_hash_table_size(scheduler->upstreams);
 }
 
-bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler)
+bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler,
+				    int64_t listed_ms)
 {
-	return scheduler->doubted_upstreams > 0 ||
+	return scheduler->doubted_ms >= listed_ms ||
 	       sched_count_unsettled(scheduler) > 0;
 }
 
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -123,13 +123,16 @@
 void sched_upstream_note_reach(wwh_scheduler_t *scheduler,
 			       sched_upstream_t *upstream, wwh_reach_t reach)
 {
-	if (reach != upstream->reach && wwh_reach_doubts_upstream(reach))
+	if (reach != upstream->reach && wwh_reach_doubts_upstream(reach)) {
+		if (upstream->tasks->len > 0)
+			scheduler->doubted_ms = scheduler->now_ms;
 		sched_explain(scheduler, "upstream-doubted", upstream->info.id,
 			      "reach=%s tasks=%u listed=%d"
 			      " lease_left_ms=%" G_GINT64_FORMAT,
 			      wwh_reach_names[reach], upstream->tasks->len,
 			      upstream->listed,
 			      sched_lease_left_ms(scheduler, upstream));
+	}
 	upstream->reach = reach;
 }
 
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -154,7 +154,6 @@
 	bool any_unsettled = false;
 
 	scheduler->idle_upstreams = 0;
-	scheduler->doubted_upstreams = 0;
 	g_ptr_array_set_size(scheduler->draining, 0);
 	for (guint i = scheduler->run_order->len; i > 0; i--) {
 		sched_upstream_t *upstream;
@@ -168,9 +167,6 @@
 		}
 		upstream = g_ptr_array_index(scheduler->run_order, i - 1);
 		any_unsettled = any_unsettled || !upstream->settled;
-		scheduler->doubted_upstreams +=
-			wwh_reach_doubts_upstream(upstream->reach) &&
-			upstream->tasks->len > 0;
 		scheduler->idle_upstreams += sched_upstream_is_idle(upstream);
 		run_upstream(scheduler, upstream);
 	}
--- a/src/libwaxwinghollow/upstream_evidence.c
+++ b/src/libwaxwinghollow/upstream_evidence.c
@@ -1,6 +1,6 @@
 #include "waxwinghollow/upstream_evidence.h"
 
-#include <glib.h>
+#include <string.h>
 
 /* Twice the interval of host lists, plus the duration of a slow list. */
 #define ANNOUNCED_WITHOUT_HOST_MS 1200
@@ -26,7 +26,7 @@
 bool wwh_missing_upstream_is_over(const wwh_missing_upstream_t *missing)
 {
 	if (wwh_reach_doubts_upstream(missing->reach))
-		return true;
+		return !missing->announced || missing->missing_ms > 0;
 	if (missing->hosts_down)
 		return false;
 	return !missing->announced ||
@@ -35,8 +35,9 @@
 
 bool wwh_host_row_ends_upstream(const wwh_host_row_t *row, const char *upstream)
 {
-	bool names_one = row->incarnation != NULL || row->is_down;
+	bool is_named = row->incarnation != NULL && row->incarnation[0] != '\0';
 
-	return row->taken_down ||
-	       (names_one && g_strcmp0(row->incarnation, upstream) != 0);
+	if (row->taken_down)
+		return true;
+	return is_named ? strcmp(row->incarnation, upstream) != 0 : row->is_off;
 }
