host_duties: no upkeep begins while a holder found ended may go on

A holder whose connections are refused counts as ended, though its host may only reject connections; where hosts check tokens its successor gave orders at once, but each host checks them for itself, so the holder before may take down another one for up to 1.4 s.

Upkeep now waits for that time after any holder that was found ended; moves don't.

Measured: test_job_holder no_upkeep_begins_while_one_found_ended_may_go_on fails without the wait (test_job_holder.c:319), 23 of 23 pass with it.

--- a/include/waxwinghollow/host_duties.h
+++ b/include/waxwinghollow/host_duties.h
@@ -99,6 +99,12 @@
 	 * one holder at a time.
 	 */
 	int64_t first_order_ms;
+	/*
+	 * No upkeep begins before this time. Tokens are checked by each host for
+	 * itself, so a previous holder may take down hosts that this one hasn't
+	 * ordered anything.
+	 */
+	int64_t first_upkeep_ms;
 	/* Time of day at the start, and its difference to the clock of now_ms. */
 	int64_t wall_ms;
 	int64_t wall_offset_ms;
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -86,6 +86,7 @@
 	duties->in_transit = g_ptr_array_new();
 	duties_init_orders(duties);
 	duties->first_order_ms = options->first_order_ms;
+	duties->first_upkeep_ms = options->first_upkeep_ms;
 	duties->restored =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_hash_table_destroy);
@@ -236,7 +237,8 @@
 	duties_survey(duties);
 	/* first, because waves use the host counts of pools */
 	duties_run_moves(duties);
-	duties_run_waves(duties);
+	if (duties->now_ms >= duties->first_upkeep_ms)
+		duties_run_waves(duties);
 }
 
 /*
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -115,6 +115,7 @@
 	int64_t list_sent_ms;
 	int64_t next_list_ms;
 	int64_t first_order_ms; /* no orders before this time */
+	int64_t first_upkeep_ms; /* no upkeep before this time */
 	int64_t durable_record; /* records up to this number are durable */
 	int64_t now_ms;
 	bool list_in_flight;
--- a/src/libwaxwinghollow/job_holder_duties.c
+++ b/src/libwaxwinghollow/job_holder_duties.c
@@ -20,6 +20,7 @@
 #define HANDOVER_LIMIT_MS 1500
 
 static int64_t host_orders_delay_ms(const wwh_job_holder_t *holder);
+static int64_t upkeep_delay_ms(const wwh_job_holder_t *holder);
 static wwh_held_moves_t held_moves(const wwh_job_holder_t *holder);
 static bool may_order_hosts(const wwh_job_holder_t *holder);
 
@@ -46,6 +47,7 @@
 	};
 
 	options.first_order_ms = holder->now_ms + host_orders_delay_ms(holder);
+	options.first_upkeep_ms = holder->now_ms + upkeep_delay_ms(holder);
 	holder->duties = wwh_host_duties_new(&options, &calls);
 }
 
@@ -68,6 +70,15 @@
 	return 0;
 }
 
+/* The same, also where hosts check tokens, as each one does so for itself. */
+static int64_t upkeep_delay_ms(const wwh_job_holder_t *holder)
+{
+	return holder->options.previous_holder_ended
+		       ? MIN(holder->options.settings->duty_lease_ms,
+			     WWH_OVERTAKEN_HOLDER_MS)
+		       : 0;
+}
+
 static wwh_held_moves_t held_moves(const wwh_job_holder_t *holder)
 {
 	int64_t lag_ms =
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -309,6 +309,17 @@
 	assert_int_equal(host_orders_received(fixture), 1);
 }
 
+/* Guards against two holders that take one host too many down for their wave. */
+static void no_upkeep_begins_while_one_found_ended_may_go_on(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, PREVIOUS_ENDED);
+	order_upkeep_wave(fixture);
+	assert_true(first_order_ms(fixture) >= WWH_OVERTAKEN_HOLDER_MS);
+	assert_int_equal(host_orders_received(fixture), 1);
+}
+
 /*
  * Guards against a holder that is rejected by the store, is replaced, and goes
  * on taking hosts down until an upstream refuses its token. Hosts that don't
@@ -478,6 +489,9 @@
 		cmocka_unit_test_setup_teardown(
 			the_next_holder_waits_for_one_found_ended, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			no_upkeep_begins_while_one_found_ended_may_go_on,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			hosts_without_fencing_get_no_orders_without_the_store,
 			set_up, tear_down),
