scheduler: no acknowledgement while a run may have ended unlisted

Cause: an upstream that starts again under its id numbers its ends from 1, and a poll that is sent before the holder knows of it acknowledges by the number of before. The number was held back only after a failed poll. Trace of the input (ms): 107600 u0's end 1 is received; 107650 two starts are ordered at it, and it crashes; 107660 it is back; 107670, 107680 the runs begin; 108540 the next poll carries 1; 109350 the runs end as 1 and 2; 109650 the poll arrives, 1 is forgotten, and the task of it is started elsewhere at 109700.

Now a poll carries 0 while a run at the upstream that was ordered more than 100 ms ago isn't listed by an answer, or while a start of it is on its way: it may have begun after a restart, and ended. The next poll follows after 60 ms then, as its answer doesn't wait.

--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -35,6 +35,13 @@
  */
 #define POLL_UNACKED_GAP_MS 60
 
+/*
+ * A run that was ordered this long ago at most hasn't ended. Longer than from an
+ * answer to the next poll, so that starts into the room that ends left don't delay
+ * the acknowledgement of these.
+ */
+#define SHORTEST_RUN_MS 100
+
 /* Without a durable record for this time, the store is assumed to be down. */
 #define UNACKED_LONG_MS 400
 #define POLL_UNACKED_LONG_GAP_MS 250
@@ -77,6 +84,10 @@
 static bool is_poll_due(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream);
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream);
+static int64_t ends_acked_upto(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream);
+static bool may_have_ended_unlisted(const wwh_scheduler_t *scheduler,
+				    const sched_task_t *task);
 static bool delays_its_pool(const sched_upstream_t *upstream);
 static int64_t poll_wait_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream);
@@ -88,7 +99,10 @@
 			  const sched_upstream_t *upstream)
 {
 	if (upstream->ends_received == upstream->ends_acked)
-		return POLL_GAP_MS;
+		return ends_acked_upto(scheduler, upstream) ==
+				       upstream->ends_acked
+			       ? POLL_GAP_MS
+			       : POLL_UNACKED_GAP_MS;
 	return scheduler->now_ms - scheduler->durable_ms < UNACKED_LONG_MS
 		       ? POLL_UNACKED_GAP_MS
 		       : POLL_UNACKED_LONG_GAP_MS;
@@ -173,12 +187,33 @@
 }
 
 /*
- * After a failed poll, the upstream may have started again under its id. The
- * number of an earlier end would make it forget ends that nobody has received.
+ * An upstream that has started again under its id numbers its ends from 1, and the
+ * number of an earlier end would make it forget ends that nobody has received. It
+ * may have done so after a failed poll, and as long as no answer lists a run that may
+ * have begun and ended since.
  */
-static int64_t ends_acked_upto(const sched_upstream_t *upstream)
+static int64_t ends_acked_upto(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream)
+{
+	if (upstream->failed_polls > 0)
+		return 0;
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		if (may_have_ended_unlisted(
+			    scheduler, g_ptr_array_index(upstream->tasks, i)))
+			return 0;
+	}
+	return upstream->ends_acked;
+}
+
+/* A repeated start may begin a run again that an earlier incarnation listed. */
+static bool may_have_ended_unlisted(const wwh_scheduler_t *scheduler,
+				    const sched_task_t *task)
 {
-	return upstream->failed_polls > 0 ? 0 : upstream->ends_acked;
+	bool is_listed =
+		task->first_listed_remote_ms != 0 && task->starts_out == 0;
+
+	return !is_listed &&
+	       scheduler->now_ms - task->ordered_ms > SHORTEST_RUN_MS;
 }
 
 static void send_poll(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
@@ -188,7 +223,7 @@
 	wwh_poll_order_t order = {
 		.upstream = upstream->info.id,
 		.endpoint = upstream->info.endpoint,
-		.ends_acked_upto = ends_acked_upto(upstream),
+		.ends_acked_upto = ends_acked_upto(scheduler, upstream),
 		.wait_ms = poll_wait_ms(scheduler, upstream),
 		.timeout_ms = poll_timeout_ms(scheduler, upstream),
 	};
--- a/src/test_scheduler/test_incarnations.c
+++ b/src/test_scheduler/test_incarnations.c
@@ -111,6 +111,68 @@
 			 1);
 }
 
+/*
+ * Guards against the same after a restart between two polls that both get an answer: a
+ * run that no answer lists may have begun after the restart, and ended.
+ */
+void a_poll_acknowledges_nothing_while_a_run_may_end_unlisted(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+	wwh_running_task_t row;
+
+	run_first_job(fixture);
+	order = start_job(fixture, JOB_B);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_run(fixture, 500);
+	/* to the poll that was sent before the start */
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
+	sched_fixture_run(fixture, 100);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 0);
+	row = sched_fixture_running_row(&order, 50);
+	sched_fixture_answer_poll(fixture, "u1", &row, 1, NULL, 0);
+	sched_fixture_run(fixture, 100);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 1);
+}
+
+/* Guards against the same if a repeated start of a listed run is on its way. */
+void a_poll_acknowledges_nothing_while_a_start_is_repeated(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+	wwh_running_task_t row;
+
+	run_first_job(fixture);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
+	order = start_job(fixture, JOB_B);
+	row = sched_fixture_running_row(&order, 0);
+	sched_fixture_run(fixture, 200);
+	sched_fixture_answer_poll(fixture, "u1", &row, 1, NULL, 0);
+	sched_fixture_run(fixture, 100);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 0);
+	end_starts(fixture, &order);
+	sched_fixture_answer_poll(fixture, "u1", &row, 1, NULL, 0);
+	sched_fixture_run(fixture, 100);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 1);
+}
+
+/* Guards against ends that stay unacknowledged at an upstream with many starts. */
+void a_start_that_was_just_ordered_delays_no_acknowledgement(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	run_first_job(fixture);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, NULL, 0);
+	(void)start_job(fixture, JOB_B);
+	sched_fixture_run(fixture, 60);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 1);
+}
+
 /* Guards against tasks that hang: their upstream lost them as it started again. */
 void runs_before_a_restart_are_started_again(void **state)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -399,21 +399,33 @@
 void few_idle_upstreams_are_polled_continuously(void **state);
 void an_idle_upstream_is_used_and_polled_at_once(void **state);
 
-#define INCARNATION_TESTS                                                       \
-	FIXTURE_TEST(ends_after_a_restart_count, 1),                            \
-		FIXTURE_TEST(a_poll_after_a_failed_one_acknowledges_nothing,    \
-			     1),                                                \
-		FIXTURE_TEST(a_run_that_the_new_incarnation_lists_is_kept, 1),  \
-		FIXTURE_TEST(runs_before_a_restart_are_started_again, 1),       \
-		FIXTURE_TEST(an_unanswered_start_is_stopped_after_a_restart,    \
-			     1),                                                \
-		FIXTURE_TEST(                                                   \
-			a_late_answer_of_an_earlier_incarnation_is_not_applied, \
+#define INCARNATION_TESTS                                                         \
+	FIXTURE_TEST(ends_after_a_restart_count, 1),                              \
+		FIXTURE_TEST(a_poll_after_a_failed_one_acknowledges_nothing,      \
+			     1),                                                  \
+		FIXTURE_TEST(                                                     \
+			a_poll_acknowledges_nothing_while_a_run_may_end_unlisted, \
+			1),                                                       \
+		FIXTURE_TEST(                                                     \
+			a_poll_acknowledges_nothing_while_a_start_is_repeated,    \
+			1),                                                       \
+		FIXTURE_TEST(                                                     \
+			a_start_that_was_just_ordered_delays_no_acknowledgement,  \
+			1),                                                       \
+		FIXTURE_TEST(a_run_that_the_new_incarnation_lists_is_kept, 1),    \
+		FIXTURE_TEST(runs_before_a_restart_are_started_again, 1),         \
+		FIXTURE_TEST(an_unanswered_start_is_stopped_after_a_restart,      \
+			     1),                                                  \
+		FIXTURE_TEST(                                                     \
+			a_late_answer_of_an_earlier_incarnation_is_not_applied,   \
 			1)
 
 void ends_after_a_restart_count(void **state);
 void a_run_that_the_new_incarnation_lists_is_kept(void **state);
 void a_poll_after_a_failed_one_acknowledges_nothing(void **state);
+void a_poll_acknowledges_nothing_while_a_run_may_end_unlisted(void **state);
+void a_poll_acknowledges_nothing_while_a_start_is_repeated(void **state);
+void a_start_that_was_just_ordered_delays_no_acknowledgement(void **state);
 void runs_before_a_restart_are_started_again(void **state);
 void an_unanswered_start_is_stopped_after_a_restart(void **state);
 void a_late_answer_of_an_earlier_incarnation_is_not_applied(void **state);
