scheduler: starts without an answer end a job after four crashes, not three

Cause: upstreams that crash in silence and start again under their id leave a start without an answer for good, so no refusal shows that it never began. Three crashes ended a job with any such start among them, so two of them and one real crash did. Now each one adds one to the two crashes that end a job, up to four: two of the crashes were answered, or there were four.

A job may still be given up after one crash of its own, and three starts that never began or ended unread.

--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -6,11 +6,13 @@
 /*
  * A task is given up after this many crashes that it may have caused, all but
  * one of which no other job can have caused. The larger number applies while
- * upstreams of its pool also crash by themselves, and if a start without an
- * answer is among the crashes.
+ * upstreams of its pool also crash by themselves. Each start without an answer among
+ * the crashes may not have reached its upstream, so it adds one, up to the last
+ * number: a task that crashes upstreams before they answer must not go on for long.
  */
 #define MAX_CRASHES 2
 #define MAX_CRASHES_UNSURE 3
+#define MAX_CRASHES_UNANSWERED 4
 
 /* How long the larger number applies after a crash without a young run. */
 #define UNPROVOKED_FOR_MS 20000
@@ -273,16 +275,17 @@
 
 	if (pool->unprovoked_crash_ms != 0 &&
 	    scheduler->now_ms - pool->unprovoked_crash_ms < UNPROVOKED_FOR_MS)
-		return MAX_CRASHES_UNSURE;
+		return MAX(MAX_CRASHES_UNSURE, min_crashes(&task->losses));
 	return min_crashes(&task->losses);
 }
 
 /* A task with fewer crashes is never given up, however many losses it has. */
 static int32_t min_crashes(const sched_losses_t *losses)
 {
-	return count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_UNANSWERED) > 0
-		       ? MAX_CRASHES_UNSURE
-		       : MAX_CRASHES;
+	return MIN(MAX_CRASHES +
+			   count_with(losses,
+				      SCHED_LOSS_CRASH | SCHED_LOSS_UNANSWERED),
+		   MAX_CRASHES_UNANSWERED);
 }
 
 /*
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -456,6 +456,25 @@
 	assert_null(strstr(fixture->events->str, "task-given-up"));
 }
 
+/*
+ * Guards against a sound job that fails after one crash: two of its starts went to
+ * upstreams that had crashed in silence.
+ */
+void two_unanswered_starts_and_a_crash_end_no_job(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	for (guint i = 0; i < 3; i++) {
+		assert_true(await_start(fixture, i));
+		crash_newest_start_after(fixture, i < 2 ? WWH_ORDER_UNKNOWN
+							: WWH_ORDER_DONE);
+	}
+	assert_true(await_start(fixture, 3));
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+}
+
 /* Guards against upkeep that counts as a crash. */
 void a_run_that_upkeep_ended_is_no_suspect(void **state)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -279,6 +279,7 @@
 		FIXTURE_TEST(                                                     \
 			a_start_that_a_new_incarnation_refuses_is_no_crash,       \
 			3),                                                       \
+		FIXTURE_TEST(two_unanswered_starts_and_a_crash_end_no_job, 3),    \
 		FIXTURE_TEST(                                                     \
 			a_start_that_is_refused_after_the_crash_is_no_crash,      \
 			3),                                                       \
@@ -321,6 +322,7 @@
 void runs_on_upstreams_out_of_reach_end_no_job(void **state);
 void a_start_that_a_new_incarnation_refuses_is_no_crash(void **state);
 void a_start_that_is_refused_after_the_crash_is_no_crash(void **state);
+void two_unanswered_starts_and_a_crash_end_no_job(void **state);
 void a_run_that_upkeep_ended_is_no_suspect(void **state);
 void a_suspect_start_is_recorded_before_it_is_sent(void **state);
 void a_task_that_no_holder_saw_crash_is_given_up(void **state);
