wire_operator: an announcement that names nothing to use is rejected

An entry among the announcements whose key has a line end or a space was taken as an upstream. Such an id can't be sent in the header that names the intended incarnation (libevent drops the header), so polls and starts for it were carried out by whichever upstream has its address. An address with a host's name or of IPv6 was taken, too; nothing can be connected to it, and each poll wrote a warning, several a second.

--- a/src/test_wire/test_odd.c
+++ b/src/test_wire/test_odd.c
@@ -311,3 +311,79 @@
 		g_free(body);
 	}
 }
+
+static bool reads_announcement(const char *key, const char *address)
+{
+	char *text = g_strdup_printf(
+		"{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\","
+		"\"version\":\"v\",\"slots\":1,\"state\":\"ready\","
+		"\"sequence\":4,\"capacity\":{\"cpu\":1,\"memMb\":1},"
+		"\"labels\":[\"a\",\"r\"]}",
+		address);
+	wwh_upstream_info_t info;
+	wwh_message_t message;
+	bool ok = wire_operator_parse_upstream(key, (const uint8_t *)text,
+					       strlen(text), &info, &message);
+
+	wwh_upstream_info_clear(&info);
+	g_free(text);
+	return ok;
+}
+
+/*
+ * Guards against orders for an upstream whose id can't be sent: without that
+ * header they are carried out by another one at its address. And against an
+ * address that can't be connected to, of which every poll writes a warning.
+ */
+void an_upstream_that_cannot_be_called_is_rejected(void **state)
+{
+	static const char *const keys[] = { "",	     " u",	  "u ",
+					    "u\n",   "u\r\nA: b", "u v",
+					    "u\x7f", "\xc3\xa9",  "\xff" };
+	static const char *const addresses[] = {
+		"",
+		":",
+		":80",
+		"10.0.0.1",
+		"10.0.0.1:",
+		"10.0.0.1:0",
+		"10.0.0.1:-7",
+		"10.0.0.1:65536",
+		"10.0.0.1:99999",
+		"10.0.0.1:x",
+		"10.0.0.1:080000",
+		"10.0.0.1:1.5",
+		"10.0.0.1: 80",
+		" 10.0.0.1:80",
+		"10.0.0:80",
+		"10.0.0.256:80",
+		"localhost:80",
+		"h.example:80",
+		"[::1]:80",
+		"::1:80",
+		"fe80::1",
+		"10.0.0.1:80:80",
+		"http://10.0.0.1:80",
+		"10.0.0.1:80\\u000a",
+		"10.0.0.1:\xff",
+	};
+	char *long_key = g_strnfill(255, 'u');
+	char *long_host = g_strnfill(10000, '1');
+	char *long_address = g_strconcat(long_host, ":80", NULL);
+
+	(void)state;
+	assert_true(reads_announcement("i-1\"'{}", "10.0.0.1:65535"));
+	assert_true(reads_announcement(long_key, "127.0.0.1:1"));
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+		if (reads_announcement(keys[i], "10.0.0.1:80"))
+			fail_msg("accepted: \"%s\"", keys[i]);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++) {
+		if (reads_announcement("u", addresses[i]))
+			fail_msg("accepted: \"%s\"", addresses[i]);
+	}
+	assert_false(reads_announcement("u", long_address));
+	g_free(long_key);
+	g_free(long_host);
+	g_free(long_address);
+}
