scheduler: the open occurrences of a job are bounded

A job with 100,000 occurrences of 10,000 tasks that are due (firstMs in the past, intervalMs 0 or 1), or one row of an upstream that names occurrence 99999 of a job after a change of holder, opened all of them at once: the holder ran out of memory, and so did the next one, which reads the same record. The time of an occurrence was computed without a bound (interval of 18 digits times 99,999), as was the demand of lasting tasks.

At most 100,000 tasks of a job are open; the next occurrences wait until earlier ones have ended. A listed run opens occurrences up to a minute ahead only, as no holder's clock is further ahead. wwh_job_due_wall_ms bounds the time and the interval, so no stored job becomes unreadable.

--- a/include/waxwinghollow/job.h
+++ b/include/waxwinghollow/job.h
@@ -93,6 +93,12 @@
 /* Estimated duration of a task of step, at most WWH_JOB_MAX_ESTIMATE_MS. */
 int64_t wwh_job_estimate_ms(const wwh_job_step_t *step);
 
+/*
+ * When the occurrence is due. A time or an interval beyond any use is bounded, so
+ * the sum doesn't overflow.
+ */
+int64_t wwh_job_due_wall_ms(const wwh_job_t *job, int64_t occurrence);
+
 /*
  * Returns WWH_STATUS_BAD_INPUT, with a message for the caller, for a job that
  * can't be run.
--- a/src/libwaxwinghollow/job.c
+++ b/src/libwaxwinghollow/job.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* More than a thousand years; the sum for all repeats fits into 64 bits. */
+#define MAX_TIME_MS INT64_C(40000000000000)
+
 static void clear_step(wwh_job_step_t *step);
 static wwh_status_t check_step(const wwh_job_t *job, int32_t number,
 			       wwh_message_t *message);
@@ -53,6 +56,12 @@
 	return MIN(step->estimate_ms, WWH_JOB_MAX_ESTIMATE_MS);
 }
 
+int64_t wwh_job_due_wall_ms(const wwh_job_t *job, int64_t occurrence)
+{
+	return MIN(job->first_wall_ms, MAX_TIME_MS) +
+	       MIN(job->interval_ms, MAX_TIME_MS) * occurrence;
+}
+
 wwh_status_t wwh_job_check(const wwh_job_t *job, wwh_message_t *message)
 {
 	int64_t tasks = 0;
--- a/src/libwaxwinghollow/scheduler_demand.c
+++ b/src/libwaxwinghollow/scheduler_demand.c
@@ -210,7 +210,8 @@
 	int32_t per_host = MAX(spec->max_per_upstream, 1);
 
 	if (!spec->filler)
-		demand->lasting += left * spec->need.cpu_millicores;
+		demand->lasting += left * MIN(spec->need.cpu_millicores,
+					      MAX_HOST_MILLICORES);
 	if (spec->max_per_upstream > 0)
 		demand->min_hosts = MAX(demand->min_hosts,
 					(left + per_host - 1) / per_host);
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -7,6 +7,15 @@
 /* How often ended jobs are scanned for those that expire. */
 #define EXPIRY_INTERVAL_MS 1000
 
+/*
+ * Of a job's open occurrences; the next ones wait until earlier ones have ended.
+ * A job of 100,000 occurrences that are due would need more memory than there is.
+ */
+#define MAX_OPEN_TASKS (10 * WWH_JOB_MAX_TASKS)
+
+/* No holder's clock is further ahead of another one's. */
+#define MAX_CLOCK_AHEAD_MS 60000
+
 /* Where a task is in its job. */
 typedef struct {
 	int64_t occurrence;
@@ -26,6 +35,7 @@
 static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at);
 static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
 			int64_t number);
+static bool has_room_for_next(const sched_job_t *job);
 static void forget_completed(sched_job_t *job);
 static bool has_outstanding_runs(const sched_occurrence_t *occurrence);
 static bool may_have_runs(const wwh_scheduler_t *scheduler,
@@ -142,9 +152,11 @@
 			int64_t number)
 {
 	if (!job->inherited || !sched_job_is_live(job) ||
-	    number >= job->spec->repeat_count)
+	    number >= job->spec->repeat_count ||
+	    wwh_job_due_wall_ms(job->spec, number) >
+		    scheduler->wall_ms + MAX_CLOCK_AHEAD_MS)
 		return;
-	while (job->next_occurrence <= number) {
+	while (job->next_occurrence <= number && has_room_for_next(job)) {
 		sched_occurrence_t *occurrence =
 			sched_job_open_occurrence(scheduler, job);
 
@@ -176,13 +188,23 @@
 	forget_completed(job);
 	while (sched_job_is_live(job) &&
 	       job->next_occurrence < spec->repeat_count &&
-	       spec->first_wall_ms + job->next_occurrence * spec->interval_ms <=
+	       has_room_for_next(job) &&
+	       wwh_job_due_wall_ms(spec, job->next_occurrence) <=
 		       scheduler->wall_ms) {
 		(void)sched_job_open_occurrence(scheduler, job);
 		job->pool->dirty = true;
 	}
 }
 
+static bool has_room_for_next(const sched_job_t *job)
+{
+	int64_t tasks = 0;
+
+	for (int32_t i = 0; i < job->spec->step_count; i++)
+		tasks += job->spec->steps[i].task_count;
+	return tasks * (job->occurrences->len + 1) <= MAX_OPEN_TASKS;
+}
+
 /* A later listing of one of its runs is that of an orphan. */
 static void forget_completed(sched_job_t *job)
 {
@@ -392,8 +414,7 @@
 	occurrence->due = true;
 	occurrence->due_ms = job->accepted_ms;
 	if (spec->repeat_count > 0) {
-		occurrence->due_wall_ms =
-			spec->first_wall_ms + number * spec->interval_ms;
+		occurrence->due_wall_ms = wwh_job_due_wall_ms(spec, number);
 		occurrence->due_ms = scheduler->now_ms - scheduler->wall_ms +
 				     occurrence->due_wall_ms;
 	}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -436,6 +436,12 @@
 	cmocka_unit_test(an_odd_clock_moves_no_lease),                         \
 		FIXTURE_TEST(an_answer_that_is_read_late_is_no_odd_clock, 1)
 
+#define NUMBER_TESTS                                                           \
+	cmocka_unit_test(absurd_numbers_hold_up_no_other_job),                 \
+		cmocka_unit_test(the_open_tasks_of_a_job_are_bounded)
+
+void the_open_tasks_of_a_job_are_bounded(void **state);
+void absurd_numbers_hold_up_no_other_job(void **state);
 void an_odd_clock_moves_no_lease(void **state);
 void an_answer_that_is_read_late_is_no_odd_clock(void **state);
 
