wire_store: the next page follows a key that is in the store

An entry whose key has a zero byte, the last of a page of 500, was replaced by one with U+FFFD, and the next page was requested after that. All keys between the two ("a\0b" and "a\ufffdb": each that begins with "a" and goes on in ASCII) were missing from the full read, so their upstreams counted as removed.

--- a/src/test_wire/test_odd.c
+++ b/src/test_wire/test_odd.c
@@ -387,3 +387,64 @@
 	g_free(long_host);
 	g_free(long_address);
 }
+
+static void ignore_record(const wire_record_t *record, void *client_data)
+{
+	(void)record;
+	(void)client_data;
+}
+
+/*
+ * Guards against upstreams that are taken for removed: the next page was
+ * requested after a key that isn't in the store, behind the keys in between.
+ */
+void a_page_continues_after_a_key_of_the_store(void **state)
+{
+	static const char body[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\"},"
+		"{\"key\":\"a\\u0000b\",\"value\":\"eA==\"}],"
+		"\"truncated\":true,\"end\":9}";
+	wwh_http_answer_t answer = { .outcome = WWH_CALL_ANSWERED,
+				     .status = 200,
+				     .body = (const uint8_t *)body,
+				     .body_size = sizeof(body) - 1 };
+	int64_t end;
+	char *after;
+
+	(void)state;
+	assert_int_equal(wire_store_newest_answer(&answer, &end, &after,
+						  ignore_record, NULL),
+			 WIRE_STORE_OK);
+	assert_string_equal(after, "a");
+	g_free(after);
+}
+
+/* Guards against deadlines that overflow and pass at once. */
+void the_time_that_a_caller_waits_is_bounded(void **state)
+{
+	static const struct {
+		const char *text;
+		int64_t least_ms;
+		int64_t most_ms;
+	} cases[] = {
+		{ "250", 250, 250 },
+		{ "9223372036854775807", 3600000, 100000000 },
+		{ "12345678901234567890123456", 3600000, 100000000 },
+		{ "-9223372036854775808", 7, 7 },
+		{ "0", 7, 7 },
+		{ "-0", 7, 7 },
+		{ "NaN", 7, 7 },
+		{ "", 7, 7 },
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		wwh_headers_t *headers = wwh_headers_new();
+
+		wwh_headers_add(headers, "Waxwinghollow-Deadline-Ms",
+				cases[i].text);
+		assert_in_range(wire_caller_timeout_ms(headers, 7),
+				cases[i].least_ms, cases[i].most_ms);
+		wwh_headers_delete(headers);
+	}
+}
--- a/src/test_wire/test_wire.h
+++ b/src/test_wire/test_wire.h
@@ -46,7 +46,10 @@
 		cmocka_unit_test(no_value_of_any_field_ends_the_process),      \
 		cmocka_unit_test(an_odd_row_of_a_poll_affects_only_itself),    \
 		cmocka_unit_test(numbers_of_a_poll_out_of_range_are_bounded),  \
-		cmocka_unit_test(an_upstream_that_cannot_be_called_is_rejected)
+		cmocka_unit_test(                                              \
+			an_upstream_that_cannot_be_called_is_rejected),        \
+		cmocka_unit_test(a_page_continues_after_a_key_of_the_store),   \
+		cmocka_unit_test(the_time_that_a_caller_waits_is_bounded)
 
 void no_reader_ends_the_process_at_deep_values(void **state);
 void a_body_that_ends_at_any_byte_is_read_in_bounds(void **state);
@@ -54,6 +57,8 @@
 void an_odd_row_of_a_poll_affects_only_itself(void **state);
 void numbers_of_a_poll_out_of_range_are_bounded(void **state);
 void an_upstream_that_cannot_be_called_is_rejected(void **state);
+void a_page_continues_after_a_key_of_the_store(void **state);
+void the_time_that_a_caller_waits_is_bounded(void **state);
 
 void usual_answers_are_decoded_in_one_pass(void **state);
 void other_answers_are_decoded_from_a_tree(void **state);
