soak: odd entries of another writer, and odd rows in answers

The fault odd-entries puts entries with 200,000 nested values, numbers of 26 digits or beyond the range, and ports and addresses that can't be, among the announcements and the operator's records for 4 s, adds such rows to the list of hosts, and to a third of the answers to polls of some upstreams for 2 s, with clocks of 0, 1e999,  and the like.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -114,6 +114,7 @@
 	int64_t next_beat_ms;
 	int64_t down_since_ms; /* 0: its entry was removed */
 	int64_t late_until_ms; /* orders are carried out late until then */
+	int64_t odd_until_ms; /* some answers to polls are malformed */
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -227,6 +228,14 @@
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
 void soak_upstream_drain(soak_upstream_t *upstream);
 
+/* soak_odd.c: malformed rows; rows ends after '[' or a row */
+void soak_odd_begin(void);
+void soak_odd_append_host(GString *rows);
+void soak_odd_append_running(const soak_upstream_t *upstream, GString *rows);
+void soak_odd_append_end(const soak_upstream_t *upstream, GString *rows);
+void soak_odd_append_clock(const soak_upstream_t *upstream, GString *text,
+			   int64_t clock_ms);
+
 /* soak_process.c: the processes under test */
 void soak_processes_start(void);
 void soak_process_start(soak_process_t *process);
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -287,6 +287,7 @@
 	{ "upstream-links", disturb_upstream_links },
 	{ "upstream-resets", reset_upstream_connections },
 	{ "upstream-refuses", refuse_upstream_connections },
+	{ "odd-entries", soak_odd_begin },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_hosts.c
+++ b/src/test_soak/soak_hosts.c
@@ -31,6 +31,7 @@
 			upstream->up ? "\"" : "");
 		separator = ",";
 	}
+	soak_odd_append_host(text);
 	g_string_append(text, "],\"nextToken\":null}");
 	soak_answer(request, 200, text->str, 0);
 	g_string_free(text, TRUE);
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -73,10 +73,11 @@
 {
 	GString *text = g_string_new(NULL);
 
-	g_string_printf(text,
-			"{\"clockMs\":%" G_GINT64_FORMAT
-			",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
-			clock_ms(upstream), upstream->born_wall_ms);
+	g_string_append(text, "{\"clockMs\":");
+	soak_odd_append_clock(upstream, text, clock_ms(upstream));
+	g_string_append_printf(text,
+			       ",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
+			       upstream->born_wall_ms);
 	for (guint i = 0; i < upstream->active->len; i++) {
 		const soak_active_t *active =
 			g_ptr_array_index(upstream->active, i);
@@ -89,6 +90,7 @@
 			i > 0 ? "," : "", active->task, active->run,
 			(int)MIN(percent, 99));
 	}
+	soak_odd_append_running(upstream, text);
 	g_string_append(text, "],\"ended\":[");
 	for (guint i = 0; i < MIN(upstream->ended->len, ENDS_PER_ANSWER); i++) {
 		const soak_run_t *run = g_ptr_array_index(upstream->ended, i);
@@ -100,6 +102,7 @@
 				       i > 0 ? "," : "", run->end_number,
 				       run->task, run->run, run->listed_how);
 	}
+	soak_odd_append_end(upstream, text);
 	g_string_append(text, "]}");
 	soak_answer(request, 200, text->str, 0);
 	g_string_free(text, TRUE);
