job_holder: an upstream with a malformed answer to a poll is reported once

Nothing told an operator that rows of an upstream's answers were left out, or that its answers couldn't be read at all (that looked like silence). The list "polls" of the bad records has these upstreams now, one line for each change.

--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -49,6 +49,7 @@
 	int64_t flush_after_ms;
 	char *list_page_token;
 	wwh_bad_records_t *bad_upstreams;
+	wwh_bad_records_t *bad_polls;
 	wwh_bad_records_t *bad_hosts;
 	GHashTable *bad_host_rows; /* names of this listing's bad rows */
 	wwh_bad_records_t *bad_records; /* of the journal */
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -35,6 +35,8 @@
 static void on_started(const wwh_http_answer_t *answer, void *data);
 static void on_stopped(const wwh_http_answer_t *answer, void *data);
 static void on_paced(const wwh_http_answer_t *answer, void *data);
+static void report_poll(const order_t *order, const wwh_http_answer_t *answer,
+			wwh_order_result_t result, const wire_poll_t *poll);
 static void on_polled(const wwh_http_answer_t *answer, void *data);
 static void on_advised(const wwh_http_answer_t *answer, void *data);
 static void send_advice(wwh_job_holder_t *holder);
@@ -203,6 +205,21 @@
 						   : WWH_REACH_SILENT;
 }
 
+static void report_poll(const order_t *order, const wwh_http_answer_t *answer,
+			wwh_order_result_t result, const wire_poll_t *poll)
+{
+	wwh_bad_records_t *bad = order->holder->bad_polls;
+
+	if (result == WWH_ORDER_DONE && !poll->has_bad_rows)
+		wwh_bad_records_mark_readable(bad, order->upstream);
+	else if (result == WWH_ORDER_DONE)
+		wwh_bad_records_mark_unreadable(bad, order->upstream,
+						"a row of its answer");
+	else if (answer->outcome == WWH_CALL_ANSWERED && answer->status == 200)
+		wwh_bad_records_mark_unreadable(bad, order->upstream,
+						"its answer as a whole");
+}
+
 static void on_polled(const wwh_http_answer_t *answer, void *data)
 {
 	order_t *order = data;
@@ -215,6 +232,7 @@
 		return;
 	}
 	result = wire_upstream_poll_answer(answer, &poll);
+	report_poll(order, answer, result, &poll);
 	switch (result) {
 	case WWH_ORDER_DONE:
 		wwh_scheduler_handle_poll_answer(
--- a/src/libwaxwinghollow/job_holder_upstreams.c
+++ b/src/libwaxwinghollow/job_holder_upstreams.c
@@ -22,6 +22,8 @@
 	};
 
 	holder->bad_upstreams = wwh_bad_records_new(&bad);
+	bad.list = "polls";
+	holder->bad_polls = wwh_bad_records_new(&bad);
 	holder->announcement_digests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	holder->unconfigured = g_hash_table_new_full(
@@ -31,6 +33,7 @@
 void job_holder_upstreams_clear(wwh_job_holder_t *holder)
 {
 	wwh_bad_records_delete(holder->bad_upstreams);
+	wwh_bad_records_delete(holder->bad_polls);
 	g_hash_table_destroy(holder->announcement_digests);
 	g_hash_table_destroy(holder->unconfigured);
 	if (holder->services != NULL)
@@ -59,6 +62,7 @@
 	if (value == NULL) {
 		g_hash_table_remove(holder->unconfigured, key);
 		wwh_bad_records_mark_removed(holder->bad_upstreams, key);
+		wwh_bad_records_mark_removed(holder->bad_polls, key);
 		wwh_scheduler_upstream_withdrawn(holder->scheduler, key,
 						 holder->now_ms);
 		return;
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -345,6 +345,35 @@
 	fixture->last_answer = answer->kind;
 }
 
+static void set_odd_row(fixture_t *fixture, const char *row)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->odd_row = row;
+	g_mutex_unlock(&fixture->standin->lock);
+	run_for(fixture, 2500);
+}
+
+/* Guards against a log that an odd row of each answer to a poll fills. */
+void a_bad_row_of_a_poll_is_reported_once(void **state)
+{
+	fixture_t *fixture = *state;
+
+	put_entry(fixture, "u1", NULL);
+	put_entry(fixture, "u2", NULL);
+	start_holder(fixture);
+	run_until(fixture, "upstream u0 pool=desk listed=1 leaving=0 settled=1",
+		  true);
+	submit(fixture);
+	set_odd_row(fixture, "[\"x\",12345678901234567890123456,\"\",1]");
+	assert_int_equal(counter_value(fixture, "records.unreadable"), 1);
+	assert_int_equal(counter_value(fixture, "records.unreadable_now"), 1);
+	assert_int_equal(runs_at(fixture, 0), TASKS);
+	set_odd_row(fixture, NULL);
+	assert_int_equal(counter_value(fixture, "records.unreadable_now"), 0);
+	assert_int_equal(counter_value(fixture, "records.unreadable"), 1);
+	assert_int_equal(runs_at(fixture, 0), TASKS);
+}
+
 /*
  * Guards against "no such job" for an accepted job whose record is unreadable
  * when a holder starts: the caller's next submission created a second job. The
--- a/src/test_standins/include/standin_jobs.h
+++ b/src/test_standins/include/standin_jobs.h
@@ -244,6 +244,10 @@
 			i > 0 ? "," : "", run->task, run->run,
 			(int32_t)(standin_now_ms() % 100));
 	}
+	if (upstream->standin->odd_row != NULL)
+		g_string_append_printf(text, "%s%s",
+				       upstream->runs->len > 0 ? "," : "",
+				       upstream->standin->odd_row);
 	g_string_append(text, "],\"ended\":[");
 	for (int64_t i = seen; i < upstream->ended_count; i++) {
 		g_string_append_printf(
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -91,6 +91,7 @@
 	int64_t host_delay_ms; /* until they are answered */
 	int64_t heavy_token; /* polls under it are answered at length */
 	bool heavy_for_all; /* and under any other */
+	const char *odd_row; /* added to running rows; NULL: none */
 	char *ballast; /* which takes the reader's time and says nothing */
 	bool loses_poll; /* the first one of the next token at u0 */
 	int64_t poll_lost_ms; /* when that was; 0: not yet */
