--- a/src/test_fuzz/fuzz_wire.c
+++ b/src/test_fuzz/fuzz_wire.c
@@ -16,6 +16,9 @@
 /* First bytes from here on: the input is a header. */
 #define KEY_INPUT 0x80
 
+/* Of runs, ends and times in answers. */
+#define NUMBER_MAX INT64_C(1000000000000000)
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static wwh_http_answer_t answer_of(const uint8_t *data, size_t size)
@@ -127,10 +130,21 @@
 
 	try_plain_poll(data, size);
 	if (wire_upstream_poll_answer(&answer, &poll) == WWH_ORDER_DONE) {
-		for (int32_t i = 0; i < poll.rows.running_count; i++)
-			assert(poll.rows.running[i].checkpoint != NULL);
-		for (int32_t i = 0; i < poll.rows.ended_count; i++)
-			assert(poll.rows.ended[i].kind < WWH_END_KIND_COUNT);
+		assert(poll.rows.remote_ms >= 0 &&
+		       poll.rows.remote_ms <= NUMBER_MAX);
+		for (int32_t i = 0; i < poll.rows.running_count; i++) {
+			const wwh_running_task_t *row = &poll.rows.running[i];
+
+			assert(row->checkpoint != NULL);
+			assert(row->run > 0 && row->run <= NUMBER_MAX);
+			assert(row->percent >= 0 && row->percent <= 100);
+		}
+		for (int32_t i = 0; i < poll.rows.ended_count; i++) {
+			const wwh_ended_task_t *row = &poll.rows.ended[i];
+
+			assert(row->kind < WWH_END_KIND_COUNT);
+			assert(row->number > 0 && row->number <= NUMBER_MAX);
+		}
 		wire_upstream_poll_clear(&poll);
 	}
 	if (wire_upstream_advise_answer(&answer, &advice))
