--- a/src/test_wire/test_odd.c
+++ b/src/test_wire/test_odd.c
@@ -214,8 +214,9 @@
 	}
 }
 
-#define HUGE "12345678901234567890123456"
 #define DEEP "[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]"
+#define DEEP_HIDDEN "[/* \" */[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]\"]"
+#define DEEP_OBJECT "{\"a\":[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]}"
 
 /*
  * Guards against ends that are lost or runs taken for ended: one odd row made
@@ -224,7 +225,7 @@
 void an_odd_row_of_a_poll_affects_only_itself(void **state)
 {
 	static const char *const running[] = {
-		"[\"b\"," HUGE ",\"\",1,0]",
+		"[\"b\",12345678901234567890123456,\"\",1,0]",
 		"[\"b\",999999999999999999,\"\",1,0]",
 		"[\"b\",1e999,\"\",1,0]",
 		"[\"b\",2.5,\"\",1,0]",
@@ -232,18 +233,18 @@
 		"[\"b\",1,\"\",NaN,0]",
 		"[\"\xff\",1,\"\",1,0]",
 		DEEP,
-		"[/* \" */" DEEP "\"]",
+		DEEP_HIDDEN,
 		"null",
 	};
 	static const char *const ended[] = {
-		"[" HUGE ",\"b\",1,\"done\",\"\"]",
+		"[12345678901234567890123456,\"b\",1,\"done\",\"\"]",
 		"[999999999999999999,\"b\",1,\"done\",\"\"]",
 		"[1e999,\"b\",1,\"done\",\"\"]",
 		"[58.5,\"b\",1,\"done\",\"\"]",
 		"[-7,\"b\",1,\"done\",\"\"]",
 		"[0,\"b\",1,\"done\",\"\"]",
 		DEEP,
-		"{\"a\":" DEEP "}",
+		DEEP_OBJECT,
 		"null",
 	};
 
