soak: lists of hosts that are late, stale, short, paged or refused

Now a list may take up to 4 s, show the hosts of up to 5 s ago, lack 15% of its rows, come in pages of 7 rows that aren't of one moment, or be refused with 503 or 429. The protocol allows late and refused lists and pages (the platform may be slow or unavailable; nextToken); no page allows stale or short ones. upstream-silence cuts links without refusing connections.

A row of a list names the incarnation before, the running one is taken for ended (upstream-gone why=up) with its tasks, and these start again.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -50,6 +50,19 @@
 
 typedef struct soak_proxy soak_proxy_t;
 
+/* How lists of hosts are disturbed. The protocol allows no stale or short ones. */
+typedef enum {
+	SOAK_LIST_LATE = 0, /* the answer takes seconds */
+	SOAK_LIST_STALE, /* it shows the hosts of up to some seconds ago */
+	SOAK_LIST_SHORT, /* rows are missing */
+	SOAK_LIST_PAGED, /* pages that aren't of one moment */
+	SOAK_LIST_REFUSED, /* 503 or 429 */
+	SOAK_LIST_COUNT
+} soak_list_t;
+
+/* Names of soak_list_t, in the same order. */
+extern const char *const soak_list_names[SOAK_LIST_COUNT];
+
 /* Each makes a stand-in break one promise, which a checker has to find. */
 typedef enum {
 	SOAK_PLANT_NONE = 0,
@@ -215,6 +228,7 @@
 
 /* soak_hosts.c: the list of hosts and the operator's configuration */
 void soak_hosts_start(void);
+void soak_hosts_disturb(soak_list_t list, int64_t ms);
 /* Publishes the next version, in which time limits differ. */
 void soak_configuration_publish(void);
 
@@ -252,6 +266,13 @@
 bool soak_faults_start(void);
 void soak_faults_stop(void);
 
+/* soak_platform_faults.c */
+void soak_delay_host_lists(void);
+void soak_age_host_lists(void);
+void soak_shorten_host_lists(void);
+void soak_page_host_lists(void);
+void soak_refuse_host_lists(void);
+
 /* A job of a client: one or two steps of equal tasks. */
 typedef struct {
 	char id[17];
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -239,6 +239,20 @@
 	}
 }
 
+static void silence_upstream_links(void)
+{
+	int32_t count = draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = draw_upstream();
+
+		soak_record("link of %s to processes: %s", upstream->id,
+			    soak_link_names[SOAK_LINK_SILENT]);
+		soak_proxy_set_link(upstream->proxy, SOAK_LINK_SILENT);
+		soak_after(draw(500, 5500), restore_link, upstream->proxy);
+	}
+}
+
 /* A seventh of the upstreams, for some seconds. */
 static void reset_upstream_connections(void)
 {
@@ -285,8 +299,14 @@
 	{ "store-compacts", soak_store_compact },
 	{ "store-link", disturb_store_link },
 	{ "upstream-links", disturb_upstream_links },
+	{ "upstream-silence", silence_upstream_links },
 	{ "upstream-resets", reset_upstream_connections },
 	{ "upstream-refuses", refuse_upstream_connections },
+	{ "hosts-late", soak_delay_host_lists },
+	{ "hosts-stale", soak_age_host_lists },
+	{ "hosts-short", soak_shorten_host_lists },
+	{ "hosts-paged", soak_page_host_lists },
+	{ "hosts-refused", soak_refuse_host_lists },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_hosts.c
+++ b/src/test_soak/soak_hosts.c
@@ -1,39 +1,133 @@
 #include "soak.h"
 
-static void on_hosts(struct evhttp_request *request, void *data)
+#include <string.h>
+
+#define SNAPSHOT_INTERVAL_MS 200
+#define STALE_MAX_MS 5000
+#define SNAPSHOTS (STALE_MAX_MS / SNAPSHOT_INTERVAL_MS)
+#define LATE_MAX_MS 4000
+#define PAGE_ROWS 7
+#define MISSING_SHARE 0.15
+
+const char *const soak_list_names[SOAK_LIST_COUNT] = {
+	"late", "stale", "short", "paged", "refused",
+};
+
+/* Until when lists are disturbed in each way; the ways overlap. */
+static int64_t disturbed_until_ms[SOAK_LIST_COUNT];
+
+/* The rows of some seconds, the newest last. */
+static GPtrArray *snapshots; /* GPtrArray of char */
+
+static bool is_disturbed(soak_list_t list)
 {
-	const char *separator = "";
-	GString *text;
+	return soak_now_ms() < disturbed_until_ms[list];
+}
+
+void soak_hosts_disturb(soak_list_t list, int64_t ms)
+{
+	soak_record("hosts: lists are %s for %d ms", soak_list_names[list],
+		    (int)ms);
+	disturbed_until_ms[list] = soak_now_ms() + ms;
+}
 
+static char *format_row(const soak_upstream_t *upstream)
+{
+	return g_strdup_printf(
+		"{\"machine\":\"%s\",\"pool\":\"%s\",\"state\":\"%s\","
+		"\"zone\":\"%s\",\"labels\":[\"a\",\"r1-%d\"],"
+		"\"capacity\":{\"cpu\":32000,\"memMb\":65536,\"gpu\":0}"
+		"%s%s%s}",
+		upstream->host, soak_pool_names[upstream->pool],
+		upstream->up ? "up" : "down",
+		soak_zone_names[upstream->index % SOAK_ZONES],
+		soak_upstream_rack(upstream), upstream->up ? ",\"id\":\"" : "",
+		upstream->up ? upstream->id : "", upstream->up ? "\"" : "");
+}
+
+static GPtrArray *take_rows(void)
+{
+	GPtrArray *rows = g_ptr_array_new_with_free_func(g_free);
+
+	for (int32_t i = 0; i < soak.options.upstreams; i++)
+		g_ptr_array_add(rows, format_row(&soak.upstreams[i]));
+	return rows;
+}
+
+static void keep_snapshot(void *data)
+{
 	(void)data;
-	if (!g_str_has_prefix(evhttp_request_get_uri(request),
-			      "/waxwinghollow/machines")) {
-		soak_answer(request, 409, "{\"reason\":\"busy\"}", 0);
-		return;
-	}
-	text = g_string_new("{\"machines\":[");
-	for (int32_t i = 0; i < soak.options.upstreams; i++) {
-		const soak_upstream_t *upstream = &soak.upstreams[i];
+	if (snapshots->len == SNAPSHOTS)
+		g_ptr_array_remove_index(snapshots, 0);
+	g_ptr_array_add(snapshots, take_rows());
+}
 
-		g_string_append_printf(
-			text,
-			"%s{\"machine\":\"%s\",\"pool\":\"%s\",\"state\":"
-			"\"%s\",\"zone\":\"%s\",\"labels\":[\"a\",\"r1-%d\"],"
-			"\"capacity\":{\"cpu\":32000,\"memMb\":65536,\"gpu\":"
-			"0}%s%s%s}",
-			separator, upstream->host,
-			soak_pool_names[upstream->pool],
-			upstream->up ? "up" : "down",
-			soak_zone_names[upstream->index % SOAK_ZONES],
-			soak_upstream_rack(upstream),
-			upstream->up ? ",\"id\":\"" : "",
-			upstream->up ? upstream->id : "",
-			upstream->up ? "\"" : "");
+static GPtrArray *rows_to_list(void)
+{
+	guint index;
+
+	if (!is_disturbed(SOAK_LIST_STALE) || snapshots->len == 0)
+		return take_rows();
+	index = (guint)g_rand_int_range(soak.rand, 0, (gint32)snapshots->len);
+	return g_ptr_array_ref(g_ptr_array_index(snapshots, index));
+}
+
+/* Each page shows the hosts as they are when it is requested. */
+static char *format_list(guint first)
+{
+	GPtrArray *rows = rows_to_list();
+	guint end = is_disturbed(SOAK_LIST_PAGED)
+			    ? MIN(rows->len, first + PAGE_ROWS)
+			    : rows->len;
+	bool is_short = is_disturbed(SOAK_LIST_SHORT);
+	const char *separator = "";
+	GString *text = g_string_new("{\"machines\":[");
+
+	for (guint i = first; i < end; i++) {
+		if (is_short && g_rand_double(soak.rand) < MISSING_SHARE)
+			continue;
+		g_string_append_printf(text, "%s%s", separator,
+				       (char *)g_ptr_array_index(rows, i));
 		separator = ",";
 	}
-	g_string_append(text, "],\"nextToken\":null}");
-	soak_answer(request, 200, text->str, 0);
-	g_string_free(text, TRUE);
+	if (end < rows->len)
+		g_string_append_printf(text, "],\"nextToken\":\"%u\"}", end);
+	else
+		g_string_append(text, "],\"nextToken\":null}");
+	g_ptr_array_unref(rows);
+	return g_string_free(text, FALSE);
+}
+
+static void serve_list(struct evhttp_request *request)
+{
+	const char *page =
+		strstr(evhttp_request_get_uri(request), "pageToken=");
+	guint first = page == NULL ? 0
+				   : (guint)g_ascii_strtoull(
+					     strchr(page, '=') + 1, NULL, 10);
+	char *text;
+
+	if (is_disturbed(SOAK_LIST_REFUSED)) {
+		soak_answer(request, g_rand_boolean(soak.rand) ? 503 : 429,
+			    "{}", 0);
+		return;
+	}
+	text = format_list(first);
+	soak_answer(request, 200, text,
+		    is_disturbed(SOAK_LIST_LATE)
+			    ? g_rand_int_range(soak.rand, 0, LATE_MAX_MS)
+			    : 0);
+	g_free(text);
+}
+
+static void on_hosts(struct evhttp_request *request, void *data)
+{
+	(void)data;
+	if (g_str_has_prefix(evhttp_request_get_uri(request),
+			     "/waxwinghollow/machines"))
+		serve_list(request);
+	else
+		soak_answer(request, 409, "{\"reason\":\"busy\"}", 0);
 }
 
 void soak_configuration_publish(void)
@@ -69,6 +163,9 @@
 
 void soak_hosts_start(void)
 {
+	snapshots = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)g_ptr_array_unref);
 	(void)soak_listen(&soak.hosts_port, on_hosts, NULL);
+	soak_every(SNAPSHOT_INTERVAL_MS, keep_snapshot, NULL);
 	soak_configuration_publish();
 }
