soak: moves and upkeep of hosts, waves; ONE, LIMIT and MIXED of waves

The stand-in answered 409 to all orders for hosts. It carries them out now, each host with its own fence: all that runs on the host ends at once, and a new upstream with a new id joins after 1.5 s or 2 s, after a move in the other pool. waves has the operator request upkeep (op/wave/N) of up to 11 hosts; duties-lost loses the answers of two thirds of the orders, and carries half of these out up to 3 s later.

Rules: ONE (two holders with one token for a host), LIMIT (more hosts of a wave down than maxCount), MIXED (a wave is shown as completed before all its hosts have begun). A lower token after a higher one gets 409, as the settings say that fences are checked; so ONE's rule for platforms without fences isn't played, nor holders that take turns within the lease.

A row of some seconds ago says "moving", or names the incarnation before, and the running one is taken for ended with its tasks, though it has answered less than a second ago and 4 s of its lease are left.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -73,6 +73,9 @@
 	SOAK_PLANT_FOREIGN_RUN, /* UNASKED: a run that nobody submitted */
 	SOAK_PLANT_REJECTION, /* REFUSED: an accepted job counts as rejected */
 	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
+	SOAK_PLANT_TWO_HOLDERS, /* ONE: orders of two holders with one token */
+	SOAK_PLANT_WAVE_LIMIT, /* LIMIT: a wave's published limit is higher */
+	SOAK_PLANT_NO_UPKEEP, /* MIXED: an upkeep is answered, not begun */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -127,6 +130,11 @@
 	int64_t next_beat_ms;
 	int64_t down_since_ms; /* 0: its entry was removed */
 	int64_t late_until_ms; /* orders are carried out late until then */
+	const char *absence; /* "moving" or "upkeep"; NULL: neither */
+	int32_t next_pool; /* after a move */
+	int64_t wave; /* for which its host is in upkeep; 0: none */
+	int64_t duty_token; /* the highest of the orders for its host */
+	char *duty_holder; /* which sent it */
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -232,12 +240,23 @@
 /* Publishes the next version, in which time limits differ. */
 void soak_configuration_publish(void);
 
+/* soak_duties.c: orders for hosts and waves of upkeep */
+void soak_duties_start(void);
+void soak_duties_serve(struct evhttp_request *request);
+/* Answers are lost, and some orders are carried out late. */
+void soak_duties_lose_answers(int64_t ms);
+void soak_duties_request_wave(void);
+/* value isn't terminated */
+void soak_duties_check_status(const char *key, const char *value, size_t size);
+
 /* soak_upstream.c */
 void soak_upstreams_start(void);
 /* The index of the rack of its host. */
 int32_t soak_upstream_rack(const soak_upstream_t *upstream);
 /* silent: like a host without power; else connections are refused. */
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
+/* Its host is moved or serviced; its entry remains until it expires. */
+void soak_upstream_leave(soak_upstream_t *upstream);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
 void soak_upstream_drain(soak_upstream_t *upstream);
 
@@ -272,6 +291,7 @@
 void soak_shorten_host_lists(void);
 void soak_page_host_lists(void);
 void soak_refuse_host_lists(void);
+void soak_lose_answers_to_duties(void);
 
 /* A job of a client: one or two steps of equal tasks. */
 typedef struct {
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -307,6 +307,8 @@
 	{ "hosts-short", soak_shorten_host_lists },
 	{ "hosts-paged", soak_page_host_lists },
 	{ "hosts-refused", soak_refuse_host_lists },
+	{ "waves", soak_duties_request_wave },
+	{ "duties-lost", soak_lose_answers_to_duties },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_hosts.c
+++ b/src/test_soak/soak_hosts.c
@@ -39,7 +39,9 @@
 		"\"capacity\":{\"cpu\":32000,\"memMb\":65536,\"gpu\":0}"
 		"%s%s%s}",
 		upstream->host, soak_pool_names[upstream->pool],
-		upstream->up ? "up" : "down",
+		upstream->absence != NULL ? upstream->absence
+		: upstream->up		  ? "up"
+					  : "down",
 		soak_zone_names[upstream->index % SOAK_ZONES],
 		soak_upstream_rack(upstream), upstream->up ? ",\"id\":\"" : "",
 		upstream->up ? upstream->id : "", upstream->up ? "\"" : "");
@@ -127,7 +129,7 @@
 			     "/waxwinghollow/machines"))
 		serve_list(request);
 	else
-		soak_answer(request, 409, "{\"reason\":\"busy\"}", 0);
+		soak_duties_serve(request);
 }
 
 void soak_configuration_publish(void)
@@ -167,5 +169,6 @@
 		(GDestroyNotify)g_ptr_array_unref);
 	(void)soak_listen(&soak.hosts_port, on_hosts, NULL);
 	soak_every(SNAPSHOT_INTERVAL_MS, keep_snapshot, NULL);
+	soak_duties_start();
 	soak_configuration_publish();
 }
--- a/src/test_soak/soak_store.c
+++ b/src/test_soak/soak_store.c
@@ -284,6 +284,9 @@
 
 		memcpy(&length, data + at, sizeof(length));
 		length = GUINT32_FROM_BE(length);
+		if (strcmp(part->name, "keyed.status/0") == 0)
+			soak_duties_check_status(key, rest + key_size,
+						 length - 1 - key_size);
 		if (!is_dropped(key))
 			put_record(part, key, rest + key_size,
 				   length - 1 - key_size);
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -455,14 +455,11 @@
 	json_node_unref(root);
 }
 
-void soak_upstream_crash(soak_upstream_t *upstream, bool silent)
+/* Without a listener connections are refused, else calls get no answer. */
+static void terminate(soak_upstream_t *upstream, const char *how, bool silent)
 {
-	if (!upstream->up)
-		return;
-	soak_record("upstream %s/%d crashes%s", upstream->id,
-		    upstream->incarnations, silent ? " silently" : "");
 	while (upstream->active->len > 0)
-		end_run(upstream, 0, "crashed", false);
+		end_run(upstream, 0, how, false);
 	for (guint i = 0; i < upstream->polls->len; i++)
 		g_free(g_ptr_array_index(upstream->polls, i));
 	g_ptr_array_set_size(upstream->polls, 0);
@@ -475,9 +472,25 @@
 	upstream->down_since_ms = soak_now_ms();
 }
 
+void soak_upstream_crash(soak_upstream_t *upstream, bool silent)
+{
+	if (!upstream->up)
+		return;
+	soak_record("upstream %s/%d crashes%s", upstream->id,
+		    upstream->incarnations, silent ? " silently" : "");
+	terminate(upstream, "crashed", silent);
+}
+
+void soak_upstream_leave(soak_upstream_t *upstream)
+{
+	soak_record("upstream %s/%d leaves", upstream->id,
+		    upstream->incarnations);
+	terminate(upstream, "left", g_rand_boolean(soak.rand));
+}
+
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id)
 {
-	if (upstream->up)
+	if (upstream->up || upstream->absence != NULL)
 		return;
 	g_clear_pointer(&upstream->http, evhttp_free);
 	upstream->incarnations++;
