soak: processes are started without a copy that holds the stand-ins' ports

A run ended with "can't listen at port": a process under test was forked, and until its program began the child held all listeners of the soak. An upstream that started again in that time couldn't have its port. The busier the machine, the longer this lasts, so two runs side by side seemed to collide, though their blocks of ports are apart. posix_spawn returns once the program has begun.

--- a/src/test_soak/soak_process.c
+++ b/src/test_soak/soak_process.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <spawn.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,29 +66,48 @@
 	return path;
 }
 
+/*
+ * It returns once the program has begun. A child that lives on as a copy of this
+ * process for a while would hold the ports of all stand-ins, and one that is
+ * closed and opened anew meanwhile couldn't have its port.
+ */
+static GPid spawn(const char *log)
+{
+	const int first_inherited_fd = 3;
+	char *const arguments[] = { (char *)soak.options.program,
+				    (char *)"serve", (char *)"--platform",
+				    NULL };
+	posix_spawn_file_actions_t files;
+	pid_t pid = 0;
+	int error;
+
+	posix_spawn_file_actions_init(&files);
+	posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log,
+					 O_WRONLY | O_CREAT | O_APPEND, 0644);
+	posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+	posix_spawn_file_actions_addclosefrom_np(&files, first_inherited_fd);
+	error = posix_spawn(&pid, soak.options.program, &files, NULL, arguments,
+			    environ);
+	posix_spawn_file_actions_destroy(&files);
+	if (error != 0) {
+		fprintf(stderr, "soak: %s: %s\n", soak.options.program,
+			strerror(error));
+		exit(2);
+	}
+	return pid;
+}
+
 void soak_process_start(soak_process_t *process)
 {
 	char *settings = write_settings(process);
 	char *log = g_strdup_printf("%s/%s.log", soak.directory, process->node);
-	const int first_inherited_fd = 3;
-
 	process->starts++;
 	process->stopped = false;
 	process->terminating = false;
 	process->terminated_at_start = false;
 	process->frozen_terminating = false;
-	process->pid = fork();
-	if (process->pid == 0) {
-		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
-
-		dup2(fd, STDOUT_FILENO);
-		dup2(fd, STDERR_FILENO);
-		closefrom(first_inherited_fd);
-		setenv("WAXWINGHOLLOW_NODE_FILE", settings, 1);
-		execl(soak.options.program, soak.options.program, "serve",
-		      "--platform", (char *)NULL);
-		_exit(127);
-	}
+	setenv("WAXWINGHOLLOW_NODE_FILE", settings, 1);
+	process->pid = spawn(log);
 	soak_record("process %s starts (pid %d)", process->node,
 		    (int)process->pid);
 	g_free(settings);
