soak: short lists lack the hosts that are cut off; stale and short by name only

A list that lacks rows at random is found incomplete nearly always, as it has to contain each upstream that answers. Now a short list lacks the upstreams whose links are disturbed, and every fourth one some others. hosts-stale and hosts-short go beyond the protocol, so they aren't among the faults that are drawn when none are named.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -217,6 +217,7 @@
 /* soak_proxy.c: connections that can be disturbed */
 soak_proxy_t *soak_proxy_new(int target_port);
 int soak_proxy_port(const soak_proxy_t *proxy);
+soak_link_t soak_proxy_link(const soak_proxy_t *proxy);
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link);
 
 /* soak_store.c: the log */
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -15,6 +15,7 @@
 typedef struct {
 	const char *name;
 	void (*begin)(void);
+	bool by_name_only; /* the protocol doesn't allow it */
 } fault_t;
 
 static bool enabled;
@@ -303,8 +304,8 @@
 	{ "upstream-resets", reset_upstream_connections },
 	{ "upstream-refuses", refuse_upstream_connections },
 	{ "hosts-late", soak_delay_host_lists },
-	{ "hosts-stale", soak_age_host_lists },
-	{ "hosts-short", soak_shorten_host_lists },
+	{ "hosts-stale", soak_age_host_lists, .by_name_only = true },
+	{ "hosts-short", soak_shorten_host_lists, .by_name_only = true },
 	{ "hosts-paged", soak_page_host_lists },
 	{ "hosts-refused", soak_refuse_host_lists },
 	{ "waves", soak_duties_request_wave },
@@ -365,8 +366,10 @@
 		return true;
 	if (names != NULL && !enable_named(names))
 		return false;
-	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++)
-		enabled_faults[enabled_count++] = &faults[i];
+	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++) {
+		if (!faults[i].by_name_only)
+			enabled_faults[enabled_count++] = &faults[i];
+	}
 	enabled = true;
 	soak_after(FIRST_FAULT_MS, begin_one, NULL);
 	return true;
--- a/src/test_soak/soak_hosts.c
+++ b/src/test_soak/soak_hosts.c
@@ -74,6 +74,15 @@
 	return g_ptr_array_ref(g_ptr_array_index(snapshots, index));
 }
 
+/* Hosts that are cut off are missing, and at times some of the others. */
+static bool is_missing(guint index, bool drops_others)
+{
+	soak_proxy_t *proxy = soak.upstreams[index].proxy;
+
+	return soak_proxy_link(proxy) != SOAK_LINK_SOUND ||
+	       (drops_others && g_rand_double(soak.rand) < MISSING_SHARE);
+}
+
 /* Each page shows the hosts as they are when it is requested. */
 static char *format_list(guint first)
 {
@@ -82,11 +91,12 @@
 			    ? MIN(rows->len, first + PAGE_ROWS)
 			    : rows->len;
 	bool is_short = is_disturbed(SOAK_LIST_SHORT);
+	bool drops_others = is_short && g_rand_int_range(soak.rand, 0, 4) == 0;
 	const char *separator = "";
 	GString *text = g_string_new("{\"machines\":[");
 
 	for (guint i = first; i < end; i++) {
-		if (is_short && g_rand_double(soak.rand) < MISSING_SHARE)
+		if (is_short && is_missing(i, drops_others))
 			continue;
 		g_string_append_printf(text, "%s%s", separator,
 				       (char *)g_ptr_array_index(rows, i));
--- a/src/test_soak/soak_proxy.c
+++ b/src/test_soak/soak_proxy.c
@@ -156,6 +156,11 @@
 	return proxy->port;
 }
 
+soak_link_t soak_proxy_link(const soak_proxy_t *proxy)
+{
+	return proxy->link;
+}
+
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link)
 {
 	proxy->link = link;
