soak: a store that is down for some, in parts, or carries appends out late

Added: store-rejects-some (some processes get 503 or 429, the holder first in half of the cases), store-some-partitions, store-compacts-often (while it is read), store-pages (of 1 to 10 records, not of one moment), store-late-appends (a fifth of the appends is carried out 1 to 6 s later), store-deals-anew (all partitions of the group at once), entries-expire (announcements go while the store is down, and are back with the heartbeats). Orders for hosts come 2 to 12 s late, as such calls may. Each process reaches the store at a port of its own, so that it can be turned away alone. Committed offsets aren't played: the system commits none, and the stand-in gives 0 to each member.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -33,6 +33,8 @@
 #define SOAK_STOP_MS 200
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
+#define SOAK_NEWEST_MAX 500
+#define SOAK_PARTS 16
 
 /* What happens to connections through a proxy. */
 typedef enum {
@@ -154,6 +156,8 @@
 	int ports[SOAK_PROCESS_PORTS];
 	char node[32];
 	char peer[32];
+	int store_port; /* where the store serves this process */
+	int32_t store_status; /* of its calls; 0: they are served */
 	soak_proxy_t *store_proxy; /* through which it reaches the store */
 	GPtrArray *connections; /* of clients, kept open */
 } soak_process_t;
@@ -169,11 +173,13 @@
 	char *directory;
 	int64_t start_us;
 	int32_t broken; /* promises found broken */
-	int store_port;
 	int hosts_port;
 	int64_t store_delay_ms;
 	bool store_refuses; /* all calls, with 503 */
 	double store_loses; /* probability that an answer is lost */
+	double store_defers; /* probability that an append is done late */
+	uint32_t store_parts_down; /* a bit for each partition that refuses */
+	int64_t store_page; /* records of one page of the newest */
 	soak_upstream_t *upstreams;
 	soak_process_t *processes;
 	GHashTable *runs; /* task to GPtrArray of soak_run_t */
@@ -226,12 +232,16 @@
 void soak_store_put(const char *topic, const char *key, const char *value);
 /* The log forgets all records but the newest of each key. */
 void soak_store_compact(void);
+/* Has the store serve calls of this process at a port of its own. */
+void soak_store_listen_for(soak_process_t *process);
 /* The address that the newest notice in the store names; NULL: none. */
 char *soak_store_holder(void);
 void soak_store_serve(void *request); /* struct evhttp_request */
 
 /* soak_group.c: the store's group */
 void soak_group_start(void);
+/* All partitions change hands at once. */
+void soak_group_deal_anew(void);
 void soak_group_join(struct evhttp_request *request);
 void soak_group_leave(struct evhttp_request *request);
 
@@ -287,6 +297,12 @@
 void soak_faults_stop(void);
 
 /* soak_platform_faults.c */
+void soak_reject_some_at_store(void);
+void soak_refuse_some_partitions(void);
+void soak_compact_often(void);
+void soak_page_newest_records(void);
+void soak_defer_appends(void);
+void soak_expire_entries(void);
 void soak_delay_host_lists(void);
 void soak_age_host_lists(void);
 void soak_shorten_host_lists(void);
--- a/src/test_soak/soak_duties.c
+++ b/src/test_soak/soak_duties.c
@@ -9,7 +9,8 @@
 
 #define MOVE_MS 1500
 #define UPKEEP_MS 2000
-#define LATE_MAX_MS 3000
+#define LATE_MIN_MS 2000
+#define LATE_MAX_MS 12000
 #define WAVE_HOSTS_MAX 12
 #define WAVE_S 20
 
@@ -239,8 +240,9 @@
 	if (mode != ORDER_ANSWERED)
 		order->request = NULL;
 	if (mode == ORDER_LATE) {
-		soak_after(g_rand_int_range(soak.rand, 100, LATE_MAX_MS),
-			   carry_out_late, order);
+		soak_after(
+			g_rand_int_range(soak.rand, LATE_MIN_MS, LATE_MAX_MS),
+			carry_out_late, order);
 		return;
 	}
 	carry_out(order);
--- a/src/test_soak/soak_group.c
+++ b/src/test_soak/soak_group.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* Partitions that the group deals out. */
-#define GROUP_PARTS 16
-
 typedef struct {
 	int64_t ttl_ms;
 	int64_t seen_ms;
@@ -12,15 +9,15 @@
 
 static GHashTable *members; /* name to member_t */
 static int64_t generation = 1;
-static char *owners[GROUP_PARTS];
-static char *targets[GROUP_PARTS];
-static int64_t moved_at[GROUP_PARTS]; /* generation of the last move */
+static char *owners[SOAK_PARTS];
+static char *targets[SOAK_PARTS];
+static int64_t moved_at[SOAK_PARTS]; /* generation of the last move */
 
 static int32_t count_targets(const char *member)
 {
 	int32_t count = 0;
 
-	for (int32_t i = 0; i < GROUP_PARTS; i++)
+	for (int32_t i = 0; i < SOAK_PARTS; i++)
 		count += g_strcmp0(targets[i], member) == 0;
 	return count;
 }
@@ -43,7 +40,7 @@
 		if (count_targets(at->data) > count_targets(most))
 			most = at->data;
 	}
-	for (int32_t i = 0; i < GROUP_PARTS; i++) {
+	for (int32_t i = 0; i < SOAK_PARTS; i++) {
 		bool moves = targets[i] == NULL ||
 			     (strcmp(targets[i], most) == 0 &&
 			      count_targets(most) > count_targets(least) + 1);
@@ -63,19 +60,40 @@
 	GList *names = g_list_sort(g_hash_table_get_keys(members),
 				   (GCompareFunc)strcmp);
 
-	for (int32_t i = 0; i < GROUP_PARTS; i++) {
+	for (int32_t i = 0; i < SOAK_PARTS; i++) {
 		drop_absent(&targets[i]);
 		drop_absent(&owners[i]);
 	}
 	while (names != NULL && move_one(names))
 		;
-	for (int32_t i = 0; i < GROUP_PARTS; i++) {
+	for (int32_t i = 0; i < SOAK_PARTS; i++) {
 		if (owners[i] == NULL && targets[i] != NULL)
 			owners[i] = g_strdup(targets[i]);
 	}
 	g_list_free(names);
 }
 
+void soak_group_deal_anew(void)
+{
+	GList *names = g_list_sort(g_hash_table_get_keys(members),
+				   (GCompareFunc)strcmp);
+	guint count = g_list_length(names);
+	guint first = g_rand_int(soak.rand);
+
+	soak_record("store: deals all partitions anew");
+	generation++;
+	for (guint i = 0; count > 0 && i < SOAK_PARTS; i++) {
+		const char *name = g_list_nth_data(names, (first + i) % count);
+
+		g_free(targets[i]);
+		g_free(owners[i]);
+		targets[i] = g_strdup(name);
+		owners[i] = g_strdup(name);
+		moved_at[i] = generation;
+	}
+	g_list_free(names);
+}
+
 static gboolean is_silent(gpointer key, gpointer value, gpointer data)
 {
 	const member_t *member = value;
@@ -109,7 +127,7 @@
 
 static void hand_over_moved_parts(const char *name, int64_t known_generation)
 {
-	for (int32_t i = 0; i < GROUP_PARTS; i++) {
+	for (int32_t i = 0; i < SOAK_PARTS; i++) {
 		if (g_strcmp0(owners[i], targets[i]) == 0 ||
 		    g_strcmp0(owners[i], name) != 0 ||
 		    known_generation < moved_at[i])
@@ -145,7 +163,7 @@
 			"{\"generation\":%" G_GINT64_FORMAT
 			",\"ttlMs\":%" G_GINT64_FORMAT ",\"parts\":[",
 			generation, member->ttl_ms);
-	for (int32_t i = 0; i < GROUP_PARTS; i++) {
+	for (int32_t i = 0; i < SOAK_PARTS; i++) {
 		if (g_strcmp0(owners[i], name) != 0 ||
 		    g_strcmp0(targets[i], name) != 0)
 			continue;
--- a/src/test_soak/soak_process.c
+++ b/src/test_soak/soak_process.c
@@ -211,7 +211,8 @@
 		g_snprintf(process->peer, sizeof(process->peer),
 			   SOAK_LOOPBACK ":%d", process->ports[3]);
 		process->connections = g_ptr_array_new();
-		process->store_proxy = soak_proxy_new(soak.store_port);
+		soak_store_listen_for(process);
+		process->store_proxy = soak_proxy_new(process->store_port);
 		soak_process_start(process);
 	}
 	soak_every(REAP_INTERVAL_MS, reap, NULL);
--- a/src/test_soak/soak_store.c
+++ b/src/test_soak/soak_store.c
@@ -3,7 +3,8 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
-#define NEWEST_MAX 500
+#define LATE_MIN_MS 1000
+#define LATE_MAX_MS 6000
 #define REPETITIONS_KEPT 5
 #define KB 1024
 
@@ -41,6 +42,7 @@
 
 static GHashTable *parts;
 static GPtrArray *readers;
+static bool deferring = true;
 
 static part_t *get_part(const char *topic, const char *number)
 {
@@ -179,7 +181,7 @@
 				  ? g_tree_node_first(part->newest)
 				  : g_tree_upper_bound(part->newest, after);
 
-	for (int32_t i = 0; node != NULL && i < NEWEST_MAX;
+	for (int32_t i = 0; node != NULL && i < soak.store_page;
 	     node = g_tree_node_next(node), i++) {
 		const record_t *record = g_tree_node_value(node);
 		gsize size;
@@ -295,6 +297,29 @@
 	}
 }
 
+static void carry_out_append(void *data)
+{
+	struct evhttp_request *request = data;
+
+	soak_record("store: a late append");
+	deferring = false;
+	soak_store_serve(request);
+	deferring = true;
+}
+
+/*
+ * An append may take effect seconds after its caller has given it up. A caller
+ * that waits gets its answer.
+ */
+static bool defer_append(struct evhttp_request *request)
+{
+	if (!deferring || g_rand_double(soak.rand) >= soak.store_defers)
+		return false;
+	soak_after(g_rand_int_range(soak.rand, LATE_MIN_MS, LATE_MAX_MS),
+		   carry_out_append, request);
+	return true;
+}
+
 static void serve_append(struct evhttp_request *request, part_t *part,
 			 struct evkeyvalq *query)
 {
@@ -305,6 +330,8 @@
 	int64_t sequence = 0;
 	char *answer;
 
+	if (defer_append(request))
+		return;
 	if (name != NULL) {
 		const char *epoch_text = evhttp_find_header(query, "epoch");
 		const char *sequence_text =
@@ -346,6 +373,13 @@
 	serve_readers(NULL);
 }
 
+static bool is_part_down(const char *number)
+{
+	return (soak.store_parts_down >>
+			(g_ascii_strtoull(number, NULL, 10) % SOAK_PARTS) &
+		1U) != 0;
+}
+
 void soak_store_serve(void *data)
 {
 	struct evhttp_request *request = data;
@@ -365,6 +399,8 @@
 		soak_group_join(request);
 	else if (strcmp(path, "/waxwinghollow/log-leave") == 0)
 		soak_group_leave(request);
+	else if (number != NULL && is_part_down(number))
+		soak_answer(request, 503, "{}", 0);
 	else if (topic == NULL || number == NULL)
 		soak_answer(request, 400, "{}", 0);
 	else if (strcmp(path, "/waxwinghollow/log-append") == 0)
@@ -382,20 +418,28 @@
 
 static void on_call(struct evhttp_request *request, void *data)
 {
-	(void)data;
-	if (soak.store_delay_ms > 0)
+	const soak_process_t *process = data;
+
+	if (process != NULL && process->store_status != 0)
+		soak_answer(request, process->store_status, "{}", 0);
+	else if (soak.store_delay_ms > 0)
 		soak_after(soak.store_delay_ms, soak_store_serve, request);
 	else
 		soak_store_serve(request);
 }
 
+void soak_store_listen_for(soak_process_t *process)
+{
+	(void)soak_listen(&process->store_port, on_call, process);
+}
+
 void soak_store_start(void)
 {
 	const int64_t tick_ms = 10;
 
 	parts = g_hash_table_new(g_str_hash, g_str_equal);
 	readers = g_ptr_array_new();
+	soak.store_page = SOAK_NEWEST_MAX;
 	soak_group_start();
-	(void)soak_listen(&soak.store_port, on_call, NULL);
 	soak_every(tick_ms, serve_readers, NULL);
 }
