soak: all hosts and processes lose power at once

power stops all upstreams and processes at once; upstreams return within 6 s with new ids, processes within 3 s, the store keeps its records.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -303,6 +303,7 @@
 void soak_page_newest_records(void);
 void soak_defer_appends(void);
 void soak_expire_entries(void);
+void soak_cut_power(void);
 void soak_delay_host_lists(void);
 void soak_age_host_lists(void);
 void soak_shorten_host_lists(void);
--- a/src/test_soak/soak_platform_faults.c
+++ b/src/test_soak/soak_platform_faults.c
@@ -4,6 +4,8 @@
  */
 #include "soak.h"
 
+#include <signal.h>
+
 static int32_t draw(int32_t from, int32_t to)
 {
 	return g_rand_int_range(soak.rand, from, to);
@@ -147,3 +149,32 @@
 	}
 	soak_after(draw(500, 6000), end_outage, NULL);
 }
+
+static void restore_upstream(void *data)
+{
+	soak_upstream_restart(data, false);
+}
+
+static void restore_process(void *data)
+{
+	soak_process_t *process = data;
+
+	if (process->pid == 0)
+		soak_process_start(process);
+}
+
+/* All upstreams and processes stop at once; the store keeps its records. */
+void soak_cut_power(void)
+{
+	soak_record("all hosts lose power");
+	for (int32_t i = 0; i < soak.options.processes; i++) {
+		soak_process_signal(&soak.processes[i], SIGKILL);
+		soak_after(draw(300, 3000), restore_process,
+			   &soak.processes[i]);
+	}
+	for (int32_t i = 0; i < soak.options.upstreams; i++) {
+		soak_upstream_crash(&soak.upstreams[i], draw(0, 2) == 0);
+		soak_after(draw(300, 6000), restore_upstream,
+			   &soak.upstreams[i]);
+	}
+}
