--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -33,6 +33,8 @@
 #define SOAK_STOP_MS 200
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
+#define SOAK_NEWEST_MAX 500
+#define SOAK_PARTS 16
 
 /* What happens to connections through a proxy. */
 typedef enum {
@@ -50,6 +52,19 @@
 
 typedef struct soak_proxy soak_proxy_t;
 
+/* How lists of hosts are disturbed. The protocol allows no stale or short ones. */
+typedef enum {
+	SOAK_LIST_LATE = 0, /* the answer takes seconds */
+	SOAK_LIST_STALE, /* it shows the hosts of up to some seconds ago */
+	SOAK_LIST_SHORT, /* rows are missing */
+	SOAK_LIST_PAGED, /* pages that aren't of one moment */
+	SOAK_LIST_REFUSED, /* 503 or 429 */
+	SOAK_LIST_COUNT
+} soak_list_t;
+
+/* Names of soak_list_t, in the same order. */
+extern const char *const soak_list_names[SOAK_LIST_COUNT];
+
 /* Each makes a stand-in break one promise, which a checker has to find. */
 typedef enum {
 	SOAK_PLANT_NONE = 0,
@@ -60,6 +75,10 @@
 	SOAK_PLANT_FOREIGN_RUN, /* UNASKED: a run that nobody submitted */
 	SOAK_PLANT_REJECTION, /* REFUSED: an accepted job counts as rejected */
 	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
+	SOAK_PLANT_TWO_HOLDERS, /* ONE: orders of two holders with one token */
+	SOAK_PLANT_HIGHER_TOKEN, /* ONE: a host has seen a higher token */
+	SOAK_PLANT_WAVE_LIMIT, /* LIMIT: a wave's published limit is higher */
+	SOAK_PLANT_NO_UPKEEP, /* MIXED: an upkeep is answered, not begun */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -76,6 +95,7 @@
 	const char
 		*directory; /* of the processes' logs; NULL: a temporary one */
 	const char *faults; /* names, joined by commas; NULL: all */
+	gboolean unfenced; /* the platform doesn't check fences of hosts */
 	int32_t finish_s; /* without faults, in which jobs have to end */
 	soak_plant_t plant;
 } soak_options_t;
@@ -115,6 +135,11 @@
 	int64_t down_since_ms; /* 0: its entry was removed */
 	int64_t late_until_ms; /* orders are carried out late until then */
 	int64_t odd_until_ms; /* some answers to polls are malformed */
+	const char *absence; /* "moving" or "upkeep"; NULL: neither */
+	int32_t next_pool; /* after a move */
+	int64_t wave; /* for which its host is in upkeep; 0: none */
+	int64_t duty_token; /* the highest of the orders for its host */
+	char *duty_holder; /* which sent it */
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -134,6 +159,8 @@
 	int ports[SOAK_PROCESS_PORTS];
 	char node[32];
 	char peer[32];
+	int store_port; /* where the store serves this process */
+	int32_t store_status; /* of its calls; 0: they are served */
 	soak_proxy_t *store_proxy; /* through which it reaches the store */
 	GPtrArray *connections; /* of clients, kept open */
 } soak_process_t;
@@ -149,11 +176,13 @@
 	char *directory;
 	int64_t start_us;
 	int32_t broken; /* promises found broken */
-	int store_port;
 	int hosts_port;
 	int64_t store_delay_ms;
 	bool store_refuses; /* all calls, with 503 */
 	double store_loses; /* probability that an answer is lost */
+	double store_defers; /* probability that an append is done late */
+	uint32_t store_parts_down; /* a bit for each partition that refuses */
+	int64_t store_page; /* records of one page of the newest */
 	soak_upstream_t *upstreams;
 	soak_process_t *processes;
 	GHashTable *runs; /* task to GPtrArray of soak_run_t */
@@ -197,6 +226,7 @@
 /* soak_proxy.c: connections that can be disturbed */
 soak_proxy_t *soak_proxy_new(int target_port);
 int soak_proxy_port(const soak_proxy_t *proxy);
+soak_link_t soak_proxy_link(const soak_proxy_t *proxy);
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link);
 
 /* soak_store.c: the log */
@@ -205,26 +235,42 @@
 void soak_store_put(const char *topic, const char *key, const char *value);
 /* The log forgets all records but the newest of each key. */
 void soak_store_compact(void);
+/* Has the store serve calls of this process at a port of its own. */
+void soak_store_listen_for(soak_process_t *process);
 /* The address that the newest notice in the store names; NULL: none. */
 char *soak_store_holder(void);
 void soak_store_serve(void *request); /* struct evhttp_request */
 
 /* soak_group.c: the store's group */
 void soak_group_start(void);
+/* All partitions change hands at once. */
+void soak_group_deal_anew(void);
 void soak_group_join(struct evhttp_request *request);
 void soak_group_leave(struct evhttp_request *request);
 
 /* soak_hosts.c: the list of hosts and the operator's configuration */
 void soak_hosts_start(void);
+void soak_hosts_disturb(soak_list_t list, int64_t ms);
 /* Publishes the next version, in which time limits differ. */
 void soak_configuration_publish(void);
 
+/* soak_duties.c: orders for hosts and waves of upkeep */
+void soak_duties_start(void);
+void soak_duties_serve(struct evhttp_request *request);
+/* Answers are lost, and some orders are carried out late. */
+void soak_duties_lose_answers(int64_t ms);
+void soak_duties_request_wave(void);
+/* value isn't terminated */
+void soak_duties_check_status(const char *key, const char *value, size_t size);
+
 /* soak_upstream.c */
 void soak_upstreams_start(void);
 /* The index of the rack of its host. */
 int32_t soak_upstream_rack(const soak_upstream_t *upstream);
 /* silent: like a host without power; else connections are refused. */
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
+/* Its host is moved or serviced; its entry remains until it expires. */
+void soak_upstream_leave(soak_upstream_t *upstream);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
 void soak_upstream_drain(soak_upstream_t *upstream);
 
@@ -261,6 +307,21 @@
 bool soak_faults_start(void);
 void soak_faults_stop(void);
 
+/* soak_platform_faults.c */
+void soak_reject_some_at_store(void);
+void soak_refuse_some_partitions(void);
+void soak_compact_often(void);
+void soak_page_newest_records(void);
+void soak_defer_appends(void);
+void soak_expire_entries(void);
+void soak_cut_power(void);
+void soak_delay_host_lists(void);
+void soak_age_host_lists(void);
+void soak_shorten_host_lists(void);
+void soak_page_host_lists(void);
+void soak_refuse_host_lists(void);
+void soak_lose_answers_to_duties(void);
+
 /* A job of a client: one or two steps of equal tasks. */
 typedef struct {
 	char id[17];
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -15,6 +15,7 @@
 typedef struct {
 	const char *name;
 	void (*begin)(void);
+	bool by_name_only; /* the protocol doesn't allow it */
 } fault_t;
 
 static bool enabled;
@@ -239,6 +240,20 @@
 	}
 }
 
+static void silence_upstream_links(void)
+{
+	int32_t count = draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = draw_upstream();
+
+		soak_record("link of %s to processes: %s", upstream->id,
+			    soak_link_names[SOAK_LINK_SILENT]);
+		soak_proxy_set_link(upstream->proxy, SOAK_LINK_SILENT);
+		soak_after(draw(500, 5500), restore_link, upstream->proxy);
+	}
+}
+
 /* A seventh of the upstreams, for some seconds. */
 static void reset_upstream_connections(void)
 {
@@ -285,9 +300,25 @@
 	{ "store-compacts", soak_store_compact },
 	{ "store-link", disturb_store_link },
 	{ "upstream-links", disturb_upstream_links },
+	{ "upstream-silence", silence_upstream_links },
 	{ "upstream-resets", reset_upstream_connections },
 	{ "upstream-refuses", refuse_upstream_connections },
 	{ "odd-entries", soak_odd_begin },
+	{ "store-rejects-some", soak_reject_some_at_store },
+	{ "store-some-partitions", soak_refuse_some_partitions },
+	{ "store-compacts-often", soak_compact_often },
+	{ "store-pages", soak_page_newest_records },
+	{ "store-late-appends", soak_defer_appends },
+	{ "store-deals-anew", soak_group_deal_anew },
+	{ "entries-expire", soak_expire_entries },
+	{ "power", soak_cut_power },
+	{ "hosts-late", soak_delay_host_lists },
+	{ "hosts-stale", soak_age_host_lists, .by_name_only = true },
+	{ "hosts-short", soak_shorten_host_lists, .by_name_only = true },
+	{ "hosts-paged", soak_page_host_lists },
+	{ "hosts-refused", soak_refuse_host_lists },
+	{ "waves", soak_duties_request_wave },
+	{ "duties-lost", soak_lose_answers_to_duties },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
@@ -344,8 +375,10 @@
 		return true;
 	if (names != NULL && !enable_named(names))
 		return false;
-	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++)
-		enabled_faults[enabled_count++] = &faults[i];
+	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++) {
+		if (!faults[i].by_name_only)
+			enabled_faults[enabled_count++] = &faults[i];
+	}
 	enabled = true;
 	soak_after(FIRST_FAULT_MS, begin_one, NULL);
 	return true;
