soak: addresses that go to another upstream while the old one runs on

Cause: an answer 421 came only from an upstream that had started again at its address, so nothing showed what is concluded from it while the old one runs.

Change: fault upstream-moves. A second upstream ends and starts with a new id at the address of the first one, which either drains (and may keep its open connections) or is cut off with its connections and can't reach the store for 0.5 to 8 s; the first one runs on, and is announced at the second one's address with its next heartbeat. An entry expires while its upstream doesn't reach the store.

--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -298,6 +298,7 @@
 	{ "upstream-refuses", refuse_upstream_connections },
 	{ "links-of-some", soak_cut_some_callers },
 	{ "holder-overtaken", soak_overtake_holder },
+	{ "upstream-moves", soak_move_addresses },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
