--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -50,6 +50,17 @@
 /* Names of soak_link_t, in the same order. */
 extern const char *const soak_link_names[SOAK_LINK_COUNT];
 
+/* Whom a link concerns, by the fencing tokens in their orders. */
+typedef enum {
+	SOAK_CALLERS_ALL = 0,
+	SOAK_CALLERS_EARLIER, /* holders with at most the given token */
+	SOAK_CALLERS_LATER, /* holders with a higher one */
+	SOAK_CALLERS_COUNT
+} soak_callers_t;
+
+/* Names of soak_callers_t, in the same order. */
+extern const char *const soak_callers_names[SOAK_CALLERS_COUNT];
+
 typedef struct soak_proxy soak_proxy_t;
 
 /* How lists of hosts are disturbed. The protocol allows no stale or short ones. */
@@ -116,6 +127,18 @@
 	bool is_planted; /* owned by the list of ends */
 } soak_run_t;
 
+/* What is wrong with an upstream that runs. */
+typedef enum {
+	SOAK_UPSTREAM_SOUND = 0,
+	SOAK_UPSTREAM_HANGS, /* accepts calls and never answers */
+	SOAK_UPSTREAM_REJECTS, /* some calls, and has done nothing */
+	SOAK_UPSTREAM_SLOW, /* tasks take longer, answers come late */
+	SOAK_UPSTREAM_DISORDER_COUNT
+} soak_disorder_t;
+
+/* Names of soak_disorder_t, in the same order. */
+extern const char *const soak_disorder_names[SOAK_UPSTREAM_DISORDER_COUNT];
+
 typedef struct {
 	int32_t index;
 	int32_t incarnations;
@@ -140,6 +163,9 @@
 	int64_t wave; /* for which its host is in upkeep; 0: none */
 	int64_t duty_token; /* the highest of the orders for its host */
 	char *duty_holder; /* which sent it */
+	int64_t isolated_until_ms; /* from the store */
+	bool is_listed; /* its entry is in the store */
+	soak_disorder_t disorder;
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -228,6 +254,12 @@
 int soak_proxy_port(const soak_proxy_t *proxy);
 soak_link_t soak_proxy_link(const soak_proxy_t *proxy);
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link);
+void soak_proxy_restore(void *proxy);
+/* Not for SOAK_LINK_REFUSED, unless it concerns all. */
+void soak_proxy_set_link_for(soak_proxy_t *proxy, soak_link_t link,
+			     soak_callers_t callers, int64_t token);
+/* New connections go there; resets: the open ones are reset. */
+void soak_proxy_set_target(soak_proxy_t *proxy, int target_port, bool resets);
 
 /* soak_store.c: the log */
 void soak_store_start(void);
@@ -239,6 +271,8 @@
 void soak_store_listen_for(soak_process_t *process);
 /* The address that the newest notice in the store names; NULL: none. */
 char *soak_store_holder(void);
+/* The fencing token of that notice; 0: none. */
+int64_t soak_store_holder_token(void);
 void soak_store_serve(void *request); /* struct evhttp_request */
 
 /* soak_group.c: the store's group */
@@ -273,6 +307,14 @@
 void soak_upstream_leave(soak_upstream_t *upstream);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
 void soak_upstream_drain(soak_upstream_t *upstream);
+/* Its announcements don't reach the store. */
+void soak_upstream_isolate(soak_upstream_t *upstream, int64_t duration_ms);
+/*
+ * Ends, and starts with a new id at the address of former, which runs on at the
+ * other one's address. resets: connections to former are reset.
+ */
+void soak_upstream_take_address(soak_upstream_t *upstream,
+				soak_upstream_t *former, bool resets);
 
 /* soak_odd.c: malformed rows; rows ends after '[' or a row */
 void soak_odd_begin(void);
@@ -306,6 +348,21 @@
 /* Returns false if a name is unknown. */
 bool soak_faults_start(void);
 void soak_faults_stop(void);
+int32_t soak_draw(int32_t from, int32_t to); /* from <= result < to */
+soak_upstream_t *soak_draw_upstream(void);
+void soak_freeze_process(soak_process_t *process, int64_t duration_ms);
+
+/* soak_upstream_faults.c */
+void soak_move_addresses(void);
+void soak_hang_upstreams(void);
+void soak_reject_at_upstreams(void);
+void soak_slow_upstreams(void);
+void soak_cut_rack(void);
+void soak_cut_all_upstreams(void);
+
+/* soak_partial_faults.c: links that are cut for some callers */
+void soak_cut_some_callers(void);
+void soak_overtake_holder(void);
 
 /* soak_platform_faults.c */
 void soak_reject_some_at_store(void);
