soak: upstreams that don't tell when they were started (--no-born)

Two of the deployments have no field born; an upstream that crashes comes back there under a new id. With --no-born announcements and answers lack the field, and the fault upstream-restart, which keeps the id, isn't drawn unless it is named.

--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -80,6 +80,8 @@
 		  "without faults, until all jobs have to have ended", "S" },
 		{ "plant", 0, 0, G_OPTION_ARG_STRING, &plant,
 		  "a fault of a stand-in, which has to be found", "NAME" },
+		{ "no-born", 0, 0, G_OPTION_ARG_NONE, &options.no_born,
+		  "upstreams don't tell when they were started", NULL },
 		{ NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -78,6 +78,8 @@
 	const char *faults; /* names, joined by commas; NULL: all */
 	int32_t finish_s; /* without faults, in which jobs have to end */
 	soak_plant_t plant;
+	/* Upstreams don't tell when they were started; each has a new id then. */
+	gboolean no_born;
 } soak_options_t;
 
 /* One run of a task, as the upstreams have seen it. */
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -343,8 +343,12 @@
 		return true;
 	if (names != NULL && !enable_named(names))
 		return false;
-	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++)
-		enabled_faults[enabled_count++] = &faults[i];
+	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++) {
+		/* without the time of its start, a new one has a new id */
+		if (faults[i].begin != crash_and_keep_id ||
+		    !soak.options.no_born)
+			enabled_faults[enabled_count++] = &faults[i];
+	}
 	enabled = true;
 	soak_after(FIRST_FAULT_MS, begin_one, NULL);
 	return true;
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -11,6 +11,7 @@
 /* An incarnation's clock begins here, so that it differs from all others. */
 #define CLOCK_START_MS 1000
 #define DRAIN_MS 3000
+#define BORN_CHARS 40
 
 typedef struct {
 	char *task;
@@ -44,23 +45,34 @@
 	return upstream->index / UPSTREAMS_PER_RACK;
 }
 
+/* Some deployments don't tell when an upstream was started. */
+static const char *born_field(const soak_upstream_t *upstream,
+			      char text[BORN_CHARS])
+{
+	text[0] = '\0';
+	if (!soak.options.no_born)
+		g_snprintf(text, BORN_CHARS, ",\"born\":%" G_GINT64_FORMAT,
+			   upstream->born_wall_ms);
+	return text;
+}
+
 static void announce(soak_upstream_t *upstream)
 {
+	char born[BORN_CHARS];
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"" SOAK_LOOPBACK
 		":%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
 		"\"state\":\"%s\",\"coldLeftMs\":0,%s\"capacity\":{\"cpu\":"
 		"32000,\"memMb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-%d\"],"
 		"\"clockMs\":%" G_GINT64_FORMAT
-		",\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
-		"}",
+		",\"sequence\":%" G_GINT64_FORMAT "%s}",
 		soak_pool_names[upstream->pool],
 		soak_proxy_port(upstream->proxy),
 		soak_zone_names[upstream->index % SOAK_ZONES],
 		upstream->draining ? "draining" : "ready",
 		upstream->draining ? "\"remainingMs\":3000," : "",
 		soak_upstream_rack(upstream), clock_ms(upstream),
-		++upstream->sequence, upstream->born_wall_ms);
+		++upstream->sequence, born_field(upstream, born));
 
 	if (!soak.store_refuses)
 		soak_store_put("keyed.servers", upstream->id, text);
@@ -72,11 +84,11 @@
 			struct evhttp_request *request)
 {
 	GString *text = g_string_new(NULL);
+	char born[BORN_CHARS];
 
 	g_string_printf(text,
-			"{\"clockMs\":%" G_GINT64_FORMAT
-			",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
-			clock_ms(upstream), upstream->born_wall_ms);
+			"{\"clockMs\":%" G_GINT64_FORMAT "%s,\"running\":[",
+			clock_ms(upstream), born_field(upstream, born));
 	for (guint i = 0; i < upstream->active->len; i++) {
 		const soak_active_t *active =
 			g_ptr_array_index(upstream->active, i);
@@ -225,13 +237,13 @@
 			 struct evhttp_request *request, int32_t status,
 			 const char *reason)
 {
+	char born[BORN_CHARS];
 	char *text;
 
 	if (request == NULL)
 		return;
-	text = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT
-			       ",\"born\":%" G_GINT64_FORMAT "%s%s%s}",
-			       clock_ms(upstream), upstream->born_wall_ms,
+	text = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT "%s%s%s%s}",
+			       clock_ms(upstream), born_field(upstream, born),
 			       reason == NULL ? "" : ",\"reason\":\"",
 			       reason == NULL ? "" : reason,
 			       reason == NULL ? "" : "\"");
