--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -31,6 +31,8 @@
 #define SOAK_HEARTBEAT_MS 1500
 #define SOAK_LEASE_MAX_MS 6000
 #define SOAK_STOP_MS 200
+#define SOAK_CONTACT_MS 4000
+#define SOAK_CANCEL_MS 4000
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
 
@@ -60,6 +62,7 @@
 	SOAK_PLANT_FOREIGN_RUN, /* UNASKED: a run that nobody submitted */
 	SOAK_PLANT_REJECTION, /* REFUSED: an accepted job counts as rejected */
 	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
+	SOAK_PLANT_LOST_CANCEL, /* UNASKED: a cancel is acknowledged unsent */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -96,6 +99,7 @@
 	/* The lease lapsed before that, so the acknowledgement doesn't count. */
 	bool lapsed_unacked;
 	bool is_planted; /* owned by the list of ends */
+	bool is_late; /* its start was carried out late */
 } soak_run_t;
 
 typedef struct {
@@ -139,6 +143,33 @@
 	GPtrArray *connections; /* of clients, kept open */
 } soak_process_t;
 
+/* What a client asks of a job. */
+typedef enum {
+	SOAK_KIND_PLAIN = 0,
+	SOAK_KIND_CANCELLED, /* the client cancels it */
+	SOAK_KIND_COUNT
+} soak_kind_t;
+
+/* A job of a client: one or two steps of equal tasks. */
+typedef struct {
+	char id[17];
+	soak_kind_t kind;
+	int32_t pool;
+	int32_t steps;
+	int32_t tasks; /* of each step */
+	int32_t attempts;
+	bool accepted;
+	bool unanswered; /* an attempt got no answer that says it has not run */
+	bool given_up;
+	bool completed;
+	bool failed;
+	int64_t accepted_ms;
+	int64_t cancels_after_ms; /* its acceptance; 0: never */
+	bool cancel_sent;
+	int64_t cancel_acked_ms; /* 0: not yet */
+	char *body;
+} soak_job_t;
+
 typedef void (*soak_step_t)(void *data);
 typedef void (*soak_answered_t)(int32_t status, const char *body, void *data);
 
@@ -242,6 +273,17 @@
 void soak_clients_start(void);
 void soak_clients_stop_submitting(void);
 
+/* soak_jobs.c */
+soak_job_t *soak_job_new(void);
+/* Returns NULL if no client has submitted it. */
+soak_job_t *soak_job_of_task(const char *task);
+
+/* soak_calm.c */
+/* Called as a fault begins. */
+void soak_calm_note_fault(const char *name);
+/* No process, link of one or store was disturbed for SOAK_CONTACT_MS. */
+bool soak_in_touch(void);
+
 /* soak_checks.c */
 void soak_check_start(const soak_run_t *run);
 void soak_check_completed(const char *id);
@@ -254,20 +296,4 @@
 bool soak_faults_start(void);
 void soak_faults_stop(void);
 
-/* A job of a client: one or two steps of equal tasks. */
-typedef struct {
-	char id[17];
-	int32_t pool;
-	int32_t steps;
-	int32_t tasks; /* of each step */
-	int32_t attempts;
-	bool accepted;
-	bool unanswered; /* an attempt got no answer that says it has not run */
-	bool given_up;
-	bool completed;
-	bool failed;
-	int64_t accepted_ms;
-	char *body;
-} soak_job_t;
-
 #endif
--- a/src/test_soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -56,11 +56,23 @@
 	return count;
 }
 
+/* Orders that an upstream carries out late don't count. */
+static void check_cancelled(const soak_job_t *job, const soak_run_t *run)
+{
+	int64_t allowed_ms = job->cancel_acked_ms + SOAK_CANCEL_MS;
+
+	if (job->cancel_acked_ms != 0 && run->begun_ms > allowed_ms &&
+	    !run->is_late && soak_in_touch())
+		soak_break("UNASKED",
+			   "run of %s, whose cancelling was acknowledged at "
+			   "%" G_GINT64_FORMAT " ms",
+			   run->task, job->cancel_acked_ms);
+}
+
 void soak_check_start(const soak_run_t *run)
 {
 	GPtrArray *runs = g_hash_table_lookup(soak.runs, run->task);
-	char *id = g_strndup(run->task, strcspn(run->task, "."));
-	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
+	const soak_job_t *job = soak_job_of_task(run->task);
 
 	if (runs == NULL) {
 		runs = g_ptr_array_new();
@@ -78,7 +90,8 @@
 		 count_undone(job, 0) > 0)
 		soak_break("ORDER", "run of %s before the first step is done",
 			   run->task);
-	g_free(id);
+	else
+		check_cancelled(job, run);
 }
 
 void soak_check_completed(const char *id)
@@ -164,6 +177,7 @@
 {
 	int32_t accepted = 0;
 	int32_t completed = 0;
+	int32_t cancelled = 0;
 	GHashTableIter iterator;
 	gpointer value;
 
@@ -173,14 +187,17 @@
 
 		accepted += job->accepted;
 		completed += job->completed;
-		if (job->accepted && !job->completed && !job->failed)
+		cancelled += job->cancel_acked_ms != 0;
+		if (job->accepted && !job->completed && !job->failed &&
+		    !job->cancel_sent)
 			soak_break("LOST",
 				   "job %s was accepted at %" G_GINT64_FORMAT
 				   " ms and isn't shown as completed",
 				   job->id, job->accepted_ms);
 	}
-	soak_record("%u jobs submitted, %d accepted, %d completed",
-		    g_hash_table_size(soak.jobs), accepted, completed);
+	soak_record(
+		"%u jobs submitted, %d accepted, %d completed, %d cancelled",
+		g_hash_table_size(soak.jobs), accepted, completed, cancelled);
 	if (accepted < (int32_t)g_hash_table_size(soak.jobs) / 4)
 		soak_break("SERVED", "%d of %u jobs accepted", accepted,
 			   g_hash_table_size(soak.jobs));
--- a/src/test_soak/soak_client.c
+++ b/src/test_soak/soak_client.c
@@ -10,18 +10,17 @@
 #define STATE_INTERVAL_MS 1500
 /* Of a GET for a job after its acceptance. */
 #define VISIBLE_MS 3000
-#define TASKS_MAX 8
 
 typedef struct {
 	soak_job_t *job;
-	bool submits;
+	enum evhttp_cmd_type method;
 } call_t;
 
 static bool submitting = true;
-static int64_t submitted;
 
 static void submit(void *data);
 static void request_state(void *data);
+static void cancel(void *data);
 
 /* Connections stay open until the process is gone. */
 static struct evhttp_connection *connection_to(soak_process_t *process)
@@ -53,6 +52,8 @@
 		job->accepted = true;
 		job->accepted_ms = soak_now_ms();
 		soak_after(STATE_INTERVAL_MS, request_state, job);
+		if (job->cancels_after_ms > 0)
+			soak_after(job->cancels_after_ms, cancel, job);
 		return;
 	}
 	if (status != 429 && status != 503)
@@ -63,6 +64,15 @@
 		job->given_up = true;
 }
 
+static void handle_cancelled(soak_job_t *job, int32_t status)
+{
+	soak_record("client: cancel of job %s -> %d", job->id, status);
+	if ((status >= 200 && status < 300) || status == 410)
+		job->cancel_acked_ms = soak_now_ms();
+	else
+		soak_after(RETRY_MS, cancel, job);
+}
+
 static void handle_state(soak_job_t *job, int32_t status, const char *body)
 {
 	if (status == 200 && strstr(body, "\"completed\"") != NULL) {
@@ -71,6 +81,8 @@
 		soak_check_completed(job->id);
 		return;
 	}
+	if (job->cancel_sent)
+		return;
 	if (status == 200 && (strstr(body, "\"failed\"") != NULL ||
 			      strstr(body, "\"canceled\"") != NULL)) {
 		job->failed = true;
@@ -95,8 +107,10 @@
 		body = g_strndup((const char *)evbuffer_pullup(input, -1),
 				 evbuffer_get_length(input));
 	}
-	if (call->submits)
+	if (call->method == EVHTTP_REQ_POST)
 		handle_submitted(call->job, status);
+	else if (call->method == EVHTTP_REQ_DELETE)
+		handle_cancelled(call->job, status);
 	else
 		handle_state(call->job, status, body == NULL ? "" : body);
 	g_free(body);
@@ -118,7 +132,7 @@
 	return &soak.processes[first];
 }
 
-static void call_process(soak_job_t *job, bool submits)
+static void call_process(soak_job_t *job, enum evhttp_cmd_type method)
 {
 	call_t *call = g_new0(call_t, 1);
 	struct evhttp_request *request;
@@ -127,18 +141,18 @@
 		g_strdup_printf("/%s/%s", soak_pool_names[job->pool], job->id);
 
 	call->job = job;
-	call->submits = submits;
+	call->method = method;
 	request = evhttp_request_new(on_answered, call);
 	headers = evhttp_request_get_output_headers(request);
 	evhttp_add_header(headers, "Host", SOAK_HOST);
 	evhttp_add_header(headers, "Waxwinghollow-Deadline-Ms", "3000");
-	if (submits) {
+	if (method == EVHTTP_REQ_POST) {
 		evhttp_add_header(headers, "Content-Type", "application/json");
 		evbuffer_add(evhttp_request_get_output_buffer(request),
 			     job->body, strlen(job->body));
 	}
-	evhttp_make_request(connection_to(choose_process()), request,
-			    submits ? EVHTTP_REQ_POST : EVHTTP_REQ_GET, path);
+	evhttp_make_request(connection_to(choose_process()), request, method,
+			    path);
 	g_free(path);
 }
 
@@ -147,43 +161,32 @@
 	soak_job_t *job = data;
 
 	job->attempts++;
-	call_process(job, true);
+	call_process(job, EVHTTP_REQ_POST);
 }
 
 static void request_state(void *data)
 {
-	call_process(data, false);
+	call_process(data, EVHTTP_REQ_GET);
 }
 
-static soak_job_t *new_job(void)
+static void cancel(void *data)
 {
-	soak_job_t *job = g_new0(soak_job_t, 1);
-	const char *step = "{\"count\":%d,\"cpu\":3100,\"memMb\":256,"
-			   "\"estimateMs\":1000%s}";
-	GString *body = g_string_new("{\"spec\":\"work\",\"phases\":[");
-
-	g_snprintf(job->id, sizeof(job->id), "%016" G_GINT64_MODIFIER "x",
-		   0xc0000 + submitted++);
-	job->pool = g_rand_int_range(soak.rand, 0, SOAK_POOLS);
-	job->steps = g_rand_int_range(soak.rand, 1, 3);
-	job->tasks = g_rand_int_range(soak.rand, 1, TASKS_MAX + 1);
-	g_string_append_printf(body, step, job->tasks, "");
-	if (job->steps > 1) {
-		g_string_append_c(body, ',');
-		g_string_append_printf(body, step, job->tasks,
-				       ",\"dependsOn\":[0]");
+	soak_job_t *job = data;
+
+	/* planted: it counts as acknowledged, and was never sent */
+	if (soak.options.plant == SOAK_PLANT_LOST_CANCEL) {
+		job->cancel_acked_ms = job->accepted_ms - SOAK_CANCEL_MS;
+		return;
 	}
-	g_string_append(body, "]}");
-	job->body = g_string_free(body, FALSE);
-	g_hash_table_insert(soak.jobs, job->id, job);
-	return job;
+	job->cancel_sent = true;
+	call_process(job, EVHTTP_REQ_DELETE);
 }
 
 static void submit_new(void *data)
 {
 	(void)data;
 	if (submitting)
-		submit(new_job());
+		submit(soak_job_new());
 }
 
 void soak_clients_start(void)
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -331,6 +331,7 @@
 		return;
 	fault = enabled_faults[draw(0, enabled_count)];
 	soak_record("fault %s", fault->name);
+	soak_calm_note_fault(fault->name);
 	fault->begin();
 	soak_after(draw(1, 2 * FAULT_INTERVAL_MS), begin_one, NULL);
 }
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -276,7 +276,8 @@
 	g_ptr_array_add(upstream->ended, end);
 }
 
-static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run)
+static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run,
+		      bool is_late)
 {
 	soak_run_t *entry = g_new0(soak_run_t, 1);
 	soak_active_t *active = g_new0(soak_active_t, 1);
@@ -286,6 +287,7 @@
 	entry->incarnation =
 		g_strdup_printf("%s/%d", upstream->id, upstream->incarnations);
 	entry->begun_ms = soak_now_ms();
+	entry->is_late = is_late;
 	active->task = g_strdup(task);
 	active->run = run;
 	active->entry = entry;
@@ -300,7 +302,7 @@
 		list_end_early(upstream, entry);
 	if (soak.options.plant == SOAK_PLANT_FOREIGN_RUN &&
 	    upstream->index == 0 && run > 0)
-		begin_run(upstream, "00000000000dead0.0.0.0", 0);
+		begin_run(upstream, "00000000000dead0.0.0.0", 0, false);
 }
 
 static void serve_start(soak_upstream_t *upstream,
@@ -322,7 +324,7 @@
 		answer_order(upstream, request, 409, "late");
 	} else {
 		extend_lease(upstream, object);
-		begin_run(upstream, task, run);
+		begin_run(upstream, task, run, request == NULL);
 		answer_order(upstream, request, 200, NULL);
 	}
 }
