soak: jobs whose tasks last

Tasks of longRunning steps end after 1 to 15 s, as done or as failed, and are to be restarted; the job is cancelled after 6 to 20 s. A start after an acknowledged end as done isn't TWICE there. Such a job is never shown as completed (MIXED).

--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -14,6 +14,7 @@
 	(void)data;
 	soak_record("clients begin");
 	soak_clients_start();
+	soak_check_lasting_start();
 }
 
 static void end_traffic(void *data)
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -63,6 +63,7 @@
 	SOAK_PLANT_REJECTION, /* REFUSED: an accepted job counts as rejected */
 	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
 	SOAK_PLANT_LOST_CANCEL, /* UNASKED: a cancel is acknowledged unsent */
+	SOAK_PLANT_LASTING_LOST, /* LOST: a run is listed and not there */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -92,6 +93,9 @@
 	char *incarnation; /* id and number of the start of its upstream */
 	int64_t begun_ms;
 	int64_t ended_ms; /* 0: it runs */
+	bool lasts; /* until its job is cancelled */
+	int64_t due_ms;
+	const char *due_how; /* how it ends then */
 	const char *how; /* of its end; NULL: it runs */
 	const char *listed_how; /* as it is reported */
 	int64_t end_number;
@@ -147,6 +151,7 @@
 typedef enum {
 	SOAK_KIND_PLAIN = 0,
 	SOAK_KIND_CANCELLED, /* the client cancels it */
+	SOAK_KIND_LASTING, /* its tasks run until it is cancelled */
 	SOAK_KIND_COUNT
 } soak_kind_t;
 
@@ -167,6 +172,7 @@
 	int64_t cancels_after_ms; /* its acceptance; 0: never */
 	bool cancel_sent;
 	int64_t cancel_acked_ms; /* 0: not yet */
+	bool reported; /* a task of it that doesn't run */
 	char *body;
 } soak_job_t;
 
@@ -278,16 +284,24 @@
 /* Returns NULL if no client has submitted it. */
 soak_job_t *soak_job_of_task(const char *task);
 
+/* Draws when and how run ends by itself. */
+void soak_job_draw_end(soak_run_t *run);
+char *soak_job_task_name(const soak_job_t *job, int32_t step, int32_t index);
+
 /* soak_calm.c */
 /* Called as a fault begins. */
 void soak_calm_note_fault(const char *name);
 /* No process, link of one or store was disturbed for SOAK_CONTACT_MS. */
 bool soak_in_touch(void);
+/* Nor was anything else for ms, but by new settings and configurations. */
+bool soak_is_calm_for(int64_t ms);
 
 /* soak_checks.c */
 void soak_check_start(const soak_run_t *run);
 void soak_check_completed(const char *id);
 void soak_check_failed(const char *id);
+/* Finds tasks that last and aren't restarted, until the end. */
+void soak_check_lasting_start(void);
 void soak_check_runs_at_end(void);
 void soak_check_jobs_at_end(void);
 
--- a/src/test_soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -7,6 +7,11 @@
 /* Both on upstreams that are up, or a start after an acknowledged end as done. */
 static bool is_second_run(const soak_run_t *first)
 {
+	const soak_job_t *job = soak_job_of_task(first->task);
+
+	/* tasks that last are restarted however they end */
+	if (job != NULL && job->kind == SOAK_KIND_LASTING)
+		return first->how == NULL;
 	return first->how == NULL ||
 	       (strcmp(first->how, "done") == 0 && first->acked_ms != 0 &&
 		!first->lapsed_unacked);
@@ -48,7 +53,7 @@
 	int32_t count = 0;
 
 	for (int32_t i = 0; i < job->tasks; i++) {
-		char *name = g_strdup_printf("%s.0.%d.%d", job->id, step, i);
+		char *name = soak_job_task_name(job, step, i);
 
 		count += !is_done(name);
 		g_free(name);
@@ -98,6 +103,9 @@
 {
 	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
 
+	if (job->kind == SOAK_KIND_LASTING)
+		soak_break("MIXED", "job %s lasts, and is shown as completed",
+			   id);
 	for (int32_t step = 0; step < job->steps; step++) {
 		int32_t undone = count_undone(job, step);
 
@@ -130,8 +138,8 @@
 	int32_t most = 0;
 
 	for (int32_t i = 0; i < job->steps * job->tasks; i++) {
-		char *name = g_strdup_printf("%s.0.%d.%d", id, i / job->tasks,
-					     i % job->tasks);
+		char *name =
+			soak_job_task_name(job, i / job->tasks, i % job->tasks);
 
 		most = MAX(most, count_crashes(name));
 		g_free(name);
@@ -189,7 +197,7 @@
 		completed += job->completed;
 		cancelled += job->cancel_acked_ms != 0;
 		if (job->accepted && !job->completed && !job->failed &&
-		    !job->cancel_sent)
+		    !job->cancel_sent && job->kind != SOAK_KIND_LASTING)
 			soak_break("LOST",
 				   "job %s was accepted at %" G_GINT64_FORMAT
 				   " ms and isn't shown as completed",
--- a/src/test_soak/soak_jobs.c
+++ b/src/test_soak/soak_jobs.c
@@ -6,6 +6,12 @@
 #define TASKS_MAX 8
 #define CANCELS_AFTER_MIN_MS 100
 #define CANCELS_AFTER_MAX_MS 5000
+#define LASTING_MIN_MS 6000
+#define LASTING_MAX_MS 20000
+#define LASTING_RUN_MIN_MS 1000
+#define LASTING_RUN_MAX_MS 15000
+#define TASK_MIN_MS 300
+#define LASTING_TASKS_MAX 3
 
 static int64_t submitted;
 
@@ -19,7 +25,7 @@
 	static const soak_kind_t kinds[] = {
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
-		SOAK_KIND_CANCELLED,
+		SOAK_KIND_CANCELLED, SOAK_KIND_PLAIN, SOAK_KIND_LASTING,
 	};
 
 	return kinds[draw(0, G_N_ELEMENTS(kinds))];
@@ -27,8 +33,11 @@
 
 static char *make_body(const soak_job_t *job)
 {
-	const char *step = "{\"count\":%d,\"cpu\":3100,\"memMb\":256,"
-			   "\"estimateMs\":1000%s}";
+	const char *step = job->kind == SOAK_KIND_LASTING
+				   ? "{\"count\":%d,\"cpu\":500,\"memMb\":256,"
+				     "\"longRunning\":true%s}"
+				   : "{\"count\":%d,\"cpu\":3100,\"memMb\":256,"
+				     "\"estimateMs\":1000%s}";
 	GString *body = g_string_new("{\"spec\":\"work\",\"phases\":[");
 
 	g_string_append_printf(body, step, job->tasks, "");
@@ -54,6 +63,11 @@
 	if (job->kind == SOAK_KIND_CANCELLED)
 		job->cancels_after_ms =
 			draw(CANCELS_AFTER_MIN_MS, CANCELS_AFTER_MAX_MS);
+	if (job->kind == SOAK_KIND_LASTING) {
+		job->steps = 1;
+		job->tasks = draw(1, LASTING_TASKS_MAX + 1);
+		job->cancels_after_ms = draw(LASTING_MIN_MS, LASTING_MAX_MS);
+	}
 	job->body = make_body(job);
 	g_hash_table_insert(soak.jobs, job->id, job);
 	return job;
@@ -67,3 +81,26 @@
 	g_free(id);
 	return job;
 }
+
+char *soak_job_task_name(const soak_job_t *job, int32_t step, int32_t index)
+{
+	return g_strdup_printf("%s.0.%d.%d", job->id, step, index);
+}
+
+void soak_job_draw_end(soak_run_t *run)
+{
+	const soak_job_t *job = soak_job_of_task(run->task);
+	bool lasts = job != NULL && job->kind == SOAK_KIND_LASTING;
+
+	run->lasts = lasts;
+	run->due_how = lasts && draw(0, 2) == 0 ? "failed" : "done";
+	run->due_ms = run->begun_ms +
+		      (lasts ? draw(LASTING_RUN_MIN_MS, LASTING_RUN_MAX_MS)
+			     : draw(TASK_MIN_MS, SOAK_TASK_MAX_MS));
+	if (!lasts || soak.options.plant != SOAK_PLANT_LASTING_LOST)
+		return;
+	/* planted: the run is listed, and isn't there */
+	run->due_ms = INT64_MAX;
+	run->ended_ms = run->begun_ms;
+	run->how = "crashed";
+}
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -17,7 +17,6 @@
 	char *task;
 	int64_t run;
 	soak_run_t *entry;
-	int64_t due_ms;
 	int64_t stop_ms; /* 0: not stopped */
 } soak_active_t;
 
@@ -94,12 +93,12 @@
 			g_ptr_array_index(upstream->active, i);
 		int64_t begun_ms = active->entry->begun_ms;
 		int64_t percent = (soak_now_ms() - begun_ms) * 100 /
-				  (active->due_ms - begun_ms);
+				  (active->entry->due_ms - begun_ms);
 
 		g_string_append_printf(
 			text, "%s[\"%s\",%" G_GINT64_FORMAT ",\"\",%d,1000]",
 			i > 0 ? "," : "", active->task, active->run,
-			(int)MIN(percent, 99));
+			active->entry->lasts ? 100 : (int)MIN(percent, 99));
 	}
 	g_string_append(text, "],\"ended\":[");
 	for (guint i = 0; i < MIN(upstream->ended->len, ENDS_PER_ANSWER); i++) {
@@ -202,8 +201,8 @@
 
 		if (active->stop_ms != 0 && now_ms >= active->stop_ms)
 			end_run(upstream, i, "stopped", true);
-		else if (now_ms >= active->due_ms)
-			end_run(upstream, i, "done", true);
+		else if (now_ms >= active->entry->due_ms)
+			end_run(upstream, i, active->entry->due_how, true);
 		else if (lapsed)
 			end_run(upstream, i, "lapsed", true);
 		else
@@ -291,8 +290,7 @@
 	active->task = g_strdup(task);
 	active->run = run;
 	active->entry = entry;
-	active->due_ms = entry->begun_ms +
-			 g_rand_int_range(soak.rand, 300, SOAK_TASK_MAX_MS);
+	soak_job_draw_end(entry);
 	g_ptr_array_add(upstream->active, active);
 	soak_record("upstream %s: run %" G_GINT64_FORMAT
 		    " of %s begins (token %" G_GINT64_FORMAT ")",
--- a/src/test_soak/soak_world.c
+++ b/src/test_soak/soak_world.c
@@ -22,7 +22,7 @@
 
 const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
 	"none",	       "lost-end",  "early-end", "false-end",	"lost-job",
-	"foreign-run", "rejection", "abort",	 "lost-cancel",
+	"foreign-run", "rejection", "abort",	 "lost-cancel", "lasting-lost",
 };
 
 static GString *broken_rules;
