soak: gangs

The tasks of one run of a gang work from when all are there, report 0 percent before that, and end together: done, broken once a member has ended otherwise, alone if the others aren't there after 4 s (gangMs). GANG: an end alone in calm time, before the job is cancelled. One end as done stands for all members where a job is shown as completed.

--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -107,6 +107,7 @@
 	soak_init(&options, record_path);
 	soak_store_start();
 	soak_hosts_start();
+	soak_gangs_start();
 	soak_upstreams_start();
 	if (!soak_faults_start())
 		return 2;
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -33,6 +33,8 @@
 #define SOAK_STOP_MS 200
 #define SOAK_CONTACT_MS 4000
 #define SOAK_CANCEL_MS 4000
+#define SOAK_GANG_MS 4000
+#define SOAK_TASK_MIN_MS 300
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
 
@@ -64,6 +66,7 @@
 	SOAK_PLANT_ABORT, /* FAULT: a process ends by a signal */
 	SOAK_PLANT_LOST_CANCEL, /* UNASKED: a cancel is acknowledged unsent */
 	SOAK_PLANT_LASTING_LOST, /* LOST: a run is listed and not there */
+	SOAK_PLANT_GANG_ALONE, /* GANG: a gang never is complete */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -94,6 +97,7 @@
 	int64_t begun_ms;
 	int64_t ended_ms; /* 0: it runs */
 	bool lasts; /* until its job is cancelled */
+	int64_t works_ms; /* from then on; INT64_MAX: it waits for others */
 	int64_t due_ms;
 	const char *due_how; /* how it ends then */
 	const char *how; /* of its end; NULL: it runs */
@@ -152,6 +156,7 @@
 	SOAK_KIND_PLAIN = 0,
 	SOAK_KIND_CANCELLED, /* the client cancels it */
 	SOAK_KIND_LASTING, /* its tasks run until it is cancelled */
+	SOAK_KIND_GANG, /* the tasks of a step work only together */
 	SOAK_KIND_COUNT
 } soak_kind_t;
 
@@ -288,6 +293,11 @@
 void soak_job_draw_end(soak_run_t *run);
 char *soak_job_task_name(const soak_job_t *job, int32_t step, int32_t index);
 
+/* soak_gang.c: runs whose members work and end together */
+void soak_gangs_start(void);
+/* Until the others are there, run is due to end alone. */
+void soak_gang_join(soak_run_t *run);
+
 /* soak_calm.c */
 /* Called as a fault begins. */
 void soak_calm_note_fault(const char *name);
@@ -300,6 +310,7 @@
 void soak_check_start(const soak_run_t *run);
 void soak_check_completed(const char *id);
 void soak_check_failed(const char *id);
+void soak_check_end(const soak_run_t *run);
 /* Finds tasks that last and aren't restarted, until the end. */
 void soak_check_lasting_start(void);
 void soak_check_runs_at_end(void);
--- a/src/test_soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -35,6 +35,18 @@
 	}
 }
 
+void soak_check_end(const soak_run_t *run)
+{
+	const soak_job_t *job = soak_job_of_task(run->task);
+
+	if (strcmp(run->how, "alone") == 0 && !job->cancel_sent &&
+	    soak_is_calm_for(SOAK_GANG_MS + SOAK_CONTACT_MS))
+		soak_break("GANG",
+			   "run %" G_GINT64_FORMAT " of %s on %s was "
+			   "alone",
+			   run->run, run->task, run->incarnation);
+}
+
 static bool is_done(const char *task)
 {
 	const GPtrArray *runs = g_hash_table_lookup(soak.runs, task);
@@ -58,6 +70,9 @@
 		count += !is_done(name);
 		g_free(name);
 	}
+	/* the end of one stands for the others of a gang */
+	if (job->kind == SOAK_KIND_GANG && count < job->tasks)
+		return 0;
 	return count;
 }
 
--- a/src/test_soak/soak_jobs.c
+++ b/src/test_soak/soak_jobs.c
@@ -10,8 +10,8 @@
 #define LASTING_MAX_MS 20000
 #define LASTING_RUN_MIN_MS 1000
 #define LASTING_RUN_MAX_MS 15000
-#define TASK_MIN_MS 300
 #define LASTING_TASKS_MAX 3
+#define GANG_TASKS_MAX 5
 
 static int64_t submitted;
 
@@ -26,26 +26,28 @@
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_CANCELLED, SOAK_KIND_PLAIN, SOAK_KIND_LASTING,
+		SOAK_KIND_GANG,
 	};
 
 	return kinds[draw(0, G_N_ELEMENTS(kinds))];
 }
 
+static const char *const step_fields[SOAK_KIND_COUNT] = {
+	[SOAK_KIND_PLAIN] = "\"cpu\":3100,\"estimateMs\":1000",
+	[SOAK_KIND_CANCELLED] = "\"cpu\":3100,\"estimateMs\":1000",
+	[SOAK_KIND_LASTING] = "\"cpu\":500,\"longRunning\":true",
+	[SOAK_KIND_GANG] = "\"cpu\":3100,\"estimateMs\":1000,\"gang\":true",
+};
+
 static char *make_body(const soak_job_t *job)
 {
-	const char *step = job->kind == SOAK_KIND_LASTING
-				   ? "{\"count\":%d,\"cpu\":500,\"memMb\":256,"
-				     "\"longRunning\":true%s}"
-				   : "{\"count\":%d,\"cpu\":3100,\"memMb\":256,"
-				     "\"estimateMs\":1000%s}";
 	GString *body = g_string_new("{\"spec\":\"work\",\"phases\":[");
 
-	g_string_append_printf(body, step, job->tasks, "");
-	if (job->steps > 1) {
-		g_string_append_c(body, ',');
-		g_string_append_printf(body, step, job->tasks,
-				       ",\"dependsOn\":[0]");
-	}
+	for (int32_t i = 0; i < job->steps; i++)
+		g_string_append_printf(
+			body, "%s{\"count\":%d,\"memMb\":256,%s%s}",
+			i > 0 ? "," : "", job->tasks, step_fields[job->kind],
+			i > 0 ? ",\"dependsOn\":[0]" : "");
 	g_string_append(body, "]}");
 	return g_string_free(body, FALSE);
 }
@@ -68,6 +70,8 @@
 		job->tasks = draw(1, LASTING_TASKS_MAX + 1);
 		job->cancels_after_ms = draw(LASTING_MIN_MS, LASTING_MAX_MS);
 	}
+	if (job->kind == SOAK_KIND_GANG)
+		job->tasks = draw(2, GANG_TASKS_MAX);
 	job->body = make_body(job);
 	g_hash_table_insert(soak.jobs, job->id, job);
 	return job;
@@ -92,11 +96,16 @@
 	const soak_job_t *job = soak_job_of_task(run->task);
 	bool lasts = job != NULL && job->kind == SOAK_KIND_LASTING;
 
+	run->works_ms = run->begun_ms;
 	run->lasts = lasts;
+	if (job != NULL && job->kind == SOAK_KIND_GANG) {
+		soak_gang_join(run);
+		return;
+	}
 	run->due_how = lasts && draw(0, 2) == 0 ? "failed" : "done";
 	run->due_ms = run->begun_ms +
 		      (lasts ? draw(LASTING_RUN_MIN_MS, LASTING_RUN_MAX_MS)
-			     : draw(TASK_MIN_MS, SOAK_TASK_MAX_MS));
+			     : draw(SOAK_TASK_MIN_MS, SOAK_TASK_MAX_MS));
 	if (!lasts || soak.options.plant != SOAK_PLANT_LASTING_LOST)
 		return;
 	/* planted: the run is listed, and isn't there */
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -79,6 +79,19 @@
 	g_free(text);
 }
 
+static int64_t percent_of(const soak_run_t *run)
+{
+	int64_t now_ms = soak_now_ms();
+
+	if (now_ms <= run->works_ms)
+		return 0;
+	if (run->lasts)
+		return 100;
+	return MIN((now_ms - run->works_ms) * 100 /
+			   MAX(run->due_ms - run->works_ms, 1),
+		   99);
+}
+
 static void answer_poll(soak_upstream_t *upstream,
 			struct evhttp_request *request)
 {
@@ -91,14 +104,12 @@
 	for (guint i = 0; i < upstream->active->len; i++) {
 		const soak_active_t *active =
 			g_ptr_array_index(upstream->active, i);
-		int64_t begun_ms = active->entry->begun_ms;
-		int64_t percent = (soak_now_ms() - begun_ms) * 100 /
-				  (active->entry->due_ms - begun_ms);
+		int64_t percent = percent_of(active->entry);
 
 		g_string_append_printf(
 			text, "%s[\"%s\",%" G_GINT64_FORMAT ",\"\",%d,1000]",
 			i > 0 ? "," : "", active->task, active->run,
-			active->entry->lasts ? 100 : (int)MIN(percent, 99));
+			(int)percent);
 	}
 	g_string_append(text, "],\"ended\":[");
 	for (guint i = 0; i < MIN(upstream->ended->len, ENDS_PER_ANSWER); i++) {
@@ -160,6 +171,7 @@
 		run->how = "failed";
 	soak_record("upstream %s: run %" G_GINT64_FORMAT " of %s ends: %s",
 		    run->incarnation, run->run, run->task, how);
+	soak_check_end(run);
 	if (is_listed) {
 		run->end_number = ++upstream->ends;
 		if (loses)
--- a/src/test_soak/soak_world.c
+++ b/src/test_soak/soak_world.c
@@ -21,8 +21,9 @@
 						  "zone-d" };
 
 const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
-	"none",	       "lost-end",  "early-end", "false-end",	"lost-job",
-	"foreign-run", "rejection", "abort",	 "lost-cancel", "lasting-lost",
+	"none",	       "lost-end",     "early-end",  "false-end",
+	"lost-job",    "foreign-run",  "rejection",  "abort",
+	"lost-cancel", "lasting-lost", "gang-alone",
 };
 
 static GString *broken_rules;
