soak: jobs at set times

repeatCount 2 to 3, the first time up to 3 s after the submission, the others 0.7 to 2.5 s apart. ORDER: a start more than 250 ms (early_ms) before the time of its occurrence, as well as before its occurrence's earlier step is done; TWICE and MIXED hold for each occurrence.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -34,6 +34,7 @@
 #define SOAK_CONTACT_MS 4000
 #define SOAK_CANCEL_MS 4000
 #define SOAK_GANG_MS 4000
+#define SOAK_EARLY_MS 250
 #define SOAK_TASK_MIN_MS 300
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
@@ -67,6 +68,7 @@
 	SOAK_PLANT_LOST_CANCEL, /* UNASKED: a cancel is acknowledged unsent */
 	SOAK_PLANT_LASTING_LOST, /* LOST: a run is listed and not there */
 	SOAK_PLANT_GANG_ALONE, /* GANG: a gang never is complete */
+	SOAK_PLANT_LATE_TIMES, /* ORDER: times count as later than asked for */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -157,6 +159,7 @@
 	SOAK_KIND_CANCELLED, /* the client cancels it */
 	SOAK_KIND_LASTING, /* its tasks run until it is cancelled */
 	SOAK_KIND_GANG, /* the tasks of a step work only together */
+	SOAK_KIND_TIMED, /* its steps run several times, at set times */
 	SOAK_KIND_COUNT
 } soak_kind_t;
 
@@ -167,6 +170,9 @@
 	int32_t pool;
 	int32_t steps;
 	int32_t tasks; /* of each step */
+	int32_t times; /* of the steps; 0: once, at once */
+	int64_t first_wall_ms;
+	int64_t interval_ms;
 	int32_t attempts;
 	bool accepted;
 	bool unanswered; /* an attempt got no answer that says it has not run */
@@ -291,7 +297,11 @@
 
 /* Draws when and how run ends by itself. */
 void soak_job_draw_end(soak_run_t *run);
-char *soak_job_task_name(const soak_job_t *job, int32_t step, int32_t index);
+/* Counted through the occurrences, steps and tasks of job. */
+char *soak_job_task_name(const soak_job_t *job, int32_t number);
+int32_t soak_job_count(const soak_job_t *job); /* of its tasks */
+/* The number of its step, counted through the occurrences. */
+int32_t soak_job_step_of(const soak_job_t *job, const char *task);
 
 /* soak_gang.c: runs whose members work and end together */
 void soak_gangs_start(void);
--- a/src/test_soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-#define SECOND_STEP_MARK ".0.1."
+/* After its last time a job with times is to be completed. */
+#define LAST_TIME_MS 5000
 
 /* Both on upstreams that are up, or a start after an acknowledged end as done. */
 static bool is_second_run(const soak_run_t *first)
@@ -65,7 +66,7 @@
 	int32_t count = 0;
 
 	for (int32_t i = 0; i < job->tasks; i++) {
-		char *name = soak_job_task_name(job, step, i);
+		char *name = soak_job_task_name(job, step * job->tasks + i);
 
 		count += !is_done(name);
 		g_free(name);
@@ -76,6 +77,21 @@
 	return count;
 }
 
+static void check_order(const soak_job_t *job, const soak_run_t *run)
+{
+	int32_t step = soak_job_step_of(job, run->task);
+	int64_t due_ms =
+		job->first_wall_ms + step / job->steps * job->interval_ms;
+
+	if (step % job->steps > 0 && count_undone(job, step - 1) > 0)
+		soak_break("ORDER", "run of %s before the first step is done",
+			   run->task);
+	if (job->times > 0 && soak_wall_ms() < due_ms - SOAK_EARLY_MS)
+		soak_break("ORDER",
+			   "run of %s %" G_GINT64_FORMAT " ms before its time",
+			   run->task, due_ms - soak_wall_ms());
+}
+
 /* Orders that an upstream carries out late don't count. */
 static void check_cancelled(const soak_job_t *job, const soak_run_t *run)
 {
@@ -106,12 +122,10 @@
 	else if (job->given_up && !job->unanswered)
 		soak_break("REFUSED", "run of %s, whose job was rejected",
 			   run->task);
-	else if (strstr(run->task, SECOND_STEP_MARK) != NULL &&
-		 count_undone(job, 0) > 0)
-		soak_break("ORDER", "run of %s before the first step is done",
-			   run->task);
-	else
+	else {
+		check_order(job, run);
 		check_cancelled(job, run);
+	}
 }
 
 void soak_check_completed(const char *id)
@@ -121,7 +135,8 @@
 	if (job->kind == SOAK_KIND_LASTING)
 		soak_break("MIXED", "job %s lasts, and is shown as completed",
 			   id);
-	for (int32_t step = 0; step < job->steps; step++) {
+	for (int32_t step = 0; step * job->tasks < soak_job_count(job);
+	     step++) {
 		int32_t undone = count_undone(job, step);
 
 		if (undone > 0)
@@ -152,9 +167,8 @@
 	const int32_t crashes_allowed = 2;
 	int32_t most = 0;
 
-	for (int32_t i = 0; i < job->steps * job->tasks; i++) {
-		char *name =
-			soak_job_task_name(job, i / job->tasks, i % job->tasks);
+	for (int32_t i = 0; i < soak_job_count(job); i++) {
+		char *name = soak_job_task_name(job, i);
 
 		most = MAX(most, count_crashes(name));
 		g_free(name);
@@ -196,6 +210,16 @@
 		check_late_acks(value);
 }
 
+static bool is_owed(const soak_job_t *job)
+{
+	int64_t last_due_ms =
+		job->first_wall_ms + (job->times - 1) * job->interval_ms;
+
+	return job->accepted && !job->completed && !job->failed &&
+	       !job->cancel_sent && job->kind != SOAK_KIND_LASTING &&
+	       (job->times == 0 || soak_wall_ms() - last_due_ms > LAST_TIME_MS);
+}
+
 void soak_check_jobs_at_end(void)
 {
 	int32_t accepted = 0;
@@ -211,8 +235,7 @@
 		accepted += job->accepted;
 		completed += job->completed;
 		cancelled += job->cancel_acked_ms != 0;
-		if (job->accepted && !job->completed && !job->failed &&
-		    !job->cancel_sent && job->kind != SOAK_KIND_LASTING)
+		if (is_owed(job))
 			soak_break("LOST",
 				   "job %s was accepted at %" G_GINT64_FORMAT
 				   " ms and isn't shown as completed",
--- a/src/test_soak/soak_jobs.c
+++ b/src/test_soak/soak_jobs.c
@@ -12,6 +12,10 @@
 #define LASTING_RUN_MAX_MS 15000
 #define LASTING_TASKS_MAX 3
 #define GANG_TASKS_MAX 5
+#define TIMES_MAX 3
+#define FIRST_MAX_MS 3000
+#define INTERVAL_MIN_MS 700
+#define INTERVAL_MAX_MS 2500
 
 static int64_t submitted;
 
@@ -26,7 +30,7 @@
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_CANCELLED, SOAK_KIND_PLAIN, SOAK_KIND_LASTING,
-		SOAK_KIND_GANG,
+		SOAK_KIND_GANG,	     SOAK_KIND_TIMED,
 	};
 
 	return kinds[draw(0, G_N_ELEMENTS(kinds))];
@@ -36,13 +40,21 @@
 	[SOAK_KIND_PLAIN] = "\"cpu\":3100,\"estimateMs\":1000",
 	[SOAK_KIND_CANCELLED] = "\"cpu\":3100,\"estimateMs\":1000",
 	[SOAK_KIND_LASTING] = "\"cpu\":500,\"longRunning\":true",
+	[SOAK_KIND_TIMED] = "\"cpu\":3100,\"estimateMs\":1000",
 	[SOAK_KIND_GANG] = "\"cpu\":3100,\"estimateMs\":1000,\"gang\":true",
 };
 
 static char *make_body(const soak_job_t *job)
 {
-	GString *body = g_string_new("{\"spec\":\"work\",\"phases\":[");
+	GString *body = g_string_new("{\"spec\":\"work\",");
 
+	if (job->times > 0)
+		g_string_append_printf(
+			body,
+			"\"repeatCount\":%d,\"firstMs\":%" G_GINT64_FORMAT
+			",\"intervalMs\":%" G_GINT64_FORMAT ",",
+			job->times, job->first_wall_ms, job->interval_ms);
+	g_string_append(body, "\"phases\":[");
 	for (int32_t i = 0; i < job->steps; i++)
 		g_string_append_printf(
 			body, "%s{\"count\":%d,\"memMb\":256,%s%s}",
@@ -72,7 +84,15 @@
 	}
 	if (job->kind == SOAK_KIND_GANG)
 		job->tasks = draw(2, GANG_TASKS_MAX);
+	if (job->kind == SOAK_KIND_TIMED) {
+		job->times = draw(2, TIMES_MAX + 1);
+		job->first_wall_ms = soak_wall_ms() + draw(0, FIRST_MAX_MS);
+		job->interval_ms = draw(INTERVAL_MIN_MS, INTERVAL_MAX_MS);
+	}
 	job->body = make_body(job);
+	/* planted: the client takes the times for later ones */
+	if (soak.options.plant == SOAK_PLANT_LATE_TIMES)
+		job->first_wall_ms += job->interval_ms;
 	g_hash_table_insert(soak.jobs, job->id, job);
 	return job;
 }
@@ -86,9 +106,27 @@
 	return job;
 }
 
-char *soak_job_task_name(const soak_job_t *job, int32_t step, int32_t index)
+int32_t soak_job_count(const soak_job_t *job)
+{
+	return MAX(job->times, 1) * job->steps * job->tasks;
+}
+
+char *soak_job_task_name(const soak_job_t *job, int32_t number)
 {
-	return g_strdup_printf("%s.0.%d.%d", job->id, step, index);
+	int32_t step = number / job->tasks;
+
+	return g_strdup_printf("%s.%d.%d.%d", job->id, step / job->steps,
+			       step % job->steps, number % job->tasks);
+}
+
+int32_t soak_job_step_of(const soak_job_t *job, const char *task)
+{
+	char **parts = g_strsplit(task, ".", -1);
+	int64_t step = g_ascii_strtoll(parts[1], NULL, 10) * job->steps +
+		       g_ascii_strtoll(parts[2], NULL, 10);
+
+	g_strfreev(parts);
+	return (int32_t)step;
 }
 
 void soak_job_draw_end(soak_run_t *run)
--- a/src/test_soak/soak_lasting.c
+++ b/src/test_soak/soak_lasting.c
@@ -27,7 +27,7 @@
 static void check_job(soak_job_t *job)
 {
 	for (int32_t i = 0; i < job->tasks; i++) {
-		char *task = soak_job_task_name(job, 0, i);
+		char *task = soak_job_task_name(job, i);
 		int64_t last_ms = last_run_ms(job, task);
 
 		if (last_ms != 0 && !job->reported &&
--- a/src/test_soak/soak_world.c
+++ b/src/test_soak/soak_world.c
@@ -23,7 +23,7 @@
 const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
 	"none",	       "lost-end",     "early-end",  "false-end",
 	"lost-job",    "foreign-run",  "rejection",  "abort",
-	"lost-cancel", "lasting-lost", "gang-alone",
+	"lost-cancel", "lasting-lost", "gang-alone", "late-times",
 };
 
 static GString *broken_rules;
