soak: tasks that fail

Every second run of some jobs' tasks ends as failed (maxAttempts 3). BUDGET: a start after three runs of the task have ended so, if these ends are acknowledged then or later. A job may be shown as failed after three such ends of a task, too (LOST).

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -35,6 +35,7 @@
 #define SOAK_CANCEL_MS 4000
 #define SOAK_GANG_MS 4000
 #define SOAK_EARLY_MS 250
+#define SOAK_ATTEMPTS_MAX 3
 #define SOAK_TASK_MIN_MS 300
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
@@ -69,6 +70,7 @@
 	SOAK_PLANT_LASTING_LOST, /* LOST: a run is listed and not there */
 	SOAK_PLANT_GANG_ALONE, /* GANG: a gang never is complete */
 	SOAK_PLANT_LATE_TIMES, /* ORDER: times count as later than asked for */
+	SOAK_PLANT_HIDDEN_FAILURE, /* BUDGET: a failed run is listed as lapsed */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -160,6 +162,7 @@
 	SOAK_KIND_LASTING, /* its tasks run until it is cancelled */
 	SOAK_KIND_GANG, /* the tasks of a step work only together */
 	SOAK_KIND_TIMED, /* its steps run several times, at set times */
+	SOAK_KIND_FAILING, /* its tasks often end as failed */
 	SOAK_KIND_COUNT
 } soak_kind_t;
 
--- a/src/test_soak/soak_checks.c
+++ b/src/test_soak/soak_checks.c
@@ -147,7 +147,7 @@
 	}
 }
 
-static int32_t count_crashes(const char *task)
+static int32_t count_ends(const char *task, const char *how)
 {
 	const GPtrArray *runs = g_hash_table_lookup(soak.runs, task);
 	int32_t count = 0;
@@ -155,29 +155,36 @@
 	for (guint i = 0; runs != NULL && i < runs->len; i++) {
 		const soak_run_t *run = g_ptr_array_index(runs, i);
 
-		count += g_strcmp0(run->how, "crashed") == 0;
+		count += g_strcmp0(run->how, how) == 0;
 	}
 	return count;
 }
 
-/* A job may be given up once two upstreams have crashed under one of its tasks. */
+/*
+ * A job fails with a task that has failed SOAK_ATTEMPTS_MAX times, and may be given
+ * up once two upstreams have crashed under one of its tasks.
+ */
 void soak_check_failed(const char *id)
 {
 	const soak_job_t *job = g_hash_table_lookup(soak.jobs, id);
 	const int32_t crashes_allowed = 2;
 	int32_t most = 0;
+	int32_t failures = 0;
 
 	for (int32_t i = 0; i < soak_job_count(job); i++) {
 		char *name = soak_job_task_name(job, i);
 
-		most = MAX(most, count_crashes(name));
+		most = MAX(most, count_ends(name, "crashed"));
+		failures = MAX(failures, count_ends(name, "failed"));
 		g_free(name);
 	}
-	if (most < crashes_allowed)
-		soak_break("LOST", "job %s has failed after %d crashes", id,
-			   most);
+	if (failures < SOAK_ATTEMPTS_MAX && most < crashes_allowed)
+		soak_break("LOST",
+			   "job %s has failed after %d crashes and %d failures",
+			   id, most, failures);
 	else
-		soak_record("job %s is given up after %d crashes", id, most);
+		soak_record("job %s ends after %d crashes and %d failures", id,
+			    most, failures);
 }
 
 /* An end as done that was acknowledged only after a later run had begun. */
@@ -200,14 +207,49 @@
 	}
 }
 
+/* Counts the ends as failed that were acknowledged, before run began. */
+static int32_t count_failures_before(const GPtrArray *runs,
+				     const soak_run_t *run)
+{
+	int32_t count = 0;
+
+	for (guint i = 0; i < runs->len; i++) {
+		const soak_run_t *first = g_ptr_array_index(runs, i);
+
+		count += g_strcmp0(first->how, "failed") == 0 &&
+			 first->ended_ms <= run->begun_ms &&
+			 first->acked_ms != 0 && !first->lapsed_unacked;
+	}
+	return count;
+}
+
+static void check_budget(const GPtrArray *runs)
+{
+	for (guint i = 0; i < runs->len; i++) {
+		const soak_run_t *run = g_ptr_array_index(runs, i);
+		const soak_job_t *job = soak_job_of_task(run->task);
+
+		if ((job != NULL && job->kind == SOAK_KIND_LASTING) ||
+		    count_failures_before(runs, run) < SOAK_ATTEMPTS_MAX)
+			continue;
+		soak_break("BUDGET",
+			   "run %" G_GINT64_FORMAT " of %s on %s after %d that "
+			   "failed",
+			   run->run, run->task, run->incarnation,
+			   SOAK_ATTEMPTS_MAX);
+	}
+}
+
 void soak_check_runs_at_end(void)
 {
 	GHashTableIter iterator;
 	gpointer value;
 
 	g_hash_table_iter_init(&iterator, soak.runs);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		check_late_acks(value);
+		check_budget(value);
+	}
 }
 
 static bool is_owed(const soak_job_t *job)
--- a/src/test_soak/soak_hosts.c
+++ b/src/test_soak/soak_hosts.c
@@ -52,10 +52,10 @@
 			"\",\"pathPrefix\":\"/%s/\",\"kind\":"
 			"\"non_idempotent\",\"timeoutMs\":%d,"
 			"\"targetLatencyMs\":600,\"priority\":%d,\"service\":"
-			"\"%s\",\"maxAttempts\":3,\"stretch\":1.6}",
+			"\"%s\",\"maxAttempts\":%d,\"stretch\":1.6}",
 			i > 0 ? "," : "", soak_pool_names[i],
 			soak_pool_names[i], 3000 + version % 2 * 500, i % 2,
-			soak_pool_names[i]);
+			soak_pool_names[i], SOAK_ATTEMPTS_MAX);
 	g_string_append(text, "],\"services\":[");
 	for (int32_t i = 0; i < SOAK_POOLS; i++)
 		g_string_append_printf(text,
--- a/src/test_soak/soak_jobs.c
+++ b/src/test_soak/soak_jobs.c
@@ -30,7 +30,7 @@
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_PLAIN,     SOAK_KIND_PLAIN, SOAK_KIND_PLAIN,
 		SOAK_KIND_CANCELLED, SOAK_KIND_PLAIN, SOAK_KIND_LASTING,
-		SOAK_KIND_GANG,	     SOAK_KIND_TIMED,
+		SOAK_KIND_GANG,	     SOAK_KIND_TIMED, SOAK_KIND_FAILING,
 	};
 
 	return kinds[draw(0, G_N_ELEMENTS(kinds))];
@@ -41,6 +41,7 @@
 	[SOAK_KIND_CANCELLED] = "\"cpu\":3100,\"estimateMs\":1000",
 	[SOAK_KIND_LASTING] = "\"cpu\":500,\"longRunning\":true",
 	[SOAK_KIND_TIMED] = "\"cpu\":3100,\"estimateMs\":1000",
+	[SOAK_KIND_FAILING] = "\"cpu\":3100,\"estimateMs\":1000",
 	[SOAK_KIND_GANG] = "\"cpu\":3100,\"estimateMs\":1000,\"gang\":true",
 };
 
@@ -133,6 +134,7 @@
 {
 	const soak_job_t *job = soak_job_of_task(run->task);
 	bool lasts = job != NULL && job->kind == SOAK_KIND_LASTING;
+	bool fails = job != NULL && job->kind == SOAK_KIND_FAILING;
 
 	run->works_ms = run->begun_ms;
 	run->lasts = lasts;
@@ -140,7 +142,7 @@
 		soak_gang_join(run);
 		return;
 	}
-	run->due_how = lasts && draw(0, 2) == 0 ? "failed" : "done";
+	run->due_how = (lasts || fails) && draw(0, 2) == 0 ? "failed" : "done";
 	run->due_ms = run->begun_ms +
 		      (lasts ? draw(LASTING_RUN_MIN_MS, LASTING_RUN_MAX_MS)
 			     : draw(SOAK_TASK_MIN_MS, SOAK_TASK_MAX_MS));
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -169,6 +169,9 @@
 	run->listed_how = how;
 	if (lies)
 		run->how = "failed";
+	if (soak.options.plant == SOAK_PLANT_HIDDEN_FAILURE &&
+	    strcmp(how, "failed") == 0)
+		run->listed_how = "lapsed";
 	soak_record("upstream %s: run %" G_GINT64_FORMAT " of %s ends: %s",
 		    run->incarnation, run->run, run->task, how);
 	soak_check_end(run);
--- a/src/test_soak/soak_world.c
+++ b/src/test_soak/soak_world.c
@@ -21,9 +21,10 @@
 						  "zone-d" };
 
 const char *const soak_plant_names[SOAK_PLANT_COUNT] = {
-	"none",	       "lost-end",     "early-end",  "false-end",
-	"lost-job",    "foreign-run",  "rejection",  "abort",
-	"lost-cancel", "lasting-lost", "gang-alone", "late-times",
+	"none",		  "lost-end",	  "early-end",	"false-end",
+	"lost-job",	  "foreign-run",  "rejection",	"abort",
+	"lost-cancel",	  "lasting-lost", "gang-alone", "late-times",
+	"hidden-failure",
 };
 
 static GString *broken_rules;
