soak: end a planted gang before it is taken for hung

ctest -R soak_plant on: 11 of 12 passed; soak_plant_gang-alone found no GANG, as the draws had changed since its first run: the gangs stood at 0 percent, and the holder stopped their runs as hung after some 1.8 s, before they ended alone after 4 s. A planted gang now waits 1 s. Bounds and checks are as before.

--- a/src/test_soak/soak_gang.c
+++ b/src/test_soak/soak_gang.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define TICK_MS 10
+#define PLANTED_WAIT_MS 1000
 
 /* One run of the tasks of a step. */
 typedef struct {
@@ -36,6 +37,10 @@
 {
 	char *name = gang_name(run);
 	gang_t *gang = g_hash_table_lookup(gangs, name);
+	/* planted: it ends before the holder takes it for hung */
+	int64_t wait_ms = soak.options.plant == SOAK_PLANT_GANG_ALONE
+				  ? PLANTED_WAIT_MS
+				  : SOAK_GANG_MS;
 
 	if (gang == NULL) {
 		gang = g_new0(gang_t, 1);
@@ -46,7 +51,7 @@
 	}
 	g_ptr_array_add(gang->members, run);
 	run->works_ms = INT64_MAX;
-	run->due_ms = run->begun_ms + SOAK_GANG_MS;
+	run->due_ms = run->begun_ms + wait_ms;
 	run->due_how = "alone";
 	g_free(name);
 }
