--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -14,6 +14,7 @@
 	(void)data;
 	soak_record("clients begin");
 	soak_clients_start();
+	soak_check_lasting_start();
 }
 
 static void end_traffic(void *data)
@@ -82,6 +83,8 @@
 		  "hosts take orders with any token", NULL },
 		{ "plant", 0, 0, G_OPTION_ARG_STRING, &plant,
 		  "a fault of a stand-in, which has to be found", "NAME" },
+		{ "no-born", 0, 0, G_OPTION_ARG_NONE, &options.no_born,
+		  "upstreams don't tell when they were started", NULL },
 		{ NULL },
 	};
 	GOptionContext *context = g_option_context_new(NULL);
@@ -108,6 +111,7 @@
 	soak_init(&options, record_path);
 	soak_store_start();
 	soak_hosts_start();
+	soak_gangs_start();
 	soak_upstreams_start();
 	if (!soak_faults_start())
 		return 2;
--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -31,6 +31,12 @@
 #define SOAK_HEARTBEAT_MS 1500
 #define SOAK_LEASE_MAX_MS 6000
 #define SOAK_STOP_MS 200
+#define SOAK_CONTACT_MS 4000
+#define SOAK_CANCEL_MS 4000
+#define SOAK_GANG_MS 4000
+#define SOAK_EARLY_MS 250
+#define SOAK_ATTEMPTS_MAX 3
+#define SOAK_TASK_MIN_MS 300
 #define SOAK_TASK_MAX_MS 2000
 #define SOAK_PROCESS_PORTS 4
 #define SOAK_NEWEST_MAX 500
@@ -90,6 +96,11 @@
 	SOAK_PLANT_HIGHER_TOKEN, /* ONE: a host has seen a higher token */
 	SOAK_PLANT_WAVE_LIMIT, /* LIMIT: a wave's published limit is higher */
 	SOAK_PLANT_NO_UPKEEP, /* MIXED: an upkeep is answered, not begun */
+	SOAK_PLANT_LOST_CANCEL, /* UNASKED: a cancel is acknowledged unsent */
+	SOAK_PLANT_LASTING_LOST, /* LOST: a run is listed and not there */
+	SOAK_PLANT_GANG_ALONE, /* GANG: a gang never is complete */
+	SOAK_PLANT_LATE_TIMES, /* ORDER: times count as later than asked for */
+	SOAK_PLANT_HIDDEN_FAILURE, /* BUDGET: a failed run is listed as lapsed */
 	SOAK_PLANT_COUNT
 } soak_plant_t;
 
@@ -109,6 +120,8 @@
 	gboolean unfenced; /* the platform doesn't check fences of hosts */
 	int32_t finish_s; /* without faults, in which jobs have to end */
 	soak_plant_t plant;
+	/* Upstreams don't tell when they were started; each has a new id then. */
+	gboolean no_born;
 } soak_options_t;
 
 /* One run of a task, as the upstreams have seen it. */
@@ -118,6 +131,10 @@
 	char *incarnation; /* id and number of the start of its upstream */
 	int64_t begun_ms;
 	int64_t ended_ms; /* 0: it runs */
+	bool lasts; /* until its job is cancelled */
+	int64_t works_ms; /* from then on; INT64_MAX: it waits for others */
+	int64_t due_ms;
+	const char *due_how; /* how it ends then */
 	const char *how; /* of its end; NULL: it runs */
 	const char *listed_how; /* as it is reported */
 	int64_t end_number;
@@ -125,6 +142,7 @@
 	/* The lease lapsed before that, so the acknowledgement doesn't count. */
 	bool lapsed_unacked;
 	bool is_planted; /* owned by the list of ends */
+	bool is_late; /* its start was carried out late */
 } soak_run_t;
 
 /* What is wrong with an upstream that runs. */
@@ -191,6 +209,41 @@
 	GPtrArray *connections; /* of clients, kept open */
 } soak_process_t;
 
+/* What a client asks of a job. */
+typedef enum {
+	SOAK_KIND_PLAIN = 0,
+	SOAK_KIND_CANCELLED, /* the client cancels it */
+	SOAK_KIND_LASTING, /* its tasks run until it is cancelled */
+	SOAK_KIND_GANG, /* the tasks of a step work only together */
+	SOAK_KIND_TIMED, /* its steps run several times, at set times */
+	SOAK_KIND_FAILING, /* its tasks often end as failed */
+	SOAK_KIND_COUNT
+} soak_kind_t;
+
+/* A job of a client: one or two steps of equal tasks. */
+typedef struct {
+	char id[17];
+	soak_kind_t kind;
+	int32_t pool;
+	int32_t steps;
+	int32_t tasks; /* of each step */
+	int32_t times; /* of the steps; 0: once, at once */
+	int64_t first_wall_ms;
+	int64_t interval_ms;
+	int32_t attempts;
+	bool accepted;
+	bool unanswered; /* an attempt got no answer that says it has not run */
+	bool given_up;
+	bool completed;
+	bool failed;
+	int64_t accepted_ms;
+	int64_t cancels_after_ms; /* its acceptance; 0: never */
+	bool cancel_sent;
+	int64_t cancel_acked_ms; /* 0: not yet */
+	bool reported; /* a task of it that doesn't run */
+	char *body;
+} soak_job_t;
+
 typedef void (*soak_step_t)(void *data);
 typedef void (*soak_answered_t)(int32_t status, const char *body, void *data);
 
@@ -337,10 +390,39 @@
 void soak_clients_start(void);
 void soak_clients_stop_submitting(void);
 
+/* soak_jobs.c */
+soak_job_t *soak_job_new(void);
+/* Returns NULL if no client has submitted it. */
+soak_job_t *soak_job_of_task(const char *task);
+
+/* Draws when and how run ends by itself. */
+void soak_job_draw_end(soak_run_t *run, int32_t slowness);
+/* Counted through the occurrences, steps and tasks of job. */
+char *soak_job_task_name(const soak_job_t *job, int32_t number);
+int32_t soak_job_count(const soak_job_t *job); /* of its tasks */
+/* The number of its step, counted through the occurrences. */
+int32_t soak_job_step_of(const soak_job_t *job, const char *task);
+
+/* soak_gang.c: runs whose members work and end together */
+void soak_gangs_start(void);
+/* Until the others are there, run is due to end alone. */
+void soak_gang_join(soak_run_t *run);
+
+/* soak_calm.c */
+/* Called as a fault begins. */
+void soak_calm_note_fault(const char *name);
+/* No process, link of one or store was disturbed for SOAK_CONTACT_MS. */
+bool soak_in_touch(void);
+/* Nor was anything else for ms, but by new settings and configurations. */
+bool soak_is_calm_for(int64_t ms);
+
 /* soak_checks.c */
 void soak_check_start(const soak_run_t *run);
 void soak_check_completed(const char *id);
 void soak_check_failed(const char *id);
+void soak_check_end(const soak_run_t *run);
+/* Finds tasks that last and aren't restarted, until the end. */
+void soak_check_lasting_start(void);
 void soak_check_runs_at_end(void);
 void soak_check_jobs_at_end(void);
 
@@ -379,20 +461,4 @@
 void soak_refuse_host_lists(void);
 void soak_lose_answers_to_duties(void);
 
-/* A job of a client: one or two steps of equal tasks. */
-typedef struct {
-	char id[17];
-	int32_t pool;
-	int32_t steps;
-	int32_t tasks; /* of each step */
-	int32_t attempts;
-	bool accepted;
-	bool unanswered; /* an attempt got no answer that says it has not run */
-	bool given_up;
-	bool completed;
-	bool failed;
-	int64_t accepted_ms;
-	char *body;
-} soak_job_t;
-
 #endif
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -381,6 +381,7 @@
 		return;
 	fault = enabled_faults[draw(0, enabled_count)];
 	soak_record("fault %s", fault->name);
+	soak_calm_note_fault(fault->name);
 	fault->begin();
 	soak_after(draw(1, 2 * FAULT_INTERVAL_MS), begin_one, NULL);
 }
@@ -394,7 +395,10 @@
 	if (names != NULL && !enable_named(names))
 		return false;
 	for (size_t i = 0; names == NULL && i < G_N_ELEMENTS(faults); i++) {
-		if (!faults[i].by_name_only)
+		/* without the time of its start, a new one has a new id */
+		if (!faults[i].by_name_only &&
+		    (faults[i].begin != crash_and_keep_id ||
+		     !soak.options.no_born))
 			enabled_faults[enabled_count++] = &faults[i];
 	}
 	enabled = true;
--- a/src/test_soak/soak_orders.c
+++ b/src/test_soak/soak_orders.c
@@ -64,27 +64,38 @@
 		   answer_late, late);
 }
 
+static int64_t percent_of(const soak_run_t *run)
+{
+	int64_t now_ms = soak_now_ms();
+
+	if (now_ms <= run->works_ms)
+		return 0;
+	if (run->lasts)
+		return 100;
+	return MIN((now_ms - run->works_ms) * 100 /
+			   MAX(run->due_ms - run->works_ms, 1),
+		   99);
+}
+
 static void answer_poll(soak_upstream_t *upstream,
 			struct evhttp_request *request)
 {
 	GString *text = g_string_new(NULL);
+	char born[SOAK_BORN_CHARS];
 
 	g_string_append(text, "{\"clockMs\":");
 	soak_odd_append_clock(upstream, text, soak_upstream_clock_ms(upstream));
-	g_string_append_printf(text,
-			       ",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
-			       upstream->born_wall_ms);
+	g_string_append_printf(text, "%s,\"running\":[",
+			       soak_upstream_born_field(upstream, born));
 	for (guint i = 0; i < upstream->active->len; i++) {
 		const soak_active_t *active =
 			g_ptr_array_index(upstream->active, i);
-		int64_t begun_ms = active->entry->begun_ms;
-		int64_t percent = (soak_now_ms() - begun_ms) * 100 /
-				  (active->due_ms - begun_ms);
+		int64_t percent = percent_of(active->entry);
 
 		g_string_append_printf(
 			text, "%s[\"%s\",%" G_GINT64_FORMAT ",\"\",%d,1000]",
 			i > 0 ? "," : "", active->task, active->run,
-			(int)MIN(percent, 99));
+			(int)percent);
 	}
 	soak_odd_append_running(upstream, text);
 	g_string_append(text, "],\"ended\":[");
@@ -154,16 +165,17 @@
 			 struct evhttp_request *request, int32_t status,
 			 const char *reason)
 {
+	char born[SOAK_BORN_CHARS];
 	char *text;
 
 	if (request == NULL)
 		return;
-	text = g_strdup_printf(
-		"{\"clockMs\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
-		"%s%s%s}",
-		soak_upstream_clock_ms(upstream), upstream->born_wall_ms,
-		reason == NULL ? "" : ",\"reason\":\"",
-		reason == NULL ? "" : reason, reason == NULL ? "" : "\"");
+	text = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT "%s%s%s%s}",
+			       soak_upstream_clock_ms(upstream),
+			       soak_upstream_born_field(upstream, born),
+			       reason == NULL ? "" : ",\"reason\":\"",
+			       reason == NULL ? "" : reason,
+			       reason == NULL ? "" : "\"");
 	answer(upstream, request, status, text);
 	g_free(text);
 }
@@ -193,7 +205,8 @@
 	g_ptr_array_add(upstream->ended, end);
 }
 
-static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run)
+static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run,
+		      bool is_late)
 {
 	soak_run_t *entry = g_new0(soak_run_t, 1);
 	soak_active_t *active = g_new0(soak_active_t, 1);
@@ -205,12 +218,11 @@
 	entry->incarnation =
 		g_strdup_printf("%s/%d", upstream->id, upstream->incarnations);
 	entry->begun_ms = soak_now_ms();
+	entry->is_late = is_late;
 	active->task = g_strdup(task);
 	active->run = run;
 	active->entry = entry;
-	active->due_ms =
-		entry->begun_ms +
-		slowness * g_rand_int_range(soak.rand, 300, SOAK_TASK_MAX_MS);
+	soak_job_draw_end(entry, slowness);
 	g_ptr_array_add(upstream->active, active);
 	soak_record("upstream %s: run %" G_GINT64_FORMAT
 		    " of %s begins (token %" G_GINT64_FORMAT ")",
@@ -220,7 +232,7 @@
 		list_end_early(upstream, entry);
 	if (soak.options.plant == SOAK_PLANT_FOREIGN_RUN &&
 	    upstream->index == 0 && run > 0)
-		begin_run(upstream, "00000000000dead0.0.0.0", 0);
+		begin_run(upstream, "00000000000dead0.0.0.0", 0, false);
 }
 
 static void serve_start(soak_upstream_t *upstream,
@@ -243,7 +255,7 @@
 		answer_order(upstream, request, 409, "late");
 	} else {
 		extend_lease(upstream, object);
-		begin_run(upstream, task, run);
+		begin_run(upstream, task, run, request == NULL);
 		answer_order(upstream, request, 200, NULL);
 	}
 }
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -20,23 +20,33 @@
 	return upstream->index / UPSTREAMS_PER_RACK;
 }
 
+const char *soak_upstream_born_field(const soak_upstream_t *upstream,
+				     char text[SOAK_BORN_CHARS])
+{
+	text[0] = '\0';
+	if (!soak.options.no_born)
+		g_snprintf(text, SOAK_BORN_CHARS, ",\"born\":%" G_GINT64_FORMAT,
+			   upstream->born_wall_ms);
+	return text;
+}
+
 static void announce(soak_upstream_t *upstream)
 {
+	char born[SOAK_BORN_CHARS];
 	char *text = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"" SOAK_LOOPBACK
 		":%d\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":8,"
 		"\"state\":\"%s\",\"coldLeftMs\":0,%s\"capacity\":{\"cpu\":"
 		"32000,\"memMb\":65536,\"gpu\":0},\"labels\":[\"a\",\"r1-%d\"],"
 		"\"clockMs\":%" G_GINT64_FORMAT
-		",\"sequence\":%" G_GINT64_FORMAT ",\"born\":%" G_GINT64_FORMAT
-		"}",
+		",\"sequence\":%" G_GINT64_FORMAT "%s}",
 		soak_pool_names[upstream->pool],
 		soak_proxy_port(upstream->proxy),
 		soak_zone_names[upstream->index % SOAK_ZONES],
 		upstream->draining ? "draining" : "ready",
 		upstream->draining ? "\"remainingMs\":3000," : "",
 		soak_upstream_rack(upstream), soak_upstream_clock_ms(upstream),
-		++upstream->sequence, upstream->born_wall_ms);
+		++upstream->sequence, soak_upstream_born_field(upstream, born));
 
 	if (!soak.store_refuses)
 		soak_store_put("keyed.servers", upstream->id, text);
@@ -59,8 +69,12 @@
 	run->listed_how = how;
 	if (lies)
 		run->how = "failed";
+	if (soak.options.plant == SOAK_PLANT_HIDDEN_FAILURE &&
+	    strcmp(how, "failed") == 0)
+		run->listed_how = "lapsed";
 	soak_record("upstream %s: run %" G_GINT64_FORMAT " of %s ends: %s",
 		    run->incarnation, run->run, run->task, how);
+	soak_check_end(run);
 	if (is_listed) {
 		run->end_number = ++upstream->ends;
 		if (loses)
@@ -122,8 +136,8 @@
 
 		if (active->stop_ms != 0 && now_ms >= active->stop_ms)
 			end_run(upstream, i, "stopped", true);
-		else if (now_ms >= active->due_ms)
-			end_run(upstream, i, "done", true);
+		else if (now_ms >= active->entry->due_ms)
+			end_run(upstream, i, active->entry->due_how, true);
 		else if (lapsed)
 			end_run(upstream, i, "lapsed", true);
 		else
--- a/src/test_soak/soak_upstream.h
+++ b/src/test_soak/soak_upstream.h
@@ -12,7 +12,6 @@
 	char *task;
 	int64_t run;
 	soak_run_t *entry;
-	int64_t due_ms;
 	int64_t stop_ms; /* 0: not stopped */
 } soak_active_t;
 
@@ -22,6 +21,11 @@
 	int64_t until_ms;
 } soak_poll_t;
 
+#define SOAK_BORN_CHARS 40
+
+/* The field that tells when it was started; "": its deployment has none. */
+const char *soak_upstream_born_field(const soak_upstream_t *upstream,
+				     char text[SOAK_BORN_CHARS]);
 int64_t soak_upstream_clock_ms(const soak_upstream_t *upstream);
 
 /* soak_orders.c: what an upstream answers; data: soak_upstream_t */
