http_pool: answers have a limit

An address that an entry names may answer anything: its answer was read without a limit until the call's time was over, up to a GB at a fast link. Answers of more than 64 MiB, or with more than 64 KiB of headers, now end the call at once, as one without an answer.

Measured: test_http_calls an_oversized_answer_is_not_waited_for (a length of bytes) waits for the whole time limit on and fails; all 19 pass. test_job_holder and test_store_follower pass.

--- a/src/libwaxwinghollow/http_pool.c
+++ b/src/libwaxwinghollow/http_pool.c
@@ -6,6 +6,10 @@
 #include <string.h>
 #include <sys/resource.h>
 
+/* The store answers with some MiB at most. */
+#define MAX_ANSWER_BYTES (64 * 1024 * 1024)
+#define MAX_HEADERS_BYTES (64 * 1024)
+
 /*
  * A process with few descriptors keeps this many connections idle: a long poll
  * and a few orders to each of some hundred upstreams.
@@ -188,6 +192,10 @@
 						       NULL, address, port);
 	evhttp_connection_set_family(connection->evcon, AF_INET);
 	evhttp_connection_set_closecb(connection->evcon, on_closed, connection);
+	evhttp_connection_set_max_body_size(connection->evcon,
+					    MAX_ANSWER_BYTES);
+	evhttp_connection_set_max_headers_size(connection->evcon,
+					       MAX_HEADERS_BYTES);
 	endpoint->open_connections++;
 	g_free(address);
 	return connection;
--- a/src/test_http_calls/test_http_calls.c
+++ b/src/test_http_calls/test_http_calls.c
@@ -239,6 +239,25 @@
 	assert_int_equal(fixture->outcomes[WWH_CALL_NOT_SENT], 2);
 }
 
+/* Guards against a process that runs out of memory by one answer. */
+static void an_oversized_answer_is_not_waited_for(void **state)
+{
+	static const char *const script[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nhello",
+	};
+	fixture_t *fixture = *state;
+	raw_server_t *server = raw_server_new(script, 1);
+	int64_t sent_us = g_get_monotonic_time();
+
+	send_to_port(fixture, raw_server_port(server), TIMEOUT_MS);
+	wait_for_callbacks(fixture, 1);
+	assert_int_equal(fixture->outcomes[WWH_CALL_NO_ANSWER], 1);
+	assert_true(g_get_monotonic_time() - sent_us < TIMEOUT_MS * 1000 / 2);
+	wwh_http_calls_delete(fixture->calls);
+	fixture->calls = wwh_http_calls_new(fixture->counters);
+	assert_int_equal(raw_server_delete(server), 1);
+}
+
 /*
  * A persistent connection closes while the next request is on its way, so the
  * remote end may have carried it out. If the library sent it again, an order
@@ -625,6 +644,7 @@
 		TEST(priority_answer_is_read_before_others),
 		TEST(host_name_is_rejected_as_endpoint),
 		TEST(connection_closed_after_request_is_no_answer),
+		TEST(an_oversized_answer_is_not_waited_for),
 		TEST(truncated_answer_is_no_answer),
 		TEST(silent_connection_is_not_reused),
 		TEST(answer_read_after_timeout_counts),
