--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -32,12 +32,15 @@
 	soak_stop();
 }
 
-static bool find_plant(const char *name, soak_plant_t *plant)
+static bool find_plant(const char *name, soak_options_t *options)
 {
 	for (int32_t i = 0; i < SOAK_PLANT_COUNT; i++) {
 		if (strcmp(soak_plant_names[i], name) != 0)
 			continue;
-		*plant = (soak_plant_t)i;
+		options->plant = (soak_plant_t)i;
+		/* else such an order is answered with "fence" */
+		if (i == SOAK_PLANT_HIGHER_TOKEN)
+			options->unfenced = true;
 		return true;
 	}
 	return false;
@@ -93,12 +96,10 @@
 		return 2;
 	}
 	g_option_context_free(context);
-	if (plant != NULL && !find_plant(plant, &options.plant)) {
+	if (plant != NULL && !find_plant(plant, &options)) {
 		fprintf(stderr, "soak: no planted fault \"%s\"\n", plant);
 		return 2;
 	}
-	if (options.plant == SOAK_PLANT_HIGHER_TOKEN)
-		options.unfenced = true;
 	if (options.processes < 1 || options.upstreams < 1 ||
 	    options.seconds < 1 || options.jobs_per_s < 1 ||
 	    options.finish_s < 1) {
--- a/src/test_soak/soak_store.c
+++ b/src/test_soak/soak_store.c
@@ -393,14 +393,12 @@
 	evhttp_parse_query_str(question == NULL ? "" : question + 1, &query);
 	topic = evhttp_find_header(&query, "topic");
 	number = evhttp_find_header(&query, "part");
-	if (soak.store_refuses)
+	if (soak.store_refuses || (number != NULL && is_part_down(number)))
 		soak_answer(request, 503, "{}", 0);
 	else if (strcmp(path, "/waxwinghollow/log-join") == 0)
 		soak_group_join(request);
 	else if (strcmp(path, "/waxwinghollow/log-leave") == 0)
 		soak_group_leave(request);
-	else if (number != NULL && is_part_down(number))
-		soak_answer(request, 503, "{}", 0);
 	else if (topic == NULL || number == NULL)
 		soak_answer(request, 400, "{}", 0);
 	else if (strcmp(path, "/waxwinghollow/log-append") == 0)
