host_waves: a host that is due in two waves is ordered for one at a time

Its upkeep for 11 began at 17.955 s; lists took up to 4 s, as slow ones may, so it still counted as up, and 0.9 s later wave 7 ordered it too. The answer was "busy", which set in_upkeep to what the last list had shown: up. Its slot of wave 11 was free, and at 19.067 a fourth host went down.

Fix: a host that is in upkeep, or was ordered into one without an answer, isn't ordered for another wave until a list shows that it is back.

Measured: the new test fails before (an order for the second wave) and passes after; test_host_duties 61, test_job_holder 22, test_fleet_reserve 26 passed. The duties fixture knew one wave only: it checks each order against the wave that is expected, and each report against the waves that were added.

--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -262,11 +262,23 @@
 	return down;
 }
 
+/*
+ * A host may be due in two waves. While it is down for one of them, an order for
+ * the other would be answered with "busy", which doesn't tell whether it is down.
+ * Until a list shows its upkeep, that answer would free its slot too early.
+ */
+static bool is_down_for_another(const duty_wave_t *wave,
+				const duty_host_t *host)
+{
+	return host->in_upkeep && (host->upkeep_ordered_ms == 0 ||
+				   host->wave != wave->order->number);
+}
+
 static bool is_pending(const duty_wave_t *wave, const duty_host_t *host)
 {
 	return !g_hash_table_contains(wave->done_hosts, host->name) &&
-	       !host->upkeep_in_flight && host->in_list &&
-	       host->move_target == NULL &&
+	       !host->upkeep_in_flight && !is_down_for_another(wave, host) &&
+	       host->in_list && host->move_target == NULL &&
 	       (host->state == WWH_HOST_UP || host->upkeep_ordered_ms != 0);
 }
 
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -27,6 +27,8 @@
 	int32_t active_reports;
 	int32_t completed_reports;
 	int64_t last_record;
+	int64_t expected_wave; /* of the next orders for upkeep */
+	int64_t newest_wave;
 	GBytes *reserve_record; /* NULL: none was written */
 } duties_fixture_t;
 
@@ -43,7 +45,7 @@
 {
 	duties_fixture_t *self = data;
 
-	assert_int_equal(wave, WAVE);
+	assert_int_equal(wave, self->expected_wave);
 	g_ptr_array_add(self->upkeeps, g_strdup(host));
 }
 
@@ -60,7 +62,7 @@
 {
 	duties_fixture_t *self = data;
 
-	assert_int_equal(order->number, WAVE);
+	assert_in_range(order->number, WAVE, self->newest_wave);
 	self->active_reports += !completed;
 	self->completed_reports += completed;
 }
@@ -118,6 +120,7 @@
 	self->options.move_ms = 1500;
 	self->options.first_order_ms = first_order_ms;
 	self->upkeeps = g_ptr_array_new_with_free_func(g_free);
+	self->expected_wave = WAVE;
 	self->moves = g_ptr_array_new_with_free_func(g_free);
 	self->duties = duties_fixture_make_duties(self);
 	return self;
@@ -187,10 +190,14 @@
 	wwh_host_duties_list_end(self->duties, true, self->sched->now_ms);
 }
 
-static inline void duties_fixture_add_wave(duties_fixture_t *self,
-					   int32_t hosts, int32_t max_down)
+static inline void duties_fixture_add_numbered_wave(duties_fixture_t *self,
+						    int64_t number,
+						    int32_t hosts,
+						    int32_t max_down)
 {
-	wwh_wave_order_t *order = wwh_wave_order_new(WAVE);
+	wwh_wave_order_t *order = wwh_wave_order_new(number);
+
+	self->newest_wave = number;
 
 	for (int32_t i = 1; i <= hosts; i++)
 		g_ptr_array_add(order->hosts, g_strdup_printf("h%d", i));
@@ -199,6 +206,12 @@
 	wwh_host_duties_add_wave(self->duties, order, self->sched->now_ms);
 }
 
+static inline void duties_fixture_add_wave(duties_fixture_t *self,
+					   int32_t hosts, int32_t max_down)
+{
+	duties_fixture_add_numbered_wave(self, WAVE, hosts, max_down);
+}
+
 /*
  * Lists hosts h1 to hN of the scheduler fixture's pool, each with its upstream
  * u1 to uN or with none, and ends the list.
@@ -304,6 +317,9 @@
 		cmocka_unit_test_setup_teardown(                                \
 			a_wave_with_slack_skips_a_pool_that_lacks_hosts,        \
 			set_up, tear_down),                                     \
+		cmocka_unit_test_setup_teardown(                                \
+			a_host_in_two_waves_is_ordered_for_one_at_a_time,       \
+			set_up, tear_down),                                     \
 		cmocka_unit_test_setup_teardown(an_unlisted_host_has_no_pool,   \
 						set_up, tear_down),             \
 		cmocka_unit_test_setup_teardown(                                \
@@ -318,6 +334,7 @@
 void a_removed_host_is_not_waited_for(void **state);
 void a_repeated_upkeep_order_ends_no_task(void **state);
 void a_wave_with_slack_skips_a_pool_that_lacks_hosts(void **state);
+void a_host_in_two_waves_is_ordered_for_one_at_a_time(void **state);
 void an_unlisted_host_has_no_pool(void **state);
 void a_host_drained_for_a_wave_is_replaced(void **state);
 void a_new_holder_waits_before_its_first_order(void **state);
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -146,6 +146,35 @@
 	assert_int_equal(fixture->upkeeps->len, 1);
 }
 
+/*
+ * Guards against an order for a second wave while no list shows the upkeep for the
+ * first one yet: the answer "busy" made the host count as up, and one host too
+ * many was taken down.
+ */
+void a_host_in_two_waves_is_ordered_for_one_at_a_time(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	duties_fixture_add_wave(fixture, 1, 2);
+	duties_fixture_add_numbered_wave(fixture, WAVE + 1, 1, 2);
+	duties_fixture_run(fixture, 1);
+	duties_fixture_list_hosts(fixture, 1, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1);
+	assert_int_equal(fixture->upkeeps->len, 1);
+	wwh_host_duties_handle_upkeep_result(fixture->duties, "h1", WAVE,
+					     WWH_DUTY_DONE,
+					     fixture->sched->now_ms);
+	duties_fixture_run(fixture, 1000);
+	assert_int_equal(fixture->upkeeps->len, 1);
+	/* back, as a list that was requested after the upkeep shows */
+	fixture->expected_wave = WAVE + 1;
+	duties_fixture_list_hosts(fixture, 1, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 3000);
+	duties_fixture_list_hosts(fixture, 1, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1);
+	assert_int_equal(fixture->upkeeps->len, 2);
+}
+
 /*
  * A wave names a host that was removed, so no list shows its pool. The holder
  * crashed on the lookup of that pool, and so did each holder after it.
