--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -15,7 +15,8 @@
 typedef struct {
 	const char *name;
 	void (*begin)(void);
-	bool by_name_only; /* the protocol doesn't allow it */
+	/* The protocol doesn't allow it, or it is known to break a promise. */
+	bool by_name_only;
 } fault_t;
 
 static bool enabled;
@@ -337,6 +338,7 @@
 	{ "upstream-slow", soak_slow_upstreams },
 	{ "rack-cut", soak_cut_rack },
 	{ "upstreams-cut", soak_cut_all_upstreams },
+	{ "duties-late", soak_delay_duties, .by_name_only = true },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
