soak: a planted fault of one kind of jobs draws only these

With the plants of jobs all jobs are now of the kind that shows it; checks and bounds are as before.

The ctest of the plants wasn't run again after this.

--- a/src/test_soak/soak_jobs.c
+++ b/src/test_soak/soak_jobs.c
@@ -24,6 +24,15 @@
 	return g_rand_int_range(soak.rand, from, to);
 }
 
+/* A planted fault that only jobs of one kind show is found in any draw. */
+static const soak_kind_t planted_kinds[SOAK_PLANT_COUNT] = {
+	[SOAK_PLANT_LOST_CANCEL] = SOAK_KIND_CANCELLED,
+	[SOAK_PLANT_LASTING_LOST] = SOAK_KIND_LASTING,
+	[SOAK_PLANT_GANG_ALONE] = SOAK_KIND_GANG,
+	[SOAK_PLANT_LATE_TIMES] = SOAK_KIND_TIMED,
+	[SOAK_PLANT_HIDDEN_FAILURE] = SOAK_KIND_FAILING,
+};
+
 static soak_kind_t draw_kind(void)
 {
 	static const soak_kind_t kinds[] = {
@@ -33,6 +42,8 @@
 		SOAK_KIND_GANG,	     SOAK_KIND_TIMED, SOAK_KIND_FAILING,
 	};
 
+	if (planted_kinds[soak.options.plant] != SOAK_KIND_PLAIN)
+		return planted_kinds[soak.options.plant];
 	return kinds[draw(0, G_N_ELEMENTS(kinds))];
 }
 
