soak: links that are cut for some holders only

Change: a link may concern only callers whose orders carry a fencing token up to a given one, or a higher one; the token is that of the newest notice in the store. Calls without a token (health checks) pass. A listener serves all callers, so refused connections can't be limited in this way: resets come after the connection was accepted. An upstream's record says when an overtaken holder extends its lease.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -48,6 +48,17 @@
 /* Names of soak_link_t, in the same order. */
 extern const char *const soak_link_names[SOAK_LINK_COUNT];
 
+/* Whom a link concerns, by the fencing tokens in their orders. */
+typedef enum {
+	SOAK_CALLERS_ALL = 0,
+	SOAK_CALLERS_EARLIER, /* holders with at most the given token */
+	SOAK_CALLERS_LATER, /* holders with a higher one */
+	SOAK_CALLERS_COUNT
+} soak_callers_t;
+
+/* Names of soak_callers_t, in the same order. */
+extern const char *const soak_callers_names[SOAK_CALLERS_COUNT];
+
 typedef struct soak_proxy soak_proxy_t;
 
 /* Each makes a stand-in break one promise, which a checker has to find. */
@@ -198,7 +209,10 @@
 soak_proxy_t *soak_proxy_new(int target_port);
 int soak_proxy_port(const soak_proxy_t *proxy);
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link);
-
+void soak_proxy_restore(void *proxy);
+/* Not for SOAK_LINK_REFUSED, unless it concerns all. */
+void soak_proxy_set_link_for(soak_proxy_t *proxy, soak_link_t link,
+			     soak_callers_t callers, int64_t token);
 /* soak_store.c: the log */
 void soak_store_start(void);
 /* value NULL: the key is dropped */
@@ -207,6 +221,8 @@
 void soak_store_compact(void);
 /* The address that the newest notice in the store names; NULL: none. */
 char *soak_store_holder(void);
+/* The fencing token of that notice; 0: none. */
+int64_t soak_store_holder_token(void);
 void soak_store_serve(void *request); /* struct evhttp_request */
 
 /* soak_group.c: the store's group */
@@ -260,6 +276,13 @@
 /* Returns false if a name is unknown. */
 bool soak_faults_start(void);
 void soak_faults_stop(void);
+int32_t soak_draw(int32_t from, int32_t to); /* from <= result < to */
+soak_upstream_t *soak_draw_upstream(void);
+void soak_freeze_process(soak_process_t *process, int64_t duration_ms);
+
+/* soak_partial_faults.c: links that are cut for some callers */
+void soak_cut_some_callers(void);
+void soak_overtake_holder(void);
 
 /* A job of a client: one or two steps of equal tasks. */
 typedef struct {
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -19,16 +19,26 @@
 
 static bool enabled;
 
-static int32_t draw(int32_t from, int32_t to)
+int32_t soak_draw(int32_t from, int32_t to)
 {
 	return g_rand_int_range(soak.rand, from, to);
 }
 
-static soak_upstream_t *draw_upstream(void)
+static int32_t draw(int32_t from, int32_t to)
+{
+	return soak_draw(from, to);
+}
+
+soak_upstream_t *soak_draw_upstream(void)
 {
 	return &soak.upstreams[draw(0, soak.options.upstreams)];
 }
 
+static soak_upstream_t *draw_upstream(void)
+{
+	return soak_draw_upstream();
+}
+
 /* One process in three is that which holds the scheduling. */
 static soak_process_t *draw_process(void)
 {
@@ -154,14 +164,17 @@
 	kill(process->pid, SIGCONT);
 }
 
-static void freeze_process(void)
+void soak_freeze_process(soak_process_t *process, int64_t duration_ms)
 {
-	soak_process_t *process = draw_process();
-
 	if (process->pid == 0 || process->stopped)
 		return;
 	soak_process_signal(process, SIGSTOP);
-	soak_after(draw(500, 4000), resume_process, process);
+	soak_after(duration_ms, resume_process, process);
+}
+
+static void freeze_process(void)
+{
+	soak_freeze_process(draw_process(), draw(500, 4000));
 }
 
 static void end_slow_store(void *data)
@@ -207,18 +220,13 @@
 	soak_after(draw(1000, 4500), end_lost_answers, NULL);
 }
 
-static void restore_link(void *data)
-{
-	soak_proxy_set_link(data, SOAK_LINK_SOUND);
-}
-
 static void disturb(soak_proxy_t *proxy, const char *who, const char *where)
 {
 	soak_link_t link = (soak_link_t)draw(SOAK_LINK_SILENT, SOAK_LINK_COUNT);
 
 	soak_record("link of %s to %s: %s", who, where, soak_link_names[link]);
 	soak_proxy_set_link(proxy, link);
-	soak_after(draw(500, 5500), restore_link, proxy);
+	soak_after(draw(500, 5500), soak_proxy_restore, proxy);
 }
 
 static void disturb_store_link(void)
@@ -246,7 +254,7 @@
 		soak_upstream_t *upstream = draw_upstream();
 
 		soak_proxy_set_link(upstream->proxy, SOAK_LINK_RESET_SOME);
-		soak_after(RESETS_MS, restore_link, upstream->proxy);
+		soak_after(RESETS_MS, soak_proxy_restore, upstream->proxy);
 	}
 }
 
@@ -261,7 +269,8 @@
 		soak_record("link of %s to processes: %s", upstream->id,
 			    soak_link_names[SOAK_LINK_REFUSED]);
 		soak_proxy_set_link(upstream->proxy, SOAK_LINK_REFUSED);
-		soak_after(draw(500, 5500), restore_link, upstream->proxy);
+		soak_after(draw(500, 5500), soak_proxy_restore,
+			   upstream->proxy);
 	}
 }
 
@@ -288,6 +297,8 @@
 	{ "upstream-resets", reset_upstream_connections },
 	{ "upstream-refuses", refuse_upstream_connections },
 	{ "odd-entries", soak_odd_begin },
+	{ "links-of-some", soak_cut_some_callers },
+	{ "holder-overtaken", soak_overtake_holder },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_proxy.c
+++ b/src/test_soak/soak_proxy.c
@@ -17,6 +17,7 @@
 	soak_proxy_t *proxy;
 	struct bufferevent *caller;
 	struct bufferevent *target;
+	int64_t token; /* that its caller has sent last; 0: none */
 } relay_t;
 
 struct soak_proxy {
@@ -24,6 +25,8 @@
 	int port;
 	int target_port;
 	soak_link_t link;
+	soak_callers_t callers; /* whom the link concerns */
+	int64_t token;
 	GPtrArray *relays; /* relay_t */
 };
 
@@ -31,6 +34,44 @@
 	"sound", "silent", "answers-held", "reset", "reset-some", "refused",
 };
 
+const char *const soak_callers_names[SOAK_CALLERS_COUNT] = {
+	"all",
+	"holders up to",
+	"holders after",
+};
+
+/*
+ * All processes have one address, so a caller is known by the fencing token in
+ * its orders. A connection belongs to one process.
+ */
+static void note_token(relay_t *relay)
+{
+	static const char mark[] = "\"fencingToken\":";
+	struct evbuffer *input = bufferevent_get_input(relay->caller);
+	struct evbuffer_ptr at =
+		evbuffer_search(input, mark, sizeof(mark) - 1, NULL);
+	char digits[21] = "";
+
+	if (at.pos < 0 || evbuffer_ptr_set(input, &at, sizeof(mark) - 1,
+					   EVBUFFER_PTR_ADD) != 0)
+		return;
+	(void)evbuffer_copyout_from(input, &at, digits, sizeof(digits) - 1);
+	relay->token = g_ascii_strtoll(digits, NULL, 10);
+}
+
+static soak_link_t link_of(const relay_t *relay)
+{
+	const soak_proxy_t *proxy = relay->proxy;
+	bool is_later = relay->token > proxy->token;
+
+	if (proxy->callers == SOAK_CALLERS_ALL)
+		return proxy->link;
+	if (relay->token == 0 ||
+	    is_later != (proxy->callers == SOAK_CALLERS_LATER))
+		return SOAK_LINK_SOUND;
+	return proxy->link;
+}
+
 static void close_relay(relay_t *relay)
 {
 	g_ptr_array_remove_fast(relay->proxy->relays, relay);
@@ -53,7 +94,7 @@
 
 static bool passes(const relay_t *relay, bool from_caller)
 {
-	soak_link_t link = relay->proxy->link;
+	soak_link_t link = link_of(relay);
 
 	return link == SOAK_LINK_SOUND || link == SOAK_LINK_RESET_SOME ||
 	       (link == SOAK_LINK_ANSWERS_HELD && from_caller);
@@ -70,8 +111,14 @@
 
 static void on_caller_data(struct bufferevent *from, void *data)
 {
+	relay_t *relay = data;
+
 	(void)from;
-	forward(data, true);
+	note_token(relay);
+	if (link_of(relay) == SOAK_LINK_RESET)
+		reset_relay(relay);
+	else
+		forward(relay, true);
 }
 
 static void on_target_data(struct bufferevent *from, void *data)
@@ -118,8 +165,8 @@
 	bufferevent_setwatermark(relay->target, EV_READ, 0, HELD_MAX_BYTES);
 	bufferevent_enable(relay->caller, EV_READ | EV_WRITE);
 	bufferevent_enable(relay->target, EV_READ | EV_WRITE);
-	if (proxy->link == SOAK_LINK_RESET ||
-	    (proxy->link == SOAK_LINK_RESET_SOME &&
+	if (link_of(relay) == SOAK_LINK_RESET ||
+	    (link_of(relay) == SOAK_LINK_RESET_SOME &&
 	     g_rand_double(soak.rand) < RESET_SHARE) ||
 	    bufferevent_socket_connect(relay->target,
 				       (struct sockaddr *)&address,
@@ -156,23 +203,42 @@
 	return proxy->port;
 }
 
+static void update_relay(relay_t *relay)
+{
+	soak_link_t link = link_of(relay);
+
+	if (link == SOAK_LINK_RESET || link == SOAK_LINK_RESET_SOME ||
+	    link == SOAK_LINK_REFUSED) {
+		reset_relay(relay);
+		return;
+	}
+	/* what was held back arrives late */
+	forward(relay, true);
+	forward(relay, false);
+}
+
 void soak_proxy_set_link(soak_proxy_t *proxy, soak_link_t link)
 {
+	soak_proxy_set_link_for(proxy, link, SOAK_CALLERS_ALL, 0);
+}
+
+void soak_proxy_restore(void *proxy)
+{
+	soak_proxy_set_link(proxy, SOAK_LINK_SOUND);
+}
+
+void soak_proxy_set_link_for(soak_proxy_t *proxy, soak_link_t link,
+			     soak_callers_t callers, int64_t token)
+{
+	/* a listener serves all callers */
+	g_assert(link != SOAK_LINK_REFUSED || callers == SOAK_CALLERS_ALL);
 	proxy->link = link;
+	proxy->callers = callers;
+	proxy->token = token;
 	if (link == SOAK_LINK_REFUSED)
 		g_clear_pointer(&proxy->listener, evconnlistener_free);
 	else
 		listen_for_callers(proxy);
-	for (guint i = proxy->relays->len; i > 0; i--) {
-		relay_t *relay = g_ptr_array_index(proxy->relays, i - 1);
-
-		if (link == SOAK_LINK_RESET || link == SOAK_LINK_RESET_SOME ||
-		    link == SOAK_LINK_REFUSED) {
-			reset_relay(relay);
-			continue;
-		}
-		/* what was held back arrives late */
-		forward(relay, true);
-		forward(relay, false);
-	}
+	for (guint i = proxy->relays->len; i > 0; i--)
+		update_relay(g_ptr_array_index(proxy->relays, i - 1));
 }
--- a/src/test_soak/soak_store.c
+++ b/src/test_soak/soak_store.c
@@ -152,25 +152,40 @@
 	}
 }
 
-char *soak_store_holder(void)
+/* "TOKEN ADDRESS"; NULL: none */
+static char *newest_notice(void)
 {
 	record_t *record =
 		g_tree_lookup(get_part("keyed.wwh", "1")->newest, "holder");
-	char *address = NULL;
 	gsize size;
 	const char *data;
-	char *text;
 
 	if (record == NULL)
 		return NULL;
 	data = g_bytes_get_data(record->value, &size);
-	text = g_strndup(data, size);
-	if (strchr(text, ' ') != NULL)
+	return g_strndup(data, size);
+}
+
+char *soak_store_holder(void)
+{
+	char *text = newest_notice();
+	char *address = NULL;
+
+	if (text != NULL && strchr(text, ' ') != NULL)
 		address = g_strdup(strchr(text, ' ') + 1);
 	g_free(text);
 	return address;
 }
 
+int64_t soak_store_holder_token(void)
+{
+	char *text = newest_notice();
+	int64_t token = text == NULL ? 0 : g_ascii_strtoll(text, NULL, 10);
+
+	g_free(text);
+	return token;
+}
+
 static void serve_newest(struct evhttp_request *request, const part_t *part,
 			 const char *after)
 {
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -220,6 +220,11 @@
 	int64_t until_ms = soak_number(object, "untilMs", 0);
 
 	until_ms = MIN(until_ms, clock_ms(upstream) + SOAK_LEASE_MAX_MS);
+	if (until_ms > upstream->lease_ms &&
+	    soak_number(object, "fencingToken", 0) < soak_store_holder_token())
+		soak_record("upstream %s: an overtaken holder extends the "
+			    "lease by %" G_GINT64_FORMAT " ms",
+			    upstream->id, until_ms - clock_ms(upstream));
 	upstream->lease_ms = MAX(upstream->lease_ms, until_ms);
 }
 
