--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -1,40 +1,16 @@
-#include "soak.h"
+#include "soak_upstream.h"
 
 #include <stdio.h>
 #include <string.h>
 
 #define TICK_MS 20
-#define POLL_WAIT_MAX_MS 2000
-#define ENDS_PER_ANSWER 500
 #define ENTRY_EXPIRY_MS (3 * SOAK_HEARTBEAT_MS)
 #define UPSTREAMS_PER_RACK 8
 /* An incarnation's clock begins here, so that it differs from all others. */
 #define CLOCK_START_MS 1000
 #define DRAIN_MS 3000
 
-typedef struct {
-	char *task;
-	int64_t run;
-	soak_run_t *entry;
-	int64_t due_ms;
-	int64_t stop_ms; /* 0: not stopped */
-} soak_active_t;
-
-/* A poll that waits for an end. */
-typedef struct {
-	struct evhttp_request *request;
-	int64_t until_ms;
-} soak_poll_t;
-
-/* An order that is carried out late, without an answer. */
-typedef struct {
-	soak_upstream_t *upstream;
-	int32_t incarnation;
-	JsonNode *root;
-	bool stops;
-} late_order_t;
-
-static int64_t clock_ms(const soak_upstream_t *upstream)
+int64_t soak_upstream_clock_ms(const soak_upstream_t *upstream)
 {
 	return soak_now_ms() - upstream->born_ms + CLOCK_START_MS;
 }
@@ -59,7 +35,7 @@
 		soak_zone_names[upstream->index % SOAK_ZONES],
 		upstream->draining ? "draining" : "ready",
 		upstream->draining ? "\"remainingMs\":3000," : "",
-		soak_upstream_rack(upstream), clock_ms(upstream),
+		soak_upstream_rack(upstream), soak_upstream_clock_ms(upstream),
 		++upstream->sequence, upstream->born_wall_ms);
 
 	if (!soak.store_refuses)
@@ -68,74 +44,6 @@
 	g_free(text);
 }
 
-static void answer_poll(soak_upstream_t *upstream,
-			struct evhttp_request *request)
-{
-	GString *text = g_string_new(NULL);
-
-	g_string_append(text, "{\"clockMs\":");
-	soak_odd_append_clock(upstream, text, clock_ms(upstream));
-	g_string_append_printf(text,
-			       ",\"born\":%" G_GINT64_FORMAT ",\"running\":[",
-			       upstream->born_wall_ms);
-	for (guint i = 0; i < upstream->active->len; i++) {
-		const soak_active_t *active =
-			g_ptr_array_index(upstream->active, i);
-		int64_t begun_ms = active->entry->begun_ms;
-		int64_t percent = (soak_now_ms() - begun_ms) * 100 /
-				  (active->due_ms - begun_ms);
-
-		g_string_append_printf(
-			text, "%s[\"%s\",%" G_GINT64_FORMAT ",\"\",%d,1000]",
-			i > 0 ? "," : "", active->task, active->run,
-			(int)MIN(percent, 99));
-	}
-	soak_odd_append_running(upstream, text);
-	g_string_append(text, "],\"ended\":[");
-	for (guint i = 0; i < MIN(upstream->ended->len, ENDS_PER_ANSWER); i++) {
-		const soak_run_t *run = g_ptr_array_index(upstream->ended, i);
-
-		g_string_append_printf(text,
-				       "%s[%" G_GINT64_FORMAT
-				       ",\"%s\",%" G_GINT64_FORMAT
-				       ",\"%s\",\"\"]",
-				       i > 0 ? "," : "", run->end_number,
-				       run->task, run->run, run->listed_how);
-	}
-	soak_odd_append_end(upstream, text);
-	g_string_append(text, "]}");
-	soak_answer(request, 200, text->str, 0);
-	g_string_free(text, TRUE);
-}
-
-static void answer_due_polls(soak_upstream_t *upstream)
-{
-	for (guint i = 0; i < upstream->polls->len;) {
-		soak_poll_t *poll = g_ptr_array_index(upstream->polls, i);
-
-		if (upstream->ended->len == 0 &&
-		    soak_now_ms() < poll->until_ms) {
-			i++;
-			continue;
-		}
-		g_ptr_array_remove_index(upstream->polls, i);
-		answer_poll(upstream, poll->request);
-		g_free(poll);
-	}
-}
-
-static void note_highest(soak_upstream_t *upstream, const char *task,
-			 int64_t run)
-{
-	int64_t *highest = g_hash_table_lookup(upstream->highest, task);
-
-	if (highest == NULL) {
-		highest = g_new0(int64_t, 1);
-		g_hash_table_insert(upstream->highest, g_strdup(task), highest);
-	}
-	*highest = MAX(*highest, run);
-}
-
 static void end_run(soak_upstream_t *upstream, guint index, const char *how,
 		    bool is_listed)
 {
@@ -158,7 +66,7 @@
 			run->acked_ms = run->ended_ms;
 		else
 			g_ptr_array_add(upstream->ended, run);
-		note_highest(upstream, active->task, active->run);
+		soak_orders_note_highest(upstream, active->task, active->run);
 	}
 	g_ptr_array_remove_index(upstream->active, index);
 	g_free(active->task);
@@ -186,7 +94,7 @@
 	if (now_ms >= upstream->next_beat_ms)
 		announce(upstream);
 	lapsed = upstream->lease_ms != 0 &&
-		 clock_ms(upstream) >= upstream->lease_ms;
+		 soak_upstream_clock_ms(upstream) >= upstream->lease_ms;
 	for (guint i = 0; i < upstream->active->len;) {
 		const soak_active_t *active =
 			g_ptr_array_index(upstream->active, i);
@@ -205,7 +113,7 @@
 
 		run->lapsed_unacked = true;
 	}
-	answer_due_polls(upstream);
+	soak_orders_answer_polls(upstream);
 }
 
 static void run_all(void *data)
@@ -215,254 +123,6 @@
 		run_upstream(&soak.upstreams[i]);
 }
 
-static void extend_lease(soak_upstream_t *upstream, JsonObject *object)
-{
-	int64_t until_ms = soak_number(object, "untilMs", 0);
-
-	until_ms = MIN(until_ms, clock_ms(upstream) + SOAK_LEASE_MAX_MS);
-	if (until_ms > upstream->lease_ms &&
-	    soak_number(object, "fencingToken", 0) < soak_store_holder_token())
-		soak_record("upstream %s: an overtaken holder extends the "
-			    "lease by %" G_GINT64_FORMAT " ms",
-			    upstream->id, until_ms - clock_ms(upstream));
-	upstream->lease_ms = MAX(upstream->lease_ms, until_ms);
-}
-
-/* request NULL: the order is answered by nobody. */
-static void answer_order(const soak_upstream_t *upstream,
-			 struct evhttp_request *request, int32_t status,
-			 const char *reason)
-{
-	char *text;
-
-	if (request == NULL)
-		return;
-	text = g_strdup_printf("{\"clockMs\":%" G_GINT64_FORMAT
-			       ",\"born\":%" G_GINT64_FORMAT "%s%s%s}",
-			       clock_ms(upstream), upstream->born_wall_ms,
-			       reason == NULL ? "" : ",\"reason\":\"",
-			       reason == NULL ? "" : reason,
-			       reason == NULL ? "" : "\"");
-	soak_answer(request, status, text, 0);
-	g_free(text);
-}
-
-static soak_active_t *find_active(const soak_upstream_t *upstream,
-				  const char *task)
-{
-	for (guint i = 0; i < upstream->active->len; i++) {
-		soak_active_t *active = g_ptr_array_index(upstream->active, i);
-
-		if (strcmp(active->task, task) == 0)
-			return active;
-	}
-	return NULL;
-}
-
-/* Planted: the end is listed as done, and the run goes on. */
-static void list_end_early(soak_upstream_t *upstream, const soak_run_t *entry)
-{
-	soak_run_t *end = g_new0(soak_run_t, 1);
-
-	*end = *entry;
-	end->how = "done";
-	end->listed_how = "done";
-	end->end_number = ++upstream->ends;
-	end->is_planted = true;
-	g_ptr_array_add(upstream->ended, end);
-}
-
-static void begin_run(soak_upstream_t *upstream, const char *task, int64_t run)
-{
-	soak_run_t *entry = g_new0(soak_run_t, 1);
-	soak_active_t *active = g_new0(soak_active_t, 1);
-
-	entry->task = g_strdup(task);
-	entry->run = run;
-	entry->incarnation =
-		g_strdup_printf("%s/%d", upstream->id, upstream->incarnations);
-	entry->begun_ms = soak_now_ms();
-	active->task = g_strdup(task);
-	active->run = run;
-	active->entry = entry;
-	active->due_ms = entry->begun_ms +
-			 g_rand_int_range(soak.rand, 300, SOAK_TASK_MAX_MS);
-	g_ptr_array_add(upstream->active, active);
-	soak_record("upstream %s: run %" G_GINT64_FORMAT
-		    " of %s begins (token %" G_GINT64_FORMAT ")",
-		    entry->incarnation, run, task, upstream->token);
-	soak_check_start(entry);
-	if (soak.options.plant == SOAK_PLANT_EARLY_END && upstream->index == 0)
-		list_end_early(upstream, entry);
-	if (soak.options.plant == SOAK_PLANT_FOREIGN_RUN &&
-	    upstream->index == 0 && run > 0)
-		begin_run(upstream, "00000000000dead0.0.0.0", 0);
-}
-
-static void serve_start(soak_upstream_t *upstream,
-			struct evhttp_request *request, JsonObject *object)
-{
-	const char *task = json_object_get_string_member(object, "task");
-	int64_t run = soak_number(object, "run", 0);
-	const soak_active_t *active = find_active(upstream, task);
-	const int64_t *highest = g_hash_table_lookup(upstream->highest, task);
-	bool is_old = active != NULL || (highest != NULL && run <= *highest);
-
-	if (active != NULL && active->run == run) {
-		extend_lease(upstream, object);
-		answer_order(upstream, request, 200, NULL);
-	} else if (is_old) {
-		extend_lease(upstream, object);
-		answer_order(upstream, request, 409, "old");
-	} else if (soak_number(object, "untilMs", 0) <= clock_ms(upstream)) {
-		answer_order(upstream, request, 409, "late");
-	} else {
-		extend_lease(upstream, object);
-		begin_run(upstream, task, run);
-		answer_order(upstream, request, 200, NULL);
-	}
-}
-
-static void serve_stop(soak_upstream_t *upstream,
-		       struct evhttp_request *request, JsonObject *object)
-{
-	const char *task = json_object_get_string_member(object, "task");
-	int64_t run = soak_number(object, "run", 0);
-	soak_active_t *active = find_active(upstream, task);
-
-	soak_record("upstream %s: stop of run %" G_GINT64_FORMAT " of %s",
-		    upstream->id, run, task);
-	if (active == NULL)
-		note_highest(upstream, task, run);
-	else if (active->run == run && active->stop_ms == 0)
-		active->stop_ms = soak_now_ms() + SOAK_STOP_MS / 2;
-	answer_order(upstream, request, 200, NULL);
-}
-
-static void forget_end(soak_upstream_t *upstream, guint index)
-{
-	soak_run_t *run = g_ptr_array_remove_index(upstream->ended, index);
-
-	if (run->is_planted)
-		g_free(run);
-}
-
-static void serve_poll(soak_upstream_t *upstream,
-		       struct evhttp_request *request, JsonObject *object)
-{
-	int64_t acked = soak_number(object, "seenUpto", 0);
-	soak_poll_t *poll = g_new0(soak_poll_t, 1);
-
-	extend_lease(upstream, object);
-	for (guint i = 0; i < upstream->ended->len;) {
-		soak_run_t *run = g_ptr_array_index(upstream->ended, i);
-
-		if (run->end_number > acked) {
-			i++;
-			continue;
-		}
-		run->acked_ms = soak_now_ms();
-		soak_record("upstream %s: end %" G_GINT64_FORMAT
-			    " of %s is acknowledged (%" G_GINT64_FORMAT ")",
-			    run->incarnation, run->end_number, run->task,
-			    acked);
-		forget_end(upstream, i);
-	}
-	poll->request = request;
-	poll->until_ms = soak_now_ms() + MIN(soak_number(object, "waitMs", 0),
-					     POLL_WAIT_MAX_MS);
-	g_ptr_array_add(upstream->polls, poll);
-	answer_due_polls(upstream);
-}
-
-static void serve_order(soak_upstream_t *upstream,
-			struct evhttp_request *request, JsonObject *object,
-			bool stops)
-{
-	if (stops)
-		serve_stop(upstream, request, object);
-	else
-		serve_start(upstream, request, object);
-}
-
-static void carry_out_late(void *data)
-{
-	late_order_t *late = data;
-	soak_upstream_t *upstream = late->upstream;
-	JsonObject *object = json_node_get_object(late->root);
-
-	if (upstream->up && upstream->incarnations == late->incarnation &&
-	    soak_number(object, "fencingToken", 0) >= upstream->token)
-		serve_order(upstream, NULL, object, late->stops);
-	json_node_unref(late->root);
-	g_free(late);
-}
-
-/* The order is carried out up to some seconds later, and answered by nobody. */
-static void defer_order(soak_upstream_t *upstream, JsonNode *root, bool stops)
-{
-	late_order_t *late = g_new0(late_order_t, 1);
-
-	late->upstream = upstream;
-	late->incarnation = upstream->incarnations;
-	late->root = json_node_ref(root);
-	late->stops = stops;
-	soak_after(g_rand_int_range(soak.rand, 100, 4000), carry_out_late,
-		   late);
-}
-
-static void serve_call(soak_upstream_t *upstream,
-		       struct evhttp_request *request, JsonNode *root)
-{
-	JsonObject *object = json_node_get_object(root);
-	const char *uri = evhttp_request_get_uri(request);
-	int64_t token = soak_number(object, "fencingToken", 0);
-	bool starts = strcmp(uri, "/waxwinghollow/run-start") == 0;
-	bool stops = strcmp(uri, "/waxwinghollow/run-stop") == 0;
-
-	if (token < upstream->token) {
-		answer_order(upstream, request, 409, "fence");
-		return;
-	}
-	upstream->token = token;
-	if ((starts || stops) && soak_now_ms() < upstream->late_until_ms &&
-	    g_rand_int_range(soak.rand, 0, 4) == 0)
-		defer_order(upstream, root, stops);
-	else if (starts || stops)
-		serve_order(upstream, request, object, stops);
-	else if (strcmp(uri, "/waxwinghollow/hold") == 0)
-		serve_poll(upstream, request, object);
-	else
-		answer_order(upstream, request, 200, NULL);
-}
-
-static void on_call(struct evhttp_request *request, void *data)
-{
-	soak_upstream_t *upstream = data;
-	const char *expected =
-		evhttp_find_header(evhttp_request_get_input_headers(request),
-				   "Waxwinghollow-Expect-Instance");
-	JsonNode *root;
-
-	if (!upstream->up)
-		return; /* silent: the request waits until its socket closes */
-	if (strcmp(evhttp_request_get_uri(request), "/healthz") == 0) {
-		soak_answer(request, 200, "{}", 0);
-		return;
-	}
-	if (expected != NULL && strcmp(expected, upstream->id) != 0) {
-		answer_order(upstream, request, 421, NULL);
-		return;
-	}
-	root = soak_parse_body(request);
-	if (root == NULL) {
-		answer_order(upstream, request, 400, NULL);
-		return;
-	}
-	serve_call(upstream, request, root);
-	json_node_unref(root);
-}
-
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent)
 {
 	if (!upstream->up)
@@ -475,7 +135,7 @@
 		g_free(g_ptr_array_index(upstream->polls, i));
 	g_ptr_array_set_size(upstream->polls, 0);
 	while (upstream->ended->len > 0)
-		forget_end(upstream, 0);
+		soak_orders_forget_end(upstream, 0);
 	if (!silent)
 		g_clear_pointer(&upstream->http, evhttp_free);
 	upstream->up = false;
@@ -505,7 +165,8 @@
 	upstream->ends = 0;
 	upstream->late_until_ms = 0;
 	g_hash_table_remove_all(upstream->highest);
-	upstream->http = soak_listen(&upstream->port, on_call, upstream);
+	upstream->http =
+		soak_listen(&upstream->port, soak_orders_serve, upstream);
 	if (upstream->proxy == NULL)
 		upstream->proxy = soak_proxy_new(upstream->port);
 	upstream->up = true;
