soak: addresses that go to another upstream while the old one runs on

Cause: an answer 421 came only from an upstream that had started again at its address, so nothing showed what is concluded from it while the old one runs.

Change: fault upstream-moves. An entry expires while its upstream doesn't reach the store.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -126,6 +126,8 @@
 	int64_t down_since_ms; /* 0: its entry was removed */
 	int64_t late_until_ms; /* orders are carried out late until then */
 	int64_t odd_until_ms; /* some answers to polls are malformed */
+	int64_t isolated_until_ms; /* from the store */
+	bool is_listed; /* its entry is in the store */
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -213,6 +215,9 @@
 /* Not for SOAK_LINK_REFUSED, unless it concerns all. */
 void soak_proxy_set_link_for(soak_proxy_t *proxy, soak_link_t link,
 			     soak_callers_t callers, int64_t token);
+/* New connections go there; resets: the open ones are reset. */
+void soak_proxy_set_target(soak_proxy_t *proxy, int target_port, bool resets);
+
 /* soak_store.c: the log */
 void soak_store_start(void);
 /* value NULL: the key is dropped */
@@ -243,6 +248,14 @@
 void soak_upstream_crash(soak_upstream_t *upstream, bool silent);
 void soak_upstream_restart(soak_upstream_t *upstream, bool same_id);
 void soak_upstream_drain(soak_upstream_t *upstream);
+/* Its announcements don't reach the store. */
+void soak_upstream_isolate(soak_upstream_t *upstream, int64_t duration_ms);
+/*
+ * Ends, and starts with a new id at the address of former, which runs on at the
+ * other one's address. resets: connections to former are reset.
+ */
+void soak_upstream_take_address(soak_upstream_t *upstream,
+				soak_upstream_t *former, bool resets);
 
 /* soak_odd.c: malformed rows; rows ends after '[' or a row */
 void soak_odd_begin(void);
@@ -280,6 +293,9 @@
 soak_upstream_t *soak_draw_upstream(void);
 void soak_freeze_process(soak_process_t *process, int64_t duration_ms);
 
+/* soak_upstream_faults.c */
+void soak_move_addresses(void);
+
 /* soak_partial_faults.c: links that are cut for some callers */
 void soak_cut_some_callers(void);
 void soak_overtake_holder(void);
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -299,6 +299,7 @@
 	{ "odd-entries", soak_odd_begin },
 	{ "links-of-some", soak_cut_some_callers },
 	{ "holder-overtaken", soak_overtake_holder },
+	{ "upstream-moves", soak_move_addresses },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_proxy.c
+++ b/src/test_soak/soak_proxy.c
@@ -242,3 +242,10 @@
 	for (guint i = proxy->relays->len; i > 0; i--)
 		update_relay(g_ptr_array_index(proxy->relays, i - 1));
 }
+
+void soak_proxy_set_target(soak_proxy_t *proxy, int target_port, bool resets)
+{
+	proxy->target_port = target_port;
+	for (guint i = proxy->relays->len; resets && i > 0; i--)
+		reset_relay(g_ptr_array_index(proxy->relays, i - 1));
+}
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -41,6 +41,7 @@
 	if (!soak.store_refuses)
 		soak_store_put("keyed.servers", upstream->id, text);
 	upstream->next_beat_ms = soak_now_ms() + SOAK_HEARTBEAT_MS;
+	upstream->is_listed = true;
 	g_free(text);
 }
 
@@ -78,6 +79,27 @@
 	soak_store_put("keyed.servers", upstream->id, NULL);
 	soak_record("store: entry of upstream %s is removed", upstream->id);
 	upstream->down_since_ms = 0;
+	upstream->is_listed = false;
+}
+
+/* While it doesn't reach the store, its entry expires. */
+static void beat(soak_upstream_t *upstream)
+{
+	int64_t now_ms = soak_now_ms();
+
+	if (now_ms >= upstream->isolated_until_ms) {
+		if (now_ms >= upstream->next_beat_ms)
+			announce(upstream);
+	} else if (upstream->is_listed && !soak.store_refuses &&
+		   now_ms - upstream->next_beat_ms + SOAK_HEARTBEAT_MS >=
+			   ENTRY_EXPIRY_MS) {
+		remove_entry(upstream);
+	}
+}
+
+void soak_upstream_isolate(soak_upstream_t *upstream, int64_t duration_ms)
+{
+	upstream->isolated_until_ms = soak_now_ms() + duration_ms;
 }
 
 static void run_upstream(soak_upstream_t *upstream)
@@ -91,8 +113,7 @@
 			remove_entry(upstream);
 		return;
 	}
-	if (now_ms >= upstream->next_beat_ms)
-		announce(upstream);
+	beat(upstream);
 	lapsed = upstream->lease_ms != 0 &&
 		 soak_upstream_clock_ms(upstream) >= upstream->lease_ms;
 	for (guint i = 0; i < upstream->active->len;) {
@@ -164,6 +185,7 @@
 	upstream->sequence = 0;
 	upstream->ends = 0;
 	upstream->late_until_ms = 0;
+	upstream->isolated_until_ms = 0;
 	g_hash_table_remove_all(upstream->highest);
 	upstream->http =
 		soak_listen(&upstream->port, soak_orders_serve, upstream);
@@ -175,6 +197,23 @@
 	announce(upstream);
 }
 
+void soak_upstream_take_address(soak_upstream_t *upstream,
+				soak_upstream_t *former, bool resets)
+{
+	soak_proxy_t *proxy = former->proxy;
+
+	if (upstream == former || !upstream->up || upstream->draining)
+		return;
+	soak_record("upstream %s takes the address of %s, which runs on",
+		    upstream->id, former->id);
+	soak_upstream_crash(upstream, false);
+	former->proxy = upstream->proxy;
+	upstream->proxy = proxy;
+	soak_proxy_set_target(former->proxy, former->port, true);
+	soak_proxy_set_target(upstream->proxy, upstream->port, resets);
+	soak_upstream_restart(upstream, false);
+}
+
 static void end_drained(void *data)
 {
 	soak_upstream_t *upstream = data;
