soak: upstreams that hang, reject calls or are slow

Cause: upstreams of the soak either answered at once or were down.

Change: faults upstream-hangs (accepts calls and answers none, nor a poll that waits), upstream-rejects (half of the calls get 429 or 503, and nothing is done) and upstream-slow (tasks that begin take three times as long, answers come up to 1.5 s late), each for up to an eighth of the upstreams and 4 s.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -107,6 +107,18 @@
 	bool is_planted; /* owned by the list of ends */
 } soak_run_t;
 
+/* What is wrong with an upstream that runs. */
+typedef enum {
+	SOAK_UPSTREAM_SOUND = 0,
+	SOAK_UPSTREAM_HANGS, /* accepts calls and never answers */
+	SOAK_UPSTREAM_REJECTS, /* some calls, and has done nothing */
+	SOAK_UPSTREAM_SLOW, /* tasks take longer, answers come late */
+	SOAK_UPSTREAM_DISORDER_COUNT
+} soak_disorder_t;
+
+/* Names of soak_disorder_t, in the same order. */
+extern const char *const soak_disorder_names[SOAK_UPSTREAM_DISORDER_COUNT];
+
 typedef struct {
 	int32_t index;
 	int32_t incarnations;
@@ -128,6 +140,7 @@
 	int64_t odd_until_ms; /* some answers to polls are malformed */
 	int64_t isolated_until_ms; /* from the store */
 	bool is_listed; /* its entry is in the store */
+	soak_disorder_t disorder;
 	struct evhttp *http;
 	GPtrArray *active; /* soak_active_t */
 	GPtrArray *ended; /* soak_run_t that are listed */
@@ -295,6 +308,9 @@
 
 /* soak_upstream_faults.c */
 void soak_move_addresses(void);
+void soak_hang_upstreams(void);
+void soak_reject_at_upstreams(void);
+void soak_slow_upstreams(void);
 
 /* soak_partial_faults.c: links that are cut for some callers */
 void soak_cut_some_callers(void);
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -300,6 +300,9 @@
 	{ "links-of-some", soak_cut_some_callers },
 	{ "holder-overtaken", soak_overtake_holder },
 	{ "upstream-moves", soak_move_addresses },
+	{ "upstream-hangs", soak_hang_upstreams },
+	{ "upstream-rejects", soak_reject_at_upstreams },
+	{ "upstream-slow", soak_slow_upstreams },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_orders.c
+++ b/src/test_soak/soak_orders.c
@@ -5,6 +5,18 @@
 #define POLL_WAIT_MAX_MS 2000
 #define ENDS_PER_ANSWER 500
 
+/* Of an upstream that rejects calls or is slow. */
+#define REJECTED_SHARE 0.5
+#define SLOWNESS 3
+#define LATE_ANSWER_MAX_MS 1500
+
+const char *const soak_disorder_names[SOAK_UPSTREAM_DISORDER_COUNT] = {
+	"sound",
+	"hangs",
+	"rejects",
+	"slow",
+};
+
 /* An order that is carried out late, without an answer. */
 typedef struct {
 	soak_upstream_t *upstream;
@@ -13,6 +25,45 @@
 	bool stops;
 } late_order_t;
 
+typedef struct {
+	soak_upstream_t *upstream;
+	int32_t incarnation;
+	struct evhttp_request *request;
+	int32_t status;
+	char *text;
+} late_answer_t;
+
+/* After a crash the connection is gone. */
+static void answer_late(void *data)
+{
+	late_answer_t *late = data;
+
+	if (late->upstream->up &&
+	    late->upstream->incarnations == late->incarnation)
+		soak_answer(late->request, late->status, late->text, 0);
+	g_free(late->text);
+	g_free(late);
+}
+
+static void answer(soak_upstream_t *upstream, struct evhttp_request *request,
+		   int32_t status, const char *text)
+{
+	late_answer_t *late;
+
+	if (upstream->disorder != SOAK_UPSTREAM_SLOW) {
+		soak_answer(request, status, text, 0);
+		return;
+	}
+	late = g_new0(late_answer_t, 1);
+	late->upstream = upstream;
+	late->incarnation = upstream->incarnations;
+	late->request = request;
+	late->status = status;
+	late->text = g_strdup(text);
+	soak_after(g_rand_int_range(soak.rand, 1, LATE_ANSWER_MAX_MS),
+		   answer_late, late);
+}
+
 static void answer_poll(soak_upstream_t *upstream,
 			struct evhttp_request *request)
 {
@@ -49,12 +100,14 @@
 	}
 	soak_odd_append_end(upstream, text);
 	g_string_append(text, "]}");
-	soak_answer(request, 200, text->str, 0);
+	answer(upstream, request, 200, text->str);
 	g_string_free(text, TRUE);
 }
 
 void soak_orders_answer_polls(soak_upstream_t *upstream)
 {
+	if (upstream->disorder == SOAK_UPSTREAM_HANGS)
+		return;
 	for (guint i = 0; i < upstream->polls->len;) {
 		soak_poll_t *poll = g_ptr_array_index(upstream->polls, i);
 
@@ -97,7 +150,7 @@
 }
 
 /* request NULL: the order is answered by nobody. */
-static void answer_order(const soak_upstream_t *upstream,
+static void answer_order(soak_upstream_t *upstream,
 			 struct evhttp_request *request, int32_t status,
 			 const char *reason)
 {
@@ -111,7 +164,7 @@
 		soak_upstream_clock_ms(upstream), upstream->born_wall_ms,
 		reason == NULL ? "" : ",\"reason\":\"",
 		reason == NULL ? "" : reason, reason == NULL ? "" : "\"");
-	soak_answer(request, status, text, 0);
+	answer(upstream, request, status, text);
 	g_free(text);
 }
 
@@ -144,6 +197,8 @@
 {
 	soak_run_t *entry = g_new0(soak_run_t, 1);
 	soak_active_t *active = g_new0(soak_active_t, 1);
+	int32_t slowness =
+		upstream->disorder == SOAK_UPSTREAM_SLOW ? SLOWNESS : 1;
 
 	entry->task = g_strdup(task);
 	entry->run = run;
@@ -153,8 +208,9 @@
 	active->task = g_strdup(task);
 	active->run = run;
 	active->entry = entry;
-	active->due_ms = entry->begun_ms +
-			 g_rand_int_range(soak.rand, 300, SOAK_TASK_MAX_MS);
+	active->due_ms =
+		entry->begun_ms +
+		slowness * g_rand_int_range(soak.rand, 300, SOAK_TASK_MAX_MS);
 	g_ptr_array_add(upstream->active, active);
 	soak_record("upstream %s: run %" G_GINT64_FORMAT
 		    " of %s begins (token %" G_GINT64_FORMAT ")",
@@ -305,6 +361,16 @@
 		answer_order(upstream, request, 200, NULL);
 }
 
+static void reject(soak_upstream_t *upstream, struct evhttp_request *request)
+{
+	const int32_t statuses[] = { 429, 503 };
+
+	answer_order(upstream, request,
+		     statuses[g_rand_int_range(soak.rand, 0,
+					       G_N_ELEMENTS(statuses))],
+		     NULL);
+}
+
 void soak_orders_serve(struct evhttp_request *request, void *data)
 {
 	soak_upstream_t *upstream = data;
@@ -313,16 +379,21 @@
 				   "Waxwinghollow-Expect-Instance");
 	JsonNode *root;
 
-	if (!upstream->up)
+	if (!upstream->up || upstream->disorder == SOAK_UPSTREAM_HANGS)
 		return; /* silent: the request waits until its socket closes */
 	if (strcmp(evhttp_request_get_uri(request), "/healthz") == 0) {
-		soak_answer(request, 200, "{}", 0);
+		answer(upstream, request, 200, "{}");
 		return;
 	}
 	if (expected != NULL && strcmp(expected, upstream->id) != 0) {
 		answer_order(upstream, request, 421, NULL);
 		return;
 	}
+	if (upstream->disorder == SOAK_UPSTREAM_REJECTS &&
+	    g_rand_double(soak.rand) < REJECTED_SHARE) {
+		reject(upstream, request);
+		return;
+	}
 	root = soak_parse_body(request);
 	if (root == NULL) {
 		answer_order(upstream, request, 400, NULL);
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -186,6 +186,7 @@
 	upstream->ends = 0;
 	upstream->late_until_ms = 0;
 	upstream->isolated_until_ms = 0;
+	upstream->disorder = SOAK_UPSTREAM_SOUND;
 	g_hash_table_remove_all(upstream->highest);
 	upstream->http =
 		soak_listen(&upstream->port, soak_orders_serve, upstream);
--- a/src/test_soak/soak_upstream_faults.c
+++ b/src/test_soak/soak_upstream_faults.c
@@ -1,8 +1,49 @@
-/* Upstreams that run on at another address. */
+/*
+ * Upstreams that run on at another address, that answer late, badly or not at
+ * all.
+ */
 #include "soak.h"
 
+#define DISORDER_MAX_MS 4000
 #define CUT_MAX_MS 8000
 
+static void restore_order(void *data)
+{
+	soak_upstream_t *upstream = data;
+
+	upstream->disorder = SOAK_UPSTREAM_SOUND;
+}
+
+static void begin_disorder(soak_disorder_t disorder)
+{
+	int32_t count = soak_draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = soak_draw_upstream();
+
+		soak_record("upstream %s %s", upstream->id,
+			    soak_disorder_names[disorder]);
+		upstream->disorder = disorder;
+		soak_after(soak_draw(500, DISORDER_MAX_MS), restore_order,
+			   upstream);
+	}
+}
+
+void soak_hang_upstreams(void)
+{
+	begin_disorder(SOAK_UPSTREAM_HANGS);
+}
+
+void soak_reject_at_upstreams(void)
+{
+	begin_disorder(SOAK_UPSTREAM_REJECTS);
+}
+
+void soak_slow_upstreams(void)
+{
+	begin_disorder(SOAK_UPSTREAM_SLOW);
+}
+
 /*
  * The former one runs on. It is cut off with its connections, or it drains and
  * may keep them.
