soak: a rack of upstreams, or all of them, cut off and back at once

Cause: links were cut for single upstreams, each for a time of its own, and their announcements always reached the store.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -311,6 +311,8 @@
 void soak_hang_upstreams(void);
 void soak_reject_at_upstreams(void);
 void soak_slow_upstreams(void);
+void soak_cut_rack(void);
+void soak_cut_all_upstreams(void);
 
 /* soak_partial_faults.c: links that are cut for some callers */
 void soak_cut_some_callers(void);
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -303,6 +303,8 @@
 	{ "upstream-hangs", soak_hang_upstreams },
 	{ "upstream-rejects", soak_reject_at_upstreams },
 	{ "upstream-slow", soak_slow_upstreams },
+	{ "rack-cut", soak_cut_rack },
+	{ "upstreams-cut", soak_cut_all_upstreams },
 	{ "configuration", soak_configuration_publish },
 	{ "settings-reload", reload_settings },
 };
--- a/src/test_soak/soak_upstream_faults.c
+++ b/src/test_soak/soak_upstream_faults.c
@@ -1,6 +1,6 @@
 /*
  * Upstreams that run on at another address, that answer late, badly or not at
- * all.
+ * all, or that are cut off together.
  */
 #include "soak.h"
 
@@ -62,3 +62,40 @@
 	soak_upstream_take_address(soak_draw_upstream(), former,
 				   !drains || soak_draw(0, 2) == 0);
 }
+
+/* From the processes and from the store; they run on. */
+static void cut_off(int32_t first, int32_t last)
+{
+	int32_t duration_ms = soak_draw(500, CUT_MAX_MS);
+
+	soak_record("upstreams %d to %d are cut off for %d ms", first, last,
+		    duration_ms);
+	for (int32_t i = first; i <= last; i++) {
+		soak_upstream_t *upstream = &soak.upstreams[i];
+
+		soak_upstream_isolate(upstream, duration_ms);
+		soak_proxy_set_link(upstream->proxy, SOAK_LINK_SILENT);
+		soak_after(duration_ms, soak_proxy_restore, upstream->proxy);
+	}
+}
+
+void soak_cut_rack(void)
+{
+	const soak_upstream_t *upstream = soak_draw_upstream();
+	int32_t first = upstream->index;
+	int32_t last = upstream->index;
+
+	while (first > 0 && soak_upstream_rack(&soak.upstreams[first - 1]) ==
+				    soak_upstream_rack(upstream))
+		first--;
+	while (last + 1 < soak.options.upstreams &&
+	       soak_upstream_rack(&soak.upstreams[last + 1]) ==
+		       soak_upstream_rack(upstream))
+		last++;
+	cut_off(first, last);
+}
+
+void soak_cut_all_upstreams(void)
+{
+	cut_off(0, soak.options.upstreams - 1);
+}
