scheduler: a crash that no list has shown counts once the lease has lapsed

Since a 421 doesn't end an upstream's runs by itself, its crash was known to nobody: the lease lapsed, the runs were lost without a cause, and an answer of another incarnation after that changed nothing.

--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -48,6 +48,9 @@
 			    int64_t sent_ms);
 static void stop_hung_tasks(wwh_scheduler_t *scheduler,
 			    sched_upstream_t *upstream);
+static wwh_termination_t termination_at_lapse(const sched_upstream_t *upstream);
+static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
+				 const sched_upstream_t *upstream);
 static bool is_unlisted(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream);
 static void run_upstream(wwh_scheduler_t *scheduler,
@@ -519,6 +522,26 @@
 	}
 }
 
+/*
+ * Its tasks are over by now in any case. An upstream whose address answers for
+ * another one, and of which no list has shown the end, most likely crashed.
+ */
+static wwh_termination_t termination_at_lapse(const sched_upstream_t *upstream)
+{
+	return upstream->reach == WWH_REACH_OTHER_ANSWERS
+		       ? WWH_TERMINATION_CRASH
+		       : WWH_TERMINATION_UNKNOWN;
+}
+
+/* Nothing runs there, and whatever ran may have crashed it. */
+static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
+				 const sched_upstream_t *upstream)
+{
+	return upstream->reach == WWH_REACH_OTHER_ANSWERS &&
+	       upstream->tasks->len == 0 &&
+	       sched_lease_left_ms(scheduler, upstream) == 0;
+}
+
 /*
  * Returns whether the registry lacks an upstream that runs nothing. Starts are held
  * while the registry hasn't been read, by a new holder or as the store is away. One
@@ -546,14 +569,15 @@
 	if (upstream->inherited && !upstream->settled &&
 	    sched_lease_left_ms(scheduler, upstream) == 0) {
 		sched_upstream_remove(scheduler, upstream,
-				      WWH_TERMINATION_UNKNOWN, "lease-lapsed");
+				      termination_at_lapse(upstream),
+				      "lease-lapsed");
 		return;
 	}
 	if (upstream->lease_end_ms != 0 && now_ms >= upstream->lease_end_ms &&
 	    !upstream->lease_end_handled) {
 		upstream->lease_end_handled = true;
 		sched_upstream_lose_tasks(scheduler, upstream,
-					  WWH_TERMINATION_UNKNOWN,
+					  termination_at_lapse(upstream),
 					  "lease-lapsed");
 		if (!upstream->listed) {
 			sched_upstream_remove(scheduler, upstream,
@@ -562,6 +586,11 @@
 			return;
 		}
 	}
+	if (has_lost_its_address(scheduler, upstream)) {
+		sched_upstream_remove(scheduler, upstream,
+				      WWH_TERMINATION_CRASH, "restarted");
+		return;
+	}
 	if (is_unlisted(scheduler, upstream)) {
 		sched_upstream_remove(scheduler, upstream,
 				      WWH_TERMINATION_UNKNOWN, "unlisted");
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -161,7 +161,13 @@
 			1),                                                        \
 		FIXTURE_TEST(an_upstream_is_kept_until_the_registry_is_read,       \
 			     1),                                                   \
-		FIXTURE_TEST(an_end_counts_after_connections_were_refused, 1)
+		FIXTURE_TEST(an_end_counts_after_connections_were_refused, 1),     \
+		FIXTURE_TEST(                                                      \
+			a_crash_without_a_list_counts_once_the_lease_has_lapsed,   \
+			1),                                                        \
+		FIXTURE_TEST(                                                      \
+			a_refused_upstream_is_no_crash_once_its_lease_has_lapsed,  \
+			1)
 
 void runs_of_an_upstream_that_refuses_connections_are_kept(void **state);
 void runs_of_an_upstream_without_its_address_are_kept(void **state);
@@ -170,6 +176,8 @@
 void an_upstream_that_never_answered_is_removed_with_its_entry(void **state);
 void an_upstream_is_kept_until_the_registry_is_read(void **state);
 void an_end_counts_after_connections_were_refused(void **state);
+void a_crash_without_a_list_counts_once_the_lease_has_lapsed(void **state);
+void a_refused_upstream_is_no_crash_once_its_lease_has_lapsed(void **state);
 
 #define UPSTREAM_TESTS                                                         \
 	FIXTURE_TEST(first_polls_are_sent_as_answers_come, 0),                 \
--- a/src/test_scheduler/test_unreachable.c
+++ b/src/test_scheduler/test_unreachable.c
@@ -45,6 +45,29 @@
 	assert_true(passed_ms >= lease_ms * 100 / 98);
 }
 
+/*
+ * Guards against a task that crashes upstreams without end while no list of hosts
+ * is to be had: their addresses answer for others, and only leases end its runs.
+ */
+void a_crash_without_a_list_counts_once_the_lease_has_lapsed(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t lease_ms;
+
+	(void)start_and_lose_sight(fixture, WWH_REACH_OTHER_ANSWERS, &lease_ms);
+	assert_non_null(strstr(fixture->events->str, "termination=crash"));
+}
+
+/* Guards against a sound job that fails as a link refuses connections twice. */
+void a_refused_upstream_is_no_crash_once_its_lease_has_lapsed(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t lease_ms;
+
+	(void)start_and_lose_sight(fixture, WWH_REACH_REFUSED, &lease_ms);
+	assert_null(strstr(fixture->events->str, "termination=crash"));
+}
+
 /* Guards against tasks that wait for a lease although the list shows the end. */
 void a_list_is_awaited_only_while_runs_are_in_doubt(void **state)
 {
