--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -4,7 +4,7 @@
 /*
  * State and functions shared by the scheduler's modules: scheduler,
  * scheduler_advice, scheduler_age, scheduler_backlog, scheduler_check,
- * scheduler_choose, scheduler_cordon, scheduler_demand,
+ * scheduler_choose, scheduler_cordon, scheduler_demand, scheduler_ending,
  * scheduler_incarnation, scheduler_inherited_start, scheduler_isolation,
  * scheduler_job, scheduler_loss, scheduler_lost, scheduler_pace,
  * scheduler_place, scheduler_poll, scheduler_progress, scheduler_quota,
@@ -761,6 +761,12 @@
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
+/*
+ * Removes the upstream if its end is known, and loses its tasks if its lease has
+ * lapsed. Returns whether it was removed, or is about to be.
+ */
+bool sched_upstream_end_if_over(wwh_scheduler_t *scheduler,
+				sched_upstream_t *upstream);
 bool sched_upstream_awaits_final_report(const wwh_scheduler_t *scheduler,
 					const sched_upstream_t *upstream);
 
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -48,11 +48,6 @@
 			    int64_t sent_ms);
 static void stop_hung_tasks(wwh_scheduler_t *scheduler,
 			    sched_upstream_t *upstream);
-static wwh_termination_t termination_at_lapse(const sched_upstream_t *upstream);
-static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
-				 const sched_upstream_t *upstream);
-static bool is_unlisted(const wwh_scheduler_t *scheduler,
-			const sched_upstream_t *upstream);
 static void run_upstream(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 
@@ -522,80 +517,10 @@
 	}
 }
 
-/*
- * Its tasks are over by now in any case. An upstream whose address answers for
- * another one, and of which no list has shown the end, most likely crashed.
- */
-static wwh_termination_t termination_at_lapse(const sched_upstream_t *upstream)
-{
-	return upstream->reach == WWH_REACH_OTHER_ANSWERS
-		       ? WWH_TERMINATION_CRASH
-		       : WWH_TERMINATION_UNKNOWN;
-}
-
-/* Nothing runs there, and whatever ran may have crashed it. */
-static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
-				 const sched_upstream_t *upstream)
-{
-	return upstream->reach == WWH_REACH_OTHER_ANSWERS &&
-	       upstream->tasks->len == 0 &&
-	       sched_lease_left_ms(scheduler, upstream) == 0;
-}
-
-/*
- * Returns whether the registry lacks an upstream that runs nothing. Starts are held
- * while the registry hasn't been read, by a new holder or as the store is away. One
- * that hasn't answered and isn't inherited never got a start.
- */
-static bool is_unlisted(const wwh_scheduler_t *scheduler,
-			const sched_upstream_t *upstream)
-{
-	return !upstream->listed && !scheduler->starts_held &&
-	       (upstream->settled || !upstream->inherited) &&
-	       upstream->tasks->len == 0 && upstream->orphans == 0;
-}
-
 static void run_upstream(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
-	int64_t now_ms = scheduler->now_ms;
-
-	if (upstream->termination_reason != NULL) {
-		if (!sched_upstream_awaits_final_report(scheduler, upstream))
-			sched_upstream_remove(scheduler, upstream,
-					      upstream->termination,
-					      upstream->termination_reason);
-		return;
-	}
-	if (upstream->inherited && !upstream->settled &&
-	    sched_lease_left_ms(scheduler, upstream) == 0) {
-		sched_upstream_remove(scheduler, upstream,
-				      termination_at_lapse(upstream),
-				      "lease-lapsed");
+	if (sched_upstream_end_if_over(scheduler, upstream))
 		return;
-	}
-	if (upstream->lease_end_ms != 0 && now_ms >= upstream->lease_end_ms &&
-	    !upstream->lease_end_handled) {
-		upstream->lease_end_handled = true;
-		sched_upstream_lose_tasks(scheduler, upstream,
-					  termination_at_lapse(upstream),
-					  "lease-lapsed");
-		if (!upstream->listed) {
-			sched_upstream_remove(scheduler, upstream,
-					      WWH_TERMINATION_UNKNOWN,
-					      "lapsed");
-			return;
-		}
-	}
-	if (has_lost_its_address(scheduler, upstream)) {
-		sched_upstream_remove(scheduler, upstream,
-				      WWH_TERMINATION_CRASH, "restarted");
-		return;
-	}
-	if (is_unlisted(scheduler, upstream)) {
-		sched_upstream_remove(scheduler, upstream,
-				      WWH_TERMINATION_UNKNOWN, "unlisted");
-		return;
-	}
 	sched_orders_repeat(scheduler, upstream);
 	sched_isolation_update(upstream);
 	if (upstream->settled)
