--- a/src/test_soak/soak_orders.c
+++ b/src/test_soak/soak_orders.c
@@ -228,7 +228,7 @@
 		    " of %s begins (token %" G_GINT64_FORMAT ")",
 		    entry->incarnation, run, task, upstream->token);
 	soak_check_start(entry);
-	if (soak.options.plant == SOAK_PLANT_EARLY_END && upstream->index == 0)
+	if (soak.options.plant == SOAK_PLANT_EARLY_END)
 		list_end_early(upstream, entry);
 	if (soak.options.plant == SOAK_PLANT_FOREIGN_RUN &&
 	    upstream->index == 0 && run > 0)
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -60,7 +60,8 @@
 {
 	soak_active_t *active = g_ptr_array_index(upstream->active, index);
 	soak_run_t *run = active->entry;
-	bool is_planted = upstream->index == 0 && strcmp(how, "done") == 0;
+	bool is_planted =
+		upstream->index < SOAK_POOLS && strcmp(how, "done") == 0;
 	bool loses = is_planted && soak.options.plant == SOAK_PLANT_LOST_END;
 	bool lies = is_planted && soak.options.plant == SOAK_PLANT_FALSE_END;
 
