--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -322,7 +322,7 @@
 	{ "store-late-appends", soak_defer_appends },
 	{ "store-deals-anew", soak_group_deal_anew },
 	{ "entries-expire", soak_expire_entries },
-	{ "power", soak_cut_power },
+	{ "power", soak_cut_power, .by_name_only = true },
 	{ "hosts-late", soak_delay_host_lists },
 	{ "hosts-stale", soak_age_host_lists, .by_name_only = true },
 	{ "hosts-short", soak_shorten_host_lists, .by_name_only = true },
