--- a/src/test_soak/soak.c
+++ b/src/test_soak/soak.c
@@ -47,6 +47,33 @@
 	return false;
 }
 
+/* Returns the exit status. */
+static int run(const soak_options_t *options, const char *record_path)
+{
+	int64_t end_ms = LEAD_MS + options->seconds * 1000;
+
+	soak_init(options, record_path);
+	soak_store_start();
+	soak_hosts_start();
+	soak_gangs_start();
+	soak_upstreams_start();
+	if (!soak_faults_start())
+		return 2;
+	soak_processes_start();
+	soak_after(LEAD_MS, start_traffic, NULL);
+	soak_after(end_ms, end_traffic, NULL);
+	soak_after(end_ms + options->finish_s * 1000, finish, NULL);
+	soak_loop();
+	soak_processes_end();
+	soak_record("seed %d: %d promises broken", options->seed, soak.broken);
+	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken%s\n",
+	       options->seed, options->processes, options->upstreams,
+	       options->seconds, soak.broken, soak_broken_rules());
+	/* the sanitizers' check of leaks may end the process before that */
+	fflush(stdout);
+	return soak.broken > 0 ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
 	static soak_options_t options = {
@@ -109,25 +136,5 @@
 		fprintf(stderr, "soak: numbers have to be positive\n");
 		return 2;
 	}
-	soak_init(&options, record_path);
-	soak_store_start();
-	soak_hosts_start();
-	soak_gangs_start();
-	soak_upstreams_start();
-	if (!soak_faults_start())
-		return 2;
-	soak_processes_start();
-	soak_after(LEAD_MS, start_traffic, NULL);
-	soak_after(LEAD_MS + options.seconds * 1000, end_traffic, NULL);
-	soak_after(LEAD_MS + (options.seconds + options.finish_s) * 1000,
-		   finish, NULL);
-	soak_loop();
-	soak_processes_end();
-	soak_record("seed %d: %d promises broken", options.seed, soak.broken);
-	printf("soak: seed %d, %d processes, %d upstreams, %d s: %d broken%s\n",
-	       options.seed, options.processes, options.upstreams,
-	       options.seconds, soak.broken, soak_broken_rules());
-	/* the sanitizers' check of leaks may end the process before that */
-	fflush(stdout);
-	return soak.broken > 0 ? 1 : 0;
+	return run(&options, record_path);
 }
