upstream_evidence: a host that is down without an id ends only what is refused

A host whose upstream had crashed in silence was listed as down, without an id; its runs were taken for ended and started elsewhere while starts were still on their way to it, for up to a second. It started again under its id meanwhile, and these began there.

Now it ends an upstream only if its address refuses connections or answers for another one, so that no call can be waiting there.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -460,6 +460,9 @@
  */
 bool wwh_scheduler_awaits_host_list(const wwh_scheduler_t *scheduler,
 				    int64_t listed_ms);
+/* Whether its address refuses connections or answers for another one. */
+bool wwh_scheduler_upstream_is_doubted(const wwh_scheduler_t *scheduler,
+				       const char *id);
 /* Whether an answer of the upstream to a poll has arrived after since_ms. */
 bool wwh_scheduler_upstream_answered_since(const wwh_scheduler_t *scheduler,
 					   const char *id, int64_t since_ms);
--- a/include/waxwinghollow/upstream_evidence.h
+++ b/include/waxwinghollow/upstream_evidence.h
@@ -74,6 +74,7 @@
 typedef struct {
 	bool taken_down; /* it is moving or in upkeep */
 	bool is_off; /* it is down, or rests */
+	bool unreachable; /* the upstream is, by wwh_reach_doubts_upstream */
 	const char *incarnation; /* that it runs; "" or NULL: none is named */
 } wwh_host_row_t;
 
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -308,6 +308,10 @@
 		.taken_down = is_taken_down(listed),
 		.is_off = listed->state == WWH_HOST_DOWN ||
 			  is_at_rest(duties, listed),
+		.unreachable =
+			host->upstream != NULL &&
+			wwh_scheduler_upstream_is_doubted(
+				duties->options.scheduler, host->upstream),
 		.incarnation = listed->upstream,
 	};
 
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -505,6 +505,14 @@
 	       sched_count_unsettled(scheduler) > 0;
 }
 
+bool wwh_scheduler_upstream_is_doubted(const wwh_scheduler_t *scheduler,
+				       const char *id)
+{
+	const sched_upstream_t *upstream = sched_upstream_find(scheduler, id);
+
+	return upstream != NULL && wwh_reach_doubts_upstream(upstream->reach);
+}
+
 bool wwh_scheduler_upstream_answered_since(const wwh_scheduler_t *scheduler,
 					   const char *id, int64_t since_ms)
 {
--- a/src/libwaxwinghollow/upstream_evidence.c
+++ b/src/libwaxwinghollow/upstream_evidence.c
@@ -39,5 +39,8 @@
 
 	if (row->taken_down)
 		return true;
-	return is_named ? strcmp(row->incarnation, upstream) != 0 : row->is_off;
+	if (is_named)
+		return strcmp(row->incarnation, upstream) != 0;
+	/* a start that is on its way to one that is silent may arrive yet */
+	return row->is_off && (row->incarnation != NULL || row->unreachable);
 }
--- a/src/test_upstream_evidence/test_upstream_evidence.c
+++ b/src/test_upstream_evidence/test_upstream_evidence.c
@@ -49,16 +49,17 @@
 static void a_row_ends_only_the_incarnation_that_it_lacks(void **state)
 {
 	static const row_case_t cases[] = {
-		{ { false, false, "u1" }, false },
-		{ { false, true, "u1" }, false },
-		{ { false, false, "u2" }, true },
-		{ { false, true, "u2" }, true },
-		{ { false, false, "" }, false },
-		{ { false, false, NULL }, false },
-		{ { false, true, "" }, true },
-		{ { false, true, NULL }, true },
-		{ { true, false, "u1" }, true },
-		{ { true, false, NULL }, true },
+		{ { false, false, true, "u1" }, false },
+		{ { false, true, true, "u1" }, false },
+		{ { false, false, false, "u2" }, true },
+		{ { false, true, false, "u2" }, true },
+		{ { false, false, true, "" }, false },
+		{ { false, false, true, NULL }, false },
+		{ { false, true, false, "" }, true },
+		{ { false, true, false, NULL }, false },
+		{ { false, true, true, NULL }, true },
+		{ { true, false, false, "u1" }, true },
+		{ { true, false, false, NULL }, true },
 	};
 
 	(void)state;
