scheduler: an adopted task that fails waits for its pool

Cause, from the processes' logs: run 2002 failed at i-; the holder knew, its append was late, and it handed over. The next one adopted run 2003, which failed, and started the task again 0.27 s after the takeover, while i-, which still listed the failure, hadn't answered (pool settled after 1,869 ms): adopting a run had ended the wait for the pool. An earlier run can't have succeeded or go on, but may have failed. Lasting tasks have no such limit and don't wait.

Measured: test_scheduler an_adopted_task_that_fails_waits_for_its_pool fails before (test_first_answers.c:108), 176 of 176 pass.

--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -477,11 +477,12 @@
 
 static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
+	if ((task->inherited || task->awaits_failures) &&
+	    !sched_pool_is_settled(scheduler,
+				   task->step->occurrence->job->pool))
+		return false;
+	task->awaits_failures = false;
 	if (task->inherited) {
-		/* it may run at an upstream that hasn't answered yet */
-		if (!sched_pool_is_settled(scheduler,
-					   task->step->occurrence->job->pool))
-			return false;
 		task->inherited = false;
 		sched_inherited_task_settled(scheduler, task);
 	}
--- a/src/test_scheduler/test_first_answers.c
+++ b/src/test_scheduler/test_first_answers.c
@@ -75,3 +75,40 @@
 	}
 	assert_true(passed_ms >= lease_ms);
 }
+
+/*
+ * Guards against more runs than a queue allows: the failure of an earlier run is at
+ * an upstream that hasn't answered the new holder, and a later run fails meanwhile.
+ */
+void an_adopted_task_that_fails_waits_for_its_pool(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+	wwh_running_task_t row;
+	wwh_ended_task_t ended;
+	guint before;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_make_durable(fixture);
+	sched_fixture_take_over(fixture);
+	sched_fixture_announce(fixture, "u1", ENDPOINT_1, false);
+	sched_fixture_announce(fixture, "u2", ENDPOINT_2, false);
+	sched_fixture_run(fixture, 50);
+	row = sched_fixture_running_row(&order, 10);
+	sched_fixture_answer_poll(fixture, order.upstream, &row, 1, NULL, 0);
+	sched_fixture_run(fixture, 50);
+	before = fixture->starts->len;
+	ended = sched_fixture_ended_row(&order, 1, WWH_END_FAILED);
+	sched_fixture_answer_poll(fixture, order.upstream, NULL, 0, &ended, 1);
+	sched_fixture_run(fixture, 300);
+	sched_fixture_make_durable(fixture);
+	sched_fixture_run(fixture, 300);
+	assert_int_equal(fixture->starts->len, before);
+	sched_fixture_answer_poll(
+		fixture, strcmp(order.upstream, "u1") == 0 ? "u2" : "u1", NULL,
+		0, NULL, 0);
+	sched_fixture_run(fixture, 300);
+	assert_int_equal(fixture->starts->len, before + 1);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -139,11 +139,14 @@
 
 #define FIRST_ANSWER_TESTS                                                              \
 	FIXTURE_TEST(a_truncated_first_answer_settles_no_upstream, 1),                  \
+		FIXTURE_TEST(an_adopted_task_that_fails_waits_for_its_pool,             \
+			     2),                                                        \
 		FIXTURE_TEST(                                                           \
 			an_upstream_without_a_complete_answer_is_awaited_for_its_lease, \
 			1)
 
 void a_truncated_first_answer_settles_no_upstream(void **state);
+void an_adopted_task_that_fails_waits_for_its_pool(void **state);
 void an_upstream_without_a_complete_answer_is_awaited_for_its_lease(
 	void **state);
 
