job_holder, scheduler: log what a holder knew as it lost the shard or a lease lapsed

Cause: shard-lost had only its reason, and a lapse only the age of the last answer. So a record couldn't tell a holder that acts on after it was overtaken (its claim isn't confirmed any more) from one whose lease was reckoned wrongly.

Change: lease-lapsed, claim-unconfirmed and claim-confirmed are new; shard-lost has how long ago the claim was confirmed, a start was ordered and a lease was extended. No decision is changed.

Result: test_scheduler, test_job_holder, test_shard_claim and test_shard_journal pass.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -113,6 +113,13 @@
 void wwh_job_holder_run(wwh_job_holder_t *holder, int64_t now_ms,
 			int64_t wall_ms, bool suspended);
 
+/*
+ * Logs that the shard is lost, and how long ago the holder last knew that it
+ * held the shard, ordered a start and extended a lease.
+ */
+void wwh_job_holder_log_loss(const wwh_job_holder_t *holder, const char *why,
+			     int64_t now_ms);
+
 /*
  * overloaded: the caller's event loop can't keep up. Unanswered calls are then
  * no sign of a failure of the receiver, as the holder may read answers late.
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -269,6 +269,17 @@
 				   const char *workspace,
 				   const wwh_load_t *limit, int64_t weight);
 
+/*
+ * The claim of this holder was confirmed by an append that was sent at
+ * confirmed_ms: no other one had claimed the shard by then. A holder that never
+ * calls this counts as confirmed at any time.
+ */
+void wwh_scheduler_set_confirmed(wwh_scheduler_t *scheduler,
+				 int64_t confirmed_ms);
+
+/* When a lease was last extended; 0: never. */
+int64_t wwh_scheduler_extended_ms(const wwh_scheduler_t *scheduler);
+
 /*
  * While starts are held, no task is started, because the state of the upstreams
  * is too old. All other work continues.
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -45,6 +45,11 @@
 	int64_t wall_ms;
 	int64_t durable_record;
 	int64_t unconfirmed_since_ms; /* 0: confirmed, may give orders */
+	int64_t held_since_ms;
+	int64_t claimed_ms; /* when the claim was last confirmed */
+	int64_t started_ms; /* when a start was last ordered; 0: never */
+	bool claim_is_stale; /* logged as not confirmed for some time */
+	int64_t starts_when_stale; /* ordered until then */
 	int64_t duties_after_ms;
 	int64_t flush_after_ms;
 	char *list_page_token;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -263,6 +263,7 @@
 	int64_t born_ms; /* of its incarnation, as last reported; 0: unknown */
 	int64_t born_learned_ms; /* when an answer first reported born_ms */
 	int64_t lease_until_remote_ms; /* the latest that was ever sent */
+	int64_t extended_ms; /* when this was last extended; 0: never */
 	int64_t lease_end_ms; /* it has certainly lapsed then; 0: no lease */
 	bool lease_end_handled;
 	int64_t ends_received; /* highest end number received */
@@ -380,6 +381,9 @@
 	int64_t newest_record;
 	int64_t durable_record;
 	int64_t durable_ms; /* when durable_record last increased */
+	/* No other holder had claimed the shard by then. */
+	int64_t confirmed_ms;
+	int64_t extended_ms; /* when a lease was last extended; 0: never */
 	int64_t next_expiry_ms;
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts;
@@ -448,13 +452,16 @@
  * Extends upstream's lease and returns its end by the upstream's clock; 0: that
  * clock isn't known yet.
  */
-int64_t sched_lease_extend(const wwh_scheduler_t *scheduler,
+int64_t sched_lease_extend(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream);
 /* Assumes the longest lease that the upstream may have granted by remote_ms. */
 void sched_lease_assume_longest(const wwh_scheduler_t *scheduler,
 				sched_upstream_t *upstream, int64_t remote_ms);
 /* Called when a newer reading of upstream's clock has arrived. */
 void sched_lease_recompute(sched_upstream_t *upstream);
+/* Logs what is known as upstream's lease counts as lapsed. */
+void sched_lease_explain_lapse(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream);
 /* Until what runs there has surely ended without further polls; 0: it has. */
 int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -88,6 +88,7 @@
 static bool orders_allowed(wwh_job_holder_t *holder, bool suspended);
 static bool claim_confirmed_within(const wwh_job_holder_t *holder,
 				   int64_t now_ms, int64_t limit_ms);
+static void update_confirmation(wwh_job_holder_t *holder);
 static void flush(wwh_job_holder_t *holder);
 static void update_counters(wwh_job_holder_t *holder);
 
@@ -110,6 +111,8 @@
 	holder->options = *options;
 	holder->references = 1;
 	holder->now_ms = options->clock_ms();
+	holder->held_since_ms = holder->now_ms;
+	holder->claimed_ms = holder->now_ms;
 	holder->wall_ms = options->wall_ms;
 	holder->waiters = g_queue_new();
 	holder->advice = g_queue_new();
@@ -214,6 +217,7 @@
 		return;
 	wwh_store_follower_run(holder->upstreams, now_ms);
 	may_order = orders_allowed(holder, suspended);
+	update_confirmation(holder);
 	if (may_order) {
 		job_holder_hold_starts(holder);
 		wwh_scheduler_run(holder->scheduler, now_ms, wall_ms);
@@ -230,6 +234,35 @@
 	job_holder_refuse_unsent(holder);
 }
 
+/*
+ * Others can't have claimed the shard before the newest append that succeeded was
+ * sent. The claim itself succeeded before this holder was made.
+ */
+static void update_confirmation(wwh_job_holder_t *holder)
+{
+	int64_t starts = wwh_counter_value(holder->starts);
+	bool is_stale;
+
+	holder->claimed_ms =
+		MAX(holder->claimed_ms,
+		    wwh_shard_journal_confirmed_ms(holder->journal));
+	wwh_scheduler_set_confirmed(holder->scheduler, holder->claimed_ms);
+	is_stale =
+		holder->now_ms - holder->claimed_ms > WWH_OVERTAKEN_HOLDER_MS;
+	if (is_stale == holder->claim_is_stale)
+		return;
+	holder->claim_is_stale = is_stale;
+	if (is_stale)
+		holder->starts_when_stale = starts;
+	wwh_event_log_printf(
+		holder->options.log,
+		is_stale ? "claim-unconfirmed" : "claim-confirmed", "shard",
+		"epoch=%" G_GINT64_FORMAT " confirmed_ms_ago=%" G_GINT64_FORMAT
+		" starts_meanwhile=%" G_GINT64_FORMAT,
+		holder->options.epoch, holder->now_ms - holder->claimed_ms,
+		starts - holder->starts_when_stale);
+}
+
 static void update_counters(wwh_job_holder_t *holder)
 {
 	wwh_scheduler_counts_t counts = wwh_scheduler_counts(holder->scheduler);
@@ -256,6 +289,25 @@
 	holder->counted = counts;
 }
 
+static int64_t ms_ago(int64_t now_ms, int64_t ms)
+{
+	return ms == 0 ? -1 : now_ms - ms;
+}
+
+void wwh_job_holder_log_loss(const wwh_job_holder_t *holder, const char *why,
+			     int64_t now_ms)
+{
+	wwh_event_log_printf(
+		holder->options.log, "shard-lost", "shard",
+		"why=%s epoch=%" G_GINT64_FORMAT " held_ms=%" G_GINT64_FORMAT
+		" confirmed_ms_ago=%" G_GINT64_FORMAT
+		" started_ms_ago=%" G_GINT64_FORMAT
+		" extended_ms_ago=%" G_GINT64_FORMAT,
+		why, holder->options.epoch, now_ms - holder->held_since_ms,
+		now_ms - holder->claimed_ms, ms_ago(now_ms, holder->started_ms),
+		ms_ago(now_ms, wwh_scheduler_extended_ms(holder->scheduler)));
+}
+
 void wwh_job_holder_set_overloaded(wwh_job_holder_t *holder, bool overloaded)
 {
 	holder->overloaded = overloaded;
--- a/src/libwaxwinghollow/job_holder_orders.c
+++ b/src/libwaxwinghollow/job_holder_orders.c
@@ -51,6 +51,7 @@
 	call->send_timeout_ms =
 		MAX(holder->starts_allowed_until_ms - holder->now_ms, 1);
 	wwh_counter_add(holder->starts, 1);
+	holder->started_ms = holder->now_ms;
 	job_holder_send(
 		holder, call, on_started,
 		order_new(holder, order->upstream, order->task, order->run));
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -247,8 +247,7 @@
 {
 	if (service->holder == NULL)
 		return false;
-	wwh_event_log_printf(service->log, "shard-lost", "shard", "why=%s",
-			     why);
+	wwh_job_holder_log_loss(service->holder, why, job_service_now_ms());
 	service->detached_holder = g_steal_pointer(&service->holder);
 	return true;
 }
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -113,6 +113,7 @@
 
 	scheduler->options = *options;
 	scheduler->callbacks = *callbacks;
+	scheduler->confirmed_ms = G_MAXINT64;
 	/* the chart is compiled in, so every test would find a fault in it */
 	if (wwh_chart_load("task", &table, &scheduler->task_chart, &message) !=
 	    WWH_STATUS_OK)
@@ -488,6 +489,17 @@
 	sched_jobs_expire(scheduler);
 }
 
+void wwh_scheduler_set_confirmed(wwh_scheduler_t *scheduler,
+				 int64_t confirmed_ms)
+{
+	scheduler->confirmed_ms = confirmed_ms;
+}
+
+int64_t wwh_scheduler_extended_ms(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->extended_ms;
+}
+
 void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held)
 {
 	scheduler->starts_held = held;
--- a/src/libwaxwinghollow/scheduler_ending.c
+++ b/src/libwaxwinghollow/scheduler_ending.c
@@ -39,6 +39,7 @@
 	if (upstream->inherited && !upstream->settled) {
 		if (sched_lease_left_ms(scheduler, upstream) > 0)
 			return false;
+		sched_lease_explain_lapse(scheduler, upstream);
 		sched_upstream_remove(scheduler, upstream,
 				      termination_at_lapse(upstream),
 				      "lease-lapsed");
@@ -49,6 +50,8 @@
 	    upstream->lease_end_handled)
 		return false;
 	upstream->lease_end_handled = true;
+	if (upstream->tasks->len > 0)
+		sched_lease_explain_lapse(scheduler, upstream);
 	sched_upstream_lose_tasks(scheduler, upstream,
 				  termination_at_lapse(upstream),
 				  "lease-lapsed");
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -224,7 +224,7 @@
  * A lease counts from the moment it was requested, because the order may arrive
  * late. A later request never shortens it.
  */
-int64_t sched_lease_extend(const wwh_scheduler_t *scheduler,
+int64_t sched_lease_extend(wwh_scheduler_t *scheduler,
 			   sched_upstream_t *upstream)
 {
 	int64_t lease_ms = MIN(sched_lease_requested_ms(scheduler),
@@ -237,10 +237,34 @@
 		    upstream->clock_base_ms;
 	upstream->lease_until_remote_ms =
 		MAX(upstream->lease_until_remote_ms, remote_ms + lease_ms);
+	upstream->extended_ms = scheduler->now_ms;
+	scheduler->extended_ms = scheduler->now_ms;
 	sched_lease_recompute(upstream);
 	return upstream->lease_until_remote_ms;
 }
 
+static int64_t ms_ago(const wwh_scheduler_t *scheduler, int64_t ms)
+{
+	return ms == 0 ? -1 : scheduler->now_ms - ms;
+}
+
+void sched_lease_explain_lapse(const wwh_scheduler_t *scheduler,
+			       const sched_upstream_t *upstream)
+{
+	sched_explain(scheduler, "lease-lapsed", upstream->info.id,
+		      "tasks=%u inherited=%d settled=%d"
+		      " last_answer_ms_ago=%" G_GINT64_FORMAT
+		      " extended_ms_ago=%" G_GINT64_FORMAT
+		      " confirmed_ms_ago=%" G_GINT64_FORMAT
+		      " taken_over_ms_ago=%" G_GINT64_FORMAT,
+		      upstream->tasks->len, upstream->inherited,
+		      upstream->settled,
+		      sched_upstream_last_answer_ms_ago(scheduler, upstream),
+		      ms_ago(scheduler, upstream->extended_ms),
+		      MAX(scheduler->now_ms - scheduler->confirmed_ms, 0),
+		      scheduler->now_ms - scheduler->taken_over_ms);
+}
+
 /*
  * A previous holder may have requested a longer lease than this one does. An
  * upstream that answers once and then becomes unreachable runs its tasks until
