soak: partitions of the holder, with links between the processes

The soak couldn't show it: processes reached each other directly, and cuts of links were drawn one by one, so that one's end undid another's.

Change: each process reaches each other one through a proxy of its own, as the store translates the holder's notice for its reader. The fault `partition` cuts the holder, alone or with its zone, from the store and from the other processes; it keeps a share of the upstreams, which later holders don't reach, and they reach the rest. Its links are pinned: other faults don't change them. One begins after another, each of the holder of then. `partition-store-away`: the store is away for all for some seconds besides. The checks of calm know how long a partition lasts. Both are drawn by name only, since they break a promise.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -258,6 +258,7 @@
 	int hosts_port;
 	int64_t store_delay_ms;
 	bool store_refuses; /* all calls, with 503 */
+	bool store_away; /* so it does, for as long as a partition says */
 	double store_loses; /* probability that an answer is lost */
 	double store_defers; /* probability that an append is done late */
 	uint32_t store_parts_down; /* a bit for each partition that refuses */
@@ -293,6 +294,8 @@
 			   void (*serve)(struct evhttp_request *, void *),
 			   void *data);
 int soak_free_port(void);
+/* At which request arrived; 0: its connection is closed. */
+int soak_port_of(struct evhttp_request *request);
 bool soak_is_listening(int port);
 void soak_answer(struct evhttp_request *request, int32_t status,
 		 const char *text, int64_t delay_ms);
@@ -311,11 +314,16 @@
 /* Not for SOAK_LINK_REFUSED, unless it concerns all. */
 void soak_proxy_set_link_for(soak_proxy_t *proxy, soak_link_t link,
 			     soak_callers_t callers, int64_t token);
+/* Until it is unpinned, other calls that set a link have no effect. */
+void soak_proxy_pin(soak_proxy_t *proxy, soak_link_t link,
+		    soak_callers_t callers, int64_t token);
+void soak_proxy_unpin(soak_proxy_t *proxy);
 /* New connections go there; resets: the open ones are reset. */
 void soak_proxy_set_target(soak_proxy_t *proxy, int target_port, bool resets);
 
 /* soak_store.c: the log */
 void soak_store_start(void);
+bool soak_store_is_down(void);
 /* value NULL: the key is dropped */
 void soak_store_put(const char *topic, const char *key, const char *value);
 /* The log forgets all records but the newest of each key. */
@@ -388,6 +396,17 @@
 soak_process_t *soak_process_holder(void); /* NULL: none is known */
 void soak_processes_end(void);
 
+/* soak_peers.c: links between the processes */
+void soak_peers_start(void);
+soak_proxy_t *soak_peer_link(const soak_process_t *caller,
+			     const soak_process_t *callee);
+/*
+ * A record of the store as the sender of request reads it: the notice has the
+ * address of its link to the holder. Free with g_bytes_unref; value may be NULL.
+ */
+GBytes *soak_peer_view(struct evhttp_request *request, const char *key,
+		       GBytes *value);
+
 /* soak_client.c */
 void soak_clients_start(void);
 void soak_clients_stop_submitting(void);
@@ -413,6 +432,8 @@
 /* soak_calm.c */
 /* Called as a fault begins. */
 void soak_calm_note_fault(const char *name);
+/* What was begun lasts at least ms from now. */
+void soak_calm_note_length(int64_t ms);
 /* No process, link of one or store was disturbed for SOAK_CONTACT_MS. */
 bool soak_in_touch(void);
 /* Nor was anything else for ms, but by new settings and configurations. */
@@ -448,6 +469,11 @@
 void soak_cut_some_callers(void);
 void soak_overtake_holder(void);
 
+/* soak_partition.c: processes that are cut off as a whole */
+void soak_partition_begin(void);
+void soak_partition_begin_without_store(void);
+void soak_partition_end(void);
+
 /* soak_platform_faults.c */
 void soak_reject_some_at_store(void);
 void soak_refuse_some_partitions(void);
--- a/src/test_soak/soak_calm.c
+++ b/src/test_soak/soak_calm.c
@@ -4,12 +4,13 @@
  */
 #include "soak.h"
 
-/* At least as long as any fault lasts. */
+/* At least as long as any fault lasts that doesn't note its length. */
 #define FAULT_MAX_MS 10000
 
-/* When the last fault of each sort began; -1: none. */
-static int64_t disturbed_ms = -1; /* of processes, their links, the store */
-static int64_t upstream_disturbed_ms = -1;
+/* Until when the faults of each sort last at most; -1: there was none. */
+static int64_t processes_until_ms =
+	-1; /* of processes, their links, the store */
+static int64_t upstreams_until_ms = -1;
 
 static const char *const of_upstreams[] = {
 	"upstream-restart",
@@ -29,23 +30,28 @@
 void soak_calm_note_fault(const char *name)
 {
 	if (g_strv_contains(of_upstreams, name))
-		upstream_disturbed_ms = soak_now_ms();
+		upstreams_until_ms = soak_now_ms() + FAULT_MAX_MS;
 	else if (!g_strv_contains(harmless, name))
-		disturbed_ms = soak_now_ms();
+		soak_calm_note_length(FAULT_MAX_MS);
 }
 
-static bool is_over_for(int64_t begun_ms, int64_t ms)
+void soak_calm_note_length(int64_t ms)
 {
-	return begun_ms < 0 || soak_now_ms() - begun_ms > FAULT_MAX_MS + ms;
+	processes_until_ms = MAX(processes_until_ms, soak_now_ms() + ms);
+}
+
+static bool is_over_for(int64_t until_ms, int64_t ms)
+{
+	return until_ms < 0 || soak_now_ms() - until_ms > ms;
 }
 
 bool soak_in_touch(void)
 {
-	return is_over_for(disturbed_ms, SOAK_CONTACT_MS);
+	return is_over_for(processes_until_ms, SOAK_CONTACT_MS);
 }
 
 bool soak_is_calm_for(int64_t ms)
 {
-	return is_over_for(disturbed_ms, ms) &&
-	       is_over_for(upstream_disturbed_ms, ms);
+	return is_over_for(processes_until_ms, ms) &&
+	       is_over_for(upstreams_until_ms, ms);
 }
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -332,6 +332,9 @@
 	{ "duties-lost", soak_lose_answers_to_duties },
 	{ "links-of-some", soak_cut_some_callers },
 	{ "holder-overtaken", soak_overtake_holder },
+	{ "partition", soak_partition_begin, .by_name_only = true },
+	{ "partition-store-away", soak_partition_begin_without_store,
+	  .by_name_only = true },
 	{ "upstream-moves", soak_move_addresses },
 	{ "upstream-hangs", soak_hang_upstreams },
 	{ "upstream-rejects", soak_reject_at_upstreams },
@@ -411,4 +414,5 @@
 void soak_faults_stop(void)
 {
 	enabled = false;
+	soak_partition_end();
 }
--- a/src/test_soak/soak_group.c
+++ b/src/test_soak/soak_group.c
@@ -109,7 +109,7 @@
 {
 	(void)data;
 	/* times pause while the store is down */
-	if (soak.store_refuses ||
+	if (soak_store_is_down() ||
 	    g_hash_table_foreach_remove(members, is_silent, NULL) == 0)
 		return;
 	generation++;
--- a/src/test_soak/soak_http.c
+++ b/src/test_soak/soak_http.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -105,6 +106,21 @@
 	exit(2);
 }
 
+int soak_port_of(struct evhttp_request *request)
+{
+	struct evhttp_connection *connection =
+		evhttp_request_get_connection(request);
+	struct sockaddr_in address = { 0 };
+	socklen_t size = sizeof(address);
+
+	if (connection == NULL)
+		return 0;
+	(void)getsockname(bufferevent_getfd(evhttp_connection_get_bufferevent(
+				  connection)),
+			  (struct sockaddr *)&address, &size);
+	return ntohs(address.sin_port);
+}
+
 static void send_late(void *data)
 {
 	late_answer_t *late = data;
--- a/src/test_soak/soak_process.c
+++ b/src/test_soak/soak_process.c
@@ -215,8 +215,10 @@
 		process->connections = g_ptr_array_new();
 		soak_store_listen_for(process);
 		process->store_proxy = soak_proxy_new(process->store_port);
-		soak_process_start(process);
 	}
+	soak_peers_start();
+	for (int32_t i = 0; i < soak.options.processes; i++)
+		soak_process_start(&soak.processes[i]);
 	soak_every(REAP_INTERVAL_MS, reap, NULL);
 	if (soak.options.plant == SOAK_PLANT_ABORT)
 		soak_after(PLANTED_ABORT_MS, abort_one, &soak.processes[0]);
--- a/src/test_soak/soak_proxy.c
+++ b/src/test_soak/soak_proxy.c
@@ -27,6 +27,7 @@
 	soak_link_t link;
 	soak_callers_t callers; /* whom the link concerns */
 	int64_t token;
+	bool is_pinned; /* other links that are set have no effect */
 	GPtrArray *relays; /* relay_t */
 };
 
@@ -237,6 +238,8 @@
 {
 	/* a listener serves all callers */
 	g_assert(link != SOAK_LINK_REFUSED || callers == SOAK_CALLERS_ALL);
+	if (proxy->is_pinned)
+		return;
 	proxy->link = link;
 	proxy->callers = callers;
 	proxy->token = token;
@@ -248,6 +251,19 @@
 		update_relay(g_ptr_array_index(proxy->relays, i - 1));
 }
 
+void soak_proxy_pin(soak_proxy_t *proxy, soak_link_t link,
+		    soak_callers_t callers, int64_t token)
+{
+	soak_proxy_set_link_for(proxy, link, callers, token);
+	proxy->is_pinned = true;
+}
+
+void soak_proxy_unpin(soak_proxy_t *proxy)
+{
+	proxy->is_pinned = false;
+	soak_proxy_restore(proxy);
+}
+
 void soak_proxy_set_target(soak_proxy_t *proxy, int target_port, bool resets)
 {
 	proxy->target_port = target_port;
--- a/src/test_soak/soak_store.c
+++ b/src/test_soak/soak_store.c
@@ -77,6 +77,11 @@
 		g_tree_replace(part->newest, record->key, record);
 }
 
+bool soak_store_is_down(void)
+{
+	return soak.store_refuses || soak.store_away;
+}
+
 static void answer_read(const reader_t *reader)
 {
 	const part_t *part = reader->part;
@@ -94,11 +99,11 @@
 	for (guint i = (guint)reader->from;
 	     i < part->records->len && bytes < reader->max_bytes; i++) {
 		const record_t *record = g_ptr_array_index(part->records, i);
+		GBytes *value = soak_peer_view(reader->request, record->key,
+					       record->value);
 		gsize size = 0;
 		const void *data =
-			record->value == NULL
-				? NULL
-				: g_bytes_get_data(record->value, &size);
+			value == NULL ? NULL : g_bytes_get_data(value, &size);
 		uint8_t key_size = (uint8_t)strlen(record->key);
 		uint32_t total = GUINT32_TO_BE((uint32_t)(1 + key_size + size));
 
@@ -107,6 +112,8 @@
 		evbuffer_add(body, record->key, key_size);
 		if (size > 0)
 			evbuffer_add(body, data, size);
+		if (value != NULL)
+			g_bytes_unref(value);
 		bytes += (int64_t)(sizeof(total) + 1 + key_size + size);
 	}
 	soak_answer_bytes(reader->request, body);
@@ -117,7 +124,7 @@
 	int64_t now_ms = soak_now_ms();
 
 	(void)data;
-	if (soak.store_refuses)
+	if (soak_store_is_down())
 		return;
 	for (guint i = 0; i < readers->len;) {
 		reader_t *reader = g_ptr_array_index(readers, i);
@@ -199,8 +206,10 @@
 	for (int32_t i = 0; node != NULL && i < soak.store_page;
 	     node = g_tree_node_next(node), i++) {
 		const record_t *record = g_tree_node_value(node);
+		GBytes *seen =
+			soak_peer_view(request, record->key, record->value);
 		gsize size;
-		const guchar *data = g_bytes_get_data(record->value, &size);
+		const guchar *data = g_bytes_get_data(seen, &size);
 		char *value = g_base64_encode(data, size);
 
 		g_string_append_printf(text,
@@ -209,6 +218,7 @@
 				       i > 0 ? "," : "", record->key, value,
 				       record->offset);
 		g_free(value);
+		g_bytes_unref(seen);
 	}
 	g_string_append_printf(text, "],\"truncated\":%s,\"end\":%u}",
 			       node != NULL ? "true" : "false",
@@ -408,7 +418,7 @@
 	evhttp_parse_query_str(question == NULL ? "" : question + 1, &query);
 	topic = evhttp_find_header(&query, "topic");
 	number = evhttp_find_header(&query, "part");
-	if (soak.store_refuses || (number != NULL && is_part_down(number)))
+	if (soak_store_is_down() || (number != NULL && is_part_down(number)))
 		soak_answer(request, 503, "{}", 0);
 	else if (strcmp(path, "/waxwinghollow/log-join") == 0)
 		soak_group_join(request);
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -48,7 +48,7 @@
 		soak_upstream_rack(upstream), soak_upstream_clock_ms(upstream),
 		++upstream->sequence, soak_upstream_born_field(upstream, born));
 
-	if (!soak.store_refuses)
+	if (!soak_store_is_down())
 		soak_store_put("keyed.servers", upstream->id, text);
 	upstream->next_beat_ms = soak_now_ms() + SOAK_HEARTBEAT_MS;
 	upstream->is_listed = true;
@@ -105,7 +105,7 @@
 	if (now_ms >= upstream->isolated_until_ms) {
 		if (now_ms >= upstream->next_beat_ms)
 			announce(upstream);
-	} else if (upstream->is_listed && !soak.store_refuses &&
+	} else if (upstream->is_listed && !soak_store_is_down() &&
 		   now_ms - upstream->next_beat_ms + SOAK_HEARTBEAT_MS >=
 			   ENTRY_EXPIRY_MS) {
 		remove_entry(upstream);
@@ -123,7 +123,7 @@
 	bool lapsed;
 
 	if (!upstream->up) {
-		if (upstream->down_since_ms != 0 && !soak.store_refuses &&
+		if (upstream->down_since_ms != 0 && !soak_store_is_down() &&
 		    now_ms - upstream->down_since_ms >= ENTRY_EXPIRY_MS)
 			remove_entry(upstream);
 		return;
