shard_journal: an append that is sent again confirms the claim as of its first call

Cause: the claim counted as confirmed when the last call of an append was sent. If an earlier call had been carried out and its answer was lost, the store answers the repetition with the first result, even if another process has claimed the shard in between. So a holder could take itself for the only one at a time at which it wasn't.

Change: the time of the first call that may have been carried out counts. Calls that the store refused have done nothing and don't.

--- a/include/waxwinghollow/shard_journal.h
+++ b/include/waxwinghollow/shard_journal.h
@@ -59,8 +59,9 @@
 bool wwh_shard_journal_discard(wwh_shard_journal_t *journal, int64_t number);
 
 /*
- * Returns when the last successful append was sent; the claim was in force then.
- * Returns 0 after the journal was lost.
+ * Returns when the last successful append was sent, for the first time if it was
+ * sent again as its result was unknown; the claim was in force then. Returns 0
+ * after the journal was lost.
  */
 int64_t wwh_shard_journal_confirmed_ms(const wwh_shard_journal_t *journal);
 
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -56,6 +56,8 @@
 	int64_t next_number;
 	bool in_flight;
 	int64_t sent_ms;
+	/* Of the batch's first call that may have been carried out; 0: none. */
+	int64_t first_sent_ms;
 	int64_t sent_us; /* the same on the monotonic clock */
 	int64_t retry_ms;
 	int32_t failures;
@@ -215,6 +217,7 @@
 
 	journal->batch = g_byte_array_new();
 	journal->batch_queued_ms = first->queued_ms;
+	journal->first_sent_ms = 0;
 	journal->urgent = false;
 	while (!g_queue_is_empty(journal->waiting)) {
 		entry_t *entry = g_queue_peek_head(journal->waiting);
@@ -252,6 +255,8 @@
 	journal->in_flight = true;
 	journal->sent_us = g_get_monotonic_time();
 	journal->sent_ms = now_ms;
+	if (journal->first_sent_ms == 0)
+		journal->first_sent_ms = now_ms;
 	journal->references++;
 	wwh_http_calls_send(journal->options.calls, call, on_appended, journal);
 }
@@ -288,7 +293,7 @@
 			(g_get_monotonic_time() - journal->sent_us) /
 			G_TIME_SPAN_MILLISECOND;
 		journal->sequence++;
-		journal->confirmed_ms = journal->sent_ms;
+		journal->confirmed_ms = journal->first_sent_ms;
 		journal->options.on_durable(journal->batch_last,
 					    journal->options.client_data);
 		break;
@@ -305,6 +310,9 @@
 		schedule_retry(journal, RETRY_REJECTED_MS);
 		break;
 	default:
+		if (journal->refused &&
+		    journal->first_sent_ms == journal->sent_ms)
+			journal->first_sent_ms = 0;
 		schedule_retry(journal, (int64_t)RETRY_FIRST_MS
 						<< MIN(journal->failures, 4));
 		break;
--- a/src/test_shard_journal/test_shard_journal.c
+++ b/src/test_shard_journal/test_shard_journal.c
@@ -171,6 +171,44 @@
 	assert_true(calls_sent(fixture) <= 3);
 }
 
+/*
+ * Guards against a holder that was overtaken between two calls of one append, the
+ * first of which was carried out: the answer to the second one is that of the first.
+ */
+static void a_repeated_append_confirms_from_its_first_call(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t first_ms = fixture->now_ms;
+	int64_t record = wwh_shard_journal_append(fixture->journal, "Ja", NULL,
+						  true, fixture->now_ms);
+
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->append_delay_ms = SLOW_APPEND_MS;
+	g_mutex_unlock(&fixture->standin->lock);
+	run_for(fixture, 200);
+	assert_int_equal(fixture->durable, record);
+	assert_true(calls_sent(fixture) > 1);
+	assert_int_equal(wwh_shard_journal_confirmed_ms(fixture->journal),
+			 first_ms);
+}
+
+/* Guards against a holder that stays unconfirmed after calls that did nothing. */
+static void a_refused_append_confirms_from_the_call_after_it(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t return_ms;
+
+	set_busy(fixture, true);
+	(void)wwh_shard_journal_append(fixture->journal, "Ja", NULL, true,
+				       fixture->now_ms);
+	run_for(fixture, 1000);
+	set_busy(fixture, false);
+	return_ms = fixture->now_ms;
+	run_for(fixture, 200);
+	assert_true(wwh_shard_journal_confirmed_ms(fixture->journal) >=
+		    return_ms);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -182,6 +220,12 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(slow_store_accepts_records,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_repeated_append_confirms_from_its_first_call, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_refused_append_confirms_from_the_call_after_it,
+			set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
