scheduler: a holder starts tasks and extends leases only while no other can hold

Its successor waited for its leases from its own claim on, and then started the same tasks elsewhere.

Cause: the right to act ended when somebody told the holder, and a cut takes away exactly these voices.

Change: the right lapses by itself (scheduler_authority). A holder acts for 1.4 s after it sent the newest append that succeeded, or the polls to which more than half of the recorded upstreams answered, the latter for 15 s without the store. A successor waits for inherited leases from when more than half of the recorded upstreams have answered it, as two halves share an upstream, which has refused the holder before since; if it can't reach so many, from 15 s after its claim. It records no upstream before that. Upstreams that have started again under their id and removals that aren't durable count against the holder. While the claim isn't confirmed for 0.7 s, polls wait for 0.25 s at most.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -60,6 +60,7 @@
 	int32_t journal_part;
 	const char *producer;
 	int64_t epoch; /* of the claim; the fencing token of all orders */
+	int64_t claimed_ms; /* when the claim was sent, by clock_ms */
 	int64_t claim_count;
 	int64_t next_sequence;
 	bool previous_holder_may_act; /* it may still give orders */
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -171,10 +171,10 @@
 extern const char *const wwh_order_result_names[WWH_ORDER_RESULT_COUNT];
 
 /*
- * How long an overtaken holder may continue to give orders: until an upstream
- * that the new holder has reached refuses its next poll. A poll waits for at
- * most 1 s, the next one to an upstream that runs tasks follows within 0.25 s,
- * and 0.15 s are allowed for transmission.
+ * How long an overtaken holder may continue to give orders: until its claim was
+ * last confirmed this long ago, and so were the polls to which most upstreams have
+ * answered. A poll waits for at most 1 s, the next one to an upstream that runs
+ * tasks follows within 0.25 s, and 0.15 s are allowed for transmission.
  */
 #define WWH_OVERTAKEN_HOLDER_MS 1400
 
@@ -230,6 +230,12 @@
 	int32_t max_unanswered_starts; /* 0: no limit */
 	int64_t unavailable_after_ms;
 	int64_t holder_count; /* holders of this shard so far, with this one */
+	/*
+	 * For how long a holder whose claim isn't confirmed acts while more than
+	 * half of its recorded upstreams answer. A successor that doesn't reach
+	 * so many waits as long.
+	 */
+	int64_t unconfirmed_max_ms;
 	bool ignores_speed; /* no upstream is marked slow; for comparisons */
 } wwh_scheduler_options_t;
 
@@ -277,6 +283,18 @@
 void wwh_scheduler_set_confirmed(wwh_scheduler_t *scheduler,
 				 int64_t confirmed_ms);
 
+/*
+ * Returns until when no other holder can have acted: the claim was confirmed then,
+ * or more than half of the recorded upstreams have answered polls sent since.
+ */
+int64_t wwh_scheduler_authority_ms(wwh_scheduler_t *scheduler);
+
+/*
+ * Returns until when the previous holder may have acted, but for
+ * WWH_OVERTAKEN_HOLDER_MS in which it notices; later than now: it still may.
+ */
+int64_t wwh_scheduler_previous_until_ms(const wwh_scheduler_t *scheduler);
+
 /* When a lease was last extended; 0: never. */
 int64_t wwh_scheduler_extended_ms(const wwh_scheduler_t *scheduler);
 
--- a/include/waxwinghollow/shard_claim.h
+++ b/include/waxwinghollow/shard_claim.h
@@ -63,6 +63,7 @@
 	int64_t claim_count; /* claims so far, including this one */
 	int64_t next_sequence; /* first sequence number for the journal */
 	GHashTable *records; /* key to GBytes, as the journal has them */
+	int64_t claimed_ms; /* when the claim was first sent */
 	/*
 	 * The previous holder was silent, or handed over with orders to hosts
 	 * outstanding: orders of it may still take effect.
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -3,7 +3,8 @@
 
 /*
  * State and functions shared by the scheduler's modules: scheduler,
- * scheduler_advice, scheduler_age, scheduler_backlog, scheduler_check,
+ * scheduler_advice, scheduler_age, scheduler_authority, scheduler_backlog,
+ * scheduler_check,
  * scheduler_choose, scheduler_cordon, scheduler_demand, scheduler_ending,
  * scheduler_incarnation, scheduler_inherited_start, scheduler_isolation,
  * scheduler_job, scheduler_loss, scheduler_lost, scheduler_pace,
@@ -233,6 +234,8 @@
 	/* Announced and settled when the last list of hosts was requested. */
 	bool expected_in_host_list;
 	bool inherited; /* a previous holder may have started tasks on it */
+	/* Inherited: it refuses orders of the previous holder, or has ended. */
+	bool is_fenced;
 	bool cordoned; /* it is being drained */
 	bool ending; /* its host may be taken down at any moment */
 	const char *termination_reason; /* NULL: it hasn't terminated */
@@ -254,6 +257,8 @@
 	int64_t next_poll_ms;
 	int64_t idle_gap_ms; /* from an answer to the next poll; 0: usual */
 	int64_t answered_ms; /* its last answer to a poll */
+	/* When that poll was sent: it had obeyed no later holder by then. */
+	int64_t witnessed_ms;
 	int32_t failed_polls; /* since its last answer */
 	wwh_reach_t reach; /* at the last poll, or by a later order */
 	/* Its last answer by our clock, and its own clock then; 0: unknown. */
@@ -363,6 +368,7 @@
 	bool largest_host_known; /* false: an upstream has changed since */
 	bool restored;
 	bool starts_held;
+	bool announcements_held; /* what is known of the upstreams is too old */
 	bool has_unflushed_ends; /* a received end isn't flushed yet */
 	/* Of one pool, in the current pass. */
 	bool isolations_counted;
@@ -384,6 +390,15 @@
 	/* No other holder had claimed the shard by then. */
 	int64_t confirmed_ms;
 	int64_t extended_ms; /* when a lease was last extended; 0: never */
+	/* scheduler_authority.c */
+	int64_t authority_ms; /* no other holder could act by then */
+	int64_t majority_ms; /* the same, as most upstreams have shown; 0: never */
+	int64_t next_authority_review_ms;
+	int64_t previous_until_ms; /* the previous holder may act until then */
+	int32_t fenced_upstreams; /* inherited ones with is_fenced set */
+	GArray *removals; /* numbers of removed upstream records, not durable */
+	bool has_authority; /* this holder may start tasks and extend leases */
+	bool polls_tell; /* the claim wasn't confirmed for some time */
 	int64_t next_expiry_ms;
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts;
@@ -402,6 +417,25 @@
 /* The name of the pool that holds inherited upstreams of unknown pools. */
 #define SCHED_POOL_UNKNOWN ""
 
+/*
+ * scheduler_authority.c: whether this holder may still act, and the previous one
+ *
+ * LOAD
+ *	A partition that leaves an overtaken holder a part of the upstreams, while
+ *	neither the store nor another process can tell it; a store that is away for
+ *	all while thousands of upstreams run tasks.
+ */
+void sched_authority_begin(wwh_scheduler_t *scheduler);
+/* Called at the beginning of each pass. */
+void sched_authority_update(wwh_scheduler_t *scheduler);
+/* Called when an inherited upstream has answered this holder or has ended. */
+void sched_authority_note_fenced(wwh_scheduler_t *scheduler,
+				 sched_upstream_t *upstream);
+/* Whether further upstreams may be recorded. */
+bool sched_authority_may_add(const wwh_scheduler_t *scheduler);
+/* The removal of an upstream's record was written as record. */
+void sched_authority_note_removal(wwh_scheduler_t *scheduler, int64_t record);
+
 /* scheduler_lost.c: handles records that can't be read */
 void sched_job_mark_unreadable(wwh_scheduler_t *scheduler, const char *id,
 			       bool accepted);
@@ -465,6 +499,8 @@
 /* Until what runs there has surely ended without further polls; 0: it has. */
 int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream);
+/* When it surely has ended; 0: it has none. */
+int64_t sched_lease_end_ms(const sched_upstream_t *upstream);
 void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
 		   const char *subject, const char *format, ...)
 	__attribute__((format(printf, 4, 5)));
--- a/src/libwaxwinghollow/include/private/shard_claim_state.h
+++ b/src/libwaxwinghollow/include/private/shard_claim_state.h
@@ -60,6 +60,7 @@
 	int64_t epoch;
 	char *nonce;
 	int64_t highest_counter;
+	int64_t claimed_ms; /* when the claim of this epoch was first sent */
 	int64_t append_sent_ms;
 	int64_t appended_ms; /* the store has acknowledged the claim */
 	int64_t overtaken_by_epoch; /* a later claim of another process; 0: none */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -58,6 +58,13 @@
  */
 #define LEASE_MS 4500
 
+/*
+ * While the store is away for all, work goes on for this long, as long as most
+ * upstreams answer. After a change of holder, tasks on upstreams that can't be
+ * reached wait as long if most can't.
+ */
+#define UNCONFIRMED_MAX_MS 15000
+
 /*
  * Starts without an answer are limited to what the host's link carries in this time,
  * at the usual size of a start on the wire.
@@ -112,7 +119,7 @@
 	holder->references = 1;
 	holder->now_ms = options->clock_ms();
 	holder->held_since_ms = holder->now_ms;
-	holder->claimed_ms = holder->now_ms;
+	holder->claimed_ms = options->claimed_ms;
 	holder->wall_ms = options->wall_ms;
 	holder->waiters = g_queue_new();
 	holder->advice = g_queue_new();
@@ -236,7 +243,7 @@
 
 /*
  * Others can't have claimed the shard before the newest append that succeeded was
- * sent. The claim itself succeeded before this holder was made.
+ * sent, which may be the claim.
  */
 static void update_confirmation(wwh_job_holder_t *holder)
 {
@@ -518,6 +525,7 @@
 	options.ended_job_retention_ms = settings->job_retention_ms;
 	options.unavailable_after_ms = settings->unavailable_after_ms;
 	options.holder_count = holder->options.claim_count;
+	options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
 	options.max_unanswered_starts = max_unanswered_starts(settings);
 	holder->scheduler = wwh_scheduler_new(&options, &calls);
 }
--- a/src/libwaxwinghollow/job_service_events.c
+++ b/src/libwaxwinghollow/job_service_events.c
@@ -205,6 +205,7 @@
 		.journal_part = JOURNAL_PART,
 		.producer = PRODUCER,
 		.epoch = held->epoch,
+		.claimed_ms = held->claimed_ms,
 		.claim_count = held->claim_count,
 		.next_sequence = held->next_sequence,
 		.records = held->records,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -114,6 +114,8 @@
 	scheduler->options = *options;
 	scheduler->callbacks = *callbacks;
 	scheduler->confirmed_ms = G_MAXINT64;
+	scheduler->has_authority = true;
+	scheduler->removals = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	/* the chart is compiled in, so every test would find a fault in it */
 	if (wwh_chart_load("task", &table, &scheduler->task_chart, &message) !=
 	    WWH_STATUS_OK)
@@ -166,6 +168,7 @@
 	wwh_upstream_speed_delete(scheduler->speed);
 	g_hash_table_destroy(scheduler->pools);
 	g_array_unref(scheduler->inherited_starts);
+	g_array_unref(scheduler->removals);
 	wwh_workspace_quota_delete(scheduler->quota);
 	g_hash_table_destroy(scheduler->weights);
 	g_hash_table_destroy(scheduler->progress_classes);
@@ -482,6 +485,9 @@
 	g_assert(scheduler->restored);
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	scheduler->wall_ms = wall_ms;
+	sched_authority_update(scheduler);
+	scheduler->starts_held =
+		scheduler->announcements_held || !scheduler->has_authority;
 	sched_upstreams_run(scheduler);
 	sched_cordon_run(scheduler);
 	if (!scheduler->starts_held)
@@ -502,7 +508,8 @@
 
 void wwh_scheduler_hold_starts(wwh_scheduler_t *scheduler, bool held)
 {
-	scheduler->starts_held = held;
+	scheduler->announcements_held = held;
+	scheduler->starts_held = held || !scheduler->has_authority;
 }
 
 int32_t wwh_scheduler_upstream_count(const wwh_scheduler_t *scheduler)
@@ -593,10 +600,10 @@
 		int64_t wait_ms = sched_lease_max_remaining_ms(
 			upstream->recorded_lease_ms);
 
-		upstream->inherited_lease_end_ms = scheduler->now_ms + wait_ms;
 		upstream->pool->max_inherited_wait_ms =
 			MAX(upstream->pool->max_inherited_wait_ms, wait_ms);
 	}
+	sched_authority_begin(scheduler);
 	explain_unsettled(scheduler);
 }
 
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -21,6 +21,12 @@
 #define IDLE_POLLS_PER_S 500
 #define IDLE_GAP_MAX_MS 3000
 
+/*
+ * The same while polls are to show that no other holder has taken over: more than
+ * half of the upstreams have then answered within WWH_OVERTAKEN_HOLDER_MS.
+ */
+#define IDLE_GAP_TELL_MS 1500
+
 /* Factor of multiplicative hashing: 2^32 divided by the golden ratio. */
 #define HASH_FACTOR 2654435761U
 #define SECOND_MS 1000
@@ -171,7 +177,8 @@
 	guint spread = g_str_hash(upstream->info.id) ^
 		       (guint)scheduler->now_ms * HASH_FACTOR;
 
-	mean_ms = MIN(mean_ms, IDLE_GAP_MAX_MS);
+	mean_ms = MIN(mean_ms, scheduler->polls_tell ? IDLE_GAP_TELL_MS
+						     : IDLE_GAP_MAX_MS);
 	if (!sched_upstream_is_idle(upstream) || mean_ms <= POLL_GAP_MS)
 		return 0;
 	return mean_ms / 2 + mean_ms * (spread % PERMILLE) / PERMILLE;
@@ -262,6 +269,8 @@
 	if (upstream->isolated_runs > 0 ||
 	    scheduler->now_ms < upstream->reserved_until_ms)
 		return POLL_ISOLATED_WAIT_MS;
+	if (scheduler->polls_tell)
+		return upstream->idle_gap_ms > 0 ? 0 : POLL_LOSSY_WAIT_MS;
 	return upstream->tasks->len > 0 &&
 			       wwh_answer_time_is_lossy(&scheduler->order_time)
 		       ? POLL_LOSSY_WAIT_MS
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -233,6 +233,9 @@
 
 	if (upstream->clock_base_remote_ms == 0)
 		return 0;
+	if (scheduler->now_ms - scheduler->authority_ms >
+	    WWH_OVERTAKEN_HOLDER_MS)
+		return upstream->lease_until_remote_ms;
 	remote_ms = upstream->clock_base_remote_ms + scheduler->now_ms -
 		    upstream->clock_base_ms;
 	upstream->lease_until_remote_ms =
@@ -299,15 +302,19 @@
 	upstream->lease_end_handled = false;
 }
 
-int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
-			    const sched_upstream_t *upstream)
+int64_t sched_lease_end_ms(const sched_upstream_t *upstream)
 {
 	bool was_read = upstream->settled || upstream->answered_ms != 0;
-	int64_t end_ms = upstream->inherited && !was_read
-				 ? upstream->inherited_lease_end_ms
-				 : upstream->lease_end_ms;
 
-	return MAX(end_ms - scheduler->now_ms, 0);
+	return upstream->inherited && !was_read
+		       ? upstream->inherited_lease_end_ms
+		       : upstream->lease_end_ms;
+}
+
+int64_t sched_lease_left_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream)
+{
+	return MAX(sched_lease_end_ms(upstream) - scheduler->now_ms, 0);
 }
 
 void sched_explain(const wwh_scheduler_t *scheduler, const char *event,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -165,6 +165,7 @@
 		      sched_lease_left_ms(scheduler, upstream));
 	scheduler->crashed_upstreams += termination == WWH_TERMINATION_CRASH &&
 					upstream->tasks->len > 0;
+	sched_authority_note_fenced(scheduler, upstream);
 	sched_upstream_lose_tasks(scheduler, upstream, termination, why);
 	if (termination == WWH_TERMINATION_CRASH) {
 		sched_losses_confirm_crash(scheduler, upstream);
@@ -215,6 +216,7 @@
 	scheduler->newest_record = scheduler->callbacks.write_record(
 		WWH_SCHEDULER_RECORD_UPSTREAM, upstream->info.id, NULL,
 		scheduler->callbacks.client_data);
+	sched_authority_note_removal(scheduler, scheduler->newest_record);
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -70,6 +70,8 @@
 		return;
 	tasks = upstream->tasks->len;
 	upstream->answered_ms = scheduler->now_ms;
+	upstream->witnessed_ms = MAX(upstream->witnessed_ms, sent_ms);
+	sched_authority_note_fenced(scheduler, upstream);
 	sched_clock_read(scheduler, upstream, answer->remote_ms, sent_ms);
 	upstream->failed_polls = 0;
 	upstream->reach = WWH_REACH_ANSWERS;
@@ -525,7 +527,8 @@
 	sched_isolation_update(upstream);
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
-	if (upstream->settled && upstream->listed && !upstream->record_written)
+	if (upstream->settled && upstream->listed &&
+	    !upstream->record_written && sched_authority_may_add(scheduler))
 		sched_upstream_write_record(scheduler, upstream);
 	if (upstream->cordoned || upstream->info.leaving)
 		g_ptr_array_add(scheduler->draining, upstream);
--- a/src/libwaxwinghollow/shard_claim.c
+++ b/src/libwaxwinghollow/shard_claim.c
@@ -312,6 +312,7 @@
 		claim->nonce = g_strdup_printf("%" G_GINT64_FORMAT " %08x%08x",
 					       claim->epoch, g_random_int(),
 					       g_random_int());
+		claim->claimed_ms = claim->now_ms;
 		claim->own_record_read = false;
 		claim->counter_is_shared = false;
 		claim->overtaken_by_epoch = 0;
@@ -426,6 +427,7 @@
 			g_hash_table_size(records));
 	held.epoch = claim->epoch;
 	held.claim_count = claim->epoch >> CLAIM_RANDOM_BITS;
+	held.claimed_ms = claim->claimed_ms;
 	held.next_sequence = 1;
 	held.records = records;
 	held.previous_holder_may_act = claim->previous_holder_may_act;
--- /dev/null
+++ b/src/test_scheduler/test_authority.c
@@ -0,0 +1,237 @@
+/* Holders that may have been overtaken, and the holders after them. */
+
+#include "test_scheduler.h"
+
+#define STEP_MS 50
+#define UNCONFIRMED_MAX_MS 15000
+
+/* Set in the fixture before the scheduler is made anew. */
+static void take_over(sched_fixture_t *fixture)
+{
+	fixture->options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
+	sched_fixture_take_over(fixture);
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+}
+
+static void announce(sched_fixture_t *fixture, int32_t count)
+{
+	static const char *const ids[] = { "u1", "u2", "u3" };
+	static const char *const endpoints[] = { ENDPOINT_1, ENDPOINT_2,
+						 ENDPOINT_3 };
+
+	for (int32_t i = 0; i < count; i++)
+		sched_fixture_announce(fixture, ids[i], endpoints[i], false);
+}
+
+/* Answers the polls at the upstreams that names contains, and fails the others. */
+static void answer_only(sched_fixture_t *fixture, const char *names)
+{
+	guint count = fixture->polls->len;
+
+	for (guint i = 0; i < count; i++) {
+		sched_fixture_poll_t poll =
+			g_array_index(fixture->polls, sched_fixture_poll_t, 0);
+
+		if (strstr(names, poll.upstream) != NULL) {
+			sched_fixture_answer_poll(fixture, poll.upstream, NULL,
+						  0, NULL, 0);
+			continue;
+		}
+		g_array_remove_index(fixture->polls, 0);
+		wwh_scheduler_handle_poll_failure(
+			fixture->scheduler, poll.upstream, WWH_REACH_SILENT,
+			fixture->now_ms);
+	}
+}
+
+static void run_for(sched_fixture_t *fixture, int64_t ms, const char *names)
+{
+	for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += STEP_MS) {
+		sched_fixture_run(fixture, STEP_MS);
+		answer_only(fixture, names);
+	}
+}
+
+/* A holder that has reached all of its upstreams, and has a job at work on u1. */
+static sched_fixture_order_t begin(sched_fixture_t *fixture, int32_t upstreams)
+{
+	sched_fixture_order_t order;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_make_durable(fixture);
+	take_over(fixture);
+	announce(fixture, upstreams);
+	return order;
+}
+
+/*
+ * Guards against tasks that run twice: a holder that only a part of the upstreams
+ * and nobody else reaches starts tasks and extends leases after its successor has
+ * waited for them.
+ */
+void an_unconfirmed_holder_that_reaches_few_upstreams_stops(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t confirmed_ms;
+	int64_t extended_ms;
+
+	(void)begin(fixture, 3);
+	run_for(fixture, 1000, "u1 u2 u3");
+	confirmed_ms = fixture->now_ms;
+	wwh_scheduler_set_confirmed(fixture->scheduler, confirmed_ms);
+	run_for(fixture, 3000, "u2");
+	extended_ms = wwh_scheduler_extended_ms(fixture->scheduler);
+	assert_true(extended_ms <= confirmed_ms + WWH_OVERTAKEN_HOLDER_MS);
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	run_for(fixture, 3000, "u2");
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 0);
+	assert_int_equal(wwh_scheduler_extended_ms(fixture->scheduler),
+			 extended_ms);
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	run_for(fixture, 500, "u2");
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
+}
+
+/* Guards against work that stops while the store is away for all processes. */
+void an_unconfirmed_holder_that_reaches_most_upstreams_goes_on(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	(void)begin(fixture, 3);
+	run_for(fixture, 1000, "u1 u2 u3");
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	run_for(fixture, 10000, "u2 u3");
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	run_for(fixture, 500, "u2 u3");
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
+	assert_true(wwh_scheduler_extended_ms(fixture->scheduler) >=
+		    fixture->now_ms - 1000);
+}
+
+/* Guards against a successor that waits for good as it can't reach most. */
+void an_unconfirmed_holder_goes_on_for_a_limited_time(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t confirmed_ms;
+
+	(void)begin(fixture, 3);
+	run_for(fixture, 1000, "u1 u2 u3");
+	confirmed_ms = fixture->now_ms;
+	wwh_scheduler_set_confirmed(fixture->scheduler, confirmed_ms);
+	run_for(fixture, UNCONFIRMED_MAX_MS + 5000, "u1 u2 u3");
+	assert_true(wwh_scheduler_extended_ms(fixture->scheduler) <=
+		    confirmed_ms + UNCONFIRMED_MAX_MS +
+			    WWH_OVERTAKEN_HOLDER_MS);
+}
+
+/*
+ * Guards against an overtaken holder for which an upstream speaks that has started
+ * again and doesn't know the successor any more.
+ */
+void an_upstream_that_has_started_again_is_no_witness(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	fixture->born_ms = 1000;
+	(void)begin(fixture, 3);
+	run_for(fixture, 1000, "u1 u2 u3");
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	fixture->born_ms = 2000;
+	run_for(fixture, 3000, "u1 u2 u3");
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	run_for(fixture, 500, "u1 u2 u3");
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 0);
+}
+
+/* Guards against an overtaken holder that counts only what it has not removed. */
+void a_removed_upstream_counts_until_its_removal_is_durable(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	(void)begin(fixture, 3);
+	run_for(fixture, 1000, "u1 u2 u3");
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	wwh_scheduler_upstream_terminated(fixture->scheduler, "u2",
+					  WWH_TERMINATION_ORDERED, "moving",
+					  fixture->now_ms);
+	wwh_scheduler_upstream_terminated(fixture->scheduler, "u3",
+					  WWH_TERMINATION_ORDERED, "moving",
+					  fixture->now_ms);
+	run_for(fixture, 3000, "u1");
+	assert_true(wwh_scheduler_extended_ms(fixture->scheduler) <
+		    fixture->now_ms - 1000);
+	sched_fixture_make_durable(fixture);
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_B, 1, 1000));
+	run_for(fixture, 500, "u1");
+	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
+}
+
+/* Returns when the task of u1, which isn't reached, has a second run. */
+static int64_t await_second_run(sched_fixture_t *fixture, const char *names)
+{
+	while (fixture->starts->len < 2) {
+		wwh_scheduler_set_confirmed(fixture->scheduler,
+					    fixture->now_ms);
+		run_for(fixture, STEP_MS, names);
+		sched_fixture_make_durable(fixture);
+		assert_true(fixture->now_ms < 200000);
+	}
+	return fixture->now_ms;
+}
+
+/*
+ * Guards against tasks that run twice: a successor waits for the leases of a holder
+ * that most upstreams still obey.
+ */
+void inherited_leases_count_from_when_most_upstreams_have_answered(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t lease_ms = fixture->options.lease_ms;
+	int64_t fenced_ms;
+	int64_t passed_ms;
+
+	(void)begin(fixture, 3);
+	for (int32_t i = 0; i < 80; i++) {
+		wwh_scheduler_set_confirmed(fixture->scheduler,
+					    fixture->now_ms);
+		run_for(fixture, STEP_MS, "u2");
+	}
+	fenced_ms = fixture->now_ms;
+	passed_ms = await_second_run(fixture, "u2 u3") - fenced_ms;
+	assert_true(passed_ms >= lease_ms * 100 / 98 + WWH_OVERTAKEN_HOLDER_MS);
+	assert_true(passed_ms <= lease_ms * 100 / 98 + 2000);
+}
+
+/* Guards against tasks that wait for good where most upstreams are gone. */
+void inherited_leases_end_without_most_upstreams(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t lease_ms = fixture->options.lease_ms;
+	int64_t taken_over_ms;
+	int64_t passed_ms;
+
+	(void)begin(fixture, 3);
+	taken_over_ms = fixture->now_ms;
+	passed_ms = await_second_run(fixture, "u2") - taken_over_ms;
+	assert_true(passed_ms >= UNCONFIRMED_MAX_MS + lease_ms * 100 / 98);
+	assert_true(passed_ms <=
+		    UNCONFIRMED_MAX_MS + lease_ms * 100 / 98 + 2000);
+}
+
+/*
+ * Guards against a successor's successor for which new upstreams make up those that
+ * still obey the first holder.
+ */
+void no_upstream_is_recorded_before_most_have_answered(void **state)
+{
+	sched_fixture_t *fixture = *state;
+
+	(void)begin(fixture, 2);
+	sched_fixture_announce(fixture, "u3", ENDPOINT_3, false);
+	run_for(fixture, 1000, "u1 u3");
+	assert_false(g_hash_table_contains(fixture->records, "Uu3"));
+	run_for(fixture, 1000, "u1 u2 u3");
+	assert_true(g_hash_table_contains(fixture->records, "Uu3"));
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -150,6 +150,36 @@
 void an_upstream_without_a_complete_answer_is_awaited_for_its_lease(
 	void **state);
 
+#define AUTHORITY_TESTS                                                                \
+	FIXTURE_TEST(an_unconfirmed_holder_that_reaches_few_upstreams_stops,           \
+		     3),                                                               \
+		FIXTURE_TEST(                                                          \
+			an_unconfirmed_holder_that_reaches_most_upstreams_goes_on,     \
+			3),                                                            \
+		FIXTURE_TEST(an_unconfirmed_holder_goes_on_for_a_limited_time,         \
+			     3),                                                       \
+		FIXTURE_TEST(an_upstream_that_has_started_again_is_no_witness,         \
+			     3),                                                       \
+		FIXTURE_TEST(                                                          \
+			a_removed_upstream_counts_until_its_removal_is_durable,        \
+			3),                                                            \
+		FIXTURE_TEST(                                                          \
+			inherited_leases_count_from_when_most_upstreams_have_answered, \
+			3),                                                            \
+		FIXTURE_TEST(inherited_leases_end_without_most_upstreams, 3),          \
+		FIXTURE_TEST(                                                          \
+			no_upstream_is_recorded_before_most_have_answered, 2)
+
+void an_unconfirmed_holder_that_reaches_few_upstreams_stops(void **state);
+void an_unconfirmed_holder_that_reaches_most_upstreams_goes_on(void **state);
+void an_unconfirmed_holder_goes_on_for_a_limited_time(void **state);
+void an_upstream_that_has_started_again_is_no_witness(void **state);
+void a_removed_upstream_counts_until_its_removal_is_durable(void **state);
+void inherited_leases_count_from_when_most_upstreams_have_answered(
+	void **state);
+void inherited_leases_end_without_most_upstreams(void **state);
+void no_upstream_is_recorded_before_most_have_answered(void **state);
+
 #define UNREACHABLE_TESTS                                                          \
 	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,        \
 		     1),                                                           \
