scheduler: a lapsed lease counts once the claim was confirmed after it

Its successor had reached these upstreams, kept their leases up and acknowledged the ends.

Cause: a lease that this holder doesn't extend lapses only if no other holder extends it.

Change: tasks are lost by a lapse only after an append that was sent after it has succeeded; nobody had claimed the shard by then. Such an append is requested at once. While the store is away the tasks of upstreams that fell silent wait for it, if no list of hosts shows their end.

--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -295,6 +295,9 @@
  */
 int64_t wwh_scheduler_previous_until_ms(const wwh_scheduler_t *scheduler);
 
+/* Whether tasks wait until the claim is confirmed once more. */
+bool wwh_scheduler_awaits_confirmation(const wwh_scheduler_t *scheduler);
+
 /* When a lease was last extended; 0: never. */
 int64_t wwh_scheduler_extended_ms(const wwh_scheduler_t *scheduler);
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -399,6 +399,7 @@
 	GArray *removals; /* numbers of removed upstream records, not durable */
 	bool has_authority; /* this holder may start tasks and extend leases */
 	bool polls_tell; /* the claim wasn't confirmed for some time */
+	bool awaits_confirmation; /* a lapse counts once the claim is confirmed */
 	int64_t next_expiry_ms;
 	int64_t crashed_upstreams; /* that had tasks */
 	int64_t isolated_starts;
@@ -428,6 +429,8 @@
 void sched_authority_begin(wwh_scheduler_t *scheduler);
 /* Called at the beginning of each pass. */
 void sched_authority_update(wwh_scheduler_t *scheduler);
+/* Whether a lease that ended at lease_end_ms was surely not extended by others. */
+bool sched_lapse_counts(wwh_scheduler_t *scheduler, int64_t lease_end_ms);
 /* Called when an inherited upstream has answered this holder or has ended. */
 void sched_authority_note_fenced(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -655,7 +655,8 @@
 		(void)wwh_scheduler_flush(holder->scheduler, holder->now_ms);
 		holder->flush_after_ms = holder->now_ms + RECORD_GROUP_MS;
 	}
-	if (holder->now_ms - confirmed_ms >= CONFIRM_PERIOD_MS &&
+	if ((holder->now_ms - confirmed_ms >= CONFIRM_PERIOD_MS ||
+	     wwh_scheduler_awaits_confirmation(holder->scheduler)) &&
 	    wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0)
 		(void)wwh_shard_journal_append(holder->journal, CONFIRM_KEY,
 					       NULL, true, holder->now_ms);
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -485,6 +485,7 @@
 	g_assert(scheduler->restored);
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	scheduler->wall_ms = wall_ms;
+	scheduler->awaits_confirmation = false;
 	sched_authority_update(scheduler);
 	scheduler->starts_held =
 		scheduler->announcements_held || !scheduler->has_authority;
--- a/src/libwaxwinghollow/scheduler_authority.c
+++ b/src/libwaxwinghollow/scheduler_authority.c
@@ -61,6 +61,23 @@
 	return scheduler->previous_until_ms;
 }
 
+bool wwh_scheduler_awaits_confirmation(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->awaits_confirmation;
+}
+
+/*
+ * Another holder that has claimed the shard may have extended the lease meanwhile,
+ * at an upstream that this one doesn't reach.
+ */
+bool sched_lapse_counts(wwh_scheduler_t *scheduler, int64_t lease_end_ms)
+{
+	if (scheduler->confirmed_ms >= lease_end_ms)
+		return true;
+	scheduler->awaits_confirmation = true;
+	return false;
+}
+
 /*
  * Each of two holders needs more than half of the upstreams that are recorded, so
  * one of these has refused the previous holder's polls since it answered this one.
--- a/src/libwaxwinghollow/scheduler_ending.c
+++ b/src/libwaxwinghollow/scheduler_ending.c
@@ -37,7 +37,9 @@
 static bool end_at_lapse(wwh_scheduler_t *scheduler, sched_upstream_t *upstream)
 {
 	if (upstream->inherited && !upstream->settled) {
-		if (sched_lease_left_ms(scheduler, upstream) > 0)
+		if (sched_lease_left_ms(scheduler, upstream) > 0 ||
+		    !sched_lapse_counts(scheduler,
+					sched_lease_end_ms(upstream)))
 			return false;
 		sched_lease_explain_lapse(scheduler, upstream);
 		sched_upstream_remove(scheduler, upstream,
@@ -49,6 +51,9 @@
 	    scheduler->now_ms < upstream->lease_end_ms ||
 	    upstream->lease_end_handled)
 		return false;
+	if (upstream->tasks->len > 0 &&
+	    !sched_lapse_counts(scheduler, upstream->lease_end_ms))
+		return false;
 	upstream->lease_end_handled = true;
 	if (upstream->tasks->len > 0)
 		sched_lease_explain_lapse(scheduler, upstream);
--- a/src/test_scheduler/test_authority.c
+++ b/src/test_scheduler/test_authority.c
@@ -168,6 +168,32 @@
 	assert_int_equal(sched_fixture_count_runs(fixture, JOB_B), 1);
 }
 
+/*
+ * Guards against tasks that run twice: an overtaken holder takes the lease of an
+ * upstream that only its successor reaches for lapsed.
+ */
+void a_lapse_counts_once_the_claim_was_confirmed_after_it(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_add_upstream(fixture, "u2", ENDPOINT_2);
+	sched_fixture_add_upstream(fixture, "u3", ENDPOINT_3);
+	fixture->options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	run_for(fixture, 10000, "u2 u3");
+	assert_int_equal(fixture->starts->len, 1);
+	assert_true(wwh_scheduler_awaits_confirmation(fixture->scheduler));
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+	run_for(fixture, 500, "u2 u3");
+	assert_string_not_equal(
+		sched_fixture_order(fixture->starts, 1)->upstream, "u1");
+	assert_false(wwh_scheduler_awaits_confirmation(fixture->scheduler));
+}
+
 /* Returns when the task of u1, which isn't reached, has a second run. */
 static int64_t await_second_run(sched_fixture_t *fixture, const char *names)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -163,6 +163,9 @@
 		FIXTURE_TEST(                                                          \
 			a_removed_upstream_counts_until_its_removal_is_durable,        \
 			3),                                                            \
+		FIXTURE_TEST(                                                          \
+			a_lapse_counts_once_the_claim_was_confirmed_after_it,          \
+			1),                                                            \
 		FIXTURE_TEST(                                                          \
 			inherited_leases_count_from_when_most_upstreams_have_answered, \
 			3),                                                            \
@@ -175,6 +178,7 @@
 void an_unconfirmed_holder_goes_on_for_a_limited_time(void **state);
 void an_upstream_that_has_started_again_is_no_witness(void **state);
 void a_removed_upstream_counts_until_its_removal_is_durable(void **state);
+void a_lapse_counts_once_the_claim_was_confirmed_after_it(void **state);
 void inherited_leases_count_from_when_most_upstreams_have_answered(
 	void **state);
 void inherited_leases_end_without_most_upstreams(void **state);
