job_holder: hosts get orders only from a holder that is surely the only one

What callers would see: more hosts of a wave in upkeep than its limit (LIMIT), and hosts moved under tasks of the next holder (AVAIL).

Each host checks the token of its own orders only. A holder that was cut off went on ordering hosts that its successor had not ordered, and the successor's first upkeep waited from its claim on.

Change: a holder orders hosts while no other can have acted in the last 1.3 s; the claim or most of its upstreams show it, so that orders go on while the store is away for all. A successor orders no upkeep until 1.4 s after most of the upstreams have answered it.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -214,6 +214,11 @@
 	duties->held_moves = held;
 }
 
+void wwh_host_duties_hold_upkeeps(wwh_host_duties_t *duties, bool held)
+{
+	duties->upkeeps_held = held;
+}
+
 void wwh_host_duties_set_durable(wwh_host_duties_t *duties, int64_t record)
 {
 	duties->durable_record = MAX(duties->durable_record, record);
@@ -237,7 +242,7 @@
 	duties_survey(duties);
 	/* first, because waves use the host counts of pools */
 	duties_run_moves(duties);
-	if (duties->now_ms >= duties->first_upkeep_ms)
+	if (duties->now_ms >= duties->first_upkeep_ms && !duties->upkeeps_held)
 		duties_run_waves(duties);
 }
 
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -125,6 +125,7 @@
 	bool incarnations_complete;
 	bool hosts_down; /* listed without incarnations */
 	bool paused;
+	bool upkeeps_held;
 	wwh_held_moves_t held_moves;
 	int32_t list_pages; /* of the list being received, or the last one */
 	host_order_rate_t order_rate;
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -15,6 +15,13 @@
 
 #define JOB_HOLDER_RESERVE_GAUGES 8
 
+/*
+ * A holder whose last successful append is older can't accept jobs. Another
+ * process may then take over, which costs callers less than waiting. This is
+ * the time of two confirmations and a slow answer.
+ */
+#define STORE_REACHABLE_FOR_MS 1300
+
 struct wwh_job_holder {
 	wwh_job_holder_options_t options;
 	int32_t references; /* the owner's, and one per call in flight */
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -30,13 +30,6 @@
  */
 #define CONFIRMED_FOR_MS 2500
 
-/*
- * A holder whose last successful append is older can't accept jobs. Another
- * process may then take over, which costs callers less than waiting. This is
- * the time of two confirmations and a slow answer.
- */
-#define STORE_REACHABLE_FOR_MS 1300
-
 /*
  * A holder counts as rejected by the store if its appends fail and the last
  * successful one is older. A store that is slow for all takes some 250 ms for
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -356,6 +356,54 @@
 	assert_int_equal(host_orders_received(fixture), 1);
 }
 
+/* Starts a holder with two recorded upstreams, at addresses where nobody listens. */
+static void start_holder_cut_off(fixture_t *fixture, previous_holder_t previous)
+{
+	static const char record[] = "\x92\xab"
+				     "127.0.0.1:9\xa4"
+				     "desk";
+	GBytes *value = g_bytes_new_static(record, sizeof(record) - 1);
+
+	g_hash_table_insert(fixture->records, (gpointer) "Ugone-1", value);
+	g_hash_table_insert(fixture->records, (gpointer) "Ugone-2", value);
+	start_holder(fixture, true, previous);
+	g_hash_table_remove_all(fixture->records);
+	g_bytes_unref(value);
+}
+
+/*
+ * Guards against an overtaken holder that goes on ordering hosts beside its
+ * successor: each host checks its own orders only, so more hosts than a wave's limit
+ * are down, and hosts are moved under the successor's tasks.
+ */
+static void
+a_holder_without_most_upstreams_and_the_store_orders_no_hosts(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder_cut_off(fixture, PREVIOUS_NONE);
+	run_for(fixture, 1000);
+	set_store_busy(fixture, true);
+	run_for(fixture, TAKEOVER_AFTER_MS + 100);
+	order_upkeep_wave(fixture);
+	run_for(fixture, 2000);
+	assert_int_equal(host_orders_received(fixture), 0);
+	set_store_busy(fixture, false);
+	(void)first_order_ms(fixture);
+	assert_int_equal(host_orders_received(fixture), 1);
+}
+
+/* Guards against the same by a successor that has reached too few upstreams. */
+static void no_upkeep_begins_before_most_upstreams_have_answered(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder_cut_off(fixture, PREVIOUS_ENDED);
+	order_upkeep_wave(fixture);
+	run_for(fixture, 2 * WWH_OVERTAKEN_HOLDER_MS);
+	assert_int_equal(host_orders_received(fixture), 0);
+}
+
 /*
  * Guards against a stopping process that releases the shard while an order to a
  * host is unanswered. The next holder then gives its first orders at once, and
@@ -498,6 +546,12 @@
 		cmocka_unit_test_setup_teardown(
 			hosts_with_fencing_get_orders_without_the_store, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_without_most_upstreams_and_the_store_orders_no_hosts,
+			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			no_upkeep_begins_before_most_upstreams_have_answered,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			starts_are_held_while_announcements_are_old, set_up,
 			tear_down),
