--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -82,14 +82,19 @@
 	job_holder_send_wave_reports(holder);
 }
 
-/* Sent in order, so that "active" can't overwrite a later "completed". */
+/*
+ * Sent in order, so that "active" can't overwrite a later "completed". The topic is
+ * the operator's and checks no epochs, so a holder that may have been replaced waits
+ * until its claim is confirmed.
+ */
 void job_holder_send_wave_reports(wwh_job_holder_t *holder)
 {
 	wire_writer_t writer = { 0 };
 	wwh_http_call_t *call;
 
 	if (holder->report_in_flight || holder->reports->len == 0 ||
-	    holder->now_ms < holder->report_retry_ms)
+	    holder->now_ms < holder->report_retry_ms ||
+	    holder->now_ms - holder->claimed_ms > STORE_REACHABLE_FOR_MS)
 		return;
 	call = wire_store_append(
 		holder->options.settings->store, WIRE_TOPIC_STATUS, 0, &writer,
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -122,6 +122,7 @@
 	standin_delete(standin);
 }
 
+#define HOLDER_EPOCH (1 << 16)
 #define HOSTS_LEASE_MS 3000
 #define LONG_LEASE_MS 12000 /* a busy machine takes seconds for one order */
 /* Earliest takeover of a holder that doesn't reach the store. */
@@ -200,7 +201,7 @@
 		.log = fixture->log,
 		.topic = "keyed.wwh",
 		.producer = "p",
-		.epoch = 1 << 16,
+		.epoch = HOLDER_EPOCH,
 		.claim_count = 1,
 		.next_sequence = 1,
 		.previous_holder_may_act = previous == PREVIOUS_SILENT,
@@ -404,6 +405,44 @@
 	assert_int_equal(host_orders_received(fixture), 0);
 }
 
+static void set_refused_epoch(fixture_t *fixture, int64_t epoch)
+{
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->refused_epoch = epoch;
+	g_mutex_unlock(&fixture->standin->lock);
+}
+
+static guint wave_reports(fixture_t *fixture)
+{
+	guint count;
+
+	g_mutex_lock(&fixture->standin->lock);
+	count = standin_part(fixture->standin, "keyed.status", "0")
+			->records->len;
+	g_mutex_unlock(&fixture->standin->lock);
+	return count;
+}
+
+/*
+ * Guards against an overtaken holder that publishes the state of a wave over that of
+ * its successor, for instance "active" after "completed".
+ */
+static void a_holder_without_a_confirmed_claim_reports_no_wave(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, PREVIOUS_NONE);
+	run_for(fixture, 500);
+	set_refused_epoch(fixture, HOLDER_EPOCH);
+	run_for(fixture, TAKEOVER_AFTER_MS + 500);
+	order_upkeep_wave(fixture);
+	run_for(fixture, 1500);
+	assert_int_equal(wave_reports(fixture), 0);
+	set_refused_epoch(fixture, 0);
+	run_for(fixture, 1500);
+	assert_true(wave_reports(fixture) > 0);
+}
+
 /*
  * Guards against a stopping process that releases the shard while an order to a
  * host is unanswered. The next holder then gives its first orders at once, and
@@ -552,6 +591,9 @@
 		cmocka_unit_test_setup_teardown(
 			no_upkeep_begins_before_most_upstreams_have_answered,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_without_a_confirmed_claim_reports_no_wave,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			starts_are_held_while_announcements_are_old, set_up,
 			tear_down),
