scheduler: a new holder ends and starts nothing that the previous one may do again

What callers would see: a task that was done runs once more (TWICE), found by fuzz_scheduler with two holders at work. A successor that reaches one upstream acknowledges an end as done there; the upstream crashes, or starts again under its id; the overtaken holder, which most upstreams still obey, learns that it has crashed, takes the run for lost and starts the task again.

A loss that is shown by a crash needs no lease, and waiting for the store after each crash would stop work while the store is away.

Change: until 1.4 s after most of the inherited upstreams have answered a new holder (or that much after 15 s), it acknowledges no ends; the previous one can't act after that. Nor does it start tasks that the previous one knows of before these have answered, also in a pool whose own upstreams all have: one of them may start again under its id and obey the previous holder. Meanwhile upstreams with ends are polled 0.06 s apart, or at 4,000 a second.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -434,8 +434,10 @@
 /* Called when an inherited upstream has answered this holder or has ended. */
 void sched_authority_note_fenced(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
-/* Whether further upstreams may be recorded. */
-bool sched_authority_may_add(const wwh_scheduler_t *scheduler);
+/* Whether most inherited upstreams refuse the previous holder's orders by now. */
+bool sched_previous_is_fenced(const wwh_scheduler_t *scheduler);
+/* The same, or it may not have noticed yet. */
+bool sched_previous_may_act(const wwh_scheduler_t *scheduler);
 /* The removal of an upstream's record was written as record. */
 void sched_authority_note_removal(wwh_scheduler_t *scheduler, int64_t record);
 
--- a/src/libwaxwinghollow/scheduler_authority.c
+++ b/src/libwaxwinghollow/scheduler_authority.c
@@ -102,14 +102,22 @@
 }
 
 /*
- * The next holder counts more than half of the upstreams that are recorded by then.
- * New ones among them must not make up for those that the previous holder reaches.
+ * Until then nothing is done that the previous holder could undo or do once more: no
+ * upstream is recorded, as new ones would make up for those that obey it when the next
+ * holder counts, and no task is started that it knows of.
  */
-bool sched_authority_may_add(const wwh_scheduler_t *scheduler)
+bool sched_previous_is_fenced(const wwh_scheduler_t *scheduler)
 {
 	return scheduler->now_ms >= scheduler->previous_until_ms;
 }
 
+bool sched_previous_may_act(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->inherited_upstreams > 0 &&
+	       scheduler->now_ms <=
+		       scheduler->previous_until_ms + WWH_OVERTAKEN_HOLDER_MS;
+}
+
 void sched_authority_note_removal(wwh_scheduler_t *scheduler, int64_t record)
 {
 	g_array_append_val(scheduler->removals, record);
--- a/src/libwaxwinghollow/scheduler_lost.c
+++ b/src/libwaxwinghollow/scheduler_lost.c
@@ -121,6 +121,6 @@
 	const sched_pool_t *unknown =
 		g_hash_table_lookup(scheduler->pools, SCHED_POOL_UNKNOWN);
 
-	return pool->unsettled == 0 &&
+	return sched_previous_is_fenced(scheduler) && pool->unsettled == 0 &&
 	       (unknown == NULL || unknown->unsettled == 0);
 }
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -41,6 +41,12 @@
  */
 #define POLL_UNACKED_GAP_MS 60
 
+/*
+ * Limit of the rate of such polls while no end may be acknowledged, as a holder has
+ * just taken over.
+ */
+#define UNACKED_POLLS_PER_MS 4
+
 /*
  * A run that was ordered this long ago at most hasn't ended. Longer than from an
  * answer to the next poll, so that starts into the room that ends left don't delay
@@ -104,6 +110,10 @@
 int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream)
 {
+	if (sched_previous_may_act(scheduler) && upstream->ends_received > 0)
+		return MAX(POLL_UNACKED_GAP_MS,
+			   (int64_t)g_hash_table_size(scheduler->upstreams) /
+				   UNACKED_POLLS_PER_MS);
 	if (upstream->ends_received == upstream->ends_acked)
 		return ends_acked_upto(scheduler, upstream) ==
 				       upstream->ends_acked
@@ -197,12 +207,13 @@
  * An upstream that has started again under its id numbers its ends from 1, and the
  * number of an earlier end would make it forget ends that nobody has received. It
  * may have done so after a failed poll, and as long as no answer lists a run that may
- * have begun and ended since.
+ * have begun and ended since. A previous holder that still acts doesn't know of the
+ * end, and starts the task again if the upstream crashes.
  */
 static int64_t ends_acked_upto(const wwh_scheduler_t *scheduler,
 			       const sched_upstream_t *upstream)
 {
-	if (upstream->failed_polls > 0)
+	if (upstream->failed_polls > 0 || sched_previous_may_act(scheduler))
 		return 0;
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		if (may_have_ended_unlisted(
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -528,7 +528,7 @@
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed &&
-	    !upstream->record_written && sched_authority_may_add(scheduler))
+	    !upstream->record_written && sched_previous_is_fenced(scheduler))
 		sched_upstream_write_record(scheduler, upstream);
 	if (upstream->cordoned || upstream->info.leaving)
 		g_ptr_array_add(scheduler->draining, upstream);
--- a/src/test_scheduler/test_authority.c
+++ b/src/test_scheduler/test_authority.c
@@ -261,3 +261,55 @@
 	run_for(fixture, 1000, "u1 u2 u3");
 	assert_true(g_hash_table_contains(fixture->records, "Uu3"));
 }
+
+/*
+ * Guards against a second run of a task that was done: its upstream crashes after the
+ * end was acknowledged, and an overtaken holder takes the run for lost.
+ */
+void ends_are_acknowledged_once_the_previous_holder_cannot_act(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order = begin(fixture, 2);
+	wwh_ended_task_t ended =
+		sched_fixture_ended_row(&order, 1, WWH_END_DONE);
+	int64_t fenced_ms;
+
+	sched_fixture_run(fixture, STEP_MS);
+	sched_fixture_answer_poll(fixture, "u1", NULL, 0, &ended, 1);
+	answer_only(fixture, "u2");
+	fenced_ms = fixture->now_ms;
+	sched_fixture_make_durable(fixture);
+	while (fixture->now_ms <= fenced_ms + WWH_OVERTAKEN_HOLDER_MS) {
+		sched_fixture_run(fixture, STEP_MS);
+		for (guint i = 0; i < fixture->polls->len; i++)
+			assert_int_equal(g_array_index(fixture->polls,
+						       sched_fixture_poll_t, i)
+						 .acked_upto,
+					 0);
+		answer_only(fixture, "u1 u2");
+		wwh_scheduler_set_confirmed(fixture->scheduler,
+					    fixture->now_ms);
+	}
+	sched_fixture_run(fixture, 2 * STEP_MS);
+	assert_int_equal(sched_fixture_newest_poll(fixture, "u1").acked_upto,
+			 1);
+}
+
+/* Guards against two runs of a task that both holders know of. */
+void no_inherited_task_starts_before_most_have_answered(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	static const char record[] = "\x92\xab"
+				     "10.0.0.9:91\xa5"
+				     "other";
+	GBytes *value = g_bytes_new_static(record, sizeof(record) - 1);
+
+	g_hash_table_replace(fixture->records, g_strdup("Uo1"),
+			     g_bytes_ref(value));
+	g_hash_table_replace(fixture->records, g_strdup("Uo2"), value);
+	(void)begin(fixture, 1);
+	run_for(fixture, 1000, "u1");
+	assert_int_equal(fixture->starts->len, 1);
+	run_for(fixture, 500, "u1 o1");
+	assert_true(fixture->starts->len > 1);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -151,8 +151,14 @@
 	void **state);
 
 #define AUTHORITY_TESTS                                                                \
-	FIXTURE_TEST(an_unconfirmed_holder_that_reaches_few_upstreams_stops,           \
-		     3),                                                               \
+	FIXTURE_TEST(                                                                  \
+		ends_are_acknowledged_once_the_previous_holder_cannot_act, 2),         \
+		FIXTURE_TEST(                                                          \
+			no_inherited_task_starts_before_most_have_answered,            \
+			1),                                                            \
+		FIXTURE_TEST(                                                          \
+			an_unconfirmed_holder_that_reaches_few_upstreams_stops,        \
+			3),                                                            \
 		FIXTURE_TEST(                                                          \
 			an_unconfirmed_holder_that_reaches_most_upstreams_goes_on,     \
 			3),                                                            \
@@ -182,6 +188,8 @@
 void inherited_leases_count_from_when_most_upstreams_have_answered(
 	void **state);
 void inherited_leases_end_without_most_upstreams(void **state);
+void ends_are_acknowledged_once_the_previous_holder_cannot_act(void **state);
+void no_inherited_task_starts_before_most_have_answered(void **state);
 void no_upstream_is_recorded_before_most_have_answered(void **state);
 
 #define UNREACHABLE_TESTS                                                          \
