fuzz_scheduler: two and three holders at work, each with its own links

Change: events n * 16 + 13, which no kept input has: a holder is overtaken and lives on; its links to upstreams and those of its successor are up, cut or one way; the store is away for all, or cut from the newest holder; an append is answered late; an overtaken holder reads the registry or a list of hosts; all do their work for up to 12.8 s. The store refuses an overtaken holder's epoch; an upstream that has seen a higher token ends it. From the first such event on holders are told when their claim was confirmed. WWH_FUZZ_TRACE=1 prints the events. Each holder that lives on may start a crashing task as often again as one alone, since neither reads the other's records; an overtaken holder needn't know jobs and ends of after its time.

--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -17,11 +17,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "scheduler_trace.h"
 #include "waxwinghollow/scheduler.h"
 
 #ifndef UPSTREAMS
 #define UPSTREAMS 4
 #endif
+#define HOLDERS_MAX 3 /* at once: the newest one and those that it overtook */
 #define JOBS_MAX 24
 #define TASKS 3 /* at most, of each step of a job */
 #define STEPS 2 /* at most */
@@ -47,8 +49,9 @@
 	int32_t answered_crashes; /* of upstreams that had answered the start */
 	int32_t starts;
 	int32_t unanswered; /* runs whose start got no answer */
-	int64_t ordered_run; /* its start may be sent again */
-	bool run_answered; /* that run */
+	/* of each living holder: its newest run, whose start may be sent again */
+	int64_t ordered_run[HOLDERS_MAX];
+	bool run_answered[HOLDERS_MAX];
 } truth_t;
 
 typedef struct {
@@ -142,6 +145,12 @@
 	int64_t number;
 } record_t;
 
+typedef enum {
+	LINK_UP,
+	LINK_CUT,
+	LINK_ONE_WAY, /* orders arrive, answers don't */
+} link_t;
+
 typedef struct {
 	wwh_scheduler_t *scheduler;
 	int32_t number; /* 0: none */
@@ -149,14 +158,26 @@
 	int64_t next_record;
 	int64_t sent_upto; /* records that were in a call, stored or not */
 	GQueue *pending; /* record_t */
+	int64_t confirmed_ms; /* when the newest append that succeeded was sent */
+	bool overtaken; /* the store refuses its epoch, and it doesn't know yet */
+	bool store_cut; /* its appends get no answer, and it reads nothing */
+	link_t links[UPSTREAMS];
+	/* of an append that the store has carried out; its answer is on its way */
+	int64_t slow_append_upto;
+	int64_t slow_append_sent_ms; /* 0: there is none */
 } holder_t;
 
 typedef struct {
 	const uint8_t *data;
 	size_t size;
 	int64_t now_ms;
-	holder_t holder;
+	holder_t holders[HOLDERS_MAX]; /* in any order */
+	holder_t *holder; /* the newest one */
 	int32_t holder_count;
+	int32_t lived_on; /* holders that went on beside their successor */
+	bool store_away; /* from everybody */
+	bool tracks_claims; /* holders are told when their claim was confirmed */
+	int32_t work_ticks;
 	GHashTable *store; /* key to GBytes */
 	host_t hosts[UPSTREAMS];
 	job_t jobs[JOBS_MAX];
@@ -217,6 +238,8 @@
 	int32_t step;
 	truth_t *truth = truth_of(run.task, &step, &job);
 
+	trace("%s: run %" G_GINT64_FORMAT " of %s ends as %s", host->id,
+	      run.run, run.task, wwh_end_kind_names[kind]);
 	g_strlcpy(end.task, run.task, sizeof(end.task));
 	g_array_append_val(host->ends, end);
 	g_array_remove_index(host->runs, index);
@@ -231,6 +254,7 @@
 
 static inline void crash(host_t *host)
 {
+	trace("%s: crashes with %u runs", host->id, host->runs->len);
 	for (guint i = 0; i < host->runs->len; i++) {
 		job_t *job;
 		int32_t step;
@@ -316,6 +340,10 @@
 		return WWH_ORDER_LATE;
 	if ((int32_t)host->runs->len >= CORES / 1000)
 		return WWH_ORDER_NO_ROOM;
+	trace("%s: holder %d begins run %" G_GINT64_FORMAT " of %s%s%s",
+	      host->id, order->holder, order->run, order->task,
+	      truth->running ? " WHILE ANOTHER GOES ON" : "",
+	      truth->done_acked ? " AFTER AN ACKNOWLEDGED END AS DONE" : "");
 	assert(truth != NULL && job->submitted);
 	assert(!truth->running);
 	assert(!truth->done_acked);
@@ -327,9 +355,12 @@
 	truth->running = true;
 	truth->starts++;
 	if (crashes_upstreams(job) && truth == &job->tasks[0][0]) {
-		/* each holder may have missed a crash, and the one before it */
+		/*
+		 * Each holder may have missed a crash, and the one before it. One
+		 * that lives on beside its successor counts for itself.
+		 */
 		assert(truth->starts <=
-		       MAX_CRASHING_STARTS +
+		       MAX_CRASHING_STARTS * (1 + world.lived_on) +
 			       2 * (world.holder_count - job->first_holder));
 		run.crash_ms = world.now_ms + job->crash_delay_ms;
 	}
@@ -373,6 +404,11 @@
 		int32_t step;
 		truth_t *truth = truth_of(end->task, &step, &job);
 
+		trace("%s: holder %d acknowledges the end of run "
+		      "%" G_GINT64_FORMAT " of %s as %s%s",
+		      host->id, order->holder, end->run, end->task,
+		      wwh_end_kind_names[end->kind],
+		      end->lapsed ? ", lapsed since" : "");
 		truth->done_acked |= end->kind == WWH_END_DONE && !end->lapsed;
 		truth->failed_acked +=
 			end->kind == WWH_END_FAILED && !end->lapsed;
