--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -265,12 +265,16 @@
 	}
 }
 
-static void run_holder(const holder_t *holder)
+static void run_holder(holder_t *holder)
 {
+	if (is_frozen(holder))
+		return;
 	if (world.tracks_claims)
 		wwh_scheduler_set_confirmed(holder->scheduler,
 					    holder->confirmed_ms);
-	wwh_scheduler_run(holder->scheduler, world.now_ms, world.now_ms);
+	if (may_order(holder))
+		wwh_scheduler_run(holder->scheduler, world.now_ms,
+				  world.now_ms);
 	wwh_scheduler_check(holder->scheduler);
 	check_shown(holder);
 }
@@ -333,7 +337,7 @@
 		append(how % 8 != 0, how % 8 != 1);
 		break;
 	case 7:
-		world.now_ms += how * 20;
+		stand_still(how * 20);
 		break;
 	case PARTITION_EVENT:
 		change_partition(event / 16, how);
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -39,7 +39,8 @@
 
 static bool reaches_store(const holder_t *holder)
 {
-	return !world.store_away && !holder->store_cut && !holder->overtaken;
+	return !world.store_away && !holder->store_cut && !holder->overtaken &&
+	       holder->frozen_until_ms == 0;
 }
 
 static void add_order(const order_t *order)
--- a/src/test_fuzz/scheduler_orders.h
+++ b/src/test_fuzz/scheduler_orders.h
@@ -149,7 +149,11 @@
 	int life;
 
 	assert(sscanf(order->upstream, "u%d-%d", &index, &life) == 2);
-	return holder == NULL ? LINK_UP : holder->links[index];
+	if (holder == NULL)
+		return LINK_UP;
+	return holder->frozen_until_ms != 0 && holder->links[index] == LINK_UP
+		       ? LINK_ONE_WAY
+		       : holder->links[index];
 }
 
 /*
