fuzz_scheduler: claims are tracked in inputs that have events of partitions

Cause: a holder that is told when its claim was confirmed acts less, and the kept inputs append seldom, so they would show less on a scheduler that heeds it.

Change: set_confirmed and unconfirmed_max_ms (15 s) are used from the start in inputs that have such an event, and not in others.

--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -356,6 +356,7 @@
 	world.size = MIN(size, (size_t)INPUT_MAX);
 	world.now_ms = 100000;
 	world.holder = &world.holders[0];
+	world.tracks_claims = has_partition_event();
 	world.store = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    (GDestroyNotify)g_bytes_unref);
 	world.orders = g_queue_new();
--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -251,6 +251,8 @@
 	options.ended_job_retention_ms =
 		INT64_MAX / 4; /* no job is forgotten here */
 	options.holder_count = world.holder_count;
+	if (world.tracks_claims)
+		options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
 	holder->scheduler = wwh_scheduler_new(&options, &calls);
 	restore(holder);
 	for (int32_t i = 0; i < UPSTREAMS; i++)
--- a/src/test_fuzz/scheduler_partition.h
+++ b/src/test_fuzz/scheduler_partition.h
@@ -222,9 +222,21 @@
 	}
 }
 
+/*
+ * Where one holder lives at a time and the store is there for it, no other one can
+ * act, so it counts as confirmed at any time.
+ */
+static bool has_partition_event(void)
+{
+	for (size_t i = UPSTREAMS; i < world.size; i += 2) {
+		if (world.data[i] % 16 == PARTITION_EVENT)
+			return true;
+	}
+	return false;
+}
+
 static void change_partition(uint8_t which, uint8_t how)
 {
-	world.tracks_claims = true;
 	switch (which) {
 	case PARTITION_OVERTAKE:
 	case PARTITION_OVERTAKE_AGAIN:
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -33,6 +33,7 @@
 #define LEASE_MAX_MS 10000
 #define ORDER_LIMIT_MS 1700 /* after which a holder waits no longer */
 #define STANDSTILL_MS 900 /* after which a holder waits for its next append */
+#define UNCONFIRMED_MAX_MS 15000 /* while most upstreams answer a holder */
 #define CRASHED_MS 3000 /* how long an upstream is away after a crash */
 #define SLOWDOWN 5 /* of runs on a slow upstream */
 #define MAX_CRASHING_STARTS 5 /* of one task, by a holder that knows of all */
