--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -20,8 +20,8 @@
  * often as the queue allows, or two upstreams have crashed under it; and an
  * accepted one is never unknown. A task that crashes its upstreams is started
  * five times at most, as often again for each holder that lives on beside its
- * successor, and twice more for each change of holder and once for each start whose
- * answer was lost.
+ * successor, twice more for each change of holder and once for each start whose
+ * answer was lost or whose crash a cut link hid.
  */
 
 #include "scheduler_partition.h"
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -50,6 +50,11 @@
 	int32_t crashes; /* of upstreams that ran it */
 	int32_t answered_crashes; /* of upstreams that had answered the start */
 	int32_t starts;
+	/* of them: crashed an upstream that its holder couldn't reach then */
+	int32_t hidden_starts;
+	int32_t last_holder; /* whose start was carried out */
+	int32_t last_host; /* and where */
+	int32_t last_link_changes; /* at that host by then */
 	int32_t unanswered; /* runs whose start got no answer */
 	/* of each living holder: its newest run, whose start may be sent again */
 	int64_t ordered_run[HOLDERS_MAX];
@@ -99,6 +104,7 @@
 	bool up;
 	bool cut;
 	bool hangs;
+	int32_t link_changes; /* of links to holders, so far */
 	bool slow; /* its next runs take several times as long */
 	bool leaving;
 	bool announced;
@@ -322,6 +328,28 @@
 	}
 }
 
+/*
+ * A holder that can't reach an upstream can't tell whether it has crashed, and mostly
+ * it hasn't.
+ */
+static inline void note_crashing_start(truth_t *truth, const host_t *host,
+				       int32_t number)
+{
+	const host_t *last = &world.hosts[truth->last_host];
+
+	for (int32_t i = 0; i < HOLDERS_MAX && truth->last_holder != 0; i++) {
+		const holder_t *holder = &world.holders[i];
+
+		truth->hidden_starts +=
+			holder->number == truth->last_holder &&
+			(holder->links[truth->last_host] != LINK_UP ||
+			 last->link_changes != truth->last_link_changes);
+	}
+	truth->last_holder = number;
+	truth->last_host = (int32_t)(host - world.hosts);
+	truth->last_link_changes = host->link_changes;
+}
+
 static inline wwh_order_result_t carry_out_start(host_t *host,
 						 const order_t *order)
 {
@@ -368,8 +396,10 @@
 		 * Each holder may have missed a crash, and the one before it. One
 		 * that lives on beside its successor counts for itself.
 		 */
+		note_crashing_start(truth, host, order->holder);
 		assert(truth->starts <=
 		       MAX_CRASHING_STARTS * (1 + world.lived_on) +
+			       truth->hidden_starts +
 			       2 * (world.holder_count - job->first_holder));
 		run.crash_ms = world.now_ms + job->crash_delay_ms;
 	}
