fuzz_scheduler: a list of hosts ends upstreams whose host has another id

Cause: the program ends an upstream by the row of its host; the fuzzer only read what whole lists lack, so an overtaken holder that reads lists showed less than it does.

Change: in inputs with events of partitions a list that is read ends all former lives of a host that is listed with a new id.

An input of 32 bytes fails on: the overtaken holder loses by such a row a task whose end as done its successor acknowledged.

--- a/src/test_fuzz/scheduler_holders.h
+++ b/src/test_fuzz/scheduler_holders.h
@@ -277,6 +277,29 @@
 	fill_list();
 }
 
+/*
+ * A host that is listed with another id runs the upstream no longer. Inputs without
+ * events of partitions learn of that by the whole list only.
+ */
+static void end_former_lives(const holder_t *holder)
+{
+	for (int32_t i = 0; i < UPSTREAMS && world.tracks_claims; i++) {
+		const host_t *host = &world.hosts[i];
+		char id[16];
+
+		if (!g_hash_table_contains(world.lives, host->id))
+			continue;
+		for (int32_t life = 1; life < host->life; life++) {
+			snprintf(id, sizeof(id), "u%d-%d", i, life);
+			if (strcmp(id, host->id) != 0)
+				wwh_scheduler_upstream_terminated(
+					holder->scheduler, id,
+					WWH_TERMINATION_CRASH, "host",
+					world.now_ms);
+		}
+	}
+}
+
 /* One that was asked for by a holder that has ended is read by nobody. */
 static void read_list(void)
 {
@@ -285,6 +308,8 @@
 	if (holder != NULL)
 		wwh_scheduler_incarnations_listed(
 			holder->scheduler, world.lives, false, world.now_ms);
+	if (holder != NULL)
+		end_former_lives(holder);
 	world.list_holder = 0;
 }
 
--- a/src/test_fuzz/scheduler_partition.h
+++ b/src/test_fuzz/scheduler_partition.h
@@ -163,8 +163,8 @@
 }
 
 /*
- * The store may reject a machine's appends and serve its reads. Lists of hosts are
- * the operator's.
+ * The store may reject a machine's appends and serve its reads. Lists of hosts come
+ * from another service.
  */
 static void read_overtaken(uint8_t how)
 {
