scheduler: an upstream that has started again gets orders once the claim is confirmed

What callers would see: tasks that run twice (TWICE), found by fuzz_scheduler with two holders at work, where upstreams start again under their ids.

An upstream that starts again has forgotten its holder. It obeys an overtaken one, which has acted within its rights, while the successor, which it has answered before, waits for it no more.

Change: a holder neither starts tasks nor extends the lease at an upstream whose start it has learned of since its claim was last confirmed. A confirmation is requested at once.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -434,6 +434,13 @@
 /* Called when an inherited upstream has answered this holder or has ended. */
 void sched_authority_note_fenced(wwh_scheduler_t *scheduler,
 				 sched_upstream_t *upstream);
+/*
+ * Whether upstream has started, for the first time or again, before the claim was
+ * last confirmed. Otherwise another holder may have claimed since, and upstream has
+ * forgotten it.
+ */
+bool sched_start_is_confirmed(const wwh_scheduler_t *scheduler,
+			      const sched_upstream_t *upstream);
 /* Whether most inherited upstreams refuse the previous holder's orders by now. */
 bool sched_previous_is_fenced(const wwh_scheduler_t *scheduler);
 /* The same, or it may not have noticed yet. */
--- a/src/libwaxwinghollow/scheduler_authority.c
+++ b/src/libwaxwinghollow/scheduler_authority.c
@@ -78,6 +78,12 @@
 	return false;
 }
 
+bool sched_start_is_confirmed(const wwh_scheduler_t *scheduler,
+			      const sched_upstream_t *upstream)
+{
+	return upstream->born_learned_ms <= scheduler->confirmed_ms;
+}
+
 /*
  * Each of two holders needs more than half of the upstreams that are recorded, so
  * one of these has refused the previous holder's polls since it answered this one.
@@ -197,16 +203,12 @@
 	return since_ms;
 }
 
-/*
- * An upstream that starts again under its id has forgotten which holder it has
- * obeyed last, so it counts only once the claim was confirmed after its start.
- */
 static int64_t witnessed_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream)
 {
 	if (!upstream->record_written || upstream->termination_reason != NULL ||
 	    upstream->record_number > scheduler->durable_record ||
-	    upstream->born_learned_ms > scheduler->confirmed_ms)
+	    !sched_start_is_confirmed(scheduler, upstream))
 		return 0;
 	return upstream->witnessed_ms;
 }
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -234,7 +234,8 @@
 	if (upstream->clock_base_remote_ms == 0)
 		return 0;
 	if (scheduler->now_ms - scheduler->authority_ms >
-	    WWH_OVERTAKEN_HOLDER_MS)
+		    WWH_OVERTAKEN_HOLDER_MS ||
+	    !sched_start_is_confirmed(scheduler, upstream))
 		return upstream->lease_until_remote_ms;
 	remote_ms = upstream->clock_base_remote_ms + scheduler->now_ms -
 		    upstream->clock_base_ms;
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -276,7 +276,8 @@
 		       SILENT_AFTER_MS + upstream->idle_gap_ms &&
 	       now_ms >= upstream->backoff_until_ms &&
 	       upstream->record_written &&
-	       upstream->record_number <= scheduler->durable_record;
+	       upstream->record_number <= scheduler->durable_record &&
+	       sched_start_is_confirmed(scheduler, upstream);
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -525,6 +525,8 @@
 		return;
 	sched_orders_repeat(scheduler, upstream);
 	sched_isolation_update(upstream);
+	if (upstream->settled && !sched_start_is_confirmed(scheduler, upstream))
+		scheduler->awaits_confirmation = true;
 	if (upstream->settled)
 		sched_poll_if_due(scheduler, upstream);
 	if (upstream->settled && upstream->listed &&
