scheduler_loss: a job whose tasks last is never given up

Cause: sched_losses_give_up ends a job after two crashes that one of its tasks may have caused, whether its tasks last or not. Tasks that last have to be started again however they end; no number of crashes tells chance from a task that causes them.

Change: such a task is never given up. Where its losses would end another task's job it is started once in 5 s at most, isolated as before, so that one that does crash its upstreams keeps one of them down at a time. The last five losses are kept, so that its record doesn't grow.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -570,8 +570,11 @@
  */
 void sched_losses_confirm_crash(wwh_scheduler_t *scheduler,
 				const sched_upstream_t *upstream);
-/* Ends task's job if task has crashed too many upstreams. */
+/* Ends task's job if task has crashed too many upstreams and doesn't last. */
 void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task);
+/* Whether a lasting task waits, as it may have crashed too many upstreams. */
+bool sched_losses_delay_start(const wwh_scheduler_t *scheduler,
+			      const sched_task_t *task);
 /* Appends a row, or replaces that of the same run. */
 void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags);
 /*
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -14,6 +14,13 @@
 #define MAX_CRASHES_UNSURE 3
 #define MAX_CRASHES_UNANSWERED 4
 
+/*
+ * The least time between two starts of a lasting task that would be given up if it
+ * didn't last. Crashed upstreams are mostly back by then, so that such a task keeps
+ * one of them down at a time.
+ */
+#define LASTING_START_INTERVAL_MS 5000
+
 /* How long the larger number applies after a crash without a young run. */
 #define UNPROVOKED_FOR_MS 20000
 
@@ -34,6 +41,9 @@
 
 static suspects_t find_suspects(const sched_upstream_t *upstream);
 static bool is_suspect(const suspects_t *suspects, const sched_task_t *task);
+static bool has_too_many_losses(const wwh_scheduler_t *scheduler,
+				const sched_task_t *task);
+static int32_t count_suspect_crashes(const sched_losses_t *losses);
 static int32_t max_crashes(const wwh_scheduler_t *scheduler,
 			   const sched_task_t *task);
 static int32_t min_crashes(const sched_losses_t *losses);
@@ -93,31 +103,54 @@
 	}
 }
 
+/* A lasting task is started again however it ends, so it is never given up. */
 void sched_losses_give_up(wwh_scheduler_t *scheduler, const sched_task_t *task)
 {
 	sched_job_t *job = task->step->occurrence->job;
-	const sched_losses_t *losses = &task->losses;
-	int32_t crashes =
-		count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_SUSPECT);
-	int32_t alone = count_with(losses, SCHED_LOSS_ALONE);
-	int32_t limit = max_crashes(scheduler, task);
-	bool convicted = crashes >= limit && alone >= limit - 1;
 	char name[WWH_TASK_NAME_BYTES];
 
-	if (!sched_job_is_live(job) ||
-	    (!convicted && !has_exhausted_losses(task)))
+	if (!sched_job_is_live(job) || task->step->spec->lasting ||
+	    !has_too_many_losses(scheduler, task))
 		return;
 	sched_task_name(task, name);
 	sched_explain(scheduler, "task-given-up", name,
-		      "crashes=%d alone=%d losses=%d", crashes, alone,
-		      losses->count);
+		      "crashes=%d alone=%d losses=%d",
+		      count_suspect_crashes(&task->losses),
+		      count_with(&task->losses, SCHED_LOSS_ALONE),
+		      task->losses.count);
 	scheduler->tasks_given_up++;
 	sched_job_end(scheduler, job, WWH_PROGRESS_FAILED);
 }
 
+bool sched_losses_delay_start(const wwh_scheduler_t *scheduler,
+			      const sched_task_t *task)
+{
+	return task->step->spec->lasting && task->ordered_ms != 0 &&
+	       scheduler->now_ms - task->ordered_ms <
+		       LASTING_START_INTERVAL_MS &&
+	       has_too_many_losses(scheduler, task);
+}
+
+static bool has_too_many_losses(const wwh_scheduler_t *scheduler,
+				const sched_task_t *task)
+{
+	const sched_losses_t *losses = &task->losses;
+	int32_t limit = max_crashes(scheduler, task);
+
+	return has_exhausted_losses(task) ||
+	       (count_suspect_crashes(losses) >= limit &&
+		count_with(losses, SCHED_LOSS_ALONE) >= limit - 1);
+}
+
+static int32_t count_suspect_crashes(const sched_losses_t *losses)
+{
+	return count_with(losses, SCHED_LOSS_CRASH | SCHED_LOSS_SUSPECT);
+}
+
 /*
  * A task with MAX_LOSSES rows may have too few crashes to be given up. Then its
- * oldest row that is no crash makes room for the new one.
+ * oldest row that is no crash makes room for the new one, or else its oldest row: a
+ * lasting task may crash any number of upstreams.
  */
 void sched_losses_add(sched_task_t *task, int64_t run, uint32_t flags)
 {
@@ -138,6 +171,8 @@
 		if ((losses->rows[i].flags & SCHED_LOSS_CRASH) == 0)
 			sched_losses_remove(task, losses->rows[i].run);
 	}
+	if (losses->count >= MAX_LOSSES)
+		sched_losses_remove(task, losses->rows[0].run);
 	losses->rows = g_renew(sched_loss_t, losses->rows, losses->count + 1);
 	losses->rows[losses->count++] =
 		(sched_loss_t){ .run = run, .flags = flags };
--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -18,8 +18,8 @@
  * and when a holder is asked: a job is shown as completed only when each of
  * its tasks is done, and ever after; as failed only when a task has failed as
  * often as the queue allows, or two upstreams have crashed under it; and an
- * accepted one is never unknown. A task that crashes its upstreams is started
- * five times at most, as often again for each holder that lives on beside its
+ * accepted one is never unknown. One whose tasks last is never shown as either. A
+ * task that ends and crashes its upstreams is started five times at most, as often again for each holder that lives on beside its
  * successor, twice more for each change of holder and once for each start whose
  * answer was lost or whose crash a cut link hid.
  */
@@ -49,6 +49,12 @@
 #endif
 #define LAST_CRASHING_UNANSWERED 137
 
+/* Kinds of jobs whose tasks last, beside what else they are; none here. */
+#ifndef FIRST_LASTING
+#define FIRST_LASTING 256
+#define LAST_LASTING 256
+#endif
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 static uint8_t next(void)
@@ -92,6 +98,11 @@
 	tell_registered(host);
 }
 
+static bool lasts(int32_t kind)
+{
+	return kind >= FIRST_LASTING && kind <= LAST_LASTING;
+}
+
 /*
  * Most jobs are large, so that tasks compete for room. Only small ones end
  * within an input, and an end is what the checks of callers' answers need.
@@ -106,6 +117,9 @@
 		entry->crash_delay_ms = kind % 2 == 0 ? 10 : 250;
 	entry->crashes_unanswered = kind >= FIRST_CRASHING_UNANSWERED &&
 				    kind <= LAST_CRASHING_UNANSWERED;
+	entry->lasts = lasts(kind);
+	if (entry->lasts)
+		entry->step_count = 1;
 }
 
 static void submit(uint8_t kind)
@@ -134,6 +148,7 @@
 		job->steps[i].task_count = entry->task_count;
 		job->steps[i].need.cpu_millicores = 1000;
 		job->steps[i].estimate_ms = 500;
+		job->steps[i].lasting = entry->lasts;
 		job->steps[i].max_per_upstream = kind % 3;
 	}
 	if (entry->step_count > 1) {
@@ -216,6 +231,8 @@
 		assert(!job->shown_completed ||
 		       shown == WWH_PROGRESS_COMPLETED || holder->overtaken);
 		job->shown_completed |= shown == WWH_PROGRESS_COMPLETED;
+		assert(!job->lasts || (shown != WWH_PROGRESS_FAILED &&
+				       shown != WWH_PROGRESS_COMPLETED));
 		assert(shown != WWH_PROGRESS_FAILED ||
 		       most_failures(job) >= MAX_ATTEMPTS ||
 		       most_crashes(job) >= MIN_CRASHES ||
--- a/src/test_scheduler/test_crashes.c
+++ b/src/test_scheduler/test_crashes.c
@@ -676,6 +676,54 @@
 	assert_null(strstr(fixture->events->str, "losses=1"));
 }
 
+/* Submits JOB_A, whose task lasts, and crashes its upstreams. */
+static void crash_lasting_task(sched_fixture_t *fixture, guint times,
+			       bool changes_holder)
+{
+	wwh_job_t *job = sched_fixture_job(JOB_A, 1, 1000);
+
+	job->steps[0].lasting = true;
+	sched_fixture_submit(fixture, job);
+	for (guint i = 0; i < times; i++) {
+		assert_true(await_start(fixture, i));
+		crash_newest_start(fixture);
+		if (!changes_holder)
+			continue;
+		sched_fixture_take_over(fixture);
+		sched_fixture_announce(fixture, "u2", ENDPOINT_2, false);
+		sched_fixture_announce(fixture, "u3", ENDPOINT_3, false);
+	}
+	assert_true(await_start(fixture, times));
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+	assert_null(strstr(fixture->events->str, "losses=6"));
+}
+
+/* Guards against a lasting job that ends as failed though none of its runs did. */
+void a_lasting_task_is_not_given_up(void **state)
+{
+	crash_lasting_task(*state, 2 * MAX_CRASHES, false);
+}
+
+/* Guards against a next holder that ends such a job. */
+void a_lasting_task_is_not_given_up_by_the_next_holder(void **state)
+{
+	crash_lasting_task(*state, 2 * MAX_CRASHES, true);
+}
+
+/* Guards against a lasting task that takes down a pool, one upstream a moment. */
+void a_lasting_task_that_crashes_its_upstreams_is_slowed_down(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	int64_t before_ms;
+
+	crash_lasting_task(fixture, 2, false);
+	before_ms = fixture->now_ms;
+	crash_newest_start(fixture);
+	assert_true(await_start(fixture, 3));
+	assert_true(fixture->now_ms - before_ms > 4500);
+}
+
 /* Guards against a gang that is restarted without limit. */
 void a_gang_that_crashes_its_upstreams_is_given_up(void **state)
 {
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -353,6 +353,12 @@
 		FIXTURE_TEST(                                                     \
 			a_lasting_task_is_no_suspect_once_it_has_run_for_long,    \
 			3),                                                       \
+		FIXTURE_TEST(a_lasting_task_is_not_given_up, 3),                  \
+		FIXTURE_TEST(                                                     \
+			a_lasting_task_is_not_given_up_by_the_next_holder, 3),    \
+		FIXTURE_TEST(                                                     \
+			a_lasting_task_that_crashes_its_upstreams_is_slowed_down, \
+			3),                                                       \
 		FIXTURE_TEST(a_gang_that_crashes_its_upstreams_is_given_up,       \
 			     3),                                                  \
 		FIXTURE_TEST(                                                     \
@@ -384,6 +390,9 @@
 void a_recorded_start_that_was_never_sent_is_no_loss(void **state);
 void tasks_of_a_step_that_crashed_an_upstream_are_isolated(void **state);
 void a_lasting_task_is_no_suspect_once_it_has_run_for_long(void **state);
+void a_lasting_task_is_not_given_up(void **state);
+void a_lasting_task_is_not_given_up_by_the_next_holder(void **state);
+void a_lasting_task_that_crashes_its_upstreams_is_slowed_down(void **state);
 void a_gang_that_crashes_its_upstreams_is_given_up(void **state);
 void a_lasting_suspect_is_not_held_back_by_a_lack_of_room(void **state);
 void a_suspect_is_started_though_the_store_is_down(void **state);
