host_waves: an upkeep without an answer keeps its slot until it has one

What callers would see: one host more of a wave down than it allows (LIMIT), where orders for hosts are carried out late.

Cause: a host with an unanswered order counted as back once a list showed it as up, requested later than an upkeep takes. The list can't tell an upkeep that was never carried out from one that is yet to begin. A second order that was answered "busy" or 429 freed the slot, too.

Change: the order is sent again to the same host, without a further slot, until one is answered as done or as never to be carried out; until then no list frees the slot. The page answers 200 if the upkeep is done already, so copies that arrive later do nothing.

Measured: a_host_with_an_unanswered_upkeep_keeps_its_slot fails before (test_waves.c:225, 0x2 != 0x1); test_host_duties 62, test_job_holder 24, test_fleet_reserve 26 passed.

--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -44,6 +44,8 @@
 static bool is_contradicted(const wwh_host_duties_t *duties,
 			    const duty_host_t *host,
 			    const wwh_listed_host_t *listed);
+static bool is_back_from_upkeep(const wwh_host_duties_t *duties,
+				const duty_host_t *host);
 static void report_terminated_incarnation(wwh_host_duties_t *duties,
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed);
@@ -157,9 +159,7 @@
 		g_free(host->upstream);
 		host->upstream = g_strdup(listed->upstream);
 	}
-	/* the list was requested after the earliest end of the upkeep */
-	if (host->in_upkeep && listed->state == WWH_HOST_UP &&
-	    duties->list_sent_ms >= host->down_until_ms) {
+	if (is_back_from_upkeep(duties, host)) {
 		host->in_upkeep = false;
 		host->upkeep_ordered_ms = 0;
 		/* no upkeep took place now; the same incarnation runs on */
@@ -292,6 +292,18 @@
 						     duties->list_sent_ms);
 }
 
+/*
+ * Returns whether the list was requested after the earliest end of the upkeep. A
+ * host that is up may still begin one for which an order has no answer.
+ */
+static bool is_back_from_upkeep(const wwh_host_duties_t *duties,
+				const duty_host_t *host)
+{
+	return host->in_upkeep && host->state == WWH_HOST_UP &&
+	       !host->upkeep_in_flight && !host->upkeep_unanswered &&
+	       duties->list_sent_ms >= host->down_until_ms;
+}
+
 static void report_terminated_incarnation(wwh_host_duties_t *duties,
 					  const duty_host_t *host,
 					  const wwh_listed_host_t *listed)
--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -162,6 +162,7 @@
 	case WWH_DUTY_REFUSED:
 		/* the host isn't part of this wave or doesn't exist */
 		g_hash_table_add(wave->done_hosts, g_strdup(name));
+		host->upkeep_unanswered = false;
 		host->in_upkeep = false;
 		duties_end_drain(duties, host);
 		break;
@@ -170,12 +171,16 @@
 		/* fallthrough */
 	case WWH_DUTY_BUSY:
 	case WWH_DUTY_FENCED:
+		/* an earlier order may still take effect */
+		if (host->upkeep_unanswered)
+			break;
 		host->in_upkeep = host->state == WWH_HOST_UPKEEP;
 		/* the next try checks again for tasks */
 		host->upkeep_ordered_ms = 0;
 		break;
 	default:
-		/* may take effect: the host still counts as unavailable */
+		/* the slot stays taken; resent until the outcome is known */
+		host->upkeep_unanswered = true;
 		break;
 	}
 }
@@ -213,9 +218,15 @@
 	hosts = pending_hosts_by_cost(duties, wave);
 	slack = slack_ms(duties, wave, (int32_t)hosts->len);
 	free_slots = MAX(1, wave->order->max_down) - count_down(duties, wave);
-	for (guint i = 0; i < hosts->len && free_slots > 0; i++) {
+	for (guint i = 0; i < hosts->len; i++) {
 		duty_host_t *host = g_ptr_array_index(hosts, i);
 
+		if (host->upkeep_unanswered) {
+			send_upkeep_order(duties, wave, host);
+			continue;
+		}
+		if (free_slots <= 0)
+			break;
 		if (slack > BUSY_POOL_MIN_SLACK_MS &&
 		    is_needed_by_pool(duties, host))
 			continue;
@@ -402,6 +413,7 @@
 {
 	host->down_until_ms = duties->now_ms + duties->options.upkeep_ms;
 	host->upkeep_ordered_ms = 0;
+	host->upkeep_unanswered = false;
 	host->draining_since_ms = 0;
 	host->in_upkeep = true;
 	g_hash_table_add(wave->done_hosts, g_strdup(host->name));
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -55,6 +55,7 @@
 	bool in_transit; /* in the list of such hosts */
 	bool in_list; /* in the last complete list */
 	bool upkeep_in_flight; /* upkeep order sent, no answer yet */
+	bool upkeep_unanswered; /* an order without an answer may take effect */
 	bool in_upkeep; /* ordered into upkeep, not listed as up since */
 	bool move_in_flight;
 	bool is_surplus; /* selected to leave its pool */
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -175,6 +175,59 @@
 	assert_int_equal(fixture->upkeeps->len, 2);
 }
 
+/* Answers the newest order of an upkeep. */
+static void answer_upkeep(duties_fixture_t *fixture, wwh_duty_result_t result)
+{
+	const char *host =
+		g_ptr_array_index(fixture->upkeeps, fixture->upkeeps->len - 1);
+
+	wwh_host_duties_handle_upkeep_result(fixture->duties, host, WAVE,
+					     result, fixture->sched->now_ms);
+}
+
+static void expect_newest_upkeep(const duties_fixture_t *fixture, guint count,
+				 const char *host)
+{
+	assert_int_equal(fixture->upkeeps->len, count);
+	assert_string_equal(g_ptr_array_index(fixture->upkeeps, count - 1),
+			    host);
+}
+
+/* A list that is requested after the earliest end of an upkeep. */
+static void list_hosts_later(duties_fixture_t *fixture)
+{
+	duties_fixture_run(fixture, 3000);
+	duties_fixture_list_hosts(fixture, 2, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1);
+}
+
+/*
+ * Guards against a slot that is given to another host while an order without an
+ * answer may still be carried out: one host too many was taken down.
+ */
+void a_host_with_an_unanswered_upkeep_keeps_its_slot(void **state)
+{
+	static const wwh_duty_result_t results[] = {
+		WWH_DUTY_UNKNOWN,  WWH_DUTY_UNKNOWN, WWH_DUTY_BUSY,
+		WWH_DUTY_NOT_DONE, WWH_DUTY_DONE,
+	};
+	duties_fixture_t *fixture = *state;
+
+	duties_fixture_add_wave(fixture, 2, 1);
+	duties_fixture_run(fixture, 1);
+	duties_fixture_list_hosts(fixture, 2, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1);
+	for (guint i = 0; i < G_N_ELEMENTS(results); i++) {
+		expect_newest_upkeep(fixture, i + 1, "h1");
+		list_hosts_later(fixture);
+		answer_upkeep(fixture, results[i]);
+		duties_fixture_run(fixture, 1);
+		assert_int_equal(fixture->upkeeps->len, i + 1);
+		list_hosts_later(fixture);
+	}
+	expect_newest_upkeep(fixture, G_N_ELEMENTS(results) + 1, "h2");
+}
+
 /*
  * A wave names a host that was removed, so no list shows its pool. The holder
  * crashed on the lookup of that pool, and so did each holder after it.
