host_waves: a removed host frees its slot

What callers would see: a wave never ends where one of its hosts is removed after it was ordered into upkeep without an answer, or while it is in upkeep: the slot stayed taken, and with one host at a time no other was ordered.

Cause: count_down counted hosts whether they are still listed or not, while the wave already waits for no host that three lists in a row lack.

Measured: a_removed_host_frees_its_slot fails before (test_waves.c:192, h1 != h2), test_host_duties 63 of 63 passed.

--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -248,7 +248,7 @@
 	finish_wave(duties, wave);
 }
 
-/* A wave doesn't wait for removed hosts. */
+/* A wave doesn't wait for removed hosts, and they begin no upkeep. */
 static bool is_removed(const duty_host_t *host)
 {
 	return !host->in_list &&
@@ -267,8 +267,9 @@
 		const duty_host_t *host = duties_get_host(
 			duties, g_ptr_array_index(wave->order->hosts, i));
 
-		down += host->upkeep_in_flight || host->in_upkeep ||
-			host->state == WWH_HOST_UPKEEP;
+		down += !is_removed(host) &&
+			(host->upkeep_in_flight || host->in_upkeep ||
+			 host->state == WWH_HOST_UPKEEP);
 	}
 	return down;
 }
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -228,6 +228,30 @@
 	expect_newest_upkeep(fixture, G_N_ELEMENTS(results) + 1, "h2");
 }
 
+/* Guards against a removed host that keeps the slot of its unanswered order. */
+void a_removed_host_frees_its_slot(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	duties_fixture_add_wave(fixture, 2, 1);
+	duties_fixture_run(fixture, 1);
+	duties_fixture_list_hosts(fixture, 2, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 1);
+	expect_newest_upkeep(fixture, 1, "h1");
+	answer_upkeep(fixture, WWH_DUTY_UNKNOWN);
+	for (int32_t i = 0; i < 3; i++) {
+		expect_newest_upkeep(fixture, fixture->upkeeps->len, "h1");
+		duties_fixture_run(fixture, 600);
+		if (i == 0)
+			answer_upkeep(fixture, WWH_DUTY_UNKNOWN);
+		duties_fixture_list_host(fixture, "h2", SCHED_FIXTURE_POOL,
+					 NULL, WWH_HOST_UP);
+		duties_fixture_end_list(fixture);
+		duties_fixture_run(fixture, 1);
+	}
+	expect_newest_upkeep(fixture, fixture->upkeeps->len, "h2");
+}
+
 /*
  * A wave names a host that was removed, so no list shows its pool. The holder
  * crashed on the lookup of that pool, and so did each holder after it.
