host_waves: a host whose upkeep was refused isn't ordered any more

What callers would see: a host whose upkeep is refused (it isn't part of the wave any more) is never moved again by this holder, and an order of a later wave would be sent to it without draining it, which ends its tasks (AVAIL). Found by reading, beside the slot of orders without an answer.

Cause: a refusal left the time of the order, which stands for an order that may take effect, and no list clears it, as the host isn't in upkeep.

Measured: a_host_with_a_refused_upkeep_is_moved_again fails before (0 != 0x1, no move), test_host_duties 64 of 64 passed.

--- a/src/libwaxwinghollow/host_waves.c
+++ b/src/libwaxwinghollow/host_waves.c
@@ -163,6 +163,7 @@
 		/* the host isn't part of this wave or doesn't exist */
 		g_hash_table_add(wave->done_hosts, g_strdup(name));
 		host->upkeep_unanswered = false;
+		host->upkeep_ordered_ms = 0;
 		host->in_upkeep = false;
 		duties_end_drain(duties, host);
 		break;
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -325,6 +325,9 @@
 			set_up, tear_down),                                     \
 		cmocka_unit_test_setup_teardown(a_removed_host_frees_its_slot,  \
 						set_up, tear_down),             \
+		cmocka_unit_test_setup_teardown(                                \
+			a_host_with_a_refused_upkeep_is_moved_again, set_up,    \
+			tear_down),                                             \
 		cmocka_unit_test_setup_teardown(an_unlisted_host_has_no_pool,   \
 						set_up, tear_down),             \
 		cmocka_unit_test_setup_teardown(                                \
@@ -342,6 +345,7 @@
 void a_host_in_two_waves_is_ordered_for_one_at_a_time(void **state);
 void a_host_with_an_unanswered_upkeep_keeps_its_slot(void **state);
 void a_removed_host_frees_its_slot(void **state);
+void a_host_with_a_refused_upkeep_is_moved_again(void **state);
 void an_unlisted_host_has_no_pool(void **state);
 void a_host_drained_for_a_wave_is_replaced(void **state);
 void a_new_holder_waits_before_its_first_order(void **state);
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -252,6 +252,36 @@
 	expect_newest_upkeep(fixture, fixture->upkeeps->len, "h2");
 }
 
+static void list_standby_host(duties_fixture_t *fixture)
+{
+	duties_fixture_list_host(fixture, "h1", "standby", NULL, WWH_HOST_UP);
+	duties_fixture_list_host(fixture, "h9", SCHED_FIXTURE_POOL, "u9",
+				 WWH_HOST_UP);
+	duties_fixture_end_list(fixture);
+	duties_fixture_run(fixture, 1);
+}
+
+/* Guards against a host whose upkeep was refused and that is never moved again. */
+void a_host_with_a_refused_upkeep_is_moved_again(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	wwh_host_duties_set_pool(fixture->duties, SCHED_FIXTURE_POOL, false);
+	wwh_host_duties_set_pool(fixture->duties, "standby", true);
+	sched_fixture_add_upstream(fixture->sched, "u9", "10.0.0.9:1");
+	sched_fixture_submit(fixture->sched, sched_fixture_job(JOB_A, 1, 1000));
+	duties_fixture_add_wave(fixture, 1, 1);
+	duties_fixture_run(fixture, 1);
+	list_standby_host(fixture);
+	expect_newest_upkeep(fixture, 1, "h1");
+	answer_upkeep(fixture, WWH_DUTY_REFUSED);
+	sched_fixture_submit(fixture->sched,
+			     sched_fixture_job("00000000000000bb", 60, 1000));
+	duties_fixture_run(fixture, 600);
+	list_standby_host(fixture);
+	assert_int_equal(fixture->moves->len, 1);
+}
+
 /*
  * A wave names a host that was removed, so no list shows its pool. The holder
  * crashed on the lookup of that pool, and so did each holder after it.
