scheduler: an adopted task that lasts and is lost waits for its pool

What callers would see: two runs of a task that lasts (TWICE). Found by the review: a new holder adopts a run, its upstream crashes, and the new holder starts the task elsewhere at once, while the overtaken one, which learns of the crash as well, starts it on an upstream that only it reaches.

Result: an_adopted_lasting_task_that_is_lost_waits_for_its_pool fails before. a_lapse_counts_once_the_claim_was_confirmed_after_it now makes its scheduler with the limit that it means; without the check it fails by a second start (before: only by the missing request for a confirmation).

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -139,8 +139,11 @@
 	/* Its upstream has started again meanwhile: they may arrive there yet. */
 	bool awaits_starts;
 	bool inherited; /* may run at an upstream that hasn't answered yet */
-	/* Adopted: one that hasn't answered may list failures of earlier runs. */
-	bool awaits_failures;
+	/*
+	 * Adopted: an upstream that hasn't answered may list failures of earlier
+	 * runs, or run it, as the previous holder has taken this run for lost.
+	 */
+	bool awaits_pool;
 	bool percent_is_known; /* of the run's begin, or listed before */
 	int32_t percent; /* as listed last */
 	int64_t percent_ms; /* when percent changed last */
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -477,11 +477,11 @@
 
 static bool may_start(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
-	if ((task->inherited || task->awaits_failures) &&
+	if ((task->inherited || task->awaits_pool) &&
 	    !sched_pool_is_settled(scheduler,
 				   task->step->occurrence->job->pool))
 		return false;
-	task->awaits_failures = false;
+	task->awaits_pool = false;
 	if (task->inherited) {
 		task->inherited = false;
 		sched_inherited_task_settled(scheduler, task);
--- a/src/libwaxwinghollow/scheduler_task.c
+++ b/src/libwaxwinghollow/scheduler_task.c
@@ -151,7 +151,7 @@
 	task->unavailable_since_ms = scheduler->now_ms;
 	task->adopted_ms = scheduler->now_ms;
 	task->inherited = false;
-	task->awaits_failures = !task->step->spec->lasting;
+	task->awaits_pool = true;
 	sched_inherited_run_found(scheduler, task);
 	task->step->occurrence->job->started = true;
 }
--- a/src/test_scheduler/test_authority.c
+++ b/src/test_scheduler/test_authority.c
@@ -13,6 +13,17 @@
 	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
 }
 
+/* A first holder that goes on without the store. */
+static void begin_anew(sched_fixture_t *fixture)
+{
+	fixture->options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
+	wwh_scheduler_delete(fixture->scheduler);
+	fixture->scheduler = sched_fixture_new_scheduler(fixture);
+	wwh_scheduler_finish_restore(fixture->scheduler, fixture->now_ms,
+				     SCHED_FIXTURE_WALL_MS);
+	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
+}
+
 static void announce(sched_fixture_t *fixture, int32_t count)
 {
 	static const char *const ids[] = { "u1", "u2", "u3" };
@@ -175,14 +186,15 @@
 void a_lapse_counts_once_the_claim_was_confirmed_after_it(void **state)
 {
 	sched_fixture_t *fixture = *state;
-	sched_fixture_order_t order;
 
+	begin_anew(fixture);
+	sched_fixture_add_upstream(fixture, "u1", ENDPOINT_1);
 	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
-	order = *sched_fixture_order(fixture->starts, 0);
-	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_handle_start_result(
+		fixture, sched_fixture_order(fixture->starts, 0),
+		WWH_ORDER_DONE);
 	sched_fixture_add_upstream(fixture, "u2", ENDPOINT_2);
 	sched_fixture_add_upstream(fixture, "u3", ENDPOINT_3);
-	fixture->options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
 	wwh_scheduler_set_confirmed(fixture->scheduler, fixture->now_ms);
 	run_for(fixture, 10000, "u2 u3");
 	assert_int_equal(fixture->starts->len, 1);
@@ -313,3 +325,34 @@
 	run_for(fixture, 500, "u1 o1");
 	assert_true(fixture->starts->len > 1);
 }
+
+/*
+ * Guards against two runs of a task that lasts: its upstream crashes right after a
+ * change of holder, and both holders take its run for lost.
+ */
+void an_adopted_lasting_task_that_is_lost_waits_for_its_pool(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	wwh_job_t *job = sched_fixture_job(JOB_A, 1, 1000);
+	sched_fixture_order_t order;
+	wwh_running_task_t row;
+
+	job->steps[0].lasting = true;
+	sched_fixture_submit(fixture, job);
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	sched_fixture_make_durable(fixture);
+	take_over(fixture);
+	announce(fixture, 3);
+	sched_fixture_run(fixture, STEP_MS);
+	row = sched_fixture_running_row(&order, 100);
+	sched_fixture_answer_poll(fixture, order.upstream, &row, 1, NULL, 0);
+	answer_only(fixture, "u3");
+	wwh_scheduler_upstream_terminated(fixture->scheduler, order.upstream,
+					  WWH_TERMINATION_CRASH, "down",
+					  fixture->now_ms);
+	run_for(fixture, 1000, "u3");
+	assert_int_equal(fixture->starts->len, 1);
+	run_for(fixture, 1000, "u2 u3");
+	assert_true(fixture->starts->len > 1);
+}
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -151,8 +151,11 @@
 	void **state);
 
 #define AUTHORITY_TESTS                                                                \
-	FIXTURE_TEST(                                                                  \
-		ends_are_acknowledged_once_the_previous_holder_cannot_act, 2),         \
+	FIXTURE_TEST(an_adopted_lasting_task_that_is_lost_waits_for_its_pool,          \
+		     3),                                                               \
+		FIXTURE_TEST(                                                          \
+			ends_are_acknowledged_once_the_previous_holder_cannot_act,     \
+			2),                                                            \
 		FIXTURE_TEST(                                                          \
 			no_inherited_task_starts_before_most_have_answered,            \
 			1),                                                            \
@@ -171,7 +174,7 @@
 			3),                                                            \
 		FIXTURE_TEST(                                                          \
 			a_lapse_counts_once_the_claim_was_confirmed_after_it,          \
-			1),                                                            \
+			0),                                                            \
 		FIXTURE_TEST(                                                          \
 			inherited_leases_count_from_when_most_upstreams_have_answered, \
 			3),                                                            \
@@ -190,6 +193,7 @@
 void inherited_leases_end_without_most_upstreams(void **state);
 void ends_are_acknowledged_once_the_previous_holder_cannot_act(void **state);
 void no_inherited_task_starts_before_most_have_answered(void **state);
+void an_adopted_lasting_task_that_is_lost_waits_for_its_pool(void **state);
 void no_upstream_is_recorded_before_most_have_answered(void **state);
 
 #define UNREACHABLE_TESTS                                                          \
