--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -290,10 +290,10 @@
 int64_t wwh_scheduler_authority_ms(wwh_scheduler_t *scheduler);
 
 /*
- * Returns until when the previous holder may have acted, but for
- * WWH_OVERTAKEN_HOLDER_MS in which it notices; later than now: it still may.
+ * Whether a holder before this one may still act, until WWH_OVERTAKEN_HOLDER_MS after
+ * more than half of the inherited upstreams have answered this one.
  */
-int64_t wwh_scheduler_previous_until_ms(const wwh_scheduler_t *scheduler);
+bool wwh_scheduler_previous_may_act(const wwh_scheduler_t *scheduler);
 
 /* Whether tasks wait until the claim is confirmed once more. */
 bool wwh_scheduler_awaits_confirmation(const wwh_scheduler_t *scheduler);
@@ -317,6 +317,9 @@
 int32_t wwh_scheduler_backlog(const wwh_scheduler_t *scheduler,
 			      const char *pool, const char *workspace);
 
+/* Whether no task is started now, by that or as another holder may have taken over. */
+bool wwh_scheduler_starts_are_held(const wwh_scheduler_t *scheduler);
+
 int32_t wwh_scheduler_upstream_count(const wwh_scheduler_t *scheduler);
 
 /*
--- a/src/libwaxwinghollow/host_duties.c
+++ b/src/libwaxwinghollow/host_duties.c
@@ -52,6 +52,8 @@
 static bool ends_incarnation(const wwh_host_duties_t *duties,
 			     const duty_host_t *host,
 			     const wwh_listed_host_t *listed);
+static void update_hold(wwh_host_duties_t *duties);
+static bool may_begin_upkeeps(const wwh_host_duties_t *duties);
 static bool is_at_rest(const wwh_host_duties_t *duties,
 		       const wwh_listed_host_t *listed);
 static bool is_taken_down(const wwh_listed_host_t *listed);
@@ -181,6 +183,7 @@
 	if (!ok)
 		return;
 	duties->list_received = true;
+	duties->received_list_sent_ms = duties->list_sent_ms;
 	duties_recount_hosts(duties);
 	if (duties->incarnations_complete)
 		wwh_scheduler_incarnations_listed(
@@ -227,6 +230,7 @@
 void wwh_host_duties_run(wwh_host_duties_t *duties, int64_t now_ms)
 {
 	duties->now_ms = MAX(duties->now_ms, now_ms);
+	update_hold(duties);
 	/* tasks may wait to be started elsewhere until a list has shown that */
 	if (wwh_scheduler_awaits_host_list(duties->options.scheduler,
 					   duties->list_sent_ms))
@@ -242,10 +246,27 @@
 	duties_survey(duties);
 	/* first, because waves use the host counts of pools */
 	duties_run_moves(duties);
-	if (duties->now_ms >= duties->first_upkeep_ms && !duties->upkeeps_held)
+	if (may_begin_upkeeps(duties))
 		duties_run_waves(duties);
 }
 
+static void update_hold(wwh_host_duties_t *duties)
+{
+	if (duties->upkeeps_were_held)
+		duties->upkeeps_held_ms = duties->now_ms;
+	if (duties->upkeeps_were_held && !duties->upkeeps_held)
+		duties_advance_list(duties);
+	duties->upkeeps_were_held = duties->upkeeps_held;
+}
+
+/* Hosts that the previous holder has taken down are counted by a newer list. */
+static bool may_begin_upkeeps(const wwh_host_duties_t *duties)
+{
+	return duties->now_ms >= duties->first_upkeep_ms &&
+	       !duties->upkeeps_held &&
+	       duties->received_list_sent_ms >= duties->upkeeps_held_ms;
+}
+
 /*
  * An upstream whose host was moved just before a change of holder is still in
  * the records, but answers no poll. All tasks of its pool that the new holder
--- a/src/libwaxwinghollow/include/private/host_duties_state.h
+++ b/src/libwaxwinghollow/include/private/host_duties_state.h
@@ -127,6 +127,9 @@
 	bool hosts_down; /* listed without incarnations */
 	bool paused;
 	bool upkeeps_held;
+	bool upkeeps_were_held; /* in the run before */
+	int64_t upkeeps_held_ms; /* when they were last held; 0: never */
+	int64_t received_list_sent_ms; /* when the newest whole list was requested */
 	wwh_held_moves_t held_moves;
 	int32_t list_pages; /* of the list being received, or the last one */
 	host_order_rate_t order_rate;
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -444,10 +444,11 @@
  */
 bool sched_start_is_confirmed(const wwh_scheduler_t *scheduler,
 			      const sched_upstream_t *upstream);
+/* Whether no other holder can have started tasks on upstream. */
+bool sched_authority_covers(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream);
 /* Whether most inherited upstreams refuse the previous holder's orders by now. */
 bool sched_previous_is_fenced(const wwh_scheduler_t *scheduler);
-/* The same, or it may not have noticed yet. */
-bool sched_previous_may_act(const wwh_scheduler_t *scheduler);
 /* The removal of an upstream's record was written as record. */
 void sched_authority_note_removal(wwh_scheduler_t *scheduler, int64_t record);
 
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -53,10 +53,11 @@
 
 /*
  * While the store is away for all, work goes on for this long, as long as most
- * upstreams answer. After a change of holder, tasks on upstreams that can't be
- * reached wait as long if most can't.
+ * upstreams answer. If most can't be reached after a change of holder, nothing is
+ * started for as long, which is less than the 12 s after which callers expect to be
+ * served again.
  */
-#define UNCONFIRMED_MAX_MS 15000
+#define UNCONFIRMED_MAX_MS 10000
 
 /*
  * Starts without an answer are limited to what the host's link carries in this time,
--- a/src/libwaxwinghollow/job_holder_duties.c
+++ b/src/libwaxwinghollow/job_holder_duties.c
@@ -23,7 +23,6 @@
 static int64_t upkeep_delay_ms(const wwh_job_holder_t *holder);
 static wwh_held_moves_t held_moves(const wwh_job_holder_t *holder);
 static bool may_order_hosts(const wwh_job_holder_t *holder);
-static bool previous_may_order(const wwh_job_holder_t *holder);
 
 void job_holder_make_duties(wwh_job_holder_t *holder)
 {
@@ -100,8 +99,9 @@
 		return;
 	wwh_host_duties_set_paused(holder->duties, !may_order_hosts(holder));
 	wwh_host_duties_hold_moves(holder->duties, held_moves(holder));
-	wwh_host_duties_hold_upkeeps(holder->duties,
-				     previous_may_order(holder));
+	wwh_host_duties_hold_upkeeps(
+		holder->duties,
+		wwh_scheduler_previous_may_act(holder->scheduler));
 	wwh_host_duties_run(holder->duties, holder->now_ms);
 	job_holder_update_reserve_gauges(holder);
 	took_us = g_get_monotonic_time() - began_us;
@@ -116,9 +116,9 @@
  * holder beside those of the next one, which takes one host too many down. A
  * holder that doesn't reach the store may have been replaced without knowing
  * it, so it gives no orders. It stops before the hosts' lease expires, for
- * which the next holder waits. Where they do, each host checks its own orders
- * only, so a replaced holder stops as well, though not while the store is away
- * for all.
+ * which the next holder waits. Hosts that do check tokens know those of their own
+ * orders only, so there a replaced holder stops as well, unless most upstreams show
+ * that it hasn't been replaced.
  */
 static bool may_order_hosts(const wwh_job_holder_t *holder)
 {
@@ -127,19 +127,8 @@
 	if (!holder->options.settings->hosts_fence)
 		return wwh_job_holder_reaches_store(holder, holder->now_ms);
 	if (holder->options.previous_holder_may_act &&
-	    previous_may_order(holder))
+	    wwh_scheduler_previous_may_act(holder->scheduler))
 		return false;
 	return holder->now_ms - wwh_scheduler_authority_ms(holder->scheduler) <=
 	       STORE_REACHABLE_FOR_MS;
 }
-
-/* A wave's limit holds for all of its hosts, each of which knows its own token. */
-static bool previous_may_order(const wwh_job_holder_t *holder)
-{
-	bool has_ended = !holder->options.previous_holder_may_act &&
-			 !holder->options.previous_holder_ended;
-
-	return !has_ended && holder->now_ms <= wwh_scheduler_previous_until_ms(
-						       holder->scheduler) +
-						       WWH_OVERTAKEN_HOLDER_MS;
-}
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -10,12 +10,17 @@
 #define REPORT_TIMEOUT_MS 1000
 #define REPORT_RETRY_MS 250
 
+/* One may have to wait for another one to end. */
+#define APPENDS_PER_CONFIRMATION 3
+
 typedef struct {
 	wwh_job_holder_t *holder;
 	char *host;
 	int64_t wave;
 } host_order_t;
 
+static int64_t send_limit_ms(const wwh_job_holder_t *holder);
+static int64_t confirmed_for_ms(const wwh_job_holder_t *holder);
 static void request_page(wwh_job_holder_t *holder);
 static void on_page(const wwh_http_answer_t *answer, void *data);
 static void on_listed_host(const wwh_listed_host_t *host, void *data);
@@ -41,6 +46,7 @@
 		holder->options.settings->hosts, holder->options.settings->name,
 		holder->options.epoch, host, wave, HOST_ORDER_TIMEOUT_MS);
 
+	call->send_timeout_ms = send_limit_ms(holder);
 	order->holder = holder;
 	order->host = g_strdup(host);
 	order->wave = wave;
@@ -58,6 +64,7 @@
 		holder->options.settings->hosts, holder->options.settings->name,
 		holder->options.epoch, host, pool, HOST_ORDER_TIMEOUT_MS);
 
+	call->send_timeout_ms = send_limit_ms(holder);
 	order->holder = holder;
 	order->host = g_strdup(host);
 	holder->host_orders_pending++;
@@ -65,6 +72,15 @@
 	wwh_http_calls_send(holder->options.calls, call, on_moved, order);
 }
 
+/* An order isn't sent after a wait in which another holder may have taken over. */
+static int64_t send_limit_ms(const wwh_job_holder_t *holder)
+{
+	int64_t until_ms = wwh_scheduler_authority_ms(holder->scheduler) +
+			   STORE_REACHABLE_FOR_MS;
+
+	return MAX(until_ms - holder->now_ms, 1);
+}
+
 void job_holder_report_wave(const wwh_wave_order_t *order, bool completed,
 			    void *client_data)
 {
@@ -82,6 +98,15 @@
 	job_holder_send_wave_reports(holder);
 }
 
+/* A slow store confirms the claim as late as it answers. */
+static int64_t confirmed_for_ms(const wwh_job_holder_t *holder)
+{
+	return MAX(STORE_REACHABLE_FOR_MS,
+		   APPENDS_PER_CONFIRMATION *
+			   wwh_shard_journal_last_append_duration_ms(
+				   holder->journal));
+}
+
 /*
  * Sent in order, so that "active" can't overwrite a later "completed". The topic is
  * the operator's and checks no epochs, so a holder that may have been replaced waits
@@ -94,7 +119,7 @@
 
 	if (holder->report_in_flight || holder->reports->len == 0 ||
 	    holder->now_ms < holder->report_retry_ms ||
-	    holder->now_ms - holder->claimed_ms > STORE_REACHABLE_FOR_MS)
+	    holder->now_ms - holder->claimed_ms > confirmed_for_ms(holder))
 		return;
 	call = wire_store_append(
 		holder->options.settings->store, WIRE_TOPIC_STATUS, 0, &writer,
--- a/src/libwaxwinghollow/job_holder_starts.c
+++ b/src/libwaxwinghollow/job_holder_starts.c
@@ -54,7 +54,7 @@
 {
 	int64_t starts = wwh_counter_value(holder->starts);
 
-	if (holder->starts_held)
+	if (wwh_scheduler_starts_are_held(holder->scheduler))
 		wwh_start_rate_pause(holder->start_rate, holder->now_ms);
 	else
 		wwh_start_rate_add(holder->start_rate, holder->now_ms,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -490,7 +490,9 @@
 	scheduler->starts_held =
 		scheduler->announcements_held || !scheduler->has_authority;
 	sched_upstreams_run(scheduler);
-	sched_cordon_run(scheduler);
+	/* tasks that it moves couldn't be started again */
+	if (scheduler->has_authority)
+		sched_cordon_run(scheduler);
 	if (!scheduler->starts_held)
 		sched_place(scheduler);
 	sched_jobs_expire(scheduler);
@@ -513,6 +515,11 @@
 	scheduler->starts_held = held || !scheduler->has_authority;
 }
 
+bool wwh_scheduler_starts_are_held(const wwh_scheduler_t *scheduler)
+{
+	return scheduler->starts_held;
+}
+
 int32_t wwh_scheduler_upstream_count(const wwh_scheduler_t *scheduler)
 {
 	return (int32_t)g_hash_table_size(scheduler->upstreams);
--- a/src/libwaxwinghollow/scheduler_authority.c
+++ b/src/libwaxwinghollow/scheduler_authority.c
@@ -56,11 +56,6 @@
 	return MAX(scheduler->confirmed_ms, scheduler->majority_ms);
 }
 
-int64_t wwh_scheduler_previous_until_ms(const wwh_scheduler_t *scheduler)
-{
-	return scheduler->previous_until_ms;
-}
-
 bool wwh_scheduler_awaits_confirmation(const wwh_scheduler_t *scheduler)
 {
 	return scheduler->awaits_confirmation;
@@ -78,6 +73,14 @@
 	return false;
 }
 
+bool sched_authority_covers(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream)
+{
+	int64_t known_ms = MAX(scheduler->confirmed_ms, upstream->witnessed_ms);
+
+	return known_ms > scheduler->now_ms - WWH_OVERTAKEN_HOLDER_MS;
+}
+
 bool sched_start_is_confirmed(const wwh_scheduler_t *scheduler,
 			      const sched_upstream_t *upstream)
 {
@@ -117,7 +120,7 @@
 	return scheduler->now_ms >= scheduler->previous_until_ms;
 }
 
-bool sched_previous_may_act(const wwh_scheduler_t *scheduler)
+bool wwh_scheduler_previous_may_act(const wwh_scheduler_t *scheduler)
 {
 	return scheduler->inherited_upstreams > 0 &&
 	       scheduler->now_ms <=
@@ -164,10 +167,10 @@
 
 		if (upstream->idle_gap_ms == 0)
 			continue;
-		upstream->next_poll_ms =
-			MIN(upstream->next_poll_ms,
-			    scheduler->now_ms + sched_poll_idle_gap_ms(
-							scheduler, upstream));
+		upstream->next_poll_ms = MIN(
+			upstream->next_poll_ms,
+			upstream->witnessed_ms +
+				sched_poll_idle_gap_ms(scheduler, upstream));
 		sched_upstream_wake(scheduler, upstream);
 	}
 }
--- a/src/libwaxwinghollow/scheduler_cordon.c
+++ b/src/libwaxwinghollow/scheduler_cordon.c
@@ -45,13 +45,15 @@
 	}
 	/*
 	 * The tasks of an upstream that hasn't answered this holder aren't
-	 * known; they may be more than a step can miss.
+	 * known; they may be more than a step can miss. Nor are those that
+	 * another holder may have started since.
 	 *
 	 * From here on the tasks of this upstream count as unavailable.
 	 * Otherwise two hosts that are taken down at the same time would each
 	 * count the other's tasks as available.
 	 */
 	upstream->ending = upstream->settled &&
+			   sched_authority_covers(scheduler, upstream) &&
 			   sched_upstream_may_terminate(scheduler, upstream);
 	return upstream->ending;
 }
--- a/src/libwaxwinghollow/scheduler_ending.c
+++ b/src/libwaxwinghollow/scheduler_ending.c
@@ -3,7 +3,7 @@
 static bool end_at_lapse(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 static wwh_termination_t termination_at_lapse(const sched_upstream_t *upstream);
-static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
+static bool has_lost_its_address(wwh_scheduler_t *scheduler,
 				 const sched_upstream_t *upstream);
 static bool is_unlisted(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream);
@@ -79,12 +79,13 @@
 }
 
 /* Nothing runs there, and whatever ran may have crashed it. */
-static bool has_lost_its_address(const wwh_scheduler_t *scheduler,
+static bool has_lost_its_address(wwh_scheduler_t *scheduler,
 				 const sched_upstream_t *upstream)
 {
 	return upstream->reach == WWH_REACH_OTHER_ANSWERS &&
 	       upstream->tasks->len == 0 &&
-	       sched_lease_left_ms(scheduler, upstream) == 0;
+	       sched_lease_left_ms(scheduler, upstream) == 0 &&
+	       sched_lapse_counts(scheduler, sched_lease_end_ms(upstream));
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_poll.c
+++ b/src/libwaxwinghollow/scheduler_poll.c
@@ -22,10 +22,12 @@
 #define IDLE_GAP_MAX_MS 3000
 
 /*
- * The same while polls are to show that no other holder has taken over: more than
- * half of the upstreams have then answered within WWH_OVERTAKEN_HOLDER_MS.
+ * The same while polls are to show that no other holder has taken over, up to the
+ * limit. They don't wait then, and most have been answered within
+ * WWH_OVERTAKEN_HOLDER_MS.
  */
-#define IDLE_GAP_TELL_MS 1500
+#define IDLE_GAP_TELL_MS 1000
+#define IDLE_TELL_POLLS_PER_S 4000
 
 /* Factor of multiplicative hashing: 2^32 divided by the golden ratio. */
 #define HASH_FACTOR 2654435761U
@@ -100,6 +102,7 @@
 			       const sched_upstream_t *upstream);
 static bool may_have_ended_unlisted(const wwh_scheduler_t *scheduler,
 				    const sched_task_t *task);
+static int64_t mean_idle_gap_ms(const wwh_scheduler_t *scheduler);
 static bool delays_its_pool(const sched_upstream_t *upstream);
 static int64_t poll_wait_ms(const wwh_scheduler_t *scheduler,
 			    const sched_upstream_t *upstream);
@@ -110,7 +113,8 @@
 int64_t sched_poll_gap_ms(const wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream)
 {
-	if (sched_previous_may_act(scheduler) && upstream->ends_received > 0)
+	if (wwh_scheduler_previous_may_act(scheduler) &&
+	    upstream->ends_received > 0)
 		return MAX(POLL_UNACKED_GAP_MS,
 			   (int64_t)g_hash_table_size(scheduler->upstreams) /
 				   UNACKED_POLLS_PER_MS);
@@ -181,19 +185,24 @@
 int64_t sched_poll_idle_gap_ms(const wwh_scheduler_t *scheduler,
 			       const sched_upstream_t *upstream)
 {
-	int64_t mean_ms = (int64_t)scheduler->idle_upstreams * SECOND_MS /
-				  IDLE_POLLS_PER_S -
-			  POLL_WAIT_MS;
+	int64_t mean_ms = mean_idle_gap_ms(scheduler);
 	guint spread = g_str_hash(upstream->info.id) ^
 		       (guint)scheduler->now_ms * HASH_FACTOR;
 
-	mean_ms = MIN(mean_ms, scheduler->polls_tell ? IDLE_GAP_TELL_MS
-						     : IDLE_GAP_MAX_MS);
 	if (!sched_upstream_is_idle(upstream) || mean_ms <= POLL_GAP_MS)
 		return 0;
 	return mean_ms / 2 + mean_ms * (spread % PERMILLE) / PERMILLE;
 }
 
+static int64_t mean_idle_gap_ms(const wwh_scheduler_t *scheduler)
+{
+	int64_t idle_ms = (int64_t)scheduler->idle_upstreams * SECOND_MS;
+
+	if (scheduler->polls_tell)
+		return MAX(idle_ms / IDLE_TELL_POLLS_PER_S, IDLE_GAP_TELL_MS);
+	return MIN(idle_ms / IDLE_POLLS_PER_S - POLL_WAIT_MS, IDLE_GAP_MAX_MS);
+}
+
 static bool is_poll_due(const wwh_scheduler_t *scheduler,
 			const sched_upstream_t *upstream)
 {
@@ -213,7 +222,8 @@
 static int64_t ends_acked_upto(const wwh_scheduler_t *scheduler,
 			       const sched_upstream_t *upstream)
 {
-	if (upstream->failed_polls > 0 || sched_previous_may_act(scheduler))
+	if (upstream->failed_polls > 0 ||
+	    wwh_scheduler_previous_may_act(scheduler))
 		return 0;
 	for (guint i = 0; i < upstream->tasks->len; i++) {
 		if (may_have_ended_unlisted(
@@ -281,7 +291,8 @@
 	    scheduler->now_ms < upstream->reserved_until_ms)
 		return POLL_ISOLATED_WAIT_MS;
 	if (scheduler->polls_tell)
-		return upstream->idle_gap_ms > 0 ? 0 : POLL_LOSSY_WAIT_MS;
+		return sched_upstream_is_idle(upstream) ? 0
+							: POLL_LOSSY_WAIT_MS;
 	return upstream->tasks->len > 0 &&
 			       wwh_answer_time_is_lossy(&scheduler->order_time)
 		       ? POLL_LOSSY_WAIT_MS
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -18,6 +18,8 @@
 #define HANG_BACKOFF_MS 3000
 
 static int64_t wake_ms(const sched_upstream_t *upstream);
+static int64_t next_poll_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream, int64_t sent_ms);
 static void mark_settled(wwh_scheduler_t *scheduler,
 			 sched_upstream_t *upstream);
 static void handle_ended(wwh_scheduler_t *scheduler, sched_upstream_t *upstream,
@@ -94,21 +96,31 @@
 		g_hash_table_remove_all(upstream->orphan_stops);
 	if (answer->ended_complete)
 		handle_unlisted_tasks(scheduler, upstream, answer, sent_ms);
-	stop_hung_tasks(scheduler, upstream);
+	if (scheduler->has_authority)
+		stop_hung_tasks(scheduler, upstream);
 	sched_pace_fillers(scheduler, upstream);
 	/* an incomplete answer may lack ends and runs of the holder before */
 	if (answer->ended_complete || !upstream->inherited)
 		mark_settled(scheduler, upstream);
 	upstream->idle_gap_ms = sched_poll_idle_gap_ms(scheduler, upstream);
-	upstream->next_poll_ms =
-		scheduler->now_ms + MAX(sched_poll_gap_ms(scheduler, upstream),
-					upstream->idle_gap_ms);
+	upstream->next_poll_ms = next_poll_ms(scheduler, upstream, sent_ms);
 	/* without new room no waiting task has become placeable */
 	if (answer->ended_count > 0 || upstream->tasks->len != tasks ||
 	    !was_usable)
 		upstream->pool->dirty = true;
 }
 
+/* The gap counts from when an answer shows that no other holder has taken over. */
+static int64_t next_poll_ms(const wwh_scheduler_t *scheduler,
+			    const sched_upstream_t *upstream, int64_t sent_ms)
+{
+	int64_t earliest_ms =
+		scheduler->now_ms + sched_poll_gap_ms(scheduler, upstream);
+	int64_t base_ms = scheduler->polls_tell ? sent_ms : scheduler->now_ms;
+
+	return MAX(earliest_ms, base_ms + upstream->idle_gap_ms);
+}
+
 void wwh_scheduler_handle_poll_failure(wwh_scheduler_t *scheduler,
 				       const char *id, wwh_reach_t reach,
 				       int64_t now_ms)
--- a/src/test_host_duties/duties_fixture.h
+++ b/src/test_host_duties/duties_fixture.h
@@ -302,39 +302,42 @@
 	return 0;
 }
 
-#define WAVE_TESTS                                                              \
-	cmocka_unit_test_setup_teardown(                                        \
-		no_more_hosts_are_down_than_the_wave_allows, set_up,            \
-		tear_down),                                                     \
-		cmocka_unit_test_setup_teardown(                                \
-			a_wave_is_reported_complete_once_its_record_is_durable, \
-			set_up, tear_down),                                     \
-		cmocka_unit_test_setup_teardown(                                \
-			a_removed_host_is_not_waited_for, set_up, tear_down),   \
-		cmocka_unit_test_setup_teardown(                                \
-			a_repeated_upkeep_order_ends_no_task, set_up,           \
-			tear_down),                                             \
-		cmocka_unit_test_setup_teardown(                                \
-			a_wave_with_slack_skips_a_pool_that_lacks_hosts,        \
-			set_up, tear_down),                                     \
-		cmocka_unit_test_setup_teardown(                                \
-			a_host_in_two_waves_is_ordered_for_one_at_a_time,       \
-			set_up, tear_down),                                     \
-		cmocka_unit_test_setup_teardown(                                \
-			a_host_with_an_unanswered_upkeep_keeps_its_slot,        \
-			set_up, tear_down),                                     \
-		cmocka_unit_test_setup_teardown(a_removed_host_frees_its_slot,  \
-						set_up, tear_down),             \
-		cmocka_unit_test_setup_teardown(                                \
-			a_host_with_a_refused_upkeep_is_moved_again, set_up,    \
-			tear_down),                                             \
-		cmocka_unit_test_setup_teardown(an_unlisted_host_has_no_pool,   \
-						set_up, tear_down),             \
-		cmocka_unit_test_setup_teardown(                                \
-			a_host_drained_for_a_wave_is_replaced, set_up,          \
-			tear_down),                                             \
-		cmocka_unit_test_setup_teardown(                                \
-			a_new_holder_waits_before_its_first_order,              \
+#define WAVE_TESTS                                                                \
+	cmocka_unit_test_setup_teardown(                                          \
+		no_more_hosts_are_down_than_the_wave_allows, set_up,              \
+		tear_down),                                                       \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_wave_is_reported_complete_once_its_record_is_durable,   \
+			set_up, tear_down),                                       \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_removed_host_is_not_waited_for, set_up, tear_down),     \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_repeated_upkeep_order_ends_no_task, set_up,             \
+			tear_down),                                               \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_wave_with_slack_skips_a_pool_that_lacks_hosts,          \
+			set_up, tear_down),                                       \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_host_in_two_waves_is_ordered_for_one_at_a_time,         \
+			set_up, tear_down),                                       \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_host_with_an_unanswered_upkeep_keeps_its_slot,          \
+			set_up, tear_down),                                       \
+		cmocka_unit_test_setup_teardown(a_removed_host_frees_its_slot,    \
+						set_up, tear_down),               \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_host_with_a_refused_upkeep_is_moved_again, set_up,      \
+			tear_down),                                               \
+		cmocka_unit_test_setup_teardown(                                  \
+			upkeeps_begin_with_a_list_requested_after_they_were_held, \
+			set_up, tear_down),                                       \
+		cmocka_unit_test_setup_teardown(an_unlisted_host_has_no_pool,     \
+						set_up, tear_down),               \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_host_drained_for_a_wave_is_replaced, set_up,            \
+			tear_down),                                               \
+		cmocka_unit_test_setup_teardown(                                  \
+			a_new_holder_waits_before_its_first_order,                \
 			set_up_after_a_silent_holder, tear_down)
 
 void no_more_hosts_are_down_than_the_wave_allows(void **state);
@@ -347,6 +350,7 @@
 void a_removed_host_frees_its_slot(void **state);
 void a_host_with_a_refused_upkeep_is_moved_again(void **state);
 void an_unlisted_host_has_no_pool(void **state);
+void upkeeps_begin_with_a_list_requested_after_they_were_held(void **state);
 void a_host_drained_for_a_wave_is_replaced(void **state);
 void a_new_holder_waits_before_its_first_order(void **state);
 
--- a/src/test_host_duties/test_waves.c
+++ b/src/test_host_duties/test_waves.c
@@ -387,3 +387,27 @@
 	}
 	assert_true(sched->starts->len > 3 || fixture->moves->len > 0);
 }
+
+/*
+ * Guards against one host too many in upkeep: the list from which a new holder
+ * counts them was requested while the previous holder might still give orders.
+ */
+void upkeeps_begin_with_a_list_requested_after_they_were_held(void **state)
+{
+	duties_fixture_t *fixture = *state;
+
+	wwh_host_duties_hold_upkeeps(fixture->duties, true);
+	duties_fixture_add_wave(fixture, 2, 1);
+	duties_fixture_run(fixture, 1);
+	duties_fixture_list_hosts(fixture, 2, false, WWH_HOST_UP);
+	duties_fixture_run(fixture, 400);
+	wwh_host_duties_hold_upkeeps(fixture->duties, false);
+	duties_fixture_run(fixture, 20);
+	assert_int_equal(fixture->upkeeps->len, 0);
+	duties_fixture_run(fixture, 500);
+	assert_int_equal(fixture->lists_requested, 2);
+	/* the previous holder's last order */
+	duties_fixture_list_hosts(fixture, 2, false, WWH_HOST_UPKEEP);
+	duties_fixture_run(fixture, 20);
+	assert_int_equal(fixture->upkeeps->len, 0);
+}
--- a/src/test_job_holder/test_job_holder.c
+++ b/src/test_job_holder/test_job_holder.c
@@ -123,6 +123,7 @@
 }
 
 #define HOLDER_EPOCH (1 << 16)
+#define SLOW_APPEND_MS 1500 /* the store answers within 2 s */
 #define HOSTS_LEASE_MS 3000
 #define LONG_LEASE_MS 12000 /* a busy machine takes seconds for one order */
 /* Earliest takeover of a holder that doesn't reach the store. */
@@ -443,6 +444,39 @@
 	assert_true(wave_reports(fixture) > 0);
 }
 
+/* Guards against a wave without a state where a slow store takes all records. */
+static void a_holder_reports_waves_to_a_slow_store(void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder(fixture, true, PREVIOUS_NONE);
+	run_for(fixture, 500);
+	g_mutex_lock(&fixture->standin->lock);
+	fixture->standin->append_delay_ms = SLOW_APPEND_MS;
+	g_mutex_unlock(&fixture->standin->lock);
+	run_for(fixture, 6000);
+	order_upkeep_wave(fixture);
+	run_for(fixture, 10000);
+	assert_true(wave_reports(fixture) > 0);
+}
+
+/*
+ * Guards against two holders that order upkeeps of one wave: the previous holder has
+ * handed over, and the one before it, which it never fenced, is still obeyed by most
+ * upstreams.
+ */
+static void
+no_upkeep_begins_after_a_handover_before_most_upstreams_have_answered(
+	void **state)
+{
+	fixture_t *fixture = *state;
+
+	start_holder_cut_off(fixture, PREVIOUS_NONE);
+	order_upkeep_wave(fixture);
+	run_for(fixture, 2 * WWH_OVERTAKEN_HOLDER_MS);
+	assert_int_equal(host_orders_received(fixture), 0);
+}
+
 /*
  * Guards against a stopping process that releases the shard while an order to a
  * host is unanswered. The next holder then gives its first orders at once, and
@@ -594,6 +628,12 @@
 		cmocka_unit_test_setup_teardown(
 			a_holder_without_a_confirmed_claim_reports_no_wave,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_holder_reports_waves_to_a_slow_store, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			no_upkeep_begins_after_a_handover_before_most_upstreams_have_answered,
+			set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			starts_are_held_while_announcements_are_old, set_up,
 			tear_down),
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -196,6 +196,32 @@
 void an_adopted_lasting_task_that_is_lost_waits_for_its_pool(void **state);
 void no_upstream_is_recorded_before_most_have_answered(void **state);
 
+#define UNCONFIRMED_TESTS                                                                 \
+	FIXTURE_TEST(                                                                     \
+		a_lapse_at_a_reused_address_counts_once_the_claim_was_confirmed,          \
+		3),                                                                       \
+		FIXTURE_TEST(                                                             \
+			polls_of_idle_upstreams_are_limited_while_the_store_is_away,      \
+			0),                                                               \
+		FIXTURE_TEST(                                                             \
+			an_unreached_upstream_is_not_idle_while_the_claim_is_unconfirmed, \
+			0),                                                               \
+		FIXTURE_TEST(                                                             \
+			an_upstream_that_has_started_again_gets_starts_once_confirmed,    \
+			0),                                                               \
+		FIXTURE_TEST(                                                             \
+			new_jobs_start_soon_after_all_upstreams_were_replaced,            \
+			3)
+
+void a_lapse_at_a_reused_address_counts_once_the_claim_was_confirmed(
+	void **state);
+void polls_of_idle_upstreams_are_limited_while_the_store_is_away(void **state);
+void an_unreached_upstream_is_not_idle_while_the_claim_is_unconfirmed(
+	void **state);
+void an_upstream_that_has_started_again_gets_starts_once_confirmed(
+	void **state);
+void new_jobs_start_soon_after_all_upstreams_were_replaced(void **state);
+
 #define UNREACHABLE_TESTS                                                          \
 	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,        \
 		     1),                                                           \
