fuzz_scheduler: an end as done is acknowledged only where no run has begun since

Cause: the rule of tasks that run twice also covers a start after an end as done that is acknowledged later; only ends acknowledged before the start were checked.

Change: checked where an end is acknowledged, unless the lease has lapsed since.

--- a/src/test_fuzz/fuzz_scheduler.c
+++ b/src/test_fuzz/fuzz_scheduler.c
@@ -15,6 +15,8 @@
  *  - all tasks of the steps before it are done;
  *  - fewer failed ends than the queue allows were acknowledged;
  *  - the job was handed in, with this payload, and its cancel isn't known;
+ * where an end as done is acknowledged, and the lease hasn't lapsed since: no run of
+ * the task has begun since;
  * and when a holder is asked: a job is shown as completed only when each of
  * its tasks is done, and ever after; as failed only when a task has failed as
  * often as the queue allows, or two upstreams have crashed under it; and an
--- a/src/test_fuzz/scheduler_world.h
+++ b/src/test_fuzz/scheduler_world.h
@@ -45,6 +45,7 @@
 	bool running;
 	bool done; /* truly */
 	bool done_acked;
+	int64_t last_begun; /* as end_t has it */
 	int32_t failed_acked;
 	int32_t failed; /* truly */
 	int32_t crashes; /* of upstreams that ran it */
@@ -95,6 +96,7 @@
 	char task[WWH_TASK_NAME_BYTES];
 	int64_t run;
 	wwh_end_kind_t kind;
+	int64_t at; /* counts beginnings and ends of runs, anywhere */
 	bool lapsed; /* the lease was over since: it never counts as acknowledged */
 } end_t;
 
@@ -194,6 +196,7 @@
 	host_t hosts[UPSTREAMS];
 	job_t jobs[JOBS_MAX];
 	int32_t job_count;
+	int64_t run_changes; /* beginnings and ends of runs so far */
 	GQueue *orders; /* order_t */
 	GQueue *answers; /* answer_t that take their time */
 	int32_t list_holder; /* who asked for a list of hosts; 0: nobody */
@@ -245,7 +248,8 @@
 	run_t run = g_array_index(host->runs, run_t, index);
 	end_t end = { .number = ++host->last_number,
 		      .run = run.run,
-		      .kind = kind };
+		      .kind = kind,
+		      .at = ++world.run_changes };
 	job_t *job;
 	int32_t step;
 	truth_t *truth = truth_of(run.task, &step, &job);
@@ -391,6 +395,7 @@
 	for (int32_t i = 0; i < job->task_count && step > 0; i++)
 		assert(job->tasks[0][i].done);
 	truth->running = true;
+	truth->last_begun = ++world.run_changes;
 	truth->starts++;
 	if (crashes_upstreams(job) && truth == &job->tasks[0][0]) {
 		/*
@@ -451,6 +456,9 @@
 		      host->id, order->holder, end->run, end->task,
 		      wwh_end_kind_names[end->kind],
 		      end->lapsed ? ", lapsed since" : "");
+		/* a run that began since is a second one, whoever ordered it */
+		assert(end->kind != WWH_END_DONE || end->lapsed ||
+		       truth->last_begun < end->at);
 		truth->done_acked |= end->kind == WWH_END_DONE && !end->lapsed;
 		truth->failed_acked +=
 			end->kind == WWH_END_FAILED && !end->lapsed;
