scheduler: a second run of the previous holder is adopted, or waited for

What callers would see: two runs of a task (TWICE), found by fuzz_scheduler with two holders at work. The overtaken holder, within its rights, starts a task again as its upstream has crashed. The successor had adopted the first run; it lists the second one, takes it for an orphan, orders its stop and starts the task elsewhere at once.

Cause: only tasks that no upstream had listed yet were adopted, and an orphan of a live task didn't delay its start.

Change: a waiting task of which the successor may learn more, until its pool has answered, is adopted again. A task that an upstream lists as an orphan isn't started until that upstream lists it no more, has ended or its lease has lapsed.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -357,6 +357,7 @@
 	int64_t taken_over_ms;
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
+	int32_t orphans; /* of all upstreams */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
 	/* When an upstream with tasks was last found without its address. */
 	int64_t doubted_ms;
@@ -795,6 +796,12 @@
 sched_upstream_t *sched_upstream_add(wwh_scheduler_t *scheduler,
 				     const wwh_upstream_info_t *info);
 /* It has reported an end that isn't acknowledged yet. */
+/* Called when nothing that upstream listed runs there any more. */
+void sched_upstream_forget_orphans(wwh_scheduler_t *scheduler,
+				   sched_upstream_t *upstream);
+/* Whether an upstream may still run task, by an order that isn't wanted any more. */
+bool sched_task_is_orphaned(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task);
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream);
 void sched_upstream_delete(gpointer upstream);
--- a/src/libwaxwinghollow/scheduler_ending.c
+++ b/src/libwaxwinghollow/scheduler_ending.c
@@ -51,12 +51,13 @@
 	    scheduler->now_ms < upstream->lease_end_ms ||
 	    upstream->lease_end_handled)
 		return false;
-	if (upstream->tasks->len > 0 &&
+	if ((upstream->tasks->len > 0 || upstream->orphans > 0) &&
 	    !sched_lapse_counts(scheduler, upstream->lease_end_ms))
 		return false;
 	upstream->lease_end_handled = true;
 	if (upstream->tasks->len > 0)
 		sched_lease_explain_lapse(scheduler, upstream);
+	sched_upstream_forget_orphans(scheduler, upstream);
 	sched_upstream_lose_tasks(scheduler, upstream,
 				  termination_at_lapse(upstream),
 				  "lease-lapsed");
--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -65,7 +65,7 @@
 	sched_inherited_starts_resolve(scheduler, upstream, true);
 	g_array_set_size(upstream->unclear_losses, 0);
 	sched_upstream_reset_ends(scheduler, upstream);
-	g_hash_table_remove_all(upstream->orphan_stops);
+	sched_upstream_forget_orphans(scheduler, upstream);
 	sched_speed_forget(scheduler, upstream);
 	upstream->fail_streak = 0;
 	upstream->backoffs = 0;
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -487,7 +487,8 @@
 		sched_inherited_task_settled(scheduler, task);
 	}
 	return scheduler->now_ms >= task->retry_ms &&
-	       !sched_losses_delay_start(scheduler, task);
+	       !sched_losses_delay_start(scheduler, task) &&
+	       !sched_task_is_orphaned(scheduler, task);
 }
 
 static sched_upstream_t *find_upstream(wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -84,6 +84,35 @@
 	return upstream;
 }
 
+void sched_upstream_forget_orphans(wwh_scheduler_t *scheduler,
+				   sched_upstream_t *upstream)
+{
+	scheduler->orphans -= upstream->orphans;
+	upstream->orphans = 0;
+	g_hash_table_remove_all(upstream->orphan_stops);
+}
+
+bool sched_task_is_orphaned(const wwh_scheduler_t *scheduler,
+			    const sched_task_t *task)
+{
+	const GPtrArray *upstreams =
+		task->step->occurrence->job->pool->upstreams;
+	char name[WWH_TASK_NAME_BYTES];
+
+	if (scheduler->orphans == 0)
+		return false;
+	sched_task_name(task, name);
+	for (guint i = 0; i < upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(upstreams, i);
+
+		if (upstream->orphans > 0 &&
+		    g_hash_table_contains(upstream->orphan_stops, name))
+			return true;
+	}
+	return false;
+}
+
 void sched_upstream_await_ack(wwh_scheduler_t *scheduler,
 			      sched_upstream_t *upstream)
 {
@@ -166,6 +195,7 @@
 	scheduler->crashed_upstreams += termination == WWH_TERMINATION_CRASH &&
 					upstream->tasks->len > 0;
 	sched_authority_note_fenced(scheduler, upstream);
+	sched_upstream_forget_orphans(scheduler, upstream);
 	sched_upstream_lose_tasks(scheduler, upstream, termination, why);
 	if (termination == WWH_TERMINATION_CRASH) {
 		sched_losses_confirm_crash(scheduler, upstream);
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -88,10 +88,12 @@
 	}
 	/* It is up, so its runs were lost without a crash. */
 	g_array_set_size(upstream->unclear_losses, 0);
+	scheduler->orphans -= upstream->orphans;
 	upstream->orphans = 0;
 	for (int32_t i = 0; i < answer->running_count; i++)
 		handle_running(scheduler, upstream, &answer->running[i],
 			       sent_ms);
+	scheduler->orphans += upstream->orphans;
 	if (upstream->orphans == 0)
 		g_hash_table_remove_all(upstream->orphan_stops);
 	if (answer->ended_complete)
@@ -348,7 +350,7 @@
 		return;
 	}
 	if (live && sched_task_state(task) == TASK_WAITING &&
-	    row->run >= task->run && task->inherited) {
+	    row->run >= task->run && (task->inherited || task->awaits_pool)) {
 		sched_task_adopt(scheduler, task, upstream, row->run);
 		sched_run_listed(scheduler, task, sent_ms);
 		update_task(scheduler, task, row);
