soak: upstreams with slow clocks, and halted ones

Change: `upstream-clocks` slows the clocks of some upstreams by up to 2 %, as the platform allows. `upstream-halts`, by name only as the platform doesn't tell of it: a process stands still for up to 8 s, carries out afterwards what has arrived, and its lease lapses meanwhile.

--- a/src/test_soak/soak.h
+++ b/src/test_soak/soak.h
@@ -171,6 +171,10 @@
 	int64_t born_ms;
 	int64_t token;
 	int64_t lease_ms; /* by its own clock; 0: none */
+	int32_t clock_slow_permille; /* from clock_slow_since_ms on */
+	int64_t clock_slow_since_ms;
+	int64_t clock_behind_ms; /* a sound clock, then */
+	int64_t halted_until_ms; /* it does nothing, and its clock goes on */
 	int64_t sequence;
 	int64_t next_beat_ms;
 	int64_t down_since_ms; /* 0: its entry was removed */
@@ -462,6 +466,8 @@
 void soak_hang_upstreams(void);
 void soak_reject_at_upstreams(void);
 void soak_slow_upstreams(void);
+void soak_slow_clocks(void);
+void soak_halt_upstreams(void);
 void soak_cut_rack(void);
 void soak_cut_all_upstreams(void);
 
--- a/src/test_soak/soak_calm.c
+++ b/src/test_soak/soak_calm.c
@@ -23,6 +23,7 @@
 static const char *const harmless[] = {
 	"store-compacts",
 	"configuration",
+	"upstream-clocks",
 	"settings-reload",
 	NULL,
 };
--- a/src/test_soak/soak_faults.c
+++ b/src/test_soak/soak_faults.c
@@ -339,6 +339,8 @@
 	{ "upstream-hangs", soak_hang_upstreams },
 	{ "upstream-rejects", soak_reject_at_upstreams },
 	{ "upstream-slow", soak_slow_upstreams },
+	{ "upstream-clocks", soak_slow_clocks },
+	{ "upstream-halts", soak_halt_upstreams, .by_name_only = true },
 	{ "rack-cut", soak_cut_rack },
 	{ "upstreams-cut", soak_cut_all_upstreams },
 	{ "duties-late", soak_delay_duties, .by_name_only = true },
--- a/src/test_soak/soak_orders.c
+++ b/src/test_soak/soak_orders.c
@@ -33,6 +33,12 @@
 	char *text;
 } late_answer_t;
 
+typedef struct {
+	soak_upstream_t *upstream;
+	int32_t incarnation;
+	struct evhttp_request *request;
+} halted_call_t;
+
 /* After a crash the connection is gone. */
 static void answer_late(void *data)
 {
@@ -373,6 +379,29 @@
 		answer_order(upstream, request, 200, NULL);
 }
 
+/* A process that goes on carries out what has arrived while it was halted. */
+static void serve_after_halt(void *data)
+{
+	halted_call_t *call = data;
+
+	if (call->upstream->up &&
+	    call->upstream->incarnations == call->incarnation)
+		soak_orders_serve(call->request, call->upstream);
+	g_free(call);
+}
+
+static void wait_for_end_of_halt(soak_upstream_t *upstream,
+				 struct evhttp_request *request)
+{
+	halted_call_t *call = g_new0(halted_call_t, 1);
+
+	call->upstream = upstream;
+	call->incarnation = upstream->incarnations;
+	call->request = request;
+	soak_after(upstream->halted_until_ms - soak_now_ms(), serve_after_halt,
+		   call);
+}
+
 static void reject(soak_upstream_t *upstream, struct evhttp_request *request)
 {
 	const int32_t statuses[] = { 429, 503 };
@@ -393,6 +422,10 @@
 
 	if (!upstream->up || upstream->disorder == SOAK_UPSTREAM_HANGS)
 		return; /* silent: the request waits until its socket closes */
+	if (soak_now_ms() < upstream->halted_until_ms) {
+		wait_for_end_of_halt(upstream, request);
+		return;
+	}
 	if (strcmp(evhttp_request_get_uri(request), "/healthz") == 0) {
 		answer(upstream, request, 200, "{}");
 		return;
--- a/src/test_soak/soak_upstream.c
+++ b/src/test_soak/soak_upstream.c
@@ -9,10 +9,16 @@
 /* An incarnation's clock begins here, so that it differs from all others. */
 #define CLOCK_START_MS 1000
 #define DRAIN_MS 3000
+#define PERMILLE 1000
 
 int64_t soak_upstream_clock_ms(const soak_upstream_t *upstream)
 {
-	return soak_now_ms() - upstream->born_ms + CLOCK_START_MS;
+	int64_t now_ms = soak_now_ms();
+
+	return now_ms - upstream->born_ms + CLOCK_START_MS -
+	       upstream->clock_behind_ms -
+	       (now_ms - upstream->clock_slow_since_ms) *
+		       upstream->clock_slow_permille / PERMILLE;
 }
 
 int32_t soak_upstream_rack(const soak_upstream_t *upstream)
@@ -117,6 +123,54 @@
 	upstream->isolated_until_ms = soak_now_ms() + duration_ms;
 }
 
+void soak_upstream_slow_clock(soak_upstream_t *upstream, int32_t permille)
+{
+	int64_t now_ms = soak_now_ms();
+
+	upstream->clock_behind_ms += (now_ms - upstream->clock_slow_since_ms) *
+				     upstream->clock_slow_permille / PERMILLE;
+	upstream->clock_slow_since_ms = now_ms;
+	upstream->clock_slow_permille = permille;
+}
+
+/* The work that is left is done later. */
+static void delay_run(soak_active_t *active, int64_t ms)
+{
+	if (active->entry->due_ms < INT64_MAX - ms)
+		active->entry->due_ms += ms;
+	if (active->stop_ms != 0)
+		active->stop_ms += ms;
+}
+
+void soak_upstream_halt(soak_upstream_t *upstream, int64_t duration_ms)
+{
+	if (!upstream->up || upstream->halted_until_ms > soak_now_ms())
+		return;
+	soak_record("upstream %s stands still for %" G_GINT64_FORMAT " ms",
+		    upstream->id, duration_ms);
+	upstream->halted_until_ms = soak_now_ms() + duration_ms;
+	soak_upstream_isolate(upstream, duration_ms);
+	for (guint i = 0; i < upstream->active->len; i++)
+		delay_run(g_ptr_array_index(upstream->active, i), duration_ms);
+}
+
+/*
+ * What a halted upstream runs does no work either, so a run whose lease lapses
+ * meanwhile, to be ended once the process goes on, counts as ended then.
+ */
+static const char *end_of(const soak_upstream_t *upstream,
+			  const soak_active_t *active, bool lapsed)
+{
+	int64_t now_ms = soak_now_ms();
+	bool halted = now_ms < upstream->halted_until_ms;
+
+	if (!halted && active->stop_ms != 0 && now_ms >= active->stop_ms)
+		return "stopped";
+	if (!halted && now_ms >= active->entry->due_ms)
+		return active->entry->due_how;
+	return lapsed ? "lapsed" : NULL;
+}
+
 static void run_upstream(soak_upstream_t *upstream)
 {
 	int64_t now_ms = soak_now_ms();
@@ -132,15 +186,12 @@
 	lapsed = upstream->lease_ms != 0 &&
 		 soak_upstream_clock_ms(upstream) >= upstream->lease_ms;
 	for (guint i = 0; i < upstream->active->len;) {
-		const soak_active_t *active =
-			g_ptr_array_index(upstream->active, i);
-
-		if (active->stop_ms != 0 && now_ms >= active->stop_ms)
-			end_run(upstream, i, "stopped", true);
-		else if (now_ms >= active->entry->due_ms)
-			end_run(upstream, i, active->entry->due_how, true);
-		else if (lapsed)
-			end_run(upstream, i, "lapsed", true);
+		const char *how =
+			end_of(upstream, g_ptr_array_index(upstream->active, i),
+			       lapsed);
+
+		if (how != NULL)
+			end_run(upstream, i, how, true);
 		else
 			i++;
 	}
@@ -149,7 +200,8 @@
 
 		run->lapsed_unacked = true;
 	}
-	soak_orders_answer_polls(upstream);
+	if (now_ms >= upstream->halted_until_ms)
+		soak_orders_answer_polls(upstream);
 }
 
 static void run_all(void *data)
@@ -214,6 +266,9 @@
 	upstream->ends = 0;
 	upstream->late_until_ms = 0;
 	upstream->isolated_until_ms = 0;
+	upstream->halted_until_ms = 0;
+	upstream->clock_slow_permille = 0;
+	upstream->clock_behind_ms = 0;
 	upstream->disorder = SOAK_UPSTREAM_SOUND;
 	g_hash_table_remove_all(upstream->highest);
 	upstream->http =
--- a/src/test_soak/soak_upstream.h
+++ b/src/test_soak/soak_upstream.h
@@ -27,6 +27,10 @@
 const char *soak_upstream_born_field(const soak_upstream_t *upstream,
 				     char text[SOAK_BORN_CHARS]);
 int64_t soak_upstream_clock_ms(const soak_upstream_t *upstream);
+/* Its steady clock, from now until it is started again. */
+void soak_upstream_slow_clock(soak_upstream_t *upstream, int32_t permille);
+/* Its process stands still; only the lease of what it runs may end. */
+void soak_upstream_halt(soak_upstream_t *upstream, int64_t duration_ms);
 
 /* soak_orders.c: what an upstream answers; data: soak_upstream_t */
 void soak_orders_serve(struct evhttp_request *request, void *data);
--- a/src/test_soak/soak_upstream_faults.c
+++ b/src/test_soak/soak_upstream_faults.c
@@ -2,10 +2,11 @@
  * Upstreams that run on at another address, that answer late, badly or not at
  * all, or that are cut off together.
  */
-#include "soak.h"
+#include "soak_upstream.h"
 
 #define DISORDER_MAX_MS 4000
 #define CUT_MAX_MS 8000
+#define SLOW_CLOCK_MAX_PERMILLE 20
 
 static void restore_order(void *data)
 {
@@ -44,6 +45,31 @@
 	begin_disorder(SOAK_UPSTREAM_SLOW);
 }
 
+/* By up to as much as the page allows. */
+void soak_slow_clocks(void)
+{
+	int32_t count = soak_draw(1, 2 + soak.options.upstreams / 4);
+
+	for (int32_t i = 0; i < count; i++) {
+		soak_upstream_t *upstream = soak_draw_upstream();
+		int32_t permille = soak_draw(0, SLOW_CLOCK_MAX_PERMILLE + 1);
+
+		soak_record("clock of %s is %d permille slow", upstream->id,
+			    permille);
+		soak_upstream_slow_clock(upstream, permille);
+	}
+}
+
+/* The longer ones outlast their leases. */
+void soak_halt_upstreams(void)
+{
+	int32_t count = soak_draw(1, 2 + soak.options.upstreams / 8);
+
+	for (int32_t i = 0; i < count; i++)
+		soak_upstream_halt(soak_draw_upstream(),
+				   soak_draw(500, CUT_MAX_MS));
+}
+
 /*
  * The former one runs on. It is cut off with its connections, or it drains and
  * may keep them.
