scheduler_loss: a crash that no list shows convicts a task only beside others

Cause: an upstream runs on, its address is given to another one, and its lease lapses without a list that shows its end. That counted as a crash like one that is shown, so together with one real crash it gave the task up (task-given-up crashes=2 alone=1, the second run-lost why=lease-lapsed termination=crash).

Change: like a start without an answer, such a loss raises the number of crashes after which a task is given up, up to four.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -77,7 +77,10 @@
 	SCHED_LOSS_SUSPECT = 1 << 2,
 	/* No task of another job may have caused it. */
 	SCHED_LOSS_ALONE = 1 << 3,
-	/* The start got no answer: it may not have reached the upstream. */
+	/*
+	 * The start got no answer and may not have reached the upstream, or the
+	 * crash is presumed.
+	 */
 	SCHED_LOSS_UNANSWERED = 1 << 4,
 	/*
 	 * A previous holder may have ordered the run on an upstream that ended
--- a/src/libwaxwinghollow/scheduler_loss.c
+++ b/src/libwaxwinghollow/scheduler_loss.c
@@ -47,6 +47,7 @@
 static int32_t max_crashes(const wwh_scheduler_t *scheduler,
 			   const sched_task_t *task);
 static int32_t min_crashes(const sched_losses_t *losses);
+static bool is_presumed(const sched_upstream_t *upstream);
 static uint32_t crash_flags(const suspects_t *suspects,
 			    const sched_task_t *task);
 static uint32_t attribute(const suspects_t *suspects, sched_task_t *task,
@@ -323,6 +324,13 @@
 		   MAX_CRASHES_UNANSWERED);
 }
 
+/* No list has shown its end, and its address may have been given away as it ran on. */
+static bool is_presumed(const sched_upstream_t *upstream)
+{
+	return upstream->reach == WWH_REACH_OTHER_ANSWERS &&
+	       upstream->termination_reason == NULL;
+}
+
 /*
  * A start that got no answer may have run and crashed the upstream, so it counts
  * like the others.
@@ -332,7 +340,7 @@
 {
 	uint32_t flags = SCHED_LOSS_CRASH;
 
-	if (task->accepted_ms == 0)
+	if (task->accepted_ms == 0 || is_presumed(task->upstream))
 		flags |= SCHED_LOSS_UNANSWERED;
 	if (!is_suspect(suspects, task))
 		return flags;
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -223,8 +223,11 @@
 void new_jobs_start_soon_after_all_upstreams_were_replaced(void **state);
 
 #define UNREACHABLE_TESTS                                                          \
-	FIXTURE_TEST(runs_of_an_upstream_that_refuses_connections_are_kept,        \
-		     1),                                                           \
+	FIXTURE_TEST(a_crash_that_no_list_shows_convicts_no_task_by_itself,        \
+		     3),                                                           \
+		FIXTURE_TEST(                                                      \
+			runs_of_an_upstream_that_refuses_connections_are_kept,     \
+			1),                                                        \
 		FIXTURE_TEST(runs_of_an_upstream_without_its_address_are_kept,     \
 			     1),                                                   \
 		FIXTURE_TEST(a_list_is_awaited_only_while_runs_are_in_doubt,       \
@@ -244,6 +247,7 @@
 			a_refused_upstream_is_no_crash_once_its_lease_has_lapsed,  \
 			1)
 
+void a_crash_that_no_list_shows_convicts_no_task_by_itself(void **state);
 void runs_of_an_upstream_that_refuses_connections_are_kept(void **state);
 void runs_of_an_upstream_without_its_address_are_kept(void **state);
 void a_list_is_awaited_only_while_runs_are_in_doubt(void **state);
--- a/src/test_scheduler/test_unreachable.c
+++ b/src/test_scheduler/test_unreachable.c
@@ -176,3 +176,36 @@
 	sched_fixture_run(fixture, 50);
 	assert_int_equal(fixture->starts->len, 2);
 }
+
+/*
+ * Guards against a sound job that is shown as failed after one crash: its next upstream
+ * runs on, and its address was given to another one.
+ */
+void a_crash_that_no_list_shows_convicts_no_task_by_itself(void **state)
+{
+	sched_fixture_t *fixture = *state;
+	sched_fixture_order_t order;
+
+	sched_fixture_submit(fixture, sched_fixture_job(JOB_A, 1, 1000));
+	order = *sched_fixture_order(fixture->starts, 0);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	wwh_scheduler_upstream_terminated(fixture->scheduler, order.upstream,
+					  WWH_TERMINATION_CRASH, "down",
+					  fixture->now_ms);
+	for (int32_t i = 0; i < 60 && fixture->starts->len == 1; i++) {
+		sched_fixture_run(fixture, 50);
+		answer_all_but(fixture, "");
+		sched_fixture_make_durable(fixture);
+	}
+	order = *sched_fixture_order(fixture->starts, 1);
+	sched_fixture_handle_start_result(fixture, &order, WWH_ORDER_DONE);
+	for (int32_t i = 0; i < 200 && fixture->starts->len == 2; i++) {
+		sched_fixture_run(fixture, 50);
+		answer_all_but_failing(fixture, order.upstream,
+				       WWH_REACH_OTHER_ANSWERS);
+		sched_fixture_make_durable(fixture);
+	}
+	assert_int_equal(wwh_scheduler_job_state(fixture->scheduler, JOB_A),
+			 WWH_PROGRESS_ACTIVE);
+	assert_int_equal(fixture->starts->len, 3);
+}
