review: case 5, lasting tasks that fail wait on healthy minions (LOST)

Cause: an upstream's count of failures is reset by an end "done" only, which tasks that last never have; from the third on each failure backs it off for up to 12 s.

--- a/review/standins-2/deployment.c
+++ b/review/standins-2/deployment.c
@@ -98,6 +98,7 @@
 	GPtrArray *ended; /* of dep_run_t that are listed */
 	GHashTable *highest; /* task to the highest run that is over */
 	int64_t duty_token;
+	int64_t back_ms; /* after a crash; 0: none */
 	int64_t upkeep_until_ms; /* 0: none */
 	int64_t upkeep_done; /* the wave for which it was done */
 } minion_t;
@@ -900,14 +901,59 @@
 	beat(minion);
 }
 
+/* A minion that has ended answers nothing any more. */
+static void drop_polls(const minion_t *minion)
+{
+	GList *at = held;
+
+	while (at != NULL) {
+		held_t *item = at->data;
+		struct evhttp_connection *connection;
+
+		at = at->next;
+		if (item->minion != minion->index)
+			continue;
+		connection = evhttp_request_get_connection(held_take(item));
+		held_free(item);
+		evhttp_connection_free(connection);
+	}
+}
+
 /* All that runs there ends at once. */
 static void end_life(minion_t *minion)
 {
+	drop_polls(minion);
 	while (minion->runs->len > 0)
 		end_run(minion, g_ptr_array_index(minion->runs, 0), "gone",
 			false);
 	minion->up = false;
-	keyed_put("keyed.servers", minion->id, NULL);
+}
+
+void dep_fail_run(dep_run_t *run)
+{
+	minion_t *minion = &minions[run->minion];
+
+	end_run(minion, run, "failed", true);
+	answer_polls(minion);
+}
+
+static void remove_entry(void *data)
+{
+	char *id = data;
+
+	keyed_put("keyed.servers", id, NULL);
+	g_free(id);
+}
+
+void dep_crash_minion(int32_t number, int64_t down_ms)
+{
+	minion_t *minion = &minions[number];
+
+	dep_record("minion %s crashes with %u runs", minion->id,
+		   minion->runs->len);
+	end_life(minion);
+	dep_after(3 * DEP_HEARTBEAT_MS, remove_entry, g_strdup(minion->id));
+	minion->back_ms = dep_now_ms() + down_ms;
 }
 
 static void find_step(const char *task, JsonObject **step)
@@ -1002,7 +1048,6 @@
 	g_strlcpy(run->job, task, sizeof(run->job));
 	run->run = number;
 	run->minion = minion->index;
-	run->spec = g_strdup(json_object_get_string_member(object, "spec"));
 	run->begun_ms = dep_now_ms();
 	if (step == NULL) {
 		dep_record("minion %s is told to start %s run %" PRId64
@@ -1021,7 +1066,6 @@
 	if (cpu + run->cpu > DEP_MINION_CPU ||
 	    memory + run->memory_mb > DEP_MINION_MB) {
 		g_free(run->task);
-		g_free(run->spec);
 		g_free(run);
 		reply_clock(request, 409, "room");
 		return;
@@ -1255,6 +1299,7 @@
 	minion->upkeep_done = wave;
 	minion->upkeep_until_ms = dep_now_ms() + DEP_UPKEEP_MS;
 	end_life(minion);
+	keyed_put("keyed.servers", minion->id, NULL);
 	if (observe_upkeep != NULL)
 		observe_upkeep(minion->index, token, others);
 	return NULL;
@@ -1347,8 +1392,10 @@
 			"\"a\",\"%s\"],\"capacity\":{\"cpu\":%d,\"memMb\":%d,"
 			"\"gpu\":0},\"id\":\"%s\"}",
 			i == 0 ? "" : ",", minion->machine,
-			minion->up ? "up" : "upkeep", minion->rack,
-			DEP_MINION_CPU, DEP_MINION_MB,
+			minion->up	       ? "up"
+			: minion->back_ms != 0 ? "down"
+					       : "upkeep",
+			minion->rack, DEP_MINION_CPU, DEP_MINION_MB,
 			minion->up ? minion->id : "");
 	}
 	g_string_append(out, "],\"nextToken\":null}");
@@ -1384,9 +1431,12 @@
 		bool any = false;
 
 		if (!minion->up) {
-			if (minion->upkeep_until_ms != 0 &&
-			    now >= minion->upkeep_until_ms) {
+			int64_t back =
+				MAX(minion->upkeep_until_ms, minion->back_ms);
+
+			if (back != 0 && now >= back) {
 				minion->upkeep_until_ms = 0;
+				minion->back_ms = 0;
 				begin_life(minion);
 				dep_record("%s is back as %s", minion->machine,
 					   minion->id);
@@ -1527,21 +1577,11 @@
 		spawn_proc(&procs[number]);
 }
 
-bool dep_is_up(int32_t number)
-{
-	return procs[number].pid != 0;
-}
-
 int32_t dep_own_ends(void)
 {
 	return own_ends;
 }
 
-int32_t dep_frontend_port(int32_t number)
-{
-	return procs[number].ports[0];
-}
-
 int64_t dep_memory_mb(int32_t number)
 {
 	char path[64];
@@ -1628,6 +1668,14 @@
 
 /* All of it */
 
+static void on_signal(evutil_socket_t number, short what, void *data)
+{
+	(void)what;
+	(void)data;
+	dep_record("the script gets %s", strsignal((int)number));
+	dep_finish(2);
+}
+
 void dep_init(const dep_options_t *wanted)
 {
 	static const char *const config =
@@ -1652,6 +1700,8 @@
 	if (record_file == NULL || directory == NULL)
 		exit(2);
 	base = event_base_new();
+	event_add(evsignal_new(base, SIGTERM, on_signal, NULL), NULL);
+	event_add(evsignal_new(base, SIGINT, on_signal, NULL), NULL);
 	parts = g_hash_table_new(g_str_hash, g_str_equal);
 	runs = g_ptr_array_new();
 	members = g_ptr_array_new();
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -51,11 +51,10 @@
 	int64_t ended_ms; /* 0: it runs */
 	const char *how; /* of its end; NULL: it runs */
 	int64_t end_number;
-	char *spec;
 } dep_run_t;
 
 typedef void (*dep_step_t)(void *data);
-/* status 0: no answer. body isn't terminated by the client's choice. */
+/* status 0: no answer */
 typedef void (*dep_answered_t)(int32_t status, const char *body, void *data);
 
 void dep_init(const dep_options_t *options);
@@ -72,10 +71,8 @@
 
 void dep_signal(int32_t proc, int signal);
 void dep_restart(int32_t proc); /* a process that has ended */
-bool dep_is_up(int32_t proc);
 /* The process that the newest notice in the store names; -1: none. */
 int32_t dep_holder(void);
-int32_t dep_frontend_port(int32_t proc);
 /* Processes that ended by themselves. */
 int32_t dep_own_ends(void);
 /* Resident memory of a process, in MB. */
@@ -91,10 +88,19 @@
 /* Appends to the system's journal that were rejected for a record's size. */
 int32_t dep_oversized_appends(void);
 
+/*
+ * The minion ends at once. Its entry in the store expires; it starts again, with a
+ * new id, down_ms later.
+ */
+void dep_crash_minion(int32_t minion, int64_t down_ms);
+
 /* Rack label of a minion; each has a rack of its own. */
 const char *dep_rack(int32_t minion);
 const char *dep_machine(int32_t minion);
 
+/* A run ends as failed, by its own fault. */
+void dep_fail_run(dep_run_t *run);
+
 /* All runs that began, of dep_run_t. */
 GPtrArray *dep_runs(void);
 int32_t dep_running(void);
