--- a/review/standins-2/deployment.c
+++ b/review/standins-2/deployment.c
@@ -89,6 +89,8 @@
 	char rack[16];
 	int port;
 	bool up;
+	bool sheds;
+	int32_t shed; /* starts that were answered so */
 	bool keeps_id; /* as it starts again */
 	int64_t born_ms; /* Unix time */
 	int64_t clock_ahead_ms;
@@ -135,6 +137,8 @@
 static int64_t wave_number;
 static char *wave_machines;
 static dep_delay_start_t delay_start;
+static dep_delay_upkeep_t delay_upkeep;
+static void (*observe_upkeep)(int32_t, int64_t, int32_t);
 
 static void answer_polls(minion_t *minion);
 
@@ -809,6 +813,30 @@
 	return dep_now_ms() + minion->clock_ahead_ms;
 }
 
+const char *dep_rack(int32_t minion)
+{
+	return minions[minion].rack;
+}
+
+const char *dep_machine(int32_t minion)
+{
+	return minions[minion].machine;
+}
+
+void dep_set_shedding(int32_t number, bool sheds)
+{
+	minion_t *minion = &minions[number];
+
+	minion->sheds = sheds;
+	if (sheds)
+		dep_record("minion %s answers starts with 503 from now on",
+			   minion->id);
+	else
+		dep_record("minion %s is sound again; it has answered %d "
+			   "starts with 503",
+			   minion->id, minion->shed);
+}
+
 GPtrArray *dep_runs(void)
 {
 	return runs;
@@ -1025,7 +1053,8 @@
 }
 
 /* Returns why it doesn't begin; NULL: it has begun. */
-static const char *begin_run(minion_t *minion, JsonObject *object)
+static const char *begin_run(minion_t *minion, JsonObject *object,
+			     const char *order)
 {
 	const char *task = json_object_get_string_member(object, "task");
 	int64_t number = number_of(object, "run", 0);
@@ -1059,6 +1088,7 @@
 	run->run = number;
 	run->minion = minion->index;
 	run->begun_ms = dep_now_ms();
+	run->order = g_strdup(order);
 	if (step == NULL) {
 		dep_record("minion %s is told to start %s run %" PRId64
 			   ", which no client has sent",
@@ -1091,8 +1121,19 @@
 static void start(minion_t *minion, struct evhttp_request *request,
 		  JsonObject *object)
 {
-	const char *reason = begin_run(minion, object);
+	struct evbuffer *body = evhttp_request_get_input_buffer(request);
+	const char *reason;
+	char *order;
 
+	if (minion->sheds) {
+		minion->shed++;
+		reply(request, 503, "{}");
+		return;
+	}
+	order = g_strndup((char *)evbuffer_pullup(body, -1),
+			  evbuffer_get_length(body));
+	reason = begin_run(minion, object, order);
+	g_free(order);
 	reply_clock(minion, request, reason == NULL ? 200 : 409, reason);
 }
 
@@ -1114,7 +1155,8 @@
 	else if (minion->up && late->token < minion->token)
 		reason = "fence";
 	else if (minion->up)
-		reason = begin_run(minion, json_node_get_object(late->body));
+		reason =
+			begin_run(minion, json_node_get_object(late->body), "");
 	dep_record("the late start at minion %s is carried out: %s", late->id,
 		   reason == NULL ? "done" : reason);
 	g_free(late->id);
@@ -1343,7 +1385,17 @@
 	delay_start = delay;
 }
 
-static int32_t count_in_upkeep(void)
+void dep_on_upkeep_order(dep_delay_upkeep_t delay)
+{
+	delay_upkeep = delay;
+}
+
+void dep_on_upkeep_begin(void (*observe)(int32_t, int64_t, int32_t))
+{
+	observe_upkeep = observe;
+}
+
+int32_t dep_in_upkeep(void)
 {
 	int32_t count = 0;
 
@@ -1352,9 +1404,15 @@
 	return count;
 }
 
+typedef struct {
+	minion_t *minion;
+	int64_t token;
+	int64_t wave;
+} upkeep_t;
+
 static const char *begin_upkeep(minion_t *minion, int64_t token, int64_t wave)
 {
-	int32_t others = count_in_upkeep();
+	int32_t others = dep_in_upkeep();
 
 	if (token < minion->duty_token)
 		return "fence";
@@ -1370,9 +1428,24 @@
 	minion->upkeep_until_ms = dep_now_ms() + DEP_UPKEEP_MS;
 	end_life(minion);
 	keyed_put("keyed.servers", minion->id, NULL);
+	if (observe_upkeep != NULL)
+		observe_upkeep(minion->index, token, others);
 	return NULL;
 }
 
+static void carry_out_late(void *data)
+{
+	upkeep_t *upkeep = data;
+	const char *reason =
+		begin_upkeep(upkeep->minion, upkeep->token, upkeep->wave);
+
+	dep_record("the late order for %s by token %" PRId64
+		   " is carried out: %s",
+		   upkeep->minion->machine, upkeep->token,
+		   reason == NULL ? "done" : reason);
+	g_free(upkeep);
+}
+
 static void order_upkeep(struct evhttp_request *request)
 {
 	JsonNode *root = parse_body(request);
@@ -1389,6 +1462,7 @@
 		token_text == NULL ? 0 : g_ascii_strtoll(token_text, NULL, 10);
 	minion_t *minion = NULL;
 	const char *reason;
+	int64_t delay = 0;
 	char text[64];
 
 	for (int32_t i = 0; i < options.minions; i++) {
@@ -1405,6 +1479,23 @@
 		json_node_unref(root);
 		return;
 	}
+	if (delay_upkeep != NULL)
+		delay = delay_upkeep(minion->index, token);
+	if (delay > 0) {
+		upkeep_t *upkeep = g_new0(upkeep_t, 1);
+		held_t *item = hold(request, 600000);
+
+		(void)item; /* no answer */
+		upkeep->minion = minion;
+		upkeep->token = token;
+		upkeep->wave = wave;
+		dep_record("that order gets no answer and is carried out "
+			   "%" PRId64 " ms later",
+			   delay);
+		dep_after(delay, carry_out_late, upkeep);
+		json_node_unref(root);
+		return;
+	}
 	reason = begin_upkeep(minion, token, wave);
 	if (reason == NULL) {
 		reply(request, 200, "{}");
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -52,6 +52,7 @@
 	int64_t ended_ms; /* 0: it runs */
 	const char *how; /* of its end; NULL: it runs */
 	int64_t end_number;
+	char *order; /* the body of the order to start, as it came */
 	bool is_noted; /* its end was reached by seenUpto */
 } dep_run_t;
 
@@ -104,6 +105,25 @@
 				     int64_t run);
 void dep_on_start_order(dep_delay_start_t delay);
 
+/* An unhealthy minion answers starts with 503 and has then done nothing. */
+void dep_set_shedding(int32_t minion, bool sheds);
+
+/* Rack label of a minion; each has a rack of its own. */
+const char *dep_rack(int32_t minion);
+const char *dep_machine(int32_t minion);
+
+/*
+ * The platform's orders for machines: asked when an upkeep order arrives. A value
+ * above 0: it gets no answer and is carried out that many ms later.
+ */
+typedef int64_t (*dep_delay_upkeep_t)(int32_t minion, int64_t token);
+void dep_on_upkeep_order(dep_delay_upkeep_t delay);
+/* The upkeeps that are going on. */
+int32_t dep_in_upkeep(void);
+/* Called as an upkeep begins, with how many others were going on. */
+void dep_on_upkeep_begin(void (*observe)(int32_t minion, int64_t token,
+					 int32_t others));
+
 /* A run ends as failed, by its own fault. */
 void dep_fail_run(dep_run_t *run);
 
