fuzz-fixed: draw the same inputs in each run

Cause: with -seed=1 two runs of fuzz_scheduler drew other inputs from the 363rd on. libFuzzer takes words for its mutations from the operands of comparisons, some of which are addresses; it reads its own corpus again each second; and it takes seeds of one size in the order of the directory. So a landing could fail on unchanged code.

Change: fixed runs have fixed addresses (setarch -R), don't reload, and read their seeds in the order of their names. Where addresses can't be fixed, that is said.

On another kind of processor other inputs are drawn.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,6 +9,16 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 
+# libFuzzer mutates by the operands of comparisons, of which some are addresses.
+same_addresses=
+if [ "$mode" = fixed ]; then
+	same_addresses="setarch $(uname -m) -R"
+	if ! $same_addresses true 2>/dev/null; then
+		same_addresses=
+		echo "fuzz: can't fix addresses here; runs may differ"
+	fi
+fi
+
 run_target() { # NAME
 	name=$1
 	corpus=src/test_fuzz/corpus/$name
@@ -19,7 +29,14 @@
 	[ ! -f "src/test_fuzz/$name.runs" ] ||
 		runs=$(cat "src/test_fuzz/$name.runs")
 	if [ "$mode" = fixed ]; then
-		set -- -seed=1 -runs="$runs"
+		# Not by the order of the directory, nor by what is there by when.
+		set -- -seed=1 -runs="$runs" -reload=0
+		if [ -n "$corpus" ]; then
+			find "$corpus" -type f | LC_ALL=C sort |
+				paste -sd, >"$work/$name.seeds"
+			set -- "$@" "-seed_inputs=@$work/$name.seeds"
+			corpus=
+		fi
 	else
 		set -- -max_total_time="$amount" -print_final_stats=1
 	fi
@@ -33,7 +50,7 @@
 		touch "$work/failed"
 		return
 	fi
-	if "$build/$name" "$@" -max_len=4096 -artifact_prefix=./fuzz- \
+	if $same_addresses "$build/$name" "$@" -max_len=4096 -artifact_prefix=./fuzz- \
 		"$work/$name" $corpus >"$log" 2>&1; then
 		echo "fuzz: $name passed ($(grep -ao 'Done [0-9]* runs' "$log" | tail -1))"
 	else
