--- a/include/waxwinghollow/error_kind.h
+++ b/include/waxwinghollow/error_kind.h
@@ -52,6 +52,7 @@
 	WWH_ERROR_KEY_EXPIRED, /* the key is older than the window of keys */
 	WWH_ERROR_NO_HOLDER, /* no process runs the queue's jobs now */
 	WWH_ERROR_NO_SUCH_JOB,
+	WWH_ERROR_JOB_TOO_LARGE,
 	WWH_ERROR_INTERNAL,
 	WWH_ERROR_COUNT
 } wwh_error_kind_t;
--- a/include/waxwinghollow/host_settings.h
+++ b/include/waxwinghollow/host_settings.h
@@ -45,6 +45,7 @@
 	bool revoke_fails_closed;
 	int64_t revoke_ms;
 	int64_t store_call_max_bytes; /* maximum size of one call to the store */
+	int64_t store_record_max_bytes; /* of one record, with its key */
 	int64_t duty_lease_ms; /* how long hosts obey one holder only */
 	bool hosts_fence; /* hosts reject orders of previous holders */
 	int64_t config_apply_ms; /* a configuration is in force after this */
--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -29,6 +29,7 @@
 	WWH_JOB_ANSWER_NO_JOB, /* the job certainly doesn't exist */
 	WWH_JOB_ANSWER_NOT_DONE, /* certainly without effect */
 	WWH_JOB_ANSWER_UNKNOWN, /* may have taken effect, or may do so later */
+	WWH_JOB_ANSWER_TOO_LARGE, /* never accepted: a record couldn't be stored */
 	WWH_JOB_ANSWER_COUNT
 } wwh_job_answer_kind_t;
 
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -237,6 +237,7 @@
 	 * so many waits as long.
 	 */
 	int64_t unconfirmed_max_ms;
+	int64_t record_max_bytes; /* of the value of any record */
 	bool ignores_speed; /* no upstream is marked slow; for comparisons */
 } wwh_scheduler_options_t;
 
@@ -391,6 +392,22 @@
 				 const wwh_admission_job_t *job,
 				 const char *pool, int64_t now_ms);
 
+/*
+ * Whether the records of a job never exceed record_max_bytes, however often its
+ * tasks fail. A job of which that isn't sure is to be rejected.
+ */
+bool wwh_scheduler_job_fits(const wwh_scheduler_t *scheduler,
+			    const wwh_job_t *spec);
+
+/*
+ * Called when the store has rejected a record for good. A job whose progress can't
+ * be stored ends as failed, as its ends would never be durable; an upstream that
+ * can't be stored gets no starts.
+ */
+void wwh_scheduler_record_rejected(wwh_scheduler_t *scheduler,
+				   wwh_scheduler_record_kind_t kind,
+				   const char *key, int64_t now_ms);
+
 /*
  * Whether an accepted job can still be discarded: its acceptance isn't durable,
  * it hasn't started and nobody has cancelled it. wwh_scheduler_discard_job
--- a/include/waxwinghollow/shard_journal.h
+++ b/include/waxwinghollow/shard_journal.h
@@ -11,6 +11,11 @@
  *	sequence number until its result is known: the store then repeats its
  *	first answer and stores nothing twice.
  *
+ *	A batch that the store rejects as invalid is sent again in halves until
+ *	the record that it rejects is found. If the store then takes another
+ *	append, that record is dropped and reported by on_rejected; all others
+ *	are written in their order.
+ *
  *	A writer with a higher epoch ends the journal: on_lost is called and
  *	nothing is written any more. Records that weren't durable by then may
  *	or may not be stored.
@@ -23,6 +28,9 @@
 
 #include "waxwinghollow/http_calls.h"
 
+/* A key without a record. Its deletion has no effect but that the store answers. */
+#define WWH_JOURNAL_CONFIRM_KEY "H"
+
 typedef struct {
 	wwh_http_calls_t *calls;
 	const char *endpoint;
@@ -34,6 +42,8 @@
 	int64_t max_call_bytes;
 	int64_t batch_delay_ms; /* how long records that aren't urgent wait */
 	void (*on_durable)(int64_t record, void *client_data);
+	/* The store will never take this record. Those after it become durable. */
+	void (*on_rejected)(int64_t record, const char *key, void *client_data);
 	void (*on_lost)(const char *why, void *client_data);
 	void *client_data;
 } wwh_shard_journal_options_t;
--- a/src/libwaxwinghollow/error_kind.c
+++ b/src/libwaxwinghollow/error_kind.c
@@ -32,6 +32,7 @@
 	"key-expired",
 	"no-holder",
 	"no-such-job",
+	"job-too-large",
 	"internal",
 };
 
@@ -112,6 +113,8 @@
 	  "no process runs the jobs of this queue at the moment" },
 	{ WWH_ERROR_NO_SUCH_JOB, 410, NOT_RUN, NEVER, 0,
 	  "there is no job with this id" },
+	{ WWH_ERROR_JOB_TOO_LARGE, 413, NOT_RUN, NEVER, 0,
+	  "the job and its progress don't fit into a record of the store" },
 	{ WWH_ERROR_INTERNAL, 500, UNKNOWN, FIXED, 2,
 	  "an internal error ended the request" },
 };
--- a/src/libwaxwinghollow/host_settings.c
+++ b/src/libwaxwinghollow/host_settings.c
@@ -17,6 +17,7 @@
 	settings->member_ttl_min_ms = 1000;
 	settings->revoke_ms = 5000;
 	settings->store_call_max_bytes = 2097152;
+	settings->store_record_max_bytes = 262144;
 	settings->duty_lease_ms = 3000;
 	settings->config_apply_ms = 2000;
 	settings->drain_ms = 2000;
--- a/src/libwaxwinghollow/include/private/job_holder_state.h
+++ b/src/libwaxwinghollow/include/private/job_holder_state.h
@@ -74,6 +74,7 @@
 	wwh_counter_t *marked_slow;
 	wwh_counter_t *healthy_again;
 	wwh_counter_t *tasks_held;
+	wwh_counter_t *records_rejected;
 	wwh_counter_t *isolated_starts;
 	wwh_counter_t *repeated_orders;
 	wwh_counter_t *tasks_given_up;
@@ -138,6 +139,8 @@
 
 /* job_holder_requests.c: requests, and those that wait for a record */
 void job_holder_answer_durable(wwh_job_holder_t *holder, int64_t record);
+/* The store has rejected the record for good. */
+void job_holder_reject_waiters(wwh_job_holder_t *holder, int64_t record);
 void job_holder_abort_waiters(wwh_job_holder_t *holder);
 void job_holder_update_outage(wwh_job_holder_t *holder);
 /* While the store is stalled, refuses jobs whose records were never sent. */
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -203,6 +203,21 @@
 	bool due; /* its time has come once, also if the clock was set back since */
 };
 
+/* What the record of a job's progress says of tasks that aren't done. */
+typedef enum {
+	SCHED_DETAIL_ALL = 0,
+	SCHED_DETAIL_CRASHES, /* no losses of tasks without a crash */
+	SCHED_DETAIL_FAILURES, /* no losses */
+	SCHED_DETAIL_DONE, /* nothing */
+	SCHED_DETAIL_COUNT
+} sched_detail_t;
+
+/* Occurrences of a job, from first to before end. */
+typedef struct {
+	int64_t first;
+	int64_t end;
+} sched_span_t;
+
 struct sched_job {
 	char id[WWH_JOB_ID_CHARS + 1];
 	wwh_job_t *spec; /* NULL once ended with no run outstanding */
@@ -224,9 +239,15 @@
 	/* As of the job's acceptance, since then; -1: unknown. */
 	int64_t expected_start_ms;
 	int64_t expected_end_ms;
-	GPtrArray *occurrences; /* those opened, owned; NULL with spec */
-	int64_t next_occurrence; /* the first that isn't opened */
+	/* Those opened by ascending number, owned; NULL with spec. */
+	GPtrArray *occurrences;
+	int64_t next_occurrence; /* after all that are opened or in unopened */
+	GArray *unopened; /* sched_span_t, ascending; NULL with spec */
 	int64_t occurrences_done;
+	int64_t completed_end; /* after all that are completed */
+	int64_t occurrence_tasks; /* of one occurrence */
+	int64_t record_max_bytes; /* of its progress */
+	sched_detail_t record_detail; /* of its newest record */
 	int32_t outstanding;
 	int32_t isolated_runs; /* tasks with isolated set */
 };
@@ -299,6 +320,7 @@
 	int64_t clock_offset_ms;
 	int64_t end_spread_ms; /* ends in the answer may be earlier by this */
 	guint run_index; /* its row in the scheduler's run_order and wake_ms */
+	bool record_rejected; /* for good: it gets no starts */
 	bool awaits_ack; /* it is in the scheduler's awaiting_ack */
 };
 
@@ -704,13 +726,6 @@
  */
 sched_task_t *sched_job_listed_task(wwh_scheduler_t *scheduler,
 				    const char *name);
-sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
-					      sched_job_t *job);
-void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job);
-bool sched_occurrence_is_completed(const sched_occurrence_t *occurrence);
-/* Sets due once the occurrence is due by this holder's clock. */
-void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
-				 sched_occurrence_t *occurrence);
 void sched_job_mark_dirty(wwh_scheduler_t *scheduler, sched_job_t *job);
 void sched_job_end(wwh_scheduler_t *scheduler, sched_job_t *job,
 		   wwh_job_progress_t state);
@@ -726,11 +741,51 @@
 /* Removes the job from the live jobs, and keeps it otherwise. */
 void sched_job_remove_live(wwh_scheduler_t *scheduler, sched_job_t *job);
 int64_t sched_objective_ms(const wwh_job_t *spec);
-/* The critical path of the remaining estimates. */
-int64_t sched_occurrence_remaining_ms(const sched_occurrence_t *occurrence);
 /* The sum of estimates along the critical path of the steps. */
 int64_t sched_critical_path_ms(const wwh_job_t *spec);
 
+int64_t sched_job_occurrence_total(const sched_job_t *job);
+
+/*
+ * scheduler_occurrence.c: which occurrences of a job are open
+ *
+ * LOAD
+ *	Jobs of which thousands of times are due. The number that is open, in memory
+ *	and in the job's record, is bounded.
+ */
+sched_occurrence_t *sched_occurrence_open(wwh_scheduler_t *scheduler,
+					  sched_job_t *job, int64_t number);
+void sched_occurrences_open_due(wwh_scheduler_t *scheduler, sched_job_t *job);
+/* Opens the occurrence of a listed task, if a previous holder may have done so. */
+void sched_occurrence_open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
+				  int64_t number);
+/* Returns NULL if it isn't open. */
+sched_occurrence_t *sched_occurrence_find(const sched_job_t *job,
+					  int64_t number);
+bool sched_occurrence_is_completed(const sched_occurrence_t *occurrence);
+/* Sets due once the occurrence is due by this holder's clock. */
+void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
+				 sched_occurrence_t *occurrence);
+/* The critical path of the remaining estimates. */
+int64_t sched_occurrence_remaining_ms(const sched_occurrence_t *occurrence);
+void sched_occurrence_delete(gpointer occurrence);
+
+/* scheduler_unopened.c: occurrences that were passed over, to be opened later */
+/* From after those that are in it already. Returns false if there is no room. */
+bool sched_unopened_append(sched_job_t *job, int64_t first, int64_t end);
+/* Returns false if number isn't one of them, or can't be taken out now. */
+bool sched_unopened_remove(sched_job_t *job, int64_t number);
+bool sched_unopened_contains(const sched_job_t *job, int64_t number);
+/* Returns -1 if there is none. */
+int64_t sched_unopened_first(const sched_job_t *job);
+int64_t sched_unopened_count(const sched_job_t *job);
+
+/* scheduler_progress_size.c: bytes of an occurrence in the record of its job */
+/* Without failures and losses. */
+int64_t sched_occurrence_least_bytes(const wwh_job_t *spec);
+/* As often as its tasks may fail, without losses. */
+int64_t sched_occurrence_most_bytes(const wwh_job_t *spec);
+
 /* scheduler_backlog.c: work that waits for the holder, not for resources */
 /* Counts the inherited upstreams of all pools that haven't answered yet. */
 int32_t sched_count_unsettled(const wwh_scheduler_t *scheduler);
@@ -759,7 +814,8 @@
 /* scheduler_record.c */
 /* Writes the progress of all jobs whose progress changed since the last call. */
 void sched_progress_write(wwh_scheduler_t *scheduler);
-GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms);
+/* At most job->record_max_bytes, unless the least that is needed has more. */
+GBytes *sched_progress_encode(sched_job_t *job, int64_t wall_ms);
 bool sched_progress_restore(wwh_scheduler_t *scheduler, const char *id,
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message);
@@ -824,6 +880,8 @@
 				 sched_upstream_t *upstream);
 void sched_upstreams_flushed(wwh_scheduler_t *scheduler);
 void sched_upstreams_durable(wwh_scheduler_t *scheduler);
+/* Ends that aren't acknowledged yet wait for the newest record. */
+void sched_upstreams_defer_acks(wwh_scheduler_t *scheduler);
 /* Marks the outstanding runs at upstream as lost: they have certainly ended. */
 void sched_upstream_lose_tasks(wwh_scheduler_t *scheduler,
 			       sched_upstream_t *upstream,
--- a/src/libwaxwinghollow/job_holder.c
+++ b/src/libwaxwinghollow/job_holder.c
@@ -21,7 +21,6 @@
  * claim this often.
  */
 #define CONFIRM_PERIOD_MS 500
-#define CONFIRM_KEY "H"
 
 /*
  * For this long after the store confirmed the claim, no other holder can have
@@ -69,10 +68,7 @@
 #define MIN_UNANSWERED_STARTS 16
 
 const char *const wwh_job_answer_names[WWH_JOB_ANSWER_COUNT] = {
-	"ok",
-	"no-job",
-	"not-done",
-	"unknown",
+	"ok", "no-job", "not-done", "unknown", "too-large",
 };
 
 static int32_t max_unanswered_starts(const wwh_host_settings_t *settings);
@@ -82,6 +78,7 @@
 static void restore_kind(wwh_job_holder_t *holder,
 			 wwh_scheduler_record_kind_t kind);
 static void on_durable(int64_t record, void *data);
+static void on_record_rejected(int64_t record, const char *key, void *data);
 static void on_journal_lost(const char *why, void *data);
 static void on_store_reachable(bool reached, const char *why, void *data);
 static wwh_bad_records_t *make_bad_records(wwh_job_holder_t *holder,
@@ -146,6 +143,8 @@
 		wwh_counters_get(options->counters, "holder.healthy_again");
 	holder->tasks_held =
 		wwh_counters_get(options->counters, "holder.tasks_held");
+	holder->records_rejected =
+		wwh_counters_get(options->counters, "holder.records_rejected");
 	job_holder_init_reserve_gauges(holder);
 	holder->bad_hosts = make_bad_records(holder, "hosts");
 	holder->bad_host_rows =
@@ -482,6 +481,7 @@
 			holder->options.settings->store_call_max_bytes,
 		.batch_delay_ms = RECORD_GROUP_MS,
 		.on_durable = on_durable,
+		.on_rejected = on_record_rejected,
 		.on_lost = on_journal_lost,
 		.client_data = holder,
 	};
@@ -497,6 +497,15 @@
 			      INT32_MAX);
 }
 
+/* Of a record's value; the key and its length come in addition. */
+static int64_t record_max_bytes(const wwh_host_settings_t *settings)
+{
+	int64_t record = MIN(settings->store_record_max_bytes,
+			     settings->store_call_max_bytes);
+
+	return MAX(record - UINT8_MAX - 1, 0);
+}
+
 static void make_scheduler(wwh_job_holder_t *holder)
 {
 	const wwh_host_settings_t *settings = holder->options.settings;
@@ -520,6 +529,7 @@
 	options.unavailable_after_ms = settings->unavailable_after_ms;
 	options.holder_count = holder->options.claim_count;
 	options.unconfirmed_max_ms = UNCONFIRMED_MAX_MS;
+	options.record_max_bytes = record_max_bytes(settings);
 	options.max_unanswered_starts = max_unanswered_starts(settings);
 	holder->scheduler = wwh_scheduler_new(&options, &calls);
 }
@@ -591,6 +601,29 @@
 	job_holder_answer_durable(holder, record);
 }
 
+/* Waiters of the record learn that it isn't stored, and never will be. */
+static void on_record_rejected(int64_t record, const char *key, void *data)
+{
+	wwh_job_holder_t *holder = data;
+
+	job_holder_update_clock(holder);
+	wwh_event_log_printf(holder->options.log, "record-rejected", key,
+			     "record=%" G_GINT64_FORMAT, record);
+	wwh_counter_add(holder->records_rejected, 1);
+	if (key[0] == wwh_scheduler_record_kind_names[WWH_SCHEDULER_RECORD_JOB]
+						     [0] &&
+	    wwh_scheduler_job_is_discardable(holder->scheduler, key + 1))
+		wwh_scheduler_discard_job(holder->scheduler, key + 1);
+	job_holder_reject_waiters(holder, record);
+	for (int32_t kind = 0; kind < WWH_SCHEDULER_RECORD_KIND_COUNT; kind++) {
+		if (key[0] == wwh_scheduler_record_kind_names[kind][0])
+			wwh_scheduler_record_rejected(
+				holder->scheduler,
+				(wwh_scheduler_record_kind_t)kind, key + 1,
+				holder->now_ms);
+	}
+}
+
 static void on_journal_lost(const char *why, void *data)
 {
 	job_holder_mark_lost(data, why);
@@ -625,8 +658,9 @@
 {
 	if (suspended && holder->unconfirmed_since_ms == 0) {
 		holder->unconfirmed_since_ms = holder->now_ms;
-		(void)wwh_shard_journal_append(holder->journal, CONFIRM_KEY,
-					       NULL, true, holder->now_ms);
+		(void)wwh_shard_journal_append(holder->journal,
+					       WWH_JOURNAL_CONFIRM_KEY, NULL,
+					       true, holder->now_ms);
 	}
 	return holder->unconfirmed_since_ms == 0;
 }
@@ -652,6 +686,7 @@
 	if ((holder->now_ms - confirmed_ms >= CONFIRM_PERIOD_MS ||
 	     wwh_scheduler_awaits_confirmation(holder->scheduler)) &&
 	    wwh_shard_journal_lag_ms(holder->journal, holder->now_ms) == 0)
-		(void)wwh_shard_journal_append(holder->journal, CONFIRM_KEY,
-					       NULL, true, holder->now_ms);
+		(void)wwh_shard_journal_append(holder->journal,
+					       WWH_JOURNAL_CONFIRM_KEY, NULL,
+					       true, holder->now_ms);
 }
--- a/src/libwaxwinghollow/job_holder_hosts.c
+++ b/src/libwaxwinghollow/job_holder_hosts.c
@@ -228,11 +228,13 @@
 {
 	wwh_job_holder_t *holder = data;
 	wire_store_result_t result = wire_store_append_answer(answer);
+	bool rejected =
+		result == WIRE_STORE_BAD || result == WIRE_STORE_REJECTED;
 
 	job_holder_update_clock(holder);
 	holder->report_in_flight = false;
-	if (result == WIRE_STORE_OK || result == WIRE_STORE_BAD) {
-		if (result == WIRE_STORE_BAD)
+	if (result == WIRE_STORE_OK || rejected) {
+		if (rejected)
 			g_warning("store rejected a wave state record: HTTP "
 				  "status %d",
 				  answer->status);
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -28,6 +28,11 @@
  */
 #define REASON_RECORD_UNREADABLE "record-unreadable"
 
+static const wwh_job_answer_t too_large = {
+	.kind = WWH_JOB_ANSWER_TOO_LARGE,
+	.why = "record-too-large",
+};
+
 typedef struct {
 	int64_t record;
 	char job[WWH_JOB_ID_CHARS + 1]; /* submitted job; empty: none */
@@ -80,6 +85,11 @@
 		wwh_job_delete(job);
 		return;
 	}
+	if (!known && !wwh_scheduler_job_fits(holder->scheduler, job)) {
+		wwh_job_delete(job);
+		done(&too_large, client_data);
+		return;
+	}
 	if (!known && !job_holder_admit(holder, job, &verdict, &answer)) {
 		wwh_job_delete(job);
 		done(&answer, client_data);
@@ -249,6 +259,30 @@
 	}
 }
 
+/* A submission that waits for it was not accepted; a cancellation isn't stored. */
+void job_holder_reject_waiters(wwh_job_holder_t *holder, int64_t record)
+{
+	static const wwh_job_answer_t unknown = {
+		.kind = WWH_JOB_ANSWER_UNKNOWN,
+		.why = "record-rejected",
+	};
+	GList *at = holder->waiters->head;
+
+	while (at != NULL) {
+		waiter_t *waiter = at->data;
+		GList *next = at->next;
+
+		if (waiter->record == record) {
+			g_queue_delete_link(holder->waiters, at);
+			waiter->done(waiter->job[0] != '\0' ? &too_large
+							    : &unknown,
+				     waiter->client_data);
+			g_free(waiter);
+		}
+		at = next;
+	}
+}
+
 /* The waiters' records may be stored or not, so the answer is "unknown". */
 void job_holder_abort_waiters(wwh_job_holder_t *holder)
 {
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -329,6 +329,8 @@
 
 	if (answer->kind == WWH_JOB_ANSWER_NO_JOB)
 		kind = WWH_ERROR_NO_SUCH_JOB;
+	else if (answer->kind == WWH_JOB_ANSWER_TOO_LARGE)
+		kind = WWH_ERROR_JOB_TOO_LARGE;
 	else if (answer->kind == WWH_JOB_ANSWER_UNKNOWN && changes)
 		kind = WWH_ERROR_DEADLINE_UNKNOWN;
 	wwh_listener_set_error(response, kind,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -93,6 +93,7 @@
 		.stop_limit_ms = 400,
 		.ended_job_retention_ms = 120000,
 		.unavailable_after_ms = 4500,
+		.record_max_bytes = 256 * 1024,
 		.holder_count = 1,
 	};
 
@@ -226,11 +227,15 @@
 	scheduler->now_ms = now_ms;
 	scheduler->wall_ms = wall_ms;
 	init_inherited_waits(scheduler);
+	/* what ends at an inherited upstream is noted for open occurrences only */
+	for (guint i = 0; i < scheduler->live->len; i++)
+		sched_occurrences_open_due(
+			scheduler, g_ptr_array_index(scheduler->live, i));
 	for (guint i = 0; i < scheduler->live->len; i++) {
 		sched_job_t *job = g_ptr_array_index(scheduler->live, i);
 
 		if (sched_job_is_live(job) &&
-		    job->occurrences_done == MAX(1, job->spec->repeat_count))
+		    job->occurrences_done == sched_job_occurrence_total(job))
 			sched_job_end(scheduler, job, WWH_PROGRESS_COMPLETED);
 	}
 	sched_inherited_starts_collect(scheduler);
@@ -758,5 +763,8 @@
 		"job %s state=%s started=%d out=%d "
 		"occurrences=%" G_GINT64_FORMAT " done=%" G_GINT64_FORMAT "\n",
 		job->id, wwh_job_progress_names[job->state], job->started,
-		job->outstanding, job->next_occurrence, job->occurrences_done);
+		job->outstanding,
+		job->next_occurrence -
+			(job->unopened == NULL ? 0 : sched_unopened_count(job)),
+		job->occurrences_done);
 }
--- a/src/libwaxwinghollow/scheduler_check.c
+++ b/src/libwaxwinghollow/scheduler_check.c
@@ -50,7 +50,7 @@
 	g_assert(outstanding == job->outstanding);
 	if (job->state == WWH_PROGRESS_COMPLETED)
 		g_assert(job->occurrences_done ==
-			 MAX(1, job->spec->repeat_count));
+			 sched_job_occurrence_total(job));
 }
 
 static void check_step(const wwh_scheduler_t *scheduler,
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -7,15 +7,6 @@
 /* How often ended jobs are scanned for those that expire. */
 #define EXPIRY_INTERVAL_MS 1000
 
-/*
- * Of a job's open occurrences; the next ones wait until earlier ones have ended.
- * A job of 100,000 occurrences that are due would need more memory than there is.
- */
-#define MAX_OPEN_TASKS (10 * WWH_JOB_MAX_TASKS)
-
-/* No holder's clock is further ahead of another one's. */
-#define MAX_CLOCK_AHEAD_MS 60000
-
 /* Where a task is in its job. */
 typedef struct {
 	int64_t occurrence;
@@ -23,23 +14,10 @@
 	int32_t index;
 } task_position_t;
 
-static void occurrence_delete(gpointer data);
-static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
-					  sched_job_t *job, int64_t number);
 static void set_objective(sched_job_t *job);
-static int64_t occurrence_total(const sched_job_t *job);
-static sched_occurrence_t *find_occurrence(const sched_job_t *job,
-					   int64_t number);
 static sched_job_t *find_position(const wwh_scheduler_t *scheduler,
 				  const char *name, task_position_t *at);
 static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at);
-static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
-			int64_t number);
-static bool has_room_for_next(const sched_job_t *job);
-static void forget_completed(sched_job_t *job);
-static bool has_outstanding_runs(const sched_occurrence_t *occurrence);
-static bool may_have_runs(const wwh_scheduler_t *scheduler,
-			  const sched_job_t *job);
 static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job);
 static void release_spec(sched_job_t *job);
 
@@ -62,13 +40,18 @@
 	job->expected_start_ms = -1;
 	job->expected_end_ms = -1;
 	job->pool = sched_pool_get(scheduler, spec->queue.pool);
-	job->occurrences = g_ptr_array_new_with_free_func(occurrence_delete);
+	job->occurrences =
+		g_ptr_array_new_with_free_func(sched_occurrence_delete);
+	job->unopened = g_array_new(FALSE, FALSE, sizeof(sched_span_t));
+	job->record_max_bytes = scheduler->options.record_max_bytes;
+	for (int32_t i = 0; i < spec->step_count; i++)
+		job->occurrence_tasks += spec->steps[i].task_count;
 	set_objective(job);
 	g_hash_table_insert(scheduler->jobs, job->id, job);
 	g_ptr_array_add(scheduler->live, job);
 	g_ptr_array_add(job->pool->live, job);
 	if (spec->repeat_count == 0)
-		(void)sched_job_open_occurrence(scheduler, job);
+		(void)sched_occurrence_open(scheduler, job, 0);
 	job->pool->dirty = true;
 	return job;
 }
@@ -113,7 +96,7 @@
 
 	if (job == NULL)
 		return NULL;
-	open_listed(scheduler, job, at.occurrence);
+	sched_occurrence_open_listed(scheduler, job, at.occurrence);
 	return task_at(job, &at);
 }
 
@@ -137,105 +120,14 @@
 /* Returns NULL if its occurrence isn't open. */
 static sched_task_t *task_at(const sched_job_t *job, const task_position_t *at)
 {
-	sched_occurrence_t *occurrence = find_occurrence(job, at->occurrence);
+	sched_occurrence_t *occurrence =
+		sched_occurrence_find(job, at->occurrence);
 
 	return occurrence == NULL
 		       ? NULL
 		       : &occurrence->steps[at->step].tasks[at->index];
 }
 
-/*
- * Opens an occurrence of which an upstream lists a task. Openings aren't recorded:
- * the previous holder may have opened it by a clock that is ahead of this one's.
- */
-static void open_listed(wwh_scheduler_t *scheduler, sched_job_t *job,
-			int64_t number)
-{
-	if (!job->inherited || !sched_job_is_live(job) ||
-	    number >= job->spec->repeat_count ||
-	    wwh_job_due_wall_ms(job->spec, number) >
-		    scheduler->wall_ms + MAX_CLOCK_AHEAD_MS)
-		return;
-	while (job->next_occurrence <= number && has_room_for_next(job)) {
-		sched_occurrence_t *occurrence =
-			sched_job_open_occurrence(scheduler, job);
-
-		occurrence->due = false;
-		sched_explain(scheduler, "occurrence-found", job->id,
-			      "occurrence=%" G_GINT64_FORMAT
-			      " due_in_ms=%" G_GINT64_FORMAT,
-			      occurrence->number,
-			      occurrence->due_wall_ms - scheduler->wall_ms);
-	}
-}
-
-sched_occurrence_t *sched_job_open_occurrence(wwh_scheduler_t *scheduler,
-					      sched_job_t *job)
-{
-	sched_occurrence_t *occurrence =
-		occurrence_new(scheduler, job, job->next_occurrence);
-
-	job->next_occurrence++;
-	g_ptr_array_add(job->occurrences, occurrence);
-	return occurrence;
-}
-
-/* Occurrences may overlap: each is opened when due, even if others still run. */
-void sched_job_open_due(wwh_scheduler_t *scheduler, sched_job_t *job)
-{
-	const wwh_job_t *spec = job->spec;
-
-	forget_completed(job);
-	while (sched_job_is_live(job) &&
-	       job->next_occurrence < spec->repeat_count &&
-	       has_room_for_next(job) &&
-	       wwh_job_due_wall_ms(spec, job->next_occurrence) <=
-		       scheduler->wall_ms) {
-		(void)sched_job_open_occurrence(scheduler, job);
-		job->pool->dirty = true;
-	}
-}
-
-static bool has_room_for_next(const sched_job_t *job)
-{
-	int64_t tasks = 0;
-
-	for (int32_t i = 0; i < job->spec->step_count; i++)
-		tasks += job->spec->steps[i].task_count;
-	return tasks * (job->occurrences->len + 1) <= MAX_OPEN_TASKS;
-}
-
-/* A later listing of one of its runs is that of an orphan. */
-static void forget_completed(sched_job_t *job)
-{
-	if (job->spec->repeat_count == 0)
-		return;
-	for (guint i = 0; i < job->occurrences->len;) {
-		const sched_occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
-
-		if (sched_occurrence_is_completed(occurrence) &&
-		    !has_outstanding_runs(occurrence))
-			g_ptr_array_remove_index(job->occurrences, i);
-		else
-			i++;
-	}
-}
-
-bool sched_occurrence_is_completed(const sched_occurrence_t *occurrence)
-{
-	return occurrence->steps_done == occurrence->job->spec->step_count;
-}
-
-static bool has_outstanding_runs(const sched_occurrence_t *occurrence)
-{
-	for (int32_t i = 0; i < occurrence->job->spec->step_count; i++) {
-		if (occurrence->steps[i].outstanding > 0)
-			return true;
-	}
-	return false;
-}
-
 void sched_job_mark_dirty(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
 	if (job->dirty)
@@ -297,7 +189,8 @@
 	if (!sched_occurrence_is_completed(occurrence))
 		return;
 	job->occurrences_done++;
-	if (job->occurrences_done == occurrence_total(job) &&
+	job->completed_end = MAX(job->completed_end, occurrence->number + 1);
+	if (job->occurrences_done == sched_job_occurrence_total(job) &&
 	    sched_job_is_live(job)) {
 		sched_room_job_done(scheduler, job);
 		sched_job_end(scheduler, job, WWH_PROGRESS_COMPLETED);
@@ -379,84 +272,6 @@
 	}
 }
 
-static void occurrence_delete(gpointer data)
-{
-	sched_occurrence_t *occurrence = data;
-
-	for (int32_t i = 0; i < occurrence->job->spec->step_count; i++) {
-		sched_step_t *step = &occurrence->steps[i];
-
-		for (int32_t j = 0; j < step->spec->task_count; j++) {
-			g_free(step->tasks[j].checkpoint);
-			g_free(step->tasks[j].failures.runs);
-			sched_losses_clear(&step->tasks[j]);
-		}
-		g_free(step->gang_failures.runs);
-		g_free(step->tasks);
-		if (step->tickets != NULL)
-			g_hash_table_destroy(step->tickets);
-		if (step->advice_requested != NULL)
-			g_hash_table_destroy(step->advice_requested);
-	}
-	g_free(occurrence->steps);
-	g_free(occurrence);
-}
-
-static sched_occurrence_t *occurrence_new(wwh_scheduler_t *scheduler,
-					  sched_job_t *job, int64_t number)
-{
-	sched_occurrence_t *occurrence = g_new0(sched_occurrence_t, 1);
-	const wwh_job_t *spec = job->spec;
-	bool inherited = may_have_runs(scheduler, job);
-
-	occurrence->job = job;
-	occurrence->number = number;
-	occurrence->due = true;
-	occurrence->due_ms = job->accepted_ms;
-	if (spec->repeat_count > 0) {
-		occurrence->due_wall_ms = wwh_job_due_wall_ms(spec, number);
-		occurrence->due_ms = scheduler->now_ms - scheduler->wall_ms +
-				     occurrence->due_wall_ms;
-	}
-	occurrence->steps = g_new0(sched_step_t, (gsize)spec->step_count);
-	for (int32_t i = 0; i < spec->step_count; i++) {
-		sched_step_t *step = &occurrence->steps[i];
-
-		step->occurrence = occurrence;
-		step->spec = &spec->steps[i];
-		step->number = i;
-		step->tasks =
-			g_new0(sched_task_t, (gsize)step->spec->task_count);
-		for (int32_t j = 0; j < step->spec->task_count; j++) {
-			step->tasks[j].step = step;
-			step->tasks[j].index = j;
-			step->tasks[j].machine =
-				wwh_chart_start(scheduler->task_chart);
-			step->tasks[j].inherited = inherited;
-		}
-	}
-	return occurrence;
-}
-
-/*
- * Returns whether tasks of an occurrence that is opened now may run already. The
- * previous holder may have opened it without a record of that, so its runs are
- * known once all upstreams of the pool have answered.
- */
-static bool may_have_runs(const wwh_scheduler_t *scheduler,
-			  const sched_job_t *job)
-{
-	return job->inherited && (!scheduler->restored ||
-				  !sched_pool_is_settled(scheduler, job->pool));
-}
-
-void sched_occurrence_update_due(const wwh_scheduler_t *scheduler,
-				 sched_occurrence_t *occurrence)
-{
-	if (occurrence->due_wall_ms <= scheduler->wall_ms)
-		occurrence->due = true;
-}
-
 int64_t wwh_scheduler_slack_ms(const wwh_job_t *job)
 {
 	if (job->repeat_count > 0)
@@ -498,43 +313,11 @@
 	return longest;
 }
 
-int64_t sched_occurrence_remaining_ms(const sched_occurrence_t *occurrence)
-{
-	const wwh_job_t *spec = occurrence->job->spec;
-	int64_t ends[WWH_JOB_MAX_STEPS];
-	int64_t longest = 0;
-
-	for (int32_t i = 0; i < spec->step_count; i++) {
-		const wwh_job_step_t *step = &spec->steps[i];
-
-		ends[i] = 0;
-		for (int32_t j = 0; j < step->after_count; j++)
-			ends[i] = MAX(ends[i], ends[step->after[j]]);
-		if (occurrence->steps[i].done < step->task_count)
-			ends[i] += wwh_job_estimate_ms(step);
-		longest = MAX(longest, ends[i]);
-	}
-	return longest;
-}
-
-static int64_t occurrence_total(const sched_job_t *job)
+int64_t sched_job_occurrence_total(const sched_job_t *job)
 {
 	return MAX(1, job->spec->repeat_count);
 }
 
-static sched_occurrence_t *find_occurrence(const sched_job_t *job,
-					   int64_t number)
-{
-	for (guint i = 0; i < job->occurrences->len; i++) {
-		sched_occurrence_t *occurrence =
-			g_ptr_array_index(job->occurrences, i);
-
-		if (occurrence->number == number)
-			return occurrence;
-	}
-	return NULL;
-}
-
 static void end_tasks(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
 	if (job->spec == NULL)
@@ -567,5 +350,6 @@
 	if (job->occurrences != NULL)
 		g_ptr_array_unref(job->occurrences);
 	job->occurrences = NULL;
+	g_clear_pointer(&job->unopened, g_array_unref);
 	g_clear_pointer(&job->spec, wwh_job_delete);
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -211,7 +211,7 @@
 			sched_room_count_undurable(pool, job);
 			continue;
 		}
-		sched_job_open_due(scheduler, job);
+		sched_occurrences_open_due(scheduler, job);
 		for (guint k = 0; k < job->occurrences->len; k++)
 			collect_occurrence(
 				scheduler,
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -22,6 +22,9 @@
 #define LOSS_FLAG_BITS 32
 #define UPSTREAM_FIELDS 2
 
+/* A span of occurrences: its first one, and the one after its last. */
+#define SPAN_NUMBERS 2
+
 /* A record as it was stored. */
 typedef struct {
 	const char *kind; /* its name in error messages */
@@ -34,14 +37,23 @@
 				 const msgpack_object *object);
 
 static void write_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
-static bool is_recorded(const sched_occurrence_t *occurrence);
-static guint count_recorded(const sched_job_t *job);
+static bool is_recorded(const sched_occurrence_t *occurrence, int64_t next);
+static guint count_recorded(const sched_job_t *job, int64_t next);
+static int64_t recorded_end(const sched_job_t *job);
+static bool has_progress(const sched_occurrence_t *occurrence);
+static GBytes *encode(const sched_job_t *job, int64_t wall_ms,
+		      sched_detail_t detail);
+static void pack_next(msgpack_packer *packer, const sched_job_t *job,
+		      int64_t next);
 static void pack_occurrence(msgpack_packer *packer,
-			    const sched_occurrence_t *occurrence);
-static void pack_step(msgpack_packer *packer, const sched_step_t *step);
-static bool has_task_row(const sched_task_t *task);
+			    const sched_occurrence_t *occurrence,
+			    sched_detail_t detail);
+static void pack_step(msgpack_packer *packer, const sched_step_t *step,
+		      sched_detail_t detail);
+static bool has_task_row(const sched_task_t *task, sched_detail_t detail);
+static bool has_losses(const sched_task_t *task, sched_detail_t detail);
 static void pack_task_row(msgpack_packer *packer, int32_t index,
-			  const sched_task_t *task);
+			  const sched_task_t *task, sched_detail_t detail);
 static void pack_losses(msgpack_packer *packer, const sched_losses_t *losses);
 static void pack_failures(msgpack_packer *packer,
 			  const sched_failures_t *failures);
@@ -49,6 +61,8 @@
 static bool read_number(const msgpack_object *object, int64_t *number);
 static bool restore_live(wwh_scheduler_t *scheduler, sched_job_t *job,
 			 const msgpack_object *fields);
+static bool restore_next(sched_job_t *job, const msgpack_object *object,
+			 int64_t *next);
 static bool restore_occurrence(wwh_scheduler_t *scheduler, sched_job_t *job,
 			       const msgpack_object *object);
 static bool restore_step(wwh_scheduler_t *scheduler, sched_step_t *step,
@@ -79,9 +93,14 @@
 
 static void write_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
+	sched_detail_t detail = job->record_detail;
 	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
 	bool ends = !sched_job_is_live(job);
 
+	if (job->record_detail != detail)
+		sched_explain(scheduler, "progress-detail", job->id,
+			      "level=%d bytes=%" G_GSIZE_FORMAT,
+			      job->record_detail, g_bytes_get_size(value));
 	job->dirty = false;
 	scheduler->newest_record = scheduler->callbacks.write_record(
 		WWH_SCHEDULER_RECORD_PROGRESS, job->id, value,
@@ -100,27 +119,83 @@
 }
 
 /*
- * A completed occurrence of many is known by its absence, so the record is bounded
- * by what is still open.
+ * A completed occurrence of many is known by its absence. Those after the last one
+ * with any progress aren't recorded: the next holder opens them again.
  */
-static bool is_recorded(const sched_occurrence_t *occurrence)
+static bool is_recorded(const sched_occurrence_t *occurrence, int64_t next)
 {
 	return occurrence->job->spec->repeat_count == 0 ||
-	       !sched_occurrence_is_completed(occurrence);
+	       (occurrence->number < next &&
+		!sched_occurrence_is_completed(occurrence));
 }
 
-static guint count_recorded(const sched_job_t *job)
+static guint count_recorded(const sched_job_t *job, int64_t next)
 {
 	guint count = 0;
 
 	for (guint i = 0; i < job->occurrences->len; i++)
-		count += is_recorded(g_ptr_array_index(job->occurrences, i));
+		count += is_recorded(g_ptr_array_index(job->occurrences, i),
+				     next);
 	return count;
 }
 
-GBytes *sched_progress_encode(const sched_job_t *job, int64_t wall_ms)
+/* Returns the first occurrence after all those with progress. */
+static int64_t recorded_end(const sched_job_t *job)
+{
+	for (guint i = job->occurrences->len; i-- > 0;) {
+		const sched_occurrence_t *occurrence =
+			g_ptr_array_index(job->occurrences, i);
+
+		if (occurrence->number < job->completed_end)
+			break;
+		if (has_progress(occurrence))
+			return occurrence->number + 1;
+	}
+	return job->completed_end;
+}
+
+static bool has_progress(const sched_occurrence_t *occurrence)
+{
+	for (int32_t i = 0; i < occurrence->job->spec->step_count; i++) {
+		const sched_step_t *step = &occurrence->steps[i];
+
+		if (step->done > 0 || step->losses > 0 ||
+		    step->gang_failures.count > 0)
+			return true;
+		for (int32_t k = 0; k < step->spec->task_count; k++) {
+			if (step->tasks[k].failures.count > 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * The occurrences are chosen so that a record fits if all their tasks fail. It may
+ * not where thousands of runs were lost as well, or where an older release has
+ * opened more. Such a record leaves details out: the next holder then takes tasks
+ * for sound, or for less often failed, than they are.
+ */
+GBytes *sched_progress_encode(sched_job_t *job, int64_t wall_ms)
+{
+	sched_detail_t detail = SCHED_DETAIL_ALL;
+	GBytes *bytes = encode(job, wall_ms, detail);
+
+	while ((int64_t)g_bytes_get_size(bytes) > job->record_max_bytes &&
+	       detail + 1 < SCHED_DETAIL_COUNT) {
+		g_bytes_unref(bytes);
+		bytes = encode(job, wall_ms, ++detail);
+	}
+	job->record_detail = detail;
+	return bytes;
+}
+
+static GBytes *encode(const sched_job_t *job, int64_t wall_ms,
+		      sched_detail_t detail)
 {
-	guint open = sched_job_is_live(job) ? count_recorded(job) : 0;
+	bool live = sched_job_is_live(job);
+	int64_t next = live ? recorded_end(job) : 0;
+	guint open = live ? count_recorded(job, next) : 0;
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	GBytes *bytes;
@@ -132,14 +207,14 @@
 	msgpack_pack_int32(&packer, (int32_t)job->state);
 	msgpack_pack_int64(&packer, wall_ms);
 	msgpack_pack_int32(&packer, job->started);
-	msgpack_pack_int64(&packer, job->next_occurrence);
+	pack_next(&packer, job, next);
 	msgpack_pack_array(&packer, open);
 	for (guint i = 0; open > 0 && i < job->occurrences->len; i++) {
 		const sched_occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
 
-		if (is_recorded(occurrence))
-			pack_occurrence(&packer, occurrence);
+		if (is_recorded(occurrence, next))
+			pack_occurrence(&packer, occurrence, detail);
 	}
 	if (job->workspace != NULL)
 		msgpack_pack_str_with_body(&packer, job->workspace,
@@ -149,6 +224,58 @@
 	return bytes;
 }
 
+/*
+ * A number, or an array of it and of the spans below it that aren't open yet. A
+ * release that doesn't know these would take them for completed; it takes the array
+ * for unreadable, and leaves the job alone.
+ */
+static void pack_next(msgpack_packer *packer, const sched_job_t *job,
+		      int64_t next)
+{
+	uint32_t spans = 0;
+
+	for (guint i = 0; job->unopened != NULL && i < job->unopened->len; i++)
+		spans += g_array_index(job->unopened, sched_span_t, i).first <
+			 next;
+	if (spans == 0) {
+		msgpack_pack_int64(packer, next);
+		return;
+	}
+	msgpack_pack_array(packer, 1 + (size_t)spans * SPAN_NUMBERS);
+	msgpack_pack_int64(packer, next);
+	for (guint i = 0; i < spans; i++) {
+		const sched_span_t *span =
+			&g_array_index(job->unopened, sched_span_t, i);
+
+		msgpack_pack_int64(packer, span->first);
+		msgpack_pack_int64(packer, MIN(span->end, next));
+	}
+}
+
+void wwh_scheduler_record_rejected(wwh_scheduler_t *scheduler,
+				   wwh_scheduler_record_kind_t kind,
+				   const char *key, int64_t now_ms)
+{
+	sched_job_t *job;
+	sched_upstream_t *upstream;
+
+	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
+	if (kind == WWH_SCHEDULER_RECORD_UPSTREAM) {
+		upstream = sched_upstream_find(scheduler, key);
+		if (upstream != NULL)
+			upstream->record_rejected = true;
+		return;
+	}
+	job = sched_job_find(scheduler, key);
+	if (kind != WWH_SCHEDULER_RECORD_PROGRESS || job == NULL ||
+	    !sched_job_is_live(job))
+		return;
+	sched_job_end(scheduler, job, WWH_PROGRESS_FAILED);
+	sched_progress_write(scheduler);
+	/* ends that were in the rejected record wait for this one */
+	sched_upstreams_defer_acks(scheduler);
+}
+
 bool sched_progress_restore(wwh_scheduler_t *scheduler, const char *id,
 			    const uint8_t *value, size_t size,
 			    wwh_message_t *message)
@@ -191,7 +318,8 @@
 }
 
 static void pack_occurrence(msgpack_packer *packer,
-			    const sched_occurrence_t *occurrence)
+			    const sched_occurrence_t *occurrence,
+			    sched_detail_t detail)
 {
 	int32_t steps = occurrence->job->spec->step_count;
 
@@ -199,10 +327,11 @@
 	msgpack_pack_int64(packer, occurrence->number);
 	msgpack_pack_array(packer, (size_t)steps);
 	for (int32_t i = 0; i < steps; i++)
-		pack_step(packer, &occurrence->steps[i]);
+		pack_step(packer, &occurrence->steps[i], detail);
 }
 
-static void pack_step(msgpack_packer *packer, const sched_step_t *step)
+static void pack_step(msgpack_packer *packer, const sched_step_t *step,
+		      sched_detail_t detail)
 {
 	int32_t count = step->spec->task_count;
 	size_t size = ((size_t)count + BYTE_BITS - 1) / BYTE_BITS;
@@ -212,28 +341,38 @@
 	for (int32_t i = 0; i < count; i++) {
 		if (sched_task_state(&step->tasks[i]) == TASK_OVER)
 			done[i / BYTE_BITS] |= (uint8_t)(1U << (i % BYTE_BITS));
-		failed += has_task_row(&step->tasks[i]);
+		failed += has_task_row(&step->tasks[i], detail);
 	}
 	msgpack_pack_array(packer, STEP_FIELDS);
 	msgpack_pack_bin_with_body(packer, done, size);
 	msgpack_pack_array(packer, failed);
 	for (int32_t i = 0; i < count && failed > 0; i++) {
-		if (has_task_row(&step->tasks[i]))
-			pack_task_row(packer, i, &step->tasks[i]);
+		if (has_task_row(&step->tasks[i], detail))
+			pack_task_row(packer, i, &step->tasks[i], detail);
 	}
 	pack_failures(packer, &step->gang_failures);
 	g_free(done);
 }
 
-static bool has_task_row(const sched_task_t *task)
+/* A task that is done isn't started again, whatever its earlier runs did. */
+static bool has_task_row(const sched_task_t *task, sched_detail_t detail)
 {
-	return task->failures.count > 0 || task->losses.count > 0;
+	if (sched_task_state(task) == TASK_OVER || detail == SCHED_DETAIL_DONE)
+		return false;
+	return task->failures.count > 0 || has_losses(task, detail);
+}
+
+static bool has_losses(const sched_task_t *task, sched_detail_t detail)
+{
+	if (detail == SCHED_DETAIL_CRASHES)
+		return sched_task_needs_recorded_starts(task);
+	return detail == SCHED_DETAIL_ALL && task->losses.count > 0;
 }
 
 static void pack_task_row(msgpack_packer *packer, int32_t index,
-			  const sched_task_t *task)
+			  const sched_task_t *task, sched_detail_t detail)
 {
-	bool losses = task->losses.count > 0;
+	bool losses = has_losses(task, detail);
 
 	msgpack_pack_array(packer, FAILED_FIELDS + (losses ? 1 : 0));
 	msgpack_pack_int32(packer, index);
@@ -329,10 +468,10 @@
 static bool restore_live(wwh_scheduler_t *scheduler, sched_job_t *job,
 			 const msgpack_object *fields)
 {
-	int64_t total = MAX(1, job->spec->repeat_count);
+	int64_t total = sched_job_occurrence_total(job);
 	int64_t next;
 
-	if (!read_number(&fields[3], &next) || next > total ||
+	if (!restore_next(job, &fields[3], &next) || next > total ||
 	    !has_array_size(&fields[4], 0) || fields[4].via.array.size > total)
 		return false;
 	for (uint32_t i = 0; i < fields[4].via.array.size; i++) {
@@ -341,9 +480,13 @@
 			return false;
 	}
 	job->next_occurrence = MAX(job->next_occurrence, next);
-	/* an occurrence that was opened and isn't in the record has completed */
-	job->occurrences_done =
-		job->next_occurrence - (int64_t)job->occurrences->len;
+	job->completed_end = job->next_occurrence;
+	/* an occurrence that is in neither list has completed */
+	job->occurrences_done = job->next_occurrence -
+				(int64_t)job->occurrences->len -
+				sched_unopened_count(job);
+	if (job->occurrences_done < 0)
+		return false;
 	for (guint i = 0; i < job->occurrences->len; i++) {
 		sched_occurrence_t *occurrence =
 			g_ptr_array_index(job->occurrences, i);
@@ -354,6 +497,35 @@
 	return true;
 }
 
+static bool restore_next(sched_job_t *job, const msgpack_object *object,
+			 int64_t *next)
+{
+	const msgpack_object *numbers;
+	int64_t last = -1;
+
+	if (read_number(object, next))
+		return true;
+	if (!has_array_size(object, 1))
+		return false;
+	numbers = object->via.array.ptr;
+	if (!read_number(&numbers[0], next) ||
+	    *next > sched_job_occurrence_total(job))
+		return false;
+	for (uint32_t i = 1; i + SPAN_NUMBERS <= object->via.array.size;
+	     i += SPAN_NUMBERS) {
+		int64_t first;
+		int64_t end;
+
+		if (!read_number(&numbers[i], &first) ||
+		    !read_number(&numbers[i + 1], &end) || first <= last ||
+		    end <= first || end > *next ||
+		    !sched_unopened_append(job, first, end))
+			return false;
+		last = end;
+	}
+	return true;
+}
+
 static bool restore_occurrence(wwh_scheduler_t *scheduler, sched_job_t *job,
 			       const msgpack_object *object)
 {
@@ -369,10 +541,10 @@
 		return false;
 	if (job->spec->repeat_count > 0) {
 		if (number < job->next_occurrence ||
+		    sched_unopened_contains(job, number) ||
 		    number >= job->spec->repeat_count)
 			return false;
-		job->next_occurrence = number;
-		occurrence = sched_job_open_occurrence(scheduler, job);
+		occurrence = sched_occurrence_open(scheduler, job, number);
 	} else {
 		occurrence = g_ptr_array_index(job->occurrences, 0);
 	}
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -291,6 +291,18 @@
 	}
 }
 
+void sched_upstreams_defer_acks(wwh_scheduler_t *scheduler)
+{
+	for (guint i = 0; i < scheduler->awaiting_ack->len; i++) {
+		sched_upstream_t *upstream =
+			g_ptr_array_index(scheduler->awaiting_ack, i);
+
+		if (upstream->ends_flushed > upstream->ends_acked)
+			upstream->ends_flushed_record =
+				scheduler->newest_record;
+	}
+}
+
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream)
 {
@@ -305,7 +317,7 @@
 	       now_ms - upstream->answered_ms <
 		       SILENT_AFTER_MS + upstream->idle_gap_ms &&
 	       now_ms >= upstream->backoff_until_ms &&
-	       upstream->record_written &&
+	       upstream->record_written && !upstream->record_rejected &&
 	       upstream->record_number <= scheduler->durable_record &&
 	       sched_start_is_confirmed(scheduler, upstream);
 }
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -50,7 +50,10 @@
 	GQueue *waiting; /* entry_t, not in the call in progress */
 	bool urgent;
 	GByteArray *batch; /* of the call in progress; NULL: no call */
-	int64_t batch_last;
+	GQueue *batch_entries; /* entry_t, of batch */
+	/* While a record that the store rejects is searched for; 0: no limit. */
+	guint max_batch_entries;
+	entry_t *doubtful; /* rejected alone; batch shows if others are, too */
 	int64_t batch_queued_ms;
 	int64_t sequence;
 	int64_t next_number;
@@ -71,6 +74,10 @@
 static void unref(wwh_shard_journal_t *journal);
 static void entry_delete(gpointer data);
 static void build_batch(wwh_shard_journal_t *journal);
+static void end_batch(wwh_shard_journal_t *journal);
+static void handle_rejected_batch(wwh_shard_journal_t *journal);
+static void drop_doubtful(wwh_shard_journal_t *journal);
+static void return_batch(wwh_shard_journal_t *journal);
 static int64_t append_timeout_ms(const wwh_shard_journal_t *journal);
 static bool is_due(const wwh_shard_journal_t *journal, int64_t now_ms);
 static void send(wwh_shard_journal_t *journal, int64_t now_ms);
@@ -88,6 +95,7 @@
 	journal->producer = g_strdup(options->producer);
 	journal->references = 1;
 	journal->waiting = g_queue_new();
+	journal->batch_entries = g_queue_new();
 	journal->sequence = options->next_sequence;
 	journal->next_number = 1;
 	return journal;
@@ -184,6 +192,8 @@
 	if (--journal->references > 0)
 		return;
 	g_queue_free_full(journal->waiting, entry_delete);
+	g_queue_free_full(journal->batch_entries, entry_delete);
+	g_clear_pointer(&journal->doubtful, entry_delete);
 	if (journal->batch != NULL)
 		g_byte_array_unref(journal->batch);
 	g_free(journal->endpoint);
@@ -221,24 +231,90 @@
 	journal->urgent = false;
 	while (!g_queue_is_empty(journal->waiting)) {
 		entry_t *entry = g_queue_peek_head(journal->waiting);
+		bool is_full = journal->max_batch_entries != 0 &&
+			       g_queue_get_length(journal->batch_entries) >=
+				       journal->max_batch_entries;
 		gsize size = 0;
 		const uint8_t *value = NULL;
 
 		if (entry->value != NULL)
 			value = g_bytes_get_data(entry->value, &size);
-		if (journal->batch->len > 0 &&
-		    (int64_t)(journal->batch->len + size) +
-				    (int64_t)strlen(entry->key) + 8 >
-			    journal->options.max_call_bytes) {
+		if (is_full ||
+		    (journal->batch->len > 0 &&
+		     (int64_t)(journal->batch->len + size) +
+				     (int64_t)strlen(entry->key) + 8 >
+			     journal->options.max_call_bytes)) {
 			journal->urgent = true;
 			return;
 		}
 		wire_store_pack_record(journal->batch, entry->key, value, size);
-		journal->batch_last = entry->number;
-		entry_delete(g_queue_pop_head(journal->waiting));
+		g_queue_push_tail(journal->batch_entries,
+				  g_queue_pop_head(journal->waiting));
 	}
 }
 
+static void end_batch(wwh_shard_journal_t *journal)
+{
+	entry_t *entry;
+
+	g_byte_array_unref(journal->batch);
+	journal->batch = NULL;
+	journal->failures = 0;
+	while ((entry = g_queue_pop_head(journal->batch_entries)) != NULL)
+		entry_delete(entry);
+}
+
+/*
+ * A repetition would be rejected as well, with all records behind it waiting. The
+ * store appends a batch as a whole or not at all, so that one record fails it.
+ */
+static void handle_rejected_batch(wwh_shard_journal_t *journal)
+{
+	guint count = g_queue_get_length(journal->batch_entries);
+	entry_t *entry;
+
+	if (count > 1) {
+		journal->max_batch_entries = count / 2;
+		return_batch(journal);
+		return;
+	}
+	journal->max_batch_entries = 0;
+	if (journal->doubtful != NULL) {
+		/* not the record: the store rejects everything for now */
+		entry = g_steal_pointer(&journal->doubtful);
+		g_queue_push_head(journal->waiting, entry);
+		end_batch(journal);
+		schedule_retry(journal, RETRY_REJECTED_MS);
+		return;
+	}
+	journal->doubtful = g_queue_pop_head(journal->batch_entries);
+	g_byte_array_unref(journal->batch);
+	journal->batch = g_byte_array_new();
+	wire_store_pack_record(journal->batch, WWH_JOURNAL_CONFIRM_KEY, NULL,
+			       0);
+	journal->first_sent_ms = 0;
+}
+
+/* The store takes another record, so it was this one that it rejected. */
+static void drop_doubtful(wwh_shard_journal_t *journal)
+{
+	entry_t *entry = g_steal_pointer(&journal->doubtful);
+
+	journal->options.on_rejected(entry->number, entry->key,
+				     journal->options.client_data);
+	entry_delete(entry);
+}
+
+static void return_batch(wwh_shard_journal_t *journal)
+{
+	entry_t *entry;
+
+	while ((entry = g_queue_pop_tail(journal->batch_entries)) != NULL)
+		g_queue_push_head(journal->waiting, entry);
+	end_batch(journal);
+	journal->urgent = true;
+}
+
 static void send(wwh_shard_journal_t *journal, int64_t now_ms)
 {
 	wire_writer_t writer = {
@@ -274,6 +350,8 @@
 {
 	wwh_shard_journal_t *journal = data;
 	wire_store_result_t result = wire_store_append_answer(answer);
+	const entry_t *last = g_queue_peek_tail(journal->batch_entries);
+	int64_t last_number = last == NULL ? 0 : last->number;
 
 	journal->in_flight = false;
 	journal->refused = result == WIRE_STORE_NOT_DONE;
@@ -286,16 +364,27 @@
 	}
 	switch (result) {
 	case WIRE_STORE_OK:
-		g_byte_array_unref(journal->batch);
-		journal->batch = NULL;
-		journal->failures = 0;
+		end_batch(journal);
+		if (g_queue_is_empty(journal->waiting))
+			journal->max_batch_entries = 0;
 		journal->last_append_duration_ms =
 			(g_get_monotonic_time() - journal->sent_us) /
 			G_TIME_SPAN_MILLISECOND;
 		journal->sequence++;
 		journal->confirmed_ms = journal->first_sent_ms;
-		journal->options.on_durable(journal->batch_last,
-					    journal->options.client_data);
+		if (journal->doubtful != NULL)
+			drop_doubtful(journal);
+		else
+			journal->options.on_durable(
+				last_number, journal->options.client_data);
+		break;
+	case WIRE_STORE_REJECTED:
+		if (journal->failures == 0 && journal->max_batch_entries == 0)
+			g_warning("store rejected a batch of %u records: "
+				  "status %d",
+				  g_queue_get_length(journal->batch_entries),
+				  answer->status);
+		handle_rejected_batch(journal);
 		break;
 	case WIRE_STORE_FENCED:
 	case WIRE_STORE_SEQUENCE:
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -235,6 +235,51 @@
 	}
 }
 
+/* A job of one task, with a text of this size for it. */
+static char *job_with_text(gsize size)
+{
+	char *text = g_strnfill(size, 'x');
+	char *job = g_strdup_printf("{\"spec\":\"%s\",\"phases\":[{"
+				    "\"count\":1,\"cpu\":1000,\"memMb\":100,"
+				    "\"estimateMs\":100}]}",
+				    text);
+
+	g_free(text);
+	return job;
+}
+
+/*
+ * Guards against a job whose record is larger than the store takes: it was accepted,
+ * or held up all others. Its caller is told that it never runs, whether the settings
+ * or only the store know the bound.
+ */
+static void a_job_that_the_store_can_not_keep_is_rejected(void **state)
+{
+	static const gsize sizes[] = { 300000, 4000 };
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	fixture->standin->record_max_bytes = 2000;
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		for (gsize k = 0; k < G_N_ELEMENTS(sizes); k++) {
+			char *job = job_with_text(sizes[k]);
+
+			assert_int_equal(send_request(fixture, i, "POST",
+						      "/q/00000000000000e2",
+						      job, NULL),
+					 413);
+			assert_int_equal(send_request(fixture, i, "GET",
+						      "/q/00000000000000e2",
+						      NULL, NULL),
+					 410);
+			g_free(job);
+		}
+	}
+	submit_job(fixture, 0, "00000000000000e3");
+	wait_job_state(fixture, 0, "00000000000000e3", "completed");
+}
+
 static void malformed_requests_get_the_matching_error_status(void **state)
 {
 	static const struct {
@@ -411,6 +456,7 @@
 		SERVICE_TEST(a_job_that_was_never_sent_to_the_store_is_refused),
 		SERVICE_TEST(unreadable_records_stop_no_process),
 		SERVICE_TEST(a_submission_without_time_is_refused_at_once),
+		SERVICE_TEST(a_job_that_the_store_can_not_keep_is_rejected),
 		SERVICE_TEST(malformed_requests_get_the_matching_error_status),
 	};
 
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -553,6 +553,24 @@
 void a_listed_occurrence_waits_for_its_time(void **state);
 void the_record_of_many_occurrences_stays_small(void **state);
 
+#define SCHEDULE_TESTS                                                         \
+	FIXTURE_TEST(the_record_of_a_backlog_stays_small, 1),                  \
+		FIXTURE_TEST(each_time_of_a_backlog_runs_once, 1),             \
+		FIXTURE_TEST(a_time_that_is_due_now_goes_before_a_backlog, 1), \
+		FIXTURE_TEST(                                                  \
+			tasks_that_wait_for_a_retry_hold_up_no_occurrence, 1), \
+		FIXTURE_TEST(the_record_of_a_wide_job_with_failures_fits, 1),  \
+		FIXTURE_TEST(a_job_whose_records_may_not_fit_is_known, 1),     \
+		FIXTURE_TEST(a_job_whose_progress_is_rejected_ends, 1)
+
+void the_record_of_a_backlog_stays_small(void **state);
+void each_time_of_a_backlog_runs_once(void **state);
+void a_time_that_is_due_now_goes_before_a_backlog(void **state);
+void tasks_that_wait_for_a_retry_hold_up_no_occurrence(void **state);
+void the_record_of_a_wide_job_with_failures_fits(void **state);
+void a_job_whose_records_may_not_fit_is_known(void **state);
+void a_job_whose_progress_is_rejected_ends(void **state);
+
 #define PROGRESS_TESTS                                                         \
 	cmocka_unit_test(long_tasks_are_not_taken_for_hung),                   \
 		cmocka_unit_test(a_long_task_that_stands_still_is_found),      \
--- a/src/test_shard_journal/test_shard_journal.c
+++ b/src/test_shard_journal/test_shard_journal.c
@@ -24,6 +24,7 @@
 	wwh_shard_journal_t *journal;
 	int64_t now_ms;
 	int64_t durable;
+	GString *rejected; /* keys, each with a space after it */
 } fixture_t;
 
 static void on_durable(int64_t record, void *client_data)
@@ -33,6 +34,14 @@
 	fixture->durable = record;
 }
 
+static void on_rejected(int64_t record, const char *key, void *client_data)
+{
+	fixture_t *fixture = client_data;
+
+	assert_true(record > fixture->durable);
+	g_string_append_printf(fixture->rejected, "%s ", key);
+}
+
 static void on_lost(const char *why, void *client_data)
 {
 	(void)client_data;
@@ -49,11 +58,13 @@
 		.next_sequence = 0,
 		.max_call_bytes = CALL_BYTES,
 		.on_durable = on_durable,
+		.on_rejected = on_rejected,
 		.on_lost = on_lost,
 		.client_data = fixture,
 	};
 	char *endpoint;
 
+	fixture->rejected = g_string_new(NULL);
 	fixture->standin = standin_new();
 	fixture->counters = wwh_counters_new();
 	fixture->calls = wwh_http_calls_new(fixture->counters);
@@ -76,6 +87,7 @@
 	wwh_http_calls_delete(fixture->calls);
 	wwh_counters_delete(fixture->counters);
 	standin_delete(fixture->standin);
+	g_string_free(fixture->rejected, TRUE);
 	g_free(fixture);
 	return 0;
 }
@@ -209,6 +221,78 @@
 		    return_ms);
 }
 
+#define RECORD_BYTES 1000
+
+/* Appends count records without values, and one of size bytes in their middle. */
+static int64_t append_with_large(fixture_t *fixture, int32_t count, size_t size)
+{
+	uint8_t *bytes = g_malloc0(size);
+	GBytes *value = g_bytes_new_take(bytes, size);
+	int64_t last = 0;
+
+	for (int32_t i = 0; i < count; i++) {
+		char key[16];
+
+		g_snprintf(key, sizeof(key), "J%d", i);
+		last = wwh_shard_journal_append(fixture->journal, key, NULL,
+						true, fixture->now_ms);
+		if (i == count / 2)
+			last = wwh_shard_journal_append(fixture->journal,
+							"Plarge", value, true,
+							fixture->now_ms);
+	}
+	g_bytes_unref(value);
+	return last;
+}
+
+/*
+ * Guards against a record that the store never takes and that is sent again for
+ * ever, with all records behind it waiting.
+ */
+static void a_record_that_is_too_large_holds_up_no_other(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t last;
+
+	fixture->standin->record_max_bytes = RECORD_BYTES;
+	last = append_with_large(fixture, 37, RECORD_BYTES + 1);
+	run_for(fixture, 500);
+	assert_int_equal(fixture->durable, last);
+	assert_string_equal(fixture->rejected->str, "Plarge ");
+	/* all others, each once and in their order, and the proof that it answers */
+	assert_int_equal(
+		standin_part(fixture->standin, TOPIC, "0")->records->len,
+		37 + 1);
+	/* also one that comes alone */
+	last = append_with_large(fixture, 1, RECORD_BYTES + 1);
+	run_for(fixture, 500);
+	assert_string_equal(fixture->rejected->str, "Plarge Plarge ");
+	last = wwh_shard_journal_append(fixture->journal, "Ja", NULL, true,
+					fixture->now_ms);
+	run_for(fixture, 100);
+	assert_int_equal(fixture->durable, last);
+}
+
+/*
+ * Guards against records that are dropped one by one while the store rejects all
+ * that it is sent, whatever its answers say.
+ */
+static void a_store_that_rejects_everything_drops_no_record(void **state)
+{
+	fixture_t *fixture = *state;
+	int64_t last;
+
+	fixture->standin->rejects_all = true;
+	last = append_with_large(fixture, 9, RECORD_BYTES);
+	run_for(fixture, 5000);
+	assert_string_equal(fixture->rejected->str, "");
+	assert_true(calls_sent(fixture) < 60);
+	fixture->standin->rejects_all = false;
+	run_for(fixture, 1500);
+	assert_int_equal(fixture->durable, last);
+	assert_string_equal(fixture->rejected->str, "");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -226,6 +310,12 @@
 		cmocka_unit_test_setup_teardown(
 			a_refused_append_confirms_from_the_call_after_it,
 			set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_record_that_is_too_large_holds_up_no_other, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(
+			a_store_that_rejects_everything_drops_no_record, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/test_standins/include/standin_store.h
+++ b/src/test_standins/include/standin_store.h
@@ -79,6 +79,8 @@
 	bool busy; /* it refuses all calls at once */
 	bool refuses_records; /* and serves all else */
 	int64_t refused_epoch; /* it refuses appends of this one */
+	size_t record_max_bytes; /* rejects larger ones with 413; 0: none */
+	bool rejects_all; /* with 400 */
 	int64_t append_delay_ms; /* answers to all appends */
 	int64_t notice_delay_ms; /* answers to appends at partition 1 */
 	bool short_history; /* only the newest record of a key is kept */
@@ -167,6 +169,21 @@
 	g_free(text);
 }
 
+static inline bool standin_has_large_record(const standin_t *standin,
+					    const wwh_http_request_t *http)
+{
+	uint32_t size;
+
+	for (size_t at = 0; at + 4 < http->body_size; at += 4 + size) {
+		memcpy(&size, http->body + at, 4);
+		size = GUINT32_FROM_BE(size);
+		if (standin->record_max_bytes > 0 &&
+		    size > standin->record_max_bytes)
+			return true;
+	}
+	return false;
+}
+
 static inline void standin_append(standin_t *standin,
 				  const wwh_http_request_t *http,
 				  const char *topic, const char *part,
@@ -184,6 +201,14 @@
 		standin_answer(response, 503, "{}");
 		return;
 	}
+	if (standin->rejects_all) {
+		standin_answer(response, 400, "{}");
+		return;
+	}
+	if (standin_has_large_record(standin, http)) {
+		standin_answer(response, 413, "{}");
+		return;
+	}
 	if (epoch >= 0 && epoch < found->epoch) {
 		standin_answer(response, 409, "{\"reason\":\"fenced\"}");
 		return;
