scheduler: avoid an upstream for failures that say something of it, and not for ever

Cause: only an end done reset an upstream's count of failures, which tasks that last never have, and a failure after minutes of work counted as one of the upstream. In time each failure closed an upstream for 12 s.

The new test of the scheduler has a task away for 7.5 s before, and below 3 s now.

Change: failure_streak decides it. Work of 5 s since the first failure ends a streak like done does; failures half a minute apart are none; a run that fails after long work counts where three do within 2 s. Where most upstreams of a pool are avoided, none is for longer than 1.5 s. The pause after a hung task has the same bound.

Why it works: what resets the count exists for each kind of task, and the wait is bounded whatever fails. A sick upstream is still found by three failures.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -16,6 +16,7 @@
 
 #include "waxwinghollow/answer_time.h"
 #include "waxwinghollow/chart.h"
+#include "waxwinghollow/failure_streak.h"
 #include "waxwinghollow/scheduler.h"
 #include "waxwinghollow/upstream_speed.h"
 #include "waxwinghollow/workspace_quota.h"
@@ -311,9 +312,8 @@
 	/* The reservation is for a recorded start of it. Compare only. */
 	const sched_job_t *reserved_job; /* NULL: for any job */
 	int64_t next_pace_ms;
-	int32_t fail_streak;
-	int32_t backoffs;
-	int64_t backoff_until_ms;
+	wwh_failure_streak_t failures;
+	int64_t backoff_until_ms; /* for other reasons than failures */
 	wwh_speed_peer_t *speed; /* NULL: not observed yet */
 	/* Its clock minus ours, of the last answer and as estimated; 0: none. */
 	int64_t last_offset_ms;
@@ -360,6 +360,7 @@
 	int32_t waiting_tasks;
 	int32_t unstarted_tasks; /* of its jobs, also of steps not ready yet */
 	bool standby;
+	bool most_avoided; /* of its upstreams, as they fail tasks */
 	bool dirty; /* a task may have become placeable */
 	/* The last pass deferred starts, or a job came while they were held. */
 	bool has_deferred_starts;
@@ -888,8 +889,12 @@
 			       wwh_termination_t termination, const char *why);
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream);
+/* worked: the failed run had been at work for long. */
 void sched_upstream_failed(wwh_scheduler_t *scheduler,
-			   sched_upstream_t *upstream);
+			   sched_upstream_t *upstream, bool worked);
+/* Called before each pass over a pool. */
+void sched_pool_count_avoided(const wwh_scheduler_t *scheduler,
+			      sched_pool_t *pool);
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
 			     sched_upstream_t *upstream, int64_t wait_ms);
 
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -704,7 +704,7 @@
 		upstream->next_poll_ms = scheduler->now_ms;
 	}
 	if (result == WWH_ORDER_NOT_DONE)
-		sched_upstream_failed(scheduler, upstream);
+		sched_upstream_failed(scheduler, upstream, false);
 	if (result == WWH_ORDER_NO_TICKET)
 		sched_ticket_discard(task->step, upstream->info.id);
 	task->retry_ms = scheduler->now_ms + START_RETRY_MS;
--- a/src/libwaxwinghollow/scheduler_choose.c
+++ b/src/libwaxwinghollow/scheduler_choose.c
@@ -112,7 +112,7 @@
 			sched_step_reserved_load(spec).cpu_millicores,
 		.capacity_millicores = upstream->info.size.cpu_millicores,
 		.failed_on_host = task->avoided_upstream == upstream,
-		.fail_streak = upstream->fail_streak,
+		.fail_streak = upstream->failures.count,
 		.lasting = spec->lasting,
 		.slowdown_permille = sched_upstream_slowdown_permille(upstream),
 	};
--- a/src/libwaxwinghollow/scheduler_incarnation.c
+++ b/src/libwaxwinghollow/scheduler_incarnation.c
@@ -67,8 +67,7 @@
 	sched_upstream_reset_ends(scheduler, upstream);
 	sched_upstream_forget_orphans(scheduler, upstream);
 	sched_speed_forget(scheduler, upstream);
-	upstream->fail_streak = 0;
-	upstream->backoffs = 0;
+	upstream->failures = (wwh_failure_streak_t){ 0 };
 	begin_clock(scheduler, upstream, answer->remote_ms);
 	upstream->pool->dirty = true;
 }
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -119,6 +119,7 @@
 {
 	GArray *candidates = g_array_new(FALSE, FALSE, sizeof(candidate_t));
 
+	sched_pool_count_avoided(scheduler, pool);
 	measure_free(scheduler, pool);
 	wwh_workspace_share_begin(pool->shares, &pool->total_free);
 	collect_candidates(scheduler, pool, candidates);
--- a/src/libwaxwinghollow/scheduler_upstream.c
+++ b/src/libwaxwinghollow/scheduler_upstream.c
@@ -11,11 +11,8 @@
 /* Time to wait for the final report of an upstream that has terminated. */
 #define FINAL_REPORT_WAIT_MS 150
 
-/* Consecutive failures of different tasks before an upstream gets no work. */
-#define FAILURES_BEFORE_BACKOFF 3
-#define BACKOFF_FIRST_MS 1500
-#define BACKOFF_MAX_DOUBLINGS 3
-
+static bool takes_tasks(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream);
 static void delete_record(wwh_scheduler_t *scheduler,
 			  const sched_upstream_t *upstream);
 
@@ -305,6 +302,35 @@
 
 bool sched_upstream_usable(const wwh_scheduler_t *scheduler,
 			   const sched_upstream_t *upstream)
+{
+	return takes_tasks(scheduler, upstream) &&
+	       !wwh_failure_streak_avoids(&upstream->failures,
+					  upstream->pool->most_avoided,
+					  scheduler->now_ms);
+}
+
+void sched_pool_count_avoided(const wwh_scheduler_t *scheduler,
+			      sched_pool_t *pool)
+{
+	int32_t avoided = 0;
+	int32_t count = 0;
+
+	for (guint i = 0; i < pool->upstreams->len; i++) {
+		const sched_upstream_t *upstream =
+			g_ptr_array_index(pool->upstreams, i);
+
+		if (!takes_tasks(scheduler, upstream))
+			continue;
+		count++;
+		avoided += wwh_failure_streak_avoids(&upstream->failures, false,
+						     scheduler->now_ms);
+	}
+	pool->most_avoided = avoided > count - avoided;
+}
+
+/* Whether it takes tasks, if it doesn't fail them. */
+static bool takes_tasks(const wwh_scheduler_t *scheduler,
+			const sched_upstream_t *upstream)
 {
 	int64_t now_ms = scheduler->now_ms;
 
@@ -323,21 +349,20 @@
 }
 
 /*
- * An upstream on which every task fails still answers its polls and has free
- * capacity soonest, so it would attract all work. Jobs that fail everywhere
- * don't cause a long streak, as other tasks succeed in between.
+ * Jobs that fail everywhere don't cause a long streak, as other tasks succeed in
+ * between.
  */
 void sched_upstream_failed(wwh_scheduler_t *scheduler,
-			   sched_upstream_t *upstream)
+			   sched_upstream_t *upstream, bool worked)
 {
-	upstream->fail_streak++;
-	if (upstream->fail_streak < FAILURES_BEFORE_BACKOFF)
-		return;
-	sched_upstream_back_off(scheduler, upstream,
-				(int64_t)BACKOFF_FIRST_MS
-					<< upstream->backoffs);
-	upstream->backoffs = MIN(upstream->backoffs + 1, BACKOFF_MAX_DOUBLINGS);
-	upstream->fail_streak = FAILURES_BEFORE_BACKOFF - 1;
+	int64_t wait_ms = wwh_failure_streak_add(&upstream->failures, worked,
+						 scheduler->now_ms);
+
+	if (wait_ms > 0)
+		sched_explain(scheduler, "upstream-avoided", upstream->info.id,
+			      "for_ms=%" G_GINT64_FORMAT
+			      " backoffs=%d worked=%d",
+			      wait_ms, upstream->failures.backoffs, worked);
 }
 
 void sched_upstream_back_off(wwh_scheduler_t *scheduler,
@@ -349,8 +374,8 @@
 		return;
 	upstream->backoff_until_ms = until_ms;
 	sched_explain(scheduler, "upstream-avoided", upstream->info.id,
-		      "for_ms=%" G_GINT64_FORMAT " fail_streak=%d", wait_ms,
-		      upstream->fail_streak);
+		      "for_ms=%" G_GINT64_FORMAT " backoffs=%d", wait_ms,
+		      upstream->failures.backoffs);
 }
 
 /*
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -30,6 +30,8 @@
 			    sched_upstream_t *upstream, sched_task_t *task,
 			    const wwh_ended_task_t *row);
 static bool is_upstream_failure(sched_task_t *task);
+static bool is_long_available(const wwh_scheduler_t *scheduler,
+			      const sched_task_t *task);
 static void complete_gang(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void complete_task(wwh_scheduler_t *scheduler, sched_task_t *task);
 static void handle_running(wwh_scheduler_t *scheduler,
@@ -266,12 +268,14 @@
 		if (sched_task_state(task) != TASK_OVER)
 			sched_step_task_failed(scheduler, task, row->run);
 		if (is_upstream_failure(task))
-			sched_upstream_failed(scheduler, upstream);
+			sched_upstream_failed(
+				scheduler, upstream,
+				is_current_run &&
+					is_long_available(scheduler, task));
 		task->avoided_upstream = upstream;
 	}
 	if (row->kind == WWH_END_DONE) {
-		upstream->fail_streak = 0;
-		upstream->backoffs = 0;
+		wwh_failure_streak_end(&upstream->failures);
 	}
 	if (is_out && !is_current_run)
 		return; /* this run is an older one, known to be over */
@@ -309,6 +313,13 @@
 	return task->consecutive_failures == 1;
 }
 
+static bool is_long_available(const wwh_scheduler_t *scheduler,
+			      const sched_task_t *task)
+{
+	return task->step->spec->lasting && task->percent >= 100 &&
+	       scheduler->now_ms - task->percent_ms >= LASTING_STABLE_MS;
+}
+
 /* The members of a gang end together, so the end of one completes them all. */
 static void complete_gang(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
@@ -407,9 +418,11 @@
 	task->tail_ms = row->tail_ms;
 	if (!spec->lasting)
 		return;
-	if (row->percent >= 100 &&
-	    scheduler->now_ms - task->percent_ms >= LASTING_STABLE_MS)
+	if (is_long_available(scheduler, task)) {
 		task->consecutive_failures = 0;
+		wwh_failure_streak_note_work(&task->upstream->failures,
+					     task->ordered_ms);
+	}
 	if (row->percent >= 100)
 		task->unavailable_since_ms = 0;
 	else if (task->unavailable_since_ms == 0)
@@ -529,7 +542,8 @@
 		task->hangs++;
 		task->avoided_upstream = upstream;
 		sched_task_order_stop(scheduler, task);
-		sched_upstream_back_off(scheduler, upstream, HANG_BACKOFF_MS);
+		wwh_failure_streak_avoid(&upstream->failures, HANG_BACKOFF_MS,
+					 scheduler->now_ms);
 	}
 }
 
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -571,6 +571,10 @@
 void a_job_whose_records_may_not_fit_is_known(void **state);
 void a_job_whose_progress_is_rejected_ends(void **state);
 
+#define FAILURE_TESTS cmocka_unit_test(lasting_tasks_that_fail_are_back_soon)
+
+void lasting_tasks_that_fail_are_back_soon(void **state);
+
 #define PROGRESS_TESTS                                                         \
 	cmocka_unit_test(long_tasks_are_not_taken_for_hung),                   \
 		cmocka_unit_test(a_long_task_that_stands_still_is_found),      \
