scheduler_isolation: hold suspects back for a limited time, and let each have its turn

Cause: a suspect task, which gets an upstream of its own, waited while any step before it in rank waited for room. A lasting task that needs a whole upstream did so for ever. On the same path, eight suspects that find no upstream used up the tries of each pass, so that one behind them had none; and they reserved upstreams on which they never fit, which kept small pools from all other tasks.

Both new tests of the scheduler fail on the commit before.

Change: a waiting step counts only while the pool is mostly used, and for 2 s at the most. After a pass that ran out of tries the next ones try other suspects, one of each step. A recorded start keeps its try. An upstream is reserved only where the suspect will fit.

Why it works: what is held back is so for a time that no waiter prolongs, and each suspect comes to be tried. How many are isolated, and when a task is given up, is unchanged.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -134,6 +134,7 @@
 	bool isolated; /* while true, its upstream gets no other start */
 	int64_t changed_ms; /* when its state changed last */
 	int64_t retry_ms; /* not placed before this */
+	int64_t isolation_failed_ms; /* when no upstream was found; 0: never */
 	int64_t stop_sent_ms; /* 0: no stop was ordered */
 	int64_t stop_confirmed_ms; /* 0: not confirmed */
 	int32_t orders_sent; /* the same start or stop, with repetitions */
@@ -344,11 +345,16 @@
 	 * it was measured; may be negative.
 	 */
 	wwh_load_t total_free;
+	wwh_load_t usable_size; /* of the same upstreams */
 	wwh_load_t waiting_load; /* of waiting_tasks */
 	wwh_load_t undurable_load; /* of jobs that it couldn't start yet */
 	sched_room_t *room;
 	wwh_workspace_share_t *shares;
 	int64_t next_try_ms;
+	/* After it was tried in vain, a suspect task isn't for so long; 0: it is. */
+	int64_t isolation_gap_ms;
+	/* Since when suspect tasks wait for others to find room; 0: they don't. */
+	int64_t suspects_held_ms;
 	/* When an upstream last crashed without a young run; 0: never. */
 	int64_t unprovoked_crash_ms;
 	/* Of the current pass: processor that tasks before this one wait for. */
@@ -408,6 +414,7 @@
 	/* Of one pool, in the current pass. */
 	bool isolations_counted;
 	bool has_room_shortage; /* a step before this one waits for room */
+	bool suspects_held; /* a suspect task waits for it */
 	bool keeps_shares; /* starts stay within the shares of workspaces */
 	bool has_skipped_shares; /* and some were left out for that */
 	int32_t starts_left;
@@ -688,6 +695,8 @@
 			    const sched_task_t *task);
 /* Called before each pass over a pool. */
 void sched_isolation_begin_pass(wwh_scheduler_t *scheduler);
+void sched_isolation_end_pass(const wwh_scheduler_t *scheduler,
+			      sched_pool_t *pool);
 /* Whether an upstream may be isolated for task in this pass. */
 bool sched_isolation_is_due(wwh_scheduler_t *scheduler,
 			    const sched_task_t *task);
@@ -697,8 +706,7 @@
  */
 int64_t sched_isolation_cost(const sched_upstream_t *upstream);
 /* Keeps an upstream of the pool free of new starts, for a start of task. */
-void sched_isolation_reserve(wwh_scheduler_t *scheduler,
-			     const sched_task_t *task);
+void sched_isolation_reserve(wwh_scheduler_t *scheduler, sched_task_t *task);
 
 /* scheduler_quota.c: whether the step's workspace may start count more tasks */
 bool sched_quota_allows(wwh_scheduler_t *scheduler, const sched_step_t *step,
--- a/src/libwaxwinghollow/scheduler_isolation.c
+++ b/src/libwaxwinghollow/scheduler_isolation.c
@@ -15,6 +15,25 @@
 /* How long an upstream is kept free of new starts, once it is reserved. */
 #define RESERVATION_MS 400
 
+/*
+ * Where the only upstreams of a pool would be reserved, they are so for half of the
+ * time: it may take long until what runs there leaves room for a large task.
+ */
+#define SMALL_POOL_PERIOD_MS 2000
+
+/*
+ * Once so many have failed, the next passes try other tasks first: passes are at most
+ * 200 ms apart, so this doubles until each task has its turn.
+ */
+#define FIRST_GAP_MS 400
+#define MAX_GAP_MS 6400
+
+/*
+ * Suspect tasks are held back for those that wait for room for so long. What waits
+ * may do so for ever.
+ */
+#define HELD_MAX_MS 2000
+
 /*
  * How long a start waits for its record to become durable, and its upstream is
  * kept for it. Longer than an append of a store that is slow.
@@ -28,6 +47,9 @@
 				      const sched_job_t *job);
 static bool has_unproven_run_of_other_job(const sched_upstream_t *upstream,
 					  const sched_job_t *job);
+static bool fits_without_those_that_end(const sched_upstream_t *upstream,
+					const wwh_load_t *need);
+static bool is_held_back(wwh_scheduler_t *scheduler, const sched_task_t *task);
 static void set_isolated(sched_task_t *task, bool isolated);
 static bool has_proven_harmless(const sched_task_t *task);
 static void count_isolations(wwh_scheduler_t *scheduler,
@@ -142,26 +164,60 @@
 	scheduler->isolations_counted = false;
 	scheduler->failed_isolations_left = FAILED_ISOLATIONS_PER_PASS;
 	scheduler->has_room_shortage = false;
+	scheduler->suspects_held = false;
 }
 
-/*
- * The suspect tasks of one job share an upstream, as they fail together. Lasting
- * tasks don't wait for a shortage of room to end, which may last as long as the
- * lasting tasks that cause it.
- */
+void sched_isolation_end_pass(const wwh_scheduler_t *scheduler,
+			      sched_pool_t *pool)
+{
+	if (scheduler->failed_isolations_left <= 0)
+		pool->isolation_gap_ms = CLAMP(2 * pool->isolation_gap_ms,
+					       FIRST_GAP_MS, MAX_GAP_MS);
+	else if (pool->isolation_gap_ms > FIRST_GAP_MS)
+		pool->isolation_gap_ms /= 2;
+	else
+		pool->isolation_gap_ms = 0;
+	if (!scheduler->suspects_held)
+		pool->suspects_held_ms = 0;
+	else if (pool->suspects_held_ms == 0)
+		pool->suspects_held_ms = scheduler->now_ms;
+}
+
+/* The suspect tasks of one job share an upstream, as they fail together. */
 bool sched_isolation_is_due(wwh_scheduler_t *scheduler,
 			    const sched_task_t *task)
 {
-	if (scheduler->has_room_shortage && !task->step->spec->lasting)
+	const sched_pool_t *pool = task->step->occurrence->job->pool;
+
+	if (is_held_back(scheduler, task))
 		return false;
-	if (scheduler->failed_isolations_left <= 0)
+	/* a start that waits for its record has its upstream already */
+	if (task->pending_run <= task->run &&
+	    (scheduler->failed_isolations_left <= 0 ||
+	     scheduler->now_ms - task->isolation_failed_ms <
+		     pool->isolation_gap_ms))
 		return false;
 	if (!scheduler->isolations_counted)
-		count_isolations(scheduler, task->step->occurrence->job->pool);
+		count_isolations(scheduler, pool);
 	return scheduler->isolations_left > 0 ||
 	       task->step->occurrence->job->isolated_runs > 0;
 }
 
+/*
+ * Lasting tasks don't wait for others to find room, which may take as long as the
+ * lasting tasks that cause the shortage. The others do so for a limited time.
+ */
+static bool is_held_back(wwh_scheduler_t *scheduler, const sched_task_t *task)
+{
+	const sched_pool_t *pool = task->step->occurrence->job->pool;
+
+	if (!scheduler->has_room_shortage || task->step->spec->lasting)
+		return false;
+	scheduler->suspects_held = true;
+	return pool->suspects_held_ms == 0 ||
+	       scheduler->now_ms - pool->suspects_held_ms < HELD_MAX_MS;
+}
+
 int64_t sched_isolation_cost(const sched_upstream_t *upstream)
 {
 	if (upstream->isolated_runs > 0)
@@ -174,8 +230,7 @@
  * one that runs no young task is never found. The upstream with the fewest tasks
  * is reserved, as these are lost if it crashes.
  */
-void sched_isolation_reserve(wwh_scheduler_t *scheduler,
-			     const sched_task_t *task)
+void sched_isolation_reserve(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	const sched_pool_t *pool = task->step->occurrence->job->pool;
 	wwh_load_t need = sched_step_reserved_load(task->step->spec);
@@ -192,18 +247,39 @@
 		usable++;
 		if (is_set_apart(scheduler, upstream))
 			set_apart++;
-		else if (wwh_load_fits(&need, &upstream->info.size) &&
+		else if (sched_upstream_accepts_step(upstream, task->step) &&
+			 fits_without_those_that_end(upstream, &need) &&
 			 (best == NULL ||
 			  upstream->tasks->len < best->tasks->len))
 			best = upstream;
 	}
 	scheduler->failed_isolations_left--;
-	if (best == NULL || set_apart >= max_isolated(usable))
+	task->isolation_failed_ms = scheduler->now_ms;
+	if (best == NULL || set_apart >= max_isolated(usable) ||
+	    (usable < UPSTREAMS_PER_ISOLATED &&
+	     scheduler->now_ms / SMALL_POOL_PERIOD_MS % 2 != 0))
 		return;
 	best->reserved_until_ms = scheduler->now_ms + RESERVATION_MS;
 	best->reserved_job = NULL;
 }
 
+/* Lasting tasks don't end to make room. */
+static bool fits_without_those_that_end(const sched_upstream_t *upstream,
+					const wwh_load_t *need)
+{
+	wwh_load_t room = upstream->info.size;
+
+	for (guint i = 0; i < upstream->tasks->len; i++) {
+		const sched_task_t *task =
+			g_ptr_array_index(upstream->tasks, i);
+		wwh_load_t taken = sched_step_reserved_load(task->step->spec);
+
+		if (task->step->spec->lasting)
+			wwh_load_subtract(&room, &taken);
+	}
+	return wwh_load_fits(need, &room);
+}
+
 /* The record of the start that is due names another upstream. */
 static bool is_recorded_elsewhere(const sched_task_t *task,
 				  const sched_upstream_t *upstream)
--- a/src/libwaxwinghollow/scheduler_place.c
+++ b/src/libwaxwinghollow/scheduler_place.c
@@ -48,10 +48,11 @@
 static void explain_started(const wwh_scheduler_t *scheduler,
 			    const sched_step_t *step, int32_t count);
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step);
-static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task);
+static bool place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task);
 static sched_upstream_t *find_isolated_upstream(wwh_scheduler_t *scheduler,
 						sched_task_t *task,
 						const char **ticket);
+static bool is_mostly_used(const sched_pool_t *pool);
 static bool waits_for_room(const wwh_scheduler_t *scheduler,
 			   const sched_step_t *step);
 static void place_gang(wwh_scheduler_t *scheduler, sched_step_t *step);
@@ -140,6 +141,7 @@
 		scheduler->starts_left <= 0 && candidates->len > 0;
 	pool->dirty = pool->dirty || pool->has_deferred_starts;
 	pool->unstarted_tasks -= max_starts - scheduler->starts_left;
+	sched_isolation_end_pass(scheduler, pool);
 	sched_room_end_pass(pool);
 	g_array_free(candidates, TRUE);
 }
@@ -173,6 +175,7 @@
 
 	*max_free = (wwh_load_t){ -1, -1, -1 };
 	pool->total_free = (wwh_load_t){ 0 };
+	pool->usable_size = (wwh_load_t){ 0 };
 	for (guint i = 0; i < pool->upstreams->len; i++) {
 		const sched_upstream_t *upstream =
 			g_ptr_array_index(pool->upstreams, i);
@@ -185,6 +188,7 @@
 		max_free->memory_mb = MAX(max_free->memory_mb, free.memory_mb);
 		max_free->gpus = MAX(max_free->gpus, free.gpus);
 		wwh_load_add(&pool->total_free, &free);
+		wwh_load_add(&pool->usable_size, &upstream->info.size);
 	}
 }
 
@@ -290,6 +294,7 @@
 static void place_tasks(wwh_scheduler_t *scheduler, sched_step_t *step)
 {
 	bool full = false;
+	bool suspects_full = false;
 
 	for (int32_t i = 0; i < step->spec->task_count; i++) {
 		sched_task_t *task = &step->tasks[i];
@@ -305,7 +310,11 @@
 		    !sched_shares_allow(scheduler, step, 1))
 			return;
 		if (sched_task_is_suspect(task)) {
-			place_suspect(scheduler, task);
+			/* the others of the step have the same needs */
+			if (suspects_full)
+				sched_isolation_withdraw(scheduler, task);
+			else
+				suspects_full = !place_suspect(scheduler, task);
 			continue;
 		}
 		if (full)
@@ -317,7 +326,8 @@
 			sched_speed_left_waiting(step);
 			scheduler->has_room_shortage =
 				scheduler->has_room_shortage ||
-				waits_for_room(scheduler, step);
+				(is_mostly_used(step->occurrence->job->pool) &&
+				 waits_for_room(scheduler, step));
 			/* only suspects may fit where others of the step don't */
 			if (step->losses == 0)
 				return;
@@ -337,26 +347,28 @@
 /*
  * Once an upstream can be isolated for a suspect task, its start is recorded, and
  * sent when the record is durable. Tasks of higher rank that wait for room go
- * first, as an isolated upstream has less of it.
+ * first, as an isolated upstream has less of it. Returns false if there is no
+ * upstream for it now.
  */
-static void place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task)
+static bool place_suspect(wwh_scheduler_t *scheduler, sched_task_t *task)
 {
 	const char *ticket = NULL;
 	sched_upstream_t *upstream;
 
 	sched_losses_give_up(scheduler, task);
 	if (sched_task_state(task) != TASK_WAITING)
-		return;
+		return true;
 	upstream = find_isolated_upstream(scheduler, task, &ticket);
 	if (upstream == NULL) {
 		sched_isolation_withdraw(scheduler, task);
-		return;
+		return false;
 	}
 	if (!sched_isolation_record(scheduler, task, upstream,
 				    sched_next_run(scheduler, task->run)))
-		return;
+		return true;
 	sched_task_start(scheduler, task, upstream, task->pending_run, ticket);
 	count_starts(scheduler, task->step, 1);
+	return true;
 }
 
 static sched_upstream_t *find_isolated_upstream(wwh_scheduler_t *scheduler,
@@ -379,6 +391,17 @@
 	return upstream;
 }
 
+/* A large task may wait for room in a pool that has plenty. */
+static bool is_mostly_used(const sched_pool_t *pool)
+{
+	const wwh_load_t *free = &pool->total_free;
+	const wwh_load_t *size = &pool->usable_size;
+
+	return free->cpu_millicores < size->cpu_millicores / 2 ||
+	       free->memory_mb < size->memory_mb / 2 ||
+	       free->gpus < size->gpus / 2;
+}
+
 /*
  * Whether a task of step would fit on an upstream that runs nothing else. Where
  * advice is needed, it may wait for that instead.
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -575,6 +575,14 @@
 
 void lasting_tasks_that_fail_are_back_soon(void **state);
 
+#define ISOLATION_TESTS                                                        \
+	cmocka_unit_test(a_large_task_that_waits_holds_up_no_suspect),         \
+		cmocka_unit_test(                                              \
+			suspects_that_find_no_upstream_hold_up_no_other)
+
+void a_large_task_that_waits_holds_up_no_suspect(void **state);
+void suspects_that_find_no_upstream_hold_up_no_other(void **state);
+
 #define PROGRESS_TESTS                                                         \
 	cmocka_unit_test(long_tasks_are_not_taken_for_hung),                   \
 		cmocka_unit_test(a_long_task_that_stands_still_is_found),      \
