job_holder: a cancelling that is answered 410 binds what comes later

Cause: a DELETE of a job that isn't known was answered 410 and left nothing behind, so that its submission was taken for a new one when it came. Nor did that process notice that the submission's caller had left.

Change: the holder stores a tombstone of the id before it answers 410, the record of a cancelled job that nobody has submitted. A submission that comes later is one of a cancelled job. Submissions whose connection is closed aren't accepted or passed on.

Why it works: the acknowledgement is a record, so it binds this holder and each next one, wherever the submission is; an overtaken holder can't write it.

--- a/include/waxwinghollow/job_holder.h
+++ b/include/waxwinghollow/job_holder.h
@@ -100,8 +100,13 @@
 /* Takes ownership of job. */
 void wwh_job_holder_submit(wwh_job_holder_t *holder, wwh_job_t *job,
 			   wwh_job_answered_t done, void *client_data);
+/*
+ * workspace: of the caller; NULL: none. A job that isn't known is answered
+ * WWH_JOB_ANSWER_NO_JOB, once a tombstone of it is stored.
+ */
 void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
-			   wwh_job_answered_t done, void *client_data);
+			   const char *workspace, wwh_job_answered_t done,
+			   void *client_data);
 void wwh_job_holder_query_state(wwh_job_holder_t *holder, const char *id,
 				wwh_job_answered_t done, void *client_data);
 void wwh_job_holder_query_pending(wwh_job_holder_t *holder, const char *queue,
--- a/include/waxwinghollow/scheduler.h
+++ b/include/waxwinghollow/scheduler.h
@@ -418,7 +418,19 @@
 				      const char *id);
 void wwh_scheduler_discard_job(wwh_scheduler_t *scheduler, const char *id);
 
-/* Returns false if there is no such job. */
+/*
+ * Leaves a tombstone of a job that isn't known, so that a submission of its id that
+ * arrives later is never run, by this holder or by a next one. Its state stays
+ * unknown until such a submission; from then on it is that of a cancelled job.
+ * Tombstones are kept as long as ended jobs. Returns false if there are too many.
+ */
+bool wwh_scheduler_add_tombstone(wwh_scheduler_t *scheduler, const char *id,
+				 const char *workspace, int64_t now_ms,
+				 int64_t *record);
+bool wwh_scheduler_has_tombstone(const wwh_scheduler_t *scheduler,
+				 const char *id);
+
+/* Returns false if there is no such job, or a tombstone of it only. */
 bool wwh_scheduler_cancel(wwh_scheduler_t *scheduler, const char *id,
 			  int64_t now_ms, int64_t *record);
 
--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -228,6 +228,7 @@
 	/* WWH_PROGRESS_QUEUED until the job ends, also after it has started */
 	wwh_job_progress_t state;
 	bool inherited; /* a previous holder accepted it */
+	bool tombstone; /* cancelled before any submission of it was known */
 	bool started;
 	bool dirty; /* its progress must be written */
 	int64_t record_number; /* of the record of its acceptance */
@@ -390,6 +391,7 @@
 	GArray *inherited_starts; /* sched_inherited_start_t, not resolved */
 	int32_t inherited_upstreams; /* their number at taken_over_ms */
 	int32_t fenced_upstreams; /* inherited ones with is_fenced set */
+	int32_t tombstones; /* jobs with tombstone set */
 	int32_t idle_upstreams; /* as counted last; spaces the polls at them */
 	/* When an upstream with tasks was last found without its address. */
 	int64_t doubted_ms;
@@ -747,6 +749,18 @@
 void sched_step_task_failed(wwh_scheduler_t *scheduler, sched_task_t *task,
 			    int64_t run);
 void sched_jobs_expire(wwh_scheduler_t *scheduler);
+/*
+ * scheduler_tombstone.c: jobs that were cancelled before they were known
+ *
+ * LOAD
+ *	Callers that give up, and whose submissions lie in processes that stand still.
+ */
+/* Called when it is submitted. Returns the record after which that is durable. */
+int64_t sched_tombstone_show(wwh_scheduler_t *scheduler, sched_job_t *job);
+/* Called when a job is forgotten, or restored. */
+void sched_tombstone_count(wwh_scheduler_t *scheduler, const sched_job_t *job,
+			   int32_t amount);
+
 /* Removes the job from the live jobs, and keeps it otherwise. */
 void sched_job_remove_live(wwh_scheduler_t *scheduler, sched_job_t *job);
 int64_t sched_objective_ms(const wwh_job_t *spec);
@@ -821,6 +835,8 @@
 			   const sched_pool_t *pool, wwh_pool_demand_t *demand);
 
 /* scheduler_record.c */
+/* Writes the progress of one job that isn't dirty. */
+void sched_progress_write_job(wwh_scheduler_t *scheduler, sched_job_t *job);
 /* Writes the progress of all jobs whose progress changed since the last call. */
 void sched_progress_write(wwh_scheduler_t *scheduler);
 /* At most job->record_max_bytes, unless the least that is needed has more. */
--- a/src/libwaxwinghollow/job_holder_requests.c
+++ b/src/libwaxwinghollow/job_holder_requests.c
@@ -68,7 +68,8 @@
 	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
 	char id[WWH_JOB_ID_CHARS + 1];
 	bool known = wwh_scheduler_job_state(holder->scheduler, job->id) !=
-		     WWH_PROGRESS_UNKNOWN;
+			     WWH_PROGRESS_UNKNOWN ||
+		     wwh_scheduler_has_tombstone(holder->scheduler, job->id);
 	int64_t record;
 
 	if (wwh_scheduler_job_is_unreadable(holder->scheduler, job->id)) {
@@ -179,8 +180,14 @@
 	       limit_ms;
 }
 
+/*
+ * A submission of the job may be on its way yet, in a process that stands still or
+ * in a connection. To whom "no such job" is answered, it is cancelled for good: the
+ * tombstone keeps that submission from running, also after a change of holder.
+ */
 void wwh_job_holder_cancel(wwh_job_holder_t *holder, const char *id,
-			   wwh_job_answered_t done, void *client_data)
+			   const char *workspace, wwh_job_answered_t done,
+			   void *client_data)
 {
 	wwh_job_answer_t answer = { .kind = WWH_JOB_ANSWER_OK };
 	int64_t record;
@@ -194,15 +201,20 @@
 	if (wwh_scheduler_cancel(holder->scheduler, id, holder->now_ms,
 				 &record)) {
 		wait_for_record(holder, record, "", &answer, done, client_data);
-		wwh_shard_journal_run(holder->journal, holder->now_ms);
-	} else if (wwh_job_holder_claim_confirmed(holder, holder->now_ms)) {
+	} else if (is_stalled(holder)) {
+		answer_not_done(holder, id, "store-unreachable", done,
+				client_data);
+	} else if (wwh_scheduler_add_tombstone(holder->scheduler, id, workspace,
+					       holder->now_ms, &record)) {
 		answer.kind = WWH_JOB_ANSWER_NO_JOB;
 		answer.why = "no-such-job";
-		done(&answer, client_data);
+		wait_for_record(holder, record, "", &answer, done, client_data);
 	} else {
-		answer_not_done(holder, id, "not-confirmed", done, client_data);
+		answer_not_done(holder, id, "too-many-tombstones", done,
+				client_data);
 	}
 	holder->urgent = false;
+	wwh_shard_journal_run(holder->journal, holder->now_ms);
 }
 
 /*
--- a/src/libwaxwinghollow/job_service_http.c
+++ b/src/libwaxwinghollow/job_service_http.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "private/job_service_state.h"
+#include "private/request_table.h"
 #include "waxwinghollow/metrics.h"
 #include "wire_caller.h"
 
@@ -27,6 +28,10 @@
 
 static void answer_caller(const job_call_t *call,
 			  wwh_http_response_t *response);
+static bool refuse_for_nobody(wwh_job_service_t *service,
+			      const job_request_t *request,
+			      const wwh_http_request_t *http,
+			      wwh_http_response_t *response);
 static bool parse_shard_target(const char *target,
 			       shard_requester_t *requester);
 static void answer_shard(wwh_job_service_t *service,
@@ -102,6 +107,10 @@
 		wwh_listener_set_error(response, WWH_ERROR_BAD_REQUEST, 0);
 		return;
 	}
+	if (refuse_for_nobody(service, request, call->http, response)) {
+		job_request_unref(request);
+		return;
+	}
 	request->timeout_ms = wire_caller_timeout_ms(
 		call->http->headers,
 		timeout_ms > 0 ? timeout_ms : DEFAULT_TIMEOUT_MS);
@@ -112,6 +121,26 @@
 	job_request_unref(request);
 }
 
+/*
+ * A process that stood still finds submissions in its sockets whose age it can't
+ * know. Its caller's end of the connection tells whether anybody still waits.
+ */
+static bool refuse_for_nobody(wwh_job_service_t *service,
+			      const job_request_t *request,
+			      const wwh_http_request_t *http,
+			      wwh_http_response_t *response)
+{
+	if (request->kind != JOB_REQUEST_SUBMIT ||
+	    !wwh_caller_gone(http->caller_fd))
+		return false;
+	wwh_event_log_printf(service->log, "not-served", request->id,
+			     "kind=%s why=caller-gone from_peer=%d",
+			     job_request_kind_names[request->kind],
+			     request->from_peer);
+	wwh_listener_set_error(response, WWH_ERROR_CALLER_GONE_NOT_RUN, 0);
+	return true;
+}
+
 bool wwh_job_service_ready(wwh_job_service_t *service)
 {
 	bool ready;
@@ -163,6 +192,10 @@
 		wwh_listener_set_error(response, WWH_ERROR_BAD_REQUEST, 0);
 		return;
 	}
+	if (refuse_for_nobody(service, request, http, response)) {
+		job_request_unref(request);
+		return;
+	}
 	request->timeout_ms = PEER_TIMEOUT_MS;
 	answer = job_service_execute(service, request);
 	job_service_write_peer_answer(&answer, response);
--- a/src/libwaxwinghollow/job_service_queue.c
+++ b/src/libwaxwinghollow/job_service_queue.c
@@ -183,8 +183,8 @@
 					   job_request_answer, request);
 		break;
 	case JOB_REQUEST_CANCEL:
-		wwh_job_holder_cancel(holder, request->id, job_request_answer,
-				      request);
+		wwh_job_holder_cancel(holder, request->id, request->workspace,
+				      job_request_answer, request);
 		break;
 	default:
 		wwh_job_holder_query_pending(holder, request->queue,
--- a/src/libwaxwinghollow/scheduler.c
+++ b/src/libwaxwinghollow/scheduler.c
@@ -269,7 +269,8 @@
 	scheduler->now_ms = MAX(scheduler->now_ms, now_ms);
 	if (job != NULL) {
 		wwh_job_delete(spec);
-		*record = job->record_number;
+		*record = job->tombstone ? sched_tombstone_show(scheduler, job)
+					 : job->record_number;
 		return WWH_SUBMIT_KNOWN;
 	}
 	value = wwh_job_encode(spec);
@@ -326,7 +327,7 @@
 		job->state = WWH_PROGRESS_QUEUED;
 		sched_job_clear_unreadable(scheduler, id);
 	}
-	if (job == NULL)
+	if (job == NULL || job->tombstone)
 		return false;
 	if (sched_job_is_live(job))
 		sched_job_end(scheduler, job, WWH_PROGRESS_CANCELLED);
@@ -341,7 +342,7 @@
 {
 	sched_job_t *job = sched_job_find(scheduler, id);
 
-	if (job == NULL)
+	if (job == NULL || job->tombstone)
 		return WWH_PROGRESS_UNKNOWN;
 	if (!sched_job_is_live(job) &&
 	    job->end_record_number <= scheduler->durable_record)
--- a/src/libwaxwinghollow/scheduler_job.c
+++ b/src/libwaxwinghollow/scheduler_job.c
@@ -268,6 +268,7 @@
 		scheduler->newest_record = scheduler->callbacks.write_record(
 			WWH_SCHEDULER_RECORD_PROGRESS, job->id, NULL,
 			scheduler->callbacks.client_data);
+		sched_tombstone_count(scheduler, job, -1);
 		g_hash_table_iter_remove(&iterator);
 	}
 }
--- a/src/libwaxwinghollow/scheduler_record.c
+++ b/src/libwaxwinghollow/scheduler_record.c
@@ -10,6 +10,7 @@
 
 /* The minimum number of elements of each array; later ones are optional. */
 #define PROGRESS_FIELDS 5
+#define TOMBSTONE_FIELD 6
 #define OCCURRENCE_FIELDS 2
 #define STEP_FIELDS 3
 #define FAILED_FIELDS 2
@@ -36,13 +37,13 @@
 typedef bool (*restore_record_t)(wwh_scheduler_t *scheduler, const char *id,
 				 const msgpack_object *object);
 
-static void write_progress(wwh_scheduler_t *scheduler, sched_job_t *job);
 static bool is_recorded(const sched_occurrence_t *occurrence, int64_t next);
 static guint count_recorded(const sched_job_t *job, int64_t next);
 static int64_t recorded_end(const sched_job_t *job);
 static bool has_progress(const sched_occurrence_t *occurrence);
 static GBytes *encode(const sched_job_t *job, int64_t wall_ms,
 		      sched_detail_t detail);
+static uint32_t optional_fields(const sched_job_t *job);
 static void pack_next(msgpack_packer *packer, const sched_job_t *job,
 		      int64_t next);
 static void pack_occurrence(msgpack_packer *packer,
@@ -86,12 +87,12 @@
 void sched_progress_write(wwh_scheduler_t *scheduler)
 {
 	for (guint i = 0; i < scheduler->dirty->len; i++)
-		write_progress(scheduler,
-			       g_ptr_array_index(scheduler->dirty, i));
+		sched_progress_write_job(
+			scheduler, g_ptr_array_index(scheduler->dirty, i));
 	g_ptr_array_set_size(scheduler->dirty, 0);
 }
 
-static void write_progress(wwh_scheduler_t *scheduler, sched_job_t *job)
+void sched_progress_write_job(wwh_scheduler_t *scheduler, sched_job_t *job)
 {
 	sched_detail_t detail = job->record_detail;
 	GBytes *value = sched_progress_encode(job, scheduler->wall_ms);
@@ -111,6 +112,8 @@
 		return;
 	if (job->end_record_number == G_MAXINT64) {
 		job->end_record_number = scheduler->newest_record;
+		if (job->tombstone)
+			return;
 		/* from now on, the record of its progress is sufficient */
 		scheduler->newest_record = scheduler->callbacks.write_record(
 			WWH_SCHEDULER_RECORD_JOB, job->id, NULL,
@@ -202,8 +205,7 @@
 
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer,
-			   PROGRESS_FIELDS + (job->workspace == NULL ? 0 : 1));
+	msgpack_pack_array(&packer, PROGRESS_FIELDS + optional_fields(job));
 	msgpack_pack_int32(&packer, (int32_t)job->state);
 	msgpack_pack_int64(&packer, wall_ms);
 	msgpack_pack_int32(&packer, job->started);
@@ -219,11 +221,22 @@
 	if (job->workspace != NULL)
 		msgpack_pack_str_with_body(&packer, job->workspace,
 					   strlen(job->workspace));
+	else if (job->tombstone)
+		msgpack_pack_nil(&packer);
+	if (job->tombstone)
+		msgpack_pack_true(&packer);
 	bytes = g_bytes_new(buffer.data, buffer.size);
 	msgpack_sbuffer_destroy(&buffer);
 	return bytes;
 }
 
+static uint32_t optional_fields(const sched_job_t *job)
+{
+	if (job->tombstone)
+		return TOMBSTONE_FIELD - PROGRESS_FIELDS + 1;
+	return job->workspace == NULL ? 0 : 1;
+}
+
 /*
  * A number, or an array of it and of the spans below it that aren't open yet. A
  * release that doesn't know these would take them for completed; it takes the array
@@ -456,6 +469,10 @@
 	if (job == NULL) {
 		job = sched_job_add_ended(scheduler, id);
 		job->workspace = read_workspace(object);
+		job->tombstone =
+			object->via.array.size > TOMBSTONE_FIELD &&
+			fields[TOMBSTONE_FIELD].type == MSGPACK_OBJECT_BOOLEAN;
+		sched_tombstone_count(scheduler, job, 1);
 	}
 	sched_job_clear_unreadable(scheduler, id);
 	job->state = (wwh_job_progress_t)state;
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -396,7 +396,8 @@
 	g_strlcpy(job->id, id, sizeof(job->id));
 	wwh_job_holder_submit(fixture->holder, job, on_any_answer, fixture);
 	assert_int_equal(fixture->last_answer, WWH_JOB_ANSWER_NOT_DONE);
-	wwh_job_holder_cancel(fixture->holder, id, on_any_answer, fixture);
+	wwh_job_holder_cancel(fixture->holder, id, NULL, on_any_answer,
+			      fixture);
 	run_for(fixture, 500);
 	assert_int_equal(fixture->last_answer, WWH_JOB_ANSWER_OK);
 	wwh_job_holder_query_state(fixture->holder, id, on_any_answer, fixture);
--- a/src/test_job_service/test_job_service.c
+++ b/src/test_job_service/test_job_service.c
@@ -280,6 +280,49 @@
 	wait_job_state(fixture, 0, "00000000000000e3", "completed");
 }
 
+/*
+ * Guards against a job that runs although its cancelling was acknowledged with 410:
+ * its submission arrives later, at any process and after a change of holder.
+ */
+static void a_job_that_is_cancelled_before_it_comes_never_runs(void **state)
+{
+	static const char job[] = "{\"spec\":\"text\",\"phases\":[{\"count\":1,"
+				  "\"cpu\":1000,\"memMb\":100}]}";
+	fixture_t *fixture = *state;
+
+	for (int32_t i = 0; i < PROCESSES; i++)
+		wait_ready(fixture, i);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		char *target = g_strdup_printf("/q/00000000000000f%d", i);
+
+		assert_int_equal(
+			send_request(fixture, i, "DELETE", target, NULL, NULL),
+			410);
+		g_free(target);
+	}
+	stop_process(fixture, 0);
+	wait_ready(fixture, 1);
+	for (int32_t i = 0; i < PROCESSES; i++) {
+		char *target = g_strdup_printf("/q/00000000000000f%d", i);
+		char *text;
+
+		assert_int_equal(
+			send_request(fixture, 1, "GET", target, NULL, NULL),
+			410);
+		assert_int_equal(
+			send_request(fixture, 1, "POST", target, job, NULL),
+			200);
+		assert_int_equal(
+			send_request(fixture, 1, "GET", target, NULL, &text),
+			200);
+		assert_string_equal(text, "{\"state\":\"canceled\"}");
+		g_free(text);
+		g_free(target);
+	}
+	g_usleep(500 * 1000);
+	assert_int_equal(g_hash_table_size(fixture->standin->starts), 0);
+}
+
 static void malformed_requests_get_the_matching_error_status(void **state)
 {
 	static const struct {
@@ -456,6 +499,8 @@
 		SERVICE_TEST(a_job_that_was_never_sent_to_the_store_is_refused),
 		SERVICE_TEST(unreadable_records_stop_no_process),
 		SERVICE_TEST(a_submission_without_time_is_refused_at_once),
+		SERVICE_TEST(
+			a_job_that_is_cancelled_before_it_comes_never_runs),
 		SERVICE_TEST(a_job_that_the_store_can_not_keep_is_rejected),
 		SERVICE_TEST(malformed_requests_get_the_matching_error_status),
 	};
--- a/src/test_scheduler/test_scheduler.h
+++ b/src/test_scheduler/test_scheduler.h
@@ -583,6 +583,13 @@
 void a_large_task_that_waits_holds_up_no_suspect(void **state);
 void suspects_that_find_no_upstream_hold_up_no_other(void **state);
 
+#define TOMBSTONE_TESTS                                                        \
+	cmocka_unit_test(a_job_that_was_cancelled_before_it_came_never_runs),  \
+		FIXTURE_TEST(the_number_of_tombstones_is_bounded, 1)
+
+void a_job_that_was_cancelled_before_it_came_never_runs(void **state);
+void the_number_of_tombstones_is_bounded(void **state);
+
 #define PROGRESS_TESTS                                                         \
 	cmocka_unit_test(long_tasks_are_not_taken_for_hung),                   \
 		cmocka_unit_test(a_long_task_that_stands_still_is_found),      \
