--- a/include/waxwinghollow/failure_streak.h
+++ b/include/waxwinghollow/failure_streak.h
@@ -46,10 +46,6 @@
 int64_t wwh_failure_streak_add(wwh_failure_streak_t *streak, bool worked,
 			       int64_t now_ms);
 
-/* Avoids the upstream for wait_ms from now on. */
-void wwh_failure_streak_avoid(wwh_failure_streak_t *streak, int64_t wait_ms,
-			      int64_t now_ms);
-
 /* A run that began at begun_ms is at work for some seconds. */
 void wwh_failure_streak_note_work(wwh_failure_streak_t *streak,
 				  int64_t begun_ms);
--- a/src/libwaxwinghollow/failure_streak.c
+++ b/src/libwaxwinghollow/failure_streak.c
@@ -35,16 +35,10 @@
 	wait_ms = (int64_t)BACKOFF_FIRST_MS << streak->backoffs;
 	streak->backoffs = MIN(streak->backoffs + 1, BACKOFF_MAX_DOUBLINGS);
 	streak->count = FAILURES_BEFORE_BACKOFF - 1;
-	wwh_failure_streak_avoid(streak, wait_ms, now_ms);
-	return wait_ms;
-}
-
-void wwh_failure_streak_avoid(wwh_failure_streak_t *streak, int64_t wait_ms,
-			      int64_t now_ms)
-{
 	if (now_ms >= streak->until_ms)
 		streak->since_ms = now_ms;
 	streak->until_ms = MAX(streak->until_ms, now_ms + wait_ms);
+	return wait_ms;
 }
 
 void wwh_failure_streak_note_work(wwh_failure_streak_t *streak,
--- a/src/libwaxwinghollow/scheduler_watch.c
+++ b/src/libwaxwinghollow/scheduler_watch.c
@@ -542,8 +542,7 @@
 		task->hangs++;
 		task->avoided_upstream = upstream;
 		sched_task_order_stop(scheduler, task);
-		wwh_failure_streak_avoid(&upstream->failures, HANG_BACKOFF_MS,
-					 scheduler->now_ms);
+		sched_upstream_back_off(scheduler, upstream, HANG_BACKOFF_MS);
 	}
 }
 
--- a/src/libwaxwinghollow/shard_journal.c
+++ b/src/libwaxwinghollow/shard_journal.c
@@ -47,17 +47,16 @@
 	int32_t references;
 	bool deleted;
 	bool lost;
-	GQueue *waiting; /* entry_t, not in the call in progress */
 	bool urgent;
+	bool in_flight;
+	bool refused; /* see wwh_shard_journal_refused */
+	GQueue *waiting; /* entry_t, not in the call in progress */
 	GByteArray *batch; /* of the call in progress; NULL: no call */
 	GQueue *batch_entries; /* entry_t, of batch */
-	/* While a record that the store rejects is searched for; 0: no limit. */
-	guint max_batch_entries;
 	entry_t *doubtful; /* rejected alone; batch shows if others are, too */
 	int64_t batch_queued_ms;
 	int64_t sequence;
 	int64_t next_number;
-	bool in_flight;
 	int64_t sent_ms;
 	/* Of the batch's first call that may have been carried out; 0: none. */
 	int64_t first_sent_ms;
@@ -65,9 +64,10 @@
 	int64_t retry_ms;
 	int32_t failures;
 	int64_t last_failure_ms;
+	/* While a record that the store rejects is searched for; 0: no limit. */
+	guint max_batch_entries;
 	int32_t unanswered; /* consecutive calls */
 	int64_t last_append_duration_ms; /* of the last success */
-	bool refused; /* see wwh_shard_journal_refused */
 	int64_t confirmed_ms;
 };
 
