job_holder: don't use an upstream whose id is longer than a record's key takes

Cause: an announcement's key has up to 255 bytes, and the key of the holder's own record of that upstream one more, at which wire_store_pack_record asserts.

Change: such an entry is reported as unreadable and not used.

Measured: the new test of test_job_holder fails before (the entry is used) and passes. That the assertion ends the process wasn't shown by a run.

--- a/src/libwaxwinghollow/job_holder_upstreams.c
+++ b/src/libwaxwinghollow/job_holder_upstreams.c
@@ -1,6 +1,13 @@
 #include "private/job_holder_state.h"
+
+#include <string.h>
+
 #include "wire_operator.h"
 
+/* A key of the journal is the kind of its record in one byte, and the id. */
+#define MAX_ID_CHARS (UINT8_MAX - 1)
+#define ID_TOO_LONG "id is longer than a record's key takes"
+
 #define SERVICE_NOT_CONFIGURED "service isn't one of the configuration's"
 
 static bool is_unchanged(const wwh_job_holder_t *holder, const char *key,
@@ -67,6 +74,10 @@
 						 holder->now_ms);
 		return;
 	}
+	if (strlen(key) > MAX_ID_CHARS) {
+		reject_entry(holder, key, ID_TOO_LONG);
+		return;
+	}
 	if (!wire_operator_parse_upstream(key, value, size, &info, &why)) {
 		g_hash_table_remove(holder->unconfigured, key);
 		reject_entry(holder, key, why.text);
--- a/src/test_job_holder/test_entries.c
+++ b/src/test_job_holder/test_entries.c
@@ -406,6 +406,26 @@
 	assert_int_equal(counter_value(fixture, "records.unreadable_now"), 0);
 }
 
+/*
+ * Guards against a holder that ends itself as an entry's id is as long as a key of the
+ * store may be, and the key of its own record of it would be longer.
+ */
+void an_upstream_with_the_longest_id_is_not_used(void **state)
+{
+	fixture_t *fixture = *state;
+	char *id = g_strnfill(255, 'u');
+
+	put_entry(fixture, id, fixture->valid_entries[0]);
+	start_holder(fixture);
+	run_until_others_settled(fixture);
+	run_for(fixture, 500);
+	assert_int_equal(counter_value(fixture, "records.unreadable"), 1);
+	assert_false(dump_contains(fixture, id));
+	submit(fixture);
+	assert_int_equal(all_runs(fixture), TASKS);
+	g_free(id);
+}
+
 /* Guards against rejected callers while the store is slow, but reachable. */
 void a_slow_store_causes_no_rejections(void **state)
 {
--- a/src/test_job_holder/test_job_holder.h
+++ b/src/test_job_holder/test_job_holder.h
@@ -18,6 +18,7 @@
 	ENTRY_TEST(an_upstream_with_an_unreadable_entry_is_not_used),          \
 		ENTRY_TEST(an_upstream_with_a_damaged_entry_keeps_its_tasks),  \
 		ENTRY_TEST(an_upstream_of_an_unknown_service_is_not_used),     \
+		ENTRY_TEST(an_upstream_with_the_longest_id_is_not_used),       \
 		ENTRY_TEST(a_bad_row_of_a_poll_is_reported_once),              \
 		ENTRY_TEST(a_job_with_an_unreadable_record_is_not_unknown),    \
 		ENTRY_TEST(a_slow_store_causes_no_rejections),                 \
@@ -37,6 +38,7 @@
 void an_upstream_with_an_unreadable_entry_is_not_used(void **state);
 void an_upstream_with_a_damaged_entry_keeps_its_tasks(void **state);
 void an_upstream_of_an_unknown_service_is_not_used(void **state);
+void an_upstream_with_the_longest_id_is_not_used(void **state);
 void a_bad_row_of_a_poll_is_reported_once(void **state);
 void a_job_with_an_unreadable_record_is_not_unknown(void **state);
 void a_slow_store_causes_no_rejections(void **state);
