scheduler: say in two comments what the code does

Cause: one comment had no subject that a reader finds, the other said that passes would not start tasks that they start one after another.

--- a/src/libwaxwinghollow/include/private/scheduler_state.h
+++ b/src/libwaxwinghollow/include/private/scheduler_state.h
@@ -352,7 +352,7 @@
 	sched_room_t *room;
 	wwh_workspace_share_t *shares;
 	int64_t next_try_ms;
-	/* After it was tried in vain, a suspect task isn't for so long; 0: it is. */
+	/* For how long a suspect task that found no upstream isn't tried again. */
 	int64_t isolation_gap_ms;
 	/* Since when suspect tasks wait for others to find room; 0: they don't. */
 	int64_t suspects_held_ms;
--- a/src/libwaxwinghollow/scheduler_occurrence.c
+++ b/src/libwaxwinghollow/scheduler_occurrence.c
@@ -4,7 +4,7 @@
 
 /*
  * Tasks of a job's first steps that nothing but room keeps waiting. With as many,
- * no more occurrences are opened: several passes would not start them all.
+ * no more occurrences are opened, as it takes several passes to start these.
  */
 #define MAX_WAITING_TASKS 256
 
